Describe callers, operators, endpoints and platform in schema files

Cause: every part of the proxy meets the outside through these four protocols, so they come first and are documented field by field.

--- /dev/null
+++ b/mallowpass/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Schema files of the callers, operators, endpoints and platform, and their generated code."""
