Lay down the core's boundary: events, effects, tables, timers, node

Cause: routing, pooling, failover and configuration are to run the same way under real sockets, virtual time and replay, so they may not touch a clock, a socket or a global random number.

Change: frozen events in and effects out, typed calls for callers, endpoints, peers, platform and operators, tables of rows, a timer service that systems subscribe to, and signals between systems.

Measured: nothing yet; no system stands on it so far.

--- /dev/null
+++ b/mallowpass/core/effects.py
@@ -0,0 +1,193 @@
+"""What a host does: the outputs of the core, carried out by adapters in order."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from mallowpass.core.calls import CallerAnswer, ControlCall, EndpointCall
+from mallowpass.core.operations import OperatorAnswer
+from mallowpass.core.peering import PeerMessage
+from mallowpass.core.platformcalls import PlatformCall
+
+__all__ = [
+    "AnswerCaller",
+    "AnswerOperator",
+    "CallPlatform",
+    "CloseCaller",
+    "CloseConnection",
+    "CloseControl",
+    "ClosePeer",
+    "ConnectPeer",
+    "Count",
+    "Effect",
+    "Exit",
+    "Log",
+    "Observe",
+    "OpenConnection",
+    "OpenControl",
+    "SendControl",
+    "SendEndpoint",
+    "SendPeer",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class Effect:
+    """Stand on top of all outputs."""
+
+
+# -- Callers -----------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerCaller(Effect):
+    """Send an answer, or a part of one, on a caller's stream."""
+
+    stream: int
+    answer: CallerAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class CloseCaller(Effect):
+    """End a caller's stream after the answers sent on it."""
+
+    stream: int
+
+
+# -- Endpoints ---------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class OpenConnection(Effect):
+    """Open a connection; the core numbers connections and never reuses one."""
+
+    connection: int
+    address: str
+    host: str
+    time_to_live: float
+    timeout: float
+
+
+@dataclass(frozen=True, slots=True)
+class SendEndpoint(Effect):
+    """Send a call on a connection."""
+
+    connection: int
+    sequence: int
+    call: EndpointCall
+
+
+@dataclass(frozen=True, slots=True)
+class CloseConnection(Effect):
+    """Close a connection; no event of it may follow."""
+
+    connection: int
+
+
+@dataclass(frozen=True, slots=True)
+class OpenControl(Effect):
+    """Open the control stream of an endpoint, in place of an earlier one."""
+
+    address: str
+    stream: int
+    timeout: float
+
+
+@dataclass(frozen=True, slots=True)
+class SendControl(Effect):
+    """Send a call on a control stream."""
+
+    address: str
+    stream: int
+    sequence: int
+    call: ControlCall
+
+
+@dataclass(frozen=True, slots=True)
+class CloseControl(Effect):
+    """Close a control stream; no event of it may follow."""
+
+    address: str
+    stream: int
+
+
+# -- Peers -------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectPeer(Effect):
+    """Make a link to a peer; PeerConnected or PeerLost with this link follows.
+
+    Links that peers make have negative numbers, given by the adapter.
+    """
+
+    link: int
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class SendPeer(Effect):
+    """Send a message on a link; dropped when the link is gone."""
+
+    link: int
+    message: PeerMessage
+
+
+@dataclass(frozen=True, slots=True)
+class ClosePeer(Effect):
+    """End a link."""
+
+    link: int
+
+
+# -- Platform, operators, process --------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class CallPlatform(Effect):
+    """Call the platform; PlatformReplied with this number follows always."""
+
+    call: int
+    request: PlatformCall
+    timeout: float
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerOperator(Effect):
+    """Answer an operator's call."""
+
+    call: int
+    answer: OperatorAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class Log(Effect):
+    """Log one event; `level` is a name of the logging module."""
+
+    level: str
+    event: str
+    fields: tuple[tuple[str, Any], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Count(Effect):
+    """Add to a counter."""
+
+    name: str
+    value: float = 1
+    attributes: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Observe(Effect):
+    """Record a value of a histogram; times in seconds."""
+
+    name: str
+    value: float
+    attributes: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Exit(Effect):
+    """End the process: all that was in flight is finished."""
--- /dev/null
+++ b/mallowpass/core/node.py
@@ -0,0 +1,246 @@
+"""One host's core: events in, effects out.
+
+A node is driven by its adapters: `handle` for each event, `wake` when
+`next_wake` has come. Both return the effects to carry out, in order. The same
+class runs under real sockets, under tests with virtual time and under replay.
+"""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+from mallowpass.core.effects import Count, Effect, Log, Observe
+from mallowpass.core.events import Event, Woken
+from mallowpass.core.operations import Decision
+from mallowpass.core.signals import Signal
+from mallowpass.core.tables import Tables
+from mallowpass.core.timers import TimerService
+
+__all__ = ["FailureDomain", "HostIdentity", "Node", "System", "Tuning"]
+
+JOURNAL_LENGTH = 4096
+
+_S = TypeVar("_S", bound="System")
+
+
+@dataclass(frozen=True, slots=True)
+class FailureDomain:
+    """Describe a failure domain; `hosts` is the number of seats in it."""
+
+    name: str
+    region: str
+    hosts: int
+
+
+@dataclass(frozen=True, slots=True)
+class HostIdentity:
+    """Describe this host; a replacement takes over its predecessor's seat."""
+
+    name: str
+    failure_domain: str
+    seat: int
+    peers_address: str
+    incarnation: int
+    domains: tuple[FailureDomain, ...]
+    seeds: tuple[str, ...] = ()
+    token_key: bytes = b""
+
+    @property
+    def region(self) -> str:
+        """Return the region of this host's failure domain."""
+        return self.region_of(self.failure_domain)
+
+    def region_of(self, failure_domain: str) -> str:
+        """Return the region of a failure domain, empty when unknown."""
+        for domain in self.domains:
+            if domain.name == failure_domain:
+                return domain.region
+        return ""
+
+
+@dataclass(frozen=True, slots=True)
+class Tuning:
+    """Hold the core's times (seconds) and limits."""
+
+    # Health of endpoints and failover.
+    probe_interval: float = 0.1
+    report_gap: float = 0.01
+    detection: float = 0.4
+    promise_timeout: float = 0.3
+    steward_stagger: float = 0.15
+    promotion_hold_down: float = 5.0
+    # Connections.
+    connect_timeout: float = 2.0
+    connection_time_to_live: float = 10.0
+    connection_idle: float = 60.0
+    silence: float = 3.0  # a connection without an answer for so long is closed
+    loan: float = 5.0
+    # Requests.
+    default_deadline: float = 10.0
+    retry_backoff_min: float = 0.01
+    retry_backoff_max: float = 0.5
+    retry_share: float = 0.2
+    replica_wait: float = 0.05
+    transaction_idle: float = 10.0
+    sessions: int = 20_000
+    requests_in_flight: int = 10_000
+    # Membership, configuration, platform.
+    heartbeat: float = 0.5
+    suspicion: float = 1.5
+    death: float = 5.0
+    peers_in_domain: int = 4
+    peers_elsewhere: int = 2
+    configuration_poll: float = 1.0
+    host_list_poll: float = 2.0
+    platform_timeout: float = 1.0
+    platform_reads_per_second: float = 20.0
+    platform_writes_per_second: float = 5.0
+    drain_limit: float = 20.0
+
+
+class System:
+    """Stand on top of all systems: a part that owns some decisions of a node."""
+
+    __slots__ = ("_node",)
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    @property
+    def tables(self) -> Tables:
+        """Return the node's tables."""
+        return self._node.tables
+
+    @property
+    def timers(self) -> TimerService:
+        """Return the node's timer service."""
+        return self._node.timers
+
+    @property
+    def now(self) -> float:
+        """Return the time of the event being handled, in seconds."""
+        return self._node.timers.now
+
+    def start(self) -> None:
+        """Subscribe to events and timers; called once, with all systems made."""
+
+    def stop(self) -> None:
+        """Give up whatever is held; called when the host leaves."""
+
+
+class Node:
+    """Own the tables, timers and systems of one host."""
+
+    __slots__ = (
+        "_effects",
+        "_handlers",
+        "_journal",
+        "_numbers",
+        "_systems",
+        "identity",
+        "random",
+        "tables",
+        "timers",
+        "tuning",
+    )
+
+    def __init__(
+        self, identity: HostIdentity, tuning: Tuning, seed: int, now: float = 0.0
+    ) -> None:
+        self.identity = identity
+        self.tuning = tuning
+        self.tables = Tables()
+        self.timers = TimerService(now)
+        self.random = random.Random(seed)
+        self._numbers = itertools.count(1)
+        self._effects: list[Effect] = []
+        self._handlers: dict[type, list[Callable[[Any], None]]] = {}
+        self._journal: deque[Decision] = deque(maxlen=JOURNAL_LENGTH)
+        self._systems: dict[type[System], System] = {}
+
+    @property
+    def next_wake(self) -> float | None:
+        """Return when `wake` is to be called, None for not at all."""
+        return self.timers.next_due
+
+    @property
+    def journal(self) -> deque[Decision]:
+        """Return the newest decisions, oldest first."""
+        return self._journal
+
+    # -- Driving -------------------------------------------------------------
+
+    def start(self, systems: Iterable[type[System]]) -> list[Effect]:
+        """Make the systems and start them."""
+        for kind in systems:
+            self._systems[kind] = kind(self)
+        for system in self._systems.values():
+            system.start()
+        return self._take_effects()
+
+    def handle(self, now: float, event: Event) -> list[Effect]:
+        """Decide what to do about an event that came at `now`."""
+        self.timers.advance(now)
+        self.timers.run_due()
+        for handler in self._handlers.get(type(event), ()):
+            handler(event)
+        return self._take_effects()
+
+    def wake(self, now: float) -> list[Effect]:
+        """Run what is due."""
+        return self.handle(now, _WOKEN)
+
+    # -- For systems ---------------------------------------------------------
+
+    def system(self, kind: type[_S]) -> _S:
+        """Return the node's system of a kind."""
+        return self._systems[kind]  # type: ignore[return-value]
+
+    def subscribe(
+        self, kind: type[Event] | type[Signal], handler: Callable[[Any], None]
+    ) -> None:
+        """Have a handler called with every event or signal of one type."""
+        self._handlers.setdefault(kind, []).append(handler)
+
+    def publish(self, signal: Signal) -> None:
+        """Tell the systems that subscribed to the signal's type, at once."""
+        for handler in self._handlers.get(type(signal), ()):
+            handler(signal)
+
+    def emit(self, effect: Effect) -> None:
+        """Add an effect to those that the event at hand causes."""
+        self._effects.append(effect)
+
+    def number(self) -> int:
+        """Return a number that this node has not used before."""
+        return next(self._numbers)
+
+    def log(self, level: str, event: str, **fields: Any) -> None:
+        """Log one event."""
+        self._effects.append(Log(level, event, tuple(fields.items())))
+
+    def count(self, name: str, value: float = 1, **attributes: str) -> None:
+        """Add to a counter."""
+        self._effects.append(Count(name, value, tuple(attributes.items())))
+
+    def observe(self, name: str, value: float, **attributes: str) -> None:
+        """Record a value of a histogram."""
+        self._effects.append(Observe(name, value, tuple(attributes.items())))
+
+    def decide(self, kind: str, subject: str, text: str) -> None:
+        """Record a decision in the journal, for operators to ask about."""
+        at = self.timers.now
+        self._journal.append(Decision(at, self.identity.name, kind, subject, text))
+
+    def _take_effects(self) -> list[Effect]:
+        effects = self._effects
+        self._effects = []
+        return effects
+
+
+_WOKEN = Woken()
--- /dev/null
+++ b/mallowpass/core/peering.py
@@ -0,0 +1,157 @@
+"""Messages between hosts; adapters carry them as CBOR over websockets."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from mallowpass.core.services import ServiceVersion
+
+__all__ = [
+    "Digest",
+    "EndpointNotice",
+    "ExplainAnswer",
+    "ExplainCall",
+    "Goodbye",
+    "Greeting",
+    "GroupNotice",
+    "Heartbeat",
+    "HostNotice",
+    "LoanAnswer",
+    "LoanCall",
+    "LoanReturn",
+    "PeerMessage",
+    "ServiceNotice",
+    "ServicesCall",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class PeerMessage:
+    """Stand on top of all messages between hosts."""
+
+
+@dataclass(frozen=True, slots=True)
+class Greeting(PeerMessage):
+    """Name the sender; first on each link."""
+
+    host: str
+    failure_domain: str
+    seat: int
+    address: str
+    incarnation: int
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat(PeerMessage):
+    """Prove that the sender lives; `digest` is over its service versions."""
+
+    host: str
+    incarnation: int
+    beat: int
+    digest: bytes
+    draining: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Goodbye(PeerMessage):
+    """Say that the sender leaves and takes no new work."""
+
+    host: str
+    incarnation: int
+
+
+@dataclass(frozen=True, slots=True)
+class HostNotice(PeerMessage):
+    """Pass on what the sender knows of a third host."""
+
+    host: str
+    failure_domain: str
+    seat: int
+    address: str
+    incarnation: int
+    state: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointNotice(PeerMessage):
+    """Pass on that an endpoint is leaving, or is back."""
+
+    address: str
+    leaving: bool
+
+
+@dataclass(frozen=True, slots=True)
+class GroupNotice(PeerMessage):
+    """Pass on which member a promotion made primary, and in which term."""
+
+    database: str
+    term: int
+    primary: str
+    by: str
+
+
+@dataclass(frozen=True, slots=True)
+class Digest(PeerMessage):
+    """List the service versions that the sender has in force."""
+
+    versions: tuple[tuple[str, int], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ServicesCall(PeerMessage):
+    """Ask for services by name; none named: all."""
+
+    names: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceNotice(PeerMessage):
+    """Pass on a service's newest version."""
+
+    service: ServiceVersion
+
+
+@dataclass(frozen=True, slots=True)
+class LoanCall(PeerMessage):
+    """Ask the receiver to lend connections of its share at an endpoint."""
+
+    loan: str
+    address: str
+    connections: int
+
+
+@dataclass(frozen=True, slots=True)
+class LoanAnswer(PeerMessage):
+    """Lend connections for `seconds` from when the call was sent; 0 refuses."""
+
+    loan: str
+    address: str
+    connections: int
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class LoanReturn(PeerMessage):
+    """Give a loan back early; its connections are closed."""
+
+    loan: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class ExplainCall(PeerMessage):
+    """Ask a host's journal on an operator's behalf."""
+
+    call: str
+    subject: str
+    name: str
+    limit: int
+
+
+@dataclass(frozen=True, slots=True)
+class ExplainAnswer(PeerMessage):
+    """Answer with journal entries as (age in seconds, kind, subject, text)."""
+
+    call: str
+    host: str
+    decisions: tuple[tuple[float, str, str, str], ...]
