--- a/mallowpass/core/services.py
+++ b/mallowpass/core/services.py
@@ -93,14 +93,24 @@
     objectives: Objectives = Objectives()
 
     def accepted_age(self, database: str, request_class: str) -> float | None:
-        """Return the declared age for a read, the strictest that applies."""
-        ages = [
-            entry.accepted_age
+        """Return the age declared for a read, the most specific declaration first.
+
+        The order is database and class, class, database, whole service; None when
+        nothing is declared: the read then shows what its session has seen.
+        """
+        ages = {
+            (entry.database, entry.request_class): entry.accepted_age
             for entry in self.read_ages
-            if entry.database in ("", database)
-            and entry.request_class in ("", request_class)
-        ]
-        return min(ages, default=None)
+        }
+        for key in (
+            (database, request_class),
+            ("", request_class),
+            (database, ""),
+            ("", ""),
+        ):
+            if key in ages:
+                return ages[key]
+        return None
 
 
 @dataclass(frozen=True, slots=True)
