--- /dev/null
+++ b/mallowpass/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and for database groups, for demos and tests."""
