Add a request's record id, copies and waiter to its row

The request path has to know which id the endpoint records, which copies of the request wait for the same run, and which members could not serve it. They were to live in `extra`, a dict of strings, which the house style forbids. New fields stand at the end with defaults. A session keeps its encoded token so that an answer that raises no floor signs nothing.

--- a/mallowpass/core/tables.py
+++ b/mallowpass/core/tables.py
@@ -169,6 +169,7 @@
     requests: dict[str, int] = field(default_factory=dict)  # in flight: id -> row
     transactions: set[str] = field(default_factory=set)
     token_seen: bool = False  # else its earlier writes are unknown here
+    token: bytes = b""  # of these floors; empty: to be encoded
 
 
 class RequestState(Enum):
@@ -213,6 +214,11 @@
     timer: Timer | None = None
     detail: str = ""  # the newest reason for waiting or failing, for the journal
     extra: dict[str, Any] | None = None  # for the one system that owns its state
+    record_id: str = ""  # the id that the endpoint records with its write
+    repeated: bool = False  # its write ran in an earlier copy of the request
+    waiter: Any = None  # of the position that it holds for; has cancel()
+    avoided: set[str] | None = None  # addresses that could not serve it
+    followers: list[tuple[int, str]] | None = None  # (stream, id) of its copies
 
 
 class TransactionState(Enum):
