--- a/mallowpass/settings/positions.py
+++ b/mallowpass/settings/positions.py
@@ -16,7 +16,7 @@
 
 _HEADER = re.compile(r"\s*(?P<open>\[\[?)(?P<key>[^\[\]]+)\]")
 _ASSIGNMENT = re.compile(
-    r"""\s*(?P<key>(?:"(?:[^"\\]|\\.)*"|'[^']*'|[A-Za-z0-9_-]+|[\s.])+?)\s*="""
+    r"""\s*(?P<key>(?:"(?:[^"\\]|\\.)*"|'[^']*'|[A-Za-z0-9_.\s-])+?)\s*="""
 )
 # A comment, any string (the long forms first) or a bracket; the rest is skipped.
 _TOKEN = re.compile(
@@ -96,8 +96,12 @@
 
 def _split_key(key: str) -> list[str]:
     # Let tomllib read quotes and dots: a nested table with one entry at each level.
+    try:
+        value = tomllib.loads(f"{key.strip()} = 0")
+    # A quoted key with brackets in it was cut short: its line is lost, no more.
+    except tomllib.TOMLDecodeError:
+        return [key]
     parts: list[str] = []
-    value = tomllib.loads(f"{key.strip()} = 0")
     while isinstance(value, dict):
         (part, value), *_ = value.items()
         parts.append(part)
--- a/mallowpass/settings/reader.py
+++ b/mallowpass/settings/reader.py
@@ -68,7 +68,8 @@
     except tomllib.TOMLDecodeError as error:
         line = _line_of(error)
         raise _failure(ErrorCode.SETTINGS_SYNTAX, file, line, error) from error
-    except RecursionError as error:
+    # Nested too deeply, or an integer of more digits than Python converts.
+    except (RecursionError, ValueError) as error:
         raise _failure(ErrorCode.SETTINGS_SYNTAX, file, 0, error) from error
     checker = Checker(file, LineIndex(text))
     settings = checker.read_table(cls, document, ())
@@ -175,15 +176,17 @@
         # bool is a subclass of int: `seat = true` would else pass as 1.
         if not isinstance(raw, int) or isinstance(raw, bool):
             return self._wrong_type(path, "a whole number", raw)
-        return self._within(path, raw, kind, str)
+        return self._within(path, raw, kind, _shorten)
 
     @_read.register
     def _(self, kind: NumberKind, raw: Any, path: KeyPath) -> Any:
         if not isinstance(raw, int | float) or isinstance(raw, bool):
             return self._wrong_type(path, "a number", raw)
-        if not math.isfinite(raw):
+        if isinstance(raw, float) and not math.isfinite(raw):
             return self._invalid(path, f"{raw} is not finite")
-        return self._within(path, float(raw), kind, lambda value: f"{value:g}")
+        # The bounds come before float(), which cannot hold every whole number.
+        value = self._within(path, raw, kind, _shorten)
+        return value if value is _INVALID else float(value)
 
     @_read.register
     def _(self, kind: FlagKind, raw: Any, path: KeyPath) -> Any:
--- a/mallowpass/units.py
+++ b/mallowpass/units.py
@@ -19,7 +19,10 @@
 SIZE_UNITS = {"B": 1, "KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30}
 PORT_MAX = 65535
 
-_QUANTITY = re.compile(r"(?P<number>[0-9]+(\.[0-9]+)?) ?(?P<unit>[A-Za-z]+)", re.ASCII)
+# Bounded digits: a longer number would become infinite as a float.
+_QUANTITY = re.compile(
+    r"(?P<number>[0-9]{1,15}(\.[0-9]{1,15})?) ?(?P<unit>[A-Za-z]+)", re.ASCII
+)
 _PORT = re.compile(r"[0-9]{1,5}", re.ASCII)
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -5,6 +5,8 @@
 import hashlib
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from mallowpass.errors import ErrorCode, MallowpassError
 from mallowpass.settings import (
@@ -173,6 +175,18 @@
             ErrorCode.DUPLICATE_NAME,
         ),
         ("7100", "65536", "platform.address", ErrorCode.INVALID_ADDRESS),
+        (
+            "[platform]",
+            f"[platform]\nreads_per_second = {'9' * 400}",
+            "platform.reads_per_second",
+            ErrorCode.INVALID_VALUE,
+        ),
+        (
+            "[platform]",
+            "[platform]\nreads_per_second = nan",
+            "platform.reads_per_second",
+            ErrorCode.INVALID_VALUE,
+        ),
         (
             'key_environment = "FLEET_KEY"',
             'key_environment = "FLEET_KEY"\nkey_file = "fleet.key"',
@@ -278,3 +292,36 @@
     with pytest.raises(MallowpassError) as caught:
         load_fleet_key(settings.fleet, environ)
     assert caught.value.error_code is ErrorCode.KEY_UNREADABLE
+
+
+CUTS = st.tuples(
+    st.integers(0, len(HOST)),
+    st.integers(0, 30),
+    st.text("\"[]{}#\\=.\n a1'", max_size=8),
+)
+
+
+@given(st.lists(CUTS, max_size=4))
+def test_damaged_text_gives_findings_and_nothing_else(cuts):
+    text = HOST
+    for start, length, patch in cuts:
+        text = text[:start] + patch + text[start + length :]
+    try:
+        HostSettings.from_text(text)
+    except SettingsError as error:
+        lines = {finding.line for finding in error.findings}
+        assert lines <= set(range(text.count("\n") + 2))
+
+
+@pytest.mark.parametrize("value", ["9" * 5000, "1e999", '"%s GiB"' % ("9" * 400)])
+@pytest.mark.parametrize("key", ["message_size", "sessions", "drain"])
+def test_enormous_number_is_a_finding(key, value):
+    with pytest.raises(SettingsError):
+        HostSettings.from_text(f"{HOST}[limits]\n{key} = {value}\n")
+
+
+def test_odd_keys_are_findings_too():
+    text = HOST + '["odd ] key"]\n"a.b" = 1\n[log]\n"form at" = "json"\n'
+    found = findings_of(text)
+    assert found["odd ] key"][0] is ErrorCode.UNKNOWN_KEY
+    assert found["log.form at"] == (ErrorCode.UNKNOWN_KEY, 33)
