Give membership, draining and changes the fields that they need

Cause: a repeated change can only be recognised once a later version stands if the row carries its change id; endpoint notices with no origin could chase each other round a cycle of links for ever; a drain ordered at another host needs a message; hosts that were cut off need a digest to find what they missed.

Change: ServiceVersion.history, EndpointNotice.origin/incarnation/number, Heartbeat.hosts, HostsDigest, DrainCall, DrainReply, PlatformFailed.code and Node.systems. Every new field has a default and stands at the end.

Measured: nothing; no behaviour of its own. Conclusion: additions only.

--- a/mallowpass/core/node.py
+++ b/mallowpass/core/node.py
@@ -173,6 +173,11 @@
         """Return the newest decisions, oldest first."""
         return self._journal
 
+    @property
+    def systems(self) -> tuple[System, ...]:
+        """Return all systems in the order in which they started."""
+        return tuple(self._systems.values())
+
     # -- Driving -------------------------------------------------------------
 
     def start(self, systems: Iterable[type[System]]) -> list[Effect]:
--- a/mallowpass/core/peering.py
+++ b/mallowpass/core/peering.py
@@ -8,6 +8,8 @@
 
 __all__ = [
     "Digest",
+    "DrainCall",
+    "DrainReply",
     "EndpointNotice",
     "ExplainAnswer",
     "ExplainCall",
@@ -16,6 +18,7 @@
     "GroupNotice",
     "Heartbeat",
     "HostNotice",
+    "HostsDigest",
     "LoanAnswer",
     "LoanCall",
     "LoanReturn",
@@ -50,6 +53,7 @@
     beat: int
     digest: bytes
     draining: bool = False
+    hosts: bytes = b""  # over the hosts that the sender believes alive
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +82,9 @@
 
     address: str
     leaving: bool
+    origin: str = ""  # with the two numbers: each host relays a notice once
+    incarnation: int = 0
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,3 +162,32 @@
     call: str
     host: str
     decisions: tuple[tuple[float, str, str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HostsDigest(PeerMessage):
+    """Hash the sender's hosts by bucket; an `answer` is not answered again."""
+
+    buckets: tuple[int, ...]
+    answer: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class DrainCall(PeerMessage):
+    """Ask the receiver to drain on an operator's behalf; `limit` in seconds."""
+
+    call: str
+    host: str
+    operator: str
+    limit: float
+
+
+@dataclass(frozen=True, slots=True)
+class DrainReply(PeerMessage):
+    """Answer DrainCall; an empty code means that the drain began."""
+
+    call: str
+    host: str
+    accepted: bool
+    code: str = ""
+    message: str = ""
--- a/mallowpass/core/platformcalls.py
+++ b/mallowpass/core/platformcalls.py
@@ -135,3 +135,4 @@
 
     message: str
     ambiguous: bool = True
+    code: str = ""  # a name of mallowpass/errors.py; empty: the platform is at fault
--- a/mallowpass/core/services.py
+++ b/mallowpass/core/services.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 __all__ = [
+    "AcceptedChange",
     "Database",
     "Member",
     "Objectives",
@@ -113,6 +114,15 @@
         return None
 
 
+@dataclass(frozen=True, slots=True)
+class AcceptedChange:
+    """Name one accepted change; `content` tells another change of the same id."""
+
+    change_id: str
+    version: int
+    content: bytes = b""
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceVersion:
     """Carry one accepted state of a service; `service` is None once deleted."""
@@ -122,3 +132,4 @@
     service: Service | None
     change_id: str = ""
     changed_by: str = ""
+    history: tuple[AcceptedChange, ...] = ()  # the newest changes, oldest first
