--- a/mallowpass/standins/database.py
+++ b/mallowpass/standins/database.py
@@ -14,7 +14,7 @@
 from mallowpass.schema import endpoint_pb2, endpoint_pb2_grpc, values_pb2
 from mallowpass.standins.group import GroupSpec
 from mallowpass.standins.log import Position, Statement
-from mallowpass.standins.member import Member, Refused, WriteTransaction, guard_sql
+from mallowpass.standins.member import Member, Refused, SqlGuard, WriteTransaction
 from mallowpass.standins.storage import Snapshot
 from mallowpass.standins.values import (
     parts,
@@ -79,8 +79,8 @@
 
     async def reachable(self) -> None:
         """Wait until the member runs and hears its hosts."""
-        while not (self.member.running and self._hosts_heard.is_set()):
-            await self.member.awake()
+        while not (self.member.awake.is_set() and self._hosts_heard.is_set()):
+            await self.member.awake.wait()
             await self._hosts_heard.wait()
 
     @asynccontextmanager
@@ -93,7 +93,7 @@
         try:
             if self.spec.service_time_s > 0:
                 await asyncio.sleep(self.spec.service_time_s)
-            await self.member.awake()
+            await self.member.awake.wait()
             yield
         finally:
             self._running_statements -= 1
@@ -160,10 +160,14 @@
             await asyncio.wait(
                 {serving, self._ended}, return_when=asyncio.FIRST_COMPLETED
             )
-            if serving.done():
-                serving.result()
         finally:
             serving.cancel()
+            # A cancelled call may still be about to open a transaction. Closing before
+            # it ends would leave the writer lock held for good: every later write
+            # would get CONFLICT.
+            await asyncio.wait({serving})
+        if not serving.cancelled():
+            serving.result()
         return self._ended.done() and self._ended.result()
 
     async def _read_calls(self) -> None:
@@ -312,7 +316,7 @@
         async with self._server.statement():
             # Again: a truncation may have taken applied entries away meanwhile.
             member.check_minimum(minimum, member.applied)
-            with guard_sql():
+            with SqlGuard():
                 result = member.store.read(statement)
             return _Answer(member.applied, rows_of(result))
 
@@ -336,11 +340,10 @@
         self._check_within(body, transaction)
         async with self._server.statement():
             if isinstance(transaction, Snapshot):
-                with guard_sql():
+                with SqlGuard():
                     result = transaction.read(statement)
                 return _Answer(transaction.applied, rows_of(result))
-            if not transaction.open:
-                raise Refused(endpoint_pb2.WRONG_TERM, "rolled back by a new term")
+            transaction.check_open()
             run = transaction.write if body.write else transaction.read
             return _Answer(self._member.applied, rows_of(run(statement)))
 
--- a/mallowpass/standins/member.py
+++ b/mallowpass/standins/member.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from mallowpass.standins.group import Group, LagSampler, Shipment
 
-__all__ = ["Faults", "Member", "Refused", "Role", "WriteTransaction", "guard_sql"]
+__all__ = ["Faults", "Member", "Refused", "Role", "SqlGuard", "WriteTransaction"]
 
 FIRST_TERM = 1
 _SQL_FAILURES = (sqlite3.Error, sqlite3.Warning, ValueError, OverflowError)
@@ -83,12 +83,19 @@
     def open(self) -> bool:
         return self.member.transaction is self
 
+    def check_open(self) -> None:
+        if self.open:
+            return
+        if self.member.term != self.term:
+            raise Refused(endpoint_pb2.WRONG_TERM, "rolled back by a new term")
+        raise Refused(endpoint_pb2.CONFLICT, "rolled back before")
+
     def read(self, statement: Statement) -> Result:
-        with guard_sql(self):
+        with SqlGuard(self):
             return self.member.writer.read(statement)
 
     def write(self, statement: Statement) -> Result:
-        with guard_sql(self):
+        with SqlGuard(self):
             result = self.member.writer.write(statement)
         self.statements.append(statement)
         self.affected += max(result.affected, 0)
@@ -101,7 +108,7 @@
         self.member.rollback(self)
 
 
-class guard_sql:
+class SqlGuard:
     """Turn failures of SQL into refusals; end a transaction that SQLite ended."""
 
     __slots__ = ("_transaction",)
@@ -143,8 +150,8 @@
         self.writer = None
         self.transaction: WriteTransaction | None = None
         self.news: set[asyncio.Event] = set()
-        self._awake = asyncio.Event()
-        self._awake.set()
+        self.awake = asyncio.Event()  # not set: paused
+        self.awake.set()
         self._crashed = False
         self._heard_at: float | None = None
         self._pending: deque[tuple[float, LogEntry]] = deque()
@@ -162,7 +169,7 @@
 
     @property
     def running(self) -> bool:
-        return self._awake.is_set() and not self._crashed
+        return self.awake.is_set() and not self._crashed
 
     @property
     def silence_ms(self) -> int:
@@ -183,10 +190,6 @@
         self.log.append(entry)
         self.store.apply(entry)
 
-    async def awake(self) -> None:
-        """Wait out a pause."""
-        await self._awake.wait()
-
     # Terms: promise, promote, follow
 
     def promise(self, term: int, proposer: str) -> None:
@@ -268,7 +271,7 @@
         self.check_write(term, request_id, attempt)
         await self._take_writer_lock()
         try:
-            await self.awake()
+            await self.awake.wait()
             # Again: the term, the records and the fences may have changed meanwhile.
             self.check_write(term, request_id, attempt)
             self.writer = self.writer or self.store.writer()
@@ -281,15 +284,14 @@
 
     def commit(self, transaction: WriteTransaction, rows: values_pb2.Rows) -> Position:
         """Record the transaction in log and data; return its place."""
-        if not transaction.open:
-            raise Refused(endpoint_pb2.WRONG_TERM, "rolled back by a new term")
+        transaction.check_open()
         try:
             self.check_write(
                 transaction.term, transaction.request_id, transaction.attempt
             )
             if not transaction.statements and not transaction.request_id:
                 return self.applied
-            with guard_sql():
+            with SqlGuard():
                 return self._commit(transaction, rows)
         finally:
             self.rollback(transaction)
@@ -370,10 +372,10 @@
         self._changed()
 
     def pause(self) -> None:
-        self._awake.clear()
+        self.awake.clear()
 
     def resume(self) -> None:
-        self._awake.set()
+        self.awake.set()
         self._apply_due()
         self._changed()
 
--- a/mallowpass/standins/process.py
+++ b/mallowpass/standins/process.py
@@ -25,6 +25,11 @@
 __all__ = ["Standins", "group_spec", "serve_standins", "standins_of"]
 
 ANY_LOCAL_PORT = "127.0.0.1:0"
+SERVER_OPTIONS = (
+    # Two processes on one port would each get some of the connections, unnoticed.
+    ("grpc.so_reuseport", 0),
+    ("grpc.max_receive_message_length", -1),
+)
 
 
 class Standins:
@@ -165,7 +170,7 @@
         group.start()
 
     async def _listen(self, name: str, *services: tuple[Callable, object]) -> None:
-        server = grpc.aio.server()
+        server = grpc.aio.server(options=SERVER_OPTIONS)
         for add, servicer in services:
             add(servicer, server)
         self._servers.append(server)
