Give requests connections from a static share of each endpoint's limit

Cause: the request path needs connections before anything can be served, and every host must be able to open some without agreeing with the others. Loans are an empty frame so far.

--- /dev/null
+++ b/mallowpass/core/systems/connections.py
@@ -0,0 +1,222 @@
+"""Hold the connections to one endpoint and the times by which they must answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+from mallowpass.core.calls import EndpointCall
+from mallowpass.core.systems.concurrency import ConcurrencyLimit
+from mallowpass.core.systems.waitqueue import Tally, WaitQueue
+from mallowpass.core.tables import ConnectionRow, DatabaseRow, EndpointRow
+from mallowpass.core.timers import TimerService
+
+__all__ = ["EndpointPool", "LoanPlaces", "Watchdog"]
+
+PAUSE = 0.5  # a timer that runs so many seconds late proves that the host stood still
+HOLD_SMOOTHING = 0.1
+
+
+class Watchdog:
+    """Tell which of many things took longer than one common time.
+
+    All wait equally long, so they fall due in the order they were added, and one
+    timer does for all: a timer for each statement would cost more than the rest.
+    """
+
+    __slots__ = ("_callback", "_entries", "_timeout", "_timer", "_timers")
+
+    def __init__(
+        self, timers: TimerService, timeout: float, callback: Callable[[int], None]
+    ) -> None:
+        self._timers = timers
+        self._timeout = timeout
+        self._callback = callback
+        self._entries: dict[int, float] = {}  # number -> when added, oldest first
+        self._timer = None
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def __contains__(self, number: int) -> bool:
+        return number in self._entries
+
+    def add(self, number: int) -> None:
+        """Watch a number from now on."""
+        self._entries[number] = self._timers.now
+        if self._timer is None:
+            self._timer = self._timers.after(self._timeout, self._run)
+
+    def remove(self, number: int) -> float | None:
+        """Stop watching; return since when it was watched, None if it was not."""
+        return self._entries.pop(number, None)
+
+    def renew(self, number: int) -> None:
+        """Watch a number anew from now."""
+        self._entries.pop(number, None)
+        self.add(number)
+
+    def numbers(self) -> list[int]:
+        """Return all numbers that are watched, oldest first."""
+        return list(self._entries)
+
+    def _run(self) -> None:
+        late = self._timers.now - self._timer.when
+        self._timer = None
+        if late > PAUSE:
+            self._excuse_all()
+        for number in list(self._due()):
+            self._entries.pop(number, None)
+            self._callback(number)
+        if self._entries and self._timer is None:
+            oldest = next(iter(self._entries.values()))
+            self._timer = self._timers.at(oldest + self._timeout, self._run)
+
+    def _due(self) -> Iterator[int]:
+        for number, since in self._entries.items():
+            if since + self._timeout > self._timers.now:
+                return
+            yield number
+
+    def _excuse_all(self) -> None:
+        # The host was paused: answers lie unread in its sockets. To close their
+        # connections now would turn a short pause into lost statements.
+        for number in self._entries:
+            self._entries[number] = self._timers.now
+
+
+class LoanPlaces:
+    """Hold the connections that another host lends at one endpoint."""
+
+    __slots__ = ("close_at", "connections", "ends_at", "loan", "numbers", "open_until")
+
+    def __init__(self, loan: str, connections: int) -> None:
+        self.loan = loan
+        self.connections = connections
+        self.open_until = 0.0  # none is opened after this
+        self.close_at = 0.0  # nothing is sent after this; idle ones are closed
+        self.ends_at = 0.0  # all are closed
+        self.numbers: set[int] = set()
+
+
+class EndpointPool:
+    """Hold one endpoint's connections at this host, its queue and its limits."""
+
+    __slots__ = (
+        "active",
+        "answering",
+        "backoff",
+        "borrowed",
+        "check_timer",
+        "checking",
+        "concurrency",
+        "concurrent_share",
+        "connections",
+        "database",
+        "deferred",
+        "endpoint",
+        "ghosts",
+        "hold",
+        "idle",
+        "idle_borrowed",
+        "idle_low",
+        "internal",
+        "lent",
+        "limit_backoff_until",
+        "open_limit",
+        "opening",
+        "own",
+        "patient",
+        "pinned",
+        "pumping",
+        "queue",
+        "retry_at",
+        "retry_timer",
+        "settling",
+        "withheld",
+    )
+
+    def __init__(
+        self, endpoint: EndpointRow, database: DatabaseRow, tally: Tally
+    ) -> None:
+        self.endpoint = endpoint
+        self.database = database
+        # How many connections are this host's.
+        self.own = 0  # static share
+        self.lent = 0  # of it, lent to others
+        self.withheld = 0  # of it, not used before old loans are surely over
+        self.open_limit: int | None = None  # while the endpoint says: too many
+        self.borrowed: dict[str, LoanPlaces] = {}
+        self.ghosts: list[float] = []  # places of silent ones, until when
+        self.settling: list[float] = []  # places of closed ones, until when
+        # The connections.
+        self.connections: dict[int, ConnectionRow] = {}
+        self.idle: dict[int, ConnectionRow] = {}  # least recently used first
+        self.idle_borrowed: dict[int, ConnectionRow] = {}
+        self.pinned: dict[int, ConnectionRow] = {}  # without a statement, oldest first
+        self.idle_low = 0  # fewest idle ones lately
+        self.active = 0  # connections with a request's statement
+        self.internal: dict[int, str] = {}  # in flight, and no request waits for it
+        self.deferred: dict[int, tuple[int, EndpointCall]] = {}
+        self.answering: Watchdog
+        self.checking: Watchdog
+        self.opening: Watchdog
+        # Work.
+        self.queue = WaitQueue({}, tally)
+        self.patient: frozenset[str] = frozenset()
+        self.concurrent_share = 0  # 0: no limit
+        self.concurrency = ConcurrencyLimit()
+        self.hold = 0.0  # moving average of how long a request keeps a connection
+        # Timers and pauses.
+        self.check_timer = None
+        self.retry_timer = None
+        self.retry_at = float("-inf")
+        self.limit_backoff_until = float("-inf")
+        self.backoff = 0
+        self.pumping = False
+
+    @property
+    def address(self) -> str:
+        """Return the endpoint's address."""
+        return self.endpoint.member.address
+
+    @property
+    def usable(self) -> int:
+        """Return how many connections of its own share this host may have now."""
+        usable = self.own - self.lent - self.withheld
+        if self.open_limit is not None:
+            usable = min(usable, self.open_limit)
+        return max(0, usable)
+
+    @property
+    def share(self) -> int:
+        """Return how many connections this host may have, with borrowed ones."""
+        borrowed = sum(loan.connections for loan in self.borrowed.values())
+        return self.usable + borrowed
+
+    @property
+    def own_count(self) -> int:
+        """Return how many connections of the own share exist or are opening."""
+        borrowed = sum(len(loan.numbers) for loan in self.borrowed.values())
+        return len(self.connections) - borrowed
+
+    @property
+    def statement_limit(self) -> int:
+        """Return how many statements may run at once."""
+        limit = self.concurrency.limit
+        if self.concurrent_share:
+            return min(limit, self.concurrent_share)
+        return limit
+
+    def learn_hold(self, seconds: float) -> None:
+        """Learn how long a request kept its connection."""
+        if self.hold:
+            self.hold += HOLD_SMOOTHING * (seconds - self.hold)
+        else:
+            self.hold = seconds
+
+    def drop_past(self, now: float) -> None:
+        """Forget places that are surely free again."""
+        if self.ghosts:
+            self.ghosts = [until for until in self.ghosts if until > now]
+        if self.settling:
+            self.settling = [until for until in self.settling if until > now]
