Number the calls of a loan so that a late answer can't stretch it

Cause: a loan is prolonged by the same message again, and a borrower counts its time from when the call was sent. A late answer to the first call, taken for the second's, would count from the second: the borrower would keep connections that the lender uses again. Change: LoanCall and LoanAnswer carry the call's number, 0 by default. Conclusion: fields added with defaults; nothing else changes.

--- a/mallowpass/core/peering.py
+++ b/mallowpass/core/peering.py
@@ -120,11 +120,16 @@
 
 @dataclass(frozen=True, slots=True)
 class LoanCall(PeerMessage):
-    """Ask the receiver to lend connections of its share at an endpoint."""
+    """Ask the receiver to lend connections of its share at an endpoint.
+
+    The same loan again asks to prolong it; `call` tells the calls apart, as an
+    answer to an earlier one must not count from when a later one was sent.
+    """
 
     loan: str
     address: str
     connections: int
+    call: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,6 +140,7 @@
     address: str
     connections: int
     seconds: float
+    call: int = 0
 
 
 @dataclass(frozen=True, slots=True)
