Watch endpoints by their reports: held positions, floors, the primary

Cause: acknowledgement, read floors and failover all rest on what the members of a group say of themselves; each needs the same reports, and a stream that fell silent while new ones work would make a healthy member look dead.

Change: one control stream for each endpoint, renewed with jittered backoff and tried afresh beside a silent one; a position is held when a majority reports it in its own term (promised term, log term and position); floors come from probes sent after the call, in coalesced rounds, as the k-th highest reply; a host's own pause voids the silence it believes to have seen. How closely a member reports depends on who needs it.

--- /dev/null
+++ b/mallowpass/core/systems/groupview.py
@@ -0,0 +1,203 @@
+"""What liveness keeps of one database group beside its row."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from mallowpass.core.calls import ZERO_POSITION, LogPosition, Report
+from mallowpass.core.tables import DatabaseRow, EndpointRow
+from mallowpass.core.timers import Timer
+
+__all__ = ["GroupView", "HeldWaiter", "MemberView"]
+
+TERM_STARTS_KEPT = 64
+MARKS_KEPT = 256
+MARK_GAP = 0.002
+LAG_WEIGHT = 0.2
+
+
+class HeldWaiter:
+    """Wait for a majority to hold a position; cancelling it is cheap."""
+
+    __slots__ = ("_callback", "position")
+
+    def __init__(self, position: LogPosition, callback: Callable[[bool], None]) -> None:
+        self.position = position
+        self._callback: Callable[[bool], None] | None = callback
+
+    def cancel(self) -> None:
+        """Keep the callback from running; may be done twice."""
+        self._callback = None
+
+    def resolve(self, held: bool) -> None:
+        """Run the callback once, unless cancelled."""
+        callback, self._callback = self._callback, None
+        if callback is not None:
+            callback(held)
+
+
+@dataclass(slots=True)
+class MemberView:
+    """Hold the newest stream that reported, and how far reads lag, in seconds."""
+
+    stream: int = 0
+    lag: float = 0.0
+    applied: LogPosition = ZERO_POSITION
+
+
+@dataclass(slots=True)
+class GroupView:
+    """Hold positions, term starts, waiters and activity of one group."""
+
+    row: DatabaseRow
+    holders: dict[str, int] = field(default_factory=dict)  # positions in row.term
+    term_starts: dict[int, int] = field(default_factory=dict)
+    members: dict[str, MemberView] = field(default_factory=dict)  # by address
+    # When this host first saw a position received anywhere, oldest first.
+    marks: deque[tuple[float, LogPosition]] = field(default_factory=deque)
+    written_at: float = float("-inf")  # this host last waited for a majority
+    read_at: float = float("-inf")  # this host last asked for positions
+    primary_at: float = float("-inf")  # a primary of row.term last reported
+    activity: Timer | None = None
+    _waiters: list[tuple[LogPosition, int, HeldWaiter]] = field(default_factory=list)
+    _counter: itertools.count[int] = field(default_factory=itertools.count)
+
+    # -- Term starts ---------------------------------------------------------
+
+    def learn_term_start(self, report: Report) -> None:
+        """Remember where the term of a member's log end started."""
+        term = report.received.term
+        if not report.term_start or term in self.term_starts:
+            return
+        self.term_starts[term] = report.term_start
+        while len(self.term_starts) > TERM_STARTS_KEPT:
+            del self.term_starts[min(self.term_starts)]
+
+    def overtaken_by(self, position: LogPosition) -> LogPosition | None:
+        """Return the start of a known higher term at or below a position."""
+        for term, start in self.term_starts.items():
+            if term > position.term and start <= position.position:
+                return LogPosition(term, start)
+        return None
+
+    def contains(self, end: LogPosition, position: LogPosition) -> bool:
+        """Tell whether a log that ends at `end` is proven to contain a position."""
+        if position.position == 0:
+            return True
+        if end.term == position.term:
+            return end.position >= position.position
+        if end.term < position.term or end.term not in self.term_starts:
+            return False
+        return self.overtaken_by(position) is None
+
+    # -- Held by a majority --------------------------------------------------
+
+    def count_holder(self, address: str, report: Report) -> bool:
+        """Count a member as holding the log in the present term; tell if it moved.
+
+        All three of promised term, log term and position count: a member that
+        promised a higher term may be part of the majority that elects a primary
+        without the entry, and an entry of an older term may still be overwritten
+        though a majority has it.
+        """
+        term = self.row.term
+        if report.term != term or report.received.term != term:
+            return False
+        position = report.received.position
+        if position <= self.holders.get(address, 0):
+            return False
+        self.holders[address] = position
+        return True
+
+    def majority_held(self) -> LogPosition:
+        """Return the highest place of the present term that a majority holds."""
+        majority = self.row.definition.majority
+        if len(self.holders) < majority:
+            return ZERO_POSITION
+        position = sorted(self.holders.values(), reverse=True)[majority - 1]
+        return LogPosition(self.row.term, position)
+
+    def wait(self, waiter: HeldWaiter) -> None:
+        """Queue a waiter by its position."""
+        heapq.heappush(self._waiters, (waiter.position, next(self._counter), waiter))
+
+    def resolve_waiters(self) -> None:
+        """Resolve the waiters that `held` has reached and those of older terms."""
+        while self._waiters and self._waiters[0][0] <= self._resolvable:
+            waiter = heapq.heappop(self._waiters)[2]
+            waiter.resolve(self.is_held(waiter.position))
+
+    def fail_waiters(self) -> None:
+        """Tell all waiters that nothing more will be known."""
+        waiters, self._waiters = sorted(self._waiters), []
+        for _, _, waiter in waiters:
+            waiter.resolve(False)
+
+    def is_held(self, position: LogPosition) -> bool:
+        """Tell whether a majority is known to hold a position of its own term."""
+        held = self.row.held
+        return held.term == position.term and held.position >= position.position
+
+    @property
+    def _resolvable(self) -> LogPosition:
+        # Nothing of a term that is over becomes held any more by reports.
+        return max(self.row.held, LogPosition(self.row.term, 0))
+
+    # -- Lag -----------------------------------------------------------------
+
+    def mark(self, now: float, received: LogPosition) -> None:
+        """Note when a position was first seen received anywhere."""
+        if self.marks and received <= self.marks[-1][1]:
+            return
+        if self.marks and now - self.marks[-1][0] < MARK_GAP:
+            return
+        self.marks.append((now, received))
+        if len(self.marks) > MARKS_KEPT:
+            self.marks.popleft()
+
+    def note_applied(self, now: float, address: str, applied: LogPosition) -> None:
+        """Move a member's average lag on when it applied more."""
+        member = self.members.setdefault(address, MemberView())
+        if applied <= member.applied:
+            return
+        member.applied = applied
+        seen = self._seen_at(applied)
+        if seen is not None:
+            member.lag += LAG_WEIGHT * (now - seen - member.lag)
+
+    def predict(
+        self, now: float, endpoint: EndpointRow, position: LogPosition
+    ) -> float | None:
+        """Return in how many seconds a member should have applied a position.
+
+        A member that is later than usual is expected to be late for as long
+        again: so one that stands still is soon not waited for.
+        """
+        member = self.members.get(endpoint.address)
+        if member is None or endpoint.report is None:
+            return None
+        seen = self._seen_at(position)
+        waited = 0.0 if seen is None else now - seen
+        return member.lag - waited if waited < member.lag else waited
+
+    def _seen_at(self, position: LogPosition) -> float | None:
+        """Return when a position was first seen, None when newer than all marks."""
+        index = _first_at_or_above(self.marks, position)
+        return None if index is None else self.marks[index][0]
+
+
+def _first_at_or_above(
+    marks: deque[tuple[float, LogPosition]], position: LogPosition
+) -> int | None:
+    low, high = 0, len(marks)
+    while low < high:
+        middle = (low + high) // 2
+        if marks[middle][1] < position:
+            low = middle + 1
+        else:
+            high = middle
+    return low if low < len(marks) else None
--- /dev/null
+++ b/mallowpass/core/systems/liveness.py
@@ -0,0 +1,430 @@
+"""What this host knows of endpoints: health, roles, positions; all from reports."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from mallowpass.core.calls import (
+    ControlCall,
+    ControlReply,
+    LogPosition,
+    ProbeCall,
+    Report,
+    Role,
+    WatchCall,
+)
+from mallowpass.core.events import EndpointReplied
+from mallowpass.core.node import Node, System
+from mallowpass.core.peering import GroupNotice
+from mallowpass.core.signals import (
+    DatabaseAdded,
+    DatabaseChanged,
+    DatabaseRemoved,
+    EndpointReported,
+    EndpointStateChanged,
+    HeldAdvanced,
+    PrimaryChanged,
+)
+from mallowpass.core.systems.controlstreams import (
+    ControlStreams,
+    ControlTraffic,
+    ReplyCallback,
+)
+from mallowpass.core.systems.floors import FloorCallback, FloorRounds
+from mallowpass.core.systems.groupview import GroupView, HeldWaiter, MemberView
+from mallowpass.core.systems.hostpause import HostPause
+from mallowpass.core.systems.stewards import Peers, find_membership
+from mallowpass.core.tables import DatabaseRow, EndpointRow, GroupState
+
+__all__ = ["STEWARDS", "Liveness"]
+
+STEWARDS = 3  # so many hosts of the lowest ranks watch a group's primary closely
+# A database that this host did not use for so long is watched as an idle one.
+ACTIVITY = 2.0
+IDLE_INTERVAL = 2.0
+IDLE_GAP = 1.0
+READ_INTERVAL = 0.5
+READ_GAP = 0.05
+TRAFFIC_INTERVAL = 10.0
+
+
+class Liveness(System):
+    """Watch endpoints and tell what their reports prove."""
+
+    __slots__ = ("_control", "_counted", "_membership", "_pause", "_rounds", "_views")
+
+    def __init__(self, node: Node) -> None:
+        super().__init__(node)
+        self._views: dict[str, GroupView] = {}
+        self._rounds: dict[str, FloorRounds] = {}
+        self._pause = HostPause(node)
+        self._control = ControlStreams(
+            node, self._replied, lambda: self._pause.awake_since
+        )
+        self._counted = (0, 0, 0)
+        self._membership: Peers | None = None
+
+    @property
+    def traffic(self) -> ControlTraffic:
+        """Return the counters of what control streams cost."""
+        return self._control.traffic
+
+    @property
+    def awake_since(self) -> float:
+        """Return when this host's last pause ended, by its clock in seconds."""
+        return self._pause.awake_since
+
+    def start(self) -> None:
+        """Watch databases as they come into force."""
+        self._node.subscribe(DatabaseAdded, self._added)
+        self._node.subscribe(DatabaseChanged, self._changed)
+        self._node.subscribe(DatabaseRemoved, self._removed)
+        self._node.subscribe(EndpointReplied, self._endpoint_replied)
+        self.timers.every(TRAFFIC_INTERVAL, self._count_traffic)
+        membership = find_membership(self._node)
+        if membership is not None:
+            self.use_membership(membership)
+
+    def use_membership(self, membership: Peers) -> None:
+        """Listen to notices of promotions, and take this host's ranks from it."""
+        self._membership = membership
+        membership.on_message(GroupNotice, self._noticed)
+
+    # -- For other systems ---------------------------------------------------
+
+    def control_call(
+        self, address: str, call: ControlCall, callback: ReplyCallback, timeout: float
+    ) -> None:
+        """Make a control call; the callback gets None without a reply in time."""
+        self._control.call(address, call, callback, timeout)
+
+    def learn_floor(self, database: DatabaseRow, callback: FloorCallback) -> None:
+        """Learn a floor above all writes acknowledged before now; None: no majority."""
+        self._use(database.key, reading=True)
+        rounds = self._rounds.get(database.key)
+        if rounds is None:
+            self.timers.after(0.0, callback, None)
+        else:
+            rounds.learn(callback)
+
+    def age_floor(
+        self, database: DatabaseRow, accepted_age: float
+    ) -> LogPosition | None:
+        """Return a floor for data of at most an age; None: no record so new."""
+        view = self._use(database.key, reading=True)
+        if view is None:
+            return None
+        floor = self._rounds[database.key].at_age(accepted_age)
+        if floor is None:
+            return None
+        # A record may hold entries that no majority had and a promotion dropped.
+        # Whatever was acknowledged is in the log where the next term starts.
+        return view.overtaken_by(floor) or floor
+
+    def wait_held(
+        self,
+        database: DatabaseRow,
+        position: LogPosition,
+        callback: Callable[[bool], None],
+    ) -> HeldWaiter:
+        """Wait until a majority holds a position; False when its term is over.
+
+        The callback may run before this returns.
+        """
+        waiter = HeldWaiter(position, callback)
+        view = self._use(database.key, writing=True)
+        if view is None:
+            waiter.resolve(False)
+        elif view.is_held(position):
+            waiter.resolve(True)
+        else:
+            view.wait(waiter)
+            view.resolve_waiters()
+        return waiter
+
+    def reached(self, endpoint: EndpointRow, position: LogPosition) -> bool:
+        """Tell whether a member's newest report proves that reads see a position."""
+        view = self._use(endpoint.database, reading=True)
+        if position.position == 0:
+            return True
+        if view is None or endpoint.report is None:
+            return False
+        return view.contains(endpoint.report.applied, position)
+
+    def predicted_reach(
+        self, endpoint: EndpointRow, position: LogPosition
+    ) -> float | None:
+        """Return in how many seconds reads should see a position; None: unknown."""
+        if self.reached(endpoint, position):
+            return 0.0
+        view = self._views.get(endpoint.database)
+        return None if view is None else view.predict(self.now, endpoint, position)
+
+    def floor_lost(self, database: DatabaseRow, position: LogPosition) -> bool:
+        """Tell whether a promotion dropped a position from the log."""
+        view = self._views.get(database.key)
+        return view is not None and view.overtaken_by(position) is not None
+
+    def silence(self, address: str) -> float:
+        """Return for how long an endpoint was silent, this host's pauses excluded."""
+        return self._control.silence(address)
+
+    def watch_interval(self, address: str) -> float:
+        """Return how often an endpoint is asked to report, in seconds."""
+        return self._control.slack(address)
+
+    def try_fresh(self, address: str) -> None:
+        """Open a second control stream beside one that may be silent for good."""
+        self._control.try_fresh(address)
+
+    # -- Databases -----------------------------------------------------------
+
+    def _added(self, signal: DatabaseAdded) -> None:
+        row = self.tables.databases[signal.database]
+        view = GroupView(row)
+        self._views[row.key] = view
+        self._rounds[row.key] = FloorRounds(self._node, self._control, row)
+        self._watch_members(view)
+
+    def _changed(self, signal: DatabaseChanged) -> None:
+        view = self._views.get(signal.database)
+        if view is None:
+            return
+        for address in signal.removed:
+            self._control.remove(address)
+            view.holders.pop(address, None)
+            view.members.pop(address, None)
+        if view.row.primary not in view.row.endpoints:
+            self._lose_primary(view, "its primary is not a member any more")
+        self._watch_members(view)
+
+    def _removed(self, signal: DatabaseRemoved) -> None:
+        view = self._views.pop(signal.database, None)
+        if view is None:
+            return
+        self._rounds.pop(signal.database).stop()
+        if view.activity is not None:
+            view.activity.cancel()
+        for address in view.row.endpoints:
+            self._control.remove(address)
+        view.fail_waiters()
+
+    # -- How closely to watch ------------------------------------------------
+
+    def _use(
+        self, key: str, *, reading: bool = False, writing: bool = False
+    ) -> GroupView | None:
+        """Note that this host uses a database: it is watched closely for a while."""
+        view = self._views.get(key)
+        if view is None:
+            return None
+        if reading:
+            view.read_at = self.now
+        if writing:
+            first = self.now - view.written_at > ACTIVITY
+            view.written_at = self.now
+            if first:
+                self._watch_members(view)
+        if view.activity is None:
+            view.activity = self.timers.after(ACTIVITY, self._review, view)
+            self._watch_members(view)
+        return view
+
+    def _review(self, view: GroupView) -> None:
+        view.activity = None
+        newest = max(view.read_at, view.written_at)
+        if self.now - newest <= ACTIVITY:
+            view.activity = self.timers.after(ACTIVITY, self._review, view)
+        self._watch_members(view)
+
+    def _watch_members(self, view: GroupView) -> None:
+        is_steward = self._is_steward(view.row.key)
+        for endpoint in view.row.endpoints.values():
+            watch = self._watch_for(view, endpoint, is_steward)
+            self._control.add(endpoint, watch)
+            self._control.watch(endpoint.address, watch)
+
+    def _watch_for(
+        self, view: GroupView, endpoint: EndpointRow, is_steward: bool
+    ) -> WatchCall:
+        """Choose how often a member reports: closely only where it matters.
+
+        All hosts watching all members closely would cost more than the whole
+        control budget: only who waits for positions needs each move of them,
+        and only a primary that stewards or callers of this host depend on has
+        to be found silent at once.
+        """
+        interval = self._node.tuning.probe_interval
+        is_primary = endpoint.address == view.row.primary or not view.row.primary
+        if self.now - view.written_at <= ACTIVITY:
+            gap = self._node.tuning.report_gap
+            return WatchCall(interval if is_primary else READ_INTERVAL, gap)
+        if self.now - view.read_at <= ACTIVITY:
+            return WatchCall(interval if is_primary else READ_INTERVAL, READ_GAP)
+        if is_primary and is_steward:
+            return WatchCall(interval, IDLE_GAP)
+        return WatchCall(IDLE_INTERVAL, IDLE_GAP)
+
+    def _is_steward(self, key: str) -> bool:
+        return self._membership is None or self._membership.rank(key) < STEWARDS
+
+    # -- Reports -------------------------------------------------------------
+
+    def _endpoint_replied(self, event: EndpointReplied) -> None:
+        connection = self.tables.connections.get(event.connection)
+        if connection is None:
+            return
+        endpoint = self.tables.endpoints.get(connection.address)
+        if endpoint is not None:
+            endpoint.heard_at = self.now
+
+    def _replied(self, endpoint: EndpointRow, reply: ControlReply, stream: int) -> None:
+        view = self._views.get(endpoint.database)
+        if reply.report is None or view is None:
+            return
+        if self._is_newest(view, endpoint, reply.report, stream):
+            self._take_report(view, endpoint, reply.report)
+
+    def _is_newest(
+        self, view: GroupView, endpoint: EndpointRow, report: Report, stream: int
+    ) -> bool:
+        """Tell whether a report is not an older one that a slow stream held up."""
+        member = view.members.setdefault(endpoint.address, MemberView())
+        if stream < member.stream and endpoint.report is not None:
+            return report.term > endpoint.report.term
+        member.stream = stream
+        return True
+
+    def _take_report(
+        self, view: GroupView, endpoint: EndpointRow, report: Report
+    ) -> None:
+        was_leaving = endpoint.report is not None and endpoint.report.leaving
+        endpoint.report = report
+        endpoint.report_at = self.now
+        endpoint.misses = 0
+        view.learn_term_start(report)
+        view.mark(self.now, report.received)
+        view.note_applied(self.now, endpoint.address, report.applied)
+        self._note_role(view, endpoint, report)
+        if view.count_holder(endpoint.address, report):
+            self._advance_held(view)
+        if report.leaving != was_leaving:
+            endpoint.leaving = report.leaving
+            self._node.publish(EndpointStateChanged(endpoint.address))
+        self._node.publish(EndpointReported(endpoint.address))
+
+    def _advance_held(self, view: GroupView) -> None:
+        held = view.majority_held()
+        if held <= view.row.held:
+            return
+        view.row.held = held
+        view.resolve_waiters()
+        self._node.publish(HeldAdvanced(view.row.key))
+
+    # -- The primary ---------------------------------------------------------
+
+    def _note_role(
+        self, view: GroupView, endpoint: EndpointRow, report: Report
+    ) -> None:
+        row = view.row
+        if report.role is Role.PRIMARY and report.term >= row.term:
+            self._note_primary(view, endpoint, report)
+        elif endpoint.address == row.primary:
+            self._lose_primary(view, f"{endpoint.name} reports {report.role.name}")
+        elif row.primary and self._is_over(row):
+            self._lose_primary(view, "a majority promised a higher term")
+
+    def _note_primary(
+        self, view: GroupView, endpoint: EndpointRow, report: Report
+    ) -> None:
+        row = view.row
+        if report.term > row.term:
+            self._accept_primary(view, endpoint, report)
+        elif self._may_return(row):
+            row.primary = endpoint.address
+            row.state = GroupState.SERVING
+            row.suspected_at = None
+            self._primary_changed(view, f"{endpoint.name} is heard again")
+        if row.primary == endpoint.address:
+            view.primary_at = self.now
+
+    def _may_return(self, row: DatabaseRow) -> bool:
+        """Tell whether the primary of the present term may get writes again."""
+        # While this host promotes, the old primary must stay without new writes.
+        is_free = not row.primary and row.state is not GroupState.PROMOTING
+        return is_free and not self._is_over(row)
+
+    def _accept_primary(
+        self, view: GroupView, endpoint: EndpointRow, report: Report
+    ) -> None:
+        row = view.row
+        is_first = row.term == 0
+        row.term = report.term
+        row.primary = endpoint.address
+        row.state = GroupState.SERVING
+        row.suspected_at = None
+        row.held = LogPosition(report.term, 0)
+        if not is_first:
+            row.last_promotion_at = self.now
+            gap = self.now - view.primary_at
+            self._node.observe("failover_gap_seconds", gap, database=row.key)
+        view.holders.clear()
+        view.primary_at = self.now
+        for member in row.endpoints.values():
+            if member.report is not None:
+                view.count_holder(member.address, member.report)
+        self._primary_changed(view, f"{endpoint.name} leads term {report.term}")
+        view.resolve_waiters()
+        self._advance_held(view)
+
+    def lose_primary(self, database: DatabaseRow, why: str) -> None:
+        """Send no more writes to the present primary until it is heard again."""
+        view = self._views.get(database.key)
+        if view is not None:
+            self._lose_primary(view, why)
+
+    def _lose_primary(self, view: GroupView, why: str) -> None:
+        row = view.row
+        if not row.primary:
+            return
+        row.primary = ""
+        if row.state is GroupState.SERVING:
+            row.state = GroupState.SUSPECTED
+            row.suspected_at = self.now
+        self._primary_changed(view, why)
+
+    def _primary_changed(self, view: GroupView, why: str) -> None:
+        self._node.decide("primary", view.row.key, why)
+        self._node.publish(PrimaryChanged(view.row.key))
+        self._watch_members(view)
+
+    @staticmethod
+    def _is_over(row: DatabaseRow) -> bool:
+        """Tell whether no write of the present term can be acknowledged any more."""
+        promised = sum(
+            member.report is not None and member.report.term > row.term
+            for member in row.endpoints.values()
+        )
+        return promised >= row.definition.majority
+
+    # -- Notices and counters ------------------------------------------------
+
+    def _noticed(self, host_name: str, notice: GroupNotice) -> None:
+        """Ask the members at once: their reports decide, the notice does not."""
+        row = self.tables.databases.get(notice.database)
+        if row is None or notice.term <= row.term:
+            return
+        for address in row.endpoints:
+            self._control.call(address, ProbeCall(), _ignore, self._node.tuning.silence)
+
+    def _count_traffic(self) -> None:
+        traffic = self._control.traffic
+        counted = (traffic.calls, traffic.replies, traffic.bytes)
+        names = ("control_calls", "control_replies", "control_bytes")
+        for name, value, before in zip(names, counted, self._counted, strict=True):
+            self._node.count(name, value - before)
+        self._counted = counted
+
+
+def _ignore(reply: ControlReply | None) -> None:
+    """Leave a reply to the report in it, which is taken anyway."""
