--- /dev/null
+++ b/mallowpass/core/systems/reads.py
@@ -0,0 +1,402 @@
+"""Reads outside transactions: floors, members, answers checked before they leave."""
+
+from __future__ import annotations
+
+from functools import partial
+
+from mallowpass.core.calls import (
+    ZERO_POSITION,
+    Access,
+    BeginCall,
+    BeginRequest,
+    CallerAnswer,
+    EndpointCode,
+    EndpointReply,
+    ExecuteCall,
+    LogPosition,
+    Outcome,
+)
+from mallowpass.core.node import Node, System
+from mallowpass.core.systems import liveness as liveness_module
+from mallowpass.core.systems import pooling as pooling_module
+from mallowpass.core.systems import retries as retries_module
+from mallowpass.core.systems import routing as routing_module
+from mallowpass.core.systems import sessions as sessions_module
+from mallowpass.core.systems.connections import Watchdog
+from mallowpass.core.systems.outcomes import (
+    PRIMARY_READ_COUNT,
+    REPLICA_READ_COUNT,
+    RETRIES_COUNT,
+    code_of_refusal,
+)
+from mallowpass.core.tables import (
+    ConnectionRow,
+    DatabaseRow,
+    EndpointRow,
+    RequestRow,
+    RequestState,
+)
+from mallowpass.errors import ErrorCode
+
+__all__ = ["Reads"]
+
+OVERDUE = 0.25  # seconds after which a read is tried elsewhere, at the earliest
+OVERDUE_FACTOR = 4.0  # times the member's usual latency
+
+# Codes that say nothing bad of the member: it is merely not the right one now.
+_NOT_THIS_MEMBER = frozenset(
+    {EndpointCode.BEHIND, EndpointCode.WRONG_TERM, EndpointCode.LEAVING}
+)
+_FINAL_CODES = frozenset({EndpointCode.SQL_ERROR, EndpointCode.BAD_CALL})
+
+
+class Reads(System):
+    """Serve reads from any member that proves the floor; a part of Requests."""
+
+    __slots__ = (
+        "_liveness",
+        "_overdue",
+        "_pooling",
+        "_requests",
+        "_retries",
+        "_routing",
+        "_sessions",
+        "_transactions",
+        "_waiting",
+    )
+
+    def __init__(self, node: Node) -> None:
+        super().__init__(node)
+        self._waiting: dict[str, dict[int, RequestRow]] = {}  # by database key
+
+    def start(self) -> None:
+        """Find the systems that are asked."""
+        from mallowpass.core.systems.requests import Requests
+        from mallowpass.core.systems.transactions import Transactions
+
+        node = self._node
+        self._liveness = node.system(liveness_module.Liveness)
+        self._pooling = node.system(pooling_module.Pooling)
+        self._requests = node.system(Requests)
+        self._retries = node.system(retries_module.Retries)
+        self._routing = node.system(routing_module.Routing)
+        self._sessions = node.system(sessions_module.Sessions)
+        self._transactions = node.system(Transactions)
+        self._overdue = Watchdog(self.timers, OVERDUE, self._on_overdue)
+
+    # -- Floors --------------------------------------------------------------
+
+    def begin(self, request: RequestRow) -> None:
+        """Set a floor, learn it where it is unknown, and route the request."""
+        self._set_floor(request)
+        if request.fresh_floor:
+            self._learn_floor(request)
+        else:
+            self._requests.route(request)
+
+    def _set_floor(self, request: RequestRow) -> None:
+        session = self.tables.sessions.get(request.stream)
+        known = session.floors.get(request.database) if session else None
+        # A session that has no floor here may still have written, through another
+        # host and under a token that it lost: it would not see its own record.
+        request.fresh_floor = known is None
+        request.floor = known or ZERO_POSITION
+        age = self._accepted_age(request)
+        if age is None:
+            return
+        database = self.tables.databases[request.database]
+        aged = self._liveness.age_floor(database, age)
+        if aged is None:
+            request.fresh_floor = True
+        elif aged > request.floor:
+            request.floor = aged
+
+    def _accepted_age(self, request: RequestRow) -> float | None:
+        if request.access is Access.WRITE:
+            return None  # a transaction that may write runs on the primary anyway
+        declared = None
+        database = self.tables.databases[request.database]
+        row = self.tables.services.get(database.service)
+        if row is not None and row.service is not None and row.service.read_ages:
+            name = database.definition.name
+            declared = row.service.accepted_age(name, request.request_class)
+        stated = request.request.accepted_age
+        if declared is None or stated is None:
+            return stated if declared is None else declared
+        return min(declared, stated)
+
+    def _learn_floor(self, request: RequestRow) -> None:
+        request.state = RequestState.WAITING_FLOOR
+        request.detail = "the session's floor is being learnt"
+        database = self.tables.databases[request.database]
+        self._liveness.learn_floor(database, partial(self._on_learnt, request))
+
+    def _on_learnt(self, request: RequestRow, position: LogPosition | None) -> None:
+        if request.state is not RequestState.WAITING_FLOOR:
+            return
+        if position is None:
+            why = "no majority of members told its positions"
+            after = self._retries.retry_after
+            self._requests.not_run(request, ErrorCode.MINORITY_SIDE, why, after)
+            return
+        request.floor = max(request.floor, position)
+        self._requests.route(request)
+
+    def _floor_is_gone(self, request: RequestRow, database: DatabaseRow) -> bool:
+        floor = request.floor
+        if floor.term >= database.term or not floor.term:
+            return False
+        if not self._liveness.floor_lost(database, floor):
+            return False
+        session = self.tables.sessions.get(request.stream)
+        seen = session.floors.get(request.database) if session else None
+        if seen is not None and self._liveness.floor_lost(database, seen):
+            why = f"seen up to {seen.term}:{seen.position}"
+            self._requests.not_run(request, ErrorCode.FLOOR_LOST, why)
+        else:
+            # Only the age's or a learnt floor was in the part that a promotion
+            # dropped; nobody was answered from there.
+            request.floor = seen or ZERO_POSITION
+            request.fresh_floor = True
+            self._learn_floor(request)
+        return True
+
+    # -- Routing -------------------------------------------------------------
+
+    def route(self, request: RequestRow) -> None:
+        """Send a read to the best member, or have it wait for one."""
+        database = self.tables.databases[request.database]
+        if self._floor_is_gone(request, database):
+            return
+        endpoint = self._routing.choose_read(request, database)
+        if endpoint is None and request.state is not RequestState.WAITING_FLOOR:
+            pause = self._routing.replica_wait(request, database)
+            if pause > 0:
+                self._wait(request, pause)
+                return
+        endpoint = endpoint or self._routing.choose_primary_read(request, database)
+        if endpoint is not None:
+            self._waiting_of(request).pop(request.number, None)
+            self._requests.acquire(request, endpoint.address)
+        elif request.avoided:
+            why = f"no member served it: {request.detail}"
+            self._requests.retry(request, ErrorCode.ENDPOINT_REFUSED, why)
+        else:
+            self._waiting_of(request)[request.number] = request
+            self._requests.hold(request, "no member has its floor, and no primary")
+
+    def _wait(self, request: RequestRow, pause: float) -> None:
+        request.state = RequestState.WAITING_FLOOR
+        request.detail = "a replica is about to reach the floor"
+        self._waiting_of(request)[request.number] = request
+        self.timers.after(pause, self._on_waited, request)
+
+    def _on_waited(self, request: RequestRow) -> None:
+        waiting = self._waiting_of(request)
+        if request.state is RequestState.WAITING_FLOOR and request.number in waiting:
+            self.route(request)
+
+    def _waiting_of(self, request: RequestRow) -> dict[int, RequestRow]:
+        return self._waiting.setdefault(request.database, {})
+
+    def reported(self, endpoint: EndpointRow) -> None:
+        """Route waiting reads whose floor a member's report proves."""
+        waiting = self._waiting.get(endpoint.database)
+        if not waiting or endpoint.leaving:
+            return
+        for request in list(waiting.values()):
+            if request.state not in (RequestState.WAITING_FLOOR, RequestState.HELD):
+                waiting.pop(request.number, None)
+            elif self._liveness.reached(endpoint, request.floor):
+                waiting.pop(request.number, None)
+                self.route(request)
+
+    def primary_changed(self, request: RequestRow, database: DatabaseRow) -> None:
+        """Route a read anew that a promotion may help or leave behind."""
+        queued = request.state is RequestState.QUEUED
+        if queued and request.address not in database.endpoints:
+            self._pooling.cancel(request)
+            self.route(request)
+
+    # -- Sending -------------------------------------------------------------
+
+    def send(self, request: RequestRow, connection: ConnectionRow) -> None:
+        """Send a read on the connection that it got."""
+        if self.now > request.arrived and not self._renew_age_floor(request):
+            self._requests.release(request, connection)
+            self._learn_floor(request)
+            return
+        request.state = RequestState.SENT
+        self._overdue.add(request.number)
+        statement = request.request
+        if isinstance(statement, BeginRequest):
+            call = BeginCall(minimum=request.floor)
+        else:
+            call = ExecuteCall(
+                sql=statement.sql,
+                parameters=statement.parameters,
+                minimum=request.floor,
+                chunk_rows=statement.chunk_rows,
+            )
+        self._pooling.send(connection, call)
+
+    def _renew_age_floor(self, request: RequestRow) -> bool:
+        """Tell whether the floor still meets the age after the wait so far."""
+        age = self._accepted_age(request)
+        if age is None:
+            return True
+        if request.fresh_floor and self.now - request.arrived <= age:
+            return True
+        database = self.tables.databases[request.database]
+        aged = self._liveness.age_floor(database, age)
+        if aged is None:
+            request.fresh_floor = True
+            return False
+        request.floor = max(request.floor, aged)
+        return True
+
+    # -- Replies -------------------------------------------------------------
+
+    def on_reply(
+        self, request: RequestRow, connection: ConnectionRow, reply: EndpointReply
+    ) -> None:
+        """Pass an answer on that proves the floor; find another one otherwise."""
+        if reply.code is not EndpointCode.OK:
+            self._on_refusal(request, connection, reply)
+        elif not self.proves(request, reply.applied):
+            self._on_stale(request, connection, reply)
+        elif not reply.last:
+            self._requests.part(request, self._part(request, reply))
+        elif isinstance(request.request, BeginRequest):
+            self._record(request, connection)
+            self._transactions.opened(request, connection, reply)
+        else:
+            self._record(request, connection)
+            self._requests.release(request, connection)
+            self._finish(request, reply)
+
+    def proves(self, request: RequestRow, applied: LogPosition) -> bool:
+        """Tell whether what an answer was made from contains the floor."""
+        # The last check before an answer leaves. Whatever chose the member was a
+        # guess: without this a lagging replica's answer would hide the session's
+        # own writes from it.
+        floor = request.floor
+        if applied < floor:
+            return False
+        if applied.term == floor.term or not floor.term:
+            return True
+        database = self.tables.databases.get(request.database)
+        endpoint = self.tables.endpoints.get(request.address)
+        if database is None or endpoint is None or endpoint.report is None:
+            return False
+        if endpoint.report.received.term < applied.term:
+            return False  # where its term began is not known here yet
+        return not self._liveness.floor_lost(database, floor)
+
+    def _record(self, request: RequestRow, connection: ConnectionRow) -> None:
+        self._overdue.remove(request.number)
+        latency = self.now - request.sent_at
+        self._requests.record(connection.address, latency, ok=True)
+
+    def _finish(self, request: RequestRow, reply: EndpointReply) -> None:
+        session = self.tables.sessions.get(request.stream)
+        if session is not None:
+            self._sessions.raise_floor(session, request.database, reply.applied)
+        for stream, _ in request.followers or ():
+            follower = self.tables.sessions.get(stream)
+            if follower is not None:
+                self._sessions.raise_floor(follower, request.database, reply.applied)
+        self._retries.succeeded(request.database.partition("/")[0])
+        database = self.tables.databases.get(request.database)
+        replica = database is not None and request.address != database.primary
+        self._node.emit(REPLICA_READ_COUNT if replica else PRIMARY_READ_COUNT)
+        endpoint = self.tables.endpoints.get(request.address)
+        answer = CallerAnswer(
+            request_id=request.request.request_id,
+            outcome=Outcome.DONE,
+            rows=reply.rows,
+            served_by=endpoint.name if endpoint else "",
+            from_replica=replica,
+        )
+        self._requests.finish(request, answer)
+
+    def _part(self, request: RequestRow, reply: EndpointReply) -> CallerAnswer:
+        return CallerAnswer(
+            request_id=request.request.request_id, outcome=None, rows=reply.rows
+        )
+
+    def _on_refusal(
+        self, request: RequestRow, connection: ConnectionRow, reply: EndpointReply
+    ) -> None:
+        code = reply.code
+        self._requests.release(request, connection)
+        why = f"{connection.address}: {code.name} {reply.message}".rstrip()
+        if code in _FINAL_CODES:
+            self._record(request, connection)
+            self._requests.not_run(request, code_of_refusal(reply), why)
+            return
+        if code not in _NOT_THIS_MEMBER:
+            self._requests.record(connection.address, 0.0, ok=False)
+        else:
+            self._routing.forget_trial(request)
+        self.elsewhere(request, ErrorCode.ENDPOINT_REFUSED, why)
+
+    def _on_stale(
+        self, request: RequestRow, connection: ConnectionRow, reply: EndpointReply
+    ) -> None:
+        applied, floor = reply.applied, request.floor
+        why = (
+            f"{connection.address}: answer of {applied.term}:{applied.position}"
+            f" is below the floor {floor.term}:{floor.position}"
+        )
+        self._routing.forget_trial(request)
+        if reply.last:
+            self._requests.release(request, connection)
+        else:
+            self._requests.discard(request, "its stale answer goes on")
+        self._node.decide("stale", request.request.request_id, why)
+        self.elsewhere(request, ErrorCode.FLOOR_NOT_REACHED, why)
+
+    def _on_overdue(self, number: int) -> None:
+        """Read elsewhere when a member takes far longer than it usually does.
+
+        Its connection may be silent for good. Without this, one sees each read on
+        it last until pooling gives the connection up, seconds later.
+        """
+        request = self.tables.requests.get(number)
+        if request is None or request.state is not RequestState.SENT:
+            return
+        endpoint = self.tables.endpoints.get(request.address)
+        usual = endpoint.latency if endpoint is not None else 0.0
+        if request.parts_sent or self.now - request.sent_at < OVERDUE_FACTOR * usual:
+            self._overdue.add(number)
+            return
+        if self._retries.may_retry(request) is None:
+            return
+        self._requests.record(request.address, 0.0, ok=False)
+        self._requests.abandon(request)
+        why = f"{request.address}: no answer in {self.now - request.sent_at:.3f}s"
+        self._node.emit(RETRIES_COUNT)
+        self._node.decide("retry", request.request.request_id, why)
+        self.elsewhere(request, ErrorCode.CONNECTION_LOST, why)
+
+    def lost(self, request: RequestRow, why: str) -> None:
+        """Read again elsewhere after a connection was lost."""
+        self.elsewhere(request, ErrorCode.CONNECTION_LOST, why)
+
+    def elsewhere(self, request: RequestRow, code: ErrorCode, why: str) -> None:
+        """Try the next member; after all members, pause."""
+        if request.parts_sent:
+            # The caller has parts of one answer: those of another would not fit.
+            self._requests.unknown(request, f"the answer broke off: {why}")
+            return
+        request.detail = why
+        if request.avoided is None:
+            request.avoided = set()
+        request.avoided.add(request.address)
+        request.state = RequestState.BACKOFF
+        database = self.tables.databases.get(request.database)
+        if database is None or len(request.avoided) >= len(database.endpoints):
+            self._requests.retry(request, code, why)
+        else:
+            self.route(request)
--- /dev/null
+++ b/mallowpass/core/systems/requests.py
@@ -0,0 +1,544 @@
+"""Callers' requests from arrival to answer: what all kinds of them share.
+
+Reads, writes and the resolution of outcomes stand in modules of their own; a
+request's row says which of them it is with.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+from mallowpass.core.calls import (
+    Access,
+    CallerAnswer,
+    CallerRequest,
+    EndpointReply,
+    ExecuteRequest,
+    LogPosition,
+    Outcome,
+)
+from mallowpass.core.effects import AnswerCaller, Observe
+from mallowpass.core.node import Node, System
+from mallowpass.core.services import database_key
+from mallowpass.core.signals import DatabaseRemoved, EndpointReported, PrimaryChanged
+from mallowpass.core.systems import draining as draining_module
+from mallowpass.core.systems import failover as failover_module
+from mallowpass.core.systems import pooling as pooling_module
+from mallowpass.core.systems import retries as retries_module
+from mallowpass.core.systems import routing as routing_module
+from mallowpass.core.systems import sessions as sessions_module
+from mallowpass.core.systems import transactions as transactions_module
+from mallowpass.core.systems.outcomes import (
+    RETRIES_COUNT,
+    SECONDS_ATTRIBUTES,
+    STATEMENT_COUNTS,
+    Outcomes,
+    code_of,
+)
+from mallowpass.core.systems.reads import Reads
+from mallowpass.core.systems.writes import Writes
+from mallowpass.core.tables import (
+    ConnectionRow,
+    RequestRow,
+    RequestState,
+    SessionRow,
+)
+from mallowpass.errors import ErrorCode
+
+__all__ = ["Requests"]
+
+HELD_RECHECK = 0.1  # seconds between looks at what is held, should a signal be missed
+RETRY_AFTER_FAILOVER = 0.5  # seconds; advice to who waited for a primary in vain
+
+_WAITING = frozenset(
+    {
+        RequestState.WAITING_FLOOR,
+        RequestState.QUEUED,
+        RequestState.HELD,
+        RequestState.BACKOFF,
+    }
+)
+
+# Refusals of one endpoint's pool; another endpoint, or a later try, may serve.
+_REROUTED = frozenset(
+    {
+        ErrorCode.CONNECTION_LOST,
+        ErrorCode.ENDPOINT_REFUSED,
+        ErrorCode.FAILING_OVER,
+    }
+)
+
+
+class Requests(System):
+    """Own the request rows; take them in, answer them, give them up in time."""
+
+    __slots__ = (
+        "_active",
+        "_draining",
+        "_failover",
+        "_held",
+        "_in_flight",
+        "_pooling",
+        "_rechecked",
+        "_retries",
+        "_routing",
+        "_sessions",
+        "_transactions",
+        "outcomes",
+        "reads",
+        "writes",
+    )
+
+    def __init__(self, node: Node) -> None:
+        super().__init__(node)
+        self._active: dict[str, dict[int, RequestRow]] = {}  # by database key
+        self._held: dict[str, dict[int, RequestRow]] = {}  # by database key
+        self._rechecked: set[str] = set()  # database keys with a timer
+        self._in_flight = 0
+        self.reads = Reads(node)
+        self.writes = Writes(node)
+        self.outcomes = Outcomes(node)
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests have no answer yet."""
+        return self._in_flight
+
+    def start(self) -> None:
+        """Subscribe to what moves waiting requests on."""
+        node = self._node
+        self._draining = node.system(draining_module.Draining)
+        self._failover = node.system(failover_module.Failover)
+        self._pooling = node.system(pooling_module.Pooling)
+        self._retries = node.system(retries_module.Retries)
+        self._routing = node.system(routing_module.Routing)
+        self._sessions = node.system(sessions_module.Sessions)
+        self._transactions = node.system(transactions_module.Transactions)
+        self.reads.start()
+        self.writes.start()
+        self.outcomes.start()
+        node.subscribe(PrimaryChanged, self._on_primary_changed)
+        node.subscribe(EndpointReported, self._on_reported)
+        node.subscribe(DatabaseRemoved, self._on_database_removed)
+
+    # -- Arrival -------------------------------------------------------------
+
+    def execute(self, session: SessionRow, request: ExecuteRequest) -> None:
+        """Take in a statement that stands alone."""
+        running = session.requests.get(request.request_id)
+        if running is not None:
+            self.writes.join(running, session, request)
+            return
+        key = database_key(session.service, request.database)
+        if request.access is Access.WRITE:
+            if self.writes.join_running(session, request, key):
+                return
+            row = self.take_in(session, request, key, Access.WRITE)
+            if row is not None:
+                self.writes.begin(row, session)
+            return
+        row = self.take_in(session, request, key, Access.READ)
+        if row is not None:
+            self.reads.begin(row)
+
+    def take_in(
+        self, session: SessionRow, request: CallerRequest, key: str, access: Access
+    ) -> RequestRow | None:
+        """Make a request's row; None when it was refused on arrival."""
+        service = self.tables.services.get(session.service)
+        if service is None or service.service is None:
+            self.refuse(session, request, ErrorCode.UNKNOWN_SERVICE)
+            return None
+        if key not in self.tables.databases:
+            self.refuse(session, request, ErrorCode.UNKNOWN_DATABASE)
+            return None
+        deadline = request.deadline
+        if deadline is None:
+            deadline = service.service.default_deadline
+        if deadline <= 0:
+            self.refuse(session, request, ErrorCode.DEADLINE_PASSED)
+            return None
+        row = RequestRow(
+            number=self._node.number(),
+            stream=session.stream,
+            request=request,
+            database=key,
+            access=access,
+            arrived=self.now,
+            expires=self.now + deadline,
+            request_class=getattr(request, "request_class", "")
+            or session.request_class,
+        )
+        row.timer = self.timers.at(row.expires, self._on_deadline, row)
+        session.requests[request.request_id] = row.number
+        self.tables.requests[row.number] = row
+        self._active.setdefault(key, {})[row.number] = row
+        self._in_flight += 1
+        return row
+
+    def refuse(
+        self,
+        session: SessionRow,
+        request: CallerRequest,
+        code: ErrorCode,
+        message: str = "",
+        retry_after: float = 0.0,
+        outcome: Outcome = Outcome.NOT_RUN,
+    ) -> None:
+        """Answer a request that got no row."""
+        text = message or code.meaning
+        self._node.decide("refuse", request.request_id, f"{code.code} {text}")
+        answer = CallerAnswer(
+            request_id=request.request_id,
+            outcome=outcome,
+            code=code.code,
+            message=text,
+            token=self._sessions.token(session),
+            retry_after=retry_after,
+            go_elsewhere=self._draining.draining,
+        )
+        self._node.emit(AnswerCaller(session.stream, answer))
+
+    # -- From pooling --------------------------------------------------------
+
+    def on_connection(self, request: RequestRow, connection: ConnectionRow) -> None:
+        """Use a connection for a request that was queued for it."""
+        if request.state is not RequestState.QUEUED:
+            self._pooling.release(connection)
+            return
+        request.connection = connection.number
+        request.sent_at = self.now
+        if request.access is Access.WRITE:
+            self.writes.send(request, connection)
+        else:
+            self.reads.send(request, connection)
+
+    def on_reply(
+        self, request: RequestRow, connection: ConnectionRow, reply: EndpointReply
+    ) -> None:
+        """Take an endpoint's reply in."""
+        if request.transaction:
+            self._transactions.on_reply(request, connection, reply)
+        elif not self._expects(request, connection):
+            # Its caller has an answer already, or gets it from another try.
+            if reply.last:
+                self._pooling.release(connection)
+        elif request.access is Access.WRITE:
+            self.writes.on_reply(request, connection, reply)
+        else:
+            self.reads.on_reply(request, connection, reply)
+
+    def _expects(self, request: RequestRow, connection: ConnectionRow) -> bool:
+        sent = request.state is RequestState.SENT
+        return sent and request.connection == connection.number
+
+    def on_connection_lost(
+        self, request: RequestRow, connection: ConnectionRow, why: str
+    ) -> None:
+        """Find out what becomes of a request whose connection is gone."""
+        database = self.tables.databases.get(request.database)
+        if database is not None and connection.address == database.primary:
+            self._failover.suspicion(connection.address, why)
+        if request.transaction:
+            self._transactions.on_statement_lost(request, why)
+            return
+        if not self._expects(request, connection):
+            return
+        request.connection = 0
+        self.record(connection.address, 0.0, ok=False)
+        if request.access is Access.WRITE:
+            self.outcomes.resolve(request, f"connection lost: {why}")
+        else:
+            self.reads.lost(request, why)
+
+    def on_refused(
+        self, request: RequestRow, code: str, why: str, retry_after: float
+    ) -> None:
+        """Find another way for a request that got no connection, or give it up."""
+        if request.state is not RequestState.QUEUED:
+            return
+        error = code_of(code)
+        self._routing.forget_trial(request)
+        if error not in _REROUTED:
+            self.not_run(request, error, why, retry_after)
+        elif request.access is Access.WRITE:
+            self.writes.refused(request, error, why)
+        else:
+            self.record(request.address, 0.0, ok=False)
+            self.reads.elsewhere(request, error, why)
+
+    # -- Connections ---------------------------------------------------------
+
+    def acquire(self, request: RequestRow, address: str) -> None:
+        """Queue for a connection to an endpoint."""
+        request.state = RequestState.QUEUED
+        request.address = address
+        self._pooling.acquire(request, self.tables.endpoints[address])
+
+    def release(self, request: RequestRow, connection: ConnectionRow) -> None:
+        """Give a clean connection back."""
+        request.connection = 0
+        self._pooling.release(connection)
+
+    def abandon(self, request: RequestRow) -> None:
+        """Leave the connection that a request waits on to pooling."""
+        connection = self.tables.connections.get(request.connection)
+        request.connection = 0
+        if connection is not None:
+            self._pooling.release(connection)
+
+    def discard(self, request: RequestRow, why: str) -> None:
+        """Close the connection that a request was sent on, if it still has one."""
+        connection = self.tables.connections.get(request.connection)
+        request.connection = 0
+        if connection is not None:
+            self._pooling.discard(connection, why)
+
+    def record(self, address: str, latency: float, ok: bool) -> None:
+        """Note what a statement's trip to an endpoint came to."""
+        endpoint = self.tables.endpoints.get(address)
+        if endpoint is not None:
+            self._routing.record(endpoint, latency, ok)
+
+    # -- Waiting -------------------------------------------------------------
+
+    def hold(self, request: RequestRow, why: str) -> None:
+        """Keep a request until a primary is there, in order of arrival."""
+        request.state = RequestState.HELD
+        request.detail = why
+        self._held.setdefault(request.database, {})[request.number] = request
+        if request.database not in self._rechecked:
+            self._rechecked.add(request.database)
+            self.timers.after(HELD_RECHECK, self._recheck, request.database)
+        self._node.decide("hold", request.request.request_id, why)
+
+    def retry(self, request: RequestRow, code: ErrorCode, why: str) -> None:
+        """Try a request again after a pause, or give it up at once.
+
+        Only for what is proven not to have run, or may run twice.
+        """
+        request.detail = why
+        delay = self._retries.may_retry(request)
+        subject = request.request.request_id
+        if delay is None:
+            self._give_up(request, code, why)
+            return
+        self._node.emit(RETRIES_COUNT)
+        self._node.decide("retry", subject, f"{why}; again in {delay:.3f}s")
+        request.state = RequestState.BACKOFF
+        self.timers.after(delay, self._again, request, request.tries)
+
+    def _give_up(self, request: RequestRow, code: ErrorCode, why: str) -> None:
+        if self.now + self._node.tuning.retry_backoff_max < request.expires:
+            code = ErrorCode.RETRY_BUDGET_SPENT
+        self.not_run(request, code, why, self._retries.retry_after)
+
+    def _again(self, request: RequestRow, tries: int) -> None:
+        if request.state is RequestState.BACKOFF and request.tries == tries:
+            self.route(request)
+
+    def route(self, request: RequestRow) -> None:
+        """Send a request on its way, whatever it waited for."""
+        if request.access is Access.WRITE:
+            self.writes.route(request)
+        else:
+            request.avoided = None
+            self.reads.route(request)
+
+    def _recheck(self, database: str) -> None:
+        self._release_held(database)
+        if self._held.get(database):
+            self.timers.after(HELD_RECHECK, self._recheck, database)
+        else:
+            self._rechecked.discard(database)
+
+    def _release_held(self, database: str) -> None:
+        row = self.tables.databases.get(database)
+        held = self._held.get(database)
+        if not held or row is None or self._routing.choose_write(row) is None:
+            return
+        self._held[database] = {}
+        self._node.decide("release", database, f"{len(held)} held, term {row.term}")
+        for number in sorted(held):
+            request = held[number]
+            if request.state is RequestState.HELD:
+                self.route(request)
+
+    # -- Signals -------------------------------------------------------------
+
+    def _on_primary_changed(self, signal: PrimaryChanged) -> None:
+        database = self.tables.databases.get(signal.database)
+        if database is None:
+            return
+        for request in self._snapshot(signal.database):
+            if request.transaction:
+                continue
+            if request.access is Access.WRITE:
+                self.writes.primary_changed(request, database)
+            else:
+                self.reads.primary_changed(request, database)
+        self._release_held(signal.database)
+
+    def _on_reported(self, signal: EndpointReported) -> None:
+        endpoint = self.tables.endpoints.get(signal.address)
+        if endpoint is not None:
+            self.reads.reported(endpoint)
+
+    def _on_database_removed(self, signal: DatabaseRemoved) -> None:
+        for request in self._snapshot(signal.database):
+            if request.state in _WAITING:
+                self._cancel(request)
+                self.not_run(request, ErrorCode.UNKNOWN_DATABASE, "removed")
+
+    def _snapshot(self, database: str) -> Iterable[RequestRow]:
+        return list(self._active.get(database, {}).values())
+
+    # -- The end -------------------------------------------------------------
+
+    def leave(self, session: SessionRow) -> None:
+        """Drop what an ended session has waiting; what was sent runs on."""
+        for number in list(session.requests.values()):
+            request = self.tables.requests.get(number)
+            if request is None or request.transaction or request.followers:
+                continue
+            if request.state in _WAITING or request.access is Access.READ:
+                self._cancel(request)
+                self.not_run(request, ErrorCode.UNKNOWN_SESSION, "the caller left")
+
+    def done(self, request: RequestRow, rows: Any, position: LogPosition) -> None:
+        """Answer a write or commit that ran and stays."""
+        self._raise_floors(request, position)
+        self._retries.succeeded(request.database.partition("/")[0])
+        answer = CallerAnswer(
+            request_id=request.request.request_id,
+            outcome=Outcome.DONE,
+            rows=rows,
+            served_by=self._name_of(request.address),
+            repeated=request.repeated,
+        )
+        self.finish(request, answer)
+
+    def not_run(
+        self, request: RequestRow, code: ErrorCode, why: str, retry_after: float = 0.0
+    ) -> None:
+        """Answer a request that did not run and will not."""
+        self._fail(request, Outcome.NOT_RUN, code, why, retry_after)
+
+    def unknown(self, request: RequestRow, why: str) -> None:
+        """Answer a request of which nobody knows whether it ran."""
+        self._fail(request, Outcome.UNKNOWN, ErrorCode.OUTCOME_UNKNOWN, why)
+
+    def _fail(
+        self,
+        request: RequestRow,
+        outcome: Outcome,
+        code: ErrorCode,
+        why: str,
+        retry_after: float = 0.0,
+    ) -> None:
+        message = f"{code.meaning} {why}"
+        self._node.decide(
+            "refuse", request.request.request_id, f"{code.code} {outcome.value}: {why}"
+        )
+        answer = CallerAnswer(
+            request_id=request.request.request_id,
+            outcome=outcome,
+            code=code.code,
+            message=message,
+            retry_after=retry_after,
+        )
+        self.finish(request, answer)
+
+    def finish(self, request: RequestRow, answer: CallerAnswer) -> None:
+        """Send the final answer and forget the request."""
+        self._close(request)
+        self._answer(request.stream, request.request.request_id, answer)
+        for stream, request_id in request.followers or ():
+            self._answer(stream, request_id, answer)
+        attributes = SECONDS_ATTRIBUTES[request.access]
+        emit = self._node.emit
+        emit(STATEMENT_COUNTS[answer.outcome, request.access])
+        emit(Observe("statement_seconds", self.now - request.arrived, attributes))
+
+    def part(self, request: RequestRow, answer: CallerAnswer) -> None:
+        """Send a part of an answer that goes on."""
+        request.parts_sent += 1
+        self._answer(request.stream, request.request.request_id, answer)
+
+    def _close(self, request: RequestRow) -> None:
+        request.state = RequestState.FINISHED
+        if request.timer is not None:
+            request.timer.cancel()
+            request.timer = None
+        if request.waiter is not None:
+            request.waiter.cancel()
+            request.waiter = None
+        self._in_flight -= 1
+        self._active[request.database].pop(request.number, None)
+        held = self._held.get(request.database)
+        if held:
+            held.pop(request.number, None)
+        self.writes.forget(request)
+        self.tables.requests.pop(request.number, None)
+        if request.connection and not request.transaction:
+            # It still owes a reply. Pooling waits for that before the next use.
+            self.abandon(request)
+
+    def _answer(self, stream: int, request_id: str, answer: CallerAnswer) -> None:
+        session = self.tables.sessions.get(stream)
+        if session is None:
+            return
+        if answer.outcome is not None:
+            session.requests.pop(request_id, None)
+        own = CallerAnswer(
+            request_id=request_id,
+            outcome=answer.outcome,
+            code=answer.code,
+            message=answer.message,
+            token=self._sessions.token(session),
+            rows=answer.rows,
+            transaction=answer.transaction,
+            retry_after=answer.retry_after,
+            served_by=answer.served_by,
+            from_replica=answer.from_replica,
+            go_elsewhere=self._draining.draining,
+            repeated=answer.repeated,
+        )
+        self._node.emit(AnswerCaller(stream, own))
+
+    def _raise_floors(self, request: RequestRow, position: LogPosition) -> None:
+        streams = [request.stream]
+        streams += [stream for stream, _ in request.followers or ()]
+        for stream in streams:
+            session = self.tables.sessions.get(stream)
+            if session is not None:
+                self._sessions.raise_floor(session, request.database, position)
+
+    def _name_of(self, address: str) -> str:
+        endpoint = self.tables.endpoints.get(address)
+        return endpoint.name if endpoint is not None else ""
+
+    # -- Giving up -----------------------------------------------------------
+
+    def _on_deadline(self, request: RequestRow) -> None:
+        state = request.state
+        if state is RequestState.FINISHED:
+            return
+        if request.transaction:
+            self._transactions.on_deadline(request)
+        elif state is RequestState.HELD:
+            code = ErrorCode.FAILING_OVER
+            self.not_run(request, code, request.detail, RETRY_AFTER_FAILOVER)
+        elif state is RequestState.WAITING_FLOOR:
+            self.not_run(request, ErrorCode.FLOOR_NOT_REACHED, request.detail)
+        elif state in _WAITING:
+            self._cancel(request)
+            self.not_run(request, ErrorCode.DEADLINE_PASSED, request.detail)
+        else:
+            self.unknown(request, f"the deadline passed while {state.value}")
+
+    def _cancel(self, request: RequestRow) -> None:
+        if request.state is RequestState.QUEUED:
+            self._routing.forget_trial(request)
+            self._pooling.cancel(request)
--- /dev/null
+++ b/mallowpass/core/systems/sessions.py
@@ -0,0 +1,213 @@
+"""Callers' sessions: what they have seen, and where their requests go."""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+
+from mallowpass.core.calls import (
+    BeginRequest,
+    CallerAnswer,
+    CallerRequest,
+    CloseRequest,
+    CommitRequest,
+    ExecuteRequest,
+    LogPosition,
+    OpenRequest,
+    Outcome,
+    RollbackRequest,
+)
+from mallowpass.core.effects import AnswerCaller, CloseCaller
+from mallowpass.core.events import (
+    CallerConnected,
+    CallerDisconnected,
+    CallerRequested,
+)
+from mallowpass.core.node import System
+from mallowpass.core.systems import draining as draining_module
+from mallowpass.core.systems import requests as requests_module
+from mallowpass.core.systems import transactions as transactions_module
+from mallowpass.core.systems.tokens import decode_token, encode_token
+from mallowpass.core.tables import SessionRow
+from mallowpass.errors import ErrorCode, MallowpassError
+
+__all__ = ["Sessions"]
+
+REQUESTS_MAX = 1024  # in flight of one session
+RETRY_AFTER = 0.5  # seconds; advice to who met a limit of this host
+
+
+class Sessions(System):
+    """Own the session rows; the only subscriber of what callers send."""
+
+    __slots__ = ("_draining", "_requests", "_transactions")
+
+    def start(self) -> None:
+        """Subscribe to what callers do."""
+        node = self._node
+        self._draining = node.system(draining_module.Draining)
+        self._requests = node.system(requests_module.Requests)
+        self._transactions = node.system(transactions_module.Transactions)
+        node.subscribe(CallerConnected, self._on_connected)
+        node.subscribe(CallerRequested, self._on_requested)
+        node.subscribe(CallerDisconnected, self._on_disconnected)
+
+    # -- For other systems ---------------------------------------------------
+
+    def session(self, stream: int) -> SessionRow | None:
+        """Return a stream's session, None when it ended."""
+        return self.tables.sessions.get(stream)
+
+    def raise_floor(
+        self, session: SessionRow, database_key: str, position: LogPosition
+    ) -> None:
+        """Have a session's later reads contain at least this position."""
+        floor = session.floors.get(database_key)
+        if floor is None or position > floor:
+            session.floors[database_key] = position
+            session.token = b""
+
+    def token(self, session: SessionRow) -> bytes:
+        """Return the session's token, signed anew only when a floor rose."""
+        if not session.token:
+            session.token = encode_token(self._node.identity.token_key, session.floors)
+        return session.token
+
+    # -- Streams -------------------------------------------------------------
+
+    def _on_connected(self, event: CallerConnected) -> None:
+        self.tables.sessions[event.stream] = SessionRow(event.stream)
+
+    def _on_disconnected(self, event: CallerDisconnected) -> None:
+        session = self.tables.sessions.get(event.stream)
+        if session is not None:
+            self._end(session)
+
+    def _on_requested(self, event: CallerRequested) -> None:
+        session = self.tables.sessions.get(event.stream)
+        if session is None:
+            return
+        request = event.request
+        code = self._finding(session, request)
+        if code is not None:
+            self._refuse(session, request, code)
+            return
+        try:
+            self._take_token(session, request.token)
+        except MallowpassError as error:
+            self._refuse(session, request, error.error_code, str(error))
+            return
+        self._handle(request, session)
+
+    def _finding(self, session: SessionRow, request: CallerRequest) -> ErrorCode | None:
+        if not request.request_id:
+            return ErrorCode.INVALID_FIELD
+        if not session.service and not isinstance(request, OpenRequest | CloseRequest):
+            return ErrorCode.UNKNOWN_SESSION
+        if len(session.requests) >= REQUESTS_MAX:
+            return ErrorCode.SESSION_LIMIT
+        if len(self.tables.requests) >= self._node.tuning.requests_in_flight:
+            return ErrorCode.SESSION_LIMIT
+        return None
+
+    def _take_token(self, session: SessionRow, token: bytes) -> None:
+        if not token or token == session.token:
+            return
+        floors = decode_token(self._node.identity.token_key, token)
+        session.token_seen = True
+        for database_key, position in floors.items():
+            self.raise_floor(session, database_key, position)
+
+    # -- Requests ------------------------------------------------------------
+
+    @singledispatchmethod
+    def _handle(self, request: CallerRequest, session: SessionRow) -> None:
+        self._refuse(session, request, ErrorCode.MALFORMED_MESSAGE)
+
+    @_handle.register
+    def _(self, request: OpenRequest, session: SessionRow) -> None:
+        code = self._open_finding(session, request)
+        if code is not None:
+            self._refuse(session, request, code)
+            return
+        session.service = request.service
+        session.caller = request.caller
+        session.request_class = request.request_class
+        self._answer(session, request, Outcome.DONE)
+
+    @_handle.register
+    def _(self, request: ExecuteRequest, session: SessionRow) -> None:
+        if request.transaction:
+            self._transactions.execute(session, request)
+        else:
+            self._requests.execute(session, request)
+
+    @_handle.register
+    def _(self, request: BeginRequest, session: SessionRow) -> None:
+        self._transactions.begin(session, request)
+
+    @_handle.register
+    def _(self, request: CommitRequest, session: SessionRow) -> None:
+        self._transactions.commit(session, request)
+
+    @_handle.register
+    def _(self, request: RollbackRequest, session: SessionRow) -> None:
+        self._transactions.roll_back(session, request)
+
+    @_handle.register
+    def _(self, request: CloseRequest, session: SessionRow) -> None:
+        self._answer(session, request, Outcome.DONE)
+        self._end(session)
+        self._node.emit(CloseCaller(session.stream))
+
+    def _open_finding(
+        self, session: SessionRow, request: OpenRequest
+    ) -> ErrorCode | None:
+        if session.service or not request.caller:
+            # Without a caller's name, request ids of two callers could meet.
+            return ErrorCode.INVALID_FIELD
+        if self._draining.draining:
+            return ErrorCode.DRAINING
+        if len(self.tables.sessions) > self._node.tuning.sessions:
+            return ErrorCode.SESSION_LIMIT
+        row = self.tables.services.get(request.service)
+        if row is None or row.service is None:
+            return ErrorCode.UNKNOWN_SERVICE
+        return None
+
+    def _end(self, session: SessionRow) -> None:
+        self._transactions.roll_back_all(session.stream)
+        del self.tables.sessions[session.stream]
+        self._requests.leave(session)
+
+    # -- Answers of its own --------------------------------------------------
+
+    def _refuse(
+        self,
+        session: SessionRow,
+        request: CallerRequest,
+        code: ErrorCode,
+        message: str = "",
+    ) -> None:
+        text = message or code.meaning
+        self._node.decide("refuse", request.request_id, f"{code.code} {text}")
+        self._answer(session, request, Outcome.NOT_RUN, code, text)
+
+    def _answer(
+        self,
+        session: SessionRow,
+        request: CallerRequest,
+        outcome: Outcome,
+        code: ErrorCode | None = None,
+        message: str = "",
+    ) -> None:
+        limited = code is ErrorCode.SESSION_LIMIT
+        answer = CallerAnswer(
+            request_id=request.request_id,
+            outcome=outcome,
+            code=code.code if code else "",
+            message=message,
+            token=self.token(session),
+            retry_after=RETRY_AFTER if limited else 0.0,
+            go_elsewhere=self._draining.draining,
+        )
+        self._node.emit(AnswerCaller(session.stream, answer))
--- /dev/null
+++ b/mallowpass/core/systems/transactions.py
@@ -0,0 +1,508 @@
+"""Callers' transactions: one connection each, from begin to end."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from functools import singledispatchmethod
+
+from mallowpass.core.calls import (
+    Access,
+    BeginRequest,
+    CallerAnswer,
+    CallerRequest,
+    CommitCall,
+    CommitRequest,
+    EndpointCall,
+    EndpointCode,
+    EndpointReply,
+    ExecuteCall,
+    ExecuteRequest,
+    Outcome,
+    RollbackCall,
+    RollbackRequest,
+)
+from mallowpass.core.node import Node, System
+from mallowpass.core.services import database_key
+from mallowpass.core.signals import PrimaryChanged
+from mallowpass.core.systems import pooling as pooling_module
+from mallowpass.core.systems import requests as requests_module
+from mallowpass.core.systems import sessions as sessions_module
+from mallowpass.core.systems.outcomes import code_of_refusal
+from mallowpass.core.tables import (
+    ConnectionRow,
+    RequestRow,
+    RequestState,
+    SessionRow,
+    TransactionRow,
+    TransactionState,
+)
+from mallowpass.errors import ErrorCode
+
+__all__ = ["Transactions"]
+
+ENDED_MAX = 4096  # ended transactions whose end is remembered
+
+_GOES_ON = frozenset({EndpointCode.SQL_ERROR, EndpointCode.BUSY, EndpointCode.BAD_CALL})
+_ROLLED_BACK = ErrorCode.TRANSACTION_ROLLED_BACK
+
+
+@dataclass(frozen=True, slots=True)
+class _Ended:
+    """Remember how a transaction ended; no code: it may have committed."""
+
+    stream: int
+    code: ErrorCode | None
+    why: str
+
+
+class Transactions(System):
+    """Own the transaction rows; run their statements one at a time, in order."""
+
+    __slots__ = ("_ended", "_pooling", "_requests", "_sessions")
+
+    def __init__(self, node: Node) -> None:
+        super().__init__(node)
+        self._ended: OrderedDict[str, _Ended] = OrderedDict()
+
+    @property
+    def open_count(self) -> int:
+        """Return how many transactions are open."""
+        return len(self.tables.transactions)
+
+    def start(self) -> None:
+        """Subscribe to promotions, which end transactions."""
+        node = self._node
+        self._pooling = node.system(pooling_module.Pooling)
+        self._requests = node.system(requests_module.Requests)
+        self._sessions = node.system(sessions_module.Sessions)
+        node.subscribe(PrimaryChanged, self._on_primary_changed)
+
+    # -- Arrival -------------------------------------------------------------
+
+    def begin(self, session: SessionRow, request: BeginRequest) -> None:
+        """Take in a transaction's begin; routed like a statement that stands alone."""
+        if request.request_id in session.requests:
+            self._requests.refuse(session, request, ErrorCode.REQUEST_ID_REUSED)
+            return
+        key = database_key(session.service, request.database)
+        row = self._requests.take_in(session, request, key, request.access)
+        if row is None:
+            return
+        if request.access is Access.WRITE:
+            self._requests.writes.begin(row, session)
+        else:
+            self._requests.reads.begin(row)
+
+    def execute(self, session: SessionRow, request: ExecuteRequest) -> None:
+        """Queue a statement in its transaction."""
+        running = session.requests.get(request.request_id)
+        if running is not None:
+            self._requests.writes.join(running, session, request)
+            return
+        transaction = self._find(session, request, request.transaction)
+        if transaction is None:
+            return
+        if database_key(session.service, request.database) != transaction.database:
+            why = f"the transaction is on {transaction.database}"
+            self._requests.refuse(session, request, ErrorCode.INVALID_FIELD, why)
+        elif request.access is Access.WRITE and transaction.access is Access.READ:
+            self._requests.refuse(session, request, ErrorCode.READ_WOULD_WRITE)
+        else:
+            self._queue(session, request, transaction, request.access)
+
+    def commit(self, session: SessionRow, request: CommitRequest) -> None:
+        """Queue a transaction's commit."""
+        self._queue_end(session, request)
+
+    def roll_back(self, session: SessionRow, request: RollbackRequest) -> None:
+        """Queue a transaction's rollback."""
+        self._queue_end(session, request)
+
+    def _queue_end(
+        self, session: SessionRow, request: CommitRequest | RollbackRequest
+    ) -> None:
+        if request.request_id in session.requests:
+            self._requests.refuse(session, request, ErrorCode.REQUEST_ID_REUSED)
+            return
+        transaction = self._find(session, request, request.transaction)
+        if transaction is not None:
+            self._queue(session, request, transaction, transaction.access)
+
+    def _find(
+        self, session: SessionRow, request: CallerRequest, name: str
+    ) -> TransactionRow | None:
+        transaction = self.tables.transactions.get(name)
+        if transaction is None:
+            self._refuse_ended(session, request, name)
+            return None
+        if transaction.stream != session.stream:
+            code = ErrorCode.TRANSACTION_OF_ANOTHER_SESSION
+            self._requests.refuse(session, request, code)
+            return None
+        return transaction
+
+    def _refuse_ended(
+        self, session: SessionRow, request: CallerRequest, name: str
+    ) -> None:
+        ended = self._ended.get(name)
+        if ended is not None and ended.stream != session.stream:
+            code = ErrorCode.TRANSACTION_OF_ANOTHER_SESSION
+            self._requests.refuse(session, request, code)
+        elif ended is not None and ended.code is not None:
+            self._requests.refuse(session, request, ended.code, ended.why)
+        elif isinstance(request, CommitRequest):
+            # It may be the copy of a commit that ran, here or through another host:
+            # "not run" would be a lie. Begin with the same id tells its outcome.
+            code = ErrorCode.UNKNOWN_TRANSACTION
+            self._requests.refuse(session, request, code, outcome=Outcome.UNKNOWN)
+        else:
+            self._requests.refuse(session, request, ErrorCode.UNKNOWN_TRANSACTION)
+
+    def _queue(
+        self,
+        session: SessionRow,
+        request: CallerRequest,
+        transaction: TransactionRow,
+        access: Access,
+    ) -> None:
+        key = transaction.database
+        row = self._requests.take_in(session, request, key, access)
+        if row is None:
+            return
+        row.transaction = transaction.name
+        row.address = transaction.address
+        transaction.queue.append(row.number)
+        self._run_next(transaction)
+
+    # -- Begin and end -------------------------------------------------------
+
+    def opened(
+        self, request: RequestRow, connection: ConnectionRow, reply: EndpointReply
+    ) -> None:
+        """Keep the connection that an endpoint opened a transaction on."""
+        request.connection = 0
+        session = self.tables.sessions.get(request.stream)
+        if session is None:
+            self._pooling.release(connection, reset=True)
+            code = ErrorCode.UNKNOWN_SESSION
+            self._requests.not_run(request, code, "the caller left")
+            return
+        transaction = self._make(request, connection)
+        session.transactions.add(transaction.name)
+        self._pooling.pin(connection, transaction.name)
+        if transaction.access is Access.READ:
+            self._sessions.raise_floor(session, request.database, reply.applied)
+        self._finish(request, None, transaction.name)
+
+    def _make(self, request: RequestRow, connection: ConnectionRow) -> TransactionRow:
+        identity = self._node.identity
+        name = f"{identity.name}.{identity.incarnation}.{self._node.number()}"
+        transaction = TransactionRow(
+            name=name,
+            stream=request.stream,
+            database=request.database,
+            access=request.access,
+            address=connection.address,
+            connection=connection.number,
+            term=request.sent_term,
+            state=TransactionState.OPEN,
+            last_used=self.now,
+            request_id=request.record_id,
+            attempt=request.attempt,
+        )
+        idle = self._node.tuning.transaction_idle
+        transaction.timer = self.timers.after(idle, self._on_idle, transaction)
+        self.tables.transactions[name] = transaction
+        return transaction
+
+    def _on_idle(self, transaction: TransactionRow) -> None:
+        # A transaction that stands idle keeps a connection, and locks, from all
+        # others: one sees their writes wait although nothing runs.
+        idle = self._node.tuning.transaction_idle
+        due = transaction.last_used + idle
+        if transaction.running or due > self.now:
+            pause = idle if transaction.running else due - self.now
+            transaction.timer = self.timers.after(pause, self._on_idle, transaction)
+            return
+        self._node.log("WARNING", "transaction_idle", transaction=transaction.name)
+        self._node.decide("rollback", transaction.name, f"idle for {idle}s")
+        self._end(transaction, ErrorCode.TRANSACTION_IDLE, "it stood idle")
+        self._release(transaction, reset=True)
+
+    def roll_back_all(self, stream: int) -> None:
+        """Roll back what a session that ended left open."""
+        session = self.tables.sessions.get(stream)
+        if session is None:
+            return
+        for name in list(session.transactions):
+            transaction = self.tables.transactions[name]
+            self._node.decide("rollback", name, "the caller left")
+            self._end(transaction, _ROLLED_BACK, "the caller left")
+            self._release(transaction, reset=True)
+
+    def _end(
+        self, transaction: TransactionRow, code: ErrorCode | None, why: str
+    ) -> None:
+        """Forget a transaction, and answer what waited in it."""
+        self._forget(transaction, code, why)
+        numbers = [transaction.running, *transaction.queue]
+        transaction.running = 0
+        transaction.queue.clear()
+        for number in numbers:
+            request = self.tables.requests.get(number)
+            if request is not None:
+                self._end_request(request, code or ErrorCode.UNKNOWN_TRANSACTION, why)
+
+    def _end_request(self, request: RequestRow, code: ErrorCode, why: str) -> None:
+        sent = request.state is RequestState.SENT
+        request.transaction = ""
+        request.connection = 0
+        if sent and isinstance(request.request, CommitRequest):
+            if request.access is Access.WRITE:
+                self._requests.outcomes.resolve(request, why)
+                return
+        elif sent and isinstance(request.request, RollbackRequest):
+            self._finish(request, None)
+            return
+        if request.parts_sent:
+            self._requests.unknown(request, f"the answer broke off: {why}")
+        else:
+            self._requests.not_run(request, code, why)
+
+    def _forget(
+        self, transaction: TransactionRow, code: ErrorCode | None, why: str
+    ) -> None:
+        name = transaction.name
+        del self.tables.transactions[name]
+        if transaction.timer is not None:
+            transaction.timer.cancel()
+        session = self.tables.sessions.get(transaction.stream)
+        if session is not None:
+            session.transactions.discard(name)
+        self._ended[name] = _Ended(transaction.stream, code, why)
+        while len(self._ended) > ENDED_MAX:
+            self._ended.popitem(last=False)
+
+    def _release(self, transaction: TransactionRow, reset: bool) -> None:
+        connection = self.tables.connections.get(transaction.connection)
+        if connection is not None:
+            self._pooling.release(connection, reset=reset)
+
+    def _discard(self, transaction: TransactionRow, why: str) -> None:
+        connection = self.tables.connections.get(transaction.connection)
+        if connection is not None:
+            self._pooling.discard(connection, why)
+
+    # -- Statements ----------------------------------------------------------
+
+    def _run_next(self, transaction: TransactionRow) -> None:
+        while transaction.queue and not transaction.running:
+            request = self.tables.requests.get(transaction.queue.popleft())
+            if request is not None:
+                self._send(transaction, request)
+
+    def _send(self, transaction: TransactionRow, request: RequestRow) -> None:
+        connection = self.tables.connections[transaction.connection]
+        transaction.running = request.number
+        transaction.last_used = self.now
+        request.state = RequestState.SENT
+        request.connection = connection.number
+        request.sent_at = self.now
+        request.sent_term = transaction.term
+        call = self._call(request.request, transaction)
+        if isinstance(call, CommitCall):
+            transaction.state = TransactionState.ENDING
+            request.record_id = transaction.request_id
+            request.attempt = transaction.attempt
+        self._pooling.send(connection, call, request)
+
+    @singledispatchmethod
+    def _call(
+        self, request: CallerRequest, transaction: TransactionRow
+    ) -> EndpointCall:
+        raise TypeError(f"no call for {type(request).__name__}")
+
+    @_call.register
+    def _(self, request: ExecuteRequest, transaction: TransactionRow) -> EndpointCall:
+        writes = request.access is Access.WRITE
+        return ExecuteCall(
+            sql=request.sql,
+            parameters=request.parameters,
+            write=writes,
+            term=transaction.term if writes else 0,
+            chunk_rows=request.chunk_rows,
+        )
+
+    @_call.register
+    def _(self, request: CommitRequest, transaction: TransactionRow) -> EndpointCall:
+        return CommitCall()
+
+    @_call.register
+    def _(self, request: RollbackRequest, transaction: TransactionRow) -> EndpointCall:
+        return RollbackCall()
+
+    # -- Replies -------------------------------------------------------------
+
+    def on_reply(
+        self, request: RequestRow, connection: ConnectionRow, reply: EndpointReply
+    ) -> None:
+        """Take in the reply to a call within a transaction."""
+        transaction = self.tables.transactions.get(request.transaction)
+        if transaction is None or transaction.running != request.number:
+            return
+        if reply.code is EndpointCode.OK and not reply.last:
+            self._pass_part(request, reply)
+            return
+        transaction.running = 0
+        transaction.last_used = self.now
+        request.connection = 0
+        self._take_reply(request.request, request, transaction, reply)
+
+    def _pass_part(self, request: RequestRow, reply: EndpointReply) -> None:
+        name = request.request.request_id
+        part = CallerAnswer(request_id=name, outcome=None, rows=reply.rows)
+        self._requests.part(request, part)
+
+    @singledispatchmethod
+    def _take_reply(
+        self,
+        kind: CallerRequest,
+        request: RequestRow,
+        transaction: TransactionRow,
+        reply: EndpointReply,
+    ) -> None:
+        raise TypeError(f"no reply for {type(kind).__name__}")
+
+    @_take_reply.register
+    def _(
+        self,
+        kind: ExecuteRequest,
+        request: RequestRow,
+        transaction: TransactionRow,
+        reply: EndpointReply,
+    ) -> None:
+        why = f"{transaction.address}: {reply.code.name} {reply.message}".rstrip()
+        if reply.code is EndpointCode.OK:
+            self._raise_floor(request, reply)
+            self._finish(request, reply.rows)
+        elif reply.code in _GOES_ON:
+            self._requests.not_run(request, code_of_refusal(reply), why)
+        else:
+            request.transaction = ""
+            self._requests.not_run(request, _ROLLED_BACK, why)
+            self._end(transaction, _ROLLED_BACK, why)
+            self._release(transaction, reset=True)
+            return
+        self._run_next(transaction)
+
+    def _raise_floor(self, request: RequestRow, reply: EndpointReply) -> None:
+        session = self.tables.sessions.get(request.stream)
+        # Only a known floor rises: the primary of a write transaction may have been
+        # replaced, and what it has applied would pass for all the session's writes.
+        if session is not None and request.database in session.floors:
+            self._sessions.raise_floor(session, request.database, reply.applied)
+
+    @_take_reply.register
+    def _(
+        self,
+        kind: CommitRequest,
+        request: RequestRow,
+        transaction: TransactionRow,
+        reply: EndpointReply,
+    ) -> None:
+        code = reply.code
+        why = f"{transaction.address}: {code.name} {reply.message}".rstrip()
+        ran = code in (EndpointCode.OK, EndpointCode.ALREADY_RUN)
+        request.transaction = ""
+        unclear = code is EndpointCode.INTERNAL
+        self._end(transaction, None if ran or unclear else _ROLLED_BACK, why)
+        self._release(transaction, reset=not ran)
+        if unclear and request.access is Access.WRITE:
+            self._requests.outcomes.resolve(request, why)
+        elif not ran:
+            self._requests.not_run(request, _ROLLED_BACK, why)
+        elif request.access is Access.READ:
+            self._finish(request, reply.rows)
+        else:
+            request.repeated = code is EndpointCode.ALREADY_RUN
+            writes = self._requests.writes
+            writes.await_majority(request, reply.applied, reply.rows)
+
+    @_take_reply.register
+    def _(
+        self,
+        kind: RollbackRequest,
+        request: RequestRow,
+        transaction: TransactionRow,
+        reply: EndpointReply,
+    ) -> None:
+        request.transaction = ""
+        self._end(transaction, _ROLLED_BACK, "its caller rolled it back")
+        self._release(transaction, reset=reply.code is not EndpointCode.OK)
+        self._finish(request, None)
+
+    def _finish(self, request: RequestRow, rows: object, name: str = "") -> None:
+        endpoint = self.tables.endpoints.get(request.address)
+        database = self.tables.databases.get(request.database)
+        primary = database.primary if database is not None else ""
+        answer = CallerAnswer(
+            request_id=request.request.request_id,
+            outcome=Outcome.DONE,
+            rows=rows,
+            transaction=name,
+            served_by=endpoint.name if endpoint is not None else "",
+            from_replica=request.address != primary and not request.sent_term,
+        )
+        self._requests.finish(request, answer)
+
+    # -- What goes wrong -----------------------------------------------------
+
+    def on_statement_lost(self, request: RequestRow, why: str) -> None:
+        """End a transaction whose connection was lost with a call in flight."""
+        transaction = self.tables.transactions.get(request.transaction)
+        if transaction is not None:
+            self._lost(transaction, why)
+
+    def on_connection_lost(self, connection: ConnectionRow, why: str) -> None:
+        """End a transaction whose connection was lost between its calls."""
+        transaction = self.tables.transactions.get(connection.transaction)
+        if transaction is not None:
+            self._lost(transaction, why)
+
+    def _lost(self, transaction: TransactionRow, why: str) -> None:
+        # The endpoint rolls back what was not committed. Only a commit that was
+        # sent leaves a doubt, and is looked up.
+        code = None if transaction.state is TransactionState.ENDING else _ROLLED_BACK
+        self._node.decide("rollback", transaction.name, f"connection lost: {why}")
+        self._end(transaction, code, f"connection lost: {why}")
+
+    def on_deadline(self, request: RequestRow) -> None:
+        """Give up a call whose deadline passed; one in flight ends its transaction."""
+        transaction = self.tables.transactions.get(request.transaction)
+        if transaction is None or transaction.running != request.number:
+            why = "it waited for its turn"
+            self._requests.not_run(request, ErrorCode.DEADLINE_PASSED, why)
+            return
+        why = "the deadline of a statement passed"
+        self._node.decide("rollback", transaction.name, why)
+        if isinstance(request.request, CommitRequest):
+            transaction.running = 0
+            self._requests.unknown(request, "the deadline passed while committing")
+            self._end(transaction, None, why)
+        else:
+            self._end(transaction, _ROLLED_BACK, why)
+        self._discard(transaction, why)
+
+    def _on_primary_changed(self, signal: PrimaryChanged) -> None:
+        database = self.tables.databases.get(signal.database)
+        if database is None or not database.primary:
+            return
+        for transaction in list(self.tables.transactions.values()):
+            if transaction.database != signal.database:
+                continue
+            if transaction.access is Access.WRITE and transaction.term < database.term:
+                why = f"term {transaction.term} is over"
+                self._node.decide("rollback", transaction.name, why)
+                self._end(transaction, _ROLLED_BACK, why)
+                self._discard(transaction, why)
--- a/mallowpass/core/tables.py
+++ b/mallowpass/core/tables.py
@@ -246,6 +246,8 @@
     timer: Timer | None = None
     wrote: bool = False
     queue: deque[int] = field(default_factory=deque)  # requests waiting their turn
+    running: int = 0  # request whose call is in flight
+    attempt: int = 0  # of its Begin
 
 
 # -- Hosts -------------------------------------------------------------------
