--- /dev/null
+++ b/mallowpass/core/systems/changes.py
@@ -0,0 +1,233 @@
+"""One operator's change of a service, from the request to its certain answer.
+
+The change is a conditional write of one row. Its answer may be lost after it took
+effect: the row keeps the ids of its newest changes, so reading it back tells what
+became of the write, and the same change sent again later changes nothing twice.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import xxhash
+
+from mallowpass.core.codec import decode_service, encode_service
+from mallowpass.core.node import Node
+from mallowpass.core.operations import ChangeServiceRequest, ServiceChangedAnswer
+from mallowpass.core.platformcalls import (
+    PlatformFailed,
+    PlatformReply,
+    ReadRow,
+    RowRead,
+    RowWritten,
+    TableRow,
+    WriteRow,
+)
+from mallowpass.core.services import AcceptedChange, ServiceVersion
+from mallowpass.core.systems.platform import PlatformClient
+from mallowpass.errors import ErrorCode, MallowpassError
+
+__all__ = ["SERVICES_TABLE", "Change", "content_of", "version_in"]
+
+SERVICES_TABLE = "services"
+HISTORY_LENGTH = 8
+TRIES = 5  # of writes and read-backs together
+BACKOFF = 0.2  # seconds before the first read-back; doubles
+
+Callback = Callable[[ServiceChangedAnswer], None]
+
+
+def content_of(request: ChangeServiceRequest) -> bytes:
+    """Return a hash of what a change asks for, to know it again by."""
+    asked = ServiceVersion(request.name, request.from_version, request.service)
+    return xxhash.xxh64_digest(encode_service(asked))
+
+
+def version_in(row: TableRow) -> ServiceVersion:
+    """Return the service in a row; raises BadRequestError for what is not one."""
+    version = decode_service(row.value)
+    if (version.name, version.version) != (row.key, row.version):
+        # Whoever wrote it, two truths about its version would never be reconciled.
+        raise MallowpassError(
+            ErrorCode.MALFORMED_MESSAGE,
+            "A row of the services table contradicts its key or version.",
+            key=row.key,
+            version=row.version,
+        )
+    return version
+
+
+class Change:
+    """Carry one change out; the callback gets exactly one answer."""
+
+    __slots__ = (
+        "_accept",
+        "_ambiguous",
+        "_callback",
+        "_content",
+        "_node",
+        "_request",
+        "_tries",
+    )
+
+    def __init__(
+        self,
+        node: Node,
+        request: ChangeServiceRequest,
+        accept: Callable[[ServiceVersion], None],
+        callback: Callback,
+    ) -> None:
+        self._node = node
+        self._request = request
+        self._accept = accept
+        self._callback = callback
+        self._content = content_of(request)
+        self._ambiguous = False  # a write left whose answer did not come
+        self._tries = 0
+
+    @staticmethod
+    def is_in(version: ServiceVersion | None, change_id: str) -> bool:
+        """Tell whether a change is among the newest that led to a version."""
+        changes = version.history if version else ()
+        return any(change.change_id == change_id for change in changes)
+
+    def start(self, known: ServiceVersion | None) -> None:
+        """Begin from the version that this host knows."""
+        version = known.version if known else 0
+        if version > self._request.from_version:
+            self._answer_from(known)
+        elif version < self._request.from_version:
+            self._read_back()
+        else:
+            self._write(known)
+
+    # -- Writing -------------------------------------------------------------
+
+    def _write(self, known: ServiceVersion | None) -> None:
+        self._tries += 1
+        request = self._request
+        row = WriteRow(
+            SERVICES_TABLE,
+            request.name,
+            request.from_version,
+            encode_service(self._wanted(known)),
+        )
+        self._client.call(row, self._on_written, urgent=True)
+
+    def _wanted(self, known: ServiceVersion | None) -> ServiceVersion:
+        request = self._request
+        version = request.from_version + 1
+        change = AcceptedChange(request.change_id, version, self._content)
+        earlier = known.history if known else ()
+        return ServiceVersion(
+            request.name,
+            version,
+            request.service,
+            request.change_id,
+            request.operator,
+            (*earlier, change)[-HISTORY_LENGTH:],
+        )
+
+    def _on_written(self, reply: PlatformReply) -> None:
+        if isinstance(reply, RowWritten) and reply.current is not None:
+            self._judge(reply.current)
+        elif isinstance(reply, PlatformFailed):
+            self._ambiguous = self._ambiguous or reply.ambiguous
+            self._on_failed(reply)
+        else:
+            self._finish(ErrorCode.PLATFORM_ANSWER_AMBIGUOUS, "no row in the answer")
+
+    # -- Reading back --------------------------------------------------------
+
+    def _read_back(self) -> None:
+        self._tries += 1
+        read = ReadRow(SERVICES_TABLE, self._request.name)
+        self._client.call(read, self._on_read, urgent=True)
+
+    def _on_read(self, reply: PlatformReply) -> None:
+        if isinstance(reply, RowRead):
+            self._judge(reply.row)
+        elif isinstance(reply, PlatformFailed):
+            self._on_failed(reply)
+        else:
+            self._finish(ErrorCode.PLATFORM_ANSWER_AMBIGUOUS, "no row in the answer")
+
+    def _on_failed(self, reply: PlatformFailed) -> None:
+        if self._tries < TRIES and not reply.code:
+            backoff = BACKOFF * 2 ** (self._tries - 1)
+            delay = backoff * self._node.random.uniform(0.5, 1.5)
+            self._node.timers.after(delay, self._read_back)
+        elif self._ambiguous:
+            self._finish(ErrorCode.PLATFORM_ANSWER_AMBIGUOUS, reply.message)
+        else:
+            code = ErrorCode[reply.code] if reply.code else None
+            self._finish(code or ErrorCode.PLATFORM_UNAVAILABLE, reply.message)
+
+    # -- Judging -------------------------------------------------------------
+
+    def _judge(self, row: TableRow | None) -> None:
+        try:
+            current = version_in(row) if row is not None else None
+        except MallowpassError as error:
+            self._finish(error.error_code, str(error))
+            return
+        if current is not None:
+            self._accept(current)
+        version = current.version if current else 0
+        if version != self._request.from_version:
+            self._answer_from(current)
+        elif self._tries < TRIES:
+            # Not there yet. A write that is still under way may take effect later,
+            # so the same one is repeated: of the two, one at most succeeds.
+            self._write(current)
+        else:
+            self._finish(ErrorCode.PLATFORM_ANSWER_AMBIGUOUS, "not settled in time")
+
+    def _answer_from(self, current: ServiceVersion | None) -> None:
+        change = self._own_change(current)
+        if change is None:
+            self._conflict(current)
+        elif change.content != self._content:
+            self._finish(ErrorCode.CHANGE_ID_REUSED, f"for version {change.version}")
+        else:
+            self._accepted(current, change.version)
+
+    def _own_change(self, current: ServiceVersion | None) -> AcceptedChange | None:
+        changes = current.history if current else ()
+        return next(
+            (c for c in changes if c.change_id == self._request.change_id), None
+        )
+
+    def _accepted(self, current: ServiceVersion | None, version: int) -> None:
+        message = f"accepted as version {version}"
+        if current is not None and current.version != version:
+            message += f"; version {current.version} stands by now"
+        answer = ServiceChangedAnswer(accepted=True, current=current, message=message)
+        self._callback(answer)
+
+    def _conflict(self, current: ServiceVersion | None) -> None:
+        stated = self._request.from_version
+        if current is None:
+            self._finish(ErrorCode.SERVICE_NOT_FOUND, f"made from version {stated}")
+            return
+        exists = stated == 0 and current.service is not None
+        code = ErrorCode.SERVICE_EXISTS if exists else ErrorCode.VERSION_CONFLICT
+        state = "stands" if current.service is not None else "is its deletion"
+        winner = (
+            f"made from version {stated}, but version {current.version} {state}: "
+            f"change {current.change_id!r} by {current.changed_by!r}"
+        )
+        self._finish(code, winner, current)
+
+    def _finish(
+        self, code: ErrorCode, detail: str, current: ServiceVersion | None = None
+    ) -> None:
+        message = f"{code.meaning} {detail}. {code.advice}"
+        answer = ServiceChangedAnswer(
+            accepted=False, code=code.code, message=message, current=current
+        )
+        self._callback(answer)
+
+    @property
+    def _client(self) -> PlatformClient:
+        return self._node.system(PlatformClient)
--- /dev/null
+++ b/mallowpass/core/systems/validation.py
@@ -0,0 +1,200 @@
+"""Check a service's definition: all findings with their places, at once."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from mallowpass.core.services import Database, Member, Service, database_key
+from mallowpass.core.tables import ServiceRow
+from mallowpass.units import parse_address
+
+__all__ = ["ServiceFinding", "find_faults"]
+
+NAME_LENGTH_MAX = 100
+DATABASES_MAX = 200
+MEMBERS_MAX = 15
+CONNECTIONS_MAX = 100_000
+QUEUE_LENGTH_MAX = 1_000_000
+WEIGHT_MAX = 1_000
+DURATION_MAX = 86_400.0
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceFinding:
+    """Name one fault and the place of the definition that it stands in."""
+
+    place: str
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: {self.message}"
+
+
+def find_faults(
+    name: str,
+    service: Service,
+    failure_domains: Iterable[str],
+    others: Iterable[ServiceRow],
+) -> list[ServiceFinding]:
+    """Return all faults of a service, in the order of its definition.
+
+    `others` are the services in force: an address serves one database only.
+    """
+    taken = _taken_addresses(name, others)
+    known = frozenset(failure_domains)
+    faults = [
+        *_name_faults("name", service.name),
+        *_service_faults(name, service),
+        *_duplicates("database", (d.name for d in service.databases)),
+        *_duplicates("class", (c.name for c in service.classes)),
+    ]
+    for database in service.databases:
+        faults += _database_faults(database, known)
+        faults += _address_faults(name, database, taken)
+    return faults
+
+
+# -- Service -----------------------------------------------------------------
+
+
+def _service_faults(name: str, service: Service) -> Iterator[ServiceFinding]:
+    if service.name != name:
+        yield ServiceFinding("name", f"{service.name!r} differs from {name!r}")
+    if not 1 <= len(service.databases) <= DATABASES_MAX:
+        count = len(service.databases)
+        yield ServiceFinding("database", f"{count} of 1 to {DATABASES_MAX} declared")
+    yield from _whole("queue_length", service.queue_length, 1, QUEUE_LENGTH_MAX)
+    yield from _seconds("default_deadline", service.default_deadline)
+    if service.default_deadline == 0:
+        yield ServiceFinding("default_deadline", "0 leaves no time for any request")
+    yield from _class_faults(service)
+    yield from _age_faults(service)
+    yield from _objective_faults(service)
+
+
+def _class_faults(service: Service) -> Iterator[ServiceFinding]:
+    if not service.classes:
+        yield ServiceFinding("class", "none declared")
+    for entry in service.classes:
+        place = f"class {entry.name}"
+        yield from _name_faults(place, entry.name)
+        yield from _whole(f"{place} weight", entry.weight, 1, WEIGHT_MAX)
+
+
+def _age_faults(service: Service) -> Iterator[ServiceFinding]:
+    databases = {"", *(database.name for database in service.databases)}
+    classes = {"", *(entry.name for entry in service.classes)}
+    for number, age in enumerate(service.read_ages):
+        place = f"read_age {number}"
+        yield from _seconds(f"{place} age", age.accepted_age)
+        if age.database not in databases:
+            yield ServiceFinding(place, f"database {age.database!r} is not declared")
+        if age.request_class not in classes:
+            yield ServiceFinding(place, f"class {age.request_class!r} is not declared")
+
+
+def _objective_faults(service: Service) -> Iterator[ServiceFinding]:
+    objectives = service.objectives
+    for name in ("write_availability", "replica_share"):
+        share = getattr(objectives, name)
+        if not 0 <= share <= 1:
+            yield ServiceFinding(f"objectives {name}", f"{share} is not from 0 to 1")
+    yield from _seconds("objectives latency_p99", objectives.latency_p99)
+    yield from _seconds("objectives failover_gap", objectives.failover_gap)
+
+
+# -- Databases ---------------------------------------------------------------
+
+
+def _database_faults(
+    database: Database, failure_domains: frozenset[str]
+) -> Iterator[ServiceFinding]:
+    place = f"database {database.name}"
+    yield from _name_faults(place, database.name)
+    yield from _whole(f"{place} connections", database.connections, 1, CONNECTIONS_MAX)
+    yield from _whole(
+        f"{place} concurrent_statements",
+        database.concurrent_statements,
+        0,
+        CONNECTIONS_MAX,
+    )
+    yield from _seconds(f"{place} setup_time", database.setup_time)
+    if not 1 <= len(database.members) <= MEMBERS_MAX:
+        count = len(database.members)
+        yield ServiceFinding(f"{place} member", f"{count} of 1 to {MEMBERS_MAX}")
+    yield from _duplicates(f"{place} member", (m.name for m in database.members))
+    for member in database.members:
+        yield from _member_faults(place, member, failure_domains)
+
+
+def _member_faults(
+    database: str, member: Member, failure_domains: frozenset[str]
+) -> Iterator[ServiceFinding]:
+    place = f"{database} member {member.name}"
+    yield from _name_faults(place, member.name)
+    if member.failure_domain not in failure_domains:
+        yield ServiceFinding(
+            place, f"failure domain {member.failure_domain!r} is unknown"
+        )
+    try:
+        if parse_address(member.address).port == 0:
+            yield ServiceFinding(place, f"address {member.address!r} has port 0")
+    except ValueError as error:
+        yield ServiceFinding(place, f"address: {error}")
+
+
+def _address_faults(
+    service: str, database: Database, taken: dict[str, str]
+) -> Iterator[ServiceFinding]:
+    key = database_key(service, database.name)
+    for member in database.members:
+        owner = taken.setdefault(member.address, key)
+        place = f"database {database.name} member {member.name}"
+        if owner != key:
+            yield ServiceFinding(
+                place, f"address {member.address} belongs to database {owner}"
+            )
+    yield from _duplicates(
+        f"database {database.name} address", (m.address for m in database.members)
+    )
+
+
+def _taken_addresses(name: str, others: Iterable[ServiceRow]) -> dict[str, str]:
+    return {
+        member.address: database_key(row.accepted.name, database.name)
+        for row in others
+        if row.service is not None and row.accepted.name != name
+        for database in row.service.databases
+        for member in database.members
+    }
+
+
+# -- Values ------------------------------------------------------------------
+
+
+def _name_faults(place: str, name: str) -> Iterator[ServiceFinding]:
+    if not name or len(name) > NAME_LENGTH_MAX:
+        yield ServiceFinding(place, f"{name!r} has not 1 to {NAME_LENGTH_MAX} letters")
+    # A slash would make two databases of different services share one key.
+    elif "/" in name or not name.isprintable() or name != name.strip():
+        yield ServiceFinding(place, f"{name!r} holds a slash, a blank or a control")
+
+
+def _whole(place: str, value: int, low: int, high: int) -> Iterator[ServiceFinding]:
+    if not low <= value <= high:
+        yield ServiceFinding(place, f"{value} is not from {low} to {high}")
+
+
+def _seconds(place: str, value: float) -> Iterator[ServiceFinding]:
+    if not math.isfinite(value) or not 0 <= value <= DURATION_MAX:
+        yield ServiceFinding(place, f"{value}s is not from 0 to {DURATION_MAX:g}s")
+
+
+def _duplicates(place: str, names: Iterable[str]) -> Iterator[ServiceFinding]:
+    seen: set[str] = set()
+    for name in names:
+        if name in seen:
+            yield ServiceFinding(place, f"{name!r} is declared twice")
+        seen.add(name)
