--- a/mallowpass/adapters/peers.py
+++ b/mallowpass/adapters/peers.py
@@ -289,6 +289,7 @@
         "_queue",
         "_queued",
         "_runtime",
+        "_socket",
         "_work",
         "address",
         "ended",
@@ -304,6 +305,7 @@
         self._queued = 0  # bytes
         self._work: asyncio.Future[None] | None = None
         self._logged = False
+        self._socket: Connection | None = None
 
     def send(self, message: PeerMessage) -> None:
         """Queue a message."""
@@ -318,15 +320,19 @@
         if self._queued > QUEUE_SIZE:
             self._queue.clear()
             self.ended = True
+            self._abort()
         self._wake()
 
     def end(self) -> None:
         """End the link once what is queued is sent."""
         self.ended = True
         self._wake()
+        # A peer that does not read would keep the writer, and so the link, forever.
+        asyncio.get_running_loop().call_later(CLOSE_TIMEOUT, self._abort)
 
     async def write_out(self, socket: Connection, guard: FrameGuard) -> None:
         """Send what is queued until the link ends."""
+        self._socket = socket
         queue = self._queue
         try:
             while True:
@@ -374,6 +380,10 @@
         self._runtime.count("peer_bytes", size, direction=direction, kind=kind)
         self._runtime.count("peer_messages", direction=direction)
 
+    def _abort(self) -> None:
+        if self._socket is not None:
+            self._socket.transport.abort()
+
     def _wake(self) -> None:
         if self._work is not None and not self._work.done():
             self._work.set_result(None)
--- a/mallowpass/adapters/runtime.py
+++ b/mallowpass/adapters/runtime.py
@@ -209,11 +209,12 @@
 
     def _handle(self, event: Event) -> None:
         now = self._time()
-        # A timer that fails must not take down the event that happened to run it.
-        if self._wake_at <= now and event is not _WOKEN:
-            self._wake_at = float("inf")
+        # A timer that fails must not take down the event that happened to run it,
+        # nor the timers that are due with it.
+        while (due := self.node.next_wake) is not None and due <= now:
             self._handle_safely(now, _WOKEN)
-        self._handle_safely(now, event)
+        if event is not _WOKEN:
+            self._handle_safely(now, event)
 
     def _handle_safely(self, now: float, event: Event) -> None:
         try:
--- /dev/null
+++ b/tests/adapters/test_runtime.py
@@ -0,0 +1,95 @@
+"""The runtime: order, timers, shutdown, and what settings become."""
+
+from __future__ import annotations
+
+import asyncio
+
+from mallowpass.adapters.runtime import identity_of, tuning_of
+from mallowpass.core import effects, platformcalls
+from mallowpass.core.events import PlatformReplied, ShutdownRequested
+from tests.adapters.harness import (
+    FLEET_KEY,
+    core_of,
+    run,
+    running_host,
+    settings,
+    until,
+)
+
+
+def test_timers_run_and_a_failing_one_spares_the_others() -> None:
+    """Symptom: after one fault, no timer of the host runs any more.
+
+    Sequence: a timer raises; another is due at the same time.
+    Cause: the exception left the alarm's callback before the next alarm was set.
+    """
+
+    async def check() -> None:
+        ran: list[str] = []
+        async with running_host() as host:
+            host.node.timers.after(0.0, lambda: 1 / 0)
+            host.node.timers.after(0.0, ran.append, "second")
+            host.node.timers.after(0.01, ran.append, "third")
+            host.deliver(PlatformReplied(0, platformcalls.HostRegistered()))
+            await until(lambda: ran == ["second", "third"])
+            assert len(core_of(host).of(PlatformReplied)) == 1
+
+    run(check())
+
+
+def test_event_of_an_effect_waits_its_turn() -> None:
+    async def check() -> None:
+        order: list[str] = []
+        async with running_host() as host:
+            reply = PlatformReplied(0, platformcalls.HostRegistered())
+
+            def on_reply(_event: PlatformReplied) -> None:
+                if not order:
+                    host.deliver(reply)
+                order.append("handled")
+                host.node.emit(effects.Count("statements"))
+
+            host.node.subscribe(PlatformReplied, on_reply)
+            host.deliver(reply)
+            assert order == ["handled", "handled"]
+            assert host.metrics.total("statements") == 2
+
+    run(check())
+
+
+def test_platform_call_is_always_answered() -> None:
+    async def check() -> None:
+        row = platformcalls.WriteRow("services", "desk", 0, b"")
+        async with running_host() as host:
+            host._perform(
+                [
+                    effects.CallPlatform(1, row, 0.2),
+                    effects.CallPlatform(2, platformcalls.ListHosts(), 0.2),
+                ]
+            )
+            await until(lambda: len(core_of(host).of(PlatformReplied)) == 2)
+            replies = {e.call: e.reply for e in core_of(host).of(PlatformReplied)}
+            assert replies[1].ambiguous
+            assert not replies[2].ambiguous
+
+    run(check())
+
+
+def test_shutdown_ends_when_the_core_says_so() -> None:
+    async def check() -> None:
+        async with running_host() as host:
+            waiting = asyncio.create_task(host.wait_exited())
+            host.shut_down()
+            await waiting
+            [event] = core_of(host).of(ShutdownRequested)
+            assert event.limit == settings().limits.drain
+
+    run(check())
+
+
+def test_settings_reach_the_core() -> None:
+    given = settings()
+    identity = identity_of(given, "127.0.0.1:9", FLEET_KEY)
+    assert (identity.name, identity.region) == ("host-1", "casablanca")
+    assert identity.token_key not in (b"", FLEET_KEY)
+    assert tuning_of(given).probe_interval == given.timing.probe_interval
