--- a/mallowpass/standins/group.py
+++ b/mallowpass/standins/group.py
@@ -103,8 +103,6 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     def _others(self, sender: Member) -> list[Member]:
-        if sender.role is not Role.PRIMARY:
-            return []
         return [member for member in self._members.values() if member is not sender]
 
     def _flush(self, sender: Member) -> None:
@@ -118,11 +116,11 @@
     def _synchronize(self, sender: Member, receiver: Member) -> None:
         # Starts from what the receiver has, so that a shipment lost on a cut link
         # leaves a gap for one heartbeat and not for good.
-        if sender.role is Role.PRIMARY:
-            self._ship(sender, receiver, sender.log.common_end(receiver.log))
+        self._ship(sender, receiver, sender.log.common_end(receiver.log))
 
     def _ship(self, sender: Member, receiver: Member, previous: Position) -> None:
-        if self._cut(sender, receiver):
+        # A member that only promised a term must not spread what it wrote before.
+        if sender.role is not Role.PRIMARY or self._cut(sender, receiver):
             return
         entries = sender.log.after(previous.position)
         self._shipped[sender.name, receiver.name] = sender.log.end
--- a/mallowpass/standins/member.py
+++ b/mallowpass/standins/member.py
@@ -343,11 +343,9 @@
     def set_lag(self, median_s: float, p99_s: float) -> None:
         self.lag.set(median_s, p99_s)
         # Entries that wait for a longer lag than the new one must not hold up others.
-        due = 0.0
         for _ in range(len(self._pending)):
-            was_due, entry = self._pending.popleft()
-            due = max(due, min(was_due, _now() + self.lag.draw()))
-            self._pending.append((due, entry))
+            due, entry = self._pending.popleft()
+            self._pending.append((min(due, _now() + self.lag.draw()), entry))
         self._apply_due()
 
     # Faults
@@ -433,10 +431,7 @@
         if entry.position <= self.log.end.position:
             self._truncate(entry.position - 1)
         self.log.append(entry)
-        due = _now() + self.lag.draw()
-        if self._pending:
-            due = max(due, self._pending[-1][0])
-        self._pending.append((due, entry))
+        self._pending.append((_now() + self.lag.draw(), entry))
         self._apply_due()
 
     def _truncate(self, position: int) -> None:
@@ -457,6 +452,7 @@
             return
         now = _now()
         before = self.applied
+        # Always the oldest first, so that a short lag can't overtake a long one.
         while self._pending and self._pending[0][0] <= now:
             self.store.apply(self._pending.popleft()[1])
         if self._pending:
--- a/tests/standins/test_database.py
+++ b/tests/standins/test_database.py
@@ -75,10 +75,29 @@
     failed = await connection.write("INSERT OR FAIL INTO t VALUES (6), (5)")
     assert failed.code == pb.SQL_ERROR
     assert "UNIQUE" in failed.message
+    assert await connection.count() == 1
     assert (await connection.call(commit=pb.Commit())).code == pb.OK
     assert await connection.count() == 1
 
 
+@scenario()
+async def test_a_statement_that_rolls_back_ends_the_transaction(lab):
+    """Symptom: half of a transaction stays.
+
+    Sequence: INSERT OR ROLLBACK fails; the caller goes on and commits.
+    Cause: SQLite ended the transaction, and the member took it for open.
+    """
+    connection = await primary_with_table(lab)
+    await connection.write(INSERT)
+    await connection.call(begin=pb.Begin(term=1))
+    await connection.write("INSERT INTO t VALUES (2)")
+    failed = await connection.write("INSERT OR ROLLBACK INTO t VALUES (1)")
+    assert failed.code == pb.CONFLICT
+    assert (await connection.write("INSERT INTO t VALUES (3)")).code == pb.CONFLICT
+    assert (await connection.call(commit=pb.Commit())).code == pb.CONFLICT
+    assert await connection.count() == 1
+
+
 @pytest.mark.parametrize(
     "sql",
     ["BEGIN", " ;commit", "--x\nEND", "/* x */ Savepoint s", "ATTACH ':memory:' AS x"]
@@ -284,6 +303,18 @@
     answer.cancel()
 
 
+@scenario(service_time_s=0.05)
+async def test_an_answer_under_way_is_lost_with_its_silent_connection(lab):
+    old, endpoint = await lab.connect("a"), lab.standins.endpoint(GROUP, "a")
+    await old.send(execute=pb.Execute(sql="SELECT 1"))
+    await eventually(lambda: endpoint._running_statements == 1)
+    lab.standins.silence_open_streams(GROUP, "a")
+    answer = asyncio.ensure_future(old.stream.read())
+    assert (await (await lab.connect("a")).select("SELECT 1")).code == pb.OK
+    assert not answer.done()
+    answer.cancel()
+
+
 @scenario()
 async def test_a_crash_ends_streams_and_the_member_returns_as_replica(lab):
     connection = await primary_with_table(lab)
--- a/tests/standins/test_group.py
+++ b/tests/standins/test_group.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from mallowpass.schema import endpoint_pb2 as pb
+from mallowpass.standins.group import Shipment
+from mallowpass.standins.log import LogEntry, Position
 from tests.standins.clients import GROUP, Lab, eventually, place, scenario
 
 CREATE = "CREATE TABLE t (a INTEGER PRIMARY KEY)"
@@ -55,6 +57,21 @@
     assert await connection.count() == 0
 
 
+@scenario()
+async def test_a_begin_that_waits_is_refused_after_a_promise(lab):
+    """Symptom: a transaction opens at a primary that has been replaced.
+
+    Sequence: Begin waits for the writer lock; the primary promises a higher term.
+    Cause: the term is compared before the wait only.
+    """
+    first, second = await lab.connect("a"), await lab.connect("a")
+    await first.call(begin=pb.Begin(term=1))
+    await second.send(begin=pb.Begin(term=1))
+    await eventually(lambda: lab.member("a")._writer_lock._waiters)
+    await lab.control("a").promise(2)
+    assert (await second.read()).code == pb.WRONG_TERM
+
+
 @scenario()
 async def test_a_promise_refuses_entries_of_lower_terms(lab):
     """Symptom: a write counts as held by a majority and is gone after a promotion.
@@ -128,6 +145,69 @@
     assert (await lab.control("a").follow(2, "c")).code == pb.BAD_CALL
 
 
+@scenario()
+async def test_late_entries_of_an_older_term_are_refused(lab):
+    """Symptom: a replica loses entries of its primary's term.
+
+    Sequence: a primary leads term 1 and again term 2; an old shipment comes late.
+    Cause: the replica looks at who sent it and not at the term it was sent in.
+    """
+    late = Shipment("a", 1, Position(1, 1), (LogEntry(1, 2),))
+    await lab.promote("a", 2, promised_by="abc")
+    await lab.control("b").follow(2, "a")
+    await received(lab, "b", 2)
+    lab.member("b").hear(late)
+    assert lab.member("b").log.end == Position(2, 2)
+
+
+@scenario()
+async def test_a_member_that_only_promised_ships_nothing(lab):
+    """Symptom: entries spread that no primary of the new term decided on.
+
+    Sequence: a replica is told to follow a member before that is promoted.
+    Cause: a former primary ships its log in the term that it only promised.
+    """
+    lab.standins.cut_off(GROUP, "c", ("a",))
+    await (await lab.connect("a")).write(CREATE)
+    await lab.control("a").promise(2)
+    await lab.control("c").follow(2, "a")
+    lab.standins.cut_off(GROUP, "c")
+    await eventually(lambda: lab.member("c").silence_ms > 150)
+    assert lab.member("c").log.end == Position(1, 1)
+
+
+@scenario()
+async def test_a_member_that_follows_is_not_promoted_in_the_same_term(lab):
+    """Symptom: two primaries of one term.
+
+    Sequence: a proposer promotes one member, makes another follow, promotes it too.
+    Cause: the second looks at the proposer and not at whom it follows.
+    """
+    await lab.promote("b", 2, promised_by="bc")
+    await lab.control("c").follow(2, "b")
+    promote = pb.Promote(term=2, proposer="p")
+    assert (await lab.control("c").call(promote=promote)).code == pb.BAD_CALL
+
+
+@scenario()
+async def test_a_primary_again_writes_on_the_newest_data(lab):
+    """Symptom: a primary commits what its data does not allow.
+
+    Sequence: it leads, follows another that writes, and leads again.
+    Cause: its writer still works on the copy of its first time as primary.
+    """
+    connection = await lab.connect("a")
+    await connection.write(CREATE)
+    await received(lab, "b", 2)
+    await lab.promote("b", 2, promised_by="abc")
+    await lab.control("a").follow(2, "b")
+    await (await lab.connect("b")).write(INSERT, term=2)
+    await received(lab, "a", 4)
+    await lab.promote("a", 3, promised_by="abc")
+    await connection.call(begin=pb.Begin(term=3))
+    assert await connection.count() == 1
+
+
 @scenario(lag_median_s=60.0)
 async def test_a_request_id_is_known_after_a_promotion(lab):
     """Symptom: a claim is filed twice.
