Replace primaries that are gone by promises of the members' majority

Cause: nobody else orders a promotion when a primary fails; a wrong one loses acknowledged writes or costs an outage without a failure.

Change: a host suspects a primary by its own silence, also on a fresh stream, and asks the members; only a majority that does not hear it either confirms.

--- a/mallowpass/core/systems/liveness.py
+++ b/mallowpass/core/systems/liveness.py
@@ -21,8 +21,8 @@
     DatabaseChanged,
     DatabaseRemoved,
     EndpointReported,
-    EndpointStateChanged,
     HeldAdvanced,
+    HostStateChanged,
     PrimaryChanged,
 )
 from mallowpass.core.systems.controlstreams import (
@@ -35,6 +35,7 @@
 from mallowpass.core.systems.hostpause import HostPause
 from mallowpass.core.systems.stewards import Peers, find_membership
 from mallowpass.core.tables import DatabaseRow, EndpointRow, GroupState
+from mallowpass.core.timers import Timer
 
 __all__ = ["STEWARDS", "Liveness"]
 
@@ -46,12 +47,22 @@
 READ_INTERVAL = 0.5
 READ_GAP = 0.05
 TRAFFIC_INTERVAL = 10.0
+RANK_REVIEW = 0.2
 
 
 class Liveness(System):
     """Watch endpoints and tell what their reports prove."""
 
-    __slots__ = ("_control", "_counted", "_membership", "_pause", "_rounds", "_views")
+    __slots__ = (
+        "_control",
+        "_counted",
+        "_membership",
+        "_noticed_terms",
+        "_pause",
+        "_rank_review",
+        "_rounds",
+        "_views",
+    )
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
@@ -62,6 +73,8 @@
             node, self._replied, lambda: self._pause.awake_since
         )
         self._counted = (0, 0, 0)
+        self._noticed_terms: dict[str, int] = {}
+        self._rank_review: Timer | None = None
         self._membership: Peers | None = None
 
     @property
@@ -80,6 +93,7 @@
         self._node.subscribe(DatabaseChanged, self._changed)
         self._node.subscribe(DatabaseRemoved, self._removed)
         self._node.subscribe(EndpointReplied, self._endpoint_replied)
+        self._node.subscribe(HostStateChanged, self._hosts_changed)
         self.timers.every(TRAFFIC_INTERVAL, self._count_traffic)
         membership = find_membership(self._node)
         if membership is not None:
@@ -203,6 +217,7 @@
         if view is None:
             return
         self._rounds.pop(signal.database).stop()
+        self._noticed_terms.pop(signal.database, None)
         if view.activity is not None:
             view.activity.cancel()
         for address in view.row.endpoints:
@@ -237,6 +252,20 @@
             view.activity = self.timers.after(ACTIVITY, self._review, view)
         self._watch_members(view)
 
+    def _hosts_changed(self, signal: HostStateChanged) -> None:
+        # Ranks may have moved. Many hosts come and go together: one review for all.
+        if self._rank_review is None:
+            self._rank_review = self.timers.after(RANK_REVIEW, self._review_ranks)
+
+    def _review_ranks(self) -> None:
+        self._rank_review = None
+        for view in self._views.values():
+            self._watch_members(view)
+
+    def watch_closely(self, database: DatabaseRow) -> None:
+        """Have all members report each move for a while, as during writes."""
+        self._use(database.key, writing=True)
+
     def _watch_members(self, view: GroupView) -> None:
         is_steward = self._is_steward(view.row.key)
         for endpoint in view.row.endpoints.values():
@@ -298,7 +327,6 @@
     def _take_report(
         self, view: GroupView, endpoint: EndpointRow, report: Report
     ) -> None:
-        was_leaving = endpoint.report is not None and endpoint.report.leaving
         endpoint.report = report
         endpoint.report_at = self.now
         endpoint.misses = 0
@@ -308,9 +336,6 @@
         self._note_role(view, endpoint, report)
         if view.count_holder(endpoint.address, report):
             self._advance_held(view)
-        if report.leaving != was_leaving:
-            endpoint.leaving = report.leaving
-            self._node.publish(EndpointStateChanged(endpoint.address))
         self._node.publish(EndpointReported(endpoint.address))
 
     def _advance_held(self, view: GroupView) -> None:
@@ -412,8 +437,12 @@
     def _noticed(self, host_name: str, notice: GroupNotice) -> None:
         """Ask the members at once: their reports decide, the notice does not."""
         row = self.tables.databases.get(notice.database)
-        if row is None or notice.term <= row.term:
+        known = self._noticed_terms.get(notice.database, 0)
+        if row is None or notice.term <= max(known, row.term):
             return
+        self._noticed_terms[notice.database] = notice.term
+        if self._membership is not None:
+            self._membership.broadcast(notice, but=host_name)
         for address in row.endpoints:
             self._control.call(address, ProbeCall(), _ignore, self._node.tuning.silence)
 
--- a/mallowpass/core/systems/stewards.py
+++ b/mallowpass/core/systems/stewards.py
@@ -1,4 +1,4 @@
-"""What liveness and failover need of membership: ranks and notices."""
+"""What liveness and failover need of other systems, where a node has them."""
 
 from __future__ import annotations
 
@@ -7,8 +7,9 @@
 
 from mallowpass.core.node import Node
 from mallowpass.core.peering import PeerMessage
+from mallowpass.core.platformcalls import PlatformCall, PlatformReply
 
-__all__ = ["Peers", "find_membership"]
+__all__ = ["Peers", "Platform", "find_membership", "find_platform"]
 
 
 class Peers(Protocol):
@@ -22,8 +23,17 @@
     ) -> None:
         """Have a handler called with each message of a type and its sender."""
 
-    def broadcast(self, message: PeerMessage) -> None:
-        """Send a message to all hosts, through relays where there are many."""
+    def broadcast(self, message: PeerMessage, but: str = "") -> None:
+        """Send a message to all neighbours, except to the one that it came from."""
+
+
+class Platform(Protocol):
+    """Call the platform."""
+
+    def call(
+        self, request: PlatformCall, callback: Callable[[PlatformReply], None]
+    ) -> None:
+        """Make a call; the callback gets exactly one reply."""
 
 
 def find_membership(node: Node) -> Peers | None:
@@ -35,3 +45,13 @@
         return node.system(Membership)
     except KeyError:
         return None
+
+
+def find_platform(node: Node) -> Platform | None:
+    """Return the node's client of the platform, None when it runs without."""
+    from mallowpass.core.systems.platform import PlatformClient
+
+    try:
+        return node.system(PlatformClient)
+    except KeyError:
+        return None
--- a/tests/fakes/groups.py
+++ b/tests/fakes/groups.py
@@ -279,6 +279,7 @@
         first = members[0].name
         self.members = {member.name: FakeMember(member, first) for member in members}
         self.messages = 0
+        self.led: list[tuple[int, str]] = [(1, first)]  # terms and their primaries
         self._read = read
         self._by_address = {m.address: m for m in self.members.values()}
         self._streams: dict[tuple[str, int], _Stream] = {}
@@ -502,6 +503,8 @@
                     member.promise(call)
                 case calls.PromoteCall():
                     member.promote(call)
+                    if (member.term, member.name) not in self.led:
+                        self.led.append((member.term, member.name))
                 case calls.FollowCall():
                     member.follow(call, self._now)
                 case calls.OutcomeCall():
--- a/tests/fakes/scenes.py
+++ b/tests/fakes/scenes.py
@@ -32,11 +32,11 @@
         names = sorted(self._scene.live)
         return names.index(self._host.name) if self._host.name in names else len(names)
 
-    def broadcast(self, message: PeerMessage) -> None:
+    def broadcast(self, message: PeerMessage, but: str = "") -> None:
         world = self._scene.world
         for name, other in self._scene.memberships.items():
             delay = world.links.delay(self._host.name, name)
-            if name != self._host.name and delay is not None:
+            if name not in (self._host.name, but) and delay is not None:
                 world.at(world.now + delay, other.receive, self._host.name, message)
 
     def receive(self, source: str, message: PeerMessage) -> None:
