Give errors of traces their codes

Cause: a trace that is damaged, of a newer format, or holds classes that a version lacks needs an answer that a script can branch on.

Measured: `python -m pytest -q tests/test_errors.py`: 69 passed.

Conclusion: no code changed its meaning.

--- a/mallowpass/errors.py
+++ b/mallowpass/errors.py
@@ -242,6 +242,24 @@
         "Declare the statement as a write.",
         False,
     )
+    TRACE_DAMAGED = (
+        "MP-3016",
+        "The trace is not one, is cut off within a record or was changed.",
+        "Copy the trace again with all its segments; what comes before is sound.",
+        False,
+    )
+    TRACE_TOO_NEW = (
+        "MP-3017",
+        "The trace was written in a format that this version does not know.",
+        "Replay it with the version of mallowpass that the error names, or a newer.",
+        False,
+    )
+    TRACE_UNKNOWN = (
+        "MP-3018",
+        "The trace holds a class, field, value or system that this version lacks.",
+        "Replay it with the version of mallowpass that recorded it.",
+        False,
+    )
 
     # -- Outcomes
     QUEUE_FULL = (
