Split the request path and test its reads and writes against their failures

Answers and waiting now stand alone. A look-up for an outcome is an object that a newer one takes the place of: two chains of look-ups could run for one write, and the verdict on an early attempt could count for a later one, which would run it twice. Writes that cannot reach the primary are held instead of spending the retry budget; with more writes waiting than the budget has retries, the rest were refused in the middle of a failover.

--- /dev/null
+++ b/mallowpass/core/systems/answers.py
@@ -0,0 +1,138 @@
+"""What callers are told: codes, outcomes, tokens, and how answers are counted."""
+
+from __future__ import annotations
+
+from mallowpass.core.calls import (
+    Access,
+    CallerAnswer,
+    CallerRequest,
+    EndpointCode,
+    EndpointReply,
+    Outcome,
+)
+from mallowpass.core.effects import AnswerCaller, Count, Observe
+from mallowpass.core.node import System
+from mallowpass.core.systems import draining as draining_module
+from mallowpass.core.systems import sessions as sessions_module
+from mallowpass.core.tables import RequestRow, SessionRow
+from mallowpass.errors import ErrorCode
+
+__all__ = [
+    "PRIMARY_READ_COUNT",
+    "REPLICA_READ_COUNT",
+    "RETRIES_COUNT",
+    "Answers",
+    "code_of",
+    "code_of_refusal",
+    "record_id",
+]
+
+# -- Made once: counting a statement makes no new objects ---------------------
+
+REPLICA_READ_COUNT = Count("reads", 1, (("role", "replica"),))
+PRIMARY_READ_COUNT = Count("reads", 1, (("role", "primary"),))
+RETRIES_COUNT = Count("retries")
+
+_STATEMENT_COUNTS = {
+    (outcome, access): Count(
+        "statements", 1, (("outcome", outcome.value), ("access", access.value))
+    )
+    for outcome in Outcome
+    for access in Access
+}
+_SECONDS_ATTRIBUTES = {access: (("access", access.value),) for access in Access}
+
+# -- Names and codes ----------------------------------------------------------
+
+
+def record_id(caller: str, request_id: str) -> str:
+    """Return the id that an endpoint records for a caller's request."""
+    # Escaped: caller "a/b" with id "c" must not meet caller "a" with id "b/c".
+    name = caller.replace("%", "%25").replace("/", "%2F").replace("~", "%7E")
+    return f"{name}/{request_id}"
+
+
+def code_of(code: str) -> ErrorCode:
+    """Return the entry of a code given by its number or its name."""
+    return ErrorCode.__members__.get(code) or ErrorCode.by_code(code)
+
+
+def code_of_refusal(reply: EndpointReply) -> ErrorCode:
+    """Return the code for a statement that the endpoint refused for good."""
+    if reply.code is not EndpointCode.SQL_ERROR:
+        return ErrorCode.ENDPOINT_REFUSED
+    message = reply.message.lower()
+    if "constraint" in message:
+        return ErrorCode.CONSTRAINT_VIOLATED
+    if "readonly" in message or "read-only" in message:
+        return ErrorCode.READ_WOULD_WRITE
+    return ErrorCode.INVALID_SQL
+
+
+# -- Answers ------------------------------------------------------------------
+
+
+class Answers(System):
+    """Send answers with the session's token, and count them; a part of Requests."""
+
+    __slots__ = ("_draining", "_sessions")
+
+    def start(self) -> None:
+        """Find the systems that are asked."""
+        self._draining = self._node.system(draining_module.Draining)
+        self._sessions = self._node.system(sessions_module.Sessions)
+
+    def refuse(
+        self,
+        session: SessionRow,
+        request: CallerRequest,
+        code: ErrorCode,
+        message: str = "",
+        retry_after: float = 0.0,
+        outcome: Outcome = Outcome.NOT_RUN,
+    ) -> None:
+        """Answer a request that got no row."""
+        text = message or code.meaning
+        self._node.decide("refuse", request.request_id, f"{code.code} {text}")
+        answer = CallerAnswer(
+            request_id=request.request_id,
+            outcome=outcome,
+            code=code.code,
+            message=text,
+            retry_after=retry_after,
+        )
+        self.send(session.stream, request.request_id, answer)
+
+    def final(self, request: RequestRow, answer: CallerAnswer) -> None:
+        """Send the final answer to a request's caller and to its copies'."""
+        streams = [(request.stream, request.request.request_id)]
+        for stream, request_id in streams + (request.followers or []):
+            session = self.tables.sessions.get(stream)
+            if session is not None:
+                session.requests.pop(request_id, None)
+                self.send(stream, request_id, answer)
+        emit = self._node.emit
+        seconds = self.now - request.arrived
+        emit(_STATEMENT_COUNTS[answer.outcome, request.access])
+        emit(Observe("statement_seconds", seconds, _SECONDS_ATTRIBUTES[request.access]))
+
+    def send(self, stream: int, request_id: str, answer: CallerAnswer) -> None:
+        """Send an answer, or a part of one, with the stream's own token."""
+        session = self.tables.sessions.get(stream)
+        if session is None:
+            return
+        own = CallerAnswer(
+            request_id=request_id,
+            outcome=answer.outcome,
+            code=answer.code,
+            message=answer.message,
+            token=self._sessions.token(session),
+            rows=answer.rows,
+            transaction=answer.transaction,
+            retry_after=answer.retry_after,
+            served_by=answer.served_by,
+            from_replica=answer.from_replica,
+            go_elsewhere=self._draining.draining,
+            repeated=answer.repeated,
+        )
+        self._node.emit(AnswerCaller(stream, own))
--- a/mallowpass/core/systems/outcomes.py
+++ b/mallowpass/core/systems/outcomes.py
@@ -2,84 +2,45 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from functools import partial
 
 from mallowpass.core.calls import (
-    Access,
+    BeginRequest,
     CommitRequest,
     ControlReply,
     EndpointCode,
-    EndpointReply,
     LogPosition,
-    Outcome,
     OutcomeCall,
     OutcomeState,
 )
-from mallowpass.core.effects import Count
 from mallowpass.core.node import System
 from mallowpass.core.systems import liveness as liveness_module
 from mallowpass.core.tables import DatabaseRow, RequestRow, RequestState
 from mallowpass.errors import ErrorCode
 
-__all__ = [
-    "FIRST_ATTEMPT",
-    "PRIMARY_READ_COUNT",
-    "REPLICA_READ_COUNT",
-    "RETRIES_COUNT",
-    "SECONDS_ATTRIBUTES",
-    "STATEMENT_COUNTS",
-    "Outcomes",
-    "code_of",
-    "code_of_refusal",
-    "record_id",
-]
+__all__ = ["FIRST_ATTEMPT", "Outcomes"]
 
 FIRST_ATTEMPT = 1  # 0 would stand for "no attempt was fenced"
 LOOK_UP_TIMEOUT = 0.5  # seconds
 LOOK_UP_PAUSE = 0.05  # seconds between look-ups without a verdict
 
-# -- Made once: counting a statement makes no new objects ---------------------
 
-STATEMENT_COUNTS = {
-    (outcome, access): Count(
-        "statements", 1, (("outcome", outcome.value), ("access", access.value))
-    )
-    for outcome in Outcome
-    for access in Access
-}
-SECONDS_ATTRIBUTES = {access: (("access", access.value),) for access in Access}
-REPLICA_READ_COUNT = Count("reads", 1, (("role", "replica"),))
-PRIMARY_READ_COUNT = Count("reads", 1, (("role", "primary"),))
-RETRIES_COUNT = Count("retries")
+@dataclass(slots=True, eq=False)
+class _LookUp:
+    """Hold one question for a request's outcome; a newer one takes its place.
 
-# -- Names and codes ----------------------------------------------------------
+    A verdict on an earlier attempt, or of an earlier term, must not count for a
+    write that was sent again since.
+    """
 
+    request: RequestRow
+    term: int
+    live: bool = True
 
-def record_id(caller: str, request_id: str) -> str:
-    """Return the id that an endpoint records for a caller's request."""
-    # Escaped: caller "a/b" with id "c" must not meet caller "a" with id "b/c".
-    name = caller.replace("%", "%25").replace("/", "%2F").replace("~", "%7E")
-    return f"{name}/{request_id}"
-
-
-def code_of(code: str) -> ErrorCode:
-    """Return the entry of a code given by its number or its name."""
-    return ErrorCode.__members__.get(code) or ErrorCode.by_code(code)
-
-
-def code_of_refusal(reply: EndpointReply) -> ErrorCode:
-    """Return the code for a statement that the endpoint refused for good."""
-    if reply.code is not EndpointCode.SQL_ERROR:
-        return ErrorCode.ENDPOINT_REFUSED
-    message = reply.message.lower()
-    if "constraint" in message:
-        return ErrorCode.CONSTRAINT_VIOLATED
-    if "readonly" in message or "read-only" in message:
-        return ErrorCode.READ_WOULD_WRITE
-    return ErrorCode.INVALID_SQL
-
-
-# -- Resolution ---------------------------------------------------------------
+    def cancel(self) -> None:
+        """Have the answer ignored."""
+        self.live = False
 
 
 class Outcomes(System):
@@ -96,6 +57,10 @@
 
     def resolve(self, request: RequestRow, why: str) -> None:
         """Find out whether a write ran, and see to it that it runs no more."""
+        if isinstance(request.request, BeginRequest):
+            # Nothing of it can stay: no commit was sent.
+            self._requests.waiting.retry(request, ErrorCode.CONNECTION_LOST, why)
+            return
         request.state = RequestState.RESOLVING
         request.detail = why
         subject = request.request.request_id
@@ -119,81 +84,78 @@
         self._ask(request, database.term, primary.address)
 
     def _ask(self, request: RequestRow, term: int, address: str) -> None:
-        attempt = request.attempt
-        call = OutcomeCall(request.record_id, term, True, attempt)
-        callback = partial(self._on_looked_up, request, term, attempt)
+        if request.waiter is not None:
+            request.waiter.cancel()
+        look_up = _LookUp(request, term)
+        request.waiter = look_up
+        call = OutcomeCall(request.record_id, term, True, request.attempt)
+        callback = partial(self._on_looked_up, look_up)
         self._liveness.control_call(address, call, callback, LOOK_UP_TIMEOUT)
 
-    def _is_about(self, request: RequestRow, attempt: int) -> bool:
-        # A verdict on an earlier attempt says nothing of one sent after it.
-        resolving = request.state is RequestState.RESOLVING
-        return resolving and request.attempt == attempt
-
     def _without_look_up(self, request: RequestRow) -> None:
         if request.idempotent:
             why = f"{request.detail}; it may run twice"
-            self._requests.retry(request, ErrorCode.FAILING_OVER, why)
+            self._requests.waiting.retry(request, ErrorCode.FAILING_OVER, why)
         else:
             why = f"{request.detail}; the endpoint keeps no record"
             self._requests.unknown(request, why)
 
-    def _on_looked_up(
-        self,
-        request: RequestRow,
-        term: int,
-        attempt: int,
-        reply: ControlReply | None,
-    ) -> None:
-        if not self._is_about(request, attempt):
+    def _on_looked_up(self, look_up: _LookUp, reply: ControlReply | None) -> None:
+        if not look_up.live:
             return
+        request = look_up.request
         database = self.tables.databases.get(request.database)
-        if database is None or database.term != term:
+        if database is None or database.term != look_up.term:
             self.look_up(request)
-            return
-        if reply is None or reply.code is not EndpointCode.OK:
-            self._look_up_later(request)
+        elif reply is None or reply.code is not EndpointCode.OK:
+            self._look_up_later(look_up)
         elif reply.outcome is OutcomeState.RECORDED:
-            self._on_recorded(request, term, reply)
+            self._on_recorded(look_up, reply)
         elif reply.outcome is OutcomeState.NOT_RECORDED:
-            self._on_not_recorded(request, database, term)
+            self._on_not_recorded(look_up, database)
         else:
-            self._look_up_later(request)
+            self._look_up_later(look_up)
+
+    def _look_up_later(self, look_up: _LookUp) -> None:
+        self.timers.after(LOOK_UP_PAUSE, self._look_up_again, look_up)
 
-    def _look_up_later(self, request: RequestRow) -> None:
-        self.timers.after(LOOK_UP_PAUSE, self.look_up, request)
+    def _look_up_again(self, look_up: _LookUp) -> None:
+        if look_up.live:
+            self.look_up(look_up.request)
 
-    def _on_recorded(self, request: RequestRow, term: int, reply: ControlReply) -> None:
+    def _on_recorded(self, look_up: _LookUp, reply: ControlReply) -> None:
+        request = look_up.request
+        look_up.cancel()
+        request.waiter = None
         self._node.decide("resolve", request.request.request_id, "recorded")
-        request.sent_term = term
+        request.sent_term = look_up.term
         self._requests.writes.await_majority(
             request, reply.outcome_position, reply.outcome_rows
         )
 
-    def _on_not_recorded(
-        self, request: RequestRow, database: DatabaseRow, term: int
-    ) -> None:
-        if term == request.sent_term:
-            self._proven_not_run(request)
+    def _on_not_recorded(self, look_up: _LookUp, database: DatabaseRow) -> None:
+        if look_up.term == look_up.request.sent_term:
+            self._proven_not_run(look_up)
             return
         # A later term's log has no record. That is proof once a majority holds the
         # start of that term: before, the next promotion could still choose the
         # earlier primary's log, record and all, after the caller was told NOT_RUN.
-        callback = partial(self._on_start_held, request, request.attempt)
-        start = LogPosition(term, 1)
-        waiter = self._liveness.wait_held(database, start, callback)
-        if request.state is RequestState.RESOLVING:
-            request.waiter = waiter
-
-    def _on_start_held(self, request: RequestRow, attempt: int, held: bool) -> None:
-        if not self._is_about(request, attempt):
+        start = LogPosition(look_up.term, 1)
+        callback = partial(self._on_start_held, look_up)
+        self._liveness.wait_held(database, start, callback)
+
+    def _on_start_held(self, look_up: _LookUp, held: bool) -> None:
+        if not look_up.live:
             return
-        request.waiter = None
         if held:
-            self._proven_not_run(request)
+            self._proven_not_run(look_up)
         else:
-            self.look_up(request)
+            self.look_up(look_up.request)
 
-    def _proven_not_run(self, request: RequestRow) -> None:
+    def _proven_not_run(self, look_up: _LookUp) -> None:
+        request = look_up.request
+        look_up.cancel()
+        request.waiter = None
         subject = request.request.request_id
         self._node.decide("resolve", subject, "not recorded, and fenced")
         why = f"proven not run: {request.detail}"
@@ -207,4 +169,4 @@
             # Once for each promotion: no budget is needed to bound that.
             self._requests.writes.route(request)
         else:
-            self._requests.retry(request, ErrorCode.FAILING_OVER, why)
+            self._requests.waiting.retry(request, ErrorCode.FAILING_OVER, why)
--- a/mallowpass/core/systems/reads.py
+++ b/mallowpass/core/systems/reads.py
@@ -22,13 +22,13 @@
 from mallowpass.core.systems import retries as retries_module
 from mallowpass.core.systems import routing as routing_module
 from mallowpass.core.systems import sessions as sessions_module
-from mallowpass.core.systems.connections import Watchdog
-from mallowpass.core.systems.outcomes import (
+from mallowpass.core.systems.answers import (
     PRIMARY_READ_COUNT,
     REPLICA_READ_COUNT,
     RETRIES_COUNT,
     code_of_refusal,
 )
+from mallowpass.core.systems.connections import Watchdog
 from mallowpass.core.tables import (
     ConnectionRow,
     DatabaseRow,
@@ -174,16 +174,20 @@
             if pause > 0:
                 self._wait(request, pause)
                 return
-        endpoint = endpoint or self._routing.choose_primary_read(request, database)
+        if endpoint is None:
+            endpoint = self._routing.choose_other_read(request, database)
         if endpoint is not None:
             self._waiting_of(request).pop(request.number, None)
+            self._overdue.add(request.number)
             self._requests.acquire(request, endpoint.address)
         elif request.avoided:
             why = f"no member served it: {request.detail}"
-            self._requests.retry(request, ErrorCode.ENDPOINT_REFUSED, why)
+            self._requests.waiting.retry(request, ErrorCode.ENDPOINT_REFUSED, why)
         else:
             self._waiting_of(request)[request.number] = request
-            self._requests.hold(request, "no member has its floor, and no primary")
+            self._requests.waiting.hold(
+                request, "no member has its floor, and no primary"
+            )
 
     def _wait(self, request: RequestRow, pause: float) -> None:
         request.state = RequestState.WAITING_FLOOR
@@ -211,13 +215,6 @@
                 waiting.pop(request.number, None)
                 self.route(request)
 
-    def primary_changed(self, request: RequestRow, database: DatabaseRow) -> None:
-        """Route a read anew that a promotion may help or leave behind."""
-        queued = request.state is RequestState.QUEUED
-        if queued and request.address not in database.endpoints:
-            self._pooling.cancel(request)
-            self.route(request)
-
     # -- Sending -------------------------------------------------------------
 
     def send(self, request: RequestRow, connection: ConnectionRow) -> None:
@@ -227,7 +224,8 @@
             self._learn_floor(request)
             return
         request.state = RequestState.SENT
-        self._overdue.add(request.number)
+        if request.sent_at > request.arrived:
+            self._overdue.renew(request.number)
         statement = request.request
         if isinstance(statement, BeginRequest):
             call = BeginCall(minimum=request.floor)
@@ -337,8 +335,6 @@
             return
         if code not in _NOT_THIS_MEMBER:
             self._requests.record(connection.address, 0.0, ok=False)
-        else:
-            self._routing.forget_trial(request)
         self.elsewhere(request, ErrorCode.ENDPOINT_REFUSED, why)
 
     def _on_stale(
@@ -349,7 +345,6 @@
             f"{connection.address}: answer of {applied.term}:{applied.position}"
             f" is below the floor {floor.term}:{floor.position}"
         )
-        self._routing.forget_trial(request)
         if reply.last:
             self._requests.release(request, connection)
         else:
@@ -364,12 +359,28 @@
         it last until pooling gives the connection up, seconds later.
         """
         request = self.tables.requests.get(number)
-        if request is None or request.state is not RequestState.SENT:
+        if request is None:
+            return
+        if request.state is RequestState.QUEUED:
+            self._on_queued_long(request)
+        elif request.state is RequestState.SENT:
+            self._on_sent_long(request)
+
+    def _on_queued_long(self, request: RequestRow) -> None:
+        pool = self._pooling.known_pool(request.address)
+        if pool is None or pool.connections:
             return
+        # Not a long queue, but a member that lets nobody in.
+        self._pooling.cancel(request)
+        why = f"{request.address}: no connection opened in {OVERDUE}s"
+        self._requests.record(request.address, 0.0, ok=False)
+        self.elsewhere(request, ErrorCode.CONNECTION_LOST, why)
+
+    def _on_sent_long(self, request: RequestRow) -> None:
         endpoint = self.tables.endpoints.get(request.address)
         usual = endpoint.latency if endpoint is not None else 0.0
         if request.parts_sent or self.now - request.sent_at < OVERDUE_FACTOR * usual:
-            self._overdue.add(number)
+            self._overdue.add(request.number)
             return
         if self._retries.may_retry(request) is None:
             return
@@ -397,6 +408,6 @@
         request.state = RequestState.BACKOFF
         database = self.tables.databases.get(request.database)
         if database is None or len(request.avoided) >= len(database.endpoints):
-            self._requests.retry(request, code, why)
+            self._requests.waiting.retry(request, code, why)
         else:
             self.route(request)
--- a/mallowpass/core/systems/requests.py
+++ b/mallowpass/core/systems/requests.py
@@ -11,6 +11,7 @@
 
 from mallowpass.core.calls import (
     Access,
+    BeginRequest,
     CallerAnswer,
     CallerRequest,
     EndpointReply,
@@ -18,25 +19,19 @@
     LogPosition,
     Outcome,
 )
-from mallowpass.core.effects import AnswerCaller, Observe
 from mallowpass.core.node import Node, System
 from mallowpass.core.services import database_key
 from mallowpass.core.signals import DatabaseRemoved, EndpointReported, PrimaryChanged
-from mallowpass.core.systems import draining as draining_module
 from mallowpass.core.systems import failover as failover_module
 from mallowpass.core.systems import pooling as pooling_module
 from mallowpass.core.systems import retries as retries_module
 from mallowpass.core.systems import routing as routing_module
 from mallowpass.core.systems import sessions as sessions_module
 from mallowpass.core.systems import transactions as transactions_module
-from mallowpass.core.systems.outcomes import (
-    RETRIES_COUNT,
-    SECONDS_ATTRIBUTES,
-    STATEMENT_COUNTS,
-    Outcomes,
-    code_of,
-)
+from mallowpass.core.systems.answers import Answers, code_of
+from mallowpass.core.systems.outcomes import Outcomes
 from mallowpass.core.systems.reads import Reads
+from mallowpass.core.systems.waiting import Waiting
 from mallowpass.core.systems.writes import Writes
 from mallowpass.core.tables import (
     ConnectionRow,
@@ -48,7 +43,6 @@
 
 __all__ = ["Requests"]
 
-HELD_RECHECK = 0.1  # seconds between looks at what is held, should a signal be missed
 RETRY_AFTER_FAILOVER = 0.5  # seconds; advice to who waited for a primary in vain
 
 _WAITING = frozenset(
@@ -75,30 +69,29 @@
 
     __slots__ = (
         "_active",
-        "_draining",
         "_failover",
-        "_held",
         "_in_flight",
         "_pooling",
-        "_rechecked",
         "_retries",
         "_routing",
         "_sessions",
         "_transactions",
+        "answers",
         "outcomes",
         "reads",
+        "waiting",
         "writes",
     )
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
         self._active: dict[str, dict[int, RequestRow]] = {}  # by database key
-        self._held: dict[str, dict[int, RequestRow]] = {}  # by database key
-        self._rechecked: set[str] = set()  # database keys with a timer
         self._in_flight = 0
         self.reads = Reads(node)
         self.writes = Writes(node)
         self.outcomes = Outcomes(node)
+        self.answers = Answers(node)
+        self.waiting = Waiting(node)
 
     @property
     def in_flight(self) -> int:
@@ -108,7 +101,6 @@
     def start(self) -> None:
         """Subscribe to what moves waiting requests on."""
         node = self._node
-        self._draining = node.system(draining_module.Draining)
         self._failover = node.system(failover_module.Failover)
         self._pooling = node.system(pooling_module.Pooling)
         self._retries = node.system(retries_module.Retries)
@@ -118,6 +110,8 @@
         self.reads.start()
         self.writes.start()
         self.outcomes.start()
+        self.answers.start()
+        self.waiting.start()
         node.subscribe(PrimaryChanged, self._on_primary_changed)
         node.subscribe(EndpointReported, self._on_reported)
         node.subscribe(DatabaseRemoved, self._on_database_removed)
@@ -148,16 +142,16 @@
         """Make a request's row; None when it was refused on arrival."""
         service = self.tables.services.get(session.service)
         if service is None or service.service is None:
-            self.refuse(session, request, ErrorCode.UNKNOWN_SERVICE)
+            self.answers.refuse(session, request, ErrorCode.UNKNOWN_SERVICE)
             return None
         if key not in self.tables.databases:
-            self.refuse(session, request, ErrorCode.UNKNOWN_DATABASE)
+            self.answers.refuse(session, request, ErrorCode.UNKNOWN_DATABASE)
             return None
         deadline = request.deadline
         if deadline is None:
             deadline = service.service.default_deadline
         if deadline <= 0:
-            self.refuse(session, request, ErrorCode.DEADLINE_PASSED)
+            self.answers.refuse(session, request, ErrorCode.DEADLINE_PASSED)
             return None
         row = RequestRow(
             number=self._node.number(),
@@ -168,7 +162,8 @@
             arrived=self.now,
             expires=self.now + deadline,
             request_class=getattr(request, "request_class", "")
-            or session.request_class,
+            or session.request_class
+            or service.service.classes[0].name,
         )
         row.timer = self.timers.at(row.expires, self._on_deadline, row)
         session.requests[request.request_id] = row.number
@@ -177,29 +172,6 @@
         self._in_flight += 1
         return row
 
-    def refuse(
-        self,
-        session: SessionRow,
-        request: CallerRequest,
-        code: ErrorCode,
-        message: str = "",
-        retry_after: float = 0.0,
-        outcome: Outcome = Outcome.NOT_RUN,
-    ) -> None:
-        """Answer a request that got no row."""
-        text = message or code.meaning
-        self._node.decide("refuse", request.request_id, f"{code.code} {text}")
-        answer = CallerAnswer(
-            request_id=request.request_id,
-            outcome=outcome,
-            code=code.code,
-            message=text,
-            token=self._sessions.token(session),
-            retry_after=retry_after,
-            go_elsewhere=self._draining.draining,
-        )
-        self._node.emit(AnswerCaller(session.stream, answer))
-
     # -- From pooling --------------------------------------------------------
 
     def on_connection(self, request: RequestRow, connection: ConnectionRow) -> None:
@@ -259,7 +231,6 @@
         if request.state is not RequestState.QUEUED:
             return
         error = code_of(code)
-        self._routing.forget_trial(request)
         if error not in _REROUTED:
             self.not_run(request, error, why, retry_after)
         elif request.access is Access.WRITE:
@@ -301,70 +272,13 @@
         if endpoint is not None:
             self._routing.record(endpoint, latency, ok)
 
-    # -- Waiting -------------------------------------------------------------
-
-    def hold(self, request: RequestRow, why: str) -> None:
-        """Keep a request until a primary is there, in order of arrival."""
-        request.state = RequestState.HELD
-        request.detail = why
-        self._held.setdefault(request.database, {})[request.number] = request
-        if request.database not in self._rechecked:
-            self._rechecked.add(request.database)
-            self.timers.after(HELD_RECHECK, self._recheck, request.database)
-        self._node.decide("hold", request.request.request_id, why)
-
-    def retry(self, request: RequestRow, code: ErrorCode, why: str) -> None:
-        """Try a request again after a pause, or give it up at once.
-
-        Only for what is proven not to have run, or may run twice.
-        """
-        request.detail = why
-        delay = self._retries.may_retry(request)
-        subject = request.request.request_id
-        if delay is None:
-            self._give_up(request, code, why)
-            return
-        self._node.emit(RETRIES_COUNT)
-        self._node.decide("retry", subject, f"{why}; again in {delay:.3f}s")
-        request.state = RequestState.BACKOFF
-        self.timers.after(delay, self._again, request, request.tries)
-
-    def _give_up(self, request: RequestRow, code: ErrorCode, why: str) -> None:
-        if self.now + self._node.tuning.retry_backoff_max < request.expires:
-            code = ErrorCode.RETRY_BUDGET_SPENT
-        self.not_run(request, code, why, self._retries.retry_after)
-
-    def _again(self, request: RequestRow, tries: int) -> None:
-        if request.state is RequestState.BACKOFF and request.tries == tries:
-            self.route(request)
-
     def route(self, request: RequestRow) -> None:
         """Send a request on its way, whatever it waited for."""
         if request.access is Access.WRITE:
             self.writes.route(request)
         else:
-            request.avoided = None
             self.reads.route(request)
 
-    def _recheck(self, database: str) -> None:
-        self._release_held(database)
-        if self._held.get(database):
-            self.timers.after(HELD_RECHECK, self._recheck, database)
-        else:
-            self._rechecked.discard(database)
-
-    def _release_held(self, database: str) -> None:
-        row = self.tables.databases.get(database)
-        held = self._held.get(database)
-        if not held or row is None or self._routing.choose_write(row) is None:
-            return
-        self._held[database] = {}
-        self._node.decide("release", database, f"{len(held)} held, term {row.term}")
-        for number in sorted(held):
-            request = held[number]
-            if request.state is RequestState.HELD:
-                self.route(request)
-
     # -- Signals -------------------------------------------------------------
 
     def _on_primary_changed(self, signal: PrimaryChanged) -> None:
@@ -372,13 +286,9 @@
         if database is None:
             return
         for request in self._snapshot(signal.database):
-            if request.transaction:
-                continue
-            if request.access is Access.WRITE:
+            if request.access is Access.WRITE and not request.transaction:
                 self.writes.primary_changed(request, database)
-            else:
-                self.reads.primary_changed(request, database)
-        self._release_held(signal.database)
+        self.waiting.release(signal.database)
 
     def _on_reported(self, signal: EndpointReported) -> None:
         endpoint = self.tables.endpoints.get(signal.address)
@@ -453,18 +363,12 @@
     def finish(self, request: RequestRow, answer: CallerAnswer) -> None:
         """Send the final answer and forget the request."""
         self._close(request)
-        self._answer(request.stream, request.request.request_id, answer)
-        for stream, request_id in request.followers or ():
-            self._answer(stream, request_id, answer)
-        attributes = SECONDS_ATTRIBUTES[request.access]
-        emit = self._node.emit
-        emit(STATEMENT_COUNTS[answer.outcome, request.access])
-        emit(Observe("statement_seconds", self.now - request.arrived, attributes))
+        self.answers.final(request, answer)
 
     def part(self, request: RequestRow, answer: CallerAnswer) -> None:
         """Send a part of an answer that goes on."""
         request.parts_sent += 1
-        self._answer(request.stream, request.request.request_id, answer)
+        self.answers.send(request.stream, request.request.request_id, answer)
 
     def _close(self, request: RequestRow) -> None:
         request.state = RequestState.FINISHED
@@ -476,37 +380,13 @@
             request.waiter = None
         self._in_flight -= 1
         self._active[request.database].pop(request.number, None)
-        held = self._held.get(request.database)
-        if held:
-            held.pop(request.number, None)
+        self.waiting.forget(request)
         self.writes.forget(request)
         self.tables.requests.pop(request.number, None)
         if request.connection and not request.transaction:
             # It still owes a reply. Pooling waits for that before the next use.
             self.abandon(request)
 
-    def _answer(self, stream: int, request_id: str, answer: CallerAnswer) -> None:
-        session = self.tables.sessions.get(stream)
-        if session is None:
-            return
-        if answer.outcome is not None:
-            session.requests.pop(request_id, None)
-        own = CallerAnswer(
-            request_id=request_id,
-            outcome=answer.outcome,
-            code=answer.code,
-            message=answer.message,
-            token=self._sessions.token(session),
-            rows=answer.rows,
-            transaction=answer.transaction,
-            retry_after=answer.retry_after,
-            served_by=answer.served_by,
-            from_replica=answer.from_replica,
-            go_elsewhere=self._draining.draining,
-            repeated=answer.repeated,
-        )
-        self._node.emit(AnswerCaller(stream, own))
-
     def _raise_floors(self, request: RequestRow, position: LogPosition) -> None:
         streams = [request.stream]
         streams += [stream for stream, _ in request.followers or ()]
@@ -535,10 +415,12 @@
         elif state in _WAITING:
             self._cancel(request)
             self.not_run(request, ErrorCode.DEADLINE_PASSED, request.detail)
+        elif isinstance(request.request, BeginRequest):
+            why = f"the deadline passed while {state.value}"
+            self.not_run(request, ErrorCode.DEADLINE_PASSED, why)
         else:
             self.unknown(request, f"the deadline passed while {state.value}")
 
     def _cancel(self, request: RequestRow) -> None:
         if request.state is RequestState.QUEUED:
-            self._routing.forget_trial(request)
             self._pooling.cancel(request)
--- a/mallowpass/core/systems/retries.py
+++ b/mallowpass/core/systems/retries.py
@@ -52,14 +52,17 @@
         A delay that ends past the deadline is refused too: the caller is told at
         once, not when its time is up.
         """
-        budget = self._budget(request.database.partition("/")[0])
         delay = self._delay(request.tries)
-        if self.now + delay >= request.expires or budget.left < 1.0:
+        if self.now + delay >= request.expires or self.is_spent(request):
             return None
-        budget.left -= 1.0
+        self._budget(request.database.partition("/")[0]).left -= 1.0
         request.tries += 1
         return delay
 
+    def is_spent(self, request: RequestRow) -> bool:
+        """Tell whether a request's service has no retry left."""
+        return self._budget(request.database.partition("/")[0]).left < 1.0
+
     def _budget(self, service: str) -> _Budget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/mallowpass/core/systems/routing.py
+++ b/mallowpass/core/systems/routing.py
@@ -27,6 +27,7 @@
 ERRORS_MAX = 3  # in a row
 EJECTION_MIN = 0.5  # seconds; doubles with each ejection in a row
 EJECTION_MAX = 30.0
+TRIAL = 1.0  # seconds after which a trial without a result counts no more
 SLOW_FACTOR = 8.0  # times the best other member's average
 SLOW_MIN = 0.1  # seconds; never ejected as slow below this
 
@@ -38,7 +39,7 @@
     expected: float  # seconds; by place alone
     measured_at: float = float("-inf")
     ejections: int = 0
-    trial: int = 0  # request that tries the member after an ejection; 0: none
+    trial_until: float = float("-inf")  # one request tries it after an ejection
 
 
 class Routing(System):
@@ -73,7 +74,7 @@
                 best = endpoint
                 lowest = cost
         if best is not None:
-            self._note_trial(best, request)
+            self._note_trial(best)
         return best
 
     def replica_wait(self, request: RequestRow, database: DatabaseRow) -> float:
@@ -89,14 +90,19 @@
         longest = min(self._node.tuning.replica_wait, request.expires - self.now)
         return shortest if shortest < longest else 0.0
 
-    def choose_primary_read(
+    def choose_other_read(
         self, request: RequestRow, database: DatabaseRow
     ) -> EndpointRow | None:
-        """Return the primary for a read that no replica can serve."""
+        """Return the primary, or else an ejected replica that has the floor."""
         primary = database.primary_row
-        if primary is None or primary.leaving or self._avoids(request, primary):
-            return None
-        return primary
+        if primary is not None and self._open_to(primary, request):
+            return primary
+        for endpoint in database.endpoints.values():
+            if self._open_to(endpoint, request) and self._liveness.reached(
+                endpoint, request.floor
+            ):
+                return endpoint
+        return None
 
     # -- Writes --------------------------------------------------------------
 
@@ -114,7 +120,7 @@
     def record(self, endpoint: EndpointRow, latency: float, ok: bool) -> None:
         """Take in one statement's latency in seconds, or its failure."""
         health = self._health_of(endpoint)
-        health.trial = 0
+        health.trial_until = float("-inf")
         if ok:
             self._record_success(endpoint, health, latency)
         else:
@@ -122,12 +128,6 @@
             if endpoint.errors >= ERRORS_MAX or health.ejections:
                 self._eject(endpoint, health, f"{endpoint.errors} errors in a row")
 
-    def forget_trial(self, request: RequestRow) -> None:
-        """Let another request try a member whose trial request was given up."""
-        health = self._health.get(request.address)
-        if health is not None and health.trial == request.number:
-            health.trial = 0
-
     def _record_success(
         self, endpoint: EndpointRow, health: _Health, latency: float
     ) -> None:
@@ -137,19 +137,24 @@
         else:
             endpoint.latency += LATENCY_WEIGHT * (latency - endpoint.latency)
         health.measured_at = self.now
-        if endpoint.latency <= SLOW_MIN:
-            health.ejections = 0
-        elif self._is_slow(endpoint, health):
+        if endpoint.latency > SLOW_MIN and self._is_slow(endpoint, health):
             self._eject(endpoint, health, f"latency {endpoint.latency:.3f}s")
+        else:
+            health.ejections = 0
 
     def _is_slow(self, endpoint: EndpointRow, health: _Health) -> bool:
         database = self.tables.databases.get(endpoint.database)
         if database is None or database.primary == endpoint.address:
             return False
+        # Only replicas that could take over: heavy statements make all of them slow,
+        # and to eject the last would send its reads to the primary.
         others = [
             other.latency
             for other in database.endpoints.values()
-            if other is not endpoint and self._is_measured(other)
+            if other is not endpoint
+            and other.address != database.primary
+            and other.ejected_until <= self.now
+            and self._is_measured(other)
         ]
         best = min(others, default=None)
         return best is not None and endpoint.latency > SLOW_FACTOR * (
@@ -175,17 +180,19 @@
 
     # -- Judging a member ----------------------------------------------------
 
+    def _open_to(self, endpoint: EndpointRow, request: RequestRow) -> bool:
+        if endpoint.leaving:
+            return False
+        return request.avoided is None or endpoint.address not in request.avoided
+
     def _usable(self, endpoint: EndpointRow, request: RequestRow) -> bool:
-        if endpoint.leaving or self._avoids(request, endpoint):
+        if not self._open_to(endpoint, request):
             return False
         if endpoint.ejected_until > self.now:
             return False
         health = self._health_of(endpoint)
         # One trial request at a time: a flood would fail as a whole.
-        return not health.ejections or health.trial in (0, request.number)
-
-    def _avoids(self, request: RequestRow, endpoint: EndpointRow) -> bool:
-        return request.avoided is not None and endpoint.address in request.avoided
+        return not health.ejections or health.trial_until <= self.now
 
     def _has_floor(self, endpoint: EndpointRow, request: RequestRow) -> bool:
         if self._liveness.reached(endpoint, request.floor):
@@ -213,10 +220,10 @@
     def _is_measured(self, endpoint: EndpointRow) -> bool:
         return self.now - self._health_of(endpoint).measured_at <= MEASURED_FOR
 
-    def _note_trial(self, endpoint: EndpointRow, request: RequestRow) -> None:
+    def _note_trial(self, endpoint: EndpointRow) -> None:
         health = self._health_of(endpoint)
         if health.ejections:
-            health.trial = request.number
+            health.trial_until = self.now + TRIAL
 
     def _health_of(self, endpoint: EndpointRow) -> _Health:
         health = self._health.get(endpoint.address)
--- a/mallowpass/core/systems/sessions.py
+++ b/mallowpass/core/systems/sessions.py
@@ -16,7 +16,7 @@
     Outcome,
     RollbackRequest,
 )
-from mallowpass.core.effects import AnswerCaller, CloseCaller
+from mallowpass.core.effects import CloseCaller
 from mallowpass.core.events import (
     CallerConnected,
     CallerDisconnected,
@@ -35,6 +35,8 @@
 REQUESTS_MAX = 1024  # in flight of one session
 RETRY_AFTER = 0.5  # seconds; advice to who met a limit of this host
 
+_COME_BACK = frozenset({ErrorCode.SESSION_LIMIT, ErrorCode.DRAINING})
+
 
 class Sessions(System):
     """Own the session rows; the only subscriber of what callers send."""
@@ -103,6 +105,8 @@
             return ErrorCode.INVALID_FIELD
         if not session.service and not isinstance(request, OpenRequest | CloseRequest):
             return ErrorCode.UNKNOWN_SESSION
+        if self._draining.closing:
+            return ErrorCode.DRAINING
         if len(session.requests) >= REQUESTS_MAX:
             return ErrorCode.SESSION_LIMIT
         if len(self.tables.requests) >= self._node.tuning.requests_in_flight:
@@ -132,7 +136,7 @@
         session.service = request.service
         session.caller = request.caller
         session.request_class = request.request_class
-        self._answer(session, request, Outcome.DONE)
+        self._done(session, request)
 
     @_handle.register
     def _(self, request: ExecuteRequest, session: SessionRow) -> None:
@@ -155,7 +159,7 @@
 
     @_handle.register
     def _(self, request: CloseRequest, session: SessionRow) -> None:
-        self._answer(session, request, Outcome.DONE)
+        self._done(session, request)
         self._end(session)
         self._node.emit(CloseCaller(session.stream))
 
@@ -188,26 +192,10 @@
         code: ErrorCode,
         message: str = "",
     ) -> None:
-        text = message or code.meaning
-        self._node.decide("refuse", request.request_id, f"{code.code} {text}")
-        self._answer(session, request, Outcome.NOT_RUN, code, text)
+        after = RETRY_AFTER if code in _COME_BACK else 0.0
+        self._requests.answers.refuse(session, request, code, message, after)
 
-    def _answer(
-        self,
-        session: SessionRow,
-        request: CallerRequest,
-        outcome: Outcome,
-        code: ErrorCode | None = None,
-        message: str = "",
-    ) -> None:
-        limited = code is ErrorCode.SESSION_LIMIT
-        answer = CallerAnswer(
-            request_id=request.request_id,
-            outcome=outcome,
-            code=code.code if code else "",
-            message=message,
-            token=self.token(session),
-            retry_after=RETRY_AFTER if limited else 0.0,
-            go_elsewhere=self._draining.draining,
-        )
-        self._node.emit(AnswerCaller(session.stream, answer))
+    def _done(self, session: SessionRow, request: CallerRequest) -> None:
+        name = request.request_id
+        answer = CallerAnswer(request_id=name, outcome=Outcome.DONE)
+        self._requests.answers.send(session.stream, name, answer)
--- a/mallowpass/core/systems/transactions.py
+++ b/mallowpass/core/systems/transactions.py
@@ -28,7 +28,7 @@
 from mallowpass.core.systems import pooling as pooling_module
 from mallowpass.core.systems import requests as requests_module
 from mallowpass.core.systems import sessions as sessions_module
-from mallowpass.core.systems.outcomes import code_of_refusal
+from mallowpass.core.systems.answers import code_of_refusal
 from mallowpass.core.tables import (
     ConnectionRow,
     RequestRow,
@@ -83,7 +83,7 @@
     def begin(self, session: SessionRow, request: BeginRequest) -> None:
         """Take in a transaction's begin; routed like a statement that stands alone."""
         if request.request_id in session.requests:
-            self._requests.refuse(session, request, ErrorCode.REQUEST_ID_REUSED)
+            self._requests.answers.refuse(session, request, ErrorCode.REQUEST_ID_REUSED)
             return
         key = database_key(session.service, request.database)
         row = self._requests.take_in(session, request, key, request.access)
@@ -105,9 +105,11 @@
             return
         if database_key(session.service, request.database) != transaction.database:
             why = f"the transaction is on {transaction.database}"
-            self._requests.refuse(session, request, ErrorCode.INVALID_FIELD, why)
+            self._requests.answers.refuse(
+                session, request, ErrorCode.INVALID_FIELD, why
+            )
         elif request.access is Access.WRITE and transaction.access is Access.READ:
-            self._requests.refuse(session, request, ErrorCode.READ_WOULD_WRITE)
+            self._requests.answers.refuse(session, request, ErrorCode.READ_WOULD_WRITE)
         else:
             self._queue(session, request, transaction, request.access)
 
@@ -123,7 +125,7 @@
         self, session: SessionRow, request: CommitRequest | RollbackRequest
     ) -> None:
         if request.request_id in session.requests:
-            self._requests.refuse(session, request, ErrorCode.REQUEST_ID_REUSED)
+            self._requests.answers.refuse(session, request, ErrorCode.REQUEST_ID_REUSED)
             return
         transaction = self._find(session, request, request.transaction)
         if transaction is not None:
@@ -138,7 +140,7 @@
             return None
         if transaction.stream != session.stream:
             code = ErrorCode.TRANSACTION_OF_ANOTHER_SESSION
-            self._requests.refuse(session, request, code)
+            self._requests.answers.refuse(session, request, code)
             return None
         return transaction
 
@@ -148,16 +150,20 @@
         ended = self._ended.get(name)
         if ended is not None and ended.stream != session.stream:
             code = ErrorCode.TRANSACTION_OF_ANOTHER_SESSION
-            self._requests.refuse(session, request, code)
+            self._requests.answers.refuse(session, request, code)
         elif ended is not None and ended.code is not None:
-            self._requests.refuse(session, request, ended.code, ended.why)
+            self._requests.answers.refuse(session, request, ended.code, ended.why)
         elif isinstance(request, CommitRequest):
             # It may be the copy of a commit that ran, here or through another host:
             # "not run" would be a lie. Begin with the same id tells its outcome.
             code = ErrorCode.UNKNOWN_TRANSACTION
-            self._requests.refuse(session, request, code, outcome=Outcome.UNKNOWN)
+            self._requests.answers.refuse(
+                session, request, code, outcome=Outcome.UNKNOWN
+            )
         else:
-            self._requests.refuse(session, request, ErrorCode.UNKNOWN_TRANSACTION)
+            self._requests.answers.refuse(
+                session, request, ErrorCode.UNKNOWN_TRANSACTION
+            )
 
     def _queue(
         self,
@@ -237,6 +243,8 @@
             return
         for name in list(session.transactions):
             transaction = self.tables.transactions[name]
+            if transaction.state is TransactionState.ENDING:
+                continue  # its commit or rollback is under way already
             self._node.decide("rollback", name, "the caller left")
             self._end(transaction, _ROLLED_BACK, "the caller left")
             self._release(transaction, reset=True)
--- a/mallowpass/core/systems/writes.py
+++ b/mallowpass/core/systems/writes.py
@@ -15,10 +15,12 @@
 )
 from mallowpass.core.node import Node, System
 from mallowpass.core.services import database_key
+from mallowpass.core.systems import failover as failover_module
 from mallowpass.core.systems import liveness as liveness_module
 from mallowpass.core.systems import pooling as pooling_module
 from mallowpass.core.systems import routing as routing_module
-from mallowpass.core.systems.outcomes import FIRST_ATTEMPT, code_of_refusal, record_id
+from mallowpass.core.systems.answers import code_of_refusal, record_id
+from mallowpass.core.systems.outcomes import FIRST_ATTEMPT
 from mallowpass.core.tables import (
     ConnectionRow,
     DatabaseRow,
@@ -48,6 +50,7 @@
     """Run writes at most once, and acknowledge what stays; a part of Requests."""
 
     __slots__ = (
+        "_failover",
         "_liveness",
         "_pooling",
         "_requests",
@@ -66,6 +69,7 @@
         from mallowpass.core.systems.transactions import Transactions
 
         node = self._node
+        self._failover = node.system(failover_module.Failover)
         self._liveness = node.system(liveness_module.Liveness)
         self._pooling = node.system(pooling_module.Pooling)
         self._requests = node.system(Requests)
@@ -115,7 +119,7 @@
         statement = hash((key, request.sql, repr(request.parameters)))
         known = recent.setdefault(name, statement)
         if known != statement:
-            self._requests.refuse(session, request, ErrorCode.REQUEST_ID_REUSED)
+            self._requests.answers.refuse(session, request, ErrorCode.REQUEST_ID_REUSED)
             return True
         while len(recent) > RECENT_MAX:
             recent.popitem(last=False)
@@ -125,7 +129,7 @@
         """Have a copy of a request in flight answered from the one run."""
         row = self.tables.requests[running]
         if not self._is_copy(row, session, request):
-            self._requests.refuse(session, request, ErrorCode.REQUEST_ID_REUSED)
+            self._requests.answers.refuse(session, request, ErrorCode.REQUEST_ID_REUSED)
             return
         session.requests[request.request_id] = running
         if row.followers is None:
@@ -158,7 +162,9 @@
         database = self.tables.databases[request.database]
         endpoint = self._routing.choose_write(database)
         if endpoint is None:
-            self._requests.hold(request, f"no primary takes writes, {database.state}")
+            self._requests.waiting.hold(
+                request, f"no primary takes writes, {database.state}"
+            )
         else:
             self._requests.acquire(request, endpoint.address)
 
@@ -225,7 +231,7 @@
         request.connection = 0
         self._pooling.release(connection, reset=True)
         why = f"{connection.address} lacks data that the session has seen"
-        self._requests.retry(request, ErrorCode.FLOOR_NOT_REACHED, why)
+        self._requests.waiting.retry(request, ErrorCode.FLOOR_NOT_REACHED, why)
 
     def _record(self, request: RequestRow, connection: ConnectionRow) -> None:
         latency = self.now - request.sent_at
@@ -272,7 +278,7 @@
         elif code in _HELD:
             self._after_wrong_term(request, why)
         elif code in _RETRIED:
-            self._requests.retry(request, ErrorCode.ENDPOINT_REFUSED, why)
+            self._requests.waiting.retry(request, ErrorCode.ENDPOINT_REFUSED, why)
         else:
             self._requests.not_run(request, code_of_refusal(reply), why)
 
@@ -293,14 +299,19 @@
             self.route(request)
         else:
             # Its reports will say so soon. Sent again now it would be refused again.
-            self._requests.hold(request, why)
+            self._requests.waiting.hold(request, why)
 
     def refused(self, request: RequestRow, code: ErrorCode, why: str) -> None:
         """Find another way for a write that got no connection."""
         if code is ErrorCode.FAILING_OVER:
             self.route(request)
+        elif code is ErrorCode.CONNECTION_LOST:
+            # The primary may be down. Held, it needs no budget: with one, a service
+            # would be refused its writes just when a promotion is about to come.
+            self._failover.suspicion(request.address, why)
+            self._requests.waiting.hold(request, why)
         else:
-            self._requests.retry(request, code, why)
+            self._requests.waiting.retry(request, code, why)
 
     # -- Promotions ----------------------------------------------------------
 
--- a/tests/fakes/requestpath.py
+++ b/tests/fakes/requestpath.py
@@ -5,9 +5,6 @@
 
 from __future__ import annotations
 
-import importlib
-import sys
-import types
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from types import SimpleNamespace
@@ -39,6 +36,15 @@
 from mallowpass.core.node import FailureDomain, HostIdentity, Node, System, Tuning
 from mallowpass.core.services import Database, Member, Service, ServiceVersion
 from mallowpass.core.signals import EndpointReported, PrimaryChanged
+from mallowpass.core.systems.draining import Draining
+from mallowpass.core.systems.failover import Failover
+from mallowpass.core.systems.liveness import Liveness
+from mallowpass.core.systems.pooling import Pooling
+from mallowpass.core.systems.requests import Requests
+from mallowpass.core.systems.retries import Retries
+from mallowpass.core.systems.routing import Routing
+from mallowpass.core.systems.sessions import Sessions
+from mallowpass.core.systems.transactions import Transactions
 from mallowpass.core.tables import (
     ConnectionRow,
     ConnectionState,
@@ -60,30 +66,6 @@
 )
 
 
-def _kind(module: str, name: str) -> type:
-    try:
-        return getattr(
-            importlib.import_module(f"mallowpass.core.systems.{module}"), name
-        )
-    except ModuleNotFoundError:
-        made = types.ModuleType(f"mallowpass.core.systems.{module}")
-        setattr(made, name, type(name, (System,), {}))
-        sys.modules[made.__name__] = made
-        return getattr(made, name)
-
-
-POOLING = _kind("pooling", "Pooling")
-LIVENESS = _kind("liveness", "Liveness")
-FAILOVER = _kind("failover", "Failover")
-DRAINING = _kind("draining", "Draining")
-
-from mallowpass.core.systems.requests import Requests  # noqa: E402
-from mallowpass.core.systems.retries import Retries  # noqa: E402
-from mallowpass.core.systems.routing import Routing  # noqa: E402
-from mallowpass.core.systems.sessions import Sessions  # noqa: E402
-from mallowpass.core.systems.transactions import Transactions  # noqa: E402
-
-
 @dataclass(slots=True)
 class Sent:
     """Hold one call that went out on a connection."""
@@ -124,6 +106,7 @@
     def __init__(self, node: Node) -> None:
         super().__init__(node)
         self.granting = True
+        self.connected = True
         self.queue: list[tuple[RequestRow, str]] = []
         self.sent: list[Sent] = []
         self.released: list[tuple[int, bool]] = []
@@ -175,7 +158,7 @@
         self.tables.connections.pop(connection.number, None)
 
     def known_pool(self, address: str) -> SimpleNamespace:
-        return SimpleNamespace(active=0, queue=(), share=8)
+        return SimpleNamespace(active=0, queue=(), share=8, connections=self.connected)
 
 
 class FakeLiveness(System):
@@ -260,6 +243,7 @@
     def __init__(self, node: Node) -> None:
         super().__init__(node)
         self.draining = False
+        self.closing = False
 
 
 @dataclass
@@ -289,14 +273,17 @@
         self.draining = FakeDraining(self.node)
         self.node._systems.update(
             {
-                POOLING: self.pooling,
-                LIVENESS: self.liveness,
-                FAILOVER: self.failover,
-                DRAINING: self.draining,
+                Pooling: self.pooling,
+                Liveness: self.liveness,
+                Failover: self.failover,
+                Draining: self.draining,
             }
         )
         self._make_rows()
         self.node.start([Routing, Retries, Requests, Transactions, Sessions])
+        self.requests = self.node.system(Requests)
+        self.retries = self.node.system(Retries)
+        self.routing = self.node.system(Routing)
         self.report("m1", (1, 1), role=Role.PRIMARY)
         self.report("m2", (1, 1))
         self.report("m3", (1, 1))
