Test transactions, sessions, tokens, routing and retries for their failures

A member that was the primary until it was suspected counted as a replica, and as the nearest one in its own failure domain: the reads of a failover went to the silent member first and took 0.25 s each to move on. It is passed over now while its last report says primary, and a member whose control stream is broken costs more. A hypothesis state machine lets one session roam between two hosts while replicas lag and restart from older copies, and checks each answer against what the session wrote and saw.

--- a/mallowpass/core/systems/routing.py
+++ b/mallowpass/core/systems/routing.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass
 
+from mallowpass.core.calls import Role
 from mallowpass.core.node import Node, System
 from mallowpass.core.systems import liveness as liveness_module
 from mallowpass.core.systems import pooling as pooling_module
@@ -23,6 +24,7 @@
 MEASURED_FOR = 2.0  # seconds after which an unused member's average is forgotten
 NO_SHARE_COST = 0.1  # seconds, of a member that this host has no connections for
 NO_SHARE_ROOM = 0.1
+UNHEARD_COST = 0.05  # seconds, of a member whose control stream is broken
 # Ejection.
 ERRORS_MAX = 3  # in a row
 EJECTION_MIN = 0.5  # seconds; doubles with each ejection in a row
@@ -65,7 +67,7 @@
         best = None
         lowest = float("inf")
         for endpoint in database.endpoints.values():
-            if endpoint.address == database.primary:
+            if not self._is_replica(endpoint, database):
                 continue
             if not self._usable(endpoint, request):
                 continue
@@ -81,7 +83,7 @@
         """Return how long to wait for a replica, 0 when that doesn't pay; seconds."""
         shortest = float("inf")
         for endpoint in database.endpoints.values():
-            if endpoint.address == database.primary:
+            if not self._is_replica(endpoint, database):
                 continue
             if self._usable(endpoint, request):
                 reach = self._liveness.predicted_reach(endpoint, request.floor)
@@ -180,6 +182,14 @@
 
     # -- Judging a member ----------------------------------------------------
 
+    def _is_replica(self, endpoint: EndpointRow, database: DatabaseRow) -> bool:
+        if endpoint.address == database.primary:
+            return False
+        # A primary that is suspected is none any more, and most likely silent: the
+        # reads of a whole failover would be sent there first.
+        report = endpoint.report
+        return report is None or report.role is not Role.PRIMARY
+
     def _open_to(self, endpoint: EndpointRow, request: RequestRow) -> bool:
         if endpoint.leaving:
             return False
@@ -206,6 +216,8 @@
         pool = self._pooling.known_pool(endpoint.address)
         if pool is None:
             return latency
+        if not endpoint.control_open:
+            latency += UNHEARD_COST
         load = pool.active + len(pool.queue)
         # Without a share it takes a loan first, and loans may not come.
         room = pool.share or NO_SHARE_ROOM
--- /dev/null
+++ b/tests/core/systems/test_retries.py
@@ -0,0 +1,40 @@
+"""Retries: paid for by successes, spread in time, never past the deadline."""
+
+from __future__ import annotations
+
+from mallowpass.core.systems.retries import BUDGET_MAX
+from tests.fakes.requestpath import RequestPath
+
+
+def test_retries_cannot_outgrow_the_successes():
+    """Symptom: an endpoint that is short of room gets several times its load.
+    Sequence: it refuses everything; each refusal is tried again.
+    Cause: without a budget retries multiply what an outage has left.
+    """
+    path = RequestPath()
+    path.open_known()
+    path.read(1, "look")
+    request = path.sent.request
+    granted = 0
+    while path.retries.may_retry(request) is not None:
+        granted += 1
+    assert granted == int(BUDGET_MAX)
+    for _ in range(11):
+        path.retries.succeeded("claims-core")
+    assert path.retries.may_retry(request) is not None
+    assert path.retries.may_retry(request) is not None
+    assert path.retries.may_retry(request) is None
+
+
+def test_delays_grow_with_jitter_up_to_the_deadline():
+    path = RequestPath()
+    path.open_known()
+    path.read(1, "look", deadline=0.4)
+    request = path.sent.request
+    delays = []
+    while (delay := path.retries.may_retry(request)) is not None:
+        delays.append(delay)
+    longest = [min(0.5, 0.01 * 2**tries) for tries in range(len(delays))]
+    pairs = list(zip(delays, longest, strict=True))
+    assert all(long / 2 <= delay <= long for delay, long in pairs)
+    assert max(delays) < 0.4
--- /dev/null
+++ b/tests/core/systems/test_sessions.py
@@ -0,0 +1,155 @@
+"""Sessions: what is refused on arrival, and what a token carries over."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from mallowpass.core.calls import CloseRequest, LogPosition, Outcome
+from mallowpass.core.effects import CloseCaller
+from mallowpass.core.node import Tuning
+from mallowpass.errors import ErrorCode
+from tests.fakes.requestpath import KEY, RequestPath
+
+
+def test_statement_before_a_session_is_refused():
+    path = RequestPath()
+    path.open(1, caller="")
+    assert path.answer().code == ErrorCode.INVALID_FIELD.code
+    path.read(1, "look")
+    assert path.answer().code == ErrorCode.UNKNOWN_SESSION.code
+
+
+def test_forged_token_is_refused_and_nothing_runs():
+    path = RequestPath()
+    path.open_known()
+    path.write(1, "file", token=b"x" * 40)
+    assert path.answer().code == ErrorCode.SESSION_TOKEN_INVALID.code
+    assert path.pooling.sent == []
+
+
+def test_draining_host_takes_no_sessions_but_serves_those_it_has():
+    path = RequestPath()
+    path.open_known()
+    path.draining.draining = True
+    path.open(2)
+    assert path.answer(2).code == ErrorCode.DRAINING.code
+    path.read(1, "look")
+    path.reply()
+    assert path.answer(1).outcome is Outcome.DONE
+    assert path.answer(1).go_elsewhere
+    path.draining.closing = True
+    path.read(1, "late")
+    assert path.answer(1).code == ErrorCode.DRAINING.code
+
+
+def test_requests_beyond_the_limit_are_refused_with_a_time():
+    path = RequestPath(tuning=replace(Tuning(), requests_in_flight=2))
+    path.open_known()
+    for name in ("a", "b", "c"):
+        path.read(1, name)
+    assert path.answer().request_id == "c"
+    assert path.answer().code == ErrorCode.SESSION_LIMIT.code
+    assert path.answer().retry_after > 0
+
+
+def test_closed_session_leaves_nothing_behind():
+    path = RequestPath()
+    path.open_known()
+    path.pooling.granting = False
+    path.read(1, "look")
+    path.write(1, "file")
+    path.ask(1, CloseRequest(request_id="bye"))
+    assert path.answer().request_id == "bye"
+    assert path.pooling.queue == []
+    assert path.requests.in_flight == 0
+    assert CloseCaller(1) in path.effects
+    assert path.node.tables.requests == path.node.tables.sessions == {}
+
+
+class FloorMachine(RuleBasedStateMachine):
+    """Let one session roam between two hosts while members lag at will.
+
+    The oracle is the highest place that the session wrote or was shown.
+    """
+
+    @initialize()
+    def start(self):
+        self.paths = [RequestPath(), RequestPath(name="tanger-1")]
+        self.log = 1  # end of the log, held by a majority
+        self.applied = {"m1": 1, "m2": 1, "m3": 1}
+        self.seen = 0
+        self.token = b""
+        self.count = 0
+        for path in self.paths:
+            path.open(1)
+
+    @rule(member=st.sampled_from(["m2", "m3"]), behind=st.integers(0, 3))
+    def replicate(self, member, behind):
+        """Move a replica, also backwards: it restarts from an older copy."""
+        self.applied[member] = max(1, self.log - behind)
+
+    @rule(host=st.integers(0, 1), member=st.sampled_from(["m2", "m3"]))
+    def report(self, host, member):
+        self.paths[host].report(member, (1, self.applied[member]))
+
+    @rule(host=st.integers(0, 1))
+    def write(self, host):
+        path = self._ask(host, "write")
+        self.log += 1
+        self.applied["m1"] = self.log
+        path.reply(applied=(1, self.log))
+        path.hold(1, self.log)
+        self._take(path)
+
+    @rule(host=st.integers(0, 1))
+    def read(self, host):
+        path = self._ask(host, "read")
+        path.learn((1, self.log))
+        name = f"r{self.count}"
+        for _ in range(20):
+            if path.answered(name):
+                break
+            if path.sent.request.request.request_id == name:
+                where = path.sent.connection.address
+                member = f"m{where[-1]}"
+                # The endpoint itself checks nothing: the proxy has to.
+                path.reply(applied=(1, self.applied[member]), rows=member)
+            path.advance(0.05)
+        (answer,) = path.answered(name)
+        if answer.outcome is Outcome.DONE:
+            place = self.applied[answer.rows]
+            assert place >= self.seen
+            self.seen = place
+        self._take(path)
+
+    @rule()
+    def lose_token(self):
+        """Begin anew with a stream that has no token: floors are unknown."""
+        self.token = b""
+        for path in self.paths:
+            path.leave(1)
+            path.open(1)
+
+    @invariant()
+    def floors_hold_what_was_seen(self):
+        for path in self.paths:
+            floor = path.node.tables.sessions[1].floors.get(KEY, LogPosition(1, 0))
+            assert floor.position <= self.log
+
+    def _ask(self, host, kind):
+        path = self.paths[host]
+        self.count += 1
+        getattr(path, kind)(1, f"{kind[0]}{self.count}", token=self.token)
+        return path
+
+    def _take(self, path):
+        answer = path.answer()
+        self.token = answer.token
+        if answer.outcome is Outcome.DONE and answer.rows is None:
+            self.seen = self.log
+
+
+TestFloors = FloorMachine.TestCase
--- /dev/null
+++ b/tests/core/systems/test_tokens.py
@@ -0,0 +1,44 @@
+"""Session tokens: floors come back as they went out, or not at all."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mallowpass.core.calls import LogPosition
+from mallowpass.core.systems.tokens import decode_token, encode_token
+from mallowpass.errors import AuthenticationError
+
+KEY = b"the fleet's key"
+POSITIONS = st.builds(LogPosition, st.integers(0, 2**63 - 1), st.integers(0, 2**63 - 1))
+FLOORS = st.dictionaries(st.text(max_size=20), POSITIONS, max_size=5)
+
+
+@given(FLOORS)
+def test_token_gives_its_floors_back(floors):
+    assert decode_token(KEY, encode_token(KEY, floors)) == floors
+
+
+@given(FLOORS, st.data())
+def test_changed_token_is_refused(floors, data):
+    """Symptom: a session reads a replica that lacks its own writes.
+    Sequence: a caller, or a fault on its way, lowers a floor in the token.
+    Cause: the token alone says what the session must see.
+    """
+    token = bytearray(encode_token(KEY, floors))
+    place = data.draw(st.integers(0, len(token) - 1))
+    token[place] ^= data.draw(st.integers(1, 255))
+    with pytest.raises(AuthenticationError):
+        decode_token(KEY, bytes(token))
+
+
+@given(st.binary(max_size=100))
+def test_noise_is_refused(noise):
+    with pytest.raises(AuthenticationError):
+        decode_token(KEY, noise)
+
+
+def test_token_of_another_fleet_is_refused():
+    with pytest.raises(AuthenticationError):
+        decode_token(KEY, encode_token(b"another key", {}))
--- a/tests/fakes/requestpath.py
+++ b/tests/fakes/requestpath.py
@@ -359,8 +359,13 @@
         self.reply(applied=(1, 1))
         return self.answer(stream).transaction
 
-    def commit(self, stream: int, name: str, transaction: str) -> None:
-        self.ask(stream, CommitRequest(request_id=name, transaction=transaction))
+    def commit(
+        self, stream: int, name: str, transaction: str, deadline: float | None = None
+    ) -> None:
+        self.ask(
+            stream,
+            CommitRequest(request_id=name, transaction=transaction, deadline=deadline),
+        )
 
     def answer(self, stream: int = 1) -> CallerAnswer:
         """Return the newest answer on a stream."""
