--- a/mallowpass/core/systems/pooling.py
+++ b/mallowpass/core/systems/pooling.py
@@ -308,7 +308,7 @@
         connection = self._connections.get(number)
         if connection is None:
             return
-        if number not in pool.pinned and connection.request == 0:
+        if not connection.request and not connection.transaction:
             self._close(pool, connection)
         elif force:
             self._lose(pool, connection, "loan ended")
@@ -437,9 +437,10 @@
     ) -> None:
         number = connection.number
         now = self._node.timers.now
-        if connection.expires <= now or number not in self._connections:
+        known = number in self._connections
+        if connection.expires <= now or not known:
             # Told later: the caller of send still has to note that it sent.
-            self.timers.at(now, self._lose_unsent, pool, connection)
+            self.timers.at(now, self._lose_unsent, pool, connection, known)
             return
         connection.expires = self._expiry(pool, connection, now)
         pool.answering.add(number)
@@ -746,9 +747,13 @@
         elif transaction:
             self._transactions.on_connection_lost(None, connection, why)
 
-    def _lose_unsent(self, pool: EndpointPool, connection: ConnectionRow) -> None:
+    def _lose_unsent(
+        self, pool: EndpointPool, connection: ConnectionRow, known: bool
+    ) -> None:
         if connection.number in self._connections:
             self._node.emit(CloseConnection(connection.number))
+        elif known:
+            return  # lost in between, and told then
         self._tell_lost(pool, connection, "expired, call not sent")
         self.pump(pool)
 
--- /dev/null
+++ b/tests/core/systems/test_admission.py
@@ -0,0 +1,104 @@
+"""Tests of mallowpass.core.systems.admission."""
+
+from __future__ import annotations
+
+from mallowpass.core.calls import EndpointCode, ExecuteCall
+from mallowpass.errors import ErrorCode
+from tests.fakes.poolpath import DATABASE, PoolHost
+
+STATEMENT = 0.2  # seconds
+
+
+def _serve(host: PoolHost, statements: int) -> None:
+    """Have statements take STATEMENT seconds each, one after another."""
+    for _ in range(statements):
+        host.request()
+        host.open_all()
+        host.wait(STATEMENT)
+        host.reply_all()
+    host.requests.refused.clear()
+
+
+def test_a_request_that_cannot_be_served_in_time_is_refused_at_once():
+    """
+    Symptom: callers wait until their deadline and then hear that nothing ran.
+    Sequence: ten statements of 0.2 s wait for one connection; one more has 1 s.
+    Cause: requests queued without a look at how long the line is.
+    """
+    host = PoolHost(limit=4)
+    _serve(host, 3)
+    for _ in range(10):
+        host.request()
+    late = host.request(deadline=1.0)
+    ((refused, code, retry_after),) = host.requests.refused
+    assert (refused, code) == (late.number, ErrorCode.QUEUE_FULL.code)
+    wait = host.admission.predicted_wait(DATABASE, "caseworker")
+    assert wait - 1.0 <= retry_after <= 1.5 * wait
+    host.request(deadline=10.0)
+    assert len(host.requests.refused) == 1
+
+
+def test_it_pays_to_come_back_after_the_time_stated():
+    host = PoolHost(limit=4)
+    _serve(host, 3)
+    for _ in range(10):
+        host.request()
+    host.request(deadline=1.0)
+    ((_, _, retry_after),) = host.requests.refused
+    end = host.now + retry_after
+    while host.now < end:
+        host.wait(STATEMENT)
+        for sent in host.calls(ExecuteCall)[-1:]:
+            host.reply(sent)
+    again = host.request(deadline=1.0)
+    assert len(host.requests.refused) == 1
+    host.reply_all()
+    assert again.number in [number for number, _ in host.requests.replies]
+
+
+def test_a_service_keeps_as_many_waiting_as_its_queue_is_long():
+    host = PoolHost(limit=4, queue_length=5)
+    _serve(host, 1)
+    for _ in range(8):
+        host.request(deadline=60.0)
+    assert len(host.pool.queue) == 5
+    codes = [code for _, code, _ in host.requests.refused]
+    assert codes == [ErrorCode.QUEUE_FULL.code] * 2
+    assert all(retry_after > 0 for *_, retry_after in host.requests.refused)
+
+
+def test_cancelled_requests_make_room_in_the_queue():
+    host = PoolHost(limit=4, queue_length=2)
+    _serve(host, 1)
+    rows = [host.request(deadline=60.0) for _ in range(3)]
+    host.pooling.cancel(rows[-1])
+    host.request(deadline=60.0)
+    assert host.requests.refused == []
+
+
+def test_a_class_with_more_weight_waits_less():
+    host = PoolHost(limit=4)
+    _serve(host, 3)
+    for _ in range(6):
+        host.request("portal", deadline=60.0)
+        host.request("caseworker", deadline=60.0)
+    wait = host.admission.predicted_wait
+    assert wait(DATABASE, "caseworker") < wait(DATABASE, "portal")
+
+
+def test_requests_at_a_leaving_endpoint_are_refused_before_the_database_is_full():
+    host = PoolHost(limit=4)
+    host.endpoint.leaving = True
+    host.request()
+    ((_, code, _),) = host.requests.refused
+    assert code == ErrorCode.ENDPOINT_REFUSED.code
+
+
+def test_an_endpoint_that_says_busy_is_sent_less():
+    host = PoolHost(limit=32)
+    for _ in range(4):
+        host.request()
+        host.open_all()
+    host.requests.hold = True
+    host.reply(host.calls(ExecuteCall)[-1], EndpointCode.BUSY)
+    assert host.pool.statement_limit == 3
