--- a/mallowpass/cli/main.py
+++ b/mallowpass/cli/main.py
@@ -23,7 +23,6 @@
     "explain": "mallowpass.cli.operate:explain",
     "fault": "mallowpass.cli.standin:fault",
     "host": "mallowpass.cli.operate:host",
-    "measure": "mallowpass.cli.measure:measure",
     "serve": "mallowpass.cli.serve:serve",
     "service": "mallowpass.cli.operate:service",
     "sql": "mallowpass.cli.sql:sql",
