Prefer an ejected replica to a suspected primary for a read

The last resort for a read without a primary took the members in order, and so the silent former primary first.

--- a/mallowpass/core/systems/routing.py
+++ b/mallowpass/core/systems/routing.py
@@ -99,12 +99,14 @@
         primary = database.primary_row
         if primary is not None and self._open_to(primary, request):
             return primary
-        for endpoint in database.endpoints.values():
-            if self._open_to(endpoint, request) and self._liveness.reached(
-                endpoint, request.floor
-            ):
-                return endpoint
-        return None
+        able = [
+            endpoint
+            for endpoint in database.endpoints.values()
+            if self._open_to(endpoint, request)
+            and self._liveness.reached(endpoint, request.floor)
+        ]
+        replicas = [row for row in able if self._is_replica(row, database)]
+        return next(iter(replicas or able), None)
 
     # -- Writes --------------------------------------------------------------
 
