Give stewards their turns by failure domain, the primary's last

Cause: a domain that is cut off takes the primary and its hosts along. With ranks over all hosts a first steward in there cost the others its turn, and one outside the first three ranks watched too slowly.

Change: each failure domain has one steward before any has two; the primary's domain comes last.

--- a/mallowpass/core/systems/failover.py
+++ b/mallowpass/core/systems/failover.py
@@ -30,7 +30,7 @@
 
 GROUPS_TABLE = "groups"
 CHECK_MIN = 0.01  # seconds between two looks at a primary, at least
-RANK_MAX = 8  # ranks above share one place in time, spread by jitter
+TURN_MAX = 8  # turns above share one place in time, spread by jitter
 HOLD_DOWN_FACTOR = 2  # a young primary has to be silent for longer
 RETRY_MIN = 0.03
 RETRY_MAX = 0.3
@@ -288,10 +288,10 @@
             self._check_in(group, group.turn_at - self.now)
 
     def _turn_delay(self, group: _Group) -> float:
-        rank = min(self._rank(group), RANK_MAX)
-        delay = rank * self._node.tuning.steward_stagger
-        if rank == RANK_MAX:
-            delay += self._jitter(RANK_MAX * self._node.tuning.steward_stagger)
+        turn = min(self._liveness.steward_turn(group.row), TURN_MAX)
+        delay = turn * self._node.tuning.steward_stagger
+        if turn == TURN_MAX:
+            delay += self._jitter(TURN_MAX * self._node.tuning.steward_stagger)
         return delay
 
     def _leave_turn(self, group: _Group) -> None:
@@ -305,10 +305,8 @@
         else:
             self._check_in(group, patience / 2 + self._jitter(patience / 2))
 
-    def _rank(self, group: _Group) -> int:
-        if self._membership is None:
-            return 0
-        return self._membership.rank(group.row.key)
+    def _is_first(self, group: _Group) -> bool:
+        return self._liveness.steward_turn(group.row) == 0
 
     def _jitter(self, seconds: float) -> float:
         return self._node.random.uniform(seconds / 2, seconds)
@@ -365,8 +363,8 @@
     def _retry_delay(self, group: _Group) -> float:
         # Jitter parts stewards that met in one term, or they meet again.
         group.turn_at = None
-        rank = min(self._rank(group), RANK_MAX)
-        return self._node.random.uniform(RETRY_MIN, RETRY_MAX * (1 + rank))
+        turn = min(self._liveness.steward_turn(group.row), TURN_MAX)
+        return self._node.random.uniform(RETRY_MIN, RETRY_MAX * (1 + turn))
 
     def _announce(self, group: _Group, result: PromotionResult) -> None:
         row = group.row
@@ -491,7 +489,7 @@
     def _tell_to_follow(self, group: _Group, endpoint: EndpointRow) -> None:
         group.follows.pop(endpoint.address, None)
         primary = group.row.primary_row
-        if primary is None or endpoint.report is None or self._rank(group) != 0:
+        if primary is None or endpoint.report is None or not self._is_first(group):
             return
         told_at = group.followed_at.get(endpoint.address, float("-inf"))
         if not self._is_astray(group, endpoint.report):
@@ -514,7 +512,7 @@
         """
         since = group.stranded_at.setdefault(endpoint.address, self.now)
         patience = self._node.tuning.promotion_hold_down
-        if self.now - since < patience or self._rank(group) != 0:
+        if self.now - since < patience or not self._is_first(group):
             return
         group.stranded_at.clear()
         primary = group.row.primary_row
@@ -534,8 +532,8 @@
 
     def _plan_hand_over(self, group: _Group) -> None:
         if group.hand_over is None:
-            rank = min(self._rank(group), RANK_MAX)
-            self._hand_over_in(group, rank * 2 * self._node.tuning.steward_stagger)
+            turn = min(self._liveness.steward_turn(group.row), TURN_MAX)
+            self._hand_over_in(group, turn * 2 * self._node.tuning.steward_stagger)
 
     def _hand_over_in(self, group: _Group, delay: float) -> None:
         group.hand_over = self.timers.after(delay, self._hand_over, group)
--- a/mallowpass/core/systems/groupview.py
+++ b/mallowpass/core/systems/groupview.py
@@ -59,6 +59,7 @@
     members: dict[str, MemberView] = field(default_factory=dict)  # by address
     # When this host first saw a position received anywhere, oldest first.
     marks: deque[tuple[float, LogPosition]] = field(default_factory=deque)
+    last_primary: str = ""
     written_at: float = float("-inf")  # this host last waited for a majority
     read_at: float = float("-inf")  # this host last asked for positions
     primary_at: float = float("-inf")  # a primary of row.term last reported
--- a/mallowpass/core/systems/liveness.py
+++ b/mallowpass/core/systems/liveness.py
@@ -33,7 +33,7 @@
 from mallowpass.core.systems.floors import FloorCallback, FloorRounds
 from mallowpass.core.systems.groupview import GroupView, HeldWaiter, MemberView
 from mallowpass.core.systems.hostpause import HostPause
-from mallowpass.core.systems.stewards import Peers, find_membership
+from mallowpass.core.systems.stewards import Peers, find_membership, steward_turn
 from mallowpass.core.tables import DatabaseRow, EndpointRow, GroupState
 from mallowpass.core.timers import Timer
 
@@ -179,6 +179,16 @@
         view = self._views.get(database.key)
         return view is not None and view.overtaken_by(position) is not None
 
+    def last_primary(self, database: DatabaseRow) -> str:
+        """Return the address of the newest primary, also when it was lost since."""
+        view = self._views.get(database.key)
+        return "" if view is None else view.last_primary
+
+    def steward_turn(self, database: DatabaseRow) -> int:
+        """Return this host's place among a group's stewards, 0 first."""
+        primary = self.last_primary(database)
+        return steward_turn(self._node, self._membership, database, primary)
+
     def silence(self, address: str) -> float:
         """Return for how long an endpoint was silent, this host's pauses excluded."""
         return self._control.silence(address)
@@ -267,7 +277,7 @@
         self._use(database.key, writing=True)
 
     def _watch_members(self, view: GroupView) -> None:
-        is_steward = self._is_steward(view.row.key)
+        is_steward = self.steward_turn(view.row) < STEWARDS
         for endpoint in view.row.endpoints.values():
             watch = self._watch_for(view, endpoint, is_steward)
             self._control.add(endpoint, watch)
@@ -294,9 +304,6 @@
             return WatchCall(interval, IDLE_GAP)
         return WatchCall(IDLE_INTERVAL, IDLE_GAP)
 
-    def _is_steward(self, key: str) -> bool:
-        return self._membership is None or self._membership.rank(key) < STEWARDS
-
     # -- Reports -------------------------------------------------------------
 
     def _endpoint_replied(self, event: EndpointReplied) -> None:
@@ -366,7 +373,7 @@
         if report.term > row.term:
             self._accept_primary(view, endpoint, report)
         elif self._may_return(row):
-            row.primary = endpoint.address
+            row.primary = view.last_primary = endpoint.address
             row.state = GroupState.SERVING
             row.suspected_at = None
             self._primary_changed(view, f"{endpoint.name} is heard again")
@@ -385,7 +392,7 @@
         row = view.row
         is_first = row.term == 0
         row.term = report.term
-        row.primary = endpoint.address
+        row.primary = view.last_primary = endpoint.address
         row.state = GroupState.SERVING
         row.suspected_at = None
         row.held = LogPosition(report.term, 0)
--- a/tests/core/systems/test_failover.py
+++ b/tests/core/systems/test_failover.py
@@ -52,6 +52,16 @@
     assert len(terms) == len(set(terms)), scene.group.led
 
 
+def steward(scene: Scene) -> str:
+    """Return the name of the host whose turn is first."""
+    return min(
+        scene.live,
+        key=lambda name: (
+            scene.world.hosts[name].system(Liveness).steward_turn(scene.row(name))
+        ),
+    )
+
+
 def promote(scene: Scene, member: str, host: str = "h0") -> list:
     answers: list = []
     node = scene.world.hosts[host]
@@ -83,6 +93,34 @@
     assert scene.journal("suspicion") and scene.journal("promotion")
 
 
+def test_host_that_watches_slowly_learns_a_promotion_from_notices():
+    """Symptom: some hosts hold writes for seconds longer than others.
+    Sequence: a host that is no steward and idle gets a report each 2 s only.
+    Cause: nobody told it that asking is worth while now.
+    """
+    scene = make(hosts=8)
+    scene.world.run(5.0)
+    scene.group.crash("a")
+    scene.world.run_till(lambda: scene.group.primary is not None)
+    run_till_primary(scene, limit=0.1)
+
+
+def test_watching_closely_is_no_reason_to_suspect():
+    """Symptom: a healthy primary is suspected as the first write comes.
+    Sequence: an idle host had a report each 2 s; a write makes it watch closely.
+    Cause: silence that a slow watch had asked for counted as silence.
+    """
+    scene = make(hosts=8)
+    scene.world.run(5.0)
+    for delay in range(20):
+        name = max(scene.live, key=lambda name: int(name[1:]))
+        place = write(scene)
+        host = scene.world.hosts[name]
+        host.do(host.system(Liveness).wait_held, scene.row(name), place, bool)
+        scene.world.run(5.0 + delay / 10)
+    assert scene.counted("suspicions") == 0
+
+
 def test_crash_resumes_within_detection_and_some_round_trips():
     scene = make(between=0.012)
     scene.group.crash("a")
@@ -185,13 +223,14 @@
     Cause: a host's own silence was enough, without the members' word.
     """
     scene = make(members=members)
-    scene.links.cut("h0", "a")
+    first = steward(scene)
+    scene.links.cut(first, "a")
     scene.world.run(60.0)
     assert_nothing_promoted(scene)
-    assert scene.row("h0").primary == ""
-    assert scene.row("h1").primary == "a:1"
+    served = {name: bool(scene.row(name).primary) for name in scene.live}
+    assert served == {name: name != first for name in scene.live}
     scene.links.heal()
-    scene.world.run_till(lambda: scene.row("h0").state is GroupState.SERVING, 5.0)
+    scene.world.run_till(lambda: scene.row(first).state is GroupState.SERVING, 5.0)
 
 
 def test_cut_between_host_and_primary_without_the_members_silence():
@@ -202,7 +241,7 @@
     scene = make()
     for member in scene.group.members.values():
         member.reports_silence = False
-    scene.links.cut("h0", "a")
+    scene.links.cut(steward(scene), "a")
     scene.world.run(0.8)
     scene.links.heal()
     scene.world.run(5.0)
@@ -219,7 +258,7 @@
     """
     scene = make()
     for _ in range(10):
-        scene.world.hosts["h0"].pause(3.0)
+        scene.world.hosts[steward(scene)].pause(3.0)
         scene.world.run(5.0)
     assert scene.counted("suspicions") == 0
     assert_nothing_promoted(scene)
@@ -241,14 +280,13 @@
 
 
 @pytest.mark.parametrize("seed", range(10))
-def test_racing_stewards_leave_one_primary(seed):
+def test_racing_stewards_leave_one_primary(seed, monkeypatch):
     """Symptom: two members take writes in one term.
     Sequence: five hosts all believe that they are the first steward.
     Cause: an agreement that rests on membership instead of the members' promises.
     """
     scene = make(hosts=5, seed=seed, between=0.012)
-    for membership in scene.memberships.values():
-        membership.rank = lambda key: 0
+    monkeypatch.setattr(f"{Liveness.__module__}.steward_turn", lambda *_: 0)
     scene.group.crash("a")
     run_till_primary(scene)
     scene.world.run(5.0)
@@ -259,22 +297,23 @@
 
 def test_steward_paused_after_its_promises_changes_nothing_when_it_wakes():
     """Symptom: a host wakes and puts its own choice in place of the primary.
-    Sequence: h0 has a majority's promises and stands still for 3 s; h1 promotes
-    with a higher term; h0 goes on with what it had in mind.
+    Sequence: the first has a majority's promises and stands still for 3 s; another
+    promotes with a higher term; the first goes on with what it had in mind.
     Cause: a promotion that does not name the term it was promised in.
     """
     scene = make(between=0.012)
+    first = steward(scene)
     scene.group.crash("a")
     members = scene.group.members
     scene.world.run_till(lambda: members["b"].term == 2 and members["c"].term == 2)
-    scene.world.hosts["h0"].pause(3.0)
-    scene.live.discard("h0")
+    scene.world.hosts[first].pause(3.0)
+    scene.live.discard(first)
     run_till_primary(scene)
     led = list(scene.group.led)
     scene.world.run(10.0)
     assert scene.group.led == led
     assert_one_primary_a_term(scene)
-    assert scene.row("h0").term == scene.row("h1").term
+    assert scene.row(first).term == scene.group.primary.term
 
 
 def test_proposers_names_are_never_used_twice():
@@ -351,14 +390,15 @@
 
 def test_steward_dies_in_the_middle():
     """Symptom: members that promised a term wait for a steward that is gone.
-    Sequence: h0 gets its promises and dies; h1 and h2 see the higher term.
+    Sequence: the first gets its promises and dies; others see the higher term.
     Cause: a higher term was left to its proposer for ever.
     """
     scene = make(between=0.012)
+    first = steward(scene)
     scene.group.crash("a")
     scene.world.run_till(lambda: scene.group.members["c"].term == 2)
-    scene.world.hosts["h0"].pause(1000.0)
-    scene.live.discard("h0")
+    scene.world.hosts[first].pause(1000.0)
+    scene.live.discard(first)
     run_till_primary(scene, limit=5.0)
     assert_one_primary_a_term(scene)
 
@@ -396,7 +436,7 @@
         for host in scene.world.hosts.values()
         if any(entry.kind == "follow" for entry in host.node.journal)
     ]
-    assert told == ["h0"]
+    assert told == [steward(scene)]
 
 
 def test_member_stranded_in_a_higher_term_is_freed():
--- a/tests/core/systems/test_liveness.py
+++ b/tests/core/systems/test_liveness.py
@@ -228,6 +228,28 @@
     assert liveness.reached(row.primary_row, LogPosition(1, 1))
 
 
+def test_age_floor_holds_no_entry_that_a_promotion_dropped(scene):
+    """Symptom: reads of an accepted age find no member until the age has passed.
+    Sequence: the primary, cut off from c, takes entries that b has not got either
+    when two members answer a round; then b is promoted without them.
+    Cause: a recorded floor was above what any log reaches from then on.
+    """
+    scene.run_till_serving()
+    scene.links.isolate("a", ["b", "c"])
+    scene.links.cut("h0", "c")
+    place = write(scene, 5)
+    assert (answers := learn_floor(scene)) is not None
+    scene.world.run_till(lambda: answers)
+    assert answers == [place]
+    promote(scene, "b", 2)
+    scene.world.run_till(lambda: scene.row().term == 2)
+    floors: list = []
+    liveness, row = scene.host.system(Liveness), scene.row()
+    scene.host.do(lambda: floors.append(liveness.age_floor(row, 60.0)))
+    assert liveness.reached(row.primary_row, floors[0])
+    assert not liveness.reached(row.primary_row, place)
+
+
 def test_stream_that_fell_silent_is_replaced(scene):
     """Symptom: a healthy endpoint counts as silent for good.
     Sequence: something on the way loses track of the open control stream.
--- a/tests/fakes/scenes.py
+++ b/tests/fakes/scenes.py
@@ -28,8 +28,15 @@
     def on_message(self, kind: type[PeerMessage], handler) -> None:
         self._handlers.setdefault(kind, []).append(handler)
 
-    def rank(self, key: str) -> int:
-        names = sorted(self._scene.live)
+    def rank(self, key: str, failure_domain: str | None = None) -> int:
+        """Count the live hosts before this one in the scene's order."""
+        links = self._scene.links
+        names = [
+            name
+            for name in self._scene.order
+            if name in self._scene.live
+            and failure_domain in (None, links.places.get(name))
+        ]
         return names.index(self._host.name) if self._host.name in names else len(names)
 
     def broadcast(self, message: PeerMessage, but: str = "") -> None:
@@ -64,6 +71,7 @@
         self.world = World(seed, self.links)
         self.memberships: dict[str, FakeMembership] = {}
         self.live: set[str] = set()
+        self.order = [f"h{number}" for number in range(hosts)]  # for ranks
         self.primaries: dict[str, list[tuple[float, str, int]]] = {}
         self._domains = tuple(
             FailureDomain(f"d{number}", f"r{number}", hosts)
