Start writes on gRPC streams at once, without a task for each stream

Cause: a profile of the host showed the event loop's own turns ahead of all else: each message sent woke a writer task first, one more turn of the loop and one more call of epoll for every answer and every call to an endpoint.

Change: StreamWriter drives the write's coroutine by hand: its first step runs in the effect itself. A caller's stream is read in gRPC's own task, so an idle session has one task instead of two.

--- a/mallowpass/adapters/callers.py
+++ b/mallowpass/adapters/callers.py
@@ -5,7 +5,6 @@
 import asyncio
 import dataclasses
 import itertools
-from collections import deque
 from typing import TYPE_CHECKING, Any, Protocol
 
 import grpc
@@ -18,6 +17,7 @@
     request_from_wire,
     salvage_request_id,
 )
+from mallowpass.adapters.writing import StreamWriter
 from mallowpass.core.calls import (
     CallerAnswer,
     CallerRequest,
@@ -118,31 +118,31 @@
     # -- Sessions ------------------------------------------------------------
 
     async def _session(self, _requests: Any, context: Any) -> None:
-        limit = self._limits.answer_size
-        stream = _SessionStream(next(self._numbers), context, limit)
+        stream = _SessionStream(next(self._numbers), context, self._limits.answer_size)
         self._connect(stream)
-        reader = asyncio.create_task(self._read(stream, context))
         try:
-            await stream.write_out()
+            await self._read(stream, context)
+            await stream.wait_ended()
         except asyncio.CancelledError:
-            self._disconnect(stream)
-            if not stream.overflowed:
+            # Either gRPC says that the caller has gone, or the stream has ended
+            # while this waited for a request.
+            if not stream.ended:
                 raise
-            await self._cut_off(stream, context)
+            stream.uncancel()
         finally:
-            reader.cancel()
             self._disconnect(stream)
+        if stream.overflowed:
+            await self._cut_off(stream, context)
 
     async def _read(self, stream: _SessionStream, context: Any) -> None:
-        try:
-            while (data := await context.read()) is not grpc.aio.EOF:
-                self._take(stream, data)
-                if stream.is_full:
-                    await stream.wait_room()
-        except grpc.aio.AioRpcError as error:
-            self._runtime.log("debug", "caller-broke-off", why=error.details())
-        finally:
-            stream.half_close()
+        read = context.read
+        while (data := await read()) is not grpc.aio.EOF:
+            self._take(stream, data)
+            if stream.is_full:
+                await stream.wait_room()
+            if stream.ended:
+                return
+        stream.half_close()
 
     async def _cut_off(self, stream: _SessionStream, context: Any) -> None:
         code = ErrorCode.ANSWER_TOO_LARGE
@@ -244,40 +244,34 @@
     __slots__ = (
         "_answer_limit",
         "_closing",
-        "_context",
         "_half_closed",
         "_in_flight",
-        "_queue",
-        "_queued",
-        "_room",
         "_task",
-        "_work",
+        "_waiter",
+        "_writer",
+        "ended",
         "number",
         "overflowed",
     )
 
     def __init__(self, number: int, context: Any, answer_limit: int) -> None:
         self.number = number
+        self.ended = False
         self.overflowed = False
-        self._context = context
         self._answer_limit = answer_limit
-        self._queue: deque[bytes] = deque()
-        self._queued = 0  # bytes
+        self._writer = StreamWriter(context.write, self._on_sent)
         self._in_flight: dict[str, int] = {}
         self._closing = False
         self._half_closed = False
-        self._work: asyncio.Future[None] | None = None
-        self._room: asyncio.Future[None] | None = None
+        self._waiter: asyncio.Future[None] | None = None
         self._task = asyncio.current_task()
 
     @property
     def is_full(self) -> bool:
         """Tell whether more requests would only pile up."""
-        return self._queued > QUEUE_PAUSE or len(self._in_flight) >= IN_FLIGHT_PAUSE
-
-    @property
-    def _finished(self) -> bool:
-        return self._closing or (self._half_closed and not self._in_flight)
+        return (
+            self._writer.unsent > QUEUE_PAUSE or len(self._in_flight) >= IN_FLIGHT_PAUSE
+        )
 
     def expect(self, request_id: str) -> None:
         """Note that a request is in flight."""
@@ -288,50 +282,49 @@
         return request_id in self._in_flight
 
     def answer(self, answer: CallerAnswer) -> None:
-        """Queue an answer; one that nobody waits for any more is dropped."""
+        """Send an answer; one that nobody waits for any more is dropped."""
         if answer.request_id not in self._in_flight or self._closing:
             return
-        if answer.outcome is not None:
-            self._settle(answer.request_id)
         data = answer_to_wire(answer).SerializeToString()
         if len(data) > self._answer_limit:
             data = answer_to_wire(_without_rows(answer, len(data))).SerializeToString()
-        self._queue.append(data)
-        self._queued += len(data)
-        if self._queued > self._answer_limit * QUEUE_ANSWERS:
+        if answer.outcome is not None:
+            self._settle(answer.request_id)
+        self._writer.put(data)
+        if self._writer.unsent > self._answer_limit * QUEUE_ANSWERS:
             self._overflow()
-        self._wake()
 
     def close(self) -> None:
         """End the stream once what is queued is sent."""
         self._closing = True
-        self._wake()
+        self._end_if_finished()
 
     def half_close(self) -> None:
         """Note that no more requests come; those in flight still get answers."""
         self._half_closed = True
-        self._wake()
-
-    async def write_out(self) -> None:
-        """Send answers until the stream is finished."""
-        queue = self._queue
-        write = self._context.write
-        while True:
-            while queue:
-                data = queue.popleft()
-                await write(data)
-                self._queued -= len(data)
-                self._make_room()
-            if self._finished:
-                return
-            self._work = asyncio.get_running_loop().create_future()
-            await self._work
+        self._end_if_finished()
+
+    def uncancel(self) -> None:
+        """Take back the cancellation that ended the wait for a request."""
+        if self._task is not None:
+            self._task.uncancel()
+
+    async def wait_ended(self) -> None:
+        """Wait until every request in flight has its answer, and it is sent."""
+        while not self.ended:
+            await self._wait()
 
     async def wait_room(self) -> None:
         """Wait until the stream is not full any more."""
-        while self.is_full:
-            self._room = asyncio.get_running_loop().create_future()
-            await self._room
+        while self.is_full and not self.ended:
+            await self._wait()
+
+    async def _wait(self) -> None:
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
 
     def _settle(self, request_id: str) -> None:
         left = self._in_flight[request_id] - 1
@@ -345,19 +338,25 @@
         # is every caller's. One sees it as a session cut with MP-3014.
         self.overflowed = True
         self._closing = True
-        self._queue.clear()
-        self._in_flight.clear()
-        if self._task is not None:
-            self._task.cancel()
+        self._writer.drop()
+        self._end()
 
-    def _wake(self) -> None:
-        if self._work is not None and not self._work.done():
-            self._work.set_result(None)
+    def _on_sent(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+        self._end_if_finished()
 
-    def _make_room(self) -> None:
-        room = self._room
-        if room is not None and not room.done() and not self.is_full:
-            room.set_result(None)
+    def _end_if_finished(self) -> None:
+        answered = self._closing or (self._half_closed and not self._in_flight)
+        if self._writer.failed or (answered and self._writer.idle):
+            self._end()
+
+    def _end(self) -> None:
+        if self.ended:
+            return
+        self.ended = True
+        if self._task is not None and self._task is not asyncio.current_task():
+            self._task.cancel()
 
 
 class _CallStream:
--- a/mallowpass/adapters/endpoints.py
+++ b/mallowpass/adapters/endpoints.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from collections.abc import Coroutine
 from typing import TYPE_CHECKING, Any
 
@@ -18,6 +17,7 @@
     endpoint_reply_from_wire,
     hello_to_wire,
 )
+from mallowpass.adapters.writing import StreamWriter
 from mallowpass.core import effects
 from mallowpass.core.events import (
     ConnectionLost,
@@ -150,10 +150,10 @@
         "_call",
         "_channel",
         "_closed",
-        "_queue",
+        "_early",
         "_runtime",
         "_task",
-        "_work",
+        "_writer",
         "address",
     )
 
@@ -163,8 +163,8 @@
         self._channel: grpc.aio.Channel | None = None
         self._call: Any = None
         self._closed = False
-        self._queue: deque[bytes] = deque()
-        self._work: asyncio.Future[None] | None = None
+        self._early: list[bytes] = []  # sent before the stream is open
+        self._writer: StreamWriter | None = None
         self._task: asyncio.Task[None] | None = None
 
     def run_in(self, task: asyncio.Task[None]) -> None:
@@ -172,10 +172,11 @@
         self._task = task
 
     def send(self, data: bytes) -> None:
-        """Queue a message."""
-        self._queue.append(data)
-        if self._work is not None and not self._work.done():
-            self._work.set_result(None)
+        """Send a message after those before it."""
+        if self._writer is None:
+            self._early.append(data)
+        else:
+            self._writer.put(data)
 
     def close(self) -> None:
         """End the link; the core hears no more of it."""
@@ -189,17 +190,11 @@
         if not self._closed:
             self._runtime.deliver(event)
 
-    async def _write_out(self) -> None:
-        queue = self._queue
-        try:
-            while True:
-                while queue:
-                    await self._call.write(queue.popleft())
-                self._work = asyncio.get_running_loop().create_future()
-                await self._work
-        except _FAILURES:
-            # The reader hears of the same failure and tells the core.
-            return
+    def _begin_writing(self) -> None:
+        self._writer = StreamWriter(self._call.write)
+        for data in self._early:
+            self._writer.put(data)
+        self._early.clear()
 
     async def _shut(self) -> None:
         if self._call is not None:
@@ -224,14 +219,9 @@
     async def run(self) -> None:
         """Open it, pass replies on until it breaks, and tidy up."""
         try:
-            if not await self._opened():
-                return
-            writer = asyncio.create_task(self._write_out())
-            try:
+            if await self._opened():
                 why = await self._read_all()
-            finally:
-                writer.cancel()
-            self._deliver(ConnectionLost(self.number, why))
+                self._deliver(ConnectionLost(self.number, why))
         finally:
             await self._shut()
 
@@ -260,6 +250,7 @@
 
     def _judge(self, reply: endpoint_pb2.EndpointReply) -> bool:
         if reply.code == endpoint_pb2.OK:
+            self._begin_writing()
             self._deliver(ConnectionOpened(self.number))
             return True
         full = reply.code == endpoint_pb2.TOO_MANY_CONNECTIONS
@@ -310,14 +301,12 @@
             return f"no connection within {self._timeout:g} s"
         except (*_FAILURES, ValueError) as error:
             return _reason(error)
-        writer = asyncio.create_task(self._write_out())
+        self._begin_writing()
+        self._deliver(ControlOpened(self.address, self.stream))
         try:
-            self._deliver(ControlOpened(self.address, self.stream))
             return await self._read_all()
         except _FAILURES as error:
             return _reason(error)
-        finally:
-            writer.cancel()
 
     async def _open(self) -> None:
         self._channel = open_channel(self.address, CONTROL_MESSAGE_SIZE)
