Build dist/mallowpass: one file that unpacks into memory and forks nothing

Cause: the binary must be one process from its first instruction and run on a host without a disk; PyInstaller's one-file mode forks, others unpack under the home folder.

--- a/Makefile
+++ b/Makefile
@@ -69,6 +69,23 @@
 	$(VENV)/bin/$(PIP_INSTALL) --no-deps --no-build-isolation -e .
 	@touch $@
 
+build: $(BUILD_READY)
+	@for tool in gcc objdump strip; do \
+	  if ! command -v $$tool > /dev/null; then \
+	    echo "make build: $$tool is missing; it needs gcc with the C library's" \
+	      "headers and archive, and binutils (Debian: gcc libc6-dev binutils)" >&2; \
+	    exit 1; \
+	  fi; \
+	done
+	$(BUILD_VENV)/bin/python packaging/build_binary.py
+	$(BUILD_VENV)/bin/python packaging/check_binary.py dist/mallowpass
+
+$(BUILD_READY): requirements-build.lock pyproject.toml requirements.in
+	$(call make_venv,$(BUILD_VENV))
+	$(BUILD_VENV)/bin/$(PIP_INSTALL) --require-hashes -r requirements-build.lock
+	$(BUILD_VENV)/bin/$(PIP_INSTALL) --no-deps --no-build-isolation -e .
+	@touch $@
+
 lock:
 	$(call make_venv,$(LOCK_VENV))
 	$(LOCK_VENV)/bin/$(PIP_INSTALL) pip-tools
--- /dev/null
+++ b/packaging/check_binary.py
@@ -0,0 +1,184 @@
+"""Check dist/mallowpass at the end of `make build`; exit 1 with what is wrong.
+
+It must answer `--version` from an empty memory folder and from a filled one, with
+several processes starting at once, and without ever starting a process: seen by
+reading /proc all the while and, since a short child could slip between two looks,
+enforced by a system call filter under which a fork ends the program.
+"""
+
+from __future__ import annotations
+
+import ctypes
+import os
+import platform
+import shutil
+import struct
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+FOLDER_VARIABLE = "MALLOWPASS_UNPACK_DIR"
+MEMORY = Path("/dev/shm")
+RACERS = 8
+LIMIT_S = 60.0
+# A binary that forks only once its caches are there would pass a single start.
+STARTS = 3
+
+# -- The system call filter (x86-64): classic BPF over struct seccomp_data
+
+_LOAD, _IF_EQUAL, _IF_ANY_BIT, _RETURN = 0x20, 0x15, 0x45, 0x06
+_ALLOW, _KILL, _NO_SUCH_CALL = 0x7FFF0000, 0x80000000, 0x00050000 | 38
+_CLONE, _FORK, _VFORK, _CLONE3 = 56, 57, 58, 435
+_CLONE_THREAD = 0x00010000
+_PR_SET_NO_NEW_PRIVS, _PR_SET_SECCOMP, _SECCOMP_MODE_FILTER = 38, 22, 2
+# clone3 hides its flags behind a pointer: refused, so the C library takes clone.
+_PROGRAM = (
+    (_LOAD, 0, 0, 0),
+    (_IF_EQUAL, 6, 0, _FORK),
+    (_IF_EQUAL, 5, 0, _VFORK),
+    (_IF_EQUAL, 5, 0, _CLONE3),
+    (_IF_EQUAL, 0, 2, _CLONE),
+    (_LOAD, 0, 0, 16),
+    (_IF_ANY_BIT, 0, 1, _CLONE_THREAD),
+    (_RETURN, 0, 0, _ALLOW),
+    (_RETURN, 0, 0, _KILL),
+    (_RETURN, 0, 0, _NO_SUCH_CALL),
+)
+
+
+class _FilterProgram(ctypes.Structure):
+    _fields_ = (("length", ctypes.c_ushort), ("code", ctypes.c_char_p))
+
+
+def _forbid_processes() -> None:
+    """Make a fork end this process (threads stay allowed), also after exec."""
+    libc = ctypes.CDLL(None, use_errno=True)
+    code = b"".join(struct.pack("<HBBI", *step) for step in _PROGRAM)
+    program = _FilterProgram(len(_PROGRAM), code)
+    if libc.prctl(_PR_SET_NO_NEW_PRIVS, 1, 0, 0, 0) != 0 or (
+        libc.prctl(_PR_SET_SECCOMP, _SECCOMP_MODE_FILTER, ctypes.byref(program)) != 0
+    ):
+        raise OSError(ctypes.get_errno(), "seccomp filter refused")
+
+
+# -- The checks
+
+
+class CheckError(AssertionError):
+    """The binary doesn't do what it must."""
+
+
+def check(binary: Path, folder: Path) -> None:
+    """Run all checks with `folder`, empty and in memory, to unpack into."""
+    for start in range(STARTS):
+        seen = _watched(_start(binary, folder))
+        print(f"start {start + 1}: {seen} looks, no child")
+    _check_filter_bites()
+    _expect_version(_start(binary, folder, _forbid_processes))
+    _empty(folder)
+    _expect_version(_start(binary, folder, _forbid_processes))
+    print("under a filter that ends a fork: runs, unpacked before and not")
+    _empty(folder)
+    for racer in [_start(binary, folder) for _ in range(RACERS)]:
+        _expect_version(racer)
+    _expect_one_copy(folder)
+    print(f"{RACERS} first starts at once: all answer, one copy stays")
+    _check_repair(binary, folder)
+    print("a damaged copy and one of a dead process: replaced and removed")
+
+
+def _start(
+    binary: Path, folder: Path, prepare: Callable[[], None] | None = None
+) -> subprocess.Popen[str]:
+    # No home, no temporary folder, an empty path: only the memory folder is there.
+    environment = {FOLDER_VARIABLE: str(folder), "HOME": "/nonexistent", "PATH": ""}
+    return subprocess.Popen(
+        [str(binary), "--version"],
+        env=environment | {"TMPDIR": "/nonexistent"},
+        preexec_fn=prepare,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+def _expect_version(process: subprocess.Popen[str]) -> None:
+    output, errors = process.communicate(timeout=LIMIT_S)
+    if process.returncode != 0 or not output.startswith("mallowpass"):
+        raise CheckError(f"--version: {process.returncode}, {output!r}, {errors!r}")
+
+
+def _watched(process: subprocess.Popen[str]) -> int:
+    """Look for children until the process ends; return how often was looked."""
+    tasks = Path(f"/proc/{process.pid}/task")
+    looks = 0
+    give_up = time.monotonic() + LIMIT_S
+    while process.poll() is None and time.monotonic() < give_up:
+        children = _children(tasks)
+        if children:
+            process.kill()
+            raise CheckError(f"process {process.pid} has children: {children}")
+        looks += 1
+    _expect_version(process)
+    return looks
+
+
+def _children(tasks: Path) -> str:
+    try:
+        return " ".join(
+            (task / "children").read_text().strip() for task in tasks.iterdir()
+        ).strip()
+    except (FileNotFoundError, ProcessLookupError):
+        return ""  # it ended between two looks
+
+
+def _check_filter_bites() -> None:
+    """Prove that the filter ends a fork, or what it lets pass says nothing."""
+    if platform.machine() != "x86_64":
+        raise CheckError(f"no system call filter for {platform.machine()}: add one")
+    forks = [sys.executable, "-c", "import os; os.fork()"]
+    if subprocess.run(forks, preexec_fn=_forbid_processes).returncode >= 0:
+        raise CheckError("the system call filter lets a fork pass")
+
+
+def _copies(folder: Path) -> list[Path]:
+    return sorted(folder.iterdir())
+
+
+def _expect_one_copy(folder: Path) -> None:
+    if len(_copies(folder)) != 1:
+        raise CheckError(f"not one copy left: {_copies(folder)}")
+
+
+def _check_repair(binary: Path, folder: Path) -> None:
+    copy = _copies(folder)[0]
+    next(path for path in copy.rglob("*.so*") if path.is_file()).unlink()
+    copy.with_name(f"{copy.name}.abcdef").mkdir(mode=0o700)
+    _expect_version(_start(binary, folder))
+    _expect_one_copy(folder)
+    if not any(copy.rglob("*.so*")):
+        raise CheckError("the damaged copy was not replaced")
+
+
+def _empty(folder: Path) -> None:
+    for copy in _copies(folder):
+        shutil.rmtree(copy)
+
+
+def main(binary: Path) -> int:
+    """Check `binary`; return the exit code."""
+    base = MEMORY if os.access(MEMORY, os.W_OK) else None
+    with tempfile.TemporaryDirectory(prefix="mallowpass-check-", dir=base) as folder:
+        try:
+            check(binary, Path(folder))
+        except (CheckError, OSError, subprocess.SubprocessError) as error:
+            print(f"check_binary: {error}", file=sys.stderr)
+            return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(Path(sys.argv[1]).resolve()))
