Split pooling into its parts and mend what the split showed

Change: opening, granting, keep-alive and changes are parts of their own; pooling.py keeps a statement's path.

--- a/mallowpass/core/systems/connections.py
+++ b/mallowpass/core/systems/connections.py
@@ -7,7 +7,12 @@
 from mallowpass.core.calls import EndpointCall
 from mallowpass.core.systems.concurrency import ConcurrencyLimit
 from mallowpass.core.systems.waitqueue import Tally, WaitQueue
-from mallowpass.core.tables import ConnectionRow, DatabaseRow, EndpointRow
+from mallowpass.core.tables import (
+    ConnectionRow,
+    ConnectionState,
+    DatabaseRow,
+    EndpointRow,
+)
 from mallowpass.core.timers import TimerService
 
 __all__ = ["EndpointPool", "LoanPlaces", "Watchdog"]
@@ -174,7 +179,8 @@
         self.peak_before = 0
         self.active = 0  # connections with a request's statement
         self.internal: dict[int, str] = {}  # in flight, and no request waits for it
-        self.deferred: dict[int, tuple[int, EndpointCall]] = {}
+        # Calls held until the one in flight is answered: its sequence, then their own.
+        self.deferred: dict[int, tuple[int, int, EndpointCall]] = {}
         self.answering: Watchdog
         self.checking: Watchdog
         self.opening: Watchdog
@@ -213,6 +219,8 @@
     @property
     def own_count(self) -> int:
         """Return how many connections of the own share exist or are opening."""
+        if not self.borrowed:
+            return len(self.connections)
         borrowed = sum(len(loan.numbers) for loan in self.borrowed.values())
         return len(self.connections) - borrowed
 
@@ -224,6 +232,13 @@
             return min(limit, self.concurrent_share)
         return limit
 
+    def is_counted(self, connection: ConnectionRow) -> bool:
+        """Tell whether a request's statement on this connection is in `active`."""
+        number = connection.number
+        if connection.state is not ConnectionState.BUSY:
+            return False
+        return number not in self.internal or number in self.deferred
+
     def learn_hold(self, seconds: float) -> None:
         """Learn how long a request kept its connection."""
         if self.hold:
--- /dev/null
+++ b/mallowpass/core/systems/granting.py
@@ -0,0 +1,117 @@
+"""Queue requests for connections, grant in fair order, and give back what waits."""
+
+from __future__ import annotations
+
+from mallowpass.core.calls import Access
+from mallowpass.core.systems.connections import EndpointPool
+from mallowpass.core.systems.poolpart import PoolPart
+from mallowpass.core.tables import ConnectionRow, RequestRow
+from mallowpass.errors import ErrorCode
+
+__all__ = ["Granting"]
+
+
+class Granting(PoolPart):
+    """Decide which waiting request gets a free connection."""
+
+    __slots__ = ()
+
+    def enqueue(self, pool: EndpointPool, request: RequestRow) -> None:
+        """Queue a request, or refuse it at once."""
+        refusal = self._pooling.admission.refuse_at(pool, request)
+        if refusal is not None:
+            self._pooling.requests.on_refused(
+                request, refusal.code, refusal.why, refusal.retry_after
+            )
+            return
+        request.address = pool.address
+        session = self.tables.sessions.get(request.stream)
+        caller = session.caller if session is not None else ""
+        pool.queue.push(request, caller, self.now)
+        self.pump(pool)
+
+    def pump(self, pool: EndpointPool) -> None:
+        """Grant what can be granted and open what is needed."""
+        # A grant may end at once in a release, which comes back here: without this
+        # mark, a long queue would be a deep recursion.
+        if pool.pumping:
+            return
+        pool.pumping = True
+        try:
+            while pool.queue and self._grant_next(pool):
+                pass
+        finally:
+            pool.pumping = False
+        if pool.queue:
+            self._pooling.opener.open_more(pool)
+
+    def _grant_next(self, pool: EndpointPool) -> bool:
+        if pool.active >= pool.statement_limit:
+            return False
+        connection = self._pooling.take(pool)
+        if connection is None:
+            return False
+        request = self._next_request(pool, connection)
+        if request is None:
+            self._pooling.put_idle(pool, connection)
+            return False
+        self._pooling.grant(pool, connection, request)
+        return True
+
+    def _next_request(
+        self, pool: EndpointPool, connection: ConnectionRow
+    ) -> RequestRow | None:
+        without = self._classes_to_pass(pool, bool(connection.loan))
+        while (taken := pool.queue.pop(without)) is not None:
+            request, since = taken
+            if request.expires > self.now:
+                self._node.observe("queue_seconds", self.now - since)
+                return request
+            self.refuse(request, ErrorCode.DEADLINE_PASSED, "expired in the queue")
+        return None
+
+    def _classes_to_pass(self, pool: EndpointPool, borrowed: bool) -> frozenset[str]:
+        """Return the classes that this connection is not for."""
+        patient = pool.patient
+        if not patient:
+            return patient
+        if borrowed and pool.usable:
+            return patient
+        # While others wait, weights decide and patient classes get their floor. When
+        # none waits, the last free connection stays free for one to come: it would
+        # else wait for a whole slow statement.
+        last = not pool.idle and not pool.idle_borrowed
+        if last and pool.active and not pool.queue.waits_outside(patient):
+            return patient
+        return frozenset()
+
+    def learn_cost(self, pool: EndpointPool, connection: ConnectionRow) -> None:
+        """Learn how long the connection's request kept it."""
+        request = self.tables.requests.get(connection.request)
+        if request is not None:
+            seconds = self.now - connection.last_used
+            pool.queue.learn_cost(request.request_class, seconds)
+
+    def refuse(
+        self, request: RequestRow, code: ErrorCode, why: str, retry_after: float = 0.0
+    ) -> None:
+        """Give a request back to the request path."""
+        self._node.count("refused", reason=code.name.lower())
+        self._node.decide("refusal", request.database, f"{code.code} {why}")
+        self._pooling.requests.on_refused(request, code.code, why, retry_after)
+
+    def give_back(
+        self, pool: EndpointPool, code: ErrorCode, why: str, retry_after: float
+    ) -> None:
+        """Give back all that wait."""
+        for request in pool.queue.drain():
+            self.refuse(request, code, why, retry_after)
+
+    def give_back_some(
+        self, pool: EndpointPool, access: Access, code: ErrorCode, why: str
+    ) -> None:
+        """Give back the reads or the writes that wait; visits each."""
+        waiting = pool.queue.waiting_requests()
+        for request in [entry for entry in waiting if entry.access is access]:
+            if pool.queue.cancel(request.number):
+                self.refuse(request, code, why)
--- /dev/null
+++ b/mallowpass/core/systems/keepalive.py
@@ -0,0 +1,212 @@
+"""Keep connections alive, find the silent ones, and clean up after their users."""
+
+from __future__ import annotations
+
+from mallowpass.core.calls import (
+    EndpointCall,
+    EndpointCode,
+    EndpointReply,
+    KeepAliveCall,
+    ResetCall,
+)
+from mallowpass.core.effects import SendEndpoint
+from mallowpass.core.systems.connections import LIFE_MARGIN, EndpointPool
+from mallowpass.core.systems.poolpart import PoolPart
+from mallowpass.core.tables import ConnectionRow, ConnectionState
+
+__all__ = ["CHECK_TIMEOUT", "KeepAlive"]
+
+WARM_MIN = 1  # idle connections that are kept whatever the demand
+CHECKS_PER_LIFE = 3  # connections prove themselves so often in a time to live
+CHECK_TIMEOUT = 0.5  # seconds for the answer to a keep-alive
+
+_CHECK = "keep-alive"
+_RESET = "reset"
+_ABANDONED = "abandoned"
+
+_BUSY = ConnectionState.BUSY
+_PINNED = ConnectionState.PINNED
+
+
+class KeepAlive(PoolPart):
+    """Send the calls that no request waits for, and judge their answers."""
+
+    __slots__ = ()
+
+    # -- Idle and pinned connections -------------------------------------------
+
+    def arm(self, pool: EndpointPool) -> None:
+        """Look at the pool's connections in a while."""
+        if pool.check_timer is None:
+            pool.check_timer = self.timers.after(
+                self._check_period() / 2, self._check_idle, pool
+            )
+
+    def _check_idle(self, pool: EndpointPool) -> None:
+        """Prolong the life of connections that were not used for a while."""
+        pool.check_timer = None
+        due = self.now - self._check_period() / 2
+        for connection in list(pool.idle.values()):
+            if connection.last_used <= due:
+                del pool.idle[connection.number]
+                self._check(pool, connection)
+        self.check_pinned(pool)
+        if pool.connections:
+            self.arm(pool)
+
+    def check_pinned(self, pool: EndpointPool) -> None:
+        """Prolong the life of connections whose transaction is between statements."""
+        for connection in list(pool.pinned.values()):
+            life = self._pooling.loans.life(connection.loan)
+            called_at = connection.expires - life
+            due = called_at + life / CHECKS_PER_LIFE <= self.now
+            if due and connection.number not in pool.checking:
+                self._check(pool, connection)
+
+    def tend_borrowed(self, pool: EndpointPool) -> None:
+        """Close borrowed connections that stood idle; keep the pinned ones alive."""
+        for connection in list(pool.idle_borrowed.values()):
+            if connection.expires <= self.now:
+                self._pooling.close(pool, connection)
+        self.check_pinned(pool)
+
+    def close_unused(self) -> None:
+        """Close what stood idle for a whole period, but for a few."""
+        for pool in list(self._pooling.by_address.values()):
+            if pool.idle_low > WARM_MIN:
+                surplus = min(pool.idle_low, len(pool.idle)) - WARM_MIN
+                self._pooling.make_room(pool, surplus)
+            pool.idle_low = len(pool.idle)
+
+    def _check(self, pool: EndpointPool, connection: ConnectionRow) -> None:
+        self.send_internal(pool, connection, KeepAliveCall(), _CHECK)
+
+    def _check_period(self) -> float:
+        return self._node.tuning.connection_time_to_live / CHECKS_PER_LIFE
+
+    # -- Calls that no request waits for ---------------------------------------
+
+    def abandon(self, pool: EndpointPool, connection: ConnectionRow) -> None:
+        """Keep a connection from use until its abandoned call is answered.
+
+        Given to the next request at once, its first answer would be the old one's.
+        """
+        number = connection.number
+        if pool.is_counted(connection):
+            pool.active -= 1
+        pool.pinned.pop(number, None)
+        pool.deferred.pop(number, None)
+        connection.state = _BUSY
+        connection.request = 0
+        connection.transaction = ""
+        if pool.internal.get(number) != _RESET:
+            pool.internal[number] = _ABANDONED
+        if pool.queue:
+            self._pooling.granting.pump(pool)
+
+    def send_internal(
+        self,
+        pool: EndpointPool,
+        connection: ConnectionRow,
+        call: EndpointCall,
+        purpose: str,
+    ) -> None:
+        """Send a call that no request waits for."""
+        number = connection.number
+        now = self.now
+        if connection.expires <= now:
+            self._pooling.expire(pool, connection)
+            return
+        connection.expires = self._pooling.expiry(pool, connection, now)
+        connection.sequence += 1
+        if connection.state is not _PINNED:
+            connection.state = _BUSY
+        pool.internal[number] = purpose
+        pool.checking.add(number)
+        self._node.emit(SendEndpoint(number, connection.sequence, call))
+
+    def reset(self, pool: EndpointPool, connection: ConnectionRow) -> None:
+        """Have the endpoint forget what the last user left on a connection."""
+        self.send_internal(pool, connection, ResetCall(), _RESET)
+
+    def on_internal_reply(
+        self, pool: EndpointPool, connection: ConnectionRow, reply: EndpointReply
+    ) -> None:
+        """Go on with a connection once it has answered what it owed."""
+        number = connection.number
+        deferred = pool.deferred.get(number)
+        expected = connection.sequence if deferred is None else deferred[0]
+        if reply.sequence != expected:
+            self._pooling.drop("wrong-sequence")
+            return
+        purpose = pool.internal.get(number, _ABANDONED)
+        if purpose == _ABANDONED:
+            self._pooling.drop("abandoned")
+            if not reply.last:
+                if number in pool.answering:
+                    pool.answering.renew(number)
+                return
+        pool.internal.pop(number, None)
+        pool.answering.remove(number)
+        pool.checking.remove(number)
+        if deferred is not None:
+            del pool.deferred[number]
+            self._pooling.transmit(pool, connection, *deferred[1:])
+        elif connection.transaction:
+            pool.pinned.pop(number, None)
+            pool.pinned[number] = connection
+        elif purpose == _ABANDONED:
+            self.reset(pool, connection)
+        elif reply.code is not EndpointCode.OK:
+            self._pooling.close(pool, connection)
+            self._pooling.granting.pump(pool)
+        else:
+            connection.last_used = self.now
+            self._pooling.make_idle(pool, connection)
+            self._pooling.granting.pump(pool)
+
+    # -- Silence ---------------------------------------------------------------
+
+    def went_silent(self, pool: EndpointPool, number: int) -> None:
+        """Close a connection that owes an answer for too long."""
+        connection = self._connections.get(number)
+        if connection is None:
+            return
+        node = self._node
+        silent_since = connection.last_used
+        node.decide("silent", pool.address, f"connection {number} gave no answer")
+        node.log("warning", "connection_silent", address=pool.address, number=number)
+        if not connection.loan:
+            pool.ghosts.append(connection.expires + LIFE_MARGIN)
+        self._pooling.lose(pool, connection, "silent")
+        self._check_older(pool, silent_since)
+        self._pooling.granting.pump(pool)
+
+    def check_unanswered(self, pool: EndpointPool, number: int) -> None:
+        """Close a connection whose endpoint answers elsewhere, wait on otherwise.
+
+        An endpoint that stands still, or is cut off, answers nowhere. Its connections
+        are sound once it goes on, and to open them all anew would be a storm.
+        """
+        connection = self._connections.get(number)
+        if connection is None:
+            return
+        heard_at = pool.endpoint.heard_at
+        since = self.now - CHECK_TIMEOUT
+        stalled = float("-inf") < heard_at < since
+        if stalled and self.now < connection.expires:
+            pool.checking.add(number)
+        else:
+            self.went_silent(pool, number)
+
+    def _check_older(self, pool: EndpointPool, since: float) -> None:
+        """Have idle connections prove themselves that last did so before `since`.
+
+        Whatever made one connection silent has likely hit those of the same age; each
+        would cost a request its whole wait. Younger ones serve meanwhile.
+        """
+        for idle in (pool.idle, pool.idle_borrowed):
+            for connection in list(idle.values()):
+                if connection.last_used <= since:
+                    del idle[connection.number]
+                    self._check(pool, connection)
--- /dev/null
+++ b/mallowpass/core/systems/poolchanges.py
@@ -0,0 +1,214 @@
+"""Follow changes of services, databases, endpoints and this host in the pools."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+from mallowpass.core.calls import Access
+from mallowpass.core.node import Node
+from mallowpass.core.signals import (
+    DatabaseAdded,
+    DatabaseChanged,
+    DatabaseRemoved,
+    DrainBegan,
+    EndpointStateChanged,
+    PrimaryChanged,
+    ServiceAccepted,
+)
+from mallowpass.core.systems.connections import EndpointPool, Watchdog
+from mallowpass.core.systems.keepalive import CHECK_TIMEOUT
+from mallowpass.core.systems.opening import OPENING_GRACE
+from mallowpass.core.systems.poolpart import PoolPart
+from mallowpass.core.systems.shares import lendable, static_share
+from mallowpass.core.systems.waitqueue import Tally
+from mallowpass.core.tables import DatabaseRow, EndpointRow
+from mallowpass.errors import ErrorCode
+
+if TYPE_CHECKING:
+    from mallowpass.core.systems.pooling import Pooling
+
+__all__ = ["PoolChanges"]
+
+DEMAND_PERIOD = 5.0  # seconds over which the most connections in use are noted
+
+
+class PoolChanges(PoolPart):
+    """Make pools, and change or empty them when what they stand for changes."""
+
+    __slots__ = ("_tallies",)
+
+    def __init__(self, node: Node, pooling: Pooling) -> None:
+        super().__init__(node, pooling)
+        self._tallies: dict[str, Tally] = {}  # of waiting requests, by service
+
+    def start(self) -> None:
+        """Subscribe to changes."""
+        node = self._node
+        node.subscribe(EndpointStateChanged, self._on_endpoint_state)
+        node.subscribe(PrimaryChanged, self._on_primary)
+        node.subscribe(DatabaseAdded, self._on_database_added)
+        node.subscribe(DatabaseChanged, self._on_database_changed)
+        node.subscribe(DatabaseRemoved, self._on_database_removed)
+        node.subscribe(ServiceAccepted, self._on_service)
+        node.subscribe(DrainBegan, self._on_drain)
+        self.timers.every(DEMAND_PERIOD, self._note_demand)
+
+    def waiting_for_service(self, service: str) -> int:
+        """Return how many requests wait for a service's endpoints."""
+        tally = self._tallies.get(service)
+        return 0 if tally is None else tally.count
+
+    def make_pool(self, endpoint: EndpointRow) -> EndpointPool:
+        """Make the pool of an endpoint that work came for the first time."""
+        database = self.tables.databases[endpoint.database]
+        tally = self._tallies.setdefault(database.service, Tally())
+        pool = EndpointPool(endpoint, database, tally)
+        tuning = self._node.tuning
+        pool.answering = Watchdog(
+            self.timers,
+            tuning.silence,
+            partial(self._pooling.keepalive.went_silent, pool),
+        )
+        pool.checking = Watchdog(
+            self.timers,
+            CHECK_TIMEOUT,
+            partial(self._pooling.keepalive.check_unanswered, pool),
+        )
+        pool.opening = Watchdog(
+            self.timers,
+            tuning.connect_timeout + OPENING_GRACE,
+            partial(self._pooling.opener.timed_out, pool),
+        )
+        self._pooling.by_address[pool.address] = pool
+        self._apply_definition(pool, database)
+        return pool
+
+    def _apply_definition(self, pool: EndpointPool, database: DatabaseRow) -> None:
+        identity = self._node.identity
+        place = (
+            identity.domains,
+            pool.address,
+            identity.failure_domain,
+            identity.seat,
+        )
+        definition = database.definition
+        pool.database = database
+        pool.own = static_share(definition.connections, *place)
+        seats = sum(domain.hosts for domain in identity.domains)
+        pool.lendable = lendable(pool.own, scarce=definition.connections < seats)
+        self._pooling.loans.withhold(pool, pool.lendable)
+        pool.concurrent_share = 0
+        if definition.concurrent_statements:
+            # Never none: a statement too many is refused with BUSY before it runs, but
+            # a host with none could not serve at all.
+            part = static_share(definition.concurrent_statements, *place)
+            pool.concurrent_share = max(1, part)
+        self._apply_classes(pool)
+
+    def _apply_classes(self, pool: EndpointPool) -> None:
+        row = self.tables.services.get(pool.database.service)
+        service = row.service if row is not None else None
+        if service is None:
+            return
+        pool.queue.set_weights({entry.name: entry.weight for entry in service.classes})
+        pool.patient = frozenset(
+            entry.name for entry in service.classes if entry.patient
+        )
+
+    def _on_service(self, signal: ServiceAccepted) -> None:
+        for database in self.tables.databases.values():
+            if database.service == signal.service:
+                for address in database.endpoints:
+                    pool = self._pooling.by_address.get(address)
+                    if pool is not None:
+                        self._apply_classes(pool)
+
+    def _on_database_changed(self, signal: DatabaseChanged) -> None:
+        for address in signal.removed:
+            self._remove_pool(address)
+        self._refresh(signal.database)
+
+    def _on_database_added(self, signal: DatabaseAdded) -> None:
+        self._refresh(signal.database)
+
+    def _refresh(self, key: str) -> None:
+        """Take over a definition; an address may have come back with a new row."""
+        database = self.tables.databases.get(key)
+        if database is None:
+            return
+        for address, endpoint in database.endpoints.items():
+            pool = self._pooling.by_address.get(address)
+            if pool is not None:
+                pool.endpoint = endpoint
+                self._apply_definition(pool, database)
+                self._shed_surplus(pool)
+                self._pooling.granting.pump(pool)
+
+    def _on_database_removed(self, signal: DatabaseRemoved) -> None:
+        database = self.tables.databases.get(signal.database)
+        if database is not None:
+            for address in database.endpoints:
+                self._remove_pool(address)
+
+    def _remove_pool(self, address: str) -> None:
+        pool = self._pooling.by_address.get(address)
+        if pool is None:
+            return
+        pool.endpoint.leaving = True
+        self._leave(pool, f"{address} was removed")
+
+    def _on_endpoint_state(self, signal: EndpointStateChanged) -> None:
+        pool = self._pooling.by_address.get(signal.address)
+        if pool is None:
+            return
+        if pool.endpoint.leaving:
+            self._leave(pool, f"{signal.address} is leaving")
+        elif pool.endpoint.ejected_until > self.now:
+            self._give_back_reads(pool, f"{signal.address} was ejected")
+        else:
+            self._pooling.granting.pump(pool)
+
+    def _leave(self, pool: EndpointPool, why: str) -> None:
+        """Give back what waits and close what is idle; busy ones close when done."""
+        for idle in (pool.idle, pool.idle_borrowed):
+            for connection in list(idle.values()):
+                self._pooling.close(pool, connection)
+        self._pooling.granting.give_back(pool, ErrorCode.ENDPOINT_REFUSED, why, 0.0)
+
+    def _shed_surplus(self, pool: EndpointPool) -> None:
+        surplus = pool.own_count - pool.usable
+        for connection in list(pool.idle.values())[: max(0, surplus)]:
+            self._pooling.close(pool, connection)
+
+    def _on_primary(self, signal: PrimaryChanged) -> None:
+        """Give back writes that wait at a member that is no primary any more."""
+        database = self.tables.databases.get(signal.database)
+        if database is None:
+            return
+        for address in database.endpoints:
+            pool = self._pooling.by_address.get(address)
+            if pool is None or address == database.primary or not pool.queue:
+                continue
+            self._pooling.granting.give_back_some(
+                pool, Access.WRITE, ErrorCode.ENDPOINT_REFUSED, "primary changed"
+            )
+
+    def _give_back_reads(self, pool: EndpointPool, why: str) -> None:
+        self._pooling.granting.give_back_some(
+            pool, Access.READ, ErrorCode.ENDPOINT_REFUSED, why
+        )
+
+    def _on_drain(self, signal: DrainBegan) -> None:
+        """Hand back what nobody uses; requests in flight still get connections."""
+        self._pooling.draining = True
+        for pool in self._pooling.by_address.values():
+            for idle in (pool.idle, pool.idle_borrowed):
+                for connection in list(idle.values()):
+                    self._pooling.close(pool, connection)
+            self._pooling.loans.give_back(pool)
+
+    def _note_demand(self) -> None:
+        for pool in self._pooling.by_address.values():
+            pool.peak_before = pool.peak
+            pool.peak = pool.active + len(pool.pinned)
--- a/tests/core/systems/bench_pooling.py
+++ b/tests/core/systems/bench_pooling.py
@@ -34,7 +34,7 @@
     host.reply_all()
     requests = _Requests(host.node)
     requests.pooling = pooling = host.pooling
-    pooling._requests = requests
+    pooling.requests = requests
     handle, now, endpoint = host.node.handle, host.now, host.endpoint
     started = time.perf_counter()
     for _ in range(STATEMENTS):
--- a/tests/core/systems/test_pooling.py
+++ b/tests/core/systems/test_pooling.py
@@ -21,7 +21,7 @@
     EndpointStateChanged,
     PrimaryChanged,
 )
-from mallowpass.core.systems.pooling import OPENING_MAX
+from mallowpass.core.systems.opening import OPENING_MAX
 from mallowpass.core.tables import ConnectionState
 from mallowpass.errors import ErrorCode
 from tests.fakes.poolpath import ADDRESS, CALL, DATABASE, PoolHost
@@ -297,7 +297,7 @@
     host = PoolHost(limit=16)
     numbers = _warm(host, 3)
     pool = host.pool
-    host.pooling._went_silent(pool, numbers[-1])
+    host.pooling.keepalive.went_silent(pool, numbers[-1])
     host.flush()
     checked = {sent.connection for sent in host.calls(KeepAliveCall)}
     assert checked == set(numbers[:-1])
@@ -329,7 +329,7 @@
     """
     host = PoolHost(limit=4)
     (number,) = _warm(host, 1)
-    host.pooling._went_silent(host.pool, number)
+    host.pooling.keepalive.went_silent(host.pool, number)
     host.request()
     assert host.opened() == []
     host.report(connections=3, limit=4)
--- a/tests/fakes/poolpath.py
+++ b/tests/fakes/poolpath.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-import importlib
 import itertools
-import sys
-import types
 from typing import Any
 
 from mallowpass.core.calls import (
@@ -48,16 +45,6 @@
     SessionRow,
 )
 
-# Written at the same time as these tests; gone once both modules are there.
-for _name in ("requests", "transactions"):
-    _path = f"mallowpass.core.systems.{_name}"
-    try:
-        importlib.import_module(_path)
-    except ImportError:
-        _module = types.ModuleType(_path)
-        setattr(_module, _name.capitalize(), type(_name.capitalize(), (), {}))
-        sys.modules[_path] = _module
-
 ADDRESS = "127.0.0.1:7001"
 DATABASE = "claims-core/claims"
 DOMAINS = (
