Tell transactions of a lost connection as they expect, and cut the hot path

Cause: the transactions take (connection, why) for a connection that was lost between two calls; and a statement's path asked queues for their length three times. Change: that call; queues and watchdogs show their entries to the hot path, and the expiry of an own connection is computed in place.

--- a/mallowpass/core/systems/connections.py
+++ b/mallowpass/core/systems/connections.py
@@ -32,7 +32,7 @@
     timer does for all: a timer for each statement would cost more than the rest.
     """
 
-    __slots__ = ("_callback", "_entries", "_timeout", "_timer", "_timers")
+    __slots__ = ("_callback", "_timeout", "_timer", "_timers", "entries")
 
     def __init__(
         self, timers: TimerService, timeout: float, callback: Callable[[int], None]
@@ -40,33 +40,33 @@
         self._timers = timers
         self._timeout = timeout
         self._callback = callback
-        self._entries: dict[int, float] = {}  # number -> when added, oldest first
+        self.entries: dict[int, float] = {}  # number -> when added, oldest first
         self._timer = None
 
     def __len__(self) -> int:
-        return len(self._entries)
+        return len(self.entries)
 
     def __contains__(self, number: int) -> bool:
-        return number in self._entries
+        return number in self.entries
 
     def add(self, number: int) -> None:
         """Watch a number from now on."""
-        self._entries[number] = self._timers.now
+        self.entries[number] = self._timers.now
         if self._timer is None:
             self._timer = self._timers.after(self._timeout, self._run)
 
     def remove(self, number: int) -> float | None:
         """Stop watching; return since when it was watched, None if it was not."""
-        return self._entries.pop(number, None)
+        return self.entries.pop(number, None)
 
     def renew(self, number: int) -> None:
         """Watch a number anew from now."""
-        self._entries.pop(number, None)
+        self.entries.pop(number, None)
         self.add(number)
 
     def numbers(self) -> list[int]:
         """Return all numbers that are watched, oldest first."""
-        return list(self._entries)
+        return list(self.entries)
 
     def _run(self) -> None:
         late = self._timers.now - self._timer.when
@@ -74,14 +74,14 @@
         if late > PAUSE:
             self._excuse_all()
         for number in list(self._due()):
-            self._entries.pop(number, None)
+            self.entries.pop(number, None)
             self._callback(number)
-        if self._entries and self._timer is None:
-            oldest = next(iter(self._entries.values()))
+        if self.entries and self._timer is None:
+            oldest = next(iter(self.entries.values()))
             self._timer = self._timers.at(oldest + self._timeout, self._run)
 
     def _due(self) -> Iterator[int]:
-        for number, since in self._entries.items():
+        for number, since in self.entries.items():
             if since + self._timeout > self._timers.now:
                 return
             yield number
@@ -89,8 +89,8 @@
     def _excuse_all(self) -> None:
         # The host was paused: answers lie unread in its sockets. To close their
         # connections now would turn a short pause into lost statements.
-        for number in self._entries:
-            self._entries[number] = self._timers.now
+        for number in self.entries:
+            self.entries[number] = self._timers.now
 
 
 class LoanPlaces:
--- a/mallowpass/core/systems/pooling.py
+++ b/mallowpass/core/systems/pooling.py
@@ -48,6 +48,7 @@
 
     __slots__ = (
         "_connections",
+        "_rows",
         "_transactions",
         "admission",
         "by_address",
@@ -64,6 +65,7 @@
     def __init__(self, node: Node) -> None:
         super().__init__(node)
         self._connections = node.tables.connections
+        self._rows = node.tables.requests
         self.by_address: dict[str, EndpointPool] = {}
         self.draining = False
         self.lifetime = node.tuning.connection_time_to_live - LIFE_MARGIN
@@ -105,7 +107,7 @@
             pool = self.changes.make_pool(endpoint)
         if (
             pool.idle
-            and not pool.queue
+            and not pool.queue.entries
             and pool.active < pool.statement_limit
             and request.request_class not in pool.patient
             and not endpoint.leaving
@@ -137,7 +139,7 @@
             pool.pinned.pop(number, None)
             connection.state = _BUSY
             pool.active += 1
-        if number in pool.answering or number in pool.checking:
+        if number in pool.answering.entries or number in pool.checking.entries:
             # One call at a time: an endpoint may refuse the second as out of order.
             earlier = pool.deferred.get(number)
             in_flight = sequence - 1 if earlier is None else earlier[0]
@@ -152,10 +154,10 @@
         if number not in self._connections:
             return
         pool = self.by_address[connection.address]
-        if number in pool.answering or number in pool.internal:
+        if number in pool.answering.entries or number in pool.internal:
             self.keepalive.abandon(pool, connection)
             return
-        if pool.queue:
+        if pool.queue.entries:
             self.granting.learn_cost(pool, connection)
         if connection.state is _BUSY:
             pool.active -= 1
@@ -168,21 +170,21 @@
             return
         pool.learn_hold(self._node.timers.now - connection.last_used)
         self.make_idle(pool, connection)
-        if pool.queue:
+        if pool.queue.entries:
             self.granting.pump(pool)
 
     def pin(self, connection: ConnectionRow, transaction: str) -> None:
         """Keep a granted connection for a transaction until it is released."""
         pool = self.by_address[connection.address]
         connection.transaction = transaction
-        if connection.number in pool.answering or connection.state is not _BUSY:
+        if connection.number in pool.answering.entries or connection.state is not _BUSY:
             return
         connection.state = _PINNED
         connection.request = 0
         pool.active -= 1
         pool.pinned[connection.number] = connection
         self.keepalive.arm(pool)
-        if pool.queue:
+        if pool.queue.entries:
             self.granting.pump(pool)
 
     def cancel(self, request: RequestRow) -> None:
@@ -337,15 +339,19 @@
     ) -> None:
         """Send a call now, if the connection may still be used."""
         number = connection.number
-        now = self._node.timers.now
+        node = self._node
+        now = node.timers.now
         known = number in self._connections
         if connection.expires <= now or not known:
             # Told later: the caller of send still has to note that it sent.
             self.timers.at(now, self._lose_unsent, pool, connection, known)
             return
-        connection.expires = self.expiry(pool, connection, now)
+        if connection.loan:
+            connection.expires = self.expiry(pool, connection, now)
+        else:
+            connection.expires = now + self.lifetime
         pool.answering.add(number)
-        self._node.emit(SendEndpoint(number, sequence, call))
+        node.emit(SendEndpoint(number, sequence, call))
 
     def expiry(
         self, pool: EndpointPool, connection: ConnectionRow, now: float
@@ -369,7 +375,7 @@
         if reply.sequence != connection.sequence:
             self.drop("wrong-sequence")
             return
-        if number not in pool.answering:
+        if number not in pool.answering.entries:
             self.drop("not-in-flight")
             return
         if not reply.last:
@@ -391,7 +397,7 @@
     def _hand_on(
         self, pool: EndpointPool, connection: ConnectionRow, reply: EndpointReply
     ) -> None:
-        request = self.tables.requests.get(connection.request)
+        request = self._rows.get(connection.request)
         if reply.last and connection.transaction:
             self._rest_pinned(pool, connection)
         if request is None:
@@ -439,7 +445,7 @@
         if request is not None:
             self.requests.on_connection_lost(request, connection, why)
         elif transaction:
-            self._transactions.on_connection_lost(None, connection, why)
+            self._transactions.on_connection_lost(connection, why)
 
     def _lose_unsent(
         self, pool: EndpointPool, connection: ConnectionRow, known: bool
--- a/mallowpass/core/systems/waitqueue.py
+++ b/mallowpass/core/systems/waitqueue.py
@@ -97,22 +97,25 @@
 
 
 class WaitQueue:
-    """Order waiting requests by class weight, then by caller in turn."""
+    """Order waiting requests by class weight, then by caller in turn.
 
-    __slots__ = ("_clock", "_entries", "_lines", "_tally", "_weights")
+    `entries` is for reading only, by paths too hot for a call of `len`.
+    """
+
+    __slots__ = ("_clock", "_lines", "_tally", "_weights", "entries")
 
     def __init__(self, weights: dict[str, int], tally: Tally | None = None) -> None:
         self._weights = weights
         self._tally = tally or Tally()
         self._lines: dict[str, _ClassLine] = {}
-        self._entries: dict[int, _Entry] = {}  # by request number
+        self.entries: dict[int, _Entry] = {}  # by request number
         self._clock = 0.0  # `served` of the class that was served last
 
     def __len__(self) -> int:
-        return len(self._entries)
+        return len(self.entries)
 
     def __contains__(self, number: int) -> bool:
-        return number in self._entries
+        return number in self.entries
 
     def set_weights(self, weights: dict[str, int]) -> None:
         """Take over the classes' weights of a changed service."""
@@ -128,7 +131,7 @@
             # off all others for as long as it was idle.
             line.served = max(line.served, self._clock)
         entry = _Entry(request, line.name, now)
-        self._entries[request.number] = entry
+        self.entries[request.number] = entry
         self._tally.count += 1
         line.push(caller, entry)
 
@@ -142,7 +145,7 @@
         entry = line.pop()
         if entry is None or entry.request is None:
             return None
-        del self._entries[entry.request.number]
+        del self.entries[entry.request.number]
         self._tally.count -= 1
         self._clock = line.served
         line.served += line.cost / line.weight
@@ -150,7 +153,7 @@
 
     def cancel(self, number: int) -> bool:
         """Drop a request; tell whether it waited."""
-        entry = self._entries.pop(number, None)
+        entry = self.entries.pop(number, None)
         if entry is None:
             return False
         self._tally.count -= 1
@@ -174,7 +177,7 @@
             for other in self._lines.values()
             if other.waiting or other is line
         )
-        return min(len(self._entries), line.waiting * weights / line.weight)
+        return min(len(self.entries), line.waiting * weights / line.weight)
 
     def waits_outside(self, class_names: frozenset[str]) -> bool:
         """Tell whether a request of any other class waits."""
@@ -187,7 +190,7 @@
         """Take all requests out."""
         requests = list(self._requests())
         self._tally.count -= len(requests)
-        self._entries.clear()
+        self.entries.clear()
         self._lines.clear()
         return requests
 
@@ -196,7 +199,7 @@
         return list(self._requests())
 
     def _requests(self) -> Iterator[RequestRow]:
-        for entry in self._entries.values():
+        for entry in self.entries.values():
             if entry.request is not None:
                 yield entry.request
 
--- a/tests/fakes/poolpath.py
+++ b/tests/fakes/poolpath.py
@@ -100,9 +100,7 @@
         super().__init__(node)
         self.lost: list[tuple[str, str]] = []
 
-    def on_connection_lost(
-        self, request: RequestRow | None, connection: ConnectionRow, why: str
-    ) -> None:
+    def on_connection_lost(self, connection: ConnectionRow, why: str) -> None:
         self.lost.append((connection.transaction, why))
 
 
