Plan the encoding of traces so that plain fields need no call

Cause: the plan called a function for each field, also for those that CBOR takes as they are.

Change: fields and tuples of CBOR's own types have no encoder; a class's values are read by one attrgetter. The defaults of all fields but opaque ones are compared, so that an equal default that is another object is left out as well.

`python -m pytest -q tests/trace`: 126 passed.

--- a/mallowpass/trace/encoding.py
+++ b/mallowpass/trace/encoding.py
@@ -11,9 +11,10 @@
 
 import dataclasses
 import functools
+import operator
 import types
 import typing
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from enum import Enum
 from typing import Any
 
@@ -25,7 +26,7 @@
 
 _Encoder = Callable[[Any, Redaction], Any]
 _Decoder = Callable[[Any, str], Any]
-_Coder = tuple[_Encoder, _Decoder]
+_Coder = tuple[_Encoder | None, _Decoder]  # no encoder: the value is CBOR's own
 
 PAIR_LENGTH = 2
 HINT_OF_OPAQUE = Any
@@ -89,14 +90,19 @@
     """Return a data class's value in CBOR's own types, ready for `cbor2.dumps`."""
     plan = _plan(type(value))
     found = {}
-    for name, default, comparable, encode_field in plan.encoders:
-        item = getattr(value, name)
-        if item is default or (comparable and item == default):
+    # One loop without a call for most fields: a host with recording runs it for
+    # each event and effect.
+    for (name, default, opaque, encode_field), item in zip(
+        plan.encoders, plan.values(value), strict=True
+    ):
+        if item is default or (not opaque and item == default):
             continue
-        encoded = encode_field(item, redaction)
-        # No parameters are the default, whatever kind of sequence holds none.
-        if comparable or default is dataclasses.MISSING or encoded:
-            found[name] = encoded
+        if encode_field is not None:
+            item = encode_field(item, redaction)
+            # No parameters are the default, whatever kind of sequence holds none.
+            if opaque and not item:
+                continue
+        found[name] = item
     return [plan.name, found]
 
 
@@ -104,8 +110,10 @@
     """Return the same with every field: a later default must not replace it."""
     plan = _plan(type(value))
     found = {
-        name: encode_field(getattr(value, name), redaction)
-        for name, _, _, encode_field in plan.encoders
+        name: item if encode_field is None else encode_field(item, redaction)
+        for (name, _, _, encode_field), item in zip(
+            plan.encoders, plan.values(value), strict=True
+        )
     }
     return [plan.name, found]
 
@@ -128,9 +136,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Plan:
-    kind: type
     name: str
-    encoders: tuple[tuple[str, Any, bool, _Encoder], ...]
+    encoders: tuple[tuple[str, Any, bool, _Encoder | None], ...]
+    values: Callable[[Any], Iterable[Any]]
     decoders: dict[str, _Decoder]
     required: frozenset[str]
 
@@ -149,9 +157,17 @@
         if default is dataclasses.MISSING:
             required.add(field.name)
         # Rows and parameters may be of any type, whose == is not to be trusted.
-        comparable = hint is not HINT_OF_OPAQUE and default is not dataclasses.MISSING
-        encoders.append((field.name, default, comparable, encode_field))
-    return _Plan(kind, kind.__name__, tuple(encoders), decoders, frozenset(required))
+        opaque = hint is HINT_OF_OPAQUE
+        encoders.append((field.name, default, opaque, encode_field))
+    names = tuple(decoders)
+    values = _values_getter(names)
+    return _Plan(kind.__name__, tuple(encoders), values, decoders, frozenset(required))
+
+
+def _values_getter(names: tuple[str, ...]) -> Callable[[Any], Iterable[Any]]:
+    if len(names) > 1:
+        return operator.attrgetter(*names)
+    return lambda value: [getattr(value, name) for name in names]
 
 
 def _default(field: dataclasses.Field[Any]) -> Any:
@@ -183,21 +199,22 @@
     if origin is tuple:
         return _tuple_coder(typing.get_args(hint))
     if origin is dict:
-        return _encode_plain, _scalar_decoder(dict)
+        return None, _scalar_decoder(dict)
     if hint is LogPosition:
         return _encode_position, _decode_position
     if dataclasses.is_dataclass(hint):
         return encode, functools.partial(_decode_class, hint)
     if isinstance(hint, type) and issubclass(hint, Enum):
         return _encode_enum, functools.partial(_decode_enum, hint)
-    return _encode_plain, _scalar_decoder(hint)
+    return None, _scalar_decoder(hint)
 
 
 def _optional_coder(hint: Any) -> _Coder:
     (only,) = (arg for arg in typing.get_args(hint) if arg is not type(None))
     inner_encode, inner_decode = _coder(only)
     return (
-        lambda value, to: None if value is None else inner_encode(value, to),
+        inner_encode
+        and (lambda value, to: None if value is None else inner_encode(value, to)),
         lambda data, place: None if data is None else inner_decode(data, place),
     )
 
@@ -206,30 +223,24 @@
     if len(arguments) == PAIR_LENGTH and arguments[1] is Ellipsis:
         inner_encode, inner_decode = _coder(arguments[0])
         return (
-            lambda value, to: [inner_encode(item, to) for item in value],
+            inner_encode
+            and (lambda value, to: [inner_encode(item, to) for item in value]),
             lambda data, place: tuple(
                 inner_decode(item, place) for item in _list(data, place)
             ),
         )
     coders = tuple(map(_coder, arguments))
-    return (
-        lambda value, to: [
-            coder[0](item, to) for coder, item in zip(coders, value, strict=True)
-        ],
-        lambda data, place: tuple(
-            coder[1](item, place)
-            for coder, item in zip(coders, _list(data, place, len(coders)), strict=True)
-        ),
+    if any(coder[0] for coder in coders):
+        raise _unknown("mixed tuple", arguments, "")
+    return None, lambda data, place: tuple(
+        coder[1](item, place)
+        for coder, item in zip(coders, _list(data, place, len(coders)), strict=True)
     )
 
 
 # -- Encoding ----------------------------------------------------------------
 
 
-def _encode_plain(value: Any, _redaction: Redaction) -> Any:
-    return value
-
-
 def _encode_position(value: LogPosition, _redaction: Redaction) -> list[int]:
     return [value.term, value.position]
 
--- a/mallowpass/trace/format.py
+++ b/mallowpass/trace/format.py
@@ -51,9 +51,7 @@
 EXPECT = "expect"
 END = "end"
 
-FRAME_LENGTH = 2
 HEADER_LENGTH = 4
-EVENT_LENGTH = 4
 
 _AS_IT_IS = Redaction()
 
--- a/mallowpass/trace/replay.py
+++ b/mallowpass/trace/replay.py
@@ -213,7 +213,7 @@
         case [str() as name, dict() as fields]:
             inner = ", ".join(f"{key}={render(item)}" for key, item in fields.items())
             return f"{name}({inner})"
-        case list():
+        case list() | tuple():
             return f"[{', '.join(map(render, value))}]"
         case bytes():
             return value.hex()
