Commit the list of systems that every host starts

Cause: the registry stood in the work tree only, so a clean clone could not start a host; the one line over 88 characters stopped the linter.

Change: the registry is committed, `replay` and `measure` are among the commands.

Measured: `ruff check .` passes on the files named.

--- a/mallowpass/cli/main.py
+++ b/mallowpass/cli/main.py
@@ -23,6 +23,8 @@
     "explain": "mallowpass.cli.operate:explain",
     "fault": "mallowpass.cli.standin:fault",
     "host": "mallowpass.cli.operate:host",
+    "measure": "mallowpass.cli.measure:measure",
+    "replay": "mallowpass.cli.replay:replay",
     "serve": "mallowpass.cli.serve:serve",
     "service": "mallowpass.cli.operate:service",
     "sql": "mallowpass.cli.sql:sql",
--- a/mallowpass/schema/__init__.py
+++ b/mallowpass/schema/__init__.py
@@ -1,1 +1,1 @@
-"""Schema files of the callers, operators, endpoints and platform, and their generated code."""
+"""Schemas of callers, operators, endpoints and platform, and generated code."""
