--- a/mallowpass/trace/format.py
+++ b/mallowpass/trace/format.py
@@ -39,14 +39,12 @@
     "file_segments",
     "header_record",
     "segment_path",
-    "segment_record",
 ]
 
 # Raised when a class changes in a way that a missing field's default can't bridge.
 FORMAT = 1
 
 HEADER = "header"
-SEGMENT = "segment"
 EVENT = "event"
 EXPECT = "expect"
 END = "end"
@@ -115,11 +113,6 @@
     return cbor2.dumps([HEADER, FORMAT, header.version, body])
 
 
-def segment_record(segment: int) -> bytes:
-    """Return the first record of each later segment."""
-    return cbor2.dumps([SEGMENT, segment])
-
-
 def event_record(now: float, event: list[Any] | None, decisions: list[Any]) -> bytes:
     """Return the record of an event, encoded already, and its decisions."""
     return cbor2.dumps([EVENT, now, event, decisions])
@@ -206,10 +199,7 @@
     def _read_segments(self) -> Iterator[Any]:
         for number, data in enumerate(self._segments):
             self._segment = number
-            records = self._read_frames(data)
-            if number and next(records, None) != [SEGMENT, number]:
-                raise self._damaged("A segment does not continue the one before.")
-            yield from records
+            yield from self._read_frames(data)
 
     def _read_frames(self, data: bytes) -> Iterator[Any]:
         decoder = cbor2.CBORDecoder(io.BytesIO(data))
@@ -217,11 +207,10 @@
         while offset < len(data):
             check_sum, record = self._read_frame(decoder, offset)
             self._sum = zlib.crc32(record, self._sum)
-            frame = cbor2.dumps([self._sum, record])
-            if check_sum != self._sum or not data.startswith(frame, offset):
+            if check_sum != self._sum:
                 raise self._damaged("A record's check sum is wrong.", offset=offset)
             yield self._load(record, offset)
-            offset += len(frame)
+            offset += len(cbor2.dumps([check_sum, record]))
 
     def _read_frame(
         self, decoder: cbor2.CBORDecoder, offset: int
--- a/mallowpass/trace/recorder.py
+++ b/mallowpass/trace/recorder.py
@@ -22,7 +22,6 @@
     event_record,
     expectation_record,
     header_record,
-    segment_record,
 )
 from mallowpass.trace.redaction import DecisionRecording, EventRecording
 from mallowpass.trace.sinks import TraceSink
@@ -171,7 +170,6 @@
         self._sink.finish(self._segment)
         self._segment += 1
         self._segment_size = 0
-        self._append(segment_record(self._segment))
 
     def _flush(self) -> None:
         if self._buffer:
