--- a/mallowpass/adapters/peers.py
+++ b/mallowpass/adapters/peers.py
@@ -378,7 +378,6 @@
 
     def _count(self, direction: str, kind: str, size: int) -> None:
         self._runtime.count("peer_bytes", size, direction=direction, kind=kind)
-        self._runtime.count("peer_messages", direction=direction)
 
     def _abort(self) -> None:
         if self._socket is not None:
--- a/mallowpass/adapters/runtime.py
+++ b/mallowpass/adapters/runtime.py
@@ -127,10 +127,11 @@
         # request meets a system which has not subscribed yet.
         self._handling = True
         self._perform(self._node.start(self._chosen_systems()))
+        self._set_alarm()
+        self._work_off()
         self._handling = False
         await self._operators.start()
         await self._callers.start()
-        self._work_off()
         self.log(
             "info",
             "host-started",
@@ -183,9 +184,15 @@
         """Have the core decide about an event and carry its effects out at once."""
         # An effect may make an adapter deliver in turn, such as a connection that
         # is refused on the spot: it waits, or effects would overtake each other.
-        self._waiting.append(event)
-        if not self._handling:
+        if self._handling:
+            self._waiting.append(event)
+            return
+        self._handling = True
+        try:
+            self._handle(event)
             self._work_off()
+        finally:
+            self._handling = False
 
     def log(self, level: str, event: str, **fields: Any) -> None:
         """Log one event."""
@@ -198,23 +205,20 @@
     # -- Events --------------------------------------------------------------
 
     def _work_off(self) -> None:
-        waiting = self._waiting
-        self._handling = True
-        try:
-            while waiting:
-                self._handle(waiting.popleft())
-        finally:
-            self._handling = False
-        self._set_alarm()
+        while self._waiting:
+            self._handle(self._waiting.popleft())
 
     def _handle(self, event: Event) -> None:
         now = self._time()
         # A timer that fails must not take down the event that happened to run it,
         # nor the timers that are due with it.
-        while (due := self.node.next_wake) is not None and due <= now:
+        while self._wake_at <= now:
+            self._wake_at = float("inf")
             self._handle_safely(now, _WOKEN)
+            self._set_alarm()
         if event is not _WOKEN:
             self._handle_safely(now, event)
+            self._set_alarm()
 
     def _handle_safely(self, now: float, event: Event) -> None:
         try:
@@ -264,7 +268,8 @@
 
     def _on_alarm(self) -> None:
         self._alarm = None
-        self._wake_at = float("inf")
+        # The loop may ring a clock tick early; then the alarm is set once more.
+        self._wake_at = float("-inf")
         self.deliver(_WOKEN)
 
     # -- Effects -------------------------------------------------------------
--- a/mallowpass/adapters/translate.py
+++ b/mallowpass/adapters/translate.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import singledispatch
 from typing import Any
 
@@ -153,20 +153,21 @@
 def _execute(
     message: callers_pb2.CallerRequest, body: callers_pb2.ExecuteStatement
 ) -> calls.ExecuteRequest:
-    if not body.sql:
+    sql = body.sql
+    if not sql:
         raise _invalid("sql", "is missing")
-    for index, value in enumerate(body.parameters):
-        if value.WhichOneof("kind") is None:
-            raise _invalid(f"parameters[{index}]", "has no value")
+    parameters = body.parameters
+    if parameters:
+        _check_values(parameters)
     access = _access(body.access)
     return calls.ExecuteRequest(
         request_id=message.request_id,
         token=message.session_token,
         deadline=_deadline(message),
         database=check_text("database", body.database),
-        sql=body.sql,
+        sql=sql,
         access=access,
-        parameters=body.parameters,
+        parameters=parameters,
         unrepeatable=_unrepeatable(body.repeatability, access),
         accepted_age=_accepted_age(body),
         transaction=_check_optional("transaction", body.transaction),
@@ -175,6 +176,12 @@
     )
 
 
+def _check_values(values: Iterable[values_pb2.Value]) -> None:
+    for index, value in enumerate(values):
+        if value.WhichOneof("kind") is None:
+            raise _invalid(f"parameters[{index}]", "has no value")
+
+
 def _begin(
     message: callers_pb2.CallerRequest, body: callers_pb2.BeginTransaction
 ) -> calls.BeginRequest:
@@ -276,20 +283,37 @@
 
 def answer_to_wire(answer: calls.CallerAnswer) -> callers_pb2.CallerAnswer:
     """Return the message of an answer or of a part of one."""
-    return callers_pb2.CallerAnswer(
-        request_id=answer.request_id,
-        outcome=_OUTCOMES[answer.outcome],
-        code=answer.code,
-        message=answer.message,
-        session_token=answer.token,
-        rows=answer.rows,
-        transaction=answer.transaction,
-        retry_after_ms=to_milliseconds(answer.retry_after),
-        served_by=answer.served_by,
-        from_replica=answer.from_replica,
-        go_elsewhere=answer.go_elsewhere,
-        repeated=answer.repeated,
-    )
+    # Setting only what there is costs two thirds of naming every field: most
+    # answers are done and have few of them.
+    message = callers_pb2.CallerAnswer()
+    message.request_id = answer.request_id
+    message.outcome = _OUTCOMES[answer.outcome]
+    message.session_token = answer.token
+    if answer.rows is not None:
+        message.rows.CopyFrom(answer.rows)
+    if answer.served_by:
+        message.served_by = answer.served_by
+    if answer.from_replica:
+        message.from_replica = True
+    if answer.transaction:
+        message.transaction = answer.transaction
+    _add_rare_fields(answer, message)
+    return message
+
+
+def _add_rare_fields(
+    answer: calls.CallerAnswer, message: callers_pb2.CallerAnswer
+) -> None:
+    if answer.code:
+        message.code = answer.code
+    if answer.message:
+        message.message = answer.message
+    if answer.retry_after:
+        message.retry_after_ms = to_milliseconds(answer.retry_after)
+    if answer.go_elsewhere:
+        message.go_elsewhere = True
+    if answer.repeated:
+        message.repeated = True
 
 
 def to_milliseconds(seconds: float) -> int:
@@ -319,19 +343,26 @@
 
 @endpoint_call_to_wire.register
 def _(call: calls.ExecuteCall, sequence: int) -> endpoint_pb2.EndpointCall:
-    return endpoint_pb2.EndpointCall(
-        sequence=sequence,
-        execute=endpoint_pb2.Execute(
-            sql=call.sql,
-            parameters=call.parameters,
-            write=call.write,
-            term=call.term,
-            minimum=_position_to_wire(call.minimum),
-            request_id=call.request_id,
-            attempt=call.attempt,
-            chunk_rows=call.chunk_rows,
-        ),
-    )
+    # Filled in place: an Execute made first would be copied into the call.
+    message = endpoint_pb2.EndpointCall(sequence=sequence)
+    execute = message.execute
+    execute.sql = call.sql
+    if call.parameters:
+        execute.parameters.extend(call.parameters)
+    if call.write:
+        execute.write = True
+    if call.term:
+        execute.term = call.term
+    if call.minimum != calls.ZERO_POSITION:
+        execute.minimum.term = call.minimum.term
+        execute.minimum.position = call.minimum.position
+    if call.request_id:
+        execute.request_id = call.request_id
+    if call.attempt:
+        execute.attempt = call.attempt
+    if call.chunk_rows:
+        execute.chunk_rows = call.chunk_rows
+    return message
 
 
 @endpoint_call_to_wire.register
@@ -396,7 +427,7 @@
 
 
 def _position_to_wire(position: LogPosition) -> values_pb2.LogPosition | None:
-    if position is calls.ZERO_POSITION:
+    if position == calls.ZERO_POSITION:
         return None
     return values_pb2.LogPosition(term=position.term, position=position.position)
 
