Bind the dispatch of requests once, and sharpen four tests

singledispatchmethod makes a new function at each look-up, 20,000 times in a profile of 20,000 reads; it is bound once now. Taking out guards one at a time on a scratch copy found four that no test noticed: the verdict on an earlier attempt within one term, the queue place of a request past its deadline, a grant that crosses the deadline, and retries past the deadline. Each has its test now.

--- a/mallowpass/core/systems/sessions.py
+++ b/mallowpass/core/systems/sessions.py
@@ -22,7 +22,7 @@
     CallerDisconnected,
     CallerRequested,
 )
-from mallowpass.core.node import System
+from mallowpass.core.node import Node, System
 from mallowpass.core.systems import draining as draining_module
 from mallowpass.core.systems import requests as requests_module
 from mallowpass.core.systems import transactions as transactions_module
@@ -41,7 +41,12 @@
 class Sessions(System):
     """Own the session rows; the only subscriber of what callers send."""
 
-    __slots__ = ("_draining", "_requests", "_transactions")
+    __slots__ = ("_dispatch", "_draining", "_requests", "_transactions")
+
+    def __init__(self, node: Node) -> None:
+        super().__init__(node)
+        # Bound once: singledispatchmethod makes a new function at each look-up.
+        self._dispatch = self._handle
 
     def start(self) -> None:
         """Subscribe to what callers do."""
@@ -98,7 +103,7 @@
         except MallowpassError as error:
             self._refuse(session, request, error.error_code, str(error))
             return
-        self._handle(request, session)
+        self._dispatch(request, session)
 
     def _finding(self, session: SessionRow, request: CallerRequest) -> ErrorCode | None:
         if not request.request_id:
--- a/tests/core/systems/test_retries.py
+++ b/tests/core/systems/test_retries.py
@@ -15,10 +15,9 @@
     path.open_known()
     path.read(1, "look")
     request = path.sent.request
-    granted = 0
-    while path.retries.may_retry(request) is not None:
-        granted += 1
-    assert granted == int(BUDGET_MAX)
+    tries = range(2 * int(BUDGET_MAX))
+    granted = [path.retries.may_retry(request) is not None for _ in tries]
+    assert sum(granted) == int(BUDGET_MAX)
     for _ in range(11):
         path.retries.succeeded("claims-core")
     assert path.retries.may_retry(request) is not None
@@ -29,12 +28,11 @@
 def test_delays_grow_with_jitter_up_to_the_deadline():
     path = RequestPath()
     path.open_known()
-    path.read(1, "look", deadline=0.4)
+    path.read(1, "look", deadline=0.2)
     request = path.sent.request
-    delays = []
-    while (delay := path.retries.may_retry(request)) is not None:
-        delays.append(delay)
+    delays = [path.retries.may_retry(request) for _ in range(12)]
+    delays = [delay for delay in delays if delay is not None]
     longest = [min(0.5, 0.01 * 2**tries) for tries in range(len(delays))]
     pairs = list(zip(delays, longest, strict=True))
     assert all(long / 2 <= delay <= long for delay, long in pairs)
-    assert max(delays) < 0.4
+    assert max(delays) < 0.2
--- a/tests/core/systems/test_writes.py
+++ b/tests/core/systems/test_writes.py
@@ -111,22 +111,23 @@
 
 def test_verdict_on_an_earlier_attempt_does_not_count_for_a_later_one(path):
     """Symptom: a receipt is doubled after a flapping primary.
-    Sequence: a look-up of attempt 1 is slow; another one of term 2 comes first and
-    attempt 2 is sent and lost; then the slow one says: not recorded.
+    Sequence: a look-up of attempt 1 is slow; the primary is lost and heard again, a
+    second look-up comes first, attempt 2 is sent and lost; then the slow one says:
+    not recorded.
     Cause: it is true of attempt 1 only.
     """
     path.write(1, "file")
     path.lose()
-    slow = path.liveness.controls[0]
-    path.promote("m2", term=2, start=7)
-    path.liveness.controls = path.liveness.controls[1:]
+    slow = path.liveness.controls.pop()
+    path.lose_primary()
+    path.promote("m1", term=1, start=1)
     path.look_up(NOT_RECORDED)
-    path.hold(2, 7)
+    path.advance(0.1)
     path.lose()
     path.liveness.controls.insert(0, slow)
     path.look_up(NOT_RECORDED)
-    path.advance(1.0)
-    assert _writes(path) == [(1, 1), (2, 2)]
+    path.advance(0.4)
+    assert _writes(path) == [(1, 1), (1, 2)]
 
 
 def test_unclear_failure_of_the_endpoint_is_looked_up(path):
@@ -274,6 +275,7 @@
         path.lose()
     path.advance(1.1)
     assert (path.answer().outcome, path.answer().code) == (outcome, code.code)
+    assert path.pooling.queue == []
     path.promote("m2", term=2, start=7)
     path.grant()
     path.hold(2, 9)
@@ -281,6 +283,21 @@
     assert len(path.pooling.sent) == (stage not in ("held", "queued"))
 
 
+def test_grant_that_crosses_the_deadline_is_given_back(path):
+    """Symptom: a claim answered NOT_RUN is recorded all the same.
+    Sequence: its deadline passes just when a connection comes free for it.
+    Cause: whoever grants may not have heard yet that nobody waits any more.
+    """
+    path.pooling.granting = False
+    path.write(1, "file", deadline=1.0)
+    waiting = list(path.pooling.queue)
+    path.advance(1.1)
+    path.pooling.queue = waiting
+    path.grant()
+    assert path.pooling.sent == []
+    assert len(path.pooling.released) == 1
+
+
 def test_connection_granted_to_a_former_primary_is_not_used_for_a_write(path):
     path.pooling.granting = False
     path.write(1, "file")
