Record a full fleet's host through a primary's crash, and lose a second at most

Records go to the sink each second of the host's time; a file that can't be written is told when the sink is made.

--- a/mallowpass/trace/recorder.py
+++ b/mallowpass/trace/recorder.py
@@ -34,6 +34,7 @@
 MAX_BYTES = 256 * 1024 * 1024
 SEGMENT_BYTES = 8 * 1024 * 1024
 BUFFER_BYTES = 64 * 1024
+BUFFER_SECONDS = 1.0  # of the host's time; a crash loses no more
 END_ROOM = 256  # bytes kept for the last record
 DIGEST_KEY_SIZE = 32
 
@@ -50,6 +51,7 @@
         "_buffered",
         "_decisions",
         "_events",
+        "_flush_at",
         "_framer",
         "_max_bytes",
         "_on_stop",
@@ -82,6 +84,7 @@
         self._framer = Framer()
         self._buffer: list[bytes] = []
         self._buffered = 0
+        self._flush_at = header.now
         self._segment = 0
         self._segment_size = 0
         self._written = 0
@@ -137,6 +140,9 @@
         decided = [encode(effect, decisions) for effect in effects]
         if self._add(event_record(now, happened, decided)):
             self._recorded += 1
+        if now >= self._flush_at:
+            self._flush()
+            self._flush_at = now + BUFFER_SECONDS
 
     def _guarded(self, step: Callable[[], object]) -> None:
         if self._stopped:
--- a/mallowpass/trace/sinks.py
+++ b/mallowpass/trace/sinks.py
@@ -44,13 +44,17 @@
 
 
 class FileSink:
-    """Write segments to FILE, FILE.1, FILE.2 and so on."""
+    """Write segments to FILE, FILE.1, FILE.2 and so on; raises OSError at once.
+
+    A place that can't be written is told when a host starts, not when the first
+    records get there.
+    """
 
     __slots__ = ("_file", "_path")
 
     def __init__(self, path: Path) -> None:
         self._path = path
-        self._file: BinaryIO | None = None
+        self._file: BinaryIO | None = path.open("wb", buffering=0)
         _remove_later_segments(path)
 
     def append(self, segment: int, data: bytes) -> None:
