--- /dev/null
+++ b/mallowpass/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measure mallowpass at the sizes of both deployments, in one process."""
