--- a/tests/trace/test_encoding.py
+++ b/tests/trace/test_encoding.py
@@ -194,3 +194,8 @@
     with pytest.raises(MallowpassError) as caught:
         encode(Novel("x"), EVENTS)
     assert caught.value.error_code is ErrorCode.TRACE_UNKNOWN
+
+
+def test_defaults_are_left_out_so_that_fields_may_be_added():
+    reply = EndpointReply(sequence=1, code=EndpointCode.OK, applied=LogPosition(0, 0))
+    assert encode(reply, EVENTS) == ["EndpointReply", {"sequence": 1, "code": "OK"}]
