Give each guard of the adapters a test that fails without it

Cause: 25 guards were taken out one at a time in a scratch copy and the tests run: eight survived. One of them had hidden a fault: gRPC's min_reconnect_backoff_ms is the time limit of one connection attempt, so 250 ms stood where the core's own timeout was meant to decide; a loaded endpoint would have been called unreachable.

Change: one attempt may take 5 s, and the core's timeouts decide before that. The eighth guard, against a second CallerDisconnected, had nothing left to guard against and went. A test of signals.

--- a/mallowpass/adapters/callers.py
+++ b/mallowpass/adapters/callers.py
@@ -221,9 +221,8 @@
             stream.close()
 
     def _disconnect(self, stream: _Stream) -> None:
-        # Taking it out first makes this happen once, in whatever way it ended.
-        if self._streams.pop(stream.number, None) is not None:
-            self._runtime.deliver(CallerDisconnected(stream.number))
+        del self._streams[stream.number]
+        self._runtime.deliver(CallerDisconnected(stream.number))
 
 
 class _Stream(Protocol):
--- a/mallowpass/adapters/channels.py
+++ b/mallowpass/adapters/channels.py
@@ -13,7 +13,8 @@
 
 KEEPALIVE_TIME_MS = 20_000
 KEEPALIVE_TIMEOUT_MS = 10_000
-RECONNECT_MS = 250  # least and first wait of a channel that reconnects
+CONNECT_TIMEOUT_MS = 5_000  # of one attempt; the core's own timeouts are shorter
+RECONNECT_MS = 250  # first wait of a channel that reconnects
 RECONNECT_MAX_MS = 2_000
 
 _CHANNEL_OPTIONS: tuple[tuple[str, Any], ...] = (
@@ -24,7 +25,8 @@
     ("grpc.service_config_disable_resolution", 1),
     # The core decides what is repeated; a write sent twice here would run twice.
     ("grpc.enable_retries", 0),
-    ("grpc.min_reconnect_backoff_ms", RECONNECT_MS),
+    # In spite of its name this is how long one attempt may take.
+    ("grpc.min_reconnect_backoff_ms", CONNECT_TIMEOUT_MS),
     ("grpc.initial_reconnect_backoff_ms", RECONNECT_MS),
     ("grpc.max_reconnect_backoff_ms", RECONNECT_MAX_MS),
     ("grpc.max_send_message_length", -1),
--- a/tests/adapters/harness.py
+++ b/tests/adapters/harness.py
@@ -74,7 +74,9 @@
             return
         for _ in range(int(sql.removeprefix("parts ")) if "parts" in sql else 0):
             self._answer(event.stream, request.request_id, None, "part")
-        self._answer(event.stream, request.request_id, calls.Outcome.DONE, sql)
+        text = "x" * ANSWER_SIZE if sql == "large" else sql
+        for _ in range(2 if sql == "twice" else 1):
+            self._answer(event.stream, request.request_id, calls.Outcome.DONE, text)
         if isinstance(request, calls.CloseRequest):
             self._node.emit(effects.CloseCaller(event.stream))
 
--- a/tests/adapters/test_callers.py
+++ b/tests/adapters/test_callers.py
@@ -7,6 +7,7 @@
 import grpc
 import pytest
 
+from mallowpass.adapters.callers import IN_FLIGHT_PAUSE
 from mallowpass.adapters.channels import open_channel
 from mallowpass.adapters.client import CallerClient
 from mallowpass.core.calls import Access, Outcome
@@ -229,6 +230,76 @@
     run(check())
 
 
+def test_requests_without_end_are_left_unread() -> None:
+    """Symptom: one caller's requests take all of the host's places.
+
+    Sequence: a caller sends requests and none is answered; another works on.
+    Cause: requests were read as fast as the caller could send them.
+    """
+
+    async def check() -> None:
+        async with (
+            running_host() as host,
+            open_channel(host.callers_address) as channel,
+            CallerClient(host.callers_address, "desk", "other") as other,
+        ):
+            stream = channel.stream_stream(SESSION)()
+            for number in range(IN_FLIGHT_PAUSE + 20):
+                await stream.write(encoded(request_id=f"r{number}", sql="hang"))
+
+            def hanging() -> int:
+                seen = core_of(host).of(CallerRequested)
+                return sum(getattr(e.request, "sql", "") == "hang" for e in seen)
+
+            await until(lambda: hanging() == IN_FLIGHT_PAUSE)
+            for _ in range(20):
+                assert (await other.read("claims", "x")).done
+            assert hanging() == IN_FLIGHT_PAUSE
+            stream.cancel()
+
+    run(check())
+
+
+def test_answer_too_large_keeps_its_outcome() -> None:
+    async def check() -> None:
+        async with (
+            running_host() as host,
+            CallerClient(host.callers_address, "desk", "a") as client,
+        ):
+            answer = await client.write("claims", "large")
+            assert (answer.outcome, answer.code) == (Outcome.DONE, "MP-3014")
+            assert answer.rows == ()
+
+    run(check())
+
+
+def test_second_final_answer_is_dropped(caplog: pytest.LogCaptureFixture) -> None:
+    """Symptom: a caller gets an answer to a request that it never sent.
+
+    Sequence: the core gives a request two final answers; the caller has reused its
+    id, or has forgotten it, when the second comes.
+    Cause: answers were sent without asking whether anybody waits for them.
+    """
+
+    async def check() -> None:
+        async with (
+            running_host() as host,
+            open_channel(host.callers_address) as channel,
+        ):
+            stream = channel.stream_stream(SESSION)()
+            await stream.write(encoded(request_id="r1", sql="twice"))
+            await stream.write(encoded(request_id="r2"))
+            answers = [
+                callers_pb2.CallerAnswer.FromString(await stream.read())
+                for _ in range(2)
+            ]
+            assert [answer.request_id for answer in answers] == ["r1", "r2"]
+            stream.cancel()
+
+    run(check())
+    assert "effect-failed" not in caplog.text
+
+
 def test_unary_call_is_a_session_of_its_own() -> None:
     async def check() -> None:
         async with (
--- a/tests/adapters/test_endpoints.py
+++ b/tests/adapters/test_endpoints.py
@@ -94,6 +94,26 @@
     run(check())
 
 
+def test_what_a_closed_connection_still_has_to_say_is_dropped() -> None:
+    """Symptom: as above, when the loss was found in the turn that closed it.
+
+    Sequence: the core closes a connection while handling its reply; the endpoint
+    had ended the stream already, so reading on fails at once.
+    Cause: cancelling a task takes effect only where it waits, and it did not wait.
+    """
+
+    async def check() -> None:
+        async with running_host() as host, running_endpoint() as endpoint:
+            await opened(host, endpoint)
+            connection = host._endpoints._connections[CONNECTION]
+            seen = len(core_of(host).seen)
+            perform(host, effects.CloseConnection(CONNECTION))
+            connection._deliver(events.ConnectionLost(CONNECTION, "ended"))
+            assert core_of(host).seen[seen:] == []
+
+    run(check())
+
+
 def test_connection_closed_while_opening_yields_no_event() -> None:
     async def check() -> None:
         async with running_host() as host, running_endpoint() as endpoint:
@@ -140,10 +160,13 @@
                 if control:
                     perform(host, effects.OpenControl(address, 1, 0.05))
                     await until(lambda: core.of(events.ControlLost))
+                    [ended] = core.of(events.ControlLost)
                 else:
                     opening = effects.OpenConnection(1, address, "host-1", 1.0, 0.05)
                     perform(host, opening)
                     await until(lambda: core.of(events.ConnectionRefused))
+                    [ended] = core.of(events.ConnectionRefused)
+                assert "within 0.05 s" in ended.message
 
     run(check())
 
--- a/tests/adapters/test_peers.py
+++ b/tests/adapters/test_peers.py
@@ -6,6 +6,7 @@
 
 import pytest
 from websockets.asyncio.client import ClientConnection, connect
+from websockets.asyncio.server import ServerConnection, serve
 from websockets.exceptions import ConnectionClosed
 
 from mallowpass.adapters.peers import NONCE_LENGTH, FrameGuard, LinkKeys
@@ -96,6 +97,29 @@
     run(check())
 
 
+def test_server_without_the_key_is_refused_by_the_client() -> None:
+    """Symptom: a stranger at a dead host's address feeds its peers messages.
+
+    Sequence: a host connects; the other end takes any proof and gives a false one.
+    Cause: only the connecting end had to prove its key.
+    """
+
+    async def stranger(socket: ServerConnection) -> None:
+        await socket.send(b"n" * NONCE_LENGTH)
+        await socket.recv()
+        await socket.send(b"p" * 32)
+        await socket.wait_closed()
+
+    async def check() -> None:
+        async with serve(stranger, "127.0.0.1", 0) as server, running_host() as host:
+            port = next(iter(server.sockets)).getsockname()[1]
+            perform(host, effects.ConnectPeer(5, f"127.0.0.1:{port}"))
+            await until(lambda: core_of(host).of(events.PeerLost))
+            assert not core_of(host).of(events.PeerConnected)
+
+    run(check())
+
+
 def test_replayed_altered_and_reordered_messages_are_refused() -> None:
     """Symptom: an old heartbeat keeps a dead host alive.
 
--- a/tests/adapters/test_runtime.py
+++ b/tests/adapters/test_runtime.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 
+from mallowpass.adapters.client import CallerClient
 from mallowpass.adapters.runtime import identity_of, tuning_of
 from mallowpass.core import effects, platformcalls
 from mallowpass.core.events import PlatformReplied, ShutdownRequested
@@ -93,6 +95,30 @@
     run(check())
 
 
+def test_second_signal_cuts_nothing_off() -> None:
+    """Symptom: requests in flight are lost when somebody sends SIGTERM twice.
+
+    Sequence: the host is told to stop while a request runs, and told again.
+    Cause: the second signal found Python's own handler, which ends the process.
+    """
+
+    async def check() -> None:
+        async with (
+            running_host() as host,
+            CallerClient(host.callers_address, "desk", "a") as client,
+        ):
+            host.handle_signals()
+            hanging = asyncio.create_task(client.read("claims", "hang"))
+            for number in (signal.SIGTERM, signal.SIGINT, signal.SIGTERM):
+                signal.raise_signal(number)
+            await until(lambda: len(core_of(host).of(ShutdownRequested)) == 3)
+            assert (await client.read("claims", "x")).done
+            assert not hanging.done()
+            hanging.cancel()
+
+    run(check())
+
+
 def test_settings_reach_the_core() -> None:
     given = settings()
     identity = identity_of(given, "127.0.0.1:9", FLEET_KEY)
