Split the adapters' translation and streams by what they serve

Change: form.py (strict decoding and checks), caller_messages.py, endpoint_messages.py, caller_streams.py. No behaviour changed.

Shown by: pytest tests/adapters: 65 passed.

--- a/mallowpass/adapters/client.py
+++ b/mallowpass/adapters/client.py
@@ -11,14 +11,15 @@
 
 import grpc
 
+from mallowpass.adapters.caller_messages import ANSWERED_OUTCOMES
 from mallowpass.adapters.channels import open_channel
+from mallowpass.adapters.form import to_milliseconds
 from mallowpass.adapters.operator_messages import answer_from_wire, service_to_wire
 from mallowpass.adapters.operators import (
     CODE_METADATA,
     KEY_METADATA,
     OPERATOR_METADATA,
 )
-from mallowpass.adapters.translate import ANSWERED_OUTCOMES, to_milliseconds
 from mallowpass.core import operations
 from mallowpass.core.calls import Access, Outcome
 from mallowpass.core.services import Service
--- a/mallowpass/adapters/endpoints.py
+++ b/mallowpass/adapters/endpoints.py
@@ -10,7 +10,7 @@
 from google.protobuf.message import DecodeError
 
 from mallowpass.adapters.channels import open_channel
-from mallowpass.adapters.translate import (
+from mallowpass.adapters.endpoint_messages import (
     control_call_to_wire,
     control_reply_from_wire,
     endpoint_call_to_wire,
--- a/mallowpass/adapters/operator_messages.py
+++ b/mallowpass/adapters/operator_messages.py
@@ -7,7 +7,7 @@
 from functools import singledispatch
 from typing import Any
 
-from mallowpass.adapters.translate import check_text, to_milliseconds
+from mallowpass.adapters.form import check_text, to_milliseconds
 from mallowpass.core import operations as core
 from mallowpass.core.services import (
     Database,
--- a/mallowpass/adapters/operators.py
+++ b/mallowpass/adapters/operators.py
@@ -11,8 +11,8 @@
 import grpc
 
 from mallowpass.adapters.channels import open_server
+from mallowpass.adapters.form import parse_strictly
 from mallowpass.adapters.operator_messages import answer_to_wire, request_from_wire
-from mallowpass.adapters.translate import parse_strictly
 from mallowpass.core.effects import AnswerOperator
 from mallowpass.core.events import OperatorRequested
 from mallowpass.core.operations import (
--- a/tests/adapters/test_callers.py
+++ b/tests/adapters/test_callers.py
@@ -7,7 +7,7 @@
 import grpc
 import pytest
 
-from mallowpass.adapters.callers import IN_FLIGHT_PAUSE
+from mallowpass.adapters.caller_streams import IN_FLIGHT_PAUSE
 from mallowpass.adapters.channels import open_channel
 from mallowpass.adapters.client import CallerClient
 from mallowpass.core.calls import Access, Outcome
