Have a new primary's report come at once while nobody leads

Cause: hosts that do not write asked for news once a second at most, also while they waited for a new primary; the notice then cost them another round trip.

Change: without a primary all members report news without a gap. A suspicion is logged, and tests hold the request path's hint, the predicted reach and both ways in which a round of questions ends early.

--- a/mallowpass/core/systems/failover.py
+++ b/mallowpass/core/systems/failover.py
@@ -226,6 +226,7 @@
             silence = self._liveness.silence(group.suspect)
             why = f"{row.primary_row.name} is silent for {silence:.3f}s"
             self._node.decide("suspicion", row.key, why)
+            self._node.log("warning", "primary_suspected", database=row.key, why=why)
             self._liveness.lose_primary(row, why)
         elif row.state is GroupState.UNKNOWN:
             row.state = GroupState.SUSPECTED
--- a/mallowpass/core/systems/liveness.py
+++ b/mallowpass/core/systems/liveness.py
@@ -300,6 +300,10 @@
             return WatchCall(interval if is_primary else READ_INTERVAL, gap)
         if self.now - view.read_at <= ACTIVITY:
             return WatchCall(interval if is_primary else READ_INTERVAL, READ_GAP)
+        if not view.row.primary:
+            # Writes are held: the report of a new primary must not wait for a gap.
+            pace = interval if is_steward else IDLE_INTERVAL
+            return WatchCall(pace, self._node.tuning.report_gap)
         if is_primary and is_steward:
             return WatchCall(interval, IDLE_GAP)
         return WatchCall(IDLE_INTERVAL, IDLE_GAP)
--- a/tests/core/systems/test_failover.py
+++ b/tests/core/systems/test_failover.py
@@ -293,6 +293,37 @@
     assert_nothing_promoted(scene)
 
 
+def test_hint_of_the_request_path_tries_a_fresh_stream():
+    """Symptom: callers meet a broken link first, and nothing looks at it.
+    Sequence: a connection breaks while all open links to the primary are dead.
+    Cause: only the watch's pace decided when to look.
+    """
+    scene = make()
+    name = max(scene.live)
+    scene.world.run(0.06)
+    scene.group.silence("a", name)
+    scene.world.run(0.06)
+    host = scene.world.hosts[name]
+    heard_at = scene.row(name).primary_row.heard_at
+    host.do(host.system(Failover).suspicion, "a:1", "connection lost")
+    scene.world.run(0.01)
+    assert scene.row(name).primary_row.heard_at > heard_at
+
+
+def test_one_of_two_rounds_waits_for_no_silent_member():
+    """Symptom: a gap that is longer by a round trip between regions.
+    Sequence: the primary is silent, so it does not answer the question either.
+    Cause: a round waited for its answer though it is the one in doubt.
+    """
+    scene = make(between=0.012)
+    node = scene.world.hosts[steward(scene)].node
+    scene.group.crash("a")
+    run_till_primary(scene)
+    doubts = [entry for entry in node.journal if entry.kind == "suspicion"]
+    assert doubts[1].text.startswith("heard")
+    assert doubts[1].at - doubts[0].at < 0.03
+
+
 # -- Several stewards --------------------------------------------------------
 
 
@@ -642,6 +673,21 @@
     scene.world.run_till(lambda: scene.row("h0").primary == f"{name}:1", 10.0)
 
 
+@pytest.mark.parametrize("phase", [0.2, 0.7, 1.2, 1.7])
+def test_partition_of_five_members_waits_for_no_lost_call(phase):
+    """Symptom: a gap that is longer by the time of a lost call.
+    Sequence: a failure domain with the primary and another member is cut off.
+    Cause: the round of questions waited for members that cannot answer.
+    """
+    scene = make(members=5, between=0.012)
+    scene.world.run(5.0 + phase)
+    scene.links.isolate("d0", ["d1", "d2"])
+    scene.live.discard("h0")
+    began = scene.world.now
+    run_till_primary(scene)
+    assert scene.world.now - began < Tuning().detection + 0.22
+
+
 # -- All of it ---------------------------------------------------------------
 
 
--- a/tests/core/systems/test_liveness.py
+++ b/tests/core/systems/test_liveness.py
@@ -2,9 +2,18 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
-from mallowpass.core.calls import LogPosition, PromiseCall, PromoteCall
+from mallowpass.core.calls import (
+    ControlReply,
+    EndpointCode,
+    LogPosition,
+    PromiseCall,
+    PromoteCall,
+)
+from mallowpass.core.events import ControlReplied
 from mallowpass.core.node import Tuning
 from mallowpass.core.systems.liveness import Liveness
 from mallowpass.core.tables import GroupState
@@ -217,6 +226,29 @@
     assert answers and scene.row().floors[-1].position < place
 
 
+def test_reach_is_predicted_from_a_members_usual_lag(scene):
+    """Symptom: reads wait for a replica that stands still, or never for a quick one.
+    Sequence: b applies 50 ms late, for long; then it stops applying.
+    Cause: the wait was guessed from the number of entries that are missing.
+    """
+    scene.run_till_serving()
+    liveness, row = scene.host.system(Liveness), scene.row()
+    replica = scene.group.members["b"]
+    replica.apply_lag = 0.05
+    for _ in range(60):
+        place = write(scene)
+        wait_held(scene, place)
+        scene.world.run(0.1)
+    replica.apply_lag = 1000.0
+    place = write(scene)
+    scene.world.run(0.02)
+    b = row.endpoints["b:1"]
+    assert 0.01 < liveness.predicted_reach(b, place) < 0.06
+    scene.world.run(1.0)
+    assert liveness.predicted_reach(b, place) > 0.5
+    assert liveness.predicted_reach(row.primary_row, place) == 0.0
+
+
 def test_age_floor_is_at_or_above_what_was_acknowledged(scene):
     scene.run_till_serving()
     liveness, row = scene.host.system(Liveness), scene.row()
@@ -298,6 +330,18 @@
     assert scene.row().primary == address
 
 
+def test_late_reply_of_a_replaced_stream_is_dropped(scene):
+    """Symptom: what a host knows of a member goes back in time.
+    Sequence: a stream is replaced; a report that it held up comes afterwards.
+    Cause: any stream's report was taken for the newest.
+    """
+    scene.run_till_serving()
+    report = replace(scene.row().primary_row.report, term=9)
+    reply = ControlReply(sequence=1, code=EndpointCode.OK, report=report)
+    scene.host.handle(ControlReplied("a:1", 10**6, reply))
+    assert scene.row().term == 1
+
+
 def test_own_pause_is_not_taken_for_silence(scene):
     """Symptom: a host that was stopped suspects every primary when it goes on.
     Sequence: it stands still for 5 s; its timers run before the reports are read.
