Wait for lagging replicas, and look silent writes up early

A write on a connection that goes silent waited 3 s for pooling to give it up. It is looked up, and fenced, after 0.5 s or 8 times the usual latency.

A write in a new term raised a session's floor over a part that the promotion had dropped, and no later read said FLOOR_LOST: the floor stays until the session is told. Requests outlive their database's removal without a KeyError.

--- a/mallowpass/core/systems/outcomes.py
+++ b/mallowpass/core/systems/outcomes.py
@@ -164,9 +164,9 @@
             self._requests.not_run(request, code, why)
             return
         request.attempt += 1
-        database = self.tables.databases[request.database]
-        if database.term > request.sent_term:
+        database = self.tables.databases.get(request.database)
+        if database is None or database.term > request.sent_term:
             # Once for each promotion: no budget is needed to bound that.
-            self._requests.writes.route(request)
+            self._requests.route(request)
         else:
             self._requests.waiting.retry(request, ErrorCode.FAILING_OVER, why)
--- a/mallowpass/core/systems/reads.py
+++ b/mallowpass/core/systems/reads.py
@@ -44,9 +44,7 @@
 OVERDUE_FACTOR = 4.0  # times the member's usual latency
 
 # Codes that say nothing bad of the member: it is merely not the right one now.
-_NOT_THIS_MEMBER = frozenset(
-    {EndpointCode.BEHIND, EndpointCode.WRONG_TERM, EndpointCode.LEAVING}
-)
+_NOT_THIS_MEMBER = frozenset({EndpointCode.WRONG_TERM, EndpointCode.LEAVING})
 _FINAL_CODES = frozenset({EndpointCode.SQL_ERROR, EndpointCode.BAD_CALL})
 
 
@@ -169,7 +167,7 @@
         if self._floor_is_gone(request, database):
             return
         endpoint = self._routing.choose_read(request, database)
-        if endpoint is None and request.state is not RequestState.WAITING_FLOOR:
+        if endpoint is None:
             pause = self._routing.replica_wait(request, database)
             if pause > 0:
                 self._wait(request, pause)
@@ -180,11 +178,12 @@
             self._waiting_of(request).pop(request.number, None)
             self._overdue.add(request.number)
             self._requests.acquire(request, endpoint.address)
-        elif request.avoided:
+        elif request.avoided and not request.behind:
             why = f"no member served it: {request.detail}"
             self._requests.waiting.retry(request, ErrorCode.ENDPOINT_REFUSED, why)
         else:
             self._waiting_of(request)[request.number] = request
+            request.avoided = None
             self._requests.waiting.hold(
                 request, "no member has its floor, and no primary"
             )
@@ -198,6 +197,7 @@
     def _on_waited(self, request: RequestRow) -> None:
         waiting = self._waiting_of(request)
         if request.state is RequestState.WAITING_FLOOR and request.number in waiting:
+            request.avoided = None
             self.route(request)
 
     def _waiting_of(self, request: RequestRow) -> dict[int, RequestRow]:
@@ -213,6 +213,7 @@
                 waiting.pop(request.number, None)
             elif self._liveness.reached(endpoint, request.floor):
                 waiting.pop(request.number, None)
+                request.avoided = None
                 self.route(request)
 
     # -- Sending -------------------------------------------------------------
@@ -333,7 +334,9 @@
             self._record(request, connection)
             self._requests.not_run(request, code_of_refusal(reply), why)
             return
-        if code not in _NOT_THIS_MEMBER:
+        if code is EndpointCode.BEHIND:
+            request.behind += 1
+        elif code not in _NOT_THIS_MEMBER:
             self._requests.record(connection.address, 0.0, ok=False)
         self.elsewhere(request, ErrorCode.ENDPOINT_REFUSED, why)
 
@@ -349,6 +352,7 @@
             self._requests.release(request, connection)
         else:
             self._requests.discard(request, "its stale answer goes on")
+        request.behind += 1
         self._node.decide("stale", request.request.request_id, why)
         self.elsewhere(request, ErrorCode.FLOOR_NOT_REACHED, why)
 
--- a/mallowpass/core/systems/requests.py
+++ b/mallowpass/core/systems/requests.py
@@ -23,6 +23,7 @@
 from mallowpass.core.services import database_key
 from mallowpass.core.signals import DatabaseRemoved, EndpointReported, PrimaryChanged
 from mallowpass.core.systems import failover as failover_module
+from mallowpass.core.systems import liveness as liveness_module
 from mallowpass.core.systems import pooling as pooling_module
 from mallowpass.core.systems import retries as retries_module
 from mallowpass.core.systems import routing as routing_module
@@ -43,7 +44,7 @@
 
 __all__ = ["Requests"]
 
-RETRY_AFTER_FAILOVER = 0.5  # seconds; advice to who waited for a primary in vain
+RETRY_AFTER = 0.5  # seconds; advice to who waited in vain until its deadline
 
 _WAITING = frozenset(
     {
@@ -70,6 +71,7 @@
     __slots__ = (
         "_active",
         "_failover",
+        "_liveness",
         "_in_flight",
         "_pooling",
         "_retries",
@@ -102,6 +104,7 @@
         """Subscribe to what moves waiting requests on."""
         node = self._node
         self._failover = node.system(failover_module.Failover)
+        self._liveness = node.system(liveness_module.Liveness)
         self._pooling = node.system(pooling_module.Pooling)
         self._retries = node.system(retries_module.Retries)
         self._routing = node.system(routing_module.Routing)
@@ -274,7 +277,9 @@
 
     def route(self, request: RequestRow) -> None:
         """Send a request on its way, whatever it waited for."""
-        if request.access is Access.WRITE:
+        if request.database not in self.tables.databases:
+            self.not_run(request, ErrorCode.UNKNOWN_DATABASE, "removed meanwhile")
+        elif request.access is Access.WRITE:
             self.writes.route(request)
         else:
             self.reads.route(request)
@@ -392,9 +397,21 @@
         streams += [stream for stream, _ in request.followers or ()]
         for stream in streams:
             session = self.tables.sessions.get(stream)
-            if session is not None:
+            if session is not None and not self._has_lost_floor(session, request):
                 self._sessions.raise_floor(session, request.database, position)
 
+    def _has_lost_floor(self, session: SessionRow, request: RequestRow) -> bool:
+        """Tell whether a session has yet to be told that data it saw is gone.
+
+        A write in the next term would raise the floor over the lost part, and no
+        later read would notice.
+        """
+        floor = session.floors.get(request.database)
+        database = self.tables.databases.get(request.database)
+        if floor is None or database is None or floor.term >= database.term:
+            return False
+        return self._liveness.floor_lost(database, floor)
+
     def _name_of(self, address: str) -> str:
         endpoint = self.tables.endpoints.get(address)
         return endpoint.name if endpoint is not None else ""
@@ -409,12 +426,14 @@
             self._transactions.on_deadline(request)
         elif state is RequestState.HELD:
             code = ErrorCode.FAILING_OVER
-            self.not_run(request, code, request.detail, RETRY_AFTER_FAILOVER)
+            self.not_run(request, code, request.detail, RETRY_AFTER)
         elif state is RequestState.WAITING_FLOOR:
-            self.not_run(request, ErrorCode.FLOOR_NOT_REACHED, request.detail)
+            code = ErrorCode.FLOOR_NOT_REACHED
+            self.not_run(request, code, request.detail, RETRY_AFTER)
         elif state in _WAITING:
             self._cancel(request)
-            self.not_run(request, ErrorCode.DEADLINE_PASSED, request.detail)
+            code = ErrorCode.DEADLINE_PASSED
+            self.not_run(request, code, request.detail, RETRY_AFTER)
         elif isinstance(request.request, BeginRequest):
             why = f"the deadline passed while {state.value}"
             self.not_run(request, ErrorCode.DEADLINE_PASSED, why)
--- a/mallowpass/core/systems/routing.py
+++ b/mallowpass/core/systems/routing.py
@@ -10,6 +10,7 @@
 
 from mallowpass.core.calls import Role
 from mallowpass.core.node import Node, System
+from mallowpass.core.signals import DatabaseChanged
 from mallowpass.core.systems import liveness as liveness_module
 from mallowpass.core.systems import pooling as pooling_module
 from mallowpass.core.tables import DatabaseRow, EndpointRow, GroupState, RequestRow
@@ -25,6 +26,7 @@
 NO_SHARE_COST = 0.1  # seconds, of a member that this host has no connections for
 NO_SHARE_ROOM = 0.1
 UNHEARD_COST = 0.05  # seconds, of a member whose control stream is broken
+WAIT_MIN = 0.003  # seconds between two looks at members that are behind
 # Ejection.
 ERRORS_MAX = 3  # in a row
 EJECTION_MIN = 0.5  # seconds; doubles with each ejection in a row
@@ -57,6 +59,11 @@
         """Find the systems that are asked."""
         self._liveness = self._node.system(liveness_module.Liveness)
         self._pooling = self._node.system(pooling_module.Pooling)
+        self._node.subscribe(DatabaseChanged, self._on_database_changed)
+
+    def _on_database_changed(self, signal: DatabaseChanged) -> None:
+        for address in signal.removed:
+            self._health.pop(address, None)
 
     # -- Reads ---------------------------------------------------------------
 
@@ -80,17 +87,22 @@
         return best
 
     def replica_wait(self, request: RequestRow, database: DatabaseRow) -> float:
-        """Return how long to wait for a replica, 0 when that doesn't pay; seconds."""
+        """Return how long to wait for a replica, 0 when that doesn't pay; seconds.
+
+        A member that said it is behind counts too: it is asked again after the wait.
+        """
+        left = request.arrived + self._node.tuning.replica_wait - self.now
+        if left <= 0:
+            return 0.0
         shortest = float("inf")
         for endpoint in database.endpoints.values():
             if not self._is_replica(endpoint, database):
                 continue
-            if self._usable(endpoint, request):
+            if self._is_sound(endpoint) and not self._is_failed(endpoint, request):
                 reach = self._liveness.predicted_reach(endpoint, request.floor)
                 if reach is not None and reach < shortest:
                     shortest = reach
-        longest = min(self._node.tuning.replica_wait, request.expires - self.now)
-        return shortest if shortest < longest else 0.0
+        return max(shortest, WAIT_MIN) if shortest < left else 0.0
 
     def choose_other_read(
         self, request: RequestRow, database: DatabaseRow
@@ -197,8 +209,14 @@
             return False
         return request.avoided is None or endpoint.address not in request.avoided
 
+    def _is_failed(self, endpoint: EndpointRow, request: RequestRow) -> bool:
+        return not request.behind and not self._open_to(endpoint, request)
+
     def _usable(self, endpoint: EndpointRow, request: RequestRow) -> bool:
-        if not self._open_to(endpoint, request):
+        return self._open_to(endpoint, request) and self._is_sound(endpoint)
+
+    def _is_sound(self, endpoint: EndpointRow) -> bool:
+        if endpoint.leaving:
             return False
         if endpoint.ejected_until > self.now:
             return False
--- a/mallowpass/core/systems/writes.py
+++ b/mallowpass/core/systems/writes.py
@@ -18,8 +18,10 @@
 from mallowpass.core.systems import failover as failover_module
 from mallowpass.core.systems import liveness as liveness_module
 from mallowpass.core.systems import pooling as pooling_module
+from mallowpass.core.systems import retries as retries_module
 from mallowpass.core.systems import routing as routing_module
 from mallowpass.core.systems.answers import code_of_refusal, record_id
+from mallowpass.core.systems.connections import Watchdog
 from mallowpass.core.systems.outcomes import FIRST_ATTEMPT
 from mallowpass.core.tables import (
     ConnectionRow,
@@ -32,6 +34,8 @@
 
 __all__ = ["Writes"]
 
+OVERDUE = 0.5  # seconds after which a write is looked up, at the earliest
+OVERDUE_FACTOR = 8.0  # times the primary's usual latency
 RECENT_MAX = 4096  # request ids remembered with their statements
 FENCED_MAX = 16  # refusals for a fenced attempt before a request is given up
 
@@ -52,8 +56,10 @@
     __slots__ = (
         "_failover",
         "_liveness",
+        "_overdue",
         "_pooling",
         "_requests",
+        "_retries",
         "_routing",
         "_running",
         "_transactions",
@@ -65,6 +71,7 @@
 
     def start(self) -> None:
         """Find the systems that are asked."""
+        self._overdue = Watchdog(self.timers, OVERDUE, self._on_overdue)
         from mallowpass.core.systems.requests import Requests
         from mallowpass.core.systems.transactions import Transactions
 
@@ -73,6 +80,7 @@
         self._liveness = node.system(liveness_module.Liveness)
         self._pooling = node.system(pooling_module.Pooling)
         self._requests = node.system(Requests)
+        self._retries = node.system(retries_module.Retries)
         self._routing = node.system(routing_module.Routing)
         self._transactions = node.system(Transactions)
 
@@ -176,6 +184,7 @@
             self.route(request)
             return
         request.state = RequestState.SENT
+        self._overdue.renew(request.number)
         request.sent_term = database.term
         self._pooling.send(connection, self._call(request))
 
@@ -234,9 +243,29 @@
         self._requests.waiting.retry(request, ErrorCode.FLOOR_NOT_REACHED, why)
 
     def _record(self, request: RequestRow, connection: ConnectionRow) -> None:
+        self._overdue.remove(request.number)
         latency = self.now - request.sent_at
         self._requests.record(connection.address, latency, ok=True)
 
+    def _on_overdue(self, number: int) -> None:
+        """Look a write up when the primary takes far longer than it usually does.
+
+        Its connection may be silent for good while the primary is well: one sees
+        single writes take as long as pooling gives a connection to answer. The
+        look-up fences it, so that it can't run after it is sent again.
+        """
+        request = self.tables.requests.get(number)
+        if request is None or request.state is not RequestState.SENT:
+            return
+        endpoint = self.tables.endpoints.get(request.address)
+        usual = endpoint.latency if endpoint is not None else 0.0
+        took = self.now - request.sent_at
+        if took < OVERDUE_FACTOR * usual or self._retries.is_spent(request):
+            self._overdue.add(number)
+            return
+        self._requests.abandon(request)
+        self._requests.outcomes.resolve(request, f"no answer in {took:.3f}s")
+
     def await_majority(
         self, request: RequestRow, position: LogPosition, rows: object
     ) -> None:
@@ -245,10 +274,13 @@
         A primary that was replaced answers OK as well, until it learns of it: its
         write is dropped later. Only a majority's reports tell the two apart.
         """
+        database = self.tables.databases.get(request.database)
+        if database is None:
+            self._requests.unknown(request, "the database was removed meanwhile")
+            return
         request.position = position
         request.answer_rows = rows
         request.state = RequestState.HOLDING
-        database = self.tables.databases[request.database]
         # Recorded in an earlier term, it stays once a majority holds anything of the
         # term in which it was found: that log contains it.
         term = max(position.term, request.sent_term)
@@ -294,9 +326,9 @@
         self.route(request)
 
     def _after_wrong_term(self, request: RequestRow, why: str) -> None:
-        database = self.tables.databases[request.database]
-        if database.term != request.sent_term:
-            self.route(request)
+        database = self.tables.databases.get(request.database)
+        if database is None or database.term != request.sent_term:
+            self._requests.route(request)
         else:
             # Its reports will say so soon. Sent again now it would be refused again.
             self._requests.waiting.hold(request, why)
--- a/mallowpass/core/tables.py
+++ b/mallowpass/core/tables.py
@@ -219,6 +219,7 @@
     waiter: Any = None  # of the position that it holds for; has cancel()
     avoided: set[str] | None = None  # addresses that could not serve it
     followers: list[tuple[int, str]] | None = None  # (stream, id) of its copies
+    behind: int = 0  # times that a member had not reached its floor
 
 
 class TransactionState(Enum):
--- a/tests/core/systems/test_sessions.py
+++ b/tests/core/systems/test_sessions.py
@@ -30,6 +30,22 @@
     assert path.pooling.sent == []
 
 
+def test_older_token_does_not_lower_a_floor():
+    """Symptom: a caller's own claim is missing from its next read.
+    Sequence: it sends requests without waiting, with the token it had before.
+    Cause: the newest answer's floor is known here, though not in that token.
+    """
+    path = RequestPath()
+    path.open_known()
+    path.read(1, "look")
+    path.reply(applied=(1, 5))
+    older = path.answer().token
+    path.read(1, "newer")
+    path.reply(applied=(1, 9))
+    path.read(1, "again", token=older)
+    assert path.sent.call.minimum == LogPosition(1, 9)
+
+
 def test_draining_host_takes_no_sessions_but_serves_those_it_has():
     path = RequestPath()
     path.open_known()
--- a/tests/core/systems/test_writes.py
+++ b/tests/core/systems/test_writes.py
@@ -209,6 +209,18 @@
     assert len(path.pooling.sent) == 1
 
 
+def test_ids_of_two_callers_never_meet(path):
+    """Symptom: a caller's receipt is answered with another's, and never runs.
+    Sequence: caller "a/b" sends request "c", caller "a" sends request "b/c".
+    Cause: the endpoint records caller and request id as one text.
+    """
+    path.open(2, caller="a/b")
+    path.open(3, caller="a")
+    path.write(2, "c")
+    path.write(3, "b/c")
+    assert len({sent.call.request_id for sent in path.pooling.sent}) == 2
+
+
 def test_writes_are_held_without_a_primary_and_run_in_order(path):
     """Symptom: callers see errors for the length of a failover.
     Sequence: the primary is lost; writes arrive; m2 is promoted.
@@ -327,6 +339,21 @@
     assert _writes(path) == [(1, 1), (2, 2)]
 
 
+def test_write_on_a_silent_connection_is_looked_up_early(path):
+    """Symptom: single writes take seconds while the primary answers all others.
+    Sequence: something between the ends loses track of one connection.
+    Cause: nothing ever breaks it; the record tells at once whether it ran.
+    """
+    path.write(1, "file")
+    path.advance(0.8)
+    assert path.pooling.released == [(path.sent.connection.number, False)]
+    path.look_up(RECORDED, position=(1, 7), rows="r")
+    path.reply(applied=(1, 7), rows="late")
+    path.hold(1, 7)
+    assert [answer.rows for answer in path.answered("file")] == ["r"]
+    assert len(path.pooling.sent) == 1
+
+
 def test_retry_beyond_the_budget_is_refused_at_once_with_a_time(path):
     path.retries._budget("claims-core").left = 0.0
     path.write(1, "file")
