Lose links that overflow before they are open; close what a failed start opened

Cause: two faults found by reading. A link on which more was sent than it holds while it was being made ended without PeerLost, and the core would have waited for it for ever. A host whose start failed, such as on a port in use, left the listeners it had opened before.

Change: the link is lost like any other; `run` stops what a failed start opened.

--- a/mallowpass/adapters/peers.py
+++ b/mallowpass/adapters/peers.py
@@ -250,6 +250,7 @@
     async def _run(self, link: _Link, socket: Connection, guard: FrameGuard) -> None:
         if link.ended:
             await socket.close()
+            self._lose(link, "ended before it was open")
             return
         self._runtime.deliver(PeerConnected(link.number, link.address))
         writer = asyncio.create_task(link.write_out(socket, guard))
--- a/mallowpass/adapters/runtime.py
+++ b/mallowpass/adapters/runtime.py
@@ -158,8 +158,8 @@
 
     async def run(self) -> None:
         """Start, serve until told to stop and drained, then stop."""
-        await self.start()
         try:
+            await self.start()
             self.handle_signals()
             await self.wait_exited()
         finally:
--- a/tests/adapters/test_peers.py
+++ b/tests/adapters/test_peers.py
@@ -56,6 +56,24 @@
     run(check())
 
 
+def test_link_that_overflows_before_it_is_open_is_lost() -> None:
+    """Symptom: a host never links to a peer again.
+
+    Sequence: more is sent on a link than it holds while it is being made.
+    Cause: the link ended without PeerLost, and the core waited for it for ever.
+    """
+
+    async def check() -> None:
+        big = EndpointNotice("a" * 1024 * 1024, True)
+        async with running_host() as one, running_host() as two:
+            perform(one, effects.ConnectPeer(5, two.peers_address))
+            perform(one, *[effects.SendPeer(5, big)] * 5)
+            await until(lambda: core_of(one).of(events.PeerLost))
+            assert not core_of(one).of(events.PeerConnected)
+
+    run(check())
+
+
 def test_link_that_cannot_be_made_is_lost() -> None:
     async def check() -> None:
         async with running_host() as host:
--- a/tests/adapters/test_runtime.py
+++ b/tests/adapters/test_runtime.py
@@ -4,13 +4,18 @@
 
 import asyncio
 import signal
+from dataclasses import replace
+
+import pytest
 
 from mallowpass.adapters.client import CallerClient
-from mallowpass.adapters.runtime import identity_of, tuning_of
+from mallowpass.adapters.runtime import HostRuntime, identity_of, tuning_of
 from mallowpass.core import effects, platformcalls
 from mallowpass.core.events import PlatformReplied, ShutdownRequested
+from mallowpass.settings import OperatorKeys
 from tests.adapters.harness import (
     FLEET_KEY,
+    FakeCore,
     core_of,
     run,
     running_host,
@@ -119,6 +124,24 @@
     run(check())
 
 
+def test_host_that_cannot_start_closes_what_it_opened() -> None:
+    async def check() -> None:
+        async with running_host() as host:
+            taken = replace(settings().listen, callers=host._callers.address)
+            other = HostRuntime(
+                replace(settings(), listen=taken),
+                FLEET_KEY,
+                OperatorKeys({}),
+                systems=[FakeCore],
+            )
+            with pytest.raises(RuntimeError):
+                await other.run()
+            with pytest.raises(OSError):
+                await asyncio.open_connection("127.0.0.1", other._peers.address.port)
+
+    run(check())
+
+
 def test_settings_reach_the_core() -> None:
     given = settings()
     identity = identity_of(given, "127.0.0.1:9", FLEET_KEY)
