Let databases in use share the pace of reports, stewards alone watch closely

Cause: every host in use of a database had its primary report ten times a second and its members each 50 ms, however many databases it used.

Change: only stewards keep the close watch on a primary; with more than four databases in use the gap between reports grows with their number, writes excepted: their acknowledgement waits for it.

--- a/mallowpass/core/systems/controlstreams.py
+++ b/mallowpass/core/systems/controlstreams.py
@@ -21,9 +21,9 @@
 # A stream is silent when a report is overdue by this share of the detection time.
 # It leaves half of that time for a fresh stream to prove that the endpoint lives.
 OVERDUE_SHARE = 0.25
-# Typical sizes on the wire, framing included, for the estimate of the traffic.
+# Typical sizes: message, gRPC prefix and HTTP/2 frame header, for the estimate.
 CALL_BYTES = 24
-REPLY_BYTES = 72
+REPLY_BYTES = 92
 
 ReplyCallback = Callable[[ControlReply | None], None]
 
--- a/mallowpass/core/systems/liveness.py
+++ b/mallowpass/core/systems/liveness.py
@@ -48,6 +48,7 @@
     """Watch endpoints and tell what their reports prove."""
 
     __slots__ = (
+        "_active",
         "_control",
         "_counted",
         "_membership",
@@ -67,6 +68,7 @@
             node, self._replied, lambda: self._pause.awake_since
         )
         self._counted = (0, 0, 0)
+        self._active = 0  # databases in use at this host
         self._noticed_terms: dict[str, int] = {}
         self._rank_review: Timer | None = None
         self._membership: Peers | None = None
@@ -224,6 +226,7 @@
         self._noticed_terms.pop(signal.database, None)
         if view.activity is not None:
             view.activity.cancel()
+            self._active -= 1
         for address in view.row.endpoints:
             self._control.remove(address)
         view.fail_waiters()
@@ -245,6 +248,7 @@
             if first:
                 self._watch_members(view)
         if view.activity is None:
+            self._active += 1
             view.activity = self.timers.after(ACTIVITY, self._review, view)
             self._watch_members(view)
         return view
@@ -254,6 +258,8 @@
         newest = max(view.read_at, view.written_at)
         if self.now - newest <= ACTIVITY:
             view.activity = self.timers.after(ACTIVITY, self._review, view)
+        else:
+            self._active -= 1
         self._watch_members(view)
 
     def _hosts_changed(self, signal: HostStateChanged) -> None:
@@ -273,7 +279,7 @@
     def _watch_members(self, view: GroupView) -> None:
         is_steward = self.steward_turn(view.row) < STEWARDS
         for endpoint in view.row.endpoints.values():
-            watch = watch_for(self._node, view, endpoint, is_steward)
+            watch = watch_for(self._node, view, endpoint, is_steward, self._active)
             self._control.add(endpoint, watch)
             self._control.watch(endpoint.address, watch)
 
--- a/mallowpass/core/systems/watching.py
+++ b/mallowpass/core/systems/watching.py
@@ -15,27 +15,30 @@
 IDLE_GAP = 1.0
 READ_INTERVAL = 0.5
 READ_GAP = 0.05
+# So many databases in use at once are watched at full pace; more share it.
+CROWD = 4
 
 
 def watch_for(
-    node: Node, view: GroupView, endpoint: EndpointRow, is_steward: bool
+    node: Node, view: GroupView, endpoint: EndpointRow, is_steward: bool, active: int
 ) -> WatchCall:
-    """Choose how often a member reports: closely only where it matters.
+    """Choose how often a member reports; `active` databases are in use at this host.
 
     All hosts watching all members closely would cost more than the whole control
     budget: only who waits for positions needs each move of them, and only a primary
     that stewards or callers of this host depend on has to be found silent at once.
     """
     now, tuning = node.timers.now, node.tuning
-    interval = tuning.probe_interval
+    crowding = max(1.0, active / CROWD)
+    pace = min(READ_INTERVAL * crowding, IDLE_INTERVAL)
     is_primary = endpoint.address == view.row.primary or not view.row.primary
+    if is_primary and is_steward:
+        pace = tuning.probe_interval
     if now - view.written_at <= ACTIVITY:
-        return WatchCall(interval if is_primary else READ_INTERVAL, tuning.report_gap)
+        return WatchCall(pace, tuning.report_gap)
     if not view.row.primary:
         # Writes are held: the report of a new primary must not wait for a gap.
-        return WatchCall(interval if is_steward else IDLE_INTERVAL, tuning.report_gap)
+        return WatchCall(pace, tuning.report_gap)
     if now - view.read_at <= ACTIVITY:
-        return WatchCall(interval if is_primary else READ_INTERVAL, READ_GAP)
-    if is_primary and is_steward:
-        return WatchCall(interval, IDLE_GAP)
-    return WatchCall(IDLE_INTERVAL, IDLE_GAP)
+        return WatchCall(pace, min(READ_GAP * crowding, IDLE_GAP))
+    return WatchCall(pace if is_primary and is_steward else IDLE_INTERVAL, IDLE_GAP)
--- a/tests/core/systems/test_liveness.py
+++ b/tests/core/systems/test_liveness.py
@@ -15,7 +15,9 @@
 )
 from mallowpass.core.events import ControlReplied
 from mallowpass.core.node import Tuning
+from mallowpass.core.systems.groupview import GroupView
 from mallowpass.core.systems.liveness import Liveness
+from mallowpass.core.systems.watching import watch_for
 from mallowpass.core.tables import GroupState
 from tests.fakes.groups import Entry
 from tests.fakes.scenes import Scene
@@ -359,6 +361,17 @@
     assert silences and silences[0] < Tuning().detection
 
 
+def test_databases_in_use_share_the_control_traffic(scene):
+    scene.run_till_serving()
+    node, row = scene.host.node, scene.row()
+    view = GroupView(row, read_at=node.timers.now)
+    replica = row.endpoints["b:1"]
+    few = watch_for(node, view, replica, False, 4)
+    many = watch_for(node, view, replica, False, 40)
+    assert many.minimum_gap == pytest.approx(10 * few.minimum_gap)
+    assert many.interval > few.interval
+
+
 def test_idle_database_costs_slow_reports_only(scene):
     scene.run_till_serving()
     scene.world.run(10.0)
