Fuzz the pool, mend two miscounts that it found

Cause: a state machine over one host's pool found that a connection which ran out before its reset was taken off the count of connections in use twice, and that a pinned connection being reset still stood as pinned. Change: the call is marked as nobody's before its connection may close; a reset connection is busy. The loans' machine now also counts per seat: own and lent places together, not only the endpoint's sum.

--- a/mallowpass/core/systems/keepalive.py
+++ b/mallowpass/core/systems/keepalive.py
@@ -25,7 +25,6 @@
 _ABANDONED = "abandoned"
 
 _BUSY = ConnectionState.BUSY
-_PINNED = ConnectionState.PINNED
 
 
 class KeepAlive(PoolPart):
@@ -114,14 +113,15 @@
         """Send a call that no request waits for."""
         number = connection.number
         now = self.now
+        # Marked first: a connection closed right here is not a request's any more.
+        pool.internal[number] = purpose
         if connection.expires <= now:
             self._pooling.expire(pool, connection)
             return
         connection.expires = self._pooling.expiry(pool, connection, now)
         connection.sequence += 1
-        if connection.state is not _PINNED:
+        if not connection.transaction:
             connection.state = _BUSY
-        pool.internal[number] = purpose
         pool.checking.add(number)
         self._node.emit(SendEndpoint(number, connection.sequence, call))
 
--- a/tests/core/systems/test_loans.py
+++ b/tests/core/systems/test_loans.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -276,6 +278,7 @@
         self.now = self.hosts[0].now
         self.open: dict[tuple[int, int], tuple[float, float]] = {}  # last call, life
         self.opening: list[tuple[int, OpenConnection, float]] = []
+        self.owners: dict[tuple[int, int], int] = {}  # whose place it takes
         self.closing: list[tuple[int, int]] = []  # not seen by the endpoint yet
         self.statements: list[tuple[int, SendEndpoint]] = []
         self.messages: list[tuple[int, int, PeerMessage]] = []
@@ -304,6 +307,7 @@
     def carry_one(self, index: int, effect: object) -> bool:
         if isinstance(effect, OpenConnection):
             self.opening.append((index, effect, self.now))
+            self.owners[index, effect.connection] = self.owner(index, effect.connection)
         elif isinstance(effect, CloseConnection):
             self.opening = [
                 entry
@@ -325,6 +329,15 @@
                     return True
         return False
 
+    def owner(self, index: int, number: int) -> int:
+        """Return the seat on whose share a connection is opened."""
+        host = self.hosts[index]
+        row = host.node.tables.connections.get(number)
+        if row is None or not row.loan:
+            return index
+        domain, seat = host.loans._lenders[row.loan].rsplit("-", 1)
+        return SEATS.index((domain, int(seat)))
+
     def answer(self, index: int, sent: SendEndpoint) -> None:
         reply = EndpointReply(sequence=sent.sequence, code=EndpointCode.OK)
         if index not in self.paused and index not in self.cut:
@@ -472,6 +485,8 @@
         Cause: a place counted as free by one host and as its own by another.
         """
         assert len(self.open) <= LIMIT
+        taken = Counter(self.owners[key] for key in self.open)
+        assert max(taken.values(), default=0) <= LIMIT // len(SEATS), taken
 
 
 TestFleet = Fleet.TestCase
--- a/tests/core/systems/test_pooling.py
+++ b/tests/core/systems/test_pooling.py
@@ -169,6 +169,37 @@
     assert host.requests.replies[-1][0] == request.number
 
 
+@pytest.mark.parametrize("ending", ["given up", "rolled back", "held back"])
+def test_a_connection_that_ends_in_an_odd_way_is_not_counted_as_in_use(ending: str):
+    """
+    Symptom: a host runs fewer and fewer statements at once, at last none.
+    Sequence: a connection runs out before its reset, or is lost with a call held.
+    Cause: the count of connections in use lowered twice, or not at all.
+    """
+    host = PoolHost(limit=4)
+    (number,) = _warm(host, 1)
+    connection = host.node.tables.connections[number]
+    if ending == "given up":
+        host.pooling.cancel(host.request())
+        host.pause(host.node.tuning.connection_time_to_live + 1.0)
+        host.reply_all()
+    else:
+        host.requests.hold = True
+        request = host.request()
+        host.pooling.pin(connection, "t1")
+    if ending == "rolled back":
+        host.pooling.release(connection, reset=True)
+        assert connection.state is ConnectionState.BUSY
+        host.now += host.node.tuning.connection_time_to_live + 1.0
+        host.handle(ConnectionLost(number, "expired"))
+    if ending == "held back":
+        host.wait_until(lambda: host.calls(KeepAliveCall))
+        host.pooling.send(connection, CALL, request)
+        host.handle(ConnectionLost(number, "reset by peer"))
+    assert host.pool.active == 0
+    assert number not in host.pool.connections
+
+
 # -- Opening -----------------------------------------------------------------
 
 
--- /dev/null
+++ b/tests/core/systems/test_pooling_machine.py
@@ -0,0 +1,154 @@
+"""Fuzz one host's pool against a simple oracle: who may be told what, and counts."""
+
+from __future__ import annotations
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from mallowpass.core.calls import ExecuteCall
+from mallowpass.core.effects import SendEndpoint
+from mallowpass.core.events import ConnectionLost, ConnectionRefused
+from mallowpass.core.tables import ConnectionState, RequestRow
+from tests.fakes.poolpath import CALL, FakeRequests, PoolHost
+
+PICK = st.integers(0, 1_000)
+CLASSES = st.sampled_from(["caseworker", "portal", "reconciliation"])
+
+
+class Pool(RuleBasedStateMachine):
+    """Use, lose, pause and give up; replies come late, twice and crossed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.host = PoolHost(limit=12, queue_length=40)
+        self.rows: dict[int, RequestRow] = {}
+        self.sends: list[tuple[SendEndpoint, int]] = []  # and for whom
+        self.answered: list[SendEndpoint] = []
+
+    def take_sends(self) -> None:
+        """Note for whom each statement was sent, as the endpoint would see it."""
+        host = self.host
+        host.flush()
+        for sent in host.calls():
+            row = host.node.tables.connections.get(sent.connection)
+            is_statement = isinstance(sent.call, ExecuteCall) and row is not None
+            self.sends.append((sent, row.request if is_statement else 0))
+        host.effects.clear()
+
+    @initialize()
+    def warm_up(self) -> None:
+        """Begin with open connections, all in use."""
+        for _ in range(2):
+            self.request("caseworker", "a", 3)
+            self.open_connections()
+
+    @rule(class_name=CLASSES, caller=st.sampled_from("abc"), count=st.integers(1, 5))
+    def request(self, class_name: str, caller: str, count: int) -> None:
+        for _ in range(count):
+            row = self.host.request(class_name, caller, deadline=20.0)
+            self.rows[row.number] = row
+        self.take_sends()
+
+    @precondition(lambda self: self.host.pool.opening.entries)
+    @rule()
+    def open_connections(self) -> None:
+        self.host.open_all()
+        self.take_sends()
+
+    @precondition(lambda self: self.host.pool.opening.entries)
+    @rule(full=st.booleans())
+    def refuse_connections(self, full: bool) -> None:
+        for number in self.host.pool.opening.numbers():
+            self.host.handle(ConnectionRefused(number, "no", limit_reached=full))
+        self.take_sends()
+
+    @precondition(lambda self: self.sends)
+    @rule(pick=PICK, last=st.booleans(), again=st.booleans())
+    def reply(self, pick: int, last: bool, again: bool) -> None:
+        sent, request = self.sends[pick % len(self.sends)]
+        requests: FakeRequests = self.host.requests
+        before = len(requests.replies)
+        for _ in range(1 + again):
+            self.host.reply(sent, last=last)
+        told = {number for number, _ in requests.replies[before:]}
+        assert told <= {request}, "a reply reached another request than its own"
+        if last:
+            self.sends.remove((sent, request))
+        self.take_sends()
+
+    @precondition(lambda self: self.rows)
+    @rule(pick=PICK)
+    def give_up(self, pick: int) -> None:
+        row = list(self.rows.values())[pick % len(self.rows)]
+        self.host.pooling.cancel(row)
+        self.take_sends()
+
+    @precondition(lambda self: self.host.pool.connections)
+    @rule(pick=PICK, action=st.sampled_from(["pin", "send", "end", "reset", "discard"]))
+    def use_transaction(self, pick: int, action: str) -> None:
+        pooling, pool = self.host.pooling, self.host.pool
+        pinned = list(pool.pinned.values())
+        if action == "pin":
+            self.host.requests.hold = not self.host.requests.hold
+            for connection in list(pool.connections.values()):
+                held = connection.state is ConnectionState.BUSY
+                idle_statement = connection.number not in pool.answering
+                if held and connection.request and idle_statement:
+                    pooling.pin(connection, f"t{connection.number}")
+        elif pinned:
+            connection = pinned[pick % len(pinned)]
+            if action == "send":
+                pooling.send(connection, CALL, self.statement())
+            elif action == "discard":
+                pooling.discard(connection, "test")
+            else:
+                pooling.release(connection, reset=action == "reset")
+        self.take_sends()
+
+    def statement(self) -> RequestRow:
+        """Make a request that goes to a connection without waiting for one."""
+        row = self.host.request()
+        self.host.pooling.cancel(row)
+        row.connection = 0
+        return row
+
+    @rule(pick=PICK)
+    def lose(self, pick: int) -> None:
+        numbers = list(self.host.node.tables.connections)
+        if numbers and pick % 3 == 0:
+            self.host.handle(ConnectionLost(numbers[pick % len(numbers)], "lost"))
+        self.take_sends()
+
+    @rule(seconds=st.sampled_from([0.01, 0.05, 0.4, 2.0]), pause=st.booleans())
+    def pass_time(self, seconds: float, pause: bool) -> None:
+        (self.host.pause if pause else self.host.wait)(seconds)
+        self.take_sends()
+
+    @invariant()
+    def each_connection_is_in_one_place(self) -> None:
+        pool = self.host.pool
+        counted = [row for row in pool.connections.values() if pool.is_counted(row)]
+        assert pool.active == len(counted)
+        for number, row in pool.connections.items():
+            places = [
+                number in pool.idle,
+                number in pool.pinned,
+                number in pool.opening,
+                row.state is ConnectionState.BUSY,
+            ]
+            assert sum(places) == 1, (row, places)
+        users = [row.request for row in pool.connections.values() if row.request]
+        waiting = list(pool.queue.entries)
+        assert not set(users) & set(waiting)
+        assert pool.own_count <= pool.own
+
+
+TestPool = Pool.TestCase
+TestPool.settings = settings(stateful_step_count=60)
