--- a/mallowpass/adapters/client.py
+++ b/mallowpass/adapters/client.py
@@ -428,6 +428,8 @@
     metadata: Iterable[tuple[str, Any]] = error.trailing_metadata() or ()
     code = dict(metadata).get(CODE_METADATA, "")
     details = error.details() or error.code().name
+    if error.code() is grpc.StatusCode.UNAVAILABLE and not code:
+        return error_for(ErrorCode.HOST_UNREACHABLE, details)
     if not code:
         return MallowpassError(ErrorCode.INTERNAL, f"{error.code().name}: {details}")
     return error_for(ErrorCode.by_code(str(code)), details)
--- a/mallowpass/adapters/runtime.py
+++ b/mallowpass/adapters/runtime.py
@@ -29,6 +29,9 @@
 from mallowpass.logs import log_event
 from mallowpass.metrics import Metrics
 from mallowpass.settings import HostSettings, OperatorKeys
+from mallowpass.trace.format import TraceHeader
+from mallowpass.trace.recorder import TraceRecorder
+from mallowpass.trace.sinks import TraceSink
 
 __all__ = ["HostRuntime", "identity_of", "tuning_of"]
 
@@ -55,6 +58,7 @@
         systems: Iterable[type[System]] | None = None,
         metrics: Metrics | None = None,
         seed: int | None = None,
+        trace: TraceSink | None = None,
     ) -> None:
         self._settings = settings
         self._fleet_key = fleet_key
@@ -67,6 +71,8 @@
         self._endpoints = EndpointClients(self, settings.limits.answer_size)
         self._platform = PlatformChannel(self, settings.platform.address)
         self._node: Node | None = None
+        self._trace_sink = trace
+        self._recorder: TraceRecorder | None = None
         self._loop: asyncio.AbstractEventLoop | None = None
         self._time: Callable[[], float] = time.monotonic
         self._handling = False
@@ -121,12 +127,17 @@
         await self._peers.start()
         identity = identity_of(self._settings, self.peers_address, self._fleet_key)
         tuning = tuning_of(self._settings)
-        self._node = Node(identity, tuning, self._seed, self._time())
+        now = self._time()
+        systems = tuple(self._chosen_systems())
+        self._node = Node(identity, tuning, self._seed, now)
+        self._start_recording(now, systems)
         await self._platform.start()
         # The core is started before callers and operators may come in, so that no
         # request meets a system which has not subscribed yet.
         self._handling = True
-        self._perform(self._node.start(self._chosen_systems()))
+        found = self._node.start(systems)
+        self._record(now, None, found)
+        self._perform(found)
         self._set_alarm()
         self._work_off()
         self._handling = False
@@ -174,6 +185,8 @@
         await self._platform.stop()
         if self._alarm is not None:
             self._alarm.cancel()
+        if self._recorder is not None:
+            self._recorder.close()
         self._flush_counts()
         self._metrics.shutdown()
         self.log("info", "host-stopped", host=self.host)
@@ -225,6 +238,7 @@
             found = self.node.handle(now, event)
         except Exception:
             found = self._after_failure(now, event)
+        self._record(now, event, found)
         self._perform(found)
 
     def _after_failure(self, now: float, event: Event) -> list[effects.Effect]:
@@ -250,6 +264,28 @@
         self.log("info", "signal", name=name)
         self.shut_down()
 
+    # -- Trace ---------------------------------------------------------------
+
+    def _start_recording(self, now: float, systems: tuple[type[System], ...]) -> None:
+        if self._trace_sink is None:
+            return
+        node = self.node
+        header = TraceHeader.of_start(
+            node.identity, node.tuning, self._seed, now, systems
+        )
+        self._recorder = TraceRecorder(
+            self._trace_sink, header, on_stop=self._on_trace_stopped
+        )
+
+    def _on_trace_stopped(self, reason: str) -> None:
+        self.log("info", "trace-stopped", reason=reason)
+
+    def _record(
+        self, now: float, event: Event | None, found: list[effects.Effect]
+    ) -> None:
+        if self._recorder is not None:
+            self._recorder.record(now, event, found)
+
     # -- Timers --------------------------------------------------------------
 
     def _set_alarm(self) -> None:
--- a/mallowpass/cli/main.py
+++ b/mallowpass/cli/main.py
@@ -9,7 +9,7 @@
 import click
 
 from mallowpass import __version__
-from mallowpass.errors import MallowpassError
+from mallowpass.errors import ErrorCode, MallowpassError
 
 __all__ = ["ExitCode", "main"]
 
@@ -80,13 +80,18 @@
     except MallowpassError as error:
         _show(error)
         sys.exit(_exit_code(error))
+    except OSError as error:
+        click.echo(f"error: {error}", err=True)
+        sys.exit(ExitCode.FAILED)
 
 
 def _show(error: MallowpassError) -> None:
-    click.echo(f"error {error.code}: {error}", err=True)
+    click.echo(f"error {error}", err=True)
     if error.advice:
         click.echo(f"what to do: {error.advice}", err=True)
 
 
 def _exit_code(error: MallowpassError) -> int:
+    if error.code == ErrorCode.HOST_UNREACHABLE.code:
+        return ExitCode.UNREACHABLE
     return ExitCode.SETTINGS if error.code.startswith("MP-1") else ExitCode.REFUSED
--- a/mallowpass/errors.py
+++ b/mallowpass/errors.py
@@ -431,6 +431,13 @@
         False,
     )
 
+    HOST_UNREACHABLE = (
+        "MP-7003",
+        "The host does not answer at its address.",
+        "Check the address and that the host runs, or ask another host.",
+        True,
+    )
+
     # -- Internal
     INTERNAL = (
         "MP-9001",
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+
 import pytest
 
 from mallowpass import __version__
@@ -91,3 +93,13 @@
 
 def test_commands_are_not_imported_for_help(capsys):
     assert "serve" in cli.list_commands(None)
+
+
+def test_host_that_does_not_answer_has_an_exit_code_of_its_own(capsys, monkeypatch):
+    monkeypatch.setenv(KEY_VARIABLE, "operator-key-0123456789")
+    with socket.socket() as closed:
+        closed.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{closed.getsockname()[1]}"
+        code, _, err = _run(capsys, "status", "--address", address)
+    assert code == ExitCode.UNREACHABLE
+    assert err.count("MP-7003") == 1
