Part floors from reads and calls from transactions

The floor of a request and the check of its answer stand in sessionfloors.py, the calls of an open transaction in transactioncalls.py. Each module of the request path can be imported first now; five could not, since pooling imports requests at its top.

--- a/mallowpass/core/systems/answers.py
+++ b/mallowpass/core/systems/answers.py
@@ -12,8 +12,6 @@
 )
 from mallowpass.core.effects import AnswerCaller, Count, Observe
 from mallowpass.core.node import System
-from mallowpass.core.systems import draining as draining_module
-from mallowpass.core.systems import sessions as sessions_module
 from mallowpass.core.tables import RequestRow, SessionRow
 from mallowpass.errors import ErrorCode
 
@@ -79,8 +77,11 @@
 
     def start(self) -> None:
         """Find the systems that are asked."""
-        self._draining = self._node.system(draining_module.Draining)
-        self._sessions = self._node.system(sessions_module.Sessions)
+        from mallowpass.core.systems.draining import Draining
+        from mallowpass.core.systems.sessions import Sessions
+
+        self._draining = self._node.system(Draining)
+        self._sessions = self._node.system(Sessions)
 
     def refuse(
         self,
--- a/mallowpass/core/systems/reads.py
+++ b/mallowpass/core/systems/reads.py
@@ -2,18 +2,13 @@
 
 from __future__ import annotations
 
-from functools import partial
-
 from mallowpass.core.calls import (
-    ZERO_POSITION,
-    Access,
     BeginCall,
     BeginRequest,
     CallerAnswer,
     EndpointCode,
     EndpointReply,
     ExecuteCall,
-    LogPosition,
     Outcome,
 )
 from mallowpass.core.node import Node, System
@@ -31,7 +26,6 @@
 from mallowpass.core.systems.connections import Watchdog
 from mallowpass.core.tables import (
     ConnectionRow,
-    DatabaseRow,
     EndpointRow,
     RequestRow,
     RequestState,
@@ -52,6 +46,7 @@
     """Serve reads from any member that proves the floor; a part of Requests."""
 
     __slots__ = (
+        "_floors",
         "_liveness",
         "_overdue",
         "_pooling",
@@ -76,95 +71,19 @@
         self._liveness = node.system(liveness_module.Liveness)
         self._pooling = node.system(pooling_module.Pooling)
         self._requests = node.system(Requests)
+        self._floors = self._requests.floors
         self._retries = node.system(retries_module.Retries)
         self._routing = node.system(routing_module.Routing)
         self._sessions = node.system(sessions_module.Sessions)
         self._transactions = node.system(Transactions)
         self._overdue = Watchdog(self.timers, OVERDUE, self._on_overdue)
 
-    # -- Floors --------------------------------------------------------------
-
-    def begin(self, request: RequestRow) -> None:
-        """Set a floor, learn it where it is unknown, and route the request."""
-        self._set_floor(request)
-        if request.fresh_floor:
-            self._learn_floor(request)
-        else:
-            self._requests.route(request)
-
-    def _set_floor(self, request: RequestRow) -> None:
-        session = self.tables.sessions.get(request.stream)
-        known = session.floors.get(request.database) if session else None
-        # A session that has no floor here may still have written, through another
-        # host and under a token that it lost: it would not see its own record.
-        request.fresh_floor = known is None
-        request.floor = known or ZERO_POSITION
-        age = self._accepted_age(request)
-        if age is None:
-            return
-        database = self.tables.databases[request.database]
-        aged = self._liveness.age_floor(database, age)
-        if aged is None:
-            request.fresh_floor = True
-        elif aged > request.floor:
-            request.floor = aged
-
-    def _accepted_age(self, request: RequestRow) -> float | None:
-        if request.access is Access.WRITE:
-            return None  # a transaction that may write runs on the primary anyway
-        declared = None
-        database = self.tables.databases[request.database]
-        row = self.tables.services.get(database.service)
-        if row is not None and row.service is not None and row.service.read_ages:
-            name = database.definition.name
-            declared = row.service.accepted_age(name, request.request_class)
-        stated = request.request.accepted_age
-        if declared is None or stated is None:
-            return stated if declared is None else declared
-        return min(declared, stated)
-
-    def _learn_floor(self, request: RequestRow) -> None:
-        request.state = RequestState.WAITING_FLOOR
-        request.detail = "the session's floor is being learnt"
-        database = self.tables.databases[request.database]
-        self._liveness.learn_floor(database, partial(self._on_learnt, request))
-
-    def _on_learnt(self, request: RequestRow, position: LogPosition | None) -> None:
-        if request.state is not RequestState.WAITING_FLOOR:
-            return
-        if position is None:
-            why = "no majority of members told its positions"
-            after = self._retries.retry_after
-            self._requests.not_run(request, ErrorCode.MINORITY_SIDE, why, after)
-            return
-        request.floor = max(request.floor, position)
-        self._requests.route(request)
-
-    def _floor_is_gone(self, request: RequestRow, database: DatabaseRow) -> bool:
-        floor = request.floor
-        if floor.term >= database.term or not floor.term:
-            return False
-        if not self._liveness.floor_lost(database, floor):
-            return False
-        session = self.tables.sessions.get(request.stream)
-        seen = session.floors.get(request.database) if session else None
-        if seen is not None and self._liveness.floor_lost(database, seen):
-            why = f"seen up to {seen.term}:{seen.position}"
-            self._requests.not_run(request, ErrorCode.FLOOR_LOST, why)
-        else:
-            # Only the age's or a learnt floor was in the part that a promotion
-            # dropped; nobody was answered from there.
-            request.floor = seen or ZERO_POSITION
-            request.fresh_floor = True
-            self._learn_floor(request)
-        return True
-
     # -- Routing -------------------------------------------------------------
 
     def route(self, request: RequestRow) -> None:
         """Send a read to the best member, or have it wait for one."""
         database = self.tables.databases[request.database]
-        if self._floor_is_gone(request, database):
+        if self._floors.is_gone(request):
             return
         endpoint = self._routing.choose_read(request, database)
         if endpoint is None:
@@ -220,9 +139,9 @@
 
     def send(self, request: RequestRow, connection: ConnectionRow) -> None:
         """Send a read on the connection that it got."""
-        if self.now > request.arrived and not self._renew_age_floor(request):
+        if self.now > request.arrived and not self._floors.renew(request):
             self._requests.release(request, connection)
-            self._learn_floor(request)
+            self._floors.learn(request)
             return
         request.state = RequestState.SENT
         if request.sent_at > request.arrived:
@@ -239,21 +158,6 @@
             )
         self._pooling.send(connection, call)
 
-    def _renew_age_floor(self, request: RequestRow) -> bool:
-        """Tell whether the floor still meets the age after the wait so far."""
-        age = self._accepted_age(request)
-        if age is None:
-            return True
-        if request.fresh_floor and self.now - request.arrived <= age:
-            return True
-        database = self.tables.databases[request.database]
-        aged = self._liveness.age_floor(database, age)
-        if aged is None:
-            request.fresh_floor = True
-            return False
-        request.floor = max(request.floor, aged)
-        return True
-
     # -- Replies -------------------------------------------------------------
 
     def on_reply(
@@ -262,7 +166,7 @@
         """Pass an answer on that proves the floor; find another one otherwise."""
         if reply.code is not EndpointCode.OK:
             self._on_refusal(request, connection, reply)
-        elif not self.proves(request, reply.applied):
+        elif not self._floors.proves(request, reply.applied):
             self._on_stale(request, connection, reply)
         elif not reply.last:
             self._requests.part(request, self._part(request, reply))
@@ -274,24 +178,6 @@
             self._requests.release(request, connection)
             self._finish(request, reply)
 
-    def proves(self, request: RequestRow, applied: LogPosition) -> bool:
-        """Tell whether what an answer was made from contains the floor."""
-        # The last check before an answer leaves. Whatever chose the member was a
-        # guess: without this a lagging replica's answer would hide the session's
-        # own writes from it.
-        floor = request.floor
-        if applied < floor:
-            return False
-        if applied.term == floor.term or not floor.term:
-            return True
-        database = self.tables.databases.get(request.database)
-        endpoint = self.tables.endpoints.get(request.address)
-        if database is None or endpoint is None or endpoint.report is None:
-            return False
-        if endpoint.report.received.term < applied.term:
-            return False  # where its term began is not known here yet
-        return not self._liveness.floor_lost(database, floor)
-
     def _record(self, request: RequestRow, connection: ConnectionRow) -> None:
         self._overdue.remove(request.number)
         latency = self.now - request.sent_at
--- a/mallowpass/core/systems/requests.py
+++ b/mallowpass/core/systems/requests.py
@@ -24,16 +24,17 @@
 from mallowpass.core.signals import DatabaseRemoved, EndpointReported, PrimaryChanged
 from mallowpass.core.systems import failover as failover_module
 from mallowpass.core.systems import liveness as liveness_module
+from mallowpass.core.systems import outcomes as outcomes_module
 from mallowpass.core.systems import pooling as pooling_module
+from mallowpass.core.systems import reads as reads_module
 from mallowpass.core.systems import retries as retries_module
 from mallowpass.core.systems import routing as routing_module
+from mallowpass.core.systems import sessionfloors as floors_module
 from mallowpass.core.systems import sessions as sessions_module
 from mallowpass.core.systems import transactions as transactions_module
+from mallowpass.core.systems import waiting as waiting_module
+from mallowpass.core.systems import writes as writes_module
 from mallowpass.core.systems.answers import Answers, code_of
-from mallowpass.core.systems.outcomes import Outcomes
-from mallowpass.core.systems.reads import Reads
-from mallowpass.core.systems.waiting import Waiting
-from mallowpass.core.systems.writes import Writes
 from mallowpass.core.tables import (
     ConnectionRow,
     RequestRow,
@@ -79,6 +80,7 @@
         "_sessions",
         "_transactions",
         "answers",
+        "floors",
         "outcomes",
         "reads",
         "waiting",
@@ -89,11 +91,12 @@
         super().__init__(node)
         self._active: dict[str, dict[int, RequestRow]] = {}  # by database key
         self._in_flight = 0
-        self.reads = Reads(node)
-        self.writes = Writes(node)
-        self.outcomes = Outcomes(node)
+        self.floors = floors_module.SessionFloors(node)
+        self.reads = reads_module.Reads(node)
+        self.writes = writes_module.Writes(node)
+        self.outcomes = outcomes_module.Outcomes(node)
         self.answers = Answers(node)
-        self.waiting = Waiting(node)
+        self.waiting = waiting_module.Waiting(node)
 
     @property
     def in_flight(self) -> int:
@@ -110,6 +113,7 @@
         self._routing = node.system(routing_module.Routing)
         self._sessions = node.system(sessions_module.Sessions)
         self._transactions = node.system(transactions_module.Transactions)
+        self.floors.start()
         self.reads.start()
         self.writes.start()
         self.outcomes.start()
@@ -137,7 +141,7 @@
             return
         row = self.take_in(session, request, key, Access.READ)
         if row is not None:
-            self.reads.begin(row)
+            self.floors.begin(row)
 
     def take_in(
         self, session: SessionRow, request: CallerRequest, key: str, access: Access
--- /dev/null
+++ b/mallowpass/core/systems/sessionfloors.py
@@ -0,0 +1,143 @@
+"""The floor of a request: what its answer must contain, and whether it does."""
+
+from __future__ import annotations
+
+from functools import partial
+
+from mallowpass.core.calls import ZERO_POSITION, Access, LogPosition
+from mallowpass.core.node import System
+from mallowpass.core.systems import liveness as liveness_module
+from mallowpass.core.systems import retries as retries_module
+from mallowpass.core.tables import RequestRow, RequestState
+from mallowpass.errors import ErrorCode
+
+__all__ = ["SessionFloors"]
+
+
+class SessionFloors(System):
+    """Join session floors with accepted ages, and check them; a part of Requests."""
+
+    __slots__ = ("_liveness", "_requests", "_retries")
+
+    def start(self) -> None:
+        """Find the systems that are asked."""
+        from mallowpass.core.systems.requests import Requests
+
+        self._liveness = self._node.system(liveness_module.Liveness)
+        self._requests = self._node.system(Requests)
+        self._retries = self._node.system(retries_module.Retries)
+
+    # -- Setting -------------------------------------------------------------
+
+    def begin(self, request: RequestRow) -> None:
+        """Set a floor, learn it where it is unknown, and route the request."""
+        self._set(request)
+        if request.fresh_floor:
+            self.learn(request)
+        else:
+            self._requests.route(request)
+
+    def _set(self, request: RequestRow) -> None:
+        session = self.tables.sessions.get(request.stream)
+        known = session.floors.get(request.database) if session else None
+        # A session that has no floor here may still have written, through another
+        # host and under a token that it lost: it would not see its own record.
+        request.fresh_floor = known is None
+        request.floor = known or ZERO_POSITION
+        age = self._accepted_age(request)
+        if age is None:
+            return
+        database = self.tables.databases[request.database]
+        aged = self._liveness.age_floor(database, age)
+        if aged is None:
+            request.fresh_floor = True
+        elif aged > request.floor:
+            request.floor = aged
+
+    def _accepted_age(self, request: RequestRow) -> float | None:
+        if request.access is Access.WRITE:
+            return None  # a transaction that may write runs on the primary anyway
+        declared = None
+        database = self.tables.databases[request.database]
+        row = self.tables.services.get(database.service)
+        if row is not None and row.service is not None and row.service.read_ages:
+            name = database.definition.name
+            declared = row.service.accepted_age(name, request.request_class)
+        stated = request.request.accepted_age
+        if declared is None or stated is None:
+            return stated if declared is None else declared
+        return min(declared, stated)
+
+    def learn(self, request: RequestRow) -> None:
+        """Learn a floor from a majority, then route the request."""
+        request.state = RequestState.WAITING_FLOOR
+        request.detail = "the session's floor is being learnt"
+        database = self.tables.databases[request.database]
+        self._liveness.learn_floor(database, partial(self._on_learnt, request))
+
+    def _on_learnt(self, request: RequestRow, position: LogPosition | None) -> None:
+        if request.state is not RequestState.WAITING_FLOOR:
+            return
+        if position is None:
+            why = "no majority of members told its positions"
+            after = self._retries.retry_after
+            self._requests.not_run(request, ErrorCode.MINORITY_SIDE, why, after)
+            return
+        request.floor = max(request.floor, position)
+        self._requests.route(request)
+
+    def is_gone(self, request: RequestRow) -> bool:
+        """Tell whether a promotion dropped the floor; if so, deal with the request."""
+        database = self.tables.databases[request.database]
+        floor = request.floor
+        if floor.term >= database.term or not floor.term:
+            return False
+        if not self._liveness.floor_lost(database, floor):
+            return False
+        session = self.tables.sessions.get(request.stream)
+        seen = session.floors.get(request.database) if session else None
+        if seen is not None and self._liveness.floor_lost(database, seen):
+            why = f"seen up to {seen.term}:{seen.position}"
+            self._requests.not_run(request, ErrorCode.FLOOR_LOST, why)
+        else:
+            # Only the age's or a learnt floor was in the part that a promotion
+            # dropped; nobody was answered from there.
+            request.floor = seen or ZERO_POSITION
+            request.fresh_floor = True
+            self.learn(request)
+        return True
+
+    def renew(self, request: RequestRow) -> bool:
+        """Tell whether the floor still meets the age after the wait so far."""
+        age = self._accepted_age(request)
+        if age is None:
+            return True
+        if request.fresh_floor and self.now - request.arrived <= age:
+            return True
+        database = self.tables.databases[request.database]
+        aged = self._liveness.age_floor(database, age)
+        if aged is None:
+            request.fresh_floor = True
+            return False
+        request.floor = max(request.floor, aged)
+        return True
+
+    # -- Checking ------------------------------------------------------------
+
+    def proves(self, request: RequestRow, applied: LogPosition) -> bool:
+        """Tell whether what an answer was made from contains the floor."""
+        # The last check before an answer leaves. Whatever chose the member was a
+        # guess: without this a lagging replica's answer would hide the session's
+        # own writes from it.
+        floor = request.floor
+        if applied < floor:
+            return False
+        if applied.term == floor.term or not floor.term:
+            return True
+        database = self.tables.databases.get(request.database)
+        endpoint = self.tables.endpoints.get(request.address)
+        if database is None or endpoint is None or endpoint.report is None:
+            return False
+        if endpoint.report.received.term < applied.term:
+            return False  # where its term began is not known here yet
+        return not self._liveness.floor_lost(database, floor)
--- a/mallowpass/core/systems/transactions.py
+++ b/mallowpass/core/systems/transactions.py
@@ -4,22 +4,15 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
-from functools import singledispatchmethod
 
 from mallowpass.core.calls import (
     Access,
     BeginRequest,
-    CallerAnswer,
     CallerRequest,
-    CommitCall,
     CommitRequest,
-    EndpointCall,
-    EndpointCode,
     EndpointReply,
-    ExecuteCall,
     ExecuteRequest,
     Outcome,
-    RollbackCall,
     RollbackRequest,
 )
 from mallowpass.core.node import Node, System
@@ -28,7 +21,7 @@
 from mallowpass.core.systems import pooling as pooling_module
 from mallowpass.core.systems import requests as requests_module
 from mallowpass.core.systems import sessions as sessions_module
-from mallowpass.core.systems.answers import code_of_refusal
+from mallowpass.core.systems import transactioncalls as calls_module
 from mallowpass.core.tables import (
     ConnectionRow,
     RequestRow,
@@ -43,7 +36,6 @@
 
 ENDED_MAX = 4096  # ended transactions whose end is remembered
 
-_GOES_ON = frozenset({EndpointCode.SQL_ERROR, EndpointCode.BUSY, EndpointCode.BAD_CALL})
 _ROLLED_BACK = ErrorCode.TRANSACTION_ROLLED_BACK
 
 
@@ -59,10 +51,11 @@
 class Transactions(System):
     """Own the transaction rows; run their statements one at a time, in order."""
 
-    __slots__ = ("_ended", "_pooling", "_requests", "_sessions")
+    __slots__ = ("_calls", "_ended", "_pooling", "_requests", "_sessions")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
+        self._calls = calls_module.TransactionCalls(node)
         self._ended: OrderedDict[str, _Ended] = OrderedDict()
 
     @property
@@ -76,6 +69,7 @@
         self._pooling = node.system(pooling_module.Pooling)
         self._requests = node.system(requests_module.Requests)
         self._sessions = node.system(sessions_module.Sessions)
+        self._calls.start()
         node.subscribe(PrimaryChanged, self._on_primary_changed)
 
     # -- Arrival -------------------------------------------------------------
@@ -92,7 +86,7 @@
         if request.access is Access.WRITE:
             self._requests.writes.begin(row, session)
         else:
-            self._requests.reads.begin(row)
+            self._requests.floors.begin(row)
 
     def execute(self, session: SessionRow, request: ExecuteRequest) -> None:
         """Queue a statement in its transaction."""
@@ -179,7 +173,7 @@
         row.transaction = transaction.name
         row.address = transaction.address
         transaction.queue.append(row.number)
-        self._run_next(transaction)
+        self._calls.run_next(transaction)
 
     # -- Begin and end -------------------------------------------------------
 
@@ -199,7 +193,7 @@
         self._pooling.pin(connection, transaction.name)
         if transaction.access is Access.READ:
             self._sessions.raise_floor(session, request.database, reply.applied)
-        self._finish(request, None, transaction.name)
+        self._calls.finish(request, None, transaction.name)
 
     def _make(self, request: RequestRow, connection: ConnectionRow) -> TransactionRow:
         identity = self._node.identity
@@ -233,8 +227,8 @@
             return
         self._node.log("WARNING", "transaction_idle", transaction=transaction.name)
         self._node.decide("rollback", transaction.name, f"idle for {idle}s")
-        self._end(transaction, ErrorCode.TRANSACTION_IDLE, "it stood idle")
-        self._release(transaction, reset=True)
+        self.end(transaction, ErrorCode.TRANSACTION_IDLE, "it stood idle")
+        self.release(transaction, reset=True)
 
     def roll_back_all(self, stream: int) -> None:
         """Roll back what a session that ended left open."""
@@ -246,10 +240,10 @@
             if transaction.state is TransactionState.ENDING:
                 continue  # its commit or rollback is under way already
             self._node.decide("rollback", name, "the caller left")
-            self._end(transaction, _ROLLED_BACK, "the caller left")
-            self._release(transaction, reset=True)
+            self.end(transaction, _ROLLED_BACK, "the caller left")
+            self.release(transaction, reset=True)
 
-    def _end(
+    def end(
         self, transaction: TransactionRow, code: ErrorCode | None, why: str
     ) -> None:
         """Forget a transaction, and answer what waited in it."""
@@ -271,7 +265,7 @@
                 self._requests.outcomes.resolve(request, why)
                 return
         elif sent and isinstance(request.request, RollbackRequest):
-            self._finish(request, None)
+            self._calls.finish(request, None)
             return
         if request.parts_sent:
             self._requests.unknown(request, f"the answer broke off: {why}")
@@ -292,7 +286,8 @@
         while len(self._ended) > ENDED_MAX:
             self._ended.popitem(last=False)
 
-    def _release(self, transaction: TransactionRow, reset: bool) -> None:
+    def release(self, transaction: TransactionRow, reset: bool) -> None:
+        """Give a transaction's connection back; `reset` unless it ended well."""
         connection = self.tables.connections.get(transaction.connection)
         if connection is not None:
             self._pooling.release(connection, reset=reset)
@@ -302,167 +297,13 @@
         if connection is not None:
             self._pooling.discard(connection, why)
 
-    # -- Statements ----------------------------------------------------------
-
-    def _run_next(self, transaction: TransactionRow) -> None:
-        while transaction.queue and not transaction.running:
-            request = self.tables.requests.get(transaction.queue.popleft())
-            if request is not None:
-                self._send(transaction, request)
-
-    def _send(self, transaction: TransactionRow, request: RequestRow) -> None:
-        connection = self.tables.connections[transaction.connection]
-        transaction.running = request.number
-        transaction.last_used = self.now
-        request.state = RequestState.SENT
-        request.connection = connection.number
-        request.sent_at = self.now
-        request.sent_term = transaction.term
-        call = self._call(request.request, transaction)
-        if isinstance(call, CommitCall):
-            transaction.state = TransactionState.ENDING
-            request.record_id = transaction.request_id
-            request.attempt = transaction.attempt
-        self._pooling.send(connection, call, request)
-
-    @singledispatchmethod
-    def _call(
-        self, request: CallerRequest, transaction: TransactionRow
-    ) -> EndpointCall:
-        raise TypeError(f"no call for {type(request).__name__}")
-
-    @_call.register
-    def _(self, request: ExecuteRequest, transaction: TransactionRow) -> EndpointCall:
-        writes = request.access is Access.WRITE
-        return ExecuteCall(
-            sql=request.sql,
-            parameters=request.parameters,
-            write=writes,
-            term=transaction.term if writes else 0,
-            chunk_rows=request.chunk_rows,
-        )
-
-    @_call.register
-    def _(self, request: CommitRequest, transaction: TransactionRow) -> EndpointCall:
-        return CommitCall()
-
-    @_call.register
-    def _(self, request: RollbackRequest, transaction: TransactionRow) -> EndpointCall:
-        return RollbackCall()
-
-    # -- Replies -------------------------------------------------------------
-
     def on_reply(
         self, request: RequestRow, connection: ConnectionRow, reply: EndpointReply
     ) -> None:
         """Take in the reply to a call within a transaction."""
         transaction = self.tables.transactions.get(request.transaction)
-        if transaction is None or transaction.running != request.number:
-            return
-        if reply.code is EndpointCode.OK and not reply.last:
-            self._pass_part(request, reply)
-            return
-        transaction.running = 0
-        transaction.last_used = self.now
-        request.connection = 0
-        self._take_reply(request.request, request, transaction, reply)
-
-    def _pass_part(self, request: RequestRow, reply: EndpointReply) -> None:
-        name = request.request.request_id
-        part = CallerAnswer(request_id=name, outcome=None, rows=reply.rows)
-        self._requests.part(request, part)
-
-    @singledispatchmethod
-    def _take_reply(
-        self,
-        kind: CallerRequest,
-        request: RequestRow,
-        transaction: TransactionRow,
-        reply: EndpointReply,
-    ) -> None:
-        raise TypeError(f"no reply for {type(kind).__name__}")
-
-    @_take_reply.register
-    def _(
-        self,
-        kind: ExecuteRequest,
-        request: RequestRow,
-        transaction: TransactionRow,
-        reply: EndpointReply,
-    ) -> None:
-        why = f"{transaction.address}: {reply.code.name} {reply.message}".rstrip()
-        if reply.code is EndpointCode.OK:
-            self._raise_floor(request, reply)
-            self._finish(request, reply.rows)
-        elif reply.code in _GOES_ON:
-            self._requests.not_run(request, code_of_refusal(reply), why)
-        else:
-            request.transaction = ""
-            self._requests.not_run(request, _ROLLED_BACK, why)
-            self._end(transaction, _ROLLED_BACK, why)
-            self._release(transaction, reset=True)
-            return
-        self._run_next(transaction)
-
-    def _raise_floor(self, request: RequestRow, reply: EndpointReply) -> None:
-        session = self.tables.sessions.get(request.stream)
-        # Only a known floor rises: the primary of a write transaction may have been
-        # replaced, and what it has applied would pass for all the session's writes.
-        if session is not None and request.database in session.floors:
-            self._sessions.raise_floor(session, request.database, reply.applied)
-
-    @_take_reply.register
-    def _(
-        self,
-        kind: CommitRequest,
-        request: RequestRow,
-        transaction: TransactionRow,
-        reply: EndpointReply,
-    ) -> None:
-        code = reply.code
-        why = f"{transaction.address}: {code.name} {reply.message}".rstrip()
-        ran = code in (EndpointCode.OK, EndpointCode.ALREADY_RUN)
-        request.transaction = ""
-        unclear = code is EndpointCode.INTERNAL
-        self._end(transaction, None if ran or unclear else _ROLLED_BACK, why)
-        self._release(transaction, reset=not ran)
-        if unclear and request.access is Access.WRITE:
-            self._requests.outcomes.resolve(request, why)
-        elif not ran:
-            self._requests.not_run(request, _ROLLED_BACK, why)
-        elif request.access is Access.READ:
-            self._finish(request, reply.rows)
-        else:
-            request.repeated = code is EndpointCode.ALREADY_RUN
-            writes = self._requests.writes
-            writes.await_majority(request, reply.applied, reply.rows)
-
-    @_take_reply.register
-    def _(
-        self,
-        kind: RollbackRequest,
-        request: RequestRow,
-        transaction: TransactionRow,
-        reply: EndpointReply,
-    ) -> None:
-        request.transaction = ""
-        self._end(transaction, _ROLLED_BACK, "its caller rolled it back")
-        self._release(transaction, reset=reply.code is not EndpointCode.OK)
-        self._finish(request, None)
-
-    def _finish(self, request: RequestRow, rows: object, name: str = "") -> None:
-        endpoint = self.tables.endpoints.get(request.address)
-        database = self.tables.databases.get(request.database)
-        primary = database.primary if database is not None else ""
-        answer = CallerAnswer(
-            request_id=request.request.request_id,
-            outcome=Outcome.DONE,
-            rows=rows,
-            transaction=name,
-            served_by=endpoint.name if endpoint is not None else "",
-            from_replica=request.address != primary and not request.sent_term,
-        )
-        self._requests.finish(request, answer)
+        if transaction is not None and transaction.running == request.number:
+            self._calls.on_reply(request, transaction, reply)
 
     # -- What goes wrong -----------------------------------------------------
 
@@ -483,7 +324,7 @@
         # sent leaves a doubt, and is looked up.
         code = None if transaction.state is TransactionState.ENDING else _ROLLED_BACK
         self._node.decide("rollback", transaction.name, f"connection lost: {why}")
-        self._end(transaction, code, f"connection lost: {why}")
+        self.end(transaction, code, f"connection lost: {why}")
 
     def on_deadline(self, request: RequestRow) -> None:
         """Give up a call whose deadline passed; one in flight ends its transaction."""
@@ -497,9 +338,9 @@
         if isinstance(request.request, CommitRequest):
             transaction.running = 0
             self._requests.unknown(request, "the deadline passed while committing")
-            self._end(transaction, None, why)
+            self.end(transaction, None, why)
         else:
-            self._end(transaction, _ROLLED_BACK, why)
+            self.end(transaction, _ROLLED_BACK, why)
         self._discard(transaction, why)
 
     def _on_primary_changed(self, signal: PrimaryChanged) -> None:
@@ -512,5 +353,5 @@
             if transaction.access is Access.WRITE and transaction.term < database.term:
                 why = f"term {transaction.term} is over"
                 self._node.decide("rollback", transaction.name, why)
-                self._end(transaction, _ROLLED_BACK, why)
+                self.end(transaction, _ROLLED_BACK, why)
                 self._discard(transaction, why)
--- a/mallowpass/core/systems/writes.py
+++ b/mallowpass/core/systems/writes.py
@@ -100,7 +100,7 @@
             self._running[request.record_id] = request.number
         if isinstance(statement, BeginRequest):
             # Its reads come from the primary, which may have been replaced.
-            self._requests.reads.begin(request)
+            self._requests.floors.begin(request)
         else:
             self.route(request)
 
@@ -234,11 +234,13 @@
         self, request: RequestRow, connection: ConnectionRow, reply: EndpointReply
     ) -> None:
         self._record(request, connection)
-        if self._requests.reads.proves(request, reply.applied):
+        if self._requests.floors.proves(request, reply.applied):
             self._transactions.opened(request, connection, reply)
             return
         request.connection = 0
         self._pooling.release(connection, reset=True)
+        if self._requests.floors.is_gone(request):
+            return
         why = f"{connection.address} lacks data that the session has seen"
         self._requests.waiting.retry(request, ErrorCode.FLOOR_NOT_REACHED, why)
 
--- a/tests/core/systems/test_transactions.py
+++ b/tests/core/systems/test_transactions.py
@@ -274,3 +274,11 @@
     assert isinstance(path.sent.call, ExecuteCall)
     assert (path.sent.call.write, path.sent.call.term) == (True, 1)
     assert path.sent.call.request_id == ""
+
+
+def test_begin_of_a_session_that_lost_its_floor_is_told_at_once(path):
+    path.open_known(2, floor=(1, 9))
+    path.promote("m2", term=2, start=7)
+    path.ask(2, BeginRequest(request_id="t", database=DATABASE, access=Access.WRITE))
+    path.reply(applied=(2, 8))
+    assert _outcome(path, "t") == (Outcome.NOT_RUN, ErrorCode.FLOOR_LOST.code)
