Let a stand-in replica's lag be a state and not a property of each entry

Cause: with a lag drawn for each entry and entries applied in order, one slow entry held up all behind it. A busy replica with a stated median of 50 ms and 99th percentile of 1 s lagged by about 1 s, so every measured replica share was that of replicas far behind. Ruled out: the routing, whose refusals were all proven by the positions that replicas reported.

Change: a drawn lag stays for a second before the next is drawn.

The test draws 2,000 virtual seconds and fails with the old sampler.

--- a/mallowpass/standins/group.py
+++ b/mallowpass/standins/group.py
@@ -14,6 +14,7 @@
 __all__ = ["Group", "GroupSpec", "Shipment"]
 
 HEARTBEAT_S = 0.05
+LAG_HOLD_S = 1.0  # a replica keeps a lag for so long before the next is drawn
 _Z_99 = 2.3263  # standard deviations between median and 99th percentile
 
 
@@ -153,21 +154,32 @@
 
 
 class LagSampler:
-    """Draw apply lags, in seconds, from a log-normal distribution."""
+    """Draw a replica's apply lag, in seconds, from a log-normal distribution.
 
-    __slots__ = ("_median", "_random", "_sigma")
+    A lag stays for a while before the next is drawn. Entries are applied in order,
+    so if each had a lag of its own, one slow entry would hold up all that follow,
+    and the lag of a busy replica would sit in the distribution's tail.
+    """
+
+    __slots__ = ("_lag", "_median", "_random", "_sigma", "_until")
 
     def __init__(self, random: Random, median_s: float, p99_s: float) -> None:
         self._random = random
         self.set(median_s, p99_s)
 
     def set(self, median_s: float, p99_s: float) -> None:
+        self._until = float("-inf")
+        self._lag = 0.0
         self._median = median_s
         self._sigma = 0.0
         if p99_s > median_s > 0:
             self._sigma = math.log(p99_s / median_s) / _Z_99
 
-    def draw(self) -> float:
+    def at(self, now: float) -> float:
+        """Return the lag of an entry received at `now`."""
         if self._median <= 0:
             return 0.0
-        return self._median * math.exp(self._random.gauss(0.0, self._sigma))
+        if now >= self._until:
+            self._until = now + LAG_HOLD_S
+            self._lag = self._median * math.exp(self._random.gauss(0.0, self._sigma))
+        return self._lag
--- a/mallowpass/standins/member.py
+++ b/mallowpass/standins/member.py
@@ -342,10 +342,11 @@
 
     def set_lag(self, median_s: float, p99_s: float) -> None:
         self.lag.set(median_s, p99_s)
+        now = _now()
         # Entries that wait for a longer lag than the new one must not hold up others.
         for _ in range(len(self._pending)):
             due, entry = self._pending.popleft()
-            self._pending.append((min(due, _now() + self.lag.draw()), entry))
+            self._pending.append((min(due, now + self.lag.at(now)), entry))
         self._apply_due()
 
     # Faults
@@ -431,7 +432,8 @@
         if entry.position <= self.log.end.position:
             self._truncate(entry.position - 1)
         self.log.append(entry)
-        self._pending.append((_now() + self.lag.draw(), entry))
+        now = _now()
+        self._pending.append((now + self.lag.at(now), entry))
         self._apply_due()
 
     def _truncate(self, position: int) -> None:
--- a/tests/standins/test_group.py
+++ b/tests/standins/test_group.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from random import Random
+
 from mallowpass.schema import endpoint_pb2 as pb
-from mallowpass.standins.group import Shipment
+from mallowpass.standins.group import LagSampler, Shipment
 from mallowpass.standins.log import LogEntry, Position
 from tests.standins.clients import GROUP, Lab, eventually, place, scenario
 
@@ -317,3 +319,20 @@
     await control._stream.write(promise)
     await eventually(lambda: lab.member("b").term == 2)
     assert (await control.report()).term == 2
+
+
+def test_busy_replica_lags_by_the_stated_distribution():
+    """Keep the lag of a busy replica at its median, not in the tail.
+
+    Symptom: with a median of 50 ms, replicas under load lagged by about 1 s.
+    Sequence: 100 entries a second, each with a lag drawn for itself.
+    Cause: entries are applied in order, so each waits for the slowest before it.
+    """
+    sampler = LagSampler(Random(1), 0.05, 1.0)
+    applied, lags = 0.0, []
+    for received in (number / 100 for number in range(200_000)):
+        applied = max(applied, received + sampler.at(received))
+        lags.append(applied - received)
+    lags.sort()
+    assert 0.04 < lags[len(lags) // 2] < 0.07
+    assert 0.7 < lags[len(lags) * 99 // 100] < 1.4
