--- a/tests/core/systems/test_loans.py
+++ b/tests/core/systems/test_loans.py
@@ -368,7 +368,7 @@
             if self.messages:
                 self.deliver(0, again=False)
 
-    @rule(seconds=st.sampled_from([0.1, 0.3, 0.3, 1.0, 3.0]))
+    @rule(seconds=st.sampled_from([0.1, 0.3, 1.0, 3.0, 6.5]))
     def wait(self, seconds: float) -> None:
         end = self.now + seconds
         while self.now < end:
@@ -392,6 +392,13 @@
             self.hosts[index].request(deadline=60.0)
         self.carry()
 
+    @rule()
+    def load_all(self) -> None:
+        """Have every host use all that it takes for its own."""
+        for index in range(len(SEATS)):
+            self.request(index, 6)
+        self.wait(0.5)
+
     @precondition(lambda self: self.statements)
     @rule(share=st.sampled_from([0.2, 1.0]))
     def answer_statements(self, share: float) -> None:
