Refuse a begin whose id was a statement's, and don't eject primaries

A begin with the id of an earlier statement found that statement's record at its commit: the caller was told DONE and nothing of the transaction was there. The id is refused as reused, as it was between statements already.

Answers lost by a primary had it ejected again and again, which no write heeds, and filled the log: 20 lost answers gave an endpoint_ejected line for nearly every one. Whether a primary still leads is for the members to say.

--- a/mallowpass/core/systems/answers.py
+++ b/mallowpass/core/systems/answers.py
@@ -106,17 +106,21 @@
 
     def final(self, request: RequestRow, answer: CallerAnswer) -> None:
         """Send the final answer to a request's caller and to its copies'."""
-        streams = [(request.stream, request.request.request_id)]
-        for stream, request_id in streams + (request.followers or []):
-            session = self.tables.sessions.get(stream)
-            if session is not None:
-                session.requests.pop(request_id, None)
-                self.send(stream, request_id, answer)
+        self._answer(request.stream, request.request.request_id, answer)
+        if request.followers is not None:
+            for stream, request_id in request.followers:
+                self._answer(stream, request_id, answer)
         emit = self._node.emit
         seconds = self.now - request.arrived
         emit(_STATEMENT_COUNTS[answer.outcome, request.access])
         emit(Observe("statement_seconds", seconds, _SECONDS_ATTRIBUTES[request.access]))
 
+    def _answer(self, stream: int, request_id: str, answer: CallerAnswer) -> None:
+        session = self.tables.sessions.get(stream)
+        if session is not None:
+            session.requests.pop(request_id, None)
+            self.send(stream, request_id, answer)
+
     def send(self, stream: int, request_id: str, answer: CallerAnswer) -> None:
         """Send an answer, or a part of one, with the stream's own token."""
         session = self.tables.sessions.get(stream)
--- a/mallowpass/core/systems/routing.py
+++ b/mallowpass/core/systems/routing.py
@@ -141,6 +141,8 @@
             self._record_success(endpoint, health, latency)
         else:
             endpoint.errors += 1
+            if self._is_primary(endpoint):
+                return  # whether it still leads is for the members to say
             if endpoint.errors >= ERRORS_MAX or health.ejections:
                 self._eject(endpoint, health, f"{endpoint.errors} errors in a row")
 
@@ -160,7 +162,7 @@
 
     def _is_slow(self, endpoint: EndpointRow, health: _Health) -> bool:
         database = self.tables.databases.get(endpoint.database)
-        if database is None or database.primary == endpoint.address:
+        if database is None or self._is_primary(endpoint):
             return False
         # Only replicas that could take over: heavy statements make all of them slow,
         # and to eject the last would send its reads to the primary.
@@ -187,7 +189,7 @@
         text = f"ejected for {pause:.3f}s: {why}"
         self._node.decide("route", endpoint.address, text)
         self._node.log(
-            "WARNING",
+            "warning",
             "endpoint_ejected",
             address=endpoint.address,
             seconds=round(pause, 3),
@@ -204,6 +206,10 @@
         report = endpoint.report
         return report is None or report.role is not Role.PRIMARY
 
+    def _is_primary(self, endpoint: EndpointRow) -> bool:
+        database = self.tables.databases.get(endpoint.database)
+        return database is not None and database.primary == endpoint.address
+
     def _open_to(self, endpoint: EndpointRow, request: RequestRow) -> bool:
         if endpoint.leaving:
             return False
--- a/mallowpass/core/systems/sessions.py
+++ b/mallowpass/core/systems/sessions.py
@@ -110,7 +110,7 @@
             return ErrorCode.INVALID_FIELD
         if not session.service and not isinstance(request, OpenRequest | CloseRequest):
             return ErrorCode.UNKNOWN_SESSION
-        if self._draining.closing:
+        if self._draining.closing and not isinstance(request, CloseRequest):
             return ErrorCode.DRAINING
         if len(session.requests) >= REQUESTS_MAX:
             return ErrorCode.SESSION_LIMIT
--- a/mallowpass/core/systems/transactions.py
+++ b/mallowpass/core/systems/transactions.py
@@ -80,11 +80,15 @@
             self._requests.answers.refuse(session, request, ErrorCode.REQUEST_ID_REUSED)
             return
         key = database_key(session.service, request.database)
+        writes = self._requests.writes
+        writing = request.access is Access.WRITE
+        if writing and writes.refuse_reused_begin(session, request, key):
+            return
         row = self._requests.take_in(session, request, key, request.access)
         if row is None:
             return
-        if request.access is Access.WRITE:
-            self._requests.writes.begin(row, session)
+        if writing:
+            writes.begin(row, session)
         else:
             self._requests.floors.begin(row)
 
@@ -225,7 +229,7 @@
             pause = idle if transaction.running else due - self.now
             transaction.timer = self.timers.after(pause, self._on_idle, transaction)
             return
-        self._node.log("WARNING", "transaction_idle", transaction=transaction.name)
+        self._node.log("warning", "transaction_idle", transaction=transaction.name)
         self._node.decide("rollback", transaction.name, f"idle for {idle}s")
         self.end(transaction, ErrorCode.TRANSACTION_IDLE, "it stood idle")
         self.release(transaction, reset=True)
--- a/mallowpass/core/systems/writes.py
+++ b/mallowpass/core/systems/writes.py
@@ -7,6 +7,7 @@
 from mallowpass.core.calls import (
     BeginCall,
     BeginRequest,
+    CallerRequest,
     EndpointCode,
     EndpointReply,
     ExecuteCall,
@@ -118,13 +119,23 @@
         if running is not None:
             self.join(running, session, request)
             return True
-        return self._was_reused(session, request, key, name)
+        statement = hash((key, request.sql, repr(request.parameters)))
+        return self._was_reused(session, request, name, statement)
+
+    def refuse_reused_begin(
+        self, session: SessionRow, request: BeginRequest, key: str
+    ) -> bool:
+        """Refuse a begin whose id was another request's; tell whether it is done.
+
+        Its commit would be answered from the other's record, and not run.
+        """
+        name = record_id(session.caller, request.request_id)
+        return self._was_reused(session, request, name, hash((key, "begin")))
 
     def _was_reused(
-        self, session: SessionRow, request: ExecuteRequest, key: str, name: str
+        self, session: SessionRow, request: CallerRequest, name: str, statement: int
     ) -> bool:
         recent = self.tables.recent_outcomes
-        statement = hash((key, request.sql, repr(request.parameters)))
         known = recent.setdefault(name, statement)
         if known != statement:
             self._requests.answers.refuse(session, request, ErrorCode.REQUEST_ID_REUSED)
--- a/tests/core/systems/test_transactions.py
+++ b/tests/core/systems/test_transactions.py
@@ -207,6 +207,19 @@
     assert path.answer().transaction == ""
 
 
+def test_begin_with_the_id_of_a_statement_is_refused(path):
+    """Symptom: a commit is answered DONE, and nothing of the transaction is there.
+    Sequence: a caller uses the id of an earlier statement for its begin.
+    Cause: the endpoint finds the statement's record under the transaction's id.
+    """
+    path.write(1, "t")
+    path.reply(applied=(1, 7))
+    path.hold(1, 7)
+    path.ask(1, BeginRequest(request_id="t", database=DATABASE, access=Access.WRITE))
+    assert path.answer().code == ErrorCode.REQUEST_ID_REUSED.code
+    assert len(path.pooling.sent) == 1
+
+
 def test_read_only_transaction_runs_on_a_replica_with_the_floor(path):
     path.report("m2", (1, 5))
     path.read(1, "look")
