Take libz from the binary, not from the host, and check what is loaded

Cause: PyInstaller's loader is linked with libz and runs before it has set its library path, so a host without libz could not have started the binary.

Change: the launcher puts the unpacked libraries on LD_LIBRARY_PATH before execv; check_binary.py fails on any mapped library of the host but the C library's own.

Conclusion: the binary needs the kernel, /proc and the C library of its host.

--- a/packaging/check_binary.py
+++ b/packaging/check_binary.py
@@ -25,6 +25,11 @@
 MEMORY = Path("/dev/shm")
 RACERS = 8
 LIMIT_S = 60.0
+# The C library's own files: all that a host has to have.
+HOST_LIBRARIES = ("ld-linux", "libc.so", "libdl.so", "libm.so", "libpthread.so")
+HOST_LIBRARIES += ("librt.so", "libutil.so")
+# The dynamic linker's index of the host: read where there is one, no library itself.
+LINKER_INDEX = "/etc/ld.so.cache"
 # A binary that forks only once its caches are there would pass a single start.
 STARTS = 3
 
@@ -75,8 +80,8 @@
 def check(binary: Path, folder: Path) -> None:
     """Run all checks with `folder`, empty and in memory, to unpack into."""
     for start in range(STARTS):
-        seen = _watched(_start(binary, folder))
-        print(f"start {start + 1}: {seen} looks, no child")
+        seen = _watched(_start(binary, folder), folder)
+        print(f"start {start + 1}: {seen} looks, no child, no library of the host")
     _check_filter_bites()
     _expect_version(_start(binary, folder, _forbid_processes))
     _empty(folder)
@@ -125,8 +130,8 @@
         raise CheckError(f"{run}\n{output}\n{errors}")
 
 
-def _watched(process: subprocess.Popen[str]) -> int:
-    """Look for children until the process ends; return how often was looked."""
+def _watched(process: subprocess.Popen[str], folder: Path) -> int:
+    """Look for children and foreign libraries; return how often was looked."""
     tasks = Path(f"/proc/{process.pid}/task")
     looks = 0
     give_up = time.monotonic() + LIMIT_S
@@ -135,6 +140,10 @@
         if children:
             process.kill()
             raise CheckError(f"process {process.pid} has children: {children}")
+        foreign = _foreign_libraries(process.pid, folder)
+        if foreign:
+            process.kill()
+            raise CheckError(f"loaded from the host, not the binary: {foreign}")
         looks += 1
     _expect_version(process)
     return looks
@@ -149,6 +158,23 @@
         return ""  # it ended between two looks
 
 
+def _foreign_libraries(process: int, folder: Path) -> list[str]:
+    """List what is mapped from outside the unpacked copy and isn't the C library."""
+    try:
+        maps = Path(f"/proc/{process}/maps").read_text()
+    except (FileNotFoundError, ProcessLookupError):
+        return []
+    mapped = {line.split(maxsplit=5)[-1] for line in maps.splitlines()}
+    return sorted(
+        path
+        for path in mapped
+        if ".so" in path
+        and path != LINKER_INDEX
+        and not path.startswith(str(folder))
+        and not Path(path).name.startswith(HOST_LIBRARIES)
+    )
+
+
 def _check_filter_bites() -> None:
     """Prove that the filter ends a fork, or what it lets pass says nothing."""
     if platform.machine() != "x86_64":
--- a/packaging/launcher.c
+++ b/packaging/launcher.c
@@ -421,6 +421,20 @@
            footer->unpacked + SPARE_BYTES;
 }
 
+/* The program's own loader needs a library (libz) before it can point the dynamic
+ * linker at the unpacked ones itself: without this, a bare host would have to have it.
+ */
+static void offer_libraries(const char *path)
+{
+    char folders[2 * PATH_MAX];
+    const char *given = getenv("LD_LIBRARY_PATH");
+    int more = given != NULL && *given != '\0';
+    int size = snprintf(folders, sizeof folders, "%s/_internal%s%s", path,
+                        more ? ":" : "", more ? given : "");
+    if (size >= (int)sizeof folders || setenv("LD_LIBRARY_PATH", folders, 1) != 0)
+        fail("cannot set LD_LIBRARY_PATH (too long?)", given);
+}
+
 /* Become the program if this file system will do; return otherwise. */
 static void run_from(const char *base, char **arguments)
 {
@@ -441,6 +455,7 @@
         folder = settle(final, path, folder);
     }
     sweep(base, path);
+    offer_libraries(path);
     snprintf(program, sizeof program, "%s/" PROGRAM, path);
     execv(program, arguments);
     fail("cannot start what was unpacked", strerror(errno));
