Take the retry of an overdue write from the budget before fencing it

A primary that pauses for more than half a second makes all its writes in flight overdue at once. Each was fenced, proven not run, and then refused for lack of budget once more than 100 were waiting. The retry is taken from the budget before the look-up now; writes that the budget does not reach wait on as they did. The test with a budget of 2 and 3 writes fails without.

--- a/mallowpass/core/systems/outcomes.py
+++ b/mallowpass/core/systems/outcomes.py
@@ -165,7 +165,9 @@
             return
         request.attempt += 1
         database = self.tables.databases.get(request.database)
-        if database is None or database.term > request.sent_term:
+        prepaid = request.prepaid
+        request.prepaid = False
+        if prepaid or database is None or database.term > request.sent_term:
             # Once for each promotion: no budget is needed to bound that.
             self._requests.route(request)
         else:
--- a/mallowpass/core/systems/writes.py
+++ b/mallowpass/core/systems/writes.py
@@ -273,9 +273,12 @@
         endpoint = self.tables.endpoints.get(request.address)
         usual = endpoint.latency if endpoint is not None else 0.0
         took = self.now - request.sent_at
-        if took < OVERDUE_FACTOR * usual or self._retries.is_spent(request):
+        if took < OVERDUE_FACTOR * usual or self._retries.may_retry(request) is None:
             self._overdue.add(number)
             return
+        # Paid now: a primary that pauses makes many writes overdue at once, and those
+        # that the budget does not reach are better left waiting than refused.
+        request.prepaid = True
         self._requests.abandon(request)
         self._requests.outcomes.resolve(request, f"no answer in {took:.3f}s")
 
--- a/mallowpass/core/tables.py
+++ b/mallowpass/core/tables.py
@@ -220,6 +220,7 @@
     avoided: set[str] | None = None  # addresses that could not serve it
     followers: list[tuple[int, str]] | None = None  # (stream, id) of its copies
     behind: int = 0  # times that a member had not reached its floor
+    prepaid: bool = False  # its next retry was taken from the budget already
 
 
 class TransactionState(Enum):
--- a/tests/core/systems/test_writes.py
+++ b/tests/core/systems/test_writes.py
@@ -354,6 +354,22 @@
     assert len(path.pooling.sent) == 1
 
 
+def test_pause_of_the_primary_does_not_get_writes_refused(path):
+    """Symptom: after a pause of a second, writes are refused: budget spent.
+    Sequence: more writes are in flight than the budget has retries; all are overdue.
+    Cause: each was fenced before it was clear that it could be sent again.
+    """
+    path.retries._budget("claims-core").left = 2.0
+    for name in ("a", "b", "c"):
+        path.write(1, name)
+    path.advance(0.6)
+    assert len(path.liveness.controls) == 2
+    path.look_up(NOT_RECORDED)
+    path.look_up(NOT_RECORDED)
+    assert [sent.call.attempt for sent in path.pooling.sent] == [1, 1, 1, 2, 2]
+    assert path.answered("a") == path.answered("b") == path.answered("c") == []
+
+
 def test_retry_beyond_the_budget_is_refused_at_once_with_a_time(path):
     path.retries._budget("claims-core").left = 0.0
     path.write(1, "file")
