Learn latency from statements that ran, not from refusals

The same would come of a replica's quick refusals while it is behind: the first real statements after it look like contention.

--- a/mallowpass/core/systems/concurrency.py
+++ b/mallowpass/core/systems/concurrency.py
@@ -9,7 +9,7 @@
 WINDOW_SAMPLES = 50
 WINDOW_SECONDS = 1.0
 TOLERANCE = 2.0  # times the uncontended latency
-SLACK = 0.005  # seconds of latency that are never held against an endpoint
+SLACK = 0.015  # seconds of latency that are never held against an endpoint
 DECREASE = 0.8
 BASELINE_RISE = 0.2
 
--- a/mallowpass/core/systems/pooling.py
+++ b/mallowpass/core/systems/pooling.py
@@ -391,7 +391,9 @@
         sent_at = pool.answering.remove(connection.number)
         if reply.code is EndpointCode.BUSY:
             pool.concurrency.overloaded(pool.active)
-        else:
+        elif reply.code is EndpointCode.OK:
+            # Refusals come quickly: taken for statements, they would make the first
+            # real ones look like contention.
             pool.concurrency.record(now, now - sent_at, pool.active)
 
     def _hand_on(
--- a/tests/core/systems/test_admission.py
+++ b/tests/core/systems/test_admission.py
@@ -102,3 +102,17 @@
     host.requests.hold = True
     host.reply(host.calls(ExecuteCall)[-1], EndpointCode.BUSY)
     assert host.pool.statement_limit == 3
+
+
+def test_quick_refusals_are_not_taken_for_uncontended_statements():
+    """
+    Symptom: an idle endpoint is sent one statement at a time.
+    Sequence: a replica that is behind refuses quickly, catches up, then serves.
+    Cause: the refusals' latency taken for that of a statement without contention.
+    """
+    host = PoolHost(limit=32)
+    host.request()
+    host.open_all()
+    host.wait(0.01)
+    host.reply(host.calls(ExecuteCall)[-1], EndpointCode.BEHIND)
+    assert host.pool.concurrency.baseline == 0.0
