--- a/mallowpass/core/systems/hosts.py
+++ b/mallowpass/core/systems/hosts.py
@@ -59,6 +59,7 @@
         "_digests",
         "_live",
         "_node",
+        "_ranks",
         "_rows",
         "_suspects",
     )
@@ -69,6 +70,7 @@
         self._suspects: dict[str, float] = {}  # name -> suspected since
         self._changed_at: dict[str, float] = {}  # dead and leaving ones
         self._live: dict[str | None, list[HostRow]] = {}  # by failure domain
+        self._ranks: dict[tuple[str, str | None], int] = {}
         self._buckets = [0] * BUCKETS
         self._digest = b""  # empty: to be computed
         self._digests: dict[str, int] = {}  # what each name adds to its bucket
@@ -108,8 +110,13 @@
 
     def rank(self, key: str, failure_domain: str | None) -> int:
         """Return how many live hosts weigh more than this one for a key."""
-        own = rendezvous(key, self._node.identity.name)
-        return sum(rendezvous(key, row.name) > own for row in self.live(failure_domain))
+        rank = self._ranks.get((key, failure_domain))
+        if rank is None:
+            own = rendezvous(key, self._node.identity.name)
+            rows = self.live(failure_domain)
+            rank = sum(rendezvous(key, row.name) > own for row in rows)
+            self._ranks[key, failure_domain] = rank
+        return rank
 
     def first(self, key: str) -> str:
         """Return the name of the live host that weighs most for a key."""
@@ -202,6 +209,7 @@
         changed = row.state is not state
         row.state = state
         self._live.clear()
+        self._ranks.clear()
         self._rehash(row.name, row.incarnation, state in _LIVE)
         if state is HostState.SUSPECTED:
             self._suspects.setdefault(row.name, now)
@@ -236,8 +244,10 @@
     def _forget_gone(self) -> None:
         limit = self._node.timers.now - FORGET_AFTER
         for name in [n for n, at in self._changed_at.items() if at < limit]:
-            del self._changed_at[name]
-            del self._rows[name]
+            # A drain may last longer; its host's heartbeats still look for the row.
+            if not self._rows[name].link:
+                del self._changed_at[name]
+                del self._rows[name]
 
 
 def _bucket(name: str) -> int:
--- a/tests/core/systems/test_membership.py
+++ b/tests/core/systems/test_membership.py
@@ -10,7 +10,8 @@
 from mallowpass.core.node import Tuning
 from mallowpass.core.peering import EndpointNotice, Greeting
 from mallowpass.core.platformcalls import HostRegistered
-from mallowpass.core.signals import EndpointReported
+from mallowpass.core.signals import DrainBegan, EndpointReported
+from mallowpass.core.systems.hosts import FORGET_AFTER, FORGET_PERIOD
 from mallowpass.core.systems.membership import Membership
 from mallowpass.core.systems.peers import LINKS_MAX
 from mallowpass.core.tables import HostState
@@ -181,6 +182,20 @@
     fleet.run_until(lambda: states(fleet, OTHER) == {ALIVE}, 5)
 
 
+def test_a_drain_longer_than_hosts_are_remembered_stops_nobody():
+    """
+    Symptom: hosts fail at each heartbeat of a host that has drained for long.
+    Sequence: a host drains for an hour; after 15 minutes its row is forgotten.
+    Cause: the row went although the host still had a link.
+    """
+    fleet = started((2, 1))
+    host = fleet.hosts[FIRST]
+    host.node.publish(DrainBegan(fleet.now + 3_600))
+    fleet._carry_out(host, host.node._take_effects())
+    fleet.run(FORGET_AFTER + 3 * FORGET_PERIOD)
+    assert states(fleet, FIRST) == {LEAVING}
+
+
 def test_the_platforms_list_kills_no_host_that_is_heard():
     fleet = started()
     fleet.run(10)
