Leave out the gRPC module of a schema without a service

Cause: `make schema` wrote an empty values_pb2_grpc.py that nothing imports.

Change: generate_schema.py removes the gRPC module of a schema with no service.

Conclusion: the committed generated code is what `make schema` makes.

--- a/packaging/generate_schema.py
+++ b/packaging/generate_schema.py
@@ -14,6 +14,7 @@
 from grpc_tools import protoc
 
 _SIBLING_IMPORT = re.compile(r"^import (\w+_pb2) as ", re.MULTILINE)
+_SERVICE = re.compile(r"^service \w+", re.MULTILINE)
 _SIBLING_FROM = re.compile(r"^import (\w+_pb2)$", re.MULTILINE)
 
 
@@ -33,11 +34,19 @@
         ]
     )
     if status == 0:
+        _drop_empty(schemas)
         for generated in sorted(folder.glob("*_pb2*.py*")):
             _make_relative(generated)
     return status
 
 
+def _drop_empty(schemas: list[Path]) -> None:
+    """Remove the gRPC module of each schema that describes no service."""
+    for schema in schemas:
+        if not _SERVICE.search(schema.read_text(encoding="utf-8")):
+            schema.with_name(f"{schema.stem}_pb2_grpc.py").unlink(missing_ok=True)
+
+
 def _make_relative(generated: Path) -> None:
     """Rewrite imports of sibling modules in one generated file."""
     text = generated.read_text(encoding="utf-8")
