Test that leaving members are no last resort either

Taking the check out of the last resort for reads was noticed by no test: another check stood in front of it. All guards of the request path have been taken out one at a time on a scratch copy; each now fails a test.

--- a/tests/core/systems/test_routing.py
+++ b/tests/core/systems/test_routing.py
@@ -84,6 +84,9 @@
     assert _choose(path) == "127.0.0.1:3"
     path.endpoint("m1").leaving = True
     assert path.routing.choose_write(path.database) is None
+    path.endpoint("m3").leaving = True
+    request = path.pooling.queue[0][0]
+    assert path.routing.choose_other_read(request, path.database) is None
 
 
 def test_ejected_replica_serves_when_there_is_nobody_else():
