Put properties first, and learn a host's own word in one place

Cause: private properties stood at the end of several classes, against the house style, and what a host says of itself was turned into a notice in three places, at every heartbeat also when it said nothing new.

Change: properties stand before other methods.

Measured: `python -m pytest -q tests/core/test_codec.py tests/core/systems/test_{configuration,configuration_machine,membership,platform,draining,operators}.py`: 62 passed.

Conclusion: no change of behaviour.

--- a/mallowpass/core/systems/changes.py
+++ b/mallowpass/core/systems/changes.py
@@ -85,6 +85,10 @@
         self._ambiguous = False  # a write left whose answer did not come
         self._tries = 0
 
+    @property
+    def _client(self) -> PlatformClient:
+        return self._node.system(PlatformClient)
+
     @staticmethod
     def is_in(version: ServiceVersion | None, change_id: str) -> bool:
         """Tell whether a change is among the newest that led to a version."""
@@ -233,7 +237,3 @@
             accepted=False, code=code.code, message=message, current=current
         )
         self._callback(answer)
-
-    @property
-    def _client(self) -> PlatformClient:
-        return self._node.system(PlatformClient)
--- a/mallowpass/core/systems/configuration.py
+++ b/mallowpass/core/systems/configuration.py
@@ -76,6 +76,10 @@
         """Return the seconds since this host last read the table, None for never."""
         return self._poll.age
 
+    @property
+    def _membership(self) -> Membership:
+        return self._node.system(Membership)
+
     def start(self) -> None:
         """Subscribe to peers' messages and begin to poll."""
         membership = self._membership
@@ -249,10 +253,6 @@
         row = self.tables.services.get(name)
         return row.accepted.version if row is not None else 0
 
-    @property
-    def _membership(self) -> Membership:
-        return self._node.system(Membership)
-
 
 def _hash(version: ServiceVersion) -> int:
     return xxhash.xxh64_intdigest(f"{version.name}\0{version.version}".encode())
--- a/mallowpass/core/systems/draining.py
+++ b/mallowpass/core/systems/draining.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from mallowpass.core.effects import CloseCaller, Exit
 from mallowpass.core.events import ShutdownRequested
 from mallowpass.core.node import Node, System
@@ -15,6 +17,10 @@
 from mallowpass.core.timers import Timer
 from mallowpass.errors import ErrorCode
 
+if TYPE_CHECKING:
+    from mallowpass.core.systems.requests import Requests
+    from mallowpass.core.systems.transactions import Transactions
+
 __all__ = ["Draining"]
 
 CHECK_PERIOD = 0.05
@@ -51,6 +57,20 @@
         """Return when open transactions are rolled back, None when not draining."""
         return self._deadline
 
+    # Imported late: these two stand on this module.
+
+    @property
+    def _requests(self) -> Requests:
+        from mallowpass.core.systems.requests import Requests
+
+        return self._node.system(Requests)
+
+    @property
+    def _transactions(self) -> Transactions:
+        from mallowpass.core.systems.transactions import Transactions
+
+        return self._node.system(Transactions)
+
     def start(self) -> None:
         """Subscribe to the request to shut down."""
         self._node.subscribe(ShutdownRequested, self._on_shutdown)
@@ -130,17 +150,3 @@
             self._node.emit(CloseCaller(stream))
         self._node.log("info", "drain_ended", seconds=self.now - self._began)
         self._node.emit(Exit())
-
-    # -- Other systems, imported late: they stand on this one ----------------
-
-    @property
-    def _requests(self):
-        from mallowpass.core.systems.requests import Requests
-
-        return self._node.system(Requests)
-
-    @property
-    def _transactions(self):
-        from mallowpass.core.systems.transactions import Transactions
-
-        return self._node.system(Transactions)
--- a/mallowpass/core/systems/explaining.py
+++ b/mallowpass/core/systems/explaining.py
@@ -42,6 +42,10 @@
         self._node = node
         self._questions: dict[str, _Question] = {}
 
+    @property
+    def _membership(self) -> Membership:
+        return self._node.system(Membership)
+
     def start(self) -> None:
         """Subscribe to questions and answers of peers."""
         self._membership.on_message(ExplainCall, self._on_call)
@@ -121,10 +125,6 @@
         ]
         return found[-limit:]
 
-    @property
-    def _membership(self) -> Membership:
-        return self._node.system(Membership)
-
 
 def _concerns(decision: Decision, subject: str, name: str) -> bool:
     if subject == "config" and decision.kind not in CONFIGURATION_KINDS:
--- a/mallowpass/core/systems/hostlist.py
+++ b/mallowpass/core/systems/hostlist.py
@@ -58,6 +58,10 @@
         self._leaving = False
         self._seats = sum(domain.hosts for domain in node.identity.domains)
 
+    @property
+    def _client(self) -> PlatformClient:
+        return self._node.system(PlatformClient)
+
     def start(self) -> None:
         """Begin to register and to poll."""
         node = self._node
@@ -121,10 +125,6 @@
         if self._node.timers.now - row.heard_at >= silence:
             self._check(row)
 
-    @property
-    def _client(self) -> PlatformClient:
-        return self._node.system(PlatformClient)
-
 
 def _notice(host: ListedHost) -> HostNotice:
     return HostNotice(
--- a/mallowpass/core/systems/membership.py
+++ b/mallowpass/core/systems/membership.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Callable
 from typing import TypeVar
 
@@ -303,15 +304,8 @@
     def _on_heartbeat(self, host: str, beat: Heartbeat) -> None:
         row = self.tables.hosts[host]
         state = HostState.LEAVING if beat.draining else HostState.ALIVE
-        notice = HostNotice(
-            host,
-            row.failure_domain,
-            row.seat,
-            row.address,
-            beat.incarnation,
-            state.value,
-        )
-        self._learn(notice, but=host)
+        if (row.incarnation, row.state) != (beat.incarnation, state):
+            self._learn_own_word(row, beat.incarnation, state)
         self._hosts.heard(row, beat.beat)
         link = self._links.of_host(host)
         if link is not None:
@@ -375,18 +369,15 @@
         )
 
     def _on_goodbye(self, host: str, goodbye: Goodbye) -> None:
-        row = self.tables.hosts.get(goodbye.host)
-        if row is None or goodbye.host != host:
-            return
-        notice = HostNotice(
-            host,
-            row.failure_domain,
-            row.seat,
-            row.address,
-            goodbye.incarnation,
-            HostState.LEAVING.value,
+        row = self.tables.hosts.get(host)
+        if row is not None and goodbye.host == host:
+            self._learn_own_word(row, goodbye.incarnation, HostState.LEAVING)
+
+    def _learn_own_word(self, row: HostRow, incarnation: int, state: HostState) -> None:
+        news = dataclasses.replace(
+            notice_of(row), incarnation=incarnation, state=state.value
         )
-        self._learn(notice, but=host)
+        self._learn(news, but=row.name)
 
     def _on_drain(self, signal: DrainBegan) -> None:
         self._draining = True
--- a/mallowpass/core/systems/operators.py
+++ b/mallowpass/core/systems/operators.py
@@ -48,6 +48,10 @@
         self._explaining = Explaining(node)
         self._drains: dict[str, int] = {}  # relayed: id -> the operator's call
 
+    @property
+    def _configuration(self) -> Configuration:
+        return self._node.system(Configuration)
+
     def start(self) -> None:
         """Subscribe to operators and to what peers ask on an operator's behalf."""
         self._node.subscribe(OperatorRequested, self._on_requested)
@@ -198,10 +202,6 @@
         message = f"{code.meaning} {name!r}{detail}"
         return ServicesListedAnswer(code=code.code, message=message)
 
-    @property
-    def _configuration(self) -> Configuration:
-        return self._node.system(Configuration)
-
 
 _NOTHING_KNOWN = (
     "This host knows no configuration yet: it has reached neither the platform nor "
--- a/mallowpass/core/systems/peers.py
+++ b/mallowpass/core/systems/peers.py
@@ -97,6 +97,13 @@
         """Return the links whose host is known; one a host."""
         return self._by_host.values()
 
+    @property
+    def _now(self) -> float:
+        return self._node.timers.now
+
+    def __iter__(self) -> Iterator[Link]:
+        return iter(tuple(self._links.values()))
+
     def get(self, number: int) -> Link | None:
         """Return a link by number, None when it is gone."""
         return self._links.get(number)
@@ -342,10 +349,3 @@
             row = self._node.tables.hosts.get(link.host)
             if row is not None and row.link == link.number:
                 row.link = 0
-
-    def __iter__(self) -> Iterator[Link]:
-        return iter(tuple(self._links.values()))
-
-    @property
-    def _now(self) -> float:
-        return self._node.timers.now
