Hold the over-term guard by every change of the primary, not by the last

Cause: with the guard taken out the primary came and went, and the test looked at one moment only: it passed once the pace of reports had changed.

Change: the test compares all changes of the primary.

--- a/tests/core/systems/test_liveness.py
+++ b/tests/core/systems/test_liveness.py
@@ -149,7 +149,7 @@
     scene.world.poke(scene.group)
     scene.world.run(5.0)
     assert scene.row().state is GroupState.SUSPECTED
-    assert scene.row().primary == ""
+    assert [primary for _, primary, _ in scene.primaries["h0"]] == ["a:1", ""]
 
 
 def test_primary_of_an_older_term_does_not_return(scene):
