Let members answer a keep-alive while a statement runs

Cause: a statement that takes long and a connection that went silent look alike to a host; the schema gave it no way to tell them apart.

Change: KeepAlive may be sent beside a call in flight, to members that report the new ability keep_alive_while_busy; they answer it at once. It is Report.keep_alive_while_busy in the core, absent by default, so members without it are treated as before. The stand-in reads on while it runs a statement. ConnectionRow.called_at says when a request's last call was sent.

Conclusion: the two new tests of the stand-in show an answer beside a running statement, and none on a connection that was silenced under it.

--- a/mallowpass/adapters/endpoint_messages.py
+++ b/mallowpass/adapters/endpoint_messages.py
@@ -233,6 +233,7 @@
         outcome_lookup=abilities.outcome_lookup,
         minimum_position=abilities.minimum_position,
         time_to_live=abilities.time_to_live,
+        keep_alive_while_busy=abilities.keep_alive_while_busy,
     )
 
 
--- a/mallowpass/core/calls.py
+++ b/mallowpass/core/calls.py
@@ -295,6 +295,7 @@
     outcome_lookup: bool = True
     minimum_position: bool = True
     time_to_live: bool = True
+    keep_alive_while_busy: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowpass/core/tables.py
+++ b/mallowpass/core/tables.py
@@ -152,6 +152,7 @@
     transaction: str = ""
     loan: str = ""  # the loan that it is opened under; empty: this host's share
     expires: float = float("inf")  # not used after this
+    called_at: float = 0.0  # when the last call of a request was sent
 
 
 # -- Sessions, requests, transactions ----------------------------------------
--- a/mallowpass/standins/database.py
+++ b/mallowpass/standins/database.py
@@ -27,7 +27,11 @@
 __all__ = ["EndpointServer"]
 
 _ABILITIES = endpoint_pb2.Abilities(
-    outcome_lookup=True, minimum_position=True, time_to_live=True, primary_silence=True
+    outcome_lookup=True,
+    minimum_position=True,
+    time_to_live=True,
+    primary_silence=True,
+    keep_alive_while_busy=True,
 )
 
 
@@ -190,7 +194,7 @@
 
 
 class _Connection(_Stream):
-    """Run the calls of one connection, one after another."""
+    """Run the calls of one connection, one after another but for keep-alives."""
 
     def __init__(self, server: EndpointServer, context) -> None:
         super().__init__(server, context)
@@ -201,6 +205,8 @@
         self._time_to_live_s = 0.0
         self._last_call_at = 0.0
         self._busy = False
+        self._running: asyncio.Task[None] | None = None
+        self._tasks: asyncio.TaskGroup | None = None
         self._expiry: asyncio.TimerHandle | None = None
 
     def close(self) -> None:
@@ -211,10 +217,24 @@
             self._expiry.cancel()
         self._abandon_transaction()
 
+    async def _read_calls(self) -> None:
+        async with asyncio.TaskGroup() as self._tasks:
+            await super()._read_calls()
+
     async def _take(self, call: endpoint_pb2.EndpointCall) -> None:
         if self._expired:
             return
+        if self._busy and call.WhichOneof("call") == "keep_alive":
+            self._last_call_at = _now()
+            await self._answer(call)
+            return
+        if self._running is not None:
+            await asyncio.wait({self._running})
+        # Read on meanwhile: a keep-alive is answered while a statement runs.
         self._busy = True
+        self._running = self._tasks.create_task(self._run_call(call))
+
+    async def _run_call(self, call: endpoint_pb2.EndpointCall) -> None:
         try:
             await self._answer(call)
         finally:
--- a/tests/standins/test_database.py
+++ b/tests/standins/test_database.py
@@ -315,6 +315,33 @@
     answer.cancel()
 
 
+@scenario(service_time_s=0.3)
+async def test_a_keep_alive_is_answered_while_a_statement_runs(lab):
+    connection, endpoint = await lab.connect("a"), lab.standins.endpoint(GROUP, "a")
+    await connection.send(execute=pb.Execute(sql="SELECT 1"))
+    await eventually(lambda: endpoint._running_statements == 1)
+    keep_alive = await connection.call(keep_alive=pb.KeepAlive())
+    assert keep_alive.sequence == connection.sequence
+    assert endpoint._running_statements == 1
+    answer = await connection.read()
+    assert (answer.sequence, answer.rows.rows[0].values[0].integer) == (2, 1)
+    assert endpoint.report.abilities.keep_alive_while_busy
+
+
+@scenario(service_time_s=0.3)
+async def test_a_silent_connection_answers_no_keep_alive_beside_its_statement(lab):
+    connection, endpoint = await lab.connect("a"), lab.standins.endpoint(GROUP, "a")
+    await connection.send(execute=pb.Execute(sql="SELECT 1"))
+    await eventually(lambda: endpoint._running_statements == 1)
+    lab.standins.silence_open_streams(GROUP, "a")
+    await connection.send(keep_alive=pb.KeepAlive())
+    answer = asyncio.ensure_future(connection.stream.read())
+    await eventually(lambda: endpoint._running_statements == 0)
+    assert (await (await lab.connect("a")).select("SELECT 1")).code == pb.OK
+    assert not answer.done()
+    answer.cancel()
+
+
 @scenario()
 async def test_a_crash_ends_streams_and_the_member_returns_as_replica(lab):
     connection = await primary_with_table(lab)
