Find gaps also while digests never stand still

Cause: a gap was looked for only when the digests of two neighbours stood still for some heartbeats. A host that had missed a notice lacked the version for as long as other services were changed several times a second; and after a partition nothing but dials, host by host, brought the two sides together.

Change: one class counts how long two digests differ, at rest and under changes, for services and for hosts. Services are repaired after eight heartbeats that moved, hosts after 30: sooner, all hosts of both sides refute within one second.

--- a/mallowpass/core/systems/configuration.py
+++ b/mallowpass/core/systems/configuration.py
@@ -20,6 +20,7 @@
 from mallowpass.core.signals import ServiceAccepted
 from mallowpass.core.systems.changes import Change
 from mallowpass.core.systems.databases import DatabaseRows
+from mallowpass.core.systems.difference import NO_DIFFERENCE, Difference
 from mallowpass.core.systems.membership import Membership
 from mallowpass.core.systems.polling import ServicePoll
 from mallowpass.core.systems.validation import find_faults
@@ -28,7 +29,9 @@
 
 __all__ = ["Configuration"]
 
-REPAIR_BEATS = 2  # heartbeats that digests must differ for
+# Heartbeats that digests must differ for before a repair, at rest and under changes.
+REPAIR_BEATS = 2
+RESTLESS_BEATS = 8
 REPAIR_GAP = 2.0  # seconds between two repairs
 CHANGE_ID_LENGTH_MAX = 200
 NOTHING_KNOWN = b""
@@ -54,7 +57,7 @@
         self._poll = ServicePoll(node, self.accept, self._on_complete)
         self._digest = 0
         self._known = False
-        self._differing: dict[str, tuple[bytes, bytes, int]] = {}  # by host
+        self._differing: dict[str, Difference] = {}  # by host
         self._repaired_at = float("-inf")
 
     @property
@@ -214,19 +217,12 @@
             self._differing.pop(host, None)
             self._known = True
             return
-        seen = self._differing.get(host, (b"", b"", 0))
-        # Digests that move are news on their way; only a lasting difference is a gap.
-        steady = seen[:2] == (mine, beat.digest)
-        count = seen[2] + 1 if steady else 1
-        self._differing[host] = (mine, beat.digest, count)
-        self._repair(host, count)
-
-    def _repair(self, host: str, count: int) -> None:
-        newcomer = not self._known
-        if self.now - self._repaired_at < REPAIR_GAP:
-            return
-        if newcomer or count >= REPAIR_BEATS:
+        before = self._differing.get(host, NO_DIFFERENCE)
+        self._differing[host] = before.after(mine, beat.digest)
+        gap = self._differing[host].is_gap(REPAIR_BEATS, RESTLESS_BEATS)
+        if (gap or not self._known) and self.now - self._repaired_at >= REPAIR_GAP:
             self._repaired_at = self.now
+            del self._differing[host]
             self._node.count("configuration_repairs")
             self._membership.send(host, self._versions())
 
--- a/mallowpass/core/systems/membership.py
+++ b/mallowpass/core/systems/membership.py
@@ -22,6 +22,7 @@
     PeerMessage,
 )
 from mallowpass.core.signals import DrainBegan, HostStateChanged
+from mallowpass.core.systems.difference import NO_DIFFERENCE
 from mallowpass.core.systems.hostlist import HostList
 from mallowpass.core.systems.hosts import HostTable, notice_of
 from mallowpass.core.systems.leaving import EndpointNews
@@ -32,7 +33,9 @@
 __all__ = ["Membership"]
 
 LATE_SHARE = 1.0  # of a heartbeat: a tick this late means that this host was paused
-REPAIR_BEATS = 3  # heartbeats that hosts must differ for before a repair
+# Heartbeats that hosts must differ for before a repair, at rest and under changes.
+REPAIR_BEATS = 3
+RESTLESS_BEATS = 30
 REPAIR_GAP = 2.0
 SHUN = 60.0
 REACH = 10.0
@@ -391,22 +394,19 @@
     # -- Repair of gaps ------------------------------------------------------
 
     def _compare_hosts(self, link: Link, beat: Heartbeat) -> None:
-        own = self._hosts.digest
-        seen = (own, beat.hosts)
-        steady = link.digests == seen
-        link.digests = seen
-        link.hosts_differ = link.hosts_differ + 1 if own != beat.hosts else 0
-        # A newcomer asks at once; else only a lasting difference is a gap and not
-        # a notice that is still on its way.
-        alone = len(self._hosts.live()) <= 1
-        if link.hosts_differ and (alone or self._is_gap(link, steady)):
+        link.difference = link.difference.after(self._hosts.digest, beat.hosts)
+        if not link.difference.beats:
+            return
+        # A newcomer asks at once. After a partition hosts find each other one by
+        # one; a repair that came sooner would have all of them refute at once.
+        newcomer = len(self._hosts.live()) <= 1
+        gap = link.difference.is_gap(REPAIR_BEATS, RESTLESS_BEATS)
+        due = self.now - self._repaired_at >= REPAIR_GAP
+        if newcomer or (gap and due):
             self._repaired_at = self.now
+            link.difference = NO_DIFFERENCE
             self._links.send(link, HostsDigest(self._hosts.buckets))
 
-    def _is_gap(self, link: Link, steady: bool) -> bool:
-        waited = self.now - self._repaired_at >= REPAIR_GAP
-        return steady and waited and link.hosts_differ >= REPAIR_BEATS
-
     def _on_hosts_digest(self, host: str, digest: HostsDigest) -> None:
         link = self._links.of_host(host)
         if link is None:
--- a/mallowpass/core/systems/peers.py
+++ b/mallowpass/core/systems/peers.py
@@ -14,6 +14,7 @@
 from mallowpass.core.effects import ClosePeer, ConnectPeer, SendPeer
 from mallowpass.core.node import Node
 from mallowpass.core.peering import PeerMessage
+from mallowpass.core.systems.difference import NO_DIFFERENCE, Difference
 from mallowpass.core.systems.hosts import HostTable, rendezvous
 from mallowpass.core.tables import HostRow, HostState
 
@@ -44,10 +45,7 @@
     host: str = ""
     heard_at: float = float("-inf")
     temporary_until: float = 0.0
-    # What the peer's last heartbeat said, to tell a gap from news on their way.
-    digests: tuple[bytes, ...] = ()
-    services_differ: int = 0  # heartbeats in a row
-    hosts_differ: int = 0
+    difference: Difference = NO_DIFFERENCE  # of the two ends' tables of hosts
 
 
 @dataclass(slots=True)
--- a/tests/core/systems/test_configuration.py
+++ b/tests/core/systems/test_configuration.py
@@ -90,6 +90,27 @@
     fleet.run_until(lambda: fleet.in_force(NAME, 1), 5)
 
 
+def test_a_gap_is_found_while_changes_never_end():
+    """
+    Symptom: a host lacks a version for as long as others keep changing.
+    Sequence: it misses one notice; another service changes several times a second.
+    Cause: a gap was only looked for while digests stood still.
+    """
+    fleet = started()
+    fleet.cut(DOMAINS[2], DOMAINS[0])
+    fleet.cut(DOMAINS[2], DOMAINS[1])
+    assert change(fleet, FIRST, 0, "c1").accepted
+    fleet.run(0.2)
+    fleet.heal()
+    # Nobody reads the table, so that only the neighbours can make up for it.
+    fleet.platform._ScanRows = lambda request: PlatformFailed("no answer")
+    other = make_service("lease-ledger")
+    for n in range(30):
+        fleet.change(FIRST, dataclasses.replace(other, queue_length=n + 1), n, f"o{n}")
+        fleet.run(0.22)
+    assert fleet.in_force(NAME, 1)
+
+
 def test_a_failure_domain_cut_off_from_the_others_still_gets_changes():
     fleet = started()
     for other in DOMAINS[:2]:
