--- a/mallowpass/adapters/endpoints.py
+++ b/mallowpass/adapters/endpoints.py
@@ -52,7 +52,6 @@
         self._receive_limit = answer_size * HARD_LIMIT_FACTOR
         self._connections: dict[int, _Connection] = {}
         self._controls: dict[tuple[str, int], _Control] = {}
-        self._control_of: dict[str, _Control] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -100,14 +99,13 @@
     # -- Control streams -----------------------------------------------------
 
     def open_control(self, effect: effects.OpenControl) -> None:
-        """Begin to open a control stream in place of the address's earlier one."""
-        earlier = self._control_of.pop(effect.address, None)
-        if earlier is not None:
-            self._controls.pop(earlier.key, None)
-            earlier.close()
+        """Begin to open a control stream, beside the address's earlier one.
+
+        The earlier one may be the only way that answers: a busy member can take
+        long to accept a new stream. The core closes the one that it gives up.
+        """
         control = _Control(self._runtime, effect)
         self._controls[control.key] = control
-        self._control_of[effect.address] = control
         control.run_in(self._start(self._run_control(control)))
 
     def send_control(self, effect: effects.SendControl) -> None:
@@ -121,7 +119,6 @@
         """Close a control stream."""
         control = self._controls.pop((effect.address, effect.stream), None)
         if control is not None:
-            self._forget_address(control)
             control.close()
 
     async def _run_control(self, control: _Control) -> None:
@@ -130,11 +127,6 @@
         finally:
             if self._controls.get(control.key) is control:
                 del self._controls[control.key]
-            self._forget_address(control)
-
-    def _forget_address(self, control: _Control) -> None:
-        if self._control_of.get(control.address) is control:
-            del self._control_of[control.address]
 
     def _start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(work)
--- a/mallowpass/core/effects.py
+++ b/mallowpass/core/effects.py
@@ -87,7 +87,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OpenControl(Effect):
-    """Open the control stream of an endpoint, in place of an earlier one."""
+    """Open a control stream of an endpoint, beside any that is open."""
 
     address: str
     stream: int
--- a/tests/standins/test_database.py
+++ b/tests/standins/test_database.py
@@ -387,3 +387,20 @@
     assert (await connection.select("SELECT 1")).code == pb.LEAVING
     assert (await lab.stream("a").call(hello=pb.Hello())).code == pb.LEAVING
     assert (await lab.control("a").report()).leaving
+
+
+@scenario()
+async def test_a_watch_replaces_the_earlier_one(lab):
+    """Let a host slow its reports down.
+
+    Symptom: a host got ever more reports of a database that it had used once.
+    Sequence: a fast watch, then a slow one on the same stream.
+    Cause: the watches added up.
+    """
+    control = lab.control("a")
+    await control.call(watch=pb.Watch(interval_ms=1))
+    reply = await control.call(watch=pb.Watch(interval_ms=60_000))
+    while reply.sequence != 2:
+        reply = await control.read()
+    replies = [await control.call(probe=pb.Probe()) for _ in range(50)]
+    assert 1 not in {reply.sequence for reply in replies}
