--- /dev/null
+++ b/mallowpass/report/__init__.py
@@ -0,0 +1,1 @@
+"""Report on service-level burn: how fast services use up their error budgets."""
