Keep the machine's five findings as their smallest sequences

Change: tests/fuzz/findings/test_findings.py holds one plain test for each, with symptom, sequence and cause.

Conclusion: the mends belong to the owners of the request path and pooling.

--- /dev/null
+++ b/tests/fuzz/findings/test_findings.py
@@ -0,0 +1,122 @@
+"""What the whole system's machine found, each as its smallest sequence."""
+
+from __future__ import annotations
+
+from mallowpass.core.calls import Access, Outcome
+from mallowpass.errors import ErrorCode
+from tests.fuzz.fleet import CORE, Fleet
+from tests.fuzz.machine import WholeSystem
+
+
+def test_transaction_whose_connection_expired_in_a_pause_is_ended():
+    """Symptom: KeyError in the core; the caller gets no answer to its statement.
+
+    Sequence: begin; the host stands still until the connection's life is over and
+    the transaction's idle time is not; the caller's next statement comes.
+    Cause: KeepAlive.send_internal closes an expired connection by Pooling.expire,
+    which is for connections that nobody uses, and does not tell its transaction.
+    """
+    fleet = Fleet()
+    session = fleet.open("h1", "hind")
+    transaction = fleet.begin(session)
+    fleet.run(0.2)
+    fleet.proxies["h1"].pause(9.4)
+    statement = fleet.execute(transaction, Access.READ)
+    fleet.run(11.0)
+    assert statement.answer is not None
+    assert statement.answer.outcome is Outcome.NOT_RUN
+
+
+def test_one_long_transaction_does_not_refuse_all_later_requests():
+    """Symptom: a host refuses each write of 3 s for good: "3.386s to wait".
+
+    Sequence: one transaction keeps a connection for 3.4 s; the connections are lost;
+    later writes come alone, with 3 s each, to an idle host.
+    Cause: Admission.wait_at takes the average hold for the wait though the queue is
+    empty and a connection could be opened; refused requests teach no shorter hold.
+    """
+    fleet = Fleet()
+    session = fleet.open("h0", "hind")
+    transaction = fleet.begin(session)
+    fleet.run(3.4)
+    fleet.end(transaction)
+    fleet.run(0.5)
+    fleet.crash(CORE, "a0")
+    fleet.run(0.05)
+    fleet.heal()
+    fleet.run(10.0)
+    writes = [fleet.write(session)]
+    fleet.run(4.0)
+    writes.append(fleet.write(session))
+    fleet.run(4.0)
+    assert Outcome.DONE in {write.answer.outcome for write in writes}
+
+
+def test_age_does_not_hide_that_what_a_session_saw_is_gone():
+    """Symptom: a read is DONE and lacks what its session has seen; no FLOOR_LOST.
+
+    Sequence: the session reads an entry that only the primary has; the primary
+    fails, and the next term lacks the entry; the session reads with an accepted age.
+    Cause: request.floor is the maximum of the session's floor (1, 2) and the age's,
+    which is in the new term already: what is checked is not the session's floor.
+    """
+    fleet = Fleet()
+    session = fleet.open("h0", "hind")
+    fleet.read(session)
+    fleet.run(0.1)
+    group = fleet.groups[CORE]
+    for name in ("a1", "a2"):
+        fleet.crash(CORE, name, tell=True)
+    fleet.write(session)
+    fleet.run(0.02)
+    first = fleet.read(session)
+    fleet.run(1.5)
+    assert len(first.answer.rows[1]) == 2
+    fleet.crash(CORE, "a0", tell=True)
+    for name in ("a1", "a2"):
+        group.recover(name)
+    fleet.run(3.0)
+    fleet.read(fleet.open("h0", "salma"), age=0.5)  # an age floor of the new term
+    fleet.run(0.5)
+    again = fleet.read(session, age=0.5)  # the oracle checks its content
+    fleet.run(1.0)
+    assert again.answer.code == ErrorCode.FLOOR_LOST.code
+
+
+def test_read_that_accepts_no_age_at_all_is_served():
+    """Symptom: a read with accepted_age 0, or less than a round trip, is NOT_RUN.
+
+    Sequence: a healthy fleet; a session reads with an accepted age of 0 s.
+    Cause: a floor learnt for the read is older than the age once it is learnt, as
+    SessionFloors.renew counts from the arrival: it is learnt again until the end.
+    """
+    fleet = Fleet()
+    session = fleet.open("h2", "hind")
+    read = fleet.read(session, age=0.0)
+    fleet.run(4.0)
+    assert read.answer.outcome is Outcome.DONE
+
+
+def test_read_transaction_that_proves_no_floor_leaves_a_clean_connection():
+    """Symptom: a transaction begins on a connection where another one is open.
+
+    Sequence: after a promotion a host that has no report of the new term from a
+    member begins a read-only transaction there; its reply proves no floor; the
+    connection goes back to the pool and serves the next begin.
+    Cause: Reads._on_stale releases the connection without a reset, although the
+    endpoint opened the transaction (Writes._on_begun does reset it).
+    """
+    machine = WholeSystem()
+    machine.start(seed=7)
+    machine.wait_a_little()
+    machine.drain(seat="h0")
+    machine.wait(seconds=0.5)
+    machine.cut_domains(first="d0", second="d1")
+    machine.crash_primary(key=CORE, tell=True)
+    machine.wait(seconds=3.0)
+    machine.recover(key=CORE, member=0)
+    machine.write_then_read(pick=732)
+    machine.wait(seconds=3.0)
+    machine.wait_a_little()
+    machine.begin(pick=35, access=Access.READ)
+    machine.teardown()
