Let members tell silence, awaited places and older terms' starts

Cause: three things could not be asked of a member. That its primary fell silent was told with the next report only, up to 2 s later under the watch of an idle database. A place could only be waited for by watching every move of the log, those of other hosts' writes too. And a report told where its newest term starts, but of no term before, so a host that saw nothing of a middle term could not tell which data that term dropped.

Change: Watch.silence_ms, AwaitPosition with the ability await_position, and Report.term_starts (8 at most; once for each stream and term, so a steady stream of reports is not longer for it). Stand-ins and the tests' fake groups follow. Members that know none of it are asked as before.

Checked: pytest tests/standins tests/adapters. Nothing uses it yet.

--- a/mallowpass/adapters/endpoint_messages.py
+++ b/mallowpass/adapters/endpoint_messages.py
@@ -156,10 +156,17 @@
     watch = endpoint_pb2.Watch(
         interval_ms=to_milliseconds(call.interval),
         minimum_gap_ms=to_milliseconds(call.minimum_gap),
+        silence_ms=to_milliseconds(call.silence),
     )
     return endpoint_pb2.ControlCall(sequence=sequence, watch=watch)
 
 
+@control_call_to_wire.register
+def _(call: calls.AwaitPositionCall, sequence: int) -> endpoint_pb2.ControlCall:
+    awaited = endpoint_pb2.AwaitPosition(place=_position_to_wire(call.place))
+    return endpoint_pb2.ControlCall(sequence=sequence, await_position=awaited)
+
+
 @control_call_to_wire.register
 def _(call: calls.PromiseCall, sequence: int) -> endpoint_pb2.ControlCall:
     promise = endpoint_pb2.Promise(term=call.term, proposer=call.proposer)
@@ -234,6 +241,10 @@
         minimum_position=abilities.minimum_position,
         time_to_live=abilities.time_to_live,
         keep_alive_while_busy=abilities.keep_alive_while_busy,
+        await_position=abilities.await_position,
+        term_starts=tuple(
+            LogPosition(start.term, start.position) for start in message.term_starts
+        ),
     )
 
 
--- a/mallowpass/core/calls.py
+++ b/mallowpass/core/calls.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "Access",
+    "AwaitPositionCall",
     "BeginCall",
     "BeginRequest",
     "CallerAnswer",
@@ -296,6 +297,8 @@
     minimum_position: bool = True
     time_to_live: bool = True
     keep_alive_while_busy: bool = False
+    await_position: bool = False
+    term_starts: tuple[LogPosition, ...] = ()  # of terms before received.term
 
 
 @dataclass(frozen=True, slots=True)
@@ -310,10 +313,21 @@
 
 @dataclass(frozen=True, slots=True)
 class WatchCall(ControlCall):
-    """Ask for reports from now on; seconds."""
+    """Ask for reports from now on; seconds.
+
+    With `silence`, also as soon as the primary was not heard for so long.
+    """
 
     interval: float
     minimum_gap: float
+    silence: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class AwaitPositionCall(ControlCall):
+    """Ask for a report once a place is in the log, and once reads see it."""
+
+    place: LogPosition
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowpass/standins/database.py
+++ b/mallowpass/standins/database.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable
-from contextlib import asynccontextmanager
+from collections.abc import Awaitable, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 from random import Random
@@ -32,7 +32,9 @@
     time_to_live=True,
     primary_silence=True,
     keep_alive_while_busy=True,
+    await_position=True,
 )
+TERM_STARTS = 8  # told of at most, beside the newest
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +77,13 @@
             abilities=_ABILITIES,
         )
 
+    @property
+    def term_starts(self) -> list[endpoint_pb2.TermStart]:
+        return [
+            endpoint_pb2.TermStart(term=start.term, position=start.position)
+            for start in self.member.log.older_starts(TERM_STARTS)
+        ]
+
     async def Connect(self, request_iterator, context) -> None:
         await self._serve(_Connection(self, context), context)
 
@@ -469,13 +478,23 @@
     def __init__(self, server: EndpointServer, context) -> None:
         super().__init__(server, context)
         self._watch: asyncio.Task | None = None
+        self._awaiting: set[asyncio.Task] = set()
+        self._told_term = 0  # the log's term whose older starts the stream has carried
 
     def close(self) -> None:
+        self._stop_watch()
+        for waiting in self._awaiting:
+            waiting.cancel()
+
+    def _stop_watch(self) -> None:
         if self._watch is not None:
             self._watch.cancel()
 
     async def _take(self, call: endpoint_pb2.ControlCall) -> None:
         body = getattr(call, call.WhichOneof("call") or "", None)
+        if isinstance(body, endpoint_pb2.AwaitPosition):
+            self._await_position(call.sequence, place_of(body.place))
+            return
         reply = endpoint_pb2.ControlReply(sequence=call.sequence, code=endpoint_pb2.OK)
         try:
             self._run(body, reply)
@@ -497,11 +516,14 @@
         if not body.interval_ms:
             raise Refused(endpoint_pb2.BAD_CALL, "a watch needs an interval")
         pushing = self._push_reports(
-            reply.sequence, body.interval_ms / 1000, body.minimum_gap_ms / 1000
+            reply.sequence,
+            body.interval_ms / 1000,
+            body.minimum_gap_ms / 1000,
+            body.silence_ms / 1000,
         )
         # A host changes its pace by watching anew: watches that added up would cost
         # ever more reports, and never fall back to the slow pace of an idle database.
-        self.close()
+        self._stop_watch()
         self._watch = asyncio.create_task(pushing)
 
     @_run.register
@@ -526,18 +548,56 @@
             reply.outcome_rows.ParseFromString(record.rows)
 
     async def _push_reports(
-        self, sequence: int, interval_s: float, minimum_gap_s: float
+        self, sequence: int, interval_s: float, minimum_gap_s: float, silence_s: float
     ) -> None:
-        news = asyncio.Event()
-        self._member.news.add(news)
-        try:
+        told = None  # the moment last heard of the primary whose silence was told
+        with self._news() as news:
             while True:
                 await asyncio.sleep(minimum_gap_s)
-                await _wait_at_most(news.wait(), interval_s - minimum_gap_s)
+                until = _now() + interval_s - minimum_gap_s
+                while not news.is_set() and _now() < until:
+                    since = self._member.silent_since
+                    due = _now() + silence_s
+                    if since not in (None, told):
+                        due = since + silence_s
+                    if silence_s and due <= _now():
+                        told = since
+                        break
+                    # Heartbeats are no news: look again when they may have ended.
+                    due = min(due, until) if silence_s else until
+                    await _wait_at_most(news.wait(), due - _now())
                 news.clear()
                 await self._send(
                     endpoint_pb2.ControlReply(sequence=sequence, code=endpoint_pb2.OK)
                 )
+
+    def _await_position(self, sequence: int, place: Position) -> None:
+        waiting = asyncio.create_task(self._tell_position(sequence, place))
+        self._awaiting.add(waiting)
+        waiting.add_done_callback(self._awaiting.discard)
+
+    async def _tell_position(self, sequence: int, place: Position) -> None:
+        member = self._member
+        with self._news() as news:
+            while not member.holds(place):
+                await news.wait()
+                news.clear()
+            seen = member.shows(place)
+            reply = endpoint_pb2.ControlReply(sequence=sequence, code=endpoint_pb2.OK)
+            await self._send(reply)
+            while not member.shows(place):
+                await news.wait()
+                news.clear()
+            if not seen:
+                await self._send(reply)
+
+    @contextmanager
+    def _news(self) -> Iterator[asyncio.Event]:
+        """Give an event that each change of the member sets."""
+        news = asyncio.Event()
+        self._member.news.add(news)
+        try:
+            yield news
         finally:
             self._member.news.discard(news)
 
@@ -545,6 +605,9 @@
         if self._server.loses_control_answer():
             return
         reply.report.CopyFrom(self._server.report)
+        if reply.report.received.term != self._told_term:
+            self._told_term = reply.report.received.term
+            reply.report.term_starts.extend(self._server.term_starts)
         await self._write(reply)
 
 
--- a/mallowpass/standins/log.py
+++ b/mallowpass/standins/log.py
@@ -65,6 +65,11 @@
         """Return the position of the first entry of the last entry's term."""
         return self._starts[-1] if self._starts else 0
 
+    def older_starts(self, count: int) -> list[Position]:
+        """Return where the terms before the last entry's start, newest first."""
+        older = self._starts[:-1][::-1]
+        return [self._entries[start - 1].place for start in older[:count]]
+
     def append(self, entry: LogEntry) -> None:
         if entry.position != len(self._entries) + 1 or entry.term < self.end.term:
             raise ValueError(f"entry {entry.place} does not follow {self.end}")
--- a/mallowpass/standins/member.py
+++ b/mallowpass/standins/member.py
@@ -171,14 +171,32 @@
     def running(self) -> bool:
         return self.awake.is_set() and not self._crashed
 
+    @property
+    def silent_since(self) -> float | None:
+        """Return when the primary was last heard, None when unknown."""
+        if self.role is Role.PRIMARY or not self.primary:
+            return None
+        return self._heard_at
+
     @property
     def silence_ms(self) -> int:
         """Return the time since the primary was heard, -1 when unknown."""
         if self.role is Role.PRIMARY:
             return 0
-        if self._heard_at is None or not self.primary:
-            return -1
-        return round((_now() - self._heard_at) * 1000)
+        since = self.silent_since
+        return -1 if since is None else round((_now() - since) * 1000)
+
+    def holds(self, place: Position) -> bool:
+        """Tell whether the log reached a place, or never will in the place's term."""
+        end = self.log.end
+        return self._is_over(place) or (end.term == place.term and end >= place)
+
+    def shows(self, place: Position) -> bool:
+        """Tell whether reads see a place, or never will in the place's term."""
+        return self._is_over(place) or self.applied >= place
+
+    def _is_over(self, place: Position) -> bool:
+        return self.term > place.term or self.log.end.term > place.term
 
     def start(self, first_primary: str) -> None:
         """Begin term 1 with one entry that every member has."""
--- a/tests/fakes/groups.py
+++ b/tests/fakes/groups.py
@@ -46,6 +46,7 @@
 from mallowpass.core.services import Member
 
 HEARTBEAT = 0.05
+TERM_STARTS = 8
 
 
 class Network(Protocol):
@@ -93,6 +94,9 @@
     watch: int = 0
     interval: float = 0.0
     gap: float = 0.0
+    silence: float = 0.0
+    told: float | None = None  # the moment last heard whose silence was told
+    awaited: list[tuple[int, LogPosition, bool]] = field(default_factory=list)
     sent_at: float = float("-inf")
     beat: int = 0  # number of the newest timer; older ones do nothing
     news: bool = False
@@ -126,6 +130,7 @@
         self.leaving = False
         self.apply_lag = 0.0
         self.reports_silence = True
+        self.answers_await = True
         self.lose_calls: dict[type, int] = defaultdict(int)  # calls to lose
         self.lose_control: dict[type, int] = defaultdict(int)  # answers to lose
         self.lose_answers = 0
@@ -158,19 +163,37 @@
             primary=self.primary,
             received=self.received,
             applied=self.place(self.applied),
-            term_start=self._term_start(),
-            primary_silence=self._silence(now),
+            term_start=self._term_start(len(self.log)),
+            primary_silence=self.silence(now),
             leaving=self.leaving,
+            await_position=self.answers_await,
+            term_starts=tuple(self._older_starts()),
         )
 
-    def _term_start(self) -> int:
-        term = self.log[-1].term
-        position = len(self.log)
+    def _term_start(self, position: int) -> int:
+        term = self.log[position - 1].term
         while position > 1 and self.log[position - 2].term == term:
             position -= 1
         return position
 
-    def _silence(self, now: float) -> float | None:
+    def _older_starts(self) -> list[LogPosition]:
+        starts = []
+        start = self._term_start(len(self.log))
+        while start > 1 and len(starts) < TERM_STARTS:
+            start = self._term_start(start - 1)
+            starts.append(self.place(start))
+        return starts
+
+    def holds(self, place: LogPosition) -> bool:
+        return self._is_over(place) or place <= self.received < (place.term + 1, 0)
+
+    def shows(self, place: LogPosition) -> bool:
+        return self._is_over(place) or self.place(self.applied) >= place
+
+    def _is_over(self, place: LogPosition) -> bool:
+        return self.term > place.term or self.log[-1].term > place.term
+
+    def silence(self, now: float) -> float | None:
         if self.role is Role.PRIMARY:
             return 0.0
         if self.heard_at is None or not self.primary or not self.reports_silence:
@@ -486,6 +509,14 @@
             stream.watch = effect.sequence
             stream.interval, stream.gap = call.interval, call.minimum_gap
             self._push(stream)
+            if call.silence and not stream.silence:
+                self._at(self._now + call.silence, self._push_silence, stream)
+            stream.silence = call.silence
+            return
+        if isinstance(call, calls.AwaitPositionCall):
+            if member.answers_await:
+                stream.awaited.append((effect.sequence, call.place, False))
+                self._tell_awaited(stream)
             return
         if member.lose_calls[type(call)]:
             member.lose_calls[type(call)] -= 1
@@ -536,6 +567,8 @@
 
     def _changed(self, member: FakeMember) -> None:
         for stream in list(self._streams.values()):
+            if stream.member is member and stream.awaited:
+                self._tell_awaited(stream)
             if stream.member is member and stream.watch and not stream.news:
                 stream.news = True
                 when = max(self._now, stream.sent_at + stream.gap)
@@ -561,6 +594,41 @@
         self._answer(stream, reply)
         self._at(self._now + stream.interval, self._push_beat, stream, stream.beat)
 
+    def _push_silence(self, stream: _Stream) -> None:
+        """Tell once that the primary was not heard for as long as the watch names."""
+        if not self._is_open(stream) or not stream.silence:
+            stream.silence = 0.0
+            return
+        member = stream.member
+        silence = None if member.crashed else member.silence(self._now)
+        due = stream.silence
+        if silence and silence >= stream.silence - 1e-9:
+            if stream.told != member.heard_at:
+                stream.told = member.heard_at
+                self._push(stream)
+        elif silence:
+            due -= silence
+        self._at(self._now + due, self._push_silence, stream)
+
+    def _tell_awaited(self, stream: _Stream) -> None:
+        member, left = stream.member, []
+        if member.crashed or stream.silent:
+            return
+        if member.paused:
+            member.backlog.append(lambda: self._tell_awaited(stream))
+            return
+        for sequence, place, told in stream.awaited:
+            shows = member.shows(place)
+            if shows or (member.holds(place) and not told):
+                report = member.report(self._now)
+                reply = ControlReply(
+                    sequence=sequence, code=EndpointCode.OK, report=report
+                )
+                self._answer(stream, reply)
+            if not shows:
+                left.append((sequence, place, told or member.holds(place)))
+        stream.awaited = left
+
     def _push_beat(self, stream: _Stream, beat: int) -> None:
         if beat == stream.beat and self._is_open(stream):
             self._push(stream)
