--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import ast
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -585,3 +587,51 @@
 
 def test_each_check_has_a_broken_guard():
     assert {guard.check for guard in GUARDS.values()} == set(CHECKS)
+
+
+# -- The table of docs/design/proof.md ---------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """Hold one row of the table."""
+
+    check: str
+    tests: tuple[str, ...]
+    guards: tuple[str, ...]
+
+
+def read_table() -> list[Row]:
+    rows = []
+    for line in PROOF.read_text(encoding="utf-8").splitlines():
+        cells = [cell.strip() for cell in line.strip("|").split("|")]
+        names = [tuple(re.findall("`([^`]+)`", cell)) for cell in cells]
+        if len(cells) == 4 and names[0] and names[0][0] in CHECKS:
+            rows.append(Row(names[0][0], names[2], names[3]))
+    return rows
+
+
+def functions_of(path: Path) -> set[str]:
+    tree = ast.parse(path.read_text(encoding="utf-8"))
+    return {node.name for node in tree.body if isinstance(node, ast.FunctionDef)}
+
+
+def test_table_has_each_check_once_with_tests_and_guards():
+    rows = read_table()
+    assert [row.check for row in rows] == list(CHECKS)
+    assert all(row.tests and row.guards for row in rows)
+
+
+def test_tests_in_the_table_exist():
+    missing = []
+    for row in read_table():
+        for test in row.tests:
+            file, _, name = test.partition("::")
+            if name not in functions_of(PROOF.parents[2] / file):
+                missing.append(test)
+    assert missing == []
+
+
+def test_guards_in_the_table_are_those_that_are_broken():
+    listed = {(guard, row.check) for row in read_table() for guard in row.guards}
+    assert listed == {(name, guard.check) for name, guard in GUARDS.items()}
