--- a/mallowpass/load/run.py
+++ b/mallowpass/load/run.py
@@ -141,16 +141,14 @@
         await session.close()
 
     async def _audit(self, place: tuple[str, str]) -> None:
-        """Read every key in a new session, with age 0: as new as any majority."""
+        """Read every key in a new session: it learns its floor from a majority."""
         service, database = place
         random = Random(f"{self.run_id}/audit")
         session = self.session(
             service, f"audit-{database}", random, patience=AUDIT_PATIENCE
         )
         for key in self.keys[place]:
-            statement = Statement(
-                database=database, sql=AUDIT, parameters=(key,), accepted_age=0.0
-            )
+            statement = Statement(database=database, sql=AUDIT, parameters=(key,))
             result = await session.request(statement)
             if result.outcome is Outcome.DONE and result.answer is not None:
                 self.oracle.audit(result.answer.rows, [key])
@@ -202,30 +200,33 @@
             due = began + self._random.random() * self.role.period
         while due < end:
             await _sleep_until(due)
-            await self._step(due, end)
-            due = self._next(due)
+            think = self._think()
+            await self._step(due, think, end)
+            due = self._next(due, think)
         await self._session.close()
 
-    def _next(self, due: float) -> float:
+    def _next(self, due: float, think: float) -> float:
         if self.load.options.closed:
             return time.monotonic()
-        due += self._random.expovariate(1.0 / self.role.period)
+        # The caller's own time to think makes no request late.
+        due += think + self._random.expovariate(1.0 / self.role.period)
         self.load.late_steps += due < time.monotonic()
         return due
 
-    async def _step(self, due: float, end: float) -> None:
+    async def _step(self, due: float, think: float, end: float) -> None:
         if self._random.random() < self.load.options.roaming:
             await self._session.roam()
         if self.role.kind is Kind.READER:
             keys = self.load.keys[self.role.key]
             await self._read(self._random.choice(keys) if keys else self.key, due)
-        elif await self._write(due) is Outcome.DONE and self.role.think:
-            await self._read_back(end)
+        elif await self._write(due) is Outcome.DONE and think:
+            await self._read_back(due + think, end)
 
     # -- Steps ---------------------------------------------------------------
 
-    async def _read_back(self, end: float) -> None:
-        at = time.monotonic() + self._think()
+    async def _read_back(self, at: float, end: float) -> None:
+        # Nobody reads back before the write is answered, however late that is.
+        at = max(at, time.monotonic())
         if at < end:
             await _sleep_until(at)
             await self._read(self.key, at)
@@ -302,6 +303,8 @@
         return f"{self.key}/{self._nonces()}"
 
     def _think(self) -> float:
+        if not self.role.think:
+            return 0.0
         sigma = math.log(self.role.think_p99 / self.role.think) / Z_99
         return self._random.lognormvariate(math.log(self.role.think), sigma)
 
--- a/mallowpass/report/recording.py
+++ b/mallowpass/report/recording.py
@@ -118,7 +118,7 @@
         self._file = file
         self._lines = 0
         stated = {name: dataclasses.asdict(each) for name, each in objectives.items()}
-        head = {"kind": "header", "format": FORMAT, "version": VERSION}
+        head = {"line": "header", "format": FORMAT, "version": VERSION}
         self._write(head | {"source": source, "objectives": stated})
 
     def add(self, entry: Entry) -> None:
@@ -127,7 +127,7 @@
 
     def end(self) -> None:
         """Write the last line."""
-        self._write({"kind": "end", "lines": self._lines})
+        self._write({"line": "end", "lines": self._lines})
         self._file.flush()
 
     def _write(self, line: dict[str, Any]) -> None:
@@ -138,14 +138,14 @@
 @singledispatch
 def _to_json(entry: Any) -> dict[str, Any]:
     kind = {found: name for name, found in _FLAT.items()}[type(entry)]
-    return {"kind": kind, **dataclasses.asdict(entry)}
+    return {"line": kind, **dataclasses.asdict(entry)}
 
 
 @_to_json.register
 def bucket_to_json(bucket: Bucket) -> dict[str, Any]:
     """Return a bucket's line; what is zero is left out."""
     return {
-        "kind": "bucket",
+        "line": "bucket",
         "at": bucket.at,
         "width": bucket.width,
         "service": bucket.service,
@@ -202,7 +202,7 @@
 
 
 def _check_end(path: str | Path, number: int, line: dict[str, Any]) -> None:
-    if line.get("kind") != "end":
+    if line.get("line") != "end":
         raise _damaged(path, number, "the last line is missing: the file was cut off")
     if line.get("lines") != number - 1:
         raise _damaged(path, number, f"{line.get('lines')} lines were written before")
@@ -219,7 +219,7 @@
 
 
 def _entry(path: str | Path, number: int, line: dict[str, Any]) -> Entry:
-    kind = line.pop("kind", None)
+    kind = line.pop("line", None)
     try:
         if kind == "bucket":
             return bucket_from_json(line)
