Tell where a read was queued, and whether it was moved

Two fields with defaults on RequestRow: queued_at, since the watch of late reads looks twice in the time that it used to look once, and moved, since a read is moved away from a slow member only once while its connection answers.

--- a/mallowpass/core/tables.py
+++ b/mallowpass/core/tables.py
@@ -222,6 +222,8 @@
     followers: list[tuple[int, str]] | None = None  # (stream, id) of its copies
     behind: int = 0  # times that a member had not reached its floor
     prepaid: bool = False  # its next retry was taken from the budget already
+    queued_at: float = 0.0  # when it was queued at `address`
+    moved: bool = False  # from a member that was slow to another, once
 
 
 class TransactionState(Enum):
