Wait for slow statements as long as their connection answers

Cause: a statement longer than Tuning.silence (3 s) was taken for a silent connection and broken off. Reads were begun anew at the next member after 0.25 s, writes fenced and sent again after 0.5 s, each copy as slow as the first: nothing that takes long by itself ever finished.

Change: a connection that owes an answer for half of the silence is sent a keep-alive beside the call, at members that can answer it; answered, the statement is waited for until its deadline, else the connection is silent when the other half is over, as before. Keep-alives beside a call have sequences of their own range, so neither answer passes for the other. They prolong the time to live, also of transactions and borrowed connections. Late reads and writes ask the connection first: a write is not fenced, and a read moved at most once (never of a patient class), while it answers. A commit on a connection that answers nothing, at a primary that is heard elsewhere, is looked up after 0.5 s instead of 3 s. At members without the ability, patient classes are waited for until their deadline. The latency that concurrency learns from counts from when the call was sent, not from the last part of its answer.

--- a/mallowpass/core/systems/connections.py
+++ b/mallowpass/core/systems/connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 
 from mallowpass.core.calls import EndpointCall
 from mallowpass.core.systems.concurrency import ConcurrencyLimit
@@ -15,7 +16,7 @@
 )
 from mallowpass.core.timers import TimerService
 
-__all__ = ["EndpointPool", "LoanPlaces", "Watchdog"]
+__all__ = ["EndpointPool", "LoanPlaces", "Proof", "Watchdog"]
 
 PAUSE = 0.5  # a timer that runs so many seconds late proves that the host stood still
 HOLD_SMOOTHING = 0.1
@@ -74,8 +75,9 @@
         if late > PAUSE:
             self._excuse_all()
         for number in list(self._due()):
-            self.entries.pop(number, None)
-            self._callback(number)
+            # One callback may end what another was to be called for.
+            if self.entries.pop(number, None) is not None:
+                self._callback(number)
         if self.entries and self._timer is None:
             oldest = next(iter(self.entries.values()))
             self._timer = self._timers.at(oldest + self._timeout, self._run)
@@ -116,6 +118,20 @@
         self.numbers: set[int] = set()
 
 
+@dataclass(slots=True)
+class Proof:
+    """Hold the newest keep-alive beside a call; one not asked for has sequence 0."""
+
+    sequence: int = 0
+    asked_at: float = float("-inf")
+    answered: bool = False
+
+    @property
+    def outstanding(self) -> bool:
+        """Tell whether it was asked for and is not answered."""
+        return self.sequence != 0 and not self.answered
+
+
 class EndpointPool:
     """Hold one endpoint's connections at this host, its queue and its limits."""
 
@@ -138,6 +154,7 @@
         "idle_borrowed",
         "idle_low",
         "internal",
+        "late",
         "lent",
         "lendable",
         "open_limit",
@@ -147,6 +164,7 @@
         "peak",
         "peak_before",
         "pinned",
+        "proofs",
         "pumping",
         "queue",
         "retry_at",
@@ -181,7 +199,10 @@
         self.internal: dict[int, str] = {}  # in flight, and no request waits for it
         # Calls held until the one in flight is answered: its sequence, then their own.
         self.deferred: dict[int, tuple[int, int, EndpointCall]] = {}
-        self.answering: Watchdog
+        # Keep-alives beside a call in flight, by connection.
+        self.proofs: dict[int, Proof] = {}
+        self.answering: Watchdog  # calls in flight
+        self.late: Watchdog  # of them, those unanswered for half of the silence
         self.checking: Watchdog
         self.opening: Watchdog
         # Work.
--- a/mallowpass/core/systems/keepalive.py
+++ b/mallowpass/core/systems/keepalive.py
@@ -145,9 +145,11 @@
             if not reply.last:
                 if number in pool.answering:
                     pool.answering.renew(number)
+                    pool.late.remove(number)
                 return
         pool.internal.pop(number, None)
         pool.answering.remove(number)
+        self._pooling.proving.forget(pool, number)
         pool.checking.remove(number)
         if deferred is not None:
             del pool.deferred[number]
--- a/mallowpass/core/systems/poolchanges.py
+++ b/mallowpass/core/systems/poolchanges.py
@@ -67,8 +67,13 @@
         tuning = self._node.tuning
         pool.answering = Watchdog(
             self.timers,
-            tuning.silence,
-            partial(self._pooling.keepalive.went_silent, pool),
+            tuning.silence / 2,
+            partial(self._pooling.proving.overdue, pool),
+        )
+        pool.late = Watchdog(
+            self.timers,
+            tuning.silence / 2,
+            partial(self._pooling.proving.still_late, pool),
         )
         pool.checking = Watchdog(
             self.timers,
--- a/mallowpass/core/systems/pooling.py
+++ b/mallowpass/core/systems/pooling.py
@@ -25,6 +25,7 @@
 from mallowpass.core.systems.keepalive import KeepAlive
 from mallowpass.core.systems.opening import Opener
 from mallowpass.core.systems.poolchanges import PoolChanges
+from mallowpass.core.systems.proving import FIRST_PROOF, Proving
 from mallowpass.core.tables import (
     ConnectionRow,
     ConnectionState,
@@ -59,6 +60,7 @@
         "lifetime",
         "loans",
         "opener",
+        "proving",
         "requests",
     )
 
@@ -72,6 +74,7 @@
         self.opener = Opener(node, self)
         self.granting = Granting(node, self)
         self.keepalive = KeepAlive(node, self)
+        self.proving = Proving(node, self)
         self.changes = PoolChanges(node, self)
 
     def start(self) -> None:
@@ -210,6 +213,18 @@
         self.close(pool, connection)
         self.granting.pump(pool)
 
+    def answers(self, connection: ConnectionRow, within: float) -> bool:
+        """Tell whether a connection answers beside its call; ask it if need be.
+
+        False once a keep-alive is unanswered for `within` seconds.
+        """
+        return self.proving.answers(connection, within)
+
+    def is_patient(self, request: RequestRow) -> bool:
+        """Tell whether a request's class is a patient one."""
+        pool = self.by_address.get(request.address)
+        return pool is not None and request.request_class in pool.patient
+
     def share(self, endpoint: EndpointRow) -> int:
         """Return how many connections this host may have to an endpoint now."""
         pool = self.by_address.get(endpoint.address)
@@ -267,8 +282,9 @@
         self.granting.pump(pool)
 
     def tend_borrowed(self, pool: EndpointPool) -> None:
-        """Close borrowed connections that stood idle; keep the pinned ones alive."""
+        """Close borrowed connections that stood idle; keep those in use alive."""
         self.keepalive.tend_borrowed(pool)
+        self.proving.keep_borrowed(pool)
 
     # -- From idle to busy and back --------------------------------------------
 
@@ -350,6 +366,7 @@
             connection.expires = self.expiry(pool, connection, now)
         else:
             connection.expires = now + self.lifetime
+        connection.called_at = now
         pool.answering.add(number)
         node.emit(SendEndpoint(number, sequence, call))
 
@@ -369,6 +386,9 @@
         reply = event.reply
         number = connection.number
         pool = self.by_address[connection.address]
+        if reply.sequence >= FIRST_PROOF:
+            self.proving.on_reply(pool, connection, reply)
+            return
         if number in pool.internal or number in pool.deferred:
             self.keepalive.on_internal_reply(pool, connection, reply)
             return
@@ -380,6 +400,7 @@
             return
         if not reply.last:
             pool.answering.renew(number)
+            pool.late.remove(number)
         else:
             self._finish_call(pool, connection, reply)
         self._hand_on(pool, connection, reply)
@@ -388,13 +409,15 @@
         self, pool: EndpointPool, connection: ConnectionRow, reply: EndpointReply
     ) -> None:
         now = self._node.timers.now
-        sent_at = pool.answering.remove(connection.number)
+        pool.answering.remove(connection.number)
+        if pool.proofs:
+            self.proving.forget(pool, connection.number)
         if reply.code is EndpointCode.BUSY:
             pool.concurrency.overloaded(pool.active)
         elif reply.code is EndpointCode.OK:
             # Refusals come quickly: taken for statements, they would make the first
             # real ones look like contention.
-            pool.concurrency.record(now, now - sent_at, pool.active)
+            pool.concurrency.record(now, now - connection.called_at, pool.active)
 
     def _hand_on(
         self, pool: EndpointPool, connection: ConnectionRow, reply: EndpointReply
@@ -484,6 +507,7 @@
         pool.pinned.pop(number, None)
         pool.deferred.pop(number, None)
         pool.answering.remove(number)
+        self.proving.forget(pool, number)
         pool.checking.remove(number)
         pool.opening.remove(number)
         pool.internal.pop(number, None)
--- a/mallowpass/core/systems/reads.py
+++ b/mallowpass/core/systems/reads.py
@@ -36,6 +36,7 @@
 
 OVERDUE = 0.25  # seconds after which a read is tried elsewhere, at the earliest
 OVERDUE_FACTOR = 4.0  # times the member's usual latency
+LOOK = OVERDUE / 2  # seconds between looks; the connection is asked at the first
 
 # Codes that say nothing bad of the member: it is merely not the right one now.
 _NOT_THIS_MEMBER = frozenset({EndpointCode.WRONG_TERM, EndpointCode.LEAVING})
@@ -76,7 +77,7 @@
         self._routing = node.system(routing_module.Routing)
         self._sessions = node.system(sessions_module.Sessions)
         self._transactions = node.system(Transactions)
-        self._overdue = Watchdog(self.timers, OVERDUE, self._on_overdue)
+        self._overdue = Watchdog(self.timers, LOOK, self._on_late)
 
     # -- Routing -------------------------------------------------------------
 
@@ -95,7 +96,7 @@
             endpoint = self._routing.choose_other_read(request, database)
         if endpoint is not None:
             self._waiting_of(request).pop(request.number, None)
-            self._overdue.add(request.number)
+            self._overdue.renew(request.number)
             self._requests.acquire(request, endpoint.address)
         elif request.avoided and not request.behind:
             why = f"no member served it: {request.detail}"
@@ -242,7 +243,7 @@
         self._node.decide("stale", request.request.request_id, why)
         self.elsewhere(request, ErrorCode.FLOOR_NOT_REACHED, why)
 
-    def _on_overdue(self, number: int) -> None:
+    def _on_late(self, number: int) -> None:
         """Read elsewhere when a member takes far longer than it usually does.
 
         Its connection may be silent for good. Without this, one sees each read on
@@ -260,6 +261,9 @@
         pool = self._pooling.known_pool(request.address)
         if pool is None or pool.connections:
             return
+        if self.now - request.queued_at < OVERDUE:
+            self._overdue.add(request.number)
+            return
         # Not a long queue, but a member that lets nobody in.
         self._pooling.cancel(request)
         why = f"{request.address}: no connection opened in {OVERDUE}s"
@@ -267,20 +271,39 @@
         self.elsewhere(request, ErrorCode.CONNECTION_LOST, why)
 
     def _on_sent_long(self, request: RequestRow) -> None:
-        endpoint = self.tables.endpoints.get(request.address)
-        usual = endpoint.latency if endpoint is not None else 0.0
-        if request.parts_sent or self.now - request.sent_at < OVERDUE_FACTOR * usual:
+        # Looked at first: it asks the connection, which has answered by the next look.
+        stays = self._is_left_to_finish(request) or request.parts_sent
+        if stays or not self._is_overdue(request):
             self._overdue.add(request.number)
             return
         if self._retries.may_retry(request) is None:
+            self._overdue.add(request.number)
             return
         self._requests.record(request.address, 0.0, ok=False)
         self._requests.abandon(request)
+        request.moved = True
         why = f"{request.address}: no answer in {self.now - request.sent_at:.3f}s"
         self._node.emit(RETRIES_COUNT)
         self._node.decide("retry", request.request.request_id, why)
         self.elsewhere(request, ErrorCode.CONNECTION_LOST, why)
 
+    def _is_overdue(self, request: RequestRow) -> bool:
+        endpoint = self.tables.endpoints.get(request.address)
+        usual = endpoint.latency if endpoint is not None else 0.0
+        took = self.now - request.sent_at
+        return took >= max(OVERDUE, OVERDUE_FACTOR * usual)
+
+    def _is_left_to_finish(self, request: RequestRow) -> bool:
+        """Tell whether a statement is slow by itself, as far as one can tell.
+
+        Begun anew at each look, a long report would run at every member in turn and
+        end at none. One move is allowed: the member may be slow, not the statement.
+        """
+        connection = self.tables.connections.get(request.connection)
+        if connection is None or not self._pooling.answers(connection, LOOK):
+            return False
+        return request.moved or self._pooling.is_patient(request)
+
     def lost(self, request: RequestRow, why: str) -> None:
         """Read again elsewhere after a connection was lost."""
         self.elsewhere(request, ErrorCode.CONNECTION_LOST, why)
--- a/mallowpass/core/systems/requests.py
+++ b/mallowpass/core/systems/requests.py
@@ -252,6 +252,7 @@
         """Queue for a connection to an endpoint."""
         request.state = RequestState.QUEUED
         request.address = address
+        request.queued_at = self.now
         self._pooling.acquire(request, self.tables.endpoints[address])
 
     def release(self, request: RequestRow, connection: ConnectionRow) -> None:
--- a/mallowpass/core/systems/transactioncalls.py
+++ b/mallowpass/core/systems/transactioncalls.py
@@ -74,6 +74,8 @@
             transaction.state = TransactionState.ENDING
             request.record_id = transaction.request_id
             request.attempt = transaction.attempt
+            if request.access is Access.WRITE:
+                self._requests.writes.watch(request)
         self._pooling.send(connection, call, request)
 
     @singledispatchmethod
--- a/mallowpass/core/systems/transactions.py
+++ b/mallowpass/core/systems/transactions.py
@@ -347,6 +347,14 @@
             self.end(transaction, _ROLLED_BACK, why)
         self._discard(transaction, why)
 
+    def commit_overdue(self, request: RequestRow, why: str) -> None:
+        """Look up a commit whose connection seems silent, and close that."""
+        transaction = self.tables.transactions.get(request.transaction)
+        if transaction is not None:
+            self.end(transaction, None, why)
+            # If the commit never arrived, only this ends the transaction there.
+            self._discard(transaction, why)
+
     def _on_primary_changed(self, signal: PrimaryChanged) -> None:
         database = self.tables.databases.get(signal.database)
         if database is None or not database.primary:
--- a/mallowpass/core/systems/writes.py
+++ b/mallowpass/core/systems/writes.py
@@ -37,6 +37,7 @@
 
 OVERDUE = 0.5  # seconds after which a write is looked up, at the earliest
 OVERDUE_FACTOR = 8.0  # times the primary's usual latency
+LOOK = OVERDUE / 2  # seconds between looks; the connection is asked at the first
 RECENT_MAX = 4096  # request ids remembered with their statements
 FENCED_MAX = 16  # refusals for a fenced attempt before a request is given up
 
@@ -72,7 +73,7 @@
 
     def start(self) -> None:
         """Find the systems that are asked."""
-        self._overdue = Watchdog(self.timers, OVERDUE, self._on_overdue)
+        self._overdue = Watchdog(self.timers, LOOK, self._on_late)
         from mallowpass.core.systems.requests import Requests
         from mallowpass.core.systems.transactions import Transactions
 
@@ -260,27 +261,54 @@
         latency = self.now - request.sent_at
         self._requests.record(connection.address, latency, ok=True)
 
-    def _on_overdue(self, number: int) -> None:
-        """Look a write up when the primary takes far longer than it usually does.
+    def watch(self, request: RequestRow) -> None:
+        """Look a commit up if its answer is late, as with a write."""
+        self._overdue.renew(request.number)
+
+    def _on_late(self, number: int) -> None:
+        """Look a write up when its answer is late and its connection seems silent.
 
-        Its connection may be silent for good while the primary is well: one sees
+        A connection may be silent for good while the primary is well: one sees
         single writes take as long as pooling gives a connection to answer. The
-        look-up fences it, so that it can't run after it is sent again.
+        look-up fences it, so that it can't run after it is sent again. A slow write
+        must not be fenced: sent again, it would be as slow, and never finish.
         """
         request = self.tables.requests.get(number)
         if request is None or request.state is not RequestState.SENT:
             return
+        connection = self.tables.connections.get(request.connection)
+        if connection is None:
+            return
+        if self._pooling.answers(connection, LOOK) or not self._is_overdue(request):
+            self._overdue.add(number)
+        elif request.transaction:
+            self._on_commit_overdue(request)
+        elif self._retries.may_retry(request) is None:
+            self._overdue.add(number)
+        else:
+            # Paid now: a primary that pauses makes many writes overdue at once, and
+            # those that the budget does not reach are better left waiting.
+            request.prepaid = True
+            self._requests.abandon(request)
+            self._requests.outcomes.resolve(request, self._lateness(request))
+
+    def _is_overdue(self, request: RequestRow) -> bool:
         endpoint = self.tables.endpoints.get(request.address)
         usual = endpoint.latency if endpoint is not None else 0.0
         took = self.now - request.sent_at
-        if took < OVERDUE_FACTOR * usual or self._retries.may_retry(request) is None:
-            self._overdue.add(number)
+        return took >= max(OVERDUE, OVERDUE_FACTOR * usual)
+
+    def _on_commit_overdue(self, request: RequestRow) -> None:
+        # A fenced commit is not sent again: its whole transaction is lost. So only if
+        # the primary is heard elsewhere, which it is not while it stands still.
+        endpoint = self.tables.endpoints.get(request.address)
+        if endpoint is None or endpoint.heard_at <= self.now - LOOK:
+            self._overdue.add(request.number)
             return
-        # Paid now: a primary that pauses makes many writes overdue at once, and those
-        # that the budget does not reach are better left waiting than refused.
-        request.prepaid = True
-        self._requests.abandon(request)
-        self._requests.outcomes.resolve(request, f"no answer in {took:.3f}s")
+        self._transactions.commit_overdue(request, self._lateness(request))
+
+    def _lateness(self, request: RequestRow) -> str:
+        return f"no answer in {self.now - request.sent_at:.3f}s"
 
     def await_majority(
         self, request: RequestRow, position: LogPosition, rows: object
--- a/tests/core/systems/test_loans.py
+++ b/tests/core/systems/test_loans.py
@@ -14,7 +14,12 @@
     rule,
 )
 
-from mallowpass.core.calls import EndpointCode, EndpointReply, ExecuteCall
+from mallowpass.core.calls import (
+    EndpointCode,
+    EndpointReply,
+    ExecuteCall,
+    KeepAliveCall,
+)
 from mallowpass.core.effects import CloseConnection, OpenConnection, SendEndpoint
 from mallowpass.core.events import ConnectionLost, ConnectionOpened, EndpointReplied
 from mallowpass.core.node import Tuning
@@ -93,6 +98,31 @@
     assert host.pool.share == 4
 
 
+def test_a_long_statement_on_a_borrowed_connection_is_kept_alive():
+    """
+    Symptom: reports on borrowed connections break off after a second or two.
+    Sequence: the statement takes longer than a borrowed connection's time to live.
+    Cause: nothing was sent on it meanwhile, so the endpoint closed it.
+    """
+    host = _host()
+    host.report(connections=0, limit=LIMIT, keep_alive_while_busy=True)
+    name, call = _use_up(host)
+    _tell(host, name, LoanAnswer(call.loan, ADDRESS, 1, 5.0, call.call))
+    host.open_all()
+    (loan,) = host.pool.borrowed.values()
+    (number,) = loan.numbers
+    sent_at = host.now
+    while host.now < loan.close_at - 0.1:
+        host.effects.clear()
+        host.wait(0.1)
+        for sent in host.calls(KeepAliveCall):
+            host.reply(sent)
+            if sent.connection == number:
+                sent_at = host.now
+        assert host.now - sent_at < host.loans.times(loan.loan)[0]
+    assert sent_at > host.now - 1.0
+
+
 def test_a_loan_counts_from_when_its_call_was_sent():
     """
     Symptom: borrower and lender use the same places for a while.
--- a/tests/core/systems/test_pooling_machine.py
+++ b/tests/core/systems/test_pooling_machine.py
@@ -44,7 +44,8 @@
 
     @initialize()
     def warm_up(self) -> None:
-        """Begin with open connections, all in use."""
+        """Begin with open connections, all in use, at a member that can be asked."""
+        self.host.report(connections=0, limit=12, keep_alive_while_busy=True)
         for _ in range(2):
             self.request("caseworker", "a", 3)
             self.open_connections()
@@ -131,6 +132,22 @@
         (self.host.pause if pause else self.host.wait)(seconds)
         self.take_sends()
 
+    @precondition(lambda self: self.host.pool.answering.entries)
+    @rule(pick=PICK)
+    def ask(self, pick: int) -> None:
+        """Ask a connection beside its call, as a request that waits long does."""
+        numbers = self.host.pool.answering.numbers()
+        connection = self.host.node.tables.connections[numbers[pick % len(numbers)]]
+        self.host.node.timers.advance(self.host.now)
+        self.host.pooling.answers(connection, 0.1)
+        self.take_sends()
+
+    @invariant()
+    def only_calls_in_flight_are_late(self) -> None:
+        pool = self.host.pool
+        assert set(pool.proofs) <= set(pool.answering.entries)
+        assert set(pool.late.entries) <= set(pool.answering.entries)
+
     @invariant()
     def each_connection_is_in_one_place(self) -> None:
         pool = self.host.pool
--- a/tests/core/systems/test_reads.py
+++ b/tests/core/systems/test_reads.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+import pytest
+
 from mallowpass.core.calls import EndpointCode, LogPosition, Outcome
 from mallowpass.core.services import ReadAge, ServiceVersion
 from mallowpass.errors import ErrorCode
@@ -239,6 +241,42 @@
     assert path.answer().outcome is Outcome.DONE
 
 
+@pytest.mark.parametrize(("patient", "runs"), [(False, 2), (True, 1)])
+def test_long_report_is_left_to_finish(patient, runs):
+    """Symptom: a long report runs at every member in turn, and ends at none.
+    Sequence: each member takes longer than usual; the report begins anew elsewhere.
+    Cause: a statement that is slow by itself was taken for a slow member each time.
+    """
+    path = _path()
+    path.pooling.answering = True
+    path.pooling.patient = patient
+    path.read(1, "report", deadline=60.0)
+    path.advance(30.0)
+    assert len(path.pooling.sent) == runs
+    path.reply(rows="r")
+    assert path.answer().outcome is Outcome.DONE
+
+
+def test_moved_read_on_a_connection_that_goes_silent_moves_again():
+    path = _path()
+    path.pooling.answering = True
+    path.read(1, "report", deadline=60.0)
+    path.advance(2.0)
+    path.pooling.answering = False
+    path.advance(0.2)
+    assert len(path.pooling.sent) == 3
+
+
+def test_read_without_budget_is_looked_at_again():
+    path = _path()
+    path.retries._budget("claims-core").left = 0.0
+    path.read(1, "look")
+    path.advance(1.0)
+    path.retries._budget("claims-core").left = 1.0
+    path.advance(0.2)
+    assert len(path.pooling.sent) == 2
+
+
 def test_read_queued_at_a_member_that_lets_nobody_in_moves_on():
     path = _path()
     path.pooling.granting = path.pooling.connected = False
--- a/tests/core/systems/test_transactions.py
+++ b/tests/core/systems/test_transactions.py
@@ -89,6 +89,40 @@
     assert len(path.pooling.sent) == 2
 
 
+def test_commit_on_a_silent_connection_is_looked_up_early(path):
+    """Symptom: single commits take three seconds while the primary answers others.
+    Sequence: something between the ends loses track of the commit's connection.
+    Cause: only pooling noticed, once the connection was silent for its whole time.
+    """
+    transaction = path.begin(1, "t")
+    path.commit(1, "c", transaction)
+    connection = path.sent.connection.number
+    path.advance(0.4)
+    path.endpoint("m1").heard_at = path.now
+    path.advance(0.2)
+    assert path.pooling.discarded == [connection]
+    path.look_up(OutcomeState.RECORDED, position=(1, 7))
+    path.hold(1, 7)
+    assert path.answer().outcome is Outcome.DONE
+
+
+@pytest.mark.parametrize("answering", [False, True])
+def test_commit_at_a_primary_that_stands_still_or_works_is_left_alone(path, answering):
+    """Symptom: a short pause of the primary rolls all its commits back.
+    Sequence: it stands still with commits in flight; on waking it is asked first.
+    Cause: they were fenced as overdue, and what is fenced is not sent again.
+    """
+    transaction = path.begin(1, "t")
+    path.commit(1, "c", transaction)
+    path.pooling.answering = answering
+    path.endpoint("m1").heard_at = path.now + 100 * answering
+    path.advance(2.0)
+    assert path.liveness.controls == [] and path.pooling.discarded == []
+    path.reply(applied=(1, 7))
+    path.hold(1, 7)
+    assert path.answer().outcome is Outcome.DONE
+
+
 def test_lost_connection_ends_the_transaction(path):
     name = path.begin(1, "t")
     path.write(1, "a", transaction=name)
--- a/tests/core/systems/test_writes.py
+++ b/tests/core/systems/test_writes.py
@@ -354,6 +354,20 @@
     assert len(path.pooling.sent) == 1
 
 
+def test_slow_write_is_not_fenced_while_its_connection_answers(path):
+    """Symptom: a long write of the reconciliation never ends, or ends NOT_RUN.
+    Sequence: it takes longer than eight usual ones; it is fenced and sent again.
+    Cause: each copy is as slow as the first, and is fenced in its turn.
+    """
+    path.pooling.answering = True
+    path.write(1, "reconcile", deadline=60.0)
+    path.advance(30.0)
+    assert path.liveness.controls == [] and len(path.pooling.sent) == 1
+    path.pooling.answering = False
+    path.advance(0.3)
+    assert len(path.liveness.controls) == 1
+
+
 def test_pause_of_the_primary_does_not_get_writes_refused(path):
     """Symptom: after a pause of a second, writes are refused: budget spent.
     Sequence: more writes are in flight than the budget has retries; all are overdue.
--- a/tests/fakes/poolpath.py
+++ b/tests/fakes/poolpath.py
@@ -13,6 +13,7 @@
     EndpointReply,
     ExecuteCall,
     ExecuteRequest,
+    KeepAliveCall,
     Report,
     Role,
 )
@@ -267,15 +268,15 @@
         self.flush()
         return row
 
-    def report(self, connections: int, limit: int, time_to_live: bool = True) -> None:
-        """Have the endpoint report its connections."""
+    def report(self, connections: int, limit: int, **abilities: bool) -> None:
+        """Have the endpoint report its connections and what it is able to do."""
         self.endpoint.report = Report(
             member="a",
             term=1,
             role=Role.PRIMARY,
             connections=connections,
             connection_limit=limit,
-            time_to_live=time_to_live,
+            **abilities,
         )
         self.endpoint.report_at = self.endpoint.heard_at = self.now
 
@@ -308,6 +309,16 @@
         answer = EndpointReply(sequence=sent.sequence, code=code, **fields)
         self.handle(EndpointReplied(sent.connection, answer))
 
+    def wait_answering_keep_alives(self, seconds: float) -> None:
+        """Let time pass at an endpoint whose statements run on meanwhile."""
+        end = self.now + seconds
+        while self.now < end:
+            self.wait(0.1)
+            asked = self.calls(KeepAliveCall)
+            self.effects = [e for e in self.effects if e not in asked]
+            for sent in asked:
+                self.reply(sent)
+
     def reply_all(self) -> None:
         """Answer everything sent so far, and what that causes to be sent."""
         while sends := self.calls():
--- a/tests/fakes/requestpath.py
+++ b/tests/fakes/requestpath.py
@@ -107,6 +107,8 @@
         super().__init__(node)
         self.granting = True
         self.connected = True
+        self.answering = False  # beside the calls in flight
+        self.patient = False
         self.queue: list[tuple[RequestRow, str]] = []
         self.sent: list[Sent] = []
         self.released: list[tuple[int, bool]] = []
@@ -157,6 +159,12 @@
         self.discarded.append(connection.number)
         self.tables.connections.pop(connection.number, None)
 
+    def answers(self, connection: ConnectionRow, within: float) -> bool:
+        return self.answering
+
+    def is_patient(self, request: RequestRow) -> bool:
+        return self.patient
+
     def known_pool(self, address: str) -> SimpleNamespace:
         return SimpleNamespace(active=0, queue=(), share=8, connections=self.connected)
 
