--- a/mallowpass/cli/load.py
+++ b/mallowpass/cli/load.py
@@ -138,12 +138,12 @@
 
     async def objectives(self) -> dict[str, Any]:
         """Return the services' objectives."""
-        from mallowpass.report.live import objectives_of
+        from mallowpass.report.live import declared_services
 
         if not self._address:
             return {}
         async with self._client() as client:
-            return await objectives_of(client)
+            return (await declared_services(client)).objectives
 
     async def decisions(self, databases: set[str], since: float) -> list[Any]:
         """Return what was decided; what can't be had now is only told."""
--- a/mallowpass/cli/report.py
+++ b/mallowpass/cli/report.py
@@ -100,24 +100,31 @@
 
 async def _ask(recording: Recording, addresses: tuple[str, ...], operator: str) -> None:
     from mallowpass.adapters.client import OperatorClient
+    from mallowpass.report.live import history_of
 
     if not addresses:
         return
     key = os.environ.get(KEY_VARIABLE, "").encode()
     if not key:
         raise error_for(ErrorCode.OPERATOR_KEY_MISSING, f"{KEY_VARIABLE} is not set")
-    for address in addresses:
-        async with OperatorClient(address, operator, key) as client:
-            await _ask_host(recording, client)
-    recording.decisions = sorted(
-        set(recording.decisions), key=lambda decision: decision.at
-    )
-
-
-async def _ask_host(recording: Recording, client: Any) -> None:
-    from mallowpass.report.live import decisions_about, objectives_of
-
-    recording.objectives = await objectives_of(client) | recording.objectives
+    # Files hold what the same hosts counted: joined, each statement stood twice.
+    if not recording.buckets:
+        for address in addresses:
+            recording.join(await history_of(address, operator, key))
+    # One is enough: a host asks the others for theirs.
+    async with OperatorClient(addresses[0], operator, key) as client:
+        await _ask_fleet(recording, client)
+
+
+async def _ask_fleet(recording: Recording, client: Any) -> None:
+    from mallowpass.report.live import decisions_about, declared_services
+
+    declared = await declared_services(client)
+    recording.objectives = declared.objectives | recording.objectives
+    if recording.decisions:
+        return  # the file holds them; journals may have forgotten some since
     since = min((bucket.at for bucket in recording.buckets), default=0.0)
-    databases = sorted({gap.database for gap in recording.gaps})
-    recording.decisions += await decisions_about(client, databases, since)
+    databases = {gap.database for gap in recording.gaps} & declared.databases
+    recording.decisions += await decisions_about(
+        client, sorted(databases or declared.databases), since
+    )
--- a/mallowpass/report/burn.py
+++ b/mallowpass/report/burn.py
@@ -10,7 +10,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from mallowpass.core.calls import Access
 from mallowpass.core.services import Objectives
@@ -37,6 +37,13 @@
 WORST_SHOWN = 5
 CODES_SHOWN = 4
 DECISIONS_SHOWN = 8
+SPENT_MIN = 0.02  # of a budget; spans that spent less are not worth telling
+LEAST = 3
+_PRIORITY = {
+    **dict.fromkeys(("promotion", "promoted", "configuration", "drain", "operator"), 0),
+    **dict.fromkeys(("promise", "follow", "handover"), 1),
+    **dict.fromkeys(("suspicion", "primary"), 2),
+}
 MARGIN = 1.0  # seconds around a span in which decisions belong to it
 
 
@@ -281,7 +288,10 @@
         total,
         bad,
         allowed,
-        tuple(_window_burn(counts, window, allowed, ended) for window in windows),
+        tuple(
+            _window_burn(counts, window, allowed, ended, buckets[0].width)
+            for window in windows
+        ),
     )
 
 
@@ -290,16 +300,23 @@
     window: Window,
     allowed: float,
     ended: float,
+    width: float,
 ) -> WindowBurn:
-    """Slide the window over the buckets; it ends with each of them in turn."""
+    """Slide the window over the buckets; it ends with each of them in turn.
+
+    Windows that begin before the record do not count: a single bad event among the
+    first few would make the highest rate of any window.
+    """
     highest = bad = total = 0.0
     first = 0
+    began = counts[0][0]
     for at, more_bad, more in counts:
         bad, total = bad + more_bad, total + more
         while counts[first][0] <= at - window.seconds:
             bad, total = bad - counts[first][1], total - counts[first][2]
             first += 1
-        highest = max(highest, _rate(bad, total, allowed))
+        if at + width - began >= window.seconds:
+            highest = max(highest, _rate(bad, total, allowed))
     latest = [each for each in counts if each[0] >= ended - window.seconds]
     now = _rate(
         sum(each[1] for each in latest), sum(each[2] for each in latest), allowed
@@ -340,10 +357,11 @@
 ) -> WorstSpan | None:
     worst = max(_spent(each, bucket, objectives, whole) for each in _OBJECTIVES)
     spent, name, bad, total = worst
-    if not bad:
+    if spent < SPENT_MIN:
         return None
     ended = bucket.at + bucket.width + MARGIN
     during = [each for each in decisions if bucket.at - MARGIN <= each.at < ended]
+    told = _telling(during)
     return WorstSpan(
         bucket.at,
         bucket.width,
@@ -352,10 +370,31 @@
         bad,
         total,
         tuple(Counter(bucket.codes).most_common(CODES_SHOWN)),
-        tuple(during[:DECISIONS_SHOWN]),
+        told,
     )
 
 
+def _telling(decisions: Sequence[RecordedDecision]) -> tuple[RecordedDecision, ...]:
+    """Return the decisions that tell most, in the order of time.
+
+    Many hosts note the same refusals and hints during a failure: without this they
+    would hide the one promotion that ended it. What several hosts decided alike
+    stands once, under the first one's name.
+    """
+    alike: dict[tuple[str, str, str], list[RecordedDecision]] = {}
+    for each in decisions:
+        alike.setdefault((each.kind, each.subject, each.text), []).append(each)
+    firsts = [_joined(group) for group in alike.values()]
+    firsts.sort(key=lambda each: (_PRIORITY.get(each.kind, LEAST), each.at))
+    return tuple(sorted(firsts[:DECISIONS_SHOWN], key=lambda each: each.at))
+
+
+def _joined(group: Sequence[RecordedDecision]) -> RecordedDecision:
+    first = min(group, key=lambda each: each.at)
+    more = len({each.host for each in group}) - 1
+    return replace(first, host=f"{first.host} +{more}") if more else first
+
+
 def _spent(
     objective: _Objective, bucket: Bucket, objectives: Objectives, whole: Bucket
 ) -> tuple[float, str, int, int]:
