--- a/mallowpass/measure/distance.py
+++ b/mallowpass/measure/distance.py
@@ -34,6 +34,9 @@
 
     def put(self, act: Callable[[Any], None], argument: Any) -> None:
         """Call `act` with the argument once the delay is over."""
+        if not self._delay:
+            act(argument)
+            return
         self._queue.append((act, argument))
         asyncio.get_running_loop().call_later(self._delay, self._next)
 
--- a/mallowpass/measure/failover.py
+++ b/mallowpass/measure/failover.py
@@ -18,7 +18,8 @@
 __all__ = ["FAULTS", "FailureRun", "GapRow", "measure_failover"]
 
 SESSIONS = 4
-PERIOD = 0.2  # seconds between one session's writes
+PERIOD = 0.15  # seconds between one session's writes
+JITTER = 0.5  # of the period; bounded, since a long pause would count as a gap
 WARM_UP = 0.6  # seconds of writes before a fault
 RESUME_LIMIT = 30.0
 SETTLE_LIMIT = 30.0
@@ -93,8 +94,8 @@
     )
     notes = (
         f"fault {fault}, platform {'down' if platform_down else 'up'}; {SESSIONS} "
-        f"sessions write every {PERIOD:g} s on average, so that a gap holds up to "
-        "that much that is no outage",
+        f"sessions write {PERIOD:g} s after their last answer on average, so that a "
+        f"session's gap holds up to {PERIOD * (1 + JITTER):g} s that is no outage",
         f"write outcomes {counted(workload.write_outcomes)}; "
         f"not done: {counted(workload.codes)}",
         *decisions,
@@ -192,7 +193,7 @@
     async def _write(self, session: Session) -> None:
         random = Random(f"{self._work.seed}/{session.name}")
         while not self._stopped:
-            await asyncio.sleep(random.expovariate(1 / PERIOD))
+            await asyncio.sleep(PERIOD * random.uniform(1 - JITTER, 1 + JITTER))
             asked_at = time.monotonic()
             await session.write(asked_at)
             self._asked[session.name] = asked_at
--- a/mallowpass/measure/overhead.py
+++ b/mallowpass/measure/overhead.py
@@ -31,6 +31,8 @@
 
 ROUNDS = 3  # turns of each way
 PROFILE_LINES = 30
+# Connections of each member: enough for both ways at once at any number of callers.
+CONNECTIONS = 512
 KEY = "overhead"
 
 Statement = Callable[[str], Awaitable[None]]
@@ -80,7 +82,8 @@
         machine = watch.stop()
     notes = (
         f"closed loop, {ROUNDS} turns each; the loop is meant to be saturated: "
-        "ratios count, and the control path of all hosts takes its part",
+        "ratios count, and the control path of all hosts takes its part; "
+        f"{CONNECTIONS} connections, no service time, lag or latency",
         *(_profiled(profiler) if profiler else ()),
     )
     tables = (Table("both ways", tuple(rows)),)
@@ -96,7 +99,7 @@
         lag_median=0.0,
         lag_p99=0.0,
     )
-    return replace(bare, latencies=Latencies(0.0, 0.0, 0.0))
+    return replace(bare, latencies=Latencies(0.0, 0.0, 0.0), connections=CONNECTIONS)
 
 
 async def _compare(
