Let a system say which one it replaces

Cause: a node kept systems by the class it was asked to make, so a subclass was not found by others, and the measured baselines had to be objects that compare equal to another class.

Change: System.replaces; the baselines name Routing by it.

Measured: tests/core/test_node.py and tests/measure pass.

--- a/mallowpass/core/node.py
+++ b/mallowpass/core/node.py
@@ -12,7 +12,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import Any, TypeVar
+from typing import Any, ClassVar, TypeVar
 
 from mallowpass.core.effects import Count, Effect, Log, Observe
 from mallowpass.core.events import Event, Woken
@@ -104,10 +104,15 @@
 
 
 class System:
-    """Stand on top of all systems: a part that owns some decisions of a node."""
+    """Stand on top of all systems: a part that owns some decisions of a node.
+
+    `replaces` names the system that others find this one in place of.
+    """
 
     __slots__ = ("_node",)
 
+    replaces: ClassVar[type[System] | None] = None
+
     def __init__(self, node: Node) -> None:
         self._node = node
 
@@ -183,7 +188,7 @@
     def start(self, systems: Iterable[type[System]]) -> list[Effect]:
         """Make the systems and start them."""
         for kind in systems:
-            self._systems[kind] = kind(self)
+            self._systems[kind.replaces or kind] = kind(self)
         for system in self._systems.values():
             system.start()
         return self._take_effects()
--- a/mallowpass/measure/baselines.py
+++ b/mallowpass/measure/baselines.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Hashable
-from dataclasses import dataclass
-
 from mallowpass.core.calls import Access, ExecuteRequest
 from mallowpass.core.events import CallerRequested
 from mallowpass.core.node import Node, System
@@ -22,6 +19,8 @@
 
     __slots__ = ()
 
+    replaces = Routing
+
     def choose_read(
         self, request: RequestRow, database: DatabaseRow
     ) -> EndpointRow | None:
@@ -42,6 +41,8 @@
 
     __slots__ = ("_wrote_at",)
 
+    replaces = Routing
+
     def __init__(self, node: Node) -> None:
         super().__init__(node)
         self._wrote_at: dict[int, float] = {}  # by stream
@@ -73,32 +74,8 @@
             self._wrote_at[event.stream] = self.now
 
 
-@dataclass(frozen=True, slots=True, eq=False)
-class _InPlaceOf(Hashable):
-    """Make one system where others ask for another.
-
-    A node keeps a system by the class that it was asked to make: this equals the
-    class that is replaced, so that other systems find the replacement.
-    """
-
-    replaced: type[System]
-    by: type[System]
-
-    def __call__(self, node: Node) -> System:
-        return self.by(node)
-
-    def __eq__(self, other: object) -> bool:
-        return other is self.replaced or other is self
-
-    def __hash__(self) -> int:
-        return hash(self.replaced)
-
-
-def _systems_with(routing: type[Routing]) -> tuple:
-    return tuple(
-        _InPlaceOf(Routing, routing) if system is Routing else system
-        for system in ALL_SYSTEMS
-    )
+def _systems_with(routing: type[Routing]) -> tuple[type[System], ...]:
+    return tuple(routing if kind is Routing else kind for kind in ALL_SYSTEMS)
 
 
 BASELINES = {
--- a/tests/core/test_node.py
+++ b/tests/core/test_node.py
@@ -84,3 +84,13 @@
     node = _node()
     assert node.identity.region == "casa"
     assert node.identity.region_of("elsewhere") == ""
+
+
+class _OtherCloser(_Closer):
+    replaces = _Closer
+
+
+def test_system_is_found_in_place_of_what_it_replaces():
+    node = _node()
+    node.start([_OtherCloser])
+    assert isinstance(node.system(_Closer), _OtherCloser)
