--- a/tests/load/test_run.py
+++ b/tests/load/test_run.py
@@ -153,6 +153,19 @@
     assert watch.open_since() == 3.0
 
 
+def test_gaps_of_a_database_do_not_overlap():
+    """Symptom: a run reports a second gap that began before the first one ended.
+    Sequence: a primary fails; callers wait; after the first acknowledgement one of
+    them sends its next write, which was due during the gap.
+    Cause: its gap was counted from when it was due.
+    """
+    watch = GapWatch()
+    watch.began("a", 1.0)
+    assert watch.acknowledged("a", 9.0) == (1.0, 9.0)
+    watch.began("b", 7.0)
+    assert watch.acknowledged("b", 9.1) == (9.0, 9.1)
+
+
 def test_latency_counts_from_when_a_request_was_due():
     """Symptom: a stall of seconds shows as one slow request.
     Sequence: a host stalls; a caller's next requests are sent after it, and fast.
