Measure what control costs a host, as slopes in virtual time

The cost of control was known at 8 to 256 hosts for the relay alone, and not at all for watching databases, for faults, and for a host among thousands.

`mallowpass measure control` runs real nodes with all systems in virtual time, counts the bytes on the wire and the processor time of the core, the codec and the translation, and draws a line of least squares through three or four sizes, with the slopes between neighbouring points beside it. Echoes, hosts of which only the links exist, let one real node be measured at 3,900 hosts and 4,900 databases themselves.

--- a/mallowpass/cli/measure.py
+++ b/mallowpass/cli/measure.py
@@ -136,6 +136,29 @@
     _show(measure_overhead(run, counts, profile), common["as_json"])
 
 
+@measure.command()
+@click.option("--hosts", type=click.IntRange(min=256), default=512, show_default=True)
+@click.option("--databases", type=click.IntRange(min=32), default=240)
+@click.option("--sessions", type=click.IntRange(min=8), default=4000)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--part", "parts", multiple=True, help="Only this; repeat it.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def control(as_json: bool, parts: tuple[str, ...], **sizes: int) -> None:
+    """Measure what control costs a host, up to these sizes, as slopes."""
+    from mallowpass.measure import control as measured
+
+    unknown = [part for part in parts if part not in measured.PARTS]
+    if unknown:
+        known = ", ".join(measured.PARTS)
+        raise click.BadParameter(f"{unknown[0]!r} is none of {known}")
+    options = measured.ControlOptions(parts=parts, **sizes)
+    report = measured.measure_control(options, _command_line())
+    if as_json:
+        click.echo(measured.control_to_json(report))
+    else:
+        click.echo("\n".join(measured.render_control(report)))
+
+
 def _run(
     deployment: str,
     seed: int,
