--- a/mallowpass/report/burn.py
+++ b/mallowpass/report/burn.py
@@ -8,14 +8,14 @@
 
 from __future__ import annotations
 
-from collections import Counter
-from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, replace
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 
-from mallowpass.core.calls import Access
 from mallowpass.core.services import Objectives
 from mallowpass.report.buckets import Bucket, Times, merged
-from mallowpass.report.recording import Gap, RecordedDecision, Recording
+from mallowpass.report.objectives import OBJECTIVES, Objective
+from mallowpass.report.recording import Gap, Recording
+from mallowpass.report.worst import WorstSpan, worst_spans
 
 __all__ = [
     "Budget",
@@ -23,28 +23,12 @@
     "ServiceBurn",
     "Window",
     "WindowBurn",
-    "WorstSpan",
     "burn_report",
     "windows_for",
 ]
 
 WINDOWS = (300.0, 3_600.0, 21_600.0)  # seconds, of a record that is longer
 SHORT_SHARES = (1 / 24, 1 / 6, 1 / 2)  # of a record that is shorter than an hour
-MINUTE = 60.0
-SHORT_SPAN = 10.0  # in place of minutes in a record of a quarter of an hour or less
-SHORT_RECORD = 900.0
-SLOW_SHARE = 0.01  # that may exceed the objective of a 99th percentile
-WORST_SHOWN = 5
-CODES_SHOWN = 4
-DECISIONS_SHOWN = 8
-SPENT_MIN = 0.02  # of a budget; spans that spent less are not worth telling
-LEAST = 3
-_PRIORITY = {
-    **dict.fromkeys(("promotion", "promoted", "configuration", "drain", "operator"), 0),
-    **dict.fromkeys(("promise", "follow", "handover"), 1),
-    **dict.fromkeys(("suspicion", "primary"), 2),
-}
-MARGIN = 1.0  # seconds around a span in which decisions belong to it
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,20 +75,6 @@
         return self.left is None or self.left >= 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class WorstSpan:
-    """Tell of a span that spent most; `spent` as a share of the whole budget."""
-
-    at: float
-    width: float
-    spent: float
-    objective: str
-    bad: int
-    total: int
-    codes: tuple[tuple[str, int], ...]
-    decisions: tuple[RecordedDecision, ...]
-
-
 @dataclass(frozen=True, slots=True)
 class ServiceBurn:
     """Judge one service."""
@@ -140,67 +110,6 @@
     violations: tuple[str, ...]
 
 
-# -- Objectives --------------------------------------------------------------
-
-Counted = Callable[[Bucket, Objectives], tuple[int, int]]  # bad, total
-
-
-@dataclass(frozen=True, slots=True)
-class _Objective:
-    name: str
-    count: Counted
-    allowed: Callable[[Objectives], float]
-    target: Callable[[Objectives], str]
-    reached: Callable[[Bucket], str]
-
-
-def _writes(bucket: Bucket, _objectives: Objectives) -> tuple[int, int]:
-    outcomes = bucket.outcomes(Access.WRITE)
-    return bucket.failed(Access.WRITE), sum(outcomes.values())
-
-
-def _slow(bucket: Bucket, objectives: Objectives) -> tuple[int, int]:
-    times = bucket.latency
-    return times.above(objectives.latency_p99), times.count
-
-
-def _primary(bucket: Bucket, _objectives: Objectives) -> tuple[int, int]:
-    return bucket.primary_reads, bucket.reads
-
-
-def _share(bad: int, total: int) -> str:
-    return f"{1 - bad / total:.3%}" if total else "no events"
-
-
-_OBJECTIVES = (
-    _Objective(
-        "write availability",
-        _writes,
-        lambda objectives: 1 - objectives.write_availability,
-        lambda objectives: f">= {objectives.write_availability:.3%}",
-        lambda whole: _share(*_writes(whole, Objectives())),
-    ),
-    _Objective(
-        "latency p99",
-        _slow,
-        lambda _objectives: SLOW_SHARE,
-        lambda objectives: f"<= {objectives.latency_p99 * 1000:.0f} ms",
-        lambda whole: (
-            f"{whole.latency.percentile(99) * 1000:.1f} ms"
-            if whole.latency.count
-            else "no events"
-        ),
-    ),
-    _Objective(
-        "replica share",
-        _primary,
-        lambda objectives: 1 - objectives.replica_share,
-        lambda objectives: f">= {objectives.replica_share:.1%}",
-        lambda whole: _share(*_primary(whole, Objectives())),
-    ),
-)
-
-
 # -- Reports -----------------------------------------------------------------
 
 
@@ -245,8 +154,7 @@
     windows = windows_for(ended - began, width)
     gaps = [gap for gap in recording.gaps if gap.service == name]
     budgets = tuple(
-        _budget(each, objectives, buckets, whole, windows, ended)
-        for each in _OBJECTIVES
+        _budget(each, objectives, buckets, whole, windows, ended) for each in OBJECTIVES
     )
     decisions = [
         each for each in recording.decisions if each.subject.startswith(f"{name}/")
@@ -257,7 +165,7 @@
         stated is not None,
         budgets,
         tuple(sorted(gaps, key=lambda gap: -gap.seconds)),
-        _worst(objectives, buckets, whole, decisions, ended - began),
+        worst_spans(objectives, buckets, whole, decisions, ended - began),
         tuple(buckets),
         whole.ages,
     )
@@ -271,7 +179,7 @@
 
 
 def _budget(
-    objective: _Objective,
+    objective: Objective,
     objectives: Objectives,
     buckets: Sequence[Bucket],
     whole: Bucket,
@@ -328,78 +236,3 @@
     if not bad or not total:
         return 0.0
     return bad / total / allowed if allowed else float("inf")
-
-
-# -- The worst spans ---------------------------------------------------------
-
-
-def _worst(
-    objectives: Objectives,
-    buckets: Sequence[Bucket],
-    whole: Bucket,
-    decisions: Sequence[RecordedDecision],
-    length: float,
-) -> tuple[WorstSpan, ...]:
-    width = SHORT_SPAN if length <= SHORT_RECORD else MINUTE
-    width = max(width, max(bucket.width for bucket in buckets))
-    found = [
-        _span(bucket, objectives, whole, decisions) for bucket in merged(buckets, width)
-    ]
-    spent = [span for span in found if span is not None]
-    return tuple(sorted(spent, key=lambda span: -span.spent)[:WORST_SHOWN])
-
-
-def _span(
-    bucket: Bucket,
-    objectives: Objectives,
-    whole: Bucket,
-    decisions: Sequence[RecordedDecision],
-) -> WorstSpan | None:
-    worst = max(_spent(each, bucket, objectives, whole) for each in _OBJECTIVES)
-    spent, name, bad, total = worst
-    if spent < SPENT_MIN:
-        return None
-    ended = bucket.at + bucket.width + MARGIN
-    during = [each for each in decisions if bucket.at - MARGIN <= each.at < ended]
-    told = _telling(during)
-    return WorstSpan(
-        bucket.at,
-        bucket.width,
-        spent,
-        name,
-        bad,
-        total,
-        tuple(Counter(bucket.codes).most_common(CODES_SHOWN)),
-        told,
-    )
-
-
-def _telling(decisions: Sequence[RecordedDecision]) -> tuple[RecordedDecision, ...]:
-    """Return the decisions that tell most, in the order of time.
-
-    Many hosts note the same refusals and hints during a failure: without this they
-    would hide the one promotion that ended it. What several hosts decided alike
-    stands once, under the first one's name.
-    """
-    alike: dict[tuple[str, str, str], list[RecordedDecision]] = {}
-    for each in decisions:
-        alike.setdefault((each.kind, each.subject, each.text), []).append(each)
-    firsts = [_joined(group) for group in alike.values()]
-    firsts.sort(key=lambda each: (_PRIORITY.get(each.kind, LEAST), each.at))
-    return tuple(sorted(firsts[:DECISIONS_SHOWN], key=lambda each: each.at))
-
-
-def _joined(group: Sequence[RecordedDecision]) -> RecordedDecision:
-    first = min(group, key=lambda each: each.at)
-    more = len({each.host for each in group}) - 1
-    return replace(first, host=f"{first.host} +{more}") if more else first
-
-
-def _spent(
-    objective: _Objective, bucket: Bucket, objectives: Objectives, whole: Bucket
-) -> tuple[float, str, int, int]:
-    bad, total = objective.count(bucket, objectives)
-    budget = objective.allowed(objectives) * objective.count(whole, objectives)[1]
-    if not bad:
-        return 0.0, objective.name, 0, total
-    return (bad / budget if budget > 0 else float("inf")), objective.name, bad, total
--- a/mallowpass/report/page.py
+++ b/mallowpass/report/page.py
@@ -8,9 +8,10 @@
 
 from mallowpass.core.calls import Access, Outcome
 from mallowpass.report.buckets import Bucket, merged
-from mallowpass.report.burn import Budget, BurnReport, ServiceBurn, WorstSpan
+from mallowpass.report.burn import Budget, BurnReport, ServiceBurn
 from mallowpass.report.plots import Band, Line, Plot, Stack, svg_of
 from mallowpass.report.text import clock, left_text, rate_text, seconds_text
+from mallowpass.report.worst import WorstSpan
 
 __all__ = ["report_page"]
 
--- a/mallowpass/report/text.py
+++ b/mallowpass/report/text.py
@@ -6,7 +6,8 @@
 import time
 from collections.abc import Iterator
 
-from mallowpass.report.burn import Budget, BurnReport, ServiceBurn, WorstSpan
+from mallowpass.report.burn import Budget, BurnReport, ServiceBurn
+from mallowpass.report.worst import WorstSpan
 
 __all__ = ["clock", "left_text", "rate_text", "report_lines", "seconds_text"]
 
@@ -28,7 +29,7 @@
         return
     length = seconds_text(report.ended - report.began)
     yield f"service-level burn over {length} until {clock(report.ended)} UTC"
-    yield f"source: {report.source}"
+    yield f"source: {report.source}; burn rates: at the end/the highest"
     for violation in report.violations[:VIOLATIONS_SHOWN]:
         yield f"VIOLATION {violation}"
     if len(report.violations) > VIOLATIONS_SHOWN:
@@ -55,14 +56,13 @@
 
 
 def _row(name: str, target: str, reached: str, left: str, *rates: str) -> str:
-    burns = "".join(f"{rate:>15}" for rate in rates)
-    return f"  {name:19}{target:>12}{reached:>12}{left:>9}{burns}"
+    burns = "".join(f"{rate:>10}" for rate in rates)
+    return f"  {name:18}{target:>11}{reached:>10}{left:>7}{burns}"
 
 
 def _budget_line(budget: Budget) -> str:
     rates = (
-        f"{rate_text(burn.now)} (max {rate_text(burn.highest)})"
-        for burn in budget.windows
+        f"{rate_text(burn.now)}/{rate_text(burn.highest)}" for burn in budget.windows
     )
     return _row(
         budget.objective, budget.target, budget.reached, left_text(budget), *rates
@@ -87,7 +87,7 @@
         f"  worst {clock(span.at)} +{span.width:g} s: {span.bad} of {span.total} bad "
         f"for {span.objective}, {_percent(span.spent)} of its budget; codes: {codes}"
     )
-    for decision in span.decisions[:DECISIONS_SHOWN]:
+    for decision in span.most_telling(DECISIONS_SHOWN):
         text = f"    {clock(decision.at)} {decision.host} {decision.kind}: "
         yield (text + decision.text)[:TEXT_LENGTH]
 
--- a/tests/report/test_burn.py
+++ b/tests/report/test_burn.py
@@ -132,7 +132,9 @@
     decisions.append(
         RecordedDecision(BEGAN + 5.9, "host-1", "promotion", subject, "promote b")
     )
-    (service,) = report_of([bucket(5, 90, 10)], decisions=decisions).services
+    report = report_of([bucket(5, 90, 10)], decisions=decisions)
+    (service,) = report.services
+    assert "promote b" in "\n".join(report_lines(report))
     told = service.worst[0].decisions
     assert told[-1].kind == "promotion"
     assert told[0].host == "host-0 +7"
