--- a/tests/fuzz/findings/test_findings.py
+++ b/tests/fuzz/findings/test_findings.py
@@ -202,3 +202,45 @@
     machine.drain(seat="h2")
     machine.write(pick=100, unrepeatable=True, times=1)
     machine.teardown()
+
+
+def test_primary_that_was_taken_for_isolated_serves_again():
+    """Symptom: a host holds all writes for good though a healthy primary leads.
+
+    Sequence: a primary is promoted while another member stands still; it is cut off
+    from the third one for 3 s; all faults end.
+    Cause: the host that found that no majority could hold what the primary takes
+    drops it as its primary, and does not take it back when the members hear it again.
+    """
+    machine = WholeSystem()
+    machine.start(seed=1)
+    machine.pause_member(key=LEDGER, member=0)
+    machine.promote(seat="h3", key=LEDGER, member=2)
+    machine.cut_domains(first="d2", second="d1")
+    machine.wait(seconds=3.0)
+    machine.teardown()
+
+
+def test_floor_is_not_lost_to_a_term_that_was_dropped_itself():
+    """Symptom: FLOOR_LOST for good, though the newest log holds all that was seen.
+
+    Sequence: a session sees (2, 6); a primary of term 3 starts at 3 and is replaced
+    before a majority holds anything of it; term 4 goes on from (2, 6).
+    Cause: GroupView.overtaken_by counts the start of any higher term ever reported,
+    also of one that is in no log any more.
+    """
+    machine = WholeSystem()
+    machine.start(seed=6)
+    machine.wait(seconds=0.2)
+    machine.heal()
+    machine.isolate_primary(key=CORE)
+    machine.wait(seconds=3.0)
+    machine.write(pick=369, unrepeatable=True, times=3)
+    machine.isolate_primary(key=CORE)
+    machine.wait(seconds=1.0)
+    machine.read(pick=971, age=1.0, chunks=True, times=3)
+    machine.wait_a_little()
+    machine.write_then_read(pick=289)
+    machine.wait(seconds=1.0)
+    machine.read_with_token(pick=416, which="none")
+    machine.teardown()
