Find data lost in a term that this host never saw

Cause: a floor (T, p) counted as contained in a log of term T' when no known term above T starts at or below p. A host that saw no report of a term in the middle, because it was cut off meanwhile or started later, knew the start of the newest term only. A session that had read data which the middle term dropped went on reading as if nothing had happened.

Change: the starts of older terms that a report carries are learnt as well.

Checked: pytest tests/core/systems/test_liveness.py, where the new test failed before; with the loop over term_starts taken out it fails again. Limit: members carry the 8 newest terms before their log's, so a host has to miss more than eight terms in a row.

--- a/mallowpass/core/systems/groupview.py
+++ b/mallowpass/core/systems/groupview.py
@@ -78,12 +78,21 @@
 
     # -- Term starts ---------------------------------------------------------
 
-    def learn_term_start(self, report: Report) -> None:
-        """Remember where the term of a member's log end started."""
-        term = report.received.term
-        if not report.term_start or term in self.term_starts:
+    def learn_term_starts(self, report: Report) -> None:
+        """Remember where the term of a member's log end started, and those before.
+
+        Those before too: a term that began and ended while this host saw no report
+        dropped data as well, and where the newest starts does not show it.
+        """
+        if report.term_start:
+            self._learn_term_start(report.received.term, report.term_start)
+        for term, start in report.term_starts:
+            self._learn_term_start(term, start)
+
+    def _learn_term_start(self, term: int, start: int) -> None:
+        if term in self.term_starts:
             return
-        self.term_starts[term] = report.term_start
+        self.term_starts[term] = start
         while len(self.term_starts) > TERM_STARTS_KEPT:
             del self.term_starts[min(self.term_starts)]
 
--- a/tests/adapters/test_endpoint_messages.py
+++ b/tests/adapters/test_endpoint_messages.py
@@ -47,3 +47,17 @@
     execute = endpoint_messages.endpoint_call_to_wire(call, 7).execute
     assert (execute.write, execute.term, execute.attempt) == (True, 3, 2)
     assert (execute.minimum.term, execute.minimum.position) == (0, 5)
+
+
+def test_starts_of_older_terms_and_awaited_places_cross_the_wire() -> None:
+    message = endpoint_pb2.ControlReply(code=endpoint_pb2.OK)
+    message.report.role = endpoint_pb2.REPLICA
+    message.report.abilities.await_position = True
+    message.report.term_starts.add(term=2, position=7)
+    report = endpoint_messages.control_reply_from_wire(message).report
+    assert report.term_starts == (calls.LogPosition(2, 7),)
+    assert report.await_position
+    call = calls.AwaitPositionCall(calls.LogPosition(3, 9))
+    wire = endpoint_messages.control_call_to_wire(call, 5)
+    place = wire.await_position.place
+    assert (wire.sequence, place.term, place.position) == (5, 3, 9)
--- a/tests/core/systems/test_liveness.py
+++ b/tests/core/systems/test_liveness.py
@@ -295,6 +295,31 @@
     assert liveness.reached(row.primary_row, LogPosition(1, 1))
 
 
+def test_floor_that_a_term_never_seen_dropped_is_lost(scene):
+    """Symptom: a session that saw data which is gone reads on as if nothing was.
+    Sequence: it read positions of term 1 on a primary cut off; term 2 starts below
+    them while this host is cut off too; term 3 starts above them.
+    Cause: only the start of the newest term was known.
+    """
+    scene.run_till_serving()
+    scene.links.isolate("a", ["b", "c"])
+    place = write(scene, 2)
+    scene.world.run(0.1)
+    scene.links.isolate("h0", ["a", "b", "c"])
+    promote(scene, "b", 2)
+    scene.group.members["c"].primary = "b"
+    write(scene, 5)
+    scene.world.run(0.1)
+    promote(scene, "c", 3)
+    scene.links.heal()
+    scene.world.run_till(lambda: scene.row().term == 3, 10.0)
+    liveness, row = scene.host.system(Liveness), scene.row()
+    assert row.primary_row.report.term_start > place.position
+    assert liveness.floor_lost(row, place)
+    assert not liveness.reached(row.primary_row, place)
+    assert not liveness.floor_lost(row, LogPosition(1, 1))
+
+
 def test_age_floor_holds_no_entry_that_a_promotion_dropped(scene):
     """Symptom: reads of an accepted age find no member until the age has passed.
     Sequence: the primary, cut off from c, takes entries that b has not got either
