Serve a host's history to the burn report, by service

Cause: the report of live hosts had a schema and a history but no host that kept one, and counts carried no service, so all would have stood as one.

A count without its attributes is left out: it had ended the flush of all counts that came with it.

--- a/mallowpass/adapters/operators.py
+++ b/mallowpass/adapters/operators.py
@@ -28,6 +28,7 @@
     MallowpassError,
     error_for,
 )
+from mallowpass.report.wire import history_to_wire
 from mallowpass.schema import operators_pb2
 from mallowpass.settings import Address, OperatorKeys
 
@@ -53,6 +54,7 @@
     "PromoteMember": operators_pb2.PromoteMemberCall,
     "Status": operators_pb2.StatusCall,
     "Explain": operators_pb2.ExplainCall,
+    "History": operators_pb2.HistoryCall,
 }
 _STATUS_OF_CATEGORY = {
     Category.AUTHENTICATION: grpc.StatusCode.UNAUTHENTICATED,
@@ -114,14 +116,20 @@
         try:
             operator = self._authenticate(context)
             message = parse_strictly(_METHODS[method], data)
-            request = request_from_wire(method, message, operator)
-            answer = await self._ask(request)
-            reply = answer_to_wire(answer, self._runtime.host)
+            reply = await self._reply(method, message, operator)
         except MallowpassError as error:
             await self._refuse(method, error, context)
             raise  # not reached: a refusal ends the call
         return reply.SerializeToString()
 
+    async def _reply(self, method: str, message: Any, operator: str) -> Any:
+        runtime = self._runtime
+        if isinstance(message, operators_pb2.HistoryCall):
+            # Counted at the edge: the core knows nothing of it.
+            return history_to_wire(runtime.history, message, runtime.host)
+        answer = await self._ask(request_from_wire(method, message, operator))
+        return answer_to_wire(answer, runtime.host)
+
     def _authenticate(self, context: Any) -> str:
         metadata = {
             key: value if isinstance(value, bytes) else value.encode()
--- a/mallowpass/adapters/runtime.py
+++ b/mallowpass/adapters/runtime.py
@@ -28,6 +28,7 @@
 from mallowpass.core.node import FailureDomain, HostIdentity, Node, System, Tuning
 from mallowpass.logs import log_event
 from mallowpass.metrics import Metrics
+from mallowpass.report.history import History
 from mallowpass.settings import HostSettings, OperatorKeys
 from mallowpass.trace.format import TraceHeader
 from mallowpass.trace.recorder import TraceRecorder
@@ -64,6 +65,7 @@
         self._fleet_key = fleet_key
         self._systems = systems
         self._metrics = metrics or Metrics(settings.metrics, settings.host.name)
+        self._history = History(time.time)
         self._seed = secrets.randbits(64) if seed is None else seed
         self._callers = CallerServer(self, settings.listen.callers, settings.limits)
         self._operators = OperatorServer(self, settings.listen.operators, operator_keys)
@@ -98,6 +100,12 @@
         self._flush_counts()
         return self._metrics
 
+    @property
+    def history(self) -> History:
+        """Return what was counted of the services, for the burn report."""
+        self._flush_counts()
+        return self._history
+
     @property
     def host(self) -> str:
         """Return this host's name."""
@@ -350,6 +358,7 @@
 
     def _observe_effect(self, effect: effects.Observe) -> None:
         self._metrics.observe(effect.name, effect.value, effect.attributes)
+        self._history.note_observe(effect.name, effect.value, effect.attributes)
 
     def _exit_effect(self, _effect: effects.Exit) -> None:
         self._exited.set()
@@ -370,6 +379,7 @@
         counts, self._counts = self._counts, {}
         for (name, attributes), value in counts.items():
             self._metrics.count(name, value, attributes)
+            self._history.note_count(name, value, attributes)
 
     def _chosen_systems(self) -> Iterable[type[System]]:
         if self._systems is not None:
--- a/mallowpass/core/services.py
+++ b/mallowpass/core/services.py
@@ -14,6 +14,7 @@
     "Service",
     "ServiceVersion",
     "database_key",
+    "service_of",
 ]
 
 DEFAULT_QUEUE_LENGTH = 512
@@ -26,6 +27,11 @@
     return f"{service}/{database}"
 
 
+def service_of(key: str) -> str:
+    """Return the service's name in a database's key."""
+    return key.partition("/")[0]
+
+
 @dataclass(frozen=True, slots=True)
 class Member:
     """Describe one endpoint of a database group."""
--- a/mallowpass/core/systems/answers.py
+++ b/mallowpass/core/systems/answers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
+
 from mallowpass.core.calls import (
     Access,
     CallerAnswer,
@@ -12,33 +14,47 @@
 )
 from mallowpass.core.effects import AnswerCaller, Count, Observe
 from mallowpass.core.node import System
+from mallowpass.core.services import service_of
 from mallowpass.core.tables import RequestRow, SessionRow
 from mallowpass.errors import ErrorCode
 
 __all__ = [
-    "PRIMARY_READ_COUNT",
-    "REPLICA_READ_COUNT",
     "RETRIES_COUNT",
     "Answers",
     "code_of",
     "code_of_refusal",
+    "read_count",
     "record_id",
 ]
 
-# -- Made once: counting a statement makes no new objects ---------------------
+# -- Counts -------------------------------------------------------------------
 
-REPLICA_READ_COUNT = Count("reads", 1, (("role", "replica"),))
-PRIMARY_READ_COUNT = Count("reads", 1, (("role", "primary"),))
 RETRIES_COUNT = Count("retries")
+COUNTS_KEPT = 4096  # of so many services and kinds the counts are made once
+
+
+@lru_cache(COUNTS_KEPT)
+def read_count(replica: bool, database: str) -> Count:
+    """Return the count of a read by who served it; `database` is a key."""
+    role = "replica" if replica else "primary"
+    return Count("reads", 1, (("role", role), ("service", service_of(database))))
+
 
-_STATEMENT_COUNTS = {
-    (outcome, access): Count(
-        "statements", 1, (("outcome", outcome.value), ("access", access.value))
+@lru_cache(COUNTS_KEPT)
+def _statement_count(outcome: Outcome, access: Access, database: str) -> Count:
+    return Count(
+        "statements",
+        1,
+        (("outcome", outcome.value), *_seconds_attributes(access, database)),
     )
-    for outcome in Outcome
-    for access in Access
-}
-_SECONDS_ATTRIBUTES = {access: (("access", access.value),) for access in Access}
+
+
+@lru_cache(COUNTS_KEPT)
+def _seconds_attributes(
+    access: Access, database: str
+) -> tuple[tuple[str, str], tuple[str, str]]:
+    return ("access", access.value), ("service", service_of(database))
+
 
 # -- Names and codes ----------------------------------------------------------
 
@@ -112,8 +128,10 @@
                 self._answer(stream, request_id, answer)
         emit = self._node.emit
         seconds = self.now - request.arrived
-        emit(_STATEMENT_COUNTS[answer.outcome, request.access])
-        emit(Observe("statement_seconds", seconds, _SECONDS_ATTRIBUTES[request.access]))
+        access, database = request.access, request.database
+        emit(_statement_count(answer.outcome, access, database))
+        attributes = _seconds_attributes(access, database)
+        emit(Observe("statement_seconds", seconds, attributes))
 
     def _answer(self, stream: int, request_id: str, answer: CallerAnswer) -> None:
         session = self.tables.sessions.get(stream)
--- a/mallowpass/core/systems/primaries.py
+++ b/mallowpass/core/systems/primaries.py
@@ -105,7 +105,9 @@
         if not is_first:
             row.last_promotion_at = now
             gap = now - view.primary_at
-            self._node.observe("failover_gap_seconds", gap, database=row.key)
+            self._node.observe(
+                "failover_gap_seconds", gap, database=row.key, service=row.service
+            )
         view.begin_term(now)
         self._publish(view, f"{endpoint.name} leads term {report.term}")
         view.resolve_waiters()
--- a/mallowpass/core/systems/reads.py
+++ b/mallowpass/core/systems/reads.py
@@ -18,10 +18,9 @@
 from mallowpass.core.systems import routing as routing_module
 from mallowpass.core.systems import sessions as sessions_module
 from mallowpass.core.systems.answers import (
-    PRIMARY_READ_COUNT,
-    REPLICA_READ_COUNT,
     RETRIES_COUNT,
     code_of_refusal,
+    read_count,
 )
 from mallowpass.core.systems.connections import Watchdog
 from mallowpass.core.tables import (
@@ -195,7 +194,7 @@
         self._retries.succeeded(request.database.partition("/")[0])
         database = self.tables.databases.get(request.database)
         replica = database is not None and request.address != database.primary
-        self._node.emit(REPLICA_READ_COUNT if replica else PRIMARY_READ_COUNT)
+        self._node.emit(read_count(replica, request.database))
         endpoint = self.tables.endpoints.get(request.address)
         answer = CallerAnswer(
             request_id=request.request.request_id,
--- a/mallowpass/report/history.py
+++ b/mallowpass/report/history.py
@@ -87,8 +87,8 @@
     def note_count(self, name: str, value: float, attributes: Attributes) -> None:
         """Take in a count; names that the report does not use are left out."""
         note = _COUNTS.get(name)
-        if note is not None:
-            found = dict(attributes)
+        found = dict(attributes)
+        if note is not None and _NEEDED[name] <= found.keys():
             note(self._bucket(found), round(value), found)
 
     def note_observe(self, name: str, value: float, attributes: Attributes) -> None:
@@ -98,7 +98,7 @@
             self._note_gap(value, found)
             return
         note = _VALUES.get(name)
-        if note is not None:
+        if note is not None and _NEEDED[name] <= found.keys():
             note(self._bucket(found), value, found)
 
     # -- Asking --------------------------------------------------------------
@@ -178,4 +178,13 @@
     "reads": _note_reads,
     "refused": _note_refused,
 }
+# A count without these can't be placed; failing on it would end the flush of all
+# counts that came with it.
+_NEEDED = {
+    "statements": {"access", "outcome"},
+    "reads": {"role"},
+    "refused": set(),
+    "statement_seconds": {"access"},
+    "read_age_seconds": set(),
+}
 _VALUES = {"statement_seconds": _note_seconds, "read_age_seconds": _note_age}
--- a/tests/report/test_history.py
+++ b/tests/report/test_history.py
@@ -113,3 +113,16 @@
     with pytest.raises(MallowpassError) as caught:
         recording_from_wire(answer)
     assert caught.value.error_code is ErrorCode.MALFORMED_MESSAGE
+
+
+def test_count_without_its_attributes_is_left_out():
+    """Keep the counts that come with an incomplete one.
+
+    Symptom: a flush of counts ended with KeyError and lost what came after.
+    Sequence: a count of statements without access or outcome.
+    Cause: the history took for granted that both are there.
+    """
+    history = History(lambda: 100.0)
+    history.note_count("statements", 1, ())
+    history.note_observe("statement_seconds", 0.1, ())
+    assert history.buckets() == []
