Admit a barred primary that answers last, and judge floors by the log's terms

Cause 1 (found by the fuzz machine): a host that had barred a primary settled each later round as soon as a majority had answered. A primary farther away than the others was never among them, so it stayed barred for good. Cause 2 (found by the fuzz machine): a floor counted as dropped by the start of any higher term ever reported. A term that was elected and replaced before anybody had its entry is in no log, yet sessions were told FLOOR_LOST by it. And a place of such a term counted as contained where the next term started above it.

Change: a round waits for the suspect's answer also while it is barred, three times as long as its majority took and at least an eighth of the detection time. TermHistory keeps the terms of each log as its members tell them; a place is in a log if its term is one of them and the next starts above it.

Taken out once: waiting for a barred suspect and the longer wait each fail test_barred_primary_that_is_the_farthest_member_returns.

--- a/mallowpass/core/systems/groupview.py
+++ b/mallowpass/core/systems/groupview.py
@@ -9,12 +9,12 @@
 from dataclasses import dataclass, field
 
 from mallowpass.core.calls import ZERO_POSITION, LogPosition, Report
+from mallowpass.core.systems.termhistory import TermHistory
 from mallowpass.core.tables import DatabaseRow, EndpointRow
 from mallowpass.core.timers import Timer
 
 __all__ = ["GroupView", "HeldWaiter", "MemberView"]
 
-TERM_STARTS_KEPT = 64
 MARKS_KEPT = 256
 MARK_GAP = 0.002
 LAG_WEIGHT = 0.2
@@ -59,7 +59,7 @@
 
     row: DatabaseRow
     holders: dict[str, int] = field(default_factory=dict)  # positions in row.term
-    term_starts: dict[int, int] = field(default_factory=dict)
+    history: TermHistory = field(default_factory=TermHistory)
     members: dict[str, MemberView] = field(default_factory=dict)  # by address
     # When this host first saw a position received anywhere, oldest first.
     marks: deque[tuple[float, LogPosition]] = field(default_factory=deque)
@@ -76,32 +76,11 @@
     _waiters: list[tuple[LogPosition, int, HeldWaiter]] = field(default_factory=list)
     _counter: itertools.count[int] = field(default_factory=itertools.count)
 
-    # -- Term starts ---------------------------------------------------------
-
-    def learn_term_starts(self, report: Report) -> None:
-        """Remember where the term of a member's log end started, and those before.
-
-        Those before too: a term that began and ended while this host saw no report
-        dropped data as well, and where the newest starts does not show it.
-        """
-        if report.term_start:
-            self._learn_term_start(report.received.term, report.term_start)
-        for term, start in report.term_starts:
-            self._learn_term_start(term, start)
-
-    def _learn_term_start(self, term: int, start: int) -> None:
-        if term in self.term_starts:
-            return
-        self.term_starts[term] = start
-        while len(self.term_starts) > TERM_STARTS_KEPT:
-            del self.term_starts[min(self.term_starts)]
+    # -- Terms ---------------------------------------------------------------
 
     def overtaken_by(self, position: LogPosition) -> LogPosition | None:
-        """Return the start of a known higher term at or below a position."""
-        for term, start in self.term_starts.items():
-            if term > position.term and start <= position.position:
-                return LogPosition(term, start)
-        return None
+        """Return the start of the term that dropped a position from the newest log."""
+        return self.history.dropped_by(position, self.row.term)
 
     def contains(self, end: LogPosition, position: LogPosition) -> bool:
         """Tell whether a log that ends at `end` is proven to contain a position."""
@@ -109,9 +88,9 @@
             return True
         if end.term == position.term:
             return end.position >= position.position
-        if end.term < position.term or end.term not in self.term_starts:
+        if end.term < position.term or not self.history.knows(end.term):
             return False
-        return self.overtaken_by(position) is None
+        return self.history.dropped_by(position, end.term) is None
 
     # -- Held by a majority --------------------------------------------------
 
--- a/mallowpass/core/systems/liveness.py
+++ b/mallowpass/core/systems/liveness.py
@@ -347,7 +347,7 @@
         endpoint.report = report
         endpoint.report_at = self.now
         endpoint.misses = 0
-        view.learn_term_starts(report)
+        view.history.learn(report)
         view.mark(self.now, report.received)
         view.note_applied(self.now, endpoint.address, report.applied)
         self._primaries.note_role(view, endpoint, report)
--- a/mallowpass/core/systems/suspicion.py
+++ b/mallowpass/core/systems/suspicion.py
@@ -92,8 +92,9 @@
         self._row = row
         self._suspect = suspect
         self._threshold = threshold
-        # A suspect that is heard is about to answer, and its answer decides.
-        self._suspect_heard = bool(row.primary)
+        # A suspect that is heard is about to answer, and its answer decides: without
+        # it one that is barred would stay so for good.
+        self._suspect_heard = bool(row.primary) or liveness.is_barred(row)
         self._done: Callable[[Finding], None] | None = done
         self._reports: dict[str, Report] = {}
         self._left = len(row.endpoints)
@@ -133,6 +134,9 @@
             # asking once more is cheap.
             elapsed = self._node.timers.now - self._asked_at
             wait = max(elapsed, SETTLE_MIN)
+            if self._awaits_suspect:
+                # It may be the farthest of all, and there is time before the detection.
+                wait = max(3 * elapsed, self._node.tuning.detection / 8)
             self._settling = self._node.timers.after(wait, self._settle)
 
     def _settle(self) -> None:
--- a/tests/core/systems/test_isolation.py
+++ b/tests/core/systems/test_isolation.py
@@ -169,6 +169,21 @@
     assert_nothing_promoted(scene)
 
 
+def test_barred_primary_that_is_the_farthest_member_returns():
+    """Symptom: a host holds all writes for good though a healthy primary leads.
+    Sequence: a primary is barred and heard again; the other members answer this
+    host's questions before the primary's answer can be there.
+    Cause: the round was over without the answer that it turned on.
+    """
+    scene = make(manual=True, between=0.012)
+    scene.links.between[frozenset(("d1", "d2"))] = 0.0005
+    isolate(scene)
+    rows = [scene.row(name) for name in scene.live]
+    scene.world.run_till(lambda: all(row.primary == "" for row in rows), 3.0)
+    scene.links.heal()
+    scene.world.run_till(lambda: all(row.primary == "a:1" for row in rows), 2.0)
+
+
 # -- Not replaced ------------------------------------------------------------
 
 
