Keep the sequence in which a learnt floor hides a lost one

Cause: a walk over the newest core met a read whose learnt floor (2, 3) took the place of its session's own (1, 3), which the promotion had dropped.

Change: one more plain test among the machine's findings.

Conclusion: the mend is to check the session's own floor beside the request's.

--- a/tests/fuzz/findings/test_findings.py
+++ b/tests/fuzz/findings/test_findings.py
@@ -244,3 +244,24 @@
     machine.wait(seconds=1.0)
     machine.read_with_token(pick=416, which="none")
     machine.teardown()
+
+
+def test_learnt_floor_does_not_hide_that_what_a_session_saw_is_gone():
+    """Symptom: a read is DONE and lacks what its session has seen; no FLOOR_LOST.
+
+    Sequence: on the primary's side of a partition a session reads (1, 3), which no
+    majority has; term 2 starts at 3; it reads with an age, and a floor is learnt.
+    Cause: SessionFloors takes the maximum (2, 3) of the learnt floor and the
+    session's own (1, 3), so is_gone and proves never look at the session's; the
+    answer's position then replaces it.
+    """
+    machine = WholeSystem()
+    machine.start(seed=4)
+    machine.cut_domains(first="d1", second="d0")
+    machine.write_then_read(pick=323)
+    machine.kill(seat="h2")
+    machine.cut_domains(first="d0", second="d2")
+    machine.write_then_read(pick=635)
+    machine.wait(seconds=3.0)
+    machine.read(pick=717, age=1.0, chunks=True, times=2)
+    machine.teardown()
