Keep the sequence in which a write's token does not cover the write

Cause: walks met a caller who roams with the token of its DONE write to the old primary's side of a partition and reads without it.

--- a/tests/fuzz/findings/test_findings.py
+++ b/tests/fuzz/findings/test_findings.py
@@ -265,3 +265,34 @@
     machine.wait(seconds=3.0)
     machine.read(pick=717, age=1.0, chunks=True, times=2)
     machine.teardown()
+
+
+def test_token_of_a_write_covers_it_though_an_earlier_floor_is_lost():
+    """Symptom: a caller roams with the token of its DONE write and doesn't see it.
+
+    Sequence: a session reads (1, 2), which only the primary has; a promotion drops
+    it; the session's write is DONE at (2, 3); its caller reads with that token on
+    the old primary's side of a partition, where (1, 2) is all that is asked for.
+    Cause: Requests._raise_floors leaves a lost floor in place so that FLOOR_LOST can
+    be told, and so the token lacks the write. Lost and newest are two things.
+    """
+    fleet = Fleet()
+    session = fleet.open("h1", "jamal")
+    fleet.read(session)
+    fleet.run(0.2)
+    for name in ("a1", "a2"):
+        fleet.crash(CORE, name, tell=True)
+    fleet.write(fleet.open("h0", "hind"))
+    fleet.run(0.02)
+    first = fleet.read(session)
+    fleet.run(1.5)
+    assert len(first.answer.rows[1]) == 2
+    fleet.isolate("d0")
+    for name in ("a1", "a2"):
+        fleet.recover(CORE, name)
+    fleet.run(3.0)
+    write = fleet.write(session)
+    fleet.run(3.0)
+    assert write.answer.outcome is Outcome.DONE
+    fleet.read(fleet.open("h0", "jamal", token=write.answer.token))
+    fleet.run(4.0)  # the oracle checks its content
