Check an endpoint's idle connections once one is overdue

Cause: when all connections to an endpoint go silent at one moment, only the one that was silent for its whole time (3 s) had the others checked. A retry met the next silent one; and a host whose share is one connection had no other place for 3 s, since the given-up connection kept it.

Change: a read or write that gives its connection up as overdue has idle ones that were last used before its call prove themselves at once, and a given-up connection that leaves a keep-alive unanswered is judged like an idle one: closed after half a second if its endpoint was heard elsewhere since. A commit closes its silent connection as silent, so that its place counts as taken as long as that of any other.

--- a/mallowpass/core/systems/keepalive.py
+++ b/mallowpass/core/systems/keepalive.py
@@ -100,6 +100,10 @@
         connection.transaction = ""
         if pool.internal.get(number) != _RESET:
             pool.internal[number] = _ABANDONED
+        proof = pool.proofs.get(number)
+        if proof is not None and proof.outstanding:
+            # Judged like an idle one: while it takes up a place of few, requests wait.
+            pool.checking.add(number)
         if pool.queue:
             self._pooling.granting.pump(pool)
 
@@ -175,13 +179,13 @@
         if connection is None:
             return
         node = self._node
-        silent_since = connection.last_used
+        silent_since = max(connection.last_used, connection.called_at)
         node.decide("silent", pool.address, f"connection {number} gave no answer")
         node.log("warning", "connection_silent", address=pool.address, number=number)
         if not connection.loan:
             pool.ghosts.append(connection.expires + LIFE_MARGIN)
         self._pooling.lose(pool, connection, "silent")
-        self._check_older(pool, silent_since)
+        self.check_older(pool, silent_since)
         self._pooling.granting.pump(pool)
 
     def check_unanswered(self, pool: EndpointPool, number: int) -> None:
@@ -201,7 +205,7 @@
         else:
             self.went_silent(pool, number)
 
-    def _check_older(self, pool: EndpointPool, since: float) -> None:
+    def check_older(self, pool: EndpointPool, since: float) -> None:
         """Have idle connections prove themselves that last did so before `since`.
 
         Whatever made one connection silent has likely hit those of the same age; each
--- a/mallowpass/core/systems/pooling.py
+++ b/mallowpass/core/systems/pooling.py
@@ -220,6 +220,17 @@
         """
         return self.proving.answers(connection, within)
 
+    def suspect(self, connection: ConnectionRow) -> None:
+        """Have idle connections prove themselves that may be as silent as this one."""
+        pool = self.by_address[connection.address]
+        self.keepalive.check_older(pool, connection.called_at)
+        self.granting.pump(pool)
+
+    def close_silent(self, connection: ConnectionRow) -> None:
+        """Close a connection that seems silent, and have others prove themselves."""
+        pool = self.by_address[connection.address]
+        self.keepalive.went_silent(pool, connection.number)
+
     def is_patient(self, request: RequestRow) -> bool:
         """Tell whether a request's class is a patient one."""
         pool = self.by_address.get(request.address)
--- a/mallowpass/core/systems/proving.py
+++ b/mallowpass/core/systems/proving.py
@@ -82,9 +82,11 @@
             self._pooling.drop("late-keep-alive")
             return
         proof.answered = True
-        # A given-up call is not waited for, however well its connection is.
         if connection.request or connection.transaction:
             pool.late.remove(number)
+        else:
+            # Its call was given up, and is not waited for, however well it is.
+            pool.checking.remove(number)
 
     def forget(self, pool: EndpointPool, number: int) -> None:
         """Let go of a call that was answered, or whose connection is gone."""
--- a/mallowpass/core/systems/reads.py
+++ b/mallowpass/core/systems/reads.py
@@ -279,7 +279,7 @@
             self._overdue.add(request.number)
             return
         self._requests.record(request.address, 0.0, ok=False)
-        self._requests.abandon(request)
+        self._requests.suspect(request)
         request.moved = True
         why = f"{request.address}: no answer in {self.now - request.sent_at:.3f}s"
         self._node.emit(RETRIES_COUNT)
--- a/mallowpass/core/systems/requests.py
+++ b/mallowpass/core/systems/requests.py
@@ -267,6 +267,13 @@
         if connection is not None:
             self._pooling.release(connection)
 
+    def suspect(self, request: RequestRow) -> None:
+        """Leave a connection that seems silent to pooling, and have others checked."""
+        connection = self.tables.connections.get(request.connection)
+        if connection is not None:
+            self._pooling.suspect(connection)
+        self.abandon(request)
+
     def discard(self, request: RequestRow, why: str) -> None:
         """Close the connection that a request was sent on, if it still has one."""
         connection = self.tables.connections.get(request.connection)
--- a/mallowpass/core/systems/transactions.py
+++ b/mallowpass/core/systems/transactions.py
@@ -351,9 +351,10 @@
         """Look up a commit whose connection seems silent, and close that."""
         transaction = self.tables.transactions.get(request.transaction)
         if transaction is not None:
+            connection = self.tables.connections[transaction.connection]
             self.end(transaction, None, why)
             # If the commit never arrived, only this ends the transaction there.
-            self._discard(transaction, why)
+            self._pooling.close_silent(connection)
 
     def _on_primary_changed(self, signal: PrimaryChanged) -> None:
         database = self.tables.databases.get(signal.database)
--- a/mallowpass/core/systems/writes.py
+++ b/mallowpass/core/systems/writes.py
@@ -289,7 +289,7 @@
             # Paid now: a primary that pauses makes many writes overdue at once, and
             # those that the budget does not reach are better left waiting.
             request.prepaid = True
-            self._requests.abandon(request)
+            self._requests.suspect(request)
             self._requests.outcomes.resolve(request, self._lateness(request))
 
     def _is_overdue(self, request: RequestRow) -> bool:
--- a/tests/core/systems/test_proving.py
+++ b/tests/core/systems/test_proving.py
@@ -205,3 +205,63 @@
     host.wait(0.001)
     host.reply(statement)
     assert host.pool.concurrency.baseline > 1.0
+
+
+def _give_up_unanswered(host: PoolHost) -> None:
+    """Give a statement up whose connection leaves a keep-alive unanswered."""
+    request = host.request()
+    host.wait(0.1)
+    connection = host.node.tables.connections[request.connection]
+    host.pooling.answers(connection, 0.1)
+    host.flush()
+    host.wait(0.1)
+    assert not host.pooling.answers(connection, 0.1)
+    host.pooling.suspect(connection)
+    host.pooling.cancel(request)
+    host.flush()
+
+
+def test_a_retry_does_not_meet_the_next_silent_connection():
+    """
+    Symptom: a write takes two seconds and more: its retries go unanswered as well.
+    Sequence: all connections of a host to an endpoint go silent at one moment.
+    Cause: others were checked only once the first had been silent for its whole time.
+    """
+    host = _host()
+    host.requests.hold = True
+    rows = [host.request() for _ in range(2)]
+    host.open_all()
+    for row in rows:
+        host.pooling.release(host.node.tables.connections[row.connection])
+    host.requests.hold = False
+    host.wait(0.1)
+    (older, _) = host.pool.idle
+    _give_up_unanswered(host)
+    assert {sent.connection for sent in host.calls(KeepAliveCall)} >= {older}
+    assert not host.pool.idle
+
+
+def test_a_silent_connection_gives_its_place_back_soon():
+    """
+    Symptom: requests wait three seconds while nothing runs.
+    Sequence: the only connection that a host may have goes silent.
+    Cause: given up by its request, it kept its place for the whole silence.
+    """
+    host = _host()
+    _start(host)
+    host.reply_all()
+    _give_up_unanswered(host)
+    host.endpoint.heard_at = host.now + 1.0
+    host.wait(0.6)
+    assert not host.pool.connections
+
+
+def test_a_given_up_connection_that_answers_after_all_is_kept():
+    host = _host()
+    _start(host)
+    host.reply_all()
+    _give_up_unanswered(host)
+    host.endpoint.heard_at = host.now + 1.0
+    host.reply(host.calls(KeepAliveCall)[-1])
+    host.wait(0.6)
+    assert host.pool.connections and not host.closed()
--- a/tests/core/systems/test_reads.py
+++ b/tests/core/systems/test_reads.py
@@ -237,6 +237,7 @@
     path.read(1, "look")
     path.advance(0.3)
     assert path.sent.connection.address == "127.0.0.1:3"
+    assert path.pooling.suspected == [path.pooling.sent[0].connection.number]
     path.reply(rows="r")
     assert path.answer().outcome is Outcome.DONE
 
--- a/tests/core/systems/test_writes.py
+++ b/tests/core/systems/test_writes.py
@@ -347,6 +347,7 @@
     path.write(1, "file")
     path.advance(0.8)
     assert path.pooling.released == [(path.sent.connection.number, False)]
+    assert path.pooling.suspected == [path.sent.connection.number]
     path.look_up(RECORDED, position=(1, 7), rows="r")
     path.reply(applied=(1, 7), rows="late")
     path.hold(1, 7)
--- a/tests/fakes/requestpath.py
+++ b/tests/fakes/requestpath.py
@@ -113,6 +113,7 @@
         self.sent: list[Sent] = []
         self.released: list[tuple[int, bool]] = []
         self.discarded: list[int] = []
+        self.suspected: list[int] = []
 
     def acquire(self, request: RequestRow, endpoint: EndpointRow) -> None:
         self.queue.append((request, endpoint.address))
@@ -162,6 +163,12 @@
     def answers(self, connection: ConnectionRow, within: float) -> bool:
         return self.answering
 
+    def suspect(self, connection: ConnectionRow) -> None:
+        self.suspected.append(connection.number)
+
+    def close_silent(self, connection: ConnectionRow) -> None:
+        self.discard(connection, "silent")
+
     def is_patient(self, request: RequestRow) -> bool:
         return self.patient
 
