Take absence for proof only once the term's start is held

Cause: a look-up in the term that a write was sent in counted as proof by itself. A copy of the same request that ran in an earlier term, through another host, can be recorded on a member that never followed this term. If no majority held anything of this term, the next promotion may choose that log: the caller was told NOT_RUN, or the write was sent again, and both stay.

Change: the start of the term must be held in both cases. Normally it is, and the answer is as quick as before. The fake's promotion within one term no longer lowers what is held, which no host does.

--- a/mallowpass/core/systems/outcomes.py
+++ b/mallowpass/core/systems/outcomes.py
@@ -134,12 +134,11 @@
         )
 
     def _on_not_recorded(self, look_up: _LookUp, database: DatabaseRow) -> None:
-        if look_up.term == look_up.request.sent_term:
-            self._proven_not_run(look_up)
-            return
-        # A later term's log has no record. That is proof once a majority holds the
-        # start of that term: before, the next promotion could still choose the
-        # earlier primary's log, record and all, after the caller was told NOT_RUN.
+        # The log of this term has no record. That is proof once a majority holds the
+        # start of the term: before, the next promotion could still choose an earlier
+        # primary's log, record and all, after the caller was told NOT_RUN. The term
+        # of the sending is no exception: an earlier copy may have come through
+        # another host. Normally the start is held long since.
         start = LogPosition(look_up.term, 1)
         callback = partial(self._on_start_held, look_up)
         self._liveness.wait_held(database, start, callback)
--- a/tests/core/systems/test_writes.py
+++ b/tests/core/systems/test_writes.py
@@ -79,6 +79,25 @@
     assert _writes(path) == [(1, 1)]
 
 
+def test_absence_in_the_term_of_its_sending_is_no_proof_before_that_is_held(path):
+    """Symptom: a claim answered NOT_RUN is recorded all the same.
+    Sequence: a first copy ran in term 1 through another host. m2 leads term 2, which
+    no majority has anything of; this copy is sent there, lost and not recorded. Term
+    3 is given to the log of term 1, record and all.
+    Cause: the look-up's term was that of the sending, and taken for proof by itself.
+    """
+    path.promote("m2", term=2, start=7)
+    path.write(1, "file")
+    path.lose()
+    path.look_up(NOT_RECORDED)
+    path.advance(0.1)
+    assert _writes(path) == [(2, 1)]
+    path.promote("m3", term=3, start=8)
+    path.look_up(RECORDED, position=(1, 7), rows="r")
+    path.hold(3, 8)
+    assert [answer.rows for answer in path.answered("file")] == ["r"]
+
+
 def test_write_on_a_lost_connection_is_looked_up_before_it_runs_again(path):
     """Symptom: a claim is recorded twice, and rejected in both copies.
     Sequence: the connection breaks after the endpoint ran it, before its answer.
--- a/tests/fakes/requestpath.py
+++ b/tests/fakes/requestpath.py
@@ -318,6 +318,7 @@
             tables.endpoints[member.address] = row
             self.database.endpoints[member.address] = row
         self.database.term = 1
+        self.database.held = LogPosition(1, 1)
         self.database.primary = "127.0.0.1:1"
         self.database.state = GroupState.SERVING
         tables.databases[KEY] = self.database
@@ -458,7 +459,7 @@
         self.database.primary = self.endpoint(name).address
         self.database.term = term
         self.database.state = GroupState.SERVING
-        self.database.held = LogPosition(term, 0)
+        self.database.held = max(self.database.held, LogPosition(term, 0))
         self.liveness.term_starts[term] = start
         self.report(name, (term, start), Role.PRIMARY)
         self.node.publish(PrimaryChanged(KEY))
