Compare requests by a digest that two of them can't share

Cause: whether a request id was used for another statement was told by hash() of its parts, 64 bits, over the repr of its parameters.

Change: a blake2b digest of 128 bits over the fields, each with its length, and parameters as their serialized messages. What remembers them stands in a module of its own, with its bound.

--- a/mallowpass/core/systems/writes.py
+++ b/mallowpass/core/systems/writes.py
@@ -24,6 +24,11 @@
 from mallowpass.core.systems.answers import code_of_refusal, record_id
 from mallowpass.core.systems.connections import Watchdog
 from mallowpass.core.systems.outcomes import FIRST_ATTEMPT
+from mallowpass.core.systems.reuse import (
+    RecentRequests,
+    digest_of_begin,
+    digest_of_statement,
+)
 from mallowpass.core.tables import (
     ConnectionRow,
     DatabaseRow,
@@ -38,7 +43,6 @@
 OVERDUE = 0.5  # seconds after which a write is looked up, at the earliest
 OVERDUE_FACTOR = 8.0  # times the primary's usual latency
 LOOK = OVERDUE / 2  # seconds between looks; the connection is asked at the first
-RECENT_MAX = 4096  # request ids remembered with their statements
 FENCED_MAX = 16  # refusals for a fenced attempt before a request is given up
 
 _RETRIED = frozenset(
@@ -60,6 +64,7 @@
         "_liveness",
         "_overdue",
         "_pooling",
+        "_recent",
         "_requests",
         "_retries",
         "_routing",
@@ -70,6 +75,7 @@
     def __init__(self, node: Node) -> None:
         super().__init__(node)
         self._running: dict[str, int] = {}  # record id -> row, of unrepeatable ones
+        self._recent = RecentRequests(node.tables.recent_outcomes)
 
     def start(self) -> None:
         """Find the systems that are asked."""
@@ -120,8 +126,8 @@
         if running is not None:
             self.join(running, session, request)
             return True
-        statement = hash((key, request.sql, repr(request.parameters)))
-        return self._was_reused(session, request, name, statement)
+        digest = digest_of_statement(key, request)
+        return self._was_reused(session, request, name, digest)
 
     def refuse_reused_begin(
         self, session: SessionRow, request: BeginRequest, key: str
@@ -131,19 +137,15 @@
         Its commit would be answered from the other's record, and not run.
         """
         name = record_id(session.caller, request.request_id)
-        return self._was_reused(session, request, name, hash((key, "begin")))
+        return self._was_reused(session, request, name, digest_of_begin(key))
 
     def _was_reused(
-        self, session: SessionRow, request: CallerRequest, name: str, statement: int
+        self, session: SessionRow, request: CallerRequest, name: str, digest: bytes
     ) -> bool:
-        recent = self.tables.recent_outcomes
-        known = recent.setdefault(name, statement)
-        if known != statement:
-            self._requests.answers.refuse(session, request, ErrorCode.REQUEST_ID_REUSED)
-            return True
-        while len(recent) > RECENT_MAX:
-            recent.popitem(last=False)
-        return False
+        if not self._recent.is_reused(name, digest):
+            return False
+        self._requests.answers.refuse(session, request, ErrorCode.REQUEST_ID_REUSED)
+        return True
 
     def join(self, running: int, session: SessionRow, request: ExecuteRequest) -> None:
         """Have a copy of a request in flight answered from the one run."""
