Leave admission to the one place where a request gets in line

Cause: Admission.admit was meant for a request's arrival, and nothing called it. On arrival it would predict the same wait that is predicted for the endpoint chosen a moment later, and refuse what another member would take.

Change: it is removed; no test used it. A request is admitted where it is queued, and a read is tried at the next member from there.

--- a/mallowpass/core/systems/admission.py
+++ b/mallowpass/core/systems/admission.py
@@ -44,14 +44,6 @@
 
         self._pooling = self._node.system(Pooling)
 
-    def admit(self, request: RequestRow) -> Refusal | None:
-        """Refuse a request that has no chance at any of its database's endpoints."""
-        refusal = self._refuse_full(request)
-        if refusal is not None:
-            return refusal
-        wait = self.predicted_wait(request.database, request.request_class)
-        return self._refuse_late(request, wait, request.database)
-
     def refuse_at(self, pool: EndpointPool, request: RequestRow) -> Refusal | None:
         """Refuse a request that has to wait at an endpoint, and can't."""
         if pool.endpoint.leaving:
@@ -77,11 +69,23 @@
     def wait_at(self, pool: EndpointPool, class_name: str) -> float:
         """Return how long a new request of a class would wait, in seconds."""
         ahead = pool.queue.ahead(class_name)
-        if not ahead and (pool.idle or pool.idle_borrowed):
+        room = self._pooling.opener.room(pool)
+        if ahead < self._free(pool, room) or not (ahead or pool.connections):
             return 0.0
-        servers = min(len(pool.connections) or 1, pool.statement_limit)
+        servers = min(len(pool.connections) + room, pool.statement_limit)
         return (ahead + 1) * pool.hold / max(1, servers)
 
+    @staticmethod
+    def _free(pool: EndpointPool, room: int) -> int:
+        """Return how many requests need not wait for another one's end.
+
+        How long requests kept connections says nothing of them. Refused by it, they
+        would never teach a shorter time: one long transaction would close an idle host.
+        """
+        idle = len(pool.idle) + len(pool.idle_borrowed)
+        free = idle + len(pool.opening) + room
+        return min(free, pool.statement_limit - pool.active)
+
     def _refuse_full(self, request: RequestRow) -> Refusal | None:
         database = self.tables.databases.get(request.database)
         if database is None:
@@ -112,6 +116,6 @@
     ) -> Refusal:
         spread = 1.0 + RETRY_SPREAD * self._node.random.random()
         retry_after = max(RETRY_AFTER_MIN, wait) * spread
-        self._node.count("refused", reason=code.name.lower())
+        self._node.count("turned_away", reason=code.name.lower())
         self._node.decide("refusal", request.database, f"{code.code} {why}")
         return Refusal(code.code, why, retry_after)
