Try a read at other members before its queue is called full

Cause: a read turned away by one member's line (QUEUE_FULL, also by predicted wait) was refused, though another replica or the primary may have room.

Change: the read goes on to the next candidate, then to the primary, and is refused once none takes it, with the smallest retry_after of them. Requests refused are counted once, by the code of their answer, as the metric says; what an endpoint's line turns away is counted as turned_away, by reason.

--- a/mallowpass/core/systems/answers.py
+++ b/mallowpass/core/systems/answers.py
@@ -110,6 +110,7 @@
     ) -> None:
         """Answer a request that got no row."""
         text = message or code.meaning
+        self._node.count("refused", code=code.code)
         self._node.decide("refuse", request.request_id, f"{code.code} {text}")
         answer = CallerAnswer(
             request_id=request.request_id,
--- a/mallowpass/core/systems/granting.py
+++ b/mallowpass/core/systems/granting.py
@@ -96,7 +96,7 @@
         self, request: RequestRow, code: ErrorCode, why: str, retry_after: float = 0.0
     ) -> None:
         """Give a request back to the request path."""
-        self._node.count("refused", reason=code.name.lower())
+        self._node.count("turned_away", reason=code.name.lower())
         self._node.decide("refusal", request.database, f"{code.code} {why}")
         self._pooling.requests.on_refused(request, code.code, why, retry_after)
 
--- a/mallowpass/core/systems/reads.py
+++ b/mallowpass/core/systems/reads.py
@@ -91,7 +91,6 @@
             if pause > 0:
                 self._wait(request, pause)
                 return
-        if endpoint is None:
             endpoint = self._routing.choose_other_read(request, database)
         if endpoint is not None:
             self._waiting_of(request).pop(request.number, None)
@@ -235,7 +234,8 @@
             f" is below the floor {floor.term}:{floor.position}"
         )
         if reply.last:
-            self._requests.release(request, connection)
+            began = isinstance(request.request, BeginRequest)
+            self._requests.release(request, connection, reset=began)
         else:
             self._requests.discard(request, "its stale answer goes on")
         request.behind += 1
@@ -303,6 +303,19 @@
             return False
         return request.moved or self._pooling.is_patient(request)
 
+    def turned_away(self, request: RequestRow, why: str, retry_after: float) -> None:
+        """Read at another member than one with too long a line, or give up at once."""
+        request.retry_after = min(request.retry_after, retry_after)
+        if request.avoided is None:
+            request.avoided = set()
+        request.avoided.add(request.address)
+        endpoint = self._routing.choose_any_read(request)
+        if endpoint is not None:
+            self._requests.acquire(request, endpoint.address)
+            return
+        code = ErrorCode.QUEUE_FULL
+        self._requests.not_run(request, code, why, request.retry_after)
+
     def lost(self, request: RequestRow, why: str) -> None:
         """Read again elsewhere after a connection was lost."""
         self.elsewhere(request, ErrorCode.CONNECTION_LOST, why)
--- a/mallowpass/core/systems/requests.py
+++ b/mallowpass/core/systems/requests.py
@@ -238,7 +238,9 @@
         if request.state is not RequestState.QUEUED:
             return
         error = code_of(code)
-        if error not in _REROUTED:
+        if error is ErrorCode.QUEUE_FULL and request.access is Access.READ:
+            self.reads.turned_away(request, why, retry_after)
+        elif error not in _REROUTED:
             self.not_run(request, error, why, retry_after)
         elif request.access is Access.WRITE:
             self.writes.refused(request, error, why)
@@ -255,10 +257,12 @@
         request.queued_at = self.now
         self._pooling.acquire(request, self.tables.endpoints[address])
 
-    def release(self, request: RequestRow, connection: ConnectionRow) -> None:
-        """Give a clean connection back."""
+    def release(
+        self, request: RequestRow, connection: ConnectionRow, reset: bool = False
+    ) -> None:
+        """Give a connection back; `reset` when a transaction is open on it."""
         request.connection = 0
-        self._pooling.release(connection)
+        self._pooling.release(connection, reset=reset)
 
     def abandon(self, request: RequestRow) -> None:
         """Leave the connection that a request waits on to pooling."""
@@ -350,6 +354,7 @@
         self, request: RequestRow, code: ErrorCode, why: str, retry_after: float = 0.0
     ) -> None:
         """Answer a request that did not run and will not."""
+        self._node.count("refused", code=code.code)
         self._fail(request, Outcome.NOT_RUN, code, why, retry_after)
 
     def unknown(self, request: RequestRow, why: str) -> None:
--- a/mallowpass/core/systems/routing.py
+++ b/mallowpass/core/systems/routing.py
@@ -86,6 +86,14 @@
             self._note_trial(best)
         return best
 
+    def choose_any_read(self, request: RequestRow) -> EndpointRow | None:
+        """Return the best replica, or else the primary, without waiting for either."""
+        database = self.tables.databases.get(request.database)
+        if database is None:
+            return None
+        best = self.choose_read(request, database)
+        return best or self.choose_other_read(request, database)
+
     def replica_wait(self, request: RequestRow, database: DatabaseRow) -> float:
         """Return how long to wait for a replica, 0 when that doesn't pay; seconds.
 
--- a/mallowpass/core/tables.py
+++ b/mallowpass/core/tables.py
@@ -223,6 +223,7 @@
     behind: int = 0  # times that a member had not reached its floor
     prepaid: bool = False  # its next retry was taken from the budget already
     queued_at: float = 0.0  # when it was queued at `address`
+    retry_after: float = float("inf")  # least that a full queue gave, seconds
     moved: bool = False  # from a member that was slow to another, once
 
 
--- a/tests/core/systems/test_reads.py
+++ b/tests/core/systems/test_reads.py
@@ -278,6 +278,40 @@
     assert len(path.pooling.sent) == 2
 
 
+def test_read_with_too_long_a_line_at_one_member_is_served_by_another():
+    """Symptom: reads are refused for a full queue while other members stand idle.
+    Sequence: the best replica's line is too long for the deadline; the primary's not.
+    Cause: one member's refusal was the answer.
+    """
+    path = _path()
+    path.pooling.full = {"127.0.0.1:2": 0.4, "127.0.0.1:3": 0.2}
+    path.read(1, "look")
+    assert path.sent.connection.address == "127.0.0.1:1"
+    path.reply(rows="r")
+    assert path.answer().outcome is Outcome.DONE
+
+
+def test_read_with_too_long_a_line_at_all_members_is_refused_with_the_least_time():
+    path = _path()
+    path.pooling.full = {f"127.0.0.1:{n}": n / 10 for n in (1, 2, 3)}
+    path.read(1, "look")
+    answer = path.answer()
+    assert (answer.outcome, answer.code, answer.retry_after) == (
+        Outcome.NOT_RUN,
+        ErrorCode.QUEUE_FULL.code,
+        0.1,
+    )
+    refused = [e for e in path.effects if getattr(e, "name", "") == "refused"]
+    assert [dict(e.attributes)["code"] for e in refused] == [answer.code]
+
+
+def test_write_with_too_long_a_line_is_refused():
+    path = _path()
+    path.pooling.full = {"127.0.0.1:1": 0.1}
+    path.write(1, "file")
+    assert path.answer().code == ErrorCode.QUEUE_FULL.code
+
+
 def test_read_queued_at_a_member_that_lets_nobody_in_moves_on():
     path = _path()
     path.pooling.granting = path.pooling.connected = False
--- a/tests/fakes/requestpath.py
+++ b/tests/fakes/requestpath.py
@@ -54,6 +54,7 @@
     RequestRow,
     ServiceRow,
 )
+from mallowpass.errors import ErrorCode
 
 SERVICE = "claims-core"
 DATABASE = "claims"
@@ -107,6 +108,7 @@
         super().__init__(node)
         self.granting = True
         self.connected = True
+        self.full: dict[str, float] = {}  # address -> after which time to come back
         self.answering = False  # beside the calls in flight
         self.patient = False
         self.queue: list[tuple[RequestRow, str]] = []
@@ -116,6 +118,12 @@
         self.suspected: list[int] = []
 
     def acquire(self, request: RequestRow, endpoint: EndpointRow) -> None:
+        if endpoint.address in self.full:
+            code = ErrorCode.QUEUE_FULL.code
+            retry_after = self.full[endpoint.address]
+            requests = self._node.system(Requests)
+            requests.on_refused(request, code, "a long line", retry_after)
+            return
         self.queue.append((request, endpoint.address))
         if self.granting:
             self.grant()
