--- a/mallowpass/core/systems/opening.py
+++ b/mallowpass/core/systems/opening.py
@@ -80,6 +80,19 @@
             self._pooling.close(pool, connection)
             self._back_off(pool, "no answer to opening")
 
+    def room(self, pool: EndpointPool) -> int:
+        """Return how many more connections could be opened now."""
+        now = self.now
+        if pool.endpoint.leaving or now < pool.retry_at:
+            return 0
+        own = pool.usable - pool.own_count - self._ghosts_in_the_way(pool)
+        borrowed = sum(
+            max(0, loan.connections - len(loan.numbers))
+            for loan in pool.borrowed.values()
+            if now <= loan.open_until
+        )
+        return max(0, own) + borrowed
+
     def _borrow(self, pool: EndpointPool) -> None:
         # Patient classes are not given borrowed connections while there are others.
         if not pool.usable or pool.queue.waits_outside(pool.patient):
--- a/tests/core/systems/test_admission.py
+++ b/tests/core/systems/test_admission.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from mallowpass.core.calls import EndpointCode, ExecuteCall
 from mallowpass.errors import ErrorCode
 from tests.fakes.poolpath import DATABASE, PoolHost
@@ -38,6 +40,34 @@
     assert len(host.requests.refused) == 1
 
 
+@pytest.mark.parametrize("open_before", [0, 1])
+def test_a_request_with_room_for_a_connection_is_not_refused(open_before: int):
+    """
+    Symptom: an idle host refuses each request of 3 s for good.
+    Sequence: one transaction kept a connection for 3.4 s; then a request comes alone,
+    or beside another one that is in flight, and a connection could be opened.
+    Cause: how long others kept connections was taken for the wait for a new one.
+    """
+    host = PoolHost(limit=8)
+    host.pool.hold = 3.4
+    for _ in range(open_before):
+        host.request()
+        host.open_all()
+    host.request(deadline=3.0)
+    assert host.requests.refused == []
+    host.open_all()
+    assert len(host.calls(ExecuteCall)) == open_before + 1
+
+
+def test_a_request_without_room_for_a_connection_waits_for_another_to_end():
+    host = PoolHost(limit=4)
+    host.request()
+    host.open_all()
+    host.pool.hold = 3.4
+    host.request(deadline=3.0)
+    assert len(host.requests.refused) == 1
+
+
 def test_it_pays_to_come_back_after_the_time_stated():
     host = PoolHost(limit=4)
     _serve(host, 3)
