--- a/mallowpass/measure/virtual.py
+++ b/mallowpass/measure/virtual.py
@@ -19,6 +19,7 @@
     control_call_to_wire,
     control_reply_from_wire,
 )
+from mallowpass.adapters.runtime import tuning_of
 from mallowpass.core import calls, effects, events, peering
 from mallowpass.core import platformcalls as platform
 from mallowpass.core.codec import decode_message, encode_message, encode_service
@@ -26,8 +27,16 @@
 from mallowpass.core.services import Database, Member, Service, ServiceVersion
 from mallowpass.core.systems.registry import ALL_SYSTEMS
 from mallowpass.schema import endpoint_pb2, values_pb2
+from mallowpass.settings import HostSettings
 
-__all__ = ["Spent", "VirtualFleet", "VirtualHost", "VirtualMember", "made_service"]
+__all__ = [
+    "Spent",
+    "VirtualFleet",
+    "VirtualHost",
+    "VirtualMember",
+    "made_service",
+    "served_tuning",
+]
 
 PEER_FRAME = 32  # bytes: websocket header, counter and MAC
 GRPC_FRAME = 14  # bytes: HTTP/2 frame header and gRPC's prefix
@@ -214,7 +223,7 @@
         parts = min(domains, seats)
         self.now = 0.0
         self.random = random.Random(seed)
-        self.tuning = tuning or Tuning()
+        self.tuning = tuning or served_tuning()
         self.domains = tuple(
             FailureDomain(
                 f"domain-{n}", f"region-{n % regions}", _part(seats, n, parts)
@@ -643,6 +652,15 @@
     )
 
 
+def served_tuning() -> Tuning:
+    """Return the times of a host whose settings leave them out.
+
+    The core's own defaults differ: a heartbeat in half a second in place of a quarter
+    would halve what the relay costs.
+    """
+    return tuning_of(HostSettings.from_text(_SETTINGS, "measured"))
+
+
 def _part(total: int, index: int, parts: int) -> int:
     return total // parts + (index < total % parts)
 
@@ -697,6 +715,24 @@
     return (time.thread_time() - began) / rounds
 
 
+_SETTINGS = """
+[host]
+name = "measured"
+failure_domain = "domain-0"
+seat = 0
+[listen]
+callers = "127.0.0.1:0"
+operators = "127.0.0.1:0"
+peers = "127.0.0.1:0"
+[platform]
+address = "127.0.0.1:1"
+[fleet]
+key_environment = "UNUSED"
+[[fleet.failure_domains]]
+name = "domain-0"
+region = "region-0"
+hosts = 1
+"""
 _WOKEN = events.Woken()
 _HANDLERS: dict[type, Callable[[VirtualFleet, VirtualHost, Any], None]] = {
     effects.ConnectPeer: VirtualFleet._connect,
--- a/tests/measure/test_control.py
+++ b/tests/measure/test_control.py
@@ -15,6 +15,7 @@
 )
 from mallowpass.measure.sizes import slope_of, steps
 from mallowpass.measure.virtual import VirtualFleet
+from mallowpass.settings.host import TimingSection
 
 
 def test_slope_is_that_of_least_squares():
@@ -65,8 +66,14 @@
     assert len(host.node.tables.hosts) == 99
     before = host.spent.copy()
     fleet.run(10.0)
-    # Six links of its own choice, two heartbeats a second, both ways.
-    assert host.spent.since(before).peer_messages == 6 * 2 * 2 * 10
+    # Six links of its own choice, a heartbeat in a quarter of a second, both ways.
+    assert host.spent.since(before).peer_messages == 6 * 4 * 2 * 10
+
+
+def test_times_are_those_of_a_host_that_serves():
+    timing = TimingSection()
+    tuning = VirtualFleet(1).tuning
+    assert (tuning.heartbeat, tuning.suspicion) == (timing.heartbeat, timing.suspicion)
 
 
 @pytest.mark.parametrize("part", ["steward", "sessions", "shares"])
