End a transaction whose connection expires between its calls

Cause: KeepAlive.send_internal found the connection of a transaction expired after the host had stood still, and closed it by Pooling.expire, which told nobody. The transaction stayed open without a connection: its next statement was a KeyError.

Change: an expired connection is lost like any other. Whoever has it is told; idle ones have nobody to tell, as before.

--- a/mallowpass/core/systems/pooling.py
+++ b/mallowpass/core/systems/pooling.py
@@ -494,9 +494,11 @@
         self.granting.pump(pool)
 
     def expire(self, pool: EndpointPool, connection: ConnectionRow) -> None:
-        """Close a connection that the endpoint has closed by now."""
-        self._node.count("connections_lost", reason="expired")
-        self.close(pool, connection)
+        """Close a connection that the endpoint has closed by now.
+
+        It may be a transaction's, between two of its calls: that is over then too.
+        """
+        self.lose(pool, connection, "expired")
 
     def close(self, pool: EndpointPool, connection: ConnectionRow) -> None:
         """Close a connection that nobody uses."""
--- a/tests/core/systems/test_pooling.py
+++ b/tests/core/systems/test_pooling.py
@@ -295,6 +295,23 @@
     assert host.requests.lost == [(request.number, "expired, call not sent")]
 
 
+def test_a_transaction_whose_connection_ran_out_between_its_calls_is_told():
+    """
+    Symptom: KeyError at the next statement of a transaction; no answer to it.
+    Sequence: the host stands still for a connection's whole life, then wakes and is
+    about to send the transaction's keep-alive.
+    Cause: an expired connection was closed as one that nobody uses.
+    """
+    host = PoolHost()
+    (number,) = _warm(host, 1)
+    host.requests.hold = True
+    host.request()
+    host.pooling.pin(host.node.tables.connections[number], "t1")
+    host.pause(host.node.tuning.connection_time_to_live + 1.0)
+    assert number in host.closed()
+    assert host.transactions.lost == [("t1", "expired")]
+
+
 def test_a_silent_connection_is_replaced_and_others_of_its_age_prove_themselves():
     """
     Symptom: request after request waits in vain on connections that are dead.
