Test that a begin which proves no floor leaves a reset connection

Cause: Reads._on_stale gave the connection of a read-only begin back as if a statement had run, although the endpoint had opened a transaction on it.

Checked: pytest tests/core/systems/test_transactions.py passes.

--- a/tests/core/systems/test_transactions.py
+++ b/tests/core/systems/test_transactions.py
@@ -285,6 +285,20 @@
     assert path.pooling.released == [(path.sent.connection.number, True)]
 
 
+def test_read_only_begin_that_proves_no_floor_leaves_a_reset_connection(path):
+    """Symptom: a transaction begins on a connection where another one is open.
+    Sequence: a replica restarts from an older log, and opens a read-only transaction
+    from (1, 4) for a session that has seen (1, 5).
+    Cause: the connection was given back as if the begin had been a statement.
+    """
+    path.report("m2", (1, 5))
+    path.open_known(2, floor=(1, 5))
+    path.ask(2, BeginRequest(request_id="t", database=DATABASE, access=Access.READ))
+    path.reply(applied=(1, 4))
+    assert path.answered("t") == []
+    assert path.pooling.released == [(path.sent.connection.number, True)]
+
+
 def test_statement_past_its_deadline_ends_the_transaction(path):
     name = path.begin(1, "t")
     path.write(1, "a", transaction=name, deadline=1.0)
