Judge a primary that nobody here knows by the name that its members keep

Cause: a host that started after the primary was gone has no suspect. A replica that restarted has heard nobody and reports no silence, so Confirmation took its own silence of the suspect: 0 s for ever where there is none. Each verdict was HEARD and the group stayed without a primary.

Change: without a suspect, the member that the replica follows is judged. It does not lead if it says so itself; else it has to be silent to this host for as long as a suspect without the members' word.

--- a/mallowpass/core/systems/suspicion.py
+++ b/mallowpass/core/systems/suspicion.py
@@ -239,10 +239,29 @@
             return True
         silence = report.primary_silence
         if silence is None:
-            own = self._liveness.silence(self._suspect)
-            return own >= self._threshold * UNCONFIRMED_FACTOR
+            return self._is_silent_here(self._suspect or self._followed(report))
         return silence >= self._threshold - TOLERANCE
 
+    def _is_silent_here(self, address: str) -> bool:
+        """Tell whether this host's own evidence is that a member does not lead."""
+        report = self._reports.get(address)
+        if report is not None:
+            return report.role is not Role.PRIMARY
+        own = self._liveness.silence(address)
+        return own >= self._threshold * UNCONFIRMED_FACTOR
+
+    def _followed(self, report: Report) -> str:
+        """Return the address of whom a member follows, empty when it is none here.
+
+        A host that started after the primary was gone knows no suspect, and a member
+        that restarted has heard nobody: without the name that the member kept, both
+        would wait for each other for good.
+        """
+        for address, endpoint in self._row.endpoints.items():
+            if endpoint.name == report.primary:
+                return address
+        return ""
+
     def _is_elsewhere(self, report: Report) -> bool:
         """Tell whether a member could not hear the primary even if it lived."""
         if not report.primary or report.role is Role.FENCED_PRIMARY:
--- a/tests/core/systems/test_failover.py
+++ b/tests/core/systems/test_failover.py
@@ -424,6 +424,23 @@
     assert_one_primary_a_term(scene)
 
 
+@pytest.mark.parametrize("back", ["abc", "bc"])
+def test_restarted_members_get_a_primary_from_hosts_that_know_none(back):
+    """Symptom: a group has no primary for good.
+    Sequence: all members restart, without the primary in one case, and so do the
+    hosts: these know no suspect, and no member has heard anybody.
+    Cause: the silence of no suspect, 0 s for ever, stood for what a member can't tell.
+    """
+    scene = Scene(systems=SYSTEMS)
+    for name in "abc":
+        scene.group.crash(name)
+    for name in back:
+        scene.group.recover(name)
+    took = scene.world.run_till(lambda: scene.group.primary is not None, 10.0)
+    assert took < 4.0
+    assert_one_primary_a_term(scene)
+
+
 @pytest.mark.parametrize("lost", [1, 3])
 def test_answer_lost_after_the_promotion_took_effect(lost):
     """Symptom: a second promotion, or none that anybody knows of.
