--- a/tests/core/systems/test_reads.py
+++ b/tests/core/systems/test_reads.py
@@ -117,6 +117,64 @@
     assert path.answer().retry_after > 0
 
 
+@pytest.mark.parametrize("is_recorded", [True, False])
+def test_floor_of_the_newest_term_does_not_hide_a_lost_one(is_recorded):
+    """Symptom: a read is DONE and lacks what its session has seen.
+    Sequence: the session saw (1, 9); term 2 starts at 7; it reads with an age, whose
+    floor is (2, 8), by a record or learnt for the read.
+    Cause: the highest of the floors stood for all of them.
+    """
+    path = _path(floor=(1, 9))
+    path.promote("m2", term=2, start=7)
+    path.liveness.aged = LogPosition(2, 8) if is_recorded else None
+    path.read(1, "look", accepted_age=1.0)
+    if not is_recorded:
+        path.learn((2, 8))
+    assert path.answer().code == ErrorCode.FLOOR_LOST.code
+
+
+def test_answer_that_has_the_learnt_floor_but_not_the_sessions_is_not_passed_on():
+    """Symptom: a read is DONE and lacks what its session has seen.
+    Sequence: as above, and the new primary is not heard before the answer comes.
+    Cause: of the answer's position only the highest floor was checked.
+    """
+    path = _path(floor=(1, 9))
+    path.report("m2", (2, 8))
+    path.liveness.term_starts[2] = 7
+    path.read(1, "look", accepted_age=1.0)
+    path.learn((2, 8))
+    path.reply(applied=(2, 8), rows="without")
+    assert path.answered("look") == []
+
+
+def test_age_shorter_than_a_round_trip_is_met_by_what_is_learnt_for_the_read():
+    """Symptom: a read with an accepted age of 0 s is NOT_RUN at its deadline.
+    Sequence: a floor is learnt for it; its age has passed when the answers are there.
+    Cause: learnt again, it was too old again, until the end.
+    """
+    path = _path()
+    path.read(1, "look", accepted_age=0.0)
+    path.advance(0.02)
+    path.learn((1, 1))
+    path.reply(applied=(1, 1))
+    assert path.answer().outcome is Outcome.DONE
+
+
+def test_floor_is_learnt_again_for_a_read_that_queued_but_not_for_ever():
+    path = _path()
+    path.pooling.granting = False
+    path.read(1, "look", accepted_age=0.5)
+    path.learn((1, 1))
+    path.advance(1.0)
+    path.grant()
+    assert path.pooling.sent == []
+    path.report("m2", (1, 4))
+    path.learn((1, 4))
+    path.advance(1.0)
+    path.grant()
+    assert path.sent.call.minimum == LogPosition(1, 4)
+
+
 def test_stricter_of_declared_and_stated_age_counts():
     """Symptom: a portal's site list is older than its service declares.
     Sequence: the service accepts 2 s, the statement 60 s.
@@ -293,7 +351,7 @@
 
 def test_read_with_too_long_a_line_at_all_members_is_refused_with_the_least_time():
     path = _path()
-    path.pooling.full = {f"127.0.0.1:{n}": n / 10 for n in (1, 2, 3)}
+    path.pooling.full = {f"127.0.0.1:{n}": s for n, s in ((1, 0.3), (2, 0.1), (3, 0.2))}
     path.read(1, "look")
     answer = path.answer()
     assert (answer.outcome, answer.code, answer.retry_after) == (
