Check each place that a session saw, beside the floor of its request

Cause: a read's floor was the highest of its session's floor, the age's and a learnt one. Was that of a newer term, then nobody looked whether a promotion had dropped what the session saw: the read was DONE without it, and its position replaced the session's floor. And a floor that was lost was kept in the place of the newest one, so that it could be told; the token of a later write did not cover that write.

Change: a request carries the places that its session saw, and each is checked by itself before it is routed and before its answer leaves. A session keeps what a promotion dropped beside its newest floor (Sessions.raise_floor, for reads, writes and tokens alike), in the token under a name that no database can have.

Also: an age shorter than learning a floor takes was never met, as the floor was older than that once it was there; the read learnt again until its deadline. What was learnt for a read holds all that was acknowledged before it arrived. It is learnt once more if the read queued for longer than its age, and not again.

--- a/mallowpass/core/systems/requests.py
+++ b/mallowpass/core/systems/requests.py
@@ -23,7 +23,6 @@
 from mallowpass.core.services import database_key
 from mallowpass.core.signals import DatabaseRemoved, EndpointReported, PrimaryChanged
 from mallowpass.core.systems import failover as failover_module
-from mallowpass.core.systems import liveness as liveness_module
 from mallowpass.core.systems import outcomes as outcomes_module
 from mallowpass.core.systems import pooling as pooling_module
 from mallowpass.core.systems import reads as reads_module
@@ -72,7 +71,6 @@
     __slots__ = (
         "_active",
         "_failover",
-        "_liveness",
         "_in_flight",
         "_pooling",
         "_retries",
@@ -107,7 +105,6 @@
         """Subscribe to what moves waiting requests on."""
         node = self._node
         self._failover = node.system(failover_module.Failover)
-        self._liveness = node.system(liveness_module.Liveness)
         self._pooling = node.system(pooling_module.Pooling)
         self._retries = node.system(retries_module.Retries)
         self._routing = node.system(routing_module.Routing)
@@ -414,21 +411,9 @@
         streams += [stream for stream, _ in request.followers or ()]
         for stream in streams:
             session = self.tables.sessions.get(stream)
-            if session is not None and not self._has_lost_floor(session, request):
+            if session is not None:
                 self._sessions.raise_floor(session, request.database, position)
 
-    def _has_lost_floor(self, session: SessionRow, request: RequestRow) -> bool:
-        """Tell whether a session has yet to be told that data it saw is gone.
-
-        A write in the next term would raise the floor over the lost part, and no
-        later read would notice.
-        """
-        floor = session.floors.get(request.database)
-        database = self.tables.databases.get(request.database)
-        if floor is None or database is None or floor.term >= database.term:
-            return False
-        return self._liveness.floor_lost(database, floor)
-
     def _name_of(self, address: str) -> str:
         endpoint = self.tables.endpoints.get(address)
         return endpoint.name if endpoint is not None else ""
--- a/mallowpass/core/systems/sessionfloors.py
+++ b/mallowpass/core/systems/sessionfloors.py
@@ -8,16 +8,19 @@
 from mallowpass.core.node import System
 from mallowpass.core.systems import liveness as liveness_module
 from mallowpass.core.systems import retries as retries_module
-from mallowpass.core.tables import RequestRow, RequestState
+from mallowpass.core.systems import sessions as sessions_module
+from mallowpass.core.tables import DatabaseRow, RequestRow, RequestState
 from mallowpass.errors import ErrorCode
 
 __all__ = ["SessionFloors"]
 
+LEARNT_MAX = 2  # times that a read's floor is learnt for its age, at most
+
 
 class SessionFloors(System):
     """Join session floors with accepted ages, and check them; a part of Requests."""
 
-    __slots__ = ("_liveness", "_requests", "_retries")
+    __slots__ = ("_liveness", "_requests", "_retries", "_sessions")
 
     def start(self) -> None:
         """Find the systems that are asked."""
@@ -26,6 +29,7 @@
         self._liveness = self._node.system(liveness_module.Liveness)
         self._requests = self._node.system(Requests)
         self._retries = self._node.system(retries_module.Retries)
+        self._sessions = self._node.system(sessions_module.Sessions)
 
     # -- Setting -------------------------------------------------------------
 
@@ -39,11 +43,12 @@
 
     def _set(self, request: RequestRow) -> None:
         session = self.tables.sessions.get(request.stream)
-        known = session.floors.get(request.database) if session else None
+        if session is not None:
+            request.seen = self._sessions.seen(session, request.database)
         # A session that has no floor here may still have written, through another
         # host and under a token that it lost: it would not see its own record.
-        request.fresh_floor = known is None
-        request.floor = known or ZERO_POSITION
+        request.fresh_floor = not request.seen
+        request.floor = max(request.seen, default=ZERO_POSITION)
         age = self._accepted_age(request)
         if age is None:
             return
@@ -72,6 +77,8 @@
         """Learn a floor from a majority, then route the request."""
         request.state = RequestState.WAITING_FLOOR
         request.detail = "the session's floor is being learnt"
+        request.floor_at = self.now
+        request.learnt += 1
         database = self.tables.databases[request.database]
         self._liveness.learn_floor(database, partial(self._on_learnt, request))
 
@@ -84,43 +91,52 @@
             self._requests.not_run(request, ErrorCode.MINORITY_SIDE, why, after)
             return
         request.floor = max(request.floor, position)
+        age = self._accepted_age(request)
+        if age is not None and self.now - request.floor_at > age:
+            request.learnt = LEARNT_MAX  # another one would be too old again
         self._requests.route(request)
 
     def is_gone(self, request: RequestRow) -> bool:
         """Tell whether a promotion dropped the floor; if so, deal with the request."""
         database = self.tables.databases[request.database]
-        floor = request.floor
-        if floor.term >= database.term or not floor.term:
+        # Each by itself: the age's or a learnt floor may be of the newest term, and
+        # says nothing of what the session saw before.
+        for seen in request.seen:
+            if self._is_dropped(database, seen):
+                why = f"seen up to {seen.term}:{seen.position}"
+                self._requests.not_run(request, ErrorCode.FLOOR_LOST, why)
+                return True
+        if not self._is_dropped(database, request.floor):
             return False
-        if not self._liveness.floor_lost(database, floor):
-            return False
-        session = self.tables.sessions.get(request.stream)
-        seen = session.floors.get(request.database) if session else None
-        if seen is not None and self._liveness.floor_lost(database, seen):
-            why = f"seen up to {seen.term}:{seen.position}"
-            self._requests.not_run(request, ErrorCode.FLOOR_LOST, why)
-        else:
-            # Only the age's or a learnt floor was in the part that a promotion
-            # dropped; nobody was answered from there.
-            request.floor = seen or ZERO_POSITION
-            request.fresh_floor = True
-            self.learn(request)
+        # Only the age's or a learnt floor was in the part that a promotion dropped;
+        # nobody was answered from there.
+        request.floor = max(request.seen, default=ZERO_POSITION)
+        request.fresh_floor = True
+        self.learn(request)
         return True
 
+    def _is_dropped(self, database: DatabaseRow, place: LogPosition) -> bool:
+        if not 0 < place.term < database.term:
+            return False
+        return self._liveness.floor_lost(database, place)
+
     def renew(self, request: RequestRow) -> bool:
         """Tell whether the floor still meets the age after the wait so far."""
         age = self._accepted_age(request)
         if age is None:
             return True
-        if request.fresh_floor and self.now - request.arrived <= age:
+        if request.learnt and self.now - request.floor_at <= age:
             return True
         database = self.tables.databases[request.database]
         aged = self._liveness.age_floor(database, age)
-        if aged is None:
-            request.fresh_floor = True
-            return False
-        request.floor = max(request.floor, aged)
-        return True
+        if aged is not None:
+            request.floor = max(request.floor, aged)
+            return True
+        # Any floor that was learnt for a read holds all that was acknowledged before
+        # it arrived. An age shorter than learning and queueing take is met by none:
+        # the read would learn until its deadline.
+        request.fresh_floor = True
+        return request.learnt >= LEARNT_MAX
 
     # -- Checking ------------------------------------------------------------
 
@@ -129,7 +145,14 @@
         # The last check before an answer leaves. Whatever chose the member was a
         # guess: without this a lagging replica's answer would hide the session's
         # own writes from it.
-        floor = request.floor
+        return all(
+            self._contains(request, applied, place)
+            for place in (request.floor, *request.seen)
+        )
+
+    def _contains(
+        self, request: RequestRow, applied: LogPosition, floor: LogPosition
+    ) -> bool:
         if applied < floor:
             return False
         if applied.term == floor.term or not floor.term:
--- a/mallowpass/core/systems/sessions.py
+++ b/mallowpass/core/systems/sessions.py
@@ -24,24 +24,34 @@
 )
 from mallowpass.core.node import Node, System
 from mallowpass.core.systems import draining as draining_module
+from mallowpass.core.systems import liveness as liveness_module
 from mallowpass.core.systems import requests as requests_module
 from mallowpass.core.systems import transactions as transactions_module
 from mallowpass.core.systems.tokens import decode_token, encode_token
 from mallowpass.core.tables import SessionRow
 from mallowpass.errors import ErrorCode, MallowpassError
 
-__all__ = ["Sessions"]
+__all__ = ["Sessions", "lost_key"]
 
 REQUESTS_MAX = 1024  # in flight of one session
 RETRY_AFTER = 0.5  # seconds; advice to who met a limit of this host
 
+# Floors that a promotion dropped stand beside the newest ones, under names that no
+# database can have: so they travel in the same token, also through older hosts.
+_LOST = "/lost"
+
 _COME_BACK = frozenset({ErrorCode.SESSION_LIMIT, ErrorCode.DRAINING})
 
 
+def lost_key(database_key: str) -> str:
+    """Return the name of what a session saw of a database and a promotion dropped."""
+    return database_key + _LOST
+
+
 class Sessions(System):
     """Own the session rows; the only subscriber of what callers send."""
 
-    __slots__ = ("_dispatch", "_draining", "_requests", "_transactions")
+    __slots__ = ("_dispatch", "_draining", "_liveness", "_requests", "_transactions")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
@@ -52,6 +62,7 @@
         """Subscribe to what callers do."""
         node = self._node
         self._draining = node.system(draining_module.Draining)
+        self._liveness = node.system(liveness_module.Liveness)
         self._requests = node.system(requests_module.Requests)
         self._transactions = node.system(transactions_module.Transactions)
         node.subscribe(CallerConnected, self._on_connected)
@@ -67,12 +78,40 @@
     def raise_floor(
         self, session: SessionRow, database_key: str, position: LogPosition
     ) -> None:
-        """Have a session's later reads contain at least this position."""
+        """Have a session's later reads contain at least this position.
+
+        Of two places the newer one is the floor. The other one is in its log, unless
+        a promotion dropped it: then both are kept, for the session has yet to be told.
+        """
         floor = session.floors.get(database_key)
+        if floor is None:
+            self._put_floor(session, database_key, position)
+            return
+        older, newer = sorted((floor, position))
+        if self._is_lost(database_key, older, newer):
+            self._put_floor(session, lost_key(database_key), older)
+        self._put_floor(session, database_key, newer)
+
+    @staticmethod
+    def _put_floor(session: SessionRow, key: str, position: LogPosition) -> None:
+        floor = session.floors.get(key)
         if floor is None or position > floor:
-            session.floors[database_key] = position
+            session.floors[key] = position
             session.token = b""
 
+    def _is_lost(
+        self, database_key: str, older: LogPosition, newer: LogPosition
+    ) -> bool:
+        database = self.tables.databases.get(database_key)
+        if database is None or not older.term < newer.term:
+            return False
+        return self._liveness.floor_lost(database, older)
+
+    def seen(self, session: SessionRow, database_key: str) -> tuple[LogPosition, ...]:
+        """Return the places that the session's reads must contain, newest first."""
+        keys = (database_key, lost_key(database_key))
+        return tuple(session.floors[key] for key in keys if key in session.floors)
+
     def token(self, session: SessionRow) -> bytes:
         """Return the session's token, signed anew only when a floor rose."""
         if not session.token:
--- a/mallowpass/core/tables.py
+++ b/mallowpass/core/tables.py
@@ -200,7 +200,10 @@
     request_class: str = ""
     state: RequestState = RequestState.QUEUED
     floor: LogPosition = ZERO_POSITION
+    seen: tuple[LogPosition, ...] = ()  # by its session; the answer contains all
     fresh_floor: bool = False  # the floor must be learnt from a majority first
+    floor_at: float = 0.0  # when it was last asked to be learnt
+    learnt: int = 0  # times that its floor was learnt
     idempotent: bool = False
     attempt: int = 0  # number that the endpoint records or fences
     tries: int = 0
--- a/tests/core/systems/test_sessions.py
+++ b/tests/core/systems/test_sessions.py
@@ -46,6 +46,50 @@
     assert path.sent.call.minimum == LogPosition(1, 9)
 
 
+def test_token_holds_what_was_written_beside_what_was_lost():
+    """Symptom: a caller roams with the token of its write and does not see it.
+    Sequence: it saw (1, 9); term 2 starts at 7; its write is (2, 8); it reads through
+    a host that still takes m1 of term 1 for the primary, then through another one.
+    Cause: a lost floor was kept in the newest one's place, so that it can be told.
+    """
+    path = RequestPath()
+    path.open_known(floor=(1, 9))
+    path.promote("m2", term=2, start=7)
+    path.write(1, "file")
+    path.reply(applied=(2, 8))
+    path.hold(2, 8)
+    token = path.answer().token
+    other = RequestPath(name="tanger-1")
+    other.open(5, token=token)
+    other.read(5, "look")
+    assert other.sent.call.minimum == LogPosition(2, 8)
+    third = RequestPath(name="tanger-2")
+    third.open(5, token=token)
+    third.promote("m2", term=2, start=7)
+    third.read(5, "look")
+    assert third.answer(5).code == ErrorCode.FLOOR_LOST.code
+
+
+def test_old_primarys_answer_after_a_write_in_the_next_term_is_not_forgotten():
+    """Symptom: what a read showed is gone, and the session is never told.
+    Sequence: a read of (1, 9) is answered after a write of the same session was done
+    at (2, 8), in a term that starts at 7.
+    Cause: (1, 9) is below (2, 8), but is not in its log.
+    """
+    path = RequestPath()
+    path.open_known()
+    path.read(1, "before")
+    before = path.sent
+    path.promote("m3", term=2, start=7)
+    path.write(1, "file")
+    path.reply(applied=(2, 8))
+    path.hold(2, 8)
+    path.reply(applied=(1, 9), sent=before)
+    assert path.answer().request_id == "before"
+    path.read(1, "look")
+    assert path.answer().code == ErrorCode.FLOOR_LOST.code
+
+
 def test_draining_host_takes_no_sessions_but_serves_those_it_has():
     path = RequestPath()
     path.open_known()
