Stop looking after a loan that a drain has given back

Cause: a drain gives loans without connections back, but a loan's looks went on by their timer. While requests waited the loan counted as in use, and to prolong it was a KeyError: it had no lender any more.

Change: a look ends where the loan has no lender.

--- a/mallowpass/core/systems/loans.py
+++ b/mallowpass/core/systems/loans.py
@@ -298,6 +298,8 @@
 
     def _tend(self, pool: EndpointPool, loan: LoanPlaces) -> None:
         """Prolong a loan that is in use, give back one that isn't, end one in time."""
+        if loan.loan not in self._lenders:
+            return  # given back since the last look, as a drain does
         now = self.now
         self._pooling.tend_borrowed(pool)
         unused = not loan.numbers and not pool.queue
--- a/tests/core/systems/test_loans.py
+++ b/tests/core/systems/test_loans.py
@@ -21,9 +21,15 @@
     KeepAliveCall,
 )
 from mallowpass.core.effects import CloseConnection, OpenConnection, SendEndpoint
-from mallowpass.core.events import ConnectionLost, ConnectionOpened, EndpointReplied
+from mallowpass.core.events import (
+    ConnectionLost,
+    ConnectionOpened,
+    ConnectionRefused,
+    EndpointReplied,
+)
 from mallowpass.core.node import Tuning
 from mallowpass.core.peering import LoanAnswer, LoanCall, LoanReturn, PeerMessage
+from mallowpass.core.signals import DrainBegan
 from mallowpass.core.systems.loans import MARGIN
 from mallowpass.core.tables import HostRow
 from tests.fakes.poolpath import ADDRESS, DOMAINS, PoolHost
@@ -196,6 +202,27 @@
     assert number in host.closed() and not host.pool.borrowed
 
 
+def test_a_loan_that_a_drain_gave_back_is_not_prolonged():
+    """
+    Symptom: KeyError from a timer of a host that drains.
+    Sequence: a borrowed place can't be opened; the drain gives it back, and requests
+    still wait when the loan would be prolonged.
+    Cause: a loan's looks went on after its end, and took waiting requests for use.
+    """
+    host = _host()
+    name, call = _use_up(host)
+    host.effects.clear()
+    _tell(host, name, LoanAnswer(call.loan, ADDRESS, 1, 5.0, call.call))
+    (opening,) = host.all(OpenConnection)
+    host.handle(ConnectionRefused(opening.connection, "refused"))
+    host.publish(DrainBegan(host.now + 9.0))
+    assert [message.loan for _, message in _sent(host, LoanReturn)] == [call.loan]
+    host.membership.sent.clear()
+    host.wait(host.node.tuning.loan)
+    assert len(host.pool.queue) > 0
+    assert call.loan not in [message.loan for _, message in _sent(host, LoanCall)]
+
+
 def test_nothing_is_borrowed_where_connections_have_no_time_to_live():
     host = _host()
     host.report(connections=0, limit=LIMIT, time_to_live=False)
