Judge an answer by the log that it is from, not by the newest known primary's

Cause: whether an answer of a later term contains a floor was asked by the terms up to that of the newest primary known here. A replica may be followed into a term whose primary this host does not hear yet: then nothing counted as dropped, and only routing's guess kept such an answer from a session that had seen more.

Change: Liveness.contains judges by the terms of the log that the answer's position is in. The tests' fake knew terms beyond the database's, and so hid this; it now knows what the real one does.

Checked: with the check as it was, two tests in test_reads fail on the corrected fake; with the change pytest tests/core tests/test_whole_system.py tests/test_guards.py and tests/fuzz/findings (-o norecursedirs=) pass.

The guard lost_floor_is_told is now broken at TermHistory.dropped_by. Broken at Liveness.floor_lost alone, the answer's check still kept back what lacked the floor, so the scenario ended without any answer in place of a wrong one.

--- a/mallowpass/core/systems/liveness.py
+++ b/mallowpass/core/systems/liveness.py
@@ -218,6 +218,13 @@
         view = self._views.get(database.key)
         return view is not None and view.overtaken_by(position) is not None
 
+    def contains(
+        self, database: DatabaseRow, end: LogPosition, position: LogPosition
+    ) -> bool:
+        """Tell whether a log that ends at `end` is proven to contain a position."""
+        view = self._views.get(database.key)
+        return view is not None and view.contains(end, position)
+
     def last_primary(self, database: DatabaseRow) -> str:
         """Return the address of the newest primary, also when it was lost since."""
         view = self._views.get(database.key)
--- a/mallowpass/core/systems/sessionfloors.py
+++ b/mallowpass/core/systems/sessionfloors.py
@@ -157,10 +157,9 @@
             return False
         if applied.term == floor.term or not floor.term:
             return True
+        # By the log that the answer is from: its term may be one whose primary is not
+        # known here, and where it began may not be known yet.
         database = self.tables.databases.get(request.database)
-        endpoint = self.tables.endpoints.get(request.address)
-        if database is None or endpoint is None or endpoint.report is None:
-            return False
-        if endpoint.report.received.term < applied.term:
-            return False  # where its term began is not known here yet
-        return not self._liveness.floor_lost(database, floor)
+        return database is not None and self._liveness.contains(
+            database, applied, floor
+        )
--- a/tests/fakes/requestpath.py
+++ b/tests/fakes/requestpath.py
@@ -243,8 +243,17 @@
         return self.reach.get(endpoint.name)
 
     def floor_lost(self, database: DatabaseRow, position: LogPosition) -> bool:
+        return self._is_dropped(database.term, position)
+
+    def contains(
+        self, database: DatabaseRow, end: LogPosition, position: LogPosition
+    ) -> bool:
+        known = end.term in self.term_starts
+        return known and end >= position and not self._is_dropped(end.term, position)
+
+    def _is_dropped(self, end_term: int, position: LogPosition) -> bool:
         return any(
-            term > position.term and start <= position.position
+            position.term < term <= end_term and start <= position.position
             for term, start in self.term_starts.items()
         )
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -38,6 +38,7 @@
     sessionfloors,
     sessions,
     suspicion,
+    termhistory,
     writes,
 )
 from mallowpass.errors import ErrorCode
@@ -481,7 +482,7 @@
     ),
     "lost_floor_is_told": Guard(
         "read_your_writes",
-        replace(liveness.Liveness, "floor_lost", lambda *arguments: False),
+        replace(termhistory.TermHistory, "dropped_by", lambda *arguments: None),
         read_again_what_a_promotion_dropped,
     ),
     "floor_is_lost_only_where_a_term_began_below": Guard(
