Open one connection ahead of demand

Cause: while load rose, each statement that found all connections in use waited for the setup of a new one, or for another to be free.

Change: when the last idle connection is taken, one more is opened; one at a time, not after a refusal's pause or in the place of a silent connection, not in a drain, and only from the part of the share that is never lent. Where connections are few (a share of two or three) none is.

--- a/mallowpass/core/systems/opening.py
+++ b/mallowpass/core/systems/opening.py
@@ -42,6 +42,22 @@
             self._open(pool, loan)
             wanted -= 1
 
+    def open_spare(self, pool: EndpointPool) -> None:
+        """Open a connection for the next request while the last idle one is in use.
+
+        Only in the part of the share that is never lent: where connections are few,
+        other hosts need the place more than the next request needs its time.
+        """
+        if pool.opening.entries or self._pooling.draining:
+            return
+        if pool.active >= pool.statement_limit:
+            return
+        if pool.endpoint.leaving or self.now < pool.retry_at:
+            return
+        kept = min(pool.usable, pool.own - pool.lendable)
+        if pool.own_count < kept and not pool.ghosts:
+            self._open(pool, "")
+
     def on_opened(self, event: ConnectionOpened) -> None:
         """Take a connection into use."""
         connection = self._connections.get(event.connection)
--- a/mallowpass/core/systems/pooling.py
+++ b/mallowpass/core/systems/pooling.py
@@ -328,6 +328,8 @@
         in_use = len(pool.connections) - len(pool.idle)
         if in_use > pool.peak:
             pool.peak = in_use
+        if not pool.idle:
+            self.opener.open_spare(pool)
         self.requests.on_connection(request, connection)
 
     def make_idle(self, pool: EndpointPool, connection: ConnectionRow) -> None:
--- a/tests/core/systems/test_pooling.py
+++ b/tests/core/systems/test_pooling.py
@@ -15,7 +15,12 @@
     ResetCall,
 )
 from mallowpass.core.effects import Count
-from mallowpass.core.events import ConnectionLost, ConnectionRefused, EndpointReplied
+from mallowpass.core.events import (
+    ConnectionLost,
+    ConnectionOpened,
+    ConnectionRefused,
+    EndpointReplied,
+)
 from mallowpass.core.signals import (
     DrainBegan,
     EndpointStateChanged,
@@ -224,6 +229,91 @@
     assert len(host.opened()) == 1
 
 
+def _in_use_with_spares(host: PoolHost, statements: int) -> int:
+    """Begin statements one after another; return how many connections are open."""
+    for _ in range(statements):
+        host.request()
+        host.open_all()
+    return len(host.pool.connections)
+
+
+def test_one_connection_is_opened_ahead_of_demand():
+    """
+    Symptom: whenever load rises, single statements take a connection's setup longer.
+    Sequence: all connections are in use; one more request comes.
+    Cause: a connection was opened only once a request waited for it.
+    """
+    host = PoolHost(limit=64)
+    assert _in_use_with_spares(host, 3) == 4
+    assert len(host.pool.idle) == 1
+    host.reply_all()
+    host.request()
+    assert not host.pool.opening.entries
+
+
+def test_no_connection_is_opened_ahead_of_statements_that_may_not_run():
+    assert _in_use_with_spares(PoolHost(limit=64, concurrent=8), 2) == 2
+
+
+def test_no_connection_is_opened_ahead_from_the_part_that_others_may_borrow():
+    host = PoolHost(limit=16)
+    kept = host.pool.own - host.pool.lendable
+    assert _in_use_with_spares(host, kept) == kept
+
+
+def _open_first(host: PoolHost) -> int:
+    """Open a first connection; return the number of the spare that is being opened."""
+    host.request()
+    (first,) = host.pool.opening.numbers()
+    host.handle(ConnectionOpened(first))
+    (spare,) = host.pool.opening.numbers()
+    return spare
+
+
+def test_one_spare_connection_is_opened_at_a_time():
+    host = PoolHost(limit=64)
+    spare = _open_first(host)
+    for _ in range(5):
+        host.reply_all()
+        host.request()
+    assert host.pool.opening.numbers() == [spare]
+
+
+def test_nothing_is_opened_ahead_in_a_drain_or_in_the_place_of_a_silent_one():
+    host = PoolHost(limit=64)
+    _warm(host, 1)
+    host.pool.ghosts.append(host.now + 1.0)
+    for number in list(host.pool.idle)[1:]:
+        host.handle(ConnectionLost(number, "gone"))
+    host.request()
+    assert not host.pool.opening.entries
+    host.pool.ghosts.clear()
+    host.publish(DrainBegan(host.now + 20.0))
+    host.reply_all()
+    host.request()
+    (opening,) = host.pool.opening.numbers()  # for the request that waits
+    host.handle(ConnectionOpened(opening))
+    assert not host.pool.opening.entries
+
+
+@pytest.mark.parametrize("full", [False, True])
+def test_nothing_is_opened_ahead_at_an_endpoint_that_refuses(full: bool):
+    """
+    Symptom: an endpoint that has no room is asked again with each statement.
+    Sequence: the opening of a spare connection is refused.
+    Cause: the pause after refusals held for waiting requests only.
+    """
+    host = PoolHost(limit=64)
+    spare = _open_first(host)
+    host.handle(ConnectionRefused(spare, "no", limit_reached=full))
+    host.reply_all()
+    host.effects.clear()
+    for _ in range(20):
+        host.request()
+        host.reply_all()
+    assert host.opened() == []
+
+
 def test_a_full_endpoint_is_left_alone_for_a_while():
     """
     Symptom: hosts keep asking a full endpoint and none of them gets on.
