Take the closing of connections out of pooling

Cause: pooling.py had grown to 534 lines, of which a statement's path, what it offers to others and the end of connections are three jobs.

Change: what closes a connection and tells who used it is closing.py, a part like the others; nothing else changes. pooling.py has 461 lines, most of them the interface to the request path, loans and admission.

--- /dev/null
+++ b/mallowpass/core/systems/closing.py
@@ -0,0 +1,93 @@
+"""Close connections, and tell who used one that is lost."""
+
+from __future__ import annotations
+
+from mallowpass.core.effects import CloseConnection
+from mallowpass.core.events import ConnectionLost
+from mallowpass.core.systems.connections import LIFE_MARGIN, EndpointPool
+from mallowpass.core.systems.poolpart import PoolPart
+from mallowpass.core.tables import ConnectionRow
+
+__all__ = ["Closing"]
+
+
+class Closing(PoolPart):
+    """Take connections out of use, whoever had them."""
+
+    __slots__ = ()
+
+    def on_lost(self, event: ConnectionLost) -> None:
+        """Take in that a connection broke."""
+        connection = self._connections.get(event.connection)
+        if connection is None:
+            return
+        pool = self._pooling.by_address[connection.address]
+        self._node.count("connections_lost", reason="broken")
+        self._tell_lost(pool, connection, event.message)
+        self._pooling.granting.pump(pool)
+
+    def lose(self, pool: EndpointPool, connection: ConnectionRow, why: str) -> None:
+        """Close a connection and tell who used it."""
+        self._node.count("connections_lost", reason=why)
+        self._node.emit(CloseConnection(connection.number))
+        self._tell_lost(pool, connection, why)
+
+    def _tell_lost(
+        self, pool: EndpointPool, connection: ConnectionRow, why: str
+    ) -> None:
+        number, transaction = connection.request, connection.transaction
+        self.forget(pool, connection)
+        request = self.tables.requests.get(number)
+        if request is not None:
+            self._pooling.requests.on_connection_lost(request, connection, why)
+        elif transaction:
+            self._pooling.transactions.on_connection_lost(connection, why)
+
+    def lose_unsent(
+        self, pool: EndpointPool, connection: ConnectionRow, known: bool
+    ) -> None:
+        """Tell of a call that was not sent; `known`: its connection was there then."""
+        if connection.number in self._connections:
+            self._node.emit(CloseConnection(connection.number))
+        elif known:
+            return  # lost in between, and told then
+        self._tell_lost(pool, connection, "expired, call not sent")
+        self._pooling.granting.pump(pool)
+
+    def expire(self, pool: EndpointPool, connection: ConnectionRow) -> None:
+        """Close a connection that the endpoint has closed by now.
+
+        It may be a transaction's, between two of its calls: that is over then too.
+        """
+        self.lose(pool, connection, "expired")
+
+    def close(self, pool: EndpointPool, connection: ConnectionRow) -> None:
+        """Close a connection that nobody uses."""
+        if connection.number not in self._connections:
+            return
+        self._node.emit(CloseConnection(connection.number))
+        self.forget(pool, connection)
+
+    def forget(self, pool: EndpointPool, connection: ConnectionRow) -> None:
+        """Take a connection out of all tables."""
+        number = connection.number
+        if self._connections.pop(number, None) is None:
+            return
+        if pool.is_counted(connection):
+            pool.active -= 1
+        pool.connections.pop(number, None)
+        pool.idle.pop(number, None)
+        pool.idle_borrowed.pop(number, None)
+        pool.pinned.pop(number, None)
+        pool.deferred.pop(number, None)
+        pool.answering.remove(number)
+        self._pooling.proving.forget(pool, number)
+        pool.checking.remove(number)
+        pool.opening.remove(number)
+        pool.internal.pop(number, None)
+        if not connection.loan:
+            pool.settling.append((self.now, connection.expires + LIFE_MARGIN))
+            return
+        loan = pool.borrowed.get(connection.loan)
+        if loan is not None:
+            loan.numbers.discard(number)
--- a/mallowpass/core/systems/keepalive.py
+++ b/mallowpass/core/systems/keepalive.py
@@ -66,7 +66,7 @@
         """Close borrowed connections that stood idle; keep the pinned ones alive."""
         for connection in list(pool.idle_borrowed.values()):
             if connection.expires <= self.now:
-                self._pooling.close(pool, connection)
+                self._pooling.closing.close(pool, connection)
         self.check_pinned(pool)
 
     def close_unused(self) -> None:
@@ -120,7 +120,7 @@
         # Marked first: a connection closed right here is not a request's any more.
         pool.internal[number] = purpose
         if connection.expires <= now:
-            self._pooling.expire(pool, connection)
+            self._pooling.closing.expire(pool, connection)
             return
         connection.expires = self._pooling.expiry(pool, connection, now)
         connection.sequence += 1
@@ -164,7 +164,7 @@
         elif purpose == _ABANDONED:
             self.reset(pool, connection)
         elif reply.code is not EndpointCode.OK:
-            self._pooling.close(pool, connection)
+            self._pooling.closing.close(pool, connection)
             self._pooling.granting.pump(pool)
         else:
             connection.last_used = self.now
@@ -184,7 +184,7 @@
         node.log("warning", "connection_silent", address=pool.address, number=number)
         if not connection.loan:
             pool.ghosts.append(connection.expires + LIFE_MARGIN)
-        self._pooling.lose(pool, connection, "silent")
+        self._pooling.closing.lose(pool, connection, "silent")
         self.check_older(pool, silent_since)
         self._pooling.granting.pump(pool)
 
--- a/mallowpass/core/systems/opening.py
+++ b/mallowpass/core/systems/opening.py
@@ -83,7 +83,7 @@
         if connection is None:
             return
         pool = self._pooling.by_address[connection.address]
-        self._pooling.forget(pool, connection)
+        self._pooling.closing.forget(pool, connection)
         self._node.count("connections_refused", address=pool.address)
         if event.limit_reached:
             self._lower_share(pool)
@@ -93,7 +93,7 @@
         """Give up an opening of which nothing was heard."""
         connection = self._connections.get(number)
         if connection is not None:
-            self._pooling.close(pool, connection)
+            self._pooling.closing.close(pool, connection)
             self._back_off(pool, "no answer to opening")
 
     def room(self, pool: EndpointPool) -> int:
--- a/mallowpass/core/systems/poolchanges.py
+++ b/mallowpass/core/systems/poolchanges.py
@@ -178,13 +178,13 @@
         """Give back what waits and close what is idle; busy ones close when done."""
         for idle in (pool.idle, pool.idle_borrowed):
             for connection in list(idle.values()):
-                self._pooling.close(pool, connection)
+                self._pooling.closing.close(pool, connection)
         self._pooling.granting.give_back(pool, ErrorCode.ENDPOINT_REFUSED, why, 0.0)
 
     def _shed_surplus(self, pool: EndpointPool) -> None:
         surplus = pool.own_count - pool.usable
         for connection in list(pool.idle.values())[: max(0, surplus)]:
-            self._pooling.close(pool, connection)
+            self._pooling.closing.close(pool, connection)
 
     def _on_primary(self, signal: PrimaryChanged) -> None:
         """Give back writes that wait at a member that is no primary any more."""
@@ -210,7 +210,7 @@
         for pool in self._pooling.by_address.values():
             for idle in (pool.idle, pool.idle_borrowed):
                 for connection in list(idle.values()):
-                    self._pooling.close(pool, connection)
+                    self._pooling.closing.close(pool, connection)
             self._pooling.loans.give_back(pool)
 
     def _note_demand(self) -> None:
--- a/mallowpass/core/systems/pooling.py
+++ b/mallowpass/core/systems/pooling.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from mallowpass.core.calls import EndpointCall, EndpointCode, EndpointReply
-from mallowpass.core.effects import CloseConnection, SendEndpoint
+from mallowpass.core.effects import SendEndpoint
 from mallowpass.core.events import (
     ConnectionLost,
     ConnectionOpened,
@@ -20,6 +20,7 @@
 from mallowpass.core.systems import loans as loans_module
 from mallowpass.core.systems import requests as requests_module
 from mallowpass.core.systems import transactions as transactions_module
+from mallowpass.core.systems.closing import Closing
 from mallowpass.core.systems.connections import LIFE_MARGIN, EndpointPool
 from mallowpass.core.systems.granting import Granting
 from mallowpass.core.systems.keepalive import KeepAlive
@@ -50,10 +51,10 @@
     __slots__ = (
         "_connections",
         "_rows",
-        "_transactions",
         "admission",
         "by_address",
         "changes",
+        "closing",
         "draining",
         "granting",
         "keepalive",
@@ -62,6 +63,7 @@
         "opener",
         "proving",
         "requests",
+        "transactions",
     )
 
     def __init__(self, node: Node) -> None:
@@ -76,18 +78,19 @@
         self.keepalive = KeepAlive(node, self)
         self.proving = Proving(node, self)
         self.changes = PoolChanges(node, self)
+        self.closing = Closing(node, self)
 
     def start(self) -> None:
         """Subscribe to what concerns connections."""
         node = self._node
         self.requests = node.system(requests_module.Requests)
-        self._transactions = node.system(transactions_module.Transactions)
+        self.transactions = node.system(transactions_module.Transactions)
         self.admission = node.system(admission_module.Admission)
         self.loans = node.system(loans_module.Loans)
         node.subscribe(EndpointReplied, self._on_replied)
         node.subscribe(ConnectionOpened, self.opener.on_opened)
         node.subscribe(ConnectionRefused, self.opener.on_refused)
-        node.subscribe(ConnectionLost, self._on_lost)
+        node.subscribe(ConnectionLost, self.closing.on_lost)
         self.changes.start()
         self.timers.every(node.tuning.connection_idle, self.keepalive.close_unused)
 
@@ -95,7 +98,7 @@
         """Close all connections; the host leaves."""
         for pool in self.by_address.values():
             for connection in list(pool.connections.values()):
-                self.close(pool, connection)
+                self.closing.close(pool, connection)
 
     # -- For the request path --------------------------------------------------
 
@@ -210,7 +213,7 @@
             return
         pool = self.by_address[connection.address]
         self._node.count("connections_discarded", reason=why)
-        self.close(pool, connection)
+        self.closing.close(pool, connection)
         self.granting.pump(pool)
 
     def answers(self, connection: ConnectionRow, within: float) -> bool:
@@ -276,7 +279,7 @@
     def make_room(self, pool: EndpointPool, places: int) -> None:
         """Close idle connections so that `places` of the own share come free."""
         for connection in list(pool.idle.values())[: max(0, places)]:
-            self.close(pool, connection)
+            self.closing.close(pool, connection)
 
     def close_under_loan(self, pool: EndpointPool, number: int, force: bool) -> None:
         """Close a connection whose loan ends; a busy one only by force."""
@@ -284,9 +287,9 @@
         if connection is None:
             return
         if not connection.request and not connection.transaction:
-            self.close(pool, connection)
+            self.closing.close(pool, connection)
         elif force:
-            self.lose(pool, connection, "loan ended")
+            self.closing.lose(pool, connection, "loan ended")
 
     def pump(self, pool: EndpointPool) -> None:
         """Grant what can be granted and open what is needed."""
@@ -308,7 +311,7 @@
                 # A host that was paused wakes with connections that the endpoint has
                 # closed, and given to others, meanwhile.
                 if connection.expires <= now:
-                    self.expire(pool, connection)
+                    self.closing.expire(pool, connection)
                     continue
                 if len(pool.idle) < pool.idle_low:
                     pool.idle_low = len(pool.idle)
@@ -337,7 +340,7 @@
         now = self._node.timers.now
         connection.state = _IDLE
         if connection.expires <= now or self.is_surplus(pool, connection):
-            self.close(pool, connection)
+            self.closing.close(pool, connection)
             return
         self.put_idle(pool, connection)
         if pool.check_timer is None:
@@ -373,7 +376,7 @@
         known = number in self._connections
         if connection.expires <= now or not known:
             # Told later: the caller of send still has to note that it sent.
-            self.timers.at(now, self._lose_unsent, pool, connection, known)
+            self.timers.at(now, self.closing.lose_unsent, pool, connection, known)
             return
         if connection.loan:
             connection.expires = self.expiry(pool, connection, now)
@@ -456,79 +459,3 @@
     def drop(self, reason: str) -> None:
         """Count a reply that goes to nobody."""
         self._node.count("replies_dropped", reason=reason)
-
-    # -- Losing and closing ----------------------------------------------------
-
-    def _on_lost(self, event: ConnectionLost) -> None:
-        connection = self._connections.get(event.connection)
-        if connection is None:
-            return
-        pool = self.by_address[connection.address]
-        self._node.count("connections_lost", reason="broken")
-        self._tell_lost(pool, connection, event.message)
-        self.granting.pump(pool)
-
-    def lose(self, pool: EndpointPool, connection: ConnectionRow, why: str) -> None:
-        """Close a connection and tell who used it."""
-        self._node.count("connections_lost", reason=why)
-        self._node.emit(CloseConnection(connection.number))
-        self._tell_lost(pool, connection, why)
-
-    def _tell_lost(
-        self, pool: EndpointPool, connection: ConnectionRow, why: str
-    ) -> None:
-        number, transaction = connection.request, connection.transaction
-        self.forget(pool, connection)
-        request = self.tables.requests.get(number)
-        if request is not None:
-            self.requests.on_connection_lost(request, connection, why)
-        elif transaction:
-            self._transactions.on_connection_lost(connection, why)
-
-    def _lose_unsent(
-        self, pool: EndpointPool, connection: ConnectionRow, known: bool
-    ) -> None:
-        if connection.number in self._connections:
-            self._node.emit(CloseConnection(connection.number))
-        elif known:
-            return  # lost in between, and told then
-        self._tell_lost(pool, connection, "expired, call not sent")
-        self.granting.pump(pool)
-
-    def expire(self, pool: EndpointPool, connection: ConnectionRow) -> None:
-        """Close a connection that the endpoint has closed by now.
-
-        It may be a transaction's, between two of its calls: that is over then too.
-        """
-        self.lose(pool, connection, "expired")
-
-    def close(self, pool: EndpointPool, connection: ConnectionRow) -> None:
-        """Close a connection that nobody uses."""
-        if connection.number not in self._connections:
-            return
-        self._node.emit(CloseConnection(connection.number))
-        self.forget(pool, connection)
-
-    def forget(self, pool: EndpointPool, connection: ConnectionRow) -> None:
-        """Take a connection out of all tables."""
-        number = connection.number
-        if self._connections.pop(number, None) is None:
-            return
-        if pool.is_counted(connection):
-            pool.active -= 1
-        pool.connections.pop(number, None)
-        pool.idle.pop(number, None)
-        pool.idle_borrowed.pop(number, None)
-        pool.pinned.pop(number, None)
-        pool.deferred.pop(number, None)
-        pool.answering.remove(number)
-        self.proving.forget(pool, number)
-        pool.checking.remove(number)
-        pool.opening.remove(number)
-        pool.internal.pop(number, None)
-        if not connection.loan:
-            pool.settling.append((self.now, connection.expires + LIFE_MARGIN))
-            return
-        loan = pool.borrowed.get(connection.loan)
-        if loan is not None:
-            loan.numbers.discard(number)
--- a/mallowpass/core/systems/proving.py
+++ b/mallowpass/core/systems/proving.py
@@ -67,7 +67,7 @@
             return
         if self._proof(pool, number).answered:
             # Nobody waits for its statement, which only the closing may end.
-            self._pooling.lose(pool, connection, "given-up")
+            self._pooling.closing.lose(pool, connection, "given-up")
             self._pooling.granting.pump(pool)
         else:
             self._pooling.keepalive.went_silent(pool, number)
