--- a/mallowpass/measure/control.py
+++ b/mallowpass/measure/control.py
@@ -570,6 +570,19 @@
         yield from _points("platform", HOSTS, hosts, values)
 
 
+def _platform_ahead(options: ControlOptions) -> Points:
+    """Measure a host's registrations where the settings give the seats ahead."""
+    for hosts in steps(options.hosts, RESTED):
+        fleet = VirtualFleet(hosts, 0, seed=options.seed, seats=AHEAD.hosts)
+        fleet.run(SETTLE)
+        window = _run_window(fleet, 240.0)
+        values = {
+            "reads/s of the hosts": window.rate("platform_reads") * hosts,
+            "writes/s of a host": window.rate("platform_writes"),
+        }
+        yield from _points(f"{AHEAD.hosts} seats", HOSTS, hosts, values)
+
+
 def _shares(options: ControlOptions) -> Points:
     """Measure the processor time of one member's static share, over seats."""
     for hosts in steps(max(options.hosts, 512), 64):
@@ -628,6 +641,7 @@
     "region-cut": _region_cut,
     "promotion": _promotion,
     "platform": _platform,
+    "platform-ahead": _platform_ahead,
     "shares": _shares,
     "sessions": _sessions,
 }
