Tell in one place when a statement takes long

Cause: reads and writes each compared a statement's time with the member's usual latency, in the same lines.

Change: routing, which owns that latency, says so for both.

--- a/mallowpass/core/systems/reads.py
+++ b/mallowpass/core/systems/reads.py
@@ -287,10 +287,7 @@
         self.elsewhere(request, ErrorCode.CONNECTION_LOST, why)
 
     def _is_overdue(self, request: RequestRow) -> bool:
-        endpoint = self.tables.endpoints.get(request.address)
-        usual = endpoint.latency if endpoint is not None else 0.0
-        took = self.now - request.sent_at
-        return took >= max(OVERDUE, OVERDUE_FACTOR * usual)
+        return self._routing.takes_long(request, OVERDUE, OVERDUE_FACTOR)
 
     def _is_left_to_finish(self, request: RequestRow) -> bool:
         """Tell whether a statement is slow by itself, as far as one can tell.
--- a/mallowpass/core/systems/routing.py
+++ b/mallowpass/core/systems/routing.py
@@ -204,6 +204,12 @@
             why=why,
         )
 
+    def takes_long(self, request: RequestRow, least: float, factor: float) -> bool:
+        """Tell whether a statement takes `factor` times the usual, and `least` s."""
+        endpoint = self.tables.endpoints.get(request.address)
+        usual = endpoint.latency if endpoint is not None else 0.0
+        return self.now - request.sent_at >= max(least, factor * usual)
+
     # -- Judging a member ----------------------------------------------------
 
     def _is_replica(self, endpoint: EndpointRow, database: DatabaseRow) -> bool:
--- a/mallowpass/core/systems/writes.py
+++ b/mallowpass/core/systems/writes.py
@@ -295,10 +295,7 @@
             self._requests.outcomes.resolve(request, self._lateness(request))
 
     def _is_overdue(self, request: RequestRow) -> bool:
-        endpoint = self.tables.endpoints.get(request.address)
-        usual = endpoint.latency if endpoint is not None else 0.0
-        took = self.now - request.sent_at
-        return took >= max(OVERDUE, OVERDUE_FACTOR * usual)
+        return self._routing.takes_long(request, OVERDUE, OVERDUE_FACTOR)
 
     def _on_commit_overdue(self, request: RequestRow) -> None:
         # A fenced commit is not sent again: its whole transaction is lost. So only if
