--- a/mallowpass/core/systems/groupfailover.py
+++ b/mallowpass/core/systems/groupfailover.py
@@ -193,12 +193,22 @@
             self._suspect_primary()
             self._confirm()
         elif self._isolation.is_doubtful:
-            self._confirm()
+            self._confirm_doubt(overdue_in)
         else:
             self._doubted = False
             self._isolation.forget()
             self._check_in(overdue_in)
 
+    def _confirm_doubt(self, overdue_in: float) -> None:
+        """Ask, unless the primary is about to be overdue itself.
+
+        The round would wait for its answer, and the one that counts would begin late.
+        """
+        if overdue_in < silence_margin(self._node.tuning) / 2:
+            self._check_in(overdue_in)
+        else:
+            self._confirm()
+
     def _overdue_in(self) -> float:
         """Return in how many seconds the primary counts as silent."""
         if self._suspect:
