Test each part of what lets a request wait for nobody

Change: holds of 9 s; a request beside one whose connection is opening; a request at a host without a share, which may wait for a loan.

--- a/tests/core/systems/test_admission.py
+++ b/tests/core/systems/test_admission.py
@@ -40,23 +40,37 @@
     assert len(host.requests.refused) == 1
 
 
-@pytest.mark.parametrize("open_before", [0, 1])
-def test_a_request_with_room_for_a_connection_is_not_refused(open_before: int):
+@pytest.mark.parametrize("before", ["nothing", "in flight", "opening"])
+def test_a_request_with_room_for_a_connection_is_not_refused(before: str):
     """
     Symptom: an idle host refuses each request of 3 s for good.
-    Sequence: one transaction kept a connection for 3.4 s; then a request comes alone,
-    or beside another one that is in flight, and a connection could be opened.
+    Sequence: transactions kept connections for 9 s; then a request comes alone, or
+    beside another one, and a connection could be opened.
     Cause: how long others kept connections was taken for the wait for a new one.
     """
     host = PoolHost(limit=8)
-    host.pool.hold = 3.4
-    for _ in range(open_before):
+    host.pool.hold = 9.0
+    if before != "nothing":
         host.request()
+    if before == "in flight":
         host.open_all()
     host.request(deadline=3.0)
     assert host.requests.refused == []
     host.open_all()
-    assert len(host.calls(ExecuteCall)) == open_before + 1
+    assert len(host.calls(ExecuteCall)) == len(host.requests.granted)
+
+
+def test_a_request_at_a_host_without_a_share_may_wait_for_a_loan():
+    """
+    Symptom: a host without a share refuses each request of 3 s for good.
+    Sequence: requests on borrowed connections took 9 s, and the loan is over.
+    Cause: nothing is open that they could keep, yet their time was counted.
+    """
+    host = PoolHost(limit=8)
+    host.pool.lent, host.pool.hold = host.pool.own, 9.0
+    host.request(deadline=3.0)
+    assert host.requests.refused == []
+    assert len(host.pool.queue) == 1
 
 
 def test_a_request_without_room_for_a_connection_waits_for_another_to_end():
