Ask members for the places of a host's own writes in place of every move

Cause: a host that waited for a majority watched each move of the group's log at each member, those of all other hosts' writes too: 27.6 KB/s a host at 100 writes a second in one group, whatever its own share of them.

Change: the primary's answer to a write counts as its report (code OK, the call's own sequence, its promised term and the place's term both the present one); the other members get AwaitPosition, one call in 5 ms and member at most, 16 outstanding, a later one standing for all before it. Members answer when they have the place and once more when reads see it. The watch of a writing host falls back to two reports a second. Where too few members are near this host or the primary, or too few know the call, the fast watch stays: a call leaves only when the primary's answer has come, which costs the shorter of two round trips. The rule of three conditions and the proof are untouched: an answer names the same three things as a report.

The fake group pushed news twice within a watch's gap; it does not any more.

--- a/mallowpass/core/systems/controlstreams.py
+++ b/mallowpass/core/systems/controlstreams.py
@@ -21,6 +21,7 @@
 # A stream is silent when a report is overdue by this share of the detection time.
 # It leaves half of that time for a fresh stream to prove that the endpoint lives.
 OVERDUE_SHARE = 0.25
+ROUND_TRIP_WEIGHT = 0.2
 # Typical sizes: message, gRPC prefix and HTTP/2 frame header, for the estimate.
 CALL_BYTES = 24
 REPLY_BYTES = 92
@@ -57,6 +58,8 @@
     created_at: float
     watch: WatchCall
     watched_at: float = float("-inf")  # silence before this was as agreed
+    watch_sent_at: float | None = None  # its first report is still to come
+    round_trip: float = float("inf")
     current: int = 0
     is_open: bool = False
     candidate: int = 0
@@ -147,6 +150,11 @@
         link = self._links.get(address)
         return link.watch.interval if link is not None else 0.0
 
+    def round_trip(self, address: str) -> float:
+        """Return how long an endpoint takes to answer, in seconds; inf: unknown."""
+        link = self._links.get(address)
+        return link.round_trip if link is not None else float("inf")
+
     # -- Calls ---------------------------------------------------------------
 
     def call(
@@ -192,6 +200,7 @@
 
     def _send_watch(self, link: _Link) -> None:
         link.endpoint.watch = self._node.number()
+        link.watch_sent_at = self._node.timers.now
         self._send(link, link.endpoint.watch, link.watch)
 
     # -- Opening and closing -------------------------------------------------
@@ -306,8 +315,25 @@
             return  # of a stream that was replaced: older than what is known
         self.traffic.replies += 1
         link.endpoint.heard_at = self._node.timers.now
+        if event.reply.sequence == link.endpoint.watch:
+            self._measure(link)
         self._on_reply(link.endpoint, event.reply)
         pending = link.pending.pop(event.reply.sequence, None)
         if pending is not None:
             pending.timer.cancel()
             pending.callback(event.reply)
+
+    def _measure(self, link: _Link) -> None:
+        """Time a watch's first report, which is sent at once.
+
+        A pause makes one measure long; none is shorter than the way takes. So a
+        shorter one counts in full.
+        """
+        if link.watch_sent_at is None:
+            return
+        took = self._node.timers.now - link.watch_sent_at
+        link.watch_sent_at = None
+        if took < link.round_trip:
+            link.round_trip = took
+        else:
+            link.round_trip += ROUND_TRIP_WEIGHT * (took - link.round_trip)
--- a/mallowpass/core/systems/groupview.py
+++ b/mallowpass/core/systems/groupview.py
@@ -65,6 +65,8 @@
     marks: deque[tuple[float, LogPosition]] = field(default_factory=deque)
     last_primary: str = ""
     written_at: float = float("-inf")  # this host last waited for a majority
+    awaits_places: bool = False  # of its writes, in place of watching all moves
+    awaited: LogPosition = ZERO_POSITION  # the highest that was ever waited for
     read_at: float = float("-inf")  # this host last asked for positions
     primary_at: float = float("-inf")  # a primary of row.term last reported
     activity: Timer | None = None
@@ -105,12 +107,23 @@
         term = self.row.term
         if report.term != term or report.received.term != term:
             return False
-        position = report.received.position
+        return self._count(address, report.received.position)
+
+    def _count(self, address: str, position: int) -> bool:
         if position <= self.holders.get(address, 0):
             return False
         self.holders[address] = position
         return True
 
+    def count_answer(self, address: str, term: int, applied: LogPosition) -> bool:
+        """Count a member by what it answered on a connection; tell if it moved.
+
+        It names its promised term and a place of its log, as a report does.
+        """
+        if not self.row.term == term == applied.term:
+            return False
+        return self._count(address, applied.position)
+
     def majority_held(self) -> LogPosition:
         """Return the highest place of the present term that a majority holds."""
         majority = self.row.definition.majority
@@ -136,6 +149,7 @@
 
     def wait(self, waiter: HeldWaiter) -> None:
         """Queue a waiter by its position."""
+        self.awaited = max(self.awaited, waiter.position)
         heapq.heappush(self._waiters, (waiter.position, next(self._counter), waiter))
 
     def resolve_waiters(self) -> None:
--- a/mallowpass/core/systems/liveness.py
+++ b/mallowpass/core/systems/liveness.py
@@ -7,6 +7,8 @@
 from mallowpass.core.calls import (
     ControlCall,
     ControlReply,
+    EndpointCode,
+    EndpointReply,
     LogPosition,
     ProbeCall,
     Report,
@@ -22,6 +24,7 @@
     HeldStalled,
     HostStateChanged,
 )
+from mallowpass.core.systems.awaiting import PlaceAwaits
 from mallowpass.core.systems.controlstreams import (
     ControlStreams,
     ControlTraffic,
@@ -48,6 +51,7 @@
 
     __slots__ = (
         "_active",
+        "_awaits",
         "_control",
         "_counted",
         "_membership",
@@ -63,6 +67,7 @@
         super().__init__(node)
         self._views: dict[str, GroupView] = {}
         self._rounds: dict[str, FloorRounds] = {}
+        self._awaits: dict[str, PlaceAwaits] = {}
         self._pause = HostPause(node)
         self._control = ControlStreams(
             node, self._replied, lambda: self._pause.awake_since
@@ -152,6 +157,8 @@
             view.wait(waiter)
             view.resolve_waiters()
             self._expect_progress(view)
+            if view.awaits_places:
+                self._awaits[database.key].want(view.awaited)
         return waiter
 
     def _expect_progress(self, view: GroupView) -> None:
@@ -254,6 +261,7 @@
         view = GroupView(row)
         self._views[row.key] = view
         self._rounds[row.key] = FloorRounds(self._node, self._control, row)
+        self._awaits[row.key] = PlaceAwaits(self._node, self._control, view)
         self._watch_members(view)
 
     def _changed(self, signal: DatabaseChanged) -> None:
@@ -273,6 +281,7 @@
         if view is None:
             return
         self._rounds.pop(signal.database).stop()
+        self._awaits.pop(signal.database).stop()
         self._noticed_terms.pop(signal.database, None)
         if view.activity is not None:
             view.activity.cancel()
@@ -293,16 +302,21 @@
         if reading:
             view.read_at = self.now
         if writing:
-            first = self.now - view.written_at > ACTIVITY
-            view.written_at = self.now
-            if first:
-                self._watch_members(view)
+            self._note_write(view)
         if view.activity is None:
             self._active += 1
             view.activity = self.timers.after(ACTIVITY, self._review, view)
             self._watch_members(view)
         return view
 
+    def _note_write(self, view: GroupView) -> None:
+        first = self.now - view.written_at > ACTIVITY
+        view.written_at = self.now
+        before = view.awaits_places
+        view.awaits_places = self._awaits[view.row.key].are_as_fast
+        if first or view.awaits_places != before:
+            self._watch_members(view)
+
     def _review(self, view: GroupView) -> None:
         view.activity = None
         newest = max(view.read_at, view.written_at)
@@ -340,8 +354,24 @@
         if connection is None:
             return
         endpoint = self.tables.endpoints.get(connection.address)
-        if endpoint is not None:
-            endpoint.heard_at = self.now
+        if endpoint is None:
+            return
+        endpoint.heard_at = self.now
+        if connection.sequence == event.reply.sequence:
+            self._take_answer(endpoint, event.reply)
+
+    def _take_answer(self, endpoint: EndpointRow, reply: EndpointReply) -> None:
+        """Count what a member answers on a connection like a report of it.
+
+        The primary's word on a write comes with the write's own answer; to ask it
+        again would cost a round trip.
+        """
+        view = self._views.get(endpoint.database)
+        if view is None or reply.code is not EndpointCode.OK:
+            return
+        view.mark(self.now, reply.applied)
+        if view.count_answer(endpoint.address, reply.term, reply.applied):
+            self._primaries.advance_held(view)
 
     def _replied(self, endpoint: EndpointRow, reply: ControlReply) -> None:
         view = self._views.get(endpoint.database)
--- a/mallowpass/core/systems/watching.py
+++ b/mallowpass/core/systems/watching.py
@@ -37,13 +37,15 @@
     # Before the silence is long enough for a promotion: the first question comes then,
     # and the one that counts finds it long enough.
     silence = tuning.detection - silence_margin(tuning)
-    if now - view.written_at <= ACTIVITY:
+    if now - view.written_at <= ACTIVITY and not view.awaits_places:
         return WatchCall(pace, tuning.report_gap, silence)
     if not view.row.primary:
         # Writes are held: the report of a new primary must not wait for a gap.
         return WatchCall(pace, tuning.report_gap, silence)
     if now - view.read_at <= ACTIVITY:
         return WatchCall(pace, min(READ_GAP * crowding, IDLE_GAP), silence)
+    if now - view.written_at <= ACTIVITY:
+        return WatchCall(pace, pace, silence)
     if not (is_primary and is_steward):
         pace = IDLE_INTERVAL
     return WatchCall(pace, IDLE_GAP, silence)
--- a/mallowpass/standins/database.py
+++ b/mallowpass/standins/database.py
@@ -34,6 +34,7 @@
     keep_alive_while_busy=True,
     await_position=True,
 )
+AWAITED_MAX = 32  # places, on one control stream
 TERM_STARTS = 8  # told of at most, beside the newest
 
 
@@ -493,7 +494,7 @@
     async def _take(self, call: endpoint_pb2.ControlCall) -> None:
         body = getattr(call, call.WhichOneof("call") or "", None)
         if isinstance(body, endpoint_pb2.AwaitPosition):
-            self._await_position(call.sequence, place_of(body.place))
+            await self._await_position(call.sequence, place_of(body.place))
             return
         reply = endpoint_pb2.ControlReply(sequence=call.sequence, code=endpoint_pb2.OK)
         try:
@@ -581,7 +582,12 @@
         since = self._member.silent_since
         return (_now() if since in (None, told) else since) + silence_s
 
-    def _await_position(self, sequence: int, place: Position) -> None:
+    async def _await_position(self, sequence: int, place: Position) -> None:
+        # Without a limit a member that is cut off would collect all its hosts' calls.
+        if len(self._awaiting) >= AWAITED_MAX:
+            reply = endpoint_pb2.ControlReply(sequence=sequence, code=endpoint_pb2.BUSY)
+            await self._send(reply)
+            return
         waiting = asyncio.create_task(self._tell_position(sequence, place))
         self._awaiting.add(waiting)
         waiting.add_done_callback(self._awaiting.discard)
--- a/tests/fakes/groups.py
+++ b/tests/fakes/groups.py
@@ -576,7 +576,8 @@
                 self._at(when, self._push_news, stream)
 
     def _push_news(self, stream: _Stream) -> None:
-        if stream.news:
+        # One planned before another report went out: the next is planned again.
+        if stream.news and self._now >= stream.sent_at + stream.gap - 1e-9:
             self._push(stream)
 
     def _push(self, stream: _Stream) -> None:
--- a/tests/standins/test_control.py
+++ b/tests/standins/test_control.py
@@ -76,3 +76,19 @@
     starts = [(start.term, start.position) for start in report.term_starts]
     assert (report.term_start, starts) == (3, [(2, 2), (1, 1)])
     assert not (await control.report()).term_starts
+
+
+@scenario()
+async def test_a_stream_that_awaits_many_places_is_refused_the_next(lab):
+    """Symptom: a member that is cut off runs out of memory.
+
+    Sequence: hosts write for hours; it never reaches what they ask it for.
+    Cause: each call left a task with it.
+    """
+    control = lab.control("b")
+    awaited = pb.AwaitPosition(place=place(1, 1000))
+    for sequence in range(1, 34):
+        call = pb.ControlCall(sequence=sequence, await_position=awaited)
+        await control._stream.write(call)
+    reply = await control.read()
+    assert (reply.sequence, reply.code) == (33, pb.BUSY)
