Measure a failure domain's end with its members, until all primaries are new

Cause: one primary's crash was measured; a domain takes an eighth of all primaries at once, and its stewards with them.

Change: the part domain-dies of `mallowpass measure control`.

--- a/mallowpass/measure/control.py
+++ b/mallowpass/measure/control.py
@@ -49,6 +49,7 @@
 WIDE_HOSTS = 64  # where a host is seldom a steward
 CHANGES = 20
 RACK = 8  # hosts
+LOST_DATABASES = 24
 PARTITION = 60.0
 DETECT = 20.0  # virtual seconds in which a fault's news are over
 HEAL = 120.0  # virtual seconds
@@ -555,6 +556,45 @@
     return took
 
 
+def _domain_dies(options: ControlOptions) -> Points:
+    """Measure a failure domain's end with its members: until all primaries are new."""
+    for hosts in steps(options.hosts, RESTED):
+        fleet = _settled(hosts, LOST_DATABASES, options)
+        idle = _run_window(fleet)
+        lost = _end_domain(fleet, fleet.domains[0].name)
+        window = _Window(fleet)
+        took = fleet.run_until(lambda f=fleet, gone=lost: _all_led(f, gone), 60.0)
+        if took is None:
+            raise RuntimeError(f"{hosts} hosts: not all primaries are new after 60 s")
+        messages = window.mean("control_messages")
+        values = {
+            "primaries lost": sum(member.role is Role.PRIMARY for member in lost),
+            "until all hosts know all primaries, s": took,
+            "control messages of a host": messages
+            - idle.rate("control_messages") * window.seconds,
+        }
+        yield from _points("domain dies", HOSTS, hosts, values)
+
+
+def _end_domain(fleet: VirtualFleet, domain: str) -> list[VirtualMember]:
+    for host in fleet.alive:
+        if host.domain == domain:
+            fleet.kill(host, tell=False)
+    lost = [m for m in fleet.members.values() if m.member.failure_domain == domain]
+    for member in lost:
+        fleet.crash(member)
+    return lost
+
+
+def _all_led(fleet: VirtualFleet, lost: list[VirtualMember]) -> bool:
+    gone = {"", *(member.member.address for member in lost)}
+    return all(
+        row.primary not in gone
+        for host in fleet.alive
+        for row in host.node.tables.databases.values()
+    )
+
+
 # -- Platform ----------------------------------------------------------------
 
 
@@ -639,6 +679,7 @@
     "replaced": _replaced,
     "domain-cut": _domain_cut,
     "region-cut": _region_cut,
+    "domain-dies": _domain_dies,
     "promotion": _promotion,
     "platform": _platform,
     "platform-ahead": _platform_ahead,
