Part liveness by what it looks after, and a steward's turn from its group

Cause: liveness.py had grown to 442 lines and groupfailover.py to 413: watching by use, waits for a majority and the steward's turn were each spread over one long class.

Change: Activity notes uses and sets the watches, HeldWaits queues waits and notices a stall, Turn tells when this host may promote. No behaviour changes. The random test of safety cuts the primary's replication alone as well, and its writers count the primary's answer as a host does.

--- a/mallowpass/core/systems/groupfailover.py
+++ b/mallowpass/core/systems/groupfailover.py
@@ -12,6 +12,7 @@
 from mallowpass.core.systems.liveness import Liveness
 from mallowpass.core.systems.promotion import Promotion, PromotionResult
 from mallowpass.core.systems.suspicion import Confirmation, Finding, Verdict
+from mallowpass.core.systems.turns import Turn
 from mallowpass.core.systems.watching import silence_margin
 from mallowpass.core.tables import DatabaseRow, EndpointRow, GroupState
 from mallowpass.core.timers import Timer
@@ -19,10 +20,7 @@
 __all__ = ["GroupFailover", "PromoteCallback"]
 
 CHECK_MIN = 0.01  # seconds between two looks at a primary, at least
-TURN_MAX = 8  # turns above share one place in time, spread by jitter
 HOLD_DOWN_FACTOR = 2  # a young primary has to be silent for longer
-RETRY_MIN = 0.03
-RETRY_MAX = 0.3
 SLOW_RETRY = 1.0
 HEARD_MAX = 5
 
@@ -52,8 +50,7 @@
         "_node",
         "_noted",
         "_suspect",
-        "_taken_at",
-        "_turn_at",
+        "_turn",
         "promotion",
         "row",
     )
@@ -69,14 +66,13 @@
         self._followers = Followers(node, liveness, row, self._renew)
         self._hand_over = HandOver(node, liveness, row, self._begin_hand_over)
         self._isolation = Isolation(node, liveness, row)
+        self._turn = Turn(node, liveness, row)
         self._created_at = node.timers.now
         self._suspect = ""  # the newest primary's address, also when it is lost
         self._check_timer: Timer | None = None
         self._confirmation: Confirmation | None = None
         self._callback: PromoteCallback | None = None  # of a planned promotion
         self._highest_term = 0  # seen anywhere
-        self._taken_at: float | None = None  # a higher term's proposer has a turn
-        self._turn_at: float | None = None  # when it is this host's turn as a steward
         self._heard = 0  # rounds in which too many members heard the suspect
         self._noted: Verdict | None = None  # of this suspicion, in the journal already
         self._doubted = False  # the primary is heard, its members are being asked
@@ -141,12 +137,12 @@
     def _has_primary(self) -> None:
         row = self.row
         self._suspect = row.primary
-        self._noted = self._taken_at = None
+        self._noted = None
         self._heard = 0
         self._deaf = frozenset()
         self._doubted = False
         self._highest_term = max(self._highest_term, row.term)
-        self._turn_at = None
+        self._turn.forget()
         self._hand_over.review()
         promotion = self.promotion
         if promotion is not None and row.term >= promotion.term:
@@ -327,34 +323,20 @@
         if self.row.definition.manual_promotion:
             self._check_in(self._jitter(SLOW_RETRY))
             return
-        if self._turn_at is None:
-            self._turn_at = self._now + self._turn_delay
-        if self._now >= self._turn_at:
-            self.begin()
-        else:
+        left = self._turn.left()
+        if left > 0:
             # Evidence from before the wait is old then: the members are asked again.
-            self._check_in(self._turn_at - self._now)
-
-    @property
-    def _turn(self) -> int:
-        return min(self._liveness.steward_turn(self.row), TURN_MAX)
-
-    @property
-    def _turn_delay(self) -> float:
-        turn, stagger = self._turn, self._node.tuning.steward_stagger
-        spread = self._jitter(TURN_MAX * stagger) if turn == TURN_MAX else 0.0
-        return turn * stagger + spread
+            self._check_in(left)
+        else:
+            self.begin()
 
     def _leave_turn(self) -> None:
         """Let the proposer of a higher term finish before trying a higher one still."""
-        if self._taken_at is None:
-            self._taken_at = self._now
-        patience = 2 * self._node.tuning.promise_timeout
-        if self._now - self._taken_at >= patience:
-            self._taken_at = None
-            self._take_turn()
+        delay = self._turn.leave()
+        if delay > 0:
+            self._check_in(delay)
         else:
-            self._check_in(patience / 2 + self._jitter(patience / 2))
+            self._take_turn()
 
     def _jitter(self, seconds: float) -> float:
         return self._node.random.uniform(seconds / 2, seconds)
@@ -393,16 +375,11 @@
         self._node.decide("promoted" if result.ok else "refusal", row.key, result.why)
         if result.ok:
             self._announce(row, result)
-        self._check_in(self._overdue_in() if row.primary else self._retry_delay())
+        self._check_in(self._overdue_in() if row.primary else self._turn.fail())
         if callback is not None:
             term = result.term if result.ok else 0
             callback(result.ok and result.as_ordered, term, result.why)
 
-    def _retry_delay(self) -> float:
-        # Jitter parts stewards that met in one term, or they meet again.
-        self._turn_at = None
-        return self._node.random.uniform(RETRY_MIN, RETRY_MAX * (1 + self._turn))
-
     def _renew(self) -> None:
         primary = self.row.primary_row
         if self.promotion is None and primary is not None:
--- a/mallowpass/core/systems/liveness.py
+++ b/mallowpass/core/systems/liveness.py
@@ -21,10 +21,9 @@
     DatabaseChanged,
     DatabaseRemoved,
     EndpointReported,
-    HeldStalled,
     HostStateChanged,
 )
-from mallowpass.core.systems.awaiting import PlaceAwaits
+from mallowpass.core.systems.activity import Activity
 from mallowpass.core.systems.controlstreams import (
     ControlStreams,
     ControlTraffic,
@@ -32,51 +31,46 @@
 )
 from mallowpass.core.systems.floors import FloorCallback, FloorRounds
 from mallowpass.core.systems.groupview import GroupView, HeldWaiter
+from mallowpass.core.systems.heldwaits import HeldWaits
 from mallowpass.core.systems.hostpause import HostPause
 from mallowpass.core.systems.primaries import Primaries
 from mallowpass.core.systems.stewards import Peers, find_membership, steward_turn
-from mallowpass.core.systems.watching import ACTIVITY, watch_for
 from mallowpass.core.tables import DatabaseRow, EndpointRow
-from mallowpass.core.timers import Timer
 
-__all__ = ["STEWARDS", "Liveness"]
+__all__ = ["Liveness"]
 
-STEWARDS = 3  # so many hosts of the lowest ranks watch a group's primary closely
 TRAFFIC_INTERVAL = 10.0
-RANK_REVIEW = 0.2
 
 
 class Liveness(System):
     """Watch endpoints and tell what their reports prove."""
 
     __slots__ = (
-        "_active",
-        "_awaits",
+        "_activity",
         "_control",
         "_counted",
         "_membership",
         "_noticed_terms",
         "_pause",
         "_primaries",
-        "_rank_review",
         "_rounds",
         "_views",
+        "_waits",
     )
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
         self._views: dict[str, GroupView] = {}
         self._rounds: dict[str, FloorRounds] = {}
-        self._awaits: dict[str, PlaceAwaits] = {}
+        self._waits: dict[str, HeldWaits] = {}
         self._pause = HostPause(node)
         self._control = ControlStreams(
             node, self._replied, lambda: self._pause.awake_since
         )
-        self._primaries = Primaries(node, self._watch_members)
+        self._activity = Activity(node, self._control, self._views, self.steward_turn)
+        self._primaries = Primaries(node, self._activity.watch)
         self._counted = (0, 0, 0)
-        self._active = 0  # databases in use at this host
         self._noticed_terms: dict[str, int] = {}
-        self._rank_review: Timer | None = None
         self._membership: Peers | None = None
 
     @property
@@ -95,7 +89,7 @@
         self._node.subscribe(DatabaseChanged, self._changed)
         self._node.subscribe(DatabaseRemoved, self._removed)
         self._node.subscribe(EndpointReplied, self._endpoint_replied)
-        self._node.subscribe(HostStateChanged, self._hosts_changed)
+        self._node.subscribe(HostStateChanged, self._activity.hosts_changed)
         self.timers.every(TRAFFIC_INTERVAL, self._count_traffic)
         membership = find_membership(self._node)
         if membership is not None:
@@ -116,7 +110,7 @@
 
     def learn_floor(self, database: DatabaseRow, callback: FloorCallback) -> None:
         """Learn a floor above all writes acknowledged before now; None: no majority."""
-        self._use(database.key, reading=True)
+        self._read(database.key)
         rounds = self._rounds.get(database.key)
         if rounds is None:
             self.timers.after(0.0, callback, None)
@@ -127,7 +121,7 @@
         self, database: DatabaseRow, accepted_age: float
     ) -> LogPosition | None:
         """Return a floor for data of at most an age; None: no record so new."""
-        view = self._use(database.key, reading=True)
+        view = self._read(database.key)
         if view is None:
             return None
         floor = self._rounds[database.key].at_age(accepted_age)
@@ -148,44 +142,25 @@
         The callback may run before this returns.
         """
         waiter = HeldWaiter(position, callback)
-        view = self._use(database.key, writing=True)
-        if view is None:
+        waits = self._waits.get(database.key)
+        if waits is None:
             waiter.resolve(False)
-        elif view.is_held(position):
-            waiter.resolve(True)
         else:
-            view.wait(waiter)
-            view.resolve_waiters()
-            self._expect_progress(view)
-            if view.awaits_places:
-                self._awaits[database.key].want(view.awaited)
+            view = self._views[database.key]
+            self._activity.note_write(view, awaits_places=waits.awaits_places)
+            waits.add(waiter)
         return waiter
 
-    def _expect_progress(self, view: GroupView) -> None:
-        """Notice when writes wait and no majority holds more for a while.
-
-        A primary that has lost its replicas answers writes and reports as ever. One
-        sees each of them end UNKNOWN at its deadline.
-        """
-        if view.stall is None:
-            delay = self._node.tuning.probe_interval
-            held = view.row.held
-            view.stall = self.timers.after(delay, self._review_held, view, held)
-
-    def _review_held(self, view: GroupView, before: LogPosition) -> None:
-        view.stall = None
-        if not view.is_awaited:
-            view.stalled = False
-            return
-        if view.row.held == before and not view.stalled:
-            view.stalled = True
-            self._node.publish(HeldStalled(view.row.key))
-        self._expect_progress(view)
-
     def is_stalled(self, database: DatabaseRow) -> bool:
         """Tell whether writes wait while what a majority holds stands still."""
+        waits = self._waits.get(database.key)
+        return waits is not None and waits.is_stalled
+
+    def watch_closely(self, database: DatabaseRow) -> None:
+        """Have all members report each move for a while."""
         view = self._views.get(database.key)
-        return view is not None and view.stalled and view.is_awaited
+        if view is not None:
+            self._activity.note_write(view, awaits_places=False)
 
     def minority_since(self, database: DatabaseRow) -> float | None:
         """Return since when no majority of members is heard; None: one is."""
@@ -204,7 +179,7 @@
 
     def reached(self, endpoint: EndpointRow, position: LogPosition) -> bool:
         """Tell whether a member's newest report proves that reads see a position."""
-        view = self._use(endpoint.database, reading=True)
+        view = self._read(endpoint.database)
         if position.position == 0:
             return True
         if view is None or endpoint.report is None:
@@ -261,8 +236,8 @@
         view = GroupView(row)
         self._views[row.key] = view
         self._rounds[row.key] = FloorRounds(self._node, self._control, row)
-        self._awaits[row.key] = PlaceAwaits(self._node, self._control, view)
-        self._watch_members(view)
+        self._waits[row.key] = HeldWaits(self._node, self._control, view)
+        self._activity.watch(view)
 
     def _changed(self, signal: DatabaseChanged) -> None:
         view = self._views.get(signal.database)
@@ -274,79 +249,26 @@
             view.members.pop(address, None)
         if view.row.primary not in view.row.endpoints:
             self._primaries.lose(view, "its primary is not a member any more")
-        self._watch_members(view)
+        self._activity.watch(view)
 
     def _removed(self, signal: DatabaseRemoved) -> None:
         view = self._views.pop(signal.database, None)
         if view is None:
             return
         self._rounds.pop(signal.database).stop()
-        self._awaits.pop(signal.database).stop()
         self._noticed_terms.pop(signal.database, None)
-        if view.activity is not None:
-            view.activity.cancel()
-            self._active -= 1
+        self._activity.forget(view)
         for address in view.row.endpoints:
             self._control.remove(address)
-        view.fail_waiters()
-
-    # -- How closely to watch ------------------------------------------------
+        self._waits.pop(signal.database).stop()
 
-    def _use(
-        self, key: str, *, reading: bool = False, writing: bool = False
-    ) -> GroupView | None:
-        """Note that this host uses a database: it is watched closely for a while."""
+    def _read(self, key: str) -> GroupView | None:
+        """Return a database's view, noted as read by this host."""
         view = self._views.get(key)
-        if view is None:
-            return None
-        if reading:
-            view.read_at = self.now
-        if writing:
-            self._note_write(view)
-        if view.activity is None:
-            self._active += 1
-            view.activity = self.timers.after(ACTIVITY, self._review, view)
-            self._watch_members(view)
+        if view is not None:
+            self._activity.note_read(view)
         return view
 
-    def _note_write(self, view: GroupView) -> None:
-        first = self.now - view.written_at > ACTIVITY
-        view.written_at = self.now
-        before = view.awaits_places
-        view.awaits_places = self._awaits[view.row.key].are_as_fast
-        if first or view.awaits_places != before:
-            self._watch_members(view)
-
-    def _review(self, view: GroupView) -> None:
-        view.activity = None
-        newest = max(view.read_at, view.written_at)
-        if self.now - newest <= ACTIVITY:
-            view.activity = self.timers.after(ACTIVITY, self._review, view)
-        else:
-            self._active -= 1
-        self._watch_members(view)
-
-    def _hosts_changed(self, signal: HostStateChanged) -> None:
-        # Ranks may have moved. Many hosts come and go together: one review for all.
-        if self._rank_review is None:
-            self._rank_review = self.timers.after(RANK_REVIEW, self._review_ranks)
-
-    def _review_ranks(self) -> None:
-        self._rank_review = None
-        for view in self._views.values():
-            self._watch_members(view)
-
-    def watch_closely(self, database: DatabaseRow) -> None:
-        """Have all members report each move for a while, as during writes."""
-        self._use(database.key, writing=True)
-
-    def _watch_members(self, view: GroupView) -> None:
-        is_steward = self.steward_turn(view.row) < STEWARDS
-        for endpoint in view.row.endpoints.values():
-            watch = watch_for(self._node, view, endpoint, is_steward, self._active)
-            self._control.add(endpoint, watch)
-            self._control.watch(endpoint.address, watch)
-
     # -- Reports -------------------------------------------------------------
 
     def _endpoint_replied(self, event: EndpointReplied) -> None:
--- a/tests/core/systems/test_failover.py
+++ b/tests/core/systems/test_failover.py
@@ -7,18 +7,21 @@
 import pytest
 
 from mallowpass.core.calls import (
+    EndpointCode,
+    EndpointReply,
     FollowCall,
     LogPosition,
     PromiseCall,
     PromoteCall,
     Role,
 )
+from mallowpass.core.events import EndpointReplied
 from mallowpass.core.node import Tuning
 from mallowpass.core.platformcalls import ReadRow, RowRead, WriteRow
 from mallowpass.core.signals import EndpointStateChanged
 from mallowpass.core.systems.failover import Failover
 from mallowpass.core.systems.liveness import Liveness
-from mallowpass.core.tables import GroupState
+from mallowpass.core.tables import ConnectionRow, ConnectionState, GroupState
 from tests.fakes.groups import Entry
 from tests.fakes.scenes import KEY, Scene
 
@@ -745,6 +748,14 @@
         return
     place = write(scene, member.name)
     request_id = member.log[place.position - 1].request_id
+    connection = ConnectionRow(
+        9, member.address, ConnectionState.BUSY, 0.0, 0.0, sequence=1
+    )
+    host.node.tables.connections[9] = connection
+    reply = EndpointReply(
+        sequence=1, code=EndpointCode.OK, applied=place, term=place.term
+    )
+    host.handle(EndpointReplied(9, reply))
 
     def resolved(held: bool) -> None:
         if held:
@@ -757,7 +768,7 @@
     group, links = scene.group, scene.links
     names = sorted(group.members)
     down = [name for name in names if group.members[name].crashed]
-    match random.randrange(9):
+    match random.randrange(10):
         case 0 if len(down) < scene.definition.majority - 1:
             group.crash(random.choice(names), tell=random.random() < 0.5)
         case 1 | 2 if down:
@@ -773,6 +784,8 @@
             group.members[random.choice(names)].lose_control[PromoteCall] = 2
         case 8:
             links.loss = random.choice([0.0, 0.02, 0.1])
+        case 9 if group.primary is not None:
+            links.isolate(group.primary.name, names)  # its replication alone
     scene.world.poke(group)
 
 
