Break the guard of expired connections where it stands now

Cause: Pooling.expire became Closing.expire, and the test that breaks it still named the former: it failed before it broke anything.

Change: the same guard is broken, by its new name.

Checked: pytest tests/core tests/test_whole_system.py tests/test_guards.py tests/test_findings.py: 503 passed.

--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -23,6 +23,7 @@
 from mallowpass.core.calls import ZERO_POSITION, Access, LogPosition, OutcomeCall
 from mallowpass.core.events import EndpointReplied
 from mallowpass.core.systems import (
+    closing,
     configuration,
     draining,
     groupview,
@@ -552,7 +553,7 @@
     ),
     "expired_connections_are_not_used": Guard(
         "connections_in_limit",
-        replace(pooling.Pooling, "expire", nothing),
+        replace(closing.Closing, "expire", nothing),
         pooling_tests.test_a_paused_host_does_not_use_connections_that_ran_out_meanwhile,
     ),
     "members_confirm_a_suspicion": Guard(
