--- a/mallowpass/measure/virtual.py
+++ b/mallowpass/measure/virtual.py
@@ -24,17 +24,22 @@
 from mallowpass.core import platformcalls as platform
 from mallowpass.core.codec import decode_message, encode_message, encode_service
 from mallowpass.core.node import FailureDomain, HostIdentity, Node, Tuning
-from mallowpass.core.services import Database, Member, Service, ServiceVersion
+from mallowpass.core.services import Database, ServiceVersion
 from mallowpass.core.systems.registry import ALL_SYSTEMS
-from mallowpass.schema import endpoint_pb2, values_pb2
+from mallowpass.measure.virtualgroups import (
+    Stream,
+    VirtualMember,
+    made_service,
+    report_of,
+)
+from mallowpass.measure.virtualplatform import VirtualPlatform
+from mallowpass.schema import endpoint_pb2
 from mallowpass.settings import HostSettings
 
 __all__ = [
     "Spent",
     "VirtualFleet",
     "VirtualHost",
-    "VirtualMember",
-    "made_service",
     "served_tuning",
 ]
 
@@ -87,118 +92,6 @@
         return self.node.identity.failure_domain
 
 
-@dataclass(slots=True, eq=False)
-class VirtualMember:
-    """Keep a member's promises and role; its log moves only as it is told to."""
-
-    member: Member
-    group: list[VirtualMember]
-    role: calls.Role
-    primary: str
-    term: int = 1
-    proposer: str = ""
-    position: int = 1
-    log_term: int = 1
-    crashed_at: float | None = None
-    streams: dict[tuple[str, int], _Stream] = field(default_factory=dict)
-
-    def silence(self, now: float) -> float:
-        """Return for how long the primary was not heard."""
-        leader = next((m for m in self.group if m.member.name == self.primary), None)
-        if leader is None or leader.crashed_at is None:
-            return 0.0
-        return max(0.0, now - leader.crashed_at)
-
-    def promise(self, call: calls.PromiseCall) -> bool:
-        """Promise a term to one proposer."""
-        if (call.term, call.proposer) == (self.term, self.proposer):
-            return True
-        if call.term <= self.term:
-            return False
-        self.term, self.proposer, self.primary = call.term, call.proposer, ""
-        if self.role is calls.Role.PRIMARY:
-            self.role = calls.Role.FENCED_PRIMARY
-        return True
-
-    def promote(self, call: calls.PromoteCall) -> bool:
-        """Become the primary of the promised term."""
-        if (call.term, call.proposer) != (self.term, self.proposer):
-            return False
-        if self.role is not calls.Role.PRIMARY:
-            self.role, self.primary = calls.Role.PRIMARY, self.member.name
-            self.log_term, self.position = call.term, self.position + 1
-        return True
-
-    def follow(self, call: calls.FollowCall) -> bool:
-        """Replicate from the primary of a term."""
-        if call.term < self.term or call.primary == self.member.name:
-            return False
-        self.role, self.primary, self.term = calls.Role.REPLICA, call.primary, call.term
-        self.log_term = call.term
-        return True
-
-
-@dataclass(slots=True)
-class _Stream:
-    """Hold a control stream; `beat` numbers its newest watch or report."""
-
-    host: str
-    number: int
-    member: VirtualMember
-    sequence: int = 0
-    watch: calls.WatchCall | None = None
-    beat: int = 0
-    sent_at: float = float("-inf")
-
-
-class _Platform:
-    """Hold the rows and hosts that the platform would."""
-
-    def __init__(self) -> None:
-        self.rows: dict[tuple[str, str], platform.TableRow] = {}
-        self.changed: dict[tuple[str, str], int] = {}
-        self.change = 0
-        self.hosts: dict[str, platform.ListedHost] = {}
-
-    def reply(self, request: platform.PlatformCall) -> platform.PlatformReply:
-        """Carry a call out."""
-        match request:
-            case platform.ReadRow():
-                return platform.RowRead(self.rows.get((request.table, request.key)))
-            case platform.ScanRows():
-                return self._scan(request)
-            case platform.WriteRow():
-                return self._write(request)
-            case platform.ListHosts():
-                return platform.HostsListed(tuple(self.hosts.values()))
-            case platform.RegisterHost():
-                self.hosts[request.host.name] = request.host
-                return platform.HostRegistered()
-        raise TypeError(f"no reply to {request!r}")
-
-    def _scan(self, request: platform.ScanRows) -> platform.PlatformReply:
-        if request.after_change >= self.change:
-            return platform.RowsScanned((), self.change)
-        found = sorted(
-            (change, key)
-            for key, change in self.changed.items()
-            if key[0] == request.table and change > request.after_change
-        )
-        return platform.RowsScanned(
-            tuple(self.rows[key] for _, key in found), self.change
-        )
-
-    def _write(self, request: platform.WriteRow) -> platform.PlatformReply:
-        key = (request.table, request.key)
-        current = self.rows.get(key)
-        if request.expected_version != (current.version if current else 0):
-            return platform.RowWritten(False, current)
-        row = platform.TableRow(*key, request.expected_version + 1, request.value)
-        self.change += 1
-        self.rows[key], self.changed[key] = row, self.change
-        return platform.RowWritten(True, row)
-
-
 class VirtualFleet:
     """Run hosts over databases from one heap of times.
 
@@ -233,7 +126,7 @@
         self.hosts: dict[str, VirtualHost] = {}
         self.members: dict[str, VirtualMember] = {}
         self.cuts: set[frozenset[str]] = set()
-        self.platform = _Platform()
+        self.platform = VirtualPlatform()
         self._queue: list[tuple[float, int, Callable[..., None], tuple]] = []
         self._numbers = itertools.count(1)
         self._links: dict[tuple[str, int], tuple[str, int]] = {}  # end -> other end
@@ -512,7 +405,7 @@
         if delay is None or member.crashed_at is not None:
             self.at(self.now + effect.timeout, self.feed, host, lost)
             return
-        stream = _Stream(host.name, effect.stream, member)
+        stream = Stream(host.name, effect.stream, member)
         member.streams[host.name, effect.stream] = stream
         opened = events.ControlOpened(effect.address, effect.stream)
         self.at(self.now + 2 * delay, self.feed, host, opened)
@@ -534,7 +427,7 @@
             arrive = self.now + delay
             self.at(arrive, self._control, stream, effect.sequence, effect.call)
 
-    def _control(self, stream: _Stream, sequence: int, call: calls.ControlCall) -> None:
+    def _control(self, stream: Stream, sequence: int, call: calls.ControlCall) -> None:
         member = stream.member
         if member.crashed_at is not None:
             return
@@ -565,7 +458,7 @@
                 due = max(self.now, stream.sent_at + stream.watch.minimum_gap)
                 self.at(due, self._push_beat, stream, stream.beat)
 
-    def _push(self, stream: _Stream) -> None:
+    def _push(self, stream: Stream) -> None:
         if stream.member.crashed_at is not None or stream.watch is None:
             return
         stream.beat += 1
@@ -576,19 +469,19 @@
         due = self.now + stream.watch.interval * share
         self.at(due, self._push_beat, stream, stream.beat)
 
-    def _push_beat(self, stream: _Stream, beat: int) -> None:
+    def _push_beat(self, stream: Stream, beat: int) -> None:
         is_open = (stream.host, stream.number) in stream.member.streams
         if beat == stream.beat and is_open:
             self._push(stream)
 
-    def _reply(self, stream: _Stream, sequence: int, granted: bool) -> None:
+    def _reply(self, stream: Stream, sequence: int, granted: bool) -> None:
         member, host = stream.member, self.hosts[stream.host]
         delay = self._delay(host.domain, member.member.failure_domain)
         if delay is not None:
-            data = _report_of(member, sequence, granted, self.now).SerializeToString()
+            data = report_of(member, sequence, granted, self.now).SerializeToString()
             self.at(self.now + delay, self._replied, host, stream, data)
 
-    def _replied(self, host: VirtualHost, stream: _Stream, data: bytes) -> None:
+    def _replied(self, host: VirtualHost, stream: Stream, data: bytes) -> None:
         if not host.alive:
             return
         began = time.thread_time()
@@ -628,30 +521,6 @@
             self.members[member.address] = made
 
 
-def made_service(
-    number: int, databases: int, members: int, domains: list[str]
-) -> Service:
-    """Return a service of a usual shape; addresses derive from its number."""
-    return Service(
-        f"service-{number}",
-        tuple(
-            Database(
-                f"database-{n}",
-                tuple(
-                    Member(
-                        f"member-{m}",
-                        f"172.{16 + (number >> 8)}.{number & 255}.{10 * n + m}:5432",
-                        domains[(number + n + m) % len(domains)],
-                    )
-                    for m in range(members)
-                ),
-                connections=20,
-            )
-            for n in range(databases)
-        ),
-    )
-
-
 def served_tuning() -> Tuning:
     """Return the times of a host whose settings leave them out.
 
@@ -679,34 +548,6 @@
     host.spent.control_bytes += size + GRPC_FRAME
 
 
-def _report_of(
-    member: VirtualMember, sequence: int, granted: bool, now: float
-) -> endpoint_pb2.ControlReply:
-    place = values_pb2.LogPosition(term=member.log_term, position=member.position)
-    silence = 0.0 if member.role is calls.Role.PRIMARY else member.silence(now)
-    abilities = endpoint_pb2.Abilities(
-        outcome_lookup=True,
-        minimum_position=True,
-        time_to_live=True,
-        primary_silence=True,
-    )
-    report = endpoint_pb2.Report(
-        member=member.member.name,
-        term=member.term,
-        role=member.role.value,
-        primary=member.primary,
-        received=place,
-        applied=place,
-        term_start=1,
-        primary_silence_ms=round(silence * 1000),
-        connections=10,
-        connection_limit=20,
-        abilities=abilities,
-    )
-    code = calls.EndpointCode.OK if granted else calls.EndpointCode.WRONG_TERM
-    return endpoint_pb2.ControlReply(sequence=sequence, code=code.value, report=report)
-
-
 def _clock_cost(rounds: int = 20_000) -> float:
     """Return what reading the processor time costs, seconds for a pair of reads."""
     began = time.thread_time()
