--- a/mallowpass/standins/database.py
+++ b/mallowpass/standins/database.py
@@ -551,6 +551,7 @@
     async def _push_reports(
         self, sequence: int, interval_s: float, minimum_gap_s: float, silence_s: float
     ) -> None:
+        answer = {"sequence": sequence, "code": endpoint_pb2.OK}
         told = None  # the moment last heard of the primary whose silence was told
         with self._news() as news:
             while True:
@@ -560,17 +561,17 @@
                         break
                     silent_at = self._silent_at(silence_s, told)
                     if silent_at <= now:
+                        # Begins no gap: news of what follows must not be held up.
                         told = self._member.silent_since
-                        break
+                        await self._send(endpoint_pb2.ControlReply(**answer))
+                        continue
                     due = min(silent_at, sent_at + interval_s)
                     if news.is_set():
                         await asyncio.sleep(min(due, sent_at + minimum_gap_s) - now)
                     else:
                         await _wait_at_most(news.wait(), due - now)
                 news.clear()
-                await self._send(
-                    endpoint_pb2.ControlReply(sequence=sequence, code=endpoint_pb2.OK)
-                )
+                await self._send(endpoint_pb2.ControlReply(**answer))
 
     def _silent_at(self, silence_s: float, told: float | None) -> float:
         """Return when the primary's silence is to be told, or looked at again.
--- a/tests/fakes/groups.py
+++ b/tests/fakes/groups.py
@@ -607,7 +607,9 @@
         if silence and silence >= stream.silence - 1e-9:
             if stream.told != member.heard_at and self.tells_silence:
                 stream.told = member.heard_at
+                sent_at = stream.sent_at
                 self._push(stream)
+                stream.sent_at = sent_at  # begins no gap: the next news is not held up
         elif silence:
             due -= silence
         self._at(self._now + due, self._push_silence, stream)
