--- a/mallowpass/measure/counting.py
+++ b/mallowpass/measure/counting.py
@@ -61,6 +61,7 @@
 
 
 def points_of(part: str, over: str, size: int, values: dict[str, float]) -> Points:
+    """Return a point for each quantity."""
     for quantity, value in values.items():
         yield Point(part, quantity, over, size, value)
 
@@ -100,12 +101,14 @@
 
 
 def settled(hosts: int, databases: int, options: ControlOptions) -> VirtualFleet:
+    """Return a fleet that has come to rest."""
     fleet = VirtualFleet(hosts, databases, seed=options.seed)
     fleet.run(SETTLE)
     return fleet
 
 
 def run_window(fleet: VirtualFleet, seconds: float = WINDOW) -> Window:
+    """Let time pass and return what was spent in it."""
     window = Window(fleet)
     fleet.run(seconds)
     return window
@@ -127,6 +130,7 @@
 def busiest_second(
     fleet: VirtualFleet, hosts: list[VirtualHost], seconds: float
 ) -> float:
+    """Return the most peer bytes that any host had in one of the next seconds."""
     highest = 0.0
     for _ in range(round(seconds)):
         window = Window(fleet, hosts)
