--- a/mallowpass/core/systems/reads.py
+++ b/mallowpass/core/systems/reads.py
@@ -12,6 +12,7 @@
     Outcome,
 )
 from mallowpass.core.node import Node, System
+from mallowpass.core.services import service_of
 from mallowpass.core.systems import liveness as liveness_module
 from mallowpass.core.systems import pooling as pooling_module
 from mallowpass.core.systems import retries as retries_module
@@ -190,7 +191,7 @@
             follower = self.tables.sessions.get(stream)
             if follower is not None:
                 self._sessions.raise_floor(follower, request.database, reply.applied)
-        self._retries.succeeded(request.database.partition("/")[0])
+        self._retries.succeeded(service_of(request.database))
         database = self.tables.databases.get(request.database)
         replica = database is not None and request.address != database.primary
         self._node.emit(read_count(replica, request.database))
--- a/mallowpass/core/systems/requests.py
+++ b/mallowpass/core/systems/requests.py
@@ -20,7 +20,7 @@
     Outcome,
 )
 from mallowpass.core.node import Node, System
-from mallowpass.core.services import database_key
+from mallowpass.core.services import database_key, service_of
 from mallowpass.core.signals import DatabaseRemoved, EndpointReported, PrimaryChanged
 from mallowpass.core.systems import failover as failover_module
 from mallowpass.core.systems import outcomes as outcomes_module
@@ -337,7 +337,7 @@
     def done(self, request: RequestRow, rows: Any, position: LogPosition) -> None:
         """Answer a write or commit that ran and stays."""
         self._raise_floors(request, position)
-        self._retries.succeeded(request.database.partition("/")[0])
+        self._retries.succeeded(service_of(request.database))
         answer = CallerAnswer(
             request_id=request.request.request_id,
             outcome=Outcome.DONE,
--- a/mallowpass/core/systems/retries.py
+++ b/mallowpass/core/systems/retries.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from mallowpass.core.node import Node, System
+from mallowpass.core.services import service_of
 from mallowpass.core.tables import RequestRow
 
 __all__ = ["Retries"]
@@ -55,13 +56,13 @@
         delay = self._delay(request.tries)
         if self.now + delay >= request.expires or self.is_spent(request):
             return None
-        self._budget(request.database.partition("/")[0]).left -= 1.0
+        self._budget(service_of(request.database)).left -= 1.0
         request.tries += 1
         return delay
 
     def is_spent(self, request: RequestRow) -> bool:
         """Tell whether a request's service has no retry left."""
-        return self._budget(request.database.partition("/")[0]).left < 1.0
+        return self._budget(service_of(request.database)).left < 1.0
 
     def _budget(self, service: str) -> _Budget:
         budget = self._budgets.get(service)
