--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -17,7 +17,7 @@
 )
 from mallowpass.core.proxy.signals import (
     ConnectionFreed,
-    EndpointChanged,
+    EndpointForgotten,
     EndpointUnreachable,
 )
 from mallowpass.core.proxy.statements import (
@@ -69,7 +69,7 @@
         node.subscribe(ConnectionRefused, self._on_refused)
         node.subscribe(ConnectionLost, self._on_lost)
         node.subscribe(EndpointAnswered, self._on_answered)
-        node.subscribe(EndpointChanged, self._on_endpoint_changed)
+        node.subscribe(EndpointForgotten, self._on_forgotten)
 
     # -- Taking and giving back ----------------------------------------------
 
@@ -116,9 +116,12 @@
         if connection.number not in self.tables.connections:
             return
         connection.on_lost = None
-        if connection.broken or connection.endpoint.gone_at is not None:
+        if connection.broken:
             self.close(connection, "its state is unknown")
             return
+        if connection.endpoint.name not in self.tables.endpoints:
+            self.close(connection, "the endpoint is gone")
+            return
         connection.state = ConnectionState.IDLE
         connection.last_used = self.now
         self._node.publish(ConnectionFreed(connection.endpoint))
@@ -291,10 +294,7 @@
         )
         self.close(connection, "it went silent")
 
-    def _on_endpoint_changed(self, signal: EndpointChanged) -> None:
-        endpoint = signal.endpoint
-        if endpoint.gone_at is None:
-            return
-        for connection in list(endpoint.connections.values()):
+    def _on_forgotten(self, signal: EndpointForgotten) -> None:
+        for connection in list(signal.endpoint.connections.values()):
             if connection.state is ConnectionState.IDLE:
                 self.close(connection, "the endpoint is gone")
--- a/mallowpass/core/proxy/discovery.py
+++ b/mallowpass/core/proxy/discovery.py
@@ -9,7 +9,7 @@
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.control import Control
 from mallowpass.core.proxy.members import Members
-from mallowpass.core.proxy.signals import PrimaryChanged
+from mallowpass.core.proxy.signals import PrimaryChanged, PrimarySuspected
 from mallowpass.core.proxy.statements import Begin, Code, EndpointReply, Rollback
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
 
@@ -34,25 +34,31 @@
         self._control = self._node.system(Control)
         self._members = self._node.system(Members)
         self._node.subscribe(PrimaryChanged, self._on_primary)
+        self._node.subscribe(PrimarySuspected, self._on_primary)
 
-    def _on_primary(self, signal: PrimaryChanged) -> None:
+    def _on_primary(self, signal: PrimaryChanged | PrimarySuspected) -> None:
         group = signal.group
-        if not group.primary and group.service not in self._looking:
+        if self._is_open(group) and group.service not in self._looking:
             self._looking.add(group.service)
             self.timers.after(FIRST_LOOK, self._look, group)
 
+    @staticmethod
+    def _is_open(group: GroupRow) -> bool:
+        """Tell whether it is open who leads."""
+        return not group.primary or group.suspected
+
     def _look(self, group: GroupRow) -> None:
-        if group.primary:
+        if not self._is_open(group):
             self._looking.discard(group.service)
             return
         for endpoint in group.endpoints.values():
-            if endpoint.connections:
+            if endpoint.connections and endpoint.name != group.primary:
                 self._ask(group, endpoint)
         self.timers.after(LOOK_GAP, self._look, group)
 
     def _ask(self, group: GroupRow, endpoint: EndpointRow) -> None:
         def on_replies(replies: list[EndpointReply] | None) -> None:
-            if group.primary or not replies:
+            if not self._is_open(group) or not replies:
                 return
             if replies[0].code is Code.DONE:
                 self._members.promoted(endpoint, "it accepts a transaction")
--- a/mallowpass/core/proxy/members.py
+++ b/mallowpass/core/proxy/members.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 from mallowpass.core.node import Node
-from mallowpass.core.proxy.signals import EndpointChanged, PrimaryChanged
+from mallowpass.core.proxy.signals import (
+    EndpointChanged,
+    EndpointForgotten,
+    PrimaryChanged,
+)
 from mallowpass.core.proxy.storage import EndpointEntry, Row, Table
 from mallowpass.core.proxy.store import Store
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
@@ -93,6 +97,7 @@
         group.endpoints.pop(endpoint.name, None)
         if group.primary == endpoint.name:
             self._set_primary(group, "", "its entry is gone")
+        self._node.publish(EndpointForgotten(endpoint))
 
     def _log(self, endpoint: EndpointRow) -> None:
         entry = endpoint.entry
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -13,10 +13,12 @@
     "ConnectionFreed",
     "DrainBegan",
     "EndpointChanged",
+    "EndpointForgotten",
     "EndpointOverdue",
     "EndpointUnreachable",
     "PrimaryChanged",
     "PrimaryHeard",
+    "PrimarySuspected",
     "WriteStalled",
 ]
 
@@ -35,6 +37,13 @@
     endpoint: EndpointRow
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointForgotten(Signal):
+    """An endpoint was gone for so long that nothing is sent to it any more."""
+
+    endpoint: EndpointRow
+
+
 @dataclass(frozen=True, slots=True)
 class PrimaryChanged(Signal):
     """Another endpoint, or none, is believed to lead a group."""
@@ -71,6 +80,13 @@
     endpoint: EndpointRow
 
 
+@dataclass(frozen=True, slots=True)
+class PrimarySuspected(Signal):
+    """This host began to suspect a group's primary."""
+
+    group: GroupRow
+
+
 @dataclass(frozen=True, slots=True)
 class PrimaryHeard(Signal):
     """A group's primary proved that it leads and commits."""
--- a/mallowpass/core/proxy/suspicion.py
+++ b/mallowpass/core/proxy/suspicion.py
@@ -18,6 +18,7 @@
     EndpointUnreachable,
     PrimaryChanged,
     PrimaryHeard,
+    PrimarySuspected,
     WriteStalled,
 )
 from mallowpass.core.proxy.storage import (
@@ -135,11 +136,15 @@
             why=why,
             heard_ago=round(self.now - endpoint.heard_at, 3),
         )
+        group = self.tables.group(service)
+        group.suspected = True
+        self._node.publish(PrimarySuspected(group))
         self._report(service, suspect)
 
     def _clear(self, service: str, why: str) -> None:
         suspect = self._suspects.pop(service, None)
         if suspect is not None:
+            self.tables.group(service).suspected = False
             self._node.log(
                 "info",
                 "primary_cleared",
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -133,6 +133,7 @@
     samples: deque[FloorSample] = field(default_factory=deque)  # oldest first
     waiting: list[RequestRow] = field(default_factory=list)
     no_primary_since: float | None = None
+    suspected: bool = False  # this host suspects its primary; owned by suspicion
 
     @property
     def primary_row(self) -> EndpointRow | None:
--- /dev/null
+++ b/tests/core/proxy/test_promotion.py
@@ -0,0 +1,183 @@
+"""Replacing primaries: no acknowledged commit is lost, whatever fails meanwhile."""
+
+from __future__ import annotations
+
+from mallowpass.core.proxy.statements import Code, Read, Write
+from tests.fakes.proxyworld import ProxyWorld
+
+
+def _write_until_served(world: ProxyWorld, within: float) -> float:
+    """Write again and again; return when a write was first served."""
+    began = world.timers.now
+    caller = world.caller(1, "own")
+    while world.timers.now < began + within:
+        if caller.run(Write("b 1")).code is Code.DONE:
+            return world.timers.now - began
+    raise AssertionError("no write was served")
+
+
+def _keep_busy(world: ProxyWorld) -> None:
+    """Have all hosts use the primary, as callers do all day."""
+    for host in range(len(world.hosts)):
+        world.caller(host, "strict").send(Read("a"))
+
+
+def _hear_again(world: ProxyWorld, name: str) -> None:
+    world.group.replicas[name].deaf = False
+    world.group.start(name)
+
+
+def test_crashed_primary_is_replaced():
+    world = ProxyWorld()
+    caller = world.caller(0, "own")
+    for number in range(20):
+        assert caller.run(Write(f"a {number}")).code is Code.DONE
+    world.crash("db-casa")
+    assert _write_until_served(world, 5.0) < 1.5
+    assert world.group.lost == []
+    assert caller.run(Read("a")).rows == (b"19",)
+
+
+def test_dark_primary_is_replaced():
+    world = ProxyWorld()
+    world.caller(0, "own").run(Write("a 1"))
+    world.crash("db-casa", dark=True)
+    _keep_busy(world)
+    assert _write_until_served(world, 8.0) < 2.5
+    assert world.group.lost == []
+
+
+def test_primary_that_one_host_can_not_reach_stays():
+    """Symptom: a healthy primary is replaced.
+
+    Sequence: one host is cut off from it. Cause: one host's sight is taken for all.
+    """
+    world = ProxyWorld(hosts=4)
+    host = world.hosts[0]
+    host.cut_from.add("db-casa")
+    for number in list(host.connections):
+        if host.connections[number]._replica.name == "db-casa":
+            host.lose(number, "cut")
+    for _ in range(6):
+        world.caller(0, "strict").send(Read("a"))
+        world.caller(1, "own").run(Write("a 1"))
+        world.run(1.0)
+    assert world.group.promotions == 0
+
+
+def test_draining_primary_is_handed_over_without_a_refused_write():
+    world = ProxyWorld()
+    caller = world.caller(0, "own")
+    caller.run(Write("a 1"))
+    world.enter(world.group.replicas["db-casa"], draining=True)
+    codes = set()
+    end = world.timers.now + 2.0
+    while world.timers.now < end:
+        codes.add(caller.run(Write("a 2")).code)
+    assert codes == {Code.DONE}
+    assert world.primary.name != "db-casa"
+    assert world.group.lost == []
+
+
+def test_vanished_entry_of_a_primary_that_serves_is_handed_over():
+    world = ProxyWorld()
+    caller = world.caller(0, "own")
+    world.remove_entry("db-casa")
+    end = world.timers.now + 5.0
+    while world.timers.now < end:
+        assert caller.run(Write("a 2")).code is Code.DONE
+    assert world.primary.name != "db-casa"
+
+
+def test_entry_that_is_back_soon_changes_nothing():
+    """Symptom: a healthy primary is replaced when the store comes back.
+
+    Sequence: entries lapse while the store is away, and are back two seconds after
+    its return. Cause: an entry that is missing is taken for an endpoint that is gone.
+    """
+    world = ProxyWorld()
+    world.remove_entry("db-casa")
+    world.run(2.0)
+    world.enter(world.group.replicas["db-casa"])
+    world.run(3.0)
+    assert world.group.promotions == 0
+    assert world.caller(0, "own").run(Write("a 2")).code is Code.DONE
+
+
+def test_replica_that_received_more_is_promoted():
+    """Symptom: an acknowledged commit is gone after a promotion.
+
+    Sequence: one replica receives nothing for a while, the other one acknowledges;
+    the primary crashes. Cause: the replica that lacks commits is promoted.
+    """
+    world = ProxyWorld()
+    world.group.replicas["db-tanger"].deaf = True
+    caller = world.caller(0, "own")
+    for number in range(10):
+        assert caller.run(Write(f"a {number}")).code is Code.DONE
+    world.crash("db-casa")
+    world.timers.after(2.0, _hear_again, world, "db-tanger")
+    _write_until_served(world, 8.0)
+    assert world.primary.name == "db-agadir"
+    assert world.group.lost == []
+
+
+def test_nothing_is_promoted_while_a_replica_is_silent():
+    """Symptom: an acknowledged commit is gone after a promotion.
+
+    Sequence: the only replica that has it is silent while the primary crashes.
+    Cause: a majority that does not contain the holder is taken for enough.
+    """
+    world = ProxyWorld()
+    world.group.replicas["db-tanger"].deaf = True
+    caller = world.caller(0, "own")
+    for number in range(10):
+        assert caller.run(Write(f"a {number}")).code is Code.DONE
+    world.dark.add("db-agadir")
+    world.crash("db-casa")
+    _keep_busy(world)
+    world.run(4.0)
+    assert world.group.promotions == 0
+    world.dark.discard("db-agadir")
+    world.timers.after(2.0, _hear_again, world, "db-tanger")
+    _write_until_served(world, 8.0)
+    assert world.group.lost == []
+
+
+def test_order_without_an_answer_is_given_again():
+    world = ProxyWorld()
+    world.orders_lost = 1
+    world.crash("db-casa")
+    _keep_busy(world)
+    _write_until_served(world, 6.0)
+    assert world.group.lost == []
+
+
+def test_tokens_of_two_promotions_grow():
+    world = ProxyWorld()
+    world.crash("db-casa")
+    _write_until_served(world, 5.0)
+    world.restart("db-casa")
+    world.run(4.0)
+    world.crash(world.primary.name)
+    _write_until_served(world, 8.0)
+    tokens = [order.fencing_token for order in world.orders]
+    assert tokens == sorted(tokens)
+    assert len(set(tokens)) >= 2
+    assert world.group.lost == []
+
+
+def test_paused_replicas_receive_again_after_a_promotion():
+    world = ProxyWorld()
+    world.crash("db-casa")
+    _write_until_served(world, 5.0)
+    world.run(1.0)
+    assert all(r.paused_for == 0 for r in world.group.replicas.values())
+
+
+def test_hosts_without_the_store_find_the_new_primary():
+    world = ProxyWorld()
+    world.hosts[1].cut_from.add("store")
+    world.crash("db-casa")
+    _keep_busy(world)
+    assert _write_until_served(world, 6.0) < 4.0
--- /dev/null
+++ b/tests/fakes/proxyworld.py
@@ -0,0 +1,429 @@
+"""Several proxying hosts, a row store and groups of replicas in one virtual time."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from functools import partial, singledispatchmethod
+from typing import Any
+
+from mallowpass.core.effects import Effect
+from mallowpass.core.events import Event, ShutdownRequested
+from mallowpass.core.node import FailureDomain, HostIdentity, Node, Tuning
+from mallowpass.core.proxy import effects
+from mallowpass.core.proxy.configuration import (
+    Configuration,
+    Consistency,
+    Route,
+    ServiceLimits,
+)
+from mallowpass.core.proxy.events import (
+    ConnectionLost,
+    ConnectionReady,
+    ConnectionRefused,
+    EndpointAnswered,
+    PromotionAnswered,
+    SessionClosed,
+    SessionOpened,
+    StatementReceived,
+    StoreAnswered,
+)
+from mallowpass.core.proxy.registry import SYSTEMS
+from mallowpass.core.proxy.statements import Answer, Code, EndpointReply, Statement
+from mallowpass.core.proxy.storage import (
+    EndpointEntry,
+    RowKey,
+    StoreReply,
+    StoreStatus,
+    Table,
+)
+from mallowpass.core.proxy.tables import ProxyTables
+from mallowpass.core.timers import TimerService
+from mallowpass.standins.proxied.replicas import Group, Replica, ReplicaConnection
+from mallowpass.standins.proxied.rows import RowStore
+
+CONFIGURATION_KEY = RowKey(Table.CONFIGURATION, "", "config")
+LINK = 0.0005  # seconds one way between any two
+DOMAINS = ("casa", "tanger", "agadir")
+SERVICE = "claims-core"
+DATABASES = {
+    "strict": Consistency.PRIMARY,
+    "bounded": Consistency.BOUNDED,
+    "own": Consistency.OWN_WRITES,
+}
+
+
+def route(database: str, consistency: Consistency, **changes: Any) -> Route:
+    """Return a route like those in use."""
+    fields = {
+        "database": database,
+        "service": SERVICE,
+        "consistency": consistency,
+        "statement_timeout": 0.8,
+        "objective": 0.4,
+        "priority": 1,
+        "accepted_age": 1.5,
+    }
+    return Route(**(fields | changes))
+
+
+def configuration(version: int = 1, **changes: Any) -> Configuration:
+    """Return a configuration with a route of each kind."""
+    routes = {name: route(name, kind) for name, kind in DATABASES.items()}
+    fields = {
+        "version": version,
+        "routes": routes,
+        "services": {SERVICE: ServiceLimits(SERVICE, 22, 1)},
+    }
+    return Configuration(**(fields | changes))
+
+
+class Caller:
+    """Hold one session of a caller, and what it was told."""
+
+    def __init__(self, world: ProxyWorld, host: Host, database: str) -> None:
+        self._world = world
+        self._host = host
+        self.stream = world.number()
+        self.opened = False
+        self.closed = False
+        self.refusal: Code | None = None
+        self.answers: list[Answer] = []
+        self.answered_at: list[float] = []
+        host.callers[self.stream] = self
+        host.deliver(SessionOpened(self.stream, database))
+
+    def send(self, statement: Statement | None, request_id: str = "") -> None:
+        """Send a statement, without waiting for its answer."""
+        request_id = request_id or f"r{self._world.number()}"
+        event = StatementReceived(self.stream, request_id, statement)
+        self._host.deliver(event)
+
+    def run(self, statement: Statement, within: float = 3.0) -> Answer:
+        """Send a statement and return its answer."""
+        before = len(self.answers)
+        self.send(statement)
+        self._world.run_until(lambda: len(self.answers) > before, within)
+        assert len(self.answers) > before, f"no answer to {statement}"
+        return self.answers[-1]
+
+    def leave(self) -> None:
+        """Close the connection."""
+        self._host.deliver(SessionClosed(self.stream))
+
+
+class Host:
+    """Hold one host's node, and carry out its effects."""
+
+    def __init__(self, world: ProxyWorld, name: str, domain: str, seed: int) -> None:
+        self.world = world
+        self.name = name
+        self.callers: dict[int, Caller] = {}
+        self.connections: dict[int, ReplicaConnection] = {}
+        self.ready = False
+        self.exited = False
+        self.cut_from: set[str] = set()  # members, the store and the orders
+        self.logs: list[effects.Log] = []
+        domains = tuple(FailureDomain(name, name, 0) for name in DOMAINS)
+        identity = HostIdentity(name, domain, 0, "", seed, domains)
+        now = world.timers.now
+        self.node = Node(identity, Tuning(), seed, now, ProxyTables())
+        self._wake_at: float | None = None
+        self._carry_out(self.node.start(SYSTEMS))
+
+    @property
+    def tables(self) -> ProxyTables:
+        """Return the node's tables."""
+        return self.node.tables
+
+    def logged(self, event: str) -> list[dict[str, Any]]:
+        """Return the fields of all log lines of one event."""
+        return [dict(log.fields) for log in self.logs if log.event == event]
+
+    def deliver(self, event: Event) -> None:
+        """Deliver an event now."""
+        if not self.exited:
+            self._carry_out(self.node.handle(self.world.timers.now, event))
+
+    def later(self, delay: float, event: Event) -> None:
+        """Deliver an event after a delay."""
+        self.world.timers.after(delay, self.deliver, event)
+
+    def stop(self, limit: float = 6.0) -> None:
+        """Tell the host to stop."""
+        self.deliver(ShutdownRequested(limit))
+
+    def _wake(self, due: float) -> None:
+        if self._wake_at == due:
+            self._wake_at = None
+            if not self.exited:
+                self._carry_out(self.node.wake(self.world.timers.now))
+
+    def _carry_out(self, todo: list[Effect]) -> None:
+        for effect in todo:
+            self._apply(effect)
+        due = self.node.next_wake
+        if due is not None and due != self._wake_at:
+            self._wake_at = due
+            self.world.timers.at(due, self._wake, due)
+
+    @singledispatchmethod
+    def _apply(self, effect: Effect) -> None:
+        raise TypeError(f"not handled: {type(effect).__name__}")
+
+    @_apply.register
+    def _(self, effect: effects.AcceptSession) -> None:
+        self.callers[effect.stream].opened = True
+
+    @_apply.register
+    def _(self, effect: effects.RefuseSession) -> None:
+        self.callers[effect.stream].refusal = effect.code
+
+    @_apply.register
+    def _(self, effect: effects.AnswerStatement) -> None:
+        caller = self.callers[effect.stream]
+        caller.answers.append(effect.answer)
+        caller.answered_at.append(self.world.timers.now)
+
+    @_apply.register
+    def _(self, effect: effects.CloseSession) -> None:
+        self.callers[effect.stream].closed = True
+
+    @_apply.register
+    def _(self, effect: effects.OpenConnection) -> None:
+        self.world.timers.after(LINK, self._open, effect)
+
+    def _open(self, effect: effects.OpenConnection) -> None:
+        number = effect.connection
+        group = self.world.groups[effect.service]
+        replica = group.replicas.get(effect.endpoint)
+        if effect.endpoint in self.cut_from or effect.endpoint in self.world.dark:
+            refusal = ConnectionRefused(number, Code.OTHER, "no answer", True)
+            self.later(effect.timeout, refusal)
+        elif replica is None or not replica.up:
+            self.later(LINK, ConnectionRefused(number, Code.OTHER, "reset", True))
+        else:
+            self.world.timers.after(
+                self.world.handshake, self._opened, group, effect, replica
+            )
+
+    def _opened(
+        self, group: Group, effect: effects.OpenConnection, replica: Replica
+    ) -> None:
+        connection = group.connect(effect.endpoint)
+        if isinstance(connection, Code):
+            refusal = ConnectionRefused(effect.connection, connection, "full")
+            self.later(LINK, refusal)
+            return
+        self.connections[effect.connection] = connection
+        ready = ConnectionReady(effect.connection, replica.applied_position)
+        self.later(LINK, ready)
+
+    @_apply.register
+    def _(self, effect: effects.SendCalls) -> None:
+        self.world.timers.after(LINK, self._send, effect)
+
+    def _send(self, effect: effects.SendCalls) -> None:
+        connection = self.connections.get(effect.connection)
+        if connection is None or not connection.open:
+            return
+        if connection._replica.name in self.cut_from | self.world.dark:
+            return
+        for call in effect.calls:
+            self.world.record(self, connection, call)
+            connection.send(call, partial(self._replied, effect.connection))
+
+    def _replied(self, number: int, reply: EndpointReply) -> None:
+        connection = self.connections.get(number)
+        if connection is None:
+            return
+        if connection._replica.name in self.cut_from | self.world.dark:
+            return
+        if self.world.loses_answer(connection, reply):
+            return
+        self.later(LINK, EndpointAnswered(number, reply))
+
+    @_apply.register
+    def _(self, effect: effects.CloseConnection) -> None:
+        connection = self.connections.pop(effect.connection, None)
+        if connection is not None:
+            connection.close()
+
+    def lose(self, number: int, why: str) -> None:
+        """Break a connection from outside."""
+        if self.connections.pop(number, None) is not None:
+            self.later(LINK, ConnectionLost(number, why))
+
+    @_apply.register
+    def _(self, effect: effects.CallStore) -> None:
+        answered = False
+
+        def answer(reply: StoreReply) -> None:
+            nonlocal answered
+            if not answered and "store" not in self.cut_from:
+                answered = True
+                self.later(LINK, StoreAnswered(effect.call, reply))
+
+        def time_out() -> None:
+            nonlocal answered
+            if not answered:
+                answered = True
+                reply = StoreReply(StoreStatus.UNKNOWN, message="no answer")
+                self.deliver(StoreAnswered(effect.call, reply))
+
+        if "store" not in self.cut_from:
+            self.world.store.call(self.name, effect.request, answer)
+        self.world.timers.after(effect.timeout, time_out)
+
+    @_apply.register
+    def _(self, effect: effects.OrderPromotion) -> None:
+        accepted, outdated = self.world.order(self, effect)
+        answered = PromotionAnswered(effect.call, accepted, outdated)
+        self.later(2 * LINK if accepted is not None else effect.timeout, answered)
+
+    @_apply.register
+    def _(self, effect: effects.SetReady) -> None:
+        self.ready = effect.ready
+
+    @_apply.register
+    def _(self, effect: effects.Exit) -> None:
+        self.exited = True
+
+    @_apply.register
+    def _(self, effect: effects.Log) -> None:
+        self.logs.append(effect)
+
+    @_apply.register
+    def _(self, effect: effects.Count) -> None:
+        pass
+
+    @_apply.register
+    def _(self, effect: effects.Observe) -> None:
+        pass
+
+
+class ProxyWorld:
+    """Hold everything, and run it."""
+
+    def __init__(self, hosts: int = 3, seed: int = 1, **group: Any) -> None:
+        self.timers = TimerService()
+        self.random = random.Random(seed)
+        self.handshake = 0.012
+        self.dark: set[str] = set()  # members that answer nobody
+        self.orders_lost = 0  # orders that are carried out and not answered
+        self.answers_to_lose = 0  # of statements, by the endpoint
+        self.tokens: dict[str, int] = {}
+        self.orders: list[effects.OrderPromotion] = []
+        self.calls: list[tuple[str, str, Any]] = []  # host, member, call
+        self._numbers = 0
+        self.store = RowStore(self.timers, seed)
+        names = ["db-casa", "db-tanger", "db-agadir"]
+        self.group = Group(SERVICE, names, self.timers, **group)
+        self.group.on_role = self.enter
+        self.groups = {SERVICE: self.group}
+        self.store.put(CONFIGURATION_KEY, configuration())
+        for replica in self.group.replicas.values():
+            self.enter(replica)
+        self.hosts = [
+            Host(self, f"host-{i}", DOMAINS[i % 3], 100 * seed + i)
+            for i in range(hosts)
+        ]
+        self.run(0.5)
+
+    def number(self) -> int:
+        """Return a number that was not used before."""
+        self._numbers += 1
+        return self._numbers
+
+    # -- Members -------------------------------------------------------------
+
+    def enter(self, replica: Replica, draining: bool = False) -> None:
+        """Write a member's entry, as it does itself."""
+        entry = EndpointEntry(
+            name=replica.name,
+            service=SERVICE,
+            address=f"{replica.name}:5432",
+            failure_domain=replica.name.removeprefix("db-"),
+            slots=3,
+            draining=draining,
+            is_primary=replica.is_primary,
+        )
+        self.store.put(self._entry_key(replica.name), entry)
+
+    def remove_entry(self, name: str) -> None:
+        """Remove a member's entry."""
+        self.store.delete(self._entry_key(name))
+
+    @staticmethod
+    def _entry_key(name: str) -> RowKey:
+        return RowKey(Table.ENDPOINTS, "", name)
+
+    def crash(self, name: str, dark: bool = False) -> None:
+        """Stop a member, with resets or without any sign."""
+        if dark:
+            self.dark.add(name)
+        for host in self.hosts:
+            for number, connection in list(host.connections.items()):
+                if connection._replica.name == name and not dark:
+                    host.lose(number, "reset")
+        self.group.crash(name)
+
+    def restart(self, name: str) -> None:
+        """Start a member again, with its log."""
+        self.dark.discard(name)
+        self.group.start(name)
+        self.enter(self.group.replicas[name])
+
+    def loses_answer(self, connection: ReplicaConnection, reply: EndpointReply) -> bool:
+        """Tell whether the answer at hand is lost."""
+        if self.answers_to_lose and reply.signature:
+            self.answers_to_lose -= 1
+            connection.silent = True
+            return True
+        return False
+
+    def record(self, host: Host, connection: ReplicaConnection, call: Any) -> None:
+        """Note a call that arrives at a member."""
+        self.calls.append((host.name, connection._replica.name, call))
+
+    def order(
+        self, host: Host, order: effects.OrderPromotion
+    ) -> tuple[bool | None, bool]:
+        """Take an order, as the platform does."""
+        self.orders.append(order)
+        if "orders" in host.cut_from:
+            return None, False
+        if order.fencing_token < self.tokens.get(order.service, 0):
+            return False, True
+        self.tokens[order.service] = order.fencing_token
+        taken = self.groups[order.service].promote(order.endpoint)
+        if self.orders_lost:
+            self.orders_lost -= 1
+            return None, False
+        return taken, not taken
+
+    # -- Running -------------------------------------------------------------
+
+    def caller(self, host: int = 0, database: str = "own") -> Caller:
+        """Open a session."""
+        return Caller(self, self.hosts[host], database)
+
+    def run(self, duration: float) -> None:
+        """Run for some time."""
+        self.run_until(lambda: False, duration)
+
+    def run_until(self, done: Callable[[], bool], within: float) -> None:
+        """Run until something holds, or the time is over."""
+        end = self.timers.now + within
+        while not done():
+            due = self.timers.next_due
+            if due is None or due > end:
+                self.timers.advance(end)
+                return
+            self.timers.advance(due)
+            self.timers.run_due()
+
+    @property
+    def primary(self) -> Replica:
+        """Return the member that leads."""
+        return self.group.primary
