--- a/mallowpass/core/calls.py
+++ b/mallowpass/core/calls.py
@@ -8,7 +8,9 @@
 
 from dataclasses import dataclass
 from enum import Enum, IntEnum
-from typing import Any, NamedTuple
+from typing import Any
+
+from mallowpass.core.positions import ZERO_POSITION, Access, LogPosition
 
 __all__ = [
     "Access",
@@ -49,26 +51,9 @@
 # -- Positions ---------------------------------------------------------------
 
 
-class LogPosition(NamedTuple):
-    """Name a place in a group's replication log; compares by term first."""
-
-    term: int
-    position: int
-
-
-ZERO_POSITION = LogPosition(0, 0)
-
-
 # -- Callers -----------------------------------------------------------------
 
 
-class Access(Enum):
-    """Say whether a statement reads or writes."""
-
-    READ = "read"
-    WRITE = "write"
-
-
 class Outcome(Enum):
     """Say what became of a request."""
 
--- a/mallowpass/core/effects.py
+++ b/mallowpass/core/effects.py
@@ -3,9 +3,16 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Any
 
 from mallowpass.core.calls import CallerAnswer, ControlCall, EndpointCall
+from mallowpass.core.messages import (
+    CloseConnection,
+    Count,
+    Effect,
+    Exit,
+    Log,
+    Observe,
+)
 from mallowpass.core.operations import OperatorAnswer
 from mallowpass.core.peering import PeerMessage
 from mallowpass.core.platformcalls import PlatformCall
@@ -32,11 +39,6 @@
 ]
 
 
-@dataclass(frozen=True, slots=True)
-class Effect:
-    """Stand on top of all outputs."""
-
-
 # -- Callers -----------------------------------------------------------------
 
 
@@ -78,13 +80,6 @@
     call: EndpointCall
 
 
-@dataclass(frozen=True, slots=True)
-class CloseConnection(Effect):
-    """Close a connection; no event of it may follow."""
-
-    connection: int
-
-
 @dataclass(frozen=True, slots=True)
 class OpenControl(Effect):
     """Open a control stream of an endpoint, beside any that is open."""
@@ -159,35 +154,3 @@
 
     call: int
     answer: OperatorAnswer
-
-
-@dataclass(frozen=True, slots=True)
-class Log(Effect):
-    """Log one event; `level` is a name of the logging module."""
-
-    level: str
-    event: str
-    fields: tuple[tuple[str, Any], ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class Count(Effect):
-    """Add to a counter."""
-
-    name: str
-    value: float = 1
-    attributes: tuple[tuple[str, str], ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class Observe(Effect):
-    """Record a value of a histogram; times in seconds."""
-
-    name: str
-    value: float
-    attributes: tuple[tuple[str, str], ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class Exit(Effect):
-    """End the process: all that was in flight is finished."""
--- a/mallowpass/core/events.py
+++ b/mallowpass/core/events.py
@@ -5,6 +5,12 @@
 from dataclasses import dataclass
 
 from mallowpass.core.calls import CallerRequest, ControlReply, EndpointReply
+from mallowpass.core.messages import (
+    ConnectionLost,
+    Event,
+    ShutdownRequested,
+    Woken,
+)
 from mallowpass.core.operations import OperatorRequest
 from mallowpass.core.peering import PeerMessage
 from mallowpass.core.platformcalls import PlatformReply
@@ -31,16 +37,6 @@
 ]
 
 
-@dataclass(frozen=True, slots=True)
-class Event:
-    """Stand on top of all inputs."""
-
-
-@dataclass(frozen=True, slots=True)
-class Woken(Event):
-    """A timer is due."""
-
-
 # -- Callers -----------------------------------------------------------------
 
 
@@ -85,14 +81,6 @@
     limit_reached: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class ConnectionLost(Event):
-    """An open connection broke."""
-
-    connection: int
-    message: str
-
-
 @dataclass(frozen=True, slots=True)
 class EndpointReplied(Event):
     """A reply came on a connection."""
@@ -171,10 +159,3 @@
 
     call: int
     request: OperatorRequest
-
-
-@dataclass(frozen=True, slots=True)
-class ShutdownRequested(Event):
-    """The process was told to stop; seconds for what is in flight."""
-
-    limit: float
--- a/mallowpass/core/node.py
+++ b/mallowpass/core/node.py
@@ -12,15 +12,22 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import Any, ClassVar, TypeVar
-
-from mallowpass.core.effects import Count, Effect, Log, Observe
-from mallowpass.core.events import Event, Woken
-from mallowpass.core.operations import Decision
-from mallowpass.core.signals import Signal
-from mallowpass.core.tables import Tables
+from typing import TYPE_CHECKING, Any, ClassVar, TypeVar
+
+from mallowpass.core.messages import (
+    Count,
+    Decision,
+    Effect,
+    Log,
+    Observe,
+    Signal,
+    Woken,
+)
 from mallowpass.core.timers import TimerService
 
+if TYPE_CHECKING:
+    from mallowpass.core.tables import Tables
+
 __all__ = ["FailureDomain", "HostIdentity", "Node", "System", "Tuning"]
 
 JOURNAL_LENGTH = 4096
@@ -164,11 +171,11 @@
     ) -> None:
         self.identity = identity
         self.tuning = tuning
-        self.tables = Tables() if tables is None else tables
+        self.tables = _default_tables() if tables is None else tables
         self.timers = TimerService(now)
         self.random = random.Random(seed)
         self._numbers = itertools.count(1)
-        self._effects: list[Effect] = []
+        self._effects: list[Any] = []
         self._handlers: dict[type, list[Callable[[Any], None]]] = {}
         self._journal: deque[Decision] = deque(maxlen=JOURNAL_LENGTH)
         self._systems: dict[type[System], System] = {}
@@ -198,8 +205,8 @@
             system.start()
         return self._take_effects()
 
-    def handle(self, now: float, event: Event) -> list[Effect]:
-        """Decide what to do about an event that came at `now`."""
+    def handle(self, now: float, event: Any) -> list[Any]:
+        """Decide what to do about an event that came at `now`; return effects."""
         self.timers.advance(now)
         self.timers.run_due()
         for handler in self._handlers.get(type(event), ()):
@@ -216,9 +223,7 @@
         """Return the node's system of a kind."""
         return self._systems[kind]  # type: ignore[return-value]
 
-    def subscribe(
-        self, kind: type[Event] | type[Signal], handler: Callable[[Any], None]
-    ) -> None:
+    def subscribe(self, kind: type, handler: Callable[[Any], None]) -> None:
         """Have a handler called with every event or signal of one type."""
         self._handlers.setdefault(kind, []).append(handler)
 
@@ -227,7 +232,7 @@
         for handler in self._handlers.get(type(signal), ()):
             handler(signal)
 
-    def emit(self, effect: Effect) -> None:
+    def emit(self, effect: Any) -> None:
         """Add an effect to those that the event at hand causes."""
         self._effects.append(effect)
 
@@ -252,10 +257,17 @@
         at = self.timers.now
         self._journal.append(Decision(at, self.identity.name, kind, subject, text))
 
-    def _take_effects(self) -> list[Effect]:
+    def _take_effects(self) -> list[Any]:
         effects = self._effects
         self._effects = []
         return effects
 
 
+def _default_tables() -> Tables:
+    # Imported here: a host with tables of its own has no use for these.
+    from mallowpass.core.tables import Tables
+
+    return Tables()
+
+
 _WOKEN = Woken()
--- a/mallowpass/core/operations.py
+++ b/mallowpass/core/operations.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from mallowpass.core.messages import Decision
 from mallowpass.core.services import Service, ServiceVersion
 
 __all__ = [
@@ -176,17 +177,6 @@
     figures: dict[str, float] = field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
-class Decision:
-    """Record one decision: `at` on the host's monotonic clock."""
-
-    at: float
-    host: str
-    kind: str
-    subject: str
-    text: str
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ExplainedAnswer(OperatorAnswer):
     """Answer ExplainRequest; times are seconds ago."""
--- /dev/null
+++ b/mallowpass/core/positions.py
@@ -0,0 +1,25 @@
+"""Places in replication logs, and how statements use the data."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import NamedTuple
+
+__all__ = ["ZERO_POSITION", "Access", "LogPosition"]
+
+
+class LogPosition(NamedTuple):
+    """Name a place in a group's replication log; compares by term first."""
+
+    term: int
+    position: int
+
+
+ZERO_POSITION = LogPosition(0, 0)
+
+
+class Access(Enum):
+    """Say whether a statement reads or writes."""
+
+    READ = "read"
+    WRITE = "write"
--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Callable
 
-from mallowpass.core.events import ConnectionLost
+from mallowpass.core.messages import ConnectionLost
 from mallowpass.core.proxy.effects import CloseConnection, OpenConnection, SendCalls
 from mallowpass.core.proxy.events import (
     ConnectionReady,
--- a/mallowpass/core/proxy/effects.py
+++ b/mallowpass/core/proxy/effects.py
@@ -4,10 +4,9 @@
 
 from dataclasses import dataclass
 
-from mallowpass.core.effects import (
+from mallowpass.core.messages import (
     CloseConnection,
     Count,
-    Effect,
     Exit,
     Log,
     Observe,
@@ -27,6 +26,7 @@
     "Observe",
     "OpenConnection",
     "OrderPromotion",
+    "ProxyEffect",
     "RefuseSession",
     "SendCalls",
     "SetReady",
@@ -34,14 +34,22 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AcceptSession(Effect):
+class ProxyEffect:
+    """Stand on top of the outputs that only a proxying host has.
+
+    They are no `Effect`: recorded traces hold those, and these are not recorded.
+    """
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptSession(ProxyEffect):
     """Tell a caller that its session is open."""
 
     stream: int
 
 
 @dataclass(frozen=True, slots=True)
-class RefuseSession(Effect):
+class RefuseSession(ProxyEffect):
     """Tell a caller why it gets no session, and close its connection."""
 
     stream: int
@@ -50,7 +58,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AnswerStatement(Effect):
+class AnswerStatement(ProxyEffect):
     """Answer the oldest statement of a session that has no answer yet."""
 
     stream: int
@@ -58,14 +66,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CloseSession(Effect):
+class CloseSession(ProxyEffect):
     """Close a caller's connection after the answers sent on it."""
 
     stream: int
 
 
 @dataclass(frozen=True, slots=True)
-class OpenConnection(Effect):
+class OpenConnection(ProxyEffect):
     """Open a connection to an endpoint; `timeout` in seconds."""
 
     connection: int
@@ -76,7 +84,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SendCalls(Effect):
+class SendCalls(ProxyEffect):
     """Send calls on a connection in one write; each is answered, in order."""
 
     connection: int
@@ -84,7 +92,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CallStore(Effect):
+class CallStore(ProxyEffect):
     """Call the store; StoreAnswered with this number follows always."""
 
     call: int
@@ -93,7 +101,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class OrderPromotion(Effect):
+class OrderPromotion(ProxyEffect):
     """Order a promotion; PromotionAnswered with this number follows always."""
 
     call: int
@@ -104,7 +112,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SetReady(Effect):
+class SetReady(ProxyEffect):
     """Say whether this host wants new connections of callers."""
 
     ready: bool
--- a/mallowpass/core/proxy/events.py
+++ b/mallowpass/core/proxy/events.py
@@ -4,10 +4,8 @@
 
 from dataclasses import dataclass
 
-from mallowpass.core.events import (
+from mallowpass.core.messages import (
     ConnectionLost,
-    Event,
-    PlatformReplied,
     ShutdownRequested,
 )
 from mallowpass.core.proxy.statements import (
@@ -23,8 +21,8 @@
     "ConnectionRefused",
     "ConnectionReady",
     "EndpointAnswered",
-    "PlatformReplied",
     "PromotionAnswered",
+    "ProxyEvent",
     "SessionClosed",
     "SessionOpened",
     "SettingsChanged",
@@ -35,7 +33,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SessionOpened(Event):
+class ProxyEvent:
+    """Stand on top of the inputs that only a proxying host has.
+
+    They are no `Event`: recorded traces hold those, and these are not recorded.
+    """
+
+
+@dataclass(frozen=True, slots=True)
+class SessionOpened(ProxyEvent):
     """A caller asks for a session; the adapter never reuses a stream's number."""
 
     stream: int
@@ -43,7 +49,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StatementReceived(Event):
+class StatementReceived(ProxyEvent):
     """A caller sent a statement; None stands for one that could not be read."""
 
     stream: int
@@ -52,14 +58,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SessionClosed(Event):
+class SessionClosed(ProxyEvent):
     """A caller's connection ended, in whatever way."""
 
     stream: int
 
 
 @dataclass(frozen=True, slots=True)
-class ConnectionReady(Event):
+class ConnectionReady(ProxyEvent):
     """An endpoint accepted a connection."""
 
     connection: int
@@ -67,7 +73,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ConnectionRefused(Event):
+class ConnectionRefused(ProxyEvent):
     """An endpoint refused a connection, or could not be reached (code OTHER).
 
     `unreachable` tells that nothing answered at all.
@@ -80,7 +86,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EndpointAnswered(Event):
+class EndpointAnswered(ProxyEvent):
     """The answer to the oldest call on a connection that has none yet."""
 
     connection: int
@@ -88,7 +94,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StoreAnswered(Event):
+class StoreAnswered(ProxyEvent):
     """The store answered a call, or failed to."""
 
     call: int
@@ -96,7 +102,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PromotionAnswered(Event):
+class PromotionAnswered(ProxyEvent):
     """The platform answered an order to promote.
 
     `outdated` tells that a newer fencing token was seen, `accepted` is None when
@@ -110,5 +116,5 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SettingsChanged(Event):
+class SettingsChanged(ProxyEvent):
     """The settings file changed; what changed in it needs no restart."""
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -4,9 +4,9 @@
 
 from dataclasses import dataclass
 
+from mallowpass.core.messages import Signal
 from mallowpass.core.proxy.configuration import Configuration
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow
-from mallowpass.core.signals import Signal
 
 __all__ = [
     "ConfigurationAccepted",
--- a/mallowpass/core/proxy/statements.py
+++ b/mallowpass/core/proxy/statements.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from mallowpass.core.calls import Access, LogPosition
+from mallowpass.core.positions import Access, LogPosition
 
 __all__ = [
     "Access",
--- a/mallowpass/core/signals.py
+++ b/mallowpass/core/signals.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from mallowpass.core.messages import Signal
+
 __all__ = [
     "DatabaseAdded",
     "DatabaseChanged",
@@ -20,11 +22,6 @@
 ]
 
 
-@dataclass(frozen=True, slots=True)
-class Signal:
-    """Stand on top of all signals."""
-
-
 @dataclass(frozen=True, slots=True)
 class ServiceAccepted(Signal):
     """A newer version of a service is in force at this host."""
--- a/mallowpass/platform/callers.py
+++ b/mallowpass/platform/callers.py
@@ -6,8 +6,9 @@
 import itertools
 from collections.abc import Callable
 
-from mallowpass.core.events import Event
+from mallowpass.core.messages import Event
 from mallowpass.core.proxy.events import (
+    ProxyEvent,
     SessionClosed,
     SessionOpened,
     StatementReceived,
@@ -24,7 +25,7 @@
 FIRST_LINE_WAIT = 5.0  # seconds; callers send it at once
 BACKLOG = 512  # connections that wait to be accepted, as after a failed neighbour
 
-EventSink = Callable[[Event], None]
+EventSink = Callable[[Event | ProxyEvent], None]
 
 
 class CallerServer:
@@ -67,6 +68,13 @@
         if caller is not None:
             caller.transport.close()
 
+    def abort(self) -> None:
+        """Stop listening, and reset all connections."""
+        if self._server is not None:
+            self._server.close()
+        for caller in list(self._callers.values()):
+            caller.transport.abort()
+
     def _write(self, stream: int, data: bytes) -> None:
         caller = self._callers.get(stream)
         if caller is None:
--- a/mallowpass/platform/endpoints.py
+++ b/mallowpass/platform/endpoints.py
@@ -6,13 +6,14 @@
 from collections import deque
 from collections.abc import Callable
 
-from mallowpass.core.events import Event
+from mallowpass.core.messages import Event
 from mallowpass.core.proxy.effects import OpenConnection, SendCalls
 from mallowpass.core.proxy.events import (
     ConnectionLost,
     ConnectionReady,
     ConnectionRefused,
     EndpointAnswered,
+    ProxyEvent,
 )
 from mallowpass.core.proxy.statements import (
     Code,
@@ -28,7 +29,7 @@
 
 __all__ = ["EndpointConnections"]
 
-EventSink = Callable[[Event], None]
+EventSink = Callable[[Event | ProxyEvent], None]
 
 _STATUS_STATEMENTS = (Status, Pause, Resume, Demote)
 
--- a/mallowpass/platform/http.py
+++ b/mallowpass/platform/http.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import h11
@@ -11,7 +11,7 @@
 from mallowpass.platform.settings import Address
 from mallowpass.platform.sockets import watch_peer
 
-__all__ = ["HttpClient", "HttpError", "HttpServer", "Response"]
+__all__ = ["HttpClient", "HttpError", "HttpServer", "Request", "Response"]
 
 BODY_MAX = 16 << 20  # bytes; the store's largest answer is some 1 MB
 IDLE_MAX = 4  # connections kept for further calls
@@ -195,12 +195,14 @@
 
 # -- Server ------------------------------------------------------------------
 
+Handler = Callable[[Request], Response | Awaitable[Response]]
+
 
 @dataclass(slots=True)
 class HttpServer:
-    """Answer GET calls on fixed paths."""
+    """Answer calls on fixed paths, at once or later."""
 
-    paths: dict[str, Callable[[], Response]] = field(default_factory=dict)
+    paths: dict[str, Handler] = field(default_factory=dict)
     _server: asyncio.Server | None = None
 
     async def start(self, address: Address) -> None:
@@ -210,15 +212,23 @@
             lambda: _ServerConnection(self.paths), address.host, address.port
         )
 
+    def close(self) -> None:
+        """Stop listening; open connections stay."""
+        if self._server is not None:
+            self._server.close()
+
 
 class _ServerConnection(asyncio.Protocol):
     """Hold one caller's connection."""
 
-    __slots__ = ("_paths", "_transport", "_wire")
+    __slots__ = ("_body", "_head", "_paths", "_task", "_transport", "_wire")
 
-    def __init__(self, paths: dict[str, Callable[[], Response]]) -> None:
+    def __init__(self, paths: dict[str, Handler]) -> None:
         self._paths = paths
         self._wire = h11.Connection(h11.SERVER)
+        self._head: h11.Request | None = None
+        self._body = bytearray()
+        self._task: asyncio.Task[None] | None = None
         self._transport: asyncio.Transport = None  # type: ignore[assignment]
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -232,27 +242,56 @@
         except h11.ProtocolError:
             self._transport.close()
 
+    def connection_lost(self, error: Exception | None) -> None:
+        if self._task is not None:
+            self._task.cancel()
+
     def _read(self) -> None:
-        path = ""
         while True:
             event = self._wire.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
             if isinstance(event, h11.Request):
-                path = event.target.decode("latin-1").partition("?")[0]
-            elif isinstance(event, h11.EndOfMessage):
-                self._answer(path)
-                if self._wire.our_state is not h11.DONE:
+                self._head = event
+                self._body.clear()
+            elif isinstance(event, h11.Data):
+                self._body += event.data
+                if len(self._body) > BODY_MAX:
                     self._transport.close()
                     return
-                self._wire.start_next_cycle()
+            elif isinstance(event, h11.EndOfMessage):
+                self._handle()
             elif isinstance(event, h11.ConnectionClosed):
                 self._transport.close()
                 return
 
-    def _answer(self, path: str) -> None:
-        answer = self._paths.get(path)
-        response = Response(404) if answer is None else answer()
+    def _handle(self) -> None:
+        head = self._head
+        headers = tuple(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in head.headers
+        )
+        target = head.target.decode("latin-1")
+        method = head.method.decode("latin-1")
+        request = Request(method, target, headers, bytes(self._body))
+        handler = self._paths.get(target.partition("?")[0])
+        if handler is None:
+            self._answer(Response(404))
+            return
+        response = handler(request)
+        if isinstance(response, Response):
+            self._answer(response)
+        else:
+            loop = asyncio.get_running_loop()
+            self._task = loop.create_task(self._answer_later(response))
+
+    async def _answer_later(self, response: Awaitable[Response]) -> None:
+        answer = await response
+        self._task = None
+        self._answer(answer)
+        self._read()
+
+    def _answer(self, response: Response) -> None:
         headers = [("Content-Length", str(len(response.body)))]
         data = self._wire.send(
             h11.Response(status_code=response.status, headers=headers)
@@ -261,3 +300,7 @@
             data += self._wire.send(h11.Data(data=response.body))
         data += self._wire.send(h11.EndOfMessage())
         self._transport.write(data)
+        if self._wire.our_state is h11.DONE:
+            self._wire.start_next_cycle()
+        else:
+            self._transport.close()
--- a/mallowpass/platform/logs.py
+++ b/mallowpass/platform/logs.py
@@ -25,8 +25,8 @@
 
     __slots__ = ("_allowance", "_dropped", "_file", "_refilled_at", "_unwritten")
 
-    def __init__(self) -> None:
-        self._file = sys.stdout.fileno()
+    def __init__(self, file: int | None = None) -> None:
+        self._file = sys.stdout.fileno() if file is None else file
         os.set_blocking(self._file, False)
         self._allowance = BURST_MAX
         self._refilled_at = time.monotonic()
--- a/mallowpass/platform/metrics.py
+++ b/mallowpass/platform/metrics.py
@@ -4,7 +4,7 @@
 
 from bisect import bisect_left
 
-from mallowpass.core.effects import Count, Observe
+from mallowpass.core.messages import Count, Observe
 from mallowpass.core.proxy.tables import ProxyTables
 
 __all__ = ["Metrics"]
--- a/mallowpass/platform/runtime.py
+++ b/mallowpass/platform/runtime.py
@@ -8,12 +8,12 @@
 import time
 from functools import singledispatchmethod
 
-from mallowpass.core.effects import Effect
-from mallowpass.core.events import Event
+from mallowpass.core.messages import Effect, Event
 from mallowpass.core.node import FailureDomain, HostIdentity, Node, Tuning
 from mallowpass.core.proxy import effects
 from mallowpass.core.proxy.events import (
     PromotionAnswered,
+    ProxyEvent,
     SettingsChanged,
     ShutdownRequested,
     StoreAnswered,
@@ -22,7 +22,7 @@
 from mallowpass.core.proxy.tables import ProxyTables
 from mallowpass.platform.callers import CallerServer
 from mallowpass.platform.endpoints import EndpointConnections
-from mallowpass.platform.http import HttpServer, Response
+from mallowpass.platform.http import HttpServer, Request, Response
 from mallowpass.platform.logs import LogWriter
 from mallowpass.platform.metrics import Metrics
 from mallowpass.platform.orders import OrderClient
@@ -50,6 +50,7 @@
     """Own the sockets of one host, and its core."""
 
     __slots__ = (
+        "_aborted",
         "_callers",
         "_endpoints",
         "_http",
@@ -71,6 +72,7 @@
         self._log = log
         self._metrics = Metrics()
         self._ready = False
+        self._aborted = False
         self._timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopped = asyncio.Event()
@@ -88,11 +90,16 @@
         self._metrics_http = HttpServer({METRICS_PATH: self._answer_metrics})
 
     async def run(self) -> None:
-        """Serve until told to stop."""
+        """Serve until a signal says to stop."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._on_stop_signal)
+            loop.add_signal_handler(number, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self._on_reload_signal)
+        await self.start()
+        await self._stopped.wait()
+
+    async def start(self) -> None:
+        """Listen, and start the core."""
         await self._http.start(self._settings.ready)
         await self._metrics_http.start(Address(self._settings.ready.host, METRICS_PORT))
         await self._callers.start(self._settings.callers)
@@ -106,19 +113,40 @@
             ),
         )
         self._carry_out(self._node.start(SYSTEMS))
-        await self._stopped.wait()
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether this host wants new connections of callers."""
+        return self._ready
+
+    def stop(self) -> None:
+        """Begin to stop: what is in flight is finished first."""
+        self.handle(ShutdownRequested(self._settings.grace))
+
+    def abort(self) -> None:
+        """End at once, as when the process is killed."""
+        self._aborted = True
+        self._http.close()
+        self._metrics_http.close()
+        self._callers.abort()
+        for task in self._tasks:
+            task.cancel()
 
     # -- Driving the core ----------------------------------------------------
 
-    def handle(self, event: Event) -> None:
+    def handle(self, event: Event | ProxyEvent) -> None:
         """Pass an event to the core, and carry out what follows from it."""
+        if self._aborted:
+            return
         self._carry_out(self._node.handle(host_clock(), event))
 
     def _wake(self) -> None:
         self._timer = None
+        if self._aborted:
+            return
         self._carry_out(self._node.wake(host_clock()))
 
-    def _carry_out(self, todo: list[Effect]) -> None:
+    def _carry_out(self, todo: list[Effect | effects.ProxyEffect]) -> None:
         for effect in todo:
             self._apply(effect)
         due = self._node.next_wake
@@ -135,7 +163,7 @@
         task.add_done_callback(self._tasks.discard)
 
     @singledispatchmethod
-    def _apply(self, effect: Effect) -> None:
+    def _apply(self, effect: Effect | effects.ProxyEffect) -> None:
         raise TypeError(f"no adapter for {type(effect).__name__}")
 
     @_apply.register
@@ -207,17 +235,14 @@
 
     # -- Signals and HTTP ----------------------------------------------------
 
-    def _on_stop_signal(self) -> None:
-        self.handle(ShutdownRequested(self._settings.grace))
-
     def _on_reload_signal(self) -> None:
         self._log.write("info", "reload", (("host", self._settings.name),))
         self.handle(SettingsChanged())
 
-    def _answer_ready(self) -> Response:
+    def _answer_ready(self, request: Request) -> Response:
         return Response(200 if self._ready else 503)
 
-    def _answer_metrics(self) -> Response:
+    def _answer_metrics(self, request: Request) -> Response:
         return Response(200, self._metrics.text(self._node.tables))
 
     def _warn(self, message: str) -> None:
--- a/mallowpass/platform/wire.py
+++ b/mallowpass/platform/wire.py
@@ -277,6 +277,11 @@
     return f"EXEC {statement.name} {statement.text}"
 
 
+@_render.register
+def _(statement: Deallocate) -> str:
+    return f"DEALLOC {statement.name}"
+
+
 @_render.register
 def _(statement: Reset) -> str:
     return "RESET"
--- /dev/null
+++ b/mallowpass/standins/proxied/httpserver.py
@@ -0,0 +1,205 @@
+"""The row store and the taking of orders over HTTP, as the platform serves them."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import parse_qs
+
+from mallowpass.core.proxy.configuration import Configuration
+from mallowpass.core.proxy.storage import (
+    ChangeRows,
+    EndpointEntry,
+    ListRows,
+    Row,
+    RowKey,
+    StoreCall,
+    StoreReply,
+    StoreStatus,
+    Table,
+    WatchRows,
+)
+from mallowpass.platform.http import HttpServer, Request, Response
+from mallowpass.platform.settings import Address
+from mallowpass.standins.proxied.replicas import Group
+from mallowpass.standins.proxied.rows import RowStore
+
+__all__ = ["OrderServer", "StoreServer"]
+
+_TABLE_NAMES = {
+    "op": Table.CONFIGURATION,
+    "servers": Table.ENDPOINTS,
+    "mallowpass-hosts": Table.HOSTS,
+    "mallowpass-suspicions": Table.SUSPICIONS,
+    "mallowpass-claims": Table.CLAIMS,
+}
+_NAMES = {table: name for name, table in _TABLE_NAMES.items()}
+_STATUSES = {
+    StoreStatus.DONE: 200,
+    StoreStatus.CONFLICT: 412,
+    StoreStatus.HISTORY_GONE: 410,
+    StoreStatus.REFUSED: 503,
+}
+
+
+class StoreServer:
+    """Serve a row store."""
+
+    def __init__(self, store: RowStore) -> None:
+        self._store = store
+        self._http = HttpServer(
+            {
+                "/v1/rows-get": self._get,
+                "/v1/rows-feed": self._feed,
+                "/v1/rows-tx": self._change,
+            }
+        )
+
+    async def start(self, address: Address) -> None:
+        """Listen."""
+        await self._http.start(address)
+
+    async def _get(self, request: Request) -> Response:
+        query = _query(request)
+        table = _TABLE_NAMES[query["table"]]
+        return await self._call(ListRows(table, query.get("part", "")))
+
+    async def _feed(self, request: Request) -> Response:
+        query = _query(request)
+        table = _TABLE_NAMES[query["table"]]
+        wait = int(query["waitMs"]) / 1000.0
+        return await self._call(WatchRows(table, int(query["after"]), wait))
+
+    async def _change(self, request: Request) -> Response:
+        body = json.loads(request.body)
+        call = ChangeRows(
+            tuple((_key(item), item["ver"]) for item in body["expected"]),
+            tuple(
+                (_key(item), base64.b64decode(item["value"]).decode())
+                for item in body["puts"]
+            ),
+            tuple(_key(item) for item in body["deletes"]),
+        )
+        return await self._call(call)
+
+    async def _call(self, call: StoreCall) -> Response:
+        answer: asyncio.Future[StoreReply] = asyncio.get_running_loop().create_future()
+
+        def on_reply(reply: StoreReply) -> None:
+            if not answer.done():
+                answer.set_result(reply)
+
+        self._store.call("", call, on_reply)
+        reply = await answer
+        body = {
+            "rows": [_row(row) for row in reply.rows],
+            "ver": reply.version,
+            "nowMs": int(1000 * reply.time),
+            "hasMore": False,
+        }
+        return Response(_STATUSES[reply.status], json.dumps(body).encode())
+
+
+class OrderServer:
+    """Take orders to promote, if their fencing token is not outdated."""
+
+    def __init__(self, groups: dict[str, Group]) -> None:
+        self._groups = groups
+        self._tokens: dict[str, int] = {}
+        self._http = HttpServer({"/promote": self._promote})
+
+    async def start(self, address: Address) -> None:
+        """Listen."""
+        await self._http.start(address)
+
+    def _promote(self, request: Request) -> Response:
+        headers = dict(request.headers)
+        body = json.loads(request.body)
+        service = body["service"]
+        token = int(headers["mallowpass-fencing-token"])
+        if token < self._tokens.get(service, 0):
+            return Response(409)
+        self._tokens[service] = token
+        taken = self._groups[service].promote(body["id"])
+        return Response(200 if taken else 409)
+
+
+def _query(request: Request) -> dict[str, str]:
+    query = parse_qs(request.target.partition("?")[2], keep_blank_values=True)
+    return {name: values[0] for name, values in query.items()}
+
+
+def _key(item: dict[str, Any]) -> RowKey:
+    return RowKey(_TABLE_NAMES[item["table"]], item.get("part", ""), item["key"])
+
+
+def _row(row: Row) -> dict[str, Any]:
+    fields = {
+        "table": _NAMES[row.key.table],
+        "part": row.key.part,
+        "key": row.key.key,
+        "ver": row.version,
+    }
+    if row.value is None:
+        return fields | {"removed": True}
+    data = _ENCODERS[type(row.value)](row.value)
+    return fields | {"value": base64.b64encode(data).decode()}
+
+
+def _encode_configuration(value: Configuration) -> bytes:
+    consistency = {
+        "primary": "primary",
+        "bounded": "bounded_staleness",
+        "own-writes": "read_your_writes",
+    }
+    routes = [
+        {
+            "name": route.database,
+            "host": route.database,
+            "routeType": consistency[route.consistency.value],
+            "timeoutMs": int(1000 * route.statement_timeout),
+            "goalMs": int(1000 * route.objective),
+            "priority": route.priority,
+            "service": route.service,
+            "maxStalenessMs": int(1000 * route.accepted_age),
+        }
+        for route in value.routes.values()
+    ]
+    services = [
+        {
+            "name": service.name,
+            "maxConns": service.connections,
+            "syncReplicas": service.synchronous,
+        }
+        for service in value.services.values()
+    ]
+    limits = {"txIdleMs": int(1000 * value.transaction_idle)}
+    document = {
+        "version": value.version,
+        "routes": routes,
+        "services": services,
+        "limits": limits,
+    }
+    return json.dumps(document).encode()
+
+
+def _encode_entry(value: EndpointEntry) -> bytes:
+    document = {
+        "service": value.service,
+        "address": value.address,
+        "zone": value.failure_domain,
+        "slots": value.slots,
+        "state": "draining" if value.draining else "ready",
+        "dbRole": "primary" if value.is_primary else "replica",
+    }
+    return json.dumps(document).encode()
+
+
+_ENCODERS: dict[type, Callable[[Any], bytes]] = {
+    Configuration: _encode_configuration,
+    EndpointEntry: _encode_entry,
+    str: str.encode,
+}
--- /dev/null
+++ b/mallowpass/standins/proxied/platform.py
@@ -0,0 +1,157 @@
+"""The whole platform on loopback: store, orders and groups, and hosts in front."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import Any
+
+from mallowpass.core.proxy.configuration import (
+    Configuration,
+    Consistency,
+    Route,
+    ServiceLimits,
+)
+from mallowpass.core.proxy.storage import EndpointEntry, RowKey, Table
+from mallowpass.core.timers import TimerService
+from mallowpass.platform.runtime import HostRuntime
+from mallowpass.platform.settings import Address, HostSettings
+from mallowpass.standins.proxied.httpserver import OrderServer, StoreServer
+from mallowpass.standins.proxied.replicas import Group, Replica
+from mallowpass.standins.proxied.rows import RowStore
+from mallowpass.standins.proxied.wireserver import ReplicaServer
+
+__all__ = ["CONFIGURATION_KEY", "LocalPlatform", "MemoryLog", "claims_configuration"]
+
+TICK = 0.002  # seconds between looks at what is due in the stand-ins
+CONFIGURATION_KEY = RowKey(Table.CONFIGURATION, "", "config")
+DOMAINS = ("casa-ainsebaa", "tanger-ksar", "agadir-anza")
+STORE_PORT, ORDERS_PORT, REPLICA_PORT = 8783, 8784, 8080
+CALLERS_PORT, READY_PORT = 8785, 8786
+GRACE = 2.0
+
+
+def claims_configuration(version: int, service: str) -> Configuration:
+    """Return a configuration with a route of each kind, as the claims desk has."""
+    kinds = {
+        "claim-filing": Consistency.PRIMARY,
+        "tariff-lookup": Consistency.BOUNDED,
+        "status-sync": Consistency.OWN_WRITES,
+    }
+    routes = {
+        name: Route(name, service, kind, 0.8, 0.4, 1, accepted_age=1.5)
+        for name, kind in kinds.items()
+    }
+    return Configuration(version, routes, {service: ServiceLimits(service, 22, 1)})
+
+
+class MemoryLog:
+    """Keep log lines, for whoever runs hosts within a process of its own."""
+
+    def __init__(self) -> None:
+        self.lines: list[tuple[str, dict[str, Any]]] = []
+
+    def write(
+        self, level: str, event: str, fields: tuple[tuple[str, Any], ...]
+    ) -> None:
+        """Keep a line."""
+        self.lines.append((event, dict(fields)))
+
+    def fields(self, event: str) -> list[dict[str, Any]]:
+        """Return the fields of all lines of one event."""
+        return [fields for name, fields in self.lines if name == event]
+
+
+class LocalPlatform:
+    """Run the stand-ins over sockets of the loopback range, in one event loop."""
+
+    def __init__(self, service: str = "claims-core", seed: int | None = None) -> None:
+        self._net = random.Random(seed if seed is not None else time.time_ns())
+        self._prefix = f"127.{self._net.randrange(64, 250)}.{self._net.randrange(250)}"
+        self._timers = TimerService(time.monotonic())
+        self._tick: asyncio.Task[None] | None = None
+        self.store = RowStore(self._timers)
+        names = [f"db-{domain}" for domain in DOMAINS]
+        self.group = Group(service, names, self._timers)
+        self.group.on_role = self.enter
+        self.servers: dict[str, ReplicaServer] = {}
+        self.hosts: list[HostRuntime] = []
+        self.logs: list[MemoryLog] = []
+        for number, name in enumerate(names):
+            address = Address(f"{self._prefix}.{100 + number}", REPLICA_PORT)
+            self.servers[name] = ReplicaServer(self.group, name, address)
+        configuration = claims_configuration(1, service)
+        self.store.put(CONFIGURATION_KEY, configuration)
+
+    async def start(self, hosts: int = 2) -> None:
+        """Start the stand-ins, then hosts in front of them."""
+        self._tick = asyncio.get_running_loop().create_task(self._run_timers())
+        await StoreServer(self.store).start(self._address(1, STORE_PORT))
+        orders = OrderServer({self.group.service: self.group})
+        await orders.start(self._address(1, ORDERS_PORT))
+        for server in self.servers.values():
+            await server.start()
+        for replica in self.group.replicas.values():
+            self.enter(replica)
+        for number in range(hosts):
+            await self._start_host(number)
+
+    async def _start_host(self, number: int) -> None:
+        domain = DOMAINS[number % len(DOMAINS)]
+        settings = HostSettings(
+            name=f"{domain}-{number}",
+            failure_domain=domain,
+            regions={name: name for name in DOMAINS},
+            callers=self.callers_address(number),
+            ready=self._address(10 + number, READY_PORT),
+            store=self._address(1, STORE_PORT),
+            orders=self._address(1, ORDERS_PORT),
+            grace=GRACE,
+        )
+        log = MemoryLog()
+        host = HostRuntime(settings, log)
+        self.logs.append(log)
+        self.hosts.append(host)
+        await host.start()
+
+    def callers_address(self, number: int) -> Address:
+        """Return where a host listens for callers."""
+        return self._address(10 + number, CALLERS_PORT)
+
+    def stop(self) -> None:
+        """End the hosts and the stand-ins at once."""
+        for host in self.hosts:
+            host.abort()
+        if self._tick is not None:
+            self._tick.cancel()
+        for server in self.servers.values():
+            server.stop()
+
+    def enter(self, replica: Replica, draining: bool = False) -> None:
+        """Write a member's entry, as it does itself."""
+        server = self.servers[replica.name]
+        entry = EndpointEntry(
+            name=replica.name,
+            service=self.group.service,
+            address=str(server.address),
+            failure_domain=replica.name.removeprefix("db-"),
+            slots=self.group.slots,
+            draining=draining,
+            is_primary=replica.is_primary,
+        )
+        self.store.put(RowKey(Table.ENDPOINTS, "", replica.name), entry)
+
+    def crash(self, name: str) -> None:
+        """End a member: its connections are reset, nobody listens any more."""
+        self.servers[name].stop()
+        self.group.crash(name)
+
+    def _address(self, number: int, port: int) -> Address:
+        return Address(f"{self._prefix}.{number}", port)
+
+    async def _run_timers(self) -> None:
+        while True:
+            self._timers.advance(time.monotonic())
+            self._timers.run_due()
+            await asyncio.sleep(TICK)
--- a/tests/fakes/proxyworld.py
+++ b/tests/fakes/proxyworld.py
@@ -7,8 +7,7 @@
 from functools import partial, singledispatchmethod
 from typing import Any
 
-from mallowpass.core.effects import Effect
-from mallowpass.core.events import Event, ShutdownRequested
+from mallowpass.core.messages import Effect, Event, ShutdownRequested
 from mallowpass.core.node import FailureDomain, HostIdentity, Node, Tuning
 from mallowpass.core.proxy import effects
 from mallowpass.core.proxy.configuration import (
@@ -23,6 +22,7 @@
     ConnectionRefused,
     EndpointAnswered,
     PromotionAnswered,
+    ProxyEvent,
     SessionClosed,
     SessionOpened,
     StatementReceived,
@@ -140,12 +140,12 @@
         """Return the fields of all log lines of one event."""
         return [dict(log.fields) for log in self.logs if log.event == event]
 
-    def deliver(self, event: Event) -> None:
+    def deliver(self, event: Event | ProxyEvent) -> None:
         """Deliver an event now."""
         if not self.exited:
             self._carry_out(self.node.handle(self.world.timers.now, event))
 
-    def later(self, delay: float, event: Event) -> None:
+    def later(self, delay: float, event: Event | ProxyEvent) -> None:
         """Deliver an event after a delay."""
         self.world.timers.after(delay, self.deliver, event)
 
@@ -159,7 +159,7 @@
             if not self.exited:
                 self._carry_out(self.node.wake(self.world.timers.now))
 
-    def _carry_out(self, todo: list[Effect]) -> None:
+    def _carry_out(self, todo: list[Effect | effects.ProxyEffect]) -> None:
         for effect in todo:
             self._apply(effect)
         due = self.node.next_wake
@@ -168,7 +168,7 @@
             self.world.timers.at(due, self._wake, due)
 
     @singledispatchmethod
-    def _apply(self, effect: Effect) -> None:
+    def _apply(self, effect: Effect | effects.ProxyEffect) -> None:
         raise TypeError(f"not handled: {type(effect).__name__}")
 
     @_apply.register
--- /dev/null
+++ b/tests/platform/test_local.py
@@ -0,0 +1,113 @@
+"""The whole path over sockets: callers, hosts, replicas, store and orders."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from functools import wraps
+
+import pytest
+
+from mallowpass.standins.proxied.caller import CallerError, WireCaller
+from mallowpass.standins.proxied.platform import (
+    CONFIGURATION_KEY,
+    LocalPlatform,
+    claims_configuration,
+)
+
+LIMIT = 20.0  # seconds for one test
+
+
+def on_platform(test: Callable[[LocalPlatform], Awaitable[None]]) -> Callable[[], None]:
+    """Run a test on two hosts in front of the stand-ins."""
+
+    @wraps(test)
+    def run() -> None:
+        asyncio.run(_run(test))
+
+    del run.__wrapped__  # pytest would take its parameter for a fixture
+    return run
+
+
+async def _run(test: Callable[[LocalPlatform], Awaitable[None]]) -> None:
+    platform = LocalPlatform()
+    async with asyncio.timeout(LIMIT):
+        await platform.start()
+        try:
+            while not all(host.ready for host in platform.hosts):
+                await asyncio.sleep(0.01)
+            await test(platform)
+        finally:
+            platform.stop()
+
+
+@on_platform
+async def test_statements_of_a_session(platform):
+    caller = await WireCaller.connect(platform.callers_address(0), "status-sync")
+    written = await caller.run("WRITE a 1")
+    assert (written.code, written.text, written.state) == (
+        "DONE",
+        "db-casa-ainsebaa",
+        "I",
+    )
+    assert (await caller.run("READ a")).rows == ("1",)
+    assert (await caller.run("SET role clerk")).code == "DONE"
+    assert (await caller.run("PREPARE s1 WRITE q1")).code == "DONE"
+    assert (await caller.run("EXEC s1 a 2 b")).code == "DONE"
+    assert (await caller.run("BEGIN READ")).state == "T"
+    assert (await caller.run("READ a")).rows == ("2 b",)
+    assert (await caller.run("COMMIT")).state == "I"
+    await caller.close()
+
+
+@on_platform
+async def test_unknown_database(platform):
+    with pytest.raises(CallerError, match="ERR NODB"):
+        await WireCaller.connect(platform.callers_address(0), "nowhere")
+
+
+@on_platform
+async def test_statement_that_can_not_be_read(platform):
+    caller = await WireCaller.connect(platform.callers_address(0), "status-sync")
+    for text in ("AFTER 1.1 READ a", "STATUS", "READ", "WRITE a", "FLY"):
+        assert (await caller.run(text)).code == "MALFORMED"
+    assert (await caller.run("READ a")).code == "DONE"
+
+
+@on_platform
+async def test_new_route_is_in_force_at_once(platform):
+    configuration = claims_configuration(2, "claims-core")
+    routes = dict(configuration.routes)
+    routes["new"] = replace(routes["status-sync"], database="new")
+    platform.store.put(CONFIGURATION_KEY, replace(configuration, routes=routes))
+    await asyncio.sleep(0.3)
+    caller = await WireCaller.connect(platform.callers_address(1), "new")
+    assert (await caller.run("READ a")).code == "DONE"
+
+
+@on_platform
+async def test_primary_that_ends_is_replaced(platform):
+    caller = await WireCaller.connect(platform.callers_address(0), "status-sync")
+    other = await WireCaller.connect(platform.callers_address(1), "claim-filing")
+    for number in range(10):
+        assert (await caller.run(f"WRITE a {number}")).code == "DONE"
+    platform.crash("db-casa-ainsebaa")
+    began = time.monotonic()
+    while (await other.run("WRITE b 1")).code != "DONE":
+        assert time.monotonic() - began < 8.0
+    assert (await caller.run("READ a")).rows == ("9",)
+    assert platform.group.lost == []
+
+
+@on_platform
+async def test_stopping_host_finishes_its_transactions(platform):
+    caller = await WireCaller.connect(platform.callers_address(0), "status-sync")
+    await caller.run("BEGIN")
+    await caller.run("WRITE a 1")
+    platform.hosts[0].stop()
+    assert not platform.hosts[0].ready
+    assert (await caller.run("COMMIT")).code == "DONE"
+    with pytest.raises(CallerError):
+        await caller.run("READ a")
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,69 @@
+"""The settings file that the platform writes, and the deploy file."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from mallowpass.platform.runtime import METRICS_PATH, METRICS_PORT
+from mallowpass.platform.settings import Address, SettingsError, load_settings
+
+TEXT = """
+nodeName = "edge-casa-1"
+zone = "casa"
+unknownField = 7
+[zones]
+casa = "casablanca"
+[listen]
+front = "10.1.0.8:8784"
+ready = "10.1.0.8:8785"
+[bounds]
+graceS = 6
+[platform]
+address = "10.200.1.7:8783"
+[cloud]
+address = "10.200.0.160:8783"
+"""
+
+
+def _load(tmp_path: Path, text: str):
+    path = tmp_path / "local.toml"
+    path.write_text(text)
+    return load_settings(path)
+
+
+def test_settings(tmp_path):
+    settings = _load(tmp_path, TEXT)
+    assert settings.name == "edge-casa-1"
+    assert settings.callers == Address("10.1.0.8", 8784)
+    assert settings.orders == Address("10.200.0.160", 8783)
+    assert settings.grace == 6.0
+
+
+def test_all_findings_are_told(tmp_path):
+    text = TEXT.replace('zone = "casa"', "")
+    text = text.replace(":8784", "").replace("graceS = 6", "graceS = 0")
+    with pytest.raises(SettingsError) as caught:
+        _load(tmp_path, text)
+    for key in ("zone", "listen.front", "bounds.graceS"):
+        assert key in str(caught.value)
+
+
+@pytest.mark.parametrize("text", ["", "= 3", "nodeName = 3"])
+def test_no_settings(tmp_path, text):
+    with pytest.raises(SettingsError):
+        _load(tmp_path, text)
+
+
+def test_missing_file(tmp_path):
+    with pytest.raises(SettingsError):
+        load_settings(tmp_path / "none.toml")
+
+
+def test_deploy_file_names_the_metrics_address():
+    deploy = Path(__file__).parents[2] / "deploy" / "system.toml"
+    roles = tomllib.loads(deploy.read_text())["roles"]
+    (role,) = roles.values()
+    assert role["metrics"] == f"{METRICS_PORT}{METRICS_PATH}"
--- /dev/null
+++ b/tests/platform/test_wire.py
@@ -0,0 +1,133 @@
+"""Lines of the wire protocol: what is read, what is refused, what is written."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mallowpass.core.positions import Access, LogPosition
+from mallowpass.core.proxy.statements import (
+    Answer,
+    Begin,
+    Code,
+    Commit,
+    Deallocate,
+    Demote,
+    EndpointCall,
+    Execute,
+    Pause,
+    Prepare,
+    Read,
+    Reset,
+    Resume,
+    Rollback,
+    SessionState,
+    SetValue,
+    Status,
+    Write,
+)
+from mallowpass.platform import wire
+
+STATEMENTS = {
+    "BEGIN": Begin(),
+    "BEGIN READ": Begin(read_only=True),
+    "COMMIT": Commit(),
+    "ROLLBACK": Rollback(),
+    "READ 1a4": Read("1a4"),
+    "WRITE 1a4 some  data ": Write("1a4 some  data "),
+    "SET role a b": SetValue("role", "a b"),
+    "PREPARE s1 WRITE q2c": Prepare("s1", Access.WRITE, "q2c"),
+    "PREPARE s1 READ q2c": Prepare("s1", Access.READ, "q2c"),
+    "EXEC s1 1a4 xk": Execute("s1", "1a4 xk"),
+    "EXEC s1 1a4": Execute("s1", "1a4"),
+    "DEALLOC s1": Deallocate("s1"),
+}
+NO_STATEMENTS = (
+    "",
+    "READ",
+    "READ ",
+    "READ a b",
+    "WRITE a",
+    "WRITE  b",
+    "BEGIN WRITE",
+    "COMMIT now",
+    "AFTER 3.1 READ a",
+    "STATUS",
+    "PAUSE 4",
+    "RESET",
+    "PREPARE s1 DROP q",
+    "EXEC s1",
+    "SET a",
+    "DEALLOC a b",
+    "read a",
+)
+
+
+@pytest.mark.parametrize("text", STATEMENTS)
+def test_statement_is_read_and_rendered_unchanged(text):
+    statement = wire.parse_statement(text)
+    assert statement == STATEMENTS[text]
+    rendered = wire.render_call(EndpointCall(statement, "id1"))
+    assert rendered == wire.encode(f"QUERY id1 {text}\r\n")
+
+
+@pytest.mark.parametrize("text", NO_STATEMENTS)
+def test_what_callers_may_not_send(text):
+    assert wire.parse_statement(text) is None
+
+
+def test_own_calls():
+    def line(statement, minimum=None):
+        return wire.render_call(EndpointCall(statement, minimum=minimum))
+
+    assert line(Reset()) == b"QUERY - RESET\r\n"
+    assert line(Status()) == b"QUERY - STATUS\r\n"
+    assert line(Pause(4)) == b"QUERY - PAUSE 4\r\n"
+    assert line(Demote(4)) == b"QUERY - DEMOTE 4\r\n"
+    assert line(Resume()) == b"QUERY - RESUME\r\n"
+    floor = LogPosition(3, 1207)
+    assert line(Begin(True), floor) == b"QUERY - AFTER 3.1207 BEGIN READ\r\n"
+
+
+def test_answers():
+    done = Answer(Code.DONE, SessionState.IN_TRANSACTION, (b"a b", b""), "7.1f")
+    assert wire.render_answer(done) == b"ROW a b\r\nROW \r\nDONE 7.1f\r\nREADY T -\r\n"
+    refused = Answer(Code.BEHIND, SessionState.IDLE, message="no\r\nREADY I -")
+    line = b"ERR LAGGING no READY I -\r\nREADY I -\r\n"
+    assert wire.render_answer(refused) == line
+
+
+@given(st.binary(max_size=200))
+def test_text_is_kept_byte_for_byte(data):
+    assert wire.encode(wire.decode(data)) == data
+
+
+@given(st.lists(st.binary(max_size=20).filter(lambda b: not set(b) & {10, 13})))
+def test_lines_come_whole_however_they_are_cut(lines):
+    data = b"".join(line + b"\r\n" for line in lines)
+    buffer = wire.LineBuffer()
+    found = []
+    for index in range(len(data)):
+        found += buffer.feed(data[index : index + 1])
+    assert found == lines
+
+
+@pytest.mark.parametrize("data", [b"READ\n", b"a\rb\r\n", b"x" * (wire.LINE_MAX + 1)])
+def test_lines_that_are_refused(data):
+    with pytest.raises(wire.WireError):
+        wire.LineBuffer().feed(data)
+
+
+def test_status():
+    status = wire.parse_status(b"replica 3 3.1209 0 12 2 17")
+    assert (status.is_primary, status.term, status.received) == (False, 3, (3, 1209))
+    assert (status.lag, status.busy, status.connections) == (0.012, 2, 17)
+    with pytest.raises(wire.WireError):
+        wire.parse_status(b"replica 3")
+
+
+@pytest.mark.parametrize("word", ["", "3", "3.", ".4", "a.b", "3.-1"])
+def test_no_position(word):
+    with pytest.raises(wire.WireError):
+        wire.parse_position(word)
