--- a/mallowpass/core/proxy/draining.py
+++ b/mallowpass/core/proxy/draining.py
@@ -4,7 +4,7 @@
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.connections import Connections
-from mallowpass.core.proxy.effects import Exit, SetReady
+from mallowpass.core.proxy.effects import Exit, SetReady, StopAccepting
 from mallowpass.core.proxy.events import ShutdownRequested
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.sessions import Sessions
@@ -30,6 +30,7 @@
 
     __slots__ = (
         "_began_at",
+        "_closed",
         "_connections",
         "_limit",
         "_members",
@@ -40,6 +41,7 @@
     def __init__(self, node: Node) -> None:
         super().__init__(node)
         self._ready = False
+        self._closed = False  # to new callers
         self._began_at: float | None = None
         self._limit = 0.0
 
@@ -98,7 +100,6 @@
         )
         self._node.emit(SetReady(False))
         self._node.publish(DrainBegan())
-        self._sessions.close_idle()
         half = TRANSACTION_SHARE * event.limit
         why = "the host is stopping"
         self.timers.after(half, self._sessions.abort_transactions, why)
@@ -109,6 +110,10 @@
         if waited >= self._limit - EXIT_MARGIN:
             self._end("the grace period is over")
         elif waited >= NOTICE_TIME:
+            if not self._closed:
+                # Callers that still come are better served by any other host.
+                self._closed = True
+                self._node.emit(StopAccepting())
             self._sessions.close_idle()
             if not self.tables.sessions:
                 self._end("all sessions have ended")
--- a/mallowpass/core/proxy/effects.py
+++ b/mallowpass/core/proxy/effects.py
@@ -30,6 +30,7 @@
     "RefuseSession",
     "SendCalls",
     "SetReady",
+    "StopAccepting",
 ]
 
 
@@ -65,6 +66,11 @@
     answer: Answer
 
 
+@dataclass(frozen=True, slots=True)
+class StopAccepting(ProxyEffect):
+    """Take no new connections of callers any more."""
+
+
 @dataclass(frozen=True, slots=True)
 class CloseSession(ProxyEffect):
     """Close a caller's connection after the answers sent on it."""
--- a/mallowpass/core/proxy/sessions.py
+++ b/mallowpass/core/proxy/sessions.py
@@ -21,7 +21,7 @@
     StatementReceived,
 )
 from mallowpass.core.proxy.requests import Requests
-from mallowpass.core.proxy.signals import ConfigurationAccepted, DrainBegan
+from mallowpass.core.proxy.signals import ConfigurationAccepted
 from mallowpass.core.proxy.statements import (
     Access,
     Answer,
@@ -53,17 +53,21 @@
 # Statements that a session may have sent ahead of their answers.
 PIPELINE_MAX = 64
 
+# A host that stops closes sessions that were quiet for so long. One that has just
+# opened, or set a value, is about to send the statement that this was for: closed
+# then, its caller would lose an operation that it had begun.
+QUIET = 0.3  # seconds
+
 _ENDING = (Commit, Rollback)
 
 
 class Sessions(ProxySystem):
     """Own the sessions of callers."""
 
-    __slots__ = ("_draining", "_early", "_requests")
+    __slots__ = ("_early", "_requests")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
-        self._draining = False
         self._early: dict[int, SessionOpened] = {}  # before any configuration came
 
     def start(self) -> None:
@@ -74,7 +78,6 @@
         node.subscribe(SessionClosed, self._on_closed)
         node.subscribe(StatementReceived, self._on_received)
         node.subscribe(ConfigurationAccepted, self._on_configuration)
-        node.subscribe(DrainBegan, self._on_drain)
 
     # -- Opening and closing -------------------------------------------------
 
@@ -94,7 +97,7 @@
             message = f"no database {event.database!r}"
             self._node.emit(RefuseSession(event.stream, Code.UNKNOWN_DATABASE, message))
         else:
-            session = SessionRow(event.stream, event.database)
+            session = SessionRow(event.stream, event.database, touched_at=self.now)
             self.tables.sessions[event.stream] = session
             self._node.emit(AcceptSession(event.stream))
 
@@ -126,9 +129,6 @@
         if transaction is not None and transaction.idle_timer is not None:
             transaction.idle_timer.cancel()
 
-    def _on_drain(self, signal: DrainBegan) -> None:
-        self._draining = True
-
     def close_idle(self) -> None:
         """Close all sessions that are between two operations."""
         for session in list(self.tables.sessions.values()):
@@ -142,9 +142,9 @@
                 self.transaction_lost(session, why)
 
     def _close_if_idle(self, session: SessionRow) -> None:
-        if session.state is SessionState.IDLE and not (
-            session.request or session.received
-        ):
+        quiet = self.now - session.touched_at
+        busy = session.request is not None or bool(session.received)
+        if session.state is SessionState.IDLE and quiet >= QUIET and not busy:
             self.tables.sessions.pop(session.stream, None)
             session.closed = True
             self._node.emit(CloseSession(session.stream))
@@ -158,6 +158,7 @@
         if len(session.received) >= PIPELINE_MAX:
             self._node.emit(CloseSession(event.stream))
             return
+        session.touched_at = self.now
         session.received.append((event.request_id, event.statement))
         if session.request is None:
             self._run_next(session)
@@ -165,6 +166,7 @@
     def answered(self, session: SessionRow, state: SessionState) -> None:
         """Go on after a statement's answer has left."""
         session.state = state
+        session.touched_at = self.now
         if state is SessionState.IDLE:
             self._end(session)
         elif session.transaction is not None:
@@ -179,8 +181,6 @@
                 transaction.idle_timer.cancel()
                 transaction.idle_timer = None
             self._run(session, request_id, statement)
-        if self._draining and session.request is None and not session.closed:
-            self._close_if_idle(session)
 
     def _run(
         self, session: SessionRow, request_id: str, statement: Statement | None
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -189,6 +189,7 @@
     received: deque[tuple[str, Statement | None]] = field(default_factory=deque)
     request: RequestRow | None = None  # the statement that is being run
     closed: bool = False
+    touched_at: float = 0.0  # when its caller last sent something, or was answered
 
 
 @dataclass(slots=True)
--- a/mallowpass/platform/callers.py
+++ b/mallowpass/platform/callers.py
@@ -68,10 +68,20 @@
         if caller is not None:
             caller.transport.close()
 
-    def abort(self) -> None:
-        """Stop listening, and reset all connections."""
+    def stop_accepting(self) -> None:
+        """Stop listening; open connections stay."""
         if self._server is not None:
             self._server.close()
+
+    def close_all(self) -> None:
+        """Close all connections once what was written has left."""
+        self.stop_accepting()
+        for stream in list(self._callers):
+            self.close(stream)
+
+    def abort(self) -> None:
+        """Stop listening, and reset all connections."""
+        self.stop_accepting()
         for caller in list(self._callers.values()):
             caller.transport.abort()
 
--- a/mallowpass/platform/runtime.py
+++ b/mallowpass/platform/runtime.py
@@ -182,6 +182,10 @@
     def _(self, effect: effects.CloseSession) -> None:
         self._callers.close(effect.stream)
 
+    @_apply.register
+    def _(self, effect: effects.StopAccepting) -> None:
+        self._callers.stop_accepting()
+
     @_apply.register
     def _(self, effect: effects.OpenConnection) -> None:
         self._endpoints.open(effect)
@@ -219,6 +223,7 @@
 
     @_apply.register
     def _(self, effect: effects.Exit) -> None:
+        self._callers.close_all()
         self._stopped.set()
 
     @_apply.register
--- a/tests/fakes/proxyworld.py
+++ b/tests/fakes/proxyworld.py
@@ -122,6 +122,7 @@
         self.connections: dict[int, ReplicaConnection] = {}
         self.ready = False
         self.exited = False
+        self.accepting = True
         self.cut_from: set[str] = set()  # members, the store and the orders
         self.logs: list[effects.Log] = []
         domains = tuple(FailureDomain(name, name, 0) for name in DOMAINS)
@@ -285,6 +286,10 @@
     def _(self, effect: effects.SetReady) -> None:
         self.ready = effect.ready
 
+    @_apply.register
+    def _(self, effect: effects.StopAccepting) -> None:
+        self.accepting = False
+
     @_apply.register
     def _(self, effect: effects.Exit) -> None:
         self.exited = True
