--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from mallowpass.core.messages import ConnectionLost
+from mallowpass.core.node import Node
 from mallowpass.core.proxy.effects import CloseConnection, OpenConnection, SendCalls
 from mallowpass.core.proxy.events import (
     ConnectionReady,
@@ -52,6 +53,10 @@
 # Share of the limit that the shares of all hosts leave free, for the connections of
 # hosts that died: endpoints drop these after seconds only.
 RESERVED_SHARE = 0.1
+# An endpoint keeps the connections of hosts that lost power for so long. Where all
+# hosts did, their successors find room for half of their shares; if some of them took
+# the whole one, others would get no connection at all.
+LINGER_TIME = 3.2  # seconds after a start
 # A connection silent for so long with calls in flight is closed: no statement may
 # run longer than its route's timeout, which is well below.
 SILENCE_MAX = 3.0
@@ -60,7 +65,11 @@
 class Connections(ProxySystem):
     """Own the connections of this host."""
 
-    __slots__ = ()
+    __slots__ = ("_started_at",)
+
+    def __init__(self, node: Node) -> None:
+        super().__init__(node)
+        self._started_at = node.timers.now
 
     def start(self) -> None:
         """Subscribe to what happens to connections."""
@@ -80,6 +89,8 @@
         if limits is None:
             return 0
         usable = int(limits.connections * (1.0 - RESERVED_SHARE))
+        if self.now < self._started_at + LINGER_TIME:
+            usable //= 2
         return max(1, usable // max(1, len(self.tables.hosts)))
 
     def take(
--- /dev/null
+++ b/tests/core/proxy/test_connections.py
@@ -0,0 +1,83 @@
+"""Connections: within the limit of all hosts, and none that is silent is kept."""
+
+from __future__ import annotations
+
+from mallowpass.core.proxy.statements import Begin, Code, Read, Write
+from tests.fakes.proxyworld import ProxyWorld
+
+LIMIT = 22
+
+
+def _most_connections(world: ProxyWorld) -> int:
+    return max(len(r.connections) for r in world.group.replicas.values())
+
+
+def test_demand_of_all_hosts_stays_within_the_limit():
+    world = ProxyWorld(hosts=8)
+    world.run(4.0)
+    for host in range(8):
+        for _ in range(12):
+            caller = world.caller(host, "own")
+            caller.send(Begin())
+            caller.send(Write("a 1"))
+    for _ in range(20):
+        world.run(0.05)
+        assert _most_connections(world) <= LIMIT
+
+
+def test_all_hosts_serve_after_all_lost_power():
+    """Symptom: after a loss of power some hosts serve nothing for three seconds.
+
+    Sequence: all hosts hold their whole share, lose power, and start again; members
+    still count the lost connections. Cause: the hosts that come first take what room
+    is left, and the others are turned away.
+    """
+    world = ProxyWorld(hosts=7)
+    world.run(4.0)
+    for host in range(7):
+        for _ in range(4):
+            caller = world.caller(host, "strict")
+            caller.send(Begin())
+            caller.send(Write("a 1"))
+    world.run(0.5)
+    world.lose_power(down=1.0, linger=3.0)
+    for host in range(7):
+        for _ in range(3):
+            world.caller(host, "strict").send(Read("a"))
+    world.run(0.3)
+    callers = [world.caller(host, "strict") for host in range(7)]
+    assert [caller.run(Read("a")).code for caller in callers] == [Code.DONE] * 7
+
+
+def test_read_on_a_silent_connection_is_served_elsewhere():
+    """Symptom: a read takes its whole timeout. Sequence: its answer is lost."""
+    world = ProxyWorld()
+    caller = world.caller(0, "bounded")
+    world.caller(0, "own").run(Write("a 1"))
+    world.answers_to_lose = 1
+    began = world.timers.now
+    assert caller.run(Read("a")).code is Code.DONE
+    assert world.timers.now - began < 0.5
+
+
+def test_silent_connection_is_closed():
+    world = ProxyWorld()
+    world.caller(0, "own").run(Write("a 1"))
+    world.answers_to_lose = 1
+    answer = world.caller(0, "own").run(Write("a 2"))
+    assert answer.code is Code.IN_DOUBT
+    world.run(4.0)
+    host = world.hosts[0]
+    assert host.logged("connection_silent")
+    assert not any(connection.silent for connection in host.connections.values())
+
+
+def test_write_without_an_answer_is_not_sent_again():
+    """Symptom: a write takes effect twice. Sequence: its answer is lost."""
+    world = ProxyWorld()
+    world.answers_to_lose = 1
+    caller = world.caller(0, "own")
+    assert caller.run(Write("a 1")).code is Code.IN_DOUBT
+    world.run(3.0)
+    sent = [call for _, _, call in world.calls if isinstance(call.statement, Write)]
+    assert len(sent) == 1
--- a/tests/fakes/proxyworld.py
+++ b/tests/fakes/proxyworld.py
@@ -118,6 +118,7 @@
     def __init__(self, world: ProxyWorld, name: str, domain: str, seed: int) -> None:
         self.world = world
         self.name = name
+        self.domain = domain
         self.callers: dict[int, Caller] = {}
         self.connections: dict[int, ReplicaConnection] = {}
         self.ready = False
@@ -340,6 +341,23 @@
         self._numbers += 1
         return self._numbers
 
+    # -- Hosts ---------------------------------------------------------------
+
+    def lose_power(self, down: float, linger: float) -> None:
+        """End all hosts at once, and start new ones in their places.
+
+        Members learn of it late: they keep the connections for a while.
+        """
+        for host in self.hosts:
+            host.exited = True
+            for connection in host.connections.values():
+                self.timers.after(linger, connection.close)
+        self.run(down)
+        self.hosts = [
+            Host(self, host.name, host.domain, index + self.number())
+            for index, host in enumerate(self.hosts)
+        ]
+
     # -- Members -------------------------------------------------------------
 
     def enter(self, replica: Replica, draining: bool = False) -> None:
