--- a/tests/core/proxy/test_connections.py
+++ b/tests/core/proxy/test_connections.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from mallowpass.core.proxy.statements import Begin, Code, Read, Write
-from tests.fakes.proxyworld import ProxyWorld
+from tests.fakes.proxyworld import Caller, Host, ProxyWorld
 
 LIMIT = 22
 
@@ -40,10 +40,13 @@
             caller.send(Begin())
             caller.send(Write("a 1"))
     world.run(0.5)
-    world.lose_power(down=1.0, linger=3.0)
-    for host in range(7):
-        for _ in range(3):
-            world.caller(host, "strict").send(Read("a"))
+
+    def send_reads(host: Host) -> None:
+        for _ in range(6):
+            caller = Caller(world, host, "strict")
+            world.timers.after(0.015, caller.send, Read("a"))
+
+    world.lose_power(down=1.0, linger=3.0, started=send_reads)
     world.run(0.3)
     callers = [world.caller(host, "strict") for host in range(7)]
     assert [caller.run(Read("a")).code for caller in callers] == [Code.DONE] * 7
--- a/tests/fakes/proxyworld.py
+++ b/tests/fakes/proxyworld.py
@@ -43,6 +43,7 @@
 from mallowpass.standins.proxied.rows import RowStore
 
 CONFIGURATION_KEY = RowKey(Table.CONFIGURATION, "", "config")
+START_GAP = 0.02  # seconds between starts of hosts that lost power together
 LINK = 0.0005  # seconds one way between any two
 DOMAINS = ("casa", "tanger", "agadir")
 SERVICE = "claims-core"
@@ -343,20 +344,23 @@
 
     # -- Hosts ---------------------------------------------------------------
 
-    def lose_power(self, down: float, linger: float) -> None:
-        """End all hosts at once, and start new ones in their places.
+    def lose_power(
+        self, down: float, linger: float, started: Callable[[Host], None]
+    ) -> None:
+        """End all hosts at once, and start new ones in their places by turns.
 
-        Members learn of it late: they keep the connections for a while.
+        Members learn of it late: they keep the connections for a while. `started` is
+        called with each new host.
         """
         for host in self.hosts:
             host.exited = True
             for connection in host.connections.values():
                 self.timers.after(linger, connection.close)
         self.run(down)
-        self.hosts = [
-            Host(self, host.name, host.domain, index + self.number())
-            for index, host in enumerate(self.hosts)
-        ]
+        for index, host in enumerate(self.hosts):
+            self.hosts[index] = Host(self, host.name, host.domain, self.number())
+            started(self.hosts[index])
+            self.run(START_GAP)
 
     # -- Members -------------------------------------------------------------
 
