--- a/mallowpass/core/node.py
+++ b/mallowpass/core/node.py
@@ -56,6 +56,7 @@
     domains: tuple[FailureDomain, ...]
     seeds: tuple[str, ...] = ()
     token_key: bytes = b""
+    capacity: float = 1.0  # cores, for shares of work
 
     @property
     def region(self) -> str:
--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from mallowpass.core.messages import ConnectionLost
 from mallowpass.core.node import Node
@@ -16,6 +16,7 @@
     ConnectionRefused,
     EndpointAnswered,
 )
+from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.signals import (
     ConnectionFreed,
     EndpointForgotten,
@@ -36,7 +37,6 @@
     EndpointRow,
     PreparedStatement,
     ProxySystem,
-    SessionRow,
 )
 
 __all__ = ["Connections"]
@@ -50,9 +50,9 @@
 # Connections that one host may open to one endpoint at once: each takes a slot there
 # for as long as a statement, so a storm of them stops the work it was meant to do.
 OPENING_MAX = 2
-# Share of the limit that the shares of all hosts leave free, for the connections of
-# hosts that died: endpoints drop these after seconds only.
-RESERVED_SHARE = 0.1
+# Connections by way of one holder to one endpoint: they cost a socket at each end, and
+# the holder has fewer to the endpoint itself.
+LINKS_MAX = 6
 # An endpoint keeps the connections of hosts that lost power for so long. Where all
 # hosts did, their successors find room for half of their shares; if some of them took
 # the whole one, others would get no connection at all.
@@ -65,15 +65,17 @@
 class Connections(ProxySystem):
     """Own the connections of this host."""
 
-    __slots__ = ("_started_at",)
+    __slots__ = ("_holders", "_started_at")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
         self._started_at = node.timers.now
+        self._holders: Holders
 
     def start(self) -> None:
         """Subscribe to what happens to connections."""
         node = self._node
+        self._holders = node.system(Holders)
         node.subscribe(ConnectionReady, self._on_ready)
         node.subscribe(ConnectionRefused, self._on_refused)
         node.subscribe(ConnectionLost, self._on_lost)
@@ -84,24 +86,23 @@
 
     def share(self, endpoint: EndpointRow) -> int:
         """Return how many connections to an endpoint this host may hold."""
-        configuration = self.tables.configuration
-        limits = configuration.services.get(endpoint.entry.service)
-        if limits is None:
-            return 0
-        usable = int(limits.connections * (1.0 - RESERVED_SHARE))
+        service = endpoint.entry.service
+        if not self._holders.holds(service):
+            return LINKS_MAX
+        share = self._holders.share(service)
         if self.now < self._started_at + LINGER_TIME:
-            usable //= 2
-        return max(1, usable // max(1, len(self.tables.hosts)))
+            return max(1, share // 2)
+        return share
 
     def take(
-        self, endpoint: EndpointRow, session: SessionRow | None
+        self, endpoint: EndpointRow, values: dict[str, str] | None
     ) -> ConnectionRow | None:
-        """Return an idle connection, best one that has the session's values."""
+        """Return an idle connection, best one that has these values of a session."""
         best = None
         for connection in endpoint.connections.values():
             if connection.state is not ConnectionState.IDLE:
                 continue
-            if session is None or connection.values == session.values:
+            if values is None or connection.values == values:
                 return connection
             best = connection
         return best
@@ -115,7 +116,7 @@
         )
         if opening >= OPENING_MAX:
             return True
-        if self.now < endpoint.refused_until:
+        if self.now < endpoint.refused_until or not self._holders.known:
             return opening > 0
         if len(endpoint.connections) >= self.share(endpoint) and not beyond_share:
             return opening > 0
@@ -133,10 +134,23 @@
         if connection.endpoint.name not in self.tables.endpoints:
             self.close(connection, "the endpoint is gone")
             return
+        if self._is_surplus(connection):
+            self.close(connection, "the shares have changed")
+            return
         connection.state = ConnectionState.IDLE
         connection.last_used = self.now
         self._node.publish(ConnectionFreed(connection.endpoint))
 
+    def _is_surplus(self, connection: ConnectionRow) -> bool:
+        """Tell whether other hosts count on this connection not being there."""
+        endpoint = connection.endpoint
+        service = endpoint.entry.service
+        if connection.holder:
+            return not self._holders.is_holder(service, connection.holder)
+        if not self._holders.holds(service):
+            return True
+        return len(endpoint.connections) > self._holders.share(service)
+
     def close(self, connection: ConnectionRow, why: str) -> None:
         """Close a connection; calls in flight on it have no answer."""
         if self.tables.connections.pop(connection.number, None) is None:
@@ -151,26 +165,28 @@
     def set_up(
         self,
         connection: ConnectionRow,
-        session: SessionRow,
-        prepared: PreparedStatement | None,
+        values: dict[str, str],
+        prepared: Iterable[PreparedStatement],
     ) -> list[EndpointCall]:
         """Return the calls that bring a connection to a session's state."""
         calls = []
-        extra = connection.values.keys() - session.values.keys()
+        extra = connection.values.keys() - values.keys()
         if extra:
             # There is no way to unset one value: left over, it would be seen by a
             # session that never set it.
             calls.append(EndpointCall(Reset()))
             connection.values = {}
             connection.prepared = set()
-        for name, value in session.values.items():
+        for name, value in values.items():
             if connection.values.get(name) != value:
                 calls.append(EndpointCall(SetValue(name, value)))
-        connection.values = dict(session.values)
-        if prepared is not None and prepared.shared_name not in connection.prepared:
-            name = prepared.shared_name
-            calls.append(EndpointCall(Prepare(name, prepared.access, prepared.shape)))
-            connection.prepared.add(name)
+        connection.values = dict(values)
+        for statement in prepared:
+            name = statement.shared_name
+            if name not in connection.prepared:
+                prepare = Prepare(name, statement.access, statement.shape)
+                calls.append(EndpointCall(prepare))
+                connection.prepared.add(name)
         return calls
 
     def send(
@@ -190,14 +206,17 @@
 
     def _open(self, endpoint: EndpointRow) -> None:
         number = self._node.number()
-        connection = ConnectionRow(number, endpoint, self.now)
+        entry = endpoint.entry
+        address, holder = entry.address, ""
+        if not self._holders.holds(entry.service):
+            host = self._holders.route(entry.service)
+            if host is not None:
+                address, holder = host.address, host.name
+        connection = ConnectionRow(number, endpoint, self.now, holder=holder)
         self.tables.connections[number] = connection
         endpoint.connections[number] = connection
-        entry = endpoint.entry
         self._node.emit(
-            OpenConnection(
-                number, entry.address, entry.service, entry.name, CONNECT_TIMEOUT
-            )
+            OpenConnection(number, address, entry.service, entry.name, CONNECT_TIMEOUT)
         )
         self._node.count("connections_opened", endpoint=entry.name)
 
@@ -233,7 +252,10 @@
             longest = min(BACKOFF_MAX, BACKOFF_MIN * 2.0 ** min(endpoint.failures, 8))
             pause = self._node.random.uniform(longest / 2, longest)
         endpoint.refused_until = self.now + pause
-        if event.unreachable or event.code is Code.WRONG_ENDPOINT:
+        if connection.holder:
+            # Another holder may well reach it: that is no evidence of its end.
+            self._holders.failed(connection.holder)
+        elif event.unreachable or event.code is Code.WRONG_ENDPOINT:
             self._node.publish(EndpointUnreachable(endpoint, event.message))
         self.timers.after(pause, self._node.publish, ConnectionFreed(endpoint))
 
--- a/mallowpass/core/proxy/draining.py
+++ b/mallowpass/core/proxy/draining.py
@@ -6,6 +6,8 @@
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.effects import Exit, SetReady, StopAccepting
 from mallowpass.core.proxy.events import ShutdownRequested
+from mallowpass.core.proxy.holders import Holders
+from mallowpass.core.proxy.links import Links
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.sessions import Sessions
 from mallowpass.core.proxy.signals import (
@@ -14,6 +16,7 @@
     EndpointChanged,
 )
 from mallowpass.core.proxy.tables import EndpointRow, ProxySystem
+from mallowpass.core.timers import Timer
 
 __all__ = ["Draining"]
 
@@ -32,6 +35,9 @@
         "_began_at",
         "_closed",
         "_connections",
+        "_holders",
+        "_known_timer",
+        "_links",
         "_limit",
         "_members",
         "_ready",
@@ -44,11 +50,14 @@
         self._closed = False  # to new callers
         self._began_at: float | None = None
         self._limit = 0.0
+        self._known_timer: Timer | None = None
 
     def start(self) -> None:
         """Subscribe to what readiness depends on."""
         node = self._node
         self._connections = node.system(Connections)
+        self._holders = node.system(Holders)
+        self._links = node.system(Links)
         self._members = node.system(Members)
         self._sessions = node.system(Sessions)
         node.subscribe(ConfigurationAccepted, self._on_learnt)
@@ -67,6 +76,10 @@
             return
         if self.tables.configuration is None or not self._members.known:
             return
+        if not self._holders.known:
+            if self._known_timer is None:
+                self._known_timer = self.timers.after(LOOK, self._look_again, signal)
+            return
         self._ready = True
         self._node.log(
             "info",
@@ -78,7 +91,13 @@
         for endpoint in self.tables.endpoints.values():
             self._warm(endpoint)
 
+    def _look_again(self, signal: ConfigurationAccepted | EndpointChanged) -> None:
+        self._known_timer = None
+        self._on_learnt(signal)
+
     def _warm(self, endpoint: EndpointRow) -> None:
+        if not self._holders.holds(endpoint.entry.service):
+            return
         # The first statement would else wait for a handshake, and a crash would be
         # noticed by callers first.
         if not endpoint.connections and not endpoint.is_leaving:
@@ -115,7 +134,8 @@
                 self._closed = True
                 self._node.emit(StopAccepting())
             self._sessions.close_idle()
-            if not self.tables.sessions:
+            self._links.close_idle()
+            if not self.tables.sessions and not self.tables.links:
                 self._end("all sessions have ended")
 
     def _end(self, why: str) -> None:
--- a/mallowpass/core/proxy/effects.py
+++ b/mallowpass/core/proxy/effects.py
@@ -11,14 +11,23 @@
     Log,
     Observe,
 )
-from mallowpass.core.proxy.statements import Answer, Code, EndpointCall
+from mallowpass.core.proxy.statements import (
+    Answer,
+    Code,
+    EndpointCall,
+    EndpointReply,
+    LogPosition,
+)
 from mallowpass.core.proxy.storage import StoreCall
 
 __all__ = [
+    "AcceptLink",
     "AcceptSession",
+    "AnswerLink",
     "AnswerStatement",
     "CallStore",
     "CloseConnection",
+    "CloseLink",
     "CloseSession",
     "Count",
     "Exit",
@@ -27,6 +36,7 @@
     "OpenConnection",
     "OrderPromotion",
     "ProxyEffect",
+    "RefuseLink",
     "RefuseSession",
     "SendCalls",
     "SetReady",
@@ -97,6 +107,38 @@
     calls: tuple[EndpointCall, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class AcceptLink(ProxyEffect):
+    """Tell another host that it is served as by an endpoint."""
+
+    link: int
+    position: LogPosition | None
+
+
+@dataclass(frozen=True, slots=True)
+class RefuseLink(ProxyEffect):
+    """Tell another host why it is not served, and close its connection."""
+
+    link: int
+    code: Code
+    message: str
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerLink(ProxyEffect):
+    """Answer the oldest call on a link that has no answer yet."""
+
+    link: int
+    reply: EndpointReply
+
+
+@dataclass(frozen=True, slots=True)
+class CloseLink(ProxyEffect):
+    """Close a link; calls without an answer have none."""
+
+    link: int
+
+
 @dataclass(frozen=True, slots=True)
 class CallStore(ProxyEffect):
     """Call the store; StoreAnswered with this number follows always."""
--- a/mallowpass/core/proxy/events.py
+++ b/mallowpass/core/proxy/events.py
@@ -10,6 +10,7 @@
 )
 from mallowpass.core.proxy.statements import (
     Code,
+    EndpointCall,
     EndpointReply,
     LogPosition,
     Statement,
@@ -21,6 +22,9 @@
     "ConnectionRefused",
     "ConnectionReady",
     "EndpointAnswered",
+    "LinkCalled",
+    "LinkClosed",
+    "LinkOpened",
     "PromotionAnswered",
     "ProxyEvent",
     "SessionClosed",
@@ -93,6 +97,30 @@
     reply: EndpointReply
 
 
+@dataclass(frozen=True, slots=True)
+class LinkOpened(ProxyEvent):
+    """Another host asks to be served as by an endpoint."""
+
+    link: int
+    service: str
+    endpoint: str
+
+
+@dataclass(frozen=True, slots=True)
+class LinkCalled(ProxyEvent):
+    """Another host sent calls on a link, in one write."""
+
+    link: int
+    calls: tuple[EndpointCall, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LinkClosed(ProxyEvent):
+    """A link ended, in whatever way."""
+
+    link: int
+
+
 @dataclass(frozen=True, slots=True)
 class StoreAnswered(ProxyEvent):
     """The store answered a call, or failed to."""
--- a/mallowpass/core/proxy/hosts.py
+++ b/mallowpass/core/proxy/hosts.py
@@ -12,7 +12,7 @@
     Table,
 )
 from mallowpass.core.proxy.store import Store
-from mallowpass.core.proxy.tables import ProxySystem
+from mallowpass.core.proxy.tables import HostRow, ProxySystem
 
 __all__ = ["Hosts"]
 
@@ -27,7 +27,7 @@
     def start(self) -> None:
         """Enter this host, and follow the entries of all."""
         self._store = self._node.system(Store)
-        self.tables.hosts.add(self._node.identity.name)
+        self.tables.hosts[self._node.identity.name] = self._own
         self._enter()
         self._store.watch(Table.HOSTS, self._on_rows)
         self._node.subscribe(DrainBegan, self._on_drain)
@@ -36,9 +36,19 @@
     def _key(self) -> RowKey:
         return RowKey(Table.HOSTS, "", self._node.identity.name)
 
+    @property
+    def _own(self) -> HostRow:
+        identity = self._node.identity
+        return HostRow(
+            identity.name,
+            identity.failure_domain,
+            identity.peers_address,
+            identity.capacity,
+        )
+
     def _enter(self) -> None:
-        domain = self._node.identity.failure_domain
-        self._store.call(ChangeRows(puts=((self._key, domain),)), self._on_entered)
+        call = ChangeRows(puts=((self._key, self._own.encode()),))
+        self._store.call(call, self._on_entered)
 
     def _on_entered(self, reply: StoreReply) -> None:
         if reply.status is not StoreStatus.DONE:
@@ -58,8 +68,13 @@
         if complete:
             hosts.clear()
         for row in rows:
-            if row.value is None:
-                hosts.discard(row.key.key)
-            else:
-                hosts.add(row.key.key)
-        hosts.add(self._node.identity.name)
+            name = row.key.key
+            if not isinstance(row.value, str):
+                hosts.pop(name, None)
+                continue
+            try:
+                hosts[name] = HostRow.decode(name, row.value)
+            except ValueError:
+                self._node.log("error", "host_entry_unreadable", value=row.value)
+        hosts[self._node.identity.name] = self._own
+        self.tables.hosts_version += 1
--- /dev/null
+++ b/mallowpass/core/proxy/links.py
@@ -0,0 +1,237 @@
+"""Serving other hosts' statements over the connections that this host holds.
+
+To another host a link looks like a connection to the endpoint. Its values and prepared
+statements are kept here; a connection is bound to it while calls are in flight or a
+transaction is open, and serves others in between. Replies are passed on as they are:
+what they prove, they prove to the host that asked.
+"""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+
+from mallowpass.core.proxy.connections import Connections
+from mallowpass.core.proxy.effects import (
+    AcceptLink,
+    AnswerLink,
+    CloseLink,
+    RefuseLink,
+)
+from mallowpass.core.proxy.events import LinkCalled, LinkClosed, LinkOpened
+from mallowpass.core.proxy.holders import Holders
+from mallowpass.core.proxy.signals import ConnectionFreed, EndpointForgotten
+from mallowpass.core.proxy.statements import (
+    Code,
+    EndpointCall,
+    EndpointReply,
+    Execute,
+    Prepare,
+    Reset,
+    Rollback,
+    SessionState,
+    SetValue,
+    Statement,
+)
+from mallowpass.core.proxy.tables import (
+    ConnectionRow,
+    ConnectionState,
+    LinkRow,
+    PreparedStatement,
+    ProxySystem,
+)
+
+__all__ = ["Links"]
+
+# Calls that wait longer for a connection are refused: they did not run, and the host
+# that sent them has time left to try elsewhere, or to tell its caller.
+WAIT_MAX = 0.35  # seconds
+
+
+class Links(ProxySystem):
+    """Own the links of other hosts."""
+
+    __slots__ = ("_connections", "_holders", "_waiting")
+
+    def start(self) -> None:
+        """Subscribe to what other hosts do, and to free connections."""
+        node = self._node
+        self._connections = node.system(Connections)
+        self._holders = node.system(Holders)
+        self._waiting: list[LinkRow] = []  # first come, first served
+        node.subscribe(LinkOpened, self._on_opened)
+        node.subscribe(LinkCalled, self._on_called)
+        node.subscribe(LinkClosed, self._on_closed)
+        node.subscribe(ConnectionFreed, self._on_freed)
+        node.subscribe(EndpointForgotten, self._on_forgotten)
+
+    # -- Opening and closing -------------------------------------------------
+
+    def _on_opened(self, event: LinkOpened) -> None:
+        endpoint = self.tables.endpoints.get(event.endpoint)
+        if endpoint is None or endpoint.entry.service != event.service:
+            message = f"no endpoint {event.endpoint!r} is known here"
+            self._node.emit(RefuseLink(event.link, Code.WRONG_ENDPOINT, message))
+        elif not self._holders.holds(event.service):
+            # Else two hosts that see the fleet differently would pass calls on to
+            # each other.
+            message = f"this host does not hold {event.service!r}"
+            self._node.emit(RefuseLink(event.link, Code.BUSY, message))
+        else:
+            self.tables.links[event.link] = LinkRow(event.link, endpoint)
+            self._node.emit(AcceptLink(event.link, endpoint.position))
+
+    def _on_closed(self, event: LinkClosed) -> None:
+        link = self.tables.links.pop(event.link, None)
+        if link is None:
+            return
+        link.closed = True
+        link.waiting.clear()
+        if link in self._waiting:
+            self._waiting.remove(link)
+        if link.connection is not None and not link.in_flight:
+            self._roll_back(link)
+
+    def _on_forgotten(self, signal: EndpointForgotten) -> None:
+        for link in list(self.tables.links.values()):
+            if link.endpoint is signal.endpoint and not link.in_flight:
+                self._end(link)
+
+    def _end(self, link: LinkRow) -> None:
+        """Close a link from here: whatever it has in flight has no answer."""
+        self._node.emit(CloseLink(link.number))
+        self._on_closed(LinkClosed(link.number))
+
+    def close_idle(self) -> None:
+        """Close all links that have nothing in flight and no transaction open."""
+        for link in list(self.tables.links.values()):
+            if link.connection is None and not link.waiting:
+                self._end(link)
+
+    # -- Calls ---------------------------------------------------------------
+
+    def _on_called(self, event: LinkCalled) -> None:
+        link = self.tables.links.get(event.link)
+        if link is None:
+            return
+        for call in event.calls:
+            self._take(call.statement, call, link)
+        if not link.waiting:
+            return
+        if link.connection is not None:
+            self._send(link, link.connection)
+        elif link not in self._waiting:
+            link.waits_since = self.now
+            self._waiting.append(link)
+            self._try(link)
+
+    @singledispatchmethod
+    def _take(self, statement: Statement, call: EndpointCall, link: LinkRow) -> None:
+        link.waiting.append(call)
+
+    @_take.register
+    def _(self, statement: SetValue, call: EndpointCall, link: LinkRow) -> None:
+        link.values[statement.name] = statement.value
+        self._answer_done(link)
+
+    @_take.register
+    def _(self, statement: Prepare, call: EndpointCall, link: LinkRow) -> None:
+        prepared = PreparedStatement(statement.access, statement.shape)
+        link.prepared[statement.name] = prepared
+        self._answer_done(link)
+
+    @_take.register
+    def _(self, statement: Reset, call: EndpointCall, link: LinkRow) -> None:
+        link.values.clear()
+        link.prepared.clear()
+        self._answer_done(link)
+
+    def _answer_done(self, link: LinkRow) -> None:
+        # Hosts send these ahead of a statement, when no call is in flight: the order
+        # of answers is that of calls.
+        state = SessionState.IDLE
+        if link.connection is not None:
+            state = SessionState.IN_TRANSACTION
+        self._node.emit(AnswerLink(link.number, EndpointReply(Code.DONE, state=state)))
+
+    def _on_freed(self, signal: ConnectionFreed) -> None:
+        for link in list(self._waiting):
+            if link.endpoint is signal.endpoint:
+                self._try(link)
+
+    def _try(self, link: LinkRow) -> None:
+        connection = self._connections.take(link.endpoint, link.values)
+        if connection is not None:
+            self._waiting.remove(link)
+            link.connection = connection
+            connection.state = ConnectionState.PINNED
+            connection.on_lost = lambda _, why: self._on_lost(link, why)
+            self._send(link, connection)
+            return
+        self._connections.grow(link.endpoint)
+        self.timers.after(WAIT_MAX, self._check_wait, link, link.waits_since)
+
+    def _check_wait(self, link: LinkRow, since: float) -> None:
+        if link not in self._waiting or link.waits_since != since:
+            return
+        self._waiting.remove(link)
+        self._node.count("links_refused", endpoint=link.endpoint.name)
+        while link.waiting:
+            link.waiting.popleft()
+            reply = EndpointReply(Code.BUSY, message="no connection is free")
+            self._node.emit(AnswerLink(link.number, reply))
+
+    def _send(self, link: LinkRow, connection: ConnectionRow) -> None:
+        calls = list(link.waiting)
+        link.waiting.clear()
+        names = {c.statement.name for c in calls if isinstance(c.statement, Execute)}
+        prepared = [link.prepared[name] for name in names if name in link.prepared]
+        set_up = self._connections.set_up(connection, link.values, prepared)
+        link.in_flight += len(calls)
+        skipped = len(set_up)
+
+        def on_replies(connection: ConnectionRow, replies: list[EndpointReply]) -> None:
+            self._on_replies(link, connection, replies, skipped)
+
+        self._connections.send(connection, set_up + calls, on_replies)
+
+    # -- Replies -------------------------------------------------------------
+
+    def _on_replies(
+        self,
+        link: LinkRow,
+        connection: ConnectionRow,
+        replies: list[EndpointReply],
+        skipped: int,
+    ) -> None:
+        if any(reply.code is not Code.DONE for reply in replies[:skipped]):
+            connection.broken = True
+        answers = replies[skipped:]
+        link.in_flight -= len(answers)
+        if not link.closed:
+            for reply in answers:
+                self._node.emit(AnswerLink(link.number, reply))
+        if link.in_flight or link.connection is not connection:
+            return
+        if answers[-1].state is SessionState.IDLE:
+            link.connection = None
+            self._connections.release(connection)
+        elif link.closed:
+            self._roll_back(link)
+
+    def _roll_back(self, link: LinkRow) -> None:
+        connection, link.connection = link.connection, None
+        connection.on_lost = None
+
+        def on_replies(connection: ConnectionRow, replies: list[EndpointReply]) -> None:
+            if replies[0].state is not SessionState.IDLE:
+                connection.broken = True
+            self._connections.release(connection)
+
+        self._connections.send(connection, [EndpointCall(Rollback())], on_replies)
+
+    def _on_lost(self, link: LinkRow, why: str) -> None:
+        link.connection = None
+        link.in_flight = 0
+        if not link.closed:
+            self._node.log("info", "link_lost", endpoint=link.endpoint.name, why=why)
+            self._end(link)
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -16,6 +16,7 @@
 from mallowpass.core.proxy.control import Control
 from mallowpass.core.proxy.effects import OrderPromotion
 from mallowpass.core.proxy.events import PromotionAnswered
+from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.signals import EndpointChanged, PrimaryChanged
 from mallowpass.core.proxy.statements import (
@@ -73,7 +74,7 @@
 class Promotion(ProxySystem):
     """Own the attempts of this host to replace primaries."""
 
-    __slots__ = ("_attempts", "_claims", "_control", "_members")
+    __slots__ = ("_attempts", "_claims", "_control", "_holders", "_members")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
@@ -84,6 +85,7 @@
         node = self._node
         self._claims = node.system(Claims)
         self._control = node.system(Control)
+        self._holders = node.system(Holders)
         self._members = node.system(Members)
         node.subscribe(EndpointChanged, self._on_endpoint)
         node.subscribe(PrimaryChanged, self._on_primary)
@@ -122,7 +124,7 @@
 
         `planned` tells that it still serves, and should until its successor leads.
         """
-        if group.service in self._attempts:
+        if group.service in self._attempts or not self._holders.holds(group.service):
             return
         if len(self._candidates(group, primary)) == 0:
             return
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -8,7 +8,9 @@
 from mallowpass.core.proxy.discovery import Discovery
 from mallowpass.core.proxy.draining import Draining
 from mallowpass.core.proxy.floors import Floors
+from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.hosts import Hosts
+from mallowpass.core.proxy.links import Links
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.promotion import Promotion
 from mallowpass.core.proxy.requests import Requests
@@ -22,6 +24,7 @@
 
 SYSTEMS = (
     Store,
+    Holders,
     Connections,
     Floors,
     Routing,
@@ -30,6 +33,7 @@
     Promotion,
     Members,
     Discovery,
+    Links,
     Requests,
     Sessions,
     Draining,
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -214,7 +214,7 @@
     def _send_pinned(self, request: RequestRow) -> None:
         connection = request.transaction.connection
         self._attach(request, connection)
-        calls = self._connections.set_up(connection, request.session, request.prepared)
+        calls = self._set_up(request, connection)
         setup = len(calls)
         calls.append(self._call(request, None))
 
@@ -230,7 +230,7 @@
         floor: LogPosition | None,
     ) -> None:
         self._attach(request, connection)
-        calls = self._connections.set_up(connection, request.session, request.prepared)
+        calls = self._set_up(request, connection)
         setup = len(calls)
         calls.append(self._call(request, floor))
         if request.access is Access.READ and floor is None:
@@ -244,6 +244,12 @@
 
         self._connections.send(connection, calls, on_replies)
 
+    def _set_up(
+        self, request: RequestRow, connection: ConnectionRow
+    ) -> list[EndpointCall]:
+        prepared = () if request.prepared is None else (request.prepared,)
+        return self._connections.set_up(connection, request.session.values, prepared)
+
     def _call(self, request: RequestRow, floor: LogPosition | None) -> EndpointCall:
         statement = request.statement
         if request.prepared is not None:
--- a/mallowpass/core/proxy/routing.py
+++ b/mallowpass/core/proxy/routing.py
@@ -58,7 +58,7 @@
             floor = self._floors.floor(request, group)
         first = None
         for endpoint in self._candidates(request, group, floor):
-            connection = self._connections.take(endpoint, request.session)
+            connection = self._connections.take(endpoint, request.session.values)
             if connection is not None:
                 on_primary = endpoint.name == group.primary
                 return Choice(connection, None if on_primary else floor)
--- a/mallowpass/core/proxy/suspicion.py
+++ b/mallowpass/core/proxy/suspicion.py
@@ -12,6 +12,7 @@
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.connections import Connections
+from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.promotion import Promotion
 from mallowpass.core.proxy.signals import (
     EndpointOverdue,
@@ -38,7 +39,7 @@
 # 20 to 50 ms, and a full queue some 150.
 QUIET = 0.25  # seconds
 STALLS = 2  # writes without an answer, and none with one, that make a stall
-# Share of all hosts that must see it, and how many at the least.
+# Share of the hosts that connect to it that must see it, and how many at the least.
 QUORUM_SHARE = 0.25
 QUORUM_MIN = 2
 REPORT_TIME = 4.0  # seconds that a report in the store counts
@@ -59,7 +60,14 @@
 class Suspicion(ProxySystem):
     """Watch primaries, report what is wrong, and have them replaced."""
 
-    __slots__ = ("_connections", "_promotion", "_stalls", "_store", "_suspects")
+    __slots__ = (
+        "_connections",
+        "_holders",
+        "_promotion",
+        "_stalls",
+        "_store",
+        "_suspects",
+    )
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
@@ -70,6 +78,7 @@
         """Subscribe to what tells of primaries."""
         node = self._node
         self._connections = node.system(Connections)
+        self._holders = node.system(Holders)
         self._promotion = node.system(Promotion)
         self._store = node.system(Store)
         node.subscribe(EndpointUnreachable, self._on_unreachable)
@@ -113,6 +122,8 @@
             self._clear(service, f"{signal.group.primary} leads")
 
     def _leads(self, endpoint: EndpointRow) -> bool:
+        if not self._holders.holds(endpoint.entry.service):
+            return False  # what a holder does may look like what the endpoint does
         group = self.tables.group(endpoint.entry.service)
         return group.primary == endpoint.name
 
@@ -190,12 +201,12 @@
             primary, _, time = str(row.value).partition(" ")
             if primary == suspect.primary and reply.time - float(time) < REPORT_TIME:
                 hosts.append(row.key.key)
-        if len(hosts) >= self._quorum():
+        if len(hosts) >= self._quorum(service):
             group = self.tables.group(service)
             why = f"{suspect.why}; seen by {','.join(sorted(hosts))}"
             self._promotion.replace(group, suspect.primary, why, planned=False)
 
-    def _quorum(self) -> int:
-        hosts = len(self.tables.hosts)
+    def _quorum(self, service: str) -> int:
+        hosts = self._holders.holding_hosts(service)
         wanted = max(QUORUM_MIN, math.ceil(QUORUM_SHARE * hosts))
         return min(wanted, hosts)
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -14,6 +14,7 @@
 from mallowpass.core.proxy.configuration import Configuration, Route
 from mallowpass.core.proxy.statements import (
     Access,
+    EndpointCall,
     EndpointReply,
     LogPosition,
     SessionState,
@@ -29,6 +30,8 @@
     "EndpointRow",
     "FloorSample",
     "GroupRow",
+    "HostRow",
+    "LinkRow",
     "PreparedStatement",
     "ProxySystem",
     "ProxyTables",
@@ -75,6 +78,7 @@
     heard_at: float = 0.0
     broken: bool = False  # to be closed once its calls are answered
     on_lost: Callable[[ConnectionRow, str], None] | None = None  # of its user
+    holder: str = ""  # the host by way of which it goes; empty: none
 
 
 @dataclass(slots=True)
@@ -224,6 +228,44 @@
         return transaction is not None and not transaction.read_only
 
 
+# -- Hosts -------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class HostRow:
+    """Hold what a host's entry says; `capacity` in cores."""
+
+    name: str
+    domain: str
+    address: str  # where it takes the calls of other hosts; empty: nowhere
+    capacity: float
+
+    def encode(self) -> str:
+        """Return the text that the store keeps."""
+        return f"{self.domain} {self.address or '-'} {self.capacity:g}"
+
+    @classmethod
+    def decode(cls, name: str, text: str) -> HostRow:
+        """Read what the store keeps; ValueError if it is no entry."""
+        domain, address, capacity = text.split(" ")
+        return cls(name, domain, "" if address == "-" else address, float(capacity))
+
+
+@dataclass(slots=True)
+class LinkRow:
+    """Hold another host's connection that is served as if it were an endpoint's."""
+
+    number: int
+    endpoint: EndpointRow
+    values: dict[str, str] = field(default_factory=dict)
+    prepared: dict[str, PreparedStatement] = field(default_factory=dict)  # by name
+    waiting: deque[EndpointCall] = field(default_factory=deque)
+    connection: ConnectionRow | None = None
+    in_flight: int = 0  # calls that the endpoint has not answered
+    waits_since: float = 0.0
+    closed: bool = False
+
+
 # -- All tables --------------------------------------------------------------
 
 
@@ -231,12 +273,15 @@
 class ProxyTables:
     """Hold every table of a host."""
 
+    first_start: bool = False  # the whole fleet starts for the first time
     configuration: Configuration | None = None
     endpoints: dict[str, EndpointRow] = field(default_factory=dict)  # by name
     groups: dict[str, GroupRow] = field(default_factory=dict)  # by service
     connections: dict[int, ConnectionRow] = field(default_factory=dict)
     sessions: dict[int, SessionRow] = field(default_factory=dict)
-    hosts: set[str] = field(default_factory=set)  # names, this one's included
+    hosts: dict[str, HostRow] = field(default_factory=dict)  # this one's included
+    hosts_version: int = 0  # grows with each change of them
+    links: dict[int, LinkRow] = field(default_factory=dict)
 
     def group(self, service: str) -> GroupRow:
         """Return a service's group, a new one if there is none."""
--- a/mallowpass/platform/runtime.py
+++ b/mallowpass/platform/runtime.py
@@ -23,6 +23,7 @@
 from mallowpass.platform.callers import CallerServer
 from mallowpass.platform.endpoints import EndpointConnections
 from mallowpass.platform.http import HttpServer, Request, Response
+from mallowpass.platform.links import LinkServer
 from mallowpass.platform.logs import LogWriter
 from mallowpass.platform.metrics import Metrics
 from mallowpass.platform.orders import OrderClient
@@ -54,6 +55,7 @@
         "_callers",
         "_endpoints",
         "_http",
+        "_links",
         "_log",
         "_metrics",
         "_metrics_http",
@@ -79,8 +81,10 @@
         seed = int.from_bytes(os.urandom(8), "big")
         now = host_clock()
         identity = _identity(settings, seed)
-        self._node = Node(identity, Tuning(), seed, now, ProxyTables())
+        tables = ProxyTables(first_start=settings.first_start)
+        self._node = Node(identity, Tuning(), seed, now, tables)
         self._callers = CallerServer(self.handle)
+        self._links = LinkServer(self.handle)
         self._endpoints = EndpointConnections(settings.name, self.handle)
         self._store = StoreClient(settings.store, self._warn)
         self._orders = None
@@ -102,6 +106,8 @@
         """Listen, and start the core."""
         await self._http.start(self._settings.ready)
         await self._metrics_http.start(Address(self._settings.ready.host, METRICS_PORT))
+        if self._settings.peers is not None:
+            await self._links.start(self._settings.peers)
         await self._callers.start(self._settings.callers)
         self._log.write(
             "info",
@@ -129,6 +135,7 @@
         self._http.close()
         self._metrics_http.close()
         self._callers.abort()
+        self._links.abort()
         for task in self._tasks:
             task.cancel()
 
@@ -186,6 +193,22 @@
     def _(self, effect: effects.StopAccepting) -> None:
         self._callers.stop_accepting()
 
+    @_apply.register
+    def _(self, effect: effects.AcceptLink) -> None:
+        self._links.accept(effect.link, effect.position)
+
+    @_apply.register
+    def _(self, effect: effects.RefuseLink) -> None:
+        self._links.refuse(effect.link, effect.code, effect.message)
+
+    @_apply.register
+    def _(self, effect: effects.AnswerLink) -> None:
+        self._links.answer(effect.link, effect.reply)
+
+    @_apply.register
+    def _(self, effect: effects.CloseLink) -> None:
+        self._links.close(effect.link)
+
     @_apply.register
     def _(self, effect: effects.OpenConnection) -> None:
         self._endpoints.open(effect)
@@ -262,7 +285,8 @@
         name=settings.name,
         failure_domain=settings.failure_domain,
         seat=0,
-        peers_address="",
+        peers_address="" if settings.peers is None else str(settings.peers),
+        capacity=settings.capacity,
         incarnation=incarnation,
         domains=domains,
     )
--- a/mallowpass/platform/settings.py
+++ b/mallowpass/platform/settings.py
@@ -48,6 +48,9 @@
     store: Address
     orders: Address | None  # where promotions are ordered
     grace: float  # between the signal to stop and the kill
+    peers: Address | None = None  # where other hosts may call; None: nowhere
+    capacity: float = 1.0  # cores
+    first_start: bool = False  # the whole fleet starts for the first time
 
 
 def settings_path() -> Path:
@@ -97,18 +100,39 @@
 
     regions = _find(fields, ("zones",))
     orders = address("cloud", "address") if "cloud" in fields else None
+    callers = address("listen", "front")
     return HostSettings(
         name=text("nodeName"),
         failure_domain=text("zone"),
         regions=regions if isinstance(regions, dict) else {},
-        callers=address("listen", "front"),
+        callers=callers,
         ready=address("listen", "ready"),
         store=address("platform", "address"),
         orders=orders,
         grace=seconds("bounds", "graceS"),
+        peers=_peers_address(fields, callers),
+        capacity=_capacity(fields),
+        first_start=_find(fields, ("bootstrap",)) is True,
     )
 
 
+def _peers_address(fields: dict[str, Any], callers: Address) -> Address | None:
+    # The first and the last port that are free for use among hosts.
+    ports = _find(fields, ("internalPorts",))
+    if not isinstance(ports, list) or not ports or not isinstance(ports[0], int):
+        return None
+    return Address(callers.host, ports[0])
+
+
+def _capacity(fields: dict[str, Any]) -> float:
+    # A share of one core, which runs as many times as fast as `cores` says.
+    share = _find(fields, ("limits", "cpuShare"))
+    cores = _find(fields, ("limits", "cores"))
+    if not isinstance(share, int | float) or not isinstance(cores, int | float):
+        return 1.0
+    return float(share) * float(cores)
+
+
 def _find(fields: dict[str, Any], keys: tuple[str, ...]) -> Any:
     value: Any = fields
     for key in keys:
--- a/mallowpass/platform/wire.py
+++ b/mallowpass/platform/wire.py
@@ -17,6 +17,7 @@
     Deallocate,
     Demote,
     EndpointCall,
+    EndpointReply,
     EndpointStatus,
     Execute,
     LogPosition,
@@ -40,6 +41,7 @@
     "code_of",
     "decode",
     "encode",
+    "parse_call",
     "parse_position",
     "parse_statement",
     "parse_state",
@@ -47,6 +49,8 @@
     "render_answer",
     "render_call",
     "render_error",
+    "render_position",
+    "render_reply",
 ]
 
 LINE_MAX = 1 << 20  # bytes of one message, as the platform's page gives it
@@ -226,8 +230,7 @@
     """Return the line of one call."""
     text = _render(call.statement)
     if call.minimum is not None:
-        term, position = call.minimum
-        text = f"AFTER {term}.{position} {text}"
+        text = f"AFTER {render_position(call.minimum)} {text}"
     return encode(f"QUERY {call.request_id or OWN_ID} {text}\r\n")
 
 
@@ -307,6 +310,55 @@
     return f"DEMOTE {statement.term}"
 
 
+# -- What other hosts send as if to an endpoint -------------------------------
+
+
+def parse_call(request_id: str, text: str) -> EndpointCall:
+    """Read a call as `render_call` writes it; WireError if it is none."""
+    minimum = None
+    if text.startswith("AFTER "):
+        _, position, text = text.split(" ", 2)
+        minimum = parse_position(position)
+    statement = parse_statement(text) or _parse_own(text)
+    if statement is None:
+        raise WireError(f"not a call: {text[:40]!r}")
+    own = request_id == OWN_ID
+    return EndpointCall(statement, "" if own else request_id, minimum)
+
+
+def _parse_own(text: str) -> Statement | None:
+    """Read a statement that hosts send and callers may not."""
+    word, _, rest = text.partition(" ")
+    if word == "RESET":
+        return Reset()
+    if word == "STATUS":
+        return Status()
+    if word == "RESUME":
+        return Resume()
+    if word == "PAUSE" and rest.isdecimal():
+        return Pause(int(rest))
+    if word == "DEMOTE" and rest.isdecimal():
+        return Demote(int(rest))
+    return None
+
+
+def render_reply(reply: EndpointReply) -> bytes:
+    """Return the lines of an endpoint's answer."""
+    lines = [b"ROW %b\r\n" % row for row in reply.rows]
+    if reply.code is Code.DONE:
+        lines.append(b"DONE %b\r\n" % encode(reply.signature or _NO_SIGNATURE))
+    else:
+        lines.append(render_error(reply.code, reply.message))
+    state = _STATE_WORDS[reply.state]
+    lines.append(encode(f"READY {state} {render_position(reply.position)}\r\n"))
+    return b"".join(lines)
+
+
+def render_position(position: LogPosition | None) -> str:
+    """Return a position's word."""
+    return "-" if position is None else f"{position.term}.{position.position}"
+
+
 # -- What endpoints answer ---------------------------------------------------
 
 
--- a/mallowpass/standins/proxied/wireserver.py
+++ b/mallowpass/standins/proxied/wireserver.py
@@ -3,18 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 from mallowpass.core.proxy.statements import (
     Code,
-    Demote,
-    EndpointCall,
     EndpointReply,
     EndpointStatus,
-    Pause,
-    Reset,
-    Resume,
-    Statement,
-    Status,
 )
 from mallowpass.platform import wire
 from mallowpass.platform.settings import Address
@@ -22,8 +16,6 @@
 
 __all__ = ["ReplicaServer"]
 
-_STATE_WORDS = {"idle": "I", "in-transaction": "T", "failed": "E"}
-
 
 class ReplicaServer:
     """Listen for one member of a group."""
@@ -93,7 +85,7 @@
             return
         self._connection = connection
         position = self._group.replicas[self._name].applied_position
-        line = f"READY I {position.term}.{position.position}\r\n"
+        line = f"READY I {wire.render_position(position)}\r\n"
         self.transport.write(wire.encode(line))
 
     def _refuse(self, code: Code) -> None:
@@ -102,53 +94,18 @@
 
     def _query(self, rest: str) -> None:
         request_id, _, text = rest.partition(" ")
-        call = _parse_call(request_id, text)
+        call = wire.parse_call(request_id, text)
         self._connection.send(call, self._answer)
 
     def _answer(self, reply: EndpointReply) -> None:
-        lines = [b"ROW %b\r\n" % row for row in reply.rows]
         if reply.status is not None:
-            lines.append(b"ROW %b\r\n" % wire.encode(_status_row(reply.status)))
-        if reply.code is Code.DONE:
-            signature = reply.signature or "-"
-            lines.append(b"DONE %b\r\n" % wire.encode(signature))
-        else:
-            lines.append(wire.render_error(reply.code, self._name))
-        state = _STATE_WORDS[reply.state.value]
-        position = f"{reply.position.term}.{reply.position.position}"
-        lines.append(wire.encode(f"READY {state} {position}\r\n"))
-        self.transport.write(b"".join(lines))
-
-
-def _parse_call(request_id: str, text: str) -> EndpointCall:
-    minimum = None
-    if text.startswith("AFTER "):
-        _, position, text = text.split(" ", 2)
-        minimum = wire.parse_position(position)
-    own_id = "" if request_id == wire.OWN_ID else request_id
-    return EndpointCall(_parse(text), own_id, minimum)
-
-
-def _parse(text: str) -> Statement:
-    word, _, rest = text.partition(" ")
-    if word == "RESET":
-        return Reset()
-    if word == "STATUS":
-        return Status()
-    if word == "RESUME":
-        return Resume()
-    if word == "PAUSE":
-        return Pause(int(rest))
-    if word == "DEMOTE":
-        return Demote(int(rest))
-    statement = wire.parse_statement(text)
-    if statement is None:
-        raise wire.WireError(f"no statement: {text[:40]!r}")
-    return statement
+            row = wire.encode(_status_row(reply.status))
+            reply = replace(reply, rows=(row,))
+        self.transport.write(wire.render_reply(reply))
 
 
 def _status_row(status: EndpointStatus) -> str:
     role = "primary" if status.is_primary else "replica"
-    received = f"{status.received.term}.{status.received.position}"
+    received = wire.render_position(status.received)
     lag = int(1000 * status.lag)
     return f"{role} {status.term} {received} 0 {lag} {status.busy} {status.connections}"
--- a/tests/core/proxy/test_draining.py
+++ b/tests/core/proxy/test_draining.py
@@ -71,4 +71,4 @@
 def test_host_that_stops_leaves_its_entry(world):
     world.hosts[0].stop()
     world.run(3.0)
-    assert world.hosts[1].tables.hosts == {"host-1", "host-2"}
+    assert set(world.hosts[1].tables.hosts) == {"host-1", "host-2"}
--- /dev/null
+++ b/tests/core/proxy/test_links.py
@@ -0,0 +1,137 @@
+"""Large fleets: few hosts hold the connections, the others go by way of them."""
+
+from __future__ import annotations
+
+import pytest
+
+from mallowpass.core.proxy.statements import (
+    Access,
+    Begin,
+    Code,
+    Commit,
+    Execute,
+    Prepare,
+    Read,
+    SetValue,
+    Write,
+)
+from tests.fakes.proxyworld import Host, ProxyWorld
+
+LIMIT = 22
+HOSTS = 24
+
+
+@pytest.fixture
+def world() -> ProxyWorld:
+    world = ProxyWorld(hosts=HOSTS)
+    world.run(4.0)
+    return world
+
+
+def _holds(host: Host) -> bool:
+    return bool(host.connections)
+
+
+def _other(world: ProxyWorld) -> int:
+    """Return the index of a host that holds nothing."""
+    return next(i for i, h in enumerate(world.hosts) if not _holds(h))
+
+
+def test_few_hosts_hold_connections(world):
+    holders = [host for host in world.hosts if _holds(host)]
+    assert 2 <= len(holders) <= 4
+    assert len({host.domain for host in holders}) == 3
+
+
+def test_any_host_serves_sessions(world):
+    for index in range(HOSTS):
+        caller = world.caller(index, "own")
+        assert caller.run(Write(f"a {index}")).code is Code.DONE
+        assert caller.run(Read("a")).rows == (str(index).encode(),)
+    assert max(len(r.connections) for r in world.group.replicas.values()) <= LIMIT
+
+
+def test_session_state_by_way_of_a_holder(world):
+    index = _other(world)
+    first, second = world.caller(index, "own"), world.caller(index, "own")
+    first.run(SetValue("role", "clerk"))
+    first.run(Prepare("s", Access.WRITE, "q1"))
+    second.run(Prepare("s", Access.READ, "q2"))
+    for number in range(4):
+        assert first.run(Execute("s", f"a {number}")).code is Code.DONE
+        assert second.run(Execute("s", "a")).code is Code.DONE
+    assert first.run(Begin()).code is Code.DONE
+    assert first.run(Write("b 1")).code is Code.DONE
+    assert second.run(Read("c")).code is Code.DONE
+    assert first.run(Commit()).code is Code.DONE
+    assert first.run(Read("b")).rows == (b"1",)
+
+
+def test_demand_of_all_hosts_stays_within_the_limit(world):
+    callers = []
+    for index in range(HOSTS):
+        for _ in range(4):
+            callers.append(world.caller(index, "own"))
+            callers[-1].send(Write("a 1"))
+    for _ in range(20):
+        world.run(0.05)
+        most = max(len(r.connections) for r in world.group.replicas.values())
+        assert most <= LIMIT
+    done = [caller.answers[0].code for caller in callers if caller.answers]
+    assert done.count(Code.DONE) == len(callers)
+
+
+def test_write_on_its_way_by_a_holder_that_ends_is_in_doubt(world):
+    """Symptom: a write takes effect twice.
+
+    Sequence: the holder that has it ends before it answers. Cause: the host that sent
+    it takes it for not run, and sends it by way of another holder.
+    """
+    index = _other(world)
+    caller = world.caller(index, "own")
+    assert caller.run(Write("a 1")).code is Code.DONE
+    caller.send(Write("a 2"))
+    world.run(0.002)
+    (holder,) = {link.holder for link in world.links.values()}
+    world.kill(world.hosts.index(holder))
+    world.run(0.1)
+    assert caller.answers[-1].code is Code.IN_DOUBT
+    assert caller.run(Read("a")).code is Code.DONE
+
+
+def test_hosts_go_by_another_holder_when_theirs_ends(world):
+    index = _other(world)
+    caller = world.caller(index, "own")
+    caller.run(Write("a 1"))
+    (holder,) = {link.holder for link in world.links.values()}
+    world.kill(world.hosts.index(holder))
+    world.run(0.2)
+    assert caller.run(Write("a 2")).code is Code.DONE
+
+
+def test_stopping_holder_finishes_what_it_has(world):
+    """Symptom: writes in doubt during a rolling restart. Sequence: a holder stops."""
+    index = _other(world)
+    callers = [world.caller(index, "own") for _ in range(4)]
+    for caller in callers:
+        caller.run(Write("a 1"))
+    (holder,) = {link.holder for link in world.links.values()}
+    holder.stop(6.0)
+    for _ in range(60):
+        for caller in callers:
+            assert caller.run(Write("a 2")).code is Code.DONE
+        world.run(0.05)
+    assert holder.exited
+
+
+def test_crashed_primary_is_replaced_by_holders(world):
+    index = _other(world)
+    caller = world.caller(index, "own")
+    caller.run(Write("a 1"))
+    world.crash("db-casa")
+    for host in range(HOSTS):
+        world.caller(host, "strict").send(Read("a"))
+    began = world.timers.now
+    while caller.run(Write("a 2")).code is not Code.DONE:
+        assert world.timers.now < began + 6.0
+    assert world.group.lost == []
--- a/tests/fakes/proxyworld.py
+++ b/tests/fakes/proxyworld.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial, singledispatchmethod
 from typing import Any
 
@@ -21,6 +22,9 @@
     ConnectionReady,
     ConnectionRefused,
     EndpointAnswered,
+    LinkCalled,
+    LinkClosed,
+    LinkOpened,
     PromotionAnswered,
     ProxyEvent,
     SessionClosed,
@@ -128,7 +132,8 @@
         self.cut_from: set[str] = set()  # members, the store and the orders
         self.logs: list[effects.Log] = []
         domains = tuple(FailureDomain(name, name, 0) for name in DOMAINS)
-        identity = HostIdentity(name, domain, 0, "", seed, domains)
+        address = f"{name}:7440"
+        identity = HostIdentity(name, domain, 0, address, seed, domains)
         now = world.timers.now
         self.node = Node(identity, Tuning(), seed, now, ProxyTables())
         self._wake_at: float | None = None
@@ -198,6 +203,9 @@
 
     def _open(self, effect: effects.OpenConnection) -> None:
         number = effect.connection
+        if effect.address.endswith(":7440"):
+            self.world.open_link(self, effect)
+            return
         group = self.world.groups[effect.service]
         replica = group.replicas.get(effect.endpoint)
         if effect.endpoint in self.cut_from or effect.endpoint in self.world.dark:
@@ -227,6 +235,10 @@
         self.world.timers.after(LINK, self._send, effect)
 
     def _send(self, effect: effects.SendCalls) -> None:
+        link = self.world.links.get((self.name, effect.connection))
+        if link is not None:
+            link.holder.deliver(LinkCalled(link.number, effect.calls))
+            return
         connection = self.connections.get(effect.connection)
         if connection is None or not connection.open:
             return
@@ -251,6 +263,32 @@
         connection = self.connections.pop(effect.connection, None)
         if connection is not None:
             connection.close()
+        link = self.world.links.pop((self.name, effect.connection), None)
+        if link is not None:
+            link.holder.later(LINK, LinkClosed(link.number))
+
+    @_apply.register
+    def _(self, effect: effects.AcceptLink) -> None:
+        link = self.world.link(effect.link)
+        self.world.links[(link.host.name, link.connection)] = link
+        link.host.later(LINK, ConnectionReady(link.connection, effect.position))
+
+    @_apply.register
+    def _(self, effect: effects.RefuseLink) -> None:
+        link = self.world.link(effect.link)
+        refused = ConnectionRefused(link.connection, effect.code, effect.message)
+        link.host.later(LINK, refused)
+
+    @_apply.register
+    def _(self, effect: effects.AnswerLink) -> None:
+        link = self.world.link(effect.link)
+        link.host.later(LINK, EndpointAnswered(link.connection, effect.reply))
+
+    @_apply.register
+    def _(self, effect: effects.CloseLink) -> None:
+        link = self.world.link(effect.link)
+        if self.world.links.pop((link.host.name, link.connection), None):
+            link.host.later(LINK, ConnectionLost(link.connection, "closed"))
 
     def lose(self, number: int, why: str) -> None:
         """Break a connection from outside."""
@@ -309,6 +347,16 @@
         pass
 
 
+@dataclass(frozen=True, slots=True)
+class Link:
+    """Hold a link of a host to a holder."""
+
+    number: int
+    host: Host
+    holder: Host
+    connection: int  # the host's number for it
+
+
 class ProxyWorld:
     """Hold everything, and run it."""
 
@@ -323,6 +371,8 @@
         self.orders: list[effects.OrderPromotion] = []
         self.calls: list[tuple[str, str, Any]] = []  # host, member, call
         self._numbers = 0
+        self.links: dict[tuple[str, int], Link] = {}  # by host and connection
+        self.all_links: dict[int, Link] = {}
         self.store = RowStore(self.timers, seed)
         names = ["db-casa", "db-tanger", "db-agadir"]
         self.group = Group(SERVICE, names, self.timers, **group)
@@ -344,6 +394,36 @@
 
     # -- Hosts ---------------------------------------------------------------
 
+    def open_link(self, host: Host, effect: effects.OpenConnection) -> None:
+        """Open a link of one host to another."""
+        name = effect.address.partition(":")[0]
+        holder = next((h for h in self.hosts if h.name == name), None)
+        if holder is None or holder.exited:
+            refused = ConnectionRefused(effect.connection, Code.OTHER, "", True)
+            host.later(LINK, refused)
+            return
+        link = Link(self.number(), host, holder, effect.connection)
+        self.all_links[link.number] = link
+        holder.deliver(LinkOpened(link.number, effect.service, effect.endpoint))
+
+    def link(self, number: int) -> Link:
+        """Return a link by its number."""
+        return self.all_links[number]
+
+    def kill(self, index: int) -> Host:
+        """End a host at once; its connections and links are reset."""
+        host = self.hosts[index]
+        host.exited = True
+        for connection in host.connections.values():
+            connection.close()
+        for key, link in list(self.links.items()):
+            if host in (link.host, link.holder):
+                del self.links[key]
+                lost = ConnectionLost(link.connection, "reset")
+                link.host.later(LINK, lost)
+                link.holder.later(LINK, LinkClosed(link.number))
+        return host
+
     def lose_power(
         self, down: float, linger: float, started: Callable[[Host], None]
     ) -> None:
