--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -52,6 +52,8 @@
 ANSWER_MARGIN = 0.02
 # A read that is unanswered for this share of its timeout is tried elsewhere.
 OVERDUE_SHARE = 0.45
+# ... but not before it takes this many times as long as statements do there.
+OVERDUE_FACTOR = 6.0
 BACKOFF_MIN = 0.02  # seconds before a refused statement is sent again
 BACKOFF_MAX = 0.1
 TRIES_MAX = 8  # of one statement, so that a refusal for good ends
@@ -534,8 +536,9 @@
         self._node.publish(EndpointOverdue(endpoint))
         if request.transaction is not None or writes:
             return
-        endpoint.overdue += 1
-        self._detach(request)
+        if self.now - request.sent_at < OVERDUE_FACTOR * endpoint.latency:
+            return  # all statements take long there: another one would not help
+        self._leave(request, connection)
         request.tries += 1
         request.avoided.add(endpoint.name)
         request.detail = f"{endpoint.name}: no answer in time"
@@ -548,6 +551,19 @@
         )
         self._wait(request)
 
+    def _leave(self, request: RequestRow, connection: ConnectionRow) -> None:
+        """Let go of a read that was sent, and that nobody waits for any more.
+
+        A holder that has not passed it on yet must not: what waits there in vain keeps
+        others waiting, which in turn are sent once more. At an endpoint it can't be
+        called back, and the connection is free again once it has ended.
+        """
+        self._detach(request)
+        if connection.holder:
+            self._connections.close(connection, "nobody waits for its answer")
+        else:
+            connection.endpoint.overdue += 1
+
     def _on_expired(self, request: RequestRow) -> None:
         if request.finished:
             return
@@ -565,8 +581,7 @@
             self._detach(request)
             self._answer_in_doubt(request, "the statement's timeout passed")
         else:
-            self._detach(request)
-            connection.endpoint.overdue += 1
+            self._leave(request, connection)
             why = "the statement's timeout passed"
             self._answer(
                 request, Answer(Code.TIMED_OUT, SessionState.IDLE, message=why)
