--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -54,10 +54,14 @@
 # Connections by way of one holder to one endpoint: they cost a socket at each end, and
 # the holder has fewer to the endpoint itself.
 LINKS_MAX = 6
-# An endpoint keeps the connections of hosts that lost power for so long. Where all
-# hosts did, their successors find room for half of their shares; if some of them took
+# An endpoint keeps the connections of hosts that lost power for seconds. Where all
+# hosts did, their successors find room for a part of their shares; if the first took
 # the whole one, others would get no connection at all.
-LINGER_TIME = 3.2  # seconds after a start
+FIRST_TIME = 0.5  # seconds after a start, with half the share
+# A connection that was idle for so long is closed if there are others: after a loss of
+# power it would stand in its successor's way.
+IDLE_MAX = 2.0  # seconds
+IDLE_LOOK = 0.5  # seconds between looks
 # A connection silent for so long with calls in flight is closed: no statement may
 # run longer than its route's timeout, which is well below.
 SILENCE_MAX = 3.0
@@ -82,6 +86,7 @@
         node.subscribe(ConnectionLost, self._on_lost)
         node.subscribe(EndpointAnswered, self._on_answered)
         node.subscribe(EndpointForgotten, self._on_forgotten)
+        self.timers.every(IDLE_LOOK, self._close_idle)
 
     # -- Taking and giving back ----------------------------------------------
 
@@ -91,7 +96,7 @@
         if not self._holders.holds(service):
             return LINKS_MAX
         share = self._holders.share(service)
-        if self.now < self._started_at + LINGER_TIME:
+        if self.now < self._started_at + FIRST_TIME:
             return max(1, share // 2)
         return share
 
@@ -335,6 +340,16 @@
         )
         self.close(connection, "it went silent")
 
+    def _close_idle(self) -> None:
+        idle_since = self.now - IDLE_MAX
+        for endpoint in self.tables.endpoints.values():
+            for connection in list(endpoint.connections.values()):
+                if len(endpoint.connections) == 1:
+                    break
+                idle = connection.state is ConnectionState.IDLE
+                if idle and connection.last_used < idle_since:
+                    self.close(connection, "it was idle")
+
     def _on_forgotten(self, signal: EndpointForgotten) -> None:
         for connection in list(signal.endpoint.connections.values()):
             if connection.state is ConnectionState.IDLE:
