--- a/mallowpass/core/proxy/store.py
+++ b/mallowpass/core/proxy/store.py
@@ -138,7 +138,6 @@
         if reply.status is not StoreStatus.DONE:
             self._retry(self._list)
             return
-        self._failures = 0
         self._version = reply.version
         self._handler(reply.rows, True)
         self._follow()
@@ -149,7 +148,7 @@
 
     def _on_changes(self, reply: StoreReply) -> None:
         if reply.status is StoreStatus.HISTORY_GONE:
-            self._list()
+            self._on_history_gone()
         elif reply.status is not StoreStatus.DONE:
             self._retry(self._follow)
         else:
@@ -158,6 +157,18 @@
             self._handler(reply.rows, False)
             self._follow()
 
+    def _on_history_gone(self) -> None:
+        """List the rows anew; not at once if that was no help.
+
+        A store whose reads are behind lists rows of a version that it has no history
+        after. One would see each host list and follow without a pause.
+        """
+        if self._failures == 0:
+            self._failures = 1
+            self._list()
+        else:
+            self._retry(self._list)
+
     def _retry(self, again: Callable[[], None]) -> None:
         # Hosts that lose the store together must not come back together.
         longest = min(BACKOFF_MAX, BACKOFF_MIN * 2.0 ** min(self._failures, 8))
--- /dev/null
+++ b/tests/core/proxy/test_store.py
@@ -0,0 +1,77 @@
+"""The store's faults: outages, lost answers, history that is gone."""
+
+from __future__ import annotations
+
+from mallowpass.core.proxy.statements import Code, Read, Write
+from tests.fakes.proxyworld import CONFIGURATION_KEY, ProxyWorld, configuration
+
+
+def _versions(world: ProxyWorld) -> set[int]:
+    return {host.tables.configuration.version for host in world.hosts}
+
+
+def test_change_after_lost_history_is_learnt():
+    world = ProxyWorld()
+    world.store.forget_history()
+    world.store.put(CONFIGURATION_KEY, configuration(2))
+    world.run(0.5)
+    assert _versions(world) == {2}
+
+
+def test_history_that_stays_gone_is_not_asked_for_without_a_pause():
+    """Symptom: hundreds of calls to the store within seconds.
+
+    Sequence: the store drops its history, and its reads are behind for a while. Cause:
+    each list gives a version that has no history after it, and is made again at once.
+    """
+    world = ProxyWorld()
+    forgotten = world.store._forgotten
+    world.store.put(CONFIGURATION_KEY, configuration(2))
+    world.store._forgotten = 10**9
+    world.store._notify()
+    before = world.store.calls
+    world.run(5.0)
+    watches = 3 * len(world.hosts)
+    assert world.store.calls - before < 20 * watches
+    world.store._forgotten = forgotten
+    world.store.put(CONFIGURATION_KEY, configuration(3))
+    world.run(1.5)
+    assert _versions(world) == {3}
+
+
+def test_statements_run_while_the_store_is_away():
+    world = ProxyWorld()
+    world.store.faults.silent = True
+    caller = world.caller(0, "own")
+    for _ in range(40):
+        assert caller.run(Write("a 1")).code is Code.DONE
+        assert caller.run(Read("a")).code is Code.DONE
+        world.run(0.2)
+
+
+def test_change_made_while_the_store_was_away_is_learnt_soon_after():
+    world = ProxyWorld()
+    world.store.faults.refusing = True
+    world.run(5.0)
+    world.store.put(CONFIGURATION_KEY, configuration(2))
+    world.store.faults.refusing = False
+    world.run(1.5)
+    assert _versions(world) == {2}
+
+
+def test_claim_whose_answer_was_lost_is_read_back():
+    world = ProxyWorld()
+    world.caller(0, "own").run(Write("a 1"))
+    world.store.faults.answers_lost = 1.0
+    world.crash("db-casa")
+    for host in range(3):
+        world.caller(host, "strict").send(Read("a"))
+    world.run(1.0)
+    world.store.faults.answers_lost = 0.0
+    end = world.timers.now + 8.0
+    caller = world.caller(0, "own")
+    while caller.run(Write("a 2")).code is not Code.DONE:
+        assert world.timers.now < end
+    tokens = [order.fencing_token for order in world.orders]
+    assert tokens == sorted(tokens)
+    assert world.group.lost == []
