--- a/mallowpass/core/proxy/claims.py
+++ b/mallowpass/core/proxy/claims.py
@@ -73,9 +73,7 @@
         version, known = self._known.get(service, (0, None))
         time = self._store.time or 0.0
         if self._is_others(known, time):
-            self._log(service, known, "another host's claim is fresh")
-            # It may be over sooner than it looks: the row is read again next time.
-            self._known.pop(service, None)
+            # Not asked for again before it is old: it is what several hosts wait for.
             handler(None)
             return
         token = 1 if known is None else known.token + 1
@@ -117,6 +115,7 @@
     ) -> None:
         before = self._known.get(service)
         self._learn(service, rows)
+        self._log(service, self._known.get(service, (0, None))[1], "it was taken")
         if self._known.get(service) == before:
             handler(None)
             return
--- a/mallowpass/core/proxy/suspicion.py
+++ b/mallowpass/core/proxy/suspicion.py
@@ -44,7 +44,11 @@
 QUORUM_MIN = 2
 REPORT_TIME = 4.0  # seconds that a report in the store counts
 REPORT_GAP = 1.5  # seconds between two reports of a host
-LOOK_GAP = 0.25  # seconds between looks at what others report
+# Seconds between looks at what others report: doubled with each, as what one waits for
+# then is a promotion, of which the entries tell. 849 store calls on a day with two
+# failovers at eight hosts without this, and with claims that were asked for each time.
+LOOK_GAP_MIN = 0.15
+LOOK_GAP_MAX = 1.0
 
 
 @dataclass(slots=True)
@@ -55,6 +59,7 @@
     why: str
     since: float
     reported_at: float = float("-inf")
+    looks: int = 0
 
 
 class Suspicion(ProxySystem):
@@ -190,7 +195,9 @@
                 return
             if reply.status is StoreStatus.DONE:
                 self._judge(service, suspect, reply)
-            pause = self._node.random.uniform(LOOK_GAP / 2, LOOK_GAP)
+            longest = min(LOOK_GAP_MAX, LOOK_GAP_MIN * 2.0 ** min(suspect.looks, 8))
+            suspect.looks += 1
+            pause = self._node.random.uniform(longest / 2, longest)
             self.timers.after(pause, self._look, service, suspect)
 
         self._store.call(ListRows(Table.SUSPICIONS, service), on_rows)
