--- a/mallowpass/cli/check.py
+++ b/mallowpass/cli/check.py
@@ -9,6 +9,8 @@
 import click
 
 from mallowpass.cli.main import ExitCode
+from mallowpass.platform.settings import SettingsError as PlatformSettingsError
+from mallowpass.platform.settings import load_settings as load_platform_settings
 from mallowpass.settings import (
     SettingsError,
     load_host_settings,
@@ -20,6 +22,7 @@
 
 _LOADERS: dict[str, Callable[[Path], object]] = {
     "host": load_host_settings,
+    "platform": load_platform_settings,
     "service": load_service_definition,
     "standin": load_standin_settings,
 }
@@ -44,7 +47,7 @@
 def _check_file(kind: str, path: Path) -> bool:
     try:
         _LOADERS[kind](path)
-    except SettingsError as error:
+    except (SettingsError, PlatformSettingsError) as error:
         click.echo(str(error), err=True)
         return False
     click.echo(f"{path}: ok")
--- a/mallowpass/cli/demo.py
+++ b/mallowpass/cli/demo.py
@@ -18,6 +18,7 @@
 def demo(verbose: bool) -> None:
     """File and read claims through two hosts while a primary is killed."""
     from mallowpass.demo import run_demo
+    from mallowpass.standins.proxied.demo import run_platform_demo
 
     if verbose:
         _log_to_stderr()
@@ -26,8 +27,13 @@
     report = asyncio.run(run_demo(click.echo))
     for line in report.lines():
         click.echo(line)
-    click.echo("every check held" if report.passed else "a check FAILED")
-    sys.exit(ExitCode.OK if report.passed else ExitCode.FAILED)
+    click.echo("\non the users' platform:")
+    on_platform = asyncio.run(run_platform_demo(click.echo))
+    for line in on_platform.lines():
+        click.echo(line)
+    passed = report.passed and on_platform.passed
+    click.echo("every check held" if passed else "a check FAILED")
+    sys.exit(ExitCode.OK if passed else ExitCode.FAILED)
 
 
 def _log_to_stderr() -> None:
--- a/mallowpass/cli/serve.py
+++ b/mallowpass/cli/serve.py
@@ -18,13 +18,21 @@
     metavar="FILE",
     help="Write a trace of events and decisions, for `mallowpass replay`.",
 )
-@click.argument("settings", type=click.Path(path_type=Path))
-def serve(settings: Path, record: Path | None) -> None:
+@click.argument("settings", required=False, type=click.Path(path_type=Path))
+def serve(settings: Path | None, record: Path | None) -> None:
     """Run a host with the SETTINGS file until it is told to stop.
 
+    Without SETTINGS it runs on the users' platform, with the file that the platform
+    names in MALLOWPASS_NODE_FILE; `python3 -m mallowpass.platform` does the same.
+
     SIGTERM and SIGINT drain it: requests and transactions in flight are finished
     first, within the time that the settings give.
     """
+    if settings is None:
+        from mallowpass.platform.__main__ import main
+
+        main()
+        return
     from mallowpass.adapters.runtime import HostRuntime
     from mallowpass.logs import configure_logging
     from mallowpass.settings import (
