--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -165,6 +165,7 @@
         connection: ConnectionRow,
         floor: LogPosition | None,
     ) -> None:
+        request.floor = floor
         if request.transaction is not None:
             self._begin(request, connection, floor)
         else:
@@ -342,6 +343,7 @@
             self._members.denied(endpoint)
         elif reply.code is Code.BEHIND:
             endpoint.behind_at = self.now
+            request.behind += 1
             request.avoided.add(endpoint.name)
         else:
             request.avoided.add(endpoint.name)
@@ -638,6 +640,9 @@
             primary=group.primary,
             term=group.term,
             configuration=self.tables.configuration.version,
+            consistency=request.route.consistency.value,
+            floor=_text(request.floor),
+            behind=request.behind,
             tries=request.tries,
             ms=round(1000 * duration, 1),
         )
@@ -653,5 +658,9 @@
             group.waiting.remove(request)
 
 
+def _text(position: LogPosition | None) -> str:
+    return "" if position is None else f"{position.term}.{position.position}"
+
+
 def _rank(request: RequestRow) -> tuple[int, float]:
     return (request.route.priority, request.arrived)
--- a/mallowpass/core/proxy/routing.py
+++ b/mallowpass/core/proxy/routing.py
@@ -25,6 +25,9 @@
 # whose member is slow or busy go elsewhere. Bytes between regions on a quiet day: 0.016
 # of the worth without this, 0.010 with it.
 OTHER_REGION_COST = 0.1
+# What is added for an endpoint that did not serve the statement before, in seconds:
+# more than any other difference.
+AVOIDED_COST = 1.0
 # A primary alone can run writes: reads that a replica can serve leave it this many
 # statements' room.
 PRIMARY_COST = 1.0
@@ -94,7 +97,7 @@
             for endpoint in group.endpoints.values()
             if self._is_usable(request, endpoint, group, floor)
         ]
-        usable.sort(key=lambda endpoint: self._cost(endpoint, group))
+        usable.sort(key=lambda endpoint: self._cost(endpoint, group, request))
         return usable
 
     def _is_usable(
@@ -112,12 +115,17 @@
             return False
         return self._floors.may_have(endpoint, floor)
 
-    def _cost(self, endpoint: EndpointRow, group: GroupRow) -> float:
+    def _cost(
+        self, endpoint: EndpointRow, group: GroupRow, request: RequestRow
+    ) -> float:
         latency = endpoint.latency or LATENCY_EXPECTED
         load = endpoint.in_flight + 2.0 * endpoint.overdue
         if endpoint.name == group.primary:
             load += PRIMARY_COST
         expected = latency * (1.0 + load / max(1, endpoint.entry.slots))
+        if endpoint.name in request.avoided:
+            # The primary always has the floor, and may still be the one that is silent.
+            expected += AVOIDED_COST
         return expected + self._distance(endpoint)
 
     def _distance(self, endpoint: EndpointRow) -> float:
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -215,6 +215,8 @@
     tries: int = 0
     avoided: set[str] = field(default_factory=set)
     retry_at: float = 0.0  # not sent before
+    floor: LogPosition | None = None  # that was demanded last; None: the primary's
+    behind: int = 0  # times that a member had not reached the floor
     finished: bool = False
     detail: str = ""  # the newest reason for waiting or failing
     timers: list[Timer] = field(default_factory=list)
--- a/tests/core/proxy/test_connections.py
+++ b/tests/core/proxy/test_connections.py
@@ -84,3 +84,18 @@
     world.run(3.0)
     sent = [call for _, _, call in world.calls if isinstance(call.statement, Write)]
     assert len(sent) == 1
+
+
+def test_read_leaves_a_dark_primary_for_a_replica_that_has_its_floor():
+    """Symptom: a read times out though a replica could serve it.
+
+    Sequence: the primary goes dark with the read in flight; the read is moved. Cause:
+    it is moved to the same primary, on another connection.
+    """
+    world = ProxyWorld()
+    caller = world.caller(0, "bounded")
+    world.caller(0, "own").run(Write("a 1"))
+    world.run(0.2)
+    world.dark.add("db-casa")
+    read = caller.run(Read("a"))
+    assert (read.code, read.rows) == (Code.DONE, (b"1",))
