--- /dev/null
+++ b/tests/soak/fleet.py
@@ -0,0 +1,143 @@
+"""Host processes in front of the stand-ins, each reached through proxies."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+from mallowpass.core.proxy.storage import EndpointEntry, RowKey, Table
+from mallowpass.platform.settings import Address
+from mallowpass.standins.proxied.platform import LocalPlatform
+from mallowpass.standins.proxied.replicas import Replica
+from tests.soak.proxies import FaultProxy
+
+__all__ = ["HostProcess", "SoakPlatform"]
+
+ROOT = Path(__file__).parents[2]
+GRACE = 4  # seconds
+STORE_PORT, ORDERS_PORT, CALLERS_PORT, READY_PORT = 8783, 8784, 8785, 8786
+PROXIED_PORT, PEERS_PORT = 8081, 7440
+DOMAINS = ("casa-ainsebaa", "tanger-ksar", "agadir-anza")
+
+
+class SoakPlatform(LocalPlatform):
+    """Run the stand-ins, and enter members under the addresses of their proxies."""
+
+    def __init__(self, seed: int) -> None:
+        self.proxies: dict[str, FaultProxy] = {}
+        super().__init__(seed=seed)
+        for name, server in self.servers.items():
+            address = Address(server.address.host, PROXIED_PORT)
+            self.proxies[name] = FaultProxy(address, server.address)
+
+    async def start_all(self) -> None:
+        """Start the stand-ins and the proxies of members."""
+        for proxy in self.proxies.values():
+            await proxy.start()
+        await self.start(hosts=0)
+
+    def enter(self, replica: Replica, draining: bool = False) -> None:
+        """Write a member's entry, as it does itself."""
+        entry = EndpointEntry(
+            name=replica.name,
+            service=self.group.service,
+            address=str(self.proxies[replica.name].address),
+            failure_domain=replica.name.removeprefix("db-"),
+            slots=self.group.slots,
+            draining=draining,
+            is_primary=replica.is_primary,
+        )
+        self.store.put(RowKey(Table.ENDPOINTS, "", replica.name), entry)
+
+    async def restart(self, name: str) -> None:
+        """Start a crashed member again, with its log."""
+        self.group.start(name)
+        await self.servers[name].start()
+        self.enter(self.group.replicas[name])
+
+    def address(self, number: int, port: int) -> Address:
+        """Return an address of this run."""
+        return self._address(number, port)
+
+
+class HostProcess:
+    """Hold one host's process, its settings and its way to the store."""
+
+    def __init__(self, platform: SoakPlatform, number: int, folder: Path) -> None:
+        self.number = number
+        self.name = f"host-{number}"
+        self.callers = platform.address(10 + number, CALLERS_PORT)
+        self.log = folder / f"{self.name}.log"
+        self.ended_by_itself = False
+        self._wanted = False
+        self._process: asyncio.subprocess.Process | None = None
+        self._settings = folder / f"{self.name}.toml"
+        store = platform.address(1, STORE_PORT)
+        self.store = FaultProxy(platform.address(60 + number, STORE_PORT), store)
+        self._settings.write_text(self._text(platform))
+
+    def _text(self, platform: SoakPlatform) -> str:
+        domain = DOMAINS[self.number % len(DOMAINS)]
+        zones = "\n".join(f'{name} = "{name}"' for name in DOMAINS)
+        ready = platform.address(10 + self.number, READY_PORT)
+        return f"""
+nodeName = "{self.name}"
+zone = "{domain}"
+internalPorts = [{PEERS_PORT}, {PEERS_PORT + 10}]
+[zones]
+{zones}
+[listen]
+front = "{self.callers}"
+ready = "{ready}"
+[bounds]
+graceS = {GRACE}
+[platform]
+address = "{self.store.address}"
+[cloud]
+address = "{platform.address(1, ORDERS_PORT)}"
+"""
+
+    async def start(self) -> None:
+        """Start the process; it appends to its log."""
+        self._wanted = True
+        environment = os.environ | {"MALLOWPASS_NODE_FILE": str(self._settings)}
+        with self.log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "mallowpass.platform",
+                stdout=log,
+                stderr=log,
+                env=environment,
+                cwd=ROOT,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it runs."""
+        if self._process is not None and self._process.returncode is None:
+            self._process.send_signal(number)
+
+    async def kill(self) -> None:
+        """Kill the process."""
+        self._wanted = False
+        self.send(signal.SIGKILL)
+        await self._process.wait()
+
+    async def terminate(self) -> int:
+        """Ask the process to stop; return its exit code, killed after its grace."""
+        self._wanted = False
+        self.send(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(GRACE + 1):
+                return await self._process.wait()
+        except TimeoutError:
+            await self.kill()
+            return -signal.SIGKILL
+
+    def look(self) -> None:
+        """Note whether the process ended though nobody asked it to."""
+        if self._wanted and self._process.returncode is not None:
+            self.ended_by_itself = True
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,264 @@
+"""One seed of the soak: a fleet, callers, a series of faults, and the checks."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import tempfile
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+from mallowpass.standins.proxied.caller import CallerError, WireCaller
+from mallowpass.standins.proxied.platform import (
+    CONFIGURATION_KEY,
+    claims_configuration,
+)
+from tests.soak.clients import Client, Findings
+from tests.soak.fleet import HostProcess, SoakPlatform
+
+__all__ = ["Verdict", "soak"]
+
+CLIENTS = 8
+START_LIMIT = 10.0  # seconds until all hosts serve, at the start and at the end
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Tell how a seed went; `folder` holds the hosts' logs where it failed."""
+
+    seed: int
+    broken: tuple[str, ...]
+    codes: dict[str, int]
+    faults: tuple[str, ...]
+    folder: str
+
+
+async def soak(seed: int, duration: float, hosts: int = 4) -> Verdict:
+    """Run one seed."""
+    folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    run = _Run(seed, hosts, folder)
+    try:
+        await run.play(duration)
+    finally:
+        await run.end()
+    findings = run.findings
+    return Verdict(
+        seed, tuple(findings.broken), findings.codes, tuple(run.faults), str(folder)
+    )
+
+
+class _Run:
+    """Hold everything of one seed."""
+
+    def __init__(self, seed: int, hosts: int, folder: Path) -> None:
+        self.random = random.Random(seed)
+        self.findings = Findings()
+        self.faults: list[str] = []
+        self.platform = SoakPlatform(seed)
+        self.hosts = [HostProcess(self.platform, i, folder) for i in range(hosts)]
+        addresses = [host.callers for host in self.hosts]
+        self.clients = [
+            Client(f"k{i}", addresses, self.findings, 1000 * seed + i)
+            for i in range(CLIENTS)
+        ]
+        self._busy: set[str] = set()  # members that are down
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def play(self, duration: float) -> None:
+        """Start, break things for some seconds, heal, and check."""
+        await self.platform.start_all()
+        for host in self.hosts:
+            await host.store.start()
+            await host.start()
+        await self._await_service("at the start")
+        work = [asyncio.create_task(client.run()) for client in self.clients]
+        loop = asyncio.get_running_loop()
+        end = loop.time() + duration
+        while loop.time() < end:
+            fault = self.random.choice(_FAULTS)
+            self.faults.append(f"{end - loop.time():.1f} {fault.__name__}")
+            self._tasks.append(asyncio.create_task(fault(self)))
+            await asyncio.sleep(self.random.uniform(0.2, 1.5))
+        await asyncio.gather(*self._tasks)
+        await self._await_service("after all faults")
+        for client in self.clients:
+            client.stopping = True
+        await asyncio.gather(*work)
+        await asyncio.sleep(0.5)
+        self._check()
+
+    async def end(self) -> None:
+        """End all processes that this run started."""
+        for host in self.hosts:
+            host.look()
+            if host.ended_by_itself:
+                self.findings.broken.append(f"{host.name} ended by itself")
+            host.send(signal.SIGCONT)
+        codes = await asyncio.gather(*(host.terminate() for host in self.hosts))
+        for host, code in zip(self.hosts, codes, strict=True):
+            host.store.stop()
+            if code != 0 and not host.ended_by_itself:
+                self.findings.broken.append(f"{host.name} stopped with {code}")
+        for proxy in self.platform.proxies.values():
+            proxy.stop()
+        self.platform.stop()
+
+    async def _await_service(self, when: str) -> None:
+        for host in self.hosts:
+            try:
+                async with asyncio.timeout(START_LIMIT):
+                    await self._write_once(host)
+            except TimeoutError:
+                self.findings.broken.append(f"{host.name} serves no write {when}")
+
+    @staticmethod
+    async def _write_once(host: HostProcess) -> None:
+        while True:
+            try:
+                caller = await WireCaller.connect(host.callers, "status-sync")
+                answer = await caller.run(f"WRITE {host.name} 1")
+                await caller.close()
+                if answer.code == "DONE":
+                    return
+            except (CallerError, OSError):
+                pass  # it is starting, or members are
+            await asyncio.sleep(0.05)
+
+    def _check(self) -> None:
+        group = self.platform.group
+        broken = self.findings.broken
+        if group.lost:
+            broken.append(f"{len(group.lost)} acknowledged commits were lost")
+        log = group.primary.log
+        kept = Counter(f"{k} {v}" for entry in log for k, v in entry.writes)
+        for text, number in kept.items():
+            if text.startswith("k") and number > 1:
+                broken.append(f"{text} took effect {number} times")
+        for text in self.findings.promised & kept.keys():
+            broken.append(f"{text} is kept though it was promised not to be")
+
+    # -- Faults --------------------------------------------------------------
+
+    async def kill(self) -> None:
+        host = self.random.choice(self.hosts)
+        async with _alone(host):
+            await host.kill()
+            await asyncio.sleep(self.random.uniform(0.1, 1.0))
+            await host.start()
+
+    async def stop(self) -> None:
+        host = self.random.choice(self.hosts)
+        async with _alone(host):
+            if await host.terminate() != 0:
+                self.findings.broken.append(f"{host.name} did not stop with 0")
+            await host.start()
+
+    async def freeze(self) -> None:
+        host = self.random.choice(self.hosts)
+        async with _alone(host):
+            host.send(signal.SIGSTOP)
+            await asyncio.sleep(self.random.uniform(0.3, 3.0))
+            host.send(signal.SIGCONT)
+
+    async def reload(self) -> None:
+        self.random.choice(self.hosts).send(signal.SIGHUP)
+
+    async def crash_member(self) -> None:
+        await self._member_down(lambda name: self.platform.crash(name))
+
+    async def _member_down(self, break_it: Callable[[str], None]) -> None:
+        names = [n for n in self.platform.servers if n not in self._busy]
+        if self._busy or not names:
+            return  # one at a time: two of three gone is for good
+        name = self.random.choice(names)
+        self._busy.add(name)
+        break_it(name)
+        await asyncio.sleep(self.random.uniform(0.5, 5.0))
+        await self.platform.restart(name)
+        self._busy.discard(name)
+
+    async def deaf_member(self) -> None:
+        replica = self.random.choice(list(self.platform.group.replicas.values()))
+        replica.deaf = True
+        await asyncio.sleep(self.random.uniform(0.5, 3.0))
+        replica.deaf = False
+
+    async def cut_member(self) -> None:
+        proxy = self.random.choice(list(self.platform.proxies.values()))
+        proxy.silent_in = self.random.random() < 0.7
+        proxy.silent_out = not proxy.silent_in or self.random.random() < 0.5
+        await asyncio.sleep(self.random.uniform(0.3, 4.0))
+        proxy.heal()
+
+    async def slow_member(self) -> None:
+        proxy = self.random.choice(list(self.platform.proxies.values()))
+        proxy.delay = self.random.uniform(0.02, 0.3)
+        await asyncio.sleep(self.random.uniform(0.5, 3.0))
+        proxy.heal()
+
+    async def reset_members(self) -> None:
+        for proxy in self.platform.proxies.values():
+            proxy.reset()
+
+    async def cut_store(self) -> None:
+        proxy = self.random.choice(self.hosts).store
+        proxy.silent_in = self.random.random() < 0.5
+        proxy.silent_out = not proxy.silent_in
+        await asyncio.sleep(self.random.uniform(0.5, 4.0))
+        proxy.heal()
+
+    async def store_faults(self) -> None:
+        faults = self.platform.store.faults
+        faults.refusing = self.random.random() < 0.3
+        faults.answers_lost = self.random.choice((0.0, 0.5))
+        faults.late = self.random.choice((0.0, 2.0))
+        faults.delay = self.random.choice((0.004, 0.2))
+        await asyncio.sleep(self.random.uniform(0.5, 3.0))
+        faults.refusing, faults.answers_lost = False, 0.0
+        faults.late, faults.delay = 0.0, 0.004
+
+    async def forget_history(self) -> None:
+        self.platform.store.forget_history()
+
+    async def change_configuration(self) -> None:
+        row = self.platform.store.get(CONFIGURATION_KEY)
+        version = row.value.version + self.random.randrange(1, 4)
+        changed = claims_configuration(version, self.platform.group.service)
+        self.platform.store.put(CONFIGURATION_KEY, replace(changed, version=version))
+
+    async def drain_member(self) -> None:
+        if self._busy:
+            return
+        primary = self.platform.group.primary
+        self.platform.enter(primary, draining=True)
+        await asyncio.sleep(self.random.uniform(1.0, 3.0))
+        self.platform.enter(primary)
+
+
+_locks: dict[int, asyncio.Lock] = {}
+
+
+def _alone(host: HostProcess) -> asyncio.Lock:
+    """Return the lock that keeps one host's faults from undoing each other."""
+    return _locks.setdefault(id(host), asyncio.Lock())
+
+
+_FAULTS: tuple[Callable[[_Run], Awaitable[None]], ...] = (
+    _Run.kill,
+    _Run.stop,
+    _Run.freeze,
+    _Run.reload,
+    _Run.crash_member,
+    _Run.deaf_member,
+    _Run.cut_member,
+    _Run.slow_member,
+    _Run.reset_members,
+    _Run.cut_store,
+    _Run.store_faults,
+    _Run.forget_history,
+    _Run.change_configuration,
+    _Run.drain_member,
+)
