--- /dev/null
+++ b/tests/platform/test_http.py
@@ -0,0 +1,125 @@
+"""The HTTP client and server: answers, silence, lost connections."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from mallowpass.core.proxy.storage import (
+    ChangeRows,
+    ListRows,
+    RowKey,
+    StoreStatus,
+    Table,
+    WatchRows,
+)
+from mallowpass.core.timers import TimerService
+from mallowpass.platform.http import (
+    HttpClient,
+    HttpError,
+    HttpServer,
+    Request,
+    Response,
+)
+from mallowpass.platform.settings import Address
+from mallowpass.platform.store import StoreClient
+from mallowpass.standins.proxied.httpserver import StoreServer
+from mallowpass.standins.proxied.rows import RowStore
+
+
+@pytest.fixture
+def address() -> Address:
+    return Address(f"127.{random.randrange(2, 60)}.{random.randrange(250)}.9", 8080)
+
+
+async def _silent(request: Request) -> Response:
+    await asyncio.sleep(60)
+    return Response(200)
+
+
+async def _serve(address: Address) -> HttpServer:
+    server = HttpServer(
+        {
+            "/echo": lambda request: Response(200, request.body),
+            "/silent": _silent,
+        }
+    )
+    await server.start(address)
+    return server
+
+
+def test_answers_over_one_kept_connection(address):
+    async def run() -> None:
+        server = await _serve(address)
+        client = HttpClient(address)
+        for number in range(5):
+            body = str(number).encode()
+            response = await client.call(Request("POST", "/echo", body=body), 1.0)
+            assert (response.status, response.body) == (200, body)
+        assert len(client._idle) == 1
+        assert (await client.call(Request("GET", "/none"), 1.0)).status == 404
+        server.close()
+
+    asyncio.run(run())
+
+
+def test_silence_is_an_error_that_may_have_arrived(address):
+    async def run() -> None:
+        server = await _serve(address)
+        client = HttpClient(address)
+        with pytest.raises(HttpError) as caught:
+            await client.call(Request("GET", "/silent"), 0.1)
+        assert caught.value.sent
+        # The connection that may still answer is not used again.
+        assert (await client.call(Request("POST", "/echo"), 1.0)).status == 200
+        server.close()
+
+    asyncio.run(run())
+
+
+def test_nobody_listens(address):
+    async def run() -> None:
+        with pytest.raises(HttpError) as caught:
+            await HttpClient(address).call(Request("GET", "/echo"), 1.0)
+        assert not caught.value.sent
+
+    asyncio.run(run())
+
+
+def test_store_client(address):
+    async def run() -> None:
+        timers = TimerService()
+        store = RowStore(timers)
+        await StoreServer(store).start(address)
+        client = StoreClient(address, print)
+        ticking = asyncio.create_task(_tick(timers))
+        key = RowKey(Table.CLAIMS, "s", "primary")
+        change = ChangeRows(((key, 0),), ((key, "1 a b 0.0"),))
+        done = await client.call(change, 1.0)
+        assert done.status is StoreStatus.DONE
+        conflict = await client.call(change, 1.0)
+        assert conflict.status is StoreStatus.CONFLICT
+        assert conflict.rows[0].value == "1 a b 0.0"
+        listed = await client.call(ListRows(Table.CLAIMS, "s"), 1.0)
+        assert [row.key for row in listed.rows] == [key]
+        watched = await client.call(WatchRows(Table.CLAIMS, 0, 1.0), 2.0)
+        assert watched.rows[0].version == done.version
+        store.faults.refusing = True
+        refused = await client.call(change, 1.0)
+        assert refused.status is StoreStatus.REFUSED
+        store.faults.refusing, store.faults.silent = False, True
+        unknown = await client.call(change, 0.1)
+        assert unknown.status is StoreStatus.UNKNOWN
+        ticking.cancel()
+
+    asyncio.run(run())
+
+
+async def _tick(timers: TimerService) -> None:
+    loop = asyncio.get_running_loop()
+    while True:
+        timers.advance(loop.time())
+        timers.run_due()
+        await asyncio.sleep(0.001)
--- a/tests/platform/test_local.py
+++ b/tests/platform/test_local.py
@@ -10,6 +10,9 @@
 
 import pytest
 
+from mallowpass.platform.http import HttpClient, Request
+from mallowpass.platform.runtime import METRICS_PATH, METRICS_PORT
+from mallowpass.platform.settings import Address
 from mallowpass.standins.proxied.caller import CallerError, WireCaller
 from mallowpass.standins.proxied.platform import (
     CONFIGURATION_KEY,
@@ -113,3 +116,15 @@
         while True:  # closed once callers have learnt to go elsewhere
             await asyncio.sleep(0.35)
             await caller.run("READ a")
+
+
+@on_platform
+async def test_metrics_are_served_as_text(platform):
+    caller = await WireCaller.connect(platform.callers_address(0), "status-sync")
+    await caller.run("WRITE a 1")
+    address = Address(platform.callers_address(0).host, METRICS_PORT)
+    request = Request("GET", METRICS_PATH)
+    response = await HttpClient(address).call(request, 2.0)
+    text = response.body.decode()
+    assert 'mallowpass_statements_total{code="done"} 1.0' in text
+    assert "mallowpass_statement_seconds_bucket" in text
