--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -44,7 +44,7 @@
 
 # A connection that takes this long is not worth waiting for: a round trip between
 # regions and the handshake of an endpoint take a tenth of it.
-CONNECT_TIMEOUT = 0.6
+CONNECT_TIMEOUT = 0.45
 BACKOFF_MIN = 0.05  # seconds between attempts to reach an endpoint
 BACKOFF_MAX = 1.0
 FULL_BACKOFF = 0.25  # seconds after which a full endpoint is asked again
@@ -62,6 +62,9 @@
 # power it would stand in its successor's way.
 IDLE_MAX = 2.0  # seconds
 IDLE_LOOK = 0.5  # seconds between looks
+# A call that is unanswered for so long, with nothing else heard of the endpoint, has a
+# new connection tried. Statements take 20 to 50 ms, and a full queue some 150.
+QUIET_TIME = 0.25  # seconds
 # A connection silent for so long with calls in flight is closed: no statement may
 # run longer than its route's timeout, which is well below.
 SILENCE_MAX = 3.0
@@ -205,6 +208,7 @@
         if connection.state is ConnectionState.IDLE:
             connection.state = ConnectionState.BUSY
         connection.pending.append(Batch(len(calls), on_replies, self.now))
+        self.timers.after(QUIET_TIME, self._check_quiet, connection, self.now)
         self._node.emit(SendCalls(connection.number, tuple(calls)))
         self.timers.after(SILENCE_MAX, self._check_silence, connection)
 
@@ -322,6 +326,19 @@
             asked_at = sent_at - reply.floor.age
             self._node.publish(FloorLearnt(group, reply.floor.position, asked_at))
 
+    def _check_quiet(self, connection: ConnectionRow, sent_at: float) -> None:
+        """Try a new connection to an endpoint that has answered nothing for a while.
+
+        One that is dark shows in nothing else but its silence. Waiting for statements
+        to become overdue takes nearly twice as long, at the worst of times.
+        """
+        endpoint = connection.endpoint
+        answered = not connection.pending or connection.pending[0].sent_at > sent_at
+        if answered or connection.holder or endpoint.heard_at > sent_at:
+            return
+        if connection.number in self.tables.connections:
+            self.grow(endpoint, beyond_share=True)
+
     def _check_silence(self, connection: ConnectionRow) -> None:
         """Close a connection that went silent with calls in flight.
 
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -15,7 +15,6 @@
 from mallowpass.core.proxy.signals import (
     ConnectionFreed,
     EndpointChanged,
-    EndpointOverdue,
     PrimaryChanged,
     PrimaryHeard,
     WriteStalled,
@@ -535,7 +534,6 @@
         writes = request.access is Access.WRITE
         if writes:
             self._node.publish(WriteStalled(endpoint))
-        self._node.publish(EndpointOverdue(endpoint))
         if request.transaction is not None or writes:
             return
         if self.now - request.sent_at < OVERDUE_FACTOR * endpoint.latency:
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -15,7 +15,6 @@
     "DrainBegan",
     "EndpointChanged",
     "EndpointForgotten",
-    "EndpointOverdue",
     "EndpointUnreachable",
     "FloorLearnt",
     "PrimaryChanged",
@@ -68,13 +67,6 @@
     why: str
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointOverdue(Signal):
-    """An endpoint has not answered a statement in time."""
-
-    endpoint: EndpointRow
-
-
 @dataclass(frozen=True, slots=True)
 class WriteStalled(Signal):
     """A primary that may well answer reads has not answered a write in time."""
--- a/mallowpass/core/proxy/suspicion.py
+++ b/mallowpass/core/proxy/suspicion.py
@@ -11,11 +11,9 @@
 from dataclasses import dataclass
 
 from mallowpass.core.node import Node
-from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.promotion import Promotion
 from mallowpass.core.proxy.signals import (
-    EndpointOverdue,
     EndpointUnreachable,
     PrimaryChanged,
     PrimaryHeard,
@@ -68,7 +66,6 @@
     """Watch primaries, report what is wrong, and have them replaced."""
 
     __slots__ = (
-        "_connections",
         "_holders",
         "_promotion",
         "_started_at",
@@ -86,12 +83,10 @@
     def start(self) -> None:
         """Subscribe to what tells of primaries."""
         node = self._node
-        self._connections = node.system(Connections)
         self._holders = node.system(Holders)
         self._promotion = node.system(Promotion)
         self._store = node.system(Store)
         node.subscribe(EndpointUnreachable, self._on_unreachable)
-        node.subscribe(EndpointOverdue, self._on_overdue)
         node.subscribe(WriteStalled, self._on_stalled)
         node.subscribe(PrimaryHeard, self._on_heard)
         node.subscribe(PrimaryChanged, self._on_changed)
@@ -103,12 +98,6 @@
         if self._leads(endpoint) and self._is_silent(endpoint):
             self._suspect(endpoint, f"unreachable: {signal.why}")
 
-    def _on_overdue(self, signal: EndpointOverdue) -> None:
-        endpoint = signal.endpoint
-        if self._leads(endpoint) and self._is_silent(endpoint):
-            # The connections that it had may have gone silent while new ones work.
-            self._connections.grow(endpoint, beyond_share=True)
-
     def _on_stalled(self, signal: WriteStalled) -> None:
         endpoint = signal.endpoint
         if not self._leads(endpoint):
--- a/mallowpass/platform/__main__.py
+++ b/mallowpass/platform/__main__.py
@@ -3,24 +3,38 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
-
-from mallowpass.platform.logs import LogWriter
-from mallowpass.platform.runtime import HostRuntime
-from mallowpass.platform.settings import SettingsError, load_settings, settings_path
+from types import FrameType
 
 __all__ = ["main"]
 
 EXIT_SETTINGS = 3  # as the command line's code for settings with findings
 
 
+def _stop_early(number: int, frame: FrameType | None) -> None:
+    """End with 0 when told to stop before there is anything to finish.
+
+    Without this a host that is stopped while it starts dies of the signal, which looks
+    like a crash to whoever waits for it.
+    """
+    raise SystemExit(0)
+
+
 async def _serve() -> None:
+    from mallowpass.platform.logs import LogWriter
+    from mallowpass.platform.runtime import HostRuntime
+    from mallowpass.platform.settings import load_settings, settings_path
+
     settings = load_settings(settings_path())
     await HostRuntime(settings, LogWriter()).run()
 
 
 def main() -> None:
     """Serve until told to stop; a wrong settings file ends it at once."""
+    signal.signal(signal.SIGTERM, _stop_early)
+    from mallowpass.platform.settings import SettingsError
+
     try:
         asyncio.run(_serve())
     except SettingsError as error:
