--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -54,7 +54,7 @@
 # ... but not before it takes this many times as long as statements do there.
 OVERDUE_FACTOR = 6.0
 BACKOFF_MIN = 0.02  # seconds before a refused statement is sent again
-BACKOFF_MAX = 0.1
+BACKOFF_MAX = 0.2
 TRIES_MAX = 8  # of one statement, so that a refusal for good ends
 
 
--- a/mallowpass/core/proxy/suspicion.py
+++ b/mallowpass/core/proxy/suspicion.py
@@ -148,7 +148,7 @@
         group = self.tables.group(service)
         group.suspected = True
         self._node.publish(PrimarySuspected(group))
-        self._report(service, suspect)
+        self._look(service, suspect)
 
     def _clear(self, service: str, why: str) -> None:
         suspect = self._suspects.pop(service, None)
@@ -173,21 +173,27 @@
             if self._suspects.get(service) is suspect:
                 self._look(service, suspect)
 
+        self._node.count("suspicions_reported", service=service)
         self._store.call(call, on_reply)
 
     def _look(self, service: str, suspect: _Suspect) -> None:
-        """Look at what other hosts report, until the matter is settled."""
+        """Look at what other hosts report, until the matter is settled.
+
+        Whoever finds reports enough makes none: at a crash all hosts of a large fleet
+        look within the same second.
+        """
         if self._suspects.get(service) is not suspect:
             return
-        if self.now - suspect.reported_at >= REPORT_GAP:
-            self._report(service, suspect)
-            return
 
         def on_rows(reply: StoreReply) -> None:
             if self._suspects.get(service) is not suspect:
                 return
+            enough = False
             if reply.status is StoreStatus.DONE:
-                self._judge(service, suspect, reply)
+                enough = self._judge(service, suspect, reply)
+            if not enough and self.now - suspect.reported_at >= REPORT_GAP:
+                self._report(service, suspect)
+                return
             longest = min(LOOK_GAP_MAX, LOOK_GAP_MIN * 2.0 ** min(suspect.looks, 8))
             suspect.looks += 1
             pause = self._node.random.uniform(longest / 2, longest)
@@ -195,16 +201,19 @@
 
         self._store.call(ListRows(Table.SUSPICIONS, service), on_rows)
 
-    def _judge(self, service: str, suspect: _Suspect, reply: StoreReply) -> None:
-        hosts = []
+    def _judge(self, service: str, suspect: _Suspect, reply: StoreReply) -> bool:
+        """Have the primary replaced if enough hosts suspect it; tell whether."""
+        hosts = {self._node.identity.name}
         for row in reply.rows:
             primary, _, time = str(row.value).partition(" ")
             if primary == suspect.primary and reply.time - float(time) < REPORT_TIME:
-                hosts.append(row.key.key)
-        if len(hosts) >= self._quorum(service):
-            group = self.tables.group(service)
-            why = f"{suspect.why}; seen by {','.join(sorted(hosts))}"
-            self._promotion.replace(group, suspect.primary, why, planned=False)
+                hosts.add(row.key.key)
+        if len(hosts) < self._quorum(service):
+            return False
+        group = self.tables.group(service)
+        why = f"{suspect.why}; seen by {','.join(sorted(hosts))}"
+        self._promotion.replace(group, suspect.primary, why, planned=False)
+        return True
 
     def _quorum(self, service: str) -> int:
         hosts = self._holders.holding_hosts(service)
