--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -255,7 +255,6 @@
             open=len(endpoint.connections),
         )
         if event.code is Code.TOO_MANY_CONNECTIONS:
-            endpoint.full_at = self.now
             pause = FULL_BACKOFF * self._node.random.uniform(1.0, 2.0)
         else:
             endpoint.failures += 1
@@ -317,7 +316,6 @@
         endpoint.heard_at = self.now
         if reply.position is not None:
             endpoint.position = reply.position
-            endpoint.position_at = self.now
             group = self.tables.group(endpoint.entry.service)
             group.term = max(group.term, reply.position.term)
         if reply.floor is not None:
--- a/mallowpass/core/proxy/events.py
+++ b/mallowpass/core/proxy/events.py
@@ -29,7 +29,6 @@
     "ProxyEvent",
     "SessionClosed",
     "SessionOpened",
-    "SettingsChanged",
     "ShutdownRequested",
     "StatementReceived",
     "StoreAnswered",
@@ -141,8 +140,3 @@
     accepted: bool | None
     outdated: bool = False
     message: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class SettingsChanged(ProxyEvent):
-    """The settings file changed; what changed in it needs no restart."""
--- a/mallowpass/core/proxy/members.py
+++ b/mallowpass/core/proxy/members.py
@@ -20,6 +20,9 @@
 # A primary is kept until it is replaced, but not longer: what is sent to an endpoint
 # must stop within seconds of its entry's end.
 PRIMARY_GRACE = 5.0
+# How long a primary that says it is leaving is used while no successor is found: the
+# shortest bound in use for the last statement that may reach it is 7 seconds.
+LEAVING_MAX = 6.0
 
 
 class Members(ProxySystem):
@@ -72,9 +75,21 @@
         endpoint.gone_at = None
         if changed or endpoint.position is None:
             self._log(endpoint)
+        if not entry.draining:
+            endpoint.retired = False
+        elif changed:
+            self.timers.after(LEAVING_MAX, self._retire, endpoint)
         self._judge_primary(endpoint)
         self._node.publish(EndpointChanged(endpoint))
 
+    def _retire(self, endpoint: EndpointRow) -> None:
+        if not endpoint.entry.draining:
+            return
+        endpoint.retired = True
+        group = self.tables.group(endpoint.entry.service)
+        if group.primary == endpoint.name:
+            self._set_primary(group, "", "it should have left")
+
     def _vanished(self, name: str) -> None:
         endpoint = self.tables.endpoints.get(name)
         if endpoint is None or endpoint.gone_at is not None:
@@ -123,6 +138,8 @@
             return
         if self._denied.get(endpoint.name, -1) >= endpoint.version:
             return
+        if endpoint.retired:
+            return
         if group.primary == endpoint.name or endpoint.version > group.primary_version:
             group.primary_version = endpoint.version
             self._set_primary(group, endpoint.name, "its entry says primary")
@@ -136,6 +153,8 @@
 
     def promoted(self, endpoint: EndpointRow, why: str) -> None:
         """Believe that an endpoint leads, before its entry says so."""
+        if endpoint.retired:
+            return
         self._denied.pop(endpoint.name, None)
         self._set_primary(self.tables.group(endpoint.entry.service), endpoint.name, why)
 
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -19,6 +19,7 @@
 from mallowpass.core.proxy.settings import Settings
 from mallowpass.core.proxy.store import Store
 from mallowpass.core.proxy.suspicion import Suspicion
+from mallowpass.core.proxy.transactions import Transactions
 
 __all__ = ["SYSTEMS"]
 
@@ -35,6 +36,7 @@
     Discovery,
     Links,
     Requests,
+    Transactions,
     Sessions,
     Draining,
     Settings,
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -35,7 +35,6 @@
 )
 from mallowpass.core.proxy.tables import (
     ConnectionRow,
-    ConnectionState,
     EndpointRow,
     GroupRow,
     PreparedStatement,
@@ -61,7 +60,14 @@
 class Requests(ProxySystem):
     """Run the statements of sessions at endpoints."""
 
-    __slots__ = ("_connections", "_floors", "_members", "_routing", "_sessions")
+    __slots__ = (
+        "_connections",
+        "_floors",
+        "_members",
+        "_routing",
+        "_sessions",
+        "_transactions",
+    )
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
@@ -70,6 +76,7 @@
         """Subscribe to whatever may let waiting statements run."""
         from mallowpass.core.proxy.members import Members
         from mallowpass.core.proxy.sessions import Sessions
+        from mallowpass.core.proxy.transactions import Transactions
 
         node = self._node
         self._connections = node.system(Connections)
@@ -77,6 +84,7 @@
         self._members = node.system(Members)
         self._routing = node.system(Routing)
         self._sessions = node.system(Sessions)
+        self._transactions = node.system(Transactions)
         node.subscribe(ConnectionFreed, self._on_freed)
         node.subscribe(EndpointChanged, self._on_freed)
         node.subscribe(PrimaryChanged, self._on_group)
@@ -113,7 +121,7 @@
         session.request = request
         request.timers.append(self.timers.at(expires, self._on_expired, request))
         if transaction is not None and transaction.connection is not None:
-            self._send_pinned(request)
+            self._transactions.send(request)
         else:
             self._wait(request)
 
@@ -124,10 +132,10 @@
         self._settle(request)
         if connection is None:
             if session.transaction is not None:
-                self.roll_back(session)
+                self._transactions.roll_back(session)
             return
         # Its replies find a finished request, and free the connection.
-        self._detach(request)
+        self.detach(request)
         if session.transaction is not None:
             session.transaction.connection = None
 
@@ -166,75 +174,20 @@
     ) -> None:
         request.floor = floor
         if request.transaction is not None:
-            self._begin(request, connection, floor)
+            self._transactions.begin(request, connection, floor)
         else:
             self._send_single(request, connection, floor)
 
-    def _begin(
-        self,
-        request: RequestRow,
-        connection: ConnectionRow,
-        floor: LogPosition | None,
-    ) -> None:
-        """Begin a transaction, and send its first statement once that is accepted.
-
-        Sent along, the statement would run outside the transaction where the
-        endpoint refuses to begin it.
-        """
-        self._attach(request, connection)
-        connection.state = ConnectionState.PINNED
-        # A primary accepts a transaction that may write only while it leads. That is
-        # how a read learns that the primary was not replaced.
-        read_only = floor is not None
-        begin = EndpointCall(Begin(read_only), minimum=floor)
-
-        def on_replies(connection: ConnectionRow, replies: list[EndpointReply]) -> None:
-            self._on_begun(request, connection, replies[0], read_only)
-
-        self._connections.send(connection, [begin], on_replies)
-
-    def _on_begun(
-        self,
-        request: RequestRow,
-        connection: ConnectionRow,
-        reply: EndpointReply,
-        read_only: bool,
-    ) -> None:
-        transaction = request.transaction
-        if request.finished or request.connection is not connection:
-            self._roll_back(connection)
-            return
-        if reply.code is not Code.DONE:
-            self._detach(request)
-            self._connections.release(connection)
-            self._on_refused(request, connection.endpoint, reply)
-            return
-        transaction.connection = connection
-        transaction.proves_primary = not read_only
-        self._send_pinned(request)
-
-    def _send_pinned(self, request: RequestRow) -> None:
-        connection = request.transaction.connection
-        self._attach(request, connection)
-        calls = self._set_up(request, connection)
-        setup = len(calls)
-        calls.append(self._call(request, None))
-
-        def on_replies(connection: ConnectionRow, replies: list[EndpointReply]) -> None:
-            self._on_pinned_replies(request, connection, replies, setup)
-
-        self._connections.send(connection, calls, on_replies)
-
     def _send_single(
         self,
         request: RequestRow,
         connection: ConnectionRow,
         floor: LogPosition | None,
     ) -> None:
-        self._attach(request, connection)
-        calls = self._set_up(request, connection)
+        self.attach(request, connection)
+        calls = self.set_up(request, connection)
         setup = len(calls)
-        calls.append(self._call(request, floor))
+        calls.append(self.call(request, floor))
         if request.access is Access.READ and floor is None:
             # Was it still the primary? An old one answers reads like any replica,
             # from a log that lacks what its successor has committed.
@@ -246,30 +199,30 @@
 
         self._connections.send(connection, calls, on_replies)
 
-    def _set_up(
+    def set_up(
         self, request: RequestRow, connection: ConnectionRow
     ) -> list[EndpointCall]:
         prepared = () if request.prepared is None else (request.prepared,)
         return self._connections.set_up(connection, request.session.values, prepared)
 
-    def _call(self, request: RequestRow, floor: LogPosition | None) -> EndpointCall:
+    def call(self, request: RequestRow, floor: LogPosition | None) -> EndpointCall:
         statement = request.statement
         if request.prepared is not None:
             statement = Execute(request.prepared.shared_name, statement.text)
         return EndpointCall(statement, request.request_id, floor)
 
-    def _attach(self, request: RequestRow, connection: ConnectionRow) -> None:
+    def attach(self, request: RequestRow, connection: ConnectionRow) -> None:
         request.connection = connection
         request.endpoint = connection.endpoint
         request.sent_at = self.now
         request.endpoint.in_flight += 1
-        connection.on_lost = lambda _, why: self._on_lost(request, why)
+        connection.on_lost = lambda _, why: self.lost(request, why)
         overdue = OVERDUE_SHARE * request.route.statement_timeout
         request.timers.append(
             self.timers.after(overdue, self._on_overdue, request, connection)
         )
 
-    def _detach(self, request: RequestRow) -> None:
+    def detach(self, request: RequestRow) -> None:
         if request.connection is not None:
             request.endpoint.in_flight -= 1
             request.connection.on_lost = None
@@ -293,12 +246,12 @@
             self._connections.release(connection)
             return
         endpoint = connection.endpoint
-        self._detach(request)
+        self.detach(request)
         if reply.code is Code.UNKNOWN_STATEMENT:
             connection.broken = True
         self._connections.release(connection)
         if guard is not None and guard.code is not Code.DONE:
-            self._on_refused(request, endpoint, guard)
+            self.refused(request, endpoint, guard)
         elif reply.code is Code.DONE:
             self._on_done(request, endpoint, reply, guard is not None)
         else:
@@ -318,20 +271,20 @@
             proves_primary = True
         if proves_primary and reply.position is not None:
             self._floors.sample(group, reply.position, request.sent_at)
-        self._answer_reply(request, reply, SessionState.IDLE)
+        self.answer_reply(request, reply, SessionState.IDLE)
 
     def _on_failed(
         self, request: RequestRow, endpoint: EndpointRow, reply: EndpointReply
     ) -> None:
         if reply.code.is_not_run:
-            self._on_refused(request, endpoint, reply)
+            self.refused(request, endpoint, reply)
         elif request.access is Access.READ and request.tries == 0:
             # It ran and failed; a read may well succeed elsewhere.
-            self._on_refused(request, endpoint, reply)
+            self.refused(request, endpoint, reply)
         else:
-            self._answer_reply(request, reply, SessionState.IDLE)
+            self.answer_reply(request, reply, SessionState.IDLE)
 
-    def _on_refused(
+    def refused(
         self, request: RequestRow, endpoint: EndpointRow, reply: EndpointReply
     ) -> None:
         """Try a statement again that did not run."""
@@ -346,7 +299,7 @@
             request.avoided.add(endpoint.name)
         else:
             request.avoided.add(endpoint.name)
-            request.retry_at = self.now + self._backoff(request)
+            request.retry_at = self.now + self.backoff(request)
         if request.tries >= TRIES_MAX:
             self.refuse(request, Code.BUSY, request.detail)
             return
@@ -357,129 +310,13 @@
             )
         self._wait(request)
 
-    def _backoff(self, request: RequestRow) -> float:
+    def backoff(self, request: RequestRow) -> float:
         longest = min(BACKOFF_MAX, BACKOFF_MIN * 2.0 ** min(request.tries - 1, 8))
         return self._node.random.uniform(longest / 2, longest)
 
-    def _on_pinned_replies(
-        self,
-        request: RequestRow,
-        connection: ConnectionRow,
-        replies: list[EndpointReply],
-        setup: int,
-    ) -> None:
-        if request.connection is not connection:
-            self._roll_back(connection)
-            return
-        if any(reply.code is not Code.DONE for reply in replies[:setup]):
-            connection.broken = True
-        reply = replies[setup]
-        endpoint = connection.endpoint
-        self._detach(request)
-        transaction = request.transaction
-        if isinstance(request.statement, Commit):
-            self._on_commit_reply(request, connection, reply)
-            return
-        if reply.code is Code.DONE:
-            self._routing.measured(endpoint, self.now - request.sent_at)
-            transaction.wrote |= request.access is Access.WRITE
-            connection.on_lost = lambda _, why: self._on_idle_lost(request.session, why)
-            self._answer_reply(request, reply, SessionState.IN_TRANSACTION)
-        elif self._is_refused_open(request, reply):
-            self._send_later(request, connection)
-        else:
-            if reply.code is Code.NOT_PRIMARY:
-                self._members.denied(endpoint)
-            transaction.connection = None
-            self._roll_back(connection)
-            code = Code.ABORTED if reply.code.is_not_run else reply.code
-            self._answer(
-                request,
-                Answer(
-                    code,
-                    SessionState.FAILED,
-                    message=f"{endpoint.name}: {reply.code.value}",
-                ),
-            )
-
-    @staticmethod
-    def _is_refused_open(request: RequestRow, reply: EndpointReply) -> bool:
-        """Tell whether a statement did not run, and its transaction stays open."""
-        return (
-            reply.code is Code.BUSY
-            and reply.state is SessionState.IN_TRANSACTION
-            and request.tries < TRIES_MAX
-        )
-
-    def _send_later(self, request: RequestRow, connection: ConnectionRow) -> None:
-        request.tries += 1
-        pause = self._backoff(request)
-        connection.on_lost = lambda _, why: self._on_lost(request, why)
-        request.timers.append(
-            self.timers.after(pause, self._send_again, request, connection)
-        )
-
-    def _send_again(self, request: RequestRow, connection: ConnectionRow) -> None:
-        if not request.finished and request.transaction.connection is connection:
-            self._send_pinned(request)
-
-    def _on_commit_reply(
-        self, request: RequestRow, connection: ConnectionRow, reply: EndpointReply
-    ) -> None:
-        endpoint = connection.endpoint
-        transaction = request.transaction
-        transaction.connection = None
-        if self._is_refused_open(request, reply):
-            # Refused and still open: it is sent again, on the same connection.
-            transaction.connection = connection
-            self._send_later(request, connection)
-            return
-        if reply.state is SessionState.IDLE:
-            self._connections.release(connection)
-        else:
-            self._roll_back(connection)
-        if reply.code is Code.DONE:
-            group = self.tables.group(request.route.service)
-            if transaction.wrote:
-                self._floors.committed(request.session, group.service, reply.position)
-                if reply.position is not None:
-                    self._floors.sample(group, reply.position, request.sent_at)
-            self._answer_reply(request, reply, SessionState.IDLE)
-            return
-        if reply.code is Code.NOT_PRIMARY:
-            self._members.denied(endpoint)
-        self._answer(
-            request,
-            Answer(
-                Code.ABORTED if reply.code.is_not_run else reply.code,
-                SessionState.IDLE,
-                message=f"{endpoint.name}: {reply.code.value} {reply.message}",
-            ),
-        )
-
-    def _roll_back(self, connection: ConnectionRow) -> None:
-        """Roll a connection's transaction back, then make it free."""
-        if connection.number not in self.tables.connections:
-            return
-        connection.on_lost = None
-
-        def on_replies(connection: ConnectionRow, replies: list[EndpointReply]) -> None:
-            if replies[0].state is not SessionState.IDLE:
-                connection.broken = True
-            self._connections.release(connection)
-
-        self._connections.send(connection, [EndpointCall(Rollback())], on_replies)
-
-    def roll_back(self, session: SessionRow) -> None:
-        """Roll a session's transaction back at its endpoint."""
-        connection = session.transaction.connection
-        session.transaction.connection = None
-        if connection is not None:
-            self._roll_back(connection)
-
     # -- What goes wrong -----------------------------------------------------
 
-    def _on_lost(self, request: RequestRow, why: str) -> None:
+    def lost(self, request: RequestRow, why: str) -> None:
         """Act on the loss of the connection that a statement was sent on."""
         endpoint = request.endpoint
         if request.connection is not None:
@@ -492,10 +329,10 @@
             begun = transaction.connection is not None
             transaction.connection = None
             if begun:
-                self._on_lost_in_transaction(request, why)
+                self._transactions.lost(request, why)
                 return
         elif request.access is Access.WRITE:
-            self._answer_in_doubt(request, why)
+            self.answer_in_doubt(request, why)
             return
         # A read, or a transaction that was not begun: nothing of it is kept.
         request.tries += 1
@@ -506,22 +343,6 @@
         else:
             self._wait(request)
 
-    def _on_lost_in_transaction(self, request: RequestRow, why: str) -> None:
-        is_commit = isinstance(request.statement, Commit)
-        if is_commit and request.transaction.wrote:
-            self._answer_in_doubt(request, why)
-            return
-        # An endpoint rolls back what a lost connection left open, and no commit
-        # with writes was sent: nothing of this transaction is kept.
-        state = SessionState.IDLE if is_commit else SessionState.FAILED
-        self._answer(request, Answer(Code.ABORTED, state, message=why))
-
-    def _on_idle_lost(self, session: SessionRow, why: str) -> None:
-        """Note that a transaction lost its connection between two statements."""
-        if session.transaction is not None:
-            session.transaction.connection = None
-            self._sessions.transaction_lost(session, why)
-
     def _on_overdue(self, request: RequestRow, connection: ConnectionRow) -> None:
         """Read elsewhere when an endpoint takes far too long.
 
@@ -558,7 +379,7 @@
         others waiting, which in turn are sent once more. At an endpoint it can't be
         called back, and the connection is free again once it has ended.
         """
-        self._detach(request)
+        self.detach(request)
         if connection.holder:
             self._connections.close(connection, "nobody waits for its answer")
         else:
@@ -574,18 +395,16 @@
         transaction = request.transaction
         if transaction is not None:
             transaction.connection = None
-            self._detach(request)
+            self.detach(request)
             self._connections.close(connection, "its transaction timed out")
-            self._on_lost_in_transaction(request, "the statement's timeout passed")
+            self._transactions.lost(request, "the statement's timeout passed")
         elif request.access is Access.WRITE:
-            self._detach(request)
-            self._answer_in_doubt(request, "the statement's timeout passed")
+            self.detach(request)
+            self.answer_in_doubt(request, "the statement's timeout passed")
         else:
             self._leave(request, connection)
             why = "the statement's timeout passed"
-            self._answer(
-                request, Answer(Code.TIMED_OUT, SessionState.IDLE, message=why)
-            )
+            self.answer(request, Answer(Code.TIMED_OUT, SessionState.IDLE, message=why))
 
     # -- Answers -------------------------------------------------------------
 
@@ -594,23 +413,23 @@
         in_transaction = request.transaction is not None
         is_commit = isinstance(request.statement, Commit)
         if in_transaction:
-            self.roll_back(request.session)
+            self._transactions.roll_back(request.session)
         state = SessionState.FAILED
         if not in_transaction or is_commit:
             state = SessionState.IDLE
-        self._answer(request, Answer(code, state, message=why))
+        self.answer(request, Answer(code, state, message=why))
 
-    def _answer_in_doubt(self, request: RequestRow, why: str) -> None:
+    def answer_in_doubt(self, request: RequestRow, why: str) -> None:
         message = f"{request.endpoint.name}: {why}"
-        self._answer(request, Answer(Code.IN_DOUBT, SessionState.IDLE, message=message))
+        self.answer(request, Answer(Code.IN_DOUBT, SessionState.IDLE, message=message))
 
-    def _answer_reply(
+    def answer_reply(
         self, request: RequestRow, reply: EndpointReply, state: SessionState
     ) -> None:
         answer = Answer(reply.code, state, reply.rows, reply.signature, reply.message)
-        self._answer(request, answer)
+        self.answer(request, answer)
 
-    def _answer(self, request: RequestRow, answer: Answer) -> None:
+    def answer(self, request: RequestRow, answer: Answer) -> None:
         self._settle(request)
         session = request.session
         duration = self.now - request.arrived
--- a/mallowpass/core/proxy/sessions.py
+++ b/mallowpass/core/proxy/sessions.py
@@ -44,6 +44,7 @@
     SessionRow,
     TransactionRow,
 )
+from mallowpass.core.proxy.transactions import Transactions
 
 __all__ = ["Sessions"]
 
@@ -64,7 +65,7 @@
 class Sessions(ProxySystem):
     """Own the sessions of callers."""
 
-    __slots__ = ("_early", "_requests")
+    __slots__ = ("_early", "_requests", "_transactions")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
@@ -74,6 +75,7 @@
         """Subscribe to what callers do."""
         node = self._node
         self._requests = node.system(Requests)
+        self._transactions = node.system(Transactions)
         node.subscribe(SessionOpened, self._on_opened)
         node.subscribe(SessionClosed, self._on_closed)
         node.subscribe(StatementReceived, self._on_received)
@@ -125,7 +127,7 @@
             # then finds nobody.
             self._requests.abandon_session(session)
         elif transaction is not None:
-            self._requests.roll_back(session)
+            self._transactions.roll_back(session)
         if transaction is not None and transaction.idle_timer is not None:
             transaction.idle_timer.cancel()
 
@@ -138,7 +140,7 @@
         """Abort the transactions whose callers are not waiting for an answer."""
         for session in list(self.tables.sessions.values()):
             if session.transaction is not None and session.request is None:
-                self._requests.roll_back(session)
+                self._transactions.roll_back(session)
                 self.transaction_lost(session, why)
 
     def _close_if_idle(self, session: SessionRow) -> None:
@@ -304,7 +306,7 @@
         """Refuse a statement; a transaction that it stands in fails with it."""
         state = session.state
         if state is not SessionState.IDLE:
-            self._requests.roll_back(session)
+            self._transactions.roll_back(session)
             state = SessionState.FAILED
         self._reply(session, state, code, message)
 
@@ -342,7 +344,7 @@
         if transaction.idle_timer is not None:
             transaction.idle_timer.cancel()
         if transaction.connection is not None:
-            self._requests.roll_back(session)
+            self._transactions.roll_back(session)
         session.transaction = None
 
     def _watch_idle(self, session: SessionRow) -> None:
@@ -359,7 +361,7 @@
             return
         if transaction.connection is None:
             return
-        self._requests.roll_back(session)
+        self._transactions.roll_back(session)
         self.transaction_lost(session, "the transaction was idle for too long")
 
     def transaction_lost(self, session: SessionRow, why: str) -> None:
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -91,10 +91,8 @@
     # Owned by connections.
     refused_until: float = float("-inf")  # no new connection is tried before
     failures: int = 0  # attempts to connect that failed in a row
-    full_at: float = float("-inf")  # when it last said that it has no connection left
     # Owned by requests and floors.
     position: LogPosition | None = None  # that its log had applied when last heard
-    position_at: float = float("-inf")
     heard_at: float = float("-inf")
     behind_at: float = float("-inf")  # when it last lacked a floor
     latency: float = 0.0  # moving average of statements, seconds
@@ -102,6 +100,7 @@
     overdue: int = 0  # statements that it has not answered in time
     # Owned by members.
     gone_at: float | None = None  # when its entry vanished
+    retired: bool = False  # it is leaving for so long that nothing may reach it
 
     @property
     def name(self) -> str:
@@ -173,7 +172,6 @@
     route: Route
     began_at: float
     connection: ConnectionRow | None = None
-    proves_primary: bool = False  # the endpoint accepted it as a primary
     wrote: bool = False
     idle_timer: Timer | None = None
     lost_why: str = ""  # why it ended without its caller knowing
--- /dev/null
+++ b/mallowpass/core/proxy/transactions.py
@@ -0,0 +1,253 @@
+"""Transactions at endpoints: begun late, and kept on one connection each."""
+
+from __future__ import annotations
+
+from mallowpass.core.node import Node
+from mallowpass.core.proxy.connections import Connections
+from mallowpass.core.proxy.floors import Floors
+from mallowpass.core.proxy.members import Members
+from mallowpass.core.proxy.requests import TRIES_MAX, Requests
+from mallowpass.core.proxy.routing import Routing
+from mallowpass.core.proxy.statements import (
+    Access,
+    Answer,
+    Begin,
+    Code,
+    Commit,
+    EndpointCall,
+    EndpointReply,
+    LogPosition,
+    Rollback,
+    SessionState,
+)
+from mallowpass.core.proxy.tables import (
+    ConnectionRow,
+    ConnectionState,
+    ProxySystem,
+    RequestRow,
+    SessionRow,
+)
+
+__all__ = ["Transactions"]
+
+
+class Transactions(ProxySystem):
+    """Run the statements of transactions; a part of Requests."""
+
+    __slots__ = (
+        "_connections",
+        "_floors",
+        "_members",
+        "_requests",
+        "_routing",
+        "_sessions",
+    )
+
+    def __init__(self, node: Node) -> None:
+        super().__init__(node)
+
+    def start(self) -> None:
+        """Find the systems that are asked."""
+        from mallowpass.core.proxy.sessions import Sessions
+
+        node = self._node
+        self._connections = node.system(Connections)
+        self._floors = node.system(Floors)
+        self._members = node.system(Members)
+        self._requests = node.system(Requests)
+        self._routing = node.system(Routing)
+        self._sessions = node.system(Sessions)
+
+    # -- Sending -------------------------------------------------------------
+
+    def begin(
+        self,
+        request: RequestRow,
+        connection: ConnectionRow,
+        floor: LogPosition | None,
+    ) -> None:
+        """Begin a transaction, and send its first statement once that is accepted.
+
+        Sent along, the statement would run outside the transaction where the
+        endpoint refuses to begin it.
+        """
+        self._requests.attach(request, connection)
+        connection.state = ConnectionState.PINNED
+        # A primary accepts a transaction that may write only while it leads. That is
+        # how a read learns that the primary was not replaced.
+        read_only = floor is not None
+        begin = EndpointCall(Begin(read_only), minimum=floor)
+
+        def on_replies(connection: ConnectionRow, replies: list[EndpointReply]) -> None:
+            self._on_begun(request, connection, replies[0], read_only)
+
+        self._connections.send(connection, [begin], on_replies)
+
+    def _on_begun(
+        self,
+        request: RequestRow,
+        connection: ConnectionRow,
+        reply: EndpointReply,
+        read_only: bool,
+    ) -> None:
+        transaction = request.transaction
+        if request.finished or request.connection is not connection:
+            self.roll_back_connection(connection)
+            return
+        if reply.code is not Code.DONE:
+            self._requests.detach(request)
+            self._connections.release(connection)
+            self._requests.refused(request, connection.endpoint, reply)
+            return
+        transaction.connection = connection
+        self.send(request)
+
+    def send(self, request: RequestRow) -> None:
+        """Send a statement on its transaction's connection."""
+        connection = request.transaction.connection
+        self._requests.attach(request, connection)
+        calls = self._requests.set_up(request, connection)
+        setup = len(calls)
+        calls.append(self._requests.call(request, None))
+
+        def on_replies(connection: ConnectionRow, replies: list[EndpointReply]) -> None:
+            self._on_pinned_replies(request, connection, replies, setup)
+
+        self._connections.send(connection, calls, on_replies)
+
+    def _send_later(self, request: RequestRow, connection: ConnectionRow) -> None:
+        request.tries += 1
+        pause = self._requests.backoff(request)
+        connection.on_lost = lambda _, why: self._requests.lost(request, why)
+        request.timers.append(
+            self.timers.after(pause, self._send_again, request, connection)
+        )
+
+    def _send_again(self, request: RequestRow, connection: ConnectionRow) -> None:
+        if not request.finished and request.transaction.connection is connection:
+            self.send(request)
+
+    # -- Replies -------------------------------------------------------------
+
+    def _on_pinned_replies(
+        self,
+        request: RequestRow,
+        connection: ConnectionRow,
+        replies: list[EndpointReply],
+        setup: int,
+    ) -> None:
+        if request.connection is not connection:
+            self.roll_back_connection(connection)
+            return
+        if any(reply.code is not Code.DONE for reply in replies[:setup]):
+            connection.broken = True
+        reply = replies[setup]
+        endpoint = connection.endpoint
+        self._requests.detach(request)
+        transaction = request.transaction
+        if isinstance(request.statement, Commit):
+            self._on_commit_reply(request, connection, reply)
+            return
+        if reply.code is Code.DONE:
+            self._routing.measured(endpoint, self.now - request.sent_at)
+            transaction.wrote |= request.access is Access.WRITE
+            connection.on_lost = lambda _, why: self._on_idle_lost(request.session, why)
+            self._requests.answer_reply(request, reply, SessionState.IN_TRANSACTION)
+        elif self._is_refused_open(request, reply):
+            self._send_later(request, connection)
+        else:
+            if reply.code is Code.NOT_PRIMARY:
+                self._members.denied(endpoint)
+            transaction.connection = None
+            self.roll_back_connection(connection)
+            code = Code.ABORTED if reply.code.is_not_run else reply.code
+            self._requests.answer(
+                request,
+                Answer(
+                    code,
+                    SessionState.FAILED,
+                    message=f"{endpoint.name}: {reply.code.value}",
+                ),
+            )
+
+    @staticmethod
+    def _is_refused_open(request: RequestRow, reply: EndpointReply) -> bool:
+        """Tell whether a statement did not run, and its transaction stays open."""
+        return (
+            reply.code is Code.BUSY
+            and reply.state is SessionState.IN_TRANSACTION
+            and request.tries < TRIES_MAX
+        )
+
+    def _on_commit_reply(
+        self, request: RequestRow, connection: ConnectionRow, reply: EndpointReply
+    ) -> None:
+        endpoint = connection.endpoint
+        transaction = request.transaction
+        transaction.connection = None
+        if self._is_refused_open(request, reply):
+            # Refused and still open: it is sent again, on the same connection.
+            transaction.connection = connection
+            self._send_later(request, connection)
+            return
+        if reply.state is SessionState.IDLE:
+            self._connections.release(connection)
+        else:
+            self.roll_back_connection(connection)
+        if reply.code is Code.DONE:
+            group = self.tables.group(request.route.service)
+            if transaction.wrote:
+                self._floors.committed(request.session, group.service, reply.position)
+                if reply.position is not None:
+                    self._floors.sample(group, reply.position, request.sent_at)
+            self._requests.answer_reply(request, reply, SessionState.IDLE)
+            return
+        if reply.code is Code.NOT_PRIMARY:
+            self._members.denied(endpoint)
+        self._requests.answer(
+            request,
+            Answer(
+                Code.ABORTED if reply.code.is_not_run else reply.code,
+                SessionState.IDLE,
+                message=f"{endpoint.name}: {reply.code.value} {reply.message}",
+            ),
+        )
+
+    # -- Ends ----------------------------------------------------------------
+
+    def roll_back(self, session: SessionRow) -> None:
+        """Roll a session's transaction back at its endpoint."""
+        connection = session.transaction.connection
+        session.transaction.connection = None
+        if connection is not None:
+            self.roll_back_connection(connection)
+
+    def roll_back_connection(self, connection: ConnectionRow) -> None:
+        """Roll a connection's transaction back, then make it free."""
+        if connection.number not in self.tables.connections:
+            return
+        connection.on_lost = None
+
+        def on_replies(connection: ConnectionRow, replies: list[EndpointReply]) -> None:
+            if replies[0].state is not SessionState.IDLE:
+                connection.broken = True
+            self._connections.release(connection)
+
+        self._connections.send(connection, [EndpointCall(Rollback())], on_replies)
+
+    def lost(self, request: RequestRow, why: str) -> None:
+        """Answer a statement whose transaction lost its connection."""
+        is_commit = isinstance(request.statement, Commit)
+        if is_commit and request.transaction.wrote:
+            self._requests.answer_in_doubt(request, why)
+            return
+        # An endpoint rolls back what a lost connection left open, and no commit
+        # with writes was sent: nothing of this transaction is kept.
+        state = SessionState.IDLE if is_commit else SessionState.FAILED
+        self._requests.answer(request, Answer(Code.ABORTED, state, message=why))
+
+    def _on_idle_lost(self, session: SessionRow, why: str) -> None:
+        """Note that a transaction lost its connection between two statements."""
+        if session.transaction is not None:
+            session.transaction.connection = None
+            self._sessions.transaction_lost(session, why)
--- a/mallowpass/platform/__main__.py
+++ b/mallowpass/platform/__main__.py
@@ -26,8 +26,8 @@
     from mallowpass.platform.runtime import HostRuntime
     from mallowpass.platform.settings import load_settings, settings_path
 
-    settings = load_settings(settings_path())
-    await HostRuntime(settings, LogWriter()).run()
+    path = settings_path()
+    await HostRuntime(load_settings(path), LogWriter(), path).run()
 
 
 def main() -> None:
--- a/mallowpass/platform/runtime.py
+++ b/mallowpass/platform/runtime.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import os
 import signal
 import time
 from functools import singledispatchmethod
+from pathlib import Path
 
 from mallowpass.core.messages import Effect, Event
 from mallowpass.core.node import FailureDomain, HostIdentity, Node, Tuning
@@ -14,7 +16,6 @@
 from mallowpass.core.proxy.events import (
     PromotionAnswered,
     ProxyEvent,
-    SettingsChanged,
     ShutdownRequested,
     StoreAnswered,
 )
@@ -27,7 +28,12 @@
 from mallowpass.platform.logs import LogWriter
 from mallowpass.platform.metrics import Metrics
 from mallowpass.platform.orders import OrderClient
-from mallowpass.platform.settings import Address, HostSettings
+from mallowpass.platform.settings import (
+    Address,
+    HostSettings,
+    SettingsError,
+    load_settings,
+)
 from mallowpass.platform.store import StoreClient
 
 __all__ = ["HostRuntime", "host_clock"]
@@ -36,6 +42,8 @@
 # Where deploy/system.toml says that metrics are; a test holds the two together.
 METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
+# Settings that a reload puts in force at once; the others name sockets, or who this is.
+_CHANGE_WHILE_RUNNING = ("grace",)
 
 
 def host_clock() -> float:
@@ -61,6 +69,7 @@
         "_metrics_http",
         "_node",
         "_orders",
+        "_path",
         "_ready",
         "_settings",
         "_stopped",
@@ -69,8 +78,11 @@
         "_timer",
     )
 
-    def __init__(self, settings: HostSettings, log: LogWriter) -> None:
+    def __init__(
+        self, settings: HostSettings, log: LogWriter, path: Path | None = None
+    ) -> None:
         self._settings = settings
+        self._path = path
         self._log = log
         self._metrics = Metrics()
         self._ready = False
@@ -98,7 +110,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
-        loop.add_signal_handler(signal.SIGHUP, self._on_reload_signal)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
         await self._stopped.wait()
 
@@ -263,9 +275,32 @@
 
     # -- Signals and HTTP ----------------------------------------------------
 
-    def _on_reload_signal(self) -> None:
-        self._log.write("info", "reload", (("host", self._settings.name),))
-        self.handle(SettingsChanged())
+    def reload(self) -> None:
+        """Read the settings file again; what can't change while running is told.
+
+        A file that is wrong changes nothing: the host goes on with what it has.
+        """
+        if self._path is None:
+            return
+        try:
+            settings = load_settings(self._path)
+        except SettingsError as error:
+            self._log.write("error", "reload_refused", (("why", error),))
+            return
+        changed = [
+            field.name
+            for field in dataclasses.fields(settings)
+            if getattr(settings, field.name) != getattr(self._settings, field.name)
+        ]
+        later = [name for name in changed if name not in _CHANGE_WHILE_RUNNING]
+        self._settings = dataclasses.replace(
+            self._settings, **{n: getattr(settings, n) for n in _CHANGE_WHILE_RUNNING}
+        )
+        self._log.write(
+            "info",
+            "reloaded",
+            (("changed", ",".join(changed)), ("at_next_start", ",".join(later))),
+        )
 
     def _answer_ready(self, request: Request) -> Response:
         return Response(200 if self._ready else 503)
--- a/tests/core/proxy/test_promotion.py
+++ b/tests/core/proxy/test_promotion.py
@@ -181,3 +181,24 @@
     world.crash("db-casa")
     _keep_busy(world)
     assert _write_until_served(world, 6.0) < 4.0
+
+
+def test_leaving_primary_without_a_successor_is_not_used_for_ever():
+    """Symptom: statements reach an endpoint long after it said that it leaves.
+
+    Sequence: a primary leaves while a replica is silent, so that none may be promoted.
+    Cause: it is used as long as it leads.
+    """
+    world = ProxyWorld()
+    caller = world.caller(0, "own")
+    caller.run(Write("a 1"))
+    world.group.replicas["db-tanger"].deaf = True
+    world.dark.add("db-tanger")
+    world.enter(world.group.replicas["db-casa"], draining=True)
+    left_at = world.timers.now
+    world.run(6.5)
+    before = len(world.calls)
+    assert caller.run(Write("a 2")).code is Code.BUSY
+    late = [c for c in world.calls[before:] if c[1] == "db-casa"]
+    assert [c for c in late if isinstance(c[2].statement, Read | Write)] == []
+    assert world.timers.now > left_at + 6.5
