--- a/mallowpass/platform/__main__.py
+++ b/mallowpass/platform/__main__.py
@@ -33,6 +33,8 @@
 def main() -> None:
     """Serve until told to stop; a wrong settings file ends it at once."""
     signal.signal(signal.SIGTERM, _stop_early)
+    # Told to reload before it has read its settings, a host would end by the signal.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from mallowpass.platform.settings import SettingsError
 
     try:
