--- a/mallowpass/core/proxy/sessions.py
+++ b/mallowpass/core/proxy/sessions.py
@@ -65,10 +65,11 @@
 class Sessions(ProxySystem):
     """Own the sessions of callers."""
 
-    __slots__ = ("_early", "_requests", "_transactions")
+    __slots__ = ("_closing", "_early", "_requests", "_transactions")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
+        self._closing = False
         self._early: dict[int, SessionOpened] = {}  # before any configuration came
 
     def start(self) -> None:
@@ -132,7 +133,8 @@
             transaction.idle_timer.cancel()
 
     def close_idle(self) -> None:
-        """Close all sessions that are between two operations."""
+        """Close all sessions that are between two operations, now and from now on."""
+        self._closing = True
         for session in list(self.tables.sessions.values()):
             self._close_if_idle(session)
 
@@ -146,7 +148,8 @@
     def _close_if_idle(self, session: SessionRow) -> None:
         quiet = self.now - session.touched_at
         busy = session.request is not None or bool(session.received)
-        if session.state is SessionState.IDLE and quiet >= QUIET and not busy:
+        idle = session.operated or quiet >= QUIET
+        if session.state is SessionState.IDLE and idle and not busy:
             self.tables.sessions.pop(session.stream, None)
             session.closed = True
             self._node.emit(CloseSession(session.stream))
@@ -169,6 +172,7 @@
         """Go on after a statement's answer has left."""
         session.state = state
         session.touched_at = self.now
+        session.operated = state is SessionState.IDLE
         if state is SessionState.IDLE:
             self._end(session)
         elif session.transaction is not None:
@@ -178,11 +182,15 @@
     def _run_next(self, session: SessionRow) -> None:
         while session.received and session.request is None and not session.closed:
             request_id, statement = session.received.popleft()
+            session.operated = False
             transaction = session.transaction
             if transaction is not None and transaction.idle_timer is not None:
                 transaction.idle_timer.cancel()
                 transaction.idle_timer = None
             self._run(session, request_id, statement)
+        # A session that is never quiet would be cut at the end of the grace period.
+        if self._closing and not session.closed:
+            self._close_if_idle(session)
 
     def _run(
         self, session: SessionRow, request_id: str, statement: Statement | None
@@ -341,6 +349,7 @@
         transaction = session.transaction
         if transaction is None:
             return
+        session.operated = True
         if transaction.idle_timer is not None:
             transaction.idle_timer.cancel()
         if transaction.connection is not None:
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -192,6 +192,7 @@
     request: RequestRow | None = None  # the statement that is being run
     closed: bool = False
     touched_at: float = 0.0  # when its caller last sent something, or was answered
+    operated: bool = False  # its last statement ended an operation
 
 
 @dataclass(slots=True)
--- a/tests/core/proxy/test_draining.py
+++ b/tests/core/proxy/test_draining.py
@@ -72,3 +72,21 @@
     world.hosts[0].stop()
     world.run(3.0)
     assert set(world.hosts[1].tables.hosts) == {"host-1", "host-2"}
+
+
+def test_busy_session_is_closed_between_two_operations(world):
+    """Symptom: a request is cut off by a host that stops.
+
+    Sequence: a session sends one statement after the other without a pause, until the
+    grace period is over. Cause: only sessions that are quiet are closed.
+    """
+    caller = world.caller(0, "own")
+    world.hosts[0].stop(6.0)
+    end = world.timers.now + 4.0
+    while not caller.closed and world.timers.now < end:
+        assert caller.run(Read("a")).code is Code.DONE
+        world.run(0.005)
+    assert caller.closed
+    assert len(caller.answers) > 10
+    world.run(0.5)
+    assert world.hosts[0].logged("stopped")[0]["sessions"] == 0
