--- a/mallowpass/core/proxy/__init__.py
+++ b/mallowpass/core/proxy/__init__.py
@@ -3,11 +3,16 @@
 A session is a caller's connection, with values and prepared statements of its own.
 The parts, from the bottom up:
 
-- `statements`, `configuration`, `events`, `effects`: what comes in and goes out;
+- `statements`, `configuration`, `storage`, `events`, `effects`, `signals`: what comes
+  in, goes out, and is told within;
 - `tables`: the rows that the systems own;
-- `members`, `settings`, `hosts`: what the store says of endpoints, routes, hosts;
-- `connections`, `floors`, `routing`: where a statement may run;
+- `store`, `settings`, `members`, `hosts`: what the store says of routes, endpoints and
+  other hosts;
+- `holders`, `connections`, `links`, `control`: reaching endpoints, directly or by way
+  of another host;
+- `floors`, `routing`: where a statement may run;
 - `requests`, `transactions`, `sessions`: running statements for callers;
-- `suspicion`, `promotion`: replacing a primary;
-- `draining`: starting, stopping, and when a host counts as ready.
+- `suspicion`, `claims`, `promotion`, `discovery`: replacing a primary, and finding it;
+- `draining`: starting, stopping, and when a host counts as ready;
+- `registry`: all systems, in the order in which they start.
 """
