--- a/mallowpass/core/node.py
+++ b/mallowpass/core/node.py
@@ -31,6 +31,7 @@
 __all__ = ["FailureDomain", "HostIdentity", "Node", "System", "Tuning"]
 
 JOURNAL_LENGTH = 4096
+_DOUBLINGS_MAX = 16  # of a pause; any bound in use is reached before
 
 _S = TypeVar("_S", bound="System")
 
@@ -241,6 +242,14 @@
         """Return a number that this node has not used before."""
         return next(self._numbers)
 
+    def backoff(self, failures: int, least: float, most: float) -> float:
+        """Return a pause in seconds: doubled by each failure, jittered, bounded.
+
+        Without the jitter all who failed together would come back together.
+        """
+        longest = min(most, least * 2.0 ** min(failures, _DOUBLINGS_MAX))
+        return self.random.uniform(longest / 2, longest)
+
     def log(self, level: str, event: str, **fields: Any) -> None:
         """Log one event."""
         self._effects.append(Log(level, event, tuple(fields.items())))
--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -29,6 +29,8 @@
     EndpointReply,
     Prepare,
     Reset,
+    Rollback,
+    SessionState,
     SetValue,
 )
 from mallowpass.core.proxy.tables import (
@@ -162,9 +164,8 @@
 
     def close(self, connection: ConnectionRow, why: str) -> None:
         """Close a connection; calls in flight on it have no answer."""
-        if self.tables.connections.pop(connection.number, None) is None:
+        if self._remove(connection.number) is None:
             return
-        connection.endpoint.connections.pop(connection.number, None)
         self._node.emit(CloseConnection(connection.number))
         self._node.count("connections_closed", endpoint=connection.endpoint.name)
         self._abandon(connection, why)
@@ -212,6 +213,20 @@
         self._node.emit(SendCalls(connection.number, tuple(calls)))
         self.timers.after(SILENCE_MAX, self._check_silence, connection)
 
+    def roll_back(self, connection: ConnectionRow) -> None:
+        """Roll a connection's transaction back, then make it free."""
+        if connection.number not in self.tables.connections:
+            return
+        connection.on_lost = None
+        self.send(connection, [EndpointCall(Rollback())], self._on_rolled_back)
+
+    def _on_rolled_back(
+        self, connection: ConnectionRow, replies: list[EndpointReply]
+    ) -> None:
+        if replies[0].state is not SessionState.IDLE:
+            connection.broken = True
+        self.release(connection)
+
     # -- What happens to connections -----------------------------------------
 
     def _open(self, endpoint: EndpointRow) -> None:
@@ -237,15 +252,13 @@
         endpoint = connection.endpoint
         endpoint.failures = 0
         endpoint.heard_at = self.now
-        connection.heard_at = self.now
         self.release(connection)
 
     def _on_refused(self, event: ConnectionRefused) -> None:
-        connection = self.tables.connections.pop(event.connection, None)
+        connection = self._remove(event.connection)
         if connection is None:
             return
         endpoint = connection.endpoint
-        endpoint.connections.pop(event.connection, None)
         self._node.log(
             "info",
             "connection_refused",
@@ -258,8 +271,7 @@
             pause = FULL_BACKOFF * self._node.random.uniform(1.0, 2.0)
         else:
             endpoint.failures += 1
-            longest = min(BACKOFF_MAX, BACKOFF_MIN * 2.0 ** min(endpoint.failures, 8))
-            pause = self._node.random.uniform(longest / 2, longest)
+            pause = self._node.backoff(endpoint.failures, BACKOFF_MIN, BACKOFF_MAX)
         endpoint.refused_until = self.now + pause
         if connection.holder:
             # Another holder may well reach it: that is no evidence of its end.
@@ -269,11 +281,10 @@
         self.timers.after(pause, self._node.publish, ConnectionFreed(endpoint))
 
     def _on_lost(self, event: ConnectionLost) -> None:
-        connection = self.tables.connections.pop(event.connection, None)
+        connection = self._remove(event.connection)
         if connection is None:
             return
         endpoint = connection.endpoint
-        endpoint.connections.pop(event.connection, None)
         self._node.log(
             "info",
             "connection_lost",
@@ -288,6 +299,12 @@
             # next attempt, not from a caller's statement some time later.
             self.grow(endpoint)
 
+    def _remove(self, number: int) -> ConnectionRow | None:
+        connection = self.tables.connections.pop(number, None)
+        if connection is not None:
+            connection.endpoint.connections.pop(number, None)
+        return connection
+
     def _abandon(self, connection: ConnectionRow, why: str) -> None:
         on_lost, connection.on_lost = connection.on_lost, None
         connection.pending.clear()
@@ -312,7 +329,6 @@
         self, connection: ConnectionRow, reply: EndpointReply, sent_at: float
     ) -> None:
         endpoint = connection.endpoint
-        connection.heard_at = self.now
         endpoint.heard_at = self.now
         if reply.position is not None:
             endpoint.position = reply.position
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -31,7 +31,6 @@
     FloorHint,
     Prepare,
     Reset,
-    Rollback,
     SessionState,
     SetValue,
     Statement,
@@ -258,14 +257,7 @@
 
     def _roll_back(self, link: LinkRow) -> None:
         connection, link.connection = link.connection, None
-        connection.on_lost = None
-
-        def on_replies(connection: ConnectionRow, replies: list[EndpointReply]) -> None:
-            if replies[0].state is not SessionState.IDLE:
-                connection.broken = True
-            self._connections.release(connection)
-
-        self._connections.send(connection, [EndpointCall(Rollback())], on_replies)
+        self._connections.roll_back(connection)
 
     def _on_lost(self, link: LinkRow, why: str) -> None:
         link.connection = None
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from mallowpass.core.node import Node
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.effects import AnswerStatement
 from mallowpass.core.proxy.floors import Floors
@@ -69,9 +68,6 @@
         "_transactions",
     )
 
-    def __init__(self, node: Node) -> None:
-        super().__init__(node)
-
     def start(self) -> None:
         """Subscribe to whatever may let waiting statements run."""
         from mallowpass.core.proxy.members import Members
@@ -311,8 +307,7 @@
         self._wait(request)
 
     def backoff(self, request: RequestRow) -> float:
-        longest = min(BACKOFF_MAX, BACKOFF_MIN * 2.0 ** min(request.tries - 1, 8))
-        return self._node.random.uniform(longest / 2, longest)
+        return self._node.backoff(request.tries - 1, BACKOFF_MIN, BACKOFF_MAX)
 
     # -- What goes wrong -----------------------------------------------------
 
--- a/mallowpass/core/proxy/routing.py
+++ b/mallowpass/core/proxy/routing.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from mallowpass.core.node import Node
+from dataclasses import dataclass
+
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.statements import LogPosition
@@ -33,16 +34,12 @@
 PRIMARY_COST = 1.0
 
 
+@dataclass(frozen=True, slots=True)
 class Choice:
     """Say what to do with a statement: where to send it, and above which floor."""
 
-    __slots__ = ("connection", "floor")
-
-    def __init__(
-        self, connection: ConnectionRow | None, floor: LogPosition | None = None
-    ) -> None:
-        self.connection = connection
-        self.floor = floor
+    connection: ConnectionRow | None
+    floor: LogPosition | None = None
 
 
 class Routing(ProxySystem):
@@ -50,9 +47,6 @@
 
     __slots__ = ("_connections", "_floors")
 
-    def __init__(self, node: Node) -> None:
-        super().__init__(node)
-
     def start(self) -> None:
         """Find the systems that are asked."""
         self._connections = self._node.system(Connections)
--- a/mallowpass/core/proxy/store.py
+++ b/mallowpass/core/proxy/store.py
@@ -179,8 +179,7 @@
 
     def _retry(self, again: Callable[[], None]) -> None:
         # Hosts that lose the store together must not come back together.
-        longest = min(BACKOFF_MAX, BACKOFF_MIN * 2.0 ** min(self._failures, 8))
-        self._failures += 1
         node = self._store._node
-        pause = node.random.uniform(longest / 2, longest)
+        pause = node.backoff(self._failures, BACKOFF_MIN, BACKOFF_MAX)
+        self._failures += 1
         node.timers.after(pause, again)
--- a/mallowpass/core/proxy/suspicion.py
+++ b/mallowpass/core/proxy/suspicion.py
@@ -194,9 +194,8 @@
             if not enough and self.now - suspect.reported_at >= REPORT_GAP:
                 self._report(service, suspect)
                 return
-            longest = min(LOOK_GAP_MAX, LOOK_GAP_MIN * 2.0 ** min(suspect.looks, 8))
+            pause = self._node.backoff(suspect.looks, LOOK_GAP_MIN, LOOK_GAP_MAX)
             suspect.looks += 1
-            pause = self._node.random.uniform(longest / 2, longest)
             self.timers.after(pause, self._look, service, suspect)
 
         self._store.call(ListRows(Table.SUSPICIONS, service), on_rows)
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -1,6 +1,8 @@
 """The entities of a host that fronts databases, in tables.
 
-Rows are changed by the systems that own them only.
+Rows are changed by the systems that own them only. Two rows are equal only if they
+are the same: comparing what they hold would follow them into each other, for each
+look-up in a queue.
 """
 
 from __future__ import annotations
@@ -53,7 +55,7 @@
     PINNED = "pinned"  # inside a transaction, or used by a promotion
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Batch:
     """Hold calls that were sent in one write, and the replies that came so far."""
 
@@ -63,7 +65,7 @@
     replies: list[EndpointReply] = field(default_factory=list)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class ConnectionRow:
     """Hold one connection to an endpoint, with the session state it carries."""
 
@@ -75,13 +77,12 @@
     prepared: set[str] = field(default_factory=set)
     pending: deque[Batch] = field(default_factory=deque)
     last_used: float = 0.0
-    heard_at: float = 0.0
     broken: bool = False  # to be closed once its calls are answered
     on_lost: Callable[[ConnectionRow, str], None] | None = None  # of its user
     holder: str = ""  # the host by way of which it goes; empty: none
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class EndpointRow:
     """Hold what this host knows of one endpoint."""
 
@@ -124,7 +125,7 @@
     position: LogPosition
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class GroupRow:
     """Hold what this host knows of one service's group of endpoints."""
 
@@ -164,7 +165,7 @@
         return f"{self.access.value}.{self.shape}"
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class TransactionRow:
     """Hold one transaction; its connection is its own from the first statement."""
 
@@ -177,7 +178,7 @@
     lost_why: str = ""  # why it ended without its caller knowing
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class SessionRow:
     """Hold one caller's session."""
 
@@ -195,7 +196,7 @@
     operated: bool = False  # its last statement ended an operation
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class RequestRow:
     """Hold one statement that needs an endpoint, until it is answered."""
 
@@ -252,7 +253,7 @@
         return cls(name, domain, "" if address == "-" else address, float(capacity))
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class LinkRow:
     """Hold another host's connection that is served as if it were an endpoint's."""
 
--- a/mallowpass/core/proxy/transactions.py
+++ b/mallowpass/core/proxy/transactions.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from mallowpass.core.node import Node
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.members import Members
@@ -17,7 +16,6 @@
     EndpointCall,
     EndpointReply,
     LogPosition,
-    Rollback,
     SessionState,
 )
 from mallowpass.core.proxy.tables import (
@@ -43,9 +41,6 @@
         "_sessions",
     )
 
-    def __init__(self, node: Node) -> None:
-        super().__init__(node)
-
     def start(self) -> None:
         """Find the systems that are asked."""
         from mallowpass.core.proxy.sessions import Sessions
@@ -92,7 +87,7 @@
     ) -> None:
         transaction = request.transaction
         if request.finished or request.connection is not connection:
-            self.roll_back_connection(connection)
+            self._connections.roll_back(connection)
             return
         if reply.code is not Code.DONE:
             self._requests.detach(request)
@@ -137,7 +132,7 @@
         setup: int,
     ) -> None:
         if request.connection is not connection:
-            self.roll_back_connection(connection)
+            self._connections.roll_back(connection)
             return
         if any(reply.code is not Code.DONE for reply in replies[:setup]):
             connection.broken = True
@@ -159,7 +154,7 @@
             if reply.code is Code.NOT_PRIMARY:
                 self._members.denied(endpoint)
             transaction.connection = None
-            self.roll_back_connection(connection)
+            self._connections.roll_back(connection)
             code = Code.ABORTED if reply.code.is_not_run else reply.code
             self._requests.answer(
                 request,
@@ -193,7 +188,7 @@
         if reply.state is SessionState.IDLE:
             self._connections.release(connection)
         else:
-            self.roll_back_connection(connection)
+            self._connections.roll_back(connection)
         if reply.code is Code.DONE:
             group = self.tables.group(request.route.service)
             if transaction.wrote:
@@ -220,20 +215,7 @@
         connection = session.transaction.connection
         session.transaction.connection = None
         if connection is not None:
-            self.roll_back_connection(connection)
-
-    def roll_back_connection(self, connection: ConnectionRow) -> None:
-        """Roll a connection's transaction back, then make it free."""
-        if connection.number not in self.tables.connections:
-            return
-        connection.on_lost = None
-
-        def on_replies(connection: ConnectionRow, replies: list[EndpointReply]) -> None:
-            if replies[0].state is not SessionState.IDLE:
-                connection.broken = True
-            self._connections.release(connection)
-
-        self._connections.send(connection, [EndpointCall(Rollback())], on_replies)
+            self._connections.roll_back(connection)
 
     def lost(self, request: RequestRow, why: str) -> None:
         """Answer a statement whose transaction lost its connection."""
--- a/mallowpass/core/systems/retries.py
+++ b/mallowpass/core/systems/retries.py
@@ -72,7 +72,5 @@
 
     def _delay(self, tries: int) -> float:
         tuning = self._node.tuning
-        longest = min(
-            tuning.retry_backoff_max, tuning.retry_backoff_min * 2.0 ** min(tries, 16)
-        )
-        return self._node.random.uniform(longest / 2, longest)
+        least, most = tuning.retry_backoff_min, tuning.retry_backoff_max
+        return self._node.backoff(tries, least, most)
--- a/mallowpass/core/systems/routing.py
+++ b/mallowpass/core/systems/routing.py
@@ -190,9 +190,8 @@
     def _eject(self, endpoint: EndpointRow, health: _Health, why: str) -> None:
         # A member that fails keeps failing for a while: one would see a share of
         # all reads fail, again and again. Growing times keep that share small.
-        longest = min(EJECTION_MAX, EJECTION_MIN * 2.0**health.ejections)
+        pause = self._node.backoff(health.ejections, EJECTION_MIN, EJECTION_MAX)
         health.ejections = min(health.ejections + 1, 10)
-        pause = self._node.random.uniform(longest / 2, longest)
         endpoint.ejected_until = self.now + pause
         text = f"ejected for {pause:.3f}s: {why}"
         self._node.decide("route", endpoint.address, text)
--- a/mallowpass/platform/documents.py
+++ b/mallowpass/platform/documents.py
@@ -13,10 +13,10 @@
 )
 from mallowpass.core.proxy.storage import EndpointEntry
 
-__all__ = ["DocumentError", "decode_configuration", "decode_entry"]
+__all__ = ["CONSISTENCY", "DocumentError", "decode_configuration", "decode_entry"]
 
 # `kind` of a route: which commits its reads must see.
-_CONSISTENCY = {
+CONSISTENCY = {
     "primary": Consistency.PRIMARY,
     "bounded_staleness": Consistency.BOUNDED,
     "read_your_writes": Consistency.OWN_WRITES,
@@ -50,7 +50,7 @@
         # `host` is the name of the database that callers ask for, no machine's.
         database=item["host"],
         service=item["service"],
-        consistency=_CONSISTENCY[item["routeType"]],
+        consistency=CONSISTENCY[item["routeType"]],
         # Limits one statement, not an operation of several.
         statement_timeout=item["timeoutMs"] / 1000.0,
         # What an operation should take, over all its statements.
--- a/mallowpass/platform/endpoints.py
+++ b/mallowpass/platform/endpoints.py
@@ -4,16 +4,13 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
 
-from mallowpass.core.messages import Event
 from mallowpass.core.proxy.effects import OpenConnection, SendCalls
 from mallowpass.core.proxy.events import (
     ConnectionLost,
     ConnectionReady,
     ConnectionRefused,
     EndpointAnswered,
-    ProxyEvent,
 )
 from mallowpass.core.proxy.statements import (
     Code,
@@ -24,13 +21,12 @@
     Status,
 )
 from mallowpass.platform import wire
+from mallowpass.platform.lineserver import EventSink
 from mallowpass.platform.settings import Address, SettingsError
 from mallowpass.platform.sockets import watch_peer
 
 __all__ = ["EndpointConnections"]
 
-EventSink = Callable[[Event | ProxyEvent], None]
-
 _STATUS_STATEMENTS = (Status, Pause, Resume, Demote)
 
 
--- a/mallowpass/platform/store.py
+++ b/mallowpass/platform/store.py
@@ -29,17 +29,17 @@
 from mallowpass.platform.http import HttpClient, HttpError, Request, Response
 from mallowpass.platform.settings import Address
 
-__all__ = ["StoreClient"]
+__all__ = ["TABLES", "TABLE_NAMES", "StoreClient"]
 
 # The platform's own tables have fixed names; those of the fleet are ours to name.
-_TABLE_NAMES = {
+TABLE_NAMES = {
     Table.CONFIGURATION: "op",
     Table.ENDPOINTS: "servers",
     Table.HOSTS: "mallowpass-hosts",
     Table.SUSPICIONS: "mallowpass-suspicions",
     Table.CLAIMS: "mallowpass-claims",
 }
-_TABLES = {name: table for table, name in _TABLE_NAMES.items()}
+TABLES = {name: table for table, name in TABLE_NAMES.items()}
 _CONFIGURATION_KEY = "config"
 
 _STATUSES = {
@@ -81,7 +81,7 @@
     @_call.register
     async def _(self, call: ListRows, timeout: float) -> StoreReply:
         rows: list[Row] = []
-        query = {"table": _TABLE_NAMES[call.table], "part": call.part}
+        query = {"table": TABLE_NAMES[call.table], "part": call.part}
         while True:
             request = Request("GET", f"/v1/rows-get?{urlencode(query)}")
             response = await self._client.call(request, timeout)
@@ -99,7 +99,7 @@
     @_call.register
     async def _(self, call: WatchRows, timeout: float) -> StoreReply:
         query = {
-            "table": _TABLE_NAMES[call.table],
+            "table": TABLE_NAMES[call.table],
             "after": call.after,
             "waitMs": int(call.wait * 1000),
         }
@@ -139,7 +139,7 @@
     def _rows(self, body: dict[str, Any]) -> list[Row]:
         rows = []
         for item in body.get("rows", ()):
-            table = _TABLES.get(item["table"])
+            table = TABLES.get(item["table"])
             if table is None:
                 continue
             key = RowKey(table, item.get("part", ""), item["key"])
@@ -169,7 +169,7 @@
 
 
 def _key(key: RowKey) -> dict[str, Any]:
-    return {"table": _TABLE_NAMES[key.table], "part": key.part, "key": key.key}
+    return {"table": TABLE_NAMES[key.table], "part": key.part, "key": key.key}
 
 
 def _encode(text: str) -> str:
--- a/mallowpass/standins/proxied/httpserver.py
+++ b/mallowpass/standins/proxied/httpserver.py
@@ -19,24 +19,18 @@
     StoreCall,
     StoreReply,
     StoreStatus,
-    Table,
     WatchRows,
 )
+from mallowpass.platform.documents import CONSISTENCY
 from mallowpass.platform.http import HttpServer, Request, Response
 from mallowpass.platform.settings import Address
+from mallowpass.platform.store import TABLE_NAMES, TABLES
 from mallowpass.standins.proxied.replicas import Group
 from mallowpass.standins.proxied.rows import RowStore
 
 __all__ = ["OrderServer", "StoreServer"]
 
-_TABLE_NAMES = {
-    "op": Table.CONFIGURATION,
-    "servers": Table.ENDPOINTS,
-    "mallowpass-hosts": Table.HOSTS,
-    "mallowpass-suspicions": Table.SUSPICIONS,
-    "mallowpass-claims": Table.CLAIMS,
-}
-_NAMES = {table: name for name, table in _TABLE_NAMES.items()}
+_CONSISTENCY_WORDS = {kind: word for word, kind in CONSISTENCY.items()}
 _STATUSES = {
     StoreStatus.DONE: 200,
     StoreStatus.CONFLICT: 412,
@@ -64,12 +58,12 @@
 
     async def _get(self, request: Request) -> Response:
         query = _query(request)
-        table = _TABLE_NAMES[query["table"]]
+        table = TABLES[query["table"]]
         return await self._call(ListRows(table, query.get("part", "")))
 
     async def _feed(self, request: Request) -> Response:
         query = _query(request)
-        table = _TABLE_NAMES[query["table"]]
+        table = TABLES[query["table"]]
         wait = int(query["waitMs"]) / 1000.0
         return await self._call(WatchRows(table, int(query["after"]), wait))
 
@@ -133,12 +127,12 @@
 
 
 def _key(item: dict[str, Any]) -> RowKey:
-    return RowKey(_TABLE_NAMES[item["table"]], item.get("part", ""), item["key"])
+    return RowKey(TABLES[item["table"]], item.get("part", ""), item["key"])
 
 
 def _row(row: Row) -> dict[str, Any]:
     fields = {
-        "table": _NAMES[row.key.table],
+        "table": TABLE_NAMES[row.key.table],
         "part": row.key.part,
         "key": row.key.key,
         "ver": row.version,
@@ -150,16 +144,11 @@
 
 
 def _encode_configuration(value: Configuration) -> bytes:
-    consistency = {
-        "primary": "primary",
-        "bounded": "bounded_staleness",
-        "own-writes": "read_your_writes",
-    }
     routes = [
         {
             "name": route.database,
             "host": route.database,
-            "routeType": consistency[route.consistency.value],
+            "routeType": _CONSISTENCY_WORDS[route.consistency],
             "timeoutMs": int(1000 * route.statement_timeout),
             "goalMs": int(1000 * route.objective),
             "priority": route.priority,
--- a/mallowpass/standins/proxied/platform.py
+++ b/mallowpass/standins/proxied/platform.py
@@ -130,11 +130,10 @@
 
     def enter(self, replica: Replica, draining: bool = False) -> None:
         """Write a member's entry, as it does itself."""
-        server = self.servers[replica.name]
         entry = EndpointEntry(
             name=replica.name,
             service=self.group.service,
-            address=str(server.address),
+            address=str(self.entered_address(replica.name)),
             failure_domain=replica.name.removeprefix("db-"),
             slots=self.group.slots,
             draining=draining,
@@ -142,6 +141,10 @@
         )
         self.store.put(RowKey(Table.ENDPOINTS, "", replica.name), entry)
 
+    def entered_address(self, name: str) -> Address:
+        """Return the address that a member's entry gives."""
+        return self.servers[name].address
+
     def crash(self, name: str) -> None:
         """End a member: its connections are reset, nobody listens any more."""
         self.servers[name].stop()
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -8,10 +8,8 @@
 import sys
 from pathlib import Path
 
-from mallowpass.core.proxy.storage import EndpointEntry, RowKey, Table
 from mallowpass.platform.settings import Address
 from mallowpass.standins.proxied.platform import LocalPlatform
-from mallowpass.standins.proxied.replicas import Replica
 from tests.soak.proxies import FaultProxy
 
 __all__ = ["HostProcess", "SoakPlatform"]
@@ -39,18 +37,9 @@
             await proxy.start()
         await self.start(hosts=0)
 
-    def enter(self, replica: Replica, draining: bool = False) -> None:
-        """Write a member's entry, as it does itself."""
-        entry = EndpointEntry(
-            name=replica.name,
-            service=self.group.service,
-            address=str(self.proxies[replica.name].address),
-            failure_domain=replica.name.removeprefix("db-"),
-            slots=self.group.slots,
-            draining=draining,
-            is_primary=replica.is_primary,
-        )
-        self.store.put(RowKey(Table.ENDPOINTS, "", replica.name), entry)
+    def entered_address(self, name: str) -> Address:
+        """Return the address of a member's proxy."""
+        return self.proxies[name].address
 
     async def restart(self, name: str) -> None:
         """Start a crashed member again, with its log."""
