Run four tests at once in make test

Cause: the whole run took 235 to 260 s on one core of eight, most of it waiting for processes and sockets. Ruled out: splitting by file (161 s, as one file of long runs holds up the end). Change: pytest-xdist, four workers that steal work from each other.

--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,8 @@
 PIP_INSTALL = pip install --quiet --disable-pip-version-check
 
 PYTEST_FLAGS ?=
+# Tests that run at once. Half of eight cores: many tests start processes of their own.
+TEST_JOBS ?= 4
 FUZZ_SEED ?= 1
 SCHEMAS = $(wildcard mallowpass/schema/*.proto)
 
@@ -22,7 +24,7 @@
 
 help:
 	@echo "make demo    set up, then run the main job on embedded stand-ins"
-	@echo "make test    set up, then linter, formatter check and all tests"
+	@echo "make test    set up, then linter, formatter check and all tests, $(TEST_JOBS) at once"
 	@echo "make fuzz    the long state-machine runs (FUZZ_SEED=$(FUZZ_SEED))"
 	@echo "make build   dist/mallowpass, the one binary that ships"
 	@echo "make schema  regenerate the protobuf code from mallowpass/schema/*.proto"
@@ -37,7 +39,7 @@
 	$(VENV)/bin/ruff format --check .
 
 test: lint
-	$(VENV)/bin/python -m pytest $(PYTEST_FLAGS)
+	$(VENV)/bin/python -m pytest -n $(TEST_JOBS) --dist worksteal $(PYTEST_FLAGS)
 
 fuzz: $(READY)
 	@if [ ! -d tests/fuzz ]; then \
