--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -332,7 +332,6 @@
         endpoint.heard_at = self.now
         if reply.position is not None:
             endpoint.position = reply.position
-            endpoint.position_at = self.now
             group = self.tables.group(endpoint.entry.service)
             group.term = max(group.term, reply.position.term)
         if reply.floor is not None:
--- a/mallowpass/core/proxy/floors.py
+++ b/mallowpass/core/proxy/floors.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-from bisect import bisect_right
-
 from mallowpass.core.proxy.configuration import Consistency
 from mallowpass.core.proxy.signals import FloorLearnt, PrimaryHeard
 from mallowpass.core.proxy.statements import LogPosition
@@ -28,12 +26,9 @@
 AGE_MARGIN = 0.05  # seconds
 SAMPLE_GAP = 0.02  # seconds; samples closer to each other than that are not kept
 SAMPLES_MAX = 256
-# A replica that lacked a floor is not asked again for so long, and for as long again
-# with each time that the same read was refused. A refusal costs a round trip, no slot.
+# A replica that lacked a floor is not asked for a newer one for so long. Its lag is
+# usually far below, and a refusal costs a round trip but no slot.
 BEHIND_PAUSE = 0.05
-# For how long a replica's last known position tells its lag. After that a read asks
-# anew: one that nobody asks would be taken for behind for ever.
-LAG_TRUST = 0.5  # seconds
 AGE_MAX = 60.0  # seconds; no accepted age that is in use is longer
 
 
@@ -47,21 +42,20 @@
         self._node.subscribe(FloorLearnt, self._on_learnt)
 
     def _on_learnt(self, signal: FloorLearnt) -> None:
-        sample = FloorSample(signal.asked_at, signal.position, self.now)
-        self._keep(signal.group, sample)
+        self._keep(signal.group, signal.position, signal.asked_at)
 
     def sample(self, group: GroupRow, position: LogPosition, asked_at: float) -> None:
         """Record what a primary answered that proved that it led after `asked_at`."""
-        if self._keep(group, FloorSample(asked_at, position, self.now)):
+        if self._keep(group, position, asked_at):
             self._node.publish(PrimaryHeard(group))
 
     @staticmethod
-    def _keep(group: GroupRow, sample: FloorSample) -> bool:
+    def _keep(group: GroupRow, position: LogPosition, asked_at: float) -> bool:
         """Keep a sample that is newer than the others; tell whether it is."""
         samples = group.samples
-        if samples and sample.asked_at - samples[-1].asked_at < SAMPLE_GAP:
+        if samples and asked_at - samples[-1].asked_at < SAMPLE_GAP:
             return False
-        samples.append(sample)
+        samples.append(FloorSample(asked_at, position))
         if len(samples) > SAMPLES_MAX:
             samples.popleft()
         return True
@@ -73,59 +67,40 @@
         if position is None:
             return
         known = session.floors.get(service)
-        if known is None or known.position < position:
-            session.floors[service] = FloorSample(self.now, position, self.now)
+        if known is None or known < position:
+            session.floors[service] = position
 
-    def floor(self, request: RequestRow, group: GroupRow) -> FloorSample | None:
-        """Return the sample whose position a replica must prove, None if there is none.
+    def floor(self, request: RequestRow, group: GroupRow) -> LogPosition | None:
+        """Return the position that a replica must prove, None if none is known.
 
         None means that only a primary can serve the read.
         """
         route = request.route
         if route.consistency is Consistency.PRIMARY:
             return None
-        # What is acknowledged while the read waits, it need not see. Counted from now
-        # instead, the floor would rise as fast as a replica that is behind.
-        oldest = request.arrived - route.accepted_age + AGE_MARGIN
-        floor = self._first_since(group, oldest)
+        floor = self._at_age(group, route.accepted_age)
         if floor is not None and route.consistency is Consistency.OWN_WRITES:
             own = request.session.floors.get(group.service)
-            if own is not None and own.position > floor.position:
+            if own is not None and own > floor:
                 return own
         return floor
 
-    def ready_in(
-        self, endpoint: EndpointRow, floor: FloorSample, refusals: int
-    ) -> float:
-        """Return in how many seconds an endpoint should have reached a floor.
+    def may_have(self, endpoint: EndpointRow, floor: LogPosition) -> bool:
+        """Tell whether an endpoint's log may have reached a floor by now.
 
-        It proves that itself; this only keeps reads from one that is behind for longer
-        than they can wait. `refusals` is how often it was asked in vain.
+        It proves that itself; this only keeps reads from one that is far behind.
         """
-        position = endpoint.position
-        if position is not None and position >= floor.position:
-            return 0.0
-        pause = BEHIND_PAUSE * (1 + refusals)
-        wait = max(0.0, endpoint.behind_at + pause - self.now)
-        if position is None or endpoint.position_at < self.now - LAG_TRUST:
-            return wait
-        group = self.tables.group(endpoint.entry.service)
-        lag = endpoint.position_at - _passed_at(group, position, endpoint.position_at)
-        return max(wait, floor.seen_at + lag - self.now)
-
-    def _first_since(self, group: GroupRow, oldest: float) -> FloorSample | None:
+        if endpoint.position is not None and endpoint.position >= floor:
+            return True
+        return endpoint.behind_at < self.now - BEHIND_PAUSE
+
+    def _at_age(self, group: GroupRow, accepted_age: float) -> LogPosition | None:
+        oldest = self.now - accepted_age + AGE_MARGIN
         samples = group.samples
         # Those too old for the longest accepted age are of no more use.
         while len(samples) > 1 and samples[0].asked_at < self.now - AGE_MAX:
             samples.popleft()
         for sample in samples:
             if sample.asked_at >= oldest:
-                return sample
+                return sample.position
         return None
-
-
-def _passed_at(group: GroupRow, position: LogPosition, otherwise: float) -> float:
-    """Return when the primary is first known to have been beyond a position."""
-    samples = group.samples
-    first = bisect_right(samples, position, key=lambda sample: sample.position)
-    return samples[first].seen_at if first < len(samples) else otherwise
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -152,14 +152,6 @@
             if choice.connection is not None:
                 group.waiting.remove(request)
                 self._send(request, choice.connection, choice.floor)
-            elif choice.wait is not None:
-                self._look_again(request, group, self.now + choice.wait)
-
-    def _look_again(self, request: RequestRow, group: GroupRow, at: float) -> None:
-        """Look at a request again by some time, if that is not done before."""
-        if not self.now < request.wakes_at <= at:
-            request.wakes_at = at
-            request.timers.append(self.timers.at(at, self._dispatch, group))
 
     def _on_freed(self, signal: ConnectionFreed | EndpointChanged) -> None:
         self._dispatch(self.tables.group(signal.endpoint.entry.service))
@@ -300,10 +292,11 @@
         elif reply.code is Code.BEHIND:
             endpoint.behind_at = self.now
             request.behind += 1
+            request.avoided.add(endpoint.name)
         else:
             request.avoided.add(endpoint.name)
             request.retry_at = self.now + self.backoff(request)
-        if request.tries - request.behind >= TRIES_MAX:
+        if request.tries >= TRIES_MAX:
             self.refuse(request, Code.BUSY, request.detail)
             return
         if request.retry_at > self.now:
--- a/mallowpass/core/proxy/routing.py
+++ b/mallowpass/core/proxy/routing.py
@@ -8,7 +8,6 @@
 from mallowpass.core.proxy.tables import (
     ConnectionRow,
     EndpointRow,
-    FloorSample,
     GroupRow,
     ProxySystem,
     RequestRow,
@@ -32,22 +31,14 @@
 # A primary alone can run writes: reads that a replica can serve leave it this many
 # statements' room.
 PRIMARY_COST = 1.0
-# ... and wait for a replica that is behind up to so many times as long as the primary
-# would take. At 1 the primary is kept so busy that what it alone can run is late.
-PRIMARY_WEIGHT = 2.0
 
 
 @record
 class Choice:
-    """Say what to do with a statement: where to send it, and above which floor.
-
-    Without a connection it waits; `wait` is in how many seconds a replica should have
-    reached the floor, None if no replica is waited for.
-    """
+    """Say what to do with a statement: where to send it, and above which floor."""
 
     connection: ConnectionRow | None
     floor: LogPosition | None = None
-    wait: float | None = None
 
 
 class Routing(ProxySystem):
@@ -61,26 +52,16 @@
         self._floors = self._node.system(Floors)
 
     def choose(self, request: RequestRow, group: GroupRow) -> Choice:
-        """Return an idle connection for a statement; ask for one where none is idle.
-
-        Of two endpoints the one that should answer first is taken, also where that is
-        a replica which still has to reach the floor. A replica 2 s behind serves reads
-        of data up to 1.5 s old half a second later, while a primary that ran all of
-        them would be kept busy for seconds.
-        """
+        """Return an idle connection for a statement; ask for one where none is idle."""
         floor = None
         if not request.needs_primary:
             floor = self._floors.floor(request, group)
         first = None
         for endpoint in self._candidates(request, group, floor):
-            wait = self._wait(request, endpoint, group, floor)
-            if wait > 0.0:
-                request.detail = f"waits for {endpoint.name} to catch up"
-                return Choice(None, wait=wait)
             connection = self._connections.take(endpoint, request.session.values)
             if connection is not None:
                 on_primary = endpoint.name == group.primary
-                return Choice(connection, None if on_primary else floor.position)
+                return Choice(connection, None if on_primary else floor)
             if first is None:
                 first = endpoint
                 self._connections.grow(endpoint)
@@ -94,7 +75,7 @@
             endpoint.latency += LATENCY_WEIGHT * (latency - endpoint.latency)
 
     def _candidates(
-        self, request: RequestRow, group: GroupRow, floor: FloorSample | None
+        self, request: RequestRow, group: GroupRow, floor: LogPosition | None
     ) -> list[EndpointRow]:
         primary = group.primary_row
         if floor is None:
@@ -107,9 +88,9 @@
         usable = [
             endpoint
             for endpoint in group.endpoints.values()
-            if self._is_usable(request, endpoint, group)
+            if self._is_usable(request, endpoint, group, floor)
         ]
-        usable.sort(key=lambda endpoint: self._cost(endpoint, group, request, floor))
+        usable.sort(key=lambda endpoint: self._cost(endpoint, group, request))
         return usable
 
     def _is_usable(
@@ -117,43 +98,28 @@
         request: RequestRow,
         endpoint: EndpointRow,
         group: GroupRow,
+        floor: LogPosition,
     ) -> bool:
         if endpoint.name == group.primary:
             return True
         if endpoint.is_leaving or endpoint.name in request.avoided:
             return False
-        return not endpoint.failures or bool(endpoint.connections)
-
-    def _wait(
-        self,
-        request: RequestRow,
-        endpoint: EndpointRow,
-        group: GroupRow,
-        floor: FloorSample | None,
-    ) -> float:
-        """Return in how many seconds an endpoint should be able to run a statement."""
-        if floor is None or endpoint.name == group.primary:
-            return 0.0
-        return self._floors.ready_in(endpoint, floor, request.behind)
+        if endpoint.failures and not endpoint.connections:
+            return False
+        return self._floors.may_have(endpoint, floor)
 
     def _cost(
-        self,
-        endpoint: EndpointRow,
-        group: GroupRow,
-        request: RequestRow,
-        floor: FloorSample,
+        self, endpoint: EndpointRow, group: GroupRow, request: RequestRow
     ) -> float:
         latency = endpoint.latency or LATENCY_EXPECTED
         load = endpoint.in_flight + 2.0 * endpoint.overdue
         if endpoint.name == group.primary:
             load += PRIMARY_COST
-            latency *= PRIMARY_WEIGHT
         expected = latency * (1.0 + load / max(1, endpoint.entry.slots))
         if endpoint.name in request.avoided:
             # The primary always has the floor, and may still be the one that is silent.
             expected += AVOIDED_COST
-        wait = self._wait(request, endpoint, group, floor)
-        return wait + expected + self._distance(endpoint)
+        return expected + self._distance(endpoint)
 
     def _distance(self, endpoint: EndpointRow) -> float:
         identity = self._node.identity
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -95,7 +95,6 @@
     failures: int = 0  # attempts to connect that failed in a row
     # Owned by requests and floors.
     position: LogPosition | None = None  # that its log had applied when last heard
-    position_at: float = float("-inf")  # when it told that
     heard_at: float = float("-inf")
     behind_at: float = float("-inf")  # when it last lacked a floor
     latency: float = 0.0  # moving average of statements, seconds
@@ -120,13 +119,11 @@
 class FloorSample:
     """Record that the primary's log was at `position` at or after `asked_at`.
 
-    Every commit acknowledged before `asked_at` is at or below it; all that are at or
-    below it were made before `seen_at`.
+    Every commit acknowledged before `asked_at` is at or below it.
     """
 
     asked_at: float
     position: LogPosition
-    seen_at: float
 
 
 @dataclass(slots=True, eq=False)
@@ -190,7 +187,7 @@
     database: str
     values: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, PreparedStatement] = field(default_factory=dict)
-    floors: dict[str, FloorSample] = field(default_factory=dict)  # by service
+    floors: dict[str, LogPosition] = field(default_factory=dict)  # by service
     state: SessionState = SessionState.IDLE
     transaction: TransactionRow | None = None
     received: deque[tuple[str, Statement | None]] = field(default_factory=deque)
@@ -219,7 +216,6 @@
     tries: int = 0
     avoided: set[str] = field(default_factory=set)
     retry_at: float = 0.0  # not sent before
-    wakes_at: float = 0.0  # when it is looked at again in any case
     floor: LogPosition | None = None  # that was demanded last; None: the primary's
     behind: int = 0  # times that a member had not reached the floor
     finished: bool = False
