Keep the queues of full endpoints short

Ruled out: work for nobody (its slots were busy with statements that were answered); replicas that could serve (4 to 5 s behind). Change: Load measures how long statements wait at an endpoint. Beyond 0.1 s a host that connects to it keeps to its part of four statements a slot; the rest waits at the host, by priority. Latency is measured in one place, for other hosts' statements as well.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -324,6 +324,9 @@
         if len(batch.replies) == batch.size:
             connection.pending.popleft()
             batch.on_replies(connection, batch.replies)
+            if connection.state is ConnectionState.PINNED:
+                # It stays with its transaction, and its endpoint has less to do.
+                self._node.publish(ConnectionFreed(connection.endpoint))
 
     def _note(
         self, connection: ConnectionRow, reply: EndpointReply, sent_at: float
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -21,6 +21,7 @@
 from mallowpass.core.proxy.events import LinkCalled, LinkClosed, LinkOpened
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.holders import Holders
+from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.signals import ConnectionFreed, EndpointForgotten
 from mallowpass.core.proxy.statements import (
     Begin,
@@ -54,7 +55,7 @@
 class Links(ProxySystem):
     """Own the links of other hosts."""
 
-    __slots__ = ("_connections", "_floors", "_holders", "_waiting")
+    __slots__ = ("_connections", "_floors", "_holders", "_load", "_waiting")
 
     def start(self) -> None:
         """Subscribe to what other hosts do, and to free connections."""
@@ -62,6 +63,7 @@
         self._connections = node.system(Connections)
         self._floors = node.system(Floors)
         self._holders = node.system(Holders)
+        self._load = node.system(Load)
         self._waiting: list[LinkRow] = []  # first come, first served
         node.subscribe(LinkOpened, self._on_opened)
         node.subscribe(LinkCalled, self._on_called)
@@ -128,6 +130,7 @@
         elif link not in self._waiting:
             link.waits_since = self.now
             self._waiting.append(link)
+            self.timers.after(WAIT_MAX, self._check_wait, link, self.now)
             self._try(link)
 
     @singledispatchmethod
@@ -165,6 +168,8 @@
                 self._try(link)
 
     def _try(self, link: LinkRow) -> None:
+        if not self._load.has_room(link.endpoint):
+            return
         connection = self._connections.take(link.endpoint, link.values)
         if connection is not None:
             self._waiting.remove(link)
@@ -174,7 +179,6 @@
             self._send(link, connection)
             return
         self._connections.grow(link.endpoint)
-        self.timers.after(WAIT_MAX, self._check_wait, link, link.waits_since)
 
     def _check_wait(self, link: LinkRow, since: float) -> None:
         if link not in self._waiting or link.waits_since != since:
@@ -211,8 +215,13 @@
         replies: list[EndpointReply],
         sent_at: float,
     ) -> None:
-        """Record what other hosts' statements prove of the primary's position."""
+        """Record what other hosts' statements tell of an endpoint."""
         group = self.tables.group(link.endpoint.entry.service)
+        if any(
+            reply.code is Code.DONE and call.statement.takes_slot
+            for call, reply in zip(calls, replies, strict=True)
+        ):
+            self._load.measured(link.endpoint, self.now - sent_at)
         for call, reply in zip(calls, replies, strict=True):
             if reply.code is not Code.DONE or reply.position is None:
                 continue
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -11,6 +11,7 @@
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.hosts import Hosts
 from mallowpass.core.proxy.links import Links
+from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.promotion import Promotion
 from mallowpass.core.proxy.requests import Requests
@@ -26,6 +27,7 @@
 SYSTEMS = (
     Store,
     Holders,
+    Load,
     Connections,
     Floors,
     Routing,
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -10,6 +10,7 @@
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.effects import AnswerStatement
 from mallowpass.core.proxy.floors import Floors
+from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.routing import Routing
 from mallowpass.core.proxy.signals import (
     ConnectionFreed,
@@ -62,6 +63,7 @@
     __slots__ = (
         "_connections",
         "_floors",
+        "_load",
         "_members",
         "_routing",
         "_sessions",
@@ -77,6 +79,7 @@
         node = self._node
         self._connections = node.system(Connections)
         self._floors = node.system(Floors)
+        self._load = node.system(Load)
         self._members = node.system(Members)
         self._routing = node.system(Routing)
         self._sessions = node.system(Sessions)
@@ -260,7 +263,7 @@
         reply: EndpointReply,
         proves_primary: bool,
     ) -> None:
-        self._routing.measured(endpoint, self.now - request.sent_at)
+        self._load.measured(endpoint, self.now - request.sent_at)
         group = self.tables.group(request.route.service)
         if request.access is Access.WRITE:
             self._floors.committed(request.session, group.service, reply.position)
--- a/mallowpass/core/proxy/routing.py
+++ b/mallowpass/core/proxy/routing.py
@@ -4,6 +4,7 @@
 
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.floors import Floors
+from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.statements import LogPosition
 from mallowpass.core.proxy.tables import (
     ConnectionRow,
@@ -19,7 +20,6 @@
 # What a statement is taken to last at an endpoint that has not answered any yet, in
 # seconds; about twice the mean work of one.
 LATENCY_EXPECTED = 0.03
-LATENCY_WEIGHT = 0.1  # of the newest measurement in the moving average
 # What a read in another region must save to be worth its bytes, in seconds: a quarter
 # of the shortest objective in use. Reads of a calm region stay there; those of one
 # whose member is slow or busy go elsewhere. Bytes between regions on a quiet day: 0.016
@@ -44,12 +44,13 @@
 class Routing(ProxySystem):
     """Choose endpoints by place, load, latency and position."""
 
-    __slots__ = ("_connections", "_floors")
+    __slots__ = ("_connections", "_floors", "_load")
 
     def start(self) -> None:
         """Find the systems that are asked."""
         self._connections = self._node.system(Connections)
         self._floors = self._node.system(Floors)
+        self._load = self._node.system(Load)
 
     def choose(self, request: RequestRow, group: GroupRow) -> Choice:
         """Return an idle connection for a statement; ask for one where none is idle."""
@@ -58,6 +59,8 @@
             floor = self._floors.floor(request, group)
         first = None
         for endpoint in self._candidates(request, group, floor):
+            if not self._load.has_room(endpoint):
+                continue
             connection = self._connections.take(endpoint, request.session.values)
             if connection is not None:
                 on_primary = endpoint.name == group.primary
@@ -67,13 +70,6 @@
                 self._connections.grow(endpoint)
         return Choice(None)
 
-    def measured(self, endpoint: EndpointRow, latency: float) -> None:
-        """Record how long a statement took, in seconds."""
-        if endpoint.latency == 0.0:
-            endpoint.latency = latency
-        else:
-            endpoint.latency += LATENCY_WEIGHT * (latency - endpoint.latency)
-
     def _candidates(
         self, request: RequestRow, group: GroupRow, floor: LogPosition | None
     ) -> list[EndpointRow]:
--- a/mallowpass/core/proxy/statements.py
+++ b/mallowpass/core/proxy/statements.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import ClassVar
 
 from mallowpass.core.positions import Access, LogPosition
 from mallowpass.core.records import record
@@ -88,6 +89,9 @@
 class Statement:
     """Stand on top of all statements of callers and of this host."""
 
+    # Whether an endpoint runs it in one of its few slots.
+    takes_slot: ClassVar[bool] = False
+
 
 @record
 class Begin(Statement):
@@ -100,6 +104,8 @@
 class Commit(Statement):
     """Commit the transaction."""
 
+    takes_slot: ClassVar[bool] = True
+
 
 @record
 class Rollback(Statement):
@@ -110,6 +116,8 @@
 class Read(Statement):
     """Read; the text is passed on as it came."""
 
+    takes_slot: ClassVar[bool] = True
+
     text: str
 
 
@@ -117,6 +125,8 @@
 class Write(Statement):
     """Write; the text is passed on as it came."""
 
+    takes_slot: ClassVar[bool] = True
+
     text: str
 
 
@@ -141,6 +151,8 @@
 class Execute(Statement):
     """Run a prepared statement; the text after its name is passed on as it came."""
 
+    takes_slot: ClassVar[bool] = True
+
     name: str
     text: str
 
@@ -161,6 +173,8 @@
 class Status(Statement):
     """Ask an endpoint for its state; it costs a slot and is charged as a probe."""
 
+    takes_slot: ClassVar[bool] = True
+
 
 @record
 class Pause(Statement):
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -97,7 +97,8 @@
     position: LogPosition | None = None  # that its log had applied when last heard
     heard_at: float = float("-inf")
     behind_at: float = float("-inf")  # when it last lacked a floor
-    latency: float = 0.0  # moving average of statements, seconds
+    latency: float = 0.0  # moving average of statements, seconds; owned by load
+    least_latency: float = 0.0  # of a statement that did not wait; owned by load
     in_flight: int = 0  # statements of this host
     overdue: int = 0  # statements that it has not answered in time
     # Owned by members.
--- a/mallowpass/core/proxy/transactions.py
+++ b/mallowpass/core/proxy/transactions.py
@@ -4,9 +4,9 @@
 
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.floors import Floors
+from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.requests import TRIES_MAX, Requests
-from mallowpass.core.proxy.routing import Routing
 from mallowpass.core.proxy.statements import (
     Access,
     Answer,
@@ -35,9 +35,9 @@
     __slots__ = (
         "_connections",
         "_floors",
+        "_load",
         "_members",
         "_requests",
-        "_routing",
         "_sessions",
     )
 
@@ -48,9 +48,9 @@
         node = self._node
         self._connections = node.system(Connections)
         self._floors = node.system(Floors)
+        self._load = node.system(Load)
         self._members = node.system(Members)
         self._requests = node.system(Requests)
-        self._routing = node.system(Routing)
         self._sessions = node.system(Sessions)
 
     # -- Sending -------------------------------------------------------------
@@ -144,7 +144,7 @@
             self._on_commit_reply(request, connection, reply)
             return
         if reply.code is Code.DONE:
-            self._routing.measured(endpoint, self.now - request.sent_at)
+            self._load.measured(endpoint, self.now - request.sent_at)
             transaction.wrote |= request.access is Access.WRITE
             connection.on_lost = lambda _, why: self._on_idle_lost(request.session, why)
             self._requests.answer_reply(request, reply, SessionState.IN_TRANSACTION)
--- a/mallowpass/standins/proxied/replicas.py
+++ b/mallowpass/standins/proxied/replicas.py
@@ -305,7 +305,7 @@
             return
         self._working = True
         call, done = self._queue.popleft()
-        work = self._group.times.work if _takes_slot(call.statement) else 0.0
+        work = self._group.times.work if call.statement.takes_slot else 0.0
         refusal = self._refusal(call)
         if refusal is not None:
             self._answer(done, refusal, failed=True)
@@ -519,7 +519,3 @@
             done(reply)
         self._working = False
         self._next()
-
-
-def _takes_slot(statement: Statement) -> bool:
-    return isinstance(statement, Read | Write | Execute | Commit | Status)
