Explain requests from logs, and show a host's metrics

Cause: explain and status asked the operators' interface, which hosts on the users' platform don't have; one searched their logs by hand. Ruled out: an interface for operators on these hosts, which would take memory and a port that the platform does not hand out.

--- a/mallowpass/cli/operate.py
+++ b/mallowpass/cli/operate.py
@@ -250,8 +250,22 @@
 @operator_options
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 @click.option("--watch", type=click.FloatRange(0.1), help="Repeat every SECONDS.")
-def status(address: str, operator: str, as_json: bool, watch: float | None) -> None:
+@click.option(
+    "--metrics",
+    metavar="HOST:PORT/PATH",
+    help="Ask a host on the users' platform, at its metrics address.",
+)
+def status(
+    address: str,
+    operator: str,
+    as_json: bool,
+    watch: float | None,
+    metrics: str | None,
+) -> None:
     """Show a host, and the databases and hosts that it sees."""
+    if metrics is not None:
+        _print_metrics(metrics)
+        return
     while True:
         answer = _call(address, operator, lambda client: client.status())
         _refuse_if_coded(answer)
@@ -267,6 +281,17 @@
         time.sleep(watch)
 
 
+def _print_metrics(address: str) -> None:
+    from mallowpass.report.hostmetrics import fetch_metrics, status_lines
+
+    try:
+        text = fetch_metrics(address)
+    except OSError as error:
+        click.echo(f"{address}: {error}", err=True)
+        sys.exit(ExitCode.UNREACHABLE)
+    click.echo("\n".join(status_lines(text)))
+
+
 def _status_lines(answer: Any) -> list[str]:
     lines = [
         f"host={answer.host} failure_domain={answer.failure_domain} "
@@ -308,12 +333,30 @@
 @operator_options
 @click.option("--limit", type=click.IntRange(1, 1000), default=50, show_default=True)
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@click.option(
+    "--log",
+    "logs",
+    multiple=True,
+    metavar="FILE",
+    help="Read a request's lines in the logs of hosts on the users' platform.",
+)
 @click.argument("subject", type=click.Choice(["request", "database", "config"]))
 @click.argument("name", default="")
 def explain(
-    address: str, operator: str, limit: int, as_json: bool, subject: str, name: str
+    address: str,
+    operator: str,
+    limit: int,
+    as_json: bool,
+    logs: tuple[str, ...],
+    subject: str,
+    name: str,
 ) -> None:
     """Show what the fleet decided about a request, database or service, and why."""
+    if logs:
+        if subject != "request":
+            raise click.UsageError(f"logs tell of requests, not of a {subject}")
+        _explain_from_logs(logs, name, limit)
+        return
     answer = _call(
         address, operator, lambda client: client.explain(subject, name, limit)
     )
@@ -331,5 +374,22 @@
         )
 
 
+def _explain_from_logs(logs: tuple[str, ...], request: str, limit: int) -> None:
+    from mallowpass.report.hostlogs import explain_request, read_lines
+
+    try:
+        lines = explain_request(read_lines(logs), request)
+    except OSError as error:
+        raise click.UsageError(f"{error.filename}: {error.strerror}") from error
+    if not lines:
+        click.echo(f"no line tells of request {request!r}", err=True)
+        sys.exit(ExitCode.FAILED)
+    shown = lines[-limit:]
+    if len(shown) < len(lines):
+        click.echo(f"{len(lines) - len(shown)} earlier lines left out", err=True)
+    for line in shown:
+        click.echo(f"{line.source} {line.text}")
+
+
 def _print_json(value: Any) -> None:
     click.echo(json.dumps(value, indent=2, default=str))
