Refuse what waits long for a full endpoint

Change: a statement that waits for an endpoint which has too much to do is refused after a quarter of its objective, unless it is first in line; what a holder or an endpoint refuses as too much by then is not tried again. Holders keep calls 0.2 s, not 0.35 s.

--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -49,7 +49,7 @@
 
 # Calls that wait longer for a connection are refused: they did not run, and the host
 # that sent them has time left to try elsewhere, or to tell its caller.
-WAIT_MAX = 0.35  # seconds
+WAIT_MAX = 0.2  # seconds
 
 
 class Links(ProxySystem):
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -55,6 +55,12 @@
 BACKOFF_MIN = 0.02  # seconds before a refused statement is sent again
 BACKOFF_MAX = 0.2
 TRIES_MAX = 8  # of one statement, so that a refusal for good ends
+# Share of the objective after which a statement that waits for a full endpoint is
+# refused. Its caller has time for another attempt, and those that are served have not
+# waited longer; all that waited until their timeouts were late or ran for nobody.
+HOLD_SHARE = 0.25
+
+FULL = "its endpoint has too much to do; try again in a moment"
 
 
 class Requests(ProxySystem):
@@ -119,6 +125,9 @@
         )
         session.request = request
         request.timers.append(self.timers.at(expires, self._on_expired, request))
+        group = self.tables.group(route.service)
+        held_until = self._held_until(request)
+        request.timers.append(self.timers.at(held_until, self._dispatch, group))
         if transaction is not None and transaction.connection is not None:
             self._transactions.send(request)
         else:
@@ -155,6 +164,17 @@
             if choice.connection is not None:
                 group.waiting.remove(request)
                 self._send(request, choice.connection, choice.floor)
+            elif choice.full and self._is_held_too_long(request, group):
+                self.refuse(request, Code.BUSY, FULL)
+
+    def _is_held_too_long(self, request: RequestRow, group: GroupRow) -> bool:
+        # Whatever is first in line runs as soon as any statement ends.
+        first = group.waiting[0] is request
+        return not first and self.now >= self._held_until(request)
+
+    @staticmethod
+    def _held_until(request: RequestRow) -> float:
+        return request.arrived + HOLD_SHARE * request.route.objective
 
     def _on_freed(self, signal: ConnectionFreed | EndpointChanged) -> None:
         self._dispatch(self.tables.group(signal.endpoint.entry.service))
@@ -299,7 +319,8 @@
         else:
             request.avoided.add(endpoint.name)
             request.retry_at = self.now + self.backoff(request)
-        if request.tries >= TRIES_MAX:
+        held = reply.code is Code.BUSY and self.now >= self._held_until(request)
+        if held or request.tries >= TRIES_MAX:
             self.refuse(request, Code.BUSY, request.detail)
             return
         if request.retry_at > self.now:
--- a/mallowpass/core/proxy/routing.py
+++ b/mallowpass/core/proxy/routing.py
@@ -35,10 +35,15 @@
 
 @record
 class Choice:
-    """Say what to do with a statement: where to send it, and above which floor."""
+    """Say what to do with a statement: where to send it, and above which floor.
+
+    Without a connection it waits; `full` tells that each endpoint which may run it has
+    more to do than it should.
+    """
 
     connection: ConnectionRow | None
     floor: LogPosition | None = None
+    full: bool = False
 
 
 class Routing(ProxySystem):
@@ -58,9 +63,9 @@
         if not request.needs_primary:
             floor = self._floors.floor(request, group)
         first = None
-        for endpoint in self._candidates(request, group, floor):
-            if not self._load.has_room(endpoint):
-                continue
+        candidates = self._candidates(request, group, floor)
+        open_to_more = [e for e in candidates if self._load.has_room(e)]
+        for endpoint in open_to_more:
             connection = self._connections.take(endpoint, request.session.values)
             if connection is not None:
                 on_primary = endpoint.name == group.primary
@@ -68,7 +73,7 @@
             if first is None:
                 first = endpoint
                 self._connections.grow(endpoint)
-        return Choice(None)
+        return Choice(None, full=bool(candidates) and not open_to_more)
 
     def _candidates(
         self, request: RequestRow, group: GroupRow, floor: LogPosition | None
--- a/tests/core/proxy/test_load.py
+++ b/tests/core/proxy/test_load.py
@@ -6,6 +6,7 @@
 
 from mallowpass.core.proxy.configuration import Consistency
 from mallowpass.core.proxy.load import Load
+from mallowpass.core.proxy.statements import Begin, Code, Commit, Read
 from mallowpass.core.proxy.tables import EndpointRow
 from tests.fakes.proxyworld import (
     CONFIGURATION_KEY,
@@ -36,10 +37,52 @@
     return world
 
 
+def overload(world: ProxyWorld) -> None:
+    """Send 150 patient reads a second to a primary that runs 100."""
+    callers = [world.caller(i % len(world.hosts), "patient") for i in range(360)]
+
+    def send(number: int) -> None:
+        callers[number % len(callers)].send(Read("a"))
+        world.timers.after(1 / 150, send, number + 1)
+
+    send(0)
+
+
 def primary_row(world: ProxyWorld) -> EndpointRow:
     return world.hosts[0].tables.endpoints["db-casa"]
 
 
+def test_urgent_statements_do_not_wait_in_the_queue_of_a_full_endpoint(world):
+    # Symptom: with a primary that is full, whatever is most urgent is late too, and
+    # so is each statement of a transaction that is open.
+    # Sequence: nine hosts send all they have on 72 connections; the endpoint queues 69
+    # statements for its three slots, 0.7 s of work, and serves them as they came.
+    # Cause: priorities hold in the queues of hosts, and these were empty.
+    overload(world)
+    world.run(4.0)
+    urgent = world.caller(0, "strict")
+    started = world.timers.now
+    for statement in (Begin(), Read("a"), Read("a"), Commit()):
+        assert urgent.run(statement).code is Code.DONE
+    assert world.timers.now - started < 0.8
+    assert urgent.run(Read("a")).code is Code.DONE
+
+
+def test_an_endpoint_that_is_full_is_kept_busy(world):
+    overload(world)
+    world.run(4.0)
+    before = len(world.group.replicas["db-casa"].log), world.timers.now
+    callers = [c for host in world.hosts for c in host.callers.values()]
+    for caller in callers:
+        caller.answers.clear()
+    world.run(2.0)
+    done = sum(
+        answer.code is Code.DONE for caller in callers for answer in caller.answers
+    )
+    assert before[1] < world.timers.now
+    assert done > 0.95 * 2.0 * 100
+
+
 def test_an_endpoint_without_a_queue_takes_all_that_comes(world):
     load = world.hosts[0].node.system(Load)
     row = primary_row(world)
