--- /dev/null
+++ b/mallowpass/standins/proxied/connections.py
@@ -0,0 +1,295 @@
+"""A stand-in for an endpoint's end of one connection: the statements run there."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from functools import singledispatchmethod
+
+from mallowpass.core.proxy.statements import (
+    Access,
+    Begin,
+    Code,
+    Commit,
+    Demote,
+    EndpointCall,
+    EndpointReply,
+    EndpointStatus,
+    Execute,
+    Pause,
+    Prepare,
+    Read,
+    Reset,
+    Resume,
+    Rollback,
+    SessionState,
+    SetValue,
+    Statement,
+    Status,
+    Write,
+)
+from mallowpass.standins.proxied.replicas import Group, LogEntry, Replica
+
+__all__ = ["ReplicaConnection", "connect"]
+
+Done = Callable[[EndpointReply], None]
+
+
+def connect(group: Group, name: str) -> ReplicaConnection | Code:
+    """Return a connection to a member, or why there is none."""
+    replica = group.replicas[name]
+    if len(replica.connections) >= group.max_connections:
+        return Code.TOO_MANY_CONNECTIONS
+    return ReplicaConnection(group, replica)
+
+
+class ReplicaConnection:
+    """Hold one connection; its statements run one after the other."""
+
+    def __init__(self, group: Group, replica: Replica) -> None:
+        self._group = group
+        self._replica = replica
+        self._queue: deque[tuple[EndpointCall, Done]] = deque()
+        self._working = False
+        self._writes: list[tuple[str, str]] = []
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, tuple[Access, str]] = {}
+        self.state = SessionState.IDLE
+        self.read_only = False
+        self.lost_lead = False
+        self.open = True
+        self.silent = False  # it takes calls and answers nothing
+        replica.connections.add(self)
+
+    def close(self) -> None:
+        """Close; what was not committed is rolled back."""
+        self.open = False
+        self._queue.clear()
+        self._replica.connections.discard(self)
+
+    def send(self, call: EndpointCall, done: Done) -> None:
+        """Queue a call; `done` gets its reply."""
+        self._queue.append((call, done))
+        if not self._working:
+            self._next()
+
+    def _next(self) -> None:
+        if not self._queue or not self.open:
+            self._working = False
+            return
+        self._working = True
+        call, done = self._queue.popleft()
+        work = self._group.times.work if call.statement.takes_slot else 0.0
+        refusal = self._refusal(call)
+        if refusal is not None:
+            self._answer(done, refusal, failed=True)
+        elif work:
+            self._wait_for_slot(call, done, work)
+        else:
+            self._run(call, done)
+
+    def _wait_for_slot(self, call: EndpointCall, done: Done, work: float) -> None:
+        replica = self._replica
+        if not self.open:
+            return
+        if replica.busy >= self._group.slots:
+            timers = self._group.timers
+            timers.after(0.001, self._wait_for_slot, call, done, work)
+            return
+        replica.busy += 1
+        self._group.timers.after(work, self._worked, call, done)
+
+    def _worked(self, call: EndpointCall, done: Done) -> None:
+        self._replica.busy = max(0, self._replica.busy - 1)
+        if self.open:
+            refusal = self._refusal(call)
+            if refusal is not None:
+                self._answer(done, refusal, failed=True)
+            else:
+                self._run(call, done)
+
+    def _refusal(self, call: EndpointCall) -> Code | None:
+        """Return why a call does not run, None if it does."""
+        replica = self._replica
+        statement = call.statement
+        if call.minimum is not None and replica.applied_position < call.minimum:
+            return Code.BEHIND
+        in_plain = self.state is SessionState.IN_TRANSACTION and not self.read_only
+        if self.lost_lead and in_plain and not isinstance(statement, Rollback):
+            wrote = bool(self._writes)
+            if wrote or not isinstance(statement, Commit):
+                return Code.NOT_PRIMARY
+        if replica.is_primary and not replica.paused_for:
+            return None
+        if isinstance(statement, Write) or self._is_prepared_write(statement):
+            return Code.NOT_PRIMARY
+        if isinstance(statement, Begin) and not statement.read_only:
+            return Code.NOT_PRIMARY
+        return None
+
+    def _is_prepared_write(self, statement: Statement) -> bool:
+        if not isinstance(statement, Execute):
+            return False
+        return self.prepared.get(statement.name, (Access.READ, ""))[0] is Access.WRITE
+
+    def _run(self, call: EndpointCall, done: Done) -> None:
+        self._execute(call.statement, call, done)
+
+    @singledispatchmethod
+    def _execute(self, statement: Statement, call: EndpointCall, done: Done) -> None:
+        raise TypeError(f"no such statement: {type(statement).__name__}")
+
+    @_execute.register
+    def _(self, statement: Begin, call: EndpointCall, done: Done) -> None:
+        self.state = SessionState.IN_TRANSACTION
+        self.read_only = statement.read_only
+        self.lost_lead = False
+        self._writes = []
+        self._answer(done)
+
+    @_execute.register
+    def _(self, statement: Rollback, call: EndpointCall, done: Done) -> None:
+        self._end()
+        self._answer(done)
+
+    @_execute.register
+    def _(self, statement: Commit, call: EndpointCall, done: Done) -> None:
+        writes = self._writes
+        self._end()
+        if writes:
+            self._commit(writes, call, done)
+        else:
+            self._answer(done, signature=self._replica.name)
+
+    @_execute.register
+    def _(self, statement: Read, call: EndpointCall, done: Done) -> None:
+        self._answer_read(statement.text, done)
+
+    @_execute.register
+    def _(self, statement: Write, call: EndpointCall, done: Done) -> None:
+        item, _, data = statement.text.partition(" ")
+        self._write(item, data, call, done)
+
+    @_execute.register
+    def _(self, statement: Execute, call: EndpointCall, done: Done) -> None:
+        if statement.name not in self.prepared:
+            self._answer(done, Code.UNKNOWN_STATEMENT, failed=True)
+            return
+        item, _, data = statement.text.partition(" ")
+        if self._is_prepared_write(statement):
+            self._write(item, data, call, done)
+        else:
+            self._answer_read(item, done)
+
+    @_execute.register
+    def _(self, statement: SetValue, call: EndpointCall, done: Done) -> None:
+        self.values[statement.name] = statement.value
+        self._answer(done)
+
+    @_execute.register
+    def _(self, statement: Prepare, call: EndpointCall, done: Done) -> None:
+        self.prepared[statement.name] = (statement.access, statement.shape)
+        self._answer(done)
+
+    @_execute.register
+    def _(self, statement: Reset, call: EndpointCall, done: Done) -> None:
+        self.values.clear()
+        self.prepared.clear()
+        self._answer(done)
+
+    @_execute.register
+    def _(self, statement: Status, call: EndpointCall, done: Done) -> None:
+        self._answer_status(done)
+
+    @_execute.register
+    def _(self, statement: Pause, call: EndpointCall, done: Done) -> None:
+        if not self._replica.is_primary:
+            self._replica.paused_for = statement.term
+        self._answer_status(done)
+
+    @_execute.register
+    def _(self, statement: Resume, call: EndpointCall, done: Done) -> None:
+        self._replica.paused_for = 0
+        self._group.catch_up(self._replica)
+        self._answer_status(done)
+
+    @_execute.register
+    def _(self, statement: Demote, call: EndpointCall, done: Done) -> None:
+        self._group.demote(self._replica, statement.term)
+        self._answer_status(done)
+
+    # -- Helpers -------------------------------------------------------------
+
+    def _write(self, item: str, data: str, call: EndpointCall, done: Done) -> None:
+        if self.state is SessionState.IN_TRANSACTION:
+            self._writes.append((item, data))
+            self._answer(done, signature=self._replica.name)
+        else:
+            self._commit([(item, data)], call, done)
+
+    def _commit(
+        self, writes: list[tuple[str, str]], call: EndpointCall, done: Done
+    ) -> None:
+        entry = self._group.commit(self._replica, writes, call.request_id)
+        self._await_replicas(entry, done)
+
+    def _await_replicas(self, entry: LogEntry, done: Done) -> None:
+        group = self._group
+        if not self.open or not self._replica.up:
+            return
+        if not self._replica.is_primary:
+            if entry in group.primary.log:
+                # Its successor has it: to say that it did not run would be a lie, and
+                # nobody here knows that it is kept.
+                self.silent = True
+            self._answer(done, Code.NOT_PRIMARY, failed=True)
+        elif group.holders(entry) >= group.synchronous:
+            group.acknowledged.append(entry)
+            self._answer(done, signature=self._replica.name)
+        else:
+            group.timers.after(0.001, self._await_replicas, entry, done)
+
+    def _answer_read(self, item: str, done: Done) -> None:
+        row = self._replica.value(item).encode()
+        self._answer(done, signature=self._replica.name, rows=(row,))
+
+    def _answer_status(self, done: Done) -> None:
+        replica = self._replica
+        status = EndpointStatus(
+            is_primary=replica.is_primary,
+            term=replica.term,
+            received=replica.received,
+            lag=0.0,
+            busy=replica.busy,
+            connections=len(replica.connections),
+        )
+        self._answer(done, status=status)
+
+    def _end(self) -> None:
+        self.state = SessionState.IDLE
+        self._writes = []
+
+    def _answer(
+        self,
+        done: Done,
+        code: Code = Code.DONE,
+        *,
+        failed: bool = False,
+        signature: str = "",
+        rows: tuple[bytes, ...] = (),
+        status: EndpointStatus | None = None,
+    ) -> None:
+        if failed and self.state is SessionState.IN_TRANSACTION:
+            self.state = SessionState.FAILED
+        reply = EndpointReply(
+            code=code,
+            rows=rows,
+            signature=signature,
+            state=self.state,
+            position=self._replica.applied_position,
+            status=status,
+        )
+        if not self.silent:
+            done(reply)
+        self._working = False
+        self._next()
--- a/mallowpass/standins/proxied/wireserver.py
+++ b/mallowpass/standins/proxied/wireserver.py
@@ -12,7 +12,8 @@
 )
 from mallowpass.platform import wire
 from mallowpass.platform.settings import Address
-from mallowpass.standins.proxied.replicas import Group, ReplicaConnection
+from mallowpass.standins.proxied.connections import ReplicaConnection, connect
+from mallowpass.standins.proxied.replicas import Group
 
 __all__ = ["ReplicaServer"]
 
@@ -79,7 +80,7 @@
         if service != self._group.service or expected not in ("", self._name):
             self._refuse(Code.WRONG_ENDPOINT)
             return
-        connection = self._group.connect(self._name)
+        connection = connect(self._group, self._name)
         if isinstance(connection, Code):
             self._refuse(connection)
             return
--- a/tests/fakes/proxyworld.py
+++ b/tests/fakes/proxyworld.py
@@ -43,7 +43,8 @@
 )
 from mallowpass.core.proxy.tables import HostRow, ProxyTables
 from mallowpass.core.timers import TimerService
-from mallowpass.standins.proxied.replicas import Group, Replica, ReplicaConnection
+from mallowpass.standins.proxied.connections import ReplicaConnection, connect
+from mallowpass.standins.proxied.replicas import Group, Replica
 from mallowpass.standins.proxied.rows import RowStore
 
 CONFIGURATION_KEY = RowKey(Table.CONFIGURATION, "", "config")
@@ -222,7 +223,7 @@
     def _opened(
         self, group: Group, effect: effects.OpenConnection, replica: Replica
     ) -> None:
-        connection = group.connect(effect.endpoint)
+        connection = connect(group, effect.endpoint)
         if isinstance(connection, Code):
             refusal = ConnectionRefused(effect.connection, connection, "full")
             self.later(LINK, refusal)
--- a/tests/standins/proxied/test_replicas.py
+++ b/tests/standins/proxied/test_replicas.py
@@ -4,6 +4,7 @@
 
 from mallowpass.core.proxy.statements import Code, EndpointCall, Write
 from mallowpass.core.timers import TimerService
+from mallowpass.standins.proxied.connections import connect
 from mallowpass.standins.proxied.replicas import Group
 
 
@@ -23,7 +24,7 @@
     timers = TimerService()
     group = Group("s", ["a", "b", "c"], timers, synchronous=2)
     group.replicas["c"].deaf = True
-    connection = group.connect("a")
+    connection = connect(group, "a")
     replies = []
     connection.send(EndpointCall(Write("k 1"), "r1"), replies.append)
     _run(timers, 0.1)
@@ -37,7 +38,7 @@
     timers = TimerService()
     group = Group("s", ["a", "b", "c"], timers)
     group.replicas["b"].deaf = group.replicas["c"].deaf = True
-    connection = group.connect("a")
+    connection = connect(group, "a")
     replies = []
     connection.send(EndpointCall(Write("k 1"), "r1"), replies.append)
     _run(timers, 0.1)
