Have few hosts hold what has few slots

So all of them connected, and a full primary of 6 slots got up to 62 statements: each waited 0.3 s there, whatever its priority, and no host could keep to a part of less than one. Change: few hosts hold a service where one statement of each host would be more than four for each slot. Of these each holder has two, so 12 hosts hold, and 50 go by way of them. Sites of 8 hosts connect as before (12 statements and more).

--- a/mallowpass/core/proxy/holders.py
+++ b/mallowpass/core/proxy/holders.py
@@ -1,8 +1,10 @@
 """Which hosts hold connections to a service's endpoints, and how the others reach them.
 
-Endpoints take few connections. Where each host of a large fleet would get less than
-two, some of them hold all: each other host reaches an endpoint by way of a holder in
-its own failure domain, which runs the statements over the connections that it has.
+Endpoints take few connections, and run fewer statements still at once. Where each host
+of a large fleet would get less than two connections, or where one statement of each
+would be more than an endpoint should have, some of them hold all: each other host
+reaches an endpoint by way of a holder in its own failure domain, which runs the
+statements over the connections that it has.
 """
 
 from __future__ import annotations
@@ -20,6 +22,12 @@
 # Connections of one holder to an endpoint. More would leave fewer holders, so that the
 # end of one touches more sessions; fewer would wait for each other's transactions.
 SHARE_OF_HOLDER = 5
+# Statements of all hosts that a full endpoint should have for each of its slots. At 2
+# the slots of one in another region would stand idle during round trips of 24 ms; at 10
+# (62 hosts, 6 slots) each statement waited 0.3 s there, whatever its priority.
+STATEMENTS_PER_SLOT = 4
+# Of these, statements of one holder: one alone would wait for each other's.
+STATEMENTS_OF_HOLDER = 2
 # Share of the limit that the shares of all hosts leave free, for the connections of
 # hosts that died: endpoints drop these after seconds only.
 RESERVED_SHARE = 0.1
@@ -44,7 +52,7 @@
     def start(self) -> None:
         """Start with nothing known."""
         self._plans: dict[str, _Plan] = {}  # by service
-        self._plans_for: tuple[int, int] = (-1, -1)
+        self._plans_for: tuple[int, int, int] = (-1, -1, -1)
         self._failed: dict[str, float] = {}  # until when, by host
 
     # -- Questions -----------------------------------------------------------
@@ -74,6 +82,12 @@
         plan = self._plan(service)
         return len(self.tables.hosts) if plan.direct else len(plan.holders)
 
+    def statements(self, service: str) -> int:
+        """Return how many statements of all hosts a full endpoint should have."""
+        endpoints = self.tables.group(service).endpoints.values()
+        slots = [max(1, endpoint.entry.slots) for endpoint in endpoints]
+        return STATEMENTS_PER_SLOT * min(slots, default=1)
+
     def route(self, service: str) -> HostRow | None:
         """Return the holder by way of whom this host reaches a service, if any does."""
         plan = self._plan(service)
@@ -92,7 +106,7 @@
     def _plan(self, service: str) -> _Plan:
         configuration = self.tables.configuration
         version = configuration.version if configuration is not None else 0
-        key = (self.tables.hosts_version, version)
+        key = (self.tables.hosts_version, self.tables.endpoints_version, version)
         if key != self._plans_for:
             self._plans_for = key
             self._plans.clear()
@@ -109,9 +123,11 @@
         usable = int(limits.connections * (1.0 - RESERVED_SHARE))
         hosts = list(self.tables.hosts.values())
         share = usable // max(1, len(hosts))
-        if share >= SHARE_MIN:
+        statements = self.statements(service)
+        if share >= SHARE_MIN and len(hosts) <= statements:
             return _Plan(direct=True, share=share)
-        count = max(1, usable // SHARE_OF_HOLDER)
+        count = min(usable // SHARE_OF_HOLDER, statements // STATEMENTS_OF_HOLDER)
+        count = max(1, count)
         holders = self._choose(service, hosts, count)
         return _Plan(False, max(1, usable // len(holders)), holders)
 
--- a/mallowpass/core/proxy/load.py
+++ b/mallowpass/core/proxy/load.py
@@ -22,9 +22,6 @@
 # What statements wait at an endpoint, in seconds, until each host keeps to its part. It
 # is beyond what statements differ by: their work takes 6 to 55 ms.
 QUEUE_TIME_MAX = 0.1
-# Statements of all hosts for each slot of an endpoint that is full. At 2 the slots of
-# one in another region would stand idle during round trips of 24 ms.
-STATEMENTS_PER_SLOT = 4.0
 
 
 class Load(ProxySystem):
@@ -59,9 +56,9 @@
 
     def _part(self, endpoint: EndpointRow) -> int:
         """Return this host's part of the statements that a full endpoint has."""
-        hosts = self._holders.holding_hosts(endpoint.entry.service)
-        total = STATEMENTS_PER_SLOT * endpoint.entry.slots
-        return max(1, math.ceil(total / max(1, hosts)))
+        service = endpoint.entry.service
+        hosts = max(1, self._holders.holding_hosts(service))
+        return max(1, math.ceil(self._holders.statements(service) / hosts))
 
 
 def _running(endpoint: EndpointRow) -> int:
--- a/mallowpass/core/proxy/members.py
+++ b/mallowpass/core/proxy/members.py
@@ -67,8 +67,11 @@
             endpoint = EndpointRow(entry, version)
             self.tables.endpoints[entry.name] = endpoint
             self.tables.group(entry.service).endpoints[entry.name] = endpoint
+            self.tables.endpoints_version += 1
         elif version < endpoint.version:
             return
+        elif entry.slots != endpoint.entry.slots:
+            self.tables.endpoints_version += 1
         changed = endpoint.entry != entry or endpoint.gone_at is not None
         endpoint.entry = entry
         endpoint.version = version
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -282,6 +282,7 @@
     first_start: bool = False  # the whole fleet starts for the first time
     configuration: Configuration | None = None
     endpoints: dict[str, EndpointRow] = field(default_factory=dict)  # by name
+    endpoints_version: int = 0  # grows when one is new, or has other slots
     groups: dict[str, GroupRow] = field(default_factory=dict)  # by service
     connections: dict[int, ConnectionRow] = field(default_factory=dict)
     sessions: dict[int, SessionRow] = field(default_factory=dict)
--- a/tests/core/proxy/test_links.py
+++ b/tests/core/proxy/test_links.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from mallowpass.core.proxy.configuration import ServiceLimits
+from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.statements import (
     Access,
     Begin,
@@ -15,7 +17,13 @@
     SetValue,
     Write,
 )
-from tests.fakes.proxyworld import SERVICE, Host, ProxyWorld
+from tests.fakes.proxyworld import (
+    CONFIGURATION_KEY,
+    SERVICE,
+    Host,
+    ProxyWorld,
+    configuration,
+)
 
 LIMIT = 22
 HOSTS = 24
@@ -173,3 +181,19 @@
     samples = world.hosts[index].tables.groups[SERVICE].samples
     assert written_at - 0.1 < samples[-1].asked_at <= written_at
     assert samples[-1].position == world.group.acknowledged[-1].position
+
+
+def test_few_hosts_hold_connections_to_endpoints_of_few_slots():
+    # Symptom: with connections enough for all of 62 hosts, a full endpoint of 6 slots
+    # lets each statement wait for 0.3 s, the most urgent ones too.
+    # Sequence: each host sends one statement; the endpoint queues 56 of 62.
+    # Cause: no host can keep to a part of what the endpoint should have: the parts are
+    # less than one statement.
+    world = ProxyWorld(hosts=HOSTS, max_connections=100)
+    services = {SERVICE: ServiceLimits(SERVICE, 100, 1)}
+    world.store.put(CONFIGURATION_KEY, configuration(2, services=services))
+    world.run(4.0)
+    holding = [host.node.system(Holders).holds(SERVICE) for host in world.hosts]
+    assert 2 <= sum(holding) <= 6
+    caller = world.caller(holding.index(False), "own")
+    assert caller.run(Write("a 1")).code is Code.DONE
