Break the circle of requests, transactions and sessions

Change: Answers (what callers are told, with its log line) and Attempts (one statement on one connection) have modules of their own; what becomes of attempts and of transactions is told by signals. A statement's log line names its service.

--- /dev/null
+++ b/mallowpass/core/proxy/answers.py
@@ -0,0 +1,110 @@
+"""The final answers of statements, each with its log line and its counts."""
+
+from __future__ import annotations
+
+from mallowpass.core.proxy.connections import Connections
+from mallowpass.core.proxy.effects import AnswerStatement
+from mallowpass.core.proxy.signals import StatementAnswered
+from mallowpass.core.proxy.statements import (
+    Answer,
+    Code,
+    Commit,
+    EndpointReply,
+    LogPosition,
+    SessionState,
+)
+from mallowpass.core.proxy.tables import ProxySystem, RequestRow, SessionRow
+
+__all__ = ["Answers"]
+
+
+class Answers(ProxySystem):
+    """Tell callers what became of their statements."""
+
+    __slots__ = ("_connections",)
+
+    def start(self) -> None:
+        """Find the system that is asked."""
+        self._connections = self._node.system(Connections)
+
+    def refuse(self, request: RequestRow, code: Code, why: str) -> None:
+        """Tell the caller that a statement, with its transaction, is not kept."""
+        in_transaction = request.transaction is not None
+        is_commit = isinstance(request.statement, Commit)
+        if in_transaction:
+            self.roll_back(request.session)
+        state = SessionState.FAILED
+        if not in_transaction or is_commit:
+            state = SessionState.IDLE
+        self.give(request, Answer(code, state, message=why))
+
+    def in_doubt(self, request: RequestRow, why: str) -> None:
+        """Tell the caller that nobody knows whether a write is kept."""
+        message = f"{request.endpoint.name}: {why}"
+        self.give(request, Answer(Code.IN_DOUBT, SessionState.IDLE, message=message))
+
+    def reply(
+        self, request: RequestRow, reply: EndpointReply, state: SessionState
+    ) -> None:
+        """Pass on what the endpoint answered."""
+        answer = Answer(reply.code, state, reply.rows, reply.signature, reply.message)
+        self.give(request, answer)
+
+    def give(self, request: RequestRow, answer: Answer) -> None:
+        """Answer a statement for good."""
+        self.settle(request)
+        session = request.session
+        duration = self.now - request.arrived
+        consistency = request.route.consistency.value
+        self._node.observe("statement_seconds", duration, consistency=consistency)
+        self._node.count("statements", code=answer.code.value)
+        if answer.code is not Code.DONE or request.tries:
+            self._log(request, answer, duration)
+        if not session.closed:
+            self._node.emit(AnswerStatement(session.stream, answer))
+            self._node.publish(StatementAnswered(session, answer.state))
+
+    def _log(self, request: RequestRow, answer: Answer, duration: float) -> None:
+        group = self.tables.group(request.route.service)
+        self._node.log(
+            "info",
+            "statement_answered",
+            request=request.request_id,
+            outcome=answer.code.value,
+            why=answer.message or request.detail,
+            service=group.service,
+            database=request.session.database,
+            access=request.access.value,
+            in_transaction=request.transaction is not None,
+            endpoint=request.endpoint.name if request.endpoint else "",
+            primary=group.primary,
+            term=group.term,
+            configuration=self.tables.configuration.version,
+            consistency=request.route.consistency.value,
+            floor=_text(request.floor),
+            behind=request.behind,
+            tries=request.tries,
+            ms=round(1000 * duration, 1),
+        )
+
+    def settle(self, request: RequestRow) -> None:
+        """End a statement, answered or not."""
+        request.finished = True
+        request.session.request = None
+        for timer in request.timers:
+            timer.cancel()
+        request.timers.clear()
+        group = self.tables.group(request.route.service)
+        if request in group.waiting:
+            group.waiting.remove(request)
+
+    def roll_back(self, session: SessionRow) -> None:
+        """Roll a session's transaction back at its endpoint."""
+        connection = session.transaction.connection
+        session.transaction.connection = None
+        if connection is not None:
+            self._connections.roll_back(connection)
+
+
+def _text(position: LogPosition | None) -> str:
+    return "" if position is None else f"{position.term}.{position.position}"
--- /dev/null
+++ b/mallowpass/core/proxy/attempts.py
@@ -0,0 +1,73 @@
+"""One attempt to run a statement: on a connection, until it is answered or given up."""
+
+from __future__ import annotations
+
+from mallowpass.core.proxy.connections import Connections
+from mallowpass.core.proxy.signals import AttemptLost, AttemptOverdue
+from mallowpass.core.proxy.statements import EndpointCall, Execute, LogPosition
+from mallowpass.core.proxy.tables import ConnectionRow, ProxySystem, RequestRow
+
+__all__ = ["TRIES_MAX", "Attempts"]
+
+# A statement that is unanswered for this share of its timeout is overdue.
+OVERDUE_SHARE = 0.45
+BACKOFF_MIN = 0.02  # seconds before a refused statement is sent again
+BACKOFF_MAX = 0.2
+TRIES_MAX = 8  # of one statement, so that a refusal for good ends
+
+
+class Attempts(ProxySystem):
+    """Bind statements to connections."""
+
+    __slots__ = ("_connections",)
+
+    def start(self) -> None:
+        """Find the system that is asked."""
+        self._connections = self._node.system(Connections)
+
+    def set_up(
+        self, request: RequestRow, connection: ConnectionRow
+    ) -> list[EndpointCall]:
+        """Return the calls that bring a connection to the state of a session."""
+        prepared = () if request.prepared is None else (request.prepared,)
+        return self._connections.set_up(connection, request.session.values, prepared)
+
+    def call(self, request: RequestRow, floor: LogPosition | None) -> EndpointCall:
+        """Return the call of a statement itself, by its name on the connection."""
+        statement = request.statement
+        if request.prepared is not None:
+            statement = Execute(request.prepared.shared_name, statement.text)
+        return EndpointCall(statement, request.request_id, floor)
+
+    def attach(self, request: RequestRow, connection: ConnectionRow) -> None:
+        """Have a connection run a statement; its loss, or its silence, is told."""
+        request.connection = connection
+        request.endpoint = connection.endpoint
+        request.sent_at = self.now
+        request.endpoint.in_flight += 1
+        self.watch_loss(request, connection)
+        overdue = OVERDUE_SHARE * request.route.statement_timeout
+        request.timers.append(
+            self.timers.after(overdue, self._on_overdue, request, connection)
+        )
+
+    def watch_loss(self, request: RequestRow, connection: ConnectionRow) -> None:
+        """Have it told if a connection is lost that a statement needs."""
+        connection.on_lost = lambda _, why: self._node.publish(
+            AttemptLost(request, why)
+        )
+
+    def _on_overdue(self, request: RequestRow, connection: ConnectionRow) -> None:
+        if not request.finished and request.connection is connection:
+            self._node.publish(AttemptOverdue(request))
+
+    def detach(self, request: RequestRow) -> None:
+        """Take a statement off the connection that ran it."""
+        if request.connection is not None:
+            request.endpoint.in_flight -= 1
+            request.connection.on_lost = None
+            request.connection = None
+
+    def backoff(self, request: RequestRow) -> float:
+        """Return how long to wait before a refused statement is sent again."""
+        return self._node.backoff(request.tries - 1, BACKOFF_MIN, BACKOFF_MAX)
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from mallowpass.core.proxy.answers import Answers
+from mallowpass.core.proxy.attempts import Attempts
 from mallowpass.core.proxy.claims import Claims
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.control import Control
@@ -37,8 +39,10 @@
     Members,
     Discovery,
     Links,
-    Requests,
+    Answers,
+    Attempts,
     Transactions,
+    Requests,
     Sessions,
     Draining,
     Settings,
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -7,12 +7,17 @@
 
 from __future__ import annotations
 
+from mallowpass.core.proxy.answers import Answers
+from mallowpass.core.proxy.attempts import TRIES_MAX, Attempts
 from mallowpass.core.proxy.connections import Connections
-from mallowpass.core.proxy.effects import AnswerStatement
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.load import Load
+from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.routing import Routing
 from mallowpass.core.proxy.signals import (
+    AttemptLost,
+    AttemptOverdue,
+    AttemptRefused,
     ConnectionFreed,
     EndpointChanged,
     PrimaryChanged,
@@ -24,10 +29,8 @@
     Answer,
     Begin,
     Code,
-    Commit,
     EndpointCall,
     EndpointReply,
-    Execute,
     LogPosition,
     Rollback,
     SessionState,
@@ -42,19 +45,16 @@
     RequestRow,
     SessionRow,
 )
+from mallowpass.core.proxy.transactions import Transactions
 
 __all__ = ["Requests"]
 
 # A statement is answered this long before its timeout, so that the answer still
 # arrives within it; callers are a few milliseconds away.
 ANSWER_MARGIN = 0.02
-# A read that is unanswered for this share of its timeout is tried elsewhere.
-OVERDUE_SHARE = 0.45
-# ... but not before it takes this many times as long as statements do there.
+# An overdue read is not tried elsewhere before it has taken so many times as long as
+# statements do at its endpoint.
 OVERDUE_FACTOR = 6.0
-BACKOFF_MIN = 0.02  # seconds before a refused statement is sent again
-BACKOFF_MAX = 0.2
-TRIES_MAX = 8  # of one statement, so that a refusal for good ends
 # Share of the objective after which a statement that waits for a full endpoint is
 # refused. Its caller has time for another attempt, and those that are served have not
 # waited longer; all that waited until their timeouts were late or ran for nobody.
@@ -67,29 +67,30 @@
     """Run the statements of sessions at endpoints."""
 
     __slots__ = (
+        "_answers",
+        "_attempts",
         "_connections",
         "_floors",
         "_load",
         "_members",
         "_routing",
-        "_sessions",
         "_transactions",
     )
 
     def start(self) -> None:
         """Subscribe to whatever may let waiting statements run."""
-        from mallowpass.core.proxy.members import Members
-        from mallowpass.core.proxy.sessions import Sessions
-        from mallowpass.core.proxy.transactions import Transactions
-
         node = self._node
+        self._answers = node.system(Answers)
+        self._attempts = node.system(Attempts)
         self._connections = node.system(Connections)
         self._floors = node.system(Floors)
         self._load = node.system(Load)
         self._members = node.system(Members)
         self._routing = node.system(Routing)
-        self._sessions = node.system(Sessions)
         self._transactions = node.system(Transactions)
+        node.subscribe(AttemptLost, self._on_lost)
+        node.subscribe(AttemptOverdue, self._on_overdue)
+        node.subscribe(AttemptRefused, self._on_attempt_refused)
         node.subscribe(ConnectionFreed, self._on_freed)
         node.subscribe(EndpointChanged, self._on_freed)
         node.subscribe(PrimaryChanged, self._on_group)
@@ -137,13 +138,13 @@
         """Forget a statement whose caller is gone; what was sent runs to its end."""
         request = session.request
         connection = request.connection
-        self._settle(request)
+        self._answers.settle(request)
         if connection is None:
             if session.transaction is not None:
-                self._transactions.roll_back(session)
+                self._answers.roll_back(session)
             return
         # Its replies find a finished request, and free the connection.
-        self.detach(request)
+        self._attempts.detach(request)
         if session.transaction is not None:
             session.transaction.connection = None
 
@@ -165,7 +166,7 @@
                 group.waiting.remove(request)
                 self._send(request, choice.connection, choice.floor)
             elif choice.full and self._is_held_too_long(request, group):
-                self.refuse(request, Code.BUSY, FULL)
+                self._answers.refuse(request, Code.BUSY, FULL)
 
     def _is_held_too_long(self, request: RequestRow, group: GroupRow) -> bool:
         # Whatever is first in line runs as soon as any statement ends.
@@ -203,10 +204,10 @@
         connection: ConnectionRow,
         floor: LogPosition | None,
     ) -> None:
-        self.attach(request, connection)
-        calls = self.set_up(request, connection)
+        self._attempts.attach(request, connection)
+        calls = self._attempts.set_up(request, connection)
         setup = len(calls)
-        calls.append(self.call(request, floor))
+        calls.append(self._attempts.call(request, floor))
         if request.access is Access.READ and floor is None:
             # Was it still the primary? An old one answers reads like any replica,
             # from a log that lacks what its successor has committed.
@@ -218,35 +219,6 @@
 
         self._connections.send(connection, calls, on_replies)
 
-    def set_up(
-        self, request: RequestRow, connection: ConnectionRow
-    ) -> list[EndpointCall]:
-        prepared = () if request.prepared is None else (request.prepared,)
-        return self._connections.set_up(connection, request.session.values, prepared)
-
-    def call(self, request: RequestRow, floor: LogPosition | None) -> EndpointCall:
-        statement = request.statement
-        if request.prepared is not None:
-            statement = Execute(request.prepared.shared_name, statement.text)
-        return EndpointCall(statement, request.request_id, floor)
-
-    def attach(self, request: RequestRow, connection: ConnectionRow) -> None:
-        request.connection = connection
-        request.endpoint = connection.endpoint
-        request.sent_at = self.now
-        request.endpoint.in_flight += 1
-        connection.on_lost = lambda _, why: self.lost(request, why)
-        overdue = OVERDUE_SHARE * request.route.statement_timeout
-        request.timers.append(
-            self.timers.after(overdue, self._on_overdue, request, connection)
-        )
-
-    def detach(self, request: RequestRow) -> None:
-        if request.connection is not None:
-            request.endpoint.in_flight -= 1
-            request.connection.on_lost = None
-            request.connection = None
-
     # -- Replies -------------------------------------------------------------
 
     def _on_single_replies(
@@ -265,12 +237,12 @@
             self._connections.release(connection)
             return
         endpoint = connection.endpoint
-        self.detach(request)
+        self._attempts.detach(request)
         if reply.code is Code.UNKNOWN_STATEMENT:
             connection.broken = True
         self._connections.release(connection)
         if guard is not None and guard.code is not Code.DONE:
-            self.refused(request, endpoint, guard)
+            self._refused(request, endpoint, guard)
         elif reply.code is Code.DONE:
             self._on_done(request, endpoint, reply, guard is not None)
         else:
@@ -292,20 +264,23 @@
             proves_primary = True
         if proves_primary and reply.position is not None:
             self._floors.sample(group, reply.position, request.sent_at)
-        self.answer_reply(request, reply, SessionState.IDLE)
+        self._answers.reply(request, reply, SessionState.IDLE)
 
     def _on_failed(
         self, request: RequestRow, endpoint: EndpointRow, reply: EndpointReply
     ) -> None:
         if reply.code.is_not_run:
-            self.refused(request, endpoint, reply)
+            self._refused(request, endpoint, reply)
         elif request.access is Access.READ and request.tries == 0:
             # It ran and failed; a read may well succeed elsewhere.
-            self.refused(request, endpoint, reply)
+            self._refused(request, endpoint, reply)
         else:
-            self.answer_reply(request, reply, SessionState.IDLE)
+            self._answers.reply(request, reply, SessionState.IDLE)
+
+    def _on_attempt_refused(self, signal: AttemptRefused) -> None:
+        self._refused(signal.request, signal.endpoint, signal.reply)
 
-    def refused(
+    def _refused(
         self, request: RequestRow, endpoint: EndpointRow, reply: EndpointReply
     ) -> None:
         """Try a statement again that did not run."""
@@ -320,10 +295,10 @@
             request.avoided.add(endpoint.name)
         else:
             request.avoided.add(endpoint.name)
-            request.retry_at = self.now + self.backoff(request)
+            request.retry_at = self.now + self._attempts.backoff(request)
         held = reply.code is Code.BUSY and self.now >= self._held_until(request)
         if held or request.tries >= TRIES_MAX:
-            self.refuse(request, Code.BUSY, request.detail)
+            self._answers.refuse(request, Code.BUSY, request.detail)
             return
         if request.retry_at > self.now:
             group = self.tables.group(request.route.service)
@@ -332,13 +307,11 @@
             )
         self._wait(request)
 
-    def backoff(self, request: RequestRow) -> float:
-        return self._node.backoff(request.tries - 1, BACKOFF_MIN, BACKOFF_MAX)
-
     # -- What goes wrong -----------------------------------------------------
 
-    def lost(self, request: RequestRow, why: str) -> None:
+    def _on_lost(self, signal: AttemptLost) -> None:
         """Act on the loss of the connection that a statement was sent on."""
+        request, why = signal.request, signal.why
         endpoint = request.endpoint
         if request.connection is not None:
             request.endpoint.in_flight -= 1
@@ -353,25 +326,25 @@
                 self._transactions.lost(request, why)
                 return
         elif request.access is Access.WRITE:
-            self.answer_in_doubt(request, why)
+            self._answers.in_doubt(request, why)
             return
         # A read, or a transaction that was not begun: nothing of it is kept.
         request.tries += 1
         request.avoided.add(endpoint.name)
         request.detail = f"{endpoint.name}: {why}"
         if request.tries >= TRIES_MAX:
-            self.refuse(request, Code.ABORTED, request.detail)
+            self._answers.refuse(request, Code.ABORTED, request.detail)
         else:
             self._wait(request)
 
-    def _on_overdue(self, request: RequestRow, connection: ConnectionRow) -> None:
+    def _on_overdue(self, signal: AttemptOverdue) -> None:
         """Read elsewhere when an endpoint takes far too long.
 
         Its answer may be lost for good; the connection is left to finish, so that
         work that is being done is not broken off.
         """
-        if request.finished or request.connection is not connection:
-            return
+        request = signal.request
+        connection = request.connection
         endpoint = connection.endpoint
         writes = request.access is Access.WRITE
         if writes:
@@ -400,7 +373,7 @@
         others waiting, which in turn are sent once more. At an endpoint it can't be
         called back, and the connection is free again once it has ended.
         """
-        self.detach(request)
+        self._attempts.detach(request)
         if connection.holder:
             self._connections.close(connection, "nobody waits for its answer")
         else:
@@ -411,93 +384,23 @@
             return
         connection = request.connection
         if connection is None:
-            self.refuse(request, Code.BUSY, request.detail)
+            self._answers.refuse(request, Code.BUSY, request.detail)
             return
         transaction = request.transaction
         if transaction is not None:
             transaction.connection = None
-            self.detach(request)
+            self._attempts.detach(request)
             self._connections.close(connection, "its transaction timed out")
             self._transactions.lost(request, "the statement's timeout passed")
         elif request.access is Access.WRITE:
-            self.detach(request)
-            self.answer_in_doubt(request, "the statement's timeout passed")
+            self._attempts.detach(request)
+            self._answers.in_doubt(request, "the statement's timeout passed")
         else:
             self._leave(request, connection)
             why = "the statement's timeout passed"
-            self.answer(request, Answer(Code.TIMED_OUT, SessionState.IDLE, message=why))
-
-    # -- Answers -------------------------------------------------------------
-
-    def refuse(self, request: RequestRow, code: Code, why: str) -> None:
-        """Tell the caller that a statement, with its transaction, is not kept."""
-        in_transaction = request.transaction is not None
-        is_commit = isinstance(request.statement, Commit)
-        if in_transaction:
-            self._transactions.roll_back(request.session)
-        state = SessionState.FAILED
-        if not in_transaction or is_commit:
-            state = SessionState.IDLE
-        self.answer(request, Answer(code, state, message=why))
-
-    def answer_in_doubt(self, request: RequestRow, why: str) -> None:
-        message = f"{request.endpoint.name}: {why}"
-        self.answer(request, Answer(Code.IN_DOUBT, SessionState.IDLE, message=message))
-
-    def answer_reply(
-        self, request: RequestRow, reply: EndpointReply, state: SessionState
-    ) -> None:
-        answer = Answer(reply.code, state, reply.rows, reply.signature, reply.message)
-        self.answer(request, answer)
-
-    def answer(self, request: RequestRow, answer: Answer) -> None:
-        self._settle(request)
-        session = request.session
-        duration = self.now - request.arrived
-        consistency = request.route.consistency.value
-        self._node.observe("statement_seconds", duration, consistency=consistency)
-        self._node.count("statements", code=answer.code.value)
-        if answer.code is not Code.DONE or request.tries:
-            self._log(request, answer, duration)
-        if not session.closed:
-            self._node.emit(AnswerStatement(session.stream, answer))
-            self._sessions.answered(session, answer.state)
-
-    def _log(self, request: RequestRow, answer: Answer, duration: float) -> None:
-        group = self.tables.group(request.route.service)
-        self._node.log(
-            "info",
-            "statement_answered",
-            request=request.request_id,
-            outcome=answer.code.value,
-            why=answer.message or request.detail,
-            database=request.session.database,
-            access=request.access.value,
-            in_transaction=request.transaction is not None,
-            endpoint=request.endpoint.name if request.endpoint else "",
-            primary=group.primary,
-            term=group.term,
-            configuration=self.tables.configuration.version,
-            consistency=request.route.consistency.value,
-            floor=_text(request.floor),
-            behind=request.behind,
-            tries=request.tries,
-            ms=round(1000 * duration, 1),
-        )
-
-    def _settle(self, request: RequestRow) -> None:
-        request.finished = True
-        request.session.request = None
-        for timer in request.timers:
-            timer.cancel()
-        request.timers.clear()
-        group = self.tables.group(request.route.service)
-        if request in group.waiting:
-            group.waiting.remove(request)
-
-
-def _text(position: LogPosition | None) -> str:
-    return "" if position is None else f"{position.term}.{position.position}"
+            self._answers.give(
+                request, Answer(Code.TIMED_OUT, SessionState.IDLE, message=why)
+            )
 
 
 def _rank(request: RequestRow) -> tuple[int, float]:
--- a/mallowpass/core/proxy/sessions.py
+++ b/mallowpass/core/proxy/sessions.py
@@ -9,6 +9,7 @@
 from functools import singledispatchmethod
 
 from mallowpass.core.node import Node
+from mallowpass.core.proxy.answers import Answers
 from mallowpass.core.proxy.effects import (
     AcceptSession,
     AnswerStatement,
@@ -21,7 +22,11 @@
     StatementReceived,
 )
 from mallowpass.core.proxy.requests import Requests
-from mallowpass.core.proxy.signals import ConfigurationAccepted
+from mallowpass.core.proxy.signals import (
+    ConfigurationAccepted,
+    StatementAnswered,
+    TransactionLost,
+)
 from mallowpass.core.proxy.statements import (
     Access,
     Answer,
@@ -44,7 +49,6 @@
     SessionRow,
     TransactionRow,
 )
-from mallowpass.core.proxy.transactions import Transactions
 
 __all__ = ["Sessions"]
 
@@ -65,7 +69,7 @@
 class Sessions(ProxySystem):
     """Own the sessions of callers."""
 
-    __slots__ = ("_closing", "_early", "_requests", "_transactions")
+    __slots__ = ("_answers", "_closing", "_early", "_requests")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
@@ -76,10 +80,12 @@
         """Subscribe to what callers do."""
         node = self._node
         self._requests = node.system(Requests)
-        self._transactions = node.system(Transactions)
+        self._answers = node.system(Answers)
         node.subscribe(SessionOpened, self._on_opened)
         node.subscribe(SessionClosed, self._on_closed)
         node.subscribe(StatementReceived, self._on_received)
+        node.subscribe(StatementAnswered, self._on_answered)
+        node.subscribe(TransactionLost, self._on_transaction_lost)
         node.subscribe(ConfigurationAccepted, self._on_configuration)
 
     # -- Opening and closing -------------------------------------------------
@@ -128,7 +134,7 @@
             # then finds nobody.
             self._requests.abandon_session(session)
         elif transaction is not None:
-            self._transactions.roll_back(session)
+            self._answers.roll_back(session)
         if transaction is not None and transaction.idle_timer is not None:
             transaction.idle_timer.cancel()
 
@@ -142,8 +148,8 @@
         """Abort the transactions whose callers are not waiting for an answer."""
         for session in list(self.tables.sessions.values()):
             if session.transaction is not None and session.request is None:
-                self._transactions.roll_back(session)
-                self.transaction_lost(session, why)
+                self._answers.roll_back(session)
+                self._note_lost(session, why)
 
     def _close_if_idle(self, session: SessionRow) -> None:
         quiet = self.now - session.touched_at
@@ -168,8 +174,9 @@
         if session.request is None:
             self._run_next(session)
 
-    def answered(self, session: SessionRow, state: SessionState) -> None:
+    def _on_answered(self, signal: StatementAnswered) -> None:
         """Go on after a statement's answer has left."""
+        session, state = signal.session, signal.state
         session.state = state
         session.touched_at = self.now
         session.operated = state is SessionState.IDLE
@@ -314,7 +321,7 @@
         """Refuse a statement; a transaction that it stands in fails with it."""
         state = session.state
         if state is not SessionState.IDLE:
-            self._transactions.roll_back(session)
+            self._answers.roll_back(session)
             state = SessionState.FAILED
         self._reply(session, state, code, message)
 
@@ -353,7 +360,7 @@
         if transaction.idle_timer is not None:
             transaction.idle_timer.cancel()
         if transaction.connection is not None:
-            self._transactions.roll_back(session)
+            self._answers.roll_back(session)
         session.transaction = None
 
     def _watch_idle(self, session: SessionRow) -> None:
@@ -370,10 +377,13 @@
             return
         if transaction.connection is None:
             return
-        self._transactions.roll_back(session)
-        self.transaction_lost(session, "the transaction was idle for too long")
+        self._answers.roll_back(session)
+        self._note_lost(session, "the transaction was idle for too long")
+
+    def _on_transaction_lost(self, signal: TransactionLost) -> None:
+        self._note_lost(signal.session, signal.why)
 
-    def transaction_lost(self, session: SessionRow, why: str) -> None:
+    def _note_lost(self, session: SessionRow, why: str) -> None:
         """Remember that a transaction ended between two statements of its caller."""
         if session.state is SessionState.IN_TRANSACTION:
             session.transaction.lost_why = why
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -5,10 +5,19 @@
 from mallowpass.core.messages import Signal
 from mallowpass.core.positions import LogPosition
 from mallowpass.core.proxy.configuration import Configuration
-from mallowpass.core.proxy.tables import EndpointRow, GroupRow
+from mallowpass.core.proxy.statements import EndpointReply, SessionState
+from mallowpass.core.proxy.tables import (
+    EndpointRow,
+    GroupRow,
+    RequestRow,
+    SessionRow,
+)
 from mallowpass.core.records import record
 
 __all__ = [
+    "AttemptLost",
+    "AttemptOverdue",
+    "AttemptRefused",
     "ConfigurationAccepted",
     "ConnectionFreed",
     "DrainBegan",
@@ -19,6 +28,8 @@
     "PrimaryChanged",
     "PrimaryHeard",
     "PrimarySuspected",
+    "StatementAnswered",
+    "TransactionLost",
     "WriteStalled",
 ]
 
@@ -99,3 +110,43 @@
 @record
 class DrainBegan(Signal):
     """This host was told to stop."""
+
+
+@record
+class AttemptLost(Signal):
+    """The connection was lost that a statement was sent on, or needs."""
+
+    request: RequestRow
+    why: str
+
+
+@record
+class AttemptOverdue(Signal):
+    """A statement is unanswered for a large part of its timeout."""
+
+    request: RequestRow
+
+
+@record
+class AttemptRefused(Signal):
+    """An endpoint refused a statement, or to begin its transaction: it did not run."""
+
+    request: RequestRow
+    endpoint: EndpointRow
+    reply: EndpointReply
+
+
+@record
+class StatementAnswered(Signal):
+    """A caller was told what became of its statement."""
+
+    session: SessionRow
+    state: SessionState
+
+
+@record
+class TransactionLost(Signal):
+    """A transaction ended between two statements of its caller."""
+
+    session: SessionRow
+    why: str
--- a/mallowpass/core/proxy/transactions.py
+++ b/mallowpass/core/proxy/transactions.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from mallowpass.core.proxy.answers import Answers
+from mallowpass.core.proxy.attempts import TRIES_MAX, Attempts
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.members import Members
-from mallowpass.core.proxy.requests import TRIES_MAX, Requests
+from mallowpass.core.proxy.signals import AttemptRefused, TransactionLost
 from mallowpass.core.proxy.statements import (
     Access,
     Answer,
@@ -30,28 +32,26 @@
 
 
 class Transactions(ProxySystem):
-    """Run the statements of transactions; a part of Requests."""
+    """Run the statements of transactions."""
 
     __slots__ = (
+        "_answers",
+        "_attempts",
         "_connections",
         "_floors",
         "_load",
         "_members",
-        "_requests",
-        "_sessions",
     )
 
     def start(self) -> None:
         """Find the systems that are asked."""
-        from mallowpass.core.proxy.sessions import Sessions
-
         node = self._node
+        self._answers = node.system(Answers)
+        self._attempts = node.system(Attempts)
         self._connections = node.system(Connections)
         self._floors = node.system(Floors)
         self._load = node.system(Load)
         self._members = node.system(Members)
-        self._requests = node.system(Requests)
-        self._sessions = node.system(Sessions)
 
     # -- Sending -------------------------------------------------------------
 
@@ -66,7 +66,7 @@
         Sent along, the statement would run outside the transaction where the
         endpoint refuses to begin it.
         """
-        self._requests.attach(request, connection)
+        self._attempts.attach(request, connection)
         connection.state = ConnectionState.PINNED
         # A primary accepts a transaction that may write only while it leads. That is
         # how a read learns that the primary was not replaced.
@@ -90,9 +90,9 @@
             self._connections.roll_back(connection)
             return
         if reply.code is not Code.DONE:
-            self._requests.detach(request)
+            self._attempts.detach(request)
             self._connections.release(connection)
-            self._requests.refused(request, connection.endpoint, reply)
+            self._node.publish(AttemptRefused(request, connection.endpoint, reply))
             return
         transaction.connection = connection
         self.send(request)
@@ -100,10 +100,10 @@
     def send(self, request: RequestRow) -> None:
         """Send a statement on its transaction's connection."""
         connection = request.transaction.connection
-        self._requests.attach(request, connection)
-        calls = self._requests.set_up(request, connection)
+        self._attempts.attach(request, connection)
+        calls = self._attempts.set_up(request, connection)
         setup = len(calls)
-        calls.append(self._requests.call(request, None))
+        calls.append(self._attempts.call(request, None))
 
         def on_replies(connection: ConnectionRow, replies: list[EndpointReply]) -> None:
             self._on_pinned_replies(request, connection, replies, setup)
@@ -112,8 +112,8 @@
 
     def _send_later(self, request: RequestRow, connection: ConnectionRow) -> None:
         request.tries += 1
-        pause = self._requests.backoff(request)
-        connection.on_lost = lambda _, why: self._requests.lost(request, why)
+        pause = self._attempts.backoff(request)
+        self._attempts.watch_loss(request, connection)
         request.timers.append(
             self.timers.after(pause, self._send_again, request, connection)
         )
@@ -138,7 +138,7 @@
             connection.broken = True
         reply = replies[setup]
         endpoint = connection.endpoint
-        self._requests.detach(request)
+        self._attempts.detach(request)
         transaction = request.transaction
         if isinstance(request.statement, Commit):
             self._on_commit_reply(request, connection, reply)
@@ -147,7 +147,7 @@
             self._load.measured(endpoint, self.now - request.sent_at)
             transaction.wrote |= request.access is Access.WRITE
             connection.on_lost = lambda _, why: self._on_idle_lost(request.session, why)
-            self._requests.answer_reply(request, reply, SessionState.IN_TRANSACTION)
+            self._answers.reply(request, reply, SessionState.IN_TRANSACTION)
         elif self._is_refused_open(request, reply):
             self._send_later(request, connection)
         else:
@@ -156,7 +156,7 @@
             transaction.connection = None
             self._connections.roll_back(connection)
             code = Code.ABORTED if reply.code.is_not_run else reply.code
-            self._requests.answer(
+            self._answers.give(
                 request,
                 Answer(
                     code,
@@ -195,11 +195,11 @@
                 self._floors.committed(request.session, group.service, reply.position)
                 if reply.position is not None:
                     self._floors.sample(group, reply.position, request.sent_at)
-            self._requests.answer_reply(request, reply, SessionState.IDLE)
+            self._answers.reply(request, reply, SessionState.IDLE)
             return
         if reply.code is Code.NOT_PRIMARY:
             self._members.denied(endpoint)
-        self._requests.answer(
+        self._answers.give(
             request,
             Answer(
                 Code.ABORTED if reply.code.is_not_run else reply.code,
@@ -210,26 +210,19 @@
 
     # -- Ends ----------------------------------------------------------------
 
-    def roll_back(self, session: SessionRow) -> None:
-        """Roll a session's transaction back at its endpoint."""
-        connection = session.transaction.connection
-        session.transaction.connection = None
-        if connection is not None:
-            self._connections.roll_back(connection)
-
     def lost(self, request: RequestRow, why: str) -> None:
         """Answer a statement whose transaction lost its connection."""
         is_commit = isinstance(request.statement, Commit)
         if is_commit and request.transaction.wrote:
-            self._requests.answer_in_doubt(request, why)
+            self._answers.in_doubt(request, why)
             return
         # An endpoint rolls back what a lost connection left open, and no commit
         # with writes was sent: nothing of this transaction is kept.
         state = SessionState.IDLE if is_commit else SessionState.FAILED
-        self._requests.answer(request, Answer(Code.ABORTED, state, message=why))
+        self._answers.give(request, Answer(Code.ABORTED, state, message=why))
 
     def _on_idle_lost(self, session: SessionRow, why: str) -> None:
         """Note that a transaction lost its connection between two statements."""
         if session.transaction is not None:
             session.transaction.connection = None
-            self._sessions.transaction_lost(session, why)
+            self._node.publish(TransactionLost(session, why))
