Have holders serve the most urgent calls first

Cause: on a service with more to do than slots, urgent statements that come by way of a holder were late and refused as often as all others: calls waited there first come, first served. Each freed connection also had all that waited looked at, up to 300 links. Ruled out: more connections for urgent ones (the endpoint's own queue knows no order). Change: a call to a holder tells its priority, which is taken off before the endpoint gets it; those that wait are sorted by it, and looked at only while there is room. The same for statements of a host's own callers that need the primary.

--- a/mallowpass/core/proxy/attempts.py
+++ b/mallowpass/core/proxy/attempts.py
@@ -37,7 +37,13 @@
         statement = request.statement
         if request.prepared is not None:
             statement = Execute(request.prepared.shared_name, statement.text)
-        return EndpointCall(statement, request.request_id, floor)
+        priority = self.priority(request)
+        return EndpointCall(statement, request.request_id, floor, priority)
+
+    @staticmethod
+    def priority(request: RequestRow) -> int | None:
+        """Return what a holder should know of a statement's priority."""
+        return request.route.priority if request.connection.holder else None
 
     def attach(self, request: RequestRow, connection: ConnectionRow) -> None:
         """Have a connection run a statement; its loss, or its silence, is told."""
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -64,7 +64,7 @@
         self._floors = node.system(Floors)
         self._holders = node.system(Holders)
         self._load = node.system(Load)
-        self._waiting: list[LinkRow] = []  # first come, first served
+        self._waiting: list[LinkRow] = []  # the most urgent first
         node.subscribe(LinkOpened, self._on_opened)
         node.subscribe(LinkCalled, self._on_called)
         node.subscribe(LinkClosed, self._on_closed)
@@ -121,8 +121,11 @@
         if link is None:
             return
         link.called_at = self.now
+        priorities = [c.priority for c in event.calls if c.priority is not None]
+        link.priority = min(priorities, default=0)
         for call in event.calls:
-            self._take(call.statement, call, link)
+            # The endpoint knows no priorities, and would take the word for a statement.
+            self._take(call.statement, replace(call, priority=None), link)
         if not link.waiting:
             return
         if link.connection is not None:
@@ -130,6 +133,7 @@
         elif link not in self._waiting:
             link.waits_since = self.now
             self._waiting.append(link)
+            self._waiting.sort(key=lambda link: (link.priority, link.waits_since))
             self.timers.after(WAIT_MAX, self._check_wait, link, self.now)
             self._try(link)
 
@@ -164,21 +168,23 @@
 
     def _on_freed(self, signal: ConnectionFreed) -> None:
         for link in list(self._waiting):
-            if link.endpoint is signal.endpoint:
-                self._try(link)
+            if link.endpoint is signal.endpoint and not self._try(link):
+                return  # nor is there anything for those behind it
 
-    def _try(self, link: LinkRow) -> None:
+    def _try(self, link: LinkRow) -> bool:
+        """Give a link a connection; tell whether there was one."""
         if not self._load.has_room(link.endpoint):
-            return
+            return False
         connection = self._connections.take(link.endpoint, link.values)
-        if connection is not None:
-            self._waiting.remove(link)
-            link.connection = connection
-            connection.state = ConnectionState.PINNED
-            connection.on_lost = lambda _, why: self._on_lost(link, why)
-            self._send(link, connection)
-            return
-        self._connections.grow(link.endpoint)
+        if connection is None:
+            self._connections.grow(link.endpoint)
+            return False
+        self._waiting.remove(link)
+        link.connection = connection
+        connection.state = ConnectionState.PINNED
+        connection.on_lost = lambda _, why: self._on_lost(link, why)
+        self._send(link, connection)
+        return True
 
     def _check_wait(self, link: LinkRow, since: float) -> None:
         if link not in self._waiting or link.waits_since != since:
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -13,7 +13,7 @@
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.members import Members
-from mallowpass.core.proxy.routing import Routing
+from mallowpass.core.proxy.routing import Choice, Routing
 from mallowpass.core.proxy.signals import (
     AttemptLost,
     AttemptOverdue,
@@ -158,10 +158,17 @@
         self._dispatch(group)
 
     def _dispatch(self, group: GroupRow) -> None:
+        blocked: Choice | None = None  # of those that only the primary can run
         for request in list(group.waiting):
             if request.finished or request.retry_at > self.now:
                 continue
-            choice = self._routing.choose(request, group)
+            choice = blocked if request.primary_only else None
+            if choice is None:
+                choice = self._routing.choose(request, group)
+            if choice.connection is None and request.primary_only:
+                # Nor is there one for those behind it: asking for each of hundreds
+                # that wait, whenever a statement ends, takes a host's whole time.
+                blocked = choice
             if choice.connection is not None:
                 group.waiting.remove(request)
                 self._send(request, choice.connection, choice.floor)
--- a/mallowpass/core/proxy/statements.py
+++ b/mallowpass/core/proxy/statements.py
@@ -203,12 +203,14 @@
     """Carry one statement to an endpoint.
 
     `request_id` is the caller's, empty for this host's own statements. The endpoint
-    refuses the call unless its log has reached `minimum`.
+    refuses the call unless its log has reached `minimum`. A holder serves calls by
+    `priority`, 0 first; an endpoint knows none, and calls to it have None.
     """
 
     statement: Statement
     request_id: str = ""
     minimum: LogPosition | None = None
+    priority: int | None = None
 
 
 @record
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -13,7 +13,7 @@
 from enum import Enum
 
 from mallowpass.core.node import System
-from mallowpass.core.proxy.configuration import Configuration, Route
+from mallowpass.core.proxy.configuration import Configuration, Consistency, Route
 from mallowpass.core.proxy.statements import (
     Access,
     EndpointCall,
@@ -224,9 +224,14 @@
     detail: str = ""  # the newest reason for waiting or failing
     timers: list[Timer] = field(default_factory=list)
 
+    @property
+    def primary_only(self) -> bool:
+        """Tell whether no replica may run it, however far its log has come."""
+        return self.needs_primary or self.route.consistency is Consistency.PRIMARY
+
     @property
     def needs_primary(self) -> bool:
-        """Tell whether only a primary may run it."""
+        """Tell whether it needs an endpoint that accepts writes."""
         if self.access is Access.WRITE:
             return True
         transaction = self.transaction
@@ -268,6 +273,7 @@
     connection: ConnectionRow | None = None
     in_flight: int = 0  # calls that the endpoint has not answered
     waits_since: float = 0.0
+    priority: int = 0  # of what waits; 0 is served first
     called_at: float = 0.0  # when calls last came
     closed: bool = False
 
--- a/mallowpass/core/proxy/transactions.py
+++ b/mallowpass/core/proxy/transactions.py
@@ -71,7 +71,8 @@
         # A primary accepts a transaction that may write only while it leads. That is
         # how a read learns that the primary was not replaced.
         read_only = floor is not None
-        begin = EndpointCall(Begin(read_only), minimum=floor)
+        priority = self._attempts.priority(request)
+        begin = EndpointCall(Begin(read_only), minimum=floor, priority=priority)
 
         def on_replies(connection: ConnectionRow, replies: list[EndpointReply]) -> None:
             self._on_begun(request, connection, replies[0], read_only)
--- a/mallowpass/platform/wire.py
+++ b/mallowpass/platform/wire.py
@@ -58,6 +58,7 @@
 
 LINE_MAX = 1 << 20  # bytes of one message, as the platform's page gives it
 OWN_ID = "-"  # the id of statements that a caller did not send
+PRIORITY = "PRIORITY"  # a word between hosts, which endpoints are never sent
 _NO_SIGNATURE = "-"
 _STATUS_FIELDS = 7
 
@@ -234,6 +235,8 @@
     text = _render(call.statement)
     if call.minimum is not None:
         text = f"AFTER {render_position(call.minimum)} {text}"
+    if call.priority is not None:
+        text = f"{PRIORITY} {call.priority} {text}"
     return encode(f"QUERY {call.request_id or OWN_ID} {text}\r\n")
 
 
@@ -318,15 +321,29 @@
 
 def parse_call(request_id: str, text: str) -> EndpointCall:
     """Read a call as `render_call` writes it; WireError if it is none."""
+    priority = None
+    if text.startswith(f"{PRIORITY} "):
+        word, text = _prefixed(text)
+        if not word.isdecimal():
+            raise WireError(f"no priority: {word[:40]!r}")
+        priority = int(word)
     minimum = None
     if text.startswith("AFTER "):
-        _, position, text = text.split(" ", 2)
-        minimum = parse_position(position)
+        word, text = _prefixed(text)
+        minimum = parse_position(word)
     statement = parse_statement(text) or _parse_own(text)
     if statement is None:
         raise WireError(f"not a call: {text[:40]!r}")
     own = request_id == OWN_ID
-    return EndpointCall(statement, "" if own else request_id, minimum)
+    return EndpointCall(statement, "" if own else request_id, minimum, priority)
+
+
+def _prefixed(text: str) -> tuple[str, str]:
+    """Return what a prefix says, and what it stands before."""
+    fields = _fields(text, 3)
+    if fields is None:
+        raise WireError(f"not a call: {text[:40]!r}")
+    return fields[1], fields[2]
 
 
 def _parse_own(text: str) -> Statement | None:
--- a/mallowpass/standins/proxied/connections.py
+++ b/mallowpass/standins/proxied/connections.py
@@ -69,6 +69,10 @@
 
     def send(self, call: EndpointCall, done: Done) -> None:
         """Queue a call; `done` gets its reply."""
+        if call.priority is not None:
+            # It would stand before the statement, in words that no endpoint knows.
+            done(EndpointReply(code=Code.MALFORMED, message="no statement"))
+            return
         self._queue.append((call, done))
         if not self._working:
             self._next()
--- a/tests/core/proxy/test_links.py
+++ b/tests/core/proxy/test_links.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from mallowpass.core.proxy.configuration import ServiceLimits
+from mallowpass.core.proxy.configuration import Consistency, ServiceLimits
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.statements import (
     Access,
@@ -23,6 +23,7 @@
     Host,
     ProxyWorld,
     configuration,
+    route,
 )
 
 LIMIT = 22
@@ -197,3 +198,37 @@
     assert 2 <= sum(holding) <= 6
     caller = world.caller(holding.index(False), "own")
     assert caller.run(Write("a 1")).code is Code.DONE
+
+
+def test_a_holder_serves_the_most_urgent_first(world):
+    # Symptom: on a service with more to do than slots, urgent statements were late and
+    # refused as often as all others.
+    # Sequence: calls of other hosts wait at a holder, first come, first served.
+    # Cause: calls did not say how urgent they were.
+    routes = {
+        "urgent": route("urgent", Consistency.PRIMARY, priority=1),
+        "patient": route("patient", Consistency.PRIMARY, priority=2),
+    }
+    world.store.put(CONFIGURATION_KEY, configuration(2, routes=routes))
+    world.group.times.work = 0.03
+    world.run(0.1)
+    other = [i for i, host in enumerate(world.hosts) if not _holds(host)]
+    callers = {
+        name: [world.caller(other[i % len(other)], name) for i in range(40)]
+        for name in routes
+    }
+
+    def send(number: int) -> None:
+        for name in routes:
+            callers[name][number % 40].send(Read("a"))
+        world.timers.after(1 / 75, send, number + 1)
+
+    send(0)
+    world.run(4.0)
+    done = {
+        name: sum(a.code is Code.DONE for c in callers[name] for a in c.answers)
+        / sum(len(c.answers) for c in callers[name])
+        for name in routes
+    }
+    assert done["urgent"] > 0.95
+    assert done["patient"] < 0.8
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -90,6 +90,21 @@
     assert line(Begin(True), floor) == b"QUERY - AFTER 3.1207 BEGIN READ\r\n"
 
 
+def test_hosts_tell_each_other_priorities():
+    call = EndpointCall(Read("a"), "id1", LogPosition(3, 7), priority=2)
+    line = b"QUERY id1 PRIORITY 2 AFTER 3.7 READ a\r\n"
+    assert wire.render_call(call) == line
+    assert wire.parse_call("id1", "PRIORITY 2 AFTER 3.7 READ a") == call
+
+
+@pytest.mark.parametrize(
+    "text", ["PRIORITY 2", "PRIORITY x READ a", "AFTER 3.7", "AFTER 3 READ a", "x"]
+)
+def test_malformed_calls_of_hosts_are_refused(text):
+    with pytest.raises(wire.WireError):
+        wire.parse_call("id1", text)
+
+
 def test_answers():
     done = Answer(Code.DONE, SessionState.IN_TRANSACTION, (b"a b", b""), "7.1f")
     assert wire.render_answer(done) == b"ROW a b\r\nROW \r\nDONE 7.1f\r\nREADY T -\r\n"
