Say for what each waiting statement waits

Cause: of statements that only a primary can run, those behind the first in line were no longer asked about one by one, so the reason of their waiting was missing in their lines. Change: the choice carries the reason, and is noted by whoever asked. No other behaviour changes.

--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -165,6 +165,7 @@
             choice = blocked if request.primary_only else None
             if choice is None:
                 choice = self._routing.choose(request, group)
+            request.detail = choice.why or request.detail
             if choice.connection is None and request.primary_only:
                 # Nor is there one for those behind it: asking for each of hundreds
                 # that wait, whenever a statement ends, takes a host's whole time.
--- a/mallowpass/core/proxy/routing.py
+++ b/mallowpass/core/proxy/routing.py
@@ -37,12 +37,13 @@
 class Choice:
     """Say what to do with a statement: where to send it, and above which floor.
 
-    Without a connection it waits; `full` tells that each endpoint which may run it has
-    more to do than it should.
+    Without a connection it waits, and `why` tells for what; `full` tells that each
+    endpoint which may run it has more to do than it should.
     """
 
     connection: ConnectionRow | None
     floor: LogPosition | None = None
+    why: str = ""
     full: bool = False
 
 
@@ -73,19 +74,15 @@
             if first is None:
                 first = endpoint
                 self._connections.grow(endpoint)
-        return Choice(None, full=bool(candidates) and not open_to_more)
+        full = bool(candidates) and not open_to_more
+        return Choice(None, why=_reason(group, floor), full=full)
 
     def _candidates(
         self, request: RequestRow, group: GroupRow, floor: LogPosition | None
     ) -> list[EndpointRow]:
         primary = group.primary_row
         if floor is None:
-            if primary is None:
-                request.detail = "no primary is known"
-                return []
-            request.detail = f"waits for a connection to {primary.name}"
-            return [primary]
-        request.detail = "waits for a connection"
+            return [] if primary is None else [primary]
         usable = [
             endpoint
             for endpoint in group.endpoints.values()
@@ -128,3 +125,12 @@
         if identity.region_of(domain) == identity.region:
             return 0.0
         return OTHER_REGION_COST
+
+
+def _reason(group: GroupRow, floor: LogPosition | None) -> str:
+    """Return what a statement waits for."""
+    if floor is not None:
+        return "waits for a connection"
+    if group.primary_row is None:
+        return "no primary is known"
+    return f"waits for a connection to {group.primary}"
--- a/tests/core/proxy/test_load.py
+++ b/tests/core/proxy/test_load.py
@@ -98,3 +98,18 @@
     for _ in range(1500):
         load.measured(row, 0.15)
     assert row.latency - row.least_latency < 0.1
+
+
+def test_whatever_waits_for_a_full_endpoint_says_for_which(world):
+    overload(world)
+    world.run(4.0)
+    for host in world.hosts:
+        host.logs.clear()
+    world.run(1.0)
+    lines = [f for h in world.hosts for f in h.logged("statement_answered")]
+    assert lines
+    assert all(line["why"] for line in lines)
+    waiting = world.hosts[0].tables.group(SERVICE).waiting
+    assert {request.detail for request in waiting} == {
+        "waits for a connection to db-casa"
+    }
