Set the timer for holding only for statements that wait

Cause: each statement set a timer for the time after which a full endpoint's queue is left, also those that were sent at once, which are nearly all. Change: it is set once a statement was not sent; whatever waits again gets it again.

--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -126,9 +126,6 @@
         )
         session.request = request
         request.timers.append(self.timers.at(expires, self._on_expired, request))
-        group = self.tables.group(route.service)
-        held_until = self._held_until(request)
-        request.timers.append(self.timers.at(held_until, self._dispatch, group))
         if transaction is not None and transaction.connection is not None:
             self._transactions.send(request)
         else:
@@ -156,6 +153,10 @@
         if len(group.waiting) > 1:
             group.waiting.sort(key=_rank)
         self._dispatch(group)
+        held_until = self._held_until(request)
+        waits = request.connection is None and not request.finished
+        if waits and self.now < held_until:
+            request.timers.append(self.timers.at(held_until, self._dispatch, group))
 
     def _dispatch(self, group: GroupRow) -> None:
         blocked: Choice | None = None  # of those that only the primary can run
