Write positions into log lines in one place

Cause: answers and promotion each put a position together from its two numbers. Change: LogPosition.text serves both. The wire keeps its own writing, which is not ours to choose.

--- a/mallowpass/core/positions.py
+++ b/mallowpass/core/positions.py
@@ -14,6 +14,11 @@
     term: int
     position: int
 
+    @property
+    def text(self) -> str:
+        """Return it as log lines have it."""
+        return f"{self.term}.{self.position}"
+
 
 ZERO_POSITION = LogPosition(0, 0)
 
--- a/mallowpass/core/proxy/answers.py
+++ b/mallowpass/core/proxy/answers.py
@@ -10,7 +10,6 @@
     Code,
     Commit,
     EndpointReply,
-    LogPosition,
     SessionState,
 )
 from mallowpass.core.proxy.tables import ProxySystem, RequestRow, SessionRow
@@ -81,7 +80,7 @@
             term=group.term,
             configuration=self.tables.configuration.version,
             consistency=request.route.consistency.value,
-            floor=_text(request.floor),
+            floor="" if request.floor is None else request.floor.text,
             behind=request.behind,
             tries=request.tries,
             ms=round(1000 * duration, 1),
@@ -104,7 +103,3 @@
         session.transaction.connection = None
         if connection is not None:
             self._connections.roll_back(connection)
-
-
-def _text(position: LogPosition | None) -> str:
-    return "" if position is None else f"{position.term}.{position.position}"
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -363,4 +363,4 @@
 
 
 def _text(received: dict[str, LogPosition]) -> str:
-    return ",".join(f"{n}:{p.term}.{p.position}" for n, p in sorted(received.items()))
+    return ",".join(f"{name}:{at.text}" for name, at in sorted(received.items()))
