Have both ends of HTTP connections share what they do with bytes

Cause: client and server connections each wrote out how bytes reach the library and what becomes of its errors. Change: one base class; what a malformed message leads to stays with each end.

--- a/mallowpass/platform/http.py
+++ b/mallowpass/platform/http.py
@@ -104,17 +104,43 @@
             connection.close()
 
 
-class _ClientConnection(asyncio.Protocol):
+class _Connection(asyncio.Protocol):
+    """Hold what both ends of a connection do with what arrives."""
+
+    __slots__ = ("_body", "_transport", "_wire")
+
+    def __init__(self, role: type) -> None:  # h11.CLIENT or h11.SERVER
+        self._wire = h11.Connection(role)
+        self._transport: asyncio.Transport | None = None
+        self._body = bytearray()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport  # type: ignore[assignment]
+        watch_peer(transport)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self._wire.receive_data(data)
+            self._read()
+        except h11.ProtocolError as error:
+            self._on_malformed(error)
+
+    def _read(self) -> None:
+        raise NotImplementedError
+
+    def _on_malformed(self, error: h11.ProtocolError) -> None:
+        raise NotImplementedError
+
+
+class _ClientConnection(_Connection):
     """Hold one connection; one call at a time."""
 
-    __slots__ = ("_answer", "_body", "_status", "_transport", "_wire", "closed")
+    __slots__ = ("_answer", "_status", "closed")
 
     def __init__(self) -> None:
-        self._wire = h11.Connection(h11.CLIENT)
-        self._transport: asyncio.Transport | None = None
+        super().__init__(h11.CLIENT)
         self._answer: asyncio.Future[Response] | None = None
         self._status = 0
-        self._body = bytearray()
         self.closed = False
 
     @property
@@ -144,16 +170,8 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = transport  # type: ignore[assignment]
-        watch_peer(transport)
-
-    def data_received(self, data: bytes) -> None:
-        try:
-            self._wire.receive_data(data)
-            self._read()
-        except h11.ProtocolError as error:
-            self._fail(f"an answer that can't be read: {error}")
+    def _on_malformed(self, error: h11.ProtocolError) -> None:
+        self._fail(f"an answer that can't be read: {error}")
 
     def connection_lost(self, error: Exception | None) -> None:
         self.closed = True
@@ -218,29 +236,19 @@
             self._server.close()
 
 
-class _ServerConnection(asyncio.Protocol):
+class _ServerConnection(_Connection):
     """Hold one caller's connection."""
 
-    __slots__ = ("_body", "_head", "_paths", "_task", "_transport", "_wire")
+    __slots__ = ("_head", "_paths", "_task")
 
     def __init__(self, paths: dict[str, Handler]) -> None:
+        super().__init__(h11.SERVER)
         self._paths = paths
-        self._wire = h11.Connection(h11.SERVER)
         self._head: h11.Request | None = None
-        self._body = bytearray()
         self._task: asyncio.Task[None] | None = None
-        self._transport: asyncio.Transport = None  # type: ignore[assignment]
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = transport  # type: ignore[assignment]
-        watch_peer(transport)
 
-    def data_received(self, data: bytes) -> None:
-        try:
-            self._wire.receive_data(data)
-            self._read()
-        except h11.ProtocolError:
-            self._transport.close()
+    def _on_malformed(self, error: h11.ProtocolError) -> None:
+        self._transport.close()
 
     def connection_lost(self, error: Exception | None) -> None:
         if self._task is not None:
