Keep a control stream whole when a watch ends in the middle of its report

A call that replaces the watch cancels the task that writes its reports. Where that task was in the middle of a write, the cancellation gave the stream's lock back, while gRPC went on with the write; the next write was refused and ended the stream. Ruled out: the product (the stream is the stand-in's), a slow machine by itself (a context that takes one write at a time shows it each time). Change: calls are run while nobody writes, so that a watch never ends inside a write.

--- a/mallowpass/standins/database.py
+++ b/mallowpass/standins/database.py
@@ -497,12 +497,19 @@
             await self._await_position(call.sequence, place_of(body.place))
             return
         reply = endpoint_pb2.ControlReply(sequence=call.sequence, code=endpoint_pb2.OK)
+        # A call may end the watch before it. gRPC goes on with a write whose task was
+        # cancelled, and fails the stream at the next one: so no report is being
+        # written meanwhile.
+        async with self._write_lock:
+            self._run_call(body, reply)
+        await self._send(reply)
+
+    def _run_call(self, body, reply: endpoint_pb2.ControlReply) -> None:
         try:
             self._run(body, reply)
         except Refused as refused:
             reply.code = refused.code
             reply.message = str(refused)
-        await self._send(reply)
 
     @singledispatchmethod
     def _run(self, body, reply: endpoint_pb2.ControlReply) -> None:
--- a/tests/standins/clients.py
+++ b/tests/standins/clients.py
@@ -52,8 +52,11 @@
         self.standins = standins
         self._channels: dict[str, grpc.aio.Channel] = {}
 
+    def member_server(self, name: str):
+        return self.standins.endpoint(GROUP, name)
+
     def member(self, name: str):
-        return self.standins.endpoint(GROUP, name).member
+        return self.member_server(name).member
 
     def channel(self, address: str) -> grpc.aio.Channel:
         if address not in self._channels:
