Tell replicas to resume until they have answered, whoever paused them

A replica that was paused to be compared is told to resume once, with 0.8 s to find a connection and a slot, and the answer was not looked at. Nobody resumed what a host had paused that then ended, or what was paused late. An order to promote that got no answer left its target paused as well. Ruled out: the lag itself (over at 14.8 s); the stand-in could not show it, as it ended all pauses with any promotion. Now only the promoted replica's ends. Change: `resumption` repeats the order until each replica has said that it receives, under a claim, so that none is resumed that another host has just paused. A replica that refuses all reads for 9 to 12 s is told to resume by whoever notices. A claim is given back once all is done, so that the next failure need not wait for three seconds.

--- a/mallowpass/core/proxy/claims.py
+++ b/mallowpass/core/proxy/claims.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.storage import (
@@ -28,6 +29,9 @@
 # A claim of another host is respected for so long: a promotion takes a second or so,
 # and two hosts that promote by turns would each undo what the other compared.
 CLAIM_TIME = 3.0  # seconds
+# For how long its holder goes by a claim: what it sends then still arrives before
+# another host may have one.
+FRESH_TIME = 1.5  # seconds
 _KEY = "primary"
 
 
@@ -86,6 +90,26 @@
 
         self._store.call(call, on_reply)
 
+    def is_fresh(self, claim: Claim) -> bool:
+        """Tell whether this host may still act on its claim."""
+        return (self._store.time or 0.0) - claim.time < FRESH_TIME
+
+    def release(self, service: str, claim: Claim) -> None:
+        """Let others claim at once; the token stays, and none below it is accepted."""
+        version, known = self._known.get(service, (0, None))
+        if known != claim:
+            return
+        released = replace(claim, time=0.0)
+        key = RowKey(Table.CLAIMS, service, _KEY)
+        call = ChangeRows(((key, version),), ((key, released.encode()),))
+
+        def on_reply(reply: StoreReply) -> None:
+            if reply.status is StoreStatus.DONE:
+                self._known[service] = (reply.version, released)
+            self._log(service, released, f"released: {reply.status.value}")
+
+        self._store.call(call, on_reply)
+
     def _is_others(self, claim: Claim | None, time: float) -> bool:
         if claim is None or claim.holder == self._node.identity.name:
             return False
--- a/mallowpass/core/proxy/floors.py
+++ b/mallowpass/core/proxy/floors.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from mallowpass.core.proxy.configuration import Consistency
-from mallowpass.core.proxy.signals import FloorLearnt, PrimaryHeard
+from mallowpass.core.proxy.signals import FloorLearnt, PrimaryHeard, ReplicaStuck
 from mallowpass.core.proxy.statements import LogPosition
 from mallowpass.core.proxy.tables import (
     EndpointRow,
@@ -32,6 +32,10 @@
 # refusals fill the connections: 16,000 of 91,000 calls on a day with 15 s of lag.
 BEHIND_PAUSE_MIN = 0.05
 BEHIND_PAUSE_MAX = 0.8
+# A replica that has refused all reads for so long is taken to receive nothing, and not
+# to be slow: no lag in use lasts longer. Hosts don't all find that at the same moment.
+STUCK_TIME = 9.0  # seconds
+STUCK_JITTER = 3.0  # seconds
 AGE_MAX = 60.0  # seconds; no accepted age that is in use is longer
 
 
@@ -104,10 +108,18 @@
         pause = min(BEHIND_PAUSE_MAX, 2.0 * endpoint.behind_pause)
         endpoint.behind_pause = max(BEHIND_PAUSE_MIN, pause)
         endpoint.behind_until = self.now + endpoint.behind_pause
+        if endpoint.behind_since is None:
+            jitter = self._node.random.uniform(0.0, STUCK_JITTER)
+            endpoint.behind_since = self.now + jitter
+        elif self.now - endpoint.behind_since > STUCK_TIME:
+            endpoint.behind_since = None  # it is told once more if that was no help
+            if not endpoint.is_leaving:
+                self._node.publish(ReplicaStuck(endpoint))
 
     def reached(self, endpoint: EndpointRow) -> None:
         """Note that an endpoint's log had reached a floor."""
         endpoint.behind_pause = 0.0
+        endpoint.behind_since = None
         endpoint.behind_until = self.now
 
     def _at_age(self, group: GroupRow, accepted_age: float) -> LogPosition | None:
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -18,13 +18,17 @@
 from mallowpass.core.proxy.events import PromotionAnswered
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.members import Members
-from mallowpass.core.proxy.signals import EndpointChanged, PrimaryChanged
+from mallowpass.core.proxy.resumption import Resumption
+from mallowpass.core.proxy.signals import (
+    EndpointChanged,
+    PrimaryChanged,
+    ReplicaStuck,
+)
 from mallowpass.core.proxy.statements import (
     Code,
     EndpointReply,
     LogPosition,
     Pause,
-    Resume,
     Statement,
     Status,
 )
@@ -74,7 +78,14 @@
 class Promotion(ProxySystem):
     """Own the attempts of this host to replace primaries."""
 
-    __slots__ = ("_attempts", "_claims", "_control", "_holders", "_members")
+    __slots__ = (
+        "_attempts",
+        "_claims",
+        "_control",
+        "_holders",
+        "_members",
+        "_resumption",
+    )
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
@@ -87,8 +98,10 @@
         self._control = node.system(Control)
         self._holders = node.system(Holders)
         self._members = node.system(Members)
+        self._resumption = node.system(Resumption)
         node.subscribe(EndpointChanged, self._on_endpoint)
         node.subscribe(PrimaryChanged, self._on_primary)
+        node.subscribe(ReplicaStuck, self._on_stuck)
         node.subscribe(PromotionAnswered, self._on_answered)
 
     # -- Reasons -------------------------------------------------------------
@@ -130,6 +143,7 @@
             return
         attempt = _Attempt(group, primary, why, planned, self.now)
         self._attempts[group.service] = attempt
+        self._resumption.cancel(group.service)
         self._claims.take(
             group.service, primary, lambda claim: self._on_claim(attempt, claim)
         )
@@ -290,6 +304,7 @@
             self.timers.after(LEAD_TIME, self._check_lead, attempt, attempt.call)
             return
         if event.outdated:
+            attempt.claim = None  # another host's is newer
             self._give_up(attempt, event.message)
             return
         self._node.log("warning", "promotion_not_taken", why=event.message)
@@ -332,15 +347,17 @@
         self._resume(attempt)
 
     def _resume(self, attempt: _Attempt) -> None:
-        """Let replicas that were paused receive again.
+        if attempt.rounds:
+            # Also those that did not say so: an order to pause may be carried out late.
+            replicas = self._candidates(attempt.group, attempt.primary)
+            names = [replica.name for replica in replicas]
+            self._resumption.resume(attempt.group, attempt.claim, names)
 
-        Left paused, they would fall behind for good, and with too few that receive
-        no write would be acknowledged any more.
-        """
-        for name in attempt.paused:
-            endpoint = self.tables.endpoints.get(name)
-            if endpoint is not None and name != attempt.target:
-                self._control.ask(endpoint, (Resume(),), _ignore, ASK_TIMEOUT)
+    def _on_stuck(self, signal: ReplicaStuck) -> None:
+        endpoint = signal.endpoint
+        service = endpoint.entry.service
+        if service not in self._attempts and self._holders.holds(service):
+            self._resumption.repair(endpoint)
 
     def _is_current(self, attempt: _Attempt) -> bool:
         return self._attempts.get(attempt.group.service) is attempt
@@ -358,9 +375,5 @@
         )
 
 
-def _ignore(replies: list[EndpointReply] | None) -> None:
-    """Take the end of a question whose answer changes nothing."""
-
-
 def _text(received: dict[str, LogPosition]) -> str:
     return ",".join(f"{name}:{at.text}" for name, at in sorted(received.items()))
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -17,6 +17,7 @@
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.promotion import Promotion
 from mallowpass.core.proxy.requests import Requests
+from mallowpass.core.proxy.resumption import Resumption
 from mallowpass.core.proxy.routing import Routing
 from mallowpass.core.proxy.sessions import Sessions
 from mallowpass.core.proxy.settings import Settings
@@ -35,6 +36,7 @@
     Routing,
     Control,
     Claims,
+    Resumption,
     Promotion,
     Members,
     Discovery,
--- /dev/null
+++ b/mallowpass/core/proxy/resumption.py
@@ -0,0 +1,155 @@
+"""Having paused replicas receive again, until each of them has said that it does.
+
+A replica that stays paused falls behind for good: it serves no read any more, and its
+primary has all of them to do. Where all replicas of a group stay paused, no write is
+acknowledged. It happens where the order to resume finds a replica busy or unreachable,
+where the host that paused it ends before it could order anything, or where an order to
+pause is carried out late. The first shows in the order's own answer. The others show in
+a replica that has refused reads for longer than any lag lasts.
+
+A replica that another host has just paused, to compare it with others, must stay
+paused: a commit acknowledged by way of it would not be at the endpoint that is
+promoted. So this is done under a claim like a promotion itself.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from mallowpass.core.node import Node
+from mallowpass.core.proxy.claims import Claim, Claims
+from mallowpass.core.proxy.control import Control
+from mallowpass.core.proxy.statements import Code, EndpointReply, Resume
+from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
+
+__all__ = ["Resumption"]
+
+ASK_TIMEOUT = (
+    0.8  # seconds for one order to one replica; a full one is busy for a while
+)
+ROUND_GAP = 0.3  # seconds between two rounds of orders
+# A replica that is not reached in so many rounds is left to those who find it behind
+# once it is back: claims that are held for it keep other hosts from promoting.
+ROUNDS_MAX = 8
+
+
+@dataclass(slots=True, eq=False)
+class _Task:
+    """Hold the replicas of one group that have not said that they receive."""
+
+    group: GroupRow
+    claim: Claim | None
+    names: set[str]
+    asked: int = 0  # orders of this round without a reply
+    rounds: int = 0
+
+
+class Resumption(ProxySystem):
+    """Order replicas to receive, again until they answer."""
+
+    __slots__ = ("_claims", "_control", "_tasks")
+
+    def __init__(self, node: Node) -> None:
+        super().__init__(node)
+        self._tasks: dict[str, _Task] = {}  # by service
+
+    def start(self) -> None:
+        """Find the systems that are asked."""
+        self._claims = self._node.system(Claims)
+        self._control = self._node.system(Control)
+
+    def resume(
+        self, group: GroupRow, claim: Claim | None, names: Iterable[str]
+    ) -> None:
+        """Have replicas receive that were paused; `claim` is this host's, if any."""
+        self._begin(_Task(group, claim, set(names)))
+
+    def repair(self, endpoint: EndpointRow) -> None:
+        """Have a replica receive that nobody seems to look after."""
+        group = self.tables.group(endpoint.entry.service)
+        if group.service not in self._tasks:
+            self._begin(_Task(group, None, {endpoint.name}))
+
+    def cancel(self, service: str) -> None:
+        """Leave replicas as they are: this host is about to compare them."""
+        self._tasks.pop(service, None)
+
+    def _begin(self, task: _Task) -> None:
+        self._tasks[task.group.service] = task
+        self._round(task)
+
+    def _is_current(self, task: _Task) -> bool:
+        return self._tasks.get(task.group.service) is task
+
+    def _round(self, task: _Task) -> None:
+        if not self._is_current(task):
+            return
+        task.names &= task.group.endpoints.keys()
+        task.names.discard(task.group.primary)
+        if not task.names or task.rounds >= ROUNDS_MAX:
+            self._end(task)
+            return
+        task.rounds += 1
+        if task.claim is not None and self._claims.is_fresh(task.claim):
+            self._order(task)
+        else:
+            self._claims.take(
+                task.group.service,
+                task.group.primary,
+                lambda claim: self._on_claim(task, claim),
+            )
+
+    def _on_claim(self, task: _Task, claim: Claim | None) -> None:
+        if not self._is_current(task):
+            return
+        task.claim = claim
+        if claim is None:
+            # Whoever has it resumes all replicas of the group in the end.
+            self.timers.after(ROUND_GAP, self._round, task)
+        else:
+            self._order(task)
+
+    def _order(self, task: _Task) -> None:
+        task.asked = len(task.names)
+        for name in sorted(task.names):
+            endpoint = task.group.endpoints[name]
+
+            def on_replies(
+                replies: list[EndpointReply] | None, endpoint: EndpointRow = endpoint
+            ) -> None:
+                self._on_replies(task, endpoint, replies)
+
+            self._control.ask(endpoint, (Resume(),), on_replies, ASK_TIMEOUT)
+
+    def _on_replies(
+        self, task: _Task, endpoint: EndpointRow, replies: list[EndpointReply] | None
+    ) -> None:
+        reply = replies[0] if replies else None
+        self._node.log(
+            "info",
+            "replica_resumed",
+            endpoint=endpoint.name,
+            service=task.group.service,
+            outcome="no answer" if reply is None else reply.code.value,
+            round=task.rounds,
+        )
+        if reply is not None and reply.code is Code.DONE:
+            task.names.discard(endpoint.name)
+        task.asked -= 1
+        if task.asked == 0 and self._is_current(task):
+            pause = ROUND_GAP if task.names else 0.0
+            self.timers.after(pause, self._round, task)
+
+    def _end(self, task: _Task) -> None:
+        del self._tasks[task.group.service]
+        if task.names:
+            self._node.log(
+                "warning",
+                "replicas_left_paused",
+                service=task.group.service,
+                endpoints=",".join(sorted(task.names)),
+                rounds=task.rounds,
+            )
+        if task.claim is not None:
+            self._claims.release(task.group.service, task.claim)
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -28,6 +28,7 @@
     "PrimaryChanged",
     "PrimaryHeard",
     "PrimarySuspected",
+    "ReplicaStuck",
     "StatementAnswered",
     "TransactionLost",
     "WriteStalled",
@@ -107,6 +108,13 @@
     group: GroupRow
 
 
+@record
+class ReplicaStuck(Signal):
+    """A replica has been behind for longer than any lag lasts."""
+
+    endpoint: EndpointRow
+
+
 @record
 class DrainBegan(Signal):
     """This host was told to stop."""
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -98,6 +98,7 @@
     heard_at: float = float("-inf")
     behind_until: float = float("-inf")  # no higher floor is asked of it before
     behind_pause: float = 0.0  # that was kept after its last refusal; 0: it had none
+    behind_since: float | None = None  # first refusal since it last had a floor
     latency: float = 0.0  # moving average of statements, seconds; owned by load
     least_latency: float = 0.0  # of a statement that did not wait; owned by load
     in_flight: int = 0  # statements of this host
--- a/mallowpass/standins/proxied/replicas.py
+++ b/mallowpass/standins/proxied/replicas.py
@@ -178,7 +178,7 @@
         primary = self.primary
         if replica is primary or not replica.up or not primary.up:
             return
-        if replica.deaf or replica.paused_for > primary.term:
+        if replica.deaf or replica.paused_for:
             return
         if replica.term > primary.term:
             return
@@ -229,8 +229,8 @@
         replica.term = term
         replica.paused_for = 0
         replica.applied = len(replica.log)
+        # The others stay paused until they are told to resume, or start again.
         for other in self.replicas.values():
-            other.paused_for = 0
             for connection in other.connections:
                 connection.lost_lead |= other is before
             self.catch_up(other)
