Have a host that is short of connections use those of its neighbours

Ruled out: endpoints' limits (two refusals for too many connections in that time), a start that takes long (all are ready within 0.2 s of each other). Change: where a host may open no more connections, it opens up to eight by way of hosts of its own region or of the endpoint's, which is no longer way than its own. Those serve them over their own connections only, so that no call is passed on twice.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -38,6 +38,7 @@
     ConnectionRow,
     ConnectionState,
     EndpointRow,
+    HostRow,
     PreparedStatement,
     ProxySystem,
 )
@@ -56,6 +57,10 @@
 # Connections by way of one holder to one endpoint: they cost a socket at each end, and
 # the holder has fewer to the endpoint itself.
 LINKS_MAX = 6
+# Connections to one endpoint by way of hosts that hold theirs as this one does: in all,
+# and by way of one of them.
+LENT_MAX = 8
+LENT_BY_HOST = 2
 # An endpoint keeps the connections of hosts that lost power for seconds. Where all
 # hosts did, their successors find room for a part of their shares; if the first took
 # the whole one, others would get no connection at all.
@@ -106,20 +111,35 @@
         return share
 
     def take(
-        self, endpoint: EndpointRow, values: dict[str, str] | None
+        self,
+        endpoint: EndpointRow,
+        values: dict[str, str] | None,
+        own_only: bool = False,
     ) -> ConnectionRow | None:
-        """Return an idle connection, best one that has these values of a session."""
-        best = None
-        for connection in endpoint.connections.values():
-            if connection.state is not ConnectionState.IDLE:
-                continue
-            if values is None or connection.values == values:
-                return connection
-            best = connection
-        return best
-
-    def grow(self, endpoint: EndpointRow, beyond_share: bool = False) -> bool:
-        """Open one more connection if that is allowed; tell whether one is opening."""
+        """Return an idle connection, best one that has these values of a session.
+
+        `own_only` leaves out those by way of other hosts.
+        """
+        idle = [
+            connection
+            for connection in endpoint.connections.values()
+            if connection.state is ConnectionState.IDLE
+            and not (own_only and connection.holder)
+        ]
+        if not idle:
+            return None
+        # What has to be set goes along with the statement; another host takes time.
+        return max(idle, key=lambda c: (not c.holder, c.values == values))
+
+    def grow(
+        self, endpoint: EndpointRow, beyond_share: bool = False, borrow: bool = False
+    ) -> bool:
+        """Open one more connection if that is allowed; tell whether one is opening.
+
+        With `borrow`, one by way of another host is opened where this host may open
+        none itself. All callers of a region may come to one host, most of all when
+        many start again; the others' connections are idle then.
+        """
         opening = sum(
             1
             for connection in endpoint.connections.values()
@@ -127,12 +147,43 @@
         )
         if opening >= OPENING_MAX:
             return True
-        if self.now < endpoint.refused_until or not self._holders.known:
-            return opening > 0
-        if len(endpoint.connections) >= self.share(endpoint) and not beyond_share:
+        if not self._holders.known:
             return opening > 0
-        self._open(endpoint)
-        return True
+        if self._may_open(endpoint, beyond_share):
+            self._open(endpoint, self._way(endpoint))
+            return True
+        lender = self._lender(endpoint) if borrow else None
+        if lender is not None:
+            self._open(endpoint, lender)
+            return True
+        return opening > 0
+
+    def _may_open(self, endpoint: EndpointRow, beyond_share: bool) -> bool:
+        if self.now < endpoint.refused_until:
+            return False
+        return beyond_share or self._held(endpoint) < self.share(endpoint)
+
+    def _held(self, endpoint: EndpointRow) -> int:
+        """Return how many connections count towards this host's share."""
+        connections = endpoint.connections.values()
+        if not self._holders.holds(endpoint.entry.service):
+            return len(connections)
+        return sum(1 for connection in connections if not connection.holder)
+
+    def _lender(self, endpoint: EndpointRow) -> HostRow | None:
+        """Return the host that should serve one more connection, if any may."""
+        if not self._holders.holds(endpoint.entry.service):
+            return None
+        lent = [c.holder for c in endpoint.connections.values() if c.holder]
+        lenders = [
+            host
+            for host in self._holders.lenders(endpoint)
+            if lent.count(host.name) < LENT_BY_HOST
+        ]
+        if len(lent) >= LENT_MAX or not lenders:
+            return None
+        self._node.random.shuffle(lenders)
+        return min(lenders, key=lambda host: lent.count(host.name))
 
     def release(self, connection: ConnectionRow) -> None:
         """Make a connection free for others; close it if its state is unknown."""
@@ -160,7 +211,7 @@
             return not self._holders.is_holder(service, connection.holder)
         if not self._holders.holds(service):
             return True
-        return len(endpoint.connections) > self._holders.share(service)
+        return self._held(endpoint) > self._holders.share(service)
 
     def close(self, connection: ConnectionRow, why: str) -> None:
         """Close a connection; calls in flight on it have no answer."""
@@ -229,14 +280,19 @@
 
     # -- What happens to connections -----------------------------------------
 
-    def _open(self, endpoint: EndpointRow) -> None:
+    def _way(self, endpoint: EndpointRow) -> HostRow | None:
+        """Return the host by way of which an endpoint is reached; None: directly."""
+        service = endpoint.entry.service
+        if self._holders.holds(service):
+            return None
+        return self._holders.route(service)
+
+    def _open(self, endpoint: EndpointRow, way: HostRow | None) -> None:
         number = self._node.number()
         entry = endpoint.entry
         address, holder = entry.address, ""
-        if not self._holders.holds(entry.service):
-            host = self._holders.route(entry.service)
-            if host is not None:
-                address, holder = host.address, host.name
+        if way is not None:
+            address, holder = way.address, way.name
         connection = ConnectionRow(number, endpoint, self.now, holder=holder)
         self.tables.connections[number] = connection
         endpoint.connections[number] = connection
@@ -267,6 +323,10 @@
             message=event.message,
             open=len(endpoint.connections),
         )
+        if connection.holder and self._holders.holds(endpoint.entry.service):
+            # That host is short of connections itself; it says nothing of the endpoint.
+            self._holders.failed(connection.holder)
+            return
         if event.code is Code.TOO_MANY_CONNECTIONS:
             pause = FULL_BACKOFF * self._node.random.uniform(1.0, 2.0)
         else:
@@ -377,7 +437,9 @@
     def _close_idle(self) -> None:
         idle_since = self.now - IDLE_MAX
         for endpoint in self.tables.endpoints.values():
-            for connection in list(endpoint.connections.values()):
+            connections = endpoint.connections.values()
+            # Those by way of other hosts go first.
+            for connection in sorted(connections, key=lambda c: not c.holder):
                 if len(endpoint.connections) == 1:
                     break
                 idle = connection.state is ConnectionState.IDLE
--- a/mallowpass/core/proxy/holders.py
+++ b/mallowpass/core/proxy/holders.py
@@ -11,7 +11,7 @@
 
 from zlib import crc32
 
-from mallowpass.core.proxy.tables import HostRow, ProxySystem
+from mallowpass.core.proxy.tables import EndpointRow, HostRow, ProxySystem
 from mallowpass.core.records import record
 
 __all__ = ["Holders"]
@@ -64,7 +64,10 @@
 
     def is_holder(self, service: str, host: str) -> bool:
         """Tell whether another host holds a service."""
-        return any(holder.name == host for holder in self._plan(service).holders)
+        plan = self._plan(service)
+        if plan.direct:
+            return host in self.tables.hosts
+        return any(holder.name == host for holder in plan.holders)
 
     def share(self, service: str) -> int:
         """Return how many connections this host may hold to each endpoint."""
@@ -97,6 +100,25 @@
             return None
         return min(candidates, key=self._distance)
 
+    def lenders(self, endpoint: EndpointRow) -> list[HostRow]:
+        """Return the hosts by way of which an endpoint is as near as from here.
+
+        Those are the ones of this host's region and of the endpoint's.
+        """
+        identity = self._node.identity
+        regions = {
+            identity.region,
+            identity.region_of(endpoint.entry.failure_domain),
+        }
+        return [
+            host
+            for host in self.tables.hosts.values()
+            if host.name != identity.name
+            and host.address
+            and identity.region_of(host.domain) in regions
+            and self._failed.get(host.name, 0.0) <= self.now
+        ]
+
     def failed(self, holder: str) -> None:
         """Pass a holder over for a while that could not be reached."""
         self._failed[holder] = self.now + FAILED_TIME
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -175,7 +175,8 @@
         """Give a link a connection; tell whether there was one."""
         if not self._load.has_room(link.endpoint):
             return False
-        connection = self._connections.take(link.endpoint, link.values)
+        # Not by way of a third host: two that are short would wait for each other.
+        connection = self._connections.take(link.endpoint, link.values, own_only=True)
         if connection is None:
             self._connections.grow(link.endpoint)
             return False
--- a/mallowpass/core/proxy/routing.py
+++ b/mallowpass/core/proxy/routing.py
@@ -73,7 +73,7 @@
                 return Choice(connection, None if on_primary else floor)
             if first is None:
                 first = endpoint
-                self._connections.grow(endpoint)
+                self._connections.grow(endpoint, borrow=True)
         full = bool(candidates) and not open_to_more
         return Choice(None, why=_reason(group, floor), full=full)
 
--- a/tests/core/proxy/test_connections.py
+++ b/tests/core/proxy/test_connections.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from mallowpass.core.proxy.statements import Begin, Code, Read, Write
+from mallowpass.core.proxy.statements import Begin, Code, Commit, Read, Rollback, Write
 from tests.fakes.proxyworld import Caller, Host, ProxyWorld
 
 LIMIT = 22
@@ -99,3 +99,41 @@
     world.dark.add("db-casa")
     read = caller.run(Read("a"))
     assert (read.code, read.rows) == (Code.DONE, (b"1",))
+
+
+def test_a_host_with_all_callers_uses_connections_of_its_neighbours():
+    """Symptom: after a loss of power one host refuses most statements for two seconds,
+    while the others' connections to the same endpoints are idle.
+
+    Sequence: the balancer finds one host of a region ready first, and sends it all
+    callers of that region; each open transaction keeps one of its two connections.
+    Cause: a host uses its own connections only, however many the others have free.
+    """
+    world = ProxyWorld(hosts=7)
+    callers = [world.caller(0, "strict") for _ in range(6)]
+    for caller in callers:
+        caller.send(Begin())
+        caller.send(Read("a"))
+    world.run(0.4)
+    assert [c.answers[-1].code for c in callers] == [Code.DONE] * 6
+    assert _most_connections(world) <= 22
+    for number, caller in enumerate(callers):
+        caller.send(Write(f"k{number} 1"))
+        caller.send(Commit())
+    world.run(0.5)
+    assert [c.answers[-1].code for c in callers] == [Code.DONE] * 6
+    assert len(world.group.acknowledged) == 6
+
+
+def test_borrowed_connections_are_given_back():
+    world = ProxyWorld(hosts=7)
+    callers = [world.caller(0, "strict") for _ in range(6)]
+    for caller in callers:
+        caller.send(Begin())
+        caller.send(Read("a"))
+    world.run(0.4)
+    assert world.links
+    for caller in callers:
+        caller.send(Rollback())
+    world.run(4.0)
+    assert not world.links
