Make fewer calls to the store: one probe in an outage, changes taken together

Counted by their causes: while the store refuses 26 hosts for 9 s, each repeats the calls of all three tables about once a second; each version of a storm of configurations is asked for by itself by each host; endpoints that enter themselves by turns at the first start are learnt one by one. Ruled out: suspicions and claims (a dozen calls each). Change: while no call is answered one watch tries for all, with a call that does not wait; after a change of the configuration further ones are taken together for 0.5 s (the shortest bound in use is 3 s), and of endpoints for 1 s in the first seconds of the first start; a wait for changes lasts 29 s of the 30 that are allowed.

--- a/mallowpass/core/proxy/store.py
+++ b/mallowpass/core/proxy/store.py
@@ -23,10 +23,14 @@
 CALL_TIMEOUT = 1.5  # seconds; an answer takes some 10 ms, and 60 times that when slow
 # How long one call waits for changes: each call is charged. Changes come at once, and
 # a connection that goes silent is found by keep-alive probes long before.
-WATCH_WAIT = 25.0
+WATCH_WAIT = 29.0
 WATCH_SLACK = 3.0  # seconds that the answer to such a call may be late
 BACKOFF_MIN = 0.1  # seconds after a first failure; doubled by each further one
-BACKOFF_MAX = 1.0
+BACKOFF_MAX = 2.0
+# How long a call waits for changes while the store fails: its answer is to tell soon
+# that the store is back.
+PROBE_WAIT = 0.05  # seconds
+RETURN_JITTER = 0.3  # seconds over which the other calls follow then
 
 # Where the whole fleet starts for the first time, endpoints and hosts all enter
 # themselves within this time; whoever follows the entries meanwhile is told of each by
@@ -36,7 +40,11 @@
 # Seconds for which further changes are waited for after some came, so that one answer
 # tells of all: where all hosts start at once, each would else be told of each. Nothing
 # about hosts is urgent: one that stops serves on for longer.
-CHANGES_GAP = {Table.CONFIGURATION: 0.0, Table.ENDPOINTS: 0.1, Table.HOSTS: 1.5}
+CHANGES_GAP = {Table.CONFIGURATION: 0.5, Table.ENDPOINTS: 0.1, Table.HOSTS: 1.5}
+# The same while the whole fleet starts for the first time: endpoints enter themselves
+# by turns over some seconds, and callers come well after.
+FIRST_START_GAP = 1.0
+FIRST_START_TURNS = 6.0  # seconds after a start
 
 ReplyHandler = Callable[[StoreReply], None]
 # Called with rows, and with whether these are all that the table has.
@@ -46,14 +54,25 @@
 class Store(ProxySystem):
     """Call the store, and tell whether it answers."""
 
-    __slots__ = ("_calls", "_clock_offset", "_failing_since", "_regained_at")
+    __slots__ = (
+        "_calls",
+        "_clock_offset",
+        "_failing_since",
+        "_prober",
+        "_regained_at",
+        "_started_at",
+        "_waiting",
+    )
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
         self._calls: dict[int, ReplyHandler] = {}
         self._clock_offset: float | None = None
         self._failing_since: float | None = None
+        self._prober: Watch | None = None
         self._regained_at = float("-inf")
+        self._started_at = node.timers.now
+        self._waiting: list[Callable[[], None]] = []
 
     def start(self) -> None:
         """Subscribe to the store's answers."""
@@ -92,6 +111,31 @@
         else:
             Watch(self, table, handler)
 
+    def call_again(
+        self, watch: Watch, again: Callable[[], None], failures: int
+    ) -> None:
+        """Have a watch repeat a call that failed.
+
+        While no call is answered, one watch tries for all: each call is charged, also
+        a refused one, and what one learns is true for the others.
+        """
+        if self._failing_since is not None:
+            if self._prober is None:
+                self._prober = watch
+            if self._prober is not watch:
+                self._waiting.append(again)
+                return
+        # Hosts that lose the store together must not come back together.
+        pause = self._node.backoff(failures, BACKOFF_MIN, BACKOFF_MAX)
+        self.timers.after(pause, again)
+
+    def changes_gap(self, table: Table) -> float:
+        """Return for how long further changes are waited for after some came."""
+        starting = self.now < self._started_at + FIRST_START_TURNS
+        if self.tables.first_start and starting and table is Table.ENDPOINTS:
+            return FIRST_START_GAP
+        return CHANGES_GAP[table]
+
     def _on_answered(self, event: StoreAnswered) -> None:
         reply = event.reply
         failed = reply.status in (StoreStatus.REFUSED, StoreStatus.UNKNOWN)
@@ -120,6 +164,10 @@
         self._failing_since = None
         self._regained_at = self.now
         self._node.log("info", "store_regained", after=round(away, 3))
+        self._prober = None
+        waiting, self._waiting = self._waiting, []
+        for again in waiting:
+            self.timers.after(self._node.random.uniform(0.0, RETURN_JITTER), again)
 
 
 class Watch:
@@ -147,8 +195,9 @@
         self._follow()
 
     def _follow(self) -> None:
-        call = WatchRows(self._table, self._version, WATCH_WAIT)
-        self._store.call(call, self._on_changes, WATCH_WAIT + WATCH_SLACK)
+        wait = WATCH_WAIT if self._store.failing_since is None else PROBE_WAIT
+        call = WatchRows(self._table, self._version, wait)
+        self._store.call(call, self._on_changes, wait + WATCH_SLACK)
 
     def _on_changes(self, reply: StoreReply) -> None:
         if reply.status is StoreStatus.HISTORY_GONE:
@@ -159,7 +208,7 @@
             self._failures = 0
             self._version = max(self._version, reply.version)
             self._handler(reply.rows, False)
-            gap = CHANGES_GAP[self._table]
+            gap = self._store.changes_gap(self._table)
             if reply.rows and gap:
                 self._store.timers.after(gap, self._follow)
             else:
@@ -178,8 +227,5 @@
             self._retry(self._list)
 
     def _retry(self, again: Callable[[], None]) -> None:
-        # Hosts that lose the store together must not come back together.
-        node = self._store._node
-        pause = node.backoff(self._failures, BACKOFF_MIN, BACKOFF_MAX)
+        self._store.call_again(self, again, self._failures)
         self._failures += 1
-        node.timers.after(pause, again)
--- a/mallowpass/standins/proxied/rows.py
+++ b/mallowpass/standins/proxied/rows.py
@@ -105,6 +105,12 @@
         self._changes.clear()
         self._forgotten = self._version
 
+    def refuse_all(self) -> None:
+        """Refuse all calls from now on, also those that wait for changes."""
+        self.faults.refusing = True
+        for watcher in list(self._watchers):
+            self._finish(watcher, StoreReply(StoreStatus.REFUSED, message="away"))
+
     # -- Calls ---------------------------------------------------------------
 
     def call(self, caller: str, call: StoreCall, answer: Answer) -> None:
--- a/tests/core/proxy/test_store.py
+++ b/tests/core/proxy/test_store.py
@@ -90,3 +90,36 @@
     world.run(4.0)
     assert world.store.calls - before <= 8 * 20
     assert all(host.ready for host in world.hosts)
+
+
+def test_an_outage_is_looked_at_by_one_call_of_each_host():
+    """Symptom: half of a day's store calls are made while the store refuses them.
+
+    Sequence: the store refuses some hosts for nine seconds.
+    Cause: each host repeats the calls of all three tables that it follows.
+    """
+    world = ProxyWorld()
+    before = world.store.calls
+    world.store.refuse_all()
+    world.run(9.0)
+    assert world.store.calls - before < 14 * len(world.hosts)
+    world.store.faults.refusing = False
+    world.store.put(CONFIGURATION_KEY, configuration(2))
+    world.run(2.4)
+    assert _versions(world) == {2}
+
+
+def test_versions_in_quick_succession_are_learnt_in_few_calls():
+    """Symptom: a storm of configurations is a storm of calls by all hosts.
+
+    Sequence: 25 versions within two seconds.
+    Cause: each host asks for the next change the moment that it has one.
+    """
+    world = ProxyWorld()
+    before = world.store.calls
+    for version in range(2, 27):
+        world.store.put(CONFIGURATION_KEY, configuration(version))
+        world.run(0.08)
+    world.run(1.0)
+    assert _versions(world) == {26}
+    assert world.store.calls - before < 8 * len(world.hosts)
