Have holders say that another endpoint leads, to hosts that can't read the store

Entries and the old primary's own refusals tell of a promotion; a dark one refuses nothing, and its holder, who knew, kept the calls for 0.2 s. Ruled out: the promotion itself (0.67 s of which the platform takes 0.6). Change: a holder that knows of another primary answers what only a primary runs with that, at once where it has no connection to the endpoint asked. Whoever holds nothing may ask the other endpoints by way of its holder. Prepared writes count as proofs of a primary as well.

--- a/mallowpass/core/proxy/discovery.py
+++ b/mallowpass/core/proxy/discovery.py
@@ -8,6 +8,7 @@
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.control import Control
+from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.signals import PrimaryChanged, PrimarySuspected
 from mallowpass.core.proxy.statements import Begin, Code, EndpointReply, Rollback
@@ -23,7 +24,7 @@
 class Discovery(ProxySystem):
     """Ask endpoints while nobody is known to lead their group."""
 
-    __slots__ = ("_control", "_looking", "_members")
+    __slots__ = ("_control", "_holders", "_looking", "_members")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
@@ -32,6 +33,7 @@
     def start(self) -> None:
         """Subscribe to primaries that are no longer known."""
         self._control = self._node.system(Control)
+        self._holders = self._node.system(Holders)
         self._members = self._node.system(Members)
         self._node.subscribe(PrimaryChanged, self._on_primary)
         self._node.subscribe(PrimarySuspected, self._on_primary)
@@ -51,8 +53,12 @@
         if not self._is_open(group):
             self._looking.discard(group.service)
             return
+        # By way of a holder the question costs a link; else, a place among few.
+        holds = self._holders.holds(group.service)
         for endpoint in group.endpoints.values():
-            if endpoint.connections and endpoint.name != group.primary:
+            if endpoint.name == group.primary:
+                continue
+            if endpoint.connections or not holds:
                 self._ask(group, endpoint)
         self.timers.after(LOOK_GAP, self._look, group)
 
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -24,6 +24,7 @@
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.signals import ConnectionFreed, EndpointForgotten
 from mallowpass.core.proxy.statements import (
+    Access,
     Begin,
     Code,
     EndpointCall,
@@ -40,6 +41,7 @@
 from mallowpass.core.proxy.tables import (
     ConnectionRow,
     ConnectionState,
+    EndpointRow,
     LinkRow,
     PreparedStatement,
     ProxySystem,
@@ -131,6 +133,9 @@
         if link.connection is not None:
             self._send(link, link.connection)
         elif link not in self._waiting:
+            if not _is_reached(link.endpoint) and self._is_replaced(link):
+                self._refuse(link, Code.NOT_PRIMARY, "another one leads")
+                return
             link.waits_since = self.now
             self._waiting.append(link)
             self._waiting.sort(key=lambda link: (link.priority, link.waits_since))
@@ -191,10 +196,28 @@
         if link not in self._waiting or link.waits_since != since:
             return
         self._waiting.remove(link)
-        self._node.count("links_refused", endpoint=link.endpoint.name)
+        if self._is_replaced(link):
+            self._refuse(link, Code.NOT_PRIMARY, "another one leads")
+        else:
+            self._refuse(link, Code.BUSY, "no connection is free")
+
+    def _is_replaced(self, link: LinkRow) -> bool:
+        """Tell whether calls wait for a primary that was replaced.
+
+        A host that can't read the store learns that from the old primary's refusals;
+        one that is dark refuses nothing.
+        """
+        group = self.tables.group(link.endpoint.entry.service)
+        if group.primary in ("", link.endpoint.name):
+            return False
+        return any(_proves_primary(link, call.statement) for call in link.waiting)
+
+    def _refuse(self, link: LinkRow, code: Code, message: str) -> None:
+        """Refuse calls that wait: they did not run."""
+        self._node.count("links_refused", endpoint=link.endpoint.name, code=code.value)
         while link.waiting:
             link.waiting.popleft()
-            reply = EndpointReply(Code.BUSY, message="no connection is free")
+            reply = EndpointReply(code, message=message)
             self._node.emit(AnswerLink(link.number, reply))
 
     def _send(self, link: LinkRow, connection: ConnectionRow) -> None:
@@ -232,7 +255,7 @@
         for call, reply in zip(calls, replies, strict=True):
             if reply.code is not Code.DONE or reply.position is None:
                 continue
-            if _proves_primary(call.statement):
+            if _proves_primary(link, call.statement):
                 self._floors.sample(group, reply.position, sent_at)
 
     def _with_floor(self, link: LinkRow, reply: EndpointReply) -> EndpointReply:
@@ -283,8 +306,19 @@
             self._end(link)
 
 
-def _proves_primary(statement: Statement) -> bool:
+def _is_reached(endpoint: EndpointRow) -> bool:
+    """Tell whether there is a connection to an endpoint, busy or not."""
+    return any(
+        connection.state is not ConnectionState.OPENING
+        for connection in endpoint.connections.values()
+    )
+
+
+def _proves_primary(link: LinkRow, statement: Statement) -> bool:
     """Tell whether only a primary answers a statement with DONE."""
     if isinstance(statement, Begin):
         return not statement.read_only
+    if isinstance(statement, Execute):
+        prepared = link.prepared.get(statement.name)
+        return prepared is not None and prepared.access is Access.WRITE
     return isinstance(statement, Write)
--- a/tests/core/proxy/test_links.py
+++ b/tests/core/proxy/test_links.py
@@ -146,6 +146,28 @@
     assert world.group.lost == []
 
 
+def test_a_host_without_the_store_learns_of_a_new_primary_by_its_holder(world):
+    """Symptom: for seconds after a promotion, some hosts refuse whatever is for the
+    primary, after a wait of 0.2 s.
+
+    Sequence: a host that holds nothing can't reach the store; the primary goes dark and
+    is replaced.
+    Cause: only entries and the old primary's own refusals told such a host; its holder
+    knew, and answered that no connection was free.
+    """
+    index = _other(world)
+    caller = world.caller(index, "strict")
+    caller.run(Write("a 1"))
+    world.hosts[index].cut_from.add("store")
+    world.crash("db-casa", dark=True)
+    for host in range(HOSTS):
+        world.caller(host, "strict").send(Read("a"))
+    world.run_until(lambda: world.group.promotions == 1, 8.0)
+    world.run(1.0)
+    codes = [caller.run(Write("a 2")).code for _ in range(10)]
+    assert codes[3:] == [Code.DONE] * 7
+
+
 def test_first_start_takes_no_more_connections_than_there_are():
     """Symptom: endpoints turn connections away when the fleet first starts.
 
