Have holders that endpoints turn away use the other holders' connections

Cause: after a loss of power of a large fleet, endpoints keep the lost holders' connections for three seconds and have room for a few more. In virtual time (24 hosts, 35 connections, 180 statements a second) one statement in five is refused for two seconds, each after 0.2 s: some holders have no connection to an endpoint, and whoever goes by way of them waits. Ruled out: hosts' time (virtual); too few connections in all (seven for three holders, three in use). Change: a holder that an endpoint turned away serves its own callers, and hosts that hold nothing, by way of other holders. What a holder asks for is served over own connections only; so a link says which host it is of.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -171,8 +171,16 @@
         return sum(1 for connection in connections if not connection.holder)
 
     def _lender(self, endpoint: EndpointRow) -> HostRow | None:
-        """Return the host that should serve one more connection, if any may."""
-        if not self._holders.holds(endpoint.entry.service):
+        """Return the host that should serve one more connection, if any may.
+
+        Among few holders it is for those that the endpoint turns away: each has as
+        many connections as the others, and as many that come to it.
+        """
+        service = endpoint.entry.service
+        if not self._holders.holds(service):
+            return None
+        turned_away = self.now < endpoint.refused_until
+        if not turned_away and not self._holders.all_hold(service):
             return None
         lent = [c.holder for c in endpoint.connections.values() if c.holder]
         lenders = [
--- a/mallowpass/core/proxy/events.py
+++ b/mallowpass/core/proxy/events.py
@@ -100,6 +100,7 @@
     """Another host asks to be served as by an endpoint."""
 
     link: int
+    host: str
     service: str
     endpoint: str
 
--- a/mallowpass/core/proxy/holders.py
+++ b/mallowpass/core/proxy/holders.py
@@ -80,6 +80,10 @@
         name = self._node.identity.name
         return plan.direct or any(holder.name == name for holder in plan.holders)
 
+    def all_hold(self, service: str) -> bool:
+        """Tell whether every host connects to a service's endpoints."""
+        return self._plan(service).direct
+
     def holding_hosts(self, service: str) -> int:
         """Return how many hosts connect to a service's endpoints."""
         plan = self._plan(service)
@@ -101,7 +105,7 @@
         return min(candidates, key=self._distance)
 
     def lenders(self, endpoint: EndpointRow) -> list[HostRow]:
-        """Return the hosts by way of which an endpoint is as near as from here.
+        """Return the holders by way of which an endpoint is as near as from here.
 
         Those are the ones of this host's region and of the endpoint's.
         """
@@ -110,9 +114,10 @@
             identity.region,
             identity.region_of(endpoint.entry.failure_domain),
         }
+        plan = self._plan(endpoint.entry.service)
         return [
             host
-            for host in self.tables.hosts.values()
+            for host in (self.tables.hosts.values() if plan.direct else plan.holders)
             if host.name != identity.name
             and host.address
             and identity.region_of(host.domain) in regions
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -86,7 +86,9 @@
             message = f"this host does not hold {event.service!r}"
             self._node.emit(RefuseLink(event.link, Code.BUSY, message))
         else:
-            self.tables.links[event.link] = LinkRow(event.link, endpoint)
+            of_holder = self._holders.is_holder(event.service, event.host)
+            link = LinkRow(event.link, endpoint, of_holder)
+            self.tables.links[event.link] = link
             self._node.emit(AcceptLink(event.link, endpoint.position))
 
     def _on_closed(self, event: LinkClosed) -> None:
@@ -180,10 +182,13 @@
         """Give a link a connection; tell whether there was one."""
         if not self._load.has_room(link.endpoint):
             return False
-        # Not by way of a third host: two that are short would wait for each other.
-        connection = self._connections.take(link.endpoint, link.values, own_only=True)
+        # What a holder asks for is not passed on to a third host: two that are short of
+        # connections would wait for each other.
+        connection = self._connections.take(
+            link.endpoint, link.values, own_only=link.of_holder
+        )
         if connection is None:
-            self._connections.grow(link.endpoint)
+            self._connections.grow(link.endpoint, borrow=not link.of_holder)
             return False
         self._waiting.remove(link)
         link.connection = connection
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -275,6 +275,7 @@
 
     number: int
     endpoint: EndpointRow
+    of_holder: bool  # the host that asks holds connections to the endpoint itself
     values: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, PreparedStatement] = field(default_factory=dict)  # by name
     waiting: deque[EndpointCall] = field(default_factory=deque)
--- a/mallowpass/platform/links.py
+++ b/mallowpass/platform/links.py
@@ -71,5 +71,5 @@
         if len(fields) != 3:
             raise wire.WireError("a link names a service, a host and an endpoint")
         self._open = True
-        service, _, endpoint = fields
-        self._sink(LinkOpened(self._number, service, endpoint))
+        service, host, endpoint = fields
+        self._sink(LinkOpened(self._number, host, service, endpoint))
--- a/tests/fakes/proxyworld.py
+++ b/tests/fakes/proxyworld.py
@@ -415,7 +415,8 @@
             return
         link = Link(self.number(), host, holder, effect.connection)
         self.all_links[link.number] = link
-        holder.deliver(LinkOpened(link.number, effect.service, effect.endpoint))
+        opened = LinkOpened(link.number, host.name, effect.service, effect.endpoint)
+        holder.deliver(opened)
 
     def link(self, number: int) -> Link:
         """Return a link by its number."""
