Relieve primaries beside a member that leaves; claim less for replicas that seem stuck

The first primary that a host learnt of counted as a change. And 17 claims were taken meanwhile, by hosts that found a replica behind for 9 s one after the other, each with three calls to the store. Ruled out: claims of other hosts in the way (given back within 50 ms each). Change: members that leave neither count nor are chosen. Only changes of primary count; the time to have led is 3 s, twice that for each change in 30 s. A claim that is given back keeps its time: whoever finds one younger than 10 s leaves a replica that seems stuck alone.

--- a/mallowpass/core/proxy/claims.py
+++ b/mallowpass/core/proxy/claims.py
@@ -33,6 +33,7 @@
 # another host may have one.
 FRESH_TIME = 1.5  # seconds
 _KEY = "primary"
+_NOBODY = "-"  # has the claim: it was given back
 
 
 @record
@@ -72,11 +73,16 @@
         """Find the store."""
         self._store = self._node.system(Store)
 
-    def take(self, service: str, primary: str, handler: ClaimHandler) -> None:
-        """Claim the right to replace a primary, unless another host just did."""
+    def take(
+        self, service: str, primary: str, handler: ClaimHandler, quiet: float = 0.0
+    ) -> None:
+        """Claim the right to replace a primary, unless another host just did.
+
+        With `quiet`, not if anybody did so within as many seconds.
+        """
         version, known = self._known.get(service, (0, None))
         time = self._store.time or 0.0
-        if self._is_others(known, time):
+        if self._is_others(known, time) or self._is_recent(known, time, quiet):
             # Not asked for again before it is old: it is what several hosts wait for.
             handler(None)
             return
@@ -86,7 +92,7 @@
         call = ChangeRows(((key, version),), ((key, claim.encode()),))
 
         def on_reply(reply: StoreReply) -> None:
-            self._on_reply(service, claim, handler, reply)
+            self._on_reply(service, claim, handler, reply, quiet)
 
         self._store.call(call, on_reply)
 
@@ -99,7 +105,7 @@
         version, known = self._known.get(service, (0, None))
         if known != claim:
             return
-        released = replace(claim, time=0.0)
+        released = replace(claim, holder=_NOBODY)
         key = RowKey(Table.CLAIMS, service, _KEY)
         call = ChangeRows(((key, version),), ((key, released.encode()),))
 
@@ -111,19 +117,28 @@
         self._store.call(call, on_reply)
 
     def _is_others(self, claim: Claim | None, time: float) -> bool:
-        if claim is None or claim.holder == self._node.identity.name:
+        if claim is None or claim.holder in (self._node.identity.name, _NOBODY):
             return False
         return time - claim.time < CLAIM_TIME
 
+    @staticmethod
+    def _is_recent(claim: Claim | None, time: float, quiet: float) -> bool:
+        return claim is not None and time - claim.time < quiet
+
     def _on_reply(
-        self, service: str, claim: Claim, handler: ClaimHandler, reply: StoreReply
+        self,
+        service: str,
+        claim: Claim,
+        handler: ClaimHandler,
+        reply: StoreReply,
+        quiet: float,
     ) -> None:
         if reply.status is StoreStatus.DONE:
             self._known[service] = (reply.version, claim)
             self._log(service, claim, "taken")
             handler(claim)
         elif reply.status is StoreStatus.CONFLICT:
-            self._on_conflict(service, claim, handler, reply.rows)
+            self._on_conflict(service, claim, handler, reply.rows, quiet)
         elif reply.status is StoreStatus.UNKNOWN:
             self._read_back(service, claim, handler)
         else:
@@ -136,6 +151,7 @@
         claim: Claim,
         handler: ClaimHandler,
         rows: tuple[Row, ...],
+        quiet: float,
     ) -> None:
         before = self._known.get(service)
         self._learn(service, rows)
@@ -143,7 +159,7 @@
         if self._known.get(service) == before:
             handler(None)
             return
-        self.take(service, claim.primary, handler)
+        self.take(service, claim.primary, handler, quiet)
 
     def _read_back(self, service: str, claim: Claim, handler: ClaimHandler) -> None:
         """Learn whether a claim whose answer was lost is ours."""
--- a/mallowpass/core/proxy/floors.py
+++ b/mallowpass/core/proxy/floors.py
@@ -123,8 +123,13 @@
             endpoint.stuck_told += 1
             self._node.publish(ReplicaStuck(endpoint))
         group = self.tables.group(endpoint.entry.service)
-        replicas = [e for e in group.endpoints.values() if e.name != group.primary]
-        if all(self._is_behind(replica, BEHIND_TIME) for replica in replicas):
+        replicas = [
+            replica
+            for replica in group.endpoints.values()
+            if replica.name != group.primary and not replica.is_leaving
+        ]
+        behind = [self._is_behind(replica, BEHIND_TIME) for replica in replicas]
+        if behind and all(behind):
             self._node.publish(ReplicasBehind(group))
 
     def _is_behind(self, endpoint: EndpointRow, duration: float) -> bool:
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -293,8 +293,13 @@
         if known and furthest < known[-1]:
             self._give_up(attempt, "no replica receives")
             return
+        candidates = self._candidates(attempt.group, attempt.primary)
+        staying = [e.name for e in candidates if not e.is_leaving]
+        if not staying:
+            self._give_up(attempt, "all replicas leave")
+            return
         attempt.surveys = False
-        attempt.target = max(attempt.received, key=attempt.received.__getitem__)
+        attempt.target = max(staying, key=attempt.received.__getitem__)
         self._compare(attempt)
 
     def _again(self, attempt: _Attempt, why: str) -> None:
--- a/mallowpass/core/proxy/relief.py
+++ b/mallowpass/core/proxy/relief.py
@@ -20,7 +20,7 @@
 JITTER = 0.4  # seconds; hosts that find replicas behind don't act at once together
 # How long a primary must have led, and how long ago it must have been tried; twice as
 # long with each other change of primary of late. In seconds.
-LED_TIME = 4.0
+LED_TIME = 3.0
 MEMORY = 30.0
 # How long statements must wait at the primary, in seconds. Hosts keep that wait at a
 # tenth of a second.
@@ -69,6 +69,6 @@
         # Where that was no help, it must not be done again and again.
         since = self.now - MEMORY
         recent = sum(1 for led_at in group.led_at if led_at > since)
-        time = LED_TIME * 2.0 ** max(0, recent - 1)
+        time = LED_TIME * 2.0**recent
         tried_at = self._tried_at.get(group.service, float("-inf"))
         return self.now - max(tried_at, *group.led_at, float("-inf")) >= time
--- a/mallowpass/core/proxy/resumption.py
+++ b/mallowpass/core/proxy/resumption.py
@@ -29,6 +29,9 @@
     0.8  # seconds for one order to one replica; a full one is busy for a while
 )
 ROUND_GAP = 0.3  # seconds between two rounds of orders
+# A replica that seems stuck is left alone if anybody had a claim within so many
+# seconds: who had it has told it to resume, and it may just be far behind.
+REPAIR_GAP = 10.0
 # A replica that is not reached in so many rounds is left to those who find it behind
 # once it is back: claims that are held for it keep other hosts from promoting.
 ROUNDS_MAX = 8
@@ -41,6 +44,7 @@
     group: GroupRow
     claim: Claim | None
     names: set[str]
+    repairs: bool = False  # nobody here paused them
     asked: int = 0  # orders of this round without a reply
     rounds: int = 0
 
@@ -69,7 +73,7 @@
         """Have a replica receive that nobody seems to look after."""
         group = self.tables.group(endpoint.entry.service)
         if group.service not in self._tasks:
-            self._begin(_Task(group, None, {endpoint.name}))
+            self._begin(_Task(group, None, {endpoint.name}, repairs=True))
 
     def cancel(self, service: str) -> None:
         """Leave replicas as they are: this host is about to compare them."""
@@ -98,13 +102,17 @@
                 task.group.service,
                 task.group.primary,
                 lambda claim: self._on_claim(task, claim),
+                quiet=REPAIR_GAP if task.repairs else 0.0,
             )
 
     def _on_claim(self, task: _Task, claim: Claim | None) -> None:
         if not self._is_current(task):
             return
         task.claim = claim
-        if claim is None:
+        if claim is None and task.repairs:
+            task.names.clear()
+            self._end(task)
+        elif claim is None:
             # Whoever has it resumes all replicas of the group in the end.
             self.timers.after(ROUND_GAP, self._round, task)
         else:
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -145,7 +145,7 @@
         default_factory=dict
     )
     waiting: list[RequestRow] = field(default_factory=list)
-    # When this host last learnt who leads, the newest last; owned by members.
+    # When this host learnt that another one leads, the newest last; owned by members.
     led_at: deque[float] = field(default_factory=lambda: deque(maxlen=8))
     no_primary_since: float | None = None
     suspected: bool = False  # this host suspects its primary; owned by suspicion
--- a/tests/core/proxy/test_connections.py
+++ b/tests/core/proxy/test_connections.py
@@ -101,6 +101,16 @@
     assert (read.code, read.rows) == (Code.DONE, (b"1",))
 
 
+def _open_transactions(world: ProxyWorld, count: int) -> list[Caller]:
+    """Open transactions at one host; each keeps a connection to the primary."""
+    callers = [world.caller(0, "strict") for _ in range(count)]
+    for caller in callers:
+        caller.send(Begin())
+        caller.send(Read("a"))
+    world.run(0.4)
+    return callers
+
+
 def test_a_host_with_all_callers_uses_connections_of_its_neighbours():
     """Symptom: after a loss of power one host refuses most statements for two seconds,
     while the others' connections to the same endpoints are idle.
@@ -110,11 +120,7 @@
     Cause: a host uses its own connections only, however many the others have free.
     """
     world = ProxyWorld(hosts=7)
-    callers = [world.caller(0, "strict") for _ in range(6)]
-    for caller in callers:
-        caller.send(Begin())
-        caller.send(Read("a"))
-    world.run(0.4)
+    callers = _open_transactions(world, 6)
     assert [c.answers[-1].code for c in callers] == [Code.DONE] * 6
     assert _most_connections(world) <= 22
     for number, caller in enumerate(callers):
@@ -127,11 +133,7 @@
 
 def test_borrowed_connections_are_given_back():
     world = ProxyWorld(hosts=7)
-    callers = [world.caller(0, "strict") for _ in range(6)]
-    for caller in callers:
-        caller.send(Begin())
-        caller.send(Read("a"))
-    world.run(0.4)
+    callers = _open_transactions(world, 6)
     assert world.links
     for caller in callers:
         caller.send(Rollback())
--- a/tests/core/proxy/test_relief.py
+++ b/tests/core/proxy/test_relief.py
@@ -133,3 +133,23 @@
     assert begun
     assert not [c for c in world.calls if isinstance(c[2].statement, Pause)]
     assert world.group.promotions == 0
+
+
+def test_a_member_that_leaves_does_not_hold_up_relief(world):
+    """Symptom: after a planned replacement, a service is overloaded until the replaced
+    member has ended, seconds later.
+
+    Sequence: the old primary leaves; both other replicas are far behind.
+    Cause: one that leaves gets no reads, so it was never found to be behind.
+    """
+    write_often(world)
+    codes = read_much(world, READS)
+    world.run(2.0)
+    let_replicas_fall_behind(world)
+    leaving = world.group.add("db-casa2")
+    world.enter(leaving, draining=True)
+    world.run(9.0)
+    assert world.group.promotions == 1
+    codes.clear()
+    world.run(3.0)
+    assert codes.count(Code.DONE) > 0.98 * 3 * READS
--- a/tests/core/proxy/test_resumption.py
+++ b/tests/core/proxy/test_resumption.py
@@ -117,3 +117,18 @@
     assert world.group.promotions == 2
     assert world.timers.now - crashed_at < 2.0
     assert world.group.lost == []
+
+
+def test_a_replica_that_is_far_behind_is_not_told_by_each_host_to_receive():
+    """Symptom: a dozen claims in two seconds, each of three calls to the store.
+
+    Sequence: a replica is behind for longer than seems possible; all hosts notice.
+    Cause: who finds that another host has just done it does it once more.
+    """
+    world = ProxyWorld(hosts=9)
+    keep_working(world)
+    world.run(1.0)
+    world.group.replicas["db-tanger"].lag = 60.0
+    world.run(14.0)
+    orders = [call for _, _, call in world.calls if isinstance(call.statement, Resume)]
+    assert 1 <= len(orders) <= 2
