Send first reads after a start to replicas, by links that are being opened

Each host opens a link to the primary first, and sent its reads wherever a connection was idle. Change: a read whose best endpoint is a replica that a link is being opened to waits for that link; it takes a round trip to a neighbour.

--- a/mallowpass/core/proxy/routing.py
+++ b/mallowpass/core/proxy/routing.py
@@ -80,6 +80,10 @@
             if first is None:
                 first = endpoint
                 self._connections.grow(endpoint, borrow=True)
+                if endpoint.name != group.primary and _is_linking(endpoint):
+                    # A link takes a round trip to a neighbour. When all hosts start
+                    # at once, the primary would get the first reads of each.
+                    break
         full = bool(candidates) and not open_to_more
         return Choice(None, why=_reason(group, floor), full=full)
 
@@ -146,6 +150,14 @@
         return OTHER_REGION_COST
 
 
+def _is_linking(endpoint: EndpointRow) -> bool:
+    """Tell whether a connection by way of another host is being opened."""
+    return any(
+        connection.holder and connection.state is ConnectionState.OPENING
+        for connection in endpoint.connections.values()
+    )
+
+
 def _reason(group: GroupRow, floor: LogPosition | None) -> str:
     """Return what a statement waits for."""
     if floor is not None:
--- a/tests/core/proxy/test_links.py
+++ b/tests/core/proxy/test_links.py
@@ -302,3 +302,24 @@
     world.run(0.1)
     assert not reader.answers
     assert group.samples
+
+
+def test_first_reads_after_a_start_go_to_replicas(world):
+    """Symptom: for two seconds after a loss of power, one statement in three of a large
+    fleet is refused; all of them at primaries, and replicas have little to do.
+
+    Sequence: a host has opened a link to the primary, and none to a replica yet.
+    Cause: a read was sent wherever a connection was idle.
+    """
+    index = next(
+        i for i, h in enumerate(world.hosts) if not _holds(h) and h.domain != "casa"
+    )
+    host = world.hosts[index]
+    world.caller(index, "own").run(Write("a 1"))
+    world.run(0.5)
+    for connection in list(host.tables.connections.values()):
+        if connection.endpoint.name != "db-casa":
+            host.node.system(Connections).close(connection, "test")
+    assert host.tables.endpoints["db-casa"].connections
+    reader = world.caller(index, "bounded")
+    assert reader.run(Read("a")).signature != "db-casa"
