Keep orders of two hosts apart, and claims for relief rare

Cause: since claims are given back once replicas receive, a second host could order a promotion a second after the first. Ruled out: giving claims back as such: one without an order stands for nothing then. Change: only claims under which no promotion was ordered are given back. Relief is not tried within 5 s of anybody's claim.

--- a/mallowpass/core/proxy/claims.py
+++ b/mallowpass/core/proxy/claims.py
@@ -27,7 +27,9 @@
 __all__ = ["Claim", "Claims"]
 
 # A claim of another host is respected for so long: a promotion takes a second or so,
-# and two hosts that promote by turns would each undo what the other compared.
+# and two hosts that promote by turns would each undo what the other compared. One that
+# ordered a promotion is not given back sooner, so that orders of two hosts never come
+# closer to each other.
 CLAIM_TIME = 3.0  # seconds
 # For how long its holder goes by a claim: what it sends then still arrives before
 # another host may have one.
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -55,6 +55,9 @@
 STUCK_JITTER = 1.0  # hosts that find a replica stuck don't act at once together
 # What a primary had so long ago, each replica that receives has received: in seconds.
 SETTLED_TIME = 0.5
+# A relief that another host tried so short a time ago, in seconds, is not tried again:
+# each asks all replicas, which takes slots of them.
+RELIEF_QUIET = 5.0
 RELIEF_ROUNDS_MAX = 4  # comparisons before that is given up: nothing has failed
 # How long a group may have no primary before one is made.
 LEADERLESS_TIME = 2.5
@@ -159,7 +162,10 @@
         self._attempts[group.service] = attempt
         self._resumption.cancel(group.service)
         self._claims.take(
-            group.service, primary, lambda claim: self._on_claim(attempt, claim)
+            group.service,
+            primary,
+            lambda claim: self._on_claim(attempt, claim),
+            quiet=RELIEF_QUIET if relief else 0.0,
         )
 
     def _candidates(self, group: GroupRow, primary: str) -> list[EndpointRow]:
@@ -394,7 +400,8 @@
             # Also those that did not say so: an order to pause may be carried out late.
             replicas = self._candidates(attempt.group, attempt.primary)
             names = [replica.name for replica in replicas]
-            self._resumption.resume(attempt.group, attempt.claim, names)
+            ordered = attempt.orders > 0
+            self._resumption.resume(attempt.group, attempt.claim, names, ordered)
 
     def _on_stuck(self, signal: ReplicaStuck) -> None:
         endpoint = signal.endpoint
--- a/mallowpass/core/proxy/resumption.py
+++ b/mallowpass/core/proxy/resumption.py
@@ -45,6 +45,7 @@
     claim: Claim | None
     names: set[str]
     repairs: bool = False  # nobody here paused them
+    ordered: bool = False  # a promotion was ordered under the claim
     asked: int = 0  # orders of this round without a reply
     rounds: int = 0
 
@@ -64,10 +65,17 @@
         self._control = self._node.system(Control)
 
     def resume(
-        self, group: GroupRow, claim: Claim | None, names: Iterable[str]
+        self,
+        group: GroupRow,
+        claim: Claim | None,
+        names: Iterable[str],
+        ordered: bool,
     ) -> None:
-        """Have replicas receive that were paused; `claim` is this host's, if any."""
-        self._begin(_Task(group, claim, set(names)))
+        """Have replicas receive that were paused; `claim` is this host's, if any.
+
+        `ordered` tells that a promotion was ordered under it.
+        """
+        self._begin(_Task(group, claim, set(names), ordered=ordered))
 
     def repair(self, endpoint: EndpointRow) -> None:
         """Have a replica receive that nobody seems to look after."""
@@ -159,5 +167,5 @@
                 endpoints=",".join(sorted(task.names)),
                 rounds=task.rounds,
             )
-        if task.claim is not None:
+        if task.claim is not None and not task.ordered:
             self._claims.release(task.group.service, task.claim)
