Give shares of connections, and lines of waiting statements, homes of their own

Change: `shares` says how many connections a host may hold and by way of whom others; `Line` stands beside the choices that it remembers. Names and comments that needed explaining: spared, limit, where the figures of borrowing come from.

--- a/mallowpass/core/proxy/__init__.py
+++ b/mallowpass/core/proxy/__init__.py
@@ -8,8 +8,8 @@
 - `tables`: the rows that the systems own;
 - `store`, `settings`, `members`, `hosts`: what the store says of routes, endpoints and
   other hosts;
-- `holders`, `connections`, `links`, `control`: reaching endpoints, directly or by way
-  of another host;
+- `holders`, `shares`, `connections`, `links`, `control`: reaching endpoints, directly
+  or by way of another host;
 - `floors`, `routing`: where a statement may run;
 - `requests`, `transactions`, `sessions`: running statements for callers;
 - `suspicion`, `relief`, `claims`, `promotion`, `resumption`, `discovery`: when a
--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable, Iterable
 
 from mallowpass.core.messages import ConnectionLost
-from mallowpass.core.node import Node
 from mallowpass.core.proxy.effects import CloseConnection, OpenConnection, SendCalls
 from mallowpass.core.proxy.events import (
     ConnectionReady,
@@ -17,6 +16,7 @@
     EndpointAnswered,
 )
 from mallowpass.core.proxy.holders import Holders
+from mallowpass.core.proxy.shares import Shares
 from mallowpass.core.proxy.signals import (
     ConnectionFreed,
     EndpointForgotten,
@@ -55,17 +55,6 @@
 # Connections that one host may open to one endpoint at once: each takes a slot there
 # for as long as a statement, so a storm of them stops the work it was meant to do.
 OPENING_MAX = 2
-# Connections by way of one holder to one endpoint: they cost a socket at each end, and
-# the holder has fewer to the endpoint itself.
-LINKS_MAX = 6
-# Connections to one endpoint by way of hosts that hold theirs as this one does: in all,
-# and by way of one of them.
-LENT_MAX = 8
-LENT_BY_HOST = 2
-# An endpoint keeps the connections of hosts that lost power for seconds. Where all
-# hosts did, their successors find room for a part of their shares; if the first took
-# the whole one, others would get no connection at all.
-FIRST_TIME = 0.5  # seconds after a start, with half the share
 # A connection that was idle for so long is closed if there are others: after a loss of
 # power it would stand in its successor's way.
 IDLE_MAX = 2.0  # seconds
@@ -81,17 +70,13 @@
 class Connections(ProxySystem):
     """Own the connections of this host."""
 
-    __slots__ = ("_holders", "_started_at")
-
-    def __init__(self, node: Node) -> None:
-        super().__init__(node)
-        self._started_at = node.timers.now
-        self._holders: Holders
+    __slots__ = ("_holders", "_shares")
 
     def start(self) -> None:
         """Subscribe to what happens to connections."""
         node = self._node
         self._holders = node.system(Holders)
+        self._shares = node.system(Shares)
         node.subscribe(ConnectionReady, self._on_ready)
         node.subscribe(ConnectionRefused, self._on_refused)
         node.subscribe(ConnectionLost, self._on_lost)
@@ -101,16 +86,6 @@
 
     # -- Taking and giving back ----------------------------------------------
 
-    def share(self, endpoint: EndpointRow) -> int:
-        """Return how many connections to an endpoint this host may hold."""
-        service = endpoint.entry.service
-        if not self._holders.holds(service):
-            return LINKS_MAX
-        share = self._holders.share(service)
-        if self.now < self._started_at + FIRST_TIME:
-            return max(1, share // 2)
-        return share
-
     def take(
         self,
         endpoint: EndpointRow,
@@ -150,50 +125,15 @@
             return True
         if not self._holders.known:
             return opening > 0
-        if self._may_open(endpoint, beyond_share):
-            self._open(endpoint, self._way(endpoint))
+        if self._shares.may_open(endpoint, beyond_share):
+            self._open(endpoint, self._shares.way(endpoint))
             return True
-        lender = self._lender(endpoint) if borrow else None
+        lender = self._shares.lender(endpoint) if borrow else None
         if lender is not None:
             self._open(endpoint, lender)
             return True
         return opening > 0
 
-    def _may_open(self, endpoint: EndpointRow, beyond_share: bool) -> bool:
-        if self.now < endpoint.refused_until:
-            return False
-        return beyond_share or self._held(endpoint) < self.share(endpoint)
-
-    def _held(self, endpoint: EndpointRow) -> int:
-        """Return how many connections count towards this host's share."""
-        connections = endpoint.connections.values()
-        if not self._holders.holds(endpoint.entry.service):
-            return len(connections)
-        return sum(1 for connection in connections if not connection.holder)
-
-    def _lender(self, endpoint: EndpointRow) -> HostRow | None:
-        """Return the host that should serve one more connection, if any may.
-
-        Among few holders it is for those that the endpoint turns away: each has as
-        many connections as the others, and as many that come to it.
-        """
-        service = endpoint.entry.service
-        if not self._holders.holds(service):
-            return None
-        turned_away = self.now < endpoint.refused_until
-        if not turned_away and not self._holders.all_hold(service):
-            return None
-        lent = [c.holder for c in endpoint.connections.values() if c.holder]
-        lenders = [
-            host
-            for host in self._holders.lenders(endpoint)
-            if lent.count(host.name) < LENT_BY_HOST
-        ]
-        if len(lent) >= LENT_MAX or not lenders:
-            return None
-        self._node.random.shuffle(lenders)
-        return min(lenders, key=lambda host: lent.count(host.name))
-
     def release(self, connection: ConnectionRow) -> None:
         """Make a connection free for others; close it if its state is unknown."""
         if connection.number not in self.tables.connections:
@@ -205,23 +145,13 @@
         if connection.endpoint.name not in self.tables.endpoints:
             self.close(connection, "the endpoint is gone")
             return
-        if self._is_surplus(connection):
+        if self._shares.is_surplus(connection):
             self.close(connection, "the shares have changed")
             return
         connection.state = ConnectionState.IDLE
         connection.last_used = self.now
         self._node.publish(ConnectionFreed(connection.endpoint))
 
-    def _is_surplus(self, connection: ConnectionRow) -> bool:
-        """Tell whether other hosts count on this connection not being there."""
-        endpoint = connection.endpoint
-        service = endpoint.entry.service
-        if connection.holder:
-            return not self._holders.is_holder(service, connection.holder)
-        if not self._holders.holds(service):
-            return True
-        return self._held(endpoint) > self._holders.share(service)
-
     def close(self, connection: ConnectionRow, why: str) -> None:
         """Close a connection; calls in flight on it have no answer."""
         if self._remove(connection.number) is None:
@@ -289,13 +219,6 @@
 
     # -- What happens to connections -----------------------------------------
 
-    def _way(self, endpoint: EndpointRow) -> HostRow | None:
-        """Return the host by way of which an endpoint is reached; None: directly."""
-        service = endpoint.entry.service
-        if self._holders.holds(service):
-            return None
-        return self._holders.route(service)
-
     def _open(self, endpoint: EndpointRow, way: HostRow | None) -> None:
         number = self._node.number()
         entry = endpoint.entry
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -187,7 +187,10 @@
     # -- Comparing -----------------------------------------------------------
 
     def _compare(self, attempt: _Attempt) -> None:
-        """Pause all replicas but the target, and ask each how far it has come."""
+        """Ask each replica how far it has come, and pause all but the target.
+
+        A survey pauses none.
+        """
         attempt.rounds += 1
         attempt.received.clear()
         term = attempt.group.term + 1
@@ -195,8 +198,8 @@
         attempt.asked = len(candidates)
         for endpoint in candidates:
             statement: Statement = Pause(term)
-            keeps = endpoint.name == attempt.target or endpoint.name in attempt.paused
-            if attempt.surveys or keeps:
+            spared = endpoint.name == attempt.target or endpoint.name in attempt.paused
+            if attempt.surveys or spared:
                 statement = Status()
             self._ask(attempt, endpoint, statement)
 
@@ -311,8 +314,8 @@
         return max(replicas, key=rank).name
 
     def _again(self, attempt: _Attempt, why: str) -> None:
-        rounds = RELIEF_ROUNDS_MAX if attempt.relief else ROUNDS_MAX
-        if attempt.rounds >= rounds:
+        limit = RELIEF_ROUNDS_MAX if attempt.relief else ROUNDS_MAX
+        if attempt.rounds >= limit:
             self._give_up(attempt, why)
             return
         self.timers.after(ROUND_GAP, self._compare_again, attempt)
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -22,6 +22,7 @@
 from mallowpass.core.proxy.routing import Routing
 from mallowpass.core.proxy.sessions import Sessions
 from mallowpass.core.proxy.settings import Settings
+from mallowpass.core.proxy.shares import Shares
 from mallowpass.core.proxy.store import Store
 from mallowpass.core.proxy.suspicion import Suspicion
 from mallowpass.core.proxy.transactions import Transactions
@@ -31,6 +32,7 @@
 SYSTEMS = (
     Store,
     Holders,
+    Shares,
     Load,
     Connections,
     Floors,
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -13,7 +13,7 @@
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.members import Members
-from mallowpass.core.proxy.routing import Choice, Routing
+from mallowpass.core.proxy.routing import Line, Routing
 from mallowpass.core.proxy.signals import (
     AttemptLost,
     AttemptOverdue,
@@ -163,7 +163,7 @@
 
     def _dispatch(self, group: GroupRow) -> None:
         """Send what may be sent of the statements that wait, the most urgent first."""
-        line = _Line()
+        line = Line()
         any_full = self._routing.any_full(group)
         for request in list(group.waiting):
             if request.finished or request.retry_at > self.now:
@@ -176,7 +176,7 @@
                     continue
             self._try(request, group, line)
 
-    def _try(self, request: RequestRow, group: GroupRow, line: _Line) -> None:
+    def _try(self, request: RequestRow, group: GroupRow, line: Line) -> None:
         floor = self._routing.floor(request, group)
         choice = line.known(floor)
         if choice is None:
@@ -425,37 +425,5 @@
             )
 
 
-class _Line:
-    """Remember for what there was no connection, in one look at those that wait.
-
-    Looking for an endpoint for each of hundreds that wait, whenever a statement ends,
-    takes a host's whole time: statements took 60 to 140 ms for 40 at a host with 200
-    waiting, and opening a connection 300.
-    """
-
-    __slots__ = ("_primary", "_replicas", "asked")
-
-    def __init__(self) -> None:
-        self._primary: Choice | None = None
-        self._replicas: tuple[LogPosition, Choice] | None = None  # the lowest floor
-        self.asked = 0  # statements that found no connection
-
-    def known(self, floor: LogPosition | None) -> Choice | None:
-        """Return what was found for a statement that needed no more than this one."""
-        if floor is None:
-            return self._primary
-        if self._replicas is None or floor < self._replicas[0]:
-            return None
-        return self._replicas[1]
-
-    def note(self, floor: LogPosition | None, choice: Choice) -> None:
-        """Remember that there was none."""
-        self.asked += 1
-        if floor is None:
-            self._primary = choice
-        else:
-            self._replicas = (floor, choice)
-
-
 def _rank(request: RequestRow) -> tuple[int, float]:
     return (request.route.priority, request.arrived)
--- a/mallowpass/core/proxy/routing.py
+++ b/mallowpass/core/proxy/routing.py
@@ -16,7 +16,7 @@
 )
 from mallowpass.core.records import record
 
-__all__ = ["Choice", "Routing"]
+__all__ = ["Choice", "Line", "Routing"]
 
 # What a statement is taken to last at an endpoint that has not answered any yet, in
 # seconds; about twice the mean work of one.
@@ -48,6 +48,38 @@
     full: bool = False
 
 
+class Line:
+    """Remember for what there was no connection, in one look at those that wait.
+
+    Looking for an endpoint for each of hundreds that wait, whenever a statement ends,
+    takes a host's whole time. With 200 waiting, statements took 60 to 140 ms, of which
+    40 were the endpoint's, and opening a connection took 300.
+    """
+
+    __slots__ = ("_primary", "_replicas", "asked")
+
+    def __init__(self) -> None:
+        self._primary: Choice | None = None
+        self._replicas: tuple[LogPosition, Choice] | None = None  # the lowest floor
+        self.asked = 0  # statements that found no connection
+
+    def known(self, floor: LogPosition | None) -> Choice | None:
+        """Return what was found for a statement that needed no more than this one."""
+        if floor is None:
+            return self._primary
+        if self._replicas is None or floor < self._replicas[0]:
+            return None
+        return self._replicas[1]
+
+    def note(self, floor: LogPosition | None, choice: Choice) -> None:
+        """Remember that there was none."""
+        self.asked += 1
+        if floor is None:
+            self._primary = choice
+        else:
+            self._replicas = (floor, choice)
+
+
 class Routing(ProxySystem):
     """Choose endpoints by place, load, latency and position."""
 
