--- a/tests/core/proxy/test_connections.py
+++ b/tests/core/proxy/test_connections.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from mallowpass.core.proxy.statements import Begin, Code, Commit, Read, Rollback, Write
-from tests.fakes.proxyworld import Caller, Host, ProxyWorld
+from tests.fakes.proxyhosts import Caller, Host
+from tests.fakes.proxyworld import ProxyWorld
 
 LIMIT = 22
 
--- a/tests/core/proxy/test_floors.py
+++ b/tests/core/proxy/test_floors.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from mallowpass.core.proxy.statements import Code, Read, Write
-from tests.fakes.proxyworld import Caller, ProxyWorld
+from tests.fakes.proxyhosts import Caller
+from tests.fakes.proxyworld import ProxyWorld
 
 
 def write_always(world: ProxyWorld) -> Caller:
--- a/tests/core/proxy/test_links.py
+++ b/tests/core/proxy/test_links.py
@@ -19,10 +19,10 @@
     Write,
 )
 from mallowpass.standins.proxied.connections import connect
+from tests.fakes.proxyhosts import Host
 from tests.fakes.proxyworld import (
     CONFIGURATION_KEY,
     SERVICE,
-    Host,
     ProxyWorld,
     configuration,
     route,
--- a/tests/core/proxy/test_resumption.py
+++ b/tests/core/proxy/test_resumption.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from mallowpass.core.proxy.statements import Read, Resume, Write
-from tests.fakes.proxyworld import Host, ProxyWorld
+from tests.fakes.proxyhosts import Host
+from tests.fakes.proxyworld import ProxyWorld
 
 
 def keep_working(world: ProxyWorld) -> None:
--- a/tests/fakes/proxyworld.py
+++ b/tests/fakes/proxyworld.py
@@ -4,12 +4,8 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
-from functools import partial, singledispatchmethod
 from typing import Any
 
-from mallowpass.core.messages import Effect, Event, ShutdownRequested
-from mallowpass.core.node import FailureDomain, HostIdentity, Node, Tuning
 from mallowpass.core.proxy import effects
 from mallowpass.core.proxy.configuration import (
     Configuration,
@@ -19,38 +15,25 @@
 )
 from mallowpass.core.proxy.events import (
     ConnectionLost,
-    ConnectionReady,
     ConnectionRefused,
-    EndpointAnswered,
-    LinkCalled,
     LinkClosed,
     LinkOpened,
-    PromotionAnswered,
-    ProxyEvent,
-    SessionClosed,
-    SessionOpened,
-    StatementReceived,
-    StoreAnswered,
 )
-from mallowpass.core.proxy.registry import SYSTEMS
-from mallowpass.core.proxy.statements import Answer, Code, EndpointReply, Statement
+from mallowpass.core.proxy.statements import Code, EndpointReply
 from mallowpass.core.proxy.storage import (
     EndpointEntry,
     RowKey,
-    StoreReply,
-    StoreStatus,
     Table,
 )
-from mallowpass.core.proxy.tables import HostRow, ProxyTables
+from mallowpass.core.proxy.tables import HostRow
 from mallowpass.core.timers import TimerService
-from mallowpass.standins.proxied.connections import ReplicaConnection, connect
+from mallowpass.standins.proxied.connections import ReplicaConnection
 from mallowpass.standins.proxied.replicas import Group, Replica
 from mallowpass.standins.proxied.rows import RowStore
+from tests.fakes.proxyhosts import DOMAINS, LINK, Caller, Host, Link
 
 CONFIGURATION_KEY = RowKey(Table.CONFIGURATION, "", "config")
 START_GAP = 0.02  # seconds between starts of hosts that lost power together
-LINK = 0.0005  # seconds one way between any two
-DOMAINS = ("casa", "tanger", "agadir")
 SERVICE = "claims-core"
 DATABASES = {
     "strict": Consistency.PRIMARY,
@@ -84,283 +67,6 @@
     return Configuration(**(fields | changes))
 
 
-class Caller:
-    """Hold one session of a caller, and what it was told."""
-
-    def __init__(self, world: ProxyWorld, host: Host, database: str) -> None:
-        self._world = world
-        self._host = host
-        self.stream = world.number()
-        self.opened = False
-        self.closed = False
-        self.refusal: Code | None = None
-        self.answers: list[Answer] = []
-        self.answered_at: list[float] = []
-        host.callers[self.stream] = self
-        host.deliver(SessionOpened(self.stream, database))
-
-    def send(self, statement: Statement | None, request_id: str = "") -> None:
-        """Send a statement, without waiting for its answer."""
-        request_id = request_id or f"r{self._world.number()}"
-        event = StatementReceived(self.stream, request_id, statement)
-        self._host.deliver(event)
-
-    def run(self, statement: Statement, within: float = 3.0) -> Answer:
-        """Send a statement and return its answer."""
-        before = len(self.answers)
-        self.send(statement)
-        self._world.run_until(lambda: len(self.answers) > before, within)
-        assert len(self.answers) > before, f"no answer to {statement}"
-        return self.answers[-1]
-
-    def leave(self) -> None:
-        """Close the connection."""
-        self._host.deliver(SessionClosed(self.stream))
-
-
-class Host:
-    """Hold one host's node, and carry out its effects."""
-
-    def __init__(self, world: ProxyWorld, name: str, domain: str, seed: int) -> None:
-        self.world = world
-        self.name = name
-        self.domain = domain
-        self.callers: dict[int, Caller] = {}
-        self.connections: dict[int, ReplicaConnection] = {}
-        self.ready = False
-        self.exited = False
-        self.accepting = True
-        self.cut_from: set[str] = set()  # members, the store and the orders
-        self.logs: list[effects.Log] = []
-        self.counts: list[effects.Count] = []
-        domains = tuple(FailureDomain(name, name, 0) for name in DOMAINS)
-        address = f"{name}:7440"
-        identity = HostIdentity(name, domain, 0, address, seed, domains)
-        now = world.timers.now
-        tables = ProxyTables(first_start=world.first_start)
-        self.node = Node(identity, Tuning(), seed, now, tables)
-        self._wake_at: float | None = None
-        self._carry_out(self.node.start(SYSTEMS))
-
-    @property
-    def tables(self) -> ProxyTables:
-        """Return the node's tables."""
-        return self.node.tables
-
-    def logged(self, event: str) -> list[dict[str, Any]]:
-        """Return the fields of all log lines of one event."""
-        return [dict(log.fields) for log in self.logs if log.event == event]
-
-    def deliver(self, event: Event | ProxyEvent) -> None:
-        """Deliver an event now."""
-        if not self.exited:
-            self._carry_out(self.node.handle(self.world.timers.now, event))
-
-    def later(self, delay: float, event: Event | ProxyEvent) -> None:
-        """Deliver an event after a delay."""
-        self.world.timers.after(delay, self.deliver, event)
-
-    def stop(self, limit: float = 6.0) -> None:
-        """Tell the host to stop."""
-        self.deliver(ShutdownRequested(limit))
-
-    def _wake(self, due: float) -> None:
-        if self._wake_at == due:
-            self._wake_at = None
-            if not self.exited:
-                self._carry_out(self.node.wake(self.world.timers.now))
-
-    def _carry_out(self, todo: list[Effect | effects.ProxyEffect]) -> None:
-        for effect in todo:
-            self._apply(effect)
-        due = self.node.next_wake
-        if due is not None and due != self._wake_at:
-            self._wake_at = due
-            self.world.timers.at(due, self._wake, due)
-
-    @singledispatchmethod
-    def _apply(self, effect: Effect | effects.ProxyEffect) -> None:
-        raise TypeError(f"not handled: {type(effect).__name__}")
-
-    @_apply.register
-    def _(self, effect: effects.AcceptSession) -> None:
-        self.callers[effect.stream].opened = True
-
-    @_apply.register
-    def _(self, effect: effects.RefuseSession) -> None:
-        self.callers[effect.stream].refusal = effect.code
-
-    @_apply.register
-    def _(self, effect: effects.AnswerStatement) -> None:
-        caller = self.callers[effect.stream]
-        caller.answers.append(effect.answer)
-        caller.answered_at.append(self.world.timers.now)
-
-    @_apply.register
-    def _(self, effect: effects.CloseSession) -> None:
-        self.callers[effect.stream].closed = True
-
-    @_apply.register
-    def _(self, effect: effects.OpenConnection) -> None:
-        self.world.timers.after(LINK, self._open, effect)
-
-    def _open(self, effect: effects.OpenConnection) -> None:
-        number = effect.connection
-        if effect.address.endswith(":7440"):
-            self.world.open_link(self, effect)
-            return
-        group = self.world.groups[effect.service]
-        replica = group.replicas.get(effect.endpoint)
-        if effect.endpoint in self.cut_from or effect.endpoint in self.world.dark:
-            refusal = ConnectionRefused(number, Code.OTHER, "no answer", True)
-            self.later(effect.timeout, refusal)
-        elif replica is None or not replica.up:
-            self.later(LINK, ConnectionRefused(number, Code.OTHER, "reset", True))
-        else:
-            self.world.timers.after(
-                self.world.handshake, self._opened, group, effect, replica
-            )
-
-    def _opened(
-        self, group: Group, effect: effects.OpenConnection, replica: Replica
-    ) -> None:
-        connection = connect(group, effect.endpoint)
-        if isinstance(connection, Code):
-            refusal = ConnectionRefused(effect.connection, connection, "full")
-            self.later(LINK, refusal)
-            return
-        self.connections[effect.connection] = connection
-        ready = ConnectionReady(effect.connection, replica.applied_position)
-        self.later(LINK, ready)
-
-    @_apply.register
-    def _(self, effect: effects.SendCalls) -> None:
-        self.world.timers.after(LINK, self._send, effect)
-
-    def _send(self, effect: effects.SendCalls) -> None:
-        link = self.world.links.get((self.name, effect.connection))
-        if link is not None:
-            link.holder.deliver(LinkCalled(link.number, effect.calls))
-            return
-        connection = self.connections.get(effect.connection)
-        if connection is None or not connection.open:
-            return
-        if connection._replica.name in self.cut_from | self.world.dark:
-            return
-        for call in effect.calls:
-            self.world.record(self, connection, call)
-            connection.send(call, partial(self._replied, effect.connection))
-
-    def _replied(self, number: int, reply: EndpointReply) -> None:
-        connection = self.connections.get(number)
-        if connection is None:
-            return
-        if connection._replica.name in self.cut_from | self.world.dark:
-            return
-        if self.world.loses_answer(connection, reply):
-            return
-        self.later(LINK, EndpointAnswered(number, reply))
-
-    @_apply.register
-    def _(self, effect: effects.CloseConnection) -> None:
-        connection = self.connections.pop(effect.connection, None)
-        if connection is not None:
-            connection.close()
-        link = self.world.links.pop((self.name, effect.connection), None)
-        if link is not None:
-            link.holder.later(LINK, LinkClosed(link.number))
-
-    @_apply.register
-    def _(self, effect: effects.AcceptLink) -> None:
-        link = self.world.link(effect.link)
-        self.world.links[(link.host.name, link.connection)] = link
-        ready = ConnectionReady(link.connection, effect.position, effect.floor)
-        link.host.later(LINK, ready)
-
-    @_apply.register
-    def _(self, effect: effects.RefuseLink) -> None:
-        link = self.world.link(effect.link)
-        refused = ConnectionRefused(link.connection, effect.code, effect.message)
-        link.host.later(LINK, refused)
-
-    @_apply.register
-    def _(self, effect: effects.AnswerLink) -> None:
-        link = self.world.link(effect.link)
-        link.host.later(LINK, EndpointAnswered(link.connection, effect.reply))
-
-    @_apply.register
-    def _(self, effect: effects.CloseLink) -> None:
-        link = self.world.link(effect.link)
-        if self.world.links.pop((link.host.name, link.connection), None):
-            link.host.later(LINK, ConnectionLost(link.connection, "closed"))
-
-    def lose(self, number: int, why: str) -> None:
-        """Break a connection from outside."""
-        if self.connections.pop(number, None) is not None:
-            self.later(LINK, ConnectionLost(number, why))
-
-    @_apply.register
-    def _(self, effect: effects.CallStore) -> None:
-        answered = False
-
-        def answer(reply: StoreReply) -> None:
-            nonlocal answered
-            if not answered and "store" not in self.cut_from:
-                answered = True
-                self.later(LINK, StoreAnswered(effect.call, reply))
-
-        def time_out() -> None:
-            nonlocal answered
-            if not answered:
-                answered = True
-                reply = StoreReply(StoreStatus.UNKNOWN, message="no answer")
-                self.deliver(StoreAnswered(effect.call, reply))
-
-        if "store" not in self.cut_from:
-            self.world.store.call(self.name, effect.request, answer)
-        self.world.timers.after(effect.timeout, time_out)
-
-    @_apply.register
-    def _(self, effect: effects.OrderPromotion) -> None:
-        accepted, outdated = self.world.order(self, effect)
-        answered = PromotionAnswered(effect.call, accepted, outdated)
-        self.later(2 * LINK if accepted is not None else effect.timeout, answered)
-
-    @_apply.register
-    def _(self, effect: effects.SetReady) -> None:
-        self.ready = effect.ready
-
-    @_apply.register
-    def _(self, effect: effects.StopAccepting) -> None:
-        self.accepting = False
-
-    @_apply.register
-    def _(self, effect: effects.Exit) -> None:
-        self.exited = True
-
-    @_apply.register
-    def _(self, effect: effects.Log) -> None:
-        self.logs.append(effect)
-
-    @_apply.register
-    def _(self, effect: effects.Count) -> None:
-        self.counts.append(effect)
-
-    @_apply.register
-    def _(self, effect: effects.Observe) -> None:
-        pass
-
-
-@dataclass(frozen=True, slots=True)
-class Link:
-    """Hold a link of a host to a holder."""
-
-    number: int
-    host: Host
-    holder: Host
-    connection: int  # the host's number for it
-
-
 class ProxyWorld:
     """Hold everything, and run it."""
 
