Tell what comparisons of replicas find, in logs and in metrics

Cause: after two lost commits neither logs nor metrics told whether the replica that was promoted had been left paused, nor whom the comparison had asked and who was silent. Ruled out: taking it from statement logs; those of replicas that refuse tell floors only. Change: one line promotion_compared a round, counters promotion_steps and replica_orders. Conclusion: what is left open can be told apart from now on.

--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -224,6 +224,12 @@
     ) -> None:
         attempt.asked -= 1
         reply = replies[0] if replies else None
+        self._node.count(
+            "replica_orders",
+            endpoint=endpoint.name,
+            order=type(statement).__name__,
+            outcome="none" if reply is None else reply.code.value,
+        )
         if reply is not None and reply.code is Code.DONE and reply.status is not None:
             attempt.received[endpoint.name] = reply.status.received
             attempt.group.term = max(attempt.group.term, reply.status.term)
@@ -254,6 +260,14 @@
     def _decide(self, attempt: _Attempt) -> None:
         candidates = self._candidates(attempt.group, attempt.primary)
         silent = [e.name for e in candidates if e.name not in attempt.received]
+        self._log(
+            attempt,
+            "promotion_compared",
+            round=attempt.rounds,
+            received=_text(attempt.received),
+            paused=",".join(sorted(attempt.paused)),
+            silent=",".join(silent),
+        )
         if silent:
             # The silent one may be all that holds an acknowledged commit.
             self._again(attempt, f"no answer of {','.join(silent)}")
@@ -422,6 +436,7 @@
         return self._attempts.get(attempt.group.service) is attempt
 
     def _log(self, attempt: _Attempt, event: str, **fields: object) -> None:
+        self._node.count("promotion_steps", service=attempt.group.service, step=event)
         self._node.log(
             "info",
             event,
--- a/mallowpass/core/proxy/resumption.py
+++ b/mallowpass/core/proxy/resumption.py
@@ -142,14 +142,18 @@
         self, task: _Task, endpoint: EndpointRow, replies: list[EndpointReply] | None
     ) -> None:
         reply = replies[0] if replies else None
+        outcome = "none" if reply is None else reply.code.value
         self._node.log(
             "info",
             "replica_resumed",
             endpoint=endpoint.name,
             service=task.group.service,
-            outcome="no answer" if reply is None else reply.code.value,
+            outcome=outcome,
             round=task.rounds,
         )
+        self._node.count(
+            "replica_orders", endpoint=endpoint.name, order="Resume", outcome=outcome
+        )
         if reply is not None and reply.code is Code.DONE:
             task.names.discard(endpoint.name)
         task.asked -= 1
