Show how a second replacement loses acknowledged commits, as failing tests

Cause: commits that a leader inherited, or that only a lost replica had, are on no replica that is left; comparing what is left finds a furthest one all the same. Ruled out: the pause that the first replacement left behind. The replica is resumed in the test and receives nothing by itself, as in the incident. Conclusion: what a replica was seen to hold must outlive the comparison.

--- a/tests/core/proxy/test_promotion.py
+++ b/tests/core/proxy/test_promotion.py
@@ -202,3 +202,90 @@
     late = [c for c in world.calls[before:] if c[1] == "db-casa"]
     assert [c for c in late if isinstance(c[2].statement, Read | Write)] == []
     assert world.timers.now > left_at + 6.5
+
+
+def _leave_only_a_replica_that_is_behind(world: ProxyWorld) -> None:
+    """Lose the primary for good while one replica receives nothing; another leads."""
+    world.group.replicas["db-tanger"].deaf = True
+    caller = world.caller(0, "own")
+    for number in range(10):
+        assert caller.run(Write(f"a {number}")).code is Code.DONE
+    world.crash("db-casa")
+    world.run_until(lambda: world.group.promotions == 1, 5.0)
+    assert world.primary.name == "db-agadir"
+    world.remove_entry("db-casa")
+
+
+def _keep_writing(world: ProxyWorld) -> None:
+    """Have all hosts write, ten times a second, whatever becomes of it."""
+    for index in range(len(world.hosts)):
+        world.caller(index, "strict").send(Write("b 1"))
+    world.timers.after(0.1, _keep_writing, world)
+
+
+def test_replica_that_lacks_what_its_leader_inherited_is_not_promoted():
+    """Two commits that had been acknowledged were gone after a second replacement.
+
+    One replica received nothing, so all commits were acknowledged by way of the other.
+    The primary was lost for good and the other replica led. Its only replica was the
+    one that received nothing, so its writes got no answer; hosts took that for its
+    failure. Four seconds later the entry of the lost primary was forgotten, the replica
+    that lacked the commits was all that was left to compare, and it was promoted:
+
+        13.73 promotion_ordered target=4705 token=1 received=4705:1.81,93c5:1.63
+        18.14 promote, token 2: 93c5, which still had nothing after 1.63
+
+    Nothing kept what the first comparison had shown.
+    """
+    world = ProxyWorld()
+    _leave_only_a_replica_that_is_behind(world)
+    _keep_writing(world)
+    world.run(12.0)
+    assert world.group.lost == []
+    assert world.primary.name == "db-agadir"
+    _hear_again(world, "db-tanger")
+    _write_until_served(world, 3.0)
+    assert world.group.lost == []
+
+
+def test_restarted_hosts_still_know_what_a_leader_inherited():
+    """An acknowledged commit is gone after a second replacement by other hosts.
+
+    All hosts lose power after the first replacement. Those that start afterwards have
+    compared nothing, and find a replica that lacks commits as the only one.
+    """
+    world = ProxyWorld()
+    _leave_only_a_replica_that_is_behind(world)
+    world.lose_power(down=1.0, linger=0.5, started=lambda host: None)
+    _keep_writing(world)
+    world.run(15.0)
+    assert world.group.lost == []
+    assert world.primary.name == "db-agadir"
+
+
+def test_replica_that_lacks_what_a_lost_one_had_is_not_promoted():
+    """An acknowledged commit is gone though the primary never failed.
+
+    One replica receives nothing, the other one acknowledges alone, serves reads, and is
+    then lost for good. Writes stall, which hosts take for the primary's failure; the
+    replica that lacks the commits is all that is left to compare.
+    """
+    world = ProxyWorld()
+    caller = world.caller(0, "own")
+    readers = [world.caller(host, "own") for host in range(3)]
+    caller.run(Write("a 0"))
+    world.group.replicas["db-tanger"].deaf = True
+    for number in range(20):
+        assert caller.run(Write(f"a {number}")).code is Code.DONE
+        for reader in readers:
+            reader.run(Read("a"))
+        world.run(0.1)
+    world.crash("db-agadir")
+    world.remove_entry("db-agadir")
+    _keep_writing(world)
+    world.run(12.0)
+    assert world.group.lost == []
+    assert world.primary.name == "db-casa"
+    _hear_again(world, "db-tanger")
+    _write_until_served(world, 3.0)
+    assert world.group.lost == []
