Give an attempt to replace a primary a module of its own

Change: Replacement and best_target in replacement.py; no behaviour is changed. Conclusion: promotion.py holds the steps, replacement.py what they work on.

--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -13,8 +13,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
 from mallowpass.core.node import Node
 from mallowpass.core.positions import ZERO_POSITION
 from mallowpass.core.proxy.claims import Claim, Claims
@@ -23,6 +21,7 @@
 from mallowpass.core.proxy.events import PromotionAnswered
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.members import Members
+from mallowpass.core.proxy.replacement import Replacement, best_target
 from mallowpass.core.proxy.resumption import Resumption
 from mallowpass.core.proxy.signals import PrimaryChanged, ReplicaStuck
 from mallowpass.core.proxy.statements import (
@@ -58,27 +57,6 @@
 RELIEF_ROUNDS_MAX = 4  # comparisons before that is given up: nothing has failed
 
 
-@dataclass(slots=True)
-class _Attempt:
-    """Hold one attempt to replace a group's primary."""
-
-    group: GroupRow
-    primary: str
-    why: str
-    planned: bool
-    began_at: float
-    claim: Claim | None = None
-    target: str = ""
-    relief: bool = False  # the primary is fine, and may as well stay
-    surveys: bool = False  # replicas are asked how far they are, and none is paused
-    paused: set[str] = field(default_factory=set)
-    asked: int = 0  # questions of this round without a reply
-    received: dict[str, LogPosition] = field(default_factory=dict)
-    rounds: int = 0
-    orders: int = 0
-    call: int = 0  # number of the order that is open
-
-
 class Promotion(ProxySystem):
     """Own the attempts of this host to replace primaries."""
 
@@ -94,7 +72,7 @@
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
-        self._attempts: dict[str, _Attempt] = {}  # by service
+        self._attempts: dict[str, Replacement] = {}  # by service
         # When nothing could be promoted without loss, by service: not tried before.
         self._held_until: dict[str, float] = {}
 
@@ -131,7 +109,7 @@
             return
         if len(self._candidates(group, primary)) == 0:
             return
-        attempt = _Attempt(group, primary, why, planned, self.now, relief=relief)
+        attempt = Replacement(group, primary, why, planned, self.now, relief=relief)
         self._attempts[group.service] = attempt
         self._resumption.cancel(group.service)
         self._claims.take(
@@ -146,7 +124,7 @@
             endpoint for name, endpoint in group.endpoints.items() if name != primary
         ]
 
-    def _on_claim(self, attempt: _Attempt, claim: Claim | None) -> None:
+    def _on_claim(self, attempt: Replacement, claim: Claim | None) -> None:
         if not self._is_current(attempt):
             return
         if claim is None:
@@ -159,7 +137,7 @@
 
     # -- Comparing -----------------------------------------------------------
 
-    def _compare(self, attempt: _Attempt) -> None:
+    def _compare(self, attempt: Replacement) -> None:
         """Ask each replica how far it has come, and pause all but the target.
 
         A survey pauses none.
@@ -177,7 +155,7 @@
             self._ask(attempt, endpoint, statement)
 
     def _ask(
-        self, attempt: _Attempt, endpoint: EndpointRow, statement: Statement
+        self, attempt: Replacement, endpoint: EndpointRow, statement: Statement
     ) -> None:
         round_number = attempt.rounds
 
@@ -190,7 +168,7 @@
 
     def _on_reply(
         self,
-        attempt: _Attempt,
+        attempt: Replacement,
         endpoint: EndpointRow,
         statement: Statement,
         replies: list[EndpointReply] | None,
@@ -223,21 +201,21 @@
         if attempt.asked == 0:
             self._decide(attempt)
 
-    def _on_leading(self, attempt: _Attempt, endpoint: EndpointRow) -> None:
+    def _on_leading(self, attempt: Replacement, endpoint: EndpointRow) -> None:
         """Leave it at that: another host's order was carried out meanwhile."""
         if attempt.group.primary != endpoint.name:
             self._members.promoted(endpoint, "it says that it leads")
         if self._is_current(attempt):
             self._finish(attempt, f"{endpoint.name} leads already")
 
-    def _decide(self, attempt: _Attempt) -> None:
+    def _decide(self, attempt: Replacement) -> None:
         candidates = self._candidates(attempt.group, attempt.primary)
         silent = [e.name for e in candidates if e.name not in attempt.received]
         self._log(
             attempt,
             "promotion_compared",
             round=attempt.rounds,
-            received=_text(attempt.received),
+            received=attempt.received_text,
             paused=",".join(sorted(attempt.paused)),
             silent=",".join(silent),
         )
@@ -265,7 +243,7 @@
         self._secure(attempt)
 
     def _wait_for_holder(
-        self, attempt: _Attempt, furthest: LogPosition, silent: list[str]
+        self, attempt: Replacement, furthest: LogPosition, silent: list[str]
     ) -> None:
         """Promote nobody: commits that may be acknowledged are on no log that is left.
 
@@ -286,12 +264,12 @@
             primary=attempt.primary,
             needed=attempt.group.secured.text,
             furthest=furthest.text,
-            received=_text(attempt.received),
+            received=attempt.received_text,
             silent=",".join(silent),
         )
         self._give_up(attempt, "no replica has what replicas have had")
 
-    def _end_survey(self, attempt: _Attempt, furthest: LogPosition) -> None:
+    def _end_survey(self, attempt: Replacement, furthest: LogPosition) -> None:
         """Go on with the replica that should lead, or give up where none needs to.
 
         With one that receives nothing as the only one that is not paused, no write
@@ -305,7 +283,7 @@
             self._give_up(attempt, "no replica that stays receives")
             return
         attempt.surveys = False
-        attempt.target = self._best_target(attempt, receiving or staying or candidates)
+        attempt.target = best_target(attempt, receiving or staying or candidates)
         self._compare(attempt)
 
     def _settled(self, group: GroupRow) -> LogPosition:
@@ -314,36 +292,20 @@
         known = [s.position for s in group.samples if s.asked_at < settled_at]
         return known[-1] if known else LogPosition(0, 0)
 
-    @staticmethod
-    def _best_target(attempt: _Attempt, replicas: list[EndpointRow]) -> str:
-        """Return the replica that should lead.
-
-        Best one that serves no reads: it applies what it has received before it leads,
-        and those that serve some still do. On a day with a planned replacement beside
-        replicas that are a minute behind, reads were refused for nine seconds when
-        the one that was not behind led.
-        """
-
-        def rank(replica: EndpointRow) -> tuple[bool, LogPosition, float]:
-            received = attempt.received[replica.name]
-            return (replica.behind_since is not None, received, -replica.latency)
-
-        return max(replicas, key=rank).name
-
-    def _again(self, attempt: _Attempt, why: str) -> None:
+    def _again(self, attempt: Replacement, why: str) -> None:
         limit = RELIEF_ROUNDS_MAX if attempt.relief else ROUNDS_MAX
         if attempt.rounds >= limit:
             self._give_up(attempt, why)
             return
         self.timers.after(ROUND_GAP, self._compare_again, attempt)
 
-    def _compare_again(self, attempt: _Attempt) -> None:
+    def _compare_again(self, attempt: Replacement) -> None:
         if self._is_current(attempt):
             self._compare(attempt)
 
     # -- Ordering ------------------------------------------------------------
 
-    def _secure(self, attempt: _Attempt) -> None:
+    def _secure(self, attempt: Replacement) -> None:
         """Order the target to lead, once what it alone holds is known to all hosts.
 
         Should it fail too, those that lack it must not lead. Where all have as much,
@@ -366,7 +328,7 @@
 
         self._claims.secure(attempt.group.service, attempt.claim, held, on_claim)
 
-    def _order(self, attempt: _Attempt) -> None:
+    def _order(self, attempt: Replacement) -> None:
         attempt.orders += 1
         attempt.call = self._node.number()
         self._log(
@@ -374,7 +336,7 @@
             "promotion_ordered",
             target=attempt.target,
             token=attempt.claim.token,
-            received=_text(attempt.received),
+            received=attempt.received_text,
         )
         self._node.emit(
             OrderPromotion(
@@ -402,11 +364,11 @@
         self._node.log("warning", "promotion_not_taken", why=event.message)
         self.timers.after(ORDER_GAP, self._order_again, attempt, attempt.call)
 
-    def _check_lead(self, attempt: _Attempt, call: int) -> None:
+    def _check_lead(self, attempt: Replacement, call: int) -> None:
         if self._is_current(attempt) and attempt.call == call:
             self._order_again(attempt, call)
 
-    def _order_again(self, attempt: _Attempt, call: int) -> None:
+    def _order_again(self, attempt: Replacement, call: int) -> None:
         if not self._is_current(attempt) or attempt.call != call:
             return
         if attempt.orders >= ORDERS_MAX:
@@ -422,17 +384,17 @@
         if attempt is not None and group.primary not in ("", attempt.primary):
             self._finish(attempt, f"{group.primary} leads")
 
-    def _finish(self, attempt: _Attempt, why: str) -> None:
+    def _finish(self, attempt: Replacement, why: str) -> None:
         del self._attempts[attempt.group.service]
         self._log(attempt, "promotion_ended", outcome=why)
         self._resume(attempt)
 
-    def _give_up(self, attempt: _Attempt, why: str) -> None:
+    def _give_up(self, attempt: Replacement, why: str) -> None:
         del self._attempts[attempt.group.service]
         self._log(attempt, "promotion_given_up", outcome=why)
         self._resume(attempt)
 
-    def _resume(self, attempt: _Attempt) -> None:
+    def _resume(self, attempt: Replacement) -> None:
         if attempt.rounds and not attempt.surveys:
             # Also those that did not say so: an order to pause may be carried out late.
             replicas = self._candidates(attempt.group, attempt.primary)
@@ -452,10 +414,10 @@
         if self._holders.holds(service):
             self._resumption.repair(endpoint)
 
-    def _is_current(self, attempt: _Attempt) -> bool:
+    def _is_current(self, attempt: Replacement) -> bool:
         return self._attempts.get(attempt.group.service) is attempt
 
-    def _log(self, attempt: _Attempt, event: str, **fields: object) -> None:
+    def _log(self, attempt: Replacement, event: str, **fields: object) -> None:
         self._node.count("promotion_steps", service=attempt.group.service, step=event)
         self._node.log(
             "info",
@@ -467,7 +429,3 @@
             after=round(self.now - attempt.began_at, 3),
             **fields,
         )
-
-
-def _text(received: dict[str, LogPosition]) -> str:
-    return ",".join(f"{name}:{at.text}" for name, at in sorted(received.items()))
