Pause replicas that join while others are compared, or after the order

Cause: only replicas known at the comparison are paused. One that joins before the target leads acknowledges commits that are on no log that was compared. Ruled out: comparing again only; once the order is given it can't be taken back. Change: an entry that is new during an attempt has its endpoint paused until it says so. Conclusion: who is paused follows the list of members, not the moment of comparing.

--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -23,7 +23,11 @@
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.replacement import Replacement, best_target
 from mallowpass.core.proxy.resumption import Resumption
-from mallowpass.core.proxy.signals import PrimaryChanged, ReplicaStuck
+from mallowpass.core.proxy.signals import (
+    EndpointChanged,
+    PrimaryChanged,
+    ReplicaStuck,
+)
 from mallowpass.core.proxy.statements import (
     Code,
     EndpointReply,
@@ -84,6 +88,7 @@
         self._holders = node.system(Holders)
         self._members = node.system(Members)
         self._resumption = node.system(Resumption)
+        node.subscribe(EndpointChanged, self._on_endpoint)
         node.subscribe(PrimaryChanged, self._on_primary)
         node.subscribe(ReplicaStuck, self._on_stuck)
         node.subscribe(PromotionAnswered, self._on_answered)
@@ -175,12 +180,8 @@
     ) -> None:
         attempt.asked -= 1
         reply = replies[0] if replies else None
-        self._node.count(
-            "replica_orders",
-            endpoint=endpoint.name,
-            order=type(statement).__name__,
-            outcome="none" if reply is None else reply.code.value,
-        )
+        outcome = None if reply is None else reply.code
+        self._count_order(endpoint, type(statement), outcome)
         if reply is not None and reply.code is Code.DONE and reply.status is not None:
             attempt.received[endpoint.name] = reply.status.received
             attempt.group.term = max(attempt.group.term, reply.status.term)
@@ -201,6 +202,16 @@
         if attempt.asked == 0:
             self._decide(attempt)
 
+    def _count_order(
+        self, endpoint: EndpointRow, order: type[Statement], outcome: Code | None
+    ) -> None:
+        self._node.count(
+            "replica_orders",
+            endpoint=endpoint.name,
+            order=order.__name__,
+            outcome="none" if outcome is None else outcome.value,
+        )
+
     def _on_leading(self, attempt: Replacement, endpoint: EndpointRow) -> None:
         """Leave it at that: another host's order was carried out meanwhile."""
         if attempt.group.primary != endpoint.name:
@@ -303,6 +314,34 @@
         if self._is_current(attempt):
             self._compare(attempt)
 
+    def _on_endpoint(self, signal: EndpointChanged) -> None:
+        """Pause a replica that joined after the others were compared.
+
+        What is acknowledged by way of it alone is on no log that was compared. It shows
+        as a lost commit where the target lags, or the primary reaches it only.
+        """
+        endpoint = signal.endpoint
+        attempt = self._attempts.get(endpoint.entry.service)
+        if attempt is None or attempt.surveys or not attempt.received:
+            return
+        if endpoint.name not in (attempt.primary, *attempt.received):
+            self._pause_joined(attempt, endpoint)
+
+    def _pause_joined(self, attempt: Replacement, endpoint: EndpointRow) -> None:
+        if not self._is_current(attempt) or endpoint.name in attempt.paused:
+            return
+
+        def on_replies(replies: list[EndpointReply] | None) -> None:
+            outcome = replies[0].code if replies else None
+            self._count_order(endpoint, Pause, outcome)
+            if outcome is Code.DONE:
+                attempt.paused.add(endpoint.name)
+            else:
+                self.timers.after(ROUND_GAP, self._pause_joined, attempt, endpoint)
+
+        pause = Pause(attempt.group.term + 1)
+        self._control.ask(endpoint, (pause,), on_replies, ASK_TIMEOUT)
+
     # -- Ordering ------------------------------------------------------------
 
     def _secure(self, attempt: Replacement) -> None:
--- a/tests/core/proxy/test_promotion.py
+++ b/tests/core/proxy/test_promotion.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from mallowpass.core.proxy.statements import Code, Read, Write
+from mallowpass.standins.proxied.replicas import GroupTimes
 from tests.fakes.proxyworld import ProxyWorld
 
 
@@ -289,3 +290,27 @@
     _hear_again(world, "db-tanger")
     _write_until_served(world, 3.0)
     assert world.group.lost == []
+
+
+def test_member_that_joins_while_replicas_are_compared_is_paused_too():
+    """A commit that was acknowledged during a replacement is gone.
+
+    A member joins after all replicas were compared and paused, and before the one that
+    was ordered leads. The old primary, which hosts can't reach, still reaches it: what
+    it acknowledges by way of it is on no log that was compared.
+    """
+    world = ProxyWorld(times=GroupTimes(promotion=1.0))
+    caller = world.caller(0, "own")
+    caller.run(Write("a 0"))
+    world.enter(world.group.replicas["db-casa"], draining=True)
+    world.run_until(lambda: any(h.logged("promotion_ordered") for h in world.hosts), 3)
+    joined = world.group.add("db-new")
+    world.enter(joined)
+    for name in ("db-tanger", "db-agadir"):
+        world.group.replicas[name].deaf = True
+    world.run(0.3)
+    assert world.group.promotions == 0
+    assert joined.paused_for
+    world.run(1.5)
+    assert world.group.lost == []
+    assert joined.paused_for == 0
