Give orders to replicas, and what receivers have by now, one home each

Change: ReplicaOrders, Floors.settled; no behaviour is changed. Conclusion: one place says how long a replica has for an order.

--- a/mallowpass/core/proxy/floors.py
+++ b/mallowpass/core/proxy/floors.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from mallowpass.core.positions import ZERO_POSITION
 from mallowpass.core.proxy.configuration import Consistency
 from mallowpass.core.proxy.signals import (
     FloorLearnt,
@@ -43,6 +44,8 @@
 # All replicas of a group that refuse all reads for so long leave them to the primary.
 BEHIND_TIME = 1.2  # seconds
 AGE_MAX = 60.0  # seconds; no accepted age that is in use is longer
+# What a primary had so long ago, each replica that receives has received: in seconds.
+SETTLED_TIME = 0.5
 
 
 class Floors(ProxySystem):
@@ -99,6 +102,12 @@
                 return own
         return floor
 
+    def settled(self, group: GroupRow) -> LogPosition:
+        """Return what each replica that receives has received by now."""
+        settled_at = self.now - SETTLED_TIME
+        known = [s.position for s in group.samples if s.asked_at < settled_at]
+        return known[-1] if known else ZERO_POSITION
+
     def may_have(self, endpoint: EndpointRow, floor: LogPosition) -> bool:
         """Tell whether an endpoint's log may have reached a floor by now.
 
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -16,12 +16,13 @@
 from mallowpass.core.node import Node
 from mallowpass.core.positions import ZERO_POSITION
 from mallowpass.core.proxy.claims import Claim, Claims
-from mallowpass.core.proxy.control import Control
 from mallowpass.core.proxy.effects import OrderPromotion
 from mallowpass.core.proxy.events import PromotionAnswered
+from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.replacement import Replacement, best_target
+from mallowpass.core.proxy.replicaorders import ReplicaOrders
 from mallowpass.core.proxy.resumption import Resumption
 from mallowpass.core.proxy.signals import (
     EndpointChanged,
@@ -40,7 +41,6 @@
 
 __all__ = ["Promotion"]
 
-ASK_TIMEOUT = 0.8  # seconds for one question to one endpoint
 ORDER_TIMEOUT = 1.0
 ORDER_GAP = 0.3  # seconds before an order is given again
 ORDERS_MAX = 6
@@ -53,8 +53,6 @@
 # them for a moment; one that is back is entered in the store within a second or so.
 HOLDER_WAIT = 2.0
 STUCK_JITTER = 1.0  # hosts that find a replica stuck don't act at once together
-# What a primary had so long ago, each replica that receives has received: in seconds.
-SETTLED_TIME = 0.5
 # A relief that another host tried so short a time ago, in seconds, is not tried again:
 # each asks all replicas, which takes slots of them.
 RELIEF_QUIET = 5.0
@@ -67,10 +65,11 @@
     __slots__ = (
         "_attempts",
         "_claims",
-        "_control",
+        "_floors",
         "_held_until",
         "_holders",
         "_members",
+        "_orders",
         "_resumption",
     )
 
@@ -84,9 +83,10 @@
         """Subscribe to answers, and to what makes an attempt needless."""
         node = self._node
         self._claims = node.system(Claims)
-        self._control = node.system(Control)
+        self._floors = node.system(Floors)
         self._holders = node.system(Holders)
         self._members = node.system(Members)
+        self._orders = node.system(ReplicaOrders)
         self._resumption = node.system(Resumption)
         node.subscribe(EndpointChanged, self._on_endpoint)
         node.subscribe(PrimaryChanged, self._on_primary)
@@ -164,24 +164,20 @@
     ) -> None:
         round_number = attempt.rounds
 
-        def on_replies(replies: list[EndpointReply] | None) -> None:
-            if not self._is_current(attempt) or attempt.rounds != round_number:
-                return
-            self._on_reply(attempt, endpoint, statement, replies)
+        def on_reply(reply: EndpointReply | None) -> None:
+            if self._is_current(attempt) and attempt.rounds == round_number:
+                self._on_reply(attempt, endpoint, statement, reply)
 
-        self._control.ask(endpoint, (statement,), on_replies, ASK_TIMEOUT)
+        self._orders.give(endpoint, statement, on_reply)
 
     def _on_reply(
         self,
         attempt: Replacement,
         endpoint: EndpointRow,
         statement: Statement,
-        replies: list[EndpointReply] | None,
+        reply: EndpointReply | None,
     ) -> None:
         attempt.asked -= 1
-        reply = replies[0] if replies else None
-        outcome = None if reply is None else reply.code
-        self._count_order(endpoint, type(statement), outcome)
         if reply is not None and reply.code is Code.DONE and reply.status is not None:
             attempt.received[endpoint.name] = reply.status.received
             attempt.group.term = max(attempt.group.term, reply.status.term)
@@ -202,16 +198,6 @@
         if attempt.asked == 0:
             self._decide(attempt)
 
-    def _count_order(
-        self, endpoint: EndpointRow, order: type[Statement], outcome: Code | None
-    ) -> None:
-        self._node.count(
-            "replica_orders",
-            endpoint=endpoint.name,
-            order=order.__name__,
-            outcome="none" if outcome is None else outcome.value,
-        )
-
     def _on_leading(self, attempt: Replacement, endpoint: EndpointRow) -> None:
         """Leave it at that: another host's order was carried out meanwhile."""
         if attempt.group.primary != endpoint.name:
@@ -288,7 +274,7 @@
         """
         candidates = self._candidates(attempt.group, attempt.primary)
         staying = [replica for replica in candidates if not replica.is_leaving]
-        settled = self._settled(attempt.group)
+        settled = self._floors.settled(attempt.group)
         receiving = [r for r in staying if attempt.received[r.name] >= settled]
         if attempt.relief and not receiving:
             self._give_up(attempt, "no replica that stays receives")
@@ -297,12 +283,6 @@
         attempt.target = best_target(attempt, receiving or staying or candidates)
         self._compare(attempt)
 
-    def _settled(self, group: GroupRow) -> LogPosition:
-        """Return what each replica that receives has received by now."""
-        settled_at = self.now - SETTLED_TIME
-        known = [s.position for s in group.samples if s.asked_at < settled_at]
-        return known[-1] if known else LogPosition(0, 0)
-
     def _again(self, attempt: Replacement, why: str) -> None:
         limit = RELIEF_ROUNDS_MAX if attempt.relief else ROUNDS_MAX
         if attempt.rounds >= limit:
@@ -331,16 +311,13 @@
         if not self._is_current(attempt) or endpoint.name in attempt.paused:
             return
 
-        def on_replies(replies: list[EndpointReply] | None) -> None:
-            outcome = replies[0].code if replies else None
-            self._count_order(endpoint, Pause, outcome)
-            if outcome is Code.DONE:
+        def on_reply(reply: EndpointReply | None) -> None:
+            if reply is not None and reply.code is Code.DONE:
                 attempt.paused.add(endpoint.name)
             else:
                 self.timers.after(ROUND_GAP, self._pause_joined, attempt, endpoint)
 
-        pause = Pause(attempt.group.term + 1)
-        self._control.ask(endpoint, (pause,), on_replies, ASK_TIMEOUT)
+        self._orders.give(endpoint, Pause(attempt.group.term + 1), on_reply)
 
     # -- Ordering ------------------------------------------------------------
 
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -18,6 +18,7 @@
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.promotion import Promotion
 from mallowpass.core.proxy.relief import Relief
+from mallowpass.core.proxy.replicaorders import ReplicaOrders
 from mallowpass.core.proxy.requests import Requests
 from mallowpass.core.proxy.resumption import Resumption
 from mallowpass.core.proxy.routing import Routing
@@ -41,6 +42,7 @@
     Floors,
     Routing,
     Control,
+    ReplicaOrders,
     Claims,
     Resumption,
     Promotion,
--- a/mallowpass/core/proxy/resumption.py
+++ b/mallowpass/core/proxy/resumption.py
@@ -19,15 +19,12 @@
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.claims import Claim, Claims
-from mallowpass.core.proxy.control import Control
+from mallowpass.core.proxy.replicaorders import ReplicaOrders
 from mallowpass.core.proxy.statements import Code, EndpointReply, Resume
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
 
 __all__ = ["Resumption"]
 
-ASK_TIMEOUT = (
-    0.8  # seconds for one order to one replica; a full one is busy for a while
-)
 ROUND_GAP = 0.3  # seconds between two rounds of orders
 # A replica that seems stuck is left alone if anybody had a claim within so many
 # seconds: who had it has told it to resume, and it may just be far behind.
@@ -53,7 +50,7 @@
 class Resumption(ProxySystem):
     """Order replicas to receive, again until they answer."""
 
-    __slots__ = ("_claims", "_control", "_tasks")
+    __slots__ = ("_claims", "_orders", "_tasks")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
@@ -62,7 +59,7 @@
     def start(self) -> None:
         """Find the systems that are asked."""
         self._claims = self._node.system(Claims)
-        self._control = self._node.system(Control)
+        self._orders = self._node.system(ReplicaOrders)
 
     def resume(
         self,
@@ -131,29 +128,24 @@
         for name in sorted(task.names):
             endpoint = task.group.endpoints[name]
 
-            def on_replies(
-                replies: list[EndpointReply] | None, endpoint: EndpointRow = endpoint
+            def on_reply(
+                reply: EndpointReply | None, endpoint: EndpointRow = endpoint
             ) -> None:
-                self._on_replies(task, endpoint, replies)
+                self._on_reply(task, endpoint, reply)
 
-            self._control.ask(endpoint, (Resume(),), on_replies, ASK_TIMEOUT)
+            self._orders.give(endpoint, Resume(), on_reply)
 
-    def _on_replies(
-        self, task: _Task, endpoint: EndpointRow, replies: list[EndpointReply] | None
+    def _on_reply(
+        self, task: _Task, endpoint: EndpointRow, reply: EndpointReply | None
     ) -> None:
-        reply = replies[0] if replies else None
-        outcome = "none" if reply is None else reply.code.value
         self._node.log(
             "info",
             "replica_resumed",
             endpoint=endpoint.name,
             service=task.group.service,
-            outcome=outcome,
+            outcome="none" if reply is None else reply.code.value,
             round=task.rounds,
         )
-        self._node.count(
-            "replica_orders", endpoint=endpoint.name, order="Resume", outcome=outcome
-        )
         if reply is not None and reply.code is Code.DONE:
             task.names.discard(endpoint.name)
         task.asked -= 1
