Count acknowledged commits though no replica that has them was read

Cause: where all reads run at the primary, no host sees what replicas hold, and the position that a successor must have stays at nothing. Ruled out: taking the position that comes with a commit's answer. It is the head of the primary's log: while no replica received, reads at it showed 1.76 to 1.87 and none of these commits was acknowledged; with it nobody could ever be promoted there. Change: a commit that is acknowledged proves one position more than its primary's log had shown before the commit was sent. Conclusion: exact where one caller writes at a time, and never too high.

--- a/mallowpass/core/proxy/durability.py
+++ b/mallowpass/core/proxy/durability.py
@@ -6,6 +6,10 @@
 finds a furthest one all the same, and whoever promotes it loses commits: they are at
 the primary alone, or nowhere. So the position outlives the replica that showed it:
 here, and with claims in the store.
+
+What a commit's answer shows is no such position: the primary's log may have grown
+beyond it by commits that no replica has. But the commit itself comes after all that the
+primary's log had shown before it was sent.
 """
 
 from __future__ import annotations
@@ -46,6 +50,12 @@
         ):
             group.secured = position
 
+    def acknowledged(self, endpoint: EndpointRow, before: LogPosition | None) -> None:
+        """Note a commit that was sent when the primary's log had shown `before`."""
+        group = self.tables.group(endpoint.entry.service)
+        if before is not None and endpoint.name == group.primary:
+            self.learn(group, before._replace(position=before.position + 1))
+
     @staticmethod
     def learn(group: GroupRow, position: LogPosition) -> None:
         """Note a position that another host, or a comparison, found at a replica."""
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -10,6 +10,7 @@
 from mallowpass.core.proxy.answers import Answers
 from mallowpass.core.proxy.attempts import TRIES_MAX, Attempts
 from mallowpass.core.proxy.connections import Connections
+from mallowpass.core.proxy.durability import Durability
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.members import Members
@@ -73,6 +74,7 @@
         "_answers",
         "_attempts",
         "_connections",
+        "_durability",
         "_floors",
         "_load",
         "_members",
@@ -86,6 +88,7 @@
         self._answers = node.system(Answers)
         self._attempts = node.system(Attempts)
         self._connections = node.system(Connections)
+        self._durability = node.system(Durability)
         self._floors = node.system(Floors)
         self._load = node.system(Load)
         self._members = node.system(Members)
@@ -282,6 +285,7 @@
             self._floors.reached(endpoint)
         group = self.tables.group(request.route.service)
         if request.access is Access.WRITE:
+            self._durability.acknowledged(endpoint, request.shown)
             self._floors.committed(request.session, group.service, reply.position)
             proves_primary = True
         if proves_primary and reply.position is not None:
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -227,6 +227,7 @@
     endpoint: EndpointRow | None = None  # where it was sent
     connection: ConnectionRow | None = None
     sent_at: float = 0.0
+    shown: LogPosition | None = None  # by its endpoint's log before it was sent
     tries: int = 0
     avoided: set[str] = field(default_factory=set)
     retry_at: float = 0.0  # not sent before
--- a/mallowpass/core/proxy/transactions.py
+++ b/mallowpass/core/proxy/transactions.py
@@ -5,6 +5,7 @@
 from mallowpass.core.proxy.answers import Answers
 from mallowpass.core.proxy.attempts import TRIES_MAX, Attempts
 from mallowpass.core.proxy.connections import Connections
+from mallowpass.core.proxy.durability import Durability
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.members import Members
@@ -38,6 +39,7 @@
         "_answers",
         "_attempts",
         "_connections",
+        "_durability",
         "_floors",
         "_load",
         "_members",
@@ -49,6 +51,7 @@
         self._answers = node.system(Answers)
         self._attempts = node.system(Attempts)
         self._connections = node.system(Connections)
+        self._durability = node.system(Durability)
         self._floors = node.system(Floors)
         self._load = node.system(Load)
         self._members = node.system(Members)
@@ -193,6 +196,7 @@
         if reply.code is Code.DONE:
             group = self.tables.group(request.route.service)
             if transaction.wrote:
+                self._durability.acknowledged(endpoint, request.shown)
                 self._floors.committed(request.session, group.service, reply.position)
                 if reply.position is not None:
                     self._floors.sample(group, reply.position, request.sent_at)
--- a/tests/core/proxy/test_promotion.py
+++ b/tests/core/proxy/test_promotion.py
@@ -314,3 +314,22 @@
     world.run(1.5)
     assert world.group.lost == []
     assert joined.paused_for == 0
+
+
+def test_acknowledged_commits_count_though_no_replica_was_read():
+    """Ten acknowledged commits are gone after a replica was lost.
+
+    All reads ran at the primary, so no host had seen a replica's log when the only one
+    that received was lost. Writes stalled, and a replica without them was promoted.
+    """
+    world = ProxyWorld()
+    world.group.replicas["db-tanger"].deaf = True
+    caller = world.caller(0, "strict")
+    for number in range(10):
+        assert caller.run(Write(f"a {number}")).code is Code.DONE
+    world.crash("db-agadir")
+    world.remove_entry("db-agadir")
+    _keep_writing(world)
+    world.run(12.0)
+    assert world.group.lost == []
+    assert world.primary.name == "db-casa"
