Send few writes to a primary that acknowledges none, and refuse the others

Cause: a primary that is kept though no replica receives lets writes wait. They took all connections to it within half a second, so that reads there were refused as well, and each write was in doubt after its timeout, which its caller can't repeat. Ruled out: refusing them all (nothing would tell that a replica is back); keeping the connections of writes that nobody waits for (reads lost a second more in virtual time). Change: after two writes without an answer and none with one, a host sends one a second and refuses the others within a quarter of their objective; connections of writes that timed out meanwhile are closed. An acknowledged write, not any answer, ends a suspicion of that kind.

--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -25,6 +25,7 @@
 from mallowpass.core.proxy.sessions import Sessions
 from mallowpass.core.proxy.settings import Settings
 from mallowpass.core.proxy.shares import Shares
+from mallowpass.core.proxy.stalls import Stalls
 from mallowpass.core.proxy.store import Store
 from mallowpass.core.proxy.succession import Succession
 from mallowpass.core.proxy.suspicion import Suspicion
@@ -53,6 +54,7 @@
     Links,
     Answers,
     Attempts,
+    Stalls,
     Transactions,
     Requests,
     Sessions,
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -23,8 +23,10 @@
     EndpointChanged,
     PrimaryChanged,
     PrimaryHeard,
+    WriteAcknowledged,
     WriteStalled,
 )
+from mallowpass.core.proxy.stalls import WRITES_STALL, Stalls
 from mallowpass.core.proxy.statements import (
     Access,
     Answer,
@@ -79,6 +81,7 @@
         "_load",
         "_members",
         "_routing",
+        "_stalls",
         "_transactions",
     )
 
@@ -93,6 +96,7 @@
         self._load = node.system(Load)
         self._members = node.system(Members)
         self._routing = node.system(Routing)
+        self._stalls = node.system(Stalls)
         self._transactions = node.system(Transactions)
         node.subscribe(AttemptLost, self._on_lost)
         node.subscribe(AttemptOverdue, self._on_overdue)
@@ -180,6 +184,10 @@
             self._try(request, group, line)
 
     def _try(self, request: RequestRow, group: GroupRow, line: Line) -> None:
+        if self._stalls.holds_back(request, group):
+            if self.now >= self._held_until(request):
+                self._answers.refuse(request, Code.BUSY, WRITES_STALL)
+            return
         floor = self._routing.floor(request, group)
         choice = line.known(floor)
         if choice is None:
@@ -286,6 +294,7 @@
         group = self.tables.group(request.route.service)
         if request.access is Access.WRITE:
             self._durability.acknowledged(endpoint, request.shown)
+            self._node.publish(WriteAcknowledged(group))
             self._floors.committed(request.session, group.service, reply.position)
             proves_primary = True
         if proves_primary and reply.position is not None:
@@ -420,6 +429,9 @@
             self._transactions.lost(request, "the statement's timeout passed")
         elif request.access is Access.WRITE:
             self._attempts.detach(request)
+            if self._stalls.is_stalled(self.tables.group(request.route.service)):
+                # No answer is due on it before reads need another connection.
+                self._connections.close(connection, "its writes stall")
             self._answers.in_doubt(request, "the statement's timeout passed")
         else:
             self._leave(request, connection)
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -27,11 +27,13 @@
     "FloorLearnt",
     "PrimaryChanged",
     "PrimaryHeard",
+    "PrimaryStalled",
     "PrimarySuspected",
     "ReplicaStuck",
     "ReplicasBehind",
     "StatementAnswered",
     "TransactionLost",
+    "WriteAcknowledged",
     "WriteStalled",
 ]
 
@@ -86,6 +88,20 @@
     endpoint: EndpointRow
 
 
+@record
+class WriteAcknowledged(Signal):
+    """A group's primary acknowledged a write."""
+
+    group: GroupRow
+
+
+@record
+class PrimaryStalled(Signal):
+    """A primary answers none of several writes."""
+
+    endpoint: EndpointRow
+
+
 @record
 class FloorLearnt(Signal):
     """Another host told where a primary's log was, at or after `asked_at`."""
--- a/mallowpass/core/proxy/suspicion.py
+++ b/mallowpass/core/proxy/suspicion.py
@@ -19,8 +19,9 @@
     EndpointUnreachable,
     PrimaryChanged,
     PrimaryHeard,
+    PrimaryStalled,
     PrimarySuspected,
-    WriteStalled,
+    WriteAcknowledged,
 )
 from mallowpass.core.proxy.storage import (
     ChangeRows,
@@ -40,7 +41,6 @@
 # A primary that answered something within this time is not silent. Statements take
 # 20 to 50 ms, and a full queue some 150.
 QUIET = 0.25  # seconds
-STALLS = 2  # writes without an answer, and none with one, that make a stall
 # Share of the hosts that connect to it that must see it, and how many at the least.
 QUORUM_SHARE = 0.25
 QUORUM_MIN = 2
@@ -81,6 +81,7 @@
     primary: str
     why: str
     since: float
+    stalls: bool  # it may well answer reads
     reported_at: float = float("-inf")
     looks: int = 0
 
@@ -93,7 +94,6 @@
         "_holders",
         "_promotion",
         "_started_at",
-        "_stalls",
         "_store",
         "_suspects",
     )
@@ -102,7 +102,6 @@
         super().__init__(node)
         self._started_at = node.timers.now
         self._suspects: dict[str, _Suspect] = {}  # by service
-        self._stalls: dict[str, int] = {}  # by service, since the last commit
 
     def start(self) -> None:
         """Subscribe to what tells of primaries."""
@@ -112,8 +111,9 @@
         self._promotion = node.system(Promotion)
         self._store = node.system(Store)
         node.subscribe(EndpointUnreachable, self._on_unreachable)
-        node.subscribe(WriteStalled, self._on_stalled)
+        node.subscribe(PrimaryStalled, self._on_stalled)
         node.subscribe(PrimaryHeard, self._on_heard)
+        node.subscribe(WriteAcknowledged, self._on_acknowledged)
         node.subscribe(PrimaryChanged, self._on_changed)
 
     # -- Evidence ------------------------------------------------------------
@@ -123,23 +123,21 @@
         if self._leads(endpoint) and self._is_silent(endpoint):
             self._suspect(endpoint, f"unreachable: {signal.why}")
 
-    def _on_stalled(self, signal: WriteStalled) -> None:
-        endpoint = signal.endpoint
-        if not self._leads(endpoint):
-            return
-        service = endpoint.entry.service
-        self._stalls[service] = self._stalls.get(service, 0) + 1
-        if self._stalls[service] >= STALLS:
-            self._suspect(endpoint, "writes get no answer")
+    def _on_stalled(self, signal: PrimaryStalled) -> None:
+        if self._leads(signal.endpoint):
+            self._suspect(signal.endpoint, "writes get no answer", stalls=True)
 
     def _on_heard(self, signal: PrimaryHeard) -> None:
-        service = signal.group.service
-        self._stalls.pop(service, None)
-        self._clear(service, "it answers")
+        # One that can't commit may well answer reads.
+        suspect = self._suspects.get(signal.group.service)
+        if suspect is not None and not suspect.stalls:
+            self._clear(signal.group.service, "it answers")
+
+    def _on_acknowledged(self, signal: WriteAcknowledged) -> None:
+        self._clear(signal.group.service, "it acknowledges writes")
 
     def _on_changed(self, signal: PrimaryChanged) -> None:
         service = signal.group.service
-        self._stalls.pop(service, None)
         suspect = self._suspects.get(service)
         if suspect is not None and signal.group.primary not in ("", suspect.primary):
             self._clear(service, f"{signal.group.primary} leads")
@@ -155,12 +153,13 @@
 
     # -- Reports -------------------------------------------------------------
 
-    def _suspect(self, endpoint: EndpointRow, why: str) -> None:
+    def _suspect(self, endpoint: EndpointRow, why: str, stalls: bool = False) -> None:
         service = endpoint.entry.service
         suspect = self._suspects.get(service)
         if suspect is not None and suspect.primary == endpoint.name:
+            suspect.stalls |= stalls
             return
-        suspect = _Suspect(endpoint.name, why, self.now)
+        suspect = _Suspect(endpoint.name, why, self.now, stalls)
         self._suspects[service] = suspect
         self._node.log(
             "warning",
--- a/mallowpass/core/proxy/transactions.py
+++ b/mallowpass/core/proxy/transactions.py
@@ -9,7 +9,11 @@
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.members import Members
-from mallowpass.core.proxy.signals import AttemptRefused, TransactionLost
+from mallowpass.core.proxy.signals import (
+    AttemptRefused,
+    TransactionLost,
+    WriteAcknowledged,
+)
 from mallowpass.core.proxy.statements import (
     Access,
     Answer,
@@ -197,6 +201,7 @@
             group = self.tables.group(request.route.service)
             if transaction.wrote:
                 self._durability.acknowledged(endpoint, request.shown)
+                self._node.publish(WriteAcknowledged(group))
                 self._floors.committed(request.session, group.service, reply.position)
                 if reply.position is not None:
                     self._floors.sample(group, reply.position, request.sent_at)
