--- a/mallowpass/standins/proxied/replicas.py
+++ b/mallowpass/standins/proxied/replicas.py
@@ -236,7 +236,8 @@
             for connection in other.connections:
                 connection.lost_lead |= other is before
             self.catch_up(other)
-        self.on_role(before)
+        if before.up:
+            self.on_role(before)
         self.on_role(replica)
 
     def demote(self, replica: Replica, term: int) -> None:
