Demand of successors what members that are missing may have acknowledged

Ruled out: positions that replicas showed (they count the tail of an old primary that came back); the primary's position at all times (a primary cut from its replicas would never be replaced, as reads at it show commits that nobody has). Change: the first position that a primary shows after a member is missing, or after it was promoted, is demanded until a replica has reached it; a host that has just started begins like that, and asks the primary. A claim tells always what the target held. A claim of another form counts as given back, with a token above its own. Paused replicas are paused again in each round, the target receives from its order on, members that are asked are not taken for new ones, and a primary that acknowledges again stays. A silent replica is waited for where the primary is silent too. An empty log counts as such whatever term it is given.

--- a/mallowpass/core/proxy/claims.py
+++ b/mallowpass/core/proxy/claims.py
@@ -49,19 +49,19 @@
     holder: str
     primary: str  # that is to be replaced; empty: none is known
     time: float
-    secured: LogPosition = ZERO_POSITION  # that whoever leads must hold
+    must_hold: LogPosition = ZERO_POSITION  # that whoever leads must hold
 
     def encode(self) -> str:
         """Return the text that the store keeps."""
-        holder, primary, secured = self.holder, self.primary, self.secured.text
-        return f"{self.token} {holder} {primary} {self.time:.3f} {secured}"
+        position = self.must_hold.text
+        return f"{self.token} {self.holder} {self.primary} {self.time:.3f} {position}"
 
     @classmethod
     def decode(cls, text: str) -> Claim:
         """Read what the store keeps; ValueError if it is no claim."""
-        token, holder, primary, time, secured = text.split(" ")
-        position = LogPosition.parse(secured)
-        return cls(int(token), holder, primary, float(time), position)
+        token, holder, primary, time, position = text.split(" ")
+        must_hold = LogPosition.parse(position)
+        return cls(int(token), holder, primary, float(time), must_hold)
 
 
 # Called with the claim, None when another host has one or the store did not answer.
@@ -96,8 +96,8 @@
             handler(None)
             return
         token = 1 if known is None else known.token + 1
-        secured = self.tables.group(service).secured
-        claim = Claim(token, self._node.identity.name, primary, time, secured)
+        must_hold = self.tables.group(service).must_hold
+        claim = Claim(token, self._node.identity.name, primary, time, must_hold)
         key = RowKey(Table.CLAIMS, service, _KEY)
         call = ChangeRows(((key, version),), ((key, claim.encode()),))
 
@@ -110,7 +110,7 @@
         """Tell whether this host may still act on its claim."""
         return (self._store.time or 0.0) - claim.time < FRESH_TIME
 
-    def secure(
+    def demand(
         self,
         service: str,
         claim: Claim,
@@ -119,26 +119,28 @@
     ) -> None:
         """Have all later claims know that whoever leads must hold a position.
 
-        The handler gets the claim as it is then, None if another host has overtaken it.
+        The handler gets the claim as it is then; None if another host has overtaken it,
+        or the store does not answer.
         """
-        self._durability.learn(self.tables.group(service), position)
-        secured = replace(claim, secured=self.tables.group(service).secured)
+        group = self.tables.group(service)
+        self._durability.learn(group, position)
+        renewed = replace(claim, must_hold=group.must_hold)
         version, known = self._known.get(service, (0, None))
         if known != claim:
             handler(None)
             return
         key = RowKey(Table.CLAIMS, service, _KEY)
-        call = ChangeRows(((key, version),), ((key, secured.encode()),))
+        call = ChangeRows(((key, version),), ((key, renewed.encode()),))
 
         def on_reply(reply: StoreReply) -> None:
             if reply.status is StoreStatus.DONE:
-                self._known[service] = (reply.version, secured)
-                handler(secured)
+                self._known[service] = (reply.version, renewed)
+                handler(renewed)
             elif reply.status is StoreStatus.UNKNOWN:
-                self._read_back(service, secured, handler)
+                self._read_back(service, renewed, handler)
             else:
                 self._learn(service, reply.rows)
-                self._log(service, secured, f"not secured: {reply.status.value}")
+                self._log(service, renewed, f"not renewed: {reply.status.value}")
                 handler(None)
 
         self._store.call(call, on_reply)
@@ -224,13 +226,21 @@
             if not isinstance(row.value, str):
                 self._known[service] = (0, None)
                 continue
-            try:
-                claim = Claim.decode(row.value)
-            except ValueError:
-                self._node.log("error", "claim_unreadable", value=row.value)
-                continue
+            claim = self._decode(row)
             self._known[service] = (row.version, claim)
-            self._durability.learn(self.tables.group(service), claim.secured)
+            self._durability.learn(self.tables.group(service), claim.must_hold)
+
+    def _decode(self, row: Row) -> Claim:
+        """Read a claim; one of another form counts as given back.
+
+        Skipped, it would have each claim after it refused. Versions of the store grow
+        with each change, so no token that it may have held is above its own.
+        """
+        try:
+            return Claim.decode(row.value)
+        except ValueError:
+            self._node.log("error", "claim_unreadable", value=row.value)
+            return Claim(row.version, _NOBODY, "", 0.0)
 
     def _log(self, service: str, claim: Claim | None, what: str) -> None:
         self._node.log(
@@ -241,5 +251,5 @@
             holder=claim.holder if claim else "",
             token=claim.token if claim else 0,
             primary=claim.primary if claim else "",
-            secured=claim.secured.text if claim else "",
+            must_hold=claim.must_hold.text if claim else "",
         )
--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -332,7 +332,7 @@
             endpoint.position = reply.position
             group = self.tables.group(endpoint.entry.service)
             group.term = max(group.term, reply.position.term)
-            self._durability.showed(endpoint, reply.position)
+            self._durability.note_position(endpoint, reply.position, sent_at)
         self._learn_floor(endpoint, reply.floor, sent_at)
 
     def _learn_floor(
--- a/mallowpass/core/proxy/durability.py
+++ b/mallowpass/core/proxy/durability.py
@@ -1,62 +1,120 @@
-"""How far each group's commits may have been acknowledged.
-
-A commit is acknowledged once a replica has received it, so whatever a replica was seen
-to hold may have been acknowledged by way of it. That replica may lead next, with
-replicas that lack it, or be lost for good. A comparison of those that are left then
-finds a furthest one all the same, and whoever promotes it loses commits: they are at
-the primary alone, or nowhere. So the position outlives the replica that showed it:
-here, and with claims in the store.
-
-What a commit's answer shows is no such position: the primary's log may have grown
-beyond it by commits that no replica has. But the commit itself comes after all that the
-primary's log had shown before it was sent.
+"""What the endpoint that leads a group next must hold, so that nothing is lost.
+
+A commit is acknowledged once a replica has received it. That replica may lead next,
+over replicas that lack the commit, or be lost. A comparison of the replicas that are
+left then finds a furthest one all the same, and whoever promotes it loses commits. So
+two positions are kept of each group:
+
+- What is proven to be acknowledged, `must_hold`. A commit comes after all that the
+  primary's log had shown before the commit was sent. What its answer shows proves
+  nothing: the log may have grown by commits that no replica has. Reports and claims
+  carry it to other hosts, and it is never given up.
+- What a member that is missing may have acknowledged: the first position that the
+  primary shows after a member is lost or promoted. It is demanded until a replica has
+  reached it, as its log shows, or as a later commit proves that is acknowledged: from
+  then on, replicas that are there hold all of it. A host that has just started does not
+  know who is missing, so it begins like that.
 """
 
 from __future__ import annotations
 
-from mallowpass.core.proxy.signals import PrimaryChanged
+from dataclasses import dataclass
+
+from mallowpass.core.node import Node
+from mallowpass.core.proxy.signals import EndpointChanged, PrimaryChanged
 from mallowpass.core.proxy.statements import LogPosition
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
 
 __all__ = ["Durability"]
 
 
+@dataclass(slots=True)
+class _Missing:
+    """Hold what a group's missing members may have acknowledged.
+
+    `bound` is what the primary showed when asked at `bound_at`; it covers those that
+    are missing if that was not before `since`.
+    """
+
+    primary: str = ""
+    since: float = float("-inf")
+    bound: LogPosition | None = None
+    bound_at: float = float("-inf")
+    settled: bool = False  # a replica has reached it
+
+    @property
+    def is_bounded(self) -> bool:
+        """Tell whether the bound covers all that are missing."""
+        return self.bound is not None and self.bound_at >= self.since
+
+
 class Durability(ProxySystem):
-    """Own the position up to which each group's commits may be acknowledged."""
+    """Own the positions that successors of primaries must hold."""
 
-    __slots__ = ()
+    __slots__ = ("_missing",)
+
+    def __init__(self, node: Node) -> None:
+        super().__init__(node)
+        self._missing: dict[str, _Missing] = {}  # by service
 
     def start(self) -> None:
-        """Subscribe to changes of primaries."""
+        """Subscribe to changes of groups."""
+        self._node.subscribe(EndpointChanged, self._on_endpoint)
         self._node.subscribe(PrimaryChanged, self._on_primary)
 
-    def _on_primary(self, signal: PrimaryChanged) -> None:
-        signal.group.primary_term = 0
+    def demanded(self, group: GroupRow) -> LogPosition:
+        """Return the position that whoever leads a group next must hold."""
+        missing = self._missing.get(group.service)
+        if missing is None or missing.settled or missing.bound is None:
+            return group.must_hold
+        return max(group.must_hold, missing.bound)
 
-    def showed(self, endpoint: EndpointRow, position: LogPosition) -> None:
-        """Note the position that an endpoint's log had when it answered.
+    def is_settled(self, group: GroupRow) -> bool:
+        """Tell whether replicas that are there hold what missing ones may have."""
+        missing = self._missing.get(group.service)
+        return missing is not None and missing.settled
 
-        A primary's says nothing: it counts commits that no replica has. An endpoint
-        that has led still holds such commits until it follows its successor, and one
-        that leads by now holds newer ones; both show in their terms.
-        """
-        group = self.tables.group(endpoint.entry.service)
-        if endpoint.name == group.primary:
-            group.primary_term = endpoint.led_term = position.term
-        elif (
-            position > group.secured
-            and position.term == group.primary_term
-            and position.term > endpoint.led_term
-        ):
-            group.secured = position
+    def learn(self, group: GroupRow, position: LogPosition) -> None:
+        """Note a position that is acknowledged, or may be."""
+        group.must_hold = max(group.must_hold, position)
 
     def acknowledged(self, endpoint: EndpointRow, before: LogPosition | None) -> None:
         """Note a commit that was sent when the primary's log had shown `before`."""
         group = self.tables.group(endpoint.entry.service)
-        if before is not None and endpoint.name == group.primary:
-            self.learn(group, before._replace(position=before.position + 1))
+        if before is None or endpoint.name != group.primary:
+            return
+        self.learn(group, before._replace(position=before.position + 1))
+        self._reached(group.service, before)
+
+    def note_position(
+        self, endpoint: EndpointRow, position: LogPosition, asked_at: float
+    ) -> None:
+        """Note what an endpoint's log showed when it was asked at some time."""
+        service = endpoint.entry.service
+        missing = self._missing.get(service)
+        if missing is None or missing.settled:
+            return
+        if endpoint.name != self.tables.group(service).primary:
+            self._reached(service, position)
+        elif not missing.is_bounded and asked_at >= missing.since:
+            missing.bound, missing.bound_at = position, asked_at
+
+    def _reached(self, service: str, position: LogPosition) -> None:
+        """Note a position that a replica which is there has received."""
+        missing = self._missing.get(service)
+        if missing is not None and missing.is_bounded and position >= missing.bound:
+            missing.settled = True
+
+    def _on_endpoint(self, signal: EndpointChanged) -> None:
+        endpoint = signal.endpoint
+        group = self.tables.group(endpoint.entry.service)
+        if endpoint.gone_at is not None and endpoint.name != group.primary:
+            missing = self._missing.setdefault(group.service, _Missing())
+            missing.since = self.now
+            missing.settled = False
 
-    @staticmethod
-    def learn(group: GroupRow, position: LogPosition) -> None:
-        """Note a position that another host, or a comparison, found at a replica."""
-        group.secured = max(group.secured, position)
+    def _on_primary(self, signal: PrimaryChanged) -> None:
+        group = signal.group
+        known = self._missing.get(group.service)
+        if group.primary and (known is None or known.primary != group.primary):
+            self._missing[group.service] = _Missing(group.primary, self.now)
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -7,7 +7,7 @@
 acknowledged until it leads is received by it. That one is promoted.
 
 Replicas that are no longer there may have held more. So the last one must also have
-received whatever any replica was seen to hold, see `durability`. Where none has, nobody
+received whatever they may have acknowledged, see `durability`. Where none has, nobody
 is promoted until an endpoint that has it is back.
 """
 
@@ -16,6 +16,7 @@
 from mallowpass.core.node import Node
 from mallowpass.core.positions import ZERO_POSITION
 from mallowpass.core.proxy.claims import Claim, Claims
+from mallowpass.core.proxy.durability import Durability
 from mallowpass.core.proxy.effects import OrderPromotion
 from mallowpass.core.proxy.events import PromotionAnswered
 from mallowpass.core.proxy.floors import Floors
@@ -28,12 +29,14 @@
     EndpointChanged,
     PrimaryChanged,
     ReplicaStuck,
+    WriteAcknowledged,
 )
 from mallowpass.core.proxy.statements import (
     Code,
     EndpointReply,
     LogPosition,
     Pause,
+    Resume,
     Statement,
     Status,
 )
@@ -52,6 +55,9 @@
 # Seconds until replicas are compared again of which none had enough. Comparing pauses
 # them for a moment; one that is back is entered in the store within a second or so.
 HOLDER_WAIT = 2.0
+# A primary that answered something within so many seconds is alive: hosts read at it
+# many times a second, and look for it when they don't.
+ALIVE_TIME = 1.0
 STUCK_JITTER = 1.0  # hosts that find a replica stuck don't act at once together
 # A relief that another host tried so short a time ago, in seconds, is not tried again:
 # each asks all replicas, which takes slots of them.
@@ -65,6 +71,7 @@
     __slots__ = (
         "_attempts",
         "_claims",
+        "_durability",
         "_floors",
         "_held_until",
         "_holders",
@@ -83,6 +90,7 @@
         """Subscribe to answers, and to what makes an attempt needless."""
         node = self._node
         self._claims = node.system(Claims)
+        self._durability = node.system(Durability)
         self._floors = node.system(Floors)
         self._holders = node.system(Holders)
         self._members = node.system(Members)
@@ -90,6 +98,7 @@
         self._resumption = node.system(Resumption)
         node.subscribe(EndpointChanged, self._on_endpoint)
         node.subscribe(PrimaryChanged, self._on_primary)
+        node.subscribe(WriteAcknowledged, self._on_acknowledged)
         node.subscribe(ReplicaStuck, self._on_stuck)
         node.subscribe(PromotionAnswered, self._on_answered)
 
@@ -145,20 +154,42 @@
     def _compare(self, attempt: Replacement) -> None:
         """Ask each replica how far it has come, and pause all but the target.
 
-        A survey pauses none.
+        A survey pauses none. Those that were paused are paused again: one that started
+        again meanwhile receives.
         """
         attempt.rounds += 1
         attempt.received.clear()
         term = attempt.group.term + 1
         candidates = self._candidates(attempt.group, attempt.primary)
+        attempt.members = {endpoint.name for endpoint in candidates}
         attempt.asked = len(candidates)
+        self._ask_primary(attempt)
         for endpoint in candidates:
             statement: Statement = Pause(term)
-            spared = endpoint.name == attempt.target or endpoint.name in attempt.paused
-            if attempt.surveys or spared:
+            if attempt.surveys or endpoint.name == attempt.target:
                 statement = Status()
             self._ask(attempt, endpoint, statement)
 
+    def _ask_primary(self, attempt: Replacement) -> None:
+        """Have a primary show its log, where members are missing that have some of it.
+
+        It may live, and only lack replicas that receive. What it shows, if anything, is
+        demanded from then on; a dark one is waited for once.
+        """
+        primary = attempt.group.endpoints.get(attempt.primary)
+        if primary is None or attempt.rounds > 1 or attempt.planned:
+            return
+        if self._durability.is_settled(attempt.group):
+            return
+        attempt.asked += 1
+
+        def on_reply(reply: EndpointReply | None) -> None:
+            attempt.asked -= 1
+            if self._is_current(attempt) and attempt.asked == 0:
+                self._decide(attempt)
+
+        self._orders.give(primary, Status(), on_reply)
+
     def _ask(
         self, attempt: Replacement, endpoint: EndpointRow, statement: Statement
     ) -> None:
@@ -217,8 +248,8 @@
             silent=",".join(silent),
         )
         furthest = max(attempt.received.values(), default=ZERO_POSITION)
-        if furthest < attempt.group.secured:
-            self._wait_for_holder(attempt, furthest, silent)
+        if furthest < self._durability.demanded(attempt.group):
+            self._hold_back(attempt, furthest, silent)
             return
         if silent:
             # The silent one may be all that holds an acknowledged commit.
@@ -237,20 +268,23 @@
                 attempt.target = ""
             self._again(attempt, "the target lacks commits")
             return
-        self._secure(attempt)
+        self._demand(attempt)
 
-    def _wait_for_holder(
+    def _hold_back(
         self, attempt: Replacement, furthest: LogPosition, silent: list[str]
     ) -> None:
-        """Promote nobody: commits that may be acknowledged are on no log that is left.
+        """Promote nobody: commits that may be acknowledged are on no log that answers.
 
-        An endpoint that has them may come back. If the primary is alive and only lacks
-        replicas that receive, its writes go on as soon as one does; so those that were
-        paused must not be kept from it.
+        One that is silent may have them, and one that receives may get them. Else, if
+        the primary lives and only lacks replicas that receive, its writes go on as soon
+        as one does; so those that were paused must not be kept from it.
         """
-        receives = attempt.target and attempt.target not in attempt.paused
-        if (attempt.surveys or receives) and attempt.rounds < ROUNDS_MAX // 2:
-            self._again(attempt, "the target lacks what replicas have had")
+        target_receives = bool(attempt.target) and attempt.target not in attempt.paused
+        may_change = attempt.surveys or target_receives
+        if silent and not self._lives(attempt):
+            may_change = True
+        if may_change and attempt.rounds < ROUNDS_MAX // 2:
+            self._again(attempt, "no replica that answers has enough")
             return
         service = attempt.group.service
         self._held_until[service] = self.now + HOLDER_WAIT
@@ -259,12 +293,16 @@
             "promotion_would_lose_commits",
             service=service,
             primary=attempt.primary,
-            needed=attempt.group.secured.text,
+            needed=self._durability.demanded(attempt.group).text,
             furthest=furthest.text,
             received=attempt.received_text,
             silent=",".join(silent),
         )
-        self._give_up(attempt, "no replica has what replicas have had")
+        self._give_up(attempt, "no replica has all that may be acknowledged")
+
+    def _lives(self, attempt: Replacement) -> bool:
+        primary = attempt.group.endpoints.get(attempt.primary)
+        return primary is not None and primary.heard_at > self.now - ALIVE_TIME
 
     def _end_survey(self, attempt: Replacement, furthest: LogPosition) -> None:
         """Go on with the replica that should lead, or give up where none needs to.
@@ -302,9 +340,9 @@
         """
         endpoint = signal.endpoint
         attempt = self._attempts.get(endpoint.entry.service)
-        if attempt is None or attempt.surveys or not attempt.received:
+        if attempt is None or attempt.surveys or not attempt.members:
             return
-        if endpoint.name not in (attempt.primary, *attempt.received):
+        if endpoint.name != attempt.primary and endpoint.name not in attempt.members:
             self._pause_joined(attempt, endpoint)
 
     def _pause_joined(self, attempt: Replacement, endpoint: EndpointRow) -> None:
@@ -321,30 +359,38 @@
 
     # -- Ordering ------------------------------------------------------------
 
-    def _secure(self, attempt: Replacement) -> None:
-        """Order the target to lead, once what it alone holds is known to all hosts.
+    def _demand(self, attempt: Replacement) -> None:
+        """Order the target to lead, and have what it holds demanded of its successor.
 
-        Should it fail too, those that lack it must not lead. Where all have as much,
-        there is nothing to keep: 8 ms and two ways to the store are spared.
+        If the target alone holds some, the order waits for that: should it fail too,
+        those that lack it must not lead. Else 8 ms and two ways to the store are saved.
         """
         held = attempt.received[attempt.target]
-        if all(position >= held for position in attempt.received.values()):
-            self._order(attempt)
-            return
+        waits = any(position < held for position in attempt.received.values())
         round_number = attempt.rounds
 
         def on_claim(claim: Claim | None) -> None:
             if not self._is_current(attempt) or attempt.rounds != round_number:
                 return
-            attempt.claim = claim
-            if claim is None:
-                self._give_up(attempt, "another host has the claim")
-            else:
+            if claim is not None:
+                attempt.claim = claim
+            if waits and claim is not None:
                 self._order(attempt)
+            elif waits:
+                attempt.claim = None
+                why = "another host has the claim, or the store is away"
+                self._give_up(attempt, why)
 
-        self._claims.secure(attempt.group.service, attempt.claim, held, on_claim)
+        self._claims.demand(attempt.group.service, attempt.claim, held, on_claim)
+        if not waits:
+            self._order(attempt)
 
     def _order(self, attempt: Replacement) -> None:
+        target = attempt.group.endpoints.get(attempt.target)
+        if attempt.target in attempt.paused and target is not None:
+            # Whatever a primary that lives acknowledges until then, it should receive.
+            attempt.paused.discard(attempt.target)
+            self._orders.give(target, Resume(), lambda reply: None)
         attempt.orders += 1
         attempt.call = self._node.number()
         self._log(
@@ -400,6 +446,14 @@
         if attempt is not None and group.primary not in ("", attempt.primary):
             self._finish(attempt, f"{group.primary} leads")
 
+    def _on_acknowledged(self, signal: WriteAcknowledged) -> None:
+        """Leave a primary that had failed, and serves writes again, in its place."""
+        attempt = self._attempts.get(signal.group.service)
+        if attempt is None or attempt.planned or attempt.orders:
+            return
+        if attempt.primary == attempt.group.primary:
+            self._give_up(attempt, "the primary acknowledges writes")
+
     def _finish(self, attempt: Replacement, why: str) -> None:
         del self._attempts[attempt.group.service]
         self._log(attempt, "promotion_ended", outcome=why)
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -24,7 +24,8 @@
     target: str = ""
     relief: bool = False  # the primary is fine, and may as well stay
     surveys: bool = False  # replicas are asked how far they are, and none is paused
-    paused: set[str] = field(default_factory=set)
+    paused: set[str] = field(default_factory=set)  # that have said so
+    members: set[str] = field(default_factory=set)  # that are asked in this round
     asked: int = 0  # questions of this round without a reply
     received: dict[str, LogPosition] = field(default_factory=dict)
     rounds: int = 0
--- a/mallowpass/core/proxy/suspicion.py
+++ b/mallowpass/core/proxy/suspicion.py
@@ -61,17 +61,17 @@
 
     primary: str
     time: float
-    secured: LogPosition  # see durability
+    must_hold: LogPosition  # see durability
 
     def encode(self) -> str:
         """Return the text that the store keeps."""
-        return f"{self.primary} {self.time:.3f} {self.secured.text}"
+        return f"{self.primary} {self.time:.3f} {self.must_hold.text}"
 
     @classmethod
     def decode(cls, text: str) -> Report:
         """Read what the store keeps; ValueError if it is no report."""
-        primary, time, secured = text.split(" ")
-        return cls(primary, float(time), LogPosition.parse(secured))
+        primary, time, must_hold = text.split(" ")
+        return cls(primary, float(time), LogPosition.parse(must_hold))
 
 
 @dataclass(slots=True)
@@ -191,7 +191,7 @@
         suspect.reported_at = self.now
         time = self._store.time or 0.0
         key = RowKey(Table.SUSPICIONS, service, self._node.identity.name)
-        report = Report(suspect.primary, time, self.tables.group(service).secured)
+        report = Report(suspect.primary, time, self.tables.group(service).must_hold)
         call = ChangeRows(puts=((key, report.encode()),))
 
         def on_reply(reply: StoreReply) -> None:
@@ -233,7 +233,7 @@
             report = self._read(row)
             if report is None:
                 continue
-            self._durability.learn(group, report.secured)
+            self._durability.learn(group, report.must_hold)
             young = reply.time - report.time < REPORT_TIME
             if report.primary == suspect.primary and young:
                 hosts.add(row.key.key)
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -101,7 +101,6 @@
     behind_pause: float = 0.0  # that was kept after its last refusal; 0: it had none
     behind_since: float | None = None  # first refusal since it last had a floor
     stuck_told: int = 0  # times that it was said to be stuck since then
-    led_term: int = 0  # newest term of its log while it led; owned by durability
     latency: float = 0.0  # moving average of statements, seconds; owned by load
     least_latency: float = 0.0  # of a statement that did not wait; owned by load
     in_flight: int = 0  # statements of this host
@@ -141,8 +140,7 @@
     primary: str = ""  # name of the endpoint that is believed to lead
     primary_version: int = 0  # of the entry that said so
     term: int = 0  # newest that was seen in a position
-    primary_term: int = 0  # of the primary's log, 0: not heard; owned by durability
-    secured: LogPosition = ZERO_POSITION  # held by a replica; owned by durability
+    must_hold: LogPosition = ZERO_POSITION  # is acknowledged; owned by durability
     samples: deque[FloorSample] = field(default_factory=deque)  # oldest first
     # Floors that were looked up, by accepted age, and when; owned by floors.
     floors_at: dict[float, tuple[float, LogPosition | None]] = field(
--- a/mallowpass/platform/wire.py
+++ b/mallowpass/platform/wire.py
@@ -9,6 +9,7 @@
 import math
 from functools import singledispatch
 
+from mallowpass.core.positions import ZERO_POSITION
 from mallowpass.core.proxy.statements import (
     Access,
     Answer,
@@ -436,8 +437,10 @@
         raise WireError(f"not a status: {words}")
     role, term, received, _paused_for, lag, busy, connections = words[:_STATUS_FIELDS]
     position = parse_position(received)
-    if position is None:
-        raise WireError("a status without a position")
+    if position is None or position.position == 0:
+        # An empty log may be given the term that its endpoint has learnt. Compared by
+        # that, it would be further than a log of an earlier term that holds commits.
+        position = ZERO_POSITION
     return EndpointStatus(
         is_primary=role == "primary",
         term=int(term),
--- a/mallowpass/standins/proxied/replicas.py
+++ b/mallowpass/standins/proxied/replicas.py
@@ -12,9 +12,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from mallowpass.core.proxy.statements import (
-    LogPosition,
-)
+from mallowpass.core.positions import ZERO_POSITION, LogPosition
 from mallowpass.core.timers import TimerService
 
 if TYPE_CHECKING:
@@ -61,7 +59,7 @@
     @property
     def received(self) -> LogPosition:
         """Return the place of the last entry."""
-        return self.log[-1].position if self.log else LogPosition(self.term, 0)
+        return self.log[-1].position if self.log else ZERO_POSITION
 
     @property
     def applied_position(self) -> LogPosition:
--- /dev/null
+++ b/tests/core/proxy/test_claims.py
@@ -0,0 +1,43 @@
+"""Claims that can't be read keep nobody from claiming."""
+
+from __future__ import annotations
+
+import pytest
+
+from mallowpass.core.proxy.statements import Code, Write
+from mallowpass.core.proxy.storage import RowKey, Table
+from tests.fakes.proxyworld import SERVICE, ProxyWorld
+
+
+def _keep_writing(world: ProxyWorld) -> None:
+    for index in range(len(world.hosts)):
+        world.caller(index, "strict").send(Write("b 1"))
+    world.timers.after(0.1, _keep_writing, world)
+
+
+@pytest.mark.parametrize("text", ["3 host-9 db-old 0.100", "nonsense", ""])
+def test_claim_of_another_form_is_followed_by_a_newer_one(text: str):
+    """A crashed primary is not replaced, for good.
+
+    The store holds a claim as an earlier version wrote it, or something else. Hosts
+    skipped it without noting its version, so that each claim of theirs was refused.
+    """
+    world = ProxyWorld()
+    world.store.put(RowKey(Table.CLAIMS, SERVICE, "primary"), text)
+    world.run(5.0)
+    assert world.caller(0, "own").run(Write("a 1")).code is Code.DONE
+    world.crash("db-casa")
+    _keep_writing(world)
+    world.run(10.0)
+    assert world.group.promotions == 1
+    assert world.orders[-1].fencing_token > 3
+
+
+@pytest.mark.parametrize("text", ["db-casa 12.300", "nonsense", "db-casa x 1.5", ""])
+def test_report_of_another_form_stops_nobody(text: str):
+    world = ProxyWorld()
+    world.store.put(RowKey(Table.SUSPICIONS, SERVICE, "host-9"), text)
+    world.crash("db-casa")
+    _keep_writing(world)
+    world.run(10.0)
+    assert world.group.promotions == 1
--- /dev/null
+++ b/tests/core/proxy/test_durability.py
@@ -0,0 +1,192 @@
+"""What must not be lost is known to whoever promotes, whoever saw it before."""
+
+from __future__ import annotations
+
+from mallowpass.core.proxy.statements import Code, Read, Write
+from mallowpass.core.proxy.storage import RowKey, Table
+from tests.fakes.proxyworld import SERVICE, ProxyWorld
+
+
+def _write(world: ProxyWorld, count: int, host: int = 0, prefix: str = "a") -> None:
+    caller = world.caller(host, "own")
+    for number in range(count):
+        assert caller.run(Write(f"{prefix} {number}")).code is Code.DONE
+
+
+def _lose(world: ProxyWorld, name: str) -> None:
+    world.crash(name)
+    world.remove_entry(name)
+
+
+def _keep_writing(world: ProxyWorld, hosts: tuple[int, ...] = (0, 1, 2)) -> None:
+    for index in hosts:
+        world.caller(index, "strict").send(Write("b 1"))
+    world.timers.after(0.1, _keep_writing, world, hosts)
+
+
+def _keep_reading(world: ProxyWorld) -> None:
+    for index in range(len(world.hosts)):
+        world.caller(index, "strict").send(Read("a"))
+    world.timers.after(0.1, _keep_reading, world)
+
+
+def _hear_again(world: ProxyWorld, name: str) -> None:
+    world.group.replicas[name].deaf = False
+    world.group.start(name)
+
+
+def test_commit_known_to_a_host_that_does_not_promote():
+    """Twenty acknowledged commits are gone; the primary never failed.
+
+    They ran by way of one host, and were acknowledged by a replica that was then lost.
+    Two other hosts saw writes stall and promoted the replica that lacked them.
+    """
+    world = ProxyWorld()
+    _write(world, 5)
+    world.group.replicas["db-tanger"].deaf = True
+    _write(world, 20, host=2)
+    _lose(world, "db-agadir")
+    _keep_writing(world, (0, 1))
+    world.run(12.0)
+    assert world.group.lost == []
+    assert world.primary.name == "db-casa"
+
+
+def test_commit_known_to_a_host_that_can_not_report():
+    """The same, and that host can't reach the store to tell what it knows."""
+    world = ProxyWorld()
+    _write(world, 5)
+    world.group.replicas["db-tanger"].deaf = True
+    world.hosts[2].cut_from.add("store")
+    _write(world, 20, host=2)
+    _lose(world, "db-agadir")
+    _keep_writing(world, (0, 1))
+    world.run(12.0)
+    assert world.group.lost == []
+
+
+def test_commit_of_a_host_that_had_heard_nothing_lately():
+    """One acknowledged commit is gone.
+
+    Its host had last heard the primary long before it sent the commit, so what the
+    primary's log had shown proves little of where the commit stands.
+    """
+    world = ProxyWorld()
+    _write(world, 1, host=2)
+    _write(world, 20)
+    world.run(1.0)
+    world.group.replicas["db-tanger"].deaf = True
+    _write(world, 1, host=2, prefix="c")
+    _lose(world, "db-agadir")
+    _keep_writing(world)
+    world.run(12.0)
+    assert world.group.lost == []
+
+
+def test_hosts_that_lost_power_before_they_could_tell():
+    """Twenty acknowledged commits are gone after all hosts lost power.
+
+    A replica is lost, then all hosts, before any of them has written what it knew.
+    Those that start then find a primary whose writes stall, and one replica.
+    """
+    world = ProxyWorld()
+    _write(world, 1)
+    world.group.replicas["db-tanger"].deaf = True
+    _write(world, 20)
+    _lose(world, "db-agadir")
+    world.lose_power(down=1.0, linger=0.5, started=lambda host: None)
+    _keep_writing(world)
+    world.run(15.0)
+    assert world.group.lost == []
+    assert world.primary.name == "db-casa"
+
+
+def test_replica_that_restarts_empty_after_an_even_replacement():
+    """Twenty acknowledged commits are gone: an empty member leads.
+
+    Both replicas had all of them when one was promoted, so nothing was written down.
+    The other starts again with nothing, all hosts lose power, and the leader is lost.
+    """
+    world = ProxyWorld()
+    _write(world, 20)
+    world.crash("db-casa")
+    _keep_reading(world)
+    world.run_until(lambda: world.group.promotions == 1, 6.0)
+    world.remove_entry("db-casa")
+    leader = world.primary.name
+    other = "db-tanger" if leader == "db-agadir" else "db-agadir"
+    world.run(1.0)
+    replica = world.group.replicas[other]
+    world.crash(other)
+    replica.log.clear()
+    replica.applied = 0
+    replica.deaf = True
+    world.run(0.2)
+    world.restart(other)
+    world.lose_power(down=1.0, linger=0.5, started=lambda host: None)
+    _lose(world, leader)
+    _keep_writing(world)
+    world.run(15.0)
+    assert world.group.lost == []
+    claim = world.store.get(RowKey(Table.CLAIMS, SERVICE, "primary")).value
+    assert claim.endswith(" 1.20")
+
+
+def test_commits_that_nobody_received_are_demanded_of_nobody():
+    """No primary for good, though nothing that was acknowledged is missing.
+
+    The old primary comes back with commits that no replica ever had, before it follows
+    its successor, which has not committed yet. What it shows then is taken for
+    something that replicas hold; it is rolled back, and the successor is lost.
+    """
+    world = ProxyWorld()
+    _write(world, 5)
+    casa = world.group.replicas["db-casa"]
+    for name in ("db-tanger", "db-agadir"):
+        world.group.replicas[name].deaf = True
+    for _ in range(3):
+        world.caller(0, "strict").send(Write("tail 1"))
+    world.run(0.1)
+    world.crash("db-casa")
+    for name in ("db-tanger", "db-agadir"):
+        _hear_again(world, name)
+    world.remove_entry("db-casa")
+    for host in range(3):
+        world.caller(host, "strict").send(Read("a"))
+    world.run_until(lambda: world.group.promotions == 1, 6.0)
+    leader = world.primary.name
+    world.run(6.0)
+    casa.deaf = True
+    world.restart("db-casa")
+    world.run(1.0)
+    kinds = ("strict", "bounded", "own")
+    callers = [world.caller(host, kind) for host in range(3) for kind in kinds]
+    for _ in range(10):
+        for caller in callers:
+            caller.send(Read("a"))
+        world.run(0.1)
+    _hear_again(world, "db-casa")
+    world.run(0.2)
+    _lose(world, leader)
+    _keep_writing(world)
+    world.run(30.0)
+    assert world.group.promotions == 2
+
+
+def test_primary_cut_from_its_replicas_is_replaced_all_the_same():
+    """A primary without receivers keeps its group from writing for the whole cut.
+
+    Reads at it show commits that no replica has. Demanded of a successor, they would
+    leave the primary that can't commit in its place.
+    """
+    world = ProxyWorld()
+    _write(world, 5)
+    _keep_reading(world)
+    world.run(3.0)
+    _write(world, 5)
+    for name in ("db-tanger", "db-agadir"):
+        world.group.replicas[name].deaf = True
+    _keep_writing(world)
+    world.run_until(lambda: world.group.promotions == 1, 3.0)
+    assert world.group.promotions == 1
+    assert world.group.lost == []
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -142,6 +142,16 @@
         wire.parse_status(b"replica 3")
 
 
+@pytest.mark.parametrize("received", ["-", "0.0", "2.0"])
+def test_status_of_an_empty_log(received):
+    """Acknowledged commits are gone: an empty endpoint was promoted.
+
+    It had started again with nothing under a newer term, and was compared by that.
+    """
+    status = wire.parse_status(f"replica 2 {received} 0 12 2 17".encode())
+    assert status.received == (0, 0)
+
+
 @pytest.mark.parametrize("word", ["", "3", "3.", ".4", "a.b", "3.-1"])
 def test_no_position(word):
     with pytest.raises(wire.WireError):
