Survey primaries that stall before any replica is paused, and again before an order

Cause: hosts that had seen writes stall, and had none to send since, replaced a primary two seconds after it acknowledged again; and each comparison that could not succeed paused the one replica whose receiving would have ended the stall. Ruled out: having such suspicions lapse (hosts with few writes would not see a stall that lasts); taking one comparison for proof (a commit is on its way for some milliseconds). Change: replicas of a primary that stalls, and it, are asked first how far they are, and none is paused. Paused replicas must then still lack what the primary had shown; if not, the attempt ends and with it the suspicion. Why a primary is replaced is one Reason in place of three flags; orders to lead are a system of their own.

--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -17,17 +17,17 @@
 from mallowpass.core.positions import ZERO_POSITION
 from mallowpass.core.proxy.claims import Claim, Claims
 from mallowpass.core.proxy.durability import Durability
-from mallowpass.core.proxy.effects import OrderPromotion
-from mallowpass.core.proxy.events import PromotionAnswered
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.members import Members
-from mallowpass.core.proxy.replacement import Replacement, best_target
+from mallowpass.core.proxy.ordering import OrderFailed, Ordering
+from mallowpass.core.proxy.replacement import Reason, Replacement, best_target
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
 from mallowpass.core.proxy.resumption import Resumption
 from mallowpass.core.proxy.signals import (
     EndpointChanged,
     PrimaryChanged,
+    PrimaryReplicates,
     ReplicaStuck,
     WriteAcknowledged,
 )
@@ -36,7 +36,6 @@
     EndpointReply,
     LogPosition,
     Pause,
-    Resume,
     Statement,
     Status,
 )
@@ -44,12 +43,6 @@
 
 __all__ = ["Promotion"]
 
-ORDER_TIMEOUT = 1.0
-ORDER_GAP = 0.3  # seconds before an order is given again
-ORDERS_MAX = 6
-# An endpoint that was ordered to lead does so within the platform's time for it; the
-# longest in use is a second. One that does not by then is ordered again.
-LEAD_TIME = 2.0
 ROUNDS_MAX = 12  # comparisons before an attempt is given up
 ROUND_GAP = 0.1  # seconds between comparisons
 # Seconds until replicas are compared again of which none had enough. Comparing pauses
@@ -76,6 +69,7 @@
         "_held_until",
         "_holders",
         "_members",
+        "_ordering",
         "_orders",
         "_resumption",
     )
@@ -94,13 +88,14 @@
         self._floors = node.system(Floors)
         self._holders = node.system(Holders)
         self._members = node.system(Members)
+        self._ordering = node.system(Ordering)
         self._orders = node.system(ReplicaOrders)
         self._resumption = node.system(Resumption)
         node.subscribe(EndpointChanged, self._on_endpoint)
         node.subscribe(PrimaryChanged, self._on_primary)
         node.subscribe(WriteAcknowledged, self._on_acknowledged)
         node.subscribe(ReplicaStuck, self._on_stuck)
-        node.subscribe(PromotionAnswered, self._on_answered)
+        node.subscribe(OrderFailed, self._on_order_failed)
 
     # -- Beginning -----------------------------------------------------------
 
@@ -108,29 +103,24 @@
         self,
         group: GroupRow,
         primary: str,
+        reason: Reason,
         why: str,
-        planned: bool,
-        relief: bool = False,
     ) -> None:
-        """Begin to replace a primary, unless that is being done.
-
-        `planned` tells that it still serves, and should until its successor leads;
-        `relief` that it may as well stay.
-        """
+        """Begin to replace a primary, unless that is being done."""
         if group.service in self._attempts or not self._holders.holds(group.service):
             return
         if self.now < self._held_until.get(group.service, 0.0):
             return
         if len(self._candidates(group, primary)) == 0:
             return
-        attempt = Replacement(group, primary, why, planned, self.now, relief=relief)
+        attempt = Replacement(group, primary, reason, why, self.now)
         self._attempts[group.service] = attempt
         self._resumption.cancel(group.service)
         self._claims.take(
             group.service,
             primary,
             lambda claim: self._on_claim(attempt, claim),
-            quiet=RELIEF_QUIET if relief else 0.0,
+            quiet=RELIEF_QUIET if reason is Reason.RELIEF else 0.0,
         )
 
     def _candidates(self, group: GroupRow, primary: str) -> list[EndpointRow]:
@@ -139,14 +129,14 @@
         ]
 
     def _on_claim(self, attempt: Replacement, claim: Claim | None) -> None:
-        if not self._is_current(attempt):
+        if attempt.ended:
             return
         if claim is None:
             self._give_up(attempt, "another host has the claim, or the store is away")
             return
         attempt.claim = claim
-        self._log(attempt, "promotion_begun", token=claim.token)
-        attempt.surveys = attempt.planned
+        attempt.log(self._node, "promotion_begun", token=claim.token)
+        attempt.surveys = attempt.reason is not Reason.SILENT
         self._compare(attempt)
 
     # -- Comparing -----------------------------------------------------------
@@ -171,21 +161,24 @@
             self._ask(attempt, endpoint, statement)
 
     def _ask_primary(self, attempt: Replacement) -> None:
-        """Have a primary show its log, where members are missing that have some of it.
+        """Have a primary show its log, where it lives or may have to.
 
-        It may live, and only lack replicas that receive. What it shows, if anything, is
-        demanded from then on; a dark one is waited for once.
+        Where members are missing that have some of it, what it shows is demanded from
+        then on; a dark one is waited for once.
         """
         primary = attempt.group.endpoints.get(attempt.primary)
-        if primary is None or attempt.rounds > 1 or attempt.planned:
+        if primary is None or attempt.rounds > 1 or not attempt.reason.is_failure:
             return
-        if self._durability.is_settled(attempt.group):
+        settled = self._durability.is_settled(attempt.group)
+        if settled and attempt.reason is not Reason.STALLED:
             return
         attempt.asked += 1
 
         def on_reply(reply: EndpointReply | None) -> None:
             attempt.asked -= 1
-            if self._is_current(attempt) and attempt.asked == 0:
+            if reply is not None and reply.status is not None:
+                attempt.shown = reply.status.received
+            if not attempt.ended and attempt.asked == 0:
                 self._decide(attempt)
 
         self._orders.give(primary, Status(), on_reply)
@@ -196,7 +189,7 @@
         round_number = attempt.rounds
 
         def on_reply(reply: EndpointReply | None) -> None:
-            if self._is_current(attempt) and attempt.rounds == round_number:
+            if not attempt.ended and attempt.rounds == round_number:
                 self._on_reply(attempt, endpoint, statement, reply)
 
         self._orders.give(endpoint, statement, on_reply)
@@ -233,14 +226,14 @@
         """Leave it at that: another host's order was carried out meanwhile."""
         if attempt.group.primary != endpoint.name:
             self._members.promoted(endpoint, "it says that it leads")
-        if self._is_current(attempt):
+        if not attempt.ended:
             self._finish(attempt, f"{endpoint.name} leads already")
 
     def _decide(self, attempt: Replacement) -> None:
         candidates = self._candidates(attempt.group, attempt.primary)
         silent = [e.name for e in candidates if e.name not in attempt.received]
-        self._log(
-            attempt,
+        attempt.log(
+            self._node,
             "promotion_compared",
             round=attempt.rounds,
             received=attempt.received_text,
@@ -256,7 +249,12 @@
             self._again(attempt, f"no answer of {','.join(silent)}")
             return
         if attempt.surveys:
-            self._end_survey(attempt, furthest)
+            self._end_survey(attempt)
+            return
+        if attempt.shown is not None and furthest >= attempt.shown:
+            # What the primary had a moment ago has been received: it is not stalled.
+            self._give_up(attempt, "its replicas receive")
+            self._node.publish(PrimaryReplicates(attempt.group))
             return
         if not attempt.target:
             leading = [e for e in candidates if attempt.received[e.name] == furthest]
@@ -268,7 +266,7 @@
                 attempt.target = ""
             self._again(attempt, "the target lacks commits")
             return
-        self._demand(attempt)
+        self._ordering.begin(attempt)
 
     def _hold_back(
         self, attempt: Replacement, furthest: LogPosition, silent: list[str]
@@ -280,7 +278,8 @@
         as one does; so those that were paused must not be kept from it.
         """
         target_receives = bool(attempt.target) and attempt.target not in attempt.paused
-        may_change = attempt.surveys or target_receives
+        survey_goes_on = attempt.surveys and not attempt.reason.is_failure
+        may_change = survey_goes_on or target_receives
         if silent and not self._lives(attempt):
             may_change = True
         if may_change and attempt.rounds < ROUNDS_MAX // 2:
@@ -304,7 +303,7 @@
         primary = attempt.group.endpoints.get(attempt.primary)
         return primary is not None and primary.heard_at > self.now - ALIVE_TIME
 
-    def _end_survey(self, attempt: Replacement, furthest: LogPosition) -> None:
+    def _end_survey(self, attempt: Replacement) -> None:
         """Go on with the replica that should lead, or give up where none needs to.
 
         With one that receives nothing as the only one that is not paused, no write
@@ -314,22 +313,25 @@
         staying = [replica for replica in candidates if not replica.is_leaving]
         settled = self._floors.settled(attempt.group)
         receiving = [r for r in staying if attempt.received[r.name] >= settled]
-        if attempt.relief and not receiving:
+        if attempt.reason is Reason.RELIEF and not receiving:
             self._give_up(attempt, "no replica that stays receives")
             return
         attempt.surveys = False
-        attempt.target = best_target(attempt, receiving or staying or candidates)
+        if attempt.reason is not Reason.STALLED:
+            attempt.target = best_target(attempt, receiving or staying or candidates)
         self._compare(attempt)
 
     def _again(self, attempt: Replacement, why: str) -> None:
-        limit = RELIEF_ROUNDS_MAX if attempt.relief else ROUNDS_MAX
+        limit = ROUNDS_MAX
+        if attempt.reason is Reason.RELIEF:
+            limit = RELIEF_ROUNDS_MAX
         if attempt.rounds >= limit:
             self._give_up(attempt, why)
             return
         self.timers.after(ROUND_GAP, self._compare_again, attempt)
 
     def _compare_again(self, attempt: Replacement) -> None:
-        if self._is_current(attempt):
+        if not attempt.ended:
             self._compare(attempt)
 
     def _on_endpoint(self, signal: EndpointChanged) -> None:
@@ -346,7 +348,7 @@
             self._pause_joined(attempt, endpoint)
 
     def _pause_joined(self, attempt: Replacement, endpoint: EndpointRow) -> None:
-        if not self._is_current(attempt) or endpoint.name in attempt.paused:
+        if attempt.ended or endpoint.name in attempt.paused:
             return
 
         def on_reply(reply: EndpointReply | None) -> None:
@@ -357,87 +359,6 @@
 
         self._orders.give(endpoint, Pause(attempt.group.term + 1), on_reply)
 
-    # -- Ordering ------------------------------------------------------------
-
-    def _demand(self, attempt: Replacement) -> None:
-        """Order the target to lead, and have what it holds demanded of its successor.
-
-        If the target alone holds some, the order waits for that: should it fail too,
-        those that lack it must not lead. Else 8 ms and two ways to the store are saved.
-        """
-        held = attempt.received[attempt.target]
-        waits = any(position < held for position in attempt.received.values())
-        round_number = attempt.rounds
-
-        def on_claim(claim: Claim | None) -> None:
-            if not self._is_current(attempt) or attempt.rounds != round_number:
-                return
-            if claim is not None:
-                attempt.claim = claim
-            if waits and claim is not None:
-                self._order(attempt)
-            elif waits:
-                attempt.claim = None
-                why = "another host has the claim, or the store is away"
-                self._give_up(attempt, why)
-
-        self._claims.demand(attempt.group.service, attempt.claim, held, on_claim)
-        if not waits:
-            self._order(attempt)
-
-    def _order(self, attempt: Replacement) -> None:
-        target = attempt.group.endpoints.get(attempt.target)
-        if attempt.target in attempt.paused and target is not None:
-            # Whatever a primary that lives acknowledges until then, it should receive.
-            attempt.paused.discard(attempt.target)
-            self._orders.give(target, Resume(), lambda reply: None)
-        attempt.orders += 1
-        attempt.call = self._node.number()
-        self._log(
-            attempt,
-            "promotion_ordered",
-            target=attempt.target,
-            token=attempt.claim.token,
-            received=attempt.received_text,
-        )
-        self._node.emit(
-            OrderPromotion(
-                attempt.call,
-                attempt.group.service,
-                attempt.target,
-                attempt.claim.token,
-                ORDER_TIMEOUT,
-            )
-        )
-
-    def _on_answered(self, event: PromotionAnswered) -> None:
-        attempt = next(
-            (a for a in self._attempts.values() if a.call == event.call), None
-        )
-        if attempt is None:
-            return
-        if event.accepted:
-            self.timers.after(LEAD_TIME, self._check_lead, attempt, attempt.call)
-            return
-        if event.outdated:
-            attempt.claim = None  # another host's is newer
-            self._give_up(attempt, event.message)
-            return
-        self._node.log("warning", "promotion_not_taken", why=event.message)
-        self.timers.after(ORDER_GAP, self._order_again, attempt, attempt.call)
-
-    def _check_lead(self, attempt: Replacement, call: int) -> None:
-        if self._is_current(attempt) and attempt.call == call:
-            self._order_again(attempt, call)
-
-    def _order_again(self, attempt: Replacement, call: int) -> None:
-        if not self._is_current(attempt) or attempt.call != call:
-            return
-        if attempt.orders >= ORDERS_MAX:
-            self._give_up(attempt, "the order was given often enough")
-        else:
-            self._order(attempt)
-
     # -- Ending --------------------------------------------------------------
 
     def _on_primary(self, signal: PrimaryChanged) -> None:
@@ -449,21 +370,28 @@
     def _on_acknowledged(self, signal: WriteAcknowledged) -> None:
         """Leave a primary that had failed, and serves writes again, in its place."""
         attempt = self._attempts.get(signal.group.service)
-        if attempt is None or attempt.planned or attempt.orders:
+        if attempt is None or not attempt.reason.is_failure or attempt.orders:
             return
         if attempt.primary == attempt.group.primary:
             self._give_up(attempt, "the primary acknowledges writes")
 
+    def _on_order_failed(self, signal: OrderFailed) -> None:
+        self._give_up(signal.attempt, signal.why)
+
     def _finish(self, attempt: Replacement, why: str) -> None:
-        del self._attempts[attempt.group.service]
-        self._log(attempt, "promotion_ended", outcome=why)
+        self._end(attempt)
+        attempt.log(self._node, "promotion_ended", outcome=why)
         self._resume(attempt)
 
     def _give_up(self, attempt: Replacement, why: str) -> None:
-        del self._attempts[attempt.group.service]
-        self._log(attempt, "promotion_given_up", outcome=why)
+        self._end(attempt)
+        attempt.log(self._node, "promotion_given_up", outcome=why)
         self._resume(attempt)
 
+    def _end(self, attempt: Replacement) -> None:
+        attempt.ended = True
+        del self._attempts[attempt.group.service]
+
     def _resume(self, attempt: Replacement) -> None:
         if attempt.rounds and not attempt.surveys:
             # Also those that did not say so: an order to pause may be carried out late.
@@ -483,19 +411,3 @@
             return
         if self._holders.holds(service):
             self._resumption.repair(endpoint)
-
-    def _is_current(self, attempt: Replacement) -> bool:
-        return self._attempts.get(attempt.group.service) is attempt
-
-    def _log(self, attempt: Replacement, event: str, **fields: object) -> None:
-        self._node.count("promotion_steps", service=attempt.group.service, step=event)
-        self._node.log(
-            "info",
-            event,
-            service=attempt.group.service,
-            primary=attempt.primary,
-            planned=attempt.planned,
-            why=attempt.why,
-            after=round(self.now - attempt.began_at, 3),
-            **fields,
-        )
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -16,6 +16,7 @@
 from mallowpass.core.proxy.links import Links
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.members import Members
+from mallowpass.core.proxy.ordering import Ordering
 from mallowpass.core.proxy.promotion import Promotion
 from mallowpass.core.proxy.relief import Relief
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
@@ -46,6 +47,7 @@
     ReplicaOrders,
     Claims,
     Resumption,
+    Ordering,
     Promotion,
     Succession,
     Relief,
--- a/mallowpass/core/proxy/relief.py
+++ b/mallowpass/core/proxy/relief.py
@@ -12,6 +12,7 @@
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.promotion import Promotion
+from mallowpass.core.proxy.replacement import Reason
 from mallowpass.core.proxy.signals import ReplicasBehind
 from mallowpass.core.proxy.tables import GroupRow, ProxySystem
 
@@ -63,7 +64,7 @@
             return
         self._tried_at[group.service] = self.now
         why = "no replica has the floor"
-        self._promotion.replace(group, primary.name, why, planned=True, relief=True)
+        self._promotion.replace(group, primary.name, Reason.RELIEF, why)
 
     def _has_led_long(self, group: GroupRow) -> bool:
         # Where that was no help, it must not be done again and again.
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -3,34 +3,50 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import Enum
 
+from mallowpass.core.node import Node
 from mallowpass.core.positions import LogPosition
 from mallowpass.core.proxy.claims import Claim
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow
 
-__all__ = ["Replacement", "best_target"]
+__all__ = ["Reason", "Replacement", "best_target"]
 
 
-@dataclass(slots=True)
+class Reason(Enum):
+    """Say why a primary is replaced, and with that how."""
+
+    SILENT = "silent"  # it answers nobody, or is not known: as soon as it can be
+    STALLED = "stalled"  # it lives, and acknowledges no writes
+    LEAVING = "leaving"  # it serves until its successor leads
+    RELIEF = "relief"  # it has too much to do, and may as well stay
+
+    @property
+    def is_failure(self) -> bool:
+        """Tell whether the primary serves no writes."""
+        return self in (Reason.SILENT, Reason.STALLED)
+
+
+@dataclass(slots=True, eq=False)
 class Replacement:
     """Hold one attempt to replace a group's primary, under one claim."""
 
     group: GroupRow
     primary: str
+    reason: Reason
     why: str
-    planned: bool
     began_at: float
     claim: Claim | None = None
     target: str = ""
-    relief: bool = False  # the primary is fine, and may as well stay
     surveys: bool = False  # replicas are asked how far they are, and none is paused
     paused: set[str] = field(default_factory=set)  # that have said so
     members: set[str] = field(default_factory=set)  # that are asked in this round
     asked: int = 0  # questions of this round without a reply
     received: dict[str, LogPosition] = field(default_factory=dict)
+    shown: LogPosition | None = None  # by the primary, in the first round
     rounds: int = 0
     orders: int = 0
-    call: int = 0  # number of the order that is open
+    ended: bool = False
 
     @property
     def received_text(self) -> str:
@@ -38,6 +54,20 @@
         received = sorted(self.received.items())
         return ",".join(f"{name}:{position.text}" for name, position in received)
 
+    def log(self, node: Node, event: str, **fields: object) -> None:
+        """Log a step of the attempt, and count it."""
+        node.count("promotion_steps", service=self.group.service, step=event)
+        node.log(
+            "info",
+            event,
+            service=self.group.service,
+            primary=self.primary,
+            planned=not self.reason.is_failure,
+            why=self.why,
+            after=round(node.timers.now - self.began_at, 3),
+            **fields,
+        )
+
 
 def best_target(attempt: Replacement, replicas: list[EndpointRow]) -> str:
     """Return the replica that should lead.
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -27,6 +27,7 @@
     "FloorLearnt",
     "PrimaryChanged",
     "PrimaryHeard",
+    "PrimaryReplicates",
     "PrimaryStalled",
     "PrimarySuspected",
     "ReplicaStuck",
@@ -102,6 +103,13 @@
     endpoint: EndpointRow
 
 
+@record
+class PrimaryReplicates(Signal):
+    """What a primary had shown has been received: its writes are acknowledged."""
+
+    group: GroupRow
+
+
 @record
 class FloorLearnt(Signal):
     """Another host told where a primary's log was, at or after `asked_at`."""
--- a/mallowpass/core/proxy/stalls.py
+++ b/mallowpass/core/proxy/stalls.py
@@ -14,6 +14,7 @@
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.signals import (
     PrimaryChanged,
+    PrimaryReplicates,
     PrimaryStalled,
     WriteAcknowledged,
     WriteStalled,
@@ -52,6 +53,7 @@
     def start(self) -> None:
         """Subscribe to writes, answered or not."""
         self._node.subscribe(WriteStalled, self._on_stalled)
+        self._node.subscribe(PrimaryReplicates, self._on_acknowledged)
         self._node.subscribe(WriteAcknowledged, self._on_acknowledged)
         self._node.subscribe(PrimaryChanged, self._on_primary)
 
@@ -87,7 +89,7 @@
         if stall.writes >= STALLS:
             self._node.publish(PrimaryStalled(endpoint))
 
-    def _on_acknowledged(self, signal: WriteAcknowledged) -> None:
+    def _on_acknowledged(self, signal: WriteAcknowledged | PrimaryReplicates) -> None:
         self._end(signal.group.service, "one was acknowledged")
 
     def _on_primary(self, signal: PrimaryChanged) -> None:
--- a/mallowpass/core/proxy/succession.py
+++ b/mallowpass/core/proxy/succession.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from mallowpass.core.proxy.promotion import Promotion
+from mallowpass.core.proxy.replacement import Reason
 from mallowpass.core.proxy.signals import EndpointChanged, PrimaryChanged
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
 
@@ -47,7 +48,7 @@
         why = "it is draining"
         if endpoint.gone_at is not None:
             why = "its entry is gone"
-        self._promotion.replace(group, endpoint.name, why, planned=True)
+        self._promotion.replace(group, endpoint.name, Reason.LEAVING, why)
         self.timers.after(RETRY, self._consider, endpoint)
 
     def _on_primary(self, signal: PrimaryChanged) -> None:
@@ -61,5 +62,5 @@
         """Replace a primary that is not known, and that does not come back."""
         if group.primary or group.no_primary_since != since:
             return
-        self._promotion.replace(group, "", "nobody leads", planned=False)
+        self._promotion.replace(group, "", Reason.SILENT, "nobody leads")
         self.timers.after(RETRY, self._consider_leaderless, group, since)
--- a/mallowpass/core/proxy/suspicion.py
+++ b/mallowpass/core/proxy/suspicion.py
@@ -15,10 +15,12 @@
 from mallowpass.core.proxy.durability import Durability
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.promotion import Promotion
+from mallowpass.core.proxy.replacement import Reason
 from mallowpass.core.proxy.signals import (
     EndpointUnreachable,
     PrimaryChanged,
     PrimaryHeard,
+    PrimaryReplicates,
     PrimaryStalled,
     PrimarySuspected,
     WriteAcknowledged,
@@ -113,6 +115,7 @@
         node.subscribe(EndpointUnreachable, self._on_unreachable)
         node.subscribe(PrimaryStalled, self._on_stalled)
         node.subscribe(PrimaryHeard, self._on_heard)
+        node.subscribe(PrimaryReplicates, self._on_acknowledged)
         node.subscribe(WriteAcknowledged, self._on_acknowledged)
         node.subscribe(PrimaryChanged, self._on_changed)
 
@@ -133,7 +136,7 @@
         if suspect is not None and not suspect.stalls:
             self._clear(signal.group.service, "it answers")
 
-    def _on_acknowledged(self, signal: WriteAcknowledged) -> None:
+    def _on_acknowledged(self, signal: WriteAcknowledged | PrimaryReplicates) -> None:
         self._clear(signal.group.service, "it acknowledges writes")
 
     def _on_changed(self, signal: PrimaryChanged) -> None:
@@ -240,7 +243,8 @@
         if len(hosts) < self._quorum(service):
             return False
         why = f"{suspect.why}; seen by {','.join(sorted(hosts))}"
-        self._promotion.replace(group, suspect.primary, why, planned=False)
+        reason = Reason.STALLED if suspect.stalls else Reason.SILENT
+        self._promotion.replace(group, suspect.primary, reason, why)
         return True
 
     def _read(self, row: Row) -> Report | None:
--- a/tests/core/proxy/test_stalls.py
+++ b/tests/core/proxy/test_stalls.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from mallowpass.core.proxy.statements import Answer, Code, Read, Write
+from mallowpass.core.proxy.statements import Answer, Code, Pause, Read, Write
 from tests.fakes.proxyhosts import Caller
 from tests.fakes.proxyworld import ProxyWorld
 
@@ -110,3 +110,45 @@
     assert len(answers) > 30
     assert {answer.code for answer in answers} == {Code.DONE}
     assert world.group.lost == []
+
+
+def test_primary_whose_replica_receives_again_stays():
+    """A primary was replaced two seconds after it had acknowledged writes again.
+
+    Hosts that had seen writes stall, and had none to send since, still suspected it:
+
+        23.43 promotion_would_lose_commits needed=2.132 furthest=1.87
+        25.45 promotion_ordered received=e2e9:2.172
+
+    Once its replica had caught up, nothing held the replacement back any more.
+    """
+    world = ProxyWorld()
+    _leave_no_replica_that_receives(world)
+    for host in (0, 1):
+        for _ in range(3):
+            world.caller(host, "strict").send(Write("b 1"))
+    world.run(4.0)
+    assert all(host.logged("primary_suspected") for host in world.hosts[:2])
+    world.group.replicas["db-tanger"].deaf = False
+    world.group.start("db-tanger")
+    world.run(6.0)
+    assert world.group.promotions == 0
+    assert world.caller(0, "strict").run(Write("b 2")).code is Code.DONE
+
+
+def test_replica_is_not_paused_where_it_could_not_lead():
+    """A replica that receives again is kept from it by those that compare.
+
+    Each host in turn paused it to find that it lacked commits, and it was all that
+    could have acknowledged the primary's writes.
+    """
+    world = ProxyWorld()
+    _leave_no_replica_that_receives(world)
+    _Load(world)
+    world.run(6.0)
+    paused = [
+        call
+        for _, member, call in world.calls
+        if member == "db-tanger" and isinstance(call.statement, Pause)
+    ]
+    assert paused == []
