Test that an endpoint's entry tells when it started

Cause: an endpoint may start again under its name; its entry tells the start, which nothing reads yet.

--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -39,9 +39,14 @@
     "slots": 3,
     "state": "draining",
     "dbRole": "primary",
+    "born": 1764720000123,
 }
 
 
+def _without(field: str) -> dict[str, object]:
+    return {name: value for name, value in ENTRY.items() if name != field}
+
+
 def test_configuration():
     found = decode_configuration(json.dumps(CONFIGURATION).encode())
     route = found.routes["fiti832ti23"]
@@ -58,6 +63,23 @@
 def test_entry():
     entry = decode_entry("i-1", json.dumps(ENTRY).encode())
     assert (entry.name, entry.draining, entry.is_primary) == ("i-1", True, True)
+    assert entry.started_at == 1764720000123
+
+
+def test_start_that_is_not_told():
+    entry = decode_entry("i-1", json.dumps(_without("born")).encode())
+    assert entry.started_at == 0
+
+
+@pytest.mark.parametrize("born", [None, "1764720000123", 1.5, True, -1, [], {}])
+def test_start_that_is_no_whole_number(born):
+    """Symptom: an endpoint counts as started anew though it was not.
+
+    Sequence: another writer puts something else than a number there. Cause: it is
+    taken for a start that differs from the one known.
+    """
+    entry = decode_entry("i-1", json.dumps(ENTRY | {"born": born}).encode())
+    assert entry.started_at == 0
 
 
 @pytest.mark.parametrize(
