Read when an endpoint started from its entry

Cause: an endpoint may start again under its name, and then knows nothing of before. Without its start two of them can't be told apart. Ruled out: taking a lower sequence number of the entry for a start. It may have grown past the old one before the entry is read. Change: EndpointEntry.started_at, decoded in documents. An entry that tells none, or no whole number, has an unknown start: older endpoints tell none. The stand-ins write it, and can start a member again under its name with nothing.

--- a/mallowpass/core/proxy/storage.py
+++ b/mallowpass/core/proxy/storage.py
@@ -22,6 +22,7 @@
     "StoreReply",
     "StoreStatus",
     "Table",
+    "UNKNOWN_START",
     "WatchRows",
 ]
 
@@ -36,9 +37,17 @@
     CLAIMS = "claims"
 
 
+UNKNOWN_START = 0  # of an entry that does not tell when its endpoint started
+
+
 @record
 class EndpointEntry:
-    """Hold what an endpoint says of itself; `name` is unique for all time."""
+    """Hold what an endpoint says of itself.
+
+    An endpoint may start again under its name, and knows nothing of before then:
+    `started_at`, the Unix time of its start in milliseconds, tells one start from
+    another.
+    """
 
     name: str
     service: str
@@ -47,6 +56,7 @@
     slots: int
     draining: bool
     is_primary: bool
+    started_at: int = UNKNOWN_START
 
 
 @record
--- a/mallowpass/platform/documents.py
+++ b/mallowpass/platform/documents.py
@@ -11,7 +11,7 @@
     Route,
     ServiceLimits,
 )
-from mallowpass.core.proxy.storage import EndpointEntry
+from mallowpass.core.proxy.storage import UNKNOWN_START, EndpointEntry
 
 __all__ = ["CONSISTENCY", "DocumentError", "decode_configuration", "decode_entry"]
 
@@ -83,6 +83,14 @@
             draining=document.get("state") == "draining",
             # How it sees itself; it may have been replaced without knowing.
             is_primary=document.get("dbRole") == "primary",
+            started_at=_start(document.get("born")),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise DocumentError(f"entry of {name}: {error!r}") from error
+
+
+def _start(born: Any) -> int:
+    """Return the time of a start, UNKNOWN_START where none can be read."""
+    if isinstance(born, int) and not isinstance(born, bool) and born > 0:
+        return born
+    return UNKNOWN_START
--- a/mallowpass/standins/proxied/connections.py
+++ b/mallowpass/standins/proxied/connections.py
@@ -242,7 +242,7 @@
         if not self.open or not self._replica.up:
             return
         if not self._replica.is_primary:
-            if entry in group.primary.log:
+            if group.has_primary and entry in group.primary.log:
                 # Its successor has it: to say that it did not run would be a lie, and
                 # nobody here knows that it is kept.
                 self.silent = True
--- a/mallowpass/standins/proxied/httpserver.py
+++ b/mallowpass/standins/proxied/httpserver.py
@@ -183,6 +183,7 @@
         "slots": value.slots,
         "state": "draining" if value.draining else "ready",
         "dbRole": "primary" if value.is_primary else "replica",
+        "born": value.started_at,
     }
     return json.dumps(document).encode()
 
--- a/mallowpass/standins/proxied/platform.py
+++ b/mallowpass/standins/proxied/platform.py
@@ -138,6 +138,7 @@
             slots=self.group.slots,
             draining=draining,
             is_primary=replica.is_primary,
+            started_at=replica.started_at,
         )
         self.store.put(RowKey(Table.ENDPOINTS, "", replica.name), entry)
 
@@ -150,6 +151,12 @@
         self.servers[name].stop()
         self.group.crash(name)
 
+    async def restart(self, name: str) -> None:
+        """Start a member that has ended again, under its name and with nothing."""
+        self.group.start(name, empty=True)
+        await self.servers[name].start()
+        self.enter(self.group.replicas[name])
+
     def _address(self, number: int, port: int) -> Address:
         return Address(f"{self._prefix}.{number}", port)
 
--- a/mallowpass/standins/proxied/replicas.py
+++ b/mallowpass/standins/proxied/replicas.py
@@ -23,6 +23,10 @@
 __all__ = ["Group", "GroupTimes", "LogEntry", "Replica"]
 
 
+# Unix time of the timers' zero, in milliseconds.
+CLOCK_OFFSET = 1_764_720_000_000
+
+
 @dataclass(slots=True)
 class GroupTimes:
     """Hold the times of a group, in seconds."""
@@ -47,6 +51,7 @@
     """Hold one member of the group, primary or not."""
 
     name: str
+    started_at: int  # Unix time in milliseconds
     is_primary: bool = False
     term: int = 1
     log: list[LogEntry] = field(default_factory=list)
@@ -114,7 +119,7 @@
         self.synchronous = synchronous
         self.slots = slots
         self.max_connections = max_connections
-        self.replicas = {name: Replica(name) for name in names}
+        self.replicas = {name: Replica(name, self._clock) for name in names}
         self.replicas[names[0]].is_primary = True
         self.acknowledged: list[LogEntry] = []
         self.lost: list[LogEntry] = []  # acknowledged, and dropped by a promotion
@@ -127,10 +132,19 @@
         """Return the member that leads; whether it is up is another matter."""
         return next(r for r in self.replicas.values() if r.is_primary)
 
+    @property
+    def has_primary(self) -> bool:
+        """Tell whether a member leads; none does after it has started again empty."""
+        return any(replica.is_primary for replica in self.replicas.values())
+
+    @property
+    def _clock(self) -> int:
+        return CLOCK_OFFSET + int(1000 * self.timers.now)
+
     def add(self, name: str) -> Replica:
         """Add a replica with the primary's log."""
         primary = self.primary
-        replica = Replica(name, term=primary.term, log=list(primary.log))
+        replica = Replica(name, self._clock, term=primary.term, log=list(primary.log))
         replica.applied = len(replica.log)
         self.replicas[name] = replica
         return replica
@@ -142,9 +156,15 @@
         for connection in list(replica.connections):
             connection.close()
 
-    def start(self, name: str) -> None:
-        """Start a member again, with its log."""
+    def start(self, name: str, empty: bool = False) -> None:
+        """Start a member again, with its log; or as a replica that has nothing.
+
+        With its log it is the same start: it was out of reach, and is back.
+        """
         replica = self.replicas[name]
+        if empty:
+            started_at = max(self._clock, replica.started_at + 1)
+            replica = self.replicas[name] = Replica(name, started_at)
         replica.up = True
         replica.paused_for = 0
         replica.busy = 0
@@ -176,6 +196,8 @@
 
     def _receive(self, replica: Replica) -> None:
         """Copy the primary's log to a replica that can receive it."""
+        if not self.has_primary:
+            return
         primary = self.primary
         if replica is primary or not replica.up or not primary.up:
             return
@@ -221,12 +243,13 @@
     def _lead(self, replica: Replica) -> None:
         if replica.is_primary or not replica.up:
             return
-        before = self.primary
+        before = self.primary if self.has_primary else None
         held = set(replica.log)
         self.lost += [entry for entry in self.acknowledged if entry not in held]
         self.promotions += 1
         term = 1 + max(other.term for other in self.replicas.values())
-        before.is_primary = False
+        if before is not None:
+            before.is_primary = False
         replica.is_primary = True
         replica.term = term
         replica.paused_for = 0
@@ -236,7 +259,7 @@
             for connection in other.connections:
                 connection.lost_lead |= other is before
             self.catch_up(other)
-        if before.up:
+        if before is not None and before.up:
             self.on_role(before)
         self.on_role(replica)
 
--- a/tests/fakes/proxyhosts.py
+++ b/tests/fakes/proxyhosts.py
@@ -80,6 +80,7 @@
         self.domain = domain
         self.callers: dict[int, Caller] = {}
         self.connections: dict[int, ReplicaConnection] = {}
+        self.given_up: set[int] = set()  # closed while they were being opened
         self.ready = False
         self.exited = False
         self.accepting = True
@@ -159,6 +160,8 @@
 
     def _open(self, effect: effects.OpenConnection) -> None:
         number = effect.connection
+        if number in self.given_up:
+            return
         if effect.address.endswith(":7440"):
             self.world.open_link(self, effect)
             return
@@ -177,6 +180,8 @@
     def _opened(
         self, group: Group, effect: effects.OpenConnection, replica: Replica
     ) -> None:
+        if effect.connection in self.given_up:
+            return
         connection = connect(group, effect.endpoint)
         if isinstance(connection, Code):
             refusal = ConnectionRefused(effect.connection, connection, "full")
@@ -216,6 +221,7 @@
 
     @_apply.register
     def _(self, effect: effects.CloseConnection) -> None:
+        self.given_up.add(effect.connection)
         connection = self.connections.pop(effect.connection, None)
         if connection is not None:
             connection.close()
--- a/tests/fakes/proxyworld.py
+++ b/tests/fakes/proxyworld.py
@@ -173,6 +173,7 @@
             slots=3,
             draining=draining,
             is_primary=replica.is_primary,
+            started_at=replica.started_at,
         )
         self.store.put(self._entry_key(replica.name), entry)
 
@@ -194,10 +195,12 @@
                     host.lose(number, "reset")
         self.group.crash(name)
 
-    def restart(self, name: str) -> None:
-        """Start a member again, with its log."""
+    def restart(self, name: str, empty: bool = False) -> None:
+        """Start a member again, with its log; or anew, with nothing."""
         self.dark.discard(name)
-        self.group.start(name)
+        if empty and self.group.replicas[name].up:
+            self.crash(name)
+        self.group.start(name, empty)
         self.enter(self.group.replicas[name])
 
     def loses_answer(self, connection: ReplicaConnection, reply: EndpointReply) -> bool:
