Test that nothing known of an endpoint outlives its start

Cause: what a host believes of an endpoint hangs on its name. One that starts again under it holds and knows nothing of before, and is still taken for what it was.

--- a/tests/core/proxy/test_links.py
+++ b/tests/core/proxy/test_links.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from mallowpass.core.proxy.configuration import Consistency, ServiceLimits
@@ -18,6 +20,8 @@
     SetValue,
     Write,
 )
+from mallowpass.core.proxy.storage import RowKey, Table
+from mallowpass.core.proxy.tables import ConnectionState
 from mallowpass.standins.proxied.connections import connect
 from tests.fakes.proxyhosts import Host
 from tests.fakes.proxyworld import (
@@ -323,3 +327,33 @@
     assert host.tables.endpoints["db-casa"].connections
     reader = world.caller(index, "bounded")
     assert reader.run(Read("a")).signature != "db-casa"
+
+
+def test_endpoint_that_starts_again_behind_a_holder():
+    """Symptom: a host is told that a write is in doubt which the holder never sent.
+
+    Sequence: calls wait at a holder for a connection, and the endpoint starts again.
+    Cause: the link is closed with the calls still unanswered.
+    """
+    world = ProxyWorld(hosts=HOSTS)
+    world.run(4.0)
+    caller = world.caller(_other(world), "strict")
+    assert caller.run(Write("a 1")).code is Code.DONE
+    holder = next(h for h in world.hosts if any(h.tables.links.values()))
+    before = holder.tables.endpoints["db-casa"]
+    for connection in before.connections.values():
+        connection.state = ConnectionState.PINNED  # none is free
+    caller.send(Write("a 2"))
+    world.run(0.005)
+    for host in world.hosts:
+        host.cut_from.add("store")
+    holder.cut_from.discard("store")
+    key = RowKey(Table.ENDPOINTS, "", "db-casa")
+    entry = world.store.get(key).value
+    world.store.put(key, replace(entry, started_at=entry.started_at + 1))
+    world.run(0.1)
+    assert holder.tables.endpoints["db-casa"] is not before
+    assert all(link.endpoint is not before for link in holder.tables.links.values())
+    world.run(1.0)
+    assert [answer.code for answer in caller.answers] == [Code.DONE, Code.DONE]
+    assert world.primary.value("a") == "2"
