Begin anew with an endpoint that started again under its name

Cause: a row of an endpoint was kept for as long as its name was. After a restart a replica that has nothing counted as up to date, a primary that has nothing went on leading for this host, and connections to the earlier start stayed in use.

Ruled out: clearing the fields of the row one by one. Whoever still holds the row (timers, statements in flight, links, questions) could not tell that it is another start, and a field that is added later would be forgotten. Telling the connections to the new start from those to the earlier one: neither the handshake nor an answer says which it is. A host that connected to the new start before its entry came closes these as well.

Change: an entry of a later start ends the row and begins a fresh one, logs `endpoint_restarted` and publishes `EndpointRestarted` with both rows. The group's primary is unknown then, until the new start's own entry names it, or another one leads. Entries of an earlier start are passed over; one without a start is of the one that is known.

Places that go by an endpoint's name, and needed the start: - members: rows and their timers (leaving, gone), who leads, denied roles (now in the row) - connections: all of the earlier start are closed, none is opened to it any more (a write in flight is in doubt at once, a read or an unsent write goes elsewhere); with them end their values and prepared statements - links: those of other hosts to the earlier start end, what waits on them is refused - control: questions to the earlier start end without a reply - load, floors, routing, shares: they keep all in the row, and needed no change - durability: `led_term` is in the row and ends with it - promotion, replacement, succession, claims, resumption, suspicion: not in this commit; they hold names or rows over time and have to subscribe

Places that go by its name, and did not need the start: - requests, attempts, answers, transactions: `avoided` lasts for one statement; the rest is log lines, or goes by way of the connection - routing, discovery, floors: compare with the group's primary at one moment - relief: counts changes of primary of a group - stalls, group.primary_term: end with the belief of who leads, as a restart ends it - group.secured: must outlive the endpoints that showed it - replicaorders: passes rows on to control - holders, shares, hosts: the names are those of hosts - group.samples, sessions' floors, group.term: they are of the group's log, which outlives each member - versions of entries are the store's, which grow over all starts; the number that an endpoint counts itself is read nowhere

Also: a link to an endpoint that is forgotten refuses what waits on it, as it now does at a restart; its caller was told that such a write is in doubt.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -21,6 +21,7 @@
 from mallowpass.core.proxy.signals import (
     ConnectionFreed,
     EndpointForgotten,
+    EndpointRestarted,
     EndpointUnreachable,
     FloorLearnt,
 )
@@ -84,6 +85,7 @@
         node.subscribe(ConnectionLost, self._on_lost)
         node.subscribe(EndpointAnswered, self._on_answered)
         node.subscribe(EndpointForgotten, self._on_forgotten)
+        node.subscribe(EndpointRestarted, self._on_restarted)
         self.timers.every(IDLE_LOOK, self._close_idle)
 
     # -- Taking and giving back ----------------------------------------------
@@ -118,6 +120,8 @@
         none itself. All callers of a region may come to one host, most of all when
         many start again; the others' connections are idle then.
         """
+        if not self.tables.is_current(endpoint):
+            return False
         opening = sum(
             1
             for connection in endpoint.connections.values()
@@ -144,7 +148,7 @@
         if connection.broken:
             self.close(connection, "its state is unknown")
             return
-        if connection.endpoint.name not in self.tables.endpoints:
+        if not self.tables.is_current(connection.endpoint):
             self.close(connection, "the endpoint is gone")
             return
         if self._shares.is_surplus(connection):
@@ -389,6 +393,16 @@
                 if idle and connection.last_used < idle_since:
                     self.close(connection, "it was idle")
 
+    def _on_restarted(self, signal: EndpointRestarted) -> None:
+        """Close all connections to an endpoint's earlier start, also busy ones.
+
+        One that ended without a sign, as its machine did, resets none of them. What was
+        sent on them would wait for answers that can't come, and their values and
+        prepared statements would be looked for at the new start.
+        """
+        for connection in list(signal.before.connections.values()):
+            self.close(connection, "the endpoint started again")
+
     def _on_forgotten(self, signal: EndpointForgotten) -> None:
         for connection in list(signal.endpoint.connections.values()):
             if connection.state is ConnectionState.IDLE:
--- a/mallowpass/core/proxy/control.py
+++ b/mallowpass/core/proxy/control.py
@@ -6,7 +6,7 @@
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.connections import Connections
-from mallowpass.core.proxy.signals import ConnectionFreed
+from mallowpass.core.proxy.signals import ConnectionFreed, EndpointRestarted
 from mallowpass.core.proxy.statements import (
     Code,
     EndpointCall,
@@ -57,6 +57,7 @@
         """Take connections as they become free, before callers' statements do."""
         self._connections = self._node.system(Connections)
         self._node.subscribe(ConnectionFreed, self._on_freed)
+        self._node.subscribe(EndpointRestarted, self._on_restarted)
 
     def ask(
         self,
@@ -77,6 +78,15 @@
             if question.endpoint is signal.endpoint:
                 self._try(question)
 
+    def _on_restarted(self, signal: EndpointRestarted) -> None:
+        """End questions to an endpoint's earlier start: the new one can't answer them.
+
+        Those that were sent end with their connections.
+        """
+        for question in list(self._waiting):
+            if question.endpoint is signal.before:
+                self._finish(question, None)
+
     def _try(self, question: _Question) -> None:
         if question.handler is None or question not in self._waiting:
             return
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -22,7 +22,11 @@
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.load import Load
-from mallowpass.core.proxy.signals import ConnectionFreed, EndpointForgotten
+from mallowpass.core.proxy.signals import (
+    ConnectionFreed,
+    EndpointForgotten,
+    EndpointRestarted,
+)
 from mallowpass.core.proxy.statements import (
     Access,
     Begin,
@@ -72,6 +76,7 @@
         node.subscribe(LinkClosed, self._on_closed)
         node.subscribe(ConnectionFreed, self._on_freed)
         node.subscribe(EndpointForgotten, self._on_forgotten)
+        node.subscribe(EndpointRestarted, self._on_restarted)
 
     # -- Opening and closing -------------------------------------------------
 
@@ -106,7 +111,26 @@
     def _on_forgotten(self, signal: EndpointForgotten) -> None:
         for link in list(self.tables.links.values()):
             if link.endpoint is signal.endpoint and not link.in_flight:
-                self._end(link)
+                self._dismiss(link, "the endpoint is gone")
+
+    def _on_restarted(self, signal: EndpointRestarted) -> None:
+        """End all links to an endpoint's earlier start.
+
+        Those with calls in flight have ended with their connections.
+        """
+        for link in list(self.tables.links.values()):
+            if link.endpoint is signal.before:
+                self._dismiss(link, "the endpoint started again")
+
+    def _dismiss(self, link: LinkRow, why: str) -> None:
+        """Close a link after refusing what waits on it.
+
+        The host at the other end takes calls without an answer for sent: it would tell
+        callers that writes are in doubt which no endpoint was given.
+        """
+        if link.waiting:
+            self._refuse(link, Code.BUSY, why)
+        self._end(link)
 
     def _end(self, link: LinkRow) -> None:
         """Close a link from here: whatever it has in flight has no answer."""
--- a/mallowpass/core/proxy/members.py
+++ b/mallowpass/core/proxy/members.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.signals import (
     EndpointChanged,
     EndpointForgotten,
+    EndpointRestarted,
     PrimaryChanged,
 )
-from mallowpass.core.proxy.storage import EndpointEntry, Row, Table
+from mallowpass.core.proxy.storage import UNKNOWN_START, EndpointEntry, Row, Table
 from mallowpass.core.proxy.store import Store
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
 
@@ -28,13 +31,11 @@
 class Members(ProxySystem):
     """Own the rows of endpoints and the belief of who leads each group."""
 
-    __slots__ = ("_denied", "_known", "_store")
+    __slots__ = ("_known", "_store")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
         self._known = False
-        # Versions of entries that name an endpoint primary which said it is not.
-        self._denied: dict[str, int] = {}
 
     def start(self) -> None:
         """Follow the entries of endpoints."""
@@ -64,13 +65,14 @@
     def _put(self, entry: EndpointEntry, version: int) -> None:
         endpoint = self.tables.endpoints.get(entry.name)
         if endpoint is None:
-            endpoint = EndpointRow(entry, version)
-            self.tables.endpoints[entry.name] = endpoint
-            self.tables.group(entry.service).endpoints[entry.name] = endpoint
-            self.tables.endpoints_version += 1
-        elif version < endpoint.version:
+            endpoint = self._add(entry, version)
+        elif version < endpoint.version or _is_of_earlier_start(entry, endpoint):
             return
-        elif entry.slots != endpoint.entry.slots:
+        elif _is_of_later_start(entry, endpoint):
+            endpoint = self._restarted(endpoint, entry, version)
+        elif entry.started_at == UNKNOWN_START:
+            entry = replace(entry, started_at=endpoint.entry.started_at)
+        if entry.slots != endpoint.entry.slots:
             self.tables.endpoints_version += 1
         changed = endpoint.entry != entry or endpoint.gone_at is not None
         endpoint.entry = entry
@@ -85,8 +87,40 @@
         self._judge_primary(endpoint)
         self._node.publish(EndpointChanged(endpoint))
 
+    def _add(self, entry: EndpointEntry, version: int) -> EndpointRow:
+        endpoint = EndpointRow(entry, version)
+        self.tables.endpoints[entry.name] = endpoint
+        self.tables.group(entry.service).endpoints[entry.name] = endpoint
+        self.tables.endpoints_version += 1
+        return endpoint
+
+    def _restarted(
+        self, before: EndpointRow, entry: EndpointEntry, version: int
+    ) -> EndpointRow:
+        """Begin a new row for an endpoint that started again under its name.
+
+        Kept, the old row would have a new start that holds nothing taken for a replica
+        that has applied what its predecessor had, or for the primary.
+        """
+        self._node.log(
+            "info",
+            "endpoint_restarted",
+            endpoint=entry.name,
+            service=entry.service,
+            started_at=entry.started_at,
+            started_before=before.entry.started_at,
+            version=version,
+        )
+        group = self.tables.group(before.entry.service)
+        group.endpoints.pop(before.name, None)
+        endpoint = self._add(entry, version)
+        if group.primary == before.name:
+            self._set_primary(group, "", "it started again")
+        self._node.publish(EndpointRestarted(before, endpoint))
+        return endpoint
+
     def _retire(self, endpoint: EndpointRow) -> None:
-        if not endpoint.entry.draining:
+        if not endpoint.entry.draining or not self.tables.is_current(endpoint):
             return
         endpoint.retired = True
         group = self.tables.group(endpoint.entry.service)
@@ -103,7 +137,7 @@
         self.timers.after(LAPSE_GRACE, self._forget, endpoint, endpoint.gone_at)
 
     def _forget(self, endpoint: EndpointRow, gone_at: float) -> None:
-        if endpoint.gone_at != gone_at:
+        if endpoint.gone_at != gone_at or not self.tables.is_current(endpoint):
             return
         group = self.tables.group(endpoint.entry.service)
         if group.primary == endpoint.name and self.now < gone_at + PRIMARY_GRACE:
@@ -111,7 +145,6 @@
             self.timers.after(pause, self._forget, endpoint, gone_at)
             return
         self.tables.endpoints.pop(endpoint.name, None)
-        self._denied.pop(endpoint.name, None)
         group.endpoints.pop(endpoint.name, None)
         if group.primary == endpoint.name:
             self._set_primary(group, "", "its entry is gone")
@@ -125,6 +158,7 @@
             endpoint=entry.name,
             service=entry.service,
             domain=entry.failure_domain,
+            started_at=entry.started_at,
             primary=entry.is_primary,
             draining=entry.draining,
             gone=endpoint.gone_at is not None,
@@ -139,7 +173,7 @@
             if group.primary == endpoint.name:
                 self._set_primary(group, "", "its entry says replica")
             return
-        if self._denied.get(endpoint.name, -1) >= endpoint.version:
+        if endpoint.denied_version >= endpoint.version:
             return
         if endpoint.retired:
             return
@@ -150,7 +184,7 @@
     def denied(self, endpoint: EndpointRow) -> None:
         """Take an endpoint's word that it does not lead."""
         group = self.tables.group(endpoint.entry.service)
-        self._denied[endpoint.name] = endpoint.version
+        endpoint.denied_version = endpoint.version
         if group.primary == endpoint.name:
             self._set_primary(group, "", "it refused a write")
 
@@ -158,7 +192,7 @@
         """Believe that an endpoint leads, before its entry says so."""
         if endpoint.retired:
             return
-        self._denied.pop(endpoint.name, None)
+        endpoint.denied_version = -1
         self._set_primary(self.tables.group(endpoint.entry.service), endpoint.name, why)
 
     def _set_primary(self, group: GroupRow, name: str, why: str) -> None:
@@ -179,3 +213,12 @@
             group.led_at.append(self.now)
         group.no_primary_since = None if name else self.now
         self._node.publish(PrimaryChanged(group))
+
+
+def _is_of_earlier_start(entry: EndpointEntry, endpoint: EndpointRow) -> bool:
+    # The store may carry out a write of an earlier start after those of a later one.
+    return UNKNOWN_START < entry.started_at < endpoint.entry.started_at
+
+
+def _is_of_later_start(entry: EndpointEntry, endpoint: EndpointRow) -> bool:
+    return entry.started_at > endpoint.entry.started_at
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -23,6 +23,7 @@
     "DrainBegan",
     "EndpointChanged",
     "EndpointForgotten",
+    "EndpointRestarted",
     "EndpointUnreachable",
     "FloorLearnt",
     "PrimaryChanged",
@@ -59,6 +60,17 @@
     endpoint: EndpointRow
 
 
+@record
+class EndpointRestarted(Signal):
+    """An endpoint started again under its name; `endpoint` is its new row.
+
+    Whatever was learnt of `before`, by whomever, is not true of it.
+    """
+
+    before: EndpointRow
+    endpoint: EndpointRow
+
+
 @record
 class PrimaryChanged(Signal):
     """Another endpoint, or none, is believed to lead a group."""
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -86,7 +86,7 @@
 
 @dataclass(slots=True, eq=False)
 class EndpointRow:
-    """Hold what this host knows of one endpoint."""
+    """Hold what this host knows of one start of an endpoint."""
 
     entry: EndpointEntry
     version: int  # of its entry in the store
@@ -109,10 +109,12 @@
     # Owned by members.
     gone_at: float | None = None  # when its entry vanished
     retired: bool = False  # it is leaving for so long that nothing may reach it
+    # Newest version of an entry that names it primary though it said that it is not.
+    denied_version: int = -1
 
     @property
     def name(self) -> str:
-        """Return the endpoint's unique name."""
+        """Return the endpoint's name; it may start again under it, in another row."""
         return self.entry.name
 
     @property
@@ -317,6 +319,10 @@
             group = self.groups[service] = GroupRow(service)
         return group
 
+    def is_current(self, endpoint: EndpointRow) -> bool:
+        """Tell whether an endpoint is known, and has not started again since."""
+        return self.endpoints.get(endpoint.name) is endpoint
+
 
 class ProxySystem(System):
     """Stand on top of the systems of a host that fronts databases."""
