Test over sockets a primary that starts again empty

Cause: the restart of an endpoint was tested in virtual time only. Change: a test of the whole path, from the entry's text to callers' reads.

--- a/tests/platform/test_local.py
+++ b/tests/platform/test_local.py
@@ -104,6 +104,26 @@
     assert platform.group.lost == []
 
 
+@on_platform
+async def test_primary_that_starts_again_empty_is_replaced(platform):
+    """Symptom: reads give nothing, or no write is accepted any more.
+
+    Sequence: the primary ends, and starts again at once under its name and address with
+    nothing. Cause: the hosts take it for what it was.
+    """
+    caller = await WireCaller.connect(platform.callers_address(0), "status-sync")
+    assert (await caller.run("WRITE a 1")).code == "DONE"
+    platform.crash("db-casa-ainsebaa")
+    await platform.restart("db-casa-ainsebaa")
+    began = time.monotonic()
+    while (await caller.run("WRITE b 1")).code != "DONE":
+        assert time.monotonic() - began < 8.0
+    assert (await caller.run("READ a")).rows == ("1",)
+    assert platform.group.primary.name != "db-casa-ainsebaa"
+    assert platform.group.lost == []
+    assert all(log.fields("endpoint_restarted") for log in platform.logs)
+
+
 @on_platform
 async def test_stopping_host_finishes_its_transactions(platform):
     caller = await WireCaller.connect(platform.callers_address(0), "status-sync")
