Test entries of other writers: any bytes, any JSON, any type

Cause: anybody may write to the store. An entry whose fields are missing or of another type names an endpoint, one in bytes that are no UTF-8 costs the whole answer, and deeply nested or infinite values raise errors that nobody expects. Conclusion: as the cause says.

--- a/mallowpass/core/proxy/storage.py
+++ b/mallowpass/core/proxy/storage.py
@@ -23,6 +23,7 @@
     "StoreStatus",
     "Table",
     "UNKNOWN_START",
+    "Unreadable",
     "WatchRows",
 ]
 
@@ -59,6 +60,13 @@
     started_at: int = UNKNOWN_START
 
 
+@record
+class Unreadable:
+    """Stand for a value that is not what its table holds: another writer's."""
+
+    reason: str
+
+
 @record
 class RowKey:
     """Name a row; rows of one `part` can change together."""
@@ -74,7 +82,7 @@
 
     key: RowKey
     version: int = 0
-    value: Configuration | EndpointEntry | str | None = None
+    value: Configuration | EndpointEntry | Unreadable | str | None = None
 
 
 # -- Calls -------------------------------------------------------------------
--- a/mallowpass/standins/proxied/httpserver.py
+++ b/mallowpass/standins/proxied/httpserver.py
@@ -191,5 +191,6 @@
 _ENCODERS: dict[type, Callable[[Any], bytes]] = {
     Configuration: _encode_configuration,
     EndpointEntry: _encode_entry,
+    bytes: bytes,
     str: str.encode,
 }
--- a/mallowpass/standins/proxied/rows.py
+++ b/mallowpass/standins/proxied/rows.py
@@ -17,6 +17,7 @@
     StoreReply,
     StoreStatus,
     Table,
+    Unreadable,
     WatchRows,
 )
 from mallowpass.core.timers import TimerService
@@ -25,7 +26,8 @@
 
 HISTORY = 20.0  # seconds that changes are kept for those who follow a table
 
-Value = Configuration | EndpointEntry | str
+# Unreadable and bytes are what another writer put there, decoded or not.
+Value = Configuration | EndpointEntry | Unreadable | str | bytes
 Answer = Callable[[StoreReply], None]
 
 
--- a/tests/core/proxy/test_members.py
+++ b/tests/core/proxy/test_members.py
@@ -21,12 +21,17 @@
     Status,
     Write,
 )
-from mallowpass.core.proxy.storage import UNKNOWN_START, EndpointEntry, RowKey, Table
+from mallowpass.core.proxy.storage import (
+    UNKNOWN_START,
+)
 from mallowpass.core.proxy.tables import ConnectionState, EndpointRow
-from tests.fakes.proxyworld import SERVICE, ProxyWorld
+from tests.fakes.proxyworld import (
+    ENTRY_TIME,
+    SERVICE,
+    ProxyWorld,
+)
 
 QUESTION_TIME = 5.0  # seconds; longer than a test runs
-ENTRY_TIME = 0.2  # seconds until each host has learnt of a changed entry
 REPLICA = "db-tanger"
 
 
@@ -41,23 +46,10 @@
     return world.hosts[0].tables.endpoints[name]
 
 
-def _key(name: str) -> RowKey:
-    return RowKey(Table.ENDPOINTS, "", name)
-
-
-def _entry(world: ProxyWorld, name: str = REPLICA) -> EndpointEntry:
-    return world.store.get(_key(name)).value
-
-
-def _put(world: ProxyWorld, entry: EndpointEntry) -> None:
-    world.store.put(_key(entry.name), entry)
-    world.run(ENTRY_TIME)
-
-
 def _enter_start(world: ProxyWorld, name: str = REPLICA, later: int = 1) -> None:
     """Have an entry tell of another start, while connections stay as they are."""
-    entry = _entry(world, name)
-    _put(world, replace(entry, started_at=entry.started_at + later))
+    entry = world.entry(name)
+    world.put_entry(replace(entry, started_at=entry.started_at + later))
 
 
 def test_beliefs_end_with_the_start_that_they_are_of(world):
@@ -243,10 +235,10 @@
     Sequence: an endpoint writes its entry, ends and starts again; the store carries
     the first write out last. Cause: the newest entry is taken for the newest start.
     """
-    earlier = _entry(world)
+    earlier = world.entry(REPLICA)
     _enter_start(world)
     endpoint = _row(world)
-    _put(world, replace(earlier, draining=True, is_primary=True))
+    world.put_entry(replace(earlier, draining=True, is_primary=True))
     assert _row(world) is endpoint
     assert not endpoint.is_leaving
     assert world.hosts[0].tables.groups[SERVICE].primary == "db-casa"
@@ -255,18 +247,18 @@
 
 def test_entry_that_tells_no_start_is_of_the_one_known(world):
     endpoint = _row(world)
-    entry = _entry(world)
-    _put(world, replace(entry, started_at=UNKNOWN_START, slots=4))
+    entry = world.entry(REPLICA)
+    world.put_entry(replace(entry, started_at=UNKNOWN_START, slots=4))
     assert _row(world) is endpoint
     assert endpoint.entry.slots == 4
-    _put(world, entry)
+    world.put_entry(entry)
     assert _row(world) is endpoint
 
 
 def test_unknown_starts_are_no_restart(world):
     for slots in (4, 5):
-        entry = replace(_entry(world), name="db-old", started_at=UNKNOWN_START)
-        _put(world, replace(entry, slots=slots))
+        entry = replace(world.entry(REPLICA), name="db-old", started_at=UNKNOWN_START)
+        world.put_entry(replace(entry, slots=slots))
     assert _row(world, "db-old").entry.slots == 5
     assert not world.hosts[0].logged("endpoint_restarted")
 
@@ -384,10 +376,10 @@
     """
     for host in world.hosts:
         host.cut_from.add("orders")
-    entry = _entry(world, "db-casa")
-    _put(world, replace(entry, draining=True))
+    entry = world.entry("db-casa")
+    world.put_entry(replace(entry, draining=True))
     _enter_start(world, "db-casa")
-    _put(world, replace(_entry(world, "db-casa"), draining=False))
+    world.put_entry(replace(world.entry("db-casa"), draining=False))
     world.run(LEAVING_MAX)
     believed = world.hosts[0].logged("primary_believed")
     assert "it should have left" not in [line["why"] for line in believed]
--- /dev/null
+++ b/tests/core/proxy/test_unreadable.py
@@ -0,0 +1,182 @@
+"""Rows of other writers: they name nothing to use, and all other rows hold."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from mallowpass.core.proxy.configuration import Consistency, ServiceLimits
+from mallowpass.core.proxy.members import LAPSE_GRACE
+from mallowpass.core.proxy.statements import Code, Read, Write
+from mallowpass.core.proxy.storage import RowKey, Table, Unreadable
+from mallowpass.core.proxy.tables import EndpointRow
+from mallowpass.standins.proxied.replicas import Group
+from tests.fakes.proxyhosts import Host
+from tests.fakes.proxyworld import (
+    CONFIGURATION_KEY,
+    ENTRY_TIME,
+    ProxyWorld,
+    configuration,
+    route,
+)
+
+REPLICA = "db-tanger"
+
+STRAY = Unreadable("state: 'zombie' is none of draining, ready")
+
+
+@pytest.fixture
+def world() -> ProxyWorld:
+    world = ProxyWorld()
+    world.run(4.0)
+    return world
+
+
+def _row(world: ProxyWorld, name: str = REPLICA) -> EndpointRow:
+    return world.hosts[0].tables.endpoints[name]
+
+
+def _rows(world: ProxyWorld) -> list[EndpointRow]:
+    return list(world.hosts[0].tables.endpoints.values())
+
+
+def _unreadable(world: ProxyWorld) -> list[dict]:
+    return world.hosts[0].logged("endpoint_entry_unreadable")
+
+
+def test_entry_that_can_not_be_read_names_no_endpoint(world):
+    world.garble_entry("db-stray", STRAY)
+    assert "db-stray" not in world.hosts[0].tables.endpoints
+    (logged,) = _unreadable(world)
+    assert (logged["row"], logged["why"]) == ("db-stray", STRAY.reason)
+    assert not any(row.is_leaving for row in _rows(world))
+
+
+def test_unreadable_entry_is_logged_once_until_it_changes(world):
+    for _ in range(5):
+        world.garble_entry("db-stray", STRAY)
+    assert len(_unreadable(world)) == 1
+    world.garble_entry("db-stray", Unreadable("no JSON"))
+    assert len(_unreadable(world)) == 2
+    world.put_entry(replace(world.entry(REPLICA), name="db-stray"))
+    world.garble_entry("db-stray", STRAY)
+    assert len(_unreadable(world)) == 3
+
+
+def test_good_entry_after_one_that_can_not_be_read(world):
+    world.garble_entry("db-stray", STRAY)
+    world.put_entry(replace(world.entry(REPLICA), name="db-stray"))
+    assert not _row(world, "db-stray").is_leaving
+
+
+def test_entry_that_becomes_unreadable_is_used_no_more(world):
+    """Symptom: statements go to an endpoint that nobody vouches for.
+
+    Sequence: another writer overwrites a good entry. Cause: the last good one stays in
+    force for good, whatever has become of its endpoint.
+    """
+    endpoint = _row(world)
+    world.garble_entry(REPLICA, STRAY)
+    assert endpoint.is_leaving
+    world.run(LAPSE_GRACE)
+    assert REPLICA not in world.hosts[0].tables.endpoints
+    world.enter(world.group.replicas[REPLICA])
+    world.run(ENTRY_TIME)
+    assert not _row(world).is_leaving
+
+
+def test_entry_that_is_good_again_within_the_grace_is_as_before(world):
+    endpoint, entry = _row(world), world.entry(REPLICA)
+    connections = set(endpoint.connections)
+    world.garble_entry(REPLICA, STRAY)
+    world.run(LAPSE_GRACE / 2)
+    world.put_entry(entry)
+    world.run(LAPSE_GRACE)
+    assert _row(world) is endpoint
+    assert not endpoint.is_leaving
+    assert set(endpoint.connections) == connections
+
+
+def test_primary_whose_entry_becomes_unreadable_is_replaced(world):
+    """Symptom: writes are refused. Sequence: the primary's entry is overwritten."""
+    caller = world.caller(0, "own")
+    caller.run(Write("a 1"))
+    world.garble_entry("db-casa", STRAY)
+    world.run_until(lambda: world.primary.name != "db-casa", 8.0)
+    world.run(0.5)
+    assert caller.run(Read("a")).rows == (b"1",)
+    assert caller.run(Write("a 2")).code is Code.DONE
+    assert world.group.lost == []
+
+
+def test_unreadable_entries_are_found_in_a_list_as_well():
+    world = ProxyWorld(hosts=0)
+    world.garble_entry("db-stray", STRAY)
+    host = Host(world, "host-0", "casa", 1)
+    world.hosts.append(host)
+    world.run(1.0)
+    assert set(host.tables.endpoints) == set(world.group.replicas)
+    assert len(_unreadable(world)) == 1
+
+
+def test_entry_of_a_service_that_is_not_configured(world):
+    """Symptom: a group of one endpoint is watched, and promoted, that nobody uses."""
+    stray = replace(world.entry(REPLICA), name="db-stray", service="elsewhere")
+    world.put_entry(replace(stray, is_primary=True))
+    tables = world.hosts[0].tables
+    assert "db-stray" not in tables.endpoints
+    assert "elsewhere" not in tables.groups
+    (logged,) = _unreadable(world)
+    assert "elsewhere" in logged["why"]
+
+
+def test_service_that_is_configured_later(world):
+    """Symptom: a new service has no endpoints.
+
+    Sequence: its endpoints enter themselves, then the operator adds it. Cause: entries
+    of services that aren't configured yet are dropped.
+    """
+    world.groups["letters"] = Group("letters", ["db-new"], world.timers)
+    world.put_entry(replace(world.entry(REPLICA), name="db-new", service="letters"))
+    later = configuration(2)
+    services = later.services | {"letters": ServiceLimits("letters", 22, 1)}
+    routes = later.routes | {"letters": route("letters", Consistency.PRIMARY)}
+    world.store.put(CONFIGURATION_KEY, replace(later, services=services, routes=routes))
+    world.run(1.0)
+    assert _row(world, "db-new").entry.service == "letters"
+
+
+def test_entry_that_names_another_service(world):
+    """Symptom: an endpoint is in two groups.
+
+    Sequence: another writer puts an entry of another service under its name. Cause: the
+    row changes its entry, and stays in the group that it was entered in.
+    """
+    endpoint, entry = _row(world), world.entry(REPLICA)
+    world.put_entry(replace(entry, service="elsewhere"))
+    assert endpoint.is_leaving
+    world.put_entry(entry)
+    assert _row(world) is endpoint
+    assert not endpoint.is_leaving
+
+
+def test_configuration_that_can_not_be_read(world):
+    """Symptom: callers are refused. Sequence: another writer garbles a row."""
+    for _ in range(3):
+        world.store.put(CONFIGURATION_KEY, Unreadable("no JSON"))
+        world.run(1.0)
+    host = world.hosts[0]
+    assert host.tables.configuration.version == 1
+    assert len(host.logged("configuration_unreadable")) == 1
+    assert world.caller(0, "own").run(Write("a 1")).code is Code.DONE
+
+
+@pytest.mark.parametrize("value", [Unreadable("no UTF-8 text"), "x", "casa - nan"])
+def test_host_entry_that_can_not_be_read(world, value):
+    hosts = dict(world.hosts[0].tables.hosts)
+    for name in ("host-1", "host-stray", "host-stray"):
+        world.store.put(RowKey(Table.HOSTS, "", name), value)
+        world.run(2.0)
+    assert world.hosts[0].tables.hosts == hosts
+    assert len(world.hosts[0].logged("host_entry_unreadable")) == 2
--- a/tests/fakes/proxyworld.py
+++ b/tests/fakes/proxyworld.py
@@ -24,6 +24,7 @@
     EndpointEntry,
     RowKey,
     Table,
+    Unreadable,
 )
 from mallowpass.core.proxy.tables import HostRow
 from mallowpass.core.timers import TimerService
@@ -33,6 +34,7 @@
 from tests.fakes.proxyhosts import DOMAINS, LINK, Caller, Host, Link
 
 CONFIGURATION_KEY = RowKey(Table.CONFIGURATION, "", "config")
+ENTRY_TIME = 0.2  # seconds until each host has learnt of a changed entry
 START_GAP = 0.02  # seconds between starts of hosts that lost power together
 SERVICE = "claims-core"
 DATABASES = {
@@ -177,6 +179,20 @@
         )
         self.store.put(self._entry_key(replica.name), entry)
 
+    def entry(self, name: str) -> EndpointEntry:
+        """Return a member's entry."""
+        return self.store.get(self._entry_key(name)).value
+
+    def put_entry(self, entry: EndpointEntry) -> None:
+        """Write an entry, and have all hosts learn of it."""
+        self.store.put(self._entry_key(entry.name), entry)
+        self.run(ENTRY_TIME)
+
+    def garble_entry(self, name: str, value: Unreadable) -> None:
+        """Write what can't be read in an entry's place, and have all learn of it."""
+        self.store.put(self._entry_key(name), value)
+        self.run(ENTRY_TIME)
+
     def remove_entry(self, name: str) -> None:
         """Remove a member's entry."""
         self.store.delete(self._entry_key(name))
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 import json
+import math
+from typing import Any
 
 import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
 
-from mallowpass.core.proxy.configuration import Consistency
+from mallowpass.core.proxy.configuration import Configuration, Consistency
+from mallowpass.core.proxy.storage import EndpointEntry
 from mallowpass.platform.documents import (
     DocumentError,
     decode_configuration,
@@ -36,7 +41,10 @@
     "service": "huvo11a",
     "address": "10.128.0.9:8080",
     "zone": "casa",
+    "version": "4.2",
     "slots": 3,
+    "coldRemainingMs": 0,
+    "seq": 17,
     "state": "draining",
     "dbRole": "primary",
     "born": 1764720000123,
@@ -101,3 +109,158 @@
 def test_unreadable_entry(data):
     with pytest.raises(DocumentError):
         decode_entry("i-1", data)
+
+
+# -- Any bytes, any JSON, each field dropped or of another type --------------
+
+JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text()
+    | st.sampled_from([math.inf, math.nan, 10**400, -1, "\ud800", "10.0.0.1:99999"]),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+DEEP = b"[" * 100_000
+LONG_NUMBER = b'{"slots":' + b"9" * 5000 + b"}"
+
+
+def _entry_of(data: bytes) -> EndpointEntry | None:
+    """Return what an entry says, None if it can't be read; nothing else may happen."""
+    try:
+        entry = decode_entry("i-1", data)
+    except DocumentError as error:
+        assert len(str(error)) < 300
+        return None
+    for text in (entry.service, entry.address, entry.failure_domain):
+        assert isinstance(text, str) and text.encode()
+    host, _, port = entry.address.rpartition(":")
+    assert host and 0 < int(port) < 65536
+    for number in (entry.slots, entry.started_at):
+        assert type(number) is int and number >= 0
+    return entry
+
+
+def _configuration_of(data: bytes) -> Configuration | None:
+    try:
+        found = decode_configuration(data)
+    except DocumentError as error:
+        assert len(str(error)) < 300
+        return None
+    assert type(found.version) is int
+    times = [found.transaction_idle]
+    for name, route in found.routes.items():
+        assert name == route.database and name.encode() and route.service.encode()
+        times += [route.statement_timeout, route.objective, route.accepted_age]
+    assert all(math.isfinite(time) and time >= 0 for time in times)
+    for service in found.services.values():
+        assert type(service.connections) is int and type(service.synchronous) is int
+    return found
+
+
+@given(st.binary())
+@example(DEEP)
+@example(LONG_NUMBER)
+@example(b"\xff\xfe")
+@example(b'{"slots": Infinity}')
+def test_any_bytes(data):
+    """Symptom: a host ends, or learns of no endpoint, over one row."""
+    assert _entry_of(data) is None
+    assert _configuration_of(data) is None
+
+
+@given(JSON)
+def test_any_json(value):
+    data = json.dumps(value).encode()
+    assert _entry_of(data) is None
+    assert _configuration_of(data) is None
+
+
+@pytest.mark.parametrize("field", ["service", "address", "zone", "slots", "state"])
+def test_entry_lacks_a_field(field):
+    assert _entry_of(json.dumps(_without(field)).encode()) is None
+
+
+def test_entry_lacks_its_role():
+    assert _entry_of(json.dumps(_without("dbRole")).encode()) is None
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("service", 7),
+        ("service", ""),
+        ("service", "two words"),
+        ("address", "10.0.0.1"),
+        ("address", "10.0.0.1:99999"),
+        ("address", "10.0.0.1:0"),
+        ("address", "a b:80"),
+        ("address", ["10.0.0.1:80"]),
+        ("zone", None),
+        ("slots", "3"),
+        ("slots", 2.5),
+        ("slots", True),
+        ("slots", -1),
+        ("slots", math.inf),
+        ("state", "zombie"),
+        ("state", None),
+        ("state", ["ready"]),
+        ("dbRole", "leader"),
+        ("dbRole", {}),
+        ("seq", "17"),
+        ("seq", 1.5),
+        ("coldRemainingMs", "0"),
+        ("coldRemainingMs", math.nan),
+    ],
+)
+def test_entry_of_another_writer(field, value):
+    assert _entry_of(json.dumps(ENTRY | {field: value}).encode()) is None
+
+
+@pytest.mark.parametrize("field", ENTRY)
+@given(value=JSON)
+@example(value=10**400)
+@example(value="\ud800")
+def test_entry_with_any_value_in_a_field(field, value):
+    _entry_of(json.dumps(ENTRY | {field: value}).encode())
+
+
+def _changed(place: tuple[str, ...], change: Any) -> bytes:
+    """Return a configuration with one field changed by a function of its parent."""
+    document = json.loads(json.dumps(CONFIGURATION))
+    parent = document
+    for name in place[:-1]:
+        parent = parent[name]
+        if isinstance(parent, list):
+            parent = parent[0]
+    change(parent, place[-1])
+    return json.dumps(document).encode()
+
+
+PLACES = [
+    *[(name,) for name in CONFIGURATION],
+    *[("routes", name) for name in ROUTE],
+    *[("services", name) for name in SERVICE],
+    ("limits", "txIdleMs"),
+]
+
+
+@pytest.mark.parametrize("place", PLACES, ids=".".join)
+def test_configuration_lacks_a_field(place):
+    _configuration_of(_changed(place, lambda parent, name: parent.pop(name)))
+
+
+@pytest.mark.parametrize("place", PLACES, ids=".".join)
+@given(value=JSON)
+@example(value=10**400)
+@example(value=math.inf)
+def test_configuration_with_any_value_in_a_field(place, value):
+    def change(parent: dict[str, Any], name: str) -> None:
+        parent[name] = value
+
+    _configuration_of(_changed(place, change))
--- a/tests/platform/test_local.py
+++ b/tests/platform/test_local.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from mallowpass.core.proxy.storage import RowKey, Table
 from mallowpass.platform.http import HttpClient, Request
 from mallowpass.platform.runtime import METRICS_PATH, METRICS_PORT
 from mallowpass.platform.settings import Address
@@ -124,6 +125,24 @@
     assert all(log.fields("endpoint_restarted") for log in platform.logs)
 
 
+@on_platform
+async def test_entries_of_another_writer(platform):
+    """Symptom: a host knows no endpoint any more. Sequence: stray rows are written."""
+    for number, value in enumerate((b"\xff", b"[" * 100_000, b"{}", b"null")):
+        key = RowKey(Table.ENDPOINTS, "", f"db-stray-{number}")
+        platform.store.put(key, value)
+    platform.store.put(RowKey(Table.HOSTS, "", "host-stray"), b"\xff\xfe")
+    platform.store.put(CONFIGURATION_KEY, b"\xff")
+    await asyncio.sleep(0.5)
+    caller = await WireCaller.connect(platform.callers_address(0), "status-sync")
+    for number in range(10):
+        assert (await caller.run(f"WRITE a {number}")).code == "DONE"
+        assert (await caller.run("READ a")).rows == (str(number),)
+    for log in platform.logs:
+        assert len(log.fields("endpoint_entry_unreadable")) == 4
+        assert len(log.fields("configuration_unreadable")) == 1
+
+
 @on_platform
 async def test_stopping_host_finishes_its_transactions(platform):
     caller = await WireCaller.connect(platform.callers_address(0), "status-sync")
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,98 @@
+"""Rows of the store as they arrive: one that can't be read costs no other."""
+
+from __future__ import annotations
+
+import base64
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mallowpass.core.proxy.storage import EndpointEntry, Row, Table, Unreadable
+from mallowpass.core.proxy.tables import HostRow
+from mallowpass.platform.store import TABLE_NAMES, decode_rows
+from tests.platform.test_documents import CONFIGURATION, ENTRY
+
+GOOD = {
+    Table.CONFIGURATION: ("config", json.dumps(CONFIGURATION).encode()),
+    Table.ENDPOINTS: ("i-1", json.dumps(ENTRY).encode()),
+    Table.HOSTS: ("host-1", b"casa 10.0.0.1:7440 1"),
+    Table.SUSPICIONS: ("host-1", b"i-1 12.000"),
+    Table.CLAIMS: ("primary", b"1 host-1 i-1 12.000"),
+}
+
+
+def _item(table: Table, key: str, value: bytes | str, part: str = "") -> dict:
+    if isinstance(value, bytes):
+        value = base64.b64encode(value).decode()
+    names = {"table": TABLE_NAMES[table], "part": part, "key": key}
+    return names | {"value": value, "ver": 7}
+
+
+def _decode(*items: dict) -> list[Row]:
+    return decode_rows({"rows": items})
+
+
+def _readable(rows: list[Row]) -> list[str]:
+    return [row.key.key for row in rows if not isinstance(row.value, Unreadable)]
+
+
+@pytest.mark.parametrize("table", Table)
+@given(data=st.binary())
+def test_any_bytes_cost_no_other_row(table, data):
+    """Symptom: a host learns of nothing more.
+
+    Sequence: another writer puts bytes into one row. Cause: the whole answer counts as
+    unreadable, each time that it is asked for.
+    """
+    key, good = GOOD[table]
+    rows = _decode(
+        _item(table, key, good), _item(table, "other", data), _item(table, key, good)
+    )
+    assert [row.key.key for row in rows] == [key, "other", key]
+    assert rows[0] == rows[2]
+    assert not isinstance(rows[0].value, Unreadable)
+
+
+@pytest.mark.parametrize("text", ["é", "AAA", "!", 7, None, ["AA=="]])
+def test_value_that_is_no_base64(text):
+    good = _item(Table.ENDPOINTS, *GOOD[Table.ENDPOINTS])
+    rows = _decode(_item(Table.ENDPOINTS, "i-0", "") | {"value": text}, good)
+    assert isinstance(rows[0].value, Unreadable)
+    assert _readable(rows) == ["i-1"]
+
+
+def test_good_version_after_an_unreadable_one():
+    bad = _item(Table.ENDPOINTS, "i-1", b"{")
+    good = _item(Table.ENDPOINTS, "i-1", GOOD[Table.ENDPOINTS][1])
+    rows = _decode(bad, good)
+    assert isinstance(rows[0].value, Unreadable)
+    assert isinstance(rows[1].value, EndpointEntry)
+
+
+def test_rows_in_other_parts_are_no_entries():
+    """Symptom: an endpoint vanishes. Sequence: its name is written in another part."""
+    for table in (Table.ENDPOINTS, Table.CONFIGURATION):
+        assert _decode(_item(table, *GOOD[table], part="x")) == []
+
+
+def test_reason_tells_the_field():
+    value = json.dumps(ENTRY | {"state": "zombie"}).encode()
+    (row,) = _decode(_item(Table.ENDPOINTS, "i-1", value))
+    assert "state" in row.value.reason and "zombie" in row.value.reason
+
+
+@given(st.text())
+def test_any_text_of_a_host(text):
+    try:
+        host = HostRow.decode("host-1", text)
+    except ValueError:
+        return
+    assert 0.0 < host.capacity < float("inf")
+
+
+@pytest.mark.parametrize("capacity", ["nan", "inf", "-1", "0", "1e999"])
+def test_capacity_that_is_none(capacity):
+    with pytest.raises(ValueError, match="capacity"):
+        HostRow.decode("host-1", f"casa 10.0.0.1:7440 {capacity}")
