Have an entry that can't be read name no endpoint, and cost no other

Cause: decoders took what they found. A missing role or state had a default, a number in place of a text was passed on, and errors other than those expected ended the reading of all rows: an infinite number, deep nesting, bytes that are no UTF-8. A row that couldn't be read was left out, so that its last good version stayed in force until the next list.

Ruled out: keeping the last good entry of an endpoint. Whoever wrote over it vouches for nothing, and a list of all entries has no last good one, so hosts would differ.

Change: - each field is checked for its type, its words and its bounds; all but `born`, which may be missing, and fields that are not used, which may be missing but not be of another type - a value that can't be read arrives as `Unreadable` with its reason, in its place among the others. An endpoint's counts as gone, with the usual grace; of the configuration and of a host the last good version stays in force: connections are still held by it - entries of services that aren't configured are held until one names them. A service that an endpoint was entered for stays known; an entry that moves it to another service ends its row, as it was in two groups - each such row is logged once until its reason changes - an address that no socket takes is a refused connection: the attempt never ended - rows of `servers` and of the configuration in some part are nobody's - a capacity that is no positive number makes a host's entry unreadable

--- a/mallowpass/core/proxy/hosts.py
+++ b/mallowpass/core/proxy/hosts.py
@@ -10,9 +10,11 @@
     StoreReply,
     StoreStatus,
     Table,
+    Unreadable,
 )
 from mallowpass.core.proxy.store import Store
 from mallowpass.core.proxy.tables import HostRow, ProxySystem
+from mallowpass.core.proxy.unreadable import UnreadableRows
 
 __all__ = ["Hosts"]
 
@@ -22,11 +24,12 @@
 class Hosts(ProxySystem):
     """Enter this host in the store, and know the others."""
 
-    __slots__ = ("_store",)
+    __slots__ = ("_store", "_unreadable")
 
     def start(self) -> None:
         """Enter this host, and follow the entries of all."""
         self._store = self._node.system(Store)
+        self._unreadable = UnreadableRows(self._node, "host_entry_unreadable")
         self.tables.hosts[self._node.identity.name] = self._own
         if self.tables.first_start:
             self._enter()
@@ -78,13 +81,24 @@
             if not any(self._is_own(row) for row in rows):
                 self._enter()
         for row in rows:
-            name = row.key.key
-            if not isinstance(row.value, str):
-                hosts.pop(name, None)
-                continue
-            try:
-                hosts[name] = HostRow.decode(name, row.value)
-            except ValueError:
-                self._node.log("error", "host_entry_unreadable", value=row.value)
+            self._take(row)
         hosts[self._node.identity.name] = self._own
         self.tables.hosts_version += 1
+
+    def _take(self, row: Row) -> None:
+        """Take a host's entry; what is known of a host stays where it can't be read.
+
+        It holds its connections still. Without it, the others would open as many.
+        """
+        name = row.key.key
+        if isinstance(row.value, Unreadable):
+            self._unreadable.note(row.key, row.value.reason)
+        elif not isinstance(row.value, str):
+            self._unreadable.clear(row.key)
+            self.tables.hosts.pop(name, None)
+        else:
+            try:
+                self.tables.hosts[name] = HostRow.decode(name, row.value)
+                self._unreadable.clear(row.key)
+            except ValueError as error:
+                self._unreadable.note(row.key, str(error))
--- a/mallowpass/core/proxy/members.py
+++ b/mallowpass/core/proxy/members.py
@@ -6,14 +6,22 @@
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.signals import (
+    ConfigurationAccepted,
     EndpointChanged,
     EndpointForgotten,
     EndpointRestarted,
     PrimaryChanged,
 )
-from mallowpass.core.proxy.storage import UNKNOWN_START, EndpointEntry, Row, Table
+from mallowpass.core.proxy.storage import (
+    UNKNOWN_START,
+    EndpointEntry,
+    Row,
+    Table,
+    Unreadable,
+)
 from mallowpass.core.proxy.store import Store
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
+from mallowpass.core.proxy.unreadable import UnreadableRows
 
 __all__ = ["Members"]
 
@@ -31,16 +39,20 @@
 class Members(ProxySystem):
     """Own the rows of endpoints and the belief of who leads each group."""
 
-    __slots__ = ("_known", "_store")
+    __slots__ = ("_known", "_store", "_unnamed", "_unreadable")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
         self._known = False
+        # Entries of services that no configuration names yet, by name of the endpoint.
+        self._unnamed: dict[str, Row] = {}
+        self._unreadable = UnreadableRows(node, "endpoint_entry_unreadable")
 
     def start(self) -> None:
         """Follow the entries of endpoints."""
         self._store = self._node.system(Store)
         self._store.watch(Table.ENDPOINTS, self._on_rows)
+        self._node.subscribe(ConfigurationAccepted, self._on_configuration)
 
     @property
     def known(self) -> bool:
@@ -52,23 +64,60 @@
     def _on_rows(self, rows: tuple[Row, ...], complete: bool) -> None:
         self._known = True
         for row in rows:
-            if isinstance(row.value, EndpointEntry):
-                self._put(row.value, row.version)
-            else:
-                self._vanished(row.key.key)
+            self._take(row)
         if complete:
             names = {row.key.key for row in rows}
-            for name in list(self.tables.endpoints):
+            for name in [*self.tables.endpoints, *self._unnamed]:
                 if name not in names:
                     self._vanished(name)
 
+    def _take(self, row: Row) -> None:
+        """Take an entry; one that can't be read, or used, names no endpoint.
+
+        Whoever wrote it may have written over a good one. Kept for good, that would
+        have statements sent to an endpoint that nobody vouches for.
+        """
+        entry = row.value
+        name = row.key.key
+        if isinstance(entry, Unreadable):
+            self._unreadable.note(row.key, entry.reason)
+            self._vanished(name)
+        elif not isinstance(entry, EndpointEntry):
+            self._unreadable.clear(row.key)
+            self._vanished(name)
+        elif self._is_named(entry):
+            self._unreadable.clear(row.key)
+            self._unnamed.pop(name, None)
+            self._put(entry, row.version)
+        else:
+            self._vanished(name)
+            self._hold(row)
+
+    def _is_named(self, entry: EndpointEntry) -> bool:
+        """Tell whether a service is one that is, or was, configured."""
+        endpoint = self.tables.endpoints.get(entry.name)
+        if endpoint is not None and endpoint.entry.service == entry.service:
+            return True
+        configuration = self.tables.configuration
+        return configuration is not None and entry.service in configuration.services
+
+    def _hold(self, row: Row) -> None:
+        """Hold an entry until a configuration names its service."""
+        self._unnamed[row.key.key] = row
+        if self.tables.configuration is not None:
+            self._unreadable.note(row.key, f"no such service: {row.value.service}")
+
+    def _on_configuration(self, signal: ConfigurationAccepted) -> None:
+        for row in list(self._unnamed.values()):
+            self._take(row)
+
     def _put(self, entry: EndpointEntry, version: int) -> None:
         endpoint = self.tables.endpoints.get(entry.name)
         if endpoint is None:
             endpoint = self._add(entry, version)
         elif version < endpoint.version or _is_of_earlier_start(entry, endpoint):
             return
-        elif _is_of_later_start(entry, endpoint):
+        elif _is_of_another(entry, endpoint):
             endpoint = self._restarted(endpoint, entry, version)
         elif entry.started_at == UNKNOWN_START:
             entry = replace(entry, started_at=endpoint.entry.started_at)
@@ -128,6 +177,7 @@
             self._set_primary(group, "", "it should have left")
 
     def _vanished(self, name: str) -> None:
+        self._unnamed.pop(name, None)
         endpoint = self.tables.endpoints.get(name)
         if endpoint is None or endpoint.gone_at is not None:
             return
@@ -220,5 +270,8 @@
     return UNKNOWN_START < entry.started_at < endpoint.entry.started_at
 
 
-def _is_of_later_start(entry: EndpointEntry, endpoint: EndpointRow) -> bool:
+def _is_of_another(entry: EndpointEntry, endpoint: EndpointRow) -> bool:
+    """Tell whether an entry is of a later start, or of another service's endpoint."""
+    if entry.service != endpoint.entry.service:
+        return True
     return entry.started_at > endpoint.entry.started_at
--- a/mallowpass/core/proxy/settings.py
+++ b/mallowpass/core/proxy/settings.py
@@ -4,9 +4,10 @@
 
 from mallowpass.core.proxy.configuration import Configuration
 from mallowpass.core.proxy.signals import ConfigurationAccepted
-from mallowpass.core.proxy.storage import Row, Table
+from mallowpass.core.proxy.storage import Row, Table, Unreadable
 from mallowpass.core.proxy.store import Store
 from mallowpass.core.proxy.tables import ProxySystem
+from mallowpass.core.proxy.unreadable import UnreadableRows
 
 __all__ = ["Settings"]
 
@@ -14,16 +15,21 @@
 class Settings(ProxySystem):
     """Follow the configuration that operators accept."""
 
-    __slots__ = ()
+    __slots__ = ("_unreadable",)
 
     def start(self) -> None:
         """Follow the configuration's row."""
+        self._unreadable = UnreadableRows(self._node, "configuration_unreadable")
         self._node.system(Store).watch(Table.CONFIGURATION, self._on_rows)
 
     def _on_rows(self, rows: tuple[Row, ...], complete: bool) -> None:
         for row in rows:
             if isinstance(row.value, Configuration):
+                self._unreadable.clear(row.key)
                 self._accept(row.value)
+            elif isinstance(row.value, Unreadable):
+                # The last good one stays in force.
+                self._unreadable.note(row.key, row.value.reason)
 
     def _accept(self, configuration: Configuration) -> None:
         current = self.tables.configuration
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -272,8 +273,12 @@
     @classmethod
     def decode(cls, name: str, text: str) -> HostRow:
         """Read what the store keeps; ValueError if it is no entry."""
-        domain, address, capacity = text.split(" ")
-        return cls(name, domain, "" if address == "-" else address, float(capacity))
+        domain, address, cores = text.split(" ")
+        capacity = float(cores)
+        if not 0.0 < capacity < math.inf:
+            # Hosts rank each other by it, and would not agree about one that is none.
+            raise ValueError(f"no capacity: {capacity}")
+        return cls(name, domain, "" if address == "-" else address, capacity)
 
 
 @dataclass(slots=True, eq=False)
--- a/mallowpass/platform/documents.py
+++ b/mallowpass/platform/documents.py
@@ -1,9 +1,15 @@
-"""Documents that operators and endpoints write to the store, decoded once."""
+"""Documents that operators and endpoints write to the store, decoded once.
+
+Anybody may write there. Whatever a document holds, it is read or `DocumentError` says
+why it can't be.
+"""
 
 from __future__ import annotations
 
 import json
-from typing import Any
+import reprlib
+from collections.abc import Mapping
+from typing import Any, TypeVar
 
 from mallowpass.core.proxy.configuration import (
     Configuration,
@@ -12,6 +18,7 @@
     ServiceLimits,
 )
 from mallowpass.core.proxy.storage import UNKNOWN_START, EndpointEntry
+from mallowpass.platform.settings import Address, SettingsError
 
 __all__ = ["CONSISTENCY", "DocumentError", "decode_configuration", "decode_entry"]
 
@@ -21,76 +28,160 @@
     "bounded_staleness": Consistency.BOUNDED,
     "read_your_writes": Consistency.OWN_WRITES,
 }
+_IS_DRAINING = {"ready": False, "draining": True}
+# How an endpoint sees itself; it may have been replaced without knowing.
+_IS_PRIMARY = {"primary": True, "replica": False}
 _TRANSACTION_IDLE = 3000  # milliseconds, where the limits name none
+_SHOWN_MAX = 80  # characters of a wrong value that are shown
+_NUMBER_MAX = 2**53  # up to there all writers of JSON have the same whole numbers
+
+_T = TypeVar("_T")
 
 
 class DocumentError(ValueError):
-    """Say what is missing in a document."""
+    """Say which field of a document is missing or wrong."""
 
 
 def decode_configuration(data: bytes) -> Configuration:
     """Read the operator's configuration."""
-    try:
-        document = json.loads(data)
-        routes = [_route(item) for item in document["routes"]]
-        services = [_service(item) for item in document["services"]]
-        idle = document.get("limits", {}).get("txIdleMs", _TRANSACTION_IDLE)
-        return Configuration(
-            version=int(document["version"]),
-            routes={route.database: route for route in routes},
-            services={service.name: service for service in services},
-            transaction_idle=idle / 1000.0,
-        )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise DocumentError(f"configuration: {error!r}") from error
+    document = _document(data)
+    routes = [_route(item) for item in _items(document, "routes")]
+    services = [_service(item) for item in _items(document, "services")]
+    limits = document.get("limits", {})
+    if not isinstance(limits, dict):
+        raise _wrong("limits", limits)
+    return Configuration(
+        version=int(_number(document, "version")),
+        routes={route.database: route for route in routes},
+        services={service.name: service for service in services},
+        transaction_idle=_seconds(limits, "txIdleMs", _TRANSACTION_IDLE),
+    )
 
 
 def _route(item: dict[str, Any]) -> Route:
+    timeout = _number(item, "timeoutMs")
     return Route(
         # `host` is the name of the database that callers ask for, no machine's.
-        database=item["host"],
-        service=item["service"],
-        consistency=CONSISTENCY[item["routeType"]],
+        database=_text(item, "host"),
+        service=_text(item, "service"),
+        consistency=_word(item, "routeType", CONSISTENCY),
         # Limits one statement, not an operation of several.
-        statement_timeout=item["timeoutMs"] / 1000.0,
+        statement_timeout=timeout / 1000.0,
         # What an operation should take, over all its statements.
-        objective=item.get("goalMs", item["timeoutMs"]) / 1000.0,
-        priority=int(item.get("priority", 0)),
-        accepted_age=item.get("maxStalenessMs", 0) / 1000.0,
+        objective=_seconds(item, "goalMs", timeout),
+        priority=int(_number(item, "priority", 0)),
+        accepted_age=_seconds(item, "maxStalenessMs", 0),
     )
 
 
 def _service(item: dict[str, Any]) -> ServiceLimits:
     return ServiceLimits(
-        name=item["name"],
+        name=_text(item, "name"),
         # Of all callers to one endpoint together, not of one host.
-        connections=int(item["maxConns"]),
+        connections=int(_number(item, "maxConns")),
         # Replicas that have received a commit, not those that have applied it.
-        synchronous=int(item.get("syncReplicas", 0)),
+        synchronous=int(_number(item, "syncReplicas", 0)),
     )
 
 
 def decode_entry(name: str, data: bytes) -> EndpointEntry:
     """Read an endpoint's entry; its name is the key that it lies under."""
-    try:
-        document = json.loads(data)
-        return EndpointEntry(
-            name=name,
-            service=document["service"],
-            address=document["address"],
-            failure_domain=document["zone"],
-            slots=int(document.get("slots", 1)),
-            draining=document.get("state") == "draining",
-            # How it sees itself; it may have been replaced without knowing.
-            is_primary=document.get("dbRole") == "primary",
-            started_at=_start(document.get("born")),
-        )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise DocumentError(f"entry of {name}: {error!r}") from error
+    document = _document(data)
+    # Not used here. Of another type they show that the entry is another writer's.
+    _whole(document, "seq", 0)
+    _number(document, "coldRemainingMs", 0)
+    return EndpointEntry(
+        name=_text({"key": name}, "key"),
+        service=_text(document, "service"),
+        address=_address(document, "address"),
+        failure_domain=_text(document, "zone"),
+        slots=_whole(document, "slots"),
+        draining=_word(document, "state", _IS_DRAINING),
+        is_primary=_word(document, "dbRole", _IS_PRIMARY),
+        started_at=_start(document.get("born")),
+    )
 
 
 def _start(born: Any) -> int:
     """Return the time of a start, UNKNOWN_START where none can be read."""
-    if isinstance(born, int) and not isinstance(born, bool) and born > 0:
-        return born
-    return UNKNOWN_START
+    return born if _is_whole(born) else UNKNOWN_START
+
+
+# -- Fields ------------------------------------------------------------------
+
+
+def _document(data: bytes) -> dict[str, Any]:
+    try:
+        document = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise DocumentError("no JSON") from error
+    if not isinstance(document, dict):
+        raise DocumentError("no JSON object")
+    return document
+
+
+def _wrong(name: str, value: Any) -> DocumentError:
+    if value is None:
+        return DocumentError(f"{name} is missing")
+    return DocumentError(f"{name} can't be {reprlib.repr(value)[:_SHOWN_MAX]}")
+
+
+def _items(document: dict[str, Any], name: str) -> list[dict[str, Any]]:
+    items = document.get(name)
+    if not isinstance(items, list) or not all(isinstance(i, dict) for i in items):
+        raise _wrong(name, items)
+    return items
+
+
+def _text(document: dict[str, Any], name: str) -> str:
+    """Return a text that may stand as one word in a line of any protocol."""
+    value = document.get(name)
+    if not isinstance(value, str) or not value:
+        raise _wrong(name, value)
+    if " " in value or not value.isprintable():
+        raise _wrong(name, value)
+    return value
+
+
+def _word(document: dict[str, Any], name: str, meanings: Mapping[str, _T]) -> _T:
+    value = document.get(name)
+    if not isinstance(value, str) or value not in meanings:
+        raise _wrong(name, value)
+    return meanings[value]
+
+
+def _is_whole(value: Any) -> bool:
+    is_number = isinstance(value, int) and not isinstance(value, bool)
+    return is_number and 0 <= value <= _NUMBER_MAX
+
+
+def _whole(document: dict[str, Any], name: str, default: int | None = None) -> int:
+    value = document.get(name, default)
+    if not _is_whole(value):
+        raise _wrong(name, value)
+    return value
+
+
+def _number(document: dict[str, Any], name: str, default: float | None = None) -> float:
+    value = document.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise _wrong(name, value)
+    # No comparison holds for NaN; one with a whole number of any length is exact.
+    if not 0 <= value <= _NUMBER_MAX:
+        raise _wrong(name, value)
+    return value
+
+
+def _seconds(document: dict[str, Any], name: str, default: float) -> float:
+    return _number(document, name, default) / 1000.0
+
+
+def _address(document: dict[str, Any], name: str) -> str:
+    value = _text(document, name)
+    try:
+        address = Address.parse(value)
+    except SettingsError as error:
+        raise _wrong(name, value) from error
+    if address.port == 0:
+        raise _wrong(name, value)
+    return value
--- a/mallowpass/platform/endpoints.py
+++ b/mallowpass/platform/endpoints.py
@@ -78,7 +78,9 @@
             connection.close()
             self._refuse(number, "no answer in time")
             return
-        except (OSError, SettingsError) as error:
+        except (OSError, SettingsError, ValueError) as error:
+            # ValueError: a host's name that no socket takes. Uncaught, the attempt
+            # would count as going on, and few may go on at once.
             connection.close()
             self._refuse(number, str(error))
             return
--- a/mallowpass/platform/runtime.py
+++ b/mallowpass/platform/runtime.py
@@ -100,7 +100,7 @@
         self._callers = CallerServer(self.handle)
         self._links = LinkServer(self.handle)
         self._endpoints = EndpointConnections(settings.name, self.handle)
-        self._store = StoreClient(settings.store, self._warn)
+        self._store = StoreClient(settings.store)
         self._orders = None
         if settings.orders is not None:
             self._orders = OrderClient(settings.orders, settings.name)
@@ -310,9 +310,6 @@
     def _answer_metrics(self, request: Request) -> Response:
         return Response(200, self._metrics.text(self._node.tables))
 
-    def _warn(self, message: str) -> None:
-        self._log.write("warning", "store_row_unreadable", (("why", message),))
-
 
 def _identity(settings: HostSettings, incarnation: int) -> HostIdentity:
     domains = tuple(
--- a/mallowpass/platform/settings.py
+++ b/mallowpass/platform/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import re
 import tomllib
 from dataclasses import dataclass
 from typing import Any
@@ -10,6 +11,8 @@
 __all__ = ["Address", "HostSettings", "SettingsError", "load_settings", "settings_path"]
 
 SETTINGS_VARIABLE = "MALLOWPASS_NODE_FILE"
+_PORT = re.compile("[0-9]{1,5}")
+_PORT_MAX = 65535
 
 
 class SettingsError(Exception):
@@ -27,7 +30,8 @@
     def parse(cls, text: str) -> Address:
         """Read `HOST:PORT`."""
         host, _, port = text.rpartition(":")
-        if not host or not port.isdecimal():
+        is_port = _PORT.fullmatch(port) is not None and int(port) <= _PORT_MAX
+        if not host or not is_port:
             raise SettingsError(f"not an address: {text!r}")
         return cls(host, int(port))
 
--- a/mallowpass/platform/store.py
+++ b/mallowpass/platform/store.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import json
-from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Any
 from urllib.parse import urlencode
@@ -19,6 +17,7 @@
     StoreReply,
     StoreStatus,
     Table,
+    Unreadable,
     WatchRows,
 )
 from mallowpass.platform.documents import (
@@ -29,7 +28,7 @@
 from mallowpass.platform.http import HttpClient, HttpError, Request, Response
 from mallowpass.platform.settings import Address
 
-__all__ = ["TABLES", "TABLE_NAMES", "StoreClient"]
+__all__ = ["TABLES", "TABLE_NAMES", "StoreClient", "decode_rows"]
 
 # The platform's own tables have fixed names; those of the fleet are ours to name.
 TABLE_NAMES = {
@@ -41,6 +40,8 @@
 }
 TABLES = {name: table for table, name in TABLE_NAMES.items()}
 _CONFIGURATION_KEY = "config"
+# Rows of these tables mean something in no part only.
+_WITHOUT_PARTS = (Table.CONFIGURATION, Table.ENDPOINTS)
 
 _STATUSES = {
     200: StoreStatus.DONE,
@@ -50,17 +51,14 @@
 # Answers that promise that nothing was done; any other leaves it open.
 _REFUSALS = frozenset({400, 403, 404, 429, 503, 507})
 
-Warn = Callable[[str], None]
-
 
 class StoreClient:
     """Carry out calls to the store."""
 
-    __slots__ = ("_client", "_warn")
+    __slots__ = ("_client",)
 
-    def __init__(self, address: Address, warn: Warn) -> None:
+    def __init__(self, address: Address) -> None:
         self._client = HttpClient(address)
-        self._warn = warn
 
     async def call(self, call: StoreCall, timeout: float) -> StoreReply:
         """Return the store's reply, also where there is none."""
@@ -88,7 +86,7 @@
             if response.status != 200:
                 return _failure(response)
             body = json.loads(response.body)
-            rows += self._rows(body)
+            rows += decode_rows(body)
             if not body.get("hasMore") or not rows:
                 return StoreReply(
                     StoreStatus.DONE, tuple(rows), body["ver"], _time(body)
@@ -105,7 +103,7 @@
         }
         request = Request("GET", f"/v1/rows-feed?{urlencode(query)}")
         response = await self._client.call(request, timeout)
-        return self._reply(response)
+        return _reply(response)
 
     @_call.register
     async def _(self, call: ChangeRows, timeout: float) -> StoreReply:
@@ -121,39 +119,38 @@
             json.dumps(body, separators=(",", ":")).encode(),
         )
         response = await self._client.call(request, timeout)
-        return self._reply(response)
-
-    # -- Replies -------------------------------------------------------------
-
-    def _reply(self, response: Response) -> StoreReply:
-        if response.status not in _STATUSES:
-            return _failure(response)
-        body = json.loads(response.body) if response.body else {}
-        return StoreReply(
-            _STATUSES[response.status],
-            tuple(self._rows(body)),
-            body.get("ver", 0),
-            _time(body),
-        )
+        return _reply(response)
+
+
+# -- Replies -----------------------------------------------------------------
+
 
-    def _rows(self, body: dict[str, Any]) -> list[Row]:
-        rows = []
-        for item in body.get("rows", ()):
-            table = TABLES.get(item["table"])
-            if table is None:
-                continue
-            key = RowKey(table, item.get("part", ""), item["key"])
-            if item.get("removed") or "value" not in item:
-                rows.append(Row(key, item.get("ver", 0)))
-                continue
-            try:
-                value = _value(key, item["value"])
-            except (DocumentError, binascii.Error) as error:
-                # The last good one stays in force; whoever wrote this must know.
-                self._warn(str(error))
-                continue
-            rows.append(Row(key, item["ver"], value))
-        return rows
+def _reply(response: Response) -> StoreReply:
+    if response.status not in _STATUSES:
+        return _failure(response)
+    body = json.loads(response.body) if response.body else {}
+    return StoreReply(
+        _STATUSES[response.status],
+        tuple(decode_rows(body)),
+        body.get("ver", 0),
+        _time(body),
+    )
+
+
+def decode_rows(body: dict[str, Any]) -> list[Row]:
+    """Return the rows of an answer; one that can't be read says so itself."""
+    rows = []
+    for item in body.get("rows", ()):
+        table = TABLES.get(item["table"])
+        part = item.get("part", "")
+        if table is None or (part and table in _WITHOUT_PARTS):
+            continue
+        key = RowKey(table, part, item["key"])
+        if item.get("removed") or "value" not in item:
+            rows.append(Row(key, item.get("ver", 0)))
+        else:
+            rows.append(Row(key, item["ver"], _value(key, item["value"])))
+    return rows
 
 
 def _failure(response: Response) -> StoreReply:
@@ -176,12 +173,27 @@
     return base64.b64encode(text.encode()).decode()
 
 
-def _value(key: RowKey, text: str) -> Any:
-    data = base64.b64decode(text, validate=True)
+def _value(key: RowKey, text: Any) -> Any:
+    """Return a row's value; other rows are read on whatever one of them holds.
+
+    An error that left here would have the whole answer count as none. It would come
+    again each time that the rows are asked for, and this host learn of nothing more.
+    """
+    try:
+        data = base64.b64decode(text, validate=True)
+    except (TypeError, ValueError):
+        return Unreadable("no base64")
+    try:
+        return _decode(key, data)
+    except DocumentError as error:
+        return Unreadable(str(error))
+    except UnicodeDecodeError:
+        return Unreadable("no UTF-8 text")
+
+
+def _decode(key: RowKey, data: bytes) -> Any:
     if key.table is Table.ENDPOINTS:
         return decode_entry(key.key, data)
-    if key.table is Table.CONFIGURATION:
-        if key.key != _CONFIGURATION_KEY:
-            return ""
-        return decode_configuration(data)
-    return data.decode()
+    if key.table is not Table.CONFIGURATION:
+        return data.decode()
+    return decode_configuration(data) if key.key == _CONFIGURATION_KEY else ""
--- a/tests/core/proxy/test_unreadable.py
+++ b/tests/core/proxy/test_unreadable.py
@@ -16,6 +16,7 @@
 from tests.fakes.proxyworld import (
     CONFIGURATION_KEY,
     ENTRY_TIME,
+    SERVICE,
     ProxyWorld,
     configuration,
     route,
@@ -60,8 +61,12 @@
     world.garble_entry("db-stray", Unreadable("no JSON"))
     assert len(_unreadable(world)) == 2
     world.put_entry(replace(world.entry(REPLICA), name="db-stray"))
-    world.garble_entry("db-stray", STRAY)
+    world.garble_entry("db-stray", Unreadable("no JSON"))
     assert len(_unreadable(world)) == 3
+    world.remove_entry("db-stray")
+    world.run(ENTRY_TIME)
+    world.garble_entry("db-stray", Unreadable("no JSON"))
+    assert len(_unreadable(world)) == 4
 
 
 def test_good_entry_after_one_that_can_not_be_read(world):
@@ -147,6 +152,24 @@
     assert _row(world, "db-new").entry.service == "letters"
 
 
+def test_entry_that_is_gone_before_its_service_is_configured(world):
+    """Symptom: statements go to an endpoint that was removed long ago.
+
+    Sequence: it vanishes while this host can't follow the entries, and its service is
+    configured later. Cause: its entry is held until then, and nobody drops it.
+    """
+    world.put_entry(replace(world.entry(REPLICA), name="db-new", service="letters"))
+    world.store.refuse_all()
+    world.remove_entry("db-new")
+    world.store.forget_history()
+    world.store.faults.refusing = False
+    world.run(3.0)
+    services = {name: ServiceLimits(name, 22, 1) for name in (SERVICE, "letters")}
+    world.store.put(CONFIGURATION_KEY, configuration(2, services=services))
+    world.run(1.0)
+    assert "db-new" not in world.hosts[0].tables.endpoints
+
+
 def test_entry_that_names_another_service(world):
     """Symptom: an endpoint is in two groups.
 
@@ -161,6 +184,21 @@
     assert not endpoint.is_leaving
 
 
+def test_entry_that_names_another_configured_service(world):
+    services = {name: ServiceLimits(name, 22, 1) for name in (SERVICE, "letters")}
+    world.store.put(CONFIGURATION_KEY, configuration(2, services=services))
+    world.groups["letters"] = Group("letters", [REPLICA], world.timers)
+    world.run(1.0)
+    entry = world.entry(REPLICA)
+    world.put_entry(replace(entry, service="letters"))
+    groups = world.hosts[0].tables.groups
+    assert REPLICA not in groups[SERVICE].endpoints
+    assert groups["letters"].endpoints[REPLICA] is _row(world)
+    world.put_entry(entry)
+    assert groups[SERVICE].endpoints[REPLICA] is _row(world)
+    assert REPLICA not in groups["letters"].endpoints
+
+
 def test_configuration_that_can_not_be_read(world):
     """Symptom: callers are refused. Sequence: another writer garbles a row."""
     for _ in range(3):
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -222,10 +222,18 @@
     assert _entry_of(json.dumps(ENTRY | {field: value}).encode()) is None
 
 
+@pytest.mark.parametrize("name", ["", "two words", "\ud800", "a\r\n"])
+def test_entry_under_a_name_that_no_line_can_hold(name):
+    """Symptom: a connection to it sends two words, or lines, in place of one."""
+    with pytest.raises(DocumentError, match="key"):
+        decode_entry(name, json.dumps(ENTRY).encode())
+
+
 @pytest.mark.parametrize("field", ENTRY)
 @given(value=JSON)
 @example(value=10**400)
 @example(value="\ud800")
+@example(value={str(n) * 30: {str(n) * 30: [str(n) * 30] * 9} for n in range(9)})
 def test_entry_with_any_value_in_a_field(field, value):
     _entry_of(json.dumps(ENTRY | {field: value}).encode())
 
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -93,7 +93,7 @@
         timers = TimerService()
         store = RowStore(timers)
         await StoreServer(store).start(address)
-        client = StoreClient(address, print)
+        client = StoreClient(address)
         ticking = asyncio.create_task(_tick(timers))
         key = RowKey(Table.CLAIMS, "s", "primary")
         change = ChangeRows(((key, 0),), ((key, "1 a b 0.0"),))
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import base64
+import contextlib
 import json
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from mallowpass.core.proxy.claims import Claim
 from mallowpass.core.proxy.storage import EndpointEntry, Row, Table, Unreadable
 from mallowpass.core.proxy.tables import HostRow
 from mallowpass.platform.store import TABLE_NAMES, decode_rows
@@ -92,6 +94,12 @@
     assert 0.0 < host.capacity < float("inf")
 
 
+@given(st.text() | st.from_regex(r"\S+ \S+ \S+ \S+", fullmatch=True))
+def test_any_text_of_a_claim(text):
+    with contextlib.suppress(ValueError):
+        Claim.decode(text)
+
+
 @pytest.mark.parametrize("capacity", ["nan", "inf", "-1", "0", "1e999"])
 def test_capacity_that_is_none(capacity):
     with pytest.raises(ValueError, match="capacity"):
