--- a/mallowpass/core/proxy/members.py
+++ b/mallowpass/core/proxy/members.py
@@ -2,15 +2,26 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.signals import (
+    ConfigurationAccepted,
     EndpointChanged,
     EndpointForgotten,
+    EndpointRestarted,
     PrimaryChanged,
 )
-from mallowpass.core.proxy.storage import EndpointEntry, Row, Table
+from mallowpass.core.proxy.storage import (
+    UNKNOWN_START,
+    EndpointEntry,
+    Row,
+    Table,
+    Unreadable,
+)
 from mallowpass.core.proxy.store import Store
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
+from mallowpass.core.proxy.unreadable import UnreadableRows
 
 __all__ = ["Members"]
 
@@ -28,18 +39,20 @@
 class Members(ProxySystem):
     """Own the rows of endpoints and the belief of who leads each group."""
 
-    __slots__ = ("_denied", "_known", "_store")
+    __slots__ = ("_known", "_store", "_unnamed", "_unreadable")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
         self._known = False
-        # Versions of entries that name an endpoint primary which said it is not.
-        self._denied: dict[str, int] = {}
+        # Entries of services that no configuration names yet, by name of the endpoint.
+        self._unnamed: dict[str, Row] = {}
+        self._unreadable = UnreadableRows(node, "endpoint_entry_unreadable")
 
     def start(self) -> None:
         """Follow the entries of endpoints."""
         self._store = self._node.system(Store)
         self._store.watch(Table.ENDPOINTS, self._on_rows)
+        self._node.subscribe(ConfigurationAccepted, self._on_configuration)
 
     @property
     def known(self) -> bool:
@@ -51,26 +64,64 @@
     def _on_rows(self, rows: tuple[Row, ...], complete: bool) -> None:
         self._known = True
         for row in rows:
-            if isinstance(row.value, EndpointEntry):
-                self._put(row.value, row.version)
-            else:
-                self._vanished(row.key.key)
+            self._take(row)
         if complete:
             names = {row.key.key for row in rows}
-            for name in list(self.tables.endpoints):
+            for name in [*self.tables.endpoints, *self._unnamed]:
                 if name not in names:
                     self._vanished(name)
 
+    def _take(self, row: Row) -> None:
+        """Take an entry; one that can't be read, or used, names no endpoint.
+
+        Whoever wrote it may have written over a good one. Kept for good, that would
+        have statements sent to an endpoint that nobody vouches for.
+        """
+        entry = row.value
+        name = row.key.key
+        if isinstance(entry, Unreadable):
+            self._unreadable.note(row.key, entry.reason)
+            self._vanished(name)
+        elif not isinstance(entry, EndpointEntry):
+            self._unreadable.clear(row.key)
+            self._vanished(name)
+        elif self._is_named(entry):
+            self._unreadable.clear(row.key)
+            self._unnamed.pop(name, None)
+            self._put(entry, row.version)
+        else:
+            self._vanished(name)
+            self._hold(row)
+
+    def _is_named(self, entry: EndpointEntry) -> bool:
+        """Tell whether a service is one that is, or was, configured."""
+        endpoint = self.tables.endpoints.get(entry.name)
+        if endpoint is not None and endpoint.entry.service == entry.service:
+            return True
+        configuration = self.tables.configuration
+        return configuration is not None and entry.service in configuration.services
+
+    def _hold(self, row: Row) -> None:
+        """Hold an entry until a configuration names its service."""
+        self._unnamed[row.key.key] = row
+        if self.tables.configuration is not None:
+            self._unreadable.note(row.key, f"no such service: {row.value.service}")
+
+    def _on_configuration(self, signal: ConfigurationAccepted) -> None:
+        for row in list(self._unnamed.values()):
+            self._take(row)
+
     def _put(self, entry: EndpointEntry, version: int) -> None:
         endpoint = self.tables.endpoints.get(entry.name)
         if endpoint is None:
-            endpoint = EndpointRow(entry, version)
-            self.tables.endpoints[entry.name] = endpoint
-            self.tables.group(entry.service).endpoints[entry.name] = endpoint
-            self.tables.endpoints_version += 1
-        elif version < endpoint.version:
+            endpoint = self._add(entry, version)
+        elif version < endpoint.version or _is_of_earlier_start(entry, endpoint):
             return
-        elif entry.slots != endpoint.entry.slots:
+        elif _is_of_another(entry, endpoint):
+            endpoint = self._restarted(endpoint, entry, version)
+        elif entry.started_at == UNKNOWN_START:
+            entry = replace(entry, started_at=endpoint.entry.started_at)
+        if entry.slots != endpoint.entry.slots:
             self.tables.endpoints_version += 1
         changed = endpoint.entry != entry or endpoint.gone_at is not None
         endpoint.entry = entry
@@ -85,8 +136,40 @@
         self._judge_primary(endpoint)
         self._node.publish(EndpointChanged(endpoint))
 
+    def _add(self, entry: EndpointEntry, version: int) -> EndpointRow:
+        endpoint = EndpointRow(entry, version)
+        self.tables.endpoints[entry.name] = endpoint
+        self.tables.group(entry.service).endpoints[entry.name] = endpoint
+        self.tables.endpoints_version += 1
+        return endpoint
+
+    def _restarted(
+        self, before: EndpointRow, entry: EndpointEntry, version: int
+    ) -> EndpointRow:
+        """Begin a new row for an endpoint that started again under its name.
+
+        Kept, the old row would have a new start that holds nothing taken for a replica
+        that has applied what its predecessor had, or for the primary.
+        """
+        self._node.log(
+            "info",
+            "endpoint_restarted",
+            endpoint=entry.name,
+            service=entry.service,
+            started_at=entry.started_at,
+            started_before=before.entry.started_at,
+            version=version,
+        )
+        group = self.tables.group(before.entry.service)
+        group.endpoints.pop(before.name, None)
+        endpoint = self._add(entry, version)
+        if group.primary == before.name:
+            self._set_primary(group, "", "it started again")
+        self._node.publish(EndpointRestarted(before, endpoint))
+        return endpoint
+
     def _retire(self, endpoint: EndpointRow) -> None:
-        if not endpoint.entry.draining:
+        if not endpoint.entry.draining or not self.tables.is_current(endpoint):
             return
         endpoint.retired = True
         group = self.tables.group(endpoint.entry.service)
@@ -94,6 +177,7 @@
             self._set_primary(group, "", "it should have left")
 
     def _vanished(self, name: str) -> None:
+        self._unnamed.pop(name, None)
         endpoint = self.tables.endpoints.get(name)
         if endpoint is None or endpoint.gone_at is not None:
             return
@@ -103,7 +187,7 @@
         self.timers.after(LAPSE_GRACE, self._forget, endpoint, endpoint.gone_at)
 
     def _forget(self, endpoint: EndpointRow, gone_at: float) -> None:
-        if endpoint.gone_at != gone_at:
+        if endpoint.gone_at != gone_at or not self.tables.is_current(endpoint):
             return
         group = self.tables.group(endpoint.entry.service)
         if group.primary == endpoint.name and self.now < gone_at + PRIMARY_GRACE:
@@ -111,7 +195,6 @@
             self.timers.after(pause, self._forget, endpoint, gone_at)
             return
         self.tables.endpoints.pop(endpoint.name, None)
-        self._denied.pop(endpoint.name, None)
         group.endpoints.pop(endpoint.name, None)
         if group.primary == endpoint.name:
             self._set_primary(group, "", "its entry is gone")
@@ -125,6 +208,7 @@
             endpoint=entry.name,
             service=entry.service,
             domain=entry.failure_domain,
+            started_at=entry.started_at,
             primary=entry.is_primary,
             draining=entry.draining,
             gone=endpoint.gone_at is not None,
@@ -139,7 +223,7 @@
             if group.primary == endpoint.name:
                 self._set_primary(group, "", "its entry says replica")
             return
-        if self._denied.get(endpoint.name, -1) >= endpoint.version:
+        if endpoint.denied_version >= endpoint.version:
             return
         if endpoint.retired:
             return
@@ -150,7 +234,7 @@
     def denied(self, endpoint: EndpointRow) -> None:
         """Take an endpoint's word that it does not lead."""
         group = self.tables.group(endpoint.entry.service)
-        self._denied[endpoint.name] = endpoint.version
+        endpoint.denied_version = endpoint.version
         if group.primary == endpoint.name:
             self._set_primary(group, "", "it refused a write")
 
@@ -158,7 +242,7 @@
         """Believe that an endpoint leads, before its entry says so."""
         if endpoint.retired:
             return
-        self._denied.pop(endpoint.name, None)
+        endpoint.denied_version = -1
         self._set_primary(self.tables.group(endpoint.entry.service), endpoint.name, why)
 
     def _set_primary(self, group: GroupRow, name: str, why: str) -> None:
@@ -179,3 +263,15 @@
             group.led_at.append(self.now)
         group.no_primary_since = None if name else self.now
         self._node.publish(PrimaryChanged(group))
+
+
+def _is_of_earlier_start(entry: EndpointEntry, endpoint: EndpointRow) -> bool:
+    # The store may carry out a write of an earlier start after those of a later one.
+    return UNKNOWN_START < entry.started_at < endpoint.entry.started_at
+
+
+def _is_of_another(entry: EndpointEntry, endpoint: EndpointRow) -> bool:
+    """Tell whether an entry is of a later start, or of another service's endpoint."""
+    if entry.service != endpoint.entry.service:
+        return True
+    return entry.started_at > endpoint.entry.started_at
--- a/mallowpass/core/proxy/storage.py
+++ b/mallowpass/core/proxy/storage.py
@@ -22,6 +22,8 @@
     "StoreReply",
     "StoreStatus",
     "Table",
+    "UNKNOWN_START",
+    "Unreadable",
     "WatchRows",
 ]
 
@@ -36,9 +38,17 @@
     CLAIMS = "claims"
 
 
+UNKNOWN_START = 0  # of an entry that does not tell when its endpoint started
+
+
 @record
 class EndpointEntry:
-    """Hold what an endpoint says of itself; `name` is unique for all time."""
+    """Hold what an endpoint says of itself.
+
+    An endpoint may start again under its name, and knows nothing of before then:
+    `started_at`, the Unix time of its start in milliseconds, tells one start from
+    another.
+    """
 
     name: str
     service: str
@@ -47,6 +57,14 @@
     slots: int
     draining: bool
     is_primary: bool
+    started_at: int = UNKNOWN_START
+
+
+@record
+class Unreadable:
+    """Stand for a value that is not what its table holds: another writer's."""
+
+    reason: str
 
 
 @record
@@ -64,7 +82,7 @@
 
     key: RowKey
     version: int = 0
-    value: Configuration | EndpointEntry | str | None = None
+    value: Configuration | EndpointEntry | Unreadable | str | None = None
 
 
 # -- Calls -------------------------------------------------------------------
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -86,7 +87,7 @@
 
 @dataclass(slots=True, eq=False)
 class EndpointRow:
-    """Hold what this host knows of one endpoint."""
+    """Hold what this host knows of one start of an endpoint."""
 
     entry: EndpointEntry
     version: int  # of its entry in the store
@@ -108,10 +109,12 @@
     # Owned by members.
     gone_at: float | None = None  # when its entry vanished
     retired: bool = False  # it is leaving for so long that nothing may reach it
+    # Newest version of an entry that names it primary though it said that it is not.
+    denied_version: int = -1
 
     @property
     def name(self) -> str:
-        """Return the endpoint's unique name."""
+        """Return the endpoint's name; it may start again under it, in another row."""
         return self.entry.name
 
     @property
@@ -268,8 +271,12 @@
     @classmethod
     def decode(cls, name: str, text: str) -> HostRow:
         """Read what the store keeps; ValueError if it is no entry."""
-        domain, address, capacity = text.split(" ")
-        return cls(name, domain, "" if address == "-" else address, float(capacity))
+        domain, address, cores = text.split(" ")
+        capacity = float(cores)
+        if not 0.0 < capacity < math.inf:
+            # Hosts rank each other by it, and would not agree about one that is none.
+            raise ValueError(f"no capacity: {capacity}")
+        return cls(name, domain, "" if address == "-" else address, capacity)
 
 
 @dataclass(slots=True, eq=False)
@@ -315,6 +322,10 @@
             group = self.groups[service] = GroupRow(service)
         return group
 
+    def is_current(self, endpoint: EndpointRow) -> bool:
+        """Tell whether an endpoint is known, and has not started again since."""
+        return self.endpoints.get(endpoint.name) is endpoint
+
 
 class ProxySystem(System):
     """Stand on top of the systems of a host that fronts databases."""
--- a/mallowpass/standins/proxied/httpserver.py
+++ b/mallowpass/standins/proxied/httpserver.py
@@ -183,6 +183,7 @@
         "slots": value.slots,
         "state": "draining" if value.draining else "ready",
         "dbRole": "primary" if value.is_primary else "replica",
+        "born": value.started_at,
     }
     return json.dumps(document).encode()
 
@@ -190,5 +191,6 @@
 _ENCODERS: dict[type, Callable[[Any], bytes]] = {
     Configuration: _encode_configuration,
     EndpointEntry: _encode_entry,
+    bytes: bytes,
     str: str.encode,
 }
