Test the one binary on a machine whose folders are all on a disk (fails)

Ruled out: a test on the finished binary alone: it takes minutes to build, and a machine with a memory file system wouldn't show the fault.

--- a/packaging/check_binary.py
+++ b/packaging/check_binary.py
@@ -1,8 +1,9 @@
 """Check dist/mallowpass at the end of `make build`; exit 1 with what is wrong.
 
 It must answer `--version` from an empty memory folder and from a filled one, with
-several processes starting at once, load every command, hold the demo's checks, and
-never start a process: seen by reading /proc all the while and, since a short child
+several processes starting at once, do the same as a new user starts it on a machine
+whose folders are all on a disk, load every command, hold the demo's checks, and never
+start a process: seen by reading /proc all the while and, since a short child
 could slip between two looks, enforced by a system call filter under which a fork ends
 the program.
 """
@@ -30,6 +31,9 @@
 HOST_LIBRARIES += ("librt.so", "libutil.so")
 # The dynamic linker's index of the host: read where there is one, no library itself.
 LINKER_INDEX = "/etc/ld.so.cache"
+# Where the binary looks for a memory file system, besides the user's own folder.
+MEMORY_FOLDERS = (MEMORY, Path("/tmp"))
+MEMORY_KINDS = ("tmpfs", "ramfs")
 # A binary that forks only once its caches are there would pass a single start.
 STARTS = 3
 
@@ -92,7 +96,7 @@
         _expect_version(racer)
     _expect_one_copy(folder)
     print(f"{RACERS} first starts at once: all answer, one copy stays")
-    _check_repair(binary, folder)
+    _check_repair(binary, folder, {FOLDER_VARIABLE: str(folder), "PATH": ""})
     print("a damaged copy and one of a dead process: replaced and removed")
     # Modules are imported by name, so one that was not bundled shows only in use.
     _expect(_start(binary, folder, _forbid_processes, ["--help"]), "Usage:")
@@ -100,6 +104,39 @@
     print("--help loads every command, the demo's checks hold: under the same filter")
 
 
+def check_disk(binary: Path, home: Path) -> None:
+    """Start as a new user does, with a home folder on a disk; damage the copy."""
+    environment = {"HOME": str(home), "PATH": ""}
+    cache = home / ".cache"
+    offered = [
+        str(f) for f in MEMORY_FOLDERS if _is_memory(f) and os.access(f, os.W_OK)
+    ]
+    if offered:
+        # The choice itself is then seen in tests/test_launcher.py only.
+        print(f"in memory here: {offered}; the disk is named for the checks on it")
+        cache.mkdir()
+        environment[FOLDER_VARIABLE] = str(cache)
+    for racer in [_run(binary, environment) for _ in range(RACERS)]:
+        _expect_version(racer)
+    _expect_one_copy(cache)
+    _check_repair(binary, cache, environment)
+    if not _is_memory(cache):
+        _check_content(binary, cache, environment)
+    process = _run(binary, environment, _forbid_processes)
+    _, errors = process.communicate(timeout=LIMIT_S)
+    if process.returncode != 0 or errors.count("\n") != (0 if offered else 1):
+        raise CheckError(f"not one line that says where it runs from: {errors!r}")
+    print(f"on a disk: {RACERS} starts at once, one copy; damaged ones are replaced")
+
+
+def _is_memory(folder: Path) -> bool:
+    mounts = [line.split() for line in Path("/proc/mounts").read_text().splitlines()]
+    above = [mount for mount in mounts if folder.is_relative_to(mount[1])]
+    # The last of equal length is the one mounted on top.
+    nearest = max(enumerate(above), key=lambda pair: (len(pair[1][1]), pair[0]))[1]
+    return nearest[2] in MEMORY_KINDS
+
+
 def _start(
     binary: Path,
     folder: Path,
@@ -108,6 +145,15 @@
 ) -> subprocess.Popen[str]:
     # No home, no temporary folder, an empty path: only the memory folder is there.
     environment = {FOLDER_VARIABLE: str(folder), "HOME": "/nonexistent", "PATH": ""}
+    return _run(binary, environment, prepare, arguments)
+
+
+def _run(
+    binary: Path,
+    environment: dict[str, str],
+    prepare: Callable[[], None] | None = None,
+    arguments: Sequence[str] = ("--version",),
+) -> subprocess.Popen[str]:
     return subprocess.Popen(
         [str(binary), *arguments],
         env=environment | {"TMPDIR": "/nonexistent"},
@@ -193,16 +239,27 @@
         raise CheckError(f"not one copy left: {_copies(folder)}")
 
 
-def _check_repair(binary: Path, folder: Path) -> None:
+def _check_repair(binary: Path, folder: Path, environment: dict[str, str]) -> None:
     copy = _copies(folder)[0]
     next(path for path in copy.rglob("*.so*") if path.is_file()).unlink()
     copy.with_name(f"{copy.name}.abcdef").mkdir(mode=0o700)
-    _expect_version(_start(binary, folder))
+    _expect_version(_run(binary, environment))
     _expect_one_copy(folder)
     if not any(copy.rglob("*.so*")):
         raise CheckError("the damaged copy was not replaced")
 
 
+def _check_content(binary: Path, folder: Path, environment: dict[str, str]) -> None:
+    # What a loss of power leaves: the size is there, the content isn't.
+    library = next(path for path in _copies(folder)[0].rglob("libpython*.so*"))
+    content = library.read_bytes()
+    library.write_bytes(bytes(len(content)))
+    _expect_version(_run(binary, environment))
+    _expect_one_copy(folder)
+    if library.read_bytes() != content:
+        raise CheckError("a copy with the right sizes and other content was kept")
+
+
 def _empty(folder: Path) -> None:
     for copy in _copies(folder):
         shutil.rmtree(copy)
@@ -211,9 +268,15 @@
 def main(binary: Path) -> int:
     """Check `binary`; return the exit code."""
     base = MEMORY if os.access(MEMORY, os.W_OK) else None
-    with tempfile.TemporaryDirectory(prefix="mallowpass-check-", dir=base) as folder:
+    temporary = tempfile.TemporaryDirectory
+    with (
+        temporary(prefix="mallowpass-check-", dir=base) as folder,
+        # Beside the binary: where it was built is a disk, or as good as one.
+        temporary(prefix="check-home-", dir=binary.parent) as home,
+    ):
         try:
             check(binary, Path(folder))
+            check_disk(binary, Path(home))
         except (CheckError, OSError, subprocess.SubprocessError) as error:
             print(f"check_binary: {error}", file=sys.stderr)
             return 1
