Run the one binary from a disk where no memory file system has room

Its errors had no codes. Ruled out: syncing files before the rename, which makes first starts wait for the disk and says nothing of later damage; a variable that asks for the disk, which a new user can't know. Folders of other users, and such as others may write to without the sticky bit, are passed over. Of a copy the owner, kind, mode and size of each entry are looked at, on a disk the content as well, before it is run; else it is replaced. There is still no further process. Where a machine has a memory file system, the finished binary's own choice of a disk isn't seen by the check, only by the launcher's test.

--- a/mallowpass/errors.py
+++ b/mallowpass/errors.py
@@ -40,6 +40,7 @@
     CONFIGURATION = "5"
     PLATFORM = "6"
     DRAIN = "7"
+    START = "8"
     INTERNAL = "9"
 
 
@@ -438,6 +439,38 @@
         True,
     )
 
+    # -- Start: what the one binary's launcher says before the program runs
+    BINARY_DAMAGED = (
+        "MP-8001",
+        "The binary is cut off or changed.",
+        "Copy the file again.",
+        False,
+    )
+    NO_UNPACK_FOLDER = (
+        "MP-8002",
+        "No folder can take what the binary unpacks.",
+        "Free room in one of the folders named, or name one in MALLOWPASS_UNPACK_DIR.",
+        False,
+    )
+    UNPACK_FOLDER_UNUSABLE = (
+        "MP-8003",
+        "The folder in MALLOWPASS_UNPACK_DIR can't take what the binary unpacks.",
+        "Name a folder that exists, is writable, has room and isn't mounted noexec.",
+        False,
+    )
+    BINARY_UNREADABLE = (
+        "MP-8004",
+        "The binary cannot read its own file.",
+        "Check that /proc is mounted and that the file may be read by this user.",
+        False,
+    )
+    START_REFUSED = (
+        "MP-8005",
+        "What the binary unpacked cannot be started.",
+        "Check the reason given, and the limits set for this process.",
+        False,
+    )
+
     # -- Internal
     INTERNAL = (
         "MP-9001",
--- a/packaging/build_binary.py
+++ b/packaging/build_binary.py
@@ -1,8 +1,8 @@
 """Build dist/mallowpass, the one file that ships, for `make build`.
 
 PyInstaller collects the interpreter, the package and all libraries into one folder;
-the folder is packed and appended to a small program (launcher.c) that unpacks it into
-memory and becomes it. docs/design/packaging.md says why.
+the folder is packed and appended to a small program (launcher.c) that unpacks it, into
+memory where it can, and becomes it. docs/design/packaging.md says why.
 
 Layout of the file: the launcher; then for each entry its header (kind, executable,
 size of the path, size, packed size), its path and its packed data, a file's as blocks
@@ -51,7 +51,7 @@
 
 def build() -> Path:
     """Collect, compile, pack; return the binary."""
-    compiler = _require("gcc", "compiles packaging/launcher.c")
+    compiler = _require("gcc", "compiles the launcher, packaging/*.c")
     _require("objdump", "finds libraries for PyInstaller (Debian: binutils)")
     strip = _require("strip", "drops debug information (Debian: binutils)")
     shutil.rmtree(WORK, ignore_errors=True)
@@ -99,10 +99,10 @@
     program = WORK / "launcher"
     # Static: the launcher itself then needs no C library of the host.
     flags = ["-O2", "-Wall", "-Wextra", "-Werror", "-static", "-s"]
-    source = Path(__file__).with_name("launcher.c")
-    result = subprocess.run([compiler, *flags, "-o", str(program), str(source)])
+    sources = sorted(str(path) for path in Path(__file__).parent.glob("*.c"))
+    result = subprocess.run([compiler, *flags, "-o", str(program), *sources])
     if result.returncode != 0:
-        raise BuildError(f"gcc failed on {source.name} (static C library missing?)")
+        raise BuildError("gcc failed on the launcher (static C library missing?)")
     return program.read_bytes()
 
 
