--- a/tests/test_launcher.py
+++ b/tests/test_launcher.py
@@ -145,6 +145,18 @@
     assert (code, Path(ran_from).parent) == (0, machine.shared), errors
 
 
+def test_no_cache_is_made_in_a_home_folder_that_others_control(machine):
+    # Started by root with the variables of another user, it would leave that user a
+    # cache folder which is root's, and all programs that need one fail.
+    if os.geteuid() == 0:
+        os.chown(machine.home, NOBODY, NOBODY)
+    else:
+        machine.home.chmod(0o777)
+    code, ran_from, errors = machine.run()
+    assert (code, Path(ran_from).parent) == (0, machine.shared), errors
+    assert not machine.cache.exists()
+
+
 def test_starts_at_once_share_one_copy(machine):
     starts = [machine.launch() for _ in range(RACERS)]
     outputs = [start.communicate(timeout=LIMIT_S) for start in starts]
