Make the binary's cache folder only in a folder that is the user's own

Cause: the launcher made ~/.cache wherever HOME points; for root with another user's HOME that is a folder which the other user's programs can't write to. Change: the parent is looked at as the folder itself is: ours or root's, closed to others.

--- a/packaging/launcher.c
+++ b/packaging/launcher.c
@@ -151,11 +151,22 @@
     return size >= 0 && size < PATH_MAX;
 }
 
+/* Make a folder that isn't there yet, unless it would be in somebody else's: started by
+ * root with another user's variables, that user would get a cache folder of root's. */
+static void make_in_own(const char *path)
+{
+    char parent[PATH_MAX];
+    strcpy(parent, path);
+    *strrchr(parent, '/') = '\0';
+    if (is_guarded(*parent != '\0' ? parent : "/"))
+        (void)mkdir(path, 0700); /* it may be there */
+}
+
 static void run_from_disk(char **arguments)
 {
     char cache[PATH_MAX];
     if (cache_folder(cache)) {
-        (void)mkdir(cache, 0700); /* it may be there */
+        make_in_own(cache);
         if (is_guarded(cache))
             run_from(cache, arguments, 1);
     }
