Play a primary that goes on after it was replaced, and judge what callers see

Change: a group may have its replaced primary go on until it is demoted, or until it has reached its successor for a second; members can be cut from each other, and a replica hears of a successor late. The test world can go without fences, and carries out orders late. An oracle finds stale reads, lost commits, and commits acknowledged by a primary after its successor led. Conclusion: both contracts are played in virtual time.

--- a/mallowpass/standins/proxied/connections.py
+++ b/mallowpass/standins/proxied/connections.py
@@ -167,7 +167,7 @@
 
     @_execute.register
     def _(self, statement: Read, call: EndpointCall, done: Done) -> None:
-        self._answer_read(statement.text, done)
+        self._answer_read(statement.text, call, done)
 
     @_execute.register
     def _(self, statement: Write, call: EndpointCall, done: Done) -> None:
@@ -183,7 +183,7 @@
         if self._is_prepared_write(statement):
             self._write(item, data, call, done)
         else:
-            self._answer_read(item, done)
+            self._answer_read(item, call, done)
 
     @_execute.register
     def _(self, statement: SetValue, call: EndpointCall, done: Done) -> None:
@@ -247,13 +247,14 @@
                 # nobody here knows that it is kept.
                 self.silent = True
             self._answer(done, Code.NOT_PRIMARY, failed=True)
-        elif group.holders(entry) >= group.synchronous:
-            group.acknowledged.append(entry)
+        elif group.holders(entry, self._replica) >= group.synchronous:
+            group.acknowledge(entry, self._replica)
             self._answer(done, signature=self._replica.name)
         else:
             group.timers.after(0.001, self._await_replicas, entry, done)
 
-    def _answer_read(self, item: str, done: Done) -> None:
+    def _answer_read(self, item: str, call: EndpointCall, done: Done) -> None:
+        self._group.on_read(self._replica, call.request_id)
         row = self._replica.value(item).encode()
         self._answer(done, signature=self._replica.name, rows=(row,))
 
--- a/mallowpass/standins/proxied/replicas.py
+++ b/mallowpass/standins/proxied/replicas.py
@@ -3,12 +3,16 @@
 Commits are numbered within terms. A replica receives them some time after the primary
 has them, and applies them later. A commit is acknowledged once enough replicas have
 received it.
+
+A primary that was replaced loses the lead at once, or, where `goes_on` is set, only
+when it is demoted or has been able to reach its successor for a while. Until then it
+runs statements as before, and replicas that are not paused receive its commits until
+they have heard of its successor.
 """
 
 from __future__ import annotations
 
-import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -20,6 +24,8 @@
 
 __all__ = ["Group", "GroupTimes", "LogEntry", "Replica"]
 
+STEP_DOWN_LOOK = 0.05  # seconds between looks of a replaced primary for its successor
+
 
 # Unix time of the timers' zero, in milliseconds.
 CLOCK_OFFSET = 1_764_720_000_000
@@ -33,6 +39,10 @@
     network: float = 0.001  # until a replica has received a commit
     lag: float = 0.008  # from then until it has applied it
     promotion: float = 0.3
+    # For how long a replaced primary that goes on can reach its successor before it
+    # gives up the lead, and how long a replica may not have heard of the latter.
+    step_down: float = 1.0
+    announcement: float = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,10 +96,16 @@
     """Hold a service's replicas, and carry out what is ordered of them."""
 
     __slots__ = (
-        "_numbers",
+        "_leader",
         "acknowledged",
+        "acknowledged_at",
+        "cuts",
+        "goes_on",
         "lost",
         "max_connections",
+        "on_read",
+        "on_role",
+        "overtaken",
         "promotions",
         "replicas",
         "service",
@@ -97,7 +113,6 @@
         "synchronous",
         "timers",
         "times",
-        "on_role",
     )
 
     def __init__(
@@ -110,6 +125,7 @@
         synchronous: int = 1,
         slots: int = 3,
         max_connections: int = 22,
+        goes_on: bool = False,
     ) -> None:
         self.service = service
         self.timers = timers
@@ -119,16 +135,35 @@
         self.max_connections = max_connections
         self.replicas = {name: Replica(name, self._clock) for name in names}
         self.replicas[names[0]].is_primary = True
+        self._leader = names[0]
+        self.goes_on = goes_on
+        self.cuts: set[frozenset[str]] = set()  # pairs of members
         self.acknowledged: list[LogEntry] = []
-        self.lost: list[LogEntry] = []  # acknowledged, and dropped by a promotion
+        self.acknowledged_at: dict[LogEntry, float] = {}
+        self.lost: list[LogEntry] = []  # acknowledged, and not in the leader's log
+        # Acknowledged by a member after its successor led.
+        self.overtaken: list[LogEntry] = []
         self.promotions = 0
         self.on_role: Callable[[Replica], None] = lambda replica: None
-        self._numbers = itertools.count(1)
+        # Called with the replica and the request whenever a read runs.
+        self.on_read: Callable[[Replica, str], None] = lambda replica, request: None
 
     @property
     def primary(self) -> Replica:
-        """Return the member that leads; whether it is up is another matter."""
-        return next(r for r in self.replicas.values() if r.is_primary)
+        """Return the member that was last made to lead, up or not."""
+        return self.replicas[self._leader]
+
+    def cut(self, name: str, others: Iterable[str]) -> None:
+        """Cut a member from others; a pair that is cut receives nothing."""
+        self.cuts |= {frozenset((name, other)) for other in others}
+
+    def heal(self) -> None:
+        """End all cuts between members."""
+        self.cuts.clear()
+
+    def _reach(self, one: Replica, other: Replica) -> bool:
+        cut = frozenset((one.name, other.name)) in self.cuts
+        return one.up and other.up and not cut
 
     @property
     def has_primary(self) -> bool:
@@ -168,6 +203,7 @@
         replica.up = True
         replica.paused_for = 0
         replica.busy = 0
+        replica.is_primary = replica.is_primary and replica is self.primary
         self.catch_up(replica)
 
     # -- Replication ---------------------------------------------------------
@@ -183,29 +219,37 @@
         replica.applied = len(replica.log)
         for other in self.replicas.values():
             if other is not replica:
-                self.timers.after(self.times.network, self._receive, other)
+                self.timers.after(self.times.network, self._receive, other, replica)
         return entry
 
-    def holders(self, entry: LogEntry) -> int:
-        """Return how many replicas have received a commit."""
+    def holders(self, entry: LogEntry, by: Replica) -> int:
+        """Return how many members have received a commit and can say so."""
         return sum(
             1
-            for replica in self.replicas.values()
-            if not replica.is_primary and replica.up and entry in replica.log
+            for other in self.replicas.values()
+            if other is not by and self._reach(by, other) and entry in other.log
         )
 
-    def _receive(self, replica: Replica) -> None:
-        """Copy the primary's log to a replica that can receive it."""
-        if not self.has_primary:
+    def acknowledge(self, entry: LogEntry, by: Replica) -> None:
+        """Note that a member acknowledged a commit."""
+        self.acknowledged.append(entry)
+        self.acknowledged_at[entry] = self.timers.now
+        if by is not self.primary:
+            self.overtaken.append(entry)
+            if entry not in self.primary.log:
+                self.lost.append(entry)
+
+    def _receive(self, replica: Replica, source: Replica) -> None:
+        """Copy a primary's log to a replica that can receive it."""
+        if replica.is_primary or not source.is_primary:
             return
-        primary = self.primary
-        if replica is primary or not replica.up or not primary.up:
+        if not self._reach(replica, source):
             return
         if replica.deaf or replica.paused_for:
             return
-        if replica.term > primary.term:
+        if replica.term > source.term:
             return
-        self._copy(primary, replica)
+        self._copy(source, replica)
         lag = self.times.lag if replica.lag is None else replica.lag
         self.timers.after(lag, self._apply, replica, len(replica.log))
 
@@ -226,8 +270,16 @@
         replica.applied = max(replica.applied, min(upto, len(replica.log)))
 
     def catch_up(self, replica: Replica) -> None:
-        """Have a replica receive what it lacks, after the time on the network."""
-        self.timers.after(self.times.network, self._receive, replica)
+        """Have a replica receive what it lacks, after the time on the network.
+
+        Of two that lead it hears of the newer one later: it has to be told.
+        """
+        sources = [other for other in self.replicas.values() if other.is_primary]
+        for source in sources:
+            delay = self.times.network
+            if len(sources) > 1 and source is self.primary:
+                delay += self.times.announcement
+            self.timers.after(delay, self._receive, replica, source)
 
     # -- Leading -------------------------------------------------------------
 
@@ -243,27 +295,48 @@
     def _lead(self, replica: Replica) -> None:
         if replica.is_primary or not replica.up:
             return
-        before = self.primary if self.has_primary else None
+        leading = [other for other in self.replicas.values() if other.is_primary]
         held = set(replica.log)
         self.lost += [entry for entry in self.acknowledged if entry not in held]
         self.promotions += 1
-        term = 1 + max(other.term for other in self.replicas.values())
-        if before is not None:
-            before.is_primary = False
+        replica.term = 1 + max(other.term for other in self.replicas.values())
         replica.is_primary = True
-        replica.term = term
         replica.paused_for = 0
         replica.applied = len(replica.log)
+        self._leader = replica.name
+        for before in leading:
+            if self.goes_on and before.up:
+                self._go_on(before, None)
+            else:
+                self._step_down(before)
         # The others stay paused until they are told to resume, or start again.
         for other in self.replicas.values():
-            for connection in other.connections:
-                connection.lost_lead |= other is before
             self.catch_up(other)
-        if before is not None and before.up:
-            self.on_role(before)
         self.on_role(replica)
 
+    def _go_on(self, replica: Replica, since: float | None) -> None:
+        """Have a replaced primary lead until it has reached its successor for long."""
+        if not replica.is_primary or replica is self.primary:
+            return
+        now = self.timers.now
+        if not self._reach(replica, self.primary):
+            since = None
+        elif since is None:
+            since = now
+        elif now - since >= self.times.step_down:
+            self._step_down(replica)
+            return
+        self.timers.after(STEP_DOWN_LOOK, self._go_on, replica, since)
+
+    def _step_down(self, replica: Replica) -> None:
+        replica.is_primary = False
+        for connection in replica.connections:
+            connection.lost_lead = True
+        self.catch_up(replica)
+        if replica.up:
+            self.on_role(replica)
+
     def demote(self, replica: Replica, term: int) -> None:
         """Make a primary of a lower term a replica; nobody leads then."""
         if replica.is_primary and replica.term < term:
-            replica.paused_for = term
+            self._step_down(replica)
--- a/tests/fakes/proxyhosts.py
+++ b/tests/fakes/proxyhosts.py
@@ -29,6 +29,7 @@
 from mallowpass.core.proxy.tables import ProxyTables
 from mallowpass.standins.proxied.connections import ReplicaConnection, connect
 from mallowpass.standins.proxied.replicas import Group, Replica
+from tests.fakes.proxyoracle import Session
 
 if TYPE_CHECKING:
     from tests.fakes.proxyworld import ProxyWorld
@@ -49,12 +50,14 @@
         self.refusal: Code | None = None
         self.answers: list[Answer] = []
         self.answered_at: list[float] = []
+        self._session = Session(world.configuration.routes.get(database))
         host.callers[self.stream] = self
         host.deliver(SessionOpened(self.stream, database))
 
     def send(self, statement: Statement | None, request_id: str = "") -> None:
         """Send a statement, without waiting for its answer."""
         request_id = request_id or f"r{self._world.number()}"
+        self._world.oracle.sent(self._session, request_id)
         event = StatementReceived(self.stream, request_id, statement)
         self._host.deliver(event)
 
@@ -66,6 +69,12 @@
         assert len(self.answers) > before, f"no answer to {statement}"
         return self.answers[-1]
 
+    def answer(self, answer: Answer) -> None:
+        """Take an answer."""
+        self.answers.append(answer)
+        self.answered_at.append(self._world.timers.now)
+        self._world.oracle.answered(self._session, answer)
+
     def leave(self) -> None:
         """Close the connection."""
         self._host.deliver(SessionClosed(self.stream))
@@ -146,9 +155,7 @@
 
     @_apply.register
     def _(self, effect: effects.AnswerStatement) -> None:
-        caller = self.callers[effect.stream]
-        caller.answers.append(effect.answer)
-        caller.answered_at.append(self.world.timers.now)
+        self.callers[effect.stream].answer(effect.answer)
 
     @_apply.register
     def _(self, effect: effects.CloseSession) -> None:
--- a/tests/fakes/proxyworld.py
+++ b/tests/fakes/proxyworld.py
@@ -32,6 +32,7 @@
 from mallowpass.standins.proxied.replicas import Group, Replica
 from mallowpass.standins.proxied.rows import RowStore
 from tests.fakes.proxyhosts import DOMAINS, LINK, Caller, Host, Link
+from tests.fakes.proxyoracle import Oracle
 
 CONFIGURATION_KEY = RowKey(Table.CONFIGURATION, "", "config")
 ENTRY_TIME = 0.2  # seconds until each host has learnt of a changed entry
@@ -73,14 +74,21 @@
     """Hold everything, and run it."""
 
     def __init__(
-        self, hosts: int = 3, seed: int = 1, first_start: bool = False, **group: Any
+        self,
+        hosts: int = 3,
+        seed: int = 1,
+        first_start: bool = False,
+        fences: bool = True,
+        **group: Any,
     ) -> None:
         self.first_start = first_start
+        self.fences = fences  # orders of whoever was overtaken are refused
         self.timers = TimerService()
         self.random = random.Random(seed)
         self.handshake = 0.012
         self.dark: set[str] = set()  # members that answer nobody
         self.orders_lost = 0  # orders that are carried out and not answered
+        self.orders_late = 0.0  # seconds after which those are carried out
         self.answers_to_lose = 0  # of statements, by the endpoint
         self.tokens: dict[str, int] = {}
         self.orders: list[effects.OrderPromotion] = []
@@ -93,6 +101,7 @@
         self.group = Group(SERVICE, names, self.timers, **group)
         self.group.on_role = self.enter
         self.groups = {SERVICE: self.group}
+        self.oracle = Oracle(self.group)
         self.store.put(CONFIGURATION_KEY, configuration())
         for replica in self.group.replicas.values():
             self.enter(replica)
@@ -163,6 +172,15 @@
             started(self.hosts[index])
             self.run(START_GAP)
 
+    def cut(self, index: int, *names: str) -> None:
+        """Cut a host from members; what it sends there gets lost in silence."""
+        self.hosts[index].cut_from.update(names)
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the newest configuration that the operator wrote."""
+        return self.store.get(CONFIGURATION_KEY).value
+
     # -- Members -------------------------------------------------------------
 
     def enter(self, replica: Replica, draining: bool = False) -> None:
@@ -238,15 +256,22 @@
         self.orders.append(order)
         if "orders" in host.cut_from:
             return None, False
-        if order.fencing_token < self.tokens.get(order.service, 0):
+        if self.fences and order.fencing_token < self.tokens.get(order.service, 0):
             return False, True
-        self.tokens[order.service] = order.fencing_token
-        taken = self.groups[order.service].promote(order.endpoint)
         if self.orders_lost:
             self.orders_lost -= 1
+            self.timers.after(self.orders_late, self._carry_out, order)
             return None, False
+        taken = self._carry_out(order)
         return taken, not taken
 
+    def _carry_out(self, order: effects.OrderPromotion) -> bool:
+        newest = self.tokens.get(order.service, 0)
+        if self.fences and order.fencing_token < newest:
+            return False
+        self.tokens[order.service] = max(newest, order.fencing_token)
+        return self.groups[order.service].promote(order.endpoint)
+
     # -- Running -------------------------------------------------------------
 
     def caller(self, host: int = 0, database: str = "own") -> Caller:
--- a/tests/standins/proxied/test_replicas.py
+++ b/tests/standins/proxied/test_replicas.py
@@ -2,7 +2,16 @@
 
 from __future__ import annotations
 
-from mallowpass.core.proxy.statements import Code, EndpointCall, Write
+from mallowpass.core.proxy.statements import (
+    Begin,
+    Code,
+    Demote,
+    EndpointCall,
+    EndpointReply,
+    Rollback,
+    Statement,
+    Write,
+)
 from mallowpass.core.timers import TimerService
 from mallowpass.standins.proxied.connections import connect
 from mallowpass.standins.proxied.replicas import Group
@@ -14,6 +23,75 @@
         timers.run_due()
 
 
+def _ask(group: Group, name: str, *statements: Statement) -> list[EndpointReply]:
+    """Return what a member answers within a tenth of a second."""
+    connection = connect(group, name)
+    replies: list[EndpointReply] = []
+    for number, statement in enumerate(statements):
+        call = EndpointCall(statement, f"{name}-{number}-{group.timers.now}")
+        connection.send(call, replies.append)
+    _run(group.timers, group.timers.now + 0.1)
+    connection.close()
+    return replies
+
+
+def _replaced(timers: TimerService) -> Group:
+    """Return a group whose first member was replaced, goes on, and is cut off."""
+    group = Group("s", ["a", "b", "c"], timers, goes_on=True)
+    group.cut("a", ["b"])
+    group.promote("b")
+    _run(timers, 0.4)
+    return group
+
+
+def test_replaced_primary_goes_on_until_it_can_reach_its_successor_for_a_second():
+    timers = TimerService()
+    group = _replaced(timers)
+    _run(timers, 5.0)
+    accepted = _ask(group, "a", Begin(), Rollback())
+    assert [reply.code for reply in accepted] == [Code.DONE, Code.DONE]
+    group.heal()
+    _run(timers, 6.0)
+    assert group.replicas["a"].is_primary
+    _run(timers, 6.5)
+    assert not group.replicas["a"].is_primary
+    assert _ask(group, "a", Begin())[0].code is Code.NOT_PRIMARY
+
+
+def test_replaced_primary_is_demoted_by_a_newer_term_only():
+    timers = TimerService()
+    group = _replaced(timers)
+    assert _ask(group, "a", Demote(1))[0].status.is_primary
+    assert not _ask(group, "a", Demote(2))[0].status.is_primary
+    assert _ask(group, "a", Write("k 1"))[0].code is Code.NOT_PRIMARY
+
+
+def test_commit_is_recorded_that_a_replaced_primary_acknowledges():
+    timers = TimerService()
+    group = _replaced(timers)
+    group.cut("b", ["c"])
+    assert _ask(group, "a", Write("k 1"))[0].code is Code.DONE
+    assert len(group.overtaken) == len(group.lost) == 1
+
+
+def test_replica_that_heard_of_the_successor_receives_nothing_of_the_old_primary():
+    timers = TimerService()
+    group = _replaced(timers)
+    _run(timers, 1.0)
+    assert _ask(group, "a", Write("k 1")) == []
+    assert group.overtaken == []
+
+
+def test_primary_that_crashed_comes_back_as_replica_of_its_successor():
+    timers = TimerService()
+    group = Group("s", ["a", "b", "c"], timers, goes_on=True)
+    group.crash("a")
+    group.promote("b")
+    _run(timers, 0.4)
+    group.start("a")
+    assert not group.replicas["a"].is_primary
+
+
 def test_commit_that_the_successor_has_is_not_called_not_run():
     """Symptom: a write takes effect twice.
 
