Answer reads at a primary once it is known that nobody else leads

Cause: reads at the primary were followed by an empty transaction, as only a primary accepts it. One that was replaced and can't reach its successor accepts it too. Reads there lacked what the successor had acknowledged, floors taken there were too low, and its answers cleared the suspicion of the host that sent them. Ruled out: a right to read that lapses. It needs an answer of the store or of a replica once a second for each host and service, or a wait before each promotion. Positions of replicas as a proof that they receive: a paused one still applies what it received. Change: leadership proves that nobody else led at some time: a commit sent later was acknowledged, or all other members refused an empty transaction asked for later; where one is silent, the store tells that nobody claimed the primary. Reads at the primary, alone and in transactions, wait for that; it is asked while they run, and once for all that wait. Samples for floors count as asked when that was last proven. Of two that accept transactions, the one of the older term is demoted. A session's own commit is demanded of the primary as well. Conclusion: no promise of reads rests on a replaced primary's word any more.

--- a/mallowpass/core/proxy/claims.py
+++ b/mallowpass/core/proxy/claims.py
@@ -52,6 +52,11 @@
     time: float
     must_hold: LogPosition = ZERO_POSITION  # that whoever leads must hold
 
+    @property
+    def is_free(self) -> bool:
+        """Tell whether it was given back."""
+        return self.holder == _NOBODY
+
     def encode(self) -> str:
         """Return the text that the store keeps."""
         position = self.must_hold.text
@@ -70,6 +75,8 @@
 
 # Called with the claim, None when another host has one or the store did not answer.
 ClaimHandler = Callable[[Claim | None], None]
+# Called with the newest claim, None if there is none, and with whether that is known.
+LookHandler = Callable[[Claim | None, bool], None]
 
 
 class Claims(ProxySystem):
@@ -110,6 +117,20 @@
 
         self._store.call(call, on_reply)
 
+    def look(self, service: str, handler: LookHandler) -> None:
+        """Read the newest claim; the handler learns whether it could be read."""
+
+        def on_rows(reply: StoreReply) -> None:
+            texts = [row.value for row in reply.rows if row.key.key == _KEY]
+            try:
+                claim = Claim.decode(str(texts[0])) if texts else None
+            except ValueError:
+                handler(None, False)
+                return
+            handler(claim, reply.status is StoreStatus.DONE)
+
+        self._store.call(ListRows(Table.CLAIMS, service), on_rows)
+
     def is_fresh(self, claim: Claim) -> bool:
         """Tell whether this host may still act on its claim."""
         return (self._store.time or 0.0) - claim.time < FRESH_TIME
--- a/mallowpass/core/proxy/floors.py
+++ b/mallowpass/core/proxy/floors.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 from mallowpass.core.positions import ZERO_POSITION
-from mallowpass.core.proxy.configuration import Consistency
+from mallowpass.core.proxy.configuration import Consistency, Route
+from mallowpass.core.proxy.leadership import Leadership
 from mallowpass.core.proxy.signals import (
     FloorLearnt,
     PrimaryHeard,
@@ -51,18 +52,23 @@
 class Floors(ProxySystem):
     """Keep samples of primaries' positions, and derive floors from them."""
 
-    __slots__ = ()
+    __slots__ = ("_leadership",)
 
     def start(self) -> None:
         """Subscribe to samples of other hosts."""
+        self._leadership = self._node.system(Leadership)
         self._node.subscribe(FloorLearnt, self._on_learnt)
 
     def _on_learnt(self, signal: FloorLearnt) -> None:
         self._keep(signal.group, signal.position, signal.asked_at)
 
     def sample(self, group: GroupRow, position: LogPosition, asked_at: float) -> None:
-        """Record what a primary answered that proved that it led after `asked_at`."""
-        if self._keep(group, position, asked_at):
+        """Record what a primary answered to a question that was sent at `asked_at`.
+
+        It counts as asked when the primary was last known to lead alone: the log of one
+        that was replaced lacks what its successor has acknowledged since.
+        """
+        if self._keep(group, position, min(asked_at, group.sole_at)):
             self._node.publish(PrimaryHeard(group))
 
     @staticmethod
@@ -77,12 +83,27 @@
             samples.popleft()
         return True
 
+    def acknowledged(
+        self, endpoint: EndpointRow, position: LogPosition | None, sent_at: float
+    ) -> None:
+        """Record that an endpoint acknowledged a commit that was sent at `sent_at`."""
+        self._leadership.acknowledged(endpoint, sent_at)
+        if position is not None:
+            group = self.tables.group(endpoint.entry.service)
+            self.sample(group, position, sent_at)
+
     def committed(
-        self, session: SessionRow, service: str, position: LogPosition | None
+        self,
+        session: SessionRow,
+        endpoint: EndpointRow,
+        position: LogPosition | None,
+        sent_at: float,
     ) -> None:
-        """Record a session's own commit."""
+        """Record a session's own commit, and what it tells of its endpoint."""
+        self.acknowledged(endpoint, position, sent_at)
         if position is None:
             return
+        service = endpoint.entry.service
         known = session.floors.get(service)
         if known is None or known < position:
             session.floors[service] = position
@@ -96,10 +117,9 @@
         if route.consistency is Consistency.PRIMARY:
             return None
         floor = self._at_age(group, route.accepted_age)
-        if floor is not None and route.consistency is Consistency.OWN_WRITES:
-            own = request.session.floors.get(group.service)
-            if own is not None and own > floor:
-                return own
+        own = self.own(request.session, route)
+        if floor is not None and own is not None and own > floor:
+            return own
         return floor
 
     def settled(self, group: GroupRow) -> LogPosition:
@@ -108,6 +128,18 @@
         known = [s.position for s in group.samples if s.asked_at < settled_at]
         return known[-1] if known else ZERO_POSITION
 
+    def needed_since(self, route: Route, began_at: float) -> float:
+        """Return until when all commits must be in the log that a read runs on."""
+        if route.consistency is Consistency.PRIMARY:
+            return began_at
+        return began_at - route.accepted_age + AGE_MARGIN
+
+    def own(self, session: SessionRow, route: Route) -> LogPosition | None:
+        """Return the newest commit of a session that its reads must see, if any."""
+        if route.consistency is not Consistency.OWN_WRITES:
+            return None
+        return session.floors.get(route.service)
+
     def may_have(self, endpoint: EndpointRow, floor: LogPosition) -> bool:
         """Tell whether an endpoint's log may have reached a floor by now.
 
--- /dev/null
+++ b/mallowpass/core/proxy/leadership.py
@@ -0,0 +1,237 @@
+"""Whether a primary that accepts transactions is the only one.
+
+A primary that was replaced may not know it: cut off from its successor it accepts
+transactions on, and reads there lack what the successor has acknowledged. So its own
+word proves nothing. Two things prove that nobody else led at some time, and that its
+log holds all commits acknowledged until then:
+
+- it acknowledged a commit that was sent after that time. A replica received it, and
+  whoever replaces a primary has paused all replicas but the next primary;
+- all other members of its group refused a transaction that they were asked for after
+  that time. Where one of them does not answer, the store tells that nobody claimed the
+  right to replace the primary.
+
+No clock of another machine is compared with, and no right lapses: a host that was
+frozen asks anew, as its question was sent before its caller's statement came.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from mallowpass.core.node import Node
+from mallowpass.core.proxy.claims import Claim, Claims
+from mallowpass.core.proxy.control import Control
+from mallowpass.core.proxy.members import Members
+from mallowpass.core.proxy.signals import PrimaryChanged
+from mallowpass.core.proxy.statements import (
+    Begin,
+    Code,
+    Demote,
+    EndpointReply,
+    Rollback,
+    Status,
+)
+from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
+
+__all__ = ["UNPROVEN", "Leadership", "ProofHandler"]
+
+# Seconds for one question to a member: a round trip between regions takes a tenth.
+# One that is silent is made up for by the store, and statements wait for that.
+ANSWER_TIME = 0.25
+
+# What a read is taken to have been answered of whose endpoint nobody can tell whether
+# it still leads.
+UNPROVEN = EndpointReply(Code.BUSY, message="nobody knows whether it still leads")
+
+# Called with whether the primary was the only one; False also where nobody knows.
+ProofHandler = Callable[[bool], None]
+_Waiting = tuple[EndpointRow, ProofHandler]
+
+
+@dataclass(slots=True, eq=False)
+class _Survey:
+    """Hold one question to all members of a group but its primary."""
+
+    group: GroupRow
+    primary: str
+    asked_at: float
+    waiting: list[_Waiting]
+    waits_for: set[str] = field(default_factory=set)
+    silent: set[str] = field(default_factory=set)
+
+
+class Leadership(ProxySystem):
+    """Prove that primaries were not replaced, one question at a time for a group."""
+
+    __slots__ = ("_claims", "_control", "_members", "_next", "_surveys")
+
+    def __init__(self, node: Node) -> None:
+        super().__init__(node)
+        self._surveys: dict[str, _Survey] = {}  # under way, by service
+        # Statements that came after the question under way, by service.
+        self._next: dict[str, list[_Waiting]] = {}
+
+    def start(self) -> None:
+        """Subscribe to changes of primaries: proofs are of one only."""
+        node = self._node
+        self._claims = node.system(Claims)
+        self._control = node.system(Control)
+        self._members = node.system(Members)
+        node.subscribe(PrimaryChanged, self._on_primary)
+
+    def acknowledged(self, endpoint: EndpointRow, sent_at: float) -> None:
+        """Note that an endpoint acknowledged a commit that was sent at some time."""
+        group = self.tables.group(endpoint.entry.service)
+        if endpoint.name == group.primary:
+            group.sole_at = max(group.sole_at, sent_at)
+
+    def confirm(
+        self, endpoint: EndpointRow, since: float, handler: ProofHandler
+    ) -> None:
+        """Have it proven that an endpoint still led alone at some time or later."""
+        group = self.tables.group(endpoint.entry.service)
+        waiting = (endpoint, handler)
+        survey = self._surveys.get(group.service)
+        if endpoint.name != group.primary:
+            handler(False)
+        elif group.sole_at >= since:
+            handler(True)
+        elif survey is None:
+            self._begin(group, [waiting])
+        elif survey.asked_at >= since:
+            survey.waiting.append(waiting)
+        else:
+            self._next.setdefault(group.service, []).append(waiting)
+
+    def _on_primary(self, signal: PrimaryChanged) -> None:
+        signal.group.sole_at = float("-inf")
+
+    # -- Asking --------------------------------------------------------------
+
+    def _begin(self, group: GroupRow, waiting: list[_Waiting]) -> None:
+        survey = _Survey(group, group.primary, self.now, waiting)
+        self._surveys[group.service] = survey
+        others = [e for e in group.endpoints.values() if e.name != group.primary]
+        survey.waits_for = {endpoint.name for endpoint in others}
+        if not group.primary or not others:
+            self._end(survey, bool(group.primary))
+            return
+        self._node.count("leadership_questions", service=group.service)
+        for endpoint in others:
+            self._ask(survey, endpoint)
+
+    def _ask(self, survey: _Survey, endpoint: EndpointRow) -> None:
+        def on_replies(replies: list[EndpointReply] | None) -> None:
+            code = replies[0].code if replies else None
+            if code is Code.DONE:
+                self._compare(survey, endpoint)
+            else:
+                self._settle(survey, endpoint, code is Code.NOT_PRIMARY)
+
+        self._control.ask(endpoint, (Begin(), Rollback()), on_replies, ANSWER_TIME)
+
+    def _settle(self, survey: _Survey, endpoint: EndpointRow, refused: bool) -> None:
+        survey.waits_for.discard(endpoint.name)
+        if not refused:
+            survey.silent.add(endpoint.name)
+        if survey.waits_for or not self._is_current(survey):
+            return
+        if not survey.silent:
+            self._end(survey, True)
+            return
+        self._claims.look(
+            survey.group.service,
+            lambda claim, known: self._on_claim(survey, claim, known),
+        )
+
+    def _on_claim(self, survey: _Survey, claim: Claim | None, known: bool) -> None:
+        if not self._is_current(survey):
+            return
+        free = claim is None or claim.is_free
+        others = claim is not None and claim.primary not in ("", survey.primary)
+        self._end(survey, known and (free or others))
+
+    def _is_current(self, survey: _Survey) -> bool:
+        return self._surveys.get(survey.group.service) is survey
+
+    def _end(self, survey: _Survey, sole: bool) -> None:
+        group = survey.group
+        del self._surveys[group.service]
+        sole = sole and group.primary == survey.primary
+        if sole:
+            group.sole_at = max(group.sole_at, survey.asked_at)
+        following = self._next.pop(group.service, None)
+        if following:
+            self._begin(group, following)
+        for endpoint, handler in survey.waiting:
+            handler(sole and endpoint.name == survey.primary)
+
+    # -- Two that lead -------------------------------------------------------
+
+    def _compare(self, survey: _Survey, rival: EndpointRow) -> None:
+        """Find out which of two that accept transactions leads the newer term."""
+        primary = survey.group.primary_row
+        if primary is None:
+            self._settle(survey, rival, False)
+            return
+        terms: dict[str, int] = {}
+        asked = {primary.name, rival.name}
+
+        def on_replies(endpoint: EndpointRow, reply: EndpointReply | None) -> None:
+            asked.discard(endpoint.name)
+            status = None if reply is None else reply.status
+            if status is not None and status.is_primary:
+                terms[endpoint.name] = status.term
+            if not asked:
+                self._on_terms(survey, primary, rival, terms)
+
+        for endpoint in (primary, rival):
+            self._ask_term(endpoint, on_replies)
+
+    def _ask_term(
+        self,
+        endpoint: EndpointRow,
+        handler: Callable[[EndpointRow, EndpointReply | None], None],
+    ) -> None:
+        def on_replies(replies: list[EndpointReply] | None) -> None:
+            handler(endpoint, replies[0] if replies else None)
+
+        self._control.ask(endpoint, (Status(),), on_replies, ANSWER_TIME)
+
+    def _on_terms(
+        self,
+        survey: _Survey,
+        primary: EndpointRow,
+        rival: EndpointRow,
+        terms: dict[str, int],
+    ) -> None:
+        term, rival_term = terms.get(primary.name), terms.get(rival.name)
+        self._node.log(
+            "warning",
+            "two_primaries",
+            service=survey.group.service,
+            primary=primary.name,
+            term=term,
+            rival=rival.name,
+            rival_term=rival_term,
+        )
+        if term is None or rival_term is None or term == rival_term:
+            self._settle(survey, rival, False)
+        elif rival_term < term:
+            self._demote(rival, term)
+            self._settle(survey, rival, True)
+        else:
+            self._demote(primary, rival_term)
+            if survey.group.primary == primary.name:
+                self._members.promoted(rival, "it leads a newer term")
+            self._settle(survey, rival, False)
+
+    def _demote(self, endpoint: EndpointRow, term: int) -> None:
+        """Have a primary step down that another one has overtaken.
+
+        Carried out late it does no harm: it changes nothing at a primary of that term
+        or a newer one.
+        """
+        self._control.ask(endpoint, (Demote(term),), lambda replies: None, ANSWER_TIME)
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -287,7 +287,11 @@
         for call, reply in zip(calls, replies, strict=True):
             if reply.code is not Code.DONE or reply.position is None:
                 continue
-            if _proves_primary(link, call.statement):
+            if not _proves_primary(link, call.statement):
+                continue
+            if reply.state is SessionState.IDLE:  # a write that stood alone
+                self._floors.acknowledged(link.endpoint, reply.position, sent_at)
+            else:
                 self._floors.sample(group, reply.position, sent_at)
 
     def _with_floor(self, link: LinkRow, reply: EndpointReply) -> EndpointReply:
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -13,6 +13,7 @@
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.hosts import Hosts
+from mallowpass.core.proxy.leadership import Leadership
 from mallowpass.core.proxy.links import Links
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.members import Members
@@ -53,6 +54,7 @@
     Relief,
     Members,
     Discovery,
+    Leadership,
     Links,
     Answers,
     Attempts,
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -12,6 +12,7 @@
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.durability import Durability
 from mallowpass.core.proxy.floors import Floors
+from mallowpass.core.proxy.leadership import UNPROVEN, Leadership
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.routing import Line, Routing
@@ -78,6 +79,7 @@
         "_connections",
         "_durability",
         "_floors",
+        "_leadership",
         "_load",
         "_members",
         "_routing",
@@ -93,6 +95,7 @@
         self._connections = node.system(Connections)
         self._durability = node.system(Durability)
         self._floors = node.system(Floors)
+        self._leadership = node.system(Leadership)
         self._load = node.system(Load)
         self._members = node.system(Members)
         self._routing = node.system(Routing)
@@ -240,12 +243,22 @@
         self._attempts.attach(request, connection)
         calls = self._attempts.set_up(request, connection)
         setup = len(calls)
-        calls.append(self._attempts.call(request, floor))
-        if request.access is Access.READ and floor is None:
+        reads = request.access is Access.READ
+        minimum = floor
+        if reads and floor is None:
+            minimum = self._floors.own(request.session, request.route)
+        calls.append(self._attempts.call(request, minimum))
+        group = self.tables.group(request.route.service)
+        if reads and connection.endpoint.name == group.primary:
             # Was it still the primary? An old one answers reads like any replica,
             # from a log that lacks what its successor has committed.
             calls.append(EndpointCall(Begin()))
             calls.append(EndpointCall(Rollback()))
+            if floor is None:
+                # One that does not know of its successor accepts these as well. The
+                # answers come while the read runs.
+                since = self._needed_since(request)
+                self._leadership.confirm(connection.endpoint, since, _ignore)
 
         def on_replies(connection: ConnectionRow, replies: list[EndpointReply]) -> None:
             self._on_single_replies(request, connection, replies, setup)
@@ -277,10 +290,33 @@
         if guard is not None and guard.code is not Code.DONE:
             self._refused(request, endpoint, guard)
         elif reply.code is Code.DONE:
-            self._on_done(request, endpoint, reply, guard is not None)
+            self._load.measured(endpoint, self.now - request.sent_at)
+            if request.access is Access.READ and request.floor is None:
+                self._prove(request, endpoint, reply)
+            else:
+                self._on_done(request, endpoint, reply, guard is not None)
         else:
             self._on_failed(request, endpoint, reply)
 
+    def _prove(
+        self, request: RequestRow, endpoint: EndpointRow, reply: EndpointReply
+    ) -> None:
+        """Answer a read at the primary once it is known that nobody else led."""
+
+        def on_proof(sole: bool) -> None:
+            if request.finished:
+                return
+            if sole:
+                self._on_done(request, endpoint, reply, proves_primary=True)
+            else:
+                self._refused(request, endpoint, UNPROVEN)
+
+        since = self._needed_since(request)
+        self._leadership.confirm(endpoint, since, on_proof)
+
+    def _needed_since(self, request: RequestRow) -> float:
+        return self._floors.needed_since(request.route, request.arrived)
+
     def _on_done(
         self,
         request: RequestRow,
@@ -288,16 +324,16 @@
         reply: EndpointReply,
         proves_primary: bool,
     ) -> None:
-        self._load.measured(endpoint, self.now - request.sent_at)
         if request.floor is not None:
             self._floors.reached(endpoint)
         group = self.tables.group(request.route.service)
         if request.access is Access.WRITE:
             self._durability.acknowledged(endpoint, request.shown)
             self._node.publish(WriteAcknowledged(group))
-            self._floors.committed(request.session, group.service, reply.position)
-            proves_primary = True
-        if proves_primary and reply.position is not None:
+            self._floors.committed(
+                request.session, endpoint, reply.position, request.sent_at
+            )
+        elif proves_primary and reply.position is not None:
             self._floors.sample(group, reply.position, request.sent_at)
         self._answers.reply(request, reply, SessionState.IDLE)
 
@@ -324,7 +360,7 @@
         self._node.count("requests_refused", code=reply.code.value)
         if reply.code is Code.NOT_PRIMARY:
             self._members.denied(endpoint)
-        elif reply.code is Code.BEHIND:
+        elif reply.code is Code.BEHIND and request.floor is not None:
             self._floors.lacked(endpoint)
             request.behind += 1
             request.avoided.add(endpoint.name)
@@ -441,5 +477,9 @@
             )
 
 
+def _ignore(sole: bool) -> None:
+    """Take a proof that somebody else waits for."""
+
+
 def _rank(request: RequestRow) -> tuple[int, float]:
     return (request.route.priority, request.arrived)
--- a/mallowpass/core/proxy/routing.py
+++ b/mallowpass/core/proxy/routing.py
@@ -107,8 +107,7 @@
         for endpoint in open_to_more:
             connection = self._connections.take(endpoint, request.session.values)
             if connection is not None:
-                on_primary = endpoint.name == group.primary
-                return Choice(connection, None if on_primary else floor)
+                return Choice(connection, floor)
             if first is None:
                 first = endpoint
                 self._connections.grow(endpoint, borrow=True)
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -150,6 +150,8 @@
     floors_at: dict[float, tuple[float, LogPosition | None]] = field(
         default_factory=dict
     )
+    # Newest time at which its primary is known to have led alone; owned by leadership.
+    sole_at: float = float("-inf")
     waiting: list[RequestRow] = field(default_factory=list)
     # When this host learnt that another one leads, the newest last; owned by members.
     led_at: deque[float] = field(default_factory=lambda: deque(maxlen=8))
@@ -191,6 +193,7 @@
     began_at: float
     connection: ConnectionRow | None = None
     wrote: bool = False
+    proven: bool = False  # its reads miss nothing that was acknowledged before it
     idle_timer: Timer | None = None
     lost_why: str = ""  # why it ended without its caller knowing
 
--- a/mallowpass/core/proxy/transactions.py
+++ b/mallowpass/core/proxy/transactions.py
@@ -7,6 +7,7 @@
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.durability import Durability
 from mallowpass.core.proxy.floors import Floors
+from mallowpass.core.proxy.leadership import UNPROVEN, Leadership, ProofHandler
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.signals import (
@@ -28,6 +29,7 @@
 from mallowpass.core.proxy.tables import (
     ConnectionRow,
     ConnectionState,
+    EndpointRow,
     ProxySystem,
     RequestRow,
     SessionRow,
@@ -45,6 +47,7 @@
         "_connections",
         "_durability",
         "_floors",
+        "_leadership",
         "_load",
         "_members",
     )
@@ -57,6 +60,7 @@
         self._connections = node.system(Connections)
         self._durability = node.system(Durability)
         self._floors = node.system(Floors)
+        self._leadership = node.system(Leadership)
         self._load = node.system(Load)
         self._members = node.system(Members)
 
@@ -75,11 +79,13 @@
         """
         self._attempts.attach(request, connection)
         connection.state = ConnectionState.PINNED
+        request.transaction.proven = floor is not None
         # A primary accepts a transaction that may write only while it leads. That is
         # how a read learns that the primary was not replaced.
         read_only = floor is not None
         priority = self._attempts.priority(request)
-        begin = EndpointCall(Begin(read_only), minimum=floor, priority=priority)
+        minimum = floor or self._floors.own(request.session, request.route)
+        begin = EndpointCall(Begin(read_only), minimum=minimum, priority=priority)
 
         def on_replies(connection: ConnectionRow, replies: list[EndpointReply]) -> None:
             self._on_begun(request, connection, replies[0], read_only)
@@ -108,6 +114,9 @@
     def send(self, request: RequestRow) -> None:
         """Send a statement on its transaction's connection."""
         connection = request.transaction.connection
+        if request.access is Access.READ and not request.transaction.proven:
+            # The answers come while the read runs.
+            self._confirm(request, connection.endpoint, lambda sole: None)
         self._attempts.attach(request, connection)
         calls = self._attempts.set_up(request, connection)
         setup = len(calls)
@@ -154,24 +163,56 @@
         if reply.code is Code.DONE:
             self._load.measured(endpoint, self.now - request.sent_at)
             transaction.wrote |= request.access is Access.WRITE
-            connection.on_lost = lambda _, why: self._on_idle_lost(request.session, why)
-            self._answers.reply(request, reply, SessionState.IN_TRANSACTION)
+            if request.access is Access.READ and not transaction.proven:
+                self._prove(request, connection, reply)
+            else:
+                self._on_done(request, connection, reply)
         elif self._is_refused_open(request, reply):
             self._send_later(request, connection)
         else:
             if reply.code is Code.NOT_PRIMARY:
                 self._members.denied(endpoint)
-            transaction.connection = None
-            self._connections.roll_back(connection)
-            code = Code.ABORTED if reply.code.is_not_run else reply.code
-            self._answers.give(
-                request,
-                Answer(
-                    code,
-                    SessionState.FAILED,
-                    message=f"{endpoint.name}: {reply.code.value}",
-                ),
-            )
+            self._fail(request, connection, reply)
+
+    def _on_done(
+        self, request: RequestRow, connection: ConnectionRow, reply: EndpointReply
+    ) -> None:
+        connection.on_lost = lambda _, why: self._on_idle_lost(request.session, why)
+        self._answers.reply(request, reply, SessionState.IN_TRANSACTION)
+
+    def _fail(
+        self, request: RequestRow, connection: ConnectionRow, reply: EndpointReply
+    ) -> None:
+        """Roll a transaction back of which a statement failed."""
+        request.transaction.connection = None
+        self._connections.roll_back(connection)
+        code = Code.ABORTED if reply.code.is_not_run else reply.code
+        message = f"{connection.endpoint.name}: {reply.code.value} {reply.message}"
+        self._answers.give(request, Answer(code, SessionState.FAILED, message=message))
+
+    def _prove(
+        self, request: RequestRow, connection: ConnectionRow, reply: EndpointReply
+    ) -> None:
+        """Answer a read once it is known that nobody else led when its caller began."""
+        self._attempts.watch_loss(request, connection)
+
+        def on_proof(sole: bool) -> None:
+            if request.finished or request.transaction.connection is not connection:
+                return
+            if sole:
+                request.transaction.proven = True
+                self._on_done(request, connection, reply)
+            else:
+                self._fail(request, connection, UNPROVEN)
+
+        self._confirm(request, connection.endpoint, on_proof)
+
+    def _confirm(
+        self, request: RequestRow, endpoint: EndpointRow, handler: ProofHandler
+    ) -> None:
+        began_at = request.transaction.began_at
+        since = self._floors.needed_since(request.route, began_at)
+        self._leadership.confirm(endpoint, since, handler)
 
     @staticmethod
     def _is_refused_open(request: RequestRow, reply: EndpointReply) -> bool:
@@ -198,13 +239,13 @@
         else:
             self._connections.roll_back(connection)
         if reply.code is Code.DONE:
-            group = self.tables.group(request.route.service)
             if transaction.wrote:
+                group = self.tables.group(request.route.service)
                 self._durability.acknowledged(endpoint, request.shown)
                 self._node.publish(WriteAcknowledged(group))
-                self._floors.committed(request.session, group.service, reply.position)
-                if reply.position is not None:
-                    self._floors.sample(group, reply.position, request.sent_at)
+                self._floors.committed(
+                    request.session, endpoint, reply.position, request.sent_at
+                )
             self._answers.reply(request, reply, SessionState.IDLE)
             return
         if reply.code is Code.NOT_PRIMARY:
--- /dev/null
+++ b/tests/core/proxy/test_replaced.py
@@ -0,0 +1,102 @@
+"""A primary that was replaced and goes on: nobody may be served by it as if it led.
+
+The platform played here checks no fence, and a replaced primary leads on until it is
+demoted or has been able to reach its successor for a second.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from mallowpass.core.proxy.statements import Begin, Code, Read, Write
+from tests.fakes.proxyworld import ProxyWorld
+
+OLD = "db-casa"
+OTHERS = ("db-tanger", "db-agadir")
+
+
+def weak_world(hosts: int = 4, **group: object) -> ProxyWorld:
+    """Return a world whose platform gives no help."""
+    return ProxyWorld(hosts=hosts, fences=False, goes_on=True, **group)
+
+
+def keep_working(world: ProxyWorld, *hosts: int) -> None:
+    """Write and read at some hosts, twenty times a second."""
+    for index in hosts:
+        if not world.hosts[index].exited:
+            world.caller(index, "strict").send(Write("a 1"))
+            for database in ("strict", "bounded", "own"):
+                world.caller(index, database).send(Read("a"))
+    world.timers.after(0.05, keep_working, world, *hosts)
+
+
+def keep_reading(world: ProxyWorld, index: int, database: str) -> None:
+    """Read at one host, fifty times a second, alone and in transactions."""
+    world.caller(index, database).send(Read("a"))
+    in_transaction = world.caller(index, database)
+    in_transaction.send(Begin())
+    in_transaction.send(Read("a"))
+    world.timers.after(0.02, keep_reading, world, index, database)
+
+
+def cut_off(world: ProxyWorld) -> None:
+    """Cut the primary from its replicas, and from all hosts but the first.
+
+    That one reaches nothing else.
+    """
+    world.group.cut(OLD, OTHERS)
+    world.cut(0, *OTHERS, "store", "orders")
+    for index in range(1, len(world.hosts)):
+        world.cut(index, OLD)
+
+
+def kept(world: ProxyWorld) -> None:
+    """Fail if a promise was broken."""
+    assert world.group.lost == []
+    assert world.group.overtaken == []
+    assert world.oracle.stale == []
+
+
+@pytest.mark.parametrize("database", ["strict", "bounded", "own"])
+def test_a_host_that_reaches_only_the_old_primary_serves_nothing_stale(database):
+    """Reads lacked commits that had been acknowledged over a second before.
+
+    A primary was cut from its replicas and from all hosts but one, which reached
+    nothing else. The others had it replaced. The one host went on to read at the old
+    primary, which accepted each empty transaction: its log stood at 1.41, and 2.37 had
+    been acknowledged. To accept one was taken for a proof of leading.
+    """
+    world = weak_world()
+    keep_working(world, 1, 2, 3)
+    keep_reading(world, 0, database)
+    world.run(1.0)
+    cut_off(world)
+    world.run(6.0)
+    assert world.group.promotions == 1
+    kept(world)
+
+
+def test_a_host_without_the_store_goes_on_reading_while_nobody_is_replaced():
+    """A host that has lost the store refused reads that were fresh.
+
+    It reaches all members, and nobody can be promoted unseen by it.
+    """
+    world = weak_world()
+    world.run(1.0)
+    for host in world.hosts:
+        host.cut_from.add("store")
+    world.run(10.0)
+    for database in ("strict", "bounded", "own"):
+        answer = world.caller(0, database).run(Read("a"))
+        assert answer.code is Code.DONE
+    kept(world)
+
+
+def test_a_host_cut_from_a_replica_reads_at_the_primary():
+    """A replica that one host can't reach made that host refuse fresh reads."""
+    world = weak_world()
+    world.run(1.0)
+    world.cut(0, "db-agadir")
+    world.run(3.0)
+    assert world.caller(0, "strict").run(Read("a")).code is Code.DONE
+    kept(world)
