Take only a member's own refusal for a proof that it does not lead

Cause: a host that passes calls on refuses those for an endpoint that it does not reach, and that it believes was replaced, in the endpoint's name. A host that asked by way of one that was cut off with the old primary took this for the successor's word. Ruled out: taking the refusal away. A host without the store learns by it that a dark primary was replaced. Change: only a refusal with a position counts, which a host on the way can't know. Conclusion: beliefs of other hosts prove nothing; their word is still a hint.

--- a/mallowpass/core/proxy/leadership.py
+++ b/mallowpass/core/proxy/leadership.py
@@ -124,11 +124,11 @@
 
     def _ask(self, survey: _Survey, endpoint: EndpointRow) -> None:
         def on_replies(replies: list[EndpointReply] | None) -> None:
-            code = replies[0].code if replies else None
-            if code is Code.DONE:
+            reply = replies[0] if replies else None
+            if reply is not None and reply.code is Code.DONE:
                 self._compare(survey, endpoint)
             else:
-                self._settle(survey, endpoint, code is Code.NOT_PRIMARY)
+                self._settle(survey, endpoint, _is_own_refusal(reply))
 
         self._control.ask(endpoint, (Begin(), Rollback()), on_replies, ANSWER_TIME)
 
@@ -235,3 +235,13 @@
         or a newer one.
         """
         self._control.ask(endpoint, (Demote(term),), lambda replies: None, ANSWER_TIME)
+
+
+def _is_own_refusal(reply: EndpointReply | None) -> bool:
+    """Tell whether an endpoint itself said that it does not lead.
+
+    A host on the way that believes the old primary refuses in its successor's name.
+    It knows no position; taken for the successor's word, its belief proves itself.
+    """
+    refused = reply is not None and reply.code is Code.NOT_PRIMARY
+    return refused and reply.position is not None
--- a/tests/core/proxy/test_replaced.py
+++ b/tests/core/proxy/test_replaced.py
@@ -76,6 +76,36 @@
     kept(world)
 
 
+def test_a_holder_that_believes_the_old_primary_proves_nothing_to_others():
+    """Reads by way of another host lacked commits acknowledged over a second before.
+
+    The host that held the connections was cut off with the old primary. It refused
+    what came for the successor in the latter's name, since it believed that the old
+    one led; whoever asked whether anybody else led took that for the successor's word.
+    """
+    world = weak_world(hosts=24)
+    world.run(4.0)
+    holders = [host for host in world.hosts if host.connections]
+    holder = holders[0]
+    guests = [
+        index
+        for index, host in enumerate(world.hosts)
+        if host.domain == holder.domain and not host.connections
+    ]
+    keep_working(world, *(world.hosts.index(host) for host in holders[1:]))
+    world.run(1.0)
+    world.group.cut(OLD, OTHERS)
+    holder.cut_from |= {*OTHERS, "store", "orders"}
+    for host in holders[1:]:
+        host.cut_from.add(OLD)
+    for index in guests:
+        world.cut(index, "store")
+        keep_reading(world, index, "strict")
+    world.run(6.0)
+    assert world.group.promotions == 1
+    kept(world)
+
+
 def test_a_host_without_the_store_goes_on_reading_while_nobody_is_replaced():
     """A host that has lost the store refused reads that were fresh.
 
