Ask for proofs of reads in one place, and repair stuck replicas in another

Change: Floors.prove and Floors.ask; replicas that are stuck are looked after by Repair. No behaviour is changed. Conclusion: what a read must see is said in floors alone.

--- a/mallowpass/core/proxy/floors.py
+++ b/mallowpass/core/proxy/floors.py
@@ -9,7 +9,7 @@
 
 from mallowpass.core.positions import ZERO_POSITION
 from mallowpass.core.proxy.configuration import Consistency, Route
-from mallowpass.core.proxy.leadership import Leadership
+from mallowpass.core.proxy.leadership import Leadership, ProofHandler
 from mallowpass.core.proxy.signals import (
     FloorLearnt,
     PrimaryHeard,
@@ -128,11 +128,25 @@
         known = [s.position for s in group.samples if s.asked_at < settled_at]
         return known[-1] if known else ZERO_POSITION
 
-    def needed_since(self, route: Route, began_at: float) -> float:
-        """Return until when all commits must be in the log that a read runs on."""
-        if route.consistency is Consistency.PRIMARY:
-            return began_at
-        return began_at - route.accepted_age + AGE_MARGIN
+    def prove(
+        self,
+        endpoint: EndpointRow,
+        route: Route,
+        began_at: float,
+        handler: ProofHandler,
+    ) -> None:
+        """Have it proven that a primary has all that a read of a route must see.
+
+        `began_at` is when its caller sent it, or began its transaction.
+        """
+        since = began_at
+        if route.consistency is not Consistency.PRIMARY:
+            since = began_at - route.accepted_age + AGE_MARGIN
+        self._leadership.confirm(endpoint, since, handler)
+
+    def ask(self, endpoint: EndpointRow, route: Route, began_at: float) -> None:
+        """Ask for a proof that will be needed: the answers come while a read runs."""
+        self.prove(endpoint, route, began_at, lambda sole: None)
 
     def own(self, session: SessionRow, route: Route) -> LogPosition | None:
         """Return the newest commit of a session that its reads must see, if any."""
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -29,7 +29,6 @@
     EndpointRestarted,
     PrimaryChanged,
     PrimaryReplicates,
-    ReplicaStuck,
     WriteAcknowledged,
 )
 from mallowpass.core.proxy.statements import (
@@ -52,7 +51,6 @@
 # A primary that answered something within so many seconds is alive: hosts read at it
 # many times a second, and look for it when they don't.
 ALIVE_TIME = 1.0
-STUCK_JITTER = 1.0  # hosts that find a replica stuck don't act at once together
 # A relief that another host tried so short a time ago, in seconds, is not tried again:
 # each asks all replicas, which takes slots of them.
 RELIEF_QUIET = 5.0
@@ -96,9 +94,12 @@
         node.subscribe(EndpointRestarted, self._on_restarted)
         node.subscribe(PrimaryChanged, self._on_primary)
         node.subscribe(WriteAcknowledged, self._on_acknowledged)
-        node.subscribe(ReplicaStuck, self._on_stuck)
         node.subscribe(OrderFailed, self._on_order_failed)
 
+    def is_replacing(self, service: str) -> bool:
+        """Tell whether this host is replacing a service's primary."""
+        return service in self._attempts
+
     # -- Beginning -----------------------------------------------------------
 
     def replace(
@@ -431,17 +432,3 @@
             names = [replica.name for replica in replicas]
             ordered = attempt.orders > 0
             self._resumption.resume(attempt.group, attempt.claim, names, ordered)
-
-    def _on_stuck(self, signal: ReplicaStuck) -> None:
-        endpoint = signal.endpoint
-        pause = self._node.random.uniform(0.0, STUCK_JITTER)
-        self.timers.after(pause, self._repair, endpoint)
-
-    def _repair(self, endpoint: EndpointRow) -> None:
-        service = endpoint.entry.service
-        if endpoint.behind_since is None or service in self._attempts:
-            return
-        if not self.tables.is_current(endpoint):
-            return
-        if self._holders.holds(service):
-            self._resumption.repair(endpoint)
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -20,6 +20,7 @@
 from mallowpass.core.proxy.ordering import Ordering
 from mallowpass.core.proxy.promotion import Promotion
 from mallowpass.core.proxy.relief import Relief
+from mallowpass.core.proxy.repair import Repair
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
 from mallowpass.core.proxy.requests import Requests
 from mallowpass.core.proxy.resumption import Resumption
@@ -52,6 +53,7 @@
     Promotion,
     Succession,
     Relief,
+    Repair,
     Members,
     Discovery,
     Leadership,
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -12,7 +12,7 @@
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.durability import Durability
 from mallowpass.core.proxy.floors import Floors
-from mallowpass.core.proxy.leadership import UNPROVEN, Leadership
+from mallowpass.core.proxy.leadership import UNPROVEN
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.routing import Line, Routing
@@ -79,7 +79,6 @@
         "_connections",
         "_durability",
         "_floors",
-        "_leadership",
         "_load",
         "_members",
         "_routing",
@@ -95,7 +94,6 @@
         self._connections = node.system(Connections)
         self._durability = node.system(Durability)
         self._floors = node.system(Floors)
-        self._leadership = node.system(Leadership)
         self._load = node.system(Load)
         self._members = node.system(Members)
         self._routing = node.system(Routing)
@@ -257,8 +255,7 @@
             if floor is None:
                 # One that does not know of its successor accepts these as well. The
                 # answers come while the read runs.
-                since = self._needed_since(request)
-                self._leadership.confirm(connection.endpoint, since, _ignore)
+                self._floors.ask(connection.endpoint, request.route, request.arrived)
 
         def on_replies(connection: ConnectionRow, replies: list[EndpointReply]) -> None:
             self._on_single_replies(request, connection, replies, setup)
@@ -311,11 +308,7 @@
             else:
                 self._refused(request, endpoint, UNPROVEN)
 
-        since = self._needed_since(request)
-        self._leadership.confirm(endpoint, since, on_proof)
-
-    def _needed_since(self, request: RequestRow) -> float:
-        return self._floors.needed_since(request.route, request.arrived)
+        self._floors.prove(endpoint, request.route, request.arrived, on_proof)
 
     def _on_done(
         self,
@@ -477,9 +470,5 @@
             )
 
 
-def _ignore(sole: bool) -> None:
-    """Take a proof that somebody else waits for."""
-
-
 def _rank(request: RequestRow) -> tuple[int, float]:
     return (request.route.priority, request.arrived)
--- a/mallowpass/core/proxy/transactions.py
+++ b/mallowpass/core/proxy/transactions.py
@@ -7,7 +7,7 @@
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.durability import Durability
 from mallowpass.core.proxy.floors import Floors
-from mallowpass.core.proxy.leadership import UNPROVEN, Leadership, ProofHandler
+from mallowpass.core.proxy.leadership import UNPROVEN
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.signals import (
@@ -29,7 +29,6 @@
 from mallowpass.core.proxy.tables import (
     ConnectionRow,
     ConnectionState,
-    EndpointRow,
     ProxySystem,
     RequestRow,
     SessionRow,
@@ -47,7 +46,6 @@
         "_connections",
         "_durability",
         "_floors",
-        "_leadership",
         "_load",
         "_members",
     )
@@ -60,7 +58,6 @@
         self._connections = node.system(Connections)
         self._durability = node.system(Durability)
         self._floors = node.system(Floors)
-        self._leadership = node.system(Leadership)
         self._load = node.system(Load)
         self._members = node.system(Members)
 
@@ -115,8 +112,8 @@
         """Send a statement on its transaction's connection."""
         connection = request.transaction.connection
         if request.access is Access.READ and not request.transaction.proven:
-            # The answers come while the read runs.
-            self._confirm(request, connection.endpoint, lambda sole: None)
+            began_at = request.transaction.began_at
+            self._floors.ask(connection.endpoint, request.route, began_at)
         self._attempts.attach(request, connection)
         calls = self._attempts.set_up(request, connection)
         setup = len(calls)
@@ -205,14 +202,8 @@
             else:
                 self._fail(request, connection, UNPROVEN)
 
-        self._confirm(request, connection.endpoint, on_proof)
-
-    def _confirm(
-        self, request: RequestRow, endpoint: EndpointRow, handler: ProofHandler
-    ) -> None:
         began_at = request.transaction.began_at
-        since = self._floors.needed_since(request.route, began_at)
-        self._leadership.confirm(endpoint, since, handler)
+        self._floors.prove(connection.endpoint, request.route, began_at, on_proof)
 
     @staticmethod
     def _is_refused_open(request: RequestRow, reply: EndpointReply) -> bool:
