Have a replaced primary step down before replicas receive again

Cause: replicas that had been paused were told to receive as soon as a successor led. A primary that goes on reaches them before they hear of the successor, and commits that waited for a replica, or came from hosts that had not heard of it, were acknowledged. Ruled out: demoting before a planned order, which stops writes for as long as a promotion takes; a right to acknowledge that lapses, which no database knows. Change: demotion orders the replaced primary to step down: while the successor of one that failed is being made, after it leads in a planned replacement. Replicas receive once it has, can't be reached, or has said nothing for half a second; it is ordered on until it answers or its entry is gone. Where commits hang on all its connections, one is closed to make room. The order names a term: late or twice it changes nothing. Conclusion: while replicas are paused nobody acknowledges, and then only one leads.

--- /dev/null
+++ b/mallowpass/core/proxy/demotion.py
@@ -0,0 +1,170 @@
+"""Having a replaced primary step down before replicas receive again.
+
+A primary that was replaced may go on until it hears of its successor. A replica that
+receives again follows whichever of the two it hears first, so it may acknowledge
+commits that the successor never has. They show as acknowledged commits that are lost.
+While replicas are paused, and once it has stepped down, it can't have any acknowledged.
+
+The order names a term and changes nothing at a primary of that term or a newer one:
+carried out late it does no harm, whether or not the platform checks fencing tokens.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from mallowpass.core.node import Node
+from mallowpass.core.proxy.connections import Connections
+from mallowpass.core.proxy.replicaorders import ReplicaOrders
+from mallowpass.core.proxy.signals import EndpointForgotten, EndpointUnreachable
+from mallowpass.core.proxy.statements import Code, Demote, EndpointReply
+from mallowpass.core.proxy.tables import ConnectionState, EndpointRow, ProxySystem
+
+__all__ = ["Demotion"]
+
+# Seconds that are waited for a primary's word. One that is dark says nothing, and the
+# successor's writes wait meanwhile; a round trip between regions takes a tenth.
+WAIT_MAX = 0.5
+# Seconds between two orders to one that has not answered: it may come back with its
+# callers before it hears of its successor.
+RETRY_MIN = 0.1
+RETRY_MAX = 2.0
+
+# One that answers something within that time is waited for up to this long, in seconds.
+ALIVE_WAIT_MAX = 3.0
+HUNG_TIME = 0.25  # seconds; statements take 20 to 50 ms, and a full queue some 150
+
+_USABLE = (ConnectionState.IDLE, ConnectionState.OPENING)
+
+DoneHandler = Callable[[], None]
+
+
+@dataclass(slots=True, eq=False)
+class _Task:
+    """Hold the order to one endpoint, until it has stepped down."""
+
+    endpoint: EndpointRow
+    term: int  # a primary of a lower one steps down
+    handlers: list[DoneHandler] = field(default_factory=list)
+    waited: bool = False  # for as long as anybody should
+    tries: int = 0
+
+
+class Demotion(ProxySystem):
+    """Order replaced primaries to step down, until each has or is gone."""
+
+    __slots__ = ("_connections", "_orders", "_tasks")
+
+    def __init__(self, node: Node) -> None:
+        super().__init__(node)
+        self._tasks: dict[str, _Task] = {}  # by endpoint
+
+    def start(self) -> None:
+        """Subscribe to endpoints that can't be reached, or are gone."""
+        node = self._node
+        self._connections = node.system(Connections)
+        self._orders = node.system(ReplicaOrders)
+        node.subscribe(EndpointUnreachable, self._on_unreachable)
+        node.subscribe(EndpointForgotten, self._on_forgotten)
+
+    def demote(
+        self, endpoint: EndpointRow, term: int, handler: DoneHandler = lambda: None
+    ) -> None:
+        """Have an endpoint step down from any term below `term`.
+
+        The handler is called once it has, or can't be waited for any longer.
+        """
+        task = self._tasks.get(endpoint.name)
+        if task is None:
+            task = self._tasks[endpoint.name] = _Task(endpoint, term)
+            self.timers.after(WAIT_MAX, self._on_waited, task, self.now)
+            self._order(task)
+        task.handlers.append(handler)
+        is_silent = endpoint.failures > 0 and not endpoint.connections
+        if task.waited or is_silent or not self._is_current(task):
+            self._release(task)
+
+    def _is_current(self, task: _Task) -> bool:
+        return self._tasks.get(task.endpoint.name) is task
+
+    def _order(self, task: _Task) -> None:
+        group = self.tables.group(task.endpoint.entry.service)
+        if not self._is_current(task):
+            return
+        if group.primary == task.endpoint.name and task.waited:
+            self._end(task, "it leads again")
+            return
+        task.tries += 1
+        self._make_room(task.endpoint)
+        order = Demote(task.term)
+        self._orders.give(task.endpoint, order, lambda r: self._on_reply(task, r))
+
+    def _make_room(self, endpoint: EndpointRow) -> None:
+        """Close a connection on which a statement hangs, if all of them are in use.
+
+        Where a primary reaches no replica, all its connections are taken by commits
+        that wait for one. The order would wait for them, and they are acknowledged as
+        soon as a replica receives again.
+        """
+        connections = endpoint.connections.values()
+        if any(c.state in _USABLE for c in connections):
+            return
+        hung_since = self.now - HUNG_TIME
+        hung = [
+            c for c in connections if c.pending and c.pending[0].sent_at < hung_since
+        ]
+        if hung:
+            longest = min(hung, key=lambda c: c.pending[0].sent_at)
+            self._connections.close(longest, "an order to step down needs its place")
+
+    def _on_waited(self, task: _Task, since: float) -> None:
+        """Wait on for one that answers others: it is alive, and busy."""
+        endpoint = task.endpoint
+        is_alive = self.now - endpoint.heard_at < WAIT_MAX
+        if is_alive and self.now - since < ALIVE_WAIT_MAX and self._is_current(task):
+            self.timers.after(RETRY_MIN, self._on_waited, task, since)
+        else:
+            self._release(task)
+
+    def _on_reply(self, task: _Task, reply: EndpointReply | None) -> None:
+        if not self._is_current(task):
+            return
+        status = None
+        if reply is not None and reply.code is Code.DONE:
+            status = reply.status
+        if status is not None and not status.is_primary:
+            self._end(task, "it has stepped down")
+            return
+        if status is not None:
+            task.term = status.term + 1  # its term is newer than was known
+        pause = self._node.backoff(task.tries - 1, RETRY_MIN, RETRY_MAX)
+        self.timers.after(pause, self._order, task)
+
+    def _on_unreachable(self, signal: EndpointUnreachable) -> None:
+        task = self._tasks.get(signal.endpoint.name)
+        if task is not None:
+            self._release(task)
+
+    def _on_forgotten(self, signal: EndpointForgotten) -> None:
+        task = self._tasks.get(signal.endpoint.name)
+        if task is not None:
+            self._end(task, "its entry is gone")
+
+    def _end(self, task: _Task, why: str) -> None:
+        del self._tasks[task.endpoint.name]
+        self._node.log(
+            "info",
+            "primary_demoted",
+            endpoint=task.endpoint.name,
+            outcome=why,
+            tries=task.tries,
+        )
+        self._release(task)
+
+    @staticmethod
+    def _release(task: _Task) -> None:
+        task.waited = True
+        handlers, task.handlers = task.handlers, []
+        for handler in handlers:
+            handler()
--- a/mallowpass/core/proxy/ordering.py
+++ b/mallowpass/core/proxy/ordering.py
@@ -5,6 +5,7 @@
 from mallowpass.core.messages import Signal
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.claims import Claim, Claims
+from mallowpass.core.proxy.demotion import Demotion
 from mallowpass.core.proxy.effects import OrderPromotion
 from mallowpass.core.proxy.events import PromotionAnswered
 from mallowpass.core.proxy.replacement import Replacement
@@ -34,7 +35,7 @@
 class Ordering(ProxySystem):
     """Order targets of replacements to lead."""
 
-    __slots__ = ("_claims", "_open", "_orders")
+    __slots__ = ("_claims", "_demotion", "_open", "_orders")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
@@ -43,6 +44,7 @@
     def start(self) -> None:
         """Subscribe to the platform's answers."""
         self._claims = self._node.system(Claims)
+        self._demotion = self._node.system(Demotion)
         self._orders = self._node.system(ReplicaOrders)
         self._node.subscribe(PromotionAnswered, self._on_answered)
 
@@ -112,6 +114,7 @@
         if attempt is None or attempt.ended or attempt.call != event.call:
             return
         if event.accepted:
+            self._demote_failed(attempt)
             self.timers.after(LEAD_TIME, self._order_again, attempt, event.call)
         elif event.outdated:
             attempt.claim = None  # another host's is newer
@@ -120,6 +123,15 @@
             self._node.log("warning", "promotion_not_taken", why=event.message)
             self.timers.after(ORDER_GAP, self._order_again, attempt, event.call)
 
+    def _demote_failed(self, attempt: Replacement) -> None:
+        """Have a primary that failed step down while its successor is being made.
+
+        Whether it answers is known by the time that replicas may receive again.
+        """
+        primary = attempt.group.endpoints.get(attempt.primary)
+        if attempt.reason.is_failure and primary is not None:
+            self._demotion.demote(primary, attempt.group.term + 1)
+
     def _order_again(self, attempt: Replacement, call: int) -> None:
         if attempt.ended or attempt.call != call:
             return
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -431,4 +431,8 @@
             replicas = self._candidates(attempt.group, attempt.primary)
             names = [replica.name for replica in replicas]
             ordered = attempt.orders > 0
-            self._resumption.resume(attempt.group, attempt.claim, names, ordered)
+            is_replaced = attempt.group.primary != attempt.primary
+            replaced = attempt.primary if is_replaced else ""
+            self._resumption.resume(
+                attempt.group, attempt.claim, names, ordered, replaced
+            )
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -7,6 +7,7 @@
 from mallowpass.core.proxy.claims import Claims
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.control import Control
+from mallowpass.core.proxy.demotion import Demotion
 from mallowpass.core.proxy.discovery import Discovery
 from mallowpass.core.proxy.draining import Draining
 from mallowpass.core.proxy.durability import Durability
@@ -48,6 +49,7 @@
     Control,
     ReplicaOrders,
     Claims,
+    Demotion,
     Resumption,
     Ordering,
     Promotion,
--- a/mallowpass/core/proxy/resumption.py
+++ b/mallowpass/core/proxy/resumption.py
@@ -19,6 +19,7 @@
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.claims import Claim, Claims
+from mallowpass.core.proxy.demotion import Demotion
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
 from mallowpass.core.proxy.signals import EndpointRestarted
 from mallowpass.core.proxy.statements import Code, EndpointReply, Resume
@@ -42,6 +43,7 @@
     group: GroupRow
     claim: Claim | None
     names: set[str]
+    replaced: str = ""  # the primary before, which has to step down first
     repairs: bool = False  # nobody here paused them
     ordered: bool = False  # a promotion was ordered under the claim
     asked: int = 0  # orders of this round without a reply
@@ -51,7 +53,7 @@
 class Resumption(ProxySystem):
     """Order replicas to receive, again until they answer."""
 
-    __slots__ = ("_claims", "_orders", "_tasks")
+    __slots__ = ("_claims", "_demotion", "_orders", "_tasks")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
@@ -60,6 +62,7 @@
     def start(self) -> None:
         """Find the systems that are asked."""
         self._claims = self._node.system(Claims)
+        self._demotion = self._node.system(Demotion)
         self._orders = self._node.system(ReplicaOrders)
         self._node.subscribe(EndpointRestarted, self._on_restarted)
 
@@ -69,12 +72,15 @@
         claim: Claim | None,
         names: Iterable[str],
         ordered: bool,
+        replaced: str = "",
     ) -> None:
         """Have replicas receive that were paused; `claim` is this host's, if any.
 
-        `ordered` tells that a promotion was ordered under it.
+        `ordered` tells that a promotion was ordered under it, `replaced` which primary
+        has a successor by now.
         """
-        self._begin(_Task(group, claim, set(names), ordered=ordered))
+        task = _Task(group, claim, set(names), replaced, ordered=ordered)
+        self._begin(task)
 
     def repair(self, endpoint: EndpointRow) -> None:
         """Have a replica receive that nobody seems to look after."""
@@ -94,7 +100,12 @@
 
     def _begin(self, task: _Task) -> None:
         self._tasks[task.group.service] = task
-        self._round(task)
+        replaced = task.group.endpoints.get(task.replaced)
+        if replaced is None:
+            self._round(task)
+        else:
+            term = task.group.term + 1
+            self._demotion.demote(replaced, term, lambda: self._round(task))
 
     def _is_current(self, task: _Task) -> bool:
         return self._tasks.get(task.group.service) is task
--- a/tests/core/proxy/test_replaced.py
+++ b/tests/core/proxy/test_replaced.py
@@ -106,6 +106,63 @@
     kept(world)
 
 
+def test_a_planned_replacement_leaves_nobody_at_the_old_primary():
+    """Commits were acknowledged by a primary after its successor led, and were lost.
+
+    A leaving primary was replaced. The replica that had been paused was told to receive
+    as soon as the successor led, followed the old primary until it heard of the
+    successor, and acknowledged the commits of a host that had not heard of it either,
+    for want of the store. Nobody had told the old primary to stop.
+    """
+    world = weak_world()
+    keep_working(world, 0, 1, 2, 3)
+    world.run(1.0)
+    world.cut(0, "store")
+    world.enter(world.group.replicas[OLD], draining=True)
+    world.run(4.0)
+    assert world.group.promotions == 1
+    kept(world)
+
+
+def test_a_stalled_primary_that_was_replaced_acknowledges_nothing():
+    """Commits were acknowledged by a primary after its successor led, and were lost.
+
+    A primary was cut from its replicas for a while, so that its writes stalled, and was
+    replaced; when the cut ended, one of its replicas had been told to receive and had
+    not yet heard of the successor.
+    """
+    world = weak_world()
+    keep_working(world, 0, 1, 2, 3)
+    world.run(1.0)
+    world.group.cut(OLD, OTHERS)
+    world.run_until(lambda: world.group.promotions == 1, 6.0)
+    world.group.heal()
+    world.run(4.0)
+    assert world.group.promotions == 1
+    kept(world)
+
+
+def test_a_replica_that_restarts_during_a_replacement_acknowledges_nothing_more():
+    """Commits were acknowledged by way of a replica whose pause its restart had ended.
+
+    It was compared and paused, crashed and came back while the order was on its way,
+    and received again from the old primary, on which a host without the store went on
+    to write after its successor led.
+    """
+    world = weak_world()
+    keep_working(world, 0, 1, 2, 3)
+    world.run(1.0)
+    world.cut(0, "store")
+    world.enter(world.group.replicas[OLD], draining=True)
+    world.run_until(lambda: bool(world.orders), 4.0)
+    other = next(name for name in OTHERS if name != world.orders[0].endpoint)
+    world.crash(other)
+    world.restart(other)
+    world.run(4.0)
+    assert world.group.promotions >= 1
+    kept(world)
+
+
 def test_a_host_without_the_store_goes_on_reading_while_nobody_is_replaced():
     """A host that has lost the store refused reads that were fresh.
 
--- a/tests/fakes/proxyhosts.py
+++ b/tests/fakes/proxyhosts.py
@@ -50,7 +50,7 @@
         self.refusal: Code | None = None
         self.answers: list[Answer] = []
         self.answered_at: list[float] = []
-        self._session = Session(world.configuration.routes.get(database))
+        self._session = Session(world.route(database))
         host.callers[self.stream] = self
         host.deliver(SessionOpened(self.stream, database))
 
--- a/tests/fakes/proxyworld.py
+++ b/tests/fakes/proxyworld.py
@@ -176,10 +176,10 @@
         """Cut a host from members; what it sends there gets lost in silence."""
         self.hosts[index].cut_from.update(names)
 
-    @property
-    def configuration(self) -> Configuration:
-        """Return the newest configuration that the operator wrote."""
-        return self.store.get(CONFIGURATION_KEY).value
+    def route(self, database: str) -> Route | None:
+        """Return a route of the newest configuration, if that can be read."""
+        value = self.store.get(CONFIGURATION_KEY).value
+        return value.routes.get(database) if isinstance(value, Configuration) else None
 
     # -- Members -------------------------------------------------------------
 
