Let only the target receive while an unanswered order may be carried out

Cause: an order to promote without an answer was given up, and all replicas received again. Carried out seconds later, with no fence to refuse it, it made a replica lead that lacked what the others had acknowledged since, beside a primary that went on. Ruled out: a newer order for the primary in office, which a platform that checks no fences does not mind; waiting with all replicas paused, which stops all writes. Change: after such an order the target alone is resumed; the others follow after 8 s, once the primary, if it was replaced meanwhile, has stepped down. Conclusion: a late order promotes whoever holds all that was acknowledged.

--- a/mallowpass/core/proxy/ordering.py
+++ b/mallowpass/core/proxy/ordering.py
@@ -120,6 +120,7 @@
             attempt.claim = None  # another host's is newer
             self._node.publish(OrderFailed(attempt, event.message))
         else:
+            attempt.unanswered |= event.accepted is None
             self._node.log("warning", "promotion_not_taken", why=event.message)
             self.timers.after(ORDER_GAP, self._order_again, attempt, event.call)
 
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -433,6 +433,10 @@
             ordered = attempt.orders > 0
             is_replaced = attempt.group.primary != attempt.primary
             replaced = attempt.primary if is_replaced else ""
+            if attempt.unanswered and not is_replaced:
+                # Should it lead yet, it must have all that is acknowledged until then.
+                self._resumption.resume_late(attempt.group, names, attempt.primary)
+                names = [attempt.target]
             self._resumption.resume(
                 attempt.group, attempt.claim, names, ordered, replaced
             )
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -47,6 +47,7 @@
     rounds: int = 0
     orders: int = 0
     call: int = 0  # number of the order that counts
+    unanswered: bool = False  # an order got no answer, and may yet be carried out
     ended: bool = False
 
     @property
--- a/mallowpass/core/proxy/resumption.py
+++ b/mallowpass/core/proxy/resumption.py
@@ -28,6 +28,9 @@
 __all__ = ["Resumption"]
 
 ROUND_GAP = 0.3  # seconds between two rounds of orders
+# For how long an order that got no answer may yet be carried out, in seconds. A replica
+# that refuses reads for longer is told to receive by whoever finds it.
+LATE_ORDER_TIME = 8.0
 # A replica that seems stuck is left alone if anybody had a claim within so many
 # seconds: who had it has told it to resume, and it may just be far behind.
 REPAIR_GAP = 10.0
@@ -53,11 +56,12 @@
 class Resumption(ProxySystem):
     """Order replicas to receive, again until they answer."""
 
-    __slots__ = ("_claims", "_demotion", "_orders", "_tasks")
+    __slots__ = ("_claims", "_compared", "_demotion", "_orders", "_tasks")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
         self._tasks: dict[str, _Task] = {}  # by service
+        self._compared: dict[str, int] = {}  # times that replicas were, by service
 
     def start(self) -> None:
         """Find the systems that are asked."""
@@ -82,6 +86,22 @@
         task = _Task(group, claim, set(names), replaced, ordered=ordered)
         self._begin(task)
 
+    def resume_late(self, group: GroupRow, names: Iterable[str], primary: str) -> None:
+        """Have replicas of a primary receive once no order can be carried out any more.
+
+        One that got no answer may be carried out seconds later. Whoever leads then
+        lacks what these would have acknowledged meanwhile.
+        """
+        task = _Task(group, None, set(names))
+        compared = self._compared.get(group.service, 0)
+        self.timers.after(LATE_ORDER_TIME, self._begin_late, task, primary, compared)
+
+    def _begin_late(self, task: _Task, primary: str, compared: int) -> None:
+        service = task.group.service
+        if self._compared.get(service, 0) == compared and service not in self._tasks:
+            task.replaced = primary if task.group.primary != primary else ""
+            self._begin(task)
+
     def repair(self, endpoint: EndpointRow) -> None:
         """Have a replica receive that nobody seems to look after."""
         group = self.tables.group(endpoint.entry.service)
@@ -91,6 +111,7 @@
     def cancel(self, service: str) -> None:
         """Leave replicas as they are: this host is about to compare them."""
         self._tasks.pop(service, None)
+        self._compared[service] = self._compared.get(service, 0) + 1
 
     def _on_restarted(self, signal: EndpointRestarted) -> None:
         # Its pause ended with its earlier start.
--- a/tests/core/proxy/test_replaced.py
+++ b/tests/core/proxy/test_replaced.py
@@ -163,6 +163,33 @@
     kept(world)
 
 
+def test_an_order_that_is_carried_out_late_loses_nothing():
+    """Commits were acknowledged by a primary after its successor led, and were lost.
+
+    An order to promote got no answer and was given up, and the replicas that had been
+    paused received again. Seconds later it was carried out, with no fence to refuse
+    it, and the one that was not promoted followed the old primary.
+    """
+    world = weak_world()
+    keep_working(world, 0, 1, 2, 3)
+    world.run(1.0)
+    world.cut(0, "store")
+    for host in world.hosts:
+        host.cut_from.add("orders")
+    world.enter(world.group.replicas[OLD], draining=True)
+    world.run_until(lambda: len(world.orders) == 5, 10.0)
+    world.enter(world.group.replicas[OLD])
+    for host in world.hosts:
+        host.cut_from.discard("orders")
+    world.orders_lost, world.orders_late = 1, 5.0
+    world.run_until(lambda: len(world.orders) == 6, 10.0)
+    world.run_until(lambda: world.group.promotions == 1, 10.0)
+    assert any(host.logged("promotion_given_up") for host in world.hosts)
+    world.run(15.0)
+    assert all(not replica.paused_for for replica in world.group.replicas.values())
+    kept(world)
+
+
 def test_a_host_without_the_store_goes_on_reading_while_nobody_is_replaced():
     """A host that has lost the store refused reads that were fresh.
 
