Give statements that take too long a module of their own

Change: Overdue lets go of reads that are overdue and ends what has run out of time. No behaviour is changed. Conclusion: requests sends and hears; what is not heard of is looked after elsewhere.

--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -19,6 +19,7 @@
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.ordering import Ordering
+from mallowpass.core.proxy.overdue import Overdue
 from mallowpass.core.proxy.promotion import Promotion
 from mallowpass.core.proxy.relief import Relief
 from mallowpass.core.proxy.repair import Repair
@@ -64,6 +65,7 @@
     Attempts,
     Stalls,
     Transactions,
+    Overdue,
     Requests,
     Sessions,
     Draining,
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -15,22 +15,21 @@
 from mallowpass.core.proxy.leadership import UNPROVEN
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.members import Members
+from mallowpass.core.proxy.overdue import Overdue
 from mallowpass.core.proxy.routing import Line, Routing
 from mallowpass.core.proxy.signals import (
+    AttemptLeft,
     AttemptLost,
-    AttemptOverdue,
     AttemptRefused,
     ConnectionFreed,
     EndpointChanged,
     PrimaryChanged,
     PrimaryHeard,
     WriteAcknowledged,
-    WriteStalled,
 )
 from mallowpass.core.proxy.stalls import WRITES_STALL, Stalls
 from mallowpass.core.proxy.statements import (
     Access,
-    Answer,
     Begin,
     Code,
     EndpointCall,
@@ -56,9 +55,6 @@
 # A statement is answered this long before its timeout, so that the answer still
 # arrives within it; callers are a few milliseconds away.
 ANSWER_MARGIN = 0.02
-# An overdue read is not tried elsewhere before it has taken so many times as long as
-# statements do at its endpoint.
-OVERDUE_FACTOR = 6.0
 # Share of the objective after which a statement that waits for a full endpoint is
 # refused. Its caller has time for another attempt, and those that are served have not
 # waited longer; all that waited until their timeouts were late or ran for nobody.
@@ -81,6 +77,7 @@
         "_floors",
         "_load",
         "_members",
+        "_overdue",
         "_routing",
         "_stalls",
         "_transactions",
@@ -96,11 +93,12 @@
         self._floors = node.system(Floors)
         self._load = node.system(Load)
         self._members = node.system(Members)
+        self._overdue = node.system(Overdue)
         self._routing = node.system(Routing)
         self._stalls = node.system(Stalls)
         self._transactions = node.system(Transactions)
         node.subscribe(AttemptLost, self._on_lost)
-        node.subscribe(AttemptOverdue, self._on_overdue)
+        node.subscribe(AttemptLeft, self._on_left)
         node.subscribe(AttemptRefused, self._on_attempt_refused)
         node.subscribe(ConnectionFreed, self._on_freed)
         node.subscribe(EndpointChanged, self._on_freed)
@@ -136,7 +134,7 @@
             prepared=prepared,
         )
         session.request = request
-        request.timers.append(self.timers.at(expires, self._on_expired, request))
+        request.timers.append(self.timers.at(expires, self._overdue.expired, request))
         if transaction is not None and transaction.connection is not None:
             self._transactions.send(request)
         else:
@@ -371,6 +369,9 @@
             )
         self._wait(request)
 
+    def _on_left(self, signal: AttemptLeft) -> None:
+        self._wait(signal.request)
+
     # -- What goes wrong -----------------------------------------------------
 
     def _on_lost(self, signal: AttemptLost) -> None:
@@ -401,74 +402,6 @@
         else:
             self._wait(request)
 
-    def _on_overdue(self, signal: AttemptOverdue) -> None:
-        """Read elsewhere when an endpoint takes far too long.
-
-        Its answer may be lost for good; the connection is left to finish, so that
-        work that is being done is not broken off.
-        """
-        request = signal.request
-        connection = request.connection
-        endpoint = connection.endpoint
-        writes = request.access is Access.WRITE
-        if writes:
-            self._node.publish(WriteStalled(endpoint))
-        if request.transaction is not None or writes:
-            return
-        if self.now - request.sent_at < OVERDUE_FACTOR * endpoint.latency:
-            return  # all statements take long there: another one would not help
-        self._leave(request, connection)
-        request.tries += 1
-        request.avoided.add(endpoint.name)
-        request.detail = f"{endpoint.name}: no answer in time"
-        self._node.log(
-            "info",
-            "request_moved",
-            request=request.request_id,
-            endpoint=endpoint.name,
-            waited=round(self.now - request.sent_at, 3),
-        )
-        self._wait(request)
-
-    def _leave(self, request: RequestRow, connection: ConnectionRow) -> None:
-        """Let go of a read that was sent, and that nobody waits for any more.
-
-        A holder that has not passed it on yet must not: what waits there in vain keeps
-        others waiting, which in turn are sent once more. At an endpoint it can't be
-        called back, and the connection is free again once it has ended.
-        """
-        self._attempts.detach(request)
-        if connection.holder:
-            self._connections.close(connection, "nobody waits for its answer")
-        else:
-            connection.endpoint.overdue += 1
-
-    def _on_expired(self, request: RequestRow) -> None:
-        if request.finished:
-            return
-        connection = request.connection
-        if connection is None:
-            self._answers.refuse(request, Code.BUSY, request.detail)
-            return
-        transaction = request.transaction
-        if transaction is not None:
-            transaction.connection = None
-            self._attempts.detach(request)
-            self._connections.close(connection, "its transaction timed out")
-            self._transactions.lost(request, "the statement's timeout passed")
-        elif request.access is Access.WRITE:
-            self._attempts.detach(request)
-            if self._stalls.is_stalled(self.tables.group(request.route.service)):
-                # No answer is due on it before reads need another connection.
-                self._connections.close(connection, "its writes stall")
-            self._answers.in_doubt(request, "the statement's timeout passed")
-        else:
-            self._leave(request, connection)
-            why = "the statement's timeout passed"
-            self._answers.give(
-                request, Answer(Code.TIMED_OUT, SessionState.IDLE, message=why)
-            )
-
 
 def _rank(request: RequestRow) -> tuple[int, float]:
     return (request.route.priority, request.arrived)
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -15,6 +15,7 @@
 from mallowpass.core.records import record
 
 __all__ = [
+    "AttemptLeft",
     "AttemptLost",
     "AttemptOverdue",
     "AttemptRefused",
@@ -172,6 +173,13 @@
     why: str
 
 
+@record
+class AttemptLeft(Signal):
+    """A read that was overdue is to be tried elsewhere."""
+
+    request: RequestRow
+
+
 @record
 class AttemptOverdue(Signal):
     """A statement is unanswered for a large part of its timeout."""
