Show that hosts which find two primaries demote the older one

Cause: no test told it, and transactions of the readers in these tests were left open, so that they took all connections and most reads never ran. Change: one test more; readers end their transactions. Conclusion: a replaced primary is found by its readers too.

--- a/tests/core/proxy/test_replaced.py
+++ b/tests/core/proxy/test_replaced.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from mallowpass.core.proxy.statements import Begin, Code, Read, Write
-from tests.fakes.proxyworld import ProxyWorld
+from mallowpass.core.proxy.statements import Begin, Code, Commit, Read, Write
+from tests.fakes.proxyworld import SERVICE, ProxyWorld
 
 OLD = "db-casa"
 OTHERS = ("db-tanger", "db-agadir")
@@ -34,8 +34,8 @@
     """Read at one host, fifty times a second, alone and in transactions."""
     world.caller(index, database).send(Read("a"))
     in_transaction = world.caller(index, database)
-    in_transaction.send(Begin())
-    in_transaction.send(Read("a"))
+    for statement in (Begin(), Read("a"), Commit()):
+        in_transaction.send(statement)
     world.timers.after(0.02, keep_reading, world, index, database)
 
 
@@ -214,3 +214,22 @@
     world.run(3.0)
     assert world.caller(0, "strict").run(Read("a")).code is Code.DONE
     kept(world)
+
+
+def test_hosts_that_find_two_primaries_demote_the_older_one():
+    """A replaced primary went on beside its successor for as long as it was cut off.
+
+    Whoever had it replaced was to demote it, and had ended. Hosts that read at either
+    one saw both accept transactions, and left it at that.
+    """
+    world = weak_world()
+    keep_reading(world, 0, "strict")
+    world.run(1.0)
+    world.group.cut(OLD, OTHERS)
+    for host in world.hosts:
+        host.cut_from.add("store")
+    world.group.promote("db-tanger")
+    world.run(2.0)
+    assert not world.group.replicas[OLD].is_primary
+    assert world.hosts[0].tables.groups[SERVICE].primary == "db-tanger"
+    kept(world)
