Recognise a claim that is read back from the store

Cause: a claim's time had more digits than the store keeps. Read back after its answer was lost, it was never equal to what was claimed, and was taken for another host's. Ruled out: comparing tokens alone; two hosts may claim the same one. Change: the time is rounded as it is encoded. Conclusion: what is compared with the store must be what the store keeps.

--- a/mallowpass/core/proxy/claims.py
+++ b/mallowpass/core/proxy/claims.py
@@ -101,7 +101,8 @@
         With `quiet`, not if anybody did so within as many seconds.
         """
         version, known = self._known.get(service, (0, None))
-        time = self._store.time or 0.0
+        # As the store will keep it: a claim that is read back is compared with this.
+        time = round(self._store.time or 0.0, 3)
         if self._is_others(known, time) or self._is_recent(known, time, quiet):
             # Not asked for again before it is old: it is what several hosts wait for.
             handler(None)
--- a/tests/core/proxy/test_promotion.py
+++ b/tests/core/proxy/test_promotion.py
@@ -145,6 +145,23 @@
     assert world.group.lost == []
 
 
+def test_claim_without_an_answer_is_used():
+    """Nobody replaced a primary that had crashed, for as long as answers were lost.
+
+    The store carried out each claim, and its answer was lost. The host read the claim
+    back, and took it for another host's: its time was rounded where the store keeps it.
+    """
+    world = ProxyWorld()
+    world.run(0.1234567)
+    world.store.faults.answers_lost = 1.0
+    world.crash("db-casa")
+    _keep_busy(world)
+    world.run_until(lambda: world.group.promotions == 1, 5.0)
+    assert world.group.promotions == 1
+    _write_until_served(world, 5.0)
+    assert world.group.lost == []
+
+
 def test_order_without_an_answer_is_given_again():
     world = ProxyWorld()
     world.orders_lost = 1
