Play a platform without fences, whose replaced primaries go on, in the soak

Cause: both contracts were played in virtual time only. Change: the local platform takes `fences`; without them orders of any token are carried out, replaced primaries go on, and the soak also cuts primaries from their replicas. It finds commits that are acknowledged beside a successor.

--- a/mallowpass/standins/proxied/httpserver.py
+++ b/mallowpass/standins/proxied/httpserver.py
@@ -98,10 +98,11 @@
 
 
 class OrderServer:
-    """Take orders to promote, if their fencing token is not outdated."""
+    """Take orders to promote; with `fences`, none whose token is outdated."""
 
-    def __init__(self, groups: dict[str, Group]) -> None:
+    def __init__(self, groups: dict[str, Group], fences: bool = True) -> None:
         self._groups = groups
+        self._fences = fences
         self._tokens: dict[str, int] = {}
         self._http = HttpServer({"/promote": self._promote})
 
@@ -114,9 +115,10 @@
         body = json.loads(request.body)
         service = body["service"]
         token = int(headers["mallowpass-fencing-token"])
-        if token < self._tokens.get(service, 0):
+        newest = self._tokens.get(service, 0)
+        if self._fences and token < newest:
             return Response(409)
-        self._tokens[service] = token
+        self._tokens[service] = max(token, newest)
         taken = self._groups[service].promote(body["id"])
         return Response(200 if taken else 409)
 
--- a/mallowpass/standins/proxied/platform.py
+++ b/mallowpass/standins/proxied/platform.py
@@ -66,14 +66,21 @@
 class LocalPlatform:
     """Run the stand-ins over sockets of the loopback range, in one event loop."""
 
-    def __init__(self, service: str = "claims-core", seed: int | None = None) -> None:
+    def __init__(
+        self,
+        service: str = "claims-core",
+        seed: int | None = None,
+        fences: bool = True,
+    ) -> None:
         self._net = random.Random(seed if seed is not None else time.time_ns())
         self._prefix = f"127.{self._net.randrange(64, 250)}.{self._net.randrange(250)}"
         self._timers = TimerService(time.monotonic())
         self._tick: asyncio.Task[None] | None = None
         self.store = RowStore(self._timers)
         names = [f"db-{domain}" for domain in DOMAINS]
-        self.group = Group(service, names, self._timers)
+        self._fences = fences
+        # Where no fence is checked, a replaced primary goes on as one for a while.
+        self.group = Group(service, names, self._timers, goes_on=not fences)
         self.group.on_role = self.enter
         self.servers: dict[str, ReplicaServer] = {}
         self.hosts: list[HostRuntime] = []
@@ -88,7 +95,7 @@
         """Start the stand-ins, then hosts in front of them."""
         self._tick = asyncio.get_running_loop().create_task(self._run_timers())
         await StoreServer(self.store).start(self._address(1, STORE_PORT))
-        orders = OrderServer({self.group.service: self.group})
+        orders = OrderServer({self.group.service: self.group}, self._fences)
         await orders.start(self._address(1, ORDERS_PORT))
         for server in self.servers.values():
             await server.start()
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -24,9 +24,9 @@
 class SoakPlatform(LocalPlatform):
     """Run the stand-ins, and enter members under the addresses of their proxies."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, fences: bool = True) -> None:
         self.proxies: dict[str, FaultProxy] = {}
-        super().__init__(seed=seed)
+        super().__init__(seed=seed, fences=fences)
         for name, server in self.servers.items():
             address = Address(server.address.host, PROXIED_PORT)
             self.proxies[name] = FaultProxy(address, server.address)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -36,10 +36,12 @@
     folder: str
 
 
-async def soak(seed: int, duration: float, hosts: int = 4) -> Verdict:
-    """Run one seed."""
+async def soak(
+    seed: int, duration: float, hosts: int = 4, fences: bool = True
+) -> Verdict:
+    """Run one seed; without `fences`, replaced primaries go on as such for a while."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    run = _Run(seed, hosts, folder)
+    run = _Run(seed, hosts, folder, fences)
     try:
         await run.play(duration)
     finally:
@@ -53,11 +55,12 @@
 class _Run:
     """Hold everything of one seed."""
 
-    def __init__(self, seed: int, hosts: int, folder: Path) -> None:
+    def __init__(self, seed: int, hosts: int, folder: Path, fences: bool) -> None:
         self.random = random.Random(seed)
+        self._kinds = _FAULTS if fences else (*_FAULTS, _Run.cut_primary)
         self.findings = Findings()
         self.faults: list[str] = []
-        self.platform = SoakPlatform(seed)
+        self.platform = SoakPlatform(seed, fences)
         self.hosts = [HostProcess(self.platform, i, folder) for i in range(hosts)]
         addresses = [host.callers for host in self.hosts]
         self.clients = [
@@ -78,7 +81,7 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + duration
         while loop.time() < end:
-            fault = self.random.choice(_FAULTS)
+            fault = self.random.choice(self._kinds)
             self.faults.append(f"{end - loop.time():.1f} {fault.__name__}")
             self._tasks.append(asyncio.create_task(fault(self)))
             await asyncio.sleep(self.random.uniform(0.2, 1.5))
@@ -132,6 +135,9 @@
         broken = self.findings.broken
         if group.lost:
             broken.append(f"{len(group.lost)} acknowledged commits were lost")
+        if group.overtaken:
+            number = len(group.overtaken)
+            broken.append(f"{number} commits were acknowledged beside a successor")
         log = group.primary.log
         kept = Counter(f"{k} {v}" for entry in log for k, v in entry.writes)
         for text, number in kept.items():
@@ -195,6 +201,13 @@
         await asyncio.sleep(self.random.uniform(0.3, 4.0))
         proxy.heal()
 
+    async def cut_primary(self) -> None:
+        group = self.platform.group
+        name = group.primary.name
+        group.cut(name, group.replicas.keys() - {name})
+        await asyncio.sleep(self.random.uniform(0.5, 4.0))
+        group.heal()
+
     async def slow_member(self) -> None:
         proxy = self.random.choice(list(self.platform.proxies.values()))
         proxy.delay = self.random.uniform(0.02, 0.3)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,6 +28,12 @@
     assert verdict.codes["DONE"] > 100
 
 
+def test_short_seed_on_a_platform_without_fences():
+    verdict = asyncio.run(soak(2, SHORT, hosts=3, fences=False))
+    assert verdict.broken == (), verdict
+    assert verdict.codes["DONE"] > 100
+
+
 @pytest.mark.parametrize("seed", FAILED_ONCE)
 def test_seed_that_failed_once(seed):
     verdict = asyncio.run(soak(seed, LONG))
