Play faults in random order on a platform that checks no fence

Cause: each promise was shown for one sequence of events; faults that meet were not. Change: six seeds of ten seconds with cuts, crashes, drains and a store that is away or loses answers, in virtual time; the design tells what orders that are carried out late, and a primary that only cut-off hosts reach, still allow.

--- /dev/null
+++ b/tests/core/proxy/test_replaced_random.py
@@ -0,0 +1,115 @@
+"""Faults in random order, on a platform that checks no fence and demotes nobody.
+
+Orders that are carried out late, and a primary that only hosts without the store reach,
+are played in `test_replaced`: what they still allow together is told in the design.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import pytest
+
+from mallowpass.core.proxy.statements import Begin, Commit, Read, Write
+from tests.fakes.proxyworld import DATABASES, ProxyWorld
+
+DURATION = 10.0  # seconds of faults
+GAP = 0.04  # seconds between statements of a host
+MEMBERS = ("db-casa", "db-tanger", "db-agadir")
+
+
+class _Play:
+    """Hold a world, its callers and its faults."""
+
+    def __init__(self, seed: int) -> None:
+        self.world = ProxyWorld(hosts=4, seed=seed, fences=False, goes_on=True)
+        self._random = random.Random(seed)
+        self._faults = (
+            self._cut_members,
+            self._cut_primary,
+            self._cut_host,
+            self._drain,
+            self._crash,
+            self._lose_store,
+            self._lose_answers,
+        )
+
+    def run(self) -> None:
+        self._work()
+        self.world.run(1.0)
+        end = self.world.timers.now + DURATION
+        while self.world.timers.now < end:
+            self._random.choice(self._faults)()
+            self.world.run(self._random.uniform(0.3, 2.0))
+        self.world.run(4.0)
+
+    def _work(self) -> None:
+        """Have each host run a statement or a transaction, again and again."""
+        for index in range(len(self.world.hosts)):
+            caller = self.world.caller(index, self._random.choice(list(DATABASES)))
+            if self._random.random() < 0.3:
+                for statement in (Begin(), Read("a"), self._statement(), Commit()):
+                    caller.send(statement)
+            else:
+                caller.send(self._statement())
+        self.world.timers.after(GAP, self._work)
+
+    def _statement(self) -> Read | Write:
+        return Write("a 1") if self._random.random() < 0.3 else Read("a")
+
+    def _later(self, end: Callable[[], object]) -> None:
+        self.world.timers.after(self._random.uniform(0.3, 4.0), end)
+
+    def _cut_members(self) -> None:
+        one, other = self._random.sample(MEMBERS, 2)
+        self.world.group.cut(one, [other])
+        self._later(self.world.group.heal)
+
+    def _cut_primary(self) -> None:
+        name = self.world.primary.name
+        self.world.group.cut(name, set(MEMBERS) - {name})
+        self._later(self.world.group.heal)
+
+    def _cut_host(self) -> None:
+        host = self._random.choice(self.world.hosts)
+        names = self._random.sample([*MEMBERS, "store", "orders"], 3)
+        host.cut_from.update(names)
+        self._later(lambda: host.cut_from.difference_update(names))
+
+    def _drain(self) -> None:
+        replica = self.world.primary
+        if replica.up:
+            self.world.enter(replica, draining=True)
+            self._later(lambda: replica.up and self.world.enter(replica))
+
+    def _crash(self) -> None:
+        if all(replica.up for replica in self.world.group.replicas.values()):
+            name = self._random.choice(MEMBERS)
+            self.world.crash(name, dark=self._random.random() < 0.4)
+            self._later(lambda: self.world.restart(name))
+
+    def _lose_store(self) -> None:
+        for host in self.world.hosts:
+            host.cut_from.add("store")
+        self._later(self._find_store)
+
+    def _find_store(self) -> None:
+        for host in self.world.hosts:
+            host.cut_from.discard("store")
+
+    def _lose_answers(self) -> None:
+        faults = self.world.store.faults
+        faults.answers_lost, faults.late = 0.5, 2.0
+        self._later(lambda: setattr(faults, "answers_lost", 0.0))
+
+
+@pytest.mark.parametrize("seed", range(1, 7))
+def test_no_promise_is_broken(seed):
+    play = _Play(seed)
+    play.run()
+    group = play.world.group
+    assert len(group.acknowledged) > 100
+    assert group.lost == []
+    assert group.overtaken == []
+    assert play.world.oracle.stale == []
