End what is proven of a primary, and orders to it, with its start

Cause: a proof says that a log holds what was acknowledged; one that started again under its name may hold nothing. An order to step down went on to a row that is no longer used. Ruled out: leaving it to the empty transaction after each read, which refuses such a primary today: the proof would still be wrong, for whoever relies on it next. Change: a start of the primary ends its proof and the question under way; a start of a demoted endpoint ends the order to it. Conclusion: the start is part of what a proof names.

--- a/mallowpass/core/proxy/demotion.py
+++ b/mallowpass/core/proxy/demotion.py
@@ -17,7 +17,11 @@
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
-from mallowpass.core.proxy.signals import EndpointForgotten, EndpointUnreachable
+from mallowpass.core.proxy.signals import (
+    EndpointForgotten,
+    EndpointRestarted,
+    EndpointUnreachable,
+)
 from mallowpass.core.proxy.statements import Code, Demote, EndpointReply
 from mallowpass.core.proxy.tables import ConnectionState, EndpointRow, ProxySystem
 
@@ -67,6 +71,7 @@
         self._orders = node.system(ReplicaOrders)
         node.subscribe(EndpointUnreachable, self._on_unreachable)
         node.subscribe(EndpointForgotten, self._on_forgotten)
+        node.subscribe(EndpointRestarted, self._on_restarted)
 
     def demote(
         self, endpoint: EndpointRow, term: int, handler: DoneHandler = lambda: None
@@ -151,6 +156,11 @@
         if task is not None:
             self._end(task, "its entry is gone")
 
+    def _on_restarted(self, signal: EndpointRestarted) -> None:
+        task = self._tasks.get(signal.endpoint.name)
+        if task is not None:
+            self._end(task, "it started again, as replica")
+
     def _end(self, task: _Task, why: str) -> None:
         del self._tasks[task.endpoint.name]
         self._node.log(
--- a/mallowpass/core/proxy/leadership.py
+++ b/mallowpass/core/proxy/leadership.py
@@ -24,7 +24,7 @@
 from mallowpass.core.proxy.claims import Claim, Claims
 from mallowpass.core.proxy.control import Control
 from mallowpass.core.proxy.members import Members
-from mallowpass.core.proxy.signals import PrimaryChanged
+from mallowpass.core.proxy.signals import EndpointRestarted, PrimaryChanged
 from mallowpass.core.proxy.statements import (
     Begin,
     Code,
@@ -80,6 +80,7 @@
         self._control = node.system(Control)
         self._members = node.system(Members)
         node.subscribe(PrimaryChanged, self._on_primary)
+        node.subscribe(EndpointRestarted, self._on_restarted)
 
     def acknowledged(self, endpoint: EndpointRow, sent_at: float) -> None:
         """Note that an endpoint acknowledged a commit that was sent at some time."""
@@ -94,7 +95,7 @@
         group = self.tables.group(endpoint.entry.service)
         waiting = (endpoint, handler)
         survey = self._surveys.get(group.service)
-        if endpoint.name != group.primary:
+        if endpoint.name != group.primary or not self.tables.is_current(endpoint):
             handler(False)
         elif group.sole_at >= since:
             handler(True)
@@ -108,6 +109,16 @@
     def _on_primary(self, signal: PrimaryChanged) -> None:
         signal.group.sole_at = float("-inf")
 
+    def _on_restarted(self, signal: EndpointRestarted) -> None:
+        """Forget what is proven of a primary whose log may be gone."""
+        group = self.tables.group(signal.endpoint.entry.service)
+        if group.primary != signal.endpoint.name:
+            return
+        group.sole_at = float("-inf")
+        survey = self._surveys.get(group.service)
+        if survey is not None:
+            self._end(survey, False)
+
     # -- Asking --------------------------------------------------------------
 
     def _begin(self, group: GroupRow, waiting: list[_Waiting]) -> None:
@@ -166,7 +177,8 @@
         if following:
             self._begin(group, following)
         for endpoint, handler in survey.waiting:
-            handler(sole and endpoint.name == survey.primary)
+            is_current = self.tables.is_current(endpoint)
+            handler(sole and is_current and endpoint.name == survey.primary)
 
     # -- Two that lead -------------------------------------------------------
 
--- a/tests/core/proxy/test_replaced.py
+++ b/tests/core/proxy/test_replaced.py
@@ -233,3 +233,23 @@
     assert not world.group.replicas[OLD].is_primary
     assert world.hosts[0].tables.groups[SERVICE].primary == "db-tanger"
     kept(world)
+
+
+def test_what_was_proven_of_a_primary_ends_with_its_start():
+    """A read ran on the empty log of a primary that had started again.
+
+    It was proven to lead alone, crashed, and came back under its name, with nothing.
+    A host that was slow to learn of that went by the proof.
+    """
+    world = weak_world()
+    keep_working(world, 1, 2, 3)
+    keep_reading(world, 0, "strict")
+    keep_reading(world, 0, "own")
+    world.run(1.0)
+    world.cut(0, "store")
+    world.restart(OLD, empty=True)
+    world.run(2.0)
+    world.hosts[0].cut_from.discard("store")
+    world.run(6.0)
+    assert world.group.promotions >= 1
+    kept(world)
