Prove nothing by members that show a newer term than the primary's

Cause: a host without the store asked the members that it knew whether they led. The successor had joined meanwhile and was not among them. Ruled out: asking nobody while the store is away, which stops reads where none is needed. Change: a refusal whose position has a newer term than the primary's log proves nothing. Conclusion: one known member that received from the successor is enough.

--- a/mallowpass/core/proxy/leadership.py
+++ b/mallowpass/core/proxy/leadership.py
@@ -60,6 +60,7 @@
     waiting: list[_Waiting]
     waits_for: set[str] = field(default_factory=set)
     silent: set[str] = field(default_factory=set)
+    term: int = 0  # newest that a member's log showed
 
 
 class Leadership(ProxySystem):
@@ -138,8 +139,11 @@
             reply = replies[0] if replies else None
             if reply is not None and reply.code is Code.DONE:
                 self._compare(survey, endpoint)
-            else:
-                self._settle(survey, endpoint, _is_own_refusal(reply))
+                return
+            refused = _is_own_refusal(reply)
+            if refused:
+                survey.term = max(survey.term, reply.position.term)
+            self._settle(survey, endpoint, refused)
 
         self._control.ask(endpoint, (Begin(), Rollback()), on_replies, ANSWER_TIME)
 
@@ -170,7 +174,7 @@
     def _end(self, survey: _Survey, sole: bool) -> None:
         group = survey.group
         del self._surveys[group.service]
-        sole = sole and group.primary == survey.primary
+        sole = sole and group.primary == survey.primary and self._is_newest(survey)
         if sole:
             group.sole_at = max(group.sole_at, survey.asked_at)
         following = self._next.pop(group.service, None)
@@ -180,6 +184,16 @@
             is_current = self.tables.is_current(endpoint)
             handler(sole and is_current and endpoint.name == survey.primary)
 
+    def _is_newest(self, survey: _Survey) -> bool:
+        """Tell whether no member's log shows a newer term than the primary's.
+
+        A successor that is not known here can't be asked, but its replicas can.
+        """
+        primary = survey.group.primary_row
+        if primary is None or primary.position is None:
+            return False
+        return survey.term <= primary.position.term
+
     # -- Two that lead -------------------------------------------------------
 
     def _compare(self, survey: _Survey, rival: EndpointRow) -> None:
--- a/tests/core/proxy/test_replaced.py
+++ b/tests/core/proxy/test_replaced.py
@@ -253,3 +253,26 @@
     world.run(6.0)
     assert world.group.promotions >= 1
     kept(world)
+
+
+def test_a_host_that_does_not_know_the_successor_proves_nothing():
+    """Reads lacked commits of a successor that was not among those that were asked.
+
+    It had joined while a host could not read the store. The host asked the members it
+    knew; none of them led, though one of them showed the successor's newer term.
+    """
+    world = weak_world()
+    keep_reading(world, 0, "strict")
+    world.run(1.0)
+    world.cut(0, "store")
+    world.group.cut(OLD, OTHERS)
+    world.enter(world.group.add("db-new"))
+    world.group.cut("db-new", [OLD])
+    for index in (1, 2, 3):
+        world.cut(index, OLD)
+    world.run(0.3)
+    world.group.promote("db-new")
+    keep_working(world, 1, 2, 3)
+    world.run(4.0)
+    assert world.primary.name == "db-new"
+    assert world.oracle.stale == []
