Give each process that plays a seed addresses of its own

Cause: addresses of the local platform were drawn from the seed alone. Four soak tests failed beside another run of the same tests, their addresses being in use; alone they passed three times. Change: the process id is drawn from as well. What a seed plays does not depend on it.

--- a/mallowpass/standins/proxied/platform.py
+++ b/mallowpass/standins/proxied/platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 import time
 from typing import Any
@@ -72,8 +73,10 @@
         seed: int | None = None,
         fences: bool = True,
     ) -> None:
-        self._net = random.Random(seed if seed is not None else time.time_ns())
-        self._prefix = f"127.{self._net.randrange(64, 250)}.{self._net.randrange(250)}"
+        # Two processes that play the same seed at once must not meet: the second one
+        # would find its addresses in use.
+        net = random.Random(f"{time.time_ns() if seed is None else seed} {os.getpid()}")
+        self._prefix = f"127.{net.randrange(64, 250)}.{net.randrange(250)}"
         self._timers = TimerService(time.monotonic())
         self._tick: asyncio.Task[None] | None = None
         self.store = RowStore(self._timers)
