Take an empty endpoint's word for nothing while members are compared

Cause: a host that compared members and was told by an empty one that it leads took the matter for settled, and ordered nobody. A report of no finite time counted as young for good. A primary's answer of an earlier round was counted in a later one. Ruled out: leaving such an endpoint out; it may hold all once it has caught up. Change: whoever says that it leads must show what is demanded of a leader; times of reports are finite; answers of earlier rounds are passed over.

--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -180,12 +180,15 @@
         if settled and attempt.reason is not Reason.STALLED:
             return
         attempt.asked += 1
+        round_number = attempt.rounds
 
         def on_reply(reply: EndpointReply | None) -> None:
+            if attempt.ended or attempt.rounds != round_number:
+                return
             attempt.asked -= 1
             if reply is not None and reply.status is not None:
                 attempt.shown = reply.status.received
-            if not attempt.ended and attempt.asked == 0:
+            if attempt.asked == 0:
                 self._decide(attempt)
 
         self._orders.give(primary, Status(), on_reply)
@@ -214,7 +217,9 @@
             attempt.group.term = max(attempt.group.term, reply.status.term)
             if isinstance(statement, Pause):
                 attempt.paused.add(endpoint.name)
-            if reply.status.is_primary:
+            # One that started again with nothing may say that it leads.
+            needed = self._durability.demanded(attempt.group)
+            if reply.status.is_primary and reply.status.received >= needed:
                 self._on_leading(attempt, endpoint)
                 return
         else:
--- a/mallowpass/core/proxy/suspicion.py
+++ b/mallowpass/core/proxy/suspicion.py
@@ -74,6 +74,8 @@
     def decode(cls, text: str) -> Report:
         """Read what the store keeps; ValueError if it is no report."""
         primary, time, must_hold = text.split(" ")
+        if not math.isfinite(float(time)):
+            raise ValueError(f"no time: {time!r}")
         return cls(primary, float(time), LogPosition.parse(must_hold))
 
 
--- a/mallowpass/platform/wire.py
+++ b/mallowpass/platform/wire.py
@@ -9,7 +9,7 @@
 import math
 from functools import singledispatch
 
-from mallowpass.core.positions import ZERO_POSITION
+from mallowpass.core.positions import ZERO_POSITION, LogPosition
 from mallowpass.core.proxy.statements import (
     Access,
     Answer,
@@ -23,7 +23,6 @@
     EndpointStatus,
     Execute,
     FloorHint,
-    LogPosition,
     Pause,
     Prepare,
     Read,
@@ -429,8 +428,8 @@
 def parse_status(row: bytes) -> EndpointStatus:
     """Read a status row.
 
-    Its fields are role, term, the position received, a term that it holds a pause
-    for, the lag in milliseconds, statements at work, and connections.
+    Role, term, position received, term that it is paused for, lag in milliseconds,
+    statements at work, connections.
     """
     words = decode(row).split(" ")
     if len(words) < _STATUS_FIELDS:
--- a/tests/core/proxy/test_claims.py
+++ b/tests/core/proxy/test_claims.py
@@ -42,7 +42,9 @@
     assert world.orders[-1].fencing_token > 3
 
 
-@pytest.mark.parametrize("text", ["db-casa 12.300", "nonsense", "db-casa x 1.5", ""])
+@pytest.mark.parametrize(
+    "text", ["db-casa 12.300", "nonsense", "db-casa x 1.5", "db-casa inf 1.5", ""]
+)
 def test_report_of_another_form_stops_nobody(text: str):
     world = ProxyWorld()
     world.store.put(RowKey(Table.SUSPICIONS, SERVICE, "host-9"), text)
--- a/tests/core/proxy/test_replacement.py
+++ b/tests/core/proxy/test_replacement.py
@@ -7,7 +7,7 @@
 import pytest
 
 from mallowpass.core.proxy.promotion import Promotion
-from mallowpass.core.proxy.replacement import Replacement
+from mallowpass.core.proxy.replacement import Reason, Replacement
 from mallowpass.core.proxy.statements import Code, Read, Write
 from mallowpass.standins.proxied.replicas import GroupTimes
 from tests.fakes.proxyworld import ProxyWorld
@@ -253,3 +253,26 @@
         world.run(0.3)
     assert codes[-1] is Code.DONE
     assert world.primary.name != "db-casa"
+
+
+def test_empty_endpoint_that_says_it_leads_is_replaced():
+    """Nobody leads for good.
+
+    A primary started again with nothing and says that it leads. A host that compares
+    members takes its word, finds the matter settled, and orders nobody.
+    """
+    world = ProxyWorld()
+    _write(world, 5)
+    for host in range(len(world.hosts)):
+        assert world.caller(host, "strict").run(Read("a")).rows == (b"4",)
+    world.restart("db-casa", empty=True)
+    for host in world.hosts:
+        group = host.tables.groups["claims-core"]
+        host.node.system(Promotion).replace(group, "", Reason.SILENT, "nobody leads")
+    world.group.replicas["db-casa"].is_primary = True
+    world.group.replicas["db-casa"].deaf = True
+    for name in ("db-tanger", "db-agadir"):
+        world.group.replicas[name].deaf = True
+    world.run(6.0)
+    assert world.primary.name != "db-casa"
+    assert world.group.lost == []
