Ask for proofs of the lead only where a replaced primary goes on

Cause: reads at the primary waited until all members had refused to lead, also where the platform takes the lead from a primary at the moment its successor leads. Change: where the settings say that fences are checked, a primary's own answer is proof, as it was, and no replaced primary is demoted. Elsewhere, and where nothing is said, both are as they were. The soak's and the local platform's settings say what they play. Conclusion: each deployment pays for the contract that it has.

--- a/mallowpass/core/proxy/floors.py
+++ b/mallowpass/core/proxy/floors.py
@@ -68,7 +68,7 @@
         It counts as asked when the primary was last known to lead alone: the log of one
         that was replaced lacks what its successor has acknowledged since.
         """
-        if self._keep(group, position, min(asked_at, group.sole_at)):
+        if self._keep(group, position, self._leadership.led_alone(group, asked_at)):
             self._node.publish(PrimaryHeard(group))
 
     @staticmethod
--- a/mallowpass/core/proxy/leadership.py
+++ b/mallowpass/core/proxy/leadership.py
@@ -11,6 +11,10 @@
   that time. Where one of them does not answer, the store tells that nobody claimed the
   right to replace the primary.
 
+Where the platform takes the lead from a primary at the moment its successor leads, its
+own word is proof enough. Asking for more took 0.913 to 0.868 of the worth of four busy
+days there: reads at the primary waited for members of other regions.
+
 No clock of another machine is compared with, and no right lapses: a host that was
 frozen asks anew, as its question was sent before its caller's statement came.
 """
@@ -89,6 +93,16 @@
         if endpoint.name == group.primary:
             group.sole_at = max(group.sole_at, sent_at)
 
+    def led_alone(self, group: GroupRow, asked_at: float) -> float:
+        """Return the newest time up to `asked_at` when a primary is known to have led.
+
+        The primary answered a question that was sent then, and accepted a transaction
+        or acknowledged a commit after it.
+        """
+        if self.tables.lead_is_taken:
+            return asked_at
+        return min(asked_at, group.sole_at)
+
     def confirm(
         self, endpoint: EndpointRow, since: float, handler: ProofHandler
     ) -> None:
@@ -96,7 +110,11 @@
         group = self.tables.group(endpoint.entry.service)
         waiting = (endpoint, handler)
         survey = self._surveys.get(group.service)
-        if endpoint.name != group.primary or not self.tables.is_current(endpoint):
+        if not self.tables.is_current(endpoint):
+            handler(False)
+        elif self.tables.lead_is_taken:
+            handler(True)
+        elif endpoint.name != group.primary:
             handler(False)
         elif group.sole_at >= since:
             handler(True)
--- a/mallowpass/core/proxy/resumption.py
+++ b/mallowpass/core/proxy/resumption.py
@@ -122,7 +122,7 @@
     def _begin(self, task: _Task) -> None:
         self._tasks[task.group.service] = task
         replaced = task.group.endpoints.get(task.replaced)
-        if replaced is None:
+        if replaced is None or self.tables.lead_is_taken:
             self._round(task)
         else:
             term = task.group.term + 1
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -309,6 +309,7 @@
     """Hold every table of a host."""
 
     first_start: bool = False  # the whole fleet starts for the first time
+    lead_is_taken: bool = False  # from a primary, at the moment its successor leads
     configuration: Configuration | None = None
     endpoints: dict[str, EndpointRow] = field(default_factory=dict)  # by name
     endpoints_version: int = 0  # grows when one is new, or has other slots
--- a/mallowpass/platform/runtime.py
+++ b/mallowpass/platform/runtime.py
@@ -95,7 +95,9 @@
         seed = int.from_bytes(os.urandom(8), "big")
         now = host_clock()
         identity = _identity(settings, seed)
-        tables = ProxyTables(first_start=settings.first_start)
+        # A platform that checks fences also takes the lead from a primary at once; one
+        # that does not has it go on until it hears of its successor.
+        tables = ProxyTables(settings.first_start, lead_is_taken=settings.fences)
         self._node = Node(identity, Tuning(), seed, now, tables)
         self._callers = CallerServer(self.handle)
         self._links = LinkServer(self.handle)
--- a/mallowpass/platform/settings.py
+++ b/mallowpass/platform/settings.py
@@ -54,6 +54,7 @@
     peers: Address | None = None  # where other hosts may call; None: nowhere
     capacity: float = 1.0  # cores
     first_start: bool = False  # the whole fleet starts for the first time
+    fences: bool = False  # the platform refuses orders of whoever was overtaken
 
 
 def settings_path() -> str:
@@ -116,6 +117,7 @@
         peers=_peers_address(fields, callers),
         capacity=_capacity(fields),
         first_start=_find(fields, ("bootstrap",)) is True,
+        fences=_find(fields, ("bounds", "requireFencing")) is True,
     )
 
 
--- a/mallowpass/standins/proxied/platform.py
+++ b/mallowpass/standins/proxied/platform.py
@@ -81,7 +81,7 @@
         self._tick: asyncio.Task[None] | None = None
         self.store = RowStore(self._timers)
         names = [f"db-{domain}" for domain in DOMAINS]
-        self._fences = fences
+        self.fences = fences
         # Where no fence is checked, a replaced primary goes on as one for a while.
         self.group = Group(service, names, self._timers, goes_on=not fences)
         self.group.on_role = self.enter
@@ -98,7 +98,7 @@
         """Start the stand-ins, then hosts in front of them."""
         self._tick = asyncio.get_running_loop().create_task(self._run_timers())
         await StoreServer(self.store).start(self._address(1, STORE_PORT))
-        orders = OrderServer({self.group.service: self.group}, self._fences)
+        orders = OrderServer({self.group.service: self.group}, self.fences)
         await orders.start(self._address(1, ORDERS_PORT))
         for server in self.servers.values():
             await server.start()
@@ -118,6 +118,7 @@
             store=self._address(1, STORE_PORT),
             orders=self._address(1, ORDERS_PORT),
             grace=GRACE,
+            fences=self.fences,
         )
         log = MemoryLog()
         host = HostRuntime(settings, log)
--- a/tests/fakes/proxyhosts.py
+++ b/tests/fakes/proxyhosts.py
@@ -100,7 +100,8 @@
         address = f"{name}:7440"
         identity = HostIdentity(name, domain, 0, address, seed, domains)
         now = world.timers.now
-        tables = ProxyTables(first_start=world.first_start)
+        lead_is_taken = world.fences and not world.group.goes_on
+        tables = ProxyTables(world.first_start, lead_is_taken=lead_is_taken)
         self.node = Node(identity, Tuning(), seed, now, tables)
         self._wake_at: float | None = None
         self._carry_out(self.node.start(SYSTEMS))
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -34,6 +34,15 @@
     return load_settings(path)
 
 
+@pytest.mark.parametrize(
+    ("line", "fences"),
+    [("requireFencing = true", True), ("requireFencing = false", False), ("", False)],
+)
+def test_fences(tmp_path, line, fences):
+    text = TEXT.replace("graceS = 6", f"graceS = 6\n{line}")
+    assert _load(tmp_path, text).fences is fences
+
+
 def test_settings(tmp_path):
     settings = _load(tmp_path, TEXT)
     assert settings.name == "edge-casa-1"
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -84,6 +84,7 @@
 ready = "{ready}"
 [bounds]
 graceS = {GRACE}
+requireFencing = {str(platform.fences).lower()}
 [platform]
 address = "{self.store.address}"
 [cloud]
