Give no floor that nobody has proven, and contain exceptions

Cause: on a platform that checks no fence a sample of the primary's log is of no age until something proves that the primary alone led.

Change: a holder gives no floor whose time is not known, and samples without a time replace each other. Each event handler, each timer and each effect stands alone: an exception that escapes one is logged as one line, counted, and ends nothing beside it. asyncio's own handler does the same. The stand-ins' runs and the soak fail by it, and the hosts of virtual time render what goes to other hosts.

--- a/mallowpass/core/node.py
+++ b/mallowpass/core/node.py
@@ -157,6 +157,7 @@
         "_numbers",
         "_systems",
         "identity",
+        "on_error",
         "random",
         "tables",
         "timers",
@@ -178,6 +179,8 @@
         self.random = random.Random(seed)
         self._numbers = itertools.count(1)
         self._effects: list[Any] = []
+        # Called with an exception that escapes a handler; None: it is raised.
+        self.on_error: Callable[[Exception], None] | None = None
         self._handlers: dict[type, list[Callable[[Any], None]]] = {}
         self._journal: deque[Decision] = deque(maxlen=JOURNAL_LENGTH)
         self._systems: dict[type[System], System] = {}
@@ -210,11 +213,24 @@
     def handle(self, now: float, event: Any) -> list[Any]:
         """Decide what to do about an event that came at `now`; return effects."""
         self.timers.advance(now)
-        self.timers.run_due()
+        self._guard(self.timers.run_due)
         for handler in self._handlers.get(type(event), ()):
-            handler(event)
+            self._guard(handler, event)
         return self._take_effects()
 
+    def _guard(self, handler: Callable[..., Any], *arguments: Any) -> None:
+        """Call a handler; an exception ends what it does, and nothing beside it.
+
+        Raised through the event loop, an exception would close the connection at hand
+        and drop the effects of all other handlers. Timers that are due run next time.
+        """
+        try:
+            handler(*arguments)
+        except Exception as error:
+            if self.on_error is None:
+                raise
+            self.on_error(error)
+
     def wake(self, now: float) -> list[Effect]:
         """Run what is due."""
         return self.handle(now, _WOKEN)
--- a/mallowpass/core/proxy/floors.py
+++ b/mallowpass/core/proxy/floors.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import math
+
 from mallowpass.core.positions import ZERO_POSITION
 from mallowpass.core.proxy.configuration import Consistency, Route
 from mallowpass.core.proxy.leadership import Leadership, ProofHandler
@@ -75,6 +77,8 @@
     def _keep(group: GroupRow, position: LogPosition, asked_at: float) -> bool:
         """Keep a sample that is newer than the others; tell whether it is."""
         samples = group.samples
+        if samples and math.isinf(samples[-1].asked_at):
+            samples.pop()  # it was never proven, and any other one tells as much
         if samples and asked_at - samples[-1].asked_at < SAMPLE_GAP:
             return False
         samples.append(FloorSample(asked_at, position))
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 from functools import singledispatchmethod
 
@@ -305,9 +306,13 @@
         return reply if floor is None else replace(reply, floor=floor)
 
     def _floor_hint(self, service: str, at: float) -> FloorHint | None:
-        """Return the newest sample of a service, with its age at some time."""
+        """Return the newest sample of a service, with its age at some time.
+
+        None also where nothing proves yet when its primary led alone: such a sample is
+        of no age, and its position a floor for nothing.
+        """
         samples = self.tables.group(service).samples
-        if not samples:
+        if not samples or math.isinf(samples[-1].asked_at):
             return None
         age = max(0.0, at - samples[-1].asked_at)
         return FloorHint(samples[-1].position, age)
--- a/mallowpass/platform/runtime.py
+++ b/mallowpass/platform/runtime.py
@@ -7,9 +7,10 @@
 import os
 import signal
 import time
+import traceback
 from functools import singledispatchmethod
 
-from mallowpass.core.messages import Effect, Event
+from mallowpass.core.messages import Count, Effect, Event
 from mallowpass.core.node import FailureDomain, HostIdentity, Node, Tuning
 from mallowpass.core.proxy import effects
 from mallowpass.core.proxy.events import (
@@ -35,7 +36,10 @@
 )
 from mallowpass.platform.store import StoreClient
 
-__all__ = ["HostRuntime", "host_clock"]
+__all__ = ["ESCAPED", "HostRuntime", "host_clock"]
+
+# The event, and the counter, of an exception that nobody was there to catch.
+ESCAPED = "exception_escaped"
 
 READY_PATH = "/v1/ready"
 # Where deploy/system.toml says that metrics are; a test holds the two together.
@@ -99,6 +103,7 @@
         # that does not has it go on until it hears of its successor.
         tables = ProxyTables(settings.first_start, lead_is_taken=settings.fences)
         self._node = Node(identity, Tuning(), seed, now, tables)
+        self._node.on_error = self._on_error
         self._callers = CallerServer(self.handle)
         self._links = LinkServer(self.handle)
         self._endpoints = EndpointConnections(settings.name, self.handle)
@@ -120,6 +125,7 @@
 
     async def start(self) -> None:
         """Listen, and start the core."""
+        asyncio.get_running_loop().set_exception_handler(self._on_loop_error)
         await self._http.start(self._settings.ready)
         await self._metrics_http.start(Address(self._settings.ready.host, METRICS_PORT))
         if self._settings.peers is not None:
@@ -171,7 +177,11 @@
 
     def _carry_out(self, todo: list[Effect | effects.ProxyEffect]) -> None:
         for effect in todo:
-            self._apply(effect)
+            try:
+                self._apply(effect)
+            except Exception as error:
+                # The others are not to blame: they belong to other connections.
+                self._on_error(error, type(effect).__name__)
         due = self._node.next_wake
         if self._timer is not None:
             self._timer.cancel()
@@ -180,6 +190,32 @@
             delay = max(0.0, due - host_clock())
             self._timer = asyncio.get_running_loop().call_later(delay, self._wake)
 
+    def _on_error(self, error: BaseException, during: str = "") -> None:
+        """Log an exception that escaped, and where: it shows nowhere else."""
+        frames = traceback.extract_tb(error.__traceback__)
+        where = f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
+        self._metrics.count(Count(ESCAPED, 1, (("kind", type(error).__name__),)))
+        self._log.write(
+            "error",
+            ESCAPED,
+            (
+                ("kind", type(error).__name__),
+                ("message", error),
+                ("during", during),
+                ("where", where),
+                ("trace", " < ".join(frame.name for frame in reversed(frames))),
+            ),
+        )
+
+    def _on_loop_error(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, object]
+    ) -> None:
+        """Log what asyncio found in a socket's, a timer's or a task's handler."""
+        error = context.get("exception")
+        if not isinstance(error, BaseException):
+            error = RuntimeError(str(context.get("message", "unknown")))
+        self._on_error(error, str(context.get("message", "")))
+
     def _spawn(self, coroutine) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
--- a/mallowpass/standins/proxied/platform.py
+++ b/mallowpass/standins/proxied/platform.py
@@ -16,7 +16,7 @@
 )
 from mallowpass.core.proxy.storage import EndpointEntry, RowKey, Table
 from mallowpass.core.timers import TimerService
-from mallowpass.platform.runtime import HostRuntime
+from mallowpass.platform.runtime import ESCAPED, HostRuntime
 from mallowpass.platform.settings import Address, HostSettings
 from mallowpass.standins.proxied.httpserver import OrderServer, StoreServer
 from mallowpass.standins.proxied.replicas import Group, Replica
@@ -131,13 +131,19 @@
         return self._address(10 + number, CALLERS_PORT)
 
     def stop(self) -> None:
-        """End the hosts and the stand-ins at once."""
+        """End the hosts and the stand-ins at once.
+
+        RuntimeError if an exception escaped a handler of any host while they ran.
+        """
         for host in self.hosts:
             host.abort()
         if self._tick is not None:
             self._tick.cancel()
         for server in self.servers.values():
             server.stop()
+        escaped = [fields for log in self.logs for fields in log.fields(ESCAPED)]
+        if escaped:
+            raise RuntimeError(f"exceptions escaped: {escaped}")
 
     def enter(self, replica: Replica, draining: bool = False) -> None:
         """Write a member's entry, as it does itself."""
--- a/tests/core/proxy/test_links.py
+++ b/tests/core/proxy/test_links.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 
 import pytest
 
 from mallowpass.core.proxy.configuration import Consistency, ServiceLimits
 from mallowpass.core.proxy.connections import Connections
+from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.statements import (
     Access,
@@ -15,6 +17,7 @@
     Code,
     Commit,
     Execute,
+    LogPosition,
     Prepare,
     Read,
     SetValue,
@@ -362,3 +365,32 @@
     world.run(1.0)
     assert [answer.code for answer in caller.answers] == [Code.DONE, Code.DONE]
     assert world.primary.value("a") == "2"
+
+
+def test_a_holder_without_a_proof_gives_no_floor():
+    """Callers are cut without an answer, in the first second after a start.
+
+    Nothing proved yet that the primary led alone, so the newest sample of its log was
+    of no age. A holder added it to what it answered by a link; the age had no form on
+    the wire, and the exception ended the link, the connection and what ran on them.
+    """
+    world = ProxyWorld(hosts=HOSTS, fences=False, goes_on=True)
+    for index in range(HOSTS):
+        world.caller(index, "own").send(Read("a"))
+    world.run(1.0)
+    hints = [link_floor for host in world.hosts for link_floor in host.floors_given]
+    assert hints
+    assert all(math.isfinite(floor.age) for floor in hints)
+
+
+def test_samples_that_were_never_proven_do_not_pile_up():
+    """A primary that leads alone for nobody's eyes fills the samples of its group."""
+    world = ProxyWorld(fences=False, goes_on=True)
+    node = world.hosts[0].node
+    group = world.hosts[0].tables.groups[SERVICE]
+    floors = node.system(Floors)
+    group.samples.clear()
+    for number in range(5):
+        floors.sample(group, LogPosition(1, number), world.timers.now)
+    assert [sample.position.position for sample in group.samples] == [4]
+    world.run(1.0)
--- a/tests/fakes/proxyhosts.py
+++ b/tests/fakes/proxyhosts.py
@@ -24,9 +24,17 @@
     StoreAnswered,
 )
 from mallowpass.core.proxy.registry import SYSTEMS
-from mallowpass.core.proxy.statements import Answer, Code, EndpointReply, Statement
+from mallowpass.core.proxy.statements import (
+    Answer,
+    Code,
+    EndpointReply,
+    FloorHint,
+    SessionState,
+    Statement,
+)
 from mallowpass.core.proxy.storage import StoreReply, StoreStatus
 from mallowpass.core.proxy.tables import ProxyTables
+from mallowpass.platform import wire
 from mallowpass.standins.proxied.connections import ReplicaConnection, connect
 from mallowpass.standins.proxied.replicas import Group, Replica
 from tests.fakes.proxyoracle import Session
@@ -96,6 +104,7 @@
         self.cut_from: set[str] = set()  # members, the store and the orders
         self.logs: list[effects.Log] = []
         self.counts: list[effects.Count] = []
+        self.floors_given: list[FloorHint] = []  # to other hosts
         domains = tuple(FailureDomain(name, name, 0) for name in DOMAINS)
         address = f"{name}:7440"
         identity = HostIdentity(name, domain, 0, address, seed, domains)
@@ -239,11 +248,17 @@
 
     @_apply.register
     def _(self, effect: effects.AcceptLink) -> None:
+        wire.render_ready(SessionState.IDLE, effect.position, effect.floor)
+        self._note_floor(effect.floor)
         link = self.world.link(effect.link)
         self.world.links[(link.host.name, link.connection)] = link
         ready = ConnectionReady(link.connection, effect.position, effect.floor)
         link.host.later(LINK, ready)
 
+    def _note_floor(self, floor: FloorHint | None) -> None:
+        if floor is not None:
+            self.floors_given.append(floor)
+
     @_apply.register
     def _(self, effect: effects.RefuseLink) -> None:
         link = self.world.link(effect.link)
@@ -252,6 +267,8 @@
 
     @_apply.register
     def _(self, effect: effects.AnswerLink) -> None:
+        wire.render_reply(effect.reply)  # as it leaves a host: it must have a form
+        self._note_floor(effect.reply.floor)
         link = self.world.link(effect.link)
         link.host.later(LINK, EndpointAnswered(link.connection, effect.reply))
 
--- a/tests/platform/test_runtime.py
+++ b/tests/platform/test_runtime.py
@@ -11,7 +11,9 @@
 
 import pytest
 
-from mallowpass.platform.runtime import HostRuntime
+from mallowpass.core.messages import Woken
+from mallowpass.core.proxy.effects import SetReady
+from mallowpass.platform.runtime import ESCAPED, HostRuntime
 from mallowpass.platform.settings import load_settings
 from mallowpass.standins.proxied.platform import MemoryLog
 
@@ -77,3 +79,47 @@
     done = subprocess.run(command, env=environment, capture_output=True, timeout=20)
     assert done.returncode == code, done.stderr
     assert done.returncode != -getattr(signal, name)
+
+
+def _with_host(tmp_path: Path, use) -> MemoryLog:
+    async def run() -> MemoryLog:
+        path = tmp_path / "local.toml"
+        path.write_text(TEXT)
+        log = MemoryLog()
+        use(HostRuntime(load_settings(path), log, path))
+        return log
+
+    return asyncio.run(run())
+
+
+def test_an_exception_of_one_handler_ends_nothing_beside_it(tmp_path):
+    """Callers are cut without an answer, and nothing tells why.
+
+    A handler raised. What other handlers had decided about the same event was dropped,
+    and the socket that had brought the event was closed.
+    """
+    reached = []
+
+    def fail(event: Woken) -> None:
+        raise OverflowError("no number")
+
+    def use(host: HostRuntime) -> None:
+        host._node.subscribe(Woken, fail)
+        host._node.subscribe(Woken, reached.append)
+        host._wake()
+        assert b"exception_escaped" in host._metrics.text(host._node.tables)
+
+    log = _with_host(tmp_path, use)
+    assert len(reached) == 1
+    (line,) = log.fields(ESCAPED)
+    assert line["kind"] == "OverflowError"
+    assert "test_runtime" in line["where"]
+
+
+def test_an_effect_that_fails_takes_no_other_one_along(tmp_path):
+    def use(host: HostRuntime) -> None:
+        host._carry_out([object(), SetReady(True)])
+        assert host.ready
+
+    log = _with_host(tmp_path, use)
+    assert [line["during"] for line in log.fields(ESCAPED)] == ["object"]
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -69,6 +69,10 @@
         self.store = FaultProxy(platform.address(60 + number, STORE_PORT), store)
         self._settings.write_text(self._text(platform))
 
+    def has_logged(self, event: str) -> bool:
+        """Tell whether any start of this host has logged an event."""
+        return self.log.exists() and f"event={event} ".encode() in self.log.read_bytes()
+
     def _text(self, platform: SoakPlatform) -> str:
         domain = DOMAINS[self.number % len(DOMAINS)]
         zones = "\n".join(f'{name} = "{name}"' for name in DOMAINS)
