--- a/tests/core/proxy/test_links.py
+++ b/tests/core/proxy/test_links.py
@@ -11,6 +11,7 @@
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.holders import Holders
+from mallowpass.core.proxy.links import Links
 from mallowpass.core.proxy.statements import (
     Access,
     Begin,
@@ -375,12 +376,19 @@
     the wire, and the exception ended the link, the connection and what ran on them.
     """
     world = ProxyWorld(hosts=HOSTS, fences=False, goes_on=True)
-    for index in range(HOSTS):
-        world.caller(index, "own").send(Read("a"))
-    world.run(1.0)
-    hints = [link_floor for host in world.hosts for link_floor in host.floors_given]
-    assert hints
-    assert all(math.isfinite(floor.age) for floor in hints)
+    world.run(4.0)
+    holder = next(host for host in world.hosts if _holds(host))
+    group = holder.tables.groups[SERVICE]
+    group.samples.clear()
+    group.sole_at = -math.inf
+    holder.node.system(Floors).sample(group, LogPosition(1, 7), world.timers.now)
+    links = holder.node.system(Links)
+    assert links._floor_hint(SERVICE, world.timers.now) is None
+    group.sole_at = world.timers.now
+    world.run(0.1)
+    holder.node.system(Floors).sample(group, LogPosition(1, 7), world.timers.now)
+    hint = links._floor_hint(SERVICE, world.timers.now)
+    assert math.isfinite(hint.age)
 
 
 def test_samples_that_were_never_proven_do_not_pile_up():
