Ask for a floor where reads have none, instead of reading at the primary

Ruled out: a lack of connections to replicas (nobody was refused there).

Change: an empty transaction takes no slot, so one question to the primary and one to the others tell a floor within a round trip, for all reads that wait. One is also asked before the newest floor is half as old as it may be; a calm group is asked nothing.

--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -27,6 +27,7 @@
 from mallowpass.core.proxy.requests import Requests
 from mallowpass.core.proxy.resumption import Resumption
 from mallowpass.core.proxy.routing import Routing
+from mallowpass.core.proxy.sampling import Sampling
 from mallowpass.core.proxy.sessions import Sessions
 from mallowpass.core.proxy.settings import Settings
 from mallowpass.core.proxy.shares import Shares
@@ -62,6 +63,7 @@
     Members,
     Discovery,
     Leadership,
+    Sampling,
     Links,
     Answers,
     Attempts,
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -17,12 +17,14 @@
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.overdue import Overdue
 from mallowpass.core.proxy.routing import Line, Routing
+from mallowpass.core.proxy.sampling import Sampling
 from mallowpass.core.proxy.signals import (
     AttemptLeft,
     AttemptLost,
     AttemptRefused,
     ConnectionFreed,
     EndpointChanged,
+    FloorLearnt,
     PrimaryChanged,
     PrimaryHeard,
     WriteAcknowledged,
@@ -79,6 +81,7 @@
         "_members",
         "_overdue",
         "_routing",
+        "_sampling",
         "_stalls",
         "_transactions",
     )
@@ -95,6 +98,7 @@
         self._members = node.system(Members)
         self._overdue = node.system(Overdue)
         self._routing = node.system(Routing)
+        self._sampling = node.system(Sampling)
         self._stalls = node.system(Stalls)
         self._transactions = node.system(Transactions)
         node.subscribe(AttemptLost, self._on_lost)
@@ -104,6 +108,7 @@
         node.subscribe(EndpointChanged, self._on_freed)
         node.subscribe(PrimaryChanged, self._on_group)
         node.subscribe(PrimaryHeard, self._on_group)
+        node.subscribe(FloorLearnt, self._on_group)
 
     # -- Arrival -------------------------------------------------------------
 
@@ -188,6 +193,9 @@
                 self._answers.refuse(request, Code.BUSY, WRITES_STALL)
             return
         floor = self._routing.floor(request, group)
+        if self._waits_for_floor(request, group, floor):
+            request.detail = "waits for a floor"
+            return
         choice = line.known(floor)
         if choice is None:
             choice = self._routing.choose(request, group, floor)
@@ -200,6 +208,17 @@
         elif choice.full and self._is_held_too_long(request, group):
             self._answers.refuse(request, Code.BUSY, FULL)
 
+    def _waits_for_floor(
+        self, request: RequestRow, group: GroupRow, floor: LogPosition | None
+    ) -> bool:
+        """Tell whether a read should wait for a floor, to be served by a replica."""
+        if request.primary_only:
+            return False
+        if floor is None:
+            return self._sampling.is_coming(group)
+        self._sampling.refresh(group, request.route.accepted_age)
+        return False
+
     def _is_held_too_long(self, request: RequestRow, group: GroupRow) -> bool:
         # Whatever is first in line runs as soon as any statement ends.
         first = group.waiting[0] is request
@@ -212,7 +231,7 @@
     def _on_freed(self, signal: ConnectionFreed | EndpointChanged) -> None:
         self._dispatch(self.tables.group(signal.endpoint.entry.service))
 
-    def _on_group(self, signal: PrimaryChanged | PrimaryHeard) -> None:
+    def _on_group(self, signal: PrimaryChanged | PrimaryHeard | FloorLearnt) -> None:
         if signal.group.waiting:
             self._dispatch(signal.group)
 
--- a/mallowpass/standins/proxied/connections.py
+++ b/mallowpass/standins/proxied/connections.py
@@ -83,7 +83,9 @@
             return
         self._working = True
         call, done = self._queue.popleft()
-        work = self._group.times.work if call.statement.takes_slot else 0.0
+        work = 0.0
+        if call.statement.takes_slot:
+            work = self._group.times.work * self._replica.slowness
         refusal = self._refusal(call)
         if refusal is not None:
             self._answer(done, refusal, failed=True)
--- a/mallowpass/standins/proxied/replicas.py
+++ b/mallowpass/standins/proxied/replicas.py
@@ -67,6 +67,7 @@
     paused_for: int = 0  # the term that it was paused for; 0: not paused
     deaf: bool = False  # it receives nothing
     lag: float | None = None  # seconds, of this one alone; None: the group's
+    slowness: float = 1.0  # times that its statements take longer
     up: bool = True
     busy: int = 0
     connections: set[ReplicaConnection] = field(default_factory=set)
