--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -60,7 +60,12 @@
 # A connection that was idle for so long is closed if there are others: after a loss of
 # power it would stand in its successor's way.
 IDLE_MAX = 2.0  # seconds
-IDLE_LOOK = 0.5  # seconds between looks
+# The same for connections beyond half of this host's share. Where all hosts lose power,
+# the endpoints keep what these had for seconds, and turn their successors away as long
+# as that is over half of the limit. Worth of three busy days at seven hosts and 16
+# connections an endpoint, each with such a loss, nine plays: 0.893 to 0.901.
+SPARE_IDLE_MAX = 0.3  # seconds
+IDLE_LOOK = 0.15  # seconds between looks
 # A call that is unanswered for so long, with nothing else heard of the endpoint, has a
 # new connection tried. Statements take 20 to 50 ms, and a full queue some 150.
 QUIET_TIME = 0.25  # seconds
@@ -382,13 +387,14 @@
         self.close(connection, "it went silent")
 
     def _close_idle(self) -> None:
-        idle_since = self.now - IDLE_MAX
         for endpoint in self.tables.endpoints.values():
             connections = endpoint.connections.values()
             # Those by way of other hosts go first.
             for connection in sorted(connections, key=lambda c: not c.holder):
                 if len(endpoint.connections) == 1:
                     break
+                spare = not connection.holder and self._shares.is_spare(endpoint)
+                idle_since = self.now - (SPARE_IDLE_MAX if spare else IDLE_MAX)
                 idle = connection.state is ConnectionState.IDLE
                 if idle and connection.last_used < idle_since:
                     self.close(connection, "it was idle")
--- a/mallowpass/core/proxy/shares.py
+++ b/mallowpass/core/proxy/shares.py
@@ -57,6 +57,11 @@
             return True
         return self._held(endpoint) > self._holders.share(service)
 
+    def is_spare(self, endpoint: EndpointRow) -> bool:
+        """Tell whether this host has more than half of its share of an endpoint."""
+        service = endpoint.entry.service
+        return self._held(endpoint) > max(1, self._holders.share(service) // 2)
+
     def way(self, endpoint: EndpointRow) -> HostRow | None:
         """Return the host by way of which an endpoint is reached; None: directly."""
         service = endpoint.entry.service
