--- a/tests/core/proxy/test_connections.py
+++ b/tests/core/proxy/test_connections.py
@@ -4,7 +4,13 @@
 
 from mallowpass.core.proxy.statements import Begin, Code, Commit, Read, Rollback, Write
 from tests.fakes.proxyhosts import Caller, Host
-from tests.fakes.proxyworld import ProxyWorld
+from tests.fakes.proxyworld import (
+    CONFIGURATION_KEY,
+    SERVICE,
+    ProxyWorld,
+    ServiceLimits,
+    configuration,
+)
 
 LIMIT = 22
 
@@ -140,3 +146,35 @@
         caller.send(Rollback())
     world.run(4.0)
     assert not world.links
+
+
+def test_successors_of_hosts_that_lost_power_find_room():
+    """Most statements of the first half second after a loss of power are late.
+
+    Hosts had all of their connections from a moment of much work. They lost power, and
+    the endpoints counted the connections of the dead for three seconds more: two places
+    of sixteen were left for seven hosts that started again. The connections had been
+    idle for a second.
+    """
+    world = ProxyWorld(hosts=7, slots=2, max_connections=16)
+    services = {SERVICE: ServiceLimits(SERVICE, 16, 1)}
+    world.store.put(CONFIGURATION_KEY, configuration(2, services=services))
+    world.run(1.0)
+    for host in range(7):
+        for _ in range(4):
+            caller = world.caller(host, "strict")
+            for statement in (Begin(), Write("a 1"), Commit()):
+                caller.send(statement)
+    world.run(1.0)
+    callers: list[Caller] = []
+
+    def read_much(host: Host) -> None:
+        for number in range(6):
+            caller = Caller(world, host, "strict")
+            callers.append(caller)
+            world.timers.after(0.015 + 0.01 * number, caller.send, Read("a"))
+
+    world.lose_power(down=1.0, linger=3.0, started=read_much)
+    world.run(0.5)
+    done = [c for c in callers if c.answers and c.answers[0].code is Code.DONE]
+    assert len(done) / len(callers) > 0.9
