Have holders see that a primary is full, and that its replicas are behind

Cause: where few hosts hold the connections, they keep a full primary's queue short, and statements wait and are turned away at the holders. The time that statements wait at the primary stayed below what relief asks for, and a holder knew of replicas that refuse reads only from its own callers, 1 in 20 of the fleet's.

Change: a primary is full as well if a statement for it was turned away within a second, and holders learn from what endpoints answer other hosts.

The new test holds the behaviour; in virtual time, where hosts are half a millisecond apart, it passes without the change as well.

--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -246,6 +246,9 @@
     def _refuse(self, link: LinkRow, code: Code, message: str) -> None:
         """Refuse calls that wait: they did not run."""
         self._node.count("links_refused", endpoint=link.endpoint.name, code=code.value)
+        group = self.tables.group(link.endpoint.entry.service)
+        if code is Code.BUSY and link.endpoint.name == group.primary:
+            group.turned_away_at = self.now
         # Without a floor the host would send its reads to the primary once more, which
         # is what most calls wait for after a start of all hosts.
         reply = self._with_floor(link, EndpointReply(code, message=message))
@@ -286,6 +289,8 @@
         ):
             self._load.measured(link.endpoint, self.now - sent_at)
         for call, reply in zip(calls, replies, strict=True):
+            if call.minimum is not None:
+                self._note_floor(link.endpoint, reply)
             if reply.code is not Code.DONE or reply.position is None:
                 continue
             if not _proves_primary(link, call.statement):
@@ -295,6 +300,16 @@
             else:
                 self._floors.sample(group, reply.position, sent_at)
 
+    def _note_floor(self, endpoint: EndpointRow, reply: EndpointReply) -> None:
+        """Learn whether an endpoint is behind from what it answers other hosts.
+
+        A holder has few callers of its own, and is the one that has it relieved.
+        """
+        if reply.code is Code.BEHIND:
+            self._floors.lacked(endpoint)
+        elif reply.code is Code.DONE:
+            self._floors.reached(endpoint)
+
     def _with_floor(self, link: LinkRow, reply: EndpointReply) -> EndpointReply:
         """Return a reply with the newest sample, for the host that asked.
 
--- a/mallowpass/core/proxy/relief.py
+++ b/mallowpass/core/proxy/relief.py
@@ -14,7 +14,7 @@
 from mallowpass.core.proxy.promotion import Promotion
 from mallowpass.core.proxy.replacement import Reason
 from mallowpass.core.proxy.signals import ReplicasBehind
-from mallowpass.core.proxy.tables import GroupRow, ProxySystem
+from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
 
 __all__ = ["Relief"]
 
@@ -23,9 +23,11 @@
 # long with each other change of primary of late. In seconds.
 LED_TIME = 3.0
 MEMORY = 30.0
-# How long statements must wait at the primary, in seconds. Hosts keep that wait at a
-# tenth of a second.
+# How long statements must wait at the primary, in seconds, where none is turned away.
+# Hosts keep that wait at a tenth of a second, and few holders well below.
 QUEUE_TIME_MIN = 0.05
+# A primary is full if a statement for it was turned away so short a time ago.
+TURNED_AWAY_TIME = 1.0  # seconds
 
 
 class Relief(ProxySystem):
@@ -58,14 +60,17 @@
         primary = group.primary_row
         if primary is None or group.suspected:
             return
-        if self._load.queue_time(primary) < QUEUE_TIME_MIN:
-            return
-        if not self._has_led_long(group):
+        if not self._is_full(group, primary) or not self._has_led_long(group):
             return
         self._tried_at[group.service] = self.now
         why = "no replica has the floor"
         self._promotion.replace(group, primary.name, Reason.RELIEF, why)
 
+    def _is_full(self, group: GroupRow, primary: EndpointRow) -> bool:
+        if group.turned_away_at > self.now - TURNED_AWAY_TIME:
+            return True
+        return self._load.queue_time(primary) >= QUEUE_TIME_MIN
+
     def _has_led_long(self, group: GroupRow) -> bool:
         # Where that was no help, it must not be done again and again.
         since = self.now - MEMORY
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -206,6 +206,7 @@
             group.waiting.remove(request)
             self._send(request, choice.connection, choice.floor)
         elif choice.full and self._is_held_too_long(request, group):
+            group.turned_away_at = self.now
             self._answers.refuse(request, Code.BUSY, FULL)
 
     def _waits_for_floor(
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -157,6 +157,8 @@
     led_at: deque[float] = field(default_factory=lambda: deque(maxlen=8))
     no_primary_since: float | None = None
     suspected: bool = False  # this host suspects its primary; owned by suspicion
+    # When a statement was last refused for want of room; owned by requests and links.
+    turned_away_at: float = float("-inf")
 
     @property
     def primary_row(self) -> EndpointRow | None:
--- a/tests/core/proxy/test_relief.py
+++ b/tests/core/proxy/test_relief.py
@@ -8,6 +8,7 @@
 
 from mallowpass.core.proxy.configuration import Consistency
 from mallowpass.core.proxy.statements import Code, Pause, Read, Write
+from mallowpass.standins.proxied.replicas import GroupTimes
 from tests.fakes.proxyworld import (
     CONFIGURATION_KEY,
     SERVICE,
@@ -177,3 +178,26 @@
     codes.clear()
     world.run(3.0)
     assert codes.count(Code.DONE) > 0.98 * 3 * 100
+
+
+def test_few_holders_have_a_full_primary_relieved():
+    """A tenth of all statements is refused for as long as the replicas are behind.
+
+    In a large fleet few hosts hold the connections, and keep a full endpoint's queue
+    short: statements wait, and are turned away, at the holders. They took the primary
+    for one that has time, and knew of its replicas only what their own callers' reads
+    had found.
+    """
+    times = GroupTimes(work=0.009)
+    world = ProxyWorld(hosts=24, slots=2, times=times, fences=False, goes_on=True)
+    world.run(2.0)
+    write_often(world)
+    codes = read_much(world, 280)
+    world.run(2.0)
+    let_replicas_fall_behind(world)
+    world.run(10.0)
+    assert world.group.promotions == 1
+    assert world.group.lost == []
+    codes.clear()
+    world.run(3.0)
+    assert codes.count(Code.DONE) > 0.95 * 3 * 280
