Stop using a leaving endpoint in time at hosts that start meanwhile

Cause: the time after which a leaving endpoint is not used began when its entry changed. A host that started while it was leaving saw it as leaving from the first, so nothing changed and no time began: it sent statements there until the endpoint's end.

Change: a host that first learns of an endpoint as leaving uses it for 3.5 s at most.

--- a/mallowpass/core/proxy/members.py
+++ b/mallowpass/core/proxy/members.py
@@ -35,6 +35,11 @@
 # How long a primary that says it is leaving is used while no successor is found: the
 # shortest bound in use for the last statement that may reach it is 7 seconds.
 LEAVING_MAX = 6.0
+# The same for one that was leaving already when this host first learnt of it. Nobody
+# tells since when: hosts that were restarted meanwhile sent statements there until its
+# end, over ten seconds after it had said so. Bounds allow a host that has just started
+# four seconds to learn what holds, at the least.
+LEAVING_UNKNOWN_MAX = 3.5
 
 
 class Members(ProxySystem):
@@ -114,6 +119,7 @@
 
     def _put(self, entry: EndpointEntry, version: int) -> None:
         endpoint = self.tables.endpoints.get(entry.name)
+        is_new = endpoint is None
         if endpoint is None:
             endpoint = self._add(entry, version)
         elif version < endpoint.version or _is_of_earlier_start(entry, endpoint):
@@ -132,6 +138,8 @@
             self._log(endpoint)
         if not entry.draining:
             endpoint.retired = False
+        elif is_new:
+            self.timers.after(LEAVING_UNKNOWN_MAX, self._retire, endpoint)
         elif changed:
             self.timers.after(LEAVING_MAX, self._retire, endpoint)
         self._judge_primary(endpoint)
--- a/tests/core/proxy/test_members.py
+++ b/tests/core/proxy/test_members.py
@@ -25,6 +25,7 @@
     UNKNOWN_START,
 )
 from mallowpass.core.proxy.tables import ConnectionState, EndpointRow
+from tests.fakes.proxyhosts import Host
 from tests.fakes.proxyworld import (
     ENTRY_TIME,
     SERVICE,
@@ -383,3 +384,28 @@
     world.run(LEAVING_MAX)
     believed = world.hosts[0].logged("primary_believed")
     assert "it should have left" not in [line["why"] for line in believed]
+
+
+def test_a_host_that_starts_while_a_primary_leaves_stops_in_time():
+    """Statements reached a primary ten seconds after it had said that it leaves.
+
+    No successor was found. Hosts that were restarted meanwhile counted the time for
+    which a leaving primary is used from their own start.
+    """
+    world = ProxyWorld()
+    for host in world.hosts:
+        host.cut_from.add("orders")
+    world.enter(world.group.replicas["db-casa"], draining=True)
+    world.run(5.5)
+    old = world.kill(0)
+    world.hosts[0] = Host(world, old.name, old.domain, world.number())
+    world.hosts[0].cut_from.add("orders")
+    world.run(0.5)
+    assert world.caller(0, "strict").run(Write("a 1")).code is Code.DONE
+    world.run(3.2)
+    world.calls.clear()
+    for _ in range(5):
+        world.caller(0, "strict").send(Write("a 1"))
+        world.run(0.2)
+    calls = [(n, c) for host, n, c in world.calls if host == "host-0"]
+    assert "db-casa" not in {name for name, call in calls if call.request_id}
