Set the decisions under load apart in a package of their own

The line that waits, who is turned away, which endpoint runs a statement and how connections are shared were spread over requests, routing and holders, between events and timers. They stand in core/proxy/policy now, each module with the load that it answers and the reason for its limits; what they decide follows from their arguments.

--- a/mallowpass/core/proxy/holders.py
+++ b/mallowpass/core/proxy/holders.py
@@ -11,39 +11,19 @@
 
 from zlib import crc32
 
+from mallowpass.core.proxy.policy.sharing import (
+    STATEMENTS_PER_SLOT,
+    Plan,
+    make_plan,
+)
 from mallowpass.core.proxy.tables import EndpointRow, HostRow, ProxySystem
-from mallowpass.core.records import record
 
 __all__ = ["Holders"]
 
-# A host that holds fewer connections than this to an endpoint would have to make a
-# statement wait for each transaction that is open.
-SHARE_MIN = 2
-# Connections of one holder to an endpoint. More would leave fewer holders, so that the
-# end of one touches more sessions; fewer would wait for each other's transactions.
-SHARE_OF_HOLDER = 5
-# Statements of all hosts that a full endpoint should have for each of its slots. At 2
-# the slots of one in another region would stand idle during round trips of 24 ms; at 10
-# (62 hosts, 6 slots) each statement waited 0.3 s there, whatever its priority.
-STATEMENTS_PER_SLOT = 4
-# Of these, statements of one holder: one alone would wait for each other's.
-STATEMENTS_OF_HOLDER = 2
-# Share of the limit that the shares of all hosts leave free, for the connections of
-# hosts that died: endpoints drop these after seconds only.
-RESERVED_SHARE = 0.1
 # How long a holder that could not be reached is passed over.
 FAILED_TIME = 2.0  # seconds
 
 
-@record
-class _Plan:
-    """Hold who holds a service; `direct` tells that every host does."""
-
-    direct: bool
-    share: int  # connections of each holder to each endpoint
-    holders: tuple[HostRow, ...] = ()
-
-
 class Holders(ProxySystem):
     """Know who holds what; every host works it out from the same entries."""
 
@@ -51,7 +31,7 @@
 
     def start(self) -> None:
         """Start with nothing known."""
-        self._plans: dict[str, _Plan] = {}  # by service
+        self._plans: dict[str, Plan] = {}  # by service
         self._plans_for: tuple[int, int, int] = (-1, -1, -1)
         self._failed: dict[str, float] = {}  # until when, by host
 
@@ -130,7 +110,7 @@
 
     # -- Planning ------------------------------------------------------------
 
-    def _plan(self, service: str) -> _Plan:
+    def _plan(self, service: str) -> Plan:
         configuration = self.tables.configuration
         version = configuration.version if configuration is not None else 0
         key = (self.tables.hosts_version, self.tables.endpoints_version, version)
@@ -142,38 +122,13 @@
             plan = self._plans[service] = self._make(service)
         return plan
 
-    def _make(self, service: str) -> _Plan:
+    def _make(self, service: str) -> Plan:
         configuration = self.tables.configuration
         limits = configuration.services.get(service) if configuration else None
         if limits is None:
-            return _Plan(direct=True, share=0)
-        usable = int(limits.connections * (1.0 - RESERVED_SHARE))
+            return Plan(direct=True, share=0)
         hosts = list(self.tables.hosts.values())
-        share = usable // max(1, len(hosts))
-        statements = self.statements(service)
-        if share >= SHARE_MIN and len(hosts) <= statements:
-            return _Plan(direct=True, share=share)
-        count = min(usable // SHARE_OF_HOLDER, statements // STATEMENTS_OF_HOLDER)
-        count = max(1, count)
-        holders = self._choose(service, hosts, count)
-        return _Plan(False, max(1, usable // len(holders)), holders)
-
-    def _choose(
-        self, service: str, hosts: list[HostRow], count: int
-    ) -> tuple[HostRow, ...]:
-        """Choose holders by turns from all failure domains, the largest hosts first."""
-        domains: dict[str, list[HostRow]] = {}
-        for host in hosts:
-            domains.setdefault(host.domain, []).append(host)
-        for members in domains.values():
-            members.sort(key=lambda host: (-host.capacity, _weight(service, host)))
-        ranked = [
-            (index, _weight(service, host), host)
-            for members in domains.values()
-            for index, host in enumerate(members)
-        ]
-        ranked.sort(key=lambda item: item[:2])
-        return tuple(host for _, _, host in ranked[:count])
+        return make_plan(service, limits.connections, hosts, self.statements(service))
 
     def _distance(self, host: HostRow) -> tuple[int, int]:
         identity = self._node.identity
@@ -183,9 +138,3 @@
         if identity.region_of(host.domain) == identity.region:
             return (1, weight)
         return (2, weight)
-
-
-def _weight(service: str, host: HostRow) -> int:
-    # The same at every host, and different for each service: one host that holds all
-    # of them would be the one that all wait for.
-    return crc32(f"{service} {host.name}".encode())
--- /dev/null
+++ b/mallowpass/core/proxy/policy/line.py
@@ -0,0 +1,67 @@
+"""The line of statements that wait for an endpoint.
+
+The load: hundreds of statements that wait, and one connection that becomes free with
+each that ends. The more urgent ones run first, and among equals whoever came first: of
+those that are served none has waited longer than it had to. To look for an endpoint for
+each of them each time takes a host's whole time, so what one found is known for those
+behind.
+"""
+
+from __future__ import annotations
+
+from mallowpass.core.positions import LogPosition
+from mallowpass.core.proxy.tables import ConnectionRow, RequestRow
+from mallowpass.core.records import record
+
+__all__ = ["Choice", "Line", "urgency"]
+
+
+def urgency(request: RequestRow) -> tuple[int, float]:
+    """Return what a line is sorted by: the lower, the sooner."""
+    return (request.route.priority, request.arrived)
+
+
+@record
+class Choice:
+    """Say what to do with a statement: where to send it, and above which floor.
+
+    Without a connection it waits, and `why` tells for what; `full` tells that each
+    endpoint which may run it has more to do than it should.
+    """
+
+    connection: ConnectionRow | None
+    floor: LogPosition | None = None
+    why: str = ""
+    full: bool = False
+
+
+class Line:
+    """Remember for what there was no connection, in one look at those that wait.
+
+    Looking for an endpoint for each of hundreds that wait, whenever a statement ends,
+    takes a host's whole time. With 200 waiting, statements took 60 to 140 ms, of which
+    40 were the endpoint's, and opening a connection took 300.
+    """
+
+    __slots__ = ("_primary", "_replicas", "asked")
+
+    def __init__(self) -> None:
+        self._primary: Choice | None = None
+        self._replicas: tuple[LogPosition, Choice] | None = None  # the lowest floor
+        self.asked = 0  # statements that found no connection
+
+    def known(self, floor: LogPosition | None) -> Choice | None:
+        """Return what was found for a statement that needed no more than this one."""
+        if floor is None:
+            return self._primary
+        if self._replicas is None or floor < self._replicas[0]:
+            return None
+        return self._replicas[1]
+
+    def note(self, floor: LogPosition | None, choice: Choice) -> None:
+        """Remember that there was none."""
+        self.asked += 1
+        if floor is None:
+            self._primary = choice
+        else:
+            self._replicas = (floor, choice)
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -16,7 +16,9 @@
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.overdue import Overdue
-from mallowpass.core.proxy.routing import Line, Routing
+from mallowpass.core.proxy.policy.admission import held_until, is_turned_away
+from mallowpass.core.proxy.policy.line import Line, urgency
+from mallowpass.core.proxy.routing import Routing
 from mallowpass.core.proxy.sampling import Sampling
 from mallowpass.core.proxy.signals import (
     AttemptLeft,
@@ -57,10 +59,6 @@
 # A statement is answered this long before its timeout, so that the answer still
 # arrives within it; callers are a few milliseconds away.
 ANSWER_MARGIN = 0.02
-# Share of the objective after which a statement that waits for a full endpoint is
-# refused. Its caller has time for another attempt, and those that are served have not
-# waited longer; all that waited until their timeouts were late or ran for nobody.
-HOLD_SHARE = 0.25
 # Statements in line for each of which a connection is asked for, before it is looked
 # whether any is idle. No more than that are opened at once.
 ASKED_MAX = 4
@@ -165,12 +163,12 @@
         group = self.tables.group(request.route.service)
         group.waiting.append(request)
         if len(group.waiting) > 1:
-            group.waiting.sort(key=_rank)
+            group.waiting.sort(key=urgency)
         self._dispatch(group)
-        held_until = self._held_until(request)
+        until = held_until(request)
         waits = request.connection is None and not request.finished
-        if waits and self.now < held_until:
-            request.timers.append(self.timers.at(held_until, self._dispatch, group))
+        if waits and self.now < until:
+            request.timers.append(self.timers.at(until, self._dispatch, group))
 
     def _dispatch(self, group: GroupRow) -> None:
         """Send what may be sent of the statements that wait, the most urgent first."""
@@ -183,13 +181,13 @@
                 # There is no connection for any of those behind, either.
                 if not any_full:
                     return
-                if self.now < self._held_until(request):
+                if self.now < held_until(request):
                     continue
             self._try(request, group, line)
 
     def _try(self, request: RequestRow, group: GroupRow, line: Line) -> None:
         if self._stalls.holds_back(request, group):
-            if self.now >= self._held_until(request):
+            if self.now >= held_until(request):
                 self._answers.refuse(request, Code.BUSY, WRITES_STALL)
             return
         floor = self._routing.floor(request, group)
@@ -205,7 +203,7 @@
         if choice.connection is not None:
             group.waiting.remove(request)
             self._send(request, choice.connection, choice.floor)
-        elif choice.full and self._is_held_too_long(request, group):
+        elif choice.full and is_turned_away(request, group.waiting, self.now):
             group.turned_away_at = self.now
             self._answers.refuse(request, Code.BUSY, FULL)
 
@@ -220,15 +218,6 @@
         self._sampling.refresh(group, request.route.accepted_age)
         return False
 
-    def _is_held_too_long(self, request: RequestRow, group: GroupRow) -> bool:
-        # Whatever is first in line runs as soon as any statement ends.
-        first = group.waiting[0] is request
-        return not first and self.now >= self._held_until(request)
-
-    @staticmethod
-    def _held_until(request: RequestRow) -> float:
-        return request.arrived + HOLD_SHARE * request.route.objective
-
     def _on_freed(self, signal: ConnectionFreed | EndpointChanged) -> None:
         self._dispatch(self.tables.group(signal.endpoint.entry.service))
 
@@ -378,7 +367,7 @@
         else:
             request.avoided.add(endpoint.name)
             request.retry_at = self.now + self._attempts.backoff(request)
-        held = reply.code is Code.BUSY and self.now >= self._held_until(request)
+        held = reply.code is Code.BUSY and self.now >= held_until(request)
         if held or request.tries >= TRIES_MAX:
             self._answers.refuse(request, Code.BUSY, request.detail)
             return
@@ -421,7 +410,3 @@
             self._answers.refuse(request, Code.ABORTED, request.detail)
         else:
             self._wait(request)
-
-
-def _rank(request: RequestRow) -> tuple[int, float]:
-    return (request.route.priority, request.arrived)
--- /dev/null
+++ b/tests/core/proxy/policy/test_placement.py
@@ -0,0 +1,43 @@
+"""Where statements are placed when one endpoint is slow, busy, far or the primary."""
+
+from __future__ import annotations
+
+from mallowpass.core.proxy.policy.placement import cost
+from mallowpass.core.proxy.storage import EndpointEntry
+from mallowpass.core.proxy.tables import EndpointRow
+
+
+def endpoint(latency: float, in_flight: int = 0, overdue: int = 0) -> EndpointRow:
+    """Return an endpoint of two slots that took so long of late, in seconds."""
+    entry = EndpointEntry("db", "ledger", "db:5432", "casa", 2, False, False, 0)
+    row = EndpointRow(entry, 1)
+    row.latency, row.in_flight, row.overdue = latency, in_flight, overdue
+    return row
+
+
+def near(row: EndpointRow, leads: bool = False, avoided: bool = False) -> float:
+    """Return the cost of an endpoint of the own region."""
+    return cost(row, leads=leads, avoided=avoided, is_near=True)
+
+
+def test_a_calm_region_keeps_its_reads():
+    far = cost(endpoint(0.02), leads=False, avoided=False, is_near=False)
+    assert near(endpoint(0.02, in_flight=4)) < far
+
+
+def test_reads_leave_an_endpoint_that_is_five_times_slower():
+    """Reads of a region are late for as long as its endpoint is slow."""
+    far = cost(endpoint(0.045), leads=False, avoided=False, is_near=False)
+    assert near(endpoint(0.1, in_flight=4)) > far
+
+
+def test_reads_leave_the_primary_to_writes():
+    assert near(endpoint(0.02), leads=True) > near(endpoint(0.02))
+
+
+def test_one_that_did_not_serve_a_statement_is_the_last_choice():
+    assert near(endpoint(0.01), avoided=True) > near(endpoint(0.3, in_flight=4))
+
+
+def test_silence_counts_as_load():
+    assert near(endpoint(0.02, overdue=2)) > near(endpoint(0.02, in_flight=2))
--- /dev/null
+++ b/tests/core/proxy/policy/test_sharing.py
@@ -0,0 +1,46 @@
+"""Plans of connections: every host makes the same one, and none exceeds the limit."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from mallowpass.core.proxy.policy.sharing import make_plan
+from mallowpass.core.proxy.tables import HostRow
+
+DOMAINS = ("casa", "tanger", "agadir")
+
+
+def fleet(size: int) -> list[HostRow]:
+    """Return hosts of three failure domains."""
+    return [
+        HostRow(f"host-{i}", DOMAINS[i % 3], f"host-{i}:7440", 1.0) for i in range(size)
+    ]
+
+
+@pytest.mark.parametrize("size", [1, 2, 7, 9, 24, 86, 300])
+@pytest.mark.parametrize("limit", [8, 16, 26, 55])
+def test_no_plan_exceeds_the_limit(size: int, limit: int):
+    plan = make_plan("ledger", limit, fleet(size), statements=8)
+    holders = size if plan.direct else len(plan.holders)
+    assert holders * plan.share <= limit
+
+
+def test_every_host_makes_the_same_plan():
+    hosts = fleet(86)
+    plan = make_plan("ledger", 26, hosts, statements=8)
+    for seed in range(5):
+        random.Random(seed).shuffle(hosts)
+        assert make_plan("ledger", 26, hosts, statements=8) == plan
+
+
+def test_holders_are_of_all_failure_domains():
+    plan = make_plan("ledger", 26, fleet(86), statements=8)
+    assert {host.domain for host in plan.holders} == set(DOMAINS)
+
+
+def test_small_fleets_share_equally():
+    plan = make_plan("ledger", 16, fleet(7), statements=8)
+    assert plan.direct
+    assert plan.share == 2
