Give holders the connections that a division leaves over

Ruled out: the same where every host has its own share: after a loss of power the dead hosts' connections left too little room (a test of that fails).

Change: the first holders of the plan get one more each.

--- a/mallowpass/core/proxy/holders.py
+++ b/mallowpass/core/proxy/holders.py
@@ -52,7 +52,9 @@
     def share(self, service: str) -> int:
         """Return how many connections this host may hold to each endpoint."""
         plan = self._plan(service)
-        return plan.share if self.holds(service) else 0
+        if not self.holds(service):
+            return 0
+        return plan.share + (self._node.identity.name in plan.favoured)
 
     def holds(self, service: str) -> bool:
         """Tell whether this host connects to a service's endpoints itself."""
--- a/mallowpass/core/proxy/policy/sharing.py
+++ b/mallowpass/core/proxy/policy/sharing.py
@@ -40,6 +40,8 @@
     direct: bool
     share: int  # connections of each holder to each endpoint
     holders: tuple[HostRow, ...] = ()
+    # Holders with one connection more: what is left over when all have their share.
+    favoured: frozenset[str] = frozenset()
 
 
 def make_plan(
@@ -57,7 +59,9 @@
     count = min(usable // SHARE_OF_HOLDER, statements // STATEMENTS_OF_HOLDER)
     holders = _choose(service, hosts, max(1, count))
     share = max(1, usable // len(holders))
-    return Plan(False, share, holders)
+    left_over = max(0, usable - share * len(holders))
+    favoured = frozenset(host.name for host in holders[:left_over])
+    return Plan(False, share, holders, favoured)
 
 
 def _choose(service: str, hosts: Sequence[HostRow], count: int) -> tuple[HostRow, ...]:
