--- a/mallowpass/core/proxy/members.py
+++ b/mallowpass/core/proxy/members.py
@@ -36,9 +36,9 @@
 # shortest bound in use for the last statement that may reach it is 7 seconds.
 LEAVING_MAX = 6.0
 # The same for one that was leaving already when this host first learnt of it. Nobody
-# tells since when: a host that was restarted meanwhile would send statements there until
-# its end. Bounds allow a host that has just started four seconds to learn what holds, at
-# the least.
+# tells since when: a host that was restarted meanwhile would send statements there
+# until its end. Bounds allow a host that has just started four seconds to learn what
+# holds, at the least.
 LEAVING_UNKNOWN_MAX = 3.5
 
 
