Believe only the newest of the entries that say primary

Cause: entries were taken in the order in which the store lists them. One of an endpoint that led long ago may still say primary; believed for a moment, it passed for the target of an order that stood, so that replicas were resumed before the target led. The primary that had returned under another name had commits acknowledged by way of them, which were lost.

Ruled out: the pause itself, and the order, which stood as long as it should.

--- a/mallowpass/core/proxy/members.py
+++ b/mallowpass/core/proxy/members.py
@@ -17,6 +17,7 @@
     UNKNOWN_START,
     EndpointEntry,
     Row,
+    RowKey,
     Table,
     Unreadable,
 )
@@ -69,7 +70,7 @@
 
     def _on_rows(self, rows: tuple[Row, ...], complete: bool) -> None:
         self._known = True
-        for row in rows:
+        for row in _newest_first(rows):
             self._take(row)
         if complete:
             names = {row.key.key for row in rows}
@@ -301,6 +302,21 @@
         self._node.publish(PrimaryChanged(group))
 
 
+def _newest_first(rows: tuple[Row, ...]) -> list[Row]:
+    """Return the newest row of each key, the newest of all first.
+
+    An old entry that still says that its endpoint leads must not be believed for a
+    moment: an order to promote that endpoint would pass for carried out, and replicas
+    be resumed that acknowledge commits of another primary meanwhile.
+    """
+    newest: dict[RowKey, Row] = {}
+    for row in rows:
+        known = newest.get(row.key)
+        if known is None or known.version < row.version:
+            newest[row.key] = row
+    return sorted(newest.values(), key=lambda row: row.version, reverse=True)
+
+
 def _is_of_earlier_start(entry: EndpointEntry, endpoint: EndpointRow) -> bool:
     # The store may carry out a write of an earlier start after those of a later one.
     return UNKNOWN_START < entry.started_at < endpoint.entry.started_at
--- a/tests/core/proxy/test_members.py
+++ b/tests/core/proxy/test_members.py
@@ -409,3 +409,24 @@
         world.run(0.2)
     calls = [(n, c) for host, n, c in world.calls if host == "host-0"]
     assert "db-casa" not in {name for name, call in calls if call.request_id}
+
+
+def test_of_two_that_say_that_they_lead_only_the_newer_one_is_believed(world):
+    """Symptom: an acknowledged write is lost where a primary returns with its log under
+    another name, after the store was away.
+
+    Sequence: a host orders a promotion, and then reads entries in the order of their
+    versions; the target's entry is old, and still says that it leads.
+    Cause: believed for a moment, it passed for promoted. The replicas were resumed
+    while its order stood, and acknowledged commits of the primary that had returned.
+    """
+    host = world.hosts[0]
+    host.cut_from.add("store")
+    for name in ("db-tanger", "db-agadir"):
+        world.put_entry(replace(world.entry(name), is_primary=True))
+    before = len(host.logged("primary_believed"))
+    host.cut_from.discard("store")
+    world.run(8.0)
+    believed = [line["primary"] for line in host.logged("primary_believed")[before:]]
+    assert "db-tanger" not in believed
+    assert "db-agadir" in believed
