End calls for changes within the time that hosts have after a disruption

Cause: a store that was silent for some seconds never answers the calls that came meanwhile, and their connections stay open. Hosts waited 32 s for each.

Ruled out: the attempts to replace it (none was made for its leaving), and the time for endpoints that are leaving when a host starts.

Change: the wait is the time that the settings give hosts after a disruption, less the time that an answer may be late: 2.5 to 6.5 s in place of 29 s. The list of hosts is not urgent.

--- a/mallowpass/core/proxy/store.py
+++ b/mallowpass/core/proxy/store.py
@@ -21,10 +21,10 @@
 __all__ = ["Store", "Watch"]
 
 CALL_TIMEOUT = 1.5  # seconds; an answer takes some 10 ms, and 60 times that when slow
-# How long one call waits for changes: each call is charged. Changes come at once, and
-# a connection that goes silent is found by keep-alive probes long before.
-WATCH_WAIT = 29.0
-WATCH_SLACK = 3.0  # seconds that the answer to such a call may be late
+# Seconds that one call waits for changes at the most: each call is charged.
+WATCH_WAIT_MAX = 29.0
+WATCH_WAIT_MIN = 1.0
+WATCH_SLACK = 1.5  # seconds that the answer to such a call may be late
 BACKOFF_MIN = 0.1  # seconds after a first failure; doubled by each further one
 BACKOFF_MAX = 2.0
 # How long a call waits for changes while the store fails: its answer is to tell soon
@@ -134,6 +134,21 @@
         pause = self._node.backoff(failures, BACKOFF_MIN, BACKOFF_MAX)
         self.timers.after(pause, again)
 
+    def watch_wait(self, table: Table) -> float:
+        """Return how long one call waits for changes of a table, in seconds.
+
+        A store that was silent for a while never answers a call that came meanwhile,
+        and its connection stays open: nothing tells that but the end of the wait. Until
+        then this host goes by an old configuration, and sends statements to endpoints
+        that have left. So it ends within the time that hosts have after a disruption.
+        """
+        if self.failing_since is not None:
+            return PROBE_WAIT
+        if table is Table.HOSTS:
+            return WATCH_WAIT_MAX
+        wait = self.tables.settle_time - WATCH_SLACK
+        return min(WATCH_WAIT_MAX, max(WATCH_WAIT_MIN, wait))
+
     def changes_gap(self, table: Table) -> float:
         """Return for how long further changes are waited for after some came."""
         starting = self.now < self._started_at + FIRST_START_TURNS
@@ -203,7 +218,7 @@
         self._follow()
 
     def _follow(self) -> None:
-        wait = WATCH_WAIT if self._store.failing_since is None else PROBE_WAIT
+        wait = self._store.watch_wait(self._table)
         call = WatchRows(self._table, self._version, wait)
         self._store.call(call, self._on_changes, wait + WATCH_SLACK)
 
--- a/mallowpass/platform/runtime.py
+++ b/mallowpass/platform/runtime.py
@@ -101,7 +101,11 @@
         identity = _identity(settings, seed)
         # A platform that checks fences also takes the lead from a primary at once; one
         # that does not has it go on until it hears of its successor.
-        tables = ProxyTables(settings.first_start, lead_is_taken=settings.fences)
+        tables = ProxyTables(
+            settings.first_start,
+            lead_is_taken=settings.fences,
+            settle_time=settings.settle_time,
+        )
         self._node = Node(identity, Tuning(), seed, now, tables)
         self._node.on_error = self._on_error
         self._callers = CallerServer(self.handle)
--- a/mallowpass/platform/settings.py
+++ b/mallowpass/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 import re
 import tomllib
@@ -13,6 +14,7 @@
 SETTINGS_VARIABLE = "MALLOWPASS_NODE_FILE"
 _PORT = re.compile("[0-9]{1,5}")
 _PORT_MAX = 65535
+SETTLE_TIME = 4.0  # seconds, where the bounds name none: the shortest in use
 
 
 class SettingsError(Exception):
@@ -55,6 +57,8 @@
     capacity: float = 1.0  # cores
     first_start: bool = False  # the whole fleet starts for the first time
     fences: bool = False  # the platform refuses orders of whoever was overtaken
+    # Until then after a disruption this host may go by what held before it.
+    settle_time: float = SETTLE_TIME
 
 
 def settings_path() -> str:
@@ -102,6 +106,16 @@
             return 1.0
         return float(value)
 
+    def optional_milliseconds(default: float, *keys: str) -> float:
+        value = _find(fields, keys)
+        if value is None:
+            return default
+        is_number = isinstance(value, int | float) and not isinstance(value, bool)
+        if not is_number or not 0 < value < math.inf:
+            findings.append(f"{'.'.join(keys)}: not a positive number: {value!r}")
+            return default
+        return float(value) / 1000.0
+
     regions = _find(fields, ("zones",))
     orders = address("cloud", "address") if "cloud" in fields else None
     callers = address("listen", "front")
@@ -118,6 +132,7 @@
         capacity=_capacity(fields),
         first_start=_find(fields, ("bootstrap",)) is True,
         fences=_find(fields, ("bounds", "requireFencing")) is True,
+        settle_time=optional_milliseconds(SETTLE_TIME, "bounds", "contactMs"),
     )
 
 
--- a/tests/core/proxy/test_store.py
+++ b/tests/core/proxy/test_store.py
@@ -5,6 +5,8 @@
 from mallowpass.core.proxy.statements import Code, Read, Write
 from tests.fakes.proxyworld import CONFIGURATION_KEY, ProxyWorld, configuration
 
+SETTLE_TIME = 6.0  # seconds after a disruption, as the hosts of this world are told
+
 
 def _versions(world: ProxyWorld) -> set[int]:
     return {host.tables.configuration.version for host in world.hosts}
@@ -123,3 +125,26 @@
     world.run(1.0)
     assert _versions(world) == {26}
     assert world.store.calls - before < 8 * len(world.hosts)
+
+
+def test_change_after_a_silent_outage_is_learnt_in_time():
+    """Symptom: statements reach an endpoint ten seconds after it said that it leaves,
+    and nobody replaces it, though it is the primary.
+
+    Sequence: the store answers nothing for four seconds. A host asks for changes
+    meanwhile; the store is back and never answers that call.
+    Cause: hosts waited for its answer for 32 seconds, and learnt of no change.
+    """
+    world = ProxyWorld()
+    world.store.faults.silent = True
+    world.store.put(CONFIGURATION_KEY, configuration(2))
+    world.enter(world.group.replicas["db-tanger"])
+    world.run(4.0)
+    world.store.faults.silent = False
+    world.run(SETTLE_TIME)
+    world.enter(world.group.replicas["db-agadir"], draining=True)
+    world.store.put(CONFIGURATION_KEY, configuration(3))
+    world.run(1.0)
+    assert _versions(world) == {3}
+    for host in world.hosts:
+        assert host.tables.endpoints["db-agadir"].entry.draining
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -76,3 +76,16 @@
     roles = tomllib.loads(deploy.read_text())["roles"]
     (role,) = roles.values()
     assert role["metrics"] == f"{METRICS_PORT}{METRICS_PATH}"
+
+
+@pytest.mark.parametrize(("line", "seconds"), [("contactMs = 8000", 8.0), ("", 4.0)])
+def test_settle_time(tmp_path, line, seconds):
+    text = TEXT.replace("graceS = 6", f"graceS = 6\n{line}")
+    assert _load(tmp_path, text).settle_time == seconds
+
+
+@pytest.mark.parametrize("value", ["0", "-1", "true", '"8000"', "nan", "inf"])
+def test_settle_time_that_is_none(tmp_path, value):
+    text = TEXT.replace("graceS = 6", f"graceS = 6\ncontactMs = {value}")
+    with pytest.raises(SettingsError, match="contactMs"):
+        _load(tmp_path, text)
