Follow the store by way of two relays in each large failure domain

Cause: each host waited at the store for changes of three tables.

Ruled out: longer waits (a lost answer is then noticed late), and not following at all.

Change: two hosts of each failure domain of five or more wait at the store and answer the others in its form. A follower goes to the next relay as soon as one does not answer in 1.5 s or says that it does not follow, and in the end to the store. Only what a host has from the store itself is passed on. While the store does not answer, followers ask it more rarely.

Virtual time: a calm minute at 24 hosts takes less than a third of the calls.

Tests: relays that end, stop, freeze, are turned away or cut off from the store; followers that go to another one; what a relay answers; bad input.

--- a/mallowpass/core/proxy/effects.py
+++ b/mallowpass/core/proxy/effects.py
@@ -17,12 +17,13 @@
     FloorHint,
     LogPosition,
 )
-from mallowpass.core.proxy.storage import StoreCall
+from mallowpass.core.proxy.storage import StoreCall, StoreReply
 from mallowpass.core.records import record
 
 __all__ = [
     "AcceptLink",
     "AcceptSession",
+    "AnswerFeed",
     "AnswerLink",
     "AnswerStatement",
     "CallStore",
@@ -142,11 +143,23 @@
 
 @record
 class CallStore(ProxyEffect):
-    """Call the store; StoreAnswered with this number follows always."""
+    """Call the store; StoreAnswered with this number follows always.
+
+    `relay` is the address of another host that answers in its place; empty: none.
+    """
 
     call: int
     request: StoreCall
     timeout: float
+    relay: str = ""
+
+
+@record
+class AnswerFeed(ProxyEffect):
+    """Tell another host what it asked this one for."""
+
+    feed: int
+    reply: StoreReply
 
 
 @record
--- a/mallowpass/core/proxy/events.py
+++ b/mallowpass/core/proxy/events.py
@@ -14,7 +14,7 @@
     LogPosition,
     Statement,
 )
-from mallowpass.core.proxy.storage import StoreReply
+from mallowpass.core.proxy.storage import StoreReply, Table
 from mallowpass.core.records import record
 
 __all__ = [
@@ -22,6 +22,7 @@
     "ConnectionRefused",
     "ConnectionReady",
     "EndpointAnswered",
+    "FeedAsked",
     "LinkCalled",
     "LinkClosed",
     "LinkOpened",
@@ -122,6 +123,16 @@
     link: int
 
 
+@record
+class FeedAsked(ProxyEvent):
+    """Another host waits for changes of a table after a version, `wait` seconds."""
+
+    feed: int
+    table: Table
+    after: int
+    wait: float
+
+
 @record
 class StoreAnswered(ProxyEvent):
     """The store answered a call, or failed to."""
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -11,6 +11,7 @@
 from mallowpass.core.proxy.discovery import Discovery
 from mallowpass.core.proxy.draining import Draining
 from mallowpass.core.proxy.durability import Durability
+from mallowpass.core.proxy.feeds import Feeds
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.hosts import Hosts
@@ -21,6 +22,7 @@
 from mallowpass.core.proxy.ordering import Ordering
 from mallowpass.core.proxy.overdue import Overdue
 from mallowpass.core.proxy.promotion import Promotion
+from mallowpass.core.proxy.relays import Relays
 from mallowpass.core.proxy.relief import Relief
 from mallowpass.core.proxy.repair import Repair
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
@@ -41,6 +43,8 @@
 __all__ = ["SYSTEMS"]
 
 SYSTEMS = (
+    Relays,
+    Feeds,
     Store,
     Holders,
     Shares,
--- a/mallowpass/core/proxy/storage.py
+++ b/mallowpass/core/proxy/storage.py
@@ -78,11 +78,15 @@
 
 @record
 class Row:
-    """Hold a row; `version` is 0, and `value` None, for one that does not exist."""
+    """Hold a row; `version` is 0, and `value` None, for one that does not exist.
+
+    `encoded` is the value as the store keeps it, to be passed on to other hosts.
+    """
 
     key: RowKey
     version: int = 0
     value: Configuration | EndpointEntry | Unreadable | str | None = None
+    encoded: str = ""
 
 
 # -- Calls -------------------------------------------------------------------
@@ -134,10 +138,14 @@
 
 @record
 class StoreReply:
-    """Answer a call; `time` is the store's steady clock in seconds."""
+    """Answer a call; `time` is the store's steady clock in seconds.
+
+    `whole` tells that the rows are all that a table has.
+    """
 
     status: StoreStatus
     rows: tuple[Row, ...] = ()
     version: int = 0
-    time: float = 0.0
+    time: float = 0.0  # 0: another host answered
     message: str = ""
+    whole: bool = False
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -314,6 +314,8 @@
     lead_is_taken: bool = False  # from a primary, at the moment its successor leads
     # Seconds after a disruption until which hosts may go by what held before.
     settle_time: float = 6.0
+    # Seconds within which a change of the configuration must be in force at all hosts.
+    apply_time: float = 6.0
     configuration: Configuration | None = None
     endpoints: dict[str, EndpointRow] = field(default_factory=dict)  # by name
     endpoints_version: int = 0  # grows when one is new, or has other slots
--- a/mallowpass/platform/runtime.py
+++ b/mallowpass/platform/runtime.py
@@ -28,6 +28,7 @@
 from mallowpass.platform.logs import LogWriter
 from mallowpass.platform.metrics import Metrics
 from mallowpass.platform.orders import OrderClient
+from mallowpass.platform.relays import FeedServer, RelayClients
 from mallowpass.platform.settings import (
     Address,
     HostSettings,
@@ -65,6 +66,7 @@
         "_aborted",
         "_callers",
         "_endpoints",
+        "_feeds",
         "_http",
         "_links",
         "_log",
@@ -74,6 +76,7 @@
         "_orders",
         "_path",
         "_ready",
+        "_relays",
         "_settings",
         "_stopped",
         "_store",
@@ -105,6 +108,8 @@
             settings.first_start,
             lead_is_taken=settings.fences,
             settle_time=settings.settle_time,
+            # Without a port for it nobody can follow the store by way of another.
+            apply_time=0.0 if settings.feeds is None else settings.apply_time,
         )
         self._node = Node(identity, Tuning(), seed, now, tables)
         self._node.on_error = self._on_error
@@ -112,6 +117,8 @@
         self._links = LinkServer(self.handle)
         self._endpoints = EndpointConnections(settings.name, self.handle)
         self._store = StoreClient(settings.store)
+        self._feeds = FeedServer(self.handle)
+        self._relays = RelayClients(settings.feeds)
         self._orders = None
         if settings.orders is not None:
             self._orders = OrderClient(settings.orders, settings.name)
@@ -134,6 +141,8 @@
         await self._metrics_http.start(Address(self._settings.ready.host, METRICS_PORT))
         if self._settings.peers is not None:
             await self._links.start(self._settings.peers)
+        if self._settings.feeds is not None:
+            await self._feeds.start(self._settings.feeds)
         await self._callers.start(self._settings.callers)
         self._log.write(
             "info",
@@ -160,6 +169,7 @@
         self._aborted = True
         self._http.close()
         self._metrics_http.close()
+        self._feeds.close()
         self._callers.abort()
         self._links.abort()
         for task in self._tasks:
@@ -282,9 +292,16 @@
         self._spawn(self._call_store(effect))
 
     async def _call_store(self, effect: effects.CallStore) -> None:
-        reply = await self._store.call(effect.request, effect.timeout)
+        client = self._store
+        if effect.relay:
+            client = self._relays.client(effect.relay)
+        reply = await client.call(effect.request, effect.timeout)
         self.handle(StoreAnswered(effect.call, reply))
 
+    @_apply.register
+    def _(self, effect: effects.AnswerFeed) -> None:
+        self._feeds.answer(effect.feed, effect.reply)
+
     @_apply.register
     def _(self, effect: effects.OrderPromotion) -> None:
         self._spawn(self._order(effect))
--- a/mallowpass/platform/settings.py
+++ b/mallowpass/platform/settings.py
@@ -14,7 +14,12 @@
 SETTINGS_VARIABLE = "MALLOWPASS_NODE_FILE"
 _PORT = re.compile("[0-9]{1,5}")
 _PORT_MAX = 65535
-SETTLE_TIME = 4.0  # seconds, where the bounds name none: the shortest in use
+# Seconds, where the bounds name none: the shortest in use.
+SETTLE_TIME = 4.0
+APPLY_TIME = 3.0
+# Which of the ports that are free for use among hosts is for what.
+_LINKS_PORT = 0
+_FEEDS_PORT = 1
 
 
 class SettingsError(Exception):
@@ -57,8 +62,13 @@
     capacity: float = 1.0  # cores
     first_start: bool = False  # the whole fleet starts for the first time
     fences: bool = False  # the platform refuses orders of whoever was overtaken
+    feeds: Address | None = (
+        None  # where other hosts may follow the store; None: nowhere
+    )
     # Until then after a disruption this host may go by what held before it.
     settle_time: float = SETTLE_TIME
+    # Within that a change of the configuration must be in force.
+    apply_time: float = APPLY_TIME
 
 
 def settings_path() -> str:
@@ -128,20 +138,26 @@
         store=address("platform", "address"),
         orders=orders,
         grace=seconds("bounds", "graceS"),
-        peers=_peers_address(fields, callers),
+        peers=_peers_address(fields, callers, _LINKS_PORT),
+        feeds=_peers_address(fields, callers, _FEEDS_PORT),
         capacity=_capacity(fields),
         first_start=_find(fields, ("bootstrap",)) is True,
         fences=_find(fields, ("bounds", "requireFencing")) is True,
         settle_time=optional_milliseconds(SETTLE_TIME, "bounds", "contactMs"),
+        apply_time=optional_milliseconds(APPLY_TIME, "bounds", "configApplyMs"),
     )
 
 
-def _peers_address(fields: dict[str, Any], callers: Address) -> Address | None:
+def _peers_address(
+    fields: dict[str, Any], callers: Address, index: int
+) -> Address | None:
     # The first and the last port that are free for use among hosts.
     ports = _find(fields, ("internalPorts",))
     if not isinstance(ports, list) or not ports or not isinstance(ports[0], int):
         return None
-    return Address(callers.host, ports[0])
+    if index and not (isinstance(ports[-1], int) and ports[0] + index <= ports[-1]):
+        return None
+    return Address(callers.host, ports[0] + index)
 
 
 def _capacity(fields: dict[str, Any]) -> float:
--- a/mallowpass/platform/store.py
+++ b/mallowpass/platform/store.py
@@ -6,7 +6,7 @@
 import json
 from functools import singledispatchmethod
 from typing import Any
-from urllib.parse import urlencode
+from urllib.parse import parse_qsl, urlencode
 
 from mallowpass.core.proxy.storage import (
     ChangeRows,
@@ -28,7 +28,20 @@
 from mallowpass.platform.http import HttpClient, HttpError, Request, Response
 from mallowpass.platform.settings import Address
 
-__all__ = ["TABLES", "TABLE_NAMES", "StoreClient", "decode_rows"]
+__all__ = [
+    "FEED_PATH",
+    "TABLES",
+    "TABLE_NAMES",
+    "StoreClient",
+    "decode_rows",
+    "parse_watch",
+    "render_rows",
+]
+
+FEED_PATH = "/v1/rows-feed"
+_WHOLE = "whole"  # a field between hosts: the rows are all that a table has
+_DIGITS_MAX = 18  # of a number that another host sends
+_UNAVAILABLE = 503
 
 # The platform's own tables have fixed names; those of the fleet are ours to name.
 TABLE_NAMES = {
@@ -101,7 +114,7 @@
             "after": call.after,
             "waitMs": int(call.wait * 1000),
         }
-        request = Request("GET", f"/v1/rows-feed?{urlencode(query)}")
+        request = Request("GET", f"{FEED_PATH}?{urlencode(query)}")
         response = await self._client.call(request, timeout)
         return _reply(response)
 
@@ -134,6 +147,7 @@
         tuple(decode_rows(body)),
         body.get("ver", 0),
         _time(body),
+        whole=body.get(_WHOLE) is True,
     )
 
 
@@ -149,10 +163,47 @@
         if item.get("removed") or "value" not in item:
             rows.append(Row(key, item.get("ver", 0)))
         else:
-            rows.append(Row(key, item["ver"], _value(key, item["value"])))
+            encoded = item["value"] if isinstance(item["value"], str) else ""
+            rows.append(Row(key, item["ver"], _value(key, item["value"]), encoded))
     return rows
 
 
+# -- What other hosts are told, in the form of the store's own answers ---------
+
+
+def parse_watch(target: str) -> WatchRows | None:
+    """Read what another host waits for; None if it is not as `StoreClient` asks."""
+    path, _, query = target.partition("?")
+    fields = dict(parse_qsl(query))
+    table = TABLES.get(fields.get("table", ""))
+    after, wait = fields.get("after", ""), fields.get("waitMs", "")
+    if path != FEED_PATH or table is None:
+        return None
+    if not (_is_number(after) and _is_number(wait)):
+        return None
+    return WatchRows(table, int(after), int(wait) / 1000.0)
+
+
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= _DIGITS_MAX
+
+
+def render_rows(reply: StoreReply) -> Response:
+    """Return the answer that tells another host of rows."""
+    if reply.status is not StoreStatus.DONE:
+        return Response(_UNAVAILABLE)
+    rows = [_item(row) for row in reply.rows]
+    body = {"rows": rows, "ver": reply.version, _WHOLE: reply.whole}
+    return Response(200, json.dumps(body, separators=(",", ":")).encode())
+
+
+def _item(row: Row) -> dict[str, Any]:
+    item = _key(row.key) | {"ver": row.version}
+    if row.value is None:
+        return item | {"removed": True}
+    return item | {"value": row.encoded}
+
+
 def _failure(response: Response) -> StoreReply:
     status = StoreStatus.UNKNOWN
     if response.status in _REFUSALS:
--- a/tests/core/proxy/test_links.py
+++ b/tests/core/proxy/test_links.py
@@ -38,6 +38,7 @@
 
 LIMIT = 22
 HOSTS = 24
+NO_RELAYS = 3.0  # seconds: each host learns of changes by itself
 
 
 @pytest.fixture
@@ -344,7 +345,7 @@
     Sequence: calls wait at a holder for a connection, and the endpoint starts again.
     Cause: the link is closed with the calls still unanswered.
     """
-    world = ProxyWorld(hosts=HOSTS)
+    world = ProxyWorld(hosts=HOSTS, apply_time=NO_RELAYS)
     world.run(4.0)
     caller = world.caller(_other(world), "strict")
     assert caller.run(Write("a 1")).code is Code.DONE
--- /dev/null
+++ b/tests/core/proxy/test_relays.py
@@ -0,0 +1,222 @@
+"""Hosts of a large fleet that follow the store by way of others."""
+
+from __future__ import annotations
+
+import pytest
+
+from mallowpass.core.proxy.feeds import REMOVED_MAX, Feeds
+from mallowpass.core.proxy.relays import FAILED_TIME, Relays
+from mallowpass.core.proxy.storage import (
+    Row,
+    RowKey,
+    StoreReply,
+    StoreStatus,
+    Table,
+)
+from tests.fakes.proxyhosts import Host
+from tests.fakes.proxyworld import CONFIGURATION_KEY, ProxyWorld, configuration
+
+HOSTS = 24
+CALM = 60.0  # seconds
+NO_RELAYS = 3.0  # seconds within which changes must be in force: too few for relays
+APPLY_TIME = 5.0  # seconds within which a change must be in force everywhere
+
+
+@pytest.fixture
+def world() -> ProxyWorld:
+    world = ProxyWorld(hosts=HOSTS)
+    world.run(8.0)
+    return world
+
+
+def _relays(world: ProxyWorld) -> list[Host]:
+    hosts = world.hosts
+    return [host for host in hosts if not host.node.system(Relays).has_relays]
+
+
+def _followers(world: ProxyWorld) -> list[Host]:
+    return [host for host in world.hosts if host.node.system(Relays).has_relays]
+
+
+def _change(world: ProxyWorld, version: int) -> None:
+    world.store.put(CONFIGURATION_KEY, configuration(version))
+
+
+def _versions(hosts: list[Host]) -> set[int]:
+    return {host.tables.configuration.version for host in hosts if not host.exited}
+
+
+def test_calls_on_a_calm_day_are_those_of_the_relays(world):
+    """Symptom: half of what a calm day costs at 195 hosts are calls to the store.
+
+    Sequence: nothing happens. Cause: each host waited there for changes of each table.
+    """
+    before = world.store.calls
+    world.run(CALM)
+    calls = world.store.calls - before
+    assert len(_relays(world)) == 6
+    alone = ProxyWorld(hosts=HOSTS, apply_time=NO_RELAYS)
+    alone.run(8.0)
+    before = alone.store.calls
+    alone.run(CALM)
+    assert calls <= (alone.store.calls - before) / 3
+
+
+def test_first_start_takes_four_calls_of_a_host():
+    world = ProxyWorld(hosts=HOSTS, first_start=True)
+    world.run(6.0)
+    assert all(host.ready for host in world.hosts)
+    watches = 3 * len(_relays(world))
+    assert world.store.calls <= 4 * HOSTS + 2 * watches
+
+
+def test_a_change_is_known_everywhere_at_once(world):
+    _change(world, 2)
+    world.run(0.1)
+    assert _versions(world.hosts) == {2}
+
+
+def test_a_relay_that_ends_is_left_at_once(world):
+    dead = _relays(world)[0]
+    world.kill(world.hosts.index(dead))
+    world.run(0.6)
+    _change(world, 2)
+    world.run(0.6)
+    assert _versions(world.hosts) == {2}
+
+
+def test_a_relay_that_stops_is_left_at_once(world):
+    _relays(world)[0].stop()
+    _change(world, 2)
+    world.run(0.1)
+    assert _versions(world.hosts) == {2}
+
+
+def test_relays_that_freeze_are_left_in_time(world):
+    """Symptom: hosts that nothing ails go by an old configuration.
+
+    Sequence: both relays of a failure domain freeze; their sockets stay open.
+    Cause: their followers waited for an answer that could not come.
+    """
+    frozen = [host for host in _relays(world) if host.domain == "casa"]
+    for relay in frozen:
+        relay.frozen = True
+    _change(world, 2)
+    world.run(APPLY_TIME)
+    assert _versions([h for h in world.hosts if h not in frozen]) == {2}
+
+
+def test_a_relay_that_the_store_turns_away_is_left(world):
+    """Symptom: hosts that nothing ails go by an old configuration.
+
+    Sequence: the store turns both relays of a failure domain away.
+    Cause: these answered on that nothing had changed.
+    """
+    cut = [host for host in _relays(world) if host.domain == "casa"]
+    world.store.faults.turned_away = {host.name for host in cut}
+    world.run(8.0)
+    _change(world, 2)
+    world.run(1.0)
+    assert _versions([h for h in world.hosts if h not in cut]) == {2}
+
+
+def test_a_relay_that_is_cut_from_the_store_is_left_once_it_notices(world):
+    cut = [host for host in _relays(world) if host.domain == "casa"]
+    for relay in cut:
+        relay.cut_from.add("store")
+    _change(world, 2)
+    world.run(8.0)
+    assert _versions([h for h in world.hosts if h not in cut]) == {2}
+
+
+def test_an_outage_is_looked_at_by_few_calls(world):
+    before = world.store.calls
+    world.store.refuse_all()
+    world.run(9.0)
+    assert world.store.calls - before < 8 * HOSTS
+    world.store.faults.refusing = False
+    _change(world, 2)
+    world.run(4.5)
+    assert _versions(world.hosts) == {2}
+
+
+def test_a_host_that_the_store_turns_away_learns_by_its_relay(world):
+    host = _followers(world)[0]
+    world.store.faults.turned_away = {host.name}
+    _change(world, 2)
+    world.run(0.1)
+    assert _versions([host]) == {2}
+
+
+def test_a_follower_that_goes_to_another_relay_misses_nothing(world):
+    host = _followers(world)[0]
+    near = [relay for relay in _relays(world) if relay.domain == host.domain]
+    for version, relay in enumerate(2 * near, 2):
+        for other in near:
+            host.cut_from.discard(other.name)
+        host.cut_from.add(relay.name)
+        _change(world, version)
+        world.run(2.0 + FAILED_TIME)
+        assert _versions([host]) == {version}
+
+
+def test_hosts_that_come_and_go_change_few_relays(world):
+    before = {host.name for host in _relays(world)}
+    leaving = next(h for h in _followers(world) if h.domain == "casa")
+    leaving.stop()
+    world.run(15.0)
+    assert {host.name for host in _relays(world)} - {leaving.name} == before
+
+
+# -- What a relay answers ----------------------------------------------------
+
+
+def _reply(version: int, *names: str, whole: bool = False, gone: bool = False):
+    rows = [
+        Row(RowKey(Table.HOSTS, "", name), version, None if gone else "text")
+        for name in names
+    ]
+    return StoreReply(StoreStatus.DONE, tuple(rows), version, whole=whole)
+
+
+@pytest.fixture
+def feeds() -> Feeds:
+    world = ProxyWorld()
+    feeds = world.hosts[0].node.system(Feeds)
+    feeds.learnt(Table.HOSTS, _reply(10, "a", "b", whole=True), by_relay=False)
+    return feeds
+
+
+def _told(feeds: Feeds, after: int) -> tuple[list[str], bool]:
+    reply = feeds._changes(feeds._copies[Table.HOSTS], after)
+    return [row.key.key for row in reply.rows], reply.whole
+
+
+def test_changes_after_a_version_are_told(feeds):
+    feeds.learnt(Table.HOSTS, _reply(12, "c"), by_relay=False)
+    assert _told(feeds, 10) == (["c"], False)
+    assert _told(feeds, 12) == ([], False)
+
+
+def test_whoever_knows_too_little_is_told_the_whole_table(feeds):
+    assert _told(feeds, 9) == (["a", "b"], True)
+
+
+def test_removed_rows_are_told_and_are_no_part_of_the_whole(feeds):
+    feeds.learnt(Table.HOSTS, _reply(13, "a", gone=True), by_relay=False)
+    assert _told(feeds, 10) == (["a"], False)
+    assert _told(feeds, 1) == (["b"], True)
+
+
+def test_a_follower_that_knows_more_is_told_nothing_older(feeds):
+    assert _told(feeds, 99) == ([], False)
+
+
+def test_removed_rows_are_not_kept_for_ever(feeds):
+    for number in range(REMOVED_MAX + 5):
+        gone = _reply(20 + number, f"n{number}", gone=True)
+        feeds.learnt(Table.HOSTS, gone, by_relay=False)
+    copy = feeds._copies[Table.HOSTS]
+    assert len(copy.rows) == REMOVED_MAX + 2
+    assert _told(feeds, 22)[1]
+    assert not _told(feeds, 24)[1]
--- a/tests/fakes/proxyhosts.py
+++ b/tests/fakes/proxyhosts.py
@@ -100,6 +100,7 @@
         self.given_up: set[int] = set()  # closed while they were being opened
         self.ready = False
         self.exited = False
+        self.frozen = False  # it runs nothing
         self.accepting = True
         self.cut_from: set[str] = set()  # members, the store and the orders
         self.logs: list[effects.Log] = []
@@ -110,7 +111,11 @@
         identity = HostIdentity(name, domain, 0, address, seed, domains)
         now = world.timers.now
         lead_is_taken = world.fences and not world.group.goes_on
-        tables = ProxyTables(world.first_start, lead_is_taken=lead_is_taken)
+        tables = ProxyTables(
+            world.first_start,
+            lead_is_taken=lead_is_taken,
+            apply_time=world.apply_time,
+        )
         self.node = Node(identity, Tuning(), seed, now, tables)
         self._wake_at: float | None = None
         self._carry_out(self.node.start(SYSTEMS))
@@ -126,7 +131,7 @@
 
     def deliver(self, event: Event | ProxyEvent) -> None:
         """Deliver an event now."""
-        if not self.exited:
+        if not self.exited and not self.frozen:
             self._carry_out(self.node.handle(self.world.timers.now, event))
 
     def later(self, delay: float, event: Event | ProxyEvent) -> None:
@@ -140,7 +145,7 @@
     def _wake(self, due: float) -> None:
         if self._wake_at == due:
             self._wake_at = None
-            if not self.exited:
+            if not self.exited and not self.frozen:
                 self._carry_out(self.node.wake(self.world.timers.now))
 
     def _carry_out(self, todo: list[Effect | effects.ProxyEffect]) -> None:
@@ -300,10 +305,17 @@
                 reply = StoreReply(StoreStatus.UNKNOWN, message="no answer")
                 self.deliver(StoreAnswered(effect.call, reply))
 
+        if effect.relay:
+            self.world.ask_relay(self, effect)
+            return
         if "store" not in self.cut_from:
             self.world.store.call(self.name, effect.request, answer)
         self.world.timers.after(effect.timeout, time_out)
 
+    @_apply.register
+    def _(self, effect: effects.AnswerFeed) -> None:
+        self.world.answer_feed(self, effect)
+
     @_apply.register
     def _(self, effect: effects.OrderPromotion) -> None:
         accepted, outdated = self.world.order(self, effect)
--- a/tests/fakes/proxyworld.py
+++ b/tests/fakes/proxyworld.py
@@ -13,16 +13,21 @@
     Route,
     ServiceLimits,
 )
+from mallowpass.core.proxy.effects import AnswerFeed
 from mallowpass.core.proxy.events import (
     ConnectionLost,
     ConnectionRefused,
+    FeedAsked,
     LinkClosed,
     LinkOpened,
+    StoreAnswered,
 )
 from mallowpass.core.proxy.statements import Code, EndpointReply
 from mallowpass.core.proxy.storage import (
     EndpointEntry,
     RowKey,
+    StoreReply,
+    StoreStatus,
     Table,
     Unreadable,
 )
@@ -79,9 +84,11 @@
         seed: int = 1,
         first_start: bool = False,
         fences: bool = True,
+        apply_time: float = 6.0,
         **group: Any,
     ) -> None:
         self.first_start = first_start
+        self.apply_time = apply_time  # less than some seconds: there are no relays
         self.fences = fences  # orders of whoever was overtaken are refused
         self.timers = TimerService()
         self.random = random.Random(seed)
@@ -96,6 +103,7 @@
         self._numbers = 0
         self.links: dict[tuple[str, int], Link] = {}  # by host and connection
         self.all_links: dict[int, Link] = {}
+        self._feeds: dict[int, tuple[Host, int]] = {}  # who asked, and its call
         self.store = RowStore(self.timers, seed)
         names = ["db-casa", "db-tanger", "db-agadir"]
         self.group = Group(SERVICE, names, self.timers, **group)
@@ -136,6 +144,35 @@
         opened = LinkOpened(link.number, host.name, effect.service, effect.endpoint)
         holder.deliver(opened)
 
+    # -- Relays --------------------------------------------------------------
+
+    def ask_relay(self, host: Host, effect: effects.CallStore) -> None:
+        """Have a host wait for changes at another one."""
+        name = effect.relay.partition(":")[0]
+        relay = next((h for h in self.hosts if h.name == name), None)
+        number = self.number()
+        self._feeds[number] = (host, effect.call)
+        reply = StoreReply(StoreStatus.REFUSED, message="no answer")
+        unanswered = AnswerFeed(number, reply)
+        self.timers.after(effect.timeout, self.answer_feed, relay, unanswered)
+        if relay is None or relay.exited:
+            self.timers.after(2 * LINK, self.answer_feed, relay, unanswered)
+        elif not self._is_cut(host, relay):
+            call = effect.request
+            relay.later(LINK, FeedAsked(number, call.table, call.after, call.wait))
+
+    def answer_feed(self, relay: Host | None, effect: AnswerFeed) -> None:
+        """Pass on what a host answers another one that follows it."""
+        if effect.feed not in self._feeds:
+            return
+        host, call = self._feeds[effect.feed]
+        del self._feeds[effect.feed]
+        host.later(LINK, StoreAnswered(call, effect.reply))
+
+    @staticmethod
+    def _is_cut(host: Host, relay: Host) -> bool:
+        return relay.name in host.cut_from or host.name in relay.cut_from
+
     def link(self, number: int) -> Link:
         """Return a link by its number."""
         return self.all_links[number]
