Tell a holder that can't reach an endpoint from one that is full

Cause: a holder that was cut from an endpoint had calls wait 0.2 s for a connection that could not come, and refused them as for want of room. Whoever asked took that for load, and had the same holder tried again: one host of six took a service's reads from a sixth of the fleet.

Ruled out: load (the endpoints had free slots); a holder that does not answer at all, which was passed over already.

Change: a typed reason, UNREACHABLE, at once, with the holder's name; also where a link is opened, and for what waits when an attempt to reach the endpoint fails. Whoever asked passes that holder over for that endpoint alone for two seconds, closes its links there, and sends the statement by the next holder: it did not run. An endpoint that uses the word itself promises nothing by it.

Tests fail before: reads, and a write that runs once, by way of a holder that is cut off.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from mallowpass.core.messages import ConnectionLost
 from mallowpass.core.proxy.durability import Durability
@@ -267,9 +268,7 @@
             message=event.message,
             open=len(endpoint.connections),
         )
-        if connection.holder and self._holders.holds(endpoint.entry.service):
-            # That host is short of connections itself; it says nothing of the endpoint.
-            self._holders.failed(connection.holder)
+        if connection.holder and self._pass_over(connection, event.code):
             return
         if event.code is Code.TOO_MANY_CONNECTIONS:
             pause = FULL_BACKOFF * self._node.random.uniform(1.0, 2.0)
@@ -278,12 +277,29 @@
             pause = self._node.backoff(endpoint.failures, BACKOFF_MIN, BACKOFF_MAX)
         endpoint.refused_until = self.now + pause
         if connection.holder:
-            # Another holder may well reach it: that is no evidence of its end.
-            self._holders.failed(connection.holder)
+            pass  # what a holder fails to reach is no evidence of the endpoint's end
         elif event.unreachable or event.code is Code.WRONG_ENDPOINT:
             self._node.publish(EndpointUnreachable(endpoint, event.message))
         self.timers.after(pause, self._node.publish, ConnectionFreed(endpoint))
 
+    def _pass_over(self, connection: ConnectionRow, code: Code) -> bool:
+        """Pass over a holder that refused; tell whether another way is left.
+
+        It is gone, short of connections, or can't reach the endpoint: the next one may
+        well have what this one lacks.
+        """
+        endpoint = connection.endpoint
+        if code is Code.UNREACHABLE:
+            self._holders.cannot_reach(connection.holder, endpoint)
+        else:
+            self._holders.failed(connection.holder)
+        if self._holders.holds(endpoint.entry.service):
+            return True
+        if not self._holders.has_route(endpoint):
+            return False
+        self._node.publish(ConnectionFreed(endpoint))
+        return True
+
     def _on_lost(self, event: ConnectionLost) -> None:
         connection = self._remove(event.connection)
         if connection is None:
@@ -323,8 +339,11 @@
             self.close(connection, "an answer to nothing")
             return
         batch = connection.pending[0]
-        self._note(connection, event.reply, batch.sent_at)
-        batch.replies.append(event.reply)
+        reply = event.reply
+        if reply.code is Code.UNREACHABLE:
+            reply = self._take_unreachable(connection, reply)
+        self._note(connection, reply, batch.sent_at)
+        batch.replies.append(reply)
         if len(batch.replies) == batch.size:
             connection.pending.popleft()
             batch.on_replies(connection, batch.replies)
@@ -332,6 +351,32 @@
                 # It stays with its transaction, and its endpoint has less to do.
                 self._node.publish(ConnectionFreed(connection.endpoint))
 
+    def _take_unreachable(
+        self, connection: ConnectionRow, reply: EndpointReply
+    ) -> EndpointReply:
+        """Have an endpoint reached by another holder than the one that could not.
+
+        An endpoint can't say so of itself: whatever its word means, it is no promise.
+        """
+        if not connection.holder:
+            return replace(reply, code=Code.OTHER)
+        endpoint = connection.endpoint
+        self._holders.cannot_reach(connection.holder, endpoint)
+        for other in list(endpoint.connections.values()):
+            if other.holder != connection.holder:
+                continue
+            other.broken = True
+            if other.state is ConnectionState.IDLE:
+                self.close(other, "its holder can't reach the endpoint")
+        return reply
+
+    def can_reach(self, endpoint: EndpointRow) -> bool:
+        """Tell whether an endpoint answers this host, as far as is known.
+
+        One that is cut off keeps connections on which nothing comes.
+        """
+        return not endpoint.failures or endpoint.heard_at > self.now - QUIET_TIME
+
     def _note(
         self, connection: ConnectionRow, reply: EndpointReply, sent_at: float
     ) -> None:
--- a/mallowpass/core/proxy/control.py
+++ b/mallowpass/core/proxy/control.py
@@ -20,6 +20,9 @@
 
 BUSY_PAUSE = 0.03  # seconds before a question is repeated that found no slot
 
+# Answers after which another attempt may do, by another way perhaps.
+_TRY_AGAIN = (Code.BUSY, Code.UNREACHABLE)
+
 # Called with the replies, None when none came in time.
 RepliesHandler = Callable[[list[EndpointReply] | None], None]
 
@@ -112,8 +115,8 @@
         self._connections.release(connection)
         if question.handler is None:
             return
-        busy = any(reply.code is Code.BUSY for reply in replies)
-        if busy and self.now + BUSY_PAUSE < question.expires:
+        again = any(reply.code in _TRY_AGAIN for reply in replies)
+        if again and self.now + BUSY_PAUSE < question.expires:
             self._waiting.append(question)
             self.timers.after(BUSY_PAUSE, self._try, question)
             return
--- a/mallowpass/core/proxy/holders.py
+++ b/mallowpass/core/proxy/holders.py
@@ -27,13 +27,15 @@
 class Holders(ProxySystem):
     """Know who holds what; every host works it out from the same entries."""
 
-    __slots__ = ("_failed", "_plans", "_plans_for")
+    __slots__ = ("_failed", "_out_of_reach", "_plans", "_plans_for")
 
     def start(self) -> None:
         """Start with nothing known."""
         self._plans: dict[str, Plan] = {}  # by service
         self._plans_for: tuple[int, int, int] = (-1, -1, -1)
-        self._failed: dict[str, float] = {}  # until when, by host
+        # Until when a holder is passed over: by host, and by host and endpoint.
+        self._failed: dict[str, float] = {}
+        self._out_of_reach: dict[tuple[str, str], float] = {}
 
     # -- Questions -----------------------------------------------------------
 
@@ -77,14 +79,24 @@
         slots = [max(1, endpoint.entry.slots) for endpoint in endpoints]
         return STATEMENTS_PER_SLOT * min(slots, default=1)
 
-    def route(self, service: str) -> HostRow | None:
-        """Return the holder by way of whom this host reaches a service, if any does."""
-        plan = self._plan(service)
-        usable = [h for h in plan.holders if self._failed.get(h.name, 0.0) <= self.now]
-        candidates = usable or list(plan.holders)
-        if not candidates:
-            return None
-        return min(candidates, key=self._distance)
+    def route(self, endpoint: EndpointRow) -> HostRow | None:
+        """Return the holder by way of whom this host reaches an endpoint, if any does.
+
+        Where all have failed of late, the nearest one is tried again.
+        """
+        plan = self._plan(endpoint.entry.service)
+        usable = [host for host in plan.holders if self._may_reach(host, endpoint)]
+        return min(usable or plan.holders, key=self._distance, default=None)
+
+    def has_route(self, endpoint: EndpointRow) -> bool:
+        """Tell whether a holder is left that has not failed to reach an endpoint."""
+        plan = self._plan(endpoint.entry.service)
+        return any(self._may_reach(host, endpoint) for host in plan.holders)
+
+    def _may_reach(self, host: HostRow, endpoint: EndpointRow) -> bool:
+        if self._failed.get(host.name, 0.0) > self.now:
+            return False
+        return self._out_of_reach.get((host.name, endpoint.name), 0.0) <= self.now
 
     def lenders(self, endpoint: EndpointRow) -> list[HostRow]:
         """Return the holders by way of which an endpoint is as near as from here.
@@ -103,13 +115,17 @@
             if host.name != identity.name
             and host.address
             and identity.region_of(host.domain) in regions
-            and self._failed.get(host.name, 0.0) <= self.now
+            and self._may_reach(host, endpoint)
         ]
 
     def failed(self, holder: str) -> None:
         """Pass a holder over for a while that could not be reached."""
         self._failed[holder] = self.now + FAILED_TIME
 
+    def cannot_reach(self, holder: str, endpoint: EndpointRow) -> None:
+        """Pass a holder over for a while that can't reach one endpoint."""
+        self._out_of_reach[(holder, endpoint.name)] = self.now + FAILED_TIME
+
     # -- Planning ------------------------------------------------------------
 
     def _plan(self, service: str) -> Plan:
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -27,6 +27,7 @@
     ConnectionFreed,
     EndpointForgotten,
     EndpointRestarted,
+    EndpointUnreachable,
 )
 from mallowpass.core.proxy.statements import (
     Access,
@@ -58,6 +59,8 @@
 # that sent them has time left to try elsewhere, or to tell its caller.
 WAIT_MAX = 0.2  # seconds
 
+OUT_OF_REACH = "the endpoint can't be reached"
+
 
 class Links(ProxySystem):
     """Own the links of other hosts."""
@@ -78,6 +81,7 @@
         node.subscribe(ConnectionFreed, self._on_freed)
         node.subscribe(EndpointForgotten, self._on_forgotten)
         node.subscribe(EndpointRestarted, self._on_restarted)
+        node.subscribe(EndpointUnreachable, self._on_unreachable)
 
     # -- Opening and closing -------------------------------------------------
 
@@ -91,6 +95,9 @@
             # each other.
             message = f"this host does not hold {event.service!r}"
             self._node.emit(RefuseLink(event.link, Code.BUSY, message))
+        elif not self._connections.can_reach(endpoint):
+            message = f"{self._node.identity.name} can't reach {event.endpoint!r}"
+            self._node.emit(RefuseLink(event.link, Code.UNREACHABLE, message))
         else:
             of_holder = self._holders.is_holder(event.service, event.host)
             link = LinkRow(event.link, endpoint, of_holder)
@@ -164,6 +171,9 @@
             if not _is_reached(link.endpoint) and self._is_replaced(link):
                 self._refuse(link, Code.NOT_PRIMARY, "another one leads")
                 return
+            if not self._connections.can_reach(link.endpoint):
+                self._refuse(link, Code.UNREACHABLE, OUT_OF_REACH)
+                return
             link.waits_since = self.now
             self._waiting.append(link)
             self._waiting.sort(key=lambda link: (link.priority, link.waits_since))
@@ -229,9 +239,25 @@
         self._waiting.remove(link)
         if self._is_replaced(link):
             self._refuse(link, Code.NOT_PRIMARY, "another one leads")
+        elif not self._connections.can_reach(link.endpoint):
+            self._refuse(link, Code.UNREACHABLE, OUT_OF_REACH)
         else:
             self._refuse(link, Code.BUSY, "no connection is free")
 
+    def _on_unreachable(self, signal: EndpointUnreachable) -> None:
+        """Refuse what waits for an endpoint that this host can't reach.
+
+        Told that this host is full, or nothing, whoever asked would wait for what can't
+        come. Another holder may well reach it.
+        """
+        endpoint = signal.endpoint
+        if self._connections.can_reach(endpoint):
+            return
+        for link in list(self._waiting):
+            if link.endpoint is endpoint and not self._is_replaced(link):
+                self._waiting.remove(link)
+                self._refuse(link, Code.UNREACHABLE, OUT_OF_REACH)
+
     def _is_replaced(self, link: LinkRow) -> bool:
         """Tell whether calls wait for a primary that was replaced.
 
@@ -251,7 +277,8 @@
             group.turned_away_at = self.now
         # Without a floor the host would send its reads to the primary once more, which
         # is what most calls wait for after a start of all hosts.
-        reply = self._with_floor(link, EndpointReply(code, message=message))
+        said = f"{self._node.identity.name}: {message}"
+        reply = self._with_floor(link, EndpointReply(code, message=said))
         while link.waiting:
             link.waiting.popleft()
             self._node.emit(AnswerLink(link.number, reply))
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -355,7 +355,8 @@
         self, request: RequestRow, endpoint: EndpointRow, reply: EndpointReply
     ) -> None:
         """Try a statement again that did not run."""
-        request.tries += 1
+        if reply.code is not Code.UNREACHABLE:
+            request.tries += 1
         request.detail = f"{endpoint.name}: {reply.code.value} {reply.message}".rstrip()
         self._node.count("requests_refused", code=reply.code.value)
         if reply.code is Code.NOT_PRIMARY:
@@ -364,7 +365,7 @@
             self._floors.lacked(endpoint)
             request.behind += 1
             request.avoided.add(endpoint.name)
-        else:
+        elif reply.code is not Code.UNREACHABLE:  # else by another holder, at once
             request.avoided.add(endpoint.name)
             request.retry_at = self.now + self._attempts.backoff(request)
         held = reply.code is Code.BUSY and self.now >= held_until(request)
--- a/mallowpass/core/proxy/shares.py
+++ b/mallowpass/core/proxy/shares.py
@@ -64,10 +64,9 @@
 
     def way(self, endpoint: EndpointRow) -> HostRow | None:
         """Return the host by way of which an endpoint is reached; None: directly."""
-        service = endpoint.entry.service
-        if self._holders.holds(service):
+        if self._holders.holds(endpoint.entry.service):
             return None
-        return self._holders.route(service)
+        return self._holders.route(endpoint)
 
     def lender(self, endpoint: EndpointRow) -> HostRow | None:
         """Return the host that should serve one more connection, if any may.
--- a/mallowpass/core/proxy/statements.py
+++ b/mallowpass/core/proxy/statements.py
@@ -56,6 +56,7 @@
     WRONG_ENDPOINT = "wrong-endpoint"  # another one answers at this address
     TOO_MANY_CONNECTIONS = "too-many-connections"
     UNKNOWN_STATEMENT = "unknown-statement"  # no such prepared statement
+    UNREACHABLE = "unreachable"  # a host on the way can't reach the endpoint
     # It ran, and failed or was stopped.
     FAILED = "failed"
     TIMED_OUT = "timed-out"
@@ -76,6 +77,7 @@
         Code.BEHIND,
         Code.NOT_PRIMARY,
         Code.UNKNOWN_STATEMENT,
+        Code.UNREACHABLE,
         Code.WRONG_ENDPOINT,
         Code.TOO_MANY_CONNECTIONS,
     }
--- a/mallowpass/platform/wire.py
+++ b/mallowpass/platform/wire.py
@@ -72,6 +72,7 @@
     Code.WRONG_ENDPOINT: "WRONGNODE",
     Code.TOO_MANY_CONNECTIONS: "TOOMANY",
     Code.UNKNOWN_STATEMENT: "NOSTMT",
+    Code.UNREACHABLE: "UNREACHABLE",  # hosts alone say so, to each other
     Code.FAILED: "FAILED",
     Code.TIMED_OUT: "TIMEOUT",
     Code.IN_DOUBT: "INDOUBT",
--- a/tests/core/proxy/test_links.py
+++ b/tests/core/proxy/test_links.py
@@ -17,6 +17,7 @@
     Begin,
     Code,
     Commit,
+    EndpointReply,
     Execute,
     LogPosition,
     Prepare,
@@ -403,3 +404,70 @@
         floors.sample(group, LogPosition(1, number), world.timers.now)
     assert [sample.position.position for sample in group.samples] == [4]
     world.run(1.0)
+
+
+@pytest.mark.parametrize("database", ["strict", "own", "bounded"])
+def test_a_holder_that_is_cut_from_an_endpoint_is_passed_over(world, database):
+    """Symptom: a sixth of a large fleet has its reads refused as for want of room,
+    while two endpoints of three have nothing to do.
+
+    Sequence: one holder is cut from the primary. Whoever goes by way of it waits there
+    for 0.2 s, is told that no connection is free, and is sent there again.
+    Cause: a holder that reaches nothing said the same as a full one.
+    """
+    holder = next(host for host in world.hosts if _holds(host))
+    guests = [
+        index
+        for index, host in enumerate(world.hosts)
+        if host.domain == holder.domain and not _holds(host)
+    ]
+    callers = [world.caller(index, database) for index in guests]
+    for caller in callers:
+        assert caller.run(Write("a 1")).code is Code.DONE
+    _cut_off(holder, world.primary.name)
+    world.run(1.0)
+    for _ in range(20):
+        answers = [caller.run(Read("a"), 0.2) for caller in callers]
+        assert [answer.code for answer in answers] == [Code.DONE] * len(callers)
+        world.run(0.2)
+
+
+def test_a_write_runs_once_where_its_holder_reaches_nothing(world):
+    index = _other(world)
+    domain = world.hosts[index].domain
+    near = [h for h in world.hosts if _holds(h) and h.domain == domain]
+    caller = world.caller(index, "own")
+    assert caller.run(Write("a 1")).code is Code.DONE
+    for holder in near:
+        _cut_off(holder, world.primary.name)
+    world.run(1.0)
+    for number in range(2, 12):
+        assert caller.run(Write(f"a {number}"), 0.3).code is Code.DONE
+    written = [e.request_id for e in world.primary.log if e.writes]
+    assert len(written) == len(set(written)) == 11
+
+
+def test_an_endpoint_that_says_unreachable_of_itself_promises_nothing():
+    """Only hosts use that word. Taken for a promise, a write would be sent again."""
+    world = ProxyWorld()
+    world.run(4.0)
+    caller = world.caller(0, "own")
+    caller.run(Write("a 1"))
+    node = world.hosts[0].node
+    connection = next(
+        c
+        for c in world.hosts[0].tables.connections.values()
+        if c.endpoint.name == "db-casa"
+    )
+    reply = EndpointReply(Code.UNREACHABLE, message="?")
+    taken = node.system(Connections)._take_unreachable(connection, reply)
+    assert not taken.code.is_not_run
+
+
+def _cut_off(host: Host, endpoint: str) -> None:
+    """Cut a host from an endpoint; its connections there end."""
+    host.cut_from.add(endpoint)
+    for number, connection in list(host.connections.items()):
+        if connection._replica.name == endpoint:
+            connection.close()
+            host.lose(number, "cut")
