Learn tables from relays where the whole fleet starts

Change: where the whole fleet starts, followers list the hosts alone and ask their relay for the rest; one that gets no answer lists it at the store. Restarts list all tables as before: callers wait for those, and the relays may be restarting as well.

--- a/mallowpass/core/proxy/store.py
+++ b/mallowpass/core/proxy/store.py
@@ -35,6 +35,9 @@
 # After a start, hosts are waited for so long before a table is followed, in seconds.
 KNOWN_MAX = 3.0
 KNOWN_LOOK = 0.05  # seconds between looks whether they are known
+# Where the whole fleet starts, relays have learnt the tables so long after the hosts
+# are known, in seconds.
+RELAYS_START_TIME = 0.5
 BACKOFF_MIN = 0.1  # seconds after a first failure; doubled by each further one
 BACKOFF_MAX = 2.0
 # The same where this host has relays, which ask as well.
@@ -284,8 +287,24 @@
         self._handler = handler
         self._version = 0
         self._failures = 0
-        self._listed_at = 0.0
-        self._list()
+        self._listed_at = store.now
+        if store.tables.first_start and table is not Table.HOSTS:
+            self._begin()
+        else:
+            self._list()
+
+    def _begin(self) -> None:
+        """Learn the whole table from a relay, where the whole fleet starts.
+
+        Each host's own list of it would be a call; nobody waits for it yet.
+        """
+        known_by = self._listed_at + FIRST_START_TIME + KNOWN_MAX
+        if not self._relays.are_known and self._store.now < known_by:
+            self._store.timers.after(KNOWN_LOOK, self._begin)
+        elif self._relays.choose() is None:
+            self._list()
+        else:
+            self._store.timers.after(RELAYS_START_TIME, self._follow)
 
     def _list(self) -> None:
         self._store.call(ListRows(self._table), self._on_listed)
@@ -353,7 +372,10 @@
                 self._take(reply, by_relay=True)
             else:
                 self._relays.failed(relay.name)
-            self._follow()
+            if self._version:
+                self._follow()
+            else:
+                self._list()
 
         wait = self._store.relay_wait(self._table)
         call = WatchRows(self._table, self._version, wait)
--- a/tests/core/proxy/test_relays.py
+++ b/tests/core/proxy/test_relays.py
@@ -62,12 +62,20 @@
     assert calls <= (alone.store.calls - before) / 3
 
 
-def test_first_start_takes_four_calls_of_a_host():
+def test_first_start_takes_two_calls_of_a_follower():
+    """Each enters itself and lists the hosts; the rest it learns from its relay."""
     world = ProxyWorld(hosts=HOSTS, first_start=True)
     world.run(6.0)
     assert all(host.ready for host in world.hosts)
-    watches = 3 * len(_relays(world))
-    assert world.store.calls <= 4 * HOSTS + 2 * watches
+    assert world.store.calls <= 2 * HOSTS + 8 * len(_relays(world))
+
+
+def test_first_start_without_relays_that_answer():
+    world = ProxyWorld(hosts=HOSTS, first_start=True)
+    for host in world.hosts:
+        host.cut_from.update(other.name for other in world.hosts)
+    world.run(8.0)
+    assert all(host.ready for host in world.hosts)
 
 
 def test_a_change_is_known_everywhere_at_once(world):
