--- a/mallowpass/adapters/runtime.py
+++ b/mallowpass/adapters/runtime.py
@@ -319,8 +319,8 @@
     # -- Effects -------------------------------------------------------------
 
     def _effect_table(self) -> dict[type, Callable[[Any], None]]:
-        # A dict by exact type: measured at a third of singledispatch's cost, and
-        # this runs several times for each statement.
+        # A dict by exact type takes less than singledispatch, and this runs several
+        # times for each statement.
         return {
             effects.AnswerCaller: self._callers.answer,
             effects.CloseCaller: self._callers.close,
--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -63,12 +63,11 @@
 IDLE_MAX = 2.0  # seconds
 # The same for connections beyond half of this host's share. Where all hosts lose power,
 # the endpoints keep what these had for seconds, and turn their successors away as long
-# as that is over half of the limit. Worth of three busy days at seven hosts and 16
-# connections an endpoint, each with such a loss, nine plays: 0.893 to 0.901.
+# as that is over half of the limit.
 SPARE_IDLE_MAX = 0.3  # seconds
 IDLE_LOOK = 0.15  # seconds between looks
 # A call that is unanswered for so long, with nothing else heard of the endpoint, has a
-# new connection tried. Statements take 20 to 50 ms, and a full queue some 150.
+# new connection tried. A full queue takes less.
 QUIET_TIME = 0.25  # seconds
 # A connection silent for so long with calls in flight is closed: no statement may
 # run longer than its route's timeout, which is well below.
--- a/mallowpass/core/proxy/demotion.py
+++ b/mallowpass/core/proxy/demotion.py
@@ -37,7 +37,7 @@
 
 # One that answers something within that time is waited for up to this long, in seconds.
 ALIVE_WAIT_MAX = 3.0
-HUNG_TIME = 0.25  # seconds; statements take 20 to 50 ms, and a full queue some 150
+HUNG_TIME = 0.25  # seconds; a full queue takes less
 
 _USABLE = (ConnectionState.IDLE, ConnectionState.OPENING)
 
--- a/mallowpass/core/proxy/floors.py
+++ b/mallowpass/core/proxy/floors.py
@@ -38,7 +38,7 @@
 # A replica that lacked a floor is not asked for a newer one for so long, and for twice
 # as long with each further refusal; in seconds. Its lag is usually far below the first;
 # one that stays behind for long would be asked by each host with each read, and its
-# refusals fill the connections: 16,000 of 91,000 calls on a day with 15 s of lag.
+# refusals fill the connections.
 BEHIND_PAUSE_MIN = 0.05
 BEHIND_PAUSE_MAX = 0.8
 # A replica that has refused all reads for so long may receive nothing at all; twice as
--- a/mallowpass/core/proxy/leadership.py
+++ b/mallowpass/core/proxy/leadership.py
@@ -12,8 +12,8 @@
   right to replace the primary.
 
 Where the platform takes the lead from a primary at the moment its successor leads, its
-own word is proof enough. Asking for more took 0.913 to 0.868 of the worth of four busy
-days there: reads at the primary waited for members of other regions.
+own word is proof enough. If more were asked for, reads at the primary would wait for
+members of other regions.
 
 No clock of another machine is compared with, and no right lapses: a host that was
 frozen asks anew, as its question was sent before its caller's statement came.
--- a/mallowpass/core/proxy/load.py
+++ b/mallowpass/core/proxy/load.py
@@ -20,7 +20,7 @@
 # lucky statement does not count for ever.
 LEAST_WEIGHT = 0.005
 # What statements wait at an endpoint, in seconds, until each host keeps to its part. It
-# is beyond what statements differ by: their work takes 6 to 55 ms.
+# is beyond what statements differ by.
 QUEUE_TIME_MAX = 0.1
 
 
--- a/mallowpass/core/proxy/policy/line.py
+++ b/mallowpass/core/proxy/policy/line.py
@@ -39,8 +39,7 @@
     """Remember for what there was no connection, in one look at those that wait.
 
     Looking for an endpoint for each of hundreds that wait, whenever a statement ends,
-    takes a host's whole time. With 200 waiting, statements took 60 to 140 ms, of which
-    40 were the endpoint's, and opening a connection took 300.
+    takes a host's whole time: statements then wait for the host, not for the endpoint.
     """
 
     __slots__ = ("_primary", "_replicas", "asked")
--- a/mallowpass/core/proxy/policy/placement.py
+++ b/mallowpass/core/proxy/policy/placement.py
@@ -18,8 +18,7 @@
 LATENCY_EXPECTED = 0.03
 # What a read in another region must save to be worth its bytes, in seconds: a quarter
 # of the shortest objective in use. Reads of a calm region stay there; those of one
-# whose member is slow or busy go elsewhere. Bytes between regions on a quiet day: 0.016
-# of the worth without this, 0.010 with it.
+# whose member is slow or busy go elsewhere.
 OTHER_REGION_COST = 0.1
 # What is added for an endpoint that did not serve the statement before, in seconds:
 # more than any other difference.
--- a/mallowpass/core/proxy/policy/sharing.py
+++ b/mallowpass/core/proxy/policy/sharing.py
@@ -23,8 +23,8 @@
 # end of one touches more sessions; fewer would wait for each other's transactions.
 SHARE_OF_HOLDER = 5
 # Statements of all hosts that a full endpoint should have for each of its slots. At 2
-# the slots of one in another region would stand idle during round trips of 24 ms; at 10
-# (62 hosts, 6 slots) each statement waited 0.3 s there, whatever its priority.
+# the slots of one in another region would stand idle during round trips; with many more
+# each statement waits there, whatever its priority.
 STATEMENTS_PER_SLOT = 4
 # Of these, statements of one holder: one alone would wait for each other's.
 STATEMENTS_OF_HOLDER = 2
@@ -41,7 +41,6 @@
     share: int  # connections of each holder to each endpoint
     holders: tuple[HostRow, ...] = ()
     # Holders with one connection more: what is left over when all have their share.
-    # Refused on a day with replicas that lag, 86 hosts, one play each: 2.8% to 2.2%.
     favoured: frozenset[str] = frozenset()
 
 
--- a/mallowpass/core/proxy/relief.py
+++ b/mallowpass/core/proxy/relief.py
@@ -2,8 +2,7 @@
 
 A replica applies what it received before it leads, and the old primary has applied all:
 of two members that serve no reads, one is left. Waiting instead would leave the primary
-alone with all reads for as long as the lag is: 40 to 80 seconds after six of trouble.
-On a day with that, hosts refused 9.1% of all statements without this, and 4.3% with it.
+alone with all reads for as long as the lag is, which outlasts its cause many times.
 """
 
 from __future__ import annotations
@@ -24,11 +23,9 @@
 LED_TIME = 3.0
 MEMORY = 30.0
 # How long statements must wait at the primary, in seconds, where none is turned away.
-# Hosts keep that wait at a tenth of a second, and few holders well below.
+# Hosts keep that wait short, and few holders shorter still.
 QUEUE_TIME_MIN = 0.05
-# A primary is full if a statement for it was turned away so short a time ago. Worth of
-# a day with replicas that lag, 86 hosts, one play each: 0.846 without this, 0.863 with
-# it.
+# A primary is full if a statement for it was turned away so short a time ago.
 TURNED_AWAY_TIME = 1.0  # seconds
 
 
--- a/mallowpass/core/proxy/sampling.py
+++ b/mallowpass/core/proxy/sampling.py
@@ -12,10 +12,6 @@
 
 The limits: one question for a group at a time; none for a moment after one that told
 nothing, so that reads go to the primary as long as nothing better is known.
-
-Served in time while a primary is eight times as slow, 24 hosts in virtual time: 0.82 of
-the reads without this, 0.96 with it. Worth of a day with a slow primary, 86 hosts, one
-play each: 0.751 to 0.772.
 """
 
 from __future__ import annotations
--- a/mallowpass/core/proxy/shares.py
+++ b/mallowpass/core/proxy/shares.py
@@ -17,8 +17,8 @@
 # the holder has fewer to the endpoint itself.
 LINKS_MAX = 6
 # Connections to one endpoint by way of hosts that hold theirs as this one does: in all,
-# and by way of one of them. Seven hosts hold two each to an endpoint that takes 22, and
-# four of them are of its region or this host's.
+# and by way of one of them. A small fleet holds few each, and about half of its hosts
+# are of the endpoint's region or of this host's.
 LENT_MAX = 8
 LENT_BY_HOST = 2
 # An endpoint keeps the connections of hosts that lost power for seconds. Where all
--- a/mallowpass/core/proxy/store.py
+++ b/mallowpass/core/proxy/store.py
@@ -23,7 +23,7 @@
 
 __all__ = ["Store", "Watch"]
 
-CALL_TIMEOUT = 1.5  # seconds; an answer takes some 10 ms, and 60 times that when slow
+CALL_TIMEOUT = 1.5  # seconds; a store that is slow answers within half of it
 # Seconds that one call waits for changes at the most: each call is charged.
 WATCH_WAIT_MAX = 29.0
 WATCH_WAIT_MIN = 1.0
@@ -50,7 +50,7 @@
 
 # Where the whole fleet starts for the first time, endpoints and hosts all enter
 # themselves within this time; whoever follows the entries meanwhile is told of each by
-# itself. Measured at 74 hosts: 2,209 calls a day without this.
+# itself.
 FIRST_START_TIME = 2.0  # seconds
 _ENTERED_AT_START = (Table.ENDPOINTS, Table.HOSTS)
 # Seconds for which further changes are waited for after some came, so that one answer
@@ -59,8 +59,7 @@
 CHANGES_GAP = {Table.CONFIGURATION: 0.5, Table.ENDPOINTS: 0.1, Table.HOSTS: 1.5}
 # Calls a second that all hosts together make to be told of each other's changes. Each
 # change is told to each host, so a fleet that is restarted in turn makes as many calls
-# as the square of its size. Calls of a day with 36 of 86 hosts restarted in turn: 6%
-# fewer, with two other changes.
+# as the square of its size.
 HOSTS_CALLS_MAX = 10.0
 # The same while the whole fleet starts for the first time: endpoints enter themselves
 # by turns over some seconds, and callers come well after.
--- a/mallowpass/core/proxy/suspicion.py
+++ b/mallowpass/core/proxy/suspicion.py
@@ -41,8 +41,8 @@
 
 __all__ = ["Suspicion"]
 
-# A primary that answered something within this time is not silent. Statements take
-# 20 to 50 ms, and a full queue some 150.
+# A primary that answered something within this time is not silent. A full queue takes
+# less.
 QUIET = 0.25  # seconds
 # Share of the hosts that connect to it that must see it, and how many at the least.
 QUORUM_SHARE = 0.25
@@ -52,8 +52,7 @@
 REPORT_TIME = 4.0  # seconds that a report in the store counts
 REPORT_GAP = 1.5  # seconds between two reports of a host
 # Seconds between looks at what others report: doubled with each, as what one waits for
-# then is a promotion, of which the entries tell. 849 store calls on a day with two
-# failovers at eight hosts without this, and with claims that were asked for each time.
+# then is a promotion, of which the entries tell.
 LOOK_GAP_MIN = 0.15
 LOOK_GAP_MAX = 1.0
 
