Have a host that is cut off from the holders use a connection of its own

Cause: of 195 hosts 68 were cut off from others. Their callers and the endpoints they reached, but knew no way other than by holders, and tried these one after the other, 0.45 s each and the first again after 2 s: 1,623 attempts for one primary in seven seconds, 630 statements that waited to their timeouts for one service, 237 for another.

Change: attempts go to different holders at once; after two that were silent a host opens one connection of its own to each endpoint that it needs, within what the holders leave free, and closes it once a holder serves again. A holder that refuses, or resets, is no reason for it. Refusals in the log name the holder.

Tests fail before: a host without any holder, and its return to them.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -251,6 +251,8 @@
         endpoint = connection.endpoint
         endpoint.failures = 0
         endpoint.heard_at = self.now
+        if connection.holder:
+            self._holders.answered(connection.holder)
         self._learn_floor(endpoint, event.floor, connection.opened_at)
         self.release(connection)
 
@@ -265,9 +267,10 @@
             endpoint=endpoint.name,
             code=event.code.value,
             message=event.message,
+            holder=connection.holder,
             open=len(endpoint.connections),
         )
-        if connection.holder and self._pass_over(connection, event.code):
+        if connection.holder and self._pass_over(connection, event):
             return
         if event.code is Code.TOO_MANY_CONNECTIONS:
             pause = FULL_BACKOFF * self._node.random.uniform(1.0, 2.0)
@@ -275,26 +278,29 @@
             endpoint.failures += 1
             pause = self._node.backoff(endpoint.failures, BACKOFF_MIN, BACKOFF_MAX)
         endpoint.refused_until = self.now + pause
-        if connection.holder:
-            pass  # what a holder fails to reach is no evidence of the endpoint's end
-        elif event.unreachable or event.code is Code.WRONG_ENDPOINT:
+        gone = event.unreachable or event.code is Code.WRONG_ENDPOINT
+        # What a holder fails to reach is no evidence of the endpoint's end.
+        if gone and not connection.holder:
             self._node.publish(EndpointUnreachable(endpoint, event.message))
         self.timers.after(pause, self._node.publish, ConnectionFreed(endpoint))
 
-    def _pass_over(self, connection: ConnectionRow, code: Code) -> bool:
+    def _pass_over(self, connection: ConnectionRow, event: ConnectionRefused) -> bool:
         """Pass over a holder that refused; tell whether another way is left.
 
         It is gone, short of connections, or can't reach the endpoint: the next one may
         well have what this one lacks.
         """
         endpoint = connection.endpoint
-        if code is Code.UNREACHABLE:
+        if event.code is Code.UNREACHABLE:
             self._holders.cannot_reach(connection.holder, endpoint)
         else:
-            self._holders.failed(connection.holder)
+            took = self.now - connection.opened_at
+            silent = event.unreachable and took >= CONNECT_TIMEOUT
+            self._holders.failed(connection.holder, silent)
         if self._holders.holds(endpoint.entry.service):
             return True
-        if not self._holders.has_route(endpoint):
+        left = self._holders.has_route(endpoint) or self._holders.is_cut_off(endpoint)
+        if not left:
             return False
         self._node.publish(ConnectionFreed(endpoint))
         return True
@@ -432,6 +438,8 @@
 
     def _close_idle(self) -> None:
         for endpoint in self.tables.endpoints.values():
+            if self._shares.goes_without_holders(endpoint):
+                self._return_to_holders(endpoint)
             connections = endpoint.connections.values()
             # Those by way of other hosts go first.
             for connection in sorted(connections, key=lambda c: not c.holder):
@@ -443,6 +451,19 @@
                 if idle and connection.last_used < idle_since:
                     self.close(connection, "it was idle")
 
+    def _return_to_holders(self, endpoint: EndpointRow) -> None:
+        """Leave the connection of a host that was cut off, once a holder serves.
+
+        It is one that nobody counts on: kept, it would be missing to a holder.
+        """
+        for connection in list(endpoint.connections.values()):
+            idle = connection.state is ConnectionState.IDLE
+            if idle and self._shares.is_surplus(connection):
+                self.close(connection, "a holder can be reached")
+        by_holder = any(c.holder for c in endpoint.connections.values())
+        if not by_holder and not self._shares.is_cut_off(endpoint):
+            self.grow(endpoint)
+
     def _on_restarted(self, signal: EndpointRestarted) -> None:
         """Close all connections to an endpoint's earlier start, also busy ones.
 
--- a/mallowpass/core/proxy/holders.py
+++ b/mallowpass/core/proxy/holders.py
@@ -16,18 +16,27 @@
     Plan,
     make_plan,
 )
-from mallowpass.core.proxy.tables import EndpointRow, HostRow, ProxySystem
+from mallowpass.core.proxy.tables import (
+    ConnectionState,
+    EndpointRow,
+    HostRow,
+    ProxySystem,
+)
 
 __all__ = ["Holders"]
 
 # How long a holder that could not be reached is passed over.
 FAILED_TIME = 2.0  # seconds
+# For how long it counts that a holder did not answer, and of how many at the least, for
+# a host to go without them.
+SILENT_TIME = 5.0  # seconds
+SILENT_MIN = 2
 
 
 class Holders(ProxySystem):
     """Know who holds what; every host works it out from the same entries."""
 
-    __slots__ = ("_failed", "_out_of_reach", "_plans", "_plans_for")
+    __slots__ = ("_failed", "_out_of_reach", "_plans", "_plans_for", "_silent")
 
     def start(self) -> None:
         """Start with nothing known."""
@@ -36,6 +45,7 @@
         # Until when a holder is passed over: by host, and by host and endpoint.
         self._failed: dict[str, float] = {}
         self._out_of_reach: dict[tuple[str, str], float] = {}
+        self._silent: dict[str, float] = {}  # until when it counts, by host
 
     # -- Questions -----------------------------------------------------------
 
@@ -82,11 +92,28 @@
     def route(self, endpoint: EndpointRow) -> HostRow | None:
         """Return the holder by way of whom this host reaches an endpoint, if any does.
 
-        Where all have failed of late, the nearest one is tried again.
+        Best one that is not being tried: two that are silent are then found at once.
         """
         plan = self._plan(endpoint.entry.service)
         usable = [host for host in plan.holders if self._may_reach(host, endpoint)]
-        return min(usable or plan.holders, key=self._distance, default=None)
+        tried = {
+            connection.holder
+            for connection in endpoint.connections.values()
+            if connection.state is ConnectionState.OPENING
+        }
+        others = [host for host in usable if host.name not in tried]
+        candidates = others or usable or plan.holders
+        return min(candidates, key=self._distance, default=None)
+
+    def is_cut_off(self, endpoint: EndpointRow) -> bool:
+        """Tell whether this host should reach an endpoint without its holders.
+
+        Where two of them do not answer, it is most likely this host that is cut off
+        from other hosts. Its callers, and the endpoint, it may well reach.
+        """
+        plan = self._plan(endpoint.entry.service)
+        silent = [h for h in plan.holders if self._silent.get(h.name, 0.0) > self.now]
+        return len(silent) >= min(SILENT_MIN, len(plan.holders))
 
     def has_route(self, endpoint: EndpointRow) -> bool:
         """Tell whether a holder is left that has not failed to reach an endpoint."""
@@ -118,9 +145,15 @@
             and self._may_reach(host, endpoint)
         ]
 
-    def failed(self, holder: str) -> None:
-        """Pass a holder over for a while that could not be reached."""
+    def failed(self, holder: str, silent: bool = False) -> None:
+        """Pass a holder over for a while that could not be reached, or said nothing."""
         self._failed[holder] = self.now + FAILED_TIME
+        if silent:
+            self._silent[holder] = self.now + SILENT_TIME
+
+    def answered(self, holder: str) -> None:
+        """Note that a holder can be reached."""
+        self._silent.pop(holder, None)
 
     def cannot_reach(self, holder: str, endpoint: EndpointRow) -> None:
         """Pass a holder over for a while that can't reach one endpoint."""
--- a/mallowpass/core/proxy/shares.py
+++ b/mallowpass/core/proxy/shares.py
@@ -6,6 +6,7 @@
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.tables import (
     ConnectionRow,
+    ConnectionState,
     EndpointRow,
     HostRow,
     ProxySystem,
@@ -20,6 +21,9 @@
 # and by way of one of them. A small fleet holds few each, and about half of its hosts
 # are of the endpoint's region or of this host's.
 LENT_MAX = 8
+# Connections to one endpoint of a host that is cut off from the holders: others may be
+# as well, and the endpoint has few that the holders leave free.
+DIRECT_MAX = 1
 LENT_BY_HOST = 2
 # An endpoint keeps the connections of hosts that lost power for seconds. Where all
 # hosts did, their successors find room for a part of their shares; if the first took
@@ -45,6 +49,8 @@
         """Tell whether this host may open one more connection on its usual way."""
         if self.now < endpoint.refused_until:
             return False
+        if self.is_cut_off(endpoint) and self._direct(endpoint) >= DIRECT_MAX:
+            return False
         return beyond_share or self._held(endpoint) < self._share(endpoint)
 
     def is_surplus(self, connection: ConnectionRow) -> bool:
@@ -54,7 +60,11 @@
         if connection.holder:
             return not self._holders.is_holder(service, connection.holder)
         if not self._holders.holds(service):
-            return True
+            # Kept as long as no holder serves in its place.
+            return not self._holders.is_cut_off(endpoint) and any(
+                other.holder and other.state is not ConnectionState.OPENING
+                for other in endpoint.connections.values()
+            )
         return self._held(endpoint) > self._holders.share(service)
 
     def is_spare(self, endpoint: EndpointRow) -> bool:
@@ -64,10 +74,27 @@
 
     def way(self, endpoint: EndpointRow) -> HostRow | None:
         """Return the host by way of which an endpoint is reached; None: directly."""
-        if self._holders.holds(endpoint.entry.service):
+        if self._holders.holds(endpoint.entry.service) or self.is_cut_off(endpoint):
             return None
         return self._holders.route(endpoint)
 
+    def is_cut_off(self, endpoint: EndpointRow) -> bool:
+        """Tell whether this host needs holders, and most likely can't reach them."""
+        if self._holders.holds(endpoint.entry.service):
+            return False
+        return self._holders.is_cut_off(endpoint)
+
+    def goes_without_holders(self, endpoint: EndpointRow) -> bool:
+        """Tell whether this host reaches an endpoint itself that others hold."""
+        if self._holders.holds(endpoint.entry.service):
+            return False
+        return self._direct(endpoint) > 0
+
+    @staticmethod
+    def _direct(endpoint: EndpointRow) -> int:
+        connections = endpoint.connections.values()
+        return sum(1 for connection in connections if not connection.holder)
+
     def lender(self, endpoint: EndpointRow) -> HostRow | None:
         """Return the host that should serve one more connection, if any may.
 
--- a/tests/core/proxy/test_links.py
+++ b/tests/core/proxy/test_links.py
@@ -464,6 +464,62 @@
     assert not taken.code.is_not_run
 
 
+def test_a_host_that_is_cut_off_from_all_holders_goes_without_them(world):
+    """Symptom: hosts that are cut off from other hosts refuse most that they are asked.
+
+    Sequence: a third of the hosts can't reach the others. Their callers reach them, and
+    they could reach the endpoints.
+    Cause: they knew no other way than by holders, and tried these one after the other.
+    """
+    index = _other(world)
+    host = world.hosts[index]
+    caller = world.caller(index, "own")
+    assert caller.run(Write("a 1")).code is Code.DONE
+    _isolate(world, host)
+    world.run(1.0)
+    caller.run(Write("a 2"))  # on its way by a link that is cut
+    caller.run(Write("a 3"))  # until two holders did not answer
+    codes = [caller.run(Write(f"a {n}"), 0.2).code for n in range(4, 30)]
+    assert codes == [Code.DONE] * len(codes)
+    assert max(len(r.connections) for r in world.group.replicas.values()) <= LIMIT
+
+
+def test_a_host_that_is_cut_off_no_more_goes_by_holders_again(world):
+    index = _other(world)
+    host = world.hosts[index]
+    caller = world.caller(index, "own")
+    _isolate(world, host)
+    for _ in range(5):
+        caller.run(Write("a 1"))
+        world.run(0.5)
+    assert _holds(host)
+    host.cut_from.clear()
+    for _ in range(20):
+        assert caller.run(Write("a 2"), 0.6).code is Code.DONE
+        world.run(0.5)
+    assert not _holds(host)
+
+
+def test_one_holder_that_is_silent_does_not_have_its_guests_go_without(world):
+    index = _other(world)
+    host = world.hosts[index]
+    near = [h for h in world.hosts if _holds(h) and h.domain == host.domain]
+    host.cut_from.update(holder.name for holder in near)
+    caller = world.caller(index, "own")
+    for _ in range(5):
+        caller.run(Write("a 1"))
+        world.run(0.5)
+    assert not _holds(host)
+
+
+def _isolate(world: ProxyWorld, host: Host) -> None:
+    """Cut a host from all others, without a sign."""
+    host.cut_from.update(other.name for other in world.hosts if other is not host)
+    for key, link in list(world.links.items()):
+        if link.host is host:
+            del world.links[key]
+
+
 def _cut_off(host: Host, endpoint: str) -> None:
     """Cut a host from an endpoint; its connections there end."""
     host.cut_from.add(endpoint)
