--- a/mallowpass/core/proxy/holders.py
+++ b/mallowpass/core/proxy/holders.py
@@ -157,6 +157,9 @@
 
     def cannot_reach(self, holder: str, endpoint: EndpointRow) -> None:
         """Pass a holder over for a while that can't reach one endpoint."""
+        for pair, until in list(self._out_of_reach.items()):
+            if until <= self.now:
+                del self._out_of_reach[pair]
         self._out_of_reach[(holder, endpoint.name)] = self.now + FAILED_TIME
 
     # -- Planning ------------------------------------------------------------
--- a/mallowpass/core/proxy/relays.py
+++ b/mallowpass/core/proxy/relays.py
@@ -103,6 +103,5 @@
 
 
 def _rank(host: HostRow) -> int:
-    # The same at every host. Holders are chosen by the name of a service, so that
-    # these are other hosts.
+    # The same at every host; not by size, as holders are, so that it is other hosts.
     return crc32(f"relay {host.name}".encode())
