--- a/mallowpass/core/proxy/store.py
+++ b/mallowpass/core/proxy/store.py
@@ -57,9 +57,9 @@
 # tells of all: where all hosts start at once, each would else be told of each. Nothing
 # about hosts is urgent: one that stops serves on for longer.
 CHANGES_GAP = {Table.CONFIGURATION: 0.5, Table.ENDPOINTS: 0.1, Table.HOSTS: 1.5}
-# Calls a second that all hosts together make to be told of each other's changes, if each
-# asks the store. A fleet that is restarted in turn would make as many as the square of
-# its size; and with each change that is told, other hosts may become holders.
+# Calls a second that all hosts together make to be told of each other's changes, if
+# each asks the store. A fleet that is restarted in turn would make as many as the
+# square of its size; and with each change that is told, other hosts may be holders.
 HOSTS_CALLS_MAX = 10.0
 # The same while the whole fleet starts for the first time: endpoints enter themselves
 # by turns over some seconds, and callers come well after.
