Choose holders anew only where hosts or limits change

Cause: the plans of all services were dropped whenever an endpoint entered itself, and each weighs all hosts.

Ruled out: relays (at 300 hosts and 30 services they pass on each row once).

Change: a plan stays until hosts, limits or the slots of its own service change.

--- a/mallowpass/core/proxy/holders.py
+++ b/mallowpass/core/proxy/holders.py
@@ -22,6 +22,7 @@
     HostRow,
     ProxySystem,
 )
+from mallowpass.core.records import record
 
 __all__ = ["Holders"]
 
@@ -33,6 +34,15 @@
 SILENT_MIN = 2
 
 
+@record
+class _KnownPlan:
+    """Hold a plan, and what of the endpoints it was made for."""
+
+    plan: Plan
+    statements: int  # that a full endpoint should have at once
+    endpoints_version: int
+
+
 class Holders(ProxySystem):
     """Know who holds what; every host works it out from the same entries."""
 
@@ -40,8 +50,8 @@
 
     def start(self) -> None:
         """Start with nothing known."""
-        self._plans: dict[str, Plan] = {}  # by service
-        self._plans_for: tuple[int, int, int] = (-1, -1, -1)
+        self._plans: dict[str, _KnownPlan] = {}  # by service
+        self._plans_for: tuple[int, int] = (-1, -1)
         # Until when a holder is passed over: by host, and by host and endpoint.
         self._failed: dict[str, float] = {}
         self._out_of_reach: dict[tuple[str, str], float] = {}
@@ -167,22 +177,35 @@
     def _plan(self, service: str) -> Plan:
         configuration = self.tables.configuration
         version = configuration.version if configuration is not None else 0
-        key = (self.tables.hosts_version, self.tables.endpoints_version, version)
+        key = (self.tables.hosts_version, version)
         if key != self._plans_for:
             self._plans_for = key
             self._plans.clear()
-        plan = self._plans.get(service)
-        if plan is None:
-            plan = self._plans[service] = self._make(service)
-        return plan
+        known = self._plans.get(service)
+        if known is None or known.endpoints_version != self.tables.endpoints_version:
+            known = self._plans[service] = self._renew(service, known)
+        return known.plan
 
-    def _make(self, service: str) -> Plan:
+    def _renew(self, service: str, known: _KnownPlan | None) -> _KnownPlan:
+        """Return a plan that holds for the endpoints known now.
+
+        Choosing holders weighs all hosts. Done anew for all services with each endpoint
+        that enters itself, it would take a host's whole time at the start of a fleet.
+        """
+        statements = self.statements(service)
+        if known is None or known.statements != statements:
+            plan = self._make(service, statements)
+        else:
+            plan = known.plan
+        return _KnownPlan(plan, statements, self.tables.endpoints_version)
+
+    def _make(self, service: str, statements: int) -> Plan:
         configuration = self.tables.configuration
         limits = configuration.services.get(service) if configuration else None
         if limits is None:
             return Plan(direct=True, share=0)
         hosts = list(self.tables.hosts.values())
-        return make_plan(service, limits.connections, hosts, self.statements(service))
+        return make_plan(service, limits.connections, hosts, statements)
 
     def _distance(self, host: HostRow) -> tuple[int, int]:
         identity = self._node.identity
--- a/mallowpass/core/proxy/shares.py
+++ b/mallowpass/core/proxy/shares.py
@@ -86,9 +86,9 @@
 
     def goes_without_holders(self, endpoint: EndpointRow) -> bool:
         """Tell whether this host reaches an endpoint itself that others hold."""
-        if self._holders.holds(endpoint.entry.service):
+        if self._direct(endpoint) == 0:
             return False
-        return self._direct(endpoint) > 0
+        return not self._holders.holds(endpoint.entry.service)
 
     @staticmethod
     def _direct(endpoint: EndpointRow) -> int:
--- a/tests/core/proxy/test_links.py
+++ b/tests/core/proxy/test_links.py
@@ -7,11 +7,13 @@
 
 import pytest
 
+from mallowpass.core.proxy import holders
 from mallowpass.core.proxy.configuration import Consistency, ServiceLimits
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.links import Links
+from mallowpass.core.proxy.policy.sharing import make_plan
 from mallowpass.core.proxy.statements import (
     Access,
     Begin,
@@ -512,6 +514,26 @@
     assert not _holds(host)
 
 
+def test_endpoints_that_enter_have_no_holders_chosen_anew(world, monkeypatch):
+    """Symptom: a fleet of 300 hosts in front of as many services does nothing else for
+    its first seconds.
+
+    Sequence: hundreds of endpoints enter themselves, one after the other.
+    Cause: with each of them each host weighed all hosts again for all services.
+    """
+    made = []
+
+    def count(*arguments):
+        made.append(arguments)
+        return make_plan(*arguments)
+
+    monkeypatch.setattr(holders, "make_plan", count)
+    world.enter(world.group.add("db-new"))
+    world.run(0.5)
+    assert all("db-new" in host.tables.endpoints for host in world.hosts)
+    assert made == []
+
+
 def _isolate(world: ProxyWorld, host: Host) -> None:
     """Cut a host from all others, without a sign."""
     host.cut_from.update(other.name for other in world.hosts if other is not host)
