Tell followers of changes that come together in one answer

Cause: a relay told each change to each of its followers at once.

Change: a follower that was told something asks again after 0.3 s.

--- a/mallowpass/core/proxy/store.py
+++ b/mallowpass/core/proxy/store.py
@@ -32,6 +32,9 @@
 # nothing else but that it does not answer in time.
 RELAY_WAIT = {Table.CONFIGURATION: 1.0, Table.ENDPOINTS: 1.0, Table.HOSTS: 10.0}
 RELAY_SLACK = 0.5
+# Seconds for which further changes are waited for after some came by a relay. Where
+# many endpoints enter themselves, it would else tell each follower of each by itself.
+RELAY_GAP = 0.3
 # After a start, hosts are waited for so long before a table is followed, in seconds.
 KNOWN_MAX = 3.0
 KNOWN_LOOK = 0.05  # seconds between looks whether they are known
@@ -358,10 +361,13 @@
             self._failures = 0
             self._take(reply, by_relay=False)
             gap = self._store.changes_gap(self._table)
-            if reply.rows and gap:
-                self._store.timers.after(gap, self._follow)
-            else:
-                self._follow()
+            self._follow_after(gap if reply.rows else 0.0)
+
+    def _follow_after(self, pause: float) -> None:
+        if pause:
+            self._store.timers.after(pause, self._follow)
+        else:
+            self._follow()
 
     def _follow_relay(self, relay: HostRow) -> None:
         asked_at = self._store.now
@@ -372,7 +378,7 @@
                 self._failures = 0
                 self._store.go_on()
                 self._take(reply, by_relay=True)
-                self._follow()
+                self._follow_after(RELAY_GAP if reply.rows else 0.0)
                 return
             self._relays.failed(relay.name)
             silent = self._store.now - asked_at >= wait
--- a/tests/core/proxy/test_relays.py
+++ b/tests/core/proxy/test_relays.py
@@ -245,3 +245,23 @@
     assert len(copy.rows) == REMOVED_MAX + 2
     assert _told(feeds, 22)[1]
     assert not _told(feeds, 24)[1]
+
+
+def test_many_changes_are_told_by_few_answers(world):
+    """Symptom: a relay of a large fleet sends more than its link takes.
+
+    Sequence: entries of endpoints change many times within seconds, as at their start.
+    Cause: each change was told to each follower by itself.
+    """
+    followers = len(_followers(world))
+    before = sum(_answers(host) for host in world.hosts)
+    for _ in range(40):
+        for name in ("db-tanger", "db-agadir"):
+            world.enter(world.group.replicas[name])
+        world.run(0.05)
+    told = sum(_answers(host) for host in world.hosts) - before
+    assert told <= 12 * followers
+
+
+def _answers(host: Host) -> int:
+    return sum(1 for count in host.counts if count.name == "relay_calls")
