Decide in one place whether a host is cut off from its holders

Cause: Shares and Holders each had a question of that name; the one of Holders said yes for a service that every host holds, which its callers had to know. `Store.regained_at` had no reader.

Change: Holders answers for both, Shares has none; the property goes. A comment that spoke of measuring says "used". No behaviour changes: tests of links, connections, load, relays and the store pass as they were.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -461,7 +461,7 @@
             if idle and self._shares.is_surplus(connection):
                 self.close(connection, "a holder can be reached")
         by_holder = any(c.holder for c in endpoint.connections.values())
-        if not by_holder and not self._shares.is_cut_off(endpoint):
+        if not by_holder and not self._holders.is_cut_off(endpoint):
             self.grow(endpoint)
 
     def _on_restarted(self, signal: EndpointRestarted) -> None:
--- a/mallowpass/core/proxy/holders.py
+++ b/mallowpass/core/proxy/holders.py
@@ -121,6 +121,8 @@
         Where two of them do not answer, it is most likely this host that is cut off
         from other hosts. Its callers, and the endpoint, it may well reach.
         """
+        if self.holds(endpoint.entry.service):
+            return False
         plan = self._plan(endpoint.entry.service)
         silent = [h for h in plan.holders if self._silent.get(h.name, 0.0) > self.now]
         return len(silent) >= min(SILENT_MIN, len(plan.holders))
--- a/mallowpass/core/proxy/shares.py
+++ b/mallowpass/core/proxy/shares.py
@@ -49,7 +49,7 @@
         """Tell whether this host may open one more connection on its usual way."""
         if self.now < endpoint.refused_until:
             return False
-        if self.is_cut_off(endpoint) and self._direct(endpoint) >= DIRECT_MAX:
+        if self._holders.is_cut_off(endpoint) and self._direct(endpoint) >= DIRECT_MAX:
             return False
         return beyond_share or self._held(endpoint) < self._share(endpoint)
 
@@ -74,15 +74,10 @@
 
     def way(self, endpoint: EndpointRow) -> HostRow | None:
         """Return the host by way of which an endpoint is reached; None: directly."""
-        if self._holders.holds(endpoint.entry.service) or self.is_cut_off(endpoint):
+        holders = self._holders
+        if holders.holds(endpoint.entry.service) or holders.is_cut_off(endpoint):
             return None
-        return self._holders.route(endpoint)
-
-    def is_cut_off(self, endpoint: EndpointRow) -> bool:
-        """Tell whether this host needs holders, and most likely can't reach them."""
-        if self._holders.holds(endpoint.entry.service):
-            return False
-        return self._holders.is_cut_off(endpoint)
+        return holders.route(endpoint)
 
     def goes_without_holders(self, endpoint: EndpointRow) -> bool:
         """Tell whether this host reaches an endpoint itself that others hold."""
--- a/mallowpass/core/proxy/store.py
+++ b/mallowpass/core/proxy/store.py
@@ -83,7 +83,6 @@
         "_failing_since",
         "_feeds",
         "_prober",
-        "_regained_at",
         "_relayed",
         "_relays",
         "_started_at",
@@ -98,7 +97,6 @@
         self._clock_offset: float | None = None
         self._failing_since: float | None = None
         self._prober: Watch | None = None
-        self._regained_at = float("-inf")
         self._relayed: set[int] = set()  # calls that another host answers
         self._started_at = node.timers.now
         self._waiting: list[Callable[[], None]] = []
@@ -124,11 +122,6 @@
         """Return when calls began to fail, None while they are answered."""
         return self._failing_since
 
-    @property
-    def regained_at(self) -> float:
-        """Return when calls were last answered again after failing."""
-        return self._regained_at
-
     @property
     def time(self) -> float | None:
         """Return the store's clock as far as known, in seconds."""
@@ -259,7 +252,6 @@
             return
         away = self.now - self._failing_since
         self._failing_since = None
-        self._regained_at = self.now
         self._node.log("info", "store_regained", after=round(away, 3))
         self.go_on()
 
--- a/mallowpass/core/systems/routing.py
+++ b/mallowpass/core/systems/routing.py
@@ -17,7 +17,7 @@
 
 __all__ = ["Routing"]
 
-# What a statement is expected to take (seconds) at a member not measured lately.
+# What a statement is expected to take (seconds) at a member that was not used lately.
 LATENCY_SAME_DOMAIN = 0.002
 LATENCY_SAME_REGION = 0.004
 LATENCY_OTHER_REGION = 0.030
