Keep the lock of a host's faults with the host that it belongs to

Cause: locks stood in a table of the module under id(host), and outlived their hosts.

Ruled out: a fault of the product (the exception is raised in the soak's own process, before any check ran), load (a script that contends for hosts in 50 event loops fails alone on the machine).

Change: a host process has a lock of its own. The new test contends for 200 hosts in five event loops: it fails with the same exception on the code before, and passes now.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -62,6 +62,7 @@
         self.log = folder / f"{self.name}.log"
         self.ended_by_itself = False
         self._wanted = False
+        self._alone = asyncio.Lock()
         self._log_size = 0  # of the log before this start
         self._process: asyncio.subprocess.Process | None = None
         self._settings = folder / f"{self.name}.toml"
@@ -69,6 +70,11 @@
         self.store = FaultProxy(platform.address(60 + number, STORE_PORT), store)
         self._settings.write_text(self._text(platform))
 
+    @property
+    def alone(self) -> asyncio.Lock:
+        """Return the lock that keeps this host's faults from undoing each other."""
+        return self._alone
+
     def has_logged(self, event: str) -> bool:
         """Tell whether any start of this host has logged an event."""
         return self.log.exists() and f"event={event} ".encode() in self.log.read_bytes()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -153,21 +153,21 @@
 
     async def kill(self) -> None:
         host = self.random.choice(self.hosts)
-        async with _alone(host):
+        async with host.alone:
             await host.kill()
             await asyncio.sleep(self.random.uniform(0.1, 1.0))
             await host.start()
 
     async def stop(self) -> None:
         host = self.random.choice(self.hosts)
-        async with _alone(host):
+        async with host.alone:
             if await host.terminate() != 0:
                 self.findings.broken.append(f"{host.name} did not stop with 0")
             await host.start()
 
     async def freeze(self) -> None:
         host = self.random.choice(self.hosts)
-        async with _alone(host):
+        async with host.alone:
             host.send(signal.SIGSTOP)
             await asyncio.sleep(self.random.uniform(0.3, 3.0))
             host.send(signal.SIGCONT)
@@ -256,14 +256,6 @@
         self.platform.enter(primary)
 
 
-_locks: dict[int, asyncio.Lock] = {}
-
-
-def _alone(host: HostProcess) -> asyncio.Lock:
-    """Return the lock that keeps one host's faults from undoing each other."""
-    return _locks.setdefault(id(host), asyncio.Lock())
-
-
 _FAULTS: tuple[Callable[[_Run], Awaitable[None]], ...] = (
     _Run.kill,
     _Run.stop,
--- /dev/null
+++ b/tests/soak/test_fleet.py
@@ -0,0 +1,33 @@
+"""Tests of the soak's host processes; none is started here."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+from tests.soak.fleet import HostProcess, SoakPlatform
+
+RUNS = 5
+HOSTS = 40  # enough that some of a later run stand where earlier ones stood
+
+
+async def _hold(host: HostProcess) -> None:
+    async with host.alone:
+        await asyncio.sleep(0)
+
+
+async def _contend(platform: SoakPlatform, folder: Path) -> None:
+    for host in [HostProcess(platform, 0, folder) for _ in range(HOSTS)]:
+        await asyncio.gather(_hold(host), _hold(host))
+
+
+def test_faults_of_a_later_run_wait_for_each_other(tmp_path):
+    """Two faults that waited for one host ended a later seed with an exception.
+
+    A seed's hosts are freed as it ends. A host of the next seed could get the place
+    of one in memory, and with it, by a table kept under `id`, a lock that belonged
+    to the event loop of the seed before.
+    """
+    platform = SoakPlatform(seed=1)
+    for _ in range(RUNS):
+        asyncio.run(_contend(platform, tmp_path))
