Move the virtual world of proxying hosts out of the tests

Cause: the decisions under load are to be played by a command of the product, and the world that can play them, hosts with holders in virtual time, stood in tests/fakes.

Ruled out: a second world for measurements. Two would have to be kept true to the same platform.

Change: proxyworld, proxyhosts and proxyoracle are world, hosts and oracle of mallowpass/standins/proxied/virtual. Failure domains are an argument, so that regions with several of them can be played. A caller without an answer raises TimeoutError in place of a failed assertion, and connections tell their member by a property. No test changed but for its imports and that property.

--- a/mallowpass/standins/proxied/connections.py
+++ b/mallowpass/standins/proxied/connections.py
@@ -61,6 +61,11 @@
         self.silent = False  # it takes calls and answers nothing
         replica.connections.add(self)
 
+    @property
+    def member(self) -> str:
+        """Return the name of the member that this connection leads to."""
+        return self._replica.name
+
     def close(self) -> None:
         """Close; what was not committed is rolled back."""
         self.open = False
--- a/tests/fakes/proxyhosts.py
+++ b/mallowpass/standins/proxied/virtual/hosts.py
@@ -1,4 +1,4 @@
-"""Proxying hosts for tests, their callers, and the links between them."""
+"""Hosts in virtual time, their callers, and the links between them."""
 
 from __future__ import annotations
 
@@ -37,13 +37,15 @@
 from mallowpass.platform import wire
 from mallowpass.standins.proxied.connections import ReplicaConnection, connect
 from mallowpass.standins.proxied.replicas import Group, Replica
-from tests.fakes.proxyoracle import Session
+from mallowpass.standins.proxied.virtual.oracle import Session
 
 if TYPE_CHECKING:
-    from tests.fakes.proxyworld import ProxyWorld
+    from mallowpass.standins.proxied.virtual.world import ProxyWorld
+
+__all__ = ["DOMAINS", "LINK", "Caller", "Host", "Link"]
 
 LINK = 0.0005  # seconds one way between any two
-DOMAINS = ("casa", "tanger", "agadir")
+DOMAINS = tuple(FailureDomain(name, name, 0) for name in ("casa", "tanger", "agadir"))
 
 
 class Caller:
@@ -74,7 +76,8 @@
         before = len(self.answers)
         self.send(statement)
         self._world.run_until(lambda: len(self.answers) > before, within)
-        assert len(self.answers) > before, f"no answer to {statement}"
+        if len(self.answers) == before:
+            raise TimeoutError(f"no answer to {statement} within {within} s")
         return self.answers[-1]
 
     def answer(self, answer: Answer) -> None:
@@ -106,9 +109,8 @@
         self.logs: list[effects.Log] = []
         self.counts: list[effects.Count] = []
         self.floors_given: list[FloorHint] = []  # to other hosts
-        domains = tuple(FailureDomain(name, name, 0) for name in DOMAINS)
         address = f"{name}:7440"
-        identity = HostIdentity(name, domain, 0, address, seed, domains)
+        identity = HostIdentity(name, domain, 0, address, seed, world.domains)
         now = world.timers.now
         lead_is_taken = world.fences and not world.group.goes_on
         tables = ProxyTables(
@@ -225,7 +227,7 @@
         connection = self.connections.get(effect.connection)
         if connection is None or not connection.open:
             return
-        if connection._replica.name in self.cut_from | self.world.dark:
+        if connection.member in self.cut_from | self.world.dark:
             return
         for call in effect.calls:
             self.world.record(self, connection, call)
@@ -235,7 +237,7 @@
         connection = self.connections.get(number)
         if connection is None:
             return
-        if connection._replica.name in self.cut_from | self.world.dark:
+        if connection.member in self.cut_from | self.world.dark:
             return
         if self.world.loses_answer(connection, reply):
             return
--- a/tests/fakes/proxyworld.py
+++ b/mallowpass/standins/proxied/virtual/world.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from collections.abc import Callable
 from typing import Any
 
+from mallowpass.core.node import FailureDomain
 from mallowpass.core.proxy import effects
 from mallowpass.core.proxy.configuration import (
     Configuration,
@@ -36,8 +38,10 @@
 from mallowpass.standins.proxied.connections import ReplicaConnection
 from mallowpass.standins.proxied.replicas import Group, Replica
 from mallowpass.standins.proxied.rows import RowStore
-from tests.fakes.proxyhosts import DOMAINS, LINK, Caller, Host, Link
-from tests.fakes.proxyoracle import Oracle
+from mallowpass.standins.proxied.virtual.hosts import DOMAINS, LINK, Caller, Host, Link
+from mallowpass.standins.proxied.virtual.oracle import Oracle
+
+__all__ = ["CONFIGURATION_KEY", "SERVICE", "ProxyWorld", "configuration", "route"]
 
 CONFIGURATION_KEY = RowKey(Table.CONFIGURATION, "", "config")
 ENTRY_TIME = 0.2  # seconds until each host has learnt of a changed entry
@@ -86,8 +90,10 @@
         first_start: bool = False,
         fences: bool = True,
         apply_time: float = 6.0,
+        domains: tuple[FailureDomain, ...] = DOMAINS,
         **group: Any,
     ) -> None:
+        self.domains = domains
         self.first_start = first_start
         self.apply_time = apply_time  # less than some seconds: there are no relays
         self.fences = fences  # orders of whoever was overtaken are refused
@@ -114,7 +120,8 @@
         self.store.put(CONFIGURATION_KEY, configuration())
         for replica in self.group.replicas.values():
             self.enter(replica)
-        names = [(f"host-{i}", DOMAINS[i % 3]) for i in range(hosts)]
+        places = itertools.cycle(domain.name for domain in domains)
+        names = [(f"host-{i}", next(places)) for i in range(hosts)]
         if not first_start:
             for name, domain in names:
                 entry = HostRow(name, domain, f"{name}:7440", 1.0).encode()
@@ -267,7 +274,7 @@
             self.dark.add(name)
         for host in self.hosts:
             for number, connection in list(host.connections.items()):
-                if connection._replica.name == name and not dark:
+                if connection.member == name and not dark:
                     host.lose(number, "reset")
         self.group.crash(name)
 
@@ -295,7 +302,7 @@
 
     def record(self, host: Host, connection: ReplicaConnection, call: Any) -> None:
         """Note a call that arrives at a member."""
-        self.calls.append((host.name, connection._replica.name, call))
+        self.calls.append((host.name, connection.member, call))
 
     def order(
         self, host: Host, order: effects.OrderPromotion
--- a/tests/core/proxy/policy/test_admission.py
+++ b/tests/core/proxy/policy/test_admission.py
@@ -10,7 +10,7 @@
 from mallowpass.core.proxy.policy.line import Choice, Line, urgency
 from mallowpass.core.proxy.statements import Access, Read
 from mallowpass.core.proxy.tables import RequestRow, SessionRow
-from tests.fakes.proxyworld import route
+from mallowpass.standins.proxied.virtual.world import route
 
 OBJECTIVE = 0.4  # seconds
 
--- a/tests/core/proxy/test_claims.py
+++ b/tests/core/proxy/test_claims.py
@@ -6,7 +6,7 @@
 
 from mallowpass.core.proxy.statements import Code, Write
 from mallowpass.core.proxy.storage import RowKey, Table
-from tests.fakes.proxyworld import SERVICE, ProxyWorld
+from mallowpass.standins.proxied.virtual.world import SERVICE, ProxyWorld
 
 
 def _keep_writing(world: ProxyWorld) -> None:
--- a/tests/core/proxy/test_connections.py
+++ b/tests/core/proxy/test_connections.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from mallowpass.core.proxy.statements import Begin, Code, Commit, Read, Rollback, Write
-from tests.fakes.proxyhosts import Caller, Host
-from tests.fakes.proxyworld import (
+from mallowpass.standins.proxied.virtual.hosts import Caller, Host
+from mallowpass.standins.proxied.virtual.world import (
     CONFIGURATION_KEY,
     SERVICE,
     ProxyWorld,
--- a/tests/core/proxy/test_draining.py
+++ b/tests/core/proxy/test_draining.py
@@ -5,7 +5,7 @@
 import pytest
 
 from mallowpass.core.proxy.statements import Begin, Code, Commit, Read, SetValue, Write
-from tests.fakes.proxyworld import ProxyWorld
+from mallowpass.standins.proxied.virtual.world import ProxyWorld
 
 
 @pytest.fixture
--- a/tests/core/proxy/test_durability.py
+++ b/tests/core/proxy/test_durability.py
@@ -4,7 +4,7 @@
 
 from mallowpass.core.proxy.statements import Code, Read, Write
 from mallowpass.core.proxy.storage import RowKey, Table
-from tests.fakes.proxyworld import SERVICE, ProxyWorld
+from mallowpass.standins.proxied.virtual.world import SERVICE, ProxyWorld
 
 
 def _write(world: ProxyWorld, count: int, host: int = 0, prefix: str = "a") -> None:
--- a/tests/core/proxy/test_floors.py
+++ b/tests/core/proxy/test_floors.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from mallowpass.core.proxy.statements import Code, Read, Write
-from tests.fakes.proxyhosts import Caller
-from tests.fakes.proxyworld import ProxyWorld
+from mallowpass.standins.proxied.virtual.hosts import Caller
+from mallowpass.standins.proxied.virtual.world import ProxyWorld
 
 
 def write_always(world: ProxyWorld) -> Caller:
--- a/tests/core/proxy/test_links.py
+++ b/tests/core/proxy/test_links.py
@@ -30,8 +30,8 @@
 from mallowpass.core.proxy.storage import RowKey, Table
 from mallowpass.core.proxy.tables import ConnectionState
 from mallowpass.standins.proxied.connections import connect
-from tests.fakes.proxyhosts import Host
-from tests.fakes.proxyworld import (
+from mallowpass.standins.proxied.virtual.hosts import Host
+from mallowpass.standins.proxied.virtual.world import (
     CONFIGURATION_KEY,
     SERVICE,
     ProxyWorld,
@@ -546,6 +546,6 @@
     """Cut a host from an endpoint; its connections there end."""
     host.cut_from.add(endpoint)
     for number, connection in list(host.connections.items()):
-        if connection._replica.name == endpoint:
+        if connection.member == endpoint:
             connection.close()
             host.lose(number, "cut")
--- a/tests/core/proxy/test_load.py
+++ b/tests/core/proxy/test_load.py
@@ -8,7 +8,7 @@
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.statements import Begin, Code, Commit, Read
 from mallowpass.core.proxy.tables import EndpointRow
-from tests.fakes.proxyworld import (
+from mallowpass.standins.proxied.virtual.world import (
     CONFIGURATION_KEY,
     SERVICE,
     ProxyWorld,
--- a/tests/core/proxy/test_members.py
+++ b/tests/core/proxy/test_members.py
@@ -25,8 +25,8 @@
     UNKNOWN_START,
 )
 from mallowpass.core.proxy.tables import ConnectionState, EndpointRow
-from tests.fakes.proxyhosts import Host
-from tests.fakes.proxyworld import (
+from mallowpass.standins.proxied.virtual.hosts import Host
+from mallowpass.standins.proxied.virtual.world import (
     ENTRY_TIME,
     SERVICE,
     ProxyWorld,
--- a/tests/core/proxy/test_promotion.py
+++ b/tests/core/proxy/test_promotion.py
@@ -4,7 +4,7 @@
 
 from mallowpass.core.proxy.statements import Code, Read, Write
 from mallowpass.standins.proxied.replicas import GroupTimes
-from tests.fakes.proxyworld import ProxyWorld
+from mallowpass.standins.proxied.virtual.world import ProxyWorld
 
 
 def _write_until_served(world: ProxyWorld, within: float) -> float:
@@ -57,7 +57,7 @@
     host = world.hosts[0]
     host.cut_from.add("db-casa")
     for number in list(host.connections):
-        if host.connections[number]._replica.name == "db-casa":
+        if host.connections[number].member == "db-casa":
             host.lose(number, "cut")
     for _ in range(6):
         world.caller(0, "strict").send(Read("a"))
--- a/tests/core/proxy/test_relays.py
+++ b/tests/core/proxy/test_relays.py
@@ -13,8 +13,12 @@
     StoreStatus,
     Table,
 )
-from tests.fakes.proxyhosts import Host
-from tests.fakes.proxyworld import CONFIGURATION_KEY, ProxyWorld, configuration
+from mallowpass.standins.proxied.virtual.hosts import Host
+from mallowpass.standins.proxied.virtual.world import (
+    CONFIGURATION_KEY,
+    ProxyWorld,
+    configuration,
+)
 
 HOSTS = 24
 CALM = 60.0  # seconds
--- a/tests/core/proxy/test_relief.py
+++ b/tests/core/proxy/test_relief.py
@@ -9,7 +9,7 @@
 from mallowpass.core.proxy.configuration import Consistency
 from mallowpass.core.proxy.statements import Code, Pause, Read, Write
 from mallowpass.standins.proxied.replicas import GroupTimes
-from tests.fakes.proxyworld import (
+from mallowpass.standins.proxied.virtual.world import (
     CONFIGURATION_KEY,
     SERVICE,
     ProxyWorld,
--- a/tests/core/proxy/test_replaced.py
+++ b/tests/core/proxy/test_replaced.py
@@ -9,7 +9,7 @@
 import pytest
 
 from mallowpass.core.proxy.statements import Begin, Code, Commit, Read, Write
-from tests.fakes.proxyworld import SERVICE, ProxyWorld
+from mallowpass.standins.proxied.virtual.world import SERVICE, ProxyWorld
 
 OLD = "db-casa"
 OTHERS = ("db-tanger", "db-agadir")
--- a/tests/core/proxy/test_replaced_random.py
+++ b/tests/core/proxy/test_replaced_random.py
@@ -14,7 +14,7 @@
 
 from mallowpass.core.proxy.statements import Begin, Commit, Read, Write
 from mallowpass.standins.proxied.replicas import GroupTimes
-from tests.fakes.proxyworld import DATABASES, ProxyWorld
+from mallowpass.standins.proxied.virtual.world import DATABASES, ProxyWorld
 
 DURATION = 10.0  # seconds of faults
 GAP = 0.04  # seconds between statements of a host
--- a/tests/core/proxy/test_replacement.py
+++ b/tests/core/proxy/test_replacement.py
@@ -10,7 +10,7 @@
 from mallowpass.core.proxy.replacement import Reason, Replacement
 from mallowpass.core.proxy.statements import Code, Read, Write
 from mallowpass.standins.proxied.replicas import GroupTimes
-from tests.fakes.proxyworld import ProxyWorld
+from mallowpass.standins.proxied.virtual.world import ProxyWorld
 
 
 def _write(world: ProxyWorld, count: int, host: int = 0) -> None:
@@ -30,7 +30,7 @@
     for host in world.hosts[:count]:
         host.cut_from.add("db-casa")
         for number in list(host.connections):
-            if host.connections[number]._replica.name == "db-casa":
+            if host.connections[number].member == "db-casa":
                 host.lose(number, "cut")
     for index in range(count):
         world.caller(index, "strict").send(Write("x 1"))
--- a/tests/core/proxy/test_requests.py
+++ b/tests/core/proxy/test_requests.py
@@ -4,7 +4,7 @@
 
 from mallowpass.core.proxy.routing import Routing
 from mallowpass.core.proxy.statements import Code, Read, Write
-from tests.fakes.proxyworld import (
+from mallowpass.standins.proxied.virtual.world import (
     CONFIGURATION_KEY,
     ProxyWorld,
     configuration,
--- a/tests/core/proxy/test_resumption.py
+++ b/tests/core/proxy/test_resumption.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from mallowpass.core.proxy.statements import Read, Resume, Write
-from tests.fakes.proxyhosts import Host
-from tests.fakes.proxyworld import ProxyWorld
+from mallowpass.standins.proxied.virtual.hosts import Host
+from mallowpass.standins.proxied.virtual.world import ProxyWorld
 
 
 def keep_working(world: ProxyWorld) -> None:
--- a/tests/core/proxy/test_sampling.py
+++ b/tests/core/proxy/test_sampling.py
@@ -8,8 +8,8 @@
 
 from mallowpass.core.proxy.statements import Begin, Code, Commit, Read, Write
 from mallowpass.standins.proxied.replicas import GroupTimes
-from tests.fakes.proxyhosts import Caller
-from tests.fakes.proxyworld import ProxyWorld
+from mallowpass.standins.proxied.virtual.hosts import Caller
+from mallowpass.standins.proxied.virtual.world import ProxyWorld
 
 OBJECTIVE = 0.8  # seconds
 RATE = 240.0  # operations a second of all hosts
--- a/tests/core/proxy/test_sessions.py
+++ b/tests/core/proxy/test_sessions.py
@@ -18,7 +18,11 @@
     SetValue,
     Write,
 )
-from tests.fakes.proxyworld import CONFIGURATION_KEY, ProxyWorld, configuration
+from mallowpass.standins.proxied.virtual.world import (
+    CONFIGURATION_KEY,
+    ProxyWorld,
+    configuration,
+)
 
 
 @pytest.fixture
--- a/tests/core/proxy/test_stalls.py
+++ b/tests/core/proxy/test_stalls.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from mallowpass.core.proxy.statements import Answer, Code, Pause, Read, Write
-from tests.fakes.proxyhosts import Caller
-from tests.fakes.proxyworld import ProxyWorld
+from mallowpass.standins.proxied.virtual.hosts import Caller
+from mallowpass.standins.proxied.virtual.world import ProxyWorld
 
 
 def _leave_no_replica_that_receives(world: ProxyWorld) -> None:
--- a/tests/core/proxy/test_standing_orders.py
+++ b/tests/core/proxy/test_standing_orders.py
@@ -9,8 +9,8 @@
 import pytest
 
 from mallowpass.standins.proxied.replicas import GroupTimes
+from mallowpass.standins.proxied.virtual.world import ProxyWorld
 from tests.core.proxy.test_replaced import OLD, OTHERS, keep_working, kept, weak_world
-from tests.fakes.proxyworld import ProxyWorld
 
 PROMOTION_TIMES = [0.3, 1.0]  # seconds that the platform takes for an order
 
--- a/tests/core/proxy/test_store.py
+++ b/tests/core/proxy/test_store.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 from mallowpass.core.proxy.statements import Code, Read, Write
-from tests.fakes.proxyworld import CONFIGURATION_KEY, ProxyWorld, configuration
+from mallowpass.standins.proxied.virtual.world import (
+    CONFIGURATION_KEY,
+    ProxyWorld,
+    configuration,
+)
 
 SETTLE_TIME = 6.0  # seconds after a disruption, as the hosts of this world are told
 
--- a/tests/core/proxy/test_unreadable.py
+++ b/tests/core/proxy/test_unreadable.py
@@ -12,8 +12,8 @@
 from mallowpass.core.proxy.storage import RowKey, Table, Unreadable
 from mallowpass.core.proxy.tables import EndpointRow
 from mallowpass.standins.proxied.replicas import Group
-from tests.fakes.proxyhosts import Host
-from tests.fakes.proxyworld import (
+from mallowpass.standins.proxied.virtual.hosts import Host
+from mallowpass.standins.proxied.virtual.world import (
     CONFIGURATION_KEY,
     ENTRY_TIME,
     SERVICE,
--- a/tests/measure_platform.py
+++ b/tests/measure_platform.py
@@ -13,7 +13,11 @@
 import click
 
 from mallowpass.core.proxy.statements import Code, Read, Write
-from tests.fakes.proxyworld import CONFIGURATION_KEY, ProxyWorld, configuration
+from mallowpass.standins.proxied.virtual.world import (
+    CONFIGURATION_KEY,
+    ProxyWorld,
+    configuration,
+)
 
 GAP_LIMIT = 20.0  # seconds
 LIMIT = 22  # connections of an endpoint
