Have small failure domains of one region share relays

Cause: 24 hosts in six failure domains of four have no relays, as each domain is too small for two of its own; each host waits at the store for changes of three tables.

Ruled out: fewer hosts for relays of one domain (4 hosts: half of them would be relays); waits that are longer (a store that is silent loses calls, and hosts learn of nothing until these end).

Change: hosts of a region whose failure domains have fewer than five hosts choose two relays together. They follow none of a larger domain of the region: those of its hosts that are no relays follow others, and would refuse. One call between failure domains of a region is 1 ms more.

Fleets of seven hosts in three regions are as before: no region has five hosts.

--- a/mallowpass/core/proxy/relays.py
+++ b/mallowpass/core/proxy/relays.py
@@ -3,7 +3,8 @@
 Each call to the store is charged, and it takes so many a second from all hosts. If each
 host of a large fleet waited there for changes, calls would grow with the fleet, and the
 store would tell each change to each host. So a few hosts of each failure domain, the
-relays, wait for changes at the store, and the others wait at these, see `feeds`.
+relays, wait for changes at the store, and the others wait at these, see `feeds`. Small
+failure domains of one region share relays.
 
 What can go wrong: a relay ends, freezes or is cut off. Its followers notice by a call
 that is not answered within a second or so, and go to the next relay at once; where none
@@ -19,8 +20,8 @@
 
 __all__ = ["Relays"]
 
-RELAYS = 2  # in one failure domain
-# Smaller failure domains have no relays: there would be as many as followers.
+RELAYS = 2  # in one failure domain, or of those that share them
+# Fewer hosts have no relays: there would be as many as followers.
 HOSTS_MIN = 5
 # How long a relay that did not answer is passed over.
 FAILED_TIME = 2.0  # seconds
@@ -87,15 +88,24 @@
         return [host for domain in domains for host in self._of_domain(domain)]
 
     def _make(self) -> dict[str, list[HostRow]]:
+        identity = self._node.identity
         domains: dict[str, list[HostRow]] = {}
         for host in self.tables.hosts.values():
             if host.address:
                 domains.setdefault(host.domain, []).append(host)
-        return {
-            domain: sorted(hosts, key=_rank)[:RELAYS]
-            for domain, hosts in domains.items()
-            if len(hosts) >= HOSTS_MIN
-        }
+        # Hosts of small failure domains, by region. They follow none of a larger one:
+        # its relays have followers enough, and its other hosts are followers.
+        shared: dict[str, list[HostRow]] = {}
+        for domain, hosts in domains.items():
+            if len(hosts) < HOSTS_MIN:
+                shared.setdefault(identity.region_of(domain), []).extend(hosts)
+        plan = {}
+        for domain, hosts in domains.items():
+            sharing = shared.get(identity.region_of(domain), [])
+            candidates = hosts if len(hosts) >= HOSTS_MIN else sharing
+            if len(candidates) >= HOSTS_MIN:
+                plan[domain] = sorted(candidates, key=_rank)[:RELAYS]
+        return plan
 
     def _weight(self, host: HostRow) -> int:
         # Different for each follower, so that relays have equal parts of them.
--- a/tests/core/proxy/test_relays.py
+++ b/tests/core/proxy/test_relays.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from mallowpass.core.node import FailureDomain
 from mallowpass.core.proxy.feeds import REMOVED_MAX, Feeds
 from mallowpass.core.proxy.relays import FAILED_TIME, Relays
 from mallowpass.core.proxy.storage import (
@@ -21,6 +22,12 @@
 )
 
 HOSTS = 24
+REGIONS = ("casablanca", "tanger", "agadir")
+SMALL_DOMAINS = tuple(
+    FailureDomain(f"{region}-{number}", region, 0)
+    for region in REGIONS
+    for number in (1, 2)
+)
 CALM = 60.0  # seconds
 NO_RELAYS = 3.0  # seconds within which changes must be in force: too few for relays
 APPLY_TIME = 5.0  # seconds within which a change must be in force everywhere
@@ -66,6 +73,52 @@
     assert calls <= (alone.store.calls - before) / 3
 
 
+def test_small_failure_domains_of_a_region_share_relays():
+    """Symptom: a fleet of small failure domains calls the store as if it had no relays.
+
+    Sequence: nothing happens. Cause: each failure domain had too few hosts for relays
+    of its own, and each host waited at the store.
+    """
+    world = ProxyWorld(hosts=HOSTS, domains=SMALL_DOMAINS)
+    world.run(8.0)
+    assert len(_relays(world)) == 2 * len(REGIONS)
+    before = world.store.calls
+    world.run(CALM)
+    calls = world.store.calls - before
+    alone = ProxyWorld(hosts=HOSTS, domains=SMALL_DOMAINS, apply_time=NO_RELAYS)
+    alone.run(8.0)
+    before = alone.store.calls
+    alone.run(CALM)
+    assert calls <= (alone.store.calls - before) / 3
+
+
+def test_small_failure_domains_share_relays_that_fail():
+    world = ProxyWorld(hosts=HOSTS, domains=SMALL_DOMAINS)
+    world.run(8.0)
+    region = {d.name for d in SMALL_DOMAINS if d.region == REGIONS[0]}
+    frozen = [host for host in _relays(world) if host.domain in region]
+    assert len(frozen) == 2
+    for relay in frozen:
+        relay.frozen = True
+    _change(world, 2)
+    world.run(APPLY_TIME)
+    assert _versions([h for h in world.hosts if h not in frozen]) == {2}
+
+
+def test_a_small_failure_domain_follows_none_of_a_larger_one():
+    """Symptom: hosts whose relay refuses them call the store by turns, for ever.
+
+    Sequence: a region has a failure domain with relays and a small one. Cause: the
+    small one chose relays of both, among them hosts that follow others themselves.
+    """
+    places = 5 * ("casa-1",) + 3 * ("casa-2",) + 5 * ("tanger-1",)
+    domains = tuple(FailureDomain(p, p.partition("-")[0], 0) for p in places)
+    world = ProxyWorld(hosts=len(places), domains=domains)
+    world.run(8.0)
+    relays = [host.domain for host in _relays(world)]
+    assert sorted(relays) == 2 * ["casa-1"] + 3 * ["casa-2"] + 2 * ["tanger-1"]
+
+
 def test_first_start_takes_two_calls_of_a_follower():
     """Each enters itself and lists the hosts; the rest it learns from its relay."""
     world = ProxyWorld(hosts=HOSTS, first_start=True)
