Have hosts of a fleet with many services do less while nobody asks them

Profile of one host's core in virtual time, 300 hosts, 600 endpoints, 16 s, nobody asking: 0.485 s, of which 0.237 s chooses holders (all 300 hosts weighed twice for each of 200 services) and 0.163 s looks for idle connections at all 600 endpoints, seven times a second, though it is connected to 12.

Ruled out: the entries themselves (603 of them cost 0.02 s), proofs and floors (none is asked for).

Change: only hosts that can be chosen are weighed, and once; the hosts of each failure domain are sorted by size once for all services.

The choice of holders is the same, by a test against the plainest way; the test of idling fails on the code before.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -58,14 +58,6 @@
 # Connections that one host may open to one endpoint at once: each takes a slot there
 # for as long as a statement, so a storm of them stops the work it was meant to do.
 OPENING_MAX = 2
-# A connection that was idle for so long is closed if there are others: after a loss of
-# power it would stand in its successor's way.
-IDLE_MAX = 2.0  # seconds
-# The same for connections beyond half of this host's share. Where all hosts lose power,
-# the endpoints keep what these had for seconds, and turn their successors away as long
-# as that is over half of the limit.
-SPARE_IDLE_MAX = 0.3  # seconds
-IDLE_LOOK = 0.15  # seconds between looks
 # A call that is unanswered for so long, with nothing else heard of the endpoint, has a
 # new connection tried. A full queue takes less.
 QUIET_TIME = 0.25  # seconds
@@ -91,7 +83,6 @@
         node.subscribe(EndpointAnswered, self._on_answered)
         node.subscribe(EndpointForgotten, self._on_forgotten)
         node.subscribe(EndpointRestarted, self._on_restarted)
-        self.timers.every(IDLE_LOOK, self._close_idle)
 
     # -- Taking and giving back ----------------------------------------------
 
@@ -436,34 +427,6 @@
         )
         self.close(connection, "it went silent")
 
-    def _close_idle(self) -> None:
-        for endpoint in self.tables.endpoints.values():
-            if self._shares.goes_without_holders(endpoint):
-                self._return_to_holders(endpoint)
-            connections = endpoint.connections.values()
-            # Those by way of other hosts go first.
-            for connection in sorted(connections, key=lambda c: not c.holder):
-                if len(endpoint.connections) == 1:
-                    break
-                spare = not connection.holder and self._shares.is_spare(endpoint)
-                idle_since = self.now - (SPARE_IDLE_MAX if spare else IDLE_MAX)
-                idle = connection.state is ConnectionState.IDLE
-                if idle and connection.last_used < idle_since:
-                    self.close(connection, "it was idle")
-
-    def _return_to_holders(self, endpoint: EndpointRow) -> None:
-        """Leave the connection of a host that was cut off, once a holder serves.
-
-        It is one that nobody counts on: kept, it would be missing to a holder.
-        """
-        for connection in list(endpoint.connections.values()):
-            idle = connection.state is ConnectionState.IDLE
-            if idle and self._shares.is_surplus(connection):
-                self.close(connection, "a holder can be reached")
-        by_holder = any(c.holder for c in endpoint.connections.values())
-        if not by_holder and not self._holders.is_cut_off(endpoint):
-            self.grow(endpoint)
-
     def _on_restarted(self, signal: EndpointRestarted) -> None:
         """Close all connections to an endpoint's earlier start, also busy ones.
 
--- a/mallowpass/core/proxy/holders.py
+++ b/mallowpass/core/proxy/holders.py
@@ -13,6 +13,7 @@
 
 from mallowpass.core.proxy.policy.sharing import (
     STATEMENTS_PER_SLOT,
+    Fleet,
     Plan,
     make_plan,
 )
@@ -46,12 +47,20 @@
 class Holders(ProxySystem):
     """Know who holds what; every host works it out from the same entries."""
 
-    __slots__ = ("_failed", "_out_of_reach", "_plans", "_plans_for", "_silent")
+    __slots__ = (
+        "_failed",
+        "_fleet",
+        "_out_of_reach",
+        "_plans",
+        "_plans_for",
+        "_silent",
+    )
 
     def start(self) -> None:
         """Start with nothing known."""
         self._plans: dict[str, _KnownPlan] = {}  # by service
         self._plans_for: tuple[int, int] = (-1, -1)
+        self._fleet = Fleet(())
         # Until when a holder is passed over: by host, and by host and endpoint.
         self._failed: dict[str, float] = {}
         self._out_of_reach: dict[tuple[str, str], float] = {}
@@ -183,6 +192,7 @@
         if key != self._plans_for:
             self._plans_for = key
             self._plans.clear()
+            self._fleet = Fleet(self.tables.hosts.values())
         known = self._plans.get(service)
         if known is None or known.endpoints_version != self.tables.endpoints_version:
             known = self._plans[service] = self._renew(service, known)
@@ -206,8 +216,7 @@
         limits = configuration.services.get(service) if configuration else None
         if limits is None:
             return Plan(direct=True, share=0)
-        hosts = list(self.tables.hosts.values())
-        return make_plan(service, limits.connections, hosts, statements)
+        return make_plan(service, limits.connections, self._fleet, statements)
 
     def _distance(self, host: HostRow) -> tuple[int, int]:
         identity = self._node.identity
--- a/mallowpass/core/proxy/policy/sharing.py
+++ b/mallowpass/core/proxy/policy/sharing.py
@@ -8,13 +8,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable
 from zlib import crc32
 
 from mallowpass.core.proxy.tables import HostRow
 from mallowpass.core.records import record
 
-__all__ = ["STATEMENTS_PER_SLOT", "Plan", "make_plan"]
+__all__ = ["STATEMENTS_PER_SLOT", "Fleet", "Plan", "make_plan"]
 
 # A host that holds fewer connections than this to an endpoint would have to make a
 # statement wait for each transaction that is open.
@@ -44,43 +44,80 @@
     favoured: frozenset[str] = frozenset()
 
 
-def make_plan(
-    service: str, limit: int, hosts: Sequence[HostRow], statements: int
-) -> Plan:
+class Fleet:
+    """Hold the hosts among which connections are divided, by failure domain."""
+
+    __slots__ = ("_domains", "_size")
+
+    def __init__(self, hosts: Iterable[HostRow]) -> None:
+        domains: dict[str, list[HostRow]] = {}
+        for host in hosts:
+            domains.setdefault(host.domain, []).append(host)
+        self._size = sum(map(len, domains.values()))
+        for members in domains.values():
+            members.sort(key=lambda host: -host.capacity)
+        self._domains = tuple(domains.values())
+
+    @property
+    def size(self) -> int:
+        """Return the number of hosts."""
+        return self._size
+
+    def choose(self, service: str, count: int) -> tuple[HostRow, ...]:
+        """Choose holders by turns from all failure domains, the largest hosts first."""
+        seed = crc32(f"{service} ".encode())
+        turns = self._turns(count)
+        ranked = []
+        for members in self._domains:
+            # Different for each service: one host that holds all of them would be the
+            # one that all wait for.
+            weighed = [
+                (-host.capacity, crc32(host.name.encode(), seed), host)
+                for host in _largest(members, turns)
+            ]
+            weighed.sort(key=lambda item: item[:2])
+            for turn, (_, weight, host) in enumerate(weighed[:turns]):
+                ranked.append((turn, weight, host))
+        ranked.sort(key=lambda item: item[:2])
+        return tuple(host for _, _, host in ranked[:count])
+
+    def _turns(self, count: int) -> int:
+        """Return how many holders of one failure domain there are at the most."""
+        turns = 0
+        while sum(min(turns, len(members)) for members in self._domains) < min(
+            count, self._size
+        ):
+            turns += 1
+        return turns
+
+
+def _largest(members: list[HostRow], count: int) -> list[HostRow]:
+    """Return those of which so many are chosen; hosts as large as the last are in.
+
+    Only these are weighed: a plan is made for each service.
+    """
+    if count >= len(members):
+        return members
+    least = members[count - 1].capacity
+    end = count
+    while end < len(members) and members[end].capacity == least:
+        end += 1
+    return members[:end]
+
+
+def make_plan(service: str, limit: int, fleet: Fleet, statements: int) -> Plan:
     """Divide a service's connections among hosts.
 
     `limit` is what each endpoint takes, `statements` what a full one should have at
     once.
     """
     usable = int(limit * (1.0 - RESERVED_SHARE))
-    share = usable // max(1, len(hosts))
-    if share >= SHARE_MIN and len(hosts) <= statements:
+    share = usable // max(1, fleet.size)
+    if share >= SHARE_MIN and fleet.size <= statements:
         return Plan(direct=True, share=share)
     count = min(usable // SHARE_OF_HOLDER, statements // STATEMENTS_OF_HOLDER)
-    holders = _choose(service, hosts, max(1, count))
+    holders = fleet.choose(service, max(1, count))
     share = max(1, usable // len(holders))
     left_over = max(0, usable - share * len(holders))
     favoured = frozenset(host.name for host in holders[:left_over])
     return Plan(False, share, holders, favoured)
-
-
-def _choose(service: str, hosts: Sequence[HostRow], count: int) -> tuple[HostRow, ...]:
-    """Choose holders by turns from all failure domains, the largest hosts first."""
-    domains: dict[str, list[HostRow]] = {}
-    for host in hosts:
-        domains.setdefault(host.domain, []).append(host)
-    for members in domains.values():
-        members.sort(key=lambda host: (-host.capacity, _weight(service, host)))
-    ranked = [
-        (index, _weight(service, host), host)
-        for members in domains.values()
-        for index, host in enumerate(members)
-    ]
-    ranked.sort(key=lambda item: item[:2])
-    return tuple(host for _, _, host in ranked[:count])
-
-
-def _weight(service: str, host: HostRow) -> int:
-    # The same at every host, and different for each service: one host that holds all
-    # of them would be the one that all wait for.
-    return crc32(f"{service} {host.name}".encode())
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -15,6 +15,7 @@
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.hosts import Hosts
+from mallowpass.core.proxy.idling import Idling
 from mallowpass.core.proxy.leadership import Leadership
 from mallowpass.core.proxy.links import Links
 from mallowpass.core.proxy.load import Load
@@ -51,6 +52,7 @@
     Load,
     Durability,
     Connections,
+    Idling,
     Floors,
     Routing,
     Control,
--- a/tests/core/proxy/policy/test_sharing.py
+++ b/tests/core/proxy/policy/test_sharing.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
+from zlib import crc32
 
 import pytest
 
-from mallowpass.core.proxy.policy.sharing import make_plan
+from mallowpass.core.proxy.policy.sharing import Fleet, make_plan
 from mallowpass.core.proxy.tables import HostRow
 
 DOMAINS = ("casa", "tanger", "agadir")
@@ -22,7 +24,7 @@
 @pytest.mark.parametrize("size", [1, 2, 7, 9, 24, 86, 300])
 @pytest.mark.parametrize("limit", [8, 16, 26, 55])
 def test_no_plan_exceeds_the_limit(size: int, limit: int):
-    plan = make_plan("ledger", limit, fleet(size), statements=8)
+    plan = make_plan("ledger", limit, Fleet(fleet(size)), statements=8)
     holders = size if plan.direct else len(plan.holders)
     assert holders * plan.share + len(plan.favoured) <= limit
 
@@ -33,25 +35,50 @@
     Four holders of an endpoint that takes 26 had five each: 23 may be used, and the
     rest of the division was dropped.
     """
-    plan = make_plan("ledger", 26, fleet(86), statements=8)
+    plan = make_plan("ledger", 26, Fleet(fleet(86)), statements=8)
     assert len(plan.holders) == 4
     assert plan.share * 4 + len(plan.favoured) == 23
 
 
 def test_every_host_makes_the_same_plan():
     hosts = fleet(86)
-    plan = make_plan("ledger", 26, hosts, statements=8)
+    plan = make_plan("ledger", 26, Fleet(hosts), statements=8)
     for seed in range(5):
         random.Random(seed).shuffle(hosts)
-        assert make_plan("ledger", 26, hosts, statements=8) == plan
+        assert make_plan("ledger", 26, Fleet(hosts), statements=8) == plan
 
 
 def test_holders_are_of_all_failure_domains():
-    plan = make_plan("ledger", 26, fleet(86), statements=8)
+    plan = make_plan("ledger", 26, Fleet(fleet(86)), statements=8)
     assert {host.domain for host in plan.holders} == set(DOMAINS)
 
 
 def test_small_fleets_share_equally():
-    plan = make_plan("ledger", 16, fleet(7), statements=8)
+    plan = make_plan("ledger", 16, Fleet(fleet(7)), statements=8)
     assert plan.direct
     assert plan.share == 2
+
+
+def _ranked(hosts: list[HostRow], service: str, count: int) -> list[str]:
+    """Choose holders in the plainest way: each host is ranked in its domain."""
+    ranked = []
+    for domain in {host.domain for host in hosts}:
+        members = [host for host in hosts if host.domain == domain]
+        members.sort(key=lambda h: (-h.capacity, crc32(f"{service} {h.name}".encode())))
+        ranked += enumerate(members)
+    ranked.sort(key=lambda i: (i[0], crc32(f"{service} {i[1].name}".encode())))
+    return [host.name for _, host in ranked[:count]]
+
+
+@pytest.mark.parametrize("size", [1, 4, 20, 195, 300])
+@pytest.mark.parametrize("count", [1, 3, 6, 8, 40])
+def test_the_largest_of_each_failure_domain_are_chosen_by_turns(size: int, count: int):
+    """Few hosts are weighed for each service, and the choice is as if all were."""
+    rng = random.Random(size)
+    hosts = [
+        replace(host, domain=rng.choice("abcdef"), capacity=rng.choice((0.5, 0.5, 2.0)))
+        for host in fleet(size)
+    ]
+    for service in ("ledger", "claims", "desk"):
+        chosen = [host.name for host in Fleet(hosts).choose(service, count)]
+        assert chosen == _ranked(hosts, service, count)
--- /dev/null
+++ b/tests/core/proxy/test_idling.py
@@ -0,0 +1,67 @@
+"""Connections that stand idle."""
+
+from __future__ import annotations
+
+from mallowpass.core.proxy.configuration import ServiceLimits
+from mallowpass.core.proxy.shares import Shares
+from mallowpass.core.proxy.statements import Code, Write
+from mallowpass.core.proxy.storage import EndpointEntry, RowKey, Table
+from mallowpass.standins.proxied.replicas import Group
+from mallowpass.standins.proxied.virtual.world import (
+    CONFIGURATION_KEY,
+    SERVICE,
+    ProxyWorld,
+    configuration,
+)
+
+SERVICES = 200
+MEMBERS = 3
+LIMIT = 22  # connections of each endpoint
+LOOK_TIME = 1.0  # seconds that are watched
+LOOKS_MAX = 8  # in that time
+
+
+def _enter_services(world: ProxyWorld) -> None:
+    """Enter endpoints of services that no caller of these hosts asks for."""
+    names = [f"service-{number}" for number in range(SERVICES)]
+    services = {name: ServiceLimits(name, LIMIT, 1) for name in (SERVICE, *names)}
+    world.store.put(CONFIGURATION_KEY, configuration(2, services=services))
+    for name in names:
+        world.groups[name] = Group(name, [f"{name}-primary"], world.timers)
+    for number in range(SERVICES * MEMBERS):
+        name = f"other-{number}"
+        entry = EndpointEntry(
+            name=name,
+            service=f"service-{number // MEMBERS}",
+            address=f"{name}:5432",
+            failure_domain="casa",
+            slots=3,
+            draining=False,
+            is_primary=number % MEMBERS == 0,
+            started_at=1,
+        )
+        world.store.put(RowKey(Table.ENDPOINTS, "", name), entry)
+
+
+def test_endpoints_without_connections_are_not_looked_at(monkeypatch):
+    """Symptom: hosts of a fleet with many services are busy while nobody asks them.
+
+    Sequence: a host knows hundreds of endpoints, and is connected to three. Cause: it
+    looked for idle connections at each endpoint that it knew, several times a second.
+    """
+    world = ProxyWorld(hosts=3)
+    _enter_services(world)
+    world.run(2.0)
+    assert len(world.hosts[0].tables.endpoints) > SERVICES * MEMBERS
+    assert world.caller(0).run(Write("a 1")).code is Code.DONE
+    looked_at = []
+    asked = Shares.goes_without_holders
+
+    def count(shares, endpoint):
+        looked_at.append(endpoint.name)
+        return asked(shares, endpoint)
+
+    monkeypatch.setattr(Shares, "goes_without_holders", count)
+    world.run(LOOK_TIME)
+    assert looked_at
+    assert len(looked_at) <= LOOKS_MAX * MEMBERS * len(world.hosts)
