Let the virtual world have regions, slow hosts and a loss of power in the background

Cause: loads of a large deployment could not be played in virtual time: all hosts and members were half a millisecond apart, no host was slow, and a loss of power could not be played beside traffic.

Change: regions are a distance apart that is an argument, members may be placed, a host may take time for each event, and hosts lose power and start again by single steps. A caller whose host ends is told that its connection is lost. Where no argument is given all is as it was.

--- a/mallowpass/standins/proxied/virtual/hosts.py
+++ b/mallowpass/standins/proxied/virtual/hosts.py
@@ -44,7 +44,7 @@
 
 __all__ = ["DOMAINS", "LINK", "Caller", "Host", "Link"]
 
-LINK = 0.0005  # seconds one way between any two
+LINK = 0.0005  # seconds one way between any two of a region
 DOMAINS = tuple(FailureDomain(name, name, 0) for name in ("casa", "tanger", "agadir"))
 
 
@@ -86,6 +86,10 @@
         self.answered_at.append(self._world.timers.now)
         self._world.oracle.answered(self._session, answer)
 
+    def lost(self) -> None:
+        """Take it that the host is gone, and the connection with it."""
+        self.closed = True
+
     def leave(self) -> None:
         """Close the connection."""
         self._host.deliver(SessionClosed(self.stream))
@@ -105,6 +109,8 @@
         self.exited = False
         self.frozen = False  # it runs nothing
         self.accepting = True
+        self.event_time = 0.0  # seconds that each event takes, one after the other
+        self._busy_until = 0.0
         self.cut_from: set[str] = set()  # members, the store and the orders
         self.logs: list[effects.Log] = []
         self.counts: list[effects.Count] = []
@@ -132,7 +138,15 @@
         return [dict(log.fields) for log in self.logs if log.event == event]
 
     def deliver(self, event: Event | ProxyEvent) -> None:
-        """Deliver an event now."""
+        """Deliver an event now, or once a slow host is done with what came before."""
+        now = self.world.timers.now
+        if self.event_time or self._busy_until > now:
+            self._busy_until = max(now, self._busy_until) + self.event_time
+            self.world.timers.at(self._busy_until, self._handle, event)
+        else:
+            self._handle(event)
+
+    def _handle(self, event: Event | ProxyEvent) -> None:
         if not self.exited and not self.frozen:
             self._carry_out(self.node.handle(self.world.timers.now, event))
 
@@ -178,9 +192,12 @@
     def _(self, effect: effects.CloseSession) -> None:
         self.callers[effect.stream].closed = True
 
+    def _delay(self, connection: ReplicaConnection) -> float:
+        return self.world.delay(self.domain, self.world.domain_of(connection.member))
+
     @_apply.register
     def _(self, effect: effects.OpenConnection) -> None:
-        self.world.timers.after(LINK, self._open, effect)
+        self.world.timers.after(self.world.way(self, effect), self._open, effect)
 
     def _open(self, effect: effects.OpenConnection) -> None:
         number = effect.connection
@@ -195,7 +212,8 @@
             refusal = ConnectionRefused(number, Code.OTHER, "no answer", True)
             self.later(effect.timeout, refusal)
         elif replica is None or not replica.up:
-            self.later(LINK, ConnectionRefused(number, Code.OTHER, "reset", True))
+            refusal = ConnectionRefused(number, Code.OTHER, "reset", True)
+            self.later(self.world.way(self, effect), refusal)
         else:
             self.world.timers.after(
                 self.world.handshake, self._opened, group, effect, replica
@@ -209,15 +227,22 @@
         connection = connect(group, effect.endpoint)
         if isinstance(connection, Code):
             refusal = ConnectionRefused(effect.connection, connection, "full")
-            self.later(LINK, refusal)
+            self.later(self.world.way(self, effect), refusal)
             return
         self.connections[effect.connection] = connection
         ready = ConnectionReady(effect.connection, replica.applied_position)
-        self.later(LINK, ready)
+        self.later(self._delay(connection), ready)
 
     @_apply.register
     def _(self, effect: effects.SendCalls) -> None:
-        self.world.timers.after(LINK, self._send, effect)
+        delay = LINK
+        link = self.world.links.get((self.name, effect.connection))
+        connection = self.connections.get(effect.connection)
+        if link is not None:
+            delay = link.delay
+        elif connection is not None:
+            delay = self._delay(connection)
+        self.world.timers.after(delay, self._send, effect)
 
     def _send(self, effect: effects.SendCalls) -> None:
         link = self.world.links.get((self.name, effect.connection))
@@ -241,7 +266,7 @@
             return
         if self.world.loses_answer(connection, reply):
             return
-        self.later(LINK, EndpointAnswered(number, reply))
+        self.later(self._delay(connection), EndpointAnswered(number, reply))
 
     @_apply.register
     def _(self, effect: effects.CloseConnection) -> None:
@@ -251,7 +276,7 @@
             connection.close()
         link = self.world.links.pop((self.name, effect.connection), None)
         if link is not None:
-            link.holder.later(LINK, LinkClosed(link.number))
+            link.holder.later(link.delay, LinkClosed(link.number))
 
     @_apply.register
     def _(self, effect: effects.AcceptLink) -> None:
@@ -260,7 +285,7 @@
         link = self.world.link(effect.link)
         self.world.links[(link.host.name, link.connection)] = link
         ready = ConnectionReady(link.connection, effect.position, effect.floor)
-        link.host.later(LINK, ready)
+        link.host.later(link.delay, ready)
 
     def _note_floor(self, floor: FloorHint | None) -> None:
         if floor is not None:
@@ -270,20 +295,20 @@
     def _(self, effect: effects.RefuseLink) -> None:
         link = self.world.link(effect.link)
         refused = ConnectionRefused(link.connection, effect.code, effect.message)
-        link.host.later(LINK, refused)
+        link.host.later(link.delay, refused)
 
     @_apply.register
     def _(self, effect: effects.AnswerLink) -> None:
         wire.render_reply(effect.reply)  # as it leaves a host: it must have a form
         self._note_floor(effect.reply.floor)
         link = self.world.link(effect.link)
-        link.host.later(LINK, EndpointAnswered(link.connection, effect.reply))
+        link.host.later(link.delay, EndpointAnswered(link.connection, effect.reply))
 
     @_apply.register
     def _(self, effect: effects.CloseLink) -> None:
         link = self.world.link(effect.link)
         if self.world.links.pop((link.host.name, link.connection), None):
-            link.host.later(LINK, ConnectionLost(link.connection, "closed"))
+            link.host.later(link.delay, ConnectionLost(link.connection, "closed"))
 
     def lose(self, number: int, why: str) -> None:
         """Break a connection from outside."""
@@ -357,3 +382,4 @@
     host: Host
     holder: Host
     connection: int  # the host's number for it
+    delay: float  # seconds one way
--- a/mallowpass/standins/proxied/virtual/world.py
+++ b/mallowpass/standins/proxied/virtual/world.py
@@ -4,7 +4,7 @@
 
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from mallowpass.core.node import FailureDomain
@@ -41,12 +41,20 @@
 from mallowpass.standins.proxied.virtual.hosts import DOMAINS, LINK, Caller, Host, Link
 from mallowpass.standins.proxied.virtual.oracle import Oracle
 
-__all__ = ["CONFIGURATION_KEY", "SERVICE", "ProxyWorld", "configuration", "route"]
+__all__ = [
+    "CONFIGURATION_KEY",
+    "SERVICE",
+    "ProxyWorld",
+    "configuration",
+    "route",
+]
 
 CONFIGURATION_KEY = RowKey(Table.CONFIGURATION, "", "config")
 ENTRY_TIME = 0.2  # seconds until each host has learnt of a changed entry
 START_GAP = 0.02  # seconds between starts of hosts that lost power together
 SERVICE = "claims-core"
+# Failure domains of members, by name.
+MEMBERS = {"db-casa": "casa", "db-tanger": "tanger", "db-agadir": "agadir"}
 NO_ANSWER = StoreReply(StoreStatus.REFUSED, message="no answer")
 DATABASES = {
     "strict": Consistency.PRIMARY,
@@ -91,9 +99,14 @@
         fences: bool = True,
         apply_time: float = 6.0,
         domains: tuple[FailureDomain, ...] = DOMAINS,
+        members: Mapping[str, str] = MEMBERS,
+        distance: float = LINK,
         **group: Any,
     ) -> None:
         self.domains = domains
+        self.distance = distance  # seconds one way between regions
+        self._members = members  # failure domains, by member
+        self._regions = {domain.name: domain.region for domain in domains}
         self.first_start = first_start
         self.apply_time = apply_time  # less than some seconds: there are no relays
         self.fences = fences  # orders of whoever was overtaken are refused
@@ -112,8 +125,7 @@
         self.all_links: dict[int, Link] = {}
         self._feeds: dict[int, tuple[Host, int]] = {}  # who asked, and its call
         self.store = RowStore(self.timers, seed)
-        names = ["db-casa", "db-tanger", "db-agadir"]
-        self.group = Group(SERVICE, names, self.timers, **group)
+        self.group = Group(SERVICE, list(members), self.timers, **group)
         self.group.on_role = self.enter
         self.groups = {SERVICE: self.group}
         self.oracle = Oracle(self.group)
@@ -137,6 +149,24 @@
         self._numbers += 1
         return self._numbers
 
+    # -- Places --------------------------------------------------------------
+
+    def domain_of(self, member: str) -> str:
+        """Return the failure domain of a member, also of one that came later."""
+        return self._members.get(member, member.removeprefix("db-"))
+
+    def delay(self, one: str, other: str) -> float:
+        """Return how long a message takes between two failure domains, in seconds."""
+        near = self._regions.get(one) == self._regions.get(other)
+        return LINK if near else self.distance
+
+    def way(self, host: Host, effect: effects.OpenConnection) -> float:
+        """Return how long it takes from a host to what it connects to, in seconds."""
+        name = effect.address.partition(":")[0]
+        holder = next((h for h in self.hosts if h.name == name), None)
+        domain = self.domain_of(effect.endpoint) if holder is None else holder.domain
+        return self.delay(host.domain, domain)
+
     # -- Hosts ---------------------------------------------------------------
 
     def open_link(self, host: Host, effect: effects.OpenConnection) -> None:
@@ -148,9 +178,10 @@
             host.later(effect.timeout, refused)
             return
         if holder is None or holder.exited:
-            host.later(LINK, refused)
+            host.later(self.way(host, effect), refused)
             return
-        link = Link(self.number(), host, holder, effect.connection)
+        delay = self.delay(host.domain, holder.domain)
+        link = Link(self.number(), host, holder, effect.connection, delay)
         self.all_links[link.number] = link
         opened = LinkOpened(link.number, host.name, effect.service, effect.endpoint)
         holder.deliver(opened)
@@ -192,17 +223,23 @@
     def kill(self, index: int) -> Host:
         """End a host at once; its connections and links are reset."""
         host = self.hosts[index]
-        host.exited = True
+        self._end(host)
         for connection in host.connections.values():
             connection.close()
         for key, link in list(self.links.items()):
             if host in (link.host, link.holder):
                 del self.links[key]
                 lost = ConnectionLost(link.connection, "reset")
-                link.host.later(LINK, lost)
-                link.holder.later(LINK, LinkClosed(link.number))
+                link.host.later(link.delay, lost)
+                link.holder.later(link.delay, LinkClosed(link.number))
         return host
 
+    @staticmethod
+    def _end(host: Host) -> None:
+        host.exited = True
+        for caller in host.callers.values():
+            caller.lost()
+
     def lose_power(
         self, down: float, linger: float, started: Callable[[Host], None]
     ) -> None:
@@ -211,15 +248,26 @@
         Members learn of it late: they keep the connections for a while. `started` is
         called with each new host.
         """
+        self.power_off(linger)
+        self.run(down)
+        for index in range(len(self.hosts)):
+            started(self.start_again(index))
+            self.run(START_GAP)
+
+    def power_off(self, linger: float) -> None:
+        """End all hosts at once; members keep their connections for `linger` s."""
+        self.links.clear()
         for host in self.hosts:
-            host.exited = True
+            self._end(host)
             for connection in host.connections.values():
                 self.timers.after(linger, connection.close)
-        self.run(down)
-        for index, host in enumerate(self.hosts):
-            self.hosts[index] = Host(self, host.name, host.domain, self.number())
-            started(self.hosts[index])
-            self.run(START_GAP)
+
+    def start_again(self, index: int) -> Host:
+        """Start a new host in the place of one that ended."""
+        before = self.hosts[index]
+        host = Host(self, before.name, before.domain, self.number())
+        self.hosts[index] = host
+        return host
 
     def cut(self, index: int, *names: str) -> None:
         """Cut a host from members; what it sends there gets lost in silence."""
@@ -238,8 +286,8 @@
             name=replica.name,
             service=SERVICE,
             address=f"{replica.name}:5432",
-            failure_domain=replica.name.removeprefix("db-"),
-            slots=3,
+            failure_domain=self.domain_of(replica.name),
+            slots=self.group.slots,
             draining=draining,
             is_primary=replica.is_primary,
             started_at=replica.started_at,
