Add `mallowpass measure policy`: loads on the decisions, in virtual time

Cause: which of some twenty mechanisms under load are worth their code was not known; two had been switched off by hand, on copies, a quarter of an hour each.

Ruled out: switches in the code that is measured (each would be a second behaviour to keep right); sockets in real time, as the older measurements have (no run repeats).

Change: fourteen patterns (loss of power, replicas far behind or deaf, a primary that is dark, cut or slow, holders cut from an endpoint each, three times the load, half of the hosts gone, a slow host, restarts in turn and others) are played on one service and a fleet with holders, by seed, with callers that retry as they do on the platform. The table tells what was earned, the worst two seconds, the weakest kind of operation, and how operations ended; `--plot` draws them by half second, `--json` is for scripts. `--without` replaces a mechanism by its plainest form for a run. Promises are checked on the way, and a broken one is the exit code.

--- a/mallowpass/cli/measure.py
+++ b/mallowpass/cli/measure.py
@@ -12,6 +12,7 @@
 import click
 
 from mallowpass.cli.main import ExitCode
+from mallowpass.cli.policy import policy
 
 __all__ = ["measure"]
 
@@ -24,6 +25,9 @@
     """Measure a deployment in one process, over sockets on loopback."""
 
 
+measure.add_command(policy)
+
+
 def _common(duration: float) -> Callable[[Callable], Callable]:
     """Add the options of every measurement."""
     options = (
--- /dev/null
+++ b/mallowpass/measure/policy/patterns.py
@@ -0,0 +1,229 @@
+"""Loads that hosts must decide under: what goes wrong, and for how long."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from mallowpass.core.proxy.holders import Holders
+from mallowpass.standins.proxied.virtual.world import SERVICE
+
+if TYPE_CHECKING:
+    from mallowpass.measure.policy.run import Run
+
+__all__ = ["PATTERNS", "Pattern"]
+
+POWER_OFF = 1.3  # seconds
+STARTS = 0.6  # seconds over which hosts are ready again
+LINGER = 3.0  # seconds that endpoints keep the connections of hosts without power
+LAG_FAR_BEHIND = 5.0  # seconds
+SLOW_TIMES = 5.0
+SLOW_EVENT = 0.004  # seconds of a slow host's time for each event
+BURST = 3.0
+RESTARTS = 8.0  # seconds over which all hosts are restarted in turn
+
+
+def _nothing(run: Run) -> None:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class Pattern:
+    """Describe a load; `lasts` is the time between `begin` and `end`, in seconds."""
+
+    name: str
+    summary: str
+    begin: Callable[[Run], None]
+    lasts: float = 5.0
+    end: Callable[[Run], None] = _nothing
+
+
+def _lose_power(run: Run) -> None:
+    run.world.power_off(LINGER)
+    count = len(run.world.hosts)
+    for index in range(count):
+        at = POWER_OFF + STARTS * index / count
+        run.world.timers.after(at, run.world.start_again, index)
+
+
+def _replicas_far_behind(run: Run) -> None:
+    for replica in run.replicas:
+        replica.lag = LAG_FAR_BEHIND
+
+
+def _replicas_as_before(run: Run) -> None:
+    for replica in run.replicas:
+        replica.lag = None
+        replica.deaf = False
+        replica.slowness = 1.0
+        run.world.group.catch_up(replica)
+
+
+def _replicas_deaf(run: Run) -> None:
+    for replica in run.replicas:
+        replica.deaf = True
+
+
+def _primary_dark(run: Run) -> None:
+    run.world.crash(run.world.primary.name, dark=True)
+    run.broken.append(run.world.primary.name)
+
+
+def _restart_members(run: Run) -> None:
+    for name in run.broken:
+        run.world.restart(name)
+
+
+def _deaf_then_dark(run: Run) -> None:
+    run.replicas[0].deaf = True
+    run.world.timers.after(1.0, _primary_dark, run)
+
+
+def _heal_deaf_then_dark(run: Run) -> None:
+    _restart_members(run)
+    _replicas_as_before(run)
+
+
+def _cut_half_from_primary(run: Run) -> None:
+    for host in run.world.hosts[::2]:
+        host.cut_from.add(run.world.primary.name)
+
+
+def _cut_holders(run: Run) -> None:
+    members = list(run.world.group.replicas)
+    holders = [h for h in run.world.hosts if h.node.system(Holders).holds(SERVICE)]
+    for index, host in enumerate(holders):
+        host.cut_from.add(members[index % len(members)])
+
+
+def _heal_cuts(run: Run) -> None:
+    for host in run.world.hosts:
+        host.cut_from.clear()
+
+
+def _burst(run: Run) -> None:
+    run.load = BURST
+
+
+def _end_burst(run: Run) -> None:
+    run.load = 1.0
+
+
+def _slow_replica(run: Run) -> None:
+    run.replicas[0].slowness = SLOW_TIMES
+
+
+def _slow_primary(run: Run) -> None:
+    run.world.primary.slowness = SLOW_TIMES
+
+
+def _all_as_fast(run: Run) -> None:
+    for replica in run.world.group.replicas.values():
+        replica.slowness = 1.0
+
+
+def _kill_half(run: Run) -> None:
+    for index in range(0, len(run.world.hosts), 2):
+        run.world.kill(index)
+
+
+def _start_killed(run: Run) -> None:
+    for index, host in enumerate(run.world.hosts):
+        if host.exited:
+            run.world.start_again(index)
+
+
+def _slow_host(run: Run) -> None:
+    holding = (h for h in run.world.hosts if h.node.system(Holders).holds(SERVICE))
+    next(holding).event_time = SLOW_EVENT
+
+
+def _no_host_slow(run: Run) -> None:
+    for host in run.world.hosts:
+        host.event_time = 0.0
+
+
+def _restart_in_turn(run: Run) -> None:
+    hosts = run.world.hosts
+    for index in range(len(hosts)):
+        at = RESTARTS * index / len(hosts)
+        run.world.timers.after(at, _restart, run, index)
+
+
+def _restart(run: Run, index: int) -> None:
+    host = run.world.hosts[index]
+    host.stop()
+    host.ready = False
+    run.world.timers.after(1.0, _start_stopped, run, index)
+
+
+def _start_stopped(run: Run, index: int) -> None:
+    if not run.world.hosts[index].exited:
+        run.world.kill(index)
+    run.world.start_again(index)
+
+
+PATTERNS = (
+    Pattern("calm", "nothing goes wrong", _nothing),
+    Pattern("power", "all hosts lose power under full traffic", _lose_power),
+    Pattern(
+        "lagging",
+        "both replicas are far behind, the primary is alone",
+        _replicas_far_behind,
+        end=_replicas_as_before,
+    ),
+    Pattern(
+        "deaf",
+        "no replica receives: commits at the primary get no answer",
+        _replicas_deaf,
+        end=_replicas_as_before,
+    ),
+    Pattern(
+        "deaf-then-dark",
+        "one replica is deaf, then the primary goes dark",
+        _deaf_then_dark,
+        end=_heal_deaf_then_dark,
+    ),
+    Pattern(
+        "dark-primary",
+        "the primary answers nobody any more",
+        _primary_dark,
+        end=_restart_members,
+    ),
+    Pattern(
+        "cut-primary",
+        "half of the hosts can't reach the primary",
+        _cut_half_from_primary,
+        end=_heal_cuts,
+    ),
+    Pattern(
+        "cut-holders",
+        "each holder can't reach one of the endpoints",
+        _cut_holders,
+        end=_heal_cuts,
+    ),
+    Pattern("burst", "three times the usual load", _burst, end=_end_burst),
+    Pattern(
+        "slow-replica",
+        "a replica is five times as slow",
+        _slow_replica,
+        end=_all_as_fast,
+    ),
+    Pattern(
+        "slow-primary",
+        "the primary is five times as slow",
+        _slow_primary,
+        end=_all_as_fast,
+    ),
+    Pattern("half-gone", "half of the hosts are killed", _kill_half, end=_start_killed),
+    Pattern(
+        "slow-host",
+        "one host that others go by way of is slow",
+        _slow_host,
+        end=_no_host_slow,
+    ),
+    Pattern(
+        "restarts", "all hosts are restarted in turn", _restart_in_turn, lasts=RESTARTS
+    ),
+)
