Have holders see writes of other hosts that hang, and keep room for reads

The new primary answers reads; its commits hang, as no replica receives. (1) A holder counts its hanging commits among the statements that a full endpoint should have, two of each holder, so two hanging commits leave it no room for a read. (2) A host learns that writes stall from two of its own. Each of 86 hosts has its own two hang, all by way of few holders. (3) Holders alone suspect a primary, and heard of no write but those of their own callers: a primary without replicas that receive was never suspected in a large fleet.

Change: a holder watches writes of links like its own; once two are overdue it refuses further ones at once (not run, one a second is sent to see), suspects the primary, and does not count connections that hang. What is overdue follows from the shortest timeout of the service's routes.

Three tests fail on the code before.

--- a/mallowpass/core/proxy/attempts.py
+++ b/mallowpass/core/proxy/attempts.py
@@ -4,13 +4,12 @@
 
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.signals import AttemptLost, AttemptOverdue
+from mallowpass.core.proxy.stalls import OVERDUE_SHARE
 from mallowpass.core.proxy.statements import EndpointCall, Execute, LogPosition
 from mallowpass.core.proxy.tables import ConnectionRow, ProxySystem, RequestRow
 
 __all__ = ["TRIES_MAX", "Attempts"]
 
-# A statement that is unanswered for this share of its timeout is overdue.
-OVERDUE_SHARE = 0.45
 BACKOFF_MIN = 0.02  # seconds before a refused statement is sent again
 BACKOFF_MAX = 0.2
 TRIES_MAX = 8  # of one statement, so that a refusal for good ends
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -28,11 +28,15 @@
     EndpointForgotten,
     EndpointRestarted,
     EndpointUnreachable,
+    WriteAcknowledged,
+    WriteStalled,
 )
+from mallowpass.core.proxy.stalls import WRITES_STALL, Stalls
 from mallowpass.core.proxy.statements import (
     Access,
     Begin,
     Code,
+    Commit,
     EndpointCall,
     EndpointReply,
     Execute,
@@ -48,6 +52,7 @@
     ConnectionRow,
     ConnectionState,
     EndpointRow,
+    GroupRow,
     LinkRow,
     PreparedStatement,
     ProxySystem,
@@ -65,7 +70,7 @@
 class Links(ProxySystem):
     """Own the links of other hosts."""
 
-    __slots__ = ("_connections", "_floors", "_holders", "_load", "_waiting")
+    __slots__ = ("_connections", "_floors", "_holders", "_load", "_stalls", "_waiting")
 
     def start(self) -> None:
         """Subscribe to what other hosts do, and to free connections."""
@@ -74,6 +79,7 @@
         self._floors = node.system(Floors)
         self._holders = node.system(Holders)
         self._load = node.system(Load)
+        self._stalls = node.system(Stalls)
         self._waiting: list[LinkRow] = []  # the most urgent first
         node.subscribe(LinkOpened, self._on_opened)
         node.subscribe(LinkCalled, self._on_called)
@@ -168,6 +174,9 @@
         if link.connection is not None:
             self._send(link, link.connection)
         elif link not in self._waiting:
+            if self._holds_back(link):
+                self._refuse(link, Code.BUSY, WRITES_STALL)
+                return
             if not _is_reached(link.endpoint) and self._is_replaced(link):
                 self._refuse(link, Code.NOT_PRIMARY, "another one leads")
                 return
@@ -180,6 +189,15 @@
             self.timers.after(WAIT_MAX, self._check_wait, link, self.now)
             self._try(link)
 
+    def _holds_back(self, link: LinkRow) -> bool:
+        """Tell whether a write that waits would hang at a primary that stalls."""
+        if not any(_is_write(link, call.statement) for call in link.waiting):
+            return False
+        return self._stalls.holds_back_write(self._group(link))
+
+    def _group(self, link: LinkRow) -> GroupRow:
+        return self.tables.group(link.endpoint.entry.service)
+
     @singledispatchmethod
     def _take(self, statement: Statement, call: EndpointCall, link: LinkRow) -> None:
         link.waiting.append(call)
@@ -298,6 +316,20 @@
             self._on_replies(link, connection, replies, skipped)
 
         self._connections.send(connection, set_up + calls, on_replies)
+        if any(_is_write(link, call.statement) for call in calls):
+            overdue = self._stalls.overdue_time(link.endpoint.entry.service)
+            self.timers.after(overdue, self._check_write, connection, sent_at)
+
+    def _check_write(self, connection: ConnectionRow, sent_at: float) -> None:
+        """Have it known that a write of another host got no answer in time.
+
+        The hosts that hold a service judge its primary, and their own callers' writes
+        are few.
+        """
+        if connection.number not in self.tables.connections or not connection.pending:
+            return
+        if connection.pending[0].sent_at <= sent_at:
+            self._node.publish(WriteStalled(connection.endpoint))
 
     # -- Replies -------------------------------------------------------------
 
@@ -323,6 +355,7 @@
             if not _proves_primary(link, call.statement):
                 continue
             if reply.state is SessionState.IDLE:  # a write that stood alone
+                self._node.publish(WriteAcknowledged(group))
                 self._floors.acknowledged(link.endpoint, reply.position, sent_at)
             else:
                 self._floors.sample(group, reply.position, sent_at)
@@ -402,11 +435,16 @@
     )
 
 
+def _is_write(link: LinkRow, statement: Statement) -> bool:
+    """Tell whether a statement, or the transaction that it ends, may write."""
+    if isinstance(statement, Execute):
+        prepared = link.prepared.get(statement.name)
+        return prepared is not None and prepared.access is Access.WRITE
+    return isinstance(statement, Write | Commit)
+
+
 def _proves_primary(link: LinkRow, statement: Statement) -> bool:
     """Tell whether only a primary answers a statement with DONE."""
     if isinstance(statement, Begin):
         return not statement.read_only
-    if isinstance(statement, Execute):
-        prepared = link.prepared.get(statement.name)
-        return prepared is not None and prepared.access is Access.WRITE
-    return isinstance(statement, Write)
+    return _is_write(link, statement) and not isinstance(statement, Commit)
--- a/mallowpass/core/proxy/load.py
+++ b/mallowpass/core/proxy/load.py
@@ -11,6 +11,7 @@
 import math
 
 from mallowpass.core.proxy.holders import Holders
+from mallowpass.core.proxy.stalls import Stalls
 from mallowpass.core.proxy.tables import ConnectionState, EndpointRow, ProxySystem
 
 __all__ = ["Load"]
@@ -27,11 +28,12 @@
 class Load(ProxySystem):
     """Measure endpoints, and tell whether they may get more to do."""
 
-    __slots__ = ("_holders",)
+    __slots__ = ("_holders", "_stalls")
 
     def start(self) -> None:
-        """Find the system that is asked."""
+        """Find the systems that are asked."""
         self._holders = self._node.system(Holders)
+        self._stalls = self._node.system(Stalls)
 
     def measured(self, endpoint: EndpointRow, latency: float) -> None:
         """Record how long a statement took, in seconds."""
@@ -57,18 +59,24 @@
             return True  # that is for the holder to say
         if self.queue_time(endpoint) <= QUEUE_TIME_MAX:
             return True
-        return _running(endpoint) < self._part(endpoint)
+        return self._running(endpoint) < self._part(endpoint)
+
+    def _running(self, endpoint: EndpointRow) -> int:
+        """Return how many statements of this host an endpoint works on.
+
+        Commits that no replica acknowledges take none of its slots. Counted, they would
+        leave no room for reads that it could run.
+        """
+        return sum(
+            1
+            for connection in endpoint.connections.values()
+            if connection.pending
+            and connection.state is not ConnectionState.OPENING
+            and not self._stalls.is_hanging(connection)
+        )
 
     def _part(self, endpoint: EndpointRow) -> int:
         """Return this host's part of the statements that a full endpoint has."""
         service = endpoint.entry.service
         hosts = max(1, self._holders.holding_hosts(service))
         return max(1, math.ceil(self._holders.statements(service) / hosts))
-
-
-def _running(endpoint: EndpointRow) -> int:
-    return sum(
-        1
-        for connection in endpoint.connections.values()
-        if connection.pending and connection.state is not ConnectionState.OPENING
-    )
--- a/mallowpass/core/proxy/stalls.py
+++ b/mallowpass/core/proxy/stalls.py
@@ -4,7 +4,8 @@
 them keeps its connection until that is closed for its silence, its caller can't repeat
 it, and soon reads find no connection either. So after a few only one is sent now and
 then, to see whether it is acknowledged; the others are refused, and their callers may
-repeat them.
+repeat them. Where few hosts hold the connections, these see to it for all others: each
+other host sends few writes, and would have some of its own wait before it knows.
 """
 
 from __future__ import annotations
@@ -20,10 +21,18 @@
     WriteStalled,
 )
 from mallowpass.core.proxy.statements import Access
-from mallowpass.core.proxy.tables import GroupRow, ProxySystem, RequestRow
+from mallowpass.core.proxy.tables import (
+    ConnectionRow,
+    GroupRow,
+    ProxySystem,
+    RequestRow,
+)
 
-__all__ = ["WRITES_STALL", "Stalls"]
+__all__ = ["OVERDUE_SHARE", "WRITES_STALL", "Stalls"]
 
+# A write that is unanswered for this share of its timeout is overdue.
+OVERDUE_SHARE = 0.45
+OVERDUE_DEFAULT = 0.36  # seconds, where no route tells a timeout
 STALLS = 2  # writes without an answer, and none with one, that make a stall
 # Seconds between two writes of a host that are sent to see whether they are
 # acknowledged; about as long as statements have, so that one or two are on their way.
@@ -44,11 +53,13 @@
 class Stalls(ProxySystem):
     """Own what this host knows of writes that get no answer."""
 
-    __slots__ = ("_stalls",)
+    __slots__ = ("_overdue", "_overdue_for", "_stalls")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
         self._stalls: dict[str, _Stall] = {}  # by service
+        self._overdue: dict[str, float] = {}  # seconds, by service
+        self._overdue_for = 0  # version of the configuration
 
     def start(self) -> None:
         """Subscribe to writes, answered or not."""
@@ -66,6 +77,10 @@
         """Tell whether a statement should not be sent now; if not, it is the probe."""
         if request.access is not Access.WRITE or request.transaction is not None:
             return False
+        return self.holds_back_write(group)
+
+    def holds_back_write(self, group: GroupRow) -> bool:
+        """Tell whether no further write should be sent; if not, it is the probe."""
         if not self.is_stalled(group):
             return False
         stall = self._stalls[group.service]
@@ -74,6 +89,28 @@
         stall.probe_at = self.now + PROBE_GAP
         return False
 
+    def overdue_time(self, service: str) -> float:
+        """Return after how many seconds any write of a service is overdue."""
+        configuration = self.tables.configuration
+        if configuration is None:
+            return OVERDUE_DEFAULT
+        if configuration.version != self._overdue_for:
+            self._overdue_for = configuration.version
+            self._overdue = {}
+            for route in configuration.routes.values():
+                time = OVERDUE_SHARE * route.statement_timeout
+                known = self._overdue.get(route.service, time)
+                self._overdue[route.service] = min(time, known)
+        return self._overdue.get(service, OVERDUE_DEFAULT)
+
+    def is_hanging(self, connection: ConnectionRow) -> bool:
+        """Tell whether a connection waits for an answer that can't come by now."""
+        service = connection.endpoint.entry.service
+        if not connection.pending or not self.is_stalled(self.tables.group(service)):
+            return False
+        waited = self.now - connection.pending[0].sent_at
+        return waited >= self.overdue_time(service)
+
     def _on_stalled(self, signal: WriteStalled) -> None:
         endpoint = signal.endpoint
         service = endpoint.entry.service
--- a/tests/core/proxy/test_stalls.py
+++ b/tests/core/proxy/test_stalls.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 from mallowpass.core.proxy.statements import Answer, Code, Pause, Read, Write
-from mallowpass.standins.proxied.virtual.hosts import Caller
+from mallowpass.core.proxy.tables import ConnectionRow
+from mallowpass.measure.policy.deployment import Deployment
+from mallowpass.measure.policy.operations import Outcome
+from mallowpass.measure.policy.patterns import PATTERNS
+from mallowpass.measure.policy.run import play
+from mallowpass.standins.proxied.virtual.hosts import Caller, Host
 from mallowpass.standins.proxied.virtual.world import ProxyWorld
 
 
@@ -152,3 +157,83 @@
         if member == "db-tanger" and isinstance(call.statement, Pause)
     ]
     assert paused == []
+
+
+# -- Fleets whose holders serve the others ---------------------------------------
+
+
+FLEET = 24
+
+
+def _fleet_whose_replicas_are_deaf() -> tuple[ProxyWorld, list[int]]:
+    """Return a fleet, and the indexes of its hosts that hold nothing."""
+    world = ProxyWorld(hosts=FLEET)
+    world.run(4.0)
+    others = [i for i, host in enumerate(world.hosts) if not host.connections]
+    for index in others:
+        assert world.caller(index, "own").run(Write("a 1")).code is Code.DONE
+    for replica in world.group.replicas.values():
+        replica.deaf = not replica.is_primary
+    return world, others
+
+
+def test_holders_refuse_writes_of_others_that_would_hang():
+    """Symptom: each host of a large fleet has callers wait for writes to time out.
+
+    Sequence: no replica receives from a primary. Cause: a host learnt that writes
+    stall from two of its own, and the few hosts that hold connections, by way of which
+    all go, counted their own callers' writes only.
+    """
+    world, others = _fleet_whose_replicas_are_deaf()
+    for index in others[:8]:
+        world.caller(index, "own").send(Write("b 1"))
+    world.run(0.42)  # these are overdue, and nobody has been replaced yet
+    late = [world.caller(index, "own") for index in others[8:]]
+    for caller in late:
+        caller.send(Write("b 2"))
+    world.run(0.02)
+    hanging = sum(len(c.pending) for h in world.hosts for c in _to_primary(world, h))
+    assert hanging <= 8 + 4  # a holder sends one to see whether it hangs
+    world.run(1.0)
+    # They did not run, so they could be sent once more, to the successor.
+    assert {caller.answers[-1].code for caller in late} == {Code.DONE}
+    assert world.group.lost == []
+
+
+def _to_primary(world: ProxyWorld, host: Host) -> list[ConnectionRow]:
+    connections = host.tables.connections.values()
+    name = world.primary.name
+    return [c for c in connections if c.endpoint.name == name and not c.holder]
+
+
+def test_holders_suspect_a_primary_for_writes_of_others():
+    """Symptom: a primary without replicas that receive is kept for as long as it lasts.
+
+    Cause: the hosts that hold its connections judge it, and none of their own callers
+    had sent a write.
+    """
+    world, others = _fleet_whose_replicas_are_deaf()
+    for index in others:
+        world.caller(index, "own").send(Write("b 1"))
+    world.run(1.0)
+    holders = [host for host in world.hosts if host.logged("primary_suspected")]
+    assert len(holders) >= 2
+    assert all(host.logged("writes_stall") for host in holders)
+
+
+def test_reads_by_way_of_holders_go_on_while_writes_hang():
+    """Symptom: reads that a primary could run are refused while its commits hang.
+
+    Sequence: one replica is deaf, and the primary goes dark; the other replica leads,
+    and no commit there is acknowledged. It has more reads than it can run. Cause: a
+    holder counted its hanging commits among what a full endpoint should have, and had
+    no room left for reads.
+    """
+    pattern = next(p for p in PATTERNS if p.name == "deaf-then-dark")
+    played = play(pattern, Deployment(hosts=86), 1)
+    assert played.broken == ()
+    began = played.began + 3.0  # the successor leads, and writes hang
+    asked = [e for e in played.ended if began <= e.asked_at < began + 1.5]
+    in_time = [e for e in asked if e.outcome is Outcome.IN_TIME]
+    # A member alone has slots for some six tenths of what is asked for.
+    assert len(in_time) >= 0.3 * len(asked)
