Go by other holders at once where an endpoint turns a statement's connection away

Cause: after a loss of power endpoints are full of dead hosts' connections. A holder that was turned away asks other holders for idle ones, but only when somebody asks it again, or after a pause of 0.25 s and more. A link that waited for just this connection is refused after 0.2 s as `no connection is free`.

Ruled out: the other holders (they had idle connections and served the rest), the change of timing itself (without it three of four delays fail).

Change: whoever is turned away looks once more at what waits, knowing now that the endpoint is full, so that it goes by way of another holder. The test plays four delays; three of them fail on the code before.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -269,6 +269,10 @@
             endpoint.failures += 1
             pause = self._node.backoff(endpoint.failures, BACKOFF_MIN, BACKOFF_MAX)
         endpoint.refused_until = self.now + pause
+        if event.code is Code.TOO_MANY_CONNECTIONS:
+            # What waits here goes by way of a host that has connections. After the
+            # pause it would have been refused.
+            self._node.publish(ConnectionFreed(endpoint))
         gone = event.unreachable or event.code is Code.WRONG_ENDPOINT
         # What a holder fails to reach is no evidence of the endpoint's end.
         if gone and not connection.holder:
--- a/tests/core/proxy/test_links.py
+++ b/tests/core/proxy/test_links.py
@@ -275,20 +275,22 @@
     assert done["patient"] < 0.8
 
 
-def test_holders_that_are_turned_away_use_connections_of_the_others(world):
+@pytest.mark.parametrize("later", [0.0, 0.1, 0.2, 0.3])
+def test_holders_that_are_turned_away_use_connections_of_the_others(world, later):
     """Symptom: after a loss of power, one in four statements of a large fleet is
     refused for two seconds, each after 0.2 s.
 
     Sequence: endpoints keep the lost holders' connections for three seconds, and have
     room for a few more; some holders get none to an endpoint.
     Cause: whoever went by way of these waited for connections that could not come,
-    while other holders had some.
+    while other holders had some. Who was turned away for a statement that waited, and
+    not before, asked those holders only after a pause, when that had been refused.
     """
     for replica in world.group.replicas.values():
         while len(replica.connections) < LIMIT - 2:
             connect(world.group, replica.name)
     world.lose_power(0.9, 3.0, lambda host: None)
-    world.run(0.3)
+    world.run(0.3 + later)
     callers = [world.caller(index, "strict") for index in range(HOSTS)]
     codes = [caller.run(Read("a")).code for caller in callers]
     assert codes == [Code.DONE] * HOSTS
