Have hosts that start again learn tables from their relays

Bytes of restarts grow as the square of a fleet whose services grow with it.

Ruled out: the first start (followers learn two tables from relays already), changes (twelve relays hear of each).

Whoever has no relays does as before.

Calls of a host that starts again: 4 to 2, by a test that fails on the code before.

--- a/mallowpass/core/proxy/store.py
+++ b/mallowpass/core/proxy/store.py
@@ -1,9 +1,8 @@
-"""This host's use of the store: calls, retries, and watching tables for changes."""
+"""Calls of this host to the store, and for how long changes are waited for there."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import replace
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.effects import CallStore
@@ -11,8 +10,6 @@
 from mallowpass.core.proxy.feeds import Feeds
 from mallowpass.core.proxy.relays import Relays
 from mallowpass.core.proxy.storage import (
-    ListRows,
-    Row,
     StoreCall,
     StoreReply,
     StoreStatus,
@@ -20,27 +17,26 @@
     WatchRows,
 )
 from mallowpass.core.proxy.tables import HostRow, ProxySystem
+from mallowpass.core.proxy.watches import (
+    FIRST_START_TIME,
+    RETURN_JITTER,
+    WATCH_SLACK,
+    RowsHandler,
+    Watch,
+)
 
-__all__ = ["Store", "Watch"]
+__all__ = ["Store"]
 
 CALL_TIMEOUT = 1.5  # seconds; a store that is slow answers within half of it
 # Seconds that one call waits for changes at the most: each call is charged.
 WATCH_WAIT_MAX = 29.0
 WATCH_WAIT_MIN = 1.0
-WATCH_SLACK = 1.5  # seconds that the answer to such a call may be late
 # The same for calls to relays, which are not charged. A relay that was frozen shows in
 # nothing else but that it does not answer in time.
 RELAY_WAIT = {Table.CONFIGURATION: 1.0, Table.ENDPOINTS: 1.0, Table.HOSTS: 10.0}
-RELAY_SLACK = 0.5
-# Seconds for which further changes are waited for after some came by a relay. Where
-# many endpoints enter themselves, it would else tell each follower of each by itself.
-RELAY_GAP = 0.3
-# After a start, hosts are waited for so long before a table is followed, in seconds.
-KNOWN_MAX = 3.0
-KNOWN_LOOK = 0.05  # seconds between looks whether they are known
-# Where the whole fleet starts, relays have learnt the tables so long after the hosts
-# are known, in seconds.
-RELAYS_START_TIME = 0.5
+# How long a host that starts again waits for the list of hosts, before it follows
+# tables without knowing its relays.
+HOSTS_LISTED_MAX = 0.05  # seconds
 BACKOFF_MIN = 0.1  # seconds after a first failure; doubled by each further one
 BACKOFF_MAX = 2.0
 # The same where this host has relays, which ask as well.
@@ -49,12 +45,7 @@
 # How long a call waits for changes while the store fails: its answer is to tell soon
 # that the store is back.
 PROBE_WAIT = 0.05  # seconds
-RETURN_JITTER = 0.3  # seconds over which the other calls follow then
 
-# Where the whole fleet starts for the first time, endpoints and hosts all enter
-# themselves within this time; whoever follows the entries meanwhile is told of each by
-# itself.
-FIRST_START_TIME = 2.0  # seconds
 _ENTERED_AT_START = (Table.ENDPOINTS, Table.HOSTS)
 # Seconds for which further changes are waited for after some came, so that one answer
 # tells of all: where all hosts start at once, each would else be told of each. Nothing
@@ -70,14 +61,13 @@
 FIRST_START_TURNS = 6.0  # seconds after a start
 
 ReplyHandler = Callable[[StoreReply], None]
-# Called with rows, and with whether these are all that the table has.
-RowsHandler = Callable[[tuple[Row, ...], bool], None]
 
 
 class Store(ProxySystem):
     """Call the store, and tell whether it answers."""
 
     __slots__ = (
+        "_awaiting_hosts",
         "_calls",
         "_clock_offset",
         "_failing_since",
@@ -93,6 +83,8 @@
         super().__init__(node)
         self._feeds: Feeds
         self._relays: Relays
+        # What is to be done once the other hosts are known.
+        self._awaiting_hosts: list[Callable[[], None]] = []
         self._calls: dict[int, ReplyHandler] = {}
         self._clock_offset: float | None = None
         self._failing_since: float | None = None
@@ -155,6 +147,21 @@
         else:
             Watch(self, table, handler)
 
+    def once_hosts_are_known(self, action: Callable[[], None]) -> None:
+        """Do something once the other hosts are known, or not listed in time."""
+        if self._relays.are_known:
+            action()
+            return
+        if not self._awaiting_hosts:
+            self.timers.after(HOSTS_LISTED_MAX, self.hosts_known)
+        self._awaiting_hosts.append(action)
+
+    def hosts_known(self) -> None:
+        """Do what waits for the other hosts."""
+        actions, self._awaiting_hosts = self._awaiting_hosts, []
+        for action in actions:
+            action()
+
     def call_again(
         self, watch: Watch, again: Callable[[], None], failures: int
     ) -> None:
@@ -254,150 +261,3 @@
         self._failing_since = None
         self._node.log("info", "store_regained", after=round(away, 3))
         self.go_on()
-
-
-class Watch:
-    """Follow one table: all its rows first, then each change, for ever.
-
-    Changes are waited for at a relay where this host has one, else at the store.
-    """
-
-    __slots__ = (
-        "_failures",
-        "_feeds",
-        "_handler",
-        "_listed_at",
-        "_relays",
-        "_store",
-        "_table",
-        "_version",
-    )
-
-    def __init__(self, store: Store, table: Table, handler: RowsHandler) -> None:
-        self._store = store
-        self._feeds = store.feeds
-        self._relays = store.relays
-        self._table = table
-        self._handler = handler
-        self._version = 0
-        self._failures = 0
-        self._listed_at = store.now
-        if store.tables.first_start and table is not Table.HOSTS:
-            self._begin()
-        else:
-            self._list()
-
-    def _begin(self) -> None:
-        """Learn the whole table from a relay, where the whole fleet starts.
-
-        Each host's own list of it would be a call; nobody waits for it yet.
-        """
-        known_by = self._listed_at + FIRST_START_TIME + KNOWN_MAX
-        if not self._relays.are_known and self._store.now < known_by:
-            self._store.timers.after(KNOWN_LOOK, self._begin)
-        elif self._relays.choose() is None:
-            self._list()
-        else:
-            self._store.timers.after(RELAYS_START_TIME, self._follow)
-
-    def _list(self) -> None:
-        self._store.call(ListRows(self._table), self._on_listed)
-
-    def _on_listed(self, reply: StoreReply) -> None:
-        if reply.status is not StoreStatus.DONE:
-            self._retry(self._list)
-            return
-        self._listed_at = self._store.now
-        self._take(replace(reply, whole=True), by_relay=False)
-        self._follow()
-
-    def _take(self, reply: StoreReply, by_relay: bool) -> None:
-        self._version = max(self._version, reply.version)
-        self._feeds.learnt(self._table, reply, by_relay)
-        self._handler(reply.rows, reply.whole)
-
-    def _follow(self) -> None:
-        if not self._relays.are_known and self._store.now < self._listed_at + KNOWN_MAX:
-            # The list of hosts comes in a moment; it tells whether there is a relay.
-            self._store.timers.after(KNOWN_LOOK, self._follow)
-            return
-        relay = self._relays.choose()
-        if relay is not None:
-            self._follow_relay(relay)
-        elif self._relays.has_relays:
-            # They did not answer, most likely as the store does not answer them. One
-            # table is enough to see that.
-            pause = self._store.jitter(RETURN_JITTER)
-            self._store.timers.after(pause, self._follow_alone)
-        else:
-            self._follow_store()
-
-    def _follow_alone(self) -> None:
-        if self._store.may_probe(self):
-            self._follow_store()
-        else:
-            self._retry(self._follow)
-
-    def _follow_store(self) -> None:
-        wait = self._store.watch_wait(self._table)
-        call = WatchRows(self._table, self._version, wait)
-        self._store.call(call, self._on_changes, wait + WATCH_SLACK)
-
-    def _on_changes(self, reply: StoreReply) -> None:
-        if reply.status is StoreStatus.HISTORY_GONE:
-            self._on_history_gone()
-        elif reply.status is not StoreStatus.DONE:
-            self._feeds.lost(self._table)
-            self._retry(self._follow)
-        else:
-            self._failures = 0
-            self._take(reply, by_relay=False)
-            gap = self._store.changes_gap(self._table)
-            self._follow_after(gap if reply.rows else 0.0)
-
-    def _follow_after(self, pause: float) -> None:
-        if pause:
-            self._store.timers.after(pause, self._follow)
-        else:
-            self._follow()
-
-    def _follow_relay(self, relay: HostRow) -> None:
-        asked_at = self._store.now
-        wait = self._store.relay_wait(self._table)
-
-        def on_reply(reply: StoreReply) -> None:
-            if reply.status is StoreStatus.DONE:
-                self._failures = 0
-                self._store.go_on()
-                self._take(reply, by_relay=True)
-                self._follow_after(RELAY_GAP if reply.rows else 0.0)
-                return
-            self._relays.failed(relay.name)
-            silent = self._store.now - asked_at >= wait
-            if self._version == 0:
-                self._list()
-            elif silent:
-                # Perhaps it is this host that is cut off from others: to ask one after
-                # the other would take longer than a change may.
-                self._follow_alone()
-            else:
-                self._follow()
-
-        call = WatchRows(self._table, self._version, wait)
-        self._store.call_relay(relay, call, on_reply, wait + RELAY_SLACK)
-
-    def _on_history_gone(self) -> None:
-        """List the rows anew; not at once if that was no help.
-
-        A store whose reads are behind lists rows of a version that it has no history
-        after. One would see each host list and follow without a pause.
-        """
-        if self._failures == 0:
-            self._failures = 1
-            self._list()
-        else:
-            self._retry(self._list)
-
-    def _retry(self, again: Callable[[], None]) -> None:
-        self._store.call_again(self, again, self._failures)
-        self._failures += 1
--- a/tests/core/proxy/test_relays.py
+++ b/tests/core/proxy/test_relays.py
@@ -127,6 +127,47 @@
     assert world.store.calls <= 2 * HOSTS + 8 * len(_relays(world))
 
 
+def test_a_host_that_starts_again_lists_the_hosts_alone(world):
+    """Symptom: restarts in turn read bytes at the store as the square of the fleet.
+
+    Sequence: a host that is no relay is killed, and starts again. Cause: it listed
+    three tables at the store, of which its relays could tell it two.
+    """
+    follower = world.hosts.index(_followers(world)[0])
+    before = world.store.calls
+    world.kill(follower)
+    host = world.start_again(follower)
+    world.run(0.1)
+    assert host.ready
+    assert _versions([host]) == {1}
+    assert len(host.tables.endpoints) == 3
+    assert world.store.calls - before <= 2
+    _change(world, 2)
+    world.run(0.5)
+    assert _versions([host]) == {2}
+
+
+def test_a_host_that_starts_again_beside_dead_relays_lists_by_itself(world):
+    """Where all hosts lost power, those that are back first do not wait for relays."""
+    follower = world.hosts.index(_followers(world)[0])
+    for relay in _relays(world):
+        relay.frozen = True
+    world.kill(follower)
+    host = world.start_again(follower)
+    world.run(0.1)
+    assert host.ready
+    assert _versions([host]) == {1}
+
+
+def test_a_host_that_starts_again_without_the_list_of_hosts_waits_for_none(world):
+    world.store.faults.delay = 0.2
+    follower = world.hosts.index(_followers(world)[0])
+    world.kill(follower)
+    host = world.start_again(follower)
+    world.run(0.3)
+    assert host.ready
+
+
 def test_first_start_without_relays_that_answer():
     world = ProxyWorld(hosts=HOSTS, first_start=True)
     for host in world.hosts:
