Compress what relays tell their followers

Ruled out: a third relay of each failure domain (divides by 1.5 for more calls), a tree of relays (a longer way for each change), other words than the store's (one client reads both).

Change: a host that asks another one accepts deflate, and is answered so from 512 bytes on; whoever does not ask for it, as an older host, gets plain text. Followers that know the same version are sent the same bytes, rendered once. An answer that can't be unpacked, or unpacks to more than an answer of the store may have, counts as one that can't be read.

--- a/mallowpass/core/proxy/feeds.py
+++ b/mallowpass/core/proxy/feeds.py
@@ -139,8 +139,12 @@
 
     def _tell(self, copy: _Copy) -> None:
         followers, copy.followers = copy.followers, []
+        # Most know the same version, and are told the same.
+        replies: dict[int, StoreReply] = {}
         for follower in followers:
-            reply = self._changes(copy, follower.after)
+            reply = replies.get(follower.after)
+            if reply is None:
+                reply = replies[follower.after] = self._changes(copy, follower.after)
             if reply.rows or reply.whole:
                 follower.timer.cancel()
                 self._node.emit(AnswerFeed(follower.number, reply))
--- a/mallowpass/platform/http.py
+++ b/mallowpass/platform/http.py
@@ -28,10 +28,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Response:
-    """Hold an answer."""
+    """Hold an answer; `coding` names how its body is compressed, if it is."""
 
     status: int
     body: bytes = b""
+    coding: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +44,11 @@
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
 
+    def header(self, name: str) -> str:
+        """Return a header's value; the name in lower case, empty if there is none."""
+        found = (value for key, value in self.headers if key.lower() == name)
+        return next(found, "")
+
 
 # -- Client ------------------------------------------------------------------
 
@@ -135,12 +141,13 @@
 class _ClientConnection(_Connection):
     """Hold one connection; one call at a time."""
 
-    __slots__ = ("_answer", "_status", "closed")
+    __slots__ = ("_answer", "_coding", "_status", "closed")
 
     def __init__(self) -> None:
         super().__init__(h11.CLIENT)
         self._answer: asyncio.Future[Response] | None = None
         self._status = 0
+        self._coding = ""
         self.closed = False
 
     @property
@@ -184,6 +191,7 @@
                 return
             if isinstance(event, h11.Response):
                 self._status = event.status_code
+                self._coding = _coding(event)
                 self._body.clear()
             elif isinstance(event, h11.Data):
                 self._body += event.data
@@ -197,7 +205,7 @@
                 return
 
     def _finish(self) -> None:
-        response = Response(self._status, bytes(self._body))
+        response = Response(self._status, bytes(self._body), self._coding)
         if self._wire.our_state is h11.DONE and self._wire.their_state is h11.DONE:
             self._wire.start_next_cycle()
         answer, self._answer = self._answer, None
@@ -211,6 +219,13 @@
         self.close()
 
 
+def _coding(head: h11.Response) -> str:
+    for name, value in head.headers:
+        if name == b"content-encoding":
+            return value.decode("latin-1")
+    return ""
+
+
 # -- Server ------------------------------------------------------------------
 
 Handler = Callable[[Request], Response | Awaitable[Response]]
@@ -301,6 +316,8 @@
 
     def _answer(self, response: Response) -> None:
         headers = [("Content-Length", str(len(response.body)))]
+        if response.coding:
+            headers.append(("Content-Encoding", response.coding))
         data = self._wire.send(
             h11.Response(status_code=response.status, headers=headers)
         )
--- a/mallowpass/platform/relays.py
+++ b/mallowpass/platform/relays.py
@@ -8,19 +8,47 @@
 
 import asyncio
 import itertools
+from dataclasses import dataclass
 
 from mallowpass.core.proxy.events import FeedAsked
 from mallowpass.core.proxy.storage import StoreReply
 from mallowpass.platform.http import HttpServer, Request, Response
 from mallowpass.platform.lineserver import EventSink
 from mallowpass.platform.settings import Address
-from mallowpass.platform.store import FEED_PATH, StoreClient, parse_watch, render_rows
+from mallowpass.platform.store import (
+    FEED_PATH,
+    StoreClient,
+    accepts_compressed,
+    parse_watch,
+    render_rows,
+)
 
 __all__ = ["FeedServer", "RelayClients"]
 
 _BAD_REQUEST = 400
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """Hold what a host waits for, and whether it reads compressed answers."""
+
+    future: asyncio.Future[Response]
+    compressed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class _Rendered:
+    """Hold an answer as it was sent."""
+
+    reply: StoreReply
+    compressed: bool
+    response: Response
+
+    def is_of(self, reply: StoreReply, compressed: bool) -> bool:
+        """Tell whether this is how a reply is sent."""
+        return self.reply is reply and self.compressed == compressed
+
+
 class RelayClients:
     """Hold a client for each relay that this host follows."""
 
@@ -38,19 +66,21 @@
         client = self._clients.get(address)
         if client is None:
             feeds = Address(Address.parse(address).host, self._own.port)
-            client = self._clients[address] = StoreClient(feeds)
+            client = self._clients[address] = StoreClient(feeds, of_host=True)
         return client
 
 
 class FeedServer:
     """Take calls of hosts that follow the store by way of this one."""
 
-    __slots__ = ("_answers", "_http", "_numbers", "_sink")
+    __slots__ = ("_answers", "_http", "_newest", "_numbers", "_sink")
 
     def __init__(self, sink: EventSink) -> None:
         self._sink = sink
         self._numbers = itertools.count(1)
-        self._answers: dict[int, asyncio.Future[Response]] = {}
+        self._answers: dict[int, _Answer] = {}
+        # What was rendered last: a change is told to many hosts in the same words.
+        self._newest: _Rendered | None = None
         self._http = HttpServer({FEED_PATH: self._take})
 
     async def start(self, address: Address) -> None:
@@ -64,15 +94,26 @@
     def answer(self, number: int, reply: StoreReply) -> None:
         """Answer a call; whoever is gone gets nothing."""
         answer = self._answers.pop(number, None)
-        if answer is not None and not answer.done():
-            answer.set_result(render_rows(reply))
+        if answer is not None and not answer.future.done():
+            answer.future.set_result(self._render(reply, answer.compressed))
+
+    def _render(self, reply: StoreReply, compressed: bool) -> Response:
+        newest = self._newest
+        if (
+            newest is None
+            or newest.reply is not reply
+            or newest.compressed != compressed
+        ):
+            response = render_rows(reply, compressed)
+            newest = self._newest = _Rendered(reply, compressed, response)
+        return newest.response
 
     def _take(self, request: Request) -> Response | asyncio.Future[Response]:
         watch = parse_watch(request.target)
         if watch is None:
             return Response(_BAD_REQUEST)
         number = next(self._numbers)
-        answer = asyncio.get_running_loop().create_future()
-        self._answers[number] = answer
+        future = asyncio.get_running_loop().create_future()
+        self._answers[number] = _Answer(future, accepts_compressed(request))
         self._sink(FeedAsked(number, watch.table, watch.after, watch.wait))
-        return answer
+        return future
--- a/mallowpass/platform/store.py
+++ b/mallowpass/platform/store.py
@@ -4,6 +4,7 @@
 
 import base64
 import json
+import zlib
 from functools import singledispatchmethod
 from typing import Any
 from urllib.parse import parse_qsl, urlencode
@@ -25,7 +26,13 @@
     decode_configuration,
     decode_entry,
 )
-from mallowpass.platform.http import HttpClient, HttpError, Request, Response
+from mallowpass.platform.http import (
+    BODY_MAX,
+    HttpClient,
+    HttpError,
+    Request,
+    Response,
+)
 from mallowpass.platform.settings import Address
 
 __all__ = [
@@ -33,12 +40,19 @@
     "TABLES",
     "TABLE_NAMES",
     "StoreClient",
+    "accepts_compressed",
     "decode_rows",
     "parse_watch",
     "render_rows",
 ]
 
 FEED_PATH = "/v1/rows-feed"
+# Between hosts long answers are compressed: the entries of a table are much alike, and
+# a relay tells each of its followers all of them. The quickest level does that.
+CODING = "deflate"
+COMPRESSED_MIN = 512  # bytes
+COMPRESSION_LEVEL = 1
+_ACCEPTS = (("Accept-Encoding", CODING),)
 _WHOLE = "whole"  # a field between hosts: the rows are all that a table has
 _DIGITS_MAX = 18  # of a number that another host sends
 _UNAVAILABLE = 503
@@ -66,12 +80,13 @@
 
 
 class StoreClient:
-    """Carry out calls to the store."""
+    """Carry out calls to the store, or to a host that tells of it."""
 
-    __slots__ = ("_client",)
+    __slots__ = ("_client", "_of_host")
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, of_host: bool = False) -> None:
         self._client = HttpClient(address)
+        self._of_host = of_host
 
     async def call(self, call: StoreCall, timeout: float) -> StoreReply:
         """Return the store's reply, also where there is none."""
@@ -81,7 +96,7 @@
             changed = error.sent and isinstance(call, ChangeRows)
             status = StoreStatus.UNKNOWN if changed else StoreStatus.REFUSED
             return StoreReply(status, message=str(error))
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, zlib.error) as error:
             message = f"an answer that can't be read: {error!r}"
             return StoreReply(StoreStatus.UNKNOWN, message=message)
 
@@ -114,7 +129,8 @@
             "after": call.after,
             "waitMs": int(call.wait * 1000),
         }
-        request = Request("GET", f"{FEED_PATH}?{urlencode(query)}")
+        headers = _ACCEPTS if self._of_host else ()
+        request = Request("GET", f"{FEED_PATH}?{urlencode(query)}", headers)
         response = await self._client.call(request, timeout)
         return _reply(response)
 
@@ -141,7 +157,7 @@
 def _reply(response: Response) -> StoreReply:
     if response.status not in _STATUSES:
         return _failure(response)
-    body = json.loads(response.body) if response.body else {}
+    body = json.loads(_plain(response)) if response.body else {}
     return StoreReply(
         _STATUSES[response.status],
         tuple(decode_rows(body)),
@@ -151,6 +167,20 @@
     )
 
 
+def _plain(response: Response) -> bytes:
+    """Return an answer's body as it was before it was compressed.
+
+    Whatever a host sends, it takes no more memory than an answer of the store may.
+    """
+    if response.coding != CODING:
+        return response.body
+    unpacker = zlib.decompressobj()
+    body = unpacker.decompress(response.body, BODY_MAX)
+    if not unpacker.eof:
+        raise ValueError(f"a body of more than {BODY_MAX} bytes, or cut off")
+    return body
+
+
 def decode_rows(body: dict[str, Any]) -> list[Row]:
     """Return the rows of an answer; one that can't be read says so itself."""
     rows = []
@@ -188,13 +218,21 @@
     return text.isascii() and text.isdigit() and len(text) <= _DIGITS_MAX
 
 
-def render_rows(reply: StoreReply) -> Response:
+def render_rows(reply: StoreReply, compressed: bool = False) -> Response:
     """Return the answer that tells another host of rows."""
     if reply.status is not StoreStatus.DONE:
         return Response(_UNAVAILABLE)
     rows = [_item(row) for row in reply.rows]
     body = {"rows": rows, "ver": reply.version, _WHOLE: reply.whole}
-    return Response(200, json.dumps(body, separators=(",", ":")).encode())
+    data = json.dumps(body, separators=(",", ":")).encode()
+    if compressed and len(data) >= COMPRESSED_MIN:
+        return Response(200, zlib.compress(data, COMPRESSION_LEVEL), CODING)
+    return Response(200, data)
+
+
+def accepts_compressed(request: Request) -> bool:
+    """Tell whether another host reads compressed answers; an older one may not."""
+    return CODING in request.header("accept-encoding")
 
 
 def _item(row: Row) -> dict[str, Any]:
--- a/tests/platform/test_relays.py
+++ b/tests/platform/test_relays.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import socket
+import zlib
 
 import pytest
 
@@ -18,9 +19,16 @@
     Unreadable,
     WatchRows,
 )
+from mallowpass.platform.http import BODY_MAX, HttpServer, Request, Response
 from mallowpass.platform.relays import FeedServer, RelayClients
 from mallowpass.platform.settings import Address
-from mallowpass.platform.store import parse_watch, render_rows
+from mallowpass.platform.store import (
+    FEED_PATH,
+    StoreClient,
+    accepts_compressed,
+    parse_watch,
+    render_rows,
+)
 
 WATCH = WatchRows(Table.HOSTS, 7, 0.2)
 ROWS = (
@@ -81,6 +89,60 @@
     assert answer == sent
 
 
+def _many(count: int) -> StoreReply:
+    rows = tuple(
+        Row(RowKey(Table.HOSTS, "", f"host-{i}"), i, "casa - 1", "Y2FzYSAtIDE=")
+        for i in range(1, count)
+    )
+    return StoreReply(StoreStatus.DONE, rows, count, whole=True)
+
+
+def test_many_rows_arrive_compressed(free_port):
+    """Symptom: relays of a large fleet send more than their links take.
+
+    Sequence: hundreds of endpoints enter themselves, or half of the hosts start again.
+    Cause: each follower was sent all rows, which are much alike, at full length.
+    """
+    sent = _many(300)
+    _, answer = asyncio.run(_play(sent, free_port))
+    assert answer == sent
+    plain, compressed = render_rows(sent), render_rows(sent, compressed=True)
+    assert len(compressed.body) < len(plain.body) / 5
+
+
+def test_a_host_that_does_not_ask_for_it_gets_nothing_compressed():
+    """One that is older would take each answer for none."""
+    old = Request("GET", "/v1/rows-feed?table=servers&after=1&waitMs=1")
+    assert not accepts_compressed(old)
+    headers = (("accept-encoding", "deflate"),)
+    assert accepts_compressed(Request("GET", old.target, headers))
+    assert json.loads(render_rows(_many(300)).body)["ver"] == 300
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"no deflate",
+        zlib.compress(b"[]")[:-3],
+        zlib.compress(b"{" + (BODY_MAX + 1) * b" "),
+        zlib.compress(b"no JSON"),
+    ],
+)
+def test_a_compressed_answer_that_can_not_be_read(free_port, body):
+    async def play() -> StoreReply:
+        response = Response(200, body, "deflate")
+        server = HttpServer({FEED_PATH: lambda request: response})
+        address = Address("127.0.0.1", free_port)
+        await server.start(address)
+        answer = await StoreClient(address, of_host=True).call(WATCH, 5.0)
+        server.close()
+        return answer
+
+    answer = asyncio.run(play())
+    assert answer.status is StoreStatus.UNKNOWN
+    assert answer.rows == ()
+
+
 def test_relay_that_refuses(free_port):
     sent = StoreReply(StoreStatus.REFUSED)
     _, answer = asyncio.run(_play(sent, free_port))
