--- a/mallowpass/measure/policy/mechanisms.py
+++ b/mallowpass/measure/policy/mechanisms.py
@@ -11,7 +11,15 @@
 from dataclasses import dataclass
 from typing import Any
 
-from mallowpass.core.proxy import holders, idling, load, requests, shares
+from mallowpass.core.proxy import (
+    holders,
+    idling,
+    load,
+    promotion,
+    relief,
+    requests,
+    shares,
+)
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.holders import Holders
@@ -116,12 +124,29 @@
     _mechanism(
         "relief",
         "a full primary keeps the lead",
-        (Relief, "_on_behind", _always(None)),
+        (Relief, "_consider_soon", _always(None)),
+        (promotion, "is_slow", _always(False)),
+    ),
+    _mechanism(
+        "relief-of-slow-primaries",
+        "a primary is relieved only where all its replicas are behind",
+        (relief, "is_slow", _always(False)),
+        (promotion, "is_slow", _always(False)),
     ),
     _mechanism(
         "stalls",
         "writes are sent to a primary that acknowledges none",
-        (Stalls, "holds_back", _always(False)),
+        (Stalls, "holds_back_write", _always(False)),
+    ),
+    _mechanism(
+        "room-beside-hanging-commits",
+        "commits that hang count among what a full endpoint should have",
+        (Stalls, "is_hanging", _always(False)),
+    ),
+    _mechanism(
+        "holders-watch-writes",
+        "a holder knows of its own callers' writes that hang",
+        (Links, "_check_write", _always(None)),
     ),
     _mechanism(
         "half-share-after-a-start",
