--- a/mallowpass/core/proxy/floors.py
+++ b/mallowpass/core/proxy/floors.py
@@ -46,7 +46,7 @@
 STUCK_TIME = 9.0  # seconds
 # All replicas of a group that refuse all reads for so long leave them to the primary.
 BEHIND_TIME = 1.2  # seconds
-AGE_MAX = 60.0  # seconds; no accepted age that is in use is longer
+AGE_MAX = 60.0  # seconds that samples are kept, whatever age a read accepts
 # What a primary had so long ago, each replica that receives has received: in seconds.
 SETTLED_TIME = 0.5
 
--- a/mallowpass/core/proxy/members.py
+++ b/mallowpass/core/proxy/members.py
@@ -33,8 +33,8 @@
 # A primary is kept until it is replaced, but not longer: what is sent to an endpoint
 # must stop within seconds of its entry's end.
 PRIMARY_GRACE = 5.0
-# How long a primary that says it is leaving is used while no successor is found: the
-# shortest bound in use for the last statement that may reach it is 7 seconds.
+# How long a primary that says it is leaving is used while no successor is found. No
+# statement may reach it once its time to leave is over.
 LEAVING_MAX = 6.0
 # The same for one that was leaving already when this host first learnt of it. Nobody
 # tells since when: a host that was restarted meanwhile would send statements there
--- a/mallowpass/core/proxy/policy/placement.py
+++ b/mallowpass/core/proxy/policy/placement.py
@@ -14,11 +14,10 @@
 __all__ = ["cost"]
 
 # What a statement is taken to last at an endpoint that has not answered any yet, in
-# seconds; about twice the mean work of one.
+# seconds: one that is known to be quick comes first, a slow one does not.
 LATENCY_EXPECTED = 0.03
-# What a read in another region must save to be worth its bytes, in seconds: a quarter
-# of the shortest objective in use. Reads of a calm region stay there; those of one
-# whose member is slow or busy go elsewhere.
+# What a read in another region must save to be worth its bytes, in seconds. Reads of a
+# calm region stay there; those of one whose member is slow or busy go elsewhere.
 OTHER_REGION_COST = 0.1
 # What is added for an endpoint that did not serve the statement before, in seconds:
 # more than any other difference.
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -77,9 +77,8 @@
 
     Best the one that is ordered already: of two orders the earlier one may be carried
     out last. Else one that serves no reads: it applies what it has received before it
-    leads, and those that serve some still do. On a day with a planned replacement
-    beside replicas that are a minute behind, reads were refused for nine seconds when
-    the one that was not behind led.
+    leads, and those that serve some still do. With another one leading, those that are
+    behind would leave it all reads for as long as they lag.
     """
 
     def rank(replica: EndpointRow) -> tuple[bool, bool, LogPosition, float]:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -151,7 +151,7 @@
         except TimeoutError:
             await self.kill()
             return -signal.SIGKILL
-        # Seed 37.
+        # A signal that comes before the program handles it ends the process.
         if code == -signal.SIGTERM and was_booting:
             return 0
         return code
