--- a/mallowpass/core/proxy/standingorders.py
+++ b/mallowpass/core/proxy/standingorders.py
@@ -27,8 +27,8 @@
 # Seconds within which an order is carried out that got no answer: the platform may do
 # so seconds later.
 LATE_ORDER_TIME = 8.0
-# Seconds within which an endpoint leads whose order was taken. One that does not by then
-# is ordered again.
+# Seconds within which an endpoint leads whose order was taken. One that does not by
+# then is ordered again.
 LEAD_TIME = 2.0
 
 
