--- a/mallowpass/measure/policy/report.py
+++ b/mallowpass/measure/policy/report.py
@@ -155,7 +155,10 @@
         f"rect.{_STYLES[outcome]} {{ fill: {colour}; }}"
         for outcome, colour in _COLOURS.items()
     )
-    key = ", ".join(f"{o.value}: {_COLOURS[o]}" for o in Outcome)
+    key = " ".join(
+        f'<b style="color: {colour}">&#9632;</b> {outcome.value}'
+        for outcome, colour in _COLOURS.items()
+    )
     body = [f"<p>{key}; shaded: while things go wrong</p>"]
     for run in runs:
         name = f"{run.pattern.name}: {run.pattern.summary}, seed {run.seed}"
