Take no claim for another primary as proof that an old one still leads

Cause: a host was cut off from the store and from other members, with a primary that had been replaced, where the platform checks no fences. At 11.728 s it reached the store again, and asked for the newest claim to make up for members that were silent. A claim for another primary was taken to say that the host's own was left alone; and so was any claim that was given back. Reads that had waited were answered; 146 ms later the entries told of the successor.

Change: a claim for another primary proves that one leads only if it ordered this one and no other, as the claim by which it came to lead did; a claim that was given back, only if it was for this one.

After a late order to another target reads at a primary with a silent member are refused until the next claim: then nobody knows.

--- a/mallowpass/core/proxy/claims.py
+++ b/mallowpass/core/proxy/claims.py
@@ -61,6 +61,17 @@
         """Tell whether it was given back."""
         return self.holder == _NOBODY
 
+    def leaves(self, primary: str) -> bool:
+        """Tell whether a primary that led when this was made, or since, still leads.
+
+        That is so as long as this is the newest claim. One that names another primary
+        was made to replace it, or its successor: only if it ordered just this one is it
+        the claim by which this one came to lead.
+        """
+        if self.primary in ("", primary):
+            return self.is_free
+        return {target for target, _ in self.ordered} == {primary}
+
     def encode(self) -> str:
         """Return the text that the store keeps."""
         position = self.must_hold.text
--- a/mallowpass/core/proxy/leadership.py
+++ b/mallowpass/core/proxy/leadership.py
@@ -182,9 +182,8 @@
     def _on_claim(self, survey: _Survey, claim: Claim | None, known: bool) -> None:
         if not self._is_current(survey):
             return
-        free = claim is None or claim.is_free
-        others = claim is not None and claim.primary not in ("", survey.primary)
-        self._end(survey, known and (free or others))
+        leads = claim is None or claim.leaves(survey.primary)
+        self._end(survey, known and leads)
 
     def _is_current(self, survey: _Survey) -> bool:
         return self._surveys.get(survey.group.service) is survey
--- a/tests/core/proxy/test_claims.py
+++ b/tests/core/proxy/test_claims.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from mallowpass.core.proxy.claims import Claim
 from mallowpass.core.proxy.statements import Code, Write
 from mallowpass.core.proxy.storage import RowKey, Table
 from mallowpass.standins.proxied.virtual.world import SERVICE, ProxyWorld
@@ -52,3 +53,23 @@
     _keep_writing(world)
     world.run(10.0)
     assert world.group.promotions == 1
+
+
+@pytest.mark.parametrize(
+    ("holder", "primary", "ordered", "leaves"),
+    [
+        ("-", "db-casa", (), True),  # given back before an order was given
+        ("-", "", (), True),
+        ("host-1", "db-casa", (), False),  # it may be ordered any moment
+        ("host-1", "", (), False),
+        ("host-1", "db-old", ("db-casa",), True),  # made it lead
+        ("-", "db-new", (), False),  # for its successor, and given back
+        ("host-1", "db-new", (), False),
+        ("host-1", "db-old", ("db-casa", "db-new"), False),
+        ("host-1", "db-old", ("db-new",), False),
+    ],
+)
+def test_whether_a_claim_leaves_a_primary_the_lead(holder, primary, ordered, leaves):
+    orders = tuple((target, 9.0) for target in ordered)
+    claim = Claim(3, holder, primary, 1.0, ordered=orders)
+    assert claim.leaves("db-casa") is leaves
--- a/tests/core/proxy/test_replaced.py
+++ b/tests/core/proxy/test_replaced.py
@@ -6,9 +6,13 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
+from mallowpass.core.proxy.claims import Claim
 from mallowpass.core.proxy.statements import Begin, Code, Commit, Read, Write
+from mallowpass.core.proxy.storage import RowKey, Table
 from mallowpass.standins.proxied.virtual.world import SERVICE, ProxyWorld
 
 OLD = "db-casa"
@@ -76,6 +80,40 @@
     kept(world)
 
 
+@pytest.mark.parametrize("away", [3.0, 6.0, 9.0])
+@pytest.mark.parametrize("given_back", [True, False])
+def test_a_claim_for_the_successor_proves_nothing_for_the_old_primary(away, given_back):
+    """Reads lacked commits of a successor that had led for seconds.
+
+    A host was cut off from all but the old primary, from the store as well. As soon
+    as it reached the store again it asked whether anybody had claimed to replace that
+    one. The newest claim was a later one, made to have the successor's replicas
+    receive: it named another primary, or was given back, which was taken for proof.
+
+        primary_believed primary=i-d38966cc6f before=i-cf70025602 term=1
+        statement at i-cf70025602, whose log stood at 1.49 and lacked commit 2.56
+    """
+    world = weak_world()
+    keep_working(world, 1, 2, 3)
+    keep_reading(world, 0, "strict")
+    world.run(1.0)
+    cut_off(world)
+    world.cut(0, *(host.name for host in world.hosts[1:]))
+    world.run(away)
+    successor = world.primary.name
+    assert successor != OLD
+    holder = "-" if given_back else world.hosts[1].name
+    key = RowKey(Table.CLAIMS, SERVICE, "primary")
+    before = Claim.decode(world.store.get(key).value)
+    later = replace(
+        before, token=before.token + 1, holder=holder, primary=successor, ordered=()
+    )
+    world.store.put(key, later.encode())
+    world.hosts[0].cut_from.discard("store")
+    world.run(1.0)
+    kept(world)
+
+
 def test_a_holder_that_believes_the_old_primary_proves_nothing_to_others():
     """Reads by way of another host lacked commits acknowledged over a second before.
 
