Begin nothing after the core of a host has stopped

Calls are cancelled as the event loop ends; one whose time ran out at that moment ends as a call without an answer. The core was told, and began another call, which nobody cancelled.

Change: once the core has stopped, a host takes no event and carries out no effect. The test fails on the code before.

--- a/mallowpass/platform/runtime.py
+++ b/mallowpass/platform/runtime.py
@@ -133,6 +133,18 @@
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
         await self._stopped.wait()
+        self._take_no_more()
+
+    def _take_no_more(self) -> None:
+        """Leave whatever still comes: the core has stopped.
+
+        Calls are cancelled as the event loop ends. One of them may end as a call that
+        got no answer; told of it, the core would begin another call, which nobody
+        cancels, and which fails as the loop is closed.
+        """
+        self._aborted = True
+        if self._timer is not None:
+            self._timer.cancel()
 
     async def start(self) -> None:
         """Listen, and start the core."""
@@ -190,6 +202,8 @@
         self._carry_out(self._node.wake(host_clock()))
 
     def _carry_out(self, todo: list[Effect | effects.ProxyEffect]) -> None:
+        if self._aborted:
+            return
         for effect in todo:
             try:
                 self._apply(effect)
--- a/tests/platform/test_runtime.py
+++ b/tests/platform/test_runtime.py
@@ -12,7 +12,10 @@
 import pytest
 
 from mallowpass.core.messages import Woken
-from mallowpass.core.proxy.effects import SetReady
+from mallowpass.core.proxy.effects import CallStore, Exit, SetReady
+from mallowpass.core.proxy.events import StoreAnswered
+from mallowpass.core.proxy.registry import SYSTEMS
+from mallowpass.core.proxy.storage import ListRows, StoreReply, StoreStatus, Table
 from mallowpass.platform.runtime import ESCAPED, HostRuntime
 from mallowpass.platform.settings import load_settings
 from mallowpass.standins.proxied.platform import MemoryLog
@@ -123,3 +126,31 @@
 
     log = _with_host(tmp_path, use)
     assert [line["during"] for line in log.fields(ESCAPED)] == ["object"]
+
+
+def test_nothing_is_begun_after_the_core_has_stopped(tmp_path, monkeypatch):
+    """Symptom: a host that stops logs an exception, "Task was destroyed but it is
+    pending!".
+
+    Sequence: it is told to stop while a call to the store is under way. Cause: the call
+    was cancelled, told the core that it got no answer, and the core began another one,
+    which the closing event loop did not know of.
+    """
+
+    async def stop_at_once(host: HostRuntime) -> None:
+        host._apply(Exit())
+
+    monkeypatch.setattr(HostRuntime, "start", stop_at_once)
+
+    async def run() -> int:
+        path = tmp_path / "local.toml"
+        path.write_text(TEXT)
+        host = HostRuntime(load_settings(path), MemoryLog(), path)
+        host._node.start(SYSTEMS)
+        await host.run()
+        before = len(host._tasks)
+        host.handle(StoreAnswered(1, StoreReply(StoreStatus.REFUSED)))
+        host._carry_out([CallStore(2, ListRows(Table.HOSTS), 1.0)])
+        return len(host._tasks) - before
+
+    assert asyncio.run(run()) == 0
