--- a/mallowpass/core/proxy/relief.py
+++ b/mallowpass/core/proxy/relief.py
@@ -38,7 +38,7 @@
 
 
 class Relief(ProxySystem):
-    """Have primaries relieved that are left with all reads."""
+    """Have primaries relieved that are full, where another member would be less so."""
 
     __slots__ = ("_considered", "_holders", "_load", "_promotion", "_tried_at")
 
@@ -48,7 +48,7 @@
         self._tried_at: dict[str, float] = {}  # by service
 
     def start(self) -> None:
-        """Subscribe to groups whose replicas are all behind."""
+        """Subscribe to groups whose replicas are all behind, and to full primaries."""
         node = self._node
         self._holders = node.system(Holders)
         self._load = node.system(Load)
@@ -79,8 +79,8 @@
         # One that is slow is suspected for writes that take long; it answers them.
         if group.suspected and not slow:
             return
-        pause = SLOW_RETRY if slow else self._led_time(group)
-        if not self._has_led_long(group, pause):
+        retry = SLOW_RETRY if slow else self._led_time(group)
+        if not self._has_led_long(group, retry):
             return
         self._tried_at[group.service] = self.now
         self._promotion.replace(group, primary.name, Reason.RELIEF, why)
--- a/mallowpass/measure/policy/operations.py
+++ b/mallowpass/measure/policy/operations.py
@@ -96,7 +96,6 @@
         "_attempt",
         "_began_at",
         "_held",
-        "_host",
         "_next",
         "_on_end",
         "_random",
--- a/mallowpass/measure/policy/patterns.py
+++ b/mallowpass/measure/policy/patterns.py
@@ -67,11 +67,11 @@
 
 def _primary_dark(run: Run) -> None:
     run.world.crash(run.world.primary.name, dark=True)
-    run.broken.append(run.world.primary.name)
+    run.down.append(run.world.primary.name)
 
 
 def _restart_members(run: Run) -> None:
-    for name in run.broken:
+    for name in run.down:
         run.world.restart(name)
 
 
--- a/mallowpass/measure/policy/run.py
+++ b/mallowpass/measure/policy/run.py
@@ -41,7 +41,7 @@
         self._ended: list[Ended] = []
         self._calling = False
         self.load = 1.0  # times the usual one
-        self.broken: list[str] = []  # members that a pattern took down
+        self.down: list[str] = []  # members that a pattern took down
         self.world = ProxyWorld(
             hosts=deployment.hosts,
             seed=seed,
