Take the relief of slow primaries back

Its logs show an attempt that had found that its primary's writes stall, compared twice, saw its replicas receive, and went on as a relief, where before it would have been given up. The old primary stepped down 87 ms after its successor was believed.

--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -28,7 +28,6 @@
     EndpointForgotten,
     EndpointRestarted,
     EndpointUnreachable,
-    PrimaryFull,
     WriteAcknowledged,
     WriteStalled,
 )
@@ -294,7 +293,6 @@
         group = self.tables.group(link.endpoint.entry.service)
         if code is Code.BUSY and link.endpoint.name == group.primary:
             group.turned_away_at = self.now
-            self._node.publish(PrimaryFull(group))
         # Without a floor the host would send its reads to the primary once more, which
         # is what most calls wait for after a start of all hosts.
         said = f"{self._node.identity.name}: {message}"
--- a/mallowpass/core/proxy/policy/__init__.py
+++ b/mallowpass/core/proxy/policy/__init__.py
@@ -9,6 +9,5 @@
 | `line` | who of those that wait is looked at first, and who need not be |
 | `admission` | who waits on, and who is turned away |
 | `placement` | which of the endpoints that may run a statement does |
-| `slowness` | whether a full primary should be relieved by a faster member |
 | `sharing` | how many connections a host may have to an endpoint, and which hosts |
 """
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -25,7 +25,6 @@
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.ordering import ClaimLapsed, OrderFailed, Ordering
-from mallowpass.core.proxy.policy.slowness import is_slow
 from mallowpass.core.proxy.replacement import Reason, Replacement, best_target
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
 from mallowpass.core.proxy.resumption import Resumption
@@ -275,11 +274,9 @@
         stalled = attempt.reason is Reason.STALLED and attempt.shown is not None
         if stalled and furthest >= attempt.shown:
             # What the primary had a moment ago has been received: it is not stalled.
+            self._give_up(attempt, "its replicas receive")
             self._node.publish(PrimaryReplicates(attempt.group))
-            if not is_slow(attempt.group):
-                self._give_up(attempt, "its replicas receive")
-                return
-            attempt.reason = Reason.RELIEF
+            return
         if not attempt.target:
             leading = [e for e in candidates if attempt.received[e.name] == furthest]
             leading.sort(key=lambda e: (e.is_leaving, e.latency))
--- a/mallowpass/core/proxy/relief.py
+++ b/mallowpass/core/proxy/relief.py
@@ -1,12 +1,8 @@
-"""Handing over from a full primary that another member could relieve.
+"""Handing over from a full primary whose replicas are all far behind.
 
-Its replicas are all far behind: one applies what it received before it leads, and the
-old primary has applied all: of two members that serve no reads, one is left. Waiting
-instead would leave the primary alone with all reads for as long as the lag is, which
-outlasts its cause many times.
-
-It is much slower than a replica: writes and strict reads have no other place to go, and
-most of them would be refused until it is as fast as before.
+A replica applies what it received before it leads, and the old primary has applied all:
+of two members that serve no reads, one is left. Waiting instead would leave the primary
+alone with all reads for as long as the lag is, which outlasts its cause many times.
 """
 
 from __future__ import annotations
@@ -14,10 +10,9 @@
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.load import Load
-from mallowpass.core.proxy.policy.slowness import is_slow
 from mallowpass.core.proxy.promotion import Promotion
 from mallowpass.core.proxy.replacement import Reason
-from mallowpass.core.proxy.signals import PrimaryFull, ReplicasBehind
+from mallowpass.core.proxy.signals import ReplicasBehind
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
 
 __all__ = ["Relief"]
@@ -32,13 +27,10 @@
 QUEUE_TIME_MIN = 0.05
 # A primary is full if a statement for it was turned away so short a time ago.
 TURNED_AWAY_TIME = 1.0  # seconds
-# Seconds until a slow one is tried again: another host may have been about to find out
-# whether it stalls.
-SLOW_RETRY = 0.5
 
 
 class Relief(ProxySystem):
-    """Have primaries relieved that are full, where another member would be less so."""
+    """Have primaries relieved that are left with all reads."""
 
     __slots__ = ("_considered", "_holders", "_load", "_promotion", "_tried_at")
 
@@ -48,41 +40,29 @@
         self._tried_at: dict[str, float] = {}  # by service
 
     def start(self) -> None:
-        """Subscribe to groups whose replicas are all behind, and to full primaries."""
+        """Subscribe to groups whose replicas are all behind."""
         node = self._node
         self._holders = node.system(Holders)
         self._load = node.system(Load)
         self._promotion = node.system(Promotion)
         node.subscribe(ReplicasBehind, self._on_behind)
-        node.subscribe(PrimaryFull, self._on_full)
 
     def _on_behind(self, signal: ReplicasBehind) -> None:
-        self._consider_soon(signal.group, "no replica has the floor")
-
-    def _on_full(self, signal: PrimaryFull) -> None:
-        if is_slow(signal.group):
-            self._consider_soon(signal.group, "it is slow")
-
-    def _consider_soon(self, group: GroupRow, why: str) -> None:
-        service = group.service
+        service = signal.group.service
         if service not in self._considered and self._holders.holds(service):
             self._considered.add(service)
             pause = self._node.random.uniform(0.0, JITTER)
-            self.timers.after(pause, self._consider, group, why)
+            self.timers.after(pause, self._consider, signal.group)
 
-    def _consider(self, group: GroupRow, why: str) -> None:
+    def _consider(self, group: GroupRow) -> None:
         self._considered.discard(group.service)
         primary = group.primary_row
-        if primary is None or not self._is_full(group, primary):
-            return
-        slow = is_slow(group)
-        # One that is slow is suspected for writes that take long; it answers them.
-        if group.suspected and not slow:
+        if primary is None or group.suspected:
             return
-        retry = SLOW_RETRY if slow else self._led_time(group)
-        if not self._has_led_long(group, retry):
+        if not self._is_full(group, primary) or not self._has_led_long(group):
             return
         self._tried_at[group.service] = self.now
+        why = "no replica has the floor"
         self._promotion.replace(group, primary.name, Reason.RELIEF, why)
 
     def _is_full(self, group: GroupRow, primary: EndpointRow) -> bool:
@@ -90,15 +70,10 @@
             return True
         return self._load.queue_time(primary) >= QUEUE_TIME_MIN
 
-    def _has_led_long(self, group: GroupRow, retry: float) -> bool:
-        """Tell whether a primary may be relieved that was tried `retry` seconds ago."""
-        if self.now - max(group.led_at, default=float("-inf")) < self._led_time(group):
-            return False
-        tried_at = self._tried_at.get(group.service, float("-inf"))
-        return self.now - tried_at >= retry
-
-    def _led_time(self, group: GroupRow) -> float:
+    def _has_led_long(self, group: GroupRow) -> bool:
         # Where that was no help, it must not be done again and again.
         since = self.now - MEMORY
         recent = sum(1 for led_at in group.led_at if led_at > since)
-        return LED_TIME * 2.0**recent
+        time = LED_TIME * 2.0**recent
+        tried_at = self._tried_at.get(group.service, float("-inf"))
+        return self.now - max(tried_at, *group.led_at, float("-inf")) >= time
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -28,7 +28,6 @@
     EndpointChanged,
     FloorLearnt,
     PrimaryChanged,
-    PrimaryFull,
     PrimaryHeard,
     WriteAcknowledged,
 )
@@ -206,7 +205,6 @@
             self._send(request, choice.connection, choice.floor)
         elif choice.full and is_turned_away(request, group.waiting, self.now):
             group.turned_away_at = self.now
-            self._node.publish(PrimaryFull(group))
             self._answers.refuse(request, Code.BUSY, FULL)
 
     def _waits_for_floor(
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -28,7 +28,6 @@
     "EndpointUnreachable",
     "FloorLearnt",
     "PrimaryChanged",
-    "PrimaryFull",
     "PrimaryHeard",
     "PrimaryReplicates",
     "PrimaryStalled",
@@ -161,13 +160,6 @@
     group: GroupRow
 
 
-@record
-class PrimaryFull(Signal):
-    """A group's primary has more to do than it should; told again and again."""
-
-    group: GroupRow
-
-
 @record
 class DrainBegan(Signal):
     """This host was told to stop."""
