--- a/mallowpass/core/proxy/attempts.py
+++ b/mallowpass/core/proxy/attempts.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.signals import AttemptLost, AttemptOverdue
 from mallowpass.core.proxy.stalls import OVERDUE_SHARE
-from mallowpass.core.proxy.statements import EndpointCall, Execute, LogPosition
+from mallowpass.core.proxy.statements import (
+    EndpointCall,
+    Execute,
+    LogPosition,
+    OnBehalfOf,
+)
 from mallowpass.core.proxy.tables import ConnectionRow, ProxySystem, RequestRow
 
 __all__ = ["TRIES_MAX", "Attempts"]
@@ -36,13 +43,21 @@
         statement = request.statement
         if request.prepared is not None:
             statement = Execute(request.prepared.shared_name, statement.text)
-        priority = self.priority(request)
-        return EndpointCall(statement, request.request_id, floor, priority)
+        return self.mark(
+            EndpointCall(statement, request.request_id, floor),
+            request,
+        )
 
-    @staticmethod
-    def priority(request: RequestRow) -> int | None:
-        """Return what a holder should know of a statement's priority."""
-        return request.route.priority if request.connection.holder else None
+    def mark(self, call: EndpointCall, request: RequestRow) -> EndpointCall:
+        """Return a call with what a holder on the way has to know of its caller."""
+        if not request.connection.holder:
+            return call
+        on_behalf_of = None
+        if request.customer is not None:
+            version = self.tables.configuration.version
+            on_behalf_of = OnBehalfOf(request.customer, version)
+        priority = request.route.priority
+        return replace(call, priority=priority, on_behalf_of=on_behalf_of)
 
     def attach(self, request: RequestRow, connection: ConnectionRow) -> None:
         """Have a connection run a statement; its loss, or its silence, is told."""
--- a/mallowpass/core/proxy/configuration.py
+++ b/mallowpass/core/proxy/configuration.py
@@ -1,13 +1,22 @@
-"""The configuration that operators accept: routes, services, limits."""
+"""The configuration that operators accept: routes, services, customers, limits."""
 
 from __future__ import annotations
 
+import math
+from collections.abc import Iterable
 from dataclasses import field
 from enum import Enum
 
 from mallowpass.core.records import record
 
-__all__ = ["Configuration", "Consistency", "Route", "ServiceLimits"]
+__all__ = [
+    "Configuration",
+    "Consistency",
+    "Customer",
+    "Route",
+    "ServiceLimits",
+    "index_credentials",
+]
 
 
 class Consistency(Enum):
@@ -32,6 +41,7 @@
     objective: float
     priority: int
     accepted_age: float = 0.0
+    public: bool = False  # callers need no key
 
 
 @record
@@ -47,11 +57,48 @@
     synchronous: int
 
 
+@record
+class Customer:
+    """Hold who may call, and how much.
+
+    `rate` is how many operations a second all its callers together may begin, `burst`
+    how many beyond that at once; infinite where there is no limit.
+    """
+
+    name: str
+    credentials: frozenset[str] = frozenset()
+    priority: int = 0
+    rate: float = math.inf
+    burst: float = math.inf
+
+
 @record
 class Configuration:
-    """Hold one version of the configuration, complete; `transaction_idle` in s."""
+    """Hold one version of the configuration, complete; `transaction_idle` in s.
+
+    `identifies` tells that callers show keys of customers.
+    """
 
     version: int
     routes: dict[str, Route] = field(default_factory=dict)  # by database name
     services: dict[str, ServiceLimits] = field(default_factory=dict)
     transaction_idle: float = 3.0
+    identifies: bool = False
+    customers: dict[str, Customer] = field(default_factory=dict)  # by name
+    # By credential, as `index_credentials` returns them.
+    owners: dict[str, Customer] = field(default_factory=dict)
+
+    def customer_of(self, credential: str) -> Customer | None:
+        """Return the customer that holds a credential, None if nobody does."""
+        return self.owners.get(credential)
+
+
+def index_credentials(customers: Iterable[Customer]) -> dict[str, Customer]:
+    """Return who holds each credential; ValueError if two customers hold one."""
+    owners: dict[str, Customer] = {}
+    for customer in customers:
+        for credential in customer.credentials:
+            other = owners.setdefault(credential, customer)
+            if other is not customer:
+                raise ValueError(f"{other.name} and {customer.name} hold one key")
+    return owners
--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -58,6 +58,8 @@
 # Connections that one host may open to one endpoint at once: each takes a slot there
 # for as long as a statement, so a storm of them stops the work it was meant to do.
 OPENING_MAX = 2
+# The same where each serves one customer only; one customer waits for one at a time.
+OPENING_FOR_CUSTOMERS_MAX = 4
 # A call that is unanswered for so long, with nothing else heard of the endpoint, has a
 # new connection tried. A full queue takes less.
 QUIET_TIME = 0.25  # seconds
@@ -90,16 +92,21 @@
         self,
         endpoint: EndpointRow,
         values: dict[str, str] | None,
+        customer: str | None = None,
         own_only: bool = False,
     ) -> ConnectionRow | None:
         """Return an idle connection, best one that has these values of a session.
 
-        `own_only` leaves out those by way of other hosts.
+        It serves `customer`, None: whichever. `own_only` leaves out those by way of
+        other hosts.
         """
+        if self._shares.has_its_part(endpoint, customer):
+            return None
         idle = [
             connection
             for connection in endpoint.connections.values()
             if connection.state is ConnectionState.IDLE
+            and connection.serves(customer)
             and not (own_only and connection.holder)
         ]
         if not idle:
@@ -108,33 +115,57 @@
         return max(idle, key=lambda c: (not c.holder, c.values == values))
 
     def grow(
-        self, endpoint: EndpointRow, beyond_share: bool = False, borrow: bool = False
+        self,
+        endpoint: EndpointRow,
+        customer: str | None = None,
+        beyond_share: bool = False,
+        borrow: bool = False,
     ) -> bool:
         """Open one more connection if that is allowed; tell whether one is opening.
 
+        It is to serve `customer`, None: this host's own statements.
+
         With `borrow`, one by way of another host is opened where this host may open
         none itself. All callers of a region may come to one host, most of all when
         many start again; the others' connections are idle then.
         """
         if not self.tables.is_current(endpoint):
             return False
-        opening = sum(
-            1
+        opening = [
+            connection
             for connection in endpoint.connections.values()
             if connection.state is ConnectionState.OPENING
-        )
-        if opening >= OPENING_MAX:
+        ]
+        most = OPENING_MAX if customer is None else OPENING_FOR_CUSTOMERS_MAX
+        if len(opening) >= most or any(_is_for(c, customer) for c in opening):
             return True
         if not self._holders.known:
-            return opening > 0
-        if self._shares.may_open(endpoint, beyond_share):
-            self._open(endpoint, self._shares.way(endpoint))
-            return True
+            return bool(opening)
+        if not self._shares.has_its_part(endpoint, customer):
+            if customer is not None:
+                self._make_room(endpoint, customer)
+            if self._shares.may_open(endpoint, beyond_share):
+                self._open(endpoint, self._shares.way(endpoint), customer)
+                return True
         lender = self._shares.lender(endpoint) if borrow else None
         if lender is not None:
-            self._open(endpoint, lender)
+            self._open(endpoint, lender, customer)
             return True
-        return opening > 0
+        return bool(opening)
+
+    def _make_room(self, endpoint: EndpointRow, customer: str) -> None:
+        """Close an idle connection of another customer if the share is taken up."""
+        if not self._shares.is_taken_up(endpoint):
+            return
+        idle = [
+            connection
+            for connection in endpoint.connections.values()
+            if connection.state is ConnectionState.IDLE
+            and not connection.serves(customer)
+        ]
+        if idle:
+            least = min(idle, key=lambda connection: connection.last_used)
+            self.close(least, "another customer needs its place")
 
     def release(self, connection: ConnectionRow) -> None:
         """Make a connection free for others; close it if its state is unknown."""
@@ -221,17 +252,23 @@
 
     # -- What happens to connections -----------------------------------------
 
-    def _open(self, endpoint: EndpointRow, way: HostRow | None) -> None:
+    def _open(
+        self, endpoint: EndpointRow, way: HostRow | None, customer: str | None
+    ) -> None:
         number = self._node.number()
         entry = endpoint.entry
         address, holder = entry.address, ""
         if way is not None:
-            address, holder = way.address, way.name
-        connection = ConnectionRow(number, endpoint, self.now, holder=holder)
+            address, holder, customer = way.address, way.name, None
+        connection = ConnectionRow(
+            number, endpoint, self.now, holder=holder, customer=customer
+        )
         self.tables.connections[number] = connection
         endpoint.connections[number] = connection
         self._node.emit(
-            OpenConnection(number, address, entry.service, entry.name, CONNECT_TIMEOUT)
+            OpenConnection(
+                number, address, entry.service, entry.name, CONNECT_TIMEOUT, customer
+            )
         )
         self._node.count("connections_opened", endpoint=entry.name)
 
@@ -317,7 +354,7 @@
         if not endpoint.is_leaving:
             # Whoever crashed refuses at once: one learns that it is gone from the
             # next attempt, not from a caller's statement some time later.
-            self.grow(endpoint)
+            self.grow(endpoint, connection.customer)
 
     def _remove(self, number: int) -> ConnectionRow | None:
         connection = self.tables.connections.pop(number, None)
@@ -411,7 +448,7 @@
         if answered or connection.holder or endpoint.heard_at > sent_at:
             return
         if connection.number in self.tables.connections:
-            self.grow(endpoint, beyond_share=True)
+            self.grow(endpoint, connection.customer, beyond_share=True)
 
     def _check_silence(self, connection: ConnectionRow) -> None:
         """Close a connection that went silent with calls in flight.
@@ -445,3 +482,8 @@
         for connection in list(signal.endpoint.connections.values()):
             if connection.state is ConnectionState.IDLE:
                 self.close(connection, "the endpoint is gone")
+
+
+def _is_for(opening: ConnectionRow, customer: str | None) -> bool:
+    """Tell whether a customer's statement should wait for a connection that opens."""
+    return customer is not None and opening.customer == customer
--- a/mallowpass/core/proxy/effects.py
+++ b/mallowpass/core/proxy/effects.py
@@ -91,13 +91,17 @@
 
 @record
 class OpenConnection(ProxyEffect):
-    """Open a connection to an endpoint; `timeout` in seconds."""
+    """Open a connection to an endpoint; `timeout` in seconds.
+
+    It is opened in the name of a customer; None: of this host.
+    """
 
     connection: int
     address: str
     service: str
     endpoint: str
     timeout: float
+    customer: str | None = None
 
 
 @record
--- a/mallowpass/core/proxy/events.py
+++ b/mallowpass/core/proxy/events.py
@@ -50,6 +50,7 @@
 
     stream: int
     database: str
+    credential: str = ""
 
 
 @record
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -13,6 +13,7 @@
 from functools import singledispatchmethod
 
 from mallowpass.core.proxy.connections import Connections
+from mallowpass.core.proxy.customers import ANONYMOUS
 from mallowpass.core.proxy.effects import (
     AcceptLink,
     AnswerLink,
@@ -41,6 +42,7 @@
     EndpointReply,
     Execute,
     FloorHint,
+    OnBehalfOf,
     Prepare,
     Reset,
     SessionState,
@@ -166,13 +168,19 @@
         link.called_at = self.now
         priorities = [c.priority for c in event.calls if c.priority is not None]
         link.priority = min(priorities, default=0)
+        on_behalf_of = [c.on_behalf_of for c in event.calls if c.on_behalf_of]
         for call in event.calls:
-            # The endpoint knows no priorities, and would take the word for a statement.
-            self._take(call.statement, replace(call, priority=None), link)
+            # The endpoint would take the words for both for a statement.
+            plain = replace(call, priority=None, on_behalf_of=None)
+            self._take(call.statement, plain, link)
         if not link.waiting:
             return
         if link.connection is not None:
             self._send(link, link.connection)
+            return
+        link.customer = on_behalf_of[0].customer if on_behalf_of else None
+        if any(map(self._is_unknown, on_behalf_of)):
+            self._refuse(link, Code.UNAUTHENTICATED, "no such customer")
         elif link not in self._waiting:
             if self._holds_back(link):
                 self._refuse(link, Code.BUSY, WRITES_STALL)
@@ -189,6 +197,14 @@
             self.timers.after(WAIT_MAX, self._check_wait, link, self.now)
             self._try(link)
 
+    def _is_unknown(self, on_behalf_of: OnBehalfOf) -> bool:
+        """Tell whether a newer configuration than a host went by lacks a customer."""
+        configuration = self.tables.configuration
+        if configuration is None or configuration.version <= on_behalf_of.version:
+            return False
+        name = on_behalf_of.customer
+        return name not in configuration.customers and name != ANONYMOUS
+
     def _holds_back(self, link: LinkRow) -> bool:
         """Tell whether a write that waits would hang at a primary that stalls."""
         if not any(_is_write(link, call.statement) for call in link.waiting):
@@ -228,9 +244,12 @@
         self._node.emit(AnswerLink(link.number, EndpointReply(Code.DONE, state=state)))
 
     def _on_freed(self, signal: ConnectionFreed) -> None:
+        without: set[str | None] = set()  # customers for whom there is no connection
         for link in list(self._waiting):
-            if link.endpoint is signal.endpoint and not self._try(link):
-                return  # nor is there anything for those behind it
+            if link.endpoint is not signal.endpoint or link.customer in without:
+                continue
+            if not self._try(link):
+                without.add(link.customer)
 
     def _try(self, link: LinkRow) -> bool:
         """Give a link a connection; tell whether there was one."""
@@ -239,10 +258,11 @@
         # What a holder asks for is not passed on to a third host: two that are short of
         # connections would wait for each other.
         connection = self._connections.take(
-            link.endpoint, link.values, own_only=link.of_holder
+            link.endpoint, link.values, link.customer, own_only=link.of_holder
         )
         if connection is None:
-            self._connections.grow(link.endpoint, borrow=not link.of_holder)
+            borrow = not link.of_holder
+            self._connections.grow(link.endpoint, link.customer, borrow=borrow)
             return False
         self._waiting.remove(link)
         link.connection = connection
--- a/mallowpass/core/proxy/policy/line.py
+++ b/mallowpass/core/proxy/policy/line.py
@@ -9,6 +9,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from mallowpass.core.positions import LogPosition
 from mallowpass.core.proxy.tables import ConnectionRow, RequestRow
 from mallowpass.core.records import record
@@ -42,25 +44,31 @@
     takes a host's whole time: statements then wait for the host, not for the endpoint.
     """
 
-    __slots__ = ("_primary", "_replicas", "asked")
+    __slots__ = ("_asked", "_primary", "_replicas")
 
     def __init__(self) -> None:
-        self._primary: Choice | None = None
-        self._replicas: tuple[LogPosition, Choice] | None = None  # the lowest floor
-        self.asked = 0  # statements that found no connection
+        # By customer: what one lacks another may have.
+        self._primary: dict[str | None, Choice] = {}
+        self._replicas: dict[str | None, tuple[LogPosition, Choice]] = {}
+        self._asked: Counter[str | None] = Counter()
 
-    def known(self, floor: LogPosition | None) -> Choice | None:
+    def known(self, customer: str | None, floor: LogPosition | None) -> Choice | None:
         """Return what was found for a statement that needed no more than this one."""
         if floor is None:
-            return self._primary
-        if self._replicas is None or floor < self._replicas[0]:
-            return None
-        return self._replicas[1]
+            return self._primary.get(customer)
+        lowest, choice = self._replicas.get(customer, (None, None))
+        return None if lowest is None or floor < lowest else choice
 
-    def note(self, floor: LogPosition | None, choice: Choice) -> None:
+    def note(
+        self, customer: str | None, floor: LogPosition | None, choice: Choice
+    ) -> None:
         """Remember that there was none."""
-        self.asked += 1
+        self._asked[customer] += 1
         if floor is None:
-            self._primary = choice
+            self._primary[customer] = choice
         else:
-            self._replicas = (floor, choice)
+            self._replicas[customer] = (floor, choice)
+
+    def asked(self, customer: str | None) -> int:
+        """Return how many statements of a customer found no connection."""
+        return self._asked[customer]
--- a/mallowpass/core/proxy/policy/sharing.py
+++ b/mallowpass/core/proxy/policy/sharing.py
@@ -14,7 +14,7 @@
 from mallowpass.core.proxy.tables import HostRow
 from mallowpass.core.records import record
 
-__all__ = ["STATEMENTS_PER_SLOT", "Fleet", "Plan", "make_plan"]
+__all__ = ["STATEMENTS_PER_SLOT", "Fleet", "Plan", "make_plan", "part_of_customer"]
 
 # A host that holds fewer connections than this to an endpoint would have to make a
 # statement wait for each transaction that is open.
@@ -31,6 +31,9 @@
 # Share of the limit that the shares of all hosts leave free, for the connections of
 # hosts that died: endpoints drop these after seconds only.
 RESERVED_SHARE = 0.1
+# Connections of a host to one endpoint that one customer leaves to the others, however
+# much it sends, where there are several.
+LEFT_TO_OTHERS = 1
 
 
 @record
@@ -121,3 +124,8 @@
     left_over = max(0, usable - share * len(holders))
     favoured = frozenset(host.name for host in holders[:left_over])
     return Plan(False, share, holders, favoured)
+
+
+def part_of_customer(share: int) -> int:
+    """Return how many of a host's connections to an endpoint one customer may use."""
+    return max(1, share - LEFT_TO_OTHERS)
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -7,6 +7,7 @@
 from mallowpass.core.proxy.claims import Claims
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.control import Control
+from mallowpass.core.proxy.customers import Customers
 from mallowpass.core.proxy.demotion import Demotion
 from mallowpass.core.proxy.discovery import Discovery
 from mallowpass.core.proxy.draining import Draining
@@ -77,6 +78,7 @@
     Transactions,
     Overdue,
     Requests,
+    Customers,
     Sessions,
     Draining,
     Settings,
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -177,12 +177,11 @@
         for request in list(group.waiting):
             if request.finished or request.retry_at > self.now:
                 continue
-            if line.asked >= ASKED_MAX and not self._routing.has_idle(group):
-                # There is no connection for any of those behind, either.
-                if not any_full:
-                    return
-                if self.now < held_until(request):
-                    continue
+            # There is no connection for others of its customer, either.
+            none = line.asked(request.customer) >= ASKED_MAX
+            held = not any_full or self.now < held_until(request)
+            if none and held and not self._routing.has_idle(group):
+                continue
             self._try(request, group, line)
 
     def _try(self, request: RequestRow, group: GroupRow, line: Line) -> None:
@@ -194,11 +193,11 @@
         if self._waits_for_floor(request, group, floor):
             request.detail = "waits for a floor"
             return
-        choice = line.known(floor)
+        choice = line.known(request.customer, floor)
         if choice is None:
             choice = self._routing.choose(request, group, floor)
             if choice.connection is None and not request.avoided:
-                line.note(floor, choice)
+                line.note(request.customer, floor, choice)
         request.detail = choice.why or request.detail
         if choice.connection is not None:
             group.waiting.remove(request)
@@ -355,6 +354,10 @@
         self, request: RequestRow, endpoint: EndpointRow, reply: EndpointReply
     ) -> None:
         """Try a statement again that did not run."""
+        if reply.code is Code.UNAUTHENTICATED:
+            # By a newer configuration than this host's: nobody will run it.
+            self._answers.refuse(request, reply.code, reply.message)
+            return
         if reply.code is not Code.UNREACHABLE:
             request.tries += 1
         request.detail = f"{endpoint.name}: {reply.code.value} {reply.message}".rstrip()
--- a/mallowpass/core/proxy/routing.py
+++ b/mallowpass/core/proxy/routing.py
@@ -44,12 +44,14 @@
         candidates = self._candidates(request, group, floor)
         open_to_more = [e for e in candidates if self._load.has_room(e)]
         for endpoint in open_to_more:
-            connection = self._connections.take(endpoint, request.session.values)
+            connection = self._connections.take(
+                endpoint, request.session.values, request.customer
+            )
             if connection is not None:
                 return Choice(connection, floor)
             if first is None:
                 first = endpoint
-                self._connections.grow(endpoint, borrow=True)
+                self._connections.grow(endpoint, request.customer, borrow=True)
                 if endpoint.name != group.primary and _is_linking(endpoint):
                     # A link takes a round trip to a neighbour. When all hosts start
                     # at once, the primary would get the first reads of each.
--- a/mallowpass/core/proxy/sessions.py
+++ b/mallowpass/core/proxy/sessions.py
@@ -10,6 +10,7 @@
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.answers import Answers
+from mallowpass.core.proxy.customers import Customers
 from mallowpass.core.proxy.effects import (
     AcceptSession,
     AnswerStatement,
@@ -63,13 +64,15 @@
 # then, its caller would lose an operation that it had begun.
 QUIET = 0.3  # seconds
 
+UNKNOWN_KEY = "no customer holds this key"
+
 _ENDING = (Commit, Rollback)
 
 
 class Sessions(ProxySystem):
     """Own the sessions of callers."""
 
-    __slots__ = ("_answers", "_closing", "_early", "_requests")
+    __slots__ = ("_answers", "_closing", "_customers", "_early", "_requests")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
@@ -81,6 +84,7 @@
         node = self._node
         self._requests = node.system(Requests)
         self._answers = node.system(Answers)
+        self._customers = node.system(Customers)
         node.subscribe(SessionOpened, self._on_opened)
         node.subscribe(SessionClosed, self._on_closed)
         node.subscribe(StatementReceived, self._on_received)
@@ -96,19 +100,32 @@
             self._early[event.stream] = event
             self.timers.after(CONFIGURATION_WAIT, self._give_up, event)
         elif event.database not in configuration.routes:
-            self._node.log(
-                "info",
-                "session_refused",
-                database=event.database,
-                configuration=configuration.version,
-                why="no such database",
-            )
             message = f"no database {event.database!r}"
-            self._node.emit(RefuseSession(event.stream, Code.UNKNOWN_DATABASE, message))
+            self._refuse(event, Code.UNKNOWN_DATABASE, message)
         else:
-            session = SessionRow(event.stream, event.database, touched_at=self.now)
-            self.tables.sessions[event.stream] = session
-            self._node.emit(AcceptSession(event.stream))
+            self._open(event)
+
+    def _open(self, event: SessionOpened) -> None:
+        session = SessionRow(
+            event.stream, event.database, event.credential, touched_at=self.now
+        )
+        if not self._customers.identify(session):
+            self._refuse(event, Code.UNAUTHENTICATED, UNKNOWN_KEY)
+            return
+        self.tables.sessions[event.stream] = session
+        self._node.emit(AcceptSession(event.stream))
+
+    def _refuse(self, event: SessionOpened, code: Code, message: str) -> None:
+        self._node.log(
+            "info",
+            "session_refused",
+            database=event.database,
+            configuration=self.tables.configuration.version,
+            outcome=code.value,
+            why=message,
+        )
+        self._node.count("sessions_refused", code=code.value)
+        self._node.emit(RefuseSession(event.stream, code, message))
 
     def _give_up(self, event: SessionOpened) -> None:
         if self._early.pop(event.stream, None) is None:
@@ -213,6 +230,8 @@
         elif session.state is SessionState.IDLE and not self._has_route(session):
             message = f"no database {session.database!r}"
             self._fail(session, Code.UNKNOWN_DATABASE, message)
+        elif _begins(session, statement) and not self._customers.identify(session):
+            self._fail(session, Code.UNAUTHENTICATED, UNKNOWN_KEY)
         else:
             self._execute(statement, session, request_id)
 
@@ -388,3 +407,14 @@
         if session.state is SessionState.IN_TRANSACTION:
             session.transaction.lost_why = why
         self._node.log("info", "transaction_lost", database=session.database, why=why)
+
+
+def _begins(session: SessionRow, statement: Statement) -> bool:
+    """Tell whether an endpoint runs nothing of an operation yet.
+
+    What has begun at an endpoint ends there, whatever becomes of the caller's key.
+    """
+    if session.state is SessionState.FAILED or isinstance(statement, Rollback):
+        return False
+    transaction = session.transaction
+    return transaction is None or transaction.connection is None
--- a/mallowpass/core/proxy/shares.py
+++ b/mallowpass/core/proxy/shares.py
@@ -4,6 +4,7 @@
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.holders import Holders
+from mallowpass.core.proxy.policy.sharing import part_of_customer
 from mallowpass.core.proxy.tables import (
     ConnectionRow,
     ConnectionState,
@@ -53,6 +54,22 @@
             return False
         return beyond_share or self._held(endpoint) < self._share(endpoint)
 
+    def is_taken_up(self, endpoint: EndpointRow) -> bool:
+        """Tell whether this host has all the connections that are its part."""
+        return self._held(endpoint) >= self._share(endpoint)
+
+    def has_its_part(self, endpoint: EndpointRow, customer: str | None) -> bool:
+        """Tell whether a customer uses all of this host's connections that it may."""
+        if customer is None:
+            return False
+        busy = sum(
+            1
+            for connection in endpoint.connections.values()
+            if connection.customer == customer
+            and connection.state is not ConnectionState.IDLE
+        )
+        return busy >= part_of_customer(self._share(endpoint))
+
     def is_surplus(self, connection: ConnectionRow) -> bool:
         """Tell whether other hosts count on this connection not being there."""
         endpoint = connection.endpoint
--- a/mallowpass/core/proxy/statements.py
+++ b/mallowpass/core/proxy/statements.py
@@ -22,6 +22,7 @@
     "Execute",
     "FloorHint",
     "LogPosition",
+    "OnBehalfOf",
     "Pause",
     "Prepare",
     "Read",
@@ -63,6 +64,7 @@
     IN_DOUBT = "in-doubt"  # it was sent, and nobody knows what became of it
     MALFORMED = "malformed"
     UNKNOWN_DATABASE = "unknown-database"
+    UNAUTHENTICATED = "unauthenticated"  # no customer holds the caller's key
     OTHER = "other"  # a code that this version does not know
 
     @property
@@ -78,6 +80,7 @@
         Code.NOT_PRIMARY,
         Code.UNKNOWN_STATEMENT,
         Code.UNREACHABLE,
+        Code.UNAUTHENTICATED,
         Code.WRONG_ENDPOINT,
         Code.TOO_MANY_CONNECTIONS,
     }
@@ -200,19 +203,29 @@
 # -- Endpoints ---------------------------------------------------------------
 
 
+@record
+class OnBehalfOf:
+    """Say in whose name a call runs, and by which version of the configuration."""
+
+    customer: str
+    version: int
+
+
 @record
 class EndpointCall:
     """Carry one statement to an endpoint.
 
     `request_id` is the caller's, empty for this host's own statements. The endpoint
     refuses the call unless its log has reached `minimum`. A holder serves calls by
-    `priority`, 0 first; an endpoint knows none, and calls to it have None.
+    `priority`, 0 first, on connections of the customer that `on_behalf_of` names. An
+    endpoint knows neither, and calls to it have None.
     """
 
     statement: Statement
     request_id: str = ""
     minimum: LogPosition | None = None
     priority: int | None = None
+    on_behalf_of: OnBehalfOf | None = None
 
 
 @record
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -83,6 +83,13 @@
     broken: bool = False  # to be closed once its calls are answered
     on_lost: Callable[[ConnectionRow, str], None] | None = None  # of its user
     holder: str = ""  # the host by way of which it goes; empty: none
+    # In whose name it was opened. None: in this host's own. By way of a holder it
+    # serves all customers.
+    customer: str | None = None
+
+    def serves(self, customer: str | None) -> bool:
+        """Tell whether statements of a customer may run on it; None: this host's."""
+        return customer is None or bool(self.holder) or self.customer == customer
 
 
 @dataclass(slots=True, eq=False)
@@ -206,6 +213,10 @@
 
     stream: int
     database: str
+    credential: str = ""
+    # Whose operation it runs, by the configuration that was in force as that began;
+    # None: nobody's, as callers show no keys. Owned by customers.
+    customer: str | None = None
     values: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, PreparedStatement] = field(default_factory=dict)
     floors: dict[str, LogPosition] = field(default_factory=dict)  # by service
@@ -244,6 +255,11 @@
     detail: str = ""  # the newest reason for waiting or failing
     timers: list[Timer] = field(default_factory=list)
 
+    @property
+    def customer(self) -> str | None:
+        """Return the customer in whose name it runs."""
+        return self.session.customer
+
     @property
     def primary_only(self) -> bool:
         """Tell whether no replica may run it, however far its log has come."""
@@ -298,6 +314,7 @@
     connection: ConnectionRow | None = None
     in_flight: int = 0  # calls that the endpoint has not answered
     waits_since: float = 0.0
+    customer: str | None = None  # of its calls
     priority: int = 0  # of what waits; 0 is served first
     called_at: float = 0.0  # when calls last came
     closed: bool = False
--- a/mallowpass/core/proxy/transactions.py
+++ b/mallowpass/core/proxy/transactions.py
@@ -80,9 +80,9 @@
         # A primary accepts a transaction that may write only while it leads. That is
         # how a read learns that the primary was not replaced.
         read_only = floor is not None
-        priority = self._attempts.priority(request)
         minimum = floor or self._floors.own(request.session, request.route)
-        begin = EndpointCall(Begin(read_only), minimum=minimum, priority=priority)
+        call = EndpointCall(Begin(read_only), minimum=minimum)
+        begin = self._attempts.mark(call, request)
 
         def on_replies(connection: ConnectionRow, replies: list[EndpointReply]) -> None:
             self._on_begun(request, connection, replies[0], read_only)
--- a/mallowpass/platform/callers.py
+++ b/mallowpass/platform/callers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from mallowpass.core.proxy.credentials import credential_of
 from mallowpass.core.proxy.events import (
     SessionClosed,
     SessionOpened,
@@ -84,8 +85,9 @@
         elif word == "CONNECT" and not self._open and rest:
             self._open = True
             self._timer.cancel()
-            database = rest.partition(" ")[0]
-            self._sink(SessionOpened(self._number, database))
+            database, _, key = rest.partition(" ")
+            opened = SessionOpened(self._number, database, credential_of(key))
+            self._sink(opened)
         elif word == "BYE":
             self._connections.pop(self._number, None)
             self.transport.close()
--- a/mallowpass/platform/documents.py
+++ b/mallowpass/platform/documents.py
@@ -7,16 +7,23 @@
 from __future__ import annotations
 
 import json
+import math
 import reprlib
+from collections import Counter
 from collections.abc import Mapping
+from operator import itemgetter
 from typing import Any, TypeVar
 
 from mallowpass.core.proxy.configuration import (
     Configuration,
     Consistency,
+    Customer,
     Route,
     ServiceLimits,
+    index_credentials,
 )
+from mallowpass.core.proxy.credentials import credential_of
+from mallowpass.core.proxy.customers import ANONYMOUS
 from mallowpass.core.proxy.storage import UNKNOWN_START, EndpointEntry
 from mallowpass.platform.settings import Address, SettingsError
 
@@ -50,14 +57,31 @@
     limits = document.get("limits", {})
     if not isinstance(limits, dict):
         raise _wrong("limits", limits)
+    # Where the document knows of no customers, callers show no keys.
+    identifies = "tenants" in document
+    customers = _customers(document) if identifies else []
     return Configuration(
         version=int(_number(document, "version")),
         routes={route.database: route for route in routes},
         services={service.name: service for service in services},
         transaction_idle=_seconds(limits, "txIdleMs", _TRANSACTION_IDLE),
+        identifies=identifies,
+        customers={customer.name: customer for customer in customers},
+        owners=_owners(customers),
     )
 
 
+def _owners(customers: list[Customer]) -> dict[str, Customer]:
+    names = Counter(customer.name for customer in customers)
+    name, count = max(names.items(), key=itemgetter(1), default=("", 0))
+    if count > 1:
+        raise DocumentError(f"tenants: {name} is named {count} times")
+    try:
+        return index_credentials(customers)
+    except ValueError as error:
+        raise DocumentError(f"tenants: {error}") from error
+
+
 def _route(item: dict[str, Any]) -> Route:
     timeout = _number(item, "timeoutMs")
     return Route(
@@ -71,6 +95,31 @@
         objective=_seconds(item, "goalMs", timeout),
         priority=int(_number(item, "priority", 0)),
         accepted_age=_seconds(item, "maxStalenessMs", 0),
+        public=_flag(item, "public", False),
+    )
+
+
+def _customers(document: dict[str, Any]) -> list[Customer]:
+    items = document["tenants"]
+    if not isinstance(items, list) or not all(isinstance(i, dict) for i in items):
+        # Whatever stands there may hold keys: it is not shown.
+        raise DocumentError("tenants can't be read")
+    return [_customer(item) for item in items]
+
+
+def _customer(item: dict[str, Any]) -> Customer:
+    keys = item.get("apiKeys")
+    if not isinstance(keys, list) or not all(isinstance(k, str) and k for k in keys):
+        raise DocumentError("apiKeys can't be read")
+    name = _text(item, "name")
+    if name == ANONYMOUS:
+        raise _wrong("name", name)
+    return Customer(
+        name=name,
+        credentials=frozenset(map(credential_of, keys)),
+        priority=int(_number(item, "priority", 0)),
+        rate=_number(item, "ratePerS", math.inf),
+        burst=_number(item, "burst", math.inf),
     )
 
 
@@ -162,7 +211,9 @@
 
 
 def _number(document: dict[str, Any], name: str, default: float | None = None) -> float:
-    value = document.get(name, default)
+    if name not in document and default is not None:
+        return default
+    value = document.get(name)
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise _wrong(name, value)
     # No comparison holds for NaN; one with a whole number of any length is exact.
@@ -171,6 +222,13 @@
     return value
 
 
+def _flag(document: dict[str, Any], name: str, default: bool) -> bool:
+    value = document.get(name, default)
+    if not isinstance(value, bool):
+        raise _wrong(name, value)
+    return value
+
+
 def _seconds(document: dict[str, Any], name: str, default: float) -> float:
     return _number(document, name, default) / 1000.0
 
--- a/mallowpass/platform/endpoints.py
+++ b/mallowpass/platform/endpoints.py
@@ -177,7 +177,8 @@
             return
         watch_peer(transport)
         effect = self._effect
-        line = f"CONNECT {effect.service} {self._name} {effect.endpoint}\r\n"
+        caller = self._name if effect.customer is None else effect.customer
+        line = f"CONNECT {effect.service} {caller} {effect.endpoint}\r\n"
         self._transport.write(wire.encode(line))
 
     def data_received(self, data: bytes) -> None:
--- a/mallowpass/platform/wire.py
+++ b/mallowpass/platform/wire.py
@@ -23,6 +23,7 @@
     EndpointStatus,
     Execute,
     FloorHint,
+    OnBehalfOf,
     Pause,
     Prepare,
     Read,
@@ -59,7 +60,9 @@
 
 LINE_MAX = 1 << 20  # bytes of one message, as the platform's page gives it
 OWN_ID = "-"  # the id of statements that a caller did not send
-PRIORITY = "PRIORITY"  # a word between hosts, which endpoints are never sent
+# Words between hosts, which endpoints are never sent.
+PRIORITY = "PRIORITY"
+ON_BEHALF_OF = "CUSTOMER"
 _NO_SIGNATURE = "-"
 _STATUS_FIELDS = 7
 
@@ -78,6 +81,7 @@
     Code.IN_DOUBT: "INDOUBT",
     Code.MALFORMED: "MALFORMED",
     Code.UNKNOWN_DATABASE: "NODB",
+    Code.UNAUTHENTICATED: "NOAUTH",
     Code.OTHER: "FAILED",
 }
 _CODES = {word: code for code, word in _WORDS.items() if code is not Code.OTHER}
@@ -239,6 +243,9 @@
         text = f"AFTER {render_position(call.minimum)} {text}"
     if call.priority is not None:
         text = f"{PRIORITY} {call.priority} {text}"
+    if call.on_behalf_of is not None:
+        customer, version = call.on_behalf_of.customer, call.on_behalf_of.version
+        text = f"{ON_BEHALF_OF} {customer}/{version} {text}"
     return encode(f"QUERY {call.request_id or OWN_ID} {text}\r\n")
 
 
@@ -323,6 +330,10 @@
 
 def parse_call(request_id: str, text: str) -> EndpointCall:
     """Read a call as `render_call` writes it; WireError if it is none."""
+    on_behalf_of = None
+    if text.startswith(f"{ON_BEHALF_OF} "):
+        word, text = _prefixed(text)
+        on_behalf_of = _parse_on_behalf_of(word)
     priority = None
     if text.startswith(f"{PRIORITY} "):
         word, text = _prefixed(text)
@@ -337,7 +348,15 @@
     if statement is None:
         raise WireError(f"not a call: {text[:40]!r}")
     own = request_id == OWN_ID
-    return EndpointCall(statement, "" if own else request_id, minimum, priority)
+    request_id = "" if own else request_id
+    return EndpointCall(statement, request_id, minimum, priority, on_behalf_of)
+
+
+def _parse_on_behalf_of(word: str) -> OnBehalfOf:
+    customer, _, version = word.rpartition("/")
+    if not customer or not version.isdecimal():
+        raise WireError("no customer with a version")
+    return OnBehalfOf(customer, int(version))
 
 
 def _prefixed(text: str) -> tuple[str, str]:
--- a/mallowpass/standins/proxied/connections.py
+++ b/mallowpass/standins/proxied/connections.py
@@ -35,20 +35,25 @@
 Done = Callable[[EndpointReply], None]
 
 
-def connect(group: Group, name: str) -> ReplicaConnection | Code:
-    """Return a connection to a member, or why there is none."""
+def connect(
+    group: Group, name: str, customer: str | None = None
+) -> ReplicaConnection | Code:
+    """Return a connection to a member in a customer's name, or why there is none."""
     replica = group.replicas[name]
     if len(replica.connections) >= group.max_connections:
         return Code.TOO_MANY_CONNECTIONS
-    return ReplicaConnection(group, replica)
+    return ReplicaConnection(group, replica, customer)
 
 
 class ReplicaConnection:
     """Hold one connection; its statements run one after the other."""
 
-    def __init__(self, group: Group, replica: Replica) -> None:
+    def __init__(
+        self, group: Group, replica: Replica, customer: str | None = None
+    ) -> None:
         self._group = group
         self._replica = replica
+        self.customer = customer  # that was told as it was opened
         self._queue: deque[tuple[EndpointCall, Done]] = deque()
         self._working = False
         self._writes: list[tuple[str, str]] = []
@@ -74,7 +79,7 @@
 
     def send(self, call: EndpointCall, done: Done) -> None:
         """Queue a call; `done` gets its reply."""
-        if call.priority is not None:
+        if call.priority is not None or call.on_behalf_of is not None:
             # It would stand before the statement, in words that no endpoint knows.
             done(EndpointReply(code=Code.MALFORMED, message="no statement"))
             return
@@ -144,6 +149,8 @@
         return self.prepared.get(statement.name, (Access.READ, ""))[0] is Access.WRITE
 
     def _run(self, call: EndpointCall, done: Done) -> None:
+        if call.request_id:
+            self._group.on_run(call.request_id, self.customer)
         self._execute(call.statement, call, done)
 
     @singledispatchmethod
--- a/mallowpass/standins/proxied/replicas.py
+++ b/mallowpass/standins/proxied/replicas.py
@@ -106,6 +106,7 @@
         "max_connections",
         "on_read",
         "on_role",
+        "on_run",
         "overtaken",
         "promotions",
         "replicas",
@@ -146,6 +147,8 @@
         self.overtaken: list[LogEntry] = []
         self.promotions = 0
         self.on_role: Callable[[Replica], None] = lambda replica: None
+        # Called with the request and its connection's customer whenever one runs.
+        self.on_run: Callable[[str, str | None], None] = lambda request, customer: None
         # Called with the replica and the request whenever a read runs.
         self.on_read: Callable[[Replica, str], None] = lambda replica, request: None
 
--- a/mallowpass/standins/proxied/virtual/hosts.py
+++ b/mallowpass/standins/proxied/virtual/hosts.py
@@ -9,6 +9,7 @@
 from mallowpass.core.messages import Effect, Event, ShutdownRequested
 from mallowpass.core.node import FailureDomain, HostIdentity, Node, Tuning
 from mallowpass.core.proxy import effects
+from mallowpass.core.proxy.credentials import credential_of
 from mallowpass.core.proxy.events import (
     ConnectionLost,
     ConnectionReady,
@@ -51,7 +52,9 @@
 class Caller:
     """Hold one session of a caller, and what it was told."""
 
-    def __init__(self, world: ProxyWorld, host: Host, database: str) -> None:
+    def __init__(
+        self, world: ProxyWorld, host: Host, database: str, key: str = ""
+    ) -> None:
         self._world = world
         self._host = host
         self.stream = world.number()
@@ -62,11 +65,24 @@
         self.answered_at: list[float] = []
         self._session = Session(world.route(database))
         host.callers[self.stream] = self
-        host.deliver(SessionOpened(self.stream, database))
+        self._credential = credential_of(key)
+        self._operation_id = ""
+        host.deliver(SessionOpened(self.stream, database, self._credential))
 
     def send(self, statement: Statement | None, request_id: str = "") -> None:
         """Send a statement, without waiting for its answer."""
         request_id = request_id or f"r{self._world.number()}"
+        if not self._session.in_transaction or not self._operation_id:
+            self._operation_id = request_id
+        route = self._session.route
+        public = route is not None and route.public
+        self._world.judge.sent(
+            request_id,
+            self._operation_id,
+            self._credential,
+            public,
+            self._world.timers.now,
+        )
         self._world.oracle.sent(self._session, request_id)
         event = StatementReceived(self.stream, request_id, statement)
         self._host.deliver(event)
@@ -224,7 +240,7 @@
     ) -> None:
         if effect.connection in self.given_up:
             return
-        connection = connect(group, effect.endpoint)
+        connection = connect(group, effect.endpoint, effect.customer)
         if isinstance(connection, Code):
             refusal = ConnectionRefused(effect.connection, connection, "full")
             self.later(self.world.way(self, effect), refusal)
--- a/mallowpass/standins/proxied/virtual/world.py
+++ b/mallowpass/standins/proxied/virtual/world.py
@@ -12,9 +12,12 @@
 from mallowpass.core.proxy.configuration import (
     Configuration,
     Consistency,
+    Customer,
     Route,
     ServiceLimits,
+    index_credentials,
 )
+from mallowpass.core.proxy.credentials import credential_of
 from mallowpass.core.proxy.effects import AnswerFeed
 from mallowpass.core.proxy.events import (
     ConnectionLost,
@@ -38,6 +41,7 @@
 from mallowpass.standins.proxied.connections import ReplicaConnection
 from mallowpass.standins.proxied.replicas import Group, Replica
 from mallowpass.standins.proxied.rows import RowStore
+from mallowpass.standins.proxied.virtual.customers import CustomerJudge
 from mallowpass.standins.proxied.virtual.hosts import DOMAINS, LINK, Caller, Host, Link
 from mallowpass.standins.proxied.virtual.oracle import Oracle
 
@@ -46,6 +50,8 @@
     "SERVICE",
     "ProxyWorld",
     "configuration",
+    "customer",
+    "identified",
     "route",
 ]
 
@@ -88,6 +94,22 @@
     return Configuration(**(fields | changes))
 
 
+def customer(name: str, *keys: str, **limits: float) -> Customer:
+    """Return a customer whose callers show one of some keys."""
+    return Customer(name, frozenset(map(credential_of, keys)), **limits)
+
+
+def identified(*customers: Customer, version: int = 2, **changes: Any) -> Configuration:
+    """Return a configuration by which callers show keys."""
+    return configuration(
+        version,
+        identifies=True,
+        customers={customer.name: customer for customer in customers},
+        owners=index_credentials(customers),
+        **changes,
+    )
+
+
 class ProxyWorld:
     """Hold everything, and run it."""
 
@@ -129,7 +151,9 @@
         self.group.on_role = self.enter
         self.groups = {SERVICE: self.group}
         self.oracle = Oracle(self.group)
-        self.store.put(CONFIGURATION_KEY, configuration())
+        self.judge = CustomerJudge(apply_time)
+        self.group.on_run = self._on_run
+        self.configure(configuration())
         for replica in self.group.replicas.values():
             self.enter(replica)
         places = itertools.cycle(domain.name for domain in domains)
@@ -273,6 +297,14 @@
         """Cut a host from members; what it sends there gets lost in silence."""
         self.hosts[index].cut_from.update(names)
 
+    def configure(self, configuration: Configuration) -> None:
+        """Have a configuration accepted."""
+        self.judge.configured(configuration, self.timers.now)
+        self.store.put(CONFIGURATION_KEY, configuration)
+
+    def _on_run(self, request_id: str, customer: str | None) -> None:
+        self.judge.ran(request_id, customer, self.timers.now)
+
     def route(self, database: str) -> Route | None:
         """Return a route of the newest configuration, if that can be read."""
         value = self.store.get(CONFIGURATION_KEY).value
@@ -377,9 +409,9 @@
 
     # -- Running -------------------------------------------------------------
 
-    def caller(self, host: int = 0, database: str = "own") -> Caller:
+    def caller(self, host: int = 0, database: str = "own", key: str = "") -> Caller:
         """Open a session."""
-        return Caller(self, self.hosts[host], database)
+        return Caller(self, self.hosts[host], database, key)
 
     def run(self, duration: float) -> None:
         """Run for some time."""
--- a/mallowpass/standins/proxied/wireserver.py
+++ b/mallowpass/standins/proxied/wireserver.py
@@ -76,11 +76,11 @@
 
     def _connect(self, rest: str) -> None:
         service, _, others = rest.partition(" ")
-        _, _, expected = others.partition(" ")
+        customer, _, expected = others.partition(" ")
         if service != self._group.service or expected not in ("", self._name):
             self._refuse(Code.WRONG_ENDPOINT)
             return
-        connection = connect(self._group, self._name)
+        connection = connect(self._group, self._name, customer)
         if isinstance(connection, Code):
             self._refuse(connection)
             return
--- a/tests/core/proxy/policy/test_admission.py
+++ b/tests/core/proxy/policy/test_admission.py
@@ -64,6 +64,16 @@
 )
 def test_what_one_lacked_those_behind_lack_that_need_no_less(known, asked, found):
     line = Line()
-    line.note(LogPosition(1, known), Choice(None, why="none"))
-    assert (line.known(LogPosition(1, asked)) is not None) is found
-    assert line.known(None) is None
+    line.note("acme", LogPosition(1, known), Choice(None, why="none"))
+    assert (line.known("acme", LogPosition(1, asked)) is not None) is found
+    assert line.known("acme", None) is None
+
+
+def test_what_one_customer_lacked_others_may_have():
+    """Guard against starving all behind one customer that has no connection."""
+    line = Line()
+    line.note("acme", None, Choice(None, why="none"))
+    line.note("acme", LogPosition(1, 1), Choice(None, why="none"))
+    assert line.known("berth", None) is None
+    assert line.known("berth", LogPosition(1, 1)) is None
+    assert (line.asked("acme"), line.asked("berth")) == (2, 0)
--- /dev/null
+++ b/tests/core/proxy/test_customers.py
@@ -0,0 +1,225 @@
+"""Callers are identified by their keys; a connection belongs to one customer."""
+
+from __future__ import annotations
+
+import pytest
+
+from mallowpass.core.proxy.configuration import Consistency, index_credentials
+from mallowpass.core.proxy.customers import ANONYMOUS
+from mallowpass.core.proxy.statements import (
+    Access,
+    Begin,
+    Code,
+    Commit,
+    Execute,
+    Prepare,
+    Read,
+    SetValue,
+    Write,
+)
+from mallowpass.standins.proxied.virtual.customers import CustomerJudge
+from mallowpass.standins.proxied.virtual.world import (
+    CONFIGURATION_KEY,
+    ProxyWorld,
+    customer,
+    identified,
+    route,
+)
+
+ACME = customer("acme", "key-a", "key-b")
+BERTH = customer("berth", "key-c")
+APPLIED = 1.0  # seconds until all hosts have a new configuration
+LARGE = 24  # hosts, of which few hold connections
+
+
+@pytest.fixture(params=[3, LARGE])
+def world(request) -> ProxyWorld:
+    world = ProxyWorld(hosts=request.param)
+    world.configure(identified(ACME, BERTH))
+    world.run(4.0)
+    return world
+
+
+def _told(world: ProxyWorld) -> set[str | None]:
+    """Return the customers in whose names connections stand open."""
+    return {
+        connection.customer
+        for replica in world.group.replicas.values()
+        for connection in replica.connections
+    }
+
+
+def test_endpoints_are_told_the_customer_and_never_the_key(world):
+    for key, database in (("key-a", "own"), ("key-c", "bounded"), ("key-b", "strict")):
+        caller = world.caller(1, database, key)
+        assert caller.run(Read("a")).code is Code.DONE
+    assert {"acme", "berth"} <= _told(world) <= {"acme", "berth", None}
+    assert world.judge.breaches == []
+
+
+@pytest.mark.parametrize("key", ["", "key-x", "KEY-A", "key-a ", "\udcff"])
+def test_unknown_key_is_refused_before_anything_runs(world, key):
+    caller = world.caller(0, "own", key)
+    assert caller.refusal is Code.UNAUTHENTICATED
+    assert not caller.opened
+
+
+def test_public_database_asks_nobody_for_a_key(world):
+    public = route("open", Consistency.OWN_WRITES, public=True)
+    routes = {"open": public, "own": route("own", Consistency.OWN_WRITES)}
+    world.configure(identified(ACME, version=3, routes=routes))
+    world.run(APPLIED)
+    assert world.caller(0, "open").run(Read("a")).code is Code.DONE
+    assert world.caller(0, "open", "key-a").run(Read("a")).code is Code.DONE
+    assert {ANONYMOUS, "acme"} <= _told(world)
+    assert world.judge.breaches == []
+
+
+def test_key_that_is_taken_away_ends_what_an_open_session_may_do(world):
+    caller = world.caller(1, "own", "key-b")
+    assert caller.run(Write("a 1")).code is Code.DONE
+    world.configure(identified(customer("acme", "key-a"), BERTH, version=3))
+    world.run(APPLIED)
+    for statement in (Read("a"), Begin(), SetValue("x", "1")):
+        assert caller.run(statement).code is Code.UNAUTHENTICATED
+    assert world.caller(1, "own", "key-a").run(Read("a")).code is Code.DONE
+
+
+def test_transaction_that_runs_as_its_key_goes_is_answered_truthfully(world):
+    caller = world.caller(1, "own", "key-b")
+    for statement in (Begin(), Write("a 1")):
+        assert caller.run(statement).code is Code.DONE
+    world.configure(identified(customer("acme", "key-a"), BERTH, version=3))
+    world.run(APPLIED)
+    assert caller.run(Commit()).code is Code.DONE
+    assert caller.run(Read("a")).code is Code.UNAUTHENTICATED
+
+
+def test_transaction_begins_nothing_at_an_endpoint_after_its_key_went(world):
+    caller = world.caller(1, "own", "key-b")
+    assert caller.run(Begin()).code is Code.DONE
+    world.configure(identified(customer("acme", "key-a"), BERTH, version=3))
+    world.run(APPLIED)
+    assert caller.run(Write("a 1")).code is Code.UNAUTHENTICATED
+    assert caller.run(Commit()).code is Code.ABORTED
+
+
+def test_key_that_moves_takes_its_sessions_to_the_other_customer(world):
+    caller = world.caller(1, "own", "key-b")
+    caller.run(SetValue("role", "clerk"))
+    caller.run(Prepare("q", Access.READ, "shape"))
+    assert caller.run(Execute("q", "a")).code is Code.DONE
+    moved = (customer("acme", "key-a"), customer("berth", "key-b", "key-c"))
+    world.configure(identified(*moved, version=3))
+    world.run(world.apply_time + APPLIED)
+    assert caller.run(Execute("q", "a")).code is Code.DONE
+    assert world.judge.breaches == []
+
+
+def test_new_key_serves_once_its_version_is_in_force(world):
+    assert world.caller(1, "own", "key-n").refusal is Code.UNAUTHENTICATED
+    added = customer("acme", "key-a", "key-n")
+    world.configure(identified(added, BERTH, version=3))
+    world.run(APPLIED)
+    assert world.caller(1, "own", "key-n").run(Read("a")).code is Code.DONE
+
+
+def test_older_version_gives_no_key_back(world):
+    world.configure(identified(customer("acme", "key-a"), version=5))
+    world.run(APPLIED)
+    world.store.put(CONFIGURATION_KEY, identified(ACME, BERTH, version=4))
+    world.run(APPLIED)
+    assert world.caller(1, "own", "key-c").refusal is Code.UNAUTHENTICATED
+
+
+def test_more_customers_than_connections_are_all_served():
+    """Guard against connections that stay with the customers that came first."""
+    world = ProxyWorld(hosts=LARGE)
+    many = [customer(f"c{i}", f"key-{i}") for i in range(60)]
+    world.configure(identified(*many))
+    world.run(4.0)
+    for index in range(len(many)):
+        caller = world.caller(index % LARGE, "strict", f"key-{index}")
+        assert caller.run(Read("a")).code is Code.DONE
+    assert world.judge.breaches == []
+    limit = world.group.max_connections
+    assert all(len(r.connections) <= limit for r in world.group.replicas.values())
+
+
+def test_customer_that_floods_leaves_a_connection_to_others():
+    """Guard against one customer's open transactions taking every connection."""
+    world = ProxyWorld(hosts=3)
+    world.configure(identified(ACME, BERTH))
+    world.run(1.0)
+    flood = [world.caller(0, "strict", "key-a") for _ in range(30)]
+    for caller in flood:
+        caller.send(Begin())
+        caller.send(Write("a 1"))
+    world.run(0.3)
+    answer = world.caller(0, "strict", "key-c").run(Write("b 1"), within=0.6)
+    assert answer.code is Code.DONE
+
+
+def test_waiting_customer_does_not_hold_up_others_of_other_hosts():
+    """Guard against a holder that stops at the first link it has nothing for."""
+    world = ProxyWorld(hosts=LARGE)
+    world.configure(identified(ACME, BERTH))
+    world.run(4.0)
+    entry = next(i for i, h in enumerate(world.hosts) if not h.connections)
+    flood = [world.caller(entry, "strict", "key-a") for _ in range(6)]
+    for caller in flood:
+        caller.send(Begin())
+        caller.send(Write("a 1"))
+    world.run(0.1)
+    others = [i for i, h in enumerate(world.hosts) if not h.connections and i != entry]
+    answer = world.caller(others[0], "strict", "key-c").run(Write("b 1"), within=0.6)
+    assert answer.code is Code.DONE
+    assert world.judge.breaches == []
+
+
+def test_two_customers_can_hold_no_key_together():
+    with pytest.raises(ValueError, match="acme and berth hold one key"):
+        index_credentials([customer("acme", "k"), customer("berth", "k")])
+
+
+# -- The judge ---------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("credential", "name", "why"),
+    [
+        (next(iter(BERTH.credentials)), "acme", "in the name of 'acme'"),
+        (next(iter(BERTH.credentials)), None, "in the name of None"),
+        ("nobody's", "acme", "no customer holds the key"),
+    ],
+)
+def test_judge_notices_a_wrong_name(credential, name, why):
+    judge = CustomerJudge(apply_time=5.0)
+    judge.configured(identified(ACME, BERTH), 0.0)
+    judge.sent("r1", "r1", credential, False, 1.0)
+    judge.ran("r1", name, 1.1)
+    assert [breach.why.startswith(why) for breach in judge.breaches] == [True]
+
+
+def test_judge_notices_a_key_that_was_taken_away():
+    judge = CustomerJudge(apply_time=5.0)
+    judge.configured(identified(BERTH), 0.0)
+    judge.configured(identified(ACME, version=3), 10.0)
+    credential = next(iter(BERTH.credentials))
+    judge.sent("r1", "r1", credential, False, 14.9)
+    judge.ran("r1", "berth", 14.9)
+    assert judge.breaches == []
+    judge.sent("r2", "r2", credential, False, 15.1)
+    judge.ran("r2", "berth", 15.1)
+    assert len(judge.breaches) == 1
+
+
+def test_judge_notices_a_window_beyond_the_limit():
+    judge = CustomerJudge(apply_time=5.0)
+    judge.configured(identified(customer("acme", "k", rate=2.0, burst=2.0)), 0.0)
+    credential = next(iter(customer("acme", "k").credentials))
+    for index in range(34):
+        judge.sent(f"r{index}", f"r{index}", credential, False, 1.0 + 0.1 * index)
+        judge.ran(f"r{index}", "acme", 1.0 + 0.1 * index)
+    assert [breach.request_id for breach in judge.breaches] == ["r33"]
+    assert judge.most("acme") == 34
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from mallowpass.core.proxy.configuration import Configuration, Consistency
+from mallowpass.core.proxy.credentials import credential_of
 from mallowpass.core.proxy.storage import EndpointEntry
 from mallowpass.platform.documents import (
     DocumentError,
@@ -68,6 +69,63 @@
     assert found.services["huvo11a"].connections == 22
 
 
+# -- Customers ---------------------------------------------------------------
+
+CUSTOMER = {
+    "name": "bode960",
+    "apiKeys": ["nirth5", "uddedev3"],
+    "priority": 1,
+    "ratePerS": 57,
+    "burst": 20,
+}
+
+
+def _with_customers(*customers: Any) -> bytes:
+    return json.dumps(CONFIGURATION | {"tenants": list(customers)}).encode()
+
+
+def test_customers_are_known_by_digests_of_their_keys():
+    found = decode_configuration(_with_customers(CUSTOMER))
+    assert found.identifies
+    customer = found.customer_of(credential_of("uddedev3"))
+    assert (customer.name, customer.priority) == ("bode960", 1)
+    assert (customer.rate, customer.burst) == (57, 20)
+    assert found.customer_of(credential_of("nirth")) is None
+    assert "nirth5" not in repr(found)
+
+
+def test_configuration_without_customers_asks_nobody_for_a_key():
+    assert not decode_configuration(json.dumps(CONFIGURATION).encode()).identifies
+    assert decode_configuration(_with_customers()).identifies
+
+
+def test_customer_without_limits_may_send_any_number():
+    bare = {"name": "bode960", "apiKeys": []}
+    customer = decode_configuration(_with_customers(bare)).customers["bode960"]
+    assert customer.rate == customer.burst == math.inf
+
+
+@pytest.mark.parametrize(
+    "customers",
+    [
+        (CUSTOMER, CUSTOMER | {"name": "other"}),
+        (CUSTOMER, CUSTOMER | {"apiKeys": ["k"]}),
+        (CUSTOMER | {"name": "-"},),
+        (CUSTOMER | {"name": "a b"},),
+        (CUSTOMER | {"apiKeys": "nirth5"},),
+        (CUSTOMER | {"apiKeys": ["nirth5", 3]},),
+        (CUSTOMER | {"apiKeys": None},),
+        (CUSTOMER | {"ratePerS": "57"},),
+        (CUSTOMER | {"burst": -1},),
+        ("nirth5",),
+    ],
+)
+def test_unreadable_customers_are_refused_without_telling_a_key(customers):
+    with pytest.raises(DocumentError) as caught:
+        decode_configuration(_with_customers(*customers))
+    assert "nirth5" not in str(caught.value)
+
+
 def test_entry():
     entry = decode_entry("i-1", json.dumps(ENTRY).encode())
     assert (entry.name, entry.draining, entry.is_primary) == ("i-1", True, True)
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -16,6 +16,7 @@
     Demote,
     EndpointCall,
     Execute,
+    OnBehalfOf,
     Pause,
     Prepare,
     Read,
@@ -97,8 +98,27 @@
     assert wire.parse_call("id1", "PRIORITY 2 AFTER 3.7 READ a") == call
 
 
+def test_hosts_tell_each_other_customers():
+    on_behalf_of = OnBehalfOf("a/b", 12)
+    call = EndpointCall(Read("a"), "id1", priority=2, on_behalf_of=on_behalf_of)
+    line = b"QUERY id1 CUSTOMER a/b/12 PRIORITY 2 READ a\r\n"
+    assert wire.render_call(call) == line
+    assert wire.parse_call("id1", "CUSTOMER a/b/12 PRIORITY 2 READ a") == call
+
+
 @pytest.mark.parametrize(
-    "text", ["PRIORITY 2", "PRIORITY x READ a", "AFTER 3.7", "AFTER 3 READ a", "x"]
+    "text",
+    [
+        "PRIORITY 2",
+        "PRIORITY x READ a",
+        "AFTER 3.7",
+        "AFTER 3 READ a",
+        "x",
+        "CUSTOMER a/1",
+        "CUSTOMER a READ a",
+        "CUSTOMER a/x READ a",
+        "CUSTOMER /1 READ a",
+    ],
 )
 def test_malformed_calls_of_hosts_are_refused(text):
     with pytest.raises(wire.WireError):
