Keep customers' rate limits over the fleet, in three parts with a keeper each

Change: each limit is divided into three parts, as in escrow locking. A row of the store names a part's keeper, which grants operations from a token bucket; what it grants holds for half a second. Hosts ask the nearest keeper, then the others. A keeper looks at its row every 4 s and grants for 12 s after a look; a successor waits as long, so that no row changes while nothing fails. A bucket begins empty: what was granted before a keeper started again can't be exceeded. What the bounds leave beyond the limit is divided: bursts, what a bucket begins with once in a window, and what a keeper without a sure right may grant. Beyond the limit a statement is refused at once, with the time when there will be room. What was granted and not sent is given back; an attempt after one that may have run counts once more. Keys may be refused where the configuration is too old, if the settings say so.

Calls on links: a holder that borrows a connection passes the customer on, and a second piece of a call, which names nobody, does not unname the first.

Ruled out: equal parts for each host (less than one operation each for 60 of 78 customers), counting at holders, one keeper of all, one for each customer; and, built and measured in virtual time, windows of what was granted in place of buckets: after a loss of power only the slack was left for 5.5 s, and a flood got a whole window at once.

--- a/mallowpass/core/proxy/answers.py
+++ b/mallowpass/core/proxy/answers.py
@@ -4,6 +4,7 @@
 
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.effects import AnswerStatement
+from mallowpass.core.proxy.ratelimits.allowances import Allowances
 from mallowpass.core.proxy.signals import StatementAnswered
 from mallowpass.core.proxy.statements import (
     Answer,
@@ -20,10 +21,11 @@
 class Answers(ProxySystem):
     """Tell callers what became of their statements."""
 
-    __slots__ = ("_connections",)
+    __slots__ = ("_allowances", "_connections")
 
     def start(self) -> None:
-        """Find the system that is asked."""
+        """Find the systems that are asked."""
+        self._allowances = self._node.system(Allowances)
         self._connections = self._node.system(Connections)
 
     def refuse(self, request: RequestRow, code: Code, why: str) -> None:
@@ -93,6 +95,8 @@
         for timer in request.timers:
             timer.cancel()
         request.timers.clear()
+        if request.granted_until is not None:
+            self._allowances.give_back(request.customer, request.granted_until)
         group = self.tables.group(request.route.service)
         if request in group.waiting:
             group.waiting.remove(request)
--- a/mallowpass/core/proxy/attempts.py
+++ b/mallowpass/core/proxy/attempts.py
@@ -61,6 +61,7 @@
 
     def attach(self, request: RequestRow, connection: ConnectionRow) -> None:
         """Have a connection run a statement; its loss, or its silence, is told."""
+        request.granted_until = None  # it is used from now on
         request.connection = connection
         request.endpoint = connection.endpoint
         request.sent_at = self.now
--- a/mallowpass/core/proxy/configuration.py
+++ b/mallowpass/core/proxy/configuration.py
@@ -13,6 +13,7 @@
     "Configuration",
     "Consistency",
     "Customer",
+    "RateBounds",
     "Route",
     "ServiceLimits",
     "index_credentials",
@@ -71,6 +72,24 @@
     rate: float = math.inf
     burst: float = math.inf
 
+    @property
+    def is_limited(self) -> bool:
+        """Tell whether its operations are counted."""
+        return not math.isinf(self.rate)
+
+
+@record
+class RateBounds:
+    """Say how exactly limits are kept.
+
+    Within `window` seconds, `overage` of a limit and `slack` operations may run beyond
+    it.
+    """
+
+    window: float = 5.0
+    overage: float = 0.1
+    slack: float = 20.0
+
 
 @record
 class Configuration:
--- a/mallowpass/core/proxy/effects.py
+++ b/mallowpass/core/proxy/effects.py
@@ -23,9 +23,11 @@
 __all__ = [
     "AcceptLink",
     "AcceptSession",
+    "AnswerAllowance",
     "AnswerFeed",
     "AnswerLink",
     "AnswerStatement",
+    "AskAllowance",
     "CallStore",
     "CloseConnection",
     "CloseLink",
@@ -177,6 +179,34 @@
     timeout: float
 
 
+@record
+class AskAllowance(ProxyEffect):
+    """Ask another host, which keeps a part of a limit, to let operations begin.
+
+    AllowanceAnswered with this number follows if that host answers, or can't be
+    reached. `ahead` is how many it may add to those that are needed.
+    """
+
+    call: int
+    address: str
+    part: int
+    customer: str  # empty: whether it answers
+    needed: int
+    ahead: int
+
+
+@record
+class AnswerAllowance(ProxyEffect):
+    """Tell another host how many operations may begin.
+
+    None: this host keeps no such part. More may begin after `pause` seconds.
+    """
+
+    ask: int
+    operations: int | None
+    pause: float
+
+
 @record
 class SetReady(ProxyEffect):
     """Say whether this host wants new connections of callers."""
--- a/mallowpass/core/proxy/events.py
+++ b/mallowpass/core/proxy/events.py
@@ -18,6 +18,8 @@
 from mallowpass.core.records import record
 
 __all__ = [
+    "AllowanceAnswered",
+    "AllowanceAsked",
     "ConnectionLost",
     "ConnectionRefused",
     "ConnectionReady",
@@ -134,6 +136,26 @@
     wait: float
 
 
+@record
+class AllowanceAsked(ProxyEvent):
+    """Another host asks to let operations of a customer begin."""
+
+    ask: int
+    part: int
+    customer: str
+    needed: int
+    ahead: int
+
+
+@record
+class AllowanceAnswered(ProxyEvent):
+    """The keeper of a part answered; None: it keeps none, or can't be reached."""
+
+    call: int
+    operations: int | None
+    pause: float = 0.0
+
+
 @record
 class StoreAnswered(ProxyEvent):
     """The store answered a call, or failed to."""
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -168,7 +168,6 @@
         link.called_at = self.now
         priorities = [c.priority for c in event.calls if c.priority is not None]
         link.priority = min(priorities, default=0)
-        on_behalf_of = [c.on_behalf_of for c in event.calls if c.on_behalf_of]
         for call in event.calls:
             # The endpoint would take the words for both for a statement.
             plain = replace(call, priority=None, on_behalf_of=None)
@@ -178,8 +177,13 @@
         if link.connection is not None:
             self._send(link, link.connection)
             return
-        link.customer = on_behalf_of[0].customer if on_behalf_of else None
-        if any(map(self._is_unknown, on_behalf_of)):
+        named = [c.on_behalf_of for c in event.calls if c.on_behalf_of is not None]
+        if named:
+            link.on_behalf_of = named[0]
+        elif link not in self._waiting:
+            # Else these belong to what waits: they were cut off from it on the way.
+            link.on_behalf_of = None
+        if any(map(self._is_unknown, named)):
             self._refuse(link, Code.UNAUTHENTICATED, "no such customer")
         elif link not in self._waiting:
             if self._holds_back(link):
@@ -324,6 +328,9 @@
     def _send(self, link: LinkRow, connection: ConnectionRow) -> None:
         calls = list(link.waiting)
         link.waiting.clear()
+        if connection.holder:
+            # The host that it goes by has to know in whose name they run.
+            calls = [replace(call, on_behalf_of=link.on_behalf_of) for call in calls]
         names = {c.statement.name for c in calls if isinstance(c.statement, Execute)}
         prepared = [link.prepared[name] for name in names if name in link.prepared]
         set_up = self._connections.set_up(connection, link.values, prepared)
--- /dev/null
+++ b/mallowpass/core/proxy/ratelimits/keepers.py
@@ -0,0 +1,464 @@
+"""Which host keeps each part of the limits, and whether it may still grant.
+
+A row of the store names a part's keeper. Whoever names itself there waits until its
+predecessor can't grant any more: a keeper looks at the row now and then, and one that
+could not for some time grants only what the bounds allow beyond the limit. So two that
+both believe to keep a part never grant it twice, and no row changes while nothing
+fails. A keeper that stops leaves its part, which another one takes at once.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from zlib import crc32
+
+from mallowpass.core.node import Node
+from mallowpass.core.proxy.ratelimits.buckets import PARTS, VALIDITY
+from mallowpass.core.proxy.signals import (
+    ConfigurationAccepted,
+    KeepersChanged,
+)
+from mallowpass.core.proxy.storage import (
+    ChangeRows,
+    ListRows,
+    Row,
+    RowKey,
+    StoreReply,
+    StoreStatus,
+    Table,
+)
+from mallowpass.core.proxy.store import CALL_TIMEOUT, ReplyHandler, Store
+from mallowpass.core.proxy.tables import HostRow, ProxySystem
+from mallowpass.core.proxy.unreadable import UnreadableRows
+from mallowpass.core.records import record
+
+__all__ = ["Keepers", "PartEntry", "Right", "Stage"]
+
+# How long a keeper grants without having seen its row, in seconds, and how often it
+# looks. It goes on while the store is away for less than the difference.
+RIGHT_TIME = 12.0
+LOOK_GAP = 4.0
+ROUND = 0.5  # seconds between looks at what is to be done
+# A keeper that answers nobody for so long is replaced, in seconds; by whom nobody
+# answers, only after the longer time: it is more likely cut off itself.
+SILENT_TIME = 2.0
+SILENT_ALONE_TIME = 10.0
+# How long a keeper that did not answer is passed over, in seconds: doubled by each
+# further failure.
+FAILED_TIME_MIN = 0.1
+FAILED_TIME_MAX = 1.0
+# How long a host that starts again waits for the store to note that, in seconds.
+START_TIMEOUT = 0.3
+# Seconds that the second in line leaves to the first to replace a keeper.
+SECOND_WAIT = 2.0
+
+
+LEFT = "-"  # stands for the keeper of a part that was left
+
+
+class Stage(Enum):
+    """Say what a part's keeper, or whoever left it, has to go by."""
+
+    ALONE = ""  # nobody else grants, and what it began with counts no more
+    FOLLOWING = "following"  # a predecessor may still grant
+    STARTED = "started"  # it began of late, with something to grant
+
+
+@record
+class PartEntry:
+    """Hold what a part's row says."""
+
+    keeper: str
+    stage: Stage = Stage.ALONE
+
+    @property
+    def is_left(self) -> bool:
+        """Tell whether nobody keeps the part."""
+        return self.keeper == LEFT
+
+    def encode(self) -> str:
+        """Return the text that the store keeps."""
+        return f"{self.keeper} {self.stage.value}".rstrip()
+
+    @classmethod
+    def decode(cls, text: str) -> PartEntry:
+        """Read what the store keeps; ValueError if it is no entry."""
+        keeper, _, stage = text.partition(" ")
+        if not keeper:
+            raise ValueError("no keeper of a part")
+        return cls(keeper, Stage(stage))
+
+
+@dataclass(frozen=True, slots=True)
+class _PartRow:
+    """Hold a part's entry, and the version of its row."""
+
+    version: int
+    entry: PartEntry
+
+
+@record
+class Right:
+    """Say by which right a host grants from a part, and since when it has it.
+
+    Without a full one it grants what the bounds allow beyond the limit. `filled` tells
+    that it began with something to grant.
+    """
+
+    part: int
+    since: float
+    is_full: bool
+    filled: bool = False
+
+
+@dataclass(slots=True)
+class _Kept:
+    """Hold a part that this host keeps."""
+
+    since: float
+    alone_from: float  # no predecessor grants from then on
+    seen_at: float | None = None  # when its row was last asked for that named this host
+    filled: bool = False
+
+
+class Keepers(ProxySystem):
+    """Own this host's parts, and know the keepers of all."""
+
+    __slots__ = (
+        "_claiming",
+        "_failing_since",
+        "_failures",
+        "_heard_at",
+        "_kept",
+        "_known",
+        "_looking",
+        "_passed_over",
+        "_rows",
+        "_stopping",
+        "_store",
+        "_unreadable",
+        "_watching",
+    )
+
+    def __init__(self, node: Node) -> None:
+        super().__init__(node)
+        self._rows: dict[int, _PartRow] = {}  # by part
+        self._kept: dict[int, _Kept] = {}
+        self._known = False
+        self._watching = False
+        self._looking = False
+        self._stopping = False
+        self._claiming: set[int] = set()
+        self._failing_since: dict[str, float] = {}  # by keeper
+        self._failures: dict[str, int] = {}  # in a row, by keeper
+        self._heard_at: dict[str, float] = {}
+        self._passed_over: dict[str, float] = {}  # until when
+
+    def start(self) -> None:
+        """Wait for a configuration that holds limits."""
+        self._store = self._node.system(Store)
+        self._unreadable = UnreadableRows(self._node, "limits_part_unreadable")
+        self._node.subscribe(ConfigurationAccepted, self._on_configuration)
+
+    def _on_configuration(self, signal: ConfigurationAccepted) -> None:
+        customers = signal.configuration.customers.values()
+        if self._watching or not any(customer.is_limited for customer in customers):
+            return
+        self._watching = True
+        self._store.watch(Table.LIMITS, self._on_rows)
+        self.timers.every(ROUND, self._look)
+
+    # -- Questions -----------------------------------------------------------
+
+    @property
+    def are_known(self) -> bool:
+        """Tell whether the rows of the parts were learnt."""
+        return self._known
+
+    def right(self, part: int) -> Right | None:
+        """Return by which right this host grants from a part, None: by none."""
+        kept = self._kept.get(part)
+        if kept is None or kept.seen_at is None:
+            return None
+        if self.now < kept.alone_from or self.now >= kept.seen_at + RIGHT_TIME:
+            return Right(part, kept.since, is_full=False)
+        return Right(part, kept.alone_from, is_full=True, filled=kept.filled)
+
+    def has_alone(self, part: int) -> bool:
+        """Tell whether this host may grant all of a part."""
+        right = self.right(part)
+        return right is not None and right.is_full
+
+    def nearest(self) -> list[tuple[int, HostRow]]:
+        """Return parts with their keepers, those first that are nearest.
+
+        Keepers that do not answer are left out.
+        """
+        usable = []
+        for part in range(PARTS):
+            host = self._keeper(part)
+            if host is not None and self._may_ask(host):
+                usable.append((part, host))
+        return sorted(usable, key=self._distance)
+
+    def _keeper(self, part: int) -> HostRow | None:
+        row = self._rows.get(part)
+        return None if row is None else self.tables.hosts.get(row.entry.keeper)
+
+    def _may_ask(self, host: HostRow) -> bool:
+        return self._passed_over.get(host.name, 0.0) <= self.now
+
+    def _distance(self, place: tuple[int, HostRow]) -> tuple[bool, int]:
+        identity = self._node.identity
+        part, host = place
+        is_far = identity.region_of(host.domain) != identity.region
+        return (is_far, crc32(f"{identity.name} {part}".encode()))
+
+    def answered(self, host: str) -> None:
+        """Note that a keeper answered."""
+        self._heard_at[host] = self.now
+        self._failing_since.pop(host, None)
+        self._failures.pop(host, None)
+
+    def failed(self, host: str) -> None:
+        """Pass a keeper over for a while that did not answer, or is none."""
+        self._failing_since.setdefault(host, self.now)
+        failures = self._failures[host] = self._failures.get(host, 0) + 1
+        pause = min(FAILED_TIME_MAX, FAILED_TIME_MIN * 2 ** (failures - 1))
+        self._passed_over[host] = self.now + pause
+
+    @property
+    def may_answer_soon(self) -> bool:
+        """Tell whether a keeper that does not answer has done so of late."""
+        if not self._rows:
+            return False
+        since = [
+            self._failing_since.get(row.entry.keeper) for row in self._rows.values()
+        ]
+        return any(at is None or at > self.now - SILENT_TIME for at in since)
+
+    # -- Rows ----------------------------------------------------------------
+
+    def _on_rows(self, rows: tuple[Row, ...], complete: bool) -> None:
+        before = dict(self._rows)
+        if complete:
+            self._known = True
+            self._rows.clear()
+        for row in rows:
+            part = _part(row.key)
+            if part is not None:
+                self._put(part, row, before.get(part))
+        for part in range(PARTS):
+            self._take(part)
+        self._node.publish(KeepersChanged())
+
+    def _put(self, part: int, row: Row, before: _PartRow | None) -> None:
+        if row.value is None:
+            self._rows.pop(part, None)
+            return
+        try:
+            entry = PartEntry.decode(row.value)
+        except (ValueError, AttributeError) as error:
+            self._unreadable.note(row.key, str(error))
+            if before is not None:
+                # Whoever keeps the part by it goes on.
+                self._rows[part] = before
+            return
+        self._unreadable.clear(row.key)
+        self._rows[part] = _PartRow(row.version, entry)
+        self._passed_over.pop(entry.keeper, None)
+
+    def _take(self, part: int) -> None:
+        """Begin or end to keep a part, as its row says."""
+        if part in self._claiming:
+            return
+        row = self._rows.get(part)
+        is_own = row is not None and row.entry.keeper == self._node.identity.name
+        if is_own and part not in self._kept and not self._stopping:
+            # This host kept it before it started, or its claim got no answer.
+            if row.entry.stage is Stage.ALONE:
+                self._start_again(part)
+            else:
+                self._keep(part, row.entry.stage)
+        elif not is_own and self._kept.pop(part, None) is not None:
+            self._node.log("info", "limits_part_lost", part=part)
+
+    def _keep(self, part: int, stage: Stage) -> None:
+        wait = RIGHT_TIME if stage is Stage.FOLLOWING else 0.0
+        self._kept[part] = _Kept(self.now, self.now + wait)
+        self._look_at_rows()
+
+    def _start_again(self, part: int) -> None:
+        """Begin to keep a part with something to grant, unless it began so of late."""
+
+        def on_reply(reply: StoreReply) -> None:
+            if reply.status is StoreStatus.DONE:
+                self._kept[part] = _Kept(self.now, self.now, asked_at, filled=True)
+            else:
+                self._keep(part, Stage.STARTED)
+            self._node.publish(KeepersChanged())
+
+        asked_at = self.now
+        entry = PartEntry(self._node.identity.name, Stage.STARTED)
+        self._write(part, entry, on_reply, START_TIMEOUT)
+
+    def _write(
+        self,
+        part: int,
+        entry: PartEntry,
+        handler: ReplyHandler,
+        timeout: float = CALL_TIMEOUT,
+    ) -> None:
+        """Change a part's row unless it has changed; the handler gets the reply."""
+        row = self._rows.get(part)
+        key = RowKey(Table.LIMITS, "", str(part))
+        expected = ((key, 0 if row is None else row.version),)
+        call = ChangeRows(expected, puts=((key, entry.encode()),))
+
+        def on_reply(reply: StoreReply) -> None:
+            self._claiming.discard(part)
+            if reply.status is StoreStatus.DONE:
+                self._rows[part] = _PartRow(reply.version, entry)
+            handler(reply)
+
+        self._claiming.add(part)
+        self._store.call(call, on_reply, timeout)
+
+    # -- Keeping -------------------------------------------------------------
+
+    def _look(self) -> None:
+        if not self._known or self.tables.hosts_version == 0:
+            return
+        for part in range(PARTS):
+            place = self._place_in_line(part)
+            if place is not None and self._is_open(part, place * SECOND_WAIT):
+                self._claim(part)
+            elif self._is_unsettled(part):
+                self._settle(part)
+        due = self.now - LOOK_GAP
+        kept = self._kept.values()
+        if any(part.seen_at is None or part.seen_at <= due for part in kept):
+            self._look_at_rows()
+
+    def _is_unsettled(self, part: int) -> bool:
+        """Tell whether a part's row says what is not true any more."""
+        if part in self._claiming or not self.has_alone(part) or part not in self._rows:
+            return False
+        stage = self._rows[part].entry.stage
+        if stage is Stage.STARTED:
+            counts_for = VALIDITY + self.tables.rate_bounds.window
+            return self.now >= self._kept[part].alone_from + counts_for
+        return stage is Stage.FOLLOWING
+
+    def candidates(self, part: int) -> list[str]:
+        """Return the two hosts that are first to keep a part."""
+        identity = self._node.identity
+        regions = sorted({domain.region for domain in identity.domains})
+        home = regions[part % len(regions)] if regions else identity.region
+        row = self._rows.get(part)
+        keeper = "" if row is None else row.entry.keeper
+        hosts = [
+            host
+            for host in self.tables.hosts.values()
+            if identity.region_of(host.domain) == home and host.name != keeper
+        ]
+        hosts.sort(key=lambda host: (-host.capacity, _weight(part, host)))
+        return [host.name for host in hosts[:2]]
+
+    def _place_in_line(self, part: int) -> int | None:
+        names = self.candidates(part)
+        name = self._node.identity.name
+        return names.index(name) if name in names else None
+
+    def is_candidate(self, part: int) -> bool:
+        """Tell whether this host replaces a part's keeper if that is silent."""
+        return self._place_in_line(part) is not None
+
+    def _is_open(self, part: int, wait: float) -> bool:
+        """Tell whether a part needs another keeper, for longer than `wait` s."""
+        if part in self._claiming or part in self._kept or self._stopping:
+            return False
+        row = self._rows.get(part)
+        if row is None or row.entry.is_left:
+            return wait == 0.0
+        keeper = row.entry.keeper
+        if keeper not in self.tables.hosts:
+            # It left without leaving the part.
+            self._failing_since.setdefault(keeper, self.now)
+        since = self._failing_since.get(keeper)
+        if since is None:
+            return False
+        heard = max(self._heard_at.values(), default=float("-inf"))
+        is_alone = heard < self.now - SILENT_TIME
+        least = SILENT_ALONE_TIME if is_alone else SILENT_TIME
+        return self.now >= since + least + wait
+
+    def _claim(self, part: int) -> None:
+        row = self._rows.get(part)
+        before = PartEntry("") if row is None else row.entry
+        stage = Stage.FOLLOWING
+        if before.is_left:
+            stage = Stage.STARTED
+        elif row is None and self.tables.first_start:
+            # Where the whole fleet starts, nobody can have kept the part before.
+            stage = Stage.ALONE
+        filled = before.is_left and before.stage is Stage.ALONE
+        asked_at = self.now
+
+        def on_reply(reply: StoreReply) -> None:
+            if reply.status is not StoreStatus.DONE:
+                # Whether or not it was done, the row says who keeps it.
+                self._look_at_rows()
+                return
+            wait = RIGHT_TIME if stage is Stage.FOLLOWING else 0.0
+            self._kept[part] = _Kept(self.now, self.now + wait, asked_at, filled)
+            self._node.log("info", "limits_part_taken", part=part, before=before.keeper)
+            self._node.publish(KeepersChanged())
+
+        self._write(part, PartEntry(self._node.identity.name, stage), on_reply)
+
+    def _settle(self, part: int) -> None:
+        """Have a part's row say that this host has it alone: it may start again."""
+        entry = PartEntry(self._node.identity.name)
+        self._write(part, entry, lambda reply: None)
+
+    def leave(self) -> None:
+        """Leave all parts to others; nothing is granted from them any more."""
+        self._stopping = True
+        left = [part for part in self._kept if self.has_alone(part)]
+        self._kept.clear()
+        for part in left:
+            started = self._rows[part].entry.stage is Stage.STARTED
+            stage = Stage.STARTED if started else Stage.ALONE
+            self._write(part, PartEntry(LEFT, stage), self._on_left)
+
+    def _on_left(self, reply: StoreReply) -> None:
+        if reply.status is not StoreStatus.DONE:
+            # Another host takes the part once this one is silent.
+            self._node.log("warning", "limits_part_not_left", why=reply.message)
+
+    def _look_at_rows(self) -> None:
+        if self._looking:
+            return
+        self._looking = True
+        asked_at = self.now
+
+        def on_reply(reply: StoreReply) -> None:
+            self._looking = False
+            if reply.status is not StoreStatus.DONE:
+                return
+            self._on_rows(reply.rows, complete=True)
+            for kept in self._kept.values():
+                kept.seen_at = max(asked_at, kept.seen_at or asked_at)
+
+        self._store.call(ListRows(Table.LIMITS), on_reply)
+
+
+def _part(key: RowKey) -> int | None:
+    is_part = key.key.isascii() and key.key.isdigit() and int(key.key) < PARTS
+    return int(key.key) if is_part and not key.part else None
+
+
+def _weight(part: int, host: HostRow) -> int:
+    return crc32(f"limits {part} {host.name}".encode())
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -24,6 +24,9 @@
 from mallowpass.core.proxy.ordering import Ordering
 from mallowpass.core.proxy.overdue import Overdue
 from mallowpass.core.proxy.promotion import Promotion
+from mallowpass.core.proxy.ratelimits.allowances import Allowances
+from mallowpass.core.proxy.ratelimits.granting import Granting
+from mallowpass.core.proxy.ratelimits.keepers import Keepers
 from mallowpass.core.proxy.relays import Relays
 from mallowpass.core.proxy.relief import Relief
 from mallowpass.core.proxy.repair import Repair
@@ -72,6 +75,9 @@
     Leadership,
     Sampling,
     Links,
+    Keepers,
+    Granting,
+    Allowances,
     Answers,
     Attempts,
     Stalls,
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -18,6 +18,7 @@
 from mallowpass.core.proxy.overdue import Overdue
 from mallowpass.core.proxy.policy.admission import held_until, is_turned_away
 from mallowpass.core.proxy.policy.line import Line, urgency
+from mallowpass.core.proxy.ratelimits.allowances import Allowances
 from mallowpass.core.proxy.routing import Routing
 from mallowpass.core.proxy.sampling import Sampling
 from mallowpass.core.proxy.signals import (
@@ -70,6 +71,7 @@
     """Run the statements of sessions at endpoints."""
 
     __slots__ = (
+        "_allowances",
         "_answers",
         "_attempts",
         "_connections",
@@ -87,6 +89,7 @@
     def start(self) -> None:
         """Subscribe to whatever may let waiting statements run."""
         node = self._node
+        self._allowances = node.system(Allowances)
         self._answers = node.system(Answers)
         self._attempts = node.system(Attempts)
         self._connections = node.system(Connections)
@@ -141,7 +144,23 @@
         if transaction is not None and transaction.connection is not None:
             self._transactions.send(request)
         else:
-            self._wait(request)
+            self._begin(request)
+
+    def _begin(self, request: RequestRow) -> None:
+        """Have a statement wait for an endpoint once its customer's limit allows it."""
+
+        def on_granted(until: float | None, why: str) -> None:
+            if request.finished:
+                if until is not None:
+                    self._allowances.give_back(request.customer, until)
+            elif until is None:
+                self._answers.refuse(request, Code.BUSY, why)
+            else:
+                request.granted_until = until
+                self._wait(request)
+
+        request.detail = "waits for its customer's limit"
+        self._allowances.begin(request.customer, on_granted)
 
     def abandon_session(self, session: SessionRow) -> None:
         """Forget a statement whose caller is gone; what was sent runs to its end."""
@@ -380,10 +399,13 @@
             request.timers.append(
                 self.timers.at(request.retry_at, self._dispatch, group)
             )
-        self._wait(request)
+        if reply.code.is_not_run:
+            self._wait(request)
+        else:
+            self._begin(request)  # it counts once more
 
     def _on_left(self, signal: AttemptLeft) -> None:
-        self._wait(signal.request)
+        self._begin(signal.request)
 
     # -- What goes wrong -----------------------------------------------------
 
@@ -413,4 +435,4 @@
         if request.tries >= TRIES_MAX:
             self._answers.refuse(request, Code.ABORTED, request.detail)
         else:
-            self._wait(request)
+            self._begin(request)
--- a/mallowpass/core/proxy/sessions.py
+++ b/mallowpass/core/proxy/sessions.py
@@ -64,8 +64,6 @@
 # then, its caller would lose an operation that it had begun.
 QUIET = 0.3  # seconds
 
-UNKNOWN_KEY = "no customer holds this key"
-
 _ENDING = (Commit, Rollback)
 
 
@@ -109,8 +107,9 @@
         session = SessionRow(
             event.stream, event.database, event.credential, touched_at=self.now
         )
-        if not self._customers.identify(session):
-            self._refuse(event, Code.UNAUTHENTICATED, UNKNOWN_KEY)
+        refusal = self._customers.identify(session)
+        if refusal is not None:
+            self._refuse(event, refusal.code, refusal.message)
             return
         self.tables.sessions[event.stream] = session
         self._node.emit(AcceptSession(event.stream))
@@ -230,8 +229,12 @@
         elif session.state is SessionState.IDLE and not self._has_route(session):
             message = f"no database {session.database!r}"
             self._fail(session, Code.UNKNOWN_DATABASE, message)
-        elif _begins(session, statement) and not self._customers.identify(session):
-            self._fail(session, Code.UNAUTHENTICATED, UNKNOWN_KEY)
+        elif _begins(session, statement):
+            refusal = self._customers.identify(session)
+            if refusal is None:
+                self._execute(statement, session, request_id)
+            else:
+                self._fail(session, refusal.code, refusal.message)
         else:
             self._execute(statement, session, request_id)
 
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -27,6 +27,7 @@
     "EndpointRestarted",
     "EndpointUnreachable",
     "FloorLearnt",
+    "KeepersChanged",
     "PrimaryChanged",
     "PrimaryHeard",
     "PrimaryReplicates",
@@ -132,6 +133,11 @@
     asked_at: float
 
 
+@record
+class KeepersChanged(Signal):
+    """Other hosts may keep the parts of rate limits."""
+
+
 @record
 class PrimarySuspected(Signal):
     """This host began to suspect a group's primary."""
--- a/mallowpass/core/proxy/storage.py
+++ b/mallowpass/core/proxy/storage.py
@@ -36,6 +36,7 @@
     HOSTS = "hosts"
     SUSPICIONS = "suspicions"
     CLAIMS = "claims"
+    LIMITS = "limits"
 
 
 UNKNOWN_START = 0  # of an entry that does not tell when its endpoint started
--- a/mallowpass/core/proxy/store.py
+++ b/mallowpass/core/proxy/store.py
@@ -33,7 +33,12 @@
 WATCH_WAIT_MIN = 1.0
 # The same for calls to relays, which are not charged. A relay that was frozen shows in
 # nothing else but that it does not answer in time.
-RELAY_WAIT = {Table.CONFIGURATION: 1.0, Table.ENDPOINTS: 1.0, Table.HOSTS: 10.0}
+RELAY_WAIT = {
+    Table.CONFIGURATION: 1.0,
+    Table.ENDPOINTS: 1.0,
+    Table.HOSTS: 10.0,
+    Table.LIMITS: 10.0,
+}
 # How long a host that starts again waits for the list of hosts, before it follows
 # tables without knowing its relays.
 HOSTS_LISTED_MAX = 0.05  # seconds
@@ -50,7 +55,15 @@
 # Seconds for which further changes are waited for after some came, so that one answer
 # tells of all: where all hosts start at once, each would else be told of each. Nothing
 # about hosts is urgent: one that stops serves on for longer.
-CHANGES_GAP = {Table.CONFIGURATION: 0.5, Table.ENDPOINTS: 0.1, Table.HOSTS: 1.5}
+CHANGES_GAP = {
+    Table.CONFIGURATION: 0.5,
+    Table.ENDPOINTS: 0.1,
+    Table.HOSTS: 1.5,
+    Table.LIMITS: 0.5,
+}
+# Tables of which a change may be learnt late: whoever was named before serves on, or is
+# passed over.
+_UNHURRIED = (Table.HOSTS, Table.LIMITS)
 # Calls a second that all hosts together make to be told of each other's changes, if
 # each asks the store. A fleet that is restarted in turn would make as many as the
 # square of its size; and with each change that is told, other hosts may be holders.
@@ -72,6 +85,7 @@
         "_clock_offset",
         "_failing_since",
         "_feeds",
+        "_heard_at",
         "_prober",
         "_relayed",
         "_relays",
@@ -88,6 +102,7 @@
         self._calls: dict[int, ReplyHandler] = {}
         self._clock_offset: float | None = None
         self._failing_since: float | None = None
+        self._heard_at: dict[Table, float] = {}
         self._prober: Watch | None = None
         self._relayed: set[int] = set()  # calls that another host answers
         self._started_at = node.timers.now
@@ -114,6 +129,14 @@
         """Return when calls began to fail, None while they are answered."""
         return self._failing_since
 
+    def heard(self, table: Table) -> None:
+        """Note that a table is known as it is now."""
+        self._heard_at[table] = self.now
+
+    def age(self, table: Table) -> float:
+        """Return for how long changes of a table may not be known, in seconds."""
+        return self.now - self._heard_at.get(table, float("-inf"))
+
     @property
     def time(self) -> float | None:
         """Return the store's clock as far as known, in seconds."""
@@ -208,9 +231,10 @@
         """
         if self.failing_since is not None:
             return PROBE_WAIT
-        if table is Table.HOSTS:
+        if table in _UNHURRIED:
             return WATCH_WAIT_MAX
-        wait = self.tables.settle_time - WATCH_SLACK
+        longest = min(self.tables.settle_time, self.tables.key_lapse)
+        wait = longest - WATCH_SLACK
         return min(WATCH_WAIT_MAX, max(WATCH_WAIT_MIN, wait))
 
     def relay_wait(self, table: Table) -> float:
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -15,12 +15,18 @@
 
 from mallowpass.core.node import System
 from mallowpass.core.positions import ZERO_POSITION
-from mallowpass.core.proxy.configuration import Configuration, Consistency, Route
+from mallowpass.core.proxy.configuration import (
+    Configuration,
+    Consistency,
+    RateBounds,
+    Route,
+)
 from mallowpass.core.proxy.statements import (
     Access,
     EndpointCall,
     EndpointReply,
     LogPosition,
+    OnBehalfOf,
     SessionState,
     Statement,
 )
@@ -251,6 +257,9 @@
     retry_at: float = 0.0  # not sent before
     floor: LogPosition | None = None  # that was demanded last; None: the primary's
     behind: int = 0  # times that a member had not reached the floor
+    # Until when it may begin by its customer's limit; None: it has begun, or has not
+    # been allowed to yet.
+    granted_until: float | None = None
     finished: bool = False
     detail: str = ""  # the newest reason for waiting or failing
     timers: list[Timer] = field(default_factory=list)
@@ -314,11 +323,16 @@
     connection: ConnectionRow | None = None
     in_flight: int = 0  # calls that the endpoint has not answered
     waits_since: float = 0.0
-    customer: str | None = None  # of its calls
+    on_behalf_of: OnBehalfOf | None = None  # of its calls; None: this fleet's own
     priority: int = 0  # of what waits; 0 is served first
     called_at: float = 0.0  # when calls last came
     closed: bool = False
 
+    @property
+    def customer(self) -> str | None:
+        """Return the customer in whose name its calls run."""
+        return None if self.on_behalf_of is None else self.on_behalf_of.customer
+
 
 # -- All tables --------------------------------------------------------------
 
@@ -333,6 +347,9 @@
     settle_time: float = 6.0
     # Seconds within which a change of the configuration must be in force at all hosts.
     apply_time: float = 6.0
+    # Seconds after which no key counts that is not known to be in force still.
+    key_lapse: float = math.inf
+    rate_bounds: RateBounds = RateBounds()  # how exactly rate limits are kept
     configuration: Configuration | None = None
     endpoints: dict[str, EndpointRow] = field(default_factory=dict)  # by name
     endpoints_version: int = 0  # grows when one is new, or has other slots
--- a/mallowpass/core/proxy/watches.py
+++ b/mallowpass/core/proxy/watches.py
@@ -134,6 +134,7 @@
 
     def _take(self, reply: StoreReply, by_relay: bool) -> None:
         self._version = max(self._version, reply.version)
+        self._store.heard(self._table)
         self._feeds.learnt(self._table, reply, by_relay)
         self._handler(reply.rows, reply.whole)
         if self._table is Table.HOSTS:
--- a/mallowpass/platform/runtime.py
+++ b/mallowpass/platform/runtime.py
@@ -21,6 +21,7 @@
 )
 from mallowpass.core.proxy.registry import SYSTEMS
 from mallowpass.core.proxy.tables import ProxyTables
+from mallowpass.platform.allowances import AllowanceClients, AllowanceServer
 from mallowpass.platform.callers import CallerServer
 from mallowpass.platform.endpoints import EndpointConnections
 from mallowpass.platform.http import HttpServer, Request, Response
@@ -68,6 +69,8 @@
         "_endpoints",
         "_feeds",
         "_http",
+        "_keepers",
+        "_limits",
         "_links",
         "_log",
         "_metrics",
@@ -110,6 +113,8 @@
             settle_time=settings.settle_time,
             # Without a port for it nobody can follow the store by way of another.
             apply_time=0.0 if settings.feeds is None else settings.apply_time,
+            key_lapse=settings.key_lapse,
+            rate_bounds=settings.rate_bounds,
         )
         self._node = Node(identity, Tuning(), seed, now, tables)
         self._node.on_error = self._on_error
@@ -119,6 +124,8 @@
         self._store = StoreClient(settings.store)
         self._feeds = FeedServer(self.handle)
         self._relays = RelayClients(settings.feeds)
+        self._limits = AllowanceServer(self.handle)
+        self._keepers = AllowanceClients(settings.limits, self.handle)
         self._orders = None
         if settings.orders is not None:
             self._orders = OrderClient(settings.orders, settings.name)
@@ -155,6 +162,8 @@
             await self._links.start(self._settings.peers)
         if self._settings.feeds is not None:
             await self._feeds.start(self._settings.feeds)
+        if self._settings.limits is not None:
+            await self._limits.start(self._settings.limits)
         await self._callers.start(self._settings.callers)
         self._log.write(
             "info",
@@ -184,6 +193,8 @@
         self._feeds.close()
         self._callers.abort()
         self._links.abort()
+        self._limits.abort()
+        self._keepers.abort()
         for task in self._tasks:
             task.cancel()
 
@@ -316,6 +327,14 @@
     def _(self, effect: effects.AnswerFeed) -> None:
         self._feeds.answer(effect.feed, effect.reply)
 
+    @_apply.register
+    def _(self, effect: effects.AskAllowance) -> None:
+        self._keepers.ask(effect)
+
+    @_apply.register
+    def _(self, effect: effects.AnswerAllowance) -> None:
+        self._limits.answer(effect)
+
     @_apply.register
     def _(self, effect: effects.OrderPromotion) -> None:
         self._spawn(self._order(effect))
--- a/mallowpass/platform/settings.py
+++ b/mallowpass/platform/settings.py
@@ -6,9 +6,12 @@
 import os
 import re
 import tomllib
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
+from mallowpass.core.proxy.configuration import RateBounds
+
 __all__ = ["Address", "HostSettings", "SettingsError", "load_settings", "settings_path"]
 
 SETTINGS_VARIABLE = "MALLOWPASS_NODE_FILE"
@@ -17,9 +20,14 @@
 # Seconds, where the bounds name none: the shortest in use.
 SETTLE_TIME = 4.0
 APPLY_TIME = 3.0
+KEY_LAPSE = 5.0
 # Which of the ports that are free for use among hosts is for what.
 _LINKS_PORT = 0
 _FEEDS_PORT = 1
+_LIMITS_PORT = 2
+
+
+_RATES = RateBounds()
 
 
 class SettingsError(Exception):
@@ -65,6 +73,11 @@
     feeds: Address | None = (
         None  # where other hosts may follow the store; None: nowhere
     )
+    # Where other hosts may ask for parts of rate limits; None: nowhere.
+    limits: Address | None = None
+    rate_bounds: RateBounds = RateBounds()
+    # Seconds after which a host refuses keys that it can't know to be in force still.
+    key_lapse: float = math.inf
     # Until then after a disruption this host may go by what held before it.
     settle_time: float = SETTLE_TIME
     # Within that a change of the configuration must be in force.
@@ -126,6 +139,16 @@
             return default
         return float(value) / 1000.0
 
+    def optional_number(default: float, *keys: str) -> float:
+        value = _find(fields, keys)
+        if value is None:
+            return default
+        is_number = isinstance(value, int | float) and not isinstance(value, bool)
+        if not is_number or not 0 <= value < math.inf:
+            findings.append(f"{'.'.join(keys)}: not a number: {value!r}")
+            return default
+        return float(value)
+
     regions = _find(fields, ("zones",))
     orders = address("cloud", "address") if "cloud" in fields else None
     callers = address("listen", "front")
@@ -140,6 +163,13 @@
         grace=seconds("bounds", "graceS"),
         peers=_peers_address(fields, callers, _LINKS_PORT),
         feeds=_peers_address(fields, callers, _FEEDS_PORT),
+        limits=_peers_address(fields, callers, _LIMITS_PORT),
+        key_lapse=_key_lapse(optional_milliseconds, fields),
+        rate_bounds=RateBounds(
+            window=optional_number(_RATES.window, "bounds", "quotaWindowS"),
+            overage=optional_number(_RATES.overage, "bounds", "quotaOverage"),
+            slack=optional_number(_RATES.slack, "bounds", "quotaSlack"),
+        ),
         capacity=_capacity(fields),
         first_start=_find(fields, ("bootstrap",)) is True,
         fences=_find(fields, ("bounds", "requireFencing")) is True,
@@ -148,6 +178,11 @@
     )
 
 
+def _key_lapse(milliseconds: Callable[..., float], fields: dict[str, Any]) -> float:
+    lapse = milliseconds(KEY_LAPSE, "bounds", "revokeMs")
+    return lapse if _find(fields, ("bounds", "failClosed")) is True else math.inf
+
+
 def _peers_address(
     fields: dict[str, Any], callers: Address, index: int
 ) -> Address | None:
--- a/mallowpass/platform/store.py
+++ b/mallowpass/platform/store.py
@@ -64,6 +64,7 @@
     Table.HOSTS: "mallowpass-hosts",
     Table.SUSPICIONS: "mallowpass-suspicions",
     Table.CLAIMS: "mallowpass-claims",
+    Table.LIMITS: "mallowpass-limits",
 }
 TABLES = {name: table for table, name in TABLE_NAMES.items()}
 _CONFIGURATION_KEY = "config"
--- a/mallowpass/standins/proxied/caller.py
+++ b/mallowpass/standins/proxied/caller.py
@@ -38,11 +38,13 @@
         self._writer = writer
 
     @classmethod
-    async def connect(cls, address: Address, database: str) -> WireCaller:
+    async def connect(
+        cls, address: Address, database: str, key: str = "demo"
+    ) -> WireCaller:
         """Open a session; CallerError if it is refused."""
         reader, writer = await asyncio.open_connection(address.host, address.port)
         caller = cls(reader, writer)
-        writer.write(wire.encode(f"CONNECT {database} demo\r\n"))
+        writer.write(wire.encode(f"CONNECT {database} {key}\r\n"))
         line = await caller._line()
         if not line.startswith("READY "):
             writer.close()
--- a/mallowpass/standins/proxied/platform.py
+++ b/mallowpass/standins/proxied/platform.py
@@ -30,6 +30,7 @@
 DOMAINS = ("casa-ainsebaa", "tanger-ksar", "agadir-anza")
 STORE_PORT, ORDERS_PORT, REPLICA_PORT = 8783, 8784, 8080
 CALLERS_PORT, READY_PORT = 8785, 8786
+LINKS_PORT, LIMITS_PORT = 7440, 7442
 GRACE = 2.0
 
 
@@ -72,6 +73,7 @@
         service: str = "claims-core",
         seed: int | None = None,
         fences: bool = True,
+        peers: bool = False,
     ) -> None:
         # Two processes that play the same seed at once must not meet: the second one
         # would find its addresses in use.
@@ -82,6 +84,7 @@
         self.store = RowStore(self._timers)
         names = [f"db-{domain}" for domain in DOMAINS]
         self.fences = fences
+        self._peers = peers  # hosts may call each other
         # Where no fence is checked, a replaced primary goes on as one for a while.
         self.group = Group(service, names, self._timers, goes_on=not fences)
         self.group.on_role = self.enter
@@ -119,6 +122,8 @@
             orders=self._address(1, ORDERS_PORT),
             grace=GRACE,
             fences=self.fences,
+            peers=self._address(10 + number, LINKS_PORT) if self._peers else None,
+            limits=self._address(10 + number, LIMITS_PORT) if self._peers else None,
         )
         log = MemoryLog()
         host = HostRuntime(settings, log)
--- a/mallowpass/standins/proxied/virtual/hosts.py
+++ b/mallowpass/standins/proxied/virtual/hosts.py
@@ -139,6 +139,7 @@
             world.first_start,
             lead_is_taken=lead_is_taken,
             apply_time=world.apply_time,
+            key_lapse=world.key_lapse,
         )
         self.node = Node(identity, Tuning(), seed, now, tables)
         self._wake_at: float | None = None
@@ -359,6 +360,14 @@
     def _(self, effect: effects.AnswerFeed) -> None:
         self.world.answer_feed(self, effect)
 
+    @_apply.register
+    def _(self, effect: effects.AskAllowance) -> None:
+        self.world.ask_keeper(self, effect)
+
+    @_apply.register
+    def _(self, effect: effects.AnswerAllowance) -> None:
+        self.world.answer_asker(self, effect)
+
     @_apply.register
     def _(self, effect: effects.OrderPromotion) -> None:
         accepted, outdated = self.world.order(self, effect)
--- a/mallowpass/standins/proxied/virtual/world.py
+++ b/mallowpass/standins/proxied/virtual/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import random
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -20,6 +21,8 @@
 from mallowpass.core.proxy.credentials import credential_of
 from mallowpass.core.proxy.effects import AnswerFeed
 from mallowpass.core.proxy.events import (
+    AllowanceAnswered,
+    AllowanceAsked,
     ConnectionLost,
     ConnectionRefused,
     FeedAsked,
@@ -123,6 +126,7 @@
         domains: tuple[FailureDomain, ...] = DOMAINS,
         members: Mapping[str, str] = MEMBERS,
         distance: float = LINK,
+        key_lapse: float = math.inf,
         **group: Any,
     ) -> None:
         self.domains = domains
@@ -130,6 +134,7 @@
         self._members = members  # failure domains, by member
         self._regions = {domain.name: domain.region for domain in domains}
         self.first_start = first_start
+        self.key_lapse = key_lapse
         self.apply_time = apply_time  # less than some seconds: there are no relays
         self.fences = fences  # orders of whoever was overtaken are refused
         self.timers = TimerService()
@@ -145,6 +150,7 @@
         self._numbers = 0
         self.links: dict[tuple[str, int], Link] = {}  # by host and connection
         self.all_links: dict[int, Link] = {}
+        self._asks: dict[int, tuple[Host, int]] = {}  # who asked a keeper, and its call
         self._feeds: dict[int, tuple[Host, int]] = {}  # who asked, and its call
         self.store = RowStore(self.timers, seed)
         self.group = Group(SERVICE, list(members), self.timers, **group)
@@ -236,6 +242,28 @@
             host, call = self._feeds.pop(number)
             host.later(LINK, StoreAnswered(call, reply))
 
+    # -- Rate limits ---------------------------------------------------------
+
+    def ask_keeper(self, host: Host, effect: effects.AskAllowance) -> None:
+        """Have a host ask the keeper of a part of a limit."""
+        name = effect.address.partition(":")[0]
+        keeper = next((h for h in self.hosts if h.name == name), None)
+        if keeper is None or keeper.exited or self._is_cut(host, keeper):
+            return
+        number = self.number()
+        self._asks[number] = (host, effect.call)
+        asked = AllowanceAsked(
+            number, effect.part, effect.customer, effect.needed, effect.ahead
+        )
+        keeper.later(self.delay(host.domain, keeper.domain), asked)
+
+    def answer_asker(self, keeper: Host, effect: effects.AnswerAllowance) -> None:
+        """Pass on what a keeper answers."""
+        host, call = self._asks.pop(effect.ask)
+        if not self._is_cut(host, keeper):
+            answered = AllowanceAnswered(call, effect.operations, effect.pause)
+            host.later(self.delay(host.domain, keeper.domain), answered)
+
     @staticmethod
     def _is_cut(host: Host, relay: Host) -> bool:
         return relay.name in host.cut_from or host.name in relay.cut_from
--- a/tests/core/proxy/test_customers.py
+++ b/tests/core/proxy/test_customers.py
@@ -6,14 +6,18 @@
 
 from mallowpass.core.proxy.configuration import Consistency, index_credentials
 from mallowpass.core.proxy.customers import ANONYMOUS
+from mallowpass.core.proxy.events import LinkCalled
 from mallowpass.core.proxy.statements import (
     Access,
     Begin,
     Code,
     Commit,
+    EndpointCall,
     Execute,
+    OnBehalfOf,
     Prepare,
     Read,
+    Rollback,
     SetValue,
     Write,
 )
@@ -177,6 +181,70 @@
     assert world.judge.breaches == []
 
 
+def test_calls_that_are_passed_on_twice_keep_their_customer():
+    """Guard against a holder that borrows a connection and does not say for whom."""
+    world = ProxyWorld(hosts=LARGE)
+    world.configure(identified(ACME, BERTH))
+    world.run(4.0)
+    entry = next(i for i, h in enumerate(world.hosts) if not h.connections)
+    holder = next(h for h in world.hosts if h.connections)
+    # The holder that this host goes by can open none itself any more.
+    for index, host in enumerate(world.hosts):
+        if host.connections and host is not holder:
+            caller = world.caller(index, "strict", "key-a")
+            assert caller.run(Read("a")).code is Code.DONE
+            world.hosts[entry].cut_from.add(host.name)
+    for connection in list(holder.connections):
+        holder.lose(connection, "reset")
+    for row in holder.tables.endpoints.values():
+        row.refused_until = world.timers.now + 10.0
+    caller = world.caller(entry, "strict", "key-c")
+    for _ in range(3):
+        caller.run(Write("b 1"))
+    assert any(host == holder.name for host, _ in world.links)
+    assert world.judge.breaches == []
+
+
+def test_calls_that_arrive_in_two_pieces_keep_their_customer():
+    """Guard against a second piece, which names nobody, that unnames the first."""
+    world = ProxyWorld(hosts=LARGE)
+    world.configure(identified(ACME, BERTH))
+    world.run(4.0)
+    entry = next(i for i, h in enumerate(world.hosts) if not h.connections)
+    assert world.caller(entry, "strict", "key-a").run(Read("a")).code is Code.DONE
+    (link,) = [
+        link for link in world.links.values() if link.host.name == f"host-{entry}"
+    ]
+    on_behalf_of = OnBehalfOf("berth", 2)
+    read = EndpointCall(Read("a"), "r-1", on_behalf_of=on_behalf_of)
+    world.judge.sent("r-1", "r-1", next(iter(BERTH.credentials)), False, 0.0)
+    guard = (EndpointCall(Begin()), EndpointCall(Rollback()))
+    link.holder.deliver(LinkCalled(link.number, (read,)))
+    link.holder.deliver(LinkCalled(link.number, guard))
+    world.run(0.5)
+    assert world.judge.runs["berth"] == 1
+    assert world.judge.breaches == []
+
+
+def test_host_without_the_store_goes_by_the_keys_that_it_knows(world):
+    world.cut(1, "store", *(host.name for host in world.hosts))
+    world.run(30.0)
+    assert world.caller(1, "own", "key-a").opened
+
+
+def test_host_that_must_know_its_keys_refuses_without_the_store():
+    """Guard against a key that is served on where operators want it refused."""
+    world = ProxyWorld(hosts=3, key_lapse=5.0)
+    world.configure(identified(ACME))
+    world.run(20.0)
+    caller = world.caller(1, "own", "key-a")
+    assert caller.run(Read("a")).code is Code.DONE
+    world.cut(1, "store", *(host.name for host in world.hosts))
+    world.run(5.0 + APPLIED)
+    assert caller.run(Read("a")).code is Code.BUSY
+    assert world.caller(1, "own", "key-a").refusal is Code.BUSY
+
+
 def test_two_customers_can_hold_no_key_together():
     with pytest.raises(ValueError, match="acme and berth hold one key"):
         index_credentials([customer("acme", "k"), customer("berth", "k")])
--- /dev/null
+++ b/tests/platform/test_secrets.py
@@ -0,0 +1,107 @@
+"""Callers' keys: nothing that a host prints or tells anybody holds one."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+
+from mallowpass.platform.documents import CONSISTENCY
+from mallowpass.platform.http import HttpClient, Request
+from mallowpass.platform.runtime import METRICS_PATH, METRICS_PORT
+from mallowpass.platform.settings import Address
+from mallowpass.standins.proxied.caller import CallerError, WireCaller
+from mallowpass.standins.proxied.platform import CONFIGURATION_KEY, LocalPlatform
+
+KEYS = ("nirth5mgjy5rcpihhacr", "uddedev3nax7u27gxpry", "kafigo3wexo1dimu7yst")
+UNKNOWN = "zzplq9vunknownkey0a"
+MISTYPED = ("nirth5mgjy5rcpihhacs", "nirth5 mgjy5rcpihhacr", "uddedev3nax7u27gxpry ")
+LIMIT = 20.0  # seconds for one test
+
+
+def _document(version: int, *customers: dict) -> bytes:
+    routes = [
+        {
+            "host": kind,
+            "service": "claims-core",
+            "routeType": kind,
+            "timeoutMs": 800,
+            "maxStalenessMs": 1500,
+        }
+        for kind in CONSISTENCY
+    ]
+    service = {"name": "claims-core", "maxConns": 22, "syncReplicas": 1}
+    document = {
+        "version": version,
+        "routes": routes,
+        "services": [service],
+        "tenants": list(customers),
+    }
+    return json.dumps(document).encode()
+
+
+def _customer(name: str, *keys: str) -> dict:
+    return {"name": name, "apiKeys": keys, "ratePerS": 50, "burst": 50}
+
+
+async def _run(platform: LocalPlatform) -> str:
+    """Play callers with all kinds of keys; return all that hosts printed and told."""
+    address = platform.callers_address(0)
+    told = []
+    for key in (UNKNOWN, *MISTYPED, ""):
+        with pytest.raises(CallerError, match="ERR NOAUTH") as caught:
+            await WireCaller.connect(address, "primary", key)
+        told.append(str(caught.value))
+    callers = [await WireCaller.connect(address, "primary", key) for key in KEYS]
+    for caller in callers:
+        answer = await caller.run("WRITE a 1")
+        told.append(answer.text)
+        while answer.code != "DONE":  # until parts of limits have keepers
+            await asyncio.sleep(0.1)
+            answer = await caller.run("WRITE a 1")
+            told.append(answer.text)
+    # One key is taken away, then the configuration can't be read for a while.
+    kept = (_customer("acme", KEYS[0]), _customer("berth", KEYS[2]))
+    platform.store.put(CONFIGURATION_KEY, _document(2, *kept))
+    await asyncio.sleep(0.4)
+    told.append((await callers[1].run("READ a")).text)
+    assert (await callers[1].run("READ a")).code == "NOAUTH"
+    wrong = (_customer("acme", KEYS[0]), _customer("berth", KEYS[0]))
+    platform.store.put(CONFIGURATION_KEY, _document(3, *wrong))
+    await asyncio.sleep(0.4)
+    assert (await callers[0].run("READ a")).code == "DONE"
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(f"CONNEXT primary {KEYS[0]}\r\n".encode())
+    told.append((await reader.read()).decode())
+    metrics = HttpClient(Address(address.host, METRICS_PORT))
+    response = await metrics.call(Request("GET", METRICS_PATH), 1.0)
+    told.append(response.body.decode())
+    logged = [line for log in platform.logs for line in log.lines]
+    assert platform.logs[0].fields("configuration_unreadable")
+    customers = {
+        connection.customer
+        for replica in platform.group.replicas.values()
+        for connection in replica.connections
+    }
+    assert {"acme", "berth"} <= customers
+    return repr((told, logged, customers))
+
+
+def test_no_key_is_printed_or_told():
+    async def run() -> str:
+        platform = LocalPlatform(peers=True)
+        first = (_customer("acme", *KEYS[:2]), _customer("berth", KEYS[2]))
+        platform.store.put(CONFIGURATION_KEY, _document(1, *first))
+        async with asyncio.timeout(LIMIT):
+            await platform.start()
+            try:
+                while not all(host.ready for host in platform.hosts):
+                    await asyncio.sleep(0.01)
+                return await _run(platform)
+            finally:
+                platform.stop()
+
+    printed = asyncio.run(run())
+    for key in (*KEYS, UNKNOWN, *MISTYPED):
+        assert key.strip() not in printed
