--- a/mallowpass/core/proxy/claims.py
+++ b/mallowpass/core/proxy/claims.py
@@ -16,6 +16,8 @@
 from mallowpass.core.node import Node
 from mallowpass.core.positions import ZERO_POSITION, LogPosition
 from mallowpass.core.proxy.durability import Durability
+from mallowpass.core.proxy.holders import Holders
+from mallowpass.core.proxy.signals import EraChanged
 from mallowpass.core.proxy.standingorders import StandingOrders
 from mallowpass.core.proxy.storage import (
     ChangeRows,
@@ -40,6 +42,12 @@
 # For how long its holder goes by a claim: what it sends then still arrives before
 # another host may have one.
 FRESH_TIME = 1.5  # seconds
+# Tokens of one era of the store: those of a later one are above all of earlier ones.
+_TOKENS_OF_ERA = 1 << 32
+# Seconds over which hosts spread what they write again in a new era, and how often
+# each tries.
+RESTATE_TIME = 0.5
+RESTATE_TRIES = 4
 _KEY = "primary"
 _NOBODY = "-"  # has the claim: it was given back
 
@@ -114,14 +122,16 @@
 class Claims(ProxySystem):
     """Take claims."""
 
-    __slots__ = ("_durability", "_known", "_standing", "_store")
+    __slots__ = ("_durability", "_holders", "_known", "_standing", "_store")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
         self._known: dict[str, tuple[int, Claim | None]] = {}  # version, by service
 
     def start(self) -> None:
-        """Find the systems that are asked."""
+        """Subscribe to eras of the store: claims of an earlier one may be gone."""
+        self._holders = self._node.system(Holders)
+        self._node.subscribe(EraChanged, self._on_era)
         self._durability = self._node.system(Durability)
         self._standing = self._node.system(StandingOrders)
         self._store = self._node.system(Store)
@@ -133,6 +143,10 @@
 
         With `quiet`, not if anybody did so within as many seconds.
         """
+        if not self._store.is_settled:
+            # Whoever gave an order before has yet to write that again.
+            handler(None)
+            return
         version, known = self._known.get(service, (0, None))
         # As the store will keep it: a claim that is read back is compared with this.
         time = round(self._store.time or 0.0, 3)
@@ -140,7 +154,7 @@
             # Not asked for again before it is old: it is what several hosts wait for.
             handler(None)
             return
-        token = 1 if known is None else known.token + 1
+        token = self._token_after(known)
         must_hold = self.tables.group(service).must_hold
         name = self._node.identity.name
         ordered = self._ordered(service)
@@ -153,6 +167,18 @@
 
         self._store.call(call, on_reply)
 
+    def _token_after(self, known: Claim | None) -> int:
+        """Return a token above all that hosts have claimed, also in earlier eras.
+
+        A store that came back from a copy may have lost the newest claims, by which
+        orders were given.
+        """
+        newest = 0 if known is None else known.token
+        return max(newest, self._store.era * _TOKENS_OF_ERA) + 1
+
+    def _is_of_era(self, claim: Claim) -> bool:
+        return claim.token > self._store.era * _TOKENS_OF_ERA
+
     def look(self, service: str, handler: LookHandler) -> None:
         """Read the newest claim; the handler learns whether it could be read."""
 
@@ -163,13 +189,14 @@
             except ValueError:
                 handler(None, False)
                 return
-            handler(claim, reply.status is StoreStatus.DONE)
+            handler(claim, reply.status is StoreStatus.DONE and self._is_whole(claim))
 
         self._store.call(ListRows(Table.CLAIMS, service), on_rows)
 
     def is_fresh(self, claim: Claim) -> bool:
         """Tell whether this host may still act on its claim."""
-        return (self._store.time or 0.0) - claim.time < FRESH_TIME
+        is_young = (self._store.time or 0.0) - claim.time < FRESH_TIME
+        return is_young and self._is_of_era(claim)
 
     def demand(
         self,
@@ -224,6 +251,77 @@
 
         self._store.call(call, on_reply)
 
+    # -- New eras of the store -----------------------------------------------
+
+    def _is_whole(self, claim: Claim | None) -> bool:
+        """Tell whether no newer claim may be lost than the one that was read."""
+        if claim is not None and self._is_of_era(claim):
+            return True
+        return not self._store.has_come_back
+
+    def _on_era(self, signal: EraChanged) -> None:
+        self._known.clear()
+        for service in self.tables.groups:
+            if self._holders.holds(service) and self._has_to_restate(service):
+                pause = self._store.jitter(RESTATE_TIME)
+                self.timers.after(pause, self._restate, service, RESTATE_TRIES)
+
+    def _has_to_restate(self, service: str) -> bool:
+        """Tell whether this host goes by more than the store may know.
+
+        Where the platform does not take the lead from primaries, that nobody claimed
+        one is a proof: it has to be known again that claims of this era are whole.
+        """
+        has_orders = bool(self._standing.standing(service))
+        return has_orders or not self.tables.lead_is_taken
+
+    def _restate(self, service: str, tries: int) -> None:
+        """Write again what stands, unless the store knows it."""
+        if tries == 0 or not self._has_to_restate(service):
+            return
+
+        def on_rows(reply: StoreReply) -> None:
+            if reply.status is StoreStatus.DONE:
+                self._known.pop(service, None)
+                self._learn(service, reply.rows)
+                self._write_again(service, tries)
+            else:
+                pause = self._store.jitter(RESTATE_TIME)
+                self.timers.after(pause, self._restate, service, tries - 1)
+
+        self._store.call(ListRows(Table.CLAIMS, service), on_rows)
+
+    def _write_again(self, service: str, tries: int) -> None:
+        version, known = self._known.get(service, (0, None))
+        restated = self._restated(service, known)
+        if restated == known:
+            return
+        key = RowKey(Table.CLAIMS, service, _KEY)
+        call = ChangeRows(((key, version),), ((key, restated.encode()),))
+
+        def on_reply(reply: StoreReply) -> None:
+            if reply.status is StoreStatus.DONE:
+                self._known[service] = (reply.version, restated)
+                self._log(service, restated, "written again")
+            else:
+                self._restate(service, tries - 1)
+
+        self._store.call(call, on_reply)
+
+    def _restated(self, service: str, known: Claim | None) -> Claim:
+        """Return a claim of this era that tells all that this host knows."""
+        must_hold = self.tables.group(service).must_hold
+        ordered = self._ordered(service)
+        if known is not None and self._is_of_era(known):
+            targets = {target for target, _ in ordered}
+            if targets <= {target for target, _ in known.ordered}:
+                return known
+            return replace(known, must_hold=must_hold, ordered=ordered)
+        primary = "" if known is None else known.primary
+        token = self._token_after(known)
+        time = round(self._store.time or 0.0, 3)
+        return Claim(token, _NOBODY, primary, time, must_hold, ordered)
+
     def _is_others(self, claim: Claim | None, time: float) -> bool:
         if claim is None or claim.holder in (self._node.identity.name, _NOBODY):
             return False
--- a/mallowpass/core/proxy/feeds.py
+++ b/mallowpass/core/proxy/feeds.py
@@ -11,9 +11,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from mallowpass.core.node import Node
+from mallowpass.core.proxy.configuration import Configuration
 from mallowpass.core.proxy.effects import AnswerFeed
 from mallowpass.core.proxy.events import FeedAsked
 from mallowpass.core.proxy.signals import DrainBegan
@@ -23,6 +24,7 @@
     StoreReply,
     StoreStatus,
     Table,
+    era_of,
 )
 from mallowpass.core.proxy.tables import ProxySystem
 from mallowpass.core.timers import Timer
@@ -78,11 +80,12 @@
     def learnt(self, table: Table, reply: StoreReply, by_relay: bool) -> None:
         """Take what the store, or a relay, told of a table."""
         copy = self._copies[table]
+        before = copy.rows
         if reply.whole:
-            copy.rows.clear()
+            copy.rows = {}
             copy.since = reply.version
         for row in reply.rows:
-            copy.rows[row.key] = row
+            copy.rows[row.key] = _newest(before.get(row.key), row)
         copy.version = max(copy.version, reply.version)
         self._trim(copy)
         if by_relay:
@@ -110,7 +113,8 @@
 
     def _on_asked(self, event: FeedAsked) -> None:
         copy = self._copies[event.table]
-        if self._stopping or not copy.is_current:
+        is_behind = era_of(event.after) > era_of(copy.version)
+        if self._stopping or is_behind or not copy.is_current:
             self._refuse(event.feed, STOPPING if self._stopping else NOT_FOLLOWING)
             return
         reply = self._changes(copy, event.after)
@@ -135,7 +139,9 @@
         ]
         rows.sort(key=lambda row: row.version)
         version = max(after, copy.version)
-        return StoreReply(StoreStatus.DONE, tuple(rows), version, whole=whole)
+        era = era_of(version)
+        done = StoreStatus.DONE
+        return StoreReply(done, tuple(rows), version, whole=whole, era=era)
 
     def _tell(self, copy: _Copy) -> None:
         followers, copy.followers = copy.followers, []
@@ -173,3 +179,16 @@
         self._node.count("feeds_refused")
         reply = StoreReply(StoreStatus.REFUSED, message=why)
         self._node.emit(AnswerFeed(number, reply))
+
+
+def _newest(known: Row | None, row: Row) -> Row:
+    """Return a row; a configuration that was learnt is told on by later versions.
+
+    A store that came back from a copy has an earlier one until operators write theirs
+    again. A host that starts meanwhile would go by it.
+    """
+    if known is None or not isinstance(known.value, Configuration):
+        return row
+    if isinstance(row.value, Configuration) and row.value.version < known.value.version:
+        return replace(known, version=row.version)
+    return row
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -306,7 +306,7 @@
         A host that can't read the store learns that from the old primary's refusals;
         one that is dark refuses nothing.
         """
-        group = self.tables.group(link.endpoint.entry.service)
+        group = self._group(link)
         if group.primary in ("", link.endpoint.name):
             return False
         return any(_proves_primary(link, call.statement) for call in link.waiting)
@@ -314,7 +314,7 @@
     def _refuse(self, link: LinkRow, code: Code, message: str) -> None:
         """Refuse calls that wait: they did not run."""
         self._node.count("links_refused", endpoint=link.endpoint.name, code=code.value)
-        group = self.tables.group(link.endpoint.entry.service)
+        group = self._group(link)
         if code is Code.BUSY and link.endpoint.name == group.primary:
             group.turned_away_at = self.now
         # Without a floor the host would send its reads to the primary once more, which
@@ -368,7 +368,7 @@
         sent_at: float,
     ) -> None:
         """Record what other hosts' statements tell of an endpoint."""
-        group = self.tables.group(link.endpoint.entry.service)
+        group = self._group(link)
         if any(
             reply.code is Code.DONE and call.statement.takes_slot
             for call, reply in zip(calls, replies, strict=True)
--- a/mallowpass/core/proxy/members.py
+++ b/mallowpass/core/proxy/members.py
@@ -11,6 +11,7 @@
     EndpointChanged,
     EndpointForgotten,
     EndpointRestarted,
+    EraChanged,
     PrimaryChanged,
 )
 from mallowpass.core.proxy.storage import (
@@ -21,7 +22,7 @@
     Table,
     Unreadable,
 )
-from mallowpass.core.proxy.store import Store
+from mallowpass.core.proxy.store import SETTLE_TIME, Store
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
 from mallowpass.core.proxy.unreadable import UnreadableRows
 
@@ -46,10 +47,12 @@
 class Members(ProxySystem):
     """Own the rows of endpoints and the belief of who leads each group."""
 
-    __slots__ = ("_known", "_store", "_unnamed", "_unreadable")
+    __slots__ = ("_known", "_of_copy", "_store", "_unnamed", "_unreadable")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
+        # Older entries that a store had which came back from a copy, by name.
+        self._of_copy: dict[str, tuple[EndpointEntry, int]] = {}
         self._known = False
         # Entries of services that no configuration names yet, by name of the endpoint.
         self._unnamed: dict[str, Row] = {}
@@ -60,6 +63,7 @@
         self._store = self._node.system(Store)
         self._store.watch(Table.ENDPOINTS, self._on_rows)
         self._node.subscribe(ConfigurationAccepted, self._on_configuration)
+        self._node.subscribe(EraChanged, self._on_era)
 
     @property
     def known(self) -> bool:
@@ -125,13 +129,17 @@
             endpoint = self._add(entry, version)
         elif version < endpoint.version or _is_of_earlier_start(entry, endpoint):
             return
+        elif self._is_of_copy(entry, endpoint):
+            self._of_copy[entry.name] = (entry, version)
+            return
         elif _is_of_another(entry, endpoint):
             endpoint = self._restarted(endpoint, entry, version)
         elif entry.started_at == UNKNOWN_START:
             entry = replace(entry, started_at=endpoint.entry.started_at)
         if entry.slots != endpoint.entry.slots:
             self.tables.endpoints_version += 1
-        changed = endpoint.entry != entry or endpoint.gone_at is not None
+        known = replace(endpoint.entry, heartbeats=entry.heartbeats)
+        changed = known != entry or endpoint.gone_at is not None
         endpoint.entry = entry
         endpoint.version = version
         endpoint.gone_at = None
@@ -146,6 +154,29 @@
         self._judge_primary(endpoint)
         self._node.publish(EndpointChanged(endpoint))
 
+    def _is_of_copy(self, entry: EndpointEntry, endpoint: EndpointRow) -> bool:
+        """Tell whether a store that came back from a copy has an older entry again.
+
+        Believed, it would have statements go to a primary that was replaced, or to an
+        endpoint that said that it leaves. Endpoints write theirs again in a moment.
+        """
+        known = endpoint.entry
+        is_older = entry.heartbeats < known.heartbeats
+        same = entry.started_at == known.started_at and entry.service == known.service
+        return same and is_older and not self._store.is_settled
+
+    def _on_era(self, signal: EraChanged) -> None:
+        self._of_copy.clear()
+        self.timers.after(SETTLE_TIME, self._take_of_copy)
+
+    def _take_of_copy(self) -> None:
+        """Take what was not written again: it may be of a start that is not told."""
+        if not self._store.is_settled:
+            return
+        held, self._of_copy = self._of_copy, {}
+        for entry, version in held.values():
+            self._put(entry, version)
+
     def _add(self, entry: EndpointEntry, version: int) -> EndpointRow:
         endpoint = EndpointRow(entry, version)
         self.tables.endpoints[entry.name] = endpoint
--- a/mallowpass/core/proxy/ratelimits/__init__.py
+++ b/mallowpass/core/proxy/ratelimits/__init__.py
@@ -8,6 +8,7 @@
 | module | what it decides |
 |---|---|
 | `buckets` | how many operations of a customer one part grants |
+| `parts` | what the store's rows say of them |
 | `keepers` | which host keeps a part, and whether it may still grant from it |
 | `granting` | what a keeper answers |
 | `allowances` | which of this host's operations may begin, and whom it asks |
--- a/mallowpass/core/proxy/ratelimits/allowances.py
+++ b/mallowpass/core/proxy/ratelimits/allowances.py
@@ -18,7 +18,7 @@
 from mallowpass.core.proxy.ratelimits.buckets import VALIDITY
 from mallowpass.core.proxy.ratelimits.granting import Granting
 from mallowpass.core.proxy.ratelimits.keepers import Keepers
-from mallowpass.core.proxy.signals import KeepersChanged
+from mallowpass.core.proxy.signals import ConfigurationAccepted, KeepersChanged
 from mallowpass.core.proxy.tables import HostRow, ProxySystem
 from mallowpass.core.timers import Timer
 
@@ -38,6 +38,9 @@
 # How long a keeper that has no room is not asked again, in seconds: a limit that is
 # raised meanwhile helps.
 EMPTY_MAX = 0.5
+# Customers that metrics name, the largest by their limits, and what they call others.
+NAMED_MAX = 20
+OTHER_CUSTOMERS = "other"
 # When to come back if no keeper answers, in seconds: they are replaced meanwhile.
 NO_KEEPER_PAUSE = 1.0
 
@@ -81,11 +84,12 @@
 class Allowances(ProxySystem):
     """Let operations begin within their customers' limits."""
 
-    __slots__ = ("_accounts", "_granting", "_keepers", "_questions")
+    __slots__ = ("_accounts", "_granting", "_keepers", "_largest", "_questions")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
         self._accounts: dict[str, _Account] = {}
+        self._largest: set[str] = set()  # customers that metrics name
         self._questions: dict[int, _Question] = {}
 
     def start(self) -> None:
@@ -94,8 +98,17 @@
         self._keepers = self._node.system(Keepers)
         self._node.subscribe(AllowanceAnswered, self._on_answered)
         self._node.subscribe(KeepersChanged, self._on_keepers)
+        self._node.subscribe(ConfigurationAccepted, self._on_configuration)
         self.timers.every(PROBE_GAP, self._probe)
 
+    def _on_configuration(self, signal: ConfigurationAccepted) -> None:
+        customers = signal.configuration.customers
+        by_rate = sorted(customers.values(), key=lambda c: (-c.rate, c.name))
+        self._largest = {customer.name for customer in by_rate[:NAMED_MAX]}
+        for name in [name for name in self._accounts if name not in customers]:
+            if not self._accounts[name].waiting:
+                del self._accounts[name]
+
     # -- Operations ----------------------------------------------------------
 
     def begin(self, customer: str | None, handler: Handler) -> None:
@@ -149,7 +162,8 @@
         self, waiting: _Waiting, account: _Account, pause: float, why: str
     ) -> None:
         waiting.timer.cancel()
-        self._node.count("operations_limited", why=why)
+        label = account.name if account.name in self._largest else OTHER_CUSTOMERS
+        self._node.count("operations_limited", customer=label, why=why)
         text = f"{account.name} is at its limit ({why}); come back in {pause:.1f} s"
         waiting.handler(None, text)
 
--- a/mallowpass/core/proxy/ratelimits/granting.py
+++ b/mallowpass/core/proxy/ratelimits/granting.py
@@ -14,7 +14,8 @@
     spare_size,
     start_level,
 )
-from mallowpass.core.proxy.ratelimits.keepers import Keepers, Right
+from mallowpass.core.proxy.ratelimits.keepers import Keepers
+from mallowpass.core.proxy.ratelimits.parts import Right
 from mallowpass.core.proxy.signals import DrainBegan
 from mallowpass.core.proxy.tables import ProxySystem
 from mallowpass.core.records import record
--- a/mallowpass/core/proxy/ratelimits/keepers.py
+++ b/mallowpass/core/proxy/ratelimits/keepers.py
@@ -10,11 +10,18 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from enum import Enum
 from zlib import crc32
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.ratelimits.buckets import PARTS, VALIDITY
+from mallowpass.core.proxy.ratelimits.parts import (
+    LEFT,
+    PartEntry,
+    Right,
+    Stage,
+    key_of,
+    part_of,
+)
 from mallowpass.core.proxy.signals import (
     ConfigurationAccepted,
     KeepersChanged,
@@ -23,7 +30,6 @@
     ChangeRows,
     ListRows,
     Row,
-    RowKey,
     StoreReply,
     StoreStatus,
     Table,
@@ -31,9 +37,8 @@
 from mallowpass.core.proxy.store import CALL_TIMEOUT, ReplyHandler, Store
 from mallowpass.core.proxy.tables import HostRow, ProxySystem
 from mallowpass.core.proxy.unreadable import UnreadableRows
-from mallowpass.core.records import record
 
-__all__ = ["Keepers", "PartEntry", "Right", "Stage"]
+__all__ = ["Keepers"]
 
 # How long a keeper grants without having seen its row, in seconds, and how often it
 # looks. It goes on while the store is away for less than the difference.
@@ -50,44 +55,10 @@
 FAILED_TIME_MAX = 1.0
 # How long a host that starts again waits for the store to note that, in seconds.
 START_TIMEOUT = 0.3
-# Seconds that the second in line leaves to the first to replace a keeper.
-SECOND_WAIT = 2.0
-
-
-LEFT = "-"  # stands for the keeper of a part that was left
-
-
-class Stage(Enum):
-    """Say what a part's keeper, or whoever left it, has to go by."""
-
-    ALONE = ""  # nobody else grants, and what it began with counts no more
-    FOLLOWING = "following"  # a predecessor may still grant
-    STARTED = "started"  # it began of late, with something to grant
-
-
-@record
-class PartEntry:
-    """Hold what a part's row says."""
-
-    keeper: str
-    stage: Stage = Stage.ALONE
-
-    @property
-    def is_left(self) -> bool:
-        """Tell whether nobody keeps the part."""
-        return self.keeper == LEFT
-
-    def encode(self) -> str:
-        """Return the text that the store keeps."""
-        return f"{self.keeper} {self.stage.value}".rstrip()
-
-    @classmethod
-    def decode(cls, text: str) -> PartEntry:
-        """Read what the store keeps; ValueError if it is no entry."""
-        keeper, _, stage = text.partition(" ")
-        if not keeper:
-            raise ValueError("no keeper of a part")
-        return cls(keeper, Stage(stage))
+# Seconds that each in line leaves to the one before to replace a keeper, and how many
+# of them ask it whether it answers.
+TURN_TIME = 2.0
+WATCHING = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,20 +69,6 @@
     entry: PartEntry
 
 
-@record
-class Right:
-    """Say by which right a host grants from a part, and since when it has it.
-
-    Without a full one it grants what the bounds allow beyond the limit. `filled` tells
-    that it began with something to grant.
-    """
-
-    part: int
-    since: float
-    is_full: bool
-    filled: bool = False
-
-
 @dataclass(slots=True)
 class _Kept:
     """Hold a part that this host keeps."""
@@ -133,6 +90,7 @@
         "_kept",
         "_known",
         "_looking",
+        "_open_since",
         "_passed_over",
         "_rows",
         "_stopping",
@@ -150,6 +108,7 @@
         self._looking = False
         self._stopping = False
         self._claiming: set[int] = set()
+        self._open_since: dict[int, float] = {}  # by part that nobody keeps
         self._failing_since: dict[str, float] = {}  # by keeper
         self._failures: dict[str, int] = {}  # in a row, by keeper
         self._heard_at: dict[str, float] = {}
@@ -246,7 +205,7 @@
             self._known = True
             self._rows.clear()
         for row in rows:
-            part = _part(row.key)
+            part = part_of(row.key)
             if part is not None:
                 self._put(part, row, before.get(part))
         for part in range(PARTS):
@@ -277,13 +236,21 @@
         is_own = row is not None and row.entry.keeper == self._node.identity.name
         if is_own and part not in self._kept and not self._stopping:
             # This host kept it before it started, or its claim got no answer.
-            if row.entry.stage is Stage.ALONE:
+            stage = self._stage(row.entry)
+            if stage is Stage.ALONE:
                 self._start_again(part)
             else:
-                self._keep(part, row.entry.stage)
+                self._keep(part, stage)
         elif not is_own and self._kept.pop(part, None) is not None:
             self._node.log("info", "limits_part_lost", part=part)
 
+    def _stage(self, entry: PartEntry) -> Stage:
+        """Return what a row says to whoever keeps the part from now on.
+
+        One of an earlier era may be of a copy: others may have kept the part since.
+        """
+        return entry.stage if entry.era == self._store.era else Stage.FOLLOWING
+
     def _keep(self, part: int, stage: Stage) -> None:
         wait = RIGHT_TIME if stage is Stage.FOLLOWING else 0.0
         self._kept[part] = _Kept(self.now, self.now + wait)
@@ -300,7 +267,7 @@
             self._node.publish(KeepersChanged())
 
         asked_at = self.now
-        entry = PartEntry(self._node.identity.name, Stage.STARTED)
+        entry = PartEntry(self._node.identity.name, Stage.STARTED, self._store.era)
         self._write(part, entry, on_reply, START_TIMEOUT)
 
     def _write(
@@ -312,7 +279,7 @@
     ) -> None:
         """Change a part's row unless it has changed; the handler gets the reply."""
         row = self._rows.get(part)
-        key = RowKey(Table.LIMITS, "", str(part))
+        key = key_of(part)
         expected = ((key, 0 if row is None else row.version),)
         call = ChangeRows(expected, puts=((key, entry.encode()),))
 
@@ -331,8 +298,7 @@
         if not self._known or self.tables.hosts_version == 0:
             return
         for part in range(PARTS):
-            place = self._place_in_line(part)
-            if place is not None and self._is_open(part, place * SECOND_WAIT):
+            if self._has_to_claim(part):
                 self._claim(part)
             elif self._is_unsettled(part):
                 self._settle(part)
@@ -341,30 +307,36 @@
         if any(part.seen_at is None or part.seen_at <= due for part in kept):
             self._look_at_rows()
 
+    def _has_to_claim(self, part: int) -> bool:
+        if not self._is_open(part, 0.0):
+            return False
+        place = self._place_in_line(part)
+        return place is not None and self._is_open(part, place * TURN_TIME)
+
     def _is_unsettled(self, part: int) -> bool:
         """Tell whether a part's row says what is not true any more."""
         if part in self._claiming or not self.has_alone(part) or part not in self._rows:
             return False
-        stage = self._rows[part].entry.stage
+        stage = self._stage(self._rows[part].entry)
         if stage is Stage.STARTED:
             counts_for = VALIDITY + self.tables.rate_bounds.window
             return self.now >= self._kept[part].alone_from + counts_for
         return stage is Stage.FOLLOWING
 
     def candidates(self, part: int) -> list[str]:
-        """Return the two hosts that are first to keep a part."""
+        """Return the hosts that may keep a part, whoever is first to do so first."""
         identity = self._node.identity
         regions = sorted({domain.region for domain in identity.domains})
         home = regions[part % len(regions)] if regions else identity.region
         row = self._rows.get(part)
         keeper = "" if row is None else row.entry.keeper
-        hosts = [
-            host
-            for host in self.tables.hosts.values()
-            if identity.region_of(host.domain) == home and host.name != keeper
-        ]
-        hosts.sort(key=lambda host: (-host.capacity, _weight(part, host)))
-        return [host.name for host in hosts[:2]]
+
+        def rank(host: HostRow) -> tuple[bool, float, int]:
+            is_away = identity.region_of(host.domain) != home
+            return (is_away, -host.capacity, _weight(part, host))
+
+        hosts = sorted(self.tables.hosts.values(), key=rank)
+        return [host.name for host in hosts if host.name != keeper]
 
     def _place_in_line(self, part: int) -> int | None:
         names = self.candidates(part)
@@ -372,8 +344,9 @@
         return names.index(name) if name in names else None
 
     def is_candidate(self, part: int) -> bool:
-        """Tell whether this host replaces a part's keeper if that is silent."""
-        return self._place_in_line(part) is not None
+        """Tell whether this host is among the first to replace a part's keeper."""
+        place = self._place_in_line(part)
+        return place is not None and place < WATCHING
 
     def _is_open(self, part: int, wait: float) -> bool:
         """Tell whether a part needs another keeper, for longer than `wait` s."""
@@ -381,7 +354,10 @@
             return False
         row = self._rows.get(part)
         if row is None or row.entry.is_left:
-            return wait == 0.0
+            # Nobody waits for an answer: whoever is first takes it at once.
+            since = self._open_since.setdefault(part, self.now)
+            return self.now >= since + wait
+        self._open_since.pop(part, None)
         keeper = row.entry.keeper
         if keeper not in self.tables.hosts:
             # It left without leaving the part.
@@ -398,12 +374,12 @@
         row = self._rows.get(part)
         before = PartEntry("") if row is None else row.entry
         stage = Stage.FOLLOWING
-        if before.is_left:
+        if before.is_left and self._stage(before) is not Stage.FOLLOWING:
             stage = Stage.STARTED
-        elif row is None and self.tables.first_start:
+        elif row is None and self.tables.first_start and not self._store.has_come_back:
             # Where the whole fleet starts, nobody can have kept the part before.
             stage = Stage.ALONE
-        filled = before.is_left and before.stage is Stage.ALONE
+        filled = stage is Stage.STARTED and before.stage is Stage.ALONE
         asked_at = self.now
 
         def on_reply(reply: StoreReply) -> None:
@@ -416,11 +392,12 @@
             self._node.log("info", "limits_part_taken", part=part, before=before.keeper)
             self._node.publish(KeepersChanged())
 
-        self._write(part, PartEntry(self._node.identity.name, stage), on_reply)
+        name = self._node.identity.name
+        self._write(part, PartEntry(name, stage, self._store.era), on_reply)
 
     def _settle(self, part: int) -> None:
         """Have a part's row say that this host has it alone: it may start again."""
-        entry = PartEntry(self._node.identity.name)
+        entry = PartEntry(self._node.identity.name, era=self._store.era)
         self._write(part, entry, lambda reply: None)
 
     def leave(self) -> None:
@@ -431,7 +408,8 @@
         for part in left:
             started = self._rows[part].entry.stage is Stage.STARTED
             stage = Stage.STARTED if started else Stage.ALONE
-            self._write(part, PartEntry(LEFT, stage), self._on_left)
+            entry = PartEntry(LEFT, stage, self._store.era)
+            self._write(part, entry, self._on_left)
 
     def _on_left(self, reply: StoreReply) -> None:
         if reply.status is not StoreStatus.DONE:
@@ -449,15 +427,18 @@
             if reply.status is not StoreStatus.DONE:
                 return
             self._on_rows(reply.rows, complete=True)
-            for kept in self._kept.values():
-                kept.seen_at = max(asked_at, kept.seen_at or asked_at)
+            for part, kept in self._kept.items():
+                self._saw(part, kept, asked_at)
 
         self._store.call(ListRows(Table.LIMITS), on_reply)
 
-
-def _part(key: RowKey) -> int | None:
-    is_part = key.key.isascii() and key.key.isdigit() and int(key.key) < PARTS
-    return int(key.key) if is_part and not key.part else None
+    def _saw(self, part: int, kept: _Kept, asked_at: float) -> None:
+        """Note that a part's row was found to name this host."""
+        lapsed = kept.seen_at is not None and asked_at >= kept.seen_at + RIGHT_TIME
+        if lapsed and self._rows[part].entry.era != self._store.era:
+            # Another host may have kept it until the store came back from a copy.
+            kept.alone_from = self.now + RIGHT_TIME
+        kept.seen_at = max(asked_at, kept.seen_at or asked_at)
 
 
 def _weight(part: int, host: HostRow) -> int:
--- a/mallowpass/core/proxy/relays.py
+++ b/mallowpass/core/proxy/relays.py
@@ -68,6 +68,10 @@
         """Pass a relay over for a while that did not answer."""
         self._failed[relay] = self.now + FAILED_TIME
 
+    def forgive(self) -> None:
+        """Have relays asked again that did not answer."""
+        self._failed.clear()
+
     def _is_usable(self, host: HostRow) -> bool:
         return self._failed.get(host.name, 0.0) <= self.now
 
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -26,6 +26,7 @@
     "EndpointForgotten",
     "EndpointRestarted",
     "EndpointUnreachable",
+    "EraChanged",
     "FloorLearnt",
     "KeepersChanged",
     "PrimaryChanged",
@@ -96,6 +97,14 @@
     why: str
 
 
+@record
+class EraChanged(Signal):
+    """The store came back from a copy: what was written there since is gone."""
+
+    before: int
+    era: int
+
+
 @record
 class WriteStalled(Signal):
     """A primary that may well answer reads has not answered a write in time."""
--- a/mallowpass/core/proxy/storage.py
+++ b/mallowpass/core/proxy/storage.py
@@ -25,6 +25,9 @@
     "UNKNOWN_START",
     "Unreadable",
     "WatchRows",
+    "era_of",
+    "version_at_store",
+    "version_in",
 ]
 
 
@@ -39,6 +42,27 @@
     LIMITS = "limits"
 
 
+# A version of the store means something in its era only: a store that came back from a
+# copy gives versions out again. Here the era is the upper part of each version, so that
+# a version of a later era is above all of earlier ones.
+_ERA_SIZE = 1 << 40
+
+
+def version_in(era: int, version: int) -> int:
+    """Return a version of an era as it is compared here."""
+    return era * _ERA_SIZE + version
+
+
+def era_of(version: int) -> int:
+    """Return the era that a version is of."""
+    return version // _ERA_SIZE
+
+
+def version_at_store(version: int) -> int:
+    """Return a version as the store gave it out."""
+    return version % _ERA_SIZE
+
+
 UNKNOWN_START = 0  # of an entry that does not tell when its endpoint started
 
 
@@ -59,6 +83,7 @@
     draining: bool
     is_primary: bool
     started_at: int = UNKNOWN_START
+    heartbeats: int = 0  # that it has written since its start
 
 
 @record
@@ -141,7 +166,8 @@
 class StoreReply:
     """Answer a call; `time` is the store's steady clock in seconds.
 
-    `whole` tells that the rows are all that a table has.
+    `whole` tells that the rows are all that a table has. The store's `era` grows each
+    time that it comes back from a copy, and what was written since that is gone.
     """
 
     status: StoreStatus
@@ -150,3 +176,4 @@
     time: float = 0.0  # 0: another host answered
     message: str = ""
     whole: bool = False
+    era: int = 0
--- a/mallowpass/core/proxy/store.py
+++ b/mallowpass/core/proxy/store.py
@@ -9,6 +9,7 @@
 from mallowpass.core.proxy.events import StoreAnswered
 from mallowpass.core.proxy.feeds import Feeds
 from mallowpass.core.proxy.relays import Relays
+from mallowpass.core.proxy.signals import EraChanged
 from mallowpass.core.proxy.storage import (
     StoreCall,
     StoreReply,
@@ -42,6 +43,9 @@
 # How long a host that starts again waits for the list of hosts, before it follows
 # tables without knowing its relays.
 HOSTS_LISTED_MAX = 0.05  # seconds
+# Seconds after a new era began within which hosts have written again what they know:
+# until then nobody acts on what the store does not hold.
+SETTLE_TIME = 1.5
 BACKOFF_MIN = 0.1  # seconds after a first failure; doubled by each further one
 BACKOFF_MAX = 2.0
 # The same where this host has relays, which ask as well.
@@ -83,6 +87,8 @@
         "_awaiting_hosts",
         "_calls",
         "_clock_offset",
+        "_era",
+        "_era_since",
         "_failing_since",
         "_feeds",
         "_heard_at",
@@ -99,8 +105,11 @@
         self._relays: Relays
         # What is to be done once the other hosts are known.
         self._awaiting_hosts: list[Callable[[], None]] = []
-        self._calls: dict[int, ReplyHandler] = {}
+        # What to do with a reply, and the era that the call was made in.
+        self._calls: dict[int, tuple[ReplyHandler, int]] = {}
         self._clock_offset: float | None = None
+        self._era = 0
+        self._era_since = float("-inf")
         self._failing_since: float | None = None
         self._heard_at: dict[Table, float] = {}
         self._prober: Watch | None = None
@@ -129,6 +138,25 @@
         """Return when calls began to fail, None while they are answered."""
         return self._failing_since
 
+    @property
+    def era(self) -> int:
+        """Return the newest era that this host knows of."""
+        return self._era
+
+    @property
+    def has_come_back(self) -> bool:
+        """Tell whether the store came back from a copy while this host ran."""
+        return self._era_since > float("-inf")
+
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether what hosts know was written again since the era began."""
+        return self.now >= self._era_since + SETTLE_TIME
+
+    def follow_eras(self, handler: Callable[[EraChanged], None]) -> None:
+        """Have a handler called whenever the store came back from a copy."""
+        self._node.subscribe(EraChanged, handler)
+
     def heard(self, table: Table) -> None:
         """Note that a table is known as it is now."""
         self._heard_at[table] = self.now
@@ -149,7 +177,7 @@
     ) -> None:
         """Call the store; the handler gets its reply, or that there was none."""
         number = self._node.number()
-        self._calls[number] = handler
+        self._calls[number] = (handler, self._era)
         self._node.emit(CallStore(number, request, timeout))
         self._node.count("store_calls", kind=type(request).__name__)
 
@@ -158,7 +186,7 @@
     ) -> None:
         """Ask another host for what it learns from the store."""
         number = self._node.number()
-        self._calls[number] = handler
+        self._calls[number] = (handler, self._era)
         self._relayed.add(number)
         self._node.emit(CallStore(number, request, timeout, relay.address))
         self._node.count("relay_calls")
@@ -254,19 +282,46 @@
 
     def _on_answered(self, event: StoreAnswered) -> None:
         reply = event.reply
+        handler, asked_in = self._calls.pop(event.call, (None, 0))
+        failed = reply.status in (StoreStatus.REFUSED, StoreStatus.UNKNOWN)
+        if not failed:
+            self._note_era(reply.era)
         if event.call in self._relayed:
             # It tells nothing of the way from here to the store.
             self._relayed.discard(event.call)
-            self._calls.pop(event.call)(reply)
-            return
-        failed = reply.status in (StoreStatus.REFUSED, StoreStatus.UNKNOWN)
-        if failed:
+        elif failed:
             self._note_failure(reply)
         else:
             self._note_success(reply)
-        handler = self._calls.pop(event.call, None)
         if handler is not None:
-            handler(reply)
+            handler(self._of_era(reply, asked_in))
+
+    def _note_era(self, era: int) -> None:
+        """Have all parts know that the store came back from a copy."""
+        if era <= self._era:
+            return
+        before, self._era = self._era, era
+        if before == 0:
+            return  # the first one that this host learns of
+        self._era_since = self.now
+        self._clock_offset = None
+        self._node.log("warning", "store_era", era=era, before=before)
+        self._node.count("store_eras")
+        self._node.publish(EraChanged(before, era))
+
+    def _of_era(self, reply: StoreReply, asked_in: int) -> StoreReply:
+        """Return a reply; one that began or ended in an earlier era counts for nothing.
+
+        Versions that a call named, or that its answer tells, may since stand for other
+        rows. What it wrote may be gone.
+        """
+        is_first = asked_in == 0
+        if reply.status in (StoreStatus.REFUSED, StoreStatus.UNKNOWN):
+            return reply
+        if reply.era == self._era and (is_first or asked_in == self._era):
+            return reply
+        message = f"the store came back from a copy in era {self._era}"
+        return StoreReply(StoreStatus.REFUSED, message=message, era=reply.era)
 
     def _note_failure(self, reply: StoreReply) -> None:
         if self._failing_since is None:
--- a/mallowpass/core/proxy/suspicion.py
+++ b/mallowpass/core/proxy/suspicion.py
@@ -19,6 +19,7 @@
 from mallowpass.core.proxy.signals import (
     EndpointRestarted,
     EndpointUnreachable,
+    EraChanged,
     PrimaryChanged,
     PrimaryHeard,
     PrimaryReplicates,
@@ -121,6 +122,7 @@
         node.subscribe(WriteAcknowledged, self._on_acknowledged)
         node.subscribe(EndpointRestarted, self._on_restarted)
         node.subscribe(PrimaryChanged, self._on_changed)
+        node.subscribe(EraChanged, self._on_era)
 
     # -- Evidence ------------------------------------------------------------
 
@@ -154,6 +156,11 @@
         if suspect is not None and signal.group.primary not in ("", suspect.primary):
             self._clear(service, f"{signal.group.primary} leads")
 
+    def _on_era(self, signal: EraChanged) -> None:
+        """Have this host's reports made again: the store may have lost them."""
+        for suspect in self._suspects.values():
+            suspect.reported_at = float("-inf")
+
     def _leads(self, endpoint: EndpointRow) -> bool:
         if not self._holders.holds(endpoint.entry.service):
             return False  # what a holder does may look like what the endpoint does
--- a/mallowpass/core/proxy/watches.py
+++ b/mallowpass/core/proxy/watches.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from mallowpass.core.proxy.signals import EraChanged
 from mallowpass.core.proxy.storage import (
     ListRows,
     Row,
@@ -13,6 +14,7 @@
     StoreStatus,
     Table,
     WatchRows,
+    era_of,
 )
 from mallowpass.core.proxy.tables import HostRow
 
@@ -60,8 +62,10 @@
     """
 
     __slots__ = (
+        "_calls",
         "_failures",
         "_feeds",
+        "_follows_relay",
         "_handler",
         "_listed_at",
         "_relays",
@@ -77,7 +81,12 @@
         self._table = table
         self._handler = handler
         self._version = 0
+        self._calls = (
+            0  # that were made: the answer to an earlier one is not waited for
+        )
+        self._follows_relay = False
         self._failures = 0
+        store.follow_eras(self._on_era)
         self._listed_at = store.now
         if table is Table.HOSTS:
             self._list()
@@ -121,8 +130,28 @@
         else:
             self._store.timers.after(RELAYS_START_TIME, self._follow)
 
+    def _on_era(self, signal: EraChanged) -> None:
+        """Learn the table anew: changes since an earlier era's version mean nothing."""
+        if self._version == 0 or self._follows_relay:
+            return
+        self._calls += 1
+        pause = self._store.jitter(RETURN_JITTER)
+        if self._relays.has_relays:
+            # They did not answer while the store was away, and list it now.
+            self._relays.forgive()
+            self._store.timers.after(RELAYS_START_TIME + pause, self._follow)
+        else:
+            self._store.timers.after(pause, self._list)
+
     def _list(self) -> None:
-        self._store.call(ListRows(self._table), self._on_listed)
+        self._calls += 1
+        number = self._calls
+
+        def on_reply(reply: StoreReply) -> None:
+            if self._calls == number:
+                self._on_listed(reply)
+
+        self._store.call(ListRows(self._table), on_reply)
 
     def _on_listed(self, reply: StoreReply) -> None:
         if reply.status is not StoreStatus.DONE:
@@ -163,9 +192,20 @@
             self._retry(self._follow)
 
     def _follow_store(self) -> None:
+        if era_of(self._version) != self._store.era:
+            self._list()
+            return
+        self._follows_relay = False
+        self._calls += 1
+        number = self._calls
+
+        def on_reply(reply: StoreReply) -> None:
+            if self._calls == number:
+                self._on_changes(reply)
+
         wait = self._store.watch_wait(self._table)
         call = WatchRows(self._table, self._version, wait)
-        self._store.call(call, self._on_changes, wait + WATCH_SLACK)
+        self._store.call(call, on_reply, wait + WATCH_SLACK)
 
     def _on_changes(self, reply: StoreReply) -> None:
         if reply.status is StoreStatus.HISTORY_GONE:
@@ -188,6 +228,7 @@
     def _follow_relay(self, relay: HostRow) -> None:
         asked_at = self._store.now
         wait = self._store.relay_wait(self._table)
+        self._follows_relay = True
 
         def on_reply(reply: StoreReply) -> None:
             if reply.status is StoreStatus.DONE:
--- a/mallowpass/platform/documents.py
+++ b/mallowpass/platform/documents.py
@@ -140,7 +140,6 @@
     # writer's; whom it names may be nobody, and no primary is replaced before each
     # member has answered.
     _text(document, "version")
-    _whole(document, "seq")
     _number(document, "coldRemainingMs")
     return EndpointEntry(
         name=_text({"key": name}, "key"),
@@ -152,6 +151,7 @@
         is_primary=_word(document, "dbRole", _IS_PRIMARY),
         # Endpoints that have not started again say nothing of it.
         started_at=_whole(document, "born", UNKNOWN_START),
+        heartbeats=_whole(document, "seq"),
     )
 
 
--- a/mallowpass/platform/http.py
+++ b/mallowpass/platform/http.py
@@ -33,6 +33,11 @@
     status: int
     body: bytes = b""
     coding: str = ""
+    headers: tuple[tuple[bytes, bytes], ...] = ()  # names in lower case
+
+    def header(self, name: bytes) -> bytes:
+        """Return a header's value; the name in lower case, empty if there is none."""
+        return next((value for key, value in self.headers if key == name), b"")
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,13 +146,13 @@
 class _ClientConnection(_Connection):
     """Hold one connection; one call at a time."""
 
-    __slots__ = ("_answer", "_coding", "_status", "closed")
+    __slots__ = ("_answer", "_headers", "_status", "closed")
 
     def __init__(self) -> None:
         super().__init__(h11.CLIENT)
         self._answer: asyncio.Future[Response] | None = None
         self._status = 0
-        self._coding = ""
+        self._headers: tuple[tuple[bytes, bytes], ...] = ()
         self.closed = False
 
     @property
@@ -191,7 +196,7 @@
                 return
             if isinstance(event, h11.Response):
                 self._status = event.status_code
-                self._coding = _coding(event)
+                self._headers = tuple(event.headers)
                 self._body.clear()
             elif isinstance(event, h11.Data):
                 self._body += event.data
@@ -205,7 +210,8 @@
                 return
 
     def _finish(self) -> None:
-        response = Response(self._status, bytes(self._body), self._coding)
+        headers = self._headers
+        response = Response(self._status, bytes(self._body), _coding(headers), headers)
         if self._wire.our_state is h11.DONE and self._wire.their_state is h11.DONE:
             self._wire.start_next_cycle()
         answer, self._answer = self._answer, None
@@ -219,8 +225,8 @@
         self.close()
 
 
-def _coding(head: h11.Response) -> str:
-    for name, value in head.headers:
+def _coding(headers: tuple[tuple[bytes, bytes], ...]) -> str:
+    for name, value in headers:
         if name == b"content-encoding":
             return value.decode("latin-1")
     return ""
@@ -318,6 +324,7 @@
         headers = [("Content-Length", str(len(response.body)))]
         if response.coding:
             headers.append(("Content-Encoding", response.coding))
+        headers.extend(response.headers)
         data = self._wire.send(
             h11.Response(status_code=response.status, headers=headers)
         )
--- a/mallowpass/platform/store.py
+++ b/mallowpass/platform/store.py
@@ -20,6 +20,9 @@
     Table,
     Unreadable,
     WatchRows,
+    era_of,
+    version_at_store,
+    version_in,
 )
 from mallowpass.platform.documents import (
     DocumentError,
@@ -53,7 +56,9 @@
 COMPRESSED_MIN = 512  # bytes
 COMPRESSION_LEVEL = 1
 _ACCEPTS = (("Accept-Encoding", CODING),)
+_ERA_HEADER = b"store-era"  # as it is compared: in lower case
 _WHOLE = "whole"  # a field between hosts: the rows are all that a table has
+_ERA_DIGITS_MAX = 3
 _DIGITS_MAX = 18  # of a number that another host sends
 _UNAVAILABLE = 503
 
@@ -115,11 +120,16 @@
             if response.status != 200:
                 return _failure(response)
             body = json.loads(response.body)
-            rows += decode_rows(body)
+            era = _era(response)
+            rows += decode_rows(body, era)
             if not body.get("hasMore") or not rows:
-                return StoreReply(
-                    StoreStatus.DONE, tuple(rows), body["ver"], _time(body)
-                )
+                version = version_in(era, body["ver"])
+                time = _time(body)
+                done = StoreStatus.DONE
+                return StoreReply(done, tuple(rows), version, time, era=era)
+            if era != era_of(rows[0].version):
+                # The first rows are of a time that the store has no memory of.
+                return StoreReply(StoreStatus.REFUSED, message="a new era", era=era)
             # The least key above the last one.
             query["from"] = rows[-1].key.key + "\0"
 
@@ -127,18 +137,21 @@
     async def _(self, call: WatchRows, timeout: float) -> StoreReply:
         query = {
             "table": TABLE_NAMES[call.table],
-            "after": call.after,
+            "after": call.after if self._of_host else version_at_store(call.after),
             "waitMs": int(call.wait * 1000),
         }
         headers = _ACCEPTS if self._of_host else ()
         request = Request("GET", f"{FEED_PATH}?{urlencode(query)}", headers)
         response = await self._client.call(request, timeout)
-        return _reply(response)
+        return _reply_of_host(response) if self._of_host else _reply(response)
 
     @_call.register
     async def _(self, call: ChangeRows, timeout: float) -> StoreReply:
         body = {
-            "expected": [_key(key) | {"ver": ver} for key, ver in call.expected],
+            "expected": [
+                _key(key) | {"ver": version_at_store(version)}
+                for key, version in call.expected
+            ],
             "puts": [_key(key) | {"value": _encode(text)} for key, text in call.puts],
             "deletes": [_key(key) for key in call.deletes],
         }
@@ -159,15 +172,35 @@
     if response.status not in _STATUSES:
         return _failure(response)
     body = json.loads(_plain(response)) if response.body else {}
+    era = _era(response)
     return StoreReply(
         _STATUSES[response.status],
-        tuple(decode_rows(body)),
-        body.get("ver", 0),
+        tuple(decode_rows(body, era)),
+        version_in(era, body.get("ver", 0)),
         _time(body),
-        whole=body.get(_WHOLE) is True,
+        era=era,
     )
 
 
+def _reply_of_host(response: Response) -> StoreReply:
+    """Read what another host tells: its versions hold their eras."""
+    if response.status not in _STATUSES:
+        return _failure(response)
+    body = json.loads(_plain(response))
+    rows = tuple(decode_rows(body))
+    version = body["ver"]
+    whole = body.get(_WHOLE) is True
+    era = era_of(version)
+    status = _STATUSES[response.status]
+    return StoreReply(status, rows, version, whole=whole, era=era)
+
+
+def _era(response: Response) -> int:
+    """Return the store's era; 0 for one that tells of none."""
+    text = response.header(_ERA_HEADER)
+    return int(text) if text.isdigit() and len(text) <= _ERA_DIGITS_MAX else 0
+
+
 def _plain(response: Response) -> bytes:
     """Return an answer's body as it was before it was compressed.
 
@@ -182,8 +215,11 @@
     return body
 
 
-def decode_rows(body: dict[str, Any]) -> list[Row]:
-    """Return the rows of an answer; one that can't be read says so itself."""
+def decode_rows(body: dict[str, Any], era: int = 0) -> list[Row]:
+    """Return the rows of an answer; one that can't be read says so itself.
+
+    Their versions are those of an era; 0: they hold it already.
+    """
     rows = []
     for item in body.get("rows", ()):
         table = TABLES.get(item["table"])
@@ -192,10 +228,11 @@
             continue
         key = RowKey(table, part, item["key"])
         if item.get("removed") or "value" not in item:
-            rows.append(Row(key, item.get("ver", 0)))
+            rows.append(Row(key, version_in(era, item.get("ver", 0))))
         else:
             encoded = item["value"] if isinstance(item["value"], str) else ""
-            rows.append(Row(key, item["ver"], _value(key, item["value"]), encoded))
+            version = version_in(era, item["ver"])
+            rows.append(Row(key, version, _value(key, item["value"]), encoded))
     return rows
 
 
@@ -247,7 +284,7 @@
     status = StoreStatus.UNKNOWN
     if response.status in _REFUSALS:
         status = StoreStatus.REFUSED
-    return StoreReply(status, message=f"status {response.status}")
+    return StoreReply(status, message=f"status {response.status}", era=_era(response))
 
 
 def _time(body: dict[str, Any]) -> float:
--- a/mallowpass/standins/proxied/httpserver.py
+++ b/mallowpass/standins/proxied/httpserver.py
@@ -20,6 +20,7 @@
     StoreReply,
     StoreStatus,
     WatchRows,
+    version_at_store,
 )
 from mallowpass.platform.documents import CONSISTENCY
 from mallowpass.platform.http import HttpServer, Request, Response
@@ -90,11 +91,13 @@
         reply = await answer
         body = {
             "rows": [_row(row) for row in reply.rows],
-            "ver": reply.version,
+            "ver": version_at_store(reply.version),
             "nowMs": int(1000 * reply.time),
             "hasMore": False,
         }
-        return Response(_STATUSES[reply.status], json.dumps(body).encode())
+        headers = ((b"Store-Era", str(reply.era).encode()),)
+        status = _STATUSES[reply.status]
+        return Response(status, json.dumps(body).encode(), headers=headers)
 
 
 class OrderServer:
@@ -137,7 +140,7 @@
         "table": TABLE_NAMES[row.key.table],
         "part": row.key.part,
         "key": row.key.key,
-        "ver": row.version,
+        "ver": version_at_store(row.version),
     }
     if row.value is None:
         return fields | {"removed": True}
--- a/mallowpass/standins/proxied/replicas.py
+++ b/mallowpass/standins/proxied/replicas.py
@@ -194,7 +194,7 @@
         replica.applied = len(replica.log)
         replica.is_primary = before.is_primary and self._leader == name
         self.replicas[successor] = replica
-        if replica.is_primary:
+        if self._leader == name:
             self._leader = successor
         self.catch_up(replica)
         return replica
--- a/mallowpass/standins/proxied/rows.py
+++ b/mallowpass/standins/proxied/rows.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 
 from mallowpass.core.proxy.configuration import Configuration
@@ -19,11 +20,14 @@
     Table,
     Unreadable,
     WatchRows,
+    version_at_store,
+    version_in,
 )
 from mallowpass.core.timers import TimerService
 
-__all__ = ["RowStore", "StoreFaults"]
+__all__ = ["RowStore", "StoreCopy", "StoreFaults"]
 
+_OF_OTHERS = (Table.CONFIGURATION, Table.ENDPOINTS)
 HISTORY = 20.0  # seconds that changes are kept for those who follow a table
 
 # Unreadable and bytes are what another writer put there, decoded or not.
@@ -45,6 +49,14 @@
         self.turned_away: set[str] = set()  # callers that are refused
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Hold all rows of a store as they were at some time."""
+
+    rows: dict[RowKey, Row]
+    version: int
+
+
 class _Watcher:
     """Hold a call that waits for changes."""
 
@@ -62,6 +74,7 @@
 
     __slots__ = (
         "_changes",
+        "_era",
         "_forgotten",
         "_random",
         "_rows",
@@ -77,6 +90,7 @@
         self._random = random.Random(seed)
         self._rows: dict[RowKey, Row] = {}
         self._version = 0
+        self._era = 1
         self._changes: list[tuple[float, Row]] = []
         self._forgotten = 0  # changes up to this version are no longer known
         self._watchers: list[_Watcher] = []
@@ -90,7 +104,7 @@
         self._version += 1
         self._write(key, value)
         self._notify()
-        return self._version
+        return version_in(self._era, self._version)
 
     def delete(self, key: RowKey) -> None:
         """Delete a row as an operator or endpoint does."""
@@ -100,7 +114,7 @@
 
     def get(self, key: RowKey) -> Row:
         """Return a row as it is now."""
-        return self._rows.get(key, Row(key))
+        return self._told(self._rows.get(key, Row(key)))
 
     def forget_history(self) -> None:
         """Discard all changes; whoever follows a table must list it again."""
@@ -113,6 +127,48 @@
         for watcher in list(self._watchers):
             self._finish(watcher, StoreReply(StoreStatus.REFUSED, message="away"))
 
+    # -- Copies --------------------------------------------------------------
+
+    @property
+    def era(self) -> int:
+        """Return how often the store has come back from a copy, and one."""
+        return self._era
+
+    def copy(self) -> StoreCopy:
+        """Return all rows as they are."""
+        return StoreCopy(dict(self._rows), self._version)
+
+    def come_back(self, copy: StoreCopy, written_again: float) -> None:
+        """Go back to a copy: what hosts wrote since is gone, versions are given anew.
+
+        What operators and endpoints wrote is written again after as many seconds.
+        """
+        others = {
+            key: row.value for key, row in self._rows.items() if key.table in _OF_OTHERS
+        }
+        gone = [
+            key for key in copy.rows if key.table in _OF_OTHERS and key not in others
+        ]
+        self._rows = dict(copy.rows)
+        self._version = copy.version
+        self._era += 1
+        self._changes.clear()
+        self._forgotten = copy.version
+        for watcher in list(self._watchers):
+            self._finish(watcher, StoreReply(StoreStatus.REFUSED, message="away"))
+        self._timers.after(written_again, self._write_again, others, gone, copy.version)
+
+    def _write_again(
+        self, others: dict[RowKey, Value], gone: list[RowKey], copied: int
+    ) -> None:
+        for key, value in others.items():
+            row = self._rows.get(key, Row(key))
+            if row.value != value and row.version <= copied:
+                self.put(key, value)
+        for key in gone:
+            if self._rows.get(key, Row(key)).version <= copied:
+                self.delete(key)
+
     # -- Calls ---------------------------------------------------------------
 
     def call(self, caller: str, call: StoreCall, answer: Answer) -> None:
@@ -144,7 +200,11 @@
 
     @_carry_out.register
     def _(self, call: WatchRows, caller: str, answer: Answer) -> None:
-        watcher = _Watcher(caller, call.table, call.after, answer)
+        after = version_at_store(call.after)
+        if after > self._version:
+            answer(self._reply(StoreStatus.HISTORY_GONE))
+            return
+        watcher = _Watcher(caller, call.table, after, answer)
         self._watchers.append(watcher)
         self._timers.after(call.wait, self._end_watch, watcher)
         self._notify()
@@ -162,7 +222,7 @@
     def _change(self, call: ChangeRows) -> StoreReply:
         wrong = [key for key, version in call.expected if not self._is(key, version)]
         if wrong:
-            rows = [self.get(key) for key, _ in call.expected]
+            rows = [self._rows.get(key, Row(key)) for key, _ in call.expected]
             return self._reply(StoreStatus.CONFLICT, rows)
         self._version += 1
         for key, value in call.puts:
@@ -173,7 +233,9 @@
         return self._reply(StoreStatus.DONE)
 
     def _is(self, key: RowKey, version: int) -> bool:
-        return self.get(key).version == version
+        # The store knows no eras in versions.
+        known = self._rows.get(key, Row(key)).version
+        return known == version_at_store(version)
 
     def _write(self, key: RowKey, value: Value | None) -> None:
         row = Row(key, self._version, value)
@@ -213,5 +275,12 @@
         if not self.faults.silent:
             self._timers.after(self.faults.delay, watcher.answer, reply)
 
+    def _told(self, row: Row) -> Row:
+        """Return a row as it is told, with a version of this era."""
+        version = version_in(self._era, row.version) if row.version else 0
+        return replace(row, version=version)
+
     def _reply(self, status: StoreStatus, rows: list[Row] | None = None) -> StoreReply:
-        return StoreReply(status, tuple(rows or ()), self._version, self._timers.now)
+        told = tuple(map(self._told, rows or ()))
+        version = version_in(self._era, self._version)
+        return StoreReply(status, told, version, self._timers.now, era=self._era)
--- a/mallowpass/standins/proxied/virtual/world.py
+++ b/mallowpass/standins/proxied/virtual/world.py
@@ -43,7 +43,7 @@
 from mallowpass.core.timers import TimerService
 from mallowpass.standins.proxied.connections import ReplicaConnection
 from mallowpass.standins.proxied.replicas import Group, Replica
-from mallowpass.standins.proxied.rows import RowStore
+from mallowpass.standins.proxied.rows import RowStore, StoreCopy
 from mallowpass.standins.proxied.virtual.customers import CustomerJudge
 from mallowpass.standins.proxied.virtual.hosts import DOMAINS, LINK, Caller, Host, Link
 from mallowpass.standins.proxied.virtual.oracle import Oracle
@@ -145,6 +145,7 @@
         self.orders_late = 0.0  # seconds after which those are carried out
         self.answers_to_lose = 0  # of statements, by the endpoint
         self.tokens: dict[str, int] = {}
+        self._tokens_of_hosts: set[tuple[str, int]] = set()
         self.orders: list[effects.OrderPromotion] = []
         self.calls: list[tuple[str, str, Any]] = []  # host, member, call
         self._numbers = 0
@@ -338,6 +339,15 @@
         value = self.store.get(CONFIGURATION_KEY).value
         return value.routes.get(database) if isinstance(value, Configuration) else None
 
+    def come_back(
+        self, copy: StoreCopy, away: float = 0.3, written_again: float = 0.5
+    ) -> None:
+        """Have the store go away for a moment, and come back from a copy."""
+        self.store.refuse_all()
+        self.run(away)
+        self.store.faults.refusing = False
+        self.store.come_back(copy, written_again)
+
     # -- Members -------------------------------------------------------------
 
     def enter(self, replica: Replica, draining: bool = False) -> None:
@@ -351,6 +361,7 @@
             draining=draining,
             is_primary=replica.is_primary,
             started_at=replica.started_at,
+            heartbeats=self.number(),
         )
         self.store.put(self._entry_key(replica.name), entry)
 
@@ -417,6 +428,7 @@
     ) -> tuple[bool | None, bool]:
         """Take an order, as the platform does."""
         self.orders.append(order)
+        self._tokens_of_hosts.add((host.name, order.fencing_token))
         if "orders" in host.cut_from:
             return None, False
         if self.fences and order.fencing_token < self.tokens.get(order.service, 0):
@@ -456,6 +468,11 @@
             self.timers.advance(due)
             self.timers.run_due()
 
+    @property
+    def tokens_of_hosts(self) -> set[tuple[str, int]]:
+        """Return which hosts ordered a promotion by which fencing token."""
+        return set(self._tokens_of_hosts)
+
     @property
     def primary(self) -> Replica:
         """Return the member that leads."""
--- a/tests/core/proxy/ratelimits/test_limits.py
+++ b/tests/core/proxy/ratelimits/test_limits.py
@@ -9,7 +9,8 @@
 
 from mallowpass.core.proxy.ratelimits.allowances import Allowances
 from mallowpass.core.proxy.ratelimits.buckets import PARTS
-from mallowpass.core.proxy.ratelimits.keepers import Keepers, PartEntry, Stage
+from mallowpass.core.proxy.ratelimits.keepers import Keepers
+from mallowpass.core.proxy.ratelimits.parts import PartEntry, Stage
 from mallowpass.core.proxy.statements import Begin, Code, Read, Write
 from mallowpass.core.proxy.storage import RowKey, Table
 from mallowpass.standins.proxied.virtual.customers import allowance
@@ -207,7 +208,7 @@
     load = _Load(world, "key-a", FLOOD)
     part, index = next(iter(_keepers(world).items()))
     candidates = world.hosts[index].node.system(Keepers).candidates(part)
-    world.cut(index, "store", *candidates)
+    world.cut(index, "store", *candidates[:2])
     world.run(40.0)
     successors = _keepers(world)
     assert successors.get(part, index) != index
@@ -276,7 +277,7 @@
     [
         PartEntry("h"),
         PartEntry("h", Stage.FOLLOWING),
-        PartEntry("-", Stage.STARTED),
+        PartEntry("-", Stage.STARTED, era=7),
         PartEntry("-"),
     ],
 )
--- a/tests/core/proxy/test_customers.py
+++ b/tests/core/proxy/test_customers.py
@@ -7,6 +7,7 @@
 from mallowpass.core.proxy.configuration import Consistency, index_credentials
 from mallowpass.core.proxy.customers import ANONYMOUS
 from mallowpass.core.proxy.events import LinkCalled
+from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.statements import (
     Access,
     Begin,
@@ -24,6 +25,7 @@
 from mallowpass.standins.proxied.virtual.customers import CustomerJudge
 from mallowpass.standins.proxied.virtual.world import (
     CONFIGURATION_KEY,
+    SERVICE,
     ProxyWorld,
     customer,
     identified,
@@ -53,6 +55,15 @@
     }
 
 
+def _guest(world: ProxyWorld, but: int = -1) -> int:
+    """Return the index of a host that holds no connections itself."""
+    return next(
+        index
+        for index, host in enumerate(world.hosts)
+        if index != but and not host.node.system(Holders).holds(SERVICE)
+    )
+
+
 def test_endpoints_are_told_the_customer_and_never_the_key(world):
     for key, database in (("key-a", "own"), ("key-c", "bounded"), ("key-b", "strict")):
         caller = world.caller(1, database, key)
@@ -169,14 +180,15 @@
     world = ProxyWorld(hosts=LARGE)
     world.configure(identified(ACME, BERTH))
     world.run(4.0)
-    entry = next(i for i, h in enumerate(world.hosts) if not h.connections)
+    entry = _guest(world)
     flood = [world.caller(entry, "strict", "key-a") for _ in range(6)]
     for caller in flood:
         caller.send(Begin())
         caller.send(Write("a 1"))
     world.run(0.1)
-    others = [i for i, h in enumerate(world.hosts) if not h.connections and i != entry]
-    answer = world.caller(others[0], "strict", "key-c").run(Write("b 1"), within=0.6)
+    answer = world.caller(_guest(world, but=entry), "strict", "key-c").run(
+        Write("b 1"), within=0.6
+    )
     assert answer.code is Code.DONE
     assert world.judge.breaches == []
 
@@ -186,7 +198,7 @@
     world = ProxyWorld(hosts=LARGE)
     world.configure(identified(ACME, BERTH))
     world.run(4.0)
-    entry = next(i for i, h in enumerate(world.hosts) if not h.connections)
+    entry = _guest(world)
     holder = next(h for h in world.hosts if h.connections)
     # The holder that this host goes by can open none itself any more.
     for index, host in enumerate(world.hosts):
@@ -210,7 +222,7 @@
     world = ProxyWorld(hosts=LARGE)
     world.configure(identified(ACME, BERTH))
     world.run(4.0)
-    entry = next(i for i, h in enumerate(world.hosts) if not h.connections)
+    entry = _guest(world)
     assert world.caller(entry, "strict", "key-a").run(Read("a")).code is Code.DONE
     (link,) = [
         link for link in world.links.values() if link.host.name == f"host-{entry}"
--- /dev/null
+++ b/tests/core/proxy/test_eras.py
@@ -0,0 +1,283 @@
+"""The store comes back from a copy: what hosts wrote there since is gone."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+
+import pytest
+
+from mallowpass.core.proxy.ratelimits.buckets import PARTS
+from mallowpass.core.proxy.ratelimits.keepers import Keepers
+from mallowpass.core.proxy.statements import Code, Read, Write
+from mallowpass.core.proxy.store import SETTLE_TIME, Store
+from mallowpass.standins.proxied.replicas import GroupTimes
+from mallowpass.standins.proxied.virtual.world import (
+    ProxyWorld,
+    configuration,
+    customer,
+    identified,
+)
+
+RELAYED = 18  # hosts, of which each failure domain has relays
+NOTICED = 2.5  # seconds within which each host knows of a new era
+
+
+def _work(world: ProxyWorld, gap: float = 0.03) -> None:
+    """Have each host write and read, again and again."""
+    for index, host in enumerate(world.hosts):
+        if not host.exited:
+            world.caller(index, "own").send(Write("a 1"))
+            world.caller(index, "strict").send(Read("a"))
+    world.timers.after(gap, _work, world, gap)
+
+
+def _era(world: ProxyWorld, index: int) -> int:
+    return world.hosts[index].node.system(Store).era
+
+
+def _check(world: ProxyWorld) -> None:
+    """Check that nothing that was promised is lost, and no token was used twice."""
+    assert world.group.lost == []
+    assert world.oracle.stale == []
+    assert world.judge.breaches == []
+    for one, other in itertools.combinations(world.tokens_of_hosts, 2):
+        assert one[0] == other[0] or one[1] != other[1]
+
+
+@pytest.mark.parametrize("hosts", [3, RELAYED])
+def test_all_hosts_notice(hosts):
+    world = ProxyWorld(hosts=hosts)
+    world.run(4.0)
+    world.come_back(world.store.copy())
+    world.run(NOTICED)
+    assert {_era(world, index) for index in range(hosts)} == {world.store.era}
+
+
+@pytest.mark.parametrize("hosts", [3, RELAYED])
+def test_changes_after_a_copy_are_learnt(hosts):
+    """Guard against cursors that look whole: versions are given out again."""
+    world = ProxyWorld(hosts=hosts)
+    world.run(2.0)
+    copy = world.store.copy()
+    for version in range(2, 12):
+        world.configure(configuration(version))
+    world.run(2.0)
+    world.come_back(copy, written_again=0.1)
+    world.configure(configuration(20, transaction_idle=7.0))
+    world.run(NOTICED)
+    for host in world.hosts:
+        assert host.tables.configuration.transaction_idle == 7.0
+
+
+@pytest.mark.parametrize("hosts", [3, RELAYED])
+def test_no_host_goes_back_to_an_older_configuration(hosts):
+    world = ProxyWorld(hosts=hosts)
+    world.run(2.0)
+    copy = world.store.copy()
+    world.configure(configuration(5))
+    world.run(2.0)
+    world.come_back(copy, written_again=60.0)
+    world.run(10.0)
+    assert {host.tables.configuration.version for host in world.hosts} == {5}
+
+
+def test_host_that_starts_meanwhile_is_told_by_its_neighbours():
+    world = ProxyWorld(hosts=RELAYED)
+    world.configure(identified(customer("acme", "key-a", "key-b")))
+    world.run(4.0)
+    copy = world.store.copy()
+    world.configure(identified(customer("acme", "key-a"), version=5))
+    world.run(2.0)
+    world.come_back(copy, written_again=60.0)
+    world.run(NOTICED)
+    index = next(
+        i
+        for i, host in enumerate(world.hosts)
+        if host.node.system(Store).relays.has_relays
+    )
+    world.kill(index)
+    world.start_again(index)
+    world.run(2.0)
+    assert world.hosts[index].tables.configuration.version == 5
+    assert world.caller(index, "own", "key-b").refusal is Code.UNAUTHENTICATED
+
+
+def test_entry_of_a_copy_makes_no_old_primary_lead():
+    """Guard against an entry that says that a replaced primary leads, once more."""
+    world = ProxyWorld()
+    world.run(1.0)
+    copy = world.store.copy()
+    world.crash("db-casa")
+    _work(world)
+    world.run(3.0)
+    leader = world.primary.name
+    assert leader != "db-casa"
+    world.restart("db-casa")
+    world.run(1.0)
+    world.come_back(copy, written_again=1.0)
+    believed = set()
+    for _ in range(30):
+        world.run(0.1)
+        believed |= {h.tables.group("claims-core").primary for h in world.hosts}
+    assert believed == {leader}
+    _check(world)
+
+
+def test_tokens_rise_above_those_that_the_store_forgot():
+    """Guard against two holders that order promotions with one token."""
+    world = ProxyWorld()
+    _work(world)
+    world.run(1.0)
+    copy = world.store.copy()
+    for name in ("db-casa", "db-tanger"):
+        world.crash(name)
+        world.run(4.0)
+        world.restart(name)
+        world.run(2.0)
+    before = [order.fencing_token for order in world.orders]
+    world.come_back(copy)
+    world.run(2.0)
+    world.crash(world.primary.name)
+    world.run(5.0)
+    after = [order.fencing_token for order in world.orders[len(before) :]]
+    assert before and after
+    assert min(after) > max(before)
+    _check(world)
+
+
+def test_entries_of_hosts_are_written_again():
+    world = ProxyWorld(hosts=3, first_start=True)
+    copy = world.store.copy()
+    world.run(6.0)
+    world.come_back(copy)
+    world.run(NOTICED + 2.0)
+    assert all(len(host.tables.hosts) == 3 for host in world.hosts)
+
+
+def _calls_of(world: ProxyWorld, go_away: Callable[[], None]) -> int:
+    world.run(10.0)
+    before = world.store.calls
+    go_away()
+    world.run(5.0)
+    return world.store.calls - before
+
+
+def test_new_era_takes_no_more_calls_than_the_store_being_away():
+    """Guard against a storm of lists: calls are charged, and refused beyond a rate."""
+    plain, copied = ProxyWorld(hosts=60), ProxyWorld(hosts=60)
+
+    def go_away() -> None:
+        plain.store.refuse_all()
+        plain.run(0.3)
+        plain.store.faults.refusing = False
+
+    away = _calls_of(plain, go_away)
+    assert _calls_of(copied, lambda: copied.come_back(copied.store.copy())) <= away
+
+
+# -- Beside the replacement of a primary -------------------------------------
+
+COPIED = (-2.0, -0.5, 0.05, 0.2, 0.4, 0.6, 0.8, 1.0, 1.3)  # seconds after the crash
+AGES = (0.1, 0.4, 0.9, 2.0)  # of the copy as the store comes back
+
+
+@pytest.mark.parametrize("fences", [True, False])
+@pytest.mark.parametrize("age", AGES)
+@pytest.mark.parametrize("copied", COPIED)
+def test_copy_at_any_moment_of_a_replacement(copied, age, fences):
+    """Guard against lost claims, orders and evidence, whenever the store forgets."""
+    times = GroupTimes(promotion=0.6)
+    world = ProxyWorld(hosts=4, fences=fences, goes_on=not fences, times=times)
+    _work(world)
+    world.run(1.0)
+    if copied > 0.0:
+        world.crash("db-casa")
+        world.run(copied)
+        copy = world.store.copy()
+        world.run(age)
+    else:
+        copy = world.store.copy()
+        world.run(max(0.0, -copied - 0.5))
+        world.crash("db-casa")
+        world.run(age)
+    world.come_back(copy)
+    world.run(8.0)
+    assert world.caller(0, "own").run(Write("b 1")).code is Code.DONE
+    _check(world)
+
+
+@pytest.mark.parametrize("age", AGES)
+@pytest.mark.parametrize("fences", [True, False])
+def test_order_that_is_carried_out_late_after_the_store_forgot_it(age, fences):
+    """Guard against commits by way of another member than the one ordered to lead."""
+    world = ProxyWorld(hosts=4, fences=fences, goes_on=not fences)
+    _work(world)
+    world.run(1.0)
+    copy = world.store.copy()
+    world.orders_lost, world.orders_late = 1, 4.0
+    world.crash("db-casa")
+    world.run(0.4 + age)
+    world.come_back(copy)
+    world.restart("db-casa")
+    world.run(12.0)
+    assert world.caller(0, "own").run(Write("b 1")).code is Code.DONE
+    _check(world)
+
+
+def test_copy_costs_a_replacement_no_more_than_a_second_or_so():
+    def gap(copies: bool) -> float:
+        world = ProxyWorld(hosts=4)
+        world.run(1.0)
+        copy = world.store.copy()
+        caller = world.caller(1, "own")
+        caller.run(Write("a 1"))
+        world.crash("db-casa")
+        began = world.timers.now
+        if copies:
+            world.run(0.2)
+            world.come_back(copy, away=0.05)
+        while caller.run(Write("b 1")).code is not Code.DONE:
+            assert world.timers.now < began + 10.0
+        return world.timers.now - began
+
+    assert gap(True) - gap(False) <= SETTLE_TIME
+
+
+# -- Beside rate limits ------------------------------------------------------
+
+
+@pytest.mark.parametrize("age", [1.0, 8.0, 15.0])
+def test_parts_of_limits_are_granted_by_one_keeper_each(age):
+    """Guard against a keeper of before that the copy names once more."""
+    limited = customer("acme", "key-a", rate=20.0, burst=20.0)
+    world = ProxyWorld(hosts=12, slots=50, max_connections=200)
+    world.configure(identified(limited))
+    world.run(25.0)
+    copy = world.store.copy()
+    flood = itertools.cycle(range(12))
+
+    def send() -> None:
+        index = next(flood)
+        if not world.hosts[index].exited:
+            caller = world.caller(index, "own", "key-a")
+            if caller.opened:
+                caller.send(Read("a"))
+        world.timers.after(0.003, send)
+
+    send()
+    world.run(2.0)
+    for host in list(world.hosts):
+        if any(host.node.system(Keepers).has_alone(part) for part in range(PARTS)):
+            host.stop()
+            world.run(age / PARTS)
+    world.come_back(copy)
+    world.run(40.0)
+    assert world.judge.breaches == []
+    kept = [
+        part
+        for host in world.hosts
+        for part in range(PARTS)
+        if not host.exited and host.node.system(Keepers).has_alone(part)
+    ]
+    assert sorted(kept) == list(range(PARTS))
