Move the watch for silent connections, and session state, out of Connections

What brings a connection to a session's state is a function of its own module; the watch for unanswered calls subscribes to calls that were sent.

--- a/mallowpass/core/proxy/attempts.py
+++ b/mallowpass/core/proxy/attempts.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from mallowpass.core.proxy.connections import Connections
+from mallowpass.core.proxy.sessionstate import calls_to_set_up
 from mallowpass.core.proxy.signals import AttemptLost, AttemptOverdue
 from mallowpass.core.proxy.stalls import OVERDUE_SHARE
 from mallowpass.core.proxy.statements import (
@@ -25,18 +25,14 @@
 class Attempts(ProxySystem):
     """Bind statements to connections."""
 
-    __slots__ = ("_connections",)
-
-    def start(self) -> None:
-        """Find the system that is asked."""
-        self._connections = self._node.system(Connections)
+    __slots__ = ()
 
     def set_up(
         self, request: RequestRow, connection: ConnectionRow
     ) -> list[EndpointCall]:
         """Return the calls that bring a connection to the state of a session."""
         prepared = () if request.prepared is None else (request.prepared,)
-        return self._connections.set_up(connection, request.session.values, prepared)
+        return calls_to_set_up(connection, request.session.values, prepared)
 
     def call(self, request: RequestRow, floor: LogPosition | None) -> EndpointCall:
         """Return the call of a statement itself, by its name on the connection."""
--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import replace
 
 from mallowpass.core.messages import ConnectionLost
@@ -20,6 +20,7 @@
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.shares import Shares
 from mallowpass.core.proxy.signals import (
+    CallsSent,
     ConnectionFreed,
     EndpointForgotten,
     EndpointRestarted,
@@ -31,11 +32,8 @@
     EndpointCall,
     EndpointReply,
     FloorHint,
-    Prepare,
-    Reset,
     Rollback,
     SessionState,
-    SetValue,
 )
 from mallowpass.core.proxy.tables import (
     Batch,
@@ -43,11 +41,10 @@
     ConnectionState,
     EndpointRow,
     HostRow,
-    PreparedStatement,
     ProxySystem,
 )
 
-__all__ = ["Connections"]
+__all__ = ["QUIET_TIME", "Connections"]
 
 # A connection that takes this long is not worth waiting for: a round trip between
 # regions and the handshake of an endpoint take a tenth of it.
@@ -63,9 +60,6 @@
 # A call that is unanswered for so long, with nothing else heard of the endpoint, has a
 # new connection tried. A full queue takes less.
 QUIET_TIME = 0.25  # seconds
-# A connection silent for so long with calls in flight is closed: no statement may
-# run longer than its route's timeout, which is well below.
-SILENCE_MAX = 3.0
 
 
 class Connections(ProxySystem):
@@ -195,33 +189,6 @@
 
     # -- Sending -------------------------------------------------------------
 
-    def set_up(
-        self,
-        connection: ConnectionRow,
-        values: dict[str, str],
-        prepared: Iterable[PreparedStatement],
-    ) -> list[EndpointCall]:
-        """Return the calls that bring a connection to a session's state."""
-        calls = []
-        extra = connection.values.keys() - values.keys()
-        if extra:
-            # There is no way to unset one value: left over, it would be seen by a
-            # session that never set it.
-            calls.append(EndpointCall(Reset()))
-            connection.values = {}
-            connection.prepared = set()
-        for name, value in values.items():
-            if connection.values.get(name) != value:
-                calls.append(EndpointCall(SetValue(name, value)))
-        connection.values = dict(values)
-        for statement in prepared:
-            name = statement.shared_name
-            if name not in connection.prepared:
-                prepare = Prepare(name, statement.access, statement.shape)
-                calls.append(EndpointCall(prepare))
-                connection.prepared.add(name)
-        return calls
-
     def send(
         self,
         connection: ConnectionRow,
@@ -232,9 +199,8 @@
         if connection.state is ConnectionState.IDLE:
             connection.state = ConnectionState.BUSY
         connection.pending.append(Batch(len(calls), on_replies, self.now))
-        self.timers.after(QUIET_TIME, self._check_quiet, connection, self.now)
         self._node.emit(SendCalls(connection.number, tuple(calls)))
-        self.timers.after(SILENCE_MAX, self._check_silence, connection)
+        self._node.publish(CallsSent(connection))
 
     def roll_back(self, connection: ConnectionRow) -> None:
         """Roll a connection's transaction back, then make it free."""
@@ -437,37 +403,6 @@
         asked_at = sent_at - floor.age
         self._node.publish(FloorLearnt(group, floor.position, asked_at))
 
-    def _check_quiet(self, connection: ConnectionRow, sent_at: float) -> None:
-        """Try a new connection to an endpoint that has answered nothing for a while.
-
-        One that is dark shows in nothing else but its silence. Waiting for statements
-        to become overdue takes nearly twice as long, at the worst of times.
-        """
-        endpoint = connection.endpoint
-        answered = not connection.pending or connection.pending[0].sent_at > sent_at
-        if answered or connection.holder or endpoint.heard_at > sent_at:
-            return
-        if connection.number in self.tables.connections:
-            self.grow(endpoint, connection.customer, beyond_share=True)
-
-    def _check_silence(self, connection: ConnectionRow) -> None:
-        """Close a connection that went silent with calls in flight.
-
-        Something between the two ends may have lost track of it: no answer would
-        ever come, and each statement sent on it would wait for its timeout.
-        """
-        if connection.number not in self.tables.connections or not connection.pending:
-            return
-        if self.now - connection.pending[0].sent_at < SILENCE_MAX:
-            return
-        self._node.log(
-            "warning",
-            "connection_silent",
-            endpoint=connection.endpoint.name,
-            connection=connection.number,
-        )
-        self.close(connection, "it went silent")
-
     def _on_restarted(self, signal: EndpointRestarted) -> None:
         """Close all connections to an endpoint's earlier start, also busy ones.
 
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -24,6 +24,7 @@
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.load import Load
+from mallowpass.core.proxy.sessionstate import calls_to_set_up
 from mallowpass.core.proxy.signals import (
     ConnectionFreed,
     EndpointForgotten,
@@ -333,7 +334,7 @@
             calls = [replace(call, on_behalf_of=link.on_behalf_of) for call in calls]
         names = {c.statement.name for c in calls if isinstance(c.statement, Execute)}
         prepared = [link.prepared[name] for name in names if name in link.prepared]
-        set_up = self._connections.set_up(connection, link.values, prepared)
+        set_up = calls_to_set_up(connection, link.values, prepared)
         link.in_flight += len(calls)
         skipped = len(set_up)
         sent_at = self.now
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -38,6 +38,7 @@
 from mallowpass.core.proxy.sessions import Sessions
 from mallowpass.core.proxy.settings import Settings
 from mallowpass.core.proxy.shares import Shares
+from mallowpass.core.proxy.silence import Silence
 from mallowpass.core.proxy.stalls import Stalls
 from mallowpass.core.proxy.standingorders import StandingOrders
 from mallowpass.core.proxy.store import Store
@@ -56,6 +57,7 @@
     Load,
     Durability,
     Connections,
+    Silence,
     Idling,
     Floors,
     Routing,
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -7,6 +7,7 @@
 from mallowpass.core.proxy.configuration import Configuration
 from mallowpass.core.proxy.statements import EndpointReply, SessionState
 from mallowpass.core.proxy.tables import (
+    ConnectionRow,
     EndpointRow,
     GroupRow,
     RequestRow,
@@ -20,6 +21,7 @@
     "AttemptOverdue",
     "AttemptRefused",
     "ConfigurationAccepted",
+    "CallsSent",
     "ConnectionFreed",
     "DrainBegan",
     "EndpointChanged",
@@ -89,6 +91,13 @@
     endpoint: EndpointRow
 
 
+@record
+class CallsSent(Signal):
+    """Calls were sent on a connection, in one write."""
+
+    connection: ConnectionRow
+
+
 @record
 class EndpointUnreachable(Signal):
     """An attempt to connect to an endpoint failed."""
