Tell what a session was answered, and from which log, where the soak finds its own write missing

A finding of the soak named two numbers alone; what was acknowledged by which endpoint at which position, and which log a read ran on, was known to nobody. Each session keeps its newest answers with the log that gave them, and a finding prints them.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import random
+from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from mallowpass.platform.settings import Address
@@ -15,6 +17,10 @@
 PROMISES = frozenset({"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "TOOMANY"})
 ANSWER_LIMIT = 3.0  # seconds; the longest statement timeout is 0.8
 PAUSE_MAX = 0.02  # seconds between operations
+REMEMBERED = 24  # answers of a session that a finding tells
+
+# Called with an endpoint, an item and a number; tells what its log holds of that.
+Describe = Callable[[str, str, int], str]
 
 
 @dataclass(slots=True)
@@ -34,14 +40,22 @@
     """Write growing numbers to one key, and read them back."""
 
     def __init__(
-        self, name: str, addresses: list[Address], findings: Findings, seed: int
+        self,
+        name: str,
+        addresses: list[Address],
+        findings: Findings,
+        seed: int,
+        describe: Describe,
     ) -> None:
         self._name = name
         self._addresses = addresses
         self._findings = findings
         self._random = random.Random(seed)
         self._number = 0
+        self._describe = describe
         self._seen = 0  # newest that a read must show, in this session
+        # Its newest answers, and what the endpoint's log held then.
+        self._answers: deque[str] = deque(maxlen=REMEMBERED)
         self.stopping = False
 
     async def run(self) -> None:
@@ -49,6 +63,7 @@
         while not self.stopping:
             address = self._random.choice(self._addresses)
             self._seen = 0
+            self._answers.clear()
             try:
                 async with asyncio.timeout(ANSWER_LIMIT):
                     caller = await WireCaller.connect(address, "status-sync")
@@ -76,6 +91,11 @@
         async with asyncio.timeout(ANSWER_LIMIT):
             answer = await caller.run(text)
         self._findings.count(answer.code)
+        if answer.code == "DONE" and answer.text != "-":
+            held = self._describe(answer.text, self._name, self._seen)
+            now = asyncio.get_running_loop().time()
+            rows = " ".join(answer.rows)
+            self._answers.append(f"{now:.3f} {text} -> {rows or answer.code} {held}")
         return answer
 
     async def _read(self, caller: WireCaller) -> None:
@@ -85,7 +105,8 @@
         shown = int(answer.rows[0] or 0)
         if shown < self._seen:
             self._findings.broken.append(
-                f"{self._name}: read {shown} after its own {self._seen}"
+                f"{self._name}: read {shown} after its own {self._seen}; "
+                + "; ".join(self._answers)
             )
 
     async def _write(self, caller: WireCaller) -> None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -23,6 +23,7 @@
 __all__ = ["Verdict", "soak"]
 
 CLIENTS = 8
+SEARCHED = 400  # newest entries of a log in which a write is looked for
 START_LIMIT = 10.0  # seconds until all hosts serve, at the start and at the end
 
 
@@ -65,12 +66,27 @@
         self.hosts = [HostProcess(self.platform, i, folder) for i in range(hosts)]
         addresses = [host.callers for host in self.hosts]
         self.clients = [
-            Client(f"k{i}", addresses, self.findings, 1000 * seed + i)
+            Client(f"k{i}", addresses, self.findings, 1000 * seed + i, self._held)
             for i in range(CLIENTS)
         ]
         self._busy: set[str] = set()  # members that are down
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _held(self, endpoint: str, item: str, number: int) -> str:
+        """Tell how far an endpoint's log is, and where it holds a write, if it does."""
+        replica = self.platform.group.replicas.get(endpoint)
+        if replica is None:
+            return f"{endpoint} is gone"
+        places = [
+            e.position.text
+            for e in replica.log[-SEARCHED:]
+            if (item, str(number)) in e.writes
+        ]
+        return (
+            f"{endpoint} applied {replica.applied_position.text} "
+            f"received {replica.received.text} holds {number} at {places or 'no place'}"
+        )
+
     async def play(self, duration: float) -> None:
         """Start, break things for some seconds, heal, and check."""
         await self.platform.start_all()
