--- a/mallowpass/standins/proxied/httpserver.py
+++ b/mallowpass/standins/proxied/httpserver.py
@@ -187,7 +187,7 @@
         "zone": value.failure_domain,
         "version": "v1",
         "slots": value.slots,
-        "seq": 1,
+        "seq": value.heartbeats,
         "coldRemainingMs": 0,
         "state": "draining" if value.draining else "ready",
         "dbRole": "primary" if value.is_primary else "replica",
--- a/mallowpass/standins/proxied/platform.py
+++ b/mallowpass/standins/proxied/platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import os
 import random
 import time
@@ -88,6 +89,7 @@
         # Where no fence is checked, a replaced primary goes on as one for a while.
         self.group = Group(service, names, self._timers, goes_on=not fences)
         self.group.on_role = self.enter
+        self._heartbeats = itertools.count(1)
         self.servers: dict[str, ReplicaServer] = {}
         self.hosts: list[HostRuntime] = []
         self.logs: list[MemoryLog] = []
@@ -161,6 +163,7 @@
             draining=draining,
             is_primary=replica.is_primary,
             started_at=replica.started_at,
+            heartbeats=next(self._heartbeats),
         )
         self.store.put(RowKey(Table.ENDPOINTS, "", replica.name), entry)
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -16,12 +16,13 @@
 @click.option("--duration", default=12.0, help="Seconds of faults for each seed.")
 @click.option("--hosts", default=4, help="Host processes.")
 @click.option("--fences/--no-fences", default=True, help="What the platform checks.")
-def main(seeds: str, duration: float, hosts: int, fences: bool) -> None:
+@click.option("--copies", is_flag=True, help="The store comes back from copies.")
+def main(seeds: str, duration: float, hosts: int, fences: bool, copies: bool) -> None:
     """Run SEEDS one after the other; logs of those that fail are kept."""
     first, _, last = seeds.partition("-")
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
-        verdict = asyncio.run(soak(seed, duration, hosts, fences))
+        verdict = asyncio.run(soak(seed, duration, hosts, fences, copies))
         done = verdict.codes.get("DONE", 0)
         click.echo(
             f"seed {seed}: {len(verdict.faults)} faults, {done} of "
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -39,11 +39,21 @@
 
 
 async def soak(
-    seed: int, duration: float, hosts: int = 4, fences: bool = True
+    seed: int,
+    duration: float,
+    hosts: int = 4,
+    fences: bool = True,
+    copies: bool = False,
 ) -> Verdict:
-    """Run one seed; without `fences`, replaced primaries go on as such for a while."""
+    """Run one seed.
+
+    Without `fences`, replaced primaries go on as such for a while. With `copies`, the
+    store comes back from one now and then.
+    """
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     run = _Run(seed, hosts, folder, fences)
+    if copies:
+        run.add_copies()
     try:
         await run.play(duration)
     finally:
@@ -72,6 +82,10 @@
         self._busy: set[str] = set()  # members that are down
         self._tasks: list[asyncio.Task[None]] = []
 
+    def add_copies(self) -> None:
+        """Add to the faults that the store comes back from a copy."""
+        self._kinds = (*self._kinds, _Run.come_back, _Run.come_back, _Run.come_back)
+
     def _held(self, endpoint: str, item: str, number: int) -> str:
         """Tell how far an endpoint's log is, and where it holds a write, if it does."""
         replica = self.platform.group.replicas.get(endpoint)
@@ -257,6 +271,16 @@
     async def forget_history(self) -> None:
         self.platform.store.forget_history()
 
+    async def come_back(self) -> None:
+        """Have the store come back from a copy that is some seconds old by then."""
+        store = self.platform.store
+        copy = store.copy()
+        await asyncio.sleep(self.random.uniform(0.0, 4.0))
+        store.refuse_all()
+        await asyncio.sleep(self.random.uniform(0.0, 1.0))
+        store.faults.refusing = False
+        store.come_back(copy, self.random.uniform(0.0, 1.5))
+
     async def change_configuration(self) -> None:
         row = self.platform.store.get(CONFIGURATION_KEY)
         version = row.value.version + self.random.randrange(1, 4)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -34,6 +34,12 @@
     assert verdict.codes["DONE"] > 100
 
 
+def test_short_seed_while_the_store_comes_back_from_copies():
+    verdict = asyncio.run(soak(3, SHORT, hosts=3, copies=True))
+    assert verdict.broken == (), verdict
+    assert verdict.codes["DONE"] > 100
+
+
 @pytest.mark.parametrize("seed", FAILED_ONCE)
 def test_seed_that_failed_once(seed):
     verdict = asyncio.run(soak(seed, LONG))
