Begin a session's statements in one loop, also where they are refused at once

Cause: a statement beyond its customer's limit is answered at once, which began the next one that the caller had sent ahead, inside the first: sixty of them were some eight hundred calls deep, near the interpreter's limit, past which an exception escapes and the session is stuck. Found by reading; a test with a lower limit failed before.

Change: whoever answers while a session's statements are being begun leaves the next one to the loop that began them. Ruled out: refusing by a timer, which lets a later statement overtake.

--- a/mallowpass/core/proxy/sessions.py
+++ b/mallowpass/core/proxy/sessions.py
@@ -203,18 +203,28 @@
         self._run_next(session)
 
     def _run_next(self, session: SessionRow) -> None:
-        while session.received and session.request is None and not session.closed:
-            request_id, statement = session.received.popleft()
-            session.operated = False
-            transaction = session.transaction
-            if transaction is not None and transaction.idle_timer is not None:
-                transaction.idle_timer.cancel()
-                transaction.idle_timer = None
-            self._run(session, request_id, statement)
+        if session.is_running_next:
+            return  # a statement was answered at once; whoever ran it goes on
+        session.is_running_next = True
+        try:
+            while session.received and session.request is None and not session.closed:
+                request_id, statement = session.received.popleft()
+                session.operated = False
+                self._stop_watching_idle(session)
+                self._run(session, request_id, statement)
+        finally:
+            session.is_running_next = False
         # A session that is never quiet would be cut at the end of the grace period.
         if self._closing and not session.closed:
             self._close_if_idle(session)
 
+    @staticmethod
+    def _stop_watching_idle(session: SessionRow) -> None:
+        transaction = session.transaction
+        if transaction is not None and transaction.idle_timer is not None:
+            transaction.idle_timer.cancel()
+            transaction.idle_timer = None
+
     def _run(
         self, session: SessionRow, request_id: str, statement: Statement | None
     ) -> None:
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -233,6 +233,7 @@
     closed: bool = False
     touched_at: float = 0.0  # when its caller last sent something, or was answered
     operated: bool = False  # its last statement ended an operation
+    is_running_next: bool = False  # a statement that it received is being begun
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/core/proxy/ratelimits/test_limits.py
+++ b/tests/core/proxy/ratelimits/test_limits.py
@@ -4,6 +4,7 @@
 
 import itertools
 import random
+import sys
 
 import pytest
 
@@ -21,6 +22,7 @@
 ACME = customer("acme", "key-a", rate=RATE, burst=BURST)
 SMALL = customer("berth", "key-b", rate=5.0, burst=5.0)
 HOSTS = 12
+SHALLOW = 250  # calls within each other: many more than one statement takes
 
 
 def _world(hosts: int = HOSTS, **options) -> ProxyWorld:
@@ -149,6 +151,23 @@
     assert world.judge.breaches == []
 
 
+def test_statements_sent_ahead_beyond_the_limit_are_all_refused(world):
+    """Guard against refusals that answer each other within one call, without an end."""
+    none = customer("acme", "key-a", rate=0.0, burst=0.0)
+    world.configure(identified(none, SMALL, version=3))
+    world.run(3.0)
+    caller = world.caller(0, "own", "key-a")
+    for _ in range(60):
+        caller.send(Read("a"))
+    deepest = sys.getrecursionlimit()
+    sys.setrecursionlimit(SHALLOW)
+    try:
+        world.run(2.0)
+    finally:
+        sys.setrecursionlimit(deepest)
+    assert [answer.code for answer in caller.answers] == 60 * [Code.BUSY]
+
+
 # -- Failures ----------------------------------------------------------------
 
 
