Have keepers go by the newest row that they know

A relay may tell a part's former keeper after the new one wrote its own row: it dropped the part then, and waited as its own successor for twelve seconds. Found by reading; a test failed before. Rows of a new era have higher versions, and are taken.

--- a/mallowpass/core/proxy/ratelimits/keepers.py
+++ b/mallowpass/core/proxy/ratelimits/keepers.py
@@ -213,6 +213,10 @@
         self._node.publish(KeepersChanged())
 
     def _put(self, part: int, row: Row, before: _PartRow | None) -> None:
+        if before is not None and row.version < before.version:
+            # A relay tells it after this host wrote a newer one.
+            self._rows[part] = before
+            return
         if row.value is None:
             self._rows.pop(part, None)
             return
--- a/tests/core/proxy/ratelimits/test_limits.py
+++ b/tests/core/proxy/ratelimits/test_limits.py
@@ -13,7 +13,7 @@
 from mallowpass.core.proxy.ratelimits.keepers import Keepers
 from mallowpass.core.proxy.ratelimits.parts import PartEntry, Stage
 from mallowpass.core.proxy.statements import Begin, Code, Read, Write
-from mallowpass.core.proxy.storage import RowKey, Table
+from mallowpass.core.proxy.storage import Row, RowKey, Table
 from mallowpass.standins.proxied.virtual.customers import allowance
 from mallowpass.standins.proxied.virtual.world import ProxyWorld, customer, identified
 
@@ -291,6 +291,15 @@
     assert _keepers(world)[0] == keeper
 
 
+def test_keeper_goes_by_the_newest_row_that_it_knows(world):
+    """Guard against a relay that tells, late, who kept the part before."""
+    part, index = next(iter(_keepers(world).items()))
+    keepers = world.hosts[index].node.system(Keepers)
+    older = Row(RowKey(Table.LIMITS, "", str(part)), 1, "host-of-before 1")
+    keepers._on_rows((older,), complete=False)
+    assert keepers.has_alone(part)
+
+
 @pytest.mark.parametrize(
     "entry",
     [
