Close no customer's connection for another while none may be opened

Cause: an endpoint that turns hosts away has none opened for a while; an idle connection was closed all the same, for a customer that then had none either. So it goes on after a loss of power, when the endpoints count the connections of hosts that are gone. Found by reading; a test fails before.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -148,8 +148,11 @@
         return bool(opening)
 
     def _make_room(self, endpoint: EndpointRow, customer: str) -> None:
-        """Close an idle connection of another customer if the share is taken up."""
-        if not self._shares.is_taken_up(endpoint):
+        """Close an idle connection of another customer if the share is taken up.
+
+        Not while the endpoint turns hosts away: none could be opened in its place.
+        """
+        if self.now < endpoint.refused_until or not self._shares.is_taken_up(endpoint):
             return
         idle = [
             connection
--- a/tests/core/proxy/test_customers.py
+++ b/tests/core/proxy/test_customers.py
@@ -161,6 +161,25 @@
     assert all(len(r.connections) <= limit for r in world.group.replicas.values())
 
 
+def test_idle_connection_is_kept_while_none_may_be_opened_in_its_place():
+    """Guard against closing one customer's and opening none for the other."""
+    world = ProxyWorld(hosts=LARGE)
+    many = [customer(f"c{i}", f"key-{i}") for i in range(20)]
+    world.configure(identified(*many))
+    world.run(4.0)
+    holder = next(i for i, h in enumerate(world.hosts) if h.connections)
+    for index in range(10):
+        world.caller(holder, "strict", f"key-{index}").run(Read("a"))
+    host = world.hosts[holder]
+    primary = host.tables.endpoints[world.primary.name]
+    before = set(primary.connections)
+    primary.refused_until = world.timers.now + 10.0
+    for index in range(10, 20):
+        world.caller(holder, "strict", f"key-{index}").send(Read("a"))
+    world.run(0.1)
+    assert before <= set(primary.connections)
+
+
 def test_customer_that_floods_leaves_a_connection_to_others():
     """Guard against one customer's open transactions taking every connection."""
     world = ProxyWorld(hosts=3)
