Have platforms of stand-ins hold addresses that no other one plays at

Cause: a platform draws its addresses from 46,500 prefixes and looks at nobody else's; four workers and what still listens for platforms that have ended meet now and then. Shown by two platforms of one seed, which had the same addresses (a test that fails before); the meeting itself was not played again. Ruled out: two hosts of one platform with one address.

Change: a platform binds one address for as long as it is there, and takes no prefix where its own are in use.

--- a/mallowpass/standins/proxied/platform.py
+++ b/mallowpass/standins/proxied/platform.py
@@ -6,6 +6,7 @@
 import itertools
 import os
 import random
+import socket
 import time
 from typing import Any
 
@@ -33,6 +34,8 @@
 CALLERS_PORT, READY_PORT = 8785, 8786
 LINKS_PORT, LIMITS_PORT = 7440, 7442
 GRACE = 2.0
+RESERVED_NUMBER = 250  # of the address that a platform holds while it is there
+RESERVE_TRIES = 50
 
 
 def claims_configuration(version: int, service: str) -> Configuration:
@@ -66,6 +69,40 @@
         return [fields for name, fields in self.lines if name == event]
 
 
+def _reserve(net: random.Random) -> tuple[str, socket.socket]:
+    """Return the first three numbers of addresses that nobody has, and what holds them.
+
+    Several processes play at once, and what listened for one that has ended may do so
+    for a moment longer.
+    """
+    for _ in range(RESERVE_TRIES):
+        prefix = f"127.{net.randrange(64, 250)}.{net.randrange(250)}"
+        reservation = _bind(f"{prefix}.{RESERVED_NUMBER}", STORE_PORT)
+        if reservation is None:
+            continue
+        used = ((1, STORE_PORT), (1, ORDERS_PORT), (10, CALLERS_PORT), (10, READY_PORT))
+        probes = [_bind(f"{prefix}.{number}", port) for number, port in used]
+        for probe in probes:
+            if probe is not None:
+                probe.close()
+        if all(probe is not None for probe in probes):
+            return prefix, reservation
+        reservation.close()
+    raise OSError(f"no free addresses in {RESERVE_TRIES} tries")
+
+
+def _bind(host: str, port: int) -> socket.socket | None:
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind((host, port))
+        sock.listen()
+    except OSError:
+        sock.close()
+        return None
+    return sock
+
+
 class LocalPlatform:
     """Run the stand-ins over sockets of the loopback range, in one event loop."""
 
@@ -79,7 +116,7 @@
         # Two processes that play the same seed at once must not meet: the second one
         # would find its addresses in use.
         net = random.Random(f"{time.time_ns() if seed is None else seed} {os.getpid()}")
-        self._prefix = f"127.{net.randrange(64, 250)}.{net.randrange(250)}"
+        self._prefix, self._reservation = _reserve(net)
         self._timers = TimerService(time.monotonic())
         self._tick: asyncio.Task[None] | None = None
         self.store = RowStore(self._timers)
@@ -137,6 +174,10 @@
         """Return where a host listens for callers."""
         return self._address(10 + number, CALLERS_PORT)
 
+    def release(self) -> None:
+        """Let others have the addresses; nothing listens there any more."""
+        self._reservation.close()
+
     def stop(self) -> None:
         """End the hosts and the stand-ins at once.
 
@@ -148,6 +189,7 @@
             self._tick.cancel()
         for server in self.servers.values():
             server.stop()
+        self.release()
         escaped = [fields for log in self.logs for fields in log.fields(ESCAPED)]
         if escaped:
             raise RuntimeError(f"exceptions escaped: {escaped}")
--- a/tests/platform/test_local.py
+++ b/tests/platform/test_local.py
@@ -66,6 +66,14 @@
     await caller.close()
 
 
+def test_two_platforms_never_share_addresses():
+    """Guard against a test that fails as another one plays at its addresses."""
+    one, other = LocalPlatform(seed=7), LocalPlatform(seed=7)
+    assert one.callers_address(0) != other.callers_address(0)
+    one.release()
+    other.release()
+
+
 @on_platform
 async def test_unknown_database(platform):
     with pytest.raises(CallerError, match="ERR NODB"):
