Let each answer of a watch lead to one call, also from relays

Read again: two calls wrapped their handlers alike, and calls to relays had no such guard, so a retry that waits and a new era could have left two loops at one table. No play showed two loops: the new test, which counts calls to relays before and after three eras, passes on the code before as well.

--- a/mallowpass/core/proxy/ratelimits/allowances.py
+++ b/mallowpass/core/proxy/ratelimits/allowances.py
@@ -236,8 +236,7 @@
         self, account: _Account, question: _Question, event: AllowanceAnswered
     ) -> None:
         if event.operations:
-            # It was granted after it was asked for: so it lapses here before the
-            # keeper believes that it does.
+            # Counted from the question, it lapses here before it does at the keeper.
             account.granted.append((question.asked_at + VALIDITY, event.operations))
         if event.operations < question.needed:
             pause = min(event.pause, EMPTY_MAX)
--- a/mallowpass/core/proxy/ratelimits/keepers.py
+++ b/mallowpass/core/proxy/ratelimits/keepers.py
@@ -358,7 +358,7 @@
             return False
         row = self._rows.get(part)
         if row is None or row.entry.is_left:
-            # Nobody waits for an answer: whoever is first takes it at once.
+            # A part that nobody keeps needs no time to tell that its keeper is silent.
             since = self._open_since.setdefault(part, self.now)
             return self.now >= since + wait
         self._open_since.pop(part, None)
--- a/mallowpass/core/proxy/store.py
+++ b/mallowpass/core/proxy/store.py
@@ -22,6 +22,7 @@
     FIRST_START_TIME,
     RETURN_JITTER,
     WATCH_SLACK,
+    ReplyHandler,
     RowsHandler,
     Watch,
 )
@@ -65,8 +66,8 @@
     Table.HOSTS: 1.5,
     Table.LIMITS: 0.5,
 }
-# Tables of which a change may be learnt late: whoever was named before serves on, or is
-# passed over.
+# Late news of these tables does no harm: hosts that they named before are passed over
+# once they do not answer.
 _UNHURRIED = (Table.HOSTS, Table.LIMITS)
 # Calls a second that all hosts together make to be told of each other's changes, if
 # each asks the store. A fleet that is restarted in turn would make as many as the
@@ -77,8 +78,6 @@
 FIRST_START_GAP = 1.0
 FIRST_START_TURNS = 6.0  # seconds after a start
 
-ReplyHandler = Callable[[StoreReply], None]
-
 
 class Store(ProxySystem):
     """Call the store, and tell whether it answers."""
--- a/mallowpass/core/proxy/watches.py
+++ b/mallowpass/core/proxy/watches.py
@@ -53,6 +53,7 @@
 
 # Called with rows, and with whether these are all that the table has.
 RowsHandler = Callable[[tuple[Row, ...], bool], None]
+ReplyHandler = Callable[[StoreReply], None]
 
 
 class Watch:
@@ -81,9 +82,7 @@
         self._table = table
         self._handler = handler
         self._version = 0
-        self._calls = (
-            0  # that were made: the answer to an earlier one is not waited for
-        )
+        self._calls = 0  # that were made; only the last one's answer counts
         self._follows_relay = False
         self._failures = 0
         store.follow_eras(self._on_era)
@@ -134,7 +133,7 @@
         """Learn the table anew: changes since an earlier era's version mean nothing."""
         if self._version == 0 or self._follows_relay:
             return
-        self._calls += 1
+        self._calls += 1  # what is in flight has no answer that counts
         pause = self._store.jitter(RETURN_JITTER)
         if self._relays.has_relays:
             # They did not answer while the store was away, and list it now.
@@ -144,14 +143,21 @@
             self._store.timers.after(pause, self._list)
 
     def _list(self) -> None:
+        self._store.call(ListRows(self._table), self._newest(self._on_listed))
+
+    def _newest(self, handler: ReplyHandler) -> ReplyHandler:
+        """Return a handler for the answer to a call, if no later one was made.
+
+        Each answer leads to the next call: of two in flight one must be left.
+        """
         self._calls += 1
         number = self._calls
 
         def on_reply(reply: StoreReply) -> None:
             if self._calls == number:
-                self._on_listed(reply)
+                handler(reply)
 
-        self._store.call(ListRows(self._table), on_reply)
+        return on_reply
 
     def _on_listed(self, reply: StoreReply) -> None:
         if reply.status is not StoreStatus.DONE:
@@ -196,15 +202,9 @@
             self._list()
             return
         self._follows_relay = False
-        self._calls += 1
-        number = self._calls
-
-        def on_reply(reply: StoreReply) -> None:
-            if self._calls == number:
-                self._on_changes(reply)
-
         wait = self._store.watch_wait(self._table)
         call = WatchRows(self._table, self._version, wait)
+        on_reply = self._newest(self._on_changes)
         self._store.call(call, on_reply, wait + WATCH_SLACK)
 
     def _on_changes(self, reply: StoreReply) -> None:
@@ -249,7 +249,8 @@
                 self._follow()
 
         call = WatchRows(self._table, self._version, wait)
-        self._store.call_relay(relay, call, on_reply, wait + RELAY_SLACK)
+        newest = self._newest(on_reply)
+        self._store.call_relay(relay, call, newest, wait + RELAY_SLACK)
 
     def _on_history_gone(self) -> None:
         """List the rows anew; not at once if that was no help.
--- a/tests/core/proxy/test_eras.py
+++ b/tests/core/proxy/test_eras.py
@@ -12,6 +12,7 @@
 from mallowpass.core.proxy.statements import Code, Read, Write
 from mallowpass.core.proxy.store import SETTLE_TIME, Store
 from mallowpass.standins.proxied.replicas import GroupTimes
+from mallowpass.standins.proxied.virtual.hosts import Host
 from mallowpass.standins.proxied.virtual.world import (
     ProxyWorld,
     configuration,
@@ -176,6 +177,28 @@
     assert _calls_of(copied, lambda: copied.come_back(copied.store.copy())) <= away
 
 
+def test_tables_are_followed_once_after_a_new_era():
+    """Guard against two loops that follow one table, by a relay and beside it."""
+    world = ProxyWorld(hosts=RELAYED)
+    world.run(10.0)
+
+    def relay_calls() -> int:
+        before = sum(_count(host, "relay_calls") for host in world.hosts)
+        world.run(10.0)
+        return sum(_count(host, "relay_calls") for host in world.hosts) - before
+
+    calm = relay_calls()
+    assert calm > 0
+    for _ in range(3):
+        world.come_back(world.store.copy(), away=1.0)
+        world.run(8.0)
+    assert relay_calls() <= 1.1 * calm
+
+
+def _count(host: Host, name: str) -> int:
+    return sum(count.value for count in host.counts if count.name == name)
+
+
 # -- Beside the replacement of a primary -------------------------------------
 
 COPIED = (-2.0, -0.5, 0.05, 0.2, 0.4, 0.6, 0.8, 1.0, 1.3)  # seconds after the crash
