Log why a replaced primary is not waited for, and what each commit beside a successor was

The stand-in keeps of each commit that a replaced member acknowledges by whom, how long after its successor led, and whether the successor's log held it at that moment; the soak prints it.

--- a/mallowpass/core/proxy/demotion.py
+++ b/mallowpass/core/proxy/demotion.py
@@ -87,7 +87,9 @@
             self._order(task)
         task.handlers.append(handler)
         is_silent = endpoint.failures > 0 and not endpoint.connections
-        if task.waited or is_silent or not self._is_current(task):
+        if is_silent:
+            self._go_without(task, "this host has no connection to it")
+        elif task.waited or not self._is_current(task):
             self._release(task)
 
     def _is_current(self, task: _Task) -> bool:
@@ -130,7 +132,7 @@
         if is_alive and self.now - since < ALIVE_WAIT_MAX and self._is_current(task):
             self.timers.after(RETRY_MIN, self._on_waited, task, since)
         else:
-            self._release(task)
+            self._go_without(task, "it has not answered in time")
 
     def _on_reply(self, task: _Task, reply: EndpointReply | None) -> None:
         if not self._is_current(task):
@@ -149,7 +151,7 @@
     def _on_unreachable(self, signal: EndpointUnreachable) -> None:
         task = self._tasks.get(signal.endpoint.name)
         if task is not None:
-            self._release(task)
+            self._go_without(task, signal.why)
 
     def _on_forgotten(self, signal: EndpointForgotten) -> None:
         task = self._tasks.get(signal.endpoint.name)
@@ -172,6 +174,23 @@
         )
         self._release(task)
 
+    def _go_without(self, task: _Task, why: str) -> None:
+        """Go on without the endpoint's word, and say on what evidence."""
+        endpoint = task.endpoint
+        if not task.waited and self._is_current(task):
+            self._node.log(
+                "warning",
+                "demotion_not_awaited",
+                endpoint=endpoint.name,
+                why=why,
+                waiting=len(task.handlers),
+                tries=task.tries,
+                connections=len(endpoint.connections),
+                failures=endpoint.failures,
+                heard_ago=round(self.now - endpoint.heard_at, 3),
+            )
+        self._release(task)
+
     @staticmethod
     def _release(task: _Task) -> None:
         task.waited = True
--- a/mallowpass/standins/proxied/replicas.py
+++ b/mallowpass/standins/proxied/replicas.py
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from mallowpass.standins.proxied.connections import ReplicaConnection
 
-__all__ = ["Group", "GroupTimes", "LogEntry", "Replica"]
+__all__ = ["Group", "GroupTimes", "LogEntry", "Overtaken", "Replica"]
 
 STEP_DOWN_LOOK = 0.05  # seconds between looks of a replaced primary for its successor
 
@@ -54,6 +54,26 @@
     writes: tuple[tuple[str, str], ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Overtaken:
+    """Hold a commit that a member acknowledged after its successor led."""
+
+    entry: LogEntry
+    by: str  # the member that acknowledged it
+    successor: str
+    after: float  # seconds since that one began to lead
+    kept: bool  # the successor's log held it at that time
+
+    @property
+    def text(self) -> str:
+        """Return it in one line."""
+        log = "in" if self.kept else "not in"
+        return (
+            f"{self.entry.position.text} by {self.by} {1000 * self.after:.1f} ms "
+            f"after {self.successor} led, {log} its log then"
+        )
+
+
 @dataclass(slots=True)
 class Replica:
     """Hold one member of the group, primary or not."""
@@ -98,6 +118,8 @@
 
     __slots__ = (
         "_leader",
+        "_led_at",
+        "_led_with",
         "acknowledged",
         "acknowledged_at",
         "cuts",
@@ -138,13 +160,15 @@
         self.replicas = {name: Replica(name, self._clock) for name in names}
         self.replicas[names[0]].is_primary = True
         self._leader = names[0]
+        self._led_at = timers.now
+        self._led_with: frozenset[LogEntry] = frozenset()  # the leader's log then
         self.goes_on = goes_on
         self.cuts: set[frozenset[str]] = set()  # pairs of members
         self.acknowledged: list[LogEntry] = []
         self.acknowledged_at: dict[LogEntry, float] = {}
         self.lost: list[LogEntry] = []  # acknowledged, and not in the leader's log
         # Acknowledged by a member after its successor led.
-        self.overtaken: list[LogEntry] = []
+        self.overtaken: list[Overtaken] = []
         self.promotions = 0
         self.on_role: Callable[[Replica], None] = lambda replica: None
         # Called with the request and its connection's customer whenever one runs.
@@ -257,7 +281,9 @@
         self.acknowledged.append(entry)
         self.acknowledged_at[entry] = self.timers.now
         if by is not self.primary:
-            self.overtaken.append(entry)
+            after = self.timers.now - self._led_at
+            kept = entry in self._led_with
+            self.overtaken.append(Overtaken(entry, by.name, self._leader, after, kept))
             if entry not in self.primary.log:
                 self.lost.append(entry)
 
@@ -318,7 +344,8 @@
         if replica.is_primary or not replica.up:
             return
         leading = [other for other in self.replicas.values() if other.is_primary]
-        held = set(replica.log)
+        held = self._led_with = frozenset(replica.log)
+        self._led_at = self.timers.now
         self.lost += [entry for entry in self.acknowledged if entry not in held]
         self.promotions += 1
         replica.term = 1 + max(other.term for other in self.replicas.values())
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -171,7 +171,10 @@
             broken.append(f"{len(group.lost)} acknowledged commits were lost")
         if group.overtaken:
             number = len(group.overtaken)
-            broken.append(f"{number} commits were acknowledged beside a successor")
+            told = "; ".join(overtaken.text for overtaken in group.overtaken)
+            broken.append(
+                f"{number} commits were acknowledged beside a successor: {told}"
+            )
         log = group.primary.log
         kept = Counter(f"{k} {v}" for entry in log for k, v in entry.writes)
         for text, number in kept.items():
--- a/tests/standins/proxied/test_replicas.py
+++ b/tests/standins/proxied/test_replicas.py
@@ -72,6 +72,7 @@
     group.cut("b", ["c"])
     assert _ask(group, "a", Write("k 1"))[0].code is Code.DONE
     assert len(group.overtaken) == len(group.lost) == 1
+    assert not group.overtaken[0].kept
 
 
 def test_replica_that_heard_of_the_successor_receives_nothing_of_the_old_primary():
