Believe nobody who leads an older term, and never order a newer primary to step down

Cause: the successor's writes stalled while its replica waited for the old primary to step down. Members were offered a transaction, the old primary accepted it and was believed, and the successor was ordered to step down with a term above all that were known. Ruled out: a late order to promote (one order, answered), a second claim (none).

In virtual time the same: a leaving primary that is silent for 0.42 s after its successor leads. The new test fails on the code before, where the successor steps down and another promotion is needed. Now terms are compared before an endpoint is believed that accepts a transaction or says that it leads (the comparison of two that lead moved from leadership into a module of its own), and an order to step down names a term that the successor leads: one above that its target showed when it was compared, else the newest one seen. Where the endpoint's term is as new, both are asked and the older one steps down.

--- a/mallowpass/core/proxy/demotion.py
+++ b/mallowpass/core/proxy/demotion.py
@@ -6,7 +6,9 @@
 While replicas are paused, and once it has stepped down, it can't have any acknowledged.
 
 The order names a term and changes nothing at a primary of that term or a newer one:
-carried out late it does no harm, whether or not the platform checks fencing tokens.
+carried out late it does no harm, whether or not the platform checks fencing tokens. It
+never names a term above that of the successor, so a host that is wrong about which of
+two leads can't have the newer one step down. Where that is open, both are asked.
 """
 
 from __future__ import annotations
@@ -17,6 +19,7 @@
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
+from mallowpass.core.proxy.rivals import Rivals
 from mallowpass.core.proxy.signals import (
     EndpointForgotten,
     EndpointRestarted,
@@ -58,7 +61,7 @@
 class Demotion(ProxySystem):
     """Order replaced primaries to step down, until each has or is gone."""
 
-    __slots__ = ("_connections", "_orders", "_tasks")
+    __slots__ = ("_connections", "_orders", "_rivals", "_tasks")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
@@ -69,6 +72,7 @@
         node = self._node
         self._connections = node.system(Connections)
         self._orders = node.system(ReplicaOrders)
+        self._rivals = node.system(Rivals)
         node.subscribe(EndpointUnreachable, self._on_unreachable)
         node.subscribe(EndpointForgotten, self._on_forgotten)
         node.subscribe(EndpointRestarted, self._on_restarted)
@@ -78,13 +82,15 @@
     ) -> None:
         """Have an endpoint step down from any term below `term`.
 
-        The handler is called once it has, or can't be waited for any longer.
+        Its successor leads `term` or a newer one. The handler is called once it has
+        stepped down, or can't be waited for any longer.
         """
         task = self._tasks.get(endpoint.name)
         if task is None:
             task = self._tasks[endpoint.name] = _Task(endpoint, term)
             self.timers.after(WAIT_MAX, self._on_waited, task, self.now)
             self._order(task)
+        task.term = max(task.term, term)
         task.handlers.append(handler)
         is_silent = endpoint.failures > 0 and not endpoint.connections
         if is_silent:
@@ -143,11 +149,35 @@
         if status is not None and not status.is_primary:
             self._end(task, "it has stepped down")
             return
-        if status is not None:
-            task.term = status.term + 1  # its term is newer than was known
+        if status is not None and status.term >= task.term:
+            self._compare(task, status.term)
+        else:
+            self._order_later(task)
+
+    def _order_later(self, task: _Task) -> None:
         pause = self._node.backoff(task.tries - 1, RETRY_MIN, RETRY_MAX)
         self.timers.after(pause, self._order, task)
 
+    def _compare(self, task: _Task, term: int) -> None:
+        """Find out who leads, as an endpoint's term is newer than was known."""
+        group = self.tables.group(task.endpoint.entry.service)
+        successor = group.primary_row
+        if successor is None or successor is task.endpoint:
+            self._order_later(task)
+            return
+
+        def on_leader(leader: str) -> None:
+            if not self._is_current(task):
+                return
+            if leader == task.endpoint.name:
+                self._end(task, "it leads a newer term")
+                return
+            if leader == successor.name:
+                task.term = max(task.term, term + 1)
+            self._order_later(task)
+
+        self._rivals.compare(group, successor, task.endpoint, on_leader)
+
     def _on_unreachable(self, signal: EndpointUnreachable) -> None:
         task = self._tasks.get(signal.endpoint.name)
         if task is not None:
--- a/mallowpass/core/proxy/discovery.py
+++ b/mallowpass/core/proxy/discovery.py
@@ -10,6 +10,7 @@
 from mallowpass.core.proxy.control import Control
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.members import Members
+from mallowpass.core.proxy.rivals import Rivals
 from mallowpass.core.proxy.signals import PrimaryChanged, PrimarySuspected
 from mallowpass.core.proxy.statements import Begin, Code, EndpointReply, Rollback
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
@@ -24,7 +25,7 @@
 class Discovery(ProxySystem):
     """Ask endpoints while nobody is known to lead their group."""
 
-    __slots__ = ("_control", "_holders", "_looking", "_members")
+    __slots__ = ("_control", "_holders", "_looking", "_members", "_rivals")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
@@ -35,6 +36,7 @@
         self._control = self._node.system(Control)
         self._holders = self._node.system(Holders)
         self._members = self._node.system(Members)
+        self._rivals = self._node.system(Rivals)
         self._node.subscribe(PrimaryChanged, self._on_primary)
         self._node.subscribe(PrimarySuspected, self._on_primary)
 
@@ -67,7 +69,17 @@
             if not self._is_open(group) or not replies:
                 return
             if replies[0].code is Code.DONE:
-                why = "it accepts a transaction"
-                self._members.promoted(endpoint, why, replies[0].position)
+                self._on_accepted(group, endpoint, replies[0])
 
         self._control.ask(endpoint, (Begin(), Rollback()), on_replies, ANSWER_TIME)
+
+    def _on_accepted(
+        self, group: GroupRow, endpoint: EndpointRow, reply: EndpointReply
+    ) -> None:
+        """Believe an endpoint that accepts a transaction, unless it was replaced."""
+        if self.tables.lead_is_taken:
+            why = "it accepts a transaction"
+            self._members.promoted(endpoint, why, reply.position)
+        else:
+            primary = group.primary_row
+            self._rivals.compare(group, primary, endpoint, lambda leader: None)
--- a/mallowpass/core/proxy/leadership.py
+++ b/mallowpass/core/proxy/leadership.py
@@ -27,15 +27,13 @@
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.claims import Claim, Claims
 from mallowpass.core.proxy.control import Control
-from mallowpass.core.proxy.members import Members
+from mallowpass.core.proxy.rivals import Rivals
 from mallowpass.core.proxy.signals import EndpointRestarted, PrimaryChanged
 from mallowpass.core.proxy.statements import (
     Begin,
     Code,
-    Demote,
     EndpointReply,
     Rollback,
-    Status,
 )
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
 
@@ -70,7 +68,7 @@
 class Leadership(ProxySystem):
     """Prove that primaries were not replaced, one question at a time for a group."""
 
-    __slots__ = ("_claims", "_control", "_members", "_next", "_surveys")
+    __slots__ = ("_claims", "_control", "_next", "_rivals", "_surveys")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
@@ -83,7 +81,7 @@
         node = self._node
         self._claims = node.system(Claims)
         self._control = node.system(Control)
-        self._members = node.system(Members)
+        self._rivals = node.system(Rivals)
         node.subscribe(PrimaryChanged, self._on_primary)
         node.subscribe(EndpointRestarted, self._on_restarted)
 
@@ -165,6 +163,19 @@
 
         self._control.ask(endpoint, (Begin(), Rollback()), on_replies, ANSWER_TIME)
 
+    def _compare(self, survey: _Survey, rival: EndpointRow) -> None:
+        """Find out whether another one that leads as well has been replaced."""
+        primary = survey.group.primary_row
+
+        def on_leader(leader: str) -> None:
+            refused = leader == survey.primary
+            self._settle(survey, rival, refused)
+
+        if primary is None or primary.name != survey.primary:
+            self._settle(survey, rival, False)
+        else:
+            self._rivals.compare(survey.group, primary, rival, on_leader)
+
     def _settle(self, survey: _Survey, endpoint: EndpointRow, refused: bool) -> None:
         survey.waits_for.discard(endpoint.name)
         if not refused:
@@ -211,74 +222,6 @@
             return False
         return survey.term <= primary.position.term
 
-    # -- Two that lead -------------------------------------------------------
-
-    def _compare(self, survey: _Survey, rival: EndpointRow) -> None:
-        """Find out which of two that accept transactions leads the newer term."""
-        primary = survey.group.primary_row
-        if primary is None:
-            self._settle(survey, rival, False)
-            return
-        terms: dict[str, int] = {}
-        asked = {primary.name, rival.name}
-
-        def on_replies(endpoint: EndpointRow, reply: EndpointReply | None) -> None:
-            asked.discard(endpoint.name)
-            status = None if reply is None else reply.status
-            if status is not None and status.is_primary:
-                terms[endpoint.name] = status.term
-            if not asked:
-                self._on_terms(survey, primary, rival, terms)
-
-        for endpoint in (primary, rival):
-            self._ask_term(endpoint, on_replies)
-
-    def _ask_term(
-        self,
-        endpoint: EndpointRow,
-        handler: Callable[[EndpointRow, EndpointReply | None], None],
-    ) -> None:
-        def on_replies(replies: list[EndpointReply] | None) -> None:
-            handler(endpoint, replies[0] if replies else None)
-
-        self._control.ask(endpoint, (Status(),), on_replies, ANSWER_TIME)
-
-    def _on_terms(
-        self,
-        survey: _Survey,
-        primary: EndpointRow,
-        rival: EndpointRow,
-        terms: dict[str, int],
-    ) -> None:
-        term, rival_term = terms.get(primary.name), terms.get(rival.name)
-        self._node.log(
-            "warning",
-            "two_primaries",
-            service=survey.group.service,
-            primary=primary.name,
-            term=term,
-            rival=rival.name,
-            rival_term=rival_term,
-        )
-        if term is None or rival_term is None or term == rival_term:
-            self._settle(survey, rival, False)
-        elif rival_term < term:
-            self._demote(rival, term)
-            self._settle(survey, rival, True)
-        else:
-            self._demote(primary, rival_term)
-            if survey.group.primary == primary.name:
-                self._members.promoted(rival, "it leads a newer term")
-            self._settle(survey, rival, False)
-
-    def _demote(self, endpoint: EndpointRow, term: int) -> None:
-        """Have a primary step down that another one has overtaken.
-
-        Carried out late it does no harm: it changes nothing at a primary of that term
-        or a newer one.
-        """
-        self._control.ask(endpoint, (Demote(term),), lambda replies: None, ANSWER_TIME)
-
 
 def _is_own_refusal(reply: EndpointReply | None) -> bool:
     """Tell whether an endpoint itself said that it does not lead.
--- a/mallowpass/core/proxy/members.py
+++ b/mallowpass/core/proxy/members.py
@@ -327,6 +327,8 @@
             why=why,
         )
         group.primary = name
+        if name:
+            group.term_before = group.term
         if name and group.term:  # else it is the first one that this host learns of
             group.led_at.append(self.now)
         group.no_primary_since = None if name else self.now
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -20,6 +20,7 @@
 from mallowpass.core.node import Node
 from mallowpass.core.positions import ZERO_POSITION
 from mallowpass.core.proxy.claims import Claim, Claims
+from mallowpass.core.proxy.demotion import Demotion
 from mallowpass.core.proxy.durability import Durability
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.holders import Holders
@@ -28,6 +29,7 @@
 from mallowpass.core.proxy.replacement import Reason, Replacement, best_target
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
 from mallowpass.core.proxy.resumption import Resumption
+from mallowpass.core.proxy.rivals import Rivals
 from mallowpass.core.proxy.signals import (
     EndpointChanged,
     EndpointRestarted,
@@ -39,6 +41,7 @@
 from mallowpass.core.proxy.statements import (
     Code,
     EndpointReply,
+    EndpointStatus,
     LogPosition,
     Pause,
     Statement,
@@ -68,6 +71,7 @@
     __slots__ = (
         "_attempts",
         "_claims",
+        "_demotion",
         "_durability",
         "_floors",
         "_held_until",
@@ -76,6 +80,7 @@
         "_ordering",
         "_orders",
         "_resumption",
+        "_rivals",
         "_standing",
     )
 
@@ -89,6 +94,7 @@
         """Subscribe to answers, and to what makes an attempt needless."""
         node = self._node
         self._claims = node.system(Claims)
+        self._demotion = node.system(Demotion)
         self._durability = node.system(Durability)
         self._floors = node.system(Floors)
         self._holders = node.system(Holders)
@@ -96,6 +102,7 @@
         self._ordering = node.system(Ordering)
         self._orders = node.system(ReplicaOrders)
         self._resumption = node.system(Resumption)
+        self._rivals = node.system(Rivals)
         self._standing = node.system(StandingOrders)
         node.subscribe(EndpointChanged, self._on_endpoint)
         node.subscribe(EndpointRestarted, self._on_restarted)
@@ -222,13 +229,17 @@
         attempt.asked -= 1
         if reply is not None and reply.code is Code.DONE and reply.status is not None:
             attempt.received[endpoint.name] = reply.status.received
+            attempt.terms[endpoint.name] = reply.status.term
             attempt.group.term = max(attempt.group.term, reply.status.term)
             if isinstance(statement, Pause):
                 attempt.paused.add(endpoint.name)
             # One that started again with nothing may say that it leads.
             needed = self._durability.demanded(attempt.group)
             if reply.status.is_primary and reply.status.received >= needed:
-                self._on_leading(attempt, endpoint)
+                if self._is_replaced(attempt, reply.status):
+                    self._on_replaced(attempt, endpoint, reply.status)
+                else:
+                    self._on_leading(attempt, endpoint)
                 return
         else:
             self._node.log(
@@ -242,6 +253,32 @@
         if attempt.asked == 0:
             self._decide(attempt)
 
+    def _is_replaced(self, attempt: Replacement, status: EndpointStatus) -> bool:
+        """Tell whether one that says that it leads has been replaced itself."""
+        if self.tables.lead_is_taken:
+            return False
+        if not attempt.primary:
+            return status.term < attempt.group.term
+        return not self._rivals.is_newer(attempt.group, status)
+
+    def _on_replaced(
+        self, attempt: Replacement, endpoint: EndpointRow, status: EndpointStatus
+    ) -> None:
+        """Have an earlier primary step down, then compare again."""
+        del attempt.received[endpoint.name]
+        attempt.paused.discard(endpoint.name)
+        attempt.asked += 1
+        round_number = attempt.rounds
+
+        def on_stepped_down() -> None:
+            if attempt.ended or attempt.rounds != round_number:
+                return
+            attempt.asked -= 1
+            if attempt.asked == 0:
+                self._decide(attempt)
+
+        self._demotion.demote(endpoint, status.term + 1, on_stepped_down)
+
     def _on_leading(self, attempt: Replacement, endpoint: EndpointRow) -> None:
         """Leave it at that: another host's order was carried out meanwhile."""
         if attempt.group.primary != endpoint.name:
@@ -451,9 +488,6 @@
             # Also those that did not say so: an order to pause may be carried out late.
             replicas = self._candidates(attempt.group, attempt.primary)
             names = [replica.name for replica in replicas]
-            ordered = attempt.orders > 0
-            self._resumption.resume(
-                attempt.group, attempt.claim, names, ordered, attempt.primary
-            )
+            self._resumption.resume(attempt, names)
         else:
             self._resumption.go_on(attempt.group.service)
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -33,6 +33,7 @@
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
 from mallowpass.core.proxy.requests import Requests
 from mallowpass.core.proxy.resumption import Resumption
+from mallowpass.core.proxy.rivals import Rivals
 from mallowpass.core.proxy.routing import Routing
 from mallowpass.core.proxy.sampling import Sampling
 from mallowpass.core.proxy.sessions import Sessions
@@ -73,6 +74,7 @@
     Relief,
     Repair,
     Members,
+    Rivals,
     Discovery,
     Leadership,
     Sampling,
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -43,12 +43,18 @@
     members: set[str] = field(default_factory=set)  # that are asked in this round
     asked: int = 0  # questions of this round without a reply
     received: dict[str, LogPosition] = field(default_factory=dict)
+    terms: dict[str, int] = field(default_factory=dict)  # that replicas showed
     shown: LogPosition | None = None  # by the primary, in the first round
     rounds: int = 0
     orders: int = 0
     call: int = 0  # number of the order that counts
     ended: bool = False
 
+    @property
+    def term(self) -> int:
+        """Return a term that the target leads, or a newer one, once it does."""
+        return self.terms.get(self.target, 0) + 1
+
     @property
     def received_text(self) -> str:
         """Return what replicas have received, as log lines have it."""
--- a/mallowpass/core/proxy/resumption.py
+++ b/mallowpass/core/proxy/resumption.py
@@ -22,6 +22,7 @@
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.claims import Claim, Claims
 from mallowpass.core.proxy.demotion import Demotion
+from mallowpass.core.proxy.replacement import Replacement
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
 from mallowpass.core.proxy.signals import (
     EndpointChanged,
@@ -55,6 +56,8 @@
     # Primaries of the time since these were paused; all but one must step down first.
     leaders: set[str] = field(default_factory=set)
     demoted: set[str] = field(default_factory=set)  # of them, or given up
+    target: str = ""  # of an attempt, which leads `term` or a newer one if it leads
+    term: int = 0
     repairs: bool = False  # nobody here paused them
     ordered: bool = False  # a promotion was ordered under the claim
     asked: int = 0  # orders of this round without a reply
@@ -83,20 +86,18 @@
         self._node.subscribe(EndpointRestarted, self._on_restarted)
         self._node.subscribe(PrimaryChanged, self._on_primary)
 
-    def resume(
-        self,
-        group: GroupRow,
-        claim: Claim | None,
-        names: Iterable[str],
-        ordered: bool,
-        primary: str,
-    ) -> None:
-        """Have replicas receive that were paused; `claim` is this host's, if any.
-
-        `ordered` tells that a promotion was ordered under it, `primary` who led when
-        they were paused.
-        """
-        task = _Task(group, claim, set(names), {primary}, ordered=ordered)
+    def resume(self, attempt: Replacement, names: Iterable[str]) -> None:
+        """Have replicas receive that were paused in an attempt that has ended."""
+        group = attempt.group
+        task = _Task(
+            group,
+            attempt.claim,
+            set(names),
+            {attempt.primary},
+            target=attempt.target,
+            term=attempt.term,
+            ordered=attempt.orders > 0,
+        )
         held = self._held.pop(group.service, None)
         if held is not None:
             task.names |= held.names
@@ -212,7 +213,10 @@
         name = min(replaced)
         task.demoted.add(name)
         endpoint = task.group.endpoints[name]
-        term = task.group.term + 1
+        # Never above the term that the successor leads: if this host is wrong about
+        # which of them leads, the order changes nothing at the newer one.
+        is_target = task.target == task.group.primary
+        term = task.term if is_target else task.group.term
         self._demotion.demote(endpoint, term, lambda: self._round(task))
 
     def _claim_round(self, task: _Task) -> None:
--- a/tests/core/proxy/test_replaced.py
+++ b/tests/core/proxy/test_replaced.py
@@ -314,3 +314,25 @@
     world.run(4.0)
     assert world.primary.name == "db-new"
     assert world.oracle.stale == []
+
+
+def test_a_stall_at_the_successor_does_not_bring_the_old_primary_back():
+    """Commits were acknowledged by a replaced primary, and lost.
+
+    The successor's writes stalled while its replica waited for the old primary to step
+    down. That one accepted a transaction, which set aside that the successor led a
+    newer term; the successor was then ordered to step down.
+    """
+    world = weak_world()
+    keep_working(world, 0, 1, 2, 3)
+    world.run(1.0)
+    world.enter(world.group.replicas[OLD], draining=True)
+    world.run_until(lambda: world.group.promotions == 1, 4.0)
+    successor = world.primary
+    world.dark.add(OLD)
+    world.run(0.42)
+    world.dark.discard(OLD)
+    world.run(4.0)
+    assert world.group.promotions == 1
+    assert successor.is_primary
+    kept(world)
