Have an attempt go on where a member says that it leads and was replaced before

The attempt to replace it ended since that one said that it led; replicas received from it, and up to 408 commits of a play of 8 s were acknowledged and lost. The new test fails on the code before the last commit at all four moments (0, 0.01, 0.3 and 0.6 s of lead).

A member that leads the newest term that was known when the primary was believed may be that primary under another name, and its entry says so in a moment: it is ordered to step down after half the rounds only. Whose term came before is noted when another one is believed, not when the same one is believed again.

--- a/mallowpass/core/proxy/members.py
+++ b/mallowpass/core/proxy/members.py
@@ -327,7 +327,8 @@
             why=why,
         )
         group.primary = name
-        if name:
+        if name and name != group.led_by:
+            group.led_by = name
             group.term_before = group.term
         if name and group.term:  # else it is the first one that this host learns of
             group.led_at.append(self.now)
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -236,11 +236,10 @@
             # One that started again with nothing may say that it leads.
             needed = self._durability.demanded(attempt.group)
             if reply.status.is_primary and reply.status.received >= needed:
-                if self._is_replaced(attempt, reply.status):
-                    self._on_replaced(attempt, endpoint, reply.status)
-                else:
+                if not self._is_replaced(attempt, reply.status):
                     self._on_leading(attempt, endpoint)
-                return
+                    return
+                self._on_replaced(attempt, endpoint, reply.status)
         else:
             self._node.log(
                 "info",
@@ -264,9 +263,16 @@
     def _on_replaced(
         self, attempt: Replacement, endpoint: EndpointRow, status: EndpointStatus
     ) -> None:
-        """Have an earlier primary step down, then compare again."""
+        """Have an earlier primary step down, then compare again.
+
+        One of the newest term that was known may be the same primary under another
+        name: its entry tells so in a moment.
+        """
         del attempt.received[endpoint.name]
         attempt.paused.discard(endpoint.name)
+        is_open = status.term == attempt.group.term_before
+        if is_open and attempt.rounds < ROUNDS_MAX // 2:
+            return
         attempt.asked += 1
         round_number = attempt.rounds
 
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -157,7 +157,10 @@
     primary: str = ""  # name of the endpoint that is believed to lead
     primary_version: int = 0  # of the entry that said so
     term: int = 0  # newest that was seen in a position
-    term_before: int = 0  # the same when its primary was believed; owned by members
+    # Who was believed to lead last, and the newest term that was seen before it was.
+    # Owned by members.
+    led_by: str = ""
+    term_before: int = 0
     must_hold: LogPosition = ZERO_POSITION  # is acknowledged; owned by durability
     samples: deque[FloorSample] = field(default_factory=deque)  # oldest first
     # Floors that were looked up, by accepted age, and when; owned by floors.
--- a/tests/core/proxy/test_replaced.py
+++ b/tests/core/proxy/test_replaced.py
@@ -336,3 +336,26 @@
     assert world.group.promotions == 1
     assert successor.is_primary
     kept(world)
+
+
+@pytest.mark.parametrize("led_for", [0.0, 0.01, 0.3, 0.6])
+def test_an_old_primary_that_says_that_it_leads_is_no_successor(led_for):
+    """Commits were acknowledged by a replaced primary, and were lost.
+
+    Its successor failed as well. An attempt to replace that one ended since a member
+    said that it led, which was the old primary.
+    """
+    world = weak_world()
+    keep_working(world, 0, 1, 2, 3)
+    world.run(1.0)
+    world.enter(world.group.replicas[OLD], draining=True)
+    world.run_until(lambda: world.group.promotions == 1, 4.0)
+    successor = world.primary
+    world.group.cut(OLD, [successor.name])
+    world.dark.add(OLD)
+    world.run(led_for)
+    world.crash(successor.name)
+    world.run(0.6 - led_for)
+    world.dark.discard(OLD)
+    world.run(8.0)
+    kept(world)
