Ask by way of all hosts before going on without an old primary's word

The host that had ordered the replacement had no connection to the old primary and waited to try again, took that for the primary's silence, and had a replica receive at once; the primary was back, and others were answered by it. Ruled out: a replica that started again (none did), a claim of another host (one token).

The order to step down is now tried at once and by way of each other host that connects to the endpoint. Who receives waits for its word, for the answers of all these hosts, or for 2.5 s where one of them is silent. Found while testing: a host that is ready to serve as a way was taken for the endpoint's own answer, so two hosts kept each other from noticing that it was dead; and the order was given up before its successor led where a promotion takes longer than half a second.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -26,6 +26,7 @@
     EndpointRestarted,
     EndpointUnreachable,
     FloorLearnt,
+    WayRefused,
 )
 from mallowpass.core.proxy.statements import (
     Code,
@@ -101,6 +102,7 @@
             for connection in endpoint.connections.values()
             if connection.state is ConnectionState.IDLE
             and connection.serves(customer)
+            and not connection.reserved
             and not (own_only and connection.holder)
         ]
         if not idle:
@@ -147,6 +149,20 @@
             return True
         return bool(opening)
 
+    def take_by(self, endpoint: EndpointRow, host: HostRow) -> ConnectionRow | None:
+        """Return an idle connection by way of a host that is opened just for that."""
+        for connection in endpoint.connections.values():
+            if connection.reserved and connection.holder == host.name:
+                is_idle = connection.state is ConnectionState.IDLE
+                return connection if is_idle else None
+        self._open(endpoint, host, None, reserved=True)
+        return None
+
+    def retry(self, endpoint: EndpointRow) -> None:
+        """Try to reach an endpoint at once that could not be reached before."""
+        endpoint.refused_until = self.now
+        self.grow(endpoint, beyond_share=True)
+
     def _make_room(self, endpoint: EndpointRow, customer: str) -> None:
         """Close an idle connection of another customer if the share is taken up.
 
@@ -222,7 +238,11 @@
     # -- What happens to connections -----------------------------------------
 
     def _open(
-        self, endpoint: EndpointRow, way: HostRow | None, customer: str | None
+        self,
+        endpoint: EndpointRow,
+        way: HostRow | None,
+        customer: str | None,
+        reserved: bool = False,
     ) -> None:
         number = self._node.number()
         entry = endpoint.entry
@@ -230,7 +250,12 @@
         if way is not None:
             address, holder, customer = way.address, way.name, None
         connection = ConnectionRow(
-            number, endpoint, self.now, holder=holder, customer=customer
+            number,
+            endpoint,
+            self.now,
+            holder=holder,
+            customer=customer,
+            reserved=reserved,
         )
         self.tables.connections[number] = connection
         endpoint.connections[number] = connection
@@ -246,13 +271,25 @@
         if connection is None:
             return
         endpoint = connection.endpoint
-        endpoint.failures = 0
-        endpoint.heard_at = self.now
         if connection.holder:
             self._holders.answered(connection.holder)
+        if self._is_own_word(connection):
+            endpoint.failures = 0
+            endpoint.heard_at = self.now
         self._learn_floor(endpoint, event.floor, connection.opened_at)
         self.release(connection)
 
+    def _is_own_word(self, connection: ConnectionRow) -> bool:
+        """Tell whether a connection that is ready shows that its endpoint answers.
+
+        Another host that is ready to serve as a way may not have noticed that it can't
+        reach the endpoint. Hosts that connect to it themselves would each take the
+        other's word for the endpoint's.
+        """
+        if not connection.holder:
+            return True
+        return not self._holders.holds(connection.endpoint.entry.service)
+
     def _on_refused(self, event: ConnectionRefused) -> None:
         connection = self._remove(event.connection)
         if connection is None:
@@ -267,8 +304,11 @@
             holder=connection.holder,
             open=len(endpoint.connections),
         )
-        if connection.holder and self._pass_over(connection, event):
-            return
+        if connection.holder:
+            is_answer = not self._is_silent(connection, event)
+            self._node.publish(WayRefused(endpoint, connection.holder, is_answer))
+            if self._pass_over(connection, event):
+                return
         if event.code is Code.TOO_MANY_CONNECTIONS:
             pause = FULL_BACKOFF * self._node.random.uniform(1.0, 2.0)
         else:
@@ -282,9 +322,17 @@
         gone = event.unreachable or event.code is Code.WRONG_ENDPOINT
         # What a holder fails to reach is no evidence of the endpoint's end.
         if gone and not connection.holder:
-            self._node.publish(EndpointUnreachable(endpoint, event.message))
+            unreachable = EndpointUnreachable(
+                endpoint, event.message, connection.opened_at
+            )
+            self._node.publish(unreachable)
         self.timers.after(pause, self._node.publish, ConnectionFreed(endpoint))
 
+    def _is_silent(self, connection: ConnectionRow, event: ConnectionRefused) -> bool:
+        """Tell whether an attempt to connect got no answer at all in time."""
+        took = self.now - connection.opened_at
+        return event.unreachable and took >= CONNECT_TIMEOUT
+
     def _pass_over(self, connection: ConnectionRow, event: ConnectionRefused) -> bool:
         """Pass over a holder that refused; tell whether another way is left.
 
@@ -295,8 +343,7 @@
         if event.code is Code.UNREACHABLE:
             self._holders.cannot_reach(connection.holder, endpoint)
         else:
-            took = self.now - connection.opened_at
-            silent = event.unreachable and took >= CONNECT_TIMEOUT
+            silent = self._is_silent(connection, event)
             self._holders.failed(connection.holder, silent)
         if self._holders.holds(endpoint.entry.service):
             return True
@@ -387,7 +434,9 @@
         self, connection: ConnectionRow, reply: EndpointReply, sent_at: float
     ) -> None:
         endpoint = connection.endpoint
-        endpoint.heard_at = self.now
+        # A host on the way that refuses for the endpoint knows no position.
+        if reply.position is not None or self._is_own_word(connection):
+            endpoint.heard_at = self.now
         if reply.position is not None:
             endpoint.position = reply.position
             group = self.tables.group(endpoint.entry.service)
--- a/mallowpass/core/proxy/control.py
+++ b/mallowpass/core/proxy/control.py
@@ -13,10 +13,15 @@
     EndpointReply,
     Statement,
 )
-from mallowpass.core.proxy.tables import ConnectionRow, EndpointRow, ProxySystem
+from mallowpass.core.proxy.tables import (
+    ConnectionRow,
+    EndpointRow,
+    HostRow,
+    ProxySystem,
+)
 from mallowpass.core.timers import Timer
 
-__all__ = ["Control"]
+__all__ = ["Control", "Question"]
 
 BUSY_PAUSE = 0.03  # seconds before a question is repeated that found no slot
 
@@ -27,10 +32,18 @@
 RepliesHandler = Callable[[list[EndpointReply] | None], None]
 
 
-class _Question:
+class Question:
     """Hold statements that wait for a connection or for their replies."""
 
-    __slots__ = ("calls", "connection", "endpoint", "expires", "handler", "timer")
+    __slots__ = (
+        "calls",
+        "connection",
+        "endpoint",
+        "expires",
+        "handler",
+        "timer",
+        "way",
+    )
 
     def __init__(
         self,
@@ -38,14 +51,21 @@
         calls: list[EndpointCall],
         handler: RepliesHandler,
         expires: float,
+        way: HostRow | None,
     ) -> None:
         self.endpoint = endpoint
+        self.way = way
         self.calls = calls
         self.handler: RepliesHandler | None = handler
         self.expires = expires
         self.connection: ConnectionRow | None = None
         self.timer: Timer | None = None
 
+    @property
+    def was_sent(self) -> bool:
+        """Tell whether there was a connection to send it on."""
+        return self.connection is not None
+
 
 class Control(ProxySystem):
     """Send statements of this host to endpoints, each over a connection of its own."""
@@ -54,7 +74,7 @@
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
-        self._waiting: list[_Question] = []
+        self._waiting: list[Question] = []
 
     def start(self) -> None:
         """Take connections as they become free, before callers' statements do."""
@@ -68,13 +88,25 @@
         statements: tuple[Statement, ...],
         handler: RepliesHandler,
         timeout: float,
-    ) -> None:
-        """Send statements in one write; the handler gets all replies, or None."""
+        way: HostRow | None = None,
+    ) -> Question:
+        """Send statements in one write; the handler gets all replies, or None.
+
+        With `way`, they go by way of that host and no other way.
+        """
         calls = [EndpointCall(statement) for statement in statements]
-        question = _Question(endpoint, calls, handler, self.now + timeout)
+        question = Question(endpoint, calls, handler, self.now + timeout, way)
         question.timer = self.timers.after(timeout, self._finish, question, None)
         self._waiting.append(question)
         self._try(question)
+        return question
+
+    def give_up(self, endpoint: EndpointRow, way: str) -> None:
+        """End questions that wait for a way by which an endpoint is not reached."""
+        for question in list(self._waiting):
+            goes_by = question.way is not None and question.way.name == way
+            if goes_by and question.endpoint is endpoint:
+                self._finish(question, None)
 
     def _on_freed(self, signal: ConnectionFreed) -> None:
         for question in list(self._waiting):
@@ -90,12 +122,11 @@
             if question.endpoint is signal.before:
                 self._finish(question, None)
 
-    def _try(self, question: _Question) -> None:
+    def _try(self, question: Question) -> None:
         if question.handler is None or question not in self._waiting:
             return
-        connection = self._connections.take(question.endpoint, None)
+        connection = self._take(question)
         if connection is None:
-            self._connections.grow(question.endpoint, beyond_share=True)
             return
         self._waiting.remove(question)
         question.connection = connection
@@ -106,27 +137,42 @@
 
         self._connections.send(connection, question.calls, on_replies)
 
+    def _take(self, question: Question) -> ConnectionRow | None:
+        """Return an idle connection; have one opened if there is none."""
+        if question.way is not None:
+            return self._connections.take_by(question.endpoint, question.way)
+        connection = self._connections.take(question.endpoint, None)
+        if connection is None:
+            self._connections.grow(question.endpoint, beyond_share=True)
+        return connection
+
     def _on_replies(
         self,
-        question: _Question,
+        question: Question,
         connection: ConnectionRow,
         replies: list[EndpointReply],
     ) -> None:
-        self._connections.release(connection)
+        if question.way is None:
+            self._connections.release(connection)
         if question.handler is None:
             return
-        again = any(reply.code in _TRY_AGAIN for reply in replies)
+        again = question.way is None and any(
+            reply.code in _TRY_AGAIN for reply in replies
+        )
         if again and self.now + BUSY_PAUSE < question.expires:
             self._waiting.append(question)
             self.timers.after(BUSY_PAUSE, self._try, question)
             return
         self._finish(question, replies)
 
-    def _finish(self, question: _Question, replies: list[EndpointReply] | None) -> None:
+    def _finish(self, question: Question, replies: list[EndpointReply] | None) -> None:
         handler, question.handler = question.handler, None
         if question in self._waiting:
             self._waiting.remove(question)
         if question.timer is not None:
             question.timer.cancel()
+        if question.way is not None and question.connection is not None:
+            question.connection.on_lost = None
+            self._connections.close(question.connection, "its question has ended")
         if handler is not None:
             handler(replies)
--- a/mallowpass/core/proxy/demotion.py
+++ b/mallowpass/core/proxy/demotion.py
@@ -18,6 +18,7 @@
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.connections import Connections
+from mallowpass.core.proxy.detours import Detours
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
 from mallowpass.core.proxy.rivals import Rivals
 from mallowpass.core.proxy.signals import (
@@ -25,6 +26,7 @@
     EndpointRestarted,
     EndpointUnreachable,
 )
+from mallowpass.core.proxy.standingorders import StandingOrders
 from mallowpass.core.proxy.statements import Code, Demote, EndpointReply
 from mallowpass.core.proxy.tables import ConnectionState, EndpointRow, ProxySystem
 
@@ -33,6 +35,12 @@
 # Seconds that are waited for a primary's word. One that is dark says nothing, and the
 # successor's writes wait meanwhile; a round trip between regions takes a tenth.
 WAIT_MAX = 0.5
+# Seconds after which the order goes by way of other hosts as well.
+DETOUR_DELAY = 0.1
+# Seconds that are waited where a host does not answer that may reach the primary: a
+# promotion takes one, and one more later a primary that reaches its successor has
+# stepped down by itself.
+UNHEARD_WAIT_MAX = 2.5
 # Seconds between two orders to one that has not answered: it may come back with its
 # callers before it hears of its successor.
 RETRY_MIN = 0.1
@@ -53,15 +61,26 @@
 
     endpoint: EndpointRow
     term: int  # a primary of a lower one steps down
+    began_at: float
     handlers: list[DoneHandler] = field(default_factory=list)
     waited: bool = False  # for as long as anybody should
     tries: int = 0
+    unreached: bool = False  # this host tried to connect since, and failed
+    detoured: bool = False  # the order went by way of other hosts
+    unheard: set[str] = field(default_factory=set)  # of these, without an answer yet
 
 
 class Demotion(ProxySystem):
     """Order replaced primaries to step down, until each has or is gone."""
 
-    __slots__ = ("_connections", "_orders", "_rivals", "_tasks")
+    __slots__ = (
+        "_connections",
+        "_detours",
+        "_orders",
+        "_rivals",
+        "_standing",
+        "_tasks",
+    )
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
@@ -71,8 +90,10 @@
         """Subscribe to endpoints that can't be reached, or are gone."""
         node = self._node
         self._connections = node.system(Connections)
+        self._detours = node.system(Detours)
         self._orders = node.system(ReplicaOrders)
         self._rivals = node.system(Rivals)
+        self._standing = node.system(StandingOrders)
         node.subscribe(EndpointUnreachable, self._on_unreachable)
         node.subscribe(EndpointForgotten, self._on_forgotten)
         node.subscribe(EndpointRestarted, self._on_restarted)
@@ -87,25 +108,64 @@
         """
         task = self._tasks.get(endpoint.name)
         if task is None:
-            task = self._tasks[endpoint.name] = _Task(endpoint, term)
-            self.timers.after(WAIT_MAX, self._on_waited, task, self.now)
+            task = self._tasks[endpoint.name] = _Task(endpoint, term, self.now)
+            self.timers.after(WAIT_MAX, self._on_waited, task)
             self._order(task)
+            self._begin_detours(task)
         task.term = max(task.term, term)
         task.handlers.append(handler)
-        is_silent = endpoint.failures > 0 and not endpoint.connections
-        if is_silent:
-            self._go_without(task, "this host has no connection to it")
-        elif task.waited or not self._is_current(task):
+        if task.waited or not self._is_current(task):
             self._release(task)
 
+    # -- By way of other hosts -----------------------------------------------
+
+    def _begin_detours(self, task: _Task) -> None:
+        """Have the order reach one that this host does not reach, or did not before."""
+        if self.tables.lead_is_taken:
+            return
+        endpoint = task.endpoint
+        if endpoint.connections:
+            self.timers.after(DETOUR_DELAY, self._detour, task)
+        else:
+            self._connections.retry(endpoint)
+            self._detour(task)
+
+    def _detour(self, task: _Task) -> None:
+        if not self._is_current(task):
+            return
+
+        def on_reply(host: str, reply: EndpointReply | None, answered: bool) -> None:
+            self._on_detour(task, host, reply, answered)
+
+        task.detoured = True
+        task.unheard = set(self._detours.hosts(task.endpoint))
+        self._detours.give(task.endpoint, Demote(task.term), on_reply)
+
+    def _on_detour(
+        self, task: _Task, host: str, reply: EndpointReply | None, answered: bool
+    ) -> None:
+        if not self._is_current(task):
+            return
+        status = None if reply is None else reply.status
+        if status is not None and not status.is_primary:
+            self._end(task, f"it has stepped down, by way of {host}")
+            return
+        if answered:
+            task.unheard.discard(host)
+            self._check_reach(task)
+
+    def _check_reach(self, task: _Task) -> None:
+        """Go on without the word of one that no host reaches."""
+        if task.unreached and task.detoured and not task.unheard:
+            self._go_without(task, "no host reaches it")
+
     def _is_current(self, task: _Task) -> bool:
         return self._tasks.get(task.endpoint.name) is task
 
     def _order(self, task: _Task) -> None:
-        group = self.tables.group(task.endpoint.entry.service)
         if not self._is_current(task):
             return
-        if group.primary == task.endpoint.name and task.waited:
+        if task.waited and self._leads(task.endpoint):
             self._end(task, "it leads again")
             return
         task.tries += 1
@@ -113,6 +173,13 @@
         order = Demote(task.term)
         self._orders.give(task.endpoint, order, lambda r: self._on_reply(task, r))
 
+    def _leads(self, endpoint: EndpointRow) -> bool:
+        """Tell whether an endpoint leads, and nobody else may do so in a moment."""
+        group = self.tables.group(endpoint.entry.service)
+        if group.primary != endpoint.name:
+            return False
+        return not self._standing.standing(group.service)
+
     def _make_room(self, endpoint: EndpointRow) -> None:
         """Close a connection on which a statement hangs, if all of them are in use.
 
@@ -131,12 +198,15 @@
             longest = min(hung, key=lambda c: c.pending[0].sent_at)
             self._connections.close(longest, "an order to step down needs its place")
 
-    def _on_waited(self, task: _Task, since: float) -> None:
-        """Wait on for one that answers others: it is alive, and busy."""
-        endpoint = task.endpoint
-        is_alive = self.now - endpoint.heard_at < WAIT_MAX
-        if is_alive and self.now - since < ALIVE_WAIT_MAX and self._is_current(task):
-            self.timers.after(RETRY_MIN, self._on_waited, task, since)
+    def _on_waited(self, task: _Task) -> None:
+        """Wait on for one that answers, or that a host may reach that is silent."""
+        if not self._is_current(task) or task.waited:
+            return
+        waited = self.now - task.began_at
+        is_alive = self.now - task.endpoint.heard_at < WAIT_MAX
+        may_be_reached = bool(task.unheard) and waited < UNHEARD_WAIT_MAX
+        if may_be_reached or (is_alive and waited < ALIVE_WAIT_MAX):
+            self.timers.after(RETRY_MIN, self._on_waited, task)
         else:
             self._go_without(task, "it has not answered in time")
 
@@ -180,8 +250,9 @@
 
     def _on_unreachable(self, signal: EndpointUnreachable) -> None:
         task = self._tasks.get(signal.endpoint.name)
-        if task is not None:
-            self._go_without(task, signal.why)
+        if task is not None and signal.tried_at >= task.began_at:
+            task.unreached = True
+            self._check_reach(task)
 
     def _on_forgotten(self, signal: EndpointForgotten) -> None:
         task = self._tasks.get(signal.endpoint.name)
@@ -217,6 +288,7 @@
                 tries=task.tries,
                 connections=len(endpoint.connections),
                 failures=endpoint.failures,
+                unheard=",".join(sorted(task.unheard)),
                 heard_ago=round(self.now - endpoint.heard_at, 3),
             )
         self._release(task)
--- a/mallowpass/core/proxy/holders.py
+++ b/mallowpass/core/proxy/holders.py
@@ -166,6 +166,13 @@
             and self._may_reach(host, endpoint)
         ]
 
+    def others(self, service: str) -> list[HostRow]:
+        """Return the other hosts that connect to a service's endpoints."""
+        plan = self._plan(service)
+        hosts = self.tables.hosts.values() if plan.direct else plan.holders
+        name = self._node.identity.name
+        return [host for host in hosts if host.name != name and host.address]
+
     def failed(self, holder: str, silent: bool = False) -> None:
         """Pass a holder over for a while that could not be reached, or said nothing."""
         self._failed[holder] = self.now + FAILED_TIME
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -9,6 +9,7 @@
 from mallowpass.core.proxy.control import Control
 from mallowpass.core.proxy.customers import Customers
 from mallowpass.core.proxy.demotion import Demotion
+from mallowpass.core.proxy.detours import Detours
 from mallowpass.core.proxy.discovery import Discovery
 from mallowpass.core.proxy.draining import Draining
 from mallowpass.core.proxy.durability import Durability
@@ -66,6 +67,7 @@
     ReplicaOrders,
     StandingOrders,
     Claims,
+    Detours,
     Demotion,
     Resumption,
     Ordering,
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -40,6 +40,7 @@
     "ReplicasBehind",
     "StatementAnswered",
     "TransactionLost",
+    "WayRefused",
     "WriteAcknowledged",
     "WriteStalled",
 ]
@@ -100,10 +101,23 @@
 
 @record
 class EndpointUnreachable(Signal):
-    """An attempt to connect to an endpoint failed."""
+    """An attempt to connect to an endpoint failed that was begun at `tried_at`."""
 
     endpoint: EndpointRow
     why: str
+    tried_at: float
+
+
+@record
+class WayRefused(Signal):
+    """No connection to an endpoint was opened by way of another host.
+
+    `is_answer` tells that the host itself said so, or that none runs there.
+    """
+
+    endpoint: EndpointRow
+    host: str
+    is_answer: bool
 
 
 @record
--- a/tests/core/proxy/test_replaced.py
+++ b/tests/core/proxy/test_replaced.py
@@ -359,3 +359,63 @@
     world.dark.discard(OLD)
     world.run(8.0)
     kept(world)
+
+
+def keep_writing(world: ProxyWorld, *hosts: int) -> None:
+    """Write at some hosts, fifty times a second, and prove nothing by reads."""
+    for index in hosts:
+        world.caller(index, "strict").send(Write("a 1"))
+    world.timers.after(0.02, keep_writing, world, *hosts)
+
+
+def replaced_by_some(world: ProxyWorld) -> None:
+    """Have two hosts that do not reach a primary order its replacement.
+
+    Two others write there, and can't read the store.
+    """
+    keep_working(world, 1, 2)
+    keep_writing(world, 0, 3)
+    world.run(1.0)
+    world.cut(0, "store")
+    world.cut(3, "store")
+    for index in (1, 2):
+        world.cut(index, OLD)
+
+
+@pytest.mark.parametrize("back", [0.2, 0.29, 0.3, 0.31, 0.4])
+def test_an_old_primary_that_is_back_steps_down_before_a_replica_receives(back):
+    """Commits were acknowledged by a primary after its successor led, and were lost.
+
+    The host that replaced it had failed to reach it before, and took that for its
+    silence, though others reached it, and it as well by then.
+    """
+    world = weak_world()
+    replaced_by_some(world)
+    for index in (1, 2):
+        world.cut(index, "host-0", "host-3")
+    world.run_until(lambda: bool(world.orders), 8.0)
+    world.run(back)
+    for host in world.hosts[1:3]:
+        host.cut_from.discard(OLD)
+        for number, connection in list(host.connections.items()):
+            if connection.member == OLD:
+                host.lose(number, "reset")
+    world.run(4.0)
+    assert world.group.promotions == 1
+    kept(world)
+
+
+def test_hosts_that_are_cut_off_with_an_old_primary_lose_nothing():
+    """Commits were acknowledged by a primary after its successor led, and were lost.
+
+    The host that replaced it reached neither it nor the hosts that went on to write
+    there. It waited for half a second, as if nobody reached it.
+    """
+    world = weak_world()
+    replaced_by_some(world)
+    for index in (1, 2):
+        world.cut(index, "host-0", "host-3")
+    world.run_until(lambda: world.group.promotions == 1, 8.0)
+    world.run(6.0)
+    assert world.group.promotions == 1
+    kept(world)
