Ask members a moment later where one may lead that is not known

Callers read a log that lacked a commit acknowledged just before: the listed test of a host that does not know the successor. Members show with their refusal what they have applied, up to their lag behind what they have received, so a newer term shows late.

--- a/mallowpass/core/proxy/leadership.py
+++ b/mallowpass/core/proxy/leadership.py
@@ -34,7 +34,11 @@
     Code,
     EndpointReply,
     Rollback,
+    Statement,
+    Status,
 )
+from mallowpass.core.proxy.storage import Table
+from mallowpass.core.proxy.store import Store
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
 
 __all__ = ["UNPROVEN", "Leadership", "ProofHandler"]
@@ -42,6 +46,12 @@
 # Seconds for one question to a member: a round trip between regions takes a tenth.
 # One that is silent is made up for by the store, and statements wait for that.
 ANSWER_TIME = 0.25
+# Where a host has not learnt of changes of members for longer, in seconds, one that it
+# does not know may lead: an entry is that old at least before its endpoint does.
+MEMBERS_AGE_MAX = 0.5
+# Seconds within which a replica that is not behind applies what it has received. Only
+# then does its answer show the newest term. A status would at once, at a slot's cost.
+APPLY_TIME = 0.02
 
 # What a read is taken to have been answered of whose endpoint nobody can tell whether
 # it still leads.
@@ -68,7 +78,7 @@
 class Leadership(ProxySystem):
     """Prove that primaries were not replaced, one question at a time for a group."""
 
-    __slots__ = ("_claims", "_control", "_next", "_rivals", "_surveys")
+    __slots__ = ("_claims", "_control", "_next", "_rivals", "_store", "_surveys")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
@@ -82,6 +92,7 @@
         self._claims = node.system(Claims)
         self._control = node.system(Control)
         self._rivals = node.system(Rivals)
+        self._store = node.system(Store)
         node.subscribe(PrimaryChanged, self._on_primary)
         node.subscribe(EndpointRestarted, self._on_restarted)
 
@@ -147,21 +158,27 @@
             self._end(survey, bool(group.primary))
             return
         self._node.count("leadership_questions", service=group.service)
+        pause = 0.0
+        if self._store.age(Table.ENDPOINTS) > MEMBERS_AGE_MAX:
+            pause = APPLY_TIME
         for endpoint in others:
-            self._ask(survey, endpoint)
+            self.timers.after(pause, self._ask, survey, endpoint)
 
     def _ask(self, survey: _Survey, endpoint: EndpointRow) -> None:
+        statements: tuple[Statement, ...] = (Begin(), Rollback())
+        if endpoint.behind_since is not None:
+            statements += (Status(),)
+
         def on_replies(replies: list[EndpointReply] | None) -> None:
-            reply = replies[0] if replies else None
-            if reply is not None and reply.code is Code.DONE:
+            if replies and replies[0].code is Code.DONE:
                 self._compare(survey, endpoint)
                 return
-            refused = _is_own_refusal(reply)
-            if refused:
-                survey.term = max(survey.term, reply.position.term)
+            shown = _terms(replies or [])
+            refused = len(shown) == len(statements) - 1
+            survey.term = max(survey.term, *shown, 0)
             self._settle(survey, endpoint, refused)
 
-        self._control.ask(endpoint, (Begin(), Rollback()), on_replies, ANSWER_TIME)
+        self._control.ask(endpoint, statements, on_replies, ANSWER_TIME)
 
     def _compare(self, survey: _Survey, rival: EndpointRow) -> None:
         """Find out whether another one that leads as well has been replaced."""
@@ -223,11 +240,16 @@
         return survey.term <= primary.position.term
 
 
-def _is_own_refusal(reply: EndpointReply | None) -> bool:
-    """Tell whether an endpoint itself said that it does not lead.
+def _terms(replies: list[EndpointReply]) -> list[int]:
+    """Return the terms that an endpoint showed which refused to lead.
 
     A host on the way that believes the old primary refuses in its successor's name.
     It knows no position; taken for the successor's word, its belief proves itself.
     """
-    refused = reply is not None and reply.code is Code.NOT_PRIMARY
-    return refused and reply.position is not None
+    terms = []
+    for reply in replies:
+        if reply.code is Code.NOT_PRIMARY and reply.position is not None:
+            terms.append(reply.position.term)
+        elif reply.status is not None and not reply.status.is_primary:
+            terms.append(reply.status.term)
+    return terms
