Compare leads by the entry that began them, not by the newest one

Found by looking elsewhere for the fault of a successor that was ordered to step down: what else sets aside a newer lead? A replaced primary that does not know it may write its entry again (its state, no longer leaving). The new test fails before at all three moments. An entry that has named its endpoint primary without a break now counts by its first version. Where the platform takes the lead away this can't be, and a change that a host missed would count for an old lead: entries are compared as before there.

--- a/mallowpass/core/proxy/members.py
+++ b/mallowpass/core/proxy/members.py
@@ -140,6 +140,8 @@
             self.tables.endpoints_version += 1
         known = replace(endpoint.entry, heartbeats=entry.heartbeats)
         changed = known != entry or endpoint.gone_at is not None
+        if entry.is_primary != endpoint.entry.is_primary:
+            endpoint.lead_version = version
         endpoint.entry = entry
         endpoint.version = version
         endpoint.gone_at = None
@@ -178,7 +180,7 @@
             self._put(entry, version)
 
     def _add(self, entry: EndpointEntry, version: int) -> EndpointRow:
-        endpoint = EndpointRow(entry, version)
+        endpoint = EndpointRow(entry, version, lead_version=version)
         self.tables.endpoints[entry.name] = endpoint
         self.tables.group(entry.service).endpoints[entry.name] = endpoint
         self.tables.endpoints_version += 1
@@ -269,10 +271,21 @@
             return
         if endpoint.retired:
             return
-        if group.primary == endpoint.name or endpoint.version > group.primary_version:
+        version = self._lead_version(endpoint)
+        if group.primary == endpoint.name or version > group.primary_version:
             group.primary_version = endpoint.version
             self._set_primary(group, endpoint.name, "its entry says primary")
 
+    def _lead_version(self, endpoint: EndpointRow) -> int:
+        """Return the version by which an endpoint's lead compares with others.
+
+        One that does not know that it was replaced may write its entry again, later
+        than its successor: it tells of the same lead as before.
+        """
+        if self.tables.lead_is_taken:
+            return endpoint.version
+        return endpoint.lead_version
+
     def denied(self, endpoint: EndpointRow) -> None:
         """Take an endpoint's word that it does not lead."""
         group = self.tables.group(endpoint.entry.service)
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -124,6 +124,7 @@
     gone_at: float | None = None  # when its entry vanished
     doubted: bool = False  # it led before it started again: its entry proves nothing
     retired: bool = False  # it is leaving for so long that nothing may reach it
+    lead_version: int = 0  # of the first entry that named it primary without a break
     # Newest version of an entry that names it primary though it said that it is not.
     denied_version: int = -1
 
--- a/tests/core/proxy/test_replaced.py
+++ b/tests/core/proxy/test_replaced.py
@@ -419,3 +419,26 @@
     world.run(6.0)
     assert world.group.promotions == 1
     kept(world)
+
+
+@pytest.mark.parametrize("written", [0.01, 0.1, 0.3])
+def test_an_old_primary_that_writes_its_entry_again_is_not_believed(written):
+    """Hosts went back to an old primary whose entry was newer than its successor's.
+
+    It did not know that it had been replaced, and no longer said that it leaves.
+    """
+    world = weak_world()
+    keep_working(world, 0, 1, 2, 3)
+    world.run(1.0)
+    world.enter(world.group.replicas[OLD], draining=True)
+    world.run_until(lambda: world.group.promotions == 1, 4.0)
+    world.dark.add(OLD)
+    world.run(written)
+    world.enter(world.group.replicas[OLD])
+    world.run(0.3)
+    assert world.group.replicas[OLD].is_primary
+    believed = {host.tables.groups[SERVICE].primary for host in world.hosts}
+    assert believed == {world.primary.name}
+    world.dark.discard(OLD)
+    world.run(4.0)
+    kept(world)
