Refuse writes that may have waited while this host was paused

A host that is paused reads what waited when it goes on. A write among it may be of a caller that has given up and has written something newer by way of another host; run then, it undoes the newer one, and reads show the earlier value from then on.

Writes and commits that are read within a tenth of a second after a pause as long as their timeout are refused, also what other hosts passed on: nothing of them is kept, and callers may repeat them. Reads are served.

--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -24,6 +24,7 @@
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.load import Load
+from mallowpass.core.proxy.pauses import Pauses
 from mallowpass.core.proxy.sessionstate import calls_to_set_up
 from mallowpass.core.proxy.signals import (
     ConnectionFreed,
@@ -73,7 +74,15 @@
 class Links(ProxySystem):
     """Own the links of other hosts."""
 
-    __slots__ = ("_connections", "_floors", "_holders", "_load", "_stalls", "_waiting")
+    __slots__ = (
+        "_connections",
+        "_floors",
+        "_holders",
+        "_load",
+        "_pauses",
+        "_stalls",
+        "_waiting",
+    )
 
     def start(self) -> None:
         """Subscribe to what other hosts do, and to free connections."""
@@ -82,6 +91,7 @@
         self._floors = node.system(Floors)
         self._holders = node.system(Holders)
         self._load = node.system(Load)
+        self._pauses = node.system(Pauses)
         self._stalls = node.system(Stalls)
         self._waiting: list[LinkRow] = []  # the most urgent first
         node.subscribe(LinkOpened, self._on_opened)
@@ -175,6 +185,9 @@
             self._take(call.statement, plain, link)
         if not link.waiting:
             return
+        if self._is_outdated(link):
+            self._refuse_outdated(link)
+            return
         if link.connection is not None:
             self._send(link, link.connection)
             return
@@ -202,6 +215,21 @@
             self.timers.after(WAIT_MAX, self._check_wait, link, self.now)
             self._try(link)
 
+    def _is_outdated(self, link: LinkRow) -> bool:
+        """Tell whether writes that were read after a pause may be too old to run."""
+        waited = self._pauses.wait_max
+        timeout = self._stalls.statement_timeout(link.endpoint.entry.service)
+        if waited < timeout:
+            return False
+        return any(_is_write(link, call.statement) for call in link.waiting)
+
+    def _refuse_outdated(self, link: LinkRow) -> None:
+        if link.connection is None:
+            why = f"it was paused for {self._pauses.wait_max:.1f} s"
+            self._refuse(link, Code.BUSY, why)
+        else:
+            self._end(link)  # which rolls its transaction back
+
     def _is_unknown(self, on_behalf_of: OnBehalfOf) -> bool:
         """Tell whether a newer configuration than a host went by lacks a customer."""
         configuration = self.tables.configuration
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -24,6 +24,7 @@
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.ordering import Ordering
 from mallowpass.core.proxy.overdue import Overdue
+from mallowpass.core.proxy.pauses import Pauses
 from mallowpass.core.proxy.promotion import Promotion
 from mallowpass.core.proxy.ratelimits.allowances import Allowances
 from mallowpass.core.proxy.ratelimits.granting import Granting
@@ -55,6 +56,7 @@
     Feeds,
     Store,
     Holders,
+    Pauses,
     Shares,
     Load,
     Durability,
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -16,6 +16,7 @@
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.overdue import Overdue
+from mallowpass.core.proxy.pauses import Pauses
 from mallowpass.core.proxy.policy.admission import held_until, is_turned_away
 from mallowpass.core.proxy.policy.line import Line, urgency
 from mallowpass.core.proxy.ratelimits.allowances import Allowances
@@ -37,6 +38,7 @@
     Access,
     Begin,
     Code,
+    Commit,
     EndpointCall,
     EndpointReply,
     LogPosition,
@@ -80,6 +82,7 @@
         "_load",
         "_members",
         "_overdue",
+        "_pauses",
         "_routing",
         "_sampling",
         "_stalls",
@@ -98,6 +101,7 @@
         self._load = node.system(Load)
         self._members = node.system(Members)
         self._overdue = node.system(Overdue)
+        self._pauses = node.system(Pauses)
         self._routing = node.system(Routing)
         self._sampling = node.system(Sampling)
         self._stalls = node.system(Stalls)
@@ -140,6 +144,11 @@
             prepared=prepared,
         )
         session.request = request
+        waited = self._pauses.wait_max
+        if waited >= route.statement_timeout and _writes(request):
+            why = f"this host was paused for {waited:.1f} s, and it may be as old"
+            self._answers.refuse(request, Code.BUSY, why)
+            return
         request.timers.append(self.timers.at(expires, self._overdue.expired, request))
         if transaction is not None and transaction.connection is not None:
             self._transactions.send(request)
@@ -436,3 +445,10 @@
             self._answers.refuse(request, Code.ABORTED, request.detail)
         else:
             self._begin(request)
+
+
+def _writes(request: RequestRow) -> bool:
+    """Tell whether a statement has something kept that its caller may have given up."""
+    if isinstance(request.statement, Commit):
+        return request.transaction.wrote
+    return request.access is Access.WRITE
--- a/mallowpass/core/proxy/stalls.py
+++ b/mallowpass/core/proxy/stalls.py
@@ -89,6 +89,10 @@
         stall.probe_at = self.now + PROBE_GAP
         return False
 
+    def statement_timeout(self, service: str) -> float:
+        """Return the shortest timeout of a service's statements, in seconds."""
+        return self.overdue_time(service) / OVERDUE_SHARE
+
     def overdue_time(self, service: str) -> float:
         """Return after how many seconds any write of a service is overdue."""
         configuration = self.tables.configuration
