Have replicas receive after each comparison that finds none with enough

Cause, from its logs: a host had paused both replicas and lost the claim before it could have them receive; others claimed every two seconds, compared, found that none had what a missing member may have had, and left the replicas as they were. Repair of stuck replicas waits for ten seconds without a claim. Ruled out: deaf replicas (that fault had ended 8 s before), a dead primary (it answered reads).

Whoever compares under a claim and promotes nobody now has all replicas receive. The new test fails before, with two replicas paused by a host that is gone and a third start.

--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -362,6 +362,8 @@
             received=attempt.received_text,
             silent=",".join(silent),
         )
+        # A host that paused them before may have lost its claim to this one.
+        attempt.resumes = True
         self._give_up(attempt, "no replica has all that may be acknowledged")
 
     def _lives(self, attempt: Replacement) -> bool:
@@ -490,7 +492,7 @@
         del self._attempts[attempt.group.service]
 
     def _resume(self, attempt: Replacement) -> None:
-        if attempt.rounds and not attempt.surveys:
+        if attempt.resumes or (attempt.rounds and not attempt.surveys):
             # Also those that did not say so: an order to pause may be carried out late.
             replicas = self._candidates(attempt.group, attempt.primary)
             names = [replica.name for replica in replicas]
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -39,6 +39,7 @@
     claim: Claim | None = None
     target: str = ""
     surveys: bool = False  # replicas are asked how far they are, and none is paused
+    resumes: bool = False  # replicas are to receive, whoever paused them
     paused: set[str] = field(default_factory=set)  # that have said so
     members: set[str] = field(default_factory=set)  # that are asked in this round
     asked: int = 0  # questions of this round without a reply
--- a/tests/core/proxy/test_resumption.py
+++ b/tests/core/proxy/test_resumption.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from mallowpass.core.proxy.statements import Read, Resume, Write
+from mallowpass.core.proxy.statements import Code, Read, Resume, Write
 from mallowpass.standins.proxied.virtual.hosts import Host
 from mallowpass.standins.proxied.virtual.world import ProxyWorld
 
@@ -155,3 +155,25 @@
     world.run(14.0)
     orders = [call for _, _, call in world.calls if isinstance(call.statement, Resume)]
     assert 1 <= len(orders) <= 2
+
+
+def test_replicas_that_nobody_has_receive_are_resumed_by_whoever_claims_next():
+    """No write was acknowledged any more, as all replicas stayed paused.
+
+    Who had paused them had no claim any more. Others took one again and again to
+    compare replicas, found none that had enough, and left them as they were.
+    """
+    world = ProxyWorld()
+    keep_working(world)
+    world.run(1.0)
+    replicas = [world.group.replicas[name] for name in ("db-tanger", "db-agadir")]
+    for replica in replicas:
+        replica.paused_for = 2
+    world.run(0.2)
+    world.crash("db-tanger")
+    world.restart("db-tanger")
+    replicas[0].paused_for = 2
+    world.run(8.0)
+    assert paused(world) == set()
+    assert world.caller(0, "strict").run(Write("b 1")).code is Code.DONE
+    assert world.group.lost == []
