--- a/tests/standins/proxied/test_replicas.py
+++ b/tests/standins/proxied/test_replicas.py
@@ -14,7 +14,7 @@
 )
 from mallowpass.core.timers import TimerService
 from mallowpass.standins.proxied.connections import connect
-from mallowpass.standins.proxied.replicas import Group
+from mallowpass.standins.proxied.replicas import Group, GroupTimes
 
 
 def _run(timers: TimerService, until: float) -> None:
@@ -75,6 +75,19 @@
     assert not group.overtaken[0].kept
 
 
+def test_commit_that_was_under_way_is_told_from_one_that_is_lost():
+    """A finding of the one must not pass for the other."""
+    timers = TimerService()
+    times = GroupTimes(network=0.0015)
+    group = Group("s", ["a", "b", "c"], timers, goes_on=True, times=times)
+    group.promote("b")
+    _run(timers, 0.2922)
+    timers.advance(0.2922)
+    assert _ask(group, "a", Write("k 1"))[0].code is Code.DONE
+    assert [overtaken.kept for overtaken in group.overtaken] == [True]
+    assert group.lost == []
+
+
 def test_replica_that_heard_of_the_successor_receives_nothing_of_the_old_primary():
     timers = TimerService()
     group = _replaced(timers)
