Ask anew for an old primary's word once its successor leads

What had been found out while the promotion was under way was taken for what holds when the successor leads: with a promotion of one second, a primary that nobody had reached half a second before was not waited for at all, though it may have been back, with hosts that did not know of its successor. The new test fails before.

--- a/mallowpass/core/proxy/demotion.py
+++ b/mallowpass/core/proxy/demotion.py
@@ -107,7 +107,8 @@
         stepped down, or can't be waited for any longer.
         """
         task = self._tasks.get(endpoint.name)
-        if task is None:
+        if task is None or task.waited:
+            # What was found out before its successor led may not be true any more.
             task = self._tasks[endpoint.name] = _Task(endpoint, term, self.now)
             self.timers.after(WAIT_MAX, self._on_waited, task)
             self._order(task)
--- a/tests/core/proxy/test_replaced.py
+++ b/tests/core/proxy/test_replaced.py
@@ -13,6 +13,7 @@
 from mallowpass.core.proxy.claims import Claim
 from mallowpass.core.proxy.statements import Begin, Code, Commit, Read, Write
 from mallowpass.core.proxy.storage import RowKey, Table
+from mallowpass.standins.proxied.replicas import GroupTimes
 from mallowpass.standins.proxied.virtual.world import SERVICE, ProxyWorld
 
 OLD = "db-casa"
@@ -382,14 +383,20 @@
         world.cut(index, OLD)
 
 
-@pytest.mark.parametrize("back", [0.2, 0.29, 0.3, 0.31, 0.4])
-def test_an_old_primary_that_is_back_steps_down_before_a_replica_receives(back):
+@pytest.mark.parametrize(
+    ("promotion", "back"),
+    [(0.3, back) for back in (0.2, 0.29, 0.3, 0.31, 0.4)]
+    + [(1.0, back) for back in (0.6, 0.8, 0.95, 0.99, 1.0)],
+)
+def test_an_old_primary_that_is_back_steps_down_before_a_replica_receives(
+    promotion, back
+):
     """Commits were acknowledged by a primary after its successor led, and were lost.
 
     The host that replaced it had failed to reach it before, and took that for its
     silence, though others reached it, and it as well by then.
     """
-    world = weak_world()
+    world = weak_world(times=GroupTimes(promotion=promotion))
     replaced_by_some(world)
     for index in (1, 2):
         world.cut(index, "host-0", "host-3")
@@ -442,3 +449,20 @@
     world.dark.discard(OLD)
     world.run(4.0)
     kept(world)
+
+
+def test_evidence_from_before_a_successor_led_does_not_count():
+    """A replica received again as nobody had reached the old primary a while before.
+
+    It may have been back by the time its successor led, with hosts that did not know.
+    """
+    world = weak_world(times=GroupTimes(promotion=1.0))
+    keep_working(world, 0, 1, 2, 3)
+    world.run(1.0)
+    world.dark.add(OLD)
+    world.run_until(lambda: world.group.promotions == 1, 8.0)
+    (replica,) = (r for r in world.group.replicas.values() if r.paused_for)
+    led_at = world.timers.now
+    world.run_until(lambda: not replica.paused_for, 4.0)
+    assert not replica.paused_for
+    assert world.timers.now - led_at > 0.4
