--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -273,18 +273,18 @@
         endpoint = connection.endpoint
         if connection.holder:
             self._holders.answered(connection.holder)
-        if self._is_own_word(connection):
+        if self._is_endpoints_answer(connection):
             endpoint.failures = 0
             endpoint.heard_at = self.now
         self._learn_floor(endpoint, event.floor, connection.opened_at)
         self.release(connection)
 
-    def _is_own_word(self, connection: ConnectionRow) -> bool:
-        """Tell whether a connection that is ready shows that its endpoint answers.
+    def _is_endpoints_answer(self, connection: ConnectionRow) -> bool:
+        """Tell whether an answer on a connection shows that its endpoint answers.
 
-        Another host that is ready to serve as a way may not have noticed that it can't
-        reach the endpoint. Hosts that connect to it themselves would each take the
-        other's word for the endpoint's.
+        Another host that passes statements on may not have noticed that it can't reach
+        the endpoint. Hosts that connect to it themselves would each take the other's
+        answer for the endpoint's.
         """
         if not connection.holder:
             return True
@@ -435,7 +435,7 @@
     ) -> None:
         endpoint = connection.endpoint
         # A host on the way that refuses for the endpoint knows no position.
-        if reply.position is not None or self._is_own_word(connection):
+        if reply.position is not None or self._is_endpoints_answer(connection):
             endpoint.heard_at = self.now
         if reply.position is not None:
             endpoint.position = reply.position
--- a/mallowpass/core/proxy/rivals.py
+++ b/mallowpass/core/proxy/rivals.py
@@ -41,9 +41,9 @@
         self._members = self._node.system(Members)
 
     def is_newer(self, group: GroupRow, status: EndpointStatus) -> bool:
-        """Tell whether an endpoint leads a newer term than a silent primary can.
+        """Tell whether an endpoint leads a term that no earlier primary led.
 
-        A primary leads a newer term than any that was seen before it was believed.
+        The primary that is believed now leads a newer one than any seen before.
         """
         return status.is_primary and status.term > group.term_before
 
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -89,7 +89,7 @@
     broken: bool = False  # to be closed once its calls are answered
     on_lost: Callable[[ConnectionRow, str], None] | None = None  # of its user
     holder: str = ""  # the host by way of which it goes; empty: none
-    reserved: bool = False  # for one question of this host
+    reserved: bool = False  # serves one question of this host, then it is closed
     # In whose name it was opened. None: in this host's own. By way of a holder it
     # serves all customers.
     customer: str | None = None
