Force acknowledgements that reach a replaced primary late, in virtual time

Cause sought: on the contract without fences an old primary acknowledges commits after its successor leads. The stand-in's primary knew within a millisecond of what replicas had received, so no order of events showed it.

GroupTimes.acknowledgement: seconds until a primary learns that enough replicas have received a commit; 0.0, the default, changes nothing. What the group records is as before. The tests have writes acknowledged 20 and 200 ms late around the lead of a successor.

--- a/mallowpass/standins/proxied/connections.py
+++ b/mallowpass/standins/proxied/connections.py
@@ -253,19 +253,34 @@
 
     def _await_replicas(self, entry: LogEntry, done: Done) -> None:
         group = self._group
-        if not self.open or not self._replica.up:
+        if self._ends_commit(entry, done):
             return
-        if not self._replica.is_primary:
-            if group.is_received(entry, self._replica):
-                # Whoever has it may lead next, or does: to say that it did not run
-                # would be a lie, and nobody here knows that it is kept.
-                self.silent = True
-            self._answer(done, Code.NOT_PRIMARY, failed=True)
-        elif group.holders(entry, self._replica) >= group.synchronous:
-            group.acknowledge(entry, self._replica)
-            self._answer(done, signature=self._replica.name)
-        else:
+        if group.holders(entry, self._replica) < group.synchronous:
             group.timers.after(0.001, self._await_replicas, entry, done)
+        elif group.times.acknowledgement:
+            # What the replicas have said is on its way, whatever becomes of them.
+            delay = group.times.acknowledgement
+            group.timers.after(delay, self._acknowledge, entry, done)
+        else:
+            self._acknowledge(entry, done)
+
+    def _acknowledge(self, entry: LogEntry, done: Done) -> None:
+        if not self._ends_commit(entry, done):
+            self._group.acknowledge(entry, self._replica)
+            self._answer(done, signature=self._replica.name)
+
+    def _ends_commit(self, entry: LogEntry, done: Done) -> bool:
+        """Tell whether a commit can't be acknowledged any more; answer it if so."""
+        if not self.open or not self._replica.up:
+            return True
+        if self._replica.is_primary:
+            return False
+        if self._group.is_received(entry, self._replica):
+            # Whoever has it may lead next, or does: to say that it did not run
+            # would be a lie, and nobody here knows that it is kept.
+            self.silent = True
+        self._answer(done, Code.NOT_PRIMARY, failed=True)
+        return True
 
     def _answer_read(self, item: str, call: EndpointCall, done: Done) -> None:
         self._group.on_read(self._replica, call.request_id)
--- a/mallowpass/standins/proxied/replicas.py
+++ b/mallowpass/standins/proxied/replicas.py
@@ -38,6 +38,8 @@
     work: float = 0.006  # of a statement, in a slot
     network: float = 0.001  # until a replica has received a commit
     lag: float = 0.008  # from then until it has applied it
+    # Until a primary has learnt that enough replicas have received a commit.
+    acknowledgement: float = 0.0
     promotion: float = 0.3
     # For how long a replaced primary that goes on can reach its successor before it
     # gives up the lead, and how long a replica may not have heard of the latter.
