--- a/tests/core/proxy/test_acknowledged_late.py
+++ b/tests/core/proxy/test_acknowledged_late.py
@@ -148,6 +148,22 @@
     replace_the_leaving_primary(world, writers)
 
 
+@pytest.mark.parametrize("late", [0.4, 0.5])
+def test_acknowledgements_later_than_a_whole_promotion_are_waited_for(late):
+    """Guard against a wait of a fixed time for writes that are under way.
+
+    Replicas had received the writes before the order, and the primary learnt of it only
+    after its successor led. Writes come at other times in each of the plays.
+    """
+    for shift in range(4):
+        world = late_world(late, promotion=0.3)
+        Writers(world, 0, 1, 2, 3)
+        world.run(1.0 + shift * WRITE_INTERVAL / 16)
+        leave(world)
+        run_until_led(world)
+        check_guarantees(world)
+
+
 @any_promotion
 @any_lateness
 def test_a_host_without_the_store_gets_no_late_acknowledgement(late, promotion):
