Begin a demotion anew when it is asked for again

What callers saw: seven writes answered DONE that are in no log. A primary that no host reached was replaced and was back 50 ms or 100 ms before its successor led (virtual time, promotion 0.3 s; with acknowledgements as fast as ever).

Cause: the demotion begun with the promotion order was still waiting when it was asked for again as the successor led, since it waits 0.5 s and the promotion took 0.3 s.

Change: a demotion that is older than 50 ms begins anew, with the handlers that wait for the earlier one. An order that waits for a connection, since commits that nobody acknowledges occupy all of them, gets one after 0.25 s in place of 0.8 s.

Ruled out: a lost commit by way of the target. The lost ones were acknowledged 203 ms after the lead, by way of the replica that had been resumed.

--- a/mallowpass/core/proxy/demotion.py
+++ b/mallowpass/core/proxy/demotion.py
@@ -55,6 +55,9 @@
 # is shorter.
 HUNG_TIMEOUT = 0.25
 
+# Seconds after which a further demotion of an endpoint begins anew.
+EVIDENCE_AGE_MAX = 0.05
+
 _USABLE_STATES = (ConnectionState.IDLE, ConnectionState.OPENING)
 
 DoneHandler = Callable[[], None]
@@ -113,17 +116,32 @@
         once the endpoint has stepped down, or once the wait for its answer ends.
         """
         task = self._tasks.get(endpoint.name)
-        if task is None or task.is_released:
-            # What was found out before the successor's promotion may be outdated.
-            task = self._tasks[endpoint.name] = _Task(endpoint, term, self.now)
-            self.timers.after(ANSWER_TIMEOUT, self._on_timeout, task)
-            self._order(task)
-            self._begin_forwarding(task)
+        if task is None or task.is_released or self._is_outdated(task):
+            task = self._begin(endpoint, term, [] if task is None else task.handlers)
         task.term = max(task.term, term)
         task.handlers.append(handler)
         if task.is_released or not self._is_current(task):
             self._release(task)
 
+    def _is_outdated(self, task: _Task) -> bool:
+        """Return whether a task may have been begun before the successor's promotion.
+
+        An order that was lost before is not repeated for some time, and hosts that
+        could not reach the endpoint before may reach it now.
+        """
+        return self.now - task.began_at > EVIDENCE_AGE_MAX
+
+    def _begin(
+        self, endpoint: EndpointRow, term: int, handlers: list[DoneHandler]
+    ) -> _Task:
+        task = _Task(endpoint, term, self.now, list(handlers))
+        self._tasks[endpoint.name] = task
+        self.timers.after(ANSWER_TIMEOUT, self._on_timeout, task)
+        self._order(task)
+        self.timers.after(HUNG_TIMEOUT, self._replace_hung_connection, task)
+        self._begin_forwarding(task)
+        return task
+
     # -- Forwarding by other hosts -------------------------------------------
 
     def _begin_forwarding(self, task: _Task) -> None:
@@ -191,6 +209,12 @@
             return False
         return not self._pending_orders.pending(group.service)
 
+    def _replace_hung_connection(self, task: _Task) -> None:
+        """Open a connection for an order that still waits for one."""
+        if self._is_current(task) and not task.is_released:
+            self._make_room(task.endpoint)
+            self._connections.grow(task.endpoint, beyond_share=True)
+
     def _make_room(self, endpoint: EndpointRow) -> None:
         """Close the connection with the longest hung statement, if all are in use.
 
