Stop a primary's commits before its successor's promotion is ordered

What callers saw: nothing.

Cause: the target of a promotion received until it led. A commit that it received last was acknowledged by the old primary once that learnt of it, so the window was as long as that took, with no bound.

Change, where promotions do not fence the primary alone: - Before a planned promotion all holders hold their writes (HOLD, on links), and confirm that none is in flight. Reads go on at the old primary. Transactions that have written are aborted at once, as no successor can commit them.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -227,7 +227,9 @@
         """Send calls in one write; `on_replies` is called with all replies to them."""
         if connection.state is ConnectionState.IDLE:
             connection.state = ConnectionState.BUSY
-        connection.pending.append(Batch(len(calls), on_replies, self.now))
+        may_commit = any(call.statement.may_commit for call in calls)
+        batch = Batch(len(calls), on_replies, self.now, may_commit)
+        connection.pending.append(batch)
         self._node.emit(SendCalls(connection.number, tuple(calls)))
         self._node.publish(CallsSent(connection))
 
--- a/mallowpass/core/proxy/demotion.py
+++ b/mallowpass/core/proxy/demotion.py
@@ -20,7 +20,7 @@
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.connections import Connections
-from mallowpass.core.proxy.forwardedorders import ForwardedOrders
+from mallowpass.core.proxy.forwardedorders import ForwardedOrders, ForwardedReply
 from mallowpass.core.proxy.pendingorders import PendingOrders
 from mallowpass.core.proxy.primaryconflicts import PrimaryConflicts
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
@@ -159,26 +159,24 @@
         if not self._is_current(task):
             return
 
-        def on_reply(
-            host: str, reply: EndpointReply | None, has_answered: bool
-        ) -> None:
-            self._on_forwarded_reply(task, host, reply, has_answered)
+        def on_reply(reply: ForwardedReply) -> None:
+            self._on_forwarded_reply(task, reply)
 
         task.is_forwarded = True
         task.unanswered = set(self._forwarded_orders.forwarding_hosts(task.endpoint))
         self._forwarded_orders.send(task.endpoint, Demote(task.term), on_reply)
 
-    def _on_forwarded_reply(
-        self, task: _Task, host: str, reply: EndpointReply | None, has_answered: bool
-    ) -> None:
+    def _on_forwarded_reply(self, task: _Task, forwarded: ForwardedReply) -> None:
         if not self._is_current(task):
             return
+        reply = forwarded.reply
         status = None if reply is None else reply.status
         if status is not None and not status.is_primary:
-            self._end(task, f"it has stepped down; order forwarded by {host}")
+            why = f"it has stepped down; order forwarded by {forwarded.host}"
+            self._end(task, why)
             return
-        if has_answered:
-            task.unanswered.discard(host)
+        if forwarded.has_answered:
+            task.unanswered.discard(forwarded.host)
             self._check_reachability(task)
 
     def _check_reachability(self, task: _Task) -> None:
--- a/mallowpass/core/proxy/forwardedorders.py
+++ b/mallowpass/core/proxy/forwardedorders.py
@@ -12,17 +12,41 @@
 from mallowpass.core.proxy.control import Control
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.signals import ForwardedConnectionRefused
-from mallowpass.core.proxy.statements import EndpointReply, Statement
+from mallowpass.core.proxy.statements import Code, EndpointReply, Statement
 from mallowpass.core.proxy.tables import EndpointRow, HostRow, ProxySystem
+from mallowpass.core.records import record
 
-__all__ = ["ForwardedOrders"]
+__all__ = ["ForwardedOrders", "ForwardedReply"]
 
 # Seconds for one order: two round trips between regions, and the wait for a slot.
 ORDER_TIMEOUT = 0.4
 
-# Called with the name of the forwarding host, the endpoint's reply through that host or
-# None, and whether the host itself answered.
-ForwardedReplyHandler = Callable[[str, EndpointReply | None, bool], None]
+
+@record
+class ForwardedReply:
+    """What became of an order that another host was to forward.
+
+    The host refused to forward it if `was_refused`. Otherwise `reply` is None if no
+    reply came in time.
+    """
+
+    host: str
+    reply: EndpointReply | None
+    was_sent: bool  # the host accepted the connection to forward it
+    was_refused: bool
+
+    @property
+    def has_answered(self) -> bool:
+        """Return whether the host itself answered."""
+        return self.was_sent or self.was_refused
+
+    @property
+    def is_done(self) -> bool:
+        """Return whether the order was carried out."""
+        return self.reply is not None and self.reply.code is Code.DONE
+
+
+ForwardedReplyHandler = Callable[[ForwardedReply], None]
 
 
 class ForwardedOrders(ProxySystem):
@@ -63,9 +87,9 @@
 
         def on_replies(replies: list[EndpointReply] | None) -> None:
             reply = replies[0] if replies else None
-            has_answered = request.was_sent or route in self._refused
+            was_refused = route in self._refused
             self._refused.discard(route)
-            handler(host.name, reply, has_answered)
+            handler(ForwardedReply(host.name, reply, request.was_sent, was_refused))
 
         control = self._control
         request = control.send(endpoint, (order,), on_replies, ORDER_TIMEOUT, host)
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -33,6 +33,7 @@
     EndpointRestarted,
     EndpointUnreachable,
     WriteAcknowledged,
+    WritesHeld,
     WriteStalled,
 )
 from mallowpass.core.proxy.stalls import WRITES_STALLED_MESSAGE, Stalls
@@ -45,6 +46,7 @@
     EndpointReply,
     Execute,
     FloorHint,
+    HoldWrites,
     OnBehalfOf,
     Prepare,
     Reset,
@@ -62,6 +64,7 @@
     PreparedStatement,
     ProxySystem,
 )
+from mallowpass.core.proxy.writeholds import WRITES_HELD_MESSAGE, WriteHolds
 
 __all__ = ["Links"]
 
@@ -84,6 +87,7 @@
         "_pauses",
         "_stalls",
         "_waiting",
+        "_write_holds",
     )
 
     def start(self) -> None:
@@ -95,6 +99,7 @@
         self._load = node.system(Load)
         self._pauses = node.system(Pauses)
         self._stalls = node.system(Stalls)
+        self._write_holds = node.system(WriteHolds)
         self._waiting: list[LinkRow] = []  # by priority, then by time
         node.subscribe(LinkOpened, self._on_opened)
         node.subscribe(LinkCalled, self._on_called)
@@ -103,6 +108,7 @@
         node.subscribe(EndpointExpired, self._on_expired)
         node.subscribe(EndpointRestarted, self._on_restarted)
         node.subscribe(EndpointUnreachable, self._on_unreachable)
+        node.subscribe(WritesHeld, self._on_writes_held)
 
     # -- Opening and closing -------------------------------------------------
 
@@ -191,6 +197,9 @@
         if self._is_outdated(link):
             self._refuse_outdated(link)
             return
+        if self._must_hold(link):
+            self._refuse_held(link)
+            return
         if link.connection is not None:
             self._send(link, link.connection)
             return
@@ -234,6 +243,36 @@
         else:
             self._close(link)  # this rolls the transaction back
 
+    # -- Held writes ---------------------------------------------------------
+
+    def _must_hold(self, link: LinkRow) -> bool:
+        """Return whether waiting calls commit at a primary whose writes are held."""
+        group = self._group(link)
+        if link.endpoint.name != group.primary or not self._write_holds.is_held(group):
+            return False
+        if _begins_writes(link.waiting[0].statement):
+            return True
+        return any(_commits_writes(link, call.statement) for call in link.waiting)
+
+    def _refuse_held(self, link: LinkRow) -> None:
+        """Refuse waiting calls whose writes are held; they did not run.
+
+        The other host then waits for the successor, as after a refusal by a replaced
+        primary. In a transaction it is told that the transaction failed, and rolls it
+        back: a transaction can't be committed at the successor.
+        """
+        if link.connection is None:
+            self._refuse(link, Code.NOT_PRIMARY, WRITES_HELD_MESSAGE)
+        else:
+            state = SessionState.FAILED
+            self._refuse(link, Code.ABORTED, WRITES_HELD_MESSAGE, state)
+
+    def _on_writes_held(self, signal: WritesHeld) -> None:
+        for link in list(self._waiting):
+            if link.endpoint is signal.endpoint and self._must_hold(link):
+                self._waiting.remove(link)
+                self._refuse_held(link)
+
     def _is_unknown(self, on_behalf_of: OnBehalfOf) -> bool:
         """Return whether a customer is missing from this host's configuration.
 
@@ -276,6 +315,18 @@
         link.prepared.clear()
         self._answer_done(link)
 
+    @_accept.register
+    def _(self, statement: HoldWrites, call: EndpointCall, link: LinkRow) -> None:
+        def on_drained() -> None:
+            if not link.closed:
+                self._answer_done(link)
+
+        if statement.duration:
+            self._write_holds.hold(link.endpoint, statement.duration, on_drained)
+        else:
+            self._write_holds.release(link.endpoint)
+            self._answer_done(link)
+
     def _answer_done(self, link: LinkRow) -> None:
         # Hosts send such calls ahead of a statement, with no call in flight: replies
         # stay in the order of calls.
@@ -307,6 +358,7 @@
             return False
         self._waiting.remove(link)
         link.connection = connection
+        link.has_written = False
         connection.state = ConnectionState.PINNED
         connection.on_lost = lambda _, why: self._on_lost(link, why)
         self._send(link, connection)
@@ -350,7 +402,13 @@
             return False
         return any(_proves_primary(link, call.statement) for call in link.waiting)
 
-    def _refuse(self, link: LinkRow, code: Code, message: str) -> None:
+    def _refuse(
+        self,
+        link: LinkRow,
+        code: Code,
+        message: str,
+        state: SessionState = SessionState.IDLE,
+    ) -> None:
         """Refuse the waiting calls of a link, which did not run."""
         self._node.count("links_refused", endpoint=link.endpoint.name, code=code.value)
         group = self._group(link)
@@ -360,7 +418,7 @@
         # after all hosts have started. With a floor, the host can send its reads to
         # replicas.
         text = f"{self._node.identity.name}: {message}"
-        reply = self._with_floor(link, EndpointReply(code, message=text))
+        reply = self._with_floor(link, EndpointReply(code, message=text, state=state))
         while link.waiting:
             link.waiting.popleft()
             self._node.emit(AnswerLink(link.number, reply))
@@ -384,6 +442,7 @@
 
         self._connections.send(connection, setup + calls, on_replies)
         if any(_is_write(link, call.statement) for call in calls):
+            link.has_written = True
             overdue = self._stalls.overdue_time(link.endpoint.entry.service)
             self.timers.after(overdue, self._check_write, connection, sent_at)
 
@@ -513,8 +572,20 @@
     return isinstance(statement, Write | Commit)
 
 
+def _commits_writes(link: LinkRow, statement: Statement) -> bool:
+    """Return whether a statement writes, or commits writes of its transaction."""
+    if isinstance(statement, Commit):
+        return link.connection is not None and link.has_written
+    return _is_write(link, statement)
+
+
+def _begins_writes(statement: Statement) -> bool:
+    """Return whether a statement begins a transaction that may write."""
+    return isinstance(statement, Begin) and not statement.read_only
+
+
 def _proves_primary(link: LinkRow, statement: Statement) -> bool:
     """Return whether DONE in reply to a statement proves its endpoint primary."""
     if isinstance(statement, Begin):
-        return not statement.read_only
+        return _begins_writes(statement)
     return _is_write(link, statement) and not isinstance(statement, Commit)
--- a/mallowpass/core/proxy/pendingorders.py
+++ b/mallowpass/core/proxy/pendingorders.py
@@ -9,6 +9,9 @@
 ones. A commit that is acknowledged through another replica would be lost when the order
 is carried out.
 
+Where a promotion does not fence the primary, the target does not receive either, see
+`quiescence`, unless the pause of another replica has ended meanwhile.
+
 Once the target is primary, all replicas may receive from it. An order without an answer
 stays pending until its timeout even then: the target may be replaced meanwhile, and the
 order would promote the target once more.
@@ -41,6 +44,8 @@
 
     until: float  # the time at which the last of the orders expires
     unanswered_count: int = 0  # orders without an answer
+    # Another replica's pause has ended, so the target has to receive as well.
+    has_pause_ended: bool = False
 
 
 class PendingOrders(ProxySystem):
@@ -99,10 +104,27 @@
     def may_receive(self, group: GroupRow, name: str) -> bool:
         """Return whether a replica may acknowledge commits of a group's primary."""
         return all(
-            target in (name, group.primary) or target not in group.endpoints
+            target == group.primary
+            or target not in group.endpoints
+            or (target == name and self.may_target_receive(group.service, target))
             for target in self.pending(group.service)
         )
 
+    def may_target_receive(self, service: str, target: str) -> bool:
+        """Return whether a target may receive before it is primary.
+
+        Where its promotion does not fence the primary, the primary may acknowledge a
+        commit after the promotion that the target received before it.
+        """
+        if self.tables.promotion_fences_primary:
+            return True
+        return self._orders[service][target].has_pause_ended
+
+    def note_ended_pause(self, service: str) -> None:
+        """Record that a replica receives again which is no target of an order."""
+        for order in self._orders.get(service, {}).values():
+            order.has_pause_ended = True
+
     def ordered_target(self, group: GroupRow, names: list[str]) -> str:
         """Return the first of `names` that has a pending order, or an empty string.
 
--- a/mallowpass/core/proxy/policy/admission.py
+++ b/mallowpass/core/proxy/policy/admission.py
@@ -22,7 +22,12 @@
 
 
 def held_until(request: RequestRow) -> float:
-    """Return the time until which a statement may wait for a full endpoint."""
+    """Return the time until which a statement may wait for a full endpoint.
+
+    A new primary is full for a moment, as all statements that were held come at once.
+    """
+    if request.was_held:
+        return request.expires_at
     return request.arrived_at + HOLD_SHARE * request.route.objective
 
 
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -34,6 +34,7 @@
     OrderFailed,
     PromotionOrders,
 )
+from mallowpass.core.proxy.quiescence import Quiescence
 from mallowpass.core.proxy.replacement import Reason, Replacement, best_target
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
 from mallowpass.core.proxy.resumption import Resumption
@@ -87,6 +88,7 @@
         "_holders",
         "_members",
         "_promotion_orders",
+        "_quiescence",
         "_replica_orders",
         "_resumption",
         "_conflicts",
@@ -110,6 +112,7 @@
         self._holders = node.system(Holders)
         self._members = node.system(Members)
         self._promotion_orders = node.system(PromotionOrders)
+        self._quiescence = node.system(Quiescence)
         self._replica_orders = node.system(ReplicaOrders)
         self._resumption = node.system(Resumption)
         self._conflicts = node.system(PrimaryConflicts)
@@ -175,7 +178,9 @@
         attempt.claim = claim
         attempt.log(self._node, "promotion_begun", token=claim.token)
         attempt.is_survey = (
-            attempt.reason is not Reason.UNAVAILABLE and not attempt.order_count
+            attempt.reason is not Reason.UNAVAILABLE
+            and not attempt.is_quiescing
+            and not attempt.order_count
         )
         self._compare(attempt)
 
@@ -184,7 +189,8 @@
     def _compare(self, attempt: Replacement) -> None:
         """Query the log position of each replica, and pause all but the target.
 
-        A survey pauses no replica. Replicas that were paused in an earlier round are
+        A survey pauses no replica. Once the primary's commits have stopped, the
+        target is paused as well. Replicas that were paused in an earlier round are
         paused again, since a restart ends a pause.
         """
         attempt.rounds += 1
@@ -196,7 +202,8 @@
         self._query_primary(attempt)
         for endpoint in candidates:
             statement: Statement = Pause(term)
-            if attempt.is_survey or endpoint.name == attempt.target:
+            is_receiving = endpoint.name == attempt.target and not attempt.is_quiesced
+            if attempt.is_survey or is_receiving:
                 statement = Status()
             self._query(attempt, endpoint, statement)
 
@@ -331,8 +338,12 @@
             self._refuse_promotion(attempt, furthest, unanswered)
             return
         if unanswered:
-            # A replica that has not answered may be the only one with some commit.
-            self._schedule_round(attempt, f"no answer from {','.join(unanswered)}")
+            why = f"no answer from {','.join(unanswered)}"
+            if attempt.is_quiesced:
+                self._give_up(attempt, why)  # writes wait meanwhile
+            else:
+                # A replica that has not answered may be the only one with some commit.
+                self._schedule_round(attempt, why)
             return
         if attempt.is_survey:
             self._finish_survey(attempt)
@@ -362,7 +373,55 @@
                 attempt.target = ""
             self._schedule_round(attempt, "the target lacks commits")
             return
-        self._promotion_orders.order(attempt)
+        if attempt.is_quiesced or not self._must_quiesce(attempt):
+            self._promotion_orders.order(attempt)
+        elif not attempt.is_quiescing:
+            self._quiesce(attempt)
+
+    def _must_quiesce(self, attempt: Replacement) -> bool:
+        """Return whether the primary's commits have to be stopped before the order."""
+        return not (attempt.reason.is_failure or self.tables.promotion_fences_primary)
+
+    def _must_quiesce(self, attempt: Replacement) -> bool:
+        """Return whether the primary's commits have to be stopped before the order."""
+        return not (attempt.reason.is_failure or self.tables.promotion_fences_primary)
+
+    @staticmethod
+    def _can_spare(attempt: Replacement, unanswered: list[str]) -> bool:
+        """Return whether all acknowledged commits are on the members that answered.
+
+        A commit is acknowledged once it is on its primary and on a replica. Where the
+        last primary has answered, as one of the members of a group without a primary,
+        a single other member cannot be the only one with some commit.
+        """
+        last_primary = attempt.group.endpoints.get(attempt.group.last_primary)
+        return (
+            not attempt.primary
+            and len(unanswered) == 1
+            and last_primary is not None
+            and last_primary.name in attempt.received
+            and not last_primary.is_role_unconfirmed
+        )
+
+    def _quiesce(self, attempt: Replacement) -> None:
+        """Stop the primary's commits, then compare once more with the target paused.
+
+        Until the commits stopped, the target may have received more than it had in the
+        last comparison.
+        """
+        attempt.is_quiescing = True
+        was_fresh = self._claims.is_fresh(attempt.claim)
+
+        def on_quiesced() -> None:
+            if attempt.is_ended:
+                return
+            attempt.is_quiesced = True
+            if was_fresh and not self._claims.is_fresh(attempt.claim):
+                self._take_claim(attempt)
+            else:
+                self._compare(attempt)
+
+        self._quiescence.quiesce(attempt, on_quiesced)
 
     def _refuse_promotion(
         self, attempt: Replacement, furthest: LogPosition, unanswered: list[str]
@@ -452,6 +511,7 @@
         if attempt is None or attempt.is_survey or not attempt.members:
             return
         if endpoint.name != attempt.primary and endpoint.name not in attempt.members:
+            self._promotion_orders.let_target_receive(attempt)
             self._pause_member(attempt, endpoint)
 
     def _on_restarted(self, signal: EndpointRestarted) -> None:
@@ -466,6 +526,7 @@
             return
         attempt.paused.discard(endpoint.name)
         if attempt.order_count and endpoint.name != attempt.target:
+            self._promotion_orders.let_target_receive(attempt)
             self._pause_member(attempt, endpoint)
             return
         if endpoint.name == attempt.target:
@@ -528,6 +589,7 @@
     def _end(self, attempt: Replacement) -> None:
         attempt.is_ended = True
         del self._attempts[attempt.group.service]
+        self._quiescence.end(attempt)
 
     def _resume_replicas(self, attempt: Replacement) -> None:
         if attempt.resumes_all or (attempt.rounds and not attempt.is_survey):
--- a/mallowpass/core/proxy/promotionorders.py
+++ b/mallowpass/core/proxy/promotionorders.py
@@ -14,6 +14,7 @@
 from mallowpass.core.proxy.effects import OrderPromotion
 from mallowpass.core.proxy.events import PromotionAnswered
 from mallowpass.core.proxy.pendingorders import ACCEPTED_ORDER_TIMEOUT, PendingOrders
+from mallowpass.core.proxy.quiescence import Quiescence
 from mallowpass.core.proxy.replacement import Replacement
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
 from mallowpass.core.proxy.statements import Resume
@@ -49,6 +50,7 @@
     __slots__ = (
         "_claims",
         "_demotion",
+        "_quiescence",
         "_unanswered",
         "_replica_orders",
         "_pending_orders",
@@ -63,6 +65,7 @@
         """Subscribe to the platform's answers."""
         self._claims = self._node.system(Claims)
         self._demotion = self._node.system(Demotion)
+        self._quiescence = self._node.system(Quiescence)
         self._replica_orders = self._node.system(ReplicaOrders)
         self._pending_orders = self._node.system(PendingOrders)
         self._node.subscribe(PromotionAnswered, self._on_answered)
@@ -103,8 +106,20 @@
         if not must_store_first:
             self._send_order(attempt)
 
+    def let_target_receive(self, attempt: Replacement) -> None:
+        """Have the target receive again, as another replica's pause has ended.
+
+        The target would otherwise lack what is acknowledged through that replica.
+        """
+        if attempt.order_count:
+            self._pending_orders.note_ended_pause(attempt.group.service)
+            self._resume_target(attempt)
+
     def _send_order(self, attempt: Replacement) -> None:
-        self._resume_target(attempt)
+        if self._pending_orders.may_target_receive(
+            attempt.group.service, attempt.target
+        ):
+            self._resume_target(attempt)
         attempt.order_count += 1
         attempt.order_call = self._node.next_number()
         self._unanswered[attempt.order_call] = (attempt, attempt.target)
@@ -178,6 +193,7 @@
             self._node.publish(OrderFailed(attempt, why))
         elif self._claims.is_fresh(attempt.claim):
             self._pending_orders.note_order(attempt.group.service, attempt.target)
+            self._quiescence.renew(attempt.group.service)
             self._send_order(attempt)
         else:
             self._node.publish(ClaimExpired(attempt))
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -30,6 +30,7 @@
 from mallowpass.core.proxy.primaryconflicts import PrimaryConflicts
 from mallowpass.core.proxy.promotion import Promotion
 from mallowpass.core.proxy.promotionorders import PromotionOrders
+from mallowpass.core.proxy.quiescence import Quiescence
 from mallowpass.core.proxy.ratelimits.allowances import Allowances
 from mallowpass.core.proxy.ratelimits.granting import Granting
 from mallowpass.core.proxy.ratelimits.keepers import Keepers
@@ -48,6 +49,7 @@
 from mallowpass.core.proxy.suspicion import Suspicion
 from mallowpass.core.proxy.timeouts import Timeouts
 from mallowpass.core.proxy.transactions import Transactions
+from mallowpass.core.proxy.writeholds import WriteHolds
 
 __all__ = ["SYSTEMS"]
 
@@ -71,6 +73,8 @@
     Claims,
     ForwardedOrders,
     Demotion,
+    WriteHolds,
+    Quiescence,
     Resumption,
     PromotionOrders,
     Promotion,
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -51,6 +51,8 @@
     terms: dict[str, int] = field(default_factory=dict)  # by replica
     primary_position: LogPosition | None = None  # as read in the first round
     rounds: int = 0
+    is_quiescing: bool = False  # the primary's commits are being stopped
+    is_quiesced: bool = False  # they have stopped, or the wait for that has ended
     order_count: int = 0
     order_call: int = 0  # call number of the newest order; replies to others are stale
     is_ended: bool = False
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -31,6 +31,7 @@
     PrimaryChanged,
     PrimaryConfirmed,
     WriteAcknowledged,
+    WritesReleased,
 )
 from mallowpass.core.proxy.stalls import WRITES_STALLED_MESSAGE, Stalls
 from mallowpass.core.proxy.statements import (
@@ -56,6 +57,7 @@
 )
 from mallowpass.core.proxy.timeouts import Timeouts
 from mallowpass.core.proxy.transactions import Transactions
+from mallowpass.core.proxy.writeholds import WRITES_HELD_MESSAGE, WriteHolds
 
 __all__ = ["Requests"]
 
@@ -67,6 +69,10 @@
 # finds none requests one, and no more connections than this are opened at once.
 MISSES_MAX = 4
 
+# Share of its timeout within which a write that waits for a new primary must be sent. A
+# new primary gets all such writes at once: one that was sent later would end in doubt.
+SEND_SHARE = 0.7
+
 ENDPOINT_FULL_MESSAGE = "its endpoint is overloaded; try again in a moment"
 
 
@@ -88,6 +94,7 @@
         "_sampling",
         "_stalls",
         "_transactions",
+        "_write_holds",
     )
 
     def start(self) -> None:
@@ -107,6 +114,7 @@
         self._sampling = node.system(Sampling)
         self._stalls = node.system(Stalls)
         self._transactions = node.system(Transactions)
+        self._write_holds = node.system(WriteHolds)
         node.subscribe(AttemptLost, self._on_attempt_lost)
         node.subscribe(AttemptAbandoned, self._on_attempt_abandoned)
         node.subscribe(AttemptRefused, self._on_attempt_refused)
@@ -115,6 +123,7 @@
         node.subscribe(PrimaryChanged, self._on_group_signal)
         node.subscribe(PrimaryConfirmed, self._on_group_signal)
         node.subscribe(FloorReceived, self._on_group_signal)
+        node.subscribe(WritesReleased, self._on_group_signal)
 
     # -- Arrival -------------------------------------------------------------
 
@@ -156,10 +165,26 @@
         request.timers.append(
             self.timers.at(expires_at, self._timeouts.expire, request)
         )
-        if transaction is not None and transaction.connection is not None:
-            self._transactions.send(request)
-        else:
+        if transaction is None and request.access is Access.WRITE:
+            send_until = _send_until(request)
+            timer = self.timers.at(send_until, self._refuse_held, request)
+            request.timers.append(timer)
+        if transaction is None or transaction.connection is None:
             self._admit(request)
+        elif self._is_held(request) and _commits_writes(request):
+            # Its transaction can't be committed at the successor.
+            self._answers.refuse(request, Code.ABORTED, WRITES_HELD_MESSAGE)
+        else:
+            self._transactions.send(request)
+
+    def _is_held(self, request: RequestRow) -> bool:
+        group = self.tables.group(request.route.service)
+        return request.needs_primary and self._write_holds.is_held(group)
+
+    def _refuse_held(self, request: RequestRow) -> None:
+        """Refuse a write that is still held, and would be sent too late."""
+        if not request.finished and self._is_held(request):
+            self._answers.refuse(request, Code.BUSY, WRITES_HELD_MESSAGE)
 
     def _admit(self, request: RequestRow) -> None:
         """Queue a statement once its customer's rate limit allows it."""
@@ -222,6 +247,9 @@
     def _try_to_send(
         self, request: RequestRow, group: GroupRow, dispatch_pass: DispatchPass
     ) -> None:
+        if self._is_held(request):
+            request.detail = WRITES_HELD_MESSAGE
+            return
         if self._stalls.should_refuse(request, group):
             if self.now >= held_until(request):
                 self._answers.refuse(request, Code.BUSY, WRITES_STALLED_MESSAGE)
@@ -236,7 +264,9 @@
             if choice.connection is None and not request.avoided_endpoints:
                 dispatch_pass.record_miss(request.customer, floor, choice)
         request.detail = choice.why or request.detail
-        if choice.connection is not None:
+        if choice.connection is not None and _is_too_late(request, self.now):
+            self._answers.refuse(request, Code.BUSY, request.detail)
+        elif choice.connection is not None:
             group.waiting.remove(request)
             self._send(request, choice.connection, choice.floor)
         elif choice.full and is_turned_away(request, group.waiting, self.now):
@@ -258,10 +288,16 @@
         self._dispatch(self.tables.group(signal.endpoint.entry.service))
 
     def _on_group_signal(
-        self, signal: PrimaryChanged | PrimaryConfirmed | FloorReceived
+        self,
+        signal: PrimaryChanged | PrimaryConfirmed | FloorReceived | WritesReleased,
     ) -> None:
-        if signal.group.waiting:
-            self._dispatch(signal.group)
+        group = signal.group
+        is_released = isinstance(signal, PrimaryChanged | WritesReleased)
+        if is_released and group.primary and not self.tables.promotion_fences_primary:
+            for request in group.waiting:
+                request.was_held |= request.primary_only
+        if group.waiting:
+            self._dispatch(group)
 
     # -- Sending -------------------------------------------------------------
 
@@ -470,6 +506,17 @@
             self._admit(request)
 
 
+def _send_until(request: RequestRow) -> float:
+    """Return the time until which a write that waits for a new primary may be sent."""
+    return request.arrived_at + SEND_SHARE * request.route.statement_timeout
+
+
+def _is_too_late(request: RequestRow, now: float) -> bool:
+    """Return whether a write has waited so long that it would end in doubt."""
+    is_single_write = request.access is Access.WRITE and request.transaction is None
+    return is_single_write and request.was_held and now > _send_until(request)
+
+
 def _commits_writes(request: RequestRow) -> bool:
     """Return whether a statement commits writes, which its caller may have given up."""
     if isinstance(request.statement, Commit):
--- a/mallowpass/core/proxy/resumption.py
+++ b/mallowpass/core/proxy/resumption.py
@@ -186,6 +186,7 @@
         if self._pending_orders.may_receive(task.group, endpoint.name):
             return
         task.names.add(endpoint.name)
+        self._pending_orders.note_ended_pause(task.group.service)
 
         def on_reply(reply: EndpointReply | None) -> None:
             if reply is None or reply.code is not Code.DONE:
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -43,6 +43,8 @@
     "TransactionLost",
     "WriteAcknowledged",
     "WriteStalled",
+    "WritesHeld",
+    "WritesReleased",
 ]
 
 
@@ -143,6 +145,20 @@
     group: GroupRow
 
 
+@record
+class WritesHeld(Signal):
+    """Writes to a primary that is about to be replaced wait from now on."""
+
+    endpoint: EndpointRow
+
+
+@record
+class WritesReleased(Signal):
+    """Writes to a group's primary need not wait any more."""
+
+    group: GroupRow
+
+
 @record
 class PrimaryStalled(Signal):
     """A primary has answered none of several writes."""
--- a/mallowpass/core/proxy/statements.py
+++ b/mallowpass/core/proxy/statements.py
@@ -21,6 +21,7 @@
     "EndpointStatus",
     "Execute",
     "FloorHint",
+    "HoldWrites",
     "LogPosition",
     "OnBehalfOf",
     "Pause",
@@ -96,6 +97,7 @@
 
     # Whether an endpoint needs one of its few slots to run it.
     takes_slot: ClassVar[bool] = False
+    may_commit: ClassVar[bool] = False  # whether it may commit writes
 
 
 @record
@@ -110,6 +112,7 @@
     """Commit the transaction."""
 
     takes_slot: ClassVar[bool] = True
+    may_commit: ClassVar[bool] = True
 
 
 @record
@@ -131,6 +134,7 @@
     """Write; the text is passed on unchanged."""
 
     takes_slot: ClassVar[bool] = True
+    may_commit: ClassVar[bool] = True
 
     text: str
 
@@ -157,6 +161,7 @@
     """Run a prepared statement; the text after its name is passed on unchanged."""
 
     takes_slot: ClassVar[bool] = True
+    may_commit: ClassVar[bool] = True
 
     name: str
     text: str
@@ -200,6 +205,18 @@
     term: int
 
 
+@record
+class HoldWrites(Statement):
+    """Have a holder send no writes to an endpoint; sent to holders only.
+
+    The holder replies DONE once none of its writes to the endpoint is in flight. The
+    hold ends after `duration` seconds, or once the group has another primary; a
+    duration of 0 ends it at once.
+    """
+
+    duration: float
+
+
 # -- Endpoints ---------------------------------------------------------------
 
 
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -71,6 +71,7 @@
     size: int
     on_replies: Callable[[ConnectionRow, list[EndpointReply]], None]
     sent_at: float
+    may_commit: bool = False  # one of the calls may commit writes
     replies: list[EndpointReply] = field(default_factory=list)
 
 
@@ -287,6 +288,7 @@
     tries: int = 0
     avoided_endpoints: set[str] = field(default_factory=set)  # by name
     retry_at: float = 0.0  # it is not sent before this time
+    was_held: bool = False  # it waited for a primary, or for the successor of one
     floor: LogPosition | None = None  # of its last attempt; None: sent to the primary
     behind_count: int = 0  # attempts refused as the floor was not reached
     # Time up to which the rate limit of its customer lets it start; None: it has
@@ -357,6 +359,7 @@
     waiting: deque[EndpointCall] = field(default_factory=deque)
     connection: ConnectionRow | None = None
     in_flight: int = 0  # calls forwarded to the endpoint and unanswered
+    has_written: bool = False  # a write was sent on `connection`
     waiting_since: float = 0.0
     on_behalf_of: OnBehalfOf | None = None  # of its calls; None: a host's own calls
     priority: int = 0  # of its waiting calls; 0 is served first
--- /dev/null
+++ b/mallowpass/core/proxy/writeholds.py
@@ -0,0 +1,111 @@
+"""Holds on the writes of this host, while the primary that runs them is replaced.
+
+A write that is in flight as its primary is replaced may be acknowledged by the replaced
+primary, or by nobody. Held writes wait at this host, and are sent to the successor.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from mallowpass.core.node import Node
+from mallowpass.core.proxy.signals import PrimaryChanged, WritesHeld, WritesReleased
+from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
+
+__all__ = ["WRITES_HELD_MESSAGE", "WriteHolds"]
+
+DRAIN_POLL_INTERVAL = 0.005  # seconds
+
+WRITES_HELD_MESSAGE = "its primary is being replaced"
+
+DrainedHandler = Callable[[], None]
+
+
+@dataclass(slots=True, eq=False)
+class _Hold:
+    """The hold on the writes to one primary."""
+
+    endpoint: EndpointRow
+    until: float = 0.0
+
+
+class WriteHolds(ProxySystem):
+    """Keep this host's holds, and tell when no held primary has a write in flight."""
+
+    __slots__ = ("_holds",)
+
+    def __init__(self, node: Node) -> None:
+        super().__init__(node)
+        self._holds: dict[str, _Hold] = {}  # by service
+
+    def start(self) -> None:
+        """Subscribe to changes of primaries."""
+        self._node.subscribe(PrimaryChanged, self._on_primary_changed)
+
+    def is_held(self, group: GroupRow) -> bool:
+        """Return whether writes to a group's primary wait at this host."""
+        hold = self._holds.get(group.service)
+        return hold is not None and hold.endpoint.name == group.primary
+
+    def hold(
+        self, endpoint: EndpointRow, duration: float, handler: DrainedHandler
+    ) -> None:
+        """Hold the writes to a primary for at most `duration` seconds.
+
+        The handler is called once none of this host's writes to the primary is in
+        flight, unless the hold ends before.
+        """
+        hold = self._holds.get(endpoint.entry.service)
+        if hold is None or hold.endpoint is not endpoint:
+            hold = self._holds[endpoint.entry.service] = _Hold(endpoint)
+            self._node.publish(WritesHeld(endpoint))
+        hold.until = max(hold.until, self.now + duration)
+        self.timers.at(hold.until, self._end_if_due, hold)
+        self._check_drained(hold, handler)
+
+    def release(self, endpoint: EndpointRow) -> None:
+        """End the hold on the writes to an endpoint, if there is one."""
+        hold = self._holds.get(endpoint.entry.service)
+        if hold is not None and hold.endpoint is endpoint:
+            self._end(hold)
+
+    def _check_drained(self, hold: _Hold, handler: DrainedHandler) -> None:
+        if not self._is_current(hold):
+            return
+        if _has_write_in_flight(hold.endpoint):
+            self.timers.after(DRAIN_POLL_INTERVAL, self._check_drained, hold, handler)
+        else:
+            handler()
+
+    def _is_current(self, hold: _Hold) -> bool:
+        return self._holds.get(hold.endpoint.entry.service) is hold
+
+    def _on_primary_changed(self, signal: PrimaryChanged) -> None:
+        group = signal.group
+        hold = self._holds.get(group.service)
+        if hold is not None and group.primary not in ("", hold.endpoint.name):
+            self._end(hold)
+
+    def _end_if_due(self, hold: _Hold) -> None:
+        if self.now >= hold.until:
+            self._end(hold)
+
+    def _end(self, hold: _Hold) -> None:
+        if self._is_current(hold):
+            service = hold.endpoint.entry.service
+            del self._holds[service]
+            self._node.publish(WritesReleased(self.tables.group(service)))
+
+
+def _has_write_in_flight(endpoint: EndpointRow) -> bool:
+    """Return whether a commit may be in flight on a connection of this host.
+
+    Calls that a holder forwards are in flight at that holder.
+    """
+    return any(
+        batch.may_commit
+        for connection in endpoint.connections.values()
+        if not connection.holder
+        for batch in connection.pending
+    )
--- a/mallowpass/platform/wire.py
+++ b/mallowpass/platform/wire.py
@@ -23,6 +23,7 @@
     EndpointStatus,
     Execute,
     FloorHint,
+    HoldWrites,
     OnBehalfOf,
     Pause,
     Prepare,
@@ -338,6 +339,11 @@
     return f"DEMOTE {statement.term}"
 
 
+@_render_statement.register
+def _(statement: HoldWrites) -> str:
+    return f"HOLD {round(1000 * statement.duration)}"  # milliseconds
+
+
 # -- What other hosts send, in the protocol of endpoints ----------------------
 
 
@@ -393,6 +399,8 @@
         return Pause(int(rest))
     if keyword == "DEMOTE" and rest.isdecimal():
         return Demote(int(rest))
+    if keyword == "HOLD" and rest.isdecimal():
+        return HoldWrites(int(rest) / 1000)
     return None
 
 
