Order a first promotion only under a claim that is fresh

Cause: only repeated orders looked whether the claim was fresh.

Change: where the platform checks no fencing tokens, the first order of an attempt is sent under a fresh claim as well; else the claim is taken again and the replicas are compared once more. The hold of writes before it needs no check of its own any more. Where tokens are checked an outdated order is refused, and a claim whose answers get lost may never be fresh (test_claim_whose_answer_was_lost_is_used), so nothing changes there.

--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -374,10 +374,23 @@
             self._schedule_round(attempt, "the target lacks commits")
             return
         if attempt.is_quiesced or not self._must_quiesce(attempt):
-            self._promotion_orders.order(attempt)
+            self._order(attempt)
         elif not attempt.is_quiescing:
             self._quiesce(attempt)
 
+    def _order(self, attempt: Replacement) -> None:
+        """Order the promotion, under a new claim if the present one may be outdated.
+
+        Where the platform checks fencing tokens, it refuses an outdated order.
+        """
+        is_checked = self.tables.promotion_fences_primary
+        if is_checked or self._claims.is_fresh(attempt.claim):
+            self._promotion_orders.order(attempt)
+        elif attempt.rounds < ROUNDS_MAX:
+            self._take_claim(attempt)
+        else:
+            self._give_up(attempt, "claims expire before replicas are compared")
+
     def _must_quiesce(self, attempt: Replacement) -> bool:
         """Return whether the primary's commits have to be stopped before the order."""
         return not (attempt.reason.is_failure or self.tables.promotion_fences_primary)
@@ -410,15 +423,10 @@
         last comparison.
         """
         attempt.is_quiescing = True
-        was_fresh = self._claims.is_fresh(attempt.claim)
 
         def on_quiesced() -> None:
-            if attempt.is_ended:
-                return
-            attempt.is_quiesced = True
-            if was_fresh and not self._claims.is_fresh(attempt.claim):
-                self._take_claim(attempt)
-            else:
+            if not attempt.is_ended:
+                attempt.is_quiesced = True
                 self._compare(attempt)
 
         self._quiescence.quiesce(attempt, on_quiesced)
--- a/mallowpass/core/proxy/promotionorders.py
+++ b/mallowpass/core/proxy/promotionorders.py
@@ -1,8 +1,8 @@
 """Orders to the platform to promote a replica, repeated until the replica is primary.
 
-An order is sent only while the claim is fresh, see `Claims.is_fresh`. A later order
-could arrive after the orders of the next host that claims, and a platform that does not
-check fencing tokens would carry it out.
+An order is sent only while the claim is fresh, see `Claims.is_fresh` and `promotion`. A
+later order could arrive after the orders of the next host that claims, and a platform
+that does not check fencing tokens would carry it out.
 """
 
 from __future__ import annotations
--- a/tests/core/proxy/test_pending_orders.py
+++ b/tests/core/proxy/test_pending_orders.py
@@ -8,8 +8,10 @@
 
 import pytest
 
+from mallowpass.core.proxy.claims import CLAIM_USE_TIMEOUT, Claim
+from mallowpass.core.proxy.storage import RowKey, Table
 from mallowpass.standins.proxied.replicas import GroupTimes
-from mallowpass.standins.proxied.virtual.world import ProxyWorld
+from mallowpass.standins.proxied.virtual.world import SERVICE, ProxyWorld
 from tests.core.proxy.test_replaced import (
     OLD,
     OTHERS,
@@ -140,6 +142,27 @@
         assert {o["token"] for o in host.logged("promotion_ordered")} <= taken
 
 
+@pytest.mark.parametrize("silent_for", [1.6, 2.0, 3.3, 3.8])
+def test_no_order_is_sent_under_a_claim_that_may_be_outdated(silent_for):
+    """Guard against two hosts whose orders for two endpoints are both carried out.
+
+    A replica does not answer for so long that the first host's claim expires. Once it
+    answers, that host and the next one that claimed find that the target may lead.
+    """
+    world = world_with_promotion_time(0.3, hosts=4)
+    world.dark.add(OTHERS[1])
+    world.enter(world.group.replicas[OLD], draining=True)
+    world.timers.after(silent_for, world.dark.discard, OTHERS[1])
+    key = RowKey(Table.CLAIMS, SERVICE, "primary")
+    world.run_until(lambda: bool(world.orders), 9.0)
+    newest = Claim.decode(world.store.get(key).value)
+    assert world.orders[0].fencing_token == newest.token
+    assert world.timers.now - newest.time < CLAIM_USE_TIMEOUT
+    world.run(3.0)
+    assert world.group.promotions == 1
+    check_guarantees(world)
+
+
 def test_replica_that_restarts_while_an_order_is_pending_is_paused():
     """Guard against a promoted endpoint that lacks an acknowledged commit.
 
