Have hosts behind a holder hold their writes as well, and go on reading

Cause: a holder that held writes refused those of other hosts as a replaced primary does. Such a host then knew no primary, and its reads waited for the successor as its writes had to. A probe of the primary by an empty transaction was refused as well, so floors were not renewed.

Change: a holder refuses a held write with a code of its own (HELD, between hosts only). The host then holds its writes for a second, or until the primary changes, and the refusal counts as no try. An empty transaction is passed on.

Shown by test_the_primary_serves_reads_until_its_successor_leads[24]: failed before (a read had no answer within 0.3 s).

--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -246,23 +246,26 @@
     # -- Held writes ---------------------------------------------------------
 
     def _must_hold(self, link: LinkRow) -> bool:
-        """Return whether waiting calls commit at a primary whose writes are held."""
+        """Return whether waiting calls commit at a primary whose writes are held.
+
+        A transaction that is begun and rolled back at once only probes the primary.
+        """
         group = self._group(link)
         if link.endpoint.name != group.primary or not self._write_holds.is_held(group):
             return False
-        if _begins_writes(link.waiting[0].statement):
+        if len(link.waiting) == 1 and _begins_writes(link.waiting[0].statement):
             return True
         return any(_commits_writes(link, call.statement) for call in link.waiting)
 
     def _refuse_held(self, link: LinkRow) -> None:
         """Refuse waiting calls whose writes are held; they did not run.
 
-        The other host then waits for the successor, as after a refusal by a replaced
-        primary. In a transaction it is told that the transaction failed, and rolls it
-        back: a transaction can't be committed at the successor.
+        The other host then holds its writes as well. In a transaction it is told that
+        the transaction failed, and rolls it back: a transaction can't be committed at
+        the successor.
         """
         if link.connection is None:
-            self._refuse(link, Code.NOT_PRIMARY, WRITES_HELD_MESSAGE)
+            self._refuse(link, Code.HELD, WRITES_HELD_MESSAGE)
         else:
             state = SessionState.FAILED
             self._refuse(link, Code.ABORTED, WRITES_HELD_MESSAGE, state)
--- a/mallowpass/core/proxy/quiescence.py
+++ b/mallowpass/core/proxy/quiescence.py
@@ -92,7 +92,7 @@
         primary = self._held.get(service)
         if primary is not None:
             self._order_holds(primary, duration, lambda reply: None)
-            self._write_holds.hold(primary, duration, lambda: None)
+            self._write_holds.hold(primary, duration)
 
     def end(self, attempt: Replacement) -> None:
         """Release the writes that are held for an attempt that has ended.
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -73,6 +73,10 @@
 # new primary gets all such writes at once: one that was sent later would end in doubt.
 SEND_SHARE = 0.7
 
+# Seconds for which a host holds its writes once a holder has refused one. A write that
+# is sent afterwards is refused again, if the holder still holds writes.
+FORWARDED_HOLD_DURATION = 1.0
+
 ENDPOINT_FULL_MESSAGE = "its endpoint is overloaded; try again in a moment"
 
 
@@ -442,6 +446,10 @@
             # will run the statement.
             self._answers.refuse(request, reply.code, reply.message)
             return
+        if reply.code is Code.HELD:
+            self._write_holds.hold(endpoint, FORWARDED_HOLD_DURATION)
+            self._enqueue(request)
+            return
         if reply.code is not Code.UNREACHABLE:
             request.tries += 1
         request.detail = f"{endpoint.name}: {reply.code.value} {reply.message}".rstrip()
--- a/mallowpass/core/proxy/statements.py
+++ b/mallowpass/core/proxy/statements.py
@@ -59,6 +59,7 @@
     TOO_MANY_CONNECTIONS = "too-many-connections"
     UNKNOWN_STATEMENT = "unknown-statement"  # the prepared statement does not exist
     UNREACHABLE = "unreachable"  # the forwarding host can't reach the endpoint
+    HELD = "held"  # the forwarding host holds writes to the endpoint
     # The statement ran, and failed or was stopped.
     FAILED = "failed"
     TIMED_OUT = "timed-out"
@@ -81,6 +82,7 @@
         Code.NOT_PRIMARY,
         Code.UNKNOWN_STATEMENT,
         Code.UNREACHABLE,
+        Code.HELD,
         Code.UNAUTHENTICATED,
         Code.WRONG_ENDPOINT,
         Code.TOO_MANY_CONNECTIONS,
--- a/mallowpass/core/proxy/writeholds.py
+++ b/mallowpass/core/proxy/writeholds.py
@@ -49,7 +49,10 @@
         return hold is not None and hold.endpoint.name == group.primary
 
     def hold(
-        self, endpoint: EndpointRow, duration: float, handler: DrainedHandler
+        self,
+        endpoint: EndpointRow,
+        duration: float,
+        handler: DrainedHandler = lambda: None,
     ) -> None:
         """Hold the writes to a primary for at most `duration` seconds.
 
--- a/mallowpass/platform/wire.py
+++ b/mallowpass/platform/wire.py
@@ -77,7 +77,9 @@
     Code.WRONG_ENDPOINT: "WRONGNODE",
     Code.TOO_MANY_CONNECTIONS: "TOOMANY",
     Code.UNKNOWN_STATEMENT: "NOSTMT",
-    Code.UNREACHABLE: "UNREACHABLE",  # sent between hosts only
+    # The next two are sent between hosts only.
+    Code.UNREACHABLE: "UNREACHABLE",
+    Code.HELD: "HELD",
     Code.FAILED: "FAILED",
     Code.TIMED_OUT: "TIMEOUT",
     Code.IN_DOUBT: "INDOUBT",
--- a/tests/core/proxy/test_write_holds.py
+++ b/tests/core/proxy/test_write_holds.py
@@ -64,12 +64,16 @@
     check_guarantees(world)
 
 
-def test_the_primary_serves_reads_until_its_successor_leads():
+@pytest.mark.parametrize("hosts", [4, LARGE])
+def test_the_primary_serves_reads_until_its_successor_leads(hosts):
     """Guard against reads that wait for a planned promotion, as writes have to."""
-    world = weak_world(times=GroupTimes(promotion=1.0))
-    world.run(2.0)
+    world = weak_world(hosts=hosts, times=GroupTimes(promotion=1.0))
+    world.run(4.0)
     run_until_ordered(world)
-    for host in range(4):
+    for host in range(hosts):
+        world.caller(host, "own").send(Write("a 1"))
+    world.run(0.1)
+    for host in range(0, hosts, 3):
         answer = world.caller(host, "strict").run(Read("a"), within=0.3)
         assert answer.code is Code.DONE
         assert answer.signature == OLD
