Have the stand-in not say of a commit in its log that it did not run

Cause: a primary that was cut from its replicas was ordered to step down, and answered its unreceived commits as not run, though its own log held them. It was then promoted as the one with the furthest log, and kept them. The platform's pages have a refusal mean that nothing ran, so the stand-in was wrong, not the host that believed it.

Change: such a commit is answered as not run once the log has dropped it, and not before; a member that is promoted again acknowledges it.

Shown by test_commit_that_its_member_keeps_when_it_leads_again_is_not_called_not_run: failed before.

--- a/mallowpass/standins/proxied/connections.py
+++ b/mallowpass/standins/proxied/connections.py
@@ -279,6 +279,10 @@
             # Whoever has it may lead next, or does: to say that it did not run
             # would be a lie, and nobody here knows that it is kept.
             self.silent = True
+        elif entry in self._replica.log:
+            # This member may lead again, and then keeps it.
+            self._group.timers.after(0.001, self._await_replicas, entry, done)
+            return True
         self._answer(done, Code.NOT_PRIMARY, failed=True)
         return True
 
--- a/tests/standins/proxied/test_replicas.py
+++ b/tests/standins/proxied/test_replicas.py
@@ -159,3 +159,26 @@
     _run(timers, 1.0)
     assert [reply.code for reply in replies] == [Code.NOT_PRIMARY]
     assert group.primary.value("k") == ""
+
+
+def test_commit_that_its_member_keeps_when_it_leads_again_is_not_called_not_run():
+    """Guard against a stand-in that keeps a commit after it said that it did not run.
+
+    No replica received the commit. Its member was ordered to step down, and was then
+    promoted as the one with the furthest log.
+    """
+    timers = TimerService()
+    group = Group("s", ["a", "b", "c"], timers, goes_on=True)
+    group.cut("a", ["b", "c"])
+    connection = connect(group, "a")
+    replies: list[EndpointReply] = []
+    connection.send(EndpointCall(Write("k 1"), "id1"), replies.append)
+    _run(timers, 0.1)
+    group.demote(group.replicas["a"], 2)
+    _run(timers, 0.3)
+    assert replies == []
+    group.promote("a")
+    group.heal()
+    _run(timers, 1.0)
+    assert group.replicas["a"].value("k") == "1"
+    assert [reply.code for reply in replies] in ([], [Code.DONE])
