Show faults of held writes and paused targets by failing tests

Cause: a target stays paused though another replica's pause has ended, an order is sent under a claim that is no longer fresh, holds are not renewed under a new claim, a refusal by a hold counts as that of a replaced primary, a released hold is kept with an earlier row, and a retried commit is not held.

Change: tests only; each states the failure it guards against.

--- a/tests/core/proxy/test_acknowledged_late.py
+++ b/tests/core/proxy/test_acknowledged_late.py
@@ -486,3 +486,29 @@
     run_until_ordered(world, writers)
     run_until_led(world)
     assert writers.codes(before=2.0) == {Code.DONE}
+
+
+@pytest.mark.parametrize("late", [0.0, *LATE_TIMES])
+@pytest.mark.parametrize("silent_for", [1.9, 2.5])
+@pytest.mark.parametrize("cut_off", [(0,), (0, 1, 2, 3)])
+def test_an_order_after_a_long_drain_is_sent_under_a_fresh_claim(
+    late, silent_for, cut_off
+):
+    """Guard against two successors, the second of which lacks acknowledged commits.
+
+    A replica was silent while the others were compared, so the claim was no longer
+    fresh when the drain began. The drain and the demotion took until another host could
+    claim. The order was sent nevertheless, and the other host did not know of it.
+    """
+    world = late_world(late, promotion=1.0)
+    Writers(world, 0, interval=0.1)
+    world.run(1.0)
+    for index in cut_off:
+        others = (host.name for host in world.hosts if host is not world.hosts[index])
+        world.cut(index, *others)
+    world.dark.add(OTHERS[0])
+    leave(world)
+    world.run(silent_for)
+    world.dark.discard(OTHERS[0])
+    world.run(5.0)
+    check_guarantees(world)
--- a/tests/core/proxy/test_pending_orders.py
+++ b/tests/core/proxy/test_pending_orders.py
@@ -162,3 +162,49 @@
     world.run(5.0)
     assert no_member_is_paused(world)
     check_guarantees(world)
+
+
+def order_by_hosts_that_do_not_reach_the_primary(world: ProxyWorld) -> str:
+    """Have some hosts replace a primary that others write at; return the other replica.
+
+    It is the one that is not the target, and it is paused.
+    """
+    keep_working(world, 0, 1, 2, 3)
+    world.run(1.0)
+    for index in (0, 3):
+        world.cut(index, "store")
+    for index in (1, 2):
+        world.cut(index, OLD, "host-0", "host-3")
+    run_until_ordered(world)
+    target = world.orders[0].endpoint
+    return next(name for name in OTHERS if name != target)
+
+
+@pytest.mark.parametrize("before", [0.1, 0.3, 0.7])
+@pytest.mark.parametrize("unseen", ["store down", "host killed", "target cut off"])
+def test_replica_whose_restart_nobody_sees_in_time_loses_nothing(unseen, before):
+    """Guard against a paused target that leads without an acknowledged commit.
+
+    A replica that is not the target restarts while the order is pending, and its pause
+    ends with that. Nobody has the target receive again: the store shows no restart, the
+    host that knew of the order's attempt is gone, or the target can't be told. The old
+    primary, which some hosts reach, has commits acknowledged through that replica.
+    """
+    world = weak_world(hosts=4, times=GroupTimes(promotion=1.0))
+    world.run(1.0)
+    other = order_by_hosts_that_do_not_reach_the_primary(world)
+    world.run(1.0 - before)
+    if unseen == "store down":
+        world.store.refuse_all()
+    elif unseen == "host killed":
+        ordered = [bool(host.logged("promotion_ordered")) for host in world.hosts]
+        world.kill(ordered.index(True))
+        world.run(0.05)
+    else:
+        for index in (1, 2):
+            world.cut(index, world.orders[0].endpoint)
+    world.crash(other)
+    world.restart(other)
+    world.run_until(lambda: world.group.promotions == 1, 3.0)
+    assert world.group.promotions == 1
+    assert world.group.lost == []
--- a/tests/core/proxy/test_write_holds.py
+++ b/tests/core/proxy/test_write_holds.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import pytest
 
 from mallowpass.core.proxy.statements import (
@@ -13,13 +15,17 @@
     Code,
     Commit,
     Demote,
+    EndpointCall,
     HoldWrites,
     Read,
     Write,
 )
-from mallowpass.standins.proxied.replicas import GroupTimes
+from mallowpass.core.proxy.tables import ProxyTables
+from mallowpass.core.proxy.writeholds import WriteHolds
+from mallowpass.standins.proxied.connections import ReplicaConnection
+from mallowpass.standins.proxied.replicas import GroupTimes, Replica
 from mallowpass.standins.proxied.virtual.hosts import Caller
-from mallowpass.standins.proxied.virtual.world import ProxyWorld
+from mallowpass.standins.proxied.virtual.world import SERVICE, ProxyWorld
 from tests.core.proxy.test_replaced import OLD, check_guarantees, weak_world
 
 LARGE = 24  # hosts of a fleet in which a few hold connections and the others forward
@@ -151,3 +157,113 @@
         answer = world.caller(host, "own").run(Write("a 1"), within=0.1)
         assert answer.code is Code.DONE
     assert world.group.promotions == 0
+
+
+def test_other_hosts_read_at_the_primary_while_their_writes_wait():
+    """Guard against hosts that take a held write for a sign that nobody is primary.
+
+    Their holder refuses it as a replaced primary would, so they send the primary no
+    reads either until its successor leads.
+    """
+    world = weak_world(hosts=LARGE, times=GroupTimes(promotion=1.0))
+    world.run(4.0)
+    run_until_ordered(world)
+    for host in range(LARGE):
+        world.caller(host, "own").send(Write("a 1"))
+    world.run(0.1)
+    readers = [world.caller(host, "strict") for host in range(LARGE)]
+    for reader in readers:
+        reader.send(Read("a"))
+    world.run(0.3)
+    assert world.group.promotions == 0
+    codes = [r.answers[0].code if r.answers else None for r in readers]
+    assert codes == [Code.DONE] * LARGE
+
+
+def test_writes_stay_held_while_an_attempt_goes_on_under_new_claims():
+    """Guard against writes that hang at a primary none of whose replicas receives.
+
+    The platform carries no order out, and each repeated order needs a new claim. The
+    holds were not renewed with these, and ended while the replicas were still paused.
+    """
+    world = weak_world(times=GroupTimes(promotion=1000.0))
+    world.run(2.0)
+    run_until_ordered(world)
+    world.run(4.3)
+    assert all(replica.paused_for for replica in replicas_of(world))
+    sent = len(world.calls)
+    for host in range(4):
+        world.caller(host, "own").send(Write("a 1"))
+    world.run(0.2)
+    statements = [c.statement for _, member, c in world.calls[sent:] if member == OLD]
+    assert not any(isinstance(statement, Write) for statement in statements)
+
+
+def replicas_of(world: ProxyWorld) -> list[Replica]:
+    """Return the members but for the primary."""
+    return [r for r in world.group.replicas.values() if not r.is_primary]
+
+
+def holds_of(world: ProxyWorld, host: int) -> tuple[WriteHolds, ProxyTables]:
+    """Return a host's holds, and its tables."""
+    node = world.hosts[host].node
+    return node.system(WriteHolds), node.tables
+
+
+def test_a_hold_is_released_though_the_primary_restarted():
+    """Guard against writes that wait until their hold expires, though it was released.
+
+    The primary's restart replaced its row, and the hold was kept with the earlier one.
+    """
+    world = weak_world()
+    world.run(2.0)
+    holds, tables = holds_of(world, 0)
+    holds.hold(tables.endpoints[OLD], 8.0, lambda: None)
+    world.crash(OLD)
+    world.restart(OLD)
+    world.run(0.6)
+    group = tables.group(SERVICE)
+    assert group.primary == OLD
+    holds.release(tables.endpoints[OLD])
+    assert not holds.is_held(group)
+
+
+def refuse_the_next_commit(monkeypatch: pytest.MonkeyPatch) -> list[str]:
+    """Have an endpoint refuse one commit as it is full; return who refused so far."""
+    run = ReplicaConnection._worked
+    refused: list[str] = []
+
+    def work(
+        connection: ReplicaConnection, call: EndpointCall, done: Callable[..., None]
+    ) -> None:
+        if not isinstance(call.statement, Commit) or refused:
+            run(connection, call, done)
+            return
+        refused.append(connection.member)
+        connection._answer(done, Code.BUSY)
+
+    monkeypatch.setattr(ReplicaConnection, "_worked", work)
+    return refused
+
+
+def test_a_commit_that_is_retried_after_a_drain_is_held(monkeypatch):
+    """Guard against a commit that is sent after its host confirmed its drain.
+
+    The primary was full and refused it, so it was about to be sent once more, and no
+    call of the host was in flight.
+    """
+    world = weak_world()
+    world.run(2.0)
+    caller = begin_and_write(world, 0)
+    refused = refuse_the_next_commit(monkeypatch)
+    caller.send(Commit())
+    world.run_until(lambda: bool(refused), 1.0)
+    world.run(0.002)
+    holds, tables = holds_of(world, 0)
+    drained: list[bool] = []
+    holds.hold(tables.endpoints[OLD], 4.0, lambda: drained.append(True))
+    sent = len(world.calls)
+    world.run(1.0)
+    assert drained
+    later = [c.statement for _, member, c in world.calls[sent:] if member == OLD]
+    assert not any(isinstance(statement, Commit) for statement in later)
