Begin no planned replacement at a host that drains

Cause: a host that was asked to stop began to replace a leaving primary, and ended between the hold of writes and its order. Holders held their writes and replicas stayed paused until another host could claim.

Change: such a host begins no planned replacement; those that go on do.

Shown by test_a_host_that_drains_begins_no_planned_replacement: failed before.

--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -39,6 +39,7 @@
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
 from mallowpass.core.proxy.resumption import Resumption
 from mallowpass.core.proxy.signals import (
+    DrainBegan,
     EndpointChanged,
     EndpointRestarted,
     PrimaryChanged,
@@ -85,6 +86,7 @@
         "_durability",
         "_floors",
         "_backoff_until",
+        "_is_draining",
         "_holders",
         "_members",
         "_promotion_orders",
@@ -101,6 +103,7 @@
         # Earliest time of the next attempt, by service, after an attempt in which no
         # replica could be promoted without loss.
         self._backoff_until: dict[str, float] = {}
+        self._is_draining = False  # this host was asked to stop
 
     def start(self) -> None:
         """Subscribe to signals that affect an attempt."""
@@ -117,6 +120,7 @@
         self._resumption = node.system(Resumption)
         self._conflicts = node.system(PrimaryConflicts)
         self._pending_orders = node.system(PendingOrders)
+        node.subscribe(DrainBegan, self._on_drain_began)
         node.subscribe(EndpointChanged, self._on_endpoint_changed)
         node.subscribe(EndpointRestarted, self._on_restarted)
         node.subscribe(PrimaryChanged, self._on_primary_changed)
@@ -128,6 +132,9 @@
         """Return whether this host is replacing a service's primary."""
         return service in self._attempts
 
+    def _on_drain_began(self, signal: DrainBegan) -> None:
+        self._is_draining = True
+
     # -- Beginning -----------------------------------------------------------
 
     def replace(
@@ -140,8 +147,12 @@
         """Begin to replace a primary, unless an attempt is under way.
 
         Does nothing as well if the group has no replica, if this host is not a holder
-        of the service, or within the backoff after a refused promotion.
+        of the service, or within the backoff after a refused promotion. A host that
+        drains begins no planned replacement: if it ended in the middle, writes would be
+        held and replicas paused until another host claims.
         """
+        if self._is_draining and not reason.is_failure:
+            return
         if group.service in self._attempts or not self._holders.holds(group.service):
             return
         if self.now < self._backoff_until.get(group.service, 0.0):
--- a/tests/core/proxy/test_write_holds.py
+++ b/tests/core/proxy/test_write_holds.py
@@ -271,3 +271,39 @@
     assert drained
     later = [c.statement for _, member, c in world.calls[sent:] if member == OLD]
     assert not any(isinstance(statement, Commit) for statement in later)
+
+
+def test_a_host_that_drains_begins_no_planned_replacement():
+    """Guard against writes held for a host that ends before it orders the promotion."""
+    world = weak_world()
+    world.run(2.0)
+    draining = world.hosts[:3]
+    for host in draining:
+        host.stop(4.0)
+    run_until_ordered(world)
+    run_until_led(world)
+    assert not any(host.logged("promotion_begun") for host in draining)
+    check_guarantees(world)
+
+
+def test_a_write_in_flight_is_not_refused_when_writes_are_held():
+    """Guard against a refusal of a write that was sent, and that the successor keeps.
+
+    The primary is cut from all hosts while it has not acknowledged their writes.
+    """
+    times = GroupTimes(acknowledgement=0.2)
+    world = weak_world(times=times)
+    world.run(2.0)
+    callers = [world.caller(host, "own") for host in range(4)]
+    for number, caller in enumerate(callers):
+        caller.send(Write(f"b{number} 1"))
+    world.run(0.03)
+    for host in range(4):
+        world.cut(host, OLD)
+    world.enter(world.group.replicas[OLD], draining=True)
+    world.run(10.0)
+    assert world.group.promotions == 1
+    for number, caller in enumerate(callers):
+        is_kept = world.primary.value(f"b{number}") == "1"
+        assert is_kept
+        assert caller.answers[0].code is Code.IN_DOUBT
