Let held writes wait as long as their timeout

Cause: a held write was refused at 0.7 of its timeout. Its caller tried again at once and was held again, and two tries were used up within one promotion.

Change: it waits as long as its timeout. If the successor comes later than 0.7 of it, the write is refused then, since it would end in doubt, and the caller's next try is served at once.

--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -168,10 +168,6 @@
         request.timers.append(
             self.timers.at(expires_at, self._timeouts.expire, request)
         )
-        if transaction is None and request.access is Access.WRITE:
-            send_until = _send_until(request)
-            timer = self.timers.at(send_until, self._refuse_held, request)
-            request.timers.append(timer)
         if transaction is None or transaction.connection is None:
             self._admit(request)
         else:
@@ -183,12 +179,6 @@
             return False
         return self._write_holds.is_held(primary)
 
-    def _refuse_held(self, request: RequestRow) -> None:
-        """Refuse a write that is still held, and would be sent too late."""
-        is_waiting = request.connection is None and not request.finished
-        if is_waiting and self._is_held(request):
-            self._answers.refuse(request, Code.BUSY, WRITES_HELD_MESSAGE)
-
     def _admit(self, request: RequestRow) -> None:
         """Queue a statement once its customer's rate limit allows it."""
 
@@ -513,12 +503,8 @@
             self._admit(request)
 
 
-def _send_until(request: RequestRow) -> float:
-    """Return the time until which a write that waits for a new primary may be sent."""
-    return request.arrived_at + SEND_SHARE * request.route.statement_timeout
-
-
 def _is_too_late(request: RequestRow, now: float) -> bool:
     """Return whether a write has waited so long that it would end in doubt."""
     is_single_write = request.access is Access.WRITE and request.transaction is None
-    return is_single_write and request.was_held and now > _send_until(request)
+    send_until = request.arrived_at + SEND_SHARE * request.route.statement_timeout
+    return is_single_write and request.was_held and now > send_until
