--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,6 +20,9 @@
     41: "the same as 40",
     52: "reads of a session showed the write before its own newest one",
 }
+FAILED_ONCE_WITHOUT_FENCES = {
+    802: "a stand-in said of a commit in its own log that it did not run",
+}
 
 
 @pytest.fixture
@@ -55,3 +58,8 @@
 @pytest.mark.parametrize("seed", FAILED_ONCE)
 def test_seed_that_failed_once(seed, check):
     check(asyncio.run(soak(seed, LONG)))
+
+
+@pytest.mark.parametrize("seed", FAILED_ONCE_WITHOUT_FENCES)
+def test_seed_that_failed_once_without_fences(seed, check):
+    check(asyncio.run(soak(seed, SHORT, hosts=3, fences=False)))
