Say whom the time for a drain is for

Comments alone: other holders have the time of a forwarded order, and what becomes outdated in a demotion is what it found. Nothing was run but the linter.

--- a/mallowpass/core/proxy/demotion.py
+++ b/mallowpass/core/proxy/demotion.py
@@ -55,7 +55,7 @@
 # is shorter.
 HUNG_TIMEOUT = 0.25
 
-# Seconds after which a further demotion of an endpoint begins anew.
+# Seconds after which the findings of a demotion are outdated for a later one.
 EVIDENCE_AGE_MAX = 0.05
 
 _USABLE_STATES = (ConnectionState.IDLE, ConnectionState.OPENING)
--- a/mallowpass/core/proxy/quiescence.py
+++ b/mallowpass/core/proxy/quiescence.py
@@ -34,8 +34,8 @@
 # A hold ends with the change of primary, and by itself if the host that ordered it
 # fails. It is renewed with each order.
 HOLD_DURATION = 4.0
-# For holders to confirm that no write is in flight: a round trip between regions to
-# connect, one to ask, and the writes themselves.
+# For the writes of this host that are in flight. Other holders have as long as an order
+# takes that is sent to them.
 DRAIN_TIMEOUT = 0.5
 
 QuiescedHandler = Callable[[], None]
