--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -69,7 +69,7 @@
 MISSES_MAX = 4
 
 # Share of its timeout within which a write that waits for a new primary must be sent. A
-# new primary gets all such writes at once: one that was sent later would end in doubt.
+# new primary gets all such writes at once: a late one would end in doubt.
 SEND_SHARE = 0.7
 
 # Seconds for which a host holds its writes once a holder has refused one. A write that
