Fence failed primaries at the hosts while a successor is promoted

What callers saw: nothing, the commits are in the successor's log. A failed primary that no order to step down reached was back just before its successor led, and acknowledged commits after it.

Cause: hosts went on sending writes to it, or had commits in flight there, and the order to step down was repeated too late (backoff of 0.1 to 2 s).

Closing all commits in flight at once: a stalled primary that answers tells their outcome itself, as not run, and the successor runs them. An order on links to the primary, as for planned replacements: a holder refuses these links where it can't reach the primary.

Change, on the contract without fences alone: as the platform has taken the order for a failed primary, all holders hold their writes to it (FENCE, on links to the target).

What a platform of its own would not show: the stand-in ends a connection at a member as soon as its host closes it, also where the member is unreachable. What the member sends then reaches nobody either way.

--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -22,6 +22,7 @@
     RefuseLink,
 )
 from mallowpass.core.proxy.events import LinkCalled, LinkClosed, LinkOpened
+from mallowpass.core.proxy.fencing import Fencing
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.load import Load
@@ -45,6 +46,7 @@
     EndpointCall,
     EndpointReply,
     Execute,
+    Fence,
     FloorHint,
     HoldWrites,
     OnBehalfOf,
@@ -81,6 +83,7 @@
 
     __slots__ = (
         "_connections",
+        "_fencing",
         "_floors",
         "_holders",
         "_load",
@@ -94,6 +97,7 @@
         """Subscribe to the events of links, connections and endpoints."""
         node = self._node
         self._connections = node.system(Connections)
+        self._fencing = node.system(Fencing)
         self._floors = node.system(Floors)
         self._holders = node.system(Holders)
         self._load = node.system(Load)
@@ -329,6 +333,13 @@
             self._write_holds.release(link.endpoint)
             self._answer_done(link)
 
+    @_accept.register
+    def _(self, statement: Fence, call: EndpointCall, link: LinkRow) -> None:
+        primary = self.tables.endpoints.get(statement.primary)
+        if primary is not None:
+            self._fencing.fence(primary, statement.duration)
+        self._answer_done(link)
+
     def _answer_done(self, link: LinkRow) -> None:
         # Hosts send such calls ahead of a statement, with no call in flight: replies
         # stay in the order of calls.
--- a/mallowpass/core/proxy/promotionorders.py
+++ b/mallowpass/core/proxy/promotionorders.py
@@ -13,6 +13,7 @@
 from mallowpass.core.proxy.demotion import Demotion
 from mallowpass.core.proxy.effects import OrderPromotion
 from mallowpass.core.proxy.events import PromotionAnswered
+from mallowpass.core.proxy.fencing import Fencing
 from mallowpass.core.proxy.pendingorders import ACCEPTED_ORDER_TIMEOUT, PendingOrders
 from mallowpass.core.proxy.quiescence import Quiescence
 from mallowpass.core.proxy.replacement import Replacement
@@ -50,6 +51,7 @@
     __slots__ = (
         "_claims",
         "_demotion",
+        "_fencing",
         "_quiescence",
         "_unanswered",
         "_replica_orders",
@@ -65,6 +67,7 @@
         """Subscribe to the platform's answers."""
         self._claims = self._node.system(Claims)
         self._demotion = self._node.system(Demotion)
+        self._fencing = self._node.system(Fencing)
         self._quiescence = self._node.system(Quiescence)
         self._replica_orders = self._node.system(ReplicaOrders)
         self._pending_orders = self._node.system(PendingOrders)
@@ -184,8 +187,12 @@
         replicas may be resumed.
         """
         primary = attempt.group.endpoints.get(attempt.primary)
-        if attempt.reason.is_failure and primary is not None:
-            self._demotion.demote(primary, attempt.group.term + 1)
+        if not attempt.reason.is_failure or primary is None:
+            return
+        self._demotion.demote(primary, attempt.group.term + 1)
+        target = attempt.group.endpoints.get(attempt.target)
+        if target is not None:
+            self._fencing.order(primary, target)
 
     def _repeat_order(self, attempt: Replacement, call: int) -> None:
         if attempt.is_ended or attempt.order_call != call:
--- a/mallowpass/core/proxy/statements.py
+++ b/mallowpass/core/proxy/statements.py
@@ -20,6 +20,7 @@
     "EndpointReply",
     "EndpointStatus",
     "Execute",
+    "Fence",
     "FloorHint",
     "HoldWrites",
     "LogPosition",
@@ -219,6 +220,18 @@
     duration: float
 
 
+@record
+class Fence(Statement):
+    """Have a holder fence a failed primary; sent to holders only.
+
+    The holder replies at once. The fence ends after `duration` seconds, or once the
+    group has another primary. The order may go by a link to another endpoint.
+    """
+
+    primary: str
+    duration: float
+
+
 # -- Endpoints ---------------------------------------------------------------
 
 
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -101,6 +101,14 @@
     # forwarded connection serves all customers.
     customer: str | None = None
 
+    @property
+    def has_commit_in_flight(self) -> bool:
+        """Return whether this host has sent a commit on it that is not answered.
+
+        Calls that a holder forwards are in flight at that holder.
+        """
+        return not self.holder and any(batch.may_commit for batch in self.pending)
+
     def can_serve(self, customer: str | None) -> bool:
         """Return whether it may run a customer's statements; None: this host's own."""
         return customer is None or bool(self.holder) or self.customer == customer
--- a/mallowpass/core/proxy/writeholds.py
+++ b/mallowpass/core/proxy/writeholds.py
@@ -77,7 +77,7 @@
         if not self._is_current(hold):
             return
         endpoint = self.tables.endpoints.get(hold.endpoint.name)
-        if endpoint is not None and _has_write_in_flight(endpoint):
+        if endpoint is not None and _has_commit_in_flight(endpoint):
             self.timers.after(DRAIN_POLL_INTERVAL, self._check_drained, hold, handler)
         else:
             handler()
@@ -102,14 +102,6 @@
             self._node.publish(WritesReleased(self.tables.group(service)))
 
 
-def _has_write_in_flight(endpoint: EndpointRow) -> bool:
-    """Return whether a commit may be in flight on a connection of this host.
-
-    Calls that a holder forwards are in flight at that holder.
-    """
-    return any(
-        batch.may_commit
-        for connection in endpoint.connections.values()
-        if not connection.holder
-        for batch in connection.pending
-    )
+def _has_commit_in_flight(endpoint: EndpointRow) -> bool:
+    connections = endpoint.connections.values()
+    return any(connection.has_commit_in_flight for connection in connections)
--- a/mallowpass/platform/wire.py
+++ b/mallowpass/platform/wire.py
@@ -22,6 +22,7 @@
     EndpointReply,
     EndpointStatus,
     Execute,
+    Fence,
     FloorHint,
     HoldWrites,
     OnBehalfOf,
@@ -346,6 +347,11 @@
     return f"HOLD {round(1000 * statement.duration)}"  # milliseconds
 
 
+@_render_statement.register
+def _(statement: Fence) -> str:
+    return f"FENCE {round(1000 * statement.duration)} {statement.primary}"
+
+
 # -- What other hosts send, in the protocol of endpoints ----------------------
 
 
@@ -403,9 +409,18 @@
         return Demote(int(rest))
     if keyword == "HOLD" and rest.isdecimal():
         return HoldWrites(int(rest) / 1000)
+    if keyword == "FENCE":
+        return _parse_fence(rest)
     return None
 
 
+def _parse_fence(text: str) -> Fence | None:
+    duration, _, primary = text.partition(" ")
+    if not duration.isdecimal() or not primary:
+        return None
+    return Fence(primary, int(duration) / 1000)
+
+
 def render_reply(reply: EndpointReply) -> bytes:
     """Return the lines for the reply of an endpoint."""
     lines = [b"ROW %b\r\n" % row for row in reply.rows]
