Detect replacements that no other host has told a host of

What callers saw: nothing late or lost, but writes in doubt. Hosts that reach a failed primary and its replicas, and neither the store nor the hosts that replace the primary, went on writing there, had commits acknowledged after its successor led (all of them in the successor's log), and then sent writes that nobody acknowledges.

Cause: STATUS tells the term that a replica is paused for, the one sign of a replacement that such a host has, and parse_status dropped it. Store.failing_since is None throughout, as a call for changes may wait for seconds: so the sign that a host may be cut off is that nothing came from the store for 0.5 s, which heartbeats of endpoints keep from happening.

Change: a host that has heard nothing from the store for 0.5 s asks the other members every 50 ms while it has commits run at a primary, by an empty transaction that takes no slot and is no probe. A replica that has not reached what the primary showed 50 ms before is asked for its status, and all are while the primary is suspected. If one is paused for a newer term than that of the primary's last commit, the host fences the primary: new writes wait, and a commit that is still in flight after 0.15 s is given up. Then it goes on asking: a member that accepts a transaction is found to be the successor, gets the writes, and the old primary is ordered to step down.

--- a/mallowpass/core/proxy/fencing.py
+++ b/mallowpass/core/proxy/fencing.py
@@ -86,6 +86,12 @@
         until = self._fenced_until.get(primary.name, 0.0)
         return self.now < until and self._write_holds.is_held(primary)
 
+    def lift(self, primary: EndpointRow) -> None:
+        """End the fence of a primary at this host, if there is one."""
+        if self.is_fenced(primary):
+            del self._fenced_until[primary.name]
+            self._write_holds.release(primary)
+
     def _on_primary_changed(self, signal: PrimaryChanged) -> None:
         """Have the writes that are held wait for a first one at the successor.
 
@@ -107,10 +113,13 @@
         if not self.is_fenced(primary):
             return
         if primary.last_reply_at < since:
-            self._abandon_commits(primary)
+            self.abandon_commits(primary)
         self._await_reply(primary)
 
-    def _abandon_commits(self, primary: EndpointRow) -> None:
+    def abandon_commits(self, primary: EndpointRow) -> None:
+        """Close the connections to a fenced primary with a commit in flight."""
+        if not self.is_fenced(primary):
+            return
         for connection in list(primary.connections.values()):
             if connection.has_commit_in_flight:
                 self._connections.close(connection, "its primary is being replaced")
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -36,6 +36,7 @@
 from mallowpass.core.proxy.ratelimits.granting import Granting
 from mallowpass.core.proxy.ratelimits.keepers import Keepers
 from mallowpass.core.proxy.relays import Relays
+from mallowpass.core.proxy.replacementdetection import ReplacementDetection
 from mallowpass.core.proxy.replacementtriggers import ReplacementTriggers
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
 from mallowpass.core.proxy.requests import Requests
@@ -85,6 +86,7 @@
     StuckReplicas,
     Members,
     PrimaryConflicts,
+    ReplacementDetection,
     Discovery,
     Leadership,
     Sampling,
--- /dev/null
+++ b/mallowpass/core/proxy/replacementdetection.py
@@ -0,0 +1,276 @@
+"""Detection of a replacement that no other host has told this host of.
+
+A host that reaches a primary, but neither the store nor the hosts that replace the
+primary, is told nothing of the replacement, and would go on to have commits
+acknowledged there. It can still learn of the replacement from the replicas that it
+reaches: a replica is paused for a newer term than the primary's, and later another
+member is primary of that term.
+
+So a host that hears nothing from the store asks the other members while it has commits
+run at a primary. The question is an empty transaction, which takes no slot. Only a
+replica that has not reached what the primary showed before is asked for its status,
+which tells the term that it is paused for. While the replica stays paused, this host
+fences the primary, see `fencing`.
+
+A replica may stay paused though nobody replaces the primary any more. So one pause
+fences a primary for a limited time only.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from mallowpass.core.node import Node
+from mallowpass.core.positions import ZERO_POSITION, LogPosition
+from mallowpass.core.proxy.claims import Claim, Claims
+from mallowpass.core.proxy.control import Control
+from mallowpass.core.proxy.fencing import FENCE_DURATION, Fencing
+from mallowpass.core.proxy.primaryconflicts import PrimaryConflicts
+from mallowpass.core.proxy.signals import CallsSent, WriteAcknowledged
+from mallowpass.core.proxy.statements import (
+    Begin,
+    Code,
+    EndpointReply,
+    EndpointStatus,
+    Rollback,
+    Status,
+)
+from mallowpass.core.proxy.store import Store
+from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
+
+__all__ = ["ReplacementDetection"]
+
+# Times are in seconds.
+# Between two questions to a member. A replica that receives has applied by the next
+# one what the primary showed at the last one.
+QUESTION_INTERVAL = 0.05
+ANSWER_TIMEOUT = 0.25  # a round trip between regions takes a tenth of it
+STATUS_INTERVAL = 0.1  # between two questions to a member for its status
+# Entries of endpoints change more often than this, so a host that has heard nothing
+# from the store for longer may be cut off from it.
+STORE_SILENCE = 0.5
+# Within which the store answers a host that reaches it: it takes a few milliseconds,
+# and a round trip between regions as long again.
+STORE_TIMEOUT = 0.05
+COMMITS_EXPIRY = 0.3  # after the last commit was sent, until no more questions are sent
+# After which a commit that was in flight when its primary was fenced is given up: it
+# might be acknowledged after the lead of a successor.
+DRAIN_TIMEOUT = 0.15
+
+
+@dataclass(slots=True, eq=False)
+class _Watch:
+    """The questions to the members of one group about its primary."""
+
+    group: GroupRow
+    primary: EndpointRow
+    commit_sent_at: float = float("-inf")
+    shown: LogPosition = ZERO_POSITION  # by the primary, before the last questions
+    status_asked_at: dict[str, float] = field(default_factory=dict)  # by member
+    # Since when members are paused for a newer term than the primary's, by member.
+    paused_since: dict[str, float] = field(default_factory=dict)
+    claim_read_at: float = float("-inf")
+    is_reading_claim: bool = False
+
+
+class ReplacementDetection(ProxySystem):
+    """Fence primaries whose replicas are paused for a newer term."""
+
+    __slots__ = (
+        "_claims",
+        "_conflicts",
+        "_control",
+        "_fencing",
+        "_store",
+        "_terms",
+        "_watches",
+    )
+
+    def __init__(self, node: Node) -> None:
+        super().__init__(node)
+        self._watches: dict[str, _Watch] = {}  # by service
+        # Terms in which endpoints have acknowledged commits, by endpoint.
+        self._terms: dict[str, int] = {}
+
+    def start(self) -> None:
+        """Subscribe to commits that are sent and acknowledged."""
+        self._claims = self._node.system(Claims)
+        self._conflicts = self._node.system(PrimaryConflicts)
+        self._control = self._node.system(Control)
+        self._fencing = self._node.system(Fencing)
+        self._store = self._node.system(Store)
+        self._node.subscribe(CallsSent, self._on_sent)
+        self._node.subscribe(WriteAcknowledged, self._on_acknowledged)
+
+    def _on_sent(self, signal: CallsSent) -> None:
+        connection = signal.connection
+        if self.tables.promotion_fences_primary or connection.holder:
+            return
+        endpoint = connection.endpoint
+        group = self.tables.group(endpoint.entry.service)
+        if group.primary != endpoint.name or not connection.pending[-1].may_commit:
+            return
+        watch = self._watches.get(group.service)
+        if watch is None or watch.primary is not endpoint:
+            watch = self._watches[group.service] = _Watch(group, endpoint)
+            self.timers.after(QUESTION_INTERVAL, self._run, watch)
+        watch.commit_sent_at = self.now
+
+    def _on_acknowledged(self, signal: WriteAcknowledged) -> None:
+        """Record the term of a primary, which its log shows with its first commit."""
+        primary = signal.group.primary_row
+        if primary is not None and primary.position is not None:
+            self._terms[primary.name] = primary.position.term
+
+    # -- Questions -----------------------------------------------------------
+
+    def _run(self, watch: _Watch) -> None:
+        """Ask the other members, if this host may not be told of a replacement."""
+        if not self._is_current(watch):
+            return
+        if self._is_over(watch):
+            del self._watches[watch.group.service]
+            return
+        silence = self.now - self._store.last_reply_at
+        if silence < STORE_SILENCE and not watch.paused_since:
+            delay = max(QUESTION_INTERVAL, STORE_SILENCE - silence)
+            self.timers.after(delay, self._run, watch)
+            return
+        self._check_store(watch)
+        for endpoint in list(watch.group.endpoints.values()):
+            if endpoint is not watch.primary:
+                self._ask(watch, endpoint)
+        watch.shown = watch.primary.position or ZERO_POSITION
+        self.timers.after(QUESTION_INTERVAL, self._run, watch)
+
+    def _is_current(self, watch: _Watch) -> bool:
+        group = watch.group
+        if self._watches.get(group.service) is not watch:
+            return False
+        return group.primary_row is watch.primary
+
+    def _is_over(self, watch: _Watch) -> bool:
+        """Return whether no commit of this host waits for the primary."""
+        is_sending = self.now < watch.commit_sent_at + COMMITS_EXPIRY
+        connections = watch.primary.connections.values()
+        is_in_flight = any(c.has_commit_in_flight for c in connections)
+        is_fenced = self._fencing.is_fenced(watch.primary)
+        return not (is_sending or is_in_flight or is_fenced)
+
+    def _check_store(self, watch: _Watch) -> None:
+        """Call the store once in each of its silences, to find out whether it answers.
+
+        Otherwise this host would find that out only once a replica is paused.
+        """
+        if watch.claim_read_at < self._store.last_reply_at:
+            watch.claim_read_at = self.now
+            self._claims.read_newest(watch.group.service, lambda claim, is_known: None)
+
+    def _is_store_silent(self, watch: _Watch) -> bool:
+        """Return whether a call to the store has got no answer in time."""
+        asked_at = watch.claim_read_at
+        has_answered = self._store.last_reply_at > asked_at
+        return not has_answered and self.now >= asked_at + STORE_TIMEOUT
+
+    def _ask(self, watch: _Watch, endpoint: EndpointRow) -> None:
+        shown = watch.shown
+
+        def on_replies(replies: list[EndpointReply] | None) -> None:
+            if not replies or not self._is_current(watch):
+                return
+            position = replies[0].position
+            if replies[0].code is Code.DONE:
+                self._resolve(watch, endpoint)
+            elif (
+                endpoint.name in watch.paused_since
+                or watch.group.is_suspected
+                or (position is not None and position < shown)
+            ):
+                self._ask_status(watch, endpoint)
+
+        statements = (Begin(), Rollback())
+        self._control.send(endpoint, statements, on_replies, ANSWER_TIMEOUT)
+
+    def _ask_status(self, watch: _Watch, endpoint: EndpointRow) -> None:
+        asked_at = watch.status_asked_at.get(endpoint.name, float("-inf"))
+        if self.now < asked_at + STATUS_INTERVAL:
+            return
+        watch.status_asked_at[endpoint.name] = self.now
+
+        def on_replies(replies: list[EndpointReply] | None) -> None:
+            status = replies[0].status if replies else None
+            if status is not None and self._is_current(watch):
+                self._on_status(watch, endpoint, status)
+
+        self._control.send(endpoint, (Status(),), on_replies, ANSWER_TIMEOUT)
+
+    # -- Signs of a replacement ----------------------------------------------
+
+    def _on_status(
+        self, watch: _Watch, endpoint: EndpointRow, status: EndpointStatus
+    ) -> None:
+        term = self._terms.get(watch.primary.name)
+        if status.is_primary:
+            self._resolve(watch, endpoint)
+        elif term is not None and status.paused_for > term:
+            since = watch.paused_since.setdefault(endpoint.name, self.now)
+            self._on_paused(watch, since + FENCE_DURATION)
+        elif watch.paused_since.pop(endpoint.name, None) and not watch.paused_since:
+            self._fencing.lift(watch.primary)
+
+    def _resolve(self, watch: _Watch, other: EndpointRow) -> None:
+        """Find out which of two members is primary, as the other one may be as well."""
+        self._conflicts.resolve(watch.group, watch.primary, other, lambda name: None)
+
+    def _on_paused(self, watch: _Watch, until: float) -> None:
+        """Fence the primary until a given time, unless the store shows no order.
+
+        A replica is paused as well to compare it with others, which ends without an
+        order if the primary acknowledges commits.
+        """
+        if self._is_store_silent(watch):
+            self._fence(watch, until)
+            return
+        if watch.is_reading_claim:
+            return
+        watch.is_reading_claim = True
+        watch.claim_read_at = self.now
+
+        def on_claim(claim: Claim | None, is_known: bool) -> None:
+            watch.is_reading_claim = False
+            if is_known and not self._has_order(watch, claim):
+                self._fencing.lift(watch.primary)
+            else:
+                self._fence(watch, until)
+
+        def on_timeout() -> None:
+            if watch.is_reading_claim:
+                self._fence(watch, until)
+
+        self._claims.read_newest(watch.group.service, on_claim)
+        self.timers.after(STORE_TIMEOUT, on_timeout)
+
+    def _has_order(self, watch: _Watch, claim: Claim | None) -> bool:
+        """Return whether a claim shows that another member may soon be primary."""
+        if claim is None:
+            return False
+        now = self._store.time or 0.0
+        return any(
+            target != watch.primary.name and until > now
+            for target, until in claim.ordered
+        )
+
+    def _fence(self, watch: _Watch, until: float) -> None:
+        if not self._is_current(watch) or self.now >= until:
+            return
+        if not self._fencing.is_fenced(watch.primary):
+            self._node.log(
+                "warning",
+                "replacement_detected",
+                service=watch.group.service,
+                primary=watch.primary.name,
+                paused=",".join(sorted(watch.paused_since)),
+            )
+            abandon = self._fencing.abandon_commits
+            self.timers.after(DRAIN_TIMEOUT, abandon, watch.primary)
+        self._fencing.fence(watch.primary, until - self.now)
--- a/mallowpass/core/proxy/statements.py
+++ b/mallowpass/core/proxy/statements.py
@@ -270,6 +270,7 @@
     lag: float
     busy: int
     connections: int
+    paused_for: int = 0  # term that it is paused for; 0: not paused
 
 
 @record
--- a/mallowpass/core/proxy/store.py
+++ b/mallowpass/core/proxy/store.py
@@ -99,6 +99,7 @@
         "_failing_since",
         "_feeds",
         "_current_at",
+        "_last_reply_at",
         "_prober",
         "_relay_calls",
         "_relays",
@@ -118,6 +119,7 @@
         self._era = 0
         self._era_since = float("-inf")
         self._failing_since: float | None = None
+        self._last_reply_at = node.timers.now
         self._current_at: dict[Table, float] = {}
         self._prober: Watch | None = None
         self._relay_calls: set[int] = set()  # numbers of calls to relays
@@ -145,6 +147,11 @@
         """Return when calls started to fail, None while they are answered."""
         return self._failing_since
 
+    @property
+    def last_reply_at(self) -> float:
+        """Return when the store, or another host on its behalf, last answered."""
+        return self._last_reply_at
+
     @property
     def era(self) -> int:
         """Return the newest known era of the store; 0: not known yet."""
@@ -294,6 +301,7 @@
         handler, call_era = self._calls.pop(event.call, (None, 0))
         failed = reply.status in (StoreStatus.REFUSED, StoreStatus.UNKNOWN)
         if not failed:
+            self._last_reply_at = self.now
             self._note_era(reply.era)
         if event.call in self._relay_calls:
             # The reply of a relay shows nothing about the store's connection to this
--- a/mallowpass/platform/wire.py
+++ b/mallowpass/platform/wire.py
@@ -492,7 +492,7 @@
     fields = decode(row).split(" ")
     if len(fields) < _STATUS_FIELD_COUNT:
         raise WireError(f"status row has too few fields: {fields}")
-    role, term, received, _paused_for, lag, busy, connections = fields[
+    role, term, received, paused_for, lag, busy, connections = fields[
         :_STATUS_FIELD_COUNT
     ]
     position = parse_position(received)
@@ -508,4 +508,5 @@
         lag=float(lag) / 1000.0,
         busy=int(busy),
         connections=int(connections),
+        paused_for=int(paused_for),
     )
--- a/mallowpass/standins/proxied/connections.py
+++ b/mallowpass/standins/proxied/connections.py
@@ -300,6 +300,7 @@
             lag=0.0,
             busy=replica.busy,
             connections=len(replica.connections),
+            paused_for=replica.paused_for,
         )
         self._answer(done, status=status)
 
--- a/mallowpass/standins/proxied/wireserver.py
+++ b/mallowpass/standins/proxied/wireserver.py
@@ -109,4 +109,5 @@
     role = "primary" if status.is_primary else "replica"
     received = wire.render_position(status.received)
     lag = int(1000 * status.lag)
-    return f"{role} {status.term} {received} 0 {lag} {status.busy} {status.connections}"
+    load = f"{lag} {status.busy} {status.connections}"
+    return f"{role} {status.term} {received} {status.paused_for} {load}"
