Ask members for a host's own acknowledged commits alone

Change: members are asked once for each commit that this host had acknowledged, if nothing else has shown that they have it. The store is no longer asked as a silence begins: a host that may be cut off fences at once as it finds a replica paused, reads the claim meanwhile, and lifts the fence if the store answers without an order.

--- a/mallowpass/core/proxy/replacementdetection.py
+++ b/mallowpass/core/proxy/replacementdetection.py
@@ -6,9 +6,9 @@
 reaches: a replica is paused for a newer term than the primary's, and later another
 member is primary of that term.
 
-So a host that hears nothing from the store asks the other members while it has commits
-run at a primary. The question is an empty transaction, which takes no slot. Only a
-replica that has not reached what the primary showed before is asked for its status,
+So a host that hears nothing from the store for a while asks the other members for each
+commit that it had acknowledged at a primary. The question is an empty transaction,
+which takes no slot. Only a replica that still lacks the commit is asked for its status,
 which tells the term that it is paused for. While the replica stays paused, this host
 fences the primary, see `fencing`.
 
@@ -41,18 +41,19 @@
 __all__ = ["ReplacementDetection"]
 
 # Times are in seconds.
-# Between two questions to a member. A replica that receives has applied by the next
-# one what the primary showed at the last one.
+# Between two rounds of questions. A replica that receives has applied by the next
+# round what was acknowledged by the last one.
 QUESTION_INTERVAL = 0.05
 ANSWER_TIMEOUT = 0.25  # a round trip between regions takes a tenth of it
 STATUS_INTERVAL = 0.1  # between two questions to a member for its status
-# Entries of endpoints change more often than this, so a host that has heard nothing
-# from the store for longer may be cut off from it.
+# A host that has heard nothing from the store for longer may be cut off from it.
 STORE_SILENCE = 0.5
 # Within which the store answers a host that reaches it: it takes a few milliseconds,
 # and a round trip between regions as long again.
 STORE_TIMEOUT = 0.05
-COMMITS_EXPIRY = 0.3  # after the last commit was sent, until no more questions are sent
+# After the last commit was in flight, until no more questions are sent: in the second
+# round after its acknowledgement the members are asked for it.
+COMMITS_EXPIRY = 2.4 * QUESTION_INTERVAL
 # After which a commit that was in flight when its primary was fenced is given up: it
 # might be acknowledged after the lead of a successor.
 DRAIN_TIMEOUT = 0.15
@@ -64,12 +65,13 @@
 
     group: GroupRow
     primary: EndpointRow
-    commit_sent_at: float = float("-inf")
-    shown: LogPosition = ZERO_POSITION  # by the primary, before the last questions
+    in_flight_at: float = float("-inf")  # when a commit was last seen in flight
+    acknowledged: LogPosition = ZERO_POSITION  # of the newest commit of this host
+    due: LogPosition = ZERO_POSITION  # acknowledged by the round before
+    asked: LogPosition = ZERO_POSITION  # that members were last asked for
     status_asked_at: dict[str, float] = field(default_factory=dict)  # by member
     # Since when members are paused for a newer term than the primary's, by member.
     paused_since: dict[str, float] = field(default_factory=dict)
-    claim_read_at: float = float("-inf")
     is_reading_claim: bool = False
 
 
@@ -114,13 +116,20 @@
         if watch is None or watch.primary is not endpoint:
             watch = self._watches[group.service] = _Watch(group, endpoint)
             self.timers.after(QUESTION_INTERVAL, self._run, watch)
-        watch.commit_sent_at = self.now
+        watch.in_flight_at = self.now
 
     def _on_acknowledged(self, signal: WriteAcknowledged) -> None:
-        """Record the term of a primary, which its log shows with its first commit."""
+        """Record what the log of a primary shows with an acknowledged commit.
+
+        It shows the primary's term with the first commit of that term.
+        """
         primary = signal.group.primary_row
-        if primary is not None and primary.position is not None:
-            self._terms[primary.name] = primary.position.term
+        if primary is None or primary.position is None:
+            return
+        self._terms[primary.name] = primary.position.term
+        watch = self._watches.get(signal.group.service)
+        if watch is not None and watch.primary is primary:
+            watch.acknowledged = primary.position
 
     # -- Questions -----------------------------------------------------------
 
@@ -136,13 +145,23 @@
             delay = max(QUESTION_INTERVAL, STORE_SILENCE - silence)
             self.timers.after(delay, self._run, watch)
             return
-        self._check_store(watch)
         for endpoint in list(watch.group.endpoints.values()):
-            if endpoint is not watch.primary:
+            if endpoint is not watch.primary and self._must_ask(watch, endpoint):
                 self._ask(watch, endpoint)
-        watch.shown = watch.primary.position or ZERO_POSITION
+        watch.asked, watch.due = watch.due, watch.acknowledged
         self.timers.after(QUESTION_INTERVAL, self._run, watch)
 
+    def _must_ask(self, watch: _Watch, endpoint: EndpointRow) -> bool:
+        """Return whether a member may lack an acknowledged commit that is due."""
+        if self._is_suspicious(watch):
+            return True
+        has_reached = endpoint.position is not None and endpoint.position >= watch.due
+        return watch.due > watch.asked and not has_reached
+
+    def _is_suspicious(self, watch: _Watch) -> bool:
+        """Return whether a member is paused, or the primary may acknowledge nothing."""
+        return bool(watch.paused_since) or watch.group.is_suspected
+
     def _is_current(self, watch: _Watch) -> bool:
         group = watch.group
         if self._watches.get(group.service) is not watch:
@@ -151,29 +170,14 @@
 
     def _is_over(self, watch: _Watch) -> bool:
         """Return whether no commit of this host waits for the primary."""
-        is_sending = self.now < watch.commit_sent_at + COMMITS_EXPIRY
         connections = watch.primary.connections.values()
-        is_in_flight = any(c.has_commit_in_flight for c in connections)
-        is_fenced = self._fencing.is_fenced(watch.primary)
-        return not (is_sending or is_in_flight or is_fenced)
-
-    def _check_store(self, watch: _Watch) -> None:
-        """Call the store once in each of its silences, to find out whether it answers.
-
-        Otherwise this host would find that out only once a replica is paused.
-        """
-        if watch.claim_read_at < self._store.last_reply_at:
-            watch.claim_read_at = self.now
-            self._claims.read_newest(watch.group.service, lambda claim, is_known: None)
-
-    def _is_store_silent(self, watch: _Watch) -> bool:
-        """Return whether a call to the store has got no answer in time."""
-        asked_at = watch.claim_read_at
-        has_answered = self._store.last_reply_at > asked_at
-        return not has_answered and self.now >= asked_at + STORE_TIMEOUT
+        if any(connection.has_commit_in_flight for connection in connections):
+            watch.in_flight_at = self.now
+        is_expired = self.now > watch.in_flight_at + COMMITS_EXPIRY
+        return is_expired and not self._fencing.is_fenced(watch.primary)
 
     def _ask(self, watch: _Watch, endpoint: EndpointRow) -> None:
-        shown = watch.shown
+        due = watch.due
 
         def on_replies(replies: list[EndpointReply] | None) -> None:
             if not replies or not self._is_current(watch):
@@ -181,10 +185,8 @@
             position = replies[0].position
             if replies[0].code is Code.DONE:
                 self._resolve(watch, endpoint)
-            elif (
-                endpoint.name in watch.paused_since
-                or watch.group.is_suspected
-                or (position is not None and position < shown)
+            elif self._is_suspicious(watch) or (
+                position is not None and position < due
             ):
                 self._ask_status(watch, endpoint)
 
@@ -226,15 +228,14 @@
         """Fence the primary until a given time, unless the store shows no order.
 
         A replica is paused as well to compare it with others, which ends without an
-        order if the primary acknowledges commits.
+        order if the primary acknowledges commits. A host that may be cut off from the
+        store does not wait for its answer.
         """
-        if self._is_store_silent(watch):
+        if self.now - self._store.last_reply_at >= STORE_SILENCE:
             self._fence(watch, until)
-            return
         if watch.is_reading_claim:
             return
         watch.is_reading_claim = True
-        watch.claim_read_at = self.now
 
         def on_claim(claim: Claim | None, is_known: bool) -> None:
             watch.is_reading_claim = False
