Watch a primary again that was unknown for a moment

What callers saw: nothing; found while reading the code. The rounds of questions end while a primary is unknown, and its watch stayed in the table, so commits that were sent later started no rounds.

Change: a watch that ends leaves the table. test_a_primary_that_was_unknown_for_a_moment_is_watched failed before.

--- a/mallowpass/core/proxy/replacementdetection.py
+++ b/mallowpass/core/proxy/replacementdetection.py
@@ -135,10 +135,8 @@
 
     def _run(self, watch: _Watch) -> None:
         """Ask the other members, if this host may not be told of a replacement."""
-        if not self._is_current(watch):
-            return
-        if self._is_over(watch):
-            del self._watches[watch.group.service]
+        if not self._is_current(watch) or self._is_over(watch):
+            self._end(watch)
             return
         silence = self.now - self._store.last_reply_at
         if silence < STORE_SILENCE and not watch.paused_since:
@@ -151,6 +149,10 @@
         watch.asked, watch.due = watch.due, watch.acknowledged
         self.timers.after(QUESTION_INTERVAL, self._run, watch)
 
+    def _end(self, watch: _Watch) -> None:
+        if self._watches.get(watch.group.service) is watch:
+            del self._watches[watch.group.service]
+
     def _must_ask(self, watch: _Watch, endpoint: EndpointRow) -> bool:
         """Return whether a member may lack an acknowledged commit that is due."""
         if self._is_suspicious(watch):
--- a/tests/core/proxy/test_replacement_detection.py
+++ b/tests/core/proxy/test_replacement_detection.py
@@ -10,6 +10,7 @@
 
 from mallowpass.core.proxy.claims import Claim
 from mallowpass.core.proxy.fencing import FENCE_DURATION, Fencing
+from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.replacementdetection import COMMITS_EXPIRY, STORE_SILENCE
 from mallowpass.core.proxy.statements import Begin, Code, Status, Write
 from mallowpass.core.proxy.storage import RowKey, Table
@@ -25,7 +26,7 @@
 
 # Hosts of a world, and which of them are cut off with the primary.
 FLEETS = [(3, (0,)), (4, (0, 3)), (9, (0, 1, 2, 3))]
-LATE_TIMES = [0.0, 0.005, 0.05]  # seconds until a primary learns of a receipt
+LATE_TIMES = [0.0, 0.005, 0.05, 0.4]  # seconds until a primary learns of a receipt
 
 
 def cut_off(world: ProxyWorld, cut_off_hosts: tuple[int, ...]) -> None:
@@ -116,6 +117,24 @@
     check_guarantees(world)
 
 
+def test_a_primary_that_was_unknown_for_a_moment_is_watched():
+    """Guard against a host that detects nothing once its primary was unknown."""
+    world = late_world(0.0, 1.0)
+    Writers(world, 0)
+    world.run(1.0)
+    host = world.hosts[0]
+    members = host.node.system(Members)
+    primary = host.tables.endpoints[OLD]
+    members.note_not_primary(primary)
+    world.run(0.2)
+    members.assume_primary(primary, "it accepts a transaction")
+    world.cut(0, "store")
+    world.run(STORE_SILENCE + 0.2)
+    world.group.replicas[OTHERS[0]].paused_for = 2
+    world.run(0.4)
+    assert is_fenced(world, 0)
+
+
 # -- A pause that is no replacement ------------------------------------------
 
 
