--- a/mallowpass/core/proxy/claimwatch.py
+++ b/mallowpass/core/proxy/claimwatch.py
@@ -3,9 +3,6 @@
 The host that replaces a failed primary tells the holders that it reaches to fence the
 primary. A holder that it does not reach, and that reaches the primary and the store,
 learns of the order from the claim, with which the order is stored.
-
-An order may get no answer and be repeated for a long time, while the primary is well
-again. So the orders for one target fence a primary only once.
 """
 
 from __future__ import annotations
@@ -13,7 +10,6 @@
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.claims import CLAIM_ROW_KEY, Claim
 from mallowpass.core.proxy.fencing import FENCE_DURATION, Fencing
-from mallowpass.core.proxy.signals import PrimaryChanged
 from mallowpass.core.proxy.storage import Row, Table
 from mallowpass.core.proxy.store import Store
 from mallowpass.core.proxy.tables import ProxySystem
@@ -25,25 +21,19 @@
 class ClaimWatch(ProxySystem):
     """Watch the claims of all hosts, where promotions do not fence primaries."""
 
-    __slots__ = ("_fenced", "_fencing", "_store", "_unreadable")
+    __slots__ = ("_fencing", "_store", "_unreadable")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
-        # Primaries that were fenced, and the targets of the orders, by service.
-        self._fenced: dict[str, tuple[str, frozenset[str]]] = {}
         self._unreadable = UnreadableRows(node, "claim_unreadable")
 
     def start(self) -> None:
         """Watch the claims in the store."""
         self._fencing = self._node.system(Fencing)
         self._store = self._node.system(Store)
-        self._node.subscribe(PrimaryChanged, self._on_primary_changed)
         if not self.tables.promotion_fences_primary:
             self._store.watch(Table.CLAIMS, self._on_rows)
 
-    def _on_primary_changed(self, signal: PrimaryChanged) -> None:
-        self._fenced.pop(signal.group.service, None)
-
     def _on_rows(self, rows: tuple[Row, ...], complete: bool) -> None:
         for row in rows:
             if row.key.key == CLAIM_ROW_KEY and isinstance(row.value, str):
@@ -64,14 +54,7 @@
         if primary is None or primary.name != claim.primary:
             return
         now = self._store.time or 0.0
-        pending = {
-            target: until
-            for target, until in claim.ordered
-            if target != primary.name and until > now
-        }
-        fenced = (primary.name, frozenset(pending))
-        if not pending or self._fenced.get(service) == fenced:
-            return
-        self._fenced[service] = fenced
-        duration = max(pending.values()) - now
-        self._fencing.fence(primary, min(duration, FENCE_DURATION))
+        times = [until for target, until in claim.ordered if target != primary.name]
+        duration = min(max(times, default=now) - now, FENCE_DURATION)
+        if duration > 0.0:
+            self._fencing.fence(primary, duration)
