--- a/mallowpass/core/proxy/claims.py
+++ b/mallowpass/core/proxy/claims.py
@@ -34,7 +34,7 @@
 from mallowpass.core.proxy.tables import ProxySystem
 from mallowpass.core.records import record
 
-__all__ = ["CLAIM_ROW_KEY", "Claim", "Claims"]
+__all__ = ["Claim", "Claims"]
 
 # Seconds for which a claim keeps other hosts from claiming. A promotion takes about one
 # second, and if two hosts ran promotions in turns, each would invalidate the other's
@@ -51,7 +51,7 @@
 # and the number of attempts of each host.
 REWRITE_DELAY_MAX = 0.5
 REWRITE_ATTEMPTS_MAX = 4
-CLAIM_ROW_KEY = "primary"
+_ROW_KEY = "primary"
 _NO_HOLDER = "-"  # stored as the holder of a released claim
 
 
@@ -172,7 +172,7 @@
         name = self._node.identity.name
         ordered = self._orders_to_store(service)
         claim = Claim(token, name, primary, time, must_hold, ordered)
-        key = RowKey(Table.CLAIMS, service, CLAIM_ROW_KEY)
+        key = RowKey(Table.CLAIMS, service, _ROW_KEY)
         call = ChangeRows(((key, version),), ((key, claim.encode()),))
 
         def on_reply(reply: StoreReply) -> None:
@@ -196,7 +196,7 @@
         """Read the newest claim; the handler gets it, and whether it is current."""
 
         def on_rows(reply: StoreReply) -> None:
-            texts = [row.value for row in reply.rows if row.key.key == CLAIM_ROW_KEY]
+            texts = [row.value for row in reply.rows if row.key.key == _ROW_KEY]
             try:
                 claim = Claim.decode(str(texts[0])) if texts else None
             except ValueError:
@@ -234,7 +234,7 @@
         if known != claim:
             handler(None)
             return
-        key = RowKey(Table.CLAIMS, service, CLAIM_ROW_KEY)
+        key = RowKey(Table.CLAIMS, service, _ROW_KEY)
         call = ChangeRows(((key, version),), ((key, renewed.encode()),))
 
         def on_reply(reply: StoreReply) -> None:
@@ -260,7 +260,7 @@
         if known != claim:
             return
         released = replace(claim, holder=_NO_HOLDER)
-        key = RowKey(Table.CLAIMS, service, CLAIM_ROW_KEY)
+        key = RowKey(Table.CLAIMS, service, _ROW_KEY)
         call = ChangeRows(((key, version),), ((key, released.encode()),))
 
         def on_reply(reply: StoreReply) -> None:
@@ -319,7 +319,7 @@
         rewritten = self._claim_to_rewrite(service, known)
         if rewritten == known:
             return
-        key = RowKey(Table.CLAIMS, service, CLAIM_ROW_KEY)
+        key = RowKey(Table.CLAIMS, service, _ROW_KEY)
         call = ChangeRows(((key, version),), ((key, rewritten.encode()),))
 
         def on_reply(reply: StoreReply) -> None:
@@ -407,7 +407,7 @@
 
     def _record(self, service: str, rows: tuple[Row, ...]) -> None:
         for row in rows:
-            if row.key.key != CLAIM_ROW_KEY:
+            if row.key.key != _ROW_KEY:
                 continue
             if not isinstance(row.value, str):
                 self._known[service] = (0, None)
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -5,7 +5,6 @@
 from mallowpass.core.proxy.answers import Answers
 from mallowpass.core.proxy.attempts import Attempts
 from mallowpass.core.proxy.claims import Claims
-from mallowpass.core.proxy.claimwatch import ClaimWatch
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.control import Control
 from mallowpass.core.proxy.currentconfiguration import CurrentConfiguration
@@ -88,7 +87,6 @@
     Members,
     PrimaryConflicts,
     ReplacementDetection,
-    ClaimWatch,
     Discovery,
     Leadership,
     Sampling,
--- a/mallowpass/core/proxy/store.py
+++ b/mallowpass/core/proxy/store.py
@@ -44,7 +44,6 @@
     Table.ENDPOINTS: 1.0,
     Table.HOSTS: 10.0,
     Table.LIMITS: 10.0,
-    Table.CLAIMS: 10.0,
 }
 # Seconds that a restarting host waits for the list of hosts, before it follows tables
 # without knowing its relays.
@@ -72,11 +71,10 @@
     Table.ENDPOINTS: 0.1,
     Table.HOSTS: 1.5,
     Table.LIMITS: 0.5,
-    Table.CLAIMS: 0.1,
 }
 # Changes of these tables may arrive late without harm: a host that these tables still
-# list is skipped as soon as it does not answer, and hosts tell each other of claims.
-_NOT_URGENT = (Table.HOSTS, Table.LIMITS, Table.CLAIMS)
+# list is skipped as soon as it does not answer.
+_NOT_URGENT = (Table.HOSTS, Table.LIMITS)
 # Calls a second that all hosts together make to follow the table of hosts, if each
 # follows it at the store. Without this limit, a rolling restart would take a number of
 # calls that grows with the square of the fleet, and each change may move the role of
--- a/tests/core/proxy/test_replacement_detection.py
+++ b/tests/core/proxy/test_replacement_detection.py
@@ -18,6 +18,7 @@
 from mallowpass.standins.proxied.virtual.world import SERVICE, ProxyWorld
 from tests.core.proxy.test_acknowledged_late import (
     Writers,
+    findings_of,
     late_world,
     run_until_led,
     run_until_ordered,
@@ -135,6 +136,36 @@
     assert is_fenced(world, 0)
 
 
+def replace_a_primary_unheard(late: float, promotion: float) -> ProxyWorld:
+    """Have hosts replace a primary that they do not reach, and others write there.
+
+    Neither of the two reaches the other, and all of them reach the store.
+    """
+    world = late_world(late, promotion)
+    keep_entering(world)
+    writers = Writers(world, 0, 1, 2, 3)
+    world.run(1.0)
+    for index in (1, 2):
+        world.cut(index, OLD, "host-0", "host-3")
+    run_until_ordered(world, writers)
+    run_until_led(world)
+    return world
+
+
+def test_a_host_that_reaches_the_store_alone_gets_no_late_acknowledgement(
+    record_property,
+):
+    """Guard against commits at a replaced primary of a host that hears no other host.
+
+    It hears from the store all the time, which does not tell it of the replacement.
+    """
+    worlds = [replace_a_primary_unheard(late, 0.3) for late in (0.02, 0.2)]
+    findings = [finding for world in worlds for finding in findings_of(world)]
+    for finding in findings:
+        record_property("finding", finding)
+    assert findings == []
+
+
 # -- A pause that is no replacement ------------------------------------------
 
 
