--- a/mallowpass/core/proxy/quiescence.py
+++ b/mallowpass/core/proxy/quiescence.py
@@ -10,8 +10,8 @@
 flight; the primary serves reads meanwhile. If a holder does not confirm that none of
 its writes is in flight, the primary has to step down before the promotion is ordered.
 
-A failed primary acknowledges nothing, and it is ordered to step down as soon as the
-platform has accepted the promotion order.
+A failed primary is ordered to step down as soon as the platform has accepted the
+promotion order, and is fenced meanwhile, see `fencing`.
 """
 
 from __future__ import annotations
--- a/tests/core/proxy/test_replacement_detection.py
+++ b/tests/core/proxy/test_replacement_detection.py
@@ -152,6 +152,33 @@
     return world
 
 
+def reach_the_primary_alone(late: float, promotion: float) -> ProxyWorld:
+    """Have hosts write at a primary and reach nothing else while others replace it."""
+    world = late_world(late, promotion)
+    writers = Writers(world, 0, 1, 2, 3)
+    world.run(1.0)
+    cut_off(world, (0, 3))
+    for index, other in ((0, "host-3"), (3, "host-0")):
+        world.cut(index, *OTHERS, other)
+    run_until_ordered(world, writers)
+    run_until_led(world, 6.0)
+    return world
+
+
+def test_a_host_that_reaches_the_primary_alone_gets_no_late_acknowledgement(
+    record_property,
+):
+    """Guard against late commits where nothing tells a host of a replacement.
+
+    No host can prevent them: it can't know a replacement from a cut of its own.
+    """
+    worlds = [reach_the_primary_alone(late, 0.3) for late in (0.0, 0.02, 0.2)]
+    findings = [finding for world in worlds for finding in findings_of(world)]
+    for finding in findings:
+        record_property("finding", finding)
+    assert findings == []
+
+
 def test_a_host_that_reaches_the_store_alone_gets_no_late_acknowledgement(
     record_property,
 ):
