Ask nothing more of a replica that stays paused

What callers saw: nothing; found while reading the diff. A replica that was left paused for a newer term kept the questions to all members going every 50 ms, one of them with a slot every 100 ms, and a read of the claim as often, for as long as a host had commits run, also where the store answers.

Change: a pause counts as a sign for as long as it may fence the primary, 2.5 s. test_a_replica_that_stays_paused_is_not_asked_for_good failed before.

--- a/mallowpass/core/proxy/replacementdetection.py
+++ b/mallowpass/core/proxy/replacementdetection.py
@@ -139,7 +139,7 @@
             self._end(watch)
             return
         silence = self.now - self._store.last_reply_at
-        if silence < STORE_SILENCE and not watch.paused_since:
+        if silence < STORE_SILENCE and not self._has_new_pause(watch):
             delay = max(QUESTION_INTERVAL, STORE_SILENCE - silence)
             self.timers.after(delay, self._run, watch)
             return
@@ -161,8 +161,13 @@
         return watch.due > watch.asked and not has_reached
 
     def _is_suspicious(self, watch: _Watch) -> bool:
-        """Return whether a member is paused, or the primary may acknowledge nothing."""
-        return bool(watch.paused_since) or watch.group.is_suspected
+        """Return whether a replacement may be under way, or nothing is acknowledged."""
+        return self._has_new_pause(watch) or watch.group.is_suspected
+
+    def _has_new_pause(self, watch: _Watch) -> bool:
+        """Return whether a member is paused, and has been for a short time only."""
+        latest = max(watch.paused_since.values(), default=float("-inf"))
+        return self.now < latest + FENCE_DURATION
 
     def _is_current(self, watch: _Watch) -> bool:
         group = watch.group
@@ -227,16 +232,16 @@
         self._conflicts.resolve(watch.group, watch.primary, other, lambda name: None)
 
     def _on_paused(self, watch: _Watch, until: float) -> None:
-        """Fence the primary until a given time, unless the store shows no order.
+        """Fence the primary until a given time, if the store shows an order or nothing.
 
         A replica is paused as well to compare it with others, which ends without an
         order if the primary acknowledges commits. A host that may be cut off from the
         store does not wait for its answer.
         """
+        if self.now >= until or watch.is_reading_claim:
+            return
         if self.now - self._store.last_reply_at >= STORE_SILENCE:
             self._fence(watch, until)
-        if watch.is_reading_claim:
-            return
         watch.is_reading_claim = True
 
         def on_claim(claim: Claim | None, is_known: bool) -> None:
--- a/tests/core/proxy/test_replacement_detection.py
+++ b/tests/core/proxy/test_replacement_detection.py
@@ -61,6 +61,12 @@
     )
 
 
+def lists_read(world: ProxyWorld, index: int) -> int:
+    """Return how many lists of rows a host has read, that of claims among them."""
+    counts = world.hosts[index].counts
+    return sum(c.value for c in counts if ("kind", "ListRows") in c.attributes)
+
+
 @pytest.mark.parametrize("late", LATE_TIMES)
 @pytest.mark.parametrize("promotion", [0.3, 1.0])
 @pytest.mark.parametrize(("hosts", "cut_off_hosts"), FLEETS)
@@ -218,6 +224,27 @@
     check_guarantees(world)
 
 
+def test_a_replica_that_stays_paused_is_not_asked_for_good():
+    """Guard against questions, one of them with a slot, that never end."""
+    world = late_world(0.0, 1.0)
+    keep_entering(world)
+    Writers(world, 0, 1, 2, 3)
+    world.run(1.0)
+    for index in range(4):
+        world.cut(index, "store")
+    world.run(STORE_SILENCE)
+    world.group.replicas[OTHERS[0]].paused_for = 2
+    world.run(FENCE_DURATION + 0.5)
+    for index in range(4):
+        world.hosts[index].cut_from.discard("store")
+    world.run(4.0)
+    sent, read = len(world.calls), lists_read(world, 0)
+    world.run(2.0)
+    assert questions(world, 0, Begin, sent) == 0
+    assert questions(world, 0, Status, sent) == 0
+    assert lists_read(world, 0) == read
+
+
 def test_a_fence_ends_with_the_pause():
     """Guard against writes that wait after a comparison of replicas has ended."""
     world = late_world(0.0, 1.0)
