--- a/mallowpass/core/proxy/fencing.py
+++ b/mallowpass/core/proxy/fencing.py
@@ -95,7 +95,7 @@
     def _on_primary_changed(self, signal: PrimaryChanged) -> None:
         """Have the writes that are held wait for a first one at the successor.
 
-        This precedes their release, see `writeholds`.
+        This system starts before `WriteHolds`, so this precedes their release.
         """
         group = signal.group
         is_fenced = any(
--- a/mallowpass/core/proxy/stalls.py
+++ b/mallowpass/core/proxy/stalls.py
@@ -93,7 +93,7 @@
         stall = self._stalls.get(group.service)
         if stall is None or not stall.is_successor:
             return False
-        return _commits(request) and _has_commit_in_flight(group)
+        return _commits(request) and _awaits_commit(group)
 
     def should_refuse_write(self, group: GroupRow) -> bool:
         """Return whether to refuse a write now.
@@ -192,7 +192,8 @@
     return isinstance(request.statement, Commit) and request.commits_writes
 
 
-def _has_commit_in_flight(group: GroupRow) -> bool:
+def _awaits_commit(group: GroupRow) -> bool:
+    """Return whether a commit is in flight at a primary, directly or by a holder."""
     primary = group.primary_row
     connections = () if primary is None else primary.connections.values()
     return any(batch.may_commit for c in connections for batch in c.pending)
