--- a/tests/core/proxy/test_replacement_detection.py
+++ b/tests/core/proxy/test_replacement_detection.py
@@ -190,7 +190,7 @@
 ):
     """Guard against commits at a replaced primary of a host that hears no other host.
 
-    It hears from the store all the time, which does not tell it of the replacement.
+    It hears from the store so often that it asks no member, and is not told by it.
     """
     worlds = [replace_a_primary_unheard(late, 0.3) for late in (0.02, 0.2)]
     findings = [finding for world in worlds for finding in findings_of(world)]
