Keep all cases of a reverted test in the listed one

Cause: test_claim_watch went with the reverted watch of claims. Four of its cases guard against a fault that stays open: a host that reaches the store, and no host that replaces the primary, with acknowledgements of 0.02 and 0.2 s and promotions of 0.3 and 1.0 s. The listed test had two of them. Its other cases checked the watch alone, which is no longer there.

Change: the listed test plays all four, with the same checks.

--- a/mallowpass/core/proxy/replacementdetection.py
+++ b/mallowpass/core/proxy/replacementdetection.py
@@ -12,7 +12,7 @@
 which tells the term that it is paused for. While the replica stays paused, this host
 fences the primary, see `fencing`.
 
-A replica may stay paused though nobody replaces the primary any more. So one pause
+A replica may stay paused though the primary is not replaced any more. So one pause
 fences a primary for a limited time only.
 """
 
--- a/tests/core/proxy/test_replacement_detection.py
+++ b/tests/core/proxy/test_replacement_detection.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from itertools import product
+
 import pytest
 
 from mallowpass.core.proxy.claims import Claim
@@ -192,7 +194,8 @@
 
     It hears from the store so often that it asks no member, and is not told by it.
     """
-    worlds = [replace_a_primary_unheard(late, 0.3) for late in (0.02, 0.2)]
+    cases = product((0.02, 0.2), (0.3, 1.0))
+    worlds = [replace_a_primary_unheard(late, promotion) for late, promotion in cases]
     findings = [finding for world in worlds for finding in findings_of(world)]
     for finding in findings:
         record_property("finding", finding)
