--- a/mallowpass/core/proxy/fencing.py
+++ b/mallowpass/core/proxy/fencing.py
@@ -10,8 +10,8 @@
 So all holders that can be reached hold their writes to it, which the successor runs
 instead. A holder that hears nothing from the primary meanwhile also closes the
 connections on which a commit is in flight: an answer that the primary sends later
-reaches no caller. A primary that answers gets the order to step down, and tells the outcome of
-these commits itself.
+reaches no caller. A primary that answers gets the order to step down, and tells the
+outcome of these commits itself.
 """
 
 from __future__ import annotations
