Say from whom a host learned a configuration, and how recent that one's knowledge was

Logs could not tell a relay that lost the store in silence from a host's own backoff: configuration_accepted named neither a source nor a delay.

A relay now sends with each answer the age of its knowledge of the table: the time since the store, or a relay in turn, last answered it. An answer of an earlier version has none and counts as 0. configuration_accepted has the fields relay (empty: the store), relay_age, and unconfirmed_for: for how long the host may have missed changes before. Nothing acts on the age yet.

--- a/mallowpass/core/proxy/currentconfiguration.py
+++ b/mallowpass/core/proxy/currentconfiguration.py
@@ -15,12 +15,13 @@
 class CurrentConfiguration(ProxySystem):
     """Watch the configuration in the store, and put newer versions into force."""
 
-    __slots__ = ("_unreadable",)
+    __slots__ = ("_store", "_unreadable")
 
     def start(self) -> None:
         """Watch the configuration's row."""
         self._unreadable = UnreadableRows(self._node, "configuration_unreadable")
-        self._node.system(Store).watch(Table.CONFIGURATION, self._on_rows)
+        self._store = self._node.system(Store)
+        self._store.watch(Table.CONFIGURATION, self._on_rows)
 
     def _on_rows(self, rows: tuple[Row, ...], complete: bool) -> None:
         for row in rows:
@@ -36,6 +37,7 @@
         if current is not None and configuration.version <= current.version:
             return
         self.tables.configuration = configuration
+        provenance = self._store.feeds.provenance(Table.CONFIGURATION)
         self._node.log(
             "info",
             "configuration_accepted",
@@ -43,5 +45,8 @@
             before=0 if current is None else current.version,
             routes=len(configuration.routes),
             services=len(configuration.services),
+            relay=provenance.relay,
+            relay_age=round(provenance.age, 3),
+            unconfirmed_for=round(provenance.unconfirmed_for, 3),
         )
         self._node.publish(ConfigurationAccepted(configuration))
--- a/mallowpass/core/proxy/feeds.py
+++ b/mallowpass/core/proxy/feeds.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field, replace
 
 from mallowpass.core.node import Node
@@ -26,9 +27,10 @@
     era_of,
 )
 from mallowpass.core.proxy.tables import ProxySystem
+from mallowpass.core.records import record
 from mallowpass.core.timers import Timer
 
-__all__ = ["Feeds"]
+__all__ = ["Feeds", "Provenance"]
 
 WAIT_MAX = 30.0  # seconds that a follower may wait for changes
 # Number of removed rows that are kept for each table, to forward the removals. A
@@ -48,6 +50,16 @@
     timer: Timer
 
 
+@record
+class Provenance:
+    """From whom the latest reply for a table came, and how recent it was."""
+
+    relay: str = ""  # name of the host that replied; empty: the store itself
+    age: float = 0.0  # seconds since that host knew the present state of the table
+    # Seconds before the reply for which changes of the table may have been missed.
+    unconfirmed_for: float = math.inf
+
+
 @dataclass(slots=True, eq=False)
 class _TableCopy:
     """Copy of one table, as read from the store or from a relay."""
@@ -55,6 +67,8 @@
     rows: dict[RowKey, Row] = field(default_factory=dict)  # including removed ones
     complete_since: int = 0  # all later removals are in `rows`
     version: int = 0  # up to which the table is known
+    confirmed_at: float = -math.inf  # all changes accepted before are known
+    provenance: Provenance = Provenance()
     is_current: bool = False  # the latest reply came from the store itself
     followers: list[_Follower] = field(default_factory=list)
 
@@ -76,9 +90,20 @@
 
     # -- Copies of tables ----------------------------------------------------
 
-    def apply(self, table: Table, reply: StoreReply, by_relay: bool) -> None:
-        """Apply a reply of the store, or of a relay, to the copy of a table."""
+    def age(self, table: Table) -> float:
+        """Return for how long changes of a table may have been missed, in seconds."""
+        return self.now - self._copies[table].confirmed_at
+
+    def provenance(self, table: Table) -> Provenance:
+        """Return from whom the latest reply for a table came."""
+        return self._copies[table].provenance
+
+    def apply(self, table: Table, reply: StoreReply, relay: str = "") -> None:
+        """Apply a reply of the store, or of the named relay, to the copy of a table."""
         copy = self._copies[table]
+        copy.provenance = Provenance(relay, reply.age, self.age(table))
+        if reply.version >= copy.version:
+            copy.confirmed_at = max(copy.confirmed_at, self.now - reply.age)
         before = copy.rows
         if reply.is_snapshot:
             copy.rows = {}
@@ -87,7 +112,7 @@
             copy.rows[row.key] = _keep_newest_configuration(before.get(row.key), row)
         copy.version = max(copy.version, reply.version)
         self._trim_removed(copy)
-        if by_relay:
+        if relay:
             self.mark_stale(table)
             return
         copy.is_current = True
@@ -140,7 +165,14 @@
         version = max(after, copy.version)
         era = era_of(version)
         done = StoreStatus.DONE
-        return StoreReply(done, tuple(rows), version, is_snapshot=is_snapshot, era=era)
+        return StoreReply(
+            done,
+            tuple(rows),
+            version,
+            is_snapshot=is_snapshot,
+            era=era,
+            age=self.now - copy.confirmed_at,
+        )
 
     def _notify_followers(self, copy: _TableCopy) -> None:
         followers, copy.followers = copy.followers, []
--- a/mallowpass/core/proxy/storage.py
+++ b/mallowpass/core/proxy/storage.py
@@ -166,7 +166,8 @@
 
     If `is_snapshot`, the rows are all rows of the table, else only the changed ones.
     `era` grows each time that the store is restored from a backup; writes after that
-    backup are lost.
+    backup are lost. `age` is the time in seconds since the replying host knew that it
+    had the present state of the table; changes since then may be missing.
     """
 
     status: StoreStatus
@@ -176,3 +177,4 @@
     message: str = ""
     is_snapshot: bool = False
     era: int = 0
+    age: float = 0.0
--- a/mallowpass/core/proxy/watches.py
+++ b/mallowpass/core/proxy/watches.py
@@ -114,7 +114,7 @@
                 self._list()
                 return
             self._listed_at = self._store.now
-            self._apply(reply, by_relay=True)
+            self._apply(reply, relay.name)
             self._follow_after(RELAY_BATCH_TIME)
 
         call = WatchRows(self._table, self._version, 0.0)
@@ -171,13 +171,13 @@
             self._retry(self._list)
             return
         self._listed_at = self._store.now
-        self._apply(replace(reply, is_snapshot=True), by_relay=False)
+        self._apply(replace(reply, is_snapshot=True))
         self._follow()
 
-    def _apply(self, reply: StoreReply, by_relay: bool) -> None:
+    def _apply(self, reply: StoreReply, relay: str = "") -> None:
         self._version = max(self._version, reply.version)
         self._store.note_current(self._table)
-        self._feeds.apply(self._table, reply, by_relay)
+        self._feeds.apply(self._table, reply, relay)
         self._handler(reply.rows, reply.is_snapshot)
         if self._table is Table.HOSTS:
             self._store.run_awaiting_hosts()
@@ -225,7 +225,7 @@
             self._retry(self._follow)
         else:
             self._failures = 0
-            self._apply(reply, by_relay=False)
+            self._apply(reply)
             batch_time = self._store.batch_time(self._table)
             self._follow_after(batch_time if reply.rows else 0.0)
 
@@ -244,7 +244,7 @@
             if reply.status is StoreStatus.DONE:
                 self._failures = 0
                 self._store.resume_watches()
-                self._apply(reply, by_relay=True)
+                self._apply(reply, relay.name)
                 self._follow_after(RELAY_BATCH_TIME if reply.rows else 0.0)
                 return
             self._relays.mark_failed(relay.name)
--- a/mallowpass/platform/store.py
+++ b/mallowpass/platform/store.py
@@ -9,6 +9,7 @@
 
 import base64
 import json
+import math
 import zlib
 from functools import singledispatchmethod
 from typing import Any
@@ -62,7 +63,9 @@
 _COMPRESSION_LEVEL = 1
 _ACCEPT_HEADERS = (("Accept-Encoding", _CONTENT_CODING),)
 _ERA_HEADER = b"store-era"  # lower case, as Response.header expects
-_SNAPSHOT_FIELD = "whole"  # between hosts: all rows of the table are sent
+# Between hosts: all rows of the table are sent, and the age of the sender's knowledge.
+_SNAPSHOT_FIELD = "whole"
+_AGE_FIELD = "ageMs"
 _MAX_ERA_DIGITS = 3
 _MAX_DIGITS = 18  # of a number that another host sends
 _SERVICE_UNAVAILABLE = 503
@@ -212,7 +215,9 @@
     is_snapshot = body.get(_SNAPSHOT_FIELD) is True
     era = era_of(version)
     status = _STATUS_BY_HTTP_CODE[response.status]
-    return StoreReply(status, rows, version, is_snapshot=is_snapshot, era=era)
+    # Hosts of an earlier version do not send the age.
+    age = max(0, int(body.get(_AGE_FIELD, 0))) / 1000.0
+    return StoreReply(status, rows, version, is_snapshot=is_snapshot, era=era, age=age)
 
 
 def _parse_era(response: Response) -> int:
@@ -287,7 +292,12 @@
     if reply.status is not StoreStatus.DONE:
         return Response(_SERVICE_UNAVAILABLE)
     rows = [_row_fields(row) for row in reply.rows]
-    body = {"rows": rows, "ver": reply.version, _SNAPSHOT_FIELD: reply.is_snapshot}
+    body = {
+        "rows": rows,
+        "ver": reply.version,
+        _SNAPSHOT_FIELD: reply.is_snapshot,
+        _AGE_FIELD: math.ceil(reply.age * 1000),
+    }
     data = json.dumps(body, separators=(",", ":")).encode()
     if compressed and len(data) >= _MIN_COMPRESSED_BYTES:
         return Response(200, zlib.compress(data, _COMPRESSION_LEVEL), _CONTENT_CODING)
--- a/tests/core/proxy/test_relays.py
+++ b/tests/core/proxy/test_relays.py
@@ -314,7 +314,7 @@
 def feeds() -> Feeds:
     world = ProxyWorld()
     feeds = world.hosts[0].node.system(Feeds)
-    feeds.apply(Table.HOSTS, _reply(10, "a", "b", is_snapshot=True), by_relay=False)
+    feeds.apply(Table.HOSTS, _reply(10, "a", "b", is_snapshot=True))
     return feeds
 
 
@@ -324,7 +324,7 @@
 
 
 def test_changes_after_a_version_are_sent(feeds):
-    feeds.apply(Table.HOSTS, _reply(12, "c"), by_relay=False)
+    feeds.apply(Table.HOSTS, _reply(12, "c"))
     assert _changes_after(feeds, 10) == (["c"], False)
     assert _changes_after(feeds, 12) == ([], False)
 
@@ -334,7 +334,7 @@
 
 
 def test_removed_rows_are_sent_as_changes_but_not_in_a_snapshot(feeds):
-    feeds.apply(Table.HOSTS, _reply(13, "a", is_removal=True), by_relay=False)
+    feeds.apply(Table.HOSTS, _reply(13, "a", is_removal=True))
     assert _changes_after(feeds, 10) == (["a"], False)
     assert _changes_after(feeds, 1) == (["b"], True)
 
@@ -346,7 +346,7 @@
 def test_the_number_of_kept_removed_rows_is_limited(feeds):
     for number in range(REMOVED_MAX + 5):
         removal = _reply(20 + number, f"n{number}", is_removal=True)
-        feeds.apply(Table.HOSTS, removal, by_relay=False)
+        feeds.apply(Table.HOSTS, removal)
     copy = feeds._copies[Table.HOSTS]
     assert len(copy.rows) == REMOVED_MAX + 2
     assert _changes_after(feeds, 22)[1]
