--- a/mallowpass/standins/proxied/rows.py
+++ b/mallowpass/standins/proxied/rows.py
@@ -38,7 +38,15 @@
 class StoreFaults:
     """Hold what is wrong with the store right now; all of it may change at any time."""
 
-    __slots__ = ("answers_lost", "delay", "late", "refusing", "silent", "turned_away")
+    __slots__ = (
+        "answers_lost",
+        "delay",
+        "ignored",
+        "late",
+        "refusing",
+        "silent",
+        "turned_away",
+    )
 
     def __init__(self) -> None:
         self.delay = 0.004  # seconds that each call takes
@@ -47,6 +55,7 @@
         self.answers_lost = 0.0  # share of the changes whose answer is lost
         self.late = 0.0  # seconds after which changes without an answer are done
         self.turned_away: set[str] = set()  # callers that are refused
+        self.ignored: set[str] = set()  # callers that get no answer
 
 
 @dataclass(frozen=True, slots=True)
@@ -178,7 +187,7 @@
 
     def _arrive(self, caller: str, call: StoreCall, answer: Answer) -> None:
         faults = self.faults
-        if faults.silent:
+        if faults.silent or caller in faults.ignored:
             return
         if faults.refusing or caller in faults.turned_away:
             answer(StoreReply(StoreStatus.REFUSED, message="turned away"))
@@ -272,7 +281,7 @@
 
     def _finish(self, watcher: _Watcher, reply: StoreReply) -> None:
         self._watchers.remove(watcher)
-        if not self.faults.silent:
+        if not self.faults.silent and watcher.caller not in self.faults.ignored:
             self._timers.after(self.faults.delay, watcher.answer, reply)
 
     def _told(self, row: Row) -> Row:
--- a/mallowpass/standins/proxied/virtual/hosts.py
+++ b/mallowpass/standins/proxied/virtual/hosts.py
@@ -138,6 +138,7 @@
         tables = ProxyTables(
             world.first_start,
             promotion_fences_primary=promotion_fences_primary,
+            settle_time=world.settle_time,
             apply_time=world.apply_time,
             key_lapse=world.key_lapse,
         )
--- a/mallowpass/standins/proxied/virtual/world.py
+++ b/mallowpass/standins/proxied/virtual/world.py
@@ -123,6 +123,7 @@
         first_start: bool = False,
         fences: bool = True,
         apply_time: float = 6.0,
+        settle_time: float = 6.0,
         domains: tuple[FailureDomain, ...] = DOMAINS,
         members: Mapping[str, str] = MEMBERS,
         distance: float = LINK,
@@ -135,6 +136,7 @@
         self._regions = {domain.name: domain.region for domain in domains}
         self.first_start = first_start
         self.key_lapse = key_lapse
+        self.settle_time = settle_time
         self.apply_time = apply_time  # less than some seconds: there are no relays
         self.fences = fences  # orders of whoever was overtaken are refused
         self.timers = TimerService()
--- a/tests/core/proxy/test_relays.py
+++ b/tests/core/proxy/test_relays.py
@@ -37,7 +37,7 @@
 
 @pytest.fixture
 def world() -> ProxyWorld:
-    world = ProxyWorld(hosts=HOSTS)
+    world = ProxyWorld(hosts=HOSTS, apply_time=APPLY_TIME)
     world.run(8.0)
     return world
 
@@ -237,7 +237,7 @@
     for relay in cut:
         relay.cut_from.add("store")
     _change(world, 2)
-    world.run(8.0)
+    world.run(APPLY_TIME)
     assert _versions([h for h in world.hosts if h not in cut]) == {2}
 
 
