Have a follower ask the store before its knowledge is too old

Cause: a relay that the store does not answer notices it when its call times out, 6.0 s after the call began (settle_time), or 8.0 s; until then it answers its followers that nothing is new, and they believed it. That a relay detects it within 4.5 s stood in a constant, and no code made it so. It is a freshness fault: an answer was taken for current without the time at which it was.

Change: each host counts the age of a table from the latest answer of the store, also where relays passed it on. A follower's call to a relay ends when its knowledge becomes too old (change_time less the time to ask), and the store is asked then, whatever relays do; a relay whose answer is too old is skipped for a while. Relays call the store before their followers have to, and pass on that nothing has changed. followlimits has the limits; relay_left is logged.

Following two relays at once does not help if both are lost.

--- a/mallowpass/core/proxy/feeds.py
+++ b/mallowpass/core/proxy/feeds.py
@@ -116,8 +116,7 @@
             self.mark_stale(table)
             return
         copy.is_current = True
-        if reply.rows:
-            self._notify_followers(copy)
+        self._answer_followers(copy)
 
     def mark_stale(self, table: Table) -> None:
         """Mark a table as not followed at the store, and refuse its followers."""
@@ -174,7 +173,11 @@
             age=self.now - copy.confirmed_at,
         )
 
-    def _notify_followers(self, copy: _TableCopy) -> None:
+    def _answer_followers(self, copy: _TableCopy) -> None:
+        """Send all followers what the store answered, also that nothing has changed.
+
+        Otherwise they could not tell this host from one that lost the store.
+        """
         followers, copy.followers = copy.followers, []
         # Most followers have the same version, and get the same reply.
         replies: dict[int, StoreReply] = {}
@@ -182,11 +185,8 @@
             reply = replies.get(follower.after)
             if reply is None:
                 reply = replies[follower.after] = self._changes(copy, follower.after)
-            if reply.rows or reply.is_snapshot:
-                follower.timer.cancel()
-                self._node.emit(AnswerFeed(follower.number, reply))
-            else:
-                copy.followers.append(follower)
+            follower.timer.cancel()
+            self._node.emit(AnswerFeed(follower.number, reply))
 
     def _on_wait_ended(self, copy: _TableCopy, number: int) -> None:
         for follower in list(copy.followers):
--- a/mallowpass/core/proxy/relays.py
+++ b/mallowpass/core/proxy/relays.py
@@ -10,14 +10,16 @@
 A relay may end, freeze or be cut off. Its followers detect this by a call that is not
 answered within about a second, and switch to the next relay at once, or to the store if
 no relay is left. A relay that is cut off from the store answers its followers until it
-detects this. Until then its followers get no changes, which the settings must allow
-for.
+detects this, with the age of its knowledge. A follower that finds it too old asks the
+store itself, see `followlimits`.
 """
 
 from __future__ import annotations
 
 from zlib import crc32
 
+from mallowpass.core.proxy.followlimits import follow_limits
+from mallowpass.core.proxy.storage import Table
 from mallowpass.core.proxy.tables import HostRow, ProxySystem
 
 __all__ = ["Relays"]
@@ -27,18 +29,16 @@
 # to be used. With fewer hosts, there would be about as many relays as followers.
 HOSTS_MIN = 5
 FAILURE_BACKOFF = 2.0  # seconds that a relay is skipped after it did not answer
-# Seconds that a relay may take to detect that it can't reach the store, and to refuse
-# its followers. If changes must be in force sooner, each host follows the store itself.
-FAILURE_DETECTION_MAX = 4.5
 
 
 class Relays(ProxySystem):
     """Choose relays; each host computes the same ones from the entries of all hosts."""
 
-    __slots__ = ("_failed", "_plan", "_plan_version")
+    __slots__ = ("_allowed", "_failed", "_plan", "_plan_version")
 
     def start(self) -> None:
         """Start without a plan, and with all relays usable."""
+        self._allowed = follow_limits(self.tables, Table.CONFIGURATION).allows_relays
         self._failed: dict[str, float] = {}  # time until which to skip it, by host
         self._plan: dict[str, list[HostRow]] = {}  # by failure domain
         self._plan_version = -1
@@ -48,13 +48,20 @@
         """Return whether the list of hosts is known."""
         return self.tables.hosts_version > 0
 
+    @property
+    def are_used(self) -> bool:
+        """Return whether hosts of this failure domain follow relays."""
+        if not self._allowed or not self.are_hosts_known:
+            return False
+        return bool(self._of_domain(self._node.identity.failure_domain))
+
     @property
     def has_relays(self) -> bool:
         """Return whether this host should follow relays instead of the store."""
-        if self.tables.apply_time < FAILURE_DETECTION_MAX or not self.are_hosts_known:
+        if not self.are_used:
             return False
         own = self._of_domain(self._node.identity.failure_domain)
-        return bool(own) and all(h.name != self._node.identity.name for h in own)
+        return all(host.name != self._node.identity.name for host in own)
 
     def choose(self) -> HostRow | None:
         """Return the relay to follow, None to follow the store itself."""
@@ -66,9 +73,11 @@
             candidates = [host for host in self._of_region() if self._is_usable(host)]
         return min(candidates, key=self._weight, default=None)
 
-    def mark_failed(self, relay: str) -> None:
-        """Skip a relay for a while, as it did not answer."""
+    def mark_failed(self, relay: str, why: str) -> None:
+        """Skip a relay for a while, as it did not answer or had old knowledge."""
         self._failed[relay] = self.now + FAILURE_BACKOFF
+        self._node.log("info", "relay_left", relay=relay, why=why)
+        self._node.count("relays_left")
 
     def clear_failures(self) -> None:
         """Use failed relays again."""
--- a/mallowpass/core/proxy/store.py
+++ b/mallowpass/core/proxy/store.py
@@ -11,6 +11,7 @@
 from mallowpass.core.proxy.effects import CallStore
 from mallowpass.core.proxy.events import StoreAnswered
 from mallowpass.core.proxy.feeds import Feeds
+from mallowpass.core.proxy.followlimits import follow_limits
 from mallowpass.core.proxy.relays import Relays
 from mallowpass.core.proxy.signals import EraChanged
 from mallowpass.core.proxy.storage import (
@@ -24,7 +25,6 @@
 from mallowpass.core.proxy.watches import (
     FIRST_START_DELAY,
     RESUME_JITTER,
-    WATCH_SLACK,
     ReplyHandler,
     RowsHandler,
     Watch,
@@ -33,10 +33,6 @@
 __all__ = ["Store"]
 
 CALL_TIMEOUT = 1.5  # seconds; a slow store answers within half of it
-# Limits of the time that one call to the store waits for changes, in seconds. A long
-# wait saves calls, which are charged.
-WATCH_WAIT_MAX = 29.0
-WATCH_WAIT_MIN = 1.0
 # Seconds that one call to a relay waits for changes. These calls are not charged, so
 # the wait can be short: only the end of the wait reveals a frozen relay.
 RELAY_WAIT = {
@@ -72,9 +68,6 @@
     Table.HOSTS: 1.5,
     Table.LIMITS: 0.5,
 }
-# Changes of these tables may arrive late without harm: a host that these tables still
-# list is skipped as soon as it does not answer.
-_NOT_URGENT = (Table.HOSTS, Table.LIMITS)
 # Calls a second that all hosts together make to follow the table of hosts, if each
 # follows it at the store. Without this limit, a rolling restart would take a number of
 # calls that grows with the square of the fleet, and each change may move the role of
@@ -100,6 +93,7 @@
         "_feeds",
         "_current_at",
         "_last_reply_at",
+        "_limits",
         "_prober",
         "_relay_calls",
         "_relays",
@@ -120,6 +114,7 @@
         self._era_since = float("-inf")
         self._failing_since: float | None = None
         self._last_reply_at = node.timers.now
+        self._limits = {table: follow_limits(self.tables, table) for table in Table}
         self._current_at: dict[Table, float] = {}
         self._prober: Watch | None = None
         self._relay_calls: set[int] = set()  # numbers of calls to relays
@@ -275,16 +270,24 @@
         """
         if self.failing_since is not None:
             return PROBE_WAIT
-        if table in _NOT_URGENT:
-            return WATCH_WAIT_MAX
-        longest = min(self.tables.settle_time, self.tables.key_lapse)
-        wait = longest - WATCH_SLACK
-        return min(WATCH_WAIT_MAX, max(WATCH_WAIT_MIN, wait))
+        limits = self._limits[table]
+        if not self._relays.are_used:
+            return limits.store_wait
+        # Followers of this host see its reply before they have to ask the store.
+        left = limits.relay_wait - self._feeds.age(table)
+        return max(PROBE_WAIT, left)
 
     def relay_wait(self, table: Table) -> float:
         """Return how long a relay may wait for changes of a table, in seconds."""
-        # The wait is short while other watches wait for the reply to this call.
-        return PROBE_WAIT if self._waiting_retries else RELAY_WAIT[table]
+        # The wait is short while other watches wait for the reply to this call, and
+        # while this host may miss changes.
+        if self._waiting_retries or self.time_left(table) <= 0.0:
+            return PROBE_WAIT
+        return RELAY_WAIT[table]
+
+    def time_left(self, table: Table) -> float:
+        """Return the seconds until this host, as a follower, has to ask the store."""
+        return self._limits[table].age_max - self._feeds.age(table)
 
     def batch_time(self, table: Table) -> float:
         """Return the seconds between changes of a table and the next call."""
--- a/mallowpass/core/proxy/watches.py
+++ b/mallowpass/core/proxy/watches.py
@@ -9,6 +9,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from mallowpass.core.proxy.followlimits import ASK_JITTER, WATCH_SLACK
 from mallowpass.core.proxy.signals import EraChanged
 from mallowpass.core.proxy.storage import (
     ListRows,
@@ -27,13 +28,11 @@
 __all__ = [
     "FIRST_START_DELAY",
     "RESUME_JITTER",
-    "WATCH_SLACK",
     "RowsHandler",
     "Watch",
 ]
 
-WATCH_SLACK = 1.5  # seconds that the store may answer after the end of the wait
-RELAY_SLACK = 0.5  # the same for a relay
+RELAY_SLACK = 0.5  # seconds that a relay may answer after the end of the wait
 # Seconds between changes from a relay and the next call. When many endpoints write
 # their entries, the relay would otherwise send each follower each change separately.
 RELAY_BATCH_TIME = 0.3
@@ -196,11 +195,16 @@
         elif self._relays.has_relays:
             # No relay answered, most likely because the store does not answer them. One
             # watch is enough to find out.
-            pause = self._store.jitter(RESUME_JITTER)
-            self._store.timers.after(pause, self._probe_store)
+            self._ask_store()
         else:
             self._follow_store()
 
+    def _ask_store(self) -> None:
+        """Call the store in place of a relay, at another time than other followers."""
+        longest = min(RESUME_JITTER, self._store.time_left(self._table))
+        pause = self._store.jitter(max(ASK_JITTER, longest))
+        self._store.timers.after(pause, self._probe_store)
+
     def _probe_store(self) -> None:
         if self._store.can_probe(self):
             self._follow_store()
@@ -213,11 +217,15 @@
             return
         self._follows_relay = False
         wait = self._store.watch_wait(self._table)
+        wait_ends_at = self._store.now + wait
+
+        def on_reply(reply: StoreReply) -> None:
+            self._on_changes(reply, wait_ends_at)
+
         call = WatchRows(self._table, self._version, wait)
-        on_reply = self._if_latest(self._on_changes)
-        self._store.call(call, on_reply, wait + WATCH_SLACK)
+        self._store.call(call, self._if_latest(on_reply), wait + WATCH_SLACK)
 
-    def _on_changes(self, reply: StoreReply) -> None:
+    def _on_changes(self, reply: StoreReply, wait_ends_at: float) -> None:
         if reply.status is StoreStatus.HISTORY_GONE:
             self._on_history_gone()
         elif reply.status is not StoreStatus.DONE:
@@ -225,6 +233,10 @@
             self._retry(self._follow)
         else:
             self._failures = 0
+            if not reply.rows:
+                # The store sent the reply then, and it may have been long on its way.
+                age = max(0.0, self._store.now - wait_ends_at)
+                reply = replace(reply, age=age)
             self._apply(reply)
             batch_time = self._store.batch_time(self._table)
             self._follow_after(batch_time if reply.rows else 0.0)
@@ -238,29 +250,43 @@
     def _follow_relay(self, relay: HostRow) -> None:
         sent_at = self._store.now
         wait = self._store.relay_wait(self._table)
+        timeout = wait + RELAY_SLACK
+        if self._store.time_left(self._table) > 0.0:
+            timeout = min(timeout, self._store.time_left(self._table))
         self._follows_relay = True
 
         def on_reply(reply: StoreReply) -> None:
             if reply.status is StoreStatus.DONE:
-                self._failures = 0
-                self._store.resume_watches()
-                self._apply(reply, relay.name)
-                self._follow_after(RELAY_BATCH_TIME if reply.rows else 0.0)
+                self._on_relayed(relay, reply)
                 return
-            self._relays.mark_failed(relay.name)
-            has_timed_out = self._store.now - sent_at >= wait
+            self._relays.mark_failed(relay.name, reply.message)
+            has_timed_out = self._store.now - sent_at >= min(wait, timeout)
             if self._version == 0:
                 self._list()
             elif has_timed_out:
                 # This host may be cut off from all other hosts. Trying the relays one
                 # after the other would take longer than a change may take to arrive.
-                self._probe_store()
+                self._ask_store()
             else:
                 self._follow()
 
         call = WatchRows(self._table, self._version, wait)
-        latest_only = self._if_latest(on_reply)
-        self._store.call_relay(relay, call, latest_only, wait + RELAY_SLACK)
+        self._store.call_relay(relay, call, self._if_latest(on_reply), timeout)
+
+    def _on_relayed(self, relay: HostRow, reply: StoreReply) -> None:
+        self._failures = 0
+        self._store.resume_watches()
+        self._apply(reply, relay.name)
+        time_left = self._store.time_left(self._table)
+        if time_left > 0.0:
+            batch_time = RELAY_BATCH_TIME if reply.rows else 0.0
+            self._follow_after(min(batch_time, time_left))
+            return
+        # The relay may have lost the store in silence.
+        self._relays.mark_failed(
+            relay.name, f"its {self._table.value} are {reply.age:.1f} s old"
+        )
+        self._ask_store()
 
     def _on_history_gone(self) -> None:
         """List the rows again; with a backoff if listing them did not help.
--- a/mallowpass/standins/proxied/virtual/world.py
+++ b/mallowpass/standins/proxied/virtual/world.py
@@ -154,7 +154,8 @@
         self.links: dict[tuple[str, int], Link] = {}  # by host and connection
         self.all_links: dict[int, Link] = {}
         self._asks: dict[int, tuple[Host, int]] = {}  # who asked a keeper, and its call
-        self._feeds: dict[int, tuple[Host, int]] = {}  # who asked, and its call
+        # Who asked a relay, its call, and the relay's name.
+        self._feeds: dict[int, tuple[Host, int, str]] = {}
         self.store = RowStore(self.timers, seed)
         self.group = Group(SERVICE, list(members), self.timers, **group)
         self.group.on_role = self.enter
@@ -226,7 +227,7 @@
         name = effect.relay.partition(":")[0]
         relay = next((h for h in self.hosts if h.name == name), None)
         number = self.number()
-        self._feeds[number] = (host, effect.call)
+        self._feeds[number] = (host, effect.call, name)
         self.timers.after(effect.timeout, self._end_feed, number)
         if relay is None or relay.exited:
             self.timers.after(2 * LINK, self._end_feed, number)
@@ -236,13 +237,13 @@
 
     def answer_feed(self, relay: Host, effect: AnswerFeed) -> None:
         """Pass on what a host answers another one that follows it."""
-        host, _ = self._feeds.get(effect.feed, (relay, 0))
+        host, _, _ = self._feeds.get(effect.feed, (relay, 0, ""))
         if not self._is_cut(host, relay):
             self._end_feed(effect.feed, effect.reply)
 
     def _end_feed(self, number: int, reply: StoreReply = NO_ANSWER) -> None:
         if number in self._feeds:
-            host, call = self._feeds.pop(number)
+            host, call, _ = self._feeds.pop(number)
             host.later(LINK, StoreAnswered(call, reply))
 
     # -- Rate limits ---------------------------------------------------------
@@ -281,6 +282,9 @@
         self._end(host)
         for connection in host.connections.values():
             connection.close()
+        for number, (_, _, relay) in list(self._feeds.items()):
+            if relay == host.name:
+                self._end_feed(number)
         for key, link in list(self.links.items()):
             if host in (link.host, link.holder):
                 del self.links[key]
