Leave waits and backoffs what the other steps leave of the time to recover

What callers saw: a host whose call to the store arrived in a moment of silence was up to date only after the time within which it has to be, by the retry and its backoff; after an outage, hosts waited for a prober whose failed probe and backoff alone took up to 4.55 s of 4 to 6.

Cause: wait and slack of a call were chosen to add up to settle_time exactly, and the retry came on top; backoffs were constants that nothing compared with settle_time.

Evidence: test_a_host_that_the_store_did_not_answer_has_a_change_in_time failed with bounds of 4, 5 and 5 s, by 0.06 to 0.2 s, at the one moment of 18 at which the call arrives in the silence.

Change: followlimits has all steps of each way, and gives waits and backoffs as what the others leave of settle_time. A call to the store may be answered 0.6 s late instead of 1.5 s, twice of what a store that is sixty times slower takes. test_followlimits adds the steps up for 25 pairs of bounds.

Ruled out: a longer wait with a shorter slack alone, as the retry still came on top.

--- a/mallowpass/core/proxy/store.py
+++ b/mallowpass/core/proxy/store.py
@@ -11,7 +11,13 @@
 from mallowpass.core.proxy.effects import CallStore
 from mallowpass.core.proxy.events import StoreAnswered
 from mallowpass.core.proxy.feeds import Feeds
-from mallowpass.core.proxy.followlimits import follow_limits
+from mallowpass.core.proxy.followlimits import (
+    BACKOFF_MIN,
+    PROBE_WAIT,
+    RELAYED_BACKOFF_MIN,
+    RESUME_JITTER,
+    follow_limits,
+)
 from mallowpass.core.proxy.relays import Relays
 from mallowpass.core.proxy.signals import EraChanged
 from mallowpass.core.proxy.storage import (
@@ -24,7 +30,6 @@
 from mallowpass.core.proxy.tables import HostRow, ProxySystem
 from mallowpass.core.proxy.watches import (
     FIRST_START_DELAY,
-    RESUME_JITTER,
     ReplyHandler,
     RowsHandler,
     Watch,
@@ -47,14 +52,6 @@
 # Seconds within which hosts rewrite their rows after a new era began. Until then, no
 # host acts on the absence of a row.
 SETTLE_TIME = 1.5
-BACKOFF_MIN = 0.1  # seconds after a first failure; doubled by each further one
-BACKOFF_MAX = 2.0
-# Longer for hosts that follow relays, as the relays retry as well.
-RELAYED_BACKOFF_MIN = 0.5
-RELAYED_BACKOFF_MAX = 3.0
-# Seconds that a call waits for changes while the store does not answer: the reply to a
-# call with a short wait soon shows that the store answers again.
-PROBE_WAIT = 0.05
 
 # Tables in which all endpoints and hosts write entries when the whole fleet starts.
 _ENTERED_AT_START = (Table.ENDPOINTS, Table.HOSTS)
@@ -239,9 +236,10 @@
         # The backoff is random, as all hosts lose the store at the same time. Hosts
         # that follow relays retry less often: the relays show them that the store
         # answers.
-        least, most = BACKOFF_MIN, BACKOFF_MAX
+        limits = self._limits[Table.CONFIGURATION]
+        least, most = BACKOFF_MIN, limits.backoff_max
         if self._relays.has_relays:
-            least, most = RELAYED_BACKOFF_MIN, RELAYED_BACKOFF_MAX
+            least, most = RELAYED_BACKOFF_MIN, limits.relayed_backoff_max
         self.timers.after(self._node.backoff(failures, least, most), retry_call)
 
     def jitter(self, longest: float) -> float:
@@ -274,8 +272,10 @@
         if not self._relays.are_used:
             return limits.store_wait
         # Followers of this host see its reply before they have to ask the store.
-        left = limits.relay_wait - self._feeds.age(table)
-        return max(PROBE_WAIT, left)
+        wait = limits.relay_wait - self._feeds.age(table)
+        if self._relays.has_relays:
+            wait = min(wait, limits.follower_wait)
+        return max(PROBE_WAIT, wait)
 
     def relay_wait(self, table: Table) -> float:
         """Return how long a relay may wait for changes of a table, in seconds."""
--- a/mallowpass/core/proxy/watches.py
+++ b/mallowpass/core/proxy/watches.py
@@ -9,7 +9,12 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from mallowpass.core.proxy.followlimits import ASK_JITTER, WATCH_SLACK
+from mallowpass.core.proxy.followlimits import (
+    ASK_JITTER,
+    RELAY_SLACK,
+    RESUME_JITTER,
+    WATCH_SLACK,
+)
 from mallowpass.core.proxy.signals import EraChanged
 from mallowpass.core.proxy.storage import (
     ListRows,
@@ -27,12 +32,10 @@
 
 __all__ = [
     "FIRST_START_DELAY",
-    "RESUME_JITTER",
     "RowsHandler",
     "Watch",
 ]
 
-RELAY_SLACK = 0.5  # seconds that a relay may answer after the end of the wait
 # Seconds between changes from a relay and the next call. When many endpoints write
 # their entries, the relay would otherwise send each follower each change separately.
 RELAY_BATCH_TIME = 0.3
@@ -51,8 +54,6 @@
 # starts for the first time. A host that followed the entries during this time would get
 # a reply for each of them.
 FIRST_START_DELAY = 2.0
-# Seconds over which the calls of waiting watches are spread once the store answers.
-RESUME_JITTER = 0.3
 
 # Called with rows, and with whether these are all rows of the table.
 RowsHandler = Callable[[tuple[Row, ...], bool], None]
