Let the other watches call the store while one waits at a relay

Cause: while the store does not answer, one watch finds out whether it does, and the others wait for it. With relays in reach it called one of these instead: for the table of hosts that call waits ten seconds, and shows nothing about the store. Watches whose calls failed meanwhile waited for it, and knew the configuration 15 s late.

Change: a watch that calls a relay no longer has that role; the next one whose call fails takes it.

--- a/mallowpass/core/proxy/store.py
+++ b/mallowpass/core/proxy/store.py
@@ -250,6 +250,11 @@
         """Return whether a watch may call the store to find out whether it answers."""
         return self._failing_since is None or self._prober in (None, watch)
 
+    def stop_probing(self, watch: Watch) -> None:
+        """Let another watch find out whether the store answers, if this one had to."""
+        if self._prober is watch:
+            self._prober = None
+
     def resume_watches(self) -> None:
         """Resume the watches that wait for the store to answer."""
         self._prober = None
--- a/mallowpass/core/proxy/watches.py
+++ b/mallowpass/core/proxy/watches.py
@@ -249,6 +249,8 @@
             self._follow()
 
     def _follow_relay(self, relay: HostRow) -> None:
+        # A relay's answer may take long, and shows nothing about the store.
+        self._store.stop_probing(self)
         sent_at = self._store.now
         wait = self._store.relay_wait(self._table)
         timeout = wait + RELAY_SLACK
--- a/tests/core/proxy/test_configuration_delay.py
+++ b/tests/core/proxy/test_configuration_delay.py
@@ -40,6 +40,7 @@
 DIRECT_BOUNDS = ((3.0, 4.0), (3.0, 5.0), (4.0, 5.0))
 MOMENTS = tuple(round(number * 0.4, 1) for number in range(18))  # of a wait, seconds
 SEEDS = range(1, 7)
+SEED_OF_LONG_RELAY_WAIT = 52
 OUTAGES = (0.3, 1.1, 2.3, 3.7, 5.2, 6.4, 8.3, 9.1)  # seconds
 SHORT_OUTAGE = 0.05  # seconds
 HOST_DISTURBANCES = (Ignored, TurnedAway, CutOff, Isolated, Frozen, Killed)
@@ -219,3 +220,14 @@
     for _ in range(60):
         world.run(0.37)
         assert {caller.run(Read("a")).code for caller in callers} == {Code.DONE}
+
+
+def test_a_watch_that_waits_at_a_relay_lets_the_others_call_the_store():
+    """Guard against a host whose watches wait for one that does not call the store.
+
+    The call for the table of hosts fails first, and its watch is to find out whether
+    the store answers. It then waits ten seconds at a relay.
+    """
+    play = ConfigurationPlay(SEED_OF_LONG_RELAY_WAIT, HOST_DISTURBANCES)
+    play.run()
+    assert play.late == []
