Count the age of a table from the store's answer, not from a relay's

What callers would see: a revoked key accepted beyond the lapse at followers of a relay that lost the store, as each host counted the lapse anew; and a read that a survey of members called current by a list that was as old as the relay's.

Cause: Store.age counted from the latest answer of anyone.

Change: it counts from when the store's answer was current, as relays pass it on.

--- a/mallowpass/core/proxy/store.py
+++ b/mallowpass/core/proxy/store.py
@@ -88,7 +88,6 @@
         "_era_since",
         "_failing_since",
         "_feeds",
-        "_current_at",
         "_last_reply_at",
         "_limits",
         "_prober",
@@ -112,7 +111,6 @@
         self._failing_since: float | None = None
         self._last_reply_at = node.timers.now
         self._limits = {table: follow_limits(self.tables, table) for table in Table}
-        self._current_at: dict[Table, float] = {}
         self._prober: Watch | None = None
         self._relay_calls: set[int] = set()  # numbers of calls to relays
         self._started_at = node.timers.now
@@ -163,13 +161,9 @@
         """Call a handler each time that the store was restored from a backup."""
         self._node.subscribe(EraChanged, handler)
 
-    def note_current(self, table: Table) -> None:
-        """Record that this host knows the present state of a table."""
-        self._current_at[table] = self.now
-
     def age(self, table: Table) -> float:
         """Return for how long changes of a table may have been missed, in seconds."""
-        return self.now - self._current_at.get(table, float("-inf"))
+        return self._feeds.age(table)
 
     @property
     def time(self) -> float | None:
--- a/mallowpass/core/proxy/watches.py
+++ b/mallowpass/core/proxy/watches.py
@@ -176,7 +176,6 @@
 
     def _apply(self, reply: StoreReply, relay: str = "") -> None:
         self._version = max(self._version, reply.version)
-        self._store.note_current(self._table)
         self._feeds.apply(self._table, reply, relay)
         self._handler(reply.rows, reply.is_snapshot)
         if self._table is Table.HOSTS:
