--- a/tests/core/proxy/test_configuration_delay.py
+++ b/tests/core/proxy/test_configuration_delay.py
@@ -18,17 +18,10 @@
     identified,
 )
 from tests.fakes.configurationplay import (
+    HOST_DISTURBANCES,
+    PLAYS,
     ConfigurationPlay,
-    CutOff,
     Disturbance,
-    Frozen,
-    Ignored,
-    Isolated,
-    Killed,
-    StoreRefusing,
-    StoreSilent,
-    StoreSlow,
-    TurnedAway,
 )
 
 HOSTS = 24
@@ -43,14 +36,6 @@
 SEED_OF_LONG_RELAY_WAIT = 52
 OUTAGES = (0.3, 1.1, 2.3, 3.7, 5.2, 6.4, 8.3, 9.1)  # seconds
 SHORT_OUTAGE = 0.05  # seconds
-HOST_DISTURBANCES = (Ignored, TurnedAway, CutOff, Isolated, Frozen, Killed)
-PLAYS = {
-    "ignored": (Ignored,),
-    "cut-off": (CutOff,),
-    "store-silent": (StoreSilent,),
-    "hosts": HOST_DISTURBANCES,
-    "all": (*HOST_DISTURBANCES, StoreSilent, StoreRefusing, StoreSlow),
-}
 
 
 def _relays(world: ProxyWorld, domain: str) -> list[Host]:
--- a/tests/fakes/configurationplay.py
+++ b/tests/fakes/configurationplay.py
@@ -20,6 +20,8 @@
 )
 
 __all__ = [
+    "HOST_DISTURBANCES",
+    "PLAYS",
     "ConfigurationPlay",
     "CutOff",
     "Disturbance",
@@ -98,6 +100,16 @@
     """The store answers late."""
 
 
+HOST_DISTURBANCES = (Ignored, TurnedAway, CutOff, Isolated, Frozen, Killed)
+PLAYS = {
+    "ignored": (Ignored,),
+    "cut-off": (CutOff,),
+    "store-silent": (StoreSilent,),
+    "hosts": HOST_DISTURBANCES,
+    "all": (*HOST_DISTURBANCES, StoreSilent, StoreRefusing, StoreSlow),
+}
+
+
 @dataclass(frozen=True)
 class LateHost:
     """A host in touch that had an older version than it must have."""
