--- a/mallowpass/core/proxy/feeds.py
+++ b/mallowpass/core/proxy/feeds.py
@@ -67,7 +67,8 @@
     rows: dict[RowKey, Row] = field(default_factory=dict)  # including removed ones
     complete_since: int = 0  # all later removals are in `rows`
     version: int = 0  # up to which the table is known
-    confirmed_at: float = -math.inf  # all changes accepted before are known
+    # All changes that the store accepted before this time are known.
+    confirmed_at: float = -math.inf
     provenance: Provenance = Provenance()
     is_current: bool = False  # the latest reply came from the store itself
     followers: list[_Follower] = field(default_factory=list)
--- a/mallowpass/core/proxy/followlimits.py
+++ b/mallowpass/core/proxy/followlimits.py
@@ -55,12 +55,14 @@
 LATE_ANSWER_TIME = 0.3
 # Relays that have to call the store more often than this, in seconds, would make about
 # as many calls as they save.
-RELAY_WAIT_MIN = 3.5
+RELAY_STORE_WAIT_MIN = 3.5
 
 # Seconds until a host knows that a short call to the store got no answer.
 _FAILED_PROBE_TIME = PROBE_WAIT + WATCH_SLACK
 # Seconds until a follower that misses changes has tried a relay, and asks the store.
 _RELAY_TRY_TIME = PROBE_WAIT + RELAY_SLACK + ASK_JITTER
+# Seconds from a probe that the store answers until all watches know its answers.
+_RESUME_TIME = PROBE_WAIT + ANSWER_TIME + RESUME_JITTER + ANSWER_TIME + BUSY_DELAY
 
 
 @record
@@ -71,6 +73,11 @@
     # After the end of a disturbance within which a host must know all changes.
     settle_time: float
 
+    @property
+    def can_be_kept(self) -> bool:
+        """Return whether the settings leave time for the shortest waits."""
+        return self.settle_time >= _FAILED_PROBE_TIME + BACKOFF_MIN + _RESUME_TIME
+
     @property
     def age_max(self) -> float:
         """Return the age of a follower's knowledge at which it asks the store."""
@@ -78,7 +85,7 @@
 
     @property
     def store_wait(self) -> float:
-        """Return how long a call waits for changes at most.
+        """Return how long a call to the store waits for changes at most.
 
         The store may never answer a call that arrived during a disturbance, so that
         only the end of the wait shows that changes are missed.
@@ -87,8 +94,8 @@
         return _clip(self.settle_time - retry_time, STORE_WAIT_MIN, STORE_WAIT_MAX)
 
     @property
-    def relay_wait(self) -> float:
-        """Return how long a relay may know nothing new until its call is answered.
+    def relay_store_wait(self) -> float:
+        """Return how long a relay may wait for the store's answer at most.
 
         Followers would leave a relay that calls the store less often whenever nothing
         changes.
@@ -96,8 +103,8 @@
         return min(self.store_wait, self.age_max - LATE_ANSWER_TIME)
 
     @property
-    def follower_wait(self) -> float:
-        """Return how long the call of a host that has relays waits at most.
+    def follower_store_wait(self) -> float:
+        """Return how long a call of a host that has relays waits at most.
 
         After a failure, it tries a relay before it calls the store again.
         """
@@ -107,13 +114,12 @@
     @property
     def allows_relays(self) -> bool:
         """Return whether the limits leave relays enough time between their calls."""
-        return self.relay_wait >= RELAY_WAIT_MIN
+        return self.relay_store_wait >= RELAY_STORE_WAIT_MIN
 
     @property
     def backoff_max(self) -> float:
         """Return the longest backoff of a host that follows the store itself."""
-        resume_time = PROBE_WAIT + ANSWER_TIME + RESUME_JITTER + ANSWER_TIME
-        longest = self.settle_time - (_FAILED_PROBE_TIME + resume_time + BUSY_DELAY)
+        longest = self.settle_time - (_FAILED_PROBE_TIME + _RESUME_TIME)
         return _clip(longest, BACKOFF_MIN, BACKOFF_MAX)
 
     @property
@@ -123,9 +129,8 @@
         The watch that retries on behalf of all tries a relay first, and so do those
         that it resumes.
         """
-        resume_time = PROBE_WAIT + ANSWER_TIME + RESUME_JITTER + ANSWER_TIME
-        resume_time += 2 * _RELAY_TRY_TIME
-        longest = self.settle_time - (_FAILED_PROBE_TIME + resume_time + BUSY_DELAY)
+        resume_time = _RESUME_TIME + 2 * _RELAY_TRY_TIME
+        longest = self.settle_time - (_FAILED_PROBE_TIME + resume_time)
         return _clip(longest, RELAYED_BACKOFF_MIN, RELAYED_BACKOFF_MAX)
 
 
--- a/mallowpass/core/proxy/store.py
+++ b/mallowpass/core/proxy/store.py
@@ -121,6 +121,9 @@
         self._feeds = self._node.system(Feeds)
         self._relays = self._node.system(Relays)
         self._node.subscribe(StoreAnswered, self._on_answered)
+        settle_time = self._limits[Table.CONFIGURATION].settle_time
+        if not self._limits[Table.CONFIGURATION].can_be_kept:
+            self._node.log("warning", "settle_time_too_short", settle_time=settle_time)
 
     @property
     def feeds(self) -> Feeds:
@@ -271,9 +274,9 @@
         if not self._relays.are_used:
             return limits.store_wait
         # Followers of this host see its reply before they have to ask the store.
-        wait = limits.relay_wait - self._feeds.age(table)
+        wait = limits.relay_store_wait - self._feeds.age(table)
         if self._relays.has_relays:
-            wait = min(wait, limits.follower_wait)
+            wait = min(wait, limits.follower_store_wait)
         return max(PROBE_WAIT, wait)
 
     def relay_wait(self, table: Table) -> float:
--- a/mallowpass/core/proxy/watches.py
+++ b/mallowpass/core/proxy/watches.py
@@ -234,7 +234,7 @@
         else:
             self._failures = 0
             if not reply.rows:
-                # The store sent the reply then, and it may have been long on its way.
+                # The store sends such a reply at the end of the wait.
                 age = max(0.0, self._store.now - wait_ends_at)
                 reply = replace(reply, age=age)
             self._apply(reply)
--- a/tests/core/proxy/test_followlimits.py
+++ b/tests/core/proxy/test_followlimits.py
@@ -8,6 +8,7 @@
 from mallowpass.core.proxy.followlimits import FollowLimits, follow_limits
 from mallowpass.core.proxy.storage import Table
 from mallowpass.core.proxy.tables import ProxyTables
+from mallowpass.standins.proxied.virtual.world import ProxyWorld
 
 CHANGE_TIMES = (3.0, 4.0, 5.0, 6.0, 10.0)  # seconds
 SETTLE_TIMES = (4.0, 5.0, 6.0, 8.0, 20.0)
@@ -35,7 +36,7 @@
 
 
 def test_a_relay_is_answered_before_its_followers_ask(limits):
-    ways = (limits.relay_wait, limits_module.LATE_ANSWER_TIME)
+    ways = (limits.relay_store_wait, limits_module.LATE_ANSWER_TIME)
     assert sum(ways) <= limits.age_max + ROUNDING
 
 
@@ -52,7 +53,7 @@
 
 def test_a_follower_whose_call_was_never_answered_recovers_in_time(limits):
     ways = (
-        limits.follower_wait,
+        limits.follower_store_wait,
         limits_module.WATCH_SLACK,
         limits_module.RELAYED_BACKOFF_MIN,
         *_relay_try(),
@@ -114,6 +115,12 @@
     assert limits.store_wait + limits_module.WATCH_SLACK < lapse
 
 
+@pytest.mark.parametrize(("settle_time", "warnings"), [(1.0, 1), (4.0, 0)])
+def test_a_settle_time_that_is_too_short_is_logged(settle_time, warnings):
+    host = ProxyWorld(apply_time=3.0, settle_time=settle_time).hosts[0]
+    assert len(host.logged("settle_time_too_short")) == warnings
+
+
 @pytest.mark.parametrize("table", [Table.HOSTS, Table.LIMITS])
 def test_tables_that_may_be_late_are_asked_for_rarely(table):
     limits = follow_limits(ProxyTables(), table)
