Add the fields by which the parts for hard load work together

overload_control of the settings and tables, set where the platform's list of contracts announces pressure; start tags of waiting statements; the time left of forwarded calls; the load report of replies; the weight of a customer; the share of one endpoint in place of the share of a service. No behaviour changes: nothing reads the new fields yet.

--- a/mallowpass/core/proxy/configuration.py
+++ b/mallowpass/core/proxy/configuration.py
@@ -72,6 +72,7 @@
     priority: int = 0
     rate: float = math.inf
     burst: float = math.inf
+    weight: float = 1.0  # of its share of a full endpoint, relative to other customers
 
     @property
     def is_limited(self) -> bool:
--- a/mallowpass/core/proxy/holders.py
+++ b/mallowpass/core/proxy/holders.py
@@ -82,8 +82,9 @@
             return host in self.tables.hosts
         return any(holder.name == host for holder in plan.holders)
 
-    def share(self, service: str) -> int:
-        """Return how many connections this host may have to each endpoint."""
+    def share_of(self, endpoint: EndpointRow) -> int:
+        """Return how many connections this host may have to an endpoint."""
+        service = endpoint.entry.service
         plan = self._plan(service)
         if not self.holds(service):
             return 0
--- a/mallowpass/core/proxy/shares.py
+++ b/mallowpass/core/proxy/shares.py
@@ -95,12 +95,11 @@
                 other.holder and other.state is not ConnectionState.OPENING
                 for other in endpoint.connections.values()
             )
-        return self._count(endpoint) > self._holders.share(service)
+        return self._count(endpoint) > self._holders.share_of(endpoint)
 
     def is_above_half(self, endpoint: EndpointRow) -> bool:
         """Return whether this host has more than half of its share of connections."""
-        service = endpoint.entry.service
-        return self._count(endpoint) > max(1, self._holders.share(service) // 2)
+        return self._count(endpoint) > max(1, self._holders.share_of(endpoint) // 2)
 
     def path(self, endpoint: EndpointRow) -> HostRow | None:
         """Return the holder to connect through, None to connect directly."""
@@ -145,10 +144,9 @@
         return min(lenders, key=lambda host: borrowed.count(host.name))
 
     def _share(self, endpoint: EndpointRow) -> int:
-        service = endpoint.entry.service
-        if not self._holders.holds(service):
+        if not self._holders.holds(endpoint.entry.service):
             return FORWARDED_MAX
-        share = self._holders.share(service)
+        share = self._holders.share_of(endpoint)
         if self.now < self._started_at + FIRST_TIME:
             return max(1, share // 2)
         return share
--- a/mallowpass/core/proxy/statements.py
+++ b/mallowpass/core/proxy/statements.py
@@ -24,6 +24,7 @@
     "FenceEvidence",
     "FloorHint",
     "HoldWrites",
+    "LoadReport",
     "LogPosition",
     "OnBehalfOf",
     "Pause",
@@ -271,7 +272,8 @@
     `request_id` is the caller's, empty for statements of this host itself. The endpoint
     refuses the call unless its log has reached `minimum`. A holder is a host that
     forwards calls: it serves them by `priority`, 0 first, on connections of the
-    customer that `on_behalf_of` names. Both are None in calls sent to an endpoint.
+    customer that `on_behalf_of` names. A reply is of use for `time_left` seconds; None:
+    not known. The last three are None in calls sent to an endpoint.
     """
 
     statement: Statement
@@ -279,6 +281,7 @@
     minimum: LogPosition | None = None
     priority: int | None = None
     on_behalf_of: OnBehalfOf | None = None
+    time_left: float | None = None
 
 
 @record
@@ -305,6 +308,18 @@
     age: float
 
 
+@record
+class LoadReport:
+    """The load of a holder at one endpoint, which it adds to replies.
+
+    `queued` statements wait at the holder, the next one for `wait` seconds; None: no
+    estimate.
+    """
+
+    queued: int
+    wait: float | None
+
+
 @record
 class EndpointReply:
     """Complete answer of an endpoint to one call.
@@ -319,7 +334,9 @@
     state: SessionState = SessionState.IDLE
     position: LogPosition | None = None
     status: EndpointStatus | None = None
-    floor: FloorHint | None = None  # from the host that forwarded the call
+    # From the host that forwarded the call.
+    floor: FloorHint | None = None
+    load: LoadReport | None = None
 
 
 # -- Callers -----------------------------------------------------------------
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -301,6 +301,7 @@
     avoided_endpoints: set[str] = field(default_factory=set)  # by name
     retry_at: float = 0.0  # it is not sent before this time
     was_held: bool = False  # it waited for a primary, or for the successor of one
+    start_tag: float = 0.0  # virtual time of fair queueing; 0 without customers
     floor: LogPosition | None = None  # of its last attempt; None: sent to the primary
     behind_count: int = 0  # attempts refused as the floor was not reached
     # Time up to which the rate limit of its customer lets it start; None: it has
@@ -382,6 +383,7 @@
     waiting_since: float = 0.0
     on_behalf_of: OnBehalfOf | None = None  # of its calls; None: a host's own calls
     priority: int = 0  # of its waiting calls; 0 is served first
+    start_tag: float = 0.0  # virtual time of fair queueing; 0 without customers
     last_call_at: float = 0.0  # when calls were last received
     closed: bool = False
 
@@ -410,6 +412,8 @@
     # which customers' keys are no longer valid.
     key_lapse: float = math.inf
     rate_bounds: RateBounds = RateBounds()  # accuracy of rate limits
+    # The settings announce load beyond what endpoints can serve.
+    overload_control: bool = False
     configuration: Configuration | None = None
     endpoints: dict[str, EndpointRow] = field(default_factory=dict)  # by name
     endpoints_version: int = 0  # grows when an endpoint is new or its slots change
--- a/mallowpass/platform/runtime.py
+++ b/mallowpass/platform/runtime.py
@@ -117,6 +117,7 @@
             apply_time=0.0 if settings.feeds is None else settings.apply_time,
             key_lapse=settings.key_lapse,
             rate_bounds=settings.rate_bounds,
+            overload_control=settings.overload_control,
         )
         self._node = Node(identity, Tuning(), seed, now, tables)
         self._node.on_error = self._on_error
--- a/mallowpass/platform/settings.py
+++ b/mallowpass/platform/settings.py
@@ -26,6 +26,9 @@
 _FEEDS_PORT_INDEX = 1
 _LIMITS_PORT_INDEX = 2
 
+# Entry of `contracts` on a platform whose callers exceed the capacity of endpoints.
+OVERLOAD_CONTRACT = "pressure"
+
 _DEFAULT_RATE_BOUNDS = RateBounds()
 
 
@@ -76,6 +79,8 @@
     # Accepts requests of other hosts for allowances of rate limits; None: disabled.
     limits: Address | None = None
     rate_bounds: RateBounds = RateBounds()
+    # Callers may send more than the endpoints can serve.
+    overload_control: bool = False
     # Time without confirmation of the customers' keys after which a host refuses all
     # keys, as any of them may have been revoked.
     key_lapse: float = math.inf
@@ -183,6 +188,7 @@
             ),
             slack=optional_number(_DEFAULT_RATE_BOUNDS.slack, "bounds", "quotaSlack"),
         ),
+        overload_control=_announces_overload(fields),
         capacity=_capacity(fields),
         first_start=_lookup(fields, ("bootstrap",)) is True,
         fences=_lookup(fields, ("bounds", "requireFencing")) is True,
@@ -198,6 +204,11 @@
     return lapse if _lookup(fields, ("bounds", "failClosed")) is True else math.inf
 
 
+def _announces_overload(fields: dict[str, Any]) -> bool:
+    contracts = _lookup(fields, ("contracts",))
+    return isinstance(contracts, list) and OVERLOAD_CONTRACT in contracts
+
+
 def _internal_address(
     fields: dict[str, Any], callers: Address, index: int
 ) -> Address | None:
--- a/mallowpass/standins/proxied/virtual/hosts.py
+++ b/mallowpass/standins/proxied/virtual/hosts.py
@@ -142,6 +142,7 @@
             settle_time=world.settle_time,
             apply_time=world.apply_time,
             key_lapse=world.key_lapse,
+            overload_control=world.overload_control,
         )
         self.node = Node(identity, Tuning(), seed, now, tables)
         self._wake_at: float | None = None
--- a/mallowpass/standins/proxied/virtual/world.py
+++ b/mallowpass/standins/proxied/virtual/world.py
@@ -129,6 +129,7 @@
         members: Mapping[str, str] = MEMBERS,
         distance: float = LINK,
         key_lapse: float = math.inf,
+        overload_control: bool = False,
         **group: Any,
     ) -> None:
         self.domains = domains
@@ -137,6 +138,7 @@
         self._regions = {domain.name: domain.region for domain in domains}
         self.first_start = first_start
         self.key_lapse = key_lapse
+        self.overload_control = overload_control
         self.settle_time = settle_time
         self.apply_time = apply_time  # less than some seconds: there are no relays
         self.fences = fences  # orders of whoever was overtaken are refused
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -43,6 +43,20 @@
     assert _load(tmp_path, text).fences is fences
 
 
+@pytest.mark.parametrize(
+    ("line", "is_announced"),
+    [
+        ('contracts = ["base", "pressure"]', True),
+        ('contracts = ["base", "quota"]', False),
+        ('contracts = "pressure"', False),
+        ("", False),
+    ],
+)
+def test_overload_control_is_off_unless_announced(tmp_path, line, is_announced):
+    # Guards against a change of behaviour on platforms that announce no overload.
+    assert _load(tmp_path, f"{line}\n{TEXT}").overload_control is is_announced
+
+
 def test_settings(tmp_path):
     settings = _load(tmp_path, TEXT)
     assert settings.name == "edge-casa-1"
