Serve all customers at a host that is cut off from the holders

Callers saw: statements of services without any fault were refused after their whole timeout, with "waits for a connection", at the hosts that were cut off from the others: 914 in the worst ten seconds of the claims deployment, 1,828 with the service whose primary was cut off as well. Cause: such a host has one direct connection to each endpoint, and the connection belongs to the customer that opened it. An idle connection is closed for another customer only if the host's share is exhausted, and the share was taken for that of forwarded connections. The last connection to an endpoint has no idle timeout either, so one customer kept it. Change: a host that is cut off has exhausted its share with its direct connection. Result: the new test failed before with "waits for a connection to db-casa" and passes.

--- a/mallowpass/core/proxy/shares.py
+++ b/mallowpass/core/proxy/shares.py
@@ -65,7 +65,9 @@
         return beyond_share or self._count(endpoint) < self._share(endpoint)
 
     def is_exhausted(self, endpoint: EndpointRow) -> bool:
-        """Return whether this host has all connections of its share."""
+        """Return whether this host has all connections that it may have."""
+        if self._holders.is_cut_off(endpoint):
+            return self._direct_count(endpoint) >= DIRECT_MAX
         return self._count(endpoint) >= self._share(endpoint)
 
     def is_customer_at_limit(self, endpoint: EndpointRow, customer: str | None) -> bool:
--- a/tests/core/proxy/test_customers.py
+++ b/tests/core/proxy/test_customers.py
@@ -328,3 +328,24 @@
         judge.ran(f"r{index}", "acme", 1.0 + 0.1 * index)
     assert [breach.request_id for breach in judge.breaches] == ["r33"]
     assert judge.most("acme") == 34
+
+
+def test_host_cut_off_from_the_holders_serves_more_than_one_customer():
+    """Guard against a direct connection that one customer's idle use keeps occupied.
+
+    A host that reaches no holder has one connection of its own to each endpoint. It was
+    not closed for the statements of another customer, which waited until their timeout.
+    """
+    world = ProxyWorld(hosts=MANY_HOSTS)
+    world.configure(identified(ACME, BERTH))
+    world.run(4.0)
+    index = _non_holder(world)
+    world.hosts[index].cut_from.update(h.name for h in world.hosts)
+    callers = [world.caller(index, "strict", key) for key in ("key-a", "key-c")]
+    world.run(3.0)
+    for _ in range(2):
+        callers[0].run(Read("a"))  # the host detects that no holder answers
+        world.run(1.0)
+    for caller in callers * 3:
+        assert caller.run(Read("a")).code is Code.DONE
+        world.run(0.2)
