Let new connections take slot time in the stand-in endpoints

The endpoints of the operators described in docs/design/hard-load.md spend 12 ms of a slot on each new connection, and one of them leaves half of its statements unanswered. The stand-ins could do neither.

GroupTimes.opening is the slot time of a new connection, 0 by default. An endpoint with all its connections in use refuses without a slot. Replica.unanswered is the share of callers' statements without an answer; probes are answered. Group.work_of lets a load give its statements different work. The virtual world counts opened connections, and the judge of customers marks breaches of a limit.

--- a/mallowpass/standins/proxied/connections.py
+++ b/mallowpass/standins/proxied/connections.py
@@ -30,7 +30,7 @@
 )
 from mallowpass.standins.proxied.replicas import Group, LogEntry, Replica
 
-__all__ = ["ReplicaConnection", "connect"]
+__all__ = ["ReplicaConnection", "connect", "open_in_slot"]
 
 Done = Callable[[EndpointReply], None]
 
@@ -45,6 +45,28 @@
     return ReplicaConnection(group, replica, customer)
 
 
+def open_in_slot(group: Group, name: str, opened: Callable[[], None]) -> None:
+    """Spend the slot time of a new connection, then call `opened`.
+
+    A member that is down, or that has all its connections, spends none.
+    """
+    replica = group.replicas.get(name)
+    is_full = replica is not None and len(replica.connections) >= group.max_connections
+    if replica is None or not replica.up or is_full:
+        opened()
+    elif replica.busy >= group.slots:
+        group.timers.after(0.001, open_in_slot, group, name, opened)
+    else:
+        replica.busy += 1
+        work = group.times.opening * replica.slowness
+        group.timers.after(work, _leave_slot, replica, opened)
+
+
+def _leave_slot(replica: Replica, opened: Callable[[], None]) -> None:
+    replica.busy = max(0, replica.busy - 1)
+    opened()
+
+
 class ReplicaConnection:
     """Hold one connection; its statements run one after the other."""
 
@@ -106,7 +128,11 @@
         call, done = self._queue.popleft()
         work = 0.0
         if call.statement.takes_slot:
-            work = self._group.times.work * self._replica.slowness
+            work = self._group.work_of(call.request_id) * self._replica.slowness
+            share = self._replica.unanswered
+            if call.request_id and share and self._group.random.random() < share:
+                # Answers keep the order of statements: none follows a missing one.
+                self.silent = True
         refusal = self._refusal(call)
         if refusal is not None:
             self._answer(done, refusal, failed=True)
--- a/mallowpass/standins/proxied/replicas.py
+++ b/mallowpass/standins/proxied/replicas.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -36,6 +37,7 @@
     """Hold the times of a group, in seconds."""
 
     work: float = 0.006  # of a statement, in a slot
+    opening: float = 0.0  # of a new connection, in a slot
     network: float = 0.001  # until a replica has received a commit
     lag: float = 0.008  # from then until it has applied it
     # Until a primary has learnt that enough replicas have received a commit.
@@ -91,6 +93,7 @@
     slowness: float = 1.0  # times that its statements take longer
     up: bool = True
     busy: int = 0
+    unanswered: float = 0.0  # share of statements that get no answer
     connections: set[ReplicaConnection] = field(default_factory=set)
 
     @property
@@ -137,12 +140,14 @@
         "on_run",
         "overtaken",
         "promotions",
+        "random",
         "replicas",
         "service",
         "slots",
         "synchronous",
         "timers",
         "times",
+        "work_of",
     )
 
     def __init__(
@@ -176,6 +181,9 @@
         # Acknowledged by a member after its successor led.
         self.overtaken: list[Overtaken] = []
         self.promotions = 0
+        self.random = random.Random(service)
+        # Called with a request; returns its work in a slot, in seconds.
+        self.work_of: Callable[[str], float] = lambda request: self.times.work
         self.on_role: Callable[[Replica], None] = lambda replica: None
         # Called with the request and its connection's customer whenever one runs.
         self.on_run: Callable[[str, str | None], None] = lambda request, customer: None
--- a/mallowpass/standins/proxied/virtual/customers.py
+++ b/mallowpass/standins/proxied/virtual/customers.py
@@ -28,6 +28,7 @@
     request_id: str
     at: float
     why: str
+    is_above_limit: bool = False
 
 
 @dataclass(slots=True)
@@ -113,7 +114,7 @@
         limit = self._limit(customer, now)
         if len(ledger.ran_at) > limit:
             why = f"{len(ledger.ran_at)} of {customer!r} in {WINDOW:g} s, not {limit:g}"
-            self._breach(request_id, now, why)
+            self.breaches.append(Breach(request_id, now, why, is_above_limit=True))
 
     def _limit(self, customer: str, now: float) -> float:
         """Return the highest limit that a window up to now may go by."""
--- a/mallowpass/standins/proxied/virtual/hosts.py
+++ b/mallowpass/standins/proxied/virtual/hosts.py
@@ -36,7 +36,11 @@
 from mallowpass.core.proxy.storage import StoreReply, StoreStatus
 from mallowpass.core.proxy.tables import ProxyTables
 from mallowpass.platform import wire
-from mallowpass.standins.proxied.connections import ReplicaConnection, connect
+from mallowpass.standins.proxied.connections import (
+    ReplicaConnection,
+    connect,
+    open_in_slot,
+)
 from mallowpass.standins.proxied.replicas import Group, Replica
 from mallowpass.standins.proxied.virtual.oracle import Session
 
@@ -241,11 +245,22 @@
         elif replica is None or not replica.up:
             refusal = ConnectionRefused(number, Code.OTHER, "reset", True)
             self.later(self.world.way(self, effect), refusal)
+        elif group.times.opening:
+            opened = partial(self._opened_in_slot, group, effect, replica)
+            open_in_slot(group, effect.endpoint, opened)
         else:
             self.world.timers.after(
                 self.world.handshake, self._opened, group, effect, replica
             )
 
+    def _opened_in_slot(
+        self, group: Group, effect: effects.OpenConnection, replica: Replica
+    ) -> None:
+        if replica.up:
+            self._opened(group, effect, replica)
+        else:
+            self._open(effect)
+
     def _opened(
         self, group: Group, effect: effects.OpenConnection, replica: Replica
     ) -> None:
@@ -257,6 +272,7 @@
             self.later(self.world.way(self, effect), refusal)
             return
         self.connections[effect.connection] = connection
+        self.world.connections_opened += 1
         ready = ConnectionReady(effect.connection, replica.applied_position)
         self.later(self._delay(connection), ready)
 
--- a/mallowpass/standins/proxied/virtual/world.py
+++ b/mallowpass/standins/proxied/virtual/world.py
@@ -148,6 +148,7 @@
         self.dark: set[str] = set()  # members that answer nobody
         self.orders_lost = 0  # orders that are carried out and not answered
         self.orders_late = 0.0  # seconds after which those are carried out
+        self.connections_opened = 0  # to members
         self.answers_to_lose = 0  # of statements, by the endpoint
         self.order_faults = OrderFaults(seed)
         self.tokens: dict[str, int] = {}
