Play loads of customers with limits in the policy tool

The patterns hot-customer, cut-from-keepers, half-silent and returning are played on such a deployment. The report gets the worth of the most urgent kind, what other customers are served, refused attempts and opened connections for each operation, and refusals below a limit.

--- a/mallowpass/cli/policy.py
+++ b/mallowpass/cli/policy.py
@@ -28,6 +28,8 @@
 @_size("promotion", click.FloatRange(min=0.001), "How long one takes; seconds.")
 @_size("slots", click.IntRange(min=1), "Of each endpoint.")
 @_size("connections", click.IntRange(min=1), "Of each endpoint, from all hosts.")
+@_size("customers", click.IntRange(min=0), "With limits, and connections of theirs.")
+@_size("opening", click.FloatRange(min=0.0), "Of a connection in a slot; seconds.")
 @click.option("--seed", type=int, default=1, show_default=True, help="The first one.")
 @click.option("--seeds", type=click.IntRange(min=1), default=1, show_default=True)
 @click.option("--plot", type=click.Path(dir_okay=False), help="Write a page of plots.")
--- a/mallowpass/measure/policy/patterns.py
+++ b/mallowpass/measure/policy/patterns.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from random import Random
 from typing import TYPE_CHECKING
 
 from mallowpass.core.proxy.holders import Holders
+from mallowpass.core.proxy.ratelimits.buckets import PART_COUNT
+from mallowpass.core.proxy.ratelimits.keepers import Keepers
+from mallowpass.measure.policy.deployment import CUSTOMERS, Deployment
+from mallowpass.measure.policy.operations import Retries
 from mallowpass.standins.proxied.virtual.world import SERVICE
 
 if TYPE_CHECKING:
@@ -22,6 +27,11 @@
 SLOW_EVENT = 0.004  # seconds of a slow host's time for each event
 BURST = 3.0
 RESTARTS = 8.0  # seconds over which all hosts are restarted in turn
+HOT_LOAD = 7.0  # times the usual load of the largest customer
+CUT_SHARE = 1 / 3  # of hosts, that are cut off from keepers
+CUT_TIME = 10.0  # seconds for which they are
+RECUT_INTERVAL = 0.25  # seconds between looks for new keepers, which are cut as well
+UNANSWERED = 0.5  # share of an endpoint's statements
 
 
 def _nothing(run: Run) -> None:
@@ -30,13 +40,26 @@
 
 @dataclass(frozen=True, slots=True)
 class Pattern:
-    """Describe a load; `lasts` is the time between `begin` and `end`, in seconds."""
+    """Describe a load; `lasts` is the time between `begin` and `end`, in seconds.
+
+    One with `customers` is played on a deployment that has some. The limit of the
+    largest one allows `peak` times its usual load.
+    """
 
     name: str
     summary: str
     begin: Callable[[Run], None]
     lasts: float = 5.0
     end: Callable[[Run], None] = _nothing
+    customers: bool = False
+    peak: float = 1.0
+
+    def prepare(self, deployment: Deployment) -> Deployment:
+        """Return the deployment that this is played on in the place of another."""
+        if not self.customers:
+            return deployment
+        count = deployment.customers or CUSTOMERS
+        return replace(deployment, customers=count, peak=self.peak)
 
 
 def _lose_power(run: Run) -> None:
@@ -164,6 +187,61 @@
     run.world.start_again(index)
 
 
+def _heat_customer(run: Run) -> None:
+    run.customers.hot_load = HOT_LOAD
+
+
+def _cool_customer(run: Run) -> None:
+    run.customers.hot_load = 1.0
+
+
+def _heat_customer_with_returns(run: Run) -> None:
+    run.retries = Retries.AT_ONCE
+    _heat_customer(run)
+
+
+def _cool_customer_with_returns(run: Run) -> None:
+    run.retries = Retries.AFTER_PAUSE
+    _cool_customer(run)
+
+
+def _cut_from_keepers(run: Run) -> None:
+    keepers = _keepers(run)
+    others = [host.name for host in run.world.hosts if host.name not in keepers]
+    count = min(len(others), round(CUT_SHARE * len(run.world.hosts)))
+    _recut(run, set(Random(run.seed).sample(others, count)), CUT_TIME)
+
+
+def _recut(run: Run, names: set[str], remaining: float) -> None:
+    """Cut hosts from those that keep parts now, also from ones that took them over."""
+    keepers = _keepers(run)
+    for host in run.world.hosts:
+        if host.name in names:
+            host.cut_from |= keepers - {host.name}
+    # The last look comes before the cuts are healed.
+    if remaining > RECUT_INTERVAL:
+        left = remaining - RECUT_INTERVAL
+        run.world.timers.after(RECUT_INTERVAL, _recut, run, names, left)
+
+
+def _keepers(run: Run) -> set[str]:
+    parts = range(PART_COUNT)
+    return {
+        host.name
+        for host in run.world.hosts
+        if any(host.node.system(Keepers).grant_right(part) for part in parts)
+    }
+
+
+def _leave_half_unanswered(run: Run) -> None:
+    run.replicas[0].unanswered = UNANSWERED
+
+
+def _answer_all(run: Run) -> None:
+    for replica in run.world.group.replicas.values():
+        replica.unanswered = 0.0
+
+
 PATTERNS = (
     Pattern("calm", "nothing goes wrong", _nothing),
     Pattern("power", "all hosts lose power under full traffic", _lose_power),
@@ -226,4 +304,35 @@
     Pattern(
         "restarts", "all hosts are restarted in turn", _restart_in_turn, lasts=RESTARTS
     ),
+    Pattern(
+        "hot-customer",
+        "a customer sends seven times its usual load, inside its limit",
+        _heat_customer,
+        end=_cool_customer,
+        customers=True,
+        peak=HOT_LOAD,
+    ),
+    Pattern(
+        "cut-from-keepers",
+        "a third of the hosts is cut off from the keepers of limits",
+        _cut_from_keepers,
+        lasts=CUT_TIME,
+        end=_heal_cuts,
+        customers=True,
+    ),
+    Pattern(
+        "half-silent",
+        "a replica does not answer half of its statements",
+        _leave_half_unanswered,
+        end=_answer_all,
+        customers=True,
+    ),
+    Pattern(
+        "returning",
+        "as hot-customer, and refused callers come back twice, at once",
+        _heat_customer_with_returns,
+        end=_cool_customer_with_returns,
+        customers=True,
+        peak=HOT_LOAD,
+    ),
 )
--- a/mallowpass/measure/policy/report.py
+++ b/mallowpass/measure/policy/report.py
@@ -8,7 +8,8 @@
 from dataclasses import asdict, dataclass
 from statistics import mean
 
-from mallowpass.measure.policy.deployment import KINDS
+from mallowpass.measure.policy.customers import HOT
+from mallowpass.measure.policy.deployment import Kind
 from mallowpass.measure.policy.operations import Ended, Outcome
 from mallowpass.measure.policy.run import Played
 from mallowpass.report.plots import Band, Plot, Stack, svg_of
@@ -37,7 +38,13 @@
 
     `worth` is what was earned of what could be; `worst` the same of the worst window,
     `weakest` of the kind of operation that earned least. `worth_low` and `worth_high`
-    are of single seeds.
+    are of single seeds. `urgent` is the worth of the most urgent kind. `others` is, of
+    the work that customers other than the largest one asked for, the share that was
+    served, in time or late. `refusals` and `opened` count refused attempts and opened
+    connections for each operation. `limited_below` counts operations that were refused
+    at a limit although their customer was below it as it asked, `limited_share` is
+    their share of all operations asked below a limit. `above` counts operations that
+    ran above one.
     """
 
     pattern: str
@@ -53,6 +60,13 @@
     refused: float
     failed: float
     held: float
+    urgent: float
+    others: float
+    refusals: float
+    opened: float
+    limited_below: float
+    limited_share: float
+    above: float
     broken: tuple[str, ...]
 
 
@@ -75,6 +89,16 @@
         refused=counts[Outcome.REFUSED] / number,
         failed=counts[Outcome.FAILED] / number,
         held=sum(ended.held for run in runs for ended in run.ended) / number,
+        urgent=mean(_most_urgent_kind(run) for run in runs),
+        others=mean(_served_of_others(run) for run in runs),
+        refusals=mean(_each(run, sum(e.refusals for e in run.ended)) for run in runs),
+        opened=mean(_each(run, run.opened) for run in runs),
+        limited_below=mean(_limited_below(run) for run in runs),
+        limited_share=mean(
+            _limited_below(run) / max(1, sum(e.within_limit for e in run.ended))
+            for run in runs
+        ),
+        above=mean(run.above_limit for run in runs),
         broken=tuple(f"seed {run.seed}: {what}" for run in runs for what in run.broken),
     )
 
@@ -96,14 +120,40 @@
 
 
 def _weakest_kind(run: Played) -> float:
-    return min(_worth(e for e in run.ended if e.kind is kind) for kind in KINDS)
+    return min(_worth_of_kind(run, kind) for kind in run.deployment.kinds)
+
+
+def _most_urgent_kind(run: Played) -> float:
+    urgent = min(run.deployment.kinds, key=lambda kind: kind.route.priority)
+    return _worth_of_kind(run, urgent)
+
+
+def _worth_of_kind(run: Played, kind: Kind) -> float:
+    return _worth(ended for ended in run.ended if ended.kind is kind)
+
+
+def _served_of_others(run: Played) -> float:
+    """Return the share of work of other customers that was served; 1 without any."""
+    others = [ended for ended in run.ended if ended.customer != HOT]
+    asked = sum(ended.work for ended in others)
+    served = sum(ended.work for ended in others if ended.is_served)
+    return served / asked if asked else 1.0
+
+
+def _limited_below(run: Played) -> int:
+    return sum(e.limited > 0 and e.within_limit for e in run.ended)
+
+
+def _each(run: Played, total: int) -> float:
+    return total / max(1, len(run.ended))
 
 
 # -- Text --------------------------------------------------------------------
 
 _HEAD = (
-    "pattern          worth   lowest  highest   worst  weakest"
+    "pattern           worth   lowest  highest   worst  weakest"
     "   asked in time    late refused  failed    held"
+    "  urgent  others refusals  opened  below   share  above"
 )
 
 
@@ -113,9 +163,11 @@
     broken = []
     for s in summaries:
         yield (
-            f"{s.pattern:15s}  {s.worth:.3f}    {s.worth_low:.3f}    {s.worth_high:.3f}"
+            f"{s.pattern:16s}  {s.worth:.3f}    {s.worth_low:.3f}    {s.worth_high:.3f}"
             f"   {s.worst:.3f}    {s.weakest:.3f} {s.asked:7.0f} {s.in_time:7.0f}"
             f" {s.late:7.0f} {s.refused:7.0f} {s.failed:7.0f} {s.held:7.0f}"
+            f"   {s.urgent:.3f}   {s.others:.3f}    {s.refusals:.3f}   {s.opened:.3f}"
+            f" {s.limited_below:6.0f}   {s.limited_share:.3f} {s.above:6.0f}"
         )
         broken += [f"{s.pattern}, {what}" for what in s.broken]
     yield from broken
