Soak with a hot customer and members that answer half

The soak knew no customers, so neither their limits and connections nor an endpoint that answers half of its statements were tried with real processes.

Each run begins with both. The HTTP store of the stand-ins encodes customers. Runs without the option play the same faults by seed as before, and all checks are unchanged.

--- a/mallowpass/standins/proxied/httpserver.py
+++ b/mallowpass/standins/proxied/httpserver.py
@@ -9,7 +9,8 @@
 from typing import Any
 from urllib.parse import parse_qs
 
-from mallowpass.core.proxy.configuration import Configuration
+from mallowpass.core.proxy.configuration import Configuration, Customer
+from mallowpass.core.proxy.credentials import credential_of
 from mallowpass.core.proxy.storage import (
     ChangeRows,
     EndpointEntry,
@@ -29,7 +30,7 @@
 from mallowpass.standins.proxied.replicas import Group
 from mallowpass.standins.proxied.rows import RowStore
 
-__all__ = ["OrderServer", "StoreServer"]
+__all__ = ["OrderServer", "StoreServer", "customer_key"]
 
 _CONSISTENCY_WORDS = {kind: word for word, kind in CONSISTENCY_BY_ROUTE_TYPE.items()}
 _STATUSES = {
@@ -177,9 +178,26 @@
         "services": services,
         "limits": limits,
     }
+    if value.authenticates_callers:
+        document["tenants"] = list(map(_customer, value.customers.values()))
     return json.dumps(document).encode()
 
 
+def customer_key(name: str) -> str:
+    """Return the key of a customer, which a configuration holds in no form."""
+    return f"key-{name}"
+
+
+def _customer(customer: Customer) -> dict[str, Any]:
+    key = customer_key(customer.name)
+    if customer.credentials != {credential_of(key)}:
+        raise ValueError(f"{customer.name} has another key than {key}")
+    item = {"name": customer.name, "apiKeys": [key]}
+    if customer.is_limited:
+        item |= {"ratePerS": customer.rate, "burst": customer.burst}
+    return item
+
+
 def _encode_entry(value: EndpointEntry) -> bytes:
     document = {
         "service": value.service,
--- a/mallowpass/standins/proxied/platform.py
+++ b/mallowpass/standins/proxied/platform.py
@@ -8,13 +8,16 @@
 import random
 import socket
 import time
+from collections.abc import Sequence
 from typing import Any
 
 from mallowpass.core.proxy.configuration import (
     Configuration,
     Consistency,
+    Customer,
     Route,
     ServiceLimits,
+    index_credentials,
 )
 from mallowpass.core.proxy.storage import EndpointEntry, RowKey, Table
 from mallowpass.core.timers import TimerService
@@ -38,8 +41,13 @@
 RESERVE_TRIES = 50
 
 
-def claims_configuration(version: int, service: str) -> Configuration:
-    """Return a configuration with a route of each kind, as the claims desk has."""
+def claims_configuration(
+    version: int, service: str, customers: Sequence[Customer] = ()
+) -> Configuration:
+    """Return a configuration with a route of each kind, as the claims desk has.
+
+    With customers, callers have to show their keys.
+    """
     kinds = {
         "claim-filing": Consistency.PRIMARY,
         "tariff-lookup": Consistency.BOUNDED,
@@ -49,7 +57,14 @@
         name: Route(name, service, kind, 0.8, 0.4, 1, accepted_age=1.5)
         for name, kind in kinds.items()
     }
-    return Configuration(version, routes, {service: ServiceLimits(service, 22, 1)})
+    return Configuration(
+        version,
+        routes,
+        {service: ServiceLimits(service, 22, 1)},
+        authenticates_callers=bool(customers),
+        customers={customer.name: customer for customer in customers},
+        credential_owners=index_credentials(customers),
+    )
 
 
 class MemoryLog:
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -17,12 +17,20 @@
 @click.option("--hosts", default=4, help="Host processes.")
 @click.option("--fences/--no-fences", default=True, help="What the platform checks.")
 @click.option("--copies", is_flag=True, help="The store comes back from copies.")
-def main(seeds: str, duration: float, hosts: int, fences: bool, copies: bool) -> None:
+@click.option("--customers", is_flag=True, help="Clients belong to customers.")
+def main(
+    seeds: str,
+    duration: float,
+    hosts: int,
+    fences: bool,
+    copies: bool,
+    customers: bool,
+) -> None:
     """Run SEEDS one after the other; logs of those that fail are kept."""
     first, _, last = seeds.partition("-")
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
-        verdict = asyncio.run(soak(seed, duration, hosts, fences, copies))
+        verdict = asyncio.run(soak(seed, duration, hosts, fences, copies, customers))
         done = verdict.codes.get("DONE", 0)
         click.echo(
             f"seed {seed}: {len(verdict.faults)} faults, {done} of "
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -46,8 +46,10 @@
         findings: Findings,
         seed: int,
         describe: Describe,
+        key: str,
     ) -> None:
         self._name = name
+        self._key = key
         self._addresses = addresses
         self._findings = findings
         self._random = random.Random(seed)
@@ -66,7 +68,7 @@
             self._answers.clear()
             try:
                 async with asyncio.timeout(ANSWER_LIMIT):
-                    caller = await WireCaller.connect(address, "status-sync")
+                    caller = await WireCaller.connect(address, "status-sync", self._key)
             except (CallerError, OSError, TimeoutError):
                 await asyncio.sleep(0.05)
                 continue
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -6,10 +6,16 @@
 import os
 import signal
 import sys
+from collections.abc import Sequence
 from pathlib import Path
 
-from mallowpass.platform.settings import Address
-from mallowpass.standins.proxied.platform import LocalPlatform
+from mallowpass.core.proxy.configuration import Customer
+from mallowpass.platform.settings import OVERLOAD_CONTRACT, Address
+from mallowpass.standins.proxied.platform import (
+    CONFIGURATION_KEY,
+    LocalPlatform,
+    claims_configuration,
+)
 from tests.soak.proxies import FaultProxy
 
 __all__ = ["HostProcess", "SoakPlatform"]
@@ -24,12 +30,27 @@
 class SoakPlatform(LocalPlatform):
     """Run the stand-ins, and enter members under the addresses of their proxies."""
 
-    def __init__(self, seed: int, fences: bool = True) -> None:
+    def __init__(
+        self, seed: int, fences: bool = True, customers: Sequence[Customer] = ()
+    ) -> None:
+        self._customers = customers
         self.proxies: dict[str, FaultProxy] = {}
         super().__init__(seed=seed, fences=fences)
         for name, server in self.servers.items():
             address = Address(server.address.host, PROXIED_PORT)
             self.proxies[name] = FaultProxy(address, server.address)
+        if customers:
+            self.configure(1)
+
+    @property
+    def contracts(self) -> list[str]:
+        """Return what the hosts' settings announce."""
+        return [OVERLOAD_CONTRACT] if self._customers else []
+
+    def configure(self, version: int) -> None:
+        """Write a version of the configuration."""
+        changed = claims_configuration(version, self.group.service, self._customers)
+        self.store.put(CONFIGURATION_KEY, changed)
 
     async def start_all(self) -> None:
         """Start the stand-ins and the proxies of members."""
@@ -87,6 +108,7 @@
 nodeName = "{self.name}"
 zone = "{domain}"
 internalPorts = [{PEERS_PORT}, {PEERS_PORT + 10}]
+contracts = {platform.contracts}
 [zones]
 {zones}
 [listen]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -8,15 +8,15 @@
 import tempfile
 from collections import Counter
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from pathlib import Path
 
+from mallowpass.core.proxy.configuration import Customer
+from mallowpass.core.proxy.credentials import credential_of
 from mallowpass.platform.runtime import EXCEPTION_ESCAPED
 from mallowpass.standins.proxied.caller import CallerError, WireCaller
-from mallowpass.standins.proxied.platform import (
-    CONFIGURATION_KEY,
-    claims_configuration,
-)
+from mallowpass.standins.proxied.httpserver import customer_key
+from mallowpass.standins.proxied.platform import CONFIGURATION_KEY
 from mallowpass.standins.proxied.replicas import LogEntry
 from tests.soak.clients import Client, Findings
 from tests.soak.fleet import HostProcess, SoakPlatform
@@ -25,6 +25,12 @@
 
 CLIENTS = 8
 SEARCHED = 400  # newest entries of a log in which a write is looked for
+# A customer's limit, in operations a second and at once. A client runs some 40 a second
+# at most, so HOT_LOAD times its load is inside the limit.
+RATE = BURST = 400.0
+HOT_LOAD = 7  # times the usual load of a customer, which is one client's
+# Seconds until keepers grant whole limits: they wait 12 s for possible predecessors.
+KEEPERS_START = 13.0
 START_LIMIT = 10.0  # seconds until all hosts serve, at the start and at the end
 
 
@@ -45,14 +51,17 @@
     hosts: int = 4,
     fences: bool = True,
     copies: bool = False,
+    customers: bool = False,
 ) -> Verdict:
     """Run one seed.
 
     Without `fences`, replaced primaries go on as such for a while. With `copies`, the
-    store comes back from one now and then.
+    store comes back from one now and then. With `customers`, clients have keys and
+    limits, one of them sends more than usual now and then, and members leave half of
+    their statements unanswered.
     """
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    run = _Run(seed, hosts, folder, fences)
+    run = _Run(seed, hosts, folder, fences, customers)
     if copies:
         run.add_copies()
     try:
@@ -68,21 +77,46 @@
 class _Run:
     """Hold everything of one seed."""
 
-    def __init__(self, seed: int, hosts: int, folder: Path, fences: bool) -> None:
+    def __init__(
+        self, seed: int, hosts: int, folder: Path, fences: bool, customers: bool
+    ) -> None:
         self.random = random.Random(seed)
         self._kinds = _FAULTS if fences else (*_FAULTS, _Run.cut_primary)
         self.findings = Findings()
         self.faults: list[str] = []
-        self.platform = SoakPlatform(seed, fences)
+        self._customers = [_customer(f"c{i}") for i in range(CLIENTS * customers)]
+        self._first: list[Callable[[_Run], Awaitable[None]]] = []  # faults
+        if customers:
+            self._kinds = (*self._kinds, *_FAULTS_OF_CUSTOMERS)
+            self._first += _FAULTS_OF_CUSTOMERS
+        self.platform = SoakPlatform(seed, fences, self._customers)
         self.hosts = [HostProcess(self.platform, i, folder) for i in range(hosts)]
-        addresses = [host.callers for host in self.hosts]
-        self.clients = [
-            Client(f"k{i}", addresses, self.findings, 1000 * seed + i, self._held)
-            for i in range(CLIENTS)
-        ]
+        self._seed = seed
+        self.clients: list[Client] = []
+        for i in range(CLIENTS):
+            self._add_client(self._key(i))
+        self._work: list[asyncio.Task[None]] = []
         self._busy: set[str] = set()  # members that are down
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _key(self, number: int) -> str:
+        """Return the key of a client."""
+        return customer_key(self._customers[number].name) if self._customers else "demo"
+
+    def _add_client(self, key: str) -> Client:
+        number = len(self.clients)
+        addresses = [host.callers for host in self.hosts]
+        client = Client(
+            f"k{number}",
+            addresses,
+            self.findings,
+            1000 * self._seed + number,
+            self._held,
+            key,
+        )
+        self.clients.append(client)
+        return client
+
     def add_copies(self) -> None:
         """Add the fault that the store is restored from a backup."""
         self._kinds = (*self._kinds, _Run.come_back, _Run.come_back, _Run.come_back)
@@ -109,11 +143,15 @@
             await host.store.start()
             await host.start()
         await self._await_service("at the start")
-        work = [asyncio.create_task(client.run()) for client in self.clients]
+        if self._customers:
+            await asyncio.sleep(KEEPERS_START)
+        self._work = [asyncio.create_task(client.run()) for client in self.clients]
         loop = asyncio.get_running_loop()
         end = loop.time() + duration
         while loop.time() < end:
-            fault = self.random.choice(self._kinds)
+            fault = (
+                self._first.pop() if self._first else self.random.choice(self._kinds)
+            )
             self.faults.append(f"{end - loop.time():.1f} {fault.__name__}")
             self._tasks.append(asyncio.create_task(fault(self)))
             await asyncio.sleep(self.random.uniform(0.2, 1.5))
@@ -121,7 +159,7 @@
         await self._await_service("after all faults")
         for client in self.clients:
             client.stopping = True
-        await asyncio.gather(*work)
+        await asyncio.gather(*self._work)
         await asyncio.sleep(0.5)
         self._check()
 
@@ -151,11 +189,12 @@
             except TimeoutError:
                 self.findings.broken.append(f"{host.name} serves no write {when}")
 
-    @staticmethod
-    async def _write_once(host: HostProcess) -> None:
+    async def _write_once(self, host: HostProcess) -> None:
         while True:
             try:
-                caller = await WireCaller.connect(host.callers, "status-sync")
+                caller = await WireCaller.connect(
+                    host.callers, "status-sync", self._key(0)
+                )
                 answer = await caller.run(f"WRITE {host.name} 1")
                 await caller.close()
                 if answer.code == "DONE":
@@ -291,9 +330,7 @@
 
     async def change_configuration(self) -> None:
         row = self.platform.store.get(CONFIGURATION_KEY)
-        version = row.value.version + self.random.randrange(1, 4)
-        changed = claims_configuration(version, self.platform.group.service)
-        self.platform.store.put(CONFIGURATION_KEY, replace(changed, version=version))
+        self.platform.configure(row.value.version + self.random.randrange(1, 4))
 
     async def drain_member(self) -> None:
         if self._busy:
@@ -303,6 +340,26 @@
         await asyncio.sleep(self.random.uniform(1.0, 3.0))
         self.platform.enter(primary)
 
+    async def hot_customer(self) -> None:
+        """Send HOT_LOAD times a customer's usual load, inside its limit."""
+        key = self._key(self.random.randrange(CLIENTS))
+        added = [self._add_client(key) for _ in range(HOT_LOAD - 1)]
+        self._work += [asyncio.create_task(client.run()) for client in added]
+        await asyncio.sleep(self.random.uniform(1.0, 3.0))
+        for client in added:
+            client.stopping = True
+
+    async def half_silent_member(self) -> None:
+        replica = self.random.choice(list(self.platform.group.replicas.values()))
+        replica.unanswered = 0.5
+        await asyncio.sleep(self.random.uniform(0.5, 3.0))
+        replica.unanswered = 0.0
+
+
+def _customer(name: str) -> Customer:
+    credentials = frozenset({credential_of(customer_key(name))})
+    return Customer(name, credentials, rate=RATE, burst=BURST)
+
 
 def _places(log: list[LogEntry], text: str) -> str:
     """Tell which entries of a log hold a write, and of which requests they are."""
@@ -330,3 +387,7 @@
     _Run.change_configuration,
     _Run.drain_member,
 )
+_FAULTS_OF_CUSTOMERS: tuple[Callable[[_Run], Awaitable[None]], ...] = (
+    _Run.hot_customer,
+    _Run.half_silent_member,
+)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -55,6 +55,12 @@
     assert verdict.codes["DONE"] > 100
 
 
+def test_short_seed_with_a_hot_customer_and_members_that_answer_half(check):
+    verdict = asyncio.run(soak(4, SHORT, hosts=3, customers=True))
+    check(verdict)
+    assert verdict.codes["DONE"] > 100
+
+
 @pytest.mark.parametrize("seed", FAILED_ONCE)
 def test_seed_that_failed_once(seed, check):
     check(asyncio.run(soak(seed, LONG)))
