Name the functions of the hot load in usual terms

Two pairs of functions of the pattern hot-customer had figurative names, and two comments were hard to read. They are renamed and reworded.

--- a/mallowpass/measure/policy/customers.py
+++ b/mallowpass/measure/policy/customers.py
@@ -13,10 +13,10 @@
 
 # Exponent of the Zipf distribution of load over customers.
 EXPONENT = 1.2
-# Limit of a customer, in times of its usual rate.
+# Limit of a customer, as a multiple of its usual rate.
 LIMIT_RATIO = 1.6
-# Operations that a customer may begin at once: those of so many seconds at its limit,
-# and at least BURST_MIN. Less would not be divided among the keepers of a limit.
+# Burst of a limit: the operations of BURST_TIME seconds at its rate, and at least
+# BURST_MIN. A burst below 6 would not be divided among the keepers.
 BURST_TIME = 1.0
 BURST_MIN = 10.0
 HOT = "customer-1"  # the largest one, whose load patterns change
@@ -71,8 +71,8 @@
     def is_within_limit(self, customer: Customer, now: float) -> bool:
         """Tell whether a customer is within its limit as it asks for an operation.
 
-        One token bucket for all hosts decides: without failures, parts and grants, it
-        would admit the operation. Retries are no operations.
+        A single token bucket of the customer's rate and burst decides, so the answer
+        does not depend on parts, grants or failures. Retries do not count.
         """
         size = BucketSize(customer.rate, customer.burst)
         bucket = self._buckets.get(customer.name)
--- a/mallowpass/measure/policy/patterns.py
+++ b/mallowpass/measure/policy/patterns.py
@@ -187,22 +187,22 @@
     run.world.start_again(index)
 
 
-def _heat_customer(run: Run) -> None:
+def _begin_hot_load(run: Run) -> None:
     run.customers.hot_load = HOT_LOAD
 
 
-def _cool_customer(run: Run) -> None:
+def _end_hot_load(run: Run) -> None:
     run.customers.hot_load = 1.0
 
 
-def _heat_customer_with_returns(run: Run) -> None:
+def _begin_hot_load_with_returns(run: Run) -> None:
     run.retries = Retries.AT_ONCE
-    _heat_customer(run)
+    _begin_hot_load(run)
 
 
-def _cool_customer_with_returns(run: Run) -> None:
+def _end_hot_load_with_returns(run: Run) -> None:
     run.retries = Retries.AFTER_PAUSE
-    _cool_customer(run)
+    _end_hot_load(run)
 
 
 def _cut_from_keepers(run: Run) -> None:
@@ -307,8 +307,8 @@
     Pattern(
         "hot-customer",
         "a customer sends seven times its usual load, inside its limit",
-        _heat_customer,
-        end=_cool_customer,
+        _begin_hot_load,
+        end=_end_hot_load,
         customers=True,
         peak=HOT_LOAD,
     ),
@@ -330,8 +330,8 @@
     Pattern(
         "returning",
         "as hot-customer, and refused callers come back twice, at once",
-        _heat_customer_with_returns,
-        end=_cool_customer_with_returns,
+        _begin_hot_load_with_returns,
+        end=_end_hot_load_with_returns,
         customers=True,
         peak=HOT_LOAD,
     ),
