Share slots fairly among the customers whose statements wait

Cause: waiting statements ran by priority and arrival. A customer with seven times its usual load took seven times the slots of its group, and the others waited behind it.

Change: the queue of a group, and a holder's queue of an endpoint, order the statements of a priority by the start tags of start-time fair queueing. A freed connection is first offered to its own customer, within a quantum of four openings. Statements that leave the queue unsent are given back what they were charged. Customers get an optional field `weight`; an invalid one is refused with an error that names the customer. The mechanism `fair-sharing` can be left out of a measurement.

--- a/mallowpass/core/proxy/answers.py
+++ b/mallowpass/core/proxy/answers.py
@@ -4,6 +4,7 @@
 
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.effects import AnswerStatement
+from mallowpass.core.proxy.fairsharing import FairSharing
 from mallowpass.core.proxy.ratelimits.allowances import Allowances
 from mallowpass.core.proxy.signals import StatementAnswered
 from mallowpass.core.proxy.statements import (
@@ -21,12 +22,13 @@
 class Answers(ProxySystem):
     """Answer the statements of callers."""
 
-    __slots__ = ("_allowances", "_connections")
+    __slots__ = ("_allowances", "_connections", "_fair_sharing")
 
     def start(self) -> None:
         """Look up the systems that this one uses."""
         self._allowances = self._node.system(Allowances)
         self._connections = self._node.system(Connections)
+        self._fair_sharing = self._node.system(FairSharing)
 
     def refuse(self, request: RequestRow, code: Code, why: str) -> None:
         """Refuse a statement: nothing of it, or of its transaction, is committed."""
@@ -99,6 +101,7 @@
         request.timers.clear()
         if request.granted_until is not None:
             self._allowances.return_unused(request.customer, request.granted_until)
+        self._fair_sharing.leave(request)
         group = self.tables.group(request.route.service)
         if request in group.waiting:
             group.waiting.remove(request)
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -22,11 +22,13 @@
     RefuseLink,
 )
 from mallowpass.core.proxy.events import LinkCalled, LinkClosed, LinkOpened
+from mallowpass.core.proxy.fairsharing import FairSharing
 from mallowpass.core.proxy.fencing import Fencing
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.pauses import Pauses
+from mallowpass.core.proxy.policy.dispatch import link_urgency
 from mallowpass.core.proxy.sessionstate import make_setup_calls
 from mallowpass.core.proxy.signals import (
     ConnectionFreed,
@@ -83,6 +85,7 @@
 
     __slots__ = (
         "_connections",
+        "_fair_sharing",
         "_fencing",
         "_floors",
         "_holders",
@@ -97,6 +100,7 @@
         """Subscribe to the events of links, connections and endpoints."""
         node = self._node
         self._connections = node.system(Connections)
+        self._fair_sharing = node.system(FairSharing)
         self._fencing = node.system(Fencing)
         self._floors = node.system(Floors)
         self._holders = node.system(Holders)
@@ -104,7 +108,7 @@
         self._pauses = node.system(Pauses)
         self._stalls = node.system(Stalls)
         self._write_holds = node.system(WriteHolds)
-        self._waiting: list[LinkRow] = []  # by priority, then by time
+        self._waiting: list[LinkRow] = []  # by `link_urgency`
         node.subscribe(LinkOpened, self._on_opened)
         node.subscribe(LinkCalled, self._on_called)
         node.subscribe(LinkClosed, self._on_closed)
@@ -142,6 +146,7 @@
             return
         link.closed = True
         link.waiting.clear()
+        self._fair_sharing.leave(link)
         if link in self._waiting:
             self._waiting.remove(link)
         if link.connection is not None and not link.in_flight:
@@ -205,6 +210,7 @@
             self._refuse_held(link)
             return
         if link.connection is not None:
+            self._fair_sharing.charge_link(link)
             self._send(link, link.connection)
             return
         named = [c.on_behalf_of for c in event.calls if c.on_behalf_of is not None]
@@ -227,8 +233,9 @@
                 self._refuse(link, Code.UNREACHABLE, ENDPOINT_UNREACHABLE)
                 return
             link.waiting_since = self.now
+            self._fair_sharing.enter_link(link)
             self._waiting.append(link)
-            self._waiting.sort(key=lambda link: (link.priority, link.waiting_since))
+            self._waiting.sort(key=link_urgency)
             self.timers.after(WAIT_TIMEOUT, self._check_wait, link, self.now)
             self._try_to_send(link)
 
@@ -366,8 +373,8 @@
 
     def _on_freed(self, signal: ConnectionFreed) -> None:
         blocked: set[str | None] = set()  # customers without an available connection
-        for link in list(self._waiting):
-            if link.endpoint is not signal.endpoint or link.customer in blocked:
+        for link in self._fair_sharing.link_order(self._waiting, signal.endpoint):
+            if link.customer in blocked:
                 continue
             if not self._try_to_send(link):
                 blocked.add(link.customer)
@@ -386,6 +393,7 @@
             self._connections.grow(link.endpoint, link.customer, borrow=borrow)
             return False
         self._waiting.remove(link)
+        self._fair_sharing.note_sent(link, connection)
         link.connection = connection
         link.has_written = False
         connection.state = ConnectionState.PINNED
@@ -439,6 +447,7 @@
         state: SessionState = SessionState.IDLE,
     ) -> None:
         """Refuse the waiting calls of a link, which did not run."""
+        self._fair_sharing.leave(link)
         self._node.count("links_refused", endpoint=link.endpoint.name, code=code.value)
         group = self._group(link)
         if code is Code.BUSY and link.endpoint.name == group.primary:
--- a/mallowpass/core/proxy/policy/__init__.py
+++ b/mallowpass/core/proxy/policy/__init__.py
@@ -6,6 +6,7 @@
 | module | decision |
 |---|---|
 | `dispatch` | which waiting statement is tried first, and which need not be tried |
+| `fairqueue` | which customer's statement is next, and which may use its connection |
 | `admission` | which statements keep waiting, and which are refused |
 | `placement` | which of the eligible endpoints runs a statement |
 | `sharing` | which hosts connect to an endpoint, and with how many connections |
--- a/mallowpass/core/proxy/policy/dispatch.py
+++ b/mallowpass/core/proxy/policy/dispatch.py
@@ -1,10 +1,11 @@
 """Dispatch order of the statements that wait for an endpoint, and misses of a pass.
 
 When endpoints are full, hundreds of statements wait, and each statement that ends frees
-one connection. Statements run by priority, and in order of arrival within a priority,
-so that no statement waits longer than it must. Choosing an endpoint for each waiting
-statement on each pass would take all of a host's processor time, so a statement that
-finds no connection spares those behind it the same search.
+one connection. Statements run by priority, then by the start tag of fair queueing, then
+in order of arrival, so that no statement waits longer than it must. All start tags are
+0 without customers. Choosing an endpoint for each waiting statement on each pass would
+take all of a host's processor time, so a statement that finds no connection spares
+those behind it the same search.
 """
 
 from __future__ import annotations
@@ -12,15 +13,20 @@
 from collections import Counter
 
 from mallowpass.core.positions import LogPosition
-from mallowpass.core.proxy.tables import ConnectionRow, RequestRow
+from mallowpass.core.proxy.tables import ConnectionRow, LinkRow, RequestRow
 from mallowpass.core.records import record
 
-__all__ = ["Choice", "DispatchPass", "urgency"]
+__all__ = ["Choice", "DispatchPass", "link_urgency", "urgency"]
 
 
-def urgency(request: RequestRow) -> tuple[int, float]:
+def urgency(request: RequestRow) -> tuple[int, float, float]:
     """Return the sort key of the queue: statements with a lower key run first."""
-    return (request.route.priority, request.arrived_at)
+    return (request.route.priority, request.start_tag, request.arrived_at)
+
+
+def link_urgency(link: LinkRow) -> tuple[int, float, float]:
+    """Return the sort key of a holder's queue of links."""
+    return (link.priority, link.start_tag, link.waiting_since)
 
 
 @record
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -14,6 +14,7 @@
 from mallowpass.core.proxy.discovery import Discovery
 from mallowpass.core.proxy.draining import Draining
 from mallowpass.core.proxy.durability import Durability
+from mallowpass.core.proxy.fairsharing import FairSharing
 from mallowpass.core.proxy.feeds import Feeds
 from mallowpass.core.proxy.fenceorders import FenceOrders
 from mallowpass.core.proxy.fencing import Fencing
@@ -69,6 +70,7 @@
     Shares,
     Load,
     Durability,
+    FairSharing,
     Connections,
     DeadConnections,
     IdleConnections,
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -11,6 +11,7 @@
 from mallowpass.core.proxy.attempts import TRIES_MAX, Attempts
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.durability import Durability
+from mallowpass.core.proxy.fairsharing import FairSharing
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.leadership import LEADERSHIP_UNPROVEN
 from mallowpass.core.proxy.load import Load
@@ -88,6 +89,7 @@
         "_attempts",
         "_connections",
         "_durability",
+        "_fair_sharing",
         "_floors",
         "_load",
         "_members",
@@ -108,6 +110,7 @@
         self._attempts = node.system(Attempts)
         self._connections = node.system(Connections)
         self._durability = node.system(Durability)
+        self._fair_sharing = node.system(FairSharing)
         self._floors = node.system(Floors)
         self._load = node.system(Load)
         self._members = node.system(Members)
@@ -171,6 +174,7 @@
         if transaction is None or transaction.connection is None:
             self._admit(request)
         else:
+            self._fair_sharing.charge_request(request)
             self._transactions.send(request)
 
     def _is_held(self, request: RequestRow) -> bool:
@@ -213,6 +217,7 @@
 
     def _enqueue(self, request: RequestRow) -> None:
         group = self.tables.group(request.route.service)
+        self._fair_sharing.enter_request(request)
         group.waiting.append(request)
         if len(group.waiting) > 1:
             group.waiting.sort(key=urgency)
@@ -226,7 +231,7 @@
         """Send the waiting statements that can be sent, the most urgent first."""
         dispatch_pass = DispatchPass()
         any_full = self._routing.has_full_endpoint(group)
-        for request in list(group.waiting):
+        for request in self._fair_sharing.request_order(group):
             if request.finished or request.retry_at > self.now:
                 continue
             # Further statements of the customer would find no connection either. A
@@ -264,6 +269,7 @@
             self._answers.refuse(request, Code.BUSY, request.detail)
         elif choice.connection is not None:
             group.waiting.remove(request)
+            self._fair_sharing.note_sent(request, choice.connection)
             self._send(request, choice.connection, choice.floor)
         elif choice.full and is_turned_away(request, group.waiting, self.now):
             group.last_rejection_at = self.now
--- a/mallowpass/measure/policy/mechanisms.py
+++ b/mallowpass/measure/policy/mechanisms.py
@@ -19,6 +19,7 @@
     shares,
 )
 from mallowpass.core.proxy.connections import Connections
+from mallowpass.core.proxy.fairsharing import FairSharing
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.leadership import Leadership
@@ -65,8 +66,8 @@
     return answer
 
 
-def _by_arrival(request: RequestRow) -> tuple[int, float]:
-    return (0, request.arrived_at)
+def _by_arrival(request: RequestRow) -> tuple[int, float, float]:
+    return (0, 0.0, request.arrived_at)
 
 
 def _until_timeout(request: RequestRow) -> float:
@@ -93,6 +94,11 @@
         "first come, first served",
         (requests, "urgency", _by_arrival),
     ),
+    _mechanism(
+        "fair-sharing",
+        "customers get slots in the order in which their statements arrive",
+        (FairSharing, "is_in_force", property(_always(False))),
+    ),
     _mechanism(
         "early-refusal",
         "what no endpoint has room for waits to its timeout",
--- a/mallowpass/platform/documents.py
+++ b/mallowpass/platform/documents.py
@@ -45,6 +45,10 @@
 _IS_PRIMARY_BY_ROLE = {"primary": True, "replica": False}
 _DEFAULT_TRANSACTION_IDLE_MS = 3000  # used if `limits` does not set txIdleMs
 _SHOWN_CHARACTERS = 80  # of an invalid value, in an error message
+# Weights of customers. A customer with a weight near 0 would get no statement run, and
+# beside one with a very large weight the others would get none.
+_WEIGHT_MIN = 0.01
+_WEIGHT_MAX = 100
 _MAX_NUMBER = 2**53  # all JSON writers represent integers up to here exactly
 
 _T = TypeVar("_T")
@@ -125,9 +129,22 @@
         priority=int(_get_number(item, "priority", 0)),
         rate=_get_number(item, "ratePerS", math.inf),
         burst=_get_number(item, "burst", math.inf),
+        weight=_get_weight(item, name),
     )
 
 
+def _get_weight(item: dict[str, Any], customer: str) -> float:
+    """Return a customer's weight; the error for an invalid one names the customer."""
+    try:
+        weight = _get_number(item, "weight", 1.0)
+        if not _WEIGHT_MIN <= weight <= _WEIGHT_MAX:
+            raise _invalid("weight", weight)
+    except DocumentError as error:
+        name = customer[:_SHOWN_CHARACTERS]
+        raise DocumentError(f"tenants: customer {name}: {error}") from error
+    return float(weight)
+
+
 def _decode_service(item: dict[str, Any]) -> ServiceLimits:
     return ServiceLimits(
         name=_get_text(item, "name"),
