--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -328,3 +328,26 @@
         parent[name] = value
 
     _check_configuration(_with_change(path, change))
+
+
+# -- Weights of customers ----------------------------------------------------
+
+
+@pytest.mark.parametrize("weight", [0.01, 1, 2.5, 100])
+def test_weight_of_a_customer(weight):
+    found = decode_configuration(_with_customers(CUSTOMER | {"weight": weight}))
+    assert found.customers["bode960"].weight == weight
+    bare = decode_configuration(_with_customers(CUSTOMER))
+    assert bare.customers["bode960"].weight == 1.0
+
+
+@pytest.mark.parametrize(
+    "weight",
+    [0, -1, 0.009, 100.5, 10**400, math.nan, math.inf, True, "1", None, [1], {}],
+)
+def test_invalid_weight_is_refused_with_the_customers_name(weight):
+    """Guard against a division by zero, and a customer that takes all slots."""
+    with pytest.raises(DocumentError, match="customer bode960: .*weight") as caught:
+        decode_configuration(_with_customers(CUSTOMER | {"weight": weight}))
+    assert len(str(caught.value)) < 300
+    assert "nirth5" not in str(caught.value)
