Offer connections in a queue whose priorities have changed

Cause: a link that waits takes the priority of calls that arrive later. Until the next link is queued, the queue is not sorted, and the search for the first statement of a priority could return an index beyond its end.

Change: the index of the statement itself bounds that search.

Result: the new test fails without the change, and passes with it, as do 163 tests of policies, fair sharing, customers and links.

--- a/mallowpass/core/proxy/policy/fairqueue.py
+++ b/mallowpass/core/proxy/policy/fairqueue.py
@@ -120,7 +120,7 @@
     first_of: dict[int, int] = {}  # index of the first statement, by priority
     offered: dict[int, list[_W]] = {}  # by that index
     moved: set[_W] = set()
-    for row in waiting:
+    for index, row in enumerate(waiting):
         wanted = kind(row)
         if not left.get(wanted):
             continue
@@ -128,7 +128,9 @@
         first = first_of.get(priority)
         if first is None:
             first = bisect_left(waiting, priority, key=lambda other: rank(other)[0])
-            first_of[priority] = first
+            # The priority of a link may change while it waits, so that `waiting` is not
+            # sorted until the next link is queued.
+            first = first_of[priority] = min(first, index)
         if tag > rank(waiting[first])[1] + quantum_of(row):
             continue
         left[wanted] -= 1
--- a/tests/core/proxy/policy/test_fairqueue.py
+++ b/tests/core/proxy/policy/test_fairqueue.py
@@ -239,6 +239,15 @@
     assert all(abs(count - mean) <= 4 for count in sent.values())
 
 
+def test_changed_priority_of_a_waiting_link_drops_no_statement():
+    """Guard against an error, or a lost statement, in a queue that is not sorted."""
+    waiting = [request(f"c{p}", 0.0, priority=p) for p in (2, 0, 1)]
+    idle = Counter(c2=1, c1=1)
+    order = offer_order(waiting, idle, urgency, lambda r: r.customer, lambda _: 1.0)
+    assert len(order) == 3
+    assert set(order) == set(waiting)
+
+
 def test_own_connection_is_offered_within_the_quantum_and_the_priority():
     """Guard against an idle connection that lets less urgent statements go first."""
     rows = {name: request(name, 0.0) for name in ("near", "far", "low")}
