Keep the priority of a link while its calls wait

Cause: the checks after a read at the primary have no priority. When they arrived in a second part of a batch, the waiting link got priority 0, and the holder's queue was no longer sorted. An error then ended the release of a connection, the reply of its statement was lost, and a write that ran was answered as refused.

Change: calls that arrive while a link waits leave its priority.

--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -195,7 +195,10 @@
             return
         link.last_call_at = self.now
         priorities = [c.priority for c in event.calls if c.priority is not None]
-        link.priority = min(priorities, default=0)
+        if link not in self._waiting:
+            # Calls without a priority may be the rest of a batch that arrived in
+            # several parts. A waiting link is queued and tagged by its priority.
+            link.priority = min(priorities, default=0)
         for call in event.calls:
             # The endpoint does not know these fields, and would parse them as a
             # statement.
