Search only statements of customers with idle connections for offers

Cause: the order of offers is computed on each arrival, and looked at each waiting statement even if its customer had no idle connection.

Change: only statements of customers with an idle connection are candidates, and the first statement of a priority is looked up only when one of them is reached.

--- a/mallowpass/core/proxy/fairsharing.py
+++ b/mallowpass/core/proxy/fairsharing.py
@@ -181,14 +181,17 @@
         """Return a group's waiting statements in the order in which to try them."""
         if len(group.waiting) < 2 or not self.is_in_force:
             return list(group.waiting)
-        customers = {request.customer for request in group.waiting}
         idle = Counter(
             (connection.customer, endpoint.name == group.primary)
             for endpoint in group.endpoints.values()
             for connection in endpoint.connections.values()
-            if _is_idle_of_customer(connection, customers)
+            if _is_idle_of_customer(connection)
         )
-        if not idle:
+        # Made on each arrival, with hundreds of statements in the queue: most customers
+        # that wait have no idle connection.
+        with_idle = {customer for customer, _ in idle}
+        candidates = [r for r in group.waiting if r.session.customer in with_idle]
+        if not candidates:
             return list(group.waiting)
         return offer_order(
             group.waiting,
@@ -197,6 +200,7 @@
             lambda request: (request.customer, request.primary_only),
             lambda request: self._quantum(request.customer, group.service),
             can_be_sent,
+            candidates,
         )
 
     def link_order(
@@ -206,11 +210,10 @@
         links = [link for link in waiting if link.endpoint is endpoint]
         if len(links) < 2 or not self.is_in_force:
             return links
-        customers = {link.customer for link in links}
         idle = Counter(
             connection.customer
             for connection in endpoint.connections.values()
-            if _is_idle_of_customer(connection, customers)
+            if _is_idle_of_customer(connection)
         )
         if not idle:
             return links
@@ -333,7 +336,6 @@
     return (entry.service, entry.name, link.priority)
 
 
-def _is_idle_of_customer(connection: ConnectionRow, customers: set[str | None]) -> bool:
-    if connection.state is not ConnectionState.IDLE:
-        return False
-    return connection.customer is not None and connection.customer in customers
+def _is_idle_of_customer(connection: ConnectionRow) -> bool:
+    is_idle = connection.state is ConnectionState.IDLE
+    return is_idle and connection.customer is not None
--- a/mallowpass/core/proxy/policy/fairqueue.py
+++ b/mallowpass/core/proxy/policy/fairqueue.py
@@ -108,6 +108,7 @@
     kind: Callable[[_W], Hashable],
     quantum_of: Callable[[_W], float],
     can_be_sent: Callable[[_W], bool] = lambda _: True,
+    candidates: Sequence[_W] | None = None,
 ) -> list[_W]:
     """Return waiting statements in the order in which they are offered connections.
 
@@ -117,28 +118,27 @@
     statement of its own customer whose tag is ahead of the lowest one by no more than
     its quantum. Statements that can't be sent yet use up no connection, and their tags
     do not count: they may wait for seconds, in which the others get ahead of them.
+    `candidates` are those of customers with an idle connection, if they are known.
     """
     left = dict(idle)
     unused = idle.total()
-    first_of: dict[int, tuple[int, float]] = {}  # index and tag, by priority
+    # Index and tag of the first that can be sent, by priority; None: all wait.
+    first_of: dict[int, tuple[int, float] | None] = {}
     offered: dict[int, list[_W]] = {}  # by the index before which they are offered
     moved: set[_W] = set()
-    for index, row in enumerate(waiting):
+    for row in waiting if candidates is None else candidates:
         if not unused:
             break
-        priority, tag, _ = rank(row)
-        first = first_of.get(priority)
         wanted = kind(row)
-        is_own = bool(left.get(wanted))
-        if first is not None and not is_own:
-            continue
-        if first is not None and tag > first[1] + quantum_of(row):
+        if not left.get(wanted):
             continue
-        if not can_be_sent(row):
-            continue
-        if first is None:
-            first = first_of[priority] = (index, tag)
-        if not is_own:
+        priority, tag, _ = rank(row)
+        if priority not in first_of:
+            first_of[priority] = _first_that_can_be_sent(
+                waiting, priority, rank, can_be_sent
+            )
+        first = first_of[priority]
+        if first is None or tag > first[1] + quantum_of(row) or not can_be_sent(row):
             continue
         left[wanted] -= 1
         unused -= 1
@@ -152,3 +152,16 @@
         if row not in moved:
             order.append(row)
     return order
+
+
+def _first_that_can_be_sent(
+    waiting: Sequence[_W],
+    priority: int,
+    rank: Callable[[_W], _Rank],
+    can_be_sent: Callable[[_W], bool],
+) -> tuple[int, float] | None:
+    for index, row in enumerate(waiting):
+        row_priority, tag, _ = rank(row)
+        if row_priority == priority and can_be_sent(row):
+            return index, tag
+    return None
--- a/tests/core/proxy/test_fair_sharing.py
+++ b/tests/core/proxy/test_fair_sharing.py
@@ -260,6 +260,12 @@
     fair.enter_request(second)
     assert first.start_tag == 0.0
     assert second.start_tag == pytest.approx(fair._cost(SERVICE))
+    # A connection that was opened for the retry is charged.
+    fair._unused.add(connection.number)
+    before = fair._seconds["c0"]
+    fair.note_sent(first, connection)
+    opening_time = fair._opening_time(SERVICE)
+    assert fair._seconds["c0"] - before == pytest.approx(opening_time)
 
 
 def test_statement_that_leaves_unsent_is_given_back_its_charge():
