Offer connections at a holder in fair order upon arrivals

Cause: calls that arrived at a holder were sent at once if their customer had an idle connection, however far its tag was ahead of those that waited.

Change: with customers, an arrival makes the holder offer its connections in fair order, as it does when a connection becomes free.

Result: 162 tests of fair sharing, customers, links, requests, connections and the policy measurement pass; the new one fails without the change.

--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -240,7 +240,12 @@
             self._waiting.append(link)
             self._waiting.sort(key=link_urgency)
             self.timers.after(WAIT_TIMEOUT, self._check_wait, link, self.now)
-            self._try_to_send(link)
+            if self._fair_sharing.is_in_force:
+                # An idle connection of its own customer does not let it pass others
+                # by more than the quantum.
+                self._dispatch(link.endpoint)
+            else:
+                self._try_to_send(link)
 
     def _is_outdated(self, link: LinkRow) -> bool:
         """Return whether waiting writes may have outlived their timeout in a pause."""
@@ -375,8 +380,11 @@
         self._node.emit(AnswerLink(link.number, reply))
 
     def _on_freed(self, signal: ConnectionFreed) -> None:
+        self._dispatch(signal.endpoint)
+
+    def _dispatch(self, endpoint: EndpointRow) -> None:
         blocked: set[str | None] = set()  # customers without an available connection
-        for link in self._fair_sharing.link_order(self._waiting, signal.endpoint):
+        for link in self._fair_sharing.link_order(self._waiting, endpoint):
             if link.customer in blocked:
                 continue
             if not self._try_to_send(link):
--- a/tests/core/proxy/test_fair_sharing.py
+++ b/tests/core/proxy/test_fair_sharing.py
@@ -383,6 +383,44 @@
     assert world.judge.breaches == []
 
 
+def test_arrival_at_a_holder_does_not_pass_those_that_wait(monkeypatch):
+    """Guard against a customer far ahead of its turn that is served on arrival.
+
+    It has an idle connection of its own, and the endpoint has room for one statement.
+    """
+    world = make_world(MANY_HOSTS)
+    client = next(i for i, host in enumerate(world.hosts) if not host.connections)
+    for name in NAMES[:8]:
+        world.caller(client, "strict", f"key-{name}").send(Read("a"))
+    world.run(0.5)
+    links = [k for k in world.links.values() if k.host is world.hosts[client]]
+    holder = Counter(k.holder for k in links).most_common(1)[0][0]
+    first, second = [
+        holder.tables.links[k.number] for k in links if k.holder is holder
+    ][:2]
+    endpoint = first.endpoint
+    idle = [c.customer for c in endpoint.connections.values() if c.customer]
+    behind, ahead = sorted(set(idle))[:2]
+    queue = sharing(holder)._queue((SERVICE, endpoint.name, 1))
+    queue.tag(ahead, 1.0, 1.0, world.timers.now)
+    room = {"statements": 0}
+
+    def has_room(*_):
+        return first.connection is None and room["statements"] > 0
+
+    monkeypatch.setattr(Load, "has_room", has_room)
+    for link, name in ((first, behind), (second, ahead)):
+        call = EndpointCall(
+            Read("a"), f"r-{name}", priority=1, on_behalf_of=OnBehalfOf(name, 2)
+        )
+        key = next(iter(customer(name, f"key-{name}").credentials))
+        world.judge.sent(f"r-{name}", f"r-{name}", key, False, 0.0)
+        holder.deliver(LinkCalled(link.number, (call,)))
+        room["statements"] = 1
+    assert first.connection is not None
+    assert second.connection is None
+
+
 def test_priorities_are_strict_with_customers():
     """Guard against an urgent statement that waits for its customer's turn."""
     world = make_world(3)
