--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -11,6 +11,7 @@
 from mallowpass.core.proxy.attempts import TRIES_MAX, Attempts
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.durability import Durability
+from mallowpass.core.proxy.fairsharing import FairSharing
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.leadership import LEADERSHIP_UNPROVEN
 from mallowpass.core.proxy.load import Load
@@ -88,6 +89,7 @@
         "_attempts",
         "_connections",
         "_durability",
+        "_fair_sharing",
         "_floors",
         "_load",
         "_members",
@@ -108,6 +110,7 @@
         self._attempts = node.system(Attempts)
         self._connections = node.system(Connections)
         self._durability = node.system(Durability)
+        self._fair_sharing = node.system(FairSharing)
         self._floors = node.system(Floors)
         self._load = node.system(Load)
         self._members = node.system(Members)
@@ -171,6 +174,7 @@
         if transaction is None or transaction.connection is None:
             self._admit(request)
         else:
+            self._fair_sharing.charge_request(request)
             self._transactions.send(request)
 
     def _is_held(self, request: RequestRow) -> bool:
@@ -192,6 +196,8 @@
                 request.granted_until = until
                 self._enqueue(request)
 
+        # Each run counts: a statement that ran before is tagged and charged once more.
+        self._fair_sharing.leave(request)
         request.detail = "waits for its customer's rate limit"
         self._allowances.acquire(request.customer, on_granted)
 
@@ -213,6 +219,7 @@
 
     def _enqueue(self, request: RequestRow) -> None:
         group = self.tables.group(request.route.service)
+        self._fair_sharing.enter_request(request)
         group.waiting.append(request)
         if len(group.waiting) > 1:
             group.waiting.sort(key=urgency)
@@ -226,7 +233,10 @@
         """Send the waiting statements that can be sent, the most urgent first."""
         dispatch_pass = DispatchPass()
         any_full = self._routing.has_full_endpoint(group)
-        for request in list(group.waiting):
+        order = self._fair_sharing.request_order(
+            group, lambda request: self._can_be_sent(request, group)
+        )
+        for request in order:
             if request.finished or request.retry_at > self.now:
                 continue
             # Further statements of the customer would find no connection either. A
@@ -237,6 +247,15 @@
                 continue
             self._try_to_send(request, group, dispatch_pass)
 
+    def _can_be_sent(self, request: RequestRow, group: GroupRow) -> bool:
+        """Return whether a waiting statement needs only a connection."""
+        if request.retry_at > self.now or self._is_held(request):
+            return False
+        if self._stalls.must_wait(request, group):
+            return False
+        floor = self._routing.required_floor(request, group)
+        return not self._waits_for_floor(request, group, floor)
+
     def _try_to_send(
         self, request: RequestRow, group: GroupRow, dispatch_pass: DispatchPass
     ) -> None:
@@ -264,6 +283,7 @@
             self._answers.refuse(request, Code.BUSY, request.detail)
         elif choice.connection is not None:
             group.waiting.remove(request)
+            self._fair_sharing.note_sent(request, choice.connection)
             self._send(request, choice.connection, choice.floor)
         elif choice.full and is_turned_away(request, group.waiting, self.now):
             group.last_rejection_at = self.now
