Forward a customer's statements to the same holder

A connection to an endpoint serves one customer. Holders had equal shares wherever they were, and each host forwarded to its nearest holder, so most statements of small customers found no connection and had one of another customer closed for theirs.

Where connections belong to customers and a service has holders, the holders in the region of an endpoint now have most of its connections, and all hosts forward a customer's statements to the same holder there, by rendezvous hashing. A holder forwards its own callers' statements in the same way. Idle connections are kept for 10 s up to half of the share and for 2 s beyond it.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -12,6 +12,7 @@
 from dataclasses import replace
 
 from mallowpass.core.messages import ConnectionLost
+from mallowpass.core.proxy.customerholders import LINK_WAIT, CustomerHolders
 from mallowpass.core.proxy.durability import Durability
 from mallowpass.core.proxy.effects import CloseConnection, OpenConnection, SendCalls
 from mallowpass.core.proxy.events import (
@@ -71,11 +72,12 @@
 class Connections(ProxySystem):
     """Maintain the connections of this host."""
 
-    __slots__ = ("_durability", "_holders", "_shares")
+    __slots__ = ("_customer_holders", "_durability", "_holders", "_shares")
 
     def start(self) -> None:
         """Subscribe to the events of connections and endpoints."""
         node = self._node
+        self._customer_holders = node.system(CustomerHolders)
         self._durability = node.system(Durability)
         self._holders = node.system(Holders)
         self._shares = node.system(Shares)
@@ -94,15 +96,26 @@
         values: dict[str, str] | None,
         customer: str | None = None,
         own_only: bool = False,
+        by_affinity: bool = False,
     ) -> ConnectionRow | None:
         """Return an idle connection that can serve `customer`, None if there is none.
 
         A direct connection is preferred to a forwarded one; of several, a connection
         that has the session's `values` set. `own_only` excludes forwarded connections.
         `customer` is None for this host's own statements, which any connection serves.
+
+        `by_affinity`: the customer's order of holders applies, where there is one.
+        Without it, a holder serves calls of other hosts, and uses forwarded connections
+        only while it can't open its own.
         """
+        if by_affinity and self._customer_holders.applies(endpoint, customer):
+            return self._acquire_by_affinity(endpoint, values, customer)
         if self._shares.is_customer_at_limit(endpoint, customer):
             return None
+        own_only |= (
+            self._customer_holders.applies(endpoint, customer)
+            and self.now >= endpoint.connect_backoff_until
+        )
         idle = [
             connection
             for connection in endpoint.connections.values()
@@ -115,7 +128,42 @@
             return None
         # Values are set in the same write as the statement, whereas forwarding adds
         # latency.
-        return max(idle, key=lambda c: (not c.holder, c.values == values))
+        return self._note_use(
+            max(idle, key=lambda c: (not c.holder, c.values == values))
+        )
+
+    def _acquire_by_affinity(
+        self, endpoint: EndpointRow, values: dict[str, str] | None, customer: str
+    ) -> ConnectionRow | None:
+        """Return an idle connection for a statement of this host's own callers."""
+        is_at_limit = self._shares.is_customer_at_limit(endpoint, customer)
+        idle = [
+            connection
+            for connection in endpoint.connections.values()
+            if connection.state is ConnectionState.IDLE
+            and connection.can_serve(customer)
+            and not connection.is_single_use
+            and not (is_at_limit and not connection.holder)
+        ]
+        chosen = self._customer_holders.choose(endpoint, customer, values, idle)
+        return None if chosen is None else self._note_use(chosen)
+
+    def _note_use(self, connection: ConnectionRow) -> ConnectionRow:
+        """Count a connection of a customer that is used again."""
+        if connection.has_served:
+            self._count_use("connections_reused", connection)
+        connection.has_served = True
+        return connection
+
+    def _count_use(self, name: str, connection: ConnectionRow) -> None:
+        endpoint, customer = connection.endpoint, connection.customer
+        labels = {"endpoint": endpoint.name}
+        if self._customer_holders.applies(endpoint, customer):
+            is_home = self._customer_holders.is_home(endpoint, customer)
+            labels["home"] = "yes" if is_home else "no"
+        elif name == "connections_reused":
+            return
+        self._node.count(name, **labels)
 
     def grow(
         self,
@@ -123,6 +171,7 @@
         customer: str | None = None,
         beyond_share: bool = False,
         borrow: bool = False,
+        by_affinity: bool = False,
     ) -> bool:
         """Open one more connection if allowed; return whether one is being opened.
 
@@ -132,6 +181,8 @@
         `borrow` allows a connection through another host if this host may not open one
         of its own. All callers of a region may be connected to a single host, mostly
         after many hosts have started, while connections of the other hosts are idle.
+
+        `by_affinity`: the customer's order of holders applies, where there is one.
         """
         if not self.tables.is_current(endpoint):
             return False
@@ -140,6 +191,10 @@
             for connection in endpoint.connections.values()
             if connection.state is ConnectionState.OPENING
         ]
+        if by_affinity and self._customer_holders.applies(endpoint, customer):
+            link = self._open_link(endpoint, customer, len(opening))
+            if link is not None:
+                return link
         limit = OPENING_MAX if customer is None else OPENING_FOR_CUSTOMERS_MAX
         if len(opening) >= limit or any(_is_for(c, customer) for c in opening):
             return True
@@ -157,6 +212,41 @@
             return True
         return bool(opening)
 
+    def _open_link(
+        self, endpoint: EndpointRow, customer: str, opening: int
+    ) -> bool | None:
+        """Open a link to the best holder of a customer; return whether one opens.
+
+        Return None if this host is that holder, and should open its own connection.
+        """
+        best = self._customer_holders.by_cost(endpoint, customer)[0]
+        if best.name == self._node.identity.name:
+            return None
+        via = self._customer_holders.path(endpoint, customer)
+        if via is None or opening >= OPENING_FOR_CUSTOMERS_MAX:
+            return opening > 0
+        is_holder = self._holders.holds(endpoint.entry.service)
+        if not is_holder and self.now < endpoint.connect_backoff_until:
+            return opening > 0
+        room = self._customer_holders.room_for(endpoint, via)
+        if not room:
+            return opening > 0
+        if isinstance(room, ConnectionRow):
+            self.close(room, "closed to make room for a link to another holder")
+        self._open(endpoint, via, customer)
+        self.timers.after(LINK_WAIT, self._check_link, endpoint, via)
+        return True
+
+    def _check_link(self, endpoint: EndpointRow, via: HostRow) -> None:
+        """Have statements use another holder if one does not accept a link."""
+        if any(
+            connection.holder == via.name
+            and connection.state is ConnectionState.OPENING
+            for connection in endpoint.connections.values()
+        ):
+            self._node.count("slow_links", endpoint=endpoint.name)
+            self._node.publish(ConnectionFreed(endpoint))
+
     def acquire_via(self, endpoint: EndpointRow, host: HostRow) -> ConnectionRow | None:
         """Return an idle single-use connection through a host; open one if needed."""
         for connection in endpoint.connections.values():
@@ -276,7 +366,7 @@
                 number, address, entry.service, entry.name, CONNECT_TIMEOUT, customer
             )
         )
-        self._node.count("connections_opened", endpoint=entry.name)
+        self._count_use("connections_opened", connection)
 
     def _on_ready(self, event: ConnectionReady) -> None:
         connection = self.tables.connections.get(event.connection)
--- a/mallowpass/core/proxy/holders.py
+++ b/mallowpass/core/proxy/holders.py
@@ -11,6 +11,7 @@
 
 from zlib import crc32
 
+from mallowpass.core.proxy.policy.regionalshares import regional_shares
 from mallowpass.core.proxy.policy.sharing import (
     STATEMENTS_PER_SLOT,
     Fleet,
@@ -52,6 +53,7 @@
         "_fleet",
         "_plans",
         "_plans_version",
+        "_regional",
         "_unanswered",
         "_unreachable",
     )
@@ -62,6 +64,9 @@
         # Versions of the hosts' entries and of the configuration.
         self._plans_version: tuple[int, int] = (-1, -1)
         self._fleet = Fleet(())
+        # Shares by holder, by service and region of the endpoint; with the plan from
+        # which they were made.
+        self._regional: dict[tuple[str, str], tuple[Plan, dict[str, int]]] = {}
         # Times until which a holder is not used: by host, and by host and endpoint.
         self._failed: dict[str, float] = {}
         self._unreachable: dict[tuple[str, str], float] = {}
@@ -88,8 +93,44 @@
         plan = self._plan(service)
         if not self.holds(service):
             return 0
+        if self.serves_customers(service):
+            return self._regional_shares(endpoint)[self._node.identity.name]
         return plan.share + (self._node.identity.name in plan.holders_with_extra)
 
+    def part_of(self, endpoint: EndpointRow) -> float:
+        """Return this holder's part of the connections to an endpoint, up to 1."""
+        total = sum(self._regional_shares(endpoint).values())
+        return self.share_of(endpoint) / max(1, total)
+
+    def plan_of(self, service: str) -> Plan:
+        """Return the plan of a service."""
+        return self._plan(service)
+
+    def serves_customers(self, service: str) -> bool:
+        """Return whether a service has holders, and connections have customers."""
+        configuration = self.tables.configuration
+        if configuration is None or not configuration.customers:
+            return False
+        return configuration.authenticates_callers and not self._plan(service).direct
+
+    def local_holders(self, endpoint: EndpointRow) -> frozenset[str]:
+        """Return the holders in an endpoint's region."""
+        identity = self._node.identity
+        region = identity.region_of(endpoint.entry.failure_domain)
+        plan = self._plan(endpoint.entry.service)
+        return frozenset(
+            host.name
+            for host in plan.holders
+            if identity.region_of(host.domain) == region
+        )
+
+    def usable_holders(self, endpoint: EndpointRow) -> frozenset[str]:
+        """Return the holders that have not recently failed for an endpoint."""
+        plan = self._plan(endpoint.entry.service)
+        return frozenset(
+            host.name for host in plan.holders if self._is_usable(host, endpoint)
+        )
+
     def holds(self, service: str) -> bool:
         """Return whether this host is a holder of a service."""
         plan = self._plan(service)
@@ -200,6 +241,32 @@
 
     # -- Planning ------------------------------------------------------------
 
+    def _regional_shares(self, endpoint: EndpointRow) -> dict[str, int]:
+        """Return the shares of all holders in the connections to an endpoint."""
+        service = endpoint.entry.service
+        plan = self._plan(service)
+        region = self._node.identity.region_of(endpoint.entry.failure_domain)
+        cached = self._regional.get((service, region))
+        if cached is not None and cached[0] is plan:
+            return cached[1]
+        equal = {
+            host.name: plan.share + (host.name in plan.holders_with_extra)
+            for host in plan.holders
+        }
+        shares = regional_shares(equal, self.local_holders(endpoint))
+        self._regional[(service, region)] = (plan, shares)
+        name = self._node.identity.name
+        self._node.log(
+            "info",
+            "shares_planned",
+            service=service,
+            region=region,
+            holders=len(shares),
+            share=shares.get(name, 0),
+            total=sum(shares.values()),
+        )
+        return shares
+
     def _plan(self, service: str) -> Plan:
         configuration = self.tables.configuration
         version = configuration.version if configuration is not None else 0
--- a/mallowpass/core/proxy/idleconnections.py
+++ b/mallowpass/core/proxy/idleconnections.py
@@ -25,6 +25,11 @@
 # endpoints refuse the restarted hosts while the lost connections take more than half of
 # the limit.
 SPARE_IDLE_MAX = 0.3
+# Idle times where connections belong to customers, up to half of this host's share and
+# beyond it. A customer's next statement would find none, and opening one takes as much
+# of a slot as a statement; a customer that needs the room gets it at once in any case.
+CUSTOMER_IDLE_MAX = 10.0
+CUSTOMER_SPARE_IDLE_MAX = 2.0
 CHECK_INTERVAL = 0.15
 
 
@@ -59,7 +64,12 @@
         """
         connections = endpoint.connections.values()
         kept = sum(not connection.is_single_use for connection in connections)
-        for connection in sorted(connections, key=lambda c: not c.holder):
+        serves_customers = self._holders.serves_customers(endpoint.entry.service)
+        # Of the connections of customers, the one idle longest is closed first.
+        for connection in sorted(
+            connections,
+            key=lambda c: (not c.holder, c.last_used_at if serves_customers else 0.0),
+        ):
             if not self._is_timed_out(connection):
                 continue
             if connection.is_single_use:
@@ -74,7 +84,12 @@
         is_spare = not connection.holder and self._shares.is_above_half(
             connection.endpoint
         )
-        timeout = SPARE_IDLE_MAX if is_spare else IDLE_MAX
+        if self._holders.serves_customers(connection.endpoint.entry.service):
+            if self._shares.is_surplus(connection):
+                return True
+            timeout = CUSTOMER_SPARE_IDLE_MAX if is_spare else CUSTOMER_IDLE_MAX
+        else:
+            timeout = SPARE_IDLE_MAX if is_spare else IDLE_MAX
         return connection.last_used_at < self.now - timeout
 
     def _return_to_holders(self, endpoint: EndpointRow) -> None:
--- a/mallowpass/core/proxy/load.py
+++ b/mallowpass/core/proxy/load.py
@@ -78,5 +78,8 @@
     def _running_limit(self, endpoint: EndpointRow) -> int:
         """Return this host's part of the statements that an endpoint may have."""
         service = endpoint.entry.service
+        if self._holders.serves_customers(service):
+            limit = self._holders.statement_limit(service)
+            return max(1, int(limit * self._holders.part_of(endpoint)))
         hosts = max(1, self._holders.holder_count(service))
         return max(1, math.ceil(self._holders.statement_limit(service) / hosts))
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -8,6 +8,7 @@
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.control import Control
 from mallowpass.core.proxy.currentconfiguration import CurrentConfiguration
+from mallowpass.core.proxy.customerholders import CustomerHolders
 from mallowpass.core.proxy.customers import Customers
 from mallowpass.core.proxy.deadconnections import DeadConnections
 from mallowpass.core.proxy.demotion import Demotion
@@ -67,6 +68,7 @@
     Holders,
     Pauses,
     Shares,
+    CustomerHolders,
     Load,
     Durability,
     Connections,
--- a/mallowpass/core/proxy/routing.py
+++ b/mallowpass/core/proxy/routing.py
@@ -51,13 +51,15 @@
         with_room = [e for e in candidates if self._load.has_room(e)]
         for endpoint in with_room:
             connection = self._connections.acquire(
-                endpoint, request.session.values, request.customer
+                endpoint, request.session.values, request.customer, by_affinity=True
             )
             if connection is not None:
                 return Choice(connection, floor)
             if first is None:
                 first = endpoint
-                self._connections.grow(endpoint, request.customer, borrow=True)
+                self._connections.grow(
+                    endpoint, request.customer, borrow=True, by_affinity=True
+                )
                 if endpoint.name != group.primary and _is_opening_forwarded(endpoint):
                     # Wait: a forwarded connection opens within a round trip to another
                     # host. Otherwise, when all hosts start at once, the primary would
--- a/mallowpass/core/proxy/shares.py
+++ b/mallowpass/core/proxy/shares.py
@@ -23,6 +23,11 @@
 # Connections through holders to one endpoint, for a host that is not a holder: each
 # takes a socket at both ends, and a holder has fewer connections to the endpoint.
 FORWARDED_MAX = 6
+# The same where connections belong to customers, for each holder in the endpoint's
+# region: each customer's statements go to a holder of its own. Limited in total, as a
+# service with many connections has dozens of holders.
+LINKS_PER_HOLDER = 4
+LINKS_MAX = 16
 # Borrowed connections to one endpoint, in total and through one host. In a small fleet
 # each host has few connections, and about half of the hosts are in the endpoint's
 # region or in the borrower's.
@@ -143,9 +148,30 @@
         self._node.random.shuffle(lenders)
         return min(lenders, key=lambda host: borrowed.count(host.name))
 
+    def link_limit(self, endpoint: EndpointRow) -> int:
+        """Return how many connections through holders this host may have."""
+        if not self._holders.serves_customers(endpoint.entry.service):
+            return FORWARDED_MAX
+        wanted = LINKS_PER_HOLDER * len(self._holders.local_holders(endpoint))
+        return max(FORWARDED_MAX, min(LINKS_MAX, wanted))
+
+    def can_serve_soon(self, endpoint: EndpointRow, customer: str) -> bool:
+        """Return whether a holder can open a connection for a customer at once.
+
+        Either its share has room, or an idle connection can be closed for it.
+        """
+        if self.now < endpoint.connect_backoff_until:
+            return False
+        if self.is_customer_at_limit(endpoint, customer):
+            return False
+        return not self.is_exhausted(endpoint) or any(
+            connection.state is ConnectionState.IDLE and not connection.holder
+            for connection in endpoint.connections.values()
+        )
+
     def _share(self, endpoint: EndpointRow) -> int:
         if not self._holders.holds(endpoint.entry.service):
-            return FORWARDED_MAX
+            return self.link_limit(endpoint)
         share = self._holders.share_of(endpoint)
         if self.now < self._started_at + FIRST_TIME:
             return max(1, share // 2)
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -97,6 +97,8 @@
     on_lost: Callable[[ConnectionRow, str], None] | None = None
     holder: str = ""  # name of the holder that forwards its calls; empty: direct
     is_single_use: bool = False  # closed after one request of this host itself
+    # A statement of its customer has run on it.
+    has_served: bool = False
     # Its holder has sent a load report, so it also knows the time left of calls.
     accepts_time_left: bool = False
     # Customer that a direct connection was opened for; None: this host itself. A
