Have large customers wait for their own connections

Each statement of a large customer that found its connections busy opened one more, and closed one of a small customer that opened its own again.

A customer that has a connection now gets another one only in place of one that has been idle for 0.25 s, unless none of its own became free for 0.1 s. A customer without a connection gets one at once, as before. Four mechanisms of `measure policy` leave the parts out.

365 tests of the modules concerned pass; tests/core/proxy was not run as a whole for this commit.

--- a/mallowpass/core/proxy/__init__.py
+++ b/mallowpass/core/proxy/__init__.py
@@ -10,9 +10,9 @@
   propagation of changes from the store to all hosts;
 - `currentconfiguration`, `members`, `hosts`: the configuration, the endpoints and the
   other hosts, as the store lists them;
-- `holders`, `shares`, `connections`, `sessionstate`, `deadconnections`,
-  `idleconnections`, `links`: connections to endpoints, direct or forwarded by another
-  host;
+- `holders`, `shares`, `customerholders`, `connections`, `sessionstate`,
+  `deadconnections`, `idleconnections`, `links`: connections to endpoints, direct or
+  forwarded by another host;
 - `load`, `pauses`, `stalls`: overloaded endpoints, pauses of this process, and
   primaries that acknowledge no writes;
 - `control`, `forwardedorders`, `replicaorders`: this host's own statements to
--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -21,6 +21,7 @@
     EndpointAnswered,
 )
 from mallowpass.core.proxy.holders import Holders
+from mallowpass.core.proxy.policy.eviction import choose_eviction
 from mallowpass.core.proxy.shares import Shares
 from mallowpass.core.proxy.signals import (
     CallsSent,
@@ -270,6 +271,11 @@
             endpoint
         ):
             return
+        if self._customer_holders.applies(endpoint, customer):
+            evicted = choose_eviction(endpoint.connections.values(), customer, self.now)
+            if evicted is not None:
+                self.close(evicted, "closed to make room for another customer")
+            return
         idle = [
             connection
             for connection in endpoint.connections.values()
--- a/mallowpass/measure/policy/mechanisms.py
+++ b/mallowpass/measure/policy/mechanisms.py
@@ -6,12 +6,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Any
 
 from mallowpass.core.proxy import (
+    connections,
     holders,
     idleconnections,
     load,
@@ -19,19 +20,20 @@
     shares,
 )
 from mallowpass.core.proxy.connections import Connections
+from mallowpass.core.proxy.customerholders import CustomerHolders
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.leadership import Leadership
 from mallowpass.core.proxy.links import Links
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.overloadswitchover import OverloadSwitchover
-from mallowpass.core.proxy.policy import placement, sharing
+from mallowpass.core.proxy.policy import eviction, placement, sharing
 from mallowpass.core.proxy.policy.sharing import Fleet, Plan
 from mallowpass.core.proxy.relays import Relays
 from mallowpass.core.proxy.sampling import Sampling
 from mallowpass.core.proxy.shares import Shares
 from mallowpass.core.proxy.stalls import Stalls
-from mallowpass.core.proxy.tables import RequestRow
+from mallowpass.core.proxy.tables import ConnectionRow, RequestRow
 
 __all__ = ["MECHANISMS", "Mechanism", "UnknownMechanism", "without"]
 
@@ -83,6 +85,17 @@
     return Plan(plan.direct, plan.share, plan.holders)
 
 
+def _equal_shares(equal: Mapping[str, int], local: Collection[str]) -> dict[str, int]:
+    return dict(equal)
+
+
+def _idle_longest(
+    connections: Iterable[ConnectionRow], customer: str, now: float
+) -> ConnectionRow | None:
+    others = [each for each in connections if each.customer != customer]
+    return eviction.choose_eviction(others, customer, now)
+
+
 def _mechanism(name: str, plainest: str, *parts: tuple[Any, str, Any]) -> Mechanism:
     return Mechanism(name, plainest, tuple(_Replacement(*part) for part in parts))
 
@@ -205,6 +218,27 @@
         "an endpoint counts as full only after a second of waiting",
         (load, "QUEUE_TIME_MAX", 1.0),
     ),
+    _mechanism(
+        "regional-shares",
+        "all holders have equal shares of an endpoint of another region",
+        (holders, "regional_shares", _equal_shares),
+    ),
+    _mechanism(
+        "customer-affinity",
+        "customers' statements go to the nearest holder",
+        (CustomerHolders, "applies", _always(False)),
+    ),
+    _mechanism(
+        "kept-customer-connections",
+        "idle connections of customers are closed as early as others",
+        (idleconnections, "CUSTOMER_IDLE_MAX", idleconnections.IDLE_MAX),
+        (idleconnections, "CUSTOMER_SPARE_IDLE_MAX", idleconnections.SPARE_IDLE_MAX),
+    ),
+    _mechanism(
+        "wait-for-own-connection",
+        "a customer gets another connection in place of any idle one at once",
+        (connections, "choose_eviction", _idle_longest),
+    ),
 )
 
 
