Reduce the processor time of shares by region

The shares of an endpoint, and the holders in its region, were looked up several times for each connection that is checked and each statement. They are now kept with the plan, and connections that were just used are passed over first. The holders of a customer are kept in the order of their cost.

--- a/mallowpass/core/proxy/customerholders.py
+++ b/mallowpass/core/proxy/customerholders.py
@@ -67,8 +67,9 @@
 
     def is_home(self, endpoint: EndpointRow, customer: str) -> bool:
         """Return whether this host is the first holder of a customer."""
-        first = self._candidates(endpoint, customer)[0]
-        return first.host.name == self._node.identity.name
+        name = self._node.identity.name
+        candidates = self._candidates(endpoint, customer)
+        return any(c.rank == 0 and c.host.name == name for c in candidates)
 
     def by_cost(self, endpoint: EndpointRow, customer: str) -> list[HostRow]:
         """Return the usable holders for a customer's statement, the best one first.
@@ -76,17 +77,15 @@
         If no holder is usable, all are returned.
         """
         candidates = self._candidates(endpoint, customer)
-        names = self._holders.usable_holders(endpoint)
-        usable = [c for c in candidates if c.host.name in names]
-        ranked = sorted(
-            usable or candidates,
-            key=lambda candidate: forwarding_cost(
-                candidate.distance,
-                candidate.rank,
-                self._expected_wait(candidate.host.name, endpoint),
-            ),
-        )
-        return [candidate.host for candidate in ranked]
+        failed = self._holders.failed_holders(endpoint)
+        usable = [c for c in candidates if c.host.name not in failed] or candidates
+        waits = {c.rank: self._expected_wait(c.host.name, endpoint) for c in usable}
+        if any(waits.values()):
+            usable = sorted(
+                usable,
+                key=lambda c: forwarding_cost(c.distance, c.rank, waits[c.rank]),
+            )
+        return [candidate.host for candidate in usable]
 
     def choose(
         self,
@@ -174,6 +173,7 @@
     def _candidates(
         self, endpoint: EndpointRow, customer: str
     ) -> tuple[_Candidate, ...]:
+        """Return the holders of a service, by their cost without a wait."""
         entry = endpoint.entry
         plan = self._holders.plan_of(entry.service)
         key = (entry.service, entry.failure_domain, customer)
@@ -197,7 +197,7 @@
             customer = f"{customer} {self._node.identity.name}"
         identity = self._node.identity
         domain = endpoint.entry.failure_domain
-        return tuple(
+        candidates = [
             _Candidate(
                 hosts[name],
                 rank,
@@ -205,7 +205,9 @@
                 + self._leg(hosts[name].domain, domain),
             )
             for rank, name in enumerate(order_holders(customer, hosts, local))
-        )
+        ]
+        candidates.sort(key=lambda c: forwarding_cost(c.distance, c.rank, None))
+        return tuple(candidates)
 
     def _leg(self, one: str, other: str) -> float:
         region_of = self._node.identity.region_of
--- a/mallowpass/core/proxy/holders.py
+++ b/mallowpass/core/proxy/holders.py
@@ -36,6 +36,16 @@
 UNANSWERED_MIN = 2
 
 
+@record
+class _RegionalShares:
+    """Shares of the connections to the endpoints of a failure domain."""
+
+    plan: Plan  # from which they were made
+    by_holder: dict[str, int]
+    total: int
+    local: frozenset[str]  # holders in the region
+
+
 @record
 class _CachedPlan:
     """A plan, and the values from which it was computed."""
@@ -64,9 +74,8 @@
         # Versions of the hosts' entries and of the configuration.
         self._plans_version: tuple[int, int] = (-1, -1)
         self._fleet = Fleet(())
-        # Shares by holder, by service and region of the endpoint; with the plan from
-        # which they were made.
-        self._regional: dict[tuple[str, str], tuple[Plan, dict[str, int]]] = {}
+        # By service and failure domain of the endpoint.
+        self._regional: dict[tuple[str, str], _RegionalShares] = {}
         # Times until which a holder is not used: by host, and by host and endpoint.
         self._failed: dict[str, float] = {}
         self._unreachable: dict[tuple[str, str], float] = {}
@@ -94,12 +103,12 @@
         if not self.holds(service):
             return 0
         if self.serves_customers(service):
-            return self._regional_shares(endpoint)[self._node.identity.name]
+            return self._regional_shares(endpoint).by_holder[self._node.identity.name]
         return plan.share + (self._node.identity.name in plan.holders_with_extra)
 
     def part_of(self, endpoint: EndpointRow) -> float:
         """Return this holder's part of the connections to an endpoint, up to 1."""
-        total = sum(self._regional_shares(endpoint).values())
+        total = self._regional_shares(endpoint).total
         return self.share_of(endpoint) / max(1, total)
 
     def plan_of(self, service: str) -> Plan:
@@ -115,20 +124,15 @@
 
     def local_holders(self, endpoint: EndpointRow) -> frozenset[str]:
         """Return the holders in an endpoint's region."""
-        identity = self._node.identity
-        region = identity.region_of(endpoint.entry.failure_domain)
-        plan = self._plan(endpoint.entry.service)
-        return frozenset(
-            host.name
-            for host in plan.holders
-            if identity.region_of(host.domain) == region
-        )
+        return self._regional_shares(endpoint).local
 
-    def usable_holders(self, endpoint: EndpointRow) -> frozenset[str]:
-        """Return the holders that have not recently failed for an endpoint."""
+    def failed_holders(self, endpoint: EndpointRow) -> frozenset[str]:
+        """Return the holders that have recently failed for an endpoint."""
+        if not self._failed and not self._unreachable:
+            return frozenset()
         plan = self._plan(endpoint.entry.service)
         return frozenset(
-            host.name for host in plan.holders if self._is_usable(host, endpoint)
+            host.name for host in plan.holders if not self._is_usable(host, endpoint)
         )
 
     def holds(self, service: str) -> bool:
@@ -176,7 +180,7 @@
         If two holders do not answer, this host is most likely cut off from the other
         hosts. It may still reach its callers and the endpoint.
         """
-        if self.holds(endpoint.entry.service):
+        if not self._unanswered or self.holds(endpoint.entry.service):
             return False
         plan = self._plan(endpoint.entry.service)
         unanswered = [
@@ -241,31 +245,38 @@
 
     # -- Planning ------------------------------------------------------------
 
-    def _regional_shares(self, endpoint: EndpointRow) -> dict[str, int]:
+    def _regional_shares(self, endpoint: EndpointRow) -> _RegionalShares:
         """Return the shares of all holders in the connections to an endpoint."""
-        service = endpoint.entry.service
+        service, domain = endpoint.entry.service, endpoint.entry.failure_domain
         plan = self._plan(service)
-        region = self._node.identity.region_of(endpoint.entry.failure_domain)
-        cached = self._regional.get((service, region))
-        if cached is not None and cached[0] is plan:
-            return cached[1]
+        cached = self._regional.get((service, domain))
+        if cached is not None and cached.plan is plan:
+            return cached
+        identity = self._node.identity
+        region = identity.region_of(domain)
+        local = frozenset(
+            host.name
+            for host in plan.holders
+            if identity.region_of(host.domain) == region
+        )
         equal = {
             host.name: plan.share + (host.name in plan.holders_with_extra)
             for host in plan.holders
         }
-        shares = regional_shares(equal, self.local_holders(endpoint))
-        self._regional[(service, region)] = (plan, shares)
-        name = self._node.identity.name
+        shares = regional_shares(equal, local)
+        total = sum(shares.values())
+        self._regional[service, domain] = _RegionalShares(plan, shares, total, local)
         self._node.log(
             "info",
             "shares_planned",
             service=service,
             region=region,
             holders=len(shares),
-            share=shares.get(name, 0),
-            total=sum(shares.values()),
+            local=len(local),
+            share=shares.get(identity.name, 0),
+            total=total,
         )
-        return shares
+        return self._regional[service, domain]
 
     def _plan(self, service: str) -> Plan:
         configuration = self.tables.configuration
--- a/mallowpass/core/proxy/idleconnections.py
+++ b/mallowpass/core/proxy/idleconnections.py
@@ -64,13 +64,15 @@
         """
         connections = endpoint.connections.values()
         kept = sum(not connection.is_single_use for connection in connections)
-        serves_customers = self._holders.serves_customers(endpoint.entry.service)
-        # Of the connections of customers, the one idle longest is closed first.
-        for connection in sorted(
-            connections,
-            key=lambda c: (not c.holder, c.last_used_at if serves_customers else 0.0),
-        ):
-            if not self._is_timed_out(connection):
+        if self._holders.serves_customers(endpoint.entry.service):
+            timeouts = CUSTOMER_IDLE_MAX, CUSTOMER_SPARE_IDLE_MAX
+            # Of the connections of customers, the one idle longest is closed first.
+            ordered = sorted(connections, key=lambda c: (not c.holder, c.last_used_at))
+        else:
+            timeouts = IDLE_MAX, SPARE_IDLE_MAX
+            ordered = sorted(connections, key=lambda c: not c.holder)
+        for connection in ordered:
+            if not self._is_timed_out(connection, *timeouts):
                 continue
             if connection.is_single_use:
                 self._connections.close(connection, "idle timeout")
@@ -78,18 +80,17 @@
                 kept -= 1
                 self._connections.close(connection, "idle timeout")
 
-    def _is_timed_out(self, connection: ConnectionRow) -> bool:
+    def _is_timed_out(
+        self, connection: ConnectionRow, idle_max: float, spare_idle_max: float
+    ) -> bool:
         if connection.state is not ConnectionState.IDLE:
             return False
+        if connection.last_used_at >= self.now - min(idle_max, spare_idle_max):
+            return False
         is_spare = not connection.holder and self._shares.is_above_half(
             connection.endpoint
         )
-        if self._holders.serves_customers(connection.endpoint.entry.service):
-            if self._shares.is_surplus(connection):
-                return True
-            timeout = CUSTOMER_SPARE_IDLE_MAX if is_spare else CUSTOMER_IDLE_MAX
-        else:
-            timeout = SPARE_IDLE_MAX if is_spare else IDLE_MAX
+        timeout = spare_idle_max if is_spare else idle_max
         return connection.last_used_at < self.now - timeout
 
     def _return_to_holders(self, endpoint: EndpointRow) -> None:
