Use another holder while no link can be opened

A statement waited for a link to its customer's best holder where none was opened for it: during the backoff of the endpoint, at an endpoint that was not the first choice, or while four links were being opened. A holder that was next in a customer's order waited for the first one's link for up to 0.45 s instead of opening a connection of its own.

Statements now wait only where a link is opened, for at most 50 ms, and a holder counts itself among those that are tried next.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -98,6 +98,7 @@
         customer: str | None = None,
         own_only: bool = False,
         by_affinity: bool = False,
+        may_wait: bool = False,
     ) -> ConnectionRow | None:
         """Return an idle connection that can serve `customer`, None if there is none.
 
@@ -107,10 +108,11 @@
 
         `by_affinity`: the customer's order of holders applies, where there is one.
         Without it, a holder serves calls of other hosts, and uses forwarded connections
-        only while it can't open its own.
+        only while it can't open its own. `may_wait`: `grow` is called if None is
+        returned, though a connection that is worse for the customer may be idle.
         """
         if by_affinity and self._customer_holders.applies(endpoint, customer):
-            return self._acquire_by_affinity(endpoint, values, customer)
+            return self._acquire_by_affinity(endpoint, values, customer, may_wait)
         if self._shares.is_customer_at_limit(endpoint, customer):
             return None
         own_only |= (
@@ -134,7 +136,11 @@
         )
 
     def _acquire_by_affinity(
-        self, endpoint: EndpointRow, values: dict[str, str] | None, customer: str
+        self,
+        endpoint: EndpointRow,
+        values: dict[str, str] | None,
+        customer: str,
+        may_wait: bool,
     ) -> ConnectionRow | None:
         """Return an idle connection for a statement of this host's own callers."""
         is_at_limit = self._shares.is_customer_at_limit(endpoint, customer)
@@ -146,7 +152,9 @@
             and not connection.is_single_use
             and not (is_at_limit and not connection.holder)
         ]
-        chosen = self._customer_holders.choose(endpoint, customer, values, idle)
+        chosen = self._customer_holders.choose(
+            endpoint, customer, values, idle, may_wait
+        )
         return None if chosen is None else self._note_use(chosen)
 
     def _note_use(self, connection: ConnectionRow) -> ConnectionRow:
@@ -193,9 +201,9 @@
             if connection.state is ConnectionState.OPENING
         ]
         if by_affinity and self._customer_holders.applies(endpoint, customer):
-            link = self._open_link(endpoint, customer, len(opening))
-            if link is not None:
-                return link
+            opens = self._open_link(endpoint, customer)
+            if opens is not None:
+                return opens or bool(opening)
         limit = OPENING_MAX if customer is None else OPENING_FOR_CUSTOMERS_MAX
         if len(opening) >= limit or any(_is_for(c, customer) for c in opening):
             return True
@@ -213,25 +221,21 @@
             return True
         return bool(opening)
 
-    def _open_link(
-        self, endpoint: EndpointRow, customer: str, opening: int
-    ) -> bool | None:
+    def _open_link(self, endpoint: EndpointRow, customer: str) -> bool | None:
         """Open a link to the best holder of a customer; return whether one opens.
 
-        Return None if this host is that holder, and should open its own connection.
+        Return None if this host should open a connection of its own.
         """
-        best = self._customer_holders.by_cost(endpoint, customer)[0]
-        if best.name == self._node.identity.name:
+        via = self._customer_holders.next_holder(endpoint, customer)
+        if via is None:
+            return True
+        if via.name == self._node.identity.name:
             return None
-        via = self._customer_holders.path(endpoint, customer)
-        if via is None or opening >= OPENING_FOR_CUSTOMERS_MAX:
-            return opening > 0
-        is_holder = self._holders.holds(endpoint.entry.service)
-        if not is_holder and self.now < endpoint.connect_backoff_until:
-            return opening > 0
+        if not self._customer_holders.can_open_link(endpoint):
+            return False
         room = self._customer_holders.room_for(endpoint, via)
         if not room:
-            return opening > 0
+            return False
         if isinstance(room, ConnectionRow):
             self.close(room, "closed to make room for a link to another holder")
         self._open(endpoint, via, customer)
--- a/mallowpass/core/proxy/customerholders.py
+++ b/mallowpass/core/proxy/customerholders.py
@@ -29,6 +29,9 @@
 # Seconds for which a statement waits for a link to the best holder while a connection
 # by way of another one is idle: two round trips between regions.
 LINK_WAIT = 0.05
+# Links to one endpoint that this host may open at once, each to another holder: as many
+# as holders that may be tried before the first attempt is given up.
+OPENING_MAX = 4
 # Orders that are kept, over all services, regions and customers.
 ORDERS_MAX = 10_000
 
@@ -93,10 +96,12 @@
         customer: str,
         values: dict[str, str] | None,
         idle: list[ConnectionRow],
+        may_wait: bool,
     ) -> ConnectionRow | None:
         """Choose one of some idle connections; None to wait for a better one.
 
         An own connection of the customer is preferred, then a link to the best holder.
+        `may_wait`: if None is returned, a better connection is opened.
         """
         direct = [connection for connection in idle if not connection.holder]
         if direct:
@@ -108,21 +113,21 @@
         best = min(
             idle, key=lambda c: (ranks.get(c.holder, len(ranks)), c.values != values)
         )
-        if best.holder == hosts[0].name or not self._is_worth_waiting(
-            endpoint, customer, hosts[0]
+        if (
+            best.holder != hosts[0].name
+            and may_wait
+            and self._is_worth_waiting(endpoint, customer, hosts[0])
         ):
-            return best
-        return None
+            return None
+        return best
 
-    def path(self, endpoint: EndpointRow, customer: str) -> HostRow | None:
-        """Return the holder to which to open a link, None if to none.
+    def next_holder(self, endpoint: EndpointRow, customer: str) -> HostRow | None:
+        """Return the holder to connect through, None while a link is being opened.
 
         A holder that has not accepted a link for `LINK_WAIT` is passed over, so that
         two holders that do not answer are detected at about the same time.
         """
         for host in self.by_cost(endpoint, customer):
-            if host.name == self._node.identity.name:
-                return None
             opening = self._opening(endpoint, host)
             if opening is None:
                 return host
@@ -130,6 +135,14 @@
                 return None
         return None
 
+    def can_open_link(self, endpoint: EndpointRow) -> bool:
+        """Return whether a link may be opened now, if there is room for it."""
+        is_holder = self._holders.holds(endpoint.entry.service)
+        if not is_holder and self.now < endpoint.connect_backoff_until:
+            return False
+        states = [connection.state for connection in endpoint.connections.values()]
+        return states.count(ConnectionState.OPENING) < OPENING_MAX
+
     def room_for(self, endpoint: EndpointRow, host: HostRow) -> bool | ConnectionRow:
         """Return whether a link may be opened, or the idle link to close for it.
 
@@ -153,7 +166,7 @@
         opening = self._opening(endpoint, best)
         if opening is not None:
             return self.now - opening.opened_at < LINK_WAIT
-        return bool(self.room_for(endpoint, best))
+        return self.can_open_link(endpoint) and bool(self.room_for(endpoint, best))
 
     @staticmethod
     def _opening(endpoint: EndpointRow, host: HostRow) -> ConnectionRow | None:
--- a/mallowpass/core/proxy/routing.py
+++ b/mallowpass/core/proxy/routing.py
@@ -51,7 +51,11 @@
         with_room = [e for e in candidates if self._load.has_room(e)]
         for endpoint in with_room:
             connection = self._connections.acquire(
-                endpoint, request.session.values, request.customer, by_affinity=True
+                endpoint,
+                request.session.values,
+                request.customer,
+                by_affinity=True,
+                may_wait=first is None,
             )
             if connection is not None:
                 return Choice(connection, floor)
--- a/tests/core/proxy/test_customer_connections.py
+++ b/tests/core/proxy/test_customer_connections.py
@@ -219,6 +219,23 @@
     assert world.judge.breaches == []
 
 
+def test_link_to_another_holder_is_used_while_none_can_be_opened(load):
+    """Guard against a statement that waits beside an idle link for a better one."""
+    world = load.world
+    index = _non_holder(world, "casa-1")
+    homes = {
+        name: _holders(world, index, "db-casa", name)[0]
+        for name in ("c1", "c2", "c3", "c4", "c5")
+    }
+    other = next(name for name in homes if homes[name] != homes["c1"])
+    assert world.caller(index, "filing", "key-1").run(Write("a 1")).code is Code.DONE
+    endpoint = world.hosts[index].tables.endpoints["db-casa"]
+    endpoint.connect_backoff_until = world.timers.now + 10.0
+    caller = world.caller(index, "filing", f"key-{other[1:]}")
+    assert caller.run(Write("b 1"), within=0.15).code is Code.DONE
+    assert (homes["c1"], "db-casa") in _customer_connections(world, other)
+
+
 def test_home_of_a_customer_is_replaced_when_its_host_is_killed(load):
     """Guard against a customer that stays without a holder after a crash."""
     world = load.world
