Render all labels of series that share a name

The labels of the first series were taken for all series of a name, so that connections with and without a home appeared under the same labels. The names of all series are collected; a label that a series lacks is empty.

--- a/mallowpass/platform/metrics.py
+++ b/mallowpass/platform/metrics.py
@@ -94,14 +94,21 @@
             HistogramMetricFamily,
         )
 
+        label_names: dict[str, list[str]] = {}
+        for name, labels in self._counters:
+            names = label_names.setdefault(name, [])
+            names.extend(key for key, _ in labels if key not in names)
         families = {}
         for (name, labels), value in self._counters.items():
             family = families.get(name)
             if family is None:
-                keys = [key for key, _ in labels]
-                family = CounterMetricFamily(f"mallowpass_{name}", name, labels=keys)
+                family = CounterMetricFamily(
+                    f"mallowpass_{name}", name, labels=label_names[name]
+                )
                 families[name] = family
-            family.add_metric([text for _, text in labels], value)
+            # Some series of a name may lack a label. An empty label counts as absent.
+            texts = dict(labels)
+            family.add_metric([texts.get(key, "") for key in label_names[name]], value)
         for (name, labels), histogram in self._histograms.items():
             family = families.get(name)
             if family is None:
