Serve callers of a host that is cut off from the holders

Writes went to idle links that did not answer, two in doubt counted as a stall of the primary, and a write without a connection used up the probe. A holder that leaves calls and one more link unanswered is now silent: its links are not used, its overdue writes are not counted, and a holder that two others leave unanswered uses its own connections up to its equal share. A write uses up the probe when it is sent.

A holder also uses idle links while its endpoint fails, tries again as soon as a link is refused, opens no connection for a lost link, opens several links to a home at once, and limits links and own openings apart. A timer wakes statements when an idle connection may be closed for them. Waits are compared with the sums that timers use.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -21,7 +21,7 @@
     EndpointAnswered,
 )
 from mallowpass.core.proxy.holders import Holders
-from mallowpass.core.proxy.policy.eviction import choose_eviction
+from mallowpass.core.proxy.policy.eviction import choose_eviction, eviction_time
 from mallowpass.core.proxy.shares import Shares
 from mallowpass.core.proxy.signals import (
     CallsSent,
@@ -73,7 +73,13 @@
 class Connections(ProxySystem):
     """Maintain the connections of this host."""
 
-    __slots__ = ("_customer_holders", "_durability", "_holders", "_shares")
+    __slots__ = (
+        "_customer_holders",
+        "_durability",
+        "_holders",
+        "_room_checks",
+        "_shares",
+    )
 
     def start(self) -> None:
         """Subscribe to the events of connections and endpoints."""
@@ -82,6 +88,8 @@
         self._durability = node.system(Durability)
         self._holders = node.system(Holders)
         self._shares = node.system(Shares)
+        # Times at which waiting statements are tried again, by endpoint.
+        self._room_checks: dict[str, float] = {}
         node.subscribe(ConnectionReady, self._on_ready)
         node.subscribe(ConnectionRefused, self._on_refused)
         node.subscribe(ConnectionLost, self._on_lost)
@@ -111,12 +119,13 @@
         only while it can't open its own. `may_wait`: `grow` is called if None is
         returned, though a connection that is worse for the customer may be idle.
         """
-        if by_affinity and self._customer_holders.applies(endpoint, customer):
+        if by_affinity and self._customer_holders.forwards(endpoint, customer):
             return self._acquire_by_affinity(endpoint, values, customer, may_wait)
         if self._shares.is_customer_at_limit(endpoint, customer):
             return None
         own_only |= (
-            self._customer_holders.applies(endpoint, customer)
+            not by_affinity
+            and self._customer_holders.applies(endpoint, customer)
             and self.now >= endpoint.connect_backoff_until
         )
         idle = [
@@ -126,6 +135,7 @@
             and connection.can_serve(customer)
             and not connection.is_single_use
             and not (own_only and connection.holder)
+            and not self._holders.is_silent(connection.holder)
         ]
         if not idle:
             return None
@@ -151,11 +161,25 @@
             and connection.can_serve(customer)
             and not connection.is_single_use
             and not (is_at_limit and not connection.holder)
+            and not self._holders.is_silent(connection.holder)
         ]
         chosen = self._customer_holders.choose(
             endpoint, customer, values, idle, may_wait
         )
-        return None if chosen is None else self._note_use(chosen)
+        if chosen is None:
+            return None
+        if chosen.holder and endpoint.connect_failures:
+            self._retry_own(endpoint, customer)
+        return self._note_use(chosen)
+
+    def _retry_own(self, endpoint: EndpointRow, customer: str) -> None:
+        """Have a holder whose endpoint failed connect to it again, beside its links."""
+        opening = (
+            connection.state is ConnectionState.OPENING and not connection.holder
+            for connection in endpoint.connections.values()
+        )
+        if self._holders.holds(endpoint.entry.service) and not any(opening):
+            self.grow(endpoint, customer)
 
     def _note_use(self, connection: ConnectionRow) -> ConnectionRow:
         """Count a connection of a customer that is used again."""
@@ -200,10 +224,13 @@
             for connection in endpoint.connections.values()
             if connection.state is ConnectionState.OPENING
         ]
-        if by_affinity and self._customer_holders.applies(endpoint, customer):
+        if by_affinity and self._customer_holders.forwards(endpoint, customer):
             opens = self._open_link(endpoint, customer)
             if opens is not None:
                 return opens or bool(opening)
+        if self._customer_holders.applies(endpoint, customer):
+            # Links are limited apart: silent holders must not delay own connections.
+            opening = [connection for connection in opening if not connection.holder]
         limit = OPENING_MAX if customer is None else OPENING_FOR_CUSTOMERS_MAX
         if len(opening) >= limit or any(_is_for(c, customer) for c in opening):
             return True
@@ -261,6 +288,22 @@
         self._open(endpoint, host, None, is_single_use=True)
         return None
 
+    def open_check(self, endpoint: EndpointRow, host: HostRow) -> ConnectionRow:
+        """Open a link for the sole purpose of finding out whether a holder answers."""
+        return self._open(endpoint, host, None, is_single_use=True)
+
+    def mark_silent(self, link: ConnectionRow) -> None:
+        """Stop using the holder of a link, which did not accept the link in time."""
+        endpoint, holder = link.endpoint, link.holder
+        was_silent = self._holders.is_silent(holder)
+        self._holders.mark_silent(holder)
+        if not was_silent:
+            self._node.log(
+                "warning", "holder_silent", holder=holder, endpoint=endpoint.name
+            )
+            self._node.count("holders_silent")
+            self._node.publish(ConnectionFreed(endpoint))
+
     def retry(self, endpoint: EndpointRow) -> None:
         """Connect to an endpoint without waiting for the end of its backoff."""
         endpoint.connect_backoff_until = self.now
@@ -276,9 +319,14 @@
         ):
             return
         if self._customer_holders.applies(endpoint, customer):
-            evicted = choose_eviction(endpoint.connections.values(), customer, self.now)
+            connections = endpoint.connections.values()
+            evicted = choose_eviction(connections, customer, self.now)
             if evicted is not None:
                 self.close(evicted, "closed to make room for another customer")
+                return
+            when = eviction_time(connections, customer)
+            if when is not None:
+                self._check_room_at(endpoint, when)
             return
         idle = [
             connection
@@ -290,6 +338,16 @@
             oldest = min(idle, key=lambda connection: connection.last_used_at)
             self.close(oldest, "closed to make room for another customer")
 
+    def _check_room_at(self, endpoint: EndpointRow, when: float) -> None:
+        """Try waiting statements again when a connection may be closed for them.
+
+        Without a timer nothing wakes a customer whose own connection stays in use.
+        """
+        if self.now < self._room_checks.get(endpoint.name, 0.0) <= when:
+            return
+        self._room_checks[endpoint.name] = when
+        self.timers.at(when, self._node.publish, ConnectionFreed(endpoint))
+
     def release(self, connection: ConnectionRow) -> None:
         """Return a connection to the pool; close it if its session state is unknown."""
         if connection.number not in self.tables.connections:
@@ -355,7 +413,7 @@
         via: HostRow | None,
         customer: str | None,
         is_single_use: bool = False,
-    ) -> None:
+    ) -> ConnectionRow:
         number = self._node.next_number()
         entry = endpoint.entry
         address, holder = entry.address, ""
@@ -377,6 +435,7 @@
             )
         )
         self._count_use("connections_opened", connection)
+        return connection
 
     def _on_ready(self, event: ConnectionReady) -> None:
         connection = self.tables.connections.get(event.connection)
@@ -420,6 +479,8 @@
         )
         if connection.holder:
             is_definitive = not self._is_timed_out(connection, event)
+            if is_definitive:
+                self._holders.note_reply(connection.holder)
             self._node.publish(
                 ForwardedConnectionRefused(endpoint, connection.holder, is_definitive)
             )
@@ -470,6 +531,9 @@
             timed_out = self._is_timed_out(connection, event)
             self._holders.mark_failed(connection.holder, timed_out)
         if self._holders.holds(endpoint.entry.service):
+            if self._holders.serves_customers(endpoint.entry.service):
+                # Its callers' statements wait for this link, and another one serves.
+                self._node.publish(ConnectionFreed(endpoint))
             return True
         has_path = self._holders.has_usable_holder(
             endpoint
@@ -493,6 +557,10 @@
             message=event.message,
         )
         self._notify_lost(connection, event.message)
+        service = endpoint.entry.service
+        is_for_callers = bool(connection.holder) and self._holders.holds(service)
+        if is_for_callers and self._holders.serves_customers(service):
+            return  # a connection of this host itself would serve no customer
         if not endpoint.is_leaving:
             # If the endpoint has crashed, the attempt is refused at once, which shows
             # the crash before the next statement does.
@@ -570,7 +638,9 @@
     ) -> None:
         """Record what a reply shows about its endpoint."""
         endpoint = connection.endpoint
-        if not connection.holder:
+        if connection.holder:
+            self._holders.note_reply(connection.holder)
+        else:
             endpoint.last_direct_reply_at = self.now
         # A reply with a position is the endpoint's own: a holder that refuses a call
         # sends none.
--- a/mallowpass/core/proxy/customerholders.py
+++ b/mallowpass/core/proxy/customerholders.py
@@ -29,9 +29,11 @@
 # Seconds for which a statement waits for a link to the best holder while a connection
 # by way of another one is idle: two round trips between regions.
 LINK_WAIT = 0.05
-# Links to one endpoint that this host may open at once, each to another holder: as many
-# as holders that may be tried before the first attempt is given up.
+# Holders to which this host may open links to one endpoint at once: as many as may be
+# tried before the first attempt is given up.
 OPENING_MAX = 4
+# Links to one holder that may be opened at once, while as many statements wait.
+OPENING_PER_HOLDER_MAX = 4
 # Orders that are kept, over all services, regions and customers.
 ORDERS_MAX = 10_000
 
@@ -61,13 +63,17 @@
         ] = {}
 
     def applies(self, endpoint: EndpointRow, customer: str | None) -> bool:
-        """Return whether a customer's statements are forwarded by its order."""
+        """Return whether connections of a customer follow its order of holders."""
         if customer is None:
             return False
         if not self._holders.serves_customers(endpoint.entry.service):
             return False
         return not self._holders.is_cut_off(endpoint)
 
+    def forwards(self, endpoint: EndpointRow, customer: str | None) -> bool:
+        """Return whether a statement of this host's callers goes by that order."""
+        return self.applies(endpoint, customer)
+
     def is_home(self, endpoint: EndpointRow, customer: str) -> bool:
         """Return whether this host is the first holder of a customer."""
         name = self._node.identity.name
@@ -77,9 +83,14 @@
     def by_cost(self, endpoint: EndpointRow, customer: str) -> list[HostRow]:
         """Return the usable holders for a customer's statement, the best one first.
 
-        If no holder is usable, all are returned.
+        If no holder is usable, all are returned. A holder that is cut off from the
+        others is the best one for its own callers.
         """
         candidates = self._candidates(endpoint, customer)
+        if self._holders.is_isolated(endpoint.entry.service):
+            name = self._node.identity.name
+            own = [c.host for c in candidates if c.host.name == name]
+            return own + [c.host for c in candidates if c.host.name != name]
         failed = self._holders.failed_holders(endpoint)
         usable = [c for c in candidates if c.host.name not in failed] or candidates
         waits = {c.rank: self._expected_wait(c.host.name, endpoint) for c in usable}
@@ -122,17 +133,22 @@
         return best
 
     def next_holder(self, endpoint: EndpointRow, customer: str) -> HostRow | None:
-        """Return the holder to connect through, None while a link is being opened.
+        """Return the holder to connect through, None while enough links are opening.
+
+        Of statements that arrive together, each needs a link: opened one after the
+        other, the last of six writes waited for five round trips.
 
         A holder that has not accepted a link for `LINK_WAIT` is passed over, so that
         two holders that do not answer are detected at about the same time.
         """
         for host in self.by_cost(endpoint, customer):
             opening = self._opening(endpoint, host)
-            if opening is None:
+            if not opening:
                 return host
-            if self.now - opening.opened_at < LINK_WAIT:
-                return None
+            if self.now < opening[0].opened_at + LINK_WAIT:
+                waiting = len(self.tables.group(endpoint.entry.service).waiting)
+                more = len(opening) < min(OPENING_PER_HOLDER_MAX, waiting)
+                return host if more else None
         return None
 
     def can_open_link(self, endpoint: EndpointRow) -> bool:
@@ -140,8 +156,9 @@
         is_holder = self._holders.holds(endpoint.entry.service)
         if not is_holder and self.now < endpoint.connect_backoff_until:
             return False
-        states = [connection.state for connection in endpoint.connections.values()]
-        return states.count(ConnectionState.OPENING) < OPENING_MAX
+        links = [c for c in endpoint.connections.values() if c.holder]
+        opening = {c.holder for c in links if c.state is ConnectionState.OPENING}
+        return len(opening) < OPENING_MAX
 
     def room_for(self, endpoint: EndpointRow, host: HostRow) -> bool | ConnectionRow:
         """Return whether a link may be opened, or the idle link to close for it.
@@ -164,20 +181,21 @@
         if best.name == self._node.identity.name:
             return self._shares.can_serve_soon(endpoint, customer)
         opening = self._opening(endpoint, best)
-        if opening is not None:
-            return self.now - opening.opened_at < LINK_WAIT
+        if opening:
+            return self.now < opening[0].opened_at + LINK_WAIT
         return self.can_open_link(endpoint) and bool(self.room_for(endpoint, best))
 
     @staticmethod
-    def _opening(endpoint: EndpointRow, host: HostRow) -> ConnectionRow | None:
-        """Return the link to a holder that is being opened for the longest time."""
+    def _opening(endpoint: EndpointRow, host: HostRow) -> list[ConnectionRow]:
+        """Return the links to a holder that are being opened, the first one first."""
         opening = (
             connection
             for connection in endpoint.connections.values()
             if connection.holder == host.name
             and connection.state is ConnectionState.OPENING
+            and not connection.is_single_use
         )
-        return min(opening, key=lambda c: c.opened_at, default=None)
+        return sorted(opening, key=lambda c: c.opened_at)
 
     def _expected_wait(self, holder: str, endpoint: EndpointRow) -> float | None:
         """Return the expected wait at a holder in seconds, None if it is unknown."""
--- a/mallowpass/core/proxy/holders.py
+++ b/mallowpass/core/proxy/holders.py
@@ -61,9 +61,11 @@
     __slots__ = (
         "_failed",
         "_fleet",
+        "_last_replies",
         "_plans",
         "_plans_version",
         "_regional",
+        "_silent",
         "_unanswered",
         "_unreachable",
     )
@@ -81,6 +83,10 @@
         self._unreachable: dict[tuple[str, str], float] = {}
         # Times until which a holder counts as not answering, by host.
         self._unanswered: dict[str, float] = {}
+        # Times until which a holder counts as silent, and times of its last reply, by
+        # host.
+        self._silent: dict[str, float] = {}
+        self._last_replies: dict[str, float] = {}
 
     # -- Queries -------------------------------------------------------------
 
@@ -102,9 +108,15 @@
         plan = self._plan(service)
         if not self.holds(service):
             return 0
-        if self.serves_customers(service):
-            return self._regional_shares(endpoint).by_holder[self._node.identity.name]
-        return plan.share + (self._node.identity.name in plan.holders_with_extra)
+        name = self._node.identity.name
+        equal = plan.share + (name in plan.holders_with_extra)
+        if not self.serves_customers(service):
+            return equal
+        share = self._regional_shares(endpoint).by_holder[name]
+        # A holder that is cut off from the others can't forward its own callers'
+        # statements, and the 2 connections to an endpoint of another region are too few
+        # for them.
+        return max(share, equal) if self.is_isolated(service) else share
 
     def part_of(self, endpoint: EndpointRow) -> float:
         """Return this holder's part of the connections to an endpoint, up to 1."""
@@ -128,7 +140,7 @@
 
     def failed_holders(self, endpoint: EndpointRow) -> frozenset[str]:
         """Return the holders that have recently failed for an endpoint."""
-        if not self._failed and not self._unreachable:
+        if not self._failed and not self._unreachable and not self._silent:
             return frozenset()
         plan = self._plan(endpoint.entry.service)
         return frozenset(
@@ -180,14 +192,38 @@
         If two holders do not answer, this host is most likely cut off from the other
         hosts. It may still reach its callers and the endpoint.
         """
-        if not self._unanswered or self.holds(endpoint.entry.service):
+        if self.holds(endpoint.entry.service):
             return False
-        plan = self._plan(endpoint.entry.service)
+        return self._do_holders_not_answer(endpoint.entry.service)
+
+    def is_isolated(self, service: str) -> bool:
+        """Return whether this host is a holder that is cut off from the others.
+
+        It should run its callers' statements on its own connections.
+        """
+        return self.holds(service) and self._do_holders_not_answer(service)
+
+    def _do_holders_not_answer(self, service: str) -> bool:
+        """Return whether so many holders do not answer that this host is cut off."""
+        if not self._unanswered and not self._silent:
+            return False
+        plan = self._plan(service)
         unanswered = [
-            h for h in plan.holders if self._unanswered.get(h.name, 0.0) > self.now
+            host
+            for host in plan.holders
+            if self._unanswered.get(host.name, 0.0) > self.now
+            or self.is_silent(host.name)
         ]
         return len(unanswered) >= min(UNANSWERED_MIN, len(plan.holders))
 
+    def is_silent(self, holder: str) -> bool:
+        """Return whether a holder leaves calls and a new link unanswered."""
+        return self._silent.get(holder, 0.0) > self.now
+
+    def last_reply_at(self, holder: str) -> float:
+        """Return the time of the last reply from a holder, 0 if there was none."""
+        return self._last_replies.get(holder, 0.0)
+
     def has_usable_holder(self, endpoint: EndpointRow) -> bool:
         """Return whether at least one holder can be used to reach an endpoint."""
         plan = self._plan(endpoint.entry.service)
@@ -195,7 +231,7 @@
 
     def _is_usable(self, host: HostRow, endpoint: EndpointRow) -> bool:
         """Return whether a holder has not recently failed for an endpoint."""
-        if self._failed.get(host.name, 0.0) > self.now:
+        if self._failed.get(host.name, 0.0) > self.now or self.is_silent(host.name):
             return False
         return self._unreachable.get((host.name, endpoint.name), 0.0) <= self.now
 
@@ -235,6 +271,16 @@
     def mark_answered(self, holder: str) -> None:
         """Record that a holder can be reached."""
         self._unanswered.pop(holder, None)
+        self.note_reply(holder)
+
+    def mark_silent(self, holder: str) -> None:
+        """Stop using a holder until it sends something, for a while at most."""
+        self._silent[holder] = self.now + UNANSWERED_TTL
+
+    def note_reply(self, holder: str) -> None:
+        """Record that a holder has sent something."""
+        self._last_replies[holder] = self.now
+        self._silent.pop(holder, None)
 
     def mark_unreachable(self, holder: str, endpoint: EndpointRow) -> None:
         """Stop using a holder for a while for an endpoint that it can't reach."""
--- a/mallowpass/core/proxy/policy/eviction.py
+++ b/mallowpass/core/proxy/policy/eviction.py
@@ -14,7 +14,7 @@
 
 from mallowpass.core.proxy.tables import ConnectionRow, ConnectionState
 
-__all__ = ["choose_eviction"]
+__all__ = ["choose_eviction", "eviction_time"]
 
 # Times in seconds.
 # A customer that has a connection gets another one only in place of one that has been
@@ -41,7 +41,26 @@
         elif connection.state is ConnectionState.IDLE:
             idle.append(connection)
     oldest = min(idle, key=lambda connection: connection.last_used_at, default=None)
-    if oldest is None or now - oldest.last_used_at >= UNUSED_MIN:
+    if oldest is None or now >= oldest.last_used_at + UNUSED_MIN:
         return oldest
-    can_wait = any(now - connection.last_used_at < TURN_MAX for connection in own)
+    can_wait = any(now < connection.last_used_at + TURN_MAX for connection in own)
     return None if can_wait else oldest
+
+
+def eviction_time(connections: Iterable[ConnectionRow], customer: str) -> float | None:
+    """Return the time from which an idle connection may be closed for a customer.
+
+    None if no connection of another customer is idle. A timer for this time is exact:
+    `choose_eviction` compares with the same sums.
+    """
+    own, idle = [], []
+    for connection in connections:
+        if connection.holder:
+            continue
+        if connection.customer == customer:
+            own.append(connection.last_used_at)
+        elif connection.state is ConnectionState.IDLE:
+            idle.append(connection.last_used_at)
+    if not idle:
+        return None
+    return min(min(idle) + UNUSED_MIN, max(own, default=0.0) + TURN_MAX)
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -21,6 +21,7 @@
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.forwardedorders import ForwardedOrders
 from mallowpass.core.proxy.holders import Holders
+from mallowpass.core.proxy.holdersilence import HolderSilence
 from mallowpass.core.proxy.hosts import Hosts
 from mallowpass.core.proxy.idleconnections import IdleConnections
 from mallowpass.core.proxy.lapsedmembers import LapsedMembers
@@ -73,6 +74,7 @@
     Durability,
     Connections,
     DeadConnections,
+    HolderSilence,
     IdleConnections,
     Floors,
     Routing,
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -264,6 +264,7 @@
             self._answers.refuse(request, Code.BUSY, request.detail)
         elif choice.connection is not None:
             group.waiting.remove(request)
+            self._stalls.note_sent(request, group)
             self._send(request, choice.connection, choice.floor)
         elif choice.full and is_turned_away(request, group.waiting, self.now):
             group.last_rejection_at = self.now
--- a/mallowpass/core/proxy/shares.py
+++ b/mallowpass/core/proxy/shares.py
@@ -155,14 +155,15 @@
         if not self._holders.serves_customers(endpoint.entry.service):
             return FORWARDED_MAX
         wanted = LINKS_PER_HOLDER * len(self._holders.local_holders(endpoint))
-        return max(FORWARDED_MAX, min(LINKS_MAX, wanted))
+        # With fewer links than local holders, links would be closed for one another.
+        return max(FORWARDED_MAX, min(LINKS_MAX, wanted), wanted // LINKS_PER_HOLDER)
 
     def can_serve_soon(self, endpoint: EndpointRow, customer: str) -> bool:
         """Return whether a holder can open a connection for a customer at once.
 
         Either its share has room, or an idle connection can be closed for it.
         """
-        if self.now < endpoint.connect_backoff_until:
+        if endpoint.connect_failures or self.now < endpoint.connect_backoff_until:
             return False
         if self.is_customer_at_limit(endpoint, customer):
             return False
--- a/mallowpass/core/proxy/stalls.py
+++ b/mallowpass/core/proxy/stalls.py
@@ -82,8 +82,19 @@
         return stall is not None and stall.writes >= STALL_THRESHOLD
 
     def should_refuse(self, request: RequestRow, group: GroupRow) -> bool:
-        """Return whether to refuse a statement; see `should_refuse_write`."""
-        return _is_single_write(request) and self.should_refuse_write(group)
+        """Return whether to refuse a statement now; its probe is not used up."""
+        if not _is_single_write(request) or not self.is_stalled(group):
+            return False
+        return self.now < self._stalls[group.service].probe_at
+
+    def note_sent(self, request: RequestRow, group: GroupRow) -> None:
+        """Record that a statement was sent; while writes stall, a write is the probe.
+
+        A write that finds no connection must not use up the probe: no write would be
+        sent before the next one is due.
+        """
+        if _is_single_write(request) and self.is_stalled(group):
+            self._stalls[group.service].probe_at = self.now + PROBE_INTERVAL
 
     def must_wait(self, request: RequestRow, group: GroupRow) -> bool:
         """Return whether a commit waits for the first acknowledgement of a successor.
@@ -96,7 +107,7 @@
         return _commits(request) and _awaits_commit(group)
 
     def should_refuse_write(self, group: GroupRow) -> bool:
-        """Return whether to refuse a write now.
+        """Return whether to refuse a write of another host now.
 
         While writes stall, a write that is not refused is the probe, and the next probe
         is due `PROBE_INTERVAL` later.
--- a/mallowpass/core/proxy/timeouts.py
+++ b/mallowpass/core/proxy/timeouts.py
@@ -5,6 +5,7 @@
 from mallowpass.core.proxy.answers import Answers
 from mallowpass.core.proxy.attempts import Attempts
 from mallowpass.core.proxy.connections import Connections
+from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.signals import AttemptAbandoned, AttemptOverdue, WriteStalled
 from mallowpass.core.proxy.stalls import Stalls
 from mallowpass.core.proxy.statements import Access, Answer, Code, SessionState
@@ -21,7 +22,14 @@
 class Timeouts(ProxySystem):
     """End the attempts and statements that are not answered in time."""
 
-    __slots__ = ("_answers", "_attempts", "_connections", "_stalls", "_transactions")
+    __slots__ = (
+        "_answers",
+        "_attempts",
+        "_connections",
+        "_holders",
+        "_stalls",
+        "_transactions",
+    )
 
     def start(self) -> None:
         """Subscribe to overdue attempts."""
@@ -29,6 +37,7 @@
         self._answers = node.system(Answers)
         self._attempts = node.system(Attempts)
         self._connections = node.system(Connections)
+        self._holders = node.system(Holders)
         self._stalls = node.system(Stalls)
         self._transactions = node.system(Transactions)
         node.subscribe(AttemptOverdue, self._on_overdue)
@@ -43,7 +52,8 @@
         connection = request.connection
         endpoint = connection.endpoint
         is_write = request.access is Access.WRITE
-        if is_write:
+        # A write that a silent holder did not answer says nothing about the primary.
+        if is_write and not self._holders.is_silent(connection.holder):
             self._node.publish(WriteStalled(endpoint))
         if request.transaction is not None or is_write:
             return
--- a/mallowpass/measure/policy/mechanisms.py
+++ b/mallowpass/measure/policy/mechanisms.py
@@ -140,6 +140,7 @@
     _mechanism(
         "stalls",
         "writes are sent to a primary that acknowledges none",
+        (Stalls, "should_refuse", _always(False)),
         (Stalls, "should_refuse_write", _always(False)),
     ),
     _mechanism(
@@ -226,7 +227,7 @@
     _mechanism(
         "customer-affinity",
         "customers' statements go to the nearest holder",
-        (CustomerHolders, "applies", _always(False)),
+        (CustomerHolders, "forwards", _always(False)),
     ),
     _mechanism(
         "kept-customer-connections",
--- a/tests/core/proxy/policy/test_affinity.py
+++ b/tests/core/proxy/policy/test_affinity.py
@@ -5,7 +5,12 @@
 from collections import Counter
 
 from mallowpass.core.proxy.policy.affinity import order_holders
-from mallowpass.core.proxy.policy.eviction import UNUSED_MIN, choose_eviction
+from mallowpass.core.proxy.policy.eviction import (
+    TURN_MAX,
+    UNUSED_MIN,
+    choose_eviction,
+    eviction_time,
+)
 from mallowpass.core.proxy.policy.holderchoice import OPENING_TIME, forwarding_cost
 from mallowpass.core.proxy.tables import ConnectionRow, ConnectionState
 
@@ -56,3 +61,19 @@
     assert choose_eviction([own, other], "large", 9.99 + UNUSED_MIN) is other
     stuck = _connection(3, "large", 5.0, busy=True)
     assert choose_eviction([stuck, other], "large", 10.0) is other
+
+
+def test_eviction_is_allowed_exactly_at_its_time():
+    """Guard against a timer that finds the wait not quite over, by rounding."""
+    for number in range(200):
+        used_at = 1.0 + number * 0.0137
+        idle = _connection(1, "b", used_at)
+        own = _connection(2, "a", used_at, busy=True)
+        when = eviction_time([idle, own], "a")
+        assert when == used_at + TURN_MAX
+        assert choose_eviction([idle, own], "a", when) is idle
+        later = _connection(3, "a", used_at + 1.0, busy=True)
+        when = eviction_time([idle, own, later], "a")
+        assert when == used_at + UNUSED_MIN
+        assert choose_eviction([idle, own, later], "a", when) is idle
+    assert eviction_time([own], "a") is None
