--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -12,6 +12,7 @@
 from dataclasses import replace
 
 from mallowpass.core.messages import ConnectionLost
+from mallowpass.core.proxy.customerholders import LINK_WAIT, CustomerHolders
 from mallowpass.core.proxy.durability import Durability
 from mallowpass.core.proxy.effects import CloseConnection, OpenConnection, SendCalls
 from mallowpass.core.proxy.events import (
@@ -20,6 +21,7 @@
     EndpointAnswered,
 )
 from mallowpass.core.proxy.holders import Holders
+from mallowpass.core.proxy.policy.eviction import choose_eviction, eviction_time
 from mallowpass.core.proxy.shares import Shares
 from mallowpass.core.proxy.signals import (
     CallsSent,
@@ -71,14 +73,23 @@
 class Connections(ProxySystem):
     """Maintain the connections of this host."""
 
-    __slots__ = ("_durability", "_holders", "_shares")
+    __slots__ = (
+        "_customer_holders",
+        "_durability",
+        "_holders",
+        "_room_checks",
+        "_shares",
+    )
 
     def start(self) -> None:
         """Subscribe to the events of connections and endpoints."""
         node = self._node
+        self._customer_holders = node.system(CustomerHolders)
         self._durability = node.system(Durability)
         self._holders = node.system(Holders)
         self._shares = node.system(Shares)
+        # Times at which waiting statements are tried again, by endpoint.
+        self._room_checks: dict[str, float] = {}
         node.subscribe(ConnectionReady, self._on_ready)
         node.subscribe(ConnectionRefused, self._on_refused)
         node.subscribe(ConnectionLost, self._on_lost)
@@ -94,15 +105,29 @@
         values: dict[str, str] | None,
         customer: str | None = None,
         own_only: bool = False,
+        by_affinity: bool = False,
+        may_wait: bool = False,
     ) -> ConnectionRow | None:
         """Return an idle connection that can serve `customer`, None if there is none.
 
         A direct connection is preferred to a forwarded one; of several, a connection
         that has the session's `values` set. `own_only` excludes forwarded connections.
         `customer` is None for this host's own statements, which any connection serves.
+
+        `by_affinity`: the customer's order of holders applies, where there is one.
+        Without it, a holder serves calls of other hosts, and uses forwarded connections
+        only while it can't open its own. `may_wait`: `grow` is called if None is
+        returned, though a connection that is worse for the customer may be idle.
         """
+        if by_affinity and self._customer_holders.forwards(endpoint, customer):
+            return self._acquire_by_affinity(endpoint, values, customer, may_wait)
         if self._shares.is_customer_at_limit(endpoint, customer):
             return None
+        own_only |= (
+            not by_affinity
+            and self._customer_holders.applies(endpoint, customer)
+            and self.now >= endpoint.connect_backoff_until
+        )
         idle = [
             connection
             for connection in endpoint.connections.values()
@@ -110,12 +135,68 @@
             and connection.can_serve(customer)
             and not connection.is_single_use
             and not (own_only and connection.holder)
+            and not self._holders.is_silent(connection.holder)
         ]
         if not idle:
             return None
         # Values are set in the same write as the statement, whereas forwarding adds
         # latency.
-        return max(idle, key=lambda c: (not c.holder, c.values == values))
+        return self._note_use(
+            max(idle, key=lambda c: (not c.holder, c.values == values))
+        )
+
+    def _acquire_by_affinity(
+        self,
+        endpoint: EndpointRow,
+        values: dict[str, str] | None,
+        customer: str,
+        may_wait: bool,
+    ) -> ConnectionRow | None:
+        """Return an idle connection for a statement of this host's own callers."""
+        is_at_limit = self._shares.is_customer_at_limit(endpoint, customer)
+        idle = [
+            connection
+            for connection in endpoint.connections.values()
+            if connection.state is ConnectionState.IDLE
+            and connection.can_serve(customer)
+            and not connection.is_single_use
+            and not (is_at_limit and not connection.holder)
+            and not self._holders.is_silent(connection.holder)
+        ]
+        chosen = self._customer_holders.choose(
+            endpoint, customer, values, idle, may_wait
+        )
+        if chosen is None:
+            return None
+        if chosen.holder and endpoint.connect_failures:
+            self._retry_own(endpoint, customer)
+        return self._note_use(chosen)
+
+    def _retry_own(self, endpoint: EndpointRow, customer: str) -> None:
+        """Have a holder whose endpoint failed connect to it again, beside its links."""
+        opening = (
+            connection.state is ConnectionState.OPENING and not connection.holder
+            for connection in endpoint.connections.values()
+        )
+        if self._holders.holds(endpoint.entry.service) and not any(opening):
+            self.grow(endpoint, customer)
+
+    def _note_use(self, connection: ConnectionRow) -> ConnectionRow:
+        """Count a connection of a customer that is used again."""
+        if connection.has_served:
+            self._count_use("connections_reused", connection)
+        connection.has_served = True
+        return connection
+
+    def _count_use(self, name: str, connection: ConnectionRow) -> None:
+        endpoint, customer = connection.endpoint, connection.customer
+        labels = {"endpoint": endpoint.name}
+        if self._customer_holders.applies(endpoint, customer):
+            is_home = self._customer_holders.is_home(endpoint, customer)
+            labels["home"] = "yes" if is_home else "no"
+        elif name == "connections_reused":
+            return
+        self._node.count(name, **labels)
 
     def grow(
         self,
@@ -123,6 +204,7 @@
         customer: str | None = None,
         beyond_share: bool = False,
         borrow: bool = False,
+        by_affinity: bool = False,
     ) -> bool:
         """Open one more connection if allowed; return whether one is being opened.
 
@@ -132,6 +214,8 @@
         `borrow` allows a connection through another host if this host may not open one
         of its own. All callers of a region may be connected to a single host, mostly
         after many hosts have started, while connections of the other hosts are idle.
+
+        `by_affinity`: the customer's order of holders applies, where there is one.
         """
         if not self.tables.is_current(endpoint):
             return False
@@ -140,6 +224,13 @@
             for connection in endpoint.connections.values()
             if connection.state is ConnectionState.OPENING
         ]
+        if by_affinity and self._customer_holders.forwards(endpoint, customer):
+            opens = self._open_link(endpoint, customer)
+            if opens is not None:
+                return opens or bool(opening)
+        if self._customer_holders.applies(endpoint, customer):
+            # Links are limited apart: silent holders must not delay own connections.
+            opening = [connection for connection in opening if not connection.holder]
         limit = OPENING_MAX if customer is None else OPENING_FOR_CUSTOMERS_MAX
         if len(opening) >= limit or any(_is_for(c, customer) for c in opening):
             return True
@@ -157,6 +248,37 @@
             return True
         return bool(opening)
 
+    def _open_link(self, endpoint: EndpointRow, customer: str) -> bool | None:
+        """Open a link to the best holder of a customer; return whether one opens.
+
+        Return None if this host should open a connection of its own.
+        """
+        via = self._customer_holders.next_holder(endpoint, customer)
+        if via is None:
+            return True
+        if via.name == self._node.identity.name:
+            return None
+        if not self._customer_holders.can_open_link(endpoint):
+            return False
+        room = self._customer_holders.room_for(endpoint, via)
+        if not room:
+            return False
+        if isinstance(room, ConnectionRow):
+            self.close(room, "closed to make room for a link to another holder")
+        self._open(endpoint, via, customer)
+        self.timers.after(LINK_WAIT, self._check_link, endpoint, via)
+        return True
+
+    def _check_link(self, endpoint: EndpointRow, via: HostRow) -> None:
+        """Have statements use another holder if one does not accept a link."""
+        if any(
+            connection.holder == via.name
+            and connection.state is ConnectionState.OPENING
+            for connection in endpoint.connections.values()
+        ):
+            self._node.count("slow_links", endpoint=endpoint.name)
+            self._node.publish(ConnectionFreed(endpoint))
+
     def acquire_via(self, endpoint: EndpointRow, host: HostRow) -> ConnectionRow | None:
         """Return an idle single-use connection through a host; open one if needed."""
         for connection in endpoint.connections.values():
@@ -166,6 +288,22 @@
         self._open(endpoint, host, None, is_single_use=True)
         return None
 
+    def open_check(self, endpoint: EndpointRow, host: HostRow) -> ConnectionRow:
+        """Open a link for the sole purpose of finding out whether a holder answers."""
+        return self._open(endpoint, host, None, is_single_use=True)
+
+    def mark_silent(self, link: ConnectionRow) -> None:
+        """Stop using the holder of a link, which did not accept the link in time."""
+        endpoint, holder = link.endpoint, link.holder
+        was_silent = self._holders.is_silent(holder)
+        self._holders.mark_silent(holder)
+        if not was_silent:
+            self._node.log(
+                "warning", "holder_silent", holder=holder, endpoint=endpoint.name
+            )
+            self._node.count("holders_silent")
+            self._node.publish(ConnectionFreed(endpoint))
+
     def retry(self, endpoint: EndpointRow) -> None:
         """Connect to an endpoint without waiting for the end of its backoff."""
         endpoint.connect_backoff_until = self.now
@@ -180,6 +318,16 @@
             endpoint
         ):
             return
+        if self._customer_holders.applies(endpoint, customer):
+            connections = endpoint.connections.values()
+            evicted = choose_eviction(connections, customer, self.now)
+            if evicted is not None:
+                self.close(evicted, "closed to make room for another customer")
+                return
+            when = eviction_time(connections, customer)
+            if when is not None:
+                self._check_room_at(endpoint, when)
+            return
         idle = [
             connection
             for connection in endpoint.connections.values()
@@ -190,6 +338,16 @@
             oldest = min(idle, key=lambda connection: connection.last_used_at)
             self.close(oldest, "closed to make room for another customer")
 
+    def _check_room_at(self, endpoint: EndpointRow, when: float) -> None:
+        """Try waiting statements again when a connection may be closed for them.
+
+        Without a timer nothing wakes a customer whose own connection stays in use.
+        """
+        if self.now < self._room_checks.get(endpoint.name, 0.0) <= when:
+            return
+        self._room_checks[endpoint.name] = when
+        self.timers.at(when, self._node.publish, ConnectionFreed(endpoint))
+
     def release(self, connection: ConnectionRow) -> None:
         """Return a connection to the pool; close it if its session state is unknown."""
         if connection.number not in self.tables.connections:
@@ -255,7 +413,7 @@
         via: HostRow | None,
         customer: str | None,
         is_single_use: bool = False,
-    ) -> None:
+    ) -> ConnectionRow:
         number = self._node.next_number()
         entry = endpoint.entry
         address, holder = entry.address, ""
@@ -276,7 +434,8 @@
                 number, address, entry.service, entry.name, CONNECT_TIMEOUT, customer
             )
         )
-        self._node.count("connections_opened", endpoint=entry.name)
+        self._count_use("connections_opened", connection)
+        return connection
 
     def _on_ready(self, event: ConnectionReady) -> None:
         connection = self.tables.connections.get(event.connection)
@@ -320,6 +479,8 @@
         )
         if connection.holder:
             is_definitive = not self._is_timed_out(connection, event)
+            if is_definitive:
+                self._holders.note_reply(connection.holder)
             self._node.publish(
                 ForwardedConnectionRefused(endpoint, connection.holder, is_definitive)
             )
@@ -370,6 +531,9 @@
             timed_out = self._is_timed_out(connection, event)
             self._holders.mark_failed(connection.holder, timed_out)
         if self._holders.holds(endpoint.entry.service):
+            if self._holders.serves_customers(endpoint.entry.service):
+                # Its callers' statements wait for this link, and another one serves.
+                self._node.publish(ConnectionFreed(endpoint))
             return True
         has_path = self._holders.has_usable_holder(
             endpoint
@@ -393,6 +557,10 @@
             message=event.message,
         )
         self._notify_lost(connection, event.message)
+        service = endpoint.entry.service
+        is_for_callers = bool(connection.holder) and self._holders.holds(service)
+        if is_for_callers and self._holders.serves_customers(service):
+            return  # a connection of this host itself would serve no customer
         if not endpoint.is_leaving:
             # If the endpoint has crashed, the attempt is refused at once, which shows
             # the crash before the next statement does.
@@ -470,7 +638,9 @@
     ) -> None:
         """Record what a reply shows about its endpoint."""
         endpoint = connection.endpoint
-        if not connection.holder:
+        if connection.holder:
+            self._holders.note_reply(connection.holder)
+        else:
             endpoint.last_direct_reply_at = self.now
         # A reply with a position is the endpoint's own: a holder that refuses a call
         # sends none.
--- a/mallowpass/core/proxy/holders.py
+++ b/mallowpass/core/proxy/holders.py
@@ -11,6 +11,7 @@
 
 from zlib import crc32
 
+from mallowpass.core.proxy.policy.regionalshares import regional_shares
 from mallowpass.core.proxy.policy.sharing import (
     STATEMENTS_PER_SLOT,
     Fleet,
@@ -35,6 +36,16 @@
 UNANSWERED_MIN = 2
 
 
+@record
+class _RegionalShares:
+    """Shares of the connections to the endpoints of a failure domain."""
+
+    plan: Plan  # from which they were made
+    by_holder: dict[str, int]
+    total: int
+    local: frozenset[str]  # holders in the region
+
+
 @record
 class _CachedPlan:
     """A plan, and the values from which it was computed."""
@@ -50,8 +61,11 @@
     __slots__ = (
         "_failed",
         "_fleet",
+        "_last_replies",
         "_plans",
         "_plans_version",
+        "_regional",
+        "_silent",
         "_unanswered",
         "_unreachable",
     )
@@ -62,11 +76,17 @@
         # Versions of the hosts' entries and of the configuration.
         self._plans_version: tuple[int, int] = (-1, -1)
         self._fleet = Fleet(())
+        # By service and failure domain of the endpoint.
+        self._regional: dict[tuple[str, str], _RegionalShares] = {}
         # Times until which a holder is not used: by host, and by host and endpoint.
         self._failed: dict[str, float] = {}
         self._unreachable: dict[tuple[str, str], float] = {}
         # Times until which a holder counts as not answering, by host.
         self._unanswered: dict[str, float] = {}
+        # Times until which a holder counts as silent, and times of its last reply, by
+        # host.
+        self._silent: dict[str, float] = {}
+        self._last_replies: dict[str, float] = {}
 
     # -- Queries -------------------------------------------------------------
 
@@ -88,7 +108,44 @@
         plan = self._plan(service)
         if not self.holds(service):
             return 0
-        return plan.share + (self._node.identity.name in plan.holders_with_extra)
+        name = self._node.identity.name
+        equal = plan.share + (name in plan.holders_with_extra)
+        if not self.serves_customers(service):
+            return equal
+        share = self._regional_shares(endpoint).by_holder[name]
+        # A holder that is cut off from the others can't forward its own callers'
+        # statements, and the 2 connections to an endpoint of another region are too few
+        # for them.
+        return max(share, equal) if self.is_isolated(service) else share
+
+    def part_of(self, endpoint: EndpointRow) -> float:
+        """Return this holder's part of the connections to an endpoint, up to 1."""
+        total = self._regional_shares(endpoint).total
+        return self.share_of(endpoint) / max(1, total)
+
+    def plan_of(self, service: str) -> Plan:
+        """Return the plan of a service."""
+        return self._plan(service)
+
+    def serves_customers(self, service: str) -> bool:
+        """Return whether a service has holders, and connections have customers."""
+        configuration = self.tables.configuration
+        if configuration is None or not configuration.customers:
+            return False
+        return configuration.authenticates_callers and not self._plan(service).direct
+
+    def local_holders(self, endpoint: EndpointRow) -> frozenset[str]:
+        """Return the holders in an endpoint's region."""
+        return self._regional_shares(endpoint).local
+
+    def failed_holders(self, endpoint: EndpointRow) -> frozenset[str]:
+        """Return the holders that have recently failed for an endpoint."""
+        if not self._failed and not self._unreachable and not self._silent:
+            return frozenset()
+        plan = self._plan(endpoint.entry.service)
+        return frozenset(
+            host.name for host in plan.holders if not self._is_usable(host, endpoint)
+        )
 
     def holds(self, service: str) -> bool:
         """Return whether this host is a holder of a service."""
@@ -137,12 +194,36 @@
         """
         if self.holds(endpoint.entry.service):
             return False
-        plan = self._plan(endpoint.entry.service)
+        return self._do_holders_not_answer(endpoint.entry.service)
+
+    def is_isolated(self, service: str) -> bool:
+        """Return whether this host is a holder that is cut off from the others.
+
+        It should run its callers' statements on its own connections.
+        """
+        return self.holds(service) and self._do_holders_not_answer(service)
+
+    def _do_holders_not_answer(self, service: str) -> bool:
+        """Return whether so many holders do not answer that this host is cut off."""
+        if not self._unanswered and not self._silent:
+            return False
+        plan = self._plan(service)
         unanswered = [
-            h for h in plan.holders if self._unanswered.get(h.name, 0.0) > self.now
+            host
+            for host in plan.holders
+            if self._unanswered.get(host.name, 0.0) > self.now
+            or self.is_silent(host.name)
         ]
         return len(unanswered) >= min(UNANSWERED_MIN, len(plan.holders))
 
+    def is_silent(self, holder: str) -> bool:
+        """Return whether a holder leaves calls and a new link unanswered."""
+        return self._silent.get(holder, 0.0) > self.now
+
+    def last_reply_at(self, holder: str) -> float:
+        """Return the time of the last reply from a holder, 0 if there was none."""
+        return self._last_replies.get(holder, 0.0)
+
     def has_usable_holder(self, endpoint: EndpointRow) -> bool:
         """Return whether at least one holder can be used to reach an endpoint."""
         plan = self._plan(endpoint.entry.service)
@@ -150,7 +231,7 @@
 
     def _is_usable(self, host: HostRow, endpoint: EndpointRow) -> bool:
         """Return whether a holder has not recently failed for an endpoint."""
-        if self._failed.get(host.name, 0.0) > self.now:
+        if self._failed.get(host.name, 0.0) > self.now or self.is_silent(host.name):
             return False
         return self._unreachable.get((host.name, endpoint.name), 0.0) <= self.now
 
@@ -190,6 +271,16 @@
     def mark_answered(self, holder: str) -> None:
         """Record that a holder can be reached."""
         self._unanswered.pop(holder, None)
+        self.note_reply(holder)
+
+    def mark_silent(self, holder: str) -> None:
+        """Stop using a holder until it sends something, for a while at most."""
+        self._silent[holder] = self.now + UNANSWERED_TTL
+
+    def note_reply(self, holder: str) -> None:
+        """Record that a holder has sent something."""
+        self._last_replies[holder] = self.now
+        self._silent.pop(holder, None)
 
     def mark_unreachable(self, holder: str, endpoint: EndpointRow) -> None:
         """Stop using a holder for a while for an endpoint that it can't reach."""
@@ -200,6 +291,42 @@
 
     # -- Planning ------------------------------------------------------------
 
+    def _regional_shares(self, endpoint: EndpointRow) -> _RegionalShares:
+        """Return the shares of all holders in the connections to an endpoint."""
+        service, domain = endpoint.entry.service, endpoint.entry.failure_domain
+        plan = self._plan(service)
+        cached = self._regional.get((service, domain))
+        if cached is not None and cached.plan is plan:
+            return cached
+        identity = self._node.identity
+        region = identity.region_of(domain)
+        local = frozenset(
+            host.name
+            for host in plan.holders
+            if identity.region_of(host.domain) == region
+        )
+        equal = {
+            host.name: plan.share + (host.name in plan.holders_with_extra)
+            for host in plan.holders
+        }
+        shares = regional_shares(equal, local)
+        total = sum(shares.values())
+        planned = _RegionalShares(plan, shares, total, local)
+        self._regional[service, domain] = planned
+        share = shares.get(identity.name, 0)
+        if share != (cached.by_holder.get(identity.name, 0) if cached else 0):
+            self._node.log(
+                "info",
+                "shares_planned",
+                service=service,
+                region=region,
+                holders=len(shares),
+                local=len(local),
+                share=share,
+                total=total,
+            )
+        return planned
+
     def _plan(self, service: str) -> Plan:
         configuration = self.tables.configuration
         version = configuration.version if configuration is not None else 0
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -8,6 +8,7 @@
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.control import Control
 from mallowpass.core.proxy.currentconfiguration import CurrentConfiguration
+from mallowpass.core.proxy.customerholders import CustomerHolders
 from mallowpass.core.proxy.customers import Customers
 from mallowpass.core.proxy.deadconnections import DeadConnections
 from mallowpass.core.proxy.demotion import Demotion
@@ -21,6 +22,7 @@
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.forwardedorders import ForwardedOrders
 from mallowpass.core.proxy.holders import Holders
+from mallowpass.core.proxy.holdersilence import HolderSilence
 from mallowpass.core.proxy.hosts import Hosts
 from mallowpass.core.proxy.idleconnections import IdleConnections
 from mallowpass.core.proxy.lapsedmembers import LapsedMembers
@@ -68,11 +70,13 @@
     Holders,
     Pauses,
     Shares,
+    CustomerHolders,
     Load,
     Durability,
     FairSharing,
     Connections,
     DeadConnections,
+    HolderSilence,
     IdleConnections,
     Floors,
     Routing,
