Refuse statements by their expected wait

Statements were refused once they had waited for a quarter of their objective, and at a holder after 0.2 s, whatever the speed of the queue and the time that they could use.

Each queue measures how fast it drains. A statement whose expected wait is longer than it is of use is refused at once, with a time to retry; others wait on. Forwarded calls carry the time for which they are of use (WITHIN).

--- a/mallowpass/core/proxy/answers.py
+++ b/mallowpass/core/proxy/answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from mallowpass.core.proxy.admissioncontrol import AdmissionControl
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.effects import AnswerStatement
 from mallowpass.core.proxy.ratelimits.allowances import Allowances
@@ -21,10 +22,11 @@
 class Answers(ProxySystem):
     """Answer the statements of callers."""
 
-    __slots__ = ("_allowances", "_connections")
+    __slots__ = ("_admission", "_allowances", "_connections")
 
     def start(self) -> None:
         """Look up the systems that this one uses."""
+        self._admission = self._node.system(AdmissionControl)
         self._allowances = self._node.system(Allowances)
         self._connections = self._node.system(Connections)
 
@@ -102,6 +104,7 @@
         group = self.tables.group(request.route.service)
         if request in group.waiting:
             group.waiting.remove(request)
+            self._admission.note_queue(group)
 
     def roll_back(self, session: SessionRow) -> None:
         """Roll a session's transaction back at its endpoint."""
--- a/mallowpass/core/proxy/attempts.py
+++ b/mallowpass/core/proxy/attempts.py
@@ -4,6 +4,7 @@
 
 from dataclasses import replace
 
+from mallowpass.core.proxy.admissioncontrol import AdmissionControl
 from mallowpass.core.proxy.sessionstate import make_setup_calls
 from mallowpass.core.proxy.signals import AttemptLost, AttemptOverdue
 from mallowpass.core.proxy.stalls import OVERDUE_SHARE
@@ -27,7 +28,11 @@
 class Attempts(ProxySystem):
     """Attach statements to the connections that run them."""
 
-    __slots__ = ()
+    __slots__ = ("_admission",)
+
+    def start(self) -> None:
+        """Look up the systems that this one uses."""
+        self._admission = self._node.system(AdmissionControl)
 
     def setup_calls(
         self, request: RequestRow, connection: ConnectionRow
@@ -49,7 +54,10 @@
         )
 
     def with_caller(self, call: EndpointCall, request: RequestRow) -> EndpointCall:
-        """Return a call, with its customer and priority if a holder forwards it."""
+        """Return a call, with what a holder has to know if it forwards the call.
+
+        These are its customer, its priority, and for how long its reply is of use.
+        """
         if not request.connection.holder:
             return call
         on_behalf_of = None
@@ -57,7 +65,12 @@
             version = self.tables.configuration.version
             on_behalf_of = OnBehalfOf(request.customer, version)
         priority = request.route.priority
-        return replace(call, priority=priority, on_behalf_of=on_behalf_of)
+        return replace(
+            call,
+            priority=priority,
+            on_behalf_of=on_behalf_of,
+            time_left=self._admission.time_left(request),
+        )
 
     def attach(self, request: RequestRow, connection: ConnectionRow) -> None:
         """Attach a statement to the connection that runs it.
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -13,6 +13,7 @@
 from dataclasses import replace
 from functools import singledispatchmethod
 
+from mallowpass.core.proxy.admissioncontrol import AdmissionControl
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.customers import ANONYMOUS
 from mallowpass.core.proxy.effects import (
@@ -82,6 +83,7 @@
     """Serve the links of other hosts."""
 
     __slots__ = (
+        "_admission",
         "_connections",
         "_fencing",
         "_floors",
@@ -96,6 +98,7 @@
     def start(self) -> None:
         """Subscribe to the events of links, connections and endpoints."""
         node = self._node
+        self._admission = node.system(AdmissionControl)
         self._connections = node.system(Connections)
         self._fencing = node.system(Fencing)
         self._floors = node.system(Floors)
@@ -143,7 +146,7 @@
         link.closed = True
         link.waiting.clear()
         if link in self._waiting:
-            self._waiting.remove(link)
+            self._leave_queue(link)
         if link.connection is not None and not link.in_flight:
             self._roll_back(link)
 
@@ -191,10 +194,15 @@
         link.last_call_at = self.now
         priorities = [c.priority for c in event.calls if c.priority is not None]
         link.priority = min(priorities, default=0)
+        times = [c.time_left for c in event.calls if c.time_left is not None]
+        if times:
+            link.useful_until = self.now + min(times)
+        elif link not in self._waiting:
+            link.useful_until = None
         for call in event.calls:
             # The endpoint does not know these fields, and would parse them as a
             # statement.
-            plain = replace(call, priority=None, on_behalf_of=None)
+            plain = replace(call, priority=None, on_behalf_of=None, time_left=None)
             self._accept(call.statement, plain, link)
         if not link.waiting:
             return
@@ -226,11 +234,14 @@
             if not self._connections.can_reach(link.endpoint):
                 self._refuse(link, Code.UNREACHABLE, ENDPOINT_UNREACHABLE)
                 return
+            if self._is_refused_on_arrival(link):
+                return
             link.waiting_since = self.now
             self._waiting.append(link)
             self._waiting.sort(key=lambda link: (link.priority, link.waiting_since))
             self.timers.after(WAIT_TIMEOUT, self._check_wait, link, self.now)
-            self._try_to_send(link)
+            if not self._try_to_send(link):
+                self._turn_away(link.endpoint)
 
     def _is_outdated(self, link: LinkRow) -> bool:
         """Return whether waiting writes may have outlived their timeout in a pause."""
@@ -276,7 +287,7 @@
     def _on_writes_held(self, signal: WritesHeld) -> None:
         for link in list(self._waiting):
             if link.endpoint is signal.endpoint and self._must_hold(link):
-                self._waiting.remove(link)
+                self._leave_queue(link)
                 self._refuse_held(link)
 
     def _is_unknown(self, on_behalf_of: OnBehalfOf) -> bool:
@@ -371,6 +382,40 @@
                 continue
             if not self._try_to_send(link):
                 blocked.add(link.customer)
+        self._turn_away(signal.endpoint)
+
+    # -- Admission control ----------------------------------------------------
+
+    def _queue_of(self, endpoint: EndpointRow) -> list[LinkRow]:
+        return [link for link in self._waiting if link.endpoint is endpoint]
+
+    def _leave_queue(self, link: LinkRow) -> None:
+        self._waiting.remove(link)
+        endpoint = link.endpoint
+        self._admission.note_link_queue(endpoint, bool(self._queue_of(endpoint)))
+
+    def _turn_away(self, endpoint: EndpointRow) -> None:
+        """Refuse the calls that would wait for longer than their replies are of use."""
+        if not self._admission.is_active:
+            return
+        queue = self._queue_of(endpoint)
+        for link, why in self._admission.links_turned_away(endpoint, queue):
+            self._waiting.remove(link)
+            self._refuse(link, Code.BUSY, why)
+        self._admission.note_link_queue(endpoint, bool(self._queue_of(endpoint)))
+
+    def _is_refused_on_arrival(self, link: LinkRow) -> bool:
+        """Refuse calls that would be refused as similar ones were just now."""
+        endpoint = link.endpoint
+        if not self._admission.is_active or _is_idle_for(endpoint, link.customer):
+            return False
+        queue = self._queue_of(endpoint)
+        why = self._admission.link_refusal_on_arrival(link, queue)
+        if why:
+            self._refuse(link, Code.BUSY, why)
+        return bool(why)
+
+    # -- Waiting --------------------------------------------------------------
 
     def _try_to_send(self, link: LinkRow) -> bool:
         """Send a link's waiting calls if a connection is available; return success."""
@@ -385,7 +430,8 @@
             borrow = not link.is_from_holder
             self._connections.grow(link.endpoint, link.customer, borrow=borrow)
             return False
-        self._waiting.remove(link)
+        self._admission.note_link_sent(link.endpoint)
+        self._leave_queue(link)
         link.connection = connection
         link.has_written = False
         connection.state = ConnectionState.PINNED
@@ -396,10 +442,17 @@
     def _check_wait(self, link: LinkRow, since: float) -> None:
         if link not in self._waiting or link.waiting_since != since:
             return
-        self._waiting.remove(link)
+        can_reach = self._connections.can_reach(link.endpoint)
+        if can_reach and not self._is_replaced(link):
+            may_wait = self._admission.link_may_wait(link)
+            if may_wait is not None:
+                delay = min(WAIT_TIMEOUT, may_wait)
+                self.timers.after(delay, self._check_wait, link, since)
+                return
+        self._leave_queue(link)
         if self._is_replaced(link):
             self._refuse(link, Code.NOT_PRIMARY, "another endpoint is primary")
-        elif not self._connections.can_reach(link.endpoint):
+        elif not can_reach:
             self._refuse(link, Code.UNREACHABLE, ENDPOINT_UNREACHABLE)
         else:
             self._refuse(link, Code.BUSY, "no connection is free")
@@ -416,7 +469,7 @@
             return
         for link in list(self._waiting):
             if link.endpoint is endpoint and not self._is_replaced(link):
-                self._waiting.remove(link)
+                self._leave_queue(link)
                 self._refuse(link, Code.UNREACHABLE, ENDPOINT_UNREACHABLE)
 
     def _is_replaced(self, link: LinkRow) -> bool:
@@ -593,6 +646,14 @@
     )
 
 
+def _is_idle_for(endpoint: EndpointRow, customer: str | None) -> bool:
+    """Return whether a connection that may run a customer's statements is idle."""
+    return any(
+        connection.state is ConnectionState.IDLE and connection.can_serve(customer)
+        for connection in endpoint.connections.values()
+    )
+
+
 def _is_write(link: LinkRow, statement: Statement) -> bool:
     """Return whether a statement, or the transaction that it commits, may write."""
     if isinstance(statement, Execute):
--- a/mallowpass/core/proxy/policy/__init__.py
+++ b/mallowpass/core/proxy/policy/__init__.py
@@ -7,6 +7,7 @@
 |---|---|
 | `dispatch` | which waiting statement is tried first, and which need not be tried |
 | `admission` | which statements keep waiting, and which are refused |
+| `waitestimate` | how long a statement is expected to wait |
 | `placement` | which of the eligible endpoints runs a statement |
 | `sharing` | which hosts connect to an endpoint, and with how many connections |
 """
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from mallowpass.core.proxy.admissioncontrol import AdmissionControl
 from mallowpass.core.proxy.answers import Answers
 from mallowpass.core.proxy.attempts import Attempts
 from mallowpass.core.proxy.claims import Claims
@@ -104,6 +105,7 @@
     Keepers,
     Granting,
     Allowances,
+    AdmissionControl,
     Answers,
     Attempts,
     Stalls,
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from mallowpass.core.proxy.admissioncontrol import AdmissionControl
 from mallowpass.core.proxy.answers import Answers
 from mallowpass.core.proxy.attempts import TRIES_MAX, Attempts
 from mallowpass.core.proxy.connections import Connections
@@ -83,6 +84,7 @@
     """Run the statements of sessions at endpoints."""
 
     __slots__ = (
+        "_admission",
         "_allowances",
         "_answers",
         "_attempts",
@@ -103,6 +105,7 @@
     def start(self) -> None:
         """Subscribe to the signals upon which waiting statements may be sent."""
         node = self._node
+        self._admission = node.system(AdmissionControl)
         self._allowances = node.system(Allowances)
         self._answers = node.system(Answers)
         self._attempts = node.system(Attempts)
@@ -181,6 +184,8 @@
 
     def _admit(self, request: RequestRow) -> None:
         """Queue a statement once its customer's rate limit allows it."""
+        if self._is_refused_on_arrival(request):
+            return
 
         def on_granted(until: float | None, why: str) -> None:
             if request.finished:
@@ -195,6 +200,18 @@
         request.detail = "waits for its customer's rate limit"
         self._allowances.acquire(request.customer, on_granted)
 
+    def _is_refused_on_arrival(self, request: RequestRow) -> bool:
+        """Refuse a statement that would be refused as similar ones were just now."""
+        group = self.tables.group(request.route.service)
+        if not self._admission.is_active or self._routing.has_idle_connection(group):
+            return False
+        if not self._waits_for_load(request, group):
+            return False
+        why = self._admission.refusal_on_arrival(request, group)
+        if why:
+            self._answers.refuse(request, Code.BUSY, why)
+        return bool(why)
+
     def abandon_session(self, session: SessionRow) -> None:
         """Abandon the statement of a closed session; if it was sent, it runs on."""
         request = session.request
@@ -213,6 +230,7 @@
 
     def _enqueue(self, request: RequestRow) -> None:
         group = self.tables.group(request.route.service)
+        request.queued_at = self.now
         group.waiting.append(request)
         if len(group.waiting) > 1:
             group.waiting.sort(key=urgency)
@@ -221,6 +239,8 @@
         is_waiting = request.connection is None and not request.finished
         if is_waiting and self.now < until:
             request.timers.append(self.timers.at(until, self._dispatch, group))
+        if is_waiting:
+            self._admission.observe_wait(request, group)
 
     def _dispatch(self, group: GroupRow) -> None:
         """Send the waiting statements that can be sent, the most urgent first."""
@@ -236,6 +256,33 @@
             if is_missed and may_wait and not self._routing.has_idle_connection(group):
                 continue
             self._try_to_send(request, group, dispatch_pass)
+        for request, why in self._admission.turned_away(group, self._waits_for_load):
+            group.last_rejection_at = self.now
+            self._answers.refuse(request, Code.BUSY, why)
+        self._admission.note_queue(group)
+
+    def _waits_for_load(self, request: RequestRow, group: GroupRow) -> bool:
+        """Return whether a statement needs nothing but a connection to be sent.
+
+        Statements that wait for a floor, for a primary or for its writes to go on are
+        not refused for the load.
+        """
+        if request.was_held or request.retry_at > self.now or self._is_held(request):
+            return False
+        primary = group.primary_row
+        if request.primary_only and (
+            primary is None
+            or group.is_suspected
+            or self._stalls.is_stalled(group)
+            or not self._connections.can_reach(primary)
+        ):
+            return False
+        if self._stalls.must_wait(request, group):
+            return False
+        floor = self._routing.required_floor(request, group)
+        if floor is None and not request.primary_only:
+            return False
+        return self._routing.has_candidates(request, group, floor)
 
     def _try_to_send(
         self, request: RequestRow, group: GroupRow, dispatch_pass: DispatchPass
@@ -264,10 +311,16 @@
             self._answers.refuse(request, Code.BUSY, request.detail)
         elif choice.connection is not None:
             group.waiting.remove(request)
+            self._admission.note_sent(request, group)
             self._send(request, choice.connection, choice.floor)
-        elif choice.full and is_turned_away(request, group.waiting, self.now):
+        elif (
+            choice.full
+            and not self._admission.decides(request, group)
+            and is_turned_away(request, group.waiting, self.now)
+        ):
             group.last_rejection_at = self.now
-            self._answers.refuse(request, Code.BUSY, ENDPOINT_FULL_MESSAGE)
+            why = self._admission.with_retry_time(request, ENDPOINT_FULL_MESSAGE)
+            self._answers.refuse(request, Code.BUSY, why)
 
     def _waits_for_floor(
         self, request: RequestRow, group: GroupRow, floor: LogPosition | None
@@ -457,8 +510,11 @@
             request.avoided_endpoints.add(endpoint.name)
             request.retry_at = self.now + self._attempts.backoff(request)
         is_held_too_long = reply.code is Code.BUSY and self.now >= held_until(request)
+        if self._admission.may_retry(request):
+            is_held_too_long = False
         if is_held_too_long or request.tries >= TRIES_MAX:
-            self._answers.refuse(request, Code.BUSY, request.detail)
+            why = self._admission.with_retry_time(request, request.detail)
+            self._answers.refuse(request, Code.BUSY, why)
             return
         if request.retry_at > self.now:
             group = self.tables.group(request.route.service)
--- a/mallowpass/core/proxy/routing.py
+++ b/mallowpass/core/proxy/routing.py
@@ -66,6 +66,12 @@
         full = bool(candidates) and not with_room
         return Choice(None, why=_wait_reason(group, floor), full=full)
 
+    def has_candidates(
+        self, request: RequestRow, group: GroupRow, floor: LogPosition | None
+    ) -> bool:
+        """Return whether any endpoint may run a statement, full or not."""
+        return bool(self._candidates(request, group, floor))
+
     def has_full_endpoint(self, group: GroupRow) -> bool:
         """Return whether any endpoint of a group is full."""
         return not all(map(self._load.has_room, group.endpoints.values()))
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -302,6 +302,7 @@
     tries: int = 0
     avoided_endpoints: set[str] = field(default_factory=set)  # by name
     retry_at: float = 0.0  # it is not sent before this time
+    queued_at: float = 0.0  # when it was last queued; 0: not yet
     was_held: bool = False  # it waited for a primary, or for the successor of one
     start_tag: float = 0.0  # virtual time of fair queueing; 0 without customers
     floor: LogPosition | None = None  # of its last attempt; None: sent to the primary
@@ -383,6 +384,8 @@
     in_flight: int = 0  # calls forwarded to the endpoint and unanswered
     has_written: bool = False  # a write was sent on `connection`
     waiting_since: float = 0.0
+    # Time until which the replies to its waiting calls are of use; None: not known.
+    useful_until: float | None = None
     on_behalf_of: OnBehalfOf | None = None  # of its calls; None: a host's own calls
     priority: int = 0  # of its waiting calls; 0 is served first
     start_tag: float = 0.0  # virtual time of fair queueing; 0 without customers
--- a/mallowpass/core/proxy/timeouts.py
+++ b/mallowpass/core/proxy/timeouts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from mallowpass.core.proxy.admissioncontrol import AdmissionControl
 from mallowpass.core.proxy.answers import Answers
 from mallowpass.core.proxy.attempts import Attempts
 from mallowpass.core.proxy.connections import Connections
@@ -21,11 +22,19 @@
 class Timeouts(ProxySystem):
     """End the attempts and statements that are not answered in time."""
 
-    __slots__ = ("_answers", "_attempts", "_connections", "_stalls", "_transactions")
+    __slots__ = (
+        "_admission",
+        "_answers",
+        "_attempts",
+        "_connections",
+        "_stalls",
+        "_transactions",
+    )
 
     def start(self) -> None:
         """Subscribe to overdue attempts."""
         node = self._node
+        self._admission = node.system(AdmissionControl)
         self._answers = node.system(Answers)
         self._attempts = node.system(Attempts)
         self._connections = node.system(Connections)
@@ -82,7 +91,8 @@
             return
         connection = request.connection
         if connection is None:
-            self._answers.refuse(request, Code.BUSY, request.detail)
+            why = self._admission.with_retry_time(request, request.detail)
+            self._answers.refuse(request, Code.BUSY, why)
             return
         transaction = request.transaction
         if transaction is not None:
--- a/mallowpass/measure/policy/mechanisms.py
+++ b/mallowpass/measure/policy/mechanisms.py
@@ -18,6 +18,7 @@
     requests,
     shares,
 )
+from mallowpass.core.proxy.admissioncontrol import AdmissionControl
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.holders import Holders
@@ -99,6 +100,11 @@
         (requests, "held_until", _until_timeout),
         (requests, "is_turned_away", _always(False)),
     ),
+    _mechanism(
+        "expected-waits",
+        "what waits is refused after a fixed time, however fast its queue is",
+        (AdmissionControl, "is_active", property(_always(False))),
+    ),
     _mechanism(
         "parts-of-a-full-endpoint",
         "hosts send an endpoint whatever they have connections for",
--- a/mallowpass/platform/wire.py
+++ b/mallowpass/platform/wire.py
@@ -66,6 +66,8 @@
 # Prefixes of statements that one host forwards to another; endpoints do not know them.
 _PRIORITY_PREFIX = "PRIORITY"
 _CUSTOMER_PREFIX = "CUSTOMER"
+_TIME_LEFT_PREFIX = "WITHIN"
+_TIME_LEFT_DIGITS_MAX = 9  # of milliseconds: more than eleven days
 _NO_SIGNATURE = "-"
 _STATUS_FIELD_COUNT = 7
 
@@ -258,6 +260,9 @@
     text = _render_statement(call.statement)
     if call.minimum is not None:
         text = f"AFTER {render_position(call.minimum)} {text}"
+    if call.time_left is not None:
+        # Rounded down, so that a reply never appears of use for longer than it is.
+        text = f"{_TIME_LEFT_PREFIX} {math.floor(1000 * call.time_left)} {text}"
     if call.priority is not None:
         text = f"{_PRIORITY_PREFIX} {call.priority} {text}"
     if call.on_behalf_of is not None:
@@ -368,6 +373,12 @@
         if not value.isdecimal():
             raise WireError(f"priority is not a number: {value[:40]!r}")
         priority = int(value)
+    time_left = None
+    if text.startswith(f"{_TIME_LEFT_PREFIX} "):
+        value, text = _split_prefix(text)
+        if not value.isdecimal() or len(value) > _TIME_LEFT_DIGITS_MAX:
+            raise WireError(f"time left is not in milliseconds: {value[:40]!r}")
+        time_left = int(value) / 1000
     minimum = None
     if text.startswith("AFTER "):
         value, text = _split_prefix(text)
@@ -377,7 +388,9 @@
         raise WireError(f"malformed statement: {text[:40]!r}")
     is_internal = request_id == INTERNAL_REQUEST_ID
     request_id = "" if is_internal else request_id
-    return EndpointCall(statement, request_id, minimum, priority, on_behalf_of)
+    return EndpointCall(
+        statement, request_id, minimum, priority, on_behalf_of, time_left
+    )
 
 
 def _parse_on_behalf_of(text: str) -> OnBehalfOf:
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -112,10 +114,24 @@
     assert wire.parse_call("id1", "CUSTOMER a/b/12 PRIORITY 2 READ a") == call
 
 
+def test_time_left_of_a_forwarded_call():
+    """Guard against replies that appear of use for longer than they are."""
+    call = EndpointCall(Read("a"), "id1", LogPosition(3, 7), 2, time_left=0.3519)
+    line = b"QUERY id1 PRIORITY 2 WITHIN 351 AFTER 3.7 READ a\r\n"
+    assert wire.render_call(call) == line
+    parsed = wire.parse_call("id1", "PRIORITY 2 WITHIN 351 AFTER 3.7 READ a")
+    assert parsed == replace(call, time_left=0.351)
+
+
 @pytest.mark.parametrize(
     "text",
     [
         "PRIORITY 2",
+        "WITHIN 5",
+        "WITHIN x READ a",
+        "WITHIN -5 READ a",
+        "WITHIN 1.5 READ a",
+        "WITHIN 9999999999 READ a",
         "PRIORITY x READ a",
         "AFTER 3.7",
         "AFTER 3 READ a",
