Have refused reads try each endpoint once, and others not again

A refusal carries the load that it is for. A statement that it refused is tried at each endpoint that it was not tried at, and is then refused. The most urgent ones are tried for as long as an answer is of use.

--- a/mallowpass/core/proxy/admissioncontrol.py
+++ b/mallowpass/core/proxy/admissioncontrol.py
@@ -17,6 +17,7 @@
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.policy.admission import (
+    MOST_URGENT,
     RecentRefusals,
     retry_delay,
     retry_message,
@@ -24,11 +25,13 @@
 )
 from mallowpass.core.proxy.policy.dispatch import urgency
 from mallowpass.core.proxy.policy.waitestimate import DrainRate, expected_wait
+from mallowpass.core.proxy.routing import Routing
 from mallowpass.core.proxy.signals import (
     EndpointExpired,
     EndpointRestarted,
     PrimaryChanged,
 )
+from mallowpass.core.proxy.statements import EndpointReply, LoadReport
 from mallowpass.core.proxy.tables import (
     EndpointRow,
     GroupRow,
@@ -64,7 +67,7 @@
     and a full primary would have reads refused for which replicas have room.
     """
 
-    __slots__ = ("_last_refusals", "_link_queues", "_queues")
+    __slots__ = ("_last_refusals", "_link_queues", "_queues", "_routing")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
@@ -76,6 +79,7 @@
 
     def start(self) -> None:
         """Subscribe to the signals after which a measurement no longer applies."""
+        self._routing = self._node.system(Routing)
         self._node.subscribe(PrimaryChanged, self._on_primary_changed)
         self._node.subscribe(EndpointExpired, self._on_expired)
         self._node.subscribe(EndpointRestarted, self._on_restarted)
@@ -183,25 +187,37 @@
         if wait is not None:
             self._observe(group.service, wait)
 
-    def may_retry(self, request: RequestRow) -> bool:
-        """Return whether a refused attempt of a most urgent statement may be repeated.
+    def keeps_trying(
+        self, request: RequestRow, group: GroupRow, reply: EndpointReply
+    ) -> bool | None:
+        """Return whether to try a statement again that a full holder refused.
 
-        It may be repeated for as long as an answer is of use. Others are only repeated
-        for the fixed time, which is enough to try each endpoint.
+        The most urgent statements are tried for as long as an answer is of use, others
+        once at each endpoint. None: the fixed time holds.
         """
-        if not self.is_active or request.route.priority:
-            return False
-        group = self.tables.group(request.route.service)
-        return self._fits(request, group, 0.0)
+        if not self.is_active:
+            return None
+        if request.route.priority == MOST_URGENT:
+            return self._fits(request, group, 0.0)
+        if reply.load is None or reply.load.wait is None:
+            return None
+        return self._routing.has_untried(request, group)
 
-    def with_retry_time(self, request: RequestRow, why: str) -> str:
-        """Return the text of a refusal, with the time after which to retry."""
+    def with_retry_time(
+        self, request: RequestRow, why: str, load: LoadReport | None = None
+    ) -> str:
+        """Return the text of a refusal, with the time after which to retry.
+
+        `load` is the load for which a holder refused the statement, if one did.
+        """
         if not self.is_active:
             return why
         group = self.tables.group(request.route.service)
         wait = self._wait_at(group, request, self._position(request, group))
-        # It may have waited at a holder, whose queue this host does not know.
-        wait = max(wait or 0.0, self.now - request.arrived_at)
+        if load is not None and load.wait is not None:
+            wait = load.wait
+        elif wait is None:
+            wait = self.now - request.arrived_at
         return self._with_retry_time(why, wait, request.route.priority)
 
     def time_left(self, request: RequestRow) -> float | None:
@@ -273,8 +289,8 @@
 
     def links_turned_away(
         self, endpoint: EndpointRow, waiting: Sequence[LinkRow]
-    ) -> Iterator[tuple[LinkRow, str]]:
-        """Return the links whose calls to refuse, each with the text of its refusal.
+    ) -> Iterator[tuple[LinkRow, str, LoadReport]]:
+        """Return the links whose calls to refuse, each with the text and the load.
 
         `waiting` are the links that wait for an endpoint, in the order of the queue.
         The first one stays.
@@ -288,19 +304,21 @@
                 ahead += 1
                 continue
             why = "expected-wait" if link.waiting_since == self.now else "waited"
-            yield link, self._note_link_refused(link, wait, len(waiting), why)
+            yield link, *self._note_link_refused(link, wait, len(waiting), why)
 
-    def link_refusal_on_arrival(self, link: LinkRow, waiting: Sequence[LinkRow]) -> str:
-        """Return the text with which to refuse calls unqueued; empty: queue them."""
+    def link_refusal_on_arrival(
+        self, link: LinkRow, waiting: Sequence[LinkRow]
+    ) -> tuple[str, LoadReport] | None:
+        """Return the text and the load with which to refuse calls unqueued, if any."""
         if not self.is_active or link.useful_until is None:
-            return ""
+            return None
         ahead = sum(other.priority <= link.priority for other in waiting)
         wait = self.link_wait(link.endpoint, ahead)
         if wait is None or not ahead or self._link_fits(link, wait):
-            return ""
+            return None
         queue = self._link_queue(link.endpoint)
         if not queue.refusals.applies(link.priority, wait, self.now):
-            return ""
+            return None
         return self._note_link_refused(link, wait, len(waiting), "recent-refusal")
 
     def link_may_wait(self, link: LinkRow) -> float | None:
@@ -329,14 +347,15 @@
 
     def _note_link_refused(
         self, link: LinkRow, wait: float, queued: int, why: str
-    ) -> str:
+    ) -> tuple[str, LoadReport]:
         endpoint = link.endpoint
         queue = self._link_queue(endpoint)
         queue.refusals.note(link.priority, wait, self.now)
         group = self.tables.group(endpoint.entry.service)
         self._count_refusal(group, why, wait, queued)
         # The other host adds the time to retry, as it may try another holder before.
-        return f"the endpoint is overloaded, the expected wait is {_ms(wait)} ms"
+        text = f"the endpoint is overloaded, the expected wait is {_ms(wait)} ms"
+        return text, LoadReport(queued, wait)
 
     # -- Log and metrics ------------------------------------------------------
 
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -50,6 +50,7 @@
     Fence,
     FloorHint,
     HoldWrites,
+    LoadReport,
     OnBehalfOf,
     Prepare,
     Reset,
@@ -399,9 +400,9 @@
         if not self._admission.is_active:
             return
         queue = self._queue_of(endpoint)
-        for link, why in self._admission.links_turned_away(endpoint, queue):
+        for link, why, load in self._admission.links_turned_away(endpoint, queue):
             self._waiting.remove(link)
-            self._refuse(link, Code.BUSY, why)
+            self._refuse(link, Code.BUSY, why, load=load)
         self._admission.note_link_queue(endpoint, bool(self._queue_of(endpoint)))
 
     def _is_refused_on_arrival(self, link: LinkRow) -> bool:
@@ -410,10 +411,11 @@
         if not self._admission.is_active or _is_idle_for(endpoint, link.customer):
             return False
         queue = self._queue_of(endpoint)
-        why = self._admission.link_refusal_on_arrival(link, queue)
-        if why:
-            self._refuse(link, Code.BUSY, why)
-        return bool(why)
+        refusal = self._admission.link_refusal_on_arrival(link, queue)
+        if refusal is not None:
+            why, load = refusal
+            self._refuse(link, Code.BUSY, why, load=load)
+        return refusal is not None
 
     # -- Waiting --------------------------------------------------------------
 
@@ -490,8 +492,12 @@
         code: Code,
         message: str,
         state: SessionState = SessionState.IDLE,
+        load: LoadReport | None = None,
     ) -> None:
-        """Refuse the waiting calls of a link, which did not run."""
+        """Refuse the waiting calls of a link, which did not run.
+
+        `load` is the load for which they are refused.
+        """
         self._node.count("links_refused", endpoint=link.endpoint.name, code=code.value)
         group = self._group(link)
         if code is Code.BUSY and link.endpoint.name == group.primary:
@@ -500,7 +506,8 @@
         # after all hosts have started. With a floor, the host can send its reads to
         # replicas.
         text = f"{self._node.identity.name}: {message}"
-        reply = self._with_floor(link, EndpointReply(code, message=text, state=state))
+        reply = EndpointReply(code, message=text, state=state, load=load)
+        reply = self._with_floor(link, reply)
         while link.waiting:
             link.waiting.popleft()
             self._node.emit(AnswerLink(link.number, reply))
--- a/mallowpass/core/proxy/policy/admission.py
+++ b/mallowpass/core/proxy/policy/admission.py
@@ -17,6 +17,7 @@
 from mallowpass.core.proxy.tables import RequestRow
 
 __all__ = [
+    "MOST_URGENT",
     "RecentRefusals",
     "held_until",
     "is_turned_away",
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -510,10 +510,14 @@
             request.avoided_endpoints.add(endpoint.name)
             request.retry_at = self.now + self._attempts.backoff(request)
         is_held_too_long = reply.code is Code.BUSY and self.now >= held_until(request)
-        if self._admission.may_retry(request):
-            is_held_too_long = False
+        if reply.code is Code.BUSY:
+            group = self.tables.group(request.route.service)
+            keeps_trying = self._admission.keeps_trying(request, group, reply)
+            if keeps_trying is not None:
+                is_held_too_long = not keeps_trying
         if is_held_too_long or request.tries >= TRIES_MAX:
-            why = self._admission.with_retry_time(request, request.detail)
+            why = request.detail
+            why = self._admission.with_retry_time(request, why, reply.load)
             self._answers.refuse(request, Code.BUSY, why)
             return
         if request.retry_at > self.now:
--- a/mallowpass/core/proxy/routing.py
+++ b/mallowpass/core/proxy/routing.py
@@ -72,6 +72,14 @@
         """Return whether any endpoint may run a statement, full or not."""
         return bool(self._candidates(request, group, floor))
 
+    def has_untried(self, request: RequestRow, group: GroupRow) -> bool:
+        """Return whether any endpoint may run a statement that did not fail to yet."""
+        floor = self.required_floor(request, group)
+        return any(
+            endpoint.name not in request.avoided_endpoints
+            for endpoint in self._candidates(request, group, floor)
+        )
+
     def has_full_endpoint(self, group: GroupRow) -> bool:
         """Return whether any endpoint of a group is full."""
         return not all(map(self._load.has_room, group.endpoints.values()))
