Let a holder's own callers come before less urgent calls of other hosts

A connection that became free was offered to the calls of other hosts first, whatever their priority.

Where overload_control is set, calls of other hosts come after the more urgent, or earlier, statements of the holder's own callers. A statement is refused unqueued only while no idle connection may run it.

--- a/mallowpass/core/proxy/admissioncontrol.py
+++ b/mallowpass/core/proxy/admissioncontrol.py
@@ -124,7 +124,7 @@
         first. `waits_for_load` tells whether a statement waits for nothing else than a
         connection.
         """
-        if not self.is_active:
+        if not self.is_active or len(group.waiting) < 2:
             return
         lanes = (False, True)
         rates = {lane: self._queue(group, lane).rate.rate(self.now) for lane in lanes}
@@ -289,6 +289,27 @@
         if self.is_active:
             self._link_queue(endpoint).rate.note_sent(self.now)
 
+    def comes_after_own(self, link: LinkRow) -> bool:
+        """Return whether a more urgent statement of this host's callers waits.
+
+        Only statements count that the endpoint of the link may run.
+        """
+        if not self.is_active:
+            return False
+        group = self.tables.group(link.endpoint.entry.service)
+        key = (link.priority, link.waiting_since)
+        is_primary = link.endpoint.name == group.primary
+        for request in group.waiting:
+            if request.route.priority > link.priority:
+                break
+            if (
+                (request.route.priority, request.arrived_at) < key
+                and request.retry_at <= self.now
+                and (is_primary or not request.primary_only)
+            ):
+                return True
+        return False
+
     def link_wait(self, endpoint: EndpointRow, queued: int) -> float | None:
         """Return the expected wait of a call after `queued` others; None: unknown."""
         return expected_wait(queued, self._link_queue(endpoint).rate.rate(self.now))
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -377,13 +377,25 @@
         self._node.emit(AnswerLink(link.number, reply))
 
     def _on_freed(self, signal: ConnectionFreed) -> None:
+        self._serve(signal.endpoint)
+
+    def _serve(self, endpoint: EndpointRow, after_own: bool = False) -> None:
+        """Send the calls that wait for an endpoint on its available connections.
+
+        `after_own`: the statements of this host's callers had their turn already.
+        """
         blocked: set[str | None] = set()  # customers without an available connection
         for link in list(self._waiting):
-            if link.endpoint is not signal.endpoint or link.customer in blocked:
+            if link.endpoint is not endpoint or link.customer in blocked:
                 continue
+            if not after_own and self._admission.comes_after_own(link):
+                # This signal reaches `requests` later. Without a turn of their own,
+                # urgent statements of this host's callers waited until their timeout.
+                self.timers.after(0.0, self._serve, endpoint, True)
+                break
             if not self._try_to_send(link):
                 blocked.add(link.customer)
-        self._turn_away(signal.endpoint)
+        self._turn_away(endpoint)
 
     # -- Admission control ----------------------------------------------------
 
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -77,7 +77,8 @@
 # is sent afterwards is refused again, if the holder still holds writes.
 FORWARDED_HOLD_DURATION = 1.0
 
-ENDPOINT_FULL_MESSAGE = "its endpoint is overloaded; try again in a moment"
+ENDPOINT_FULL_REASON = "its endpoint is overloaded"
+ENDPOINT_FULL_MESSAGE = f"{ENDPOINT_FULL_REASON}; try again in a moment"
 
 
 class Requests(ProxySystem):
@@ -203,10 +204,12 @@
     def _is_refused_on_arrival(self, request: RequestRow) -> bool:
         """Refuse a statement that would be refused as similar ones were just now."""
         group = self.tables.group(request.route.service)
-        if not self._admission.is_active or self._routing.has_idle_connection(group):
+        if not self._admission.is_active or not group.waiting:
             return False
         if not self._waits_for_load(request, group):
             return False
+        if self._routing.has_free_connection(request, group):
+            return False
         why = self._admission.refusal_on_arrival(request, group)
         if why:
             self._answers.refuse(request, Code.BUSY, why)
@@ -319,7 +322,9 @@
             and is_turned_away(request, group.waiting, self.now)
         ):
             group.last_rejection_at = self.now
-            why = self._admission.with_retry_time(request, ENDPOINT_FULL_MESSAGE)
+            why = ENDPOINT_FULL_MESSAGE
+            if self._admission.is_active:
+                why = self._admission.with_retry_time(request, ENDPOINT_FULL_REASON)
             self._answers.refuse(request, Code.BUSY, why)
 
     def _waits_for_floor(
--- a/mallowpass/core/proxy/routing.py
+++ b/mallowpass/core/proxy/routing.py
@@ -80,6 +80,17 @@
             for endpoint in self._candidates(request, group, floor)
         )
 
+    def has_free_connection(self, request: RequestRow, group: GroupRow) -> bool:
+        """Return whether an idle connection may run a statement now."""
+        floor = self.required_floor(request, group)
+        return any(
+            connection.state is ConnectionState.IDLE
+            and connection.can_serve(request.customer)
+            for endpoint in self._candidates(request, group, floor)
+            if self._load.has_room(endpoint)
+            for connection in endpoint.connections.values()
+        )
+
     def has_full_endpoint(self, group: GroupRow) -> bool:
         """Return whether any endpoint of a group is full."""
         return not all(map(self._load.has_room, group.endpoints.values()))
