Skip the measurement of queues in which nothing waits

With usual load, each statement caused two look-ups of queues that are empty. The services with anything in a queue are remembered, and the others are skipped.

--- a/mallowpass/core/proxy/admissioncontrol.py
+++ b/mallowpass/core/proxy/admissioncontrol.py
@@ -68,12 +68,19 @@
     and a full primary would have reads refused for which replicas have room.
     """
 
-    __slots__ = ("_last_refusals", "_link_queues", "_queues", "_routing")
+    __slots__ = (
+        "_last_refusals",
+        "_link_queues",
+        "_queues",
+        "_routing",
+        "_waiting_services",
+    )
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
         # By service, and by whether only the primary may run the statements.
         self._queues: dict[tuple[str, bool], _Queue] = {}
+        self._waiting_services: set[str] = set()  # those with anything in a queue
         self._link_queues: dict[EndpointRow, _Queue] = {}
         # When a statement of a service was last refused, while its overload lasts.
         self._last_refusals: dict[str, float] = {}
@@ -105,6 +112,14 @@
         """Record what waits in the queues of a group."""
         if not self.is_active:
             return
+        service = group.service
+        if not group.waiting:
+            # On most calls nothing waits, and nothing did before.
+            if service not in self._waiting_services:
+                return
+            self._waiting_services.remove(service)
+        else:
+            self._waiting_services.add(service)
         waiting = {request.primary_only for request in group.waiting}
         for primary_only in (False, True):
             queue = self._queue(group, primary_only)
@@ -112,7 +127,7 @@
 
     def note_sent(self, request: RequestRow, group: GroupRow) -> None:
         """Record that a statement leaves the queue to be sent."""
-        if self.is_active:
+        if self.is_active and group.service in self._waiting_services:
             self._queue(group, request.primary_only).rate.note_sent(self.now)
 
     def turned_away(
