Describe admission by expected wait, and keep the fixed rule for held statements

Statements that were held for a successor, and those whose primary is suspected, follow the fixed rule also after a holder refused them. Without overload_control, holders no longer list the queue of an endpoint for each call.

--- a/mallowpass/core/proxy/admissioncontrol.py
+++ b/mallowpass/core/proxy/admissioncontrol.py
@@ -45,8 +45,8 @@
 
 # Times in seconds.
 # Subtracted from the time for which an answer is of use when a holder is told of it, so
-# that its refusal arrives before the caller's timeout: twice the time to a holder in
-# another region.
+# that its refusal arrives before the caller's timeout. The way to a holder in another
+# region and back takes 24 ms.
 LINK_MARGIN = 0.03
 # The overload of a group has ended once nothing was refused for this time.
 OVERLOAD_END = 2.0
@@ -191,9 +191,9 @@
         return self._note_refused(request, group, wait, "recent-refusal")
 
     def decides(self, request: RequestRow, group: GroupRow) -> bool:
-        """Return whether the expected wait of a waiting statement is known.
+        """Return whether the expected wait of a statement is known.
 
-        It replaces the fixed time for which the statement may wait.
+        It replaces the fixed time for which the statement may wait for load.
         """
         return self.is_active and self._wait_at(group, request, 0) is not None
 
@@ -213,7 +213,7 @@
         The most urgent statements are tried for as long as an answer is of use, others
         once at each endpoint. None: the fixed time holds.
         """
-        if not self.is_active:
+        if not self.is_active or request.was_held:
             return None
         if request.route.priority == MOST_URGENT:
             service_time = _service_time(group, request.primary_only)
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -404,8 +404,9 @@
 
     def _leave_queue(self, link: LinkRow) -> None:
         self._waiting.remove(link)
-        endpoint = link.endpoint
-        self._admission.note_link_queue(endpoint, bool(self._queue_of(endpoint)))
+        if self._admission.is_active:
+            is_waiting = bool(self._queue_of(link.endpoint))
+            self._admission.note_link_queue(link.endpoint, is_waiting)
 
     def _turn_away(self, endpoint: EndpointRow) -> None:
         """Refuse the calls that would wait for longer than their replies are of use."""
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -318,8 +318,11 @@
             self._send(request, choice.connection, choice.floor)
         elif (
             choice.full
-            and not self._admission.decides(request, group)
             and is_turned_away(request, group.waiting, self.now)
+            and not (
+                self._admission.decides(request, group)
+                and self._waits_for_load(request, group)
+            )
         ):
             group.last_rejection_at = self.now
             why = ENDPOINT_FULL_MESSAGE
