Limit the time to retry before it is spread

Cause: the time to retry was limited to 50 ms and 2 s after it was spread, so that all callers with a wait below 33 ms or above 2 s were told the same time, and returned together. Also, urgent statements were of use until their timeout behind others of their priority, which made all of them late.

Change: the wait is limited first, then spread, then halved for the most urgent. `useful_until` ends at the objective for a statement behind others of its priority.

Result: a wait of 0, 30 ms, 2.5 s or 60 s gives 11 different times for 11 spreads.

--- a/mallowpass/core/proxy/policy/admission.py
+++ b/mallowpass/core/proxy/policy/admission.py
@@ -33,7 +33,9 @@
 # were answered late, or ran after their callers had given up.
 HOLD_SHARE = 0.25
 # Priority whose statements are of use until their timeout, not only until the
-# objective: a late answer is worth more to their callers than a refusal.
+# objective, as long as none of the same priority waits before them: a late answer is
+# worth more to their callers than a refusal. Behind others of this priority, a late
+# statement would make the next ones late as well.
 MOST_URGENT = 0
 # Seconds for which a refusal spares similar statements the queue. Callers retry at
 # once, while the queue and its speed change within some tenths of a second.
@@ -43,7 +45,7 @@
 # arrive later are sent first. Without this factor, a third of the refused statements
 # had waited before.
 WAIT_GROWTH = 1.3
-# Bounds of the time after which a refused caller should return, in seconds. Below the
+# Bounds of the wait from which the time to retry is derived, in seconds. Below the
 # lower one the retry meets the same queue; above the upper one it may meet a queue that
 # has long been empty.
 RETRY_MIN = 0.05
@@ -75,9 +77,12 @@
     return queue[0] is not request and now >= held_until(request)
 
 
-def useful_until(request: RequestRow) -> float:
-    """Return the time until which the answer of a statement is of use to its caller."""
-    if request.route.priority == MOST_URGENT:
+def useful_until(request: RequestRow, is_behind_equals: bool = False) -> float:
+    """Return the time until which the answer of a statement is of use to its caller.
+
+    `is_behind_equals`: statements of the same priority wait before it.
+    """
+    if request.route.priority == MOST_URGENT and not is_behind_equals:
         return request.expires_at
     return min(request.expires_at, request.arrived_at + request.route.objective)
 
@@ -97,10 +102,11 @@
     `wait` is the expected wait of the refused statement, `spread` a random number from
     0 to 1.
     """
-    delay = wait * (1.0 + spread * (RETRY_SPREAD - 1.0))
-    if priority == MOST_URGENT:
-        delay *= URGENT_RETRY_SHARE
-    return min(RETRY_MAX, max(RETRY_MIN, delay))
+    # Limited before it is spread: a limit afterwards would give all callers with very
+    # short or very long waits the same time.
+    delay = min(RETRY_MAX, max(RETRY_MIN, wait))
+    delay *= 1.0 + spread * (RETRY_SPREAD - 1.0)
+    return delay * URGENT_RETRY_SHARE if priority == MOST_URGENT else delay
 
 
 def retry_message(why: str, delay: float) -> str:
