Report the load when a holder refuses calls after the fixed wait

Cause: the most urgent statements are to be tried again only after a refusal for load, and the refusal "no connection is free" carried no load report.

Change: with admission control it carries the number of waiting calls, without an expected wait, as there is no measurement.

--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -470,7 +470,11 @@
         elif not can_reach:
             self._refuse(link, Code.UNREACHABLE, ENDPOINT_UNREACHABLE)
         else:
-            self._refuse(link, Code.BUSY, "no connection is free")
+            load = None
+            if self._admission.is_active:
+                # It shows the other host that the load is the reason.
+                load = LoadReport(len(self._queue_of(link.endpoint)) + 1, None)
+            self._refuse(link, Code.BUSY, "no connection is free", load=load)
 
     def _on_unreachable(self, signal: EndpointUnreachable) -> None:
         """Refuse the calls that wait for an endpoint that this host can't reach.
