Mend the faults that a review of admission control found

Causes and changes: - Statements could be sent after their grant had ended, also after a refusal at a holder, and a limit was exceeded. A statement whose grant has ended acquires another one before it is sent. This holds without `overload_control` as well; customers without a limit are not affected. Holders are told of the end of the grant. - Urgent writes were sent with less than a service time left, and ended in doubt. They are refused. Behind others of priority 0, the usable wait ends at the objective. - A queue that stopped draining was not checked again. It is, each quarter of the shortest objective, by one timer for each group. - Statements that are held, in back-off or wait for a floor counted as a queue, so that the rate of arrivals appeared as the capacity. `RequestRow.waits_for_load` tells them apart. - A host without a connection never refused for load. It refuses after a quarter of the objective, unless the statement is of priority 0 or its primary is being replaced. - A read that was lost could be refused on arrival although it may run, a statement that a nested pass sent could be refused, urgent statements were tried again after refusals for other reasons than load, both measurements of a group now end with its primary, and endpoints that are gone get no measurement. - With admission control, passes over a queue follow each other instead of nesting.

--- a/mallowpass/core/proxy/admissioncontrol.py
+++ b/mallowpass/core/proxy/admissioncontrol.py
@@ -32,7 +32,7 @@
     EndpointRestarted,
     PrimaryChanged,
 )
-from mallowpass.core.proxy.statements import EndpointReply, LoadReport
+from mallowpass.core.proxy.statements import Access, EndpointReply, LoadReport
 from mallowpass.core.proxy.tables import (
     EndpointRow,
     GroupRow,
@@ -98,7 +98,8 @@
         return self.tables.overload_control
 
     def _on_primary_changed(self, signal: PrimaryChanged) -> None:
-        self._queues.pop((signal.group.service, True), None)
+        for lane in (False, True):
+            self._queues.pop((signal.group.service, lane), None)
 
     def _on_expired(self, signal: EndpointExpired) -> None:
         self._link_queues.pop(signal.endpoint, None)
@@ -120,7 +121,9 @@
             self._waiting_services.remove(service)
         else:
             self._waiting_services.add(service)
-        waiting = {request.primary_only for request in group.waiting}
+        # Statements that are held, in back-off or wait for a floor don't count: while
+        # only they wait, what is sent a second is what arrives, not the capacity.
+        waiting = {r.primary_only for r in group.waiting if r.waits_for_load}
         for primary_only in (False, True):
             queue = self._queue(group, primary_only)
             queue.rate.note_queue(self.now, primary_only in waiting)
@@ -146,14 +149,16 @@
         service_times = {lane: _service_time(group, lane) for lane in lanes}
         ahead = dict.fromkeys(lanes, 0)  # those refused before are not in the way
         for request in list(group.waiting):
-            if request.finished:
+            if request.finished or request.connection is not None:
                 continue  # a caller that was refused before has sent its next statement
+            if not request.waits_for_load:
+                continue
             lane = request.primary_only
             wait = expected_wait(ahead[lane], rates[lane])
             if (
                 not ahead[lane]
                 or wait is None
-                or self._fits(request, wait, service_times[lane])
+                or self._fits(request, wait, service_times[lane], ahead[lane])
                 or not waits_for_load(request, group)
             ):
                 ahead[lane] += 1
@@ -178,12 +183,13 @@
         if reported_wait is not None:
             wait = reported_wait + (wait if wait is not None and position else 0.0)
             service_time = _service_time(group, request.primary_only, without_wait=True)
-            if self._fits(request, wait, service_time):
+            if self._fits(request, wait, service_time, position):
                 return ""
             return self._note_refused(request, group, wait)
         if wait is None or not position:
             return ""
-        if self._fits(request, wait, _service_time(group, request.primary_only)):
+        service_time = _service_time(group, request.primary_only)
+        if self._fits(request, wait, service_time, position):
             return ""
         queue = self._queue(group, request.primary_only)
         if not queue.refusals.applies(request.route.priority, wait, self.now):
@@ -213,12 +219,12 @@
         The most urgent statements are tried for as long as an answer is of use, others
         once at each endpoint. None: the fixed time holds.
         """
-        if not self.is_active or request.was_held:
-            return None
+        if not self.is_active or request.was_held or reply.load is None:
+            return None  # not refused for the load
         if request.route.priority == MOST_URGENT:
             service_time = _service_time(group, request.primary_only)
             return self._fits(request, 0.0, service_time)
-        if reply.load is None or reply.load.wait is None:
+        if reply.load.wait is None:
             return None
         return self._routing.has_untried(request, group)
 
@@ -243,7 +249,17 @@
         """Return how long a reply is of use to a statement that a holder forwards."""
         if not self.is_active or not request.connection.accepts_time_left:
             return None
-        return max(0.0, useful_until(request) - LINK_MARGIN - self.now)
+        until = min(useful_until(request), request.start_until)
+        return max(0.0, until - LINK_MARGIN - self.now)
+
+    def is_too_late(self, request: RequestRow, group: GroupRow) -> bool:
+        """Return whether a single write would probably end in doubt if it were sent."""
+        if not self.is_active or request.transaction is not None:
+            return False
+        if request.access is not Access.WRITE:
+            return False
+        service_time = _service_time(group, primary_only=True)
+        return self.now + service_time > request.expires_at
 
     def _queue(self, group: GroupRow, primary_only: bool) -> _Queue:
         key = (group.service, primary_only)
@@ -257,6 +273,7 @@
         key = urgency(request)
         return sum(
             other is not request
+            and other.waits_for_load
             and other.primary_only is request.primary_only
             and urgency(other) <= key
             for other in group.waiting
@@ -268,10 +285,16 @@
         rate = self._queue(group, request.primary_only).rate.rate(self.now)
         return expected_wait(position, rate)
 
-    def _fits(self, request: RequestRow, wait: float, service_time: float) -> bool:
-        """Return whether a statement can use its answer after an expected wait."""
+    def _fits(
+        self, request: RequestRow, wait: float, service_time: float, ahead: int = 0
+    ) -> bool:
+        """Return whether a statement can use its answer after an expected wait.
+
+        `ahead` is the number of statements before it. Those before one of the most
+        urgent priority are of that priority as well.
+        """
         longest = longest_wait(wait, request.route.priority, self._is_new(request))
-        return self.now + longest + service_time <= useful_until(request)
+        return self.now + longest + service_time <= useful_until(request, ahead > 0)
 
     def _is_new(self, request: RequestRow) -> bool:
         return request.queued_at in (0.0, self.now)
@@ -296,8 +319,9 @@
 
     def note_link_queue(self, endpoint: EndpointRow, is_waiting: bool) -> None:
         """Record whether any call of other hosts waits for an endpoint."""
-        if self.is_active:
-            self._link_queue(endpoint).rate.note_queue(self.now, is_waiting)
+        if not self.is_active or not self.tables.is_current(endpoint):
+            return  # an entry for an endpoint that is gone would never be removed
+        self._link_queue(endpoint).rate.note_queue(self.now, is_waiting)
 
     def note_link_sent(self, endpoint: EndpointRow) -> None:
         """Record that calls of another host leave the queue of an endpoint."""
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -17,7 +17,12 @@
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.pauses import Pauses
-from mallowpass.core.proxy.policy.admission import held_until, is_turned_away
+from mallowpass.core.proxy.policy.admission import (
+    HOLD_SHARE,
+    MOST_URGENT,
+    held_until,
+    is_turned_away,
+)
 from mallowpass.core.proxy.policy.dispatch import DispatchPass, urgency
 from mallowpass.core.proxy.ratelimits.allowances import Allowances
 from mallowpass.core.proxy.routing import Routing
@@ -77,6 +82,10 @@
 # is sent afterwards is refused again, if the holder still holds writes.
 FORWARDED_HOLD_DURATION = 1.0
 
+# Least time in seconds between checks of a queue that does not drain. A pass over 400
+# waiting statements takes 2 ms.
+CHECK_INTERVAL_MIN = 0.05
+
 ENDPOINT_FULL_REASON = "its endpoint is overloaded"
 ENDPOINT_FULL_MESSAGE = f"{ENDPOINT_FULL_REASON}; try again in a moment"
 
@@ -89,7 +98,10 @@
         "_allowances",
         "_answers",
         "_attempts",
+        "_check_times",
         "_connections",
+        "_dispatch_again",
+        "_dispatching",
         "_durability",
         "_floors",
         "_load",
@@ -106,6 +118,11 @@
     def start(self) -> None:
         """Subscribe to the signals upon which waiting statements may be sent."""
         node = self._node
+        # By service: when its queue is checked next while statements wait.
+        self._check_times: dict[str, float] = {}
+        # Services whose queue is being dispatched, and those to dispatch once more.
+        self._dispatching: set[str] = set()
+        self._dispatch_again: set[str] = set()
         self._admission = node.system(AdmissionControl)
         self._allowances = node.system(Allowances)
         self._answers = node.system(Answers)
@@ -185,9 +202,12 @@
 
     def _admit(self, request: RequestRow) -> None:
         """Queue a statement once its customer's rate limit allows it."""
-        if self._is_refused_on_arrival(request):
+        # A read that was sent and lost may run: a refusal would say that it did not.
+        if not request.tries and self._is_refused_on_arrival(request):
             return
+        self._acquire_grant(request)
 
+    def _acquire_grant(self, request: RequestRow) -> None:
         def on_granted(until: float | None, why: str) -> None:
             if request.finished:
                 if until is not None:
@@ -195,7 +215,7 @@
             elif until is None:
                 self._answers.refuse(request, Code.BUSY, why)
             else:
-                request.granted_until = until
+                request.granted_until = request.start_until = until
                 self._enqueue(request)
 
         request.detail = "waits for its customer's rate limit"
@@ -237,7 +257,9 @@
         group.waiting.append(request)
         if len(group.waiting) > 1:
             group.waiting.sort(key=urgency)
+        request.waits_for_load = False
         self._dispatch(group)
+        self._plan_check(group)
         until = held_until(request)
         is_waiting = request.connection is None and not request.finished
         if is_waiting and self.now < until:
@@ -245,18 +267,66 @@
         if is_waiting:
             self._admission.observe_wait(request, group)
 
+    def _plan_check(self, group: GroupRow) -> None:
+        """Dispatch a queue again in a while, also if it stops draining.
+
+        A queue that doesn't drain causes no event upon which its expected waits would
+        be compared with what its statements can use.
+        """
+        service = group.service
+        if not group.waiting or not self._admission.is_active:
+            return
+        if self._check_times.get(service, 0.0) > self.now:
+            return
+        interval = min(r.route.objective for r in group.waiting) * HOLD_SHARE
+        at = self.now + max(CHECK_INTERVAL_MIN, interval)
+        self._check_times[service] = at
+        self.timers.at(at, self._check_queue, group)
+
+    def _check_queue(self, group: GroupRow) -> None:
+        self._dispatch(group)
+        self._plan_check(group)
+
     def _dispatch(self, group: GroupRow) -> None:
-        """Send the waiting statements that can be sent, the most urgent first."""
+        """Send the waiting statements that can be sent, the most urgent first.
+
+        A refusal lets its session run its next statement, which dispatches the queue
+        again. With admission control this follows the pass, as a nested pass for each
+        refusal would exceed the recursion limit.
+        """
+        if not self._admission.is_active:
+            self._dispatch_once(group)
+            return
+        service = group.service
+        self._dispatch_again.add(service)
+        if service in self._dispatching:
+            return
+        self._dispatching.add(service)
+        try:
+            while service in self._dispatch_again:
+                self._dispatch_again.remove(service)
+                self._dispatch_once(group)
+        finally:
+            self._dispatching.remove(service)
+
+    def _dispatch_once(self, group: GroupRow) -> None:
         dispatch_pass = DispatchPass()
         any_full = self._routing.has_full_endpoint(group)
         for request in list(group.waiting):
-            if request.finished or request.retry_at > self.now:
+            if request.finished or request.connection is not None:
+                continue
+            if request not in group.waiting:
+                continue  # it acquires a grant
+            if request.retry_at > self.now:
+                request.waits_for_load = False
                 continue
             # Further statements of the customer would find no connection either. A
             # statement that may have to be refused is tried nevertheless.
             is_missed = dispatch_pass.miss_count(request.customer) >= MISSES_MAX
-            may_wait = not any_full or self.now < held_until(request)
+            may_refuse = any_full or self._admission.is_active
+            may_wait = not may_refuse or self.now < held_until(request)
             if is_missed and may_wait and not self._routing.has_idle_connection(group):
+                request.waits_for_load = True
                 continue
             self._try_to_send(request, group, dispatch_pass)
         for request, why in self._admission.turned_away(group, self._waits_for_load):
@@ -290,6 +360,7 @@
     def _try_to_send(
         self, request: RequestRow, group: GroupRow, dispatch_pass: DispatchPass
     ) -> None:
+        request.waits_for_load = False
         if self._is_held(request):
             request.detail = WRITES_HELD_MESSAGE
             return
@@ -303,6 +374,8 @@
         floor = self._routing.required_floor(request, group)
         if self._waits_for_floor(request, group, floor):
             request.detail = "waits for a floor"
+            if self._is_cut_off(request, group, floor):
+                self._refuse_for_load(request, group, request.detail)
             return
         choice = dispatch_pass.lookup_miss(request.customer, floor)
         if choice is None:
@@ -310,8 +383,17 @@
             if choice.connection is None and not request.avoided_endpoints:
                 dispatch_pass.record_miss(request.customer, floor, choice)
         request.detail = choice.why or request.detail
-        if choice.connection is not None and _is_too_late(request, self.now):
+        request.waits_for_load = choice.connection is None
+        if choice.connection is not None and (
+            _is_too_late(request, self.now)
+            or self._admission.is_too_late(request, group)
+        ):
             self._answers.refuse(request, Code.BUSY, request.detail)
+        elif choice.connection is not None and self._has_lapsed(request):
+            group.waiting.remove(request)
+            request.granted_until = None
+            # After this pass over the queue: a grant may arrive at once.
+            request.timers.append(self.timers.after(0.0, self._acquire_grant, request))
         elif choice.connection is not None:
             group.waiting.remove(request)
             self._admission.note_sent(request, group)
@@ -329,6 +411,40 @@
             if self._admission.is_active:
                 why = self._admission.with_retry_time(request, ENDPOINT_FULL_REASON)
             self._answers.refuse(request, Code.BUSY, why)
+        elif self._is_cut_off(request, group, floor):
+            self._refuse_for_load(request, group, request.detail)
+
+    def _refuse_for_load(self, request: RequestRow, group: GroupRow, why: str) -> None:
+        text = self._admission.with_retry_time(request, why)
+        self._answers.refuse(request, Code.BUSY, text)
+
+    def _has_lapsed(self, request: RequestRow) -> bool:
+        """Return whether the grant of a statement has ended before it could start.
+
+        The limit of a customer holds in every window only if operations start within
+        `GRANT_VALIDITY` of their grant, and statements may wait for longer.
+        """
+        return self.now > request.start_until
+
+    def _is_cut_off(
+        self, request: RequestRow, group: GroupRow, floor: LogPosition | None
+    ) -> bool:
+        """Return whether a statement has waited too long without any connection.
+
+        A host that is no holder never counts an endpoint as full, so that without this
+        check its statements would wait until their timeout while it reaches no holder.
+        """
+        if not self._admission.is_active or request.route.priority == MOST_URGENT:
+            return False
+        if request.was_held or group.primary_row is None:
+            return False
+        if request.primary_only and group.is_suspected:
+            return False
+        if not is_turned_away(request, group.waiting, self.now):
+            return False
+        if self._admission.decides(request, group):
+            return False
+        return not self._routing.is_connected(request, group, floor)
 
     def _waits_for_floor(
         self, request: RequestRow, group: GroupRow, floor: LogPosition | None
--- a/mallowpass/core/proxy/routing.py
+++ b/mallowpass/core/proxy/routing.py
@@ -91,6 +91,17 @@
             for connection in endpoint.connections.values()
         )
 
+    def is_connected(
+        self, request: RequestRow, group: GroupRow, floor: LogPosition | None
+    ) -> bool:
+        """Return whether an open connection, busy or not, may run a statement."""
+        return any(
+            connection.state is not ConnectionState.OPENING
+            and connection.can_serve(request.customer)
+            for endpoint in self._candidates(request, group, floor)
+            for connection in endpoint.connections.values()
+        )
+
     def has_full_endpoint(self, group: GroupRow) -> bool:
         """Return whether any endpoint of a group is full."""
         return not all(map(self._load.has_room, group.endpoints.values()))
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -310,6 +310,12 @@
     # Time up to which the rate limit of its customer lets it start; None: it has
     # started, or has not been granted yet.
     granted_until: float | None = None
+    # End of its last grant, kept once the grant is used: a statement that an endpoint
+    # refused did not run, and may start again until then.
+    start_until: float = math.inf
+    # No connection was free when it was last considered; False: it is held, in back-off
+    # or waits for a floor, so that the load is not what delays it.
+    waits_for_load: bool = False
     finished: bool = False
     detail: str = ""  # latest reason for waiting or failing
     timers: list[Timer] = field(default_factory=list)
