--- a/mallowpass/core/proxy/admissioncontrol.py
+++ b/mallowpass/core/proxy/admissioncontrol.py
@@ -328,26 +328,21 @@
         if self.is_active:
             self._link_queue(endpoint).rate.note_sent(self.now)
 
-    def comes_after_own(self, link: LinkRow) -> bool:
-        """Return whether a more urgent statement of this host's callers waits.
+    def first_own(self, endpoint: EndpointRow) -> tuple[int, float] | None:
+        """Return the priority and arrival of the first statement of own callers.
 
-        Only statements count that the endpoint of the link may run.
+        Only statements count that the endpoint may run now.
         """
         if not self.is_active:
-            return False
-        group = self.tables.group(link.endpoint.entry.service)
-        key = (link.priority, link.waiting_since)
-        is_primary = link.endpoint.name == group.primary
+            return None
+        group = self.tables.group(endpoint.entry.service)
+        is_primary = endpoint.name == group.primary
         for request in group.waiting:
-            if request.route.priority > link.priority:
-                break
-            if (
-                (request.route.priority, request.arrived_at) < key
-                and request.retry_at <= self.now
-                and (is_primary or not request.primary_only)
+            if request.retry_at <= self.now and (
+                is_primary or not request.primary_only
             ):
-                return True
-        return False
+                return request.route.priority, request.arrived_at
+        return None
 
     def link_wait(self, endpoint: EndpointRow, queued: int) -> float | None:
         """Return the expected wait of a call after `queued` others; None: unknown."""
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -385,10 +385,11 @@
         `after_own`: the statements of this host's callers had their turn already.
         """
         blocked: set[str | None] = set()  # customers without an available connection
+        own = None if after_own else self._admission.first_own(endpoint)
         for link in list(self._waiting):
             if link.endpoint is not endpoint or link.customer in blocked:
                 continue
-            if not after_own and self._admission.comes_after_own(link):
+            if own is not None and own < (link.priority, link.waiting_since):
                 # This signal reaches `requests` later. Without a turn of their own,
                 # urgent statements of this host's callers waited until their timeout.
                 self.timers.after(0.0, self._serve, endpoint, True)
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -230,6 +230,10 @@
             return False
         if self._routing.has_free_connection(request, group):
             return False
+        customer = request.customer
+        if customer is not None and all(r.customer != customer for r in group.waiting):
+            # Queued, it has a connection opened for its customer, if there is room.
+            return False
         why = self._admission.refusal_on_arrival(request, group)
         if why:
             self._answers.refuse(request, Code.BUSY, why)
--- a/mallowpass/core/proxy/routing.py
+++ b/mallowpass/core/proxy/routing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.load import Load
@@ -70,14 +72,14 @@
         self, request: RequestRow, group: GroupRow, floor: LogPosition | None
     ) -> bool:
         """Return whether any endpoint may run a statement, full or not."""
-        return bool(self._candidates(request, group, floor))
+        return any(True for _ in self._usable(request, group, floor))
 
     def has_untried(self, request: RequestRow, group: GroupRow) -> bool:
         """Return whether any endpoint may run a statement that did not fail to yet."""
         floor = self.required_floor(request, group)
         return any(
             endpoint.name not in request.avoided_endpoints
-            for endpoint in self._candidates(request, group, floor)
+            for endpoint in self._usable(request, group, floor)
         )
 
     def has_free_connection(self, request: RequestRow, group: GroupRow) -> bool:
@@ -86,7 +88,7 @@
         return any(
             connection.state is ConnectionState.IDLE
             and connection.can_serve(request.customer)
-            for endpoint in self._candidates(request, group, floor)
+            for endpoint in self._usable(request, group, floor)
             if self._load.has_room(endpoint)
             for connection in endpoint.connections.values()
         )
@@ -98,7 +100,7 @@
         return any(
             connection.state is not ConnectionState.OPENING
             and connection.can_serve(request.customer)
-            for endpoint in self._candidates(request, group, floor)
+            for endpoint in self._usable(request, group, floor)
             for connection in endpoint.connections.values()
         )
 
@@ -118,16 +120,20 @@
     def _candidates(
         self, request: RequestRow, group: GroupRow, floor: LogPosition | None
     ) -> list[EndpointRow]:
-        primary = group.primary_row
+        usable = self._usable(request, group, floor)
+        return sorted(usable, key=lambda e: self._cost(e, group, request))
+
+    def _usable(
+        self, request: RequestRow, group: GroupRow, floor: LogPosition | None
+    ) -> Iterator[EndpointRow]:
+        """Return the endpoints that may run a statement, in no particular order."""
         if floor is None:
-            return [] if primary is None else [primary]
-        usable = [
-            endpoint
-            for endpoint in group.endpoints.values()
-            if self._is_usable(request, endpoint, group, floor)
-        ]
-        usable.sort(key=lambda endpoint: self._cost(endpoint, group, request))
-        return usable
+            if group.primary_row is not None:
+                yield group.primary_row
+            return
+        for endpoint in group.endpoints.values():
+            if self._is_usable(request, endpoint, group, floor):
+                yield endpoint
 
     def _is_usable(
         self,
--- a/tests/core/proxy/test_admission_faults.py
+++ b/tests/core/proxy/test_admission_faults.py
@@ -5,10 +5,12 @@
 import pytest
 
 from mallowpass.core.proxy.admissioncontrol import AdmissionControl
+from mallowpass.core.proxy.answers import Answers
 from mallowpass.core.proxy.configuration import Consistency
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.policy.admission import HOLD_SHARE, useful_until
 from mallowpass.core.proxy.requests import Requests
+from mallowpass.core.proxy.routing import Routing
 from mallowpass.core.proxy.signals import PrimaryChanged
 from mallowpass.core.proxy.statements import (
     Access,
@@ -18,7 +20,7 @@
     Read,
     Write,
 )
-from mallowpass.core.proxy.tables import RequestRow, SessionRow
+from mallowpass.core.proxy.tables import LinkRow, RequestRow, SessionRow
 from mallowpass.standins.proxied.virtual.hosts import Caller
 from mallowpass.standins.proxied.virtual.world import (
     CONFIGURATION_KEY,
@@ -327,3 +329,58 @@
     world.run(5.0)
     assert all(len(caller.answers) == 3 for caller in callers)
     assert max(depths) == 1
+
+
+def test_customer_without_queued_statements_is_not_refused_on_arrival(monkeypatch):
+    """Guard against a customer that gets no connection beside a flood of another."""
+    monkeypatch.setattr(AdmissionControl, "refusal_on_arrival", lambda *args: "full")
+    monkeypatch.setattr(Requests, "_waits_for_load", lambda *arguments: True)
+    monkeypatch.setattr(Routing, "has_free_connection", lambda *arguments: False)
+    answered = []
+    monkeypatch.setattr(Answers, "refuse", lambda *args: answered.append(args))
+    world = _world()
+    _, group = _control(world)
+    flood, other = _request(world), _request(world)
+    flood.session.customer, other.session.customer = "flood", "other"
+    group.waiting.append(flood)
+    requests = world.hosts[0].node.system(Requests)
+    assert requests._is_refused_on_arrival(flood)
+    assert not requests._is_refused_on_arrival(other)
+    group.waiting.clear()
+
+
+def test_refusals_for_the_same_wait_have_different_times_to_retry():
+    """Guard against callers that are refused together and return together."""
+    control, _ = _control(_world())
+    assert len({control._with_retry_time("full", 0.4, 1) for _ in range(20)}) > 10
+
+
+def test_idle_connection_is_found():
+    """Guard against refusals on arrival while a connection is idle."""
+    world = _world()
+    assert world.caller(0, "patient").run(Read("a")).code is Code.DONE
+    host = world.hosts[0]
+    group = host.tables.group(SERVICE)
+    assert host.node.system(Routing).has_free_connection(_request(world), group)
+
+
+def test_holder_keeps_calls_for_as_long_as_they_are_of_use():
+    """Guard against the fixed wait at a holder whose queue drains at a known rate."""
+    world = _world()
+    control, group = _control(world)
+    endpoint = group.primary_row
+    link = LinkRow(1, endpoint, False)
+    link.useful_until = world.timers.now + 1.0
+    assert control.link_may_wait(link) is None
+    control.note_link_queue(endpoint, True)
+    for _ in range(8):
+        world.run(0.05)
+        control.note_link_sent(endpoint)
+    endpoint.latency = 0.1
+    remaining = link.useful_until - control.now - 0.1
+    assert control.link_may_wait(link) == pytest.approx(remaining)
+    first, second = LinkRow(2, endpoint, False), LinkRow(3, endpoint, False)
+    first.useful_until = second.useful_until = control.now + 0.12
+    assert control.link_refusal_on_arrival(second, [first]) is None
+    assert list(control.links_turned_away(endpoint, [first, second]))
+    assert control.link_refusal_on_arrival(second, [first])
