Recognize statements that acquire a new grant without a scan of the queue

Cause: a pass looked each statement up in the queue, to skip those that a nested pass had taken out for a new grant; this is quadratic in the number of waiting statements.

Change: the end of the grant of such a statement is minus infinity until it is granted.

--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import math
+
 from mallowpass.core.proxy.admissioncontrol import AdmissionControl
 from mallowpass.core.proxy.answers import Answers
 from mallowpass.core.proxy.attempts import TRIES_MAX, Attempts
@@ -319,8 +321,8 @@
         for request in list(group.waiting):
             if request.finished or request.connection is not None:
                 continue
-            if request not in group.waiting:
-                continue  # it acquires a grant
+            if request.start_until == -math.inf:
+                continue  # it left the queue in a nested pass
             if request.retry_at > self.now:
                 request.waits_for_load = False
                 continue
@@ -396,6 +398,7 @@
         elif choice.connection is not None and self._has_lapsed(request):
             group.waiting.remove(request)
             request.granted_until = None
+            request.start_until = -math.inf
             # After this pass over the queue: a grant may arrive at once.
             request.timers.append(self.timers.after(0.0, self._acquire_grant, request))
         elif choice.connection is not None:
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -311,7 +311,7 @@
     # started, or has not been granted yet.
     granted_until: float | None = None
     # End of its last grant, kept once the grant is used: a statement that an endpoint
-    # refused did not run, and may start again until then.
+    # refused did not run, and may start again until then. -inf: it acquires a grant.
     start_until: float = math.inf
     # No connection was free when it was last considered; False: it is held, in back-off
     # or waits for a floor, so that the load is not what delays it.
