Merge admission control by expected wait

Conflicts with fair sharing and connections of customers: statements are tagged before their wait is estimated, holders serve links in fair order, and each part accounts for statements that are sent.

--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -13,6 +13,7 @@
 from dataclasses import replace
 from functools import singledispatchmethod
 
+from mallowpass.core.proxy.admissioncontrol import AdmissionControl
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.customers import ANONYMOUS
 from mallowpass.core.proxy.effects import (
@@ -51,6 +52,7 @@
     Fence,
     FloorHint,
     HoldWrites,
+    LoadReport,
     OnBehalfOf,
     Prepare,
     Reset,
@@ -84,6 +86,7 @@
     """Serve the links of other hosts."""
 
     __slots__ = (
+        "_admission",
         "_connections",
         "_fair_sharing",
         "_fencing",
@@ -99,6 +102,7 @@
     def start(self) -> None:
         """Subscribe to the events of links, connections and endpoints."""
         node = self._node
+        self._admission = node.system(AdmissionControl)
         self._connections = node.system(Connections)
         self._fair_sharing = node.system(FairSharing)
         self._fencing = node.system(Fencing)
@@ -148,7 +152,7 @@
         link.waiting.clear()
         self._fair_sharing.leave(link)
         if link in self._waiting:
-            self._waiting.remove(link)
+            self._leave_queue(link)
         if link.connection is not None and not link.in_flight:
             self._roll_back(link)
 
@@ -199,10 +203,15 @@
             # Calls without a priority may be the rest of a batch that arrived in
             # several parts. A waiting link is queued and tagged by its priority.
             link.priority = min(priorities, default=0)
+        times = [c.time_left for c in event.calls if c.time_left is not None]
+        if times:
+            link.useful_until = self.now + min(times)
+        elif link not in self._waiting:
+            link.useful_until = None
         for call in event.calls:
             # The endpoint does not know these fields, and would parse them as a
             # statement.
-            plain = replace(call, priority=None, on_behalf_of=None)
+            plain = replace(call, priority=None, on_behalf_of=None, time_left=None)
             self._accept(call.statement, plain, link)
         if not link.waiting:
             return
@@ -235,6 +244,8 @@
             if not self._connections.can_reach(link.endpoint):
                 self._refuse(link, Code.UNREACHABLE, ENDPOINT_UNREACHABLE)
                 return
+            if self._is_refused_on_arrival(link):
+                return
             link.waiting_since = self.now
             self._fair_sharing.enter_link(link)
             self._waiting.append(link)
@@ -243,9 +254,9 @@
             if self._fair_sharing.is_in_force:
                 # An idle connection of its own customer does not let it pass others
                 # by more than the quantum.
-                self._dispatch(link.endpoint)
-            else:
-                self._try_to_send(link)
+                self._serve(link.endpoint)
+            elif not self._try_to_send(link):
+                self._turn_away(link.endpoint)
 
     def _is_outdated(self, link: LinkRow) -> bool:
         """Return whether waiting writes may have outlived their timeout in a pause."""
@@ -291,7 +302,7 @@
     def _on_writes_held(self, signal: WritesHeld) -> None:
         for link in list(self._waiting):
             if link.endpoint is signal.endpoint and self._must_hold(link):
-                self._waiting.remove(link)
+                self._leave_queue(link)
                 self._refuse_held(link)
 
     def _is_unknown(self, on_behalf_of: OnBehalfOf) -> bool:
@@ -380,15 +391,61 @@
         self._node.emit(AnswerLink(link.number, reply))
 
     def _on_freed(self, signal: ConnectionFreed) -> None:
-        self._dispatch(signal.endpoint)
+        self._serve(signal.endpoint)
 
-    def _dispatch(self, endpoint: EndpointRow) -> None:
+    def _serve(self, endpoint: EndpointRow, after_own: bool = False) -> None:
+        """Send the calls that wait for an endpoint on its available connections.
+
+        `after_own`: the statements of this host's callers had their turn already.
+        """
         blocked: set[str | None] = set()  # customers without an available connection
+        own = None if after_own else self._admission.first_own(endpoint)
         for link in self._fair_sharing.link_order(self._waiting, endpoint):
             if link.customer in blocked:
                 continue
+            if own is not None and own < (link.priority, link.waiting_since):
+                # This signal reaches `requests` later. Without a turn of their own,
+                # urgent statements of this host's callers waited until their timeout.
+                self.timers.after(0.0, self._serve, endpoint, True)
+                break
             if not self._try_to_send(link):
                 blocked.add(link.customer)
+        self._turn_away(endpoint)
+
+    # -- Admission control ----------------------------------------------------
+
+    def _queue_of(self, endpoint: EndpointRow) -> list[LinkRow]:
+        return [link for link in self._waiting if link.endpoint is endpoint]
+
+    def _leave_queue(self, link: LinkRow) -> None:
+        self._waiting.remove(link)
+        if self._admission.is_active:
+            is_waiting = bool(self._queue_of(link.endpoint))
+            self._admission.note_link_queue(link.endpoint, is_waiting)
+
+    def _turn_away(self, endpoint: EndpointRow) -> None:
+        """Refuse the calls that would wait for longer than their replies are of use."""
+        if not self._admission.is_active:
+            return
+        queue = self._queue_of(endpoint)
+        for link, why, load in self._admission.links_turned_away(endpoint, queue):
+            self._waiting.remove(link)
+            self._refuse(link, Code.BUSY, why, load=load)
+        self._admission.note_link_queue(endpoint, bool(self._queue_of(endpoint)))
+
+    def _is_refused_on_arrival(self, link: LinkRow) -> bool:
+        """Refuse calls that would be refused as similar ones were just now."""
+        endpoint = link.endpoint
+        if not self._admission.is_active or _is_idle_for(endpoint, link.customer):
+            return False
+        queue = self._queue_of(endpoint)
+        refusal = self._admission.link_refusal_on_arrival(link, queue)
+        if refusal is not None:
+            why, load = refusal
+            self._refuse(link, Code.BUSY, why, load=load)
+        return refusal is not None
+
+    # -- Waiting --------------------------------------------------------------
 
     def _try_to_send(self, link: LinkRow) -> bool:
         """Send a link's waiting calls if a connection is available; return success."""
@@ -403,7 +460,8 @@
             borrow = not link.is_from_holder
             self._connections.grow(link.endpoint, link.customer, borrow=borrow)
             return False
-        self._waiting.remove(link)
+        self._admission.note_link_sent(link.endpoint)
+        self._leave_queue(link)
         self._fair_sharing.note_sent(link, connection)
         link.connection = connection
         link.has_written = False
@@ -415,13 +473,24 @@
     def _check_wait(self, link: LinkRow, since: float) -> None:
         if link not in self._waiting or link.waiting_since != since:
             return
-        self._waiting.remove(link)
+        can_reach = self._connections.can_reach(link.endpoint)
+        if can_reach and not self._is_replaced(link):
+            may_wait = self._admission.link_may_wait(link)
+            if may_wait is not None:
+                delay = min(WAIT_TIMEOUT, may_wait)
+                self.timers.after(delay, self._check_wait, link, since)
+                return
+        self._leave_queue(link)
         if self._is_replaced(link):
             self._refuse(link, Code.NOT_PRIMARY, "another endpoint is primary")
-        elif not self._connections.can_reach(link.endpoint):
+        elif not can_reach:
             self._refuse(link, Code.UNREACHABLE, ENDPOINT_UNREACHABLE)
         else:
-            self._refuse(link, Code.BUSY, "no connection is free")
+            load = None
+            if self._admission.is_active:
+                # It shows the other host that the load is the reason.
+                load = LoadReport(len(self._queue_of(link.endpoint)) + 1, None)
+            self._refuse(link, Code.BUSY, "no connection is free", load=load)
 
     def _on_unreachable(self, signal: EndpointUnreachable) -> None:
         """Refuse the calls that wait for an endpoint that this host can't reach.
@@ -435,7 +504,7 @@
             return
         for link in list(self._waiting):
             if link.endpoint is endpoint and not self._is_replaced(link):
-                self._waiting.remove(link)
+                self._leave_queue(link)
                 self._refuse(link, Code.UNREACHABLE, ENDPOINT_UNREACHABLE)
 
     def _is_replaced(self, link: LinkRow) -> bool:
@@ -456,8 +525,12 @@
         code: Code,
         message: str,
         state: SessionState = SessionState.IDLE,
+        load: LoadReport | None = None,
     ) -> None:
-        """Refuse the waiting calls of a link, which did not run."""
+        """Refuse the waiting calls of a link, which did not run.
+
+        `load` is the load for which they are refused.
+        """
         self._fair_sharing.leave(link)
         self._node.count("links_refused", endpoint=link.endpoint.name, code=code.value)
         group = self._group(link)
@@ -467,7 +540,8 @@
         # after all hosts have started. With a floor, the host can send its reads to
         # replicas.
         text = f"{self._node.identity.name}: {message}"
-        reply = self._with_floor(link, EndpointReply(code, message=text, state=state))
+        reply = EndpointReply(code, message=text, state=state, load=load)
+        reply = self._with_floor(link, reply)
         while link.waiting:
             link.waiting.popleft()
             self._node.emit(AnswerLink(link.number, reply))
@@ -613,6 +687,14 @@
     )
 
 
+def _is_idle_for(endpoint: EndpointRow, customer: str | None) -> bool:
+    """Return whether a connection that may run a customer's statements is idle."""
+    return any(
+        connection.state is ConnectionState.IDLE and connection.can_serve(customer)
+        for connection in endpoint.connections.values()
+    )
+
+
 def _is_write(link: LinkRow, statement: Statement) -> bool:
     """Return whether a statement, or the transaction that it commits, may write."""
     if isinstance(statement, Execute):
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -7,6 +7,9 @@
 
 from __future__ import annotations
 
+import math
+
+from mallowpass.core.proxy.admissioncontrol import AdmissionControl
 from mallowpass.core.proxy.answers import Answers
 from mallowpass.core.proxy.attempts import TRIES_MAX, Attempts
 from mallowpass.core.proxy.connections import Connections
@@ -17,7 +20,12 @@
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.pauses import Pauses
-from mallowpass.core.proxy.policy.admission import held_until, is_turned_away
+from mallowpass.core.proxy.policy.admission import (
+    HOLD_SHARE,
+    MOST_URGENT,
+    held_until,
+    is_turned_away,
+)
 from mallowpass.core.proxy.policy.dispatch import DispatchPass, urgency
 from mallowpass.core.proxy.ratelimits.allowances import Allowances
 from mallowpass.core.proxy.routing import Routing
@@ -77,17 +85,26 @@
 # is sent afterwards is refused again, if the holder still holds writes.
 FORWARDED_HOLD_DURATION = 1.0
 
-ENDPOINT_FULL_MESSAGE = "its endpoint is overloaded; try again in a moment"
+# Least time in seconds between checks of a queue that does not drain. A pass over 400
+# waiting statements takes 2 ms.
+CHECK_INTERVAL_MIN = 0.05
+
+ENDPOINT_FULL_REASON = "its endpoint is overloaded"
+ENDPOINT_FULL_MESSAGE = f"{ENDPOINT_FULL_REASON}; try again in a moment"
 
 
 class Requests(ProxySystem):
     """Run the statements of sessions at endpoints."""
 
     __slots__ = (
+        "_admission",
         "_allowances",
         "_answers",
         "_attempts",
+        "_check_times",
         "_connections",
+        "_dispatch_again",
+        "_dispatching",
         "_durability",
         "_fair_sharing",
         "_floors",
@@ -105,6 +122,12 @@
     def start(self) -> None:
         """Subscribe to the signals upon which waiting statements may be sent."""
         node = self._node
+        # By service: when its queue is checked next while statements wait.
+        self._check_times: dict[str, float] = {}
+        # Services whose queue is being dispatched, and those to dispatch once more.
+        self._dispatching: set[str] = set()
+        self._dispatch_again: set[str] = set()
+        self._admission = node.system(AdmissionControl)
         self._allowances = node.system(Allowances)
         self._answers = node.system(Answers)
         self._attempts = node.system(Attempts)
@@ -185,7 +208,12 @@
 
     def _admit(self, request: RequestRow) -> None:
         """Queue a statement once its customer's rate limit allows it."""
+        # A read that was sent and lost may run: a refusal would say that it did not.
+        if not request.tries and self._is_refused_on_arrival(request):
+            return
+        self._acquire_grant(request)
 
+    def _acquire_grant(self, request: RequestRow) -> None:
         def on_granted(until: float | None, why: str) -> None:
             if request.finished:
                 if until is not None:
@@ -193,7 +221,7 @@
             elif until is None:
                 self._answers.refuse(request, Code.BUSY, why)
             else:
-                request.granted_until = until
+                request.granted_until = request.start_until = until
                 self._enqueue(request)
 
         # Each run counts: a statement that ran before is tagged and charged once more.
@@ -201,6 +229,24 @@
         request.detail = "waits for its customer's rate limit"
         self._allowances.acquire(request.customer, on_granted)
 
+    def _is_refused_on_arrival(self, request: RequestRow) -> bool:
+        """Refuse a statement that would be refused as similar ones were just now."""
+        group = self.tables.group(request.route.service)
+        if not self._admission.is_active or not group.waiting:
+            return False
+        if not self._waits_for_load(request, group):
+            return False
+        if self._routing.has_free_connection(request, group):
+            return False
+        customer = request.customer
+        if customer is not None and all(r.customer != customer for r in group.waiting):
+            # Queued, it has a connection opened for its customer, if there is room.
+            return False
+        why = self._admission.refusal_on_arrival(request, group)
+        if why:
+            self._answers.refuse(request, Code.BUSY, why)
+        return bool(why)
+
     def abandon_session(self, session: SessionRow) -> None:
         """Abandon the statement of a closed session; if it was sent, it runs on."""
         request = session.request
@@ -220,32 +266,112 @@
     def _enqueue(self, request: RequestRow) -> None:
         group = self.tables.group(request.route.service)
         self._fair_sharing.enter_request(request)
+        request.queued_at = self.now
         group.waiting.append(request)
         if len(group.waiting) > 1:
             group.waiting.sort(key=urgency)
+        request.waits_for_load = False
         self._dispatch(group)
+        self._plan_check(group)
         until = held_until(request)
         is_waiting = request.connection is None and not request.finished
         if is_waiting and self.now < until:
             request.timers.append(self.timers.at(until, self._dispatch, group))
+        if is_waiting:
+            self._admission.observe_wait(request, group)
+
+    def _plan_check(self, group: GroupRow) -> None:
+        """Dispatch a queue again in a while, also if it stops draining.
+
+        A queue that doesn't drain causes no event upon which its expected waits would
+        be compared with what its statements can use.
+        """
+        service = group.service
+        if not group.waiting or not self._admission.is_active:
+            return
+        if self._check_times.get(service, 0.0) > self.now:
+            return
+        interval = min(r.route.objective for r in group.waiting) * HOLD_SHARE
+        at = self.now + max(CHECK_INTERVAL_MIN, interval)
+        self._check_times[service] = at
+        self.timers.at(at, self._check_queue, group)
+
+    def _check_queue(self, group: GroupRow) -> None:
+        self._dispatch(group)
+        self._plan_check(group)
 
     def _dispatch(self, group: GroupRow) -> None:
-        """Send the waiting statements that can be sent, the most urgent first."""
+        """Send the waiting statements that can be sent, the most urgent first.
+
+        A refusal lets its session run its next statement, which dispatches the queue
+        again. With admission control this follows the pass, as a nested pass for each
+        refusal would exceed the recursion limit.
+        """
+        if not self._admission.is_active:
+            self._dispatch_once(group)
+            return
+        service = group.service
+        self._dispatch_again.add(service)
+        if service in self._dispatching:
+            return
+        self._dispatching.add(service)
+        try:
+            while service in self._dispatch_again:
+                self._dispatch_again.remove(service)
+                self._dispatch_once(group)
+        finally:
+            self._dispatching.remove(service)
+
+    def _dispatch_once(self, group: GroupRow) -> None:
         dispatch_pass = DispatchPass()
         any_full = self._routing.has_full_endpoint(group)
         order = self._fair_sharing.request_order(
             group, lambda request: self._can_be_sent(request, group)
         )
         for request in order:
-            if request.finished or request.retry_at > self.now:
+            if request.finished or request.connection is not None:
+                continue
+            if request.start_until == -math.inf:
+                continue  # it left the queue in a nested pass
+            if request.retry_at > self.now:
+                request.waits_for_load = False
                 continue
             # Further statements of the customer would find no connection either. A
             # statement that may have to be refused is tried nevertheless.
             is_missed = dispatch_pass.miss_count(request.customer) >= MISSES_MAX
-            may_wait = not any_full or self.now < held_until(request)
+            may_refuse = any_full or self._admission.is_active
+            may_wait = not may_refuse or self.now < held_until(request)
             if is_missed and may_wait and not self._routing.has_idle_connection(group):
+                request.waits_for_load = True
                 continue
             self._try_to_send(request, group, dispatch_pass)
+        for request, why in self._admission.turned_away(group, self._waits_for_load):
+            group.last_rejection_at = self.now
+            self._answers.refuse(request, Code.BUSY, why)
+        self._admission.note_queue(group)
+
+    def _waits_for_load(self, request: RequestRow, group: GroupRow) -> bool:
+        """Return whether a statement needs nothing but a connection to be sent.
+
+        Statements that wait for a floor, for a primary or for its writes to go on are
+        not refused for the load.
+        """
+        if request.was_held or request.retry_at > self.now or self._is_held(request):
+            return False
+        primary = group.primary_row
+        if request.primary_only and (
+            primary is None
+            or group.is_suspected
+            or self._stalls.is_stalled(group)
+            or not self._connections.can_reach(primary)
+        ):
+            return False
+        if self._stalls.must_wait(request, group):
+            return False
+        floor = self._routing.required_floor(request, group)
+        if floor is None and not request.primary_only:
+            return False
+        return self._routing.has_candidates(request, group, floor)
 
     def _can_be_sent(self, request: RequestRow, group: GroupRow) -> bool:
         """Return whether a waiting statement needs only a connection."""
@@ -259,6 +385,7 @@
     def _try_to_send(
         self, request: RequestRow, group: GroupRow, dispatch_pass: DispatchPass
     ) -> None:
+        request.waits_for_load = False
         if self._is_held(request):
             request.detail = WRITES_HELD_MESSAGE
             return
@@ -272,6 +399,8 @@
         floor = self._routing.required_floor(request, group)
         if self._waits_for_floor(request, group, floor):
             request.detail = "waits for a floor"
+            if self._is_cut_off(request, group, floor):
+                self._refuse_for_load(request, group, request.detail)
             return
         choice = dispatch_pass.lookup_miss(request.customer, floor)
         if choice is None:
@@ -279,16 +408,71 @@
             if choice.connection is None and not request.avoided_endpoints:
                 dispatch_pass.record_miss(request.customer, floor, choice)
         request.detail = choice.why or request.detail
-        if choice.connection is not None and _is_too_late(request, self.now):
+        request.waits_for_load = choice.connection is None
+        if choice.connection is not None and (
+            _is_too_late(request, self.now)
+            or self._admission.is_too_late(request, group)
+        ):
             self._answers.refuse(request, Code.BUSY, request.detail)
+        elif choice.connection is not None and self._has_lapsed(request):
+            group.waiting.remove(request)
+            request.granted_until = None
+            request.start_until = -math.inf
+            # After this pass over the queue: a grant may arrive at once.
+            request.timers.append(self.timers.after(0.0, self._acquire_grant, request))
         elif choice.connection is not None:
             group.waiting.remove(request)
+            self._admission.note_sent(request, group)
             self._fair_sharing.note_sent(request, choice.connection)
             self._stalls.note_sent(request, group)
             self._send(request, choice.connection, choice.floor)
-        elif choice.full and is_turned_away(request, group.waiting, self.now):
+        elif (
+            choice.full
+            and is_turned_away(request, group.waiting, self.now)
+            and not (
+                self._admission.decides(request, group)
+                and self._waits_for_load(request, group)
+            )
+        ):
             group.last_rejection_at = self.now
-            self._answers.refuse(request, Code.BUSY, ENDPOINT_FULL_MESSAGE)
+            why = ENDPOINT_FULL_MESSAGE
+            if self._admission.is_active:
+                why = self._admission.with_retry_time(request, ENDPOINT_FULL_REASON)
+            self._answers.refuse(request, Code.BUSY, why)
+        elif self._is_cut_off(request, group, floor):
+            self._refuse_for_load(request, group, request.detail)
+
+    def _refuse_for_load(self, request: RequestRow, group: GroupRow, why: str) -> None:
+        text = self._admission.with_retry_time(request, why)
+        self._answers.refuse(request, Code.BUSY, text)
+
+    def _has_lapsed(self, request: RequestRow) -> bool:
+        """Return whether the grant of a statement has ended before it could start.
+
+        The limit of a customer holds in every window only if operations start within
+        `GRANT_VALIDITY` of their grant, and statements may wait for longer.
+        """
+        return self.now > request.start_until
+
+    def _is_cut_off(
+        self, request: RequestRow, group: GroupRow, floor: LogPosition | None
+    ) -> bool:
+        """Return whether a statement has waited too long without any connection.
+
+        A host that is no holder never counts an endpoint as full, so that without this
+        check its statements would wait until their timeout while it reaches no holder.
+        """
+        if not self._admission.is_active or request.route.priority == MOST_URGENT:
+            return False
+        if request.was_held or group.primary_row is None:
+            return False
+        if request.primary_only and group.is_suspected:
+            return False
+        if not is_turned_away(request, group.waiting, self.now):
+            return False
+        if self._admission.decides(request, group):
+            return False
+        return not self._routing.is_connected(request, group, floor)
 
     def _waits_for_floor(
         self, request: RequestRow, group: GroupRow, floor: LogPosition | None
@@ -478,8 +662,15 @@
             request.avoided_endpoints.add(endpoint.name)
             request.retry_at = self.now + self._attempts.backoff(request)
         is_held_too_long = reply.code is Code.BUSY and self.now >= held_until(request)
+        if reply.code is Code.BUSY:
+            group = self.tables.group(request.route.service)
+            keeps_trying = self._admission.keeps_trying(request, group, reply)
+            if keeps_trying is not None:
+                is_held_too_long = not keeps_trying
         if is_held_too_long or request.tries >= TRIES_MAX:
-            self._answers.refuse(request, Code.BUSY, request.detail)
+            why = request.detail
+            why = self._admission.with_retry_time(request, why, reply.load)
+            self._answers.refuse(request, Code.BUSY, why)
             return
         if request.retry_at > self.now:
             group = self.tables.group(request.route.service)
