Add leases of hosts and the return of unused grants

Cause: operations of customers below their limit were refused when a host reached no keeper, and grants of operations that were refused later lapsed unused after 0.5 s.

Change: a keeper leases shares of its buckets to hosts, which begin operations from them without a request. Operations that were granted and did not begin are returned to their keeper or lease. Operations whose keepers are known to be out of reach are refused at once, unless a lease serves them in time. The docstring of buckets extends the proof. A part released while leases are out is marked so in its row, and a restarted keeper does not grant the share that may be leased until leases given before have ended.

--- a/mallowpass/core/proxy/effects.py
+++ b/mallowpass/core/proxy/effects.py
@@ -21,6 +21,9 @@
 from mallowpass.core.records import record
 
 __all__ = [
+    "AnswerLease",
+    "AskLease",
+    "ReturnGrant",
     "AcceptLink",
     "AcceptSession",
     "AnswerAllowance",
@@ -210,6 +213,44 @@
     pause: float
 
 
+@record
+class ReturnGrant(ProxyEffect):
+    """Return granted operations that did not begin; `call` is the granted request."""
+
+    call: int
+    address: str
+    part: int
+    customer: str
+    operations: int
+
+
+@record
+class AskLease(ProxyEffect):
+    """Request a lease of a customer from the host that keeps a part of its limit.
+
+    LeaseAnswered with the same `call` follows if that host answers or can't be reached.
+    """
+
+    call: int
+    address: str
+    part: int
+    customer: str
+    rate: float
+
+
+@record
+class AnswerLease(ProxyEffect):
+    """Give another host a lease, in place of the one that it has.
+
+    `rate` is None if its lease stays as it is. The validity is in seconds.
+    """
+
+    ask: int
+    rate: float | None
+    burst: float = 0.0
+    validity: float = 0.0
+
+
 @record
 class SetReady(ProxyEffect):
     """Report whether this host is ready for new connections of callers."""
--- a/mallowpass/core/proxy/events.py
+++ b/mallowpass/core/proxy/events.py
@@ -18,6 +18,9 @@
 from mallowpass.core.records import record
 
 __all__ = [
+    "GrantReturned",
+    "LeaseAnswered",
+    "LeaseAsked",
     "AllowanceAnswered",
     "AllowanceAsked",
     "ConnectionLost",
@@ -170,6 +173,48 @@
     pause: float = 0.0
 
 
+@record
+class GrantReturned(ProxyEvent):
+    """Another host returned granted operations that did not begin.
+
+    `ask` is the request that was granted.
+    """
+
+    ask: int
+    part: int
+    customer: str
+    operations: int
+
+
+@record
+class LeaseAsked(ProxyEvent):
+    """Another host requested a lease of a customer, in place of the one that it has.
+
+    `holder` identifies the host's connection. `rate` is in operations per second.
+    """
+
+    ask: int
+    holder: int
+    part: int
+    customer: str
+    rate: float
+
+
+@record
+class LeaseAnswered(ProxyEvent):
+    """The host that keeps a part of a rate limit answered a request for a lease.
+
+    `rate` is None if it gave none or can't be reached. `is_unsupported` means that it
+    closed the connection instead of answering.
+    """
+
+    call: int
+    rate: float | None
+    burst: float = 0.0
+    validity: float = 0.0
+    is_unsupported: bool = False
+
+
 @record
 class StoreAnswered(ProxyEvent):
     """The store answered a call, or the call failed."""
--- a/mallowpass/core/proxy/ratelimits/allowances.py
+++ b/mallowpass/core/proxy/ratelimits/allowances.py
@@ -13,11 +13,13 @@
 from dataclasses import dataclass, field
 
 from mallowpass.core.node import Node
-from mallowpass.core.proxy.effects import AskAllowance
+from mallowpass.core.proxy.effects import AskAllowance, ReturnGrant
 from mallowpass.core.proxy.events import AllowanceAnswered
 from mallowpass.core.proxy.ratelimits.buckets import GRANT_VALIDITY
 from mallowpass.core.proxy.ratelimits.granting import Granting
 from mallowpass.core.proxy.ratelimits.keepers import Keepers
+from mallowpass.core.proxy.ratelimits.leases import Leases
+from mallowpass.core.proxy.ratelimits.leasing import HostLease
 from mallowpass.core.proxy.signals import ConfigurationAccepted, KeepersChanged
 from mallowpass.core.proxy.tables import HostRow, ProxySystem
 from mallowpass.core.timers import Timer
@@ -31,6 +33,7 @@
 RETRY_DELAY = 0.1
 # How long an operation waits for grants at most, in seconds.
 WAIT_TIMEOUT = 0.45
+LEASE_WAIT_MIN = 0.001  # seconds until a lease is tried again
 # Operations requested ahead of need: as many as began within the last AHEAD_WINDOW
 # seconds, and at most AHEAD_MAX.
 AHEAD_MAX = 8
@@ -60,13 +63,29 @@
     timer: Timer | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class _Source:
+    """Where an operation was granted: the request to a keeper, or a lease."""
+
+    number: int = 0
+    part: int = 0
+    host: HostRow | None = None
+    lease: HostLease | None = None
+    granted_at: float = 0.0  # of a lease
+
+
 @dataclass(slots=True)
 class _Account:
     """The grants and the waiting operations of one customer at this host."""
 
     name: str
-    # When each grant expires, and how many operations it allows, in order of use.
-    grants: deque[tuple[float, int]] = field(default_factory=deque)
+    # When each grant expires, how many operations it allows, and its source, in order
+    # of use.
+    grants: deque[tuple[float, int, _Source | None]] = field(default_factory=deque)
+    # Sources of operations that were handed out, by the time at which they expire.
+    # Operations that expire together are interchangeable.
+    used: dict[float, list[_Source]] = field(default_factory=dict)
+    lease_timer: Timer | None = None  # until a lease serves a waiting operation
     waiting: deque[_Waiter] = field(default_factory=deque)
     requested: int = 0  # operations in requests that are not answered yet
     # When the last operations began.
@@ -82,7 +101,7 @@
 
     account: _Account | None  # None: a probe, which only asks for an answer
     part: int
-    host: str
+    host: HostRow
     needed: int
     sent_at: float
 
@@ -90,7 +109,14 @@
 class Allowances(ProxySystem):
     """Acquire grants for operations, and refuse operations beyond a limit."""
 
-    __slots__ = ("_accounts", "_granting", "_keepers", "_labelled", "_requests")
+    __slots__ = (
+        "_accounts",
+        "_granting",
+        "_keepers",
+        "_labelled",
+        "_leases",
+        "_requests",
+    )
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
@@ -102,6 +128,7 @@
         """Subscribe to keepers' answers, and begin to probe keepers."""
         self._granting = self._node.system(Granting)
         self._keepers = self._node.system(Keepers)
+        self._leases = self._node.system(Leases)
         self._node.subscribe(AllowanceAnswered, self._on_answered)
         self._node.subscribe(KeepersChanged, self._on_keepers_changed)
         self._node.subscribe(ConfigurationAccepted, self._on_configuration)
@@ -137,9 +164,30 @@
         self._request_grants(account)
 
     def return_unused(self, customer: str | None, until: float) -> None:
-        """Return the grant of an operation that did not begin, for the next one."""
-        if self._is_limited(customer) and until > self.now:
-            self._account(customer).grants.appendleft((until, 1))
+        """Return the grant of an operation that did not begin.
+
+        It goes back to its keeper or lease, or else serves the next operation here.
+        """
+        if not self._is_limited(customer) or until <= self.now:
+            return
+        account = self._account(customer)
+        sources = account.used.get(until)
+        source = sources.pop() if sources else None
+        if account.waiting or source is None or not self._give_back(account, source):
+            account.grants.appendleft((until, 1, source))
+
+    def _give_back(self, account: _Account, source: _Source) -> bool:
+        """Give an operation back to its source, and return whether that is possible."""
+        if source.lease is not None:
+            return source.lease.give_back(source.granted_at, self.now)
+        host, part, name = source.host, source.part, account.name
+        if host.name == self._node.identity.name:
+            self._granting.take_back(-source.number, part, name, 1)
+            return True
+        if not self._leases.may_return(part, host, name):
+            return False
+        self._node.emit(ReturnGrant(source.number, host.address, part, name, 1))
+        return True
 
     def _is_limited(self, customer: str | None) -> bool:
         known = self.tables.configuration.customers.get(customer)
@@ -158,12 +206,24 @@
         """
         while account.grants and account.grants[0][0] <= self.now:
             account.grants.popleft()
-        if not account.grants:
-            return None
-        until, operations = account.grants.popleft()
-        if operations > 1:
-            account.grants.appendleft((until, operations - 1))
+        if account.grants:
+            until, operations, source = account.grants.popleft()
+            if operations > 1:
+                account.grants.appendleft((until, operations - 1, source))
+        else:
+            lease = self._leases.take(account.name)
+            if lease is None:
+                return None
+            until = self.now + GRANT_VALIDITY
+            source = _Source(lease=lease, granted_at=self.now)
+            self._node.count("lease_operations", customer=self._label(account))
         account.begun_at.append(self.now)
+        if self._is_limited(account.name):
+            self._leases.note_begun(self.tables.configuration.customers[account.name])
+        while account.used and (first := next(iter(account.used))) <= self.now:
+            del account.used[first]
+        if source is not None:
+            account.used.setdefault(until, []).append(source)
         return until
 
     def _on_wait_timeout(self, account: _Account, waiter: _Waiter) -> None:
@@ -175,11 +235,14 @@
         self, waiter: _Waiter, account: _Account, pause: float, why: str
     ) -> None:
         waiter.timer.cancel()
-        label = account.name if account.name in self._labelled else OTHER_CUSTOMERS
+        label = self._label(account)
         self._node.count("operations_limited", customer=label, why=why)
         text = f"{account.name} is at its limit ({why}); try again in {pause:.1f} s"
         waiter.handler(None, text)
 
+    def _label(self, account: _Account) -> str:
+        return account.name if account.name in self._labelled else OTHER_CUSTOMERS
+
     # -- Requests to keepers -------------------------------------------------
 
     def _request_grants(self, account: _Account) -> None:
@@ -188,9 +251,12 @@
         if missing <= 0 or not self._keepers.are_known:
             return
         usable = self._keepers.nearest_keepers()
+        if self._keepers.are_out_of_reach:
+            self._refuse_out_of_reach(account, usable)
+            return
         for part, host in usable:
             if account.empty_until.get(part, 0.0) <= self.now:
-                request = _GrantRequest(account, part, host.name, missing, self.now)
+                request = _GrantRequest(account, part, host, missing, self.now)
                 ahead = sum(
                     1 for at in account.begun_at if at > self.now - AHEAD_WINDOW
                 )
@@ -214,7 +280,9 @@
         if account is not None:
             account.requested += request.needed
         if host.name == self._node.identity.name:
-            grant = self._granting.grant(request.part, name, request.needed, ahead)
+            grant = self._granting.grant(
+                request.part, name, request.needed, ahead, -number
+            )
             given = None if grant is None else grant.operations
             pause = 0.0 if grant is None else grant.pause
             self._on_answered(AllowanceAnswered(number, given, pause))
@@ -235,21 +303,56 @@
         if request is None:
             return
         if event.operations is None:
-            self._keepers.record_failure(request.host)
+            self._keepers.record_failure(request.host.name)
         else:
-            self._keepers.record_answer(request.host)
+            self._keepers.record_answer(request.host.name)
         account = request.account
         if account is None:
             return
         account.requested -= request.needed
         if event.operations is not None:
             self._store_answer(account, request, event)
+        self._serve_waiting(account)
+
+    def _serve_waiting(self, account: _Account) -> None:
+        """Begin the waiting operations that are granted, and request the others."""
         while account.waiting and (until := self._use_grant(account)) is not None:
             waiter = account.waiting.popleft()
             waiter.timer.cancel()
             waiter.handler(until, "")
         self._request_grants(account)
 
+    def _refuse_out_of_reach(
+        self, account: _Account, usable: list[tuple[int, HostRow]]
+    ) -> None:
+        """Refuse the operations that no lease serves in time, as no keeper answers.
+
+        The nearest keeper whose backoff has ended is probed.
+        """
+        is_probing = any(request.account is None for request in self._requests.values())
+        if usable and not is_probing:
+            part, host = usable[0]
+            self._send_request(_GrantRequest(None, part, host, 0, self.now), host, 0)
+        served = account.requested
+        while served < len(account.waiting) and (
+            self._leases.time_until(account.name, served + 1) < WAIT_TIMEOUT
+        ):
+            served += 1
+        while len(account.waiting) > served:
+            waiter = account.waiting.pop()
+            self._refuse(waiter, account, NO_KEEPER_RETRY_AFTER, "no keeper answers")
+        if account.waiting and account.lease_timer is None:
+            wait = self._leases.time_until(account.name, 1)
+            if wait < WAIT_TIMEOUT:
+                # At least a moment: rounding may leave the level just below a token.
+                account.lease_timer = self.timers.after(
+                    max(wait, LEASE_WAIT_MIN), self._on_lease_due, account
+                )
+
+    def _on_lease_due(self, account: _Account) -> None:
+        account.lease_timer = None
+        self._serve_waiting(account)
+
     def _store_answer(
         self, account: _Account, request: _GrantRequest, event: AllowanceAnswered
     ) -> None:
@@ -257,7 +360,9 @@
         if event.operations:
             # Counted from when the request was sent, so that the grant expires here no
             # later than GRANT_VALIDITY after the keeper issued it.
-            account.grants.append((request.sent_at + GRANT_VALIDITY, event.operations))
+            until = request.sent_at + GRANT_VALIDITY
+            source = _Source(event.call, request.part, request.host)
+            account.grants.append((until, event.operations, source))
         if event.operations < request.needed:
             pause = min(event.pause, EMPTY_BACKOFF_MAX)
             account.empty_until[request.part] = self.now + pause
@@ -272,5 +377,5 @@
         for part, host in self._keepers.nearest_keepers():
             is_own = host.name == self._node.identity.name
             if not is_own and self._keepers.is_probing_candidate(part):
-                request = _GrantRequest(None, part, host.name, 0, self.now)
+                request = _GrantRequest(None, part, host, 0, self.now)
                 self._send_request(request, host, 0)
--- a/mallowpass/core/proxy/ratelimits/buckets.py
+++ b/mallowpass/core/proxy/ratelimits/buckets.py
@@ -18,6 +18,31 @@
 the initial levels of buckets after a restart of their keepers, as all callers then
 reconnect at the same time. `SPARE_SHARE` is for keepers that cannot know whether
 another keeper grants from the same part.
+
+Leases divide a part's bucket into the keeper's and those of hosts. The left side stays
+the same, as at any time
+
+- the rates of all buckets of a part add up to at most its rate, and their bursts to its
+  burst: a keeper reduces its own bucket before it sends a lease, a host reduces a lease
+  before it requests a smaller one, and a lease ends at the host before it ends at the
+  keeper;
+- no step adds tokens: a lease begins empty, and what is left in it when it ends is
+  lost;
+- leases that a restarted keeper does not know, and those of a keeper that released its
+  part, are within the share that it does not grant itself until they have ended; those
+  of a keeper that is replaced end with its right.
+
+So the tokens of a part at the beginning of a window are at most its burst.
+
+A returned grant is an operation that may not begin any more. Its token is added only
+as far as the level and the operations granted and still valid, without the returned
+one, stay within the smallest burst that the bucket had in the last `GRANT_VALIDITY`.
+Take a window that begins at t, and the last token added after t - `GRANT_VALIDITY` for
+an operation granted before that, at the time s <= t. What the bucket granted from
+t - `GRANT_VALIDITY` to s is still valid at s. With the level at s, it is within the
+burst that the bucket had at t - `GRANT_VALIDITY`. Tokens that are added after s are
+those of operations which are counted in the window but did not begin. So the sum is the
+same as if the bucket had been left alone since t - `GRANT_VALIDITY`.
 """
 
 from __future__ import annotations
@@ -82,6 +107,10 @@
         """Remove one token per operation; the caller checks the level first."""
         self._level -= operations
 
+    def add(self, tokens: float) -> None:
+        """Add tokens; the caller keeps to the burst."""
+        self._level += tokens
+
     def time_until_next(self, size: BucketSize) -> float:
         """Return the seconds until the bucket holds a token; infinite if never."""
         if size.rate <= 0.0 or size.burst < 1.0:
--- a/mallowpass/core/proxy/ratelimits/keepers.py
+++ b/mallowpass/core/proxy/ratelimits/keepers.py
@@ -10,11 +10,13 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from zlib import crc32
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.ratelimits.buckets import GRANT_VALIDITY, PART_COUNT
+from mallowpass.core.proxy.ratelimits.leasing import LEASE_TIME
 from mallowpass.core.proxy.ratelimits.parts import (
     RELEASED,
     GrantRight,
@@ -46,12 +48,18 @@
 # are shorter than the difference do not interrupt it.
 CONFIRMATION_TIMEOUT = 12.0
 CONFIRMATION_INTERVAL = 4.0
+# Interval while leases are out, which end no later than the right: the difference lets
+# a renewed lease last for LEASE_TIME.
+LEASED_CONFIRMATION_INTERVAL = 2.0
 CHECK_INTERVAL = 0.5  # seconds between checks of all parts
 # How long requests to a keeper must fail before it is replaced, in seconds. A host that
 # gets no answer from any keeper uses the longer time: more likely, that host itself is
 # cut off.
 FAILURE_TIMEOUT = 2.0
 ISOLATED_FAILURE_TIMEOUT = 10.0
+# Number of consecutive requests that a keeper leaves unanswered before operations no
+# longer wait for it: one answer may be lost, or late because of a pause of the keeper.
+UNREACHABLE_FAILURES = 2
 # Backoff after a request that a keeper did not answer, in seconds: doubled by each
 # further failure.
 BACKOFF_MIN = 0.1
@@ -83,6 +91,8 @@
     # When the last read of the row that named this host was sent; None: none yet.
     confirmed_at: float | None = None
     is_prefilled: bool = False  # buckets begin at their initial level
+    # Until then, leases given by an earlier process or keeper may be in force.
+    leased_until: float = -math.inf
 
 
 class Keepers(ProxySystem):
@@ -98,6 +108,7 @@
         "_is_stopping",
         "_is_watching",
         "_kept",
+        "_leased_until",
         "_pending_writes",
         "_rows",
         "_store",
@@ -113,6 +124,7 @@
         self._is_watching = False
         self._is_confirming = False
         self._is_stopping = False
+        self._leased_until = -math.inf  # when the last lease given by this host ends
         self._pending_writes: set[int] = set()  # parts whose row is being written
         self._vacant_since: dict[int, float] = {}  # by part without a keeper
         # By keeper: its first failure since its last answer, its failures since then,
@@ -154,9 +166,18 @@
         ):
             return GrantRight(part, kept.since, is_full=False)
         return GrantRight(
-            part, kept.sole_from, is_full=True, is_prefilled=kept.is_prefilled
+            part, kept.sole_from, True, kept.is_prefilled, kept.leased_until
         )
 
+    def lease_until(self, part: int) -> float:
+        """Return when a lease given now from a kept part ends, at most its right."""
+        right_ends_at = self._kept[part].confirmed_at + CONFIRMATION_TIMEOUT
+        return min(self.now + LEASE_TIME, right_ends_at)
+
+    def note_lease(self, until: float) -> None:
+        """Confirm rows more often until a lease has ended."""
+        self._leased_until = max(self._leased_until, until)
+
     def is_sole_keeper(self, part: int) -> bool:
         """Return whether this host may grant all of a part."""
         right = self.grant_right(part)
@@ -200,6 +221,14 @@
         pause = min(BACKOFF_MAX, BACKOFF_MIN * 2 ** (failures - 1))
         self._backoff_until[host] = self.now + pause
 
+    @property
+    def are_out_of_reach(self) -> bool:
+        """Return whether no keeper answers, so that operations need not wait for it."""
+        return bool(self._rows) and all(
+            self._failures.get(row.entry.keeper, 0) >= UNREACHABLE_FAILURES
+            for row in self._rows.values()
+        )
+
     @property
     def may_recover_soon(self) -> bool:
         """Return whether any keeper is worth waiting for.
@@ -275,7 +304,9 @@
     def _keep(self, part: int, stage: Stage) -> None:
         """Begin to keep a part with empty buckets, as soon as its row is confirmed."""
         wait = CONFIRMATION_TIMEOUT if stage is Stage.TAKING_OVER else 0.0
-        self._kept[part] = _KeptPart(self.now, self.now + wait)
+        self._kept[part] = _KeptPart(
+            self.now, self.now + wait, leased_until=self.now + LEASE_TIME
+        )
         self._confirm_rows()
 
     def _resume(self, part: int) -> None:
@@ -288,7 +319,7 @@
         def on_reply(reply: StoreReply) -> None:
             if reply.status is StoreStatus.DONE:
                 self._kept[part] = _KeptPart(
-                    self.now, self.now, sent_at, is_prefilled=True
+                    self.now, self.now, sent_at, True, self.now + LEASE_TIME
                 )
             else:
                 self._keep(part, Stage.PREFILLED)
@@ -334,7 +365,10 @@
                 self._claim(part)
             elif self._is_unsettled(part):
                 self._settle(part)
-        due = self.now - CONFIRMATION_INTERVAL
+        is_leasing = self.now < self._leased_until
+        due = self.now - (
+            LEASED_CONFIRMATION_INTERVAL if is_leasing else CONFIRMATION_INTERVAL
+        )
         kept = self._kept.values()
         if any(part.confirmed_at is None or part.confirmed_at <= due for part in kept):
             self._confirm_rows()
@@ -433,8 +467,11 @@
                 self._confirm_rows()
                 return
             wait = CONFIRMATION_TIMEOUT if stage is Stage.TAKING_OVER else 0.0
+            leased_until = -math.inf
+            if before.stage is Stage.LEASED:
+                leased_until = self.now + LEASE_TIME
             self._kept[part] = _KeptPart(
-                self.now, self.now + wait, sent_at, is_prefilled
+                self.now, self.now + wait, sent_at, is_prefilled, leased_until
             )
             self._node.log("info", "limits_part_taken", part=part, before=before.keeper)
             self._node.publish(KeepersChanged())
@@ -455,10 +492,15 @@
         """
         self._is_stopping = True
         released = [part for part in self._kept if self.is_sole_keeper(part)]
+        leased_until = max(
+            [self._leased_until, *(kept.leased_until for kept in self._kept.values())]
+        )
         self._kept.clear()
         for part in released:
             is_prefilled = self._rows[part].entry.stage is Stage.PREFILLED
             stage = Stage.PREFILLED if is_prefilled else Stage.SETTLED
+            if leased_until > self.now:
+                stage = Stage.LEASED
             entry = PartEntry(RELEASED, stage, self._store.era)
             self._write(part, entry, self._on_released)
 
--- a/mallowpass/core/proxy/ratelimits/parts.py
+++ b/mallowpass/core/proxy/ratelimits/parts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from enum import Enum
 
 from mallowpass.core.proxy.ratelimits.buckets import PART_COUNT
@@ -19,6 +20,9 @@
     SETTLED = ""  # no other host has a full right; buckets may begin prefilled
     TAKING_OVER = "following"  # a previous keeper may still have a full right
     PREFILLED = "started"  # buckets began prefilled within the last window
+    # Released while leases may be in force, and perhaps within a window of a prefill.
+    # An earlier version does not read it, so it does not grant what is leased.
+    LEASED = "leased"
 
 
 @record
@@ -57,13 +61,15 @@
 
     A full right grants the part's share of the limit. Any other right grants only from
     a spare bucket, which the bounds allow beyond the limit. `is_prefilled` means that
-    buckets begin at their initial level instead of empty.
+    buckets begin at their initial level instead of empty. Until `leased_until`, leases
+    that this host does not know may be in force.
     """
 
     part: int
     since: float
     is_full: bool
     is_prefilled: bool = False
+    leased_until: float = -math.inf
 
 
 def key_of(part: int) -> RowKey:
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -38,6 +38,7 @@
 from mallowpass.core.proxy.ratelimits.allowances import Allowances
 from mallowpass.core.proxy.ratelimits.granting import Granting
 from mallowpass.core.proxy.ratelimits.keepers import Keepers
+from mallowpass.core.proxy.ratelimits.leases import Leases
 from mallowpass.core.proxy.relays import Relays
 from mallowpass.core.proxy.replacementdetection import ReplacementDetection
 from mallowpass.core.proxy.replacementlog import ReplacementLog
@@ -103,6 +104,7 @@
     Links,
     Keepers,
     Granting,
+    Leases,
     Allowances,
     Answers,
     Attempts,
--- a/mallowpass/platform/runtime.py
+++ b/mallowpass/platform/runtime.py
@@ -343,6 +343,18 @@
     def _(self, effect: effects.AnswerAllowance) -> None:
         self._allowance_server.answer(effect)
 
+    @_apply.register
+    def _(self, effect: effects.ReturnGrant) -> None:
+        self._allowance_clients.return_grant(effect)
+
+    @_apply.register
+    def _(self, effect: effects.AskLease) -> None:
+        self._allowance_clients.ask_lease(effect)
+
+    @_apply.register
+    def _(self, effect: effects.AnswerLease) -> None:
+        self._allowance_server.answer_lease(effect)
+
     @_apply.register
     def _(self, effect: effects.OrderPromotion) -> None:
         self._spawn(self._order_promotion(effect))
--- a/mallowpass/standins/proxied/virtual/hosts.py
+++ b/mallowpass/standins/proxied/virtual/hosts.py
@@ -382,6 +382,18 @@
     def _(self, effect: effects.AnswerAllowance) -> None:
         self.world.answer_asker(self, effect)
 
+    @_apply.register
+    def _(self, effect: effects.ReturnGrant) -> None:
+        self.world.keepers.return_grant(self, effect)
+
+    @_apply.register
+    def _(self, effect: effects.AskLease) -> None:
+        self.world.keepers.ask_lease(self, effect)
+
+    @_apply.register
+    def _(self, effect: effects.AnswerLease) -> None:
+        self.world.keepers.answer_lease(self, effect)
+
     @_apply.register
     def _(self, effect: effects.OrderPromotion) -> None:
         accepted, outdated = self.world.order(self, effect)
--- a/mallowpass/standins/proxied/virtual/world.py
+++ b/mallowpass/standins/proxied/virtual/world.py
@@ -46,6 +46,7 @@
 from mallowpass.standins.proxied.rows import RowStore, StoreCopy
 from mallowpass.standins.proxied.virtual.customers import CustomerJudge
 from mallowpass.standins.proxied.virtual.hosts import DOMAINS, LINK, Caller, Host, Link
+from mallowpass.standins.proxied.virtual.keeperlinks import KeeperLinks
 from mallowpass.standins.proxied.virtual.oracle import Oracle
 from mallowpass.standins.proxied.virtual.orderfaults import OrderFaults
 
@@ -157,6 +158,7 @@
         self._numbers = 0
         self.links: dict[tuple[str, int], Link] = {}  # by host and connection
         self.all_links: dict[int, Link] = {}
+        self.keepers = KeeperLinks(self)
         self._asks: dict[int, tuple[Host, int]] = {}  # who asked a keeper, and its call
         # Who asked a relay, its call, and the relay's name.
         self._feeds: dict[int, tuple[Host, int, str]] = {}
@@ -260,6 +262,7 @@
             return
         number = self.number()
         self._asks[number] = (host, effect.call)
+        self.keepers.note_ask(host, keeper, effect.call, number)
         asked = AllowanceAsked(
             number, effect.part, effect.customer, effect.needed, effect.ahead
         )
