--- a/mallowpass/measure/policy/mechanisms.py
+++ b/mallowpass/measure/policy/mechanisms.py
@@ -27,6 +27,8 @@
 from mallowpass.core.proxy.overloadswitchover import OverloadSwitchover
 from mallowpass.core.proxy.policy import placement, sharing
 from mallowpass.core.proxy.policy.sharing import Fleet, Plan
+from mallowpass.core.proxy.ratelimits.allowances import Allowances
+from mallowpass.core.proxy.ratelimits.leases import Leases
 from mallowpass.core.proxy.relays import Relays
 from mallowpass.core.proxy.sampling import Sampling
 from mallowpass.core.proxy.shares import Shares
@@ -200,6 +202,16 @@
         "each host waits for changes at the store",
         (Relays, "has_relays", property(_always(False))),
     ),
+    _mechanism(
+        "leases",
+        "hosts begin operations only by grants that they request",
+        (Leases, "_renew_all", _always(None)),
+    ),
+    _mechanism(
+        "returned-grants",
+        "grants of operations that did not begin serve the same host or lapse",
+        (Allowances, "_give_back", _always(False)),
+    ),
     _mechanism(
         "queue-at-endpoints",
         "an endpoint counts as full only after a second of waiting",
