Keep leases near the measured need, and return grants ahead of need

Leases of hosts that were cut off shrank with the operations that were refused. When the hosts were connected again, one answer made them replace the other keepers, whose failures dated from the cut, and customers below their limits were refused for seconds.

Change: unused operations are returned shortly before they expire, none are granted ahead to a host with a lease, and returned ones do not count as load. A lease that is needed to 0.7 of its rate, or whose keeper does not answer, is kept as it is. Failures noted while a host was cut off end with the first answer of a keeper, and failing keepers are probed.

The new test of keepers that are not replaced fails without the change. tests/core/proxy/ratelimits pass.

--- a/mallowpass/core/proxy/ratelimits/allowances.py
+++ b/mallowpass/core/proxy/ratelimits/allowances.py
@@ -33,6 +33,9 @@
 RETRY_DELAY = 0.1
 # How long an operation waits for grants at most, in seconds.
 WAIT_TIMEOUT = 0.45
+# How long before they expire operations that were granted ahead of need, and not used,
+# are returned, in seconds: a return takes a tenth of it between regions.
+RETURN_MARGIN = 0.1
 LEASE_WAIT_MIN = 0.001  # seconds until a lease is tried again
 # Operations requested ahead of need: as many as began within the last AHEAD_WINDOW
 # seconds, and at most AHEAD_MAX.
@@ -176,19 +179,29 @@
         if account.waiting or source is None or not self._give_back(account, source):
             account.grants.appendleft((until, 1, source))
 
-    def _give_back(self, account: _Account, source: _Source) -> bool:
-        """Give an operation back to its source, and return whether that is possible."""
+    def _give_back(
+        self, account: _Account, source: _Source, operations: int = 1
+    ) -> bool:
+        """Give operations back to their source, and return whether that is possible."""
         if source.lease is not None:
             return source.lease.give_back(source.granted_at, self.now)
         host, part, name = source.host, source.part, account.name
         if host.name == self._node.identity.name:
-            self._granting.take_back(-source.number, part, name, 1)
+            self._granting.take_back(-source.number, part, name, operations)
             return True
         if not self._leases.may_return(part, host, name):
             return False
-        self._node.emit(ReturnGrant(source.number, host.address, part, name, 1))
+        self._node.emit(
+            ReturnGrant(source.number, host.address, part, name, operations)
+        )
         return True
 
+    def _return_ahead(self, account: _Account, source: _Source) -> None:
+        """Return what is left of a grant, unless operations wait for it."""
+        for grant in list(account.grants):
+            if grant[2] is source and self._give_back(account, source, grant[1]):
+                account.grants.remove(grant)
+
     def _is_limited(self, customer: str | None) -> bool:
         known = self.tables.configuration.customers.get(customer)
         return known is not None and known.is_limited
@@ -257,9 +270,11 @@
         for part, host in usable:
             if account.empty_until.get(part, 0.0) <= self.now:
                 request = _GrantRequest(account, part, host, missing, self.now)
-                ahead = sum(
-                    1 for at in account.begun_at if at > self.now - AHEAD_WINDOW
-                )
+                ahead = 0
+                if not self._leases.holds(account.name):
+                    ahead = sum(
+                        1 for at in account.begun_at if at > self.now - AHEAD_WINDOW
+                    )
                 self._send_request(request, host, ahead)
                 return
         if not usable and self._keepers.may_recover_soon:
@@ -363,6 +378,10 @@
             until = request.sent_at + GRANT_VALIDITY
             source = _Source(event.call, request.part, request.host)
             account.grants.append((until, event.operations, source))
+            if event.operations > len(account.waiting):
+                self.timers.at(
+                    until - RETURN_MARGIN, self._return_ahead, account, source
+                )
         if event.operations < request.needed:
             pause = min(event.pause, EMPTY_BACKOFF_MAX)
             account.empty_until[request.part] = self.now + pause
@@ -373,9 +392,15 @@
             self._request_grants(account)
 
     def _probe(self) -> None:
-        """Probe the keepers that this host is a candidate to replace."""
+        """Probe the keepers that this host may replace, and those that fail here.
+
+        A keeper that lost one request, and is not the nearest, may get no other one.
+        """
         for part, host in self._keepers.nearest_keepers():
             is_own = host.name == self._node.identity.name
-            if not is_own and self._keepers.is_probing_candidate(part):
+            if not is_own and (
+                self._keepers.is_probing_candidate(part)
+                or self._keepers.is_failing(host.name)
+            ):
                 request = _GrantRequest(None, part, host, 0, self.now)
                 self._send_request(request, host, 0)
--- a/mallowpass/core/proxy/ratelimits/granting.py
+++ b/mallowpass/core/proxy/ratelimits/granting.py
@@ -157,7 +157,8 @@
     # -- Returned grants -----------------------------------------------------
 
     def _note_issued(self, number: int, issued: _Issued) -> None:
-        for earlier in list(self._issued):
+        while self._issued:
+            earlier = next(iter(self._issued))
             if self._issued[earlier].at + GRANT_VALIDITY > self.now:
                 break
             del self._issued[earlier]
@@ -200,13 +201,13 @@
         had_lease = bucket.holds(holder)
         until = self._keepers.lease_until(part)
         leased = bucket.lease(holder, rate, size, share, self.now, until)
+        if rate > 0.0 and leased in (None, NO_SIZE):
+            self._node.count("leases_refused")
         if leased is None:
             return None
         if leased != NO_SIZE:
             self._keepers.note_lease(until)
-        if leased == NO_SIZE and rate > 0.0:
-            self._node.count("leases_refused")
-        elif leased != NO_SIZE and not had_lease:
+        if leased != NO_SIZE and not had_lease:
             self._node.count("leases_taken")
             self._node.log(
                 "info",
--- a/mallowpass/core/proxy/ratelimits/keepers.py
+++ b/mallowpass/core/proxy/ratelimits/keepers.py
@@ -209,7 +209,13 @@
         return (is_far, crc32(f"{identity.name} {part}".encode()))
 
     def record_answer(self, host: str) -> None:
-        """Record that a keeper answered, which ends its failures."""
+        """Record that a keeper answered, which ends its failures.
+
+        What failed while this host was cut off says nothing about the other keepers.
+        """
+        if self._is_isolated:
+            self._failing_since.clear()
+            self._failures.clear()
         self._answered_at[host] = self.now
         self._failing_since.pop(host, None)
         self._failures.pop(host, None)
@@ -221,6 +227,10 @@
         pause = min(BACKOFF_MAX, BACKOFF_MIN * 2 ** (failures - 1))
         self._backoff_until[host] = self.now + pause
 
+    def is_failing(self, host: str) -> bool:
+        """Return whether a keeper left the last request unanswered."""
+        return host in self._failing_since
+
     @property
     def are_out_of_reach(self) -> bool:
         """Return whether no keeper answers, so that operations need not wait for it."""
@@ -437,11 +447,15 @@
         since = self._failing_since.get(keeper)
         if since is None:
             return False
-        last_answer_at = max(self._answered_at.values(), default=float("-inf"))
-        is_isolated = last_answer_at < self.now - FAILURE_TIMEOUT
-        timeout = ISOLATED_FAILURE_TIMEOUT if is_isolated else FAILURE_TIMEOUT
+        timeout = ISOLATED_FAILURE_TIMEOUT if self._is_isolated else FAILURE_TIMEOUT
         return self.now >= since + timeout + wait
 
+    @property
+    def _is_isolated(self) -> bool:
+        """Return whether no keeper answered lately."""
+        last_answer_at = max(self._answered_at.values(), default=float("-inf"))
+        return last_answer_at < self.now - FAILURE_TIMEOUT
+
     def _claim(self, part: int) -> None:
         """Write this host's name to a part's row, then begin to keep the part."""
         row = self._rows.get(part)
--- a/mallowpass/core/proxy/ratelimits/leases.py
+++ b/mallowpass/core/proxy/ratelimits/leases.py
@@ -34,6 +34,9 @@
 # Share of its time that a lease is used for at the host: the clocks of a host and a
 # keeper may run at rates that differ by that much.
 CLOCK_MARGIN = 0.01
+# A lease that is needed to this share of its rate is kept as it is: a reduced lease
+# can't grow again while no keeper answers.
+KEPT_SHARE = 0.7
 OWN_HOLDER = 0  # this host, as a holder of leases from itself
 
 
@@ -125,6 +128,11 @@
             account = self._accounts[customer.name] = _LeaseAccount(customer)
         account.meter.note_begun()
 
+    def holds(self, name: str) -> bool:
+        """Return whether this host has a lease of a customer."""
+        account = self._accounts.get(name)
+        return account is not None and bool(account.leases)
+
     def take(self, name: str) -> HostLease | None:
         """Take an operation from a lease, and return the lease; None without one."""
         account = self._accounts.get(name)
@@ -173,10 +181,13 @@
                 continue
             if self._unsupported_until.get(host.name, 0.0) > self.now:
                 continue
-            if lease is not None and lease.size.rate > rate:
+            held = 0.0 if lease is None else lease.size.rate
+            is_failing = self._keepers.is_failing(host.name)
+            if held > rate and (is_failing or rate >= KEPT_SHARE * held):
+                rate = held
+            elif held > rate:
                 # Reduced before the keeper reduces it: it may use the rest at once.
-                ratio = rate / lease.size.rate
-                lease.shrink(ratio, ratio, self.now)
+                lease.shrink(rate / held, rate / held, self.now)
             self._send_request(round_, part, host, rate)
             return
 
--- a/mallowpass/core/proxy/ratelimits/leasing.py
+++ b/mallowpass/core/proxy/ratelimits/leasing.py
@@ -160,7 +160,8 @@
     def _expire(self, now: float) -> None:
         while self._smaller and self._smaller[0][0] <= now:
             self._smaller.popleft()
-        for granted_at in list(self._outstanding):
+        while self._outstanding:
+            granted_at = next(iter(self._outstanding))
             if granted_at + GRANT_VALIDITY > now:
                 break
             del self._outstanding[granted_at]
@@ -235,6 +236,8 @@
     ) -> float:
         """Add the tokens of operations that did not begin, and return how many."""
         self.refill(size, now)
+        self._use = max(0.0, self._current_use(now) - operations / LOAD_TIME)
+        self._used_at = max(now, self._used_at)
         return self._bucket.give_back(operations, granted_at, self.rest(size), now)
 
     def time_until_next(self, size: BucketSize) -> float:
--- a/tests/core/proxy/ratelimits/test_leases.py
+++ b/tests/core/proxy/ratelimits/test_leases.py
@@ -93,6 +93,30 @@
     assert world.caller(index, "own", "key-a").run(Read("a")).code is Code.DONE
 
 
+def test_hosts_that_were_cut_off_do_not_replace_the_keepers(world):
+    """Guard against failures noted while cut off, as one keeper answers again.
+
+    Without a check, hosts replaced the keepers that they had not asked again yet, and
+    customers below their limits were refused for 12 s.
+    """
+    before = _keepers(world)
+    cut = [index for index in range(HOSTS) if index not in before]
+    for index in cut:
+        _cut(world, index)
+    for _ in range(8):  # less than the time after which such hosts replace keepers
+        for index in cut:
+            world.caller(index, "own", "key-a").send(Read("a"))
+        world.run(1.0)
+    for index in cut:
+        world.hosts[index].cut_from.clear()
+    for _ in range(5):
+        for index in cut:
+            world.caller(index, "own", "key-a").send(Read("a"))
+        world.run(1.0)
+    assert not any(host.logged("limits_part_lost") for host in world.hosts)
+    assert _keepers(world) == before
+
+
 def test_keeper_that_does_not_know_leases_is_left_alone(world, monkeypatch):
     """Guard against requests that close the connections to keepers while upgrading."""
     from mallowpass.core.proxy.events import LeaseAnswered
