--- a/tests/core/proxy/ratelimits/test_leases.py
+++ b/tests/core/proxy/ratelimits/test_leases.py
@@ -6,9 +6,11 @@
 
 import pytest
 
+from mallowpass.core.proxy.events import LeaseAnswered
 from mallowpass.core.proxy.ratelimits.buckets import PART_COUNT
 from mallowpass.core.proxy.ratelimits.keepers import Keepers
 from mallowpass.core.proxy.ratelimits.leases import UNSUPPORTED_BACKOFF, Leases
+from mallowpass.core.proxy.ratelimits.leasing import LEASE_TIME
 from mallowpass.core.proxy.statements import Code, Read
 from mallowpass.standins.proxied.virtual.world import ProxyWorld, customer, identified
 
@@ -117,10 +119,22 @@
     assert _keepers(world) == before
 
 
+def test_successor_of_a_stopped_keeper_reserves_what_was_leased(world):
+    """Guard against a part that is granted and leased twice after a planned stop."""
+    index = _other(world)
+    _send(world, index, 4.0, 8.0)
+    (part,) = world.hosts[index].node.system(Leases)._accounts["acme"].leases
+    rights = [host.node.system(Keepers).grant_right(part) for host in world.hosts]
+    world.hosts[next(i for i, right in enumerate(rights) if right)].stop()
+    world.run(1.5)
+    rights = [host.node.system(Keepers).grant_right(part) for host in world.hosts]
+    (right,) = filter(None, rights)
+    assert right.is_full
+    assert right.leased_until == right.since + LEASE_TIME
+
+
 def test_keeper_that_does_not_know_leases_is_left_alone(world, monkeypatch):
     """Guard against requests that close the connections to keepers while upgrading."""
-    from mallowpass.core.proxy.events import LeaseAnswered
-
     asked = []
 
     def refuse(host, effect) -> None:
--- a/tests/core/proxy/ratelimits/test_leasing.py
+++ b/tests/core/proxy/ratelimits/test_leasing.py
@@ -370,7 +370,7 @@
 
 def test_grown_burst_has_room_for_returned_grants_only_later():
     """Guard against a burst that counts for a lease and for returned grants."""
-    small, size = BucketSize(100.0, 10.0), BucketSize(100.0, 20.0)
+    small, size = BucketSize(50.0, 10.0), BucketSize(50.0, 20.0)
     bucket = ReturnableBucket(0.0, 10.0)
     bucket.refill(small, 0.0)
     bucket.take(5, 0.0)
