--- a/mallowpass/core/proxy/ratelimits/leases.py
+++ b/mallowpass/core/proxy/ratelimits/leases.py
@@ -37,6 +37,9 @@
 # A lease that is needed to this share of its rate is kept as it is: a reduced lease
 # can't grow again while no keeper answers.
 KEPT_SHARE = 0.7
+# Least rate for which a further keeper is asked, in operations per second: so small a
+# lease mostly holds less than an operation, and costs a request at each renewal.
+REQUESTED_RATE_MIN = 0.5
 OWN_HOLDER = 0  # this host, as a holder of leases from itself
 
 
@@ -155,12 +158,12 @@
     # -- Renewals ------------------------------------------------------------
 
     def _renew_all(self) -> None:
+        keepers = self._keepers.nearest_keepers()
         for account in list(self._accounts.values()):
             self._drop_ended(account)
             rate = account.meter.requested_rate(RENEWAL_INTERVAL)
             if rate > 0.0 or account.leases:
-                keepers = self._keepers.nearest_keepers()
-                self._continue(_Round(account, rate, keepers))
+                self._continue(_Round(account, rate, list(keepers)))
             elif account.meter.is_idle:
                 del self._accounts[account.customer.name]
 
@@ -177,7 +180,7 @@
             part, host = round_.keepers.pop(0)
             lease = round_.account.leases.get(part)
             rate = round(max(0.0, round_.rate), 3)
-            if rate == 0.0 and lease is None:
+            if lease is None and rate < REQUESTED_RATE_MIN:
                 continue
             if self._unsupported_until.get(host.name, 0.0) > self.now:
                 continue
