Lease no customer whose burst is infinite

A customer with a rate and no burst has a leasable share of 0, and the burst of its lease was the product of 0 and infinity. The keeper took that for a lease and could not send the answer, so hosts counted false failures.

A keeper answers NONE for a customer without a finite size, and the decision returns no size for a share of 0. Two new tests failed before.

--- a/mallowpass/core/proxy/ratelimits/granting.py
+++ b/mallowpass/core/proxy/ratelimits/granting.py
@@ -200,6 +200,8 @@
             return None
         bounds = self.tables.rate_bounds
         size = self._size(customer, right)
+        if math.isinf(size.rate) or math.isinf(size.burst):
+            return None  # leases have a finite size
         share = leasable_share(customer, part, bounds)
         bucket = self._bucket(customer, right)
         if version != self.tables.configuration.version:
--- a/mallowpass/core/proxy/ratelimits/leasing.py
+++ b/mallowpass/core/proxy/ratelimits/leasing.py
@@ -285,6 +285,8 @@
             self._leases[holder] = (share, until)
         self._update()
         self._bucket.refill(self.rest(size), now)  # limits the level to the new burst
+        if share == 0.0:
+            return NO_SIZE  # the burst may be infinite, so no product of it
         return BucketSize(share * size.rate, share * size.burst)
 
     def held(
--- a/tests/core/proxy/ratelimits/test_leases.py
+++ b/tests/core/proxy/ratelimits/test_leases.py
@@ -8,6 +8,7 @@
 
 from mallowpass.core.proxy.events import LeaseAnswered
 from mallowpass.core.proxy.ratelimits.buckets import PART_COUNT
+from mallowpass.core.proxy.ratelimits.granting import Granting
 from mallowpass.core.proxy.ratelimits.keepers import Keepers
 from mallowpass.core.proxy.ratelimits.leases import UNSUPPORTED_BACKOFF, Leases
 from mallowpass.core.proxy.ratelimits.leasing import LEASE_TIME
@@ -205,3 +206,23 @@
     assert sum(lease.size.rate for lease in leases.values()) <= low.rate
     _send(world, index, 90.0, 9.0)
     assert world.judge.breaches == []
+
+
+def test_customer_without_a_burst_is_served_without_leases(world):
+    """Guard against answers that can't be sent, and count as failures of keepers.
+
+    A lease is in force as the burst is removed from the configuration.
+    """
+    index = _other(world)
+    _send(world, index, 4.0, 8.0)
+    bounded = world.hosts[index].tables.configuration.customers["acme"]
+    unbounded = customer("acme", "key-a", rate=bounded.rate)
+    world.configure(identified(unbounded, version=3))
+    outcomes = _send(world, index, 4.0, 8.0)
+    assert outcomes.count(Code.DONE) == len(outcomes)
+    for keeper in _keepers(world):
+        node = world.hosts[keeper].node
+        lease = node.system(Granting).lease
+        for part in filter(node.system(Keepers).is_sole_keeper, range(PART_COUNT)):
+            assert lease(part, "acme", index, 2.0, version=3) is None
+            assert lease(part, "acme", index, 2.0, version=2) is None
--- a/tests/core/proxy/ratelimits/test_leasing.py
+++ b/tests/core/proxy/ratelimits/test_leasing.py
@@ -434,3 +434,9 @@
     assert (lease.size, lease.until) == (BucketSize(4.0, 8.0), 10.0)
     lease.limit(BucketSize(1.0, 2.0), 1.0)
     assert (lease.size, lease.until) == (BucketSize(1.0, 2.0), 10.0)
+
+
+def test_bucket_of_infinite_burst_is_not_leased():
+    """Guard against the product of 0 and infinity as the burst of a lease."""
+    size = BucketSize(10.0, math.inf)
+    assert LeasableBucket(0.0).lease(1, 2.0, size, 0.0, 0.0, 10.0) == NO_SIZE
