Keep failures of keepers while hosts rarely ask

An answer ended the failures of all keepers when none had answered for 2 s. That is also so at a host that asked nobody meanwhile. With 24 hosts and an operation of each every 4 s, a killed keeper was not replaced within 70 s.

Failures of other keepers now end only if all keepers were failing, and while one fails, a host probes all of them, so that its silence does not look like a cut. The new test failed before at 4 s; at 2.5 s it passed.

--- a/mallowpass/core/proxy/ratelimits/allowances.py
+++ b/mallowpass/core/proxy/ratelimits/allowances.py
@@ -395,12 +395,13 @@
         """Probe the keepers that this host may replace, and those that fail here.
 
         A keeper that lost one request, and is not the nearest, may get no other one.
+        While one fails, the answers of the others show that this host is not cut off.
         """
+        is_any_failing = self._keepers.is_any_failing
         for part, host in self._keepers.nearest_keepers():
             is_own = host.name == self._node.identity.name
             if not is_own and (
-                self._keepers.is_probing_candidate(part)
-                or self._keepers.is_failing(host.name)
+                is_any_failing or self._keepers.is_probing_candidate(part)
             ):
                 request = _GrantRequest(None, part, host, 0, self.now)
                 self._send_request(request, host, 0)
--- a/mallowpass/core/proxy/ratelimits/keepers.py
+++ b/mallowpass/core/proxy/ratelimits/keepers.py
@@ -211,9 +211,10 @@
     def record_answer(self, host: str) -> None:
         """Record that a keeper answered, which ends its failures.
 
-        What failed while this host was cut off says nothing about the other keepers.
+        If all keepers failed, this host was cut off, which says nothing about the other
+        keepers. The silence of keepers that were not asked does not show that.
         """
-        if self._is_isolated:
+        if all(row.entry.keeper in self._failing_since for row in self._rows.values()):
             self._failing_since.clear()
             self._failures.clear()
         self._answered_at[host] = self.now
@@ -231,6 +232,13 @@
         """Return whether a keeper left the last request unanswered."""
         return host in self._failing_since
 
+    @property
+    def is_any_failing(self) -> bool:
+        """Return whether any keeper left the last request unanswered."""
+        return any(
+            row.entry.keeper in self._failing_since for row in self._rows.values()
+        )
+
     @property
     def are_out_of_reach(self) -> bool:
         """Return whether no keeper answers, so that operations need not wait for it."""
@@ -452,7 +460,7 @@
 
     @property
     def _is_isolated(self) -> bool:
-        """Return whether no keeper answered lately."""
+        """Return whether no keeper answered lately, also because none was asked."""
         last_answer_at = max(self._answered_at.values(), default=float("-inf"))
         return last_answer_at < self.now - FAILURE_TIMEOUT
 
--- a/tests/core/proxy/ratelimits/test_leases.py
+++ b/tests/core/proxy/ratelimits/test_leases.py
@@ -226,3 +226,19 @@
         for part in filter(node.system(Keepers).is_sole_keeper, range(PART_COUNT)):
             assert lease(part, "acme", index, 2.0, version=3) is None
             assert lease(part, "acme", index, 2.0, version=2) is None
+
+
+@pytest.mark.parametrize("interval", [2.5, 4.0])
+def test_keeper_is_replaced_while_hosts_rarely_ask(interval):
+    """Guard against failures that are forgotten as no keeper was asked for a while."""
+    world = ProxyWorld(hosts=24, slots=50, max_connections=200)
+    world.configure(identified(ACME))
+    world.run(25.0)
+    killed = min(_keepers(world))
+    name = world.kill(killed).name
+    others = [index for index in range(24) if index != killed]
+    for step in range(int(10.0 / interval * 24)):
+        world.caller(others[step % 23], "own", "key-a").send(Read("a"))
+        world.run(interval / 24)
+    rows = world.hosts[others[0]].node.system(Keepers)._rows
+    assert name not in {row.entry.keeper for row in rows.values()}
