Count requests to a keeper that are lost together as one failure

The renewals of all customers go out together. So one pause of a keeper counted a failure for each of them, gave the longest backoff, and let operations be refused at once as if no keeper could be reached.

A failure of a request that was sent before the last failure of that keeper was known is no longer counted. With 12 customers, 13 failures became at most 2 (a probe and the renewals). The new test failed before.

--- a/mallowpass/core/proxy/ratelimits/allowances.py
+++ b/mallowpass/core/proxy/ratelimits/allowances.py
@@ -318,7 +318,7 @@
         if request is None:
             return
         if event.operations is None:
-            self._keepers.record_failure(request.host.name)
+            self._keepers.record_failure(request.host.name, request.sent_at)
         else:
             self._keepers.record_answer(request.host.name)
         account = request.account
--- a/mallowpass/core/proxy/ratelimits/keepers.py
+++ b/mallowpass/core/proxy/ratelimits/keepers.py
@@ -57,8 +57,8 @@
 # cut off.
 FAILURE_TIMEOUT = 2.0
 ISOLATED_FAILURE_TIMEOUT = 10.0
-# Number of consecutive requests that a keeper leaves unanswered before operations no
-# longer wait for it: one answer may be lost, or late because of a pause of the keeper.
+# Number of consecutive failures of a keeper before operations no longer wait for it:
+# one answer may be lost, or late because of a pause of the keeper.
 UNREACHABLE_FAILURES = 2
 # Backoff after a request that a keeper did not answer, in seconds: doubled by each
 # further failure.
@@ -102,6 +102,7 @@
         "_answered_at",
         "_are_rows_known",
         "_backoff_until",
+        "_failed_at",
         "_failing_since",
         "_failures",
         "_is_confirming",
@@ -128,8 +129,10 @@
         self._pending_writes: set[int] = set()  # parts whose row is being written
         self._vacant_since: dict[int, float] = {}  # by part without a keeper
         # By keeper: its first failure since its last answer, its failures since then,
-        # when it last answered, and until when no request is sent to it.
+        # its last failure, when it last answered, and until when no request is sent to
+        # it.
         self._failing_since: dict[str, float] = {}
+        self._failed_at: dict[str, float] = {}
         self._failures: dict[str, int] = {}
         self._answered_at: dict[str, float] = {}
         self._backoff_until: dict[str, float] = {}
@@ -221,8 +224,15 @@
         self._failing_since.pop(host, None)
         self._failures.pop(host, None)
 
-    def record_failure(self, host: str) -> None:
-        """Back off from a host that did not answer, or does not keep the part."""
+    def record_failure(self, host: str, sent_at: float) -> None:
+        """Back off from a host that did not answer, or does not keep the part.
+
+        Requests sent before the last failure was known are lost together, by one pause
+        or by the end of one connection, and count as one failure.
+        """
+        if sent_at < self._failed_at.get(host, -math.inf):
+            return
+        self._failed_at[host] = self.now
         self._failing_since.setdefault(host, self.now)
         failures = self._failures[host] = self._failures.get(host, 0) + 1
         pause = min(BACKOFF_MAX, BACKOFF_MIN * 2 ** (failures - 1))
--- a/mallowpass/core/proxy/ratelimits/leases.py
+++ b/mallowpass/core/proxy/ratelimits/leases.py
@@ -218,7 +218,7 @@
     def _on_timeout(self, number: int) -> None:
         request = self._requests.get(number)
         if request is not None:
-            self._keepers.record_failure(request.host)
+            self._keepers.record_failure(request.host, request.sent_at)
             self._on_answered(LeaseAnswered(number, None))
 
     def _on_answered(self, event: LeaseAnswered) -> None:
--- a/tests/core/proxy/ratelimits/test_leases.py
+++ b/tests/core/proxy/ratelimits/test_leases.py
@@ -242,3 +242,27 @@
         world.run(interval / 24)
     rows = world.hosts[others[0]].node.system(Keepers)._rows
     assert name not in {row.entry.keeper for row in rows.values()}
+
+
+def test_requests_that_are_lost_together_count_as_one_failure():
+    """Guard against the longest backoff, and refusals at once, after one short pause.
+
+    The renewals of all customers go out together.
+    """
+    customers = [
+        customer(f"c{i}", f"key-{i}", rate=60.0, burst=60.0) for i in range(12)
+    ]
+    world = ProxyWorld(hosts=HOSTS, slots=50, max_connections=200)
+    world.configure(identified(*customers))
+    world.run(25.0)
+    index = _other(world)
+    for _ in range(40):
+        for i in range(len(customers)):
+            world.caller(index, "own", f"key-{i}").send(Read("a"))
+        world.run(0.2)
+    keepers = world.hosts[index].node.system(Keepers)
+    _cut(world, index)
+    world.run_until(lambda: len(keepers._failures) == PART_COUNT, 3.0)
+    world.run(0.05)
+    assert max(keepers._failures.values()) <= 2  # a probe, and the renewals
+    assert not keepers.are_out_of_reach
