Count leases that are kept, and keep those that a keeper still counts

A keeper that answered NONE or not at all left the lease in force, but the host asked the next keepers for the whole rate, so it held several leases for one need. After a reconnect near the limit, the keeper leased nothing to the new connection, and the host dropped a lease that the keeper still counted.

A lease that lasts until the next renewal now counts against the requested rate, and LEASED 0 ends only a lease that the host reduced before. The new test failed before in both cases.

--- a/mallowpass/core/proxy/ratelimits/leases.py
+++ b/mallowpass/core/proxy/ratelimits/leases.py
@@ -60,6 +60,7 @@
     part: int
     host: str
     sent_at: float
+    is_reduced: bool = False  # this host reduced its lease before it sent the request
 
 
 @dataclass(slots=True)
@@ -159,10 +160,13 @@
 
     def _renew_all(self) -> None:
         keepers = self._keepers.nearest_keepers()
+        asked = {part for part, _ in keepers}
         for account in list(self._accounts.values()):
             self._drop_ended(account)
             rate = account.meter.requested_rate(RENEWAL_INTERVAL)
             if rate > 0.0 or account.leases:
+                others = account.leases.keys() - asked
+                rate -= sum(self._lasting_rate(account, part) for part in others)
                 self._continue(_Round(account, rate, list(keepers)))
             elif account.meter.is_idle:
                 del self._accounts[account.customer.name]
@@ -174,6 +178,13 @@
                 name = account.customer.name
                 self._node.log("info", "lease_lapsed", customer=name, part=part)
 
+    def _lasting_rate(self, account: _LeaseAccount, part: int) -> float:
+        """Return the rate of a lease, 0 if it ends before the next renewal."""
+        lease = account.leases.get(part)
+        if lease is None or lease.until < self.now + RENEWAL_INTERVAL:
+            return 0.0
+        return lease.size.rate
+
     def _continue(self, round_: _Round) -> None:
         """Ask the next keeper that has to give a lease, or to take one back."""
         while round_.keepers:
@@ -186,19 +197,29 @@
                 continue
             held = 0.0 if lease is None else lease.size.rate
             is_failing = self._keepers.is_failing(host.name)
+            is_reduced = False
             if held > rate and (is_failing or rate >= KEPT_SHARE * held):
                 rate = held
             elif held > rate:
                 # Reduced before the keeper reduces it: it may use the rest at once.
                 lease.shrink(rate / held, rate / held, self.now)
-            self._send_request(round_, part, host, rate)
+                is_reduced = True
+            self._send_request(round_, part, host, rate, is_reduced=is_reduced)
             return
 
     def _send_request(
-        self, round_: _Round | None, part: int, host: HostRow, rate: float, name=""
+        self,
+        round_: _Round | None,
+        part: int,
+        host: HostRow,
+        rate: float,
+        name: str = "",
+        is_reduced: bool = False,
     ) -> None:
         number = self._node.next_number()
-        self._requests[number] = _LeaseRequest(round_, part, host.name, self.now)
+        self._requests[number] = _LeaseRequest(
+            round_, part, host.name, self.now, is_reduced
+        )
         if round_ is not None:
             name = round_.account.customer.name
             round_.account.newest[part] = number
@@ -239,7 +260,8 @@
         is_newest = account.newest.get(request.part) == event.call
         if event.rate is not None and is_newest:
             self._store(account, request, event)
-            round_.rate -= event.rate
+        # Without a new size, the lease is used until its end.
+        round_.rate -= self._lasting_rate(account, request.part)
         self._continue(round_)
 
     def _store(
@@ -252,7 +274,9 @@
                 lease.limit(BucketSize(event.rate, event.burst), self.now)
             return
         if event.rate <= 0.0:
-            if lease is not None:
+            # A lease that this host did not reduce is in force at the keeper until its
+            # end, for an earlier connection of this host.
+            if lease is not None and (request.is_reduced or lease.until <= self.now):
                 lease.until = min(lease.until, self.now)
                 del account.leases[request.part]
             return
--- a/tests/core/proxy/ratelimits/test_leases.py
+++ b/tests/core/proxy/ratelimits/test_leases.py
@@ -266,3 +266,30 @@
     world.run(0.05)
     assert max(keepers._failures.values()) <= 2  # a probe, and the renewals
     assert not keepers.are_out_of_reach
+
+
+@pytest.mark.parametrize("rate", [None, 0.0])
+def test_lease_that_is_not_renewed_is_kept_and_not_requested_elsewhere(
+    world, monkeypatch, rate
+):
+    """Guard against leases of all keepers for the same need, and lost leases.
+
+    Near the limit a keeper answers NONE. After a new connection, it counts the lease
+    of the earlier one, and leases nothing to the new one.
+    """
+    index = _other(world)
+    _send(world, index, 4.0, 8.0)
+    leases = world.hosts[index].node.system(Leases)._accounts["acme"].leases
+    before = {part: (lease.size, lease.until) for part, lease in leases.items()}
+    assert before
+    asked = []
+
+    def refuse(host, effect) -> None:
+        asked.append(effect.part)
+        answer = LeaseAnswered(effect.call, rate, version=effect.version)
+        host.later(0.001, answer)
+
+    monkeypatch.setattr(world.keepers, "ask_lease", refuse)
+    _send(world, index, 4.0, 4.0)
+    assert {p: (lease.size, lease.until) for p, lease in leases.items()} == before
+    assert set(asked) == set(before)
