Tell a keeper that leases nothing from one that can't be reached

NONE was treated as no answer. So a keeper that had restarted less than 10 s ago got a new LEASE for each returned grant, and no returns. A refused connection was not counted as a failure.

LeaseAnswered says whether the keeper was unreachable, which is a failure. After NONE, a host returns grants; failures stay, as NONE may also mean that the host does not keep the part. The test for an unreachable keeper expects the new field. Open requests are searched only for keepers of which the support is not known.

--- a/mallowpass/core/proxy/events.py
+++ b/mallowpass/core/proxy/events.py
@@ -206,9 +206,9 @@
 class LeaseAnswered(ProxyEvent):
     """The host that keeps a part of a rate limit answered a request for a lease.
 
-    `rate` is None if it gave none or can't be reached. `is_unsupported` means that it
-    closed the connection instead of answering. `version` is that of the configuration
-    by which the lease was sized.
+    `rate` is None if it gave none. `is_unreachable` means that it could not be reached,
+    `is_unsupported` that it closed the connection instead of answering. `version` is
+    that of the configuration by which the lease was sized.
     """
 
     call: int
@@ -217,6 +217,7 @@
     validity: float = 0.0
     version: int = 0
     is_unsupported: bool = False
+    is_unreachable: bool = False
 
 
 @record
--- a/mallowpass/core/proxy/ratelimits/leases.py
+++ b/mallowpass/core/proxy/ratelimits/leases.py
@@ -237,10 +237,7 @@
         self.timers.after(REQUEST_TIMEOUT, self._on_timeout, number)
 
     def _on_timeout(self, number: int) -> None:
-        request = self._requests.get(number)
-        if request is not None:
-            self._keepers.record_failure(request.host, request.sent_at)
-            self._on_answered(LeaseAnswered(number, None))
+        self._on_answered(LeaseAnswered(number, None, is_unreachable=True))
 
     def _on_answered(self, event: LeaseAnswered) -> None:
         """Handle a keeper's answer, its timeout, or this host's own lease."""
@@ -250,8 +247,13 @@
         if event.is_unsupported:
             self._supporting.discard(request.host)
             self._unsupported_until[request.host] = self.now + UNSUPPORTED_BACKOFF
-        if event.rate is not None:
+        elif event.is_unreachable:
+            self._keepers.record_failure(request.host, request.sent_at)
+        else:
             self._supporting.add(request.host)
+        if event.rate is not None:
+            # No lease may mean that the host does not keep the part, which ends no
+            # failure.
             self._keepers.record_answer(request.host)
         round_ = request.round
         if round_ is None:
@@ -294,10 +296,10 @@
         A keeper of which this is not known yet is asked for a lease of nothing: one
         of an earlier version would close the connection.
         """
-        is_asked = any(r.host == host.name for r in self._requests.values())
-        backoff_until = self._unsupported_until.get(host.name, 0.0)
         if host.name in self._supporting:
             return True
+        is_asked = any(r.host == host.name for r in self._requests.values())
+        backoff_until = self._unsupported_until.get(host.name, 0.0)
         if not is_asked and backoff_until <= self.now:
             self._send_request(None, part, host, 0.0, customer)
         return False
--- a/mallowpass/platform/allowances.py
+++ b/mallowpass/platform/allowances.py
@@ -185,7 +185,7 @@
     def ask_lease(self, effect: AskLease) -> None:
         """Request a lease from a keeper; LeaseAnswered reports the outcome."""
         if self._own_address is None:
-            self._sink(LeaseAnswered(effect.call, None))
+            self._sink(LeaseAnswered(effect.call, None, is_unreachable=True))
             return
         self._connection(effect.address).ask_lease(effect)
 
@@ -287,7 +287,11 @@
         leases, self._pending_leases = self._pending_leases, set()
         was_open = self._transport is not None
         for call in leases:
-            self._sink(LeaseAnswered(call, None, is_unsupported=was_open))
+            self._sink(
+                LeaseAnswered(
+                    call, None, is_unsupported=was_open, is_unreachable=not was_open
+                )
+            )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport  # type: ignore[assignment]
--- a/tests/core/proxy/ratelimits/test_leases.py
+++ b/tests/core/proxy/ratelimits/test_leases.py
@@ -293,3 +293,17 @@
     _send(world, index, 4.0, 4.0)
     assert {p: (lease.size, lease.until) for p, lease in leases.items()} == before
     assert set(asked) == set(before)
+
+
+def test_grants_are_returned_to_a_keeper_that_leases_nothing_now(world):
+    """Guard against a request for each returned grant after a keeper's restart."""
+    node = world.hosts[_other(world)].node
+    leases = node.system(Leases)
+    part, host = node.system(Keepers).nearest_keepers()[0]
+    assert not leases.may_return(part, host, "acme")
+    (number,) = leases._requests
+    leases._on_timeout(number)
+    assert not leases.may_return(part, host, "acme")
+    (number,) = leases._requests
+    leases._on_answered(LeaseAnswered(number, None))
+    assert leases.may_return(part, host, "acme")
--- a/tests/platform/test_lease_messages.py
+++ b/tests/platform/test_lease_messages.py
@@ -93,7 +93,7 @@
         await _wait_for_events(events, 1)
 
     asyncio.run(asyncio.wait_for(run(), 2.0))
-    assert events == [LeaseAnswered(7, None)]
+    assert events == [LeaseAnswered(7, None, is_unreachable=True)]
 
 
 def test_returned_grant_names_the_request_that_was_granted():
