Give leases back at a planned stop, and spread the first renewals

A stopping host kept its leases at the keepers: 0.4 of a part was still counted as leased 2 s after the stop. All hosts of a fleet renewed at one instant after a configuration.

A host that drains ends its leases and requests a rate of 0, and requests no others. The first renewal is 2 s to 4 s after the first limits.

--- a/mallowpass/core/proxy/ratelimits/keepers.py
+++ b/mallowpass/core/proxy/ratelimits/keepers.py
@@ -193,12 +193,13 @@
         """
         usable = []
         for part in range(PART_COUNT):
-            host = self._keeper(part)
+            host = self.keeper(part)
             if host is not None and self._is_usable(host):
                 usable.append((part, host))
         return sorted(usable, key=self._distance)
 
-    def _keeper(self, part: int) -> HostRow | None:
+    def keeper(self, part: int) -> HostRow | None:
+        """Return the host that keeps a part; None if none does."""
         row = self._rows.get(part)
         return None if row is None else self.tables.hosts.get(row.entry.keeper)
 
--- a/mallowpass/core/proxy/ratelimits/leases.py
+++ b/mallowpass/core/proxy/ratelimits/leases.py
@@ -19,7 +19,7 @@
 from mallowpass.core.proxy.ratelimits.granting import Granting
 from mallowpass.core.proxy.ratelimits.keepers import Keepers
 from mallowpass.core.proxy.ratelimits.leasing import HostLease, UseMeter
-from mallowpass.core.proxy.signals import ConfigurationAccepted
+from mallowpass.core.proxy.signals import ConfigurationAccepted, DrainBegan
 from mallowpass.core.proxy.tables import HostRow, ProxySystem
 
 __all__ = ["Leases"]
@@ -82,6 +82,7 @@
         "_accounts",
         "_granting",
         "_is_renewing",
+        "_is_stopping",
         "_keepers",
         "_requests",
         "_supporting",
@@ -93,6 +94,7 @@
         self._accounts: dict[str, _LeaseAccount] = {}
         self._requests: dict[int, _LeaseRequest] = {}
         self._is_renewing = False
+        self._is_stopping = False
         self._supporting: set[str] = set()  # keepers that answered such a request
         self._unsupported_until: dict[str, float] = {}  # by keeper
 
@@ -103,6 +105,7 @@
         self._node.subscribe(LeaseAsked, self._on_asked)
         self._node.subscribe(LeaseAnswered, self._on_answered)
         self._node.subscribe(ConfigurationAccepted, self._on_configuration)
+        self._node.subscribe(DrainBegan, self._on_drain)
 
     def _on_configuration(self, signal: ConfigurationAccepted) -> None:
         """Scale leases of customers whose limit is lowered."""
@@ -121,7 +124,21 @@
                 )
         if not self._is_renewing and any(c.is_limited for c in customers.values()):
             self._is_renewing = True
-            self.timers.every(RENEWAL_INTERVAL, self._renew_all)
+            # Spread over an interval, as a fleet gets its configuration at one time.
+            first = RENEWAL_INTERVAL * self._node.random.uniform(1.0, 2.0)
+            self.timers.every(RENEWAL_INTERVAL, self._renew_all, first=first)
+
+    def _on_drain(self, signal: DrainBegan) -> None:
+        """Give all leases back, as few operations begin here from now on."""
+        self._is_stopping = True
+        for account in self._accounts.values():
+            account.newest.clear()
+            for part, lease in account.leases.items():
+                lease.shrink(0.0, 0.0, self.now)
+                host = self._keepers.keeper(part)
+                if host is not None and host.name != self._node.identity.name:
+                    self._send_request(None, part, host, 0.0, account.customer.name)
+            account.leases.clear()
 
     # -- Use -----------------------------------------------------------------
 
@@ -159,6 +176,8 @@
     # -- Renewals ------------------------------------------------------------
 
     def _renew_all(self) -> None:
+        if self._is_stopping:
+            return
         keepers = self._keepers.nearest_keepers()
         asked = {part for part, _ in keepers}
         for account in list(self._accounts.values()):
@@ -187,7 +206,7 @@
 
     def _continue(self, round_: _Round) -> None:
         """Ask the next keeper that has to give a lease, or to take one back."""
-        while round_.keepers:
+        while round_.keepers and not self._is_stopping:
             part, host = round_.keepers.pop(0)
             lease = round_.account.leases.get(part)
             rate = round(max(0.0, round_.rate), 3)
