Renew leases near the limit by the need, not by rounding

A renewal of a capped lease asks for its rate rounded down, which looked like a request for less, so a keeper near its limit renewed leases that it should let end. A share that a lowered burst made too small for an operation was dropped at once, although the host may use the rest of its lease if the answer is lost.

A rate within 0.001 operations a second of the lease counts as the same, and such a share is kept until its end. Both new tests failed before.

--- a/mallowpass/core/proxy/ratelimits/leasing.py
+++ b/mallowpass/core/proxy/ratelimits/leasing.py
@@ -56,6 +56,9 @@
 # they are renewed. Near the limit, what a lease leaves unused is missing at others.
 LEASING_LOAD_MAX = 0.75
 RENEWAL_LOAD_MAX = 0.9
+# A requested rate that is this much smaller than the lease, in operations per second,
+# counts as the same: messages have 3 decimals, rounded down.
+RATE_TOLERANCE = 0.001
 # Time constant of a keeper's measurement of what it grants, in seconds.
 LOAD_TIME = 2.0
 
@@ -271,13 +274,16 @@
         load = self._leased
         if size.rate > 0.0:
             load += self._current_use(now) / size.rate
-        if wanted >= held and load > RENEWAL_LOAD_MAX:
+        is_reduced = (held - wanted) * size.rate > RATE_TOLERANCE or wanted == 0.0
+        if not is_reduced and load > RENEWAL_LOAD_MAX:
             return None if held else NO_SIZE
         growth = max(0.0, wanted - held)
         # The operations that the growth is for are no longer granted by the keeper.
         load += growth * (1.0 - 1.0 / LEASE_SURPLUS)
         most = share_max - others if load <= LEASING_LOAD_MAX else 0.0
         share = min(wanted, max(held, most))
+        if held and not is_reduced and share * size.burst < LEASE_BURST_MIN:
+            return None  # the limit was lowered; the holder may use the rest of it
         self._leases.pop(holder, None)
         if share <= 0.0 or share * size.burst < LEASE_BURST_MIN:
             share = 0.0
--- a/tests/core/proxy/ratelimits/test_leasing.py
+++ b/tests/core/proxy/ratelimits/test_leasing.py
@@ -440,3 +440,26 @@
     """Guard against the product of 0 and infinity as the burst of a lease."""
     size = BucketSize(10.0, math.inf)
     assert LeasableBucket(0.0).lease(1, 2.0, size, 0.0, 0.0, 10.0) == NO_SIZE
+
+
+def test_renewal_near_the_limit_does_not_depend_on_rounding():
+    """Guard against renewals by hosts whose rates were rounded down on the way."""
+    bucket, size = LeasableBucket(0.0), BucketSize(10.0, 20.0)
+    rate = bucket.lease(1, 2.0009, size, 0.5, 0.0, 10.0).rate
+    now = 0.0
+    while now < 8.0:
+        now += 0.1
+        if bucket.refill(size, now) >= 1.0:
+            bucket.take(1, now)
+    assert bucket.lease(1, math.floor(1000 * rate) / 1000, size, 0.5, now, 18.0) is None
+
+
+def test_lease_that_a_lowered_burst_makes_too_small_is_kept_until_its_end():
+    """Guard against a share that the keeper uses while the host may use it too."""
+    bucket = LeasableBucket(0.0)
+    bucket.lease(1, 1.0, BucketSize(10.0, 20.0), 0.5, 0.0, 10.0)
+    small = BucketSize(10.0, 5.0)
+    assert bucket.lease(1, 1.0, small, 0.5, 2.0, 12.0) is None
+    assert bucket.rest(small).rate == pytest.approx(9.0)
+    bucket.refill(small, 10.0)
+    assert bucket.rest(small).rate == pytest.approx(10.0)
