Scale leases as the part of their keeper, and forget former hosts

A host scaled the burst of a lease by the limit's burst, while the keeper's part also has headroom, so the two disagreed. Names of hosts that had left, and the requests of the virtual world, were kept for ever.

The ratio is that of the part's full size. Former hosts are forgotten at each renewal, requests of the virtual world after 10 s. The random test of faults asserts that operations began from leases; before, an answer without a lease sufficed.

--- a/mallowpass/core/proxy/ratelimits/allowances.py
+++ b/mallowpass/core/proxy/ratelimits/allowances.py
@@ -197,7 +197,7 @@
         return True
 
     def _return_ahead(self, account: _Account, source: _Source) -> None:
-        """Return what is left of a grant, unless operations wait for it."""
+        """Return what is left of a grant shortly before it expires."""
         for grant in list(account.grants):
             if grant[2] is source and self._give_back(account, source, grant[1]):
                 account.grants.remove(grant)
--- a/mallowpass/core/proxy/ratelimits/leases.py
+++ b/mallowpass/core/proxy/ratelimits/leases.py
@@ -15,7 +15,7 @@
 from mallowpass.core.proxy.configuration import Customer
 from mallowpass.core.proxy.effects import AnswerLease, AskLease
 from mallowpass.core.proxy.events import LeaseAnswered, LeaseAsked
-from mallowpass.core.proxy.ratelimits.buckets import BucketSize
+from mallowpass.core.proxy.ratelimits.buckets import BucketSize, full_size
 from mallowpass.core.proxy.ratelimits.granting import Granting
 from mallowpass.core.proxy.ratelimits.keepers import Keepers
 from mallowpass.core.proxy.ratelimits.leasing import HostLease, UseMeter
@@ -116,10 +116,13 @@
                 del self._accounts[name]
                 continue
             before, account.customer = account.customer, customer
-            for lease in account.leases.values():
+            bounds = self.tables.rate_bounds
+            for part, lease in account.leases.items():
+                size = full_size(customer, part, bounds)
+                size_before = full_size(before, part, bounds)
                 lease.shrink(
-                    _ratio(customer.rate, before.rate),
-                    _ratio(customer.burst, before.burst),
+                    _ratio(size.rate, size_before.rate),
+                    _ratio(size.burst, size_before.burst),
                     self.now,
                 )
         if not self._is_renewing and any(c.is_limited for c in customers.values()):
@@ -178,6 +181,7 @@
     def _renew_all(self) -> None:
         if self._is_stopping:
             return
+        self._forget_former_hosts()
         keepers = self._keepers.nearest_keepers()
         asked = {part for part, _ in keepers}
         for account in list(self._accounts.values()):
@@ -190,6 +194,12 @@
             elif account.meter.is_idle:
                 del self._accounts[account.customer.name]
 
+    def _forget_former_hosts(self) -> None:
+        hosts = self.tables.hosts.keys()
+        self._supporting &= hosts
+        for name in self._unsupported_until.keys() - hosts:
+            del self._unsupported_until[name]
+
     def _drop_ended(self, account: _LeaseAccount) -> None:
         for part, lease in list(account.leases.items()):
             if lease.until <= self.now:
--- a/mallowpass/standins/proxied/virtual/keeperlinks.py
+++ b/mallowpass/standins/proxied/virtual/keeperlinks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING
 
 from mallowpass.core.proxy.effects import AnswerLease, AskLease, ReturnGrant
@@ -13,6 +14,10 @@
 
 __all__ = ["KeeperLinks"]
 
+# How long the number of a request is kept, in seconds: longer than a late answer and its
+# grant are of use.
+ASK_RETENTION = 10.0
+
 
 class KeeperLinks:
     """Deliver requests for leases and returned grants; what a cut affects is lost."""
@@ -24,10 +29,16 @@
         self._asks: dict[int, tuple[Host, int]] = {}  # requests for leases
         # By process of the host, keeper, and number that the host gave the request.
         self._granted: dict[tuple[int, str, int], int] = {}
+        self._asked_at: deque[tuple[float, tuple[int, str, int]]] = deque()
 
     def note_ask(self, host: Host, keeper: Host, call: int, number: int) -> None:
         """Remember a request for operations, some of which may be returned."""
-        self._granted[host.node.identity.incarnation, keeper.name, call] = number
+        now = self._world.timers.now
+        while self._asked_at and self._asked_at[0][0] + ASK_RETENTION < now:
+            del self._granted[self._asked_at.popleft()[1]]
+        key = (host.node.identity.incarnation, keeper.name, call)
+        self._granted[key] = number
+        self._asked_at.append((now, key))
 
     def return_grant(self, host: Host, effect: ReturnGrant) -> None:
         """Have a host return granted operations to a keeper."""
--- a/tests/core/proxy/ratelimits/test_leases.py
+++ b/tests/core/proxy/ratelimits/test_leases.py
@@ -7,7 +7,7 @@
 import pytest
 
 from mallowpass.core.proxy.events import LeaseAnswered
-from mallowpass.core.proxy.ratelimits.buckets import PART_COUNT
+from mallowpass.core.proxy.ratelimits.buckets import PART_COUNT, full_size
 from mallowpass.core.proxy.ratelimits.granting import Granting
 from mallowpass.core.proxy.ratelimits.keepers import Keepers
 from mallowpass.core.proxy.ratelimits.leases import UNSUPPORTED_BACKOFF, Leases
@@ -178,8 +178,8 @@
             for host in world.hosts:
                 host.cut_from.clear()
                 host.frozen = False
-    leases = [host.node.system(Leases) for host in world.hosts]
-    assert any(lease._supporting for lease in leases)
+    counts = [count.name for host in world.hosts for count in host.counts]
+    assert "lease_operations" in counts
     assert world.judge.breaches == []
 
 
@@ -327,3 +327,20 @@
     world.hosts[index].stop()
     world.run(1.0)
     assert bucket._leased == 0.0
+
+
+def test_lowered_burst_scales_a_lease_as_the_part_of_its_keeper(world):
+    """Guard against a ratio of limits without the headroom of the part's burst."""
+    index = _other(world)
+    _send(world, index, 4.0, 8.0)
+    ((part, lease),) = (
+        world.hosts[index].node.system(Leases)._accounts["acme"].leases.items()
+    )
+    bounds = world.hosts[index].tables.rate_bounds
+    low = customer("acme", "key-a", rate=60.0, burst=30.0)
+    burst = lease.size.burst * full_size(low, part, bounds).burst
+    burst /= full_size(ACME, part, bounds).burst
+    world.configure(identified(low, version=3))
+    node = world.hosts[index].node
+    world.run_until(lambda: node.system(Leases)._version == 3, 2.0)
+    assert lease.size.burst == pytest.approx(burst)
