Release parts as leased only while other hosts hold leases

After a roll-back, hosts of the earlier version can't read the stage leased, and their claim of such a part fails for ever. The last host of this version wrote it too, for the leases that it had given to itself.

A keeper that drains ends its own leases first, and uses the stage only for parts of which others hold leases. The new test failed before; 230 tests of the rate limits, customers, links, requests, connections and draining pass.

--- a/mallowpass/core/proxy/ratelimits/granting.py
+++ b/mallowpass/core/proxy/ratelimits/granting.py
@@ -26,7 +26,7 @@
 from mallowpass.core.proxy.tables import ProxySystem
 from mallowpass.core.records import record
 
-__all__ = ["Grant", "Granting", "Lease"]
+__all__ = ["OWN_HOLDER", "Grant", "Granting", "Lease"]
 
 # Operations are granted ahead of need only while a bucket keeps at least this share of
 # its burst: near the limit, operations that one host leaves unused are missing at other
@@ -36,6 +36,7 @@
 # also applies to buckets that never gain a token.
 PAUSE_MIN = 0.02
 PAUSE_MAX = 10.0
+OWN_HOLDER = 0  # this host, as a holder of leases from itself
 # Pause before a host requests operations of an unknown customer again, in seconds.
 UNKNOWN_CUSTOMER_PAUSE = 0.5
 
@@ -229,5 +230,13 @@
         return Lease(leased, until)
 
     def _on_drain(self, signal: DrainBegan) -> None:
-        """Release all parts; this host grants nothing afterwards."""
-        self._keepers.release_parts()
+        """Release all parts; this host grants nothing afterwards.
+
+        `Leases` ends this host's own leases at the same signal.
+        """
+        leased = set()
+        for (_, right), bucket in self._buckets.items():
+            bucket.end_lease(OWN_HOLDER)
+            if bucket.is_leased(self.now):
+                leased.add(right.part)
+        self._keepers.release_parts(leased)
--- a/mallowpass/core/proxy/ratelimits/keepers.py
+++ b/mallowpass/core/proxy/ratelimits/keepers.py
@@ -517,22 +517,22 @@
         entry = PartEntry(self._node.identity.name, era=self._store.era)
         self._write(part, entry, lambda reply: None)
 
-    def release_parts(self) -> None:
+    def release_parts(self, leased: set[int]) -> None:
         """Stop granting, and release the parts that this host is the sole keeper of.
 
+        A successor reserves what other hosts hold of the `leased` parts.
         The rows of other parts stay as they are: another host may still grant from
         them, and a successor has to wait for it.
         """
         self._is_stopping = True
         released = [part for part in self._kept if self.is_sole_keeper(part)]
-        leased_until = max(
-            [self._leased_until, *(kept.leased_until for kept in self._kept.values())]
-        )
+        kept = self._kept.items()
+        leased = leased | {p for p, each in kept if each.leased_until > self.now}
         self._kept.clear()
         for part in released:
             is_prefilled = self._rows[part].entry.stage is Stage.PREFILLED
             stage = Stage.PREFILLED if is_prefilled else Stage.SETTLED
-            if leased_until > self.now:
+            if part in leased:
                 stage = Stage.LEASED
             entry = PartEntry(RELEASED, stage, self._store.era)
             self._write(part, entry, self._on_released)
--- a/mallowpass/core/proxy/ratelimits/leases.py
+++ b/mallowpass/core/proxy/ratelimits/leases.py
@@ -16,7 +16,7 @@
 from mallowpass.core.proxy.effects import AnswerLease, AskLease
 from mallowpass.core.proxy.events import LeaseAnswered, LeaseAsked
 from mallowpass.core.proxy.ratelimits.buckets import BucketSize, full_size
-from mallowpass.core.proxy.ratelimits.granting import Granting
+from mallowpass.core.proxy.ratelimits.granting import OWN_HOLDER, Granting
 from mallowpass.core.proxy.ratelimits.keepers import Keepers
 from mallowpass.core.proxy.ratelimits.leasing import HostLease, UseMeter
 from mallowpass.core.proxy.signals import ConfigurationAccepted, DrainBegan
@@ -40,7 +40,6 @@
 # Least rate for which a further keeper is asked, in operations per second: so small a
 # lease mostly holds less than an operation, and costs a request at each renewal.
 REQUESTED_RATE_MIN = 0.5
-OWN_HOLDER = 0  # this host, as a holder of leases from itself
 
 
 @dataclass(slots=True)
--- a/mallowpass/core/proxy/ratelimits/leasing.py
+++ b/mallowpass/core/proxy/ratelimits/leasing.py
@@ -305,6 +305,15 @@
         share, until = self._leases[holder]
         return BucketSize(share * size.rate, share * size.burst), until
 
+    def end_lease(self, holder: int) -> None:
+        """End a lease that its holder does not use any more."""
+        if self._leases.pop(holder, None) is not None:
+            self._update()
+
+    def is_leased(self, now: float) -> bool:
+        """Return whether a lease is in force."""
+        return any(until > now for _, until in self._leases.values())
+
     def holds(self, holder: int) -> bool:
         """Return whether a holder has a lease."""
         return holder in self._leases
--- a/mallowpass/standins/proxied/virtual/keeperlinks.py
+++ b/mallowpass/standins/proxied/virtual/keeperlinks.py
@@ -14,8 +14,8 @@
 
 __all__ = ["KeeperLinks"]
 
-# How long the number of a request is kept, in seconds: longer than a late answer and its
-# grant are of use.
+# How long the number of a request is kept, in seconds: longer than a late answer and
+# its grant are of use.
 ASK_RETENTION = 10.0
 
 
--- a/tests/core/proxy/ratelimits/test_leases.py
+++ b/tests/core/proxy/ratelimits/test_leases.py
@@ -12,6 +12,7 @@
 from mallowpass.core.proxy.ratelimits.keepers import Keepers
 from mallowpass.core.proxy.ratelimits.leases import UNSUPPORTED_BACKOFF, Leases
 from mallowpass.core.proxy.ratelimits.leasing import LEASE_TIME
+from mallowpass.core.proxy.ratelimits.parts import Stage
 from mallowpass.core.proxy.statements import Code, Read
 from mallowpass.standins.proxied.virtual.world import ProxyWorld, customer, identified
 
@@ -344,3 +345,27 @@
     node = world.hosts[index].node
     world.run_until(lambda: node.system(Leases)._version == 3, 2.0)
     assert lease.size.burst == pytest.approx(burst)
+
+
+def test_keeper_with_own_leases_only_releases_its_parts_as_before(world, monkeypatch):
+    """Guard against rows that earlier versions can't read, after a roll-back to them.
+
+    The last host of this version leases to itself alone.
+    """
+    index = min(_keepers(world))
+    _send(world, index, 4.0, 8.0)
+    node = world.hosts[index].node
+    kept = [p for p in range(PART_COUNT) if node.system(Keepers).is_sole_keeper(p)]
+    assert kept[0] in node.system(Leases)._accounts["acme"].leases
+    stages = []
+    write = Keepers._write
+
+    def note_release(keepers, part, entry, *rest) -> None:
+        if entry.is_released:
+            stages.append(entry.stage)
+        write(keepers, part, entry, *rest)
+
+    monkeypatch.setattr(Keepers, "_write", note_release)
+    world.hosts[index].stop()
+    world.run(0.5)
+    assert stages == [Stage.SETTLED for _ in kept]
