Request no lease of nothing from a keeper whose lease is in force

A host that does not know whether a keeper takes grants back asks it for a lease of nothing. Since former hosts are forgotten, that may happen while a lease of that keeper is in force, which would end at the keeper alone.

Such a keeper is not asked. The new test failed before.

--- a/mallowpass/core/proxy/ratelimits/leases.py
+++ b/mallowpass/core/proxy/ratelimits/leases.py
@@ -326,6 +326,9 @@
         """
         if host.name in self._supporting:
             return True
+        account = self._accounts.get(customer)
+        if account is not None and part in account.leases:
+            return False  # a request for nothing would end the lease at the keeper only
         is_asked = any(r.host == host.name for r in self._requests.values())
         backoff_until = self._unsupported_until.get(host.name, 0.0)
         if not is_asked and backoff_until <= self.now:
--- a/tests/core/proxy/ratelimits/test_leases.py
+++ b/tests/core/proxy/ratelimits/test_leases.py
@@ -369,3 +369,18 @@
     world.hosts[index].stop()
     world.run(0.5)
     assert stages == [Stage.SETTLED for _ in kept]
+
+
+def test_lease_in_force_is_not_ended_at_its_keeper_alone(world):
+    """Guard against a lease of nothing, requested to find out what a keeper knows.
+
+    The keeper left the list of hosts for a moment, so it counts as unknown.
+    """
+    index = _other(world)
+    _send(world, index, 4.0, 8.0)
+    node = world.hosts[index].node
+    leases = node.system(Leases)
+    (part,) = leases._accounts["acme"].leases
+    leases._supporting.clear()
+    assert not leases.may_return(part, node.system(Keepers).keeper(part), "acme")
+    assert not leases._requests
