Grant the whole allowance of a window beyond token buckets

Cause: a customer that sends several times its usual load for a few seconds is refused below its limit. The limit is promised for windows, while keepers grant from token buckets, which allow a burst and then the rate.

Change: a keeper that knows all grants of the last window also grants by a sliding window, once a row of the store says so. A keeper that finds such a row begins with an empty bucket a window later. Rows are written on condition of the part's row, and deleted on condition of their own version.

--- a/mallowpass/core/proxy/ratelimits/buckets.py
+++ b/mallowpass/core/proxy/ratelimits/buckets.py
@@ -82,6 +82,10 @@
         """Remove one token per operation; the caller checks the level first."""
         self._level -= operations
 
+    def raise_to(self, level: float) -> None:
+        """Raise the level, unless it is higher already."""
+        self._level = max(self._level, level)
+
     def time_until_next(self, size: BucketSize) -> float:
         """Return the seconds until the bucket holds a token; infinite if never."""
         if size.rate <= 0.0 or size.burst < 1.0:
--- a/mallowpass/core/proxy/ratelimits/granting.py
+++ b/mallowpass/core/proxy/ratelimits/granting.py
@@ -16,6 +16,7 @@
 )
 from mallowpass.core.proxy.ratelimits.keepers import Keepers
 from mallowpass.core.proxy.ratelimits.parts import GrantRight
+from mallowpass.core.proxy.ratelimits.windowcredits import WindowCredits
 from mallowpass.core.proxy.signals import DrainBegan
 from mallowpass.core.proxy.tables import ProxySystem
 from mallowpass.core.records import record
@@ -45,7 +46,7 @@
 class Granting(ProxySystem):
     """Issue grants from the parts that this host keeps."""
 
-    __slots__ = ("_buckets", "_keepers")
+    __slots__ = ("_buckets", "_credits", "_keepers")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
@@ -55,6 +56,7 @@
     def start(self) -> None:
         """Subscribe to requests for grants and to the drain of this host."""
         self._keepers = self._node.system(Keepers)
+        self._credits = self._node.system(WindowCredits)
         self._node.subscribe(AllowanceAsked, self._on_asked)
         self._node.subscribe(DrainBegan, self._on_drain)
 
@@ -78,6 +80,9 @@
         customer = None if configuration is None else configuration.customers.get(name)
         if customer is None:
             return Grant(0, UNKNOWN_CUSTOMER_PAUSE)
+        right = self._credits.right_for(name, right)
+        if right is None:
+            return Grant(0, PAUSE_MIN)
         return self._grant(customer, right, needed, ahead)
 
     def _grant(
@@ -95,11 +100,17 @@
         level = bucket.refill(size, self.now)
         if level - needed - ahead >= AHEAD_SHARE * size.burst:
             needed += ahead
-        operations = needed if math.isinf(level) else min(needed, math.floor(level))
+        # The level is below zero after grants beyond the bucket.
+        room = needed if math.isinf(level) else max(0, math.floor(level))
+        extension = self._credits.extend(
+            customer, right, bucket, size, needed, min(needed, room)
+        )
+        operations = extension.operations
         bucket.take(operations)
         pause = 0.0
         if operations < needed:
-            pause = min(PAUSE_MAX, max(PAUSE_MIN, bucket.time_until_next(size)))
+            next_at = min(bucket.time_until_next(size), extension.pause)
+            pause = min(PAUSE_MAX, max(PAUSE_MIN, next_at))
         return Grant(operations, pause)
 
     def _on_drain(self, signal: DrainBegan) -> None:
--- a/mallowpass/core/proxy/ratelimits/keepers.py
+++ b/mallowpass/core/proxy/ratelimits/keepers.py
@@ -83,6 +83,7 @@
     # When the last read of the row that named this host was sent; None: none yet.
     confirmed_at: float | None = None
     is_prefilled: bool = False  # buckets begin at their initial level
+    follows_restore: bool = False  # the store may have lost rows of window credits
 
 
 class Keepers(ProxySystem):
@@ -103,6 +104,7 @@
         "_store",
         "_unreadable",
         "_vacant_since",
+        "parts_with_lost_credits",
     )
 
     def __init__(self, node: Node) -> None:
@@ -115,6 +117,9 @@
         self._is_stopping = False
         self._pending_writes: set[int] = set()  # parts whose row is being written
         self._vacant_since: dict[int, float] = {}  # by part without a keeper
+        # Parts whose rows of window credits a restored store may lack. Until they are
+        # written again, the part's row keeps its earlier era, which warns successors.
+        self.parts_with_lost_credits: set[int] = set()
         # By keeper: its first failure since its last answer, its failures since then,
         # when it last answered, and until when no request is sent to it.
         self._failing_since: dict[str, float] = {}
@@ -154,7 +159,7 @@
         ):
             return GrantRight(part, kept.since, is_full=False)
         return GrantRight(
-            part, kept.sole_from, is_full=True, is_prefilled=kept.is_prefilled
+            part, kept.sole_from, True, kept.is_prefilled, kept.follows_restore
         )
 
     def is_sole_keeper(self, part: int) -> bool:
@@ -162,6 +167,15 @@
         right = self.grant_right(part)
         return right is not None and right.is_full
 
+    def is_named(self, part: int) -> bool:
+        """Return whether a part's row names this host."""
+        row = self._rows.get(part)
+        return row is not None and row.entry.keeper == self._node.identity.name
+
+    def row_version(self, part: int) -> int:
+        """Return the version of a part's row, 0 if it has none."""
+        return self._rows[part].version if part in self._rows else 0
+
     def nearest_keepers(self) -> list[tuple[int, HostRow]]:
         """Return parts with their keepers, nearest keepers first.
 
@@ -260,7 +274,7 @@
             if stage is Stage.SETTLED:
                 self._resume(part)
             else:
-                self._keep(part, stage)
+                self._keep(part, stage, row.entry.era != self._store.era)
         elif not is_own and self._kept.pop(part, None) is not None:
             self._node.log("info", "limits_part_lost", part=part)
 
@@ -272,10 +286,12 @@
         """
         return entry.stage if entry.era == self._store.era else Stage.TAKING_OVER
 
-    def _keep(self, part: int, stage: Stage) -> None:
+    def _keep(self, part: int, stage: Stage, follows_restore: bool = False) -> None:
         """Begin to keep a part with empty buckets, as soon as its row is confirmed."""
         wait = CONFIRMATION_TIMEOUT if stage is Stage.TAKING_OVER else 0.0
-        self._kept[part] = _KeptPart(self.now, self.now + wait)
+        self._kept[part] = _KeptPart(
+            self.now, self.now + wait, follows_restore=follows_restore
+        )
         self._confirm_rows()
 
     def _resume(self, part: int) -> None:
@@ -351,13 +367,18 @@
             part in self._pending_writes
             or not self.is_sole_keeper(part)
             or part not in self._rows
+            or part in self.parts_with_lost_credits
         ):
             return False
+        kept = self._kept[part]
         stage = self._stage(self._rows[part].entry)
-        if stage is Stage.PREFILLED:
-            # Before this time, a window may contain operations of the initial level.
+        if stage is Stage.PREFILLED or kept.follows_restore:
+            # Before this time, a window may contain operations of the initial level, or
+            # operations that lost rows of window credits stood for.
             counted_for = GRANT_VALIDITY + self.tables.rate_bounds.window
-            return self.now >= self._kept[part].sole_from + counted_for
+            return stage is not Stage.SETTLED and (
+                self.now >= kept.sole_from + counted_for
+            )
         return stage is Stage.TAKING_OVER
 
     def candidates(self, part: int) -> list[str]:
@@ -424,6 +445,13 @@
             # part before.
             stage = Stage.SETTLED
         is_prefilled = stage is Stage.PREFILLED and before.stage is Stage.SETTLED
+        # In the store's first era, a part without a row has had no keeper yet.
+        is_restored = row is not None or self._store.era > 1
+        follows_restore = (
+            stage is Stage.TAKING_OVER and is_restored and before.era != self._store.era
+        )
+        # The row keeps the earlier era, so that this host knows after a restart.
+        era = before.era if follows_restore else self._store.era
         sent_at = self.now
 
         def on_reply(reply: StoreReply) -> None:
@@ -434,13 +462,13 @@
                 return
             wait = CONFIRMATION_TIMEOUT if stage is Stage.TAKING_OVER else 0.0
             self._kept[part] = _KeptPart(
-                self.now, self.now + wait, sent_at, is_prefilled
+                self.now, self.now + wait, sent_at, is_prefilled, follows_restore
             )
             self._node.log("info", "limits_part_taken", part=part, before=before.keeper)
             self._node.publish(KeepersChanged())
 
         name = self._node.identity.name
-        self._write(part, PartEntry(name, stage, self._store.era), on_reply)
+        self._write(part, PartEntry(name, stage, era), on_reply)
 
     def _settle(self, part: int) -> None:
         """Mark a part's row as settled; a restarted keeper may prefill its buckets."""
@@ -459,7 +487,8 @@
         for part in released:
             is_prefilled = self._rows[part].entry.stage is Stage.PREFILLED
             stage = Stage.PREFILLED if is_prefilled else Stage.SETTLED
-            entry = PartEntry(RELEASED, stage, self._store.era)
+            is_lost = part in self.parts_with_lost_credits
+            entry = PartEntry(RELEASED, stage, 0 if is_lost else self._store.era)
             self._write(part, entry, self._on_released)
 
     def _on_released(self, reply: StoreReply) -> None:
@@ -495,6 +524,7 @@
             # Another host may have kept the part until the store was restored from a
             # backup.
             kept.sole_from = self.now + CONFIRMATION_TIMEOUT
+            kept.follows_restore = True
         kept.confirmed_at = max(sent_at, kept.confirmed_at or sent_at)
 
 
--- a/mallowpass/core/proxy/ratelimits/parts.py
+++ b/mallowpass/core/proxy/ratelimits/parts.py
@@ -64,6 +64,7 @@
     since: float
     is_full: bool
     is_prefilled: bool = False
+    follows_restore: bool = False
 
 
 def key_of(part: int) -> RowKey:
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -38,6 +38,7 @@
 from mallowpass.core.proxy.ratelimits.allowances import Allowances
 from mallowpass.core.proxy.ratelimits.granting import Granting
 from mallowpass.core.proxy.ratelimits.keepers import Keepers
+from mallowpass.core.proxy.ratelimits.windowcredits import WindowCredits
 from mallowpass.core.proxy.relays import Relays
 from mallowpass.core.proxy.replacementdetection import ReplacementDetection
 from mallowpass.core.proxy.replacementlog import ReplacementLog
@@ -102,6 +103,7 @@
     Sampling,
     Links,
     Keepers,
+    WindowCredits,
     Granting,
     Allowances,
     Answers,
--- a/mallowpass/measure/policy/mechanisms.py
+++ b/mallowpass/measure/policy/mechanisms.py
@@ -27,6 +27,7 @@
 from mallowpass.core.proxy.overloadswitchover import OverloadSwitchover
 from mallowpass.core.proxy.policy import placement, sharing
 from mallowpass.core.proxy.policy.sharing import Fleet, Plan
+from mallowpass.core.proxy.ratelimits.windowcredits import WindowCredits
 from mallowpass.core.proxy.relays import Relays
 from mallowpass.core.proxy.sampling import Sampling
 from mallowpass.core.proxy.shares import Shares
@@ -205,6 +206,11 @@
         "an endpoint counts as full only after a second of waiting",
         (load, "QUEUE_TIME_MAX", 1.0),
     ),
+    _mechanism(
+        "window-credits",
+        "keepers grant from token buckets only",
+        (WindowCredits, "_may_extend", _always(False)),
+    ),
 )
 
 
