Keep rows of window credits through restores of the store

Cause: a restore may remove rows that were found or whose write got no answer, and the part's row could then get the new era before they are written again. A reply to an earlier list could also count for a part that was lost and taken again meanwhile.

Change: all rows that may exist are written again after a restore; each list counts only for the parts that were kept since it was sent.

--- a/mallowpass/core/proxy/ratelimits/windowcredits.py
+++ b/mallowpass/core/proxy/ratelimits/windowcredits.py
@@ -114,7 +114,8 @@
         # By part: the customers whose rows existed when the part was taken. Parts
         # whose rows have not been read are missing.
         self._found: dict[int, frozenset[str]] = {}
-        self._reading: frozenset[int] = frozenset()  # parts whose rows are being read
+        # Parts whose rows are being read by the latest call.
+        self._reading: set[int] = set()
         self._windows: dict[tuple[str, GrantRight], GrantWindow] = {}
         self._forbidden_until: dict[tuple[int, str], float] = {}
         self._is_checking = False
@@ -181,6 +182,7 @@
                 if credit is None:
                     beyond, pause = 0, self._begin(customer.name, right, bucket, window)
                 else:
+                    credit.bucket, credit.window = bucket, window
                     credit.level_since = None
                     self._node.count("operations_beyond_bucket", beyond)
         granted = operations + max(0, beyond)
@@ -340,7 +342,7 @@
     def _on_era(self, signal: EraChanged) -> None:
         """Confirm all rows again, as the restored store may lack them."""
         for credit in self._credits.values():
-            credit.is_lost = credit.is_lost or credit.is_confirmed
+            credit.is_lost = credit.is_lost or credit.may_exist
             credit.is_confirmed = False
             credit.version = 0
             credit.retry_at = self.now
@@ -365,7 +367,7 @@
         Their rows remain for the part's next keeper.
         """
         self._found.pop(part, None)
-        self._reading -= {part}
+        self._reading.discard(part)
         for key in [key for key in self._credits if key[0] == part]:
             del self._credits[key]
         for key in [key for key in self._windows if key[1].part == part]:
@@ -383,13 +385,14 @@
             return
 
         def on_reply(reply: StoreReply) -> None:
-            read, self._reading = self._reading, frozenset()
+            read = sorted(unread)  # without parts that were lost since
+            unread.clear()
             if reply.status is StoreStatus.DONE:
                 for part in read:
                     self._note_found(part, reply.rows)
                 self._read_rows()
 
-        self._reading = frozenset(unread)
+        self._reading = unread
         self._store.call(ListRows(Table.LIMITS), on_reply)
 
     def _note_found(self, part: int, rows: tuple[Row, ...]) -> None:
--- a/tests/core/proxy/ratelimits/test_windowcredits.py
+++ b/tests/core/proxy/ratelimits/test_windowcredits.py
@@ -327,3 +327,69 @@
         refused_by_bucket = refused_share()
     assert refused_by_window < 0.05
     assert refused_by_bucket > 1 / 3
+
+
+def _play_restores(seed: int) -> ProxyWorld:
+    """Flood hosts that are killed, and a store that is restored, at random."""
+    draw = random.Random(seed)
+    world = ProxyWorld(hosts=6, seed=seed, slots=50, max_connections=200)
+    world.configure(identified(customer("acme", "k", rate=40.0, burst=0.5)))
+    world.run(30.0)
+    copy = world.store.copy()
+
+    def flood(duration: float) -> None:
+        for _ in range(round(duration / 0.005)):
+            hosts = [i for i, host in enumerate(world.hosts) if not host.exited]
+            caller = world.caller(draw.choice(hosts), "own", "k")
+            if caller.refusal is None:
+                caller.send(Read("a"))
+            world.run(0.005)
+
+    for _ in range(10):
+        flood(draw.choice([0.5, 2.0, 4.0]))
+        event = draw.choice(["kill", "restore and kill", "restore", "idle", "copy"])
+        if event == "copy":
+            copy = world.store.copy()
+        if "restore" in event:
+            world.come_back(copy)
+            flood(draw.choice([0.0, 0.1, 0.7, 2.0]))
+        if "kill" in event:
+            for index, host in enumerate(world.hosts):
+                keepers = host.node.system(Keepers)
+                if any(keepers.is_sole_keeper(part) for part in range(PART_COUNT)):
+                    world.kill(index)
+                    world.start_again(index)
+        if event == "idle":
+            world.run(8.0)
+    return world
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_restored_store_that_lost_rows_adds_no_grants(seed):
+    """Guard against a restarted keeper whose rows a restore of the store removed."""
+    assert _play_restores(seed).judge.breaches == []
+
+
+def test_rows_of_a_part_are_bounded():
+    """Guard against a store that gets a row for each of thousands of customers."""
+    play = _Play(1, loss=0.0)
+    names = [f"c{number}" for number in range(3 * windowcredits.CREDITS_MAX)]
+    play.run(SPAN + 1.0, 0.0)
+    (node,) = play.hosts
+    customers = {name: Customer(name, rate=40.0, burst=60.0) for name in names}
+    node.tables.configuration = Configuration(2, customers=customers)
+    for name in names:
+        node.system(Granting).grant(PART, name, 200, 0)
+    play.run(1.0, 0.0)
+    rows = [key for key in play.shared.rows if "." in key.key]
+    assert len(rows) == windowcredits.CREDITS_MAX
+
+
+def test_row_that_cannot_be_read_counts_for_its_customer():
+    """Guard against a full bucket for a customer whose row is malformed."""
+    play = _Play(1, loss=0.0)
+    play.run(1.0, 0.0)
+    play.shared.put(KEY, "\0 no entry")
+    play.begin_keeper(0.0)
+    assert play.run(SPAN - 0.5, 280.0) <= 2
+    assert play.run(1.5, 280.0) > 20
