--- a/tests/core/proxy/ratelimits/test_windowcredits.py
+++ b/tests/core/proxy/ratelimits/test_windowcredits.py
@@ -364,12 +364,56 @@
     return world
 
 
-@pytest.mark.parametrize("seed", range(4))
+RESTORES = (4, 23, 28, 35)  # plays that lose rows which the limit depends on
+
+
+@pytest.mark.parametrize("seed", RESTORES)
 def test_restored_store_that_lost_rows_adds_no_grants(seed):
     """Guard against a restarted keeper whose rows a restore of the store removed."""
     assert _play_restores(seed).judge.breaches == []
 
 
+def test_rows_are_written_again_after_a_restore(monkeypatch):
+    """Guard against plays of restores that would not notice missing rows."""
+    monkeypatch.setattr(WindowCredits, "_on_era", lambda self, signal: None)
+    assert all(_play_restores(seed).judge.breaches for seed in RESTORES[:2])
+
+
+def _play_cut_off(pause: float) -> ProxyWorld:
+    """Cut off a keeper that grants beyond its bucket, and restore the store."""
+    world = ProxyWorld(hosts=6, slots=50, max_connections=200)
+    world.configure(identified(customer("acme", "k", rate=40.0, burst=0.5)))
+    world.run(30.0)
+    copy = world.store.copy()
+
+    def flood(duration: float) -> None:
+        for index in range(round(duration / 0.01)):
+            caller = world.caller(index % 6, "own", "k")
+            if caller.refusal is None:
+                caller.send(Read("a"))
+            world.run(0.01)
+
+    part = crc32(b"acme") % PART_COUNT
+    keeper = next(
+        index
+        for index, host in enumerate(world.hosts)
+        if host.node.system(Keepers).is_sole_keeper(part)
+    )
+    flood(0.5)
+    keepers = world.hosts[keeper].node.system(Keepers)
+    world.cut(keeper, "store", *keepers.candidates(part)[:2])
+    world.come_back(copy)
+    world.run(pause)
+    flood(16.0)
+    return world
+
+
+@pytest.mark.parametrize("pause", [0.0, 1.5, 3.0, 4.5])
+def test_keeper_cut_off_from_a_restored_store_adds_no_grants(pause):
+    """Guard against a successor that begins while an unknown window is not over."""
+    assert _play_cut_off(pause).judge.breaches == []
+
+
 def test_rows_of_a_part_are_bounded():
     """Guard against a store that gets a row for each of thousands of customers."""
     play = _Play(1, loss=0.0)
