Test a takeover after a restore that lost rows of window credits

Cause: the plays of restores in virtual worlds pass also without the rule that a keeper treats all customers as having rows after a restore, as a successor waits for longer than a window in nearly all of them.

Change: a takeover half a second after grants beyond the bucket, with the row removed, with and without the rule.

Result: within the limit with the rule, above it without.

--- a/tests/core/proxy/ratelimits/test_windowcredits.py
+++ b/tests/core/proxy/ratelimits/test_windowcredits.py
@@ -135,7 +135,7 @@
         self.prefilled_at = 0.0
         self.begin_keeper(0.0)
 
-    def begin_keeper(self, overlap: float) -> None:
+    def begin_keeper(self, overlap: float, follows_restore: bool = False) -> None:
         """Let a new keeper claim the part; the previous one ends after `overlap`."""
         for host in self.hosts:
             keepers = host.system(Keepers)
@@ -150,7 +150,7 @@
         is_prefilled = not overlap and self.now > self.prefilled_at + SPAN
         if is_prefilled:
             self.prefilled_at = since
-        keepers.right = GrantRight(PART, since, True, is_prefilled)
+        keepers.right = GrantRight(PART, since, True, is_prefilled, follows_restore)
         keepers.ends_at = float("inf")
         keepers.version = self.shared.put(key_of(PART), "h 1")
         self.hosts = [*self.hosts[-1:], node]
@@ -414,6 +414,18 @@
     assert _play_cut_off(pause).judge.breaches == []
 
 
+@pytest.mark.parametrize("follows_restore", [True, False])
+def test_keeper_after_a_restore_begins_a_span_later(follows_restore):
+    """Guard against a takeover that trusts a table which lost rows."""
+    play = _Play(1, loss=0.0)
+    play.run(SPAN + 1.0, 0.0)
+    play.run(2.0, 280.0)
+    del play.shared.rows[KEY]
+    play.begin_keeper(0.5, follows_restore)
+    play.run(2 * SPAN, 280.0)
+    assert (play.excess() == 0.0) is follows_restore
+
+
 def test_rows_of_a_part_are_bounded():
     """Guard against a store that gets a row for each of thousands of customers."""
     play = _Play(1, loss=0.0)
