--- a/mallowpass/core/proxy/holders.py
+++ b/mallowpass/core/proxy/holders.py
@@ -11,6 +11,7 @@
 
 from zlib import crc32
 
+from mallowpass.core.proxy.policy.regionalshares import regional_shares
 from mallowpass.core.proxy.policy.sharing import (
     STATEMENTS_PER_SLOT,
     Fleet,
@@ -35,6 +36,16 @@
 UNANSWERED_MIN = 2
 
 
+@record
+class _RegionalShares:
+    """Shares of the connections to the endpoints of a failure domain."""
+
+    plan: Plan  # from which they were made
+    by_holder: dict[str, int]
+    total: int
+    local: frozenset[str]  # holders in the region
+
+
 @record
 class _CachedPlan:
     """A plan, and the values from which it was computed."""
@@ -52,6 +63,7 @@
         "_fleet",
         "_plans",
         "_plans_version",
+        "_regional",
         "_unanswered",
         "_unreachable",
     )
@@ -62,6 +74,8 @@
         # Versions of the hosts' entries and of the configuration.
         self._plans_version: tuple[int, int] = (-1, -1)
         self._fleet = Fleet(())
+        # By service and failure domain of the endpoint.
+        self._regional: dict[tuple[str, str], _RegionalShares] = {}
         # Times until which a holder is not used: by host, and by host and endpoint.
         self._failed: dict[str, float] = {}
         self._unreachable: dict[tuple[str, str], float] = {}
@@ -88,8 +102,39 @@
         plan = self._plan(service)
         if not self.holds(service):
             return 0
+        if self.serves_customers(service):
+            return self._regional_shares(endpoint).by_holder[self._node.identity.name]
         return plan.share + (self._node.identity.name in plan.holders_with_extra)
 
+    def part_of(self, endpoint: EndpointRow) -> float:
+        """Return this holder's part of the connections to an endpoint, up to 1."""
+        total = self._regional_shares(endpoint).total
+        return self.share_of(endpoint) / max(1, total)
+
+    def plan_of(self, service: str) -> Plan:
+        """Return the plan of a service."""
+        return self._plan(service)
+
+    def serves_customers(self, service: str) -> bool:
+        """Return whether a service has holders, and connections have customers."""
+        configuration = self.tables.configuration
+        if configuration is None or not configuration.customers:
+            return False
+        return configuration.authenticates_callers and not self._plan(service).direct
+
+    def local_holders(self, endpoint: EndpointRow) -> frozenset[str]:
+        """Return the holders in an endpoint's region."""
+        return self._regional_shares(endpoint).local
+
+    def failed_holders(self, endpoint: EndpointRow) -> frozenset[str]:
+        """Return the holders that have recently failed for an endpoint."""
+        if not self._failed and not self._unreachable:
+            return frozenset()
+        plan = self._plan(endpoint.entry.service)
+        return frozenset(
+            host.name for host in plan.holders if not self._is_usable(host, endpoint)
+        )
+
     def holds(self, service: str) -> bool:
         """Return whether this host is a holder of a service."""
         plan = self._plan(service)
@@ -135,7 +180,7 @@
         If two holders do not answer, this host is most likely cut off from the other
         hosts. It may still reach its callers and the endpoint.
         """
-        if self.holds(endpoint.entry.service):
+        if not self._unanswered or self.holds(endpoint.entry.service):
             return False
         plan = self._plan(endpoint.entry.service)
         unanswered = [
@@ -200,6 +245,42 @@
 
     # -- Planning ------------------------------------------------------------
 
+    def _regional_shares(self, endpoint: EndpointRow) -> _RegionalShares:
+        """Return the shares of all holders in the connections to an endpoint."""
+        service, domain = endpoint.entry.service, endpoint.entry.failure_domain
+        plan = self._plan(service)
+        cached = self._regional.get((service, domain))
+        if cached is not None and cached.plan is plan:
+            return cached
+        identity = self._node.identity
+        region = identity.region_of(domain)
+        local = frozenset(
+            host.name
+            for host in plan.holders
+            if identity.region_of(host.domain) == region
+        )
+        equal = {
+            host.name: plan.share + (host.name in plan.holders_with_extra)
+            for host in plan.holders
+        }
+        shares = regional_shares(equal, local)
+        total = sum(shares.values())
+        planned = _RegionalShares(plan, shares, total, local)
+        self._regional[service, domain] = planned
+        share = shares.get(identity.name, 0)
+        if share != (cached.by_holder.get(identity.name, 0) if cached else 0):
+            self._node.log(
+                "info",
+                "shares_planned",
+                service=service,
+                region=region,
+                holders=len(shares),
+                local=len(local),
+                share=share,
+                total=total,
+            )
+        return planned
+
     def _plan(self, service: str) -> Plan:
         configuration = self.tables.configuration
         version = configuration.version if configuration is not None else 0
