--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from mallowpass.core.proxy.admissioncontrol import AdmissionControl
 from mallowpass.core.proxy.answers import Answers
 from mallowpass.core.proxy.attempts import Attempts
 from mallowpass.core.proxy.claims import Claims
@@ -108,6 +109,7 @@
     Granting,
     Leases,
     Allowances,
+    AdmissionControl,
     Answers,
     Attempts,
     Stalls,
--- a/mallowpass/core/proxy/routing.py
+++ b/mallowpass/core/proxy/routing.py
@@ -72,6 +72,31 @@
         full = bool(candidates) and not with_room
         return Choice(None, why=_wait_reason(group, floor), full=full)
 
+    def has_candidates(
+        self, request: RequestRow, group: GroupRow, floor: LogPosition | None
+    ) -> bool:
+        """Return whether any endpoint may run a statement, full or not."""
+        return bool(self._candidates(request, group, floor))
+
+    def has_untried(self, request: RequestRow, group: GroupRow) -> bool:
+        """Return whether any endpoint may run a statement that did not fail to yet."""
+        floor = self.required_floor(request, group)
+        return any(
+            endpoint.name not in request.avoided_endpoints
+            for endpoint in self._candidates(request, group, floor)
+        )
+
+    def has_free_connection(self, request: RequestRow, group: GroupRow) -> bool:
+        """Return whether an idle connection may run a statement now."""
+        floor = self.required_floor(request, group)
+        return any(
+            connection.state is ConnectionState.IDLE
+            and connection.can_serve(request.customer)
+            for endpoint in self._candidates(request, group, floor)
+            if self._load.has_room(endpoint)
+            for connection in endpoint.connections.values()
+        )
+
     def has_full_endpoint(self, group: GroupRow) -> bool:
         """Return whether any endpoint of a group is full."""
         return not all(map(self._load.has_room, group.endpoints.values()))
