Read and write load reports in the line that ends a reply

Hosts know of a holder's queue only that the holder refused. The line that ends a reply gets a section for the load report of a holder, LOAD and its version, and sections are now found by their keyword, so that a reader skips those that it does not know.

--- a/mallowpass/core/proxy/statements.py
+++ b/mallowpass/core/proxy/statements.py
@@ -337,6 +337,7 @@
     # From the host that forwarded the call.
     floor: FloorHint | None = None
     load: LoadReport | None = None
+    load_error: str = ""  # why a load report could not be read; empty: none was sent
 
 
 # -- Callers -----------------------------------------------------------------
--- a/mallowpass/platform/endpoints.py
+++ b/mallowpass/platform/endpoints.py
@@ -252,6 +252,7 @@
         status = None
         if self._expects_status.popleft() and self._code is Code.DONE and self._rows:
             status = wire.parse_status(self._rows[0])
+        load, load_error = wire.parse_load(fields[2:])
         reply = EndpointReply(
             code=self._code,
             rows=tuple(self._rows),
@@ -261,6 +262,8 @@
             position=position,
             status=status,
             floor=wire.parse_floor(fields[2:]),
+            load=load,
+            load_error=load_error,
         )
         self._clear_reply()
         self._sink(EndpointAnswered(self._effect.connection, reply))
--- a/mallowpass/platform/wire.py
+++ b/mallowpass/platform/wire.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from functools import singledispatch
 
@@ -25,6 +26,7 @@
     Fence,
     FloorHint,
     HoldWrites,
+    LoadReport,
     OnBehalfOf,
     Pause,
     Prepare,
@@ -48,6 +50,7 @@
     "encode",
     "parse_call",
     "parse_floor",
+    "parse_load",
     "parse_position",
     "parse_statement",
     "parse_state",
@@ -68,6 +71,16 @@
 _CUSTOMER_PREFIX = "CUSTOMER"
 _NO_SIGNATURE = "-"
 _STATUS_FIELD_COUNT = 7
+# Sections that only hosts add to the line that ends a reply, after the position. Each
+# is a keyword in capital letters and its values.
+_FLOOR_SECTION = "FLOOR"
+_LOAD_SECTION = "LOAD"
+_LOAD_VERSION = "1"
+_LOAD_FIELD_COUNT = 2
+# Upper limit of the numbers of a load report, in digits: a wait of more than 2.7 hours
+# is an error, and `int` refuses numbers of some thousand digits.
+_LOAD_DIGITS_MAX = 7
+_LOAD_NUMBER_MAX = 10**_LOAD_DIGITS_MAX - 1
 
 # Error names of the platform.
 _CODE_NAMES = {
@@ -430,22 +443,34 @@
         lines.append(b"DONE %b\r\n" % encode(reply.signature or _NO_SIGNATURE))
     else:
         lines.append(render_error(reply.code, reply.message))
-    lines.append(render_ready(reply.state, reply.position, reply.floor))
+    lines.append(render_ready(reply.state, reply.position, reply.floor, reply.load))
     return b"".join(lines)
 
 
 def render_ready(
-    state: SessionState, position: LogPosition | None, floor: FloorHint | None
+    state: SessionState,
+    position: LogPosition | None,
+    floor: FloorHint | None,
+    load: LoadReport | None = None,
 ) -> bytes:
-    """Return the line that ends a reply; only hosts add a floor hint to it."""
+    """Return the line that ends a reply; only hosts add a floor or a load to it."""
     line = f"READY {_STATE_LETTERS[state]} {render_position(position)}"
     if floor is not None:
         # Rounded up, so that the floor never appears fresher than it is.
         age = math.ceil(1000 * floor.age)
-        line += f" FLOOR {render_position(floor.position)} {age}"
+        line += f" {_FLOOR_SECTION} {render_position(floor.position)} {age}"
+    if load is not None:
+        line += f" {_LOAD_SECTION} {_LOAD_VERSION} {_render_load(load)}"
     return encode(line + "\r\n")
 
 
+def _render_load(load: LoadReport) -> str:
+    queued = min(load.queued, _LOAD_NUMBER_MAX)
+    if load.wait is None:
+        return f"{queued} -"
+    return f"{queued} {min(round(1000 * load.wait), _LOAD_NUMBER_MAX)}"
+
+
 def render_position(position: LogPosition | None) -> str:
     """Return a log position as TERM.POSITION, or "-" for None."""
     return "-" if position is None else f"{position.term}.{position.position}"
@@ -479,10 +504,51 @@
 
 def parse_floor(fields: list[str]) -> FloorHint | None:
     """Parse the floor hint that a host adds to READY; None if there is no valid one."""
-    if len(fields) != 3 or fields[0] != "FLOOR" or not fields[2].isdecimal():
+    values = _section(fields, _FLOOR_SECTION)
+    if values is None or len(values) != 2 or not values[1].isdecimal():
         return None
-    position = parse_position(fields[1])
-    return None if position is None else FloorHint(position, int(fields[2]) / 1000.0)
+    position = parse_position(values[0])
+    return None if position is None else FloorHint(position, int(values[1]) / 1000.0)
+
+
+def parse_load(fields: list[str]) -> tuple[LoadReport | None, str]:
+    """Parse the load report that a holder adds to READY.
+
+    Return the report, None if there is no valid one, and what is wrong with it. A
+    report that can't be read costs the choice of a holder, not the reply that it came
+    with.
+    """
+    values = _section(fields, _LOAD_SECTION)
+    if values is None:
+        return None, ""
+    version, *numbers = values or [""]
+    if version != _LOAD_VERSION:
+        return None, f"unknown version: {version[:40]!r}"
+    if len(numbers) != _LOAD_FIELD_COUNT:
+        return None, f"{len(numbers)} fields instead of {_LOAD_FIELD_COUNT}"
+    queued, wait = numbers
+    if not _is_load_number(queued) or not (wait == "-" or _is_load_number(wait)):
+        return None, f"malformed numbers: {' '.join(numbers)[:40]!r}"
+    return LoadReport(int(queued), None if wait == "-" else int(wait) / 1000.0), ""
+
+
+def _is_load_number(text: str) -> bool:
+    return text.isascii() and text.isdecimal() and len(text) <= _LOAD_DIGITS_MAX
+
+
+def _section(fields: list[str], keyword: str) -> list[str] | None:
+    """Return the values of the first section of a keyword, None if there is none.
+
+    Sections of other keywords, also of unknown ones, are skipped.
+    """
+    if keyword not in fields:
+        return None
+    values = fields[fields.index(keyword) + 1 :]
+    return list(itertools.takewhile(lambda value: not _is_keyword(value), values))
+
+
+def _is_keyword(field: str) -> bool:
+    return field.isalpha() and field.isupper()
 
 
 def parse_status(row: bytes) -> EndpointStatus:
