Add load reports of holders and the choice of two

Load balancing between hosts uses the nearest holder whatever its queue. Holders now measure how fast the queue of each endpoint drains while something waits, and add a load report to replies on links when it differs by more than a quarter from the last one, or after 0.25 s. Other hosts store the reports for one second. twochoices holds the choice between the two best holders by their waits, for the choice among holders.

In force with customers or overload_control, where some hosts are not holders. Without them, replies are as before. Existing tests of links, connections and policies pass.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -19,6 +19,7 @@
     ConnectionRefused,
     EndpointAnswered,
 )
+from mallowpass.core.proxy.holderloads import HolderLoads
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.shares import Shares
 from mallowpass.core.proxy.signals import (
@@ -71,12 +72,13 @@
 class Connections(ProxySystem):
     """Maintain the connections of this host."""
 
-    __slots__ = ("_durability", "_holders", "_shares")
+    __slots__ = ("_durability", "_holder_loads", "_holders", "_shares")
 
     def start(self) -> None:
         """Subscribe to the events of connections and endpoints."""
         node = self._node
         self._durability = node.system(Durability)
+        self._holder_loads = node.system(HolderLoads)
         self._holders = node.system(Holders)
         self._shares = node.system(Shares)
         node.subscribe(ConnectionReady, self._on_ready)
@@ -419,7 +421,7 @@
             self.close(connection, "a reply came without a call in flight")
             return
         batch = connection.pending[0]
-        reply = event.reply
+        reply = self._holder_loads.take_report(connection, event.reply)
         if reply.code is Code.UNREACHABLE:
             reply = self._handle_unreachable(connection, reply)
         self._record_reply(connection, reply, batch.sent_at)
--- /dev/null
+++ b/mallowpass/core/proxy/holderloads.py
@@ -0,0 +1,127 @@
+"""Keep the loads that holders report, for the choice among them.
+
+Holders add load reports to their replies; see `loadreporting`. A host that forwards
+statements stores the newest report of each holder and endpoint. Reports are no longer
+used a second after their arrival, so a holder that fell silent counts as unloaded.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from mallowpass.core.proxy.pauses import Pauses
+from mallowpass.core.proxy.policy.loadreports import REPORT_VALIDITY
+from mallowpass.core.proxy.policy.twochoices import wait_of_own
+from mallowpass.core.proxy.statements import EndpointReply, LoadReport
+from mallowpass.core.proxy.tables import ConnectionRow, EndpointRow, ProxySystem
+from mallowpass.core.records import record
+
+__all__ = ["HolderLoads"]
+
+
+@record
+class _ReceivedReport:
+    """A report of a holder, and when it arrived."""
+
+    report: LoadReport
+    at: float
+
+
+class HolderLoads(ProxySystem):
+    """Store the load reports of holders, and answer how long statements wait there."""
+
+    __slots__ = ("_ignored_of", "_pauses", "_received")
+
+    def start(self) -> None:
+        """Start without reports."""
+        self._pauses = self._node.system(Pauses)
+        # By names of the holder and the endpoint.
+        self._received: dict[tuple[str, str], _ReceivedReport] = {}
+        self._ignored_of: set[str] = set()  # holders of which a report was ignored
+
+    @property
+    def is_in_force(self) -> bool:
+        """Return whether settings or configuration ask for load reports."""
+        configuration = self.tables.configuration
+        has_customers = configuration is not None and bool(configuration.customers)
+        return self.tables.overload_control or has_customers
+
+    # -- Queries -------------------------------------------------------------
+
+    def expected_wait(self, holder: str, endpoint: EndpointRow) -> float | None:
+        """Return the wait at a holder that it reported, in seconds.
+
+        Return None without a fresh report, or if the holder had no estimate.
+        """
+        received = self._received.get((holder, endpoint.name))
+        if received is None or not self._is_fresh(received):
+            return None
+        return received.report.wait
+
+    def assumed_wait(self, holder: str, endpoint: EndpointRow) -> float:
+        """Return the wait by which a holder is chosen, with or without a report."""
+        wait = self.expected_wait(holder, endpoint)
+        if wait is not None:
+            return wait
+        in_flight = sum(
+            1
+            for connection in endpoint.connections.values()
+            if connection.holder == holder and connection.pending
+        )
+        return wait_of_own(in_flight, endpoint.latency, endpoint.entry.slots)
+
+    # -- Reports of holders --------------------------------------------------
+
+    def take_report(
+        self, connection: ConnectionRow, reply: EndpointReply
+    ) -> EndpointReply:
+        """Store the load report of a reply; return the reply without the report.
+
+        A holder that forwards the reply to a third host adds a report of its own.
+        """
+        if reply.load is None and not reply.load_error:
+            return reply
+        if connection.holder and self.is_in_force:
+            self._take(connection, reply)
+        return replace(reply, load=None, load_error="")
+
+    def _take(self, connection: ConnectionRow, reply: EndpointReply) -> None:
+        if reply.load is None:
+            self._ignore(connection, reply.load_error)
+            return
+        connection.accepts_time_left = True
+        if self._pauses.max_input_delay >= REPORT_VALIDITY:
+            # It may have arrived when this process was stopped.
+            self._node.count("load_reports_ignored", why="old")
+            return
+        key = (connection.holder, connection.endpoint.name)
+        if key not in self._received:
+            self._forget_old()
+        self._received[key] = _ReceivedReport(reply.load, self.now)
+
+    def _ignore(self, connection: ConnectionRow, why: str) -> None:
+        """Count a report that can't be read, and log the first one of each holder."""
+        self._node.count("load_reports_ignored", why="unreadable")
+        holder = connection.holder
+        if holder in self._ignored_of:
+            return
+        self._ignored_of &= self.tables.hosts.keys()
+        self._ignored_of.add(holder)
+        self._node.log(
+            "warning",
+            "load_report_ignored",
+            holder=holder,
+            endpoint=connection.endpoint.name,
+            why=why,
+        )
+
+    def _forget_old(self) -> None:
+        """Forget old reports; called when a holder or an endpoint is new."""
+        self._received = {
+            key: received
+            for key, received in self._received.items()
+            if self._is_fresh(received)
+        }
+
+    def _is_fresh(self, received: _ReceivedReport) -> bool:
+        return self.now < received.at + REPORT_VALIDITY
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -26,6 +26,7 @@
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.load import Load
+from mallowpass.core.proxy.loadreporting import LoadReporting
 from mallowpass.core.proxy.pauses import Pauses
 from mallowpass.core.proxy.sessionstate import make_setup_calls
 from mallowpass.core.proxy.signals import (
@@ -87,6 +88,7 @@
         "_floors",
         "_holders",
         "_load",
+        "_load_reporting",
         "_pauses",
         "_stalls",
         "_waiting",
@@ -101,6 +103,7 @@
         self._floors = node.system(Floors)
         self._holders = node.system(Holders)
         self._load = node.system(Load)
+        self._load_reporting = node.system(LoadReporting)
         self._pauses = node.system(Pauses)
         self._stalls = node.system(Stalls)
         self._write_holds = node.system(WriteHolds)
@@ -386,6 +389,7 @@
             self._connections.grow(link.endpoint, link.customer, borrow=borrow)
             return False
         self._waiting.remove(link)
+        self._load_reporting.note_link_sent(link)
         link.connection = connection
         link.has_written = False
         connection.state = ConnectionState.PINNED
@@ -529,10 +533,13 @@
     def _with_floor(self, link: LinkRow, reply: EndpointReply) -> EndpointReply:
         """Return a reply with the newest sample of the primary's log position.
 
+        It also gets a load report if one is due.
+
         A host of a large fleet runs few statements of a service. Without samples from
         the statements of other hosts it would have no floor, and would send its reads
         to the primary.
         """
+        reply = self._load_reporting.add_report(link, reply, self._waiting)
         floor = self._floor_hint(link.endpoint.entry.service, link.last_call_at)
         return reply if floor is None else replace(reply, floor=floor)
 
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -19,6 +19,7 @@
 from mallowpass.core.proxy.fencing import Fencing
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.forwardedorders import ForwardedOrders
+from mallowpass.core.proxy.holderloads import HolderLoads
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.hosts import Hosts
 from mallowpass.core.proxy.idleconnections import IdleConnections
@@ -26,6 +27,7 @@
 from mallowpass.core.proxy.leadership import Leadership
 from mallowpass.core.proxy.links import Links
 from mallowpass.core.proxy.load import Load
+from mallowpass.core.proxy.loadreporting import LoadReporting
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.overloadswitchover import OverloadSwitchover
 from mallowpass.core.proxy.pauses import Pauses
@@ -65,6 +67,8 @@
     Feeds,
     Store,
     Holders,
+    HolderLoads,
+    LoadReporting,
     Pauses,
     Shares,
     Load,
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -14,6 +14,7 @@
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.leadership import LEADERSHIP_UNPROVEN
 from mallowpass.core.proxy.load import Load
+from mallowpass.core.proxy.loadreporting import LoadReporting
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.pauses import Pauses
 from mallowpass.core.proxy.policy.admission import held_until, is_turned_away
@@ -90,6 +91,7 @@
         "_durability",
         "_floors",
         "_load",
+        "_load_reporting",
         "_members",
         "_timeouts",
         "_pauses",
@@ -110,6 +112,7 @@
         self._durability = node.system(Durability)
         self._floors = node.system(Floors)
         self._load = node.system(Load)
+        self._load_reporting = node.system(LoadReporting)
         self._members = node.system(Members)
         self._timeouts = node.system(Timeouts)
         self._pauses = node.system(Pauses)
@@ -264,6 +267,7 @@
             self._answers.refuse(request, Code.BUSY, request.detail)
         elif choice.connection is not None:
             group.waiting.remove(request)
+            self._load_reporting.note_request_sent(request, choice.connection.endpoint)
             self._send(request, choice.connection, choice.floor)
         elif choice.full and is_turned_away(request, group.waiting, self.now):
             group.last_rejection_at = self.now
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -26,6 +26,7 @@
     Commit,
     EndpointCall,
     EndpointReply,
+    LoadReport,
     LogPosition,
     OnBehalfOf,
     SessionState,
@@ -387,6 +388,9 @@
     priority: int = 0  # of its waiting calls; 0 is served first
     start_tag: float = 0.0  # virtual time of fair queueing; 0 without customers
     last_call_at: float = 0.0  # when calls were last received
+    # Load report that was last sent on it, and when; owned by loadreporting.
+    last_report: LoadReport | None = None
+    last_report_at: float = float("-inf")
     closed: bool = False
 
     @property
--- a/mallowpass/measure/policy/mechanisms.py
+++ b/mallowpass/measure/policy/mechanisms.py
@@ -24,6 +24,7 @@
 from mallowpass.core.proxy.leadership import Leadership
 from mallowpass.core.proxy.links import Links
 from mallowpass.core.proxy.load import Load
+from mallowpass.core.proxy.loadreporting import LoadReporting
 from mallowpass.core.proxy.overloadswitchover import OverloadSwitchover
 from mallowpass.core.proxy.policy import placement, sharing
 from mallowpass.core.proxy.policy.sharing import Fleet, Plan
@@ -31,7 +32,8 @@
 from mallowpass.core.proxy.sampling import Sampling
 from mallowpass.core.proxy.shares import Shares
 from mallowpass.core.proxy.stalls import Stalls
-from mallowpass.core.proxy.tables import RequestRow
+from mallowpass.core.proxy.statements import EndpointReply
+from mallowpass.core.proxy.tables import LinkRow, RequestRow
 
 __all__ = ["MECHANISMS", "Mechanism", "UnknownMechanism", "without"]
 
@@ -73,6 +75,12 @@
     return request.expires_at
 
 
+def _without_report(
+    self: LoadReporting, link: LinkRow, reply: EndpointReply, waiting: list[LinkRow]
+) -> EndpointReply:
+    return reply
+
+
 def _direct_plan(service: str, limit: int, fleet: Fleet, statements: int) -> Plan:
     usable = int(limit * (1.0 - sharing.RESERVED_SHARE))
     return Plan(direct=True, share=max(1, usable // max(1, fleet.size)))
@@ -205,6 +213,11 @@
         "an endpoint counts as full only after a second of waiting",
         (load, "QUEUE_TIME_MAX", 1.0),
     ),
+    _mechanism(
+        "load-reports",
+        "hosts know of a holder's load only that it refused",
+        (LoadReporting, "add_report", _without_report),
+    ),
 )
 
 
