--- a/mallowpass/core/proxy/holderloads.py
+++ b/mallowpass/core/proxy/holderloads.py
@@ -9,7 +9,6 @@
 
 from dataclasses import replace
 
-from mallowpass.core.proxy.pauses import Pauses
 from mallowpass.core.proxy.policy.loadreports import REPORT_VALIDITY
 from mallowpass.core.proxy.policy.twochoices import wait_of_own
 from mallowpass.core.proxy.statements import EndpointReply, LoadReport
@@ -30,11 +29,10 @@
 class HolderLoads(ProxySystem):
     """Store the load reports of holders, and answer how long statements wait there."""
 
-    __slots__ = ("_ignored_of", "_pauses", "_received")
+    __slots__ = ("_ignored_of", "_received")
 
     def start(self) -> None:
         """Start without reports."""
-        self._pauses = self._node.system(Pauses)
         # By names of the holder and the endpoint.
         self._received: dict[tuple[str, str], _ReceivedReport] = {}
         self._ignored_of: set[str] = set()  # holders of which a report was ignored
@@ -90,10 +88,6 @@
             self._ignore(connection, reply.load_error)
             return
         connection.accepts_time_left = True
-        if self._pauses.max_input_delay >= REPORT_VALIDITY:
-            # It may have arrived when this process was stopped.
-            self._node.count("load_reports_ignored", why="old")
-            return
         key = (connection.holder, connection.endpoint.name)
         if key not in self._received:
             self._forget_old()
@@ -101,7 +95,7 @@
 
     def _ignore(self, connection: ConnectionRow, why: str) -> None:
         """Count a report that can't be read, and log the first one of each holder."""
-        self._node.count("load_reports_ignored", why="unreadable")
+        self._node.count("load_reports_ignored")
         holder = connection.holder
         if holder in self._ignored_of:
             return
--- a/mallowpass/core/proxy/loadreporting.py
+++ b/mallowpass/core/proxy/loadreporting.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
 from dataclasses import replace
 
 from mallowpass.core.proxy.holderloads import HolderLoads
@@ -17,6 +16,7 @@
 from mallowpass.core.proxy.statements import EndpointReply, LoadReport
 from mallowpass.core.proxy.tables import (
     EndpointRow,
+    GroupRow,
     LinkRow,
     ProxySystem,
     RequestRow,
@@ -24,6 +24,8 @@
 
 __all__ = ["LoadReporting"]
 
+_NOTHING_WAITS = LoadReport(0, 0.0)
+
 
 class LoadReporting(ProxySystem):
     """Measure the queues of this host as a holder, and add reports to replies."""
@@ -52,7 +54,9 @@
             self._note_sent(endpoint, request.arrived_at)
 
     def _note_sent(self, endpoint: EndpointRow, since: float) -> None:
-        if since >= self.now or not self._reports_on(endpoint):
+        if since >= self.now or not self._holder_loads.is_in_force:
+            return
+        if not self._holders.holds(endpoint.entry.service):
             return
         drain = self._drains.get(endpoint.name)
         if drain is None:
@@ -65,53 +69,48 @@
     # -- Reporting -----------------------------------------------------------
 
     def add_report(
-        self, link: LinkRow, reply: EndpointReply, waiting: Iterable[LinkRow]
+        self, link: LinkRow, reply: EndpointReply, waiting: list[LinkRow]
     ) -> EndpointReply:
         """Return a reply to another host, with a load report if one is due.
 
         `waiting` are the links that wait at this host, for any endpoint.
         """
-        if not self._reports_on(link.endpoint):
+        if not self._holder_loads.is_in_force:
             return reply
-        report = self.report(link.endpoint, waiting)
+        report = self._report(link.endpoint, waiting)
         if not is_due(link.last_report, link.last_report_at, report, self.now):
             return reply
+        if self._holders.are_all_holders(link.endpoint.entry.service):
+            return reply  # no host chooses among holders
         link.last_report, link.last_report_at = report, self.now
         self._node.count("load_reports_sent")
         return replace(reply, load=report)
 
-    def report(self, endpoint: EndpointRow, waiting: Iterable[LinkRow]) -> LoadReport:
+    def _report(self, endpoint: EndpointRow, waiting: list[LinkRow]) -> LoadReport:
         """Return the load of this host at an endpoint."""
+        group = self.tables.group(endpoint.entry.service)
+        if not waiting and not group.waiting:
+            return _NOTHING_WAITS
         since = [link.waiting_since for link in waiting if link.endpoint is endpoint]
-        since += self._own_waiting(endpoint)
-        drain = self._drains.get(endpoint.name)
+        since += self._own_waiting(endpoint, group)
         if not since:
-            return LoadReport(0, 0.0)
+            return _NOTHING_WAITS
+        drain = self._drains.get(endpoint.name)
         wait = None if drain is None else drain.wait(len(since), min(since), self.now)
         return LoadReport(len(since), wait)
 
-    def _own_waiting(self, endpoint: EndpointRow) -> list[float]:
+    def _own_waiting(self, endpoint: EndpointRow, group: GroupRow) -> list[float]:
         """Return since when statements of this host's callers wait for an endpoint.
 
         Reads that any endpoint may run are divided equally among the group's endpoints.
         """
-        group = self.tables.group(endpoint.entry.service)
-        waiting = [r for r in group.waiting if r.retry_at <= self.now]
-        reads = [r.arrived_at for r in waiting if not r.primary_only]
-        count = math.ceil(len(reads) / max(1, len(group.endpoints)))
-        own = sorted(reads)[:count]
+        waiting = [
+            request
+            for request in group.waiting
+            if request.retry_at <= self.now and not request.was_held
+        ]
+        reads = sorted(r.arrived_at for r in waiting if not r.primary_only)
+        own = reads[: math.ceil(len(reads) / max(1, len(group.endpoints)))]
         if endpoint.name == group.primary:
             own += [r.arrived_at for r in waiting if r.primary_only]
         return own
-
-    def _reports_on(self, endpoint: EndpointRow) -> bool:
-        """Return whether this host reports its load at an endpoint to others.
-
-        Where all hosts are holders, none forwards statements but by borrowed
-        connections, which are not chosen by load.
-        """
-        if not self._holder_loads.is_in_force:
-            return False
-        service = endpoint.entry.service
-        holders = self._holders
-        return not holders.are_all_holders(service) and holders.holds(service)
