Choose holders by the loads that they report

The choice between the two nearest holders had no caller, and customers' holders were chosen without a wait. A fresh report without an estimate counted as none, so that a holder which sent nothing of its 44 queued calls was preferred to holders with waits of 0.5 to 4 s. Two holders that are missing from the table of hosts had each other's unreadable reports logged again.

nearest_holder chooses between the two nearest holders where reports are in force, by their distance and the hash of before; elsewhere nothing changes. Without an estimate, the queued statements and those in flight count, each for the latency or at least the opening of a connection. policy/twochoices.py is now part of policy/holderchoice.py.

The load of a refusal stays in the reply, as the time to retry and the decision on another attempt need it.

--- a/mallowpass/core/proxy/holderloads.py
+++ b/mallowpass/core/proxy/holderloads.py
@@ -9,9 +9,9 @@
 
 from dataclasses import replace
 
+from mallowpass.core.proxy.policy.holderchoice import OPENING_TIME, wait_of_own
 from mallowpass.core.proxy.policy.loadreports import REPORT_VALIDITY
-from mallowpass.core.proxy.policy.twochoices import wait_of_own
-from mallowpass.core.proxy.statements import EndpointReply, LoadReport
+from mallowpass.core.proxy.statements import Code, EndpointReply, LoadReport
 from mallowpass.core.proxy.tables import ConnectionRow, EndpointRow, ProxySystem
 from mallowpass.core.records import record
 
@@ -29,13 +29,15 @@
 class HolderLoads(ProxySystem):
     """Store the load reports of holders, and answer how long statements wait there."""
 
-    __slots__ = ("_ignored_of", "_received")
+    __slots__ = ("_ignored_of", "_loaded_until", "_received")
 
     def start(self) -> None:
         """Start without reports."""
         # By names of the holder and the endpoint.
         self._received: dict[tuple[str, str], _ReceivedReport] = {}
         self._ignored_of: set[str] = set()  # holders of which a report was ignored
+        # Time until which a report of a wait above `OPENING_TIME` counts.
+        self._loaded_until = float("-inf")
 
     @property
     def is_in_force(self) -> bool:
@@ -46,41 +48,66 @@
 
     # -- Queries -------------------------------------------------------------
 
-    def expected_wait(self, holder: str, endpoint: EndpointRow) -> float | None:
+    @property
+    def is_any_loaded(self) -> bool:
+        """Return whether any holder lately reported a wait above `OPENING_TIME`."""
+        return self.now < self._loaded_until
+
+    def reported_wait(self, holder: str, endpoint: EndpointRow) -> float | None:
         """Return the wait at a holder that it reported, in seconds.
 
         Return None without a fresh report, or if the holder had no estimate.
         """
-        received = self._received.get((holder, endpoint.name))
-        if received is None or not self._is_fresh(received):
-            return None
-        return received.report.wait
+        report = self._fresh_report(holder, endpoint)
+        return None if report is None else report.wait
+
+    def expected_wait(self, holder: str, endpoint: EndpointRow) -> float | None:
+        """Return the wait at a holder by its report, None without a fresh one.
+
+        A holder that sends nothing, as its endpoint does not answer, has no estimate.
+        The statements that wait there count then, and those in flight from this host.
+        """
+        report = self._fresh_report(holder, endpoint)
+        if report is None or report.wait is not None:
+            return None if report is None else report.wait
+        queued = report.queued + self._in_flight(holder, endpoint)
+        return wait_of_own(queued, endpoint.latency, endpoint.entry.slots)
 
     def assumed_wait(self, holder: str, endpoint: EndpointRow) -> float:
         """Return the wait by which a holder is chosen, with or without a report."""
         wait = self.expected_wait(holder, endpoint)
         if wait is not None:
             return wait
-        in_flight = sum(
-            1
-            for connection in endpoint.connections.values()
-            if connection.holder == holder and connection.pending
-        )
+        in_flight = self._in_flight(holder, endpoint)
         return wait_of_own(in_flight, endpoint.latency, endpoint.entry.slots)
 
+    def _fresh_report(self, holder: str, endpoint: EndpointRow) -> LoadReport | None:
+        received = self._received.get((holder, endpoint.name))
+        if received is None or not self._is_fresh(received):
+            return None
+        return received.report
+
+    @staticmethod
+    def _in_flight(holder: str, endpoint: EndpointRow) -> int:
+        """Return how many connections by way of a holder have calls in flight."""
+        connections = endpoint.connections.values()
+        return sum(1 for c in connections if c.holder == holder and c.pending)
+
     # -- Reports of holders --------------------------------------------------
 
     def take_report(
         self, connection: ConnectionRow, reply: EndpointReply
     ) -> EndpointReply:
-        """Store the load report of a reply; return the reply without the report.
+        """Store the load report of a reply; return the reply.
 
-        A holder that forwards the reply to a third host adds a report of its own.
+        The load stays in a refusal, for the time to retry. Only holders report loads.
         """
         if reply.load is None and not reply.load_error:
             return reply
         if connection.holder and self.is_in_force:
             self._take(connection, reply)
+            if reply.code is Code.BUSY and not reply.load_error:
+                return reply
         return replace(reply, load=None, load_error="")
 
     def _take(self, connection: ConnectionRow, reply: EndpointReply) -> None:
@@ -92,6 +119,8 @@
         if key not in self._received:
             self._forget_old()
         self._received[key] = _ReceivedReport(reply.load, self.now)
+        if reply.load.wait is not None and reply.load.wait > OPENING_TIME:
+            self._loaded_until = self.now + REPORT_VALIDITY
 
     def _ignore(self, connection: ConnectionRow, why: str) -> None:
         """Count a report that can't be read, and log the first one of each holder."""
@@ -99,7 +128,10 @@
         holder = connection.holder
         if holder in self._ignored_of:
             return
-        self._ignored_of &= self.tables.hosts.keys()
+        if len(self._ignored_of) > len(self.tables.hosts):
+            # Holders that are not in the table yet or any more must not have each
+            # other's reports logged again and again.
+            self._ignored_of &= self.tables.hosts.keys()
         self._ignored_of.add(holder)
         self._node.log(
             "warning",
--- a/mallowpass/core/proxy/holders.py
+++ b/mallowpass/core/proxy/holders.py
@@ -11,6 +11,8 @@
 
 from zlib import crc32
 
+from mallowpass.core.proxy.holderloads import HolderLoads
+from mallowpass.core.proxy.policy.holderchoice import choose_of_two
 from mallowpass.core.proxy.policy.regionalshares import regional_shares
 from mallowpass.core.proxy.policy.sharing import (
     STATEMENTS_PER_SLOT,
@@ -61,6 +63,7 @@
     __slots__ = (
         "_failed",
         "_fleet",
+        "_loads",
         "_plans",
         "_plans_version",
         "_regional",
@@ -70,6 +73,7 @@
 
     def start(self) -> None:
         """Start without plans, and with all holders usable."""
+        self._loads = self._node.system(HolderLoads)
         self._plans: dict[str, _CachedPlan] = {}  # by service
         # Versions of the hosts' entries and of the configuration.
         self._plans_version: tuple[int, int] = (-1, -1)
@@ -161,7 +165,8 @@
 
         If no holder is usable, all are candidates. A holder to which no connection is
         being opened is preferred, so that two holders that do not answer are detected
-        at the same time.
+        at the same time. Where holders report their load, the one of the two nearest is
+        returned that has the shorter queue.
         """
         plan = self._plan(endpoint.entry.service)
         usable = [host for host in plan.holders if self._is_usable(host, endpoint)]
@@ -172,7 +177,29 @@
         }
         untried = [host for host in usable if host.name not in tried]
         candidates = untried or usable or plan.holders
-        return min(candidates, key=self._distance, default=None)
+        if not self._loads.is_in_force:
+            return min(candidates, key=self._distance, default=None)
+        return choose_of_two(
+            ((host, self._distance(host)) for host in candidates),
+            lambda host: self._loads.assumed_wait(host.name, endpoint),
+        )
+
+    def reported_wait(self, endpoint: EndpointRow) -> float | None:
+        """Return the shortest wait that all usable holders report, in seconds.
+
+        Return None if any of them did not report one lately, or if this host connects
+        to the endpoint itself.
+        """
+        service = endpoint.entry.service
+        if self.holds(service) or self.is_cut_off(endpoint):
+            return None
+        waits = [
+            self._loads.reported_wait(host.name, endpoint)
+            for host in self._plan(service).holders
+            if self._is_usable(host, endpoint)
+        ]
+        known = [wait for wait in waits if wait is not None]
+        return min(known) if known and len(known) == len(waits) else None
 
     def is_cut_off(self, endpoint: EndpointRow) -> bool:
         """Return whether this host should reach an endpoint without its holders.
