Refuse statements where they arrive by the waits that holders report

Statements were sent to a holder, and refused there, though all holders had reported a wait that they could not use.

Admission control gets the shortest wait that the usable holders of the usable endpoints report, only if all of them did lately. It gets none for the most urgent statements, as the wait is that at the end of the queue. Nothing is looked up unless a holder reported a wait above the opening of a connection within the last second.

--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -204,13 +204,16 @@
     def _is_refused_on_arrival(self, request: RequestRow) -> bool:
         """Refuse a statement that would be refused as similar ones were just now."""
         group = self.tables.group(request.route.service)
-        if not self._admission.is_active or not group.waiting:
+        if not self._admission.is_active:
+            return False
+        reported_wait = self._routing.reported_wait(request, group)
+        if reported_wait is None and not group.waiting:
             return False
         if not self._waits_for_load(request, group):
             return False
-        if self._routing.has_free_connection(request, group):
+        if reported_wait is None and self._routing.has_free_connection(request, group):
             return False
-        why = self._admission.refusal_on_arrival(request, group)
+        why = self._admission.refusal_on_arrival(request, group, reported_wait)
         if why:
             self._answers.refuse(request, Code.BUSY, why)
         return bool(why)
--- a/mallowpass/core/proxy/routing.py
+++ b/mallowpass/core/proxy/routing.py
@@ -4,7 +4,10 @@
 
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.floors import Floors
+from mallowpass.core.proxy.holderloads import HolderLoads
+from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.load import Load
+from mallowpass.core.proxy.policy.admission import MOST_URGENT
 from mallowpass.core.proxy.policy.dispatch import Choice
 from mallowpass.core.proxy.policy.placement import cost
 from mallowpass.core.proxy.statements import LogPosition
@@ -22,13 +25,15 @@
 class Routing(ProxySystem):
     """Choose endpoints by log position, region, latency and load."""
 
-    __slots__ = ("_connections", "_floors", "_load")
+    __slots__ = ("_connections", "_floors", "_holders", "_load", "_loads")
 
     def start(self) -> None:
         """Look up the systems that this one uses."""
         self._connections = self._node.system(Connections)
         self._floors = self._node.system(Floors)
+        self._holders = self._node.system(Holders)
         self._load = self._node.system(Load)
+        self._loads = self._node.system(HolderLoads)
 
     def required_floor(
         self, request: RequestRow, group: GroupRow
@@ -97,6 +102,20 @@
             for connection in endpoint.connections.values()
         )
 
+    def reported_wait(self, request: RequestRow, group: GroupRow) -> float | None:
+        """Return the shortest wait that holders report for a statement, in seconds.
+
+        Return None if any usable holder of a usable endpoint reported none lately, and
+        for the most urgent statements: the wait is that at the end of the queue.
+        """
+        if request.route.priority == MOST_URGENT or not self._loads.is_any_loaded:
+            return None
+        floor = self.required_floor(request, group)
+        endpoints = self._candidates(request, group, floor)
+        waits = [self._holders.reported_wait(endpoint) for endpoint in endpoints]
+        known = [wait for wait in waits if wait is not None]
+        return min(known) if known and len(known) == len(waits) else None
+
     def has_full_endpoint(self, group: GroupRow) -> bool:
         """Return whether any endpoint of a group is full."""
         return not all(map(self._load.has_room, group.endpoints.values()))
