--- a/tests/core/proxy/test_holderloads.py
+++ b/tests/core/proxy/test_holderloads.py
@@ -231,6 +231,7 @@
         (Write("a"), "strict", "", 20),
         (Write("a"), "strict", "held", 0),
         (Read("a"), "strict", "held", 20),
+        (Read("a"), "strict", "successor", 0),
         (Read("a"), "bounded", "", 7),
         (Read("a"), "bounded", "no floor", 0),
     ],
@@ -238,7 +239,7 @@
 def test_only_statements_that_wait_for_load_are_reported(
     statement, database, obstacle, queued, monkeypatch
 ):
-    """Guard against held writes, and reads without a floor, that count as queued.
+    """Guard against held statements, and reads without a floor, that count as queued.
 
     During a hold of a second, reads that need not wait were reported a wait of 5.2 s.
     """
@@ -248,11 +249,14 @@
     fill_endpoints_of_holders(monkeypatch)
     if obstacle == "held":
         host.node.system(WriteHolds).hold(endpoint, 5.0, HoldReason.SWITCHOVER)
-    elif obstacle:
+    elif obstacle == "no floor":
         monkeypatch.setattr(Routing, "required_floor", lambda *arguments: None)
     for _ in range(20):
         world.caller(world.hosts.index(host), database).send(statement)
     world.run(0.02)
+    if obstacle == "successor":
+        for request in host.tables.group(SERVICE).waiting:
+            request.was_held = True
     link = LinkRow(-1, endpoint, is_from_holder=False)
     reporting = host.node.system(LoadReporting)
     load = reporting.add_report(link, EndpointReply(Code.DONE), []).load
