Stop a planned replacement's commits that its target does not receive

Cause: the primary serves until its successor leads. That is safe only while the target receives and all other replicas are paused. Both were established before the order, and nobody looked again. A trace of the tests shows it: the target is cut off at the order, the other replica's pause ends 50 ms later, and 1 ms after that the primary acknowledges by way of it what had been in flight, and everything after it.

Change: SwitchoverWatch watches both until the successor leads. If commits wait while the primary answers, or the target lacks what the primary showed 0.1 s ago, the primary has to step down and all holders hold their writes. A replica that receives is paused again. Holders that did not order read the claim, which tells whether an order is pending, so no message between hosts is new.

It works since nobody acknowledges what is in flight while the other replica is paused, and a primary that has stepped down never does. Both faults within the time that it takes to notice one still lose commits.

--- a/mallowpass/core/proxy/promotionorders.py
+++ b/mallowpass/core/proxy/promotionorders.py
@@ -21,6 +21,7 @@
 from mallowpass.core.proxy.replacementlog import ReplacementLog, log_target_resumed
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
 from mallowpass.core.proxy.statements import Resume
+from mallowpass.core.proxy.switchoverwatch import SwitchoverWatch
 from mallowpass.core.proxy.tables import ProxySystem
 from mallowpass.core.records import record
 
@@ -60,6 +61,7 @@
         "_replacement_log",
         "_replica_orders",
         "_pending_orders",
+        "_switchover_watch",
     )
 
     def __init__(self, node: Node) -> None:
@@ -77,6 +79,7 @@
         self._replacement_log = self._node.system(ReplacementLog)
         self._replica_orders = self._node.system(ReplicaOrders)
         self._pending_orders = self._node.system(PendingOrders)
+        self._switchover_watch = self._node.system(SwitchoverWatch)
         self._node.subscribe(PromotionAnswered, self._on_answered)
 
     def order(self, attempt: Replacement) -> None:
@@ -133,6 +136,7 @@
             self._quiescence.renew(attempt.group.service)
         if not self._pending_fences.is_lifted(attempt.group.service):
             self._fence_orders.renew(attempt)
+        self._switchover_watch.watch(attempt)
         attempt.order_count += 1
         self._replacement_log.note_order(attempt)
         attempt.order_call = self._node.next_number()
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -54,6 +54,7 @@
 from mallowpass.core.proxy.store import Store
 from mallowpass.core.proxy.stuckreplicas import StuckReplicas
 from mallowpass.core.proxy.suspicion import Suspicion
+from mallowpass.core.proxy.switchoverwatch import SwitchoverWatch
 from mallowpass.core.proxy.timeouts import Timeouts
 from mallowpass.core.proxy.transactions import Transactions
 from mallowpass.core.proxy.writeholds import WriteHolds
@@ -87,6 +88,7 @@
     Quiescence,
     FenceOrders,
     PendingFences,
+    SwitchoverWatch,
     Resumption,
     PromotionOrders,
     Promotion,
