Fence holders that no link reaches by way of the store

Cause: fences went by links alone, and a holder that does not confirm is not waited for after 0.15 s. In the test that holder still reaches the primary and the store, and nobody else reaches the primary, so no order to step down arrives either.

Change: a holder that has not confirmed within 0.05 s gets a notice by the store, in a part of the table of hosts, which each host follows anyway (FenceNotices). It fences the primary, and writes what it knows of the primary's log into the notice once none of its commits is in flight. The host that replaces reads that before it orders. The notice is deleted as the fence is lifted. Replicas are not resumed at once after such a confirmation, as the fence by the store is not renewed.

--- a/mallowpass/core/proxy/__init__.py
+++ b/mallowpass/core/proxy/__init__.py
@@ -23,8 +23,8 @@
   `credentials`, `customers`, `ratelimits`: the execution of callers' statements;
 - `suspicion`, `overloadswitchover`, `replacementtriggers`, `claims`, `promotion`,
   `replacement`, `promotionorders`, `pendingorders`, `switchoverwatch`,
-  `orphanedfences`, `demotion`, `resumption`, `stuckreplicas`: failover and switchover
-  of a primary;
+  `fencenotices`, `orphanedfences`, `demotion`, `resumption`, `stuckreplicas`:
+  failover and switchover of a primary;
 - `discovery`, `primaryconflicts`: finding the primary, and resolving conflicts between
   two endpoints that act as primary;
 - `draining`: start, shutdown and readiness;
--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -20,11 +20,13 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.demotion import Demotion
 from mallowpass.core.proxy.durability import Durability
+from mallowpass.core.proxy.fencenotices import FenceNotices
 from mallowpass.core.proxy.fencing import FENCE_DURATION, Fencing
 from mallowpass.core.proxy.forwardedorders import ForwardedOrders, ForwardedReply
 from mallowpass.core.proxy.holders import Holders
@@ -39,6 +41,9 @@
 # For the confirmations of all holders: two round trips between regions, and the wait
 # of a busy host. No holder confirms while it is cut off.
 CONFIRM_TIMEOUT = 0.15
+# For the confirmations that come by links: a round trip between regions takes half of
+# it. The store is to tell the other holders, which takes a few milliseconds more.
+LINK_TIMEOUT = 0.05
 # For the commits in flight at a primary that answers; then it has to step down.
 DRAIN_TIMEOUT = 0.05
 # For a primary that is ordered to step down: a round trip between regions, and a slot.
@@ -58,6 +63,7 @@
     began_at: float
     renewed_at: float
     hosts_version: int  # of the hosts' entries by which holders are told
+    until: float  # when the first of the fences may end
     unconfirmed: set[str] = field(default_factory=set)  # holders
     is_settled: bool = False
 
@@ -69,6 +75,7 @@
         "_connections",
         "_demotion",
         "_durability",
+        "_fence_notices",
         "_fencing",
         "_forwarded_orders",
         "_holders",
@@ -84,6 +91,7 @@
         self._connections = self._node.system(Connections)
         self._demotion = self._node.system(Demotion)
         self._durability = self._node.system(Durability)
+        self._fence_notices = self._node.system(FenceNotices)
         self._fencing = self._node.system(Fencing)
         self._forwarded_orders = self._node.system(ForwardedOrders)
         self._holders = self._node.system(Holders)
@@ -111,7 +119,9 @@
                 self.renew(attempt)
             return
         attempt.has_fenced = True
-        task = _Task(attempt, handler, self.now, self.now, self.tables.hosts_version)
+        version = self.tables.hosts_version
+        until = self.now + FENCE_DURATION
+        task = _Task(attempt, handler, self.now, self.now, version, until)
         self._tasks[service] = task
         primary = self._primary(attempt)
         if primary is None:
@@ -123,6 +133,7 @@
         paths = self._paths(attempt.group, attempt.primary)
         for host in others:
             self._order(task, host, paths)
+        self.timers.after(LINK_TIMEOUT, self._send_notices, task)
         self._fencing.fence(
             primary,
             FENCE_DURATION,
@@ -132,6 +143,30 @@
             ),
         )
 
+    def _send_notices(self, task: _Task) -> None:
+        """Have the store tell the holders that have not confirmed by a link."""
+        if task.is_settled or not self._is_current(task):
+            return
+        handlers = {
+            host: partial(self._on_notice_answered, task, host)
+            for host in task.unconfirmed - {self._node.identity.name}
+        }
+        if handlers:
+            service, primary = task.attempt.group.service, task.attempt.primary
+            self._fence_notices.send(service, primary, handlers)
+
+    def _on_notice_answered(
+        self, task: _Task, host: str, evidence: FenceEvidence
+    ) -> None:
+        """Take a confirmation by the store, which does not renew that fence.
+
+        So replicas do not rely on it after the lead: they are resumed once the primary
+        has stepped down.
+        """
+        if host in task.unconfirmed and self._is_current(task):
+            task.until = task.began_at
+            self._on_evidence(task, host, evidence)
+
     def require(self, attempt: Replacement) -> None:
         """Have the primary step down if holders do not confirm the fence soon.
 
@@ -159,6 +194,7 @@
         if self._tasks.pop(group.service, None) is None:
             return
         if group.primary not in ("", attempt.primary):
+            self._fence_notices.lift(group.service)
             return
         if is_order_pending:
             self.fence(group, attempt.primary)
@@ -195,6 +231,7 @@
 
     def lift(self, group: GroupRow, primary: str) -> None:
         """Have all holders lift this host's fence of a primary."""
+        self._fence_notices.lift(group.service)
         self._send_all(group, primary, 0.0)
 
     def _send_all(self, group: GroupRow, primary_name: str, duration: float) -> None:
@@ -255,7 +292,7 @@
         if not task.unconfirmed and not task.is_settled:
             task.attempt.confirmed_fence = ConfirmedFence(
                 task.attempt.primary,
-                task.began_at + FENCE_DURATION,
+                task.until,
                 task.hosts_version,
             )
             self._settle(task)
--- a/mallowpass/core/proxy/hosts.py
+++ b/mallowpass/core/proxy/hosts.py
@@ -5,7 +5,8 @@
 
 from __future__ import annotations
 
-from mallowpass.core.proxy.signals import DrainBegan
+from mallowpass.core.proxy.fencenotices import is_notice
+from mallowpass.core.proxy.signals import DrainBegan, HostNoticed
 from mallowpass.core.proxy.storage import (
     ChangeRows,
     Row,
@@ -77,6 +78,14 @@
             self._node.log("warning", "host_entry_left", why=reply.message)
 
     def _on_rows(self, rows: tuple[Row, ...], complete: bool) -> None:
+        for row in rows:
+            if is_notice(row.key):
+                self._node.publish(HostNoticed(row))
+        entries = tuple(row for row in rows if not is_notice(row.key))
+        if entries or complete:
+            self._on_entries(entries, complete)
+
+    def _on_entries(self, rows: tuple[Row, ...], complete: bool) -> None:
         hosts = self.tables.hosts
         if complete:
             hosts.clear()
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -15,6 +15,7 @@
 from mallowpass.core.proxy.draining import Draining
 from mallowpass.core.proxy.durability import Durability
 from mallowpass.core.proxy.feeds import Feeds
+from mallowpass.core.proxy.fencenotices import FenceNotices
 from mallowpass.core.proxy.fenceorders import FenceOrders
 from mallowpass.core.proxy.fencing import Fencing
 from mallowpass.core.proxy.floors import Floors
@@ -87,6 +88,7 @@
     WriteHolds,
     StartFences,
     Quiescence,
+    FenceNotices,
     FenceOrders,
     PendingFences,
     OrphanedFences,
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -10,6 +10,7 @@
     EndpointStatus,
     SessionState,
 )
+from mallowpass.core.proxy.storage import Row
 from mallowpass.core.proxy.tables import (
     ConnectionRow,
     EndpointRow,
@@ -35,6 +36,7 @@
     "EraChanged",
     "FloorReceived",
     "ForwardedConnectionRefused",
+    "HostNoticed",
     "KeepersChanged",
     "PrimaryChanged",
     "PrimaryConfirmed",
@@ -151,6 +153,13 @@
     endpoint: EndpointRow
 
 
+@record
+class HostNoticed(Signal):
+    """The store tells of a notice in the table of hosts; see `fencenotices`."""
+
+    row: Row
+
+
 @record
 class WriteAcknowledged(Signal):
     """A group's primary acknowledged a write.
