Guard fence notices and switchover watches against odd input

A notice whose key names no host, or whose end is not a finite number, would have ended the handling of the table of hosts, or begun a fence without an end. Such a notice is logged and ignored now, and no notice fences for longer than a fence lasts.

A holder asked a leaving primary for its status again and again while a commit waited there and no promotion was ordered. It asks twice a second at most now, as it reads the claim.

--- a/mallowpass/core/proxy/fencenotices.py
+++ b/mallowpass/core/proxy/fencenotices.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 from mallowpass.core.node import Node
@@ -73,9 +74,12 @@
     @classmethod
     def decode(cls, text: str) -> _Notice:
         """Parse a stored text; raise ValueError if it is malformed."""
-        primary, until, owner, *rest = text.split(" ", 3)
+        primary, until_text, owner, *rest = text.split(" ", 3)
+        until = float(until_text)
+        if not math.isfinite(until):
+            raise ValueError(f"end of a fence is not finite: {until_text!r}")
         evidence = FenceEvidence.decode(rest[0].encode()) if rest else None
-        return cls(primary, float(until), owner, evidence)
+        return cls(primary, until, owner, evidence)
 
 
 class FenceNotices(ProxySystem):
@@ -143,7 +147,7 @@
         self._on_notice(signal.row)
 
     def _on_notice(self, row: Row) -> None:
-        _, service, host = row.key.key.split("/", 2)
+        service, _, host = row.key.key.removeprefix(_KEY_PREFIX).partition("/")
         if host == self._node.identity.name:
             self._serve(service, row)
             return
@@ -170,7 +174,7 @@
             if row.key in self._served:
                 self._fencing.lift(*self._served.pop(row.key))
             return
-        duration = notice.until - (self._store.time or 0.0)
+        duration = min(notice.until - (self._store.time or 0.0), FENCE_DURATION)
         if notice.evidence is not None or duration <= 0.0:
             return
         primary = self.tables.endpoints.get(notice.primary)
--- a/mallowpass/core/proxy/switchoverwatch.py
+++ b/mallowpass/core/proxy/switchoverwatch.py
@@ -60,7 +60,8 @@
 # one second.
 ROUND_INTERVAL = 0.1
 RENEW_INTERVAL = 1.0  # between two fences that are sent
-# Between two reads of the claim while commits wait at a primary that leaves.
+# Between two reads of the claim, with a question to the primary before each, while
+# commits wait at a primary that leaves.
 CLAIM_READ_INTERVAL = 0.5
 
 
@@ -198,6 +199,8 @@
         oldest = None if primary is None else _oldest_commit(primary)
         if oldest is None or watch.is_asking:
             return
+        if self.now < watch.claim_read_at + CLAIM_READ_INTERVAL:
+            return
         silent_since = max(oldest.sent_at, watch.acknowledged_at)
         if self.now < silent_since + WAIT_FACTOR * primary.latency + WAIT_SLACK:
             return
@@ -222,8 +225,6 @@
         if watch.attempt is not None:
             self._stop(watch, why)
             return
-        if self.now < watch.claim_read_at + CLAIM_READ_INTERVAL:
-            return
         watch.claim_read_at = self.now
 
         def on_claim(claim: Claim | None, is_known: bool) -> None:
--- a/tests/core/proxy/test_fence_notices.py
+++ b/tests/core/proxy/test_fence_notices.py
@@ -4,6 +4,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from mallowpass.core.proxy.fencing import FENCE_DURATION
 from mallowpass.core.proxy.storage import RowKey, Table
 from mallowpass.core.proxy.store import Store
@@ -67,11 +69,13 @@
     assert last_acknowledged_ago(world) < SERVED_SOON
 
 
-def test_a_notice_that_cannot_be_read_changes_nothing(world: ProxyWorld):
+@pytest.mark.parametrize("value", ["", "db-casa", "db-casa soon host-1", "a nan b"])
+def test_a_notice_that_cannot_be_read_changes_nothing(world: ProxyWorld, value: str):
     """Guard against a row of another version that ends the watch of hosts."""
     host = world.hosts[0]
     before = dict(host.tables.hosts)
-    world.store.put(replace(KEY, key=f"fence/{SERVICE}/{host.name}"), "db-casa soon")
+    world.store.put(replace(KEY, key="fence/"), value)
+    world.store.put(replace(KEY, key=f"fence/{SERVICE}/{host.name}"), value)
     world.run(STORE_TIME)
     assert len(host.logged("fence_notice_unreadable")) == 1
     assert host.tables.hosts == before
