Have a test's host hear of the successor alone again

test_a_host_that_hears_only_of_the_successor_logs_recent_commits cuts a host off from all other hosts, and expects that it learns of the replacement by the change of primary. Since fences go by the store as well, that host is told before, and logs "hold" as it should.

The test cuts the host off from the store, too, so that it hears of the successor alone again. A second test expects "hold" in the old setting.

--- a/tests/core/proxy/test_replacement_log.py
+++ b/tests/core/proxy/test_replacement_log.py
@@ -280,7 +280,8 @@
     Writers(world)
     world.run(1.0)
     alone = world.hosts[3]
-    alone.cut_from |= {host.name for host in world.hosts}
+    # The store would tell it of the fence.
+    alone.cut_from |= {"store", *(host.name for host in world.hosts)}
     world.crash(OLD)
     run_until_ordered(world)
     world.run(2.0)
@@ -289,6 +290,20 @@
     assert {line["commits"] for line in lines} == {0}
 
 
+def test_a_host_that_only_the_store_tells_logs_that_it_knew_of_the_replacement():
+    world = ProxyWorld(hosts=4)
+    Writers(world)
+    world.run(1.0)
+    alone = world.hosts[3]
+    alone.cut_from |= {host.name for host in world.hosts}
+    world.crash(OLD)
+    run_until_ordered(world)
+    world.run(2.0)
+    lines = commit_lines(alone, world.primary.name)
+    assert {line["known_by"] for line in lines} == {"hold"}
+    assert {line["commits"] for line in lines} == {0}
+
+
 def test_a_change_of_primary_without_commits_logs_nothing():
     world = ProxyWorld()
     world.run(1.0)
