Resume replicas whose pauses stall a primary that is surveyed

Cause: the host that replaced the crashed primary may not claim for 1.5 s after the restore, so it can't resume the other replica, and writes stall at the successor. Then it claims to replace that one. The survey of the members waits for the crashed one, up to twelve rounds of 0.9 s, and the attempt keeps all hosts from resuming the replica. A trace shows the rounds; the replica answers each of them that it is paused, and nothing looked at that.

Change: an attempt to replace a stalled primary is given up, and the replicas are resumed under its claim, if the primary answers, a member is silent, no order is pending, and all replicas that answer the survey are paused.

It works since the attempt holds the claim and has ordered nothing, so nobody relies on these pauses. If the stall has another cause, the next survey finds no pause.

--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -231,6 +231,7 @@
         attempt.rounds += 1
         attempt.is_awaiting_fence = False
         attempt.received.clear()
+        attempt.found_paused.clear()
         term = attempt.group.term + 1
         candidates = self._candidates(attempt.group, attempt.primary)
         if not candidates:
@@ -302,6 +303,8 @@
             attempt.group.term = max(attempt.group.term, reply.status.term)
             if isinstance(statement, Pause):
                 attempt.paused.add(endpoint.name)
+            elif attempt.is_survey and reply.status.paused_for:
+                attempt.found_paused.add(endpoint.name)
             # An endpoint that restarted with an empty log may still report that it is
             # primary.
             required = self._durability.required_position(attempt.group)
@@ -388,6 +391,9 @@
             why = f"no answer from {','.join(unanswered)}"
             if attempt.is_quiesced:
                 self._give_up(attempt, why)  # writes wait meanwhile
+            elif self._is_stalled_by_pauses(attempt):
+                attempt.resumes_all = True
+                self._give_up(attempt, "the replicas that answer are paused")
             else:
                 # A replica that has not answered may be the only one with some commit.
                 self._schedule_round(attempt, why)
@@ -431,6 +437,21 @@
         elif not attempt.is_quiescing:
             self._quiesce(attempt)
 
+    def _is_stalled_by_pauses(self, attempt: Replacement) -> bool:
+        """Return whether a primary is stalled since nobody has resumed its replicas.
+
+        The host that paused them may have ended, or waits for a claim. The primary
+        acknowledges writes once one of them receives, while a replica that does not
+        answer may prevent its replacement for long.
+        """
+        if attempt.reason is not Reason.STALLED or not attempt.is_survey:
+            return False
+        is_alive = attempt.primary_position is not None
+        is_ordered = bool(self._pending_orders.pending(attempt.group.service))
+        answered = attempt.received.keys()
+        are_paused = bool(answered) and attempt.found_paused >= answered
+        return is_alive and are_paused and not is_ordered
+
     def _order_once_fenced(self, attempt: Replacement) -> None:
         """Order the promotion once no commit can be acknowledged any more.
 
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -71,6 +71,7 @@
     is_survey: bool = False  # this round reads log positions and pauses no replica
     resumes_all: bool = False  # at the end, also resume replicas paused by other hosts
     paused: set[str] = field(default_factory=set)  # replicas that confirmed a pause
+    found_paused: set[str] = field(default_factory=set)  # replicas, in this survey
     members: set[str] = field(default_factory=set)  # replicas asked in this round
     outstanding: int = 0  # requests of this round without a reply
     received: dict[str, LogPosition] = field(default_factory=dict)  # by replica
