Keep the fence of a host that ended while its order is pending

Cause: a promotion order without an answer may be carried out for 8 s. The fence of the old primary at the other holders lasts 2.5 s, and only the host that ordered renews it. In the test the holders write again 2.5 s after the order, and the platform carries it out 3.5 s later.

Change: the claim in the store tells of the order. A holder reads it before the fence of another host expires, and while the order is pending it keeps its own writes fenced (OrphanedFences). As with own orders, the fence is lifted while commits can be acknowledged through the target alone. While they can't, the holder replaces the primary itself once no other host holds the claim, so that writes do not wait until the order expires. There is one series of such attempts for a primary, and the claim is read before each: the host that ordered may be alive, and out of reach of this holder.

If the claim can't be read, it is read again, and writes stay fenced until no order of the other host can be pending. An own order takes over the fence that this host keeps for a foreign one, which would otherwise hold its writes for up to 2.5 s after the lift.

--- a/mallowpass/core/proxy/claims.py
+++ b/mallowpass/core/proxy/claims.py
@@ -213,6 +213,11 @@
         is_young = (self._store.time or 0.0) - claim.time < CLAIM_USE_TIMEOUT
         return is_young and self._is_of_current_era(claim)
 
+    def is_free(self, claim: Claim) -> bool:
+        """Return whether this host may claim after a claim that it has read."""
+        time = self._store.time
+        return time is not None and not self._is_held_by_other_host(claim, time)
+
     def raise_must_hold(
         self,
         service: str,
--- a/mallowpass/core/proxy/fencing.py
+++ b/mallowpass/core/proxy/fencing.py
@@ -17,7 +17,7 @@
 from mallowpass.core.positions import ZERO_POSITION
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.pendingorders import ACCEPTED_ORDER_TIMEOUT
-from mallowpass.core.proxy.signals import PrimaryChanged
+from mallowpass.core.proxy.signals import PrimaryChanged, PrimaryFenced
 from mallowpass.core.proxy.stalls import Stalls
 from mallowpass.core.proxy.statements import FenceEvidence
 from mallowpass.core.proxy.tables import EndpointRow, ProxySystem
@@ -76,6 +76,8 @@
                 self.abandon_commits(primary)
             self._await_reply(primary)
         self._write_holds.await_drained(primary, handler)
+        if not is_fenced:
+            self._node.publish(PrimaryFenced(primary))
 
     def evidence(self, primary_name: str) -> FenceEvidence:
         """Return what this host knows of the log of a primary."""
@@ -102,6 +104,11 @@
         until = max(self._fences.get(primary.name, {}).values(), default=0.0)
         return self.now < until and self._write_holds.is_held(primary)
 
+    def owners(self, primary: EndpointRow) -> dict[str, float]:
+        """Return the owners of the fences that last, each with the end of its fence."""
+        fences = self._fences.get(primary.name, {})
+        return {owner: until for owner, until in fences.items() if self.now < until}
+
     def lift(self, primary: EndpointRow, owner: str) -> None:
         """End a host's fence of a primary at this host; those of others stay."""
         if not self.is_fenced(primary):
--- a/mallowpass/core/proxy/pendingfences.py
+++ b/mallowpass/core/proxy/pendingfences.py
@@ -6,6 +6,10 @@
 through the target alone: while the primary answers, the target keeps up with it, and
 all other members are paused. The members are asked again and again, and the primary is
 fenced once more as soon as one of these does not hold.
+
+The host that ordered has all holders fence the primary. If it has ended, each holder
+goes by the order itself, and fences the primary for its own writes, see
+`orphanedfences`.
 """
 
 from __future__ import annotations
@@ -14,6 +18,7 @@
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.fenceorders import FenceOrders
+from mallowpass.core.proxy.fencing import FENCE_DURATION, Fencing
 from mallowpass.core.proxy.pendingorders import PendingOrders
 from mallowpass.core.proxy.replacement import Replacement
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
@@ -31,6 +36,9 @@
 # Between two questions to the members. A round trip between regions takes a quarter.
 ROUND_INTERVAL = 0.1
 RENEW_INTERVAL = 1.0  # between two fences that are sent
+# Owner of a fence of this host's writes while another host's order is pending. Not the
+# name of this host: its own attempts lift the fence under that name.
+FOREIGN_ORDER = "foreign order"
 
 
 @dataclass(slots=True, eq=False)
@@ -40,6 +48,7 @@
     group: GroupRow
     primary: str
     target: str
+    is_foreign: bool = False  # another host ordered; only this host's writes are fenced
     is_lifted: bool = False
     renewed_at: float = float("-inf")
     statuses: dict[str, EndpointStatus] = field(default_factory=dict)  # of this round
@@ -48,9 +57,15 @@
 
 
 class PendingFences(ProxySystem):
-    """Keep primaries fenced while an order of this host is pending."""
+    """Keep primaries fenced while an order without an answer is pending."""
 
-    __slots__ = ("_fence_orders", "_pending_orders", "_replica_orders", "_watches")
+    __slots__ = (
+        "_fence_orders",
+        "_fencing",
+        "_pending_orders",
+        "_replica_orders",
+        "_watches",
+    )
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
@@ -59,6 +74,7 @@
     def start(self) -> None:
         """Look up the systems that this one uses."""
         self._fence_orders = self._node.system(FenceOrders)
+        self._fencing = self._node.system(Fencing)
         self._pending_orders = self._node.system(PendingOrders)
         self._replica_orders = self._node.system(ReplicaOrders)
 
@@ -68,11 +84,34 @@
         watch = self._watches.get(service)
         if watch is not None and watch.primary == attempt.primary:
             watch.target = attempt.target
+            self._take_over(watch)
             return
         watch = _Watch(attempt.group, attempt.primary, attempt.target)
         self._watches[service] = watch
         self._ask(watch)
 
+    def watch_foreign(self, group: GroupRow, primary: str, target: str) -> None:
+        """Keep a primary fenced at this host while another host's order is pending."""
+        watch = self._watches.get(group.service)
+        if watch is None or watch.primary != primary:
+            watch = _Watch(group, primary, target, is_foreign=True)
+            self._watches[group.service] = watch
+            self._renew(watch)  # other fences may end before the members answer
+            self._ask(watch)
+
+    def _take_over(self, watch: _Watch) -> None:
+        """Have all holders fence a primary that is fenced at this host alone.
+
+        The fence of this host is replaced as well: nobody would lift the other one.
+        """
+        if watch.is_foreign:
+            watch.is_foreign = False
+            watch.is_lifted = False
+            watch.renewed_at = self.now
+            self._fence(watch)
+            if primary := watch.group.endpoints.get(watch.primary):
+                self._fencing.lift(primary, FOREIGN_ORDER)
+
     def is_lifted(self, service: str) -> bool:
         """Return whether a primary serves writes while an order is pending."""
         watch = self._watches.get(service)
@@ -97,7 +136,7 @@
             return True
         if self._pending_orders.pending(watch.group.service):
             return False
-        self._fence_orders.lift(watch.group, watch.primary)
+        self._lift(watch)
         return True
 
     def _query(self, watch: _Watch, endpoint: EndpointRow) -> None:
@@ -119,7 +158,7 @@
         primary = watch.statuses.get(watch.primary)
         watch.shown = None if primary is None else primary.received
         if is_safe and not watch.is_lifted:
-            self._fence_orders.lift(watch.group, watch.primary)
+            self._lift(watch)
         elif not is_safe:
             self._renew(watch)
         if is_safe is not watch.is_lifted:
@@ -152,4 +191,16 @@
         is_due = self.now >= watch.renewed_at + RENEW_INTERVAL
         if watch.is_lifted or is_due:
             watch.renewed_at = self.now
+            self._fence(watch)
+
+    def _fence(self, watch: _Watch) -> None:
+        if not watch.is_foreign:
             self._fence_orders.fence(watch.group, watch.primary)
+        elif primary := watch.group.endpoints.get(watch.primary):
+            self._fencing.fence(primary, FENCE_DURATION, FOREIGN_ORDER)
+
+    def _lift(self, watch: _Watch) -> None:
+        if not watch.is_foreign:
+            self._fence_orders.lift(watch.group, watch.primary)
+        elif primary := watch.group.endpoints.get(watch.primary):
+            self._fencing.lift(primary, FOREIGN_ORDER)
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -28,6 +28,7 @@
 from mallowpass.core.proxy.links import Links
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.members import Members
+from mallowpass.core.proxy.orphanedfences import OrphanedFences
 from mallowpass.core.proxy.overloadswitchover import OverloadSwitchover
 from mallowpass.core.proxy.pauses import Pauses
 from mallowpass.core.proxy.pendingfences import PendingFences
@@ -89,6 +90,7 @@
     Quiescence,
     FenceOrders,
     PendingFences,
+    OrphanedFences,
     Resumption,
     PromotionOrders,
     Promotion,
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -38,6 +38,7 @@
     "KeepersChanged",
     "PrimaryChanged",
     "PrimaryConfirmed",
+    "PrimaryFenced",
     "PrimaryStalled",
     "PrimarySuspected",
     "ReplicaStuck",
@@ -143,6 +144,13 @@
     endpoint: EndpointRow
 
 
+@record
+class PrimaryFenced(Signal):
+    """A host that replaces a primary has fenced it at this host; see `fencing`."""
+
+    endpoint: EndpointRow
+
+
 @record
 class WriteAcknowledged(Signal):
     """A group's primary acknowledged a write.
