Keep a fence while orders for two targets are pending

Cause: a host whose promotion order is pending lifts the fence of the primary while its target receives. It looked at its own target only. If an order for another target is pending as well, that one may lead, and lacks the commits.

Change: a fence is not lifted while an order for another target is pending.

Result: the new test fails without the change. The primary serves writes again as soon as the other order has expired.

--- a/mallowpass/core/proxy/pendingfences.py
+++ b/mallowpass/core/proxy/pendingfences.py
@@ -179,6 +179,9 @@
         target = watch.statuses.get(watch.target)
         if primary is None or target is None or watch.shown is None:
             return False
+        pending = self._pending_orders.pending(watch.group.service).keys()
+        if pending - {watch.primary, watch.target}:
+            return False  # the target of an earlier order may lead without them
         others = watch.group.endpoints.keys() - {watch.primary, watch.target}
         are_paused = all(
             name in watch.statuses and watch.statuses[name].paused_for
--- a/tests/core/proxy/test_orphaned_fences.py
+++ b/tests/core/proxy/test_orphaned_fences.py
@@ -14,6 +14,8 @@
 from mallowpass.core.proxy.pendingorders import LATE_ORDER_TIMEOUT, PendingOrders
 from mallowpass.core.proxy.promotion import Promotion
 from mallowpass.core.proxy.replacement import Reason, Replacement
+from mallowpass.core.proxy.replicaorders import ReplicaOrders
+from mallowpass.core.proxy.statements import Pause
 from mallowpass.core.proxy.storage import RowKey, Table
 from mallowpass.core.proxy.store import Store
 from mallowpass.standins.proxied.virtual.heartbeats import Heartbeats
@@ -160,6 +162,26 @@
     assert set(fencing.owners(primary)) == {node.identity.name}
 
 
+def test_a_fence_lasts_while_orders_for_two_targets_are_pending(
+    world: ProxyWorld, heartbeats: Heartbeats
+):
+    """Guard against commits on one target while the other one may be promoted."""
+    node = world.hosts[0].node
+    group = node.tables.group(SERVICE)
+    orders = node.system(PendingOrders)
+    orders.note_foreign_order(SERVICE, "db-agadir", node.timers.now + 1.5)
+    orders.note_foreign_order(SERVICE, "db-tanger", node.timers.now + 4.0)
+    agadir = group.endpoints["db-agadir"]
+    node.system(ReplicaOrders).send(agadir, Pause(2), lambda reply: None)
+    attempt = Replacement(group, PRIMARY, Reason.UNAVAILABLE, "", node.timers.now)
+    attempt.target = "db-tanger"
+    node.system(PendingFences).watch(attempt)
+    world.run(1.4)
+    assert not node.system(PendingFences).is_lifted(SERVICE)
+    world.run(0.6)
+    assert node.system(PendingFences).is_lifted(SERVICE)
+
+
 def count_attempts(monkeypatch: pytest.MonkeyPatch, world: ProxyWorld) -> list[float]:
     """Return the times at which the first host begins to replace the primary."""
     times: list[float] = []
