--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -438,7 +438,7 @@
             self._quiesce(attempt)
 
     def _is_stalled_by_pauses(self, attempt: Replacement) -> bool:
-        """Return whether a primary is stalled since nobody has resumed its replicas.
+        """Return whether a primary stalls because its replicas are still paused.
 
         The host that paused them may have ended, or waits for a claim. The primary
         acknowledges writes once one of them receives, while a replica that does not
