Check holders for silence only where the configuration has customers

A reader met a check of all connections 20 times a second on every host, also without customers, and a method that always returned None.

--- a/mallowpass/core/proxy/customerholders.py
+++ b/mallowpass/core/proxy/customerholders.py
@@ -48,7 +48,7 @@
 
 
 class CustomerHolders(ProxySystem):
-    """Choose holders by the customer's order, distance and expected wait."""
+    """Choose holders by the customer's order and distance."""
 
     __slots__ = ("_holders", "_orders", "_shares")
 
@@ -93,12 +93,6 @@
             return own + [c.host for c in candidates if c.host.name != name]
         failed = self._holders.failed_holders(endpoint)
         usable = [c for c in candidates if c.host.name not in failed] or candidates
-        waits = {c.rank: self._expected_wait(c.host.name, endpoint) for c in usable}
-        if any(waits.values()):
-            usable = sorted(
-                usable,
-                key=lambda c: forwarding_cost(c.distance, c.rank, waits[c.rank]),
-            )
         return [candidate.host for candidate in usable]
 
     def choose(
@@ -197,14 +191,10 @@
         )
         return sorted(opening, key=lambda c: c.opened_at)
 
-    def _expected_wait(self, holder: str, endpoint: EndpointRow) -> float | None:
-        """Return the expected wait at a holder in seconds, None if it is unknown."""
-        return None
-
     def _candidates(
         self, endpoint: EndpointRow, customer: str
     ) -> tuple[_Candidate, ...]:
-        """Return the holders of a service, by their cost without a wait."""
+        """Return the holders of a service, by their cost."""
         entry = endpoint.entry
         plan = self._holders.plan_of(entry.service)
         key = (entry.service, entry.failure_domain, customer)
@@ -237,7 +227,7 @@
             )
             for rank, name in enumerate(order_holders(customer, hosts, local))
         ]
-        candidates.sort(key=lambda c: forwarding_cost(c.distance, c.rank, None))
+        candidates.sort(key=lambda c: forwarding_cost(c.distance, c.rank))
         return tuple(candidates)
 
     def _leg(self, one: str, other: str) -> float:
--- a/mallowpass/core/proxy/holdersilence.py
+++ b/mallowpass/core/proxy/holdersilence.py
@@ -15,6 +15,7 @@
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.customerholders import LINK_WAIT
 from mallowpass.core.proxy.holders import Holders
+from mallowpass.core.proxy.signals import ConfigurationAccepted
 from mallowpass.core.proxy.tables import (
     ConnectionRow,
     ConnectionState,
@@ -38,19 +39,25 @@
 class HolderSilence(ProxySystem):
     """Check holders that leave calls unanswered, and mark those that are silent."""
 
-    __slots__ = ("_checks", "_connections", "_holders", "_rechecks")
+    __slots__ = ("_checks", "_connections", "_holders", "_is_checking", "_rechecks")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
         self._checks: dict[str, ConnectionRow] = {}  # links in progress, by holder
         # Silent holders: the time of the next check, and the endpoint to name.
         self._rechecks: dict[str, tuple[float, str]] = {}
+        self._is_checking = False
 
     def start(self) -> None:
-        """Look for unanswered calls periodically."""
+        """Subscribe to configurations; the first with customers starts the checks."""
         self._connections = self._node.system(Connections)
         self._holders = self._node.system(Holders)
-        self.timers.every(CHECK_INTERVAL, self._check)
+        self._node.subscribe(ConfigurationAccepted, self._on_configuration)
+
+    def _on_configuration(self, signal: ConfigurationAccepted) -> None:
+        if not self._is_checking and signal.configuration.customers:
+            self._is_checking = True
+            self.timers.every(CHECK_INTERVAL, self._check)
 
     def _check(self) -> None:
         for holder in list(self._checks):
--- a/mallowpass/core/proxy/policy/holderchoice.py
+++ b/mallowpass/core/proxy/policy/holderchoice.py
@@ -23,7 +23,9 @@
     return DOMAIN_ROUND_TRIP if is_same_region else REGION_ROUND_TRIP
 
 
-def forwarding_cost(distance: float, rank: int, expected_wait: float | None) -> float:
+def forwarding_cost(
+    distance: float, rank: int, expected_wait: float | None = None
+) -> float:
     """Return the cost in seconds of forwarding a customer's statement by a holder.
 
     `distance` is the round trip by way of the holder to the endpoint, `rank` the place
