Keep the keepers of limits that hosts could not reach while cut off

Cause: a host that is cut off notes that all keepers fail. With the first answer after the cut it no longer takes itself for cut off, and the failures of the keepers that it has not asked again yet are long over the time after which a keeper is replaced: it claims their parts. New keepers wait 12 s. Change: if all keepers failed, the first answer clears the failures of all. While one fails, all are probed, so that a host can tell the one from the other.

--- a/mallowpass/core/proxy/ratelimits/allowances.py
+++ b/mallowpass/core/proxy/ratelimits/allowances.py
@@ -268,9 +268,15 @@
             self._request_grants(account)
 
     def _probe(self) -> None:
-        """Probe the keepers that this host is a candidate to replace."""
+        """Probe the keepers that this host may replace, and all while one fails here.
+
+        The answers of the others show whether this host is cut off, or a keeper failed.
+        """
+        is_any_failing = self._keepers.is_any_failing
         for part, host in self._keepers.nearest_keepers():
             is_own = host.name == self._node.identity.name
-            if not is_own and self._keepers.is_probing_candidate(part):
+            if is_own:
+                continue
+            if is_any_failing or self._keepers.is_probing_candidate(part):
                 request = _GrantRequest(None, part, host.name, 0, self.now)
                 self._send_request(request, host, 0)
--- a/mallowpass/core/proxy/ratelimits/keepers.py
+++ b/mallowpass/core/proxy/ratelimits/keepers.py
@@ -188,7 +188,14 @@
         return (is_far, crc32(f"{identity.name} {part}".encode()))
 
     def record_answer(self, host: str) -> None:
-        """Record that a keeper answered, which ends its failures."""
+        """Record that a keeper answered, which ends its failures.
+
+        If all keepers failed, this host was cut off, which says nothing about the other
+        keepers. The silence of keepers that were not asked does not show that.
+        """
+        if all(row.entry.keeper in self._failing_since for row in self._rows.values()):
+            self._failing_since.clear()
+            self._failures.clear()
         self._answered_at[host] = self.now
         self._failing_since.pop(host, None)
         self._failures.pop(host, None)
@@ -200,6 +207,13 @@
         pause = min(BACKOFF_MAX, BACKOFF_MIN * 2 ** (failures - 1))
         self._backoff_until[host] = self.now + pause
 
+    @property
+    def is_any_failing(self) -> bool:
+        """Return whether any keeper left the last request unanswered."""
+        return any(
+            row.entry.keeper in self._failing_since for row in self._rows.values()
+        )
+
     @property
     def may_recover_soon(self) -> bool:
         """Return whether any keeper is worth waiting for.
--- a/tests/core/proxy/ratelimits/test_limits.py
+++ b/tests/core/proxy/ratelimits/test_limits.py
@@ -335,3 +335,42 @@
 
 def test_judge_allows_the_limit_and_its_bounds():
     assert allowance(20.0, 20.0) == pytest.approx(152.0)
+
+
+def test_hosts_that_were_cut_off_do_not_replace_the_keepers(world):
+    """Guard against failures noted while cut off, as one keeper answers again.
+
+    Hosts replaced the keepers that they had not asked again yet, and customers below
+    their limits were refused for 12 s, until the new keepers had full rights.
+    """
+    before = _keepers(world)
+    names = {world.hosts[index].name for index in before.values()}
+    cut = [index for index in range(HOSTS) if index not in before.values()]
+    for index in cut:
+        world.hosts[index].cut_from.update(names)
+    for _ in range(8):  # less than the time after which such hosts replace keepers
+        for index in cut:
+            world.caller(index, "own", "key-a").send(Read("a"))
+        world.run(1.0)
+    for index in cut:
+        world.hosts[index].cut_from.clear()
+    for _ in range(5):
+        for index in cut:
+            world.caller(index, "own", "key-a").send(Read("a"))
+        world.run(1.0)
+    assert not any(host.logged("limits_part_lost") for host in world.hosts)
+    assert _keepers(world) == before
+
+
+@pytest.mark.parametrize("interval", [2.5, 4.0])
+def test_keeper_is_replaced_while_hosts_rarely_ask(interval):
+    """Guard against failures that are forgotten as no keeper was asked for a while."""
+    world = _world(hosts=24)
+    killed = min(_keepers(world).values())
+    name = world.kill(killed).name
+    others = [index for index in range(24) if index != killed]
+    for step in range(int(10.0 / interval * 24)):
+        world.caller(others[step % 23], "own", "key-a").send(Read("a"))
+        world.run(interval / 24)
+    rows = world.hosts[others[0]].node.system(Keepers)._rows
+    assert name not in {row.entry.keeper for row in rows.values()}
