Begin no comparison that another one has replaced

Cause: a comparison without an answer schedules the next one 0.1 s later. If a replica restarts meanwhile, the next one begins at once, and the timer stays.

A timer now begins a round only if the round that scheduled it is still the newest.

--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -588,7 +588,7 @@
         if not attempt.order_count:
             # A primary that is back serves writes while replicas are waited for.
             self._fence_orders.suspend(attempt)
-        self.timers.after(ROUND_INTERVAL, self._begin_round, attempt)
+        self.timers.after(ROUND_INTERVAL, self._begin_round, attempt, attempt.rounds)
 
     def _suspend_fence(self, attempt: Replacement, round_number: int) -> None:
         """Lift the fence while a slow round waits for a replica that may be down."""
@@ -596,8 +596,9 @@
         if is_current and attempt.outstanding and not attempt.order_count:
             self._fence_orders.suspend(attempt)
 
-    def _begin_round(self, attempt: Replacement) -> None:
-        if not attempt.is_ended:
+    def _begin_round(self, attempt: Replacement, rounds: int) -> None:
+        """Begin the next round, unless another event has begun it meanwhile."""
+        if not attempt.is_ended and attempt.rounds == rounds:
             self._compare(attempt)
 
     def _on_endpoint_changed(self, signal: EndpointChanged) -> None:
--- /dev/null
+++ b/tests/core/proxy/test_overlapping_promotions.py
@@ -0,0 +1,63 @@
+"""Acknowledged commits survive promotion orders for different members of one group.
+
+A primary leaves while a replica does not answer for longer than a claim lasts. Several
+hosts then compare replicas at the same time, each under a claim of its own.
+"""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from mallowpass.core.proxy.statements import Write
+from mallowpass.standins.proxied.replicas import GroupTimes
+from mallowpass.standins.proxied.virtual.heartbeats import Heartbeats
+from mallowpass.standins.proxied.virtual.world import MEMBERS, ProxyWorld
+
+DISTANCE = 0.012  # seconds that a message takes from one region to another
+WRITE_INTERVAL = 0.05  # seconds between two writes of a host
+ORDER_WAIT = 6.0  # seconds, at most, for a promotion order
+FOUR_MEMBERS = {**MEMBERS, "db-casa-2": "casa"}
+
+
+def keep_writing(world: ProxyWorld) -> None:
+    """Write at all hosts, twenty times a second."""
+    for index in range(len(world.hosts)):
+        world.caller(index, "own").send(Write("a 1"))
+    world.timers.after(WRITE_INTERVAL, keep_writing, world)
+
+
+def new_world(seed: int, promotion: float) -> ProxyWorld:
+    """Return a world of six hosts and four members under load."""
+    times = GroupTimes(promotion=promotion)
+    world = ProxyWorld(
+        hosts=6, seed=seed, members=FOUR_MEMBERS, distance=DISTANCE, times=times
+    )
+    keep_writing(world)
+    return world
+
+
+def drain_primary(world: ProxyWorld, heartbeats: Heartbeats) -> None:
+    """Have the primary report that it leaves."""
+    heartbeats.draining.add(world.primary.name)
+    heartbeats.renew(world.primary)
+
+
+@pytest.mark.parametrize("seed", [19, 24, 43, 75, 81, 109, 110, 115])
+def test_hosts_that_waited_for_one_replica_lose_nothing(seed: int):
+    """Guard against two hosts that promote different members within a second."""
+    rng = random.Random(seed)
+    world = new_world(seed, rng.choice((0.3, 0.6, 1.0)))
+    heartbeats = Heartbeats(world)
+    world.run(2.0)
+    primary = world.primary.name
+    silent = rng.choice([name for name in FOUR_MEMBERS if name != primary])
+    world.crash(silent, dark=True)
+    world.run(rng.uniform(0.0, 0.5))
+    drain_primary(world, heartbeats)
+    world.run(rng.uniform(2.0, 8.0))
+    world.restart(silent)
+    world.run(8.0)
+    assert world.group.promotions
+    assert world.group.lost == []
