Keep an accepted promotion order pending if the next one is not sent

Cause: the pending orders for one target shared one count and one time. An order that is accepted counts as answered, and expires 2 s later. If the attempt then prepares another order for the same target, and does not send it (the claim could not be renewed), the answer "refused" set that shared time to now: the accepted order was forgotten. Replicas resumed while it was being carried out, and the next attempt chose another target.

Each order now has a number, and an answer concerns that order alone.

Evidence: before, `note_order`, `note_answer(True)`, `note_order`, `note_answer(False)` left nothing pending.

--- a/mallowpass/core/proxy/pendingorders.py
+++ b/mallowpass/core/proxy/pendingorders.py
@@ -22,7 +22,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.signals import PrimaryChanged
@@ -39,16 +39,27 @@
 
 
 @dataclass(slots=True)
-class _Order:
-    """Describe the pending orders for one target."""
+class _Orders:
+    """Describe the pending orders for one target; times are of this host's clock."""
 
-    until: float  # the time at which the last of the orders expires
-    unanswered_count: int = 0  # orders without an answer
-    # The primary's commits had been stopped before the order.
+    accepted_until: float = float("-inf")  # when the last accepted one expires
+    foreign_until: float = float("-inf")  # when the last one of another host expires
+    unanswered: dict[int, float] = field(default_factory=dict)  # expiry by number
+    # The primary's commits had been stopped before the newest order.
     is_quiesced: bool = False
     # Another replica's pause has ended since.
     has_pause_ended: bool = False
 
+    @property
+    def until(self) -> float:
+        """Return the time at which the last of the orders expires."""
+        return max(self.accepted_until, self.foreign_until, *self.unanswered.values())
+
+    def is_unanswered(self, now: float) -> bool:
+        """Return whether an order that has not expired has no known answer."""
+        unanswered = max(self.unanswered.values(), default=self.foreign_until)
+        return max(unanswered, self.foreign_until) > now
+
 
 class PendingOrders(ProxySystem):
     """Keep the pending promotion orders of this host and of others."""
@@ -57,7 +68,7 @@
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
-        self._orders: dict[str, dict[str, _Order]] = {}  # by service and target
+        self._orders: dict[str, dict[str, _Orders]] = {}  # by service and target
 
     def start(self) -> None:
         """Subscribe to changes of primaries."""
@@ -65,43 +76,47 @@
 
     # -- Orders --------------------------------------------------------------
 
-    def note_order(self, service: str, target: str, is_quiesced: bool) -> None:
-        """Record that an order is about to be sent."""
-        order = self._orders.setdefault(service, {}).setdefault(target, _Order(0.0))
-        order.unanswered_count += 1
-        order.until = self.now + LATE_ORDER_TIMEOUT
-        order.is_quiesced = is_quiesced
-
-    def note_answer(self, service: str, target: str, accepted: bool | None) -> None:
-        """Record the answer to an order; `accepted` is None if there was none."""
-        order = self._orders.get(service, {}).get(target)
-        if order is None or accepted is None:
+    def note_order(
+        self, service: str, target: str, number: int, is_quiesced: bool
+    ) -> None:
+        """Record that an order is about to be sent, under a number of its own."""
+        orders = self._orders.setdefault(service, {}).setdefault(target, _Orders())
+        orders.unanswered[number] = self.now + LATE_ORDER_TIMEOUT
+        orders.is_quiesced = is_quiesced
+
+    def note_answer(
+        self, service: str, target: str, number: int, accepted: bool | None
+    ) -> None:
+        """Record the answer to an order; `accepted` is None if there was none.
+
+        An order that was refused, or not sent at all, leaves those before it pending.
+        """
+        orders = self._orders.get(service, {}).get(target)
+        if orders is None or accepted is None:
             return
-        order.unanswered_count -= 1
-        if order.unanswered_count == 0:
-            order.until = self.now + (ACCEPTED_ORDER_TIMEOUT if accepted else 0.0)
+        orders.unanswered.pop(number, None)
+        if accepted:
+            orders.accepted_until = self.now + ACCEPTED_ORDER_TIMEOUT
 
     def note_foreign_order(self, service: str, target: str, until: float) -> None:
         """Record an order of another host; `until` is a time of this host's clock."""
-        orders = self._orders.setdefault(service, {})
-        order = orders.get(target)
-        if until > self.now and (order is None or order.until < until):
-            order = orders.setdefault(target, _Order(until))
-            order.until, order.unanswered_count = until, 1
+        if until > self.now:
+            orders = self._orders.setdefault(service, {}).setdefault(target, _Orders())
+            orders.foreign_until = max(orders.foreign_until, until)
 
     def pending(self, service: str) -> dict[str, float]:
         """Return the targets of pending orders, each with its time of expiry."""
         orders = self._orders.get(service, {})
-        for target in [t for t, order in orders.items() if order.until <= self.now]:
+        for target in [t for t, each in orders.items() if each.until <= self.now]:
             del orders[target]
-        return {target: order.until for target, order in orders.items()}
+        return {target: each.until for target, each in orders.items()}
 
     def _on_primary_changed(self, signal: PrimaryChanged) -> None:
         """Discard the orders for a new primary, unless one of them has no answer."""
-        orders = self._orders.get(signal.group.service, {})
-        order = orders.get(signal.group.primary)
-        if order is not None and order.unanswered_count == 0:
-            del orders[signal.group.primary]
+        by_target = self._orders.get(signal.group.service, {})
+        orders = by_target.get(signal.group.primary)
+        if orders is not None and not orders.is_unanswered(self.now):
+            del by_target[signal.group.primary]
 
     # -- Receiving -----------------------------------------------------------
 
@@ -120,13 +135,13 @@
         Once a primary's commits have stopped, nothing has to be received. Otherwise the
         target would lack what is acknowledged through a replica whose pause has ended.
         """
-        order = self._orders.get(service, {}).get(target)
-        return order is None or not order.is_quiesced or order.has_pause_ended
+        orders = self._orders.get(service, {}).get(target)
+        return orders is None or not orders.is_quiesced or orders.has_pause_ended
 
     def note_ended_pause(self, service: str) -> None:
         """Record that a replica receives again which is no target of an order."""
-        for order in self._orders.get(service, {}).values():
-            order.has_pause_ended = True
+        for orders in self._orders.get(service, {}).values():
+            orders.has_pause_ended = True
 
     def ordered_target(self, group: GroupRow, names: list[str]) -> str:
         """Return the first of `names` that has a pending order, or an empty string.
--- a/mallowpass/core/proxy/promotionorders.py
+++ b/mallowpass/core/proxy/promotionorders.py
@@ -93,6 +93,7 @@
             position < target_position for position in attempt.received.values()
         )
         service, target = attempt.group.service, attempt.target
+        number = self._node.next_number()
         round_number = attempt.rounds
 
         def on_claim(claim: Claim | None) -> None:
@@ -102,18 +103,19 @@
             if not must_store_first:
                 return
             if is_current and claim is not None:
-                self._send_order(attempt)
+                self._send_order(attempt, number)
                 return
-            self._pending_orders.note_answer(service, target, False)  # it was not sent
+            # It was not sent.
+            self._pending_orders.note_answer(service, target, number, False)
             if is_current:
                 attempt.claim = None
                 why = "claim held by another host, or store unreachable"
                 self._node.publish(OrderFailed(attempt, why))
 
-        self._pending_orders.note_order(service, target, attempt.is_quiesced)
+        self._pending_orders.note_order(service, target, number, attempt.is_quiesced)
         self._claims.raise_must_hold(service, attempt.claim, target_position, on_claim)
         if not must_store_first:
-            self._send_order(attempt)
+            self._send_order(attempt, number)
 
     def let_target_receive(self, attempt: Replacement) -> None:
         """Have the target receive again, as another replica's pause has ended.
@@ -124,7 +126,7 @@
             self._pending_orders.note_ended_pause(attempt.group.service)
             self.resume_target(attempt)
 
-    def _send_order(self, attempt: Replacement) -> None:
+    def _send_order(self, attempt: Replacement, number: int) -> None:
         if self._pending_orders.may_target_receive(
             attempt.group.service, attempt.target
         ):
@@ -135,7 +137,7 @@
             self._fence_orders.renew(attempt)
         attempt.order_count += 1
         self._replacement_log.note_order(attempt)
-        attempt.order_call = self._node.next_number()
+        attempt.order_call = number
         self._unanswered[attempt.order_call] = (attempt, attempt.target)
         attempt.log(
             self._node,
@@ -178,7 +180,8 @@
         if event.call not in self._unanswered:
             return
         attempt, target = self._unanswered.pop(event.call)
-        self._pending_orders.note_answer(attempt.group.service, target, event.accepted)
+        service = attempt.group.service
+        self._pending_orders.note_answer(service, target, event.call, event.accepted)
         if attempt.is_ended or attempt.order_call != event.call:
             return
         if event.accepted:
@@ -216,9 +219,10 @@
             why = "all promotion orders of the attempt were used up"
             self._node.publish(OrderFailed(attempt, why))
         elif self._claims.is_fresh(attempt.claim):
+            number = self._node.next_number()
             self._pending_orders.note_order(
-                attempt.group.service, attempt.target, attempt.is_quiesced
+                attempt.group.service, attempt.target, number, attempt.is_quiesced
             )
-            self._send_order(attempt)
+            self._send_order(attempt, number)
         else:
             self._node.publish(ClaimExpired(attempt))
--- a/tests/core/proxy/test_pending_orders.py
+++ b/tests/core/proxy/test_pending_orders.py
@@ -9,6 +9,7 @@
 import pytest
 
 from mallowpass.core.proxy.claims import CLAIM_USE_TIMEOUT, Claim
+from mallowpass.core.proxy.pendingorders import PendingOrders
 from mallowpass.core.proxy.storage import RowKey, Table
 from mallowpass.standins.proxied.replicas import GroupTimes
 from mallowpass.standins.proxied.virtual.world import SERVICE, ProxyWorld
@@ -20,6 +21,7 @@
     weak_world,
 )
 
+TARGET = OTHERS[0]
 PROMOTION_TIMES = [0.3, 1.0]  # seconds that the platform takes for an order
 
 
@@ -231,3 +233,38 @@
     world.run_until(lambda: world.group.promotions == 1, 3.0)
     assert world.group.promotions == 1
     assert world.group.lost == []
+
+
+def pending_orders() -> PendingOrders:
+    """Return the pending orders of a host under no load."""
+    return ProxyWorld(hosts=1).hosts[0].node.system(PendingOrders)
+
+
+@pytest.mark.parametrize("answer", [False, None])
+def test_accepted_order_stays_pending_whatever_becomes_of_the_next(answer: bool | None):
+    """Guard against replicas that resume before an accepted order is carried out."""
+    orders = pending_orders()
+    orders.note_order(SERVICE, TARGET, 1, is_quiesced=False)
+    orders.note_answer(SERVICE, TARGET, 1, accepted=True)
+    accepted = orders.pending(SERVICE)
+    orders.note_order(SERVICE, TARGET, 2, is_quiesced=False)
+    orders.note_answer(SERVICE, TARGET, 2, accepted=answer)
+    assert orders.pending(SERVICE)[TARGET] >= accepted[TARGET]
+
+
+def test_refused_order_leaves_one_without_an_answer_pending():
+    """Guard against an order without an answer that counts as refused as well."""
+    orders = pending_orders()
+    orders.note_order(SERVICE, TARGET, 1, is_quiesced=False)
+    unanswered = orders.pending(SERVICE)
+    orders.note_order(SERVICE, TARGET, 2, is_quiesced=False)
+    orders.note_answer(SERVICE, TARGET, 2, accepted=False)
+    assert orders.pending(SERVICE) == unanswered
+
+
+def test_refused_order_is_not_pending():
+    """Guard against replicas that wait for an order that was refused."""
+    orders = pending_orders()
+    orders.note_order(SERVICE, TARGET, 1, is_quiesced=False)
+    orders.note_answer(SERVICE, TARGET, 1, accepted=False)
+    assert orders.pending(SERVICE) == {}
