Count a refused fence as confirmed only where it proves no connection

What callers saw: nothing yet; a hole found by reading. A holder that refused the link of a fence counted as if it had no connection to the failed primary. A holder that is busy, that is no holder in its own view, whose link was reset under load, or that does not reach the endpoint by whose link the fence came, was never told, wrote on, and was not named in `fence_unconfirmed`.

Cause: `FenceOrders._order` took `was_refused` for a confirmation, and a holder refuses links by rules that are about forwarding statements.

Change: fences have links of their own, which name the primary. A host accepts such a link if it knows the endpoint at all, whether or not it is a holder or reaches it, and answers the fence itself. A refusal confirms only if it proves that there is no connection: nothing listens at the host's address (`is_gone`), or the host does not know the endpoint and has no connection to it. In any other case the fence is sent again each 50 ms, and the host stays unconfirmed. A refused link of this kind does not stop the use of the holder for statements.

On the wire such a link has a prefix before the name of its host, so that a host of an earlier version takes it for a plain link.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -279,13 +279,19 @@
             self._node.count("slow_links", endpoint=endpoint.name)
             self._node.publish(ConnectionFreed(endpoint))
 
-    def acquire_via(self, endpoint: EndpointRow, host: HostRow) -> ConnectionRow | None:
+    def acquire_via(
+        self, endpoint: EndpointRow, host: HostRow, carries_fences: bool = False
+    ) -> ConnectionRow | None:
         """Return an idle single-use connection through a host; open one if needed."""
         for connection in endpoint.connections.values():
-            if connection.is_single_use and connection.holder == host.name:
+            if (
+                connection.is_single_use
+                and connection.holder == host.name
+                and connection.carries_fences == carries_fences
+            ):
                 is_idle = connection.state is ConnectionState.IDLE
                 return connection if is_idle else None
-        self._open(endpoint, host, None, is_single_use=True)
+        self._open(endpoint, host, None, True, carries_fences)
         return None
 
     def open_check(self, endpoint: EndpointRow, host: HostRow) -> ConnectionRow:
@@ -359,7 +365,7 @@
         if not self.tables.is_current(connection.endpoint):
             self.close(connection, "the endpoint was removed or has restarted")
             return
-        if self._shares.is_surplus(connection):
+        if not connection.carries_fences and self._shares.is_surplus(connection):
             self.close(connection, "it exceeds this host's share")
             return
         connection.state = ConnectionState.IDLE
@@ -413,6 +419,7 @@
         via: HostRow | None,
         customer: str | None,
         is_single_use: bool = False,
+        carries_fences: bool = False,
     ) -> ConnectionRow:
         number = self._node.next_number()
         entry = endpoint.entry
@@ -426,12 +433,19 @@
             holder=holder,
             customer=customer,
             is_single_use=is_single_use,
+            carries_fences=carries_fences,
         )
         self.tables.connections[number] = connection
         endpoint.connections[number] = connection
         self._node.emit(
             OpenConnection(
-                number, address, entry.service, entry.name, CONNECT_TIMEOUT, customer
+                number,
+                address,
+                entry.service,
+                entry.name,
+                CONNECT_TIMEOUT,
+                customer,
+                carries_fences,
             )
         )
         self._count_use("connections_opened", connection)
@@ -461,6 +475,8 @@
         """
         if not connection.holder:
             return True
+        if connection.carries_fences:
+            return False
         return not self._holders.holds(connection.endpoint.entry.service)
 
     def _on_refused(self, event: ConnectionRefused) -> None:
@@ -482,9 +498,15 @@
             if is_definitive:
                 self._holders.note_reply(connection.holder)
             self._node.publish(
-                ForwardedConnectionRefused(endpoint, connection.holder, is_definitive)
+                ForwardedConnectionRefused(
+                    endpoint,
+                    connection.holder,
+                    is_definitive,
+                    connection.carries_fences,
+                    event.is_gone or event.code is Code.WRONG_ENDPOINT,
+                )
             )
-            if self._avoid_holder(connection, event):
+            if connection.carries_fences or self._avoid_holder(connection, event):
                 return
         if event.code is Code.TOO_MANY_CONNECTIONS:
             pause = FULL_BACKOFF * self._node.random.uniform(1.0, 2.0)
--- a/mallowpass/core/proxy/control.py
+++ b/mallowpass/core/proxy/control.py
@@ -15,6 +15,7 @@
     Code,
     EndpointCall,
     EndpointReply,
+    Fence,
     Statement,
 )
 from mallowpass.core.proxy.tables import (
@@ -65,6 +66,11 @@
         self.connection: ConnectionRow | None = None
         self.timer: Timer | None = None
 
+    @property
+    def carries_fences(self) -> bool:
+        """Return whether the host that gets the statements carries them out itself."""
+        return all(isinstance(call.statement, Fence) for call in self.calls)
+
     @property
     def was_sent(self) -> bool:
         """Return whether the statements were sent on a connection."""
@@ -107,11 +113,18 @@
         self._try_to_send(request)
         return request
 
-    def cancel_forwarded(self, endpoint: EndpointRow, host: str) -> None:
+    def cancel(self, request: ControlRequest) -> None:
+        """End a request; its handler gets None unless it got replies before."""
+        self._finish(request, None)
+
+    def cancel_forwarded(
+        self, endpoint: EndpointRow, host: str, carries_fences: bool
+    ) -> None:
         """End requests that wait for a connection to an endpoint through a host."""
         for request in list(self._waiting):
             is_via_host = request.via is not None and request.via.name == host
-            if is_via_host and request.endpoint is endpoint:
+            is_same_kind = request.carries_fences == carries_fences
+            if is_via_host and is_same_kind and request.endpoint is endpoint:
                 self._finish(request, None)
 
     def _on_connection_freed(self, signal: ConnectionFreed) -> None:
@@ -154,7 +167,9 @@
     def _take_connection(self, request: ControlRequest) -> ConnectionRow | None:
         """Return an idle connection; if there is none, open one and return None."""
         if request.via is not None:
-            return self._connections.acquire_via(request.endpoint, request.via)
+            return self._connections.acquire_via(
+                request.endpoint, request.via, request.carries_fences
+            )
         connection = self._connections.acquire(request.endpoint, None)
         if connection is None:
             self._connections.grow(request.endpoint, beyond_share=True)
--- a/mallowpass/core/proxy/effects.py
+++ b/mallowpass/core/proxy/effects.py
@@ -96,7 +96,9 @@
 class OpenConnection(ProxyEffect):
     """Open a connection to an endpoint on behalf of a customer; `timeout` in seconds.
 
-    If `customer` is None, the connection is for this host itself.
+    If `customer` is None, the connection is for this host itself. A link that
+    `carries_fences` is accepted by each host that knows the endpoint, also by one that
+    can't reach it.
     """
 
     connection: int
@@ -105,6 +107,7 @@
     endpoint: str
     timeout: float
     customer: str | None = None
+    carries_fences: bool = False
 
 
 @record
--- a/mallowpass/core/proxy/events.py
+++ b/mallowpass/core/proxy/events.py
@@ -88,13 +88,15 @@
 class ConnectionRefused(ProxyEvent):
     """An endpoint refused a connection, or could not be reached (code OTHER).
 
-    `unreachable` is true if nothing answered at all.
+    `unreachable` is true if nothing answered at all, and `is_gone` if its machine
+    answered that no process listens at the address.
     """
 
     connection: int
     code: Code
     message: str
     unreachable: bool = False
+    is_gone: bool = False
 
 
 @record
@@ -113,6 +115,7 @@
     host: str
     service: str
     endpoint: str
+    carries_fences: bool = False
 
 
 @record
--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -23,6 +23,7 @@
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.connections import Connections
+from mallowpass.core.proxy.control import ControlRequest
 from mallowpass.core.proxy.demotion import Demotion
 from mallowpass.core.proxy.durability import Durability
 from mallowpass.core.proxy.fencing import FENCE_DURATION, Fencing
@@ -45,6 +46,8 @@
 STEP_DOWN_TIMEOUT = 0.08
 # Between two fences that are sent for the rounds of one comparison.
 RENEW_INTERVAL = 0.5
+# Before a holder is told once more that has not confirmed the fence.
+RETRY_INTERVAL = 0.05
 
 SettledHandler = Callable[[], None]
 
@@ -59,6 +62,7 @@
     renewed_at: float
     hosts_version: int  # of the hosts' entries by which holders are told
     unconfirmed: set[str] = field(default_factory=set)  # holders
+    requests: dict[str, ControlRequest] = field(default_factory=dict)  # by holder
     is_settled: bool = False
 
 
@@ -94,9 +98,11 @@
         group = signal.group
         if not self._holders.holds(group.service):
             return
-        path = self._paths(group, group.primary)[0]
+        primary = group.primary_row
+        if primary is None:
+            return
         for host in self._holders.other_holders(group.service):
-            self._connections.acquire_via(path, host)
+            self._connections.acquire_via(primary, host, carries_fences=True)
 
     def begin(self, attempt: Replacement, handler: SettledHandler) -> None:
         """Fence an attempt's primary, or renew its fence.
@@ -120,9 +126,8 @@
         own_name = self._node.identity.name
         others = self._holders.other_holders(service)
         task.unconfirmed = {own_name, *(host.name for host in others)}
-        paths = self._paths(attempt.group, attempt.primary)
         for host in others:
-            self._order(task, host, paths)
+            self._order(task, host)
         self._fencing.fence(
             primary,
             FENCE_DURATION,
@@ -156,7 +161,7 @@
     def end(self, attempt: Replacement, is_order_pending: bool) -> None:
         """End the task of an attempt; lift its fence unless its order is pending."""
         group = attempt.group
-        if self._tasks.pop(group.service, None) is None:
+        if not self._remove(attempt):
             return
         if group.primary not in ("", attempt.primary):
             return
@@ -167,11 +172,21 @@
 
     def suspend(self, attempt: Replacement) -> None:
         """Lift the fence of an attempt that can't order a promotion yet."""
-        if self._tasks.pop(attempt.group.service, None) is not None:
+        if self._remove(attempt):
             attempt.fenced_round = None
             attempt.confirmed_fence = None
             self.lift(attempt.group, attempt.primary)
 
+    def _remove(self, attempt: Replacement) -> bool:
+        """Remove the task of an attempt; return whether there was one."""
+        task = self._tasks.pop(attempt.group.service, None)
+        if task is None:
+            return False
+        # A lift would otherwise wait for the reply to a fence on the same link.
+        for request in list(task.requests.values()):
+            self._forwarded_orders.cancel(request)
+        return True
+
     def _is_current(self, task: _Task) -> bool:
         return self._tasks.get(task.attempt.group.service) is task
 
@@ -180,15 +195,6 @@
 
     # -- Orders to holders ---------------------------------------------------
 
-    @staticmethod
-    def _paths(group: GroupRow, primary: str) -> list[EndpointRow]:
-        """Return the endpoints whose links may carry an order, the primary last.
-
-        A holder refuses links to an endpoint that it can't reach.
-        """
-        endpoints = group.endpoints.values()
-        return sorted(endpoints, key=lambda e: (e.name == primary, e.name))
-
     def fence(self, group: GroupRow, primary: str) -> None:
         """Have all holders fence a primary, without waiting for confirmations."""
         self._send_all(group, primary, FENCE_DURATION)
@@ -207,40 +213,33 @@
         else:
             self._fencing.lift(primary, own_name)
         fence = Fence(primary_name, duration, own_name)
-        paths = self._paths(group, primary_name)
         for host in self._holders.other_holders(group.service):
-            self._send(fence, host, paths, lambda reply: None)
+            self._forwarded_orders.send_through(
+                primary, fence, host, lambda reply: None
+            )
+
+    def _order(self, task: _Task, host: HostRow) -> None:
+        """Have a holder fence the primary; repeat it until the holder confirms."""
+        primary = self._primary(task.attempt)
+        is_done = host.name not in task.unconfirmed
+        if is_done or primary is None or not self._is_current(task):
+            return
 
-    def _order(self, task: _Task, host: HostRow, paths: list[EndpointRow]) -> None:
         def on_reply(forwarded: ForwardedReply) -> None:
-            if forwarded.was_refused:
-                # The host is down, or has no connection to any member.
-                self._confirm(task, host.name)
-                return
+            task.requests.pop(host.name, None)
             evidence = _evidence_of(forwarded)
             if evidence is not None:
                 self._on_evidence(task, host.name, evidence)
+            elif forwarded.is_unconnected:
+                self._confirm(task, host.name)
+            else:
+                self.timers.after(RETRY_INTERVAL, self._order, task, host)
 
         own_name = self._node.identity.name
         fence = Fence(task.attempt.primary, FENCE_DURATION, own_name)
-        self._send(fence, host, paths, on_reply)
-
-    def _send(
-        self,
-        fence: Fence,
-        host: HostRow,
-        paths: list[EndpointRow],
-        handler: Callable[[ForwardedReply], None],
-    ) -> None:
-        """Send a fence to a holder by the first path that it does not refuse."""
-
-        def on_reply(reply: ForwardedReply) -> None:
-            if reply.was_refused and len(paths) > 1:
-                self._send(fence, host, paths[1:], handler)
-            else:
-                handler(reply)
-
-        self._forwarded_orders.send_through(paths[0], fence, host, on_reply)
+        task.requests[host.name] = self._forwarded_orders.send_through(
+            primary, fence, host, on_reply
+        )
 
     # -- Confirmations -------------------------------------------------------
 
--- a/mallowpass/core/proxy/forwardedorders.py
+++ b/mallowpass/core/proxy/forwardedorders.py
@@ -10,10 +10,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from mallowpass.core.proxy.control import Control
+from mallowpass.core.proxy.control import Control, ControlRequest
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.signals import ForwardedConnectionRefused
-from mallowpass.core.proxy.statements import Code, EndpointReply, Statement
+from mallowpass.core.proxy.statements import Code, EndpointReply, Fence, Statement
 from mallowpass.core.proxy.tables import EndpointRow, HostRow, ProxySystem
 from mallowpass.core.records import record
 
@@ -27,14 +27,15 @@
 class ForwardedReply:
     """What became of an order that another host was to forward.
 
-    The host refused to forward it if `was_refused`. Otherwise `reply` is None if no
-    reply came in time.
+    The host refused to forward it if `was_refused`, and has no connection to the
+    endpoint if `is_unconnected`. Otherwise `reply` is None if no reply came in time.
     """
 
     host: str
     reply: EndpointReply | None
     was_sent: bool  # the host accepted the connection to forward it
     was_refused: bool
+    is_unconnected: bool
 
     @property
     def has_answered(self) -> bool:
@@ -56,10 +57,16 @@
 
     host: str
     endpoint: str
+    carries_fences: bool
     was_refused: bool = False  # the host definitely refused the connection
+    is_unconnected: bool = False  # the host has no connection to the endpoint
 
-    def leads_to(self, host: str, endpoint: str) -> bool:
-        return self.host == host and self.endpoint == endpoint
+    def is_refused_by(self, signal: ForwardedConnectionRefused) -> bool:
+        return (
+            self.host == signal.host
+            and self.endpoint == signal.endpoint.name
+            and self.carries_fences == signal.carries_fences
+        )
 
 
 class ForwardedOrders(ProxySystem):
@@ -92,24 +99,38 @@
         order: Statement,
         host: HostRow,
         handler: ForwardedReplyHandler,
-    ) -> None:
-        """Send an order through one other host."""
-        route = _Route(host.name, endpoint.name)
+        timeout: float = ORDER_TIMEOUT,
+    ) -> ControlRequest:
+        """Send an order through one other host; `timeout` is in seconds."""
+        route = _Route(host.name, endpoint.name, isinstance(order, Fence))
         self._routes.append(route)
 
         def on_replies(replies: list[EndpointReply] | None) -> None:
             reply = replies[0] if replies else None
             self._routes.remove(route)
             handler(
-                ForwardedReply(host.name, reply, request.was_sent, route.was_refused)
+                ForwardedReply(
+                    host.name,
+                    reply,
+                    request.was_sent,
+                    route.was_refused,
+                    route.is_unconnected,
+                )
             )
 
         control = self._control
-        request = control.send(endpoint, (order,), on_replies, ORDER_TIMEOUT, host)
+        request = control.send(endpoint, (order,), on_replies, timeout, host)
+        return request
+
+    def cancel(self, request: ControlRequest) -> None:
+        """End an order without a reply, if there was none."""
+        self._control.cancel(request)
 
     def _on_refused(self, signal: ForwardedConnectionRefused) -> None:
-        if signal.is_definitive:
-            for route in self._routes:
-                if route.leads_to(signal.host, signal.endpoint.name):
-                    route.was_refused = True
-        self._control.cancel_forwarded(signal.endpoint, signal.host)
+        for route in self._routes:
+            if signal.is_definitive and route.is_refused_by(signal):
+                route.was_refused = True
+                route.is_unconnected = signal.is_unconnected
+        self._control.cancel_forwarded(
+            signal.endpoint, signal.host, signal.carries_fences
+        )
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -126,9 +126,15 @@
 
     def _on_opened(self, event: LinkOpened) -> None:
         endpoint = self.tables.endpoints.get(event.endpoint)
-        if endpoint is None or endpoint.entry.service != event.service:
+        is_unknown = endpoint is None or endpoint.entry.service != event.service
+        if is_unknown and self._is_connected_to(event.endpoint):
+            message = f"{event.endpoint!r} was removed, and connections are open"
+            self._node.emit(RefuseLink(event.link, Code.BUSY, message))
+        elif is_unknown:
             message = f"this host knows no endpoint {event.endpoint!r}"
             self._node.emit(RefuseLink(event.link, Code.WRONG_ENDPOINT, message))
+        elif event.carries_fences:
+            self._accept_link(event, endpoint)
         elif not self._holders.holds(event.service):
             # Two hosts with different views of the fleet could otherwise forward calls
             # to each other.
@@ -138,11 +144,19 @@
             message = f"{self._node.identity.name} can't reach {event.endpoint!r}"
             self._node.emit(RefuseLink(event.link, Code.UNREACHABLE, message))
         else:
-            is_from_holder = self._holders.is_holder(event.service, event.host)
-            link = LinkRow(event.link, endpoint, is_from_holder)
-            self.tables.links[event.link] = link
-            floor = self._floor_hint(event.service, self.now)
-            self._node.emit(AcceptLink(event.link, endpoint.position, floor))
+            self._accept_link(event, endpoint)
+
+    def _accept_link(self, event: LinkOpened, endpoint: EndpointRow) -> None:
+        is_from_holder = self._holders.is_holder(event.service, event.host)
+        link = LinkRow(event.link, endpoint, is_from_holder, event.carries_fences)
+        self.tables.links[event.link] = link
+        floor = self._floor_hint(event.service, self.now)
+        self._node.emit(AcceptLink(event.link, endpoint.position, floor))
+
+    def _is_connected_to(self, name: str) -> bool:
+        """Return whether connections to an endpoint that was removed are open."""
+        connections = self.tables.connections.values()
+        return any(c.endpoint.name == name and not c.holder for c in connections)
 
     def _on_closed(self, event: LinkClosed) -> None:
         link = self.tables.links.pop(event.link, None)
@@ -215,6 +229,9 @@
             self._accept(call.statement, plain, link)
         if not link.waiting:
             return
+        if link.carries_fences:
+            self._refuse(link, Code.BUSY, "the link carries fences alone")
+            return
         if self._is_outdated(link):
             self._refuse_outdated(link)
             return
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -120,12 +120,15 @@
     """A connection to an endpoint by way of another host could not be opened.
 
     `is_definitive` is true if that host refused it, or if no host runs at its address;
-    it is false if no answer came.
+    it is false if no answer came. `is_unconnected` is true if that host has no
+    connection to the endpoint: its process is gone, or it does not know the endpoint.
     """
 
     endpoint: EndpointRow
     host: str
     is_definitive: bool
+    carries_fences: bool
+    is_unconnected: bool
 
 
 @record
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -97,6 +97,7 @@
     on_lost: Callable[[ConnectionRow, str], None] | None = None
     holder: str = ""  # name of the holder that forwards its calls; empty: direct
     is_single_use: bool = False  # closed after one request of this host itself
+    carries_fences: bool = False  # a link that its holder accepts for fences alone
     # A statement of its customer has run on it.
     has_served: bool = False
     # Its holder has sent a load report, so it also knows the time left of calls.
@@ -385,6 +386,7 @@
     number: int
     endpoint: EndpointRow
     is_from_holder: bool  # the other host holds connections to the endpoint as well
+    carries_fences: bool = False  # calls other than fences are refused
     values: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, PreparedStatement] = field(default_factory=dict)  # by name
     waiting: deque[EndpointCall] = field(default_factory=deque)
--- a/mallowpass/platform/endpoints.py
+++ b/mallowpass/platform/endpoints.py
@@ -84,6 +84,10 @@
             connection.close()
             self._report_unreachable(number, "no answer in time")
             return
+        except ConnectionRefusedError as error:
+            connection.close()
+            self._report_unreachable(number, str(error), is_gone=True)
+            return
         except (OSError, SettingsError, ValueError) as error:
             # ValueError: a host name that sockets do not accept. If the error were not
             # caught, the attempt would count as in progress forever, and the number
@@ -109,8 +113,8 @@
         self._connections[number] = connection
         self._sink(ConnectionReady(number, connection.position, connection.floor))
 
-    def _report_unreachable(self, number: int, why: str) -> None:
-        self._sink(ConnectionRefused(number, Code.OTHER, why, unreachable=True))
+    def _report_unreachable(self, number: int, why: str, is_gone: bool = False) -> None:
+        self._sink(ConnectionRefused(number, Code.OTHER, why, True, is_gone))
 
 
 class _Connection(asyncio.Protocol):
@@ -189,6 +193,8 @@
         enable_keepalive(transport)
         effect = self._effect
         caller = self._host_name if effect.customer is None else effect.customer
+        if effect.carries_fences:
+            caller = f"{wire.FENCE_LINK_PREFIX}{caller}"
         line = f"CONNECT {effect.service} {caller} {effect.endpoint}\r\n"
         self._transport.write(wire.encode(line))
 
--- a/mallowpass/platform/links.py
+++ b/mallowpass/platform/links.py
@@ -78,5 +78,7 @@
         if len(fields) != 3:
             raise wire.WireError("CONNECT requires a service, a host and an endpoint")
         self._is_open = True
-        service, host, endpoint = fields
-        self._sink(LinkOpened(self._number, host, service, endpoint))
+        service, caller, endpoint = fields
+        host = caller.removeprefix(wire.FENCE_LINK_PREFIX)
+        is_for_fences = host != caller
+        self._sink(LinkOpened(self._number, host, service, endpoint, is_for_fences))
--- a/mallowpass/platform/wire.py
+++ b/mallowpass/platform/wire.py
@@ -40,6 +40,7 @@
 )
 
 __all__ = [
+    "FENCE_LINK_PREFIX",
     "MAX_LINE_BYTES",
     "LineBuffer",
     "WireError",
@@ -63,6 +64,8 @@
 MAX_LINE_BYTES = 1 << 20  # the platform's documented limit for one message
 # Request id of statements that a host sends for itself, not for a caller: RESET etc.
 INTERNAL_REQUEST_ID = "-"
+# Precedes the name of a host that opens a link for fences.
+FENCE_LINK_PREFIX = "fences:"
 # Prefixes of statements that one host forwards to another; endpoints do not know them.
 _PRIORITY_PREFIX = "PRIORITY"
 _CUSTOMER_PREFIX = "CUSTOMER"
--- a/mallowpass/standins/proxied/virtual/world.py
+++ b/mallowpass/standins/proxied/virtual/world.py
@@ -213,16 +213,23 @@
         name = effect.address.partition(":")[0]
         holder = next((h for h in self.hosts if h.name == name), None)
         refused = ConnectionRefused(effect.connection, Code.OTHER, "", True)
+        gone = ConnectionRefused(effect.connection, Code.OTHER, "", True, True)
         if holder is not None and self.is_cut(host, holder):
             host.later(effect.timeout, refused)
             return
         if holder is None or holder.exited:
-            host.later(self.way(host, effect), refused)
+            host.later(self.way(host, effect), gone)
             return
         delay = self.delay(host.domain, holder.domain)
         link = Link(self.number(), host, holder, effect.connection, delay)
         self.all_links[link.number] = link
-        opened = LinkOpened(link.number, host.name, effect.service, effect.endpoint)
+        opened = LinkOpened(
+            link.number,
+            host.name,
+            effect.service,
+            effect.endpoint,
+            effect.carries_fences,
+        )
         holder.deliver(opened)
 
     # -- Relays --------------------------------------------------------------
--- a/tests/core/proxy/test_fence_orders.py
+++ b/tests/core/proxy/test_fence_orders.py
@@ -12,7 +12,13 @@
 import pytest
 
 from mallowpass.core.messages import Event
-from mallowpass.core.proxy.events import EndpointAnswered, LinkCalled, ProxyEvent
+from mallowpass.core.proxy.events import (
+    ConnectionRefused,
+    EndpointAnswered,
+    LinkCalled,
+    LinkOpened,
+    ProxyEvent,
+)
 from mallowpass.core.proxy.promotion import Promotion
 from mallowpass.core.proxy.statements import Code, EndpointReply, Fence, Write
 from mallowpass.core.proxy.writeholds import WriteHolds
@@ -258,6 +264,67 @@
     assert [line["hosts"] for line in logged(world, "fence_unconfirmed")] == ["host-0"]
 
 
+def refuse_links(host: Host, code: Code, is_reset: bool) -> None:
+    """Have a host refuse all links, as one that is overloaded does."""
+    deliver = host.deliver
+
+    def deliver_or_refuse(event: Event | ProxyEvent) -> None:
+        if not isinstance(event, LinkOpened):
+            deliver(event)
+            return
+        link = host.world.link(event.link)
+        refused = ConnectionRefused(link.connection, code, "busy", is_reset)
+        link.host.later(link.delay, refused)
+
+    host.deliver = deliver_or_refuse
+
+
+@pytest.mark.parametrize(
+    ("code", "is_reset"),
+    [(Code.BUSY, False), (Code.UNREACHABLE, False), (Code.OTHER, True)],
+)
+def test_a_holder_that_refuses_links_has_not_confirmed(make_world, code, is_reset):
+    """Guard against a refusal that counts as if its host had no connection."""
+    world = make_world()
+    Writes(world, 0, 1, 2, 3)
+    world.run(1.0)
+    refuse_links(world.hosts[0], code, is_reset)
+    world.cut(0, "store")
+    cut_primary(world)
+    run_until_ordered(world)
+    assert not holds(world)[0]
+    assert [line["hosts"] for line in logged(world, "fence_unconfirmed")] == ["host-0"]
+
+
+def test_a_holder_that_refuses_links_at_first_is_told_again(make_world):
+    """Guard against a holder that writes on, as it refused the first links."""
+    world = make_world()
+    Writes(world, 0, 1, 2, 3)
+    world.run(1.0)
+    deliver = world.hosts[0].deliver
+    refuse_links(world.hosts[0], Code.BUSY, is_reset=False)
+    world.cut(0, "store")
+    cut_primary(world)
+    run_until_begun(world)
+    world.run(2 * LINK)
+    world.hosts[0].deliver = deliver
+    run_until_ordered(world)
+    assert holds(world) == [True] * 4
+    run_until_led(world)
+    check_guarantees(world)
+
+
+def test_a_holder_whose_process_is_gone_is_not_waited_for(make_world):
+    """Guard against an order that waits for a host without connections."""
+    world = make_world()
+    Writes(world, 1, 2, 3)
+    world.run(1.0)
+    world.kill(0)
+    lose_primary(world)
+    run_until_ordered(world)
+    assert logged(world, "fence_unconfirmed") == []
+
+
 # -- Commits in flight ---------------------------------------------------------------
 
 
