Order a promotion on a proven fence, or on pauses read after a longer wait

On slow hosts 0.15 s pass as a rule, and the promotion is ordered while a holder still writes to the failed primary.

Cause: `_stop_waiting` settled the fence by a clock, and the end of a demotion settled it whether or not the primary had answered.

Change: the attempt records how the wait ended (`FenceOutcome`) and which hosts are unconfirmed. It is settled by the confirmations of all holders, or by the primary's own answer that it is a replica (a new signal of `Demotion`, also for an answer whose task has been replaced). In the case of neither, the wait goes on, for 1 s from the fence on at most, while a holder that has not confirmed is alive: it has sent something since, or links to it are known to take that long. So does the wait for a primary that answers this host. Then replicas are paused and compared once more before the order, as the round has to be later than the end of the wait. A host that sends nothing is waited for as long as before.

Evidence: test_order_waits_for_a_holder_with_slow_links failed before with 0.2 and 0.4 s more on the links of the only host that reaches the primary, and passes now.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -457,7 +457,8 @@
             return
         endpoint = connection.endpoint
         if connection.holder:
-            self._holders.mark_answered(connection.holder)
+            link_time = self.now - connection.opened_at
+            self._holders.mark_answered(connection.holder, link_time)
         else:
             endpoint.last_direct_reply_at = self.now
         if self._shows_endpoint_alive(connection):
--- a/mallowpass/core/proxy/demotion.py
+++ b/mallowpass/core/proxy/demotion.py
@@ -28,6 +28,7 @@
     EndpointExpired,
     EndpointRestarted,
     EndpointUnreachable,
+    PrimarySteppedDown,
 )
 from mallowpass.core.proxy.statements import Code, Demote, EndpointReply
 from mallowpass.core.proxy.tables import ConnectionState, EndpointRow, ProxySystem
@@ -162,7 +163,10 @@
         if not self._is_current(task):
             return
 
+        ordered_at = self.now
+
         def on_reply(reply: ForwardedReply) -> None:
+            self._note_reply(task.endpoint, reply.reply, ordered_at)
             self._on_forwarded_reply(task, reply)
 
         task.is_forwarded = True
@@ -198,10 +202,21 @@
             return
         task.tries += 1
         self._make_room(task.endpoint)
-        order = Demote(task.term)
-        self._replica_orders.send(
-            task.endpoint, order, lambda r: self._on_reply(task, r)
-        )
+        ordered_at = self.now
+
+        def on_reply(reply: EndpointReply | None) -> None:
+            self._note_reply(task.endpoint, reply, ordered_at)
+            self._on_reply(task, reply)
+
+        self._replica_orders.send(task.endpoint, Demote(task.term), on_reply)
+
+    def _note_reply(
+        self, endpoint: EndpointRow, reply: EndpointReply | None, ordered_at: float
+    ) -> None:
+        """Publish that an endpoint has stepped down, also if its task has ended."""
+        status = None if reply is None else reply.status
+        if status is not None and not status.is_primary:
+            self._node.publish(PrimarySteppedDown(endpoint, ordered_at))
 
     def _is_undisputed_primary(self, endpoint: EndpointRow) -> bool:
         """Return whether an endpoint is primary, and no promotion order is pending."""
--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -29,8 +29,13 @@
 from mallowpass.core.proxy.fencing import FENCE_DURATION, Fencing
 from mallowpass.core.proxy.forwardedorders import ForwardedOrders, ForwardedReply
 from mallowpass.core.proxy.holders import Holders
-from mallowpass.core.proxy.replacement import ConfirmedFence, Reason, Replacement
-from mallowpass.core.proxy.signals import PrimarySuspected
+from mallowpass.core.proxy.replacement import (
+    ConfirmedFence,
+    FenceOutcome,
+    Reason,
+    Replacement,
+)
+from mallowpass.core.proxy.signals import PrimarySteppedDown, PrimarySuspected
 from mallowpass.core.proxy.statements import Fence, FenceEvidence
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, HostRow, ProxySystem
 
@@ -44,6 +49,14 @@
 DRAIN_TIMEOUT = 0.05
 # For a primary that is ordered to step down: a round trip between regions, and a slot.
 STEP_DOWN_TIMEOUT = 0.08
+# At most, while a holder or the primary that has not answered yet is alive.
+WAIT_MAX = 1.0
+WAIT_POLL_INTERVAL = 0.02
+# A holder has sent a reply within this time, or is not alive.
+ALIVE_TIMEOUT = 1.0
+# A holder that is slow to accept links confirms within this multiple of the time: the
+# link, the fence on it, and as much to spare.
+LINK_TIMES = 3
 # Between two fences that are sent for the rounds of one comparison.
 RENEW_INTERVAL = 0.5
 # Before a holder is told once more that has not confirmed the fence.
@@ -63,6 +76,7 @@
     hosts_version: int  # of the hosts' entries by which holders are told
     unconfirmed: set[str] = field(default_factory=set)  # holders
     requests: dict[str, ControlRequest] = field(default_factory=dict)  # by holder
+    demoted_at: float | None = None  # when the primary was ordered to step down
     is_settled: bool = False
 
 
@@ -92,6 +106,7 @@
         self._forwarded_orders = self._node.system(ForwardedOrders)
         self._holders = self._node.system(Holders)
         self._node.subscribe(PrimarySuspected, self._on_suspected)
+        self._node.subscribe(PrimarySteppedDown, self._on_stepped_down)
 
     def _on_suspected(self, signal: PrimarySuspected) -> None:
         """Open links to the other holders, to send a fence at once if it is needed."""
@@ -108,7 +123,8 @@
         """Fence an attempt's primary, or renew its fence.
 
         The handler is called once, when no commit can be acknowledged any more or when
-        the wait for that ends. `attempt.fenced_round` is set before.
+        the wait for that ends. `fenced_round`, `fence_outcome` and `unconfirmed_hosts`
+        of the attempt are set before.
         """
         service = attempt.group.service
         task = self._tasks.get(service)
@@ -140,7 +156,9 @@
     def require(self, attempt: Replacement) -> None:
         """Have the primary step down if holders do not confirm the fence soon.
 
-        A primary whose writes stall has commits in flight that do not end before.
+        A primary whose writes stall has commits in flight that do not end before. The
+        wait goes on while a host that has not answered is alive. A host that is cut off
+        is not waited for: replicas are paused and compared again before the order.
         """
         task = self._tasks.get(attempt.group.service)
         if task is not None and not task.is_settled:
@@ -149,7 +167,7 @@
             self.timers.after(delay, self._demote, task)
             wait = task.began_at + CONFIRM_TIMEOUT - self.now
             wait = max(wait, delay + STEP_DOWN_TIMEOUT)
-            self.timers.after(wait, self._stop_waiting, task)
+            self.timers.after(wait, self._check_wait, task)
 
     def renew(self, attempt: Replacement) -> None:
         """Have all holders fence an attempt's primary for longer."""
@@ -174,6 +192,7 @@
         """Lift the fence of an attempt that can't order a promotion yet."""
         if self._remove(attempt):
             attempt.fenced_round = None
+            attempt.fence_outcome = None
             attempt.confirmed_fence = None
             self.lift(attempt.group, attempt.primary)
 
@@ -238,7 +257,7 @@
         own_name = self._node.identity.name
         fence = Fence(task.attempt.primary, FENCE_DURATION, own_name)
         task.requests[host.name] = self._forwarded_orders.send_through(
-            primary, fence, host, on_reply
+            primary, fence, host, on_reply, WAIT_MAX
         )
 
     # -- Confirmations -------------------------------------------------------
@@ -257,7 +276,7 @@
                 task.began_at + FENCE_DURATION,
                 task.hosts_version,
             )
-            self._settle(task)
+            self._settle(task, FenceOutcome.CONFIRMED)
 
     def _demote(self, task: _Task) -> None:
         attempt = task.attempt
@@ -265,26 +284,61 @@
         if task.is_settled or primary is None or not self._is_current(task):
             return
         attempt.must_step_down = True
-        term = attempt.group.term + 1
-        self._demotion.demote(primary, term, lambda: self._stop_waiting(task))
+        task.demoted_at = self.now
+        self._demotion.demote(primary, attempt.group.term + 1)
 
-    def _stop_waiting(self, task: _Task) -> None:
-        """Settle a fence that holders did not confirm, and log which."""
-        attempt = task.attempt
+    def _on_stepped_down(self, signal: PrimarySteppedDown) -> None:
+        task = self._tasks.get(signal.endpoint.entry.service)
+        if task is None or task.attempt.primary != signal.endpoint.name:
+            return
+        if signal.ordered_at >= task.began_at:
+            self._settle(task, FenceOutcome.STEPPED_DOWN)
+
+    def _check_wait(self, task: _Task) -> None:
+        """Settle a fence that is not confirmed, unless a host may still answer."""
         if task.is_settled or not self._is_current(task):
             return
-        attempt.log(
-            self._node,
-            "fence_unconfirmed",
-            hosts=",".join(sorted(task.unconfirmed)),
+        is_over = self.now >= task.began_at + WAIT_MAX
+        if is_over or not self._may_be_answered(task):
+            self._settle(task, FenceOutcome.UNPROVEN)
+        else:
+            self.timers.after(WAIT_POLL_INTERVAL, self._check_wait, task)
+
+    def _may_be_answered(self, task: _Task) -> bool:
+        """Return whether a holder may confirm soon, or the primary may step down."""
+        primary = self._primary(task.attempt)
+        if primary is None or task.demoted_at is None:
+            has_primary_answered = False
+        else:
+            has_primary_answered = primary.last_direct_reply_at >= task.demoted_at
+        return has_primary_answered or any(
+            self._is_alive(task, host) for host in task.unconfirmed
         )
-        self._settle(task)
 
-    def _settle(self, task: _Task) -> None:
+    def _is_alive(self, task: _Task, host: str) -> bool:
+        """Return whether a holder has answered since its fence, or is not late."""
+        if host == self._node.identity.name:
+            return True
+        heard_at = self._holders.last_reply_at(host)
+        if heard_at >= task.began_at:
+            return heard_at > self.now - ALIVE_TIMEOUT
+        return self.now < task.began_at + LINK_TIMES * self._holders.link_time(host)
+
+    def _settle(self, task: _Task, outcome: FenceOutcome) -> None:
         if task.is_settled or not self._is_current(task):
             return
         task.is_settled = True
-        task.attempt.fenced_round = task.attempt.rounds
+        attempt = task.attempt
+        attempt.fence_outcome = outcome
+        attempt.unconfirmed_hosts = frozenset(task.unconfirmed)
+        attempt.fenced_round = attempt.rounds
+        if task.unconfirmed:
+            attempt.log(
+                self._node,
+                "fence_unconfirmed",
+                hosts=",".join(sorted(task.unconfirmed)),
+                outcome=outcome.value,
+            )
         task.handler()
 
 
--- a/mallowpass/core/proxy/holders.py
+++ b/mallowpass/core/proxy/holders.py
@@ -62,6 +62,7 @@
         "_failed",
         "_fleet",
         "_last_replies",
+        "_link_times",
         "_plans",
         "_plans_version",
         "_regional",
@@ -87,6 +88,8 @@
         # host.
         self._silent: dict[str, float] = {}
         self._last_replies: dict[str, float] = {}
+        # Seconds until a holder accepted the newest link that it accepted, by host.
+        self._link_times: dict[str, float] = {}
 
     # -- Queries -------------------------------------------------------------
 
@@ -224,6 +227,10 @@
         """Return the time of the last reply from a holder, 0 if there was none."""
         return self._last_replies.get(holder, 0.0)
 
+    def link_time(self, holder: str) -> float:
+        """Return the seconds until a holder accepted a link, 0 if it accepted none."""
+        return self._link_times.get(holder, 0.0)
+
     def has_usable_holder(self, endpoint: EndpointRow) -> bool:
         """Return whether at least one holder can be used to reach an endpoint."""
         plan = self._plan(endpoint.entry.service)
@@ -268,9 +275,10 @@
         if timed_out:
             self._unanswered[holder] = self.now + UNANSWERED_TTL
 
-    def mark_answered(self, holder: str) -> None:
-        """Record that a holder can be reached."""
+    def mark_answered(self, holder: str, link_time: float) -> None:
+        """Record that a holder accepted a link after some seconds."""
         self._unanswered.pop(holder, None)
+        self._link_times[holder] = link_time
         self.note_reply(holder)
 
     def mark_silent(self, holder: str) -> None:
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "ConfirmedFence",
+    "FenceOutcome",
     "Reason",
     "Replacement",
     "ReplacementBegan",
@@ -53,6 +54,14 @@
         return is_same and now < self.until
 
 
+class FenceOutcome(Enum):
+    """Describe how the wait for the fence of a failed primary ended."""
+
+    CONFIRMED = "confirmed"  # by all holders
+    STEPPED_DOWN = "stepped down"  # the primary answered that it is a replica
+    UNPROVEN = "unproven"  # some host may have commits acknowledged
+
+
 @dataclass(slots=True, eq=False)
 class Replacement:
     """Describe one attempt to replace a group's primary.
@@ -84,6 +93,8 @@
     is_awaiting_fence: bool = False  # the order waits for the fence of the primary
     fenced_round: int | None = None  # the round in which the wait for the fence ended
     must_step_down: bool = False  # the primary was ordered to, before the promotion
+    fence_outcome: FenceOutcome | None = None
+    unconfirmed_hosts: frozenset[str] = frozenset()  # as the wait for the fence ended
     confirmed_fence: ConfirmedFence | None = None
     shown: LogPosition = ZERO_POSITION  # newest that the primary showed to any holder
     order_count: int = 0
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -39,6 +39,7 @@
     "PrimaryChanged",
     "PrimaryConfirmed",
     "PrimaryStalled",
+    "PrimarySteppedDown",
     "PrimarySuspected",
     "ReplicaStuck",
     "ReplicasBehind",
@@ -131,6 +132,14 @@
     is_unconnected: bool
 
 
+@record
+class PrimarySteppedDown(Signal):
+    """An endpoint answered that it is a replica to an order to step down."""
+
+    endpoint: EndpointRow
+    ordered_at: float
+
+
 @record
 class EraChanged(Signal):
     """The store was restored from a backup; writes after that backup are lost."""
--- a/tests/core/proxy/test_fence_orders.py
+++ b/tests/core/proxy/test_fence_orders.py
@@ -12,6 +12,7 @@
 import pytest
 
 from mallowpass.core.messages import Event
+from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.events import (
     ConnectionRefused,
     EndpointAnswered,
@@ -325,6 +326,81 @@
     assert logged(world, "fence_unconfirmed") == []
 
 
+# -- How the wait for the fence ends --------------------------------------------------
+
+
+def delay_links(host: Host, delay: float) -> None:
+    """Have all that other hosts send to a host arrive later."""
+    deliver = host.deliver
+
+    def deliver_late(event: Event | ProxyEvent) -> None:
+        if isinstance(event, LinkOpened | LinkCalled):
+            host.world.timers.after(delay, deliver, event)
+        else:
+            deliver(event)
+
+    host.deliver = deliver_late
+
+
+def run_until_slow_host_ordered(world: ProxyWorld) -> None:
+    """Have only the first host reach the primary until a promotion is ordered."""
+    for index in (1, 2, 3):
+        world.cut(index, OLD)
+    run_until_ordered(world)
+
+
+@pytest.mark.parametrize("delay", [0.06, 0.2, 0.4])
+def test_order_waits_for_a_holder_with_slow_links(make_world, delay):
+    """Guard against an order that goes out as the wait for a live holder ends.
+
+    Links to that holder were slow before.
+    """
+    world = make_world()
+    delay_links(world.hosts[0], delay)
+    for host in world.hosts[1:]:
+        endpoint = host.tables.endpoints[OLD]
+        first = host.tables.hosts[world.hosts[0].name]
+        host.node.system(Connections).open_check(endpoint, first)
+    world.cut(0, "store")
+    writes = Writes(world, 0, 1, 2, 3)
+    world.run(1.0)
+    run_until_slow_host_ordered(world)
+    assert holds(world)[0] or not world.group.replicas[OLD].is_primary
+    run_until_led(world)
+    check_guarantees(world)
+    writes.check_answers()
+
+
+@pytest.mark.parametrize("event_time", [0.008, 0.015])
+def test_order_waits_for_a_holder_that_handles_events_slowly(make_world, event_time):
+    """Guard against an order while a holder has not come to the fence yet."""
+    world = make_world()
+    Writes(world, 0, 1, 2, 3, interval=0.1)
+    world.cut(0, "store")
+    world.run(1.0)
+    world.hosts[0].event_time = event_time
+    world.run(0.5)
+    run_until_slow_host_ordered(world)
+    assert holds(world)[0] or not world.group.replicas[OLD].is_primary
+
+
+def test_order_without_confirmation_rests_on_pauses_read_after_the_wait(make_world):
+    """Guard against an order that rests on a comparison from before the wait ended."""
+    world = make_world()
+    Writes(world, 1, 2, 3)
+    world.cut(0, "store")
+    world.run(1.0)
+    cut_from_hosts(world)
+    lose_primary(world)
+    run_until_ordered(world)
+    ended = logged(world, "fence_unconfirmed")[0]
+    assert (ended["hosts"], ended["outcome"]) == ("host-0", "unproven")
+    compared = logged(world, "promotion_compared")[-1]
+    assert compared["after"] > ended["after"]
+    target = world.orders[0].endpoint
+    assert set(compared["paused"].split(",")) == {*OTHERS} - {target}
+
+
 # -- Commits in flight ---------------------------------------------------------------
 
 
