Keep links for fences apart from the connections of an endpoint

Cause: the links that a host opens for fences as it suspects a primary counted as connections to that primary that are being opened, and as borrowed ones. So the host borrowed none from another host, none of its writes was acknowledged by that way, and the replacement went on.

Change: such links are in a table of their own, and are closed when idle. One that is lost is not replaced by a connection.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -283,12 +283,9 @@
         self, endpoint: EndpointRow, host: HostRow, carries_fences: bool = False
     ) -> ConnectionRow | None:
         """Return an idle single-use connection through a host; open one if needed."""
-        for connection in endpoint.connections.values():
-            if (
-                connection.is_single_use
-                and connection.holder == host.name
-                and connection.carries_fences == carries_fences
-            ):
+        links = endpoint.fence_links if carries_fences else endpoint.connections
+        for connection in links.values():
+            if connection.is_single_use and connection.holder == host.name:
                 is_idle = connection.state is ConnectionState.IDLE
                 return connection if is_idle else None
         self._open(endpoint, host, None, True, carries_fences)
@@ -436,7 +433,8 @@
             carries_fences=carries_fences,
         )
         self.tables.connections[number] = connection
-        endpoint.connections[number] = connection
+        links = endpoint.fence_links if carries_fences else endpoint.connections
+        links[number] = connection
         self._node.emit(
             OpenConnection(
                 number,
@@ -580,6 +578,8 @@
             message=event.message,
         )
         self._notify_lost(connection, event.message)
+        if connection.carries_fences:
+            return
         service = endpoint.entry.service
         is_for_callers = bool(connection.holder) and self._holders.holds(service)
         if is_for_callers and self._holders.serves_customers(service):
@@ -593,6 +593,7 @@
         connection = self.tables.connections.pop(number, None)
         if connection is not None:
             connection.endpoint.connections.pop(number, None)
+            connection.endpoint.fence_links.pop(number, None)
         return connection
 
     def _notify_lost(self, connection: ConnectionRow, why: str) -> None:
@@ -695,7 +696,9 @@
         them would wait for replies that never come, and sessions would assume that
         their values and prepared statements exist at the restarted endpoint.
         """
-        for connection in list(signal.previous.connections.values()):
+        previous = signal.previous
+        links = previous.fence_links.values()
+        for connection in [*previous.connections.values(), *links]:
             self.close(connection, "the endpoint restarted")
 
     def _on_expired(self, signal: EndpointExpired) -> None:
--- a/mallowpass/core/proxy/idleconnections.py
+++ b/mallowpass/core/proxy/idleconnections.py
@@ -57,6 +57,9 @@
                 self._return_to_holders(endpoint)
             if len(endpoint.connections) > 1:
                 self._close_idle(endpoint)
+            for link in list(endpoint.fence_links.values()):
+                if self._is_timed_out(link, IDLE_MAX, IDLE_MAX):
+                    self._connections.close(link, "idle timeout")
 
     def _close_idle(self, endpoint: EndpointRow) -> None:
         """Close idle connections but the last one; forwarded connections first.
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -129,6 +129,8 @@
     entry: EndpointEntry
     version: int  # of its entry in the store
     connections: dict[int, ConnectionRow] = field(default_factory=dict)
+    # Links that carry fences alone; they use up nothing of this host's share.
+    fence_links: dict[int, ConnectionRow] = field(default_factory=dict)
     # Owned by connections.
     connect_backoff_until: float = float("-inf")  # no attempt to connect before
     connect_failures: int = 0  # consecutive failed attempts to connect
--- a/tests/core/proxy/test_fence_orders.py
+++ b/tests/core/proxy/test_fence_orders.py
@@ -326,6 +326,22 @@
     assert logged(world, "fence_unconfirmed") == []
 
 
+def test_links_for_fences_use_up_no_connections():
+    """Guard against a replacement, as writes can't take the way by another host.
+
+    Hosts that lost the primary borrow connections of hosts that reach it.
+    """
+    world = fencing_world()
+    writes = Writes(world, 0, 1, 2, 3, interval=0.02)
+    world.run(2.0)
+    for index in (0, 1):
+        world.cut(index, OLD)
+    world.run(3.0)
+    assert logged(world, "primary_suspected")
+    assert world.group.promotions == 0
+    writes.check_answers()
+
+
 # -- How the wait for the fence ends --------------------------------------------------
 
 
