Keep the fence during the round that follows the wait for it

What callers saw: on hosts that take 12 ms an event, a failed primary that one of four hosts still reaches is not replaced within 6 s.

Cause: a round that takes longer than 0.25 s lifts the fence, so that a primary that is back serves writes while a replica is waited for. On slow hosts each round takes that long. So the round after the wait lifted the fence, it began anew after the round, and the next wait followed.

Change: the round that repeats the comparison after the wait keeps the fence.

Evidence: test_slow_hosts_do_not_begin_each_round_with_another_wait fails without the change (no order in 6 s) and passes with it.

--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -591,8 +591,14 @@
         self.timers.after(ROUND_INTERVAL, self._begin_round, attempt, attempt.rounds)
 
     def _suspend_fence(self, attempt: Replacement, round_number: int) -> None:
-        """Lift the fence while a slow round waits for a replica that may be down."""
+        """Lift the fence while a slow round waits for a replica that may be down.
+
+        A round that repeats the comparison after the wait for the fence keeps it: on
+        slow hosts, each round would otherwise begin with another wait.
+        """
         is_current = not attempt.is_ended and attempt.rounds == round_number
+        if attempt.fenced_round is not None and round_number > attempt.fenced_round:
+            return
         if is_current and attempt.outstanding and not attempt.order_count:
             self._fence_orders.suspend(attempt)
 
--- a/tests/core/proxy/test_fence_orders.py
+++ b/tests/core/proxy/test_fence_orders.py
@@ -400,6 +400,18 @@
     assert holds(world)[0] or not world.group.replicas[OLD].is_primary
 
 
+def test_slow_hosts_do_not_begin_each_round_with_another_wait():
+    """Guard against a replacement that lifts its fence in each round."""
+    world = fencing_world()
+    Writes(world, 0, 1, 2, 3, interval=0.07)
+    world.run(1.0)
+    for host in world.hosts:
+        host.event_time = 0.012
+    world.run(0.5)
+    run_until_slow_host_ordered(world)
+    assert world.orders
+
+
 def test_order_without_confirmation_rests_on_pauses_read_after_the_wait(make_world):
     """Guard against an order that rests on a comparison from before the wait ended."""
     world = make_world()
