Let the primary's answer to step down by way of a slow host count

Only one holder reaches a failed primary, links to it take 0.2 s, and its own commits there do not end. The primary stepped down by its way, and the fence was settled 0.2 s later, by that holder's confirmation.

Cause: an order that another host forwards got 0.4 s, with the time to open the link. So the answer came to a link that was closed. Where the host itself hears the primary, the order went to other hosts 0.1 s later, too late for the wait of a fence.

Change: a forwarded order to step down has 1 s, the bound of the wait for a fence. For a fence it goes by way of all hosts at once (`demote_by_all`).

Evidence: test_primary_that_steps_down_by_way_of_another_host_settles_the_fence failed before with 0.2 s (the fence was not settled by that answer) and passes now. The test with the connections of one host that hang passed before this commit already, and guards the answer by way of others.

--- a/mallowpass/core/proxy/demotion.py
+++ b/mallowpass/core/proxy/demotion.py
@@ -41,6 +41,9 @@
 ANSWER_TIMEOUT = 0.5
 # Seconds after which other hosts are asked to forward the order as well.
 FORWARD_DELAY = 0.1
+# Seconds to wait for an answer by way of a host: four times the way to a distant one,
+# and the wait for a slot.
+FORWARDED_TIMEOUT = 1.0
 # Seconds to wait while a host that may reach the primary has not answered. A promotion
 # takes one second, and one second later a primary that reaches its successor has
 # stepped down by itself.
@@ -116,6 +119,18 @@
         Its successor is primary of `term` or of a newer term. The handler is called
         once the endpoint has stepped down, or once the wait for its answer ends.
         """
+        self._demote(endpoint, term, handler)
+
+    def demote_by_all(self, endpoint: EndpointRow, term: int) -> None:
+        """Make an endpoint step down by way of all hosts at once.
+
+        `PrimarySteppedDown` is published with the first answer.
+        """
+        task = self._demote(endpoint, term, lambda: None)
+        if self._is_current(task) and not task.is_forwarded:
+            self._forward(task)
+
+    def _demote(self, endpoint: EndpointRow, term: int, handler: DoneHandler) -> _Task:
         task = self._tasks.get(endpoint.name)
         if task is None or task.is_released or self._is_outdated(task):
             task = self._begin(endpoint, term, [] if task is None else task.handlers)
@@ -123,6 +138,7 @@
         task.handlers.append(handler)
         if task.is_released or not self._is_current(task):
             self._release(task)
+        return task
 
     def _is_outdated(self, task: _Task) -> bool:
         """Return whether a task may have been begun before the successor's promotion.
@@ -154,15 +170,16 @@
         endpoint = task.endpoint
         is_heard = endpoint.last_reply_at > self.now - HUNG_TIMEOUT
         if endpoint.connections and is_heard:
-            self.timers.after(FORWARD_DELAY, self._forward, task)
+            self.timers.after(FORWARD_DELAY, self._forward_late, task)
         else:
             self._connections.retry(endpoint)
             self._forward(task)
 
-    def _forward(self, task: _Task) -> None:
-        if not self._is_current(task):
-            return
+    def _forward_late(self, task: _Task) -> None:
+        if self._is_current(task) and not task.is_forwarded:
+            self._forward(task)
 
+    def _forward(self, task: _Task) -> None:
         ordered_at = self.now
 
         def on_reply(reply: ForwardedReply) -> None:
@@ -171,7 +188,9 @@
 
         task.is_forwarded = True
         task.unanswered = set(self._forwarded_orders.forwarding_hosts(task.endpoint))
-        self._forwarded_orders.send(task.endpoint, Demote(task.term), on_reply)
+        self._forwarded_orders.send(
+            task.endpoint, Demote(task.term), on_reply, FORWARDED_TIMEOUT
+        )
 
     def _on_forwarded_reply(self, task: _Task, forwarded: ForwardedReply) -> None:
         if not self._is_current(task):
--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -285,7 +285,7 @@
             return
         attempt.must_step_down = True
         task.demoted_at = self.now
-        self._demotion.demote(primary, attempt.group.term + 1)
+        self._demotion.demote_by_all(primary, attempt.group.term + 1)
 
     def _on_stepped_down(self, signal: PrimarySteppedDown) -> None:
         task = self._tasks.get(signal.endpoint.entry.service)
--- a/mallowpass/core/proxy/forwardedorders.py
+++ b/mallowpass/core/proxy/forwardedorders.py
@@ -87,11 +87,15 @@
         return sorted(host.name for host in self._holders.other_holders(service))
 
     def send(
-        self, endpoint: EndpointRow, order: Statement, handler: ForwardedReplyHandler
+        self,
+        endpoint: EndpointRow,
+        order: Statement,
+        handler: ForwardedReplyHandler,
+        timeout: float = ORDER_TIMEOUT,
     ) -> None:
         """Send an order through each other host that connects to an endpoint."""
         for host in self._holders.other_holders(endpoint.entry.service):
-            self.send_through(endpoint, order, host, handler)
+            self.send_through(endpoint, order, host, handler, timeout)
 
     def send_through(
         self,
