--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -279,13 +279,16 @@
             self._node.count("slow_links", endpoint=endpoint.name)
             self._node.publish(ConnectionFreed(endpoint))
 
-    def acquire_via(self, endpoint: EndpointRow, host: HostRow) -> ConnectionRow | None:
+    def acquire_via(
+        self, endpoint: EndpointRow, host: HostRow, carries_fences: bool = False
+    ) -> ConnectionRow | None:
         """Return an idle single-use connection through a host; open one if needed."""
-        for connection in endpoint.connections.values():
+        links = endpoint.fence_links if carries_fences else endpoint.connections
+        for connection in links.values():
             if connection.is_single_use and connection.holder == host.name:
                 is_idle = connection.state is ConnectionState.IDLE
                 return connection if is_idle else None
-        self._open(endpoint, host, None, is_single_use=True)
+        self._open(endpoint, host, None, True, carries_fences)
         return None
 
     def open_check(self, endpoint: EndpointRow, host: HostRow) -> ConnectionRow:
@@ -359,7 +362,7 @@
         if not self.tables.is_current(connection.endpoint):
             self.close(connection, "the endpoint was removed or has restarted")
             return
-        if self._shares.is_surplus(connection):
+        if not connection.carries_fences and self._shares.is_surplus(connection):
             self.close(connection, "it exceeds this host's share")
             return
         connection.state = ConnectionState.IDLE
@@ -413,6 +416,7 @@
         via: HostRow | None,
         customer: str | None,
         is_single_use: bool = False,
+        carries_fences: bool = False,
     ) -> ConnectionRow:
         number = self._node.next_number()
         entry = endpoint.entry
@@ -426,12 +430,20 @@
             holder=holder,
             customer=customer,
             is_single_use=is_single_use,
+            carries_fences=carries_fences,
         )
         self.tables.connections[number] = connection
-        endpoint.connections[number] = connection
+        links = endpoint.fence_links if carries_fences else endpoint.connections
+        links[number] = connection
         self._node.emit(
             OpenConnection(
-                number, address, entry.service, entry.name, CONNECT_TIMEOUT, customer
+                number,
+                address,
+                entry.service,
+                entry.name,
+                CONNECT_TIMEOUT,
+                customer,
+                carries_fences,
             )
         )
         self._count_use("connections_opened", connection)
@@ -443,7 +455,8 @@
             return
         endpoint = connection.endpoint
         if connection.holder:
-            self._holders.mark_answered(connection.holder)
+            link_time = self.now - connection.opened_at
+            self._holders.mark_answered(connection.holder, link_time)
         else:
             endpoint.last_direct_reply_at = self.now
         if self._shows_endpoint_alive(connection):
@@ -461,6 +474,8 @@
         """
         if not connection.holder:
             return True
+        if connection.carries_fences:
+            return False
         return not self._holders.holds(connection.endpoint.entry.service)
 
     def _on_refused(self, event: ConnectionRefused) -> None:
@@ -482,9 +497,15 @@
             if is_definitive:
                 self._holders.note_reply(connection.holder)
             self._node.publish(
-                ForwardedConnectionRefused(endpoint, connection.holder, is_definitive)
+                ForwardedConnectionRefused(
+                    endpoint,
+                    connection.holder,
+                    is_definitive,
+                    connection.carries_fences,
+                    event.is_gone or event.code is Code.WRONG_ENDPOINT,
+                )
             )
-            if self._avoid_holder(connection, event):
+            if connection.carries_fences or self._avoid_holder(connection, event):
                 return
         if event.code is Code.TOO_MANY_CONNECTIONS:
             pause = FULL_BACKOFF * self._node.random.uniform(1.0, 2.0)
@@ -557,6 +578,8 @@
             message=event.message,
         )
         self._notify_lost(connection, event.message)
+        if connection.carries_fences:
+            return
         service = endpoint.entry.service
         is_for_callers = bool(connection.holder) and self._holders.holds(service)
         if is_for_callers and self._holders.serves_customers(service):
@@ -570,6 +593,7 @@
         connection = self.tables.connections.pop(number, None)
         if connection is not None:
             connection.endpoint.connections.pop(number, None)
+            connection.endpoint.fence_links.pop(number, None)
         return connection
 
     def _notify_lost(self, connection: ConnectionRow, why: str) -> None:
@@ -672,7 +696,9 @@
         them would wait for replies that never come, and sessions would assume that
         their values and prepared statements exist at the restarted endpoint.
         """
-        for connection in list(signal.previous.connections.values()):
+        previous = signal.previous
+        links = previous.fence_links.values()
+        for connection in [*previous.connections.values(), *links]:
             self.close(connection, "the endpoint restarted")
 
     def _on_expired(self, signal: EndpointExpired) -> None:
--- a/mallowpass/core/proxy/demotion.py
+++ b/mallowpass/core/proxy/demotion.py
@@ -28,6 +28,7 @@
     EndpointExpired,
     EndpointRestarted,
     EndpointUnreachable,
+    PrimarySteppedDown,
 )
 from mallowpass.core.proxy.statements import Code, Demote, EndpointReply
 from mallowpass.core.proxy.tables import ConnectionState, EndpointRow, ProxySystem
@@ -40,6 +41,9 @@
 ANSWER_TIMEOUT = 0.5
 # Seconds after which other hosts are asked to forward the order as well.
 FORWARD_DELAY = 0.1
+# Seconds to wait for an answer by way of a host: four times the way to a distant one,
+# and the wait for a slot.
+FORWARDED_TIMEOUT = 1.0
 # Seconds to wait while a host that may reach the primary has not answered. A promotion
 # takes one second, and one second later a primary that reaches its successor has
 # stepped down by itself.
@@ -115,6 +119,18 @@
         Its successor is primary of `term` or of a newer term. The handler is called
         once the endpoint has stepped down, or once the wait for its answer ends.
         """
+        self._demote(endpoint, term, handler)
+
+    def demote_by_all(self, endpoint: EndpointRow, term: int) -> None:
+        """Make an endpoint step down by way of all hosts at once.
+
+        `PrimarySteppedDown` is published with the first answer.
+        """
+        task = self._demote(endpoint, term, lambda: None)
+        if self._is_current(task) and not task.is_forwarded:
+            self._forward(task)
+
+    def _demote(self, endpoint: EndpointRow, term: int, handler: DoneHandler) -> _Task:
         task = self._tasks.get(endpoint.name)
         if task is None or task.is_released or self._is_outdated(task):
             task = self._begin(endpoint, term, [] if task is None else task.handlers)
@@ -122,6 +138,7 @@
         task.handlers.append(handler)
         if task.is_released or not self._is_current(task):
             self._release(task)
+        return task
 
     def _is_outdated(self, task: _Task) -> bool:
         """Return whether a task may have been begun before the successor's promotion.
@@ -153,21 +170,27 @@
         endpoint = task.endpoint
         is_heard = endpoint.last_reply_at > self.now - HUNG_TIMEOUT
         if endpoint.connections and is_heard:
-            self.timers.after(FORWARD_DELAY, self._forward, task)
+            self.timers.after(FORWARD_DELAY, self._forward_late, task)
         else:
             self._connections.retry(endpoint)
             self._forward(task)
 
+    def _forward_late(self, task: _Task) -> None:
+        if self._is_current(task) and not task.is_forwarded:
+            self._forward(task)
+
     def _forward(self, task: _Task) -> None:
-        if not self._is_current(task):
-            return
+        ordered_at = self.now
 
         def on_reply(reply: ForwardedReply) -> None:
+            self._note_reply(task.endpoint, reply.reply, ordered_at)
             self._on_forwarded_reply(task, reply)
 
         task.is_forwarded = True
         task.unanswered = set(self._forwarded_orders.forwarding_hosts(task.endpoint))
-        self._forwarded_orders.send(task.endpoint, Demote(task.term), on_reply)
+        self._forwarded_orders.send(
+            task.endpoint, Demote(task.term), on_reply, FORWARDED_TIMEOUT
+        )
 
     def _on_forwarded_reply(self, task: _Task, forwarded: ForwardedReply) -> None:
         if not self._is_current(task):
@@ -198,10 +221,21 @@
             return
         task.tries += 1
         self._make_room(task.endpoint)
-        order = Demote(task.term)
-        self._replica_orders.send(
-            task.endpoint, order, lambda r: self._on_reply(task, r)
-        )
+        ordered_at = self.now
+
+        def on_reply(reply: EndpointReply | None) -> None:
+            self._note_reply(task.endpoint, reply, ordered_at)
+            self._on_reply(task, reply)
+
+        self._replica_orders.send(task.endpoint, Demote(task.term), on_reply)
+
+    def _note_reply(
+        self, endpoint: EndpointRow, reply: EndpointReply | None, ordered_at: float
+    ) -> None:
+        """Publish that an endpoint has stepped down, also if its task has ended."""
+        status = None if reply is None else reply.status
+        if status is not None and not status.is_primary:
+            self._node.publish(PrimarySteppedDown(endpoint, ordered_at))
 
     def _is_undisputed_primary(self, endpoint: EndpointRow) -> bool:
         """Return whether an endpoint is primary, and no promotion order is pending."""
--- a/tests/core/proxy/test_fence_orders.py
+++ b/tests/core/proxy/test_fence_orders.py
@@ -12,7 +12,14 @@
 import pytest
 
 from mallowpass.core.messages import Event
-from mallowpass.core.proxy.events import EndpointAnswered, LinkCalled, ProxyEvent
+from mallowpass.core.proxy.events import (
+    ConnectionRefused,
+    EndpointAnswered,
+    LinkCalled,
+    LinkOpened,
+    ProxyEvent,
+)
+from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.promotion import Promotion
 from mallowpass.core.proxy.statements import Code, EndpointReply, Fence, Write
 from mallowpass.core.proxy.writeholds import WriteHolds
@@ -258,6 +265,202 @@
     assert [line["hosts"] for line in logged(world, "fence_unconfirmed")] == ["host-0"]
 
 
+def refuse_links(host: Host, code: Code, is_reset: bool) -> None:
+    """Have a host refuse all links, as one that is overloaded does."""
+    deliver = host.deliver
+
+    def deliver_or_refuse(event: Event | ProxyEvent) -> None:
+        if not isinstance(event, LinkOpened):
+            deliver(event)
+            return
+        link = host.world.link(event.link)
+        refused = ConnectionRefused(link.connection, code, "busy", is_reset)
+        link.host.later(link.delay, refused)
+
+    host.deliver = deliver_or_refuse
+
+
+@pytest.mark.parametrize(
+    ("code", "is_reset"),
+    [(Code.BUSY, False), (Code.UNREACHABLE, False), (Code.OTHER, True)],
+)
+def test_a_holder_that_refuses_links_has_not_confirmed(make_world, code, is_reset):
+    """Guard against a refusal that counts as if its host had no connection."""
+    world = make_world()
+    Writes(world, 0, 1, 2, 3)
+    world.run(1.0)
+    refuse_links(world.hosts[0], code, is_reset)
+    world.cut(0, "store")
+    cut_primary(world)
+    run_until_ordered(world)
+    assert not holds(world)[0]
+    assert [line["hosts"] for line in logged(world, "fence_unconfirmed")] == ["host-0"]
+
+
+def test_a_holder_that_refuses_links_at_first_is_told_again(make_world):
+    """Guard against a holder that writes on, as it refused the first links."""
+    world = make_world()
+    Writes(world, 0, 1, 2, 3)
+    world.run(1.0)
+    deliver = world.hosts[0].deliver
+    refuse_links(world.hosts[0], Code.BUSY, is_reset=False)
+    world.cut(0, "store")
+    cut_primary(world)
+    run_until_begun(world)
+    world.run(2 * LINK)
+    world.hosts[0].deliver = deliver
+    run_until_ordered(world)
+    assert holds(world) == [True] * 4
+    run_until_led(world)
+    check_guarantees(world)
+
+
+def test_a_holder_whose_process_is_gone_is_not_waited_for(make_world):
+    """Guard against an order that waits for a host without connections."""
+    world = make_world()
+    Writes(world, 1, 2, 3)
+    world.run(1.0)
+    world.kill(0)
+    lose_primary(world)
+    run_until_ordered(world)
+    assert logged(world, "fence_unconfirmed") == []
+
+
+def test_links_for_fences_use_up_no_connections():
+    """Guard against a replacement, as writes can't take the way by another host.
+
+    Hosts that lost the primary borrow connections of hosts that reach it.
+    """
+    world = fencing_world()
+    writes = Writes(world, 0, 1, 2, 3, interval=0.02)
+    world.run(2.0)
+    for index in (0, 1):
+        world.cut(index, OLD)
+    world.run(3.0)
+    assert logged(world, "primary_suspected")
+    assert world.group.promotions == 0
+    writes.check_answers()
+
+
+# -- How the wait for the fence ends --------------------------------------------------
+
+
+def delay_links(host: Host, delay: float) -> None:
+    """Have all that other hosts send to a host arrive later, as they know it does."""
+    deliver = host.deliver
+
+    def deliver_late(event: Event | ProxyEvent) -> None:
+        if isinstance(event, LinkOpened | LinkCalled):
+            host.world.timers.after(delay, deliver, event)
+        else:
+            deliver(event)
+
+    host.deliver = deliver_late
+    for other in host.world.hosts:
+        other.node.system(Holders).mark_answered(host.name, delay)
+
+
+def run_until_slow_host_ordered(world: ProxyWorld) -> None:
+    """Have only the first host reach the primary until a promotion is ordered."""
+    for index in (1, 2, 3):
+        world.cut(index, OLD)
+    run_until_ordered(world)
+
+
+@pytest.mark.parametrize("delay", [0.06, 0.2, 0.4])
+def test_order_waits_for_a_holder_with_slow_links(make_world, delay):
+    """Guard against an order that goes out as the wait for a live holder ends."""
+    world = make_world()
+    delay_links(world.hosts[0], delay)
+    world.cut(0, "store")
+    writes = Writes(world, 0, 1, 2, 3)
+    world.run(1.0)
+    run_until_slow_host_ordered(world)
+    assert holds(world)[0] or not world.group.replicas[OLD].is_primary
+    run_until_led(world)
+    check_guarantees(world)
+    writes.check_answers()
+
+
+@pytest.mark.parametrize("event_time", [0.008, 0.015])
+def test_order_waits_for_a_holder_that_handles_events_slowly(make_world, event_time):
+    """Guard against an order while a holder has not come to the fence yet."""
+    world = make_world()
+    Writes(world, 0, 1, 2, 3, interval=0.1)
+    world.cut(0, "store")
+    world.run(1.0)
+    world.hosts[0].event_time = event_time
+    world.run(0.5)
+    run_until_slow_host_ordered(world)
+    assert holds(world)[0] or not world.group.replicas[OLD].is_primary
+
+
+def test_slow_hosts_do_not_begin_each_round_with_another_wait():
+    """Guard against a replacement that lifts its fence in each round."""
+    world = fencing_world()
+    Writes(world, 0, 1, 2, 3, interval=0.07)
+    world.run(1.0)
+    for host in world.hosts:
+        host.event_time = 0.012
+    world.run(0.5)
+    run_until_slow_host_ordered(world)
+    assert world.orders
+
+
+def test_order_without_confirmation_rests_on_pauses_read_after_the_wait(make_world):
+    """Guard against an order that rests on a comparison from before the wait ended."""
+    world = make_world()
+    Writes(world, 1, 2, 3)
+    world.cut(0, "store")
+    world.run(1.0)
+    cut_from_hosts(world)
+    lose_primary(world)
+    run_until_ordered(world)
+    ended = logged(world, "fence_unconfirmed")[0]
+    assert (ended["hosts"], ended["outcome"]) == ("host-0", "unproven")
+    compared = logged(world, "promotion_compared")[-1]
+    assert compared["after"] > ended["after"]
+    target = world.orders[0].endpoint
+    assert set(compared["paused"].split(",")) == {*OTHERS} - {target}
+
+
+@pytest.mark.parametrize("delay", [0.0, 0.2])
+def test_primary_that_steps_down_by_way_of_another_host_settles_the_fence(delay):
+    """Guard against an answer that comes by a slow holder, and too late.
+
+    Only that holder reaches the primary, and its own commits there do not end.
+    """
+    world = fencing_world()
+    Writes(world, 0, 1, 2, 3, interval=SELDOM)
+    keep_reading(world, 0, "strict")
+    delay_links(world.hosts[0], delay)
+    world.cut(0, "store")
+    world.run(1.0)
+    stall_primary(world)
+    run_until_slow_host_ordered(world)
+    assert not world.group.replicas[OLD].is_primary
+    assert logged(world, "fence_unconfirmed")[0]["outcome"] == "stepped down"
+
+
+def test_stalled_primary_steps_down_though_the_connections_of_one_host_hang(
+    make_world,
+):
+    """Guard against an answer that is lost with the connection of the host."""
+    world = make_world()
+    Writes(world, 0, 1, 2, 3, interval=SELDOM)
+    for index in range(4):
+        keep_reading(world, index, "strict")
+    world.run(1.0)
+    stall_primary(world)
+    run_until_begun(world)
+    for host in replacing(world):
+        host.cut_from.add(OLD)
+    run_until_ordered(world)
+    assert not world.group.replicas[OLD].is_primary
+    ended = logged(world, "fence_unconfirmed")[0]
+    assert ended["outcome"] == "stepped down"
+
+
 # -- Commits in flight ---------------------------------------------------------------
 
 
