Count a replica as paused only if its reply shows the pause

What callers saw: acknowledged commits could be lost at a second replacement soon after a first one.

Cause: a replica ignores an order to pause whose term is not above the newest that it knows, and answers its row all the same. Hosts learn a term from log positions, so with the first commit of that term. Until then they order pauses under the term that replicas have, and counted each answer DONE as a pause: the replicas were compared, and went on to receive.

Fix: one place orders pauses (`replicapauses`), for comparisons, for members that join or restart, and for replicas that are kept paused while an order is pending. It reads `paused_for` of the reply, raises the known term to the one of the row, and orders again under a term above both, within the same round. A reply that shows no pause counts as none, so the round is not decided by it. The term is never higher than that: a replica that has followed the successor ignores an order that is carried out late.

--- a/mallowpass/core/proxy/__init__.py
+++ b/mallowpass/core/proxy/__init__.py
@@ -15,8 +15,8 @@
   forwarded by another host;
 - `load`, `pauses`, `stalls`: overloaded endpoints, pauses of this process, and
   primaries that acknowledge no writes;
-- `control`, `forwardedorders`, `replicaorders`: this host's own statements to
-  endpoints;
+- `control`, `forwardedorders`, `replicaorders`, `replicapauses`: this host's own
+  statements to endpoints;
 - `durability`, `leadership`, `floors`, `sampling`, `routing`: the log positions that
   reads and a new primary need, and the endpoints that may run a statement;
 - `requests`, `attempts`, `transactions`, `timeouts`, `answers`, `sessions`,
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -50,6 +50,7 @@
 )
 from mallowpass.core.proxy.replacementlog import ReplacementLog
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
+from mallowpass.core.proxy.replicapauses import ReplicaPauses
 from mallowpass.core.proxy.resumption import Resumption
 from mallowpass.core.proxy.signals import (
     DrainBegan,
@@ -64,8 +65,6 @@
     EndpointReply,
     EndpointStatus,
     LogPosition,
-    Pause,
-    Statement,
     Status,
 )
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
@@ -109,6 +108,7 @@
         "_quiescence",
         "_replacement_log",
         "_replica_orders",
+        "_replica_pauses",
         "_resumption",
         "_conflicts",
         "_pending_fences",
@@ -138,6 +138,7 @@
         self._quiescence = node.system(Quiescence)
         self._replacement_log = node.system(ReplacementLog)
         self._replica_orders = node.system(ReplicaOrders)
+        self._replica_pauses = node.system(ReplicaPauses)
         self._resumption = node.system(Resumption)
         self._conflicts = node.system(PrimaryConflicts)
         self._pending_orders = node.system(PendingOrders)
@@ -232,7 +233,6 @@
         attempt.is_awaiting_fence = False
         attempt.received.clear()
         attempt.found_paused.clear()
-        term = attempt.group.term + 1
         candidates = self._candidates(attempt.group, attempt.primary)
         if not candidates:
             self._give_up(attempt, "no replica is left")
@@ -244,11 +244,9 @@
         self._query_primary(attempt)
         self.timers.after(SLOW_ROUND_TIME, self._suspend_fence, attempt, attempt.rounds)
         for endpoint in candidates:
-            statement: Statement = Pause(term)
             is_receiving = endpoint.name == attempt.target and not attempt.is_quiesced
-            if attempt.is_survey or is_receiving:
-                statement = Status()
-            self._query(attempt, endpoint, statement)
+            must_pause = not (attempt.is_survey or is_receiving)
+            self._query(attempt, endpoint, must_pause)
 
     def _query_primary(self, attempt: Replacement) -> None:
         """Query the primary's log position, if the comparison needs it.
@@ -279,46 +277,55 @@
         self._replica_orders.send(primary, Status(), on_reply)
 
     def _query(
-        self, attempt: Replacement, endpoint: EndpointRow, statement: Statement
+        self, attempt: Replacement, endpoint: EndpointRow, must_pause: bool
     ) -> None:
+        """Ask a replica for its log position, and pause it if it must not receive."""
         round_number = attempt.rounds
 
-        def on_reply(reply: EndpointReply | None) -> None:
+        def on_reply(reply: EndpointReply | None, is_paused: bool = False) -> None:
             if not attempt.is_ended and attempt.rounds == round_number:
-                self._on_reply(attempt, endpoint, statement, reply)
+                self._on_reply(attempt, endpoint, reply, must_pause, is_paused)
 
-        self._replica_orders.send(endpoint, statement, on_reply)
+        if must_pause:
+            self._replica_pauses.pause(endpoint, on_reply)
+        else:
+            self._replica_orders.send(endpoint, Status(), on_reply)
 
     def _on_reply(
         self,
         attempt: Replacement,
         endpoint: EndpointRow,
-        statement: Statement,
         reply: EndpointReply | None,
+        must_pause: bool,
+        is_paused: bool,
     ) -> None:
         attempt.outstanding -= 1
-        if reply is not None and reply.code is Code.DONE and reply.status is not None:
-            attempt.received[endpoint.name] = reply.status.received
-            attempt.terms[endpoint.name] = reply.status.term
-            attempt.group.term = max(attempt.group.term, reply.status.term)
-            if isinstance(statement, Pause):
-                attempt.paused.add(endpoint.name)
-            elif attempt.is_survey and reply.status.paused_for:
+        status = None
+        if reply is not None and reply.code is Code.DONE:
+            status = reply.status
+        if status is not None and must_pause:
+            attempt.note_pause(endpoint.name, is_paused)
+        # A replica that goes on to receive is not compared.
+        if status is not None and (is_paused or status.is_primary or not must_pause):
+            attempt.received[endpoint.name] = status.received
+            attempt.terms[endpoint.name] = status.term
+            attempt.group.term = max(attempt.group.term, status.term)
+            if attempt.is_survey and status.paused_for:
                 attempt.found_paused.add(endpoint.name)
             # An endpoint that restarted with an empty log may still report that it is
             # primary.
             required = self._durability.required_position(attempt.group)
-            if reply.status.is_primary and reply.status.received >= required:
-                if not self._is_former_primary(attempt, reply.status):
+            if status.is_primary and status.received >= required:
+                if not self._is_former_primary(attempt, status):
                     self._on_primary_found(attempt, endpoint)
                     return
-                self._on_former_primary(attempt, endpoint, reply.status)
+                self._on_former_primary(attempt, endpoint, status)
         else:
             self._node.log(
                 "info",
                 "promotion_unanswered",
                 endpoint=endpoint.name,
-                statement=type(statement).__name__,
+                must_pause=must_pause,
                 code="" if reply is None else reply.code.value,
                 message="" if reply is None else reply.message,
             )
@@ -647,13 +654,12 @@
         if not self.tables.is_current(endpoint):
             return
 
-        def on_reply(reply: EndpointReply | None) -> None:
-            if reply is not None and reply.code is Code.DONE:
-                attempt.paused.add(endpoint.name)
-            else:
+        def on_reply(reply: EndpointReply | None, is_paused: bool) -> None:
+            attempt.note_pause(endpoint.name, is_paused)
+            if not is_paused:
                 self.timers.after(ROUND_INTERVAL, self._pause_member, attempt, endpoint)
 
-        self._replica_orders.send(endpoint, Pause(attempt.group.term + 1), on_reply)
+        self._replica_pauses.pause(endpoint, on_reply)
 
     # -- Ending --------------------------------------------------------------
 
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -47,6 +47,7 @@
 from mallowpass.core.proxy.replacementlog import ReplacementLog
 from mallowpass.core.proxy.replacementtriggers import ReplacementTriggers
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
+from mallowpass.core.proxy.replicapauses import ReplicaPauses
 from mallowpass.core.proxy.requests import Requests
 from mallowpass.core.proxy.resumption import Resumption
 from mallowpass.core.proxy.routing import Routing
@@ -83,6 +84,7 @@
     Routing,
     Control,
     ReplicaOrders,
+    ReplicaPauses,
     PendingOrders,
     Claims,
     ForwardedOrders,
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -101,6 +101,13 @@
         received = sorted(self.received.items())
         return ",".join(f"{name}:{position.text}" for name, position in received)
 
+    def note_pause(self, name: str, is_paused: bool) -> None:
+        """Record whether a replica has confirmed its pause."""
+        if is_paused:
+            self.paused.add(name)
+        else:
+            self.paused.discard(name)
+
     def log(self, node: Node, event: str, **fields: object) -> None:
         """Log a step of the attempt, and count it."""
         node.count("promotion_steps", service=self.group.service, step=event)
--- a/mallowpass/core/proxy/resumption.py
+++ b/mallowpass/core/proxy/resumption.py
@@ -25,12 +25,13 @@
 from mallowpass.core.proxy.pendingorders import PendingOrders
 from mallowpass.core.proxy.replacement import ConfirmedFence, Replacement
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
+from mallowpass.core.proxy.replicapauses import ReplicaPauses
 from mallowpass.core.proxy.signals import (
     EndpointChanged,
     EndpointRestarted,
     PrimaryChanged,
 )
-from mallowpass.core.proxy.statements import Code, EndpointReply, Pause, Resume
+from mallowpass.core.proxy.statements import Code, EndpointReply, Resume
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
 
 __all__ = ["Resumption"]
@@ -76,6 +77,7 @@
         "_demotion",
         "_suspended",
         "_replica_orders",
+        "_replica_pauses",
         "_pending_orders",
         "_tasks",
     )
@@ -91,6 +93,7 @@
         self._claims = self._node.system(Claims)
         self._demotion = self._node.system(Demotion)
         self._replica_orders = self._node.system(ReplicaOrders)
+        self._replica_pauses = self._node.system(ReplicaPauses)
         self._pending_orders = self._node.system(PendingOrders)
         self._node.subscribe(EndpointChanged, self._on_endpoint_changed)
         self._node.subscribe(EndpointRestarted, self._on_restarted)
@@ -190,11 +193,11 @@
         task.names.add(endpoint.name)
         self._pending_orders.note_ended_pause(task.group.service)
 
-        def on_reply(reply: EndpointReply | None) -> None:
-            if reply is None or reply.code is not Code.DONE:
+        def on_reply(reply: EndpointReply | None, is_paused: bool) -> None:
+            if not is_paused:
                 self.timers.after(ROUND_INTERVAL, self._keep_paused, task, endpoint)
 
-        self._replica_orders.send(endpoint, Pause(task.group.term + 1), on_reply)
+        self._replica_pauses.pause(endpoint, on_reply)
 
     # -- Rounds --------------------------------------------------------------
 
