Resume the target of a promotion by its newest status

What callers saw: an acknowledged commit was not on the endpoint that was promoted, while another replica had it.

Cause: while an order is pending, commits are to be acknowledged through its target. An attempt resumed the target only if it had paused it itself, and did not look at the reply. A target that another host's attempt had left paused stayed paused until it led, and so did one that did not get the order. What was acknowledged meanwhile through a replica whose pause had ended was then on no log of the successor's.

Fix: `paused` holds what the newest status of a replica shows, whichever host paused it, so a survey and the question to the target set it too. The reply to the order to resume is read as well, and the order is repeated every 0.3 s while the target may be promoted and no other replica may.

--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -232,7 +232,6 @@
         attempt.rounds += 1
         attempt.is_awaiting_fence = False
         attempt.received.clear()
-        attempt.found_paused.clear()
         candidates = self._candidates(attempt.group, attempt.primary)
         if not candidates:
             self._give_up(attempt, "no replica is left")
@@ -303,15 +302,13 @@
         status = None
         if reply is not None and reply.code is Code.DONE:
             status = reply.status
-        if status is not None and must_pause:
-            attempt.note_pause(endpoint.name, is_paused)
+        if status is not None:
+            attempt.note_pause(endpoint.name, is_paused or status.paused_for > 0)
         # A replica that goes on to receive is not compared.
         if status is not None and (is_paused or status.is_primary or not must_pause):
             attempt.received[endpoint.name] = status.received
             attempt.terms[endpoint.name] = status.term
             attempt.group.term = max(attempt.group.term, status.term)
-            if attempt.is_survey and status.paused_for:
-                attempt.found_paused.add(endpoint.name)
             # An endpoint that restarted with an empty log may still report that it is
             # primary.
             required = self._durability.required_position(attempt.group)
@@ -456,7 +453,7 @@
         is_alive = attempt.primary_position is not None
         is_ordered = bool(self._pending_orders.pending(attempt.group.service))
         answered = attempt.received.keys()
-        are_paused = bool(answered) and attempt.found_paused >= answered
+        are_paused = bool(answered) and attempt.paused >= answered
         return is_alive and are_paused and not is_ordered
 
     def _order_once_fenced(self, attempt: Replacement) -> None:
--- a/mallowpass/core/proxy/promotionorders.py
+++ b/mallowpass/core/proxy/promotionorders.py
@@ -19,9 +19,9 @@
 from mallowpass.core.proxy.quiescence import Quiescence
 from mallowpass.core.proxy.replacement import Replacement
 from mallowpass.core.proxy.replacementlog import ReplacementLog, log_target_resumed
-from mallowpass.core.proxy.replicaorders import ReplicaOrders
-from mallowpass.core.proxy.statements import Resume
-from mallowpass.core.proxy.tables import ProxySystem
+from mallowpass.core.proxy.replicapauses import ReplicaPauses
+from mallowpass.core.proxy.statements import EndpointReply
+from mallowpass.core.proxy.tables import EndpointRow, ProxySystem
 from mallowpass.core.records import record
 
 __all__ = ["ClaimExpired", "OrderFailed", "PromotionOrders"]
@@ -30,6 +30,7 @@
 # Seconds before an order is repeated that was refused or not answered.
 ORDER_RETRY_INTERVAL = 0.3
 ORDERS_MAX = 6  # orders of one attempt
+RESUME_RETRY_INTERVAL = 0.3  # seconds before a target is ordered to resume again
 
 
 @record
@@ -58,7 +59,7 @@
         "_quiescence",
         "_unanswered",
         "_replacement_log",
-        "_replica_orders",
+        "_replica_pauses",
         "_pending_orders",
     )
 
@@ -75,7 +76,7 @@
         self._pending_fences = self._node.system(PendingFences)
         self._quiescence = self._node.system(Quiescence)
         self._replacement_log = self._node.system(ReplacementLog)
-        self._replica_orders = self._node.system(ReplicaOrders)
+        self._replica_pauses = self._node.system(ReplicaPauses)
         self._pending_orders = self._node.system(PendingOrders)
         self._node.subscribe(PromotionAnswered, self._on_answered)
 
@@ -166,13 +167,38 @@
         target = attempt.group.endpoints.get(attempt.target)
         if attempt.target in attempt.paused and target is not None:
             attempt.paused.discard(attempt.target)
-            self._replica_orders.send(
-                target,
-                Resume(),
-                lambda reply: log_target_resumed(
-                    self._node, attempt, target.name, reply
-                ),
-            )
+            self._order_resume(attempt, target)
+
+    def _order_resume(self, attempt: Replacement, target: EndpointRow) -> None:
+        def is_permitted() -> bool:
+            return self._must_receive(attempt, target)
+
+        def on_outcome(reply: EndpointReply | None, is_resumed: bool) -> None:
+            log_target_resumed(self._node, attempt, target.name, reply)
+            if not is_resumed and self._must_receive(attempt, target):
+                attempt.paused.add(target.name)
+                self.timers.after(
+                    RESUME_RETRY_INTERVAL, self._repeat_resume, attempt, target
+                )
+
+        self._replica_pauses.resume(target, is_permitted, on_outcome)
+
+    def _repeat_resume(self, attempt: Replacement, target: EndpointRow) -> None:
+        if self._must_receive(attempt, target):
+            self.resume_target(attempt)
+
+    def _must_receive(self, attempt: Replacement, target: EndpointRow) -> bool:
+        """Return whether a replica is still the only one that may be promoted."""
+        service = attempt.group.service
+        if attempt.target != target.name or not self.tables.is_current(target):
+            return False
+        if attempt.group.primary not in ("", attempt.primary):
+            return False
+        if not self._pending_orders.may_target_receive(service, target.name):
+            return False
+        # After the end of the attempt, another host may have ordered a promotion.
+        pending = self._pending_orders.pending(service).keys()
+        return not attempt.is_ended or pending == {target.name}
 
     def _on_answered(self, event: PromotionAnswered) -> None:
         if event.call not in self._unanswered:
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -70,8 +70,8 @@
     target: str = ""  # the replica to promote; empty: not chosen yet
     is_survey: bool = False  # this round reads log positions and pauses no replica
     resumes_all: bool = False  # at the end, also resume replicas paused by other hosts
-    paused: set[str] = field(default_factory=set)  # replicas that confirmed a pause
-    found_paused: set[str] = field(default_factory=set)  # replicas, in this survey
+    # Replicas whose newest status shows a pause, whichever host ordered it.
+    paused: set[str] = field(default_factory=set)
     members: set[str] = field(default_factory=set)  # replicas asked in this round
     outstanding: int = 0  # requests of this round without a reply
     received: dict[str, LogPosition] = field(default_factory=dict)  # by replica
@@ -102,7 +102,7 @@
         return ",".join(f"{name}:{position.text}" for name, position in received)
 
     def note_pause(self, name: str, is_paused: bool) -> None:
-        """Record whether a replica has confirmed its pause."""
+        """Record whether a replica is paused."""
         if is_paused:
             self.paused.add(name)
         else:
