Repeat an order to resume only at a replica that answers

An order without an answer may be carried out seconds later, and an order to resume then ends the pause that another host has ordered meanwhile.

Cause: replicas that did not confirm were ordered to resume every 0.3 s after the timeout, each time on another connection, up to eight times. Each of these orders could arrive late.

Fix: Resumption orders by way of `replicapauses`, which asks a replica that has not answered for its status first, and orders it to resume only if it shows a pause. An order that has waited for earlier ones is sent only while no other host can have claimed, and while the replica may receive. `STUCK_CLAIM_AGE_MIN` is derived from the times after which no order of a claim can still be sent or carried out; its own number contained an older timeout of orders.

Left: the one order without an answer. The pauses that are checked while a promotion order is pending are the second line against it.

Evidence: test_replica_that_does_not_answer_is_ordered_to_resume_once failed before, and passes.

--- a/mallowpass/core/proxy/resumption.py
+++ b/mallowpass/core/proxy/resumption.py
@@ -20,28 +20,29 @@
 from dataclasses import dataclass, field
 
 from mallowpass.core.node import Node
-from mallowpass.core.proxy.claims import Claim, Claims
+from mallowpass.core.proxy.claims import CLAIM_USE_TIMEOUT, Claim, Claims
 from mallowpass.core.proxy.demotion import Demotion
-from mallowpass.core.proxy.pendingorders import PendingOrders
+from mallowpass.core.proxy.pendingorders import LATE_ORDER_TIMEOUT, PendingOrders
 from mallowpass.core.proxy.replacement import ConfirmedFence, Replacement
-from mallowpass.core.proxy.replicaorders import ReplicaOrders
 from mallowpass.core.proxy.replicapauses import ReplicaPauses
 from mallowpass.core.proxy.signals import (
     EndpointChanged,
     EndpointRestarted,
     PrimaryChanged,
 )
-from mallowpass.core.proxy.statements import Code, EndpointReply, Resume
+from mallowpass.core.proxy.statements import EndpointReply
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
 
 __all__ = ["Resumption"]
 
 ROUND_INTERVAL = 0.3  # seconds between two rounds of orders
+# Seconds for which an order may wait for earlier ones to the same replica. Afterwards
+# another host could claim before the order is carried out.
+ORDER_WAIT_MAX = 0.5
 # A stuck replica is not resumed if the newest claim is younger than this, in seconds:
 # the holder of that claim has resumed the replica, which may only lag. After this time
-# no order of that claim can still be carried out: the last one is sent within 1.5 s of
-# the claim and expires after 8 s.
-STUCK_CLAIM_AGE_MIN = 10.0
+# no order of that claim can still be carried out.
+STUCK_CLAIM_AGE_MIN = CLAIM_USE_TIMEOUT + LATE_ORDER_TIMEOUT
 # Rounds before an unreachable replica is given up: the claims under which it is ordered
 # to resume keep other hosts from promoting. Once it returns, the hosts that find it
 # stuck resume it.
@@ -76,7 +77,6 @@
         "_claims",
         "_demotion",
         "_suspended",
-        "_replica_orders",
         "_replica_pauses",
         "_pending_orders",
         "_tasks",
@@ -92,7 +92,6 @@
         """Subscribe to changes of endpoints and primaries."""
         self._claims = self._node.system(Claims)
         self._demotion = self._node.system(Demotion)
-        self._replica_orders = self._node.system(ReplicaOrders)
         self._replica_pauses = self._node.system(ReplicaPauses)
         self._pending_orders = self._node.system(PendingOrders)
         self._node.subscribe(EndpointChanged, self._on_endpoint_changed)
@@ -284,17 +283,26 @@
             self._run_round(task)
             return
         for name in names:
-            endpoint = task.group.endpoints[name]
+            self._order(task, task.group.endpoints[name])
 
-            def on_reply(
-                reply: EndpointReply | None, endpoint: EndpointRow = endpoint
-            ) -> None:
-                self._on_reply(task, endpoint, reply)
+    def _order(self, task: _Task, endpoint: EndpointRow) -> None:
+        expires_at = self.now + ORDER_WAIT_MAX
 
-            self._replica_orders.send(endpoint, Resume(), on_reply)
+        def is_permitted() -> bool:
+            may_receive = self._pending_orders.may_receive(task.group, endpoint.name)
+            return self._is_current(task) and may_receive and self.now <= expires_at
 
-    def _on_reply(
-        self, task: _Task, endpoint: EndpointRow, reply: EndpointReply | None
+        def on_outcome(reply: EndpointReply | None, is_resumed: bool) -> None:
+            self._on_outcome(task, endpoint, reply, is_resumed)
+
+        self._replica_pauses.resume(endpoint, is_permitted, on_outcome)
+
+    def _on_outcome(
+        self,
+        task: _Task,
+        endpoint: EndpointRow,
+        reply: EndpointReply | None,
+        is_resumed: bool,
     ) -> None:
         self._node.log(
             "info",
@@ -304,7 +312,7 @@
             outcome="none" if reply is None else reply.code.value,
             round=task.rounds,
         )
-        if reply is not None and reply.code is Code.DONE:
+        if is_resumed:
             task.names.discard(endpoint.name)
         task.outstanding -= 1
         if task.outstanding == 0 and self._is_current(task):
--- a/tests/core/proxy/test_resumption.py
+++ b/tests/core/proxy/test_resumption.py
@@ -56,6 +56,23 @@
     assert world.group.lost == []
 
 
+def test_replica_that_does_not_answer_is_ordered_to_resume_once():
+    """Guard against orders to resume that arrive after another host's pause.
+
+    Each order without an answer may be carried out seconds later.
+    """
+    world = ProxyWorld()
+    keep_working(world)
+    crash_primary(world)
+    host = run_until_promoted(world)
+    (replica,) = paused_names(world)
+    world.dark.add(replica)
+    world.run(4.0)
+    resumed = {"endpoint": replica, "order": "Resume", "outcome": "none"}
+    unanswered = [c for c in host.counts if dict(c.attributes) == resumed]
+    assert len(unanswered) == 1
+
+
 def test_replica_paused_by_a_failed_host_is_resumed_by_others():
     """Guard against a replica that never serves reads again.
 
