Check pauses again until the successor leads

What callers saw: an acknowledged commit was not on the endpoint that was promoted, while another replica had it. That this is how the users lost theirs is suspected, not known.

Cause: replicas were paused as they were compared, and nothing looked at them from the order to the lead, which takes a second and, where an order gets no answer, many. A restart that the store shows late, or an order to resume that arrives late, had a replica receive again unseen. Until its successor leads, a primary had commits acknowledged through it, whether the target received them or not.

Fix: from the order on, all members but the target and the primary are paused again every 0.3 s, and once more as the platform accepts the order, until the target leads or no order for it is pending; in failures and planned replacements alike. The order to pause is idempotent, takes no slot, and is not sent while the one before has no answer. A member whose reply shows another position than it had when it was compared has received meanwhile: this is logged (`pause_lost`, a warning, with what it and the target have received), and the target has to receive as well. An order to resume waits for an earlier one to pause at the same replica, so a check cannot undo it.

Not covered: what is acknowledged between the end of a pause and the next check, if the target can't receive it before it leads.

--- a/mallowpass/core/proxy/__init__.py
+++ b/mallowpass/core/proxy/__init__.py
@@ -22,8 +22,8 @@
 - `requests`, `attempts`, `transactions`, `timeouts`, `answers`, `sessions`,
   `credentials`, `customers`, `ratelimits`: the execution of callers' statements;
 - `suspicion`, `overloadswitchover`, `replacementtriggers`, `claims`, `promotion`,
-  `replacement`, `promotionorders`, `pendingorders`, `demotion`, `resumption`,
-  `stuckreplicas`: failover and switchover of a primary;
+  `replacement`, `promotionorders`, `pendingorders`, `pausechecks`, `demotion`,
+  `resumption`, `stuckreplicas`: failover and switchover of a primary;
 - `discovery`, `primaryconflicts`: finding the primary, and resolving conflicts between
   two endpoints that act as primary;
 - `draining`: start, shutdown and readiness;
--- a/mallowpass/core/proxy/promotionorders.py
+++ b/mallowpass/core/proxy/promotionorders.py
@@ -24,7 +24,13 @@
 from mallowpass.core.proxy.tables import EndpointRow, ProxySystem
 from mallowpass.core.records import record
 
-__all__ = ["ClaimExpired", "OrderFailed", "PromotionOrders"]
+__all__ = [
+    "ClaimExpired",
+    "OrderAccepted",
+    "OrderFailed",
+    "PromotionOrdered",
+    "PromotionOrders",
+]
 
 ORDER_TIMEOUT = 1.0  # seconds
 # Seconds before an order is repeated that was refused or not answered.
@@ -33,6 +39,20 @@
 RESUME_RETRY_INTERVAL = 0.3  # seconds before a target is ordered to resume again
 
 
+@record
+class PromotionOrdered(Signal):
+    """An attempt's order was sent, or repeated."""
+
+    attempt: Replacement
+
+
+@record
+class OrderAccepted(Signal):
+    """The platform has accepted the newest order of an attempt."""
+
+    attempt: Replacement
+
+
 @record
 class OrderFailed(Signal):
     """An attempt's order was outdated or not sent, or all its orders were used up."""
@@ -154,6 +174,7 @@
                 ORDER_TIMEOUT,
             )
         )
+        self._node.publish(PromotionOrdered(attempt))
 
     def resume_target(self, attempt: Replacement) -> None:
         """Resume a paused target, so that it receives what the primary acknowledges.
@@ -208,6 +229,7 @@
         if attempt.is_ended or attempt.order_call != event.call:
             return
         if event.accepted:
+            self._node.publish(OrderAccepted(attempt))
             self._demote_primary(attempt)
             self.timers.after(
                 ACCEPTED_ORDER_TIMEOUT, self._repeat_order, attempt, event.call
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -32,6 +32,7 @@
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.overloadswitchover import OverloadSwitchover
+from mallowpass.core.proxy.pausechecks import PauseChecks
 from mallowpass.core.proxy.pauses import Pauses
 from mallowpass.core.proxy.pendingfences import PendingFences
 from mallowpass.core.proxy.pendingorders import PendingOrders
@@ -98,6 +99,7 @@
     PendingFences,
     Resumption,
     PromotionOrders,
+    PauseChecks,
     Promotion,
     ReplacementTriggers,
     OverloadSwitchover,
