--- a/mallowpass/core/proxy/__init__.py
+++ b/mallowpass/core/proxy/__init__.py
@@ -15,15 +15,15 @@
   forwarded by another host;
 - `load`, `pauses`, `stalls`: overloaded endpoints, pauses of this process, and
   primaries that acknowledge no writes;
-- `control`, `forwardedorders`, `replicaorders`: this host's own statements to
-  endpoints;
+- `control`, `forwardedorders`, `replicaorders`, `replicapauses`: this host's own
+  statements to endpoints;
 - `durability`, `leadership`, `floors`, `sampling`, `routing`: the log positions that
   reads and a new primary need, and the endpoints that may run a statement;
 - `requests`, `attempts`, `transactions`, `timeouts`, `answers`, `sessions`,
   `credentials`, `customers`, `ratelimits`: the execution of callers' statements;
 - `suspicion`, `overloadswitchover`, `replacementtriggers`, `claims`, `promotion`,
-  `replacement`, `promotionorders`, `pendingorders`, `demotion`, `resumption`,
-  `stuckreplicas`: failover and switchover of a primary;
+  `replacement`, `promotionorders`, `pendingorders`, `pausechecks`, `demotion`,
+  `resumption`, `stuckreplicas`: failover and switchover of a primary;
 - `discovery`, `primaryconflicts`: finding the primary, and resolving conflicts between
   two endpoints that act as primary;
 - `draining`: start, shutdown and readiness;
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -32,6 +32,7 @@
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.overloadswitchover import OverloadSwitchover
+from mallowpass.core.proxy.pausechecks import PauseChecks
 from mallowpass.core.proxy.pauses import Pauses
 from mallowpass.core.proxy.pendingfences import PendingFences
 from mallowpass.core.proxy.pendingorders import PendingOrders
@@ -47,6 +48,7 @@
 from mallowpass.core.proxy.replacementlog import ReplacementLog
 from mallowpass.core.proxy.replacementtriggers import ReplacementTriggers
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
+from mallowpass.core.proxy.replicapauses import ReplicaPauses
 from mallowpass.core.proxy.requests import Requests
 from mallowpass.core.proxy.resumption import Resumption
 from mallowpass.core.proxy.routing import Routing
@@ -84,6 +86,7 @@
     Routing,
     Control,
     ReplicaOrders,
+    ReplicaPauses,
     PendingOrders,
     Claims,
     ForwardedOrders,
@@ -98,6 +101,7 @@
     Resumption,
     StoredOrders,
     PromotionOrders,
+    PauseChecks,
     Promotion,
     ReplacementTriggers,
     OverloadSwitchover,
