Fence a primary that is replaced as planned before its successor is ordered

Callers lost acknowledged commits at planned replacements on a platform whose promotions fence the primary. The primary served writes until its successor led, and pauses were all that kept another replica from acknowledging commits that the target lacked. A restart or a late order to resume ends a pause unseen; beside orders without an answer this lasted for seconds.

Now the fence of failed primaries covers planned replacements too. It begins once replicas were surveyed and compared and the order is due; replicas are compared once more after all holders have confirmed. A holder that does not confirm within 0.25 s makes the primary step down, and its answer is waited for. The primary goes on serving reads. Nothing is acknowledged from the confirmations until the lead, so no pause has to hold.

Orders that the platform refuses lift the fence until the next order, which fences and compares again. Orders without an answer hand it to PendingFences, as those for failed primaries do: it is lifted while the target alone can acknowledge commits. Once the platform accepts a repeated order, the primary is fenced until the lead. A host that starts meanwhile fences a leaving primary as well.

--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -1,10 +1,10 @@
-"""Fences of a failed primary at all holders, before its successor is ordered.
+"""Fences of a primary at all holders, before its successor is ordered.
 
-A failed primary may be reachable for some hosts, or return at any moment. A commit that
-it acknowledges after the replicas were compared is lost if the target of the promotion
-lacks it. That no other replica receives does not exclude this: a restart ends a
-replica's pause, an order to resume may be carried out late, and a replica whose entry
-is unknown was never paused.
+A failed primary may be reachable for some hosts, or return at any moment, and one that
+is replaced as planned serves all of them. A commit that it acknowledges after the
+replicas were compared is lost if the target of the promotion lacks it. That no other
+replica receives does not exclude this: a restart ends a replica's pause, an order to
+resume may be carried out late, and a replica whose entry is unknown was never paused.
 
 So all holders fence the primary before a promotion is ordered. Each confirms once none
 of its commits is in flight there, and tells what it knows of the primary's log. From
@@ -41,6 +41,8 @@
 CONFIRM_TIMEOUT = 0.15
 # For the commits in flight at a primary that answers; then it has to step down.
 DRAIN_TIMEOUT = 0.05
+# The same for a planned replacement: a primary that steps down serves no reads.
+PLANNED_DRAIN_TIMEOUT = 0.25
 # For a primary that is ordered to step down: a round trip between regions, and a slot.
 STEP_DOWN_TIMEOUT = 0.08
 # Between two fences that are sent for the rounds of one comparison.
@@ -63,7 +65,7 @@
 
 
 class FenceOrders(ProxySystem):
-    """Have all holders fence the failed primaries that this host replaces."""
+    """Have all holders fence the primaries that this host replaces."""
 
     __slots__ = (
         "_connections",
@@ -135,16 +137,21 @@
     def require(self, attempt: Replacement) -> None:
         """Have the primary step down if holders do not confirm the fence soon.
 
-        A primary whose writes stall has commits in flight that do not end before.
+        A primary whose writes stall has commits in flight that do not end before. One
+        that has not failed answers, so its answer is waited for.
         """
         task = self._tasks.get(attempt.group.service)
-        if task is not None and not task.is_settled:
-            is_stalled = attempt.reason is Reason.STALLED
-            delay = 0.0 if is_stalled else DRAIN_TIMEOUT
-            self.timers.after(delay, self._demote, task)
-            wait = task.began_at + CONFIRM_TIMEOUT - self.now
-            wait = max(wait, delay + STEP_DOWN_TIMEOUT)
-            self.timers.after(wait, self._stop_waiting, task)
+        if task is None or task.is_settled:
+            return
+        if not attempt.reason.is_failure:
+            self.timers.after(PLANNED_DRAIN_TIMEOUT, self._demote, task)
+            return
+        is_stalled = attempt.reason is Reason.STALLED
+        delay = 0.0 if is_stalled else DRAIN_TIMEOUT
+        self.timers.after(delay, self._demote, task)
+        wait = task.began_at + CONFIRM_TIMEOUT - self.now
+        wait = max(wait, delay + STEP_DOWN_TIMEOUT)
+        self.timers.after(wait, self._stop_waiting, task)
 
     def renew(self, attempt: Replacement) -> None:
         """Have all holders fence an attempt's primary for longer."""
--- a/mallowpass/core/proxy/fencing.py
+++ b/mallowpass/core/proxy/fencing.py
@@ -1,11 +1,12 @@
-"""Fences of failed primaries at this host, while a successor is promoted.
+"""Fences of primaries at this host, while a successor is promoted.
 
 A failed primary that returns, or that some hosts still reach, goes on to acknowledge
-commits. Until its successor leads, no order to the primary itself is certain to arrive,
-so each holder holds its own writes to it, which the successor runs instead. A holder
-that hears nothing from the primary also closes the connections on which a commit is in
-flight: an answer that the primary sends later reaches no caller. A primary that answers
-tells the outcome of these commits itself.
+commits, as one does that is replaced as planned. Until its successor leads, no order to
+the primary itself is certain to arrive, so each holder holds its own writes to it,
+which the successor runs instead. A holder that hears nothing from the primary also
+closes the connections on which a commit is in flight: an answer that the primary sends
+later reaches no caller. A primary that answers tells the outcome of these commits
+itself.
 
 Several hosts may replace a primary at once. Each has a fence of its own, and writes are
 held until the last one ends. See `fenceorders` for when fences begin.
@@ -35,7 +36,7 @@
 
 
 class Fencing(ProxySystem):
-    """Keep hosts from writing to failed primaries that are being replaced."""
+    """Keep hosts from writing to primaries that are being replaced."""
 
     __slots__ = (
         "_connections",
--- a/mallowpass/core/proxy/pendingfences.py
+++ b/mallowpass/core/proxy/pendingfences.py
@@ -1,11 +1,11 @@
-"""Fences of failed primaries whose promotion order got no answer.
+"""Fences of primaries whose promotion order got no answer.
 
 Such an order may be carried out seconds later, with what its target has received by
 then. The fence lasts as long as the order is pending. Meanwhile the primary may be
-back, and no write would be served. So it is lifted while commits can be acknowledged
-through the target alone: while the primary answers, the target keeps up with it, and
-all other members are paused. The members are asked again and again, and the primary is
-fenced once more as soon as one of these does not hold.
+back, or has not failed at all, and no write would be served. So it is lifted while
+commits can be acknowledged through the target alone: while the primary answers, the
+target keeps up with it, and all other members are paused. The members are asked again
+and again, and the primary is fenced once more as soon as one of these does not hold.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.fenceorders import FenceOrders
-from mallowpass.core.proxy.pendingorders import PendingOrders
+from mallowpass.core.proxy.pendingorders import ACCEPTED_ORDER_TIMEOUT, PendingOrders
 from mallowpass.core.proxy.replacement import Replacement
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
 from mallowpass.core.proxy.statements import (
@@ -42,6 +42,7 @@
     target: str
     is_lifted: bool = False
     renewed_at: float = float("-inf")
+    fenced_until: float = 0.0  # at least, as an order was accepted
     statuses: dict[str, EndpointStatus] = field(default_factory=dict)  # of this round
     unanswered: list[EndpointRow] = field(default_factory=list)  # members asked
     shown: LogPosition | None = None  # by the primary, in the round before
@@ -73,10 +74,24 @@
         self._watches[service] = watch
         self._ask(watch)
 
-    def is_lifted(self, service: str) -> bool:
-        """Return whether a primary serves writes while an order is pending."""
+    def note_accepted(self, service: str) -> None:
+        """Fence a primary again whose successor is being promoted."""
         watch = self._watches.get(service)
-        return watch is not None and watch.is_lifted
+        if watch is not None:
+            watch.fenced_until = self.now + ACCEPTED_ORDER_TIMEOUT
+            if watch.is_lifted:
+                self._renew(watch)
+                watch.is_lifted = False
+
+    def is_lifted(self, service: str, target: str = "") -> bool:
+        """Return whether a primary serves writes while an order is pending.
+
+        If a target is given, only if the order is for that one.
+        """
+        watch = self._watches.get(service)
+        if watch is None or target not in ("", watch.target):
+            return False
+        return watch.is_lifted
 
     # -- Rounds --------------------------------------------------------------
 
@@ -115,7 +130,7 @@
         self._replica_orders.send(endpoint, Status(), on_reply)
 
     def _evaluate(self, watch: _Watch) -> None:
-        is_safe = self._is_safe(watch)
+        is_safe = self.now >= watch.fenced_until and self._is_safe(watch)
         primary = watch.statuses.get(watch.primary)
         watch.shown = None if primary is None else primary.received
         if is_safe and not watch.is_lifted:
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -7,9 +7,11 @@
 paused replica has all acknowledged commits, and it receives each commit that is
 acknowledged before its promotion. Only such a target is promoted.
 
-A pause may end unnoticed, and a replica may join or return. So a failed primary is also
+A pause may end unnoticed, and a replica may join or return. So the primary is also
 fenced by all hosts that connect to it before the promotion is ordered: none of them has
-a commit acknowledged there any more, see `fenceorders`.
+a commit acknowledged there any more, see `fenceorders`. A primary that is replaced as
+planned serves writes until the order is due. Where a promotion does not fence it, it is
+quiesced instead, see `quiescence`.
 
 Replicas that are missing may have received more. The target must therefore also have
 received all that missing replicas may have acknowledged, see `durability`. If no
@@ -239,7 +241,7 @@
             return
         attempt.members = {endpoint.name for endpoint in candidates}
         attempt.outstanding = len(candidates)
-        if not (attempt.is_survey or attempt.has_fenced):
+        if attempt.reason.is_failure and not (attempt.is_survey or attempt.has_fenced):
             self._fence(attempt)
         self._query_primary(attempt)
         self.timers.after(SLOW_ROUND_TIME, self._suspend_fence, attempt, attempt.rounds)
@@ -430,10 +432,10 @@
                 attempt.target = ""
             self._schedule_round(attempt, "the target lacks commits")
             return
-        if attempt.reason.is_failure:
-            self._order_once_fenced(attempt)
-        elif attempt.is_quiesced or not self._must_quiesce(attempt):
+        if attempt.is_quiesced or self._is_served_meanwhile(attempt):
             self._order(attempt)
+        elif self._must_fence(attempt):
+            self._order_once_fenced(attempt)
         elif not attempt.is_quiescing:
             self._quiesce(attempt)
 
@@ -474,9 +476,8 @@
         self._compare(attempt)
 
     def _fence(self, attempt: Replacement) -> None:
-        """Have all holders fence a failed primary, unless they do already."""
-        if attempt.reason.is_failure:
-            self._fence_orders.begin(attempt, lambda: self._on_fenced(attempt))
+        """Have all holders fence the primary, unless they do already."""
+        self._fence_orders.begin(attempt, lambda: self._on_fenced(attempt))
 
     def _on_fenced(self, attempt: Replacement) -> None:
         if attempt.is_awaiting_fence and not attempt.is_ended:
@@ -496,9 +497,19 @@
         else:
             self._give_up(attempt, "claims expire before replicas are compared")
 
-    def _must_quiesce(self, attempt: Replacement) -> bool:
-        """Return whether the primary's commits have to be stopped before the order."""
-        return not (attempt.reason.is_failure or self.tables.promotion_fences_primary)
+    def _is_served_meanwhile(self, attempt: Replacement) -> bool:
+        """Return whether writes are served while an earlier order is pending.
+
+        Another order for the same target need not be preceded by a fence.
+        """
+        if attempt.reason.is_failure or not self.tables.promotion_fences_primary:
+            return False
+        service, target = attempt.group.service, attempt.target
+        return self._pending_fences.is_lifted(service, target)
+
+    def _must_fence(self, attempt: Replacement) -> bool:
+        """Return whether a fence stops the primary's commits; else its quiescence."""
+        return attempt.reason.is_failure or self.tables.promotion_fences_primary
 
     def _quiesce(self, attempt: Replacement) -> None:
         """Stop the primary's commits, then compare once more with the target paused.
@@ -585,17 +596,33 @@
         if attempt.rounds >= limit:
             self._give_up(attempt, why)
             return
-        if not attempt.order_count:
+        if not self._may_be_promoted(attempt):
             # A primary that is back serves writes while replicas are waited for.
             self._fence_orders.suspend(attempt)
         self.timers.after(ROUND_INTERVAL, self._begin_round, attempt, attempt.rounds)
 
     def _suspend_fence(self, attempt: Replacement, round_number: int) -> None:
-        """Lift the fence while a slow round waits for a replica that may be down."""
+        """Lift the fence while a slow round waits for a replica that may be down.
+
+        A planned replacement begins its fence after a round in which all replicas
+        answered. If they are slow, its fence would be lifted in each round.
+        """
         is_current = not attempt.is_ended and attempt.rounds == round_number
-        if is_current and attempt.outstanding and not attempt.order_count:
+        if not is_current or not attempt.outstanding or not attempt.reason.is_failure:
+            return
+        if not attempt.order_count:
             self._fence_orders.suspend(attempt)
 
+    def _may_be_promoted(self, attempt: Replacement) -> bool:
+        """Return whether an order of an attempt may be carried out.
+
+        A failed primary stays fenced once its successor was ordered.
+        """
+        if attempt.reason.is_failure:
+            return attempt.order_count > 0
+        service = attempt.group.service
+        return bool(attempt.order_count and self._pending_orders.pending(service))
+
     def _begin_round(self, attempt: Replacement, rounds: int) -> None:
         """Begin the next round, unless another event has begun it meanwhile."""
         if not attempt.is_ended and attempt.rounds == rounds:
@@ -699,7 +726,7 @@
         self._node.publish(ReplacementEnded(attempt))
         self._quiescence.end(attempt)
         is_order_pending = bool(
-            attempt.reason.is_failure
+            attempt.has_fenced
             and attempt.order_count
             and self._pending_orders.pending(attempt.group.service)
         )
--- a/mallowpass/core/proxy/promotionorders.py
+++ b/mallowpass/core/proxy/promotionorders.py
@@ -182,6 +182,7 @@
         if attempt.is_ended or attempt.order_call != event.call:
             return
         if event.accepted:
+            self._keep_fence(attempt)
             self._demote_primary(attempt)
             self.timers.after(
                 ACCEPTED_ORDER_TIMEOUT, self._repeat_order, attempt, event.call
@@ -190,8 +191,8 @@
             attempt.claim = None  # another host has a newer claim
             self._node.publish(OrderFailed(attempt, event.message))
         else:
-            if event.accepted is None and attempt.reason.is_failure:
-                self._pending_fences.watch(attempt)
+            if attempt.has_fenced:
+                self._watch_fence(attempt, event.accepted)
             self._node.log("warning", "promotion_not_taken", why=event.message)
             self.timers.after(
                 ORDER_RETRY_INTERVAL, self._repeat_order, attempt, event.call
@@ -207,15 +208,31 @@
         if not attempt.reason.is_failure or primary is None:
             return
         self._demotion.demote(primary, attempt.group.term + 1)
+
+    def _keep_fence(self, attempt: Replacement) -> None:
+        """Keep the primary fenced while its successor is being promoted."""
+        self._pending_fences.note_accepted(attempt.group.service)
         self._fence_orders.renew(attempt)
 
+    def _watch_fence(self, attempt: Replacement, accepted: bool | None) -> None:
+        """Have the primary serve writes again once that loses no commit.
+
+        A primary that has not failed serves them until the next order if none is
+        pending.
+        """
+        service = attempt.group.service
+        if accepted is None:
+            self._pending_fences.watch(attempt)
+        elif not (attempt.reason.is_failure or self._pending_orders.pending(service)):
+            self._fence_orders.suspend(attempt)
+
     def _repeat_order(self, attempt: Replacement, call: int) -> None:
         if attempt.is_ended or attempt.order_call != call:
             return
         if attempt.order_count >= ORDERS_MAX:
             why = "all promotion orders of the attempt were used up"
             self._node.publish(OrderFailed(attempt, why))
-        elif self._claims.is_fresh(attempt.claim):
+        elif self._claims.is_fresh(attempt.claim) and not attempt.is_fence_lifted:
             self._pending_orders.note_order(
                 attempt.group.service, attempt.target, attempt.is_quiesced
             )
--- a/mallowpass/core/proxy/quiescence.py
+++ b/mallowpass/core/proxy/quiescence.py
@@ -11,7 +11,8 @@
 its writes is in flight, the primary has to step down before the promotion is ordered.
 
 A failed primary is ordered to step down as soon as the platform has accepted the
-promotion order, and is fenced meanwhile, see `fencing`.
+promotion order, and is fenced meanwhile, see `fencing`. Where a promotion fences the
+replaced primary, one that is replaced as planned is fenced as well.
 """
 
 from __future__ import annotations
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -27,7 +27,7 @@
 
     UNAVAILABLE = "silent"  # does not answer, or is unknown; replicas pause at once
     STALLED = "stalled"  # answers, but acknowledges no writes
-    LEAVING = "leaving"  # drains or has no entry; serves until it is replaced
+    LEAVING = "leaving"  # drains or has no entry; serves until that is ordered
     OVERLOADED = "relief"  # stays the primary if no replica can take over
 
     @property
@@ -95,6 +95,11 @@
         """Return the least term of which the target can become primary."""
         return self.terms.get(self.target, 0) + 1
 
+    @property
+    def is_fence_lifted(self) -> bool:
+        """Return whether the primary was fenced and writes may have run since."""
+        return self.has_fenced and self.fenced_round is None
+
     @property
     def received_text(self) -> str:
         """Return the replicas' log positions, formatted for log lines."""
--- a/mallowpass/core/proxy/startfences.py
+++ b/mallowpass/core/proxy/startfences.py
@@ -53,8 +53,10 @@
 
     def _fence(self, group: GroupRow, claim: Claim) -> None:
         primary = group.primary_row
-        if primary is None or primary.is_leaving:
-            return  # a primary that leaves serves until its successor leads
+        if primary is None:
+            return
+        if primary.is_leaving and not self.tables.promotion_fences_primary:
+            return  # quiescence keeps it from acknowledging commits
         pending = [until for target, until in claim.ordered if target != primary.name]
         duration = max(pending, default=0.0) - (self._store.time or 0.0)
         if duration > 0.0:
--- a/mallowpass/core/proxy/writeholds.py
+++ b/mallowpass/core/proxy/writeholds.py
@@ -27,7 +27,7 @@
     """Why writes are held; a hold lasts as long as one of its reasons."""
 
     SWITCHOVER = "switchover"  # the primary is replaced as planned
-    FENCE = "fence"  # the primary has failed
+    FENCE = "fence"  # its successor is about to be promoted
     HOLDER = "holder"  # a holder that forwards this host's writes holds them
 
 
--- /dev/null
+++ b/tests/core/proxy/test_planned_fences.py
@@ -0,0 +1,199 @@
+"""A primary that is replaced as planned acknowledges nothing once that is ordered.
+
+Its platform takes the lead from it as its successor begins to lead. Orders to promote
+may get no answer, and be carried out seconds later: it serves writes meanwhile.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from mallowpass.core.proxy.fencing import FENCE_DURATION
+from mallowpass.core.proxy.members import LEAVING_TIMEOUT
+from mallowpass.core.proxy.pendingfences import ROUND_INTERVAL
+from mallowpass.core.proxy.promotionorders import ORDER_TIMEOUT
+from mallowpass.core.proxy.statements import Code, Read
+from mallowpass.standins.proxied.virtual.heartbeats import Heartbeats
+from mallowpass.standins.proxied.virtual.world import ProxyWorld
+from tests.core.proxy.test_fence_limits import (
+    PRIMARY,
+    drain_primary,
+    heartbeats,
+    restart_unnoticed,
+    resume,
+    run_until_ordered,
+    world,
+)
+from tests.core.proxy.test_fence_orders import (
+    PROMOTION,
+    cut_from_hosts,
+    freeze,
+    holds,
+    logged,
+    run_until_led,
+)
+
+__all__ = ["heartbeats", "world"]  # fixtures
+
+# Times are in seconds.
+# At most, without an acknowledged commit: an order without an answer, the looks at the
+# members, and a promotion.
+GAP_MAX = ORDER_TIMEOUT + 4 * ROUND_INTERVAL + PROMOTION
+READ_TIME = 0.1  # at most, by way of a holder in another region
+SLOWNESS = 100.0  # of a replica whose answers take longer than a round may
+ROUND_TRIPS = 0.2  # for the fence and the comparison before an order
+
+
+def longest_gap(world: ProxyWorld, since: float) -> float:
+    """Return the longest time without an acknowledged commit, in seconds.
+
+    Only while a primary that leaves is used.
+    """
+    until = min(world.timers.now, since + LEAVING_TIMEOUT)
+    times = sorted(world.group.acknowledged_at.values())
+    times = [since, *(t for t in times if since <= t <= until), until]
+    return max(b - a for a, b in zip(times, times[1:], strict=False))
+
+
+@pytest.mark.parametrize("late", [2.0, 4.0, 7.0, 12.0])
+def test_late_orders_of_a_planned_replacement_lose_nothing(
+    world: ProxyWorld, heartbeats: Heartbeats, late: float
+):
+    """Guard against commits that a late promotion lacks, and writes that wait."""
+    world.orders_lost, world.orders_late = 100, late
+    drain_primary(world, heartbeats)
+    began_at = world.timers.now
+    run_until_ordered(world)
+    world.run(late + 3.0)
+    assert world.group.promotions
+    assert world.group.lost == []
+    assert longest_gap(world, began_at) < GAP_MAX
+
+
+@pytest.mark.parametrize("restarted_after", [0.1, 1.5])
+@pytest.mark.parametrize("late", [2.0, 4.0, 6.0])
+def test_target_that_restarts_after_a_late_order_lacks_no_commit(
+    world: ProxyWorld, heartbeats: Heartbeats, late: float, restarted_after: float
+):
+    """Guard against commits that a target lacks which did not receive for a while."""
+    world.orders_lost, world.orders_late = 100, late
+    drain_primary(world, heartbeats)
+    target, _ = run_until_ordered(world)
+    world.run(restarted_after)
+    world.group.cut(target, [PRIMARY])
+    restart_unnoticed(world, heartbeats, target)
+    world.run(late + 3.0)
+    assert world.group.promotions
+    assert world.group.lost == []
+
+
+def test_primary_serves_while_the_platform_refuses_orders(
+    world: ProxyWorld, heartbeats: Heartbeats, monkeypatch: pytest.MonkeyPatch
+):
+    """Guard against a fence that lasts although no promotion can be carried out."""
+    monkeypatch.setattr(world, "order", lambda host, order: (False, False))
+    drain_primary(world, heartbeats)
+    began_at = world.timers.now
+    world.run(5.0)
+    assert logged(world, "promotion_not_taken")
+    assert longest_gap(world, began_at) < 2 * ROUND_TRIPS
+
+
+@pytest.mark.parametrize("answered_after", [0, 1, 3])
+def test_repeated_order_that_is_accepted_finds_a_fenced_primary(
+    world: ProxyWorld, heartbeats: Heartbeats, answered_after: int
+):
+    """Guard against commits between an order that is repeated and its promotion.
+
+    The primary serves writes after orders without an answer. As the next one is carried
+    out, the target is cut off and the other replica receives.
+    """
+    world.orders_lost, world.orders_late = answered_after, 1e6
+    drain_primary(world, heartbeats)
+    world.run_until(lambda: len(world.orders) == answered_after + 1, 10.0)
+    world.run(ROUND_TRIPS)
+    assert holds(world) == [True] * 4
+    target = world.orders[-1].endpoint
+    _, other = run_until_ordered(world)
+    world.group.cut(target, [PRIMARY])
+    resume(world, other)
+    world.run(2.0)
+    world.group.heal()
+    world.run(1.0)
+    assert world.group.promotions == 1
+    assert world.group.lost == []
+
+
+def test_reads_at_a_primary_that_is_replaced_as_planned_go_on(
+    world: ProxyWorld, heartbeats: Heartbeats
+):
+    """Guard against a planned replacement that stops reads for as long as writes."""
+    drain_primary(world, heartbeats)
+    run_until_ordered(world)
+    for index in range(4):
+        caller = world.caller(index, "strict")
+        caller.send(Read("a"))
+        world.run(READ_TIME)
+        assert [answer.code for answer in caller.answers] == [Code.DONE]
+    assert world.group.promotions == 0
+
+
+@pytest.mark.parametrize("silence", [cut_from_hosts, freeze])
+def test_primary_steps_down_if_a_holder_does_not_confirm_a_planned_fence(
+    world: ProxyWorld, heartbeats: Heartbeats, silence
+):
+    """Guard against a planned order while a holder may have commits in flight."""
+    world.cut(0, "store")
+    silence(world)
+    drain_primary(world, heartbeats)
+    run_until_ordered(world)
+    assert not world.group.replicas[PRIMARY].is_primary
+    run_until_led(world)
+    assert world.group.lost == []
+
+
+@pytest.mark.parametrize("after", [0.0, 0.03, 0.06, 0.1, 0.2, 0.5])
+def test_host_that_ends_in_a_planned_replacement_leaves_no_fence_for_long(
+    world: ProxyWorld, heartbeats: Heartbeats, after: float
+):
+    """Guard against writes that wait for a host which has ended."""
+    drain_primary(world, heartbeats)
+    began_at = world.timers.now
+    world.run_until(lambda: bool(logged(world, "promotion_begun")), 3.0)
+    world.run(after)
+    index = next(i for i, h in enumerate(world.hosts) if h.logged("promotion_begun"))
+    world.kill(index)
+    world.run(8.0)
+    assert world.group.promotions
+    assert world.group.lost == []
+    assert longest_gap(world, began_at) < FENCE_DURATION + 2 * ROUND_TRIPS
+
+
+@pytest.mark.parametrize("after", [0.0, 0.1, 0.3, 0.55])
+def test_primary_that_ends_before_its_successor_leads_loses_nothing(
+    world: ProxyWorld, heartbeats: Heartbeats, after: float
+):
+    """Guard against a drain that is over between the order and the lead."""
+    drain_primary(world, heartbeats)
+    began_at = world.timers.now
+    target, other = run_until_ordered(world)
+    world.run(after)
+    world.crash(PRIMARY)
+    world.remove_entry(PRIMARY)
+    resume(world, other)
+    world.run(3.0)
+    assert world.primary.name == target
+    assert world.group.lost == []
+    assert longest_gap(world, began_at) < GAP_MAX
+
+
+def test_slow_replicas_do_not_keep_a_planned_replacement_from_its_order(
+    world: ProxyWorld, heartbeats: Heartbeats
+):
+    """Guard against a fence that is lifted and begun again in each round."""
+    world.group.replicas["db-agadir"].slowness = SLOWNESS
+    drain_primary(world, heartbeats)
+    run_until_ordered(world)
+    rounds = [line["round"] for line in logged(world, "promotion_compared")]
+    assert rounds == [1, 2, 3]
+    assert holds(world) == [True] * 4
