Pause replicas again that end the lift of a pending order's fence

Callers' writes were not served for 2.7 to 2.9 s beside planned orders without an answer, where a late order to resume had ended the pause of the other replica. The fence is lifted only while all others are paused; nobody paused that one again until the attempt compared the replicas anew under its next claim.

PendingFences asks the members anyway, each 0.1 s. It now asks one that receives by an order to pause, whose reply tells whether it is in force, and lifts the fence only then. While an order is pending only its target may receive, so the pause is what Promotion and Resumption keep too.

--- a/mallowpass/core/proxy/pendingfences.py
+++ b/mallowpass/core/proxy/pendingfences.py
@@ -6,6 +6,7 @@
 commits can be acknowledged through the target alone: while the primary answers, the
 target keeps up with it, and all other members are paused. The members are asked again
 and again, and the primary is fenced once more as soon as one of these does not hold.
+A member whose pause has ended is paused again.
 """
 
 from __future__ import annotations
@@ -21,6 +22,8 @@
     EndpointReply,
     EndpointStatus,
     LogPosition,
+    Pause,
+    Statement,
     Status,
 )
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
@@ -46,6 +49,7 @@
     statuses: dict[str, EndpointStatus] = field(default_factory=dict)  # of this round
     unanswered: list[EndpointRow] = field(default_factory=list)  # members asked
     shown: LogPosition | None = None  # by the primary, in the round before
+    receiving: set[str] = field(default_factory=set)  # others, in the round before
 
 
 class PendingFences(ProxySystem):
@@ -116,9 +120,15 @@
         return True
 
     def _query(self, watch: _Watch, endpoint: EndpointRow) -> None:
-        """Ask a member for its status, unless an earlier question waits there."""
+        """Ask a member for its status, unless an earlier question waits there.
+
+        A member that the round before found receiving is paused, which tells as much.
+        """
         if endpoint in watch.unanswered:
             return
+        statement: Statement = Status()
+        if endpoint.name in watch.receiving:
+            statement = Pause(watch.group.term + 1)
         watch.unanswered.append(endpoint)
         statuses = watch.statuses
 
@@ -126,13 +136,15 @@
             watch.unanswered.remove(endpoint)
             if reply is not None and reply.status is not None:
                 statuses[endpoint.name] = reply.status
+                watch.group.term = max(watch.group.term, reply.status.term)
 
-        self._replica_orders.send(endpoint, Status(), on_reply)
+        self._replica_orders.send(endpoint, statement, on_reply)
 
     def _evaluate(self, watch: _Watch) -> None:
         is_safe = self.now >= watch.fenced_until and self._is_safe(watch)
         primary = watch.statuses.get(watch.primary)
         watch.shown = None if primary is None else primary.received
+        watch.receiving = self._receiving(watch)
         if is_safe and not watch.is_lifted:
             self._fence_orders.lift(watch.group, watch.primary)
         elif not is_safe:
@@ -149,6 +161,15 @@
         watch.is_lifted = is_safe
         self._ask(watch)
 
+    @staticmethod
+    def _receiving(watch: _Watch) -> set[str]:
+        """Return the members that receive though neither primary nor target."""
+        return {
+            name
+            for name, status in watch.statuses.items()
+            if name not in (watch.primary, watch.target) and not status.paused_for
+        }
+
     def _is_safe(self, watch: _Watch) -> bool:
         """Return whether only the target can acknowledge commits of the primary."""
         primary = watch.statuses.get(watch.primary)
--- a/tests/core/proxy/test_planned_fences.py
+++ b/tests/core/proxy/test_planned_fences.py
@@ -55,15 +55,21 @@
     return max(b - a for a, b in zip(times, times[1:], strict=False))
 
 
+@pytest.mark.parametrize("resumed_after", [0.1, 1.0, 1.5, 2.0])
 @pytest.mark.parametrize("late", [2.0, 4.0, 7.0, 12.0])
 def test_late_orders_of_a_planned_replacement_lose_nothing(
-    world: ProxyWorld, heartbeats: Heartbeats, late: float
+    world: ProxyWorld, heartbeats: Heartbeats, late: float, resumed_after: float
 ):
-    """Guard against commits that a late promotion lacks, and writes that wait."""
+    """Guard against commits that a late promotion lacks, and writes that wait.
+
+    A late order to resume ends the pause of the other replica.
+    """
     world.orders_lost, world.orders_late = 100, late
     drain_primary(world, heartbeats)
     began_at = world.timers.now
-    run_until_ordered(world)
+    _, other = run_until_ordered(world)
+    world.run(resumed_after)
+    resume(world, other)
     world.run(late + 3.0)
     assert world.group.promotions
     assert world.group.lost == []
