Begin no fence as an attempt ends whose fence was lifted

Callers' writes waited for 2.5 s each time an attempt had used up its promotion orders without an answer, though the primary was back and served writes meanwhile. The end of the attempt had all holders fence the primary again, as an order was still pending. PendingFences had lifted the fence before, believed that it still was, and so did not lift it a second time.

The fence is begun at the end of an attempt only if it was not lifted. PendingFences goes on to watch the members, and fences the primary if one of them no longer is as the lift requires.

--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -730,7 +730,8 @@
             and attempt.order_count
             and self._pending_orders.pending(attempt.group.service)
         )
-        self._fence_orders.end(attempt, is_order_pending)
+        is_lifted = self._pending_fences.is_lifted(attempt.group.service)
+        self._fence_orders.end(attempt, is_order_pending and not is_lifted)
         if is_order_pending:
             self._pending_fences.watch(attempt)
 
--- a/tests/core/proxy/test_fence_ends.py
+++ b/tests/core/proxy/test_fence_ends.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from mallowpass.core.proxy.fencing import FENCE_DURATION
 from mallowpass.core.proxy.pendingorders import LATE_ORDER_TIMEOUT
 from mallowpass.standins.proxied.virtual.hosts import LINK, Host
 from mallowpass.standins.proxied.virtual.world import ProxyWorld
@@ -138,6 +139,24 @@
     assert len(world.group.acknowledged) > before
 
 
+def test_an_attempt_that_ends_begins_no_fence_that_was_lifted(make_world):
+    """Guard against a fence that nobody lifts, as the orders are used up.
+
+    The primary is back, and serves writes while the target keeps up with it.
+    """
+    world = make_world()
+    order_in_vain(world)
+    world.run_until(lambda: not any(holds(world)), ORDER_WAIT)
+    assert not any(holds(world))
+    world.run_until(lambda: not replacing(world), GIVEN_UP_TIME)
+    assert not replacing(world)
+    held = 0.0
+    for _ in range(int(FENCE_DURATION / LOOK_INTERVAL)):
+        world.run(LOOK_INTERVAL)
+        held += LOOK_INTERVAL * any(holds(world))
+    assert held < TRIAL_TIME
+
+
 @pytest.mark.parametrize("distance", [LINK, FAR])
 @pytest.mark.parametrize("waited_for", [0.0, 0.15, 0.3, 0.45])
 def test_a_primary_that_is_back_while_a_replica_is_waited_for_serves_writes(
