Keep a pending order's fence while another target may lead as well

The fence of a primary whose promotion order got no answer was lifted although an order for another target was pending, of another host or of an earlier attempt. Commits were then acknowledged through one target alone. They would be lost if the order for the other one is carried out.

Lost commits were not seen: the test checks the step, not its end.

PendingFences now lifts a fence only while none of the members that have to be paused is the target of a pending order.

--- a/mallowpass/core/proxy/pendingfences.py
+++ b/mallowpass/core/proxy/pendingfences.py
@@ -177,6 +177,8 @@
         if primary is None or target is None or watch.shown is None:
             return False
         others = watch.group.endpoints.keys() - {watch.primary, watch.target}
+        if others & self._pending_orders.pending(watch.group.service).keys():
+            return False  # one of them may lead, without what the target receives
         are_paused = all(
             name in watch.statuses and watch.statuses[name].paused_for
             for name in others
--- a/tests/core/proxy/test_planned_fences.py
+++ b/tests/core/proxy/test_planned_fences.py
@@ -11,10 +11,11 @@
 from mallowpass.core.proxy.fencing import FENCE_DURATION
 from mallowpass.core.proxy.members import LEAVING_TIMEOUT
 from mallowpass.core.proxy.pendingfences import ROUND_INTERVAL
+from mallowpass.core.proxy.pendingorders import LATE_ORDER_TIMEOUT, PendingOrders
 from mallowpass.core.proxy.promotionorders import ORDER_TIMEOUT
 from mallowpass.core.proxy.statements import Code, Read
 from mallowpass.standins.proxied.virtual.heartbeats import Heartbeats
-from mallowpass.standins.proxied.virtual.world import ProxyWorld
+from mallowpass.standins.proxied.virtual.world import SERVICE, ProxyWorld
 from tests.core.proxy.test_fence_limits import (
     PRIMARY,
     drain_primary,
@@ -93,6 +94,21 @@
     assert world.group.lost == []
 
 
+def test_fence_is_kept_while_orders_for_two_targets_are_pending(
+    world: ProxyWorld, heartbeats: Heartbeats
+):
+    """Guard against commits that are on one of two targets alone."""
+    world.orders_lost, world.orders_late = 100, 1e6
+    drain_primary(world, heartbeats)
+    _, other = run_until_ordered(world)
+    host = next(host for host in world.hosts if host.logged("promotion_ordered"))
+    until = world.timers.now + LATE_ORDER_TIMEOUT
+    host.node.system(PendingOrders).note_foreign_order(SERVICE, other, until)
+    before = len(world.group.acknowledged)
+    world.run(2 * GAP_MAX)
+    assert len(world.group.acknowledged) == before
+
+
 def test_primary_serves_while_the_platform_refuses_orders(
     world: ProxyWorld, heartbeats: Heartbeats, monkeypatch: pytest.MonkeyPatch
 ):
