Hold writes behind holders for a quarter of a second at a time

Callers of hosts behind holders had their writes refused long after the holders had lifted a fence. Such a host holds its writes for one second once a holder has refused one; nobody tells it that the fence was lifted. A planned replacement whose orders the platform refuses fences the primary for a tenth of a second each half second, so these hosts held their writes all the time.

A write that is sent after the hold is refused again if the holder still holds writes, which counts as no try. So a shorter hold costs a message or two for each promotion.

--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -83,7 +83,7 @@
 
 # Seconds for which a host holds its writes once a holder has refused one. A write that
 # is sent afterwards is refused again, if the holder still holds writes.
-FORWARDED_HOLD_DURATION = 1.0
+FORWARDED_HOLD_DURATION = 0.25
 
 # Least time in seconds between checks of a queue that does not drain. A pass over 400
 # waiting statements takes 2 ms.
--- a/tests/core/proxy/test_planned_fences.py
+++ b/tests/core/proxy/test_planned_fences.py
@@ -13,7 +13,7 @@
 from mallowpass.core.proxy.pendingfences import ROUND_INTERVAL
 from mallowpass.core.proxy.pendingorders import LATE_ORDER_TIMEOUT, PendingOrders
 from mallowpass.core.proxy.promotionorders import ORDER_TIMEOUT
-from mallowpass.core.proxy.statements import Code, Read
+from mallowpass.core.proxy.statements import Code, Read, Write
 from mallowpass.standins.proxied.virtual.heartbeats import Heartbeats
 from mallowpass.standins.proxied.virtual.world import SERVICE, ProxyWorld
 from tests.core.proxy.test_fence_limits import (
@@ -33,6 +33,7 @@
     logged,
     run_until_led,
 )
+from tests.core.proxy.test_write_holds import LARGE
 
 __all__ = ["heartbeats", "world"]  # fixtures
 
@@ -40,6 +41,7 @@
 # At most, without an acknowledged commit: an order without an answer, the looks at the
 # members, and a promotion.
 GAP_MAX = ORDER_TIMEOUT + 4 * ROUND_INTERVAL + PROMOTION
+SELDOM = 0.1  # between two writes of each host of a large fleet
 READ_TIME = 0.1  # at most, by way of a holder in another region
 SLOWNESS = 100.0  # of a replica whose answers take longer than a round may
 ROUND_TRIPS = 0.2  # for the fence and the comparison before an order
@@ -121,6 +123,26 @@
     assert longest_gap(world, began_at) < 2 * ROUND_TRIPS
 
 
+def test_hosts_behind_holders_serve_writes_while_the_platform_refuses_orders(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    """Guard against writes that wait long after the fence of a holder was lifted."""
+    world = ProxyWorld(hosts=LARGE)
+    world.run(4.0)
+    monkeypatch.setattr(world, "order", lambda host, order: (False, False))
+    world.enter(world.group.replicas[PRIMARY], draining=True)
+    callers = []
+    while len(callers) < 30 * LARGE:
+        world.run(SELDOM)
+        new = [world.caller(host, "own") for host in range(LARGE)]
+        for caller in new:
+            caller.send(Write("a 1"))
+        callers += new
+    world.run(1.0)
+    assert logged(world, "promotion_not_taken")
+    assert {caller.answers[0].code for caller in callers} == {Code.DONE}
+
+
 @pytest.mark.parametrize("answered_after", [0, 1, 3])
 def test_repeated_order_that_is_accepted_finds_a_fenced_primary(
     world: ProxyWorld, heartbeats: Heartbeats, answered_after: int
