--- a/tests/core/proxy/test_overload_switchover.py
+++ b/tests/core/proxy/test_overload_switchover.py
@@ -7,6 +7,7 @@
 import pytest
 
 from mallowpass.core.proxy.configuration import Consistency
+from mallowpass.core.proxy.fencing import Fencing
 from mallowpass.core.proxy.statements import Code, Pause, Read, Write
 from mallowpass.standins.proxied.replicas import GroupTimes
 from mallowpass.standins.proxied.virtual.world import (
@@ -113,7 +114,7 @@
     assert world.group.lost == []
 
 
-def test_replicas_that_receive_nothing_are_not_paused(world):
+def test_replicas_that_receive_nothing_are_not_paused(world, monkeypatch):
     """Guard against writes that repeatedly wait for half a second.
 
     No replica has reached the floor, since none receives. Each host in turn attempted a
@@ -128,12 +129,15 @@
     world.run(0.2)
     world.group.replicas["db-agadir"].deaf = True
     world.group.replicas["db-tanger"].deaf = True
+    fenced = []
+    monkeypatch.setattr(Fencing, "fence", lambda _, *args: fenced.append(args))
     world.run(8.0)
     begun_attempts = [
         line for host in world.hosts for line in host.logged("promotion_begun")
     ]
     assert begun_attempts
     assert not [c for c in world.calls if isinstance(c[2].statement, Pause)]
+    assert fenced == []
     assert world.group.promotions == 0
 
 
