Check that a host that starts in a planned replacement keeps the fence

The test fails if StartFences leaves out a primary that leaves, as it did before planned replacements were fenced: away for 0.2 s, commits are lost.

--- a/tests/core/proxy/test_planned_fences.py
+++ b/tests/core/proxy/test_planned_fences.py
@@ -213,6 +213,30 @@
     assert longest_gap(world, began_at) < FENCE_DURATION + 2 * ROUND_TRIPS
 
 
+@pytest.mark.parametrize("away", [0.0, 0.05, 0.2])
+def test_host_that_starts_in_a_planned_replacement_keeps_the_fence(
+    world: ProxyWorld, heartbeats: Heartbeats, away: float
+):
+    """Guard against writes of a host that started after the holders had confirmed."""
+    world.orders_lost, world.orders_late = 1, 0.3
+    drain_primary(world, heartbeats)
+    target, other = run_until_ordered(world)
+    index = next(
+        i for i, h in enumerate(world.hosts) if not h.logged("promotion_begun")
+    )
+    world.group.cut(target, [PRIMARY])
+    world.kill(index)
+    world.run(away)
+    world.start_again(index)
+    world.run(0.1)
+    resume(world, other)
+    world.run(2.0)
+    world.group.heal()
+    world.run(1.0)
+    assert world.group.promotions
+    assert world.group.lost == []
+
+
 @pytest.mark.parametrize("after", [0.0, 0.1, 0.3, 0.55])
 def test_primary_that_ends_before_its_successor_leads_loses_nothing(
     world: ProxyWorld, heartbeats: Heartbeats, after: float
