--- a/mallowpass/core/proxy/pendingfences.py
+++ b/mallowpass/core/proxy/pendingfences.py
@@ -1,11 +1,12 @@
-"""Fences of failed primaries whose promotion order got no answer.
+"""Fences of primaries whose promotion order got no answer.
 
 Such an order may be carried out seconds later, with what its target has received by
 then. The fence lasts as long as the order is pending. Meanwhile the primary may be
-back, and no write would be served. So it is lifted while commits can be acknowledged
-through the target alone: while the primary answers, the target keeps up with it, and
-all other members are paused. The members are asked again and again, and the primary is
-fenced once more as soon as one of these does not hold.
+back, or has not failed at all, and no write would be served. So it is lifted while
+commits can be acknowledged through the target alone: while the primary answers, the
+target keeps up with it, and all other members are paused. The members are asked again
+and again, and the primary is fenced once more as soon as one of these does not hold.
+A member whose pause has ended is paused again.
 """
 
 from __future__ import annotations
@@ -14,13 +15,15 @@
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.fenceorders import FenceOrders
-from mallowpass.core.proxy.pendingorders import PendingOrders
+from mallowpass.core.proxy.pendingorders import ACCEPTED_ORDER_TIMEOUT, PendingOrders
 from mallowpass.core.proxy.replacement import Replacement
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
 from mallowpass.core.proxy.statements import (
     EndpointReply,
     EndpointStatus,
     LogPosition,
+    Pause,
+    Statement,
     Status,
 )
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
@@ -42,9 +45,11 @@
     target: str
     is_lifted: bool = False
     renewed_at: float = float("-inf")
+    fenced_until: float = 0.0  # at least, as an order was accepted
     statuses: dict[str, EndpointStatus] = field(default_factory=dict)  # of this round
     unanswered: list[EndpointRow] = field(default_factory=list)  # members asked
     shown: LogPosition | None = None  # by the primary, in the round before
+    receiving: set[str] = field(default_factory=set)  # others, in the round before
 
 
 class PendingFences(ProxySystem):
@@ -73,10 +78,24 @@
         self._watches[service] = watch
         self._ask(watch)
 
-    def is_lifted(self, service: str) -> bool:
-        """Return whether a primary serves writes while an order is pending."""
+    def note_accepted(self, service: str) -> None:
+        """Fence a primary again whose successor is being promoted."""
         watch = self._watches.get(service)
-        return watch is not None and watch.is_lifted
+        if watch is not None:
+            watch.fenced_until = self.now + ACCEPTED_ORDER_TIMEOUT
+            if watch.is_lifted:
+                self._renew(watch)
+                watch.is_lifted = False
+
+    def is_lifted(self, service: str, target: str = "") -> bool:
+        """Return whether a primary serves writes while an order is pending.
+
+        If a target is given, only if the order is for that one.
+        """
+        watch = self._watches.get(service)
+        if watch is None or target not in ("", watch.target):
+            return False
+        return watch.is_lifted
 
     # -- Rounds --------------------------------------------------------------
 
@@ -101,9 +120,15 @@
         return True
 
     def _query(self, watch: _Watch, endpoint: EndpointRow) -> None:
-        """Ask a member for its status, unless an earlier question waits there."""
+        """Ask a member for its status, unless an earlier question waits there.
+
+        A member that the round before found receiving is paused, which tells as much.
+        """
         if endpoint in watch.unanswered:
             return
+        statement: Statement = Status()
+        if endpoint.name in watch.receiving:
+            statement = Pause(watch.group.term + 1)
         watch.unanswered.append(endpoint)
         statuses = watch.statuses
 
@@ -111,13 +136,15 @@
             watch.unanswered.remove(endpoint)
             if reply is not None and reply.status is not None:
                 statuses[endpoint.name] = reply.status
+                watch.group.term = max(watch.group.term, reply.status.term)
 
-        self._replica_orders.send(endpoint, Status(), on_reply)
+        self._replica_orders.send(endpoint, statement, on_reply)
 
     def _evaluate(self, watch: _Watch) -> None:
-        is_safe = self._is_safe(watch)
+        is_safe = self.now >= watch.fenced_until and self._is_safe(watch)
         primary = watch.statuses.get(watch.primary)
         watch.shown = None if primary is None else primary.received
+        watch.receiving = self._receiving(watch)
         if is_safe and not watch.is_lifted:
             self._fence_orders.lift(watch.group, watch.primary)
         elif not is_safe:
@@ -134,6 +161,15 @@
         watch.is_lifted = is_safe
         self._ask(watch)
 
+    @staticmethod
+    def _receiving(watch: _Watch) -> set[str]:
+        """Return the members that receive though neither primary nor target."""
+        return {
+            name
+            for name, status in watch.statuses.items()
+            if name not in (watch.primary, watch.target) and not status.paused_for
+        }
+
     def _is_safe(self, watch: _Watch) -> bool:
         """Return whether only the target can acknowledge commits of the primary."""
         primary = watch.statuses.get(watch.primary)
@@ -141,6 +177,8 @@
         if primary is None or target is None or watch.shown is None:
             return False
         others = watch.group.endpoints.keys() - {watch.primary, watch.target}
+        if others & self._pending_orders.pending(watch.group.service).keys():
+            return False  # one of them may lead, without what the target receives
         are_paused = all(
             name in watch.statuses and watch.statuses[name].paused_for
             for name in others
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -28,7 +28,7 @@
 
     UNAVAILABLE = "silent"  # does not answer, or is unknown; replicas pause at once
     STALLED = "stalled"  # answers, but acknowledges no writes
-    LEAVING = "leaving"  # drains or has no entry; serves until it is replaced
+    LEAVING = "leaving"  # drains or has no entry; serves until that is ordered
     OVERLOADED = "relief"  # stays the primary if no replica can take over
 
     @property
@@ -112,6 +112,11 @@
         position = self.received[self.target]
         return any(received < position for received in self.received.values())
 
+    @property
+    def is_fence_lifted(self) -> bool:
+        """Return whether the primary was fenced and writes may have run since."""
+        return self.has_fenced and self.fenced_round is None
+
     @property
     def received_text(self) -> str:
         """Return the replicas' log positions, formatted for log lines."""
