Warn of what a promotion was ordered on, and of orders left pending

Operators' records keep warnings and changes alone.

Cause: all steps of an attempt were logged at level info, and neither the age of the claim, nor pauses that a reply shows not to be in force, nor which holders refused or did not confirm the fence, nor restarts were on any line.

Warnings now, once each: promotion_ordered with this evidence, promotion_given_up after an order, promotion_ended with an order still pending, promotion_order_not_stored (the next host that claims can't know of the order), foreign_order (another host's claim tells of pending orders) and resumed_while_order_pending. What repeats in each round stays info.

Nothing is decided by it.

--- a/mallowpass/core/proxy/claims.py
+++ b/mallowpass/core/proxy/claims.py
@@ -129,12 +129,21 @@
 class Claims(ProxySystem):
     """Take, renew and release claims of this host."""
 
-    __slots__ = ("_durability", "_holders", "_known", "_pending_orders", "_store")
+    __slots__ = (
+        "_durability",
+        "_holders",
+        "_known",
+        "_logged_orders",
+        "_pending_orders",
+        "_store",
+    )
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
         # Version of the row and newest known claim, by service.
         self._known: dict[str, tuple[int, Claim | None]] = {}
+        # Token and orders of the last claim whose orders were logged, by service.
+        self._logged_orders: dict[str, tuple[int, tuple[tuple[str, float], ...]]] = {}
 
     def start(self) -> None:
         """Subscribe to new eras of the store, which may lack claims of earlier eras."""
@@ -213,6 +222,10 @@
         is_young = (self._store.time or 0.0) - claim.time < CLAIM_USE_TIMEOUT
         return is_young and self._is_of_current_era(claim)
 
+    def age(self, claim: Claim) -> float:
+        """Return the seconds since a claim was made."""
+        return (self._store.time or 0.0) - claim.time
+
     def raise_must_hold(
         self,
         service: str,
@@ -433,10 +446,32 @@
         """
         group = self.tables.group(service)
         offset = (self._store.time or 0.0) - self.now
+        if claim.holder != self._node.identity.name:
+            self._log_foreign_orders(service, claim)
         for target, until in claim.ordered:
             if target not in (claim.primary, group.primary):
                 self._pending_orders.note_foreign_order(service, target, until - offset)
 
+    def _log_foreign_orders(self, service: str, claim: Claim) -> None:
+        """Log the pending orders that another host has stored, once for each claim."""
+        if self._logged_orders.get(service) == (claim.token, claim.ordered):
+            return
+        self._logged_orders[service] = (claim.token, claim.ordered)
+        now = self._store.time or 0.0
+        pending = [(t, round(until - now, 3)) for t, until in claim.ordered]
+        orders = ",".join(f"{t}:{left}" for t, left in pending if left > 0.0)
+        if orders:
+            self._node.log(
+                "warning",
+                "foreign_order",
+                service=service,
+                holder=claim.holder,
+                token=claim.token,
+                claim_age=round(self.age(claim), 3),
+                primary=claim.primary,
+                pending=orders,
+            )
+
     def _decode(self, row: Row) -> Claim:
         """Parse a stored claim; a malformed one counts as released.
 
--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -111,6 +111,9 @@
                 self.renew(attempt)
             return
         attempt.has_fenced = True
+        attempt.fence_told = set()
+        attempt.fence_confirmed = set()
+        attempt.fence_refused = set()
         task = _Task(attempt, handler, self.now, self.now, self.tables.hosts_version)
         self._tasks[service] = task
         primary = self._primary(attempt)
@@ -120,6 +123,7 @@
         own_name = self._node.identity.name
         others = self._holders.other_holders(service)
         task.unconfirmed = {own_name, *(host.name for host in others)}
+        attempt.fence_told = set(task.unconfirmed)
         paths = self._paths(attempt.group, attempt.primary)
         for host in others:
             self._order(task, host, paths)
@@ -215,6 +219,7 @@
         def on_reply(forwarded: ForwardedReply) -> None:
             if forwarded.was_refused:
                 # The host is down, or has no connection to any member.
+                task.attempt.fence_refused.add(host.name)
                 self._confirm(task, host.name)
                 return
             evidence = _evidence_of(forwarded)
@@ -248,6 +253,7 @@
         attempt = task.attempt
         self._durability.raise_must_hold(attempt.group, evidence.must_hold)
         attempt.shown = max(attempt.shown, evidence.shown)
+        attempt.fence_confirmed.add(host)
         self._confirm(task, host)
 
     def _confirm(self, task: _Task, host: str) -> None:
--- a/mallowpass/core/proxy/pendingorders.py
+++ b/mallowpass/core/proxy/pendingorders.py
@@ -96,6 +96,11 @@
             del orders[target]
         return {target: order.until for target, order in orders.items()}
 
+    def pending_text(self, service: str) -> str:
+        """Return the pending orders for log lines, each as TARGET:SECONDS_LEFT."""
+        pending = sorted(self.pending(service).items())
+        return ",".join(f"{t}:{round(until - self.now, 3)}" for t, until in pending)
+
     def _on_primary_changed(self, signal: PrimaryChanged) -> None:
         """Discard the orders for a new primary, unless one of them has no answer."""
         orders = self._orders.get(signal.group.service, {})
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -229,8 +229,10 @@
         paused again, since a restart ends a pause.
         """
         attempt.rounds += 1
+        attempt.round_began_at = self.now
         attempt.is_awaiting_fence = False
         attempt.received.clear()
+        attempt.statuses.clear()
         attempt.found_paused.clear()
         term = attempt.group.term + 1
         candidates = self._candidates(attempt.group, attempt.primary)
@@ -300,6 +302,7 @@
         if reply is not None and reply.code is Code.DONE and reply.status is not None:
             attempt.received[endpoint.name] = reply.status.received
             attempt.terms[endpoint.name] = reply.status.term
+            attempt.statuses[endpoint.name] = reply.status
             attempt.group.term = max(attempt.group.term, reply.status.term)
             if isinstance(statement, Pause):
                 attempt.paused.add(endpoint.name)
@@ -624,7 +627,10 @@
         """
         endpoint = signal.endpoint
         attempt = self._attempts.get(endpoint.entry.service)
-        if attempt is None or endpoint.name not in attempt.members:
+        if attempt is None:
+            return
+        attempt.restarted.add(endpoint.name)
+        if endpoint.name not in attempt.members:
             return
         attempt.paused.discard(endpoint.name)
         if attempt.order_count and endpoint.name != attempt.target:
@@ -685,14 +691,29 @@
 
     def _complete(self, attempt: Replacement, why: str) -> None:
         self._end(attempt)
-        attempt.log(self._node, "promotion_ended", outcome=why)
+        pending = self._pending_text(attempt)
+        level = "warning" if pending else "info"
+        attempt.log(self._node, "promotion_ended", level, outcome=why, pending=pending)
         self._resume_replicas(attempt)
 
     def _give_up(self, attempt: Replacement, why: str) -> None:
         self._end(attempt)
-        attempt.log(self._node, "promotion_given_up", outcome=why)
+        level = "warning" if attempt.order_count else "info"
+        attempt.log(
+            self._node,
+            "promotion_given_up",
+            level,
+            outcome=why,
+            pending=self._pending_text(attempt),
+        )
         self._resume_replicas(attempt)
 
+    def _pending_text(self, attempt: Replacement) -> str:
+        """Return the pending orders after an attempt that has ordered a promotion."""
+        if not attempt.order_count:
+            return ""
+        return self._pending_orders.pending_text(attempt.group.service)
+
     def _end(self, attempt: Replacement) -> None:
         attempt.is_ended = True
         del self._attempts[attempt.group.service]
--- /dev/null
+++ b/mallowpass/core/proxy/promotionevidence.py
@@ -0,0 +1,37 @@
+"""What a host knew when it ordered a promotion, as fields of a log line."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from mallowpass.core.proxy.replacement import Replacement
+
+__all__ = ["evidence_fields"]
+
+
+def evidence_fields(attempt: Replacement, now: float) -> dict[str, object]:
+    """Return on what comparison, pauses and fence an attempt orders a promotion.
+
+    Members are named `unpaused` whose reply shows that they receive, and `silent` that
+    have not replied.
+    """
+    statuses = attempt.statuses.items()
+    unpaused = {name for name, status in statuses if not status.paused_for}
+    settled = attempt.fence_confirmed | attempt.fence_refused
+    return {
+        "order": attempt.order_count,
+        "round": attempt.rounds,
+        "compared_ago": round(now - attempt.round_began_at, 3),
+        "received": attempt.received_text,
+        "paused": _join(attempt.paused),
+        "unpaused": _join(unpaused - {attempt.target}),
+        "silent": _join(attempt.members - attempt.received.keys()),
+        "restarted": _join(attempt.restarted),
+        "fence_confirmed": _join(attempt.fence_confirmed),
+        "fence_refused": _join(attempt.fence_refused),
+        "fence_unconfirmed": _join(attempt.fence_told - settled),
+    }
+
+
+def _join(names: Iterable[str]) -> str:
+    return ",".join(sorted(names))
--- a/mallowpass/core/proxy/promotionorders.py
+++ b/mallowpass/core/proxy/promotionorders.py
@@ -16,6 +16,7 @@
 from mallowpass.core.proxy.fenceorders import FenceOrders
 from mallowpass.core.proxy.pendingfences import PendingFences
 from mallowpass.core.proxy.pendingorders import ACCEPTED_ORDER_TIMEOUT, PendingOrders
+from mallowpass.core.proxy.promotionevidence import evidence_fields
 from mallowpass.core.proxy.quiescence import Quiescence
 from mallowpass.core.proxy.replacement import Replacement
 from mallowpass.core.proxy.replacementlog import ReplacementLog, log_target_resumed
@@ -100,6 +101,13 @@
             if is_current and claim is not None:
                 attempt.claim = claim
             if not must_store_first:
+                if claim is None:
+                    attempt.log(
+                        self._node,
+                        "promotion_order_not_stored",
+                        "warning",
+                        target=target,
+                    )
                 return
             if is_current and claim is not None:
                 self._send_order(attempt)
@@ -140,9 +148,12 @@
         attempt.log(
             self._node,
             "promotion_ordered",
+            "warning",
             target=attempt.target,
             token=attempt.claim.token,
-            received=attempt.received_text,
+            claim_age=round(self._claims.age(attempt.claim), 3),
+            **self._replacement_log.comparison_fields(attempt.group),
+            **evidence_fields(attempt, self.now),
         )
         self._node.emit(
             OrderPromotion(
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -9,6 +9,7 @@
 from mallowpass.core.node import Node
 from mallowpass.core.positions import ZERO_POSITION, LogPosition
 from mallowpass.core.proxy.claims import Claim
+from mallowpass.core.proxy.statements import EndpointStatus
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow
 from mallowpass.core.records import record
 
@@ -76,13 +77,20 @@
     outstanding: int = 0  # requests of this round without a reply
     received: dict[str, LogPosition] = field(default_factory=dict)  # by replica
     terms: dict[str, int] = field(default_factory=dict)  # by replica
+    # Replies of this round, by replica.
+    statuses: dict[str, EndpointStatus] = field(default_factory=dict)
+    restarted: set[str] = field(default_factory=set)  # members, since the attempt began
     primary_position: LogPosition | None = None  # as read in the first round
     rounds: int = 0
+    round_began_at: float = 0.0
     is_quiescing: bool = False  # the primary's commits are being stopped
     is_quiesced: bool = False  # they have stopped, or the wait for that has ended
     has_fenced: bool = False  # holders were told to fence the primary
     is_awaiting_fence: bool = False  # the order waits for the fence of the primary
     fenced_round: int | None = None  # the round in which the wait for the fence ended
+    fence_told: set[str] = field(default_factory=set)  # holders
+    fence_confirmed: set[str] = field(default_factory=set)  # holders
+    fence_refused: set[str] = field(default_factory=set)  # holders that took no order
     must_step_down: bool = False  # the primary was ordered to, before the promotion
     confirmed_fence: ConfirmedFence | None = None
     shown: LogPosition = ZERO_POSITION  # newest that the primary showed to any holder
@@ -101,11 +109,13 @@
         received = sorted(self.received.items())
         return ",".join(f"{name}:{position.text}" for name, position in received)
 
-    def log(self, node: Node, event: str, **fields: object) -> None:
+    def log(
+        self, node: Node, event: str, level: str = "info", **fields: object
+    ) -> None:
         """Log a step of the attempt, and count it."""
         node.count("promotion_steps", service=self.group.service, step=event)
         node.log(
-            "info",
+            level,
             event,
             service=self.group.service,
             primary=self.primary,
--- a/mallowpass/core/proxy/resumption.py
+++ b/mallowpass/core/proxy/resumption.py
@@ -62,6 +62,7 @@
     target: str = ""  # of the attempt that paused the replicas
     term: int = 0  # least term of `target`, if it is primary
     is_for_stuck_replica: bool = False  # found stuck, not paused by this host
+    has_logged_orders: bool = False  # orders that are pending while replicas receive
     has_ordered: bool = False  # a promotion was ordered under the claim
     outstanding: int = 0  # orders of this round without a reply
     is_waiting: bool = False  # until no order is pending
@@ -280,6 +281,7 @@
         if not names:
             self._run_round(task)
             return
+        self._log_pending_orders(task, names)
         for name in names:
             endpoint = task.group.endpoints[name]
 
@@ -290,6 +292,21 @@
 
             self._replica_orders.send(endpoint, Resume(), on_reply)
 
+    def _log_pending_orders(self, task: _Task, names: list[str]) -> None:
+        """Log the orders that are pending as replicas begin to receive."""
+        service = task.group.service
+        pending = self._pending_orders.pending_text(service)
+        if pending and not task.has_logged_orders:
+            task.has_logged_orders = True
+            self._node.log(
+                "warning",
+                "resumed_while_order_pending",
+                service=service,
+                primary=task.group.primary,
+                endpoints=",".join(names),
+                pending=pending,
+            )
+
     def _on_reply(
         self, task: _Task, endpoint: EndpointRow, reply: EndpointReply | None
     ) -> None:
--- /dev/null
+++ b/tests/core/proxy/test_promotion_evidence.py
@@ -0,0 +1,212 @@
+"""Warnings tell on what evidence a promotion was ordered, and what came of it.
+
+Records of a fleet may keep warnings alone, and a commit may be lost at any promotion.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from mallowpass.core.proxy.promotionevidence import evidence_fields
+from mallowpass.core.proxy.replacement import Reason, Replacement
+from mallowpass.core.proxy.statements import EndpointStatus, LogPosition
+from mallowpass.core.proxy.tables import GroupRow
+from mallowpass.standins.proxied.virtual.hosts import Host
+from mallowpass.standins.proxied.virtual.world import SERVICE, ProxyWorld
+from tests.core.proxy.test_replacement_log import OLD, Writers, run_until_ordered
+
+FAR = 0.012  # seconds that a message takes from one region to another
+PENDING_TIME = 8.0  # seconds for which an order without an answer is pending
+
+
+def warnings(host: Host, event: str) -> list[dict[str, Any]]:
+    """Return the fields of all warnings of one event."""
+    logs = [log for log in host.logs if (log.event, log.level) == (event, "warning")]
+    return [dict(log.fields) for log in logs]
+
+
+def all_warnings(world: ProxyWorld, event: str) -> list[dict[str, Any]]:
+    """Return the fields of all warnings of one event, of all hosts."""
+    return [line for host in world.hosts for line in warnings(host, event)]
+
+
+def loaded_world(**options: Any) -> ProxyWorld:
+    """Return a world of four hosts under load for 1 s."""
+    world = ProxyWorld(hosts=4, **options)
+    Writers(world)
+    world.run(1.0)
+    return world
+
+
+# -- Orders ------------------------------------------------------------------
+
+
+def status(name: str, position: int, paused_for: int) -> EndpointStatus:
+    """Return a replica's status in the first term."""
+    return EndpointStatus(
+        is_primary=False,
+        term=1,
+        received=LogPosition(1, position),
+        lag=0.0,
+        busy=0,
+        connections=1,
+        paused_for=paused_for,
+    )
+
+
+def test_members_whose_reply_shows_no_pause_are_named():
+    """Guard against a pause that counts as confirmed and is not in force."""
+    attempt = Replacement(GroupRow(SERVICE), OLD, Reason.UNAVAILABLE, "reset", 1.0)
+    attempt.target = "db-a"
+    attempt.members = {"db-a", "db-b", "db-c", "db-d"}
+    attempt.paused = {"db-b", "db-c"}
+    attempt.statuses = {
+        "db-a": status("db-a", 7, 0),
+        "db-b": status("db-b", 6, 2),
+        "db-c": status("db-c", 5, 0),
+    }
+    attempt.received = {n: s.received for n, s in attempt.statuses.items()}
+    fields = evidence_fields(attempt, 2.0)
+    assert fields["received"] == "db-a:1.7,db-b:1.6,db-c:1.5"
+    assert fields["paused"] == "db-b,db-c"
+    assert fields["unpaused"] == "db-c"
+    assert fields["silent"] == "db-d"
+
+
+def test_an_order_is_a_warning_that_tells_its_evidence():
+    """Guard against a record in which no line of the ordering host is kept."""
+    world = loaded_world()
+    world.crash(OLD)
+    host = run_until_ordered(world)
+    world.run(2.0)
+    (line,) = all_warnings(world, "promotion_ordered")
+    order = world.orders[0]
+    others = {"db-tanger", "db-agadir"} - {order.endpoint}
+    assert (line["target"], line["token"]) == (order.endpoint, order.fencing_token)
+    assert 0.0 <= line["claim_age"] < 0.5
+    assert 0.0 <= line["compared_ago"] < 0.5
+    assert line["paused"] == ",".join(others)
+    assert (line["unpaused"], line["silent"], line["left_out"]) == ("", "", "")
+    assert line["required"].startswith("1.")
+    assert line["fence_confirmed"] == ",".join(h.name for h in world.hosts)
+    assert (line["fence_refused"], line["fence_unconfirmed"]) == ("", "")
+    assert warnings(host, "promotion_ended") == []
+
+
+def test_an_order_names_holders_that_did_not_confirm_the_fence():
+    """Guard against an order in spite of a holder that may still write."""
+    world = loaded_world(distance=FAR)
+    silent = world.hosts[3]
+    silent.cut_from |= {host.name for host in world.hosts}
+    world.crash(OLD, dark=True)
+    run_until_ordered(world)
+    line = all_warnings(world, "promotion_ordered")[0]
+    assert line["fence_unconfirmed"] == silent.name
+    assert silent.name not in line["fence_confirmed"].split(",")
+
+
+def test_an_order_names_holders_that_refused_the_fence():
+    """Guard against a refusal that passes for a confirmation."""
+    world = loaded_world(distance=FAR)
+    world.kill(3)
+    world.crash(OLD)
+    run_until_ordered(world)
+    line = all_warnings(world, "promotion_ordered")[0]
+    assert line["fence_refused"] == world.hosts[3].name
+
+
+def test_an_order_names_members_that_restarted_since_the_attempt_began():
+    """Guard against a restart that ended a pause and that no line tells of."""
+    world = loaded_world()
+    world.orders_lost, world.orders_late = 100, PENDING_TIME
+    world.crash(OLD)
+    host = run_until_ordered(world)
+    target = world.orders[0].endpoint
+    other = next(n for n in ("db-tanger", "db-agadir") if n != target)
+    world.crash(other)
+    world.restart(other)
+    world.run(2.0)
+    lines = warnings(host, "promotion_ordered")
+    assert lines[0]["restarted"] == ""
+    assert lines[-1]["restarted"] == other
+    assert [line["order"] for line in lines] == list(range(1, len(lines) + 1))
+
+
+# -- After an order ----------------------------------------------------------
+
+
+def test_an_attempt_without_a_successor_tells_of_its_pending_order():
+    """Guard against a late promotion after an attempt that no line of a record ends."""
+    world = loaded_world()
+    for index in range(len(world.hosts)):
+        world.cut(index, "orders")
+    world.enter(world.group.replicas[OLD], draining=True)
+    host = run_until_ordered(world)
+    world.run_until(lambda: bool(warnings(host, "promotion_given_up")), 15.0)
+    line = warnings(host, "promotion_given_up")[0]
+    target, left = line["pending"].split(":")
+    assert target == world.orders[0].endpoint
+    assert 0.0 < float(left) <= PENDING_TIME
+
+
+def test_an_attempt_that_ordered_nothing_ends_without_a_warning():
+    world = loaded_world()
+    world.crash("db-tanger", dark=True)
+    world.crash("db-agadir", dark=True)
+    world.enter(world.group.replicas[OLD], draining=True)
+    world.run(8.0)
+    assert world.orders == []
+    assert any(host.logged("promotion_given_up") for host in world.hosts)
+    assert all_warnings(world, "promotion_given_up") == []
+
+
+def test_replicas_that_receive_while_an_order_is_pending_are_named_once():
+    """Guard against a second promotion by an order that nobody answered."""
+    world = loaded_world()
+    world.orders_lost, world.orders_late = 1, 0.3
+    world.crash(OLD)
+    host = run_until_ordered(world)
+    world.run(2.0)
+    target = world.orders[0].endpoint
+    (line,) = warnings(host, "resumed_while_order_pending")
+    assert line["primary"] == target
+    assert target not in line["endpoints"].split(",")
+    assert line["pending"].startswith(f"{target}:")
+
+
+def test_the_next_host_that_claims_tells_of_a_pending_order_once():
+    """Guard against an order of another host that no line of a record names."""
+    world = loaded_world()
+    world.orders_lost, world.orders_late = 100, PENDING_TIME
+    world.crash(OLD, dark=True)
+    host = run_until_ordered(world)
+    world.run(0.2)
+    host.exited = True
+    world.run(7.0)
+    order = world.orders[0]
+    for other in world.hosts:
+        lines = [
+            line
+            for line in warnings(other, "foreign_order")
+            if line["token"] == order.fencing_token
+        ]
+        assert len(lines) <= 1
+        assert all(line["holder"] == host.name for line in lines)
+        assert all(line["pending"].startswith(order.endpoint) for line in lines)
+    assert all_warnings(world, "foreign_order")
+
+
+@pytest.mark.parametrize("is_store_cut", [False, True])
+def test_an_order_that_the_store_does_not_keep_is_a_warning(is_store_cut: bool):
+    """Guard against an order that the next host that claims can't know of."""
+    world = loaded_world()
+    world.crash(OLD)
+    host = run_until_ordered(world)
+    if is_store_cut:
+        host.cut_from.add("store")
+    world.run(3.0)
+    lines = warnings(host, "promotion_order_not_stored")
+    assert bool(lines) is is_store_cut
+    assert all(line["target"] == world.orders[0].endpoint for line in lines)
