Warn of promotions whose successor may lack commits, and count them

Lost commits were found by the users' checks alone. Nothing at the hosts said that a promotion had lost any, nor that one nearly had, though a near miss is many times more frequent than a loss.

As a successor shows its first position as primary, each host compares it with what members had shown and with what is proven to be acknowledged; the host that ordered also compares with what the target had. What a host finds above is logged as promotion_near_miss, with both positions, and counted (promotion_near_misses, by service and evidence). `lacking` tells a proven lack from a commit that the successor was not known to have.

Positions are compared within the earlier term. Numbers of commits go on from term to term, so the first commit of the new term bounds the earlier one. Left out is what would warn of each ordinary replacement: the log of a former primary, commits of a primary that serves until its planned successor leads, and what a member may have received from the successor.

--- a/mallowpass/core/proxy/promotionorders.py
+++ b/mallowpass/core/proxy/promotionorders.py
@@ -18,7 +18,7 @@
 from mallowpass.core.proxy.pendingorders import ACCEPTED_ORDER_TIMEOUT, PendingOrders
 from mallowpass.core.proxy.promotionevidence import evidence_fields
 from mallowpass.core.proxy.quiescence import Quiescence
-from mallowpass.core.proxy.replacement import Replacement
+from mallowpass.core.proxy.replacement import PromotionOrdered, Replacement
 from mallowpass.core.proxy.replacementlog import ReplacementLog, log_target_resumed
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
 from mallowpass.core.proxy.statements import Resume
@@ -142,7 +142,7 @@
         if not self._pending_fences.is_lifted(attempt.group.service):
             self._fence_orders.renew(attempt)
         attempt.order_count += 1
-        self._replacement_log.note_order(attempt)
+        self._node.publish(PromotionOrdered(attempt))
         attempt.order_call = self._node.next_number()
         self._unanswered[attempt.order_call] = (attempt, attempt.target)
         attempt.log(
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -31,6 +31,7 @@
 from mallowpass.core.proxy.links import Links
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.members import Members
+from mallowpass.core.proxy.nearmisses import NearMisses
 from mallowpass.core.proxy.overloadswitchover import OverloadSwitchover
 from mallowpass.core.proxy.pauses import Pauses
 from mallowpass.core.proxy.pendingfences import PendingFences
@@ -88,6 +89,7 @@
     ForwardedOrders,
     Demotion,
     ReplacementLog,
+    NearMisses,
     Fencing,
     WriteHolds,
     StartFences,
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -15,6 +15,7 @@
 
 __all__ = [
     "ConfirmedFence",
+    "PromotionOrdered",
     "Reason",
     "Replacement",
     "ReplacementBegan",
@@ -133,6 +134,13 @@
     attempt: Replacement
 
 
+@record
+class PromotionOrdered(Signal):
+    """This host is about to order the promotion of an attempt's target."""
+
+    attempt: Replacement
+
+
 @record
 class ReplacementEnded(Signal):
     """This host's attempt to replace a primary ended, with or without a successor."""
--- a/mallowpass/core/proxy/replacementlog.py
+++ b/mallowpass/core/proxy/replacementlog.py
@@ -20,6 +20,7 @@
 from mallowpass.core.proxy.durability import Durability
 from mallowpass.core.proxy.recentcommits import RecentCommits
 from mallowpass.core.proxy.replacement import (
+    PromotionOrdered,
     Replacement,
     ReplacementBegan,
     ReplacementEnded,
@@ -113,6 +114,7 @@
         subscribe(EndpointExpired, self._on_expired)
         subscribe(PrimaryChanged, self._on_primary_changed)
         subscribe(PrimaryConfirmed, self._on_primary_confirmed)
+        subscribe(PromotionOrdered, self._on_ordered)
         subscribe(ReplacementBegan, self._on_began)
         subscribe(ReplacementEnded, self._on_ended)
         subscribe(StatusReceived, self._on_status)
@@ -220,11 +222,12 @@
 
     # -- Successors ----------------------------------------------------------
 
-    def note_order(self, attempt: Replacement) -> None:
+    def _on_ordered(self, signal: PromotionOrdered) -> None:
         """Record a promotion order and what its target had when compared.
 
         An order that is repeated after the same comparison is not recorded again.
         """
+        attempt = signal.attempt
         by_target = self._orders.setdefault(attempt.group.service, {})
         orders = by_target.setdefault(attempt.target, deque(maxlen=ORDERS_MAX))
         compared = attempt.received.get(attempt.target)
