Serve nothing more as a host's event loop ends

Operators saw "Task was destroyed but it is pending!" as an escaped exception, three times as a host was stopped.

Cause: the event loop cancels the tasks that it has when the host has stopped, and runs on until they have ended. The host's servers for links, changes of the store, allowances and probes listened meanwhile, as their sockets were left to the end of the process. Other hosts, whose links had just been closed, connected again or asked for changes, and asyncio's task for a new connection, or the HTTP server's task for a request, began after the cancellation.

That the three in the report are of these kinds is suspected: its lines do not name the task.

The servers now stop listening and close their HTTP connections before the loop ends, so no task begins; the loop cancels and awaits the others, as it did. The new test failed before: two tasks began, and three ports accepted.

--- a/mallowpass/platform/http.py
+++ b/mallowpass/platform/http.py
@@ -260,12 +260,14 @@
 
     handlers: dict[str, Handler] = field(default_factory=dict)
     _server: asyncio.Server | None = None
+    _connections: set[_ServerConnection] = field(default_factory=set)
+    _is_closed: bool = False
 
     async def start(self, address: Address) -> None:
         """Listen on an address."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _ServerConnection(self.handlers), address.host, address.port
+            lambda: _ServerConnection(self), address.host, address.port
         )
 
     def close(self) -> None:
@@ -273,22 +275,48 @@
         if self._server is not None:
             self._server.close()
 
+    def close_all(self) -> None:
+        """Stop listening, and close all connections after their data has been sent."""
+        self._is_closed = True
+        self.close()
+        for connection in list(self._connections):
+            connection.close()
+
+    def add(self, connection: _ServerConnection) -> None:
+        """Add a new connection, or close it if this server has closed all."""
+        self._connections.add(connection)
+        if self._is_closed:
+            connection.close()
+
+    def discard(self, connection: _ServerConnection) -> None:
+        """Remove a connection that is closed."""
+        self._connections.discard(connection)
+
 
 class _ServerConnection(_Connection):
     """A connection of the server."""
 
-    __slots__ = ("_handlers", "_head", "_task")
+    __slots__ = ("_head", "_server", "_task")
 
-    def __init__(self, handlers: dict[str, Handler]) -> None:
+    def __init__(self, server: HttpServer) -> None:
         super().__init__(h11.SERVER)
-        self._handlers = handlers
+        self._server = server
         self._head: h11.Request | None = None
         self._task: asyncio.Task[None] | None = None
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self._server.add(self)
+
+    def close(self) -> None:
+        """Close the connection after its data has been sent; read no more requests."""
+        self._transport.close()
+
     def _on_malformed(self, error: h11.ProtocolError) -> None:
         self._transport.close()
 
     def connection_lost(self, error: Exception | None) -> None:
+        self._server.discard(self)
         if self._task is not None:
             self._task.cancel()
 
@@ -320,7 +348,7 @@
         target = head.target.decode("latin-1")
         method = head.method.decode("latin-1")
         request = Request(method, target, headers, bytes(self._body))
-        handler = self._handlers.get(target.partition("?")[0])
+        handler = self._server.handlers.get(target.partition("?")[0])
         if handler is None:
             self._send_response(Response(404))
             return
--- a/mallowpass/platform/relays.py
+++ b/mallowpass/platform/relays.py
@@ -92,6 +92,10 @@
         """Stop listening."""
         self._http.close()
 
+    def close_all(self) -> None:
+        """Stop listening, and close the connections of all followers."""
+        self._http.close_all()
+
     def answer(self, number: int, reply: StoreReply) -> None:
         """Respond to a request, unless the follower has closed its connection."""
         pending = self._pending.pop(number, None)
--- a/mallowpass/platform/runtime.py
+++ b/mallowpass/platform/runtime.py
@@ -144,6 +144,7 @@
         await self.start()
         await self._stopped.wait()
         self._ignore_further_events()
+        self._stop_serving()
 
     def _ignore_further_events(self) -> None:
         """Ignore all further events, as the core has stopped.
@@ -157,6 +158,18 @@
         if self._wake_timer is not None:
             self._wake_timer.cancel()
 
+    def _stop_serving(self) -> None:
+        """Accept nothing more from other hosts and probes, as the event loop ends.
+
+        The event loop cancels the tasks that it has as it ends, and runs meanwhile. The
+        task of a connection or request that arrives then would never end.
+        """
+        self._link_server.stop_accepting()
+        self._allowance_server.stop_accepting()
+        self._feed_server.close_all()
+        self._ready_server.close_all()
+        self._metrics_server.close_all()
+
     async def start(self) -> None:
         """Listen on all ports, then start the core."""
         asyncio.get_running_loop().set_exception_handler(self._on_loop_error)
--- a/tests/platform/test_runtime.py
+++ b/tests/platform/test_runtime.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import os
+import random
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -17,7 +19,8 @@
 from mallowpass.core.proxy.registry import SYSTEMS
 from mallowpass.core.proxy.storage import ListRows, StoreReply, StoreStatus, Table
 from mallowpass.platform.runtime import EXCEPTION_ESCAPED, HostRuntime
-from mallowpass.platform.settings import load_settings
+from mallowpass.platform.settings import Address, load_settings
+from mallowpass.platform.store import FEED_PATH
 from mallowpass.standins.proxied.platform import MemoryLog
 
 TEXT = """
@@ -154,3 +157,62 @@
         return len(host._tasks) - before
 
     assert asyncio.run(run()) == 0
+
+
+def _connect(address: Address, data: bytes) -> socket.socket | None:
+    """Connect and send data; return None if nobody listens there."""
+    try:
+        connection = socket.create_connection((address.host, address.port), 1.0)
+    except ConnectionRefusedError:
+        return None
+    connection.sendall(data)
+    return connection
+
+
+def test_a_host_that_has_stopped_begins_no_task_for_what_arrives(tmp_path, monkeypatch):
+    """Guard against the log line "Task was destroyed but it is pending!" at shutdown.
+
+    Other hosts connect again and ask for changes until the process is gone. The event
+    loop cancels no task that begins while it ends.
+    """
+    host_name = f"127.{random.randrange(2, 60)}.{random.randrange(250)}.9"
+    addresses = [Address(host_name, port) for port in (8781, 8782, 8783, 8784)]
+    request = f"GET {FEED_PATH}?table=servers&after=1&waitMs=900 HTTP/1.1\r\n"
+    data = f"{request}Host: h\r\n\r\n".encode()
+    connections: list[socket.socket | None] = []
+
+    async def serve_and_stop(host: HostRuntime) -> None:
+        servers = (
+            host._feed_server,
+            host._ready_server,
+            host._link_server,
+            host._allowance_server,
+        )
+        for server, address in zip(servers, addresses, strict=True):
+            await server.start(address)
+        connections.append(_connect(addresses[0], b""))
+        await asyncio.sleep(0.05)
+        host._apply(Exit())
+
+    monkeypatch.setattr(HostRuntime, "start", serve_and_stop)
+
+    async def run() -> set[asyncio.Task]:
+        path = tmp_path / "local.toml"
+        path.write_text(TEXT)
+        await HostRuntime(load_settings(path), MemoryLog(), path).run()
+        before = asyncio.all_tasks()
+        connections[0].sendall(data)
+        connections.extend(_connect(address, data) for address in addresses)
+        await asyncio.sleep(0)
+        begun: set[asyncio.Task] = set()
+        for _ in range(5):
+            await asyncio.sleep(0.01)
+            begun |= asyncio.all_tasks() - before
+        return begun
+
+    begun = asyncio.run(run())
+    for connection in connections:
+        if connection is not None:
+            connection.close()
+    assert begun == set()
+    assert connections[1:] == [None] * len(addresses)
