Drop what near misses know of endpoints that have expired

The times at which endpoints ceased to be primary were kept for as long as a host runs, one entry for each endpoint that ever led. They go with the endpoint now, and a service whose first primary becomes known adds none.

--- a/mallowpass/core/proxy/nearmisses.py
+++ b/mallowpass/core/proxy/nearmisses.py
@@ -119,7 +119,9 @@
 
     def _on_expired(self, signal: EndpointExpired) -> None:
         endpoint = signal.endpoint
-        self._shown.get(endpoint.entry.service, {}).pop(endpoint.name, None)
+        service = endpoint.entry.service
+        self._shown.get(service, {}).pop(endpoint.name, None)
+        self._former.get(service, {}).pop(endpoint.name, None)
 
     # -- Changes of primaries ------------------------------------------------
 
@@ -129,10 +131,8 @@
         if group.primary in ("", before):
             return
         self._primaries[group.service] = group.primary
-        former = self._former.setdefault(group.service, {})
-        former[before] = self.now
-        former.pop(group.primary, None)
         if before:
+            self._former.setdefault(group.service, {})[before] = self.now
             self._changes[group.service] = _Change(
                 before,
                 group.primary,
