--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -135,6 +135,9 @@
                 self.renew(attempt)
             return
         attempt.has_fenced = True
+        attempt.fence_told = set()
+        attempt.fence_confirmed = set()
+        attempt.fence_refused = set()
         task = _Task(attempt, handler, self.now, self.now, self.tables.hosts_version)
         self._tasks[service] = task
         primary = self._primary(attempt)
@@ -144,6 +147,7 @@
         own_name = self._node.identity.name
         others = self._holders.other_holders(service)
         task.unconfirmed = {own_name, *(host.name for host in others)}
+        attempt.fence_told = set(task.unconfirmed)
         for host in others:
             self._order(task, host)
         self._fencing.fence(
@@ -255,6 +259,7 @@
             if evidence is not None:
                 self._on_evidence(task, host.name, evidence)
             elif forwarded.is_unconnected:
+                task.attempt.fence_refused.add(host.name)
                 self._confirm(task, host.name)
             else:
                 self.timers.after(RETRY_INTERVAL, self._order, task, host)
@@ -271,6 +276,7 @@
         attempt = task.attempt
         self._durability.raise_must_hold(attempt.group, evidence.must_hold)
         attempt.shown = max(attempt.shown, evidence.shown)
+        attempt.fence_confirmed.add(host)
         self._confirm(task, host)
 
     def _confirm(self, task: _Task, host: str) -> None:
--- a/mallowpass/core/proxy/pausechecks.py
+++ b/mallowpass/core/proxy/pausechecks.py
@@ -16,12 +16,12 @@
 from mallowpass.core.node import Node
 from mallowpass.core.positions import LogPosition
 from mallowpass.core.proxy.pendingorders import PendingOrders
-from mallowpass.core.proxy.promotionorders import (
-    OrderAccepted,
+from mallowpass.core.proxy.promotionorders import OrderAccepted, PromotionOrders
+from mallowpass.core.proxy.replacement import (
     PromotionOrdered,
-    PromotionOrders,
+    Replacement,
+    ReplacementBegan,
 )
-from mallowpass.core.proxy.replacement import Replacement, ReplacementBegan
 from mallowpass.core.proxy.replicapauses import ReplicaPauses
 from mallowpass.core.proxy.signals import StatusReceived
 from mallowpass.core.proxy.statements import Code, EndpointReply
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -247,8 +247,10 @@
         paused again, since a restart ends a pause.
         """
         attempt.rounds += 1
+        attempt.round_began_at = self.now
         attempt.is_awaiting_fence = False
         attempt.received.clear()
+        attempt.statuses.clear()
         candidates = self._candidates(attempt.group, attempt.primary)
         if not candidates:
             self._give_up(attempt, "no replica is left")
@@ -320,6 +322,7 @@
         if reply is not None and reply.code is Code.DONE:
             status = reply.status
         if status is not None:
+            attempt.statuses[endpoint.name] = status
             attempt.note_pause(endpoint.name, is_paused or status.paused_for > 0)
         # A replica that goes on to receive is not compared.
         if status is not None and (is_paused or status.is_primary or not must_pause):
@@ -685,7 +688,10 @@
         """
         endpoint = signal.endpoint
         attempt = self._attempts.get(endpoint.entry.service)
-        if attempt is None or endpoint.name not in attempt.members:
+        if attempt is None:
+            return
+        attempt.restarted.add(endpoint.name)
+        if endpoint.name not in attempt.members:
             return
         attempt.paused.discard(endpoint.name)
         if attempt.order_count and endpoint.name != attempt.target:
@@ -745,14 +751,29 @@
 
     def _complete(self, attempt: Replacement, why: str) -> None:
         self._end(attempt)
-        attempt.log(self._node, "promotion_ended", outcome=why)
+        pending = self._pending_text(attempt)
+        level = "warning" if pending else "info"
+        attempt.log(self._node, "promotion_ended", level, outcome=why, pending=pending)
         self._resume_replicas(attempt)
 
     def _give_up(self, attempt: Replacement, why: str) -> None:
         self._end(attempt)
-        attempt.log(self._node, "promotion_given_up", outcome=why)
+        level = "warning" if attempt.order_count else "info"
+        attempt.log(
+            self._node,
+            "promotion_given_up",
+            level,
+            outcome=why,
+            pending=self._pending_text(attempt),
+        )
         self._resume_replicas(attempt)
 
+    def _pending_text(self, attempt: Replacement) -> str:
+        """Return the pending orders after an attempt that has ordered a promotion."""
+        if not attempt.order_count:
+            return ""
+        return self._pending_orders.pending_text(attempt.group.service)
+
     def _end(self, attempt: Replacement) -> None:
         attempt.is_ended = True
         del self._attempts[attempt.group.service]
--- a/mallowpass/core/proxy/promotionorders.py
+++ b/mallowpass/core/proxy/promotionorders.py
@@ -17,8 +17,9 @@
 from mallowpass.core.proxy.fenceorders import FenceOrders
 from mallowpass.core.proxy.pendingfences import PendingFences
 from mallowpass.core.proxy.pendingorders import ACCEPTED_ORDER_TIMEOUT, PendingOrders
+from mallowpass.core.proxy.promotionevidence import evidence_fields
 from mallowpass.core.proxy.quiescence import Quiescence
-from mallowpass.core.proxy.replacement import Replacement
+from mallowpass.core.proxy.replacement import PromotionOrdered, Replacement
 from mallowpass.core.proxy.replacementlog import ReplacementLog, log_target_resumed
 from mallowpass.core.proxy.replicapauses import ReplicaPauses
 from mallowpass.core.proxy.statements import EndpointReply
@@ -30,7 +31,6 @@
     "ClaimExpired",
     "OrderAccepted",
     "OrderFailed",
-    "PromotionOrdered",
     "PromotionOrders",
 ]
 
@@ -41,13 +41,6 @@
 RESUME_RETRY_INTERVAL = 0.3  # seconds before a target is ordered to resume again
 
 
-@record
-class PromotionOrdered(Signal):
-    """An attempt's order was sent, or repeated."""
-
-    attempt: Replacement
-
-
 @record
 class OrderAccepted(Signal):
     """The platform has accepted the newest order of an attempt."""
@@ -121,6 +114,8 @@
                 self._pending_orders.note_answer(service, target, number, False)
             elif is_current:
                 attempt.claim = None
+                event, target = "promotion_order_not_stored", attempt.target
+                attempt.log(self._node, event, "warning", target=target)
                 why = "claim held by another host, or store unreachable"
                 self._node.publish(OrderFailed(attempt, why))
 
@@ -149,15 +144,18 @@
         if not self._pending_fences.is_lifted(attempt.group.service):
             self._fence_orders.renew(attempt)
         attempt.order_count += 1
-        self._replacement_log.note_order(attempt)
+        self._node.publish(PromotionOrdered(attempt))
         attempt.order_call = number
         self._unanswered[attempt.order_call] = (attempt, attempt.target)
         attempt.log(
             self._node,
             "promotion_ordered",
+            "warning",
             target=attempt.target,
             token=attempt.claim.token,
-            received=attempt.received_text,
+            claim_age=round(self._claims.age(attempt.claim), 3),
+            **self._replacement_log.comparison_fields(attempt.group),
+            **evidence_fields(attempt, self.now),
         )
         self._node.emit(
             OrderPromotion(
@@ -168,7 +166,6 @@
                 ORDER_TIMEOUT,
             )
         )
-        self._node.publish(PromotionOrdered(attempt))
 
     def resume_target(self, attempt: Replacement) -> None:
         """Resume a paused target, so that it receives what the primary acknowledges.
