Have former holders fence a failed primary as well

What callers saw: nothing proven; the records of lost commits show hosts that stop in turn some seconds before a primary is out of reach. A host that stops removes its entry at once, and serves open sessions for the rest of its grace period. From then on no other host told it of a fence, and it wrote on to the failed primary while the promotion was carried out.

Cause: a fence went to the holders by the sender's present plan alone. The same holds for a host that has ceased to be a holder in that plan, or only in the sender's view, and still has connections.

Change: `Holders` remembers each host that a newer plan does not name any more for 10 s, and fences go to these as well. A host whose entry is gone and at whose address nothing listens is forgotten. At most one message more goes to each host that was a holder within 10 s.

--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -116,7 +116,7 @@
         primary = group.primary_row
         if primary is None:
             return
-        for host in self._holders.other_holders(group.service):
+        for host in self._holders.possible_holders(group.service):
             self._connections.acquire_via(primary, host, carries_fences=True)
 
     def begin(self, attempt: Replacement, handler: SettledHandler) -> None:
@@ -140,7 +140,7 @@
             self._confirm(task, "")
             return
         own_name = self._node.identity.name
-        others = self._holders.other_holders(service)
+        others = self._holders.possible_holders(service)
         task.unconfirmed = {own_name, *(host.name for host in others)}
         for host in others:
             self._order(task, host)
@@ -232,7 +232,7 @@
         else:
             self._fencing.lift(primary, own_name)
         fence = Fence(primary_name, duration, own_name)
-        for host in self._holders.other_holders(group.service):
+        for host in self._holders.possible_holders(group.service):
             self._forwarded_orders.send_through(
                 primary, fence, host, lambda reply: None
             )
@@ -250,6 +250,8 @@
             if evidence is not None:
                 self._on_evidence(task, host.name, evidence)
             elif forwarded.is_unconnected:
+                service = task.attempt.group.service
+                self._holders.forget_former(service, host.name)
                 self._confirm(task, host.name)
             else:
                 self.timers.after(RETRY_INTERVAL, self._order, task, host)
--- a/mallowpass/core/proxy/holders.py
+++ b/mallowpass/core/proxy/holders.py
@@ -34,6 +34,9 @@
 # seconds. A host that counts at least `UNANSWERED_MIN` connects to endpoints directly.
 UNANSWERED_TTL = 5.0
 UNANSWERED_MIN = 2
+# Seconds for which a former holder, or one whose entry is gone, may keep connections: a
+# host that stops serves its transactions until its grace period ends.
+FORMER_HOLDER_TTL = 10.0
 
 
 @record
@@ -46,6 +49,14 @@
     local: frozenset[str]  # holders in the region
 
 
+@record
+class _FormerHolder:
+    """A host that has ceased to be a holder, and until when it may have connections."""
+
+    host: HostRow
+    until: float
+
+
 @record
 class _CachedPlan:
     """A plan, and the values from which it was computed."""
@@ -61,10 +72,12 @@
     __slots__ = (
         "_failed",
         "_fleet",
+        "_former",
         "_last_replies",
         "_link_times",
         "_plans",
         "_plans_version",
+        "_present",
         "_regional",
         "_silent",
         "_unanswered",
@@ -77,6 +90,9 @@
         # Versions of the hosts' entries and of the configuration.
         self._plans_version: tuple[int, int] = (-1, -1)
         self._fleet = Fleet(())
+        # The holders by the newest plan, and former ones, by service and name.
+        self._present: dict[str, dict[str, HostRow]] = {}
+        self._former: dict[str, dict[str, _FormerHolder]] = {}
         # By service and failure domain of the endpoint.
         self._regional: dict[tuple[str, str], _RegionalShares] = {}
         # Times until which a holder is not used: by host, and by host and endpoint.
@@ -269,6 +285,25 @@
         name = self._node.identity.name
         return [host for host in hosts if host.name != name and host.address]
 
+    def possible_holders(self, service: str) -> list[HostRow]:
+        """Return the other hosts that may have connections to a service's endpoints.
+
+        These are the holders, and hosts that were holders some seconds ago.
+        """
+        holders = self.other_holders(service)
+        names = {self._node.identity.name, *(host.name for host in holders)}
+        former = self._former.get(service, {})
+        for name, holder in list(former.items()):
+            if holder.until <= self.now:
+                del former[name]
+        hosts = [holder.host for name, holder in former.items() if name not in names]
+        return holders + hosts
+
+    def forget_former(self, service: str, name: str) -> None:
+        """Forget a former holder whose process is gone."""
+        if name not in self.tables.hosts:
+            self._former.get(service, {}).pop(name, None)
+
     def mark_failed(self, holder: str, timed_out: bool = False) -> None:
         """Stop using a holder for a while; if `timed_out`, it did not answer at all."""
         self._failed[holder] = self.now + FAILURE_BACKOFF
@@ -346,8 +381,20 @@
         cached = self._plans.get(service)
         if cached is None or cached.endpoints_version != self.tables.endpoints_version:
             cached = self._plans[service] = self._refresh(service, cached)
+            self._note_holders(service, cached.plan)
         return cached.plan
 
+    def _note_holders(self, service: str, plan: Plan) -> None:
+        """Remember the hosts that a plan does not name any more."""
+        hosts = self.tables.hosts.values() if plan.direct else plan.holders
+        present = {host.name: host for host in hosts}
+        before = self._present.get(service, {})
+        self._present[service] = present
+        former = self._former.setdefault(service, {})
+        until = self.now + FORMER_HOLDER_TTL
+        for name in before.keys() - present.keys():
+            former[name] = _FormerHolder(before[name], until)
+
     def _refresh(self, service: str, cached: _CachedPlan | None) -> _CachedPlan:
         """Return a plan for the current endpoints; reuse the cached one if possible.
 
--- a/tests/core/proxy/test_fence_orders.py
+++ b/tests/core/proxy/test_fence_orders.py
@@ -326,6 +326,46 @@
     assert logged(world, "fence_unconfirmed") == []
 
 
+def test_host_that_stops_is_fenced_while_it_serves(make_world):
+    """Guard against writes of a host that stops, and whose entry is gone."""
+    world = make_world()
+    Writes(world, 0, 1, 2, 3)
+    world.run(1.0)
+    world.hosts[0].stop()
+    world.run(0.3)
+    assert world.hosts[0].name not in world.hosts[1].tables.hosts
+    cut_primary(world)
+    run_until_ordered(world)
+    assert not world.hosts[0].exited
+    assert holds(world) == [True] * 4
+
+
+def test_host_that_has_stopped_is_not_waited_for(make_world):
+    """Guard against an order that waits for a former holder."""
+    world = make_world()
+    Writes(world, 1, 2, 3)
+    world.run(1.0)
+    world.hosts[0].stop()
+    world.run_until(lambda: world.hosts[0].exited, 8.0)
+    lose_primary(world)
+    run_until_ordered(world)
+    assert logged(world, "fence_unconfirmed") == []
+
+
+def test_former_holder_is_fenced(make_world):
+    """Guard against writes of a host that is no holder any more by the newest plan."""
+    world = make_world()
+    Writes(world, 0, 1, 2, 3)
+    world.run(1.0)
+    for host in world.hosts[1:]:
+        host.tables.hosts.pop(world.hosts[0].name)
+        host.tables.hosts_version += 1
+    world.cut(0, "store")
+    cut_primary(world)
+    run_until_ordered(world)
+    assert holds(world) == [True] * 4
+
+
 def test_links_for_fences_use_up_no_connections():
     """Guard against a replacement, as writes can't take the way by another host.
 
