Ask for the claim before connecting to a primary beside its holders

What callers saw: nothing proven; a hole found by reading. In a fleet in which few hosts are holders, a host that counts as cut off from them connects to endpoints directly. It is no holder, so no fence is sent to it, and it may not be reached by one. It wrote to a failed primary while the order to promote another one was pending.

Change: as such a host begins to connect to the primary directly, it holds its writes, reads the claim, and keeps them held while the claim names a pending order for another target, as a host that starts does. Without one the writes go on at once; without an answer of the store, after 0.5 s. It is one read of the store each time a host begins to go past the holders.

Not covered: a host that connected directly before the claim was made.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -31,6 +31,7 @@
     EndpointUnreachable,
     FloorReceived,
     ForwardedConnectionRefused,
+    HoldersBypassed,
 )
 from mallowpass.core.proxy.statements import (
     Code,
@@ -240,7 +241,10 @@
             if customer is not None:
                 self._make_room(endpoint, customer)
             if self._shares.can_open(endpoint, beyond_share):
-                self._open(endpoint, self._shares.path(endpoint), customer)
+                path = self._shares.path(endpoint)
+                if path is None:
+                    self._note_bypass(endpoint)
+                self._open(endpoint, path, customer)
                 return True
         lender = self._shares.lender(endpoint) if borrow else None
         if lender is not None:
@@ -248,6 +252,12 @@
             return True
         return bool(opening)
 
+    def _note_bypass(self, endpoint: EndpointRow) -> None:
+        """Publish the first direct connection of a host that is no holder."""
+        is_holder = self._holders.holds(endpoint.entry.service)
+        if not is_holder and not self._shares.bypasses_holders(endpoint):
+            self._node.publish(HoldersBypassed(endpoint))
+
     def _open_link(self, endpoint: EndpointRow, customer: str) -> bool | None:
         """Open a link to the best holder of a customer; return whether one opens.
 
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -35,6 +35,7 @@
     "EraChanged",
     "FloorReceived",
     "ForwardedConnectionRefused",
+    "HoldersBypassed",
     "KeepersChanged",
     "PrimaryChanged",
     "PrimaryConfirmed",
@@ -132,6 +133,13 @@
     is_unconnected: bool
 
 
+@record
+class HoldersBypassed(Signal):
+    """This host begins to connect to an endpoint directly though it is no holder."""
+
+    endpoint: EndpointRow
+
+
 @record
 class PrimarySteppedDown(Signal):
     """An endpoint answered that it is a replica to an order to step down."""
--- a/mallowpass/core/proxy/startfences.py
+++ b/mallowpass/core/proxy/startfences.py
@@ -1,9 +1,10 @@
-"""Fences at a host that starts while a primary is being replaced.
+"""Fences at a host that was not told of one, while a primary is being replaced.
 
-The host that replaces a primary had the other hosts fence it, and this host was not
-there, or has lost its fence with its end. The claim tells of the promotion order that
-may be carried out at any moment: until then, no commit may be acknowledged by a primary
-that is not the order's target.
+The host that replaces a primary had the other hosts fence it. A host that starts was
+not there, or has lost its fence with its end. A host that is no holder, and connects
+directly as it is cut off from the holders, is told of no fence. The claim tells both of
+the promotion order that may be carried out at any moment: until then, no commit may be
+acknowledged by a primary that is not the order's target.
 """
 
 from __future__ import annotations
@@ -12,15 +13,19 @@
 from mallowpass.core.proxy.claims import Claim, Claims
 from mallowpass.core.proxy.fencing import Fencing
 from mallowpass.core.proxy.holders import Holders
-from mallowpass.core.proxy.signals import PrimaryChanged
+from mallowpass.core.proxy.signals import HoldersBypassed, PrimaryChanged
 from mallowpass.core.proxy.store import Store
 from mallowpass.core.proxy.tables import GroupRow, ProxySystem
 
 __all__ = ["StartFences"]
 
+# Seconds for which a host that begins to connect directly holds its writes, at most,
+# until it has read the claim.
+CLAIM_READ_TIMEOUT = 0.5
+
 
 class StartFences(ProxySystem):
-    """Fence the primaries that are being replaced as this host starts."""
+    """Fence the primaries that are being replaced as this host joins in."""
 
     __slots__ = ("_checked", "_claims", "_fencing", "_holders", "_store")
 
@@ -34,6 +39,7 @@
         self._fencing = self._node.system(Fencing)
         self._holders = self._node.system(Holders)
         self._store = self._node.system(Store)
+        self._node.subscribe(HoldersBypassed, self._on_holders_bypassed)
         if not self.tables.first_start:
             self._node.subscribe(PrimaryChanged, self._on_primary_changed)
 
@@ -51,6 +57,22 @@
 
         self._claims.read_newest(group.service, on_claim)
 
+    def _on_holders_bypassed(self, signal: HoldersBypassed) -> None:
+        """Fence a primary until the claim is known, and while an order is pending."""
+        endpoint, owner = signal.endpoint, self._node.identity.name
+        group = self.tables.group(endpoint.entry.service)
+        if group.primary_row is not endpoint or endpoint.is_leaving:
+            return
+        self._fencing.fence(endpoint, CLAIM_READ_TIMEOUT, owner)
+
+        def on_claim(claim: Claim | None, is_known: bool) -> None:
+            if is_known:
+                self._fencing.lift(endpoint, owner)
+            if claim is not None:
+                self._fence(group, claim)
+
+        self._claims.read_newest(group.service, on_claim)
+
     def _fence(self, group: GroupRow, claim: Claim) -> None:
         primary = group.primary_row
         if primary is None or primary.is_leaving:
--- /dev/null
+++ b/tests/core/proxy/test_start_fences.py
@@ -0,0 +1,79 @@
+"""Fences at hosts that connect to a primary directly though they are no holders."""
+
+from __future__ import annotations
+
+import pytest
+
+from mallowpass.core.proxy.holders import Holders
+from mallowpass.core.proxy.statements import Code, Write
+from mallowpass.core.proxy.writeholds import WriteHolds
+from mallowpass.standins.proxied.replicas import GroupTimes
+from mallowpass.standins.proxied.virtual.hosts import Host
+from mallowpass.standins.proxied.virtual.world import SERVICE, ProxyWorld
+
+HOSTS = 20  # more than may connect to an endpoint
+PRIMARY = "db-casa"
+WRITE_INTERVAL = 0.05  # seconds between two writes of a host
+
+
+def is_holder(host: Host) -> bool:
+    """Return whether a host is a holder by its own view."""
+    return host.node.system(Holders).holds(SERVICE)
+
+
+def is_held(host: Host) -> bool:
+    """Return whether a host holds its writes to the primary."""
+    endpoint = host.tables.endpoints[PRIMARY]
+    return host.node.system(WriteHolds).is_held(endpoint)
+
+
+def keep_writing(world: ProxyWorld) -> None:
+    """Write at all hosts."""
+    for index in range(HOSTS):
+        world.caller(index, "strict").send(Write("a 1"))
+    world.timers.after(WRITE_INTERVAL, keep_writing, world)
+
+
+@pytest.fixture
+def world() -> ProxyWorld:
+    """Return a world of many hosts of which few are holders."""
+    world = ProxyWorld(hosts=HOSTS, times=GroupTimes(promotion=0.6), distance=0.012)
+    world.run(1.0)
+    return world
+
+
+def cut_from_hosts(world: ProxyWorld, host: Host) -> None:
+    """Cut a host off from all other hosts."""
+    host.cut_from |= {other.name for other in world.hosts if other is not host}
+
+
+def test_host_that_begins_to_connect_directly_learns_of_an_order(world):
+    """Guard against writes of a host that is cut off from all holders."""
+    keep_writing(world)
+    world.run(0.5)
+    alone = next(host for host in world.hosts if not is_holder(host))
+    holders = [host for host in world.hosts if is_holder(host)]
+    for host in holders:
+        host.cut_from.add(PRIMARY)
+    world.orders_lost, world.orders_late = 100, 6.0
+    world.run_until(lambda: bool(world.orders), 6.0)
+    assert world.orders
+    cut_from_hosts(world, alone)
+    before = len(world.group.acknowledged)
+    world.run(4.0)
+    assert is_held(alone)
+    assert len(world.group.acknowledged) == before
+
+
+def test_host_that_begins_to_connect_directly_writes_without_an_order(world):
+    """Guard against a host that holds its writes as it is cut off."""
+    index = next(i for i, host in enumerate(world.hosts) if not is_holder(host))
+    cut_from_hosts(world, world.hosts[index])
+    codes = []
+    for _ in range(20):
+        caller = world.caller(index, "strict")
+        caller.send(Write("a 1"))
+        world.run(0.2)
+        codes += [answer.code for answer in caller.answers]
+    assert codes[-5:] == [Code.DONE] * 5
+    assert not is_held(world.hosts[index])
