--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -10,7 +10,8 @@
 of its commits is in flight there, and tells what it knows of the primary's log. From
 then on nobody has a commit acknowledged by that primary, and each commit that was
 acknowledged before is on a member that the comparison reads afterwards. If a holder
-does not confirm, the primary has to step down.
+does not confirm, the primary has to step down. If neither is known, replicas are paused
+and compared again after the wait: what the primary acknowledges then, the target has.
 
 The fence is renewed with each order. It outlasts the attempt while an order may still
 be carried out, and is lifted if there is none.
