--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -10,7 +10,8 @@
 of its commits is in flight there, and tells what it knows of the primary's log. From
 then on nobody has a commit acknowledged by that primary, and each commit that was
 acknowledged before is on a member that the comparison reads afterwards. If a holder
-does not confirm, the primary has to step down.
+does not confirm, the primary has to step down. If neither is known, replicas are paused
+and compared again after the wait: what the primary acknowledges then, the target has.
 
 The fence is renewed with each order. It outlasts the attempt while an order may still
 be carried out, and is lifted if there is none.
@@ -118,7 +119,7 @@
         primary = group.primary_row
         if primary is None:
             return
-        for host in self._holders.other_holders(group.service):
+        for host in self._holders.possible_holders(group.service):
             self._connections.acquire_via(primary, host, carries_fences=True)
 
     def begin(self, attempt: Replacement, handler: SettledHandler) -> None:
@@ -145,7 +146,7 @@
             self._confirm(task, "")
             return
         own_name = self._node.identity.name
-        others = self._holders.other_holders(service)
+        others = self._holders.possible_holders(service)
         task.unconfirmed = {own_name, *(host.name for host in others)}
         attempt.fence_told = set(task.unconfirmed)
         for host in others:
@@ -241,7 +242,7 @@
         else:
             self._fencing.lift(primary, own_name)
         fence = Fence(primary_name, duration, own_name)
-        for host in self._holders.other_holders(group.service):
+        for host in self._holders.possible_holders(group.service):
             self._forwarded_orders.send_through(
                 primary, fence, host, lambda reply: None
             )
@@ -259,6 +260,8 @@
             if evidence is not None:
                 self._on_evidence(task, host.name, evidence)
             elif forwarded.is_unconnected:
+                service = task.attempt.group.service
+                self._holders.forget_former(service, host.name)
                 task.attempt.fence_refused.add(host.name)
                 self._confirm(task, host.name)
             else:
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -33,8 +33,10 @@
     "EndpointRestarted",
     "EndpointUnreachable",
     "EraChanged",
+    "FenceExpiring",
     "FloorReceived",
     "ForwardedConnectionRefused",
+    "HoldersBypassed",
     "KeepersChanged",
     "PrimaryChanged",
     "PrimaryConfirmed",
@@ -132,6 +134,20 @@
     is_unconnected: bool
 
 
+@record
+class FenceExpiring(Signal):
+    """Another host's fence of a primary is about to end, neither renewed nor lifted."""
+
+    primary: EndpointRow
+
+
+@record
+class HoldersBypassed(Signal):
+    """This host begins to connect to an endpoint directly though it is no holder."""
+
+    endpoint: EndpointRow
+
+
 @record
 class PrimarySteppedDown(Signal):
     """An endpoint answered that it is a replica to an order to step down."""
