--- a/tests/core/proxy/test_replica_pauses.py
+++ b/tests/core/proxy/test_replica_pauses.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from mallowpass.core.proxy.statements import Read, Write
+from typing import Any
+
+from mallowpass.core.proxy.statements import Pause, Read, Write
 from mallowpass.standins.proxied.virtual.world import ProxyWorld
 
 # Times are in seconds.
@@ -50,3 +52,22 @@
     world.crash(world.primary.name)
     target = run_until_ordered(world, len(world.orders) + 1)
     assert unpaused(world) <= {target}
+
+
+def test_round_is_not_decided_by_a_replica_that_ignores_its_pause():
+    """Guard against a comparison with a replica that goes on to receive."""
+    world = ProxyWorld(hosts=4)
+    world.caller(0, "strict").run(Write("a 1"))
+    keep_reading(world)
+    record = world.record
+
+    def outdate(host: Any, connection: Any, call: Any) -> None:
+        record(host, connection, call)
+        if connection.member == "db-agadir" and isinstance(call.statement, Pause):
+            world.group.replicas["db-agadir"].term = call.statement.term
+
+    world.record = outdate
+    world.crash("db-casa")
+    world.run(3.0)
+    assert world.orders == []
+    assert any(host.logged("pause_ineffective") for host in world.hosts)
