Have replicas of the stand-in receive at distances of their own

Cause: the stand-in was kinder than the platform. All replicas received at the same moment and copied the primary's log as it was on arrival, so no two ever differed, and the primary knew of a receipt without a way back.

A replica now receives what had been sent, after a network time of its own, and the primary learns of the receipt after the way back. The default is as before, 1 ms one way. The new tests fail on the code before.

--- a/mallowpass/standins/proxied/connections.py
+++ b/mallowpass/standins/proxied/connections.py
@@ -292,7 +292,7 @@
         group = self._group
         if self._ends_commit(entry, done):
             return
-        if group.holders(entry, self._replica) < group.synchronous:
+        if group.reporters(entry, self._replica) < group.synchronous:
             group.timers.after(0.001, self._await_replicas, entry, done)
         elif group.times.acknowledgement:
             # What the replicas have said is on its way, whatever becomes of them.
--- a/mallowpass/standins/proxied/replicas.py
+++ b/mallowpass/standins/proxied/replicas.py
@@ -1,8 +1,8 @@
 """A stand-in for one service's group: a primary, its replicas, and their faults.
 
 Commits are numbered within terms. A replica receives them some time after the primary
-has them, and applies them later. A commit is acknowledged once enough replicas have
-received it.
+has sent them, and applies them later. A commit is acknowledged once the primary has
+learnt that enough replicas have received it.
 
 A primary that was replaced loses the lead at once, or, where `goes_on` is set, only
 when it is demoted or has been able to reach its successor for a while. Until then it
@@ -38,9 +38,9 @@
 
     work: float = 0.006  # of a statement, in a slot
     opening: float = 0.0  # of a new connection, in a slot
-    network: float = 0.001  # until a replica has received a commit
+    network: float = 0.001  # one way between two members
     lag: float = 0.008  # from then until it has applied it
-    # Until a primary has learnt that enough replicas have received a commit.
+    # From then until a primary that has learnt of the receipts acknowledges a commit.
     acknowledgement: float = 0.0
     promotion: float = 0.3
     # For how long a replaced primary that goes on can reach its successor before it
@@ -90,6 +90,9 @@
     paused_for: int = 0  # the term that it was paused for; 0: not paused
     deaf: bool = False  # it receives nothing
     lag: float | None = None  # seconds, of this one alone; None: the group's
+    distance: float | None = None  # seconds to other members; None: the group's
+    # Entries of the log that a replica has reported to have, to this primary.
+    reported: dict[str, int] = field(default_factory=dict)
     slowness: float = 1.0  # times that its statements take longer
     up: bool = True
     busy: int = 0
@@ -122,6 +125,15 @@
         return ""
 
 
+def common_length(one: list[LogEntry], other: list[LogEntry]) -> int:
+    """Return how many entries two logs have in common, from the first one on."""
+    length = min(len(one), len(other))
+    # Logs that have one commit in common have all before it in common.
+    while length and one[length - 1] != other[length - 1]:
+        length -= 1
+    return length
+
+
 class Group:
     """Hold a service's replicas, and carry out what is ordered of them."""
 
@@ -252,12 +264,16 @@
         replica = self.replicas[name]
         started_at = max(self._clock, replica.started_at + 1)
         if empty:
-            replica = self.replicas[name] = Replica(name, started_at)
+            distance = replica.distance
+            replica = self.replicas[name] = Replica(name, started_at, distance=distance)
+            for other in self.replicas.values():
+                other.reported.pop(name, None)
         elif not replica.up:
             replica.started_at = started_at
         replica.up = True
         replica.paused_for = 0
         replica.busy = 0
+        replica.reported.clear()
         replica.is_primary = replica.is_primary and replica is self.primary
         self.catch_up(replica)
 
@@ -274,16 +290,13 @@
         replica.applied = len(replica.log)
         for other in self.replicas.values():
             if other is not replica:
-                self.timers.after(self.times.network, self._receive, other, replica)
+                self._send(replica, other)
         return entry
 
-    def holders(self, entry: LogEntry, by: Replica) -> int:
-        """Return how many members have received a commit and can say so."""
-        return sum(
-            1
-            for other in self.replicas.values()
-            if other is not by and other.holds(entry) and self._reach(by, other)
-        )
+    def reporters(self, entry: LogEntry, to: Replica) -> int:
+        """Return how many members have reported to have received a commit."""
+        needed = entry.position.position
+        return sum(1 for length in to.reported.values() if length >= needed)
 
     def is_received(self, entry: LogEntry, by: Replica) -> bool:
         """Tell whether another member than `by` holds a commit, up or not."""
@@ -301,8 +314,21 @@
             if not self.primary.holds(entry):
                 self.lost.append(entry)
 
-    def _receive(self, replica: Replica, source: Replica) -> None:
-        """Copy a primary's log to a replica that can receive it."""
+    def way(self, one: Replica, other: Replica) -> float:
+        """Return the seconds that a message takes between two members."""
+        network = self.times.network
+        return max(
+            network if member.distance is None else member.distance
+            for member in (one, other)
+        )
+
+    def _send(self, source: Replica, replica: Replica, delay: float = 0.0) -> None:
+        """Send a primary's log, as it is now, to a replica."""
+        delay += self.way(source, replica)
+        self.timers.after(delay, self._receive, replica, source, len(source.log))
+
+    def _receive(self, replica: Replica, source: Replica, length: int) -> None:
+        """Take a primary's log up to an entry, if the replica can receive it."""
         if replica.is_primary or not source.is_primary:
             return
         if not self._reach(replica, source):
@@ -311,20 +337,24 @@
             return
         if replica.term > source.term:
             return
-        self._copy(source, replica)
+        self._copy(source, replica, length)
         lag = self.times.lag if replica.lag is None else replica.lag
         self.timers.after(lag, self._apply, replica, len(replica.log))
+        way = self.way(source, replica)
+        self.timers.after(way, self._report, source, replica, len(replica.log))
+
+    def _report(self, primary: Replica, replica: Replica, length: int) -> None:
+        """Have a primary learn what a replica has received, down by now or not."""
+        is_cut = frozenset((primary.name, replica.name)) in self.cuts
+        if primary.is_primary and not is_cut:
+            known = primary.reported.get(replica.name, 0)
+            primary.reported[replica.name] = max(known, length)
 
     @staticmethod
-    def _copy(primary: Replica, replica: Replica) -> None:
-        pairs = zip(replica.log, primary.log, strict=False)
-        common = min(len(replica.log), len(primary.log))
-        for index, (mine, theirs) in enumerate(pairs):
-            if mine is not theirs and mine != theirs:
-                common = index
-                break
+    def _copy(primary: Replica, replica: Replica, length: int) -> None:
+        common = common_length(replica.log, primary.log)
         del replica.log[common:]
-        replica.log.extend(primary.log[common:])
+        replica.log.extend(primary.log[common:length])
         replica.applied = min(replica.applied, common)
         replica.term = primary.term
 
@@ -339,10 +369,9 @@
         """
         sources = [other for other in self.replicas.values() if other.is_primary]
         for source in sources:
-            delay = self.times.network
-            if len(sources) > 1 and source is self.primary:
-                delay += self.times.announcement
-            self.timers.after(delay, self._receive, replica, source)
+            is_late = len(sources) > 1 and source is self.primary
+            delay = self.times.announcement if is_late else 0.0
+            self._send(source, replica, delay)
 
     # -- Leading -------------------------------------------------------------
 
@@ -366,6 +395,7 @@
         replica.term = 1 + max(other.term for other in self.replicas.values())
         replica.is_primary = True
         replica.paused_for = 0
+        replica.reported.clear()
         replica.applied = len(replica.log)
         self._leader = replica.name
         for before in leading:
