Have the stand-in ignore an order to pause for a term that is known

An endpoint that gets such an order does nothing and answers the same row; the stand-in paused. The two new tests fail on the code before.

--- a/mallowpass/standins/proxied/connections.py
+++ b/mallowpass/standins/proxied/connections.py
@@ -258,8 +258,10 @@
 
     @_execute.register
     def _(self, statement: Pause, call: EndpointCall, done: Done) -> None:
-        if not self._replica.is_primary:
-            self._replica.paused_for = statement.term
+        replica = self._replica
+        is_newer = statement.term > max(replica.term, replica.paused_for)
+        if is_newer and not replica.is_primary:
+            replica.paused_for = statement.term
         self._answer_status(done)
 
     @_execute.register
--- a/tests/standins/proxied/test_receiving.py
+++ b/tests/standins/proxied/test_receiving.py
@@ -93,6 +93,18 @@
     assert len(group.replicas["far"].log) == 1
 
 
+def test_pause_for_a_term_that_is_known_does_nothing(group: Group):
+    assert status(group, "near", Pause(1)).paused_for == 0
+    send(connect(group, "primary"), Write("k 1"))
+    run(group, 0.1)
+    assert len(group.replicas["near"].log) == 1
+
+
+def test_pause_for_an_older_term_leaves_a_newer_one(group: Group):
+    assert status(group, "near", Pause(3)).paused_for == 3
+    assert status(group, "near", Pause(2)).paused_for == 3
+
+
 def test_replica_that_is_gone_is_counted_if_it_has_reported(group: Group):
     """Guard against a stand-in that forgets receipts on their way."""
     group.replicas["near"].deaf = True
