Keep connections of hosts that are cut off open at the endpoint

The stand-in ended a connection at both ends as its host closed it, and lost what was on its way. So a commit in flight was withdrawn with certainty, and a late order never arrived after its host had written it off.

A way that is cut now holds what is sent, in order, and delivers it once it is back. The endpoint drops the connection after 3 s, and takes what had been sent before it learns of a close. What it acknowledges there counts as acknowledged.

--- a/mallowpass/standins/proxied/connections.py
+++ b/mallowpass/standins/proxied/connections.py
@@ -78,6 +78,7 @@
         self.customer = customer  # that was told as it was opened
         self._queue: deque[tuple[EndpointCall, Done]] = deque()
         self._working = False
+        self._closes_when_idle = False
         self._writes: list[tuple[str, str]] = []
         self.values: dict[str, str] = {}
         self.prepared: dict[str, tuple[Access, str]] = {}
@@ -99,6 +100,12 @@
         self._queue.clear()
         self._replica.connections.discard(self)
 
+    def finish(self) -> None:
+        """Close once the calls that have arrived are done."""
+        self._closes_when_idle = True
+        if not self._working:
+            self.close()
+
     def send(self, call: EndpointCall, done: Done) -> None:
         """Queue a call; `done` gets its reply."""
         if call.priority is not None or call.on_behalf_of is not None:
@@ -123,6 +130,8 @@
     def _next(self) -> None:
         if not self._queue or not self.open:
             self._working = False
+            if self._closes_when_idle:
+                self.close()
             return
         self._working = True
         call, done = self._queue.popleft()
--- a/mallowpass/standins/proxied/virtual/hosts.py
+++ b/mallowpass/standins/proxied/virtual/hosts.py
@@ -43,6 +43,7 @@
 )
 from mallowpass.standins.proxied.replicas import Group, Replica
 from mallowpass.standins.proxied.virtual.oracle import Session
+from mallowpass.standins.proxied.virtual.transports import Transport
 
 if TYPE_CHECKING:
     from mallowpass.standins.proxied.virtual.world import ProxyWorld
@@ -124,6 +125,7 @@
         self.domain = domain
         self.callers: dict[int, Caller] = {}
         self.connections: dict[int, ReplicaConnection] = {}
+        self._transports: dict[int, Transport] = {}  # of these, by number
         self.given_up: set[int] = set()  # closed while they were being opened
         self.ready = False
         self.exited = False
@@ -150,7 +152,7 @@
         )
         self.node = Node(identity, Tuning(), seed, now, tables)
         self._wake_at: float | None = None
-        self._carry_out(self.node.start(SYSTEMS))
+        self.carry_out(self.node.start(SYSTEMS))
 
     @property
     def tables(self) -> ProxyTables:
@@ -172,7 +174,18 @@
 
     def _handle(self, event: Event | ProxyEvent) -> None:
         if not self.exited and not self.frozen:
-            self._carry_out(self.node.handle(self.world.timers.now, event))
+            self.carry_out(self.node.handle(self.world.timers.now, event))
+
+    def reset_connections(self) -> None:
+        """Reset the connections to endpoints; those out of reach learn of it late."""
+        for transport in self._transports.values():
+            self._close_transport(transport)
+
+    def _close_transport(self, transport: Transport) -> None:
+        if self.world.close_withdraws:
+            transport.abort()
+        else:
+            transport.close()
 
     def stall(self, duration: float) -> None:
         """Run nothing for a while, and handle afterwards what arrives meanwhile."""
@@ -193,9 +206,10 @@
         elif self._wake_at == due:
             self._wake_at = None
             if not self.exited and not self.frozen:
-                self._carry_out(self.node.wake(self.world.timers.now))
+                self.carry_out(self.node.wake(self.world.timers.now))
 
-    def _carry_out(self, todo: list[Effect | effects.ProxyEffect]) -> None:
+    def carry_out(self, todo: list[Effect | effects.ProxyEffect]) -> None:
+        """Carry out effects, and wake the node when it is due."""
         for effect in todo:
             self._apply(effect)
         due = self.node.next_wake
@@ -271,33 +285,33 @@
             refusal = ConnectionRefused(effect.connection, connection, "full")
             self.later(self.world.way(self, effect), refusal)
             return
-        self.connections[effect.connection] = connection
+        number = effect.connection
+        self.connections[number] = connection
+        delay = self._delay(connection)
+        is_cut = partial(self._is_cut, connection.member)
+        self._transports[number] = Transport(group.timers, connection, delay, is_cut)
         self.world.connections_opened += 1
-        ready = ConnectionReady(effect.connection, replica.applied_position)
-        self.later(self._delay(connection), ready)
+        self.later(delay, ConnectionReady(number, replica.applied_position))
+
+    def _is_cut(self, member: str) -> bool:
+        return member in self.cut_from or member in self.world.dark
 
     @_apply.register
     def _(self, effect: effects.SendCalls) -> None:
-        delay = LINK
+        transport = self._transports.get(effect.connection)
+        if transport is not None:
+            transport.send(partial(self._call, effect))
+            return
         link = self.world.links.get((self.name, effect.connection))
-        connection = self.connections.get(effect.connection)
-        if link is not None:
-            delay = link.delay
-        elif connection is not None:
-            delay = self._delay(connection)
+        delay = LINK if link is None else link.delay
         self.world.timers.after(delay, self._send, effect)
 
     def _send(self, effect: effects.SendCalls) -> None:
         link = self.world.links.get((self.name, effect.connection))
-        if link is not None:
-            if not self.world.is_cut(self, link.holder):
-                link.holder.deliver(LinkCalled(link.number, effect.calls))
-            return
-        connection = self.connections.get(effect.connection)
-        if connection is None or not connection.open:
-            return
-        if connection.member in self.cut_from | self.world.dark:
-            return
+        if link is not None and not self.world.is_cut(self, link.holder):
+            link.holder.deliver(LinkCalled(link.number, effect.calls))
+
+    def _call(self, effect: effects.SendCalls, connection: ReplicaConnection) -> None:
         for call in effect.calls:
             self.world.record(self, connection, call)
             if not self.world.order_faults.strike(connection, call):
@@ -305,20 +319,20 @@
 
     def _replied(self, number: int, reply: EndpointReply) -> None:
         connection = self.connections.get(number)
-        if connection is None:
+        if connection is None or self.world.loses_answer(connection, reply):
             return
-        if connection.member in self.cut_from | self.world.dark:
-            return
-        if self.world.loses_answer(connection, reply):
-            return
-        self.later(self._delay(connection), EndpointAnswered(number, reply))
+        take = partial(self._take_reply, number)
+        self._transports[number].reply(take, reply)
+
+    def _take_reply(self, number: int, reply: EndpointReply) -> None:
+        if number in self.connections:
+            self.deliver(EndpointAnswered(number, reply))
 
     @_apply.register
     def _(self, effect: effects.CloseConnection) -> None:
         self.given_up.add(effect.connection)
-        connection = self.connections.pop(effect.connection, None)
-        if connection is not None:
-            connection.close()
+        if self.connections.pop(effect.connection, None) is not None:
+            self._close_transport(self._transports.pop(effect.connection))
         link = self.world.links.pop((self.name, effect.connection), None)
         if link is not None:
             link.holder.later(link.delay, LinkClosed(link.number))
@@ -360,6 +374,7 @@
     def lose(self, number: int, why: str) -> None:
         """Break a connection from outside."""
         if self.connections.pop(number, None) is not None:
+            del self._transports[number]
             self.later(LINK, ConnectionLost(number, why))
 
     @_apply.register
--- /dev/null
+++ b/mallowpass/standins/proxied/virtual/transports.py
@@ -0,0 +1,120 @@
+"""What a host and an endpoint send each other on one connection, and what is held up.
+
+A way that is cut loses nothing: what was sent is delivered once the way is back, unless
+the endpoint has dropped the connection by then. So calls are delivered that a host has
+sent before it closed.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from functools import partial
+
+from mallowpass.core.proxy.statements import EndpointReply
+from mallowpass.core.timers import TimerService
+from mallowpass.standins.proxied.connections import ReplicaConnection
+
+__all__ = ["LINGER", "Transport"]
+
+LINGER = 3.0  # seconds that an endpoint keeps a connection whose other end is cut off
+LOOK = 0.02  # seconds between looks whether the way is back
+
+Delivery = Callable[[], None]
+
+
+class Transport:
+    """Carry calls and replies in order, between a host and an endpoint."""
+
+    def __init__(
+        self,
+        timers: TimerService,
+        connection: ReplicaConnection,
+        delay: float,
+        is_cut: Callable[[], bool],
+    ) -> None:
+        self._timers = timers
+        self._connection = connection
+        self._delay = delay  # seconds one way
+        self._calls = _Direction(timers, connection, is_cut)
+        self._replies = _Direction(timers, connection, is_cut)
+
+    def send(self, deliver: Callable[[ReplicaConnection], None]) -> None:
+        """Send something to the endpoint."""
+        delivery = partial(deliver, self._connection)
+        self._timers.after(self._delay, self._calls.arrive, delivery)
+
+    def close(self) -> None:
+        """Close, after what was sent before."""
+        self._timers.after(self._delay, self._close)
+
+    def abort(self) -> None:
+        """Close at once; what was not delivered is lost."""
+        self._connection.close()
+
+    def _close(self) -> None:
+        if self._calls.is_cut:
+            self._calls.arrive(self._finish)
+        else:
+            self._connection.close()
+
+    def _finish(self) -> None:
+        # The endpoint takes what was held up before it learns of the close.
+        self._connection.finish()
+        self._timers.after(LINGER, self._connection.close)
+
+    def reply(
+        self, take: Callable[[EndpointReply], None], reply: EndpointReply
+    ) -> None:
+        """Send a reply to the host."""
+        after = partial(self._timers.after, self._delay, take, reply)
+        self._replies.arrive(after)
+
+
+class _Direction:
+    """Deliver in order, and hold while the way is cut."""
+
+    def __init__(
+        self,
+        timers: TimerService,
+        connection: ReplicaConnection,
+        is_cut: Callable[[], bool],
+    ) -> None:
+        self._timers = timers
+        self._connection = connection
+        self._is_cut = is_cut
+        self._held: deque[Delivery] = deque()
+        self._held_since = 0.0
+
+    @property
+    def is_cut(self) -> bool:
+        """Return whether what arrives now is held."""
+        return bool(self._held) or self._is_cut()
+
+    def arrive(self, delivery: Delivery) -> None:
+        """Deliver now, or once the way is back."""
+        if self.is_cut:
+            self._hold(delivery)
+        elif self._connection.open:
+            delivery()
+
+    def _hold(self, delivery: Delivery) -> None:
+        self._held.append(delivery)
+        if len(self._held) == 1:
+            self._held_since = self._timers.now
+            self._timers.after(LOOK, self._look)
+
+    def _look(self) -> None:
+        if self._timers.now - self._held_since >= LINGER:
+            self._connection.close()
+        if not self._connection.open:
+            self._held.clear()
+        elif self._is_cut():
+            self._timers.after(LOOK, self._look)
+        else:
+            self._deliver()
+
+    def _deliver(self) -> None:
+        while self._held and self._connection.open:
+            self._held.popleft()()
+        self._held.clear()
