--- a/mallowpass/standins/proxied/virtual/hosts.py
+++ b/mallowpass/standins/proxied/virtual/hosts.py
@@ -132,6 +132,7 @@
         self.frozen = False  # it runs nothing
         self.accepting = True
         self.event_time = 0.0  # seconds that each event takes, one after the other
+        self.lateness = 0.0  # seconds that each event arrives later
         self._busy_until = 0.0
         self._stalled_until = 0.0
         self.cut_from: set[str] = set()  # members, the store and the orders
@@ -166,8 +167,9 @@
     def deliver(self, event: Event | ProxyEvent) -> None:
         """Deliver an event now, or once a slow host is done with what came before."""
         now = self.world.timers.now
-        if self.event_time or self._busy_until > now:
-            self._busy_until = max(now, self._busy_until) + self.event_time
+        if self.event_time or self.lateness or self._busy_until > now:
+            arrival = now + self.lateness
+            self._busy_until = max(arrival, self._busy_until) + self.event_time
             self.world.timers.at(self._busy_until, self._handle, event)
         else:
             self._handle(event)
--- a/mallowpass/standins/proxied/virtual/orderfaults.py
+++ b/mallowpass/standins/proxied/virtual/orderfaults.py
@@ -17,6 +17,7 @@
         self._random = random.Random(seed)
         self.share = 0.0  # of the orders, that get no answer
         self.late = 0.0  # seconds, at most, until those are carried out
+        self.late_min = 0.0  # seconds, at least
 
     def strike(self, connection: ReplicaConnection, call: EndpointCall) -> bool:
         """Have an order get no answer, by chance; tell whether it is taken care of."""
@@ -26,5 +27,5 @@
             return False
         connection.silent = True
         if self.late:
-            connection.send_late(call, self._random.uniform(0.0, self.late))
+            connection.send_late(call, self._random.uniform(self.late_min, self.late))
         return bool(self.late)
