Show a loss at a planned replacement beside a replica out of sight

No pause ends and no member is cut off from another one: the near replica reaches neither hosts nor the store, its entry has lapsed, and it receives. It is not compared and not paused. The primary drains and serves until its successor leads, which has each commit 30 ms later than the near one.

Found by a random world, in which the near replica had one commit more than the successor as that one began to lead. A fence of planned replacements mends it, if it is confirmed before the order.

--- a/tests/core/proxy/test_near_replicas.py
+++ b/tests/core/proxy/test_near_replicas.py
@@ -173,3 +173,24 @@
     world.run(AFTER)
     assert world.group.promotions
     assert world.group.lost == []
+
+
+@pytest.mark.parametrize("promotion", [0.31, 0.33])
+def test_planned_replacement_without_a_replica_out_of_sight_loses_nothing(
+    world: ProxyWorld, writers: Writers, heartbeats: Heartbeats, promotion: float
+):
+    """Guard against a replica that acknowledges in a promotion and is not compared.
+
+    No host reaches the near replica, and its entry has lapsed, but it receives from the
+    primary, which drains.
+    """
+    world.run(1.0)
+    heartbeats.cut_off.add(NEAR)
+    world.dark.add(NEAR)
+    world.run(LAPSE_TIME)
+    world.group.times.promotion = promotion
+    heartbeats.draining.add(PRIMARY)
+    heartbeats.renew(world.primary)
+    world.run(AFTER)
+    assert world.group.promotions
+    assert world.group.lost == []
