Show a loss by a promotion order that is carried out after 12 s

A host orders a promotion that gets no answer, and ends; the primary is back. Fences and pauses last 8 s, an order may come 12 s late. It is carried out while the primary serves, for a target that has each commit 30 ms later than the near replica: 5 commits lost, with promotions that take 0.33 s.

--- a/tests/core/proxy/test_near_replicas.py
+++ b/tests/core/proxy/test_near_replicas.py
@@ -28,6 +28,7 @@
 LAPSE_TIME = 10.0  # until hosts have dropped an endpoint that they don't hear of
 ORDER_WAIT = 5.0  # at most, for a promotion order
 DARK_TIME = 0.27  # from an order until the primary is back, just before the lead
+LATE = 12.0  # until an order is carried out that got no answer
 AFTER = 4.0
 
 
@@ -42,7 +43,8 @@
 
     def _write(self) -> None:
         self.wrote_at = self._world.timers.now
-        self.callers = [self._world.caller(index, "own") for index in range(HOSTS)]
+        running = [i for i, host in enumerate(self._world.hosts) if not host.exited]
+        self.callers = [self._world.caller(index, "own") for index in running]
         for caller in self.callers:
             caller.send(Write("a 1"))
         self._world.timers.after(WRITE_INTERVAL, self._write)
@@ -194,3 +196,27 @@
     world.run(AFTER)
     assert world.group.promotions
     assert world.group.lost == []
+
+
+def test_primary_that_serves_again_loses_nothing_as_an_old_order_is_carried_out(
+    world: ProxyWorld, writers: Writers, heartbeats: Heartbeats
+):
+    """Guard against an order that comes later than hosts expect it to.
+
+    The primary is out of reach for a moment. A host orders a promotion, and ends. The
+    target receives later than the near replica, which is not paused any more.
+    """
+    world.run(1.0)
+    world.group.times.promotion = 0.33
+    world.orders_lost, world.orders_late = 1, LATE
+    world.group.replicas[NEAR].deaf = True
+    world.run(0.2)
+    world.dark.add(PRIMARY)
+    world.run_until(lambda: bool(world.orders), ORDER_WAIT)
+    ordering = [host.logged("promotion_ordered") != [] for host in world.hosts]
+    world.kill(ordering.index(True))
+    world.group.replicas[NEAR].deaf = False
+    world.dark.discard(PRIMARY)
+    world.run(LATE + AFTER)
+    assert world.group.promotions
+    assert world.group.lost == []
