--- a/tests/fakes/notedworld.py
+++ b/tests/fakes/notedworld.py
@@ -41,9 +41,11 @@
 class NotedWorld(ProxyWorld):
     """A world that notes orders to members and to the platform."""
 
-    def __init__(self, hosts: int, seed: int, times: GroupTimes) -> None:
+    def __init__(
+        self, hosts: int, seed: int, times: GroupTimes, **options: Any
+    ) -> None:
         self.notes: list[tuple[float, str]] = []
-        super().__init__(hosts, seed, times=times)
+        super().__init__(hosts, seed, times=times, **options)
         for host in self.hosts:
             host.logs = _NotedLogs(host)
 
