Revert "Keep a fence whose owner has ended while its order is pending"

test_a_fence_expires_if_its_promotion_is_never_carried_out failed with it: the platform accepts an order, carries it out never, and its host ends. Writes are to be served again once the fence has expired, after 2.5 s, and waited for up to 8 s. The claim keeps each order as pending for 8 s, with or without an answer, so a host that goes by the claim can't tell the two cases apart. The change would hold once the claim tells them apart, or once a host that was told takes over the watch of the pending fence, which lifts it while only the target receives.

--- a/mallowpass/core/proxy/fencing.py
+++ b/mallowpass/core/proxy/fencing.py
@@ -17,7 +17,7 @@
 from mallowpass.core.positions import ZERO_POSITION
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.pendingorders import ACCEPTED_ORDER_TIMEOUT
-from mallowpass.core.proxy.signals import FenceExpiring, PrimaryChanged
+from mallowpass.core.proxy.signals import PrimaryChanged
 from mallowpass.core.proxy.stalls import Stalls
 from mallowpass.core.proxy.statements import FenceEvidence
 from mallowpass.core.proxy.tables import EndpointRow, ProxySystem
@@ -29,8 +29,6 @@
 # A fence is renewed with each order that the platform accepts, and expires if its
 # promotion is not carried out and not ordered again.
 FENCE_DURATION = ACCEPTED_ORDER_TIMEOUT + 0.5
-# Before the end of a fence that is not renewed: a call to the store.
-END_NOTICE = 0.3
 # Without a reply of a fenced primary. Within this time all holders have forwarded the
 # order to step down, and the primary has answered if one of them reaches it.
 SILENCE_TIMEOUT = 0.2
@@ -71,10 +69,7 @@
         """
         is_fenced = self.is_fenced(primary)
         fences = self._fences.setdefault(primary.name, {})
-        until = max(fences.get(owner, 0.0), self.now + duration)
-        fences[owner] = until
-        if owner != self._node.identity.name:
-            self.timers.at(until - END_NOTICE, self._note_end, primary, owner, until)
+        fences[owner] = max(fences.get(owner, 0.0), self.now + duration)
         self._write_holds.hold(primary, duration, HoldReason.FENCE)
         if not is_fenced:
             if self._is_silent(primary):
@@ -82,11 +77,6 @@
             self._await_reply(primary)
         self._write_holds.await_drained(primary, handler)
 
-    def _note_end(self, primary: EndpointRow, owner: str, until: float) -> None:
-        """Publish that a fence is about to end that its owner has not renewed."""
-        if self._fences[primary.name].get(owner) == until and self.is_fenced(primary):
-            self._node.publish(FenceExpiring(primary))
-
     def evidence(self, primary_name: str) -> FenceEvidence:
         """Return what this host knows of the log of a primary."""
         primary = self.tables.endpoints.get(primary_name)
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -33,7 +33,6 @@
     "EndpointRestarted",
     "EndpointUnreachable",
     "EraChanged",
-    "FenceExpiring",
     "FloorReceived",
     "ForwardedConnectionRefused",
     "HoldersBypassed",
@@ -134,13 +133,6 @@
     is_unconnected: bool
 
 
-@record
-class FenceExpiring(Signal):
-    """Another host's fence of a primary is about to end, neither renewed nor lifted."""
-
-    primary: EndpointRow
-
-
 @record
 class HoldersBypassed(Signal):
     """This host begins to connect to an endpoint directly though it is no holder."""
--- a/mallowpass/core/proxy/startfences.py
+++ b/mallowpass/core/proxy/startfences.py
@@ -2,9 +2,8 @@
 
 The host that replaces a primary had the other hosts fence it. A host that starts was
 not there, or has lost its fence with its end. A host that is no holder, and connects
-directly as it is cut off from the holders, is told of no fence. A fence that is not
-renewed, as its owner has ended, ends too early. The claim tells all of these of the
-promotion order that may be carried out at any moment: until then, no commit may be
+directly as it is cut off from the holders, is told of no fence. The claim tells both of
+the promotion order that may be carried out at any moment: until then, no commit may be
 acknowledged by a primary that is not the order's target.
 """
 
@@ -14,11 +13,7 @@
 from mallowpass.core.proxy.claims import Claim, Claims
 from mallowpass.core.proxy.fencing import Fencing
 from mallowpass.core.proxy.holders import Holders
-from mallowpass.core.proxy.signals import (
-    FenceExpiring,
-    HoldersBypassed,
-    PrimaryChanged,
-)
+from mallowpass.core.proxy.signals import HoldersBypassed, PrimaryChanged
 from mallowpass.core.proxy.store import Store
 from mallowpass.core.proxy.tables import GroupRow, ProxySystem
 
@@ -44,7 +39,6 @@
         self._fencing = self._node.system(Fencing)
         self._holders = self._node.system(Holders)
         self._store = self._node.system(Store)
-        self._node.subscribe(FenceExpiring, self._on_fence_expiring)
         self._node.subscribe(HoldersBypassed, self._on_holders_bypassed)
         if not self.tables.first_start:
             self._node.subscribe(PrimaryChanged, self._on_primary_changed)
@@ -54,14 +48,8 @@
         if not group.primary or group.service in self._checked:
             return
         self._checked.add(group.service)
-        if self._holders.holds(group.service):
-            self._fence_by_claim(group)
-
-    def _on_fence_expiring(self, signal: FenceExpiring) -> None:
-        self._fence_by_claim(self.tables.group(signal.primary.entry.service))
-
-    def _fence_by_claim(self, group: GroupRow) -> None:
-        """Fence a group's primary while the claim names an order for another target."""
+        if not self._holders.holds(group.service):
+            return
 
         def on_claim(claim: Claim | None, is_known: bool) -> None:
             if claim is not None:
