Let all calls of a virtual host pass one method again

A test of admission control records what hosts send, by way of that method. Calls to endpoints had passed another one since connections hold what is sent: test_holders_are_told_how_long_calls_are_of_use failed, and passes again. What was sent on a connection that is reset is lost, as before.

--- a/mallowpass/standins/proxied/virtual/hosts.py
+++ b/mallowpass/standins/proxied/virtual/hosts.py
@@ -125,7 +125,8 @@
         self.domain = domain
         self.callers: dict[int, Caller] = {}
         self.connections: dict[int, ReplicaConnection] = {}
-        self._transports: dict[int, Transport] = {}  # of these, by number
+        # Of these, by number, and of those that this host has closed.
+        self._transports: dict[int, Transport] = {}
         self.given_up: set[int] = set()  # closed while they were being opened
         self.ready = False
         self.exited = False
@@ -302,7 +303,7 @@
     def _(self, effect: effects.SendCalls) -> None:
         transport = self._transports.get(effect.connection)
         if transport is not None:
-            transport.send(partial(self._call, effect))
+            transport.send(partial(self._send, effect))
             return
         link = self.world.links.get((self.name, effect.connection))
         delay = LINK if link is None else link.delay
@@ -310,7 +311,10 @@
 
     def _send(self, effect: effects.SendCalls) -> None:
         link = self.world.links.get((self.name, effect.connection))
-        if link is not None and not self.world.is_cut(self, link.holder):
+        transport = self._transports.get(effect.connection)
+        if transport is not None:
+            self._call(effect, transport.connection)
+        elif link is not None and not self.world.is_cut(self, link.holder):
             link.holder.deliver(LinkCalled(link.number, effect.calls))
 
     def _call(self, effect: effects.SendCalls, connection: ReplicaConnection) -> None:
@@ -334,7 +338,7 @@
     def _(self, effect: effects.CloseConnection) -> None:
         self.given_up.add(effect.connection)
         if self.connections.pop(effect.connection, None) is not None:
-            self._close_transport(self._transports.pop(effect.connection))
+            self._close_transport(self._transports[effect.connection])
         link = self.world.links.pop((self.name, effect.connection), None)
         if link is not None:
             link.holder.later(link.delay, LinkClosed(link.number))
--- a/mallowpass/standins/proxied/virtual/transports.py
+++ b/mallowpass/standins/proxied/virtual/transports.py
@@ -39,9 +39,13 @@
         self._calls = _Direction(timers, connection, is_cut)
         self._replies = _Direction(timers, connection, is_cut)
 
-    def send(self, deliver: Callable[[ReplicaConnection], None]) -> None:
+    @property
+    def connection(self) -> ReplicaConnection:
+        """Return the endpoint's end."""
+        return self._connection
+
+    def send(self, delivery: Delivery) -> None:
         """Send something to the endpoint."""
-        delivery = partial(deliver, self._connection)
         self._timers.after(self._delay, self._calls.arrive, delivery)
 
     def close(self) -> None:
