Mend what the review of the promotion orders found

- An order that was stored ahead and sent seconds later was pending from when it was stored: it could be carried out after all replicas had resumed (1 commit lost).
A stored order is used only while the newest claim names it for long enough, and is pending from when it is sent.
- The watch of a fence kept the target of an earlier order, and paused the newest one again and again.
- A claim row that an answer overtook on the way replaced the newer one, so that its orders counted as given up.
- An accepted order expired those of newer claims of other hosts, too.
- An order that was stored as a new comparison had begun raised KeyError.

By reading: a target that restarted stayed in the comparison while a new claim was taken, and a late pause could hit a replica that had become the target.

--- a/mallowpass/core/proxy/claims.py
+++ b/mallowpass/core/proxy/claims.py
@@ -20,7 +20,11 @@
 from mallowpass.core.positions import ZERO_POSITION, LogPosition
 from mallowpass.core.proxy.durability import Durability
 from mallowpass.core.proxy.holders import Holders
-from mallowpass.core.proxy.pendingorders import LATE_ORDER_TIMEOUT, PendingOrders
+from mallowpass.core.proxy.pendingorders import (
+    LATE_ORDER_MAX,
+    LATE_ORDER_TIMEOUT,
+    PendingOrders,
+)
 from mallowpass.core.proxy.signals import EraChanged
 from mallowpass.core.proxy.storage import (
     ChangeRows,
@@ -243,13 +247,15 @@
         is_young = (self._store.time or 0.0) - claim.time < CLAIM_USE_TIMEOUT
         return is_young and self.is_of_current_era(claim)
 
-    def names_order(self, claim: Claim, target: str) -> bool:
+    def names_order(self, service: str, claim: Claim, target: str) -> bool:
         """Return whether later claims know of an order that is sent now.
 
         They treat it as pending for at least as long as it may be carried out.
         """
+        if self._known.get(service, (0, None))[1] != claim:
+            return False
         until = dict(claim.ordered).get(target, 0.0)
-        is_long_enough = until >= (self._store.time or 0.0) + LATE_ORDER_TIMEOUT
+        is_long_enough = until >= (self._store.time or 0.0) + LATE_ORDER_MAX
         return is_long_enough and self.is_of_current_era(claim)
 
     def age(self, claim: Claim) -> float:
@@ -450,6 +456,8 @@
         for row in rows:
             if row.key.key != _ROW_KEY:
                 continue
+            if row.version < self._known.get(service, (0, None))[0]:
+                continue  # an answer that a newer one has overtaken
             if not isinstance(row.value, str):
                 self._known[service] = (0, None)
                 continue
@@ -480,7 +488,7 @@
             for target, until in claim.ordered
             if target not in carried_out
         }
-        self._pending_orders.note_foreign_orders(service, orders)
+        self._pending_orders.note_foreign_orders(service, orders, claim.token)
         if claim.holder != self._node.identity.name:
             self._log_foreign_orders(service, claim)
 
--- a/mallowpass/core/proxy/pendingfences.py
+++ b/mallowpass/core/proxy/pendingfences.py
@@ -16,7 +16,7 @@
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.fenceorders import FenceOrders
 from mallowpass.core.proxy.pendingorders import ACCEPTED_ORDER_TIMEOUT, PendingOrders
-from mallowpass.core.proxy.replacement import Replacement
+from mallowpass.core.proxy.replacement import PromotionOrdered, Replacement
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
 from mallowpass.core.proxy.statements import (
     EndpointReply,
@@ -66,6 +66,7 @@
         self._fence_orders = self._node.system(FenceOrders)
         self._pending_orders = self._node.system(PendingOrders)
         self._replica_orders = self._node.system(ReplicaOrders)
+        self._node.subscribe(PromotionOrdered, self._on_ordered)
 
     def watch(self, attempt: Replacement) -> None:
         """Keep an attempt's primary fenced until no order for a target is pending."""
@@ -78,6 +79,12 @@
         self._watches[service] = watch
         self._ask(watch)
 
+    def _on_ordered(self, signal: PromotionOrdered) -> None:
+        """Watch the target of the newest order."""
+        watch = self._watches.get(signal.attempt.group.service)
+        if watch is not None and watch.primary == signal.attempt.primary:
+            watch.target = signal.attempt.target
+
     def note_accepted(self, service: str) -> None:
         """Fence a primary again whose successor is being promoted."""
         watch = self._watches.get(service)
@@ -127,7 +134,8 @@
         if endpoint in watch.unanswered:
             return
         statement: Statement = Status()
-        if endpoint.name in watch.receiving:
+        pending = self._pending_orders.pending(watch.group.service)
+        if endpoint.name in watch.receiving and endpoint.name not in pending:
             statement = Pause(watch.group.term + 1)
         watch.unanswered.append(endpoint)
         statuses = watch.statuses
--- a/mallowpass/core/proxy/pendingorders.py
+++ b/mallowpass/core/proxy/pendingorders.py
@@ -28,11 +28,17 @@
 from mallowpass.core.proxy.signals import PrimaryChanged
 from mallowpass.core.proxy.tables import GroupRow, ProxySystem
 
-__all__ = ["ACCEPTED_ORDER_TIMEOUT", "LATE_ORDER_TIMEOUT", "PendingOrders"]
-
-# Seconds for which an order without an answer is pending: the platform may carry it out
-# up to 12 s after it was sent.
-LATE_ORDER_TIMEOUT = 13.0
+__all__ = [
+    "ACCEPTED_ORDER_TIMEOUT",
+    "LATE_ORDER_MAX",
+    "LATE_ORDER_TIMEOUT",
+    "PendingOrders",
+]
+
+# Seconds after which the platform carries out an order at the latest.
+LATE_ORDER_MAX = 12.0
+# Seconds for which an order without an answer is pending.
+LATE_ORDER_TIMEOUT = LATE_ORDER_MAX + 1.0
 # Seconds for which an accepted order is pending. If the target is not primary after
 # that time, its promotion is ordered again.
 ACCEPTED_ORDER_TIMEOUT = 2.0
@@ -64,11 +70,13 @@
 class PendingOrders(ProxySystem):
     """Keep the pending promotion orders of this host and of others."""
 
-    __slots__ = ("_orders",)
+    __slots__ = ("_foreign_tokens", "_orders")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
         self._orders: dict[str, dict[str, _Orders]] = {}  # by service and target
+        # Of the claims that tell of the orders of other hosts, by service.
+        self._foreign_tokens: dict[str, int] = {}
 
     def start(self) -> None:
         """Subscribe to changes of primaries."""
@@ -85,7 +93,12 @@
         orders.is_quiesced = is_quiesced
 
     def note_answer(
-        self, service: str, target: str, number: int, accepted: bool | None
+        self,
+        service: str,
+        target: str,
+        number: int,
+        accepted: bool | None,
+        token: int = 0,
     ) -> None:
         """Record the answer to an order; `accepted` is None if there was none.
 
@@ -97,24 +110,28 @@
         orders.unanswered.pop(number, None)
         if accepted:
             orders.accepted_until = self.now + ACCEPTED_ORDER_TIMEOUT
-            self._expire_earlier(service)
+            self._expire_earlier(service, token)
 
-    def _expire_earlier(self, service: str) -> None:
+    def _expire_earlier(self, service: str, token: int) -> None:
         """Have the orders of earlier claims expire as accepted ones do.
 
         The platform has seen a newer fencing token, and refuses them from now on.
         """
-        if self.tables.promotion_fences_primary:
+        is_newer = token > self._foreign_tokens.get(service, 0)
+        if is_newer and self.tables.promotion_fences_primary:
             until = self.now + ACCEPTED_ORDER_TIMEOUT
             for orders in self._orders.get(service, {}).values():
                 orders.foreign_until = min(orders.foreign_until, until)
 
-    def note_foreign_orders(self, service: str, until: dict[str, float]) -> None:
+    def note_foreign_orders(
+        self, service: str, until: dict[str, float], token: int
+    ) -> None:
         """Record what the newest claim tells of the orders of all hosts.
 
         `until` are times of this host's clock, by target. An order that an earlier
         claim named and this one does not has been given up.
         """
+        self._foreign_tokens[service] = token
         by_target = self._orders.setdefault(service, {})
         for orders in by_target.values():
             orders.foreign_until = float("-inf")
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -199,10 +199,12 @@
         min_age = (
             OVERLOAD_RETRY_INTERVAL if attempt.reason is Reason.OVERLOADED else 0.0
         )
+        attempt.claim_calls += 1
+        call = attempt.claim_calls
         self._claims.take(
             attempt.group.service,
             attempt.primary,
-            lambda claim: self._on_claim(attempt, claim),
+            lambda claim: self._on_claim(attempt, claim, call),
             min_age,
             self._likely_target(attempt),
         )
@@ -225,11 +227,13 @@
             endpoint for name, endpoint in group.endpoints.items() if name != primary
         ]
 
-    def _on_claim(self, attempt: Replacement, claim: Claim | None) -> None:
+    def _on_claim(self, attempt: Replacement, claim: Claim | None, call: int) -> None:
         if attempt.is_ended:
             if claim is not None and not attempt.order_count:
                 self._claims.release(attempt.group.service, claim)
             return
+        if call != attempt.claim_calls:
+            return  # another one is under way
         if claim is None:
             self._give_up(attempt, "claim held by another host, or store unreachable")
             return
@@ -709,13 +713,23 @@
             # The order for the former target may still be carried out, so the next
             # order needs a newer fencing token.
             attempt.order_call = 0
+            self._end_round(attempt)
             self._take_claim(attempt)
         else:
             self._compare(attempt)
 
+    @staticmethod
+    def _end_round(attempt: Replacement) -> None:
+        """Let no reply to the questions of a round be compared any more."""
+        attempt.rounds += 1
+        attempt.is_awaiting_fence = False
+        attempt.received.clear()
+
     def _pause_member(self, attempt: Replacement, endpoint: EndpointRow) -> None:
         if attempt.is_ended or endpoint.name in attempt.paused:
             return
+        if endpoint.name == attempt.target:
+            return  # it was chosen meanwhile
         if not self.tables.is_current(endpoint):
             return
 
--- a/mallowpass/core/proxy/promotionorders.py
+++ b/mallowpass/core/proxy/promotionorders.py
@@ -81,8 +81,8 @@
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
-        # The attempt and the target of each order without an answer, by call number.
-        self._unanswered: dict[int, tuple[Replacement, str]] = {}
+        # Attempt, target and fencing token of each order without an answer, by call.
+        self._unanswered: dict[int, tuple[Replacement, str, int]] = {}
 
     def start(self) -> None:
         """Subscribe to the platform's answers."""
@@ -103,20 +103,20 @@
         The next host that claims then knows of the order, and promotes only a replica
         that has reached the target's log position.
         """
-        round_number = attempt.rounds
+        round_number, target = attempt.rounds, attempt.target
 
         def on_stored(number: int | None) -> None:
             is_current = not attempt.is_ended and attempt.rounds == round_number
             if is_current and number is not None:
                 self._send_order(attempt, number)
             elif number is not None:
-                service, target = attempt.group.service, attempt.target
+                service = attempt.group.service
                 self._pending_orders.note_answer(service, target, number, False)
             elif is_current and not self._claims.is_of_current_era(attempt.claim):
                 self._node.publish(ClaimExpired(attempt))
             elif is_current:
                 attempt.claim = None
-                event, target = "promotion_order_not_stored", attempt.target
+                event = "promotion_order_not_stored"
                 attempt.log(self._node, event, "warning", target=target)
                 why = "claim held by another host, or store unreachable"
                 self._node.publish(OrderFailed(attempt, why))
@@ -148,7 +148,8 @@
         attempt.order_count += 1
         self._node.publish(PromotionOrdered(attempt))
         attempt.order_call = number
-        self._unanswered[attempt.order_call] = (attempt, attempt.target)
+        order = (attempt, attempt.target, attempt.claim.token)
+        self._unanswered[attempt.order_call] = order
         attempt.log(
             self._node,
             "promotion_ordered",
@@ -217,9 +218,11 @@
     def _on_answered(self, event: PromotionAnswered) -> None:
         if event.call not in self._unanswered:
             return
-        attempt, target = self._unanswered.pop(event.call)
+        attempt, target, token = self._unanswered.pop(event.call)
         service = attempt.group.service
-        self._pending_orders.note_answer(service, target, event.call, event.accepted)
+        self._pending_orders.note_answer(
+            service, target, event.call, event.accepted, token
+        )
         if attempt.is_ended or attempt.order_call != event.call:
             return
         if event.accepted:
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -92,6 +92,7 @@
     restarted: set[str] = field(default_factory=set)  # members, since the attempt began
     primary_position: LogPosition | None = None  # as read in the first round
     rounds: int = 0
+    claim_calls: int = 0
     round_began_at: float = 0.0
     is_quiescing: bool = False  # the primary's commits are being stopped
     is_quiesced: bool = False  # they have stopped, or the wait for that has ended
--- a/mallowpass/core/proxy/storedorders.py
+++ b/mallowpass/core/proxy/storedorders.py
@@ -41,6 +41,7 @@
     handler: StoredHandler | None = None
     is_stored: bool = False
     has_failed: bool = False
+    round: int = 0  # of the comparison that asked for it last
     is_outdated: bool = False  # the attempt has another target or position by now
 
 
@@ -71,6 +72,7 @@
                 # Two renewals of one claim at a time would refuse each other.
                 order.is_outdated = True
                 order.handler = handler
+                order.round = attempt.rounds
                 return
             self._discard(order)
             order = None
@@ -90,6 +92,8 @@
         """
         if order.attempt is not attempt or order.target != attempt.target:
             return False
+        if order.is_stored and not self._is_named(attempt):
+            return False  # it was stored too long ago
         position = attempt.received[attempt.target]
         return not attempt.is_target_ahead or order.position >= position
 
@@ -97,7 +101,11 @@
         """Return whether an order needs no renewal of the claim."""
         if attempt.is_target_ahead:
             return False  # the claim does not demand the target's position yet
-        return self._claims.names_order(attempt.claim, attempt.target)
+        return self._is_named(attempt)
+
+    def _is_named(self, attempt: Replacement) -> bool:
+        service, claim = attempt.group.service, attempt.claim
+        return self._claims.names_order(service, claim, attempt.target)
 
     def _begin(self, attempt: Replacement) -> _Order:
         service, target = attempt.group.service, attempt.target
@@ -122,7 +130,8 @@
             return
         if claim is None or order.is_outdated:
             self._discard(order)
-            if claim is not None and attempt.target:
+            is_asked = claim is not None and attempt.rounds == order.round
+            if is_asked and attempt.target in attempt.received:
                 self.store(attempt, order.handler)
             elif order.handler is not None:
                 order.handler(None)
@@ -132,7 +141,12 @@
 
     def _deliver(self, order: _Order) -> None:
         if order.handler is not None:
-            del self._orders[order.attempt.group.service]
+            service = order.attempt.group.service
+            del self._orders[service]
+            # It is pending from now on, and not from when it was stored.
+            self._pending_orders.note_order(
+                service, order.target, order.number, order.attempt.is_quiesced
+            )
             order.handler(order.number)
 
     def _discard(self, order: _Order) -> None:
--- a/tests/core/proxy/test_pending_orders.py
+++ b/tests/core/proxy/test_pending_orders.py
@@ -273,17 +273,27 @@
 def test_order_that_the_newest_claim_does_not_name_is_not_pending():
     """Guard against replicas that wait for an order that was given up."""
     orders = pending_orders()
-    orders.note_foreign_orders(SERVICE, {TARGET: orders.now + 10.0})
+    orders.note_foreign_orders(SERVICE, {TARGET: orders.now + 10.0}, token=1)
     assert TARGET in orders.pending(SERVICE)
-    orders.note_foreign_orders(SERVICE, {})
+    orders.note_foreign_orders(SERVICE, {}, token=2)
     assert orders.pending(SERVICE) == {}
 
 
 def test_accepted_order_expires_those_of_earlier_claims():
     """Guard against replicas that wait for orders that the platform refuses."""
     orders = pending_orders()
-    orders.note_foreign_orders(SERVICE, {OTHERS[1]: orders.now + 10.0})
+    orders.note_foreign_orders(SERVICE, {OTHERS[1]: orders.now + 10.0}, token=1)
     orders.note_order(SERVICE, TARGET, 1, is_quiesced=False)
-    orders.note_answer(SERVICE, TARGET, 1, accepted=True)
+    orders.note_answer(SERVICE, TARGET, 1, accepted=True, token=2)
     latest = orders.now + ACCEPTED_ORDER_TIMEOUT
     assert orders.pending(SERVICE) == {OTHERS[1]: latest, TARGET: latest}
+
+
+def test_accepted_order_leaves_those_of_a_newer_claim_pending():
+    """Guard against orders that are forgotten though the platform may take them."""
+    orders = pending_orders()
+    until = orders.now + 10.0
+    orders.note_foreign_orders(SERVICE, {OTHERS[1]: until}, token=3)
+    orders.note_order(SERVICE, TARGET, 1, is_quiesced=False)
+    orders.note_answer(SERVICE, TARGET, 1, accepted=True, token=2)
+    assert orders.pending(SERVICE)[OTHERS[1]] == until
--- a/tests/core/proxy/test_planned_fences.py
+++ b/tests/core/proxy/test_planned_fences.py
@@ -105,7 +105,7 @@
     _, other = run_until_ordered(world)
     host = next(host for host in world.hosts if host.logged("promotion_ordered"))
     until = world.timers.now + LATE_ORDER_TIMEOUT
-    host.node.system(PendingOrders).note_foreign_orders(SERVICE, {other: until})
+    host.node.system(PendingOrders).note_foreign_orders(SERVICE, {other: until}, 1)
     before = len(world.group.acknowledged)
     world.run(2 * GAP_MAX)
     assert len(world.group.acknowledged) == before
