Have the commits of a stalled primary outlast its replacement in their test

The test asks that a primary whose commits do not end steps down before the order. Its writes timed out after 0.8 s, and a host that sees them stall sends one a second, so for a fifth of the time none is in flight: all holders then confirm the fence, and nothing has to step down. On the stricter stand-in the fence fell into such a moment. Statements now time out later than the replacement takes. The check itself is unchanged.

--- a/tests/core/proxy/test_fence_orders.py
+++ b/tests/core/proxy/test_fence_orders.py
@@ -12,6 +12,7 @@
 import pytest
 
 from mallowpass.core.messages import Event
+from mallowpass.core.proxy.configuration import Configuration
 from mallowpass.core.proxy.events import (
     ConnectionRefused,
     EndpointAnswered,
@@ -25,7 +26,13 @@
 from mallowpass.core.proxy.writeholds import WriteHolds
 from mallowpass.standins.proxied.replicas import GroupTimes
 from mallowpass.standins.proxied.virtual.hosts import LINK, Caller, Host
-from mallowpass.standins.proxied.virtual.world import SERVICE, ProxyWorld
+from mallowpass.standins.proxied.virtual.world import (
+    DATABASES,
+    SERVICE,
+    ProxyWorld,
+    configuration,
+    route,
+)
 from tests.core.proxy.test_replaced import (
     OLD,
     OTHERS,
@@ -583,15 +590,26 @@
     assert world.orders == []
 
 
+def patient_configuration() -> Configuration:
+    """Return a configuration whose statements outlast a replacement."""
+    routes = {
+        name: route(name, consistency, statement_timeout=ORDER_WAIT)
+        for name, consistency in DATABASES.items()
+    }
+    return configuration(2, routes=routes)
+
+
 @pytest.mark.parametrize("fail", [cut_primary, None])
 def test_a_primary_whose_commits_do_not_end_steps_down_before_the_order(
     make_world, fail
 ):
     """Guard against commits that end after the order, and against untrue answers.
 
-    The primary answers at least some hosts, and none of its replicas receives.
+    The primary answers at least some hosts, and none of its replicas receives. No
+    statement times out before the order.
     """
     world = make_world()
+    world.configure(patient_configuration())
     writes = Writes(world, 0, 1, 2, 3, interval=SELDOM)
     for index in range(4):
         keep_reading(world, index, "strict")
