Require the newest commits of a primary, also of several writers and of other hosts

Cause: a commit proves a position one above what the log had shown before it was sent. Commits that are sent at the same time prove the first of them only. And a holder recorded no commits that it runs for other hosts, which is most of them in a large fleet.

Each host now keeps the positions that the log had shown before its newest commits, also those that it forwards: n commits sent after a position prove a position n above it. Holders tell them with their confirmation of a fence, and the host that replaces the primary counts those of all holders together. Each commit is sent by one host, so none counts twice; commits of transactions are left out, as some of them write nothing.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -40,6 +40,7 @@
     FloorHint,
     Rollback,
     SessionState,
+    Write,
 )
 from mallowpass.core.proxy.tables import (
     Batch,
@@ -400,6 +401,11 @@
             connection.state = ConnectionState.BUSY
         may_commit = any(call.statement.may_commit for call in calls)
         batch = Batch(len(calls), on_replies, self.now, may_commit)
+        if may_commit and not connection.holder:
+            batch.writes = frozenset(
+                i for i, call in enumerate(calls) if isinstance(call.statement, Write)
+            )
+            batch.position_before = connection.endpoint.position
         connection.pending.append(batch)
         self._node.emit(SendCalls(connection.number, tuple(calls)))
         self._node.publish(CallsSent(connection))
@@ -625,6 +631,9 @@
         if reply.code is Code.UNREACHABLE:
             reply = self._handle_unreachable(connection, reply)
         self._record_reply(connection, reply, batch.sent_at)
+        if len(batch.replies) in batch.writes and _is_commit(reply):
+            before = batch.position_before
+            self._durability.note_commit(connection.endpoint, before)
         batch.replies.append(reply)
         if len(batch.replies) == batch.size:
             connection.pending.popleft()
@@ -720,3 +729,8 @@
 def _is_for(opening: ConnectionRow, customer: str | None) -> bool:
     """Return whether a connection that is being opened is for a given customer."""
     return customer is not None and opening.customer == customer
+
+
+def _is_commit(reply: EndpointReply) -> bool:
+    """Return whether a write's reply shows that it was committed on its own."""
+    return reply.code is Code.DONE and reply.state is SessionState.IDLE
--- a/mallowpass/core/proxy/durability.py
+++ b/mallowpass/core/proxy/durability.py
@@ -20,6 +20,8 @@
 
 from __future__ import annotations
 
+from bisect import insort
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from mallowpass.core.node import Node
@@ -34,6 +36,9 @@
 
 __all__ = ["Durability"]
 
+# Commits of a primary by which the newest acknowledged one is bounded.
+COMMITS_MAX = 32
+
 
 @dataclass(slots=True)
 class _MissingBound:
@@ -102,6 +107,29 @@
         self.raise_must_hold(group, before._replace(position=before.position + 1))
         self._note_received(group.service, before)
 
+    def note_commit(self, endpoint: EndpointRow, before: LogPosition | None) -> None:
+        """Record a commit that this host sent itself, also for another host.
+
+        Of n commits that were sent after the log had shown a position, the newest one
+        is at least n commits after that position, as no two have the same number.
+        """
+        group = self.tables.group(endpoint.entry.service)
+        if before is None or endpoint.name != group.primary:
+            return
+        shown = endpoint.shown_before_commits
+        insort(shown, before)
+        del shown[:-COMMITS_MAX]
+        self.require_commits(group, shown)
+
+    def require_commits(self, group: GroupRow, shown: Iterable[LogPosition]) -> None:
+        """Require commits, each given by a position that was shown before it."""
+        newest_first = sorted(shown, reverse=True)
+        for count, position in enumerate(newest_first, start=1):
+            if position.term != newest_first[0].term:
+                break
+            proven = position._replace(position=position.position + count)
+            self.raise_must_hold(group, proven)
+
     def note_position(
         self, endpoint: EndpointRow, position: LogPosition, asked_at: float
     ) -> None:
--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -37,7 +37,7 @@
     Replacement,
 )
 from mallowpass.core.proxy.signals import PrimarySteppedDown, PrimarySuspected
-from mallowpass.core.proxy.statements import Fence, FenceEvidence
+from mallowpass.core.proxy.statements import Fence, FenceEvidence, LogPosition
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, HostRow, ProxySystem
 
 __all__ = ["FenceOrders"]
@@ -81,6 +81,8 @@
     requests: dict[str, ControlRequest] = field(default_factory=dict)  # by holder
     demoted_at: float | None = None  # when the primary was ordered to step down
     is_settled: bool = False
+    # Positions that the log had shown before commits were sent, by holder.
+    commits: dict[str, tuple[LogPosition, ...]] = field(default_factory=dict)
 
 
 class FenceOrders(ProxySystem):
@@ -279,6 +281,9 @@
         attempt = task.attempt
         self._durability.raise_must_hold(attempt.group, evidence.must_hold)
         attempt.shown = max(attempt.shown, evidence.shown)
+        task.commits[host] = evidence.shown_before_commits
+        commits = [position for each in task.commits.values() for position in each]
+        self._durability.require_commits(attempt.group, commits)
         attempt.fence_confirmed.add(host)
         self._confirm(task, host)
 
@@ -364,6 +369,6 @@
     if forwarded.reply is None or not forwarded.is_done or not forwarded.reply.rows:
         return None
     try:
-        return FenceEvidence.decode(forwarded.reply.rows[0])
+        return FenceEvidence.decode(forwarded.reply.rows)
     except ValueError:
         return None
--- a/mallowpass/core/proxy/fencing.py
+++ b/mallowpass/core/proxy/fencing.py
@@ -84,7 +84,9 @@
         if primary is None:
             return FenceEvidence(ZERO_POSITION, ZERO_POSITION)
         group = self.tables.group(primary.entry.service)
-        return FenceEvidence(primary.position or ZERO_POSITION, group.must_hold)
+        shown = primary.position or ZERO_POSITION
+        commits = tuple(primary.shown_before_commits)
+        return FenceEvidence(shown, group.must_hold, commits)
 
     def _is_silent(self, primary: EndpointRow) -> bool:
         """Return whether a statement waits for a primary that has not replied since."""
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -386,7 +386,7 @@
         def on_drained() -> None:
             if not link.closed:
                 evidence = self._fencing.evidence(statement.primary)
-                self._answer_done(link, (evidence.encode(),))
+                self._answer_done(link, evidence.encode())
 
         if primary is None:
             on_drained()  # this host has no connection to it
--- a/mallowpass/core/proxy/statements.py
+++ b/mallowpass/core/proxy/statements.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from enum import Enum
 from typing import ClassVar
 
@@ -242,16 +243,24 @@
 
     shown: LogPosition  # the newest that the primary's log showed
     must_hold: LogPosition  # proven to be acknowledged; see `durability`
+    # That the log had shown before the newest commits of this holder were sent.
+    shown_before_commits: tuple[LogPosition, ...] = ()
 
-    def encode(self) -> bytes:
-        """Return the row that is sent."""
-        return f"{self.shown.text} {self.must_hold.text}".encode()
+    def encode(self) -> tuple[bytes, ...]:
+        """Return the rows that are sent; earlier versions read the first one alone."""
+        first = f"{self.shown.text} {self.must_hold.text}"
+        if not self.shown_before_commits:
+            return (first.encode(),)
+        commits = " ".join(position.text for position in self.shown_before_commits)
+        return (first.encode(), commits.encode())
 
     @classmethod
-    def decode(cls, row: bytes) -> FenceEvidence:
-        """Parse a row; raise ValueError if it is malformed."""
-        shown, must_hold = row.decode().split(" ")
-        return cls(LogPosition.parse(shown), LogPosition.parse(must_hold))
+    def decode(cls, rows: Sequence[bytes]) -> FenceEvidence:
+        """Parse rows; raise ValueError if they are malformed."""
+        shown, must_hold = rows[0].decode().split(" ")
+        texts = rows[1].decode().split() if len(rows) > 1 else []
+        commits = tuple(LogPosition.parse(text) for text in texts)
+        return cls(LogPosition.parse(shown), LogPosition.parse(must_hold), commits)
 
 
 # -- Endpoints ---------------------------------------------------------------
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -73,6 +73,8 @@
     on_replies: Callable[[ConnectionRow, list[EndpointReply]], None]
     sent_at: float
     may_commit: bool = False  # one of the calls may commit writes
+    writes: frozenset[int] = frozenset()  # indices of the calls that are single writes
+    position_before: LogPosition | None = None  # of the endpoint, as it was sent
     replies: list[EndpointReply] = field(default_factory=list)
 
 
@@ -138,6 +140,9 @@
     was_full_at: float = float("-inf")
     # Owned by requests and floors.
     position: LogPosition | None = None  # applied by its log as of its last reply
+    # Positions that its log had shown before acknowledged commits were sent, ascending;
+    # the newest ones. Owned by durability.
+    shown_before_commits: list[LogPosition] = field(default_factory=list)
     last_reply_at: float = float("-inf")
     last_direct_reply_at: float = float("-inf")  # not by way of another host
     # Reads whose floor is above `position` are not sent to it before this time.
--- a/tests/core/proxy/test_durability.py
+++ b/tests/core/proxy/test_durability.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from mallowpass.core.proxy.statements import Code, Read, Write
+from mallowpass.core.positions import LogPosition
+from mallowpass.core.proxy.durability import Durability
+from mallowpass.core.proxy.statements import Code, FenceEvidence, Read, Write
 from mallowpass.core.proxy.storage import RowKey, Table
 from mallowpass.standins.proxied.virtual.world import SERVICE, ProxyWorld
 
@@ -193,3 +195,20 @@
     world.run_until(lambda: world.group.promotions == 1, 3.0)
     assert world.group.promotions == 1
     assert world.group.lost == []
+
+
+def test_commits_sent_at_the_same_position_are_each_required():
+    """Guard against concurrent commits of which the first alone is required."""
+    world = ProxyWorld(hosts=1)
+    durability = world.hosts[0].node.system(Durability)
+    group = world.hosts[0].tables.groups[SERVICE]
+    shown = [LogPosition(1, 7), LogPosition(1, 9), LogPosition(1, 9), LogPosition(1, 9)]
+    durability.require_commits(group, shown)
+    assert group.must_hold == LogPosition(1, 12)
+
+
+def test_evidence_of_a_holder_is_read_as_it_was_sent():
+    position = LogPosition(2, 5)
+    for commits in ((), (position, LogPosition(2, 6))):
+        evidence = FenceEvidence(position, position, commits)
+        assert FenceEvidence.decode(evidence.encode()) == evidence
