--- a/mallowpass/core/proxy/storedorders.py
+++ b/mallowpass/core/proxy/storedorders.py
@@ -104,6 +104,7 @@
         return self._is_named(attempt)
 
     def _is_named(self, attempt: Replacement) -> bool:
+        """Return whether the newest claim names the target for long enough."""
         service, claim = attempt.group.service, attempt.claim
         return self._claims.names_order(service, claim, attempt.target)
 
--- a/tests/core/proxy/test_overlapping_promotions.py
+++ b/tests/core/proxy/test_overlapping_promotions.py
@@ -66,8 +66,8 @@
 
 
 @pytest.mark.parametrize("seed", [19, 24, 43, 75, 81, 109, 110, 115])
-def test_hosts_that_waited_for_one_replica_lose_nothing(seed: int):
-    """Guard against two hosts that promote different members within a second."""
+def test_replica_that_was_waited_for_loses_nothing(seed: int):
+    """Guard against a second comparison that begins after an accepted order."""
     world = play(seed)
     assert world.group.promotions
     assert world.group.lost == []
