Let no host wait for a target that a claim names and that was not ordered

It answered BUSY for more than 10 s, as "its primary is being replaced".

Cause: a claim for a failed primary names its likely target before an order is sent. The attempt ended in its survey, which releases no claim, so the claim named the target for 16 s. A host that started meanwhile took that for an order, and held its writes.

An attempt that ordered nothing now withdraws the target. If its host ends first, the target counts for hosts that start only as long as the claim lasts; the claim is renewed with the order as that is sent, also where it names the target already, so a sent order counts for as long as before. Orders are pending for 14 s instead of 13, so that those of one attempt need no further renewal.

`test_attempt_that_orders_nothing_withdraws_its_target` fails without the withdrawal.

--- a/mallowpass/core/proxy/claims.py
+++ b/mallowpass/core/proxy/claims.py
@@ -78,6 +78,22 @@
         """Return whether the claim was released."""
         return self.holder == _NO_HOLDER
 
+    @property
+    def intended_until(self) -> float:
+        """Return until when an order may be pending that was not sent yet."""
+        return round(self.time + CLAIM_TIMEOUT + LATE_ORDER_TIMEOUT, 3)
+
+    def fenced_until(self, target: str) -> float:
+        """Return until when hosts may not write because of an order for a target.
+
+        An order that was sent replaces the intention to send it. A host that has not
+        done so while its claim lasts has ended, or has not sent the order.
+        """
+        until = dict(self.ordered).get(target, 0.0)
+        if until == self.intended_until:
+            return self.time + CLAIM_TIMEOUT
+        return until
+
     def confirms_primary(self, primary: str) -> bool:
         """Return whether this claim, if newest, proves `primary` to be the primary.
 
@@ -192,8 +208,8 @@
         name = self._node.identity.name
         ordered = dict(self._orders_to_store(service))
         if target:
-            until = round(time + CLAIM_TIMEOUT + LATE_ORDER_TIMEOUT, 3)
-            ordered[target] = max(until, ordered.get(target, 0.0))
+            intended = Claim(token, name, primary, time).intended_until
+            ordered[target] = max(intended, ordered.get(target, 0.0))
         orders = tuple(ordered.items())
         claim = Claim(token, name, primary, time, must_hold, orders)
         key = RowKey(Table.CLAIMS, service, _ROW_KEY)
@@ -305,19 +321,29 @@
         The token stays: the next claim gets a higher one, and the platform accepts no
         lower one.
         """
+        ordered = self._orders_to_store(service)
+        released = replace(claim, holder=_NO_HOLDER, ordered=ordered)
+        self._replace(service, claim, released, "release")
+
+    def withdraw_target(self, service: str, claim: Claim) -> None:
+        """Tell other hosts that no order was sent, and keep them from claiming."""
+        ordered = self._orders_to_store(service)
+        if ordered != claim.ordered:
+            withdrawn = replace(claim, ordered=ordered)
+            self._replace(service, claim, withdrawn, "target withdrawn")
+
+    def _replace(self, service: str, claim: Claim, by: Claim, what: str) -> None:
+        """Replace this host's claim, if it is the newest one."""
         version, known = self._known.get(service, (0, None))
         if known != claim:
             return
-        released = replace(
-            claim, holder=_NO_HOLDER, ordered=self._orders_to_store(service)
-        )
         key = RowKey(Table.CLAIMS, service, _ROW_KEY)
-        call = ChangeRows(((key, version),), ((key, released.encode()),))
+        call = ChangeRows(((key, version),), ((key, by.encode()),))
 
         def on_reply(reply: StoreReply) -> None:
             if reply.status is StoreStatus.DONE:
-                self._known[service] = (reply.version, released)
-            self._log(service, released, f"release: {reply.status.value}")
+                self._known[service] = (reply.version, by)
+            self._log(service, by, f"{what}: {reply.status.value}")
 
         self._store.call(call, on_reply)
 
--- a/mallowpass/core/proxy/pendingorders.py
+++ b/mallowpass/core/proxy/pendingorders.py
@@ -38,7 +38,7 @@
 # Seconds after which the platform carries out an order at the latest.
 LATE_ORDER_MAX = 12.0
 # Seconds for which an order without an answer is pending.
-LATE_ORDER_TIMEOUT = LATE_ORDER_MAX + 1.0
+LATE_ORDER_TIMEOUT = LATE_ORDER_MAX + 2.0
 # Seconds for which an accepted order is pending. If the target is not primary after
 # that time, its promotion is ordered again.
 ACCEPTED_ORDER_TIMEOUT = 2.0
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -824,4 +824,6 @@
             names = [replica.name for replica in replicas]
             self._resumption.resume(attempt, names)
         else:
+            if attempt.claim is not None and not attempt.order_count:
+                self._claims.withdraw_target(attempt.group.service, attempt.claim)
             self._resumption.continue_suspended(attempt.group.service)
--- a/mallowpass/core/proxy/resumption.py
+++ b/mallowpass/core/proxy/resumption.py
@@ -22,7 +22,7 @@
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.claims import CLAIM_USE_TIMEOUT, Claim, Claims
 from mallowpass.core.proxy.demotion import Demotion
-from mallowpass.core.proxy.pendingorders import LATE_ORDER_TIMEOUT, PendingOrders
+from mallowpass.core.proxy.pendingorders import LATE_ORDER_MAX, PendingOrders
 from mallowpass.core.proxy.replacement import ConfirmedFence, Replacement
 from mallowpass.core.proxy.replicapauses import ReplicaPauses
 from mallowpass.core.proxy.signals import (
@@ -42,7 +42,7 @@
 # A stuck replica is not resumed if the newest claim is younger than this, in seconds:
 # the holder of that claim has resumed the replica, which may only lag. After this time
 # no order of that claim can still be carried out.
-STUCK_CLAIM_AGE_MIN = CLAIM_USE_TIMEOUT + LATE_ORDER_TIMEOUT
+STUCK_CLAIM_AGE_MIN = CLAIM_USE_TIMEOUT + LATE_ORDER_MAX
 # Rounds before an unreachable replica is given up: the claims under which it is ordered
 # to resume keep other hosts from promoting. Once it returns, the hosts that find it
 # stuck resume it.
--- a/mallowpass/core/proxy/startfences.py
+++ b/mallowpass/core/proxy/startfences.py
@@ -79,7 +79,8 @@
             return
         if primary.is_leaving and not self.tables.promotion_fences_primary:
             return  # quiescence keeps it from acknowledging commits
-        pending = [until for target, until in claim.ordered if target != primary.name]
+        targets = {target for target, _ in claim.ordered} - {primary.name}
+        pending = [claim.fenced_until(target) for target in targets]
         duration = max(pending, default=0.0) - (self._store.time or 0.0)
         if duration > 0.0:
             self._fencing.fence(primary, duration, self._node.identity.name)
--- a/mallowpass/core/proxy/storedorders.py
+++ b/mallowpass/core/proxy/storedorders.py
@@ -115,9 +115,9 @@
         order = _Order(attempt, target, position, number, attempt.claim)
         self._orders[service] = order
         self._pending_orders.note_order(service, target, number, attempt.is_quiesced)
-        if self._is_named_by_claim(attempt):
-            order.is_stored = True
-            return order
+        # A claim that names the target is renewed as well, since the order is sent now,
+        # see `Claim.fenced_until`.
+        order.is_stored = self._is_named_by_claim(attempt)
         self._claims.raise_must_hold(
             service, attempt.claim, position, lambda claim: self._on_claim(order, claim)
         )
@@ -127,7 +127,7 @@
         attempt = order.attempt
         if claim is not None and attempt.claim is order.claim:
             attempt.claim = claim
-        if self._orders.get(attempt.group.service) is not order:
+        if self._orders.get(attempt.group.service) is not order or order.is_stored:
             return
         if claim is None or order.is_outdated:
             self._discard(order)
--- a/tests/core/proxy/test_start_fences.py
+++ b/tests/core/proxy/test_start_fences.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
+from mallowpass.core.proxy.claims import CLAIM_TIMEOUT, Claim
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.statements import Code, Write
+from mallowpass.core.proxy.storage import RowKey, Table
+from mallowpass.core.proxy.store import Store
 from mallowpass.core.proxy.writeholds import WriteHolds
 from mallowpass.standins.proxied.replicas import GroupTimes
 from mallowpass.standins.proxied.virtual.hosts import Host
@@ -77,3 +82,56 @@
         codes += [answer.code for answer in caller.answers]
     assert codes[-5:] == [Code.DONE] * 5
     assert not is_held(world.hosts[index])
+
+
+def test_host_that_starts_serves_writes_though_a_claim_was_not_used():
+    """Guard against a host that holds its writes for an order that was never sent.
+
+    The host that claimed has ended, and has sent no order under its claim.
+    """
+    world = ProxyWorld(hosts=3)
+    world.run(1.0)
+    taken = Claim(7, "host-9", PRIMARY, world.hosts[0].node.system(Store).time)
+    ordered = (("db-tanger", taken.intended_until),)
+    key = RowKey(Table.CLAIMS, SERVICE, "primary")
+    world.store.put(key, replace(taken, ordered=ordered).encode())
+    world.kill(1)
+    host = world.start_again(1)
+    world.run(CLAIM_TIMEOUT - 0.5)
+    assert is_held(host)
+    world.run(1.0)
+    assert not is_held(host)
+
+
+def test_attempt_that_orders_nothing_withdraws_its_target():
+    """Guard against replicas that wait for an order that was never sent.
+
+    The primary answers, and its writes stall as no replica acknowledges for a moment.
+    """
+    world = ProxyWorld(hosts=3)
+    keep_writing_at(world, 3)
+    world.run(1.0)
+    for replica in world.group.replicas.values():
+        replica.deaf = True
+    world.run_until(lambda: claimed_targets(world) != [], 5.0)
+    assert claimed_targets(world) != []
+    for replica in world.group.replicas.values():
+        replica.deaf = False
+        world.group.catch_up(replica)
+    world.run(2.0)
+    assert world.orders == []
+    assert claimed_targets(world) == []
+
+
+def claimed_targets(world: ProxyWorld) -> list[str]:
+    """Return the targets that the newest claim names."""
+    key = RowKey(Table.CLAIMS, SERVICE, "primary")
+    value = world.store.get(key).value
+    return [target for target, _ in Claim.decode(value).ordered] if value else []
+
+
+def keep_writing_at(world: ProxyWorld, hosts: int) -> None:
+    """Write at the first hosts."""
+    for index in range(hosts):
+        world.caller(index, "strict").send(Write("a 1"))
+    world.timers.after(WRITE_INTERVAL, keep_writing_at, world, hosts)
