--- a/mallowpass/core/proxy/claims.py
+++ b/mallowpass/core/proxy/claims.py
@@ -164,7 +164,8 @@
         # Version of the row and newest known claim, by service.
         self._known: dict[str, tuple[int, Claim | None]] = {}
         # Token and orders of the last claim whose orders were logged, by service.
-        self._logged_orders: dict[str, tuple[int, tuple[tuple[str, float], ...]]] = {}
+        # Token and targets of the claim whose orders were logged last, by service.
+        self._logged_orders: dict[str, tuple[int, frozenset[str]]] = {}
 
     def start(self) -> None:
         """Subscribe to new eras of the store, which may lack claims of earlier eras."""
@@ -520,9 +521,10 @@
 
     def _log_foreign_orders(self, service: str, claim: Claim) -> None:
         """Log the pending orders that another host has stored, once for each claim."""
-        if self._logged_orders.get(service) == (claim.token, claim.ordered):
+        logged = (claim.token, frozenset(target for target, _ in claim.ordered))
+        if self._logged_orders.get(service) == logged:
             return
-        self._logged_orders[service] = (claim.token, claim.ordered)
+        self._logged_orders[service] = logged
         now = self._store.time or 0.0
         pending = [(t, round(until - now, 3)) for t, until in claim.ordered]
         orders = ",".join(f"{t}:{left}" for t, left in pending if left > 0.0)
