--- a/mallowpass/core/proxy/claims.py
+++ b/mallowpass/core/proxy/claims.py
@@ -163,7 +163,6 @@
         super().__init__(node)
         # Version of the row and newest known claim, by service.
         self._known: dict[str, tuple[int, Claim | None]] = {}
-        # Token and orders of the last claim whose orders were logged, by service.
         # Token and targets of the claim whose orders were logged last, by service.
         self._logged_orders: dict[str, tuple[int, frozenset[str]]] = {}
 
