Refuse a held write that would be sent just before its timeout

Callers got "in doubt" for a write that a planned replacement had held until its timeout was nearly over: it was sent as the fence was lifted, and its answer came too late.

Cause: a write counts as held only after a hold on platforms whose promotions do not fence the primary. Since planned replacements are fenced, writes are held on the others, too. A write that waits for a hold now counts as held wherever that is, and is refused as not run if it can't end in time.

The test plays planned replacements that take 0.7, 0.75 and 0.8 s, with statements of 0.8 s: all three had writes in doubt before, none now. The guard against claim rows that an answer overtook gets a test of its own, which fails without it.

--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -388,6 +388,7 @@
         request.waits_for_load = False
         if self._is_held(request):
             request.detail = WRITES_HELD_MESSAGE
+            request.was_held = True
             return
         if self._stalls.must_wait(request, group):
             request.was_held = True
--- a/tests/core/proxy/test_claims.py
+++ b/tests/core/proxy/test_claims.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from mallowpass.core.proxy.claims import Claim
+from mallowpass.core.proxy.claims import Claim, Claims
 from mallowpass.core.proxy.statements import Code, Write
-from mallowpass.core.proxy.storage import RowKey, Table
+from mallowpass.core.proxy.storage import Row, RowKey, Table
 from mallowpass.standins.proxied.virtual.world import SERVICE, ProxyWorld
 
 
@@ -73,3 +73,13 @@
     orders = tuple((target, 9.0) for target in ordered)
     claim = Claim(3, holder, primary, 1.0, ordered=orders)
     assert claim.confirms_primary("db-casa") is expected
+
+
+def test_answer_that_a_newer_one_has_overtaken_changes_no_claim():
+    """Guard against a pending order that is forgotten for an older row."""
+    claims = ProxyWorld(hosts=1).hosts[0].node.system(Claims)
+    key = RowKey(Table.CLAIMS, SERVICE, "primary")
+    older, newer = (Claim(token, "host-9", "", 0.0) for token in (1, 2))
+    claims._record(SERVICE, (Row(key, 8, newer.encode()),))
+    claims._record(SERVICE, (Row(key, 7, older.encode()),))
+    assert claims._known[SERVICE] == (8, newer)
--- a/tests/core/proxy/test_planned_fences.py
+++ b/tests/core/proxy/test_planned_fences.py
@@ -14,9 +14,11 @@
 from mallowpass.core.proxy.pendingorders import LATE_ORDER_TIMEOUT, PendingOrders
 from mallowpass.core.proxy.promotionorders import ORDER_TIMEOUT
 from mallowpass.core.proxy.statements import Code, Read, Write
+from mallowpass.standins.proxied.replicas import GroupTimes
 from mallowpass.standins.proxied.virtual.heartbeats import Heartbeats
 from mallowpass.standins.proxied.virtual.world import SERVICE, ProxyWorld
 from tests.core.proxy.test_fence_limits import (
+    ORDER_WAIT,
     PRIMARY,
     drain_primary,
     heartbeats,
@@ -265,3 +267,24 @@
     rounds = [line["round"] for line in logged(world, "promotion_compared")]
     assert rounds == [1, 2, 3]
     assert holds(world) == [True] * 4
+
+
+@pytest.mark.parametrize("promotion", [0.7, 0.75, 0.8])
+def test_write_that_was_held_until_its_timeout_is_not_in_doubt(promotion: float):
+    """Guard against held writes that are sent just before their timeout."""
+    world = ProxyWorld(hosts=4, times=GroupTimes(promotion=promotion, work=0.02))
+    heartbeats = Heartbeats(world)
+    world.run(1.0)
+    drain_primary(world, heartbeats)
+    world.run_until(lambda: all(holds(world)), ORDER_WAIT)
+    callers = []
+    for _ in range(10):
+        for index in range(4):
+            caller = world.caller(index, "strict")
+            caller.send(Write("a 1"))
+            callers.append(caller)
+        world.run(0.02)
+    world.run(3.0)
+    codes = {caller.answers[0].code for caller in callers}
+    assert world.group.promotions
+    assert Code.IN_DOUBT not in codes
