--- a/review/database.py
+++ b/review/database.py
@@ -47,14 +47,14 @@
 
 
 Note = Callable[[Run], None]
-Fails = Callable[[EndpointCall], bool]
+Fails = Callable[["NotedConnection", EndpointCall], bool]
 
 
 class NotedConnection(ReplicaConnection):
     """A connection that notes what runs, and fails what `fails` chooses."""
 
     note: Note = staticmethod(lambda run: None)
-    fails: Fails = staticmethod(lambda call: False)
+    fails: Fails = staticmethod(lambda connection, call: False)
 
     def _run(self, call: EndpointCall, done) -> None:
         statement = call.statement
@@ -66,7 +66,7 @@
             self._end()
             self._answer(done, Code.FAILED if isinstance(statement, Commit) else Code.DONE)
             return
-        if type(self).fails(call):
+        if type(self).fails(self, call):
             self._answer(done, Code.FAILED, failed=True)
             return
         if call.request_id:
@@ -144,7 +144,7 @@
         pass
 
     Connection.note = staticmethod(note)
-    Connection.fails = staticmethod(fails or (lambda call: False))
+    Connection.fails = staticmethod(fails or (lambda connection, call: False))
 
     class Served(_Served):
         connection_class = Connection
