--- a/review/1/run.py
+++ b/review/1/run.py
@@ -4,9 +4,9 @@
 databases. Three kinds:
 
 - usual clients, whose shape is one word;
-- clients whose shape has several words. PROTOCOL.md: "The last field extends to the end
-  of the line", and the shape is the last field of PREPARE;
-- smugglers (`rude`, how = "smuggle"), whose shape reads like the end of another PREPARE.
+- clients whose shape has several words. PROTOCOL.md: "The last field extends to the
+  end of the line", and the shape is the last field of PREPARE;
+- smugglers (`rude`, how = "smuggle"), whose shape reads like the end of a PREPARE.
 
 With TROUBLE=0 the last two kinds send the same shapes with hyphens instead of blanks.
 Checked: whatever prepared statement a database runs has the shape that its client
@@ -69,14 +69,18 @@
     while True:
         try:
             session = await Session.open(host, "claim-filing")
-            code, text, _, _ = await session.ask(f"{name}p{number}", f"PREPARE s WRITE {shape}")
+            code, text, _, _ = await session.ask(
+                f"{name}p{number}", f"PREPARE s WRITE {shape}"
+            )
             record.write(f"client {name}: PREPARE s WRITE {shape} -> {code} {text}")
             while True:
                 number += 1
                 request, values = f"{name}n{number}", f"item-{name} {name}.{number}"
                 judge.sent[request] = (shape, values)
                 code, text, _, _ = await session.ask(request, f"EXEC s {values}")
-                record.write(f"client {name}: {request} EXEC s {values} -> {code} {text}")
+                record.write(
+                    f"client {name}: {request} EXEC s {values} -> {code} {text}"
+                )
                 if code == "DONE" and request in judge.foreign:
                     judge.answered_done.append(request)
                 await asyncio.sleep(0.03)
--- a/review/database.py
+++ b/review/database.py
@@ -64,7 +64,9 @@
             return
         if self.state is SessionState.FAILED:
             self._end()
-            self._answer(done, Code.FAILED if isinstance(statement, Commit) else Code.DONE)
+            self._answer(
+                done, Code.FAILED if isinstance(statement, Commit) else Code.DONE
+            )
             return
         if type(self).fails(self, call):
             self._answer(done, Code.FAILED, failed=True)
--- a/review/rig.py
+++ b/review/rig.py
@@ -110,9 +110,7 @@
         except OSError:
             return False
         try:
-            writer.write(
-                f"GET /v1/ready HTTP/1.1\r\nHost: {self.ip}\r\n\r\n".encode()
-            )
+            writer.write(f"GET /v1/ready HTTP/1.1\r\nHost: {self.ip}\r\n\r\n".encode())
             async with asyncio.timeout(1.0):
                 line = await reader.readline()
             return b" 200 " in line
