--- a/review/1/run.py
+++ b/review/1/run.py
@@ -24,7 +24,7 @@
 sys.path[:0] = [str(FOLDER.parent), str(FOLDER.parents[1])]
 
 import database  # noqa: E402
-from rig import Host, Record, Rig, Session, exit_now  # noqa: E402
+from rig import Host, Record, Rig, Session, play  # noqa: E402
 
 from mallowpass.core.proxy.statements import Execute  # noqa: E402
 
@@ -127,9 +127,4 @@
 
 
 if __name__ == "__main__":
-    try:
-        result = asyncio.run(main())
-    except Exception as error:  # the case could not run
-        print(f"could not run: {error!r}")
-        result = 2
-    exit_now(result)
+    play(main)
--- a/review/rig.py
+++ b/review/rig.py
@@ -8,13 +8,16 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import shlex
+import shutil
 import signal
 import sys
 import tempfile
 import time
 import tomllib
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 
 from mallowpass.standins.proxied.platform import DOMAINS, LocalPlatform
@@ -25,10 +28,7 @@
 MEMORY_MB = 300  # `memoryMb` of the small deployments
 GRACE = 6
 
-
-def log_time() -> str:
-    """Return the time of day, for a line of the record."""
-    return f"{time.time():.3f}"
+_started: list[asyncio.subprocess.Process] = []  # by any host, in order
 
 
 class Record:
@@ -54,7 +54,6 @@
         self.number = number
         self.name = f"edge-{DOMAINS[number % len(DOMAINS)]}-{number}"
         self.ip = rig.ip(10 + number)
-        self.ready_port = READY_PORT
         self.log = rig.folder / f"{self.name}.log"
         self.settings = rig.folder / f"{self.name}.toml"
         self.process: asyncio.subprocess.Process | None = None
@@ -80,6 +79,7 @@
             self.process = await asyncio.create_subprocess_exec(
                 *command, stdout=log, stderr=log, env=environment, cwd=ROOT
             )
+        _started.append(self.process)
 
     @property
     def is_running(self) -> bool:
@@ -196,6 +196,7 @@
         for host in self.hosts:
             await host.kill()
         self.platform.stop()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class Session:
@@ -242,7 +243,18 @@
         self.writer.close()
 
 
-def exit_now(code: int) -> None:
-    """Exit with a code, after the output."""
+def play(main: Callable[[], Coroutine[None, None, int]]) -> None:
+    """Run a case and exit with its code; 2 if it could not run or was ended."""
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
+    try:
+        code = asyncio.run(main())
+    except Exception as error:
+        print(f"could not run: {error!r}")
+        code = 2
+    finally:
+        for process in _started:
+            if process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    os.kill(process.pid, signal.SIGKILL)
     sys.stdout.flush()
     sys.exit(code)
