Name prepared statements on connections apart from their shapes

What callers saw: databases ran prepared statements that nobody had sent, with other shapes, items and data, and answered DONE.

Cause: on connections, which sessions share, the name of a prepared statement was made of its access and its shape. A name is a field of PREPARE and of EXEC that ends at a blank, but a shape is the last field of its line and may hold blanks. `PREPARE write.q2c by number WRITE q2c by number` can't be parsed, and `EXEC write.q2c by number item data` runs the shape q2c with the item "by". `PREPARE write.q2c WRITE void WRITE q2c WRITE void` can be parsed, and gives the name of the shape q2c another shape, for all sessions. The answer to a PREPARE that was sent ahead only closed the connection afterwards.

Fix: a connection numbers the statements that are prepared on it. No text of a caller is part of a name, and no number is given twice, so a PREPARE that fails leaves its name unknown: NOSTMT, which is not run. A holder keeps the name that the sender of a link chose for the link alone, and translates it into a name of its own connection. EXEC of a name that the link has not prepared is refused.

Statements of callers now pass through the parser in virtual time as well.

--- a/mallowpass/core/proxy/attempts.py
+++ b/mallowpass/core/proxy/attempts.py
@@ -44,10 +44,14 @@
     def statement_call(
         self, request: RequestRow, floor: LogPosition | None
     ) -> EndpointCall:
-        """Return the call that runs a statement, by its shared name if prepared."""
+        """Return the call that runs a statement, once its connection is set up for it.
+
+        A prepared statement is run by its name on that connection.
+        """
         statement = request.statement
         if request.prepared is not None:
-            statement = Execute(request.prepared.shared_name, statement.text)
+            name = request.connection.prepared[request.prepared]
+            statement = Execute(name, statement.text)
         return self.with_caller(
             EndpointCall(statement, request.request_id, floor),
             request,
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -232,6 +232,9 @@
         if link.carries_fences:
             self._refuse(link, Code.BUSY, "the link carries fences alone")
             return
+        if any(_is_unknown_name(link, call.statement) for call in link.waiting):
+            self._refuse_unknown_name(link)
+            return
         if self._is_outdated(link):
             self._refuse_outdated(link)
             return
@@ -290,6 +293,18 @@
         else:
             self._close(link)  # this rolls the transaction back
 
+    def _refuse_unknown_name(self, link: LinkRow) -> None:
+        """Refuse waiting calls that run a statement which is not prepared on the link.
+
+        On a connection, the name may stand for a statement of another link.
+        """
+        if link in self._waiting:
+            self._leave_queue(link)
+        is_open = link.connection is not None
+        state = SessionState.FAILED if is_open else SessionState.IDLE
+        why = "no such prepared statement"
+        self._refuse(link, Code.UNKNOWN_STATEMENT, why, state)
+
     # -- Held writes ---------------------------------------------------------
 
     def _must_hold(self, link: LinkRow) -> bool:
@@ -566,12 +581,10 @@
     def _send(self, link: LinkRow, connection: ConnectionRow) -> None:
         calls = list(link.waiting)
         link.waiting.clear()
-        if connection.holder:
-            # The host that forwards them has to know for which customer they run.
-            calls = [replace(call, on_behalf_of=link.on_behalf_of) for call in calls]
-        names = {c.statement.name for c in calls if isinstance(c.statement, Execute)}
-        prepared = [link.prepared[name] for name in names if name in link.prepared]
+        executed = [c.statement for c in calls if isinstance(c.statement, Execute)]
+        prepared = [link.prepared[statement.name] for statement in executed]
         setup = make_setup_calls(connection, link.values, prepared)
+        forwarded = [_forwarded(link, connection, call) for call in calls]
         link.in_flight += len(calls)
         setup_count = len(setup)
         sent_at = self.now
@@ -580,7 +593,7 @@
             self._record_replies(link, calls, replies[setup_count:], sent_at)
             self._on_replies(link, connection, replies, setup_count)
 
-        self._connections.send(connection, setup + calls, on_replies)
+        self._connections.send(connection, setup + forwarded, on_replies)
         if any(_is_write(link, call.statement) for call in calls):
             link.has_written = True
             overdue = self._stalls.overdue_time(link.endpoint.entry.service)
@@ -696,6 +709,29 @@
             self._close(link)
 
 
+def _is_unknown_name(link: LinkRow, statement: Statement) -> bool:
+    """Return whether a statement runs a prepared one that its link doesn't have."""
+    return isinstance(statement, Execute) and statement.name not in link.prepared
+
+
+def _forwarded(
+    link: LinkRow, connection: ConnectionRow, call: EndpointCall
+) -> EndpointCall:
+    """Return a call of a link as it is sent on a connection.
+
+    The names of prepared statements are those of the connection: two hosts, which may
+    run different versions, need not name statements alike.
+    """
+    if connection.holder:
+        # The host that forwards it has to know for which customer it runs.
+        call = replace(call, on_behalf_of=link.on_behalf_of)
+    statement = call.statement
+    if isinstance(statement, Execute):
+        name = connection.prepared[link.prepared[statement.name]]
+        call = replace(call, statement=Execute(name, statement.text))
+    return call
+
+
 def _is_connected(endpoint: EndpointRow) -> bool:
     """Return whether there is an open connection to an endpoint, busy or not."""
     return any(
--- a/mallowpass/core/proxy/sessionstate.py
+++ b/mallowpass/core/proxy/sessionstate.py
@@ -26,15 +26,14 @@
         # did not set.
         calls.append(EndpointCall(Reset()))
         connection.values = {}
-        connection.prepared = set()
+        connection.prepared = {}
     for name, value in values.items():
         if connection.values.get(name) != value:
             calls.append(EndpointCall(SetValue(name, value)))
     connection.values = dict(values)
     for statement in prepared:
-        name = statement.shared_name
-        if name not in connection.prepared:
+        if statement not in connection.prepared:
+            name = connection.name_statement(statement)
             prepare = Prepare(name, statement.access, statement.shape)
             calls.append(EndpointCall(prepare))
-            connection.prepared.add(name)
     return calls
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -91,7 +91,9 @@
     opened_at: float
     state: ConnectionState = ConnectionState.OPENING
     values: dict[str, str] = field(default_factory=dict)
-    prepared: set[str] = field(default_factory=set)
+    # Names of the statements that are prepared on it.
+    prepared: dict[PreparedStatement, str] = field(default_factory=dict)
+    names_given: int = 0  # also to statements that are not prepared any more
     pending: deque[Batch] = field(default_factory=deque)
     last_used_at: float = 0.0
     is_broken: bool = False  # closed as soon as its pending calls are answered
@@ -116,6 +118,16 @@
         """
         return not self.holder and any(batch.may_commit for batch in self.pending)
 
+    def name_statement(self, statement: PreparedStatement) -> str:
+        """Add a statement to those that are prepared on it; return its name.
+
+        No name is given twice. If preparing fails, the name stays unknown, and can't
+        run what it stood for before.
+        """
+        self.names_given += 1
+        name = self.prepared[statement] = f"s{self.names_given}"
+        return name
+
     def can_serve(self, customer: str | None) -> bool:
         """Return whether it may run a customer's statements; None: this host's own."""
         return customer is None or bool(self.holder) or self.customer == customer
@@ -236,20 +248,16 @@
 
 @record
 class PreparedStatement:
-    """A prepared statement of a session."""
+    """A prepared statement of a session.
+
+    The names that callers choose collide between sessions, and a shape may hold any
+    text. On a connection, which sessions share, a statement has a name that the
+    connection gives it.
+    """
 
     access: Access
     shape: str
 
-    @property
-    def shared_name(self) -> str:
-        """Return the name used on connections, which all sessions share.
-
-        The names that callers choose collide between sessions. A name made from the
-        statement itself can't run another statement than the caller prepared.
-        """
-        return f"{self.access.value}.{self.shape}"
-
 
 @dataclass(slots=True, eq=False)
 class TransactionRow:
--- a/mallowpass/standins/proxied/virtual/hosts.py
+++ b/mallowpass/standins/proxied/virtual/hosts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial, singledispatchmethod
 from typing import TYPE_CHECKING, Any
 
@@ -28,10 +28,17 @@
 from mallowpass.core.proxy.statements import (
     Answer,
     Code,
+    Deallocate,
+    EndpointCall,
     EndpointReply,
+    Execute,
     FloorHint,
+    Prepare,
+    Read,
     SessionState,
+    SetValue,
     Statement,
+    Write,
 )
 from mallowpass.core.proxy.storage import StoreReply, StoreStatus
 from mallowpass.core.proxy.tables import ProxyTables
@@ -51,9 +58,19 @@
 __all__ = ["DOMAINS", "LINK", "Caller", "Host", "Link"]
 
 LINK = 0.0005  # seconds one way between any two of a region
+_STATEMENTS_WITH_TEXT = (Read, Write, SetValue, Prepare, Execute, Deallocate)
 DOMAINS = tuple(FailureDomain(name, name, 0) for name in ("casa", "tanger", "agadir"))
 
 
+def _as_received(call: EndpointCall) -> EndpointCall:
+    """Return a call with its statement as the receiver of its line parses it."""
+    if not isinstance(call.statement, _STATEMENTS_WITH_TEXT):
+        return call
+    line = wire.decode(wire.render_call(call).removesuffix(b"\r\n"))
+    _, request_id, text = line.split(" ", 2)
+    return replace(call, statement=wire.parse_call(request_id, text).statement)
+
+
 class Caller:
     """Hold one session of a caller, and what it was told."""
 
@@ -315,10 +332,11 @@
         if transport is not None:
             self._call(effect, transport.connection)
         elif link is not None and not self.world.is_cut(self, link.holder):
-            link.holder.deliver(LinkCalled(link.number, effect.calls))
+            calls = tuple(map(_as_received, effect.calls))
+            link.holder.deliver(LinkCalled(link.number, calls))
 
     def _call(self, effect: effects.SendCalls, connection: ReplicaConnection) -> None:
-        for call in effect.calls:
+        for call in map(_as_received, effect.calls):
             self.world.record(self, connection, call)
             if not self.world.order_faults.strike(connection, call):
                 connection.send(call, partial(self._replied, effect.connection))
