Check each field of a line as the line is rendered

Cause: lines were made by formatting texts into a string. Whether a text is one field was known only where it came from, for each text anew.

Fix: a line is made of words and, at most, one text that ends it, in a single function, which refuses a word that is empty or holds a blank, and any line break. `render_call` raises UnsendableError then. A connection sends the calls of a write up to the first one that has no line; that one, and those after it, which may rely on it, are answered in their turn as not run (UNSENDABLE, BUSY for callers), with the state that the connection has. The connection stays open, with what is in flight on it.

Tests: rendering and parsing are inverse for all calls, with any bytes and with texts that resemble fields; calls without a line are answered in their turn, and leave a transaction open.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -630,7 +630,8 @@
         reply = event.reply
         if reply.code is Code.UNREACHABLE:
             reply = self._handle_unreachable(connection, reply)
-        self._record_reply(connection, reply, batch.sent_at)
+        if reply.code is not Code.UNSENDABLE:
+            self._record_reply(connection, reply, batch.sent_at)
         if len(batch.replies) in batch.writes and _is_commit(reply):
             before = batch.position_before
             self._durability.note_commit(connection.endpoint, before)
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -644,6 +644,9 @@
             # will run the statement.
             self._answers.refuse(request, reply.code, reply.message)
             return
+        if reply.code is Code.UNSENDABLE:
+            self._answers.refuse(request, reply.code, reply.message)
+            return
         if reply.code is Code.HELD:
             self._write_holds.hold(endpoint, FORWARDED_HOLD_DURATION, HoldReason.HOLDER)
             self._enqueue(request)
--- a/mallowpass/core/proxy/statements.py
+++ b/mallowpass/core/proxy/statements.py
@@ -64,6 +64,7 @@
     UNKNOWN_STATEMENT = "unknown-statement"  # the prepared statement does not exist
     UNREACHABLE = "unreachable"  # the forwarding host can't reach the endpoint
     HELD = "held"  # the forwarding host holds writes to the endpoint
+    UNSENDABLE = "unsendable"  # no message can hold the statement
     # The statement ran, and failed or was stopped.
     FAILED = "failed"
     TIMED_OUT = "timed-out"
@@ -87,6 +88,7 @@
         Code.UNKNOWN_STATEMENT,
         Code.UNREACHABLE,
         Code.HELD,
+        Code.UNSENDABLE,
         Code.UNAUTHENTICATED,
         Code.WRONG_ENDPOINT,
         Code.TOO_MANY_CONNECTIONS,
--- a/mallowpass/platform/endpoints.py
+++ b/mallowpass/platform/endpoints.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections import deque
+from dataclasses import replace
 
 from mallowpass.core.proxy.effects import OpenConnection, SendCalls
 from mallowpass.core.proxy.events import (
@@ -23,8 +24,10 @@
     LogPosition,
     Pause,
     Resume,
+    SessionState,
     Status,
 )
+from mallowpass.core.records import record
 from mallowpass.platform import wire
 from mallowpass.platform.lineserver import EventSink
 from mallowpass.platform.settings import Address, SettingsError
@@ -117,6 +120,14 @@
         self._sink(ConnectionRefused(number, Code.OTHER, why, True, is_gone))
 
 
+@record
+class _PendingCall:
+    """A call without a reply yet; `refusal` is its reply if it was not sent."""
+
+    expects_status: bool  # the reply has a status row
+    refusal: EndpointReply | None
+
+
 class _Connection(asyncio.Protocol):
     """A connection to an endpoint."""
 
@@ -125,13 +136,14 @@
         "_code",
         "_connections",
         "_effect",
-        "_expects_status",
         "_host_name",
         "_lines",
         "_message",
+        "_pending",
         "_rows",
         "_signature",
         "_sink",
+        "_state",
         "_transport",
         "floor",
         "handshake",
@@ -153,8 +165,8 @@
         self._lines = wire.LineBuffer()
         self._transport: asyncio.Transport | None = None
         self._closed = False
-        # For each pending call, oldest first: whether a status row is the reply.
-        self._expects_status: deque[bool] = deque()
+        self._pending: deque[_PendingCall] = deque()  # oldest first
+        self._state = SessionState.IDLE  # as of the last reply
         # Done once the endpoint has accepted or refused the connection.
         self.handshake = asyncio.get_running_loop().create_future()
         self.position: LogPosition | None = None
@@ -174,10 +186,29 @@
         return self._closed
 
     def send(self, effect: SendCalls) -> None:
-        """Send calls in one write."""
+        """Send calls in one write.
+
+        From the first call that has no line, none is sent: later ones may rely on it.
+        They are answered in their turn as not run.
+        """
+        lines, refusal = [], None
         for call in effect.calls:
-            self._expects_status.append(isinstance(call.statement, _STATUS_STATEMENTS))
-        self._transport.write(b"".join(map(wire.render_call, effect.calls)))
+            if refusal is None:
+                try:
+                    lines.append(wire.render_call(call))
+                except wire.UnsendableError as error:
+                    refusal = EndpointReply(Code.UNSENDABLE, message=str(error))
+            expects_status = isinstance(call.statement, _STATUS_STATEMENTS)
+            self._pending.append(_PendingCall(expects_status, refusal))
+        self._transport.write(b"".join(lines))
+        if refusal is not None:
+            asyncio.get_running_loop().call_soon(self._answer_unsent)
+
+    def _answer_unsent(self) -> None:
+        """Answer the calls that were not sent, up to the first one that was."""
+        while self._pending and self._pending[0].refusal and not self._closed:
+            refusal = replace(self._pending.popleft().refusal, state=self._state)
+            self._sink(EndpointAnswered(self._effect.connection, refusal))
 
     def close(self) -> None:
         """Close the connection; no further event follows."""
@@ -253,20 +284,23 @@
             self.floor = wire.parse_floor(fields[2:])
             self.handshake.set_result(None)
             return
-        if self._code is None or not self._expects_status:
+        if self._code is None or not self._pending:
             raise wire.WireError("reply without a pending call")
         status = None
-        if self._expects_status.popleft() and self._code is Code.DONE and self._rows:
+        call = self._pending.popleft()
+        if call.expects_status and self._code is Code.DONE and self._rows:
             status = wire.parse_status(self._rows[0])
+        self._state = wire.parse_state(state)
         reply = EndpointReply(
             code=self._code,
             rows=tuple(self._rows),
             signature=self._signature,
             message=self._message,
-            state=wire.parse_state(state),
+            state=self._state,
             position=position,
             status=status,
             floor=wire.parse_floor(fields[2:]),
         )
         self._clear_reply()
         self._sink(EndpointAnswered(self._effect.connection, reply))
+        self._answer_unsent()
--- a/mallowpass/platform/wire.py
+++ b/mallowpass/platform/wire.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Sequence
 from functools import singledispatch
 
 from mallowpass.core.positions import ZERO_POSITION, LogPosition
@@ -43,6 +44,7 @@
     "FENCE_LINK_PREFIX",
     "MAX_LINE_BYTES",
     "LineBuffer",
+    "UnsendableError",
     "WireError",
     "code_of",
     "decode",
@@ -93,9 +95,13 @@
     Code.UNKNOWN_DATABASE: "NODB",
     Code.UNAUTHENTICATED: "NOAUTH",
     Code.OTHER: "FAILED",
+    # Hosts alone tell them apart, and only from their own lines.
+    Code.UNSENDABLE: "BUSY",
 }
 _CODES_BY_NAME = {
-    name: code for code, name in _CODE_NAMES.items() if code is not Code.OTHER
+    name: code
+    for code, name in _CODE_NAMES.items()
+    if code not in (Code.OTHER, Code.UNSENDABLE)
 }
 _STATES_BY_LETTER = {
     "I": SessionState.IDLE,
@@ -107,10 +113,18 @@
 _ACCESS_WORDS = {access: word for word, access in _ACCESS_BY_WORD.items()}
 
 
+# The words of a statement, and the text that extends to the end of its line, if any.
+_Fields = tuple[tuple[str, ...], str | None]
+
+
 class WireError(ValueError):
     """Raised for a line that does not follow the protocol."""
 
 
+class UnsendableError(WireError):
+    """Raised for a message whose line its receiver would refuse, or misread."""
+
+
 def decode(line: bytes) -> str:
     """Return the text of a line; `encode` restores the bytes, valid UTF-8 or not."""
     return line.decode("utf-8", "surrogateescape")
@@ -259,106 +273,135 @@
 
 
 def render_call(call: EndpointCall) -> bytes:
-    """Return the line for a call to an endpoint, or to a host that forwards it."""
-    text = _render_statement(call.statement)
-    if call.minimum is not None:
-        text = f"AFTER {render_position(call.minimum)} {text}"
-    if call.time_left is not None:
-        # Rounded down, so that a reply never appears of use for longer than it is.
-        text = f"{_TIME_LEFT_PREFIX} {math.floor(1000 * call.time_left)} {text}"
-    if call.priority is not None:
-        text = f"{_PRIORITY_PREFIX} {call.priority} {text}"
+    """Return the line for a call to an endpoint, or to a host that forwards it.
+
+    Raises UnsendableError if the receiver would not parse it as the same call.
+    """
+    words = ["QUERY", call.request_id or INTERNAL_REQUEST_ID]
     if call.on_behalf_of is not None:
         customer, version = call.on_behalf_of.customer, call.on_behalf_of.version
-        text = f"{_CUSTOMER_PREFIX} {customer}/{version} {text}"
-    return encode(f"QUERY {call.request_id or INTERNAL_REQUEST_ID} {text}\r\n")
+        if not customer:
+            raise UnsendableError("a customer has no name")
+        words += (_CUSTOMER_PREFIX, f"{customer}/{version}")
+    if call.priority is not None:
+        words += (_PRIORITY_PREFIX, str(call.priority))
+    if call.time_left is not None:
+        # Rounded down, so that a reply never appears of use for longer than it is.
+        words += (_TIME_LEFT_PREFIX, str(math.floor(1000 * call.time_left)))
+    if call.minimum is not None:
+        words += ("AFTER", render_position(call.minimum))
+    statement_words, text = _fields_of(call.statement)
+    return _render_line([*words, *statement_words], text)
+
+
+def _render_line(words: Sequence[str], text: str | None = None) -> bytes:
+    """Return the line of fields that are one word each, and a text that ends it.
+
+    Each line with a field that is not a constant is made here: no field can end early,
+    and become several, whatever it holds.
+    """
+    line = " ".join(words)
+    if "" in words or line.count(" ") != len(words) - 1:
+        raise UnsendableError(f"a field is empty or has a space: {line[:80]!r}")
+    if text is not None:
+        if not text:
+            raise UnsendableError(f"no text after {line[:80]!r}")
+        line = f"{line} {text}"
+    if "\r" in line or "\n" in line:
+        raise UnsendableError(f"a field has a line break: {line[:80]!r}")
+    try:
+        return encode(line + "\r\n")
+    except UnicodeEncodeError as error:
+        raise UnsendableError(f"a field has no bytes: {line[:80]!r}") from error
 
 
 @singledispatch
-def _render_statement(statement: Statement) -> str:
+def _fields_of(statement: Statement) -> _Fields:
+    """Return the words of a statement, and the text that extends to its line's end."""
     raise TypeError(f"no wire format for statement {type(statement).__name__}")
 
 
-@_render_statement.register
-def _(statement: Begin) -> str:
-    return "BEGIN READ" if statement.read_only else "BEGIN"
+@_fields_of.register
+def _(statement: Begin) -> _Fields:
+    return ("BEGIN", "READ") if statement.read_only else ("BEGIN",), None
 
 
-@_render_statement.register
-def _(statement: Commit) -> str:
-    return "COMMIT"
+@_fields_of.register
+def _(statement: Commit) -> _Fields:
+    return ("COMMIT",), None
 
 
-@_render_statement.register
-def _(statement: Rollback) -> str:
-    return "ROLLBACK"
+@_fields_of.register
+def _(statement: Rollback) -> _Fields:
+    return ("ROLLBACK",), None
 
 
-@_render_statement.register
-def _(statement: Read) -> str:
-    return f"READ {statement.text}"
+@_fields_of.register
+def _(statement: Read) -> _Fields:
+    return ("READ", statement.text), None
 
 
-@_render_statement.register
-def _(statement: Write) -> str:
-    return f"WRITE {statement.text}"
+@_fields_of.register
+def _(statement: Write) -> _Fields:
+    item, _, data = statement.text.partition(" ")
+    return ("WRITE", item), data
 
 
-@_render_statement.register
-def _(statement: SetValue) -> str:
-    return f"SET {statement.name} {statement.value}"
+@_fields_of.register
+def _(statement: SetValue) -> _Fields:
+    return ("SET", statement.name), statement.value
 
 
-@_render_statement.register
-def _(statement: Prepare) -> str:
+@_fields_of.register
+def _(statement: Prepare) -> _Fields:
     access = _ACCESS_WORDS[statement.access]
-    return f"PREPARE {statement.name} {access} {statement.shape}"
+    return ("PREPARE", statement.name, access), statement.shape
 
 
-@_render_statement.register
-def _(statement: Execute) -> str:
-    return f"EXEC {statement.name} {statement.text}"
+@_fields_of.register
+def _(statement: Execute) -> _Fields:
+    return ("EXEC", statement.name), statement.text
 
 
-@_render_statement.register
-def _(statement: Deallocate) -> str:
-    return f"DEALLOC {statement.name}"
+@_fields_of.register
+def _(statement: Deallocate) -> _Fields:
+    return ("DEALLOC", statement.name), None
 
 
-@_render_statement.register
-def _(statement: Reset) -> str:
-    return "RESET"
+@_fields_of.register
+def _(statement: Reset) -> _Fields:
+    return ("RESET",), None
 
 
-@_render_statement.register
-def _(statement: Status) -> str:
-    return "STATUS"
+@_fields_of.register
+def _(statement: Status) -> _Fields:
+    return ("STATUS",), None
 
 
-@_render_statement.register
-def _(statement: Pause) -> str:
-    return f"PAUSE {statement.term}"
+@_fields_of.register
+def _(statement: Pause) -> _Fields:
+    return ("PAUSE", str(statement.term)), None
 
 
-@_render_statement.register
-def _(statement: Resume) -> str:
-    return "RESUME"
+@_fields_of.register
+def _(statement: Resume) -> _Fields:
+    return ("RESUME",), None
 
 
-@_render_statement.register
-def _(statement: Demote) -> str:
-    return f"DEMOTE {statement.term}"
+@_fields_of.register
+def _(statement: Demote) -> _Fields:
+    return ("DEMOTE", str(statement.term)), None
 
 
-@_render_statement.register
-def _(statement: HoldWrites) -> str:
-    return f"HOLD {round(1000 * statement.duration)}"  # milliseconds
+@_fields_of.register
+def _(statement: HoldWrites) -> _Fields:
+    return ("HOLD", str(round(1000 * statement.duration))), None  # milliseconds
 
 
-@_render_statement.register
-def _(statement: Fence) -> str:
+@_fields_of.register
+def _(statement: Fence) -> _Fields:
     duration = round(1000 * statement.duration)  # milliseconds
-    return f"FENCE {duration} {statement.primary} {statement.owner}"
+    return ("FENCE", str(duration), statement.primary, statement.owner), None
 
 
 # -- What other hosts send, in the protocol of endpoints ----------------------
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -1,4 +1,4 @@
-"""Test connections to endpoints whose entries are invalid."""
+"""Test connections to endpoints: invalid entries, and calls that can't be sent."""
 
 from __future__ import annotations
 
@@ -8,8 +8,22 @@
 
 import pytest
 
-from mallowpass.core.proxy.effects import OpenConnection
-from mallowpass.core.proxy.events import ConnectionRefused
+from mallowpass.core.proxy.effects import OpenConnection, SendCalls
+from mallowpass.core.proxy.events import (
+    ConnectionReady,
+    ConnectionRefused,
+    EndpointAnswered,
+)
+from mallowpass.core.proxy.statements import (
+    Begin,
+    Code,
+    EndpointCall,
+    Execute,
+    Read,
+    SessionState,
+    SetValue,
+    Write,
+)
 from mallowpass.platform.endpoints import EndpointConnections
 from mallowpass.platform.links import LinkServer
 from mallowpass.platform.settings import Address
@@ -90,3 +104,80 @@
     event = asyncio.run(asyncio.wait_for(run(), 2.0))
     assert (event.host, event.endpoint) == ("host-0", "i-1")
     assert event.carries_fences is carries_fences
+
+
+class _Endpoint:
+    """An endpoint that notes the lines it gets, and answers each QUERY with DONE."""
+
+    def __init__(self) -> None:
+        self.lines: list[bytes] = []
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while line := await reader.readline():
+            self.lines.append(line)
+            state = b"T" if b"BEGIN" in line else b"I"
+            done = b"" if line.startswith(b"CONNECT") else b"DONE i-1\r\n"
+            writer.write(done + b"READY " + state + b" 3.1\r\n")
+        writer.close()
+
+
+async def _send_calls(
+    endpoint: _Endpoint, batches: list[list[EndpointCall]]
+) -> list[Any]:
+    """Send batches on one connection, and return the events that follow."""
+    server = await asyncio.start_server(endpoint.serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    events: list[Any] = []
+    connections = EndpointConnections("host-0", events.append)
+    connections.open(OpenConnection(1, f"127.0.0.1:{port}", "s", "i-1", 0.5))
+    while not events:
+        await asyncio.sleep(0.01)
+    assert isinstance(events.pop(0), ConnectionReady)
+    for calls in batches:
+        connections.send(SendCalls(1, tuple(calls)))
+    while len(events) < sum(map(len, batches)):
+        await asyncio.sleep(0.01)
+    connections.close(1)
+    server.close()
+    return events
+
+
+def test_call_without_a_line_is_answered_in_its_turn_as_not_run():
+    """Guard against a shared connection that ends with all that is in flight on it."""
+    endpoint = _Endpoint()
+    batches = [
+        [EndpointCall(Begin())],
+        [
+            EndpointCall(SetValue("role", "clerk")),
+            EndpointCall(Execute("several words", "a 1"), "id1"),
+            EndpointCall(Write("a 1"), "id2"),
+        ],
+        [EndpointCall(Read("a"), "id3")],
+    ]
+    events = asyncio.run(asyncio.wait_for(_send_calls(endpoint, batches), 2.0))
+    assert all(isinstance(event, EndpointAnswered) for event in events)
+    replies = [event.reply for event in events]
+    assert [reply.code for reply in replies] == [
+        Code.DONE,
+        Code.DONE,
+        Code.UNSENDABLE,
+        Code.UNSENDABLE,
+        Code.DONE,
+    ]
+    # The write after it may rely on it, and is not sent either.
+    assert [line.split(b" ")[2].strip() for line in endpoint.lines[1:]] == [
+        b"BEGIN",
+        b"SET",
+        b"READ",
+    ]
+    assert all(reply.code.is_not_run for reply in replies[2:4])
+
+
+def test_call_that_was_not_sent_leaves_a_transaction_open():
+    """Guard against a connection that is shared while a transaction is open on it."""
+    batches = [[EndpointCall(Begin())], [EndpointCall(Read("two words"), "id1")]]
+    events = asyncio.run(asyncio.wait_for(_send_calls(_Endpoint(), batches), 2.0))
+    assert [event.reply.code for event in events] == [Code.DONE, Code.UNSENDABLE]
+    assert events[-1].reply.state is SessionState.IN_TRANSACTION
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -147,6 +147,58 @@
         wire.parse_call("id1", text)
 
 
+WORDS = st.text(st.characters(blacklist_characters=" \r\n", codec="utf-8"), min_size=1)
+# Any bytes that a line can hold, and texts that resemble the fields of a line.
+TEXTS = st.one_of(
+    st.binary(max_size=12).map(wire.decode),
+    st.lists(st.sampled_from(["q2c", "WRITE", "READ", "AFTER", "3.1", "", "-"])).map(
+        " ".join
+    ),
+)
+ACCESS = st.sampled_from(Access)
+CALLS = st.builds(
+    EndpointCall,
+    statement=st.one_of(
+        st.builds(Begin, st.booleans()),
+        st.builds(Read, TEXTS),
+        st.builds(Write, TEXTS),
+        st.builds(SetValue, TEXTS, TEXTS),
+        st.builds(Prepare, TEXTS, ACCESS, TEXTS),
+        st.builds(Execute, TEXTS, TEXTS),
+        st.builds(Deallocate, TEXTS),
+        st.builds(Fence, TEXTS, st.integers(0, 9).map(float), TEXTS),
+    ),
+    request_id=TEXTS.filter(lambda text: text != wire.INTERNAL_REQUEST_ID),
+    minimum=st.none() | st.builds(LogPosition, st.integers(0), st.integers(0)),
+    priority=st.none() | st.integers(0, 9),
+    on_behalf_of=st.none() | st.builds(OnBehalfOf, TEXTS, st.integers(0, 9)),
+)
+
+
+@given(CALLS)
+def test_each_line_is_parsed_as_the_call_that_it_was_made_of(call):
+    """Guard against a text that shifts the fields of a line.
+
+    The receiver ran another statement, or one with other fields, than was sent.
+    """
+    try:
+        line = wire.render_call(call)
+    except wire.UnsendableError:
+        return
+    (received,) = wire.LineBuffer().feed(line)
+    _, request_id, text = wire.decode(received).split(" ", 2)
+    assert wire.parse_call(request_id, text) == call
+
+
+@given(WORDS, WORDS, st.binary(min_size=1).map(wire.decode))
+def test_all_that_a_caller_can_prepare_has_a_line(name, item, text):
+    """Guard against statements of callers that are refused without a reason."""
+    text = text.replace("\r", "").replace("\n", "") or "x"
+    for line in (f"PREPARE {name} WRITE {text}", f"EXEC {name} {item} {text}"):
+        rendered = wire.render_call(EndpointCall(wire.parse_statement(line), "id1"))
+        assert rendered == wire.encode(f"QUERY id1 {line}\r\n")
+
+
 def test_answer_to_a_caller():
     done = Answer(Code.DONE, SessionState.IN_TRANSACTION, (b"a b", b""), "7.1f")
     assert wire.render_answer(done) == b"ROW a b\r\nROW \r\nDONE 7.1f\r\nREADY T -\r\n"
