Keep prepared statements known while hosts of two versions forward them

Cause: an earlier holder forwards the name of a link, and prepares under a name that it makes of the shape itself. That works only if the sender makes the same name. An earlier sender's `PREPARE write.q2c WRITE void WRITE q2c WRITE void` is read as another shape for write.q2c, which the link then runs.

Evidence: links of earlier versions were played in virtual time, with names that their holder doesn't make, and with lines of earlier senders.

Fix: a holder announces its link version as it accepts a link, after the floor (`READY I 3.1 FLOOR 3.1 20 LINK 2`). To a holder that announces nothing, names are those that it makes; a shape with blanks has no line then, and its EXEC is refused at once, as not run, instead of being misread there. A link on which a name is prepared for a shape that it can't belong to is refused and closed.

Tests: links to earlier holders (names, and shapes that they misread), lines of earlier senders, names that a link doesn't know, the announcement.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -471,6 +471,7 @@
             return
         endpoint = connection.endpoint
         if connection.holder:
+            connection.forwards_names = not event.translates_names
             link_time = self.now - connection.opened_at
             self._holders.mark_answered(connection.holder, link_time)
         else:
--- a/mallowpass/core/proxy/events.py
+++ b/mallowpass/core/proxy/events.py
@@ -76,12 +76,14 @@
 class ConnectionReady(ProxyEvent):
     """An endpoint accepted a connection.
 
-    For a forwarded connection, the other host may have sent `floor`.
+    For a forwarded connection, the other host may have sent `floor`. It either gives
+    prepared statements names of its own (`translates_names`), or forwards their names.
     """
 
     connection: int
     position: LogPosition | None
     floor: FloorHint | None = None
+    translates_names: bool = True
 
 
 @record
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -212,6 +212,10 @@
         if link is None:
             return
         link.last_call_at = self.now
+        if any(_is_shifted(call.statement) for call in event.calls):
+            link.waiting.extend(event.calls)
+            self._refuse_and_close(link, "a prepared statement has a name of another")
+            return
         priorities = [c.priority for c in event.calls if c.priority is not None]
         if link not in self._waiting:
             # Calls without a priority may be the rest of a batch that arrived in
@@ -709,6 +713,18 @@
             self._close(link)
 
 
+def _is_shifted(statement: Statement) -> bool:
+    """Return whether a name and a shape were not sent as those of one statement.
+
+    Earlier versions made lines in which a shape with spaces shifts the fields. What
+    follows on the link may be shifted as well.
+    """
+    if not isinstance(statement, Prepare):
+        return False
+    prepared = PreparedStatement(statement.access, statement.shape)
+    return not prepared.may_have_name(statement.name)
+
+
 def _is_unknown_name(link: LinkRow, statement: Statement) -> bool:
     """Return whether a statement runs a prepared one that its link doesn't have."""
     return isinstance(statement, Execute) and statement.name not in link.prepared
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -94,6 +94,7 @@
     # Names of the statements that are prepared on it.
     prepared: dict[PreparedStatement, str] = field(default_factory=dict)
     names_given: int = 0  # also to statements that are not prepared any more
+    forwards_names: bool = False  # its holder, of an earlier version, translates none
     pending: deque[Batch] = field(default_factory=deque)
     last_used_at: float = 0.0
     is_broken: bool = False  # closed as soon as its pending calls are answered
@@ -124,8 +125,12 @@
         No name is given twice. If preparing fails, the name stays unknown, and can't
         run what it stood for before.
         """
-        self.names_given += 1
-        name = self.prepared[statement] = f"s{self.names_given}"
+        if self.forwards_names:
+            name = statement.forwarded_name
+        else:
+            self.names_given += 1
+            name = f"s{self.names_given}"
+        self.prepared[statement] = name
         return name
 
     def can_serve(self, customer: str | None) -> bool:
@@ -258,6 +263,19 @@
     access: Access
     shape: str
 
+    @property
+    def forwarded_name(self) -> str:
+        """Return its name on links between hosts of which one translates no names.
+
+        Earlier versions forward the names of a link, and prepare its statements under
+        names that they make in this way. It has no line if the shape has spaces.
+        """
+        return f"{self.access.value}.{self.shape}"
+
+    def may_have_name(self, name: str) -> bool:
+        """Return whether a host of any version may give the statement a name."""
+        return name == self.forwarded_name or "." not in name
+
 
 @dataclass(slots=True, eq=False)
 class TransactionRow:
--- a/mallowpass/platform/endpoints.py
+++ b/mallowpass/platform/endpoints.py
@@ -114,7 +114,12 @@
             )
             return
         self._connections[number] = connection
-        self._sink(ConnectionReady(number, connection.position, connection.floor))
+        translates_names = connection.link_version > 1
+        self._sink(
+            ConnectionReady(
+                number, connection.position, connection.floor, translates_names
+            )
+        )
 
     def _report_unreachable(self, number: int, why: str, is_gone: bool = False) -> None:
         self._sink(ConnectionRefused(number, Code.OTHER, why, True, is_gone))
@@ -147,6 +152,7 @@
         "_transport",
         "floor",
         "handshake",
+        "link_version",
         "position",
         "refusal",
     )
@@ -171,6 +177,7 @@
         self.handshake = asyncio.get_running_loop().create_future()
         self.position: LogPosition | None = None
         self.floor: FloorHint | None = None
+        self.link_version = 1  # of a holder
         self.refusal: ConnectionRefused | None = None
         self._clear_reply()
 
@@ -281,7 +288,8 @@
         state, position = fields[0], wire.parse_position(fields[1])
         if not self.handshake.done():
             self.position = position
-            self.floor = wire.parse_floor(fields[2:])
+            self.floor = wire.parse_floor(fields[2:5])
+            self.link_version = wire.parse_link_version(fields[2:])
             self.handshake.set_result(None)
             return
         if self._code is None or not self._pending:
--- a/mallowpass/platform/links.py
+++ b/mallowpass/platform/links.py
@@ -13,7 +13,6 @@
     EndpointReply,
     FloorHint,
     LogPosition,
-    SessionState,
 )
 from mallowpass.platform import wire
 from mallowpass.platform.lineserver import EventSink, LineProtocol, LineServer
@@ -35,7 +34,7 @@
         self, number: int, position: LogPosition | None, floor: FloorHint | None
     ) -> None:
         """Confirm to a host that its link is open."""
-        self._write(number, wire.render_ready(SessionState.IDLE, position, floor))
+        self._write(number, wire.render_link_accepted(position, floor))
 
     def answer(self, number: int, reply: EndpointReply) -> None:
         """Send the reply to the oldest call on a link that has no reply yet."""
--- a/mallowpass/platform/wire.py
+++ b/mallowpass/platform/wire.py
@@ -42,6 +42,7 @@
 
 __all__ = [
     "FENCE_LINK_PREFIX",
+    "LINK_VERSION",
     "MAX_LINE_BYTES",
     "LineBuffer",
     "UnsendableError",
@@ -51,6 +52,7 @@
     "encode",
     "parse_call",
     "parse_floor",
+    "parse_link_version",
     "parse_position",
     "parse_statement",
     "parse_state",
@@ -58,6 +60,7 @@
     "render_answer",
     "render_call",
     "render_error",
+    "render_link_accepted",
     "render_position",
     "render_ready",
     "render_reply",
@@ -68,6 +71,10 @@
 INTERNAL_REQUEST_ID = "-"
 # Precedes the name of a host that opens a link for fences.
 FENCE_LINK_PREFIX = "fences:"
+# What a holder announces as it accepts a link. Version 2 gives the statements that are
+# prepared on a link names of its own; earlier versions announce nothing.
+LINK_VERSION = 2
+_LINK_VERSION_KEYWORD = "LINK"
 # Prefixes of statements that one host forwards to another; endpoints do not know them.
 _PRIORITY_PREFIX = "PRIORITY"
 _CUSTOMER_PREFIX = "CUSTOMER"
@@ -505,6 +512,15 @@
     return encode(line + "\r\n")
 
 
+def render_link_accepted(
+    position: LogPosition | None, floor: FloorHint | None
+) -> bytes:
+    """Return the line with which a holder accepts a link."""
+    ready = render_ready(SessionState.IDLE, position, floor)
+    version = f" {_LINK_VERSION_KEYWORD} {LINK_VERSION}\r\n"
+    return ready.removesuffix(b"\r\n") + encode(version)
+
+
 def render_position(position: LogPosition | None) -> str:
     """Return a log position as TERM.POSITION, or "-" for None."""
     return "-" if position is None else f"{position.term}.{position.position}"
@@ -544,6 +560,13 @@
     return None if position is None else FloorHint(position, int(fields[2]) / 1000.0)
 
 
+def parse_link_version(fields: list[str]) -> int:
+    """Parse the version that ends the line of an accepted link; 1 if there is none."""
+    keyword, version = fields[-2:] if len(fields) > 1 else ("", "")
+    is_announced = keyword == _LINK_VERSION_KEYWORD and version.isdecimal()
+    return int(version) if is_announced else 1
+
+
 def parse_status(row: bytes) -> EndpointStatus:
     """Parse the row of the reply to STATUS.
 
--- a/mallowpass/standins/proxied/virtual/hosts.py
+++ b/mallowpass/standins/proxied/virtual/hosts.py
@@ -35,7 +35,6 @@
     FloorHint,
     Prepare,
     Read,
-    SessionState,
     SetValue,
     Statement,
     Write,
@@ -71,6 +70,14 @@
     return replace(call, statement=wire.parse_call(request_id, text).statement)
 
 
+def _has_line(call: EndpointCall) -> bool:
+    try:
+        wire.render_call(call)
+    except wire.UnsendableError:
+        return False
+    return True
+
+
 class Caller:
     """Hold one session of a caller, and what it was told."""
 
@@ -149,6 +156,8 @@
         self.exited = False
         self.frozen = False  # it runs nothing
         self.accepting = True
+        # As a holder; False: it runs an earlier version, which announces none of this.
+        self.translates_names = True
         self.event_time = 0.0  # seconds that each event takes, one after the other
         self.lateness = 0.0  # seconds that each event arrives later
         self._busy_until = 0.0
@@ -318,6 +327,11 @@
 
     @_apply.register
     def _(self, effect: effects.SendCalls) -> None:
+        if not _has_line(effect.calls[0]):
+            refusal = EndpointReply(Code.UNSENDABLE, message="no line")
+            for _ in effect.calls:
+                self.later(0.0, EndpointAnswered(effect.connection, refusal))
+            return
         transport = self._transports.get(effect.connection)
         if transport is not None:
             transport.send(partial(self._send, effect))
@@ -363,11 +377,13 @@
 
     @_apply.register
     def _(self, effect: effects.AcceptLink) -> None:
-        wire.render_ready(SessionState.IDLE, effect.position, effect.floor)
+        wire.render_link_accepted(effect.position, effect.floor)
         self._note_floor(effect.floor)
         link = self.world.link(effect.link)
         self.world.links[(link.host.name, link.connection)] = link
-        ready = ConnectionReady(link.connection, effect.position, effect.floor)
+        ready = ConnectionReady(
+            link.connection, effect.position, effect.floor, self.translates_names
+        )
         link.host.later(link.delay, ready)
 
     def _note_floor(self, floor: FloorHint | None) -> None:
--- a/tests/core/proxy/test_sessionstate.py
+++ b/tests/core/proxy/test_sessionstate.py
@@ -6,14 +6,17 @@
 
 import pytest
 
+from mallowpass.core.proxy.events import LinkCalled
 from mallowpass.core.proxy.statements import (
     Access,
     Begin,
     Code,
     Commit,
+    EndpointCall,
     Execute,
     Prepare,
     Read,
+    Write,
 )
 from mallowpass.standins.proxied.virtual.world import ProxyWorld
 
@@ -74,6 +77,85 @@
     assert shapes <= set(SHAPES)
 
 
+def _fleet_with_an_earlier_version() -> ProxyWorld:
+    world = ProxyWorld(hosts=24)
+    for host in world.hosts:
+        host.translates_names = False
+    world.run(4.0)
+    return world
+
+
+def test_names_on_a_link_are_those_that_a_holder_of_an_earlier_version_makes():
+    """Guard against prepared statements that are unknown while hosts are updated.
+
+    Such a holder forwards the name of a link, and prepares under one that it makes.
+    """
+    world = _fleet_with_an_earlier_version()
+    caller, other = _sharing_callers(world)[:2]
+    assert caller.run(Prepare("s", Access.WRITE, "q2c")).code is Code.DONE
+    assert other.run(Prepare("s", Access.READ, "q2c")).code is Code.DONE
+    assert caller.run(Execute("s", "a 1")).code is Code.DONE
+    assert other.run(Execute("s", "a")).rows == (b"1",)
+    rows = (link.holder.tables.links[link.number] for link in world.links.values())
+    names = {name for row in rows for name in row.prepared}
+    assert names == {"write.q2c", "read.q2c"}
+
+
+def test_shape_that_a_holder_of_an_earlier_version_misreads_is_refused_as_not_run():
+    """Guard against a host that sends such a shape to a holder not yet updated."""
+    world = _fleet_with_an_earlier_version()
+    caller = _sharing_callers(world)[0]
+    assert caller.run(Prepare("s", Access.WRITE, "q2c WRITE void")).code is Code.DONE
+    sent_at = world.timers.now
+    assert caller.run(Execute("s", "a 1")).code.is_not_run
+    assert world.timers.now - sent_at < 0.1
+    assert caller.run(Write("a 2")).code is Code.DONE
+    assert caller.run(Read("a")).rows == (b"2",)
+
+
+@pytest.mark.parametrize("version", [1, 2])
+def test_link_refuses_a_name_that_belongs_to_another_shape(version):
+    """Guard against a host of an earlier version whose lines have shifted fields.
+
+    `PREPARE write.q2c WRITE void WRITE q2c WRITE void` gave the name of the shape q2c
+    another shape, and `EXEC write.q2c WRITE void a 1` ran q2c on the item WRITE.
+    """
+    world = ProxyWorld(hosts=24)
+    world.run(4.0)
+    caller = _sharing_callers(world)[0]
+    assert caller.run(Write("a 1")).code is Code.DONE
+    link = next(iter(world.links.values()))
+    name = "write.q2c" if version == 1 else "s1"
+    shifted = EndpointCall(Prepare("write.q2c", Access.WRITE, "void WRITE q2c"))
+    usual = EndpointCall(Prepare(name, Access.WRITE, "q2c"))
+    execute = EndpointCall(Execute(name, "WRITE void"), "r1")
+    link.holder.deliver(LinkCalled(link.number, (usual,)))
+    link.holder.deliver(LinkCalled(link.number, (shifted, execute)))
+    world.run(1.0)
+    assert link not in world.links.values()
+    assert caller.run(Read("WRITE")).rows == (b"",)
+
+
+def test_link_refuses_a_name_that_is_not_prepared_on_it():
+    """Guard against a link that runs what another link has prepared."""
+    world = ProxyWorld(hosts=24)
+    world.run(4.0)
+    caller = _sharing_callers(world)[0]
+    caller.run(Prepare("s", Access.WRITE, "q2c"))
+    assert caller.run(Execute("s", "a 1")).code is Code.DONE
+    link = next(iter(world.links.values()))
+    link.holder.tables.links[link.number].prepared.clear()
+    assert caller.run(Execute("s", "a 2")).code is Code.DONE  # prepared once more
+    refused = [
+        dict(count.attributes)
+        for host in world.hosts
+        for count in host.counts
+        if count.name == "requests_refused"
+    ]
+    assert {"code": "unknown-statement"} in refused
+    assert caller.run(Read("a")).rows == (b"2",)
+
+
 def _connections_to_endpoints(world: ProxyWorld):
     connections = (host.connections.values() for host in world.hosts)
     return itertools.chain.from_iterable(connections)
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -181,3 +181,35 @@
     events = asyncio.run(asyncio.wait_for(_send_calls(_Endpoint(), batches), 2.0))
     assert [event.reply.code for event in events] == [Code.DONE, Code.UNSENDABLE]
     assert events[-1].reply.state is SessionState.IN_TRANSACTION
+
+
+@pytest.mark.parametrize(
+    ("ready", "translates_names"),
+    [(b"READY I 3.1 FLOOR 3.1 20 LINK 2\r\n", True), (b"READY I 3.1\r\n", False)],
+)
+def test_holder_of_an_earlier_version_is_recognized(ready, translates_names):
+    """Guard against names on a link that its holder does not know."""
+
+    async def accept(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readline()
+        writer.write(ready)
+        await reader.read()
+        writer.close()
+
+    async def run() -> Any:
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        events: list[Any] = []
+        connections = EndpointConnections("host-0", events.append)
+        connections.open(OpenConnection(1, f"127.0.0.1:{port}", "s", "i-1", 0.5))
+        while not events:
+            await asyncio.sleep(0.01)
+        connections.close(1)
+        server.close()
+        return events[0]
+
+    event = asyncio.run(asyncio.wait_for(run(), 2.0))
+    assert event.translates_names is translates_names
+    assert (event.floor is not None) is translates_names
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -19,6 +19,7 @@
     EndpointCall,
     Execute,
     Fence,
+    FloorHint,
     HoldWrites,
     OnBehalfOf,
     Pause,
@@ -199,6 +200,20 @@
         assert rendered == wire.encode(f"QUERY id1 {line}\r\n")
 
 
+@pytest.mark.parametrize("floor", [None, FloorHint(LogPosition(3, 7), 0.02)])
+def test_accepted_link_announces_its_version(floor):
+    line = wire.render_link_accepted(LogPosition(3, 9), floor)
+    fields = wire.decode(line.removesuffix(b"\r\n")).split(" ")
+    assert fields[:3] == ["READY", "I", "3.9"]
+    assert wire.parse_floor(fields[3:6]) == floor
+    assert wire.parse_link_version(fields[3:]) == wire.LINK_VERSION
+
+
+@pytest.mark.parametrize("rest", ["", "FLOOR 3.7 20", "LINK", "LINK x", "LINK -1"])
+def test_link_that_announces_nothing_is_of_the_first_version(rest):
+    assert wire.parse_link_version(rest.split(" ")) == 1
+
+
 def test_answer_to_a_caller():
     done = Answer(Code.DONE, SessionState.IN_TRANSACTION, (b"a b", b""), "7.1f")
     assert wire.render_answer(done) == b"ROW a b\r\nROW \r\nDONE 7.1f\r\nREADY T -\r\n"
