Refuse statements that no message can hold, before they are sent

What callers saw: a prepared statement near the limit of a message ended in doubt, and with it all that was in flight on the connection that it shared.

Cause: a host's line may be longer than the caller's: by the name on the connection, by AFTER, and on links by the customer, the priority and the time left. Nothing looked at its length, and an endpoint or holder ends a connection on which a line is too long.

Fix: rendering refuses a line that is longer than its receiver takes. What a host may add for an endpoint is bounded, so that a statement that no message can hold is recognized as it arrives, and refused at once as not run (BUSY); its transaction fails. Hosts take 2 MiB from each other (link version 2), so that a statement that an endpoint takes also reaches it by a holder. To a holder of an earlier version a line that is too long is not sent, and refused in its turn.

Tests: lines at the limit over sockets (a long shape and a WRITE of 1 MiB run, EXEC, PREPARE and READ of 1 MiB are refused, no connection ends), in a transaction, on a link, and all that is taken for sendable has a line with the longest additions.

--- a/mallowpass/core/proxy/sessions.py
+++ b/mallowpass/core/proxy/sessions.py
@@ -42,6 +42,7 @@
     SessionState,
     SetValue,
     Statement,
+    TooLong,
     Write,
 )
 from mallowpass.core.proxy.tables import (
@@ -349,6 +350,11 @@
             return
         self._requests.run(session, request_id, statement, Access.WRITE, prepared)
 
+    @_execute.register
+    def _(self, statement: TooLong, session: SessionRow, request_id: str) -> None:
+        why = "the statement is too long to be sent to an endpoint"
+        self._fail(session, Code.UNSENDABLE, why)
+
     # -- Answers -------------------------------------------------------------
 
     def _fail_unknown_name(self, session: SessionRow, name: str) -> None:
--- a/mallowpass/core/proxy/statements.py
+++ b/mallowpass/core/proxy/statements.py
@@ -38,6 +38,7 @@
     "SetValue",
     "Statement",
     "Status",
+    "TooLong",
     "Write",
 ]
 
@@ -182,6 +183,11 @@
     name: str
 
 
+@record
+class TooLong(Statement):
+    """A statement of a caller that is too long for a message to an endpoint."""
+
+
 @record
 class Reset(Statement):
     """Clear the values and prepared statements of a connection."""
--- a/mallowpass/platform/callers.py
+++ b/mallowpass/platform/callers.py
@@ -10,7 +10,7 @@
     SessionOpened,
     StatementReceived,
 )
-from mallowpass.core.proxy.statements import Answer, Code
+from mallowpass.core.proxy.statements import Answer, Code, TooLong
 from mallowpass.platform import wire
 from mallowpass.platform.lineserver import EventSink, LineProtocol, LineServer
 
@@ -64,7 +64,7 @@
             return
         try:
             for line in self._lines.feed(data):
-                self._process_line(wire.decode(line))
+                self._process_line(line)
         except wire.WireError as error:
             self._refuse(str(error))
 
@@ -74,15 +74,18 @@
         if self._is_open:
             self._sink(SessionClosed(self._number))
 
-    def _process_line(self, line: str) -> None:
+    def _process_line(self, line: bytes) -> None:
         if self._number not in self._connections:
             return
-        message_type, _, rest = line.partition(" ")
+        message_type, _, rest = wire.decode(line).partition(" ")
         if message_type == "QUERY" and self._is_open:
             request_id, _, text = rest.partition(" ")
             if not request_id or request_id == wire.INTERNAL_REQUEST_ID:
                 raise wire.WireError("QUERY without a valid request id")
             statement = wire.parse_statement(text)
+            line_bytes = len(line) + len(b"\r\n")
+            if statement is not None and not wire.is_sendable(statement, line_bytes):
+                statement = TooLong()
             self._sink(StatementReceived(self._number, request_id, statement))
         elif message_type == "CONNECT" and not self._is_open and rest:
             self._is_open = True
--- a/mallowpass/platform/endpoints.py
+++ b/mallowpass/platform/endpoints.py
@@ -114,7 +114,7 @@
             )
             return
         self._connections[number] = connection
-        translates_names = connection.link_version > 1
+        translates_names = connection.link_version >= wire.LINK_VERSION
         self._sink(
             ConnectionReady(
                 number, connection.position, connection.floor, translates_names
@@ -198,11 +198,13 @@
         From the first call that has no line, none is sent: later ones may rely on it.
         They are answered in their turn as not run.
         """
+        is_current_link = self.link_version >= wire.LINK_VERSION
+        max_bytes = wire.MAX_LINK_LINE_BYTES if is_current_link else wire.MAX_LINE_BYTES
         lines, refusal = [], None
         for call in effect.calls:
             if refusal is None:
                 try:
-                    lines.append(wire.render_call(call))
+                    lines.append(wire.render_call(call, max_bytes))
                 except wire.UnsendableError as error:
                     refusal = EndpointReply(Code.UNSENDABLE, message=str(error))
             expects_status = isinstance(call.statement, _STATUS_STATEMENTS)
--- a/mallowpass/platform/lineserver.py
+++ b/mallowpass/platform/lineserver.py
@@ -90,13 +90,15 @@
 
     __slots__ = ("_connections", "_is_open", "_lines", "_number", "_sink", "transport")
 
+    _max_line_bytes = wire.MAX_LINE_BYTES
+
     def __init__(
         self, number: int, connections: dict[int, LineProtocol], sink: EventSink
     ) -> None:
         self._number = number
         self._connections = connections
         self._sink = sink
-        self._lines = wire.LineBuffer()
+        self._lines = wire.LineBuffer(self._max_line_bytes)
         self._is_open = False  # whether CONNECT has been received
         self.transport: asyncio.Transport = None  # type: ignore[assignment]
 
--- a/mallowpass/platform/links.py
+++ b/mallowpass/platform/links.py
@@ -46,6 +46,8 @@
 
     __slots__ = ()
 
+    _max_line_bytes = wire.MAX_LINK_LINE_BYTES
+
     def data_received(self, data: bytes) -> None:
         try:
             self._on_lines(self._lines.feed(data))
--- a/mallowpass/platform/wire.py
+++ b/mallowpass/platform/wire.py
@@ -44,12 +44,14 @@
     "FENCE_LINK_PREFIX",
     "LINK_VERSION",
     "MAX_LINE_BYTES",
+    "MAX_LINK_LINE_BYTES",
     "LineBuffer",
     "UnsendableError",
     "WireError",
     "code_of",
     "decode",
     "encode",
+    "is_sendable",
     "parse_call",
     "parse_floor",
     "parse_link_version",
@@ -67,12 +69,15 @@
 ]
 
 MAX_LINE_BYTES = 1 << 20  # the platform's documented limit for one message
+# Limit between hosts, which add prefixes to the statements that they forward.
+MAX_LINK_LINE_BYTES = 2 * MAX_LINE_BYTES
 # Request id of statements that a host sends for itself, not for a caller: RESET etc.
 INTERNAL_REQUEST_ID = "-"
 # Precedes the name of a host that opens a link for fences.
 FENCE_LINK_PREFIX = "fences:"
 # What a holder announces as it accepts a link. Version 2 gives the statements that are
-# prepared on a link names of its own; earlier versions announce nothing.
+# prepared on a link names of its own, and takes lines up to `MAX_LINK_LINE_BYTES`;
+# earlier versions announce nothing.
 LINK_VERSION = 2
 _LINK_VERSION_KEYWORD = "LINK"
 # Prefixes of statements that one host forwards to another; endpoints do not know them.
@@ -81,6 +86,9 @@
 _TIME_LEFT_PREFIX = "WITHIN"
 _TIME_LEFT_DIGITS_MAX = 9  # of milliseconds: more than eleven days
 _NO_SIGNATURE = "-"
+# By these, at most, a host makes the line of a caller longer for an endpoint.
+_MINIMUM_BYTES_MAX = len("AFTER 18446744073709551615.18446744073709551615 ")
+_NAME_BYTES_MAX = 16  # names that connections give to prepared statements
 _STATUS_FIELD_COUNT = 7
 
 # Error names of the platform.
@@ -145,10 +153,11 @@
 class LineBuffer:
     """Split a received byte stream into lines."""
 
-    __slots__ = ("_buffer",)
+    __slots__ = ("_buffer", "_max_bytes")
 
-    def __init__(self) -> None:
+    def __init__(self, max_bytes: int = MAX_LINE_BYTES) -> None:
         self._buffer = bytearray()
+        self._max_bytes = max_bytes
 
     def feed(self, data: bytes) -> list[bytes]:
         """Return the lines that `data` completes, without their CR LF.
@@ -172,10 +181,9 @@
             raise WireError("line does not end with CR LF")
         return line[:-1]
 
-    @staticmethod
-    def _check_length(length: int) -> None:
-        if length > MAX_LINE_BYTES:
-            raise WireError(f"line is longer than {MAX_LINE_BYTES} bytes")
+    def _check_length(self, length: int) -> None:
+        if length > self._max_bytes:
+            raise WireError(f"line is longer than {self._max_bytes} bytes")
 
 
 # -- What callers send -------------------------------------------------------
@@ -279,10 +287,40 @@
 # -- What is sent to endpoints -----------------------------------------------
 
 
-def render_call(call: EndpointCall) -> bytes:
+def is_sendable(statement: Statement, line_bytes: int) -> bool:
+    """Return whether an endpoint can be sent a statement, whatever host sends it.
+
+    `line_bytes` is the length of the line in which a caller sent it, with its CR LF.
+    """
+    return line_bytes + _growth(statement) <= MAX_LINE_BYTES
+
+
+@singledispatch
+def _growth(statement: Statement) -> int:
+    """Return the bytes by which the line of a statement may grow."""
+    return 0
+
+
+@_growth.register
+def _(statement: Read) -> int:
+    return _MINIMUM_BYTES_MAX
+
+
+@_growth.register
+def _(statement: Prepare) -> int:
+    return _NAME_BYTES_MAX
+
+
+@_growth.register
+def _(statement: Execute) -> int:
+    return _NAME_BYTES_MAX + _MINIMUM_BYTES_MAX
+
+
+def render_call(call: EndpointCall, max_bytes: int = MAX_LINE_BYTES) -> bytes:
     """Return the line for a call to an endpoint, or to a host that forwards it.
 
-    Raises UnsendableError if the receiver would not parse it as the same call.
+    Raises UnsendableError if the receiver would not parse it as the same call, or if it
+    is longer than `max_bytes`.
     """
     words = ["QUERY", call.request_id or INTERNAL_REQUEST_ID]
     if call.on_behalf_of is not None:
@@ -298,10 +336,12 @@
     if call.minimum is not None:
         words += ("AFTER", render_position(call.minimum))
     statement_words, text = _fields_of(call.statement)
-    return _render_line([*words, *statement_words], text)
+    return _render_line([*words, *statement_words], text, max_bytes)
 
 
-def _render_line(words: Sequence[str], text: str | None = None) -> bytes:
+def _render_line(
+    words: Sequence[str], text: str | None = None, max_bytes: int = MAX_LINE_BYTES
+) -> bytes:
     """Return the line of fields that are one word each, and a text that ends it.
 
     Each line with a field that is not a constant is made here: no field can end early,
@@ -317,9 +357,13 @@
     if "\r" in line or "\n" in line:
         raise UnsendableError(f"a field has a line break: {line[:80]!r}")
     try:
-        return encode(line + "\r\n")
+        data = encode(line + "\r\n")
     except UnicodeEncodeError as error:
         raise UnsendableError(f"a field has no bytes: {line[:80]!r}") from error
+    if len(data) > max_bytes:
+        why = f"a line of {len(data)} bytes, where {max_bytes} are allowed"
+        raise UnsendableError(f"{why}: {line[:80]!r}")
+    return data
 
 
 @singledispatch
--- a/mallowpass/standins/proxied/caller.py
+++ b/mallowpass/standins/proxied/caller.py
@@ -51,9 +51,10 @@
             raise CallerError(line)
         return caller
 
-    async def run(self, text: str) -> WireAnswer:
+    async def run(self, text: str, request_id: str = "") -> WireAnswer:
         """Send a statement and return its answer."""
-        self._writer.write(wire.encode(f"QUERY q{next(_numbers)} {text}\r\n"))
+        request_id = request_id or f"q{next(_numbers)}"
+        self._writer.write(wire.encode(f"QUERY {request_id} {text}\r\n"))
         rows: list[str] = []
         code = message = ""
         while True:
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -11,6 +11,7 @@
 import pytest
 
 from mallowpass.core.proxy.storage import RowKey, Table
+from mallowpass.platform import wire
 from mallowpass.platform.http import HttpClient, Request
 from mallowpass.platform.runtime import METRICS_PATH, METRICS_PORT
 from mallowpass.platform.settings import Address
@@ -22,6 +23,7 @@
 )
 
 TEST_TIMEOUT = 20.0  # seconds
+REQUEST_ID = "i"
 
 
 def on_platform(test: Callable[[LocalPlatform], Awaitable[None]]) -> Callable[[], None]:
@@ -66,6 +68,51 @@
     await caller.close()
 
 
+def _sized(start: str, line_bytes: int) -> str:
+    """Return a statement that fills a line of a caller up to a length."""
+    head = len(f"QUERY {REQUEST_ID} {start}") + len("\r\n")
+    return start + "x" * (line_bytes - head)
+
+
+@on_platform
+async def test_statements_as_long_as_a_message(platform):
+    """Guard against a statement that ends a shared connection, and ends in doubt.
+
+    A host made its line longer than the database takes.
+    """
+    caller = await WireCaller.connect(platform.callers_address(0), "status-sync")
+    shape = "q" * 600_000
+    assert (await caller.run(f"PREPARE long WRITE {shape}")).code == "DONE"
+    assert (await caller.run("PREPARE s WRITE q2c")).code == "DONE"
+    assert (await caller.run("EXEC long a 1")).code == "DONE"
+    assert (await caller.run("EXEC s b 1")).code == "DONE"
+    written = await caller.run(_sized("WRITE c ", wire.MAX_LINE_BYTES), REQUEST_ID)
+    assert written.code == "DONE"
+    for start in ("EXEC s a ", "PREPARE t WRITE ", "READ "):
+        text = _sized(start, wire.MAX_LINE_BYTES)
+        began = time.monotonic()
+        refused = await caller.run(text, REQUEST_ID)
+        assert (refused.code, refused.state) == ("BUSY", "I")
+        assert time.monotonic() - began < 1.0
+    assert (await caller.run("READ a")).rows == ("1",)
+    assert not any(log.fields("connection_lost") for log in platform.logs)
+
+
+@on_platform
+async def test_transaction_fails_with_a_statement_that_is_too_long(platform):
+    """Guard against a transaction of which one statement is left out."""
+    caller = await WireCaller.connect(platform.callers_address(0), "status-sync")
+    assert (await caller.run("PREPARE s WRITE q2c")).code == "DONE"
+    assert (await caller.run("BEGIN")).code == "DONE"
+    assert (await caller.run("EXEC s a 1")).code == "DONE"
+    text = _sized("EXEC s a ", wire.MAX_LINE_BYTES)
+    refused = await caller.run(text, REQUEST_ID)
+    assert (refused.code, refused.state) == ("BUSY", "E")
+    assert (await caller.run("COMMIT")).code == "ABORTED"
+    assert (await caller.run("READ a")).rows == ("",)
+    assert not any(log.fields("connection_lost") for log in platform.logs)
+
+
 def test_two_platforms_never_share_addresses():
     """Guard against tests that fail because another test uses the same addresses."""
     one, other = LocalPlatform(seed=7), LocalPlatform(seed=7)
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -13,17 +13,22 @@
     ConnectionReady,
     ConnectionRefused,
     EndpointAnswered,
+    LinkCalled,
+    LinkOpened,
 )
 from mallowpass.core.proxy.statements import (
     Begin,
     Code,
     EndpointCall,
     Execute,
+    LogPosition,
+    OnBehalfOf,
     Read,
     SessionState,
     SetValue,
     Write,
 )
+from mallowpass.platform import wire
 from mallowpass.platform.endpoints import EndpointConnections
 from mallowpass.platform.links import LinkServer
 from mallowpass.platform.settings import Address
@@ -213,3 +218,39 @@
     event = asyncio.run(asyncio.wait_for(run(), 2.0))
     assert event.translates_names is translates_names
     assert (event.floor is not None) is translates_names
+
+
+def test_link_takes_a_statement_as_long_as_a_caller_may_send():
+    """Guard against a statement whose prefixes make its holder close the link."""
+    text = f"a {'x' * (wire.MAX_LINE_BYTES - 20)}"
+    call = EndpointCall(
+        Write(text), "id1", LogPosition(3, 7), 2, OnBehalfOf("customer", 12), 0.5
+    )
+
+    async def run() -> Any:
+        events: list[Any] = []
+
+        def serve(event: Any) -> None:
+            events.append(event)
+            if isinstance(event, LinkOpened):
+                server.accept(event.link, LogPosition(3, 7), None)
+
+        server = LinkServer(serve)
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            address = Address(*unused.getsockname())
+        await server.start(address)
+        connections = EndpointConnections("host-0", events.append)
+        connections.open(OpenConnection(1, str(address), "s", "i-1", 0.5))
+        while not any(isinstance(event, ConnectionReady) for event in events):
+            await asyncio.sleep(0.01)
+        connections.send(SendCalls(1, (call,)))
+        while len(events) < 3:
+            await asyncio.sleep(0.01)
+        connections.close(1)
+        server.stop_accepting()
+        return events[2]
+
+    called = asyncio.run(asyncio.wait_for(run(), 5.0))
+    assert isinstance(called, LinkCalled)
+    assert called.calls == (call,)
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -214,6 +214,38 @@
     assert wire.parse_link_version(rest.split(" ")) == 1
 
 
+def test_line_that_is_too_long_is_not_rendered():
+    """Guard against a line that makes its receiver close a shared connection."""
+    for max_bytes in (wire.MAX_LINE_BYTES, wire.MAX_LINK_LINE_BYTES):
+        call = EndpointCall(Write(f"a {'x' * (max_bytes - 20)}"), "id1")
+        assert len(wire.render_call(call, max_bytes)) == max_bytes
+        longer = replace(call, request_id="id12")
+        with pytest.raises(wire.UnsendableError, match="bytes"):
+            wire.render_call(longer, max_bytes)
+
+
+@pytest.mark.parametrize("start", ["READ ", "EXEC s ", "PREPARE s READ ", "SET a "])
+def test_sendable_statement_has_a_line_whatever_a_host_adds(start):
+    """Guard against a statement that is refused only after it has waited."""
+    lines = {
+        size: wire.encode(f"QUERY i {start}{'x' * size}\r\n")
+        for size in range(wire.MAX_LINE_BYTES - 160, wire.MAX_LINE_BYTES + 1, 10)
+    }
+    newest = LogPosition(2**64 - 1, 2**64 - 1)
+    found = set()
+    for size, line in lines.items():
+        statement = wire.parse_statement(f"{start}{'x' * size}")
+        found.add(wire.is_sendable(statement, len(line)))
+        if not wire.is_sendable(statement, len(line)):
+            continue
+        if isinstance(statement, Prepare | Execute):
+            statement = replace(statement, name="s" + "9" * 15)
+        minimum = newest if isinstance(statement, Read | Execute) else None
+        call = EndpointCall(statement, "i", minimum)
+        assert len(wire.render_call(call)) <= wire.MAX_LINE_BYTES
+    assert found == {True, False}
+
+
 def test_answer_to_a_caller():
     done = Answer(Code.DONE, SessionState.IN_TRANSACTION, (b"a b", b""), "7.1f")
     assert wire.render_answer(done) == b"ROW a b\r\nROW \r\nDONE 7.1f\r\nREADY T -\r\n"
