--- a/tests/core/proxy/test_sessionstate.py
+++ b/tests/core/proxy/test_sessionstate.py
@@ -7,6 +7,7 @@
 import pytest
 
 from mallowpass.core.proxy.events import LinkCalled
+from mallowpass.core.proxy.sessionstate import PREPARED_MAX, SHAPES_LENGTH_MAX
 from mallowpass.core.proxy.statements import (
     Access,
     Begin,
@@ -16,6 +17,7 @@
     Execute,
     Prepare,
     Read,
+    SetValue,
     Write,
 )
 from mallowpass.standins.proxied.virtual.world import ProxyWorld
@@ -156,6 +158,42 @@
     assert caller.run(Read("a")).rows == (b"2",)
 
 
+@pytest.mark.parametrize("hosts", FLEETS.values(), ids=FLEETS)
+@pytest.mark.parametrize("length", [0, SHAPES_LENGTH_MAX // 3, SHAPES_LENGTH_MAX + 1])
+def test_statements_prepared_on_a_connection_are_bounded(hosts, length):
+    """Guard against hosts and databases whose memory grows with each new shape."""
+    world = ProxyWorld(hosts=hosts)
+    world.run(4.0)
+    caller = _sharing_callers(world)[0]
+    caller.run(SetValue("role", "clerk"))
+    for number in range(3 * PREPARED_MAX if not length else 12):
+        shape = f"q{number}".ljust(length, "x")
+        caller.run(Prepare("s", Access.WRITE, shape))
+        assert caller.run(Execute("s", f"a {number}")).code is Code.DONE
+        for statements in _prepared_on_connections(world):
+            shapes_length = sum(len(shape) for shape in statements)
+            assert len(statements) <= PREPARED_MAX
+            assert len(statements) == 1 or shapes_length <= SHAPES_LENGTH_MAX
+    assert caller.run(Read("a")).rows == (str(number).encode(),)
+    used = [c for c in _connections_to_endpoints(world) if c.prepared]
+    assert used
+    assert all(connection.values == {"role": "clerk"} for connection in used)
+
+
+def _prepared_on_connections(world: ProxyWorld) -> list[list[str]]:
+    """Return the shapes prepared on each connection, at endpoints and at hosts."""
+    prepared = [
+        [shape for _, shape in connection.prepared.values()]
+        for connection in _connections_to_endpoints(world)
+    ]
+    for host in world.hosts:
+        rows = host.tables.connections.values()
+        prepared += [[each.shape for each in row.prepared] for row in rows]
+        links = host.tables.links.values()
+        prepared += [[each.shape for each in row.prepared.values()] for row in links]
+    return prepared
+
+
 def _connections_to_endpoints(world: ProxyWorld):
     connections = (host.connections.values() for host in world.hosts)
     return itertools.chain.from_iterable(connections)
