Cut the text of an error to less than a message

What callers saw: an error longer than a message may be, in answer to a long name that is not known: the text of the error repeats it, and six-fold where its bytes are no UTF-8. A client that keeps to the protocol must refuse it.

Cause: the length of an error was not limited, and its text may hold what the caller sent: names of prepared statements and of databases, endpoints' errors.

Evidence: EXEC and DEALLOC of an unknown name that fills a line, and CONNECT to such a database, over sockets.

Fix: the text of an error has 4,096 characters at most, wherever it is from.

Tests: the answer to the longest unknown name is a message; EXEC, DEALLOC and CONNECT with such names over sockets. Both failed before: "line is longer than 1048576 bytes", and an answer without an end within the reader's limit.

--- a/mallowpass/platform/wire.py
+++ b/mallowpass/platform/wire.py
@@ -90,6 +90,7 @@
 _MINIMUM_BYTES_MAX = len("AFTER 18446744073709551615.18446744073709551615 ")
 _NAME_BYTES_MAX = 16  # names that connections give to prepared statements
 _STATUS_FIELD_COUNT = 7
+_ERROR_LENGTH_MAX = 4096  # characters of the text of an error
 
 # Error names of the platform.
 _CODE_NAMES = {
@@ -278,9 +279,10 @@
     """Return the line for an error.
 
     White space in the message is collapsed to single spaces, as a line break would end
-    the line. An empty message is replaced by the code's own text.
+    the line. An empty message is replaced by the code's own text. A long message is
+    cut, since it may repeat a text that fills the line of a caller.
     """
-    text = " ".join(message.split()) or code.value
+    text = " ".join(message[:_ERROR_LENGTH_MAX].split()) or code.value
     return b"ERR %b %b\r\n" % (encode(_CODE_NAMES[code]), encode(text))
 
 
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -113,6 +113,21 @@
     assert not any(log.fields("connection_lost") for log in platform.logs)
 
 
+@on_platform
+async def test_refusals_of_long_texts_are_messages(platform):
+    """Guard against a refusal that repeats a text, and is longer than a message."""
+    address = platform.callers_address(0)
+    caller = await WireCaller.connect(address, "status-sync")
+    name = "\udcff" * (wire.MAX_LINE_BYTES - 200)
+    for text in (f"DEALLOC {name}", f"EXEC {name} a 1"):
+        refused = await caller.run(text)
+        assert refused.code == "NOSTMT"
+        assert len(refused.text) < 5_000
+    with pytest.raises(CallerError, match="ERR NODB") as refusal:
+        await WireCaller.connect(address, "x" * (wire.MAX_LINE_BYTES - 200))
+    assert len(str(refusal.value)) < 5_000
+
+
 def test_two_platforms_never_share_addresses():
     """Guard against tests that fail because another test uses the same addresses."""
     one, other = LocalPlatform(seed=7), LocalPlatform(seed=7)
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -246,6 +246,17 @@
     assert found == {True, False}
 
 
+def test_text_of_an_error_is_cut():
+    """Guard against an answer that is longer than a message."""
+    name = "\udcff" * (wire.MAX_LINE_BYTES - 100)
+    message = f"no prepared statement {name!r}"
+    answer = Answer(Code.UNKNOWN_STATEMENT, SessionState.IDLE, message=message)
+    error, ready = wire.LineBuffer().feed(wire.render_answer(answer))
+    assert error.startswith(b"ERR NOSTMT no prepared statement")
+    assert len(error) < 20_000
+    assert ready == b"READY I -"
+
+
 def test_answer_to_a_caller():
     done = Answer(Code.DONE, SessionState.IN_TRANSACTION, (b"a b", b""), "7.1f")
     assert wire.render_answer(done) == b"ROW a b\r\nROW \r\nDONE 7.1f\r\nREADY T -\r\n"
