Refuse names that are no field of a line where they enter a host

What operators would see: a host whose name or zone has a blank starts, opens no link, and writes claims and entries that no other host can read.

Cause: the name of a host is a field of CONNECT, FENCE, claims and entries, and was taken from the settings as any text. CONNECT and ASK were formatted as calls were, with no look at their fields.

Evidence: the settings with such names were accepted, and `CONNECT s two words i-1` was sent.

Fix: the settings refuse a name or zone with blanks or control characters, and name the value. CONNECT and ASK are rendered by the function that checks each field; a connection, or a request, without a line is refused and not sent.

--- a/mallowpass/platform/allowances.py
+++ b/mallowpass/platform/allowances.py
@@ -162,7 +162,11 @@
         """Send a request, or keep it until the connection is open."""
         customer = effect.customer or NO_CUSTOMER
         fields = (effect.call, effect.part, customer, effect.needed, effect.ahead)
-        line = wire.encode(f"ASK {' '.join(map(str, fields))}\r\n")
+        try:
+            line = wire.render_line(("ASK", *map(str, fields)))
+        except wire.UnsendableError:
+            self._sink(AllowanceAnswered(effect.call, None))
+            return
         self._pending.add(effect.call)
         if self._transport is None:
             self._unsent.append(line)
--- a/mallowpass/platform/endpoints.py
+++ b/mallowpass/platform/endpoints.py
@@ -74,7 +74,13 @@
 
     async def _open(self, effect: OpenConnection) -> None:
         number = effect.connection
-        connection = _Connection(effect, self._host_name, self._sink, self._connections)
+        try:
+            connect_line = _render_connect(effect, self._host_name)
+        except wire.UnsendableError as error:
+            self._opening.pop(number, None)
+            self._report_unreachable(number, str(error))
+            return
+        connection = _Connection(effect, connect_line, self._sink, self._connections)
         try:
             async with asyncio.timeout(effect.timeout):
                 address = Address.parse(effect.address)
@@ -125,6 +131,14 @@
         self._sink(ConnectionRefused(number, Code.OTHER, why, True, is_gone))
 
 
+def _render_connect(effect: OpenConnection, host_name: str) -> bytes:
+    """Return the line that opens a connection of a host."""
+    caller = host_name if effect.customer is None else effect.customer
+    if effect.carries_fences:
+        caller = f"{wire.FENCE_LINK_PREFIX}{caller}"
+    return wire.render_line(("CONNECT", effect.service, caller, effect.endpoint))
+
+
 @record
 class _PendingCall:
     """A call without a reply yet; `refusal` is its reply if it was not sent."""
@@ -139,9 +153,9 @@
     __slots__ = (
         "_closed",
         "_code",
+        "_connect_line",
         "_connections",
         "_effect",
-        "_host_name",
         "_lines",
         "_message",
         "_pending",
@@ -160,12 +174,12 @@
     def __init__(
         self,
         effect: OpenConnection,
-        host_name: str,
+        connect_line: bytes,
         sink: EventSink,
         connections: dict[int, _Connection],
     ) -> None:
         self._effect = effect
-        self._host_name = host_name
+        self._connect_line = connect_line
         self._sink = sink
         self._connections = connections
         self._lines = wire.LineBuffer()
@@ -231,12 +245,7 @@
             transport.abort()
             return
         enable_keepalive(transport)
-        effect = self._effect
-        caller = self._host_name if effect.customer is None else effect.customer
-        if effect.carries_fences:
-            caller = f"{wire.FENCE_LINK_PREFIX}{caller}"
-        line = f"CONNECT {effect.service} {caller} {effect.endpoint}\r\n"
-        self._transport.write(wire.encode(line))
+        self._transport.write(self._connect_line)
 
     def data_received(self, data: bytes) -> None:
         try:
--- a/mallowpass/platform/settings.py
+++ b/mallowpass/platform/settings.py
@@ -122,6 +122,14 @@
             return ""
         return value
 
+    def word(*keys: str) -> str:
+        value = text(*keys)
+        if " " in value or not value.isprintable():
+            findings.append(
+                f"{'.'.join(keys)}: has spaces or control characters: {value!r}"
+            )
+        return value
+
     def address(*keys: str) -> Address:
         value = text(*keys)
         try:
@@ -167,8 +175,9 @@
     orders = address("cloud", "address") if "cloud" in fields else None
     callers = address("listen", "front")
     return HostSettings(
-        name=text("nodeName"),
-        failure_domain=text("zone"),
+        # Fields of lines and of rows that other hosts read.
+        name=word("nodeName"),
+        failure_domain=word("zone"),
         regions=regions if isinstance(regions, dict) else {},
         callers=callers,
         ready=address("listen", "ready"),
--- a/mallowpass/platform/wire.py
+++ b/mallowpass/platform/wire.py
@@ -62,6 +62,7 @@
     "render_answer",
     "render_call",
     "render_error",
+    "render_line",
     "render_link_accepted",
     "render_position",
     "render_ready",
@@ -338,16 +339,16 @@
     if call.minimum is not None:
         words += ("AFTER", render_position(call.minimum))
     statement_words, text = _fields_of(call.statement)
-    return _render_line([*words, *statement_words], text, max_bytes)
+    return render_line([*words, *statement_words], text, max_bytes)
 
 
-def _render_line(
+def render_line(
     words: Sequence[str], text: str | None = None, max_bytes: int = MAX_LINE_BYTES
 ) -> bytes:
     """Return the line of fields that are one word each, and a text that ends it.
 
-    Each line with a field that is not a constant is made here: no field can end early,
-    and become several, whatever it holds.
+    Each line that holds a name, or a text of a caller, is made here: no field can end
+    early, and become several, whatever it holds. Raises UnsendableError if one would.
     """
     line = " ".join(words)
     if "" in words or line.count(" ") != len(words) - 1:
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -58,6 +58,34 @@
     assert event.unreachable
 
 
+@pytest.mark.parametrize("name", ["two words", "", "a\r\nQUERY - RESET"])
+def test_connection_in_a_name_that_is_no_field_is_refused(name):
+    """Guard against a line whose fields shift as a connection is opened."""
+    lines: list[bytes] = []
+
+    async def run() -> Any:
+        async def accept(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            lines.append(await reader.readline())
+            writer.close()
+
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        events: list[Any] = []
+        connections = EndpointConnections("host-0", events.append)
+        connections.open(OpenConnection(1, f"127.0.0.1:{port}", "s", "i-1", 0.5, name))
+        while not events:
+            await asyncio.sleep(0.01)
+        server.close()
+        return events[0]
+
+    event = asyncio.run(asyncio.wait_for(run(), 2.0))
+    assert isinstance(event, ConnectionRefused)
+    assert event.unreachable
+    assert lines == []
+
+
 @pytest.mark.parametrize("is_listening", [True, False])
 def test_only_an_address_where_nothing_listens_is_gone(is_listening):
     """Guard against a reset that counts as the end of a process."""
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -74,6 +74,16 @@
         assert key in str(caught.value)
 
 
+@pytest.mark.parametrize("key", ["nodeName", "zone"])
+@pytest.mark.parametrize("name", ["casa 1", "casa\\t1", "casa\\r\\nREADY"])
+def test_name_that_is_no_field_of_a_line_is_refused(tmp_path, key, name):
+    """Guard against a host whose claims and links no other host can read."""
+    value = {"nodeName": "edge-casa-1", "zone": "casa"}[key]
+    text = TEXT.replace(f'{key} = "{value}"', f'{key} = "{name}"')
+    with pytest.raises(SettingsError, match=key):
+        _load(tmp_path, text)
+
+
 @pytest.mark.parametrize("text", ["", "= 3", "nodeName = 3"])
 def test_empty_or_malformed_file(tmp_path, text):
     with pytest.raises(SettingsError):
