Show that a name stands for nothing else where set-up fails

What callers would see: a statement of another session that runs under a name, where a database fails part of RESET and PREPARE.

Cause, not met any more: a name that is given again after RESET. Connections give no name twice, so that a RESET and a PREPARE that fail leave nothing that the name could run.

All hold on the code as it is; the test guards the property.

--- a/tests/core/proxy/test_sessionstate.py
+++ b/tests/core/proxy/test_sessionstate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import random
 
 import pytest
 
@@ -17,9 +18,11 @@
     Execute,
     Prepare,
     Read,
+    Reset,
     SetValue,
     Write,
 )
+from mallowpass.standins.proxied.connections import ReplicaConnection
 from mallowpass.standins.proxied.virtual.world import ProxyWorld
 
 SHAPES = (
@@ -79,6 +82,43 @@
     assert shapes <= set(SHAPES)
 
 
+@pytest.mark.parametrize("hosts", FLEETS.values(), ids=FLEETS)
+@pytest.mark.parametrize("kinds", [Prepare, Reset, Prepare | Reset])
+def test_name_stands_for_nothing_else_where_setting_a_connection_up_fails(
+    hosts, kinds, monkeypatch
+):
+    """Guard against a name that still stands for the statement of another session."""
+    world = ProxyWorld(hosts=hosts)
+    world.run(4.0)
+    randomness = random.Random(1)
+    failed = 0
+    run = ReplicaConnection._run
+
+    def run_or_fail(self, call, done):
+        nonlocal failed
+        if isinstance(call.statement, kinds) and randomness.random() < 0.5:
+            failed += 1
+            self._answer(done, Code.FAILED, failed=True)
+            return
+        if isinstance(call.statement, Execute):
+            _, shape = self.prepared.get(call.statement.name, (None, ""))
+            ran.append((call.statement.text, shape))
+        run(self, call, done)
+
+    monkeypatch.setattr(ReplicaConnection, "_run", run_or_fail)
+    ran: list[tuple[str, str]] = []
+    callers = _sharing_callers(world)
+    callers[0].run(SetValue("role", "clerk"))
+    for number in range(2 * PREPARED_MAX):
+        caller = callers[number % len(callers)]
+        shape = f"q{number}"
+        caller.run(Prepare("s", Access.WRITE, shape))
+        caller.run(Execute("s", f"a {shape}"))
+    assert failed
+    assert len(ran) > PREPARED_MAX
+    assert all(text == f"a {shape}" for text, shape in ran if shape)
+
+
 def _fleet_with_an_earlier_version() -> ProxyWorld:
     world = ProxyWorld(hosts=24)
     for host in world.hosts:
