Have clients of the soak run prepared statements of any shape

Change: each session prepares a statement under one name, whose shape is one of five with and without blanks; half of its writes run it.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -17,6 +17,8 @@
 PROMISES = frozenset({"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "TOOMANY"})
 ANSWER_LIMIT = 3.0  # seconds; the longest statement timeout is 0.8
 PAUSE_MAX = 0.02  # seconds between operations
+# Of the statements that sessions prepare, all under one name.
+SHAPES = ("put", "put by number", "put WRITE void", " put", "put  twice")
 REMEMBERED = 24  # answers of a session that a finding tells
 
 # Called with an endpoint, an item and a number; tells what its log holds of that.
@@ -73,6 +75,8 @@
                 await asyncio.sleep(0.05)
                 continue
             try:
+                shape = self._random.choice(SHAPES)
+                await self._ask(caller, f"PREPARE s WRITE {shape}")
                 while not self.stopping and self._random.random() > 0.02:
                     await self._operate(caller)
                     await asyncio.sleep(self._random.uniform(0.0, PAUSE_MAX))
@@ -111,10 +115,15 @@
                 + "; ".join(self._answers)
             )
 
+    def _write_text(self, number: int) -> str:
+        """Return a statement that writes a number, prepared or not."""
+        verb = self._random.choice(("WRITE", "EXEC s"))
+        return f"{verb} {self._name} {number}"
+
     async def _write(self, caller: WireCaller) -> None:
         self._number += 1
         number = self._number
-        answer = await self._ask(caller, f"WRITE {self._name} {number}")
+        answer = await self._ask(caller, self._write_text(number))
         if answer.code == "DONE":
             self._seen = number
         elif answer.code in PROMISES:
@@ -125,7 +134,7 @@
             return
         self._number += 1
         number = self._number
-        answer = await self._ask(caller, f"WRITE {self._name} {number}")
+        answer = await self._ask(caller, self._write_text(number))
         if answer.state == "T" and self._random.random() < 0.2:
             await self._ask(caller, "ROLLBACK")
             self._findings.promised.add(f"{self._name} {number}")
