Keep the DEALLOC of a link from the statements of other links

What callers would see: NOSTMT, and one more try, for a statement that another host's DEALLOC dropped on a connection that both share. Hosts send no DEALLOC to each other today, so nobody has seen it.

Cause: DEALLOC of a link was forwarded, with a name that is the link's, to a connection on which the name is another's.

Fix: like PREPARE and RESET, it changes the statements of the link alone, and the holder answers it.

Test: failed before, the DEALLOC reached the endpoint.

--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -46,6 +46,7 @@
     Begin,
     Code,
     Commit,
+    Deallocate,
     EndpointCall,
     EndpointReply,
     Execute,
@@ -377,6 +378,11 @@
         link.prepared[statement.name] = prepared
         self._answer_done(link)
 
+    @_accept.register
+    def _(self, statement: Deallocate, call: EndpointCall, link: LinkRow) -> None:
+        link.prepared.pop(statement.name, None)
+        self._answer_done(link)
+
     @_accept.register
     def _(self, statement: Reset, call: EndpointCall, link: LinkRow) -> None:
         link.values.clear()
--- a/mallowpass/platform/wire.py
+++ b/mallowpass/platform/wire.py
@@ -112,7 +112,7 @@
     Code.UNKNOWN_DATABASE: "NODB",
     Code.UNAUTHENTICATED: "NOAUTH",
     Code.OTHER: "FAILED",
-    # Hosts alone tell them apart, and only from their own lines.
+    # For others, a statement that did not run like any that is refused as BUSY.
     Code.UNSENDABLE: "BUSY",
 }
 _CODES_BY_NAME = {
--- a/tests/core/proxy/test_sessionstate.py
+++ b/tests/core/proxy/test_sessionstate.py
@@ -14,6 +14,7 @@
     Begin,
     Code,
     Commit,
+    Deallocate,
     EndpointCall,
     Execute,
     Prepare,
@@ -198,6 +199,24 @@
     assert caller.run(Read("a")).rows == (b"2",)
 
 
+def test_name_that_a_link_drops_is_dropped_for_that_link_alone():
+    """Guard against a link that drops what another link has prepared."""
+    world = ProxyWorld(hosts=24)
+    world.run(4.0)
+    caller = _sharing_callers(world)[0]
+    caller.run(Prepare("s", Access.WRITE, "q2c"))
+    assert caller.run(Execute("s", "a 1")).code is Code.DONE
+    link = next(iter(world.links.values()))
+    (before,) = [c.prepared for c in _connections_to_endpoints(world) if c.prepared]
+    before = dict(before)
+    row = link.holder.tables.links[link.number]
+    link.holder.deliver(LinkCalled(link.number, (EndpointCall(Deallocate("s1")),)))
+    world.run(0.1)
+    assert not row.prepared
+    (after,) = [c.prepared for c in _connections_to_endpoints(world) if c.prepared]
+    assert after == before
+
+
 @pytest.mark.parametrize("hosts", FLEETS.values(), ids=FLEETS)
 @pytest.mark.parametrize("length", [0, SHAPES_LENGTH_MAX // 3, SHAPES_LENGTH_MAX + 1])
 def test_statements_prepared_on_a_connection_are_bounded(hosts, length):
