Compare versions of links with the first one

A check against the newest version would take holders of version 2 for earlier ones as soon as there is a third. No change in behaviour today.

--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -94,7 +94,7 @@
     # Names of the statements that are prepared on it.
     prepared: dict[PreparedStatement, str] = field(default_factory=dict)
     names_given: int = 0  # also to statements that are not prepared any more
-    forwards_names: bool = False  # its holder, of an earlier version, translates none
+    forwards_names: bool = False  # by its holder, which runs an earlier version
     pending: deque[Batch] = field(default_factory=deque)
     last_used_at: float = 0.0
     is_broken: bool = False  # closed as soon as its pending calls are answered
--- a/mallowpass/platform/endpoints.py
+++ b/mallowpass/platform/endpoints.py
@@ -120,7 +120,7 @@
             )
             return
         self._connections[number] = connection
-        translates_names = connection.link_version >= wire.LINK_VERSION
+        translates_names = connection.link_version > wire.FIRST_LINK_VERSION
         self._sink(
             ConnectionReady(
                 number, connection.position, connection.floor, translates_names
@@ -191,7 +191,7 @@
         self.handshake = asyncio.get_running_loop().create_future()
         self.position: LogPosition | None = None
         self.floor: FloorHint | None = None
-        self.link_version = 1  # of a holder
+        self.link_version = wire.FIRST_LINK_VERSION  # of a holder
         self.refusal: ConnectionRefused | None = None
         self._clear_reply()
 
@@ -212,8 +212,9 @@
         From the first call that has no line, none is sent: later ones may rely on it.
         They are answered in their turn as not run.
         """
-        is_current_link = self.link_version >= wire.LINK_VERSION
-        max_bytes = wire.MAX_LINK_LINE_BYTES if is_current_link else wire.MAX_LINE_BYTES
+        max_bytes = wire.MAX_LINE_BYTES
+        if self.link_version > wire.FIRST_LINK_VERSION:
+            max_bytes = wire.MAX_LINK_LINE_BYTES
         lines, refusal = [], None
         for call in effect.calls:
             if refusal is None:
@@ -229,9 +230,13 @@
 
     def _answer_unsent(self) -> None:
         """Answer the calls that were not sent, up to the first one that was."""
-        while self._pending and self._pending[0].refusal and not self._closed:
-            refusal = replace(self._pending.popleft().refusal, state=self._state)
-            self._sink(EndpointAnswered(self._effect.connection, refusal))
+        while self._pending and not self._closed:
+            refusal = self._pending[0].refusal
+            if refusal is None:
+                return
+            self._pending.popleft()
+            reply = replace(refusal, state=self._state)
+            self._sink(EndpointAnswered(self._effect.connection, reply))
 
     def close(self) -> None:
         """Close the connection; no further event follows."""
--- a/mallowpass/platform/wire.py
+++ b/mallowpass/platform/wire.py
@@ -42,6 +42,7 @@
 
 __all__ = [
     "FENCE_LINK_PREFIX",
+    "FIRST_LINK_VERSION",
     "LINK_VERSION",
     "MAX_LINE_BYTES",
     "MAX_LINK_LINE_BYTES",
@@ -76,10 +77,10 @@
 INTERNAL_REQUEST_ID = "-"
 # Precedes the name of a host that opens a link for fences.
 FENCE_LINK_PREFIX = "fences:"
-# What a holder announces as it accepts a link. Version 2 gives the statements that are
-# prepared on a link names of its own, and takes lines up to `MAX_LINK_LINE_BYTES`;
-# earlier versions announce nothing.
+# What a holder announces as it accepts a link. Since version 2, it translates names of
+# prepared statements, and takes lines up to `MAX_LINK_LINE_BYTES`.
 LINK_VERSION = 2
+FIRST_LINK_VERSION = 1  # not announced
 _LINK_VERSION_KEYWORD = "LINK"
 # Prefixes of statements that one host forwards to another; endpoints do not know them.
 _PRIORITY_PREFIX = "PRIORITY"
@@ -608,10 +609,10 @@
 
 
 def parse_link_version(fields: list[str]) -> int:
-    """Parse the version that ends the line of an accepted link; 1 if there is none."""
+    """Parse the version that ends the line of an accepted link; the first if absent."""
     keyword, version = fields[-2:] if len(fields) > 1 else ("", "")
     is_announced = keyword == _LINK_VERSION_KEYWORD and version.isdecimal()
-    return int(version) if is_announced else 1
+    return int(version) if is_announced else FIRST_LINK_VERSION
 
 
 def parse_status(row: bytes) -> EndpointStatus:
