Send a host's name in headers as UTF-8, and report heads that are invalid

What callers would see: a group without a primary for longer. A host whose name has a letter beyond ASCII can't order a promotion: the call raises, and its outcome is not reported.

Cause: the name is the value of a header, and a text that is not ASCII, or that has a line break, is refused by the HTTP library with exceptions that the client of the store and of promotions does not expect.

Evidence: UnicodeEncodeError for "kante-ä", LocalProtocolError for a value with a line break, both out of the client's call.

Fix: header values are sent as UTF-8; a request without a valid head is reported as not sent, as one that found no connection is.

Tests: both failed before, with these exceptions.

--- a/mallowpass/platform/http.py
+++ b/mallowpass/platform/http.py
@@ -177,9 +177,14 @@
         headers = [("Host", host), *request.headers]
         if request.body or request.method in ("POST", "PUT"):
             headers.append(("Content-Length", str(len(request.body))))
-        head = h11.Request(
-            method=request.method, target=request.target, headers=headers
-        )
+        try:
+            head = h11.Request(
+                method=request.method,
+                target=request.target,
+                headers=[(name, value.encode()) for name, value in headers],
+            )
+        except h11.LocalProtocolError as error:
+            raise HttpError(f"request without a valid head: {error}", False) from error
         data = self._h11.send(head)
         if request.body:
             data += self._h11.send(h11.Data(data=request.body))
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from mallowpass.core.proxy.effects import OrderPromotion
+from mallowpass.core.proxy.events import PromotionAnswered
 from mallowpass.core.proxy.storage import (
     ChangeRows,
     ListRows,
@@ -23,6 +25,7 @@
     Request,
     Response,
 )
+from mallowpass.platform.promotions import PromotionClient
 from mallowpass.platform.settings import Address
 from mallowpass.platform.store import StoreClient
 from mallowpass.standins.proxied.httpserver import StoreServer
@@ -50,6 +53,41 @@
     return server
 
 
+@pytest.mark.parametrize("name", ["edge-1", "kante-\u00e4"])
+def test_order_carries_the_name_of_its_host(address, name):
+    """Guard against an order that is never answered, as its name is not ASCII."""
+    names: list[str] = []
+
+    async def run() -> PromotionAnswered:
+        def promote(request: Request) -> Response:
+            names.append(request.header("mallowpass-lease-holder"))
+            return Response(200)
+
+        server = HttpServer({"/promote": promote})
+        await server.start(address)
+        order = OrderPromotion(1, "s", "i-1", 7, 1.0)
+        answered = await PromotionClient(address, name).promote(order)
+        server.close_all()
+        return answered
+
+    assert asyncio.run(run()).accepted
+    assert [text.encode("latin-1").decode() for text in names] == [name]
+
+
+def test_request_without_a_valid_head_is_not_sent(address):
+    """Guard against a header that becomes several, and a call that is never ended."""
+
+    async def run() -> None:
+        server = await _serve(address)
+        request = Request("POST", "/echo", (("Name", "a\r\nOther: b"),))
+        with pytest.raises(HttpError) as caught:
+            await HttpClient(address).call(request, 1.0)
+        assert not caught.value.sent
+        server.close_all()
+
+    asyncio.run(run())
+
+
 def test_requests_reuse_one_connection(address):
     async def run() -> None:
         server = await _serve(address)
