--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+import time
 from collections.abc import Sequence
 from pathlib import Path
 
@@ -82,6 +83,7 @@
         self.callers = platform.address(10 + number, CALLERS_PORT)
         self.log = folder / f"{self.name}.log"
         self.ended_by_itself = False
+        self.end_detail = ""  # of a process that was killed after its grace
         self._wanted = False
         self._alone = asyncio.Lock()
         self._log_size = 0  # of the log before this start
@@ -171,6 +173,7 @@
             async with asyncio.timeout(GRACE + 1):
                 code = await self._process.wait()
         except TimeoutError:
+            self.end_detail = f", {self._describe_process()}"
             await self.kill()
             return -signal.SIGKILL
         # A signal that comes before the program handles it ends the process.
@@ -178,6 +181,16 @@
             return 0
         return code
 
+    def _describe_process(self) -> str:
+        """Tell whether the process runs, and what it has logged last."""
+        stat = Path(f"/proc/{self._process.pid}/stat")
+        try:
+            state = stat.read_text().rpartition(") ")[2][:1]
+        except OSError:
+            state = "gone"
+        last = self.log.read_text().rstrip().rpartition("\n")[2][:100]
+        return f"in state {state}, last logged {last!r} at {time.time():.3f}"
+
     def look(self) -> None:
         """Note whether the process ended though nobody asked it to."""
         if self._wanted and self._process.returncode is not None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -28,6 +28,7 @@
 # A customer's limit, in operations a second and at once. A client runs some 40 a second
 # at most, so HOT_LOAD times its load is inside the limit.
 RATE = BURST = 400.0
+WATCH_INTERVAL = 0.05  # seconds between looks at how late timers are
 HOT_LOAD = 7  # times the usual load of a customer, which is one client's
 # Seconds until keepers grant whole limits: they wait 12 s for possible predecessors.
 KEEPERS_START = 13.0
@@ -69,9 +70,9 @@
     finally:
         await run.end()
     findings = run.findings
-    return Verdict(
-        seed, tuple(findings.broken), findings.codes, tuple(run.faults), str(folder)
-    )
+    stall = f" (the soak itself stood still for up to {run.longest_stall:.1f} s)"
+    broken = tuple(finding + stall for finding in findings.broken)
+    return Verdict(seed, broken, findings.codes, tuple(run.faults), str(folder))
 
 
 class _Run:
@@ -98,6 +99,16 @@
         self._work: list[asyncio.Task[None]] = []
         self._busy: set[str] = set()  # members that are down
         self._tasks: list[asyncio.Task[None]] = []
+        self.longest_stall = 0.0  # seconds that the event loop of the soak was late
+        self._watch = asyncio.create_task(self._watch_loop())
+
+    async def _watch_loop(self) -> None:
+        """Measure how late timers of the soak are: its findings may be its own."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + WATCH_INTERVAL
+            await asyncio.sleep(WATCH_INTERVAL)
+            self.longest_stall = max(self.longest_stall, loop.time() - due)
 
     def _key(self, number: int) -> str:
         """Return the key of a client."""
@@ -176,10 +187,13 @@
         for host, code in zip(self.hosts, codes, strict=True):
             host.store.stop()
             if code != 0 and not host.ended_by_itself:
-                self.findings.broken.append(f"{host.name} stopped with {code}")
+                self.findings.broken.append(
+                    f"{host.name} stopped with {code}{host.end_detail}"
+                )
         for proxy in self.platform.proxies.values():
             proxy.stop()
         self.platform.stop()
+        self._watch.cancel()
 
     async def _await_service(self, when: str) -> None:
         for host in self.hosts:
