Warn at every holder of the fence that covered a replaced primary

The host that ordered a promotion may be gone, and records that are cut short never showed its log. `primary_replaced` tells at each holder, once a change, who had the replaced primary fenced here, when that fence was last ordered, when and why it ended, and how many commits this host's callers were told of after that. `fence_expired` tells that nobody renewed or lifted a fence, at most once in 10 s for each owner and service.

Fencing publishes when fences begin, are renewed and end, and drops expired ones as another begins; what it decides is the same. FenceLog only listens. It starts after Fencing, so it knows what the lead ended.

--- a/mallowpass/core/proxy/fencing.py
+++ b/mallowpass/core/proxy/fencing.py
@@ -31,7 +31,13 @@
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.durability import COMMITS_MAX
 from mallowpass.core.proxy.pendingorders import ACCEPTED_ORDER_TIMEOUT
-from mallowpass.core.proxy.signals import PrimaryChanged
+from mallowpass.core.proxy.signals import (
+    FenceBegan,
+    FenceEnd,
+    FenceEnded,
+    FenceRenewed,
+    PrimaryChanged,
+)
 from mallowpass.core.proxy.stalls import Stalls
 from mallowpass.core.proxy.statements import Fence, FenceEvidence
 from mallowpass.core.proxy.store import CALL_TIMEOUT
@@ -126,7 +132,7 @@
         The handler is called once none of this host's commits is in flight there.
         """
         fences = self._fences.setdefault(group.service, {})
-        if not any(fence.until > self.now for fence in fences.values()):
+        if not self._in_force(group.service):
             self._log_other_primary(group, order)
         known = fences.get(order.owner)
         if known is not None and known.is_overtaken and known.until > self.now:
@@ -137,6 +143,8 @@
             until, began_at = max(until, known.until), known.began_at
         fence = _Fence(order.primary, order.target, until, began_at)
         fences[order.owner] = fence
+        began = FenceBegan if began_at == self.now else FenceRenewed
+        self._node.publish(began(group.service, order))
         covered = [
             endpoint
             for endpoint in (group.endpoints.get(order.primary), group.primary_row)
@@ -218,7 +226,7 @@
         fences = self._fences.get(service, {})
         for owner, fence in list(fences.items()):
             if fence.until <= self.now:
-                del fences[owner]
+                self._end(service, owner, FenceEnd.EXPIRED)
         return list(fences.values())
 
     def lift(self, primary: EndpointRow, owner: str) -> None:
@@ -227,9 +235,14 @@
 
     def lift_service(self, group: GroupRow, owner: str) -> None:
         """End a host's fence of a service at this host; those of others stay."""
-        self._fences.get(group.service, {}).pop(owner, None)
+        if owner in self._fences.get(group.service, {}):
+            self._end(group.service, owner, FenceEnd.LIFTED)
         self._update(group)
 
+    def _end(self, service: str, owner: str, reason: FenceEnd) -> None:
+        del self._fences[service][owner]
+        self._node.publish(FenceEnded(service, owner, reason))
+
     def _update(self, group: GroupRow) -> None:
         """Release the writes that no fence in force covers."""
         fences = self._in_force(group.service)
@@ -264,7 +277,7 @@
             self._stalls.await_acknowledgement(group)
         for owner, fence in list(fences.items()):
             if fence.is_ended_by(group.primary):
-                del fences[owner]
+                self._end(group.service, owner, FenceEnd.LEAD)
         primary = group.primary_row
         ends = [
             fence.until
@@ -291,6 +304,8 @@
             for owner, fence in self._fences.get(group.service, {}).items():
                 if owner not in holders and fence.began_at < began_before:
                     fence.is_overtaken = True
+                    overtaken = FenceEnded(group.service, owner, FenceEnd.OVERTAKEN)
+                    self._node.publish(overtaken)
             self._update(group)
 
         self._claims.read_newest(group.service, on_claim)
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -18,6 +18,7 @@
 from mallowpass.core.proxy.durability import Durability
 from mallowpass.core.proxy.fairsharing import FairSharing
 from mallowpass.core.proxy.feeds import Feeds
+from mallowpass.core.proxy.fencelog import FenceLog
 from mallowpass.core.proxy.fenceorders import FenceOrders
 from mallowpass.core.proxy.fencing import Fencing
 from mallowpass.core.proxy.floors import Floors
@@ -95,6 +96,7 @@
     ReplacementLog,
     NearMisses,
     Fencing,
+    FenceLog,
     WriteHolds,
     StartFences,
     Quiescence,
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from enum import Enum
+
 from mallowpass.core.messages import Signal
 from mallowpass.core.positions import LogPosition
 from mallowpass.core.proxy.configuration import Configuration
 from mallowpass.core.proxy.statements import (
     EndpointReply,
     EndpointStatus,
+    Fence,
     SessionState,
 )
 from mallowpass.core.proxy.tables import (
@@ -33,6 +36,10 @@
     "EndpointRestarted",
     "EndpointUnreachable",
     "EraChanged",
+    "FenceBegan",
+    "FenceEnd",
+    "FenceEnded",
+    "FenceRenewed",
     "FloorReceived",
     "ForwardedConnectionRefused",
     "HoldersBypassed",
@@ -198,6 +205,40 @@
     group: GroupRow
 
 
+@record
+class FenceBegan(Signal):
+    """This host fences a service, as ordered."""
+
+    service: str
+    order: Fence
+
+
+@record
+class FenceRenewed(Signal):
+    """The fence of a host lasts longer, or names another target."""
+
+    service: str
+    order: Fence
+
+
+class FenceEnd(Enum):
+    """Why a fence ended."""
+
+    LEAD = "lead"  # its target is primary
+    LIFTED = "lifted"  # by its owner
+    EXPIRED = "expired"
+    OVERTAKEN = "overtaken"  # its owner did not hold the newest claim
+
+
+@record
+class FenceEnded(Signal):
+    """The fence of a host ended; one that was overtaken may be told of twice."""
+
+    service: str
+    owner: str
+    reason: FenceEnd
+
+
 @record
 class PrimaryStalled(Signal):
     """A primary has answered none of several writes."""
