Bound the log lines of refusals of unknown databases

In the users' records nearly every line is a refused session of a database that is gone. `session_refused` and `statement_refused` with outcome unknown-database are logged for the first refusal of each database and version of the configuration, and then at most once in 10 s for each database, with the number left out as `repeated`. At most 256 names are kept for each host, and are forgotten after 60 s without a line; the rest share one line in 10 s, so names without end fill neither log nor memory. Metrics count all refusals, and other outcomes are logged as before.

The new tests fail if the version, the shared line, forgetting, the order of the names or the event as part of the key is taken out, one at a time.

--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -65,6 +65,7 @@
 from mallowpass.core.proxy.suspicion import Suspicion
 from mallowpass.core.proxy.timeouts import Timeouts
 from mallowpass.core.proxy.transactions import Transactions
+from mallowpass.core.proxy.unknowndatabases import UnknownDatabases
 from mallowpass.core.proxy.writeholds import WriteHolds
 
 __all__ = ["SYSTEMS"]
@@ -129,6 +130,7 @@
     Timeouts,
     Requests,
     Customers,
+    UnknownDatabases,
     Sessions,
     Draining,
     CurrentConfiguration,
--- a/mallowpass/core/proxy/sessions.py
+++ b/mallowpass/core/proxy/sessions.py
@@ -51,6 +51,7 @@
     SessionRow,
     TransactionRow,
 )
+from mallowpass.core.proxy.unknowndatabases import UnknownDatabases
 
 __all__ = ["Sessions"]
 
@@ -72,7 +73,14 @@
 class Sessions(ProxySystem):
     """Open and close sessions, and run their statements in order."""
 
-    __slots__ = ("_answers", "_closing", "_customers", "_early_sessions", "_requests")
+    __slots__ = (
+        "_answers",
+        "_closing",
+        "_customers",
+        "_early_sessions",
+        "_requests",
+        "_unknown_databases",
+    )
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
@@ -86,6 +94,7 @@
         self._requests = node.system(Requests)
         self._answers = node.system(Answers)
         self._customers = node.system(Customers)
+        self._unknown_databases = node.system(UnknownDatabases)
         node.subscribe(SessionOpened, self._on_session_opened)
         node.subscribe(SessionClosed, self._on_session_closed)
         node.subscribe(StatementReceived, self._on_statement_received)
@@ -120,17 +129,20 @@
         self._node.emit(AcceptSession(event.stream))
 
     def _refuse(self, event: SessionOpened, code: Code, message: str) -> None:
-        self._node.log(
-            "info",
-            "session_refused",
-            database=event.database,
-            configuration=self.tables.configuration.version,
-            outcome=code.value,
-            why=message,
-        )
+        version = self.tables.configuration.version
+        fields = {"configuration": version, "outcome": code.value, "why": message}
+        self._log_refusal("session_refused", event.database, code, fields)
         self._node.count("sessions_refused", code=code.value)
         self._node.emit(RefuseSession(event.stream, code, message))
 
+    def _log_refusal(
+        self, name: str, database: str, code: Code, fields: dict[str, object]
+    ) -> None:
+        if code is Code.UNKNOWN_DATABASE:
+            self._unknown_databases.log(name, database, **fields)
+        else:
+            self._node.log("info", name, database=database, **fields)
+
     def _on_configuration_timeout(self, event: SessionOpened) -> None:
         if self._early_sessions.pop(event.stream, None) is None:
             return
@@ -379,13 +391,8 @@
         session.state = state
         if code is not Code.DONE:
             self._node.count("statements", code=code.value)
-            self._node.log(
-                "info",
-                "statement_refused",
-                database=session.database,
-                outcome=code.value,
-                why=message,
-            )
+            fields = {"outcome": code.value, "why": message}
+            self._log_refusal("statement_refused", session.database, code, fields)
         self._node.emit(
             AnswerStatement(session.stream, Answer(code, state, message=message))
         )
