Add worlds in which a fence is lifted though its target does not receive

The host that ordered lives. Its guard compares the target with the primary, and they are level as the fence has stopped all commits: it lifts the fence 1.2 s after the order, and a replica whose pause ends at that moment acknowledges 2 commits that the target lacks.

--- a/tests/core/proxy/test_order_guards.py
+++ b/tests/core/proxy/test_order_guards.py
@@ -1,8 +1,8 @@
 """A promotion order that may still be carried out loses nothing, whoever sent it.
 
-The host that ordered is struck right after its order, which gets no answer. The target
-does not receive from the primary, and another replica's pause ends unnoticed after the
-fence of the host that ordered has ended.
+The order gets no answer. The host that sent it is struck right afterwards, in most of
+these worlds. The target does not receive from the primary, and another replica's pause
+ends unnoticed after the fence of the host that ordered has ended.
 """
 
 from __future__ import annotations
@@ -435,3 +435,28 @@
     heal_after(world, ordered, late)
     check_settled(world, ordered)
     assert world.group.lost == []
+
+
+@pytest.mark.parametrize("how", ["reset", "drain"])
+def test_a_fence_is_not_lifted_for_a_target_that_does_not_receive(how: str):
+    """Guard against a target that is level only as the fence has stopped all commits.
+
+    The host that ordered lives. A pause ends as it lifts the fence.
+    """
+    late = 8.0
+    world = new_world()
+    heartbeats = Heartbeats(world)
+    ordered = order_in_vain(world, heartbeats, how, late, count=100)
+    world.group.cut(ordered.target, [PRIMARY])
+    run_until_after(world, ordered, BACK_AFTER)
+    bring_back(world, how)
+
+    def is_lifted() -> bool:
+        logs = [fields for h in world.hosts for fields in h.logged("pending_fence")]
+        return any(fields["lifted"] for fields in logs)
+
+    world.run_until(is_lifted, ORDER_WAIT)
+    resume(world, ordered.other)
+    heal_after(world, ordered, late)
+    check_settled(world, ordered)
+    assert world.group.lost == []
