Have the stand-in check each acknowledgement against pending orders

While a promotion order may still be carried out, no primary but its target may acknowledge a commit that the target has not received: if the order is carried out then, the commit is lost. The stand-in knows orders without an answer that are late, and promotions under way, so it records each violation as it happens, in `Group.unguarded`, whether or not a lead follows.

An order counts until its promotion has ended, until it is refused, or, while it is not carried out, until an order under a newer token is, where the platform checks tokens. One that does not reach the platform, one for the member that leads and one for a member that is gone do not count.

--- a/mallowpass/standins/proxied/replicas.py
+++ b/mallowpass/standins/proxied/replicas.py
@@ -19,11 +19,12 @@
 
 from mallowpass.core.positions import ZERO_POSITION, LogPosition
 from mallowpass.core.timers import TimerService
+from mallowpass.standins.proxied.orders import PendingOrder, PendingOrders
 
 if TYPE_CHECKING:
     from mallowpass.standins.proxied.connections import ReplicaConnection
 
-__all__ = ["Group", "GroupTimes", "LogEntry", "Overtaken", "Replica"]
+__all__ = ["Group", "GroupTimes", "LogEntry", "Overtaken", "Replica", "Unguarded"]
 
 STEP_DOWN_LOOK = 0.05  # seconds between looks of a replaced primary for its successor
 
@@ -77,6 +78,27 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class Unguarded:
+    """Hold a commit that the target of a pending order had not received.
+
+    Another primary acknowledged it: it is lost if the order is carried out then.
+    """
+
+    entry: LogEntry
+    by: str  # the member that acknowledged it
+    target: str
+    after: float  # seconds since the order was sent
+
+    @property
+    def text(self) -> str:
+        """Return it in one line."""
+        return (
+            f"{self.entry.position.text} by {self.by} {self.after:.2f} s after "
+            f"{self.target} was ordered to lead, which lacks it"
+        )
+
+
 @dataclass(slots=True)
 class Replica:
     """Hold one member of the group, primary or not."""
@@ -150,6 +172,7 @@
         "on_read",
         "on_role",
         "on_run",
+        "orders",
         "overtaken",
         "promotions",
         "random",
@@ -159,6 +182,7 @@
         "synchronous",
         "timers",
         "times",
+        "unguarded",
         "work_of",
     )
 
@@ -192,6 +216,9 @@
         self.lost: list[LogEntry] = []  # acknowledged, and not in the leader's log
         # Acknowledged by a member after its successor led.
         self.overtaken: list[Overtaken] = []
+        self.orders = PendingOrders()
+        # Acknowledged while an order was pending whose target had not received it.
+        self.unguarded: list[Unguarded] = []
         self.promotions = 0
         self.random = random.Random(service)
         # Called with a request; returns its work in a slot, in seconds.
@@ -308,6 +335,7 @@
         """Note that a member acknowledged a commit."""
         self.acknowledged.append(entry)
         self.acknowledged_at[entry] = self.timers.now
+        self._note_unguarded(entry, by)
         if by is not self.primary:
             after = self.timers.now - self._led_at
             kept = entry in self._led_with
@@ -315,6 +343,15 @@
             if not self.primary.holds(entry):
                 self.lost.append(entry)
 
+    def _note_unguarded(self, entry: LogEntry, by: Replica) -> None:
+        for order in self.orders.all:
+            target = self.replicas.get(order.target)
+            # An order for a member that leads does nothing.
+            if target is None or target.is_primary or target.holds(entry):
+                continue
+            after = self.timers.now - order.sent_at
+            self.unguarded.append(Unguarded(entry, by.name, target.name, after))
+
     def way(self, one: Replica, other: Replica) -> float:
         """Return the seconds that a message takes between two members."""
         network = self.times.network
@@ -376,15 +413,21 @@
 
     # -- Leading -------------------------------------------------------------
 
-    def promote(self, name: str) -> bool:
+    def promote(self, name: str, token: int = 0) -> bool:
         """Have a member lead the next term soon; tell whether it is running."""
+        order = self.orders.take(name, token, self.timers.now)
         replica = self.replicas.get(name)
         if replica is None or not replica.up:
             return False
         if not replica.is_primary:
-            self.timers.after(self.times.promotion, self._lead, replica)
+            self.orders.begin(order)
+            self.timers.after(self.times.promotion, self._end_promotion, replica, order)
         return True
 
+    def _end_promotion(self, replica: Replica, order: PendingOrder) -> None:
+        self._lead(replica)
+        self.orders.end(order)
+
     def _lead(self, replica: Replica) -> None:
         if replica.is_primary or not replica.up:
             return
--- a/mallowpass/standins/proxied/virtual/world.py
+++ b/mallowpass/standins/proxied/virtual/world.py
@@ -42,6 +42,7 @@
 from mallowpass.core.proxy.tables import HostRow
 from mallowpass.core.timers import TimerService
 from mallowpass.standins.proxied.connections import ReplicaConnection
+from mallowpass.standins.proxied.orders import PendingOrder
 from mallowpass.standins.proxied.replicas import Group, Replica
 from mallowpass.standins.proxied.rows import RowStore, StoreCopy
 from mallowpass.standins.proxied.virtual.customers import CustomerJudge
@@ -459,6 +460,9 @@
             return None, False
         if self.fences and order.fencing_token < self.tokens.get(order.service, 0):
             return False, True
+        self.groups[order.service].orders.expect(
+            PendingOrder(order.endpoint, order.fencing_token, self.timers.now)
+        )
         if self.orders_lost:
             self.orders_lost -= 1
             self.timers.after(self.orders_late, self._carry_out, order)
@@ -467,11 +471,14 @@
         return taken, not taken
 
     def _carry_out(self, order: effects.OrderPromotion) -> bool:
+        group = self.groups[order.service]
         newest = self.tokens.get(order.service, 0)
         if self.fences and order.fencing_token < newest:
             return False
         self.tokens[order.service] = max(newest, order.fencing_token)
-        return self.groups[order.service].promote(order.endpoint)
+        if self.fences:
+            group.orders.void(order.fencing_token)
+        return group.promote(order.endpoint, order.fencing_token)
 
     # -- Running -------------------------------------------------------------
 
