--- a/mallowpass/standins/proxied/virtual/world.py
+++ b/mallowpass/standins/proxied/virtual/world.py
@@ -158,6 +158,10 @@
         self.tokens: dict[str, int] = {}
         self._tokens_of_hosts: set[tuple[str, int]] = set()
         self.orders: list[effects.OrderPromotion] = []
+        # Called with the host and its order, once the platform has got it or not.
+        self.on_order: Callable[[Host, effects.OrderPromotion], None] = (
+            lambda host, order: None
+        )
         self.calls: list[tuple[str, str, Any]] = []  # host, member, call
         self._numbers = 0
         self.links: dict[tuple[str, int], Link] = {}  # by host and connection
@@ -454,6 +458,13 @@
         self, host: Host, order: effects.OrderPromotion
     ) -> tuple[bool | None, bool]:
         """Take an order, as the platform does."""
+        answer = self._take(host, order)
+        self.on_order(host, order)
+        return answer
+
+    def _take(
+        self, host: Host, order: effects.OrderPromotion
+    ) -> tuple[bool | None, bool]:
         self.orders.append(order)
         self._tokens_of_hosts.add((host.name, order.fencing_token))
         if "orders" in host.cut_from:
--- a/tests/standins/proxied/test_orders.py
+++ b/tests/standins/proxied/test_orders.py
@@ -136,3 +136,11 @@
     world.hand_over(TARGET, "db-agadir-2")
     write(world)
     assert world.group.unguarded == []
+
+
+def test_world_tells_of_each_order_and_who_sent_it(world: ProxyWorld):
+    told: list[tuple[str, str]] = []
+    world.on_order = lambda host, order: told.append((host.name, order.endpoint))
+    order(world)
+    order_late(world, token=2)
+    assert told == [("host-0", TARGET)] * 2
