--- a/mallowpass/standins/proxied/virtual/world.py
+++ b/mallowpass/standins/proxied/virtual/world.py
@@ -42,6 +42,7 @@
 from mallowpass.core.proxy.tables import HostRow
 from mallowpass.core.timers import TimerService
 from mallowpass.standins.proxied.connections import ReplicaConnection
+from mallowpass.standins.proxied.orders import PendingOrder
 from mallowpass.standins.proxied.replicas import Group, Replica
 from mallowpass.standins.proxied.rows import RowStore, StoreCopy
 from mallowpass.standins.proxied.virtual.customers import CustomerJudge
@@ -157,6 +158,10 @@
         self.tokens: dict[str, int] = {}
         self._tokens_of_hosts: set[tuple[str, int]] = set()
         self.orders: list[effects.OrderPromotion] = []
+        # Called with the host and its order, once the platform has got it or not.
+        self.on_order: Callable[[Host, effects.OrderPromotion], None] = (
+            lambda host, order: None
+        )
         self.calls: list[tuple[str, str, Any]] = []  # host, member, call
         self._numbers = 0
         self.links: dict[tuple[str, int], Link] = {}  # by host and connection
@@ -453,12 +458,22 @@
         self, host: Host, order: effects.OrderPromotion
     ) -> tuple[bool | None, bool]:
         """Take an order, as the platform does."""
+        answer = self._take(host, order)
+        self.on_order(host, order)
+        return answer
+
+    def _take(
+        self, host: Host, order: effects.OrderPromotion
+    ) -> tuple[bool | None, bool]:
         self.orders.append(order)
         self._tokens_of_hosts.add((host.name, order.fencing_token))
         if "orders" in host.cut_from:
             return None, False
         if self.fences and order.fencing_token < self.tokens.get(order.service, 0):
             return False, True
+        self.groups[order.service].orders.expect(
+            PendingOrder(order.endpoint, order.fencing_token, self.timers.now)
+        )
         if self.orders_lost:
             self.orders_lost -= 1
             self.timers.after(self.orders_late, self._carry_out, order)
@@ -467,11 +482,14 @@
         return taken, not taken
 
     def _carry_out(self, order: effects.OrderPromotion) -> bool:
+        group = self.groups[order.service]
         newest = self.tokens.get(order.service, 0)
         if self.fences and order.fencing_token < newest:
             return False
         self.tokens[order.service] = max(newest, order.fencing_token)
-        return self.groups[order.service].promote(order.endpoint)
+        if self.fences:
+            group.orders.void(order.fencing_token)
+        return group.promote(order.endpoint, order.fencing_token)
 
     # -- Running -------------------------------------------------------------
 
