--- a/mallowpass/core/proxy/claims.py
+++ b/mallowpass/core/proxy/claims.py
@@ -66,7 +66,8 @@
 
     token: int
     holder: str
-    primary: str  # the primary to replace; empty: no primary was known
+    # The primary to replace; empty: none was known, or an order for it is pending.
+    primary: str
     time: float
     must_hold: LogPosition = ZERO_POSITION  # that the next primary must hold
     # Targets of orders that may still be carried out, each with the time of the store's
@@ -94,6 +95,16 @@
             return self.time + CLAIM_TIMEOUT
         return until
 
+    def rivals(self, primary: str, time: float | None) -> set[str]:
+        """Return the targets that may replace a primary, by the store's time.
+
+        An order may have been sent before the claim could tell that it was.
+        """
+        if time is None:
+            time = self.time
+        done = (primary, self.primary)
+        return {t for t, until in self.ordered if until > time and t not in done}
+
     def confirms_primary(self, primary: str) -> bool:
         """Return whether this claim, if newest, proves `primary` to be the primary.
 
@@ -155,6 +166,7 @@
         "_holders",
         "_known",
         "_logged_orders",
+        "_own_tokens",
         "_pending_orders",
         "_store",
     )
@@ -165,6 +177,7 @@
         self._known: dict[str, tuple[int, Claim | None]] = {}
         # Token and targets of the claim whose orders were logged last, by service.
         self._logged_orders: dict[str, tuple[int, frozenset[str]]] = {}
+        self._own_tokens: dict[str, int] = {}  # of the newest claim that it made
 
     def start(self) -> None:
         """Subscribe to new eras of the store, which may lack claims of earlier eras."""
@@ -181,12 +194,14 @@
         handler: ClaimHandler,
         min_age: float = 0.0,
         target: str = "",
+        gone: str = "",
     ) -> None:
         """Claim the right to replace a primary, unless another host holds a claim.
 
         Fails as well if the newest claim, of any host, is younger than `min_age`
         seconds. An order to promote `target` may be sent under the claim without
-        another call to the store, as later claims inherit it already.
+        another call to the store, as later claims inherit it already. The claim of a
+        host that is known to be `gone` does not count.
         """
         if not self._store.is_settled:
             # Hosts may not yet have stored again the orders that they sent in the
@@ -196,9 +211,8 @@
         version, known = self._known.get(service, (0, None))
         # Rounded as in the store, since a claim that is read back must equal this one.
         time = round(self._store.time or 0.0, 3)
-        if self._is_held_by_other_host(known, time) or self._is_younger_than(
-            known, time, min_age
-        ):
+        is_held = self._is_held_by_other_host(known, time, gone)
+        if is_held or self._is_younger_than(known, time, min_age):
             # Several hosts wait for the same claim, so it is not read before it
             # expires.
             handler(None)
@@ -207,17 +221,22 @@
         must_hold = self.tables.group(service).must_hold
         name = self._node.identity.name
         ordered = dict(self._orders_to_store(service))
+        if primary in ordered:
+            primary = ""  # its order is pending, and was not carried out by this claim
         if target:
             intended = Claim(token, name, primary, time).intended_until
             ordered[target] = max(intended, ordered.get(target, 0.0))
         orders = tuple(ordered.items())
         claim = Claim(token, name, primary, time, must_hold, orders)
+        self._own_tokens[service] = token
         key = RowKey(Table.CLAIMS, service, _ROW_KEY)
         call = ChangeRows(((key, version),), ((key, claim.encode()),))
 
         def on_reply(reply: StoreReply) -> None:
             if reply.status is StoreStatus.CONFLICT:
-                retry = partial(self.take, service, primary, handler, min_age, target)
+                retry = partial(
+                    self.take, service, primary, handler, min_age, target, gone
+                )
                 self._on_conflict(service, handler, reply.rows, retry)
             else:
                 self._on_reply(service, claim, handler, reply)
@@ -233,6 +252,10 @@
         newest = 0 if known is None else known.token
         return max(newest, self._store.era * _TOKENS_PER_ERA) + 1
 
+    def is_held(self, claim: Claim) -> bool:
+        """Return whether another host may still act on its claim."""
+        return self._is_held_by_other_host(claim, self._store.time or 0.0)
+
     def is_of_current_era(self, claim: Claim) -> bool:
         """Return whether the store can't have lost a claim by a restore."""
         return claim.token > self._store.era * _TOKENS_PER_ERA
@@ -336,6 +359,15 @@
             withdrawn = replace(claim, ordered=ordered)
             self._replace(service, claim, withdrawn, "target withdrawn")
 
+    def withdraw_void_orders(self, service: str) -> None:
+        """Tell other hosts that orders in this host's claim are not pending any more.
+
+        They were carried out, or the platform refuses them by now.
+        """
+        claim = self._known.get(service, (0, None))[1]
+        if claim is not None and claim.holder == self._node.identity.name:
+            self.withdraw_target(service, claim)
+
     def _replace(self, service: str, claim: Claim, by: Claim, what: str) -> None:
         """Replace this host's claim, if it is the newest one."""
         version, known = self._known.get(service, (0, None))
@@ -426,9 +458,13 @@
         time = round(self._store.time or 0.0, 3)
         return Claim(token, _NO_HOLDER, primary, time, must_hold, ordered)
 
-    def _is_held_by_other_host(self, claim: Claim | None, time: float) -> bool:
+    def _is_held_by_other_host(
+        self, claim: Claim | None, time: float, gone: str = ""
+    ) -> bool:
         if claim is None or claim.holder in (self._node.identity.name, _NO_HOLDER):
             return False
+        if claim.holder == gone:
+            return False
         return time - claim.time < CLAIM_TIMEOUT
 
     @staticmethod
@@ -508,15 +544,19 @@
         """Record the orders of a claim, except those that were carried out.
 
         An order was carried out if its target is the group's primary, or the primary
-        that the claim replaces.
+        that the claim replaces. A claim without a primary may name an order for the
+        present one.
         """
         group = self.tables.group(service)
         offset = (self._store.time or 0.0) - self.now
-        carried_out = (claim.primary, group.primary)
+        carried_out = (claim.primary, group.primary) if claim.primary else ()
+        is_own = claim.token == self._own_tokens.get(service)
+        is_own = is_own and claim.holder == self._node.identity.name
         orders = {
             target: until - offset
             for target, until in claim.ordered
             if target not in carried_out
+            and not (is_own and until == claim.intended_until)
         }
         self._pending_orders.note_foreign_orders(service, orders, claim.token)
         if claim.holder != self._node.identity.name:
--- a/mallowpass/core/proxy/discovery.py
+++ b/mallowpass/core/proxy/discovery.py
@@ -8,10 +8,15 @@
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.control import Control
+from mallowpass.core.proxy.fencing import Fencing
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.primaryconflicts import PrimaryConflicts
-from mallowpass.core.proxy.signals import PrimaryChanged, PrimarySuspected
+from mallowpass.core.proxy.signals import (
+    FenceUnattended,
+    PrimaryChanged,
+    PrimarySuspected,
+)
 from mallowpass.core.proxy.statements import Begin, Code, EndpointReply, Rollback
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
 
@@ -25,7 +30,14 @@
 class Discovery(ProxySystem):
     """Probe endpoints while the primary of their group is unknown or suspected."""
 
-    __slots__ = ("_conflicts", "_control", "_holders", "_members", "_probed")
+    __slots__ = (
+        "_conflicts",
+        "_control",
+        "_fencing",
+        "_holders",
+        "_members",
+        "_probed",
+    )
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
@@ -37,19 +49,24 @@
         self._holders = self._node.system(Holders)
         self._members = self._node.system(Members)
         self._conflicts = self._node.system(PrimaryConflicts)
+        self._fencing = self._node.system(Fencing)
+        self._node.subscribe(FenceUnattended, self._on_primary_changed)
         self._node.subscribe(PrimaryChanged, self._on_primary_changed)
         self._node.subscribe(PrimarySuspected, self._on_primary_changed)
 
-    def _on_primary_changed(self, signal: PrimaryChanged | PrimarySuspected) -> None:
+    def _on_primary_changed(
+        self, signal: FenceUnattended | PrimaryChanged | PrimarySuspected
+    ) -> None:
         group = signal.group
         if self._needs_primary(group) and group.service not in self._probed:
             self._probed.add(group.service)
             self.timers.after(PROBE_DELAY, self._probe_group, group)
 
-    @staticmethod
-    def _needs_primary(group: GroupRow) -> bool:
-        """Return whether a group has no known primary, or only a suspected one."""
-        return not group.primary or group.is_suspected
+    def _needs_primary(self, group: GroupRow) -> bool:
+        """Return whether a group has no known primary, or one that may be replaced."""
+        if not group.primary or group.is_suspected:
+            return True
+        return self._fencing.has_unattended(group.service)
 
     def _probe_group(self, group: GroupRow) -> None:
         if not self._needs_primary(group):
--- a/mallowpass/core/proxy/fencelog.py
+++ b/mallowpass/core/proxy/fencelog.py
@@ -20,6 +20,7 @@
     FenceEnd,
     FenceEnded,
     FenceRenewed,
+    FenceUnattended,
     PrimaryChanged,
     WriteAcknowledged,
 )
@@ -87,6 +88,7 @@
         subscribe(FenceBegan, self._on_began)
         subscribe(FenceEnded, self._on_ended)
         subscribe(FenceRenewed, self._on_renewed)
+        subscribe(FenceUnattended, self._on_unattended)
         subscribe(PrimaryChanged, self._on_primary_changed)
         subscribe(WriteAcknowledged, self._on_acknowledged)
 
@@ -104,12 +106,15 @@
         return fence.end is not None and self.now > fence.ended_at + ORDER_AGE_MAX
 
     def _on_renewed(self, signal: FenceRenewed) -> None:
-        fence = self._fences[signal.service][signal.order.owner]
+        fence = self._fences.get(signal.service, {}).get(signal.order.owner)
+        if fence is None or fence.end is not None:
+            self._on_began(FenceBegan(signal.service, signal.order))
+            return
         fence.order = signal.order
         fence.renewed_at = self.now
 
     def _on_ended(self, signal: FenceEnded) -> None:
-        fence = self._fences[signal.service].get(signal.owner)
+        fence = self._fences.get(signal.service, {}).get(signal.owner)
         if fence is None or fence.end is not None:
             return
         fence.end = signal.reason
@@ -117,9 +122,16 @@
         for commits in self._commits.get(signal.service, {}).values():
             commits.split()
         if signal.reason is FenceEnd.EXPIRED:
-            self._log_expired(signal.service, fence)
+            self._log_silence(signal.service, fence, "fence_expired")
+
+    def _on_unattended(self, signal: FenceUnattended) -> None:
+        service = signal.group.service
+        fence = self._fences.get(service, {}).get(signal.owner)
+        if fence is not None and fence.end is None:
+            self._log_silence(service, fence, "fence_unattended")
 
-    def _log_expired(self, service: str, fence: _Fence) -> None:
+    def _log_silence(self, service: str, fence: _Fence, event: str) -> None:
+        """Tell of a fence that its owner has not renewed in time."""
         for key, logged_at in list(self._expired_at.items()):
             if self.now >= logged_at + EXPIRED_INTERVAL:
                 del self._expired_at[key]
@@ -129,11 +141,12 @@
         self._expired_at[key] = self.now
         self._node.log(
             "warning",
-            "fence_expired",
+            event,
             service=service,
             owner=fence.order.owner,
             target=fence.order.target or "",
             fenced_ago=self._age(fence.began_at),
+            renewed_ago=self._age(fence.renewed_at),
         )
 
     # -- Replaced primaries --------------------------------------------------
--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -19,7 +19,7 @@
 another claim is needed, it is fenced as well, and all holders confirm anew.
 
 The fence is renewed with each order. It outlasts the attempt while an order may still
-be carried out, and is lifted if there is none.
+be carried out, whoever sent it, and is lifted if there is none.
 """
 
 from __future__ import annotations
@@ -32,7 +32,11 @@
 from mallowpass.core.proxy.control import ControlRequest
 from mallowpass.core.proxy.demotion import Demotion
 from mallowpass.core.proxy.durability import Durability
-from mallowpass.core.proxy.fencing import FENCE_DURATION, Fencing
+from mallowpass.core.proxy.fencing import (
+    FENCE_DURATION,
+    RELAX_DURATION,
+    Fencing,
+)
 from mallowpass.core.proxy.forwardedorders import ForwardedOrders, ForwardedReply
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.replacement import (
@@ -42,7 +46,12 @@
     Replacement,
 )
 from mallowpass.core.proxy.signals import PrimarySteppedDown, PrimarySuspected
-from mallowpass.core.proxy.statements import Fence, FenceEvidence, LogPosition
+from mallowpass.core.proxy.statements import (
+    Fence,
+    FenceEvidence,
+    LogPosition,
+    owner_name,
+)
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, HostRow, ProxySystem
 
 __all__ = ["FenceOrders"]
@@ -101,12 +110,16 @@
         "_fencing",
         "_forwarded_orders",
         "_holders",
+        "_owner",
         "_tasks",
+        "_tokens",
     )
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
         self._tasks: dict[str, _Task] = {}  # by service
+        self._owner = owner_name(node.identity.name, node.identity.incarnation)
+        self._tokens: dict[str, int] = {}  # of this host's newest claims, by service
 
     def start(self) -> None:
         """Subscribe to primaries that may have to be replaced."""
@@ -138,6 +151,7 @@
         of the attempt are set before.
         """
         service = attempt.group.service
+        self._note_claim(attempt)
         task = self._tasks.get(service)
         if task is not None:
             if self.now >= task.renewed_at + RENEW_INTERVAL:
@@ -187,6 +201,7 @@
 
     def renew(self, attempt: Replacement) -> None:
         """Have all holders fence an attempt's primary for longer."""
+        self._note_claim(attempt)
         task = self._tasks.get(attempt.group.service)
         if task is not None:
             task.renewed_at = self.now
@@ -206,6 +221,7 @@
     def end(self, attempt: Replacement, is_order_pending: bool) -> None:
         """End the task of an attempt; lift its fence unless its order is pending."""
         group = attempt.group
+        self._note_claim(attempt)
         task = self._remove(attempt)
         if task is None:
             return
@@ -248,13 +264,23 @@
 
     def fence(self, group: GroupRow, primary: str, target: str) -> None:
         """Have all holders fence a primary, without waiting for confirmations."""
-        fence = Fence(primary, FENCE_DURATION, self._node.identity.name, target)
+        fence = self._new_fence(group, primary, target, FENCE_DURATION)
         self._fencing.fence_service(group, fence)
         self._send_all(group, fence)
 
+    def relax(self, group: GroupRow, primary: str, target: str) -> None:
+        """Have all holders let writes run, for as long as this host renews it."""
+        self._send_all(group, self.relax_here(group, primary, target))
+
+    def relax_here(self, group: GroupRow, primary: str, target: str) -> Fence:
+        """Let the writes of this host run for a moment."""
+        fence = self._new_fence(group, primary, target, RELAX_DURATION, True)
+        self._fencing.relax_service(group, fence)
+        return fence
+
     def lift(self, group: GroupRow, primary: str, target: str) -> None:
         """Have all holders lift this host's fence of a primary."""
-        fence = Fence(primary, 0.0, self._node.identity.name, target)
+        fence = self._new_fence(group, primary, target, 0.0)
         self._fencing.lift_service(group, fence.owner)
         self._send_all(group, fence)
 
@@ -274,8 +300,23 @@
         return group.endpoints.get(primary) or group.primary_row or next(members, None)
 
     def _fence_of(self, attempt: Replacement) -> Fence:
-        own_name = self._node.identity.name
-        return Fence(attempt.primary, FENCE_DURATION, own_name, attempt.fence_target)
+        group, target = attempt.group, attempt.fence_target
+        return self._new_fence(group, attempt.primary, target, FENCE_DURATION)
+
+    def _new_fence(
+        self,
+        group: GroupRow,
+        primary: str,
+        target: str,
+        duration: float,
+        is_relaxed: bool = False,
+    ) -> Fence:
+        token = self._tokens.get(group.service, 0)
+        return Fence(primary, duration, self._owner, target, is_relaxed, token)
+
+    def _note_claim(self, attempt: Replacement) -> None:
+        if attempt.claim is not None:
+            self._tokens[attempt.group.service] = attempt.claim.token
 
     def _order(self, task: _Task, host: HostRow) -> None:
         """Have a holder fence the primary; repeat it until the holder confirms."""
--- a/mallowpass/core/proxy/fencing.py
+++ b/mallowpass/core/proxy/fencing.py
@@ -18,6 +18,16 @@
 its fence would cover a primary that another host has promoted. So the fence of a new
 primary ends if its owner does not hold the newest claim. See `fenceorders` for when
 fences begin.
+
+The owner of a fence may be gone, and its order may be carried out later. So a fence
+that was neither renewed nor lifted in time does not end: it is unattended, and holds
+writes until the store shows that no order is pending, see `takeovers`. The owner
+relaxes a fence while nothing can be lost: writes run for a moment at a time, and are
+held again if it does not renew that. A host that has started again is another owner
+than before, and lifts no fence of its earlier run.
+
+Whoever holds a newer claim knows of the orders of the claims before, and keeps a fence
+of its own for as long as one is pending. So its fence replaces unattended earlier ones.
 """
 
 from __future__ import annotations
@@ -30,27 +40,39 @@
 from mallowpass.core.proxy.claims import Claim, Claims
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.durability import COMMITS_MAX
-from mallowpass.core.proxy.pendingorders import ACCEPTED_ORDER_TIMEOUT
+from mallowpass.core.proxy.pendingorders import (
+    ACCEPTED_ORDER_TIMEOUT,
+    LATE_ORDER_TIMEOUT,
+)
 from mallowpass.core.proxy.signals import (
     FenceBegan,
     FenceEnd,
     FenceEnded,
     FenceRenewed,
+    FenceSilent,
+    FenceUnattended,
     PrimaryChanged,
 )
 from mallowpass.core.proxy.stalls import Stalls
-from mallowpass.core.proxy.statements import Fence, FenceEvidence
+from mallowpass.core.proxy.statements import Fence, FenceEvidence, host_of
 from mallowpass.core.proxy.store import CALL_TIMEOUT
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
 from mallowpass.core.proxy.writeholds import DrainedHandler, HoldReason, WriteHolds
 from mallowpass.core.timers import Timer
 
-__all__ = ["FENCE_DURATION", "Fencing"]
+__all__ = ["FENCE_DURATION", "RELAX_DURATION", "Fencing"]
 
 # Times are in seconds.
 # A fence is renewed with each order that the platform accepts, and expires if its
 # promotion is not carried out and not ordered again.
 FENCE_DURATION = ACCEPTED_ORDER_TIMEOUT + 0.5
+# For the commits in flight at a primary that is fenced again; see `_begin_again`.
+DRAIN_TIMEOUT = 0.05
+# Without a renewal, until this host finds out whether the owner is gone. An order that
+# was accepted is carried out within this time, or the owner renews its fence.
+OWNER_SILENCE = 1.0
+# For which writes run beside a pending order, unless the owner of the fence renews it.
+RELAX_DURATION = 0.6
 # Without a reply of a fenced primary. Within this time all holders have forwarded the
 # order to step down, and the primary has answered if one of them reaches it.
 SILENCE_TIMEOUT = 0.2
@@ -67,15 +89,25 @@
     until: float
     began_at: float
     is_overtaken: bool = False  # its owner did not hold the newest claim
+    is_relaxed: bool = False  # its owner lets writes run
+    is_unattended: bool = False  # its owner has not renewed it in time
+    token: int = 0  # of the owner's claim; 0: not taken yet
 
     def covers(self, name: str) -> bool:
         """Return whether writes to an endpoint are held."""
-        if self.is_overtaken:
+        if self.is_overtaken or self.is_relaxed:
             return False
         if self.target is None:
             return name == self.primary
         return name != self.target
 
+    def is_of_earlier_claim(self, token: int) -> bool:
+        """Return whether the claim of its owner is older than another one.
+
+        It may be newer if its owner had not taken it yet as it was heard of last.
+        """
+        return 0 < self.token < token
+
     def is_ended_by(self, primary: str) -> bool:
         """Return whether the fence ends as another endpoint becomes primary."""
         if self.target is None:
@@ -90,6 +122,7 @@
         "_claims",
         "_connections",
         "_fences",
+        "_newest_tokens",
         "_stalls",
         "_timers",
         "_write_holds",
@@ -100,6 +133,7 @@
         self._timers: dict[str, Timer] = {}  # at the end of the next fence, by service
         # By service, and by the host that owns the fence.
         self._fences: dict[str, dict[str, _Fence]] = {}
+        self._newest_tokens: dict[str, int] = {}  # of fences, by service
 
     def start(self) -> None:
         """Subscribe to changes of primaries."""
@@ -140,26 +174,123 @@
             return
         until, began_at = self.now + order.duration, self.now
         if known is not None and known.until > self.now:
-            until, began_at = max(until, known.until), known.began_at
-        fence = _Fence(order.primary, order.target, until, began_at)
+            began_at = known.began_at
+            if not known.is_unattended:
+                until = max(until, known.until)
+        fence = _Fence(order.primary, order.target, until, began_at, token=order.token)
         fences[order.owner] = fence
-        began = FenceBegan if began_at == self.now else FenceRenewed
+        is_renewed = began_at < self.now and not known.is_relaxed
+        began = FenceRenewed if is_renewed else FenceBegan
         self._node.publish(began(group.service, order))
-        covered = [
-            endpoint
-            for endpoint in (group.endpoints.get(order.primary), group.primary_row)
-            if endpoint is not None and fence.covers(endpoint.name)
-        ]
+        self._replace_earlier(group.service, order.token)
+        self.timers.after(
+            OWNER_SILENCE, self._report_silence, group, order.owner, fence
+        )
+        covered = self._covered(group, fence)
         self._hold(covered, until)
+        if known is not None and known.is_relaxed:
+            self._begin_again(covered)
         self._update(group)
         self._await_drained(covered, handler)
 
+    def _covered(self, group: GroupRow, fence: _Fence) -> list[EndpointRow]:
+        """Return the endpoints that this host may write to and a fence covers."""
+        rows = (group.endpoints.get(fence.primary), group.primary_row)
+        return [row for row in rows if row is not None and fence.covers(row.name)]
+
+    def _begin_again(self, covered: list[EndpointRow]) -> None:
+        """Give up the commits that are in flight as a relaxed fence holds writes again.
+
+        The target has stopped to receive. They would be acknowledged as soon as another
+        replica receives them.
+        """
+        for endpoint in covered:
+            self.timers.after(DRAIN_TIMEOUT, self.abandon_commits, endpoint)
+
+    def relax_service(self, group: GroupRow, order: Fence) -> None:
+        """Let writes run for as long as the owner of a fence renews this."""
+        fences = self._fences.setdefault(group.service, {})
+        known = fences.get(order.owner)
+        if known is not None and known.is_unattended and known.until > self.now:
+            return  # its owner was held up, and may not know what happened since
+        if known is not None and not known.is_relaxed:
+            relaxed = FenceEnded(group.service, order.owner, FenceEnd.RELAXED)
+            self._node.publish(relaxed)
+        began_at = self.now if known is None else known.began_at
+        until = self.now + order.duration
+        fence = _Fence(
+            order.primary,
+            order.target,
+            until,
+            began_at,
+            is_relaxed=True,
+            token=order.token,
+        )
+        fences[order.owner] = fence
+        self._replace_earlier(group.service, order.token)
+        self._update(group)
+
+    def _replace_earlier(self, service: str, token: int) -> None:
+        """End the unattended fences of earlier claims."""
+        self._newest_tokens[service] = max(self._newest_tokens.get(service, 0), token)
+        fences = self._fences[service]
+        for owner, fence in list(fences.items()):
+            if fence.is_unattended and fence.is_of_earlier_claim(token):
+                self._end(service, owner, FenceEnd.REPLACED)
+
+    def leave_unattended(self, group: GroupRow, order: Fence, grace: float) -> None:
+        """Fence a service for a pending order whose host may be gone.
+
+        If that host is not, it renews its own fence within `grace` seconds.
+        """
+        until = self.now + order.duration
+        fence = _Fence(order.primary, order.target, until, self.now, token=order.token)
+        fence.is_unattended = True
+        self._fences.setdefault(group.service, {})[order.owner] = fence
+        self._node.publish(FenceBegan(group.service, order))
+        self._hold(self._covered(group, fence), until)
+        self._update(group)
+        self._node.publish(FenceUnattended(group, order.owner, grace))
+
+    def _report_silence(self, group: GroupRow, owner: str, fence: _Fence) -> None:
+        """Publish that the owner of a fence has not renewed it for a while."""
+        is_current = self._fences[group.service].get(owner) is fence
+        if is_current and not fence.is_relaxed and self._outlasts_owner(group, fence):
+            self._node.publish(FenceSilent(group, owner))
+
+    def note_gone(self, group: GroupRow, host: str) -> None:
+        """Leave the fences of a host that has ended unattended."""
+        for owner, fence in self._fences.get(group.service, {}).items():
+            if host_of(owner) == host and self._outlasts_owner(group, fence):
+                fence.is_relaxed = False
+                self._prolong(group, owner, fence)
+        self._update(group)
+
+    def has_unattended(self, service: str) -> bool:
+        """Return whether writes are held by a fence whose owner may be gone."""
+        return any(fence.is_unattended for fence in self._in_force(service))
+
+    def is_attended(self, service: str, token: int) -> bool:
+        """Return whether a host keeps a fence, relaxed or not, by a claim or later."""
+        return any(
+            fence.token >= token and not fence.is_unattended
+            for fence in self._in_force(service)
+        )
+
+    def end_unattended(self, group: GroupRow) -> None:
+        """End the fences whose owners may be gone, as no order of theirs is pending."""
+        fences = self._fences.get(group.service, {})
+        for owner in [owner for owner, f in fences.items() if f.is_unattended]:
+            self._end(group.service, owner, FenceEnd.UNNEEDED)
+        self._update(group)
+
     def _hold(self, endpoints: Iterable[EndpointRow], until: float) -> None:
         for endpoint in endpoints:
             service = endpoint.entry.service
             held = self._write_holds.held(service, HoldReason.FENCE)
             is_held = any(other.name == endpoint.name for other in held)
-            duration = until - self.now
+            # Longer than the fence: it is released once no fence covers it any more.
+            duration = until + LATE_ORDER_TIMEOUT - self.now
             self._write_holds.hold(endpoint, duration, HoldReason.FENCE)
             if not is_held:
                 if self._is_silent(endpoint):
@@ -223,12 +354,52 @@
         return is_covered and self._write_holds.is_held(primary)
 
     def _in_force(self, service: str) -> list[_Fence]:
-        fences = self._fences.get(service, {})
+        """Return the fences of a service, without those that have ended."""
+        group, fences = self.tables.group(service), self._fences.get(service, {})
         for owner, fence in list(fences.items()):
-            if fence.until <= self.now:
+            if fence.until > self.now:
+                continue
+            if self._outlasts_owner(group, fence):
+                self._prolong(group, owner, fence)
+            else:
                 self._end(service, owner, FenceEnd.EXPIRED)
         return list(fences.values())
 
+    def _prolong(self, group: GroupRow, owner: str, fence: _Fence) -> None:
+        """Have a fence hold writes that its owner has not renewed in time."""
+        if fence.is_relaxed:
+            fence.is_relaxed = False
+            fence.until = self.now + FENCE_DURATION
+            order = Fence(fence.primary, FENCE_DURATION, owner, fence.target)
+            self._node.publish(FenceBegan(group.service, order))
+            covered = self._covered(group, fence)
+            self._hold(covered, fence.until)
+            self._begin_again(covered)
+            self.timers.after(0.0, self._report_silence, group, owner, fence)
+            return
+        fence.is_unattended = True
+        fence.until = self.now + LATE_ORDER_TIMEOUT
+        self._hold(self._covered(group, fence), fence.until)
+        self.timers.after(0.0, self._on_unattended, group, owner, fence)
+
+    def _outlasts_owner(self, group: GroupRow, fence: _Fence) -> bool:
+        """Return whether an order may be pending that a fence was to protect.
+
+        Where the platform checks no tokens, a later order does not end an earlier one,
+        so nobody could end the fence.
+        """
+        is_over = fence.is_unattended or fence.is_overtaken
+        newest = self._newest_tokens.get(group.service, 0)
+        is_replaced = fence.is_of_earlier_claim(newest)
+        if is_over or is_replaced or fence.target is None:
+            return False
+        is_done = fence.target == group.primary
+        return self.tables.promotion_fences_primary and not is_done
+
+    def _on_unattended(self, group: GroupRow, owner: str, fence: _Fence) -> None:
+        if fence.is_unattended and self._fences[group.service].get(owner) is fence:
+            self._node.publish(FenceUnattended(group, owner))
+
     def lift(self, primary: EndpointRow, owner: str) -> None:
         """End a host's fence of a primary at this host; those of others stay."""
         self.lift_service(self.tables.group(primary.entry.service), owner)
@@ -302,7 +473,9 @@
             holders = (claim.holder, self._node.identity.name)
             began_before = self.now - CLAIM_TIME
             for owner, fence in self._fences.get(group.service, {}).items():
-                if owner not in holders and fence.began_at < began_before:
+                is_earlier = fence.began_at < began_before
+                is_attended = is_earlier and not fence.is_unattended
+                if host_of(owner) not in holders and is_attended:
                     fence.is_overtaken = True
                     overtaken = FenceEnded(group.service, owner, FenceEnd.OVERTAKEN)
                     self._node.publish(overtaken)
@@ -319,7 +492,7 @@
         """
 
         def on_claim(claim: Claim | None, is_known: bool) -> None:
-            if claim is not None and is_known and claim.holder == order.owner:
+            if claim is not None and is_known and claim.holder == order.host:
                 self._fences[group.service].pop(order.owner, None)
                 self.fence_service(group, order, handler)
 
@@ -343,7 +516,7 @@
     def _owners_text(self, fences: dict[str, _Fence]) -> str:
         """Return the owners of fences, each as OWNER:SECONDS_LEFT."""
         return ",".join(
-            f"{owner}:{round(fence.until - self.now, 3)}"
+            f"{host_of(owner)}:{round(fence.until - self.now, 3)}"
             for owner, fence in sorted(fences.items())
         )
 
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -422,7 +422,10 @@
                 evidence = self._fencing.evidence(group, statement)
                 self._answer_done(link, evidence.encode())
 
-        if statement.duration:
+        if statement.is_relaxed:
+            self._fencing.relax_service(group, statement)
+            self._answer_done(link)
+        elif statement.duration:
             self._fencing.fence_service(group, statement, on_drained)
         else:
             self._fencing.lift_service(group, statement.owner)
--- a/mallowpass/core/proxy/pendingfences.py
+++ b/mallowpass/core/proxy/pendingfences.py
@@ -8,11 +8,17 @@
 and again, and the primary is fenced once more as soon as one of these does not hold.
 A member whose pause has ended is paused again.
 
+That target and primary show the same position proves little while the fence stops all
+commits. So the writes of this host alone run first, until the target has received one.
+
+While it is lifted it is only relaxed at the holders: should this host end, they hold
+writes again, see `fencing`. A host that does not reach the store renews no fence, so
+that another one takes the order over, see `takeovers`.
+
 Another endpoint may become primary meanwhile, such as the one that inherits the log of
 a primary that has left. The order replaces that one as well, so it is fenced likewise.
 Or else another host has promoted it under a newer claim: then that host knows of the
-order, and this one guards nothing any more. The store tells which it is; a host that
-does not reach the store lets its fence expire.
+order, and this one guards nothing any more. The store tells which it is.
 """
 
 from __future__ import annotations
@@ -35,6 +41,7 @@
     Statement,
     Status,
 )
+from mallowpass.core.proxy.store import Store
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
 
 __all__ = ["PendingFences"]
@@ -43,6 +50,10 @@
 # Between two questions to the members. A round trip between regions takes a quarter.
 ROUND_INTERVAL = 0.1
 RENEW_INTERVAL = 1.0  # between two fences that are sent
+RELAX_INTERVAL = 0.2  # between two orders that let writes run
+# After which the answers of a round are outdated: this host was held up.
+ROUND_TIMEOUT = 0.5
+TRIAL_TIMEOUT = 0.5  # for the first write of this host
 
 
 @dataclass(slots=True, eq=False)
@@ -55,8 +66,13 @@
     former: set[str] = field(default_factory=set)  # primaries before, since the order
     is_newest_until: float = float("-inf")  # no other host had claimed shortly before
     is_lifted: bool = False
+    # The position of the primary as the writes of this host began to run again.
+    trial_from: LogPosition | None = None
+    trial_until: float = 0.0
+    has_received: bool = False  # the target, since then
     renewed_at: float = float("-inf")
     fenced_until: float = 0.0  # at least, as an order was accepted
+    asked_at: float = 0.0  # in this round
     statuses: dict[str, EndpointStatus] = field(default_factory=dict)  # of this round
     unanswered: list[EndpointRow] = field(default_factory=list)  # members asked
     shown: LogPosition | None = None  # by the primary, in the round before
@@ -72,6 +88,7 @@
         "_fence_orders",
         "_pending_orders",
         "_replica_orders",
+        "_store",
         "_watches",
     )
 
@@ -85,20 +102,26 @@
         self._fence_orders = self._node.system(FenceOrders)
         self._pending_orders = self._node.system(PendingOrders)
         self._replica_orders = self._node.system(ReplicaOrders)
+        self._store = self._node.system(Store)
         self._node.subscribe(PromotionOrdered, self._on_ordered)
         self._node.subscribe(PrimaryChanged, self._on_primary_changed)
 
     def watch(self, attempt: Replacement) -> None:
         """Keep an attempt's primary fenced until no order for a target is pending."""
-        service = attempt.group.service
-        watch = self._watches.get(service)
+        group, target = attempt.group, attempt.target
+        rivals = self._pending_orders.rivals(group)
+        if target not in rivals and rivals:
+            target = min(rivals)  # an order before this attempt
+        watch = self._watches.get(group.service)
         if watch is not None:
-            watch.target = attempt.target
+            watch.target = target
+            if group.primary not in ("", watch.primary, target):
+                self._change_primary(watch)
             return
-        watch = _Watch(attempt.group, attempt.primary, attempt.target)
-        if attempt.group.primary not in ("", attempt.primary):
+        watch = _Watch(group, attempt.primary, target)
+        if group.primary not in ("", attempt.primary):
             self._change_primary(watch)
-        self._watches[service] = watch
+        self._watches[group.service] = watch
         self._ask(watch)
 
     def _on_ordered(self, signal: PromotionOrdered) -> None:
@@ -159,7 +182,7 @@
         if self._is_over(watch):
             self._end(watch)
             return
-        watch.statuses = {}
+        watch.statuses, watch.asked_at = {}, self.now
         for endpoint in watch.group.endpoints.values():
             self._query(watch, endpoint)
         self.timers.after(ROUND_INTERVAL, self._evaluate, watch)
@@ -216,24 +239,17 @@
         if self._is_over(watch):
             self._end(watch)
             return
-        is_safe = self.now >= watch.fenced_until and self._is_safe(watch)
+        is_prompt = self.now < watch.asked_at + ROUND_TIMEOUT
+        is_due = self.now >= watch.fenced_until
+        is_safe = is_prompt and is_due and self._is_safe(watch)
         primary = watch.statuses.get(watch.primary)
         watch.shown = None if primary is None else primary.received
         watch.receiving = self._receiving(watch)
         watch.paused = {n for n, s in watch.statuses.items() if s.paused_for}
-        if is_safe and not watch.is_lifted:
-            self._fence_orders.lift(watch.group, watch.primary, watch.target)
-        elif not is_safe:
+        if is_safe:
+            self._relax(watch)
+        else:
             self._renew(watch)
-        if is_safe is not watch.is_lifted:
-            self._node.log(
-                "info",
-                "pending_fence",
-                service=watch.group.service,
-                primary=watch.primary,
-                target=watch.target,
-                lifted=is_safe,
-            )
         watch.is_lifted = is_safe
         self._ask(watch)
 
@@ -267,6 +283,8 @@
             for name in others
         )
         keeps_up = target.received >= watch.shown and not target.paused_for
+        if watch.trial_from is not None and target.received <= watch.trial_from:
+            keeps_up &= primary.received <= watch.trial_from
         return primary.is_primary and keeps_up and are_paused
 
     @staticmethod
@@ -280,22 +298,74 @@
         is_due = self.now >= watch.renewed_at + RENEW_INTERVAL
         if not (watch.is_lifted or is_due):
             return
+        if watch.has_received:
+            self._log(watch, is_lifted=False)
+        watch.trial_from, watch.has_received = None, False
         watch.renewed_at = self.now
-        if watch.former:
-            self._renew_if_newest(watch)
-        else:
+        needs_store = self.tables.promotion_fences_primary or watch.former
+        if watch.is_lifted and not watch.former or not needs_store:
             self._fence_orders.fence(watch.group, watch.primary, watch.target)
+        else:
+            self._renew_if_known(watch)
 
-    def _renew_if_newest(self, watch: _Watch) -> None:
-        """Renew a fence if no other host has claimed since; else end the watch."""
+    def _relax(self, watch: _Watch) -> None:
+        """Let the writes of this host run, and those of all once the target has one.
+
+        Holders hold their writes again unless they are told again in time.
+        """
+        if watch.trial_from is None:
+            watch.trial_from = watch.statuses[watch.primary].received
+            watch.trial_until = self.now + TRIAL_TIMEOUT
+            watch.renewed_at = float("-inf")
+        group, primary, target = watch.group, watch.primary, watch.target
+        if not watch.has_received and not self._is_received(watch):
+            self._fence_orders.relax_here(group, primary, target)
+            return
+        if not watch.has_received:
+            watch.has_received = True
+            self._log(watch, is_lifted=True)
+        if self.now >= watch.renewed_at + RELAX_INTERVAL:
+            watch.renewed_at = self.now
+            self._fence_orders.relax(group, primary, target)
+
+    def _is_received(self, watch: _Watch) -> bool:
+        """Return whether the target has received a commit since the trial began.
+
+        It is not waited for where nobody writes, or the platform checks no tokens.
+        """
+        is_waived = self.now >= watch.trial_until
+        is_waived |= not self.tables.promotion_fences_primary
+        return is_waived or watch.statuses[watch.target].received > watch.trial_from
+
+    def _log(self, watch: _Watch, is_lifted: bool) -> None:
+        self._node.log(
+            "info",
+            "pending_fence",
+            service=watch.group.service,
+            primary=watch.primary,
+            target=watch.target,
+            lifted=is_lifted,
+        )
+
+    def _renew_if_known(self, watch: _Watch) -> None:
+        """Renew a fence if the store tells who holds the newest claim.
+
+        Of another primary than the one that was to be replaced, only the holder of that
+        claim renews a fence.
+        """
 
         def on_claim(claim: Claim | None, is_known: bool) -> None:
-            is_current = self._watches.get(watch.group.service) is watch
+            service = watch.group.service
+            is_current = self._watches.get(service) is watch and not watch.is_lifted
             if not is_current or claim is None or not is_known:
                 return
-            if claim.holder == self._node.identity.name:
+            is_newest = claim.holder == self._node.identity.name
+            if is_newest:
                 watch.is_newest_until = self.now + 2 * RENEW_INTERVAL
+            if is_newest or not watch.former:
                 self._fence_orders.fence(watch.group, watch.primary, watch.target)
+            elif watch.target in claim.rivals(watch.group.primary, self._store.time):
+                del self._watches[service]  # its fence ends once that host has decided
             else:
                 self._end(watch)
 
--- a/mallowpass/core/proxy/pendingorders.py
+++ b/mallowpass/core/proxy/pendingorders.py
@@ -51,6 +51,7 @@
     accepted_until: float = float("-inf")  # when the last accepted one expires
     foreign_until: float = float("-inf")  # when the last one of another host expires
     unanswered: dict[int, float] = field(default_factory=dict)  # expiry by number
+    tokens: dict[int, int] = field(default_factory=dict)  # of these, by number
     # The primary's commits had been stopped before the newest order.
     is_quiesced: bool = False
     # Another replica's pause has ended since.
@@ -67,6 +68,13 @@
         unanswered = max(self.unanswered.values(), default=self.foreign_until)
         return max(unanswered, self.foreign_until) > now
 
+    def expire_earlier(self, token: int, until: float) -> None:
+        """Have the orders without an answer expire whose tokens are older than one."""
+        self.foreign_until = min(self.foreign_until, until)
+        for number, expiry in self.unanswered.items():
+            if self.tokens[number] < token:
+                self.unanswered[number] = min(expiry, until)
+
 
 class PendingOrders(ProxySystem):
     """Keep the pending promotion orders of this host and of others."""
@@ -86,11 +94,17 @@
     # -- Orders --------------------------------------------------------------
 
     def note_order(
-        self, service: str, target: str, number: int, is_quiesced: bool
+        self,
+        service: str,
+        target: str,
+        number: int,
+        is_quiesced: bool,
+        token: int = 0,
     ) -> None:
         """Record that an order is about to be sent, under a number of its own."""
         orders = self._orders.setdefault(service, {}).setdefault(target, _Orders())
         orders.unanswered[number] = self.now + LATE_ORDER_TIMEOUT
+        orders.tokens[number] = token
         orders.is_quiesced = is_quiesced
 
     def note_answer(
@@ -109,6 +123,7 @@
         if orders is None or accepted is None:
             return
         orders.unanswered.pop(number, None)
+        orders.tokens.pop(number, None)
         if accepted:
             orders.accepted_until = self.now + ACCEPTED_ORDER_TIMEOUT
             orders.accepted_token = max(orders.accepted_token, token)
@@ -123,7 +138,7 @@
         if is_newer and self.tables.promotion_fences_primary:
             until = self.now + ACCEPTED_ORDER_TIMEOUT
             for orders in self._orders.get(service, {}).values():
-                orders.foreign_until = min(orders.foreign_until, until)
+                orders.expire_earlier(token, until)
 
     def note_foreign_orders(
         self, service: str, until: dict[str, float], token: int
@@ -151,6 +166,13 @@
         """Return the targets that may replace a group's primary at any moment."""
         return self.pending(group.service).keys() - {group.primary}
 
+    def has_foreign(self, group: GroupRow) -> bool:
+        """Return whether an order of another host may replace a group's primary."""
+        return any(
+            orders.foreign_until > self.now and target != group.primary
+            for target, orders in self._orders.get(group.service, {}).items()
+        )
+
     def pending_text(self, service: str) -> str:
         """Return the pending orders for log lines, each as TARGET:SECONDS_LEFT."""
         pending = sorted(self.pending(service).items())
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -92,6 +92,8 @@
 OVERLOAD_RETRY_INTERVAL = 5.0
 # Comparisons before such a switchover is given up; fewer, since no endpoint has failed.
 OVERLOAD_ROUNDS_MAX = 4
+# After a promotion, until orders that are void by it are taken out of the claim.
+WITHDRAWAL_DELAY = 1.0
 
 
 class Promotion(ProxySystem):
@@ -171,6 +173,8 @@
         primary: str,
         reason: Reason,
         why: str,
+        inherits_order: bool = False,
+        gone_host: str = "",
     ) -> None:
         """Begin to replace a primary, unless an attempt is under way.
 
@@ -187,7 +191,9 @@
             return
         if len(self._candidates(group, primary)) == 0:
             return
-        attempt = Replacement(group, primary, reason, why, self.now)
+        attempt = Replacement(
+            group, primary, reason, why, self.now, inherits_order, gone_host
+        )
         self._attempts[group.service] = attempt
         self._node.publish(ReplacementBegan(attempt))
         self._resumption.suspend(group.service)
@@ -195,6 +201,17 @@
         if reason is Reason.UNAVAILABLE and not attempt.is_ended:
             self._fence(attempt)  # while the claim is taken, which takes as long
 
+    def take_over(self, group: GroupRow, gone_host: str) -> None:
+        """Replace a primary in place of a host that may be gone.
+
+        Its order may be carried out at any moment. A newer one makes it void. If
+        `gone_host` is named, it is known to be gone, and its claim does not count.
+        """
+        why = "an order is pending whose host may be gone"
+        self.replace(
+            group, group.primary, Reason.UNAVAILABLE, why, True, gone_host=gone_host
+        )
+
     def _take_claim(self, attempt: Replacement) -> None:
         min_age = (
             OVERLOAD_RETRY_INTERVAL if attempt.reason is Reason.OVERLOADED else 0.0
@@ -207,6 +224,7 @@
             lambda claim: self._on_claim(attempt, claim, call),
             min_age,
             self._likely_target(attempt) if attempt.reason.is_failure else "",
+            attempt.gone_host,
         )
 
     def _likely_target(self, attempt: Replacement) -> str:
@@ -718,7 +736,8 @@
 
     def _suspend(self, attempt: Replacement) -> None:
         """Lift the fence of an attempt, unless an order before it is pending."""
-        if not self._pending_fences.is_guarding(attempt.group.service):
+        is_guarding = self._pending_fences.is_guarding(attempt.group.service)
+        if not (is_guarding or self._pending_orders.has_foreign(attempt.group)):
             self._fence_orders.suspend(attempt)
 
     def _may_be_promoted(self, attempt: Replacement) -> bool:
@@ -821,6 +840,8 @@
             return
         if attempt.order_count or attempt.must_step_down or attempt.is_awaiting_fence:
             return
+        if attempt.inherits_order:
+            return
         if attempt.primary == attempt.group.primary:
             self._give_up(attempt, "the primary acknowledges writes")
 
@@ -842,6 +863,10 @@
 
     def _complete(self, attempt: Replacement, why: str) -> None:
         self._end(attempt)
+        if attempt.order_count and attempt.claim is not None:
+            # After the claim under which replicas resume, which tells the same.
+            withdraw = self._claims.withdraw_void_orders
+            self.timers.after(WITHDRAWAL_DELAY, withdraw, attempt.group.service)
         pending = self._pending_text(attempt)
         level = "warning" if pending else "info"
         attempt.log(self._node, "promotion_ended", level, outcome=why, pending=pending)
@@ -870,9 +895,11 @@
         del self._attempts[attempt.group.service]
         self._node.publish(ReplacementEnded(attempt))
         self._quiescence.end(attempt)
+        # The holder of the newest claim guards the orders of all claims before.
+        has_decided = attempt.order_count or attempt.claim is not None
         is_order_pending = bool(
             attempt.has_fenced
-            and attempt.order_count
+            and has_decided
             and self._pending_orders.rivals(attempt.group)
         )
         service = attempt.group.service
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -63,6 +63,7 @@
 from mallowpass.core.proxy.storedorders import StoredOrders
 from mallowpass.core.proxy.stuckreplicas import StuckReplicas
 from mallowpass.core.proxy.suspicion import Suspicion
+from mallowpass.core.proxy.takeovers import Takeovers
 from mallowpass.core.proxy.timeouts import Timeouts
 from mallowpass.core.proxy.transactions import Transactions
 from mallowpass.core.proxy.unknowndatabases import UnknownDatabases
@@ -109,6 +110,7 @@
     PauseChecks,
     Promotion,
     ReplacementTriggers,
+    Takeovers,
     OverloadSwitchover,
     StuckReplicas,
     LapsedMembers,
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -77,6 +77,8 @@
     reason: Reason
     why: str
     began_at: float
+    inherits_order: bool = False  # the host of a pending order may be gone
+    gone_host: str = ""  # that is gone, and may hold the newest claim
     claim: Claim | None = None
     view_token: int = 0  # of the claim after which the entries were last read
     is_awaiting_view: bool = False  # this round is decided once they are read
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -40,6 +40,8 @@
     "FenceEnd",
     "FenceEnded",
     "FenceRenewed",
+    "FenceSilent",
+    "FenceUnattended",
     "FloorReceived",
     "ForwardedConnectionRefused",
     "HoldersBypassed",
@@ -227,7 +229,10 @@
     LEAD = "lead"  # its target is primary
     LIFTED = "lifted"  # by its owner
     EXPIRED = "expired"
+    RELAXED = "relaxed"  # its owner lets writes run, and watches the target
     OVERTAKEN = "overtaken"  # its owner did not hold the newest claim
+    REPLACED = "replaced"  # by that of a newer claim, as its owner may be gone
+    UNNEEDED = "unneeded"  # its owner may be gone, and no order is pending
 
 
 @record
@@ -239,6 +244,26 @@
     reason: FenceEnd
 
 
+@record
+class FenceSilent(Signal):
+    """The owner of a fence has not renewed it for a while; it may be gone."""
+
+    group: GroupRow
+    owner: str
+
+
+@record
+class FenceUnattended(Signal):
+    """A fence holds writes whose owner may be gone.
+
+    Its owner may renew it within `grace` seconds.
+    """
+
+    group: GroupRow
+    owner: str
+    grace: float = 0.0
+
+
 @record
 class PrimaryStalled(Signal):
     """A primary has answered none of several writes."""
--- a/mallowpass/core/proxy/startfences.py
+++ b/mallowpass/core/proxy/startfences.py
@@ -5,6 +5,9 @@
 directly as it is cut off from the holders, is told of no fence. The claim tells both of
 the promotion order that may be carried out at any moment: until then, no commit may be
 acknowledged by a primary that is not the order's target.
+
+The host that sent the order may be gone, so this fence is an unattended one from the
+beginning, see `fencing`. Its holder ends it by a fence of its own, relaxed or not.
 """
 
 from __future__ import annotations
@@ -15,6 +18,7 @@
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.replacement import PromotionOrdered
 from mallowpass.core.proxy.signals import HoldersBypassed, PrimaryChanged
+from mallowpass.core.proxy.statements import Fence
 from mallowpass.core.proxy.store import Store
 from mallowpass.core.proxy.tables import GroupRow, ProxySystem
 
@@ -23,6 +27,8 @@
 # Seconds for which a host that begins to connect directly holds its writes, at most,
 # until it has read the claim.
 CLAIM_READ_TIMEOUT = 0.5
+# Seconds within which the host that guards a pending order renews its fence here.
+RENEWAL_TIMEOUT = 1.5
 
 
 class StartFences(ProxySystem):
@@ -90,8 +96,26 @@
             return
         if primary.is_leaving and not self.tables.promotion_fences_primary:
             return  # quiescence keeps it from acknowledging commits
-        targets = {target for target, _ in claim.ordered} - {primary.name}
-        pending = [claim.fenced_until(target) for target in targets]
-        duration = max(pending, default=0.0) - (self._store.time or 0.0)
-        if duration > 0.0:
-            self._fencing.fence(primary, duration, self._owner)
+        time = self._store.time or 0.0
+        ends = {
+            target: claim.fenced_until(target)
+            for target, _ in claim.ordered
+            if target != primary.name and claim.fenced_until(target) > time
+        }
+        if not ends:
+            return
+        target = next(iter(ends)) if len(ends) == 1 else ""
+        until = self.now + max(ends.values()) - time
+        is_own = claim.holder == self._node.identity.name  # of an earlier run
+        grace = 0.0 if is_own else RENEWAL_TIMEOUT
+        self._fencing.leave_unattended(
+            group,
+            Fence(
+                primary.name,
+                until - self.now,
+                self._owner,
+                target,
+                token=claim.token,
+            ),
+            grace,
+        )
--- a/mallowpass/core/proxy/statements.py
+++ b/mallowpass/core/proxy/statements.py
@@ -40,8 +40,12 @@
     "Status",
     "TooLong",
     "Write",
+    "host_of",
+    "owner_name",
 ]
 
+_RUN_SEPARATOR = "/"  # between a host's name and its run, in the owner of a fence
+
 
 class SessionState(Enum):
     """Transaction state of a session."""
@@ -237,16 +241,34 @@
 
     The holder replies with a `FenceEvidence` once none of its commits is in flight
     there. The fence covers the named primary and each endpoint that the holder itself
-    has for the primary, except the target. It ends after `duration` seconds, or once
-    the target is primary; a duration of 0 lifts it. Without a target, which earlier
-    versions do not name, the fence covers the named primary alone, and ends once the
-    group has another one. The order may go by a link to another endpoint.
+    has for the primary, except the target. It ends once the target is primary; a
+    duration of 0 lifts it. After `duration` seconds without another one the owner may
+    be gone, see `fencing`. A relaxed fence holds no writes before. Without a target,
+    which earlier versions do not name, the fence covers the named primary alone, and
+    ends once the group has another one. The order may go by a link to another endpoint.
     """
 
     primary: str  # empty: unknown to the owner
     duration: float
-    owner: str  # name of the host that replaces the primary
+    owner: str  # the host that replaces the primary, and its run
     target: str | None = None  # to be promoted; empty: not chosen yet
+    is_relaxed: bool = False  # the owner watches that nothing can be lost
+    token: int = 0  # of the owner's claim; 0: not taken yet
+
+    @property
+    def host(self) -> str:
+        """Return the name of the host that owns the fence."""
+        return host_of(self.owner)
+
+
+def owner_name(host: str, incarnation: int) -> str:
+    """Return the owner of a host's fences; another run of it is another owner."""
+    return f"{host}{_RUN_SEPARATOR}{incarnation:x}"
+
+
+def host_of(owner: str) -> str:
+    """Return the name of the host that owns a fence."""
+    return owner.partition(_RUN_SEPARATOR)[0]
 
 
 @record
--- a/mallowpass/core/proxy/storedorders.py
+++ b/mallowpass/core/proxy/storedorders.py
@@ -114,7 +114,8 @@
         position = attempt.received[target]
         order = _Order(attempt, target, position, number, attempt.claim)
         self._orders[service] = order
-        self._pending_orders.note_order(service, target, number, attempt.is_quiesced)
+        token, is_quiesced = attempt.claim.token, attempt.is_quiesced
+        self._pending_orders.note_order(service, target, number, is_quiesced, token)
         # A claim that names the target is renewed as well, since the order is sent now,
         # see `Claim.fenced_until`.
         order.is_stored = self._is_named_by_claim(attempt)
@@ -142,11 +143,16 @@
 
     def _deliver(self, order: _Order) -> None:
         if order.handler is not None:
-            service = order.attempt.group.service
+            attempt = order.attempt
+            service = attempt.group.service
             del self._orders[service]
             # It is pending from now on, and not from when it was stored.
             self._pending_orders.note_order(
-                service, order.target, order.number, order.attempt.is_quiesced
+                service,
+                order.target,
+                order.number,
+                attempt.is_quiesced,
+                order.claim.token,
             )
             order.handler(order.number)
 
--- a/mallowpass/platform/wire.py
+++ b/mallowpass/platform/wire.py
@@ -77,6 +77,8 @@
 INTERNAL_REQUEST_ID = "-"
 # Precedes the name of a host that opens a link for fences.
 FENCE_LINK_PREFIX = "fences:"
+_TOKEN_SEPARATOR = "#"  # between the owner of a fence and the token of its claim
+_RELAXED = "RELAXED"  # the last field of a fence that holds no writes for now
 # What a holder announces as it accepts a link. Since version 2, it translates names of
 # prepared statements, and takes lines up to `MAX_LINK_LINE_BYTES`.
 LINK_VERSION = 2
@@ -458,10 +460,16 @@
 def _(statement: Fence) -> _Fields:
     duration = round(1000 * statement.duration)  # milliseconds
     primary = _optional_name(statement.primary)
-    fields = ("FENCE", str(duration), primary, statement.owner)
+    owner = statement.owner
+    if statement.token or _split_token(owner)[1]:
+        # To earlier versions it is a part of the name.
+        owner += f"{_TOKEN_SEPARATOR}{statement.token}"
+    fields = ("FENCE", str(duration), primary, owner)
     if statement.target is not None:
         # Earlier versions take the target for a part of the owner.
         fields += (_optional_name(statement.target),)
+    if statement.is_relaxed:
+        fields += (_RELAXED,)  # earlier versions refuse it, and keep the fence
     return fields, None
 
 
@@ -543,11 +551,23 @@
 
 def _parse_fence(text: str) -> Fence | None:
     duration, *names = text.split(" ")
+    is_relaxed = len(names) == 4 and names[3] == _RELAXED
+    if is_relaxed:
+        del names[3]
     if not duration.isdecimal() or len(names) not in (2, 3) or not all(names):
         return None
     primary, owner, *targets = names
     target = _parse_optional_name(targets[0]) if targets else None
-    return Fence(_parse_optional_name(primary), int(duration) / 1000, owner, target)
+    primary = _parse_optional_name(primary)
+    owner, token = _split_token(owner)
+    seconds = int(duration) / 1000
+    return Fence(primary, seconds, owner, target, is_relaxed, int(token or 0))
+
+
+def _split_token(owner: str) -> tuple[str, str]:
+    """Return the owner of a fence, and the token that follows it, if one does."""
+    name, _, token = owner.rpartition(_TOKEN_SEPARATOR)
+    return (name, token) if name and token.isdecimal() else (owner, "")
 
 
 def _parse_optional_name(text: str) -> str:
