End a pending order by one for the present primary where its target is gone

What callers saw: no write was served for as long as an order without an answer may be carried out, 14 s, where its host and its target are gone and the primary is well.

Cause: while such an order is pending, the primary is fenced, or writes run as the target receives them. A target that is gone receives nothing, and no replica is promoted in its place before it has answered.

An order for the present primary under a newer token changes nothing, and the platform refuses all earlier ones from then on. So all endpoints are fenced from before it is sent, the target too, and all holders have confirmed.

--- a/mallowpass/core/proxy/pendingfences.py
+++ b/mallowpass/core/proxy/pendingfences.py
@@ -19,6 +19,9 @@
 a primary that has left. The order replaces that one as well, so it is fenced likewise.
 Or else another host has promoted it under a newer claim: then that host knows of the
 order, and this one guards nothing any more. The store tells which it is.
+
+Where the target does not receive, writes would wait until the order expires. So the
+order is ended by one for the present primary, see `settlements`.
 """
 
 from __future__ import annotations
@@ -31,7 +34,7 @@
 from mallowpass.core.proxy.pendingorders import ACCEPTED_ORDER_TIMEOUT, PendingOrders
 from mallowpass.core.proxy.replacement import PromotionOrdered, Replacement
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
-from mallowpass.core.proxy.signals import PrimaryChanged
+from mallowpass.core.proxy.signals import PendingOrderStuck, PrimaryChanged
 from mallowpass.core.proxy.statements import (
     EndpointReply,
     EndpointStatus,
@@ -54,6 +57,8 @@
 # After which the answers of a round are outdated: this host was held up.
 ROUND_TIMEOUT = 0.5
 TRIAL_TIMEOUT = 0.5  # for the first write of this host
+# For which a target may be silent or behind while its primary answers.
+STUCK_TIMEOUT = 0.5
 
 
 @dataclass(slots=True, eq=False)
@@ -73,6 +78,7 @@
     renewed_at: float = float("-inf")
     fenced_until: float = 0.0  # at least, as an order was accepted
     asked_at: float = 0.0  # in this round
+    stuck_since: float | None = None  # as the primary answers and stays fenced
     statuses: dict[str, EndpointStatus] = field(default_factory=dict)  # of this round
     unanswered: list[EndpointRow] = field(default_factory=list)  # members asked
     shown: LogPosition | None = None  # by the primary, in the round before
@@ -89,12 +95,15 @@
         "_pending_orders",
         "_replica_orders",
         "_store",
+        "_suspended",
         "_watches",
     )
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
         self._watches: dict[str, _Watch] = {}  # by service
+        # Services of which another system of this host has all endpoints fenced.
+        self._suspended: set[str] = set()
 
     def start(self) -> None:
         """Look up the systems that this one uses."""
@@ -124,6 +133,19 @@
         self._watches[group.service] = watch
         self._ask(watch)
 
+    def suspend(self, service: str) -> None:
+        """Leave the fence of a service as it is until `resume` is called."""
+        self._suspended.add(service)
+
+    def resume(self, service: str) -> None:
+        """Keep the fence of a service again; it holds writes until a round is safe."""
+        self._suspended.discard(service)
+        watch = self._watches.get(service)
+        if watch is not None:
+            watch.is_lifted = watch.has_received = False
+            watch.trial_from = watch.stuck_since = None
+            watch.renewed_at = float("-inf")
+
     def _on_ordered(self, signal: PromotionOrdered) -> None:
         """Watch the target of the newest order."""
         watch = self._watches.get(signal.attempt.group.service)
@@ -136,7 +158,8 @@
         if watch is None or signal.group.primary in ("", watch.primary, watch.target):
             return
         self._change_primary(watch)
-        if watch.is_lifted and not self._is_over(watch):
+        is_suspended = signal.group.service in self._suspended
+        if watch.is_lifted and not (is_suspended or self._is_over(watch)):
             self._renew(watch)
             watch.is_lifted = False
 
@@ -239,6 +262,10 @@
         if self._is_over(watch):
             self._end(watch)
             return
+        if watch.group.service in self._suspended:
+            watch.shown = None
+            self._ask(watch)
+            return
         is_prompt = self.now < watch.asked_at + ROUND_TIMEOUT
         is_due = self.now >= watch.fenced_until
         is_safe = is_prompt and is_due and self._is_safe(watch)
@@ -251,8 +278,21 @@
         else:
             self._renew(watch)
         watch.is_lifted = is_safe
+        self._report_stuck(watch, is_safe or not is_due)
         self._ask(watch)
 
+    def _report_stuck(self, watch: _Watch, is_served: bool) -> None:
+        """Publish that a primary answers, and that writes wait for its target."""
+        primary = watch.statuses.get(watch.primary)
+        is_primary = primary is not None and primary.is_primary
+        if is_served or not is_primary:
+            watch.stuck_since = None
+        elif watch.stuck_since is None:
+            watch.stuck_since = self.now
+        elif self.now >= watch.stuck_since + STUCK_TIMEOUT:
+            watch.stuck_since = self.now
+            self._node.publish(PendingOrderStuck(watch.group, watch.primary))
+
     def _may_resume(self, watch: _Watch, name: str) -> bool:
         """Return whether a member is the target, and nobody else may be promoted."""
         service = watch.group.service
@@ -357,7 +397,9 @@
         def on_claim(claim: Claim | None, is_known: bool) -> None:
             service = watch.group.service
             is_current = self._watches.get(service) is watch and not watch.is_lifted
-            if not is_current or claim is None or not is_known:
+            if not is_current or service in self._suspended:
+                return
+            if claim is None or not is_known:
                 return
             is_newest = claim.holder == self._node.identity.name
             if is_newest:
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -55,10 +55,12 @@
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
 from mallowpass.core.proxy.replicapauses import ReplicaPauses
 from mallowpass.core.proxy.resumption import Resumption
+from mallowpass.core.proxy.settlements import Settlements
 from mallowpass.core.proxy.signals import (
     DrainBegan,
     EndpointChanged,
     EndpointRestarted,
+    PendingOrderStuck,
     PrimaryChanged,
     ReplicationConfirmed,
     WriteAcknowledged,
@@ -116,6 +118,7 @@
         "_replica_orders",
         "_replica_pauses",
         "_resumption",
+        "_settlements",
         "_store",
         "_conflicts",
         "_pending_fences",
@@ -147,6 +150,7 @@
         self._replica_orders = node.system(ReplicaOrders)
         self._replica_pauses = node.system(ReplicaPauses)
         self._resumption = node.system(Resumption)
+        self._settlements = node.system(Settlements)
         self._store = node.system(Store)
         self._conflicts = node.system(PrimaryConflicts)
         self._pending_orders = node.system(PendingOrders)
@@ -187,6 +191,8 @@
             return
         if group.service in self._attempts or not self._holders.holds(group.service):
             return
+        if self._settlements.is_settling(group.service):
+            return
         if self.now < self._backoff_until.get(group.service, 0.0):
             return
         if len(self._candidates(group, primary)) == 0:
@@ -354,7 +360,8 @@
         if primary is None or attempt.rounds > 1 or not attempt.reason.is_failure:
             return
         is_bound_reached = self._durability.is_missing_bound_reached(attempt.group)
-        if is_bound_reached and attempt.reason is not Reason.STALLED:
+        is_needed = attempt.reason is Reason.STALLED or attempt.inherits_order
+        if is_bound_reached and not is_needed:
             return
         attempt.outstanding += 1
         round_number = attempt.rounds
@@ -365,6 +372,7 @@
             attempt.outstanding -= 1
             if reply is not None and reply.status is not None:
                 attempt.primary_position = reply.status.received
+                attempt.is_primary_serving = reply.status.is_primary
             if attempt.outstanding == 0:
                 self._decide(attempt)
 
@@ -729,6 +737,11 @@
         is_current = not attempt.is_ended and attempt.rounds == round_number
         if not is_current or not attempt.outstanding or not attempt.reason.is_failure:
             return
+        if attempt.inherits_order and attempt.is_primary_serving:
+            self._give_up(attempt, "the primary answers, and a replica does not")
+            stuck = PendingOrderStuck(attempt.group, attempt.primary)
+            self._node.publish(stuck)
+            return
         if attempt.fenced_round is not None and round_number > attempt.fenced_round:
             return
         if not attempt.order_count:
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -56,6 +56,7 @@
 from mallowpass.core.proxy.routing import Routing
 from mallowpass.core.proxy.sampling import Sampling
 from mallowpass.core.proxy.sessions import Sessions
+from mallowpass.core.proxy.settlements import Settlements
 from mallowpass.core.proxy.shares import Shares
 from mallowpass.core.proxy.stalls import Stalls
 from mallowpass.core.proxy.startfences import StartFences
@@ -104,6 +105,7 @@
     Quiescence,
     FenceOrders,
     PendingFences,
+    Settlements,
     Resumption,
     StoredOrders,
     PromotionOrders,
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -95,6 +95,7 @@
     statuses: dict[str, EndpointStatus] = field(default_factory=dict)
     restarted: set[str] = field(default_factory=set)  # members, since the attempt began
     primary_position: LogPosition | None = None  # as read in the first round
+    is_primary_serving: bool = False  # it answered that it leads, in the first round
     rounds: int = 0
     claim_calls: int = 0
     round_began_at: float = 0.0
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -46,6 +46,7 @@
     "ForwardedConnectionRefused",
     "HoldersBypassed",
     "KeepersChanged",
+    "PendingOrderStuck",
     "PrimaryChanged",
     "PrimaryConfirmed",
     "PrimaryStalled",
@@ -264,6 +265,14 @@
     grace: float = 0.0
 
 
+@record
+class PendingOrderStuck(Signal):
+    """A primary that answers is fenced for an order whose target does not receive."""
+
+    group: GroupRow
+    primary: str
+
+
 @record
 class PrimaryStalled(Signal):
     """A primary has answered none of several writes."""
