Judge lost commits of the soak by the log of the endpoint that leads

The soak counted as lost what the group's stand-in noted as a lead changed. It did not look whether what callers were told to be done is in the log of the endpoint that leads at the end, and counted a lost commit again at each later lead. The judge is a module of its own now, and counts each commit once that was acknowledged and is not in that log, whoever noticed; besides, it names writes that were answered DONE and are not there.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -31,6 +31,7 @@
 
     broken: list[str] = field(default_factory=list)
     promised: set[str] = field(default_factory=set)  # texts that must not be kept
+    answered: set[str] = field(default_factory=set)  # texts that must be kept
     codes: dict[str, int] = field(default_factory=dict)
 
     def count(self, code: str) -> None:
@@ -126,6 +127,7 @@
         answer = await self._ask(caller, self._write_text(number))
         if answer.code == "DONE":
             self._seen = number
+            self._findings.answered.add(f"{self._name} {number}")
         elif answer.code in PROMISES:
             self._findings.promised.add(f"{self._name} {number}")
 
@@ -146,5 +148,6 @@
         answer = await self._ask(caller, "COMMIT")
         if answer.code == "DONE":
             self._seen = number
+            self._findings.answered.add(f"{self._name} {number}")
         elif answer.code in PROMISES:
             self._findings.promised.add(f"{self._name} {number}")
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,7 +6,6 @@
 import random
 import signal
 import tempfile
-from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -17,9 +16,9 @@
 from mallowpass.standins.proxied.caller import CallerError, WireCaller
 from mallowpass.standins.proxied.httpserver import customer_key
 from mallowpass.standins.proxied.platform import CONFIGURATION_KEY
-from mallowpass.standins.proxied.replicas import LogEntry
 from tests.soak.clients import Client, Findings
 from tests.soak.fleet import HostProcess, SoakPlatform
+from tests.soak.judge import find_broken_commits
 from tests.soak.traces import StallWatch
 
 __all__ = ["Verdict", "soak"]
@@ -211,27 +210,10 @@
             await asyncio.sleep(0.05)
 
     def _check(self) -> None:
-        group = self.platform.group
-        broken = self.findings.broken
-        if group.lost:
-            broken.append(f"{len(group.lost)} acknowledged commits were lost")
-        for kept, where in ((True, "in"), (False, "not in")):
-            overtaken = [o for o in group.overtaken if o.kept is kept]
-            if overtaken:
-                told = "; ".join(o.text for o in overtaken)
-                broken.append(
-                    f"{len(overtaken)} commits {where} the log of a successor as it "
-                    f"began to lead were acknowledged beside it: {told}"
-                )
-        log = group.primary.log
-        kept = Counter(f"{k} {v}" for entry in log for k, v in entry.writes)
-        for text, number in kept.items():
-            if text.startswith("k") and number > 1:
-                broken.append(
-                    f"{text} took effect {number} times: {_places(log, text)}"
-                )
-        for text in self.findings.promised & kept.keys():
-            broken.append(f"{text} is kept though it was promised not to be")
+        findings = self.findings
+        findings.broken += find_broken_commits(
+            self.platform.group, findings.answered, findings.promised
+        )
 
     # -- Faults --------------------------------------------------------------
 
@@ -370,16 +352,6 @@
     return Customer(name, credentials, rate=RATE, burst=BURST)
 
 
-def _places(log: list[LogEntry], text: str) -> str:
-    """Tell which entries of a log hold a write, and of which requests they are."""
-    write = tuple(text.split(" "))
-    return ", ".join(
-        f"{entry.position.text} by {entry.request_id} x{entry.writes.count(write)}"
-        for entry in log
-        if write in entry.writes
-    )
-
-
 _FAULTS: tuple[Callable[[_Run], Awaitable[None]], ...] = (
     _Run.kill,
     _Run.stop,
