Kill hosts of the soak as they order promotions that are late

Real hosts had no fault by which an order outlives the host that sent it: orders were answered at once, and kills struck any host at any time. With `--aimed`, the primary crashes, is cut off or leaves for a moment; the host that orders its replacement is killed right after the platform's stand-in has received the order, which gets no answer and is carried out 2 to 12 s later, where its fencing token is checked. Now and then the target receives nothing for a while and another replica starts again. All of a strike is drawn at once from the seed. Other seeds draw what they drew before. The first strike waits until hosts know each other: without it, orders were seen whose fence was told to the ordering host alone, as others were not known yet as holders.

A read that misses an own write says whether the write was lost, so that a loss can be listed in KNOWN-RED.txt without excusing reads that are stale for another reason.

--- a/mallowpass/standins/proxied/httpserver.py
+++ b/mallowpass/standins/proxied/httpserver.py
@@ -5,7 +5,7 @@
 import asyncio
 import base64
 import json
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 from urllib.parse import parse_qs
 
@@ -108,23 +108,41 @@
         self._groups = groups
         self._fences = fences
         self._tokens: dict[str, int] = {}
+        # Called with the host that orders and the endpoint; returns the seconds after
+        # which the order is carried out, without an answer. None: at once, with one.
+        self.delay_of: Callable[[str, str], float | None] = lambda host, endpoint: None
         self._http = HttpServer({"/promote": self._promote})
 
     async def start(self, address: Address) -> None:
         """Listen."""
         await self._http.start(address)
 
-    def _promote(self, request: Request) -> Response:
+    def _promote(self, request: Request) -> Response | Awaitable[Response]:
         headers = dict(request.headers)
         body = json.loads(request.body)
-        service = body["service"]
-        token = int(headers["mallowpass-fencing-token"])
-        newest = self._tokens.get(service, 0)
-        if self._fences and token < newest:
+        order = (
+            body["service"],
+            body["id"],
+            int(headers["mallowpass-fencing-token"]),
+        )
+        if self._is_outdated(*order):
             return Response(409)
-        self._tokens[service] = max(token, newest)
-        taken = self._groups[service].promote(body["id"])
-        return Response(200 if taken else 409)
+        delay = self.delay_of(headers["mallowpass-lease-holder"], body["id"])
+        if delay is None:
+            return Response(200 if self._carry_out(*order) else 409)
+        timers = self._groups[body["service"]].timers
+        timers.after(delay, self._carry_out, *order)
+        return asyncio.get_running_loop().create_future()
+
+    def _is_outdated(self, service: str, endpoint: str, token: int) -> bool:
+        return self._fences and token < self._tokens.get(service, 0)
+
+    def _carry_out(self, service: str, endpoint: str, token: int) -> bool:
+        """Promote, unless a newer order has been carried out; tell whether it runs."""
+        if self._is_outdated(service, endpoint, token):
+            return False
+        self._tokens[service] = max(token, self._tokens.get(service, 0))
+        return self._groups[service].promote(endpoint)
 
 
 def _query(request: Request) -> dict[str, str]:
--- a/mallowpass/standins/proxied/platform.py
+++ b/mallowpass/standins/proxied/platform.py
@@ -141,6 +141,7 @@
         # Where no fence is checked, a replaced primary goes on as one for a while.
         self.group = Group(service, names, self._timers, goes_on=not fences)
         self.group.on_role = self.enter
+        self.orders = OrderServer({service: self.group}, fences)
         self._heartbeats = itertools.count(1)
         self.servers: dict[str, ReplicaServer] = {}
         self.hosts: list[HostRuntime] = []
@@ -151,12 +152,16 @@
         configuration = claims_configuration(1, service)
         self.store.put(CONFIGURATION_KEY, configuration)
 
+    @property
+    def orders_address(self) -> Address:
+        """Return where orders to promote are taken."""
+        return self._address(1, ORDERS_PORT)
+
     async def start(self, hosts: int = 2) -> None:
         """Start the stand-ins, then hosts in front of them."""
         self._tick = asyncio.get_running_loop().create_task(self._run_timers())
         await StoreServer(self.store).start(self._address(1, STORE_PORT))
-        orders = OrderServer({self.group.service: self.group}, self.fences)
-        await orders.start(self._address(1, ORDERS_PORT))
+        await self.orders.start(self.orders_address)
         for server in self.servers.values():
             await server.start()
         for replica in self.group.replicas.values():
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -18,6 +18,7 @@
 @click.option("--fences/--no-fences", default=True, help="What the platform checks.")
 @click.option("--copies", is_flag=True, help="The store comes back from copies.")
 @click.option("--customers", is_flag=True, help="Clients belong to customers.")
+@click.option("--aimed", is_flag=True, help="Hosts are killed as they order.")
 def main(
     seeds: str,
     duration: float,
@@ -25,12 +26,15 @@
     fences: bool,
     copies: bool,
     customers: bool,
+    aimed: bool,
 ) -> None:
     """Run SEEDS one after the other; logs of those that fail are kept."""
     first, _, last = seeds.partition("-")
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
-        verdict = asyncio.run(soak(seed, duration, hosts, fences, copies, customers))
+        verdict = asyncio.run(
+            soak(seed, duration, hosts, fences, copies, customers, aimed)
+        )
         done = verdict.codes.get("DONE", 0)
         click.echo(
             f"seed {seed}: {len(verdict.faults)} faults, {done} of "
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -10,6 +10,7 @@
 
 from mallowpass.platform.settings import Address
 from mallowpass.standins.proxied.caller import CallerError, WireCaller
+from tests.soak.judge import LOST
 
 __all__ = ["Client", "Findings"]
 
@@ -23,6 +24,8 @@
 
 # Called with an endpoint, an item and a number; tells what its log holds of that.
 Describe = Callable[[str, str, int], str]
+# Called with an item and a number; tells whether the log of the leader holds it.
+IsKept = Callable[[str, int], bool]
 
 
 @dataclass(slots=True)
@@ -49,6 +52,7 @@
         findings: Findings,
         seed: int,
         describe: Describe,
+        is_kept: IsKept,
         key: str,
     ) -> None:
         self._name = name
@@ -58,6 +62,7 @@
         self._random = random.Random(seed)
         self._number = 0
         self._describe = describe
+        self._is_kept = is_kept
         self._seen = 0  # newest that a read must show, in this session
         # Its newest answers, and what the endpoint's log held then.
         self._answers: deque[str] = deque(maxlen=REMEMBERED)
@@ -111,8 +116,10 @@
             return
         shown = int(answer.rows[0] or 0)
         if shown < self._seen:
+            is_kept = self._is_kept(self._name, self._seen)
+            why = "" if is_kept else f", as {LOST}"
             self._findings.broken.append(
-                f"{self._name}: read {shown} after its own {self._seen}; "
+                f"{self._name}: read {shown} after its own {self._seen}{why}; "
                 + "; ".join(self._answers)
             )
 
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -7,8 +7,9 @@
 
 from mallowpass.standins.proxied.replicas import Group, LogEntry
 
-__all__ = ["find_broken_commits"]
+__all__ = ["LOST", "find_broken_commits"]
 
+LOST = "acknowledged commits were lost"  # in each finding that is due to it
 WRITES_TOLD = 5
 
 
@@ -48,7 +49,7 @@
         return []
     told = ", ".join(sorted(missing)[:WRITES_TOLD])
     return [
-        f"{len(lost)} acknowledged commits were lost; {len(missing)} writes that were"
+        f"{len(lost)} {LOST}; {len(missing)} writes that were"
         f" answered DONE are not in the log of {leader.name}, which leads"
         f"{': ' * bool(told)}{told}"
     ]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -19,6 +19,7 @@
 from tests.soak.clients import Client, Findings
 from tests.soak.fleet import HostProcess, SoakPlatform
 from tests.soak.judge import find_broken_commits
+from tests.soak.strikes import REASON_TIME, REASONS, Strike
 from tests.soak.traces import StallWatch
 
 __all__ = ["Verdict", "soak"]
@@ -31,6 +32,13 @@
 HOT_LOAD = 7  # times the usual load of a customer, which is one client's
 # Seconds until keepers grant whole limits: they wait 12 s for possible predecessors.
 KEEPERS_START = 13.0
+PAUSE = (0.2, 1.5)  # seconds between faults
+# The same where they are aimed: an order that is late is void once a newer one is
+# carried out, so what makes hosts order again has to come seldom.
+PAUSE_OF_AIMED = (1.0, 5.0)
+ACQUAINTED = 3.0  # seconds until hosts that have started know each other as holders
+AIMED_AT_ONCE = 2  # orders, at most
+PROMOTION_TIME = 1.0  # seconds until what was ordered shows
 START_LIMIT = 10.0  # seconds until all hosts serve, at the start and at the end
 
 
@@ -52,18 +60,22 @@
     fences: bool = True,
     copies: bool = False,
     customers: bool = False,
+    aimed: bool = False,
 ) -> Verdict:
     """Run one seed.
 
     Without `fences`, replaced primaries go on as such for a while. With `copies`, the
     store comes back from one now and then. With `customers`, clients have keys and
     limits, one of them sends more than usual now and then, and members leave half of
-    their statements unanswered.
+    their statements unanswered. If `aimed`, hosts are killed as they order promotions,
+    which are carried out late.
     """
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     run = _Run(seed, hosts, folder, fences, customers)
     if copies:
         run.add_copies()
+    if aimed:
+        run.aim()
     try:
         await run.play(duration)
     finally:
@@ -97,6 +109,9 @@
             self._add_client(self._key(i))
         self._work: list[asyncio.Task[None]] = []
         self._busy: set[str] = set()  # members that are down
+        self._strikes: list[Strike] = []  # of the next orders
+        self._pause = PAUSE
+        self._calm = 0.0  # seconds of work before the first fault
         self._tasks: list[asyncio.Task[None]] = []
         self.stalls = StallWatch()
 
@@ -113,6 +128,7 @@
             self.findings,
             1000 * self._seed + number,
             self._held,
+            self._is_kept,
             key,
         )
         self.clients.append(client)
@@ -122,6 +138,14 @@
         """Add the fault that the store is restored from a backup."""
         self._kinds = (*self._kinds, _Run.come_back, _Run.come_back, _Run.come_back)
 
+    def aim(self) -> None:
+        """Add the fault that the host that orders a promotion is killed."""
+        self._first.append(_Run.kill_orderer)
+        self._kinds = (*self._kinds, *(_Run.kill_orderer for _ in self._kinds))
+        self._pause = PAUSE_OF_AIMED
+        self._calm = ACQUAINTED
+        self.platform.orders.delay_of = self._strike_order
+
     def _held(self, endpoint: str, item: str, number: int) -> str:
         """Tell how far an endpoint's log is, and where it holds a write, if it does."""
         replica = self.platform.group.replicas.get(endpoint)
@@ -137,6 +161,11 @@
             f"received {replica.received.text} holds {number} at {places or 'no place'}"
         )
 
+    def _is_kept(self, item: str, number: int) -> bool:
+        """Tell whether the log of the endpoint that leads holds a write."""
+        write = (item, str(number))
+        return any(write in entry.writes for entry in self.platform.group.primary.log)
+
     async def play(self, duration: float) -> None:
         """Start, break things for some seconds, heal, and check."""
         await self.platform.start_all()
@@ -147,6 +176,7 @@
         if self._customers:
             await asyncio.sleep(KEEPERS_START)
         self._work = [asyncio.create_task(client.run()) for client in self.clients]
+        await asyncio.sleep(self._calm)
         loop = asyncio.get_running_loop()
         end = loop.time() + duration
         while loop.time() < end:
@@ -155,8 +185,9 @@
             )
             self.faults.append(f"{end - loop.time():.1f} {fault.__name__}")
             self._tasks.append(asyncio.create_task(fault(self)))
-            await asyncio.sleep(self.random.uniform(0.2, 1.5))
-        await asyncio.gather(*self._tasks)
+            await asyncio.sleep(self.random.uniform(*self._pause))
+        self._strikes.clear()
+        await self._await_faults()
         await self._await_service("after all faults")
         for client in self.clients:
             client.stopping = True
@@ -185,6 +216,12 @@
         self.platform.stop()
         self.stalls.stop()
 
+    async def _await_faults(self) -> None:
+        awaited = 0
+        while awaited < len(self._tasks):
+            awaited = len(self._tasks)
+            await asyncio.gather(*self._tasks)
+
     async def _await_service(self, when: str) -> None:
         for host in self.hosts:
             try:
@@ -259,6 +296,85 @@
         await self.platform.restart(name)
         self._busy.discard(name)
 
+    async def kill_orderer(self) -> None:
+        """Have the primary replaced, and strike the hosts that order it."""
+        primary = self.platform.group.primary.name
+        reason = self.random.choice(REASONS)
+        duration = self.random.uniform(*REASON_TIME)
+        count = self.random.randint(1, AIMED_AT_ONCE)
+        strikes = [Strike.draw(self.random) for _ in range(count)]
+        if self._busy:
+            return
+        self._strikes = strikes
+        self.faults.append(f"{reason} of {primary} for {duration:.1f}")
+        if reason == "crash":
+            await self._restart_member(primary, duration)
+        elif reason == "cut":
+            proxy = self.platform.proxies[primary]
+            proxy.silent_in = proxy.silent_out = True
+            await asyncio.sleep(duration)
+            proxy.heal()
+        else:
+            replica = self.platform.group.primary
+            self.platform.enter(replica, draining=True)
+            await asyncio.sleep(duration)
+            self.platform.enter(replica)
+
+    def _strike_order(self, name: str, target: str) -> float | None:
+        """Strike around an order; return by how much it is late, None if it is not."""
+        host = next(host for host in self.hosts if host.name == name)
+        if not self._strikes or host.alone.locked():
+            return None
+        strike = self._strikes.pop()
+        self.faults.append(f"{name} orders {target}: {strike.text}")
+        self._tasks += [
+            asyncio.create_task(self._kill_orderer(host, strike)),
+            asyncio.create_task(self._disturb_members(target, strike)),
+            asyncio.create_task(asyncio.sleep(strike.late + PROMOTION_TIME)),
+        ]
+        return strike.late
+
+    async def _kill_orderer(self, host: HostProcess, strike: Strike) -> None:
+        async with host.alone:
+            await asyncio.sleep(strike.kill_delay)
+            await host.kill()
+            await asyncio.sleep(strike.away)
+            await host.start()
+
+    async def _disturb_members(self, target: str, strike: Strike) -> None:
+        """Have the target receive nothing, and another replica start again."""
+        group = self.platform.group
+        work = []
+        if strike.deaf:
+            work.append(self._deafen(target, strike.deaf))
+        if strike.restart_delay is not None:
+            others = group.replicas.keys() - {target, group.primary.name}
+            work += [
+                self._restart_later(name, strike.restart_delay, strike.restart_time)
+                for name in others
+            ]
+        await asyncio.gather(*work)
+
+    async def _deafen(self, name: str, duration: float) -> None:
+        replica = self.platform.group.replicas[name]
+        replica.deaf = True
+        await asyncio.sleep(duration)
+        replica.deaf = False
+        self.platform.group.catch_up(replica)
+
+    async def _restart_later(self, name: str, delay: float, duration: float) -> None:
+        await asyncio.sleep(delay)
+        is_primary = self.platform.group.primary.name == name
+        if name not in self._busy and not is_primary:
+            await self._restart_member(name, duration)
+
+    async def _restart_member(self, name: str, duration: float) -> None:
+        self._busy.add(name)
+        self.platform.crash(name)
+        await asyncio.sleep(duration)
+        await self.platform.restart(name)
+        self._busy.discard(name)
+
     async def deaf_member(self) -> None:
         replica = self.random.choice(list(self.platform.group.replicas.values()))
         replica.deaf = True
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,7 @@
 
 SHORT = 5.0  # seconds of faults
 LONG = 10.0
+ONE_FAULT = 0.5
 
 # Each with its cause. Processes do not repeat a run exactly: the seed repeats faults.
 FAILED_ONCE = {
@@ -23,6 +24,11 @@
 FAILED_ONCE_WITHOUT_FENCES = {
     802: "a stand-in said of a commit in its own log that it did not run",
 }
+# Aimed; in each the target receives nothing, and the other replica starts again.
+LOST = {
+    1194: "the host that ordered replaced a primary that was leaving for a second",
+    2284: "the host that ordered had lost the primary for two seconds",
+}
 
 
 @pytest.fixture
@@ -61,6 +67,15 @@
     assert verdict.codes["DONE"] > 100
 
 
+@pytest.mark.parametrize("seed", LOST)
+def test_seed_in_which_a_host_is_killed_as_it_orders(seed, check):
+    """Guard against commits lost to an order that outlives the host that sent it."""
+    verdict = asyncio.run(soak(seed, ONE_FAULT, aimed=True))
+    check(verdict)
+    assert any(" orders " in fault for fault in verdict.faults)
+    assert verdict.codes["DONE"] > 100
+
+
 @pytest.mark.parametrize("seed", FAILED_ONCE)
 def test_seed_that_failed_once(seed, check):
     check(asyncio.run(soak(seed, LONG)))
