Fence a primary at a host that becomes a holder, from before it reads the claim

What callers saw: commits acknowledged by a primary whose successor is ordered, at a host that no other host had told of the fence: it became a holder after the order, as another holder stopped. The host that orders tells those that are holders then, and a host reads the claim as it starts only.

A host that becomes a holder reads the claim as one that begins to connect directly, and holds its writes until it knows it, as one that starts does now too. The fence for the pending order replaces that hold, instead of following its end.

--- a/mallowpass/core/proxy/holders.py
+++ b/mallowpass/core/proxy/holders.py
@@ -18,6 +18,7 @@
     Plan,
     make_plan,
 )
+from mallowpass.core.proxy.signals import HolderJoined
 from mallowpass.core.proxy.tables import (
     ConnectionState,
     EndpointRow,
@@ -394,6 +395,10 @@
         until = self.now + FORMER_HOLDER_TTL
         for name in before.keys() - present.keys():
             former[name] = _FormerHolder(before[name], until)
+        own_name = self._node.identity.name
+        if before and own_name in present and own_name not in before:
+            joined = HolderJoined(service)
+            self.timers.after(0.0, self._node.publish, joined)
 
     def _refresh(self, service: str, cached: _CachedPlan | None) -> _CachedPlan:
         """Return a plan for the current endpoints; reuse the cached one if possible.
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -44,6 +44,7 @@
     "FenceUnattended",
     "FloorReceived",
     "ForwardedConnectionRefused",
+    "HolderJoined",
     "HoldersBypassed",
     "KeepersChanged",
     "PendingOrderStuck",
@@ -143,6 +144,13 @@
     is_unconnected: bool
 
 
+@record
+class HolderJoined(Signal):
+    """This host has become a holder of a service that had others before."""
+
+    service: str
+
+
 @record
 class HoldersBypassed(Signal):
     """This host begins to connect to an endpoint directly though it is no holder."""
--- a/mallowpass/core/proxy/startfences.py
+++ b/mallowpass/core/proxy/startfences.py
@@ -17,7 +17,11 @@
 from mallowpass.core.proxy.fencing import Fencing
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.replacement import PromotionOrdered
-from mallowpass.core.proxy.signals import HoldersBypassed, PrimaryChanged
+from mallowpass.core.proxy.signals import (
+    HolderJoined,
+    HoldersBypassed,
+    PrimaryChanged,
+)
 from mallowpass.core.proxy.statements import Fence
 from mallowpass.core.proxy.store import Store
 from mallowpass.core.proxy.tables import GroupRow, ProxySystem
@@ -48,6 +52,7 @@
         self._store = self._node.system(Store)
         # Apart from the fence of an attempt of this host, which names its target.
         self._owner = f"{self._node.identity.name}/start"
+        self._node.subscribe(HolderJoined, self._on_holder_joined)
         self._node.subscribe(HoldersBypassed, self._on_holders_bypassed)
         self._node.subscribe(PromotionOrdered, self._on_ordered)
         if not self.tables.first_start:
@@ -58,28 +63,27 @@
         if not group.primary or group.service in self._checked:
             return
         self._checked.add(group.service)
-        if not self._holders.holds(group.service):
-            return
+        if self._holders.holds(group.service):
+            self._check_claim(group)
 
-        def on_claim(claim: Claim | None, is_known: bool) -> None:
-            if claim is not None:
-                self._fence(group, claim)
+    def _on_holders_bypassed(self, signal: HoldersBypassed) -> None:
+        group = self.tables.group(signal.endpoint.entry.service)
+        if group.primary_row is signal.endpoint and not signal.endpoint.is_leaving:
+            self._check_claim(group)
 
-        self._claims.read_newest(group.service, on_claim)
+    def _on_holder_joined(self, signal: HolderJoined) -> None:
+        group = self.tables.group(signal.service)
+        if group.primary_row is not None:
+            self._check_claim(group)
 
-    def _on_holders_bypassed(self, signal: HoldersBypassed) -> None:
+    def _check_claim(self, group: GroupRow) -> None:
         """Fence a primary until the claim is known, and while an order is pending."""
-        endpoint, owner = signal.endpoint, self._owner
-        group = self.tables.group(endpoint.entry.service)
-        if group.primary_row is not endpoint or endpoint.is_leaving:
-            return
-        self._fencing.fence(endpoint, CLAIM_READ_TIMEOUT, owner)
+        self._fencing.fence(group.primary_row, CLAIM_READ_TIMEOUT, self._owner)
 
         def on_claim(claim: Claim | None, is_known: bool) -> None:
-            if is_known:
-                self._fencing.lift(endpoint, owner)
-            if claim is not None:
-                self._fence(group, claim)
+            is_fenced = claim is not None and self._fence(group, claim)
+            if is_known and not is_fenced:
+                self._fencing.lift_service(group, self._owner)
 
         self._claims.read_newest(group.service, on_claim)
 
@@ -90,12 +94,13 @@
         """
         self._fencing.lift_service(signal.attempt.group, self._owner)
 
-    def _fence(self, group: GroupRow, claim: Claim) -> None:
+    def _fence(self, group: GroupRow, claim: Claim) -> bool:
+        """Fence a primary while an order is pending; return whether one is."""
         primary = group.primary_row
         if primary is None:
-            return
+            return False
         if primary.is_leaving and not self.tables.promotion_fences_primary:
-            return  # quiescence keeps it from acknowledging commits
+            return False  # quiescence keeps it from acknowledging commits
         time = self._store.time or 0.0
         ends = {
             target: claim.fenced_until(target)
@@ -103,7 +108,7 @@
             if target != primary.name and claim.fenced_until(target) > time
         }
         if not ends:
-            return
+            return False
         target = next(iter(ends)) if len(ends) == 1 else ""
         until = self.now + max(ends.values()) - time
         is_own = claim.holder == self._node.identity.name  # of an earlier run
@@ -119,3 +124,4 @@
             ),
             grace,
         )
+        return True
