Take no intention of an earlier run of a host for its own

What callers saw: 637 commits acknowledged beside a pending order after its host had started again. A host leaves out what its own claim intends and has not ordered. It knew its claim by the token, which it noted before the store had taken it: the first try of a new run has the token of the first claim of an era, which may be that of its run before. The token is noted once the claim is known to be taken, or may be.

A claim that is rewritten in a new era names no primary for which an order is pending, as a claim that is taken does (by reading alone).

test_a_host_that_starts_again_knows_the_intention_of_its_earlier_run failed before.

--- a/mallowpass/core/proxy/claims.py
+++ b/mallowpass/core/proxy/claims.py
@@ -228,11 +228,12 @@
             ordered[target] = max(intended, ordered.get(target, 0.0))
         orders = tuple(ordered.items())
         claim = Claim(token, name, primary, time, must_hold, orders)
-        self._own_tokens[service] = token
         key = RowKey(Table.CLAIMS, service, _ROW_KEY)
         call = ChangeRows(((key, version),), ((key, claim.encode()),))
 
         def on_reply(reply: StoreReply) -> None:
+            if reply.status is not StoreStatus.CONFLICT:
+                self._own_tokens[service] = token
             if reply.status is StoreStatus.CONFLICT:
                 retry = partial(
                     self.take, service, primary, handler, min_age, target, gone
@@ -454,6 +455,8 @@
                 return known
             return replace(known, must_hold=must_hold, ordered=ordered)
         primary = "" if known is None else known.primary
+        if primary in dict(ordered):
+            primary = ""  # see `take`
         token = self._next_token(known)
         time = round(self._store.time or 0.0, 3)
         return Claim(token, _NO_HOLDER, primary, time, must_hold, ordered)
