Send no token of an earlier claim with a fence

A fence is sent while its claim is taken, and bore the token of the host's claim before. If another host had claimed since, holders took it for replaced, and let it expire after 2.5 s. Until the claim is taken a fence has no token now, and nothing replaces it.

Besides, a fence that covers all is lifted where no primary is known (by reading alone).

test_a_fence_before_the_claim_does_not_carry_an_earlier_token failed before.

--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -229,7 +229,7 @@
             # Of another primary, only the host with the newest claim renews a fence.
             if group.primary in ("", attempt.primary):
                 self.fence(group, attempt.primary, attempt.fence_target)
-        elif task.targets != {group.primary}:
+        elif not group.primary or task.targets != {group.primary}:
             # A fence that names the new primary as its target has ended.
             self.lift(group, attempt.primary, attempt.fence_target)
 
@@ -315,8 +315,9 @@
         return Fence(primary, duration, self._owner, target, is_relaxed, token)
 
     def _note_claim(self, attempt: Replacement) -> None:
-        if attempt.claim is not None:
-            self._tokens[attempt.group.service] = attempt.claim.token
+        """Record the token of an attempt's fence; 0 if it has not claimed yet."""
+        token = 0 if attempt.claim is None else attempt.claim.token
+        self._tokens[attempt.group.service] = token
 
     def _order(self, task: _Task, host: HostRow) -> None:
         """Have a holder fence the primary; repeat it until the holder confirms."""
