Settle a pending order without hosts that answer nobody

What callers saw: 14 s without a write where the host that ordered and its target fall silent, instead of refusing. A settlement waited for the confirmation of each holder, and was given up after a second, again and again. Holders that have sent nothing since are not waited for any more, as before any other order: replicas are paused meanwhile.

The answer to an order counts also after its settlement has ended, and the claim that names it is withdrawn (by reading alone).

test_a_primary_serves_as_the_ordering_host_and_the_target_go_silent failed before.

--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -199,6 +199,16 @@
         wait = max(wait, delay + STEP_DOWN_TIMEOUT)
         self.timers.after(wait, self._check_wait, task)
 
+    def is_unanswered_by_silent_hosts_alone(self, attempt: Replacement) -> bool:
+        """Return whether each holder that has not confirmed a fence is silent.
+
+        Such a host may have ended, stand still or be cut off, and is not waited for.
+        """
+        task = self._tasks.get(attempt.group.service)
+        if task is None or task.attempt is not attempt:
+            return False
+        return not any(self._is_alive(task, host) for host in task.unconfirmed)
+
     def renew(self, attempt: Replacement) -> None:
         """Have all holders fence an attempt's primary for longer."""
         self._note_claim(attempt)
--- a/mallowpass/core/proxy/settlements.py
+++ b/mallowpass/core/proxy/settlements.py
@@ -70,6 +70,7 @@
         "_replacing",
         "_replica_orders",
         "_settlements",
+        "_unanswered",
         "_unanswered_at",
     )
 
@@ -77,6 +78,7 @@
         super().__init__(node)
         self._settlements: dict[str, _Settlement] = {}  # by service
         self._replacing: dict[str, Replacement] = {}  # this host's attempts
+        self._unanswered: dict[int, _Settlement] = {}  # by call
         self._unanswered_at = float("-inf")  # when an order was given up
 
     def start(self) -> None:
@@ -143,7 +145,13 @@
         self.timers.after(FENCE_TIMEOUT, self._check_fence, settlement)
 
     def _check_fence(self, settlement: _Settlement) -> None:
-        if settlement.attempt.confirmed_fence is None:
+        """Go on without hosts that are silent; replicas are paused meanwhile."""
+        attempt = settlement.attempt
+        if attempt.confirmed_fence is not None or not self._is_current(settlement):
+            return
+        if self._fence_orders.is_unanswered_by_silent_hosts_alone(attempt):
+            self._ask_primary(settlement)
+        else:
             self._end(settlement, "hosts did not confirm the fence")
 
     # -- Ordering ------------------------------------------------------------
@@ -154,8 +162,8 @@
         primary = attempt.group.endpoints.get(attempt.primary)
         if not self._is_current(settlement):
             return
-        if primary is None or attempt.confirmed_fence is None:
-            self._end(settlement, "the primary is gone, or not fenced")
+        if primary is None:
+            self._end(settlement, "the primary is gone")
             return
 
         def on_reply(reply: EndpointReply | None) -> None:
@@ -181,6 +189,7 @@
         )
 
         def on_stored(renewed: Claim | None) -> None:
+            attempt.claim = renewed or attempt.claim
             is_fenced = self.now < attempt.fenced_until
             if renewed is None or not is_fenced or not self._is_current(settlement):
                 self._pending_orders.note_answer(
@@ -188,7 +197,6 @@
                 )
                 self._end(settlement, "the order is not stored in time")
                 return
-            attempt.claim = renewed
             self._send_order(settlement, number)
 
         position = attempt.received[attempt.primary]
@@ -197,6 +205,7 @@
     def _send_order(self, settlement: _Settlement, number: int) -> None:
         attempt = settlement.attempt
         settlement.call = number
+        self._unanswered[number] = settlement
         attempt.order_count += 1
         self._fence_orders.renew(attempt)
         attempt.log(
@@ -220,9 +229,7 @@
     def _on_answered(self, event: PromotionAnswered) -> None:
         if event.accepted is None:
             self._unanswered_at = self.now
-        settlement = next(
-            (s for s in self._settlements.values() if s.call == event.call), None
-        )
+        settlement = self._unanswered.pop(event.call, None)
         if settlement is None:
             return
         attempt = settlement.attempt
@@ -233,6 +240,8 @@
             event.accepted,
             attempt.claim.token,
         )
+        if not self._is_current(settlement):
+            return
         if event.accepted:
             settlement.is_accepted = True
             self._fence_orders.renew(attempt)
