Let a guard end as another host holds a newer claim

What callers saw: 5.1 s without a write after an order was void. A host that had stood still went on to renew its fence under its earlier token, and to pause replicas. Only the holder of the newest claim does so now; it guards all orders that are pending.

test_a_host_that_was_overtaken_holds_no_writes_once_its_order_is_void failed before.

--- a/mallowpass/core/proxy/pendingfences.py
+++ b/mallowpass/core/proxy/pendingfences.py
@@ -128,6 +128,7 @@
                 self._change_primary(watch)
             return
         watch = _Watch(group, attempt.primary, target)
+        watch.is_newest_until = self.now + 2 * RENEW_INTERVAL
         if group.primary not in ("", attempt.primary):
             self._change_primary(watch)
         self._watches[group.service] = watch
@@ -241,7 +242,8 @@
             return
         statement: Statement = Status()
         pending = self._pending_orders.pending(watch.group.service)
-        is_newest = not watch.former or self.now < watch.is_newest_until
+        is_newest = self.now < watch.is_newest_until
+        is_newest |= not (watch.former or self.tables.promotion_fences_primary)
         must_pause = endpoint.name in watch.receiving and endpoint.name not in pending
         if must_pause and is_newest:
             statement = Pause(watch.group.term + 1)
@@ -388,10 +390,9 @@
         )
 
     def _renew_if_known(self, watch: _Watch) -> None:
-        """Renew a fence if the store tells who holds the newest claim.
+        """Renew a fence if the store tells that this host holds the newest claim.
 
-        Of another primary than the one that was to be replaced, only the holder of that
-        claim renews a fence.
+        The holder of a newer one guards the order, for as long as that is pending.
         """
 
         def on_claim(claim: Claim | None, is_known: bool) -> None:
@@ -404,7 +405,7 @@
             is_newest = claim.holder == self._node.identity.name
             if is_newest:
                 watch.is_newest_until = self.now + 2 * RENEW_INTERVAL
-            if is_newest or not watch.former:
+            if is_newest:
                 self._fence_orders.fence(watch.group, watch.primary, watch.target)
             elif watch.target in claim.rivals(watch.group.primary, self._store.time):
                 del self._watches[service]  # its fence ends once that host has decided
