Wait for no answer of a primary that may be down as its replacement is taken over

What callers saw: 0.8 s more without a write. A takeover asks the primary whether it leads, to end the order in its favour, and its first round waited for the answer. It is asked and not waited for. Guards of inherited orders are left to platforms that check tokens (by reading alone).

--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -363,17 +363,18 @@
         is_needed = attempt.reason is Reason.STALLED or attempt.inherits_order
         if is_bound_reached and not is_needed:
             return
-        attempt.outstanding += 1
+        is_awaited = not is_bound_reached or attempt.reason is Reason.STALLED
+        attempt.outstanding += is_awaited
         round_number = attempt.rounds
 
         def on_reply(reply: EndpointReply | None) -> None:
             if attempt.is_ended or attempt.rounds != round_number:
                 return
-            attempt.outstanding -= 1
+            attempt.outstanding -= is_awaited
             if reply is not None and reply.status is not None:
                 attempt.primary_position = reply.status.received
                 attempt.is_primary_serving = reply.status.is_primary
-            if attempt.outstanding == 0:
+            if is_awaited and attempt.outstanding == 0:
                 self._decide(attempt)
 
         self._replica_orders.send(primary, Status(), on_reply)
@@ -750,7 +751,9 @@
     def _suspend(self, attempt: Replacement) -> None:
         """Lift the fence of an attempt, unless an order before it is pending."""
         is_guarding = self._pending_fences.is_guarding(attempt.group.service)
-        if not (is_guarding or self._pending_orders.has_foreign(attempt.group)):
+        has_foreign = self._pending_orders.has_foreign(attempt.group)
+        must_stay = has_foreign and self.tables.promotion_fences_primary
+        if not (is_guarding or must_stay):
             self._fence_orders.suspend(attempt)
 
     def _may_be_promoted(self, attempt: Replacement) -> bool:
@@ -909,12 +912,10 @@
         self._node.publish(ReplacementEnded(attempt))
         self._quiescence.end(attempt)
         # The holder of the newest claim guards the orders of all claims before.
-        has_decided = attempt.order_count or attempt.claim is not None
-        is_order_pending = bool(
-            attempt.has_fenced
-            and has_decided
-            and self._pending_orders.rivals(attempt.group)
-        )
+        guards = attempt.has_fenced and attempt.order_count
+        if self.tables.promotion_fences_primary:
+            guards = guards or attempt.claim is not None
+        is_order_pending = bool(guards and self._pending_orders.rivals(attempt.group))
         service = attempt.group.service
         is_lifted = self._pending_fences.is_lifted(service)
         if not attempt.order_count and self._pending_fences.is_guarding(service):
