Take over an order whose claim a restored store has lost

What callers saw: 13 s without a write after a store had come back from a copy that lacks the claim, while the hosts that knew it were gone. Fences that nobody renews hold until the claim shows that no order is pending, and no claim of the new era does. One of their holders takes over now once claims can be taken again, with the targets of these fences as pending orders.

By reading alone: a claim that was read before a fence became unattended does not end it; an accepted order ends those of earlier claims also where its own claim was read back; a takeover is logged only if it began.

test_writes_are_served_as_a_copy_of_the_store_lacks_the_claim_of_an_order failed before.

--- a/mallowpass/core/proxy/fencing.py
+++ b/mallowpass/core/proxy/fencing.py
@@ -91,6 +91,7 @@
     is_overtaken: bool = False  # its owner did not hold the newest claim
     is_relaxed: bool = False  # its owner lets writes run
     is_unattended: bool = False  # its owner has not renewed it in time
+    unattended_at: float = 0.0
     token: int = 0  # of the owner's claim; 0: not taken yet
 
     def covers(self, name: str) -> bool:
@@ -246,6 +247,7 @@
         until = self.now + order.duration
         fence = _Fence(order.primary, order.target, until, self.now, token=order.token)
         fence.is_unattended = True
+        fence.unattended_at = self.now
         self._fences.setdefault(group.service, {})[order.owner] = fence
         self._node.publish(FenceBegan(group.service, order))
         self._hold(self._covered(group, fence), until)
@@ -260,7 +262,7 @@
 
     def note_gone(self, group: GroupRow, host: str) -> None:
         """Leave the fences of a host that has ended unattended."""
-        for owner, fence in self._fences.get(group.service, {}).items():
+        for owner, fence in list(self._fences.get(group.service, {}).items()):
             if host_of(owner) == host and self._outlasts_owner(group, fence):
                 fence.is_relaxed = False
                 self._prolong(group, owner, fence)
@@ -270,6 +272,11 @@
         """Return whether writes are held by a fence whose owner may be gone."""
         return any(fence.is_unattended for fence in self._in_force(service))
 
+    def unattended_targets(self, service: str) -> dict[str, float]:
+        """Return the targets of fences whose owners may be gone, each with its end."""
+        fences = self._in_force(service)
+        return {f.target: f.until for f in fences if f.is_unattended and f.target}
+
     def is_attended(self, service: str, token: int) -> bool:
         """Return whether a host keeps a fence, relaxed or not, by a claim or later."""
         return any(
@@ -277,11 +284,14 @@
             for fence in self._in_force(service)
         )
 
-    def end_unattended(self, group: GroupRow) -> None:
-        """End the fences whose owners may be gone, as no order of theirs is pending."""
-        fences = self._fences.get(group.service, {})
-        for owner in [owner for owner, f in fences.items() if f.is_unattended]:
-            self._end(group.service, owner, FenceEnd.UNNEEDED)
+    def end_unattended(self, group: GroupRow, asked_at: float) -> None:
+        """End the fences whose owners may be gone, as no order of theirs is pending.
+
+        Those that became unattended after the store was asked stay.
+        """
+        for owner, fence in list(self._fences.get(group.service, {}).items()):
+            if fence.is_unattended and fence.unattended_at <= asked_at:
+                self._end(group.service, owner, FenceEnd.UNNEEDED)
         self._update(group)
 
     def _hold(self, endpoints: Iterable[EndpointRow], until: float) -> None:
@@ -378,6 +388,7 @@
             self.timers.after(0.0, self._report_silence, group, owner, fence)
             return
         fence.is_unattended = True
+        fence.unattended_at = self.now
         fence.until = self.now + LATE_ORDER_TIMEOUT
         self._hold(self._covered(group, fence), fence.until)
         self.timers.after(0.0, self._on_unattended, group, owner, fence)
--- a/mallowpass/core/proxy/pendingorders.py
+++ b/mallowpass/core/proxy/pendingorders.py
@@ -134,8 +134,8 @@
 
         The platform has seen a newer fencing token, and refuses them from now on.
         """
-        is_newer = token > self._foreign_tokens.get(service, 0)
-        if is_newer and self.tables.promotion_fences_primary:
+        is_newest = token >= self._foreign_tokens.get(service, 0)
+        if is_newest and self.tables.promotion_fences_primary:
             until = self.now + ACCEPTED_ORDER_TIMEOUT
             for orders in self._orders.get(service, {}).values():
                 orders.expire_earlier(token, until)
@@ -155,6 +155,16 @@
         for target, time in until.items():
             by_target.setdefault(target, _Orders()).foreign_until = time
 
+    def note_lost_orders(self, service: str, until: dict[str, float]) -> None:
+        """Record orders that only hosts know of, as the store has lost their claims.
+
+        `until` are times of this host's clock, by target.
+        """
+        by_target = self._orders.setdefault(service, {})
+        for target, time in until.items():
+            orders = by_target.setdefault(target, _Orders())
+            orders.foreign_until = max(orders.foreign_until, time)
+
     def pending(self, service: str) -> dict[str, float]:
         """Return the targets of pending orders, each with its time of expiry."""
         orders = self._orders.get(service, {})
--- a/mallowpass/core/proxy/takeovers.py
+++ b/mallowpass/core/proxy/takeovers.py
@@ -21,6 +21,7 @@
 from mallowpass.core.proxy.claims import Claim, Claims
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.fencing import Fencing
+from mallowpass.core.proxy.pendingorders import PendingOrders
 from mallowpass.core.proxy.promotion import Promotion
 from mallowpass.core.proxy.signals import (
     FenceSilent,
@@ -49,6 +50,7 @@
         "_earliest",
         "_fencing",
         "_gone",
+        "_pending_orders",
         "_promotion",
         "_silent",
         "_store",
@@ -65,6 +67,7 @@
         """Subscribe to fences whose owners may be gone."""
         self._claims = self._node.system(Claims)
         self._fencing = self._node.system(Fencing)
+        self._pending_orders = self._node.system(PendingOrders)
         self._promotion = self._node.system(Promotion)
         self._store = self._node.system(Store)
         self._connections = self._node.system(Connections)
@@ -114,18 +117,32 @@
         if not self._fencing.has_unattended(group.service):
             del self._earliest[group.service]
             return
-        self._claims.read_newest(group.service, partial(self._on_claim, group))
+        on_claim = partial(self._on_claim, group, self.now)
+        self._claims.read_newest(group.service, on_claim)
         delay = CHECK_INTERVAL + self._node.random.uniform(0.0, JITTER_MAX)
         self.timers.after(delay, self._check, group)
 
-    def _on_claim(self, group: GroupRow, claim: Claim | None, is_known: bool) -> None:
-        if not is_known or not self._fencing.has_unattended(group.service):
+    def _on_claim(
+        self, group: GroupRow, asked_at: float, claim: Claim | None, is_known: bool
+    ) -> None:
+        if not self._fencing.has_unattended(group.service):
             return
-        if not self._is_pending(group, claim):
-            self._fencing.end_unattended(group)
-        elif self.now >= self._earliest[group.service]:
+        if not is_known:
+            self._take_over_lost_order(group)
+        elif not self._is_pending(group, claim):
+            self._fencing.end_unattended(group, asked_at)
+        elif self.now >= self._earliest.get(group.service, self.now):
             self._take_over(group, claim)
 
+    def _take_over_lost_order(self, group: GroupRow) -> None:
+        """Replace a primary whose claim a store that was restored may lack."""
+        if not (self._store.has_been_restored and self._store.is_settled):
+            return
+        if not self._promotion.is_replacing(group.service):
+            targets = self._fencing.unattended_targets(group.service)
+            self._pending_orders.note_lost_orders(group.service, targets)
+            self._promotion.take_over(group, "")
+
     def _is_pending(self, group: GroupRow, claim: Claim | None) -> bool:
         """Return whether an order is pending that no other fence protects.
 
@@ -141,6 +158,9 @@
             return
         if self._promotion.is_replacing(group.service):
             return
+        self._promotion.take_over(group, claim.holder if is_gone else "")
+        if not self._promotion.is_replacing(group.service):
+            return
         self._node.log(
             "warning",
             "promotion_taken_over",
@@ -150,4 +170,3 @@
             token=claim.token,
             claim_age=round(self._claims.age(claim), 3),
         )
-        self._promotion.take_over(group, claim.holder if is_gone else "")
