Hold no writes at a new holder before it has read the claim

What callers saw: a write by way of a host that has just become a holder waited 0.25 s (test_holder_at_full_share_serves_a_new_customer_at_once), as its hold of a few milliseconds was taken over by the host that forwarded to it. The claim is read as fast as a connection is opened, so the hold is left to hosts that connect directly at once, as before.

Fences without a target are a host's own until it knows more, and are not told in the line on a replaced primary.

--- a/mallowpass/core/proxy/fencelog.py
+++ b/mallowpass/core/proxy/fencelog.py
@@ -95,6 +95,9 @@
     # -- Fences --------------------------------------------------------------
 
     def _on_began(self, signal: FenceBegan) -> None:
+        """Note a fence, unless it is a host's own until it knows more."""
+        if signal.order.target is None:
+            return
         fences = self._fences.setdefault(signal.service, {})
         for owner, fence in list(fences.items()):
             if self._is_old(fence):
--- a/mallowpass/core/proxy/startfences.py
+++ b/mallowpass/core/proxy/startfences.py
@@ -69,6 +69,7 @@
     def _on_holders_bypassed(self, signal: HoldersBypassed) -> None:
         group = self.tables.group(signal.endpoint.entry.service)
         if group.primary_row is signal.endpoint and not signal.endpoint.is_leaving:
+            self._fencing.fence(signal.endpoint, CLAIM_READ_TIMEOUT, self._owner)
             self._check_claim(group)
 
     def _on_holder_joined(self, signal: HolderJoined) -> None:
@@ -77,8 +78,10 @@
             self._check_claim(group)
 
     def _check_claim(self, group: GroupRow) -> None:
-        """Fence a primary until the claim is known, and while an order is pending."""
-        self._fencing.fence(group.primary_row, CLAIM_READ_TIMEOUT, self._owner)
+        """Fence a primary while an order is pending, and end an earlier fence if not.
+
+        The claim is read before the first connection is open.
+        """
 
         def on_claim(claim: Claim | None, is_known: bool) -> None:
             is_fenced = claim is not None and self._fence(group, claim)
