--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -199,6 +199,16 @@
         wait = max(wait, delay + STEP_DOWN_TIMEOUT)
         self.timers.after(wait, self._check_wait, task)
 
+    def is_unanswered_by_silent_hosts_alone(self, attempt: Replacement) -> bool:
+        """Return whether each holder that has not confirmed a fence is silent.
+
+        Such a host may have ended, stand still or be cut off, and is not waited for.
+        """
+        task = self._tasks.get(attempt.group.service)
+        if task is None or task.attempt is not attempt:
+            return False
+        return not any(self._is_alive(task, host) for host in task.unconfirmed)
+
     def renew(self, attempt: Replacement) -> None:
         """Have all holders fence an attempt's primary for longer."""
         self._note_claim(attempt)
@@ -229,7 +239,7 @@
             # Of another primary, only the host with the newest claim renews a fence.
             if group.primary in ("", attempt.primary):
                 self.fence(group, attempt.primary, attempt.fence_target)
-        elif task.targets != {group.primary}:
+        elif not group.primary or task.targets != {group.primary}:
             # A fence that names the new primary as its target has ended.
             self.lift(group, attempt.primary, attempt.fence_target)
 
@@ -315,8 +325,9 @@
         return Fence(primary, duration, self._owner, target, is_relaxed, token)
 
     def _note_claim(self, attempt: Replacement) -> None:
-        if attempt.claim is not None:
-            self._tokens[attempt.group.service] = attempt.claim.token
+        """Record the token of an attempt's fence; 0 if it has not claimed yet."""
+        token = 0 if attempt.claim is None else attempt.claim.token
+        self._tokens[attempt.group.service] = token
 
     def _order(self, task: _Task, host: HostRow) -> None:
         """Have a holder fence the primary; repeat it until the holder confirms."""
