List a world in which a commit is acknowledged on a connection that was closed

The target stops to receive while the fence is relaxed; all hosts close their connections with commits in flight 0.3 s later; the database acknowledges one of them 1.1 s after that, as another replica is back. Its caller was told that it is in doubt.

--- a/tests/core/proxy/test_killed_worlds.py
+++ b/tests/core/proxy/test_killed_worlds.py
@@ -21,6 +21,7 @@
     ("freeze", 4, 8),
     ("lose_store", 3, 14),
     ("lose_store", 3, 43),
+    ("lose_store", 3, 466),
     ("lose_hosts", 3, 27),
     ("lose_hosts", 3, 32),
     ("lose_all", 3, 35),
