--- a/mallowpass/core/proxy/fencing.py
+++ b/mallowpass/core/proxy/fencing.py
@@ -66,7 +66,7 @@
 # A fence is renewed with each order that the platform accepts, and expires if its
 # promotion is not carried out and not ordered again.
 FENCE_DURATION = ACCEPTED_ORDER_TIMEOUT + 0.5
-# For the commits in flight at a primary that is fenced again; see `_begin_again`.
+# For the commits in flight at a primary that is fenced again; see `_abandon_soon`.
 DRAIN_TIMEOUT = 0.05
 # Without a renewal, until this host finds out whether the owner is gone. An order that
 # was accepted is carried out within this time, or the owner renews its fence.
@@ -190,7 +190,7 @@
         covered = self._covered(group, fence)
         self._hold(covered, until)
         if known is not None and known.is_relaxed:
-            self._begin_again(covered)
+            self._abandon_soon(covered)
         self._update(group)
         self._await_drained(covered, handler)
 
@@ -199,11 +199,11 @@
         rows = (group.endpoints.get(fence.primary), group.primary_row)
         return [row for row in rows if row is not None and fence.covers(row.name)]
 
-    def _begin_again(self, covered: list[EndpointRow]) -> None:
-        """Give up the commits that are in flight as a relaxed fence holds writes again.
+    def _abandon_soon(self, covered: list[EndpointRow]) -> None:
+        """Abandon the commits that are in flight as a relaxed fence holds writes again.
 
-        The target has stopped to receive. They would be acknowledged as soon as another
-        replica receives them.
+        The target does not receive any more, so they would be acknowledged as soon as
+        another replica receives them.
         """
         for endpoint in covered:
             self.timers.after(DRAIN_TIMEOUT, self.abandon_commits, endpoint)
@@ -384,7 +384,7 @@
             self._node.publish(FenceBegan(group.service, order))
             covered = self._covered(group, fence)
             self._hold(covered, fence.until)
-            self._begin_again(covered)
+            self._abandon_soon(covered)
             self.timers.after(0.0, self._report_silence, group, owner, fence)
             return
         fence.is_unattended = True
--- a/mallowpass/core/proxy/settlements.py
+++ b/mallowpass/core/proxy/settlements.py
@@ -21,7 +21,6 @@
 from mallowpass.core.proxy.effects import OrderPromotion
 from mallowpass.core.proxy.events import PromotionAnswered
 from mallowpass.core.proxy.fenceorders import FenceOrders
-from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.pendingfences import PendingFences
 from mallowpass.core.proxy.pendingorders import ACCEPTED_ORDER_TIMEOUT, PendingOrders
 from mallowpass.core.proxy.replacement import (
@@ -64,7 +63,6 @@
         "_claims",
         "_durability",
         "_fence_orders",
-        "_holders",
         "_pending_fences",
         "_pending_orders",
         "_replacing",
@@ -86,7 +84,6 @@
         self._claims = self._node.system(Claims)
         self._durability = self._node.system(Durability)
         self._fence_orders = self._node.system(FenceOrders)
-        self._holders = self._node.system(Holders)
         self._pending_fences = self._node.system(PendingFences)
         self._pending_orders = self._node.system(PendingOrders)
         self._replica_orders = self._node.system(ReplicaOrders)
--- a/mallowpass/core/proxy/startfences.py
+++ b/mallowpass/core/proxy/startfences.py
@@ -1,10 +1,10 @@
 """Fences at a host that was not told of one, while a primary is being replaced.
 
 The host that replaces a primary had the other hosts fence it. A host that starts was
-not there, or has lost its fence with its end. A host that is no holder, and connects
-directly as it is cut off from the holders, is told of no fence. The claim tells both of
-the promotion order that may be carried out at any moment: until then, no commit may be
-acknowledged by a primary that is not the order's target.
+not there, or has lost its fence with its end. Nor was one told that becomes a holder
+meanwhile, or that connects directly as it is cut off from the holders. The claim tells
+them of the promotion order that may be carried out at any moment: until then, no commit
+may be acknowledged by a primary that is not the order's target.
 
 The host that sent the order may be gone, so this fence is an unattended one from the
 beginning, see `fencing`. Its holder ends it by a fence of its own, relaxed or not.
