--- a/review/4/case.py
+++ b/review/4/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import signal
 import sys
@@ -70,10 +71,8 @@
                 await asyncio.sleep(0.1)
                 continue
             host = self._random.choice(ready)
-            try:
+            with contextlib.suppress(OSError):  # it doesn't listen any more
                 await self._session(host, until)
-            except OSError:
-                pass  # it doesn't listen any more
             await asyncio.sleep(0.05)
 
     async def _session(self, host: Host, until: float) -> None:
