--- a/review/4/case.py
+++ b/review/4/case.py
@@ -12,7 +12,6 @@
 from pathlib import Path
 
 from scene import (
-    DEADLINES,
     GRACE,
     Host,
     Record,
@@ -28,7 +27,7 @@
 STATEMENTS = 12  # of a transaction, its BEGIN and COMMIT included: the page's most
 PAUSE = (0.2, 0.5)  # seconds between two statements of a transaction
 DURATION = 98.0  # seconds of traffic
-ROUTE, TIMEOUT = "carrier-view", 3.0
+ROUTE, TIMEOUT, DEADLINE = "carrier-view", 3.0, 6.0
 LOSS_SLACK = 0.2  # seconds; `lossSlackMs`
 WORK_MEAN, WORK_MOST = 0.055, 0.41  # seconds, of the sheet
 
@@ -170,7 +169,7 @@
             continue  # it was not passed on, and ended soon
         if waited >= TIMEOUT - 0.05:
             continue  # the route's timeout was reached
-        if sent.closed_at - sent.began_at >= DEADLINES[ROUTE]:
+        if sent.closed_at - sent.began_at >= DEADLINE:
             continue  # the deadline was reached
         if after <= 3.0:
             continue  # the database may have been at work in the last sixth
@@ -184,7 +183,7 @@
 
 
 async def _case(record: Record, folder: Path, trouble: bool) -> list[str] | None:
-    scene = Scene(record, far=True)
+    scene = Scene(record)
     rng = random.Random(4)
 
     def work_of(request: str) -> float:
--- a/review/scene.py
+++ b/review/scene.py
@@ -15,6 +15,7 @@
 import tempfile
 import time
 import tomllib
+from dataclasses import dataclass
 from pathlib import Path
 
 from mallowpass.core.proxy.configuration import (
@@ -23,6 +24,7 @@
     Route,
     ServiceLimits,
 )
+from mallowpass.core.proxy.storage import RowKey, Table
 from mallowpass.platform.settings import Address
 from mallowpass.standins.proxied import wireserver
 from mallowpass.standins.proxied.platform import (
@@ -34,23 +36,70 @@
     STORE_PORT,
     LocalPlatform,
 )
+from mallowpass.standins.proxied.replicas import Group, Replica
 from mallowpass.standins.proxied.wireserver import ReplicaServer
 
 ROOT = Path(__file__).resolve().parents[1]
 HEARTBEAT = 1.2  # seconds; `heartbeatMs`
+RESENT = 0.3  # seconds until a caller's machine sends again what got no receipt
 READY_LIMIT = 12.0  # seconds from the start of machines to traffic
-CONTACT = 4.0  # seconds; `contactMs` of the sheet of mnara-pool
 GRACE = 6.0  # seconds; `graceS`
-# Of the sheet of mnara-pool: name of the database, kind, timeout, objective, age.
-ROUTES = (
-    ("tenancy-post", Consistency.PRIMARY, 1.0, 0.4, 1, 0.0),
-    ("carrier-view", Consistency.BOUNDED, 3.0, 1.0, 2, 1.5),
-    ("rent-recon", Consistency.OWN_WRITES, 1.0, 0.8, 2, 2.5),
-)
 TRANSACTION_IDLE = 3.0  # seconds; `txIdleMs`
-SLOTS, CONNECTIONS = 5, 55
-DISTANCE = 0.008  # seconds one way between regions; each database has its own
-DEADLINES = {"tenancy-post": 2.5, "carrier-view": 6.0, "rent-recon": 2.5}
+SILENT_BEATS = 3  # heartbeats of silence after which an entry is removed
+
+
+@dataclass(frozen=True)
+class Sheet:
+    """Hold what the sheet of a site says; times in seconds."""
+
+    service: str
+    # Name of the database, kind, timeout, objective, priority and age.
+    routes: tuple[tuple[str, Consistency, float, float, int, float], ...]
+    slots: int
+    connections: int
+    opening: float  # of a new connection
+    lag: float
+    promotion: float
+    distance: float  # one way between regions; each database has its own
+    contact: float  # `contactMs`
+    apply: float  # `configApplyMs`
+    fences: bool  # `requireFencing`
+
+
+MNARA = Sheet(
+    "lease-ledger",
+    (
+        ("tenancy-post", Consistency.PRIMARY, 1.0, 0.4, 1, 0.0),
+        ("carrier-view", Consistency.BOUNDED, 3.0, 1.0, 2, 1.5),
+        ("rent-recon", Consistency.OWN_WRITES, 1.0, 0.8, 2, 2.5),
+    ),
+    slots=5,
+    connections=55,
+    opening=0.027,
+    lag=0.02,
+    promotion=1.0,
+    distance=0.008,
+    contact=4.0,
+    apply=3.0,
+    fences=True,
+)
+GLENBRAID = Sheet(
+    "member-ledger",
+    (
+        ("loan-drawdown", Consistency.PRIMARY, 0.8, 0.6, 1, 0.0),
+        ("balance-view", Consistency.BOUNDED, 1.2, 0.8, 2, 1.5),
+        ("dealer-check", Consistency.OWN_WRITES, 0.8, 1.0, 2, 2.5),
+    ),
+    slots=2,
+    connections=16,
+    opening=0.012,
+    lag=0.008,
+    promotion=1.0,
+    distance=0.02,
+    contact=5.0,
+    apply=4.0,
+    fences=False,
+)
 
 
 class Record:
@@ -75,13 +124,13 @@
         self._file.close()
 
 
-def configuration(version: int, service: str) -> Configuration:
-    """Return the configuration of the sheet of mnara-pool, for one service."""
+def configuration(version: int, sheet: Sheet) -> Configuration:
+    """Return the configuration of a sheet, for one service."""
     routes = {
-        name: Route(name, service, kind, timeout, aim, priority, accepted_age=age)
-        for name, kind, timeout, aim, priority, age in ROUTES
+        name: Route(name, sheet.service, kind, timeout, aim, priority, accepted_age=age)
+        for name, kind, timeout, aim, priority, age in sheet.routes
     }
-    limits = {service: ServiceLimits(service, CONNECTIONS, 1)}
+    limits = {sheet.service: ServiceLimits(sheet.service, sheet.connections, 1)}
     return Configuration(version, routes, limits, transaction_idle=TRANSACTION_IDLE)
 
 
@@ -94,53 +143,90 @@
     return min(value, most)
 
 
-class _Far(wireserver._Served):
-    """Hold a connection of a caller in another region."""
+class _Served(wireserver._Served):
+    """Hold a connection of a caller in another region, to one run of a database.
+
+    A database that is dark answers nothing. Once it has started again, it knows nothing
+    of its earlier connections: it resets one on which something arrives, or on which
+    something has arrived meanwhile, which the caller's machine sends again.
+    """
+
+    def __init__(self, server: DatabaseServer) -> None:
+        super().__init__(server.group, server.name, server.connections)
+        self._of = server
+        self._run = server.run
+        self.is_owed = False  # something arrived that was not taken
 
     def data_received(self, data: bytes) -> None:
         loop = asyncio.get_running_loop()
-        loop.call_later(DISTANCE, self._take, data)
+        loop.call_later(self._of.distance, self._take, data)
 
     def _take(self, data: bytes) -> None:
-        if not self.transport.is_closing():
+        if self.transport.is_closing():
+            return
+        if self._of.is_dark:
+            self.is_owed = True
+        elif self._run != self._of.run:
+            self.transport.abort()
+        else:
             super().data_received(data)
 
     def _answer(self, reply) -> None:
         loop = asyncio.get_running_loop()
-        loop.call_later(DISTANCE, self._give, reply)
+        loop.call_later(self._of.distance, self._give, reply)
 
     def _give(self, reply) -> None:
-        if not self.transport.is_closing():
+        is_cut = self._of.is_dark or self._run != self._of.run
+        if not (is_cut or self.transport.is_closing()):
             super()._answer(reply)
 
 
-class _FarServer(ReplicaServer):
-    """Listen for a database in another region than the hosts."""
+class DatabaseServer(ReplicaServer):
+    """Listen for a database, which may go dark."""
+
+    def __init__(self, group: Group, name: str, address: Address, far: float) -> None:
+        super().__init__(group, name, address)
+        self.group, self.name, self.distance = group, name, far
+        self.connections = self._connections
+        self.is_dark = False
+        self.run = 0
 
     async def start(self) -> None:
         """Listen."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _Far(self._group, self._name, self._connections),
-            self.address.host,
-            self.address.port,
+            lambda: _Served(self), self.address.host, self.address.port
         )
 
+    def wake(self) -> None:
+        """Answer again, as a new run."""
+        self.is_dark = False
+        self.run += 1
+        loop = asyncio.get_running_loop()
+        for served in list(self.connections):
+            if served.is_owed:
+                loop.call_later(RESENT, served.transport.abort)
+
 
 class Scene(LocalPlatform):
     """Run the stand-ins, with heartbeats of the databases."""
 
-    def __init__(self, record: Record, fences: bool = True, far: bool = False) -> None:
-        super().__init__("lease-ledger", fences=fences)
+    def __init__(self, record: Record, sheet: Sheet = MNARA) -> None:
+        super().__init__(sheet.service, fences=sheet.fences)
         self.record = record
-        if far:
-            for name, server in list(self.servers.items()):
-                self.servers[name] = _FarServer(self.group, name, server.address)
-        self.group.slots, self.group.max_connections = SLOTS, CONNECTIONS
-        self.group.times.lag, self.group.times.promotion = 0.02, 1.0
-        self.group.times.opening = 0.027
-        self.store.put(CONFIGURATION_KEY, configuration(1, "lease-ledger"))
+        self.sheet = sheet
+        for name, server in list(self.servers.items()):
+            self.servers[name] = DatabaseServer(
+                self.group, name, server.address, sheet.distance
+            )
+        self.group.slots = sheet.slots
+        self.group.max_connections = sheet.connections
+        times = self.group.times
+        times.lag, times.promotion = sheet.lag, sheet.promotion
+        times.opening, times.network = sheet.opening, sheet.distance
+        self.store.put(CONFIGURATION_KEY, configuration(1, sheet))
         self.ran: dict[str, float] = {}  # when a database began with a request
+        self.leaving: set[str] = set()  # databases that drain
         self._beat: asyncio.Task[None] | None = None
 
     async def begin(self) -> None:
@@ -155,6 +241,35 @@
                 if replica.up:
                     self.enter(replica)
 
+    def enter(self, replica: Replica, draining: bool = False) -> None:
+        """Write a database's entry, as it does itself."""
+        super().enter(replica, draining or replica.name in self.leaving)
+
+    async def go_dark(self, name: str, duration: float) -> None:
+        """Have a database crash without a word, and start again with its log."""
+        self.record.write(f"database {name} goes dark")
+        self.servers[name].is_dark = True
+        self.group.crash(name)
+        lapse = SILENT_BEATS * HEARTBEAT
+        await asyncio.sleep(min(duration, lapse))
+        if duration > lapse:
+            self.store.delete(RowKey(Table.ENDPOINTS, "", name))
+            await asyncio.sleep(duration - lapse)
+        self.group.start(name)
+        self.servers[name].wake()
+        self.enter(self.group.replicas[name])
+        self.record.write(f"database {name} has started again")
+
+    async def go_deaf(self, name: str, duration: float) -> None:
+        """Have a replica receive nothing for a while."""
+        self.record.write(f"database {name} receives nothing")
+        replica = self.group.replicas[name]
+        replica.deaf = True
+        await asyncio.sleep(duration)
+        replica.deaf = False
+        self.group.catch_up(replica)
+        self.record.write(f"database {name} receives again")
+
     def address(self, number: int, port: int) -> Address:
         """Return an address of this run."""
         return self._address(number, port)
@@ -208,17 +323,17 @@
 cpuShare = 0.537
 cores = 2
 memoryMb = 300
-maxFds = 4200
+maxFds = 4300
 [faultTolerance]
 machines = 1
 zones = 0
 regions = 0
 [bounds]
-contactMs = {int(1000 * CONTACT)}
+contactMs = {int(1000 * scene.sheet.contact)}
 drainMs = 7000
 graceS = {int(GRACE)}
 lossSlackMs = 200
-configApplyMs = 3000
+configApplyMs = {int(1000 * scene.sheet.apply)}
 recoveryS = 12
 requireFencing = {str(scene.fences).lower()}
 thawSlackMs = 300
