Run writes beside a pending order through its guard

Cause: while the guard of a pending order relaxed its fence, all holders wrote for up to 0.6 s at a time, and only the guard looked whether the target still received. When the guard ended, froze or was cut off, they wrote on, and a replica whose restart had ended its pause acknowledged. A shorter time makes that rarer and does not end it.

Now what may commit goes through the owner of the relaxed fence: by links, as hosts without a connection forward already. Links of holders are not passed on twice, and a transaction whose connection leads elsewhere is aborted. Writes end with the process that watches the target. The owner's own permission lasts 0.3 s, so one that stood still holds its writes before it handles what arrived.

A trial of a fence asks the target for what the primary showed a round before, as in all later rounds: with all writes at one host, the primary's answer comes after the target's, and the trial failed each time. It is not waived where the platform checks no tokens, and a guard that fences a primary by itself lets no other host write, as it would refuse what these send.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -22,7 +22,7 @@
 )
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.policy.eviction import choose_eviction, eviction_time
-from mallowpass.core.proxy.shares import Shares
+from mallowpass.core.proxy.shares import FORWARDED_MAX, Shares
 from mallowpass.core.proxy.signals import (
     CallsSent,
     ConnectionFreed,
@@ -302,6 +302,23 @@
         self._open(endpoint, host, None, True, carries_fences)
         return None
 
+    def acquire_through(
+        self, endpoint: EndpointRow, host: HostRow, values: dict[str, str]
+    ) -> ConnectionRow | None:
+        """Return an idle link of callers' statements to a host; open one if needed."""
+        links = [
+            connection
+            for connection in endpoint.connections.values()
+            if connection.holder == host.name and not connection.is_single_use
+        ]
+        idle = [link for link in links if link.state is ConnectionState.IDLE]
+        if idle:
+            return self._note_use(max(idle, key=lambda link: link.values == values))
+        opening = sum(link.state is ConnectionState.OPENING for link in links)
+        if len(links) < FORWARDED_MAX and opening < OPENING_MAX:
+            self._open(endpoint, host, None)
+        return None
+
     def open_check(self, endpoint: EndpointRow, host: HostRow) -> ConnectionRow:
         """Open a link for the sole purpose of finding out whether a holder answers."""
         return self._open(endpoint, host, None, is_single_use=True)
--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -34,6 +34,7 @@
 from mallowpass.core.proxy.durability import Durability
 from mallowpass.core.proxy.fencing import (
     FENCE_DURATION,
+    OWNER_RELAX_DURATION,
     RELAX_DURATION,
     Fencing,
 )
@@ -279,14 +280,14 @@
         self._send_all(group, fence)
 
     def relax(self, group: GroupRow, primary: str, target: str) -> None:
-        """Have all holders let writes run, for as long as this host renews it."""
-        self._send_all(group, self.relax_here(group, primary, target))
+        """Have the other holders run their writes through this host."""
+        fence = self._new_fence(group, primary, target, RELAX_DURATION, True)
+        self._send_all(group, fence)
 
-    def relax_here(self, group: GroupRow, primary: str, target: str) -> Fence:
+    def relax_here(self, group: GroupRow, primary: str, target: str) -> None:
         """Let the writes of this host run for a moment."""
-        fence = self._new_fence(group, primary, target, RELAX_DURATION, True)
+        fence = self._new_fence(group, primary, target, OWNER_RELAX_DURATION, True)
         self._fencing.relax_service(group, fence)
-        return fence
 
     def lift(self, group: GroupRow, primary: str, target: str) -> None:
         """Have all holders lift this host's fence of a primary."""
--- a/mallowpass/core/proxy/fencing.py
+++ b/mallowpass/core/proxy/fencing.py
@@ -22,9 +22,9 @@
 The owner of a fence may be gone, and its order may be carried out later. So a fence
 that was neither renewed nor lifted in time does not end: it is unattended, and holds
 writes until the store shows that no order is pending, see `takeovers`. The owner
-relaxes a fence while nothing can be lost: writes run for a moment at a time, and are
-held again if it does not renew that. A host that has started again is another owner
-than before, and lifts no fence of its earlier run.
+relaxes a fence while nothing can be lost: writes run through it, see `guardedwrites`,
+and are held again if it does not renew that in a moment. A host that has started again
+is another owner than before, and lifts no fence of its earlier run.
 
 Whoever holds a newer claim knows of the orders of the claims before, and keeps a fence
 of its own for as long as one is pending. So its fence replaces unattended earlier ones.
@@ -60,7 +60,7 @@
 from mallowpass.core.proxy.writeholds import DrainedHandler, HoldReason, WriteHolds
 from mallowpass.core.timers import Timer
 
-__all__ = ["FENCE_DURATION", "RELAX_DURATION", "Fencing"]
+__all__ = ["FENCE_DURATION", "OWNER_RELAX_DURATION", "RELAX_DURATION", "Fencing"]
 
 # Times are in seconds.
 # A fence is renewed with each order that the platform accepts, and expires if its
@@ -73,6 +73,9 @@
 OWNER_SILENCE = 1.0
 # For which writes run beside a pending order, unless the owner of the fence renews it.
 RELAX_DURATION = 0.6
+# The same at the owner, which renews it in each round: it holds writes again if it
+# stood still, before it handles what arrived meanwhile.
+OWNER_RELAX_DURATION = 0.3
 # Without a reply of a fenced primary. Within this time all holders have forwarded the
 # order to step down, and the primary has answered if one of them reaches it.
 SILENCE_TIMEOUT = 0.2
@@ -96,7 +99,14 @@
 
     def covers(self, name: str) -> bool:
         """Return whether writes to an endpoint are held."""
-        if self.is_overtaken or self.is_relaxed:
+        return not self.is_relaxed and self._concerns(name)
+
+    def guards(self, name: str) -> bool:
+        """Return whether writes to an endpoint run through its owner."""
+        return self.is_relaxed and self._concerns(name)
+
+    def _concerns(self, name: str) -> bool:
+        if self.is_overtaken:
             return False
         if self.target is None:
             return name == self.primary
@@ -357,6 +367,25 @@
         since = max(min(waiting), primary.last_direct_reply_at)
         return since < self.now - SILENCE_TIMEOUT
 
+    def has_own_fence(self, service: str) -> bool:
+        """Return whether this host fences a primary of a service by itself."""
+        return any(fence.target is None for fence in self._in_force(service))
+
+    def guard_of(self, endpoint: EndpointRow) -> str | None:
+        """Return the host that relaxes a fence of an endpoint, None if there is none.
+
+        Of several, the one with the newest claim knows of the orders of all others.
+        """
+        fences = self._fences.get(endpoint.entry.service)
+        if not fences:
+            return None
+        guards = [
+            (fence.token, host_of(owner))
+            for owner, fence in fences.items()
+            if fence.guards(endpoint.name)
+        ]
+        return max(guards)[1] if guards else None
+
     def is_fenced(self, primary: EndpointRow) -> bool:
         """Return whether a primary is fenced at this host."""
         fences = self._in_force(primary.entry.service)
--- a/mallowpass/core/proxy/holders.py
+++ b/mallowpass/core/proxy/holders.py
@@ -300,6 +300,11 @@
         hosts = [holder.host for name, holder in former.items() if name not in names]
         return holders + hosts
 
+    def known_host(self, service: str, name: str) -> HostRow | None:
+        """Return the entry of a host, also of a former holder whose entry is gone."""
+        former = self._former.get(service, {}).get(name)
+        return self.tables.hosts.get(name) or (former.host if former else None)
+
     def forget_former(self, service: str, name: str) -> None:
         """Forget a former holder whose process is gone."""
         if name not in self.tables.hosts:
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -26,6 +26,7 @@
 from mallowpass.core.proxy.fairsharing import FairSharing
 from mallowpass.core.proxy.fencing import Fencing
 from mallowpass.core.proxy.floors import Floors
+from mallowpass.core.proxy.guardedwrites import GuardedWrites
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.pauses import Pauses
@@ -92,6 +93,7 @@
         "_fair_sharing",
         "_fencing",
         "_floors",
+        "_guarded_writes",
         "_holders",
         "_load",
         "_pauses",
@@ -108,6 +110,7 @@
         self._fair_sharing = node.system(FairSharing)
         self._fencing = node.system(Fencing)
         self._floors = node.system(Floors)
+        self._guarded_writes = node.system(GuardedWrites)
         self._holders = node.system(Holders)
         self._load = node.system(Load)
         self._pauses = node.system(Pauses)
@@ -322,12 +325,23 @@
     # -- Held writes ---------------------------------------------------------
 
     def _must_hold(self, link: LinkRow) -> bool:
-        """Return whether waiting calls commit at a primary whose writes are held.
+        """Return whether waiting calls commit at a primary whose writes are held."""
+        if not self._may_commit(link):
+            return False
+        if self._write_holds.is_held_here(link.endpoint):
+            return True
+        if link.connection is not None:
+            return not self._guarded_writes.may_commit_on(link.connection)
+        # A guard that this host knows, and not the other one, is not passed on to.
+        is_elsewhere = self._guarded_writes.are_guarded_elsewhere(link.endpoint)
+        return link.is_from_holder and is_elsewhere
+
+    @staticmethod
+    def _may_commit(link: LinkRow) -> bool:
+        """Return whether waiting calls commit, or begin what may commit.
 
         A transaction that is begun and rolled back at once only probes the primary.
         """
-        if not self._write_holds.is_held_here(link.endpoint):
-            return False
         if len(link.waiting) == 1 and _begins_writes(link.waiting[0].statement):
             return True
         return any(_commits_writes(link, call.statement) for call in link.waiting)
@@ -501,14 +515,8 @@
         """Send a link's waiting calls if a connection is available; return success."""
         if not self._load.has_room(link.endpoint):
             return False
-        # Calls of a holder are not forwarded to a third host: two holders without
-        # connections would wait for each other.
-        connection = self._connections.acquire(
-            link.endpoint, link.values, link.customer, own_only=link.is_from_holder
-        )
+        connection = self._acquire(link)
         if connection is None:
-            borrow = not link.is_from_holder
-            self._connections.grow(link.endpoint, link.customer, borrow=borrow)
             return False
         self._admission.note_link_sent(link.endpoint)
         self._leave_queue(link)
@@ -520,6 +528,23 @@
         self._send(link, connection)
         return True
 
+    def _acquire(self, link: LinkRow) -> ConnectionRow | None:
+        """Return a connection for a link's calls; request one if there is none."""
+        endpoint, customer = link.endpoint, link.customer
+        if self._guarded_writes.are_guarded(endpoint) and self._may_commit(link):
+            if self._must_hold(link):
+                return None
+            return self._guarded_writes.acquire(endpoint, link.values, customer)
+        # Calls of a holder are not forwarded to a third host: two holders without
+        # connections would wait for each other.
+        connection = self._connections.acquire(
+            endpoint, link.values, customer, own_only=link.is_from_holder
+        )
+        if connection is None:
+            borrow = not link.is_from_holder
+            self._connections.grow(endpoint, customer, borrow=borrow)
+        return connection
+
     def _check_wait(self, link: LinkRow, since: float) -> None:
         if link not in self._waiting or link.waiting_since != since:
             return
--- a/mallowpass/core/proxy/pendingfences.py
+++ b/mallowpass/core/proxy/pendingfences.py
@@ -11,9 +11,10 @@
 That target and primary show the same position proves little while the fence stops all
 commits. So the writes of this host alone run first, until the target has received one.
 
-While it is lifted it is only relaxed at the holders: should this host end, they hold
-writes again, see `fencing`. A host that does not reach the store renews no fence, so
-that another one takes the order over, see `takeovers`.
+While it is lifted it is only relaxed at the holders, and their writes run through this
+host, see `guardedwrites`. Should it end, they hold writes again, see `fencing`. A host
+that does not reach the store renews no fence, so that another one takes the order over,
+see `takeovers`.
 
 Another endpoint may become primary meanwhile, such as the one that inherits the log of
 a primary that has left. The order replaces that one as well, so it is fenced likewise.
@@ -31,6 +32,7 @@
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.claims import Claim, Claims
 from mallowpass.core.proxy.fenceorders import FenceOrders
+from mallowpass.core.proxy.fencing import Fencing
 from mallowpass.core.proxy.pendingorders import ACCEPTED_ORDER_TIMEOUT, PendingOrders
 from mallowpass.core.proxy.replacement import PromotionOrdered, Replacement
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
@@ -92,6 +94,7 @@
     __slots__ = (
         "_claims",
         "_fence_orders",
+        "_fencing",
         "_pending_orders",
         "_replica_orders",
         "_store",
@@ -109,6 +112,7 @@
         """Look up the systems that this one uses."""
         self._claims = self._node.system(Claims)
         self._fence_orders = self._node.system(FenceOrders)
+        self._fencing = self._node.system(Fencing)
         self._pending_orders = self._node.system(PendingOrders)
         self._replica_orders = self._node.system(ReplicaOrders)
         self._store = self._node.system(Store)
@@ -270,7 +274,9 @@
             return
         is_prompt = self.now < watch.asked_at + ROUND_TIMEOUT
         is_due = self.now >= watch.fenced_until
-        is_safe = is_prompt and is_due and self._is_safe(watch)
+        # The writes of all hosts run through this one.
+        can_write = not self._fencing.has_own_fence(watch.group.service)
+        is_safe = is_prompt and is_due and can_write and self._is_safe(watch)
         primary = watch.statuses.get(watch.primary)
         watch.shown = None if primary is None else primary.received
         watch.receiving = self._receiving(watch)
@@ -325,8 +331,6 @@
             for name in others
         )
         keeps_up = target.received >= watch.shown and not target.paused_for
-        if watch.trial_from is not None and target.received <= watch.trial_from:
-            keeps_up &= primary.received <= watch.trial_from
         return primary.is_primary and keeps_up and are_paused
 
     @staticmethod
@@ -353,15 +357,15 @@
     def _relax(self, watch: _Watch) -> None:
         """Let the writes of this host run, and those of all once the target has one.
 
-        Holders hold their writes again unless they are told again in time.
+        The others run through this host, and are held again unless it renews that.
         """
         if watch.trial_from is None:
             watch.trial_from = watch.statuses[watch.primary].received
             watch.trial_until = self.now + TRIAL_TIMEOUT
             watch.renewed_at = float("-inf")
         group, primary, target = watch.group, watch.primary, watch.target
+        self._fence_orders.relax_here(group, primary, target)
         if not watch.has_received and not self._is_received(watch):
-            self._fence_orders.relax_here(group, primary, target)
             return
         if not watch.has_received:
             watch.has_received = True
@@ -376,7 +380,6 @@
         It is not waited for where nobody writes, or the platform checks no tokens.
         """
         is_waived = self.now >= watch.trial_until
-        is_waived |= not self.tables.promotion_fences_primary
         return is_waived or watch.statuses[watch.target].received > watch.trial_from
 
     def _log(self, watch: _Watch, is_lifted: bool) -> None:
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -23,6 +23,7 @@
 from mallowpass.core.proxy.fencing import Fencing
 from mallowpass.core.proxy.floors import Floors
 from mallowpass.core.proxy.forwardedorders import ForwardedOrders
+from mallowpass.core.proxy.guardedwrites import GuardedWrites
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.holdersilence import HolderSilence
 from mallowpass.core.proxy.hosts import Hosts
@@ -100,6 +101,7 @@
     NearMisses,
     Fencing,
     FenceLog,
+    GuardedWrites,
     WriteHolds,
     StartFences,
     Quiescence,
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -403,10 +403,14 @@
             if self._is_cut_off(request, group, floor):
                 self._refuse_for_load(request, group, request.detail)
             return
-        choice = dispatch_pass.lookup_miss(request.customer, floor)
+        is_guarded = self._routing.is_guarded(request, group)
+        choice = None
+        if not is_guarded:
+            choice = dispatch_pass.lookup_miss(request.customer, floor)
         if choice is None:
             choice = self._routing.choose(request, group, floor)
-            if choice.connection is None and not request.avoided_endpoints:
+            is_same_for_all = not (request.avoided_endpoints or is_guarded)
+            if choice.connection is None and is_same_for_all:
                 dispatch_pass.record_miss(request.customer, floor, choice)
         request.detail = choice.why or request.detail
         request.waits_for_load = choice.connection is None
--- a/mallowpass/core/proxy/routing.py
+++ b/mallowpass/core/proxy/routing.py
@@ -6,6 +6,7 @@
 
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.floors import Floors
+from mallowpass.core.proxy.guardedwrites import GuardedWrites
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.policy.dispatch import Choice
 from mallowpass.core.proxy.policy.placement import cost
@@ -24,12 +25,13 @@
 class Routing(ProxySystem):
     """Choose endpoints by log position, region, latency and load."""
 
-    __slots__ = ("_connections", "_floors", "_load")
+    __slots__ = ("_connections", "_floors", "_guarded_writes", "_load")
 
     def start(self) -> None:
         """Look up the systems that this one uses."""
         self._connections = self._node.system(Connections)
         self._floors = self._node.system(Floors)
+        self._guarded_writes = self._node.system(GuardedWrites)
         self._load = self._node.system(Load)
 
     def required_floor(
@@ -48,6 +50,8 @@
         If that endpoint has none, one more is requested there, and the idle connections
         to the next endpoints are considered.
         """
+        if self.is_guarded(request, group):
+            return self._choose_guarded(request, group.primary_row)
         first = None
         candidates = self._candidates(request, group, floor)
         with_room = [e for e in candidates if self._load.has_room(e)]
@@ -74,6 +78,19 @@
         full = bool(candidates) and not with_room
         return Choice(None, why=_wait_reason(group, floor), full=full)
 
+    def _choose_guarded(self, request: RequestRow, primary: EndpointRow) -> Choice:
+        """Choose a connection for a write beside a pending promotion order."""
+        connection = self._guarded_writes.acquire(
+            primary, request.session.values, request.customer
+        )
+        why = "" if connection is not None else "waits for the guard of its primary"
+        return Choice(connection, why=why)
+
+    def is_guarded(self, request: RequestRow, group: GroupRow) -> bool:
+        """Return whether a statement has to run through one host."""
+        is_write = request.needs_primary
+        return is_write and self._guarded_writes.are_guarded(group.primary_row)
+
     def has_candidates(
         self, request: RequestRow, group: GroupRow, floor: LogPosition | None
     ) -> bool:
--- a/mallowpass/core/proxy/shares.py
+++ b/mallowpass/core/proxy/shares.py
@@ -18,7 +18,7 @@
     ProxySystem,
 )
 
-__all__ = ["Shares"]
+__all__ = ["FORWARDED_MAX", "Shares"]
 
 # Connections through holders to one endpoint, for a host that is not a holder: each
 # takes a socket at both ends, and a holder has fewer connections to the endpoint.
--- a/mallowpass/core/proxy/transactions.py
+++ b/mallowpass/core/proxy/transactions.py
@@ -10,6 +10,7 @@
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.durability import Durability
 from mallowpass.core.proxy.floors import Floors
+from mallowpass.core.proxy.guardedwrites import GuardedWrites
 from mallowpass.core.proxy.leadership import LEADERSHIP_UNPROVEN
 from mallowpass.core.proxy.load import Load
 from mallowpass.core.proxy.members import Members
@@ -51,6 +52,7 @@
         "_connections",
         "_durability",
         "_floors",
+        "_guarded_writes",
         "_load",
         "_members",
         "_stalls",
@@ -65,6 +67,7 @@
         self._connections = node.system(Connections)
         self._durability = node.system(Durability)
         self._floors = node.system(Floors)
+        self._guarded_writes = node.system(GuardedWrites)
         self._load = node.system(Load)
         self._members = node.system(Members)
         self._stalls = node.system(Stalls)
@@ -121,7 +124,7 @@
     def send(self, request: RequestRow) -> None:
         """Send a statement on its transaction's pinned connection."""
         connection = request.transaction.connection
-        if request.commits_writes and self._write_holds.is_held(connection.endpoint):
+        if request.commits_writes and self._is_held(connection):
             # The transaction can't be committed at the successor.
             self._answers.refuse(request, Code.ABORTED, WRITES_HELD_MESSAGE)
             return
@@ -141,6 +144,11 @@
 
         self._connections.send(connection, calls, on_replies)
 
+    def _is_held(self, connection: ConnectionRow) -> bool:
+        """Return whether a commit may not be sent on a transaction's connection."""
+        is_held = self._write_holds.is_held(connection.endpoint)
+        return is_held or not self._guarded_writes.may_commit_on(connection)
+
     def _retry_later(self, request: RequestRow, connection: ConnectionRow) -> None:
         request.tries += 1
         delay = self._attempts.backoff(request)
