Hold guarded writes as a paused replica disconnects

Cause: the guard asked the members each 0.1 s, and fenced the primary again in the round after that. A replica that restarts in between is not paused any more, and acknowledges what the target does not receive.

Now a direct connection that its endpoint ends is published (EndpointDisconnected). The guard then holds all writes, which run through it, and gives up the commits in flight, before the replica can be back. While writes run, a round ends after 0.05 s if all members have answered.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -26,6 +26,7 @@
 from mallowpass.core.proxy.signals import (
     CallsSent,
     ConnectionFreed,
+    EndpointDisconnected,
     EndpointExpired,
     EndpointRestarted,
     EndpointUnreachable,
@@ -612,6 +613,8 @@
             message=event.message,
         )
         self._notify_lost(connection, event.message)
+        if not connection.holder:
+            self._node.publish(EndpointDisconnected(endpoint))
         if connection.carries_fences:
             return
         service = endpoint.entry.service
--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -279,6 +279,14 @@
         self._fencing.fence_service(group, fence)
         self._send_all(group, fence)
 
+    def fence_here(self, group: GroupRow, primary: str, target: str) -> None:
+        """Fence a primary at this host, and give up the commits in flight there."""
+        fence = self._new_fence(group, primary, target, FENCE_DURATION)
+        self._fencing.fence_service(group, fence)
+        endpoint = group.endpoints.get(primary)
+        if endpoint is not None:
+            self._fencing.abandon_commits(endpoint)
+
     def relax(self, group: GroupRow, primary: str, target: str) -> None:
         """Have the other holders run their writes through this host."""
         fence = self._new_fence(group, primary, target, RELAX_DURATION, True)
--- a/mallowpass/core/proxy/pendingfences.py
+++ b/mallowpass/core/proxy/pendingfences.py
@@ -36,7 +36,11 @@
 from mallowpass.core.proxy.pendingorders import ACCEPTED_ORDER_TIMEOUT, PendingOrders
 from mallowpass.core.proxy.replacement import PromotionOrdered, Replacement
 from mallowpass.core.proxy.replicaorders import ReplicaOrders
-from mallowpass.core.proxy.signals import PendingOrderStuck, PrimaryChanged
+from mallowpass.core.proxy.signals import (
+    EndpointDisconnected,
+    PendingOrderStuck,
+    PrimaryChanged,
+)
 from mallowpass.core.proxy.statements import (
     EndpointReply,
     EndpointStatus,
@@ -54,6 +58,8 @@
 # Times are in seconds.
 # Between two questions to the members. A round trip between regions takes a quarter.
 ROUND_INTERVAL = 0.1
+# The same while writes run, if all members have answered.
+RELAXED_ROUND_INTERVAL = 0.05
 RENEW_INTERVAL = 1.0  # between two fences that are sent
 RELAX_INTERVAL = 0.2  # between two orders that let writes run
 # After which the answers of a round are outdated: this host was held up.
@@ -118,6 +124,7 @@
         self._store = self._node.system(Store)
         self._node.subscribe(PromotionOrdered, self._on_ordered)
         self._node.subscribe(PrimaryChanged, self._on_primary_changed)
+        self._node.subscribe(EndpointDisconnected, self._on_disconnected)
 
     def watch(self, attempt: Replacement) -> None:
         """Keep an attempt's primary fenced until no order for a target is pending."""
@@ -168,6 +175,23 @@
             self._renew(watch)
             watch.is_lifted = False
 
+    def _on_disconnected(self, signal: EndpointDisconnected) -> None:
+        """Hold writes as a member may restart, which ends its pause.
+
+        All writes run through this host, so the other holders need not be told first.
+        """
+        service = signal.endpoint.entry.service
+        watch = self._watches.get(service)
+        if watch is None or not watch.is_lifted or service in self._suspended:
+            return
+        if signal.endpoint.name == watch.primary:
+            return
+        watch.statuses.pop(signal.endpoint.name, None)
+        self._fence_orders.fence_here(watch.group, watch.primary, watch.target)
+        self._forget_trial(watch)
+        watch.is_lifted = False
+        watch.renewed_at = float("-inf")
+
     def _change_primary(self, watch: _Watch) -> None:
         """Guard the group's present primary; fence it for as long as an order takes.
 
@@ -213,7 +237,8 @@
         watch.statuses, watch.asked_at = {}, self.now
         for endpoint in watch.group.endpoints.values():
             self._query(watch, endpoint)
-        self.timers.after(ROUND_INTERVAL, self._evaluate, watch)
+        interval = RELAXED_ROUND_INTERVAL if watch.is_lifted else ROUND_INTERVAL
+        self.timers.after(interval, self._evaluate, watch)
 
     def _is_over(self, watch: _Watch) -> bool:
         """Return whether the successor leads or no order is pending.
@@ -272,6 +297,11 @@
             watch.shown = None
             self._ask(watch)
             return
+        round_ends_at = watch.asked_at + ROUND_INTERVAL
+        has_all = watch.group.endpoints.keys() <= watch.statuses.keys()
+        if not has_all and self.now < round_ends_at:
+            self.timers.at(round_ends_at, self._evaluate, watch)
+            return
         is_prompt = self.now < watch.asked_at + ROUND_TIMEOUT
         is_due = self.now >= watch.fenced_until
         # The writes of all hosts run through this one.
@@ -344,9 +374,7 @@
         is_due = self.now >= watch.renewed_at + RENEW_INTERVAL
         if not (watch.is_lifted or is_due):
             return
-        if watch.has_received:
-            self._log(watch, is_lifted=False)
-        watch.trial_from, watch.has_received = None, False
+        self._forget_trial(watch)
         watch.renewed_at = self.now
         needs_store = self.tables.promotion_fences_primary or watch.former
         if watch.is_lifted and not watch.former or not needs_store:
@@ -354,6 +382,11 @@
         else:
             self._renew_if_known(watch)
 
+    def _forget_trial(self, watch: _Watch) -> None:
+        if watch.has_received:
+            self._log(watch, is_lifted=False)
+        watch.trial_from, watch.has_received = None, False
+
     def _relax(self, watch: _Watch) -> None:
         """Let the writes of this host run, and those of all once the target has one.
 
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -32,6 +32,7 @@
     "ConnectionFreed",
     "DrainBegan",
     "EndpointChanged",
+    "EndpointDisconnected",
     "EndpointExpired",
     "EndpointRestarted",
     "EndpointUnreachable",
@@ -112,6 +113,13 @@
     endpoint: EndpointRow
 
 
+@record
+class EndpointDisconnected(Signal):
+    """An endpoint ended a direct connection: it may have crashed, or have restarted."""
+
+    endpoint: EndpointRow
+
+
 @record
 class CallsSent(Signal):
     """Calls were sent on a connection, in one write."""
--- a/tests/core/proxy/test_guarded_writes.py
+++ b/tests/core/proxy/test_guarded_writes.py
@@ -6,6 +6,7 @@
 
 from mallowpass.core.proxy.pendingfences import PendingFences
 from mallowpass.core.proxy.statements import Begin, Code, Commit, Write
+from mallowpass.core.proxy.writeholds import WriteHolds
 from mallowpass.standins.proxied.virtual.heartbeats import Heartbeats
 from mallowpass.standins.proxied.virtual.hosts import Host
 from mallowpass.standins.proxied.virtual.world import SERVICE, ProxyWorld
@@ -25,6 +26,7 @@
 
 # Times are in seconds.
 RELAXED_TIME = 0.7  # until all holders have let writes run
+NOTICE_TIME = 0.05  # a way between regions, and the end of a round
 LARGE = 24  # hosts, of which a few hold connections and the others forward
 
 # Ways to strike the guard, numbers of members, and seeds.
@@ -37,6 +39,8 @@
     ("cut", 3, 14),
     ("freeze", 3, 2),
     ("freeze", 3, 14),
+    ("spare", 3, 8),
+    ("spare", 3, 14),
 )
 
 
@@ -101,6 +105,19 @@
     assert commits == {guard.name}
 
 
+def test_a_guard_holds_writes_as_a_paused_replica_disconnects():
+    """Guard against writes that run until the next look at a replica that restarts."""
+    world = new_world()
+    guard, target, other = run_until_relaxed(world)
+    world.group.cut(target, [PRIMARY])
+    world.crash(other)
+    world.run(NOTICE_TIME)
+    assert guard.node.system(WriteHolds).is_held_here(guard.tables.endpoints[PRIMARY])
+    world.group.start(other)
+    world.run(1.0)
+    assert world.group.unguarded == []
+
+
 @pytest.mark.parametrize(("how", "members", "seed"), PLAYS)
 def test_no_commit_is_lost_as_the_guard_of_an_order_is_struck(
     how: str, members: int, seed: int
