Abort a held-back commit whose connection is lost

Cause: a commit that a successor does not get yet, or that its endpoint refused with BUSY, waits on its transaction's connection without being sent. As that connection was lost, it was answered as in doubt all the same; the answer names the endpoint that it was sent to, which is None for a commit that was never sent: AttributeError.

Now it counts whether the request has a connection attached. Without one, nothing was committed, and nothing can be: the endpoint rolls back the transaction of a lost connection.

--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -700,8 +700,10 @@
         """Retry or answer a statement whose connection was lost."""
         request, why = signal.request, signal.why
         endpoint = request.endpoint
-        if request.connection is not None:
-            request.endpoint.in_flight -= 1
+        # Without a connection it was held back, or refused, and waits to be sent.
+        was_sent = request.connection is not None
+        if was_sent:
+            endpoint.in_flight -= 1
             request.connection = None
         if request.finished:
             return
@@ -710,7 +712,7 @@
             has_begun = transaction.connection is not None
             transaction.connection = None
             if has_begun:
-                self._transactions.answer_lost(request, why)
+                self._transactions.answer_lost(request, why, was_sent)
                 return
         elif request.access is Access.WRITE:
             self._answers.answer_in_doubt(request, why)
--- a/mallowpass/core/proxy/timeouts.py
+++ b/mallowpass/core/proxy/timeouts.py
@@ -103,7 +103,8 @@
             transaction.connection = None
             self._attempts.detach(request)
             self._connections.close(connection, "its transaction timed out")
-            self._transactions.answer_lost(request, "the statement's timeout passed")
+            why = "the statement's timeout passed"
+            self._transactions.answer_lost(request, why, was_sent=True)
         elif request.access is Access.WRITE:
             self._attempts.detach(request)
             if self._stalls.is_stalled(self.tables.group(request.route.service)):
--- a/mallowpass/core/proxy/transactions.py
+++ b/mallowpass/core/proxy/transactions.py
@@ -285,10 +285,13 @@
 
     # -- Lost connections ----------------------------------------------------
 
-    def answer_lost(self, request: RequestRow, why: str) -> None:
-        """Answer a statement whose transaction lost its connection."""
+    def answer_lost(self, request: RequestRow, why: str, was_sent: bool) -> None:
+        """Answer a statement whose transaction lost its connection.
+
+        `was_sent`: it had been sent on that connection, and was not answered.
+        """
         is_commit = isinstance(request.statement, Commit)
-        if is_commit and request.transaction.has_written:
+        if was_sent and is_commit and request.transaction.has_written:
             self._answers.answer_in_doubt(request, why)
             return
         # An endpoint rolls back the open transaction of a lost connection, and no
