Keep watches going as a handler raises

Cause: Node.publish called handlers in the publisher's stack. An exception in the answer to a statement ended all callers up to Watch._apply, which was to ask for the next changes. Nothing asked again, and the host took no notice of entries for good.

Now an exception of a handler is passed to on_error, and neither the publisher nor other handlers end (Node.guard). A watch whose own handler raises lists its table again after a backoff, as some rows may not have been applied. Loops that set their next step at the end of a callback were looked through; the guard's rounds, the checks of takeovers and the polls of suspicions go on as one of them raises.

Evidence: test_exceptions makes the handlers of each of 37 signals raise, one after the other, and asks that the host follows the store. Before, EndpointChanged and EndpointRestarted failed, and so did the tests of a watch's own handler and of the guard's rounds.

--- a/mallowpass/core/node.py
+++ b/mallowpass/core/node.py
@@ -228,25 +228,11 @@
     def handle(self, now: float, event: Any) -> list[Any]:
         """Run due timers, then the handlers of an event; return the effects."""
         self.timers.advance(now)
-        self._call_guarded(self.timers.run_due)
+        self.guard(self.timers.run_due)
         for handler in self._handlers.get(type(event), ()):
-            self._call_guarded(handler, event)
+            self.guard(handler, event)
         return self._take_effects()
 
-    def _call_guarded(self, callback: Callable[..., Any], *arguments: Any) -> None:
-        """Call a handler, or run the due timers; pass an exception to `on_error`.
-
-        An exception raised into the event loop would close the connection that the
-        event came from, and the effects of the other handlers would be lost. If a
-        timer raises, the timers due after it run at the next event.
-        """
-        try:
-            callback(*arguments)
-        except Exception as error:
-            if self.on_error is None:
-                raise
-            self.on_error(error)
-
     def wake(self, now: float) -> list[Effect]:
         """Run due timers; return the effects."""
         return self.handle(now, _WOKEN)
@@ -262,9 +248,28 @@
         self._handlers.setdefault(kind, []).append(handler)
 
     def publish(self, signal: Signal) -> None:
-        """Call the handlers of a signal's type before returning."""
+        """Call the handlers of a signal's type before returning.
+
+        A handler that raises ends neither the publisher's work nor other handlers.
+        """
         for handler in self._handlers.get(type(signal), ()):
-            handler(signal)
+            self.guard(handler, signal)
+
+    def guard(self, callback: Callable[..., Any], *arguments: Any) -> bool:
+        """Call a function, pass an exception to `on_error`; return whether it was none.
+
+        An exception raised into the event loop would close the connection that the
+        event came from, and the effects of the other handlers would be lost. If a
+        timer raises, the timers due after it run at the next event.
+        """
+        try:
+            callback(*arguments)
+        except Exception as error:
+            if self.on_error is None:
+                raise
+            self.on_error(error)
+            return False
+        return True
 
     def emit(self, effect: Any) -> None:
         """Add an effect to those of the event being handled."""
--- a/mallowpass/core/proxy/pendingfences.py
+++ b/mallowpass/core/proxy/pendingfences.py
@@ -235,10 +235,10 @@
             self._end(watch)
             return
         watch.statuses, watch.asked_at = {}, self.now
-        for endpoint in watch.group.endpoints.values():
-            self._query(watch, endpoint)
         interval = RELAXED_ROUND_INTERVAL if watch.is_lifted else ROUND_INTERVAL
         self.timers.after(interval, self._evaluate, watch)
+        for endpoint in watch.group.endpoints.values():
+            self._query(watch, endpoint)
 
     def _is_over(self, watch: _Watch) -> bool:
         """Return whether the successor leads or no order is pending.
@@ -302,6 +302,11 @@
         if not has_all and self.now < round_ends_at:
             self.timers.at(round_ends_at, self._evaluate, watch)
             return
+        self._node.guard(self._decide, watch)
+        self._ask(watch)
+
+    def _decide(self, watch: _Watch) -> None:
+        """Let writes run if nothing can be lost by that, else keep them fenced."""
         is_prompt = self.now < watch.asked_at + ROUND_TIMEOUT
         is_due = self.now >= watch.fenced_until
         # The writes of all hosts run through this one.
@@ -317,7 +322,6 @@
             self._renew(watch)
         watch.is_lifted = is_safe
         self._report_stuck(watch, is_safe or not is_due)
-        self._ask(watch)
 
     def _report_stuck(self, watch: _Watch, is_served: bool) -> None:
         """Publish that a primary answers, and that writes wait for its target."""
--- a/mallowpass/core/proxy/store.py
+++ b/mallowpass/core/proxy/store.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.effects import CallStore
@@ -219,7 +220,7 @@
         """Run the actions that wait for the other hosts to be known."""
         actions, self._awaiting_hosts = self._awaiting_hosts, []
         for action in actions:
-            action()
+            self._node.guard(action)
 
     def retry(
         self, watch: Watch, retry_call: Callable[[], None], failures: int
@@ -244,6 +245,10 @@
             least, most = RELAYED_BACKOFF_MIN, limits.relayed_backoff_max
         self.timers.after(self._node.backoff(failures, least, most), retry_call)
 
+    def guard(self, callback: Callable[..., None], *arguments: Any) -> bool:
+        """Call a function whose exception must not end a watch; return success."""
+        return self._node.guard(callback, *arguments)
+
     def jitter(self, longest: float) -> float:
         """Return a random pause up to `longest` seconds."""
         return self._node.random.uniform(0.0, longest)
--- a/mallowpass/core/proxy/suspicion.py
+++ b/mallowpass/core/proxy/suspicion.py
@@ -284,7 +284,8 @@
             return False
         why = f"{suspect.why}; seen by {','.join(sorted(hosts))}"
         reason = Reason.STALLED if suspect.is_stalled else Reason.UNAVAILABLE
-        self._promotion.replace(group, suspect.primary, reason, why)
+        replace = self._promotion.replace
+        self._node.guard(replace, group, suspect.primary, reason, why)
         return True
 
     def _decode(self, row: Row) -> SuspicionReport | None:
--- a/mallowpass/core/proxy/takeovers.py
+++ b/mallowpass/core/proxy/takeovers.py
@@ -117,10 +117,10 @@
         if not self._fencing.has_unattended(group.service):
             del self._earliest[group.service]
             return
-        on_claim = partial(self._on_claim, group, self.now)
-        self._claims.read_newest(group.service, on_claim)
         delay = CHECK_INTERVAL + self._node.random.uniform(0.0, JITTER_MAX)
         self.timers.after(delay, self._check, group)
+        on_claim = partial(self._on_claim, group, self.now)
+        self._claims.read_newest(group.service, on_claim)
 
     def _on_claim(
         self, group: GroupRow, asked_at: float, claim: Claim | None, is_known: bool
--- a/mallowpass/core/proxy/watches.py
+++ b/mallowpass/core/proxy/watches.py
@@ -114,8 +114,8 @@
                 self._list()
                 return
             self._listed_at = self._store.now
-            self._apply(reply, relay.name)
-            self._follow_after(RELAY_BATCH_TIME)
+            if self._apply(reply, relay.name):
+                self._follow_after(RELAY_BATCH_TIME)
 
         call = WatchRows(self._table, self._version, 0.0)
         self._store.call_relay(relay, call, on_reply, RELAY_SNAPSHOT_TIMEOUT)
@@ -171,15 +171,23 @@
             self._retry(self._list)
             return
         self._listed_at = self._store.now
-        self._apply(replace(reply, is_snapshot=True))
-        self._follow()
+        if self._apply(replace(reply, is_snapshot=True)):
+            self._follow()
+
+    def _apply(self, reply: StoreReply, relay: str = "") -> bool:
+        """Pass rows on, and return whether to go on from their version.
 
-    def _apply(self, reply: StoreReply, relay: str = "") -> None:
+        If the handler fails, it may have taken some of the rows alone: it gets all
+        rows of the table again.
+        """
         self._version = max(self._version, reply.version)
-        self._feeds.apply(self._table, reply, relay)
-        self._handler(reply.rows, reply.is_snapshot)
+        self._store.guard(self._feeds.apply, self._table, reply, relay)
+        if not self._store.guard(self._handler, reply.rows, reply.is_snapshot):
+            self._retry(self._list)
+            return False
         if self._table is Table.HOSTS:
             self._store.run_awaiting_hosts()
+        return True
 
     def _follow(self) -> None:
         if (
@@ -232,14 +240,14 @@
             self._feeds.mark_stale(self._table)
             self._retry(self._follow)
         else:
-            self._failures = 0
             if not reply.rows:
                 # The store sends such a reply at the end of the wait.
                 age = max(0.0, self._store.now - wait_ends_at)
                 reply = replace(reply, age=age)
-            self._apply(reply)
-            batch_time = self._store.batch_time(self._table)
-            self._follow_after(batch_time if reply.rows else 0.0)
+            if self._apply(reply):
+                self._failures = 0
+                batch_time = self._store.batch_time(self._table)
+                self._follow_after(batch_time if reply.rows else 0.0)
 
     def _follow_after(self, pause: float) -> None:
         if pause:
@@ -276,9 +284,10 @@
         self._store.call_relay(relay, call, self._if_latest(on_reply), timeout)
 
     def _on_relayed(self, relay: HostRow, reply: StoreReply) -> None:
-        self._failures = 0
         self._store.resume_watches()
-        self._apply(reply, relay.name)
+        if not self._apply(reply, relay.name):
+            return
+        self._failures = 0
         time_left = self._store.time_left(self._table)
         if time_left > 0.0:
             batch_time = RELAY_BATCH_TIME if reply.rows else 0.0
--- /dev/null
+++ b/tests/core/proxy/test_exceptions.py
@@ -0,0 +1,97 @@
+"""An exception in one system ends no other system's work."""
+
+from __future__ import annotations
+
+import pytest
+
+from mallowpass.core.messages import Signal
+from mallowpass.core.proxy import signals
+from mallowpass.core.proxy.members import Members
+from mallowpass.core.proxy.pendingfences import PendingFences
+from mallowpass.standins.proxied.virtual.hosts import Host
+from mallowpass.standins.proxied.virtual.world import ProxyWorld
+from tests.core.proxy.test_fence_limits import new_world
+from tests.core.proxy.test_guarded_writes import run_until_relaxed
+
+REPLICA = "db-agadir"
+# Times are in seconds.
+FOLLOW_TIME = 5.0  # at most, until a change of the store is applied
+BROKEN_TIME = 1.0
+
+KINDS = sorted(
+    (kind for kind in vars(signals).values() if isinstance(kind, type)),
+    key=lambda kind: kind.__name__,
+)
+SIGNALS = [kind for kind in KINDS if issubclass(kind, Signal) and kind is not Signal]
+
+
+class BrokenError(RuntimeError):
+    """Raised by the handlers of these tests."""
+
+
+def fail(*arguments: object) -> None:
+    """Raise an error that nobody expects."""
+    raise BrokenError(repr(arguments))
+
+
+def follows_store(world: ProxyWorld, host: Host, leaves: bool) -> bool:
+    """Change an endpoint's entry; return whether a host applies the change."""
+    world.enter(world.group.replicas[REPLICA], draining=leaves)
+
+    def is_applied() -> bool:
+        return host.tables.endpoints[REPLICA].is_leaving is leaves
+
+    world.run_until(is_applied, FOLLOW_TIME)
+    return is_applied()
+
+
+@pytest.mark.parametrize("kind", SIGNALS, ids=lambda kind: kind.__name__)
+def test_a_host_follows_the_store_whichever_handler_raises(kind: type[Signal]):
+    """Guard against a watch of the store that ends as a handler of a signal raises."""
+    world = ProxyWorld()
+    world.run(1.0)
+    host = world.hosts[0]
+    host.node.on_error = lambda error: None
+    host.node._handlers.setdefault(kind, []).insert(0, fail)
+    world.crash(REPLICA)
+    world.run(0.2)
+    world.restart(REPLICA)
+    world.run(1.0)
+    assert follows_store(world, host, True)
+    assert follows_store(world, host, False)
+
+
+def test_a_watch_lists_its_rows_again_once_its_handler_has_raised(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    """Guard against rows that nobody applies as the handler of their table raised."""
+    world = ProxyWorld()
+    world.run(1.0)
+    host = world.hosts[0]
+    raised: list[Exception] = []
+    for each in world.hosts:
+        each.node.on_error = raised.append
+    with monkeypatch.context() as context:
+        context.setattr(Members, "_put", fail)
+        world.enter(world.group.replicas[REPLICA], draining=True)
+        world.run(BROKEN_TIME)
+    assert raised
+    assert not host.tables.endpoints[REPLICA].is_leaving
+    world.run(FOLLOW_TIME)
+    assert host.tables.endpoints[REPLICA].is_leaving
+    assert follows_store(world, host, False)
+
+
+def test_the_rounds_of_a_guard_go_on_as_one_raises(monkeypatch: pytest.MonkeyPatch):
+    """Guard against writes that wait for good as nobody looks at the target."""
+    world = new_world()
+    guard, *_ = run_until_relaxed(world)
+    raised: list[Exception] = []
+    guard.node.on_error = raised.append
+    with monkeypatch.context() as context:
+        context.setattr(PendingFences, "_is_safe", fail)
+        world.run(BROKEN_TIME)
+    assert raised
+    before = len(world.group.acknowledged)
+    world.run(BROKEN_TIME)
+    assert len(world.group.acknowledged) > before
