Keep what arrives before the core of a host has started

Cause: signals and five servers are served while the core has no systems. Each event reached a node without handlers and was dropped: the shutdown, and links, sessions and questions of other hosts.

Now HostRuntime.handle keeps events until the core has started, and passes them on in their order. A host that was told to stop by then ends at once, as it has not registered and serves nobody.

Evidence: both tests failed before; the host did not end within 2 s, and neither the session nor the link was handled.

--- a/mallowpass/platform/runtime.py
+++ b/mallowpass/platform/runtime.py
@@ -68,6 +68,7 @@
         "_allowance_clients",
         "_allowance_server",
         "_caller_server",
+        "_early_events",
         "_endpoints",
         "_feed_server",
         "_is_closed",
@@ -100,6 +101,8 @@
         self._metrics = Metrics()
         self._is_ready = False
         self._is_closed = False
+        # Events that came before the core has started; None: it has.
+        self._early_events: list[Event | ProxyEvent] | None = []
         self._wake_timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopped = asyncio.Event()
@@ -193,7 +196,21 @@
                 ("callers", self._settings.callers),
             ),
         )
+        self._start_core()
+
+    def _start_core(self) -> None:
+        """Start the core, and pass it what came while the servers were started.
+
+        A host that was asked to stop meanwhile has nothing to finish, and ends.
+        """
+        early, self._early_events = self._early_events or [], None
+        if any(isinstance(event, ShutdownRequested) for event in early):
+            self._log.write("info", "stopped", (("why", "it had not started yet"),))
+            self._carry_out([effects.Exit()])
+            return
         self._carry_out(self._node.start(SYSTEMS))
+        for event in early:
+            self.handle(event)
 
     @property
     def ready(self) -> bool:
@@ -220,9 +237,15 @@
     # -- Driving the core ----------------------------------------------------
 
     def handle(self, event: Event | ProxyEvent) -> None:
-        """Pass an event to the core, and carry out the resulting effects."""
+        """Pass an event to the core, and carry out the resulting effects.
+
+        Before the core has started, the event is kept until then.
+        """
         if self._is_closed:
             return
+        if self._early_events is not None:
+            self._early_events.append(event)
+            return
         self._carry_out(self._node.handle(host_clock(), event))
 
     def _wake(self) -> None:
--- a/tests/platform/test_runtime.py
+++ b/tests/platform/test_runtime.py
@@ -15,9 +15,11 @@
 
 from mallowpass.core.messages import Woken
 from mallowpass.core.proxy.effects import CallStore, Exit, SetReady
-from mallowpass.core.proxy.events import StoreAnswered
+from mallowpass.core.proxy.events import LinkOpened, SessionOpened, StoreAnswered
 from mallowpass.core.proxy.registry import SYSTEMS
 from mallowpass.core.proxy.storage import ListRows, StoreReply, StoreStatus, Table
+from mallowpass.platform.http import HttpServer
+from mallowpass.platform.lineserver import LineServer
 from mallowpass.platform.runtime import EXCEPTION_ESCAPED, HostRuntime
 from mallowpass.platform.settings import Address, load_settings
 from mallowpass.platform.store import FEED_PATH
@@ -88,6 +90,54 @@
     assert done.returncode != -getattr(signal, name)
 
 
+def test_a_host_that_is_told_to_stop_while_it_starts_ends(tmp_path, monkeypatch):
+    """Guard against a SIGTERM that is dropped while the servers are started."""
+    monkeypatch.setattr(HttpServer, "start", _send_term)
+    monkeypatch.setattr(LineServer, "start", _yield)
+
+    async def run() -> None:
+        path = tmp_path / "local.toml"
+        path.write_text(TEXT)
+        async with asyncio.timeout(2.0):
+            await HostRuntime(load_settings(path), MemoryLog(), path).run()
+
+    asyncio.run(run())
+
+
+async def _send_term(server: object, address: Address) -> None:
+    os.kill(os.getpid(), signal.SIGTERM)
+    await asyncio.sleep(0.01)
+
+
+async def _yield(server: object, address: Address) -> None:
+    await asyncio.sleep(0)
+
+
+def test_events_before_the_start_of_the_core_are_handled_after_it(
+    tmp_path, monkeypatch
+):
+    """Guard against links and sessions that are dropped while the servers start."""
+    monkeypatch.setattr(HttpServer, "start", _yield)
+    monkeypatch.setattr(LineServer, "start", _yield)
+    handled: list[object] = []
+
+    async def run() -> None:
+        path = tmp_path / "local.toml"
+        path.write_text(TEXT)
+        host = HostRuntime(load_settings(path), MemoryLog(), path)
+        for kind in (SessionOpened, LinkOpened):
+            host._node.subscribe(kind, handled.append)
+        early = [SessionOpened(1, "d", None), LinkOpened(2, "h2", "s", "e")]
+        for event in early:
+            host.handle(event)
+        assert handled == []
+        await host.start()
+        assert handled == early
+        host.abort()
+
+    asyncio.run(run())
+
+
 def _with_host(tmp_path: Path, use) -> MemoryLog:
     async def run() -> MemoryLog:
         path = tmp_path / "local.toml"
