Keep a reload signal that arrives as a host starts

What operators would see: a changed settings file that is in force only after the next SIGHUP or start.

Cause: SIGHUP was ignored from the start of the program until the host's own handler was set, as the settings were still to be read. They are read in between.

--- a/tests/platform/test_runtime.py
+++ b/tests/platform/test_runtime.py
@@ -90,6 +90,38 @@
     assert done.returncode != -getattr(signal, name)
 
 
+# Sends a signal to its own process once it has read its settings, which change then,
+# and ends a moment after its start.
+SIGNAL_AFTER_SETTINGS = """
+import asyncio, os, pathlib, signal, sys
+from mallowpass.platform import __main__ as program, runtime, settings
+path = pathlib.Path(os.environ["MALLOWPASS_NODE_FILE"])
+load = settings.load_settings
+def load_and_signal(source):
+    found = load(source)
+    settings.load_settings = load
+    path.write_text(path.read_text().replace("graceS = 6", "graceS = 4"))
+    os.kill(os.getpid(), signal.SIGHUP)
+    return found
+settings.load_settings = load_and_signal
+async def start(self):
+    asyncio.get_running_loop().call_later(0.2, self._stopped.set)
+runtime.HostRuntime.start = start
+program.main()
+"""
+
+
+def test_a_reload_signal_after_the_settings_are_read_is_kept(tmp_path):
+    """Guard against changed settings that are read at the next signal only."""
+    path = tmp_path / "local.toml"
+    path.write_text(TEXT)
+    environment = os.environ | {"MALLOWPASS_NODE_FILE": str(path)}
+    command = [sys.executable, "-c", SIGNAL_AFTER_SETTINGS]
+    done = subprocess.run(command, env=environment, capture_output=True, timeout=20)
+    assert done.returncode == 0, done.stderr
+    assert b"event=reloaded changed=grace" in done.stdout + done.stderr
+
+
 def test_a_host_that_is_told_to_stop_while_it_starts_ends(tmp_path, monkeypatch):
     """Guard against a SIGTERM that is dropped while the servers are started."""
     monkeypatch.setattr(HttpServer, "start", _send_term)
