Log when a holder's fence was relaxed last

The line primary_replaced now has relaxed_ago, next to the owner (ordered_by), the commits acknowledged since, and the newest one's age.

--- a/mallowpass/core/proxy/fencelog.py
+++ b/mallowpass/core/proxy/fencelog.py
@@ -19,6 +19,7 @@
     FenceBegan,
     FenceEnd,
     FenceEnded,
+    FenceRelaxed,
     FenceRenewed,
     FenceUnattended,
     PrimaryChanged,
@@ -48,6 +49,7 @@
     renewed_at: float
     ended_at: float = float("-inf")
     end: FenceEnd | None = None  # None: in force
+    relaxed_at: float = float("-inf")  # by its owner, for the last time
 
     def covers(self, name: str) -> bool:
         """Return whether writes to an endpoint were held."""
@@ -87,6 +89,7 @@
         subscribe = self._node.subscribe
         subscribe(FenceBegan, self._on_began)
         subscribe(FenceEnded, self._on_ended)
+        subscribe(FenceRelaxed, self._on_relaxed)
         subscribe(FenceRenewed, self._on_renewed)
         subscribe(FenceUnattended, self._on_unattended)
         subscribe(PrimaryChanged, self._on_primary_changed)
@@ -102,7 +105,11 @@
         for owner, fence in list(fences.items()):
             if self._is_old(fence):
                 del fences[owner]
-        fences[signal.order.owner] = _Fence(signal.order, self.now, self.now)
+        before = fences.get(signal.order.owner)
+        fence = _Fence(signal.order, self.now, self.now)
+        if before is not None:
+            fence.relaxed_at = before.relaxed_at
+        fences[signal.order.owner] = fence
 
     def _is_old(self, fence: _Fence) -> bool:
         """Return whether all orders that a fence was for have been carried out."""
@@ -116,6 +123,11 @@
         fence.order = signal.order
         fence.renewed_at = self.now
 
+    def _on_relaxed(self, signal: FenceRelaxed) -> None:
+        fence = self._fences.get(signal.service, {}).get(signal.owner)
+        if fence is not None:
+            fence.relaxed_at = self.now
+
     def _on_ended(self, signal: FenceEnded) -> None:
         fence = self._fences.get(signal.service, {}).get(signal.owner)
         if fence is None or fence.end is not None:
@@ -221,6 +233,7 @@
             "renewed_ago": self._age(fence.renewed_at),
             "fence_ended": "none" if fence.end is None else fence.end.value,
             "fence_ended_ago": self._age(fence.ended_at),
+            "relaxed_ago": self._age(fence.relaxed_at),
         }
 
     def _unfenced_since(self, fence: _Fence | None) -> float:
--- a/mallowpass/core/proxy/fencing.py
+++ b/mallowpass/core/proxy/fencing.py
@@ -48,6 +48,7 @@
     FenceBegan,
     FenceEnd,
     FenceEnded,
+    FenceRelaxed,
     FenceRenewed,
     FenceSilent,
     FenceUnattended,
@@ -238,6 +239,7 @@
             token=order.token,
         )
         fences[order.owner] = fence
+        self._node.publish(FenceRelaxed(group.service, order.owner))
         self._replace_earlier(group.service, order.token)
         self._update(group)
 
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -40,6 +40,7 @@
     "FenceBegan",
     "FenceEnd",
     "FenceEnded",
+    "FenceRelaxed",
     "FenceRenewed",
     "FenceSilent",
     "FenceUnattended",
@@ -261,6 +262,14 @@
     reason: FenceEnd
 
 
+@record
+class FenceRelaxed(Signal):
+    """The owner of a fence lets writes run through it for a moment more."""
+
+    service: str
+    owner: str
+
+
 @record
 class FenceSilent(Signal):
     """The owner of a fence has not renewed it for a while; it may be gone."""
--- a/tests/core/proxy/test_fence_log.py
+++ b/tests/core/proxy/test_fence_log.py
@@ -253,3 +253,20 @@
     events = ("fence_expired", "fence_unattended")
     logged = [line for h in world.hosts for event in events for line in h.logged(event)]
     assert logged == []
+
+
+def test_a_holder_tells_when_the_fence_was_relaxed_last(world: ProxyWorld):
+    """Guard against commits beside an order that no line tells who let run."""
+    order(world)
+    relaxed = Fence(OLD, 0.6, OWNER, TARGET, True)
+    for seconds in (0.3, 0.4):
+        for host in world.hosts:
+            group = host.tables.group(service_of(world))
+            host.node.system(Fencing).relax_service(group, relaxed)
+        world.run(seconds)
+    order(world, 5.0)
+    promote(world)
+    for host in world.hosts:
+        line = replaced(host)
+        assert line["ordered_by"] == OWNER
+        assert line["relaxed_ago"] - line["fenced_ago"] == pytest.approx(0.4)
