--- a/mallowpass/core/proxy/guardedwrites.py
+++ b/mallowpass/core/proxy/guardedwrites.py
@@ -61,6 +61,6 @@
             self._connections.grow(endpoint, customer)
         return connection
 
-    def _holder_name(self, guard: str) -> str:
+    def _holder_name(self, guard: str | None) -> str | None:
         """Return the holder of connections to a guard; empty if it is this host."""
         return "" if guard == self._node.identity.name else guard
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -330,7 +330,10 @@
     # -- Held writes ---------------------------------------------------------
 
     def _must_hold(self, link: LinkRow) -> bool:
-        """Return whether waiting calls commit at a primary whose writes are held."""
+        """Return whether waiting calls commit at a primary whose writes are held.
+
+        Beside a pending order, they are held for links that can't lead to its guard.
+        """
         if not self._may_commit(link):
             return False
         if self._write_holds.is_held_here(link.endpoint):
