Pause reading from callers that do not wait

Cause: a session keeps up to 64 received statements whatever their size, and nothing paused the reading of its connection.

Now a host reads no more from a caller while the statements that it waits for are larger than 256 KiB together; TCP keeps the rest with the caller.

--- a/mallowpass/platform/callers.py
+++ b/mallowpass/platform/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 
 from mallowpass.core.proxy.credentials import credential_of
 from mallowpass.core.proxy.events import (
@@ -18,6 +19,9 @@
 
 # A caller that does not read is disconnected when more bytes than this are unsent.
 WRITE_BUFFER_MAX = 4 << 20
+# Nothing more is read from a caller while the statements that it waits for are larger
+# than this together, in bytes. Many callers may send large ones without waiting.
+UNANSWERED_BYTES_MAX = 256 << 10
 # Seconds within which a new connection must send CONNECT. Callers send it at once.
 CONNECT_LINE_TIMEOUT = 5.0
 # Connections that wait to be accepted. Many arrive at once when another host fails.
@@ -39,6 +43,9 @@
     def answer(self, stream: int, answer: Answer) -> None:
         """Send the answer to a statement."""
         self._write(stream, wire.render_answer(answer))
+        caller = self._connections.get(stream)
+        if caller is not None:
+            caller.note_answer()
 
     def _write(self, number: int, data: bytes) -> None:
         super()._write(number, data)
@@ -52,7 +59,28 @@
 class _CallerProtocol(LineProtocol):
     """A connection from a caller."""
 
-    __slots__ = ("_connect_timer",)
+    __slots__ = ("_connect_timer", "_unanswered", "_unanswered_bytes")
+
+    def __init__(
+        self, number: int, connections: dict[int, LineProtocol], sink: EventSink
+    ) -> None:
+        super().__init__(number, connections, sink)
+        self._unanswered: deque[int] = deque()  # sizes of statements, in bytes
+        self._unanswered_bytes = 0
+
+    def note_answer(self) -> None:
+        """Record that the oldest statement was answered, and go on to read."""
+        if self._unanswered:
+            self._unanswered_bytes -= self._unanswered.popleft()
+        if self._unanswered_bytes <= UNANSWERED_BYTES_MAX:
+            self.transport.resume_reading()
+
+    def _note_statement(self, size: int) -> None:
+        """Record a statement; stop reading if too much waits for answers."""
+        self._unanswered.append(size)
+        self._unanswered_bytes += size
+        if self._unanswered_bytes > UNANSWERED_BYTES_MAX:
+            self.transport.pause_reading()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -86,6 +114,7 @@
             line_bytes = len(line) + len(b"\r\n")
             if statement is not None and not wire.is_sendable(statement, line_bytes):
                 statement = TooLong()
+            self._note_statement(line_bytes)
             self._sink(StatementReceived(self._number, request_id, statement))
         elif message_type == "CONNECT" and not self._is_open and rest:
             self._is_open = True
