Tell at an order which hosts were not told of its fence

A fence is told to holders. Whether other hosts could write was not in the line of the order: it named only holders that confirmed, refused or did not answer.

promotion_ordered gets hosts_told, hosts_not_told and not_told, the first five names with "+N" for the rest, so that a line of a large fleet stays short. Nothing is decided by it.

--- a/mallowpass/core/proxy/promotionevidence.py
+++ b/mallowpass/core/proxy/promotionevidence.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 
+from mallowpass.core.proxy.lognames import names_text
 from mallowpass.core.proxy.replacement import Replacement
 
-__all__ = ["evidence_fields"]
+__all__ = ["evidence_fields", "told_fields"]
 
 
 def evidence_fields(attempt: Replacement, now: float) -> dict[str, object]:
@@ -33,5 +34,15 @@
     }
 
 
+def told_fields(attempt: Replacement, hosts: Set[str]) -> dict[str, object]:
+    """Return how many of all hosts an attempt told its fence, and names of others."""
+    not_told = hosts - attempt.fence_told
+    return {
+        "hosts_told": len(attempt.fence_told),
+        "hosts_not_told": len(not_told),
+        "not_told": names_text(not_told),
+    }
+
+
 def _join(names: Iterable[str]) -> str:
     return ",".join(sorted(names))
--- a/mallowpass/core/proxy/promotionorders.py
+++ b/mallowpass/core/proxy/promotionorders.py
@@ -17,7 +17,7 @@
 from mallowpass.core.proxy.fenceorders import FenceOrders
 from mallowpass.core.proxy.pendingfences import PendingFences
 from mallowpass.core.proxy.pendingorders import ACCEPTED_ORDER_TIMEOUT, PendingOrders
-from mallowpass.core.proxy.promotionevidence import evidence_fields
+from mallowpass.core.proxy.promotionevidence import evidence_fields, told_fields
 from mallowpass.core.proxy.quiescence import Quiescence
 from mallowpass.core.proxy.replacement import PromotionOrdered, Replacement
 from mallowpass.core.proxy.replacementlog import ReplacementLog, log_target_resumed
@@ -172,6 +172,7 @@
             pending=self._pending_orders.pending_text(attempt.group.service),
             **self._replacement_log.comparison_fields(attempt.group),
             **evidence_fields(attempt, self.now),
+            **told_fields(attempt, self.tables.hosts.keys()),
         )
         self._node.emit(
             OrderPromotion(
--- a/tests/core/proxy/test_promotion_evidence.py
+++ b/tests/core/proxy/test_promotion_evidence.py
@@ -11,7 +11,7 @@
 
 from mallowpass.core.proxy.fencing import Fencing
 from mallowpass.core.proxy.pendingorders import LATE_ORDER_TIMEOUT
-from mallowpass.core.proxy.promotionevidence import evidence_fields
+from mallowpass.core.proxy.promotionevidence import evidence_fields, told_fields
 from mallowpass.core.proxy.replacement import Reason, Replacement
 from mallowpass.core.proxy.statements import EndpointStatus, LogPosition
 from mallowpass.core.proxy.storage import Unreadable
@@ -78,6 +78,28 @@
     assert fields["silent"] == "db-d"
 
 
+def test_hosts_that_were_not_told_of_a_fence_are_counted_and_named():
+    """Guard against an order whose line leaves open which hosts were not asked."""
+    attempt = Replacement(GroupRow(SERVICE), OLD, Reason.UNAVAILABLE, "reset", 1.0)
+    attempt.fence_told = {"host-0", "host-1", "host-gone"}
+    hosts = {f"host-{number}": None for number in range(9)}
+    assert told_fields(attempt, hosts.keys()) == {
+        "hosts_told": 3,
+        "hosts_not_told": 7,
+        "not_told": "host-2,host-3,host-4,host-5,host-6,+2",
+    }
+
+
+def test_an_order_of_a_small_fleet_is_told_to_all_hosts():
+    world = loaded_world()
+    world.crash(OLD)
+    run_until_ordered(world)
+    world.run(2.0)
+    line = all_warnings(world, "promotion_ordered")[0]
+    assert (line["hosts_told"], line["hosts_not_told"]) == (4, 0)
+    assert line["not_told"] == ""
+
+
 def test_an_order_is_a_warning_that_tells_its_evidence():
     """Guard against a record in which no line of the ordering host is kept."""
     world = loaded_world()
