Tell which hosts write directly without being holders

Users' records showed commits lost that no holder had acknowledged. A host that finds two holders silent connects to endpoints by itself, is told of no fence, and logged nothing; primary_replaced did not tell whether it had connections of its own.

Holders.unanswering_holders is the list that is_cut_off counted before.

--- a/mallowpass/core/proxy/holders.py
+++ b/mallowpass/core/proxy/holders.py
@@ -232,14 +232,17 @@
         """Return whether so many holders do not answer that this host is cut off."""
         if not self._unanswered and not self._silent:
             return False
-        plan = self._plan(service)
-        unanswered = [
-            host
-            for host in plan.holders
+        least = min(UNANSWERED_MIN, len(self._plan(service).holders))
+        return len(self.unanswering_holders(service)) >= least
+
+    def unanswering_holders(self, service: str) -> list[str]:
+        """Return the holders of a service that do not answer."""
+        return [
+            host.name
+            for host in self._plan(service).holders
             if self._unanswered.get(host.name, 0.0) > self.now
             or self.is_silent(host.name)
         ]
-        return len(unanswered) >= min(UNANSWERED_MIN, len(plan.holders))
 
     def is_silent(self, holder: str) -> bool:
         """Return whether a holder leaves calls and a new link unanswered."""
--- a/mallowpass/core/proxy/promotionlog.py
+++ b/mallowpass/core/proxy/promotionlog.py
@@ -18,6 +18,7 @@
 from zlib import crc32
 
 from mallowpass.core.node import Node
+from mallowpass.core.proxy.bypasslog import BypassLog
 from mallowpass.core.proxy.claims import Claim, Claims
 from mallowpass.core.proxy.fencelog import FenceLog, LoggedFence
 from mallowpass.core.proxy.holders import Holders
@@ -30,7 +31,7 @@
 )
 from mallowpass.core.proxy.statements import Fence
 from mallowpass.core.proxy.store import CALL_TIMEOUT, Store
-from mallowpass.core.proxy.tables import ConnectionRow, GroupRow, ProxySystem
+from mallowpass.core.proxy.tables import GroupRow, ProxySystem
 from mallowpass.core.records import record
 
 __all__ = ["PromotionLog"]
@@ -50,16 +51,18 @@
 
 @record
 class _InFlight:
-    """Commits that were sent to a primary and not answered as it ceased to be one."""
+    """What was open to a primary, and not answered by it, as it ceased to be one."""
 
     primary: str
     ceased_at: float
-    direct: int  # on connections of this host, also for other hosts
-    forwarded: int  # by way of holders
+    connections: int  # of this host itself
+    is_bypassing: bool  # this host writes directly, and is no holder
+    direct: int  # commits on connections of this host, also for other hosts
+    forwarded: int  # commits by way of holders
 
     @property
     def is_empty(self) -> bool:
-        """Return whether nothing was in flight."""
+        """Return whether no commit was in flight."""
         return self.direct + self.forwarded == 0
 
 
@@ -80,6 +83,7 @@
     """Log each change of a group's primary once, at every host."""
 
     __slots__ = (
+        "_bypass_log",
         "_changes",
         "_claims",
         "_commits",
@@ -107,6 +111,7 @@
 
         This system starts after `Fencing`, so it knows which fences a change ends.
         """
+        self._bypass_log = self._node.system(BypassLog)
         self._claims = self._node.system(Claims)
         self._fence_log = self._node.system(FenceLog)
         self._holders = self._node.system(Holders)
@@ -134,9 +139,16 @@
     def _count_in_flight(self, group: GroupRow, primary: str) -> _InFlight:
         endpoint = group.endpoints.get(primary)
         connections = [] if endpoint is None else endpoint.connections.values()
-        direct = sum(_unanswered_commits(c) for c in connections if not c.holder)
-        forwarded = sum(_unanswered_commits(c) for c in connections if c.holder)
-        return _InFlight(primary, self.now, direct, forwarded)
+        direct = sum(c.unanswered_commits for c in connections if not c.holder)
+        forwarded = sum(c.unanswered_commits for c in connections if c.holder)
+        return _InFlight(
+            primary,
+            self.now,
+            sum(not connection.holder for connection in connections),
+            self._bypass_log.is_bypassing(group.service),
+            direct,
+            forwarded,
+        )
 
     # -- Replaced primaries --------------------------------------------------
 
@@ -178,10 +190,14 @@
         fence = fences[-1] if fences else None
         commits = self._commits.get(group.service, {}).get(replaced, RecentCommits())
         total = commits.total
+        sent_at = self._bypass_log.last_sent_at(group.service, replaced)
         fields = {
             "holder": self._holders.holds(group.service),
             **self._fence_fields(fence),
             "fences": len(fences),
+            "direct": in_flight.connections,
+            "bypassing": in_flight.is_bypassing,
+            "bypassed_ago": self._age(sent_at),
             "in_flight_direct": in_flight.direct,
             "in_flight_forwarded": in_flight.forwarded,
             "unknown_for": self._age(in_flight.ceased_at),
@@ -308,14 +324,3 @@
         "token": fence.token,
         "order": fence.target or "",
     }
-
-
-def _unanswered_commits(connection: ConnectionRow) -> int:
-    """Return how many commits are in flight; on links, how many batches with some."""
-    count = 0
-    for batch in connection.pending:
-        if batch.writes:
-            count += sum(index >= len(batch.replies) for index in batch.writes)
-        elif batch.may_commit:
-            count += 1
-    return count
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -5,6 +5,7 @@
 from mallowpass.core.proxy.admissioncontrol import AdmissionControl
 from mallowpass.core.proxy.answers import Answers
 from mallowpass.core.proxy.attempts import Attempts
+from mallowpass.core.proxy.bypasslog import BypassLog
 from mallowpass.core.proxy.claims import Claims
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.control import Control
@@ -106,6 +107,7 @@
     NearMisses,
     Fencing,
     FenceLog,
+    BypassLog,
     PromotionLog,
     GuardedWrites,
     WriteHolds,
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -125,6 +125,20 @@
         """Return whether a commit of writes was sent on it that is not answered."""
         return not self.holder and any(batch.commits for batch in self.pending)
 
+    @property
+    def unanswered_commits(self) -> int:
+        """Return how many commits are in flight; on links, how many batches with some.
+
+        Calls that may commit, and are no single writes, count once for each batch.
+        """
+        count = 0
+        for batch in self.pending:
+            if batch.writes:
+                count += sum(index >= len(batch.replies) for index in batch.writes)
+            elif batch.may_commit:
+                count += 1
+        return count
+
     def name_statement(self, statement: PreparedStatement) -> str:
         """Add a statement to those that are prepared on it; return its name.
 
--- a/tests/core/proxy/test_fence_log.py
+++ b/tests/core/proxy/test_fence_log.py
@@ -164,6 +164,9 @@
         assert (line["fenced_ago"], line["renewed_ago"]) == ("never", "never")
         assert (line["fence_ended"], line["fence_ended_ago"]) == ("none", "never")
         assert line["fences"] == 0
+        # A holder, though nobody told it: its own connections are no bypass.
+        assert (line["holder"], line["bypassing"]) == (True, False)
+        assert line["direct"] > 0
         assert line["acknowledged"] == world.writers.acknowledged(OLD)[index] > 0
 
 
