Tell how many commits in flight holders gave up before a promotion

Commits that wait at a primary for a replica may be acknowledged after their connections were closed, if that does not arrive. No line told how many there were.

commits_abandoned, a warning, comes 0.25 s after a fence began at a host that gave up commits: how many since then and in the 5 s before, since when they had been sent, when the endpoint last answered and what it showed. At most once in 10 s for each owner and service. primary_replaced gets abandoned. Connections.close publishes the commits in flight.

A first form told only what the fence itself gives up, from Fencing.abandon_commits. It told nothing in the world of waiting commits: these had been closed before as "its writes stall". So every connection of this host that it closes counts, for whatever reason.

So this line alone does not exclude hosts that bypass holders; holders_bypassed tells them. Of a holder by an older view no world was played.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -26,6 +26,7 @@
 from mallowpass.core.proxy.shares import FORWARDED_MAX, Shares
 from mallowpass.core.proxy.signals import (
     CallsSent,
+    CommitsAbandoned,
     ConnectionFreed,
     EndpointDisconnected,
     EndpointExpired,
@@ -409,11 +410,20 @@
         """
         if self._remove(connection.number) is None:
             return
+        if connection.has_sent_commit:
+            self._publish_abandoned(connection)
         withdraws_calls = bool(connection.pending)
         self._node.emit(CloseConnection(connection.number, withdraws_calls))
         self._node.count("connections_closed", endpoint=connection.endpoint.name)
         self._notify_lost(connection, why)
 
+    def _publish_abandoned(self, connection: ConnectionRow) -> None:
+        sent_at = min(b.sent_at for b in connection.pending if b.commits)
+        commits = connection.unanswered_commits
+        if commits:
+            abandoned = CommitsAbandoned(connection.endpoint, commits, sent_at)
+            self._node.publish(abandoned)
+
     # -- Sending -------------------------------------------------------------
 
     def send(
--- a/mallowpass/core/proxy/promotionlog.py
+++ b/mallowpass/core/proxy/promotionlog.py
@@ -18,6 +18,7 @@
 from zlib import crc32
 
 from mallowpass.core.node import Node
+from mallowpass.core.proxy.abandonedcommits import AbandonedCommits
 from mallowpass.core.proxy.bypasslog import BypassLog
 from mallowpass.core.proxy.claims import Claim, Claims
 from mallowpass.core.proxy.fencelog import FenceLog, LoggedFence
@@ -83,6 +84,7 @@
     """Log each change of a group's primary once, at every host."""
 
     __slots__ = (
+        "_abandoned_commits",
         "_bypass_log",
         "_changes",
         "_claims",
@@ -111,6 +113,7 @@
 
         This system starts after `Fencing`, so it knows which fences a change ends.
         """
+        self._abandoned_commits = self._node.system(AbandonedCommits)
         self._bypass_log = self._node.system(BypassLog)
         self._claims = self._node.system(Claims)
         self._fence_log = self._node.system(FenceLog)
@@ -195,6 +198,7 @@
             "holder": self._holders.holds(group.service),
             **self._fence_fields(fence),
             "fences": len(fences),
+            "abandoned": self._abandoned_commits.recent(replaced),
             "direct": in_flight.connections,
             "bypassing": in_flight.is_bypassing,
             "bypassed_ago": self._age(sent_at),
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from mallowpass.core.proxy.abandonedcommits import AbandonedCommits
 from mallowpass.core.proxy.admissioncontrol import AdmissionControl
 from mallowpass.core.proxy.answers import Answers
 from mallowpass.core.proxy.attempts import Attempts
@@ -107,6 +108,7 @@
     NearMisses,
     Fencing,
     FenceLog,
+    AbandonedCommits,
     BypassLog,
     PromotionLog,
     GuardedWrites,
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -28,6 +28,7 @@
     "AttemptOverdue",
     "AttemptRefused",
     "CallsSent",
+    "CommitsAbandoned",
     "ConfigurationAccepted",
     "ConnectionFreed",
     "DrainBegan",
@@ -280,6 +281,18 @@
     owner: str
 
 
+@record
+class CommitsAbandoned(Signal):
+    """This host closed a connection of its own with commits in flight.
+
+    The first of the `commits` was sent at `sent_at`.
+    """
+
+    endpoint: EndpointRow
+    commits: int
+    sent_at: float
+
+
 @record
 class FenceSilent(Signal):
     """The owner of a fence has not renewed it for a while; it may be gone."""
