--- a/tests/fakes/guardplay.py
+++ b/tests/fakes/guardplay.py
@@ -14,6 +14,7 @@
 from mallowpass.core.proxy.pendingfences import PendingFences
 from mallowpass.standins.proxied.virtual.hosts import Host
 from mallowpass.standins.proxied.virtual.world import SERVICE
+from tests.fakes.fleets import SMALL, Fleet
 from tests.fakes.killedplay import KilledPlay
 
 __all__ = ["WAYS", "GuardPlay"]
@@ -40,8 +41,14 @@
     primary_faults = ("reset", "darken", "drain")
     write_interval = 0.06
 
-    def __init__(self, seed: int, members: int = 3, how: str = "kill") -> None:
-        super().__init__(seed, members, "kill")
+    def __init__(
+        self,
+        seed: int,
+        members: int = 3,
+        how: str = "kill",
+        fleet: Fleet = SMALL,
+    ) -> None:
+        super().__init__(seed, members, "kill", fleet)
         self._how = how
         self.is_struck = False
 
--- a/tests/fakes/killedplay.py
+++ b/tests/fakes/killedplay.py
@@ -16,6 +16,7 @@
 from mallowpass.core.proxy import effects
 from mallowpass.standins.proxied.replicas import Replica
 from mallowpass.standins.proxied.virtual.hosts import Host
+from tests.fakes.fleets import SMALL, Fleet
 from tests.fakes.releaseplay import ReleasePlay
 
 __all__ = ["WAYS", "KilledPlay"]
@@ -56,8 +57,14 @@
     )
     write_interval = 0.06
 
-    def __init__(self, seed: int, members: int = 3, how: str = "kill") -> None:
-        super().__init__(seed, members)
+    def __init__(
+        self,
+        seed: int,
+        members: int = 3,
+        how: str = "kill",
+        fleet: Fleet = SMALL,
+    ) -> None:
+        super().__init__(seed, members, fleet)
         self._strike = getattr(self, f"_{how}")
         self._strikes = self._random.choice(STRIKES)
         self._first = self.world.primary
--- a/tests/fakes/notedworld.py
+++ b/tests/fakes/notedworld.py
@@ -45,6 +45,8 @@
         self, hosts: int, seed: int, times: GroupTimes, **options: Any
     ) -> None:
         self.notes: list[tuple[float, str]] = []
+        # Names of the hosts that sent a caller's request to a member themselves.
+        self.senders: dict[str, str] = {}
         super().__init__(hosts, seed, times=times, **options)
         for host in self.hosts:
             host.logs = _NotedLogs(host)
@@ -62,6 +64,8 @@
 
     def record(self, host: Host, connection: ReplicaConnection, call: Any) -> None:
         """Note a call that arrives at a member."""
+        if call.request_id:
+            self.senders[call.request_id] = host.name
         if isinstance(call.statement, Pause | Resume | Demote):
             self.note(f"  {host.name} sends {connection.member} {call.statement}")
 
--- a/tests/fakes/orderplay.py
+++ b/tests/fakes/orderplay.py
@@ -22,6 +22,7 @@
 from mallowpass.standins.proxied.replicas import Replica
 from mallowpass.standins.proxied.virtual.hosts import Host
 from mallowpass.standins.proxied.virtual.world import SERVICE, configuration
+from tests.fakes.fleets import SMALL, Fleet
 from tests.fakes.killedplay import KilledPlay
 
 __all__ = ["BESIDE", "WAYS", "OrderPlay"]
@@ -74,8 +75,9 @@
         how: str = "alone",
         deafens: bool = True,
         beside: Collection[str] = (),
+        fleet: Fleet = SMALL,
     ) -> None:
-        super().__init__(seed, members, how)
+        super().__init__(seed, members, how, fleet)
         self._how = how
         self._deafens = deafens
         self._beside = frozenset(beside)
--- a/tests/fakes/releaseplay.py
+++ b/tests/fakes/releaseplay.py
@@ -12,6 +12,7 @@
 from mallowpass.standins.proxied.replicas import Replica
 from mallowpass.standins.proxied.virtual.hosts import Host
 from mallowpass.standins.proxied.virtual.world import MEMBERS
+from tests.fakes.fleets import SMALL, Fleet
 from tests.fakes.strictplay import RUNNING_MIN, WARM_UP, StrictPlay
 
 __all__ = ["ReleasePlay"]
@@ -49,9 +50,9 @@
     entry_lapse = 2.0
     write_interval = 0.12
 
-    def __init__(self, seed: int, members: int = 4) -> None:
+    def __init__(self, seed: int, members: int = 4, fleet: Fleet = SMALL) -> None:
         names = itertools.islice(FIVE_MEMBERS, members)
-        super().__init__(seed, {name: FIVE_MEMBERS[name] for name in names})
+        super().__init__(seed, {name: FIVE_MEMBERS[name] for name in names}, fleet)
 
     def run(self) -> None:
         """Play."""
--- a/tests/fakes/strictplay.py
+++ b/tests/fakes/strictplay.py
@@ -16,12 +16,12 @@
 from mallowpass.standins.proxied.virtual.heartbeats import LAPSE, Heartbeats
 from mallowpass.standins.proxied.virtual.hosts import Host
 from mallowpass.standins.proxied.virtual.world import MEMBERS
+from tests.fakes.fleets import SMALL, Fleet
 from tests.fakes.notedworld import NotedWorld
 
 __all__ = ["StrictPlay"]
 
 FOUR_MEMBERS = {**MEMBERS, "db-casa-2": "casa"}
-HOSTS = 6
 DISTANCE = 0.012  # seconds that a message takes from one region to another
 MEMBER_DISTANCES = (0.001, 0.030)  # seconds between members, at least and at most
 PROMOTIONS = (0.3, 0.6, 1.0)  # seconds that the platform takes for an order
@@ -61,10 +61,17 @@
     entry_lapse = LAPSE  # seconds without a renewal
     write_interval = WRITE_INTERVAL
 
-    def __init__(self, seed: int, members: Mapping[str, str] = FOUR_MEMBERS) -> None:
+    def __init__(
+        self,
+        seed: int,
+        members: Mapping[str, str] = FOUR_MEMBERS,
+        fleet: Fleet = SMALL,
+    ) -> None:
         self._random = random.Random(seed)
         times = GroupTimes(promotion=self._random.choice(PROMOTIONS))
-        self.world = NotedWorld(HOSTS, seed, times, members=members, distance=DISTANCE)
+        self.world = NotedWorld(
+            fleet.hosts, seed, times, members=members, distance=DISTANCE
+        )
         self.near_misses: list[str] = []
         self._has_vanished = False
         # A few kinds of faults in one play meet more often.
@@ -77,6 +84,8 @@
         near.distance = self.world.primary.distance = MEMBER_DISTANCES[0]
         self._heartbeats = Heartbeats(self.world, self.entry_lapse)
         self.world.group.on_role = self._change_role
+        if fleet is not SMALL:
+            fleet.configure(self.world)
 
     def run(self) -> None:
         """Play."""
@@ -181,7 +190,7 @@
 
     def _cut_hosts(self) -> None:
         name = self.world.primary.name
-        count = self._random.randint(1, HOSTS - 1)
+        count = self._random.randint(1, len(self.world.hosts) - 1)
         hosts = self._random.sample(self.world.hosts, count)
         for host in hosts:
             host.cut_from.add(name)
@@ -249,7 +258,7 @@
     # -- Hosts ---------------------------------------------------------------
 
     def _kill_host(self) -> None:
-        index = self._random.randrange(HOSTS)
+        index = self._random.randrange(len(self.world.hosts))
         running = [host for host in self.world.hosts if not host.exited]
         if len(running) > RUNNING_MIN and not self.world.hosts[index].exited:
             self.world.kill(index)
