Have hosts enter themselves as writers before they write directly

Cause: a promotion rested on the host that orders knowing all writers. It knew the holders by its own table of hosts, and former ones for 10 s. Not told, and not waited for, were hosts that are cut off from their holders and connect directly, holders by an older plan (or by a newer one), hosts that stop and serve on, and former holders unknown to a host that has just started. All holders confirmed, so no lease was outwaited.

Now a host sends commits on connections of its own only once it has entered itself in the store and has read, after that, a claim under which nobody may order. Who claims reads the entries after the claim and tells these hosts as well; one that does not confirm has its lease outwaited. The store is linearizable, so either the entry or the claim is found by the other. A host that is no holder and does not reach the store refuses writes at once, unless a link to a holder is open. For 10 s after a new era of the store, which may have lost entries, leases are outwaited in any case.

--- a/mallowpass/core/proxy/claims.py
+++ b/mallowpass/core/proxy/claims.py
@@ -46,6 +46,9 @@
 # comparison of replicas. A claim under which a promotion was ordered is not released
 # earlier, as the next host would then send its orders sooner after those of this host.
 CLAIM_TIMEOUT = 3.0
+# Seconds for which entries of writers that were read after a claim name all of them.
+# Hosts wait for `CLAIM_TIMEOUT` at most, by their own view of the store's clock.
+CLAIM_VIEW_TIMEOUT = 2.5
 # Seconds for which the holder of a claim may send orders under it. An order that is
 # sent within this time arrives before another host can claim.
 CLAIM_USE_TIMEOUT = 1.5
@@ -302,6 +305,10 @@
         is_long_enough = until >= (self._store.time or 0.0) + LATE_ORDER_MAX
         return is_long_enough and self.is_of_current_era(claim)
 
+    def is_view_outdated(self, claim: Claim) -> bool:
+        """Return whether hosts that were unknown after a claim may write by now."""
+        return self.age(claim) >= CLAIM_VIEW_TIMEOUT
+
     def age(self, claim: Claim) -> float:
         """Return the seconds since a claim was made."""
         return (self._store.time or 0.0) - claim.time
--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -114,11 +114,13 @@
         own_only: bool = False,
         by_affinity: bool = False,
         may_wait: bool = False,
+        forwarded_only: bool = False,
     ) -> ConnectionRow | None:
         """Return an idle connection that can serve `customer`, None if there is none.
 
         A direct connection is preferred to a forwarded one; of several, a connection
-        that has the session's `values` set. `own_only` excludes forwarded connections.
+        that has the session's `values` set. `own_only` excludes forwarded connections,
+        `forwarded_only` direct ones.
         `customer` is None for this host's own statements, which any connection serves.
 
         `by_affinity`: the customer's order of holders applies, where there is one.
@@ -127,7 +129,9 @@
         returned, though a connection that is worse for the customer may be idle.
         """
         if by_affinity and self._customer_holders.forwards(endpoint, customer):
-            return self._acquire_by_affinity(endpoint, values, customer, may_wait)
+            return self._acquire_by_affinity(
+                endpoint, values, customer, may_wait, forwarded_only
+            )
         if self._shares.is_customer_at_limit(endpoint, customer):
             return None
         own_only |= (
@@ -142,6 +146,7 @@
             and connection.can_serve(customer)
             and not connection.is_single_use
             and not (own_only and connection.holder)
+            and not (forwarded_only and not connection.holder)
             and not self._holders.is_silent(connection.holder)
         ]
         if not idle:
@@ -158,16 +163,18 @@
         values: dict[str, str] | None,
         customer: str,
         may_wait: bool,
+        forwarded_only: bool,
     ) -> ConnectionRow | None:
         """Return an idle connection for a statement of this host's own callers."""
         is_at_limit = self._shares.is_customer_at_limit(endpoint, customer)
+        forwarded_only |= is_at_limit
         idle = [
             connection
             for connection in endpoint.connections.values()
             if connection.state is ConnectionState.IDLE
             and connection.can_serve(customer)
             and not connection.is_single_use
-            and not (is_at_limit and not connection.holder)
+            and not (forwarded_only and not connection.holder)
             and not self._holders.is_silent(connection.holder)
         ]
         chosen = self._customer_holders.choose(
--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -54,6 +54,7 @@
     owner_name,
 )
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, HostRow, ProxySystem
+from mallowpass.core.proxy.writers import Writers
 
 __all__ = ["FenceOrders"]
 
@@ -114,6 +115,7 @@
         "_owner",
         "_tasks",
         "_tokens",
+        "_writers",
     )
 
     def __init__(self, node: Node) -> None:
@@ -130,6 +132,7 @@
         self._fencing = self._node.system(Fencing)
         self._forwarded_orders = self._node.system(ForwardedOrders)
         self._holders = self._node.system(Holders)
+        self._writers = self._node.system(Writers)
         self._node.subscribe(PrimarySuspected, self._on_suspected)
         self._node.subscribe(PrimarySteppedDown, self._on_stepped_down)
 
@@ -181,6 +184,29 @@
             ),
         )
 
+    def tell_writers(self, attempt: Replacement) -> None:
+        """Have hosts fence an attempt's primary that became known after it began.
+
+        The fence counts as confirmed once these have confirmed it as well.
+        """
+        task = self._tasks.get(attempt.group.service)
+        if task is None or task.attempt is not attempt:
+            return
+        hosts = self._holders.possible_holders(attempt.group.service)
+        new = [host for host in hosts if host.name not in attempt.fence_told]
+        if not new:
+            return
+        names = {host.name for host in new}
+        attempt.fence_told |= names
+        task.unconfirmed |= names
+        if attempt.fence_outcome is FenceOutcome.CONFIRMED:
+            self._forget_outcome(attempt)
+            task.is_settled = False
+        elif task.is_settled:
+            attempt.unconfirmed_hosts |= names
+        for host in new:
+            self._order(task, host)
+
     def has_task(self, service: str) -> bool:
         """Return whether an attempt of this host fences a service's primary."""
         return service in self._tasks
@@ -364,6 +390,7 @@
             elif forwarded.is_unconnected:
                 service = task.attempt.group.service
                 self._holders.forget_former(service, host.name)
+                self._writers.forget(service, host.name)
                 task.attempt.fence_refused.add(host.name)
                 self._confirm(task, host.name)
             else:
--- a/mallowpass/core/proxy/holders.py
+++ b/mallowpass/core/proxy/holders.py
@@ -83,6 +83,7 @@
         "_silent",
         "_unanswered",
         "_unreachable",
+        "_writers",
     )
 
     def start(self) -> None:
@@ -94,6 +95,8 @@
         # The holders by the newest plan, and former ones, by service and name.
         self._present: dict[str, dict[str, HostRow]] = {}
         self._former: dict[str, dict[str, _FormerHolder]] = {}
+        # Hosts that write directly by their own entries, as last read, by service.
+        self._writers: dict[str, list[HostRow]] = {}
         # By service and failure domain of the endpoint.
         self._regional: dict[tuple[str, str], _RegionalShares] = {}
         # Times until which a holder is not used: by host, and by host and endpoint.
@@ -297,21 +300,34 @@
     def possible_holders(self, service: str) -> list[HostRow]:
         """Return the other hosts that may have connections to a service's endpoints.
 
-        These are the holders, and hosts that were holders some seconds ago.
+        These are the holders, hosts that were holders some seconds ago, and hosts that
+        have entered themselves, see `writers`.
         """
-        holders = self.other_holders(service)
-        names = {self._node.identity.name, *(host.name for host in holders)}
         former = self._former.get(service, {})
         for name, holder in list(former.items()):
             if holder.until <= self.now:
                 del former[name]
-        hosts = [holder.host for name, holder in former.items() if name not in names]
-        return holders + hosts
+        known = {host.name: host for host in self.other_holders(service)}
+        for name, holder in former.items():
+            known.setdefault(name, holder.host)
+        for host in self._writers.get(service, ()):
+            known.setdefault(host.name, host)
+        known.pop(self._node.identity.name, None)
+        return list(known.values())
+
+    def note_writers(self, service: str, hosts: list[HostRow]) -> None:
+        """Record the hosts that write directly by the entries that were just read."""
+        self._writers[service] = hosts
 
     def known_host(self, service: str, name: str) -> HostRow | None:
         """Return the entry of a host, also of a former holder whose entry is gone."""
         former = self._former.get(service, {}).get(name)
-        return self.tables.hosts.get(name) or (former.host if former else None)
+        if name in self.tables.hosts:
+            return self.tables.hosts[name]
+        if former is not None:
+            return former.host
+        writers = self._writers.get(service, ())
+        return next((host for host in writers if host.name == name), None)
 
     def forget_former(self, service: str, name: str) -> None:
         """Forget a former holder whose process is gone."""
--- a/mallowpass/core/proxy/hosts.py
+++ b/mallowpass/core/proxy/hosts.py
@@ -83,7 +83,10 @@
             # The entry is written only if it is missing or outdated: each change is
             # sent to all hosts, and after a loss of power of all hosts the entries are
             # still in the store.
-            if not any(self._is_own_entry(row) for row in rows):
+            is_entered = any(self._is_own_entry(row) for row in rows)
+            if not self.tables.hosts_version:
+                self.tables.was_entered = is_entered
+            if not is_entered:
                 self._register()
         for row in rows:
             self._apply(row)
--- a/mallowpass/core/proxy/leasewaits.py
+++ b/mallowpass/core/proxy/leasewaits.py
@@ -21,7 +21,6 @@
 from mallowpass.core.proxy.fenceorders import FenceOrders
 from mallowpass.core.proxy.promotionorders import PromotionOrders
 from mallowpass.core.proxy.replacement import (
-    FenceOutcome,
     Replacement,
     ReplacementEnded,
 )
@@ -116,8 +115,8 @@
         if not self._is_current(wait):
             return
         attempt = wait.attempt
-        is_told = attempt.fence_outcome is not FenceOutcome.UNPROVEN
-        if is_told or self.now >= wait.began_at + WAIT_MAX:
+        is_over = not attempt.must_outwait_leases
+        if is_over or self.now >= wait.began_at + WAIT_MAX:
             self._finish(wait)
             return
         replicas = self._replicas(attempt)
--- a/mallowpass/core/proxy/links.py
+++ b/mallowpass/core/proxy/links.py
@@ -75,6 +75,7 @@
 )
 from mallowpass.core.proxy.writeholds import WRITES_HELD_MESSAGE, HoldReason, WriteHolds
 from mallowpass.core.proxy.writeleases import WRITES_UNPROVEN_MESSAGE, WriteLeases
+from mallowpass.core.proxy.writers import NOT_A_WRITER_MESSAGE, Writers
 
 __all__ = ["Links"]
 
@@ -104,6 +105,7 @@
         "_proofs",
         "_write_holds",
         "_write_leases",
+        "_writers",
     )
 
     def start(self) -> None:
@@ -122,6 +124,7 @@
         self._write_holds = node.system(WriteHolds)
         self._proofs = node.system(ReplicationProofs)
         self._write_leases = node.system(WriteLeases)
+        self._writers = node.system(Writers)
         self._waiting: list[LinkRow] = []  # by `link_urgency`
         node.subscribe(LinkOpened, self._on_opened)
         node.subscribe(LinkCalled, self._on_called)
@@ -340,7 +343,10 @@
         if not self._must_await_lease(link):
             return False
         self._acquire(link)  # opens a connection meanwhile if there is none
-        if self._write_leases.is_denied(self._group(link)):
+        if self._writers.is_refused(self._group(link)):
+            self._leave_queue(link)
+            self._refuse(link, Code.BUSY, NOT_A_WRITER_MESSAGE)
+        elif self._write_leases.is_denied(self._group(link)):
             self._leave_queue(link)
             self._refuse(link, Code.BUSY, WRITES_UNPROVEN_MESSAGE)
         return True
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -75,6 +75,7 @@
 )
 from mallowpass.core.proxy.store import Store
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
+from mallowpass.core.proxy.writers import Writers
 
 __all__ = ["Promotion"]
 
@@ -127,6 +128,7 @@
         "_conflicts",
         "_pending_fences",
         "_pending_orders",
+        "_writers",
     )
 
     def __init__(self, node: Node) -> None:
@@ -159,6 +161,7 @@
         self._store = node.system(Store)
         self._conflicts = node.system(PrimaryConflicts)
         self._pending_orders = node.system(PendingOrders)
+        self._writers = node.system(Writers)
         node.subscribe(DrainBegan, self._on_drain_began)
         node.subscribe(EndpointChanged, self._on_endpoint_changed)
         node.subscribe(EndpointRestarted, self._on_restarted)
@@ -277,6 +280,7 @@
         self._read_view(attempt, claim)
         if attempt.is_ended:
             return
+        self._read_writers(attempt, claim)
         is_lifted = self._pending_fences.is_lifted(attempt.group.service)
         is_outdated = attempt.order_count or self.now >= attempt.fenced_until
         if attempt.has_fenced and is_outdated and not is_lifted:
@@ -304,13 +308,38 @@
             if self._has_returned(attempt):
                 self._give_up(attempt, "the primary does not leave any more")
                 return
-            if attempt.is_awaiting_view:
-                attempt.is_awaiting_view = False
-                self._decide(attempt)
+            self._continue_with_view(attempt)
 
         version = self._claims.version_of_newest(attempt.group.service)
         self._members.read(version, on_read)
 
+    def _read_writers(self, attempt: Replacement, claim: Claim) -> None:
+        """Read which hosts write directly, and have those fence the primary as well.
+
+        A host that enters itself later finds the claim.
+        """
+
+        def on_read(is_read: bool) -> None:
+            if attempt.is_ended or attempt.claim is None:
+                return
+            if attempt.claim.token != claim.token:
+                return
+            if not is_read:
+                self._give_up(attempt, "the entries of writers can't be read")
+                return
+            attempt.writers_token = claim.token
+            attempt.may_miss_writers = not self._writers.are_entries_complete
+            self._fence_orders.tell_writers(attempt)
+            self._continue_with_view(attempt)
+
+        self._writers.read(attempt.group.service, on_read)
+
+    def _continue_with_view(self, attempt: Replacement) -> None:
+        """Decide a round that has waited for what is read after the claim."""
+        if attempt.is_awaiting_view and attempt.is_view_current:
+            attempt.is_awaiting_view = False
+            self._decide(attempt)
+
     @staticmethod
     def _has_returned(attempt: Replacement) -> bool:
         """Return whether the entry of a primary that was to leave shows that it stays.
--- a/mallowpass/core/proxy/promotionorders.py
+++ b/mallowpass/core/proxy/promotionorders.py
@@ -108,8 +108,11 @@
 
         def on_stored(number: int | None) -> None:
             is_current = not attempt.is_ended and attempt.rounds == round_number
-            if is_current and number is not None and self._is_unfenced(attempt):
-                # This host was held up, and holders may write to the primary again.
+            is_late = self._is_unfenced(attempt) or self._claims.is_view_outdated(
+                attempt.claim
+            )
+            if is_current and number is not None and is_late:
+                # This host was held up, and others may write to the primary again.
                 self._pending_orders.note_answer(service, target, number, False)
                 self._node.publish(ClaimExpired(attempt))
             elif is_current and number is not None:
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -76,6 +76,7 @@
 from mallowpass.core.proxy.unknowndatabases import UnknownDatabases
 from mallowpass.core.proxy.writeholds import WriteHolds
 from mallowpass.core.proxy.writeleases import WriteLeases
+from mallowpass.core.proxy.writers import Writers
 
 __all__ = ["SYSTEMS"]
 
@@ -113,6 +114,7 @@
     PromotionLog,
     GuardedWrites,
     WriteHolds,
+    Writers,
     WriteLeases,
     StartFences,
     Quiescence,
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -81,6 +81,10 @@
     gone_host: str = ""  # that is gone, and may hold the newest claim
     claim: Claim | None = None
     view_token: int = 0  # of the claim after which the entries were last read
+    # Of the claim after which it was last read who writes directly, see `writers`.
+    writers_token: int = 0
+    # Entries of writers may be missing, as the store came back from a copy.
+    may_miss_writers: bool = False
     is_awaiting_view: bool = False  # this round is decided once they are read
     target: str = ""  # the replica to promote; empty: not chosen yet
     is_survey: bool = False  # this round reads log positions and pauses no replica
@@ -131,7 +135,9 @@
     @property
     def is_view_current(self) -> bool:
         """Return whether the entries are known as they were after the claim."""
-        return self.claim is not None and self.view_token == self.claim.token
+        if self.claim is None:
+            return False
+        return self.view_token == self.writers_token == self.claim.token
 
     @property
     def is_target_ahead(self) -> bool:
@@ -153,8 +159,11 @@
     @property
     def must_outwait_leases(self) -> bool:
         """Return whether a host that was not told may write to the primary."""
-        is_unproven = self.fence_outcome is FenceOutcome.UNPROVEN
-        return is_unproven and not self.has_outwaited_leases
+        if self.has_outwaited_leases:
+            return False
+        if self.fence_outcome is FenceOutcome.CONFIRMED:
+            return self.may_miss_writers
+        return self.fence_outcome is FenceOutcome.UNPROVEN
 
     def may_receive(self, name: str) -> bool:
         """Return whether a replica receives while the others are compared."""
--- a/mallowpass/core/proxy/requests.py
+++ b/mallowpass/core/proxy/requests.py
@@ -67,6 +67,7 @@
 from mallowpass.core.proxy.transactions import Transactions
 from mallowpass.core.proxy.writeholds import WRITES_HELD_MESSAGE, HoldReason, WriteHolds
 from mallowpass.core.proxy.writeleases import WRITES_UNPROVEN_MESSAGE, WriteLeases
+from mallowpass.core.proxy.writers import NOT_A_WRITER_MESSAGE, Writers
 
 __all__ = ["Requests"]
 
@@ -119,6 +120,7 @@
         "_transactions",
         "_write_holds",
         "_write_leases",
+        "_writers",
     )
 
     def start(self) -> None:
@@ -147,6 +149,7 @@
         self._transactions = node.system(Transactions)
         self._write_holds = node.system(WriteHolds)
         self._write_leases = node.system(WriteLeases)
+        self._writers = node.system(Writers)
         node.subscribe(AttemptLost, self._on_attempt_lost)
         node.subscribe(AttemptAbandoned, self._on_attempt_abandoned)
         node.subscribe(AttemptRefused, self._on_attempt_refused)
@@ -214,7 +217,9 @@
         if self._stalls.must_wait(request, group):
             return True
         commits = request.access is Access.WRITE and request.transaction is None
-        return commits and self._write_leases.must_wait(group)
+        if not commits or self._writers.must_forward(group):
+            return False
+        return self._write_leases.must_wait(group)
 
     def _admit(self, request: RequestRow) -> None:
         """Queue a statement once its customer's rate limit allows it."""
@@ -402,6 +407,9 @@
             return
         if self._must_await_permission(request, group):
             request.was_held = True
+            if self._writers.is_refused(group):
+                self._answers.refuse(request, Code.BUSY, NOT_A_WRITER_MESSAGE)
+                return
             if self._write_leases.is_denied(group) and self.now >= held_until(request):
                 self._answers.refuse(request, Code.BUSY, WRITES_UNPROVEN_MESSAGE)
             return
--- a/mallowpass/core/proxy/routing.py
+++ b/mallowpass/core/proxy/routing.py
@@ -18,6 +18,7 @@
     ProxySystem,
     RequestRow,
 )
+from mallowpass.core.proxy.writers import Writers
 
 __all__ = ["Routing"]
 
@@ -25,7 +26,7 @@
 class Routing(ProxySystem):
     """Choose endpoints by log position, region, latency and load."""
 
-    __slots__ = ("_connections", "_floors", "_guarded_writes", "_load")
+    __slots__ = ("_connections", "_floors", "_guarded_writes", "_load", "_writers")
 
     def start(self) -> None:
         """Look up the systems that this one uses."""
@@ -33,6 +34,7 @@
         self._floors = self._node.system(Floors)
         self._guarded_writes = self._node.system(GuardedWrites)
         self._load = self._node.system(Load)
+        self._writers = self._node.system(Writers)
 
     def required_floor(
         self, request: RequestRow, group: GroupRow
@@ -53,6 +55,7 @@
         if self.is_guarded(request, group):
             return self._choose_guarded(request, group.primary_row)
         first = None
+        must_forward = request.needs_primary and self._writers.must_forward(group)
         candidates = self._candidates(request, group, floor)
         with_room = [e for e in candidates if self._load.has_room(e)]
         for endpoint in with_room:
@@ -62,6 +65,7 @@
                 request.customer,
                 by_affinity=True,
                 may_wait=first is None,
+                forwarded_only=must_forward,
             )
             if connection is not None:
                 return Choice(connection, floor)
--- a/mallowpass/core/proxy/settlements.py
+++ b/mallowpass/core/proxy/settlements.py
@@ -32,6 +32,7 @@
 from mallowpass.core.proxy.signals import PendingOrderStuck, PrimaryChanged
 from mallowpass.core.proxy.statements import EndpointReply, Status
 from mallowpass.core.proxy.tables import GroupRow, ProxySystem
+from mallowpass.core.proxy.writers import Writers
 
 __all__ = ["Settlements"]
 
@@ -70,6 +71,7 @@
         "_settlements",
         "_unanswered",
         "_unanswered_at",
+        "_writers",
     )
 
     def __init__(self, node: Node) -> None:
@@ -87,6 +89,7 @@
         self._pending_fences = self._node.system(PendingFences)
         self._pending_orders = self._node.system(PendingOrders)
         self._replica_orders = self._node.system(ReplicaOrders)
+        self._writers = self._node.system(Writers)
         self._node.subscribe(PendingOrderStuck, self._on_stuck)
         self._node.subscribe(PrimaryChanged, self._on_primary_changed)
         self._node.subscribe(PromotionAnswered, self._on_answered)
@@ -119,6 +122,12 @@
         settlement = self._settlements[group.service] = _Settlement(attempt)
         self._pending_fences.suspend(group.service)
 
+        def on_writers(is_read: bool) -> None:
+            if is_read and self._is_current(settlement):
+                self._fence(settlement)
+            else:
+                self._end(settlement, "the entries of writers can't be read")
+
         def on_claim(claim: Claim | None) -> None:
             if claim is None:
                 self._end(settlement, "claim held by another host, or no store")
@@ -126,7 +135,7 @@
                 self._claims.withdraw_target(group.service, claim)
             else:
                 attempt.claim = claim
-                self._fence(settlement)
+                self._writers.read(group.service, on_writers)
 
         # The claim names no primary, so that the order for it counts as pending.
         self._claims.take(group.service, "", on_claim, target=primary)
--- a/mallowpass/core/proxy/storage.py
+++ b/mallowpass/core/proxy/storage.py
@@ -39,6 +39,7 @@
     SUSPICIONS = "suspicions"
     CLAIMS = "claims"
     LIMITS = "limits"
+    WRITERS = "writers"
 
 
 # Versions of the store are unique within an era only: a store that was restored from a
--- a/mallowpass/core/proxy/transactions.py
+++ b/mallowpass/core/proxy/transactions.py
@@ -40,6 +40,7 @@
 )
 from mallowpass.core.proxy.writeholds import WRITES_HELD_MESSAGE, WriteHolds
 from mallowpass.core.proxy.writeleases import WRITES_UNPROVEN_MESSAGE, WriteLeases
+from mallowpass.core.proxy.writers import NOT_A_WRITER_MESSAGE, Writers
 
 __all__ = ["Transactions"]
 
@@ -59,6 +60,7 @@
         "_stalls",
         "_write_holds",
         "_write_leases",
+        "_writers",
     )
 
     def start(self) -> None:
@@ -75,6 +77,7 @@
         self._stalls = node.system(Stalls)
         self._write_holds = node.system(WriteHolds)
         self._write_leases = node.system(WriteLeases)
+        self._writers = node.system(Writers)
 
     # -- Sending -------------------------------------------------------------
 
@@ -136,6 +139,9 @@
         is_commit = isinstance(request.statement, Commit) and request.commits_writes
         if is_commit and not (must_wait or connection.holder):
             must_wait = self._write_leases.must_wait(group)
+            if must_wait and self._writers.is_refused(group):
+                self._answers.refuse(request, Code.ABORTED, NOT_A_WRITER_MESSAGE)
+                return
             if must_wait and self._write_leases.is_denied(group):
                 self._answers.refuse(request, Code.ABORTED, WRITES_UNPROVEN_MESSAGE)
                 return
--- a/mallowpass/core/proxy/writeleases.py
+++ b/mallowpass/core/proxy/writeleases.py
@@ -54,6 +54,7 @@
 from mallowpass.core.proxy.statements import EndpointReply, EndpointStatus, Status
 from mallowpass.core.proxy.store import Store
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
+from mallowpass.core.proxy.writers import Writers
 
 __all__ = ["WRITES_UNPROVEN_MESSAGE", "WriteLeases"]
 
@@ -121,6 +122,7 @@
         "_logged_at",
         "_proofs",
         "_store",
+        "_writers",
     )
 
     def __init__(self, node: Node) -> None:
@@ -140,6 +142,7 @@
         self._holders = self._node.system(Holders)
         self._proofs = self._node.system(ReplicationProofs)
         self._store = self._node.system(Store)
+        self._writers = self._node.system(Writers)
         subscribe = self._node.subscribe
         subscribe(CallsSent, self._on_sent)
         subscribe(EndpointDisconnected, self._on_disconnected)
@@ -157,11 +160,16 @@
 
         `ConnectionFreed` is published for the primary once they may be tried again.
         """
-        if self._may_send(group):
-            return False
         primary = group.primary_row
+        is_writer = self._writers.is_permitted(group.service)
+        if is_writer and self._may_send(group):
+            return False
         if primary is None or not self._needs_lease(primary):
             return False
+        if not self._writers.may_write(group):
+            return True
+        if self._may_send(group):
+            return False
         lease = self._lease(group)
         self._ask(group, lease)
         lease.is_awaited = True
@@ -190,7 +198,7 @@
             handler(True)
             return
         lease = self._lease(group)
-        if lease.question is None:
+        if lease.question is None or not self._writers.is_permitted(group.service):
             handler(False)
         else:
             lease.handlers.append(handler)
@@ -272,6 +280,7 @@
         """Ask for a first lease on a primary, if this host is to write to it."""
         if group.primary != primary or not self._holders.holds(group.service):
             return
+        self._writers.may_write(group)
         if self.now >= self._renewed_at(group) + RENEWAL_TIME / 2:
             self._ask(group, self._lease(group))
 
--- /dev/null
+++ b/mallowpass/core/proxy/writers.py
@@ -0,0 +1,359 @@
+"""Entries in the store of the hosts that may write to a service's endpoints directly.
+
+A host that replaces a primary has all hosts fence it that write there on connections
+of their own. These are not only the holders that it knows: a host that is cut off from
+its holders connects to endpoints directly, one that has stopped serves on for a while,
+and one that lost the store may count itself as a holder by an older table of hosts.
+
+So each host enters itself before its first commit, and reads the claim after that.
+Whoever claims reads the entries after the claim. Of the two, at least one finds the
+other: either the entry was there as the entries were read, and its host is told of the
+fence; or the claim was there as it was read, and the host waits until no promotion may
+be ordered under it.
+
+An entry outlasts the connection of its host to the store, and its process. It is
+removed by its host once that neither is a holder nor has connections of its own, or by
+a host that finds nobody at its address.
+
+A host that is no holder, and can't enter itself, writes nothing directly. A holder that
+has just started does after a moment: all others know it from the table of hosts.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from mallowpass.core.node import Node
+from mallowpass.core.proxy.claims import CLAIM_TIMEOUT, Claim, Claims
+from mallowpass.core.proxy.holders import Holders
+from mallowpass.core.proxy.shares import Shares
+from mallowpass.core.proxy.signals import (
+    ConnectionFreed,
+    DrainBegan,
+    EraChanged,
+    HolderJoined,
+    HoldersBypassed,
+)
+from mallowpass.core.proxy.storage import (
+    ChangeRows,
+    ListRows,
+    Row,
+    RowKey,
+    StoreReply,
+    StoreStatus,
+    Table,
+)
+from mallowpass.core.proxy.store import Store
+from mallowpass.core.proxy.tables import (
+    ConnectionState,
+    GroupRow,
+    HostRow,
+    ProxySystem,
+)
+
+__all__ = ["NOT_A_WRITER_MESSAGE", "Writers"]
+
+# Times are in seconds.
+RETRY_INTERVAL = 0.25  # between two attempts to enter this host, or reads of the claim
+# Without an answer, after which a write is refused that only this host could run, and
+# after which a holder that has just started writes without an entry.
+ENTRY_TIMEOUT = 0.5
+REWRITE_DELAY_MAX = 0.5  # over which hosts spread their entries of a new era
+# After a new era of the store: a host that is cut off from the others learns of it as
+# its call for changes ends.
+REENTRY_TIME = 10.0
+LOOK_INTERVAL = 5.0  # between two looks for entries that are not needed any more
+
+NOT_A_WRITER_MESSAGE = "this host is cut off from the holders of its service"
+
+# Called with whether the entries were read.
+ReadHandler = Callable[[bool], None]
+
+
+@dataclass(slots=True, eq=False)
+class _Entry:
+    """What this host knows of its entry for one service."""
+
+    began_at: float  # when it was needed first
+    version: int = 0  # of the row; 0: the store has not confirmed it
+    is_permitted: bool = False  # no promotion is ordered without telling this host
+    is_busy: bool = False  # a call to the store, or the pause before it, is under way
+    has_joined: bool = False  # as a holder, so that others may not know it yet
+
+
+class Writers(ProxySystem):
+    """Enter this host where it writes directly, and read the entries of others."""
+
+    __slots__ = (
+        "_claims",
+        "_entries",
+        "_era_since",
+        "_holders",
+        "_is_draining",
+        "_shares",
+        "_store",
+        "_versions",
+    )
+
+    def __init__(self, node: Node) -> None:
+        super().__init__(node)
+        self._entries: dict[str, _Entry] = {}  # by service
+        # Of the entries of other hosts as they were last read, by service and host.
+        self._versions: dict[str, dict[str, int]] = {}
+        self._is_draining = False
+        self._era_since = float("-inf")
+
+    def start(self) -> None:
+        """Subscribe to what makes an entry needed, or lost."""
+        self._claims = self._node.system(Claims)
+        self._holders = self._node.system(Holders)
+        self._shares = self._node.system(Shares)
+        self._store = self._node.system(Store)
+        self._node.subscribe(DrainBegan, self._on_drain_began)
+        self._node.subscribe(EraChanged, self._on_era_changed)
+        self._node.subscribe(HolderJoined, self._on_holder_joined)
+        self._node.subscribe(HoldersBypassed, self._on_holders_bypassed)
+        self.timers.after(LOOK_INTERVAL, self._look)
+
+    # -- Permission ----------------------------------------------------------
+
+    def may_write(self, group: GroupRow) -> bool:
+        """Return whether this host may send commits on connections of its own.
+
+        If not, `ConnectionFreed` is published for the primary once it may.
+        """
+        entry = self._entries.get(group.service)
+        if entry is None:
+            entry = self._entries[group.service] = _Entry(self.now)
+        if entry.is_permitted:
+            return True
+        self._enter(group, entry)
+        # A holder that has just started is told of fences by the table of hosts.
+        return self._is_known_holder(group, entry) and self._is_overdue(entry)
+
+    def is_permitted(self, service: str) -> bool:
+        """Return whether this host has the permission for a service's endpoints."""
+        entry = self._entries.get(service)
+        return entry is not None and entry.is_permitted
+
+    def must_forward(self, group: GroupRow) -> bool:
+        """Return whether commits go by way of a holder though this host is connected.
+
+        That holds for a host that is no holder, as long as a link is open.
+        """
+        primary = group.primary_row
+        if primary is None or self.is_permitted(group.service):
+            return False
+        if self._holders.holds(group.service):
+            return False
+        return any(
+            connection.holder
+            and connection.state is not ConnectionState.OPENING
+            and not connection.is_single_use
+            for connection in primary.connections.values()
+        )
+
+    def is_refused(self, group: GroupRow) -> bool:
+        """Return whether this host can't get the permission at present."""
+        entry = self._entries.get(group.service)
+        if entry is None or entry.is_permitted:
+            return False
+        return self._is_overdue(entry) and not self._is_known_holder(group, entry)
+
+    def _is_overdue(self, entry: _Entry) -> bool:
+        return self.now >= entry.began_at + ENTRY_TIMEOUT
+
+    def _is_known_holder(self, group: GroupRow, entry: _Entry) -> bool:
+        """Return whether other hosts know this one as a holder by its host's entry."""
+        is_known = self.tables.was_entered and not entry.has_joined
+        return is_known and self._holders.holds(group.service)
+
+    def _on_holder_joined(self, signal: HolderJoined) -> None:
+        entry = self._entries.setdefault(signal.service, _Entry(self.now))
+        entry.has_joined = True
+        self._enter(self.tables.group(signal.service), entry)
+
+    def _on_holders_bypassed(self, signal: HoldersBypassed) -> None:
+        """Enter this host while it opens its first connection."""
+        group = self.tables.group(signal.endpoint.entry.service)
+        if group.primary_row is signal.endpoint:
+            self.may_write(group)
+
+    # -- This host's entries -------------------------------------------------
+
+    def _key(self, service: str, host: str) -> RowKey:
+        return RowKey(Table.WRITERS, service, host)
+
+    def _enter(self, group: GroupRow, entry: _Entry) -> None:
+        """Enter this host, then read the claim, unless that is under way."""
+        if entry.is_busy or entry.is_permitted:
+            return
+        entry.is_busy = True
+        if entry.version:
+            self._read_claim(group, entry)
+            return
+
+        def on_reply(reply: StoreReply) -> None:
+            if self._entries.get(group.service) is not entry:
+                return
+            if reply.status is StoreStatus.DONE:
+                entry.version = reply.version
+                self._read_claim(group, entry)
+            else:
+                self._retry_later(group, entry)
+
+        self._store.call(self._entry_call(group.service), on_reply)
+        self.timers.after(ENTRY_TIMEOUT, self._wake, group)
+
+    def _entry_call(self, service: str) -> ChangeRows:
+        """Return the call that enters this host as a writer of a service."""
+        identity = self._node.identity
+        row = HostRow(
+            identity.name,
+            identity.failure_domain,
+            identity.peers_address,
+            identity.capacity,
+        )
+        return ChangeRows(puts=((self._key(service, row.name), row.encode()),))
+
+    def _read_claim(self, group: GroupRow, entry: _Entry) -> None:
+        def on_claim(claim: Claim | None, is_known: bool) -> None:
+            if self._entries.get(group.service) is not entry:
+                return
+            if is_known and entry.version and not self._may_be_ordered(group, claim):
+                entry.is_busy = False
+                entry.is_permitted = True
+                self._wake(group)
+            else:
+                self._retry_later(group, entry)
+
+        self._claims.read_newest(group.service, on_claim)
+
+    def _may_be_ordered(self, group: GroupRow, claim: Claim | None) -> bool:
+        """Return whether the host of a claim may order without telling this one.
+
+        Once a claim is as old as that, its host reads the entries anew.
+        """
+        if claim is None or claim.holder == self._node.identity.name:
+            return False
+        if claim.rivals(group.primary, self._store.time):
+            return True
+        if claim.is_released or claim.confirms_primary(group.primary):
+            return False
+        return self._claims.age(claim) < CLAIM_TIMEOUT
+
+    def _retry_later(self, group: GroupRow, entry: _Entry) -> None:
+        def retry() -> None:
+            if self._entries.get(group.service) is entry:
+                entry.is_busy = False
+                if self._is_needed(group):
+                    self._enter(group, entry)
+
+        self.timers.after(RETRY_INTERVAL, retry)
+
+    def _wake(self, group: GroupRow) -> None:
+        """Have the commits tried again that wait for the permission."""
+        primary = group.primary_row
+        if primary is not None:
+            self._node.publish(ConnectionFreed(primary))
+
+    def _on_era_changed(self, signal: EraChanged) -> None:
+        """Enter this host again, as the store may have lost its entries.
+
+        Nobody claims in a new era before hosts have had time for it.
+        """
+        self._era_since = self.now
+        for service, entry in self._entries.items():
+            entry.version = 0
+            if entry.is_permitted:
+                delay = self._store.jitter(REWRITE_DELAY_MAX)
+                self.timers.after(delay, self._enter_again, service, entry)
+
+    def _enter_again(self, service: str, entry: _Entry) -> None:
+        """Enter this host once more without holding back its commits."""
+        if entry.version or self._entries.get(service) is not entry:
+            return
+
+        def on_reply(reply: StoreReply) -> None:
+            if reply.status is StoreStatus.DONE:
+                entry.version = reply.version
+            else:
+                self.timers.after(RETRY_INTERVAL, self._enter_again, service, entry)
+
+        self._store.call(self._entry_call(service), on_reply)
+
+    # -- Ends of entries -----------------------------------------------------
+
+    def _is_needed(self, group: GroupRow) -> bool:
+        """Return whether this host has, or may soon open, connections of its own."""
+        if not self._is_draining and self._holders.holds(group.service):
+            return True
+        endpoints = group.endpoints.values()
+        return any(
+            not connection.holder
+            for endpoint in endpoints
+            for connection in endpoint.connections.values()
+        ) or any(self._holders.is_cut_off(endpoint) for endpoint in endpoints)
+
+    def _look(self) -> None:
+        for service in list(self._entries):
+            self._leave_unneeded(service)
+        self.timers.after(LOOK_INTERVAL, self._look)
+
+    def _on_drain_began(self, signal: DrainBegan) -> None:
+        self._is_draining = True
+
+    def _leave_unneeded(self, service: str) -> None:
+        """Remove this host's entry if it writes nothing directly any more."""
+        entry = self._entries[service]
+        if entry.is_busy or self._is_needed(self.tables.group(service)):
+            return
+        del self._entries[service]
+        if entry.version:
+            self._remove(service, self._node.identity.name, entry.version)
+
+    def _remove(self, service: str, host: str, version: int) -> None:
+        """Remove an entry, unless it was written again."""
+        key = self._key(service, host)
+        call = ChangeRows(expected=((key, version),), deletes=(key,))
+        self._store.call(call, lambda reply: None)
+
+    # -- Entries of other hosts ----------------------------------------------
+
+    @property
+    def are_entries_complete(self) -> bool:
+        """Return whether hosts have had time to write entries that the store lost."""
+        return self.now >= self._era_since + REENTRY_TIME
+
+    def read(self, service: str, handler: ReadHandler) -> None:
+        """Read which hosts may write to a service's endpoints directly."""
+
+        def on_rows(reply: StoreReply) -> None:
+            if reply.status is not StoreStatus.DONE:
+                handler(False)
+                return
+            self._note(service, reply.rows)
+            handler(True)
+
+        self._store.call(ListRows(Table.WRITERS, service), on_rows)
+
+    def _note(self, service: str, rows: tuple[Row, ...]) -> None:
+        own_name = self._node.identity.name
+        rows = tuple(row for row in rows if row.key.key != own_name)
+        hosts = []
+        for row in rows:
+            try:
+                hosts.append(HostRow.decode(row.key.key, str(row.value)))
+            except ValueError as error:
+                self._node.log(
+                    "warning", "writer_entry_unreadable", host=row.key.key, why=error
+                )
+        self._versions[service] = {row.key.key: row.version for row in rows}
+        self._holders.note_writers(service, hosts)
+
+    def forget(self, service: str, host: str) -> None:
+        """Remove the entry of another host whose process is gone."""
+        version = self._versions.get(service, {}).pop(host, 0)
+        if version:
+            self._remove(service, host, version)
--- a/mallowpass/platform/store.py
+++ b/mallowpass/platform/store.py
@@ -80,6 +80,7 @@
     Table.SUSPICIONS: "mallowpass-suspicions",
     Table.CLAIMS: "mallowpass-claims",
     Table.LIMITS: "mallowpass-limits",
+    Table.WRITERS: "mallowpass-writers",
 }
 TABLES_BY_NAME = {name: table for table, name in TABLE_NAMES.items()}
 _CONFIGURATION_KEY = "config"
