Reset connections to endpoints as a process ends

What was seen: hosts are cut off from a primary, and end. The others are refused links by them, which confirms the fence, and order a promotion.

Cause: the kernel closes the connections of a process that has ended, and delivers what it holds for as long as it would for an open connection.

The test with real sockets failed before.

--- a/mallowpass/platform/endpoints.py
+++ b/mallowpass/platform/endpoints.py
@@ -31,7 +31,11 @@
 from mallowpass.platform import wire
 from mallowpass.platform.lineserver import EventSink
 from mallowpass.platform.settings import Address, SettingsError
-from mallowpass.platform.sockets import enable_keepalive, reset_on_close
+from mallowpass.platform.sockets import (
+    deliver_on_close,
+    enable_keepalive,
+    reset_on_close,
+)
 
 __all__ = ["EndpointConnections"]
 
@@ -250,10 +254,10 @@
         withdrawn.
         """
         self._closed = True
-        if self._transport is None:
+        if self._transport is None or self._transport.is_closing():
             return
-        if withdraws_calls:
-            reset_on_close(self._transport)
+        if not withdraws_calls:
+            deliver_on_close(self._transport)
         self._transport.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -262,6 +266,8 @@
             transport.abort()
             return
         enable_keepalive(transport)
+        # As this process ends, calls must not run that nobody waits for any more.
+        reset_on_close(transport)
         self._transport.write(self._connect_line)
 
     def data_received(self, data: bytes) -> None:
--- a/mallowpass/standins/proxied/virtual/hosts.py
+++ b/mallowpass/standins/proxied/virtual/hosts.py
@@ -208,7 +208,7 @@
     def reset_connections(self) -> None:
         """Reset the connections to endpoints; those out of reach learn of it late."""
         for transport in self._transports.values():
-            self._close_transport(transport, withdraws_calls=False)
+            self._close_transport(transport, withdraws_calls=True)
 
     def _close_transport(self, transport: Transport, withdraws_calls: bool) -> None:
         if self.world.close_withdraws:
--- /dev/null
+++ b/tests/core/proxy/test_remainders.py
@@ -0,0 +1,30 @@
+"""No commit is lost under conditions that the pages named as not covered.
+
+The target of the order receives nothing any more, and other replicas restart before it
+leads, which ends their pauses.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.fakes.remainderplay import RemainderPlay
+
+# Cases, numbers of members, and seeds.
+PLAYS = (
+    ("exit_cut", 3, 2),
+    ("exit_cut", 3, 4),
+    ("exit_hung", 3, 1),
+    ("exit_hung", 3, 6),
+)
+
+
+@pytest.mark.parametrize(("case", "members", "seed"), PLAYS)
+def test_no_commit_is_lost_under_the_conditions_of(case: str, members: int, seed: int):
+    """Guard against a commit that the target lacks, in a case that was played."""
+    play = RemainderPlay(seed, members, case)
+    play.run()
+    assert play.is_met
+    assert play.world.orders
+    assert play.world.group.lost == []
+    assert play.world.group.unguarded == []
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -33,6 +35,8 @@
 from mallowpass.platform.links import LinkServer
 from mallowpass.platform.settings import Address
 
+NUMBERS_MAX = 1024  # of the files that this process may have open
+
 
 @pytest.mark.parametrize(
     "address", ["", "x", f"{'a' * 300}:80", "10.0.0.1:99999", "a\0b:80", "\ud800:80"]
@@ -250,10 +254,10 @@
         self._listening.close()
 
 
-async def _close_with_calls_held_up(
-    endpoint: _FullEndpoint, close: CloseConnection
+async def _end_with_calls_held_up(
+    endpoint: _FullEndpoint, end: Callable[[EndpointConnections, socket.socket], None]
 ) -> None:
-    """Close a connection whose other end takes only the first of its calls."""
+    """End a connection whose other end takes only the first of its calls."""
     events: list[Any] = []
     connections = EndpointConnections("host-0", events.append)
     connections.open(OpenConnection(1, endpoint.address, "s", "i-1", 0.5))
@@ -263,16 +267,48 @@
     calls = [EndpointCall(Write(f"a {'x' * 80}"), f"id{i}") for i in range(99)]
     connections.send(SendCalls(1, (*calls, EndpointCall(Write("a 1"), "last"))))
     await asyncio.sleep(0.05)
-    connections.close(close)
+    end(connections, accepted)
     await asyncio.sleep(0.05)
     await endpoint.drain(accepted)
 
 
+def _close_as_a_process_ends(accepted: socket.socket) -> None:
+    """Have the kernel close the other end of a connection."""
+    null = os.open(os.devnull, os.O_RDWR)
+    # Another file takes its number, so the event loop closes no other socket.
+    os.dup2(null, _number_of_socket(accepted.getpeername()))
+    os.close(null)
+
+
+def _number_of_socket(address: tuple[str, int]) -> int:
+    """Return the file descriptor of this process's socket with a local address."""
+    for number in range(NUMBERS_MAX):
+        try:
+            with socket.fromfd(number, socket.AF_INET, socket.SOCK_STREAM) as sock:
+                if sock.getsockname() == address:
+                    return number
+        except OSError:
+            continue  # no socket
+    raise LookupError(f"no socket has the address {address}")
+
+
 def test_calls_that_are_withdrawn_are_not_delivered():
     """Guard against commits that run after their host has given them up."""
     endpoint = _FullEndpoint()
     close = CloseConnection(1, withdraws_calls=True)
-    asyncio.run(asyncio.wait_for(_close_with_calls_held_up(endpoint, close), 5.0))
+    end = _end_with_calls_held_up(endpoint, lambda ours, _: ours.close(close))
+    asyncio.run(asyncio.wait_for(end, 5.0))
+    assert endpoint.was_reset
+    assert b"last" not in endpoint.received
+
+
+def test_calls_of_a_process_that_has_ended_are_not_delivered():
+    """Guard against commits that run after a host has ended, and was replaced."""
+    endpoint = _FullEndpoint()
+    end = _end_with_calls_held_up(
+        endpoint, lambda _, accepted: _close_as_a_process_ends(accepted)
+    )
+    asyncio.run(asyncio.wait_for(end, 5.0))
     assert endpoint.was_reset
     assert b"last" not in endpoint.received
 
@@ -281,7 +317,8 @@
     """Guard against a test of withdrawn calls whose calls nothing holds up."""
     endpoint = _FullEndpoint()
     close = CloseConnection(1, withdraws_calls=False)
-    asyncio.run(asyncio.wait_for(_close_with_calls_held_up(endpoint, close), 5.0))
+    end = _end_with_calls_held_up(endpoint, lambda ours, _: ours.close(close))
+    asyncio.run(asyncio.wait_for(end, 5.0))
     assert not endpoint.was_reset
     assert b"last" in endpoint.received
 
