Fence each target of several pending orders but the last

What was seen: orders of several claims for two targets are late. The earliest target leads, which ends the fence of the guard, and acknowledges commits.

Cause: the guard's fence names one target, and ends at each holder as that one leads. The guard then went on to renew the fence of the former primary, which leaves out the target that leads by now.

While several targets are pending the fence names none, so it outlasts the lead of each of them but the last, and the guard follows the lead as it follows an heir.

--- a/mallowpass/core/proxy/pendingfences.py
+++ b/mallowpass/core/proxy/pendingfences.py
@@ -21,6 +21,9 @@
 Or else another host has promoted it under a newer claim: then that host knows of the
 order, and this one guards nothing any more. The store tells which it is.
 
+Orders of several claims may be pending, for different targets. Then the fence outlasts
+the lead of each of them but the last.
+
 Where the target does not receive, writes would wait until the order expires. So the
 order is ended by one for the present primary, see `settlements`.
 """
@@ -166,14 +169,25 @@
 
     def _on_primary_changed(self, signal: PrimaryChanged) -> None:
         """Fence another primary until it is known to be replaced without a loss."""
-        watch = self._watches.get(signal.group.service)
-        if watch is None or signal.group.primary in ("", watch.primary, watch.target):
+        group = signal.group
+        watch = self._watches.get(group.service)
+        if watch is None or group.primary in ("", watch.primary):
             return
+        is_target = group.primary == watch.target
+        if is_target:
+            rivals = self._rivals(watch)
+            if not rivals:
+                return
+            watch.target = min(rivals)
         self._change_primary(watch)
-        is_suspended = signal.group.service in self._suspended
-        if watch.is_lifted and not (is_suspended or self._is_over(watch)):
+        if group.service in self._suspended or self._is_over(watch):
+            return
+        if is_target:
+            watch.renewed_at = self.now
+            self._fence(watch)
+        elif watch.is_lifted:
             self._renew(watch)
-            watch.is_lifted = False
+        watch.is_lifted = False
 
     def _on_disconnected(self, signal: EndpointDisconnected) -> None:
         """Hold writes as a member may restart, which ends its pause.
@@ -382,10 +396,20 @@
         watch.renewed_at = self.now
         needs_store = self.tables.promotion_fences_primary or watch.former
         if watch.is_lifted and not watch.former or not needs_store:
-            self._fence_orders.fence(watch.group, watch.primary, watch.target)
+            self._fence(watch)
         else:
             self._renew_if_known(watch)
 
+    def _fence(self, watch: _Watch) -> None:
+        """Have all holders fence the primary, and whatever leads before the last order.
+
+        A fence ends as the target that it names leads. Of several targets none is
+        named, as the next one would replace the first.
+        """
+        is_last = self._rivals(watch) <= {watch.target}
+        target = watch.target if is_last else ""
+        self._fence_orders.fence(watch.group, watch.primary, target)
+
     def _forget_trial(self, watch: _Watch) -> None:
         if watch.has_received:
             self._log(watch, is_lifted=False)
@@ -446,7 +470,7 @@
             if is_newest:
                 watch.is_newest_until = self.now + 2 * RENEW_INTERVAL
             if is_newest:
-                self._fence_orders.fence(watch.group, watch.primary, watch.target)
+                self._fence(watch)
             elif watch.target in claim.rivals(watch.group.primary, self._store.time):
                 del self._watches[service]  # its fence ends once that host has decided
             else:
