Keep an order pending that the next intention for its target hides

A host had ordered a promotion, which got no answer, and was killed; the host that took over intended an order for the same target, and its answers from the store were lost. It read its own claim back, and resumed all replicas 8.6 s before the order expired.

Cause: a claim holds one time for each target, and an intention replaces the time of an earlier order. A host that reads its own claim leaves its own intentions out, and cleared the earlier order with them.

Change: of a target that its own claim intends, a host keeps what it knew.

--- a/mallowpass/core/proxy/claims.py
+++ b/mallowpass/core/proxy/claims.py
@@ -555,13 +555,20 @@
         carried_out = (claim.primary, group.primary) if claim.primary else ()
         is_own = claim.token == self._own_tokens.get(service)
         is_own = is_own and claim.holder == self._node.identity.name
+        ordered = {t: until for t, until in claim.ordered if t not in carried_out}
+        # Where this host intends an order, the claim no longer tells until when earlier
+        # ones for the same target are pending.
+        intended = {
+            t
+            for t, until in ordered.items()
+            if is_own and until == claim.intended_until
+        }
         orders = {
-            target: until - offset
-            for target, until in claim.ordered
-            if target not in carried_out
-            and not (is_own and until == claim.intended_until)
+            t: until - offset for t, until in ordered.items() if t not in intended
         }
-        self._pending_orders.note_foreign_orders(service, orders, claim.token)
+        self._pending_orders.note_foreign_orders(
+            service, orders, claim.token, unchanged=intended
+        )
         if claim.holder != self._node.identity.name:
             self._log_foreign_orders(service, claim)
 
--- a/mallowpass/core/proxy/pendingorders.py
+++ b/mallowpass/core/proxy/pendingorders.py
@@ -22,6 +22,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from mallowpass.core.node import Node
@@ -141,17 +142,23 @@
                 orders.expire_earlier(token, until)
 
     def note_foreign_orders(
-        self, service: str, until: dict[str, float], token: int
+        self,
+        service: str,
+        until: dict[str, float],
+        token: int,
+        unchanged: Collection[str] = (),
     ) -> None:
         """Record what the newest claim tells of the orders of all hosts.
 
         `until` are times of this host's clock, by target. An order that an earlier
-        claim named and this one does not has been given up.
+        claim named and this one does not has been given up. Of the `unchanged` targets
+        the claim tells nothing new.
         """
         self._foreign_tokens[service] = token
         by_target = self._orders.setdefault(service, {})
-        for orders in by_target.values():
-            orders.foreign_until = float("-inf")
+        for target, orders in by_target.items():
+            if target not in unchanged:
+                orders.foreign_until = float("-inf")
         for target, time in until.items():
             by_target.setdefault(target, _Orders()).foreign_until = time
 
--- a/tests/core/proxy/test_claims.py
+++ b/tests/core/proxy/test_claims.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import pytest
 
 from mallowpass.core.proxy.claims import Claim, Claims
+from mallowpass.core.proxy.pendingorders import PendingOrders
 from mallowpass.core.proxy.statements import Code, Write
 from mallowpass.core.proxy.storage import Row, RowKey, Table
+from mallowpass.core.proxy.store import Store
 from mallowpass.standins.proxied.virtual.world import SERVICE, ProxyWorld
 
 
@@ -83,3 +87,30 @@
     claims._record(SERVICE, (Row(key, 8, newer.encode()),))
     claims._record(SERVICE, (Row(key, 7, older.encode()),))
     assert claims._known[SERVICE] == (8, newer)
+
+
+def test_claim_that_is_read_back_leaves_an_earlier_order_pending():
+    """Guard against an order of another host that the next intention hides.
+
+    A host reads its own claim back as a call to the store got no answer, or as the
+    store carried out another one late.
+    """
+    world = ProxyWorld(hosts=1)
+    world.run(1.0)
+    host = world.hosts[0]
+    claims, orders = map(host.node.system, (Claims, PendingOrders))
+    key = RowKey(Table.CLAIMS, SERVICE, "primary")
+    time = host.node.system(Store).time
+    earlier = Claim(7, "-", "db-casa", time, ordered=(("db-tanger", time + 10.0),))
+    world.store.put(key, earlier.encode())
+    claims._record(SERVICE, (world.store.get(key),))
+    pending = orders.pending(SERVICE)
+    taken: list[Claim | None] = []
+    take = partial(claims.take, SERVICE, "db-casa", taken.append, target="db-tanger")
+    host.node.timers.after(0.0, take)
+    host.carry_out(host.node.wake(world.timers.now))
+    world.run(0.1)
+    assert taken[0] is not None
+    claims._record(SERVICE, (world.store.get(key),))
+    assert "db-tanger" in pending
+    assert orders.pending(SERVICE) == pending
