--- a/tests/core/proxy/test_exceptions.py
+++ b/tests/core/proxy/test_exceptions.py
@@ -8,15 +8,20 @@
 from mallowpass.core.proxy import signals
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.pendingfences import PendingFences
+from mallowpass.core.proxy.promotion import Promotion
+from mallowpass.core.proxy.resumption import Resumption
+from mallowpass.core.proxy.statements import Code, Write
+from mallowpass.standins.proxied.virtual.heartbeats import Heartbeats
 from mallowpass.standins.proxied.virtual.hosts import Host
 from mallowpass.standins.proxied.virtual.world import ProxyWorld
-from tests.core.proxy.test_fence_limits import new_world
+from tests.core.proxy.test_fence_limits import PRIMARY, new_world
 from tests.core.proxy.test_guarded_writes import run_until_relaxed
 
 REPLICA = "db-agadir"
 # Times are in seconds.
 FOLLOW_TIME = 5.0  # at most, until a change of the store is applied
 BROKEN_TIME = 1.0
+RECOVERY_TIME = 25.0  # longer than an order without an answer is pending
 
 KINDS = sorted(
     (kind for kind in vars(signals).values() if isinstance(kind, type)),
@@ -95,3 +100,64 @@
     before = len(world.group.acknowledged)
     world.run(BROKEN_TIME)
     assert len(world.group.acknowledged) > before
+
+
+def fail_once(
+    monkeypatch: pytest.MonkeyPatch, world: ProxyWorld, kind: type, name: str
+) -> list[Exception]:
+    """Have a method raise once at each host; return the exceptions of all hosts."""
+    errors: list[Exception] = []
+    for host in world.hosts:
+        host.node.on_error = errors.append
+    method = getattr(kind, name)
+    failed: set[int] = set()
+
+    def call(system, *arguments):
+        if id(system) not in failed:
+            failed.add(id(system))
+            fail(name)
+        return method(system, *arguments)
+
+    monkeypatch.setattr(kind, name, call)
+    return errors
+
+
+def test_a_primary_is_replaced_though_a_step_has_raised_at_each_host(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    """Guard against a replacement that ends without a word, and hinders the next."""
+    world = new_world()
+    Heartbeats(world)
+    errors = fail_once(monkeypatch, world, Promotion, "_compare")
+    world.crash(PRIMARY)
+    world.run_until(lambda: world.group.promotions > 0, RECOVERY_TIME)
+    assert errors
+    assert world.group.promotions
+
+
+def test_a_replica_is_resumed_though_a_step_has_raised(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    """Guard against a replica that stays paused for good."""
+    world = new_world()
+    Heartbeats(world)
+    errors = fail_once(monkeypatch, world, Resumption, "_run_round")
+    world.crash(PRIMARY)
+    world.run(1.0)
+    world.restart(PRIMARY)
+    replicas = world.group.replicas.values()
+    world.run_until(lambda: not any(r.paused_for for r in replicas), RECOVERY_TIME)
+    assert errors
+    assert not any(replica.paused_for for replica in replicas)
+
+
+def test_a_write_whose_sending_raises_is_answered(monkeypatch: pytest.MonkeyPatch):
+    """Guard against a caller that waits for good, as nothing tells of its statement."""
+    world = ProxyWorld()
+    world.run(1.0)
+    caller = world.caller(0, "own")
+    with monkeypatch.context() as context:
+        context.setattr(Host, "_call", lambda *arguments: None)
+        assert caller.run(Write("a 1")).code in (Code.IN_DOUBT, Code.TIMED_OUT)
+    world.run(BROKEN_TIME)
+    assert world.caller(0, "own").run(Write("a 2")).code is Code.DONE
--- a/tests/fakes/leftoverplay.py
+++ b/tests/fakes/leftoverplay.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import argparse
+import math
 import statistics
 from collections.abc import Collection
 
@@ -40,14 +41,26 @@
     "order_past_its_limit",
     "killed_before_stored",
     "fresh_hosts",
-    "unlisted_hosts",
+    "unknown_hosts",
+    "joining_hosts",
     "killed_while_cut_off",
     "unlisted_primary",
     "paused_by_a_dead_host",
     "restored_store",
+    "healed_late",
+    "dropped_member",
+    "target_left",
+    "restored_then_started",
+    "slow_store",
 )
 WAYS_TO_LOSE = ("cut_some", "cut_some", "cut_all", "reset", "drain")
-LONG_CASES = ("late_resume", "killed_before_stored", "restored_store")
+LONG_CASES = (
+    "late_resume",
+    "killed_before_stored",
+    "restored_store",
+    "target_left",
+    "slow_store",
+)
 PAST_LIMIT_DURATION = 26.0  # seconds
 PAST_LIMIT = (14.5, 18.0)  # seconds until an order is carried out
 ACKNOWLEDGEMENTS = (0.1, 0.8)  # seconds
@@ -58,7 +71,13 @@
 SLOW_STORE = (0.05, 0.4)  # seconds that a call takes
 STORE_LATE = 2.0  # seconds until a change is made whose answer is lost
 RESTART_AHEAD = (0.05, 0.8)  # seconds from the start of a host to the fault
-DELETE_INTERVAL = 0.1  # seconds
+JOINED_AHEAD = (1.0, 4.0)  # seconds
+JOINING_AHEAD = (0.2, 1.2)  # seconds
+JOINING_GAPS = (0.1, 0.5)  # seconds between two hosts that join
+HEALED_DELAYS = (0.0, 0.8)  # seconds from the lead of a successor
+DROPPED_AFTER = 10.0  # seconds until a member counts as gone that never answered
+LATE_FOR_HEIR = (6.0, 11.0)  # seconds until an order is carried out
+HEIR_DELAYS = (0.3, 2.0)  # seconds from the order
 LAPSE_TIME = 4.5  # seconds until an entry that is not renewed has lapsed
 STARTED_AGAIN_AFTER = (1.0, 4.0)  # seconds
 
@@ -101,6 +120,8 @@
         beside: Collection[str] = (),
     ) -> None:
         self.world_options = {"fences": is_fenced, "goes_on": not is_fenced}
+        if case == "dropped_member":
+            self.entry_lapse = math.inf
         super().__init__(seed, members, "alone", beside=beside)
         self._case = case
         self._writers: set[str] = set()  # hosts; all of them if it is empty
@@ -116,9 +137,10 @@
         self._first = world.primary
         getattr(self, f"_{self._case}")()
         if self._case == "order_past_its_limit":
-            world.run(PAST_LIMIT_DURATION)
+            duration = PAST_LIMIT_DURATION
         else:
-            world.run(LONG_DURATION if self._case in LONG_CASES else DURATION)
+            duration = LONG_DURATION if self._case in LONG_CASES else DURATION
+        world.run_until(lambda: bool(world.group.lost), duration)
 
     def _write(self) -> None:
         world = self.world
@@ -234,15 +256,32 @@
         world.run(self._random.uniform(*RESTART_AHEAD))
         self._lose_others(holders)
 
-    def _unlisted_hosts(self) -> None:
-        """Delete the entries of the hosts that reach the primary, again and again."""
-        holders = self._lose_some()
-        self._delete_entries([host.name for host in holders])
-
-    def _delete_entries(self, names: list[str]) -> None:
-        for name in names:
-            self.world.store.delete(RowKey(Table.HOSTS, "", name))
-        self.world.timers.after(DELETE_INTERVAL, self._delete_entries, names)
+    def _unknown_hosts(self) -> None:
+        """Have hosts join that the others are not told of."""
+        unwatched = self.world.store.faults.unwatched
+        unwatched |= {host.name for host in self.world.hosts}
+        self._join_and_lose(*JOINED_AHEAD)
+        self._later(*CUT_TIMES, unwatched.clear)
+
+    def _joining_hosts(self) -> None:
+        """Have hosts join that the others hear of late, as one has joined before."""
+        self._join()
+        self.world.run(self._random.uniform(*JOINING_GAPS))
+        self._join_and_lose(*JOINING_AHEAD)
+
+    def _join_and_lose(self, least: float, most: float) -> None:
+        """Have hosts join, and all others lose the primary after a while."""
+        joined = [self._join() for _ in range(self._random.randint(1, 2))]
+        self.world.run(self._random.uniform(least, most))
+        self._lose_others(joined)
+
+    def _join(self) -> Host:
+        world = self.world
+        domain = self._random.choice(world.hosts).domain
+        host = Host(world, f"host-{len(world.hosts)}", domain, world.number())
+        world.hosts.append(host)
+        world.note(f"{host.name} joins")
+        return host
 
     def _killed_while_cut_off(self) -> None:
         """End hosts that are cut off from the primary as their commits wait there."""
@@ -332,6 +371,99 @@
         self.world.store.come_back(copy, 0.3)
         self.world.note("the store is restored")
 
+    def _healed_late(self) -> None:
+        """Have a primary reach the replicas again just after its successor leads."""
+        world = self.world
+        world.on_order = self._isolate_and_follow
+        self._lose_some()
+        world.run_until(lambda: world.group.promotions > 0, DURATION)
+        self._later(*HEALED_DELAYS, self._heal)
+
+    def _isolate_and_follow(self, host: Host, order: effects.OrderPromotion) -> None:
+        names = {replica.name for replica in self._replicas}
+        self.world.group.cut(self._first.name, names - {self._first.name})
+        self._follow_order(host, order)
+
+    def _dropped_member(self) -> None:
+        """Have a member with the last commits never answer hosts that have started.
+
+        It does not renew its entry, and the store keeps that.
+        """
+        world = self.world
+        replicas = [r for r in self._replicas if r is not self._first]
+        near = self._random.choice(replicas)
+        self._heartbeats.cut_off.add(near.name)
+        world.dark.add(near.name)
+        for index in range(len(world.hosts)):
+            world.kill(index)
+            world.start_again(index)
+        world.run(DROPPED_AFTER)
+        for replica in replicas:
+            if replica is not near:
+                replica.deaf = True
+        world.run(self._random.uniform(*DEAF_AHEAD))
+        for replica in replicas:
+            if replica is not near:
+                self._hear(replica)
+        self._crash(self._first, self._random.random() < 0.5, *DOWN_TIMES)
+
+    def _target_left(self) -> None:
+        """Have the target of a late order leave the group, and the primary an heir."""
+        world = self.world
+        world.orders_lost = 99
+        world.orders_late = self._random.uniform(*LATE_FOR_HEIR)
+        world.on_order = self._take_target_out
+        self._lose_some()
+        self._later(*CUT_TIMES, setattr, world, "orders_lost", 0)
+
+    def _take_target_out(self, host: Host, order: effects.OrderPromotion) -> None:
+        world = self.world
+        world.on_order = lambda host, order: None
+        target = world.group.replicas[order.endpoint]
+        target.deaf = True
+        world.dark.add(target.name)
+        self._heartbeats.cut_off.add(target.name)
+        world.timers.after(world.orders_late + 1.0, self._show, target)
+        self._later(*HEIR_DELAYS, self._replace, self._first)
+
+    def _replace(self, replica: Replica) -> None:
+        if not replica.up:
+            self._start(replica)
+        super()._replace(replica)
+        for host in self.world.hosts:
+            host.cut_from.discard(replica.name)
+
+    def _restored_then_started(self) -> None:
+        """Start a host that reaches an earlier primary alone, in a new era."""
+        world = self.world
+        copy = world.store.copy()
+        world.on_order = self._isolate_and_follow
+        self._lose_some()
+        world.run_until(lambda: world.group.promotions > 0, DURATION)
+        world.run(self._random.uniform(0.2, 1.0))
+        world.store.refuse_all()
+        world.run(0.2)
+        self._end_restore(copy)
+        world.run(self._random.uniform(0.0, 0.6))
+        index = self._random.randrange(len(world.hosts))
+        world.kill(index)
+        host = world.start_again(index)
+        members = {replica.name for replica in self._replicas}
+        host.cut_from |= members - {self._first.name} | self._other_hosts(host)
+        self._later(*CUT_TIMES, self._heal)
+
+    def _slow_store(self) -> None:
+        """Have a second primary fail while the store answers late, or not at all."""
+        world = self.world
+        faults = world.store.faults
+        faults.delay = self._random.uniform(*SLOW_STORE)
+        faults.answers_lost, faults.late = 0.5, STORE_LATE
+        self._lose_some()
+        world.run_until(lambda: world.group.promotions > 0, DURATION)
+        world.run(self._random.uniform(0.1, 1.0))
+        self._first = world.primary
+        self._lose_some()
+
     def _crash(self, replica: Replica, dark: bool, least: float, most: float) -> None:
         if replica.up:
             super()._crash(replica, dark, least, most)
