--- a/tests/fakes/strictplay.py
+++ b/tests/fakes/strictplay.py
@@ -60,6 +60,7 @@
 
     entry_lapse = LAPSE  # seconds without a renewal
     write_interval = WRITE_INTERVAL
+    world_options: Mapping[str, Any] = {}
 
     def __init__(
         self,
@@ -69,9 +70,8 @@
     ) -> None:
         self._random = random.Random(seed)
         times = GroupTimes(promotion=self._random.choice(PROMOTIONS))
-        self.world = NotedWorld(
-            fleet.hosts, seed, times, members=members, distance=DISTANCE
-        )
+        options = {"members": members, "distance": DISTANCE, **self.world_options}
+        self.world = NotedWorld(fleet.hosts, seed, times, **options)
         self.near_misses: list[str] = []
         self._has_vanished = False
         # A few kinds of faults in one play meet more often.
