--- a/tests/core/proxy/test_leftover_worlds.py
+++ b/tests/core/proxy/test_leftover_worlds.py
@@ -19,7 +19,7 @@
     ("restored_store", 1),
     ("paused_by_a_dead_host", 2),
     ("healed_late", 1),
-    ("slow_store", 1),
+    ("slow_store", 5),
     # Hosts write that the host which orders has not heard of.
     ("unknown_hosts", 3),
     ("joining_hosts", 4),
