--- a/tests/fakes/orderplay.py
+++ b/tests/fakes/orderplay.py
@@ -67,6 +67,7 @@
     """Hold a world whose holders are struck before the promotion order."""
 
     write_interval = 0.06
+    domain_times = DOMAIN_TIMES  # seconds, at least and at most
 
     def __init__(
         self,
@@ -175,7 +176,7 @@
         members = set(world.group.replicas)
         inside = {name for name in members if world.domain_of(name) == domain}
         hosts = {host.name for host in world.hosts if host.domain == domain}
-        duration = self._random.uniform(*DOMAIN_TIMES)
+        duration = self._random.uniform(*self.domain_times)
         for host in world.hosts:
             is_inside = host.domain == domain
             names = (members - inside) | {"store"} if is_inside else inside | hosts
