--- a/tests/fakes/bypassplay.py
+++ b/tests/fakes/bypassplay.py
@@ -13,16 +13,19 @@
 import argparse
 import statistics
 
+from mallowpass.core.proxy.holders import UNANSWERED_MIN
 from mallowpass.core.proxy.statements import Code, Write
 from mallowpass.standins.proxied.replicas import LogEntry, Replica
 from mallowpass.standins.proxied.virtual.hosts import Caller, Host
-from tests.fakes.fleets import LARGE, Fleet, others_of
+from tests.fakes.fleets import LARGE, Fleet, holders_of, others_of
 from tests.fakes.orderplay import OrderPlay
 
 __all__ = ["ALONE", "WAYS", "BypassPlay"]
 
 WAYS = ("cut", "drain", "reset", "dark", "spare")  # what becomes of the primary
-ALONE = ("alone_with_store", "alone_without_store", "alone")  # the last one: both
+# How hosts are cut off: from all hosts, with the store, without or both; or from some
+# of the holders.
+ALONE = ("alone_with_store", "alone_without_store", "alone", "partly")
 WARM_UP = (2.0, 2.5)  # seconds
 DURATION = 6.0  # seconds from the loss of the primary to the end
 AHEAD = 3.0  # seconds from the cut of hosts to the loss of the primary
@@ -106,6 +109,13 @@
         least, most = times
         return self._ahead + least, self._ahead + most
 
+    def _partly(self, host: Host) -> None:
+        """Cut a host off from so many holders that it connects past them."""
+        holders = holders_of(self.world)
+        count = self._random.randint(UNANSWERED_MIN, len(holders) - 1)
+        some = self._random.sample(holders, count)
+        self._isolate_host(host, {holder.name for holder in some})
+
     def _lose_by_cut(self) -> None:
         self._lose_others(self.alone)
 
--- a/tests/fakes/guardplay.py
+++ b/tests/fakes/guardplay.py
@@ -14,7 +14,7 @@
 from mallowpass.core.proxy.pendingfences import PendingFences
 from mallowpass.standins.proxied.virtual.hosts import Host
 from mallowpass.standins.proxied.virtual.world import SERVICE
-from tests.fakes.fleets import SMALL, Fleet
+from tests.fakes.fleets import FLEETS, SMALL, Fleet
 from tests.fakes.killedplay import KilledPlay
 
 __all__ = ["WAYS", "GuardPlay"]
@@ -124,12 +124,14 @@
     parser.add_argument("--worlds", type=int, default=60)
     parser.add_argument("--first", type=int, default=1, help="seed of the first one")
     parser.add_argument("--members", type=int, default=3)
+    parser.add_argument("--fleet", choices=FLEETS, default="small")
     parser.add_argument("--how", choices=WAYS, default="kill")
     options = parser.parse_args()
     losing = violating = struck = 0
     gaps = []
     for seed in range(options.first, options.first + options.worlds):
-        play = GuardPlay(seed, options.members, options.how)
+        fleet = FLEETS[options.fleet]
+        play = GuardPlay(seed, options.members, options.how, fleet)
         play.run()
         group = play.world.group
         gaps.append(play.gap)
@@ -142,7 +144,8 @@
                 f"{len(group.unguarded)} unguarded of {len(group.acknowledged)}"
             )
     _say(
-        f"SUM {options.how}, {options.members} members: {options.worlds} worlds, "
+        f"SUM {options.how}, {options.members} members, {options.fleet} fleet: "
+        f"{options.worlds} worlds, "
         f"{struck} struck, {losing} lose, {violating} violate; longest gap in s: "
         f"median {statistics.median(gaps):.2f}, at most {max(gaps):.2f}"
     )
--- a/tests/fakes/killedplay.py
+++ b/tests/fakes/killedplay.py
@@ -16,7 +16,7 @@
 from mallowpass.core.proxy import effects
 from mallowpass.standins.proxied.replicas import Replica
 from mallowpass.standins.proxied.virtual.hosts import Host
-from tests.fakes.fleets import SMALL, Fleet
+from tests.fakes.fleets import FLEETS, SMALL, Fleet
 from tests.fakes.releaseplay import ReleasePlay
 
 __all__ = ["WAYS", "KilledPlay"]
@@ -201,13 +201,15 @@
     parser.add_argument("--worlds", type=int, default=100)
     parser.add_argument("--first", type=int, default=1, help="seed of the first one")
     parser.add_argument("--members", type=int, default=3)
+    parser.add_argument("--fleet", choices=FLEETS, default="small")
     parser.add_argument("--how", choices=WAYS, default="kill")
     parser.add_argument("--notes", action="store_true", help="print what happened")
     options = parser.parse_args()
     losing = violating = leads = 0
     gaps = []
     for seed in range(options.first, options.first + options.worlds):
-        play = KilledPlay(seed, options.members, options.how)
+        fleet = FLEETS[options.fleet]
+        play = KilledPlay(seed, options.members, options.how, fleet)
         play.run()
         group = play.world.group
         gaps.append(play.gap)
@@ -223,7 +225,8 @@
             for at, text in play.world.notes:
                 _say(f"{at:.3f} {text}")
     _say(
-        f"SUM {options.how}, {options.members} members: {options.worlds} worlds, "
+        f"SUM {options.how}, {options.members} members, {options.fleet} fleet: "
+        f"{options.worlds} worlds, "
         f"{losing} lose, {violating} violate, {leads} leads; longest gap in s: "
         f"median {statistics.median(gaps):.2f}, at most {max(gaps):.2f}"
     )
--- a/tests/fakes/orderplay.py
+++ b/tests/fakes/orderplay.py
@@ -22,7 +22,7 @@
 from mallowpass.standins.proxied.replicas import Replica
 from mallowpass.standins.proxied.virtual.hosts import Host
 from mallowpass.standins.proxied.virtual.world import SERVICE, configuration
-from tests.fakes.fleets import SMALL, Fleet
+from tests.fakes.fleets import FLEETS, SMALL, Fleet, holders_of, others_of
 from tests.fakes.killedplay import KilledPlay
 
 __all__ = ["BESIDE", "WAYS", "OrderPlay"]
@@ -40,6 +40,7 @@
 WARM_UP = (2.0, 2.5)  # seconds
 DURATION = 10.0  # seconds from the cut of the primary to the end
 CUT_TIMES = (1.5, 4.0)  # seconds for which hosts do not reach the primary
+FORWARDING_MAX = 3  # hosts behind holders that reach it, in a large fleet
 STRIKE_DELAYS = (0.0, 0.5)  # seconds from then to the strike
 STORE_SHARE = 0.5  # of the hosts that are cut off and keep the store
 ALONE_TIMES = (1.5, 5.0)  # seconds
@@ -83,6 +84,7 @@
         self._deafens = deafens
         self._beside = frozenset(beside)
         self._is_short = "again" in self._beside
+        self._is_large = fleet is not SMALL
         self._restarts_within = self._random.choice(RESTART_DELAYS)
 
     def run(self) -> None:
@@ -132,14 +134,16 @@
         if "drain" in self._beside:
             self._drain()
         else:
-            self._lose_others(holders)
+            self._lose_others([*holders, *self._choose_forwarding(holders)])
         self._strike_all(holders)
         if "again" in self._beside:
             self._later(*AGAIN_DELAYS, self._strike_all, holders)
 
     def _choose_holders(self) -> list[Host]:
         hosts = self.world.hosts
-        if "few" in self._beside:
+        if self._is_large:
+            hosts = holders_of(self.world)
+        elif "few" in self._beside:
             name = self._first.name
             hosts = [host for host in hosts if self._is_connected(host, name)]
         least = 2 if self._how == "island" else 1
@@ -148,6 +152,14 @@
         count = min(self._random.randint(least, 3), most)
         return self._random.sample(hosts, min(count, len(hosts)))
 
+    def _choose_forwarding(self, holders: list[Host]) -> list[Host]:
+        """Choose hosts that may connect as they count two holders as silent."""
+        if not self._is_large:
+            return []
+        hosts = [host for host in others_of(self.world) if host not in holders]
+        count = min(self._random.randint(0, FORWARDING_MAX), len(hosts))
+        return self._random.sample(hosts, count)
+
     @staticmethod
     def _is_connected(host: Host, name: str) -> bool:
         return any(c.member == name for c in host.connections.values())
@@ -273,6 +285,7 @@
     parser.add_argument("--worlds", type=int, default=30)
     parser.add_argument("--first", type=int, default=1, help="seed of the first one")
     parser.add_argument("--members", type=int, default=3)
+    parser.add_argument("--fleet", choices=FLEETS, default="small")
     parser.add_argument("--how", choices=WAYS, default="alone")
     parser.add_argument("--beside", choices=BESIDE, nargs="*", default=[])
     parser.add_argument("--receives", action="store_true", help="the target goes on")
@@ -282,7 +295,14 @@
     gaps = []
     for seed in range(options.first, options.first + options.worlds):
         deafens = not options.receives
-        play = OrderPlay(seed, options.members, options.how, deafens, options.beside)
+        play = OrderPlay(
+            seed,
+            options.members,
+            options.how,
+            deafens,
+            options.beside,
+            FLEETS[options.fleet],
+        )
         play.run()
         group = play.world.group
         gaps.append(play.gap)
@@ -299,8 +319,8 @@
             for at, text in play.world.notes:
                 _say(f"{at:.3f} {text}")
     _say(
-        f"SUM {' '.join([options.how, *options.beside])}, {options.members} members: "
-        f"{options.worlds} worlds, "
+        f"SUM {' '.join([options.how, *options.beside])}, {options.members} members, "
+        f"{options.fleet} fleet: {options.worlds} worlds, "
         f"{ordered} ordered, {losing} lose, {violating} violate, {leads} leads; "
         f"longest gap in s: median {statistics.median(gaps):.2f}, "
         f"at most {max(gaps):.2f}"
--- a/tests/fakes/releaseplay.py
+++ b/tests/fakes/releaseplay.py
@@ -3,16 +3,19 @@
 Each member drains and ends after a while, whatever role it has by then. A new endpoint
 takes over its log and its role, and writes its entry later. No log is ever lost, so an
 acknowledged commit is only lost by a fault of the hosts.
+
+Run many of them: python -m tests.fakes.releaseplay --worlds 30
 """
 
 from __future__ import annotations
 
+import argparse
 import itertools
 
 from mallowpass.standins.proxied.replicas import Replica
 from mallowpass.standins.proxied.virtual.hosts import Host
 from mallowpass.standins.proxied.virtual.world import MEMBERS
-from tests.fakes.fleets import SMALL, Fleet
+from tests.fakes.fleets import FLEETS, SMALL, Fleet
 from tests.fakes.strictplay import RUNNING_MIN, WARM_UP, StrictPlay
 
 __all__ = ["ReleasePlay"]
@@ -165,3 +168,37 @@
             self.world.start_again(index)
         else:
             self.world.timers.after(EXIT_LOOK, self._start_stopped, index, host)
+
+
+def _main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--worlds", type=int, default=30)
+    parser.add_argument("--first", type=int, default=1, help="seed of the first one")
+    parser.add_argument("--fleet", choices=FLEETS, default="small")
+    parser.add_argument("--members", type=int, default=4)
+    parser.add_argument("--notes", action="store_true", help="print what happened")
+    options = parser.parse_args()
+    losing = violating = 0
+    for seed in range(options.first, options.first + options.worlds):
+        play = ReleasePlay(seed, options.members, FLEETS[options.fleet])
+        play.run()
+        group = play.world.group
+        losing += bool(group.lost)
+        violating += bool(group.unguarded)
+        if group.lost or group.unguarded:
+            print(
+                f"seed {seed}: {len(set(group.lost))} lost, "
+                f"{len(group.unguarded)} unguarded of {len(group.acknowledged)}",
+                flush=True,
+            )
+        if options.notes:
+            for at, text in play.world.notes:
+                print(f"{at:.3f} {text}")
+    print(
+        f"SUM {options.members} members, {options.fleet} fleet: "
+        f"{options.worlds} worlds, {losing} lose, {violating} violate"
+    )
+
+
+if __name__ == "__main__":
+    _main()
--- a/tests/fakes/strictplay.py
+++ b/tests/fakes/strictplay.py
@@ -3,10 +3,13 @@
 Members receive at a distance of their own, and all hosts write. An acknowledged commit
 is only lost by a fault of the hosts: each member that goes down returns with its log,
 and a replica that vanishes goes while the others receive.
+
+Run many of them: python -m tests.fakes.strictplay --worlds 30
 """
 
 from __future__ import annotations
 
+import argparse
 import random
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -16,7 +19,7 @@
 from mallowpass.standins.proxied.virtual.heartbeats import LAPSE, Heartbeats
 from mallowpass.standins.proxied.virtual.hosts import Host
 from mallowpass.standins.proxied.virtual.world import MEMBERS
-from tests.fakes.fleets import SMALL, Fleet
+from tests.fakes.fleets import FLEETS, SMALL, Fleet
 from tests.fakes.notedworld import NotedWorld
 
 __all__ = ["StrictPlay"]
@@ -296,3 +299,36 @@
         world.orders_late = self._random.choice((0.0, *LATE_ORDERS))
         duration = self._later(1.0, 5.0, setattr, world, "orders_lost", 0)
         world.note(f"promotions {world.orders_late:.0f} s late for {duration:.2f} s")
+
+
+def _main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--worlds", type=int, default=30)
+    parser.add_argument("--first", type=int, default=1, help="seed of the first one")
+    parser.add_argument("--fleet", choices=FLEETS, default="small")
+    parser.add_argument("--notes", action="store_true", help="print what happened")
+    options = parser.parse_args()
+    losing = violating = 0
+    for seed in range(options.first, options.first + options.worlds):
+        play = StrictPlay(seed, fleet=FLEETS[options.fleet])
+        play.run()
+        group = play.world.group
+        losing += bool(group.lost)
+        violating += bool(group.unguarded)
+        if group.lost or group.unguarded:
+            print(
+                f"seed {seed}: {len(set(group.lost))} lost, "
+                f"{len(group.unguarded)} unguarded of {len(group.acknowledged)}",
+                flush=True,
+            )
+        if options.notes:
+            for at, text in play.world.notes:
+                print(f"{at:.3f} {text}")
+    print(
+        f"SUM {options.fleet} fleet: {options.worlds} worlds, "
+        f"{losing} lose, {violating} violate"
+    )
+
+
+if __name__ == "__main__":
+    _main()
