--- a/tests/core/proxy/test_bypassed_holders.py
+++ b/tests/core/proxy/test_bypassed_holders.py
@@ -1,8 +1,8 @@
 """A host that connects past its holders has no commit acknowledged that gets lost.
 
-It is cut off from all hosts, or from some holders. The host that orders a promotion does
-not tell it of the fence, and all holders confirm theirs. The target of the order receives nothing any
-more, and the pauses of the other replicas end.
+It is cut off from all hosts, or from some holders. The host that orders a promotion
+does not tell it of the fence, and all holders confirm theirs. The target of the order
+receives nothing any more, and the pauses of the other replicas end.
 """
 
 from __future__ import annotations
