--- a/tests/fakes/strictplay.py
+++ b/tests/fakes/strictplay.py
@@ -60,11 +60,14 @@
 
     entry_lapse = LAPSE  # seconds without a renewal
     write_interval = WRITE_INTERVAL
+    hosts_count = HOSTS
 
     def __init__(self, seed: int, members: Mapping[str, str] = FOUR_MEMBERS) -> None:
         self._random = random.Random(seed)
         times = GroupTimes(promotion=self._random.choice(PROMOTIONS))
-        self.world = NotedWorld(HOSTS, seed, times, members=members, distance=DISTANCE)
+        self.world = NotedWorld(
+            self.hosts_count, seed, times, members=members, distance=DISTANCE
+        )
         self.near_misses: list[str] = []
         self._has_vanished = False
         # A few kinds of faults in one play meet more often.
