Wait for commits that a primary nobody reaches may acknowledge late

Callers saw commits in doubt, and the users' rule counts what an endpoint acknowledges: all that waited at a primary for a replica was acknowledged after an order whose target lacked it.

Cause: a reset does not arrive at a primary that no host reaches. It keeps the connections for three seconds, and a replica whose pause ends with a restart has all that waits there acknowledged. Holders confirm their fence all the same.

A holder's confirmation now tells of the commits that it gave up there: how many, when, what the log had shown before those that have arrived (the primary answered a later statement), and what it had shown for long enough that a replica has it. The order waits while the target lacks that: until a replica shows it, the primary steps down or restarts, or its connections are gone. While commits take longer than usual and the primary answers nothing else, an empty transaction asks for its position.

A primary without power looks alike as its last commits are under way. What it showed only just before is waited for only if it renews its entry, or until that is overdue.

--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -26,6 +26,7 @@
 from mallowpass.core.proxy.shares import FORWARDED_MAX, Shares
 from mallowpass.core.proxy.signals import (
     CallsSent,
+    CommitsAbandoned,
     ConnectionFreed,
     EndpointDisconnected,
     EndpointExpired,
@@ -40,6 +41,7 @@
     EndpointCall,
     EndpointReply,
     FloorHint,
+    LogPosition,
     Rollback,
     SessionState,
     Write,
@@ -72,6 +74,7 @@
 # Another connection is tried if an endpoint has sent no reply for this time with calls
 # in flight. Statements in a full queue wait for less.
 RESPONSE_TIMEOUT = 0.25
+SHOWN_INTERVAL = 0.005  # between two positions of an endpoint's log that are kept
 
 
 class Connections(ProxySystem):
@@ -412,6 +415,9 @@
         withdraws_calls = bool(connection.pending)
         self._node.emit(CloseConnection(connection.number, withdraws_calls))
         self._node.count("connections_closed", endpoint=connection.endpoint.name)
+        if connection.has_sent_commit:
+            commits = tuple(batch for batch in connection.pending if batch.commits)
+            self._node.publish(CommitsAbandoned(connection.endpoint, commits))
         self._notify_lost(connection, why)
 
     # -- Sending -------------------------------------------------------------
@@ -719,12 +725,15 @@
             self._holders.note_reply(connection.holder)
         else:
             endpoint.last_direct_reply_at = self.now
+            endpoint.answered_sent_at = max(endpoint.answered_sent_at, sent_at)
         # A reply with a position is the endpoint's own: a holder that refuses a call
         # sends none.
         if reply.position is not None or self._shows_endpoint_alive(connection):
             endpoint.last_reply_at = self.now
         if reply.position is not None:
             endpoint.position = reply.position
+            if not connection.holder:
+                _note_shown(endpoint, reply.position, self.now)
             group = self.tables.group(endpoint.entry.service)
             group.term = max(group.term, reply.position.term)
             self._durability.note_position(endpoint, reply.position, sent_at)
@@ -761,6 +770,13 @@
                 self.close(connection, "the endpoint was removed")
 
 
+def _note_shown(endpoint: EndpointRow, position: LogPosition, now: float) -> None:
+    """Record when an endpoint's log first showed a position."""
+    shown = endpoint.shown
+    if not shown or (shown[-1][0] < position and now >= shown[-1][1] + SHOWN_INTERVAL):
+        shown.append((position, now))
+
+
 def _is_for(opening: ConnectionRow, customer: str | None) -> bool:
     """Return whether a connection that is being opened is for a given customer."""
     return customer is not None and opening.customer == customer
--- a/mallowpass/core/proxy/durability.py
+++ b/mallowpass/core/proxy/durability.py
@@ -25,6 +25,7 @@
 from dataclasses import dataclass
 
 from mallowpass.core.node import Node
+from mallowpass.core.positions import ZERO_POSITION
 from mallowpass.core.proxy.signals import (
     EndpointChanged,
     EndpointExpired,
@@ -34,7 +35,7 @@
 from mallowpass.core.proxy.statements import LogPosition
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
 
-__all__ = ["Durability"]
+__all__ = ["Durability", "least_position"]
 
 # Commits of a primary by which the newest acknowledged one is bounded.
 COMMITS_MAX = 32
@@ -61,6 +62,22 @@
         return self.bound is not None and self.bound_at >= self.since
 
 
+def least_position(shown: Iterable[LogPosition]) -> LogPosition:
+    """Return the least position of the newest of some commits.
+
+    Each is given by a position that was shown before it.
+    """
+    newest_first = sorted(shown, reverse=True)
+    return max(
+        (
+            position._replace(position=position.position + count)
+            for count, position in enumerate(newest_first, start=1)
+            if position.term == newest_first[0].term
+        ),
+        default=ZERO_POSITION,
+    )
+
+
 class Durability(ProxySystem):
     """Keep the positions that the next primaries must hold."""
 
@@ -123,12 +140,7 @@
 
     def require_commits(self, group: GroupRow, shown: Iterable[LogPosition]) -> None:
         """Require commits, each given by a position that was shown before it."""
-        newest_first = sorted(shown, reverse=True)
-        for count, position in enumerate(newest_first, start=1):
-            if position.term != newest_first[0].term:
-                break
-            proven = position._replace(position=position.position + count)
-            self.raise_must_hold(group, proven)
+        self.raise_must_hold(group, least_position(shown))
 
     def note_position(
         self, endpoint: EndpointRow, position: LogPosition, asked_at: float
--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -31,7 +31,7 @@
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.control import ControlRequest
 from mallowpass.core.proxy.demotion import Demotion
-from mallowpass.core.proxy.durability import Durability
+from mallowpass.core.proxy.durability import Durability, least_position
 from mallowpass.core.proxy.fencing import (
     FENCE_DURATION,
     OWNER_RELAX_DURATION,
@@ -379,9 +379,13 @@
         attempt = task.attempt
         self._durability.raise_must_hold(attempt.group, evidence.must_hold)
         attempt.shown = max(attempt.shown, evidence.shown)
+        attempt.note_abandoned(host, evidence.abandoned, self.now)
         task.commits[host] = evidence.shown_before_commits
         commits = [position for each in task.commits.values() for position in each]
         self._durability.require_commits(attempt.group, commits)
+        for abandoned, _ in attempt.abandoned.values():
+            commits.extend(abandoned.shown_before)
+        attempt.appended = max(attempt.appended, least_position(commits))
         attempt.fence_confirmed.add(host)
         self._confirm(task, host)
 
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -28,6 +28,7 @@
 from mallowpass.core.node import Node
 from mallowpass.core.positions import ZERO_POSITION
 from mallowpass.core.proxy.claims import Claim, Claims
+from mallowpass.core.proxy.commitwaits import CommitWaits
 from mallowpass.core.proxy.demotion import Demotion
 from mallowpass.core.proxy.durability import Durability
 from mallowpass.core.proxy.fenceorders import FenceOrders
@@ -107,6 +108,7 @@
     __slots__ = (
         "_attempts",
         "_claims",
+        "_commit_waits",
         "_demotion",
         "_durability",
         "_fence_orders",
@@ -141,6 +143,7 @@
         """Subscribe to signals that affect an attempt."""
         node = self._node
         self._claims = node.system(Claims)
+        self._commit_waits = node.system(CommitWaits)
         self._demotion = node.system(Demotion)
         self._durability = node.system(Durability)
         self._fence_orders = node.system(FenceOrders)
@@ -594,6 +597,8 @@
             self._compare(attempt)
         elif attempt.must_outwait_leases:
             self._outwait_leases(attempt)
+        elif self._commit_waits.must_wait(attempt):
+            self._commit_waits.begin(attempt, lambda: self._compare(attempt))
         else:
             self._order(attempt)
 
--- a/mallowpass/core/proxy/promotionevidence.py
+++ b/mallowpass/core/proxy/promotionevidence.py
@@ -29,6 +29,11 @@
         "restarted": _join(attempt.restarted),
         "fence_confirmed": _join(attempt.fence_confirmed),
         "fence_refused": _join(attempt.fence_refused),
+        "abandoned": attempt.abandoned_count,
+        "abandoned_by": _join(attempt.abandoned),
+        "shown": attempt.shown.text,
+        "appended": attempt.appended.text,
+        "commits_awaited": round(attempt.awaited_commits, 3),
         "fence_unconfirmed": _join(attempt.fence_told - settled),
     }
 
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -6,6 +6,7 @@
 from mallowpass.core.proxy.answers import Answers
 from mallowpass.core.proxy.attempts import Attempts
 from mallowpass.core.proxy.claims import Claims
+from mallowpass.core.proxy.commitwaits import CommitWaits
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.control import Control
 from mallowpass.core.proxy.currentconfiguration import CurrentConfiguration
@@ -72,6 +73,7 @@
 from mallowpass.core.proxy.timeouts import Timeouts
 from mallowpass.core.proxy.transactions import Transactions
 from mallowpass.core.proxy.unknowndatabases import UnknownDatabases
+from mallowpass.core.proxy.waitingcommits import WaitingCommits
 from mallowpass.core.proxy.writeholds import WriteHolds
 from mallowpass.core.proxy.writeleases import WriteLeases
 
@@ -96,6 +98,7 @@
     Floors,
     Routing,
     Control,
+    WaitingCommits,
     ReplicaOrders,
     ReplicaPauses,
     PendingOrders,
@@ -120,6 +123,7 @@
     PromotionOrders,
     PauseChecks,
     LeaseWaits,
+    CommitWaits,
     Promotion,
     ReplacementTriggers,
     Takeovers,
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -9,7 +9,7 @@
 from mallowpass.core.node import Node
 from mallowpass.core.positions import ZERO_POSITION, LogPosition
 from mallowpass.core.proxy.claims import Claim
-from mallowpass.core.proxy.statements import EndpointStatus
+from mallowpass.core.proxy.statements import AbandonedCommits, EndpointStatus
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow
 from mallowpass.core.records import record
 
@@ -119,6 +119,13 @@
     is_lift_repeated: bool = False  # holders are told again that none is in force
     confirmed_fence: ConfirmedFence | None = None
     shown: LogPosition = ZERO_POSITION  # newest that the primary showed to any holder
+    # Commits that may wait at the primary, and when their connections were closed, by
+    # the host that gave them up.
+    abandoned: dict[str, tuple[AbandonedCommits, float]] = field(default_factory=dict)
+    # That the primary's log reaches, or will, with the commits that have arrived there.
+    appended: LogPosition = ZERO_POSITION
+    awaits_commits_since: float | None = None  # see `commitwaits`
+    awaited_commits: float = 0.0  # seconds that the order has waited for them
     order_count: int = 0
     order_call: int = 0  # call number of the newest order; replies to others are stale
     is_ended: bool = False
@@ -161,6 +168,18 @@
         is_open = not (self.is_quiesced or self.has_outwaited_leases)
         return is_open and name == self.target
 
+    @property
+    def abandoned_count(self) -> int:
+        """Return how many commits of all hosts may wait at the primary."""
+        return sum(commits.count for commits, _ in self.abandoned.values())
+
+    def note_abandoned(self, host: str, commits: AbandonedCommits, now: float) -> None:
+        """Record the commits that a host gave up at the primary, as it tells now."""
+        if commits.count:
+            self.abandoned[host] = (commits, now - commits.age)
+        else:
+            self.abandoned.pop(host, None)
+
     def note_pause(self, name: str, is_paused: bool) -> None:
         """Record whether a replica is paused."""
         if is_paused:
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -14,6 +14,7 @@
     SessionState,
 )
 from mallowpass.core.proxy.tables import (
+    Batch,
     ConnectionRow,
     EndpointRow,
     GroupRow,
@@ -28,6 +29,7 @@
     "AttemptOverdue",
     "AttemptRefused",
     "CallsSent",
+    "CommitsAbandoned",
     "ConfigurationAccepted",
     "ConnectionFreed",
     "DrainBegan",
@@ -130,6 +132,17 @@
     connection: ConnectionRow
 
 
+@record
+class CommitsAbandoned(Signal):
+    """This host closed a direct connection with commits in flight.
+
+    The endpoint may not learn of that for a while.
+    """
+
+    endpoint: EndpointRow
+    commits: tuple[Batch, ...]
+
+
 @record
 class EndpointUnreachable(Signal):
     """An attempt to connect to an endpoint, started at `attempted_at`, failed."""
--- a/mallowpass/core/proxy/statements.py
+++ b/mallowpass/core/proxy/statements.py
@@ -6,10 +6,11 @@
 from enum import Enum
 from typing import ClassVar
 
-from mallowpass.core.positions import Access, LogPosition
+from mallowpass.core.positions import ZERO_POSITION, Access, LogPosition
 from mallowpass.core.records import record
 
 __all__ = [
+    "AbandonedCommits",
     "Access",
     "Answer",
     "Begin",
@@ -271,6 +272,33 @@
     return owner.partition(_RUN_SEPARATOR)[0]
 
 
+@record
+class AbandonedCommits:
+    """Commits that may have arrived at a primary, and that their host gave up."""
+
+    count: int = 0
+    age: float = 0.0  # seconds since their connections were closed; the newest one
+    # That the log had shown before those were sent that have arrived: the primary has
+    # answered a later statement.
+    shown_before: tuple[LogPosition, ...] = ()
+    # That the log had shown long enough for a replica to receive it, before the primary
+    # answered last.
+    settled: LogPosition = ZERO_POSITION
+
+    def encode(self) -> str:
+        """Return the row that is sent."""
+        words = [str(self.count), str(int(1000 * self.age)), self.settled.text]
+        words += [position.text for position in self.shown_before]
+        return " ".join(words)
+
+    @classmethod
+    def decode(cls, row: str) -> AbandonedCommits:
+        """Parse a row; raise ValueError if it is malformed."""
+        count, age, *texts = row.split(" ")
+        settled, *shown_before = (LogPosition.parse(text) for text in texts)
+        return cls(int(count), int(age) / 1000, tuple(shown_before), settled)
+
+
 @record
 class FenceEvidence:
     """What a holder knows of the log of a primary that it fences."""
@@ -279,22 +307,33 @@
     must_hold: LogPosition  # proven to be acknowledged; see `durability`
     # That the log had shown before the newest commits of this holder were sent.
     shown_before_commits: tuple[LogPosition, ...] = ()
+    abandoned: AbandonedCommits = AbandonedCommits()
 
     def encode(self) -> tuple[bytes, ...]:
-        """Return the rows that are sent; earlier versions read the first one alone."""
-        first = f"{self.shown.text} {self.must_hold.text}"
-        if not self.shown_before_commits:
-            return (first.encode(),)
-        commits = " ".join(position.text for position in self.shown_before_commits)
-        return (first.encode(), commits.encode())
+        """Return the rows that are sent; earlier versions read the first ones alone."""
+        rows = [f"{self.shown.text} {self.must_hold.text}"]
+        commits = self.shown_before_commits
+        if self.abandoned.count:
+            commits = commits or (ZERO_POSITION,)  # no row may be empty
+        if commits:
+            rows.append(" ".join(position.text for position in commits))
+        if self.abandoned.count:
+            rows.append(self.abandoned.encode())
+        return tuple(row.encode() for row in rows)
 
     @classmethod
     def decode(cls, rows: Sequence[bytes]) -> FenceEvidence:
         """Parse rows; raise ValueError if they are malformed."""
         shown, must_hold = rows[0].decode().split(" ")
         texts = rows[1].decode().split() if len(rows) > 1 else []
-        commits = tuple(LogPosition.parse(text) for text in texts)
-        return cls(LogPosition.parse(shown), LogPosition.parse(must_hold), commits)
+        parsed = (LogPosition.parse(text) for text in texts)
+        commits = tuple(position for position in parsed if position != ZERO_POSITION)
+        abandoned = AbandonedCommits()
+        if len(rows) > 2:
+            abandoned = AbandonedCommits.decode(rows[2].decode())
+        return cls(
+            LogPosition.parse(shown), LogPosition.parse(must_hold), commits, abandoned
+        )
 
 
 # -- Endpoints ---------------------------------------------------------------
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -144,6 +144,9 @@
         return customer is None or bool(self.holder) or self.customer == customer
 
 
+SHOWN_MAX = 32  # positions of an endpoint's log that are kept
+
+
 @dataclass(slots=True, eq=False)
 class EndpointRow:
     """What this host knows of one run of an endpoint, from one start to the next.
@@ -168,6 +171,14 @@
     shown_before_commits: list[LogPosition] = field(default_factory=list)
     last_reply_at: float = float("-inf")
     last_direct_reply_at: float = float("-inf")  # not by way of another host
+    # Positions that its log showed on direct connections, ascending, each with the time
+    # of the first reply that showed it. Owned by waitingcommits.
+    shown: deque[tuple[LogPosition, float]] = field(
+        default_factory=lambda: deque(maxlen=SHOWN_MAX)
+    )
+    # When the newest of its statements was sent that it has answered on a direct
+    # connection.
+    answered_sent_at: float = float("-inf")
     # Reads whose floor is above `position` are not sent to it before this time.
     behind_backoff_until: float = float("-inf")
     behind_backoff: float = 0.0  # seconds; 0: it had the floor of the last read
--- /dev/null
+++ b/mallowpass/core/proxy/waitingcommits.py
@@ -0,0 +1,181 @@
+"""Commits that this host gave up and that may wait at an endpoint for a replica.
+
+A host that fences a silent primary closes the connections on which a commit is in
+flight. If no way leads to the primary, it does not learn of that, and keeps them for a
+while: a commit that had arrived is acknowledged as soon as a replica receives it. So
+each host counts the commits that it gave up and that may have arrived.
+
+Whether a replica has them shows by the position that the primary's log had last. While
+commits wait, the primary may answer nothing else. An empty transaction, which takes no
+slot of an endpoint, then asks for the position.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from mallowpass.core.node import Node
+from mallowpass.core.positions import ZERO_POSITION, LogPosition
+from mallowpass.core.proxy.control import Control
+from mallowpass.core.proxy.durability import COMMITS_MAX
+from mallowpass.core.proxy.signals import (
+    CallsSent,
+    CommitsAbandoned,
+    EndpointExpired,
+    EndpointRestarted,
+)
+from mallowpass.core.proxy.statements import (
+    AbandonedCommits,
+    Begin,
+    Rollback,
+)
+from mallowpass.core.proxy.tables import EndpointRow, ProxySystem
+from mallowpass.core.records import record
+
+__all__ = ["LINGER_TIME", "WaitingCommits"]
+
+# Times are in seconds.
+# For which an endpoint keeps a connection whose reset did not arrive, and a margin for
+# clocks and for the answer to an order to step down.
+LINGER_TIME = 3.3
+# After the last reply of an endpoint, within which a commit was sent that may have
+# arrived: a round trip, and the interval between two samples.
+ARRIVAL_TIME = 0.1
+# Without a reply while a commit waits, until the position is sampled.
+SAMPLE_INTERVAL = 0.02
+SAMPLE_TIMEOUT = 0.25
+# Multiple of the usual latency that a commit takes before it counts as waiting.
+LATENCY_TIMES = 2
+# For which a log has shown a position until a replica that receives has it: the longest
+# way between two members, and some more.
+SETTLING_TIME = 0.05
+ABANDONED_MAX = 1024  # commits that are kept for each endpoint
+
+
+@record
+class _Abandoned:
+    """A commit that this host gave up."""
+
+    sent_at: float
+    closed_at: float
+    position_before: LogPosition | None  # that the log had shown as it was sent
+
+
+@dataclass(slots=True, eq=False)
+class _Samples:
+    """The samples of one endpoint's position."""
+
+    is_watched: bool = False  # a timer looks for commits that wait
+    asked_at: float = float("-inf")
+
+
+class WaitingCommits(ProxySystem):
+    """Keep the commits that may wait at endpoints, and sample these."""
+
+    __slots__ = ("_abandoned", "_control", "_samples")
+
+    def __init__(self, node: Node) -> None:
+        super().__init__(node)
+        self._abandoned: dict[EndpointRow, deque[_Abandoned]] = {}
+        self._samples: dict[EndpointRow, _Samples] = {}
+
+    def start(self) -> None:
+        """Subscribe to commits that are sent and that are given up."""
+        self._control = self._node.system(Control)
+        self._node.subscribe(CallsSent, self._on_sent)
+        self._node.subscribe(CommitsAbandoned, self._on_abandoned)
+        self._node.subscribe(EndpointExpired, self._on_expired)
+        self._node.subscribe(EndpointRestarted, self._on_restarted)
+
+    def abandoned(self, endpoints: Sequence[EndpointRow]) -> AbandonedCommits:
+        """Return the commits of this host that may wait at some endpoints."""
+        closed_at, shown_before = [], []
+        for endpoint in endpoints:
+            latest = endpoint.last_direct_reply_at + ARRIVAL_TIME
+            for commit in self._abandoned.get(endpoint, ()):
+                is_closed = commit.closed_at <= self.now - LINGER_TIME
+                if is_closed or commit.sent_at > latest:
+                    continue
+                closed_at.append(commit.closed_at)
+                has_arrived = commit.sent_at <= endpoint.answered_sent_at
+                if has_arrived and commit.position_before is not None:
+                    shown_before.append(commit.position_before)
+        if not closed_at:
+            return AbandonedCommits()
+        age = self.now - max(closed_at)
+        newest = tuple(sorted(shown_before)[-COMMITS_MAX:])
+        settled = max(map(_settled_position, endpoints), default=ZERO_POSITION)
+        return AbandonedCommits(len(closed_at), age, newest, settled)
+
+    def _on_abandoned(self, signal: CommitsAbandoned) -> None:
+        commits = self._abandoned.setdefault(
+            signal.endpoint, deque(maxlen=ABANDONED_MAX)
+        )
+        commits.extend(
+            _Abandoned(commit.sent_at, self.now, commit.position_before)
+            for commit in signal.commits
+        )
+
+    def _on_restarted(self, signal: EndpointRestarted) -> None:
+        self._forget(signal.previous)
+
+    def _on_expired(self, signal: EndpointExpired) -> None:
+        self._forget(signal.endpoint)
+
+    def _forget(self, endpoint: EndpointRow) -> None:
+        self._abandoned.pop(endpoint, None)
+        self._samples.pop(endpoint, None)
+
+    # -- Samples -------------------------------------------------------------
+
+    def _on_sent(self, signal: CallsSent) -> None:
+        """Look whether a commit waits once it has taken longer than usual."""
+        connection = signal.connection
+        if connection.holder or not connection.pending[-1].commits:
+            return
+        endpoint = connection.endpoint
+        samples = self._samples.setdefault(endpoint, _Samples())
+        if not samples.is_watched:
+            samples.is_watched = True
+            self.timers.after(self._usual_time(endpoint), self._look, endpoint, samples)
+
+    @staticmethod
+    def _usual_time(endpoint: EndpointRow) -> float:
+        return max(SAMPLE_INTERVAL, LATENCY_TIMES * endpoint.latency)
+
+    def _look(self, endpoint: EndpointRow, samples: _Samples) -> None:
+        """Sample the position of an endpoint that answers nothing beside a commit."""
+        sent_at = [
+            batch.sent_at
+            for connection in endpoint.connections.values()
+            if not connection.holder
+            for batch in connection.pending
+            if batch.commits
+        ]
+        samples.is_watched = bool(sent_at)
+        if not sent_at:
+            return
+        since = self.now - self._usual_time(endpoint)
+        is_silent = endpoint.last_direct_reply_at <= self.now - SAMPLE_INTERVAL
+        # One that did not answer the last sample is asked once it answers again.
+        is_asked = samples.asked_at > endpoint.last_direct_reply_at
+        if min(sent_at) <= since and is_silent and not is_asked:
+            self._sample(endpoint, samples)
+        self.timers.after(SAMPLE_INTERVAL, self._look, endpoint, samples)
+
+    def _sample(self, endpoint: EndpointRow, samples: _Samples) -> None:
+        samples.asked_at = self.now
+        self._node.count("positions_asked", service=endpoint.entry.service)
+        # The position that the reply shows is recorded as that of any reply is.
+        self._control.send(
+            endpoint, (Begin(), Rollback()), lambda replies: None, SAMPLE_TIMEOUT
+        )
+
+
+def _settled_position(endpoint: EndpointRow) -> LogPosition:
+    """Return what an endpoint's log had shown well before its last answer."""
+    latest = endpoint.answered_sent_at - SETTLING_TIME
+    settled = (position for position, at in endpoint.shown if at <= latest)
+    return max(settled, default=ZERO_POSITION)
--- a/tests/core/proxy/test_durability.py
+++ b/tests/core/proxy/test_durability.py
@@ -5,7 +5,13 @@
 from mallowpass.core.positions import LogPosition
 from mallowpass.core.proxy.claims import Claim
 from mallowpass.core.proxy.durability import Durability
-from mallowpass.core.proxy.statements import Code, FenceEvidence, Read, Write
+from mallowpass.core.proxy.statements import (
+    AbandonedCommits,
+    Code,
+    FenceEvidence,
+    Read,
+    Write,
+)
 from mallowpass.core.proxy.storage import RowKey, Table
 from mallowpass.standins.proxied.virtual.world import SERVICE, ProxyWorld
 
@@ -213,3 +219,16 @@
     for commits in ((), (position, LogPosition(2, 6))):
         evidence = FenceEvidence(position, position, commits)
         assert FenceEvidence.decode(evidence.encode()) == evidence
+
+
+def test_abandoned_commits_are_read_as_they_were_sent():
+    """Guard against evidence that a holder of an earlier version can't read."""
+    position = LogPosition(2, 5)
+    abandoned = AbandonedCommits(3, 0.25, (position, position), LogPosition(2, 4))
+    for commits in ((), (position, LogPosition(2, 6))):
+        evidence = FenceEvidence(position, position, commits, abandoned)
+        rows = evidence.encode()
+        assert all(rows)
+        assert FenceEvidence.decode(rows) == evidence
+        earlier = FenceEvidence.decode(rows[:2])
+        assert earlier == FenceEvidence(position, position, commits)
--- a/tests/measure_promotions.py
+++ b/tests/measure_promotions.py
@@ -23,6 +23,7 @@
 
 from mallowpass.core.proxy.statements import Code, Write
 from mallowpass.standins.proxied.replicas import GroupTimes
+from mallowpass.standins.proxied.virtual.heartbeats import Heartbeats
 from mallowpass.standins.proxied.virtual.hosts import LINK, Host
 from mallowpass.standins.proxied.virtual.world import ProxyWorld
 from tests.fakes.callers import DONE, Kind, Traffic
@@ -118,6 +119,7 @@
     random = Random(seed)
     times = GroupTimes(network=max(0.001, distance), promotion=PROMOTION)
     world = ProxyWorld(HOSTS, seed, distance=distance, times=times)
+    Heartbeats(world)
     traffic = Traffic(world, seed, (WRITES,))
     world.run(WARM_UP + random.random())
     failed_at = world.timers.now
