--- a/mallowpass/core/proxy/commitwaits.py
+++ b/mallowpass/core/proxy/commitwaits.py
@@ -117,7 +117,7 @@
         if why_over and since is not None:
             attempt.awaits_commits_since = None
             attempt.awaited_commits += self.now - since
-            attempt.log(self._node, "commits_not_awaited", outcome=why_over)
+            attempt.log(self._node, "commits_wait_ended", outcome=why_over)
         return not why_over
 
     def begin(self, attempt: Replacement, handler: WaitHandler) -> None:
