--- a/mallowpass/core/proxy/abandonedcommits.py
+++ b/mallowpass/core/proxy/abandonmentlog.py
@@ -17,7 +17,7 @@
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
 from mallowpass.core.records import record
 
-__all__ = ["AbandonedCommits"]
+__all__ = ["AbandonmentLog"]
 
 # Times are in seconds.
 # Commits that were given up this long before count. An endpoint that does not hear of
@@ -39,7 +39,7 @@
     commits: int
 
 
-class AbandonedCommits(ProxySystem):
+class AbandonmentLog(ProxySystem):
     """Count commits in flight that were given up, and log them for each fence."""
 
     __slots__ = ("_closed", "_logged_at")
@@ -64,8 +64,12 @@
         return [c for c in self._closed.get(endpoint, ()) if c.closed_at >= since]
 
     def _on_abandoned(self, signal: CommitsAbandoned) -> None:
-        closed = self._closed.setdefault(signal.endpoint.name, deque(maxlen=CLOSED_MAX))
-        closed.append(_Closed(self.now, signal.sent_at, signal.commits))
+        commits = sum(batch.unanswered_commits for batch in signal.commits)
+        if commits:
+            sent_at = min(batch.sent_at for batch in signal.commits)
+            name = signal.endpoint.name
+            closed = self._closed.setdefault(name, deque(maxlen=CLOSED_MAX))
+            closed.append(_Closed(self.now, sent_at, commits))
 
     def _on_expired(self, signal: EndpointExpired) -> None:
         self._closed.pop(signal.endpoint.name, None)
--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -41,6 +41,7 @@
     EndpointCall,
     EndpointReply,
     FloorHint,
+    LogPosition,
     Rollback,
     SessionState,
     Write,
@@ -73,6 +74,7 @@
 # Another connection is tried if an endpoint has sent no reply for this time with calls
 # in flight. Statements in a full queue wait for less.
 RESPONSE_TIMEOUT = 0.25
+SHOWN_INTERVAL = 0.005  # between two positions of an endpoint's log that are kept
 
 
 class Connections(ProxySystem):
@@ -417,20 +419,14 @@
         """
         if self._remove(connection.number) is None:
             return
-        if connection.has_sent_commit:
-            self._publish_abandoned(connection)
         withdraws_calls = bool(connection.pending)
         self._node.emit(CloseConnection(connection.number, withdraws_calls))
         self._node.count("connections_closed", endpoint=connection.endpoint.name)
+        if connection.has_sent_commit:
+            commits = tuple(batch for batch in connection.pending if batch.commits)
+            self._node.publish(CommitsAbandoned(connection.endpoint, commits))
         self._notify_lost(connection, why)
 
-    def _publish_abandoned(self, connection: ConnectionRow) -> None:
-        sent_at = min(b.sent_at for b in connection.pending if b.commits)
-        commits = connection.unanswered_commits
-        if commits:
-            abandoned = CommitsAbandoned(connection.endpoint, commits, sent_at)
-            self._node.publish(abandoned)
-
     # -- Sending -------------------------------------------------------------
 
     def send(
@@ -736,12 +732,15 @@
             self._holders.note_reply(connection.holder)
         else:
             endpoint.last_direct_reply_at = self.now
+            endpoint.answered_sent_at = max(endpoint.answered_sent_at, sent_at)
         # A reply with a position is the endpoint's own: a holder that refuses a call
         # sends none.
         if reply.position is not None or self._shows_endpoint_alive(connection):
             endpoint.last_reply_at = self.now
         if reply.position is not None:
             endpoint.position = reply.position
+            if not connection.holder:
+                _note_shown(endpoint, reply.position, self.now)
             group = self.tables.group(endpoint.entry.service)
             group.term = max(group.term, reply.position.term)
             self._durability.note_position(endpoint, reply.position, sent_at)
@@ -778,6 +777,13 @@
                 self.close(connection, "the endpoint was removed")
 
 
+def _note_shown(endpoint: EndpointRow, position: LogPosition, now: float) -> None:
+    """Record when an endpoint's log first showed a position."""
+    shown = endpoint.shown
+    if not shown or (shown[-1][0] < position and now >= shown[-1][1] + SHOWN_INTERVAL):
+        shown.append((position, now))
+
+
 def _is_for(opening: ConnectionRow, customer: str | None) -> bool:
     """Return whether a connection that is being opened is for a given customer."""
     return customer is not None and opening.customer == customer
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from mallowpass.core.proxy.abandonedcommits import AbandonedCommits
+from mallowpass.core.proxy.abandonmentlog import AbandonmentLog
 from mallowpass.core.proxy.admissioncontrol import AdmissionControl
 from mallowpass.core.proxy.answers import Answers
 from mallowpass.core.proxy.attempts import Attempts
 from mallowpass.core.proxy.bypasslog import BypassLog
 from mallowpass.core.proxy.claims import Claims
+from mallowpass.core.proxy.commitwaits import CommitWaits
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.control import Control
 from mallowpass.core.proxy.currentconfiguration import CurrentConfiguration
@@ -74,6 +75,7 @@
 from mallowpass.core.proxy.timeouts import Timeouts
 from mallowpass.core.proxy.transactions import Transactions
 from mallowpass.core.proxy.unknowndatabases import UnknownDatabases
+from mallowpass.core.proxy.waitingcommits import WaitingCommits
 from mallowpass.core.proxy.writeholds import WriteHolds
 from mallowpass.core.proxy.writeleases import WriteLeases
 from mallowpass.core.proxy.writers import Writers
@@ -99,6 +101,7 @@
     Floors,
     Routing,
     Control,
+    WaitingCommits,
     ReplicaOrders,
     ReplicaPauses,
     PendingOrders,
@@ -109,7 +112,7 @@
     NearMisses,
     Fencing,
     FenceLog,
-    AbandonedCommits,
+    AbandonmentLog,
     BypassLog,
     PromotionLog,
     GuardedWrites,
@@ -126,6 +129,7 @@
     PromotionOrders,
     PauseChecks,
     LeaseWaits,
+    CommitWaits,
     Promotion,
     ReplacementTriggers,
     Takeovers,
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -14,6 +14,7 @@
     SessionState,
 )
 from mallowpass.core.proxy.tables import (
+    Batch,
     ConnectionRow,
     EndpointRow,
     GroupRow,
@@ -131,6 +132,17 @@
     connection: ConnectionRow
 
 
+@record
+class CommitsAbandoned(Signal):
+    """This host closed a direct connection with commits in flight.
+
+    The endpoint may not learn of that for a while.
+    """
+
+    endpoint: EndpointRow
+    commits: tuple[Batch, ...]
+
+
 @record
 class EndpointUnreachable(Signal):
     """An attempt to connect to an endpoint, started at `attempted_at`, failed."""
@@ -281,18 +293,6 @@
     owner: str
 
 
-@record
-class CommitsAbandoned(Signal):
-    """This host closed a connection of its own with commits in flight.
-
-    The first of the `commits` was sent at `sent_at`.
-    """
-
-    endpoint: EndpointRow
-    commits: int
-    sent_at: float
-
-
 @record
 class FenceSilent(Signal):
     """The owner of a fence has not renewed it for a while; it may be gone."""
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -78,6 +78,16 @@
     position_before: LogPosition | None = None  # of the endpoint, as it was sent
     replies: list[EndpointReply] = field(default_factory=list)
 
+    @property
+    def unanswered_commits(self) -> int:
+        """Return how many commits have no reply yet.
+
+        Calls that may commit, and are no single writes, count once.
+        """
+        if self.writes:
+            return sum(index >= len(self.replies) for index in self.writes)
+        return int(self.may_commit)
+
 
 @dataclass(slots=True, eq=False)
 class ConnectionRow:
@@ -127,17 +137,8 @@
 
     @property
     def unanswered_commits(self) -> int:
-        """Return how many commits are in flight; on links, how many batches with some.
-
-        Calls that may commit, and are no single writes, count once for each batch.
-        """
-        count = 0
-        for batch in self.pending:
-            if batch.writes:
-                count += sum(index >= len(batch.replies) for index in batch.writes)
-            elif batch.may_commit:
-                count += 1
-        return count
+        """Return how many commits are in flight; on links, of batches with some."""
+        return sum(batch.unanswered_commits for batch in self.pending)
 
     def name_statement(self, statement: PreparedStatement) -> str:
         """Add a statement to those that are prepared on it; return its name.
@@ -158,6 +159,9 @@
         return customer is None or bool(self.holder) or self.customer == customer
 
 
+SHOWN_MAX = 32  # positions of an endpoint's log that are kept
+
+
 @dataclass(slots=True, eq=False)
 class EndpointRow:
     """What this host knows of one run of an endpoint, from one start to the next.
@@ -182,6 +186,14 @@
     shown_before_commits: list[LogPosition] = field(default_factory=list)
     last_reply_at: float = float("-inf")
     last_direct_reply_at: float = float("-inf")  # not by way of another host
+    # Positions that its log showed on direct connections, ascending, each with the time
+    # of the first reply that showed it. Owned by waitingcommits.
+    shown: deque[tuple[LogPosition, float]] = field(
+        default_factory=lambda: deque(maxlen=SHOWN_MAX)
+    )
+    # When the newest of its statements was sent that it has answered on a direct
+    # connection.
+    answered_sent_at: float = float("-inf")
     # Reads whose floor is above `position` are not sent to it before this time.
     behind_backoff_until: float = float("-inf")
     behind_backoff: float = 0.0  # seconds; 0: it had the floor of the last read
