Count a pause that has ended for as long as an order may be late

What was seen: a host reaches the primary and one replica, no other host, not the store. A promotion order gets no answer; that replica restarts, which ends its pause, and nobody reaches it to pause it again.

Cause: a lease counted the pauses of the moment, and restarts of the last 2.5 s. An order may be late for longer.

--- a/mallowpass/core/proxy/writeleases.py
+++ b/mallowpass/core/proxy/writeleases.py
@@ -12,8 +12,9 @@
 that this host was told of in time.
 
 Where writes are rare, or wait for a replica, the members are asked for their status. A
-replica that is paused for a newer term than the primary's, or that may have restarted
-just now, which ends a pause, proves the contrary. Then the claim in the store decides.
+replica that is paused for a newer term than the primary's, or was so lately that an
+order may be pending, proves the contrary, as does one that may have restarted just now,
+which ends a pause. Then the claim in the store decides.
 A host that gets no proof holds back its commits, and gives up those that are in flight.
 
 The members are all that is needed, so a failure domain that was cut off with its
@@ -101,6 +102,8 @@
     denied_at: float = float("-inf")  # when questions last gave no proof
     # When present pauses were first seen without the store, by replica and term.
     paused_since: dict[tuple[str, int], float] = field(default_factory=dict)
+    # The term of each replica's latest pause, and when it was last seen, by replica.
+    last_pauses: dict[str, tuple[int, float]] = field(default_factory=dict)
     handlers: list[LeaseHandler] = field(default_factory=list)
     is_awaited: bool = False  # commits wait for it
     is_watched: bool = False  # a timer checks the commits in flight
@@ -253,8 +256,10 @@
 
     def _on_fence_lifted(self, signal: FenceLifted) -> None:
         """Begin a lease, as the host with the newest claim orders no promotion now."""
-        if signal.group.primary:
-            self._proofs.begin(signal.group, self.now)
+        group = signal.group
+        if group.primary:
+            self._lease(group).last_pauses.clear()
+            self._proofs.begin(group, self.now)
 
     def _on_primary_changed(self, signal: PrimaryChanged) -> None:
         """End the lease on a former primary, and ask for one on its successor."""
@@ -365,6 +370,8 @@
         status = replies[0].status if replies else None
         if status is not None:
             question.statuses[replica.name] = status
+            if status.paused_for:
+                lease.last_pauses[replica.name] = (status.paused_for, self.now)
             for pause in [p for p in lease.paused_since if p[0] == replica.name]:
                 if pause[1] != status.paused_for:
                     del lease.paused_since[pause]
@@ -410,9 +417,12 @@
         for name, status in question.statuses.items():
             if status.is_primary:
                 return f"{name} is primary"
-            is_newer = status.paused_for > (question.primary_term or group.term)
+            term = question.primary_term or group.term
+            is_newer = status.paused_for > term
             if is_newer and self._counts(lease, name, status):
                 return f"{name} is paused"
+            if not status.paused_for and self._was_paused(lease, name, term):
+                return f"{name} was paused"
         since = self.now - RESTART_TIME
         for name in group.endpoints:
             is_replica = name != group.primary
@@ -434,6 +444,17 @@
         since = lease.paused_since.setdefault((name, status.paused_for), self.now)
         return self.now < since + LATE_ORDER_TIMEOUT
 
+    def _was_paused(self, lease: _Lease, name: str, term: int) -> bool:
+        """Return whether a replica was paused for a promotion that may be pending.
+
+        Whoever replaces the primary has the target receive for a moment, and can't
+        pause a replica again that restarts out of its reach.
+        """
+        paused_for, seen_at = lease.last_pauses.get(name, (0, 0.0))
+        if not (self._has_store() or self.tables.promotion_fences_primary):
+            return False
+        return paused_for > term and self.now < seen_at + LATE_ORDER_TIMEOUT
+
     def _check_contradiction(
         self, group: GroupRow, lease: _Lease, question: _Question
     ) -> None:
@@ -474,6 +495,7 @@
                 return
             rivals = set() if claim is None else self._rivals(group, claim)
             if not rivals:
+                lease.last_pauses.clear()
                 self._conclude(group, lease, question, asked_at)
             else:
                 self._conclude(group, lease, question, None)
--- a/tests/core/proxy/test_remainders.py
+++ b/tests/core/proxy/test_remainders.py
@@ -16,6 +16,12 @@
     ("exit_cut", 3, 4),
     ("exit_hung", 3, 1),
     ("exit_hung", 3, 6),
+    ("heir_left", 3, 4),
+    ("heir_left", 3, 20),
+    ("lease_after_restart", 3, 4),
+    ("lease_after_restart", 3, 14),
+    ("lease_in_settle", 3, 7),
+    ("lease_in_settle", 3, 12),
 )
 
 
--- a/tests/fakes/remainderplay.py
+++ b/tests/fakes/remainderplay.py
@@ -11,6 +11,7 @@
 
 import argparse
 import statistics
+from collections.abc import Callable
 from typing import Any
 
 from mallowpass.core.proxy import effects
@@ -37,7 +38,8 @@
         self._begin = getattr(self, f"_begin_{case}")
         self._after_order = getattr(self, f"_order_{case}", self._ignore)
         self._after_lead = getattr(self, f"_lead_{case}", self._ignore)
-        self._writer: Host | None = None  # that alone writes
+        self._idle: set[Host] = set()  # hosts without callers
+        self._was_all_paused = False
         self.is_met = False  # the case's conditions were there
 
     def run(self) -> None:
@@ -85,6 +87,13 @@
         struck = " ".join(host.name for host in hosts)
         self.world.note(f"{struck} cut off from {' '.join(sorted(names))}")
 
+    def _write(self) -> None:
+        world = self.world
+        for index, host in enumerate(world.hosts):
+            if not host.exited and host not in self._idle:
+                world.caller(index, "own").send(Write("a 1"))
+        world.timers.after(self.write_interval, self._write)
+
     # -- Processes that end while they are cut off ---------------------------
 
     def _begin_exit_cut(self) -> None:
@@ -137,12 +146,23 @@
 
     def _begin_lease_in_settle(self) -> None:
         """Have a lone host reach one replica alone, which may be the target."""
-        unseen = self._any_replica().name
-        names = {unseen}
-        if self._random.random() < 0.5:
-            names.add("store")
-        self._unseen = unseen
-        self._leave_alone(self._chosen(1, 2, self._all), names, (3.0, 5.0))
+        self._unseen = self._any_replica().name
+        names = {"store"} if self._random.random() < 0.5 else set()
+        lone = self._chosen(1, 2, self._all)
+        self._cut_from(lone, {self._unseen}, (8.0, 9.0))
+        self._idle = set(lone)
+        self._later(3.0, 4.0, self._leave_alone, lone, names, (3.0, 5.0))
+        self._await_wait(self._await_settled)
+
+    def _await_settled(self) -> None:
+        """Have the lone hosts write once a target receives before its order."""
+        paused = [r for r in self._replicas if r.paused_for]
+        if len(paused) == len(self._replicas) - 1:
+            self._was_all_paused = True
+        elif self._was_all_paused:
+            self._idle.clear()
+            return
+        self.world.timers.after(LOOK_INTERVAL, self._await_settled)
 
     def _order_lease_in_settle(self, host: Host, order: effects.OrderPromotion) -> None:
         self.is_met |= order.endpoint != self._unseen
@@ -154,7 +174,9 @@
         world.orders_late = self._random.uniform(4.0, 9.0)
         self._lone = self._chosen(1, 2, self._all)
         self._is_unseen = False
-        self._leave_alone(self._lone, {"store"}, (10.0, 12.0))
+        others = {host.name for host in self._others(self._lone)}
+        self._cut_from(self._others(self._lone), {self._first.name}, (10.0, 12.0))
+        self._cut_from(self._lone, others | {"store"}, (10.0, 12.0))
 
     def _order_lease_after_restart(
         self, host: Host, order: effects.OrderPromotion
@@ -162,7 +184,10 @@
         if self._is_unseen:
             return
         self._is_unseen = self.is_met = True
-        self._cut_from(self._lone, {order.endpoint}, (10.0, 12.0))
+        target = self.world.group.replicas[order.endpoint]
+        self.world.group.cut(target.name, {self._first.name})
+        self._later(10.0, 12.0, self._heal)
+        self._cut_from(self._lone, {target.name}, (10.0, 12.0))
         names = {r.name for r in self._replicas} - {order.endpoint, self._first.name}
         for other in self._others(self._lone):
             self._later(0.05, 0.15, self._cut_from, [other], names, (8.0, 9.0))
@@ -211,15 +236,19 @@
         """Have a replica restart as the wait for leases is over, before the order."""
         names = {"store"} if self._random.random() < 0.5 else set()
         self._leave_alone(self._chosen(1, 2, self._all), names)
-        self._await_wait()
+        self._await_wait(self._flap_some)
 
-    def _await_wait(self) -> None:
+    def _await_wait(self, act: Callable[[], None]) -> None:
+        """Run a function once a host waits for leases to lapse."""
         if any(host.logged("leases_awaited") for host in self.world.hosts):
-            for replica in self._replicas:
-                if replica is not self._first and self._random.random() < 0.7:
-                    self._later(0.7, 1.15, self._flap_unseen, replica)
+            act()
         else:
-            self.world.timers.after(LOOK_INTERVAL, self._await_wait)
+            self.world.timers.after(LOOK_INTERVAL, self._await_wait, act)
+
+    def _flap_some(self) -> None:
+        for replica in self._replicas:
+            if replica is not self._first and self._random.random() < 0.7:
+                self._later(0.7, 1.15, self._flap_unseen, replica)
 
     def _flap_unseen(self, replica: Replica) -> None:
         """Restart a replica; hosts may learn of it by silence alone."""
@@ -233,7 +262,7 @@
     def _begin_heir_left(self) -> None:
         """Have the target leave the group, and an heir of the primary serve."""
         world = self.world
-        world.orders_lost = 99
+        world.orders_lost = self._random.choice((2, 99))
         world.orders_late = self._random.uniform(5.0, 11.0)
         some = self._chosen(2, 4, self._all)
         self._cut_from(some, {self._first.name}, (1.0, 2.0))
@@ -258,6 +287,19 @@
             names = self.world.group.replicas.keys() - {target.name}
             self.world.group.cut(target.name, names)
 
+    def _begin_heir_dead(self) -> None:
+        """Have the target end for good, and an heir of the primary serve."""
+        self._begin_heir_left()
+
+    def _order_heir_dead(self, host: Host, order: effects.OrderPromotion) -> None:
+        target = self.world.group.replicas.get(order.endpoint)
+        if self.is_met or target is None:
+            return
+        self.is_met = True
+        self.world.crash(target.name, dark=True)
+        self._heartbeats.leave(target.name)
+        self._later(0.5, 3.0, self._replace, self._first)
+
     def _begin_back_as_replica(self) -> None:
         """Have a primary be back as a replica while its replacement goes on."""
         world = self.world
@@ -329,6 +371,7 @@
         """End the host that alone knows of commits, with primary and replica."""
         self.is_met = True
         self._writer = self._random.choice(self.world.hosts)
+        self._idle = set(self._others([self._writer]))
         replicas = [r for r in self._replicas if r is not self._first]
         near = min(replicas, key=lambda r: self.world.group.way(self._first, r))
         for replica in replicas:
@@ -338,19 +381,11 @@
 
     def _end_those_who_know(self, near: Replica) -> None:
         dark = self._random.random() < DARK_SHARE
+        self._idle.clear()
         self._kill(self._writer)
         self._crash(near, dark, 1.0, 5.0)
         self._crash(self._first, dark, 1.0, 5.0)
 
-    def _write(self) -> None:
-        """Write at all hosts, or for a while at one alone."""
-        if self._writer is None or self._writer.exited:
-            super()._write()
-            return
-        index = self.world.hosts.index(self._writer)
-        self.world.caller(index, "own").send(Write("a 1"))
-        self.world.timers.after(self.write_interval, self._write)
-
     def _begin_new_row(self) -> None:
         """Have the primary's entry be removed and written again, as it is lost."""
         self.is_met = True
