Forget what a member told a guard before it disconnected

What was seen: beside an order without an answer the target stops to receive, and the other replica restarts while the fence still holds.

Cause: as a member ends a connection, its status of the present round was forgotten only where writes ran already. So the round that was under way counted it as paused, and its pause had ended with the restart.

--- a/mallowpass/core/proxy/pendingfences.py
+++ b/mallowpass/core/proxy/pendingfences.py
@@ -196,11 +196,11 @@
         """
         service = signal.endpoint.entry.service
         watch = self._watches.get(service)
-        if watch is None or not watch.is_lifted or service in self._suspended:
-            return
-        if signal.endpoint.name == watch.primary:
+        if watch is None or signal.endpoint.name == watch.primary:
             return
         watch.statuses.pop(signal.endpoint.name, None)
+        if not watch.is_lifted or service in self._suspended:
+            return
         self._fence_orders.fence_here(watch.group, watch.primary, watch.target)
         self._forget_trial(watch)
         watch.is_lifted = False
--- a/tests/core/proxy/test_remainders.py
+++ b/tests/core/proxy/test_remainders.py
@@ -22,6 +22,8 @@
     ("lease_after_restart", 3, 14),
     ("lease_in_settle", 3, 7),
     ("lease_in_settle", 3, 12),
+    ("lone_after_order", 3, 15),
+    ("lone_after_order", 3, 20),
 )
 
 
--- a/tests/fakes/remainderplay.py
+++ b/tests/fakes/remainderplay.py
@@ -26,6 +26,7 @@
 DURATION = 16.0  # seconds from the cut of the primary to the end
 LOOK_INTERVAL = 0.01  # seconds between looks at what a case waits for
 RUNNING_MIN = 3  # hosts that are not killed
+IDLE_SHARE = 0.5  # of the lone hosts, until the case strikes
 DARK_SHARE = 0.5  # of the restarts that no host is told of
 
 
@@ -192,24 +193,48 @@
         for other in self._others(self._lone):
             self._later(0.05, 0.15, self._cut_from, [other], names, (8.0, 9.0))
 
-    def _begin_settle_silent(self) -> None:
-        """Have a lone host reach all members as an order is settled."""
+    def _begin_lone_after_order(self) -> None:
+        """Have hosts be alone that have confirmed the fence of a late order."""
         world = self.world
         world.orders_lost = 99
-        world.orders_late = self._random.uniform(1.0, 3.5)
-        lone = self._chosen(1, 2, self._all)
-        others = {host.name for host in self._others(lone)}
-        self._cut_from(self._others(lone), {self._first.name}, (0.9, 1.1))
-        names = {"store"} if self._random.random() < 0.5 else set()
-        self._cut_from(lone, others | names, (8.0, 10.0))
+        world.orders_late = self._random.uniform(3.5, 8.0)
+        self._lone = self._chosen(1, 2, self._all)
+        if self._random.random() < IDLE_SHARE:
+            self._idle = set(self._lone)
+        others = self._others(self._lone)
+        self._cut_from(others, {self._first.name}, (0.9, 1.3))
+
+    def _order_lone_after_order(
+        self, host: Host, order: effects.OrderPromotion
+    ) -> None:
+        if self.is_met or order.endpoint == self._first.name:
+            return
+        self.is_met = True
+        target = self.world.group.replicas[order.endpoint]
+        self.world.group.cut(target.name, {self._first.name})
+        self._later(12.0, 14.0, self._heal)
+        names = {other.name for other in self._others(self._lone)}
+        if self._random.random() < 0.5:
+            names.add("store")
+        self._cut_from(self._lone, names, (13.0, 15.0))
+
+    def _lead_lone_after_order(self, successor: Replica) -> None:
+        self._idle.clear()
+
+    def _begin_settle_silent(self) -> None:
+        """Have lone hosts beside an order that is settled in favour of an heir."""
+        self._begin_lone_after_order()
 
     def _order_settle_silent(self, host: Host, order: effects.OrderPromotion) -> None:
-        self.is_met |= order.endpoint == self.world.primary.name
+        if len(self.world.orders) == 1:
+            self._order_lone_after_order(host, order)
+            self.is_met = False
+            self._later(0.3, 1.0, self._replace, self._first)
+        elif order.endpoint == self.world.primary.name:
+            self.is_met = True
 
     def _lead_settle_silent(self, successor: Replica) -> None:
-        """Have the former primary receive nothing from its successor."""
-        if not self._first.is_primary:
-            self._deafen_target(self._first)
+        self._idle.clear()
 
     def _begin_late_learned(self) -> None:
         """Have a host learn late of a lead, and the successor be lost at once."""
@@ -235,7 +260,10 @@
     def _begin_restart_after_wait(self) -> None:
         """Have a replica restart as the wait for leases is over, before the order."""
         names = {"store"} if self._random.random() < 0.5 else set()
-        self._leave_alone(self._chosen(1, 2, self._all), names)
+        lone = self._chosen(1, 2, self._all)
+        if self._random.random() < IDLE_SHARE:
+            self._idle = set(lone)
+        self._leave_alone(lone, names)
         self._await_wait(self._flap_some)
 
     def _await_wait(self, act: Callable[[], None]) -> None:
@@ -254,6 +282,7 @@
         """Restart a replica; hosts may learn of it by silence alone."""
         if replica.up and not replica.is_primary:
             self.is_met = True
+            self._later(*RESTART_TIMES, self._idle.clear)
             dark = self._random.random() < DARK_SHARE
             self._crash(replica, dark, *RESTART_TIMES)
 
