Claim again after a claim was deleted, under a higher token

Seen in virtual time: after a failover the claim's row is deleted without a new era; the next primary is not replaced in the 20 s that were run, as each host that has seen the claim claims by its version, is told of a conflict, and takes the absent row for an outdated answer.

A row that is absent from the answer to a conflict is gone. A compare-and-set with version 0 follows, which can't overwrite a claim that was made meanwhile. The token of the deleted claim is kept, so that none is given twice by a host that has read it.

By reading, a host that never read the claim, and is the only one, still repeats its token.

--- a/mallowpass/core/proxy/claims.py
+++ b/mallowpass/core/proxy/claims.py
@@ -34,6 +34,7 @@
     StoreReply,
     StoreStatus,
     Table,
+    store_version,
 )
 from mallowpass.core.proxy.store import Store
 from mallowpass.core.proxy.tables import ProxySystem
@@ -166,6 +167,7 @@
         "_holders",
         "_known",
         "_logged_orders",
+        "_newest_tokens",
         "_own_tokens",
         "_pending_orders",
         "_store",
@@ -178,6 +180,7 @@
         # Token and targets of the claim whose orders were logged last, by service.
         self._logged_orders: dict[str, tuple[int, frozenset[str]]] = {}
         self._own_tokens: dict[str, int] = {}  # of the newest claim that it made
+        self._newest_tokens: dict[str, int] = {}  # of any claim that it has read
 
     def start(self) -> None:
         """Subscribe to new eras of the store, which may lack claims of earlier eras."""
@@ -217,7 +220,7 @@
             # expires.
             handler(None)
             return
-        token = self._next_token(known)
+        token = self._next_token(service, known)
         must_hold = self.tables.group(service).must_hold
         name = self._node.identity.name
         ordered = dict(self._orders_to_store(service))
@@ -244,13 +247,14 @@
 
         self._store.call(call, on_reply)
 
-    def _next_token(self, known: Claim | None) -> int:
+    def _next_token(self, service: str, known: Claim | None) -> int:
         """Return a token above the tokens of all claims, also of earlier eras.
 
         A store that was restored from a backup may have lost the newest claims, under
-        which orders were sent.
+        which orders were sent, and another writer may have deleted them.
         """
         newest = 0 if known is None else known.token
+        newest = max(newest, self._newest_tokens.get(service, 0))
         return max(newest, self._store.era * _TOKENS_PER_ERA) + 1
 
     def is_held(self, claim: Claim) -> bool:
@@ -457,7 +461,7 @@
         primary = "" if known is None else known.primary
         if primary in dict(ordered):
             primary = ""  # see `take`
-        token = self._next_token(known)
+        token = self._next_token(service, known)
         time = round(self._store.time or 0.0, 3)
         return Claim(token, _NO_HOLDER, primary, time, must_hold, ordered)
 
@@ -483,6 +487,7 @@
     ) -> None:
         if reply.status is StoreStatus.DONE:
             self._known[service] = (reply.version, claim)
+            self._newest_tokens[service] = claim.token
             self._log(service, claim, "taken")
             handler(claim)
         elif reply.status is StoreStatus.UNKNOWN:
@@ -525,13 +530,16 @@
         for row in rows:
             if row.key.key != _ROW_KEY:
                 continue
-            if row.version < self._known.get(service, (0, None))[0]:
+            is_deleted = store_version(row.version) == 0
+            if row.version < self._known.get(service, (0, None))[0] and not is_deleted:
                 continue  # an answer that a newer one has overtaken
             if not isinstance(row.value, str):
                 self._known[service] = (0, None)
                 continue
             claim = self._decode(row)
             self._known[service] = (row.version, claim)
+            newest = self._newest_tokens.get(service, 0)
+            self._newest_tokens[service] = max(newest, claim.token)
             self._durability.raise_must_hold(
                 self.tables.group(service), claim.must_hold
             )
--- a/tests/core/proxy/test_claims.py
+++ b/tests/core/proxy/test_claims.py
@@ -114,3 +114,20 @@
     claims._record(SERVICE, (world.store.get(key),))
     assert "db-tanger" in pending
     assert orders.pending(SERVICE) == pending
+
+
+def test_claim_that_was_deleted_hinders_no_promotion():
+    """Guard against a primary that is never replaced, as its last claim is gone."""
+    world = ProxyWorld()
+    _keep_writing(world)
+    world.run(1.0)
+    world.crash("db-casa")
+    world.run_until(lambda: world.group.promotions == 1, 10.0)
+    world.run(1.0)
+    world.restart("db-casa")
+    world.run(2.0)
+    world.store.delete(RowKey(Table.CLAIMS, SERVICE, "primary"))
+    world.crash(world.primary.name)
+    world.run_until(lambda: world.group.promotions == 2, 10.0)
+    assert world.group.promotions == 2
+    assert world.orders[-1].fencing_token > world.orders[0].fencing_token
--- a/tests/fakes/leftoverplay.py
+++ b/tests/fakes/leftoverplay.py
@@ -52,6 +52,7 @@
     "target_left",
     "restored_then_started",
     "slow_store",
+    "deleted_claim",
 )
 WAYS_TO_LOSE = ("cut_some", "cut_some", "cut_all", "reset", "drain")
 LONG_CASES = (
@@ -60,6 +61,7 @@
     "restored_store",
     "target_left",
     "slow_store",
+    "deleted_claim",
 )
 PAST_LIMIT_DURATION = 26.0  # seconds
 PAST_LIMIT = (14.5, 18.0)  # seconds until an order is carried out
@@ -464,6 +466,21 @@
         self._first = world.primary
         self._lose_some()
 
+    def _deleted_claim(self) -> None:
+        """Delete the claim of an order that is late, so that a token is given again."""
+        world = self.world
+        key = RowKey(Table.CLAIMS, world.group.service, "primary")
+        world.orders_lost = self._random.choice((1, 2, 99))
+        world.orders_late = self._random.uniform(1.0, 8.0)
+
+        def on_order(host: Host, order: effects.OrderPromotion) -> None:
+            self._follow_late_order(host, order)
+            self._later(0.0, 0.5, world.store.delete, key)
+
+        world.on_order = on_order
+        self._lose_some()
+        self._later(*CUT_TIMES, setattr, world, "orders_lost", 0)
+
     def _crash(self, replica: Replica, dark: bool, least: float, most: float) -> None:
         if replica.up:
             super()._crash(replica, dark, least, most)
