Take no intended order for a proof of its target's lead

Run in virtual time: a host that reaches a replaced primary and the store alone finds a claim that intends to promote that one, and takes it for the sole primary (its survey ends with a proof at 5.31 s, beside a successor).

An intention proves nothing now; an order that was sent replaces it by the time of its own expiry.

--- a/mallowpass/core/proxy/claims.py
+++ b/mallowpass/core/proxy/claims.py
@@ -114,11 +114,12 @@
         if the claim was released: otherwise `primary` may be replaced at any moment. A
         claim to replace another endpoint concerns a predecessor or a successor of
         `primary`, and proves this only if `primary` is the only target that was ordered
-        under the claim.
+        under the claim, not one that is only intended: a replaced primary may be.
         """
         if self.primary in ("", primary):
             return self.is_released
-        return {target for target, _ in self.ordered} == {primary}
+        until = dict(self.ordered)
+        return until.keys() == {primary} and until[primary] != self.intended_until
 
     def encode(self) -> str:
         """Return the claim as it is stored."""
--- a/tests/core/proxy/test_claims.py
+++ b/tests/core/proxy/test_claims.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from functools import partial
 
 import pytest
@@ -79,6 +80,13 @@
     assert claim.confirms_primary("db-casa") is expected
 
 
+def test_claim_that_intends_an_order_does_not_confirm_its_target():
+    """Guard against a replaced primary that counts as proven, as it may lead again."""
+    claim = Claim(3, "host-1", "db-old", 1.0)
+    claim = replace(claim, ordered=(("db-casa", claim.intended_until),))
+    assert not claim.confirms_primary("db-casa")
+
+
 def test_answer_that_a_newer_one_has_overtaken_changes_no_claim():
     """Guard against a pending order that is forgotten for an older row."""
     claims = ProxyWorld(hosts=1).hosts[0].node.system(Claims)
