--- a/tests/core/proxy/test_leftover_worlds.py
+++ b/tests/core/proxy/test_leftover_worlds.py
@@ -20,6 +20,7 @@
     ("paused_by_a_dead_host", 2),
     ("healed_late", 1),
     ("slow_store", 1),
+    ("deleted_claim", 21),
     # Hosts write that the host which orders has not heard of.
     ("unknown_hosts", 3),
     ("joining_hosts", 4),
@@ -33,7 +34,13 @@
     # No host expects an order any more.
     ("order_past_its_limit", 20),
 )
-UNFENCED_PLAYS = (("healed_late", 1), ("late_resume", 1), ("unlisted_primary", 1))
+UNFENCED_PLAYS = (
+    ("healed_late", 1),
+    ("late_resume", 1),
+    ("unlisted_primary", 1),
+    # No order ends an earlier one.
+    ("killed_before_stored", 5),
+)
 
 
 @pytest.mark.parametrize(("case", "seed"), PLAYS)
