--- a/tests/core/proxy/test_claims.py
+++ b/tests/core/proxy/test_claims.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from functools import partial
 
 import pytest
@@ -79,6 +80,13 @@
     assert claim.confirms_primary("db-casa") is expected
 
 
+def test_claim_that_intends_an_order_does_not_confirm_its_target():
+    """Guard against a replaced primary that counts as proven, as it may lead again."""
+    claim = Claim(3, "host-1", "db-old", 1.0)
+    claim = replace(claim, ordered=(("db-casa", claim.intended_until),))
+    assert not claim.confirms_primary("db-casa")
+
+
 def test_answer_that_a_newer_one_has_overtaken_changes_no_claim():
     """Guard against a pending order that is forgotten for an older row."""
     claims = ProxyWorld(hosts=1).hosts[0].node.system(Claims)
@@ -114,3 +122,20 @@
     claims._record(SERVICE, (world.store.get(key),))
     assert "db-tanger" in pending
     assert orders.pending(SERVICE) == pending
+
+
+def test_claim_that_was_deleted_hinders_no_promotion():
+    """Guard against a primary that is never replaced, as its last claim is gone."""
+    world = ProxyWorld()
+    _keep_writing(world)
+    world.run(1.0)
+    world.crash("db-casa")
+    world.run_until(lambda: world.group.promotions == 1, 10.0)
+    world.run(1.0)
+    world.restart("db-casa")
+    world.run(2.0)
+    world.store.delete(RowKey(Table.CLAIMS, SERVICE, "primary"))
+    world.crash(world.primary.name)
+    world.run_until(lambda: world.group.promotions == 2, 10.0)
+    assert world.group.promotions == 2
+    assert world.orders[-1].fencing_token > world.orders[0].fencing_token
