Tell writers of a fence again that have entered themselves since it began

Causes: a name in the list of told hosts stood for all runs of that host; the age of an era was counted from when a host learns of it; entries were removed that their hosts may still rely on; and any recent claim of another host blocked new writers, of whichever era or purpose.

Now entries that are newer than the fence are told anew. A host that starts in a later era outwaits leases for 10 s. Entries of hosts in the table of hosts are kept.

--- a/mallowpass/core/proxy/claims.py
+++ b/mallowpass/core/proxy/claims.py
@@ -281,6 +281,14 @@
     def read_newest(self, service: str, handler: NewestClaimHandler) -> None:
         """Read the newest claim; the handler gets it, and whether it is current."""
 
+        def on_claim(claim: Claim | None, is_read: bool) -> None:
+            handler(claim, is_read and self._is_known_newest(claim))
+
+        self.read(service, on_claim)
+
+    def read(self, service: str, handler: NewestClaimHandler) -> None:
+        """Read the claim in the store, of whichever era; tell whether it was read."""
+
         def on_rows(reply: StoreReply) -> None:
             texts = [row.value for row in reply.rows if row.key.key == _ROW_KEY]
             try:
@@ -288,9 +296,7 @@
             except ValueError:
                 handler(None, False)
                 return
-            handler(
-                claim, reply.status is StoreStatus.DONE and self._is_known_newest(claim)
-            )
+            handler(claim, reply.status is StoreStatus.DONE)
 
         self._store.call(ListRows(Table.CLAIMS, service), on_rows)
 
--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -93,6 +93,8 @@
     began_at: float
     renewed_at: float
     hosts_version: int  # of the hosts' entries by which holders are told
+    # Of the store. A host that has entered itself since may have started since.
+    store_version: int
     unconfirmed: set[str] = field(default_factory=set)  # holders
     requests: dict[str, ControlRequest] = field(default_factory=dict)  # by holder
     targets: set[str] = field(default_factory=set)  # that holders were told
@@ -166,7 +168,14 @@
         attempt.fence_told = set()
         attempt.fence_confirmed = set()
         attempt.fence_refused = set()
-        task = _Task(attempt, handler, self.now, self.now, self.tables.hosts_version)
+        task = _Task(
+            attempt,
+            handler,
+            self.now,
+            self.now,
+            self.tables.hosts_version,
+            self._writers.known_version,
+        )
         self._tasks[service] = task
         task.targets.add(attempt.fence_target)
         own_name = self._node.identity.name
@@ -187,16 +196,27 @@
     def tell_writers(self, attempt: Replacement) -> None:
         """Have hosts fence an attempt's primary that became known after it began.
 
-        The fence counts as confirmed once these have confirmed it as well.
+        The fence counts as confirmed once these have confirmed it as well. A host that
+        has entered itself since may be another run of one that was told.
         """
-        task = self._tasks.get(attempt.group.service)
+        service = attempt.group.service
+        task = self._tasks.get(service)
         if task is None or task.attempt is not attempt:
             return
-        hosts = self._holders.possible_holders(attempt.group.service)
-        new = [host for host in hosts if host.name not in attempt.fence_told]
+        entered = self._writers.entered_since(service, task.store_version)
+        entered -= task.unconfirmed
+        new = [
+            host
+            for host in self._holders.possible_holders(service)
+            if host.name not in attempt.fence_told or host.name in entered
+        ]
         if not new:
             return
         names = {host.name for host in new}
+        if not attempt.order_count:
+            attempt.has_outwaited_leases = False
+        attempt.fence_confirmed -= names
+        attempt.fence_refused -= names
         attempt.fence_told |= names
         task.unconfirmed |= names
         if attempt.fence_outcome is FenceOutcome.CONFIRMED:
@@ -390,7 +410,10 @@
             elif forwarded.is_unconnected:
                 service = task.attempt.group.service
                 self._holders.forget_former(service, host.name)
-                self._writers.forget(service, host.name)
+                if host.name not in self._writers.entered_since(
+                    service, task.store_version
+                ):
+                    self._writers.forget(service, host.name)
                 task.attempt.fence_refused.add(host.name)
                 self._confirm(task, host.name)
             else:
--- a/mallowpass/core/proxy/hosts.py
+++ b/mallowpass/core/proxy/hosts.py
@@ -85,7 +85,7 @@
             # still in the store.
             is_entered = any(self._is_own_entry(row) for row in rows)
             if not self.tables.hosts_version:
-                self.tables.was_entered = is_entered
+                self.tables.was_in_hosts = is_entered
             if not is_entered:
                 self._register()
         for row in rows:
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -75,6 +75,7 @@
     Status,
 )
 from mallowpass.core.proxy.store import Store
+from mallowpass.core.proxy.storedorders import OrderStored
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
 from mallowpass.core.proxy.writers import Writers
 
@@ -172,6 +173,7 @@
         node.subscribe(WriteAcknowledged, self._on_acknowledged)
         node.subscribe(OrderFailed, self._on_order_failed)
         node.subscribe(ClaimExpired, self._on_claim_expired)
+        node.subscribe(OrderStored, self._on_order_stored)
 
     def is_replacing(self, service: str) -> bool:
         """Return whether this host is replacing a service's primary."""
@@ -319,8 +321,9 @@
     def _read_writers(self, attempt: Replacement, claim: Claim) -> None:
         """Read which hosts write directly, and have those fence the primary as well.
 
-        A host that enters itself later finds the claim.
+        A host that enters itself later finds the target that the claim names.
         """
+        attempt.are_writers_known = False
 
         def on_read(is_read: bool) -> None:
             if attempt.is_ended or attempt.claim is None:
@@ -331,12 +334,20 @@
                 self._give_up(attempt, "the entries of writers can't be read")
                 return
             attempt.writers_token = claim.token
+            attempt.are_writers_known = bool(claim.ordered)
             attempt.may_miss_writers = not self._writers.are_entries_complete
             self._fence_orders.tell_writers(attempt)
             self._continue_with_view(attempt)
 
         self._writers.read(attempt.group.service, on_read)
 
+    def _on_order_stored(self, signal: OrderStored) -> None:
+        """Read the entries once more if the claim had named no target before."""
+        attempt = signal.attempt
+        is_current = self._attempts.get(attempt.group.service) is attempt
+        if is_current and not attempt.are_writers_known and attempt.claim is not None:
+            self._read_writers(attempt, attempt.claim)
+
     def _continue_with_view(self, attempt: Replacement) -> None:
         """Decide a round that has waited for what is read after the claim."""
         if attempt.is_awaiting_view and attempt.is_view_current:
--- a/mallowpass/core/proxy/promotionorders.py
+++ b/mallowpass/core/proxy/promotionorders.py
@@ -15,6 +15,7 @@
 from mallowpass.core.proxy.effects import OrderPromotion
 from mallowpass.core.proxy.events import PromotionAnswered
 from mallowpass.core.proxy.fenceorders import FenceOrders
+from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.pendingfences import PendingFences
 from mallowpass.core.proxy.pendingorders import ACCEPTED_ORDER_TIMEOUT, PendingOrders
 from mallowpass.core.proxy.promotionevidence import evidence_fields, told_fields
@@ -25,6 +26,7 @@
 from mallowpass.core.proxy.statements import EndpointReply
 from mallowpass.core.proxy.storedorders import StoredOrders
 from mallowpass.core.proxy.tables import EndpointRow, ProxySystem
+from mallowpass.core.proxy.writers import Writers
 from mallowpass.core.records import record
 
 __all__ = [
@@ -70,6 +72,7 @@
         "_claims",
         "_demotion",
         "_fence_orders",
+        "_holders",
         "_pending_fences",
         "_quiescence",
         "_unanswered",
@@ -77,6 +80,7 @@
         "_replica_pauses",
         "_pending_orders",
         "_stored_orders",
+        "_writers",
     )
 
     def __init__(self, node: Node) -> None:
@@ -89,12 +93,14 @@
         self._claims = self._node.system(Claims)
         self._demotion = self._node.system(Demotion)
         self._fence_orders = self._node.system(FenceOrders)
+        self._holders = self._node.system(Holders)
         self._pending_fences = self._node.system(PendingFences)
         self._quiescence = self._node.system(Quiescence)
         self._replacement_log = self._node.system(ReplacementLog)
         self._replica_pauses = self._node.system(ReplicaPauses)
         self._pending_orders = self._node.system(PendingOrders)
         self._stored_orders = self._node.system(StoredOrders)
+        self._writers = self._node.system(Writers)
         self._node.subscribe(PromotionAnswered, self._on_answered)
 
     def order(self, attempt: Replacement) -> None:
@@ -108,15 +114,12 @@
 
         def on_stored(number: int | None) -> None:
             is_current = not attempt.is_ended and attempt.rounds == round_number
-            is_late = self._is_unfenced(attempt) or self._claims.is_view_outdated(
-                attempt.claim
-            )
-            if is_current and number is not None and is_late:
-                # This host was held up, and others may write to the primary again.
+            if is_current and number is not None and self._is_unfenced(attempt):
+                # This host was held up, and holders may write to the primary again.
                 self._pending_orders.note_answer(service, target, number, False)
                 self._node.publish(ClaimExpired(attempt))
             elif is_current and number is not None:
-                self._send_order(attempt, number)
+                self._send_once_known(attempt, number)
             elif number is not None:
                 self._pending_orders.note_answer(service, target, number, False)
             elif is_current and not self._claims.is_of_current_era(attempt.claim):
@@ -130,6 +133,31 @@
 
         self._stored_orders.store(attempt, on_stored)
 
+    def _send_once_known(self, attempt: Replacement, number: int) -> None:
+        """Send an order once it is read which hosts write directly.
+
+        If there are others than those that were told, another claim is taken.
+        """
+        is_outdated = self._claims.is_view_outdated(attempt.claim)
+        if attempt.are_writers_known and not is_outdated:
+            self._send_order(attempt, number)
+            return
+        round_number, target = attempt.rounds, attempt.target
+        service = attempt.group.service
+
+        def on_read(is_read: bool) -> None:
+            hosts = self._holders.possible_holders(service)
+            are_told = {host.name for host in hosts} <= attempt.fence_told
+            is_current = not attempt.is_ended and attempt.rounds == round_number
+            if is_current and is_read and (are_told or not attempt.has_fenced):
+                self._send_order(attempt, number)
+                return
+            self._pending_orders.note_answer(service, target, number, False)
+            if is_current:
+                self._node.publish(ClaimExpired(attempt))
+
+        self._writers.read(service, on_read)
+
     def _is_unfenced(self, attempt: Replacement) -> bool:
         """Return whether a fence that the comparison rests on may have ended."""
         if self._pending_fences.is_lifted(attempt.group.service):
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -83,6 +83,8 @@
     view_token: int = 0  # of the claim after which the entries were last read
     # Of the claim after which it was last read who writes directly, see `writers`.
     writers_token: int = 0
+    # They were read after the claim, or its renewal, had named a target.
+    are_writers_known: bool = False
     # Entries of writers may be missing, as the store came back from a copy.
     may_miss_writers: bool = False
     is_awaiting_view: bool = False  # this round is decided once they are read
--- a/mallowpass/core/proxy/storedorders.py
+++ b/mallowpass/core/proxy/storedorders.py
@@ -15,20 +15,29 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from mallowpass.core.messages import Signal
 from mallowpass.core.node import Node
 from mallowpass.core.positions import LogPosition
 from mallowpass.core.proxy.claims import Claim, Claims
 from mallowpass.core.proxy.pendingorders import PendingOrders
 from mallowpass.core.proxy.replacement import Replacement, ReplacementEnded
 from mallowpass.core.proxy.tables import ProxySystem
+from mallowpass.core.records import record
 
-__all__ = ["StoredOrders"]
+__all__ = ["OrderStored", "StoredOrders"]
 
 # Called with the number of the order, or None if another host has claimed since or the
 # store did not answer.
 StoredHandler = Callable[[int | None], None]
 
 
+@record
+class OrderStored(Signal):
+    """The claim of an attempt has come to name the target of its order."""
+
+    attempt: Replacement
+
+
 @dataclass(slots=True, eq=False)
 class _Order:
     """An order that is being stored, or is stored and not sent yet."""
@@ -139,6 +148,7 @@
                 order.handler(None)
             return
         order.is_stored = True
+        self._node.publish(OrderStored(attempt))
         self._deliver(order)
 
     def _deliver(self, order: _Order) -> None:
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -502,8 +502,8 @@
     sessions: dict[int, SessionRow] = field(default_factory=dict)
     hosts: dict[str, HostRow] = field(default_factory=dict)  # including this one
     hosts_version: int = 0  # grows with each change of `hosts`; 0: not known yet
-    # This host's entry was in the store before its start, so all others know it.
-    was_entered: bool = False
+    # This host's entry was in the store before its start.
+    was_in_hosts: bool = False
     links: dict[int, LinkRow] = field(default_factory=dict)
 
     def group(self, service: str) -> GroupRow:
--- a/mallowpass/core/proxy/writeleases.py
+++ b/mallowpass/core/proxy/writeleases.py
@@ -169,7 +169,7 @@
             return False
         if primary is None or not self._needs_lease(primary):
             return False
-        if not self._writers.may_write(group):
+        if not self._writers.request_permission(group):
             return True
         if self._may_send(group):
             return False
@@ -285,7 +285,7 @@
         """Ask for a first lease on a primary, if this host is to write to it."""
         if group.primary != primary or not self._holders.holds(group.service):
             return
-        self._writers.may_write(group)
+        self._writers.request_permission(group)
         if self.now >= self._renewed_at(group) + RENEWAL_TIME / 2:
             self._ask(group, self._lease(group))
 
--- a/mallowpass/core/proxy/writers.py
+++ b/mallowpass/core/proxy/writers.py
@@ -6,17 +6,18 @@
 and one that lost the store may count itself as a holder by an older table of hosts.
 
 So each host enters itself before its first commit, and reads the claim after that.
-Whoever claims reads the entries after the claim. Of the two, at least one finds the
-other: either the entry was there as the entries were read, and its host is told of the
-fence; or the claim was there as it was read, and the host waits until no promotion may
-be ordered under it.
+Whoever claims reads the entries once the claim names the target of the promotion. One
+of the two finds the other: either the entry was there as the entries were read, and its
+host is told of the fence; or the claim named a target as it was read, and the host
+waits until no promotion is pending.
 
 An entry outlasts the connection of its host to the store, and its process. It is
 removed by its host once that neither is a holder nor has connections of its own, or by
 a host that finds nobody at its address.
 
 A host that is no holder, and can't enter itself, writes nothing directly. A holder that
-has just started does after a moment: all others know it from the table of hosts.
+was in the table of hosts as it started does after a moment, if the store does not
+answer: others take it for one as well, unless their plan has changed.
 """
 
 from __future__ import annotations
@@ -25,7 +26,7 @@
 from dataclasses import dataclass
 
 from mallowpass.core.node import Node
-from mallowpass.core.proxy.claims import CLAIM_TIMEOUT, Claim, Claims
+from mallowpass.core.proxy.claims import Claim, Claims
 from mallowpass.core.proxy.holders import Holders
 from mallowpass.core.proxy.shares import Shares
 from mallowpass.core.proxy.signals import (
@@ -59,13 +60,17 @@
 # Without an answer, after which a write is refused that only this host could run, and
 # after which a holder that has just started writes without an entry.
 ENTRY_TIMEOUT = 0.5
+LOG_DELAY = 1.0  # without the permission
 REWRITE_DELAY_MAX = 0.5  # over which hosts spread their entries of a new era
 # After a new era of the store: a host that is cut off from the others learns of it as
 # its call for changes ends.
 REENTRY_TIME = 10.0
+FIRST_ERA = 1  # of a store that was never restored
 LOOK_INTERVAL = 5.0  # between two looks for entries that are not needed any more
 
-NOT_A_WRITER_MESSAGE = "this host is cut off from the holders of its service"
+FOLLOWED_TABLES = (Table.CONFIGURATION, Table.ENDPOINTS, Table.HOSTS)
+
+NOT_A_WRITER_MESSAGE = "this host is not entered as a writer of its service"
 
 # Called with whether the entries were read.
 ReadHandler = Callable[[bool], None]
@@ -79,6 +84,8 @@
     version: int = 0  # of the row; 0: the store has not confirmed it
     is_permitted: bool = False  # no promotion is ordered without telling this host
     is_busy: bool = False  # a call to the store, or the pause before it, is under way
+    is_ordered: bool = False  # a promotion may be, by the claim that was read last
+    is_logged: bool = False  # it was told that the permission is awaited
     has_joined: bool = False  # as a holder, so that others may not know it yet
 
 
@@ -92,6 +99,7 @@
         "_holders",
         "_is_draining",
         "_shares",
+        "_started_at",
         "_store",
         "_versions",
     )
@@ -103,6 +111,7 @@
         self._versions: dict[str, dict[str, int]] = {}
         self._is_draining = False
         self._era_since = float("-inf")
+        self._started_at = node.timers.now
 
     def start(self) -> None:
         """Subscribe to what makes an entry needed, or lost."""
@@ -118,8 +127,8 @@
 
     # -- Permission ----------------------------------------------------------
 
-    def may_write(self, group: GroupRow) -> bool:
-        """Return whether this host may send commits on connections of its own.
+    def request_permission(self, group: GroupRow) -> bool:
+        """Return whether this host may send commits directly; else enter it.
 
         If not, `ConnectionFreed` is published for the primary once it may.
         """
@@ -130,7 +139,8 @@
             return True
         self._enter(group, entry)
         # A holder that has just started is told of fences by the table of hosts.
-        return self._is_known_holder(group, entry) and self._is_overdue(entry)
+        is_known = self._is_known_holder(group, entry) and not entry.is_ordered
+        return is_known and self._is_overdue(entry)
 
     def is_permitted(self, service: str) -> bool:
         """Return whether this host has the permission for a service's endpoints."""
@@ -166,7 +176,7 @@
 
     def _is_known_holder(self, group: GroupRow, entry: _Entry) -> bool:
         """Return whether other hosts know this one as a holder by its host's entry."""
-        is_known = self.tables.was_entered and not entry.has_joined
+        is_known = self.tables.was_in_hosts and not entry.has_joined
         return is_known and self._holders.holds(group.service)
 
     def _on_holder_joined(self, signal: HolderJoined) -> None:
@@ -178,7 +188,7 @@
         """Enter this host while it opens its first connection."""
         group = self.tables.group(signal.endpoint.entry.service)
         if group.primary_row is signal.endpoint:
-            self.may_write(group)
+            self.request_permission(group)
 
     # -- This host's entries -------------------------------------------------
 
@@ -218,32 +228,46 @@
         return ChangeRows(puts=((self._key(service, row.name), row.encode()),))
 
     def _read_claim(self, group: GroupRow, entry: _Entry) -> None:
-        def on_claim(claim: Claim | None, is_known: bool) -> None:
+        def on_claim(claim: Claim | None, is_read: bool) -> None:
             if self._entries.get(group.service) is not entry:
                 return
-            if is_known and entry.version and not self._may_be_ordered(group, claim):
+            # In a new era, hosts need time to write their orders again.
+            is_known = is_read and self._store.is_settled
+            entry.is_ordered = is_known and self._may_be_ordered(group, claim)
+            if is_known and entry.version and not entry.is_ordered:
                 entry.is_busy = False
                 entry.is_permitted = True
                 self._wake(group)
             else:
                 self._retry_later(group, entry)
 
-        self._claims.read_newest(group.service, on_claim)
+        self._claims.read(group.service, on_claim)
 
     def _may_be_ordered(self, group: GroupRow, claim: Claim | None) -> bool:
-        """Return whether the host of a claim may order without telling this one.
+        """Return whether a promotion may be ordered that was not told this host.
 
-        Once a claim is as old as that, its host reads the entries anew.
+        The host of a claim that names no target reads the entries once more after it
+        has named one.
         """
         if claim is None or claim.holder == self._node.identity.name:
             return False
-        if claim.rivals(group.primary, self._store.time):
-            return True
-        if claim.is_released or claim.confirms_primary(group.primary):
-            return False
-        return self._claims.age(claim) < CLAIM_TIMEOUT
+        time = self._store.time or 0.0
+        targets = {t for t, _ in claim.ordered if claim.fenced_until(t) > time}
+        primary = group.primary_row
+        if primary is not None and primary.entry.is_primary:
+            targets.discard(primary.name)
+        return bool(targets)
 
     def _retry_later(self, group: GroupRow, entry: _Entry) -> None:
+        if self.now >= entry.began_at + LOG_DELAY and not entry.is_logged:
+            entry.is_logged = True
+            why = "the store does not answer"
+            if entry.is_ordered:
+                why = "a promotion may be ordered"
+            self._node.log(
+                "warning", "write_permission_awaited", service=group.service, why=why
+            )
+
         def retry() -> None:
             if self._entries.get(group.service) is entry:
                 entry.is_busy = False
@@ -323,8 +347,11 @@
 
     @property
     def are_entries_complete(self) -> bool:
-        """Return whether hosts have had time to write entries that the store lost."""
-        return self.now >= self._era_since + REENTRY_TIME
+        """Return whether hosts had time to write entries that the store lost."""
+        since = self._era_since
+        if self._store.era > FIRST_ERA:
+            since = max(since, self._started_at)  # it may have begun just before
+        return self.now >= since + REENTRY_TIME
 
     def read(self, service: str, handler: ReadHandler) -> None:
         """Read which hosts may write to a service's endpoints directly."""
@@ -352,8 +379,20 @@
         self._versions[service] = {row.key.key: row.version for row in rows}
         self._holders.note_writers(service, hosts)
 
+    def entered_since(self, service: str, version: int) -> set[str]:
+        """Return the hosts whose entry, as last read, is newer than a version."""
+        versions = self._versions.get(service, {})
+        return {host for host, entered in versions.items() if entered > version}
+
+    @property
+    def known_version(self) -> int:
+        """Return a version that the store had reached by now."""
+        return max(self._store.feeds.version(table) for table in FOLLOWED_TABLES)
+
     def forget(self, service: str, host: str) -> None:
-        """Remove the entry of another host whose process is gone."""
+        """Remove the entry of another host whose process is gone for good."""
+        if host in self.tables.hosts:
+            return  # it may start again, and lose the store before it enters itself
         version = self._versions.get(service, {}).pop(host, 0)
         if version:
             self._remove(service, host, version)
