--- a/tests/core/proxy/test_guarded_writes.py
+++ b/tests/core/proxy/test_guarded_writes.py
@@ -22,6 +22,7 @@
     order_in_vain,
     run_until_after,
 )
+from tests.fakes import fleets
 from tests.fakes.guardplay import GuardPlay
 
 # Times are in seconds.
@@ -42,6 +43,8 @@
     ("spare", 3, 8),
     ("spare", 3, 14),
 )
+# The same where few hosts are holders.
+LARGE_PLAYS = (("kill", 3, 2), ("cut", 3, 8), ("freeze", 3, 2))
 
 
 def run_until_relaxed(world: ProxyWorld, how: str = "cut") -> tuple[Host, str, str]:
@@ -128,3 +131,15 @@
     assert play.is_struck
     assert play.world.group.lost == []
     assert play.world.group.unguarded == []
+
+
+@pytest.mark.parametrize(("how", "members", "seed"), LARGE_PLAYS)
+def test_no_commit_of_a_large_fleet_is_lost_as_the_guard_is_struck(
+    how: str, members: int, seed: int
+):
+    """Guard against commits of hosts behind holders that the target lacks."""
+    play = GuardPlay(seed, members, how, fleets.LARGE)
+    play.run()
+    assert play.is_struck
+    assert play.world.group.lost == []
+    assert play.world.group.unguarded == []
--- a/tests/core/proxy/test_killed_worlds.py
+++ b/tests/core/proxy/test_killed_worlds.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from tests.fakes.fleets import LARGE
 from tests.fakes.killedplay import KilledPlay
 
 # Ways to strike the host, numbers of members, and seeds.
@@ -28,6 +29,8 @@
     ("lose_all", 3, 35),
     ("lose_all", 3, 90),
 )
+# The same where few hosts are holders.
+LARGE_PLAYS = (("kill", 3, 14),)
 
 
 @pytest.mark.parametrize(("how", "members", "seed"), PLAYS)
@@ -41,6 +44,17 @@
     assert play.world.group.unguarded == []
 
 
+@pytest.mark.parametrize(("how", "members", "seed"), LARGE_PLAYS)
+def test_no_commit_of_a_large_fleet_is_lost_by_a_pending_order(
+    how: str, members: int, seed: int
+):
+    """Guard against commits of hosts behind holders, lost as an order has no host."""
+    play = KilledPlay(seed, members, how, LARGE)
+    play.run()
+    assert play.world.group.lost == []
+    assert play.world.group.unguarded == []
+
+
 def test_a_seed_repeats_its_play():
     """Guard against findings that their seed does not show again."""
     first, second = KilledPlay(14), KilledPlay(14)
--- a/tests/core/proxy/test_strict_worlds.py
+++ b/tests/core/proxy/test_strict_worlds.py
@@ -8,9 +8,11 @@
 
 import pytest
 
+from tests.fakes.fleets import LARGE
 from tests.fakes.strictplay import StrictPlay
 
 SEEDS = (*range(1, 6), 32, 50, 85, 100, 112)
+LARGE_SEEDS = (1,)  # where few hosts are holders
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -21,6 +23,14 @@
     assert play.world.group.lost == []
 
 
+@pytest.mark.parametrize("seed", LARGE_SEEDS)
+def test_no_acknowledged_commit_of_a_large_fleet_is_lost(seed: int):
+    """Guard against commits of hosts behind holders, lost where faults overlap."""
+    play = StrictPlay(seed, fleet=LARGE)
+    play.run()
+    assert play.world.group.lost == []
+
+
 def test_a_seed_repeats_its_play():
     """Guard against findings that their seed does not show again."""
     first, second = StrictPlay(1), StrictPlay(1)
--- a/tests/core/proxy/test_unconfirmed_holders.py
+++ b/tests/core/proxy/test_unconfirmed_holders.py
@@ -14,6 +14,7 @@
     new_world,
     run_until_ordered,
 )
+from tests.fakes.fleets import LARGE
 from tests.fakes.orderplay import OrderPlay
 
 # Ways to strike the holders, numbers of members, and seeds.
@@ -28,6 +29,12 @@
     ("freeze", 3, 10),
     ("kill", 3, 1),
 )
+# The same where few hosts are holders.
+LARGE_PLAYS = (
+    ("alone_with_store", 3, 1),
+    ("island", 3, 2),
+    ("freeze", 4, 3),
+)
 # Times are in seconds.
 DOWN_TIME = 0.05  # of the replica that restarts
 RESTART_DELAY = 0.1  # from the order until then
@@ -66,6 +73,18 @@
     assert play.world.group.unguarded == []
 
 
+@pytest.mark.parametrize(("how", "members", "seed"), LARGE_PLAYS)
+def test_no_commit_of_a_large_fleet_is_lost_as_holders_do_not_confirm_a_fence(
+    how: str, members: int, seed: int
+):
+    """Guard against commits of hosts that connect past the holders that are struck."""
+    play = OrderPlay(seed, members, how, fleet=LARGE)
+    play.run()
+    assert play.world.orders
+    assert play.world.group.lost == []
+    assert play.world.group.unguarded == []
+
+
 def test_no_commit_is_lost_by_late_orders_of_several_claims():
     """Guard against a fence that ends with one lead as a newer order is pending."""
     play = OrderPlay(23, 3, "slow", beside=("drain", "late"))
