--- a/mallowpass/standins/proxied/replicas.py
+++ b/mallowpass/standins/proxied/replicas.py
@@ -268,7 +268,7 @@
         before = self.replicas.pop(name)
         replica = Replica(successor, self._clock, term=before.term)
         replica.distance = before.distance
-        replica.log = before.log
+        replica.log = list(before.log)
         replica.applied = len(replica.log)
         replica.is_primary = before.is_primary and self._leader == name
         self.replicas[successor] = replica
