--- a/tests/core/proxy/test_guarded_writes.py
+++ b/tests/core/proxy/test_guarded_writes.py
@@ -41,6 +41,7 @@
     ("freeze", 3, 14),
     ("spare", 3, 8),
     ("spare", 3, 14),
+    ("unseen", 3, 14),
 )
 
 
--- a/tests/core/proxy/test_remainders.py
+++ b/tests/core/proxy/test_remainders.py
@@ -12,18 +12,33 @@
 
 # Cases, numbers of members, and seeds.
 PLAYS = (
+    ("back_as_replica", 3, 1),
+    ("ended_evidence", 3, 4),
     ("exit_cut", 3, 2),
     ("exit_cut", 3, 4),
     ("exit_hung", 3, 1),
     ("exit_hung", 3, 6),
+    ("fleet_start", 3, 3),
     ("heir_left", 3, 4),
     ("heir_left", 3, 20),
+    ("late_learned", 3, 1),
     ("lease_after_restart", 3, 4),
     ("lease_after_restart", 3, 14),
     ("lease_in_settle", 3, 7),
     ("lease_in_settle", 3, 12),
     ("lone_after_order", 3, 15),
     ("lone_after_order", 3, 20),
+    ("new_row", 3, 1),
+    ("no_lease", 3, 20),
+    ("no_store", 3, 1),
+    ("no_tokens", 3, 1),
+    ("no_tokens_goes_on", 3, 1),
+    ("no_tokens_killed", 3, 30),
+    ("no_tokens_killed", 3, 58),
+    ("no_tokens_late", 3, 1),
+    ("older_lead", 3, 69),
+    ("restart_after_wait", 3, 1),
+    ("unlinked_slow", 3, 1),
 )
 
 
--- a/tests/fakes/guardplay.py
+++ b/tests/fakes/guardplay.py
@@ -18,7 +18,7 @@
 
 __all__ = ["WAYS", "GuardPlay"]
 
-WAYS = ("kill", "freeze", "cut", "spare")
+WAYS = ("kill", "freeze", "cut", "spare", "unseen", "lose_platform")
 WARM_UP = 2.0  # seconds
 DURATION = 18.0  # seconds from the primary's fault to the end
 LOOK_INTERVAL = 0.01  # seconds between two looks for a guard that lets writes run
@@ -92,7 +92,8 @@
 
     def _flap(self, replica) -> None:
         if replica.up and not replica.is_primary:
-            self._crash(replica, False, *RESTART_TIMES)
+            is_unseen = self._how == "unseen"  # no connection is reset
+            self._crash(replica, is_unseen, *RESTART_TIMES)
 
     def _freeze(self, host: Host) -> None:
         duration = self._random.uniform(*FROZEN_TIMES)
@@ -107,6 +108,14 @@
     def _spare(self, host: Host) -> None:
         self.world.note(f"{host.name} is the guard")
 
+    def _unseen(self, host: Host) -> None:
+        self._spare(host)
+
+    def _lose_platform(self, host: Host) -> None:
+        """Cut a host off from what carries out its orders."""
+        host.cut_from.add("orders")
+        self.world.note(f"{host.name} reaches no platform")
+
 
 def _say(text: str) -> None:
     print(text, flush=True)
--- a/tests/fakes/remainderplay.py
+++ b/tests/fakes/remainderplay.py
@@ -16,6 +16,8 @@
 
 from mallowpass.core.proxy import effects
 from mallowpass.core.proxy.statements import Write
+from mallowpass.core.proxy.tables import EndpointRow, GroupRow
+from mallowpass.core.proxy.writeleases import WriteLeases
 from mallowpass.standins.proxied.replicas import Replica
 from mallowpass.standins.proxied.virtual.hosts import Host
 from tests.fakes.orderplay import ALONE_TIMES, CUT_TIMES, RESTART_TIMES, OrderPlay
@@ -30,6 +32,18 @@
 DARK_SHARE = 0.5  # of the restarts that no host is told of
 
 
+class _NoLeases(WriteLeases):
+    """Let commits be sent at any time, as hosts of an earlier version do."""
+
+    __slots__ = ()
+
+    def _may_send(self, group: GroupRow) -> bool:
+        return True
+
+    def _needs_lease(self, primary: EndpointRow) -> bool:
+        return False
+
+
 class RemainderPlay(OrderPlay):
     """Hold a world with the conditions of one line."""
 
@@ -221,6 +235,26 @@
     def _lead_lone_after_order(self, successor: Replica) -> None:
         self._idle.clear()
 
+    def _begin_older_lead(self) -> None:
+        """Have the order of an older claim be carried out before that of a newer."""
+        self._begin_lone_after_order()
+
+    def _order_older_lead(self, host: Host, order: effects.OrderPromotion) -> None:
+        if len(self.world.orders) > 1:
+            return
+        target = self.world.group.replicas[order.endpoint]
+        self.world.group.cut(target.name, {self._first.name})
+        self._later(12.0, 14.0, self._heal)
+        names = {other.name for other in self._others(self._lone)}
+        self._cut_from(self._lone, names, (13.0, 15.0))
+
+    def _lead_older_lead(self, successor: Replica) -> None:
+        """Have the targets of orders that are still pending receive nothing."""
+        for order in self.world.group.orders.all:
+            if order.target not in ("", successor.name):
+                self.is_met = True
+                self.world.group.cut(order.target, {successor.name})
+
     def _begin_settle_silent(self) -> None:
         """Have lone hosts beside an order that is settled in favour of an heir."""
         self._begin_lone_after_order()
@@ -360,13 +394,43 @@
         self._delay_promotions()
         self._begin_no_tokens()
 
+    def _order_no_tokens_late(self, host: Host, order: effects.OrderPromotion) -> None:
+        """Have the target receive nothing from the primary until it leads."""
+        self.world.group.cut(order.endpoint, {self._first.name})
+        self._later(12.0, 14.0, self._heal)
+
+    def _begin_no_tokens_killed(self) -> None:
+        """Have hosts end there that have sent a late order."""
+        self._begin_no_tokens_late()
+
+    def _order_no_tokens_killed(
+        self, host: Host, order: effects.OrderPromotion
+    ) -> None:
+        self._order_no_tokens_late(host, order)
+        self._later(0.0, 0.2, self._kill, host)
+
+    def _begin_no_tokens_goes_on(self) -> None:
+        """Have late orders there, and a primary that goes on beside its successor."""
+        self.world.group.goes_on = True
+        self._begin_no_tokens_late()
+
+    def _order_no_tokens_goes_on(
+        self, host: Host, order: effects.OrderPromotion
+    ) -> None:
+        self._order_no_tokens_late(host, order)
+
+    def _order_no_store(self, host: Host, order: effects.OrderPromotion) -> None:
+        """Have the target receive nothing from the primary until it leads."""
+        self.world.group.cut(order.endpoint, {self._first.name})
+        self._later(12.0, 14.0, self._heal)
+
     def _begin_no_store(self) -> None:
         """Have some hosts without the store beside late orders."""
         self._delay_promotions()
         self.is_met = True
         some = self._chosen(1, 3, self._all)
         self._cut_from(some, {"store"}, (4.0, 12.0))
-        others = self._chosen(2, 4, self._all)
+        others = self._others(self._chosen(1, 2, self._others(some)))
         self._later(0.0, 1.0, self._cut_from, others, {self._first.name}, CUT_TIMES)
 
     # -- What hosts know -----------------------------------------------------
@@ -384,6 +448,14 @@
         others = [host for host in self.world.hosts if host.name not in reaching]
         self._later(0.3, 1.2, self._cut_from, others, {self._first.name}, CUT_TIMES)
 
+    def _begin_no_lease(self) -> None:
+        """Have lone hosts of a version that writes without a lease."""
+        self.is_met = True
+        lone = self._chosen(1, 2, self._all)
+        for host in lone:
+            host.node.system(WriteLeases).__class__ = _NoLeases
+        self._leave_alone(lone, {"store"})
+
     def _begin_fleet_start(self) -> None:
         """Have all hosts start again as the primary is lost for some."""
         self.is_met = True
