--- a/tests/core/proxy/test_guarded_writes.py
+++ b/tests/core/proxy/test_guarded_writes.py
@@ -42,6 +42,7 @@
     ("freeze", 3, 14),
     ("spare", 3, 8),
     ("spare", 3, 14),
+    ("unseen", 3, 14),
 )
 # The same where few hosts are holders.
 LARGE_PLAYS = (("kill", 3, 2), ("cut", 3, 8), ("freeze", 3, 2))
