Count an ended pause only where the store is silent

What was seen: test_primary_serves_while_a_silent_replica_prevents_its_replacement failed since pauses count once they have ended: no commit for 14.5 s.

Cause: hosts that can't order a promotion pause the replicas again and again, and name a target in the claim meanwhile. A replica that had been paused had each holder read the claim, which denied the lease.

A host that hears the store goes by the pauses of the moment, as before.

--- a/mallowpass/core/proxy/writeleases.py
+++ b/mallowpass/core/proxy/writeleases.py
@@ -12,9 +12,9 @@
 that this host was told of in time.
 
 Where writes are rare, or wait for a replica, the members are asked for their status. A
-replica that is paused for a newer term than the primary's, or was so lately that an
-order may be pending, proves the contrary, as does one that may have restarted just now,
-which ends a pause. Then the claim in the store decides.
+replica that is paused for a newer term than the primary's, or that may have restarted
+just now, which ends a pause, proves the contrary. Without the store, so does one that
+was paused while an order may be late. Then the claim in the store decides.
 A host that gets no proof holds back its commits, and gives up those that are in flight.
 
 The members are all that is needed, so a failure domain that was cut off with its
@@ -447,12 +447,13 @@
     def _was_paused(self, lease: _Lease, name: str, term: int) -> bool:
         """Return whether a replica was paused for a promotion that may be pending.
 
-        Whoever replaces the primary has the target receive for a moment, and can't
-        pause a replica again that restarts out of its reach.
+        Its pause may have ended with a restart, out of the reach of whoever replaces
+        the primary. It counts without the store only: attempts that order nothing
+        would hold writes.
         """
-        paused_for, seen_at = lease.last_pauses.get(name, (0, 0.0))
-        if not (self._has_store() or self.tables.promotion_fences_primary):
+        if self._has_store() or not self.tables.promotion_fences_primary:
             return False
+        paused_for, seen_at = lease.last_pauses.get(name, (0, 0.0))
         return paused_for > term and self.now < seen_at + LATE_ORDER_TIMEOUT
 
     def _check_contradiction(
