--- a/tests/core/proxy/test_remainders.py
+++ b/tests/core/proxy/test_remainders.py
@@ -26,6 +26,8 @@
     ("lease_after_restart", 3, 14),
     ("lease_in_settle", 3, 7),
     ("lease_in_settle", 3, 12),
+    ("lease_with_store", 3, 8),
+    ("lease_with_store", 3, 18),
     ("lone_after_order", 3, 15),
     ("lone_after_order", 3, 20),
     ("new_row", 3, 1),
--- a/tests/fakes/remainderplay.py
+++ b/tests/fakes/remainderplay.py
@@ -184,6 +184,13 @@
 
     def _begin_lease_after_restart(self) -> None:
         """Have a lone host without the store ask a replica that nobody pauses again."""
+        self._ask_after_restart({"store"})
+
+    def _begin_lease_with_store(self) -> None:
+        """Have such a host reach the store."""
+        self._ask_after_restart(set())
+
+    def _ask_after_restart(self, names: set[str]) -> None:
         world = self.world
         world.orders_lost = 99
         world.orders_late = self._random.uniform(4.0, 9.0)
@@ -191,7 +198,7 @@
         self._is_unseen = False
         others = {host.name for host in self._others(self._lone)}
         self._cut_from(self._others(self._lone), {self._first.name}, (10.0, 12.0))
-        self._cut_from(self._lone, others | {"store"}, (10.0, 12.0))
+        self._cut_from(self._lone, others | names, (10.0, 12.0))
 
     def _order_lease_after_restart(
         self, host: Host, order: effects.OrderPromotion
@@ -207,6 +214,11 @@
         for other in self._others(self._lone):
             self._later(0.05, 0.15, self._cut_from, [other], names, (8.0, 9.0))
 
+    def _order_lease_with_store(
+        self, host: Host, order: effects.OrderPromotion
+    ) -> None:
+        self._order_lease_after_restart(host, order)
+
     def _begin_lone_after_order(self) -> None:
         """Have hosts be alone that have confirmed the fence of a late order."""
         world = self.world
