Take a claim anew beside a renewal by the same host

Cause: a host whose claim expires takes another one. If its renewal of the present claim is under way, the store refuses the later call, and the row that comes with the refusal is the one that the renewal has told of just before. So nothing new was learned by the refusal, and the host did not try again.

It tries again now unless what it knows is still what it had expected as it called. The test fails on the code before (the second claim is None).

--- a/mallowpass/core/proxy/claims.py
+++ b/mallowpass/core/proxy/claims.py
@@ -245,7 +245,7 @@
                 retry = partial(
                     self.take, service, primary, handler, min_age, target, gone
                 )
-                self._on_conflict(service, handler, reply.rows, retry)
+                self._on_conflict(service, handler, reply.rows, version, retry)
             else:
                 self._on_reply(service, claim, handler, reply)
 
@@ -515,12 +515,17 @@
         service: str,
         handler: ClaimHandler,
         rows: tuple[Row, ...],
+        expected: int,
         retry: Callable[[], None],
     ) -> None:
-        before = self._known.get(service)
+        """Try again, unless nothing newer is known than the version that was expected.
+
+        A renewal by this host may have been under way.
+        """
         self._record(service, rows)
-        self._log(service, self._known.get(service, (0, None))[1], "changed meanwhile")
-        if self._known.get(service) == before:
+        version, known = self._known.get(service, (0, None))
+        self._log(service, known, "changed meanwhile")
+        if version == expected:
             handler(None)
             return
         retry()
--- a/tests/core/proxy/test_claims.py
+++ b/tests/core/proxy/test_claims.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from mallowpass.core.positions import LogPosition
 from mallowpass.core.proxy.claims import Claim, Claims
 from mallowpass.core.proxy.pendingorders import PendingOrders
 from mallowpass.core.proxy.statements import Code, Write
@@ -139,3 +140,19 @@
     world.run_until(lambda: world.group.promotions == 2, 10.0)
     assert world.group.promotions == 2
     assert world.orders[-1].fencing_token > world.orders[0].fencing_token
+
+
+def test_claim_is_taken_anew_beside_a_renewal_by_the_same_host():
+    """Guard against a host that takes its own renewal for the claim of another one."""
+    world = ProxyWorld(hosts=2)
+    world.run(1.0)
+    claims = world.hosts[0].node.system(Claims)
+    taken: list[Claim | None] = []
+    claims.take(SERVICE, "db-casa", taken.append)
+    world.run(1.5)
+    (claim,) = taken
+    claims.raise_must_hold(SERVICE, claim, LogPosition(1, 1), lambda renewed: None)
+    claims.take(SERVICE, "db-casa", taken.append)
+    world.run(1.5)
+    assert taken[1] is not None
+    assert taken[1].token > claim.token
