Tell runs of a writer apart, and name targets that were ordered in claims

Cause: hosts whose entries are newer than a fence are told again, since another run of them may have entered itself. What the store had reached by the beginning of the fence was known by changes of tables alone, which may be old; so holders that had entered themselves long before were told once more, and each order waited for a second round of confirmations. A planned claim named no target though its attempt had ordered one, so that the entries were read twice. And leases were outwaited for 10 s after each restore.

Entries tell the run of their host, and only another run is told again; the newest version comes with each reply of the store. A claim of a planned replacement names the target that was ordered before.

--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -53,6 +53,7 @@
     LogPosition,
     owner_name,
 )
+from mallowpass.core.proxy.store import Store
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, HostRow, ProxySystem
 from mallowpass.core.proxy.writers import Writers
 
@@ -115,6 +116,7 @@
         "_forwarded_orders",
         "_holders",
         "_owner",
+        "_store",
         "_tasks",
         "_tokens",
         "_writers",
@@ -134,6 +136,7 @@
         self._fencing = self._node.system(Fencing)
         self._forwarded_orders = self._node.system(ForwardedOrders)
         self._holders = self._node.system(Holders)
+        self._store = self._node.system(Store)
         self._writers = self._node.system(Writers)
         self._node.subscribe(PrimarySuspected, self._on_suspected)
         self._node.subscribe(PrimarySteppedDown, self._on_stepped_down)
@@ -174,7 +177,7 @@
             self.now,
             self.now,
             self.tables.hosts_version,
-            self._writers.known_version,
+            self._store.newest_version,
         )
         self._tasks[service] = task
         task.targets.add(attempt.fence_target)
@@ -213,7 +216,7 @@
         if not new:
             return
         names = {host.name for host in new}
-        if not attempt.order_count:
+        if not attempt.order_count and names - attempt.fence_told:
             attempt.has_outwaited_leases = False
         attempt.fence_confirmed -= names
         attempt.fence_refused -= names
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -242,10 +242,20 @@
             attempt.primary,
             lambda claim: self._on_claim(attempt, claim, call),
             min_age,
-            self._likely_target(attempt) if attempt.reason.is_failure else "",
+            self._target_to_name(attempt),
             attempt.gone_host,
         )
 
+    def _target_to_name(self, attempt: Replacement) -> str:
+        """Return the target that a claim names before an order is stored with it.
+
+        A planned replacement names one that it has ordered before: hosts that enter
+        themselves as writers are then known as soon as the claim is taken.
+        """
+        if attempt.reason.is_failure:
+            return self._likely_target(attempt)
+        return attempt.target if attempt.order_count else ""
+
     def _likely_target(self, attempt: Replacement) -> str:
         """Return the replica that an attempt most likely promotes.
 
@@ -335,7 +345,6 @@
                 return
             attempt.writers_token = claim.token
             attempt.are_writers_known = bool(claim.ordered)
-            attempt.may_miss_writers = not self._writers.are_entries_complete
             self._fence_orders.tell_writers(attempt)
             self._continue_with_view(attempt)
 
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -85,8 +85,6 @@
     writers_token: int = 0
     # They were read after the claim, or its renewal, had named a target.
     are_writers_known: bool = False
-    # Entries of writers may be missing, as the store came back from a copy.
-    may_miss_writers: bool = False
     is_awaiting_view: bool = False  # this round is decided once they are read
     target: str = ""  # the replica to promote; empty: not chosen yet
     is_survey: bool = False  # this round reads log positions and pauses no replica
@@ -168,11 +166,8 @@
     @property
     def must_outwait_leases(self) -> bool:
         """Return whether a host that was not told may write to the primary."""
-        if self.has_outwaited_leases:
-            return False
-        if self.fence_outcome is FenceOutcome.CONFIRMED:
-            return self.may_miss_writers
-        return self.fence_outcome is FenceOutcome.UNPROVEN
+        is_unproven = self.fence_outcome is FenceOutcome.UNPROVEN
+        return is_unproven and not self.has_outwaited_leases
 
     def may_receive(self, name: str) -> bool:
         """Return whether a replica receives while the others are compared."""
--- a/mallowpass/core/proxy/store.py
+++ b/mallowpass/core/proxy/store.py
@@ -91,6 +91,7 @@
         "_feeds",
         "_last_reply_at",
         "_limits",
+        "_newest_version",
         "_prober",
         "_relay_calls",
         "_relays",
@@ -112,6 +113,7 @@
         self._failing_since: float | None = None
         self._last_reply_at = node.timers.now
         self._limits = {table: follow_limits(self.tables, table) for table in Table}
+        self._newest_version = 0
         self._prober: Watch | None = None
         self._relay_calls: set[int] = set()  # numbers of calls to relays
         self._started_at = node.timers.now
@@ -151,6 +153,11 @@
         """Return the newest known era of the store; 0: not known yet."""
         return self._era
 
+    @property
+    def newest_version(self) -> int:
+        """Return the newest version of the store that a reply has told."""
+        return self._newest_version
+
     @property
     def has_been_restored(self) -> bool:
         """Return whether the store was restored from a backup while this host ran."""
@@ -318,6 +325,7 @@
         if not failed:
             self._last_reply_at = self.now
             self._note_era(reply.era)
+            self._newest_version = max(self._newest_version, reply.version)
         if event.call in self._relay_calls:
             # The reply of a relay shows nothing about the store's connection to this
             # host.
--- a/mallowpass/core/proxy/writers.py
+++ b/mallowpass/core/proxy/writers.py
@@ -52,6 +52,7 @@
     HostRow,
     ProxySystem,
 )
+from mallowpass.core.records import record
 
 __all__ = ["NOT_A_WRITER_MESSAGE", "Writers"]
 
@@ -62,14 +63,8 @@
 ENTRY_TIMEOUT = 0.5
 LOG_DELAY = 1.0  # without the permission
 REWRITE_DELAY_MAX = 0.5  # over which hosts spread their entries of a new era
-# After a new era of the store: a host that is cut off from the others learns of it as
-# its call for changes ends.
-REENTRY_TIME = 10.0
-FIRST_ERA = 1  # of a store that was never restored
 LOOK_INTERVAL = 5.0  # between two looks for entries that are not needed any more
 
-FOLLOWED_TABLES = (Table.CONFIGURATION, Table.ENDPOINTS, Table.HOSTS)
-
 NOT_A_WRITER_MESSAGE = "this host is not entered as a writer of its service"
 
 # Called with whether the entries were read.
@@ -89,29 +84,43 @@
     has_joined: bool = False  # as a holder, so that others may not know it yet
 
 
+@record
+class _Other:
+    """The entry of another host."""
+
+    host: HostRow
+    run: str  # of that host's process
+    version: int  # of the row
+    run_since: int  # the version with which that run was read first
+
+    @classmethod
+    def decode(cls, row: Row, before: _Other | None) -> _Other:
+        """Parse a row; raise ValueError if it is malformed."""
+        text, _, run = str(row.value).rpartition(" ")
+        host = HostRow.decode(row.key.key, text)
+        is_same = before is not None and before.run == run
+        return cls(host, run, row.version, before.run_since if is_same else row.version)
+
+
 class Writers(ProxySystem):
     """Enter this host where it writes directly, and read the entries of others."""
 
     __slots__ = (
         "_claims",
         "_entries",
-        "_era_since",
         "_holders",
         "_is_draining",
+        "_others",
         "_shares",
-        "_started_at",
         "_store",
-        "_versions",
     )
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
         self._entries: dict[str, _Entry] = {}  # by service
-        # Of the entries of other hosts as they were last read, by service and host.
-        self._versions: dict[str, dict[str, int]] = {}
+        # Of other hosts, as they were last read, by service and host.
+        self._others: dict[str, dict[str, _Other]] = {}
         self._is_draining = False
-        self._era_since = float("-inf")
-        self._started_at = node.timers.now
 
     def start(self) -> None:
         """Subscribe to what makes an entry needed, or lost."""
@@ -225,7 +234,8 @@
             identity.peers_address,
             identity.capacity,
         )
-        return ChangeRows(puts=((self._key(service, row.name), row.encode()),))
+        value = f"{row.encode()} {identity.incarnation}"
+        return ChangeRows(puts=((self._key(service, row.name), value),))
 
     def _read_claim(self, group: GroupRow, entry: _Entry) -> None:
         def on_claim(claim: Claim | None, is_read: bool) -> None:
@@ -287,7 +297,6 @@
 
         Nobody claims in a new era before hosts have had time for it.
         """
-        self._era_since = self.now
         for service, entry in self._entries.items():
             entry.version = 0
             if entry.is_permitted:
@@ -345,14 +354,6 @@
 
     # -- Entries of other hosts ----------------------------------------------
 
-    @property
-    def are_entries_complete(self) -> bool:
-        """Return whether hosts had time to write entries that the store lost."""
-        since = self._era_since
-        if self._store.era > FIRST_ERA:
-            since = max(since, self._started_at)  # it may have begun just before
-        return self.now >= since + REENTRY_TIME
-
     def read(self, service: str, handler: ReadHandler) -> None:
         """Read which hosts may write to a service's endpoints directly."""
 
@@ -367,32 +368,30 @@
 
     def _note(self, service: str, rows: tuple[Row, ...]) -> None:
         own_name = self._node.identity.name
-        rows = tuple(row for row in rows if row.key.key != own_name)
-        hosts = []
+        before = self._others.get(service, {})
+        known = {}
         for row in rows:
+            name = row.key.key
+            if name == own_name:
+                continue
             try:
-                hosts.append(HostRow.decode(row.key.key, str(row.value)))
+                known[name] = _Other.decode(row, before.get(name))
             except ValueError as error:
                 self._node.log(
-                    "warning", "writer_entry_unreadable", host=row.key.key, why=error
+                    "warning", "writer_entry_unreadable", host=name, why=error
                 )
-        self._versions[service] = {row.key.key: row.version for row in rows}
-        self._holders.note_writers(service, hosts)
+        self._others[service] = known
+        self._holders.note_writers(service, [other.host for other in known.values()])
 
     def entered_since(self, service: str, version: int) -> set[str]:
-        """Return the hosts whose entry, as last read, is newer than a version."""
-        versions = self._versions.get(service, {})
-        return {host for host, entered in versions.items() if entered > version}
-
-    @property
-    def known_version(self) -> int:
-        """Return a version that the store had reached by now."""
-        return max(self._store.feeds.version(table) for table in FOLLOWED_TABLES)
+        """Return the hosts of which a run entered itself after a version."""
+        others = self._others.get(service, {})
+        return {name for name, other in others.items() if other.run_since > version}
 
     def forget(self, service: str, host: str) -> None:
         """Remove the entry of another host whose process is gone for good."""
         if host in self.tables.hosts:
             return  # it may start again, and lose the store before it enters itself
-        version = self._versions.get(service, {}).pop(host, 0)
-        if version:
-            self._remove(service, host, version)
+        other = self._others.get(service, {}).pop(host, None)
+        if other is not None:
+            self._remove(service, host, other.version)
