--- a/mallowpass/core/proxy/writers.py
+++ b/mallowpass/core/proxy/writers.py
@@ -28,7 +28,6 @@
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.claims import Claim, Claims
 from mallowpass.core.proxy.holders import Holders
-from mallowpass.core.proxy.shares import Shares
 from mallowpass.core.proxy.signals import (
     ConnectionFreed,
     DrainBegan,
@@ -111,7 +110,6 @@
         "_holders",
         "_is_draining",
         "_others",
-        "_shares",
         "_store",
     )
 
@@ -126,7 +124,6 @@
         """Subscribe to what makes an entry needed, or lost."""
         self._claims = self._node.system(Claims)
         self._holders = self._node.system(Holders)
-        self._shares = self._node.system(Shares)
         self._store = self._node.system(Store)
         self._node.subscribe(DrainBegan, self._on_drain_began)
         self._node.subscribe(EraChanged, self._on_era_changed)
@@ -184,7 +181,7 @@
         return self.now >= entry.began_at + ENTRY_TIMEOUT
 
     def _is_known_holder(self, group: GroupRow, entry: _Entry) -> bool:
-        """Return whether other hosts know this one as a holder by its host's entry."""
+        """Return whether other hosts know this one as a holder by the hosts' table."""
         is_known = self.tables.was_in_hosts and not entry.has_joined
         return is_known and self._holders.holds(group.service)
 
