Tell what the host that ordered a promotion rested on, once it leads

Callers lost commits that had arrived, were not acknowledged, and whose sender was gone.

- `promotion_led`, one warning 1 s after this host learns of the lead, by the order's answer or from the members: how the fence ended, whether leases were outwaited and for how long, whether the target moved between these pauses and the order, commits given up, seconds that commits were awaited and why that ended, hosts not confirmed and with refused links, hosts told, positions at the order and since the lead.
- `write_lease_lapsed`: commits in flight as a lease lapses, and how long ago the primary had answered.
- `fence_refused`: once for each host and attempt.

No decision changes and no statement is sent.

--- a/mallowpass/core/proxy/commitwaits.py
+++ b/mallowpass/core/proxy/commitwaits.py
@@ -113,6 +113,7 @@
         if attempt.order_count or not attempt.abandoned:
             return False
         why_over = self._why_over(attempt)
+        attempt.why_awaits_no_commit = why_over
         since = attempt.awaits_commits_since
         if why_over and since is not None:
             attempt.awaits_commits_since = None
--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -24,6 +24,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -40,6 +41,7 @@
 )
 from mallowpass.core.proxy.forwardedorders import ForwardedOrders, ForwardedReply
 from mallowpass.core.proxy.holders import Holders
+from mallowpass.core.proxy.logfields import age_text
 from mallowpass.core.proxy.replacement import (
     ConfirmedFence,
     FenceOutcome,
@@ -405,6 +407,8 @@
         if is_done or endpoint is None or not self._is_current(task):
             return
 
+        heard_at = self._holders.last_reply_at(host.name) or -math.inf
+
         def on_reply(forwarded: ForwardedReply) -> None:
             task.requests.pop(host.name, None)
             evidence = _evidence_of(forwarded)
@@ -418,6 +422,7 @@
                 ):
                     self._writers.forget(service, host.name)
                 task.attempt.fence_refused.add(host.name)
+                self._log_refused(task.attempt, host.name, heard_at)
                 self._confirm(task, host.name)
             else:
                 self.timers.after(RETRY_INTERVAL, self._order, task, host)
@@ -442,6 +447,21 @@
         attempt.fence_confirmed.add(host)
         self._confirm(task, host)
 
+    def _log_refused(self, attempt: Replacement, host: str, heard_at: float) -> None:
+        """Tell once of a host that has ended, whose commits nobody can tell."""
+        if host in attempt.refused_hosts:
+            return
+        attempt.refused_hosts.add(host)
+        self._node.log(
+            "warning",
+            "fence_refused",
+            service=attempt.group.service,
+            primary=attempt.primary,
+            host=host,
+            heard_ago=age_text(self.now, heard_at),
+            after=round(self.now - attempt.began_at, 3),
+        )
+
     def _confirm(self, task: _Task, host: str) -> None:
         task.unconfirmed.discard(host)
         if task.unconfirmed or not self._is_open(task):
--- a/mallowpass/core/proxy/leasewaits.py
+++ b/mallowpass/core/proxy/leasewaits.py
@@ -95,7 +95,7 @@
         """End the wait of an attempt without calling its handler."""
         wait = self._waits.get(attempt.group.service)
         if wait is not None and wait.attempt is attempt:
-            del self._waits[attempt.group.service]
+            self._remove(wait)
 
     def _on_ended(self, signal: ReplacementEnded) -> None:
         self.end(signal.attempt)
@@ -159,7 +159,9 @@
 
     def _settle(self, wait: _Wait) -> None:
         """Have the target receive what is in flight, and end the wait after that."""
-        self._promotion_orders.resume_target(wait.attempt)
+        attempt = wait.attempt
+        attempt.settled_from = wait.received.get(attempt.target)
+        self._promotion_orders.resume_target(attempt)
         self.timers.after(SETTLE_TIME, self._end_settled, wait)
 
     def _end_settled(self, wait: _Wait) -> None:
@@ -168,5 +170,9 @@
             self._finish(wait)
 
     def _finish(self, wait: _Wait) -> None:
-        del self._waits[wait.attempt.group.service]
+        self._remove(wait)
         wait.handler()
+
+    def _remove(self, wait: _Wait) -> None:
+        del self._waits[wait.attempt.group.service]
+        wait.attempt.awaited_leases += self.now - wait.began_at
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -33,6 +33,7 @@
 from mallowpass.core.proxy.idleconnections import IdleConnections
 from mallowpass.core.proxy.lapsedmembers import LapsedMembers
 from mallowpass.core.proxy.leadership import Leadership
+from mallowpass.core.proxy.leadlog import LeadLog
 from mallowpass.core.proxy.leasewaits import LeaseWaits
 from mallowpass.core.proxy.links import Links
 from mallowpass.core.proxy.load import Load
@@ -109,6 +110,7 @@
     ForwardedOrders,
     Demotion,
     ReplacementLog,
+    LeadLog,
     NearMisses,
     Fencing,
     FenceLog,
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -114,12 +114,17 @@
     fence_told: set[str] = field(default_factory=set)  # holders
     fence_confirmed: set[str] = field(default_factory=set)  # holders
     fence_refused: set[str] = field(default_factory=set)  # holders that took no order
+    # Hosts told of the fence at any time whose link was refused.
+    refused_hosts: set[str] = field(default_factory=set)
     must_step_down: bool = False  # the primary was ordered to, before the promotion
     fence_outcome: FenceOutcome | None = None
     unconfirmed_hosts: frozenset[str] = frozenset()  # as the wait for the fence ended
     # Replicas were paused until hosts that did not confirm the fence had no lease, and
     # the target stays paused until it leads.
     has_outwaited_leases: bool = False
+    awaited_leases: float = 0.0  # seconds that the order has waited for them
+    # What the target had, paused, as the wait for leases ended.
+    settled_from: LogPosition | None = None
     is_lift_repeated: bool = False  # holders are told again that none is in force
     confirmed_fence: ConfirmedFence | None = None
     shown: LogPosition = ZERO_POSITION  # newest that the primary showed to any holder
@@ -130,6 +135,7 @@
     appended: LogPosition = ZERO_POSITION
     awaits_commits_since: float | None = None  # see `commitwaits`
     awaited_commits: float = 0.0  # seconds that the order has waited for them
+    why_awaits_no_commit: str = ""  # as was last decided, empty if some may wait
     order_count: int = 0
     order_call: int = 0  # call number of the newest order; replies to others are stale
     is_ended: bool = False
--- a/mallowpass/core/proxy/writeleases.py
+++ b/mallowpass/core/proxy/writeleases.py
@@ -23,7 +23,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -33,6 +33,7 @@
 from mallowpass.core.proxy.control import Control
 from mallowpass.core.proxy.fencing import FENCE_DURATION, Fencing
 from mallowpass.core.proxy.holders import Holders
+from mallowpass.core.proxy.logfields import age_text
 from mallowpass.core.proxy.pendingorders import LATE_ORDER_TIMEOUT
 from mallowpass.core.proxy.primaryconflicts import PrimaryConflicts
 from mallowpass.core.proxy.replacementdetection import STORE_SILENCE
@@ -54,7 +55,12 @@
 )
 from mallowpass.core.proxy.statements import EndpointReply, EndpointStatus, Status
 from mallowpass.core.proxy.store import Store
-from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
+from mallowpass.core.proxy.tables import (
+    ConnectionRow,
+    EndpointRow,
+    GroupRow,
+    ProxySystem,
+)
 from mallowpass.core.proxy.writers import Writers
 
 __all__ = ["WRITES_UNPROVEN_MESSAGE", "WriteLeases"]
@@ -342,11 +348,35 @@
 
         The primary would acknowledge it as soon as a replica restarts.
         """
-        for connection in list(primary.connections.values()):
-            if connection.has_sent_commit:
-                self._connections.close(connection, WRITES_UNPROVEN_MESSAGE)
+        connections = [c for c in primary.connections.values() if c.has_sent_commit]
+        self._log_lapsed(group, primary, connections)
+        for connection in connections:
+            self._connections.close(connection, WRITES_UNPROVEN_MESSAGE)
         self._node.count("write_leases", service=group.service, outcome="abandoned")
 
+    def _log_lapsed(
+        self,
+        group: GroupRow,
+        primary: EndpointRow,
+        connections: Sequence[ConnectionRow],
+    ) -> None:
+        """Tell of commits that a primary may acknowledge which no reset reaches."""
+        sent_at = min(b.sent_at for c in connections for b in c.pending)
+        lapsed_at = self._renewed_at(group) + LEASE_DURATION
+        self._node.log(
+            "warning",
+            "write_lease_lapsed",
+            service=group.service,
+            primary=primary.name,
+            commits=sum(c.unanswered_commits for c in connections),
+            connections=len(connections),
+            sent_ago=age_text(self.now, sent_at),
+            last_reply_ago=age_text(self.now, primary.last_direct_reply_at),
+            lapsed_ago=age_text(self.now, lapsed_at),
+            shown="" if primary.position is None else primary.position.text,
+            why="their resets may not arrive",
+        )
+
     # -- Questions -----------------------------------------------------------
 
     def _ask(self, group: GroupRow, lease: _Lease) -> None:
--- a/tests/core/proxy/test_promotion_log.py
+++ b/tests/core/proxy/test_promotion_log.py
@@ -83,6 +83,16 @@
         monkeypatch.setattr(Claims, "read_newest", read)
 
 
+def written_length(event: str, fields: dict[str, Any]) -> int:
+    """Return the length of a warning as a host writes it."""
+    reader, writer = os.pipe()
+    LogWriter(writer).write("warning", event, tuple(fields.items()))
+    length = len(os.read(reader, 1 << 16))
+    os.close(reader)
+    os.close(writer)
+    return length
+
+
 # -- Who ordered a promotion ---------------------------------------------------------
 
 
@@ -344,14 +354,10 @@
     for host in world.hosts:
         assert list(replaced(host))[:5] == beginning
         assert replaced(host)["version"] == VERSION
-    most = {"abandoned": 1000, "direct": 100, "bypassing": True}
     names = {"service": "guzo80ze", "primary": "i-11573118", "replaced": "i-2185bd19"}
+    most = {"abandoned": 1000, "direct": 100, "bypassing": True}
     fields = {**names, "version": VERSION, **most}
-    reader, writer = os.pipe()
-    LogWriter(writer).write("warning", "primary_replaced", tuple(fields.items()))
-    assert len(os.read(reader, 1 << 16)) < RECORDED_LENGTH
-    os.close(reader)
-    os.close(writer)
+    assert written_length("primary_replaced", fields) < RECORDED_LENGTH
 
 
 def test_fields_that_tell_nothing_are_left_out():
