Wait for commits of which no host has told

Callers saw nothing: these commits were in doubt to them. The users' rule counts what an endpoint acknowledged: a successor led without up to nine such commits, which the former primary acknowledged before the lead.

Cause: the wait for commits that hold on at a primary counts what confirmations tell. A host that did not confirm its fence, that has ended (a refused link counts as a confirmation) or that was killed and has started again tells nothing. What it had in flight waits at the primary, more so as leases are outwaited with all replicas paused; its reset does not arrive, and the primary keeps the connection for 3 s. That the target received nothing as it was resumed was taken for a proof that nothing waits. A replica that restarts after the order then receives all of it.

Why it works: such hosts are counted until their lease has lapsed, they were found to have ended, or their new run has started. The order waits until 3.3 s after that, unless the target has received anything since no host could send (a log is received in order), or the primary has stepped down, restarted, ended (its machine says that no process listens) or is overdue with its entry.

--- a/mallowpass/core/proxy/commitwaits.py
+++ b/mallowpass/core/proxy/commitwaits.py
@@ -8,6 +8,13 @@
 connections are gone. What the log reaches follows as well from the number of commits
 that were acknowledged or have arrived, see `durability`.
 
+A host that did not confirm the fence, or has ended, tells nothing of what it had in
+flight. Commits of such a host may wait as well, up to when its lease has lapsed or it
+was found to have ended. The target has them if it received anything once no host could
+send a commit, as a log is received in order. That it has received nothing proves
+nothing: it may be cut off from the primary. Without that proof the order waits until
+the primary can't acknowledge them any more.
+
 A primary that lost power looks alike if its last commits were shown, or had arrived,
 and had not been sent to a replica. So what the target may lack for that reason is
 waited for only if the primary renews its entry, or until that is overdue. One that
@@ -22,6 +29,7 @@
 from dataclasses import dataclass, field
 
 from mallowpass.core.node import Node
+from mallowpass.core.positions import ZERO_POSITION
 from mallowpass.core.proxy.demotion import Demotion
 from mallowpass.core.proxy.fenceorders import FenceOrders
 from mallowpass.core.proxy.promotionorders import PromotionOrders
@@ -33,6 +41,7 @@
 from mallowpass.core.proxy.signals import (
     EndpointChanged,
     EndpointExpired,
+    EndpointUnreachable,
     PrimarySteppedDown,
 )
 from mallowpass.core.proxy.tables import EndpointRow, ProxySystem
@@ -85,6 +94,7 @@
 
     __slots__ = (
         "_demotion",
+        "_ended_at",
         "_fence_orders",
         "_promotion_orders",
         "_renewals",
@@ -97,6 +107,8 @@
         self._waits: dict[str, tuple[Replacement, WaitHandler]] = {}  # by service
         self._renewals: dict[str, _Renewals] = {}  # by endpoint
         self._stepped_down_at: dict[str, float] = {}  # by endpoint
+        # When endpoints' machines told that no process listens, by endpoint.
+        self._ended_at: dict[str, float] = {}
 
     def start(self) -> None:
         """Subscribe to what ends a wait, and to entries that are renewed."""
@@ -105,12 +117,13 @@
         self._promotion_orders = self._node.system(PromotionOrders)
         self._node.subscribe(EndpointChanged, self._on_endpoint_changed)
         self._node.subscribe(EndpointExpired, self._on_expired)
+        self._node.subscribe(EndpointUnreachable, self._on_unreachable)
         self._node.subscribe(PrimarySteppedDown, self._on_stepped_down)
         self._node.subscribe(ReplacementEnded, self._on_ended)
 
     def must_wait(self, attempt: Replacement) -> bool:
         """Return whether the primary may acknowledge what the target lacks."""
-        if attempt.order_count or not attempt.abandoned:
+        if attempt.order_count or not (attempt.abandoned or attempt.untold):
             return False
         why_over = self._why_over(attempt)
         attempt.why_awaits_no_commit = why_over
@@ -134,6 +147,7 @@
                 "warning",
                 commits=attempt.abandoned_count,
                 hosts=",".join(sorted(attempt.abandoned)),
+                untold=",".join(sorted(attempt.untold)),
                 shown=attempt.shown.text,
                 appended=attempt.appended.text,
                 received=attempt.received_text,
@@ -158,9 +172,15 @@
     @staticmethod
     def _ends_at(attempt: Replacement) -> float:
         """Return when the primary has closed the connections that hosts closed."""
-        closed = (closed_at for _, closed_at in attempt.abandoned.values())
+        closed = [closed_at for _, closed_at in attempt.abandoned.values()]
+        closed.extend(attempt.untold.values())
         return max(closed, default=float("-inf")) + LINGER_TIME
 
+    def _are_any_untold(self, attempt: Replacement) -> bool:
+        """Return whether commits may wait of which no host has told."""
+        last_at = max(attempt.untold.values(), default=float("-inf"))
+        return self.now < last_at + LINGER_TIME
+
     def _why_over(self, attempt: Replacement) -> str:
         """Return why no commit is waited for, empty if one is."""
         if self.now >= self._ends_at(attempt):
@@ -171,14 +191,22 @@
             return "the primary stepped down"
         if attempt.primary in attempt.restarted:
             return "the primary restarted"
+        if self._has_ended(attempt):
+            return "the primary's process has ended"
+        if attempt.has_settled:
+            return "the target received after all commits were sent"
         received = attempt.received[attempt.target]
         known = max(attempt.shown, attempt.appended)
-        settled = max(commits.settled for commits, _ in attempt.abandoned.values())
-        if received > known:
+        settled = max(
+            (commits.settled for commits, _ in attempt.abandoned.values()),
+            default=ZERO_POSITION,
+        )
+        are_all_told = not self._are_any_untold(attempt)
+        if are_all_told and received > known:
             return "the target has more than the primary showed"
         if received < settled or self._is_alive(attempt):
             return ""
-        if received == known:
+        if are_all_told and received == known:
             return "the target has what the primary showed"
         is_due = self.now >= self._renewals_of(attempt).due_at
         return "the primary shows no sign of life" if is_due else ""
@@ -191,6 +219,12 @@
         renewed_at = self._renewals_of(attempt).last_at
         return renewed_at > primary.last_reply_at + RENEWAL_DELAY
 
+    def _has_ended(self, attempt: Replacement) -> bool:
+        """Return whether no process of a primary has run since it last answered."""
+        primary = self._primary(attempt)
+        ended_at = self._ended_at.get(attempt.primary, float("-inf"))
+        return primary is not None and ended_at > primary.last_reply_at
+
     def _renewals_of(self, attempt: Replacement) -> _Renewals:
         return self._renewals.setdefault(attempt.primary, _Renewals())
 
@@ -209,6 +243,11 @@
     def _on_expired(self, signal: EndpointExpired) -> None:
         self._renewals.pop(signal.endpoint.name, None)
         self._stepped_down_at.pop(signal.endpoint.name, None)
+        self._ended_at.pop(signal.endpoint.name, None)
+
+    def _on_unreachable(self, signal: EndpointUnreachable) -> None:
+        if signal.is_gone:
+            self._ended_at[signal.endpoint.name] = self.now
 
     def _on_stepped_down(self, signal: PrimarySteppedDown) -> None:
         self._stepped_down_at[signal.endpoint.name] = signal.ordered_at
--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -585,7 +585,7 @@
         # That a holder can't reach an endpoint does not show that the endpoint failed.
         if is_failure and not connection.holder:
             unreachable = EndpointUnreachable(
-                endpoint, event.message, connection.opened_at
+                endpoint, event.message, connection.opened_at, event.is_gone
             )
             self._node.publish(unreachable)
         self.timers.after(pause, self._node.publish, ConnectionFreed(endpoint))
--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -114,6 +114,7 @@
         "_connections",
         "_demotion",
         "_durability",
+        "_ended_at",
         "_fencing",
         "_forwarded_orders",
         "_holders",
@@ -129,6 +130,8 @@
         self._tasks: dict[str, _Task] = {}  # by service
         self._owner = owner_name(node.identity.name, node.identity.incarnation)
         self._tokens: dict[str, int] = {}  # of this host's newest claims, by service
+        # When hosts were found to have ended, until they answer again.
+        self._ended_at: dict[str, float] = {}
 
     def start(self) -> None:
         """Subscribe to primaries that may have to be replaced."""
@@ -421,6 +424,8 @@
                     service, task.store_version
                 ):
                     self._writers.forget(service, host.name)
+                ended_at = self._ended_at.setdefault(host.name, self.now)
+                task.attempt.untold[host.name] = ended_at
                 task.attempt.fence_refused.add(host.name)
                 self._log_refused(task.attempt, host.name, heard_at)
                 self._confirm(task, host.name)
@@ -435,9 +440,12 @@
 
     def _on_evidence(self, task: _Task, host: str, evidence: FenceEvidence) -> None:
         attempt = task.attempt
+        self._ended_at.pop(host, None)
         self._durability.raise_must_hold(attempt.group, evidence.must_hold)
         attempt.shown = max(attempt.shown, evidence.shown)
         attempt.note_abandoned(host, evidence.abandoned, self.now)
+        if evidence.restarted_ago is not None:
+            attempt.untold[host] = self.now - evidence.restarted_ago
         task.commits[host] = evidence.shown_before_commits
         commits = [position for each in task.commits.values() for position in each]
         self._durability.require_commits(attempt.group, commits)
--- a/mallowpass/core/proxy/fencing.py
+++ b/mallowpass/core/proxy/fencing.py
@@ -360,7 +360,8 @@
         commits = [c for e in group.endpoints.values() for c in e.shown_before_commits]
         newest = tuple(sorted(commits)[-COMMITS_MAX:])
         abandoned = self._waiting_commits.abandoned(rows)
-        return FenceEvidence(shown, group.must_hold, newest, abandoned)
+        restarted_ago = self._waiting_commits.restarted_ago(rows)
+        return FenceEvidence(shown, group.must_hold, newest, abandoned, restarted_ago)
 
     def _is_silent(self, primary: EndpointRow) -> bool:
         """Return whether a statement waits for a primary that has not replied since."""
--- a/mallowpass/core/proxy/leadlog.py
+++ b/mallowpass/core/proxy/leadlog.py
@@ -149,13 +149,12 @@
 
 
 def _settling(attempt: Replacement) -> str:
-    """Return whether the target moved between the pauses and the order."""
-    received = attempt.received.get(attempt.target)
-    if not attempt.has_outwaited_leases or attempt.settled_from is None:
+    """Return whether the target received between the pauses and the order."""
+    if not attempt.has_outwaited_leases:
         return ""
-    if received is None:
+    if attempt.target not in attempt.received:
         return "unknown"
-    return "moved" if received > attempt.settled_from else "unmoved"
+    return "moved" if attempt.has_settled else "unmoved"
 
 
 def _position_fields(attempt: Replacement) -> dict[str, Any]:
--- a/mallowpass/core/proxy/leasewaits.py
+++ b/mallowpass/core/proxy/leasewaits.py
@@ -9,6 +9,10 @@
 primary acknowledges these as soon as some replica receives them. So the target receives
 for a moment after the wait, and has them when it is compared. From then on it stays
 paused until it leads: a host that looks at it learns of its promotion.
+
+What hosts send during the wait is held up at the primary, as no replica receives it. If
+the target receives nothing after the wait, such commits may go on to wait there, see
+`commitwaits`.
 """
 
 from __future__ import annotations
@@ -160,13 +164,16 @@
     def _settle(self, wait: _Wait) -> None:
         """Have the target receive what is in flight, and end the wait after that."""
         attempt = wait.attempt
-        attempt.settled_from = wait.received.get(attempt.target)
+        attempt.before_settling = max(wait.received.values())
         self._promotion_orders.resume_target(attempt)
         self.timers.after(SETTLE_TIME, self._end_settled, wait)
 
     def _end_settled(self, wait: _Wait) -> None:
         if self._is_current(wait):
-            wait.attempt.has_outwaited_leases = True
+            attempt = wait.attempt
+            attempt.has_outwaited_leases = True
+            for host in attempt.unconfirmed_hosts - attempt.fence_confirmed:
+                attempt.untold[host] = self.now
             self._finish(wait)
 
     def _finish(self, wait: _Wait) -> None:
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -123,14 +123,18 @@
     # the target stays paused until it leads.
     has_outwaited_leases: bool = False
     awaited_leases: float = 0.0  # seconds that the order has waited for them
-    # What the target had, paused, as the wait for leases ended.
-    settled_from: LogPosition | None = None
     is_lift_repeated: bool = False  # holders are told again that none is in force
     confirmed_fence: ConfirmedFence | None = None
     shown: LogPosition = ZERO_POSITION  # newest that the primary showed to any holder
     # Commits that may wait at the primary, and when their connections were closed, by
     # the host that gave them up.
     abandoned: dict[str, tuple[AbandonedCommits, float]] = field(default_factory=dict)
+    # Hosts that told nothing of the commits that they gave up there, as they did not
+    # confirm the fence or have ended, and until when each may have been connected.
+    untold: dict[str, float] = field(default_factory=dict)
+    # The newest that a replica had once no host had a lease, before the target received
+    # what was in flight; None: leases were not awaited.
+    before_settling: LogPosition | None = None
     # That the primary's log reaches, or will, with the commits that have arrived there.
     appended: LogPosition = ZERO_POSITION
     awaits_commits_since: float | None = None  # see `commitwaits`
@@ -185,8 +189,18 @@
         """Return how many commits of all hosts may wait at the primary."""
         return sum(commits.count for commits, _ in self.abandoned.values())
 
+    @property
+    def has_settled(self) -> bool:
+        """Return whether the target received once no host could send a commit.
+
+        A log is received in order, so the target has all that had arrived by then.
+        """
+        before = self.before_settling
+        return before is not None and self.received[self.target] > before
+
     def note_abandoned(self, host: str, commits: AbandonedCommits, now: float) -> None:
         """Record the commits that a host gave up at the primary, as it tells now."""
+        self.untold.pop(host, None)
         if commits.count:
             self.abandoned[host] = (commits, now - commits.age)
         else:
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -145,11 +145,15 @@
 
 @record
 class EndpointUnreachable(Signal):
-    """An attempt to connect to an endpoint, started at `attempted_at`, failed."""
+    """An attempt to connect to an endpoint, started at `attempted_at`, failed.
+
+    `is_gone` is true if its machine answered that no process listens at the address.
+    """
 
     endpoint: EndpointRow
     why: str
     attempted_at: float
+    is_gone: bool = False
 
 
 @record
--- a/mallowpass/core/proxy/statements.py
+++ b/mallowpass/core/proxy/statements.py
@@ -308,17 +308,24 @@
     # That the log had shown before the newest commits of this holder were sent.
     shown_before_commits: tuple[LogPosition, ...] = ()
     abandoned: AbandonedCommits = AbandonedCommits()
+    # Seconds since the holder has started after a run that was not told to stop, of
+    # whose commits it knows nothing; None: long ago, or there was no such run.
+    restarted_ago: float | None = None
 
     def encode(self) -> tuple[bytes, ...]:
         """Return the rows that are sent; earlier versions read the first ones alone."""
         rows = [f"{self.shown.text} {self.must_hold.text}"]
         commits = self.shown_before_commits
-        if self.abandoned.count:
+        is_restarted = self.restarted_ago is not None
+        has_abandoned = self.abandoned.count or is_restarted
+        if has_abandoned:
             commits = commits or (ZERO_POSITION,)  # no row may be empty
         if commits:
             rows.append(" ".join(position.text for position in commits))
-        if self.abandoned.count:
+        if has_abandoned:
             rows.append(self.abandoned.encode())
+        if is_restarted:
+            rows.append(str(int(1000 * self.restarted_ago)))
         return tuple(row.encode() for row in rows)
 
     @classmethod
@@ -331,8 +338,13 @@
         abandoned = AbandonedCommits()
         if len(rows) > 2:
             abandoned = AbandonedCommits.decode(rows[2].decode())
+        restarted_ago = int(rows[3]) / 1000 if len(rows) > 3 else None
         return cls(
-            LogPosition.parse(shown), LogPosition.parse(must_hold), commits, abandoned
+            LogPosition.parse(shown),
+            LogPosition.parse(must_hold),
+            commits,
+            abandoned,
+            restarted_ago,
         )
 
 
--- a/mallowpass/core/proxy/waitingcommits.py
+++ b/mallowpass/core/proxy/waitingcommits.py
@@ -75,12 +75,13 @@
 class WaitingCommits(ProxySystem):
     """Keep the commits that may wait at endpoints, and sample these."""
 
-    __slots__ = ("_abandoned", "_connections", "_samples")
+    __slots__ = ("_abandoned", "_connections", "_samples", "_started_at")
 
     def __init__(self, node: Node) -> None:
         super().__init__(node)
         self._abandoned: dict[EndpointRow, deque[_Abandoned]] = {}
         self._samples: dict[EndpointRow, _Samples] = {}
+        self._started_at = self.now
 
     def start(self) -> None:
         """Subscribe to commits that are sent and that are given up."""
@@ -90,6 +91,18 @@
         self._node.subscribe(EndpointExpired, self._on_expired)
         self._node.subscribe(EndpointRestarted, self._on_restarted)
 
+    def restarted_ago(self, endpoints: Sequence[EndpointRow]) -> float | None:
+        """Return the seconds since this host replaced a run that was not stopped.
+
+        None if endpoints have closed the connections of that run, or there was none. An
+        endpoint that has answered this run was in reach, and was told of the end of the
+        one before.
+        """
+        age = self.now - self._started_at
+        has_answered = any(e.last_direct_reply_at > self._started_at for e in endpoints)
+        is_recent = self.tables.was_in_hosts and age < LINGER_TIME
+        return age if is_recent and not has_answered else None
+
     def abandoned(self, endpoints: Sequence[EndpointRow]) -> AbandonedCommits:
         """Return the commits of this host that may wait at some endpoints."""
         closed_at, shown_before = [], []
--- a/mallowpass/core/proxy/writeleases.py
+++ b/mallowpass/core/proxy/writeleases.py
@@ -349,6 +349,8 @@
         The primary would acknowledge it as soon as a replica restarts.
         """
         connections = [c for c in primary.connections.values() if c.has_sent_commit]
+        if not connections:
+            return
         self._log_lapsed(group, primary, connections)
         for connection in connections:
             self._connections.close(connection, WRITES_UNPROVEN_MESSAGE)
--- a/mallowpass/standins/proxied/virtual/hosts.py
+++ b/mallowpass/standins/proxied/virtual/hosts.py
@@ -290,7 +290,8 @@
             refusal = ConnectionRefused(number, Code.OTHER, "no answer", True)
             self.later(effect.timeout, refusal)
         elif replica is None or not replica.up:
-            refusal = ConnectionRefused(number, Code.OTHER, "reset", True)
+            is_gone = replica is not None
+            refusal = ConnectionRefused(number, Code.OTHER, "reset", True, is_gone)
             self.later(self.world.way(self, effect), refusal)
         elif group.times.opening:
             opened = partial(self._opened_in_slot, group, effect, replica)
--- a/tests/core/proxy/test_durability.py
+++ b/tests/core/proxy/test_durability.py
@@ -232,3 +232,15 @@
         assert FenceEvidence.decode(rows) == evidence
         earlier = FenceEvidence.decode(rows[:2])
         assert earlier == FenceEvidence(position, position, commits)
+
+
+def test_the_start_of_a_holder_is_read_as_it_was_sent():
+    """Guard against a restarted holder that counts as one which knows its commits."""
+    position = LogPosition(2, 5)
+    for commits in ((), (position, LogPosition(2, 6))):
+        evidence = FenceEvidence(position, position, commits, restarted_ago=0.25)
+        rows = evidence.encode()
+        assert all(rows)
+        assert FenceEvidence.decode(rows) == evidence
+        earlier = FenceEvidence.decode(rows[:3])
+        assert earlier == FenceEvidence(position, position, commits)
--- a/tests/core/proxy/test_stranded_commits.py
+++ b/tests/core/proxy/test_stranded_commits.py
@@ -7,6 +7,9 @@
 
 import pytest
 
+from mallowpass.core.proxy.statements import Write
+from mallowpass.standins.proxied.virtual.heartbeats import Heartbeats
+from mallowpass.standins.proxied.virtual.world import ProxyWorld
 from tests.fakes.fleets import FLEETS
 from tests.fakes.strandplay import StrandPlay
 
@@ -18,6 +21,9 @@
     (3, "kill", "small", 8),
     (3, "restart", "small", 8),
 )
+WRITE_INTERVAL = 0.02  # seconds between two writes of a host
+# Seconds for which leases are outwaited, and a promotion takes; not 3 s more.
+PROVEN_GAP_MAX = 3.0
 
 
 @pytest.mark.parametrize(("members", "how", "fleet", "seed"), PLAYS)
@@ -31,3 +37,36 @@
     assert play.world.orders
     assert play.world.group.lost == []
     assert play.world.group.unguarded == []
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_commits_that_the_target_received_after_all_were_sent_are_not_awaited(
+    seed: int,
+):
+    """Guard against failovers that wait for commits which the target has."""
+    play = StrandPlay(seed, hangs=False)
+    play.run()
+    assert play.has_awaited
+    assert play.world.group.lost == []
+    assert play.gap < PROVEN_GAP_MAX
+
+
+def _write(world: ProxyWorld) -> None:
+    for index, host in enumerate(world.hosts):
+        if not host.exited:
+            world.caller(index, "own").send(Write("a 1"))
+    world.timers.after(WRITE_INTERVAL, _write, world)
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_commits_of_an_ended_host_are_not_awaited_at_an_ended_primary(seed: int):
+    """Guard against failovers that wait for a primary whose process has ended."""
+    world = ProxyWorld(hosts=4, seed=seed)
+    Heartbeats(world)
+    _write(world)
+    world.run(2.0 + 0.0137 * seed)
+    world.kill(seed % 4)
+    world.crash(world.primary.name, dark=False)
+    world.run_until(lambda: world.group.promotions > 0, 1.0)
+    assert world.group.promotions
+    assert world.group.lost == []
