Keep the claim and the fence while an order waits for commits

Cause: a claim lasts 3 s, and a fence counts for 2.5 s from when it was confirmed; the wait for commits takes up to 3.3 s. Another host claims meanwhile, so the order of the first one fails, and the second begins the same wait anew.

The claim is prolonged by a conditional write of its holder, which only succeeds if nobody has claimed since, and goes on to name the target; hosts that enter themselves meanwhile find it. A renewed fence counts for longer once all that had confirmed it have confirmed it again. One that stood still renews neither: it takes another claim.

--- a/mallowpass/core/proxy/claims.py
+++ b/mallowpass/core/proxy/claims.py
@@ -341,6 +341,21 @@
         renewed = replace(
             claim, must_hold=group.must_hold, ordered=self._orders_to_store(service)
         )
+        self._renew(service, claim, renewed, handler)
+
+    def prolong(self, service: str, claim: Claim, handler: ClaimHandler) -> None:
+        """Keep other hosts from claiming for longer, before a claim expires.
+
+        The handler gets the renewed claim, or None as in `raise_must_hold`.
+        """
+        time = self._store.time or claim.time
+        ordered = self._orders_to_store(service)
+        renewed = replace(claim, time=time, ordered=ordered)
+        self._renew(service, claim, renewed, handler)
+
+    def _renew(
+        self, service: str, claim: Claim, renewed: Claim, handler: ClaimHandler
+    ) -> None:
         version, known = self._known.get(service, (0, None))
         if known != claim:
             handler(None)
--- a/mallowpass/core/proxy/commitwaits.py
+++ b/mallowpass/core/proxy/commitwaits.py
@@ -30,6 +30,7 @@
 
 from mallowpass.core.node import Node
 from mallowpass.core.positions import ZERO_POSITION
+from mallowpass.core.proxy.claims import Claim, Claims
 from mallowpass.core.proxy.demotion import Demotion
 from mallowpass.core.proxy.fenceorders import FenceOrders
 from mallowpass.core.proxy.promotionorders import PromotionOrders
@@ -51,6 +52,7 @@
 
 # Times are in seconds.
 CHECK_INTERVAL = 0.4  # between two comparisons
+CLAIM_AGE = 1.0  # of a claim that is prolonged; less than one lasts
 # Times the interval between renewals of an entry, after which the next one is overdue.
 RENEWAL_TIMES = 1.1
 # From the last reply of an endpoint, until a renewal of its entry shows that it lives:
@@ -93,6 +95,7 @@
     """Have orders wait while a primary may acknowledge commits that hosts gave up."""
 
     __slots__ = (
+        "_claims",
         "_demotion",
         "_ended_at",
         "_fence_orders",
@@ -112,6 +115,7 @@
 
     def start(self) -> None:
         """Subscribe to what ends a wait, and to entries that are renewed."""
+        self._claims = self._node.system(Claims)
         self._demotion = self._node.system(Demotion)
         self._fence_orders = self._node.system(FenceOrders)
         self._promotion_orders = self._node.system(PromotionOrders)
@@ -155,7 +159,7 @@
             )
         self._waits[attempt.group.service] = (attempt, handler)
         self._fence_orders.begin(attempt, lambda: None)  # to renew it
-        self._promotion_orders.prepare(attempt)  # to renew the claim
+        self._keep_claim(attempt)
         primary = self._primary(attempt)
         if primary is not None:
             attempt.must_step_down = True
@@ -165,6 +169,19 @@
         delay = min(time - self.now for time in due if time > self.now)
         self.timers.after(delay, self._finish, attempt, attempt.rounds)
 
+    def _keep_claim(self, attempt: Replacement) -> None:
+        """Store the order ahead, and keep other hosts from claiming meanwhile."""
+        claim = attempt.claim
+        if claim is None or self._claims.age(claim) < CLAIM_AGE:
+            self._promotion_orders.prepare(attempt)
+            return
+
+        def on_claim(renewed: Claim | None) -> None:
+            if renewed is not None and attempt.claim is claim:
+                attempt.claim = renewed
+
+        self._claims.prolong(attempt.group.service, claim, on_claim)
+
     @staticmethod
     def _primary(attempt: Replacement) -> EndpointRow | None:
         return attempt.group.endpoints.get(attempt.primary)
--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -27,6 +27,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.connections import Connections
@@ -85,6 +86,8 @@
 RETRY_INTERVAL = 0.05
 
 SettledHandler = Callable[[], None]
+# Called with a holder and its reply.
+ReplyHandler = Callable[[str, ForwardedReply], None]
 
 
 @dataclass(slots=True, eq=False)
@@ -275,7 +278,23 @@
         if task is not None:
             task.renewed_at = self.now
             task.targets.add(attempt.fence_target)
-            self.fence(attempt.group, attempt.primary, attempt.fence_target)
+            self._renew(task)
+
+    def _renew(self, task: _Task) -> None:
+        """Renew a fence; it lasts longer once all that confirmed it do so again."""
+        attempt = task.attempt
+        fence = self._fence_of(attempt)
+        until = self.now + FENCE_DURATION
+        unconfirmed = attempt.fence_confirmed - {self._node.identity.name}
+
+        def on_reply(host: str, forwarded: ForwardedReply) -> None:
+            if _evidence_of(forwarded) is not None or forwarded.is_unconnected:
+                unconfirmed.discard(host)
+            if not unconfirmed and self._is_current(task):
+                attempt.fenced_until = max(attempt.fenced_until, until)
+
+        self._fencing.fence_service(attempt.group, fence)
+        self._send_all(attempt.group, fence, on_reply)
 
     def expire(self, attempt: Replacement) -> None:
         """Have the next fence confirmed anew, and cover the ordered target as well."""
@@ -368,14 +387,15 @@
         self._fencing.lift_service(group, fence.owner, fence.token)
         self._send_all(group, fence)
 
-    def _send_all(self, group: GroupRow, fence: Fence) -> None:
+    def _send_all(
+        self, group: GroupRow, fence: Fence, handler: ReplyHandler | None = None
+    ) -> None:
         endpoint = self._carrier(group, fence.primary)
         if endpoint is None:
             return
         for host in self._holders.possible_holders(group.service):
-            self._forwarded_orders.send_through(
-                endpoint, fence, host, lambda reply: None
-            )
+            on_reply = partial(handler or _ignore, host.name)
+            self._forwarded_orders.send_through(endpoint, fence, host, on_reply)
 
     @staticmethod
     def _carrier(group: GroupRow, primary: str) -> EndpointRow | None:
@@ -554,6 +574,10 @@
         task.handler()
 
 
+def _ignore(host: str, forwarded: ForwardedReply) -> None:
+    """Take a reply that nothing waits for."""
+
+
 def _evidence_of(forwarded: ForwardedReply) -> FenceEvidence | None:
     """Return a holder's evidence; None if it did not confirm the fence.
 
--- a/tests/core/proxy/test_stranded_commits.py
+++ b/tests/core/proxy/test_stranded_commits.py
@@ -7,7 +7,9 @@
 
 import pytest
 
+from mallowpass.core.proxy.claims import CLAIM_TIMEOUT
 from mallowpass.core.proxy.statements import Write
+from mallowpass.standins.proxied.replicas import GroupTimes
 from mallowpass.standins.proxied.virtual.heartbeats import Heartbeats
 from mallowpass.standins.proxied.virtual.world import ProxyWorld
 from tests.fakes.fleets import FLEETS
@@ -22,6 +24,7 @@
     (3, "restart", "small", 8),
 )
 WRITE_INTERVAL = 0.02  # seconds between two writes of a host
+DISTANCE = 0.012  # seconds between regions, and between members
 # Seconds for which leases are outwaited, and a promotion takes; not 3 s more.
 PROVEN_GAP_MAX = 3.0
 
@@ -70,3 +73,22 @@
     world.run_until(lambda: world.group.promotions > 0, 1.0)
     assert world.group.promotions
     assert world.group.lost == []
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_no_other_host_claims_while_commits_are_awaited(seed: int):
+    """Guard against a wait that begins anew as a claim or a fence expires in it."""
+    times = GroupTimes(network=DISTANCE)
+    world = ProxyWorld(hosts=4, seed=seed, distance=DISTANCE, times=times)
+    Heartbeats(world)
+    _write(world)
+    world.run(2.0 + 0.0137 * seed)
+    world.kill(seed % 4)
+    for host in world.hosts:
+        host.cut_from.add(world.primary.name)
+    world.run_until(lambda: world.group.promotions > 0, 12.0)
+    lines = [line for host in world.hosts for line in host.logged("claim")]
+    assert len({line["token"] for line in lines if line["what"] == "taken"}) == 1
+    ordered = [o for host in world.hosts for o in host.logged("promotion_ordered")]
+    assert [order["commits_awaited"] > CLAIM_TIMEOUT for order in ordered] == [True]
+    assert world.group.lost == []
