Ask the platform whether a primary runs beside which commits may wait

Callers saw nothing: the commits were in doubt to them. A successor led without up to six commits, which the former primary acknowledged before the lead: they had arrived in the last 20 ms before no host reached it, so it had shown none of them, or no connection was idle on which it could be asked.

Cause: a primary without power and one that lives out of reach look alike until the next renewal of its entry, and an order that waits for that makes each dark failover slower. So a target that had what the primary showed was taken for one that has all.

The platform refuses to promote a database that does not run, and an order for the present primary changes nothing. So an attempt asks once, by such an order, where commits may wait. A primary that does not run is not waited for; one that runs is, until the target shows more than it did, it steps down, or the connections are gone. An answered question can't be carried out late. After one without an answer the target is ordered under a newer token, which makes it void. Nothing is asked where tokens are not checked, nor beside an order of before that may be pending.

--- a/mallowpass/core/proxy/commitwaits.py
+++ b/mallowpass/core/proxy/commitwaits.py
@@ -17,8 +17,9 @@
 
 A primary that lost power looks alike if its last commits were shown, or had arrived,
 and had not been sent to a replica. So what the target may lack for that reason is
-waited for only if the primary renews its entry, or until that is overdue. One that
-renews it lives: then the target has to show more than the log had, as that alone shows
+waited for only if the platform tells that the primary runs, see `primaryquestions`. If
+it does not tell, the primary has to renew its entry, or that to be overdue. Of a
+primary that lives the target has to show more than the log had, as that alone shows
 that replicas went on to receive.
 """
 
@@ -33,6 +34,7 @@
 from mallowpass.core.proxy.claims import Claim, Claims
 from mallowpass.core.proxy.demotion import Demotion
 from mallowpass.core.proxy.fenceorders import FenceOrders
+from mallowpass.core.proxy.primaryquestions import PrimaryQuestions
 from mallowpass.core.proxy.promotionorders import PromotionOrders
 from mallowpass.core.proxy.replacement import (
     FenceOutcome,
@@ -99,6 +101,7 @@
         "_demotion",
         "_ended_at",
         "_fence_orders",
+        "_primary_questions",
         "_promotion_orders",
         "_renewals",
         "_stepped_down_at",
@@ -118,6 +121,7 @@
         self._claims = self._node.system(Claims)
         self._demotion = self._node.system(Demotion)
         self._fence_orders = self._node.system(FenceOrders)
+        self._primary_questions = self._node.system(PrimaryQuestions)
         self._promotion_orders = self._node.system(PromotionOrders)
         self._node.subscribe(EndpointChanged, self._on_endpoint_changed)
         self._node.subscribe(EndpointExpired, self._on_expired)
@@ -210,6 +214,8 @@
             return "the primary restarted"
         if self._has_ended(attempt):
             return "the primary's process has ended"
+        if attempt.is_primary_running is False:
+            return "the platform tells that the primary does not run"
         if attempt.has_settled:
             return "the target received after all commits were sent"
         received = attempt.received[attempt.target]
@@ -223,8 +229,13 @@
             return "the target has more than the primary showed"
         if received < settled or self._is_alive(attempt):
             return ""
-        if are_all_told and received == known:
+        is_unknown = attempt.is_primary_running is None
+        if self._primary_questions.may_ask(attempt):
+            return ""
+        if are_all_told and received == known and is_unknown:
             return "the target has what the primary showed"
+        if attempt.is_primary_running:
+            return ""  # it may live and not reach the store
         is_due = self.now >= self._renewals_of(attempt).due_at
         return "the primary shows no sign of life" if is_due else ""
 
--- a/mallowpass/core/proxy/effects.py
+++ b/mallowpass/core/proxy/effects.py
@@ -22,6 +22,7 @@
     "AnswerLink",
     "AnswerStatement",
     "AskAllowance",
+    "AskPrimary",
     "CallStore",
     "CloseConnection",
     "CloseLink",
@@ -190,6 +191,20 @@
     timeout: float
 
 
+@record
+class AskPrimary(ProxyEffect):
+    """Ask whether a primary runs; PrimaryAnswered with the same `call` always follows.
+
+    The platform is told to promote it, which changes nothing while it is the primary.
+    """
+
+    call: int
+    service: str
+    endpoint: str
+    fencing_token: int
+    timeout: float
+
+
 @record
 class AskAllowance(ProxyEffect):
     """Request operations of a customer from the host that keeps a part of its limit.
--- a/mallowpass/core/proxy/events.py
+++ b/mallowpass/core/proxy/events.py
@@ -28,6 +28,7 @@
     "LinkCalled",
     "LinkClosed",
     "LinkOpened",
+    "PrimaryAnswered",
     "PromotionAnswered",
     "ProxyEvent",
     "SessionClosed",
@@ -183,6 +184,18 @@
     reply: StoreReply
 
 
+@record
+class PrimaryAnswered(ProxyEvent):
+    """The platform told whether a primary runs.
+
+    `is_running` is None if no answer came: the order to promote it may still be
+    carried out.
+    """
+
+    call: int
+    is_running: bool | None
+
+
 @record
 class PromotionAnswered(ProxyEvent):
     """The platform answered an order to promote.
--- /dev/null
+++ b/mallowpass/core/proxy/primaryquestions.py
@@ -0,0 +1,86 @@
+"""Questions to the platform whether a primary that hosts do not reach runs.
+
+A primary without power, and one that lives and that no host reaches, look alike to
+hosts. The platform is told to promote the present primary: it refuses if that one does
+not run, and else changes nothing.
+
+Such an order must not be carried out after the target leads, as it would end its lead.
+Once answered it can't be. If it got no answer, the promotion is ordered under a newer
+token, which makes it void. So nothing is asked where the platform checks no tokens, nor
+while an order of before may be carried out: then the primary may not lead any more.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from mallowpass.core.node import Node
+from mallowpass.core.proxy.effects import AskPrimary
+from mallowpass.core.proxy.events import PrimaryAnswered
+from mallowpass.core.proxy.pendingfences import PendingFences
+from mallowpass.core.proxy.pendingorders import PendingOrders
+from mallowpass.core.proxy.replacement import Replacement
+from mallowpass.core.proxy.tables import ProxySystem
+
+__all__ = ["PrimaryQuestions"]
+
+QUESTION_TIMEOUT = 0.2  # seconds
+
+AnswerHandler = Callable[[], None]
+
+
+class PrimaryQuestions(ProxySystem):
+    """Ask the platform whether the primaries run that this host replaces."""
+
+    __slots__ = ("_pending_fences", "_pending_orders", "_questions")
+
+    def __init__(self, node: Node) -> None:
+        super().__init__(node)
+        # Attempts that await an answer, by call.
+        self._questions: dict[int, tuple[Replacement, AnswerHandler]] = {}
+
+    def start(self) -> None:
+        """Subscribe to the platform's answers."""
+        self._pending_fences = self._node.system(PendingFences)
+        self._pending_orders = self._node.system(PendingOrders)
+        self._node.subscribe(PrimaryAnswered, self._on_answered)
+
+    def may_ask(self, attempt: Replacement) -> bool:
+        """Return whether an attempt may ask, which it does once."""
+        group = attempt.group
+        is_known = attempt.primary != "" and attempt.primary == group.primary
+        if attempt.question_token or attempt.order_count or attempt.inherits_order:
+            return False
+        if not (is_known and attempt.is_view_current and attempt.reason.is_failure):
+            return False
+        if not self.tables.promotion_fences_primary:
+            return False
+        is_guarding = self._pending_fences.is_guarding(group.service)
+        return not (is_guarding or self._pending_orders.has_foreign(group))
+
+    def ask(self, attempt: Replacement, handler: AnswerHandler) -> None:
+        """Ask whether the primary of an attempt runs.
+
+        The handler is called once the answer is known, or not to be had.
+        """
+        attempt.question_token = attempt.claim.token
+        call = self._node.next_number()
+        self._questions[call] = (attempt, handler)
+        self._node.emit(
+            AskPrimary(
+                call,
+                attempt.group.service,
+                attempt.primary,
+                attempt.claim.token,
+                QUESTION_TIMEOUT,
+            )
+        )
+
+    def _on_answered(self, event: PrimaryAnswered) -> None:
+        attempt, handler = self._questions.pop(event.call, (None, None))
+        if attempt is None or attempt.is_ended:
+            return
+        attempt.is_primary_running = event.is_running
+        running = "unknown" if event.is_running is None else event.is_running
+        attempt.log(self._node, "primary_asked", running=running)
+        handler()
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -39,6 +39,7 @@
 from mallowpass.core.proxy.pendingfences import PendingFences
 from mallowpass.core.proxy.pendingorders import PendingOrders
 from mallowpass.core.proxy.primaryconflicts import PrimaryConflicts
+from mallowpass.core.proxy.primaryquestions import PrimaryQuestions
 from mallowpass.core.proxy.promotionorders import (
     ClaimExpired,
     OrderFailed,
@@ -131,6 +132,7 @@
         "_conflicts",
         "_pending_fences",
         "_pending_orders",
+        "_primary_questions",
         "_writers",
     )
 
@@ -165,6 +167,7 @@
         self._store = node.system(Store)
         self._conflicts = node.system(PrimaryConflicts)
         self._pending_orders = node.system(PendingOrders)
+        self._primary_questions = node.system(PrimaryQuestions)
         self._writers = node.system(Writers)
         node.subscribe(DrainBegan, self._on_drain_began)
         node.subscribe(EndpointChanged, self._on_endpoint_changed)
@@ -646,10 +649,22 @@
             self._compare(attempt)
         elif attempt.must_outwait_leases:
             self._outwait_leases(attempt)
-        elif self._commit_waits.must_wait(attempt):
-            self._commit_waits.begin(attempt, lambda: self._compare(attempt))
-        else:
+        elif not self._commit_waits.must_wait(attempt):
             self._order(attempt)
+        elif self._primary_questions.may_ask(attempt):
+            self._ask_platform(attempt)
+        else:
+            self._commit_waits.begin(attempt, lambda: self._compare(attempt))
+
+    def _ask_platform(self, attempt: Replacement) -> None:
+        """Ask whether the primary runs, which commits may wait at, and decide again."""
+        rounds = attempt.rounds
+
+        def on_answered() -> None:
+            if not attempt.is_ended and attempt.rounds == rounds:
+                self._order_once_fenced(attempt)
+
+        self._primary_questions.ask(attempt, on_answered)
 
     def _outwait_leases(self, attempt: Replacement) -> None:
         """Order the promotion once hosts that were not told hold back their writes."""
--- a/mallowpass/core/proxy/promotionorders.py
+++ b/mallowpass/core/proxy/promotionorders.py
@@ -114,8 +114,10 @@
 
         def on_stored(number: int | None) -> None:
             is_current = not attempt.is_ended and attempt.rounds == round_number
-            if is_current and number is not None and self._is_unfenced(attempt):
-                # This host was held up, and holders may write to the primary again.
+            is_void = self._is_unfenced(attempt) or attempt.needs_newer_token
+            if is_current and number is not None and is_void:
+                # This host was held up, and holders may write to the primary again; or
+                # a question to the platform may be carried out late.
                 self._pending_orders.note_answer(service, target, number, False)
                 self._node.publish(ClaimExpired(attempt))
             elif is_current and number is not None:
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -45,6 +45,7 @@
 from mallowpass.core.proxy.pendingfences import PendingFences
 from mallowpass.core.proxy.pendingorders import PendingOrders
 from mallowpass.core.proxy.primaryconflicts import PrimaryConflicts
+from mallowpass.core.proxy.primaryquestions import PrimaryQuestions
 from mallowpass.core.proxy.promotion import Promotion
 from mallowpass.core.proxy.promotionlog import PromotionLog
 from mallowpass.core.proxy.promotionorders import PromotionOrders
@@ -131,6 +132,7 @@
     PromotionOrders,
     PauseChecks,
     LeaseWaits,
+    PrimaryQuestions,
     CommitWaits,
     Promotion,
     ReplacementTriggers,
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -137,6 +137,10 @@
     before_settling: LogPosition | None = None
     # That the primary's log reaches, or will, with the commits that have arrived there.
     appended: LogPosition = ZERO_POSITION
+    # The token under which the platform was asked whether the primary runs; 0: it was
+    # not. None as the answer: not known.
+    question_token: int = 0
+    is_primary_running: bool | None = None
     awaits_commits_since: float | None = None  # see `commitwaits`
     awaited_commits: float = 0.0  # seconds that the order has waited for them
     why_awaits_no_commit: str = ""  # as was last decided, empty if some may wait
@@ -184,6 +188,13 @@
         is_open = not (self.is_quiesced or self.has_outwaited_leases)
         return is_open and name == self.target
 
+    @property
+    def needs_newer_token(self) -> bool:
+        """Return whether a question to the platform without an answer may be late."""
+        if not self.question_token or self.is_primary_running is not None:
+            return False
+        return self.claim is not None and self.claim.token <= self.question_token
+
     @property
     def abandoned_count(self) -> int:
         """Return how many commits of all hosts may wait at the primary."""
--- a/mallowpass/platform/promotions.py
+++ b/mallowpass/platform/promotions.py
@@ -8,8 +8,8 @@
 
 import json
 
-from mallowpass.core.proxy.effects import OrderPromotion
-from mallowpass.core.proxy.events import PromotionAnswered
+from mallowpass.core.proxy.effects import AskPrimary, OrderPromotion
+from mallowpass.core.proxy.events import PrimaryAnswered, PromotionAnswered
 from mallowpass.platform.http import HttpClient, HttpError, Request
 from mallowpass.platform.settings import Address
 
@@ -57,3 +57,18 @@
         if response.status in _RETRYABLE_HTTP_CODES or 400 <= response.status < 500:
             return PromotionAnswered(order.call, False, message=message)
         return PromotionAnswered(order.call, None, message=message)
+
+    async def ask(self, question: AskPrimary) -> PrimaryAnswered:
+        """Order the promotion of a primary, and return whether it runs."""
+        order = OrderPromotion(
+            question.call,
+            question.service,
+            question.endpoint,
+            question.fencing_token,
+            question.timeout,
+        )
+        answered = await self.promote(order)
+        is_running = True if answered.accepted else None
+        if answered.outdated:
+            is_running = False
+        return PrimaryAnswered(question.call, is_running)
--- a/mallowpass/platform/runtime.py
+++ b/mallowpass/platform/runtime.py
@@ -14,6 +14,7 @@
 from mallowpass.core.node import FailureDomain, HostIdentity, Node, Tuning
 from mallowpass.core.proxy import effects
 from mallowpass.core.proxy.events import (
+    PrimaryAnswered,
     PromotionAnswered,
     ProxyEvent,
     ShutdownRequested,
@@ -405,6 +406,19 @@
             answered = PromotionAnswered(effect.call, None, message=why)
         self.handle(answered)
 
+    @_apply.register
+    def _(self, effect: effects.AskPrimary) -> None:
+        self._spawn(self._ask_primary(effect))
+
+    async def _ask_primary(self, effect: effects.AskPrimary) -> None:
+        answered = PrimaryAnswered(effect.call, None)
+        if self._promotion_client is not None:
+            try:
+                answered = await self._promotion_client.ask(effect)
+            except Exception as error:
+                self._on_error(error, type(effect).__name__)
+        self.handle(answered)
+
     @_apply.register
     def _(self, effect: effects.SetReady) -> None:
         self._is_ready = effect.ready
--- a/mallowpass/standins/proxied/virtual/hosts.py
+++ b/mallowpass/standins/proxied/virtual/hosts.py
@@ -17,6 +17,7 @@
     EndpointAnswered,
     LinkCalled,
     LinkClosed,
+    PrimaryAnswered,
     PromotionAnswered,
     ProxyEvent,
     SessionClosed,
@@ -468,6 +469,12 @@
         answered = PromotionAnswered(effect.call, accepted, outdated)
         self.later(2 * LINK if accepted is not None else effect.timeout, answered)
 
+    @_apply.register
+    def _(self, effect: effects.AskPrimary) -> None:
+        is_running = self.world.ask_primary(self, effect)
+        answered = PrimaryAnswered(effect.call, is_running)
+        self.later(2 * LINK if is_running is not None else effect.timeout, answered)
+
     @_apply.register
     def _(self, effect: effects.SetReady) -> None:
         self.ready = effect.ready
--- a/mallowpass/standins/proxied/virtual/world.py
+++ b/mallowpass/standins/proxied/virtual/world.py
@@ -158,6 +158,9 @@
         self.tokens: dict[str, int] = {}
         self._tokens_of_hosts: set[tuple[str, int]] = set()
         self.orders: list[effects.OrderPromotion] = []
+        self.questions: list[effects.AskPrimary] = []
+        # Seconds until questions without an answer are carried out; None: all have one.
+        self.questions_late: float | None = None
         # Called with the host and its order, once the platform has got it or not.
         self.on_order: Callable[[Host, effects.OrderPromotion], None] = (
             lambda host, order: None
@@ -481,6 +484,23 @@
         taken = self._carry_out(order)
         return taken, not taken
 
+    def ask_primary(self, host: Host, question: effects.AskPrimary) -> bool | None:
+        """Take an order for a primary, and return whether it runs, if that is known."""
+        order = effects.OrderPromotion(
+            question.call,
+            question.service,
+            question.endpoint,
+            question.fencing_token,
+            question.timeout,
+        )
+        self.questions.append(question)
+        if "orders" in host.cut_from:
+            return None
+        if self.questions_late is not None:
+            self.timers.after(self.questions_late, self._carry_out, order)
+            return None
+        return self._carry_out(order)
+
     def _carry_out(self, order: effects.OrderPromotion) -> bool:
         group = self.groups[order.service]
         newest = self.tokens.get(order.service, 0)
--- /dev/null
+++ b/tests/core/proxy/test_primary_questions.py
@@ -0,0 +1,101 @@
+"""Whether a primary runs is asked of the platform where commits may wait at it."""
+
+from __future__ import annotations
+
+import pytest
+
+from mallowpass.core.proxy.statements import Write
+from mallowpass.standins.proxied.virtual.heartbeats import Heartbeats
+from mallowpass.standins.proxied.virtual.world import ProxyWorld
+
+WRITE_INTERVAL = 0.02  # seconds between two writes of a host
+ORDER_WAIT = 8.0  # seconds until a successor leads
+SOON = 1.3  # seconds from the loss of a primary until its successor leads
+
+
+def _write(world: ProxyWorld) -> None:
+    for index, host in enumerate(world.hosts):
+        if not host.exited:
+            world.caller(index, "own").send(Write("a 1"))
+    world.timers.after(WRITE_INTERVAL, _write, world)
+
+
+def _world(seed: int = 1, fences: bool = True) -> ProxyWorld:
+    world = ProxyWorld(hosts=4, seed=seed, fences=fences)
+    Heartbeats(world)
+    _write(world)
+    world.run(2.5)
+    return world
+
+
+def _lose_primary(world: ProxyWorld) -> None:
+    """Have no host reach the primary, which lives."""
+    for host in world.hosts:
+        host.cut_from.add(world.primary.name)
+
+
+def _run_until_led(world: ProxyWorld) -> None:
+    world.run_until(lambda: world.group.promotions > 0, ORDER_WAIT)
+    assert world.group.promotions
+    assert world.group.lost == []
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_a_primary_that_does_not_run_is_not_waited_for(seed: int):
+    """Guard against failovers that wait for commits of a primary without power."""
+    world = _world(seed)
+    world.crash(world.primary.name, dark=True)
+    at = world.timers.now
+    _run_until_led(world)
+    assert world.timers.now < at + SOON
+
+
+def test_commits_may_wait_at_a_primary_that_runs():
+    """Guard against an order beside commits of which a primary has shown nothing."""
+    world = _world()
+    for replica in world.group.replicas.values():
+        replica.deaf = not replica.is_primary
+    _lose_primary(world)
+    _run_until_led(world)
+    asked = [line for host in world.hosts for line in host.logged("primary_asked")]
+    assert [line["running"] for line in asked] == [True]
+    ordered = [o for host in world.hosts for o in host.logged("promotion_ordered")]
+    assert ordered[0]["commits_awaited"] > 0.0
+
+
+def test_a_question_that_is_late_does_not_end_the_lead_of_a_successor():
+    """Guard against a primary that leads again by a question without an answer."""
+    world = _world()
+    world.questions_late = ORDER_WAIT
+    _lose_primary(world)
+    first = world.primary.name
+    _run_until_led(world)
+    assert [question.endpoint for question in world.questions] == [first]
+    token = world.questions[0].fencing_token
+    assert all(order.fencing_token > token for order in world.orders)
+    for host in world.hosts:
+        host.cut_from.clear()
+    world.run(ORDER_WAIT)
+    assert world.primary.name != first
+    assert world.group.promotions == 1
+
+
+def test_nothing_is_asked_where_the_platform_checks_no_tokens():
+    """Guard against a late question that no newer order makes void."""
+    world = _world(fences=False)
+    _lose_primary(world)
+    _run_until_led(world)
+    assert world.questions == []
+
+
+def test_nothing_is_asked_while_an_order_of_before_is_pending():
+    """Guard against a question that ends the lead of the target of a late order."""
+    world = _world()
+    world.orders_lost, world.orders_late = 1, 2.0
+    _lose_primary(world)
+    world.run_until(lambda: bool(world.orders), ORDER_WAIT)
+    asked = len(world.questions)
+    index = next(i for i, h in enumerate(world.hosts) if h.logged("promotion_ordered"))
+    world.kill(index)
+    world.run(ORDER_WAIT)
+    assert len(world.questions) == asked
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from mallowpass.core.proxy.effects import OrderPromotion
-from mallowpass.core.proxy.events import PromotionAnswered
+from mallowpass.core.proxy.effects import AskPrimary, OrderPromotion
+from mallowpass.core.proxy.events import PrimaryAnswered, PromotionAnswered
 from mallowpass.core.proxy.storage import (
     ChangeRows,
     ListRows,
@@ -74,6 +74,23 @@
     assert [text.encode("latin-1").decode() for text in names] == [name]
 
 
+@pytest.mark.parametrize(
+    ("status", "is_running"), [(200, True), (409, False), (503, None), (500, None)]
+)
+def test_whether_a_primary_runs_is_known_by_the_answer(address, status, is_running):
+    """Guard against an overloaded platform that passes for a primary without power."""
+
+    async def run() -> PrimaryAnswered:
+        server = HttpServer({"/promote": lambda request: Response(status)})
+        await server.start(address)
+        question = AskPrimary(1, "s", "i-1", 7, 1.0)
+        answered = await PromotionClient(address, "h").ask(question)
+        server.close_all()
+        return answered
+
+    assert asyncio.run(run()) == PrimaryAnswered(1, is_running)
+
+
 def test_request_without_a_valid_head_is_not_sent(address):
     """Guard against a header that becomes several, and a call that is never ended."""
 
--- a/tests/platform/test_unanswered_calls.py
+++ b/tests/platform/test_unanswered_calls.py
@@ -13,6 +13,7 @@
 
 from mallowpass.core.proxy.effects import (
     AskAllowance,
+    AskPrimary,
     CallStore,
     OpenConnection,
     OrderPromotion,
@@ -20,6 +21,7 @@
 from mallowpass.core.proxy.events import (
     AllowanceAnswered,
     ConnectionRefused,
+    PrimaryAnswered,
     PromotionAnswered,
     StoreAnswered,
 )
@@ -248,6 +250,22 @@
     assert len(log.fields(EXCEPTION_ESCAPED)) == 1
 
 
+def test_question_that_raises_is_answered(tmp_path, monkeypatch, handled):
+    """Guard against a replacement that waits for good for whether a primary runs."""
+    monkeypatch.setattr(PromotionClient, "promote", _escape_later)
+
+    async def run() -> MemoryLog:
+        host, log = _host(tmp_path)
+        host._promotion_client = PromotionClient(Address("127.0.0.1", 1), "h")
+        host._apply(AskPrimary(5, "s", "i-1", 3, 1.0))
+        await asyncio.gather(*host._tasks)
+        return log
+
+    log = asyncio.run(run())
+    assert handled == [PrimaryAnswered(5, None)]
+    assert len(log.fields(EXCEPTION_ESCAPED)) == 1
+
+
 def test_allowance_whose_connection_raises_is_answered(monkeypatch):
     """Guard against operations that wait for an allowance for good."""
     handled: list[object] = []
