Wait for hosts that tell nothing only where that is safe

Where the platform checks no tokens, hosts without the store hold their writes for 2.5 s after a pause. An order that waits for longer lets them write again, and 8 to 27 of their commits were lost as another replica restarted (test_pending_orders, nine cases; test_replaced, two).

A primary that is replaced as planned answers, so it learns that a host has ended; it was ordered to step down (test_members, a write without an answer).

test_takeovers, a primary that is down is not waited for: its world had no renewals of entries, so nothing told that the primary does not live. It has them now, the bound stays.

--- a/mallowpass/core/proxy/commitwaits.py
+++ b/mallowpass/core/proxy/commitwaits.py
@@ -131,7 +131,7 @@
 
     def must_wait(self, attempt: Replacement) -> bool:
         """Return whether the primary may acknowledge what the target lacks."""
-        if attempt.order_count or not (attempt.abandoned or attempt.untold):
+        if attempt.order_count or not (attempt.abandoned or self._untold(attempt)):
             return False
         why_over = self._why_over(attempt)
         attempt.why_awaits_no_commit = why_over
@@ -190,16 +190,23 @@
     def _primary(attempt: Replacement) -> EndpointRow | None:
         return attempt.group.endpoints.get(attempt.primary)
 
-    @staticmethod
-    def _ends_at(attempt: Replacement) -> float:
+    def _untold(self, attempt: Replacement) -> dict[str, float]:
+        """Return the hosts that told nothing, each with when its connections ended.
+
+        Where the platform checks no tokens, hosts without the store hold their writes
+        no longer than a fence lasts, see `writeleases`, so they can't be waited for.
+        """
+        return attempt.untold if self.tables.promotion_fences_primary else {}
+
+    def _ends_at(self, attempt: Replacement) -> float:
         """Return when the primary has closed the connections that hosts closed."""
         closed = [closed_at for _, closed_at in attempt.abandoned.values()]
-        closed.extend(attempt.untold.values())
+        closed.extend(self._untold(attempt).values())
         return max(closed, default=float("-inf")) + LINGER_TIME
 
     def _are_any_untold(self, attempt: Replacement) -> bool:
         """Return whether commits may wait of which no host has told."""
-        last_at = max(attempt.untold.values(), default=float("-inf"))
+        last_at = max(self._untold(attempt).values(), default=float("-inf"))
         return self.now < last_at + LINGER_TIME
 
     def _why_over(self, attempt: Replacement) -> str:
--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -444,8 +444,7 @@
                     service, task.store_version
                 ):
                     self._writers.forget(service, host.name)
-                ended_at = self._ended_at.setdefault(host.name, self.now)
-                task.attempt.untold[host.name] = ended_at
+                self._note_ended(task.attempt, host.name)
                 task.attempt.fence_refused.add(host.name)
                 self._log_refused(task.attempt, host.name, heard_at)
                 self._confirm(task, host.name)
@@ -464,7 +463,7 @@
         self._durability.raise_must_hold(attempt.group, evidence.must_hold)
         attempt.shown = max(attempt.shown, evidence.shown)
         attempt.note_abandoned(host, evidence.abandoned, self.now)
-        if evidence.restarted_ago is not None:
+        if evidence.restarted_ago is not None and attempt.reason.is_failure:
             attempt.untold[host] = self.now - evidence.restarted_ago
         task.commits[host] = evidence.shown_before_commits
         commits = [position for each in task.commits.values() for position in each]
@@ -475,6 +474,15 @@
         attempt.fence_confirmed.add(host)
         self._confirm(task, host)
 
+    def _note_ended(self, attempt: Replacement, host: str) -> None:
+        """Record that a host can't tell what it had in flight at a failed primary.
+
+        One that is replaced as planned answers, and learnt of the end.
+        """
+        ended_at = self._ended_at.setdefault(host, self.now)
+        if attempt.reason.is_failure:
+            attempt.untold[host] = ended_at
+
     def _log_refused(self, attempt: Replacement, host: str, heard_at: float) -> None:
         """Tell once of a host that has ended, whose commits nobody can tell."""
         if host in attempt.refused_hosts:
--- a/tests/core/proxy/test_takeovers.py
+++ b/tests/core/proxy/test_takeovers.py
@@ -298,6 +298,7 @@
 def test_a_takeover_does_not_wait_for_a_primary_that_is_down(dark: bool):
     """Guard against a first round that waits for a primary which can't answer."""
     world = new_world()
+    Heartbeats(world)
     world.orders_lost, world.orders_late = 1, NEVER
     world.crash(PRIMARY, dark=dark)
     run_until_ordered(world)
