--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -27,6 +27,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.connections import Connections
@@ -85,6 +86,8 @@
 RETRY_INTERVAL = 0.05
 
 SettledHandler = Callable[[], None]
+# Called with a holder and its reply.
+ReplyHandler = Callable[[str, ForwardedReply], None]
 
 
 @dataclass(slots=True, eq=False)
@@ -114,6 +117,7 @@
         "_connections",
         "_demotion",
         "_durability",
+        "_ended_at",
         "_fencing",
         "_forwarded_orders",
         "_holders",
@@ -129,6 +133,8 @@
         self._tasks: dict[str, _Task] = {}  # by service
         self._owner = owner_name(node.identity.name, node.identity.incarnation)
         self._tokens: dict[str, int] = {}  # of this host's newest claims, by service
+        # When hosts were found to have ended, until they answer again.
+        self._ended_at: dict[str, float] = {}
 
     def start(self) -> None:
         """Subscribe to primaries that may have to be replaced."""
@@ -272,7 +278,23 @@
         if task is not None:
             task.renewed_at = self.now
             task.targets.add(attempt.fence_target)
-            self.fence(attempt.group, attempt.primary, attempt.fence_target)
+            self._renew(task)
+
+    def _renew(self, task: _Task) -> None:
+        """Renew a fence; it lasts longer once all that confirmed it do so again."""
+        attempt = task.attempt
+        fence = self._fence_of(attempt)
+        until = self.now + FENCE_DURATION
+        unconfirmed = attempt.fence_confirmed - {self._node.identity.name}
+
+        def on_reply(host: str, forwarded: ForwardedReply) -> None:
+            if _evidence_of(forwarded) is not None or forwarded.is_unconnected:
+                unconfirmed.discard(host)
+            if not unconfirmed and self._is_current(task):
+                attempt.fenced_until = max(attempt.fenced_until, until)
+
+        self._fencing.fence_service(attempt.group, fence)
+        self._send_all(attempt.group, fence, on_reply)
 
     def expire(self, attempt: Replacement) -> None:
         """Have the next fence confirmed anew, and cover the ordered target as well."""
@@ -365,14 +387,15 @@
         self._fencing.lift_service(group, fence.owner, fence.token)
         self._send_all(group, fence)
 
-    def _send_all(self, group: GroupRow, fence: Fence) -> None:
+    def _send_all(
+        self, group: GroupRow, fence: Fence, handler: ReplyHandler | None = None
+    ) -> None:
         endpoint = self._carrier(group, fence.primary)
         if endpoint is None:
             return
         for host in self._holders.possible_holders(group.service):
-            self._forwarded_orders.send_through(
-                endpoint, fence, host, lambda reply: None
-            )
+            on_reply = partial(handler or _ignore, host.name)
+            self._forwarded_orders.send_through(endpoint, fence, host, on_reply)
 
     @staticmethod
     def _carrier(group: GroupRow, primary: str) -> EndpointRow | None:
@@ -421,6 +444,7 @@
                     service, task.store_version
                 ):
                     self._writers.forget(service, host.name)
+                self._note_ended(task.attempt, host.name)
                 task.attempt.fence_refused.add(host.name)
                 self._log_refused(task.attempt, host.name, heard_at)
                 self._confirm(task, host.name)
@@ -435,9 +459,12 @@
 
     def _on_evidence(self, task: _Task, host: str, evidence: FenceEvidence) -> None:
         attempt = task.attempt
+        self._ended_at.pop(host, None)
         self._durability.raise_must_hold(attempt.group, evidence.must_hold)
         attempt.shown = max(attempt.shown, evidence.shown)
         attempt.note_abandoned(host, evidence.abandoned, self.now)
+        if evidence.restarted_ago is not None and attempt.reason.is_failure:
+            attempt.untold[host] = self.now - evidence.restarted_ago
         task.commits[host] = evidence.shown_before_commits
         commits = [position for each in task.commits.values() for position in each]
         self._durability.require_commits(attempt.group, commits)
@@ -447,6 +474,15 @@
         attempt.fence_confirmed.add(host)
         self._confirm(task, host)
 
+    def _note_ended(self, attempt: Replacement, host: str) -> None:
+        """Record that a host can't tell what it had in flight at a failed primary.
+
+        One that is replaced as planned answers, and learnt of the end.
+        """
+        ended_at = self._ended_at.setdefault(host, self.now)
+        if attempt.reason.is_failure:
+            attempt.untold[host] = ended_at
+
     def _log_refused(self, attempt: Replacement, host: str, heard_at: float) -> None:
         """Tell once of a host that has ended, whose commits nobody can tell."""
         if host in attempt.refused_hosts:
@@ -546,6 +582,10 @@
         task.handler()
 
 
+def _ignore(host: str, forwarded: ForwardedReply) -> None:
+    """Take a reply that nothing waits for."""
+
+
 def _evidence_of(forwarded: ForwardedReply) -> FenceEvidence | None:
     """Return a holder's evidence; None if it did not confirm the fence.
 
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -123,16 +123,24 @@
     # the target stays paused until it leads.
     has_outwaited_leases: bool = False
     awaited_leases: float = 0.0  # seconds that the order has waited for them
-    # What the target had, paused, as the wait for leases ended.
-    settled_from: LogPosition | None = None
     is_lift_repeated: bool = False  # holders are told again that none is in force
     confirmed_fence: ConfirmedFence | None = None
     shown: LogPosition = ZERO_POSITION  # newest that the primary showed to any holder
     # Commits that may wait at the primary, and when their connections were closed, by
     # the host that gave them up.
     abandoned: dict[str, tuple[AbandonedCommits, float]] = field(default_factory=dict)
+    # Hosts that told nothing of the commits that they gave up there, as they did not
+    # confirm the fence or have ended, and until when each may have been connected.
+    untold: dict[str, float] = field(default_factory=dict)
+    # The newest that a replica had once no host had a lease, before the target received
+    # what was in flight; None: leases were not awaited.
+    before_settling: LogPosition | None = None
     # That the primary's log reaches, or will, with the commits that have arrived there.
     appended: LogPosition = ZERO_POSITION
+    # The token under which the platform was asked whether the primary runs; 0: it was
+    # not. None as the answer: not known.
+    question_token: int = 0
+    is_primary_running: bool | None = None
     awaits_commits_since: float | None = None  # see `commitwaits`
     awaited_commits: float = 0.0  # seconds that the order has waited for them
     why_awaits_no_commit: str = ""  # as was last decided, empty if some may wait
@@ -180,13 +188,30 @@
         is_open = not (self.is_quiesced or self.has_outwaited_leases)
         return is_open and name == self.target
 
+    @property
+    def needs_newer_token(self) -> bool:
+        """Return whether a question to the platform without an answer may be late."""
+        if not self.question_token or self.is_primary_running is not None:
+            return False
+        return self.claim is not None and self.claim.token <= self.question_token
+
     @property
     def abandoned_count(self) -> int:
         """Return how many commits of all hosts may wait at the primary."""
         return sum(commits.count for commits, _ in self.abandoned.values())
 
+    @property
+    def has_settled(self) -> bool:
+        """Return whether the target received once no host could send a commit.
+
+        A log is received in order, so the target has all that had arrived by then.
+        """
+        before = self.before_settling
+        return before is not None and self.received[self.target] > before
+
     def note_abandoned(self, host: str, commits: AbandonedCommits, now: float) -> None:
         """Record the commits that a host gave up at the primary, as it tells now."""
+        self.untold.pop(host, None)
         if commits.count:
             self.abandoned[host] = (commits, now - commits.age)
         else:
--- a/mallowpass/standins/proxied/virtual/hosts.py
+++ b/mallowpass/standins/proxied/virtual/hosts.py
@@ -17,6 +17,7 @@
     EndpointAnswered,
     LinkCalled,
     LinkClosed,
+    PrimaryAnswered,
     PromotionAnswered,
     ProxyEvent,
     SessionClosed,
@@ -290,7 +291,8 @@
             refusal = ConnectionRefused(number, Code.OTHER, "no answer", True)
             self.later(effect.timeout, refusal)
         elif replica is None or not replica.up:
-            refusal = ConnectionRefused(number, Code.OTHER, "reset", True)
+            is_gone = replica is not None
+            refusal = ConnectionRefused(number, Code.OTHER, "reset", True, is_gone)
             self.later(self.world.way(self, effect), refusal)
         elif group.times.opening:
             opened = partial(self._opened_in_slot, group, effect, replica)
@@ -467,6 +469,12 @@
         answered = PromotionAnswered(effect.call, accepted, outdated)
         self.later(2 * LINK if accepted is not None else effect.timeout, answered)
 
+    @_apply.register
+    def _(self, effect: effects.AskPrimary) -> None:
+        is_running = self.world.ask_primary(self, effect)
+        answered = PrimaryAnswered(effect.call, is_running)
+        self.later(2 * LINK if is_running is not None else effect.timeout, answered)
+
     @_apply.register
     def _(self, effect: effects.SetReady) -> None:
         self.ready = effect.ready
