Read the claim where a replica lost its pause beside a late order

Cause: the replica restarts after the order, which ends its pause, and whoever ordered does not reach it to pause it again. 2.5 s later the lone host finds it receiving, and the target out of reach, so the question gives a lease. That it had been paused counted without the store only, and nothing reads the claim, which names the target for as long as the order may be late.

Now a pause that was seen within 14 s counts with the store as well, and has the claim read, which decides. A host that wrote nothing meanwhile has seen no pause: so while the store answers, a question within 14 s of a restart reads the claim along with the statuses. If it does not arrive within 0.08 s the members decide, so that a domain without the store goes on to serve. A claim that names no target ends the pauses seen before it was asked for, not those seen since.

Both tests of lease_with_store failed before, and the two new ones of idle_with_store.

--- a/mallowpass/core/proxy/writeleases.py
+++ b/mallowpass/core/proxy/writeleases.py
@@ -12,9 +12,11 @@
 that this host was told of in time.
 
 Where writes are rare, or wait for a replica, the members are asked for their status. A
-replica that is paused for a newer term than the primary's, or that may have restarted
-just now, which ends a pause, proves the contrary. Without the store, so does one that
-was paused while an order may be late. Then the claim in the store decides.
+replica that is paused for a newer term than the primary's, or was within the time that
+an order may be late, or that may have restarted just now, which ends a pause, proves
+the contrary. Then the claim in the store decides. While the store answers, it decides
+as well for as long as an order may be late after a replica has restarted: nobody may
+have paused that one again. The members do if the claim does not arrive in time.
 A host that gets no proof holds back its commits, and gives up those that are in flight.
 
 The members are all that is needed, so a failure domain that was cut off with its
@@ -68,6 +70,7 @@
 QUESTION_TIMEOUT = 0.2  # for the status of a member
 # For members that do not answer if another one receives, or the store may tell.
 SILENCE_TIMEOUT = 0.05
+CLAIM_TIMEOUT = 0.08  # for the claim, unless members contradict
 TERM_TIMEOUT = 0.1  # for the term of the primary
 RETRY_INTERVAL = 0.25  # between questions that gave no proof
 # After a replica ended a connection, during which it may have lost a pause.
@@ -89,6 +92,7 @@
     statuses: dict[str, EndpointStatus] = field(default_factory=dict)  # of replicas
     is_awaiting_term: bool = False
     is_reading_claim: bool = False
+    is_claim_late: bool = False
     primary_term: int | None = None  # None: not asked for
     why: str = ""  # there is no proof
     is_ended: bool = False
@@ -109,6 +113,11 @@
     is_awaited: bool = False  # commits wait for it
     is_watched: bool = False  # a timer checks the commits in flight
 
+    def forget_pauses(self, until: float) -> None:
+        """Forget the pauses that were seen until a time, as no order was pending."""
+        pauses = self.last_pauses.items()
+        self.last_pauses = {name: seen for name, seen in pauses if seen[1] > until}
+
 
 class WriteLeases(ProxySystem):
     """Keep this host's leases on writing to primaries."""
@@ -266,7 +275,7 @@
         """Begin a lease, as the host with the newest claim orders no promotion now."""
         group = signal.group
         if group.primary:
-            self._lease(group).last_pauses.clear()
+            self._lease(group).forget_pauses(self.now)
             self._proofs.begin(group, self.now)
 
     def _on_primary_changed(self, signal: PrimaryChanged) -> None:
@@ -362,6 +371,10 @@
         for replica in replicas:
             on_replies = partial(self._on_status, group, lease, question, replica)
             self._control.send(replica, (Status(),), on_replies, QUESTION_TIMEOUT)
+        if self._is_doubtful(group):
+            late = self._on_claim_late
+            self.timers.after(CLAIM_TIMEOUT, late, group, lease, question)
+            self._read_claim(group, lease, question)
         if not replicas:
             self._decide(group, lease, question)
 
@@ -394,6 +407,10 @@
         question.unanswered.clear()
         self._decide(group, lease, question)
 
+    @property
+    def _is_store_lost(self) -> bool:
+        return self._store.failing_since is not None
+
     def _has_store(self) -> bool:
         return self.now < self._store.last_reply_at + STORE_SILENCE
 
@@ -413,9 +430,9 @@
             self._check_contradiction(group, lease, question)
         elif question.unanswered:
             return
-        elif question.statuses:
+        elif question.statuses and not self._awaits_claim(question):
             self._conclude(group, lease, question, question.asked_at)
-        else:
+        elif not question.statuses:
             question.why = "no replica answers"
             self._read_claim(group, lease, question)
 
@@ -432,13 +449,38 @@
                 return f"{name} is paused"
             if not status.paused_for and self._was_paused(lease, name, term):
                 return f"{name} was paused"
-        since = self.now - RESTART_TIME
+        restarted = self._has_restarted(group, RESTART_TIME)
+        return f"{restarted} may have restarted" if restarted else ""
+
+    def _is_doubtful(self, group: GroupRow) -> bool:
+        """Return whether the pause of a replica may have ended beside a late order.
+
+        Whoever replaces the primary may not reach that replica to pause it again.
+        """
+        if not self.tables.promotion_fences_primary or self._is_store_lost:
+            return False
+        return self._has_restarted(group, LATE_ORDER_TIMEOUT) != ""
+
+    def _has_restarted(self, group: GroupRow, within: float) -> str:
+        """Return the name of a replica that may have restarted, or an empty string."""
+        since = self.now - within
         for name in group.endpoints:
             is_replica = name != group.primary
             if is_replica and self._disconnected_at.get(name, since) > since:
-                return f"{name} may have restarted"
+                return name
         return ""
 
+    def _awaits_claim(self, question: _Question) -> bool:
+        """Return whether the store may still answer a question in time."""
+        return question.is_reading_claim and not question.is_claim_late
+
+    def _on_claim_late(
+        self, group: GroupRow, lease: _Lease, question: _Question
+    ) -> None:
+        """Decide without the store, which does not answer."""
+        question.is_claim_late = True
+        self._decide(group, lease, question)
+
     def _counts(self, lease: _Lease, name: str, status: EndpointStatus) -> bool:
         """Return whether the promotion that a replica is paused for may be pending.
 
@@ -457,10 +499,9 @@
         """Return whether a replica was paused for a promotion that may be pending.
 
         Its pause may have ended with a restart, out of the reach of whoever replaces
-        the primary. It counts without the store only: attempts that order nothing
-        would hold writes.
+        the primary. The claim tells with the store.
         """
-        if self._has_store() or not self.tables.promotion_fences_primary:
+        if not self.tables.promotion_fences_primary:
             return False
         paused_for, seen_at = lease.last_pauses.get(name, (0, 0.0))
         return paused_for > term and self.now < seen_at + LATE_ORDER_TIMEOUT
@@ -505,7 +546,7 @@
                 return
             rivals = set() if claim is None else self._rivals(group, claim)
             if not rivals:
-                lease.last_pauses.clear()
+                lease.forget_pauses(asked_at)
                 self._conclude(group, lease, question, asked_at)
             else:
                 self._conclude(group, lease, question, None)
@@ -538,7 +579,7 @@
             self._proofs.begin(group, proven_at)
             return
         lease.denied_at = self.now
-        self._log_denied(group, question.why)
+        self._log_denied(group, question.why or "a promotion may be pending")
         self._call_handlers(lease, False)
         self.timers.after(RETRY_INTERVAL, self._wake, group)
 
--- a/tests/core/proxy/test_remainders.py
+++ b/tests/core/proxy/test_remainders.py
@@ -21,6 +21,8 @@
     ("fleet_start", 3, 3),
     ("heir_left", 3, 4),
     ("heir_left", 3, 20),
+    ("idle_with_store", 3, 2),
+    ("idle_with_store", 3, 12),
     ("late_learned", 3, 1),
     ("lease_after_restart", 3, 4),
     ("lease_after_restart", 3, 14),
--- a/tests/core/proxy/test_write_leases.py
+++ b/tests/core/proxy/test_write_leases.py
@@ -4,9 +4,11 @@
 
 import pytest
 
+from mallowpass.core.proxy.claims import Claims
 from mallowpass.core.proxy.fencing import FENCE_DURATION, Fencing
 from mallowpass.core.proxy.replicationproofs import LEASE_DURATION, ReplicationProofs
 from mallowpass.core.proxy.statements import Code, Fence, Status, Write
+from mallowpass.core.proxy.writeleases import RESTART_TIME
 from mallowpass.standins.proxied.replicas import GroupTimes
 from mallowpass.standins.proxied.virtual.heartbeats import LAPSE, Heartbeats
 from mallowpass.standins.proxied.virtual.hosts import Caller, Host
@@ -23,6 +25,7 @@
 IDLE = 2.0  # between two writes of all hosts
 SERVED_TIME = 15.0
 LAST_ANSWERS = 1.0
+RESTART_SIGHT = 0.5  # until hosts know that a member has restarted
 QUESTIONS_MAX = 2  # to each replica, for a write
 
 
@@ -100,6 +103,26 @@
     assert world.orders == []
 
 
+@pytest.mark.parametrize("interval", [BUSY, SELDOM])
+@pytest.mark.parametrize("has_store", [True, False])
+def test_domain_that_is_cut_off_serves_after_its_replica_has_restarted(
+    has_store: bool, interval: float
+):
+    """Guard against writes that wait for a claim which does not arrive.
+
+    The store tells that no order is pending for a replica that has lost its pause.
+    """
+    world = new_world(members=FOUR_MEMBERS)
+    Heartbeats(world)
+    warm_up(world, interval)
+    world.crash("db-casa-2")
+    world.restart("db-casa-2")
+    world.run(RESTART_TIME + RESTART_SIGHT)
+    inside = cut_domain(world, has_store)
+    SteadyWrites(world, inside, interval).run()
+    assert world.orders == []
+
+
 @pytest.mark.parametrize("interval", [BUSY, SELDOM])
 def test_domain_whose_members_lose_the_store_serves_until_entries_lapse(
     interval: float,
@@ -115,16 +138,19 @@
 
 
 @pytest.mark.parametrize("hosts", [4, 24])
-def test_idle_service_is_served_promptly(hosts: int):
+def test_idle_service_is_served_promptly(hosts: int, monkeypatch: pytest.MonkeyPatch):
     """Guard against a write that waits for a permission which lapsed meanwhile."""
+    reads: list[str] = []
     world = new_world(hosts)
     Heartbeats(world)
     world.run(4.0)
     world.calls.clear()
+    monkeypatch.setattr(Claims, "read_newest", lambda *call: reads.append(call[1]))
     SteadyWrites(world, [world.hosts[1]], IDLE).run(10 * IDLE)
     replicas = len(MEMBERS) - 1
     questions = [call for _, _, call in world.calls if type(call.statement) is Status]
     assert len(questions) <= QUESTIONS_MAX * replicas * 10
+    assert reads == []
 
 
 @pytest.mark.parametrize("interval", [BUSY, SELDOM])
--- a/tests/fakes/remainderplay.py
+++ b/tests/fakes/remainderplay.py
@@ -29,6 +29,7 @@
 LOOK_INTERVAL = 0.01  # seconds between looks at what a case waits for
 RUNNING_MIN = 3  # hosts that are not killed
 IDLE_SHARE = 0.5  # of the lone hosts, until the case strikes
+AWAKE_DELAYS = (2.8, 3.5)  # seconds from an order until hosts write that were idle
 DARK_SHARE = 0.5  # of the restarts that no host is told of
 
 
@@ -190,6 +191,11 @@
         """Have such a host reach the store."""
         self._ask_after_restart(set())
 
+    def _begin_idle_with_store(self) -> None:
+        """Have hosts that reach the store write once a replica is up for a while."""
+        self._ask_after_restart(set())
+        self._idle = set(self._lone)
+
     def _ask_after_restart(self, names: set[str]) -> None:
         world = self.world
         world.orders_lost = 99
@@ -219,6 +225,11 @@
     ) -> None:
         self._order_lease_after_restart(host, order)
 
+    def _order_idle_with_store(self, host: Host, order: effects.OrderPromotion) -> None:
+        if not self._is_unseen:
+            self._later(*AWAKE_DELAYS, self._idle.clear)
+        self._order_lease_after_restart(host, order)
+
     def _begin_lone_after_order(self) -> None:
         """Have hosts be alone that have confirmed the fence of a late order."""
         world = self.world
