Search a small model of a replacement exhaustively

Worlds show the faults that somebody thought of.

Each event is one transition, cuts may be one-way, and what has to precede what stands for the bounds on time. The search is breadth first and prints the shortest sequence of each kind. Guards are parameters: without entries of writers it finds hosts that nobody knows, without waits for commits those of hosts that confirmed, and without waits for hosts that told nothing those of hosts that did not confirm or have ended.

Taken as given: what P shows beside a commit comes at once or never, the target does not restart, and no order is late.

--- /dev/null
+++ b/tests/fakes/promotionmodel.py
@@ -0,0 +1,745 @@
+"""A small model of a replacement, whose states are searched exhaustively.
+
+A primary P is replaced by a host that does not reach it. A target T is chosen; there is
+one other replica R, and one or two hosts that write to P. Each event is one transition.
+A state is lost if T leads and lacks a commit that P acknowledged. The search is breadth
+first, so the shortest sequence of each kind comes first.
+
+What a transition may follow stands for the bounds on time: leases lapse before T
+receives what is in flight; P keeps connections whose reset did not arrive for longer
+than a promotion takes, and drops them before an order that waits for that is sent.
+
+Print the sequences: python -m tests.fakes.promotionmodel --guards entries,leases,waits
+"""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, fields
+from enum import StrEnum
+from typing import Any
+
+__all__ = [
+    "ACKED",
+    "ACKED_LATE",
+    "ACKED_LINGERING",
+    "ALL_GUARDS",
+    "BOUND",
+    "CONFIRMED_HOST",
+    "ENDED_HOST",
+    "FAULTS",
+    "LATE_LEASE_HOST",
+    "LEVEL",
+    "MORE",
+    "NOTHING_TOLD",
+    "NO_LIFE",
+    "NO_WAITS",
+    "RESTARTED_HOST",
+    "SETTLED",
+    "SILENT_HOST",
+    "UNKNOWN_HOST",
+    "Guard",
+    "Kind",
+    "Search",
+    "Sequence",
+    "search",
+]
+
+
+class Guard(StrEnum):
+    """Name a guard of the design, which a search may leave out."""
+
+    ENTRIES = "entries"  # hosts that write directly are known, step 1a
+    LEASES = "leases"  # leases of hosts that do not confirm are outwaited, step 10
+    WAITS = "waits"  # orders wait for what confirmations gave up, step 4a
+    UNTOLD = "untold"  # and for what hosts may have given up that told nothing
+
+
+ALL_GUARDS = frozenset(Guard)
+
+# Steps of the attempt, by what has happened last.
+IDLE = "idle"
+FENCING = "fencing"  # steps 0 to 2 and 9
+PAUSING = "pausing"  # step 10, until leases have lapsed
+SETTLING = "settling"  # step 10, as the target receives
+DECIDING = "deciding"  # steps 4 and 4a
+ORDERED = "ordered"
+LEADS = "leads"
+
+# Processes of hosts.
+RUNS = "runs"
+FROZEN = "frozen"
+ENDED = "ended"
+RUNS_ANEW = "runs anew"  # under the same name
+
+# What the host that orders knows of a host.
+SILENT = ""
+CONFIRMED = "confirmed"
+REFUSED = "refused"  # nobody listens at its address
+
+# Commits.
+UNSENT = "unsent"
+SENT = "sent"  # on the way to the primary
+WAITING = "waiting"  # in its log, on a connection that is open at both ends
+LINGERING = "lingering"  # the host has closed the connection, the primary has not
+LATE = "late"  # the same, closed after the order began to wait for that
+ACKED = "acknowledged on an open connection"
+ACKED_LINGERING = "acknowledged on a connection that its host had closed"
+ACKED_LATE = "acknowledged on a connection that its host closed late"
+GONE = "gone"  # never acknowledged any more
+
+_ACKNOWLEDGED = {WAITING: ACKED, LINGERING: ACKED_LINGERING, LATE: ACKED_LATE}
+_WAITS = frozenset(_ACKNOWLEDGED)
+_ARE_ACKNOWLEDGED = frozenset(_ACKNOWLEDGED.values())
+
+# Hosts of a lost commit, by what the host that orders knows of them.
+UNKNOWN_HOST = "a host that nobody knows"
+LATE_LEASE_HOST = "a host with a lease from T, while that received"
+CONFIRMED_HOST = "a host that confirmed"
+RESTARTED_HOST = "a host whose new run confirmed"
+ENDED_HOST = "a host at whose address nobody listens"
+SILENT_HOST = "a host that did not confirm"
+
+# Why an order did not wait.
+NO_WAITS = "no order waits for commits"
+NOTHING_TOLD = "no host told of commits that may wait"
+BOUND = "P has closed the connections"
+SETTLED = "T received after all leases had lapsed"
+MORE = "T has more than P showed"
+LEVEL = "T has what P showed"
+NO_LIFE = "P shows no sign of life"
+
+FAULTS = 5  # in a sequence, at most
+
+
+@dataclass(frozen=True, slots=True)
+class Writer:
+    """Hold a host that writes to the primary on connections of its own."""
+
+    is_known: bool = True  # to the host that orders
+    process: str = RUNS
+    has_lease: bool = True
+    is_fenced: bool = False
+    hears: bool = True  # the host that orders reaches it
+    is_heard: bool = True  # it reaches the host that orders
+    reaches: bool = True  # what it sends to P arrives
+    is_answered: bool = True  # what P sends to it arrives
+    sees_other: bool = True  # R answers it
+    is_late: bool = False  # its lease is from T, while that received
+    shown: int = 0  # the length of P's log that an answer told
+    answer: str = SILENT
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """Hold a replica."""
+
+    received: int = 0  # commits of P's log
+    is_paused: bool = False
+    is_deaf: bool = False
+
+    def may_receive(self, length: int) -> bool:
+        """Return whether it receives from a primary with a log of a length."""
+        return not (self.is_paused or self.is_deaf) and self.received < length
+
+
+@dataclass(frozen=True, slots=True)
+class State:
+    """Hold all that the model knows at one moment."""
+
+    writers: tuple[Writer, ...]
+    owners: tuple[int, ...]  # the writer of each commit
+    commits: tuple[str, ...]
+    uncounted: tuple[bool, ...]  # commits sent long after P's last answer
+    log: tuple[int, ...] = ()  # of P
+    target: Member = Member()
+    other: Member = Member()
+    step: str = IDLE
+    shown: int = 0  # the length of P's log that confirmations told
+    has_abandoned: bool = False  # confirmations told of commits that may wait at P
+    is_untold: bool = False  # hosts may have given up commits and told nothing
+    before_settling: int = -1  # what replicas had; -1: leases were not outwaited
+    is_closed: bool = False  # P has closed what lingered as the wait began
+    has_store: bool = True  # P has the store
+    reason: str = ""  # why the order did not wait
+    faults: int = FAULTS  # that may still come
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """Tell what sequences have in common."""
+
+    writer: str  # the host of the lost commit
+    commit: str
+    reason: str  # why the order did not wait
+
+
+@dataclass(frozen=True, slots=True)
+class Sequence:
+    """Hold the shortest sequence of a kind."""
+
+    kind: Kind
+    events: tuple[str, ...]
+
+    @property
+    def text(self) -> str:
+        """Return it in lines."""
+        kind = self.kind
+        head = f"{kind.writer}; {kind.commit}; {kind.reason}"
+        return "\n".join([head, *(f"  {event}" for event in self.events)])
+
+
+@dataclass(frozen=True, slots=True)
+class Search:
+    """Hold what a search found."""
+
+    states: int
+    sequences: tuple[Sequence, ...]  # one of each kind, the shortest first
+
+    @property
+    def kinds(self) -> list[Kind]:
+        """Return the kinds of sequences that lose."""
+        return [sequence.kind for sequence in self.sequences]
+
+
+Event = tuple[str, State]
+Events = Iterator[Event]
+
+
+def _replacer(cls: type) -> Callable[..., Any]:
+    """Return a function like `dataclasses.replace`, which is quicker."""
+    names = tuple(field.name for field in fields(cls))
+
+    def replace(record: Any, **changes: Any) -> Any:
+        return cls(
+            *[
+                changes[name] if name in changes else getattr(record, name)
+                for name in names
+            ]
+        )
+
+    return replace
+
+
+_with = _replacer(State)
+_with_writer = _replacer(Writer)
+_with_member = _replacer(Member)
+
+
+def _put(values: tuple[Any, ...], index: int, value: Any) -> tuple[Any, ...]:
+    return (*values[:index], value, *values[index + 1 :])
+
+
+def _change(state: State, index: int, **changes: Any) -> State:
+    """Return a state with one writer changed."""
+    writer = _with_writer(state.writers[index], **changes)
+    return _with(state, writers=_put(state.writers, index, writer))
+
+
+def _struck(state: State, index: int, **changes: Any) -> State:
+    """Return a state with a fault of one writer."""
+    return _with(_change(state, index, **changes), faults=state.faults - 1)
+
+
+def _given_up(state: State, index: int, is_reset: bool) -> State:
+    """Return a state in which a host closed the connections of its commits.
+
+    A reset that arrives ends a commit which waits; what has not arrived is withdrawn.
+    """
+    lingering = LATE if state.step in (DECIDING, ORDERED) else LINGERING
+    closed = {SENT: GONE, UNSENT: GONE, WAITING: GONE if is_reset else lingering}
+    commits = tuple(
+        closed.get(commit, commit) if owner == index else commit
+        for owner, commit in zip(state.owners, state.commits, strict=True)
+    )
+    return _with(state, commits=commits)
+
+
+def _may_be_told_to_step_down(state: State) -> bool:
+    """Return whether some host passes an order to step down on to P."""
+    return any(
+        writer.process in (RUNS, RUNS_ANEW) and writer.hears and writer.reaches
+        for writer in state.writers
+    )
+
+
+def _has_any_lease(state: State) -> bool:
+    """Return whether a host that runs may send commits by a lease."""
+    return any(
+        writer.process == RUNS and writer.has_lease and not writer.is_fenced
+        for writer in state.writers
+        if writer.is_known
+    )
+
+
+# -- Commits -------------------------------------------------------------------
+
+
+def _flow(state: State) -> State:
+    """Return a state in which replicas have received, and P has acknowledged.
+
+    That either comes later instead loses nothing more.
+    """
+    length = len(state.log)
+    if state.step == LEADS or not length:
+        return state
+    if state.target.may_receive(length):
+        state = _with(state, target=_with_member(state.target, received=length))
+    if state.other.may_receive(length):
+        state = _with(state, other=_with_member(state.other, received=length))
+    received = state.log[: max(state.target.received, state.other.received)]
+    if any(state.commits[index] in _ACKNOWLEDGED for index in received):
+        commits = tuple(
+            _ACKNOWLEDGED.get(commit, commit) if index in received else commit
+            for index, commit in enumerate(state.commits)
+        )
+        state = _with(state, commits=commits)
+    return state
+
+
+def _commit_events(state: State, shows: bool) -> Events:
+    """Yield that commits are sent, and that those arrive which a way held up."""
+    for index, commit in enumerate(state.commits):
+        owner = state.owners[index]
+        writer = state.writers[owner]
+        if commit == UNSENT:
+            yield from _sendings(state, index, owner, shows)
+        elif commit == SENT and writer.reaches:
+            text = f"commit {index + 1} arrives at P"
+            yield text, _arrived(state, index, shows)
+
+
+def _sendings(state: State, index: int, owner: int, shows: bool) -> Events:
+    """Yield that a host sends a commit, after those that it sent before."""
+    writer = state.writers[owner]
+    is_next = all(
+        state.commits[i] != UNSENT for i in range(index) if state.owners[i] == owner
+    )
+    may_send = writer.process == RUNS and writer.has_lease and not writer.is_fenced
+    if not (is_next and may_send):
+        return
+    text = f"W{owner + 1} sends commit {index + 1}"
+    if not writer.is_answered:
+        # No answer of P has shown for long that it may have arrived.
+        uncounted = _put(state.uncounted, index, True)
+        state = _with(state, uncounted=uncounted)
+        text = f"{text} long after P's last answer"
+    if writer.reaches:
+        yield f"{text}, it arrives", _arrived(state, index, shows)
+    else:
+        sent = _with(state, commits=_put(state.commits, index, SENT))
+        yield f"{text}, it is held up", sent
+
+
+def _arrived(state: State, index: int, shows: bool) -> State:
+    """Return a state in which a commit is in the log of P."""
+    owner = state.owners[index]
+    commits = _put(state.commits, index, WAITING)
+    log = (*state.log, index)
+    state = _with(state, commits=commits, log=log)
+    writer = state.writers[owner]
+    if shows and writer.is_answered and writer.process == RUNS:
+        state = _change(state, owner, shown=len(log))
+    return state
+
+
+# -- Replicas ------------------------------------------------------------------
+
+
+def _replica_events(state: State) -> Events:
+    """Yield what may happen to replicas."""
+    if not state.faults:
+        return
+    target, other = state.target, state.other
+    if not (target.is_paused or target.is_deaf):
+        deaf = _with_member(target, is_deaf=True)
+        text = "T receives nothing any more"
+        yield text, _with(state, target=deaf, faults=state.faults - 1)
+    if not (other.is_paused or other.is_deaf) and state.step == IDLE:
+        deaf = _with_member(other, is_deaf=True)
+        text = "R receives nothing any more"
+        yield text, _with(state, other=deaf, faults=state.faults - 1)
+    if other.is_paused:
+        restarted = Member(other.received)
+        text = "R restarts, which ends its pause, and receives"
+        yield text, _with(state, other=restarted, faults=state.faults - 1)
+
+
+# -- Hosts that write ----------------------------------------------------------
+
+
+def _writer_events(state: State) -> Events:
+    """Yield what may happen to hosts that write."""
+    for index, writer in enumerate(state.writers):
+        name = f"W{index + 1}"
+        if writer.process == RUNS:
+            yield from _lease_events(state, index, writer, name)
+        elif writer.process == FROZEN and _may_wake(state, index):
+            woken = _change(state, index, process=RUNS, has_lease=False)
+            text = f"{name} wakes up, and gives up its commits"
+            yield text, _given_up(woken, index, writer.reaches)
+        if state.faults and _has_open_commits(state, index):
+            yield from _cuts(state, index, writer, name)
+            yield from _process_faults(state, index, writer, name)
+
+
+def _has_open_commits(state: State, index: int) -> bool:
+    """Return whether what becomes of a host may change what becomes of a commit."""
+    return any(
+        owner == index and commit not in _ARE_ACKNOWLEDGED and commit != GONE
+        for owner, commit in zip(state.owners, state.commits, strict=True)
+    )
+
+
+def _may_wake(state: State, index: int) -> bool:
+    """Return whether a frozen host may wake up; sooner it is a slow one."""
+    return state.step in (DECIDING, ORDERED) and _has_open_commits(state, index)
+
+
+def _lease_events(state: State, index: int, writer: Writer, name: str) -> Events:
+    are_paused = state.target.is_paused and state.other.is_paused
+    if writer.has_lease and are_paused and not writer.is_fenced:
+        lapsed = _change(state, index, has_lease=False)
+        text = f"the lease of {name} lapses, it gives up its commits"
+        yield text, _given_up(lapsed, index, writer.reaches)
+    may_ask = state.step == SETTLING and not (writer.has_lease or writer.sees_other)
+    if may_ask and not (writer.is_fenced or state.target.is_paused):
+        text = f"{name} asks T alone, which is not paused: it has a lease"
+        yield text, _renewed(state, index)
+
+
+def _renewed(state: State, index: int) -> State:
+    """Return a state in which a host may send what has not arrived at P."""
+    commits = tuple(
+        UNSENT if owner == index and commit == GONE and i not in state.log else commit
+        for i, (owner, commit) in enumerate(
+            zip(state.owners, state.commits, strict=True)
+        )
+    )
+    state = _with(state, commits=commits)
+    return _change(state, index, has_lease=True, is_late=True)
+
+
+def _cuts(state: State, index: int, writer: Writer, name: str) -> Events:
+    """Yield ways between a host and P that are cut, in one direction or in both."""
+    if writer.reaches and writer.is_answered:
+        cut = _struck(state, index, reaches=False, is_answered=False)
+        yield f"{name} loses P", cut
+    if writer.is_answered:
+        cut = _struck(state, index, is_answered=False)
+        yield f"what P sends to {name} does not arrive", cut
+    if writer.reaches:
+        cut = _struck(state, index, reaches=False)
+        yield f"what {name} sends to P does not arrive", cut
+    elif SENT in state.commits and state.step in (SETTLING, DECIDING, ORDERED):
+        yield f"{name} reaches P again", _struck(state, index, reaches=True)
+
+
+def _process_faults(state: State, index: int, writer: Writer, name: str) -> Events:
+    if writer.process == RUNS:
+        yield f"{name} freezes", _struck(state, index, process=FROZEN)
+    if writer.process in (RUNS, FROZEN):
+        ended = _struck(state, index, process=ENDED, has_lease=False)
+        text = f"the process of {name} ends, its connections are reset"
+        yield text, _given_up(ended, index, writer.reaches)
+        text = f"{name} loses power"
+        dark = _change(ended, index, hears=False, is_heard=False)
+        yield text, _given_up(dark, index, False)
+    elif writer.process == ENDED:
+        if writer.hears and writer.is_heard and writer.answer == SILENT:
+            anew = _struck(state, index, process=RUNS_ANEW)
+            yield f"{name} starts again", anew
+        if writer.is_known and state.step == IDLE:
+            text = f"all forget {name}, which has ended"
+            yield text, _struck(state, index, is_known=False)
+
+
+# -- The host that orders ------------------------------------------------------
+
+
+def _attempt_events(state: State, guards: frozenset[Guard]) -> Events:
+    """Yield what the host that orders does next."""
+    if state.step == IDLE:
+        yield from _claims(state)
+    elif state.step in (FENCING, PAUSING):
+        yield from _fence_events(state)
+        yield from _fence_ends(state, guards)
+    elif state.step == SETTLING:
+        yield from _settling_ends(state)
+    elif state.step == DECIDING:
+        yield from _decisions(state, guards)
+    elif state.step == ORDERED:
+        yield "T leads", _with(state, step=LEADS)
+    if state.step in (PAUSING, DECIDING) and not state.other.is_paused:
+        other = _with_member(state.other, is_paused=True)
+        yield "R is paused again", _with(state, other=other)
+
+
+def _claims(state: State) -> Events:
+    """Yield that the attempt begins, with ways that are cut since before."""
+    other = _with_member(state.other, is_paused=True)
+    claimed = _with(state, step=FENCING, other=other)
+    text = "a host that does not reach P claims, and pauses R"
+    yield text, claimed
+    if not state.faults:
+        return
+    yield (
+        f"{text}; P is cut off from the store",
+        _with(claimed, has_store=False, faults=state.faults - 1),
+    )
+    for index, writer in enumerate(state.writers):
+        name = f"W{index + 1}"
+        if writer.hears and writer.is_known:
+            cut = _struck(claimed, index, hears=False, is_heard=False)
+            yield f"{text}; {name} and all other hosts are cut off", cut
+            text_r = f"{text}; {name} is cut off from all other hosts, and from R"
+            yield text_r, _change(cut, index, sees_other=False)
+            cut = _struck(claimed, index, is_heard=False)
+            yield f"{text}; what {name} answers does not arrive", cut
+
+
+def _fence_events(state: State) -> Events:
+    """Yield that hosts are told of the fence, and that they confirm it."""
+    for index, writer in enumerate(state.writers):
+        name = f"W{index + 1}"
+        if not writer.is_known or writer.answer != SILENT:
+            continue
+        is_linked = writer.hears and writer.is_heard
+        if writer.process == RUNS and writer.hears and not writer.is_fenced:
+            fenced = _change(state, index, is_fenced=True)
+            text = f"{name} is told of the fence, it gives up its commits"
+            yield text, _given_up(fenced, index, writer.reaches)
+        elif writer.process == RUNS and is_linked and writer.is_fenced:
+            yield f"{name} confirms", _confirmed(state, index, writer)
+        elif writer.process == RUNS_ANEW and is_linked:
+            answered = _change(state, index, answer=CONFIRMED)
+            yield f"the new run of {name} confirms", answered
+        elif writer.process == ENDED and is_linked:
+            answered = _change(state, index, answer=REFUSED)
+            text = f"nobody listens at the address of {name}"
+            yield text, _with(answered, is_untold=True)
+
+
+def _confirmed(state: State, index: int, writer: Writer) -> State:
+    """Return a state with the evidence of one host."""
+    gives_up = any(
+        owner == index and not is_uncounted and commit in (LINGERING, GONE)
+        for owner, commit, is_uncounted in zip(
+            state.owners, state.commits, state.uncounted, strict=True
+        )
+    )
+    return _with(
+        _change(state, index, answer=CONFIRMED),
+        shown=max(state.shown, writer.shown),
+        has_abandoned=state.has_abandoned or gives_up,
+    )
+
+
+def _fence_ends(state: State, guards: frozenset[Guard]) -> Events:
+    """Yield how the wait for confirmations ends, or the one for leases."""
+    if all(w.answer != SILENT for w in state.writers if w.is_known):
+        target = _with_member(state.target, is_paused=False)
+        yield (
+            "all that are known have confirmed the fence",
+            _with(state, step=DECIDING, target=target),
+        )
+    elif _may_be_told_to_step_down(state):
+        return  # P acknowledges nothing more
+    elif state.step == FENCING and Guard.LEASES in guards:
+        target = _with_member(state.target, is_paused=True)
+        yield (
+            "the host that orders waits no longer, and pauses T as well",
+            _with(state, step=PAUSING, target=target),
+        )
+    elif state.step == FENCING:
+        yield "the host that orders waits no longer", _with(state, step=DECIDING)
+    elif state.other.is_paused and not _has_any_lease(state):
+        target = _with_member(state.target, is_paused=False)
+        before = max(target.received, state.other.received)
+        settling = _with(state, step=SETTLING, target=target, before_settling=before)
+        yield "all leases have lapsed, T is resumed for a moment, receives", settling
+        if not state.faults or target.is_deaf:
+            return
+        for received in range(target.received, len(state.log)):
+            deaf = Member(received, is_deaf=True)
+            count = received - target.received
+            yield (
+                f"all leases have lapsed, T is resumed, receives {count} commits alone",
+                _with(settling, target=deaf, faults=state.faults - 1),
+            )
+
+
+def _settling_ends(state: State) -> Events:
+    paused = {
+        "target": _with_member(state.target, is_paused=True),
+        "other": _with_member(state.other, is_paused=True),
+    }
+    is_untold = state.is_untold or any(
+        writer.is_known and writer.answer != CONFIRMED for writer in state.writers
+    )
+    yield (
+        "T and R are paused and compared",
+        _with(state, step=DECIDING, is_untold=is_untold, **paused),
+    )
+
+
+def _decisions(state: State, guards: frozenset[Guard]) -> Events:
+    """Yield the order, once T has all that is demanded and nothing is waited for."""
+    has_all = state.target.received >= state.other.received
+    if not has_all or not state.other.is_paused:
+        return
+    reason = _why_no_wait(state, guards)
+    if reason:
+        text = f"T is ordered to lead ({reason})"
+        yield text, _with(state, step=ORDERED, reason=reason)
+    elif not (_may_be_told_to_step_down(state) or _has_any_lease(state)):
+        commits = tuple(
+            GONE if commit == LINGERING else commit for commit in state.commits
+        )
+        yield (
+            "the order has waited until P has closed the connections",
+            _with(state, commits=commits, is_closed=True),
+        )
+
+
+def _why_no_wait(state: State, guards: frozenset[Guard]) -> str:
+    """Return why the order does not wait for commits, empty if it does."""
+    if Guard.WAITS not in guards:
+        return NO_WAITS
+    is_untold = state.is_untold and Guard.UNTOLD in guards
+    received = state.target.received
+    has_settled = 0 <= state.before_settling < received
+    if not (state.has_abandoned or is_untold):
+        return NOTHING_TOLD
+    if state.is_closed:
+        return BOUND
+    if Guard.UNTOLD in guards and has_settled:
+        return SETTLED
+    if not is_untold and received > state.shown:
+        return MORE
+    # P renews its entry in the time for which leases are outwaited.
+    is_alive = state.has_store and state.before_settling >= 0
+    if not is_alive and not is_untold and received == state.shown:
+        return LEVEL
+    return "" if state.has_store else NO_LIFE
+
+
+# -- The search ----------------------------------------------------------------
+
+
+def _events(state: State, guards: frozenset[Guard], shows: bool) -> Events:
+    """Yield all that may happen next."""
+    if state.step == LEADS:
+        return
+    yield from _attempt_events(state, guards)
+    yield from _commit_events(state, shows)
+    yield from _replica_events(state)
+    yield from _writer_events(state)
+
+
+def _lost(state: State) -> Iterator[int]:
+    """Yield the commits that P acknowledged and T lacks."""
+    if state.step == LEADS:
+        for index in state.log[state.target.received :]:
+            if state.commits[index] in _ARE_ACKNOWLEDGED:
+                yield index
+
+
+def _kind(state: State, index: int) -> Kind:
+    """Return the kind of a lost commit."""
+    writer = state.writers[state.owners[index]]
+    return Kind(_host_text(writer), state.commits[index], state.reason)
+
+
+def _host_text(writer: Writer) -> str:
+    if not writer.is_known:
+        return UNKNOWN_HOST
+    if writer.is_late:
+        return LATE_LEASE_HOST
+    if writer.answer == CONFIRMED:
+        return RESTARTED_HOST if writer.process == RUNS_ANEW else CONFIRMED_HOST
+    return ENDED_HOST if writer.answer == REFUSED else SILENT_HOST
+
+
+def _first_states(
+    guards: frozenset[Guard], owners: tuple[int, ...], faults: int
+) -> list[State]:
+    """Return the states in which a search begins."""
+    known = [Writer() for _ in set(owners)]
+    direct = Writer(is_known=Guard.ENTRIES in guards)
+    firsts = {tuple(known), (direct, *known[1:])}
+    return [
+        State(
+            first,
+            owners,
+            (UNSENT,) * len(owners),
+            (False,) * len(owners),
+            faults=faults,
+        )
+        for first in sorted(firsts, key=repr)
+    ]
+
+
+def search(
+    guards: frozenset[Guard] = ALL_GUARDS,
+    owners: tuple[int, ...] = (0,),
+    faults: int = FAULTS,
+    shows: bool = False,
+) -> Search:
+    """Search all states, and return the shortest sequence of each kind that loses.
+
+    `owners` names the writer of each commit, and `shows` tells whether P answers
+    something else once a commit has arrived.
+    """
+    todo = _first_states(guards, owners, faults)
+    came_by: dict[State, tuple[State, str] | None] = dict.fromkeys(todo)
+    found: dict[Kind, Sequence] = {}
+    while todo:
+        later: list[State] = []
+        for state in todo:
+            for text, event in _events(state, guards, shows):
+                following = _flow(event)
+                if following in came_by:
+                    continue
+                came_by[following] = (state, text)
+                later.append(following)
+                for index in _lost(following):
+                    kind = _kind(following, index)
+                    if kind not in found:
+                        found[kind] = Sequence(kind, _way(came_by, following))
+        todo = later
+    return Search(len(came_by), tuple(found.values()))
+
+
+def _way(
+    came_by: dict[State, tuple[State, str] | None], state: State
+) -> tuple[str, ...]:
+    """Return the events that led to a state."""
+    events = []
+    step = came_by[state]
+    while step is not None:
+        state, text = step
+        events.append(text)
+        step = came_by[state]
+    return tuple(reversed(events))
+
+
+def _main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--guards", default=",".join(sorted(ALL_GUARDS)))
+    parser.add_argument("--owners", default="0", help="the writer of each commit")
+    parser.add_argument("--shows", action="store_true", help="P shows what arrived")
+    parser.add_argument("--faults", type=int, default=FAULTS)
+    options = parser.parse_args()
+    names = filter(None, options.guards.split(","))
+    guards = frozenset(Guard(name) for name in names)
+    owners = tuple(int(name) for name in options.owners.split(","))
+    result = search(guards, owners, options.faults, options.shows)
+    for sequence in result.sequences:
+        print(sequence.text, end="\n\n")
+    print(f"SUM {len(result.sequences)} kinds that lose, {result.states} states")
+
+
+if __name__ == "__main__":
+    _main()
