Search what hosts lose that run again after a loss of power

Callers saw nothing: a successor led without two to seven commits which the former primary had acknowledged on connections of a run that lost power.

The model takes a host without power for one whose address is silent, and lets it start again; a new run that the primary answers counts as one whose connections are closed, as on. It finds a sequence: nobody resets the connections of a host without power, so that the primary answers its new run proves nothing of those of the run before.

In these all six hosts confirm, and no commit of the struck hosts is waited for.

--- a/tests/core/proxy/test_promotion_sequences.py
+++ b/tests/core/proxy/test_promotion_sequences.py
@@ -18,6 +18,7 @@
     ("no_store", 2),
     ("ended_no_store", 3),
     ("part", 1),
+    ("power", 3),
     ("unanswered", 7),
 )
 
--- a/tests/fakes/promotionmodel.py
+++ b/tests/fakes/promotionmodel.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 import argparse
+import functools
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, fields
 from enum import StrEnum
@@ -71,6 +72,7 @@
 RUNS = "runs"
 FROZEN = "frozen"
 ENDED = "ended"
+DARK = "without power"  # nobody resets its connections
 RUNS_ANEW = "runs anew"  # under the same name
 
 # What the host that orders knows of a host.
@@ -443,16 +445,17 @@
         ended = _struck(state, index, process=ENDED, has_lease=False)
         text = f"the process of {name} ends, its connections are reset"
         yield text, _given_up(ended, index, writer.reaches)
-        text = f"{name} loses power"
-        dark = _change(ended, index, hears=False, is_heard=False)
-        yield text, _given_up(dark, index, False)
-    elif writer.process == ENDED:
-        if writer.hears and writer.is_heard and writer.answer == SILENT:
-            anew = _struck(state, index, process=RUNS_ANEW)
-            yield f"{name} starts again", anew
-        if writer.is_known and state.step == IDLE:
-            text = f"all forget {name}, which has ended"
-            yield text, _struck(state, index, is_known=False)
+        dark = _struck(state, index, process=DARK, has_lease=False)
+        yield f"{name} loses power", _given_up(dark, index, False)
+        return
+    if writer.process == RUNS_ANEW:
+        return
+    if writer.hears and writer.is_heard and writer.answer == SILENT:
+        anew = _struck(state, index, process=RUNS_ANEW)
+        yield f"{name} starts again", anew
+    if writer.is_known and state.step == IDLE:
+        text = f"all forget {name}, which has ended"
+        yield text, _struck(state, index, is_known=False)
 
 
 # -- The host that orders ------------------------------------------------------
@@ -514,7 +517,11 @@
             yield f"{name} confirms", _confirmed(state, index, writer)
         elif writer.process == RUNS_ANEW and is_linked:
             answered = _change(state, index, answer=CONFIRMED)
-            yield f"the new run of {name} confirms", answered
+            # One that P answers takes the connections of the run before for closed.
+            is_untold = not (writer.reaches and writer.is_answered)
+            is_untold = is_untold or state.is_untold
+            text = f"the new run of {name} confirms"
+            yield text, _with(answered, is_untold=is_untold)
         elif writer.process == ENDED and is_linked:
             answered = _change(state, index, answer=REFUSED)
             text = f"nobody listens at the address of {name}"
@@ -681,6 +688,7 @@
     ]
 
 
+@functools.cache
 def search(
     guards: frozenset[Guard] = ALL_GUARDS,
     owners: tuple[int, ...] = (0,),
--- a/tests/fakes/sequenceplay.py
+++ b/tests/fakes/sequenceplay.py
@@ -17,6 +17,7 @@
 from mallowpass.core.proxy import effects
 from mallowpass.standins.proxied.replicas import Replica
 from mallowpass.standins.proxied.virtual.hosts import Host
+from mallowpass.standins.proxied.virtual.transports import LINGER
 from tests.fakes.killedplay import KilledPlay
 
 __all__ = ["CASES", "SequencePlay"]
@@ -37,6 +38,7 @@
 HANG_DELAYS = (0.0, 0.2)  # from the loss of the primary until replicas hang
 AHEAD_TIMES = (0.02, 0.12)  # for which commits wait before hosts are struck
 ANEW_TIMES = (0.05, 0.3)  # until an ended host runs again
+LOST_TIMES = (0.3, 0.6)  # until hosts that run again lose the primary
 FORGOTTEN_TIMES = (0.3, 2.0)  # from the end of hosts to the loss of the primary
 SILENT_TIMES = (0.1, 0.3)  # that the primary answers nothing until replicas hang
 LOOK_INTERVAL = 0.005  # between looks at what a case waits for
@@ -224,6 +226,21 @@
     def _start_cut_off(self, index: int) -> None:
         self._cut_from([self.world.start_again(index)], {self._first.name})
 
+    def _begin_power(self) -> None:
+        """Have hosts lose power and run again, whose connections nobody resets."""
+        self._hang_soon(self._lose_power)
+
+    def _lose_power(self) -> None:
+        self.is_met = True
+        for host in self._struck:
+            index = self.world.hosts.index(host)
+            host.reset_connections = lambda: None
+            self.world.kill(index)
+            for connection in host.connections.values():
+                self.world.timers.after(LINGER, connection.close)
+            self._later(*ANEW_TIMES, self.world.start_again, index)
+        self._later(*LOST_TIMES, self._lose_all)
+
     def _begin_forgotten(self) -> None:
         """Have hosts end some time before the others lose the primary."""
         self._hang()
