Log no lapse of a lease that finds no commit in flight

`write_lease_lapsed` took the time of the first commit in flight, and raised if there was none: a question that is answered as it is asked may end the last one. Then the watch of the lease would have ended, which gives up commits that nobody may acknowledge any more. Without commits there is no line now. Which connections are closed is decided one by one again, as before that line.

The test fails before (ValueError: min() of an empty sequence). No decision changes.

--- a/mallowpass/core/proxy/writeleases.py
+++ b/mallowpass/core/proxy/writeleases.py
@@ -23,7 +23,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -55,12 +55,7 @@
 )
 from mallowpass.core.proxy.statements import EndpointReply, EndpointStatus, Status
 from mallowpass.core.proxy.store import Store
-from mallowpass.core.proxy.tables import (
-    ConnectionRow,
-    EndpointRow,
-    GroupRow,
-    ProxySystem,
-)
+from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
 from mallowpass.core.proxy.writers import Writers
 
 __all__ = ["WRITES_UNPROVEN_MESSAGE", "WriteLeases"]
@@ -348,19 +343,17 @@
 
         The primary would acknowledge it as soon as a replica restarts.
         """
-        connections = [c for c in primary.connections.values() if c.has_sent_commit]
-        self._log_lapsed(group, primary, connections)
-        for connection in connections:
-            self._connections.close(connection, WRITES_UNPROVEN_MESSAGE)
+        self._log_lapsed(group, primary)
+        for connection in list(primary.connections.values()):
+            if connection.has_sent_commit:
+                self._connections.close(connection, WRITES_UNPROVEN_MESSAGE)
         self._node.count("write_leases", service=group.service, outcome="abandoned")
 
-    def _log_lapsed(
-        self,
-        group: GroupRow,
-        primary: EndpointRow,
-        connections: Sequence[ConnectionRow],
-    ) -> None:
+    def _log_lapsed(self, group: GroupRow, primary: EndpointRow) -> None:
         """Tell of commits that a primary may acknowledge which no reset reaches."""
+        connections = [c for c in primary.connections.values() if c.has_sent_commit]
+        if not connections:
+            return
         sent_at = min(b.sent_at for c in connections for b in c.pending)
         lapsed_at = self._renewed_at(group) + LEASE_DURATION
         self._node.log(
--- a/tests/core/proxy/test_lead_log.py
+++ b/tests/core/proxy/test_lead_log.py
@@ -9,6 +9,7 @@
 from mallowpass.core.proxy.leadlog import LOG_DELAY
 from mallowpass.core.proxy.leasewaits import LEASE_WAIT
 from mallowpass.core.proxy.replicationproofs import LEASE_DURATION
+from mallowpass.core.proxy.writeleases import WriteLeases
 from mallowpass.standins.proxied.virtual.hosts import Host
 from mallowpass.standins.proxied.virtual.world import ProxyWorld
 from tests.core.proxy.test_promotion_evidence import (
@@ -153,6 +154,20 @@
     assert all_warnings(world, "write_lease_lapsed") == []
 
 
+def test_commits_that_were_answered_as_a_lease_lapses_have_no_line():
+    """Guard against a line that ends what holds writes back, as it finds no commit."""
+    world = ProxyWorld()
+    world.run(1.0)
+    host = world.hosts[0]
+    primary = host.tables.endpoints[OLD]
+    group = host.tables.group(primary.entry.service)
+    host.node.system(WriteLeases)._abandon(group, primary)
+    world.run(0.1)
+    assert warnings(host, "write_lease_lapsed") == []
+    outcomes = [c.attributes for c in host.counts if c.name == "write_leases"]
+    assert ("outcome", "abandoned") in outcomes[-1]
+
+
 # -- Hosts that have ended -----------------------------------------------------------
 
 
