End an attempt whose step raised, and go on with a resumption

Callers' writes were refused without end: a step of an attempt to replace a primary that raised left the attempt where it was. Nothing repeated the step, and the attempt kept its host from beginning another one; where each host met the same exception once, nobody replaced the primary in 25 s. A resumption whose round raised left replicas paused, as its task stayed and kept others from beginning.

A step that is entered by a reply, a timer or a signal is guarded now: its exception is logged and counted as before, and its attempt is given up as any other is: replicas are resumed, and the fence stays if an order is pending. This host begins another attempt after 0.5 s at the soonest, as a step may raise each time. A task of a resumption counts the round that raised and begins the next one after the usual interval, up to the usual number of rounds.

Not covered: exceptions of `FenceOrders.begin` in a call of another system, and of a claim's reply before the attempt has it.

--- a/mallowpass/core/proxy/commitwaits.py
+++ b/mallowpass/core/proxy/commitwaits.py
@@ -22,6 +22,7 @@
 from dataclasses import dataclass, field
 
 from mallowpass.core.node import Node
+from mallowpass.core.proxy.attemptsteps import attempt_step
 from mallowpass.core.proxy.demotion import Demotion
 from mallowpass.core.proxy.fenceorders import FenceOrders
 from mallowpass.core.proxy.promotionorders import PromotionOrders
@@ -194,6 +195,7 @@
     def _renewals_of(self, attempt: Replacement) -> _Renewals:
         return self._renewals.setdefault(attempt.primary, _Renewals())
 
+    @attempt_step
     def _finish(self, attempt: Replacement, rounds: int) -> None:
         wait = self._waits.get(attempt.group.service)
         if wait is None or wait[0] is not attempt or attempt.rounds != rounds:
--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -29,6 +29,7 @@
 from dataclasses import dataclass, field
 
 from mallowpass.core.node import Node
+from mallowpass.core.proxy.attemptsteps import attempt_step
 from mallowpass.core.proxy.connections import Connections
 from mallowpass.core.proxy.control import ControlRequest
 from mallowpass.core.proxy.demotion import Demotion
@@ -495,6 +496,7 @@
         if signal.ordered_at >= task.began_at:
             self._settle(task, FenceOutcome.STEPPED_DOWN)
 
+    @attempt_step
     def _check_wait(self, task: _Task) -> None:
         """Settle a fence that is not confirmed, unless a host may still answer."""
         if task.is_settled or not self._is_current(task):
--- a/mallowpass/core/proxy/leasewaits.py
+++ b/mallowpass/core/proxy/leasewaits.py
@@ -18,6 +18,7 @@
 
 from mallowpass.core.node import Node
 from mallowpass.core.positions import LogPosition
+from mallowpass.core.proxy.attemptsteps import attempt_step
 from mallowpass.core.proxy.fenceorders import FenceOrders
 from mallowpass.core.proxy.promotionorders import PromotionOrders
 from mallowpass.core.proxy.replacement import (
@@ -111,6 +112,7 @@
 
     # -- Pauses --------------------------------------------------------------
 
+    @attempt_step
     def _check(self, wait: _Wait) -> None:
         if not self._is_current(wait):
             return
@@ -164,6 +166,7 @@
         self._promotion_orders.resume_target(attempt)
         self.timers.after(SETTLE_TIME, self._end_settled, wait)
 
+    @attempt_step
     def _end_settled(self, wait: _Wait) -> None:
         if self._is_current(wait):
             wait.attempt.has_outwaited_leases = True
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -27,6 +27,7 @@
 
 from mallowpass.core.node import Node
 from mallowpass.core.positions import ZERO_POSITION
+from mallowpass.core.proxy.attemptsteps import StepFailed, attempt_step
 from mallowpass.core.proxy.claims import Claim, Claims
 from mallowpass.core.proxy.commitwaits import CommitWaits
 from mallowpass.core.proxy.demotion import Demotion
@@ -88,6 +89,8 @@
 SLOW_ROUND_TIME = 0.25
 # Between two messages to holders that an attempt keeps no fence; less than a lease.
 LIFT_INTERVAL = 0.3
+# Before the next attempt, if a step of one raised.
+ERROR_BACKOFF = 0.5
 # Before the next attempt, if no replica had all commits that may be acknowledged. A
 # comparison pauses replicas for a moment, and the entry of a replica that returns is in
 # the store within about one second.
@@ -174,6 +177,7 @@
         node.subscribe(OrderFailed, self._on_order_failed)
         node.subscribe(ClaimExpired, self._on_claim_expired)
         node.subscribe(OrderStored, self._on_order_stored)
+        node.subscribe(StepFailed, self._on_step_failed)
 
     def is_replacing(self, service: str) -> bool:
         """Return whether this host is replacing a service's primary."""
@@ -214,10 +218,14 @@
             group, primary, reason, why, self.now, inherits_order, gone_host
         )
         self._attempts[group.service] = attempt
+        self._begin(attempt)
+
+    @attempt_step
+    def _begin(self, attempt: Replacement) -> None:
         self._node.publish(ReplacementBegan(attempt))
-        self._resumption.suspend(group.service)
+        self._resumption.suspend(attempt.group.service)
         self._take_claim(attempt)
-        if reason is Reason.UNAVAILABLE and not attempt.is_ended:
+        if attempt.reason is Reason.UNAVAILABLE and not attempt.is_ended:
             self._fence(attempt)  # while the claim is taken, which takes as long
 
     def take_over(self, group: GroupRow, gone_host: str) -> None:
@@ -275,6 +283,7 @@
             endpoint for name, endpoint in group.endpoints.items() if name != primary
         ]
 
+    @attempt_step
     def _on_claim(self, attempt: Replacement, claim: Claim | None, call: int) -> None:
         if attempt.is_ended:
             if claim is not None and not attempt.order_count:
@@ -310,23 +319,25 @@
         An earlier view may lack a member that has joined and holds commits, or name a
         primary that another host has replaced meanwhile.
         """
-
-        def on_read(is_read: bool) -> None:
-            if attempt.is_ended or attempt.claim is None:
-                return
-            if attempt.claim.token != claim.token:
-                return
-            if not is_read:
-                self._give_up(attempt, "the entries of members can't be read")
-                return
-            attempt.view_token = claim.token
-            if self._has_returned(attempt):
-                self._give_up(attempt, "the primary does not leave any more")
-                return
-            self._continue_with_view(attempt)
-
         version = self._claims.version_of_newest(attempt.group.service)
-        self._members.read(version, on_read)
+        self._members.read(
+            version, lambda is_read: self._on_view_read(attempt, claim, is_read)
+        )
+
+    @attempt_step
+    def _on_view_read(self, attempt: Replacement, claim: Claim, is_read: bool) -> None:
+        if attempt.is_ended or attempt.claim is None:
+            return
+        if attempt.claim.token != claim.token:
+            return
+        if not is_read:
+            self._give_up(attempt, "the entries of members can't be read")
+            return
+        attempt.view_token = claim.token
+        if self._has_returned(attempt):
+            self._give_up(attempt, "the primary does not leave any more")
+            return
+        self._continue_with_view(attempt)
 
     def _read_writers(self, attempt: Replacement, claim: Claim) -> None:
         """Read which hosts write directly, and have those fence the primary as well.
@@ -334,21 +345,26 @@
         A host that enters itself later finds the target that the claim names.
         """
         attempt.are_writers_known = False
+        self._writers.read(
+            attempt.group.service,
+            lambda is_read: self._on_writers_read(attempt, claim, is_read),
+        )
 
-        def on_read(is_read: bool) -> None:
-            if attempt.is_ended or attempt.claim is None:
-                return
-            if attempt.claim.token != claim.token:
-                return
-            if not is_read:
-                self._give_up(attempt, "the entries of writers can't be read")
-                return
-            attempt.writers_token = claim.token
-            attempt.are_writers_known = bool(claim.ordered)
-            self._fence_orders.tell_writers(attempt)
-            self._continue_with_view(attempt)
-
-        self._writers.read(attempt.group.service, on_read)
+    @attempt_step
+    def _on_writers_read(
+        self, attempt: Replacement, claim: Claim, is_read: bool
+    ) -> None:
+        if attempt.is_ended or attempt.claim is None:
+            return
+        if attempt.claim.token != claim.token:
+            return
+        if not is_read:
+            self._give_up(attempt, "the entries of writers can't be read")
+            return
+        attempt.writers_token = claim.token
+        attempt.are_writers_known = bool(claim.ordered)
+        self._fence_orders.tell_writers(attempt)
+        self._continue_with_view(attempt)
 
     def _on_order_stored(self, signal: OrderStored) -> None:
         """Read the entries once more if the claim had named no target before."""
@@ -377,6 +393,7 @@
 
     # -- Comparing -----------------------------------------------------------
 
+    @attempt_step
     def _compare(self, attempt: Replacement) -> None:
         """Query the log position of each replica, and pause all but the target.
 
@@ -384,6 +401,8 @@
         target is paused as well. Replicas that were paused in an earlier round are
         paused again, since a restart ends a pause.
         """
+        if attempt.is_ended:
+            return
         attempt.rounds += 1
         attempt.round_began_at = self.now
         self._lease_waits.end(attempt)
@@ -451,6 +470,7 @@
         else:
             self._replica_orders.send(endpoint, Status(), on_reply)
 
+    @attempt_step
     def _on_reply(
         self,
         attempt: Replacement,
@@ -533,6 +553,7 @@
         if not attempt.is_ended:
             self._complete(attempt, f"{endpoint.name} is primary already")
 
+    @attempt_step
     def _decide(self, attempt: Replacement) -> None:
         if not attempt.is_view_current:
             attempt.is_awaiting_view = True
@@ -665,6 +686,7 @@
             attempt.fence_target = self._likely_target(attempt)
         self._fence_orders.begin(attempt, lambda: self._on_fenced(attempt))
 
+    @attempt_step
     def _on_fenced(self, attempt: Replacement) -> None:
         if not attempt.is_awaiting_fence or attempt.is_ended:
             return
@@ -716,12 +738,13 @@
         """
         attempt.is_quiescing = True
 
-        def on_quiesced() -> None:
-            if not attempt.is_ended:
-                attempt.is_quiesced = True
-                self._compare(attempt)
+        self._quiescence.quiesce(attempt, lambda: self._on_quiesced(attempt))
 
-        self._quiescence.quiesce(attempt, on_quiesced)
+    @attempt_step
+    def _on_quiesced(self, attempt: Replacement) -> None:
+        if not attempt.is_ended:
+            attempt.is_quiesced = True
+            self._compare(attempt)
 
     def _refuse_promotion(
         self, attempt: Replacement, furthest: LogPosition, unanswered: list[str]
@@ -798,6 +821,7 @@
             self._suspend(attempt)
         self.timers.after(ROUND_INTERVAL, self._begin_round, attempt, attempt.rounds)
 
+    @attempt_step
     def _suspend_fence(self, attempt: Replacement, round_number: int) -> None:
         """Lift the fence while a slow round waits for a replica that may be down.
 
@@ -829,6 +853,7 @@
                 attempt.is_lift_repeated = True
                 self._repeat_lift(attempt)
 
+    @attempt_step
     def _repeat_lift(self, attempt: Replacement) -> None:
         """Tell holders that they may write, for as long as the attempt fences nothing.
 
@@ -861,6 +886,7 @@
         service = attempt.group.service
         return bool(attempt.order_count and self._pending_orders.pending(service))
 
+    @attempt_step
     def _begin_round(self, attempt: Replacement, rounds: int) -> None:
         """Begin the next round, unless another event has begun it meanwhile."""
         if not attempt.is_ended and attempt.rounds == rounds:
@@ -889,8 +915,11 @@
         """
         endpoint = signal.endpoint
         attempt = self._attempts.get(endpoint.entry.service)
-        if attempt is None:
-            return
+        if attempt is not None:
+            self._follow_restart(attempt, endpoint)
+
+    @attempt_step
+    def _follow_restart(self, attempt: Replacement, endpoint: EndpointRow) -> None:
         attempt.restarted.add(endpoint.name)
         if endpoint.name not in attempt.members:
             return
@@ -918,6 +947,7 @@
         attempt.is_awaiting_view = False
         attempt.received.clear()
 
+    @attempt_step
     def _pause_member(self, attempt: Replacement, endpoint: EndpointRow) -> None:
         if attempt.is_ended or endpoint.name in attempt.paused:
             return
@@ -963,6 +993,7 @@
         signal.attempt.order_call = 0
         self._claim_again(signal.attempt)
 
+    @attempt_step
     def _claim_again(self, attempt: Replacement) -> None:
         """Take another claim, as soon as claims can be taken in a new era."""
         if attempt.is_ended:
@@ -972,6 +1003,16 @@
         else:
             self.timers.at(self._store.settled_at, self._claim_again, attempt)
 
+    def _on_step_failed(self, signal: StepFailed) -> None:
+        """Give up an attempt that nothing goes on with, and resume its replicas."""
+        attempt = signal.attempt
+        service = attempt.group.service
+        if self._attempts.get(service) is not attempt:
+            return
+        self._backoff_until[service] = self.now + ERROR_BACKOFF
+        if not self._node.guard(self._give_up, attempt, "a step raised an exception"):
+            self._resume_replicas(attempt)
+
     def _complete(self, attempt: Replacement, why: str) -> None:
         self._end(attempt)
         if attempt.order_count and attempt.claim is not None:
--- a/mallowpass/core/proxy/promotionorders.py
+++ b/mallowpass/core/proxy/promotionorders.py
@@ -10,6 +10,7 @@
 
 from mallowpass.core.messages import Signal
 from mallowpass.core.node import Node
+from mallowpass.core.proxy.attemptsteps import attempt_step
 from mallowpass.core.proxy.claims import Claims
 from mallowpass.core.proxy.demotion import Demotion
 from mallowpass.core.proxy.effects import OrderPromotion
@@ -110,29 +111,35 @@
         that has reached the target's log position.
         """
         round_number, target = attempt.rounds, attempt.target
-        service = attempt.group.service
 
         def on_stored(number: int | None) -> None:
-            is_current = not attempt.is_ended and attempt.rounds == round_number
-            if is_current and number is not None and self._is_unfenced(attempt):
-                # This host was held up, and holders may write to the primary again.
-                self._pending_orders.note_answer(service, target, number, False)
-                self._node.publish(ClaimExpired(attempt))
-            elif is_current and number is not None:
-                self._send_once_known(attempt, number)
-            elif number is not None:
-                self._pending_orders.note_answer(service, target, number, False)
-            elif is_current and not self._claims.is_of_current_era(attempt.claim):
-                self._node.publish(ClaimExpired(attempt))
-            elif is_current:
-                attempt.claim = None
-                event = "promotion_order_not_stored"
-                attempt.log(self._node, event, "warning", target=target)
-                why = "claim held by another host, or store unreachable"
-                self._node.publish(OrderFailed(attempt, why))
+            self._on_stored(attempt, round_number, target, number)
 
         self._stored_orders.store(attempt, on_stored)
 
+    @attempt_step
+    def _on_stored(
+        self, attempt: Replacement, round_number: int, target: str, number: int | None
+    ) -> None:
+        service = attempt.group.service
+        is_current = not attempt.is_ended and attempt.rounds == round_number
+        if is_current and number is not None and self._is_unfenced(attempt):
+            # This host was held up, and holders may write to the primary again.
+            self._pending_orders.note_answer(service, target, number, False)
+            self._node.publish(ClaimExpired(attempt))
+        elif is_current and number is not None:
+            self._send_once_known(attempt, number)
+        elif number is not None:
+            self._pending_orders.note_answer(service, target, number, False)
+        elif is_current and not self._claims.is_of_current_era(attempt.claim):
+            self._node.publish(ClaimExpired(attempt))
+        elif is_current:
+            attempt.claim = None
+            event = "promotion_order_not_stored"
+            attempt.log(self._node, event, "warning", target=target)
+            why = "claim held by another host, or store unreachable"
+            self._node.publish(OrderFailed(attempt, why))
+
     def _send_once_known(self, attempt: Replacement, number: int) -> None:
         """Send an order once it is read which hosts write directly.
 
@@ -143,20 +150,31 @@
             self._send_order(attempt, number)
             return
         round_number, target = attempt.rounds, attempt.target
-        service = attempt.group.service
 
         def on_read(is_read: bool) -> None:
-            hosts = self._holders.possible_holders(service)
-            are_told = {host.name for host in hosts} <= attempt.fence_told
-            is_current = not attempt.is_ended and attempt.rounds == round_number
-            if is_current and is_read and (are_told or not attempt.has_fenced):
-                self._send_order(attempt, number)
-                return
-            self._pending_orders.note_answer(service, target, number, False)
-            if is_current:
-                self._node.publish(ClaimExpired(attempt))
-
-        self._writers.read(service, on_read)
+            self._on_writers_read(attempt, round_number, target, number, is_read)
+
+        self._writers.read(attempt.group.service, on_read)
+
+    @attempt_step
+    def _on_writers_read(
+        self,
+        attempt: Replacement,
+        round_number: int,
+        target: str,
+        number: int,
+        is_read: bool,
+    ) -> None:
+        service = attempt.group.service
+        hosts = self._holders.possible_holders(service)
+        are_told = {host.name for host in hosts} <= attempt.fence_told
+        is_current = not attempt.is_ended and attempt.rounds == round_number
+        if is_current and is_read and (are_told or not attempt.has_fenced):
+            self._send_order(attempt, number)
+            return
+        self._pending_orders.note_answer(service, target, number, False)
+        if is_current:
+            self._node.publish(ClaimExpired(attempt))
 
     def _is_unfenced(self, attempt: Replacement) -> bool:
         """Return whether a fence that the comparison rests on may have ended."""
@@ -273,8 +291,11 @@
         self._pending_orders.note_answer(
             service, target, event.call, event.accepted, token
         )
-        if attempt.is_ended or attempt.order_call != event.call:
-            return
+        if not attempt.is_ended and attempt.order_call == event.call:
+            self._follow_answer(attempt, event)
+
+    @attempt_step
+    def _follow_answer(self, attempt: Replacement, event: PromotionAnswered) -> None:
         if event.accepted:
             self._node.publish(OrderAccepted(attempt))
             self._keep_fence(attempt)
@@ -321,6 +342,7 @@
         elif not (attempt.reason.is_failure or self._pending_orders.pending(service)):
             self._fence_orders.suspend(attempt)
 
+    @attempt_step
     def _repeat_order(self, attempt: Replacement, call: int) -> None:
         if attempt.is_ended or attempt.order_call != call:
             return
--- a/mallowpass/core/proxy/resumption.py
+++ b/mallowpass/core/proxy/resumption.py
@@ -16,8 +16,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from typing import Any
 
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.claims import CLAIM_USE_TIMEOUT, Claim, Claims
@@ -150,7 +151,7 @@
         task.primaries |= {task.group.primary}
         task.primaries.discard("")
         self._tasks[task.group.service] = task
-        self._run_round(task)
+        self._take_step(task, self._run_round)
 
     def _is_current(self, task: _Task) -> bool:
         return self._tasks.get(task.group.service) is task
@@ -163,7 +164,7 @@
         if task is not None and signal.group.primary:
             task.primaries.add(signal.group.primary)
             if task.is_waiting and self._is_current(task):
-                self._run_round(task)
+                self._take_step(task, self._run_round)
 
     def _find_task(self, service: str) -> _Task | None:
         return self._tasks.get(service) or self._suspended.get(service)
@@ -201,6 +202,17 @@
 
     # -- Rounds --------------------------------------------------------------
 
+    def _take_step(
+        self, task: _Task, step: Callable[..., None], *arguments: Any
+    ) -> None:
+        """Take a step of a task; if it raises, begin another round after a while."""
+        if not self._node.guard(step, task, *arguments) and self._is_current(task):
+            task.rounds += 1
+            self._schedule_round(task, ROUND_INTERVAL)
+
+    def _schedule_round(self, task: _Task, delay: float) -> None:
+        self.timers.after(delay, self._take_step, task, self._run_round)
+
     def _run_round(self, task: _Task) -> None:
         if not self._is_current(task):
             return
@@ -211,7 +223,9 @@
             self._end(task)
         elif not self._resumable_names(task):
             task.is_waiting = True
-            self.timers.after(ROUND_INTERVAL, self._retry_waiting, task)
+            self.timers.after(
+                ROUND_INTERVAL, self._take_step, task, self._retry_waiting
+            )
         else:
             self._demote_former_primaries(task)
 
@@ -244,7 +258,9 @@
             self._demotion.demote(endpoint, term)
             self._run_round(task)
         else:
-            self._demotion.demote(endpoint, term, lambda: self._run_round(task))
+            self._demotion.demote(
+                endpoint, term, lambda: self._take_step(task, self._run_round)
+            )
 
     def _is_fenced(self, task: _Task, primary: str) -> bool:
         """Return whether no host can have a commit acknowledged by a primary."""
@@ -260,7 +276,7 @@
             self._claims.take(
                 task.group.service,
                 task.group.primary,
-                lambda claim: self._on_claim(task, claim),
+                lambda claim: self._take_step(task, self._on_claim, claim),
                 min_age=STUCK_CLAIM_AGE_MIN if task.is_for_stuck_replica else 0.0,
             )
 
@@ -274,7 +290,7 @@
             self._end(task)
         elif claim is None:
             # The host that holds the claim resumes all replicas when it has finished.
-            self.timers.after(ROUND_INTERVAL, self._run_round, task)
+            self._schedule_round(task, ROUND_INTERVAL)
         else:
             self._send_orders(task)
 
@@ -308,7 +324,7 @@
             return self._is_current(task) and may_receive and self.now <= expires_at
 
         def on_outcome(reply: EndpointReply | None, is_resumed: bool) -> None:
-            self._on_outcome(task, endpoint, reply, is_resumed)
+            self._take_step(task, self._on_outcome, endpoint, reply, is_resumed)
 
         self._replica_pauses.resume(endpoint, is_permitted, on_outcome)
 
@@ -347,7 +363,7 @@
         task.outstanding -= 1
         if task.outstanding == 0 and self._is_current(task):
             delay = ROUND_INTERVAL if task.names else 0.0
-            self.timers.after(delay, self._run_round, task)
+            self._schedule_round(task, delay)
 
     def _end(self, task: _Task) -> None:
         del self._tasks[task.group.service]
--- a/tests/core/proxy/test_exceptions.py
+++ b/tests/core/proxy/test_exceptions.py
@@ -6,11 +6,16 @@
 
 from mallowpass.core.messages import Signal
 from mallowpass.core.proxy import signals
+from mallowpass.core.proxy.claims import Claims
+from mallowpass.core.proxy.fenceorders import FenceOrders
+from mallowpass.core.proxy.fencing import Fencing
 from mallowpass.core.proxy.members import Members
 from mallowpass.core.proxy.pendingfences import PendingFences
 from mallowpass.core.proxy.promotion import Promotion
+from mallowpass.core.proxy.promotionorders import PromotionOrders
 from mallowpass.core.proxy.resumption import Resumption
 from mallowpass.core.proxy.statements import Code, Write
+from mallowpass.core.proxy.storedorders import StoredOrders
 from mallowpass.standins.proxied.virtual.heartbeats import Heartbeats
 from mallowpass.standins.proxied.virtual.hosts import Host
 from mallowpass.standins.proxied.virtual.world import ProxyWorld
@@ -21,6 +26,7 @@
 # Times are in seconds.
 FOLLOW_TIME = 5.0  # at most, until a change of the store is applied
 BROKEN_TIME = 1.0
+AFTER_TIME = 5.0  # from a lead until all replicas receive
 RECOVERY_TIME = 25.0  # longer than an order without an answer is pending
 
 KINDS = sorted(
@@ -122,17 +128,67 @@
     return errors
 
 
+STEPS = [
+    (Promotion, "_take_claim"),
+    (Promotion, "_read_view"),
+    (Promotion, "_read_writers"),
+    (Promotion, "_fence"),
+    (Promotion, "_compare"),
+    (Promotion, "_decide"),
+    (Promotion, "_order_once_fenced"),
+    (Promotion, "_order"),
+    (FenceOrders, "begin"),
+    (FenceOrders, "require"),
+    (FenceOrders, "_settle"),
+    (PromotionOrders, "order"),
+    (PromotionOrders, "_send_order"),
+    (PromotionOrders, "_keep_fence"),
+    (Claims, "take"),
+    (StoredOrders, "store"),
+]
+
+
+def step_id(each: type | str) -> str:
+    """Return the name of a class or of a method."""
+    return each if isinstance(each, str) else each.__name__
+
+
+@pytest.mark.parametrize(("kind", "name"), STEPS, ids=step_id)
 def test_a_primary_is_replaced_though_a_step_has_raised_at_each_host(
-    monkeypatch: pytest.MonkeyPatch,
+    monkeypatch: pytest.MonkeyPatch, kind: type, name: str
 ):
     """Guard against a replacement that ends without a word, and hinders the next."""
     world = new_world()
     Heartbeats(world)
-    errors = fail_once(monkeypatch, world, Promotion, "_compare")
+    errors = fail_once(monkeypatch, world, kind, name)
     world.crash(PRIMARY)
     world.run_until(lambda: world.group.promotions > 0, RECOVERY_TIME)
     assert errors
     assert world.group.promotions
+    world.run(AFTER_TIME)
+    assert world.group.lost == []
+    assert not any(replica.paused_for for replica in world.group.replicas.values())
+    assert world.caller(0, "own").run(Write("a 1")).code is Code.DONE
+
+
+def test_a_fence_is_kept_though_a_step_has_raised_after_the_order(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    """Guard against writes beside an order of an attempt that ends by an exception."""
+    world = new_world()
+    world.orders_lost, world.orders_late = 1, 4.0
+    errors = fail_once(monkeypatch, world, PromotionOrders, "_repeat_order")
+    for host in world.hosts:
+        host.cut_from.add(PRIMARY)
+    world.run_until(lambda: bool(errors), RECOVERY_TIME)
+    assert errors
+    assert world.group.promotions == 0
+    for host in world.hosts:
+        host.cut_from.clear()
+        assert host.node.system(Fencing).is_fenced(host.tables.endpoints[PRIMARY])
+    world.run(RECOVERY_TIME)
+    assert world.group.promotions
+    assert world.group.lost == []
 
 
 def test_a_replica_is_resumed_though_a_step_has_raised(
