Release a claim whose primary acknowledges writes again

A replica stayed paused for 4.41 s after its primary's successor led, where 4.0 s are allowed. Traced: the host that paused it waits 2.6 s for the former primary, which is silent, to step down. Meanwhile writes stall at the successor, another host claims, surveys it and gives up as a write is acknowledged; its claim stays for the rest of its 3.3 s, and replicas are resumed under a newer claim alone.

Such a claim is released now. It then names the primary that leads, as one that names none would confirm each former primary to a host that missed the replacement; while an order is pending it withdraws its target only, as before. Attempts that end for other reasons keep their claim, so hosts do not claim more often at a primary that goes on to stall.

--- a/mallowpass/core/proxy/claims.py
+++ b/mallowpass/core/proxy/claims.py
@@ -371,6 +371,18 @@
         released = replace(claim, holder=_NO_HOLDER, ordered=ordered)
         self._replace(service, claim, released, "release")
 
+    def release_unneeded(self, service: str, claim: Claim, primary: str) -> None:
+        """Let other hosts claim at once, as a primary leads and has not to be replaced.
+
+        The claim names it, as one that names none would confirm each former primary.
+        While an order is pending, the claim only withdraws the target that it names.
+        """
+        if self._orders_to_store(service):
+            self.withdraw_target(service, claim)
+            return
+        released = replace(claim, holder=_NO_HOLDER, primary=primary, ordered=())
+        self._replace(service, claim, released, "release")
+
     def withdraw_target(self, service: str, claim: Claim) -> None:
         """Tell other hosts that no order was sent, and keep them from claiming."""
         ordered = self._orders_to_store(service)
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -984,6 +984,7 @@
         if attempt.inherits_order:
             return
         if attempt.primary == attempt.group.primary:
+            attempt.is_needless = True
             self._give_up(attempt, "the primary acknowledges writes")
 
     def _on_order_failed(self, signal: OrderFailed) -> None:
@@ -1069,5 +1070,16 @@
             self._resumption.resume(attempt, names)
         else:
             if attempt.claim is not None and not attempt.order_count:
-                self._claims.withdraw_target(attempt.group.service, attempt.claim)
+                self._end_claim(attempt, attempt.claim)
             self._resumption.continue_suspended(attempt.group.service)
+
+    def _end_claim(self, attempt: Replacement, claim: Claim) -> None:
+        """Withdraw the target that a claim names, as no order for it was sent.
+
+        Other hosts may claim at once if nobody has to replace the primary.
+        """
+        service = attempt.group.service
+        if attempt.is_needless:
+            self._claims.release_unneeded(service, claim, attempt.primary)
+        else:
+            self._claims.withdraw_target(service, claim)
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -138,6 +138,7 @@
     why_awaits_no_commit: str = ""  # as was last decided, empty if some may wait
     order_count: int = 0
     order_call: int = 0  # call number of the newest order; replies to others are stale
+    is_needless: bool = False  # the primary acknowledges writes
     is_ended: bool = False
 
     @property
--- a/tests/core/proxy/test_replacement.py
+++ b/tests/core/proxy/test_replacement.py
@@ -6,8 +6,11 @@
 
 import pytest
 
+from mallowpass.core.proxy.claims import Claim, Claims
+from mallowpass.core.proxy.pendingorders import PendingOrders
 from mallowpass.core.proxy.promotion import Promotion
 from mallowpass.core.proxy.replacement import Reason, Replacement
+from mallowpass.core.proxy.signals import WriteAcknowledged
 from mallowpass.core.proxy.statements import Code, Read, Write
 from mallowpass.standins.proxied.replicas import GroupTimes
 from mallowpass.standins.proxied.virtual.world import ProxyWorld
@@ -141,6 +144,42 @@
     assert world.group.promotions == 0
 
 
+@pytest.mark.parametrize("is_order_pending", [False, True])
+def test_others_may_claim_once_a_primary_acknowledges_writes_again(
+    is_order_pending: bool,
+):
+    """Guard against replicas that stay paused, as a claim that nobody needs holds.
+
+    The host that paused them resumes them under a claim. A claim that is released tells
+    that a primary leads: it names that one, and is kept while an order is pending.
+    """
+    world = ProxyWorld()
+    _write(world, 5)
+    host = world.hosts[0]
+    primary = host.tables.endpoints["db-casa"]
+    group = host.tables.group(primary.entry.service)
+    world.dark.add("db-agadir")  # the survey waits for it
+    host.node.system(Promotion).replace(group, "db-casa", Reason.STALLED, "test")
+    world.run_until(lambda: bool(host.logged("promotion_begun")), 1.0)
+    if is_order_pending:
+        pending = host.node.system(PendingOrders)
+        until = host.node.timers.now + 5.0
+        pending.note_lost_orders(group.service, {"db-tanger": until})
+    host.node.publish(WriteAcknowledged(group, primary))
+    world.run(0.1)
+    (line,) = host.logged("promotion_given_up")
+    assert line["outcome"] == "the primary acknowledges writes"
+    released = [x for x in host.logged("claim") if x["what"].startswith("release")]
+    assert [x["primary"] for x in released] == ([] if is_order_pending else ["db-casa"])
+    claims: list[Claim | None] = []
+    system = host.node.system(Claims)
+    system.read_newest(group.service, lambda claim, is_known: claims.append(claim))
+    world.run(0.1)
+    (claim,) = claims
+    assert claim.confirms_primary("db-casa") is not is_order_pending
+    assert claim.confirms_primary("db-tanger") is is_order_pending
+
+
 def test_attempt_waits_for_a_replica_that_is_briefly_unreachable():
     """Guard against 3.5 seconds without writes after a crash, instead of 2.
 
