--- a/mallowpass/core/proxy/leasewaits.py
+++ b/mallowpass/core/proxy/leasewaits.py
@@ -22,6 +22,7 @@
 
 from mallowpass.core.node import Node
 from mallowpass.core.positions import LogPosition
+from mallowpass.core.proxy.attemptsteps import attempt_step
 from mallowpass.core.proxy.fenceorders import FenceOrders
 from mallowpass.core.proxy.promotionorders import PromotionOrders
 from mallowpass.core.proxy.replacement import (
@@ -115,6 +116,7 @@
 
     # -- Pauses --------------------------------------------------------------
 
+    @attempt_step
     def _check(self, wait: _Wait) -> None:
         if not self._is_current(wait):
             return
@@ -168,6 +170,7 @@
         self._promotion_orders.resume_target(attempt)
         self.timers.after(SETTLE_TIME, self._end_settled, wait)
 
+    @attempt_step
     def _end_settled(self, wait: _Wait) -> None:
         if self._is_current(wait):
             attempt = wait.attempt
