Fence an heir beside an order whose target has left the group

Cause: for a primary that is new since the order, a target that has left the group counted as gone, so the guard ended its watch and lifted the fence, while the order was pending. The platform goes by no entry: it promotes the target all the same.

Where tokens go unchecked, nothing changes, as no order ends another there.

--- a/mallowpass/core/proxy/pendingfences.py
+++ b/mallowpass/core/proxy/pendingfences.py
@@ -25,7 +25,8 @@
 the lead of each of them but the last.
 
 Where the target does not receive, writes would wait until the order expires. So the
-order is ended by one for the present primary, see `settlements`.
+order is ended by one for the present primary, see `settlements`. A target that has left
+the group may be back and lead, so that its order is ended likewise.
 """
 
 from __future__ import annotations
@@ -255,17 +256,19 @@
             self._query(watch, endpoint)
 
     def _is_over(self, watch: _Watch) -> bool:
-        """Return whether the successor leads or no order is pending.
-
-        A target that has left the group may be back. For a primary that has changed
-        since the order it counts as gone.
-        """
+        """Return whether the successor leads or no order is pending."""
         return not self._rivals(watch)
 
     def _rivals(self, watch: _Watch) -> set[str]:
-        """Return the targets that may replace the guarded primary at any moment."""
+        """Return the targets that may replace the guarded primary at any moment.
+
+        A target that has left the group may be back. Where no order ends the one for
+        it, that counts as gone once the primary has changed.
+        """
         rivals = self._pending_orders.rivals(watch.group)
-        return rivals & watch.group.endpoints.keys() if watch.former else rivals
+        if watch.former and not self.tables.promotion_fences_primary:
+            rivals &= watch.group.endpoints.keys()
+        return rivals
 
     def _end(self, watch: _Watch) -> None:
         """End a watch, and lift its fence unless that has ended with the lead."""
@@ -335,7 +338,9 @@
         else:
             self._renew(watch)
         watch.is_lifted = is_safe
-        self._report_stuck(watch, is_safe or not is_due)
+        # An heir need not wait for a target that may not answer any more.
+        is_silent = bool(watch.former) and watch.target not in watch.statuses
+        self._report_stuck(watch, is_safe or not (is_due or is_silent))
 
     def _report_stuck(self, watch: _Watch, is_served: bool) -> None:
         """Publish that a primary answers, and that writes wait for its target."""
--- a/mallowpass/core/proxy/settlements.py
+++ b/mallowpass/core/proxy/settlements.py
@@ -40,7 +40,7 @@
 FENCE_TIMEOUT = 1.0  # for the confirmations of all holders
 ORDER_TIMEOUT = 1.0
 # After an order of this host got no answer: another one would most likely be late too.
-SILENCE_TIMEOUT = 3.0
+SILENCE_TIMEOUT = 1.0
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/core/proxy/test_remainders.py
+++ b/tests/core/proxy/test_remainders.py
@@ -46,6 +46,19 @@
 )
 
 
+HEIR_HELD_MAX = 7.0  # seconds without a write, two orders without an answer among them
+
+
+@pytest.mark.parametrize("seed", [5, 7, 11])
+def test_heir_serves_beside_an_order_whose_target_is_dead(seed: int):
+    """Guard against writes held until an order expires that a newer one ends."""
+    play = RemainderPlay(seed, case="heir_dead")
+    play.run()
+    assert play.is_met
+    assert play.gap < HEIR_HELD_MAX
+    assert play.world.group.lost == []
+
+
 @pytest.mark.parametrize(("case", "members", "seed"), PLAYS)
 def test_no_commit_is_lost_under_the_conditions_of(case: str, members: int, seed: int):
     """Guard against a commit that the target lacks, in a case that was played."""
