Hold the states of the model in named tuples

The tests of the model took 25.6 s beside a load of 10, of which most went into hashes of states and into copies of them. Named tuples are immutable as well, and do both in C: 16.2 s beside the same load, with the same numbers of states and the same kinds.

--- a/tests/fakes/promotionmodel.py
+++ b/tests/fakes/promotionmodel.py
@@ -16,10 +16,10 @@
 
 import argparse
 import functools
-from collections.abc import Callable, Iterator
-from dataclasses import dataclass, fields
+from collections.abc import Iterator
+from dataclasses import dataclass
 from enum import StrEnum
-from typing import Any
+from typing import Any, NamedTuple
 
 __all__ = [
     "ACKED",
@@ -115,8 +115,7 @@
 FAULTS = 5  # in a sequence, at most
 
 
-@dataclass(frozen=True, slots=True)
-class Writer:
+class Writer(NamedTuple):
     """Hold a host that writes to the primary on connections of its own."""
 
     is_known: bool = True  # to the host that orders
@@ -133,8 +132,7 @@
     answer: str = SILENT
 
 
-@dataclass(frozen=True, slots=True)
-class Member:
+class Member(NamedTuple):
     """Hold a replica."""
 
     received: int = 0  # commits of P's log
@@ -146,8 +144,7 @@
         return not (self.is_paused or self.is_deaf) and self.received < length
 
 
-@dataclass(frozen=True, slots=True)
-class State:
+class State(NamedTuple):
     """Hold all that the model knows at one moment."""
 
     writers: tuple[Writer, ...]
@@ -209,24 +206,9 @@
 Events = Iterator[Event]
 
 
-def _replacer(cls: type) -> Callable[..., Any]:
-    """Return a function like `dataclasses.replace`, which is quicker."""
-    names = tuple(field.name for field in fields(cls))
-
-    def replace(record: Any, **changes: Any) -> Any:
-        return cls(
-            *[
-                changes[name] if name in changes else getattr(record, name)
-                for name in names
-            ]
-        )
-
-    return replace
-
-
-_with = _replacer(State)
-_with_writer = _replacer(Writer)
-_with_member = _replacer(Member)
+_with = State._replace
+_with_writer = Writer._replace
+_with_member = Member._replace
 
 
 def _put(values: tuple[Any, ...], index: int, value: Any) -> tuple[Any, ...]:
