Demand what a primary showed, less the commits without an answer

Cause: what is proven to be acknowledged is counted from positions that were shown before commits were sent. While hosts write at the same time, the newest commit is farther ahead. What replies showed counted for nothing, as the log may hold commits that no replica has.

Such commits have no answer. So hosts count those of their own which the primary has not answered, and tell the count, and what the log showed, as they confirm a fence. Once all have, the log less the sum is demanded. A commit whose connection ended counts until a position was shown 3.3 s later, which all of them are then behind. A host that has restarted, one that has ended, and one of an earlier version know nothing, and nothing is demanded by this.

--- a/mallowpass/core/proxy/commitwaits.py
+++ b/mallowpass/core/proxy/commitwaits.py
@@ -36,7 +36,7 @@
     PrimarySteppedDown,
 )
 from mallowpass.core.proxy.tables import EndpointRow, ProxySystem
-from mallowpass.core.proxy.waitingcommits import LINGER_TIME
+from mallowpass.core.proxy.unansweredcommits import LINGER_TIME
 
 __all__ = ["CommitWaits"]
 
--- a/mallowpass/core/proxy/connections.py
+++ b/mallowpass/core/proxy/connections.py
@@ -27,6 +27,7 @@
 from mallowpass.core.proxy.signals import (
     CallsSent,
     CommitsAbandoned,
+    CommitsUnanswered,
     ConnectionFreed,
     EndpointDisconnected,
     EndpointExpired,
@@ -54,6 +55,7 @@
     HostRow,
     ProxySystem,
 )
+from mallowpass.core.proxy.unansweredcommits import UnansweredCommits
 
 __all__ = ["RESPONSE_TIMEOUT", "Connections"]
 
@@ -87,6 +89,7 @@
         "_proofs",
         "_room_checks",
         "_shares",
+        "_unanswered_commits",
     )
 
     def start(self) -> None:
@@ -96,6 +99,7 @@
         self._durability = node.system(Durability)
         self._holders = node.system(Holders)
         self._proofs = node.system(ReplicationProofs)
+        self._unanswered_commits = node.system(UnansweredCommits)
         self._shares = node.system(Shares)
         # Times at which waiting statements are tried again, by endpoint.
         self._room_checks: dict[str, float] = {}
@@ -661,6 +665,9 @@
     def _notify_lost(self, connection: ConnectionRow, why: str) -> None:
         """Drop the calls in flight on a connection, and call its `on_lost` handler."""
         on_lost, connection.on_lost = connection.on_lost, None
+        count = sum(batch.doubtful_commits for batch in connection.pending)
+        if count and not connection.holder:
+            self._node.publish(CommitsUnanswered(connection.endpoint, count))
         connection.pending.clear()
         if on_lost is not None:
             on_lost(connection, why)
@@ -678,6 +685,8 @@
             reply = self._handle_unreachable(connection, reply)
         if reply.code is not Code.UNSENDABLE:
             self._record_reply(connection, reply, batch.sent_at)
+        if batch.may_commit and not connection.holder:
+            self._unanswered_commits.note_code(connection.endpoint, reply.code)
         if len(batch.replies) in batch.writes and _is_commit(reply):
             before = batch.position_before
             self._durability.note_commit(connection.endpoint, before)
@@ -745,6 +754,8 @@
             group.term = max(group.term, reply.position.term)
             self._durability.note_position(endpoint, reply.position, sent_at)
             self._proofs.note_position(endpoint, reply.position, sent_at)
+            commits = self._unanswered_commits
+            commits.note_position(endpoint, reply.position, sent_at)
         self._publish_floor(endpoint, reply.floor, sent_at)
 
     def _publish_floor(
--- a/mallowpass/core/proxy/durability.py
+++ b/mallowpass/core/proxy/durability.py
@@ -9,7 +9,8 @@
   has a position after all that the primary's log had shown before the commit was sent.
   The position in the commit's reply proves nothing: the log may have grown by commits
   that no replica has received. Suspicion reports and claims carry `must_hold` to other
-  hosts, and it never decreases.
+  hosts, and it never decreases. What the primary showed counts as well, less the
+  commits that no host has an answer to, see `unansweredcommits`.
 - The missing bound, up to which a missing member may have acknowledged commits: the
   first position that the primary shows after a member is lost, restarts or is promoted.
   The bound is required until the log of a present replica reaches it, or until a later
@@ -21,7 +22,7 @@
 from __future__ import annotations
 
 from bisect import insort
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from mallowpass.core.node import Node
@@ -32,7 +33,7 @@
     EndpointRestarted,
     PrimaryChanged,
 )
-from mallowpass.core.proxy.statements import LogPosition
+from mallowpass.core.proxy.statements import AnsweredLog, LogPosition
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
 
 __all__ = ["Durability", "least_position"]
@@ -142,6 +143,30 @@
         """Require commits, each given by a position that was shown before it."""
         self.raise_must_hold(group, least_position(shown))
 
+    def require_answered(
+        self, group: GroupRow, logs: Sequence[AnsweredLog | None]
+    ) -> None:
+        """Require what a primary's log showed, but for commits without an answer.
+
+        `logs` are those of all hosts that may have sent commits to it, None of a host
+        whose log is not known. An entry beyond the newest acknowledged one was not
+        answered. If it is beyond the base of each host as well, one of them counts it.
+        So if there are more entries beyond the bases than are counted, one of these is
+        acknowledged.
+        """
+        known = [log for log in logs if log is not None]
+        if not known or len(known) < len(logs):
+            return
+        shown = max(log.shown for log in known)
+        base = max(log.base for log in known)
+        # Numbers go on from the term before, so one of this term has to be known.
+        if shown.term != max(base, group.must_hold).term:
+            return
+        count = sum(log.count for log in known)
+        answered = shown._replace(position=max(0, shown.position - count))
+        if answered > base:
+            self.raise_must_hold(group, answered)
+
     def note_position(
         self, endpoint: EndpointRow, position: LogPosition, asked_at: float
     ) -> None:
--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -48,6 +48,7 @@
 )
 from mallowpass.core.proxy.signals import PrimarySteppedDown, PrimarySuspected
 from mallowpass.core.proxy.statements import (
+    AnsweredLog,
     Fence,
     FenceEvidence,
     LogPosition,
@@ -55,6 +56,7 @@
 )
 from mallowpass.core.proxy.store import Store
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, HostRow, ProxySystem
+from mallowpass.core.proxy.unansweredcommits import UnansweredCommits
 from mallowpass.core.proxy.writers import Writers
 
 __all__ = ["FenceOrders"]
@@ -103,6 +105,8 @@
     is_settled: bool = False
     # Positions that the log had shown before commits were sent, by holder.
     commits: dict[str, tuple[LogPosition, ...]] = field(default_factory=dict)
+    # How far the log reached, and what was not answered; None: not known, by holder.
+    answered: dict[str, AnsweredLog | None] = field(default_factory=dict)
 
 
 class FenceOrders(ProxySystem):
@@ -119,6 +123,7 @@
         "_store",
         "_tasks",
         "_tokens",
+        "_unanswered_commits",
         "_writers",
     )
 
@@ -137,6 +142,7 @@
         self._forwarded_orders = self._node.system(ForwardedOrders)
         self._holders = self._node.system(Holders)
         self._store = self._node.system(Store)
+        self._unanswered_commits = self._node.system(UnansweredCommits)
         self._writers = self._node.system(Writers)
         self._node.subscribe(PrimarySuspected, self._on_suspected)
         self._node.subscribe(PrimarySteppedDown, self._on_stepped_down)
@@ -418,6 +424,8 @@
                 ):
                     self._writers.forget(service, host.name)
                 task.attempt.fence_refused.add(host.name)
+                task.answered[host.name] = None
+                self._unanswered_commits.note_ended_host(task.attempt.primary)
                 self._confirm(task, host.name)
             else:
                 self.timers.after(RETRY_INTERVAL, self._order, task, host)
@@ -433,6 +441,7 @@
         self._durability.raise_must_hold(attempt.group, evidence.must_hold)
         attempt.shown = max(attempt.shown, evidence.shown)
         attempt.note_abandoned(host, evidence.abandoned, self.now)
+        task.answered[host] = evidence.answered
         task.commits[host] = evidence.shown_before_commits
         commits = [position for each in task.commits.values() for position in each]
         self._durability.require_commits(attempt.group, commits)
@@ -444,7 +453,11 @@
 
     def _confirm(self, task: _Task, host: str) -> None:
         task.unconfirmed.discard(host)
-        if task.unconfirmed or not self._is_open(task):
+        if task.unconfirmed:
+            return
+        logs = [task.answered.get(name) for name in task.attempt.fence_told]
+        self._durability.require_answered(task.attempt.group, logs)
+        if not self._is_open(task):
             return
         task.attempt.confirmed_fence = ConfirmedFence(
             task.attempt.primary,
--- a/mallowpass/core/proxy/fencing.py
+++ b/mallowpass/core/proxy/fencing.py
@@ -59,6 +59,7 @@
 from mallowpass.core.proxy.statements import Fence, FenceEvidence, host_of
 from mallowpass.core.proxy.store import CALL_TIMEOUT
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, ProxySystem
+from mallowpass.core.proxy.unansweredcommits import UnansweredCommits
 from mallowpass.core.proxy.waitingcommits import WaitingCommits
 from mallowpass.core.proxy.writeholds import DrainedHandler, HoldReason, WriteHolds
 from mallowpass.core.timers import Timer
@@ -139,6 +140,7 @@
         "_newest_tokens",
         "_stalls",
         "_timers",
+        "_unanswered_commits",
         "_waiting_commits",
         "_write_holds",
     )
@@ -155,6 +157,7 @@
         self._claims = self._node.system(Claims)
         self._connections = self._node.system(Connections)
         self._stalls = self._node.system(Stalls)
+        self._unanswered_commits = self._node.system(UnansweredCommits)
         self._waiting_commits = self._node.system(WaitingCommits)
         self._write_holds = self._node.system(WriteHolds)
         self._node.subscribe(PrimaryChanged, self._on_primary_changed)
@@ -360,7 +363,8 @@
         commits = [c for e in group.endpoints.values() for c in e.shown_before_commits]
         newest = tuple(sorted(commits)[-COMMITS_MAX:])
         abandoned = self._waiting_commits.abandoned(rows)
-        return FenceEvidence(shown, group.must_hold, newest, abandoned)
+        answered = self._unanswered_commits.answered_log(order.primary)
+        return FenceEvidence(shown, group.must_hold, newest, abandoned, answered)
 
     def _is_silent(self, primary: EndpointRow) -> bool:
         """Return whether a statement waits for a primary that has not replied since."""
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -74,6 +74,7 @@
 from mallowpass.core.proxy.takeovers import Takeovers
 from mallowpass.core.proxy.timeouts import Timeouts
 from mallowpass.core.proxy.transactions import Transactions
+from mallowpass.core.proxy.unansweredcommits import UnansweredCommits
 from mallowpass.core.proxy.unknowndatabases import UnknownDatabases
 from mallowpass.core.proxy.waitingcommits import WaitingCommits
 from mallowpass.core.proxy.writeholds import WriteHolds
@@ -93,6 +94,7 @@
     Load,
     Durability,
     ReplicationProofs,
+    UnansweredCommits,
     FairSharing,
     Connections,
     DeadConnections,
--- a/mallowpass/core/proxy/signals.py
+++ b/mallowpass/core/proxy/signals.py
@@ -30,6 +30,7 @@
     "AttemptRefused",
     "CallsSent",
     "CommitsAbandoned",
+    "CommitsUnanswered",
     "ConfigurationAccepted",
     "ConnectionFreed",
     "DrainBegan",
@@ -143,6 +144,14 @@
     commits: tuple[Batch, ...]
 
 
+@record
+class CommitsUnanswered(Signal):
+    """A direct connection ended, whichever way, with commits in flight."""
+
+    endpoint: EndpointRow
+    count: int
+
+
 @record
 class EndpointUnreachable(Signal):
     """An attempt to connect to an endpoint, started at `attempted_at`, failed."""
--- a/mallowpass/core/proxy/statements.py
+++ b/mallowpass/core/proxy/statements.py
@@ -299,6 +299,26 @@
         return cls(int(count), int(age) / 1000, tuple(shown_before), settled)
 
 
+@record
+class AnsweredLog:
+    """How far a primary's log reaches, and how many commits of a host it may hold."""
+
+    shown: LogPosition  # the newest that the log showed
+    # At or behind which are all commits that the host does not count.
+    base: LogPosition
+    count: int  # commits of the host that the primary has not answered
+
+    def encode(self) -> str:
+        """Return the row that is sent."""
+        return f"{self.shown.text} {self.base.text} {self.count}"
+
+    @classmethod
+    def decode(cls, row: str) -> AnsweredLog:
+        """Parse a row; raise ValueError if it is malformed."""
+        shown, base, count = row.split(" ")
+        return cls(LogPosition.parse(shown), LogPosition.parse(base), int(count))
+
+
 @record
 class FenceEvidence:
     """What a holder knows of the log of a primary that it fences."""
@@ -308,17 +328,21 @@
     # That the log had shown before the newest commits of this holder were sent.
     shown_before_commits: tuple[LogPosition, ...] = ()
     abandoned: AbandonedCommits = AbandonedCommits()
+    answered: AnsweredLog | None = None  # of the primary; None: not known
 
     def encode(self) -> tuple[bytes, ...]:
         """Return the rows that are sent; earlier versions read the first ones alone."""
         rows = [f"{self.shown.text} {self.must_hold.text}"]
         commits = self.shown_before_commits
-        if self.abandoned.count:
+        has_abandoned = self.abandoned.count or self.answered is not None
+        if has_abandoned:
             commits = commits or (ZERO_POSITION,)  # no row may be empty
         if commits:
             rows.append(" ".join(position.text for position in commits))
-        if self.abandoned.count:
+        if has_abandoned:
             rows.append(self.abandoned.encode())
+        if self.answered is not None:
+            rows.append(self.answered.encode())
         return tuple(row.encode() for row in rows)
 
     @classmethod
@@ -331,8 +355,13 @@
         abandoned = AbandonedCommits()
         if len(rows) > 2:
             abandoned = AbandonedCommits.decode(rows[2].decode())
+        answered = AnsweredLog.decode(rows[3].decode()) if len(rows) > 3 else None
         return cls(
-            LogPosition.parse(shown), LogPosition.parse(must_hold), commits, abandoned
+            LogPosition.parse(shown),
+            LogPosition.parse(must_hold),
+            commits,
+            abandoned,
+            answered,
         )
 
 
--- a/mallowpass/core/proxy/tables.py
+++ b/mallowpass/core/proxy/tables.py
@@ -88,6 +88,11 @@
             return sum(index >= len(self.replies) for index in self.writes)
         return int(self.may_commit)
 
+    @property
+    def doubtful_commits(self) -> int:
+        """Return how many commits of an unanswered batch may have run, at most."""
+        return max(self.unanswered_commits, int(self.may_commit))
+
 
 @dataclass(slots=True, eq=False)
 class ConnectionRow:
--- a/mallowpass/core/proxy/waitingcommits.py
+++ b/mallowpass/core/proxy/waitingcommits.py
@@ -34,14 +34,12 @@
     Rollback,
 )
 from mallowpass.core.proxy.tables import ConnectionRow, EndpointRow, ProxySystem
+from mallowpass.core.proxy.unansweredcommits import LINGER_TIME
 from mallowpass.core.records import record
 
-__all__ = ["LINGER_TIME", "WaitingCommits"]
+__all__ = ["WaitingCommits"]
 
 # Times are in seconds.
-# For which an endpoint keeps a connection whose reset did not arrive, and a margin for
-# clocks and for the answer to an order to step down.
-LINGER_TIME = 3.3
 # After the last reply of an endpoint, within which a commit was sent that may have
 # arrived: a round trip, and the interval between two samples.
 ARRIVAL_TIME = 0.1
--- a/tests/core/proxy/test_near_replicas.py
+++ b/tests/core/proxy/test_near_replicas.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 
 import pytest
@@ -30,6 +31,9 @@
 DARK_TIME = 0.27  # from an order until the primary is back, just before the lead
 LATE = 12.0  # until an order is carried out that got no answer
 AFTER = 4.0
+SETTLED_AFTER = 5.0  # until nothing is left of connections before the start of hosts
+MOMENTS = 0.3  # over which faults begin, by the seed
+DOWN_TIME = 12.0
 
 
 class Writers:
@@ -50,11 +54,11 @@
         self._world.timers.after(WRITE_INTERVAL, self._write)
 
 
-@pytest.fixture
-def world() -> ProxyWorld:
+def new_world(seed: int = 1) -> ProxyWorld:
     """Return a world with one near replica and two far ones."""
     world = ProxyWorld(
         hosts=HOSTS,
+        seed=seed,
         members=FOUR_MEMBERS,
         distance=DISTANCE,
         times=GroupTimes(promotion=0.3),
@@ -65,6 +69,12 @@
     return world
 
 
+@pytest.fixture
+def world() -> ProxyWorld:
+    """Return a world with one near replica and two far ones."""
+    return new_world()
+
+
 @pytest.fixture
 def writers(world: ProxyWorld) -> Writers:
     """Return what writes in the world."""
@@ -137,6 +147,22 @@
     assert world.group.lost == []
 
 
+@pytest.mark.parametrize("seed", [2, 5, 21, 22])
+def test_commits_that_replies_showed_survive_two_members_that_are_down(seed: int):
+    """Guard against a successor that lacks more commits than are without an answer.
+
+    The near replica and the primary end at the same moment, and do not return soon.
+    """
+    world = new_world(seed)
+    Writers(world)
+    Heartbeats(world)
+    world.run(SETTLED_AFTER + random.Random(seed).uniform(0.0, MOMENTS))
+    world.crash(PRIMARY)
+    world.crash(NEAR)
+    world.run(DOWN_TIME)
+    assert world.group.lost == []
+
+
 @pytest.mark.parametrize("end_pause", [restart, resume])
 def test_planned_replacement_by_a_far_replica_loses_nothing_as_a_pause_ends(
     world: ProxyWorld,
