--- a/mallowpass/core/proxy/commitwaits.py
+++ b/mallowpass/core/proxy/commitwaits.py
@@ -8,10 +8,18 @@
 connections are gone. What the log reaches follows as well from the number of commits
 that were acknowledged or have arrived, see `durability`.
 
+A host that did not confirm the fence, or has ended, tells nothing of what it had in
+flight. Commits of such a host may wait as well, up to when its lease has lapsed or it
+was found to have ended. The target has them if it received anything once no host could
+send a commit, as a log is received in order. That it has received nothing proves
+nothing: it may be cut off from the primary. Without that proof the order waits until
+the primary can't acknowledge them any more.
+
 A primary that lost power looks alike if its last commits were shown, or had arrived,
 and had not been sent to a replica. So what the target may lack for that reason is
-waited for only if the primary renews its entry, or until that is overdue. One that
-renews it lives: then the target has to show more than the log had, as that alone shows
+waited for only if the platform tells that the primary runs, see `primaryquestions`. If
+it does not tell, the primary has to renew its entry, or that to be overdue. Of a
+primary that lives the target has to show more than the log had, as that alone shows
 that replicas went on to receive.
 """
 
@@ -22,8 +30,11 @@
 from dataclasses import dataclass, field
 
 from mallowpass.core.node import Node
+from mallowpass.core.positions import ZERO_POSITION
+from mallowpass.core.proxy.claims import Claim, Claims
 from mallowpass.core.proxy.demotion import Demotion
 from mallowpass.core.proxy.fenceorders import FenceOrders
+from mallowpass.core.proxy.primaryquestions import PrimaryQuestions
 from mallowpass.core.proxy.promotionorders import PromotionOrders
 from mallowpass.core.proxy.replacement import (
     FenceOutcome,
@@ -33,6 +44,7 @@
 from mallowpass.core.proxy.signals import (
     EndpointChanged,
     EndpointExpired,
+    EndpointUnreachable,
     PrimarySteppedDown,
 )
 from mallowpass.core.proxy.tables import EndpointRow, ProxySystem
@@ -42,6 +54,7 @@
 
 # Times are in seconds.
 CHECK_INTERVAL = 0.4  # between two comparisons
+CLAIM_AGE = 1.0  # of a claim that is prolonged; less than one lasts
 # Times the interval between renewals of an entry, after which the next one is overdue.
 RENEWAL_TIMES = 1.1
 # From the last reply of an endpoint, until a renewal of its entry shows that it lives:
@@ -84,8 +97,11 @@
     """Have orders wait while a primary may acknowledge commits that hosts gave up."""
 
     __slots__ = (
+        "_claims",
         "_demotion",
+        "_ended_at",
         "_fence_orders",
+        "_primary_questions",
         "_promotion_orders",
         "_renewals",
         "_stepped_down_at",
@@ -97,22 +113,28 @@
         self._waits: dict[str, tuple[Replacement, WaitHandler]] = {}  # by service
         self._renewals: dict[str, _Renewals] = {}  # by endpoint
         self._stepped_down_at: dict[str, float] = {}  # by endpoint
+        # When endpoints' machines told that no process listens, by endpoint.
+        self._ended_at: dict[str, float] = {}
 
     def start(self) -> None:
         """Subscribe to what ends a wait, and to entries that are renewed."""
+        self._claims = self._node.system(Claims)
         self._demotion = self._node.system(Demotion)
         self._fence_orders = self._node.system(FenceOrders)
+        self._primary_questions = self._node.system(PrimaryQuestions)
         self._promotion_orders = self._node.system(PromotionOrders)
         self._node.subscribe(EndpointChanged, self._on_endpoint_changed)
         self._node.subscribe(EndpointExpired, self._on_expired)
+        self._node.subscribe(EndpointUnreachable, self._on_unreachable)
         self._node.subscribe(PrimarySteppedDown, self._on_stepped_down)
         self._node.subscribe(ReplacementEnded, self._on_ended)
 
     def must_wait(self, attempt: Replacement) -> bool:
         """Return whether the primary may acknowledge what the target lacks."""
-        if attempt.order_count or not attempt.abandoned:
+        if attempt.order_count or not (attempt.abandoned or self._untold(attempt)):
             return False
         why_over = self._why_over(attempt)
+        attempt.why_awaits_no_commit = why_over
         since = attempt.awaits_commits_since
         if why_over and since is not None:
             attempt.awaits_commits_since = None
@@ -133,6 +155,7 @@
                 "warning",
                 commits=attempt.abandoned_count,
                 hosts=",".join(sorted(attempt.abandoned)),
+                untold=",".join(sorted(attempt.untold)),
                 shown=attempt.shown.text,
                 appended=attempt.appended.text,
                 received=attempt.received_text,
@@ -140,7 +163,7 @@
             )
         self._waits[attempt.group.service] = (attempt, handler)
         self._fence_orders.begin(attempt, lambda: None)  # to renew it
-        self._promotion_orders.prepare(attempt)  # to renew the claim
+        self._keep_claim(attempt)
         primary = self._primary(attempt)
         if primary is not None:
             attempt.must_step_down = True
@@ -150,16 +173,42 @@
         delay = min(time - self.now for time in due if time > self.now)
         self.timers.after(delay, self._finish, attempt, attempt.rounds)
 
+    def _keep_claim(self, attempt: Replacement) -> None:
+        """Store the order ahead, and keep other hosts from claiming meanwhile."""
+        claim = attempt.claim
+        if claim is None or self._claims.age(claim) < CLAIM_AGE:
+            self._promotion_orders.prepare(attempt)
+            return
+
+        def on_claim(renewed: Claim | None) -> None:
+            if renewed is not None and attempt.claim is claim:
+                attempt.claim = renewed
+
+        self._claims.prolong(attempt.group.service, claim, on_claim)
+
     @staticmethod
     def _primary(attempt: Replacement) -> EndpointRow | None:
         return attempt.group.endpoints.get(attempt.primary)
 
-    @staticmethod
-    def _ends_at(attempt: Replacement) -> float:
+    def _untold(self, attempt: Replacement) -> dict[str, float]:
+        """Return the hosts that told nothing, each with when its connections ended.
+
+        Where the platform checks no tokens, hosts without the store hold their writes
+        no longer than a fence lasts, see `writeleases`, so they can't be waited for.
+        """
+        return attempt.untold if self.tables.promotion_fences_primary else {}
+
+    def _ends_at(self, attempt: Replacement) -> float:
         """Return when the primary has closed the connections that hosts closed."""
-        closed = (closed_at for _, closed_at in attempt.abandoned.values())
+        closed = [closed_at for _, closed_at in attempt.abandoned.values()]
+        closed.extend(self._untold(attempt).values())
         return max(closed, default=float("-inf")) + LINGER_TIME
 
+    def _are_any_untold(self, attempt: Replacement) -> bool:
+        """Return whether commits may wait of which no host has told."""
+        last_at = max(self._untold(attempt).values(), default=float("-inf"))
+        return self.now < last_at + LINGER_TIME
+
     def _why_over(self, attempt: Replacement) -> str:
         """Return why no commit is waited for, empty if one is."""
         if self.now >= self._ends_at(attempt):
@@ -170,15 +219,30 @@
             return "the primary stepped down"
         if attempt.primary in attempt.restarted:
             return "the primary restarted"
+        if self._has_ended(attempt):
+            return "the primary's process has ended"
+        if attempt.is_primary_running is False:
+            return "the platform tells that the primary does not run"
+        if attempt.has_settled:
+            return "the target received after all commits were sent"
         received = attempt.received[attempt.target]
         known = max(attempt.shown, attempt.appended)
-        settled = max(commits.settled for commits, _ in attempt.abandoned.values())
-        if received > known:
+        settled = max(
+            (commits.settled for commits, _ in attempt.abandoned.values()),
+            default=ZERO_POSITION,
+        )
+        are_all_told = not self._are_any_untold(attempt)
+        if are_all_told and received > known:
             return "the target has more than the primary showed"
         if received < settled or self._is_alive(attempt):
             return ""
-        if received == known:
+        is_unknown = attempt.is_primary_running is None
+        if self._primary_questions.may_ask(attempt):
+            return ""
+        if are_all_told and received == known and is_unknown:
             return "the target has what the primary showed"
+        if attempt.is_primary_running:
+            return ""  # it may live and not reach the store
         is_due = self.now >= self._renewals_of(attempt).due_at
         return "the primary shows no sign of life" if is_due else ""
 
@@ -190,6 +254,12 @@
         renewed_at = self._renewals_of(attempt).last_at
         return renewed_at > primary.last_reply_at + RENEWAL_DELAY
 
+    def _has_ended(self, attempt: Replacement) -> bool:
+        """Return whether no process of a primary has run since it last answered."""
+        primary = self._primary(attempt)
+        ended_at = self._ended_at.get(attempt.primary, float("-inf"))
+        return primary is not None and ended_at > primary.last_reply_at
+
     def _renewals_of(self, attempt: Replacement) -> _Renewals:
         return self._renewals.setdefault(attempt.primary, _Renewals())
 
@@ -208,6 +278,11 @@
     def _on_expired(self, signal: EndpointExpired) -> None:
         self._renewals.pop(signal.endpoint.name, None)
         self._stepped_down_at.pop(signal.endpoint.name, None)
+        self._ended_at.pop(signal.endpoint.name, None)
+
+    def _on_unreachable(self, signal: EndpointUnreachable) -> None:
+        if signal.is_gone:
+            self._ended_at[signal.endpoint.name] = self.now
 
     def _on_stepped_down(self, signal: PrimarySteppedDown) -> None:
         self._stepped_down_at[signal.endpoint.name] = signal.ordered_at
--- a/mallowpass/core/proxy/leasewaits.py
+++ b/mallowpass/core/proxy/leasewaits.py
@@ -9,6 +9,10 @@
 primary acknowledges these as soon as some replica receives them. So the target receives
 for a moment after the wait, and has them when it is compared. From then on it stays
 paused until it leads: a host that looks at it learns of its promotion.
+
+What hosts send during the wait is held up at the primary, as no replica receives it. If
+the target receives nothing after the wait, such commits may go on to wait there, see
+`commitwaits`.
 """
 
 from __future__ import annotations
@@ -95,7 +99,7 @@
         """End the wait of an attempt without calling its handler."""
         wait = self._waits.get(attempt.group.service)
         if wait is not None and wait.attempt is attempt:
-            del self._waits[attempt.group.service]
+            self._remove(wait)
 
     def _on_ended(self, signal: ReplacementEnded) -> None:
         self.end(signal.attempt)
@@ -159,14 +163,23 @@
 
     def _settle(self, wait: _Wait) -> None:
         """Have the target receive what is in flight, and end the wait after that."""
-        self._promotion_orders.resume_target(wait.attempt)
+        attempt = wait.attempt
+        attempt.before_settling = max(wait.received.values())
+        self._promotion_orders.resume_target(attempt)
         self.timers.after(SETTLE_TIME, self._end_settled, wait)
 
     def _end_settled(self, wait: _Wait) -> None:
         if self._is_current(wait):
-            wait.attempt.has_outwaited_leases = True
+            attempt = wait.attempt
+            attempt.has_outwaited_leases = True
+            for host in attempt.unconfirmed_hosts - attempt.fence_confirmed:
+                attempt.untold[host] = self.now
             self._finish(wait)
 
     def _finish(self, wait: _Wait) -> None:
-        del self._waits[wait.attempt.group.service]
+        self._remove(wait)
         wait.handler()
+
+    def _remove(self, wait: _Wait) -> None:
+        del self._waits[wait.attempt.group.service]
+        wait.attempt.awaited_leases += self.now - wait.began_at
--- a/mallowpass/core/proxy/registry.py
+++ b/mallowpass/core/proxy/registry.py
@@ -33,6 +33,7 @@
 from mallowpass.core.proxy.idleconnections import IdleConnections
 from mallowpass.core.proxy.lapsedmembers import LapsedMembers
 from mallowpass.core.proxy.leadership import Leadership
+from mallowpass.core.proxy.leadlog import LeadLog
 from mallowpass.core.proxy.leasewaits import LeaseWaits
 from mallowpass.core.proxy.links import Links
 from mallowpass.core.proxy.load import Load
@@ -44,6 +45,7 @@
 from mallowpass.core.proxy.pendingfences import PendingFences
 from mallowpass.core.proxy.pendingorders import PendingOrders
 from mallowpass.core.proxy.primaryconflicts import PrimaryConflicts
+from mallowpass.core.proxy.primaryquestions import PrimaryQuestions
 from mallowpass.core.proxy.promotion import Promotion
 from mallowpass.core.proxy.promotionlog import PromotionLog
 from mallowpass.core.proxy.promotionorders import PromotionOrders
@@ -111,6 +113,7 @@
     ForwardedOrders,
     Demotion,
     ReplacementLog,
+    LeadLog,
     NearMisses,
     Fencing,
     FenceLog,
@@ -131,6 +134,7 @@
     PromotionOrders,
     PauseChecks,
     LeaseWaits,
+    PrimaryQuestions,
     CommitWaits,
     Promotion,
     ReplacementTriggers,
--- a/mallowpass/core/proxy/statements.py
+++ b/mallowpass/core/proxy/statements.py
@@ -319,6 +319,13 @@
         return cls(LogPosition.parse(shown), LogPosition.parse(base), int(count))
 
 
+_NOT_KNOWN = "-"
+
+
+def _milliseconds_text(seconds: float | None) -> str:
+    return _NOT_KNOWN if seconds is None else str(int(1000 * seconds))
+
+
 @record
 class FenceEvidence:
     """What a holder knows of the log of a primary that it fences."""
@@ -328,20 +335,27 @@
     # That the log had shown before the newest commits of this holder were sent.
     shown_before_commits: tuple[LogPosition, ...] = ()
     abandoned: AbandonedCommits = AbandonedCommits()
+    # Seconds since the holder has started after a run that was not told to stop, of
+    # whose commits it knows nothing; None: long ago, or there was no such run.
+    restarted_ago: float | None = None
     answered: AnsweredLog | None = None  # of the primary; None: not known
 
     def encode(self) -> tuple[bytes, ...]:
         """Return the rows that are sent; earlier versions read the first ones alone."""
         rows = [f"{self.shown.text} {self.must_hold.text}"]
         commits = self.shown_before_commits
-        has_abandoned = self.abandoned.count or self.answered is not None
+        is_answered = self.answered is not None
+        has_restart_row = is_answered or self.restarted_ago is not None
+        has_abandoned = self.abandoned.count or has_restart_row
         if has_abandoned:
             commits = commits or (ZERO_POSITION,)  # no row may be empty
         if commits:
             rows.append(" ".join(position.text for position in commits))
         if has_abandoned:
             rows.append(self.abandoned.encode())
-        if self.answered is not None:
+        if has_restart_row:
+            rows.append(_milliseconds_text(self.restarted_ago))
+        if is_answered:
             rows.append(self.answered.encode())
         return tuple(row.encode() for row in rows)
 
@@ -355,12 +369,16 @@
         abandoned = AbandonedCommits()
         if len(rows) > 2:
             abandoned = AbandonedCommits.decode(rows[2].decode())
-        answered = AnsweredLog.decode(rows[3].decode()) if len(rows) > 3 else None
+        restarted_ago = None
+        if len(rows) > 3 and rows[3].decode() != _NOT_KNOWN:
+            restarted_ago = int(rows[3]) / 1000
+        answered = AnsweredLog.decode(rows[4].decode()) if len(rows) > 4 else None
         return cls(
             LogPosition.parse(shown),
             LogPosition.parse(must_hold),
             commits,
             abandoned,
+            restarted_ago,
             answered,
         )
 
--- a/mallowpass/platform/runtime.py
+++ b/mallowpass/platform/runtime.py
@@ -14,6 +14,7 @@
 from mallowpass.core.node import FailureDomain, HostIdentity, Node, Tuning
 from mallowpass.core.proxy import effects
 from mallowpass.core.proxy.events import (
+    PrimaryAnswered,
     PromotionAnswered,
     ProxyEvent,
     ShutdownRequested,
@@ -38,6 +39,7 @@
     load_settings,
 )
 from mallowpass.platform.store import StoreClient
+from mallowpass.versions import program_version
 
 __all__ = ["EXCEPTION_ESCAPED", "HostRuntime", "host_clock"]
 
@@ -122,6 +124,7 @@
             key_lapse=settings.key_lapse,
             rate_bounds=settings.rate_bounds,
             overload_control=settings.overload_control,
+            version=program_version(),
         )
         self._node = Node(identity, Tuning(), seed, now, tables)
         self._node.on_error = self._on_error
@@ -195,6 +198,7 @@
                 ("host", self._settings.name),
                 ("domain", self._settings.failure_domain),
                 ("callers", self._settings.callers),
+                ("version", self._node.tables.version),
             ),
         )
         self._start_core()
@@ -402,6 +406,19 @@
             answered = PromotionAnswered(effect.call, None, message=why)
         self.handle(answered)
 
+    @_apply.register
+    def _(self, effect: effects.AskPrimary) -> None:
+        self._spawn(self._ask_primary(effect))
+
+    async def _ask_primary(self, effect: effects.AskPrimary) -> None:
+        answered = PrimaryAnswered(effect.call, None)
+        if self._promotion_client is not None:
+            try:
+                answered = await self._promotion_client.ask(effect)
+            except Exception as error:
+                self._on_error(error, type(effect).__name__)
+        self.handle(answered)
+
     @_apply.register
     def _(self, effect: effects.SetReady) -> None:
         self._is_ready = effect.ready
--- a/mallowpass/standins/proxied/virtual/hosts.py
+++ b/mallowpass/standins/proxied/virtual/hosts.py
@@ -17,6 +17,7 @@
     EndpointAnswered,
     LinkCalled,
     LinkClosed,
+    PrimaryAnswered,
     PromotionAnswered,
     ProxyEvent,
     SessionClosed,
@@ -54,10 +55,11 @@
 if TYPE_CHECKING:
     from mallowpass.standins.proxied.virtual.world import ProxyWorld
 
-__all__ = ["DOMAINS", "LINK", "Caller", "Host", "Link"]
+__all__ = ["DOMAINS", "LINK", "VERSION", "Caller", "Host", "Link"]
 
 LINK = 0.0005  # seconds one way between any two of a region
 _STATEMENTS_WITH_TEXT = (Read, Write, SetValue, Prepare, Execute, Deallocate)
+VERSION = "0.1.0+0a1b2c3d"
 DOMAINS = tuple(FailureDomain(name, name, 0) for name in ("casa", "tanger", "agadir"))
 
 
@@ -177,6 +179,7 @@
             apply_time=world.apply_time,
             key_lapse=world.key_lapse,
             overload_control=world.overload_control,
+            version=VERSION,
         )
         self.node = Node(identity, Tuning(), seed, now, tables)
         self._wake_at: float | None = None
@@ -288,7 +291,8 @@
             refusal = ConnectionRefused(number, Code.OTHER, "no answer", True)
             self.later(effect.timeout, refusal)
         elif replica is None or not replica.up:
-            refusal = ConnectionRefused(number, Code.OTHER, "reset", True)
+            is_gone = replica is not None
+            refusal = ConnectionRefused(number, Code.OTHER, "reset", True, is_gone)
             self.later(self.world.way(self, effect), refusal)
         elif group.times.opening:
             opened = partial(self._opened_in_slot, group, effect, replica)
@@ -465,6 +469,12 @@
         answered = PromotionAnswered(effect.call, accepted, outdated)
         self.later(2 * LINK if accepted is not None else effect.timeout, answered)
 
+    @_apply.register
+    def _(self, effect: effects.AskPrimary) -> None:
+        is_running = self.world.ask_primary(self, effect)
+        answered = PrimaryAnswered(effect.call, is_running)
+        self.later(2 * LINK if is_running is not None else effect.timeout, answered)
+
     @_apply.register
     def _(self, effect: effects.SetReady) -> None:
         self.ready = effect.ready
--- a/tests/core/proxy/test_unanswered_commits.py
+++ b/tests/core/proxy/test_unanswered_commits.py
@@ -141,7 +141,9 @@
     answered = AnsweredLog(position, _position(3), 2)
     for commits in ((), (position,)):
         for abandoned in (AbandonedCommits(), AbandonedCommits(1, 0.25)):
-            evidence = FenceEvidence(position, position, commits, abandoned, answered)
+            evidence = FenceEvidence(
+                position, position, commits, abandoned, answered=answered
+            )
             rows = evidence.encode()
             assert all(rows)
             assert FenceEvidence.decode(rows) == evidence
