--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -52,6 +52,7 @@
 )
 from mallowpass.core.proxy.signals import PrimarySteppedDown, PrimarySuspected
 from mallowpass.core.proxy.statements import (
+    AnsweredLog,
     Fence,
     FenceEvidence,
     LogPosition,
@@ -59,6 +60,7 @@
 )
 from mallowpass.core.proxy.store import Store
 from mallowpass.core.proxy.tables import EndpointRow, GroupRow, HostRow, ProxySystem
+from mallowpass.core.proxy.unansweredcommits import UnansweredCommits
 from mallowpass.core.proxy.writers import Writers
 
 __all__ = ["FenceOrders"]
@@ -109,6 +111,8 @@
     is_settled: bool = False
     # Positions that the log had shown before commits were sent, by holder.
     commits: dict[str, tuple[LogPosition, ...]] = field(default_factory=dict)
+    # How far the log reached, and what was not answered; None: not known, by holder.
+    answered: dict[str, AnsweredLog | None] = field(default_factory=dict)
 
 
 class FenceOrders(ProxySystem):
@@ -126,6 +130,7 @@
         "_store",
         "_tasks",
         "_tokens",
+        "_unanswered_commits",
         "_writers",
     )
 
@@ -146,6 +151,7 @@
         self._forwarded_orders = self._node.system(ForwardedOrders)
         self._holders = self._node.system(Holders)
         self._store = self._node.system(Store)
+        self._unanswered_commits = self._node.system(UnansweredCommits)
         self._writers = self._node.system(Writers)
         self._node.subscribe(PrimarySuspected, self._on_suspected)
         self._node.subscribe(PrimarySteppedDown, self._on_stepped_down)
@@ -448,6 +454,8 @@
                 self._note_ended(task.attempt, host.name)
                 task.attempt.fence_refused.add(host.name)
                 self._log_refused(task.attempt, host.name, heard_at)
+                task.answered[host.name] = None
+                self._unanswered_commits.note_ended_host(task.attempt.primary)
                 self._confirm(task, host.name)
             else:
                 self.timers.after(RETRY_INTERVAL, self._order, task, host)
@@ -466,6 +474,7 @@
         attempt.note_abandoned(host, evidence.abandoned, self.now)
         if evidence.restarted_ago is not None and attempt.reason.is_failure:
             attempt.untold[host] = self.now - evidence.restarted_ago
+        task.answered[host] = evidence.answered
         task.commits[host] = evidence.shown_before_commits
         commits = [position for each in task.commits.values() for position in each]
         self._durability.require_commits(attempt.group, commits)
@@ -501,7 +510,11 @@
 
     def _confirm(self, task: _Task, host: str) -> None:
         task.unconfirmed.discard(host)
-        if task.unconfirmed or not self._is_open(task):
+        if task.unconfirmed:
+            return
+        logs = [task.answered.get(name) for name in task.attempt.fence_told]
+        self._durability.require_answered(task.attempt.group, logs)
+        if not self._is_open(task):
             return
         task.attempt.confirmed_fence = ConfirmedFence(
             task.attempt.primary,
--- a/mallowpass/core/proxy/statements.py
+++ b/mallowpass/core/proxy/statements.py
@@ -299,6 +299,33 @@
         return cls(int(count), int(age) / 1000, tuple(shown_before), settled)
 
 
+@record
+class AnsweredLog:
+    """How far a primary's log reaches, and how many commits of a host it may hold."""
+
+    shown: LogPosition  # the newest that the log showed
+    # At or behind which are all commits that the host does not count.
+    base: LogPosition
+    count: int  # commits of the host that the primary has not answered
+
+    def encode(self) -> str:
+        """Return the row that is sent."""
+        return f"{self.shown.text} {self.base.text} {self.count}"
+
+    @classmethod
+    def decode(cls, row: str) -> AnsweredLog:
+        """Parse a row; raise ValueError if it is malformed."""
+        shown, base, count = row.split(" ")
+        return cls(LogPosition.parse(shown), LogPosition.parse(base), int(count))
+
+
+_NOT_KNOWN = "-"
+
+
+def _milliseconds_text(seconds: float | None) -> str:
+    return _NOT_KNOWN if seconds is None else str(int(1000 * seconds))
+
+
 @record
 class FenceEvidence:
     """What a holder knows of the log of a primary that it fences."""
@@ -311,21 +338,25 @@
     # Seconds since the holder has started after a run that was not told to stop, of
     # whose commits it knows nothing; None: long ago, or there was no such run.
     restarted_ago: float | None = None
+    answered: AnsweredLog | None = None  # of the primary; None: not known
 
     def encode(self) -> tuple[bytes, ...]:
         """Return the rows that are sent; earlier versions read the first ones alone."""
         rows = [f"{self.shown.text} {self.must_hold.text}"]
         commits = self.shown_before_commits
-        is_restarted = self.restarted_ago is not None
-        has_abandoned = self.abandoned.count or is_restarted
+        is_answered = self.answered is not None
+        has_restart_row = is_answered or self.restarted_ago is not None
+        has_abandoned = self.abandoned.count or has_restart_row
         if has_abandoned:
             commits = commits or (ZERO_POSITION,)  # no row may be empty
         if commits:
             rows.append(" ".join(position.text for position in commits))
         if has_abandoned:
             rows.append(self.abandoned.encode())
-        if is_restarted:
-            rows.append(str(int(1000 * self.restarted_ago)))
+        if has_restart_row:
+            rows.append(_milliseconds_text(self.restarted_ago))
+        if is_answered:
+            rows.append(self.answered.encode())
         return tuple(row.encode() for row in rows)
 
     @classmethod
@@ -338,13 +369,17 @@
         abandoned = AbandonedCommits()
         if len(rows) > 2:
             abandoned = AbandonedCommits.decode(rows[2].decode())
-        restarted_ago = int(rows[3]) / 1000 if len(rows) > 3 else None
+        restarted_ago = None
+        if len(rows) > 3 and rows[3].decode() != _NOT_KNOWN:
+            restarted_ago = int(rows[3]) / 1000
+        answered = AnsweredLog.decode(rows[4].decode()) if len(rows) > 4 else None
         return cls(
             LogPosition.parse(shown),
             LogPosition.parse(must_hold),
             commits,
             abandoned,
             restarted_ago,
+            answered,
         )
 
 
