--- a/mallowpass/core/proxy/commitwaits.py
+++ b/mallowpass/core/proxy/commitwaits.py
@@ -177,8 +177,9 @@
     def _keep_claim(self, attempt: Replacement) -> None:
         """Store the order ahead, and keep other hosts from claiming meanwhile."""
         claim = attempt.claim
-        if claim is None or self._claims.age(claim) < CLAIM_AGE:
-            self._promotion_orders.prepare(attempt)
+        self._promotion_orders.prepare(attempt)
+        is_prepared = self._promotion_orders.is_prepared(attempt)
+        if not is_prepared or self._claims.age(claim) < CLAIM_AGE:
             return
 
         def on_claim(renewed: Claim | None) -> None:
@@ -222,7 +223,7 @@
             return "the primary restarted"
         if self._has_ended(attempt):
             return "the primary's process has ended"
-        if attempt.is_primary_running is False:
+        if attempt.is_primary_down:
             return "the platform tells that the primary does not run"
         if attempt.has_settled:
             return "the target received after all commits were sent"
--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -295,9 +295,14 @@
         unconfirmed = attempt.fence_confirmed - {self._node.identity.name}
 
         def on_reply(host: str, forwarded: ForwardedReply) -> None:
-            if _evidence_of(forwarded) is not None or forwarded.is_unconnected:
+            evidence = _evidence_of(forwarded)
+            if not self._is_current(task):
+                return
+            if evidence is not None:
+                self._note_evidence(task, host, evidence)
+            if evidence is not None or forwarded.is_unconnected:
                 unconfirmed.discard(host)
-            if not unconfirmed and self._is_current(task):
+            if not unconfirmed and self.now < attempt.fenced_until:
                 attempt.fenced_until = max(attempt.fenced_until, until)
 
         self._fencing.fence_service(attempt.group, fence)
@@ -467,6 +472,12 @@
     # -- Confirmations -------------------------------------------------------
 
     def _on_evidence(self, task: _Task, host: str, evidence: FenceEvidence) -> None:
+        self._note_evidence(task, host, evidence)
+        task.attempt.fence_confirmed.add(host)
+        self._confirm(task, host)
+
+    def _note_evidence(self, task: _Task, host: str, evidence: FenceEvidence) -> None:
+        """Record what a holder knows of the primary's log."""
         attempt = task.attempt
         self._ended_at.pop(host, None)
         self._durability.raise_must_hold(attempt.group, evidence.must_hold)
@@ -481,15 +492,15 @@
         for abandoned, _ in attempt.abandoned.values():
             commits.extend(abandoned.shown_before)
         attempt.appended = max(attempt.appended, least_position(commits))
-        attempt.fence_confirmed.add(host)
-        self._confirm(task, host)
 
     def _note_ended(self, attempt: Replacement, host: str) -> None:
         """Record that a host can't tell what it had in flight at a failed primary.
 
         One that is replaced as planned answers, and learnt of the end.
         """
-        ended_at = self._ended_at.setdefault(host, self.now)
+        ended_at = self._ended_at.get(host, -math.inf)
+        if self._holders.last_reply_at(host) >= ended_at:
+            ended_at = self._ended_at[host] = self.now
         if attempt.reason.is_failure:
             attempt.untold[host] = ended_at
 
--- a/mallowpass/core/proxy/leasewaits.py
+++ b/mallowpass/core/proxy/leasewaits.py
@@ -167,6 +167,7 @@
         """Have the target receive what is in flight, and end the wait after that."""
         attempt = wait.attempt
         attempt.before_settling = max(wait.received.values())
+        attempt.settled_target = attempt.target
         self._promotion_orders.resume_target(attempt)
         self.timers.after(SETTLE_TIME, self._end_settled, wait)
 
--- a/mallowpass/core/proxy/pendingfences.py
+++ b/mallowpass/core/proxy/pendingfences.py
@@ -231,6 +231,10 @@
         watch = self._watches.get(service)
         return watch is not None and not watch.is_lifted
 
+    def is_watching(self, service: str) -> bool:
+        """Return whether an order may be pending, fenced or not."""
+        return service in self._watches
+
     def is_lifted(self, service: str, target: str = "") -> bool:
         """Return whether a primary serves writes while an order is pending.
 
--- a/mallowpass/core/proxy/primaryquestions.py
+++ b/mallowpass/core/proxy/primaryquestions.py
@@ -55,8 +55,8 @@
             return False
         if not self.tables.promotion_fences_primary:
             return False
-        is_guarding = self._pending_fences.is_guarding(group.service)
-        return not (is_guarding or self._pending_orders.has_foreign(group))
+        is_watching = self._pending_fences.is_watching(group.service)
+        return not (is_watching or self._pending_orders.has_foreign(group))
 
     def ask(self, attempt: Replacement, handler: AnswerHandler) -> None:
         """Ask whether the primary of an attempt runs.
--- a/mallowpass/core/proxy/promotion.py
+++ b/mallowpass/core/proxy/promotion.py
@@ -365,6 +365,7 @@
             self._give_up(attempt, "the entries of writers can't be read")
             return
         attempt.writers_token = claim.token
+        attempt.writers_read_at = self.now
         attempt.are_writers_known = bool(claim.ordered)
         self._fence_orders.tell_writers(attempt)
         self._continue_with_view(attempt)
--- a/mallowpass/core/proxy/promotionorders.py
+++ b/mallowpass/core/proxy/promotionorders.py
@@ -11,7 +11,7 @@
 from mallowpass.core.messages import Signal
 from mallowpass.core.node import Node
 from mallowpass.core.proxy.attemptsteps import attempt_step
-from mallowpass.core.proxy.claims import Claims
+from mallowpass.core.proxy.claims import CLAIM_VIEW_TIMEOUT, Claims
 from mallowpass.core.proxy.demotion import Demotion
 from mallowpass.core.proxy.effects import OrderPromotion
 from mallowpass.core.proxy.events import PromotionAnswered
@@ -147,7 +147,9 @@
 
         If there are others than those that were told, another claim is taken.
         """
-        is_outdated = self._claims.is_view_outdated(attempt.claim)
+        is_outdated = self._claims.is_view_outdated(attempt.claim) or (
+            self.now >= attempt.writers_read_at + CLAIM_VIEW_TIMEOUT
+        )
         if attempt.are_writers_known and not is_outdated:
             self._send_order(attempt, number)
             return
@@ -188,6 +190,10 @@
         """Store the order ahead, while something else has to be waited for."""
         self._stored_orders.store(attempt)
 
+    def is_prepared(self, attempt: Replacement) -> bool:
+        """Return whether the order is stored ahead, and the claim names its target."""
+        return self._stored_orders.is_stored(attempt)
+
     def let_target_receive(self, attempt: Replacement) -> None:
         """Have the target receive again, as another replica's pause has ended.
 
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -83,6 +83,7 @@
     view_token: int = 0  # of the claim after which the entries were last read
     # Of the claim after which it was last read who writes directly, see `writers`.
     writers_token: int = 0
+    writers_read_at: float = float("-inf")
     # They were read after the claim, or its renewal, had named a target.
     are_writers_known: bool = False
     is_awaiting_view: bool = False  # this round is decided once they are read
@@ -135,6 +136,7 @@
     # The newest that a replica had once no host had a lease, before the target received
     # what was in flight; None: leases were not awaited.
     before_settling: LogPosition | None = None
+    settled_target: str = ""  # that received after the leases
     # That the primary's log reaches, or will, with the commits that have arrived there.
     appended: LogPosition = ZERO_POSITION
     # The token under which the platform was asked whether the primary runs; 0: it was
@@ -189,6 +191,15 @@
         is_open = not (self.is_quiesced or self.has_outwaited_leases)
         return is_open and name == self.target
 
+    @property
+    def is_primary_down(self) -> bool:
+        """Return whether the platform tells that the primary does not run.
+
+        It refuses an outdated claim as well, so the answer counts for the same claim.
+        """
+        is_same = self.claim is not None and self.claim.token == self.question_token
+        return is_same and self.is_primary_running is False
+
     @property
     def needs_newer_token(self) -> bool:
         """Return whether a question to the platform without an answer may be late."""
@@ -205,14 +216,15 @@
     def has_settled(self) -> bool:
         """Return whether the target received once no host could send a commit.
 
-        A log is received in order, so the target has all that had arrived by then.
+        A log is received in order, so it goes on to receive what had arrived by then.
         """
-        before = self.before_settling
-        return before is not None and self.received[self.target] > before
+        if self.before_settling is None or self.target != self.settled_target:
+            return False
+        known = max(self.before_settling, self.shown, self.appended)
+        return self.received[self.target] > known
 
     def note_abandoned(self, host: str, commits: AbandonedCommits, now: float) -> None:
         """Record the commits that a host gave up at the primary, as it tells now."""
-        self.untold.pop(host, None)
         if commits.count:
             self.abandoned[host] = (commits, now - commits.age)
         else:
--- a/mallowpass/core/proxy/storedorders.py
+++ b/mallowpass/core/proxy/storedorders.py
@@ -93,6 +93,11 @@
         elif order.is_stored:
             self._deliver(order)
 
+    def is_stored(self, attempt: Replacement) -> bool:
+        """Return whether the order of an attempt is stored and was not sent yet."""
+        order = self._orders.get(attempt.group.service)
+        return order is not None and order.attempt is attempt and order.is_stored
+
     def _is_usable(self, order: _Order, attempt: Replacement) -> bool:
         """Return whether an order names what an attempt would have stored now.
 
