Do not wait where a primary has answered after all commits were sent

Holders tell when the last statement was sent that the primary answered, and when they sent the newest commit that they gave up. What the primary showed 0.2 s or more after that, to any of them, reaches beyond all that had arrived. A target that has it lacks nothing, so neither the platform nor a step down is needed.

--- a/mallowpass/core/proxy/commitwaits.py
+++ b/mallowpass/core/proxy/commitwaits.py
@@ -61,6 +61,9 @@
 # From the last reply of an endpoint, until a renewal of its entry shows that it lives:
 # one from before may take as long until it is known.
 RENEWAL_DELAY = 0.1
+# From when a commit was sent until it is shown by what the primary answers then: a way
+# to the primary, and the ways on which hosts tell of both.
+SHOWN_DELAY = 0.2
 INTERVALS_MAX = 3  # between renewals of an entry that are kept
 
 WaitHandler = Callable[[], None]
@@ -236,6 +239,9 @@
         are_all_told = not self._are_any_untold(attempt)
         if are_all_told and received > known:
             return "the target has more than the primary showed"
+        has_shown_all = attempt.reached_at >= attempt.sent_at + SHOWN_DELAY
+        if are_all_told and has_shown_all and received >= known:
+            return "the target has what the primary showed after them"
         if received < settled or self._is_alive(attempt):
             return ""
         is_unknown = attempt.is_primary_running is None
--- a/mallowpass/core/proxy/fenceorders.py
+++ b/mallowpass/core/proxy/fenceorders.py
@@ -486,6 +486,11 @@
         if evidence.restarted_ago is not None and attempt.reason.is_failure:
             attempt.untold[host] = self.now - evidence.restarted_ago
         task.answered[host] = evidence.answered
+        if evidence.reached_ago is not None:
+            reached_at = self.now - evidence.reached_ago
+            attempt.reached_at = max(attempt.reached_at, reached_at)
+        if evidence.sent_ago is not None:
+            attempt.sent_at = max(attempt.sent_at, self.now - evidence.sent_ago)
         task.commits[host] = evidence.shown_before_commits
         commits = [position for each in task.commits.values() for position in each]
         self._durability.require_commits(attempt.group, commits)
--- a/mallowpass/core/proxy/fencing.py
+++ b/mallowpass/core/proxy/fencing.py
@@ -32,6 +32,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -365,8 +366,16 @@
         abandoned = self._waiting_commits.abandoned(rows)
         restarted_ago = self._waiting_commits.restarted_ago(rows)
         answered = self._unanswered_commits.answered_log(order.primary)
+        reached_at = max((row.answered_sent_at for row in rows), default=-math.inf)
         return FenceEvidence(
-            shown, group.must_hold, newest, abandoned, restarted_ago, answered
+            shown,
+            group.must_hold,
+            newest,
+            abandoned,
+            restarted_ago,
+            answered,
+            None if math.isinf(reached_at) else self.now - reached_at,
+            self._waiting_commits.sent_ago(rows),
         )
 
     def _is_silent(self, primary: EndpointRow) -> bool:
--- a/mallowpass/core/proxy/replacement.py
+++ b/mallowpass/core/proxy/replacement.py
@@ -130,6 +130,10 @@
     # Commits that may wait at the primary, and when their connections were closed, by
     # the host that gave them up.
     abandoned: dict[str, tuple[AbandonedCommits, float]] = field(default_factory=dict)
+    # When the last statement was sent that the primary answered, to any holder, and the
+    # newest commit that a holder gave up.
+    reached_at: float = float("-inf")
+    sent_at: float = float("-inf")
     # Hosts that told nothing of the commits that they gave up there, as they did not
     # confirm the fence or have ended, and until when each may have been connected.
     untold: dict[str, float] = field(default_factory=dict)
--- a/mallowpass/core/proxy/statements.py
+++ b/mallowpass/core/proxy/statements.py
@@ -326,6 +326,10 @@
     return _NOT_KNOWN if seconds is None else str(int(1000 * seconds))
 
 
+def _seconds(text: str) -> float | None:
+    return None if text == _NOT_KNOWN else int(text) / 1000
+
+
 @record
 class FenceEvidence:
     """What a holder knows of the log of a primary that it fences."""
@@ -339,22 +343,27 @@
     # whose commits it knows nothing; None: long ago, or there was no such run.
     restarted_ago: float | None = None
     answered: AnsweredLog | None = None  # of the primary; None: not known
+    # Seconds since the last statement was sent that the primary answered, and since the
+    # newest commit that may have arrived there was sent; None: there was none.
+    reached_ago: float | None = None
+    sent_ago: float | None = None
 
     def encode(self) -> tuple[bytes, ...]:
         """Return the rows that are sent; earlier versions read the first ones alone."""
         rows = [f"{self.shown.text} {self.must_hold.text}"]
         commits = self.shown_before_commits
         is_answered = self.answered is not None
-        has_restart_row = is_answered or self.restarted_ago is not None
-        has_abandoned = self.abandoned.count or has_restart_row
+        ages = (self.restarted_ago, self.reached_ago, self.sent_ago)
+        has_ages = is_answered or any(age is not None for age in ages)
+        has_abandoned = self.abandoned.count or has_ages
         if has_abandoned:
             commits = commits or (ZERO_POSITION,)  # no row may be empty
         if commits:
             rows.append(" ".join(position.text for position in commits))
         if has_abandoned:
             rows.append(self.abandoned.encode())
-        if has_restart_row:
-            rows.append(_milliseconds_text(self.restarted_ago))
+        if has_ages:
+            rows.append(" ".join(map(_milliseconds_text, ages)))
         if is_answered:
             rows.append(self.answered.encode())
         return tuple(row.encode() for row in rows)
@@ -369,9 +378,10 @@
         abandoned = AbandonedCommits()
         if len(rows) > 2:
             abandoned = AbandonedCommits.decode(rows[2].decode())
-        restarted_ago = None
-        if len(rows) > 3 and rows[3].decode() != _NOT_KNOWN:
-            restarted_ago = int(rows[3]) / 1000
+        ages: tuple[float | None, ...] = (None, None, None)
+        if len(rows) > 3:
+            ages = tuple(map(_seconds, rows[3].decode().split(" ")))
+        restarted_ago, reached_ago, sent_ago = ages
         answered = AnsweredLog.decode(rows[4].decode()) if len(rows) > 4 else None
         return cls(
             LogPosition.parse(shown),
@@ -380,6 +390,8 @@
             abandoned,
             restarted_ago,
             answered,
+            reached_ago,
+            sent_ago,
         )
 
 
--- a/mallowpass/core/proxy/waitingcommits.py
+++ b/mallowpass/core/proxy/waitingcommits.py
@@ -101,6 +101,16 @@
         is_recent = self.tables.was_in_hosts and age < LINGER_TIME
         return age if is_recent and not has_answered else None
 
+    def sent_ago(self, endpoints: Sequence[EndpointRow]) -> float | None:
+        """Return the seconds since the newest commit was sent that may wait."""
+        sent_at = [
+            commit.sent_at
+            for endpoint in endpoints
+            for commit in self._abandoned.get(endpoint, ())
+            if commit.closed_at > self.now - LINGER_TIME
+        ]
+        return self.now - max(sent_at) if sent_at else None
+
     def abandoned(self, endpoints: Sequence[EndpointRow]) -> AbandonedCommits:
         """Return the commits of this host that may wait at some endpoints."""
         closed_at, shown_before = [], []
